--- /dev/null
+++ b/lycheepost/commands/main.py
@@ -0,0 +1,19 @@
+"""The ``lycheepost`` command: registers one module per command.
+
+Exit codes of every command: 0 success, 1 the work failed or an audit found a
+fault, 2 wrong use or faulty input, 3 a service could not be reached.
+"""
+
+import typer
+
+app = typer.Typer(
+    name="lycheepost",
+    help="A router for language-model traffic with long, nested, shared prompts.",
+    no_args_is_help=True,
+    add_completion=False,
+)
+
+
+def run() -> None:
+    """Run the command line; the entry point of the package."""
+    app()
