--- /dev/null
+++ b/lycheepost/decide/admission.py
@@ -0,0 +1,103 @@
+"""Whether a request that must wait is worth queueing.
+
+The failure: under overload a queue without a bound serves every caller after
+it has left, and the engines work for nobody. It shows as throughput at its
+peak with no answer inside patience. A request whose predicted first token lies
+beyond what its caller waits for is refused on arrival, as not run and with a
+time to come back, while the caller can still do something else.
+"""
+
+import random
+from dataclasses import dataclass
+
+from lycheepost.decide.queueing import FairQueue, Lane
+from lycheepost.decide.records import RefusalReason, Work
+from lycheepost.decide.settings import SchedulerSettings
+
+RATE_SECONDS = 5.0
+"""Time constant of the measured service rate: long enough to see some tens of
+requests, short enough to follow a crash within a few seconds."""
+
+MIN_RETRY_AFTER_SECONDS = 0.5
+MAX_RETRY_AFTER_SECONDS = 30.0
+"""A caller that is told to come back later than this goes away for good."""
+
+JITTER = 0.5
+"""Refused callers return spread over half to one and a half times the wait;
+all at once they would be the next burst."""
+
+
+class ServiceRate:
+    """Engine seconds of work that leave the queue per second, measured."""
+
+    def __init__(self, initial: float) -> None:
+        self._rate = initial
+        self._cost_seconds = 0.0
+        self._started_seconds: float | None = None
+
+    def count(self, cost_seconds: float) -> None:
+        """Count work dispatched from a queue that was not empty."""
+        self._cost_seconds += cost_seconds
+
+    def update(self, now_seconds: float, is_backlogged: bool) -> None:
+        """Close a measuring interval; idle ones say nothing of the capacity."""
+        started = self._started_seconds
+        if started is not None and now_seconds - started < RATE_SECONDS / 5:
+            return
+        if is_backlogged and started is not None:
+            elapsed = now_seconds - started
+            share = min(1.0, elapsed / RATE_SECONDS)
+            self._rate += share * (self._cost_seconds / elapsed - self._rate)
+        self._cost_seconds = 0.0
+        self._started_seconds = now_seconds if is_backlogged else None
+
+    def per_second(self) -> float:
+        """Return engine seconds served per second."""
+        return max(self._rate, 0.01)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueWait:
+    """Predicted wait in the queue.
+
+    Attributes:
+        is_own_share: Whether the customer's own queue is what makes it wait.
+    """
+
+    seconds: float
+    is_own_share: bool
+
+
+def predict_queue_wait(queue: FairQueue, lane: Lane, rate: float) -> QueueWait:
+    """Return how long a new request of ``lane`` would wait in ``queue``.
+
+    A customer gets at least its weight's share of the rate, so it waits for its
+    own queue at that share, or for the whole queue at the full rate, whichever
+    is less.
+    """
+    active = [item.weight for item in queue.lanes.values() if item.waiting]
+    weights = sum(active) + (0.0 if lane.waiting else lane.weight)
+    own_seconds = lane.queued_cost_seconds * weights / (lane.weight * rate)
+    all_seconds = queue.queued_cost_seconds / rate
+    is_own_share = len(active) > 1 and own_seconds >= all_seconds / 2
+    return QueueWait(min(own_seconds, all_seconds), is_own_share)
+
+
+def budget_seconds(work: Work, settings: SchedulerSettings) -> float:
+    """Return the wait for the first token that ``work`` may be promised."""
+    share = work.patience_seconds * settings.admit_patience_share
+    return min(share, settings.queue_seconds)
+
+
+def reason_of(wait: QueueWait) -> RefusalReason:
+    """Return why a request with this predicted wait is refused."""
+    if wait.is_own_share:
+        return RefusalReason.OVER_SHARE
+    return RefusalReason.DEADLINE
+
+
+def retry_after_seconds(wait_seconds: float, rng: random.Random) -> float:
+    """Return when to come back: after the present queue, with jitter."""
+    spread = 1.0 - JITTER + 2 * JITTER * rng.random()
+    seconds = max(MIN_RETRY_AFTER_SECONDS, wait_seconds) * spread
+    return min(MAX_RETRY_AFTER_SECONDS, seconds)
--- /dev/null
+++ b/lycheepost/decide/belief.py
@@ -0,0 +1,143 @@
+"""What a daemon believes one target's prefix cache to hold.
+
+The belief only steers placement; a wrong one costs time and nothing else,
+because the engine itself decides what it reuses. It is fed by our own
+dispatches and by the target's cache events, which come late and with gaps.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from lycheepost.core.ids import Incarnation, PrefixDigest
+from lycheepost.decide.records import PrefixLevel
+from lycheepost.generated.engine import CacheEvent, CacheEventKind
+
+MAX_ENTRIES = 20_000
+"""Bounds memory per target: 1.6 billion blocks over 12,000 servers would be
+133,000 each; level boundaries are some tens of times fewer."""
+
+
+class CacheBelief:
+    """Prefix levels believed to be cached by one incarnation of one target.
+
+    Args:
+        incarnation: Boot id; entries never outlive it.
+        capacity_tokens: Size of the target's cache; 0 when unknown.
+    """
+
+    __slots__ = (
+        "_capacity_tokens",
+        "_entries",
+        "_retired",
+        "_sequence",
+        "_tokens",
+        "incarnation",
+    )
+
+    def __init__(self, incarnation: Incarnation, capacity_tokens: int) -> None:
+        self.incarnation = incarnation
+        self._capacity_tokens = capacity_tokens
+        self._entries: OrderedDict[PrefixDigest, int] = OrderedDict()
+        self._tokens = 0
+        self._sequence: int | None = None
+        self._retired: set[Incarnation] = set()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def cached_tokens(self, levels: Sequence[PrefixLevel]) -> int:
+        """Return the tokens of the longest prefix believed to be cached.
+
+        Engines evict leaves first, so the deepest level found vouches for all
+        levels above it.
+        """
+        entries = self._entries
+        for level in reversed(levels):
+            if level.digest in entries:
+                return level.end_tokens
+        return 0
+
+    def add(self, levels: Sequence[PrefixLevel]) -> None:
+        """Record that the target has, or is about to have, these levels.
+
+        Deeper levels are touched first, so that a level is always more recent
+        than those below it and is evicted after them, as in the engine.
+        """
+        starts = [0, *(level.end_tokens for level in levels)]
+        for level, start in zip(reversed(levels), reversed(starts[:-1]), strict=True):
+            self._touch(level.digest, level.end_tokens - start)
+        self._evict()
+
+    def _touch(self, digest: PrefixDigest, n_tokens: int) -> None:
+        if digest in self._entries:
+            self._entries.move_to_end(digest)
+            return
+        self._entries[digest] = n_tokens
+        self._tokens += n_tokens
+
+    def _evict(self) -> None:
+        while len(self._entries) > MAX_ENTRIES or (
+            self._capacity_tokens and self._tokens > self._capacity_tokens
+        ):
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, n_tokens = self._entries.popitem(last=False)
+        self._tokens -= n_tokens
+
+    def _forget(self, digest: PrefixDigest) -> None:
+        self._tokens -= self._entries.pop(digest, 0)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self._entries.clear()
+        self._tokens = 0
+
+    def restart(self, incarnation: Incarnation) -> None:
+        """Follow the target to a new incarnation, which starts empty."""
+        self.clear()
+        self._retired.add(self.incarnation)
+        self.incarnation = incarnation
+        self._sequence = None
+
+    def observe(self, incarnation: Incarnation, events: Sequence[CacheEvent]) -> None:
+        """Apply cache events, which may be late and have gaps.
+
+        Late events of a dead incarnation would fill the belief with blocks
+        that no longer exist, so they are ignored. A new incarnation announces
+        a restart that we have not been told of, and starts empty.
+        """
+        if incarnation in self._retired:
+            return
+        if incarnation != self.incarnation:
+            self.restart(incarnation)
+        for event in events:
+            self._observe_one(event)
+        self._evict()
+
+    def _observe_one(self, event: CacheEvent) -> None:
+        last = self._sequence
+        if last is not None and event.sequence <= last:
+            return
+        if last is not None and event.sequence > last + 1:
+            self._invalidate(event.sequence - last - 1)
+        self._sequence = event.sequence
+        digest = PrefixDigest(event.digest)
+        match event.kind:
+            case CacheEventKind.STORED:
+                self._touch(digest, event.n_tokens)
+            case CacheEventKind.EVICTED:
+                self._forget(digest)
+            case CacheEventKind.CLEARED:
+                self.clear()
+
+    def _invalidate(self, n_lost: int) -> None:
+        """Drop as many entries as lost events may have evicted.
+
+        A lost eviction shows as requests sent to a target that must recompute
+        all of their prefix. Engines evict the least recently used entry, so
+        the oldest ``n_lost`` entries are the ones at risk; lost additions only
+        make us miss a hit, which the next response mends.
+        """
+        for _ in range(min(n_lost, len(self._entries))):
+            self._drop_oldest()
--- /dev/null
+++ b/lycheepost/decide/group.py
@@ -0,0 +1,216 @@
+"""The decisions within one target group: its queue, its targets, its rates."""
+
+import random
+
+from lycheepost.core.ids import RequestId, TargetId
+from lycheepost.decide.admission import (
+    QueueWait,
+    ServiceRate,
+    budget_seconds,
+    predict_queue_wait,
+    reason_of,
+    retry_after_seconds,
+)
+from lycheepost.decide.load import InFlight
+from lycheepost.decide.placement import Choice, Placement
+from lycheepost.decide.quarantine import Quarantine
+from lycheepost.decide.queueing import FairQueue, Waiting, make_waiting
+from lycheepost.decide.records import (
+    Dispatch,
+    FinishKind,
+    Outcome,
+    RefusalReason,
+    Refuse,
+    Work,
+)
+from lycheepost.decide.settings import SchedulerSettings
+
+SCANNED_REQUESTS = 8
+"""Requests looked at when a slot frees up: enough to pass those that wait for
+a full target, few enough to bound the cost of a decision under saturation."""
+
+RATE_GAIN = 0.05
+"""Weight of one observation in the measured times; twenty settle it."""
+
+
+class Group:
+    """Queue and targets of one target group."""
+
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        rng: random.Random,
+        quarantine: Quarantine,
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._quarantine = quarantine
+        self.queue = FairQueue()
+        self.placement = Placement(settings, rng)
+        self._running: dict[RequestId, TargetId] = {}
+        self._rate = ServiceRate(1.0)
+
+    def remove_target(self, target: TargetId) -> None:
+        """Forget a target that is no longer configured."""
+        self.placement.loads.pop(target, None)
+
+    def _cost_seconds(self, work: Work, uncached_tokens: int) -> float:
+        prefill = uncached_tokens * self.placement.rates.prefill_seconds_per_token
+        return prefill + work.output_tokens * self._settings.decode_seconds_per_token
+
+    def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
+        """Dispatch, queue or refuse one request."""
+        choice = self._choose(work, now_seconds, {})
+        if choice is None:
+            seconds = retry_after_seconds(1.0, self._rng)
+            return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
+        cost = self._cost_seconds(work, choice.uncached_tokens)
+        if choice.can_take and not len(self.queue):
+            return [self._dispatch(work, choice, cost, now_seconds)]
+        lane = self.queue.lane(work.customer)
+        wait = predict_queue_wait(self.queue, lane, self._rate.per_second())
+        if wait.seconds + choice.wait_seconds > budget_seconds(work, self._settings):
+            return [self._refuse(work, reason_of(wait), wait)]
+        if self._is_full(work):
+            return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
+        self.queue.push(make_waiting(work, cost, now_seconds))
+        return self.pump(now_seconds)
+
+    def _is_full(self, work: Work) -> bool:
+        own = len(self.queue.lane(work.customer).waiting)
+        return (
+            len(self.queue) >= self._settings.queue_requests
+            or own >= self._settings.customer_queue_requests
+        )
+
+    def _refuse(self, work: Work, reason: RefusalReason, wait: QueueWait) -> Refuse:
+        seconds = retry_after_seconds(wait.seconds, self._rng)
+        return Refuse(work.request, reason, seconds)
+
+    def _choose(
+        self, work: Work, now_seconds: float, extra_tokens: dict[TargetId, int]
+    ) -> Choice | None:
+        avoid = work.excluded
+        if self._quarantine.is_suspect(work.fingerprint, now_seconds):
+            avoid = avoid | self._targets_with_suspects(now_seconds)
+        return self.placement.best(work, now_seconds, avoid, extra_tokens)
+
+    def _targets_with_suspects(self, now_seconds: float) -> frozenset[TargetId]:
+        return frozenset(
+            target
+            for target, load in self.placement.loads.items()
+            if any(
+                self._quarantine.is_suspect(entry.work.fingerprint, now_seconds)
+                for entry in load.in_flight.values()
+            )
+        )
+
+    def _dispatch(
+        self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
+    ) -> Dispatch:
+        load = choice.load
+        target = load.view.target
+        entry = InFlight(
+            work, now_seconds, choice.wait_seconds, choice.uncached_tokens, cost_seconds
+        )
+        load.start(entry, now_seconds)
+        load.belief.add(work.levels)
+        self.placement.note_holder(work, target)
+        self._running[work.request] = target
+        self.queue.charge(work.customer, cost_seconds)
+        return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
+
+    def pump(self, now_seconds: float) -> list[Outcome]:
+        """Send out what waits and now has room."""
+        outcomes: list[Outcome] = []
+        if not len(self.queue) or not self.placement.has_room(now_seconds):
+            return outcomes
+        extra_tokens: dict[TargetId, int] = {}
+        for waiting in self.queue.in_order(SCANNED_REQUESTS):
+            outcome = self._try_waiting(waiting, now_seconds, extra_tokens)
+            if outcome is not None:
+                outcomes.append(outcome)
+        return outcomes
+
+    def _try_waiting(
+        self, waiting: Waiting, now_seconds: float, extra_tokens: dict[TargetId, int]
+    ) -> Outcome | None:
+        work = waiting.work
+        choice = self._choose(work, now_seconds, extra_tokens)
+        if choice is None:
+            return None
+        if not choice.can_take:
+            target = choice.load.view.target
+            tokens = extra_tokens.get(target, 0) + choice.uncached_tokens
+            extra_tokens[target] = tokens
+            return None
+        self.queue.remove(work.request)
+        cost = self._cost_seconds(work, choice.uncached_tokens)
+        self._rate.count(cost)
+        return self._dispatch(work, choice, cost, now_seconds)
+
+    def first_token(
+        self, request: RequestId, now_seconds: float, cached_tokens: int | None
+    ) -> None:
+        """Learn from a first token."""
+        target = self._running.get(request)
+        load = self.placement.loads.get(target) if target is not None else None
+        entry = load.in_flight.get(request) if load is not None else None
+        if load is None or entry is None or entry.has_first_token:
+            return
+        load.first_token(entry, now_seconds)
+
+    def finish(
+        self, request: RequestId, now_seconds: float, kind: FinishKind
+    ) -> Work | None:
+        """Note the end of a request and return it."""
+        target = self._running.pop(request, None)
+        load = self.placement.loads.get(target) if target is not None else None
+        entry = load.end(request, now_seconds) if load is not None else None
+        if load is None or entry is None:
+            return None
+        if kind is FinishKind.COMPLETE:
+            rates = self.placement.rates
+            held = now_seconds - entry.dispatched_seconds
+            rates.hold_seconds += RATE_GAIN * (held - rates.hold_seconds)
+        if kind is FinishKind.TARGET_LOST:
+            load.belief.clear()
+        return entry.work
+
+    def tick(self, now_seconds: float) -> list[Outcome]:
+        """Refuse what cannot be served any more; send out what has room."""
+        self._rate.update(now_seconds, len(self.queue) > 0)
+        outcomes: list[Outcome] = []
+        for waiting in self.queue.all():
+            if now_seconds < waiting.deadline_seconds:
+                continue
+            self.queue.remove(waiting.work.request)
+            wait = QueueWait(waiting.work.patience_seconds, False)
+            outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
+        outcomes.extend(self.pump(now_seconds))
+        return outcomes
+
+    def refuse_all(self, reason: RefusalReason) -> list[Outcome]:
+        """Refuse everything that waits."""
+        outcomes: list[Outcome] = []
+        for waiting in self.queue.all():
+            self.queue.remove(waiting.work.request)
+            outcomes.append(self._refuse(waiting.work, reason, QueueWait(0.0, False)))
+        return outcomes
+
+    def status(self) -> dict[str, object]:
+        """Return the queue and the targets in short."""
+        return {
+            "n_waiting": len(self.queue),
+            "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
+            "service_rate": round(self._rate.per_second(), 3),
+            "targets": {
+                target: {
+                    "state": load.view.state.value,
+                    "n_in_flight": len(load.in_flight),
+                    "n_believed_levels": len(load.belief),
+                    "slowness": round(load.slowness, 3),
+                }
+                for target, load in self.placement.loads.items()
+            },
+        }
--- /dev/null
+++ b/lycheepost/decide/load.py
@@ -0,0 +1,144 @@
+"""What we know of one target: its view, our work on it, its lagging reports.
+
+A load report is up to a few seconds old and counts our own requests too. Used
+as it stands, every daemon would send its work to the same target that looked
+idle a second ago. So our own share at the time of the measurement is taken out
+of the report, and what is in flight from here now is added.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from lycheepost.core.ids import RequestId
+from lycheepost.decide.belief import CacheBelief
+from lycheepost.decide.records import LoadReport, TargetView, Work
+
+HISTORY_SECONDS = 5.0
+"""Load reports are at most a few seconds late."""
+
+REPORT_SECONDS = 10.0
+"""A report older than this says nothing about now."""
+
+
+@dataclass(slots=True)
+class InFlight:
+    """One request dispatched from here.
+
+    Attributes:
+        uncached_tokens: Prompt tokens believed to need prefill.
+        cost_seconds: Engine time charged to the customer.
+    """
+
+    work: Work
+    dispatched_seconds: float
+    predicted_seconds: float
+    uncached_tokens: int
+    cost_seconds: float
+    is_probe: bool = False
+    has_first_token: bool = False
+
+
+@dataclass(slots=True)
+class OwnLoad:
+    """Our own load on a target at one time."""
+
+    at_seconds: float
+    queued_tokens: int
+    n_running: int
+
+
+@dataclass(slots=True)
+class TargetLoad:
+    """Everything the decisions hold about one target.
+
+    Attributes:
+        queued_tokens: Our own prompt tokens without a first token yet.
+        others_tokens: Prompt tokens of other daemons that wait there.
+        others_running: Requests of other daemons that run there.
+        slowness: Observed over predicted first-token time, smoothed.
+    """
+
+    view: TargetView
+    belief: CacheBelief
+    in_flight: dict[RequestId, InFlight] = field(default_factory=dict)
+    queued_tokens: int = 0
+    others_tokens: float = 0.0
+    others_running: float = 0.0
+    reported_seconds: float = float("-inf")
+    slowness: float = 1.0
+    history: deque[OwnLoad] = field(default_factory=deque)
+
+    def replace_view(self, view: TargetView) -> None:
+        """Follow a change; what an older incarnation or weights cached is gone."""
+        has_restarted = view.incarnation != self.view.incarnation
+        if has_restarted and view.incarnation != self.belief.incarnation:
+            self.belief.restart(view.incarnation)
+        if view.weights_version != self.view.weights_version:
+            self.belief.clear()
+        self.view = view
+
+    def start(self, entry: InFlight, now_seconds: float) -> None:
+        """Count a dispatched request."""
+        self.in_flight[entry.work.request] = entry
+        self.queued_tokens += entry.uncached_tokens
+        self._remember(now_seconds)
+
+    def first_token(self, entry: InFlight, now_seconds: float) -> None:
+        """Count the end of a prefill."""
+        if entry.has_first_token:
+            return
+        entry.has_first_token = True
+        self.queued_tokens -= entry.uncached_tokens
+        self._remember(now_seconds)
+
+    def end(self, request: RequestId, now_seconds: float) -> InFlight | None:
+        """Stop counting a request."""
+        entry = self.in_flight.pop(request, None)
+        if entry is None:
+            return None
+        if not entry.has_first_token:
+            self.queued_tokens -= entry.uncached_tokens
+        self._remember(now_seconds)
+        return entry
+
+    def _remember(self, now_seconds: float) -> None:
+        own = OwnLoad(now_seconds, self.queued_tokens, len(self.in_flight))
+        self.history.append(own)
+        while self.history[0].at_seconds < now_seconds - HISTORY_SECONDS:
+            self.history.popleft()
+
+    def _own_at(self, at_seconds: float) -> OwnLoad:
+        for own in reversed(self.history):
+            if own.at_seconds <= at_seconds:
+                return own
+        return OwnLoad(at_seconds, 0, 0)
+
+    def observe(self, report: LoadReport) -> None:
+        """Take in a report; one that is older than the last is ignored."""
+        if report.measured_seconds <= self.reported_seconds:
+            return
+        own = self._own_at(report.measured_seconds)
+        self.reported_seconds = report.measured_seconds
+        n_requests = report.n_running + report.n_queued
+        others_tokens = max(0, report.queued_prompt_tokens - own.queued_tokens)
+        others_running = max(0, n_requests - own.n_running)
+        # The mean of two reports: one alone may have caught a burst that is
+        # long gone when it arrives.
+        self.others_tokens = (self.others_tokens + others_tokens) / 2
+        self.others_running = (self.others_running + others_running) / 2
+
+    def backlog_tokens(self, now_seconds: float) -> float:
+        """Return the prompt tokens that wait for prefill there now."""
+        if now_seconds - self.reported_seconds > REPORT_SECONDS:
+            return self.queued_tokens
+        return self.queued_tokens + self.others_tokens
+
+    def n_running(self, now_seconds: float) -> float:
+        """Return the requests that run or wait there now."""
+        if now_seconds - self.reported_seconds > REPORT_SECONDS:
+            return len(self.in_flight)
+        return len(self.in_flight) + self.others_running
+
+    def limit(self) -> float:
+        """Return the most requests that it should hold."""
+        return max(1.0, self.view.concurrency_limit * self.view.serving_share)
--- /dev/null
+++ b/lycheepost/decide/placement.py
@@ -0,0 +1,208 @@
+"""Where a request goes: the target with the lowest predicted cost.
+
+Cost = predicted time to the first token, plus the prefill that another target
+would have spared, each by the deployment's weight. Prairie weighs the wait,
+Mercia the recomputation. A small preference by ring order makes daemons agree
+on a new prefix before cache events reach them, and lets a hot prefix gain
+owners as its first ones fill up and lose them when demand falls.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lycheepost.core.ids import PrefixDigest, TargetId
+from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.records import TargetState, Work
+from lycheepost.decide.ring import Ring
+from lycheepost.decide.settings import SchedulerSettings
+
+SCORE_ALL_TARGETS = 12
+"""Up to this many targets are all scored; above, only candidates, so that a
+decision costs the same before 100 and before 12,000 servers."""
+
+OWNER_SECONDS = 0.01
+"""Cost of each step away from the first owner: below what a caller notices,
+above the noise of predictions."""
+
+OWNER_STEPS = 4
+"""Steps after which all other targets count alike."""
+
+RANDOM_CANDIDATES = 2
+"""Two random targets bound the load where owners and holders are all full."""
+
+HOLDERS_PER_DIGEST = 6
+MAX_HELD_DIGESTS = 100_000
+"""Bounds memory to about 20 MB for the prefixes that one daemon sees."""
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A placement that was weighed.
+
+    Attributes:
+        wait_seconds: Predicted time to the first token.
+        uncached_tokens: Prompt tokens to prefill there.
+        can_take: Whether the target has room for it now.
+    """
+
+    load: TargetLoad
+    score: float
+    wait_seconds: float
+    cached_tokens: int
+    uncached_tokens: int
+    can_take: bool
+
+
+class Rates:
+    """Measured speeds of a target group's engines."""
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        self.prefill_seconds_per_token = settings.prefill_seconds_per_token
+        self.first_token_seconds = settings.first_token_seconds
+        self.hold_seconds = 1.0
+
+
+class Placement:
+    """Candidates and scores within one target group."""
+
+    def __init__(self, settings: SchedulerSettings, rng: random.Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._ring = Ring()
+        self._holders: OrderedDict[PrefixDigest, list[TargetId]] = OrderedDict()
+        self.loads: dict[TargetId, TargetLoad] = {}
+        self._serving: list[TargetLoad] = []
+        self.rates = Rates(settings)
+
+    def refresh(self) -> None:
+        """Follow a change of the targets."""
+        self._serving = [load for load in self.loads.values() if _takes_new_work(load)]
+        self._ring.replace({load.view.target for load in self._serving})
+
+    def is_empty(self) -> bool:
+        """Tell whether no target takes new work."""
+        return not self._serving
+
+    def has_room(self, now_seconds: float) -> bool:
+        """Tell whether some target may take work now; guesses in large groups."""
+        if len(self._serving) > SCORE_ALL_TARGETS:
+            return True
+        return any(self._can_take(load, now_seconds) for load in self._serving)
+
+    def note_holder(self, work: Work, target: TargetId) -> None:
+        """Remember that ``target`` is about to hold the levels of ``work``."""
+        if len(self._serving) <= SCORE_ALL_TARGETS:
+            return
+        for level in work.levels:
+            holders = self._holders.setdefault(level.digest, [])
+            self._holders.move_to_end(level.digest)
+            if target in holders:
+                continue
+            holders.append(target)
+            del holders[:-HOLDERS_PER_DIGEST]
+        while len(self._holders) > MAX_HELD_DIGESTS:
+            self._holders.popitem(last=False)
+
+    def _candidates(self, work: Work, owners: Sequence[TargetId]) -> list[TargetLoad]:
+        if len(self._serving) <= SCORE_ALL_TARGETS:
+            return self._serving
+        names = list(owners)
+        for level in reversed(work.levels):
+            if len(names) >= self._settings.candidates:
+                break
+            names.extend(self._holders.get(level.digest, ()))
+        loads = {name: self.loads[name] for name in names if name in self.loads}
+        for _ in range(RANDOM_CANDIDATES):
+            load = self._serving[int(self._rng.random() * len(self._serving))]
+            loads[load.view.target] = load
+        return [load for load in loads.values() if _takes_new_work(load)]
+
+    def best(
+        self,
+        work: Work,
+        now_seconds: float,
+        avoid: frozenset[TargetId] | set[TargetId],
+        extra_tokens: dict[TargetId, int],
+    ) -> Choice | None:
+        """Return the best placement of ``work``; None when no target fits.
+
+        Args:
+            work: The request to place.
+            now_seconds: The present time.
+            avoid: Targets that must not get this request.
+            extra_tokens: Prompt tokens of requests ahead in the queue that
+                wait for a target, by target.
+        """
+        owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
+        weighed: list[Choice] = []
+        for load in self._candidates(work, owners):
+            target = load.view.target
+            if target in avoid or not _has_weights(load, work):
+                continue
+            ahead = extra_tokens.get(target, 0) if extra_tokens else 0
+            weighed.append(self._weigh(load, work, now_seconds, ahead))
+        if not weighed:
+            return None
+        least_uncached = min(choice.uncached_tokens for choice in weighed)
+        return min(
+            weighed, key=lambda choice: self._score(choice, least_uncached, owners)
+        )
+
+    def _weigh(
+        self, load: TargetLoad, work: Work, now_seconds: float, ahead: int
+    ) -> Choice:
+        cached = min(load.belief.cached_tokens(work.levels), work.prompt_tokens)
+        uncached = work.prompt_tokens - cached
+        rates = self.rates
+        tokens = load.backlog_tokens(now_seconds) + ahead + uncached
+        wait = rates.first_token_seconds + tokens * rates.prefill_seconds_per_token
+        wait *= load.slowness
+        excess = load.n_running(now_seconds) + 1 - load.limit()
+        if excess > 0:
+            wait += excess * rates.hold_seconds / load.limit()
+        can_take = self._can_take(load, now_seconds)
+        return Choice(load, wait, wait, cached, uncached, can_take)
+
+    def _score(
+        self, choice: Choice, least_uncached: int, owners: list[TargetId]
+    ) -> float:
+        avoidable = choice.uncached_tokens - least_uncached
+        recompute = avoidable * self.rates.prefill_seconds_per_token
+        target = choice.load.view.target
+        steps = owners.index(target) if target in owners else OWNER_STEPS
+        return (
+            self._settings.wait_weight * choice.wait_seconds
+            + self._settings.recompute_weight * recompute
+            + steps * OWNER_SECONDS
+        )
+
+    def _can_take(self, load: TargetLoad, now_seconds: float) -> bool:
+        if load.n_running(now_seconds) >= load.limit():
+            return False
+        tokens = load.backlog_tokens(now_seconds)
+        backlog_seconds = tokens * self.rates.prefill_seconds_per_token
+        return backlog_seconds * load.slowness < self._settings.engine_queue_seconds
+
+
+def _takes_new_work(load: TargetLoad) -> bool:
+    return load.view.state in (TargetState.SERVING, TargetState.WARMING)
+
+
+def _has_weights(load: TargetLoad, work: Work) -> bool:
+    return not work.weights_version or (
+        load.view.weights_version == work.weights_version
+    )
+
+
+def _owner_key(work: Work) -> int:
+    """Return what a prefix is owned by: the deepest level that may be shared.
+
+    The last level ends with the request's own text, which hardly ever comes
+    again; the one above is the album or the batch of letters.
+    """
+    levels = work.levels
+    if not levels:
+        return int(work.fingerprint)
+    return int(levels[-2 if len(levels) > 1 else -1].digest)
--- /dev/null
+++ b/lycheepost/decide/quarantine.py
@@ -0,0 +1,87 @@
+"""Requests that kill targets.
+
+The failure: one request crashes each target that runs it, and its caller sends
+it again. It shows as targets lost one after another while the same fingerprint
+ran on them. A fingerprint that was running on a lost target becomes a suspect;
+a suspect runs on a target without other suspects, so that the second loss
+convicts it and not the innocent requests that died beside it the first time. A
+convicted fingerprint is refused everywhere for a while.
+"""
+
+from dataclasses import dataclass
+
+from lycheepost.core.ids import BodyFingerprint
+
+MAX_SUSPECTS = 10_000
+"""Bounds memory when whole availability zones fail: the oldest are dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class LossSeen:
+    """A fingerprint was running on a target that was lost; for peers."""
+
+    fingerprint: BodyFingerprint
+    until_seconds: float
+    is_quarantined: bool
+
+
+class Quarantine:
+    """Losses counted per fingerprint.
+
+    Args:
+        losses: Losses that quarantine a fingerprint.
+        keep_seconds: How long a loss and a quarantine are remembered.
+    """
+
+    def __init__(self, losses: int, keep_seconds: float) -> None:
+        self._losses = losses
+        self._keep_seconds = keep_seconds
+        self._counts: dict[BodyFingerprint, tuple[int, float]] = {}
+        self._until: dict[BodyFingerprint, float] = {}
+
+    def add(self, fingerprint: BodyFingerprint, until_seconds: float) -> None:
+        """Quarantine a fingerprint, as decided here or told by a peer."""
+        self._until[fingerprint] = max(
+            until_seconds, self._until.get(fingerprint, until_seconds)
+        )
+
+    def remaining_seconds(
+        self, fingerprint: BodyFingerprint, now_seconds: float
+    ) -> float:
+        """Return how long the fingerprint stays refused; 0 when it is free."""
+        until_seconds = self._until.get(fingerprint)
+        if until_seconds is None:
+            return 0.0
+        if until_seconds <= now_seconds:
+            del self._until[fingerprint]
+            return 0.0
+        return until_seconds - now_seconds
+
+    def is_suspect(self, fingerprint: BodyFingerprint, now_seconds: float) -> bool:
+        """Tell whether it was running on a target that was lost lately."""
+        entry = self._counts.get(fingerprint)
+        if entry is None:
+            return False
+        if entry[1] <= now_seconds:
+            del self._counts[fingerprint]
+            return False
+        return True
+
+    def note_loss(self, fingerprint: BodyFingerprint, now_seconds: float) -> LossSeen:
+        """Count a loss, seen here or told by a peer."""
+        count = 1
+        if self.is_suspect(fingerprint, now_seconds):
+            count += self._counts[fingerprint][0]
+        until_seconds = now_seconds + self._keep_seconds
+        self._counts[fingerprint] = (count, until_seconds)
+        while len(self._counts) > MAX_SUSPECTS:
+            del self._counts[next(iter(self._counts))]
+        is_quarantined = count >= self._losses
+        if is_quarantined:
+            self.add(fingerprint, until_seconds)
+        return LossSeen(fingerprint, until_seconds, is_quarantined)
+
+    def clear(self, fingerprint: BodyFingerprint) -> None:
+        """Acquit a suspect that ran to its end."""
+        if self._counts:
+            self._counts.pop(fingerprint, None)
--- /dev/null
+++ b/lycheepost/decide/queueing.py
@@ -0,0 +1,170 @@
+"""The queue of one target group: weighted fair between customers.
+
+Start-time fair queueing: each customer has a virtual time that advances by the
+predicted cost of its dispatched work over its weight, and the customer with the
+least virtual time goes next. A customer inside its share is therefore served
+ahead of one that sends ten times its share, however long the latter's queue is.
+Within one customer, urgent work goes first, then short work before long work
+that arrived a little earlier, then the order of arrival.
+"""
+
+from bisect import insort
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from operator import attrgetter
+
+from lycheepost.core.ids import CustomerId, RequestId
+from lycheepost.decide.records import Work
+
+PRIORITY_SECONDS = 4.0
+"""Head start of one priority class over the next. A bound instead of a strict
+order, so that a flow of urgent work cannot starve a batch for ever."""
+
+LENGTH_SECONDS_PER_SECOND = 4.0
+"""Delay in rank per second of predicted cost: a 2 s letter lets short captions
+of the next 8 s pass, and no more, so neither starves the other."""
+
+
+@dataclass(slots=True)
+class Waiting:
+    """One queued request.
+
+    Attributes:
+        rank: Order within the customer; lower goes first.
+        cost_seconds: Predicted engine time.
+        deadline_seconds: When the caller leaves.
+    """
+
+    work: Work
+    rank: float
+    cost_seconds: float
+    deadline_seconds: float
+    enqueued_seconds: float
+
+
+@dataclass(slots=True)
+class Lane:
+    """The queue and the virtual time of one customer."""
+
+    customer: CustomerId
+    weight: float = 1.0
+    virtual_seconds: float = 0.0
+    queued_cost_seconds: float = 0.0
+    waiting: list[Waiting] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class _Head:
+    """How far a look through one lane has come."""
+
+    virtual_seconds: float
+    lane: Lane
+    index: int = 0
+
+
+_BY_RANK = attrgetter("rank")
+_BY_VIRTUAL = attrgetter("virtual_seconds")
+
+
+def make_waiting(work: Work, cost_seconds: float, now_seconds: float) -> Waiting:
+    """Return the queue entry of ``work``."""
+    rank = (
+        work.arrived_seconds
+        + work.priority.value * PRIORITY_SECONDS
+        + cost_seconds * LENGTH_SECONDS_PER_SECOND
+    )
+    deadline_seconds = work.arrived_seconds + work.patience_seconds
+    return Waiting(work, rank, cost_seconds, deadline_seconds, now_seconds)
+
+
+class FairQueue:
+    """Requests of all customers that wait for one target group."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[CustomerId, Lane] = {}
+        self._weights: dict[CustomerId, float] = {}
+        self._by_request: dict[RequestId, Waiting] = {}
+        self._virtual_seconds = 0.0
+        self.queued_cost_seconds = 0.0
+
+    def __len__(self) -> int:
+        return len(self._by_request)
+
+    def __contains__(self, request: RequestId) -> bool:
+        return request in self._by_request
+
+    def set_weights(self, weights: dict[CustomerId, float]) -> None:
+        """Set the weight of each customer in fair sharing; 1 when missing."""
+        self._weights = weights
+        for customer, lane in self.lanes.items():
+            lane.weight = weights.get(customer, 1.0)
+
+    def lane(self, customer: CustomerId) -> Lane:
+        """Return the lane of ``customer``, made on first use."""
+        lane = self.lanes.get(customer)
+        if lane is None:
+            weight = self._weights.get(customer, 1.0)
+            lane = Lane(customer, weight, self._virtual_seconds)
+            self.lanes[customer] = lane
+        return lane
+
+    def push(self, waiting: Waiting) -> None:
+        """Add a request behind those of its customer that rank before it."""
+        lane = self.lane(waiting.work.customer)
+        if not lane.waiting:
+            self._catch_up(lane)
+        insort(lane.waiting, waiting, key=_BY_RANK)
+        lane.queued_cost_seconds += waiting.cost_seconds
+        self.queued_cost_seconds += waiting.cost_seconds
+        self._by_request[waiting.work.request] = waiting
+
+    def _catch_up(self, lane: Lane) -> None:
+        # Idle time is not saved up: a customer that slept all night could
+        # otherwise shut out all others in the morning.
+        lane.virtual_seconds = max(lane.virtual_seconds, self._virtual_seconds)
+
+    def remove(self, request: RequestId) -> Waiting | None:
+        """Take a request out; None when it does not wait here."""
+        waiting = self._by_request.pop(request, None)
+        if waiting is None:
+            return None
+        lane = self.lanes[waiting.work.customer]
+        lane.waiting.remove(waiting)
+        lane.queued_cost_seconds -= waiting.cost_seconds
+        self.queued_cost_seconds -= waiting.cost_seconds
+        return waiting
+
+    def charge(self, customer: CustomerId, cost_seconds: float) -> None:
+        """Count dispatched work against its customer's share."""
+        lane = self.lane(customer)
+        if not lane.waiting:
+            self._catch_up(lane)
+        lane.virtual_seconds += cost_seconds / lane.weight
+        self._advance()
+
+    def _advance(self) -> None:
+        active = [lane.virtual_seconds for lane in self.lanes.values() if lane.waiting]
+        if active:
+            self._virtual_seconds = max(self._virtual_seconds, min(active))
+
+    def in_order(self, limit: int) -> Iterator[Waiting]:
+        """Yield up to ``limit`` requests in fair order, as of the call."""
+        heads = [
+            _Head(lane.virtual_seconds, lane)
+            for lane in self.lanes.values()
+            if lane.waiting
+        ]
+        picked: list[Waiting] = []
+        while heads and len(picked) < limit:
+            head = min(heads, key=_BY_VIRTUAL)
+            waiting = head.lane.waiting[head.index]
+            picked.append(waiting)
+            head.virtual_seconds += waiting.cost_seconds / head.lane.weight
+            head.index += 1
+            if head.index == len(head.lane.waiting):
+                heads.remove(head)
+        return iter(picked)
+
+    def all(self) -> list[Waiting]:
+        """Return every waiting request."""
+        return list(self._by_request.values())
--- /dev/null
+++ b/lycheepost/decide/scheduler.py
@@ -0,0 +1,241 @@
+"""Decides for each request: dispatch now, wait, or refuse.
+
+One scheduler per daemon, driven by calls that carry the time. It does no input
+or output, so the daemon and the policy bench run the very same decisions.
+"""
+
+import random
+
+from lycheepost.core.ids import (
+    BodyFingerprint,
+    CustomerId,
+    Incarnation,
+    RequestId,
+    TargetGroupId,
+    TargetId,
+)
+from lycheepost.decide.admission import retry_after_seconds
+from lycheepost.decide.belief import CacheBelief
+from lycheepost.decide.group import Group
+from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.quarantine import LossSeen, Quarantine
+from lycheepost.decide.records import (
+    FinishKind,
+    LoadReport,
+    Outcome,
+    RefusalReason,
+    Refuse,
+    TargetView,
+    Work,
+)
+from lycheepost.decide.retry import RetryBudget
+from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.generated.engine import CacheEvent
+
+GONE_RETRY_SECONDS = 2.0
+"""Targets come back, or their replacements are seen, within a few seconds."""
+
+
+class Scheduler:
+    """All decisions of one daemon.
+
+    Args:
+        settings: Bounds and weights.
+        seed: Seeds jitter and random candidates, so that a run repeats.
+    """
+
+    def __init__(self, settings: SchedulerSettings, seed: int) -> None:
+        self._settings = settings
+        self._rng = random.Random(seed)
+        self._groups: dict[TargetGroupId, Group] = {}
+        self._group_by_target: dict[TargetId, Group] = {}
+        self._group_by_request: dict[RequestId, Group] = {}
+        self._weights: dict[CustomerId, float] = {}
+        self._quarantine = Quarantine(
+            settings.quarantine_losses, settings.quarantine_seconds
+        )
+        self._budget = RetryBudget(settings.retry_share)
+        self._losses: list[LossSeen] = []
+        self._is_draining = False
+
+    def replace_targets(
+        self, targets: tuple[TargetView, ...], now_seconds: float
+    ) -> list[Outcome]:
+        """Follow a change of the targets; work may now go out or find none."""
+        wanted = {view.target: view for view in targets}
+        for target in [name for name in self._group_by_target if name not in wanted]:
+            self._group_by_target.pop(target).remove_target(target)
+        for view in targets:
+            self._place_view(view)
+        outcomes: list[Outcome] = []
+        for group in self._groups.values():
+            group.placement.refresh()
+            outcomes.extend(group.pump(now_seconds))
+        return outcomes
+
+    def _place_view(self, view: TargetView) -> None:
+        group = self._group(view.target_group)
+        before = self._group_by_target.get(view.target)
+        if before is not None and before is not group:
+            before.remove_target(view.target)
+        self._group_by_target[view.target] = group
+        load = group.placement.loads.get(view.target)
+        if load is None:
+            belief = CacheBelief(view.incarnation, view.cache_tokens)
+            group.placement.loads[view.target] = TargetLoad(view, belief)
+            return
+        load.replace_view(view)
+
+    def _group(self, name: TargetGroupId) -> Group:
+        group = self._groups.get(name)
+        if group is None:
+            group = Group(self._settings, self._rng, self._quarantine)
+            group.queue.set_weights(self._weights)
+            self._groups[name] = group
+        return group
+
+    def set_shares(self, weights: dict[CustomerId, float]) -> None:
+        """Set each customer's weight in fair sharing; 1 when missing."""
+        self._weights = weights
+        for group in self._groups.values():
+            group.queue.set_weights(weights)
+
+    def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
+        """Take a new request."""
+        refusal = self._refuse_early(work, now_seconds)
+        if refusal is not None:
+            return [refusal]
+        self._budget.earn()
+        return self._admit(work, now_seconds)
+
+    def retry(self, work: Work, now_seconds: float) -> list[Outcome]:
+        """Take a request again after a target failed it.
+
+        ``work.excluded`` names the targets that have failed it.
+        """
+        refusal = self._refuse_early(work, now_seconds)
+        if refusal is not None:
+            return [refusal]
+        if len(work.excluded) >= self._settings.max_tries or not self._budget.spend():
+            seconds = retry_after_seconds(GONE_RETRY_SECONDS, self._rng)
+            return [Refuse(work.request, RefusalReason.RETRY_BUDGET, seconds)]
+        return self._admit(work, now_seconds)
+
+    def _admit(self, work: Work, now_seconds: float) -> list[Outcome]:
+        group = self._group(work.target_group)
+        self._group_by_request[work.request] = group
+        outcomes = group.arrive(work, now_seconds)
+        self._forget_refused(outcomes)
+        return outcomes
+
+    def _refuse_early(self, work: Work, now_seconds: float) -> Refuse | None:
+        if self._is_draining:
+            seconds = retry_after_seconds(0.0, self._rng)
+            return Refuse(work.request, RefusalReason.SHUTTING_DOWN, seconds)
+        remaining = self._quarantine.remaining_seconds(work.fingerprint, now_seconds)
+        if remaining > 0:
+            return Refuse(work.request, RefusalReason.QUARANTINED, remaining)
+        return None
+
+    def _forget_refused(self, outcomes: list[Outcome]) -> None:
+        for outcome in outcomes:
+            match outcome:
+                case Refuse(request=request):
+                    self._group_by_request.pop(request, None)
+
+    def first_token(
+        self, request: RequestId, now_seconds: float, cached_tokens: int | None
+    ) -> None:
+        """Note a first token; the next tick uses the room it leaves."""
+        group = self._group_by_request.get(request)
+        if group is not None:
+            group.first_token(request, now_seconds, cached_tokens)
+
+    def progress(self, request: RequestId, now_seconds: float, n_tokens: int) -> None:
+        """Note relayed output tokens."""
+
+    def finish(
+        self, request: RequestId, now_seconds: float, kind: FinishKind
+    ) -> list[Outcome]:
+        """Note the end of a dispatched request."""
+        group = self._group_by_request.pop(request, None)
+        if group is None:
+            return []
+        work = group.finish(request, now_seconds, kind)
+        if work is not None and kind is FinishKind.TARGET_LOST:
+            self._losses.append(
+                self._quarantine.note_loss(work.fingerprint, now_seconds)
+            )
+        if work is not None and kind is FinishKind.COMPLETE:
+            self._quarantine.clear(work.fingerprint)
+        outcomes = group.pump(now_seconds)
+        self._forget_refused(outcomes)
+        return outcomes
+
+    def cancel(self, request: RequestId, now_seconds: float) -> list[Outcome]:
+        """Drop a request that still waits; its caller has left."""
+        group = self._group_by_request.get(request)
+        if group is None or group.queue.remove(request) is None:
+            return []
+        del self._group_by_request[request]
+        return group.pump(now_seconds)
+
+    def tick(self, now_seconds: float) -> list[Outcome]:
+        """Do what falls due with time; called every 20 ms."""
+        outcomes: list[Outcome] = []
+        for group in self._groups.values():
+            outcomes.extend(group.tick(now_seconds))
+        self._forget_refused(outcomes)
+        return outcomes
+
+    def observe_load(self, report: LoadReport, now_seconds: float) -> None:
+        """Take in a target's load report."""
+        group = self._group_by_target.get(report.target)
+        if group is None:
+            return
+        load = group.placement.loads[report.target]
+        if report.incarnation != load.belief.incarnation:
+            load.belief.restart(report.incarnation)
+        load.observe(report)
+
+    def observe_cache_events(
+        self,
+        target: TargetId,
+        boot_id: Incarnation,
+        events: tuple[CacheEvent, ...],
+        now_seconds: float,
+    ) -> None:
+        """Take in a target's cache events."""
+        group = self._group_by_target.get(target)
+        if group is not None:
+            group.placement.loads[target].belief.observe(boot_id, events)
+
+    def quarantine(self, fingerprint: BodyFingerprint, until_seconds: float) -> None:
+        """Refuse a fingerprint that a peer has quarantined."""
+        self._quarantine.add(fingerprint, until_seconds)
+
+    def note_loss(self, fingerprint: BodyFingerprint, now_seconds: float) -> None:
+        """Count a target loss that a peer saw this fingerprint running in."""
+        self._quarantine.note_loss(fingerprint, now_seconds)
+
+    def take_losses(self) -> list[LossSeen]:
+        """Return the losses seen since the last call, to tell the peers."""
+        losses = self._losses
+        self._losses = []
+        return losses
+
+    def drain(self) -> list[Outcome]:
+        """Take no new work and refuse what still waits, as not run."""
+        self._is_draining = True
+        outcomes: list[Outcome] = []
+        for group in self._groups.values():
+            outcomes.extend(group.refuse_all(RefusalReason.SHUTTING_DOWN))
+        self._forget_refused(outcomes)
+        return outcomes
+
+    def status(self) -> dict[str, object]:
+        """Return queues and loads for ``/admin/status``."""
+        return {
+            "is_draining": self._is_draining,
+            "groups": {name: group.status() for name, group in self._groups.items()},
+        }
--- /dev/null
+++ b/lycheepost/decide/settings.py
@@ -0,0 +1,69 @@
+"""Settings of the decisions, each with its reason.
+
+``make_scheduler_settings`` takes what operators may change from the checked
+settings file; the other values describe mechanisms and keep their defaults.
+"""
+
+from dataclasses import dataclass
+
+from lycheepost.generated.settings import Settings
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerSettings:
+    """Bounds and weights of the decisions.
+
+    Attributes:
+        queue_requests: Most requests waiting; more would only wait in vain.
+        customer_queue_requests: Most requests of one customer waiting.
+        wait_weight: Cost of one second of predicted wait.
+        recompute_weight: Cost of one second of avoidable prefill.
+        retry_share: Retries as a share of first tries, so that a fleet in
+            trouble is not loaded twice.
+        max_tries: Most targets that one request may reach.
+        quarantine_losses: Target losses after which a request is quarantined.
+        quarantine_seconds: How long a quarantined request stays refused.
+        candidates: Targets scored for one request.
+        prefill_seconds_per_token: First guess, until measured.
+        decode_seconds_per_token: Engine time that one output token takes.
+        first_token_seconds: First guess of the fixed part of a first token.
+        engine_queue_seconds: Prefill work that may wait inside an engine. Work
+            queued there cannot be reordered fairly nor refused early, but an
+            engine with none idles between our dispatches.
+        admit_patience_share: Share of a caller's patience that the predicted
+            wait may take; the rest covers errors of the prediction.
+        queue_seconds: Longest wait that a queue is allowed to build up.
+    """
+
+    queue_requests: int = 2000
+    customer_queue_requests: int = 500
+    wait_weight: float = 1.0
+    recompute_weight: float = 1.0
+    retry_share: float = 0.1
+    max_tries: int = 3
+    quarantine_losses: int = 2
+    quarantine_seconds: float = 600.0
+    candidates: int = 8
+    prefill_seconds_per_token: float = 50e-6
+    decode_seconds_per_token: float = 0.7e-3
+    first_token_seconds: float = 0.03
+    engine_queue_seconds: float = 0.25
+    admit_patience_share: float = 0.5
+    queue_seconds: float = 2.0
+
+
+def make_scheduler_settings(settings: Settings) -> SchedulerSettings:
+    """Return the decisions' part of a daemon's settings."""
+    limits = settings.limits
+    objectives = settings.objectives
+    return SchedulerSettings(
+        queue_requests=limits.queue_requests,
+        customer_queue_requests=limits.customer_queue_requests,
+        wait_weight=objectives.wait_weight,
+        recompute_weight=objectives.recompute_weight,
+        retry_share=limits.retry_share,
+        max_tries=limits.max_tries,
+        quarantine_losses=limits.quarantine_losses,
+        quarantine_seconds=limits.quarantine_seconds,
+        candidates=settings.targets.candidates,
+    )
--- /dev/null
+++ b/lycheepost/standin/enginemodel.py
@@ -0,0 +1,410 @@
+"""A model of one batching engine in virtual time.
+
+Pure: no clock and no I/O. ``submit`` and ``cancel`` take the time, ``advance``
+runs the engine up to a time and returns what happened, ``next_event_seconds``
+tells when to look again. The policy bench drives it from its event heap, the
+HTTP stand-in from a real clock.
+
+Work runs in iterations, as in engines with continuous batching: each iteration
+gives every running request one token and prefills up to a chunk of the prompts
+that wait. Output tokens are counted per engine, not per request, so that an
+iteration costs the same with 1 and with 64 requests running.
+"""
+
+import heapq
+import random
+from collections import deque
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from lycheepost.core.ids import Incarnation, PrefixDigest, RequestId
+from lycheepost.decide.records import PrefixLevel
+from lycheepost.generated.engine import CacheEvent
+from lycheepost.standin.enginecache import EngineCache
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """Speeds and sizes of one engine, each with its reason.
+
+    Attributes:
+        prefill_seconds_per_token: 20,000 tokens/s: a 70B model on the four
+            accelerators of a server (48,000 accelerators in 12,000 servers).
+        iteration_seconds: Fixed part of an iteration: reading the weights once
+            from memory, 70 GB over 4 x 2 TB/s and kernel launches.
+        sequence_seconds: Reading one running request's KV per iteration. At
+            the 57 running that 17M tokens/s over 12,000 servers need, an
+            iteration takes 12 + 57 x 0.4 = 35 ms, inside the 62 ms allowed.
+        chunk_tokens: Prompt tokens prefilled per iteration, the usual chunk
+            size: 2,048 tokens add 102 ms, so a smaller one keeps the gap between
+            tokens inside 62 ms.
+        max_running: Requests in a batch; KV memory allows no more.
+        cache_tokens: Cached prefix tokens kept beside the running requests;
+            small enough that blocks leave within tens of seconds at load.
+        load_lag_seconds: A load report is taken this long before it is read.
+        event_lag_seconds: A cache event is published this long after it.
+        event_loss_share: Share of cache events that are lost.
+        slowness: All work takes this many times as long.
+    """
+
+    prefill_seconds_per_token: float = 50e-6
+    iteration_seconds: float = 0.012
+    sequence_seconds: float = 0.4e-3
+    chunk_tokens: int = 512
+    max_running: int = 64
+    cache_tokens: int = 300_000
+    load_lag_seconds: float = 1.0
+    event_lag_seconds: float = 0.7
+    event_loss_share: float = 0.02
+    slowness: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """One request as the engine gets it.
+
+    Attributes:
+        salt: Cached blocks are shared within one salt only.
+        priority: Lower goes first.
+        kills: Whether prefilling it crashes the engine.
+    """
+
+    request: RequestId
+    salt: str
+    levels: tuple[PrefixLevel, ...]
+    prompt_tokens: int
+    output_tokens: int
+    priority: int = 0
+    kills: bool = False
+
+
+class EngineEventKind(Enum):
+    """What happened to a request."""
+
+    FIRST_TOKEN = "first_token"
+    FINISHED = "finished"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEvent:
+    """Something that happened at ``at_seconds``.
+
+    Attributes:
+        cached_tokens: Prompt tokens reused from the cache.
+    """
+
+    kind: EngineEventKind
+    request: RequestId
+    at_seconds: float
+    cached_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """A load measurement as published."""
+
+    incarnation: Incarnation
+    measured_seconds: float
+    n_running: int
+    n_queued: int
+    queued_prompt_tokens: int
+    cached_tokens: int
+
+
+@dataclass(slots=True)
+class _Job:
+    spec: EngineRequest
+    order: int
+    remaining_tokens: int = 0
+    cached_tokens: int = 0
+    start_count: int = 0
+    is_started: bool = False
+    is_cancelled: bool = False
+
+
+@dataclass(slots=True)
+class _Iteration:
+    """The iterations under way: one, or a run of equal ones without prefill."""
+
+    started_seconds: float
+    each_seconds: float
+    n_iterations: int
+
+    def end_seconds(self) -> float:
+        return self.started_seconds + self.each_seconds * self.n_iterations
+
+
+@dataclass(slots=True)
+class _Counters:
+    """Totals since the start, for the bench."""
+
+    prompt_tokens: int = 0
+    prefilled_tokens: int = 0
+    output_tokens: int = 0
+    busy_seconds: float = 0.0
+
+
+class Engine:
+    """One engine; see the module."""
+
+    def __init__(self, name: str, settings: EngineSettings, seed: int) -> None:
+        self.name = name
+        self.settings = settings
+        self.counters = _Counters()
+        self._rng = random.Random(f"{name}/{seed}")
+        self._n_boots = 0
+        self._n_submitted = 0
+        self._boot()
+
+    def _boot(self) -> None:
+        self._n_boots += 1
+        self.incarnation = Incarnation(f"{self.name}-boot-{self._n_boots}")
+        self.cache = EngineCache(
+            self.settings.cache_tokens,
+            self.settings.event_lag_seconds,
+            self.settings.event_loss_share,
+            self._rng,
+        )
+        self._jobs: dict[RequestId, _Job] = {}
+        self._waiting: list[tuple[int, int, _Job]] = []
+        self._prefilling: _Job | None = None
+        self._plan: list[tuple[_Job, int]] = []
+        self._running: list[tuple[int, int, _Job]] = []
+        self._n_running = 0
+        self._queued_tokens = 0
+        self._token_count = 0
+        self._current: _Iteration | None = None
+        self._reports: deque[EngineReport] = deque()
+
+    def submit(self, spec: EngineRequest, now_seconds: float) -> list[EngineEvent]:
+        """Take a request; returns what happened until now."""
+        events = self.advance(now_seconds)
+        self._n_submitted += 1
+        job = _Job(spec, self._n_submitted, spec.prompt_tokens)
+        self._jobs[spec.request] = job
+        heapq.heappush(self._waiting, (spec.priority, job.order, job))
+        self._queued_tokens += spec.prompt_tokens
+        self._cut_run_short(now_seconds)
+        self._begin(now_seconds)
+        self._note_load(now_seconds)
+        return events
+
+    def cancel(self, request: RequestId, now_seconds: float) -> list[EngineEvent]:
+        """Stop a request; returns what happened until now."""
+        events = self.advance(now_seconds)
+        job = self._jobs.pop(request, None)
+        if job is None:
+            return events
+        job.is_cancelled = True
+        if job.is_started:
+            self._n_running -= 1
+        else:
+            self._queued_tokens -= job.remaining_tokens
+        if self._prefilling is job:
+            self._prefilling = None
+        self._note_load(now_seconds)
+        return events
+
+    def crash(self, now_seconds: float) -> list[EngineEvent]:
+        """Lose everything and come back empty as a new incarnation."""
+        events = self.advance(now_seconds)
+        return events + self._lose_all(now_seconds)
+
+    def _lose_all(self, now_seconds: float) -> list[EngineEvent]:
+        lost = [
+            EngineEvent(EngineEventKind.LOST, request, now_seconds)
+            for request in self._jobs
+        ]
+        self._boot()
+        return lost
+
+    def slow_down(self, slowness: float, now_seconds: float) -> list[EngineEvent]:
+        """Make all further iterations take ``slowness`` times as long."""
+        events = self.advance(now_seconds)
+        self._cut_run_short(now_seconds)
+        self.settings = replace(self.settings, slowness=slowness)
+        return events
+
+    def next_event_seconds(self) -> float | None:
+        """Return when the iterations under way end; None when idle."""
+        return None if self._current is None else self._current.end_seconds()
+
+    def n_tokens(self, request: RequestId) -> int:
+        """Return the output tokens that a running request has so far."""
+        job = self._jobs.get(request)
+        if job is None or not job.is_started:
+            return 0
+        return self._token_count - job.start_count + 1
+
+    def advance(self, now_seconds: float) -> list[EngineEvent]:
+        """Run up to ``now_seconds`` and return what happened, in order."""
+        events: list[EngineEvent] = []
+        while self._current is not None:
+            end_seconds = self._current.end_seconds()
+            if end_seconds > now_seconds:
+                break
+            events.extend(self._complete(end_seconds))
+            self._begin(end_seconds)
+        return events
+
+    def _cut_run_short(self, now_seconds: float) -> None:
+        """End a run of equal iterations at the next whole one."""
+        current = self._current
+        if current is None or current.n_iterations == 1:
+            return
+        elapsed = now_seconds - current.started_seconds
+        done = int(elapsed / current.each_seconds) + 1
+        current.n_iterations = min(current.n_iterations, done)
+
+    def _complete(self, end_seconds: float) -> list[EngineEvent]:
+        current = self._current
+        assert current is not None
+        self._current = None
+        self.counters.busy_seconds += end_seconds - current.started_seconds
+        self._token_count += current.n_iterations
+        self.counters.output_tokens += current.n_iterations * self._n_running
+        events = self._finish_due(end_seconds)
+        events.extend(self._advance_prefill(end_seconds))
+        self._note_load(end_seconds)
+        return events
+
+    def _finish_due(self, end_seconds: float) -> list[EngineEvent]:
+        events = []
+        while self._running and self._running[0][0] <= self._token_count:
+            job = heapq.heappop(self._running)[2]
+            if job.is_cancelled:
+                continue
+            self._n_running -= 1
+            del self._jobs[job.spec.request]
+            events.append(
+                EngineEvent(EngineEventKind.FINISHED, job.spec.request, end_seconds)
+            )
+        return events
+
+    def _advance_prefill(self, end_seconds: float) -> list[EngineEvent]:
+        events: list[EngineEvent] = []
+        plan, self._plan = self._plan, []
+        for job, n_tokens in plan:
+            if job.is_cancelled:
+                continue
+            if job.spec.kills:
+                return events + self._lose_all(end_seconds)
+            job.remaining_tokens -= n_tokens
+            self._queued_tokens -= n_tokens
+            self.counters.prefilled_tokens += n_tokens
+            if job.remaining_tokens == 0:
+                events.extend(self._start_decode(job, end_seconds))
+        return events
+
+    def _plan_prefill(self) -> int:
+        """Choose the prompts of the next iteration; returns their tokens.
+
+        A job whose prompt does not fit the chunk goes on in the next
+        iteration, before others; each job holds a slot of the batch.
+        """
+        free_tokens = self.settings.chunk_tokens
+        free_slots = self.settings.max_running - self._n_running
+        while free_tokens > 0 and free_slots > 0:
+            job = self._prefilling or self._next_waiting()
+            if job is None:
+                break
+            n_tokens = min(free_tokens, job.remaining_tokens)
+            self._plan.append((job, n_tokens))
+            self._prefilling = job if n_tokens < job.remaining_tokens else None
+            free_tokens -= n_tokens
+            free_slots -= 1
+        return self.settings.chunk_tokens - free_tokens
+
+    def _next_waiting(self) -> _Job | None:
+        while self._waiting:
+            job = heapq.heappop(self._waiting)[2]
+            if job.is_cancelled:
+                continue
+            self._look_up(job)
+            return job
+        return None
+
+    def _look_up(self, job: _Job) -> None:
+        spec = job.spec
+        cached = self.cache.look_up(spec.salt, spec.levels)
+        # The last token is always computed, since the first output needs it.
+        job.cached_tokens = min(cached, spec.prompt_tokens - 1)
+        job.remaining_tokens = spec.prompt_tokens - job.cached_tokens
+        self._queued_tokens -= job.cached_tokens
+
+    def _start_decode(self, job: _Job, now_seconds: float) -> list[EngineEvent]:
+        spec = job.spec
+        self.counters.prompt_tokens += spec.prompt_tokens
+        self.cache.store(spec.salt, spec.levels, now_seconds)
+        job.is_started = True
+        job.start_count = self._token_count
+        self._n_running += 1
+        end_count = self._token_count + max(0, spec.output_tokens - 1)
+        events = [
+            EngineEvent(
+                EngineEventKind.FIRST_TOKEN,
+                spec.request,
+                now_seconds,
+                job.cached_tokens,
+            )
+        ]
+        heapq.heappush(self._running, (end_count, job.order, job))
+        events.extend(self._finish_due(now_seconds))
+        return events
+
+    def _begin(self, now_seconds: float) -> None:
+        if self._current is not None:
+            return
+        chunk = self._plan_prefill()
+        if not chunk and not self._n_running:
+            return
+        settings = self.settings
+        each = (
+            settings.iteration_seconds
+            + settings.sequence_seconds * self._n_running
+            + settings.prefill_seconds_per_token * chunk
+        ) * settings.slowness
+        n_iterations = 1 if chunk else self._iterations_until_finish()
+        self._current = _Iteration(now_seconds, each, n_iterations)
+
+    def _iterations_until_finish(self) -> int:
+        while self._running and self._running[0][2].is_cancelled:
+            heapq.heappop(self._running)
+        return max(1, self._running[0][0] - self._token_count)
+
+    def _note_load(self, now_seconds: float) -> None:
+        report = EngineReport(
+            incarnation=self.incarnation,
+            measured_seconds=now_seconds,
+            n_running=self._n_running,
+            n_queued=len(self._jobs) - self._n_running,
+            queued_prompt_tokens=self._queued_tokens,
+            cached_tokens=self.cache.n_tokens,
+        )
+        self._reports.append(report)
+        self._drop_old_reports(now_seconds)
+
+    def load_report(self, now_seconds: float) -> EngineReport | None:
+        """Return the measurement of a lag ago; None when none is that old."""
+        self._drop_old_reports(now_seconds)
+        if not self._reports:
+            return None
+        report = self._reports[0]
+        horizon = now_seconds - self.settings.load_lag_seconds
+        if report.measured_seconds > horizon:
+            return None
+        return replace(report, measured_seconds=horizon)
+
+    def _drop_old_reports(self, now_seconds: float) -> None:
+        horizon = now_seconds - self.settings.load_lag_seconds
+        while len(self._reports) > 1 and self._reports[1].measured_seconds <= horizon:
+            self._reports.popleft()
+
+    def cache_events(self, after: int, now_seconds: float) -> list[CacheEvent]:
+        """Return the published cache events with a sequence above ``after``."""
+        return self.cache.published(after, now_seconds)
+
+    def holds(self, salt: str, digest: PrefixDigest) -> bool:
+        """Tell whether a level is cached; for audits."""
+        return self.cache.holds(salt, digest)
