--- /dev/null
+++ b/lycheepost/callers/dispatch.py
@@ -0,0 +1,154 @@
+"""The task that owns the scheduler and turns its outcomes into awaited answers.
+
+The scheduler is pure: it is told the time and answers with outcomes. This part
+gives it the clock and a tick, and wakes the request that each outcome names.
+"""
+
+import asyncio
+
+import structlog
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import BodyFingerprint, CustomerId, RequestId
+from lycheepost.decide.records import (
+    Dispatch,
+    FinishKind,
+    LoadReport,
+    Outcome,
+    RefusalReason,
+    Refuse,
+    TargetView,
+    Work,
+)
+from lycheepost.decide.scheduler import Scheduler
+
+TICK_SECONDS = 0.02
+"""A queued request is looked at this often: well under the 0.3 s objective for a
+first token, and 50 wake-ups a second cost an idle daemon under 0.1% of a core."""
+
+_log = structlog.get_logger().bind(part="dispatch")
+
+
+class Dispatcher:
+    """Awaitable face of one scheduler.
+
+    Args:
+        scheduler: The decisions; nobody else may call it.
+        clock: Gives the time to every call.
+    """
+
+    def __init__(self, scheduler: Scheduler, clock: Clock) -> None:
+        self._scheduler = scheduler
+        self._clock = clock
+        self._waiting: dict[RequestId, asyncio.Future[Outcome]] = {}
+        self._ticker: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the tick."""
+        self._ticker = asyncio.create_task(self._tick(), name="dispatch-tick")
+
+    async def drain(self) -> None:
+        """Refuse what still waits; what was dispatched goes on."""
+        self._wake(self._scheduler.drain())
+
+    async def stop(self) -> None:
+        """Stop the tick and refuse whoever still waits."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        for request in list(self._waiting):
+            self._wake([Refuse(request, RefusalReason.SHUTTING_DOWN, None)])
+
+    def status(self) -> dict[str, object]:
+        """Return the scheduler's own account of itself."""
+        return self._scheduler.status()
+
+    async def admit(self, work: Work) -> Outcome:
+        """Queue new work and wait for its outcome.
+
+        A caller that leaves while it waits is taken out of the queue; one that
+        leaves just as it was dispatched gives its slot back.
+        """
+        return await self._await_outcome(
+            work, self._scheduler.arrive(work, self._clock.now_seconds())
+        )
+
+    async def readmit(self, work: Work) -> Outcome:
+        """Place work again after a target failed it."""
+        return await self._await_outcome(
+            work, self._scheduler.retry(work, self._clock.now_seconds())
+        )
+
+    async def _await_outcome(self, work: Work, outcomes: list[Outcome]) -> Outcome:
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[work.request] = future
+        self._wake(outcomes)
+        try:
+            outcome: Outcome = await future
+            return outcome
+        except asyncio.CancelledError:
+            self._give_back(work.request, future)
+            raise
+        finally:
+            self._waiting.pop(work.request, None)
+
+    def _give_back(self, request: RequestId, future: "asyncio.Future[Outcome]") -> None:
+        was_dispatched = (
+            future.done()
+            and not future.cancelled()
+            and isinstance(future.result(), Dispatch)
+        )
+        if was_dispatched:
+            self.finish(request, FinishKind.CANCELLED)
+        else:
+            self._wake(self._scheduler.cancel(request, self._clock.now_seconds()))
+
+    def first_token(self, request: RequestId, cached_tokens: int | None) -> None:
+        """Tell that the first token came."""
+        now_seconds = self._clock.now_seconds()
+        self._scheduler.first_token(request, now_seconds, cached_tokens)
+
+    def progress(self, request: RequestId, n_tokens: int) -> None:
+        """Tell how many tokens have come."""
+        self._scheduler.progress(request, self._clock.now_seconds(), n_tokens)
+
+    def finish(self, request: RequestId, kind: FinishKind) -> None:
+        """Tell how a dispatched request ended; frees its slot."""
+        now_seconds = self._clock.now_seconds()
+        self._wake(self._scheduler.finish(request, now_seconds, kind))
+
+    def observe_load(self, report: LoadReport) -> None:
+        """Pass on a target's load report."""
+        self._scheduler.observe_load(report, self._clock.now_seconds())
+
+    def replace_targets(self, targets: tuple[TargetView, ...]) -> None:
+        """Tell which targets there are now and in which state."""
+        now_seconds = self._clock.now_seconds()
+        self._wake(self._scheduler.replace_targets(targets, now_seconds))
+
+    def set_shares(self, weights: dict[CustomerId, float]) -> None:
+        """Set the customers' weights in fair sharing."""
+        self._scheduler.set_shares(weights)
+
+    def quarantine(self, fingerprint: BodyFingerprint, for_seconds: float) -> None:
+        """Refuse a request that another daemon saw targets die of."""
+        until_seconds = self._clock.now_seconds() + for_seconds
+        self._scheduler.quarantine(fingerprint, until_seconds)
+
+    def _wake(self, outcomes: list[Outcome]) -> None:
+        for outcome in outcomes:
+            future = self._waiting.get(outcome.request)
+            if future is not None and not future.done():
+                future.set_result(outcome)
+            elif isinstance(outcome, Dispatch):
+                # Its caller has just left. Without this the slot would stay
+                # taken for good and the target would look busier than it is.
+                self.finish(outcome.request, FinishKind.CANCELLED)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            try:
+                self._wake(self._scheduler.tick(self._clock.now_seconds()))
+            except Exception:
+                # A fault in one pass must not stop the queue for everybody.
+                _log.exception("dispatch: the tick failed")
--- /dev/null
+++ b/lycheepost/callers/errors.py
@@ -0,0 +1,182 @@
+"""Errors that callers see: OpenAI-shaped bodies with the executed header.
+
+``Lycheepost-Executed`` tells a caller whether a resend can double its work:
+``no`` is sent only while no byte of the request has gone to a target.
+"""
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+from aiohttp import web
+
+from lycheepost.core.errors import LycheepostError
+from lycheepost.decide.records import RefusalReason, Refuse
+from lycheepost.generated.callers import ErrorBody, ErrorDetail
+
+EXECUTED_HEADER = "Lycheepost-Executed"
+SHOULD_RETRY_HEADER = "x-should-retry"
+"""The published OpenAI clients obey this header before they resend."""
+
+STORE_RETRY_SECONDS = 2.0
+"""A store outage is rarely over sooner, and a shopper waits no longer."""
+
+
+class Executed(Enum):
+    """Whether the request may have run on a target."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class ErrorType(Enum):
+    """The ``type`` field of an OpenAI error."""
+
+    INVALID_REQUEST = "invalid_request_error"
+    AUTHENTICATION = "authentication_error"
+    PERMISSION = "permission_error"
+    RATE_LIMIT = "rate_limit_error"
+    SERVER = "server_error"
+
+
+@dataclass(frozen=True)
+class CallerError(LycheepostError):
+    """An answer that is an error.
+
+    Attributes:
+        status: HTTP status.
+        code: Stable word for programs.
+        param: The field at fault, if one is.
+        executed: Whether the request may have run.
+        retry_after_seconds: When a resend may succeed; None when it will not.
+    """
+
+    status: int = 400
+    type: ErrorType = ErrorType.INVALID_REQUEST
+    code: str = "invalid_request"
+    param: str | None = None
+    executed: Executed = Executed.NO
+    retry_after_seconds: float | None = None
+
+
+_REFUSALS: dict[RefusalReason, tuple[int, ErrorType, str]] = {
+    RefusalReason.DEADLINE: (
+        503,
+        ErrorType.SERVER,
+        "No target can give a first token within the request's timeout.",
+    ),
+    RefusalReason.QUEUE_FULL: (
+        503,
+        ErrorType.SERVER,
+        "The queue is full.",
+    ),
+    RefusalReason.OVER_SHARE: (
+        429,
+        ErrorType.RATE_LIMIT,
+        "The customer is over its share while others wait.",
+    ),
+    RefusalReason.NO_TARGET: (
+        503,
+        ErrorType.SERVER,
+        "No target serves this now.",
+    ),
+    RefusalReason.QUARANTINED: (
+        422,
+        ErrorType.INVALID_REQUEST,
+        "Targets were lost while they ran this request; it is not tried again.",
+    ),
+    RefusalReason.RETRY_BUDGET: (
+        503,
+        ErrorType.SERVER,
+        "The target failed and the retry budget is used up.",
+    ),
+    RefusalReason.SHUTTING_DOWN: (
+        503,
+        ErrorType.SERVER,
+        "This daemon is leaving; use another address.",
+    ),
+}
+
+
+def from_refusal(refusal: Refuse, executed: Executed = Executed.NO) -> CallerError:
+    """Return the caller's view of a scheduler's refusal."""
+    status, error_type, reason = _REFUSALS[refusal.reason]
+    return CallerError(
+        reason,
+        status=status,
+        type=error_type,
+        code=refusal.reason.value,
+        executed=executed,
+        retry_after_seconds=refusal.retry_after_seconds,
+    )
+
+
+def encode_error(error: CallerError) -> bytes:
+    """Return the OpenAI error body."""
+    detail = ErrorDetail(
+        message=error.reason,
+        type=error.type.value,
+        param=error.param,
+        code=error.code,
+        lycheepost_executed=error.executed.value,
+    )
+    return msgspec.json.encode(ErrorBody(error=detail))
+
+
+def error_headers(error: CallerError) -> dict[str, str]:
+    """Return the headers that go with an error."""
+    headers = {EXECUTED_HEADER: error.executed.value}
+    if error.retry_after_seconds is not None:
+        # Whole seconds are the only form that every client understands.
+        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_seconds)))
+    if error.executed is not Executed.NO:
+        # A client that resends by itself could double work that has run.
+        headers[SHOULD_RETRY_HEADER] = "false"
+    return headers
+
+
+def error_response(error: CallerError) -> web.Response:
+    """Return the whole HTTP answer of an error."""
+    return web.Response(
+        status=error.status,
+        body=encode_error(error),
+        content_type="application/json",
+        headers=error_headers(error),
+    )
+
+
+def error_event(error: CallerError) -> bytes:
+    """Return an error as the last event of a stream that has begun.
+
+    No ``[DONE]`` follows, so that a client cannot take the answer for whole.
+    """
+    return b"data: " + encode_error(error) + b"\n\n"
+
+
+def invalid(reason: str, param: str | None = None, status: int = 400) -> CallerError:
+    """Return an error for a request that is wrong in itself."""
+    return CallerError(reason, status=status, param=param)
+
+
+def unauthenticated(reason: str) -> CallerError:
+    """Return the error for a missing or unknown key."""
+    return CallerError(
+        reason,
+        status=401,
+        type=ErrorType.AUTHENTICATION,
+        code="invalid_api_key",
+    )
+
+
+def store_unavailable(reason: str, executed: Executed = Executed.NO) -> CallerError:
+    """Return the error for a claim that the table service did not take."""
+    return CallerError(
+        reason,
+        status=503,
+        type=ErrorType.SERVER,
+        code="store_unavailable",
+        executed=executed,
+        retry_after_seconds=STORE_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/lycheepost/callers/parse.py
@@ -0,0 +1,169 @@
+"""Turn the bytes of a completion request into a checked record.
+
+Only what routing needs is decoded. Each chat message stays raw JSON: it is one
+prefix segment as it stands, and it goes on to the engine as it came.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheepost.callers.errors import CallerError, invalid
+from lycheepost.core.ids import ModelId
+from lycheepost.generated.callers import ChatMessage
+
+DEFAULT_OUTPUT_TOKENS = 256
+"""Tokens expected of an answer whose caller sets no limit; only for prediction."""
+
+_OWN_FIELDS = frozenset(
+    {"cache_salt", "priority", "continue_final_message", "add_generation_prompt"}
+)
+"""Fields that the daemon sets. A caller's value is dropped: a customer who could
+name another's salt would read from that customer's cache."""
+
+_UNCONTINUABLE_FIELDS = frozenset(
+    {"tools", "functions", "logprobs", "response_format", "suffix", "echo", "best_of"}
+)
+"""Answers under these cannot be cut and continued by appending text."""
+
+
+class Endpoint(Enum):
+    """The two completion calls."""
+
+    CHAT = "/v1/chat/completions"
+    COMPLETIONS = "/v1/completions"
+
+
+@dataclass(frozen=True)
+class CompletionCall:
+    """A checked completion request.
+
+    Attributes:
+        segments: The prompt as raw JSON pieces, in order.
+        max_tokens: The caller's limit on the answer, if it set one.
+        wants_usage: Whether a stream's usage chunk goes to the caller.
+        is_continuable: Whether a cut answer can be continued elsewhere.
+        fields: The body, one raw JSON value per field.
+    """
+
+    endpoint: Endpoint
+    model: ModelId
+    segments: tuple[bytes, ...]
+    max_tokens: int | None
+    is_streamed: bool
+    wants_usage: bool
+    is_continuable: bool
+    fields: dict[str, msgspec.Raw]
+
+
+def parse_completion(
+    endpoint: Endpoint, body: bytes
+) -> Result[CompletionCall, CallerError]:
+    """Check a completion body.
+
+    Args:
+        endpoint: Which call it came to.
+        body: The whole body.
+
+    Returns:
+        The call, or an error that names the field at fault.
+    """
+    try:
+        return Success(_parse(endpoint, body))
+    except CallerError as error:
+        return Failure(error)
+
+
+def _parse(endpoint: Endpoint, body: bytes) -> CompletionCall:
+    try:
+        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise invalid(f"The body is not a JSON object: {error}.") from error
+    model = _take(fields, "model", str, None)
+    if not model:
+        raise invalid("A model must be named.", "model")
+    if _take(fields, "n", int | None, 1) not in (1, None):
+        raise invalid("Only n = 1 is served.", "n")
+    max_tokens = _take_max_tokens(fields)
+    options = _take(fields, "stream_options", dict[str, Any] | None, None) or {}
+    return CompletionCall(
+        endpoint=endpoint,
+        model=ModelId(model),
+        segments=_take_segments(endpoint, fields),
+        max_tokens=max_tokens,
+        is_streamed=bool(_take(fields, "stream", bool | None, False)),
+        wants_usage=options.get("include_usage") is True,
+        is_continuable=not _UNCONTINUABLE_FIELDS.intersection(fields),
+        fields={key: raw for key, raw in fields.items() if key not in _OWN_FIELDS},
+    )
+
+
+def _take(fields: dict[str, msgspec.Raw], name: str, kind: Any, default: Any) -> Any:
+    raw = fields.get(name)
+    if raw is None:
+        return default
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise invalid(f"The field {name} is not valid: {error}.", name) from error
+
+
+def _take_max_tokens(fields: dict[str, msgspec.Raw]) -> int | None:
+    for name in ("max_completion_tokens", "max_tokens"):
+        value = _take(fields, name, int | None, None)
+        if value is None:
+            continue
+        if value < 1:
+            raise invalid(f"The field {name} must be at least 1.", name)
+        return int(value)
+    return None
+
+
+def _take_segments(
+    endpoint: Endpoint, fields: dict[str, msgspec.Raw]
+) -> tuple[bytes, ...]:
+    match endpoint:
+        case Endpoint.CHAT:
+            return _take_messages(fields)
+        case Endpoint.COMPLETIONS:
+            prompt = _take(fields, "prompt", str, None)
+            if not prompt:
+                raise invalid("A prompt must be given as one text.", "prompt")
+            return (prompt.encode(),)
+
+
+def _take_messages(fields: dict[str, msgspec.Raw]) -> tuple[bytes, ...]:
+    messages = _take(fields, "messages", list[msgspec.Raw], None)
+    if not messages:
+        raise invalid("At least one message must be given.", "messages")
+    for index, message in enumerate(messages):
+        try:
+            msgspec.json.decode(message, type=ChatMessage)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            param = f"messages[{index}]"
+            raise invalid(f"A message is not valid: {error}.", param) from error
+    return tuple(bytes(message) for message in messages)
+
+
+def engine_body(
+    call: CompletionCall, cache_salt: str, priority: int, is_streamed: bool
+) -> bytes:
+    """Return the body that goes to an engine.
+
+    Args:
+        call: The checked request.
+        cache_salt: The customer's salt; it keeps its cached blocks apart.
+        priority: Lower runs first.
+        is_streamed: Whether the engine shall stream, whatever the caller asked.
+    """
+    fields: dict[str, Any] = dict(call.fields)
+    fields["cache_salt"] = cache_salt
+    fields["priority"] = priority
+    fields["stream"] = is_streamed
+    fields.pop("stream_options", None)
+    if is_streamed:
+        fields["stream_options"] = {"include_usage": True}
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/lycheepost/commands/output.py
@@ -0,0 +1,31 @@
+"""What commands share: exit codes and the printing of faults."""
+
+import sys
+from enum import IntEnum
+from typing import NoReturn
+
+import typer
+
+from lycheepost.utils.documents import Fault
+
+
+class ExitCode(IntEnum):
+    """Exit codes of every command."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    UNREACHABLE = 3
+
+
+def fail(message: str, code: ExitCode) -> NoReturn:
+    """Print one line to standard error and exit."""
+    print(message, file=sys.stderr)
+    raise typer.Exit(code)
+
+
+def fail_with_faults(faults: list[Fault]) -> NoReturn:
+    """Print every fault, one a line, and exit."""
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    raise typer.Exit(ExitCode.BAD_INPUT)
--- /dev/null
+++ b/lycheepost/utils/logs.py
@@ -0,0 +1,60 @@
+"""Structured logs on standard error, one line an event.
+
+Every part binds ``part`` and begins its events with the same word. The request
+id is bound in a context variable, so that each line of one request carries it.
+Prompt text and keys are never passed to a log call; as a second barrier, fields
+with the names below are dropped before a line is written.
+"""
+
+import logging
+import sys
+from collections.abc import MutableMapping
+from typing import Any
+
+import structlog
+
+from lycheepost.generated.settings import LogFormat, LogSettings
+
+_FORBIDDEN_FIELDS = frozenset(
+    {"key", "api_key", "secret_key", "authorization", "prompt", "messages", "body"}
+)
+
+
+def _drop_forbidden(
+    _logger: Any, _method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    for name in _FORBIDDEN_FIELDS.intersection(event):
+        event[name] = "(dropped)"
+    return event
+
+
+def configure_logs(settings: LogSettings, daemon_id: str = "") -> None:
+    """Set up logging for this process.
+
+    Args:
+        settings: Level and format.
+        daemon_id: Stands in every line when given.
+    """
+    renderer: Any = structlog.processors.JSONRenderer()
+    if settings.format is LogFormat.CONSOLE:
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    level = logging.getLevelNamesMapping()[settings.level.value.upper()]
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            _drop_forbidden,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+    # aiohttp reports faults of handlers through the standard library; it must
+    # not print a request line, which can hold a key in its query.
+    logging.basicConfig(level=max(level, logging.WARNING), stream=sys.stderr)
+    structlog.contextvars.clear_contextvars()
+    if daemon_id:
+        structlog.contextvars.bind_contextvars(daemon_id=daemon_id)
--- /dev/null
+++ b/packaging/entry.py
@@ -0,0 +1,6 @@
+"""Entry script of the binary."""
+
+from lycheepost.commands.main import run
+
+if __name__ == "__main__":
+    run()
