Add the load library: mixes, driver and audit

Cause: nothing drove a daemon as callers do or judged what they got. The audit reads what the targets recorded, never what the system says. Seen: 19 scenarios of features/load pass; each of twelve ways of wronging a caller (lost, repeated, swapped words, crossed answers, silent ends, doubled or lost orders, untrue or unmarked refusals, changed resends) is found as its own fault and fails the run.

--- /dev/null
+++ b/features/load/audit.feature
@@ -0,0 +1,63 @@
+Feature: The audit of a load run
+  Callers are told nothing but what comes over HTTP, so the audit must find each
+  way in which a system can wrong them, and find nothing in a system that serves.
+
+  Scenario Outline: A system that wrongs its callers is found out
+    Kiosks and hostels send their usual traffic. One answer in five is spoiled
+    in one way before it reaches its caller; everything else is served well.
+    The run must end with exactly this kind of fault and a failing exit code.
+
+    Given a system that spoils one answer in five by "<spoil>"
+    When prairie traffic runs against it
+    Then the audit finds only "<fault>"
+    And the run's exit code is 1
+
+    Examples: answers
+      | spoil                 | fault            |
+      | lose a word           | wrong_text       |
+      | repeat a word         | wrong_text       |
+      | swap two words        | wrong_text       |
+      | another's answer      | crossed          |
+      | another's request id  | crossed          |
+      | stop with a reason    | looks_finished   |
+      | end without a marker  | looks_finished   |
+
+    Examples: calls and refusals
+      | spoil                 | fault            |
+      | run an order twice    | doubled          |
+      | acknowledge, not run  | lost             |
+      | run, say not run      | untrue_not_run   |
+      | refuse without a mark | refusal_unmarked |
+      | answer a resend anew  | resend_differs   |
+
+  Scenario Outline: A system that serves or refuses honestly passes
+    Given a system that spoils one answer in five by "<spoil>"
+    When <deployment> traffic runs against it
+    Then the audit finds nothing
+    And every order that was acknowledged ran once
+    And the run's exit code is 0
+
+    Examples:
+      | deployment | spoil                 |
+      | prairie    | nothing               |
+      | mercia     | nothing               |
+      | prairie    | break the connection  |
+      | prairie    | refuse as not run     |
+
+  Scenario: A truncated answer that says so is counted and is no violation
+    Given a system that spoils one answer in five by "break the connection"
+    When prairie traffic runs against it
+    Then some answers are counted as truncated
+
+  Scenario: A caller moves on when an address takes no connection
+    The first address of the list is a VM that was replaced a minute ago. A
+    caller that keeps an old list must still be served by the next address.
+
+    Given a system whose first address takes no connection
+    When prairie traffic runs against it
+    Then the audit finds nothing
+    And nothing is left unreached
+
+  Scenario: The same seed gives the same requests
+    When the first 200 requests of "mercia" are generated twice with seed 7
+    Then both lists are equal and the prefixes nest in three shared levels
--- /dev/null
+++ b/lycheepost/loadgen/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' traffic: generated, sent and audited."""
--- /dev/null
+++ b/lycheepost/loadgen/audit.py
@@ -0,0 +1,284 @@
+"""Judge every answer of a run against what was asked and what the targets saw.
+
+Pure: it reads records and evidence and returns findings. The evidence is what
+the targets themselves recorded, read from them and not through the system under
+test, so that a system which lies to its callers is found out.
+
+A truncated answer that says so is counted and is no violation by itself; one
+that looks finished is. A request that was given up, refused or unreached is
+counted too, and is a violation only if the refusal was untrue.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lycheepost.loadgen.outcomes import (
+    Answered,
+    CallRecord,
+    CompletionRecord,
+    Executed,
+    Record,
+    Refused,
+    ServiceAnswered,
+    Truncated,
+)
+from lycheepost.loadgen.requests import Completion
+
+SHOWN_VIOLATIONS = 20
+
+_ERROR_STATUS = 400
+
+ExpectedText = Callable[[Completion], str]
+
+
+class Fault(Enum):
+    """What an answer must never do."""
+
+    WRONG_TEXT = "wrong_text"
+    """Not the asked answer: words lost, doubled or out of order."""
+    CROSSED = "crossed"
+    """The answer of another request, or one tied to another request's id."""
+    LOOKS_FINISHED = "looks_finished"
+    """A part of the answer that claims to be all of it."""
+    DOUBLED = "doubled"
+    """A call that must not run twice did."""
+    LOST = "lost"
+    """A call that was acknowledged never ran."""
+    UNTRUE_NOT_RUN = "untrue_not_run"
+    """A refusal said ``no`` and a target saw the request."""
+    REFUSAL_UNMARKED = "refusal_unmarked"
+    """A refusal that does not say whether the request ran."""
+    RESEND_DIFFERS = "resend_differs"
+    """Two sends of one key were answered with different bytes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One fault of one request."""
+
+    fault: Fault
+    number: int
+    request_id: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What the targets recorded.
+
+    Attributes:
+        order_runs: How often each order ran; None when no plain service's
+            record could be read.
+        request_ids: Request ids that any target saw; None when unknown.
+    """
+
+    order_runs: Counter[str] | None = None
+    request_ids: frozenset[str] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AuditReport:
+    """Findings of a whole run; ``is_clean`` when no fault was found.
+
+    Attributes:
+        n_unresolved_calls: Calls whose callers never learned whether they ran.
+        is_order_record_read: Whether calls were checked against the record.
+    """
+
+    n_checked: int
+    n_answers: int
+    n_truncated: int
+    n_calls: int
+    n_sends: int
+    n_unresolved_calls: int
+    is_order_record_read: bool
+    is_request_record_read: bool
+    violations: tuple[Violation, ...] = field(default=())
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether no violation was found."""
+        return not self.violations
+
+
+def audit(
+    records: Iterable[Record], evidence: Evidence, expected_text: ExpectedText
+) -> AuditReport:
+    """Check every record and return what was found.
+
+    Args:
+        records: Every request of the run.
+        evidence: What the targets recorded.
+        expected_text: The one right answer to a completion.
+    """
+    records = tuple(records)
+    owners = _index_owners(records, expected_text)
+    violations: list[Violation] = []
+    n_answers = n_truncated = n_calls = n_sends = n_unresolved = 0
+    for record in records:
+        match record:
+            case CompletionRecord():
+                violations += _check_completion(record, evidence, owners)
+                n_answers += isinstance(record.outcome, Answered)
+                n_truncated += isinstance(record.outcome, Truncated)
+            case CallRecord():
+                violations += _check_call(record, evidence)
+                n_calls += 1
+                n_sends += len(record.attempts)
+                n_answers += _is_acknowledged(record)
+                n_unresolved += _is_unresolved(record)
+    return AuditReport(
+        n_checked=len(records),
+        n_answers=n_answers,
+        n_truncated=n_truncated,
+        n_calls=n_calls,
+        n_sends=n_sends,
+        n_unresolved_calls=n_unresolved,
+        is_order_record_read=evidence.order_runs is not None,
+        is_request_record_read=evidence.request_ids is not None,
+        violations=tuple(violations),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Owners:
+    """Which requests an answer's text belongs to, by number."""
+
+    texts: dict[int, str]
+    numbers: dict[str, int]
+
+
+def _index_owners(records: tuple[Record, ...], expected_text: ExpectedText) -> _Owners:
+    texts = {
+        record.request.number: expected_text(record.request)
+        for record in records
+        if isinstance(record, CompletionRecord)
+    }
+    return _Owners(texts, {text: number for number, text in texts.items()})
+
+
+def _check_completion(
+    record: CompletionRecord, evidence: Evidence, owners: _Owners
+) -> Iterator[Violation]:
+    expected = owners.texts[record.request.number]
+    match record.outcome:
+        case Answered() as answer:
+            yield from _check_answer(record, answer, expected, owners)
+        case Truncated(text=text, is_explicit=is_explicit):
+            if not is_explicit:
+                yield _violation(record, Fault.LOOKS_FINISHED, "ended without a marker")
+            if not expected.startswith(text):
+                yield _violation(
+                    record, Fault.WRONG_TEXT, _first_difference(text, expected)
+                )
+        case Refused() as refusal:
+            yield from _check_refusal(
+                record.request.number, record.request_id, refusal, evidence
+            )
+
+
+def _check_answer(
+    record: CompletionRecord, answer: Answered, expected: str, owners: _Owners
+) -> Iterator[Violation]:
+    if answer.echoed_request != record.request_id:
+        yield _violation(record, Fault.CROSSED, f"echoed {answer.echoed_request!r}")
+    if answer.text == expected:
+        return
+    owner = owners.numbers.get(answer.text)
+    if owner is not None:
+        yield _violation(record, Fault.CROSSED, f"text of request {owner}")
+    elif expected.startswith(answer.text):
+        detail = f"{len(answer.text)} of {len(expected)} characters"
+        yield _violation(record, Fault.LOOKS_FINISHED, detail)
+    else:
+        yield _violation(
+            record, Fault.WRONG_TEXT, _first_difference(answer.text, expected)
+        )
+
+
+def _check_refusal(
+    number: int, request_id: str, refusal: Refused, evidence: Evidence
+) -> Iterator[Violation]:
+    if refusal.executed is Executed.ABSENT:
+        detail = f"status {refusal.status} {refusal.code}"
+        yield Violation(Fault.REFUSAL_UNMARKED, number, request_id, detail)
+    is_seen = evidence.request_ids is not None and request_id in evidence.request_ids
+    if refusal.executed is Executed.NO and is_seen:
+        detail = f"status {refusal.status} {refusal.code}"
+        yield Violation(Fault.UNTRUE_NOT_RUN, number, request_id, detail)
+
+
+def _check_call(record: CallRecord, evidence: Evidence) -> Iterator[Violation]:
+    number = record.request.number
+    for attempt in record.attempts:
+        match attempt.outcome:
+            case Refused() as refusal:
+                yield from _check_refusal(number, attempt.request_id, refusal, evidence)
+            case ServiceAnswered(echoed_request=echoed):
+                if echoed != attempt.request_id:
+                    detail = f"echoed {echoed!r}"
+                    yield Violation(Fault.CROSSED, number, attempt.request_id, detail)
+    bodies = {
+        (attempt.outcome.status, attempt.outcome.body)
+        for attempt in record.attempts
+        if isinstance(attempt.outcome, ServiceAnswered)
+    }
+    request_id = record.attempts[-1].request_id if record.attempts else ""
+    if len(bodies) > 1:
+        detail = f"{len(bodies)} different answers"
+        yield Violation(Fault.RESEND_DIFFERS, number, request_id, detail)
+    for status, body in bodies:
+        if status < _ERROR_STATUS and record.request.order.encode() not in body:
+            detail = "the answer names another order"
+            yield Violation(Fault.CROSSED, number, request_id, detail)
+    if evidence.order_runs is not None:
+        yield from _check_runs(record, request_id, evidence.order_runs)
+
+
+def _check_runs(
+    record: CallRecord, request_id: str, order_runs: Counter[str]
+) -> Iterator[Violation]:
+    number = record.request.number
+    n_runs = order_runs[record.request.order]
+    if n_runs > 1:
+        yield Violation(Fault.DOUBLED, number, request_id, f"ran {n_runs} times")
+    if n_runs == 0 and _is_acknowledged(record):
+        yield Violation(Fault.LOST, number, request_id, "acknowledged and never ran")
+    is_denied = bool(record.attempts) and all(
+        isinstance(attempt.outcome, Refused) and attempt.outcome.executed is Executed.NO
+        for attempt in record.attempts
+    )
+    if n_runs and is_denied:
+        detail = f"every send was refused as not run, ran {n_runs} times"
+        yield Violation(Fault.UNTRUE_NOT_RUN, number, request_id, detail)
+
+
+def _is_acknowledged(record: CallRecord) -> bool:
+    return any(
+        isinstance(attempt.outcome, ServiceAnswered)
+        and attempt.outcome.status < _ERROR_STATUS
+        for attempt in record.attempts
+    )
+
+
+def _is_unresolved(record: CallRecord) -> bool:
+    return not _is_acknowledged(record) and not all(
+        isinstance(attempt.outcome, Refused) and attempt.outcome.executed is Executed.NO
+        for attempt in record.attempts
+    )
+
+
+def _violation(record: CompletionRecord, fault: Fault, detail: str) -> Violation:
+    return Violation(fault, record.request.number, record.request_id, detail)
+
+
+def _first_difference(text: str, expected: str) -> str:
+    """Say where two texts part, without showing either."""
+    pairs = zip(text, expected, strict=False)
+    n_equal = next(
+        (index for index, (left, right) in enumerate(pairs) if left != right),
+        min(len(text), len(expected)),
+    )
+    return f"differs at character {n_equal} of {len(expected)}"
