Plan and confirm operators' intents over HTTP

An intent is read against its schema with every fault at once, planned on a draft, kept as a row and applied once: the revision names the plan that made it, so a confirm whose answer was lost is settled by reading.

Ruled out: a plan row and the configuration written apart (a crash between the two makes a repeated confirm look like a moved basis); caller keys drawn at the plan (the row would hold a secret) or at the confirm (lost with its answer).

--- /dev/null
+++ b/lycheepost/operators/access.py
@@ -0,0 +1,53 @@
+"""Who may use the operators' API.
+
+Operator keys are known by their hashes in the settings, caller keys by theirs in
+the configuration. A caller key opens nothing here, and an operator key opens
+nothing of a customer's.
+"""
+
+import hmac
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from lycheepost.generated.operators import OperatorErrorKind
+from lycheepost.operators.errors import OperatorError
+from lycheepost.operators.ports import OperatorDeps
+from lycheepost.utils.keys import hash_key
+
+_SCHEME = "bearer"
+_NAME_CHARACTERS = 12
+
+
+@dataclass(frozen=True)
+class Operator:
+    """The operator behind one call.
+
+    Attributes:
+        name: First characters of the key's hash; enough to tell who did what.
+        key: The key itself, held only while the call lasts.
+    """
+
+    name: str
+    key: str = field(repr=False)
+
+
+def identify_operator(
+    deps: OperatorDeps, authorization: str | None
+) -> Result[Operator, OperatorError]:
+    """Return the operator of an ``Authorization`` header, or the refusal."""
+    scheme, _, key = (authorization or "").partition(" ")
+    key = key.strip()
+    if scheme.lower() != _SCHEME or not key:
+        return Failure(_not_authenticated("The call carries no bearer key."))
+    key_hash = hash_key(key)
+    if any(hmac.compare_digest(key_hash, known) for known in deps.settings.key_hashes):
+        return Success(Operator(key_hash[:_NAME_CHARACTERS], key))
+    if key_hash in deps.revisions.view.customer_by_key_hash:
+        reason = "A caller key does not open the operators' API."
+        return Failure(OperatorError(reason, OperatorErrorKind.NOT_AN_OPERATOR))
+    return Failure(_not_authenticated("The key is not known."))
+
+
+def _not_authenticated(reason: str) -> OperatorError:
+    return OperatorError(reason, OperatorErrorKind.NOT_AUTHENTICATED)
--- /dev/null
+++ b/lycheepost/operators/intents.py
@@ -0,0 +1,162 @@
+"""Read an intent: check each change against its schema and convert it.
+
+Every fault of every change is reported at once, with the path inside the
+document that the operator sent.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from lycheepost.generated.operators import (
+    AddTarget,
+    AlterCustomer,
+    AlterModel,
+    AlterTarget,
+    AlterTargetGroup,
+    CancelIntent,
+    ChangeKind,
+    ChangeRole,
+    CreateCustomer,
+    CreateModel,
+    CreateTargetGroup,
+    HoldReady,
+    NewWeights,
+    PauseIntent,
+    Remove,
+    ResumeIntent,
+    Retire,
+    RetireTarget,
+    RotateCustomerKey,
+    SetWeightsVersion,
+)
+from lycheepost.utils.documents import Fault, convert_document
+
+MAX_CHANGES = 500
+"""Most changes of one intent; a plan of more could not be read by a person."""
+
+Change = (
+    AddTarget
+    | AlterCustomer
+    | AlterModel
+    | AlterTarget
+    | AlterTargetGroup
+    | CancelIntent
+    | ChangeRole
+    | CreateCustomer
+    | CreateModel
+    | CreateTargetGroup
+    | HoldReady
+    | NewWeights
+    | PauseIntent
+    | Remove
+    | ResumeIntent
+    | Retire
+    | RetireTarget
+    | RotateCustomerKey
+    | SetWeightsVersion
+)
+
+_RECORDS: dict[ChangeKind, type[Change]] = {
+    ChangeKind.CREATE_CUSTOMER: CreateCustomer,
+    ChangeKind.ALTER_CUSTOMER: AlterCustomer,
+    ChangeKind.ROTATE_CUSTOMER_KEY: RotateCustomerKey,
+    ChangeKind.CREATE_MODEL: CreateModel,
+    ChangeKind.ALTER_MODEL: AlterModel,
+    ChangeKind.SET_WEIGHTS_VERSION: SetWeightsVersion,
+    ChangeKind.CREATE_TARGET_GROUP: CreateTargetGroup,
+    ChangeKind.ALTER_TARGET_GROUP: AlterTargetGroup,
+    ChangeKind.ADD_TARGET: AddTarget,
+    ChangeKind.ALTER_TARGET: AlterTarget,
+    ChangeKind.RETIRE_TARGET: RetireTarget,
+    ChangeKind.REMOVE: Remove,
+    ChangeKind.HOLD_READY: HoldReady,
+    ChangeKind.RETIRE: Retire,
+    ChangeKind.NEW_WEIGHTS: NewWeights,
+    ChangeKind.CHANGE_ROLE: ChangeRole,
+    ChangeKind.PAUSE_INTENT: PauseIntent,
+    ChangeKind.RESUME_INTENT: ResumeIntent,
+    ChangeKind.CANCEL_INTENT: CancelIntent,
+}
+
+
+@dataclass(frozen=True)
+class Intent:
+    """What an operator wants: changes that apply together.
+
+    Attributes:
+        changes: The changes, in the order in which they build on each other.
+        documents: The same changes as the operator wrote them.
+        prefixes: Path of each change inside the document, for faults.
+        note: A line for other operators.
+    """
+
+    changes: tuple[Change, ...]
+    documents: tuple[dict[str, Any], ...]
+    prefixes: tuple[str, ...]
+    note: str = ""
+
+
+def parse_intent(document: Any) -> Result[Intent, list[Fault]]:
+    """Return ``document`` as an intent, or every fault of it."""
+    if not isinstance(document, dict):
+        return Failure([Fault("(document)", "", "is not an object")])
+    if "changes" not in document:
+        return _parse_changes([document], ("",), "")
+    faults = _check_envelope(document)
+    if faults:
+        return Failure(faults)
+    changes = document["changes"]
+    prefixes = tuple(f"changes[{index}]." for index in range(len(changes)))
+    return _parse_changes(changes, prefixes, document.get("note", ""))
+
+
+def _check_envelope(document: dict[str, Any]) -> list[Fault]:
+    faults = [
+        Fault(str(name), "", "is not a known field")
+        for name in document
+        if name not in ("changes", "note")
+    ]
+    changes = document["changes"]
+    if not isinstance(changes, list) or not 1 <= len(changes) <= MAX_CHANGES:
+        faults.append(Fault("changes", "", f"is not a list of 1 to {MAX_CHANGES}"))
+    if not isinstance(document.get("note", ""), str):
+        faults.append(Fault("note", "", "is not a string"))
+    return faults
+
+
+def _parse_changes(
+    documents: list[Any], prefixes: tuple[str, ...], note: str
+) -> Result[Intent, list[Fault]]:
+    changes = []
+    faults = []
+    for document, prefix in zip(documents, prefixes, strict=True):
+        match parse_change(document):
+            case Success(change):
+                changes.append(change)
+            case Failure(found):
+                faults += [prefix_fault(prefix, fault) for fault in found]
+    if faults:
+        return Failure(faults)
+    return Success(Intent(tuple(changes), tuple(documents), prefixes, note))
+
+
+def parse_change(document: Any) -> Result[Change, list[Fault]]:
+    """Return one change, or every fault of it."""
+    if not isinstance(document, dict):
+        return Failure([Fault("(document)", "", "is not an object")])
+    kind = document.get("kind")
+    if kind not in set(ChangeKind):
+        known = ", ".join(ChangeKind)
+        return Failure([Fault("kind", str(kind)[:60], f"is not one of {known}")])
+    fields = {name: value for name, value in document.items() if name != "kind"}
+    record = _RECORDS[ChangeKind(kind)]
+    return convert_document("operators", fields, record, record.__name__)
+
+
+def prefix_fault(prefix: str, fault: Fault) -> Fault:
+    """Return ``fault`` with the path of its change before its own."""
+    if fault.path == "(document)":
+        return Fault(prefix.rstrip(".") or fault.path, fault.value, fault.reason)
+    return Fault(prefix + fault.path, fault.value, fault.reason)
--- /dev/null
+++ b/lycheepost/operators/routes.py
@@ -0,0 +1,195 @@
+"""The operators' HTTP API.
+
+Each handler identifies the operator, reads the body within bounds, calls one
+function and turns its result into JSON. Every refusal has an ``ErrorBody``.
+"""
+
+import json
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.ids import PlanId
+from lycheepost.generated.operators import OperatorErrorKind, Plan
+from lycheepost.operators.access import Operator, identify_operator
+from lycheepost.operators.confirming import ConfirmCall, confirm_plan
+from lycheepost.operators.errors import OperatorError
+from lycheepost.operators.intents import parse_intent
+from lycheepost.operators.planning import plan_intent
+from lycheepost.operators.plans import PlanStore
+from lycheepost.operators.ports import OperatorDeps
+from lycheepost.utils.documents import Fault, encode_record
+
+_BODY_BYTES = 1_048_576
+"""Largest intent: 500 changes with room to spare."""
+_TOKEN_CHARACTERS = 200
+
+Answer = Result[Any, OperatorError]
+Handler = Callable[[web.Request, Operator], Awaitable[Answer]]
+
+
+@dataclass(frozen=True)
+class IntentList:
+    """Answer of GET /v1/intents."""
+
+    revision: int
+    plans: tuple[Plan, ...]
+    capacity_intents: tuple[Any, ...]
+
+
+def make_operator_routes(deps: OperatorDeps) -> list[web.RouteDef]:
+    """Return the routes of the operators' API, to be mounted on a listener."""
+    api = OperatorApi(deps)
+    return [
+        web.post("/v1/intents", api.guard(api.plan)),
+        web.get("/v1/intents", api.guard(api.list_intents)),
+        web.get("/v1/plans/{plan_id}", api.guard(api.show_plan)),
+        web.post("/v1/plans/{plan_id}/confirm", api.guard(api.confirm)),
+        web.get("/v1/configuration", api.guard(api.show_configuration)),
+        web.get("/v1/fleet", api.guard(api.show_fleet)),
+    ]
+
+
+class OperatorApi:
+    """The handlers, over one set of dependencies."""
+
+    def __init__(self, deps: OperatorDeps) -> None:
+        self._deps = deps
+        self._store = PlanStore(deps.table)
+
+    def guard(
+        self, handler: Handler
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        """Return a handler that lets only operators through."""
+
+        async def handle(request: web.Request) -> web.Response:
+            authorization = request.headers.get("Authorization")
+            match identify_operator(self._deps, authorization):
+                case Success(operator):
+                    answer = await handler(request, operator)
+                case Failure(error):
+                    answer = Failure(error)
+            return _respond(answer)
+
+        return handle
+
+    async def plan(self, request: web.Request, operator: Operator) -> Answer:
+        """Answer an intent with its plan."""
+        match await _read_document(request):
+            case Success(document):
+                return await self._plan_document(document, operator)
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("unreachable")
+
+    async def _plan_document(self, document: Any, operator: Operator) -> Answer:
+        parsed = parse_intent(document)
+        if not isinstance(parsed, Success):
+            return Failure(_invalid_intent(parsed.failure()))
+        planned = plan_intent(
+            self._deps.revisions.view,
+            parsed.unwrap(),
+            self._deps.clock.wall_seconds(),
+            self._deps.settings.plan_seconds,
+            operator.name,
+        )
+        if not isinstance(planned, Success):
+            return Failure(_invalid_intent(planned.failure()))
+        return await self._store.create(planned.unwrap())
+
+    async def list_intents(self, request: web.Request, operator: Operator) -> Answer:
+        """Answer with the recent plans and the capacity intents."""
+        now_seconds = self._deps.clock.wall_seconds()
+        since_seconds = now_seconds - self._deps.settings.plan_seconds
+        listed = await self._store.list_since(since_seconds)
+        configuration = self._deps.revisions.view.configuration
+        return listed.map(
+            lambda plans: IntentList(
+                configuration.revision, plans, tuple(configuration.capacity_intents)
+            )
+        )
+
+    async def show_plan(self, request: web.Request, operator: Operator) -> Answer:
+        """Answer with one plan."""
+        loaded = await self._store.load(PlanId(request.match_info["plan_id"]))
+        return loaded.map(lambda stored: stored.plan)
+
+    async def confirm(self, request: web.Request, operator: Operator) -> Answer:
+        """Apply a plan once."""
+        token = request.headers.get("Idempotency-Key") or secrets.token_urlsafe(32)
+        if len(token) > _TOKEN_CHARACTERS:
+            fault = Fault("Idempotency-Key", "", f"is over {_TOKEN_CHARACTERS} long")
+            reason = "The idempotency key is too long."
+            return Failure(OperatorError(reason, OperatorErrorKind.MALFORMED, (fault,)))
+        call = ConfirmCall(
+            plan_id=PlanId(request.match_info["plan_id"]),
+            operator=operator,
+            token=token,
+            allow_unrelated=request.query.get("allow_unrelated") == "true",
+        )
+        return await confirm_plan(self._deps, self._store, call)
+
+    async def show_configuration(
+        self, request: web.Request, operator: Operator
+    ) -> Answer:
+        """Answer with the configuration in force on this daemon."""
+        return Success(self._deps.revisions.view.configuration)
+
+    async def show_fleet(self, request: web.Request, operator: Operator) -> Answer:
+        """Answer with daemons and targets as this daemon sees them."""
+        if self._deps.fleet is None:
+            reason = "This daemon does not know its fleet yet."
+            kind = OperatorErrorKind.STORE_UNAVAILABLE
+            return Failure(OperatorError(reason, kind, retry_after_seconds=1.0))
+        return Success(self._deps.fleet())
+
+
+async def _read_document(request: web.Request) -> Result[Any, OperatorError]:
+    # A length is only a promise of the client's, so the bytes are counted.
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > _BODY_BYTES:
+            reason = f"The intent is over {_BODY_BYTES} bytes."
+            return Failure(OperatorError(reason, OperatorErrorKind.TOO_LARGE))
+    try:
+        return Success(json.loads(body))
+    except (ValueError, RecursionError):
+        reason = "The body is not JSON."
+        fault = Fault("(document)", "", "is not JSON")
+        return Failure(OperatorError(reason, OperatorErrorKind.MALFORMED, (fault,)))
+
+
+def _invalid_intent(faults: list[Fault]) -> OperatorError:
+    return OperatorError(
+        f"The intent has {len(faults)} faults; nothing was planned.",
+        OperatorErrorKind.INVALID_INTENT,
+        tuple(faults),
+    )
+
+
+def _respond(answer: Answer) -> web.Response:
+    if isinstance(answer, Success):
+        return _json_response(200, answer.unwrap(), {})
+    error = answer.failure()
+    headers = {}
+    if error.retry_after_seconds is not None:
+        headers["Retry-After"] = str(max(1, round(error.retry_after_seconds)))
+    if error.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
+    return _json_response(error.status, error.to_body(), headers)
+
+
+def _json_response(status: int, body: Any, headers: dict[str, str]) -> web.Response:
+    # Answers may hold a caller key: no cache on the way may keep them.
+    headers = {**headers, "Cache-Control": "no-store"}
+    return web.Response(
+        status=status,
+        body=encode_record(body),
+        headers=headers,
+        content_type="application/json",
+    )
