Measure what relaying a stream costs beside a plain aiohttp relay

The bench runs the daemon's own relay and a plain iter_any relay against the same paced source and sink, which are child processes of the tool: threads would share the interpreter lock with the relay.

--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from lycheepost.commands import settings
+from lycheepost.commands import bench, settings
 
 app = typer.Typer(
     name="lycheepost",
@@ -15,6 +15,7 @@
     add_completion=False,
 )
 
+app.add_typer(bench.app, name="bench")
 app.add_typer(settings.app, name="settings")
 
 
