--- /dev/null
+++ b/lycheepost/commands/fleet.py
@@ -0,0 +1,55 @@
+"""``lycheepost fleet``: daemons, targets and the revision each works by."""
+
+import json
+
+import typer
+
+from lycheepost.commands.operatorcalls import (
+    DEFAULT_URL,
+    CaFile,
+    Json,
+    Key,
+    Url,
+    request,
+)
+from lycheepost.operators.client import ApiConnection
+
+app = typer.Typer(help="Daemons and targets.", no_args_is_help=True)
+
+
+@app.callback()
+def group() -> None:
+    """Daemons and targets."""
+
+
+@app.command()
+def show(
+    key: Key,
+    url: Url = DEFAULT_URL,
+    ca_file: CaFile = "",
+    json_output: Json = False,
+) -> None:
+    """Show the revision in force per daemon, and the targets, as one daemon sees them.
+
+    Exit codes: 0 shown, 1 refused, 3 no answer.
+    """
+    connection = ApiConnection(url, key, ca_file)
+    body = request(connection, "GET", "/v1/fleet", None, json_output)
+    if json_output:
+        print(json.dumps(body))
+        return
+    print(f"seen by {body['daemon_id']} at revision {body['revision']}")
+    for item in body["daemons"]:
+        revision = "unknown" if item["revision"] < 0 else item["revision"]
+        print(
+            f"daemon {item['daemon_id']} ({item['availability_zone']}):"
+            f" {item['state']}, revision {revision},"
+            f" heard {item['age_seconds']:.1f} s ago"
+        )
+    for item in body["targets"]:
+        print(
+            f"target {item['target']} ({item['target_group']},"
+            f" {item['availability_zone']}): wanted {item['desired_state']},"
+            f" seen {item['state']}, share {item['serving_share']:.2f},"
+            f" weights {item['weights_version'] or 'of the model'}"
+        )
--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from lycheepost.commands import settings
+from lycheepost.commands import customer, fleet, intent, model, settings
 
 app = typer.Typer(
     name="lycheepost",
@@ -16,6 +16,10 @@
 )
 
 app.add_typer(settings.app, name="settings")
+app.add_typer(customer.app, name="customer")
+app.add_typer(model.app, name="model")
+app.add_typer(intent.app, name="intent")
+app.add_typer(fleet.app, name="fleet")
 
 
 def run() -> None:
--- /dev/null
+++ b/lycheepost/operators/client.py
@@ -0,0 +1,123 @@
+"""A client of the operators' API, as the commands use it.
+
+A confirm is repeated with the same idempotency key when its answer is lost, so
+that the operator learns what happened and sees a new caller key all the same.
+"""
+
+import asyncio
+import json
+import ssl
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.errors import LycheepostError
+
+_TIMEOUT_SECONDS = 30.0
+_CONFIRM_TRIES = 3
+_RETRY_SECONDS = 0.5
+
+
+@dataclass(frozen=True)
+class ApiConnection:
+    """Where the operators' API is and the key that opens it.
+
+    Attributes:
+        ca_file: Certificates to trust besides the system's; empty for none.
+    """
+
+    url: str
+    key: str = field(repr=False)
+    ca_file: str = ""
+
+
+@dataclass(frozen=True)
+class ApiRefused(LycheepostError):
+    """The daemon refused the call.
+
+    Attributes:
+        body: The ``ErrorBody`` as JSON objects.
+    """
+
+    status: int
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class ApiUnreachable(LycheepostError):
+    """No answer came; a confirm may have been applied all the same."""
+
+
+ApiAnswer = Result[Any, ApiRefused | ApiUnreachable]
+
+
+async def call_api(
+    connection: ApiConnection,
+    method: str,
+    path: str,
+    document: Any = None,
+    headers: dict[str, str] | None = None,
+) -> ApiAnswer:
+    """Call the API once and return the decoded body, or the refusal."""
+    sent = {"Authorization": f"Bearer {connection.key}", **(headers or {})}
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
+    try:
+        connector = aiohttp.TCPConnector(ssl=_make_ssl(connection))
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as session:
+            async with session.request(
+                method, connection.url.rstrip("/") + path, json=document, headers=sent
+            ) as response:
+                return _read_answer(response.status, await response.read())
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        reason = str(error) or type(error).__name__
+        return Failure(ApiUnreachable(f"No answer from {connection.url}: {reason}"))
+
+
+def _make_ssl(connection: ApiConnection) -> ssl.SSLContext | bool:
+    if not connection.ca_file:
+        return True
+    return ssl.create_default_context(cafile=connection.ca_file)
+
+
+def _read_answer(status: int, data: bytes) -> ApiAnswer:
+    try:
+        body = json.loads(data)
+    except ValueError:
+        return Failure(ApiUnreachable(f"The answer of status {status} is not JSON."))
+    if status < 300:
+        return Success(body)
+    if not isinstance(body, dict) or "reason" not in body:
+        return Failure(ApiUnreachable(f"Something else answers there: {status}."))
+    return Failure(ApiRefused(body["reason"], status, body))
+
+
+async def confirm(
+    connection: ApiConnection, plan_id: str, token: str, allow_unrelated: bool
+) -> ApiAnswer:
+    """Confirm a plan; repeat the same call while its outcome is open."""
+    path = f"/v1/plans/{plan_id}/confirm"
+    if allow_unrelated:
+        path += "?allow_unrelated=true"
+    answer: ApiAnswer = Failure(ApiUnreachable("The confirm was not tried."))
+    for number in range(_CONFIRM_TRIES):
+        await asyncio.sleep(_RETRY_SECONDS * number)
+        answer = await call_api(
+            connection, "POST", path, headers={"Idempotency-Key": token}
+        )
+        if isinstance(answer, Success) or not _is_open(answer.failure()):
+            return answer
+    return answer
+
+
+def _is_open(error: ApiRefused | ApiUnreachable) -> bool:
+    match error:
+        case ApiUnreachable():
+            return True
+        case ApiRefused(status=503):
+            return True
+        case ApiRefused():
+            return False
