--- a/lycheepost/callers/errors.py
+++ b/lycheepost/callers/errors.py
@@ -51,6 +51,8 @@
         param: The field at fault, if one is.
         executed: Whether the request may have run.
         retry_after_seconds: When a resend may succeed; None when it will not.
+        is_safe_to_resend: A resend cannot double work: nothing ran, or the
+            request is idempotent, or its key ties a resend to the first send.
     """
 
     status: int = 400
@@ -59,6 +61,7 @@
     param: str | None = None
     executed: Executed = Executed.NO
     retry_after_seconds: float | None = None
+    is_safe_to_resend: bool = True
 
 
 _REFUSALS: dict[RefusalReason, tuple[int, ErrorType, str]] = {
@@ -100,8 +103,13 @@
 }
 
 
-def from_refusal(refusal: Refuse, executed: Executed = Executed.NO) -> CallerError:
-    """Return the caller's view of a scheduler's refusal."""
+def from_refusal(refusal: Refuse, executed: Executed) -> CallerError:
+    """Return the caller's view of a scheduler's refusal.
+
+    Args:
+        refusal: What the scheduler said.
+        executed: Whether an earlier target may have run the request.
+    """
     status, error_type, reason = _REFUSALS[refusal.reason]
     return CallerError(
         reason,
@@ -131,8 +139,8 @@
     if error.retry_after_seconds is not None:
         # Whole seconds are the only form that every client understands.
         headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_seconds)))
-    if error.executed is not Executed.NO:
-        # A client that resends by itself could double work that has run.
+    if not error.is_safe_to_resend:
+        # The published clients resend by themselves; this one must not.
         headers[SHOULD_RETRY_HEADER] = "false"
     return headers
 
--- /dev/null
+++ b/lycheepost/callers/keyed.py
@@ -0,0 +1,171 @@
+"""Run a request with an idempotency key at most once.
+
+The claim comes before admission: a resend must get the first answer even while
+the queue is full, and a refusal of the owner can then truly say "not run",
+because nobody else may run the key while this daemon holds it.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.callers.deps import CallerDeps
+from lycheepost.callers.errors import (
+    CallerError,
+    ErrorType,
+    Executed,
+    store_unavailable,
+)
+from lycheepost.core.ids import (
+    BodyFingerprint,
+    CustomerId,
+    IdempotencyKey,
+    RequestId,
+)
+from lycheepost.state.claim_rows import (
+    Answered,
+    BodyDiffers,
+    ClaimOutcome,
+    Granted,
+    InProgress,
+    StoredAnswer,
+    Undetermined,
+)
+
+IN_PROGRESS_RETRY_SECONDS = 1.0
+_log = structlog.get_logger().bind(part="callers")
+
+Run = Callable[[], Awaitable[StoredAnswer]]
+Answer = asyncio.Future[StoredAnswer]
+
+
+@dataclass(frozen=True)
+class KeyedRequest:
+    """What ties a request to its resends."""
+
+    customer: CustomerId
+    key: IdempotencyKey
+    fingerprint: BodyFingerprint
+    request: RequestId
+
+
+class KeyedRunner:
+    """Owns the runs of keyed requests.
+
+    A run is a task of its own: a caller that leaves must not cut off a print
+    order whose answer it will ask for again.
+    """
+
+    def __init__(self, deps: CallerDeps) -> None:
+        self._deps = deps
+        self._runs: set[asyncio.Task[None]] = set()
+
+    @property
+    def n_running(self) -> int:
+        """Return the number of runs that have not ended."""
+        return len(self._runs)
+
+    async def drain(self) -> None:
+        """Wait until every run has ended and its answer is stored."""
+        while self._runs:
+            await asyncio.wait(set(self._runs))
+
+    async def run_once(self, request: KeyedRequest, run: Run) -> StoredAnswer:
+        """Return the answer of the key's one run, now or from an earlier send.
+
+        Args:
+            request: The claim's identity.
+            run: Sends the request; called at most once in the whole fleet for
+                this key. It raises ``CallerError`` when it has no answer.
+
+        Raises:
+            CallerError: There is no answer, with what is known of the run.
+        """
+        claimed = await self._deps.claims.claim(
+            request.customer, request.key, request.fingerprint, request.request
+        )
+        match claimed:
+            case Success(outcome):
+                claim = _granted(outcome)
+            case Failure(error):
+                self._deps.metrics.count("claims.unavailable")
+                raise store_unavailable(
+                    f"The request was not run, since its key could not be "
+                    f"claimed: {error.reason} Send it again with the same key."
+                )
+        if isinstance(claim, StoredAnswer):
+            return claim
+        answer: Answer = asyncio.get_running_loop().create_future()
+        task = asyncio.create_task(self._run_claimed(claim, run, answer))
+        self._runs.add(task)
+        task.add_done_callback(self._runs.discard)
+        return await asyncio.shield(answer)
+
+    async def _run_claimed(self, claim: Granted, run: Run, answer: Answer) -> None:
+        try:
+            stored = await run()
+        except CallerError as error:
+            await self._give_up(claim, error.executed)
+            _settle(answer, error)
+        except BaseException as error:
+            # It is not known how far the run came, so nobody may run it again.
+            await self._deps.claims.abandon(claim)
+            _settle(answer, error)
+            raise
+        else:
+            # The caller does not wait for the store: if this daemon dies before
+            # the answer is kept, a resend is told "unknown" and never run.
+            answer.set_result(stored)
+            await self._deps.claims.store_answer(claim, stored)
+
+    async def _give_up(self, claim: Granted, executed: Executed) -> None:
+        match executed:
+            case Executed.NO:
+                await self._deps.claims.release(claim)
+            case Executed.UNKNOWN | Executed.YES:
+                await self._deps.claims.abandon(claim)
+
+
+def _settle(answer: Answer, error: BaseException) -> None:
+    answer.set_exception(error)
+    # The caller may have left; the error is then logged nowhere else.
+    answer.exception()
+    _log.info("callers: keyed run ended without an answer", reason=type(error).__name__)
+
+
+def _granted(outcome: ClaimOutcome) -> Granted | StoredAnswer:
+    match outcome:
+        case Granted():
+            return outcome
+        case Answered(answer):
+            return answer
+        case BodyDiffers():
+            raise CallerError(
+                "The idempotency key was used with another request.",
+                status=422,
+                code="idempotency_key_reused",
+                param="Idempotency-Key",
+                executed=Executed.NO,
+            )
+        case InProgress():
+            raise CallerError(
+                "The first send of this key is still running.",
+                status=409,
+                code="in_progress",
+                executed=Executed.UNKNOWN,
+                retry_after_seconds=IN_PROGRESS_RETRY_SECONDS,
+            )
+        case Undetermined():
+            raise CallerError(
+                "The first send of this key may have run; its answer is not "
+                "known. It is never run again.",
+                status=502,
+                type=ErrorType.SERVER,
+                code="outcome_unknown",
+                executed=Executed.UNKNOWN,
+                is_safe_to_resend=False,
+            )
+    raise AssertionError("a claim outcome of no known kind")
--- a/lycheepost/callers/parse.py
+++ b/lycheepost/callers/parse.py
@@ -164,6 +164,6 @@
     fields["priority"] = priority
     fields["stream"] = is_streamed
     fields.pop("stream_options", None)
-    if is_streamed:
+    if is_streamed and call.wants_usage:
         fields["stream_options"] = {"include_usage": True}
     return msgspec.json.encode(fields)
