--- /dev/null
+++ b/lycheepost/platform/http_table.py
@@ -0,0 +1,105 @@
+"""The table port over HTTP."""
+
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheepost.platform.http_calls import AnswerLost, HttpAnswer, HttpCaller, NotSent
+from lycheepost.platform.table import (
+    Committed,
+    OutcomeUnknown,
+    Page,
+    Row,
+    TableConflict,
+    TableError,
+    TableThrottled,
+    TableUnavailable,
+    Transaction,
+)
+from lycheepost.platform.table_wire import ReadAnswer, ReadBody, ScanBody
+
+T = TypeVar("T")
+
+
+class HttpTable:
+    """An implementation of ``TablePort``; made by ``make_http_table``."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def read(
+        self, keys: tuple[str, ...]
+    ) -> Result[tuple[Row | None, ...], TableError]:
+        """Return the rows of ``keys`` in order."""
+        outcome = await self._call("/read", ReadBody(keys), ReadAnswer, False)
+        return outcome.map(lambda answer: answer.rows)
+
+    async def scan(
+        self, prefix: str, after_key: str | None, limit: int
+    ) -> Result[Page, TableError]:
+        """Return up to ``limit`` rows whose keys start with ``prefix``."""
+        body = ScanBody(prefix, after_key, limit)
+        return await self._call("/scan", body, Page, False)
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, TableError]:
+        """Apply a transaction whole, or not at all."""
+        return await self._call("/commit", transaction, Committed, True)
+
+    async def close(self) -> None:
+        """Close the session if this client made it."""
+        await self._caller.close()
+
+    async def _call(
+        self, path: str, body: Any, answer_type: type[T], is_write: bool
+    ) -> Result[T, TableError]:
+        outcome = await self._caller.call("POST", path, msgspec.json.encode(body))
+        match outcome:
+            case Success(HttpAnswer(status=200, body=data)):
+                return _decode(data, answer_type, is_write)
+            case Success(HttpAnswer() as answer):
+                return Failure(_read_status(answer, is_write))
+            case Failure(NotSent(reason=reason)):
+                return Failure(TableUnavailable(reason))
+            case Failure(AnswerLost(reason=reason)):
+                return Failure(_lost(reason, is_write))
+        raise AssertionError("unreachable")
+
+
+def make_http_table(
+    url: str, timeout_seconds: float, session: aiohttp.ClientSession | None = None
+) -> HttpTable:
+    """Return a client of the table service at ``url``."""
+    return HttpTable(HttpCaller(url, timeout_seconds, session))
+
+
+def _lost(reason: str, is_write: bool) -> TableError:
+    return OutcomeUnknown(reason) if is_write else TableUnavailable(reason)
+
+
+def _decode(data: bytes, answer_type: type[T], is_write: bool) -> Result[T, TableError]:
+    try:
+        return Success(msgspec.json.decode(data, type=answer_type))
+    except msgspec.DecodeError:
+        return Failure(_lost("The answer could not be read.", is_write))
+
+
+def _read_status(answer: HttpAnswer, is_write: bool) -> TableError:
+    match answer.status:
+        case 409:
+            return TableConflict("A condition did not hold.", _read_keys(answer.body))
+        case 429:
+            return TableThrottled("The table service is over its rate.")
+        case 503:
+            return TableUnavailable("The table service is down.")
+        case status if status >= 500:
+            return _lost(f"The table service answered {status}.", is_write)
+    return TableError(f"The table service answered {answer.status}.")
+
+
+def _read_keys(body: bytes) -> tuple[str, ...]:
+    try:
+        return msgspec.json.decode(body, type=tuple[str, ...])
+    except msgspec.DecodeError:
+        return ()
--- /dev/null
+++ b/lycheepost/state/addresses.py
@@ -0,0 +1,160 @@
+"""Which daemons a caller is told to use, and in which order.
+
+Each customer is given a subset of the daemons (shuffle sharding by rendezvous
+hashing), so that the state which a daemon keeps grows with the customers it
+serves and not with the fleet, and so that one customer's flood reaches its own
+subset only. Every daemon still serves every customer: an old answer, or one
+from a daemon that saw other members, keeps working.
+
+Pure logic: no clock, no I/O.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from lycheepost.core.hashing import hash_bytes, rendezvous_order
+from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId
+
+SHARD_DAEMONS = 8
+"""Fewest daemons of a customer in a large fleet: with 540 daemons and 990
+customers each daemon serves about 15 customers, and a customer survives the
+loss of any availability zone and of most of its daemons."""
+SHARD_SURPLUS = 2.0
+"""A customer gets this times the daemons that its share of all traffic fills."""
+
+
+class MemberState(Enum):
+    """What callers and peers may expect of a daemon."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One daemon.
+
+    Attributes:
+        boot: Changes with each start.
+        load: Share of its capacity in use, 0 to 1.
+        sequence: Rises with each announcement of this boot.
+    """
+
+    daemon: DaemonId
+    boot: str
+    state: MemberState
+    availability_zone: AvailabilityZone
+    callers_url: str
+    peer_endpoint: str
+    load: float = 0.0
+    sequence: int = 0
+    started_wall_seconds: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where a caller may connect."""
+
+    url: str
+    daemon: DaemonId
+    availability_zone: AvailabilityZone
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Addresses in the order in which to try them."""
+
+    addresses: tuple[Address, ...]
+    valid_for_seconds: float
+
+
+def choose_addresses(
+    members: Sequence[Member],
+    customer: CustomerId | None,
+    zone: AvailabilityZone,
+    traffic_share: float,
+) -> tuple[Address, ...]:
+    """Return the addresses for one customer.
+
+    Args:
+        members: Every daemon known.
+        customer: Whom to answer; None gives all live daemons.
+        zone: Availability zone of the caller, as the answering daemon's.
+        traffic_share: The customer's expected share of all traffic, 0 to 1.
+
+    Returns:
+        Live daemons only; suspects when there are no live ones; leaving daemons
+        when nothing else is left, because an empty answer helps nobody.
+    """
+    usable = _best_class([member for member in members if member.callers_url])
+    if customer is not None:
+        usable = _shard(usable, customer, traffic_share)
+    key = hash_bytes((customer or "").encode())
+    ranks = {
+        name: rank
+        for rank, name in enumerate(
+            rendezvous_order(key, [member.daemon for member in usable])
+        )
+    }
+    ordered = sorted(
+        usable,
+        key=lambda member: (
+            load_step(member.load),
+            member.availability_zone != zone,
+            ranks[member.daemon],
+        ),
+    )
+    return tuple(
+        Address(member.callers_url, member.daemon, member.availability_zone)
+        for member in ordered
+    )
+
+
+def load_step(load: float) -> int:
+    """Return how a load counts in the order of addresses.
+
+    Coarse on purpose: exact loads would reorder every answer on every report,
+    and all callers would move to the one daemon that looked idlest.
+    """
+    if load < 0.7:
+        return 0
+    return 1 if load < 0.9 else 2
+
+
+def shard_size(n_daemons: int, traffic_share: float) -> int:
+    """Return how many daemons a customer is given."""
+    wanted = math.ceil(n_daemons * min(1.0, traffic_share * SHARD_SURPLUS))
+    return min(n_daemons, max(SHARD_DAEMONS, wanted))
+
+
+def _best_class(members: list[Member]) -> list[Member]:
+    for state in (MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING):
+        found = [member for member in members if member.state is state]
+        if found:
+            return found
+    return []
+
+
+def _shard(
+    members: list[Member], customer: CustomerId, traffic_share: float
+) -> list[Member]:
+    """Take the customer's daemons, in turn from each availability zone."""
+    size = shard_size(len(members), traffic_share)
+    by_name = {str(member.daemon): member for member in members}
+    key = hash_bytes(customer.encode())
+    queues: dict[AvailabilityZone, list[Member]] = {}
+    for name in rendezvous_order(key, by_name):
+        member = by_name[name]
+        queues.setdefault(member.availability_zone, []).append(member)
+    chosen: list[Member] = []
+    depth = 0
+    while len(chosen) < size:
+        for queue in queues.values():
+            if depth < len(queue) and len(chosen) < size:
+                chosen.append(queue[depth])
+        depth += 1
+    return chosen
--- /dev/null
+++ b/lycheepost/state/claim_batch.py
@@ -0,0 +1,193 @@
+"""Group commit: claims that arrive together share one conditional transaction.
+
+All claims of a batch take effect together or not at all. When some conflict,
+they leave the batch and the others go again at once, so that one customer's
+resend never delays another customer's order by more than one round trip.
+"""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.platform.table import (
+    Committed,
+    Condition,
+    TableConflict,
+    TableError,
+    TablePort,
+    TableThrottled,
+    Transaction,
+    Write,
+)
+from lycheepost.state.pacing import WritePace
+from lycheepost.state.settle import commit_settled
+
+_MOST_WAITING = 4096
+"""Writes waiting in one daemon; more are refused at once as not run."""
+
+
+@dataclass(slots=True)
+class PendingWrite:
+    """One row to write under a condition on its version."""
+
+    key: str
+    version: int
+    value: bytes
+    deadline_seconds: float
+    outcome: asyncio.Future[Result[int, TableError]]
+
+
+class BatchWriter:
+    """A task that commits waiting rows in groups.
+
+    Args:
+        table: Where to commit.
+        clock: Clock of the deadlines.
+        pace: This daemon's share of the table's writes.
+        batch_seconds: How long a row waits for others.
+        most_rows: Most rows in one transaction.
+    """
+
+    def __init__(
+        self,
+        table: TablePort,
+        clock: Clock,
+        pace: WritePace,
+        batch_seconds: float,
+        most_rows: int,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._pace = pace
+        self._batch_seconds = batch_seconds
+        self._most_rows = most_rows
+        self._waiting: deque[PendingWrite] = deque()
+        self._has_work = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._commits: set[asyncio.Task[None]] = set()
+        self.n_transactions = 0
+        self.n_rows = 0
+
+    def start(self) -> None:
+        """Start the task."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop the task; what still waits fails as not written."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await asyncio.gather(*self._commits, return_exceptions=True)
+        while self._waiting:
+            _settle(self._waiting.popleft(), Failure(TableThrottled("Stopping.")))
+
+    @property
+    def n_waiting(self) -> int:
+        """Return how many rows wait."""
+        return len(self._waiting)
+
+    def predicted_wait_seconds(self) -> float:
+        """Return how long a row that comes now would wait for its commit."""
+        n_batches_ahead = len(self._waiting) // self._most_rows
+        first_seconds = self._pace.wait_seconds(self._clock.now_seconds())
+        return first_seconds + n_batches_ahead / self._pace.rate
+
+    def has_room(self) -> bool:
+        """Return whether another row may wait."""
+        return len(self._waiting) < _MOST_WAITING
+
+    async def write(
+        self, key: str, version: int, value: bytes, deadline_seconds: float
+    ) -> Result[int, TableError]:
+        """Write one row if ``key`` stands at ``version``; return its new version.
+
+        ``TableConflict`` may be due to an earlier try of this very write: read
+        the token back. ``OutcomeUnknown``: it may take effect at any time.
+        """
+        future: asyncio.Future[Result[int, TableError]] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting.append(
+            PendingWrite(key, version, value, deadline_seconds, future)
+        )
+        self._has_work.set()
+        return await future
+
+    async def _run(self) -> None:
+        while True:
+            await self._has_work.wait()
+            await asyncio.sleep(self._batch_seconds)
+            wait_seconds = self._pace.wait_seconds(self._clock.now_seconds())
+            if wait_seconds > 0:
+                await asyncio.sleep(min(wait_seconds, 1.0))
+                continue
+            batch = self._take_batch()
+            if batch:
+                self._pace.spend(self._clock.now_seconds())
+                task = asyncio.create_task(self._commit(batch))
+                self._commits.add(task)
+                task.add_done_callback(self._commits.discard)
+
+    def _take_batch(self) -> list[PendingWrite]:
+        """Take the oldest rows, at most one for each key."""
+        now_seconds = self._clock.now_seconds()
+        batch: dict[str, PendingWrite] = {}
+        left: deque[PendingWrite] = deque()
+        while self._waiting:
+            write = self._waiting.popleft()
+            if now_seconds >= write.deadline_seconds:
+                error = TableThrottled("The write waited past its deadline.")
+                _settle(write, Failure(error))
+            elif write.key in batch or len(batch) >= self._most_rows:
+                left.append(write)
+            else:
+                batch[write.key] = write
+        self._waiting = left
+        if not left:
+            self._has_work.clear()
+        return list(batch.values())
+
+    async def _commit(self, batch: list[PendingWrite]) -> None:
+        while batch:
+            outcome = await self._commit_once(batch)
+            match outcome:
+                case Success(Committed(versions=versions)):
+                    self._pace.accepted()
+                    for write, version in zip(batch, versions, strict=True):
+                        _settle(write, Success(version))
+                    return
+                case Failure(TableConflict(keys=keys) as error):
+                    # Without the names of the keys nothing can be told apart.
+                    moved = set(keys) or {write.key for write in batch}
+                    for write in batch:
+                        if write.key in moved:
+                            _settle(write, Failure(error))
+                    batch = [write for write in batch if write.key not in moved]
+                case Failure(error):
+                    if isinstance(error, TableThrottled):
+                        self._pace.throttled()
+                    for write in batch:
+                        _settle(write, Failure(error))
+                    return
+
+    async def _commit_once(
+        self, batch: list[PendingWrite]
+    ) -> Result[Committed, TableError]:
+        self.n_transactions += 1
+        self.n_rows += len(batch)
+        transaction = Transaction(
+            tuple(Condition(write.key, write.version) for write in batch),
+            tuple(Write(write.key, write.value) for write in batch),
+        )
+        deadline_seconds = max(write.deadline_seconds for write in batch)
+        return await commit_settled(
+            self._table, transaction, self._clock, deadline_seconds
+        )
+
+
+def _settle(write: PendingWrite, outcome: Result[int, TableError]) -> None:
+    if not write.outcome.done():
+        write.outcome.set_result(outcome)
--- /dev/null
+++ b/lycheepost/state/leases.py
@@ -0,0 +1,249 @@
+"""Leases with fencing numbers for duties that one daemon at a time may hold.
+
+The table has no clock of ours and wall clocks differ, so a lease carries only
+its length. A daemon that wants a lease watches the row: when its version has
+not moved for the lease's length plus a margin on the watcher's own clock, the
+holder's lease has run out, because the holder counts from before it sent its
+last renewal and stops a margin earlier.
+
+The fencing number rises by one with each new holder, in the same transaction
+that takes the lease, and goes with every order. Targets that check it refuse a
+late order. For targets that ignore it the holder asks ``is_held`` at each send,
+by a clock that counts suspension, and the next holder has waited out the old
+lease before it starts.
+"""
+
+import secrets
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import DaemonId, FencingNumber
+from lycheepost.platform.table import (
+    ABSENT_VERSION,
+    Committed,
+    Condition,
+    Row,
+    TableConflict,
+    TableError,
+    TablePort,
+    Transaction,
+    Write,
+)
+from lycheepost.state.errors import StateError
+from lycheepost.state.settle import commit_settled
+
+_KEY_PREFIX = "lease/"
+_log = structlog.get_logger().bind(part="leases")
+
+
+@dataclass(frozen=True)
+class LeaseError(StateError):
+    """The lease was not acquired, renewed or released."""
+
+
+@dataclass(frozen=True)
+class LeaseTaken(LeaseError):
+    """Another daemon holds the lease, or may still.
+
+    Attributes:
+        retry_after_seconds: When another try may succeed.
+    """
+
+    holder: DaemonId = DaemonId("")
+    retry_after_seconds: float = 0.0
+
+
+@dataclass(frozen=True)
+class LeaseLost(LeaseError):
+    """The lease has run out or somebody else has taken it."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """The row of one duty; an empty ``token`` means that it was released."""
+
+    holder: DaemonId
+    token: str
+    fencing_number: FencingNumber
+    length_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that this daemon holds until ``until_seconds`` of its own clock.
+
+    Attributes:
+        until_seconds: End of the lease less the margin, by a clock that counts
+            suspension.
+        version: Version of the row, for the next renewal.
+    """
+
+    duty: str
+    token: str
+    fencing_number: FencingNumber
+    until_seconds: float
+    version: int
+
+    def is_held(self, now_seconds: float) -> bool:
+        """Return whether an order may be sent now; ask again at each send."""
+        return now_seconds < self.until_seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Sighting:
+    """The row of a duty as first seen at this version."""
+
+    version: int
+    seen_seconds: float
+
+
+class LeaseKeeper:
+    """Acquires, renews and releases leases for one daemon.
+
+    Args:
+        table: Where the rows are.
+        clock: A clock that counts suspension.
+        daemon: This daemon.
+        length_seconds: Length of a lease.
+        margin_seconds: How long before the end its holder stops, and how long
+            after the end another daemon waits. It covers clock drift and orders
+            still on their way.
+    """
+
+    def __init__(
+        self,
+        table: TablePort,
+        clock: Clock,
+        daemon: DaemonId,
+        length_seconds: float,
+        margin_seconds: float,
+    ) -> None:
+        if margin_seconds >= length_seconds:
+            raise ValueError("The margin must be shorter than the lease.")
+        self._table = table
+        self._clock = clock
+        self._daemon = daemon
+        self._length_seconds = length_seconds
+        self._margin_seconds = margin_seconds
+        self._sightings: dict[str, Sighting] = {}
+
+    async def acquire(self, duty: str) -> Result[Lease, LeaseError]:
+        """Take the lease of ``duty`` if it is free or has run out."""
+        match await self._table.read((_key(duty),)):
+            case Success((row,)):
+                pass
+            case Failure(error):
+                return Failure(LeaseError(error.reason))
+        held = None if row is None else _decode(row)
+        wait_seconds = self._remaining_seconds(duty, row, held)
+        if held is not None and wait_seconds > 0:
+            reason = f"The duty {duty} is held by {held.holder}."
+            return Failure(LeaseTaken(reason, held.holder, wait_seconds))
+        number = FencingNumber(1 if held is None else held.fencing_number + 1)
+        version = ABSENT_VERSION if row is None else row.version
+        taken = await self._take(duty, version, secrets.token_hex(8), number)
+        if isinstance(taken, Success):
+            _log.info("leases: acquired", duty=duty, fencing_number=number)
+        return taken
+
+    async def renew(self, lease: Lease) -> Result[Lease, LeaseError]:
+        """Prolong a lease that is still held; keep the returned one instead.
+
+        A lease that has run out by our own clock is not renewed: another daemon
+        may have begun, and a renewal that overtook it would give two holders.
+        """
+        if not lease.is_held(self._clock.now_seconds()):
+            return Failure(LeaseLost(f"The lease of {lease.duty} has run out."))
+        return await self._take(
+            lease.duty, lease.version, lease.token, lease.fencing_number
+        )
+
+    async def release(self, lease: Lease) -> Result[None, LeaseError]:
+        """Give the lease up, so that another daemon need not wait it out."""
+        row = LeaseRow(self._daemon, "", lease.fencing_number, self._length_seconds)
+        written = await self._commit(lease.duty, lease.version, row)
+        match written:
+            case Success():
+                return Success(None)
+            case Failure(error):
+                return Failure(LeaseError(error.reason))
+        raise AssertionError("unreachable")
+
+    def _remaining_seconds(
+        self, duty: str, row: Row | None, held: LeaseRow | None
+    ) -> float:
+        if row is None or held is None or not held.token:
+            return 0.0
+        now_seconds = self._clock.now_seconds()
+        seen = self._sightings.get(duty)
+        if seen is None or seen.version < row.version:
+            # A lower version is a stale read: it must not restart the wait,
+            # nor make an older holder look expired.
+            seen = Sighting(row.version, now_seconds)
+            self._sightings[duty] = seen
+        end_seconds = seen.seen_seconds + held.length_seconds + self._margin_seconds
+        return max(0.0, end_seconds - now_seconds)
+
+    async def _take(
+        self, duty: str, version: int, token: str, number: FencingNumber
+    ) -> Result[Lease, LeaseError]:
+        # Counted from before the write: whoever reads the row starts to wait
+        # later than this, however long the store takes to answer.
+        start_seconds = self._clock.now_seconds()
+        until_seconds = start_seconds + self._length_seconds - self._margin_seconds
+        row = LeaseRow(self._daemon, token, number, self._length_seconds)
+        match await self._commit(duty, version, row):
+            case Success(new_version):
+                lease = Lease(duty, token, number, until_seconds, new_version)
+                if lease.is_held(self._clock.now_seconds()):
+                    return Success(lease)
+                return Failure(LeaseLost("The store answered after the lease."))
+            case Failure(TableConflict(reason=reason)):
+                return Failure(LeaseLost(f"{duty}: {reason}"))
+            case Failure(error):
+                return Failure(LeaseError(error.reason))
+        raise AssertionError("unreachable")
+
+    async def _commit(
+        self, duty: str, version: int, row: LeaseRow
+    ) -> Result[int, TableError]:
+        transaction = Transaction(
+            (Condition(_key(duty), version),),
+            (Write(_key(duty), msgspec.json.encode(row)),),
+        )
+        deadline_seconds = self._clock.now_seconds() + self._margin_seconds
+        outcome = await commit_settled(
+            self._table, transaction, self._clock, deadline_seconds
+        )
+        match outcome:
+            case Success(Committed(versions=(new_version,))):
+                return Success(new_version)
+            case Failure(TableConflict() as conflict):
+                return await self._read_own(duty, version, row, conflict)
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("unreachable")
+
+    async def _read_own(
+        self, duty: str, version: int, row: LeaseRow, conflict: TableConflict
+    ) -> Result[int, TableError]:
+        """Tell an earlier try of our own from another daemon's write."""
+        match await self._table.read((_key(duty),)):
+            case Success((Row() as found,)):
+                if found.version > version and _decode(found) == row:
+                    return Success(found.version)
+            case Failure(error):
+                return Failure(error)
+        return Failure(conflict)
+
+
+def _key(duty: str) -> str:
+    return _KEY_PREFIX + duty
+
+
+def _decode(row: Row) -> LeaseRow:
+    return msgspec.json.decode(row.value, type=LeaseRow)
--- /dev/null
+++ b/lycheepost/state/members.py
@@ -0,0 +1,334 @@
+"""The daemons and targets as this daemon sees them.
+
+Sources are the platform's VM list, which lags, and what daemons see themselves:
+announcements, lost links, health answers, refused connections. For new work the
+most pessimistic sign counts. Absence from the VM list is no sign: a listing may
+be partial, and a VM that is gone shows by its silence anyway.
+
+The VM list is large, so a daemon looks at it as often as its size allows
+(``_LIST_BYTES_PER_SECOND``), and tells its peers what changed: with more
+daemons each looks less often, and the fleet looks as often as before.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId, TargetId
+from lycheepost.decide.records import TargetState
+from lycheepost.platform.vms import Vm, VmListPort, VmRole, VmState
+from lycheepost.state.addresses import (
+    Addresses,
+    Member,
+    MemberState,
+    choose_addresses,
+)
+from lycheepost.state.signs import (
+    LISTED_VALID_SECONDS,
+    SignBook,
+    SignSource,
+    TargetSign,
+)
+from lycheepost.state.view import ConfigurationView
+
+_VM_BYTES = 120
+_LIST_BYTES_PER_SECOND = 1000.0
+"""Half of the 2 KB a second that control may cost a daemon. With 12,540 VMs a
+daemon looks every 25 minutes, and 540 daemons look every 2.8 seconds together."""
+_SUSPECT_SECONDS = 60.0
+"""A daemon suspected for this long without a word counts as gone."""
+_log = structlog.get_logger().bind(part="members")
+
+OnTargetSign = Callable[[TargetId, TargetSign], None]
+OnMember = Callable[[Member], None]
+
+
+class MemberKeeper:
+    """Members and targets of one daemon; made by ``make_member_keeper``."""
+
+    def __init__(
+        self,
+        vm_list: VmListPort,
+        clock: Clock,
+        me: Member,
+        get_view: Callable[[], ConfigurationView],
+        poll_seconds: float,
+        addresses_valid_seconds: float,
+        seed: int,
+    ) -> None:
+        self._vm_list = vm_list
+        self._clock = clock
+        self._me = me
+        self._get_view = get_view
+        self._poll_seconds = poll_seconds
+        self._addresses_valid_seconds = addresses_valid_seconds
+        self._random = random.Random(seed)
+        self._members: dict[DaemonId, Member] = {me.daemon: me}
+        self._suspected_seconds: dict[DaemonId, float] = {}
+        self._signs = SignBook()
+        self._listed: dict[str, VmState] = {}
+        self._n_vms = 0
+        self._task: asyncio.Task[None] | None = None
+        self._on_target_sign: list[OnTargetSign] = []
+        self._on_member: list[OnMember] = []
+        self.n_lists = 0
+        self.n_failed_lists = 0
+
+    async def start(self) -> None:
+        """Start to look at the VM list."""
+        self._task = asyncio.create_task(self._run())
+
+    async def drain(self) -> None:
+        """Leave the addresses answers, here and through the peers."""
+        self.announce_leaving()
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def status(self) -> dict[str, object]:
+        """Return members and targets for ``/admin/status``."""
+        return {
+            "n_lists": self.n_lists,
+            "n_failed_lists": self.n_failed_lists,
+            "members": {
+                str(member.daemon): member.state.value for member in self.members()
+            },
+            "targets": {
+                str(target): state.value
+                for target, state in self.target_states().items()
+            },
+        }
+
+    def on_target_sign(self, callback: OnTargetSign) -> None:
+        """Call ``callback`` with signs that peers should hear of."""
+        self._on_target_sign.append(callback)
+
+    def on_member(self, callback: OnMember) -> None:
+        """Call ``callback`` with members whose state peers should hear of."""
+        self._on_member.append(callback)
+
+    def addresses(self, customer: CustomerId | None, now_seconds: float) -> Addresses:
+        """Return where callers of ``customer`` should connect, in order."""
+        self._expire_suspects(now_seconds)
+        chosen = choose_addresses(
+            tuple(self._members.values()),
+            customer,
+            self._me.availability_zone,
+            self._traffic_share(customer),
+        )
+        return Addresses(chosen, self._addresses_valid_seconds)
+
+    def target_states(self) -> dict[TargetId, TargetState]:
+        """Return the state of every configured target for new work."""
+        now_seconds = self._clock.now_seconds()
+        return {
+            name: self._signs.state(name, target.desired_state, now_seconds)
+            for name, target in self._get_view().targets.items()
+        }
+
+    def observe_target(
+        self, target: TargetId, sign: TargetSign, now_seconds: float
+    ) -> None:
+        """Take note of what was seen of a target; peers hear of bad signs.
+
+        Signs of ``PEER`` are not passed on again, so that none can go round.
+        """
+        before = self._state_of(target, now_seconds)
+        self._signs.observe(target, sign, now_seconds)
+        after = self._state_of(target, now_seconds)
+        is_worse = after is not before and sign.state is not TargetState.SERVING
+        if sign.source is not SignSource.PEER and is_worse:
+            for callback in self._on_target_sign:
+                callback(target, sign)
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every daemon known, this one too."""
+        self._expire_suspects(self._clock.now_seconds())
+        return tuple(self._members.values())
+
+    def me(self) -> Member:
+        """Return this daemon."""
+        return self._me
+
+    def n_live(self) -> int:
+        """Return how many daemons are live or suspect."""
+        live = (MemberState.LIVE, MemberState.SUSPECT)
+        return max(1, sum(member.state in live for member in self._members.values()))
+
+    def owner_is_live(self, daemon: DaemonId, boot: str) -> bool:
+        """Return whether this very start of a daemon still runs, as far as known."""
+        member = self._members.get(daemon)
+        if member is None or member.state is MemberState.GONE:
+            return False
+        return not member.boot or member.boot == boot
+
+    def set_load(self, load: float) -> None:
+        """Tell the share of this daemon's capacity that is in use, 0 to 1."""
+        self._update_me(replace(self._me, load=load))
+
+    def announce_leaving(self) -> None:
+        """Tell peers that this daemon leaves."""
+        self._update_me(replace(self._me, state=MemberState.LEAVING))
+
+    def hear(self, member: Member) -> bool:
+        """Take what a daemon says of itself; return whether it was news."""
+        if member.daemon == self._me.daemon:
+            return False
+        known = self._members.get(member.daemon)
+        if known is not None and not _is_newer(member, known):
+            return False
+        self._members[member.daemon] = member
+        self._suspected_seconds.pop(member.daemon, None)
+        return known is None or _differs(known, member)
+
+    def suspect(self, daemon: DaemonId, now_seconds: float) -> None:
+        """Take note that a daemon does not answer."""
+        known = self._members.get(daemon)
+        if known is None or known.state is not MemberState.LIVE:
+            return
+        self._members[daemon] = replace(known, state=MemberState.SUSPECT)
+        self._suspected_seconds[daemon] = now_seconds
+        _log.info("members: suspect", daemon=daemon)
+
+    def clear_suspicion(self, daemon: DaemonId) -> None:
+        """Take note that a suspected daemon answers again."""
+        known = self._members.get(daemon)
+        if known is not None and known.state is MemberState.SUSPECT:
+            self._members[daemon] = replace(known, state=MemberState.LIVE)
+            self._suspected_seconds.pop(daemon, None)
+
+    def take_list(self, vms: tuple[Vm, ...], now_seconds: float) -> None:
+        """Take one look at the VM list."""
+        self._n_vms = max(len(vms), 1)
+        for vm in vms:
+            match vm.role:
+                case VmRole.DAEMON:
+                    self._take_daemon(vm)
+                case VmRole.TARGET:
+                    self._take_target(vm, now_seconds)
+
+    def _take_daemon(self, vm: Vm) -> None:
+        name = DaemonId(vm.name)
+        known = self._members.get(name)
+        if name == self._me.daemon:
+            return
+        if known is None:
+            state = (
+                MemberState.LIVE if vm.state is VmState.LIVE else MemberState.LEAVING
+            )
+            zone = AvailabilityZone(vm.availability_zone)
+            self._members[name] = Member(
+                name, "", state, zone, vm.callers_url, vm.peer_endpoint
+            )
+        elif vm.state is VmState.LEAVING and known.state is MemberState.LIVE:
+            self._members[name] = replace(known, state=MemberState.LEAVING)
+        elif not known.boot and vm.peer_endpoint != known.peer_endpoint:
+            self._members[name] = replace(
+                known, peer_endpoint=vm.peer_endpoint, callers_url=vm.callers_url
+            )
+
+    def _take_target(self, vm: Vm, now_seconds: float) -> None:
+        state = TargetState.SERVING if vm.state is VmState.LIVE else TargetState.LEAVING
+        sign = TargetSign(SignSource.VM_LIST, state, LISTED_VALID_SECONDS)
+        self.observe_target(TargetId(vm.name), sign, now_seconds)
+
+    def _state_of(self, target: TargetId, now_seconds: float) -> TargetState | None:
+        known = self._get_view().targets.get(target)
+        if known is None:
+            return None
+        return self._signs.state(target, known.desired_state, now_seconds)
+
+    def _traffic_share(self, customer: CustomerId | None) -> float:
+        customers = self._get_view().customers
+        total = sum(item.share_weight for item in customers.values())
+        known = None if customer is None else customers.get(customer)
+        return known.share_weight / total if known is not None and total else 0.0
+
+    def _update_me(self, member: Member) -> None:
+        is_news = _differs(self._me, member)
+        if is_news:
+            member = replace(member, sequence=member.sequence + 1)
+        self._me = member
+        self._members[member.daemon] = member
+        if is_news:
+            for callback in self._on_member:
+                callback(member)
+
+    def _expire_suspects(self, now_seconds: float) -> None:
+        for daemon, since_seconds in list(self._suspected_seconds.items()):
+            if now_seconds - since_seconds > _SUSPECT_SECONDS:
+                del self._suspected_seconds[daemon]
+                gone = replace(self._members[daemon], state=MemberState.GONE)
+                self._members[daemon] = gone
+
+    async def look(self) -> bool:
+        """Look at the VM list once; return whether it answered."""
+        match await self._vm_list.list_vms():
+            case Success(vms):
+                self.n_lists += 1
+                self.take_list(vms, self._clock.now_seconds())
+                return True
+            case Failure(_):
+                self.n_failed_lists += 1
+        return False
+
+    async def _run(self) -> None:
+        while True:
+            await self.look()
+            await asyncio.sleep(self._next_look_seconds())
+
+    def _next_look_seconds(self) -> float:
+        allowed_seconds = self._n_vms * _VM_BYTES / _LIST_BYTES_PER_SECOND
+        mean_seconds = max(self._poll_seconds, allowed_seconds)
+        return mean_seconds * self._random.uniform(0.5, 1.5)
+
+
+def make_member_keeper(
+    vm_list: VmListPort,
+    clock: Clock,
+    me: Member,
+    get_view: Callable[[], ConfigurationView],
+    poll_seconds: float = 2.0,
+    addresses_valid_seconds: float = 10.0,
+    seed: int = 0,
+) -> MemberKeeper:
+    """Return the members and targets of one daemon.
+
+    Args:
+        vm_list: The platform's list.
+        clock: Clock of this daemon.
+        me: This daemon, with its availability zone and addresses.
+        get_view: Returns the configuration in force.
+        poll_seconds: Shortest time between looks at the list.
+        addresses_valid_seconds: How long callers may keep an answer.
+        seed: Seed of the jitter.
+    """
+    return MemberKeeper(
+        vm_list, clock, me, get_view, poll_seconds, addresses_valid_seconds, seed
+    )
+
+
+def _is_newer(said: Member, known: Member) -> bool:
+    if not known.boot:
+        return True
+    if said.boot != known.boot:
+        return said.started_wall_seconds >= known.started_wall_seconds
+    return said.sequence > known.sequence or known.state is MemberState.SUSPECT
+
+
+def _differs(one: Member, other: Member) -> bool:
+    """Return whether peers should hear of the change; small load moves are none."""
+    return (
+        one.state is not other.state
+        or one.boot != other.boot
+        or one.callers_url != other.callers_url
+        or int(one.load * 10) != int(other.load * 10)
+    )
--- /dev/null
+++ b/lycheepost/state/revisions.py
@@ -0,0 +1,333 @@
+"""The configuration in force on this daemon, and how it changes.
+
+A change is accepted by one conditional transaction on the head, so that of two
+changes on the same basis one wins and the other is told. A daemon adopts only
+higher revisions, from whichever source shows them first: its peers, the table,
+a snapshot, at the very start its own settings. Nothing ever goes back.
+
+The head is polled by few daemons: the fleet as a whole looks
+``_FLEET_POLLERS`` times per poll interval, whatever its size, and peers pass on
+what one of them found. With no peers known, every daemon polls.
+"""
+
+import asyncio
+import random
+import secrets
+from collections import deque
+from collections.abc import Callable
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import Revision
+from lycheepost.generated.configuration import Configuration
+from lycheepost.platform.objects import ObjectPort
+from lycheepost.platform.table import (
+    OutcomeUnknown,
+    TableConflict,
+    TablePort,
+    TableThrottled,
+    TableUnavailable,
+)
+from lycheepost.state.deltas import Delta, apply_all, apply_delta, is_empty, make_delta
+from lycheepost.state.errors import (
+    BasisMoved,
+    CommitUnknown,
+    StateError,
+    StoreUnreachable,
+)
+from lycheepost.state.revision_rows import (
+    EMPTY,
+    Head,
+    make_revision_transaction,
+    read_configuration,
+    read_deltas,
+    read_head,
+    read_newest_snapshot,
+)
+from lycheepost.state.settle import commit_settled
+from lycheepost.state.view import ConfigurationView, make_view
+
+_FLEET_POLLERS = 16
+"""Looks at the head per poll interval by the whole fleet: with 540 daemons and
+one second, 16 reads a second of the 2,000 there are, and a change that no peer
+passes on is still found within a second by somebody."""
+_KEPT_DELTAS = 256
+"""Newest deltas kept to answer peers that are a little behind; at 64,000 changes
+a day they cover almost six minutes."""
+_COMMIT_SECONDS = 10.0
+_log = structlog.get_logger().bind(part="revisions")
+
+OnView = Callable[[ConfigurationView], None]
+
+
+class RevisionKeeper:
+    """The configuration of one daemon; made by ``make_revision_keeper``."""
+
+    def __init__(
+        self,
+        table: TablePort,
+        objects: ObjectPort,
+        clock: Clock,
+        poll_seconds: float,
+        fallback: Configuration,
+        n_daemons: Callable[[], int],
+        seed: int,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+        self._poll_seconds = poll_seconds
+        self._n_daemons = n_daemons
+        self._random = random.Random(seed)
+        self._subscribers: list[OnView] = []
+        self._recent: deque[Delta] = deque(maxlen=_KEPT_DELTAS)
+        self._task: asyncio.Task[None] | None = None
+        self._adopted_seconds = clock.now_seconds()
+        self._source = "settings"
+        # Deltas build on what was accepted, never on a daemon's own settings.
+        self._accepted = EMPTY
+        self.view = make_view(fallback)
+        self.n_polls = 0
+        self.n_failed_polls = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force here."""
+        return Revision(self._accepted.revision)
+
+    @property
+    def accepted(self) -> Configuration:
+        """Return the highest accepted configuration; empty at revision 0."""
+        return self._accepted
+
+    def subscribe(self, on_view: OnView) -> None:
+        """Call ``on_view`` with each view adopted from now on."""
+        self._subscribers.append(on_view)
+
+    async def start(self) -> None:
+        """Start to poll; the view that there is serves at once."""
+        self._task = asyncio.create_task(self._run())
+
+    async def drain(self) -> None:
+        """Do nothing: the configuration is needed until the end."""
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def status(self) -> dict[str, int | float | str]:
+        """Return the revision in force and where it came from."""
+        age_seconds = self._clock.now_seconds() - self._adopted_seconds
+        return {
+            "revision": self.revision,
+            "source": self._source,
+            "adopted_seconds_ago": round(age_seconds, 3),
+            "n_polls": self.n_polls,
+            "n_failed_polls": self.n_failed_polls,
+        }
+
+    def offer(self, configuration: Configuration, source: str) -> bool:
+        """Adopt ``configuration`` if its revision is higher; else change nothing."""
+        if configuration.revision <= self.revision:
+            return False
+        self._accepted = configuration
+        self.view = make_view(configuration)
+        self._source = source
+        self._adopted_seconds = self._clock.now_seconds()
+        for on_view in self._subscribers:
+            on_view(self.view)
+        return True
+
+    def offer_deltas(self, deltas: tuple[Delta, ...], source: str) -> bool:
+        """Adopt the deltas that follow on the revision in force."""
+        before = self.revision
+        current = apply_all(self._accepted, deltas)
+        self._remember(deltas, before)
+        return self.offer(current, source)
+
+    def deltas_after(self, revision: Revision) -> tuple[Delta, ...] | None:
+        """Return the kept deltas after ``revision``; None when they reach less far."""
+        if revision >= self.revision:
+            return ()
+        found = tuple(delta for delta in self._recent if delta.revision > revision)
+        if len(found) != self.revision - revision:
+            return None
+        return found
+
+    async def refresh(self, source: str = "table") -> Result[Revision, StateError]:
+        """Read the head and adopt what is new."""
+        self.n_polls += 1
+        match await read_head(self._table):
+            case Success(head):
+                pass
+            case Failure(error):
+                self.n_failed_polls += 1
+                return Failure(error)
+        if head.revision <= self.revision:
+            return Success(self.revision)
+        return await self._catch_up(head, source)
+
+    async def load_snapshot(self) -> Result[Revision, StateError]:
+        """Adopt the newest snapshot if it is higher."""
+        match await read_newest_snapshot(self._objects):
+            case Success(configuration):
+                self.offer(configuration, "snapshot")
+                return Success(self.revision)
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("unreachable")
+
+    async def commit(
+        self, basis: Revision, configuration: Configuration
+    ) -> Result[Revision, StateError]:
+        """Make ``configuration`` the next revision if ``basis`` is the highest.
+
+        Returns:
+            The new revision, in force on this daemon; ``BasisMoved`` when
+            another change was accepted first; ``StoreUnreachable`` when nothing
+            was changed; ``CommitUnknown`` when the outcome could not be settled.
+        """
+        match await read_head(self._table):
+            case Success(head):
+                pass
+            case Failure(error):
+                return Failure(error)
+        if head.revision > self.revision:
+            await self._catch_up(head, "table")
+        if head.revision != basis or self.revision != basis:
+            current = max(head.revision, self.revision)
+            return Failure(BasisMoved(f"The basis is {current} now.", current))
+        before = self._accepted
+        revision = Revision(basis + 1)
+        delta = make_delta(before, configuration, revision, secrets.token_hex(8))
+        if is_empty(delta):
+            return Success(basis)
+        settled = await self._commit_delta(head, delta)
+        if isinstance(settled, Success):
+            self._adopt_own(before, delta)
+        return settled
+
+    def _adopt_own(self, before: Configuration, delta: Delta) -> None:
+        """Adopt our own change, unless a peer was faster and brought it here."""
+        if self.revision < delta.revision:
+            self._recent.append(delta)
+            self.offer(apply_delta(before, delta), "own change")
+
+    async def _commit_delta(
+        self, head: Head, delta: Delta
+    ) -> Result[Revision, StateError]:
+        transaction = make_revision_transaction(head, delta)
+        deadline_seconds = self._clock.now_seconds() + _COMMIT_SECONDS
+        outcome = await commit_settled(
+            self._table, transaction, self._clock, deadline_seconds
+        )
+        match outcome:
+            case Success():
+                return Success(delta.revision)
+            case Failure(TableConflict()):
+                return await self._read_own(delta, deadline_seconds)
+            case Failure(OutcomeUnknown(reason=reason)):
+                return Failure(CommitUnknown(reason))
+            case Failure((TableThrottled() | TableUnavailable()) as error):
+                return Failure(StoreUnreachable(error.reason))
+            case Failure(error):
+                return Failure(StateError(error.reason))
+        raise AssertionError("unreachable")
+
+    async def _read_own(
+        self, delta: Delta, deadline_seconds: float
+    ) -> Result[Revision, StateError]:
+        """Tell an earlier try of our own from another daemon's change."""
+        before = Revision(delta.revision - 1)
+        while self._clock.now_seconds() < deadline_seconds:
+            match await read_deltas(self._table, before, delta.revision):
+                case Success((found,)) if found.token == delta.token:
+                    return Success(delta.revision)
+                case Success((found,)):
+                    reason = "Another change was accepted first."
+                    return Failure(BasisMoved(reason, found.revision))
+            # A stale read shows no row yet although the head has moved.
+            await asyncio.sleep(0.1)
+        return Failure(CommitUnknown("The outcome could not be read back."))
+
+    async def _catch_up(self, head: Head, source: str) -> Result[Revision, StateError]:
+        while self.revision < head.revision and head.snapshot <= self.revision:
+            match await read_deltas(self._table, self.revision, head.revision):
+                case Success(deltas) if deltas:
+                    self.offer_deltas(deltas, source)
+                case Success(_):
+                    break
+                case Failure(error):
+                    return Failure(error)
+        if self.revision >= head.revision:
+            return Success(self.revision)
+        return await self._load_whole(source)
+
+    async def _load_whole(self, source: str) -> Result[Revision, StateError]:
+        match await read_configuration(self._table, self._objects, self._accepted):
+            case Success(configuration):
+                self.offer(configuration, source)
+                return Success(self.revision)
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("unreachable")
+
+    def _remember(self, deltas: tuple[Delta, ...], before: Revision) -> None:
+        expected = before + 1
+        for delta in sorted(deltas, key=lambda item: item.revision):
+            if delta.revision == expected:
+                self._recent.append(delta)
+                expected += 1
+
+    async def _run(self) -> None:
+        while True:
+            outcome = await self.refresh()
+            if isinstance(outcome, Failure) and self.n_failed_polls == 1:
+                _log.warning("revisions: the table does not answer")
+            await asyncio.sleep(self._next_poll_seconds())
+
+    def _next_poll_seconds(self) -> float:
+        spread = max(1.0, self._n_daemons() / _FLEET_POLLERS)
+        return self._poll_seconds * spread * self._random.uniform(0.5, 1.5)
+
+
+def make_revision_keeper(
+    table: TablePort,
+    objects: ObjectPort,
+    clock: Clock,
+    poll_seconds: float = 1.0,
+    fallback: Configuration | None = None,
+    n_daemons: Callable[[], int] | None = None,
+    seed: int = 0,
+) -> RevisionKeeper:
+    """Return the configuration part of one daemon.
+
+    Args:
+        table: Where accepted changes are.
+        objects: Where snapshots are.
+        clock: Clock of this daemon.
+        poll_seconds: Time between looks at the head, for the fleet.
+        fallback: Served from until a better source answers; it counts as
+            revision 0, so that anything accepted goes before it.
+        n_daemons: How many daemons live; when None this one polls alone.
+        seed: Seed of the jitter.
+    """
+    first = EMPTY if fallback is None else _as_revision_zero(fallback)
+    return RevisionKeeper(
+        table, objects, clock, poll_seconds, first, n_daemons or (lambda: 1), seed
+    )
+
+
+def _as_revision_zero(fallback: Configuration) -> Configuration:
+    return Configuration(
+        revision=0,
+        customers=fallback.customers,
+        models=fallback.models,
+        target_groups=fallback.target_groups,
+        targets=fallback.targets,
+        capacity_intents=fallback.capacity_intents,
+    )
