--- a/features/load/steps/spoiled.py
+++ b/features/load/steps/spoiled.py
@@ -54,7 +54,7 @@
             return self.refuse(request, {"Lycheepost-Executed": "no"})
         if spoil == "refuse without a mark":
             return self.refuse(request, {})
-        self.seen.add(request.headers["X-Request-Id"])
+        self.seen.add(number_of(body))
         if spoil == "run, say not run":
             return self.refuse(request, {"Lycheepost-Executed": "no"})
         number = number_of(body)
--- a/lycheepost/loadgen/drive.py
+++ b/lycheepost/loadgen/drive.py
@@ -17,7 +17,7 @@
 
 from lycheepost.core.ids import CustomerId
 from lycheepost.loadgen.addresses import AddressBook, refresh_addresses
-from lycheepost.loadgen.audit import Evidence, ExpectedText, audit
+from lycheepost.loadgen.audit import Answers, Evidence, audit
 from lycheepost.loadgen.calls import run_call
 from lycheepost.loadgen.completions import Line, send_completion
 from lycheepost.loadgen.mixes import Deployment, Mix, generate, make_mix
@@ -64,7 +64,7 @@
             ``/services/kiosk-orders/orders``; empty to send no such calls.
         rate_per_second: Arrivals at the peak of the day.
         day_seconds: Length of a day; the run's own length when 0.
-        expected_text: The one right answer of the engines to a completion.
+        answers: What is known of the engines' right answers.
         read_evidence: Reads the targets' own record after the run.
     """
 
@@ -73,7 +73,7 @@
     deployment: Deployment
     model: str
     service_path: str
-    expected_text: ExpectedText
+    answers: Answers
     n_seconds: float = 10.0
     rate_per_second: float = 20.0
     day_seconds: float = 0.0
@@ -133,7 +133,7 @@
                 task.cancel()
     elapsed_seconds = asyncio.get_running_loop().time() - started_seconds
     evidence = await plan.read_evidence()
-    findings = audit(run.records, evidence, plan.expected_text)
+    findings = audit(run.records, evidence, plan.answers)
     return make_report(
         run.records, findings, elapsed_seconds, run.n_sent, run.n_over_bound
     )
