Join the daemon: front, flows, listeners, feed, life cycle

Cause: a request must be served from caller to engine and back by one process with start, drain and stop hooks.

--- /dev/null
+++ b/lycheepost/app/feed.py
@@ -0,0 +1,117 @@
+"""Tells the scheduler which targets there are and in which state.
+
+Joins the configuration with what members and health answers say. The most
+pessimistic sign has already won in ``state.members``; here states only become
+``TargetView`` records.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.core.ids import (
+    AvailabilityZone,
+    CustomerId,
+    Incarnation,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
+)
+from lycheepost.decide.records import TargetState, TargetView
+from lycheepost.generated.configuration import Target, TargetDesiredState
+from lycheepost.state.view import ConfigurationView
+
+FEED_SECONDS = 0.25
+"""A leaving target must get no new work after a few seconds; a sign reaches the
+scheduler at the latest this long after it was seen."""
+
+States = Callable[[], dict[TargetId, TargetState]]
+Incarnations = Callable[[], dict[TargetId, Incarnation]]
+
+
+def make_target_views(
+    view: ConfigurationView,
+    states: dict[TargetId, TargetState],
+    incarnations: dict[TargetId, Incarnation],
+) -> tuple[TargetView, ...]:
+    """Return the targets that the scheduler may know of, by name."""
+    weights = {
+        model.target_group: model.weights_version for model in view.models.values()
+    }
+    return tuple(
+        _make_view(
+            target,
+            states.get(name, TargetState.SERVING),
+            incarnations.get(name, Incarnation("")),
+            weights.get(target.target_group, ""),
+        )
+        for name, target in sorted(view.targets.items())
+    )
+
+
+def _make_view(
+    target: Target, state: TargetState, incarnation: Incarnation, weights: str
+) -> TargetView:
+    if target.desired_state is not TargetDesiredState.SERVING:
+        state = TargetState.LEAVING
+    return TargetView(
+        target=TargetId(target.target),
+        target_group=TargetGroupId(target.target_group),
+        availability_zone=AvailabilityZone(target.availability_zone),
+        state=state,
+        incarnation=incarnation,
+        weights_version=WeightsVersion(target.weights_version or weights),
+        concurrency_limit=target.concurrency_limit,
+        serving_share=target.serving_share,
+    )
+
+
+class TargetFeed:
+    """A task that passes changes of the targets to the scheduler."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        get_view: Callable[[], ConfigurationView],
+        get_states: States,
+        get_incarnations: Incarnations,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._get_view = get_view
+        self._get_states = get_states
+        self._get_incarnations = get_incarnations
+        self._last: tuple[TargetView, ...] | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Feed once, so that the first request finds its targets, then go on."""
+        self.feed()
+        self._task = asyncio.create_task(self._run(), name="target-feed")
+
+    async def drain(self) -> None:
+        """Do nothing: requests in flight still need to be placed."""
+
+    async def stop(self) -> None:
+        """Stop feeding."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def feed(self) -> None:
+        """Pass the targets on if anything about them has changed."""
+        view = self._get_view()
+        views = make_target_views(view, self._get_states(), self._get_incarnations())
+        if views == self._last:
+            return
+        self._last = views
+        self._dispatcher.set_shares(
+            {
+                CustomerId(customer.customer): customer.share_weight
+                for customer in view.customers.values()
+            }
+        )
+        self._dispatcher.replace_targets(views)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(FEED_SECONDS)
+            self.feed()
--- /dev/null
+++ b/lycheepost/app/run.py
@@ -0,0 +1,73 @@
+"""Run an application object until a signal asks it to stop."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import structlog
+import uvloop
+
+_log = structlog.get_logger().bind(part="app")
+
+
+class Application(Protocol):
+    """The life-cycle hooks of a whole process."""
+
+    async def start(self) -> None:
+        """Start; when it returns the process serves."""
+        ...
+
+    async def drain(self) -> None:
+        """Finish what is in flight."""
+        ...
+
+    async def stop(self) -> None:
+        """Close everything."""
+        ...
+
+
+def run_until_signal(
+    make_application: Callable[[], Application],
+    on_started: Callable[[Application], Awaitable[None]] | None = None,
+) -> None:
+    """Run on uvloop until SIGTERM or SIGINT.
+
+    The first signal drains, a second one stops at once.
+
+    Args:
+        make_application: Called inside the loop.
+        on_started: Awaited after the start, for instance to print addresses.
+    """
+    uvloop.run(_serve(make_application, on_started))
+
+
+async def _serve(
+    make_application: Callable[[], Application],
+    on_started: Callable[[Application], Awaitable[None]] | None,
+) -> None:
+    signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    application = make_application()
+    await application.start()
+    try:
+        if on_started is not None:
+            await on_started(application)
+        received = await signals.get()
+        _log.info("app: signal received", signal=received.name)
+        await _drain_or_second_signal(application, signals)
+    finally:
+        await application.stop()
+
+
+async def _drain_or_second_signal(
+    application: Application, signals: "asyncio.Queue[signal.Signals]"
+) -> None:
+    drain = asyncio.create_task(application.drain())
+    second = asyncio.create_task(signals.get())
+    await asyncio.wait({drain, second}, return_when=asyncio.FIRST_COMPLETED)
+    for task in (drain, second):
+        task.cancel()
+    await asyncio.gather(drain, second, return_exceptions=True)
--- a/lycheepost/callers/deps.py
+++ b/lycheepost/callers/deps.py
@@ -7,7 +7,6 @@
 from returns.result import Result
 
 from lycheepost.callers.dispatch import Dispatcher
-from lycheepost.callers.samples import Sample
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -18,6 +17,7 @@
 )
 from lycheepost.generated.callers import AddressList
 from lycheepost.generated.settings import Settings
+from lycheepost.report.samples import Sample
 from lycheepost.state.claim_rows import (
     ClaimError,
     ClaimOutcome,
--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -1,7 +1,316 @@
 """The way of one completion request, in the order of its steps.
 
-parse -> identify -> fingerprint -> claim -> admit -> place -> send -> relay ->
-settle. Each step is one short function here or in a module named after it. A
-step that fails returns or raises a ``CallerError``, which names whether the
-request may have run.
+identify -> parse -> fingerprint -> claim -> admit -> place -> send -> relay ->
+settle. Each step is a short function here or in the module named after it. A
+step that fails raises a ``CallerError``, which says whether the request may
+have run; ``callers.routes`` turns it into the answer.
 """
+
+import functools
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from lycheepost.callers.assemble import assemble_answer
+from lycheepost.callers.body import read_body
+from lycheepost.callers.deps import CallerDeps
+from lycheepost.callers.errors import (
+    EXECUTED_HEADER,
+    CallerError,
+    Executed,
+    error_event,
+    invalid,
+)
+from lycheepost.callers.exchange import Exchange, Finished, Job
+from lycheepost.callers.headers import CallerHeaders, read_headers
+from lycheepost.callers.identify import cache_salt, find_model, identify_customer
+from lycheepost.callers.keyed import KeyedRequest, KeyedRunner
+from lycheepost.callers.parse import (
+    DEFAULT_OUTPUT_TOKENS,
+    CompletionCall,
+    Endpoint,
+    engine_body,
+    parse_completion,
+)
+from lycheepost.callers.sinks import EVENT_STREAM, BufferSink, LiveSink, TeeSink
+from lycheepost.callers.unwrap import unwrap
+from lycheepost.core.hashing import fingerprint_body
+from lycheepost.core.ids import (
+    CustomerId,
+    ModelId,
+    RequestId,
+    TargetGroupId,
+    WeightsVersion,
+)
+from lycheepost.decide.levels import estimate_tokens, fingerprint_levels
+from lycheepost.decide.records import Work
+from lycheepost.generated.configuration import Customer, Model
+from lycheepost.report.samples import EndKind, OnceState, Sample
+from lycheepost.state.claim_rows import StoredAnswer
+
+JSON = "application/json"
+
+
+@dataclass(frozen=True)
+class Asked:
+    """A completion request after its checks.
+
+    Attributes:
+        request_id: Unique in the fleet; the engine's answer is tied to it.
+        answer_headers: Headers that go with any answer to it.
+    """
+
+    request_id: RequestId
+    customer: Customer
+    model: Model
+    headers: CallerHeaders
+    call: CompletionCall
+    body: bytes
+    arrived_seconds: float
+    answer_headers: dict[str, str]
+
+
+async def answer_completion(
+    deps: CallerDeps,
+    keyed: KeyedRunner,
+    endpoint: Endpoint,
+    request_id: RequestId,
+    request: web.Request,
+) -> web.StreamResponse:
+    """Answer one completion request.
+
+    Raises:
+        CallerError: The answer is an error and nothing has been sent yet.
+    """
+    asked = await _ask(deps, endpoint, request_id, request)
+    job = _make_job(asked)
+    if asked.headers.idempotency_key is not None:
+        return await _answer_keyed(deps, keyed, asked, job, request)
+    if asked.call.is_streamed:
+        return await _answer_stream(deps, asked, job, request)
+    stored = await _run_whole(deps, asked, job)
+    return _stored_response(stored, asked.answer_headers)
+
+
+async def _ask(
+    deps: CallerDeps, endpoint: Endpoint, request_id: RequestId, request: web.Request
+) -> Asked:
+    """Identify the caller and check what it asks.
+
+    The key is checked before the body is read, so that nobody without a key can
+    make the daemon hold megabytes.
+    """
+    arrived_seconds = deps.clock.now_seconds()
+    view = deps.configuration.view
+    customer = unwrap(identify_customer(view, request.headers))
+    headers = unwrap(read_headers(request.headers, deps.settings.limits))
+    body = unwrap(await read_body(request, deps.settings.limits))
+    call = unwrap(parse_completion(endpoint, body))
+    model = unwrap(find_model(view, customer, call.model))
+    _check_size(call, model)
+    return Asked(
+        request_id=request_id,
+        customer=customer,
+        model=model,
+        headers=headers,
+        call=call,
+        body=body,
+        arrived_seconds=arrived_seconds,
+        answer_headers={"X-Request-Id": headers.caller_request_id or request_id},
+    )
+
+
+def _prompt_tokens(call: CompletionCall) -> int:
+    return estimate_tokens(sum(len(segment) for segment in call.segments))
+
+
+def _check_size(call: CompletionCall, model: Model) -> None:
+    n_tokens = _prompt_tokens(call)
+    if n_tokens > model.max_prompt_tokens:
+        raise CallerError(
+            f"The prompt has about {n_tokens} tokens; {model.model} takes "
+            f"{model.max_prompt_tokens}.",
+            status=400,
+            code="context_length_exceeded",
+            param="messages" if call.endpoint is Endpoint.CHAT else "prompt",
+        )
+    if call.max_tokens is not None and call.max_tokens > model.max_output_tokens:
+        reason = f"{model.model} answers with at most {model.max_output_tokens} tokens."
+        raise invalid(reason, "max_tokens")
+
+
+def _make_job(asked: Asked) -> Job:
+    """Fingerprint the prompt and write the engine's body."""
+    customer = CustomerId(asked.customer.customer)
+    model = ModelId(asked.model.model)
+    weights_version = WeightsVersion(asked.model.weights_version)
+    call = asked.call
+    work = Work(
+        request=asked.request_id,
+        customer=customer,
+        target_group=TargetGroupId(asked.model.target_group),
+        model=model,
+        weights_version=weights_version,
+        levels=fingerprint_levels(customer, model, weights_version, call.segments),
+        prompt_tokens=_prompt_tokens(call),
+        output_tokens=call.max_tokens or DEFAULT_OUTPUT_TOKENS,
+        priority=asked.headers.priority,
+        arrived_seconds=asked.arrived_seconds,
+        patience_seconds=asked.headers.patience_seconds,
+        fingerprint=fingerprint_body(customer, asked.body),
+        is_idempotent=not asked.headers.is_marked_non_idempotent,
+    )
+    # An engine that streams shows at any time whether it still works; only
+    # answers that cannot be put together from chunks are asked for whole.
+    expects_stream = call.is_streamed or call.is_continuable
+    return Job(
+        work=work,
+        path=call.endpoint.value,
+        body=engine_body(
+            call, cache_salt(asked.customer), work.priority.value, expects_stream
+        ),
+        is_continuable=call.is_continuable,
+        is_keyed=asked.headers.idempotency_key is not None,
+        expects_stream=expects_stream,
+    )
+
+
+async def _answer_stream(
+    deps: CallerDeps, asked: Asked, job: Job, request: web.Request
+) -> web.StreamResponse:
+    sink = LiveSink(request, asked.answer_headers)
+    exchange = Exchange(deps, job, sink)
+    try:
+        finished = await exchange.run()
+    except CallerError as error:
+        _note_error(deps, asked, error)
+        if not sink.is_begun:
+            raise
+        await _end_broken(sink, error)
+        return sink.response
+    _note_finished(deps, asked, finished)
+    if not finished.is_caller_gone:
+        await sink.response.write_eof()
+    return sink.response
+
+
+async def _end_broken(sink: LiveSink, error: CallerError) -> None:
+    """End a stream that cannot be completed with an explicit error."""
+    sink.response.force_close()
+    try:
+        await sink.response.write(error_event(error))
+        await sink.response.write_eof()
+    except (ConnectionError, RuntimeError):
+        return
+
+
+async def _run_whole(deps: CallerDeps, asked: Asked, job: Job) -> StoredAnswer:
+    """Run to the end and return the answer in the form the caller asked for."""
+    sink = BufferSink()
+    return await _run_buffered(deps, asked, job, sink)
+
+
+async def _run_buffered(
+    deps: CallerDeps, asked: Asked, job: Job, sink: BufferSink | TeeSink
+) -> StoredAnswer:
+    exchange = Exchange(deps, job, sink)
+    try:
+        finished = await exchange.run()
+    except CallerError as error:
+        _note_error(deps, asked, error)
+        raise
+    _note_finished(deps, asked, finished)
+    data = sink.whole()
+    if asked.call.is_streamed:
+        return StoredAnswer(200, EVENT_STREAM, data)
+    if job.expects_stream:
+        data = assemble_answer(asked.call.endpoint, data)
+    return StoredAnswer(200, JSON, data)
+
+
+async def _answer_keyed(
+    deps: CallerDeps,
+    keyed: KeyedRunner,
+    asked: Asked,
+    job: Job,
+    request: web.Request,
+) -> web.StreamResponse:
+    key = asked.headers.idempotency_key
+    assert key is not None
+    identity = KeyedRequest(
+        job.work.customer, key, job.work.fingerprint, asked.request_id
+    )
+    if not asked.call.is_streamed:
+        run = functools.partial(_run_whole, deps, asked, job)
+        stored = await keyed.run_once(identity, run)
+        return _stored_response(stored, asked.answer_headers)
+    live = LiveSink(request, asked.answer_headers)
+    tee = TeeSink(live)
+    run = functools.partial(_run_buffered, deps, asked, job, tee)
+    try:
+        stored = await keyed.run_once(identity, run)
+    except CallerError as error:
+        if not live.is_begun:
+            raise
+        await _end_broken(live, error)
+        return live.response
+    if not live.is_begun:
+        # A resend: the first send's stream, byte for byte.
+        return _stored_response(stored, asked.answer_headers)
+    await live.response.write_eof()
+    return live.response
+
+
+def _stored_response(stored: StoredAnswer, headers: dict[str, str]) -> web.Response:
+    return web.Response(
+        status=stored.status,
+        body=stored.body,
+        headers={
+            **headers,
+            "Content-Type": stored.content_type,
+            EXECUTED_HEADER: Executed.YES.value,
+        },
+    )
+
+
+def _note_finished(deps: CallerDeps, asked: Asked, finished: Finished) -> None:
+    deps.metrics.timing("ttft", finished.ttft_seconds)
+    if finished.usage is not None:
+        deps.metrics.count("prompt_tokens", finished.usage.prompt_tokens)
+        deps.metrics.count("cached_tokens", finished.usage.cached_tokens)
+    deps.on_sample(
+        Sample(
+            customer=CustomerId(asked.customer.customer),
+            model=ModelId(asked.model.model),
+            end=EndKind.CALLER_LEFT if finished.is_caller_gone else EndKind.SUCCESS,
+            once=_once(asked, is_known=True),
+            ttft_seconds=finished.ttft_seconds,
+            mean_gap_seconds=finished.token_gap_seconds,
+        )
+    )
+
+
+def _note_error(deps: CallerDeps, asked: Asked, error: CallerError) -> None:
+    deps.on_sample(
+        Sample(
+            customer=CustomerId(asked.customer.customer),
+            model=ModelId(asked.model.model),
+            end=end_of(error),
+            once=_once(asked, is_known=error.executed is not Executed.UNKNOWN),
+        )
+    )
+
+
+def _once(asked: Asked, is_known: bool) -> OnceState:
+    if not asked.headers.is_marked_non_idempotent:
+        return OnceState.NOT_ASKED
+    return OnceState.KEPT if is_known else OnceState.UNKNOWN
+
+
+def end_of(error: CallerError) -> EndKind:
+    """Return how an error counts in the service levels."""
+    if error.status == 429:
+        return EndKind.REFUSED
+    if error.status < 500:
+        return EndKind.CALLER_FAULT
+    return EndKind.REFUSED if error.executed is Executed.NO else EndKind.FAILED
--- /dev/null
+++ b/lycheepost/callers/routes.py
@@ -0,0 +1,182 @@
+"""The callers' HTTP routes, and the one place where errors become answers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import structlog
+from aiohttp import web
+
+from lycheepost.callers.deps import CallerDeps
+from lycheepost.callers.errors import (
+    CallerError,
+    ErrorType,
+    Executed,
+    error_response,
+    from_refusal,
+)
+from lycheepost.callers.flow import answer_completion
+from lycheepost.callers.identify import identify_customer, list_models, read_bearer
+from lycheepost.callers.keyed import KeyedRunner
+from lycheepost.callers.parse import Endpoint
+from lycheepost.callers.services import answer_service
+from lycheepost.callers.unwrap import unwrap
+from lycheepost.core.ids import CustomerId, RequestId
+from lycheepost.decide.records import RefusalReason, Refuse
+from lycheepost.generated.callers import ModelEntry, ModelList
+
+DRAIN_RETRY_SECONDS = 1.0
+"""Another address serves at once; the client need not wait for this daemon."""
+JSON = "application/json"
+_log = structlog.get_logger().bind(part="callers")
+
+_INTERNAL_ERROR = CallerError(
+    "The daemon failed on this request.",
+    status=500,
+    type=ErrorType.SERVER,
+    code="internal_error",
+    executed=Executed.UNKNOWN,
+    is_safe_to_resend=False,
+)
+
+Answer = Callable[[RequestId, web.Request], Awaitable[web.StreamResponse]]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class CallerFront:
+    """The handlers, over one set of dependencies.
+
+    Attributes:
+        n_open: Requests that are being answered now.
+    """
+
+    def __init__(self, deps: CallerDeps) -> None:
+        self.n_open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.keyed = KeyedRunner(deps)
+        self._deps = deps
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes to mount on a listener."""
+        return [
+            web.post("/v1/chat/completions", self._work(self._chat)),
+            web.post("/v1/completions", self._work(self._complete)),
+            web.get("/v1/models", self._plain(self._models)),
+            web.get("/v1/addresses", self._plain(self._addresses)),
+            web.route(
+                "*", "/services/{target_group}/{path:.*}", self._work(self._service)
+            ),
+            web.get("/healthz", self._healthz),
+            web.get("/readyz", self._readyz),
+            web.get("/admin/status", self._status),
+        ]
+
+    async def drain(self) -> None:
+        """Wait until every open request and every keyed run has ended."""
+        await self._idle.wait()
+        await self.keyed.drain()
+
+    def _work(self, answer: Answer) -> Handler:
+        """Wrap a handler that runs work on targets."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            request_id = self._deps.make_request_id()
+            with structlog.contextvars.bound_contextvars(request_id=request_id):
+                if self._deps.is_draining():
+                    return self._refuse_draining()
+                self.n_open += 1
+                self._idle.clear()
+                try:
+                    return await self._guard(answer, request_id, request)
+                finally:
+                    self.n_open -= 1
+                    if self.n_open == 0:
+                        self._idle.set()
+
+        return handle
+
+    def _plain(self, answer: Answer) -> Handler:
+        """Wrap a handler that only reads this daemon's own state."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            request_id = self._deps.make_request_id()
+            return await self._guard(answer, request_id, request)
+
+        return handle
+
+    async def _guard(
+        self, answer: Answer, request_id: RequestId, request: web.Request
+    ) -> web.StreamResponse:
+        try:
+            return await answer(request_id, request)
+        except CallerError as error:
+            self._deps.metrics.count(f"errors.{error.code}")
+            _log.info("callers: answered with an error", code=error.code)
+            response = error_response(error)
+        except Exception:
+            # Our own fault. It is not known how far the request came, so the
+            # caller is told "unknown" rather than a "no" that could be untrue.
+            _log.exception("callers: a request failed inside the daemon")
+            response = error_response(_INTERNAL_ERROR)
+        response.headers["X-Request-Id"] = request_id
+        return response
+
+    def _refuse_draining(self) -> web.Response:
+        refusal = Refuse(
+            RequestId(""), RefusalReason.SHUTTING_DOWN, DRAIN_RETRY_SECONDS
+        )
+        response = error_response(from_refusal(refusal, Executed.NO))
+        response.force_close()
+        return response
+
+    async def _chat(
+        self, request_id: RequestId, request: web.Request
+    ) -> web.StreamResponse:
+        return await answer_completion(
+            self._deps, self.keyed, Endpoint.CHAT, request_id, request
+        )
+
+    async def _complete(
+        self, request_id: RequestId, request: web.Request
+    ) -> web.StreamResponse:
+        return await answer_completion(
+            self._deps, self.keyed, Endpoint.COMPLETIONS, request_id, request
+        )
+
+    async def _service(
+        self, request_id: RequestId, request: web.Request
+    ) -> web.StreamResponse:
+        return await answer_service(self._deps, self.keyed, request_id, request)
+
+    async def _models(
+        self, _request_id: RequestId, request: web.Request
+    ) -> web.StreamResponse:
+        view = self._deps.configuration.view
+        customer = unwrap(identify_customer(view, request.headers))
+        entries = [ModelEntry(id=item.model) for item in list_models(view, customer)]
+        body = msgspec.json.encode(ModelList(data=entries))
+        return web.Response(body=body, content_type=JSON)
+
+    async def _addresses(
+        self, _request_id: RequestId, request: web.Request
+    ) -> web.StreamResponse:
+        """Answer where to connect; with a key, where this customer should."""
+        customer = None
+        if read_bearer(request.headers) is not None:
+            view = self._deps.configuration.view
+            record = unwrap(identify_customer(view, request.headers))
+            customer = CustomerId(record.customer)
+        body = msgspec.json.encode(self._deps.addresses(customer))
+        return web.Response(body=body, content_type=JSON)
+
+    async def _healthz(self, _request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _readyz(self, _request: web.Request) -> web.Response:
+        if self._deps.is_draining():
+            return web.json_response({"status": "draining"}, status=503)
+        return web.json_response({"status": "ready"})
+
+    async def _status(self, _request: web.Request) -> web.Response:
+        return web.json_response(self._deps.status())
--- /dev/null
+++ b/lycheepost/callers/services.py
@@ -0,0 +1,236 @@
+"""The way of one call to a plain service.
+
+identify -> read -> claim -> admit -> send -> settle. GET, HEAD, PUT, DELETE and
+OPTIONS may be repeated, as HTTP defines them; anything else runs at most once,
+with a key in the whole fleet, without one by this daemon.
+"""
+
+import asyncio
+from dataclasses import dataclass, replace
+
+from aiohttp import web
+from returns.result import Failure, Success
+
+from lycheepost.callers.body import read_body
+from lycheepost.callers.deps import CallerDeps
+from lycheepost.callers.errors import (
+    EXECUTED_HEADER,
+    CallerError,
+    ErrorType,
+    Executed,
+    from_refusal,
+)
+from lycheepost.callers.flow import end_of
+from lycheepost.callers.headers import CallerHeaders, read_headers
+from lycheepost.callers.identify import find_service, identify_customer
+from lycheepost.callers.keyed import KeyedRequest, KeyedRunner
+from lycheepost.callers.unwrap import unwrap
+from lycheepost.core.hashing import fingerprint_body
+from lycheepost.core.ids import (
+    CustomerId,
+    ModelId,
+    RequestId,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
+)
+from lycheepost.decide.records import Dispatch, FinishKind, Refuse, Work
+from lycheepost.report.samples import EndKind, OnceState, Sample
+from lycheepost.state.claim_rows import StoredAnswer
+from lycheepost.targets.calls import ServiceCall
+from lycheepost.targets.errors import TargetError, TargetUnreachable
+
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+
+_PASSED_HEADERS = ("Accept", "Accept-Language", "Content-Type", "Idempotency-Key")
+"""All that a service gets of the caller's headers. The bearer key stays here: a
+service could use it to act as the customer."""
+
+CUSTOMER_HEADER = "Lycheepost-Customer"
+"""Tells the service whose call it is."""
+
+_OCTETS = "application/octet-stream"
+
+
+@dataclass(frozen=True)
+class Asked:
+    """A service call after its checks."""
+
+    customer: CustomerId
+    headers: CallerHeaders
+    work: Work
+    method: str
+    path: str
+    passed_headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+async def answer_service(
+    deps: CallerDeps, keyed: KeyedRunner, request_id: RequestId, request: web.Request
+) -> web.Response:
+    """Answer one call to a plain service.
+
+    Raises:
+        CallerError: There is no answer of the service.
+    """
+    asked = await _ask(deps, request_id, request)
+    if asked.headers.idempotency_key is not None:
+        identity = KeyedRequest(
+            asked.customer,
+            asked.headers.idempotency_key,
+            asked.work.fingerprint,
+            request_id,
+        )
+        stored = await keyed.run_once(identity, lambda: _run(deps, asked))
+    elif asked.work.is_idempotent:
+        stored = await _run(deps, asked)
+    else:
+        # A caller that leaves must not cut the call off half-way.
+        stored = await asyncio.shield(asyncio.ensure_future(_run(deps, asked)))
+    return web.Response(
+        status=stored.status,
+        body=stored.body,
+        headers={
+            "Content-Type": stored.content_type,
+            "X-Request-Id": asked.headers.caller_request_id or request_id,
+            EXECUTED_HEADER: Executed.YES.value,
+        },
+    )
+
+
+async def _ask(deps: CallerDeps, request_id: RequestId, request: web.Request) -> Asked:
+    arrived_seconds = deps.clock.now_seconds()
+    view = deps.configuration.view
+    record = unwrap(identify_customer(view, request.headers))
+    headers = unwrap(read_headers(request.headers, deps.settings.limits))
+    name = request.match_info["target_group"]
+    group = unwrap(find_service(view, record, name))
+    body = unwrap(await read_body(request, deps.settings.limits))
+    customer = CustomerId(record.customer)
+    path = request.rel_url.raw_path_qs.removeprefix(f"/services/{name}")
+    is_idempotent = (
+        request.method in _IDEMPOTENT_METHODS and not headers.is_marked_non_idempotent
+    )
+    passed = [
+        (name, request.headers[name])
+        for name in _PASSED_HEADERS
+        if name in request.headers
+    ]
+    passed.append((CUSTOMER_HEADER, customer))
+    passed.append(("X-Request-Id", request_id))
+    identity = f"{request.method} {name}{path}\n".encode()
+    work = Work(
+        request=request_id,
+        customer=customer,
+        target_group=TargetGroupId(group.target_group),
+        model=ModelId(""),
+        weights_version=WeightsVersion(""),
+        levels=(),
+        prompt_tokens=0,
+        output_tokens=1,
+        priority=headers.priority,
+        arrived_seconds=arrived_seconds,
+        patience_seconds=headers.patience_seconds,
+        fingerprint=fingerprint_body(customer, identity + body),
+        is_idempotent=is_idempotent,
+    )
+    return Asked(
+        customer, headers, work, request.method, path or "/", tuple(passed), body
+    )
+
+
+async def _run(deps: CallerDeps, asked: Asked) -> StoredAnswer:
+    """Call targets until one answers or no try is left."""
+    try:
+        answer = await _try_targets(deps, asked)
+    except CallerError as error:
+        _note(deps, asked, end_of(error), error.executed is not Executed.UNKNOWN)
+        raise
+    end = EndKind.SUCCESS if answer.status < 500 else EndKind.FAILED
+    _note(deps, asked, end, True)
+    return answer
+
+
+async def _try_targets(deps: CallerDeps, asked: Asked) -> StoredAnswer:
+    work = asked.work
+    executed = Executed.NO
+    outcome = await deps.dispatcher.admit(work)
+    while True:
+        match outcome:
+            case Refuse():
+                raise from_refusal(outcome, executed)
+            case Dispatch(target=target):
+                answer = await _send(deps, asked, target)
+        match answer:
+            case StoredAnswer():
+                return answer
+            case TargetUnreachable():
+                deps.on_unreachable(target)
+            case TargetError():
+                executed = Executed.UNKNOWN
+                if not work.is_idempotent:
+                    raise _lost(asked)
+        work = replace(work, excluded=work.excluded | {target})
+        outcome = await deps.dispatcher.readmit(work)
+
+
+async def _send(
+    deps: CallerDeps, asked: Asked, target: TargetId
+) -> StoredAnswer | TargetError:
+    """Call one target; the scheduler learns how it went in any case."""
+    kind = FinishKind.CANCELLED
+    call = ServiceCall(
+        target=target,
+        url=deps.configuration.view.targets[target].url,
+        request=asked.work.request,
+        method=asked.method,
+        path=asked.path,
+        headers=asked.passed_headers,
+        body=asked.body,
+        is_idempotent=asked.work.is_idempotent,
+    )
+    try:
+        match await deps.services.call(call):
+            case Success(answer):
+                kind = FinishKind.COMPLETE
+                deps.dispatcher.first_token(asked.work.request, None)
+                content_type = dict(answer.headers).get("Content-Type", _OCTETS)
+                return StoredAnswer(answer.status, content_type, answer.body)
+            case Failure(error):
+                is_unreachable = isinstance(error, TargetUnreachable)
+                kind = (
+                    FinishKind.TARGET_REFUSED
+                    if is_unreachable
+                    else FinishKind.TARGET_LOST
+                )
+                return error
+        raise AssertionError("a result is a success or a failure")
+    finally:
+        deps.dispatcher.finish(asked.work.request, kind)
+
+
+def _lost(asked: Asked) -> CallerError:
+    is_keyed = asked.headers.idempotency_key is not None
+    advice = "Ask again with the same key." if is_keyed else "Look before resending."
+    return CallerError(
+        f"The service was lost; whether it ran the call is not known. {advice}",
+        status=502,
+        type=ErrorType.SERVER,
+        code="outcome_unknown",
+        executed=Executed.UNKNOWN,
+        is_safe_to_resend=is_keyed,
+    )
+
+
+def _note(deps: CallerDeps, asked: Asked, end: EndKind, is_known: bool) -> None:
+    once = OnceState.NOT_ASKED
+    if not asked.work.is_idempotent:
+        once = OnceState.KEPT if is_known else OnceState.UNKNOWN
+    deps.on_sample(
+        Sample(
+            customer=asked.customer,
+            model=asked.work.target_group,
+            end=end,
+            once=once,
+        )
+    )
