--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -50,7 +50,7 @@
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.claims import ClaimLimits, make_claim_keeper
 from lycheepost.state.members import MemberKeeper, make_member_keeper
-from lycheepost.state.revisions import make_revision_keeper
+from lycheepost.state.revisions import RevisionKeeper, make_revision_keeper
 from lycheepost.state.signs import SignSource, TargetSign
 from lycheepost.targets.engine import make_engine_client
 from lycheepost.targets.service import make_service_client
@@ -61,7 +61,7 @@
 for its health meanwhile."""
 _EXPECTED_DAEMONS = 7
 """Daemons that share the table's writes, until members say otherwise."""
-_log = structlog.get_logger().bind(part="app")
+_log = structlog.get_logger(part="app")
 
 
 @dataclass(frozen=True)
@@ -94,6 +94,8 @@
         front: The callers' handlers.
         callers: The callers' listener; tells the port.
         operators: The operators' listener; tells the port.
+        revisions: The configuration in force here.
+        feed: Passes targets to the scheduler.
     """
 
     def __init__(
@@ -103,11 +105,15 @@
         front: CallerFront,
         callers: Listener,
         operators: Listener,
+        revisions: RevisionKeeper,
         members: MemberKeeper,
+        feed: TargetFeed,
         platform: Platform,
         drain_state: "DrainState",
     ) -> None:
         self.front = front
+        self.revisions = revisions
+        self.feed = feed
         self.callers = callers
         self.operators = operators
         self._settings = settings
@@ -303,7 +309,16 @@
         operators,
     ]
     return Daemon(
-        settings, parts, front, callers, operators, members, platform, drain_state
+        settings,
+        parts,
+        front,
+        callers,
+        operators,
+        revisions,
+        members,
+        feed,
+        platform,
+        drain_state,
     )
 
 
--- a/lycheepost/app/listeners.py
+++ b/lycheepost/app/listeners.py
@@ -13,7 +13,7 @@
 and never meets a connection that this side has just closed."""
 MAX_HEADERS = 128
 
-_log = structlog.get_logger().bind(part="app")
+_log = structlog.get_logger(part="app")
 
 
 class Listener:
--- a/lycheepost/app/parts.py
+++ b/lycheepost/app/parts.py
@@ -13,7 +13,7 @@
 """A part that cannot stop by then is left behind, so that a daemon that is told
 to stop does stop."""
 
-_log = structlog.get_logger().bind(part="app")
+_log = structlog.get_logger(part="app")
 
 
 class Part(Protocol):
--- a/lycheepost/app/run.py
+++ b/lycheepost/app/run.py
@@ -8,7 +8,7 @@
 import structlog
 import uvloop
 
-_log = structlog.get_logger().bind(part="app")
+_log = structlog.get_logger(part="app")
 
 
 class Application(Protocol):
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -26,7 +26,7 @@
 """A queued request is looked at this often: well under the 0.3 s objective for a
 first token, and 50 wake-ups a second cost an idle daemon under 0.1% of a core."""
 
-_log = structlog.get_logger().bind(part="dispatch")
+_log = structlog.get_logger(part="dispatch")
 
 
 class Dispatcher:
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -36,7 +36,7 @@
 """A lost target is seen by all daemons within about a second."""
 _BUSY_STATUSES = (409, 429, 503)
 """The target is at fault or busy, not the request; another target may take it."""
-_log = structlog.get_logger().bind(part="callers")
+_log = structlog.get_logger(part="callers")
 
 
 @dataclass(frozen=True)
--- a/lycheepost/callers/keyed.py
+++ b/lycheepost/callers/keyed.py
@@ -36,7 +36,7 @@
 )
 
 IN_PROGRESS_RETRY_SECONDS = 1.0
-_log = structlog.get_logger().bind(part="callers")
+_log = structlog.get_logger(part="callers")
 
 Run = Callable[[], Awaitable[StoredAnswer]]
 Answer = asyncio.Future[StoredAnswer]
--- a/lycheepost/callers/routes.py
+++ b/lycheepost/callers/routes.py
@@ -28,7 +28,7 @@
 DRAIN_RETRY_SECONDS = 1.0
 """Another address serves at once; the client need not wait for this daemon."""
 JSON = "application/json"
-_log = structlog.get_logger().bind(part="callers")
+_log = structlog.get_logger(part="callers")
 
 _INTERNAL_ERROR = CallerError(
     "The daemon failed on this request.",
--- a/lycheepost/callers/sinks.py
+++ b/lycheepost/callers/sinks.py
@@ -19,7 +19,7 @@
 from lycheepost.targets.stream import EngineStream
 
 EVENT_STREAM = "text/event-stream"
-_log = structlog.get_logger().bind(part="callers")
+_log = structlog.get_logger(part="callers")
 
 
 class LiveSink:
--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from lycheepost.commands import customer, fleet, intent, model, serve, settings
+from lycheepost.commands import customer, demo, fleet, intent, model, serve, settings
 
 app = typer.Typer(
     name="lycheepost",
@@ -15,6 +15,7 @@
     add_completion=False,
 )
 
+app.command()(demo.demo)
 app.command()(serve.serve)
 app.add_typer(settings.app, name="settings")
 app.add_typer(customer.app, name="customer")
--- a/lycheepost/operators/confirming.py
+++ b/lycheepost/operators/confirming.py
@@ -45,7 +45,7 @@
 means that another revision won, so at 0.74 revisions a second more than a few
 in a row means that something else is wrong."""
 
-_log = structlog.get_logger().bind(part="operators")
+_log = structlog.get_logger(part="operators")
 
 
 @dataclass(frozen=True)
--- a/lycheepost/standin/engine.py
+++ b/lycheepost/standin/engine.py
@@ -57,7 +57,7 @@
 from lycheepost.standin.webserver import StandinServer
 from lycheepost.utils.documents import convert_document, encode_record
 
-_log = structlog.get_logger().bind(part="standin")
+_log = structlog.get_logger(part="standin")
 _KEPT_RUNS = 2000
 """Ended runs that can still be read again; bounds the memory of a long demo."""
 _NEVER_SECONDS = 3600.0
--- a/lycheepost/state/claims.py
+++ b/lycheepost/state/claims.py
@@ -65,7 +65,7 @@
 the oldest are given up, and their resends are told "undetermined"."""
 _CLAIM_TRIES = 4
 _RETRY_PAUSE_SECONDS = 1.0
-_log = structlog.get_logger().bind(part="claims")
+_log = structlog.get_logger(part="claims")
 
 OwnerIsLive = Callable[[DaemonId, str], bool]
 
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -37,7 +37,7 @@
 from lycheepost.state.settle import commit_settled
 
 _KEY_PREFIX = "lease/"
-_log = structlog.get_logger().bind(part="leases")
+_log = structlog.get_logger(part="leases")
 
 
 @dataclass(frozen=True)
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -42,7 +42,7 @@
 daemon looks every 25 minutes, and 540 daemons look every 2.8 seconds together."""
 _SUSPECT_SECONDS = 60.0
 """A daemon suspected for this long without a word counts as gone."""
-_log = structlog.get_logger().bind(part="members")
+_log = structlog.get_logger(part="members")
 
 OnTargetSign = Callable[[TargetId, TargetSign], None]
 OnMember = Callable[[Member], None]
--- a/lycheepost/state/revisions.py
+++ b/lycheepost/state/revisions.py
@@ -57,7 +57,7 @@
 """Newest deltas kept to answer peers that are a little behind; at 64,000 changes
 a day they cover almost six minutes."""
 _COMMIT_SECONDS = 10.0
-_log = structlog.get_logger().bind(part="revisions")
+_log = structlog.get_logger(part="revisions")
 
 OnView = Callable[[ConfigurationView], None]
 
--- a/lycheepost/targets/engine.py
+++ b/lycheepost/targets/engine.py
@@ -25,7 +25,7 @@
 )
 from lycheepost.targets.stream import EngineStream
 
-_log = structlog.get_logger().bind(part="targets")
+_log = structlog.get_logger(part="targets")
 _REFUSAL_BYTES = 16 * 1024
 """Most of a refusal's body that is kept for the caller."""
 _CANCEL_SECONDS = 2.0
--- a/lycheepost/targets/relay.py
+++ b/lycheepost/targets/relay.py
@@ -13,7 +13,7 @@
 from lycheepost.targets.sse import Usage
 from lycheepost.targets.stream import EngineStream
 
-_log = structlog.get_logger().bind(part="targets")
+_log = structlog.get_logger(part="targets")
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/targets/stream.py
+++ b/lycheepost/targets/stream.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from lycheepost.targets.engine import EngineClient
 
-_log = structlog.get_logger().bind(part="targets")
+_log = structlog.get_logger(part="targets")
 _MAX_WHOLE_BYTES = 16 * 1024 * 1024
 """Largest answer that is not streamed; 4,096 tokens with log probabilities take
 less than a tenth of it."""
