--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,16 @@
 
 import typer
 
-from lycheepost.commands import bench, settings
+from lycheepost.commands import (
+    bench,
+    customer,
+    demo,
+    fleet,
+    intent,
+    model,
+    serve,
+    settings,
+)
 
 app = typer.Typer(
     name="lycheepost",
@@ -16,7 +25,13 @@
 )
 
 app.add_typer(bench.app, name="bench")
+app.command()(demo.demo)
+app.command()(serve.serve)
 app.add_typer(settings.app, name="settings")
+app.add_typer(customer.app, name="customer")
+app.add_typer(model.app, name="model")
+app.add_typer(intent.app, name="intent")
+app.add_typer(fleet.app, name="fleet")
 
 
 def run() -> None:
