--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,6 +6,8 @@
 
 import typer
 
+from lycheepost.commands import customer, fleet, intent, model, settings
+
 app = typer.Typer(
     name="lycheepost",
     help="A router for language-model traffic with long, nested, shared prompts.",
@@ -13,6 +15,12 @@
     add_completion=False,
 )
 
+app.add_typer(settings.app, name="settings")
+app.add_typer(customer.app, name="customer")
+app.add_typer(model.app, name="model")
+app.add_typer(intent.app, name="intent")
+app.add_typer(fleet.app, name="fleet")
+
 
 def run() -> None:
     """Run the command line; the entry point of the package."""
--- a/lycheepost/standin/faults.py
+++ b/lycheepost/standin/faults.py
@@ -1,52 +1,155 @@
-"""Faults that a stand-in of a platform service can be told to show.
+"""Faults that a test or a demo asks the stand-ins to show.
 
-One mutable record per stand-in: tests, benches and the demo set its fields
-while it runs. Counted faults ("the next N calls") fall back to none by
-themselves, so that a scenario can provoke exactly one lost answer.
+A fault is a record. It waits in a ``FaultPlan`` until a call comes that it is
+meant for, and is used up by it. The stand-ins ``match`` on the record.
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 
-@dataclass(slots=True)
-class Faults:
-    """What goes wrong with a service.
+@dataclass(frozen=True, slots=True)
+class Truncated:
+    """The answer ends after some events.
 
     Attributes:
-        is_down: Refuse every call before it has any effect.
-        delay_seconds: Time each call takes before it has its effect.
-        answer_delay_seconds: Time each answer takes after the effect.
-        n_refused: Refuse this many of the next calls.
-        n_lost_answers: Lose this many of the next write answers after their
-            effect.
-        n_late_writes: Lose this many of the next write answers and let the
-            write take effect only ``late_seconds`` later.
-        late_seconds: How late a late write takes effect.
-        n_stale_reads: Answer this many of the next reads from the state before
-            each key's last write.
-        n_partial_lists: Cut this many of the next listings to their first half.
-        lag_seconds: How far a lagging list is behind.
+        is_clean: End the HTTP body properly, so that only the missing
+            ``[DONE]`` shows the loss; otherwise cut the connection.
     """
 
-    is_down: bool = False
-    delay_seconds: float = 0.0
-    answer_delay_seconds: float = 0.0
-    n_refused: int = 0
-    n_lost_answers: int = 0
-    n_late_writes: int = 0
-    late_seconds: float = 1.0
-    n_stale_reads: int = 0
-    n_partial_lists: int = 0
-    lag_seconds: float = 0.0
-
-    def take(self, name: str) -> bool:
-        """Use up one of the counted faults ``name``; False when none is left."""
-        left = getattr(self, name)
-        if left <= 0:
-            return False
-        setattr(self, name, left - 1)
-        return True
-
-    def refuses(self) -> bool:
-        """Return whether this call is refused before it has any effect."""
-        return self.is_down or self.take("n_refused")
+    after_events: int
+    is_clean: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """The connection stays open and nothing more comes over it."""
+
+    after_events: int
+
+
+@dataclass(frozen=True, slots=True)
+class Doubled:
+    """One event is sent twice."""
+
+    event: int
+
+
+@dataclass(frozen=True, slots=True)
+class Skipped:
+    """One event is left out."""
+
+    event: int
+
+
+@dataclass(frozen=True, slots=True)
+class Crossed:
+    """An event of another request's answer is sent in place of one event."""
+
+    event: int
+
+
+@dataclass(frozen=True, slots=True)
+class WrongEcho:
+    """The response headers name another request."""
+
+
+@dataclass(frozen=True, slots=True)
+class SlowFirstByte:
+    """Nothing is sent for a while, then the answer comes as usual."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Swallowed:
+    """The request is read and neither run nor answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The target says no without running the request."""
+
+    status: int
+    retry_after_seconds: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class CrashAt:
+    """The whole engine crashes after some events of this answer."""
+
+    after_events: int
+
+
+StreamFault = (
+    Truncated
+    | Silent
+    | Doubled
+    | Skipped
+    | Crossed
+    | WrongEcho
+    | SlowFirstByte
+    | Swallowed
+    | Refused
+    | CrashAt
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SlowCall:
+    """A plain service answers late."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashBeforeRun:
+    """A plain service cuts the connection before it runs the call."""
+
+
+@dataclass(frozen=True, slots=True)
+class CrashAfterRun:
+    """A plain service runs the call, then restarts without an answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class LostAnswer:
+    """A plain service runs the call; its answer never arrives."""
+
+
+ServiceFault = SlowCall | CrashBeforeRun | CrashAfterRun | LostAnswer | Refused
+
+F = TypeVar("F")
+
+
+@dataclass
+class FaultPlan(Generic[F]):
+    """Faults waiting for the calls that they are meant for."""
+
+    _waiting: list[tuple[F, Callable[[str], bool]]] = field(default_factory=list)
+
+    def add(
+        self,
+        fault: F,
+        n_calls: int = 1,
+        is_meant: Callable[[str], bool] = lambda text: True,
+    ) -> None:
+        """Let the next ``n_calls`` calls whose text ``is_meant`` show a fault."""
+        self._waiting.extend([(fault, is_meant)] * n_calls)
+
+    def take(self, text: str) -> F | None:
+        """Return the fault of a call, if one waits for it, and use it up.
+
+        Args:
+            text: The prompt or the order body of the call.
+        """
+        for index, (fault, is_meant) in enumerate(self._waiting):
+            if is_meant(text):
+                del self._waiting[index]
+                return fault
+        return None
+
+    def clear(self) -> None:
+        """Forget all waiting faults."""
+        self._waiting.clear()
--- a/lycheepost/standin/objects.py
+++ b/lycheepost/standin/objects.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.platform.objects import ObjectError, ObjectMissing
-from lycheepost.standin.faults import Faults
+from lycheepost.standin.platformfaults import Faults
 
 MODEL_KEY: web.AppKey["ObjectModel"] = web.AppKey("model")
 _MOST_OBJECT_BYTES = 256 * 1024 * 1024
--- a/lycheepost/standin/table.py
+++ b/lycheepost/standin/table.py
@@ -29,8 +29,8 @@
     Write,
 )
 from lycheepost.platform.table_wire import ReadAnswer, ReadBody, ScanBody
-from lycheepost.standin.faults import Faults
 from lycheepost.standin.meter import Meter
+from lycheepost.standin.platformfaults import Faults
 
 _MOST_ROW_BYTES = 400_000
 """Larger values are refused, as table services commonly do."""
--- a/lycheepost/standin/vmlist.py
+++ b/lycheepost/standin/vmlist.py
@@ -9,7 +9,7 @@
 
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.platform.vms import Vm, VmListError, VmState
-from lycheepost.standin.faults import Faults
+from lycheepost.standin.platformfaults import Faults
 
 MODEL_KEY: web.AppKey["VmListModel"] = web.AppKey("model")
 
--- a/lycheepost/standin/weightstore.py
+++ b/lycheepost/standin/weightstore.py
@@ -13,7 +13,7 @@
 
 from lycheepost.core.ids import ModelId, WeightsVersion
 from lycheepost.platform.weights import WeightsError, WeightsInfo
-from lycheepost.standin.faults import Faults
+from lycheepost.standin.platformfaults import Faults
 
 MODEL_KEY: web.AppKey["WeightStoreModel"] = web.AppKey("model")
 _LOAD_STEPS = 20
