--- /dev/null
+++ b/lycheepost/peers/shared.py
@@ -0,0 +1,200 @@
+"""The shared state of one daemon, put together: one part to start and stop."""
+
+import secrets
+from dataclasses import dataclass
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.core.ids import AvailabilityZone, DaemonId
+from lycheepost.generated.configuration import Configuration
+from lycheepost.generated.settings import Settings
+from lycheepost.peers.exchange import PeerExchange, make_peer_exchange
+from lycheepost.peers.membership import MemberExchange
+from lycheepost.peers.revisions import RevisionExchange
+from lycheepost.peers.transport import Transport
+from lycheepost.platform.objects import ObjectPort
+from lycheepost.platform.table import TablePort
+from lycheepost.platform.vms import VmListPort
+from lycheepost.state.addresses import Member, MemberState
+from lycheepost.state.claim_expiry import ClaimExpiryWork
+from lycheepost.state.claims import ClaimKeeper, ClaimLimits, make_claim_keeper
+from lycheepost.state.duties import DutyRunner, Work, is_candidate
+from lycheepost.state.leases import LeaseKeeper
+from lycheepost.state.members import MemberKeeper, make_member_keeper
+from lycheepost.state.revisions import RevisionKeeper, make_revision_keeper
+from lycheepost.state.snapshots import SnapshotWork
+
+SNAPSHOT_DUTY = "snapshots"
+EXPIRY_DUTY = "claim-expiry"
+_DUTY_PERIOD_SHARE = 0.3
+"""Of a lease: three tries to renew before it runs out."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """The platform's services that the shared state uses."""
+
+    table: TablePort
+    objects: ObjectPort
+    vm_list: VmListPort
+
+
+@dataclass(frozen=True, slots=True)
+class SharedState:
+    """The parts of one daemon's shared state; made by ``make_shared_state``."""
+
+    revisions: RevisionKeeper
+    members: MemberKeeper
+    exchange: PeerExchange
+    claims: ClaimKeeper
+    leases: LeaseKeeper
+    duties: tuple[DutyRunner, ...]
+
+    async def start(self) -> None:
+        """Start every part: peers before the table, so that they answer first."""
+        await self.exchange.start()
+        await self.members.start()
+        await self.revisions.start()
+        await self.claims.start()
+        for duty in self.duties:
+            await duty.start()
+
+    async def drain(self) -> None:
+        """Leave the addresses answers, store answers, give duties up."""
+        await self.members.drain()
+        for duty in self.duties:
+            await duty.drain()
+        await self.claims.drain()
+
+    async def stop(self) -> None:
+        """Stop every part in reverse."""
+        for duty in self.duties:
+            await duty.stop()
+        await self.claims.stop()
+        await self.revisions.stop()
+        await self.members.stop()
+        await self.exchange.stop()
+
+    def status(self) -> dict[str, object]:
+        """Return the status of every part."""
+        return {
+            "revisions": self.revisions.status(),
+            "members": self.members.status(),
+            "peers": self.exchange.status(),
+            "claims": self.claims.status(),
+            "duties": [duty.status() for duty in self.duties],
+        }
+
+
+def make_shared_state(
+    ports: Ports,
+    transport: Transport,
+    clock: Clock,
+    settings: Settings,
+    fallback: Configuration | None = None,
+    callers_url: str = "",
+) -> SharedState:
+    """Return the shared state of one daemon.
+
+    Args:
+        ports: The platform's services.
+        transport: Links to the other daemons.
+        clock: A clock that counts suspension.
+        settings: The daemon's settings.
+        fallback: Configuration to serve from until a better source answers.
+        callers_url: Where callers reach this daemon, if it is known yet; else
+            ``members.set_callers_url`` tells it later.
+    """
+    daemon = DaemonId(settings.daemon.daemon_id)
+    boot = secrets.token_hex(6)
+    seed = hash_bytes(f"{daemon}/{boot}".encode())
+    me = Member(
+        daemon=daemon,
+        boot=boot,
+        state=MemberState.LIVE,
+        availability_zone=AvailabilityZone(settings.daemon.availability_zone),
+        callers_url=callers_url,
+        peer_endpoint="",
+        started_wall_seconds=clock.wall_seconds(),
+    )
+    state = settings.state
+    revisions = make_revision_keeper(
+        ports.table,
+        ports.objects,
+        clock,
+        state.poll_seconds,
+        fallback,
+        lambda: members.n_live(),
+        seed,
+    )
+    members = make_member_keeper(
+        ports.vm_list,
+        clock,
+        me,
+        lambda: revisions.view,
+        state.vm_list_poll_seconds,
+        state.addresses_valid_seconds,
+        seed,
+    )
+    for peer in settings.peers.seeds:
+        members.add_seed(DaemonId(peer.daemon_id), peer.endpoint)
+    exchange = make_peer_exchange(
+        transport,
+        members,
+        clock,
+        lambda: revisions.revision,
+        settings.peers.fanout,
+        settings.peers.exchange_seconds,
+    )
+    MemberExchange(exchange, members, clock)
+    RevisionExchange(exchange, revisions, clock)
+    claims = make_claim_keeper(
+        ports.table,
+        ports.objects,
+        clock,
+        daemon,
+        _claim_limits(settings, members.n_live()),
+        members.owner_is_live,
+        boot,
+    )
+    leases = LeaseKeeper(
+        ports.table, clock, daemon, state.lease_seconds, state.lease_margin_seconds
+    )
+
+    def make_duty(duty: str, work: Work) -> DutyRunner:
+        return DutyRunner(
+            leases,
+            duty,
+            lambda: is_candidate(duty, daemon, members.members()),
+            work,
+            state.lease_seconds * _DUTY_PERIOD_SHARE,
+            clock,
+            seed,
+        )
+
+    snapshots = SnapshotWork(ports.table, ports.objects, revisions)
+    expiry = ClaimExpiryWork(
+        ports.table, ports.objects, clock, state.claim_keep_seconds
+    )
+    duties = (
+        make_duty(SNAPSHOT_DUTY, snapshots.work),
+        make_duty(EXPIRY_DUTY, expiry.work),
+    )
+    return SharedState(revisions, members, exchange, claims, leases, duties)
+
+
+def _claim_limits(settings: Settings, n_daemons: int) -> ClaimLimits:
+    most = settings.platform.table_writes_per_second
+    return ClaimLimits(
+        wait_seconds=2 * settings.platform.timeout_seconds,
+        answer_bytes=settings.streams.stored_answer_bytes,
+        batch_seconds=settings.state.claim_batch_seconds,
+        batch_rows=settings.state.claim_batch,
+        even_writes_per_second=most / max(n_daemons, _FEWEST_DAEMONS),
+        most_writes_per_second=most,
+    )
+
+
+_FEWEST_DAEMONS = 7
+"""Daemons of today's deployments. Members are not known yet when the limits are
+made; a daemon of a larger fleet finds its rate when the table throttles it."""
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -187,6 +187,14 @@
             return False
         return not member.boot or member.boot == boot
 
+    def add_seed(self, daemon: DaemonId, endpoint: str) -> None:
+        """Take a peer from the settings, to ask before anything else is known."""
+        if daemon != self._me.daemon and daemon not in self._members:
+            zone = AvailabilityZone("")
+            self._members[daemon] = Member(
+                daemon, "", MemberState.LIVE, zone, "", endpoint
+            )
+
     def set_peer_endpoint(self, endpoint: str) -> None:
         """Tell where peers reach this daemon, once its socket is open."""
         self._update_me(replace(self._me, peer_endpoint=endpoint))
--- a/lycheepost/state/revision_rows.py
+++ b/lycheepost/state/revision_rows.py
@@ -26,8 +26,8 @@
 from lycheepost.state.errors import StateError, StoreUnreachable
 
 HEAD_KEY = "configuration/head"
-_REVISION_PREFIX = "configuration/revision/"
-_SNAPSHOT_PREFIX = "configuration/snapshot/"
+REVISION_PREFIX = "configuration/revision/"
+SNAPSHOT_PREFIX = "configuration/snapshot/"
 _PART_BYTES = 200_000
 """Most bytes of a delta in one row; table services bound the size of a row."""
 DELTAS_PER_READ = 64
@@ -144,7 +144,7 @@
     objects: ObjectPort, revision: Revision
 ) -> Result[Configuration, StateError]:
     """Return the whole configuration of one snapshot."""
-    match await objects.get(_snapshot_name(revision)):
+    match await objects.get(snapshot_name(revision)):
         case Success(data):
             return decode_snapshot(data)
         case Failure(error):
@@ -156,11 +156,11 @@
     objects: ObjectPort,
 ) -> Result[Configuration, StateError]:
     """Return the newest snapshot that the listing shows; the listing may lag."""
-    match await objects.list_names(_SNAPSHOT_PREFIX):
+    match await objects.list_names(SNAPSHOT_PREFIX):
         case Success(()):
             return Failure(StateError("There is no snapshot."))
         case Success(names):
-            newest = Revision(int(max(names).removeprefix(_SNAPSHOT_PREFIX)))
+            newest = Revision(int(max(names).removeprefix(SNAPSHOT_PREFIX)))
             return await read_snapshot(objects, newest)
         case Failure(error):
             return Failure(StoreUnreachable(error.reason))
@@ -173,8 +173,8 @@
     """Write a snapshot and read it back before anybody relies on it."""
     revision = Revision(configuration.revision)
     data = encode_snapshot(configuration)
-    await objects.put(_snapshot_name(revision), data)
-    match await objects.get(_snapshot_name(revision)):
+    await objects.put(snapshot_name(revision), data)
+    match await objects.get(snapshot_name(revision)):
         case Success(found) if found == data:
             return Success(None)
         case Success(_):
@@ -217,8 +217,9 @@
 
 
 def _part_key(revision: Revision, index: int) -> str:
-    return f"{_REVISION_PREFIX}{revision:012d}/{index:03d}"
+    return f"{REVISION_PREFIX}{revision:012d}/{index:03d}"
 
 
-def _snapshot_name(revision: Revision) -> str:
-    return f"{_SNAPSHOT_PREFIX}{revision:012d}"
+def snapshot_name(revision: Revision) -> str:
+    """Return the name of one snapshot's object; names sort as revisions do."""
+    return f"{SNAPSHOT_PREFIX}{revision:012d}"
--- a/lycheepost/state/revisions.py
+++ b/lycheepost/state/revisions.py
@@ -56,6 +56,14 @@
 _KEPT_DELTAS = 256
 """Newest deltas kept to answer peers that are a little behind; at 64,000 changes
 a day they cover almost six minutes."""
+_START_READERS_PER_SECOND = 10.0
+"""Daemons that turn to the table each second when all restart together. One reads
+up to 257 rows (the head, and the deltas since the last snapshot), so that 10 stay
+inside 2,000 reads a second on average even if peers pass nothing on."""
+_MOST_SNAPSHOT_WAIT_SECONDS = 5.0
+"""A snapshot is two reads of the object store: 540 daemons within this time are
+216 reads a second."""
+PEER_SOURCE = "peer"
 _COMMIT_SECONDS = 10.0
 _log = structlog.get_logger().bind(part="revisions")
 
@@ -284,11 +292,31 @@
                 expected += 1
 
     async def _run(self) -> None:
+        await self._start_up()
         while True:
+            await asyncio.sleep(self._next_poll_seconds())
             outcome = await self.refresh()
             if isinstance(outcome, Failure) and self.n_failed_polls == 1:
                 _log.warning("revisions: the table does not answer")
-            await asyncio.sleep(self._next_poll_seconds())
+
+    async def _start_up(self) -> None:
+        """Get a first configuration: peers, then a snapshot, then the table.
+
+        Peers answer within a round trip, and then nothing is read at all. When
+        the whole fleet restarts at once nobody has anything: the first daemons
+        whose turn comes read, and pass it on before the turn of most others.
+        """
+        spread_seconds = self._n_daemons() / _START_READERS_PER_SECOND
+        table_seconds = self._random.uniform(0, spread_seconds)
+        snapshot_seconds = self._random.uniform(
+            0, min(spread_seconds, _MOST_SNAPSHOT_WAIT_SECONDS)
+        )
+        await asyncio.sleep(min(snapshot_seconds, table_seconds))
+        if self.revision == 0 and snapshot_seconds < table_seconds:
+            await self.load_snapshot()
+            await asyncio.sleep(table_seconds - snapshot_seconds)
+        if not self._source.startswith(PEER_SOURCE):
+            await self.refresh()
 
     def _next_poll_seconds(self) -> float:
         spread = max(1.0, self._n_daemons() / _FLEET_POLLERS)
