Provoke races, lost answers and faulty intents of operators

Before: no test; two plans on different targets of a group could be confirmed one after the other (allow_unrelated) and leave too few serving. Revisions now carry applied_plans in their deltas.

--- /dev/null
+++ b/features/operators/plans.feature
@@ -0,0 +1,143 @@
+Feature: Operators plan and confirm
+
+  Background:
+    Given 2 daemons and a fleet of three engines
+
+  Scenario: Nothing changes before the confirm, which any daemon may take
+    When ada plans '{"kind": "create_customer", "customer": "beta"}' at daemon 1
+    Then the configuration has no customer "beta"
+    When ada confirms at daemon 2
+    Then the answer is 200
+    And the key shown works for "beta" at every daemon
+    And the key shown stands in no row of the table
+
+  Scenario Outline: Two operators race
+    Ada and Ben each plan from what they see, and both confirm.
+    Whoever is second decided on a configuration that is no longer in force.
+    A confirm that applied anyway would undo the first or build on it unseen.
+
+    When ada plans '<first>' at daemon 1
+    And ben plans '<second>' at daemon 2
+    And ada confirms at daemon 1
+    And ben confirms at daemon 2 <how>
+    Then the answer is <status>
+    And the answer names "<moved>"
+
+    Examples:
+      | first                                                        | second                                                          | how                | status | moved          |
+      | {"kind": "alter_customer", "customer": "acme", "share_weight": 2} | {"kind": "alter_customer", "customer": "acme", "is_enabled": false} | strictly           | 409    | customers/acme |
+      | {"kind": "alter_customer", "customer": "acme", "share_weight": 2} | {"kind": "alter_customer", "customer": "acme", "is_enabled": false} | allowing unrelated | 409    | customers/acme |
+      | {"kind": "retire_target", "target": "e1"}                    | {"kind": "create_customer", "customer": "beta"}                 | strictly           | 409    | targets/e1     |
+      | {"kind": "retire_target", "target": "e1"}                    | {"kind": "create_customer", "customer": "beta"}                 | allowing unrelated | 200    | revision       |
+      | {"kind": "create_customer", "customer": "beta"}              | {"kind": "create_customer", "customer": "beta"}                 | allowing unrelated | 409    | customers/beta |
+      | {"kind": "remove", "what": "model", "name": "reader"}        | {"kind": "alter_customer", "customer": "acme", "models": ["reader"]} | allowing unrelated | 409 | models/reader |
+      | {"kind": "retire_target", "target": "e1"}                    | {"kind": "retire_target", "target": "e2"}                       | allowing unrelated | 409    | target_groups/engines |
+
+  Scenario Outline: A confirm goes wrong and is repeated
+    Ada confirms a plan that creates a customer and sees an error or nothing.
+    Behind it the table lost an answer or refused a write, early or late.
+    She repeats the call elsewhere; a second customer, a second key or a lost
+    key would each leave a caller locked out or a key nobody knows of.
+
+    When ada plans '{"kind": "create_customer", "customer": "beta"}' at daemon 1
+    And the next write to "<prefix>" is <fault>
+    And ada confirms at daemon 1
+    Then the answer is <status>
+    When ada repeats the confirm at daemon 2
+    Then the answer is 200
+    And one revision was made
+    And the key shown works for "beta" at every daemon
+
+    Examples:
+      | prefix              | fault   | status |
+      | configuration/head  | lost    | 200    |
+      | configuration/head  | refused | 503    |
+      | plans/              | lost    | 200    |
+      | plans/              | refused | 503    |
+
+  Scenario: A daemon dies between the commit and the mark of the plan
+    Ada's confirm is applied, but its daemon is gone before it can answer or
+    note so in the plan's row. Her repeat finds a plan marked as begun, and a
+    basis that moved by the plan's own change: 409 would be a lie.
+
+    When ada plans '{"kind": "create_customer", "customer": "beta"}' at daemon 1
+    And the write after the commit is lost with its daemon
+    When ada repeats the confirm at daemon 2
+    Then the answer is 200
+    And one revision was made
+    And the key shown works for "beta" at every daemon
+
+  Scenario: Both daemons get the same confirm at once
+    When ada plans '{"kind": "create_customer", "customer": "beta"}' at daemon 1
+    And ada confirms at both daemons at once
+    Then both answers are 200 and the same
+    And one revision was made
+
+  Scenario Outline: A key is shown to the call that applied the plan only
+    When ada plans '<intent>' at daemon 1
+    And ada confirms at daemon 1
+    And <operator> confirms again with token "<token>"
+    Then the answer is 200
+    And <n> keys are shown and <withheld> withheld
+
+    Examples:
+      | intent                                                | operator | token | n | withheld |
+      | {"kind": "create_customer", "customer": "beta"}       | ada      | t     | 1 | 0        |
+      | {"kind": "create_customer", "customer": "beta"}       | ada      | other | 0 | 1        |
+      | {"kind": "rotate_customer_key", "customer": "acme"}   | ben      | t     | 0 | 1        |
+
+  Scenario: A plan that waited too long
+    When ada plans '{"kind": "create_customer", "customer": "beta"}' at daemon 1
+    And 901 seconds pass
+    And ada confirms at daemon 2
+    Then the answer is 410
+    And the configuration has no customer "beta"
+
+  Scenario Outline: The store is down
+    When the store is down while ada <does>
+    Then the answer is 503
+    And the answer says when to come back
+    And the configuration has no customer "beta"
+
+    Examples:
+      | does     |
+      | plans    |
+      | confirms |
+
+  Scenario Outline: An intent with faults names them all
+    When ada sends the intent '<intent>'
+    Then the answer is <status>
+    And the faults are at "<paths>"
+
+    Examples:
+      | intent | status | paths |
+      | [1]    | 422 | (document) |
+      | {"kind": "explode"} | 422 | kind |
+      | {"kind": "create_customer", "customer": "No", "share_weight": 0, "colour": 1} | 422 | (document) customer share_weight |
+      | {"kind": "create_customer", "customer": "acme", "models": ["x"], "target_groups": ["y"]} | 422 | customer models[0] target_groups[0] |
+      | {"changes": [{"kind": "retire_target", "target": "e9"}, {"kind": "create_model", "model": "reader", "weights_version": "w1", "target_group": "no"}]} | 422 | changes[0].target changes[1].model changes[1].target_group |
+      | {"kind": "add_target", "target": "e4", "target_group": "engines", "availability_zone": "derby", "url": "http://127.0.0.1:9001"} | 422 | url |
+      | {"kind": "remove", "what": "target", "name": "e1"} | 422 | name |
+      | {"changes": [], "extra": 1} | 422 | changes extra |
+
+  Scenario Outline: A plan that would hurt callers cannot be confirmed
+    When ada plans '<intent>' at daemon 1
+    Then the plan is blocked at "<subject>"
+    When ada confirms at daemon 1
+    Then the answer is 409
+
+    Examples:
+      | intent | subject |
+      | {"changes": [{"kind": "retire_target", "target": "e1"}, {"kind": "retire_target", "target": "e2"}]} | target_groups/engines |
+      | {"kind": "set_weights_version", "model": "reader", "weights_version": "w2"} | models/reader |
+
+  Scenario Outline: Only operators come in
+    When a call is made with <key>
+    Then the answer is <status>
+
+    Examples:
+      | key                 | status |
+      | no key              | 401    |
+      | a key nobody has    | 401    |
+      | the caller key      | 403    |
+      | an operator key     | 200    |
--- a/lycheepost/operators/confirming.py
+++ b/lycheepost/operators/confirming.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import structlog
@@ -20,6 +21,7 @@
     ConfirmAnswer,
     OperatorErrorKind,
     Plan,
+    PlanConflict,
     PlanState,
     ShownKey,
 )
@@ -158,17 +160,24 @@
         return OperatorError(
             "The plan has expired; plan again.", OperatorErrorKind.PLAN_EXPIRED
         )
-    blocking = [item for item in plan.conflicts if item.is_blocking]
-    if blocking:
-        return OperatorError(
-            "The plan has conflicts that block it.",
-            OperatorErrorKind.CONFLICT,
-            tuple(Fault(item.subject, "", item.reason) for item in blocking),
-        )
+    blocked = _check_conflicts(plan.conflicts)
+    if blocked is not None:
+        return blocked
     configuration = deps.revisions.view.configuration
     return _check_basis(plan, configuration, call.allow_unrelated)
 
 
+def _check_conflicts(conflicts: Iterable[PlanConflict]) -> OperatorError | None:
+    blocking = [item for item in conflicts if item.is_blocking]
+    if not blocking:
+        return None
+    return OperatorError(
+        "Conflicts block the plan.",
+        OperatorErrorKind.CONFLICT,
+        tuple(Fault(item.subject, "", item.reason) for item in blocking),
+    )
+
+
 def _check_basis(
     plan: Plan, configuration: Configuration, allow_unrelated: bool
 ) -> OperatorError | None:
@@ -200,6 +209,11 @@
         reason = "The plan no longer fits the configuration; plan again."
         faults = tuple(drafted.failure())
         return Failure(OperatorError(reason, OperatorErrorKind.BASIS_MOVED, faults))
+    # Two plans that touch different targets of one group may each leave enough
+    # of them serving and together too few, so the head is checked again.
+    blocked = _check_conflicts(drafted.unwrap().conflicts())
+    if blocked is not None:
+        return Failure(blocked)
     changed = remember_plan(
         drafted.unwrap().draft.finish(), plan, call.operator.name, call.token_hash
     )
--- a/lycheepost/operators/planning.py
+++ b/lycheepost/operators/planning.py
@@ -43,13 +43,17 @@
     """An intent applied to a draft.
 
     Attributes:
-        configuration: With the changes made; the revision is still the basis.
+        draft: With the changes made; the revision is still the basis.
         applied: What each change did, in order.
     """
 
     draft: Draft
     applied: tuple[Applied, ...]
 
+    def conflicts(self) -> list[PlanConflict]:
+        """Return what stands against the changes, taken together."""
+        return [conflict for item in self.applied for conflict in item.conflicts]
+
 
 def draft_intent(
     configuration: Configuration, intent: Intent, hash_for: HashForCustomer
@@ -122,9 +126,6 @@
         )
         for number, item in enumerate(drafted.applied, start=1)
     ]
-    conflicts: list[PlanConflict] = []
-    for item in drafted.applied:
-        conflicts += item.conflicts
     seconds = max((item.seconds for item in drafted.applied), default=0.0)
     return Plan(
         plan_id=make_plan_id(wall_seconds),
@@ -138,7 +139,7 @@
             seconds=seconds,
             ready_wall_seconds=wall_seconds + seconds if seconds else 0.0,
         ),
-        conflicts=conflicts,
+        conflicts=drafted.conflicts(),
         changes=list(intent.documents),
         basis=drafted.draft.basis(),
         note=intent.note,
--- a/lycheepost/state/deltas.py
+++ b/lycheepost/state/deltas.py
@@ -21,6 +21,7 @@
     "target_groups": "target_group",
     "targets": "target",
     "capacity_intents": "intent",
+    "applied_plans": "plan",
 }
 """The field that names an item, for each section."""
 
