--- /dev/null
+++ b/lycheepost/operators/capacity.py
@@ -0,0 +1,397 @@
+"""Decide the next moves of all capacity intents.
+
+This is a pure function of what is recorded, what is observed and the time.
+Whoever holds the duty calls it again and again, records the returned revision
+and sends the returned actions. Nothing is kept between two calls, so another
+holder goes on from the same place. Three promises hold at every call:
+
+- no more targets load than the group's ``concurrent_loads``, across holders,
+  since a load's slot is taken in the committed revision before its order goes;
+- no serving target is taken out while fewer than ``min_serving`` others, or
+  than a running hold asks for, surely serve;
+- a target is ordered to load only when it runs nothing.
+"""
+
+import dataclasses
+from itertools import groupby
+
+from lycheepost.generated.configuration import (
+    CapacityIntent,
+    CapacityIntentKind,
+    CapacityIntentState,
+    CapacityStep,
+    CapacityStepState,
+    Configuration,
+    Model,
+    Target,
+    TargetDesiredState,
+    TargetGroupKind,
+)
+from lycheepost.operators.capacity_group import UNFINISHED, GroupWork
+from lycheepost.operators.capacity_records import (
+    ACTIVE_STEPS,
+    FAILED_TARGETS_LIMIT,
+    CapacityAction,
+    CapacityDecision,
+    CapacityTiming,
+    Observations,
+    accepted_versions,
+    held_version,
+)
+from lycheepost.operators.capacity_steps import is_released, move_step
+from lycheepost.operators.items import Draft
+
+_ORDER_OF_KINDS = (
+    CapacityIntentKind.REPAIR,
+    CapacityIntentKind.HOLD_READY,
+    CapacityIntentKind.NEW_WEIGHTS,
+    CapacityIntentKind.CHANGE_ROLE,
+    CapacityIntentKind.RETIRE,
+)
+"""Whose steps take a free load first: what hurts callers now, then what brings
+capacity, then what takes it."""
+
+
+def decide_capacity(
+    configuration: Configuration,
+    observed: Observations,
+    now_wall_seconds: float,
+    timing: CapacityTiming,
+) -> CapacityDecision:
+    """Return the next revision to record and what to send now.
+
+    Args:
+        configuration: The revision in force, with all intents and their steps.
+        observed: What is known of targets; one left out counts as unseen.
+        now_wall_seconds: Now, as seconds since the Unix epoch.
+        timing: Times to keep.
+    """
+    draft = Draft(configuration)
+    actions: list[CapacityAction] = []
+    for group in configuration.target_groups:
+        work = GroupWork(draft, group, observed, now_wall_seconds)
+        if group.kind is TargetGroupKind.ENGINE:
+            _plan_repairs(work, timing)
+        actions += _move_group(work, timing, configuration.revision + 1)
+        _forget_ended(work, timing)
+    changed = draft.finish()
+    if changed == configuration:
+        return CapacityDecision(None, tuple(actions))
+    next_revision = dataclasses.replace(changed, revision=configuration.revision + 1)
+    return CapacityDecision(next_revision, tuple(actions))
+
+
+def _move_group(
+    work: GroupWork, timing: CapacityTiming, next_revision: int
+) -> list[CapacityAction]:
+    actions = []
+    for name in _sort_intents(work):
+        _begin(work, work.intents[name])
+        if work.intents[name].kind is CapacityIntentKind.HOLD_READY:
+            _fill_hold(work, work.intents[name])
+        for step in work.intents[name].steps:
+            intent = work.intents[name]
+            action = move_step(work, intent, step, timing, next_revision)
+            if action is not None:
+                actions.append(action)
+        _end(work, work.intents[name])
+    return actions
+
+
+def _sort_intents(work: GroupWork) -> list[str]:
+    intents = sorted(
+        work.intents.values(),
+        key=lambda item: (
+            _ORDER_OF_KINDS.index(item.kind),
+            item.start_wall_seconds,
+            item.intent,
+        ),
+    )
+    return [intent.intent for intent in intents]
+
+
+def _set_state(
+    work: GroupWork, intent: CapacityIntent, state: CapacityIntentState, note: str = ""
+) -> None:
+    ended_seconds = 0.0 if state in UNFINISHED else work.now_wall_seconds
+    work.put_intent(
+        dataclasses.replace(
+            intent, state=state, note=note, ended_wall_seconds=ended_seconds
+        )
+    )
+
+
+def _begin(work: GroupWork, intent: CapacityIntent) -> None:
+    begin_seconds = intent.start_wall_seconds - intent.lead_seconds
+    is_due = work.now_wall_seconds >= begin_seconds
+    if intent.state is not CapacityIntentState.SCHEDULED or not is_due:
+        return
+    if intent.kind is CapacityIntentKind.NEW_WEIGHTS:
+        _begin_new_weights(work, intent)
+    elif intent.kind is not CapacityIntentKind.HOLD_READY:
+        steps = [_waiting_step(target, "") for target in intent.targets]
+        work.put_intent(dataclasses.replace(intent, steps=steps))
+    _set_state(work, work.intents[intent.intent], CapacityIntentState.RUNNING)
+
+
+def _waiting_step(target: str, weights_version: str) -> CapacityStep:
+    return CapacityStep(
+        target=target,
+        state=CapacityStepState.WAITING,
+        weights_version=weights_version,
+    )
+
+
+def _begin_new_weights(work: GroupWork, intent: CapacityIntent) -> None:
+    """Let requests be served with both versions, and say who holds which.
+
+    A target without a version of its own follows its model; when the model's
+    version changes at the end, it must not seem to have changed with it.
+    """
+    model = work.model()
+    if model is None:
+        return
+    for target in list(work.targets.values()):
+        if not target.weights_version:
+            held = held_version(target, model)
+            work.put_target(dataclasses.replace(target, weights_version=held))
+    if intent.weights_version != model.weights_version:
+        following = dataclasses.replace(
+            model, next_weights_version=intent.weights_version
+        )
+        work.draft.put(following)
+    _add_missing_steps(work, intent)
+
+
+def _add_missing_steps(work: GroupWork, intent: CapacityIntent) -> bool:
+    """Add a step for each target that does not hold the new version."""
+    model = work.model()
+    known = {step.target for step in work.intents[intent.intent].steps}
+    missing = [
+        target
+        for target in work.targets.values()
+        if target.desired_state is not TargetDesiredState.RETIRED
+        and held_version(target, model) != intent.weights_version
+        and target.target not in known
+    ]
+    if missing:
+        work.put_steps(
+            intent.intent,
+            [
+                _waiting_step(target.target, intent.weights_version)
+                for target in _spread_over_zones(missing)
+            ],
+        )
+    return bool(missing)
+
+
+def _spread_over_zones(targets: list[Target]) -> list[Target]:
+    """Return standby targets first, then the others by turns of their zones.
+
+    A standby target costs no capacity; and two targets that are out at once
+    should not be half of what one availability zone has.
+    """
+
+    def zone(target: Target) -> str:
+        return target.availability_zone
+
+    ordered = sorted(targets, key=zone)
+    ranked = [
+        (target.desired_state is TargetDesiredState.SERVING, rank, target)
+        for _, members in groupby(ordered, key=zone)
+        for rank, target in enumerate(members)
+    ]
+    return [item[2] for item in sorted(ranked, key=lambda item: item[:2])]
+
+
+def _fill_hold(work: GroupWork, intent: CapacityIntent) -> None:
+    """Keep enough steps under way for the held number to serve."""
+    if is_released(intent):
+        _release(work, intent)
+        return
+    if intent.state is not CapacityIntentState.RUNNING:
+        return
+    model = work.model()
+    version = "" if model is None else model.weights_version
+    coming = {
+        step.target
+        for owner, step in work.steps()
+        if _will_serve(owner, step) and not work.is_ready_name(step.target)
+    }
+    n_missing = intent.n_targets - work.n_ready() - len(coming)
+    busy = {step.target for _, step in work.steps() if _is_open(step)}
+    spare = [
+        target
+        for target in work.targets.values()
+        if target.desired_state is TargetDesiredState.STANDBY
+        and target.target not in busy
+        and work.observe(target.target).health is not None
+    ]
+    chosen = _spread_over_zones(spare)[: max(0, n_missing)]
+    if chosen:
+        steps = [_waiting_step(target.target, version) for target in chosen]
+        work.put_steps(intent.intent, steps)
+
+
+def _will_serve(intent: CapacityIntent, step: CapacityStep) -> bool:
+    if step.state in ACTIVE_STEPS:
+        return step.was_serving
+    is_hold = intent.kind is CapacityIntentKind.HOLD_READY
+    return is_hold and step.state is CapacityStepState.WAITING
+
+
+def _is_open(step: CapacityStep) -> bool:
+    """Return whether a step still claims its target."""
+    return step.state is not CapacityStepState.DONE
+
+
+def _release(work: GroupWork, intent: CapacityIntent) -> None:
+    """Let the targets of an ended hold stand by again, as far as others serve."""
+    elsewhere = {
+        step.target
+        for owner, step in work.steps()
+        if owner.intent != intent.intent and step.state in ACTIVE_STEPS
+    }
+    for step in intent.steps:
+        target = work.targets.get(step.target)
+        if step.state is CapacityStepState.WAITING or target is None:
+            work.drop_step(intent.intent, step.target)
+            continue
+        if step.state not in (CapacityStepState.WARMING, CapacityStepState.DONE):
+            continue
+        if step.target in elsewhere:
+            continue
+        if target.desired_state is not TargetDesiredState.SERVING:
+            work.drop_step(intent.intent, step.target)
+        elif work.may_take_out(target):
+            standby = TargetDesiredState.STANDBY
+            work.put_target(dataclasses.replace(target, desired_state=standby))
+            work.drop_step(intent.intent, step.target)
+
+
+def _end(work: GroupWork, intent: CapacityIntent) -> None:
+    if intent.state is not CapacityIntentState.RUNNING:
+        return
+    failed = [
+        step.target for step in intent.steps if step.state is CapacityStepState.FAILED
+    ]
+    if intent.kind is CapacityIntentKind.HOLD_READY:
+        is_over = 0 < intent.end_wall_seconds <= work.now_wall_seconds
+        if is_over:
+            _set_state(work, intent, CapacityIntentState.DONE)
+        return
+    if len(failed) >= FAILED_TARGETS_LIMIT:
+        note = f"stopped: {', '.join(failed)} failed"
+        _set_state(work, intent, CapacityIntentState.FAILED, note)
+        return
+    ended = (CapacityStepState.DONE, CapacityStepState.FAILED)
+    if any(step.state not in ended for step in intent.steps):
+        return
+    note = f"without {', '.join(failed)}, which failed" if failed else ""
+    if intent.kind is CapacityIntentKind.NEW_WEIGHTS:
+        _end_new_weights(work, intent, note)
+        return
+    state = CapacityIntentState.DONE
+    if failed and len(failed) == len(intent.steps):
+        state = CapacityIntentState.FAILED
+    _set_state(work, intent, state, note)
+
+
+def _end_new_weights(work: GroupWork, intent: CapacityIntent, note: str) -> None:
+    """Let requests ask for the new version alone, once enough targets hold it."""
+    if _add_missing_steps(work, intent):
+        return
+    model = work.model()
+    if model is None:
+        _set_state(work, intent, CapacityIntentState.FAILED, "the model is gone")
+        return
+    if intent.steps and work.n_ready() < work.group.min_serving:
+        waits = f"waits: {work.n_ready()} of {work.group.min_serving} serve"
+        work.put_intent(dataclasses.replace(intent, note=waits))
+        return
+    work.draft.put(_settle_version(model, intent.weights_version))
+    _set_state(work, intent, CapacityIntentState.DONE, note)
+
+
+def _settle_version(model: Model, version: str) -> Model:
+    return dataclasses.replace(model, weights_version=version, next_weights_version="")
+
+
+def _plan_repairs(work: GroupWork, timing: CapacityTiming) -> None:
+    """Load again what a target should hold and does not.
+
+    An engine that crashed comes back with the weights it boots with; a target
+    that ignores fencing may have taken a late order of an earlier holder. Both
+    refuse every request meant for them until they hold what is recorded.
+    """
+    model = work.model()
+    if model is None:
+        return
+    name = f"repair-{work.group.target_group}"
+    claimed = {
+        step.target
+        for intent, step in work.steps()
+        if _is_open(step) and (intent.state in UNFINISHED or step.state in ACTIVE_STEPS)
+    }
+    wrong = [
+        target
+        for target in work.targets.values()
+        if target.desired_state is TargetDesiredState.SERVING
+        and target.target not in claimed
+        and _is_wrong(work, target, model, timing)
+    ]
+    if not wrong:
+        return
+    if name not in work.intents or work.intents[name].state not in UNFINISHED:
+        work.put_intent(_make_repair(work, name, work.intents.get(name)))
+    work.put_steps(name, [_repair_step(target, model) for target in wrong])
+
+
+def _is_wrong(
+    work: GroupWork, target: Target, model: Model, timing: CapacityTiming
+) -> bool:
+    observed = work.observe(target.target)
+    if observed.health is None:
+        return False
+    if held_version(target, model) not in accepted_versions(model):
+        return True
+    return observed.wrong_seconds >= timing.repair_after_seconds
+
+
+def _repair_step(target: Target, model: Model) -> CapacityStep:
+    held = held_version(target, model)
+    version = held if held in accepted_versions(model) else model.weights_version
+    return dataclasses.replace(_waiting_step(target.target, version), was_serving=True)
+
+
+def _make_repair(
+    work: GroupWork, name: str, earlier: CapacityIntent | None
+) -> CapacityIntent:
+    steps = [] if earlier is None else earlier.steps
+    # A failed load may still be under way: its record holds its slot.
+    failed = [step for step in steps if step.state is CapacityStepState.FAILED]
+    return CapacityIntent(
+        intent=name,
+        kind=CapacityIntentKind.REPAIR,
+        target_group=work.group.target_group,
+        state=CapacityIntentState.RUNNING,
+        start_wall_seconds=work.now_wall_seconds,
+        steps=failed,
+        note="targets hold other weights than recorded",
+    )
+
+
+def _forget_ended(work: GroupWork, timing: CapacityTiming) -> None:
+    """Drop intents that ended long ago, so that the configuration stays small."""
+    for intent in list(work.intents.values()):
+        if intent.state in UNFINISHED:
+            continue
+        is_busy = work.may_still_load(intent) or any(
+            step.state in ACTIVE_STEPS for step in intent.steps
+        )
+        is_old = (
+            work.now_wall_seconds
+            >= intent.ended_wall_seconds + timing.keep_ended_seconds
+        )
+        if is_old and not is_busy and not (is_released(intent) and intent.steps):
+            work.draft.drop(f"capacity_intents/{intent.intent}")
--- /dev/null
+++ b/lycheepost/operators/capacity_group.py
@@ -0,0 +1,258 @@
+"""One target group while capacity steps are decided: who serves, who loads.
+
+Two counts guard everything. ``loads`` holds every target that may be reading
+weights: each with a draining or loading step, each that says so itself, and each
+whose load failed without proof that it stopped. ``n_ready`` holds only targets
+that surely serve all their traffic. Both err towards doing less.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from lycheepost.core.ids import TargetId
+from lycheepost.generated.configuration import (
+    CapacityIntent,
+    CapacityIntentKind,
+    CapacityIntentState,
+    CapacityStep,
+    CapacityStepState,
+    Model,
+    Target,
+    TargetDesiredState,
+    TargetGroup,
+)
+from lycheepost.generated.operators import PlanConflict
+from lycheepost.operators.capacity_records import (
+    ACTIVE_STEPS,
+    FULL_SHARE,
+    UNSEEN,
+    Observations,
+    Observed,
+    accepted_versions,
+    held_version,
+)
+from lycheepost.operators.items import Draft
+
+UNFINISHED = frozenset(
+    {
+        CapacityIntentState.SCHEDULED,
+        CapacityIntentState.RUNNING,
+        CapacityIntentState.PAUSED,
+        CapacityIntentState.FAILED,
+    }
+)
+_SLOT_STEPS = frozenset({CapacityStepState.DRAINING, CapacityStepState.LOADING})
+_STOPPED_STEPS = frozenset({CapacityStepState.WAITING, CapacityStepState.FAILED})
+
+
+class GroupWork:
+    """The targets, intents and steps of one group, as a draft of the next revision.
+
+    Args:
+        draft: What the next revision is to hold.
+        group: The group.
+        observed: What is known of its targets.
+        now_wall_seconds: Now, as seconds since the Unix epoch.
+    """
+
+    def __init__(
+        self,
+        draft: Draft,
+        group: TargetGroup,
+        observed: Observations,
+        now_wall_seconds: float,
+    ) -> None:
+        self.draft = draft
+        self.group = group
+        self.now_wall_seconds = now_wall_seconds
+        self._observed = observed
+        self._loads: set[str] | None = None
+        self._n_ready: int | None = None
+        self.targets: dict[str, Target] = {
+            target.target: target
+            for target in draft.all("targets")
+            if target.target_group == group.target_group
+        }
+        self.intents: dict[str, CapacityIntent] = {
+            intent.intent: intent
+            for intent in draft.all("capacity_intents")
+            if intent.target_group == group.target_group
+        }
+
+    def model(self) -> Model | None:
+        """Return the group's model; None when it serves none or several."""
+        models = [
+            model
+            for model in self.draft.all("models")
+            if model.target_group == self.group.target_group
+        ]
+        return models[0] if len(models) == 1 else None
+
+    def observe(self, target: str) -> Observed:
+        """Return what is known of a target."""
+        return self._observed.get(TargetId(target), UNSEEN)
+
+    def put_target(self, target: Target) -> None:
+        """Change a target in the draft."""
+        self.targets[target.target] = target
+        self.draft.put(target)
+        self._n_ready = None
+
+    def put_intent(self, intent: CapacityIntent) -> None:
+        """Change an intent in the draft, with its progress counted again."""
+        done = sum(step.state is CapacityStepState.DONE for step in intent.steps)
+        counted = dataclasses.replace(
+            intent, n_steps=len(intent.steps), n_steps_done=done
+        )
+        self.intents[intent.intent] = counted
+        self.draft.put(counted)
+        self._loads = None
+
+    def put_steps(self, intent: str, steps: Iterable[CapacityStep]) -> None:
+        """Change the steps of some targets, or add them.
+
+        A step keeps its highest desired version: above zero it tells that an
+        order may have gone out, and so that the target may be loading.
+        """
+        owner = self.intents[intent]
+        known = {step.target: step for step in owner.steps}
+        for step in steps:
+            old = known.get(step.target, step)
+            version = max(old.desired_version, step.desired_version)
+            known[step.target] = dataclasses.replace(step, desired_version=version)
+        self.put_intent(dataclasses.replace(owner, steps=list(known.values())))
+
+    def drop_step(self, intent: str, target: str) -> None:
+        """Forget the step of one target."""
+        owner = self.intents[intent]
+        kept = [step for step in owner.steps if step.target != target]
+        self.put_intent(dataclasses.replace(owner, steps=kept))
+
+    def steps(self) -> list[tuple[CapacityIntent, CapacityStep]]:
+        """Return every step of the group with its intent."""
+        return [
+            (intent, step) for intent in self.intents.values() for step in intent.steps
+        ]
+
+    def busy_targets(self) -> set[str]:
+        """Return the targets that are in the midst of a step."""
+        return {step.target for _, step in self.steps() if step.state in ACTIVE_STEPS}
+
+    def loads(self) -> set[str]:
+        """Return every target that may be reading weights now or shortly."""
+        if self._loads is None:
+            self._loads = self._find_loads()
+        return self._loads
+
+    def _find_loads(self) -> set[str]:
+        loading = {name for name in self.targets if self.observe(name).is_loading}
+        for intent, step in self.steps():
+            takes_slot = intent.kind is not CapacityIntentKind.RETIRE
+            if takes_slot and step.state in _SLOT_STEPS:
+                loading.add(step.target)
+            was_ordered = step.state in _STOPPED_STEPS and step.desired_version > 0
+            if was_ordered and self._may_load(step.target):
+                loading.add(step.target)
+        return loading
+
+    def _may_load(self, target: str) -> bool:
+        """Return whether a target whose load was given up may still be loading.
+
+        A load that never finishes goes on reading the weight store. Until the
+        target itself says that it does not load, or its VM is gone, its slot
+        stays taken; else a stuck target would let one more load begin.
+        """
+        observed = self.observe(target)
+        if target not in self.targets or observed.is_lost:
+            return False
+        return observed.health is None or observed.is_loading
+
+    def has_free_load(self, target: str) -> bool:
+        """Return whether ``target`` may begin to load."""
+        loads = self.loads() - {target}
+        return len(loads) < self.group.concurrent_loads
+
+    def is_ready(self, target: Target) -> bool:
+        """Return whether a target surely serves its full share of traffic."""
+        if target.desired_state is not TargetDesiredState.SERVING:
+            return False
+        if target.serving_share < FULL_SHARE:
+            return False
+        observed = self.observe(target.target)
+        return observed.is_serving and self._holds_accepted(target, observed)
+
+    def is_ready_name(self, name: str) -> bool:
+        """Return whether the named target exists and is ready."""
+        return name in self.targets and self.is_ready(self.targets[name])
+
+    def _holds_accepted(self, target: Target, observed: Observed) -> bool:
+        model = self.model()
+        if model is None:
+            return True
+        held = held_version(target, model)
+        reported = held if observed.health is None else observed.health.weights_version
+        return reported == held and held in accepted_versions(model)
+
+    def n_ready(self) -> int:
+        """Return how many targets surely serve."""
+        if self._n_ready is None:
+            self._n_ready = sum(map(self.is_ready, self.targets.values()))
+        return self._n_ready
+
+    def floor(self) -> int:
+        """Return how many targets must be serving at any time now."""
+        holds = [
+            intent.n_targets
+            for intent in self.intents.values()
+            if intent.kind is CapacityIntentKind.HOLD_READY
+            and intent.state is CapacityIntentState.RUNNING
+            and self.now_wall_seconds >= intent.start_wall_seconds
+        ]
+        return max([self.group.min_serving, *holds])
+
+    def may_take_out(self, target: Target) -> bool:
+        """Return whether enough others serve for ``target`` to stop."""
+        if self.is_ready(target):
+            return self.n_ready() - 1 >= self.floor()
+        if self.is_useless(target):
+            return True
+        # It does not serve, as far as is known. But if it is only unseen, taking
+        # it out while too few are ready would end what it may yet do.
+        return self.n_ready() >= self.floor()
+
+    def is_useless(self, target: Target) -> bool:
+        """Return whether a target answers and has weights nobody asks it for."""
+        observed = self.observe(target.target)
+        answers = observed.health is not None
+        return answers and not self._holds_accepted(target, observed)
+
+    def may_still_load(self, intent: CapacityIntent) -> bool:
+        """Return whether an intent's record keeps a load slot taken."""
+        return bool(self.loads() & {step.target for step in intent.steps})
+
+
+def find_overlaps(
+    draft: Draft, group: str, targets: set[str], kind: CapacityIntentKind
+) -> list[PlanConflict]:
+    """Return the unfinished intents that want something of the same targets.
+
+    Two intents of one kind on the same targets are one wish too many and block;
+    others take turns on each target, and the operator is told.
+    """
+    conflicts = []
+    for intent in draft.all("capacity_intents"):
+        if intent.target_group != group or intent.state not in UNFINISHED:
+            continue
+        shared = sorted(targets & set(intent.targets))
+        if not shared:
+            continue
+        is_same = intent.kind is kind
+        after = "cancel it first" if is_same else "each target does one at a time"
+        conflicts.append(
+            PlanConflict(
+                subject=f"capacity_intents/{intent.intent}",
+                reason=f"{intent.kind.value} on {', '.join(shared[:8])}; {after}",
+                is_blocking=is_same,
+            )
+        )
+    return conflicts
--- /dev/null
+++ b/lycheepost/operators/capacity_steps.py
@@ -0,0 +1,330 @@
+"""Move the step of one target on: drain, load, warm, done.
+
+A step waits until a load is free and enough others serve; then its target takes
+no new work (draining), is told its new state once it runs nothing (loading), and
+takes a growing share of traffic (warming). Each move is recorded before anything
+is sent for it.
+"""
+
+import dataclasses
+
+from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
+from lycheepost.generated.configuration import (
+    CapacityIntent,
+    CapacityIntentKind,
+    CapacityIntentState,
+    CapacityStep,
+    CapacityStepState,
+    Target,
+    TargetDesiredState,
+)
+from lycheepost.generated.engine import EngineHealth, EngineHealthState
+from lycheepost.operators.capacity_group import GroupWork
+from lycheepost.operators.capacity_records import (
+    FULL_SHARE,
+    SERVING_SHARES,
+    CapacityAction,
+    CapacityTiming,
+    OrderAction,
+    WarmAction,
+    held_version,
+)
+
+_GIVEN_UP_WHEN_RETIRED = frozenset(
+    {
+        CapacityStepState.WAITING,
+        CapacityStepState.DRAINING,
+        CapacityStepState.WARMING,
+    }
+)
+"""A load under way is waited for, since it takes up a load slot."""
+
+
+def move_step(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    timing: CapacityTiming,
+    next_revision: int,
+) -> CapacityAction | None:
+    """Move one step on in the draft; return what is to be sent for it now."""
+    target = work.targets.get(step.target)
+    if target is None or work.observe(step.target).is_lost:
+        _lose(work, intent, step, target)
+        return None
+    if _is_retired_meanwhile(intent, target) and step.state in _GIVEN_UP_WHEN_RETIRED:
+        _enter(work, intent, step, CapacityStepState.DONE, note="it was retired")
+        return None
+    match step.state:
+        case CapacityStepState.WAITING:
+            _start(work, intent, step, target, next_revision)
+        case CapacityStepState.DRAINING:
+            _drain(work, intent, step, target, timing, next_revision)
+        case CapacityStepState.LOADING:
+            return _load(work, intent, step, target, timing)
+        case CapacityStepState.WARMING:
+            return _warm(work, intent, step, target, timing)
+    return None
+
+
+def _lose(
+    work: GroupWork, intent: CapacityIntent, step: CapacityStep, target: Target | None
+) -> None:
+    """End the step of a target that is no more; machines fail every day.
+
+    It does not count as failed: that would stop a long rollout after two VMs
+    that went for reasons of their own.
+    """
+    if step.state is CapacityStepState.DONE:
+        return
+    if intent.kind is CapacityIntentKind.RETIRE and target is not None:
+        _retire(work, target)
+    _enter(work, intent, step, CapacityStepState.DONE, note="it is gone")
+
+
+def _is_retired_meanwhile(intent: CapacityIntent, target: Target) -> bool:
+    """Return whether an operator retired the target while its step was open.
+
+    What was accepted never reverts, so the step must not let it serve again.
+    """
+    return (
+        intent.kind is not CapacityIntentKind.RETIRE
+        and target.desired_state is TargetDesiredState.RETIRED
+    )
+
+
+def _enter(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    state: CapacityStepState,
+    **fields: object,
+) -> None:
+    moved = dataclasses.replace(
+        step,
+        state=state,
+        since_wall_seconds=work.now_wall_seconds,
+        **{"note": "", **fields},  # type: ignore[arg-type]
+    )
+    work.put_steps(intent.intent, [moved])
+
+
+def _retire(work: GroupWork, target: Target) -> None:
+    work.put_target(
+        dataclasses.replace(target, desired_state=TargetDesiredState.RETIRED)
+    )
+
+
+def _start(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    target: Target,
+    next_revision: int,
+) -> None:
+    if intent.state is not CapacityIntentState.RUNNING:
+        return
+    if step.target in work.busy_targets():
+        return
+    is_serving = target.desired_state is TargetDesiredState.SERVING
+    if is_serving and not work.may_take_out(target):
+        return
+    if intent.kind is CapacityIntentKind.RETIRE:
+        _retire(work, target)
+        _enter(work, intent, step, CapacityStepState.DRAINING, was_serving=is_serving)
+        return
+    if work.observe(step.target).health is None or not work.has_free_load(step.target):
+        # A silent target would hold a load slot and do nothing with it.
+        return
+    if not is_serving:
+        was_serving = intent.kind is CapacityIntentKind.HOLD_READY or step.was_serving
+        _order(work, intent, step, next_revision, was_serving)
+        return
+    held = held_version(target, work.model())
+    work.put_target(
+        dataclasses.replace(
+            target, desired_state=TargetDesiredState.STANDBY, weights_version=held
+        )
+    )
+    _enter(work, intent, step, CapacityStepState.DRAINING, was_serving=True)
+
+
+def _order(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    next_revision: int,
+    was_serving: bool,
+) -> None:
+    _enter(
+        work,
+        intent,
+        step,
+        CapacityStepState.LOADING,
+        desired_version=next_revision,
+        was_serving=was_serving,
+    )
+
+
+def _drain(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    target: Target,
+    timing: CapacityTiming,
+    next_revision: int,
+) -> None:
+    if intent.state is CapacityIntentState.CANCELLED:
+        _put_back(work, intent, step, target)
+        return
+    if not _is_idle(work, step, timing):
+        return
+    if intent.kind is CapacityIntentKind.RETIRE:
+        _enter(work, intent, step, CapacityStepState.DONE)
+        return
+    _order(work, intent, step, next_revision, step.was_serving)
+
+
+def _put_back(
+    work: GroupWork, intent: CapacityIntent, step: CapacityStep, target: Target
+) -> None:
+    state = TargetDesiredState.STANDBY
+    if step.was_serving:
+        state = TargetDesiredState.SERVING
+    work.put_target(dataclasses.replace(target, desired_state=state))
+    _enter(work, intent, step, CapacityStepState.WAITING)
+
+
+def _is_idle(work: GroupWork, step: CapacityStep, timing: CapacityTiming) -> bool:
+    """Return whether the target surely runs nothing any more.
+
+    A load order ends whatever runs, so a stream would be cut. Daemons may send
+    work until they have the new revision, and load reports lag: only a report
+    measured after the settling time counts. There is no timeout: an answer has
+    a bound on its length, and none is worth cutting for a rollout.
+    """
+    settled_seconds = step.since_wall_seconds + timing.drain_settle_seconds
+    observed = work.observe(step.target)
+    return (
+        work.now_wall_seconds >= settled_seconds
+        and observed.n_running == 0
+        and observed.load_wall_seconds >= settled_seconds
+    )
+
+
+def _load(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    target: Target,
+    timing: CapacityTiming,
+) -> OrderAction | None:
+    health = work.observe(step.target).health
+    order = make_order(work, intent, step)
+    if health is not None and _has_arrived(health, order):
+        _end_load(work, intent, step, target, order)
+        return None
+    age_seconds = work.now_wall_seconds - step.since_wall_seconds
+    if age_seconds > timing.load_timeout_seconds:
+        _enter(work, intent, step, CapacityStepState.FAILED, note="the load timed out")
+        return None
+    if health is None or _is_on_its_way(health, order):
+        return None
+    return order
+
+
+def make_order(
+    work: GroupWork, intent: CapacityIntent, step: CapacityStep
+) -> OrderAction:
+    """Return the order of a loading step; the same at every repeat."""
+    model = work.model()
+    state = EngineHealthState.STANDBY
+    if step.was_serving:
+        state = EngineHealthState.SERVING
+    return OrderAction(
+        target=TargetId(step.target),
+        order_id=f"{intent.intent}-{step.target}-{step.desired_version}",
+        desired_version=step.desired_version,
+        state=state,
+        model="" if model is None else model.model,
+        weights_version=step.weights_version,
+        role=intent.role,
+    )
+
+
+def _has_arrived(health: EngineHealth, order: OrderAction) -> bool:
+    return (
+        health.state in (EngineHealthState.SERVING, EngineHealthState.STANDBY)
+        and (health.state is EngineHealthState.SERVING or order.state is health.state)
+        and order.weights_version in ("", health.weights_version)
+        and order.role in ("", health.role)
+    )
+
+
+def _is_on_its_way(health: EngineHealth, order: OrderAction) -> bool:
+    # An order that comes a second time would begin the load again.
+    return (
+        health.state is EngineHealthState.LOADING
+        and health.desired_version == order.desired_version
+    )
+
+
+def _end_load(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    target: Target,
+    order: OrderAction,
+) -> None:
+    holds = dataclasses.replace(
+        target, weights_version=step.weights_version or target.weights_version
+    )
+    is_out = _is_retired_meanwhile(intent, target) or is_released(intent)
+    if is_out or not step.was_serving:
+        work.put_target(holds)
+        _enter(work, intent, step, CapacityStepState.DONE)
+        return
+    warming = dataclasses.replace(
+        holds,
+        desired_state=TargetDesiredState.SERVING,
+        serving_share=SERVING_SHARES[0],
+    )
+    work.put_target(warming)
+    _enter(work, intent, step, CapacityStepState.WARMING)
+
+
+def is_released(intent: CapacityIntent) -> bool:
+    """Return whether a hold has ended, so that its targets may stand by again."""
+    return intent.kind is CapacityIntentKind.HOLD_READY and intent.state in (
+        CapacityIntentState.DONE,
+        CapacityIntentState.CANCELLED,
+    )
+
+
+def _warm(
+    work: GroupWork,
+    intent: CapacityIntent,
+    step: CapacityStep,
+    target: Target,
+    timing: CapacityTiming,
+) -> WarmAction | None:
+    health = work.observe(step.target).health
+    if health is not None and not _has_arrived(health, make_order(work, intent, step)):
+        # It crashed and came back without what it had loaded.
+        standby = dataclasses.replace(target, desired_state=TargetDesiredState.STANDBY)
+        work.put_target(standby)
+        _enter(work, intent, step, CapacityStepState.WAITING)
+        return None
+    if target.serving_share >= FULL_SHARE:
+        _enter(work, intent, step, CapacityStepState.DONE)
+        return None
+    age_seconds = work.now_wall_seconds - step.since_wall_seconds
+    n_rises = int(age_seconds / timing.warm_step_seconds)
+    share = SERVING_SHARES[min(n_rises, len(SERVING_SHARES) - 1)]
+    if share > target.serving_share:
+        work.put_target(dataclasses.replace(target, serving_share=share))
+    model = work.model()
+    if n_rises > 0 or model is None:
+        return None
+    version = WeightsVersion(held_version(target, model))
+    return WarmAction(TargetId(step.target), ModelId(model.model), version)
--- /dev/null
+++ b/lycheepost/operators/customer_changes.py
@@ -0,0 +1,92 @@
+"""Changes of customers and their caller keys."""
+
+import dataclasses
+
+from lycheepost.generated.configuration import Customer
+from lycheepost.generated.operators import (
+    AlterCustomer,
+    CreateCustomer,
+    RotateCustomerKey,
+)
+from lycheepost.operators.change_results import (
+    Applied,
+    ChangeResult,
+    HashForCustomer,
+    check_absent,
+    check_list,
+    check_present,
+    replace_given,
+)
+from lycheepost.operators.items import Draft
+from lycheepost.utils.documents import Fault
+
+
+def _check_customer_lists(
+    draft: Draft, change: CreateCustomer | AlterCustomer
+) -> list[Fault]:
+    faults = check_list(draft, "models", change.models, "models")
+    return faults + check_list(
+        draft, "target_groups", change.target_groups, "target_groups"
+    )
+
+
+def create_customer(
+    draft: Draft, change: CreateCustomer, hash_for: HashForCustomer
+) -> ChangeResult:
+    """Create a customer with one key."""
+    subject = f"customers/{change.customer}"
+    faults = check_absent(draft, subject, "customer")
+    faults += _check_customer_lists(draft, change)
+    faults += _check_key_unused(draft, change.key_hash)
+    if faults:
+        return faults
+    customer = Customer(
+        customer=change.customer,
+        key_hashes=[change.key_hash or hash_for(change.customer)],
+        share_weight=change.share_weight,
+        models=change.models,
+        target_groups=change.target_groups,
+    )
+    draft.put(customer)
+    return Applied("create_customer", subject, f"weight {change.share_weight}")
+
+
+def _check_key_unused(draft: Draft, key_hash: str) -> list[Fault]:
+    # Two customers with one key would reach each other's data: a request is
+    # given to whichever customer the look-up finds.
+    if key_hash and any(
+        key_hash in customer.key_hashes for customer in draft.all("customers")
+    ):
+        return [Fault("key_hash", key_hash[:8] + "...", "is in use")]
+    return []
+
+
+def alter_customer(draft: Draft, change: AlterCustomer) -> ChangeResult:
+    """Change fields of a customer."""
+    subject = f"customers/{change.customer}"
+    faults = check_present(draft, subject, "customer")
+    faults += _check_customer_lists(draft, change)
+    if faults:
+        return faults
+    fields = ("share_weight", "models", "target_groups", "is_enabled")
+    customer, detail = replace_given(draft.find(subject), change, fields)
+    draft.put(customer)
+    return Applied("alter_customer", subject, detail)
+
+
+def rotate_customer_key(
+    draft: Draft, change: RotateCustomerKey, hash_for: HashForCustomer
+) -> ChangeResult:
+    """Give a customer a new key."""
+    subject = f"customers/{change.customer}"
+    faults = check_present(draft, subject, "customer")
+    faults += _check_key_unused(draft, change.key_hash)
+    if faults:
+        return faults
+    customer = draft.find(subject)
+    kept = customer.key_hashes[:1] if change.keep_newest_old_key else []
+    new_hash = change.key_hash or hash_for(change.customer)
+    draft.put(dataclasses.replace(customer, key_hashes=[new_hash, *kept]))
+    n_ended = len(customer.key_hashes) - len(kept)
+    detail = f"a new key; {len(kept)} old keys work on, {n_ended} end"
+    return Applied("rotate_customer_key", subject, detail)
--- /dev/null
+++ b/lycheepost/operators/model_changes.py
@@ -0,0 +1,107 @@
+"""Plain changes of models."""
+
+import dataclasses
+
+from lycheepost.generated.configuration import (
+    Model,
+    TargetDesiredState,
+    TargetGroupKind,
+)
+from lycheepost.generated.operators import (
+    AlterModel,
+    CreateModel,
+    PlanConflict,
+    SetWeightsVersion,
+)
+from lycheepost.operators.change_results import (
+    Applied,
+    ChangeResult,
+    check_absent,
+    check_present,
+    replace_given,
+)
+from lycheepost.operators.items import Draft
+from lycheepost.utils.documents import Fault
+
+
+def create_model(draft: Draft, change: CreateModel) -> ChangeResult:
+    """Create a model on a group of engines."""
+    subject = f"models/{change.model}"
+    faults = check_absent(draft, subject, "model")
+    faults += check_present(
+        draft, f"target_groups/{change.target_group}", "target_group"
+    )
+    group = draft.find(f"target_groups/{change.target_group}")
+    if group is not None and group.kind is not TargetGroupKind.ENGINE:
+        faults.append(
+            Fault("target_group", change.target_group, "holds no model engines")
+        )
+    if faults:
+        return faults
+    draft.put(
+        Model(
+            model=change.model,
+            weights_version=change.weights_version,
+            target_group=change.target_group,
+            max_prompt_tokens=change.max_prompt_tokens,
+            max_output_tokens=change.max_output_tokens,
+        )
+    )
+    detail = f"weights {change.weights_version} on {change.target_group}"
+    return Applied("create_model", subject, detail)
+
+
+def alter_model(draft: Draft, change: AlterModel) -> ChangeResult:
+    """Change the limits of a model."""
+    subject = f"models/{change.model}"
+    faults = check_present(draft, subject, "model")
+    if faults:
+        return faults
+    fields = ("max_prompt_tokens", "max_output_tokens")
+    model, detail = replace_given(draft.find(subject), change, fields)
+    draft.put(model)
+    return Applied("alter_model", subject, detail)
+
+
+def set_weights_version(draft: Draft, change: SetWeightsVersion) -> ChangeResult:
+    """Ask for other weights, if enough targets hold them."""
+    subject = f"models/{change.model}"
+    faults = check_present(draft, subject, "model")
+    if faults:
+        return faults
+    model = draft.find(subject)
+    conflicts = _check_holders(draft, model, change.weights_version)
+    draft.put(dataclasses.replace(model, weights_version=change.weights_version))
+    detail = f"weights {model.weights_version} -> {change.weights_version}"
+    return Applied("set_weights_version", subject, detail, tuple(conflicts))
+
+
+def _check_holders(draft: Draft, model: Model, version: str) -> list[PlanConflict]:
+    """Return a blocking conflict when too few targets hold ``version``.
+
+    A target serves a request only with the weights that the request asks for.
+    Were the version set before enough targets hold it, every request would be
+    refused until they do; ``new_weights`` loads first and sets it last. Targets
+    with no version of their own follow the model and hold the version it had.
+    """
+    serving = [
+        target
+        for target in draft.all("targets")
+        if target.target_group == model.target_group
+        and target.desired_state is TargetDesiredState.SERVING
+    ]
+    group = draft.find(f"target_groups/{model.target_group}")
+    held = sum(
+        (target.weights_version or model.weights_version) == version
+        for target in serving
+    )
+    needed = min(group.min_serving, len(serving))
+    if held >= needed:
+        return []
+    reason = (
+        f"{held} of {len(serving)} serving targets hold {version} and {needed} must;"
+        " load it with new_weights"
+    )
+    return [
+        PlanConflict(subject=f"models/{model.model}", reason=reason, is_blocking=True)
+    ]
--- a/lycheepost/operators/planning.py
+++ b/lycheepost/operators/planning.py
@@ -18,7 +18,8 @@
     PlanState,
     PlanStep,
 )
-from lycheepost.operators.changes import Applied, HashForCustomer, apply_plain_change
+from lycheepost.operators.change_results import Applied, HashForCustomer
+from lycheepost.operators.changes import apply_plain_change
 from lycheepost.operators.intents import Change, Intent, prefix_fault
 from lycheepost.operators.items import Draft
 from lycheepost.state.view import ConfigurationView
