--- a/lycheepost/commands/model.py
+++ b/lycheepost/commands/model.py
@@ -59,16 +59,19 @@
     key: Key,
     url: Url = DEFAULT_URL,
     ca_file: CaFile = "",
+    at_once: Annotated[
+        bool, typer.Option(help="Load nothing; enough targets must hold it already.")
+    ] = False,
     yes: Yes = False,
     json_output: Json = False,
 ) -> None:
-    """Serve a model with another weights version that enough targets hold.
+    """Change a model to another weights version, target by target.
 
-    Where they do not hold it yet, the plan says so; load it with `new_weights`.
-    Exit codes: 0 set, 1 refused, 2 faulty input, 3 no answer.
+    Exit codes: 0 begun (or set, with --at-once), 1 refused, 2 faulty input, 3 no
+    answer. `lycheepost intent show` follows the progress.
     """
     document = {
-        "kind": "set_weights_version",
+        "kind": "set_weights_version" if at_once else "new_weights",
         "model": model,
         "weights_version": weights_version,
     }
--- a/lycheepost/operators/confirming.py
+++ b/lycheepost/operators/confirming.py
@@ -16,7 +16,11 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import PlanId, Revision
-from lycheepost.generated.configuration import AppliedPlan, Configuration
+from lycheepost.generated.configuration import (
+    AppliedPlan,
+    CapacityIntentKind,
+    Configuration,
+)
 from lycheepost.generated.operators import (
     ConfirmAnswer,
     OperatorErrorKind,
@@ -30,7 +34,11 @@
 from lycheepost.operators.callerkeys import derive_caller_key
 from lycheepost.operators.errors import OperatorError
 from lycheepost.operators.intents import parse_intent
-from lycheepost.operators.planning import draft_intent, remember_plan
+from lycheepost.operators.planning import (
+    DraftContext,
+    draft_intent,
+    remember_plan,
+)
 from lycheepost.operators.plans import (
     RETRY_SECONDS,
     PlanRaced,
@@ -202,9 +210,14 @@
     if refused is not None:
         return Failure(refused)
     intent = parse_intent({"changes": plan.changes}).unwrap()
-    drafted = draft_intent(
-        basis, intent, lambda customer: hash_key(_derive_key(call, customer))
+    context = DraftContext(
+        plan_id=plan.plan_id,
+        wall_seconds=deps.clock.wall_seconds(),
+        weights=tuple(plan.weights),
+        settings=deps.settings,
+        hash_for=lambda customer: hash_key(_derive_key(call, customer)),
     )
+    drafted = draft_intent(basis, intent, context)
     if not isinstance(drafted, Success):
         reason = "The plan no longer fits the configuration; plan again."
         faults = tuple(drafted.failure())
@@ -284,6 +297,11 @@
             for customer in shown
         ],
         n_keys_withheld=len(customers) - len(shown),
+        intents=[
+            step.subject.partition("/")[2]
+            for step in plan.steps
+            if step.action in set(CapacityIntentKind)
+        ],
     )
 
 
--- a/lycheepost/operators/items.py
+++ b/lycheepost/operators/items.py
@@ -47,9 +47,16 @@
 
 
 def digest_item(item: Item | None) -> str:
-    """Return the SHA-256 of an item's JSON; empty when it is absent."""
+    """Return the SHA-256 of an item's JSON; empty when it is absent.
+
+    Of a capacity intent only what operators decide counts: its progress moves
+    every few seconds, and a plan to pause it must not be refused for that.
+    """
     if item is None:
         return ""
+    if isinstance(item, CapacityIntent):
+        decided = (item.intent, item.kind.value, item.state.value)
+        return hashlib.sha256(repr(decided).encode()).hexdigest()
     return hashlib.sha256(encode_record(item)).hexdigest()
 
 
--- a/lycheepost/operators/model_changes.py
+++ b/lycheepost/operators/model_changes.py
@@ -71,11 +71,25 @@
         return faults
     model = draft.find(subject)
     conflicts = _check_holders(draft, model, change.weights_version)
+    _pin_followers(draft, model)
     draft.put(dataclasses.replace(model, weights_version=change.weights_version))
     detail = f"weights {model.weights_version} -> {change.weights_version}"
     return Applied("set_weights_version", subject, detail, tuple(conflicts))
 
 
+def _pin_followers(draft: Draft, model: Model) -> None:
+    """Write down the weights of targets that so far followed their model.
+
+    They hold what they held before; following on, they would seem to hold what
+    nobody has loaded there.
+    """
+    for target in draft.all("targets"):
+        follows = not target.weights_version
+        if follows and target.target_group == model.target_group:
+            held = model.weights_version
+            draft.put(dataclasses.replace(target, weights_version=held))
+
+
 def _check_holders(draft: Draft, model: Model, version: str) -> list[PlanConflict]:
     """Return a blocking conflict when too few targets hold ``version``.
 
@@ -90,6 +104,13 @@
         if target.target_group == model.target_group
         and target.desired_state is TargetDesiredState.SERVING
     ]
+    if model.next_weights_version:
+        reason = f"the model is changing to {model.next_weights_version}"
+        return [
+            PlanConflict(
+                subject=f"models/{model.model}", reason=reason, is_blocking=True
+            )
+        ]
     group = draft.find(f"target_groups/{model.target_group}")
     held = sum(
         (target.weights_version or model.weights_version) == version
--- a/lycheepost/operators/planning.py
+++ b/lycheepost/operators/planning.py
@@ -12,11 +12,22 @@
 
 from lycheepost.generated.configuration import AppliedPlan, Configuration
 from lycheepost.generated.operators import (
+    ChangeRole,
+    HoldReady,
+    NewWeights,
     Plan,
     PlanConflict,
     PlanEstimate,
     PlanState,
     PlanStep,
+    WeightsFact,
+)
+from lycheepost.generated.settings import OperatorSettings
+from lycheepost.operators.capacity_changes import (
+    CapacityChange,
+    CapacityContext,
+    WeightsKey,
+    apply_capacity_change,
 )
 from lycheepost.operators.change_results import Applied, HashForCustomer
 from lycheepost.operators.changes import apply_plain_change
@@ -56,15 +67,36 @@
         return [conflict for item in self.applied for conflict in item.conflicts]
 
 
+@dataclass(frozen=True)
+class DraftContext:
+    """What applying an intent needs beside the configuration.
+
+    Plan and confirm build it from the same plan id and the same answers of the
+    weight store, so that a confirm makes what the plan said.
+
+    Attributes:
+        plan_id: Names of new capacity intents are made from it.
+        weights: What the weight store said when the plan was made.
+        hash_for: Gives the hash of a caller key that the daemon makes.
+    """
+
+    plan_id: str
+    wall_seconds: float
+    weights: tuple[WeightsFact, ...]
+    settings: OperatorSettings
+    hash_for: HashForCustomer = lambda _: _PLACEHOLDER_HASH
+
+
 def draft_intent(
-    configuration: Configuration, intent: Intent, hash_for: HashForCustomer
+    configuration: Configuration, intent: Intent, context: DraftContext
 ) -> Result[Drafted, list[Fault]]:
     """Apply every change of ``intent`` to a draft, or return every fault."""
     draft = Draft(configuration)
     applied = []
     faults = []
-    for change, prefix in zip(intent.changes, intent.prefixes, strict=True):
-        result = _apply_change(draft, change, hash_for)
+    numbered = enumerate(zip(intent.changes, intent.prefixes, strict=True), start=1)
+    for number, (change, prefix) in numbered:
+        result = _apply_change(draft, change, number, context)
         if isinstance(result, Applied):
             applied.append(result)
         else:
@@ -75,9 +107,37 @@
 
 
 def _apply_change(
-    draft: Draft, change: Change, hash_for: HashForCustomer
+    draft: Draft, change: Change, number: int, context: DraftContext
 ) -> Applied | list[Fault]:
-    return apply_plain_change(draft, change, hash_for)  # type: ignore[arg-type]
+    if not isinstance(change, CapacityChange):
+        return apply_plain_change(draft, change, context.hash_for)
+    settings = context.settings
+    capacity = CapacityContext(
+        intent_name=f"{context.plan_id.rpartition('-')[2]}-{number}",
+        now_wall_seconds=context.wall_seconds,
+        weights={(fact.model, fact.weights_version): fact for fact in context.weights},
+        drain_seconds=settings.drain_settle_seconds,
+        warm_step_seconds=settings.warm_step_seconds,
+    )
+    return apply_capacity_change(draft, change, capacity)
+
+
+def versions_to_ask(
+    configuration: Configuration, intent: Intent
+) -> frozenset[WeightsKey]:
+    """Return the weights whose size and load time a plan of ``intent`` needs."""
+    keys = set()
+    for change in intent.changes:
+        match change:
+            case NewWeights(model=model, weights_version=version):
+                keys.add((str(model), version))
+            case HoldReady(target_group=group) | ChangeRole(target_group=group):
+                keys |= {
+                    (item.model, item.weights_version)
+                    for item in configuration.models
+                    if item.target_group == group
+                }
+    return frozenset(keys)
 
 
 def make_plan_id(wall_seconds: float) -> str:
@@ -86,27 +146,19 @@
 
 
 def plan_intent(
-    view: ConfigurationView,
-    intent: Intent,
-    wall_seconds: float,
-    plan_seconds: float,
-    operator: str = "",
+    view: ConfigurationView, intent: Intent, context: DraftContext, operator: str = ""
 ) -> Result[Plan, list[Fault]]:
     """Return the plan of ``intent`` on ``view``, or every fault of it.
 
     Args:
         view: The configuration that the plan builds on.
         intent: The checked intent.
-        wall_seconds: Now, as seconds since the Unix epoch.
-        plan_seconds: How long the plan may be confirmed.
+        context: Its id, the time, and what the weight store said.
         operator: Who asks, for other operators to read.
     """
-    drafted = draft_intent(view.configuration, intent, lambda _: _PLACEHOLDER_HASH)
+    drafted = draft_intent(view.configuration, intent, context)
     return drafted.map(
-        lambda outcome: dataclasses.replace(
-            _make_plan(view, intent, outcome, wall_seconds, plan_seconds),
-            planned_by=operator,
-        )
+        lambda outcome: _make_plan(view, intent, outcome, context, operator)
     )
 
 
@@ -114,36 +166,44 @@
     view: ConfigurationView,
     intent: Intent,
     drafted: Drafted,
-    wall_seconds: float,
-    plan_seconds: float,
+    context: DraftContext,
+    operator: str,
 ) -> Plan:
-    steps = [
-        PlanStep(
-            number=number,
-            action=item.action,
-            subject=item.subject,
-            detail=item.detail,
-            estimate_seconds=item.seconds,
-        )
-        for number, item in enumerate(drafted.applied, start=1)
-    ]
-    seconds = max((item.seconds for item in drafted.applied), default=0.0)
+    wall_seconds = context.wall_seconds
     return Plan(
-        plan_id=make_plan_id(wall_seconds),
+        plan_id=context.plan_id,
         state=PlanState.PLANNED,
         basis_revision=view.configuration.revision,
         created_wall_seconds=wall_seconds,
-        expires_wall_seconds=wall_seconds + plan_seconds,
-        steps=steps,
-        estimate=PlanEstimate(
-            n_steps=len(steps),
-            seconds=seconds,
-            ready_wall_seconds=wall_seconds + seconds if seconds else 0.0,
-        ),
+        expires_wall_seconds=wall_seconds + context.settings.plan_seconds,
+        steps=[
+            PlanStep(
+                number=number,
+                action=item.action,
+                subject=item.subject,
+                detail=item.detail,
+                estimate_seconds=item.seconds,
+            )
+            for number, item in enumerate(drafted.applied, start=1)
+        ],
+        estimate=_make_estimate(drafted, wall_seconds),
         conflicts=drafted.conflicts(),
         changes=list(intent.documents),
         basis=drafted.draft.basis(),
+        weights=list(context.weights),
         note=intent.note,
+        planned_by=operator,
+    )
+
+
+def _make_estimate(drafted: Drafted, wall_seconds: float) -> PlanEstimate:
+    # Changes of different groups run side by side, those of one group by turns:
+    # the longest is the least it takes.
+    seconds = max((item.seconds for item in drafted.applied), default=0.0)
+    return PlanEstimate(
+        n_steps=len(drafted.applied),
+        seconds=seconds,
+        ready_wall_seconds=wall_seconds + seconds if seconds else 0.0,
     )
 
 
--- a/lycheepost/operators/removal.py
+++ b/lycheepost/operators/removal.py
@@ -2,6 +2,7 @@
 
 from lycheepost.generated.configuration import TargetDesiredState
 from lycheepost.generated.operators import Remove, RemovedKind
+from lycheepost.operators.capacity_records import ACTIVE_STEPS
 from lycheepost.operators.change_results import (
     Applied,
     ChangeResult,
@@ -71,4 +72,10 @@
     target = draft.find(f"targets/{name}")
     if target.desired_state is TargetDesiredState.SERVING:
         return ["traffic: retire it first"]
-    return []
+    # A target removed in the midst of a load would free its load slot too soon.
+    return [
+        f"capacity_intents/{intent.intent}"
+        for intent in draft.all("capacity_intents")
+        for step in intent.steps
+        if step.target == name and step.state in ACTIVE_STEPS
+    ]
--- a/lycheepost/operators/routes.py
+++ b/lycheepost/operators/routes.py
@@ -19,9 +19,15 @@
 from lycheepost.operators.confirming import ConfirmCall, confirm_plan
 from lycheepost.operators.errors import OperatorError
 from lycheepost.operators.intents import parse_intent
-from lycheepost.operators.planning import plan_intent
+from lycheepost.operators.planning import (
+    DraftContext,
+    make_plan_id,
+    plan_intent,
+    versions_to_ask,
+)
 from lycheepost.operators.plans import PlanStore
 from lycheepost.operators.ports import OperatorDeps
+from lycheepost.operators.weightsfacts import ask_weights
 from lycheepost.utils.documents import Fault, encode_record
 
 _BODY_BYTES = 1_048_576
@@ -90,13 +96,17 @@
         parsed = parse_intent(document)
         if not isinstance(parsed, Success):
             return Failure(_invalid_intent(parsed.failure()))
-        planned = plan_intent(
-            self._deps.revisions.view,
-            parsed.unwrap(),
-            self._deps.clock.wall_seconds(),
-            self._deps.settings.plan_seconds,
-            operator.name,
+        view = self._deps.revisions.view
+        intent = parsed.unwrap()
+        keys = versions_to_ask(view.configuration, intent)
+        wall_seconds = self._deps.clock.wall_seconds()
+        context = DraftContext(
+            plan_id=make_plan_id(wall_seconds),
+            wall_seconds=wall_seconds,
+            weights=await ask_weights(self._deps.weights, keys),
+            settings=self._deps.settings,
         )
+        planned = plan_intent(view, intent, context, operator.name)
         if not isinstance(planned, Success):
             return Failure(_invalid_intent(planned.failure()))
         return await self._store.create(planned.unwrap())
