--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -42,7 +42,7 @@
 daemon looks every 25 minutes, and 540 daemons look every 2.8 seconds together."""
 _SUSPECT_SECONDS = 60.0
 """A daemon suspected for this long without a word counts as gone."""
-_log = structlog.get_logger().bind(part="members")
+_log = structlog.get_logger(part="members")
 
 OnTargetSign = Callable[[TargetId, TargetSign], None]
 OnMember = Callable[[Member], None]
@@ -178,6 +178,10 @@
         """Tell peers that this daemon leaves."""
         self._update_me(replace(self._me, state=MemberState.LEAVING))
 
+    def announce_callers_url(self, callers_url: str) -> None:
+        """Tell where callers reach this daemon, once its port is known."""
+        self._update_me(replace(self._me, callers_url=callers_url))
+
     def hear(self, member: Member) -> bool:
         """Take what a daemon says of itself; return whether it was news."""
         if member.daemon == self._me.daemon:
