--- a/lycheepost/callers/samples.py
+++ b/lycheepost/callers/samples.py
@@ -26,6 +26,7 @@
         token_gap_seconds: Mean time between tokens; None below two tokens.
         prompt_tokens: As the engine counted them; 0 when unknown.
         cached_tokens: Prompt tokens that the engine found in its cache.
+        is_at_most_once: A call that must not run twice.
         is_undetermined: A non-idempotent call whose outcome nobody can tell.
     """
 
@@ -36,4 +37,5 @@
     token_gap_seconds: float | None = None
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    is_at_most_once: bool = False
     is_undetermined: bool = False
--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from lycheepost.commands import settings
+from lycheepost.commands import load, settings
 
 app = typer.Typer(
     name="lycheepost",
@@ -16,6 +16,7 @@
 )
 
 app.add_typer(settings.app, name="settings")
+app.command("load")(load.load)
 
 
 def run() -> None:
--- a/lycheepost/loadgen/completions.py
+++ b/lycheepost/loadgen/completions.py
@@ -68,15 +68,20 @@
         self.parts.append(text)
 
 
-def encode_completion(request: Completion, model: str) -> bytes:
-    """Return the OpenAI body of ``request``; system messages are the prefix."""
+def make_messages(request: Completion) -> list[dict[str, str]]:
+    """Return the OpenAI messages; the shared sections are system messages."""
     messages = [
         {"role": "system", "content": section.text} for section in request.sections[:-1]
     ]
     messages.append({"role": "user", "content": request.sections[-1].text})
+    return messages
+
+
+def encode_completion(request: Completion, model: str) -> bytes:
+    """Return the OpenAI body of ``request``."""
     body: dict[str, Any] = {
         "model": model,
-        "messages": messages,
+        "messages": make_messages(request),
         "max_tokens": request.max_tokens,
     }
     if request.is_streamed:
--- /dev/null
+++ b/lycheepost/loadgen/expected.py
@@ -0,0 +1,90 @@
+"""What the stand-in engines and services must answer, and what they recorded.
+
+Both are known without asking the system under test: the stand-in engine's
+answer is a function of the prompt, and the stand-ins keep a record of their own.
+"""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Iterable
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.loadgen.audit import Answers, Evidence
+from lycheepost.loadgen.completions import make_messages
+from lycheepost.loadgen.requests import Completion
+from lycheepost.standin.answers import chat_prompt_text, expected_words
+from lycheepost.standin.engine import EngineStandin
+from lycheepost.standin.service import ServiceStandin
+
+_MOST_ORDERS = 200_000
+"""Bounds the reading of a record that somebody else keeps filling."""
+
+
+def _prompt_text(request: Completion) -> str:
+    return chat_prompt_text(make_messages(request))
+
+
+def _expected_text(request: Completion) -> str:
+    words = expected_words(_prompt_text(request), request.max_tokens)
+    return "".join(f" {word}" for word in words)
+
+
+def _prompt_hash(request: Completion) -> int:
+    return hash_bytes(_prompt_text(request).encode())
+
+
+def make_standin_answers() -> Answers:
+    """Return what is known of the stand-in engines' answers."""
+    return Answers(text=_expected_text, prompt_hash=_prompt_hash)
+
+
+def count_orders(bodies: Iterable[bytes]) -> Counter[str]:
+    """Count how often each ``order_id`` ran; bodies without one are skipped."""
+    runs: Counter[str] = Counter()
+    for body in bodies:
+        try:
+            order = msgspec.json.decode(body)["order_id"]
+        except (msgspec.DecodeError, KeyError, TypeError):
+            continue
+        runs[str(order)] += 1
+    return runs
+
+
+def collect_evidence(
+    engines: Iterable[EngineStandin], services: Iterable[ServiceStandin]
+) -> Evidence:
+    """Return the record of stand-ins that run in this process."""
+    bodies = (order.body for service in services for order in service.orders)
+    hashes = (record.prompt_hash for engine in engines for record in engine.records)
+    return Evidence(order_runs=count_orders(bodies), prompt_hashes=frozenset(hashes))
+
+
+async def read_order_runs(service_urls: Iterable[str]) -> Evidence:
+    """Read the orders that stand-in services in other processes ran.
+
+    Raises:
+        aiohttp.ClientError: A service could not be read; an audit without its
+            record would pass what it cannot know.
+    """
+    runs: Counter[str] = Counter()
+    async with aiohttp.ClientSession() as session:
+        for url in service_urls:
+            async for order in _orders(session, url):
+                runs[str(order.get("order_id", ""))] += 1
+    return Evidence(order_runs=runs)
+
+
+async def _orders(
+    session: aiohttp.ClientSession, url: str
+) -> AsyncIterator[dict[str, Any]]:
+    for number in range(1, _MOST_ORDERS):
+        async with session.get(f"{url}/orders/{number}") as response:
+            if response.status == 404:
+                return
+            response.raise_for_status()
+            order = (await response.json())["order"]
+        if isinstance(order, dict):
+            yield order
--- a/lycheepost/report/samples.py
+++ b/lycheepost/report/samples.py
@@ -15,11 +15,11 @@
 from array import array
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 import msgspec
 
-from lycheepost.core.ids import CustomerId, DaemonId, ModelId, TargetGroupId
+from lycheepost.callers.samples import Result, Sample
+from lycheepost.core.ids import DaemonId
 from lycheepost.generated.report import BurnCount, BurnSlot
 from lycheepost.generated.settings import ObjectiveSettings
 
@@ -48,47 +48,6 @@
 OTHER = "(other)"
 
 
-class EndKind(enum.Enum):
-    """How a request ended, as its service level counts it."""
-
-    SUCCESS = "success"
-    CALLER_FAULT = "caller_fault"
-    """Refused for what the caller sent; counts for no service level."""
-    CALLER_LEFT = "caller_left"
-    """The caller closed the connection; counts for no service level."""
-    REFUSED = "refused"
-    FAILED = "failed"
-    """Broken off, or ended with an error after it was sent to a target."""
-
-
-class OnceState(enum.Enum):
-    """What is known of a call that must run at most once."""
-
-    NOT_ASKED = "not_asked"
-    KEPT = "kept"
-    UNKNOWN = "unknown"
-    """Nobody can say whether it ran; a person must look."""
-    DOUBLED = "doubled"
-
-
-@dataclass(frozen=True, slots=True)
-class Sample:
-    """One request that has ended.
-
-    Attributes:
-        model: The model, or the target group of a plain service.
-        ttft_seconds: From the arrival to the first token; None without one.
-        mean_gap_seconds: Mean time between tokens; None under two tokens.
-    """
-
-    customer: CustomerId
-    model: ModelId | TargetGroupId
-    end: EndKind
-    once: OnceState = OnceState.NOT_ASKED
-    ttft_seconds: float | None = None
-    mean_gap_seconds: float | None = None
-
-
 class _Column(enum.IntEnum):
     """Where each count of a row stands."""
 
@@ -106,7 +65,8 @@
 _N_COLUMNS = _Column.FIRST_BUCKET + len(BUCKET_BOUNDS_SECONDS) + 1
 _EMPTY_ROW = array("I", [0] * _N_COLUMNS)
 _Key = tuple[str, str]
-_COUNTED_ENDS = frozenset({EndKind.SUCCESS, EndKind.REFUSED, EndKind.FAILED})
+_COUNTED = frozenset({Result.SUCCESS, Result.REFUSED, Result.FAILED})
+"""A caller's own fault and a caller that left count for no service level."""
 
 
 class Recorder:
@@ -132,19 +92,19 @@
         # written; its requests count in the open one.
         if slot > self._slot:
             self.close(wall_seconds)
-        row = self._row((sample.customer, sample.model))
-        if sample.end in _COUNTED_ENDS:
+        row = self._row((sample.customer, sample.name))
+        if sample.result in _COUNTED:
             row[_Column.REQUESTS] += 1
-            row[_Column.FAILED] += sample.end is not EndKind.SUCCESS
+            row[_Column.FAILED] += sample.result is not Result.SUCCESS
         if sample.ttft_seconds is not None:
             self._count_first_token(row, sample.ttft_seconds)
-        if sample.mean_gap_seconds is not None:
+        if sample.token_gap_seconds is not None:
             limit_seconds = self.objectives.token_gap_objective_seconds
             row[_Column.STREAMS] += 1
-            row[_Column.STREAMS_SLOW] += sample.mean_gap_seconds > limit_seconds
-        if sample.once is not OnceState.NOT_ASKED:
+            row[_Column.STREAMS_SLOW] += sample.token_gap_seconds > limit_seconds
+        if sample.is_at_most_once or sample.is_undetermined:
             row[_Column.ONCE] += 1
-            row[_Column.ONCE_BROKEN] += sample.once is not OnceState.KEPT
+            row[_Column.ONCE_BROKEN] += sample.is_undetermined
 
     def close(self, wall_seconds: float) -> None:
         """Close the open slot if its time has passed and open the next."""
