--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from lycheepost.commands import load, settings
+from lycheepost.commands import load, report, settings
 
 app = typer.Typer(
     name="lycheepost",
@@ -17,6 +17,7 @@
 
 app.add_typer(settings.app, name="settings")
 app.command("load")(load.load)
+app.add_typer(report.app, name="report")
 
 
 def run() -> None:
--- /dev/null
+++ b/lycheepost/report/gather.py
@@ -0,0 +1,170 @@
+"""Ask every daemon for its counts, and one of them for the kept history.
+
+A daemon that is known and does not answer is named as missing. Its counts up to
+its last written slot may still come from the history; what it has seen since is
+unknown, and unknown is never shown as good.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from lycheepost.generated.report import (
+    BurnAnswer,
+    BurnHistory,
+    BurnObjectives,
+    BurnSlot,
+)
+from lycheepost.report.burn import PairBurn, assess
+from lycheepost.report.routes import BURN_PATH, HISTORY_PATH
+
+_ASKED_AT_ONCE = 32
+_ANSWER_SECONDS = 10.0
+_HISTORY_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """A daemon whose recent counts are unknown.
+
+    Attributes:
+        name: Its id where a peer named it, else its address.
+    """
+
+    name: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class BurnReport:
+    """The burn of the whole system, as far as it could be seen.
+
+    Attributes:
+        answered: Ids of the daemons that answered.
+        history_gaps: What of the kept history could not be read, in words;
+            empty when all was read.
+        disagreeing: Ids of daemons whose objectives differ from the first's.
+    """
+
+    wall_seconds: float
+    objectives: BurnObjectives
+    answered: tuple[str, ...]
+    missing: tuple[Missing, ...]
+    disagreeing: tuple[str, ...]
+    history_gaps: str
+    n_slots_lost: int
+    pairs: tuple[PairBurn, ...]
+    slots: tuple[BurnSlot, ...]
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether nothing that was expected is missing."""
+        return not (self.missing or self.history_gaps or self.n_slots_lost)
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """One address and what came back."""
+
+    address: str
+    answer: BurnAnswer | None
+    reason: str
+
+
+async def gather_burn(
+    addresses: tuple[str, ...], operator_key: str
+) -> BurnReport | None:
+    """Return the report; None when no daemon answered.
+
+    Args:
+        addresses: Base URLs of the operators' listeners.
+        operator_key: Sent as a bearer key.
+    """
+    headers = {"Authorization": f"Bearer {operator_key}"}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        limit = asyncio.Semaphore(_ASKED_AT_ONCE)
+
+        async def ask(address: str) -> _Asked:
+            async with limit:
+                return await _ask(session, address)
+
+        asked = await asyncio.gather(*(ask(address) for address in addresses))
+        reached = [item for item in asked if item.answer is not None]
+        if not reached:
+            return None
+        history, gaps = await _ask_history(session, reached)
+    return _make_report(list(asked), history, gaps)
+
+
+async def _ask(session: aiohttp.ClientSession, address: str) -> _Asked:
+    try:
+        data = await _get(session, f"{address}{BURN_PATH}", _ANSWER_SECONDS)
+        return _Asked(address, msgspec.json.decode(data, type=BurnAnswer), "")
+    except aiohttp.ClientResponseError as error:
+        return _Asked(address, None, f"answered {error.status}")
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        return _Asked(address, None, type(error).__name__)
+    except msgspec.MsgspecError:
+        return _Asked(address, None, "answered something else")
+
+
+async def _get(session: aiohttp.ClientSession, url: str, seconds: float) -> bytes:
+    timeout = aiohttp.ClientTimeout(total=seconds)
+    async with session.get(url, timeout=timeout) as response:
+        response.raise_for_status()
+        return await response.read()
+
+
+async def _ask_history(
+    session: aiohttp.ClientSession, reached: list[_Asked]
+) -> tuple[list[BurnSlot], str]:
+    for item in reached:
+        try:
+            url = f"{item.address}{HISTORY_PATH}"
+            data = await _get(session, url, _HISTORY_SECONDS)
+            history = msgspec.json.decode(data, type=BurnHistory)
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+            continue
+        gaps = f"{history.n_unread} objects unread" if history.n_unread else ""
+        return history.slots, gaps
+    return [], "no daemon could read the history"
+
+
+def _make_report(
+    asked: list[_Asked], history: list[BurnSlot], history_gaps: str
+) -> BurnReport:
+    answers = [item.answer for item in asked if item.answer is not None]
+    slots = [slot for answer in answers for slot in answer.slots]
+    # The newest wall clock, so that no daemon's open slot lies in the future.
+    wall_seconds = max(answer.wall_seconds for answer in answers)
+    objectives = answers[0].objectives
+    return BurnReport(
+        wall_seconds=wall_seconds,
+        objectives=objectives,
+        answered=tuple(sorted(answer.daemon_id for answer in answers)),
+        missing=_find_missing(asked, answers),
+        disagreeing=tuple(
+            answer.daemon_id for answer in answers if answer.objectives != objectives
+        ),
+        history_gaps=history_gaps,
+        n_slots_lost=sum(answer.n_slots_lost for answer in answers),
+        pairs=tuple(assess([*slots, *history], objectives, wall_seconds)),
+        slots=(*slots, *history),
+    )
+
+
+def _find_missing(
+    asked: list[_Asked], answers: list[BurnAnswer]
+) -> tuple[Missing, ...]:
+    answered = {answer.daemon_id for answer in answers}
+    named = {member for answer in answers for member in answer.members}
+    unreached = [
+        Missing(item.address, item.reason) for item in asked if item.answer is None
+    ]
+    unasked = [
+        Missing(name, "named by a peer, did not answer")
+        for name in sorted(named - answered)
+    ]
+    return tuple(unreached + unasked)
--- /dev/null
+++ b/lycheepost/report/history.py
@@ -0,0 +1,236 @@
+"""Keep the counts of closed slots as small objects, and read them again.
+
+A daemon has no disk and may be replaced at any time; its counts must not go
+with it. Each closed slot becomes one object, never rewritten:
+
+    burn/slots/HOUR/DAEMON.BOOT.START      five minutes of one daemon
+    burn/hours/HOUR/DAEMON.BOOT            the sum of one hour of one daemon
+
+Five-minute objects serve the windows up to six hours, hour objects the longer
+ones. An hour whose daemon did not live to sum it up is read from its slots.
+"""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.hashing import hash_bytes, rendezvous_order
+from lycheepost.generated.report import BurnHistory, BurnSlot
+from lycheepost.platform.objects import ObjectPort
+from lycheepost.report.samples import HOUR_SECONDS, Recorder, sum_slots
+
+SAVE_SECONDS = 20.0
+"""Time between looks for slots to write; twenty seconds late is early enough."""
+_FINE_HOURS = 7
+"""Hours read slot by slot: the longest short window and the open hour."""
+_KEPT_HOURS = 73
+"""Three days, the longest window of the report, and the open hour."""
+_READS_AT_ONCE = 16
+_SLOTS_PREFIX = "burn/slots"
+_HOURS_PREFIX = "burn/hours"
+_MOST_SLOT_BYTES = 16_000_000
+"""No honest slot is larger; a damaged object must not fill the memory."""
+
+_log = structlog.get_logger().bind(part="report")
+
+
+def fine_from_seconds(wall_seconds: float) -> float:
+    """Return the wall time from which counts are read slot by slot."""
+    now_hour = int(wall_seconds) // HOUR_SECONDS
+    return float((now_hour - _FINE_HOURS + 1) * HOUR_SECONDS)
+
+
+def pack_slot(slot: BurnSlot) -> bytes:
+    """Return the object of one slot."""
+    return zlib.compress(msgspec.msgpack.encode(slot))
+
+
+def unpack_slot(data: bytes) -> BurnSlot | None:
+    """Return the slot of an object; None for a damaged one."""
+    try:
+        unpacker = zlib.decompressobj()
+        text = unpacker.decompress(data, _MOST_SLOT_BYTES)
+        if not unpacker.eof:
+            return None
+        return msgspec.msgpack.decode(text, type=BurnSlot)
+    except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
+        return None
+
+
+def slot_name(slot: BurnSlot) -> str:
+    """Return the object name of a five-minute slot."""
+    hour = slot.start_wall_seconds // HOUR_SECONDS
+    return (
+        f"{_SLOTS_PREFIX}/{hour}/{slot.daemon_id}.{slot.boot_id}."
+        f"{slot.start_wall_seconds}"
+    )
+
+
+def hour_name(slot: BurnSlot) -> str:
+    """Return the object name of an hour's sum."""
+    hour = slot.start_wall_seconds // HOUR_SECONDS
+    return f"{_HOURS_PREFIX}/{hour}/{slot.daemon_id}.{slot.boot_id}"
+
+
+@dataclass(frozen=True, slots=True)
+class _Found:
+    """Objects of one hour."""
+
+    slot_names: tuple[str, ...]
+    hour_names: tuple[str, ...]
+    n_failed: int
+
+
+class HistoryKeeper:
+    """The part of a daemon that writes its counts and reads the fleet's.
+
+    Args:
+        members: Ids of the daemons that live; one of them sweeps old objects.
+    """
+
+    def __init__(
+        self,
+        recorder: Recorder,
+        objects: ObjectPort,
+        clock: Clock,
+        members: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._recorder = recorder
+        self._objects = objects
+        self._clock = clock
+        self._members = members
+        self._task: asyncio.Task[None] | None = None
+        self._hour = 0
+        self._n_failed_writes = 0
+
+    async def start(self) -> None:
+        """Begin to write closed slots."""
+        self._hour = int(self._clock.wall_seconds()) // HOUR_SECONDS
+        self._task = asyncio.create_task(self._run())
+
+    async def drain(self) -> None:
+        """Nothing is taken here that could be refused."""
+
+    async def stop(self) -> None:
+        """Write what is left, also the open slot, and end."""
+        if self._task is not None:
+            self._task.cancel()
+        await self.save()
+        slot = self._recorder.open_slot()
+        if slot is not None:
+            await self._put(slot_name(slot), slot)
+
+    def status(self) -> dict[str, int]:
+        """Return the counts for ``/admin/status``."""
+        return self._recorder.status() | {"n_failed_writes": self._n_failed_writes}
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(SAVE_SECONDS)
+            wall_seconds = self._clock.wall_seconds()
+            self._recorder.close(wall_seconds)
+            await self.save()
+            hour = int(wall_seconds) // HOUR_SECONDS
+            if hour > self._hour:
+                await self._sum_hour(self._hour)
+                await self._sweep(hour)
+                self._hour = hour
+
+    async def save(self) -> None:
+        """Write the closed slots that are not yet in the object store."""
+        for slot in self._recorder.unsaved():
+            # While the store is down the slots wait in memory, oldest first.
+            if not await self._put(slot_name(slot), slot):
+                return
+            self._recorder.mark_saved(slot.start_wall_seconds)
+
+    async def _put(self, name: str, slot: BurnSlot) -> bool:
+        match await self._objects.put(name, pack_slot(slot)):
+            case Failure(error):
+                self._n_failed_writes += 1
+                _log.warning("report: counts not written", reason=str(error))
+                return False
+            case _:
+                return True
+
+    async def _sum_hour(self, hour: int) -> None:
+        slots = [
+            slot
+            for slot in self._recorder.slots()
+            if slot.start_wall_seconds // HOUR_SECONDS == hour
+        ]
+        # The sum replaces the slots for long windows, so it must hold all of
+        # them: an hour that was partly dropped from memory is left to its slots.
+        if self._recorder.dropped_until_seconds > hour * HOUR_SECONDS:
+            return
+        total = sum_slots(slots, hour)
+        if total is not None:
+            await self._put(hour_name(total), total)
+
+    async def _sweep(self, hour: int) -> None:
+        """Delete what is older than any window; one daemon does it for all."""
+        members = self._members()
+        order = rendezvous_order(hash_bytes(str(hour).encode()), members)
+        if not order or order[0] != self._recorder.daemon_id:
+            return
+        found = await self._find(hour - _KEPT_HOURS - 1)
+        for name in found.slot_names + found.hour_names:
+            await self._objects.delete(name)
+
+    async def read(self) -> BurnHistory:
+        """Return the kept counts of all daemons over the longest window."""
+        now_hour = int(self._clock.wall_seconds()) // HOUR_SECONDS
+        names: list[str] = []
+        n_unread = 0
+        for hour in range(now_hour - _KEPT_HOURS, now_hour + 1):
+            found = await self._find(hour)
+            n_unread += found.n_failed
+            names += _choose_names(found, is_fine=now_hour - hour < _FINE_HOURS)
+        slots = await self._read_all(names)
+        n_unread += len(names) - len(slots)
+        return BurnHistory(slots=slots, n_unread=n_unread)
+
+    async def _find(self, hour: int) -> _Found:
+        n_failed = 0
+        found = []
+        for prefix in (_SLOTS_PREFIX, _HOURS_PREFIX):
+            match await self._objects.list_names(f"{prefix}/{hour}/"):
+                case Success(names):
+                    found.append(names)
+                case _:
+                    n_failed += 1
+                    found.append(())
+        return _Found(found[0], found[1], n_failed)
+
+    async def _read_all(self, names: list[str]) -> list[BurnSlot]:
+        limit = asyncio.Semaphore(_READS_AT_ONCE)
+
+        async def read_one(name: str) -> BurnSlot | None:
+            async with limit:
+                match await self._objects.get(name):
+                    case Success(data):
+                        return unpack_slot(data)
+                    case _:
+                        return None
+
+        read = await asyncio.gather(*(read_one(name) for name in names))
+        return [slot for slot in read if slot is not None]
+
+
+def _choose_names(found: _Found, is_fine: bool) -> tuple[str, ...]:
+    """Return each count of an hour once: by slots, or by the hour's sum."""
+    if is_fine:
+        return found.slot_names
+    summed = {name.rsplit("/", 1)[1] for name in found.hour_names}
+    alone = tuple(
+        name
+        for name in found.slot_names
+        if name.rsplit("/", 1)[1].rsplit(".", 1)[0] not in summed
+    )
+    return found.hour_names + alone
--- /dev/null
+++ b/lycheepost/report/routes.py
@@ -0,0 +1,70 @@
+"""The daemon's HTTP answers behind ``lycheepost report burn``.
+
+The operators' listener checks the key before these handlers run.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+
+from lycheepost.core.clock import Clock
+from lycheepost.generated.report import BurnAnswer, BurnObjectives
+from lycheepost.generated.settings import ObjectiveSettings
+from lycheepost.report.history import HistoryKeeper, fine_from_seconds
+from lycheepost.report.samples import Recorder
+
+BURN_PATH = "/admin/burn"
+HISTORY_PATH = "/admin/burn/history"
+
+
+def make_objectives(settings: ObjectiveSettings) -> BurnObjectives:
+    """Return the part of the objectives that the report judges by."""
+    return BurnObjectives(
+        ttft_objective_seconds=settings.ttft_objective_seconds,
+        token_gap_objective_seconds=settings.token_gap_objective_seconds,
+        objective_share=settings.objective_share,
+        success_share=settings.success_share,
+        exactly_once_share=settings.exactly_once_share,
+    )
+
+
+def make_report_routes(
+    recorder: Recorder,
+    keeper: HistoryKeeper,
+    clock: Clock,
+    members: Callable[[], tuple[str, ...]],
+) -> list[web.RouteDef]:
+    """Return the routes of the report.
+
+    Args:
+        recorder: The counts of this daemon.
+        keeper: Reads the counts of all daemons that the object store holds.
+        clock: Its wall time goes with the answer.
+        members: Ids of the daemons that this one believes to live; the report
+            shows those that it cannot ask as missing.
+    """
+
+    async def get_burn(_request: web.Request) -> web.Response:
+        wall_seconds = clock.wall_seconds()
+        answer = BurnAnswer(
+            daemon_id=recorder.daemon_id,
+            boot_id=recorder.boot_id,
+            wall_seconds=wall_seconds,
+            objectives=make_objectives(recorder.objectives),
+            members=list(members()),
+            slots=recorder.slots(fine_from_seconds(wall_seconds)),
+            n_slots_lost=recorder.n_slots_lost,
+        )
+        return _json_response(answer)
+
+    async def get_history(_request: web.Request) -> web.Response:
+        return _json_response(await keeper.read())
+
+    return [web.get(BURN_PATH, get_burn), web.get(HISTORY_PATH, get_history)]
+
+
+def _json_response(record: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(record), content_type="application/json"
+    )
--- a/lycheepost/report/samples.py
+++ b/lycheepost/report/samples.py
@@ -70,7 +70,14 @@
 
 
 class Recorder:
-    """The counts of one daemon since its start."""
+    """The counts of one daemon since its start.
+
+    Attributes:
+        n_slots_lost: Slots dropped from memory before the object store took
+            them.
+        dropped_until_seconds: Wall time before which slots may have left the
+            memory.
+    """
 
     def __init__(
         self, daemon_id: DaemonId, boot_id: str, objectives: ObjectiveSettings
@@ -79,6 +86,7 @@
         self.boot_id = boot_id
         self.objectives = objectives
         self.n_slots_lost = 0
+        self.dropped_until_seconds = 0
         self._rows: dict[_Key, array[int]] = {}
         self._slot = 0
         self._closed: OrderedDict[int, bytes] = OrderedDict()
@@ -182,6 +190,7 @@
         while self._closed_bytes > _KEPT_BYTES and len(self._closed) > 1:
             oldest, dropped = self._closed.popitem(last=False)
             self._closed_bytes -= len(dropped)
+            self.dropped_until_seconds = (oldest + 1) * SLOT_SECONDS
             if oldest in self._unsaved:
                 # The object store has been down for so long that memory runs
                 # out; the report says how much is missing.
