--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,16 @@
 
 import typer
 
-from lycheepost.commands import load, report, settings
+from lycheepost.commands import (
+    customer,
+    fleet,
+    intent,
+    load,
+    model,
+    report,
+    serve,
+    settings,
+)
 
 app = typer.Typer(
     name="lycheepost",
@@ -15,9 +24,14 @@
     add_completion=False,
 )
 
+app.command()(serve.serve)
 app.add_typer(settings.app, name="settings")
 app.command("load")(load.load)
 app.add_typer(report.app, name="report")
+app.add_typer(customer.app, name="customer")
+app.add_typer(model.app, name="model")
+app.add_typer(intent.app, name="intent")
+app.add_typer(fleet.app, name="fleet")
 
 
 def run() -> None:
