--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -13,6 +13,7 @@
 
 import structlog
 from aiohttp import web
+from returns.pipeline import is_successful
 
 from lycheepost.app.feed import TargetFeed
 from lycheepost.app.listeners import Listener
@@ -36,6 +37,7 @@
 from lycheepost.decide.settings import make_scheduler_settings
 from lycheepost.generated.callers import AddressList
 from lycheepost.generated.settings import Settings
+from lycheepost.operators.access import identify_operator
 from lycheepost.operators.ports import OperatorDeps
 from lycheepost.operators.routes import make_operator_routes
 from lycheepost.platform.http_objects import make_http_objects
@@ -46,11 +48,13 @@
 from lycheepost.platform.table import TablePort
 from lycheepost.platform.vms import VmListPort
 from lycheepost.platform.weights import WeightsPort
+from lycheepost.report.history import HistoryKeeper
+from lycheepost.report.routes import make_report_routes
 from lycheepost.report.samples import Recorder
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.claims import ClaimLimits, make_claim_keeper
 from lycheepost.state.members import MemberKeeper, make_member_keeper
-from lycheepost.state.revisions import make_revision_keeper
+from lycheepost.state.revisions import RevisionKeeper, make_revision_keeper
 from lycheepost.state.signs import SignSource, TargetSign
 from lycheepost.targets.engine import make_engine_client
 from lycheepost.targets.service import make_service_client
@@ -61,7 +65,7 @@
 for its health meanwhile."""
 _EXPECTED_DAEMONS = 7
 """Daemons that share the table's writes, until members say otherwise."""
-_log = structlog.get_logger().bind(part="app")
+_log = structlog.get_logger(part="app")
 
 
 @dataclass(frozen=True)
@@ -94,6 +98,8 @@
         front: The callers' handlers.
         callers: The callers' listener; tells the port.
         operators: The operators' listener; tells the port.
+        revisions: The configuration in force here.
+        feed: Passes targets to the scheduler.
     """
 
     def __init__(
@@ -103,11 +109,15 @@
         front: CallerFront,
         callers: Listener,
         operators: Listener,
+        revisions: RevisionKeeper,
         members: MemberKeeper,
+        feed: TargetFeed,
         platform: Platform,
         drain_state: "DrainState",
     ) -> None:
         self.front = front
+        self.revisions = revisions
+        self.feed = feed
         self.callers = callers
         self.operators = operators
         self._settings = settings
@@ -227,6 +237,11 @@
     engines = make_engine_client(settings.streams, clock)
     services = make_service_client(settings.streams)
     recorder = Recorder(daemon_id, boot, settings.objectives)
+
+    def member_names() -> tuple[str, ...]:
+        return tuple(member.daemon for member in members.members())
+
+    history = HistoryKeeper(recorder, platform.objects, clock, member_names)
     feed = TargetFeed(
         dispatcher,
         lambda: revisions.view,
@@ -260,6 +275,7 @@
             "queues": dispatcher.status(),
             "claims": claims.status(),
             "engines": engines.status(),
+            "report": history.status(),
         }
 
     front = CallerFront(
@@ -280,16 +296,24 @@
             status=status,
         )
     )
-    operator_routes = make_operator_routes(
-        OperatorDeps(
-            revisions=revisions,
-            table=platform.table,
-            clock=clock,
-            settings=settings.operators,
-            weights=platform.weights,
-            fleet=lambda: fleet_status(settings, revisions, members, clock),
-        )
+    operator_deps = OperatorDeps(
+        revisions=revisions,
+        table=platform.table,
+        clock=clock,
+        settings=settings.operators,
+        weights=platform.weights,
+        fleet=lambda: fleet_status(settings, revisions, members, clock),
     )
+    operator_routes = [
+        *make_operator_routes(operator_deps),
+        *make_report_routes(
+            recorder,
+            history,
+            clock,
+            member_names,
+            lambda header: is_successful(identify_operator(operator_deps, header)),
+        ),
+    ]
     callers, operators = _make_listeners(settings, front.routes(), operator_routes)
     parts: list[Part] = [
         revisions,
@@ -299,11 +323,21 @@
         services,
         dispatcher,
         feed,
+        history,
         callers,
         operators,
     ]
     return Daemon(
-        settings, parts, front, callers, operators, members, platform, drain_state
+        settings,
+        parts,
+        front,
+        callers,
+        operators,
+        revisions,
+        members,
+        feed,
+        platform,
+        drain_state,
     )
 
 
--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -8,6 +8,7 @@
 
 from lycheepost.commands import (
     customer,
+    demo,
     fleet,
     intent,
     load,
@@ -24,6 +25,7 @@
     add_completion=False,
 )
 
+app.command()(demo.demo)
 app.command()(serve.serve)
 app.add_typer(settings.app, name="settings")
 app.command("load")(load.load)
--- a/lycheepost/report/routes.py
+++ b/lycheepost/report/routes.py
@@ -1,6 +1,6 @@
 """The daemon's HTTP answers behind ``lycheepost report burn``.
 
-The operators' listener checks the key before these handlers run.
+They tell who the customers are, so only an operator's key opens them.
 """
 
 from collections.abc import Callable
@@ -34,6 +34,7 @@
     keeper: HistoryKeeper,
     clock: Clock,
     members: Callable[[], tuple[str, ...]],
+    is_operator: Callable[[str | None], bool],
 ) -> list[web.RouteDef]:
     """Return the routes of the report.
 
@@ -43,9 +44,15 @@
         clock: Its wall time goes with the answer.
         members: Ids of the daemons that this one believes to live; the report
             shows those that it cannot ask as missing.
+        is_operator: Judges an ``Authorization`` header.
     """
 
-    async def get_burn(_request: web.Request) -> web.Response:
+    def check(request: web.Request) -> None:
+        if not is_operator(request.headers.get("Authorization")):
+            raise web.HTTPUnauthorized(reason="an operator key is needed")
+
+    async def get_burn(request: web.Request) -> web.Response:
+        check(request)
         wall_seconds = clock.wall_seconds()
         answer = BurnAnswer(
             daemon_id=recorder.daemon_id,
@@ -58,7 +65,8 @@
         )
         return _json_response(answer)
 
-    async def get_history(_request: web.Request) -> web.Response:
+    async def get_history(request: web.Request) -> web.Response:
+        check(request)
         return _json_response(await keeper.read())
 
     return [web.get(BURN_PATH, get_burn), web.get(HISTORY_PATH, get_history)]
