--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -12,7 +12,9 @@
     demo,
     fleet,
     intent,
+    load,
     model,
+    report,
     serve,
     settings,
     standin,
@@ -29,6 +31,8 @@
 app.command()(serve.serve)
 app.command()(standin.standin)
 app.add_typer(settings.app, name="settings")
+app.command("load")(load.load)
+app.add_typer(report.app, name="report")
 app.add_typer(customer.app, name="customer")
 app.add_typer(model.app, name="model")
 app.add_typer(intent.app, name="intent")
