--- a/lycheepost/app/demo.py
+++ b/lycheepost/app/demo.py
@@ -21,6 +21,8 @@
     DaemonSettings,
     ListenerSettings,
     OperatorSettings,
+    PeerAddress,
+    PeerSettings,
     Settings,
     StateSettings,
 )
@@ -99,9 +101,20 @@
 
 
 def make_demo_settings(
-    standins: StandinFleet, index: int, operator_key: str, base: Settings | None
+    standins: StandinFleet,
+    seeds: list[PeerAddress],
+    operator_key: str,
+    base: Settings | None,
 ) -> Settings:
-    """Return the settings of one of the demo's daemons."""
+    """Return the settings of the demo's next daemon.
+
+    Args:
+        standins: What the daemon talks to.
+        seeds: Peers that run already.
+        operator_key: Opens its operators' API.
+        base: Replaces limits, objectives, streams and targets.
+    """
+    index = len(seeds)
     settings = Settings(
         deployment="demo",
         daemon=DaemonSettings(
@@ -114,6 +127,7 @@
         listeners=ListenerSettings(
             host=HOST, callers_port=0, operators_port=0, operators_on_callers_port=True
         ),
+        peers=PeerSettings(seeds=seeds, exchange_seconds=0.2),
         platform=standins.platform_settings(),
         operators=OperatorSettings(key_hashes=[hash_key(operator_key)]),
         state=StateSettings(poll_seconds=0.3, vm_list_poll_seconds=0.5),
@@ -139,8 +153,9 @@
     daemons: list[Daemon] = []
     await standins.start()
     try:
-        for index in range(n_daemons):
-            settings = make_demo_settings(standins, index, operator_key, base)
+        for _ in range(n_daemons):
+            seeds = [_peer_address(daemon) for daemon in daemons]
+            settings = make_demo_settings(standins, seeds, operator_key, base)
             daemon = make_daemon(settings)
             await daemon.start()
             daemons.append(daemon)
@@ -152,14 +167,19 @@
         await standins.stop()
 
 
+def _peer_address(daemon: Daemon) -> PeerAddress:
+    me = daemon.state.members.me()
+    return PeerAddress(daemon_id=me.daemon, endpoint=me.peer_endpoint)
+
+
 async def _commit_configuration(daemons: list[Daemon], standins: StandinFleet) -> None:
     """Accept the first configuration and wait until it is in force everywhere."""
-    first = daemons[0].revisions
+    first = daemons[0].state.revisions
     await first.commit(Revision(0), standins.configuration())
     async with asyncio.timeout(10):
         for daemon in daemons:
-            await daemon.revisions.refresh()
-            daemon.feed.feed()
+            await daemon.state.revisions.refresh()
+            daemon.traffic.feed.feed()
 
 
 async def run_demo(
--- a/lycheepost/app/listeners.py
+++ b/lycheepost/app/listeners.py
@@ -6,7 +6,7 @@
 import structlog
 from aiohttp import web
 
-from lycheepost.generated.settings import LimitSettings
+from lycheepost.generated.settings import LimitSettings, TlsSettings
 
 KEEP_ALIVE_SECONDS = 75.0
 """Longer than the usual idle time of client pools, so that a client closes first
@@ -98,3 +98,24 @@
         """Close the port and what connections are left."""
         if self._runner is not None:
             await self._runner.cleanup()
+
+
+def make_listener(
+    name: str,
+    routes: Sequence[web.RouteDef],
+    host: str,
+    port: int,
+    limits: LimitSettings,
+    tls: TlsSettings | None,
+) -> Listener:
+    """Return a listener that is not started yet.
+
+    Raises:
+        OSError: A certificate file cannot be read.
+        ssl.SSLError: Certificate and key do not go together.
+    """
+    context = None
+    if tls is not None:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(tls.certificate_path, tls.key_path)
+    return Listener(name, routes, host, port, limits, context)
--- /dev/null
+++ b/lycheepost/app/platform.py
@@ -0,0 +1,53 @@
+"""The platform's services as one daemon reaches them."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from lycheepost.generated.settings import Settings
+from lycheepost.platform.http_objects import make_http_objects
+from lycheepost.platform.http_table import make_http_table
+from lycheepost.platform.http_vms import make_http_vm_list
+from lycheepost.platform.http_weights import make_http_weights
+from lycheepost.platform.objects import ObjectPort
+from lycheepost.platform.table import TablePort
+from lycheepost.platform.vms import VmListPort
+from lycheepost.platform.weights import WeightsPort
+
+
+@dataclass(frozen=True)
+class Platform:
+    """One port for each service, and what closes their connections."""
+
+    table: TablePort
+    objects: ObjectPort
+    weights: WeightsPort
+    vm_list: VmListPort
+    closers: tuple[Callable[[], Awaitable[None]], ...] = ()
+
+    async def start(self) -> None:
+        """Do nothing: connections are opened by the first calls."""
+
+    async def drain(self) -> None:
+        """Do nothing: other parts still use the services while they drain."""
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for close in self.closers:
+            await close()
+
+
+def make_http_platform(settings: Settings) -> Platform:
+    """Return clients of the services that the settings name."""
+    platform = settings.platform
+    timeout_seconds = platform.timeout_seconds
+    table = make_http_table(platform.table_url, timeout_seconds)
+    objects = make_http_objects(platform.objects_url, timeout_seconds)
+    weights = make_http_weights(platform.weights_url, timeout_seconds)
+    vm_list = make_http_vm_list(platform.vm_list_url, timeout_seconds)
+    return Platform(
+        table,
+        objects,
+        weights,
+        vm_list,
+        (table.close, objects.close, weights.close, vm_list.close),
+    )
--- a/lycheepost/app/status.py
+++ b/lycheepost/app/status.py
@@ -1,6 +1,5 @@
 """The fleet as one daemon sees it, for operators."""
 
-from lycheepost.core.clock import Clock
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.records import TargetState
 from lycheepost.generated.operators import FleetDaemon, FleetStatus, FleetTarget
@@ -12,7 +11,7 @@
 
 
 def fleet_status(
-    settings: Settings, revisions: RevisionKeeper, members: MemberKeeper, clock: Clock
+    settings: Settings, revisions: RevisionKeeper, members: MemberKeeper
 ) -> FleetStatus:
     """Return daemons and targets with their states."""
     states = members.target_states()
--- /dev/null
+++ b/lycheepost/app/traffic.py
@@ -0,0 +1,134 @@
+"""The parts that carry requests: scheduler, clients of targets, callers' front."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from lycheepost.app.feed import TargetFeed
+from lycheepost.app.losses import LossExchange
+from lycheepost.app.parts import Part
+from lycheepost.callers.deps import CallerDeps
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.callers.routes import CallerFront
+from lycheepost.core.clock import Clock
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.core.ids import CustomerId, RequestId, TargetId
+from lycheepost.decide.records import TargetState
+from lycheepost.decide.scheduler import Scheduler
+from lycheepost.decide.settings import make_scheduler_settings
+from lycheepost.generated.callers import AddressList
+from lycheepost.generated.settings import Settings
+from lycheepost.peers.shared import SharedState
+from lycheepost.report.samples import Recorder
+from lycheepost.state.signs import SignSource, TargetSign
+from lycheepost.targets.engine import EngineClient, make_engine_client
+from lycheepost.targets.service import ServiceClient, make_service_client
+from lycheepost.utils.metrics import Metrics
+
+UNREACHABLE_SECONDS = 2.0
+"""A target that refused a connection gets no new work for this long; its health
+answers tell meanwhile whether it is back."""
+
+
+@dataclass
+class DrainState:
+    """Whether the daemon still takes new requests."""
+
+    is_draining: bool = False
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """The parts that carry requests; made by ``make_traffic``."""
+
+    dispatcher: Dispatcher
+    engines: EngineClient
+    services: ServiceClient
+    feed: TargetFeed
+    losses: LossExchange
+    front: CallerFront
+    drain_state: DrainState
+
+    def parts(self) -> list[Part]:
+        """Return the parts in the order in which to start them."""
+        return [self.engines, self.services, self.dispatcher, self.feed, self.losses]
+
+
+def make_traffic(
+    settings: Settings,
+    state: SharedState,
+    recorder: Recorder,
+    metrics: Metrics,
+    clock: Clock,
+    status: Callable[[], dict[str, Any]],
+) -> Traffic:
+    """Join the parts that carry requests.
+
+    Args:
+        settings: Checked settings.
+        state: The shared state of this daemon.
+        recorder: Counts every finished request.
+        metrics: Where metrics go.
+        clock: Tells the time.
+        status: The answer of ``/admin/status``.
+    """
+    me = state.members.me()
+    seed = hash_bytes(me.boot.encode())
+    scheduler = Scheduler(make_scheduler_settings(settings), seed)
+    dispatcher = Dispatcher(scheduler, clock)
+    engines = make_engine_client(settings.streams, clock)
+    services = make_service_client(settings.streams)
+    feed = TargetFeed(
+        dispatcher,
+        lambda: state.revisions.view,
+        state.members.target_states,
+        lambda: {},
+    )
+    drain_state = DrainState()
+
+    def on_unreachable(target: TargetId) -> None:
+        sign = TargetSign(SignSource.CONNECTION, TargetState.GONE, UNREACHABLE_SECONDS)
+        state.members.observe_target(target, sign, clock.now_seconds())
+        feed.feed()
+
+    def addresses(customer: CustomerId | None) -> AddressList:
+        chosen = state.members.addresses(customer, clock.now_seconds())
+        return AddressList(
+            addresses=[item.url for item in chosen.addresses],
+            valid_for_seconds=chosen.valid_for_seconds,
+        )
+
+    front = CallerFront(
+        CallerDeps(
+            settings=settings,
+            configuration=state.revisions,
+            dispatcher=dispatcher,
+            engines=engines,
+            services=services,
+            claims=state.claims,
+            clock=clock,
+            metrics=metrics,
+            addresses=addresses,
+            make_request_id=_request_ids(f"{me.daemon}-{me.boot}"),
+            on_unreachable=on_unreachable,
+            on_sample=lambda sample: recorder.record(sample, clock.wall_seconds()),
+            is_draining=lambda: drain_state.is_draining,
+            status=status,
+        )
+    )
+    return Traffic(
+        dispatcher=dispatcher,
+        engines=engines,
+        services=services,
+        feed=feed,
+        losses=LossExchange(dispatcher, state.exchange, clock),
+        front=front,
+        drain_state=drain_state,
+    )
+
+
+def _request_ids(prefix: str) -> Callable[[], RequestId]:
+    """Return a maker of ids that no other daemon and no earlier start can make."""
+    numbers = itertools.count(1)
+    return lambda: RequestId(f"{prefix}-{next(numbers)}")
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -10,6 +10,7 @@
 
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import BodyFingerprint, CustomerId, RequestId
+from lycheepost.decide.quarantine import LossSeen
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -134,6 +135,14 @@
         until_seconds = self._clock.now_seconds() + for_seconds
         self._scheduler.quarantine(fingerprint, until_seconds)
 
+    def note_loss(self, fingerprint: BodyFingerprint) -> None:
+        """Count a target loss that another daemon saw."""
+        self._scheduler.note_loss(fingerprint, self._clock.now_seconds())
+
+    def take_losses(self) -> list[LossSeen]:
+        """Return the losses seen here since the last call."""
+        return self._scheduler.take_losses()
+
     def _wake(self, outcomes: list[Outcome]) -> None:
         for outcome in outcomes:
             future = self._waiting.get(outcome.request)
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -219,10 +219,6 @@
         """Tell peers that this daemon leaves."""
         self._update_me(replace(self._me, state=MemberState.LEAVING))
 
-    def announce_callers_url(self, callers_url: str) -> None:
-        """Tell where callers reach this daemon, once its port is known."""
-        self._update_me(replace(self._me, callers_url=callers_url))
-
     def hear(self, member: Member) -> bool:
         """Take what is said of a daemon; return whether it was news."""
         if member.daemon == self._me.daemon:
