--- /dev/null
+++ b/lycheepost/commands/bench.py
@@ -0,0 +1,114 @@
+"""``lycheepost bench``: measurements with their baselines in the same run."""
+
+import json
+import os
+import pathlib
+from typing import Annotated
+
+import typer
+
+from lycheepost.bench.decision import DecisionRecord, measure_decisions
+from lycheepost.bench.policy import POLICIES, list_runs, measure_all
+from lycheepost.bench.policylimits import check_limits, measure_capacity
+from lycheepost.bench.policyload import DEPLOYMENTS, SCENARIOS
+from lycheepost.bench.policyreport import (
+    check_ratios,
+    format_table,
+    write_plots,
+)
+
+app = typer.Typer(
+    help="Measure policies and costs, each against a baseline.", no_args_is_help=True
+)
+
+MAX_WORKERS = 4
+"""Runs made at once: they share one machine with whatever else it does."""
+
+
+def _check_names(names: list[str], known: list[str], option: str) -> None:
+    for name in names:
+        if name not in known:
+            raise typer.BadParameter(
+                f"{name}: not one of {', '.join(known)}", param_hint=option
+            )
+
+
+@app.command()
+def policy(
+    deployment: Annotated[
+        list[str], typer.Option(help="prairie or mercia; all when missing.")
+    ] = [],  # noqa: B006
+    scenario: Annotated[
+        list[str], typer.Option(help="Scenario; all when missing.")
+    ] = [],  # noqa: B006
+    policy: Annotated[list[str], typer.Option(help="Policy; all when missing.")] = [],  # noqa: B006
+    seed: Annotated[
+        list[int], typer.Option(help="Seed of the demand; repeat for several.")
+    ] = [1],  # noqa: B006
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print a list of records.")
+    ] = False,
+    check: Annotated[
+        bool, typer.Option(help="Print each target, met or missed.")
+    ] = False,
+    capacity: Annotated[
+        bool, typer.Option(help="Only print what the engines complete per second.")
+    ] = False,
+    plots: Annotated[
+        pathlib.Path | None, typer.Option(help="Write plots into this folder.")
+    ] = None,
+    workers: Annotated[int, typer.Option(min=1, help="Runs made at once.")] = min(
+        MAX_WORKERS, os.cpu_count() or 1
+    ),
+) -> None:
+    """Compare policies in virtual time on the engine model."""
+    _check_names(deployment, list(DEPLOYMENTS), "--deployment")
+    _check_names(scenario, list(SCENARIOS), "--scenario")
+    _check_names(policy, list(POLICIES), "--policy")
+    if capacity:
+        _print_capacity(deployment, seed)
+        return
+    records = list(measure_all(list_runs(deployment, scenario, policy, seed), workers))
+    if as_json:
+        print(json.dumps([record.to_dict() for record in records], indent=1))
+    else:
+        print(format_table(records))
+    if plots is not None:
+        for name in write_plots(records, plots):
+            typer.echo(name, err=True)
+    if check:
+        checks = check_ratios(records)
+        for name in deployment or list(DEPLOYMENTS):
+            checks.extend(check_limits(name, seed[0]))
+        for item in checks:
+            typer.echo(str(item), err=as_json)
+
+
+def _print_capacity(deployments: list[str], seeds: list[int]) -> None:
+    for name in deployments or list(DEPLOYMENTS):
+        for seed in seeds:
+            print(f"{name} seed {seed}: {measure_capacity(name, seed):.1f} requests/s")
+
+
+@app.command()
+def decision(
+    seed: Annotated[int, typer.Option(help="Seed of the requests.")] = 1,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print a list of records.")
+    ] = False,
+) -> None:
+    """Measure the cost of one decision by the number of servers."""
+    records = measure_decisions(seed)
+    if as_json:
+        print(json.dumps([record.to_dict() for record in records], indent=1))
+        return
+    print(f"{'policy':<12}{'servers':>8}{'p50 us':>10}{'p99 us':>10}{'mean us':>10}")
+    for record in records:
+        print(_format_decision(record))
+
+
+def _format_decision(record: DecisionRecord) -> str:
+    return (
+        f"{record.policy:<12}{record.n_servers:>8}{record.p50_microseconds:>10.1f}"
+        f"{record.p99_microseconds:>10.1f}{record.mean_microseconds:>10.1f}"
+    )
--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,6 +6,8 @@
 
 import typer
 
+from lycheepost.commands import bench
+
 app = typer.Typer(
     name="lycheepost",
     help="A router for language-model traffic with long, nested, shared prompts.",
@@ -13,6 +15,8 @@
     add_completion=False,
 )
 
+app.add_typer(bench.app, name="bench")
+
 
 def run() -> None:
     """Run the command line; the entry point of the package."""
--- a/lycheepost/decide/admission.py
+++ b/lycheepost/decide/admission.py
@@ -18,6 +18,8 @@
 """Time constant of the measured service rate: long enough to see some tens of
 requests, short enough to follow a crash within a few seconds."""
 
+MEASURE_SECONDS = 1.0
+
 MIN_RETRY_AFTER_SECONDS = 0.5
 MAX_RETRY_AFTER_SECONDS = 30.0
 """A caller that is told to come back later than this goes away for good."""
@@ -28,28 +30,40 @@
 
 
 class ServiceRate:
-    """Engine seconds of work that leave the queue per second, measured."""
+    """Engine seconds of work that are sent out per second, measured.
+
+    What leaves while the queue is never empty is the capacity. What leaves
+    otherwise is only a lower bound of it: a quiet night must not make the
+    morning's first burst look like overload.
+    """
 
     def __init__(self, initial: float) -> None:
         self._rate = initial
         self._cost_seconds = 0.0
         self._started_seconds: float | None = None
+        self._was_empty = True
 
     def count(self, cost_seconds: float) -> None:
-        """Count work dispatched from a queue that was not empty."""
+        """Count work sent out."""
         self._cost_seconds += cost_seconds
 
     def update(self, now_seconds: float, is_backlogged: bool) -> None:
-        """Close a measuring interval; idle ones say nothing of the capacity."""
-        started = self._started_seconds
-        if started is not None and now_seconds - started < RATE_SECONDS / 5:
+        """Note the queue's state; closes a measuring interval when due."""
+        if self._started_seconds is None:
+            self._start(now_seconds)
+        self._was_empty = self._was_empty or not is_backlogged
+        elapsed = now_seconds - (self._started_seconds or now_seconds)
+        if elapsed < MEASURE_SECONDS:
             return
-        if is_backlogged and started is not None:
-            elapsed = now_seconds - started
-            share = min(1.0, elapsed / RATE_SECONDS)
-            self._rate += share * (self._cost_seconds / elapsed - self._rate)
+        measured = self._cost_seconds / elapsed
+        if measured > self._rate or not self._was_empty:
+            self._rate += elapsed / RATE_SECONDS * (measured - self._rate)
+        self._start(now_seconds)
+
+    def _start(self, now_seconds: float) -> None:
+        self._started_seconds = now_seconds
         self._cost_seconds = 0.0
-        self._started_seconds = now_seconds if is_backlogged else None
+        self._was_empty = False
 
     def per_second(self) -> float:
         """Return engine seconds served per second."""
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -11,10 +11,11 @@
     reason_of,
     retry_after_seconds,
 )
-from lycheepost.decide.load import InFlight
+from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.placement import Choice, Placement
 from lycheepost.decide.quarantine import Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting, make_waiting
+from lycheepost.decide.rates import follow_slowness
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -29,9 +30,6 @@
 """Requests looked at when a slot frees up: enough to pass those that wait for
 a full target, few enough to bound the cost of a decision under saturation."""
 
-RATE_GAIN = 0.05
-"""Weight of one observation in the measured times; twenty settle it."""
-
 
 class Group:
     """Queue and targets of one target group."""
@@ -55,7 +53,7 @@
         self.placement.loads.pop(target, None)
 
     def _cost_seconds(self, work: Work, uncached_tokens: int) -> float:
-        prefill = uncached_tokens * self.placement.rates.prefill_seconds_per_token
+        prefill = uncached_tokens * self._settings.prefill_seconds_per_token
         return prefill + work.output_tokens * self._settings.decode_seconds_per_token
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
@@ -111,13 +109,19 @@
         load = choice.load
         target = load.view.target
         entry = InFlight(
-            work, now_seconds, choice.wait_seconds, choice.uncached_tokens, cost_seconds
+            work,
+            now_seconds,
+            choice.wait_seconds,
+            choice.uncached_tokens,
+            cost_seconds,
+            choice.ahead_tokens,
         )
         load.start(entry, now_seconds)
         load.belief.add(work.levels)
         self.placement.note_holder(work, target)
         self._running[work.request] = target
         self.queue.charge(work.customer, cost_seconds)
+        self._rate.count(cost_seconds)
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
 
     def pump(self, now_seconds: float) -> list[Outcome]:
@@ -146,7 +150,6 @@
             return None
         self.queue.remove(work.request)
         cost = self._cost_seconds(work, choice.uncached_tokens)
-        self._rate.count(cost)
         return self._dispatch(work, choice, cost, now_seconds)
 
     def first_token(
@@ -158,8 +161,32 @@
         entry = load.in_flight.get(request) if load is not None else None
         if load is None or entry is None or entry.has_first_token:
             return
+        self._learn(load, entry, now_seconds, cached_tokens)
         load.first_token(entry, now_seconds)
 
+    def _learn(
+        self,
+        load: TargetLoad,
+        entry: InFlight,
+        now_seconds: float,
+        cached_tokens: int | None,
+    ) -> None:
+        rates = self.placement.rates
+        uncached = entry.uncached_tokens
+        if cached_tokens is not None:
+            uncached = max(0, entry.work.prompt_tokens - cached_tokens)
+            rates.observe_uncached(uncached, entry.work.prompt_tokens)
+        elapsed = now_seconds - entry.dispatched_seconds
+        ratio = rates.observe_first_token(elapsed, entry.ahead_tokens + uncached)
+        load.slowness = follow_slowness(load.slowness, ratio)
+        own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
+        load.window.observe(
+            delay_seconds=elapsed - own_seconds * load.slowness,
+            target_seconds=self._settings.engine_queue_seconds,
+            is_limiting=load.queued_tokens > load.window.tokens / 2,
+            now_seconds=now_seconds,
+        )
+
     def finish(
         self, request: RequestId, now_seconds: float, kind: FinishKind
     ) -> Work | None:
@@ -170,9 +197,8 @@
         if load is None or entry is None:
             return None
         if kind is FinishKind.COMPLETE:
-            rates = self.placement.rates
             held = now_seconds - entry.dispatched_seconds
-            rates.hold_seconds += RATE_GAIN * (held - rates.hold_seconds)
+            self.placement.rates.observe_hold(held)
         if kind is FinishKind.TARGET_LOST:
             load.belief.clear()
         return entry.work
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -11,6 +11,7 @@
 
 from lycheepost.core.ids import RequestId
 from lycheepost.decide.belief import CacheBelief
+from lycheepost.decide.concurrency import Window
 from lycheepost.decide.records import LoadReport, TargetView, Work
 
 HISTORY_SECONDS = 5.0
@@ -27,6 +28,7 @@
     Attributes:
         uncached_tokens: Prompt tokens believed to need prefill.
         cost_seconds: Engine time charged to the customer.
+        ahead_tokens: Uncached tokens that waited there before it.
     """
 
     work: Work
@@ -34,6 +36,7 @@
     predicted_seconds: float
     uncached_tokens: int
     cost_seconds: float
+    ahead_tokens: float
     is_probe: bool = False
     has_first_token: bool = False
 
@@ -43,7 +46,7 @@
     """Our own load on a target at one time."""
 
     at_seconds: float
-    queued_tokens: int
+    queued_prompt_tokens: int
     n_running: int
 
 
@@ -52,8 +55,10 @@
     """Everything the decisions hold about one target.
 
     Attributes:
-        queued_tokens: Our own prompt tokens without a first token yet.
-        others_tokens: Prompt tokens of other daemons that wait there.
+        queued_tokens: Our own uncached tokens without a first token yet.
+        queued_prompt_tokens: The whole prompts of the same requests, which is
+            what engines report, as they look into the cache only later.
+        others_tokens: Uncached tokens of other daemons that wait there.
         others_running: Requests of other daemons that run there.
         slowness: Observed over predicted first-token time, smoothed.
     """
@@ -62,6 +67,8 @@
     belief: CacheBelief
     in_flight: dict[RequestId, InFlight] = field(default_factory=dict)
     queued_tokens: int = 0
+    queued_prompt_tokens: int = 0
+    window: Window = field(default_factory=Window)
     others_tokens: float = 0.0
     others_running: float = 0.0
     reported_seconds: float = float("-inf")
@@ -80,7 +87,7 @@
     def start(self, entry: InFlight, now_seconds: float) -> None:
         """Count a dispatched request."""
         self.in_flight[entry.work.request] = entry
-        self.queued_tokens += entry.uncached_tokens
+        self._count_queued(entry, 1)
         self._remember(now_seconds)
 
     def first_token(self, entry: InFlight, now_seconds: float) -> None:
@@ -88,7 +95,7 @@
         if entry.has_first_token:
             return
         entry.has_first_token = True
-        self.queued_tokens -= entry.uncached_tokens
+        self._count_queued(entry, -1)
         self._remember(now_seconds)
 
     def end(self, request: RequestId, now_seconds: float) -> InFlight | None:
@@ -97,12 +104,16 @@
         if entry is None:
             return None
         if not entry.has_first_token:
-            self.queued_tokens -= entry.uncached_tokens
+            self._count_queued(entry, -1)
         self._remember(now_seconds)
         return entry
 
+    def _count_queued(self, entry: InFlight, sign: int) -> None:
+        self.queued_tokens += sign * entry.uncached_tokens
+        self.queued_prompt_tokens += sign * entry.work.prompt_tokens
+
     def _remember(self, now_seconds: float) -> None:
-        own = OwnLoad(now_seconds, self.queued_tokens, len(self.in_flight))
+        own = OwnLoad(now_seconds, self.queued_prompt_tokens, len(self.in_flight))
         self.history.append(own)
         while self.history[0].at_seconds < now_seconds - HISTORY_SECONDS:
             self.history.popleft()
@@ -113,14 +124,20 @@
                 return own
         return OwnLoad(at_seconds, 0, 0)
 
-    def observe(self, report: LoadReport) -> None:
-        """Take in a report; one that is older than the last is ignored."""
+    def observe(self, report: LoadReport, uncached_share: float) -> None:
+        """Take in a report; one that is older than the last is ignored.
+
+        Args:
+            report: What the target measured.
+            uncached_share: Share of waiting prompts that needs computing.
+        """
         if report.measured_seconds <= self.reported_seconds:
             return
         own = self._own_at(report.measured_seconds)
         self.reported_seconds = report.measured_seconds
         n_requests = report.n_running + report.n_queued
-        others_tokens = max(0, report.queued_prompt_tokens - own.queued_tokens)
+        others_prompts = report.queued_prompt_tokens - own.queued_prompt_tokens
+        others_tokens = max(0, others_prompts) * uncached_share
         others_running = max(0, n_requests - own.n_running)
         # The mean of two reports: one alone may have caught a burst that is
         # long gone when it arrives.
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -14,6 +14,7 @@
 
 from lycheepost.core.ids import PrefixDigest, TargetId
 from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.rates import make_rates
 from lycheepost.decide.records import TargetState, Work
 from lycheepost.decide.ring import Ring
 from lycheepost.decide.settings import SchedulerSettings
@@ -48,22 +49,13 @@
     """
 
     load: TargetLoad
-    score: float
     wait_seconds: float
     cached_tokens: int
     uncached_tokens: int
+    ahead_tokens: float
     can_take: bool
 
 
-class Rates:
-    """Measured speeds of a target group's engines."""
-
-    def __init__(self, settings: SchedulerSettings) -> None:
-        self.prefill_seconds_per_token = settings.prefill_seconds_per_token
-        self.first_token_seconds = settings.first_token_seconds
-        self.hold_seconds = 1.0
-
-
 class Placement:
     """Candidates and scores within one target group."""
 
@@ -74,7 +66,7 @@
         self._holders: OrderedDict[PrefixDigest, list[TargetId]] = OrderedDict()
         self.loads: dict[TargetId, TargetLoad] = {}
         self._serving: list[TargetLoad] = []
-        self.rates = Rates(settings)
+        self.rates = make_rates(settings)
 
     def refresh(self) -> None:
         """Follow a change of the targets."""
@@ -156,20 +148,21 @@
         cached = min(load.belief.cached_tokens(work.levels), work.prompt_tokens)
         uncached = work.prompt_tokens - cached
         rates = self.rates
-        tokens = load.backlog_tokens(now_seconds) + ahead + uncached
-        wait = rates.first_token_seconds + tokens * rates.prefill_seconds_per_token
+        ahead_tokens = load.backlog_tokens(now_seconds) + ahead
+        tokens = ahead_tokens + uncached
+        wait = rates.first_token_seconds + tokens * rates.token_seconds
         wait *= load.slowness
         excess = load.n_running(now_seconds) + 1 - load.limit()
         if excess > 0:
             wait += excess * rates.hold_seconds / load.limit()
         can_take = self._can_take(load, now_seconds)
-        return Choice(load, wait, wait, cached, uncached, can_take)
+        return Choice(load, wait, cached, uncached, ahead_tokens, can_take)
 
     def _score(
         self, choice: Choice, least_uncached: int, owners: list[TargetId]
     ) -> float:
         avoidable = choice.uncached_tokens - least_uncached
-        recompute = avoidable * self.rates.prefill_seconds_per_token
+        recompute = avoidable * self.rates.token_seconds
         target = choice.load.view.target
         steps = owners.index(target) if target in owners else OWNER_STEPS
         return (
@@ -181,9 +174,7 @@
     def _can_take(self, load: TargetLoad, now_seconds: float) -> bool:
         if load.n_running(now_seconds) >= load.limit():
             return False
-        tokens = load.backlog_tokens(now_seconds)
-        backlog_seconds = tokens * self.rates.prefill_seconds_per_token
-        return backlog_seconds * load.slowness < self._settings.engine_queue_seconds
+        return not load.queued_tokens or load.queued_tokens < load.window.tokens
 
 
 def _takes_new_work(load: TargetLoad) -> bool:
--- /dev/null
+++ b/lycheepost/decide/rates.py
@@ -0,0 +1,79 @@
+"""Measured speeds of a target group's engines and of each target.
+
+First tokens tell how fast prompts are worked off. The group's figure is what
+its targets do in general; a target's own figure over the group's tells a slow
+target from a fleet that is busy as a whole.
+"""
+
+from dataclasses import dataclass
+
+from lycheepost.decide.settings import SchedulerSettings
+
+GAIN = 0.05
+"""Weight of one observation; some twenty settle a figure."""
+
+SMALL_TOKENS = 300
+"""Below this the fixed part of a first token is nearly all of it."""
+
+LARGE_TOKENS = 800
+"""Above this the time per token can be told from the fixed part."""
+
+SLOWNESS_GAIN = 0.15
+"""A slow target is told within some ten first tokens."""
+
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
+
+
+@dataclass(slots=True)
+class Rates:
+    """Speeds of one target group.
+
+    Attributes:
+        token_seconds: Time per prompt token that waits or is one's own.
+        first_token_seconds: Fixed part of a first token.
+        hold_seconds: How long a request occupies a slot.
+        uncached_share: Share of prompt tokens that engines had to compute.
+    """
+
+    token_seconds: float
+    first_token_seconds: float
+    hold_seconds: float = 1.0
+    uncached_share: float = 0.5
+
+    def observe_first_token(self, elapsed_seconds: float, n_tokens: float) -> float:
+        """Learn from one first token; returns the target's slowness in it.
+
+        Args:
+            elapsed_seconds: From the dispatch to the first token.
+            n_tokens: Uncached tokens of it and of those ahead of it.
+        """
+        predicted = self.first_token_seconds + n_tokens * self.token_seconds
+        if n_tokens < SMALL_TOKENS:
+            self.first_token_seconds += GAIN * (
+                elapsed_seconds - self.first_token_seconds
+            )
+        elif n_tokens > LARGE_TOKENS:
+            seconds = max(0.0, elapsed_seconds - self.first_token_seconds) / n_tokens
+            self.token_seconds += GAIN * (seconds - self.token_seconds)
+        return elapsed_seconds / max(predicted, 1e-3)
+
+    def observe_hold(self, held_seconds: float) -> None:
+        """Learn how long a request occupied its slot."""
+        self.hold_seconds += GAIN * (held_seconds - self.hold_seconds)
+
+    def observe_uncached(self, uncached_tokens: int, prompt_tokens: int) -> None:
+        """Learn how much of a prompt had to be computed."""
+        share = uncached_tokens / max(1, prompt_tokens)
+        self.uncached_share += GAIN * (share - self.uncached_share)
+
+
+def make_rates(settings: SchedulerSettings) -> Rates:
+    """Return the first guesses."""
+    return Rates(settings.prefill_seconds_per_token, settings.first_token_seconds)
+
+
+def follow_slowness(slowness: float, ratio: float) -> float:
+    """Return a target's slowness after one more observation."""
+    ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+    return slowness + SLOWNESS_GAIN * (ratio - slowness)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -196,7 +196,7 @@
         load = group.placement.loads[report.target]
         if report.incarnation != load.belief.incarnation:
             load.belief.restart(report.incarnation)
-        load.observe(report)
+        load.observe(report, group.placement.rates.uncached_share)
 
     def observe_cache_events(
         self,
