--- /dev/null
+++ b/lycheepost/operators/capacity_ports.py
@@ -0,0 +1,73 @@
+"""What carrying out capacity intents needs of the other parts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from returns.result import Result
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.errors import LycheepostError
+from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
+from lycheepost.decide.records import TargetState
+from lycheepost.generated.configuration import Target
+from lycheepost.generated.engine import (
+    EngineHealth,
+    EngineLoad,
+    EngineOrder,
+    EngineOrderAnswer,
+)
+from lycheepost.generated.settings import OperatorSettings
+from lycheepost.operators.ports import RevisionPort
+from lycheepost.platform.vms import VmListPort
+from lycheepost.state.leases import LeaseKeeper
+
+
+class OrderPort(Protocol):
+    """Orders to engines and what they report of themselves."""
+
+    async def send(
+        self, target: Target, order: EngineOrder
+    ) -> Result[EngineOrderAnswer, LycheepostError]:
+        """Tell a target its desired end state."""
+        ...
+
+    async def read_state(self, target: Target) -> Result[EngineHealth, LycheepostError]:
+        """Return what a target says it is."""
+        ...
+
+    async def read_load(self, target: Target) -> Result[EngineLoad, LycheepostError]:
+        """Return what a target says it runs."""
+        ...
+
+
+class WarmPort(Protocol):
+    """Imports of kept KV blocks."""
+
+    async def warm(
+        self, target: Target, model: ModelId, weights_version: WeightsVersion
+    ) -> Result[int, LycheepostError]:
+        """Import the hottest kept prefixes; return how many tokens."""
+        ...
+
+
+@dataclass(frozen=True)
+class CapacityDeps:
+    """Everything that the capacity runner stands on.
+
+    Attributes:
+        states: The most pessimistic sign of each target.
+        n_daemons: How many daemons live; spreads their tries for the duty.
+        vms: Tells which targets are gone for good; None where nothing lists them.
+        warm: None where no KV is kept.
+    """
+
+    revisions: RevisionPort
+    leases: LeaseKeeper
+    orders: OrderPort
+    states: Callable[[], dict[TargetId, TargetState]]
+    clock: Clock
+    settings: OperatorSettings
+    n_daemons: Callable[[], int] = lambda: 1
+    vms: VmListPort | None = None
+    warm: WarmPort | None = None
--- /dev/null
+++ b/lycheepost/operators/capacity_runner.py
@@ -0,0 +1,248 @@
+"""Carry out capacity intents: one daemon at a time, under a lease.
+
+Every daemon runs this part; the one that holds the duty's lease looks at the
+configuration and the targets every few seconds, records what ``capacity``
+decides as the next revision, and sends the orders of what was recorded before.
+A holder that is paused past its lease harms nothing: its commit fails since the
+head has moved, it asks the lease at each send by a clock that counts
+suspension, its fencing number is old, and the next holder waits out the lease
+with a margin longer than an order may take, before it reads back and goes on.
+"""
+
+import asyncio
+import random
+from enum import Enum
+
+import structlog
+from returns.result import Success
+
+from lycheepost.core.ids import Revision, TargetId
+from lycheepost.generated.configuration import Configuration, Target
+from lycheepost.generated.engine import EngineOrder
+from lycheepost.operators.capacity import decide_capacity
+from lycheepost.operators.capacity_ports import CapacityDeps
+from lycheepost.operators.capacity_records import (
+    CapacityAction,
+    CapacityTiming,
+    OrderAction,
+    WarmAction,
+)
+from lycheepost.operators.capacity_watch import CapacityWatch
+from lycheepost.state.leases import Lease, LeaseTaken
+
+DUTY = "capacity"
+_SPREAD_SECONDS_PER_DAEMON = 0.1
+"""Daemons without the duty try for it spread over this time each, so that 540 of
+them read the lease about fifteen times a second in all."""
+_log = structlog.get_logger().bind(part="capacity")
+
+
+class Look(Enum):
+    """What one look came to."""
+
+    NO_DUTY = "no_duty"
+    READING_BACK = "reading_back"
+    STEADY = "steady"
+    RECORDED = "recorded"
+    NOT_RECORDED = "not_recorded"
+
+
+class CapacityRunner:
+    """The part that carries out capacity intents; see ``make_capacity_runner``.
+
+    Args:
+        deps: What it stands on.
+        seed: Seed of the spread between daemons.
+    """
+
+    def __init__(self, deps: CapacityDeps, seed: int) -> None:
+        self._deps = deps
+        self._random = random.Random(seed)
+        self._watch = CapacityWatch(deps)
+        self._lease: Lease | None = None
+        self._is_fresh = False
+        self._next_try_seconds = float("-inf")
+        self._warmed: set[tuple[TargetId, str]] = set()
+        self._task: asyncio.Task[None] | None = None
+        self._last_look = Look.NO_DUTY
+
+    async def start(self) -> None:
+        """Begin to look."""
+        self._task = asyncio.create_task(self._run(), name="capacity")
+
+    async def drain(self) -> None:
+        """Stop looking and give the duty up, so that another need not wait."""
+        await self._end_task()
+        if self._lease is not None:
+            await self._deps.leases.release(self._lease)
+            self._lease = None
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        await self._end_task()
+
+    def status(self) -> dict[str, object]:
+        """Return whether this daemon has the duty and what its last look gave."""
+        lease = self._lease
+        return {
+            "has_duty": lease is not None,
+            "fencing_number": 0 if lease is None else lease.fencing_number,
+            "last_look": self._last_look.value,
+        }
+
+    async def look(self) -> Look:
+        """Do everything that is due now, once."""
+        self._last_look = await self._look()
+        return self._last_look
+
+    async def _look(self) -> Look:
+        if not await self._keep_duty():
+            return Look.NO_DUTY
+        if not self._is_fresh and not await self._begin_duty():
+            return Look.NO_DUTY
+        configuration = self._deps.revisions.view.configuration
+        observed = await self._watch.observe(configuration)
+        if not self._watch.has_read_back:
+            return Look.READING_BACK
+        decision = decide_capacity(
+            configuration,
+            observed,
+            self._deps.clock.wall_seconds(),
+            _make_timing(self._deps),
+        )
+        await self._act(configuration, decision.actions)
+        if decision.configuration is None:
+            return Look.STEADY
+        return await self._record(configuration, decision.configuration)
+
+    async def _keep_duty(self) -> bool:
+        """Renew the lease or try for it; return whether it is held now."""
+        now_seconds = self._deps.clock.now_seconds()
+        lease = self._lease
+        if lease is not None:
+            renewed = await self._deps.leases.renew(lease)
+            if isinstance(renewed, Success):
+                self._lease = renewed.unwrap()
+            elif not lease.is_held(self._deps.clock.now_seconds()):
+                _log.info("capacity: duty lost", fencing_number=lease.fencing_number)
+                self._lease = None
+            return self._lease is not None
+        if now_seconds < self._next_try_seconds:
+            return False
+        acquired = await self._deps.leases.acquire(DUTY)
+        if isinstance(acquired, Success):
+            self._lease = acquired.unwrap()
+            self._is_fresh = False
+            return True
+        error = acquired.failure()
+        wait_seconds = self._deps.settings.capacity_tick_seconds
+        if isinstance(error, LeaseTaken):
+            wait_seconds = max(wait_seconds, error.retry_after_seconds)
+        spread_seconds = _SPREAD_SECONDS_PER_DAEMON * self._deps.n_daemons()
+        self._next_try_seconds = (
+            now_seconds + wait_seconds + self._random.uniform(0.0, spread_seconds)
+        )
+        return False
+
+    async def _begin_duty(self) -> bool:
+        """Read what the holder before recorded; without it nothing is decided."""
+        refreshed = await self._deps.revisions.refresh()
+        if not isinstance(refreshed, Success):
+            return False
+        self._watch.forget(self._deps.revisions.view.configuration)
+        self._is_fresh = True
+        return True
+
+    def _holds(self) -> bool:
+        lease = self._lease
+        return lease is not None and lease.is_held(self._deps.clock.now_seconds())
+
+    async def _record(self, basis: Configuration, changed: Configuration) -> Look:
+        if not self._holds():
+            return Look.NO_DUTY
+        committed = await self._deps.revisions.commit(Revision(basis.revision), changed)
+        if isinstance(committed, Success):
+            return Look.RECORDED
+        # Moved or unknown: the next look must not decide on an old revision.
+        refreshed = await self._deps.revisions.refresh()
+        self._is_fresh = self._is_fresh and isinstance(refreshed, Success)
+        return Look.NOT_RECORDED
+
+    async def _act(
+        self, configuration: Configuration, actions: tuple[CapacityAction, ...]
+    ) -> None:
+        for action in actions:
+            match action:
+                case OrderAction():
+                    await self._send(configuration, action)
+                case WarmAction():
+                    await self._import(configuration, action)
+
+    async def _send(self, configuration: Configuration, action: OrderAction) -> None:
+        lease = self._lease
+        target = _find_target(configuration, action.target)
+        if target is None or lease is None or not self._holds():
+            return
+        order = EngineOrder(
+            order_id=action.order_id,
+            fencing_number=lease.fencing_number,
+            desired_version=action.desired_version,
+            state=action.state,
+            model=action.model,
+            weights_version=action.weights_version,
+            role=action.role,
+        )
+        sent = await self._deps.orders.send(target, order)
+        if not isinstance(sent, Success):
+            _log.info("capacity: order not answered", target=action.target)
+            return
+        answer = sent.unwrap()
+        if answer.fencing_number > lease.fencing_number:
+            # Somebody holds a later lease: whatever our clock says, stop.
+            _log.warning("capacity: overtaken", target=action.target)
+            self._lease = None
+
+    async def _import(self, configuration: Configuration, action: WarmAction) -> None:
+        key = (action.target, action.weights_version)
+        target = _find_target(configuration, action.target)
+        if self._deps.warm is None or target is None or key in self._warmed:
+            return
+        self._warmed.add(key)
+        warmed = await self._deps.warm.warm(
+            target, action.model, action.weights_version
+        )
+        n_tokens = warmed.unwrap() if isinstance(warmed, Success) else 0
+        _log.info("capacity: warmed", target=action.target, n_tokens=n_tokens)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self.look()
+            except Exception:
+                # The duty must outlive a fault of one look: without it no intent
+                # goes on anywhere, since this daemon would keep the lease.
+                _log.exception("capacity: a look failed")
+            await asyncio.sleep(self._deps.settings.capacity_tick_seconds)
+
+    async def _end_task(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+
+def _find_target(configuration: Configuration, name: TargetId) -> Target | None:
+    return next((item for item in configuration.targets if item.target == name), None)
+
+
+def _make_timing(deps: CapacityDeps) -> CapacityTiming:
+    return CapacityTiming(
+        drain_settle_seconds=deps.settings.drain_settle_seconds,
+        load_timeout_seconds=deps.settings.load_timeout_seconds,
+        warm_step_seconds=deps.settings.warm_step_seconds,
+    )
+
+
+def make_capacity_runner(deps: CapacityDeps, seed: int = 0) -> CapacityRunner:
+    """Return the part that carries out capacity intents under a lease."""
+    return CapacityRunner(deps, seed)
--- /dev/null
+++ b/lycheepost/operators/capacity_watch.py
@@ -0,0 +1,267 @@
+"""What the holder of the capacity duty knows of targets, kept in memory.
+
+Reading all of 12,000 targets every two seconds would cost more than a daemon may
+spend on control. So a look asks the targets in the midst of a step, those seen
+loading or with wrong weights, the next few to begin, and a few of all others by
+turns. A new holder begins with nothing, asks every target of a group with open
+intents once, and only then decides: an earlier holder's order may have done
+something that is not recorded.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import TargetId
+from lycheepost.decide.records import TargetState
+from lycheepost.generated.configuration import (
+    CapacityStep,
+    CapacityStepState,
+    Configuration,
+    Target,
+    TargetDesiredState,
+    TargetGroupKind,
+)
+from lycheepost.generated.engine import EngineHealth, EngineHealthState
+from lycheepost.operators.capacity_group import UNFINISHED
+from lycheepost.operators.capacity_ports import CapacityDeps
+from lycheepost.operators.capacity_records import ACTIVE_STEPS, Observed, held_version
+from lycheepost.platform.vms import VmRole
+
+_WAITING_READ_PER_INTENT = 8
+_VM_LIST_SECONDS = 10.0
+_GONE_AFTER_SECONDS = 60.0
+"""A target counts as gone once the list has been without it for this long: one
+listing may be partial, and a slot freed too soon lets one load too many begin."""
+
+
+@dataclass
+class Listing:
+    """Targets that the VM list has named, and since when it does not."""
+
+    absent_since_seconds: dict[TargetId, float]
+    known: set[TargetId]
+    read_seconds: float = float("-inf")
+
+
+class CapacityWatch:
+    """Asks targets and remembers what it must between two looks.
+
+    Args:
+        deps: Where to ask.
+    """
+
+    def __init__(self, deps: CapacityDeps) -> None:
+        self._deps = deps
+        self._clock: Clock = deps.clock
+        self._wrong_since_seconds: dict[TargetId, float] = {}
+        self._loading: dict[TargetId, EngineHealth] = {}
+        self._unread: set[TargetId] = set()
+        self._cursor = 0
+        self._listing = Listing({}, set())
+
+    def forget(self, configuration: Configuration) -> None:
+        """Begin as a new holder: every target with open intents is to be asked."""
+        groups = {
+            intent.target_group
+            for intent in configuration.capacity_intents
+            if intent.state in UNFINISHED or _is_busy(intent.steps)
+        }
+        self._unread = {
+            TargetId(target.target)
+            for target in _engine_targets(configuration)
+            if target.target_group in groups
+        }
+        self._wrong_since_seconds.clear()
+        self._loading.clear()
+
+    @property
+    def has_read_back(self) -> bool:
+        """Return whether every target to be asked at first has been asked."""
+        return not self._unread
+
+    async def observe(self, configuration: Configuration) -> dict[TargetId, Observed]:
+        """Ask the targets that matter now; return what is known of all."""
+        await self._read_listing()
+        targets = {TargetId(target.target): target for target in configuration.targets}
+        chosen = self._choose(configuration, targets)
+        draining = _targets_in(configuration, {CapacityStepState.DRAINING})
+        answers = await asyncio.gather(
+            *(self._ask(targets[name], name in draining) for name in chosen)
+        )
+        told = dict(zip(chosen, answers, strict=True))
+        self._unread -= set(chosen)
+        self._note(configuration, targets, told)
+        return self._join(targets, told)
+
+    def _choose(
+        self, configuration: Configuration, targets: dict[TargetId, Target]
+    ) -> list[TargetId]:
+        limit = self._deps.settings.capacity_reads_per_tick
+        stepping = _targets_in(configuration, set(ACTIVE_STEPS)) | _ordered(
+            configuration
+        )
+        first = [*stepping, *self._loading, *self._wrong_since_seconds]
+        heads = _waiting_heads(configuration)
+        others = self._next_by_turns(configuration, limit)
+        ordered = dict.fromkeys([*first, *self._unread, *heads, *others])
+        known = [name for name in ordered if name in targets]
+        n_first = sum(name in set(first) for name in known)
+        return known[: max(limit, n_first)]
+
+    def _next_by_turns(self, configuration: Configuration, n: int) -> list[TargetId]:
+        names = [TargetId(item.target) for item in _engine_targets(configuration)]
+        if not names:
+            return []
+        start = self._cursor % len(names)
+        self._cursor = start + n
+        return (names[start:] + names[:start])[:n]
+
+    async def _ask(self, target: Target, with_load: bool) -> Observed:
+        read = await self._deps.orders.read_state(target)
+        health = read.unwrap() if isinstance(read, Success) else None
+        n_running = None
+        load_wall_seconds = 0.0
+        if with_load:
+            now_seconds = self._clock.wall_seconds()
+            load = await self._deps.orders.read_load(target)
+            if isinstance(load, Success):
+                report = load.unwrap()
+                n_running = report.n_running + report.n_queued
+                load_wall_seconds = now_seconds - report.age_seconds
+        return Observed(
+            is_serving=False,
+            health=health,
+            n_running=n_running,
+            load_wall_seconds=load_wall_seconds,
+        )
+
+    def _note(
+        self,
+        configuration: Configuration,
+        targets: dict[TargetId, Target],
+        told: dict[TargetId, Observed],
+    ) -> None:
+        models = {model.target_group: model for model in configuration.models}
+        now_seconds = self._clock.now_seconds()
+        for name, answer in told.items():
+            if answer.health is None:
+                # A target seen loading and silent since may be loading still.
+                self._wrong_since_seconds.pop(name, None)
+                continue
+            if answer.health.state is EngineHealthState.LOADING:
+                self._loading[name] = answer.health
+            else:
+                self._loading.pop(name, None)
+            target = targets[name]
+            held = held_version(target, models.get(target.target_group))
+            is_wrong = (
+                target.desired_state is TargetDesiredState.SERVING
+                and held not in ("", answer.health.weights_version)
+            )
+            if is_wrong:
+                self._wrong_since_seconds.setdefault(name, now_seconds)
+            else:
+                self._wrong_since_seconds.pop(name, None)
+        self._loading = {
+            name: health for name, health in self._loading.items() if name in targets
+        }
+
+    def _join(
+        self, targets: dict[TargetId, Target], told: dict[TargetId, Observed]
+    ) -> dict[TargetId, Observed]:
+        states = self._deps.states()
+        now_seconds = self._clock.now_seconds()
+        joined = {}
+        for name in targets:
+            answer = told.get(name, Observed(is_serving=False))
+            wrong_since = self._wrong_since_seconds.get(name, now_seconds)
+            joined[name] = Observed(
+                is_serving=states.get(name) is TargetState.SERVING,
+                is_gone=self._is_gone(name, now_seconds),
+                health=answer.health or self._loading.get(name),
+                n_running=answer.n_running,
+                load_wall_seconds=answer.load_wall_seconds,
+                wrong_seconds=now_seconds - wrong_since,
+            )
+        return joined
+
+    def _is_gone(self, name: TargetId, now_seconds: float) -> bool:
+        since = self._listing.absent_since_seconds.get(name)
+        return since is not None and now_seconds - since >= _GONE_AFTER_SECONDS
+
+    async def _read_listing(self) -> None:
+        now_seconds = self._clock.now_seconds()
+        listing = self._listing
+        is_fresh = now_seconds - listing.read_seconds < _VM_LIST_SECONDS
+        if self._deps.vms is None or is_fresh:
+            return
+        listing.read_seconds = now_seconds
+        listed = await self._deps.vms.list_vms()
+        if not isinstance(listed, Success):
+            return
+        present = {
+            TargetId(vm.name) for vm in listed.unwrap() if vm.role is VmRole.TARGET
+        }
+        # Only what was listed once can be missed: fixed targets never are.
+        listing.known |= present
+        for name in present:
+            listing.absent_since_seconds.pop(name, None)
+        for name in listing.known - present:
+            listing.absent_since_seconds.setdefault(name, now_seconds)
+
+
+def _engine_targets(configuration: Configuration) -> list[Target]:
+    engines = {
+        group.target_group
+        for group in configuration.target_groups
+        if group.kind is TargetGroupKind.ENGINE
+    }
+    return [
+        target
+        for target in configuration.targets
+        if target.target_group in engines
+        and target.desired_state is not TargetDesiredState.RETIRED
+    ]
+
+
+def _is_busy(steps: Iterable[CapacityStep]) -> bool:
+    return any(step.state in ACTIVE_STEPS for step in steps)
+
+
+def _targets_in(
+    configuration: Configuration, states: set[CapacityStepState]
+) -> set[TargetId]:
+    return {
+        TargetId(step.target)
+        for intent in configuration.capacity_intents
+        for step in intent.steps
+        if step.state in states
+    }
+
+
+def _ordered(configuration: Configuration) -> set[TargetId]:
+    """Return targets whose step stopped after an order: they may be loading."""
+    stopped = (CapacityStepState.WAITING, CapacityStepState.FAILED)
+    return {
+        TargetId(step.target)
+        for intent in configuration.capacity_intents
+        for step in intent.steps
+        if step.state in stopped and step.desired_version > 0
+    }
+
+
+def _waiting_heads(configuration: Configuration) -> list[TargetId]:
+    names: list[TargetId] = []
+    for intent in configuration.capacity_intents:
+        if intent.state in UNFINISHED:
+            waiting = [
+                TargetId(step.target)
+                for step in intent.steps
+                if step.state is CapacityStepState.WAITING
+            ]
+            names += waiting[:_WAITING_READ_PER_INTENT]
+    return names
