--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -13,6 +13,7 @@
 
 import structlog
 from aiohttp import web
+from returns.pipeline import is_successful
 
 from lycheepost.app.feed import TargetFeed
 from lycheepost.app.listeners import Listener
@@ -36,6 +37,7 @@
 from lycheepost.decide.settings import make_scheduler_settings
 from lycheepost.generated.callers import AddressList
 from lycheepost.generated.settings import Settings
+from lycheepost.operators.access import identify_operator
 from lycheepost.operators.ports import OperatorDeps
 from lycheepost.operators.routes import make_operator_routes
 from lycheepost.platform.http_objects import make_http_objects
@@ -46,6 +48,8 @@
 from lycheepost.platform.table import TablePort
 from lycheepost.platform.vms import VmListPort
 from lycheepost.platform.weights import WeightsPort
+from lycheepost.report.history import HistoryKeeper
+from lycheepost.report.routes import make_report_routes
 from lycheepost.report.samples import Recorder
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.claims import ClaimLimits, make_claim_keeper
@@ -233,6 +237,11 @@
     engines = make_engine_client(settings.streams, clock)
     services = make_service_client(settings.streams)
     recorder = Recorder(daemon_id, boot, settings.objectives)
+
+    def member_names() -> tuple[str, ...]:
+        return tuple(member.daemon for member in members.members())
+
+    history = HistoryKeeper(recorder, platform.objects, clock, member_names)
     feed = TargetFeed(
         dispatcher,
         lambda: revisions.view,
@@ -266,6 +275,7 @@
             "queues": dispatcher.status(),
             "claims": claims.status(),
             "engines": engines.status(),
+            "report": history.status(),
         }
 
     front = CallerFront(
@@ -286,16 +296,24 @@
             status=status,
         )
     )
-    operator_routes = make_operator_routes(
-        OperatorDeps(
-            revisions=revisions,
-            table=platform.table,
-            clock=clock,
-            settings=settings.operators,
-            weights=platform.weights,
-            fleet=lambda: fleet_status(settings, revisions, members, clock),
-        )
+    operator_deps = OperatorDeps(
+        revisions=revisions,
+        table=platform.table,
+        clock=clock,
+        settings=settings.operators,
+        weights=platform.weights,
+        fleet=lambda: fleet_status(settings, revisions, members, clock),
     )
+    operator_routes = [
+        *make_operator_routes(operator_deps),
+        *make_report_routes(
+            recorder,
+            history,
+            clock,
+            member_names,
+            lambda header: is_successful(identify_operator(operator_deps, header)),
+        ),
+    ]
     callers, operators = _make_listeners(settings, front.routes(), operator_routes)
     parts: list[Part] = [
         revisions,
@@ -305,6 +323,7 @@
         services,
         dispatcher,
         feed,
+        history,
         callers,
         operators,
     ]
