--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -7,6 +7,7 @@
 import typer
 
 from lycheepost.commands import (
+    bench,
     customer,
     demo,
     fleet,
@@ -16,6 +17,7 @@
     report,
     serve,
     settings,
+    standin,
 )
 
 app = typer.Typer(
@@ -27,6 +29,7 @@
 
 app.command()(demo.demo)
 app.command()(serve.serve)
+app.command()(standin.standin)
 app.add_typer(settings.app, name="settings")
 app.command("load")(load.load)
 app.add_typer(report.app, name="report")
@@ -34,6 +37,7 @@
 app.add_typer(model.app, name="model")
 app.add_typer(intent.app, name="intent")
 app.add_typer(fleet.app, name="fleet")
+app.add_typer(bench.app, name="bench")
 
 
 def run() -> None:
