--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -6,7 +6,19 @@
 
 import typer
 
-from lycheepost.commands import bench
+from lycheepost.commands import (
+    bench,
+    customer,
+    demo,
+    fleet,
+    intent,
+    load,
+    model,
+    report,
+    serve,
+    settings,
+    standin,
+)
 
 app = typer.Typer(
     name="lycheepost",
@@ -15,6 +27,16 @@
     add_completion=False,
 )
 
+app.command()(demo.demo)
+app.command()(serve.serve)
+app.command()(standin.standin)
+app.add_typer(settings.app, name="settings")
+app.command("load")(load.load)
+app.add_typer(report.app, name="report")
+app.add_typer(customer.app, name="customer")
+app.add_typer(model.app, name="model")
+app.add_typer(intent.app, name="intent")
+app.add_typer(fleet.app, name="fleet")
 app.add_typer(bench.app, name="bench")
 
 
--- /dev/null
+++ b/lycheepost/operators/changes.py
@@ -0,0 +1,86 @@
+"""Apply the plain changes of an intent to a draft configuration.
+
+A plain change is in force as soon as its revision is. Each function either
+changes the draft and returns the step that it made, or returns every fault.
+"""
+
+from lycheepost.generated.operators import (
+    AddTarget,
+    AlterCustomer,
+    AlterModel,
+    AlterTarget,
+    AlterTargetGroup,
+    CreateCustomer,
+    CreateModel,
+    CreateTargetGroup,
+    Remove,
+    RetireTarget,
+    RotateCustomerKey,
+    SetWeightsVersion,
+)
+from lycheepost.operators.change_results import ChangeResult, HashForCustomer
+from lycheepost.operators.customer_changes import (
+    alter_customer,
+    create_customer,
+    rotate_customer_key,
+)
+from lycheepost.operators.items import Draft
+from lycheepost.operators.model_changes import (
+    alter_model,
+    create_model,
+    set_weights_version,
+)
+from lycheepost.operators.removal import remove
+from lycheepost.operators.target_changes import (
+    add_target,
+    alter_target,
+    alter_target_group,
+    create_target_group,
+    retire_target,
+)
+
+PlainChange = (
+    AddTarget
+    | AlterCustomer
+    | AlterModel
+    | AlterTarget
+    | AlterTargetGroup
+    | CreateCustomer
+    | CreateModel
+    | CreateTargetGroup
+    | Remove
+    | RetireTarget
+    | RotateCustomerKey
+    | SetWeightsVersion
+)
+
+
+def apply_plain_change(
+    draft: Draft, change: PlainChange, hash_for: HashForCustomer
+) -> ChangeResult:
+    """Apply one plain change to ``draft``, or return why it cannot be."""
+    match change:
+        case CreateCustomer():
+            return create_customer(draft, change, hash_for)
+        case AlterCustomer():
+            return alter_customer(draft, change)
+        case RotateCustomerKey():
+            return rotate_customer_key(draft, change, hash_for)
+        case CreateModel():
+            return create_model(draft, change)
+        case AlterModel():
+            return alter_model(draft, change)
+        case SetWeightsVersion():
+            return set_weights_version(draft, change)
+        case CreateTargetGroup():
+            return create_target_group(draft, change)
+        case AlterTargetGroup():
+            return alter_target_group(draft, change)
+        case AddTarget():
+            return add_target(draft, change)
+        case AlterTarget():
+            return alter_target(draft, change)
+        case RetireTarget():
+            return retire_target(draft, change)
+        case Remove():
+            return remove(draft, change)
