--- /dev/null
+++ b/features/callers/once.feature
@@ -0,0 +1,66 @@
+Feature: A request with an idempotency key runs at most once
+  A lost or doubled print order harms a person.
+
+  Scenario: A resend through any daemon gets the first answer byte for byte
+    Given a running fleet of 3 daemons
+    When an order is sent once through each daemon with one key
+    Then all answers are equal byte for byte
+    And the service ran the order once
+
+  Scenario: One key with another body is refused
+    Given a running fleet of 2 daemons
+    When an order is sent, and another body with the same key through the other daemon
+    Then the answer has status 422 and code "idempotency_key_reused"
+    And the service ran the order once
+
+  Scenario: A shopper taps twice
+    Two sends of one key arrive at two daemons at the same moment. If each
+    daemon looked before it wrote, both would send the order and the lab would
+    print it twice.
+    Given a running fleet of 2 daemons
+    When one order is sent through both daemons at the same time 10 times over
+    Then each order ran at most once and every caller has an answer or "in progress"
+
+  Scenario Outline: The target fails around a keyed order
+    A shopper's order is on its way when the service fails. The caller sees an
+    error, the kiosk sends the order again with the same key, and a second run
+    would print it twice.
+    Given a running fleet of 2 daemons
+    And the order service <fault>
+    When an order is sent, and sent again through the other daemon
+    Then the first answer has status <status> and is marked "<executed>"
+    And the order ran <runs> times
+    And the resend is <resend>
+
+    Examples:
+      | fault                     | status | executed | runs | resend          |
+      | crashes before running    | 502    | unknown  | 0    | outcome_unknown |
+      | crashes after running     | 502    | unknown  | 1    | outcome_unknown |
+      | loses its answer          | 502    | unknown  | 1    | outcome_unknown |
+
+  Scenario: The table service is down when an order comes
+    The store does not answer, so nobody can know whether another daemon runs
+    the key. The order is refused as not run, and runs once the store is back.
+    Given a running fleet of 1 daemons
+    And the table service is down
+    When an order is sent
+    Then the answer has status 503 and code "store_unavailable"
+    And it is marked as not executed and tells when to come back
+    And the order ran 0 times
+    When the table service is back and the order is sent again
+    Then the answer has status 201
+
+  Scenario: A shopper walks off while the order runs
+    The kiosk drops its connection after the service has the order. The daemon
+    must still see the order through, or a resend could never learn its outcome.
+    Given a running fleet of 2 daemons
+    And the order service takes 0.4 seconds
+    When an order is sent and its caller leaves after 0.1 seconds
+    And the order is sent again through the other daemon until it is settled
+    Then the answer has status 201
+    And the order ran 1 times
+
+  Scenario: A keyed streamed answer is replayed to a resend
+    Given a running fleet of 2 daemons
+    When a streamed chat is sent twice with one key through two daemons
+    Then both streams are equal byte for byte and the engine ran one chat
--- a/lycheepost/report/page.py
+++ b/lycheepost/report/page.py
@@ -173,7 +173,13 @@
         allowed_share = 1 - objective_of(level, report.objectives)
         times, rates = _rates_by_hour(slots, level, allowed_share)
         if times:
-            axes.plot(times, rates, ".-", label=_TITLES[level], color=_COLOURS[level])
+            axes.plot(
+                matplotlib.dates.date2num(times),
+                rates,
+                ".-",
+                label=_TITLES[level],
+                color=_COLOURS[level],
+            )
     axes.axhline(1, color="#222", linewidth=0.8, linestyle="--")
     axes.set_yscale("symlog", linthresh=1)
     axes.set_ylim(bottom=0)
