--- a/lycheepost/peers/shared.py
+++ b/lycheepost/peers/shared.py
@@ -103,7 +103,7 @@
         settings: The daemon's settings.
         fallback: Configuration to serve from until a better source answers.
         callers_url: Where callers reach this daemon, if it is known yet; else
-            ``members.set_callers_url`` tells it later.
+            ``members.announce_callers_url`` tells it later.
     """
     daemon = DaemonId(settings.daemon.daemon_id)
     boot = secrets.token_hex(6)
--- a/lycheepost/standin/objects.py
+++ b/lycheepost/standin/objects.py
@@ -8,7 +8,9 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.platform.objects import ObjectError, ObjectMissing
+from lycheepost.standin.meter import Meter
 from lycheepost.standin.platformfaults import Faults
 
 MODEL_KEY: web.AppKey["ObjectModel"] = web.AppKey("model")
@@ -17,11 +19,17 @@
 
 @dataclass
 class ObjectModel:
-    """The objects and the faults of one object store."""
+    """The objects and the faults of one object store.
 
+    Attributes:
+        clock: Clock of the meter.
+        reads: Gets and listings; counted without a limit.
+    """
+
+    clock: Clock = field(default_factory=SystemClock)
     objects: dict[str, bytes] = field(default_factory=dict)
     faults: Faults = field(default_factory=Faults)
-    n_gets: int = 0
+    reads: Meter = field(default_factory=lambda: Meter(float("inf")))
     n_puts: int = 0
     _older: dict[str, bytes] = field(default_factory=dict)
 
@@ -29,7 +37,7 @@
         """Return one object."""
         if await self._refuses():
             return Failure(ObjectError("The object store is down."))
-        self.n_gets += 1
+        self.reads.admit(1, self.clock.now_seconds())
         is_stale = self.faults.take("n_stale_reads")
         data = (self._older if is_stale else self.objects).get(name)
         if data is None:
@@ -52,6 +60,7 @@
         """Return the names that start with ``prefix``."""
         if await self._refuses():
             return Failure(ObjectError("The object store is down."))
+        self.reads.admit(1, self.clock.now_seconds())
         names = tuple(sorted(name for name in self.objects if name.startswith(prefix)))
         if self.faults.take("n_partial_lists"):
             names = names[: len(names) // 2]
@@ -72,9 +81,9 @@
         return False
 
 
-def make_object_model() -> ObjectModel:
+def make_object_model(clock: Clock | None = None) -> ObjectModel:
     """Return an empty object store."""
-    return ObjectModel()
+    return ObjectModel(clock=clock or SystemClock())
 
 
 def make_objects_app(model: ObjectModel) -> web.Application:
--- a/lycheepost/state/claim_rows.py
+++ b/lycheepost/state/claim_rows.py
@@ -27,7 +27,8 @@
 
     ``CLAIMED`` may have reached a target. ``RELEASED`` has reached none; the row
     stays, so that a write of the first claim that is still on its way finds its
-    condition broken. ``UNKEPT`` ran, and its answer was too large to keep.
+    condition broken. ``UNKEPT`` has ended, may have run, and has no answer that is
+    kept: it was too large, or none came.
     """
 
     CLAIMED = "claimed"
--- a/lycheepost/state/claims.py
+++ b/lycheepost/state/claims.py
@@ -13,8 +13,9 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
+from typing import Any
 
 import structlog
 from returns.result import Failure, Result, Success
@@ -68,6 +69,8 @@
 _log = structlog.get_logger().bind(part="claims")
 
 OwnerIsLive = Callable[[DaemonId, str], bool]
+_Ending = StoredAnswer | ClaimState
+"""How a claim ends: with an answer, ``RELEASED``, or ``UNKEPT``."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,11 +96,20 @@
 
 @dataclass(slots=True)
 class _Held:
-    """What this daemon itself knows of a key; ``answer`` waits to be stored."""
+    """What this daemon itself knows of a key.
 
-    fingerprint: BodyFingerprint
+    Attributes:
+        attempt: The row that this daemon writes or wrote, and the version on
+            which that is conditioned.
+        answer: Waits to be stored.
+        is_fencing: The claim is being given up as not run.
+        is_unknown: The call has ended without an answer and may have run.
+    """
+
+    attempt: Granted
     answer: StoredAnswer | None = None
     is_fencing: bool = False
+    is_unknown: bool = False
 
 
 class ClaimKeeper:
@@ -175,9 +187,15 @@
         if not self._writer.has_room() or wait_seconds > self._limits.wait_seconds:
             reason = "Too many claims are waiting for the table."
             return Failure(ClaimBusy(reason, max(1.0, wait_seconds)))
-        self._held[name] = _Held(fingerprint)
-        outcome = await self._claim_row(name, fingerprint, request)
-        if not _keeps_hold(outcome) and not self._held[name].is_fencing:
+        row = self._make_row(fingerprint, request)
+        held = self._held[name] = _Held(Granted(name, row, ABSENT_VERSION))
+        try:
+            outcome = await self._claim_row(held)
+        except asyncio.CancelledError:
+            # The caller has left: nobody will run what may yet be claimed.
+            self._fence_later(held)
+            raise
+        if not _keeps_hold(outcome) and not held.is_fencing:
             del self._held[name]
         return outcome
 
@@ -202,62 +220,79 @@
         if held is None or held.answer is not None:
             return Failure(ClaimError("The claim is not open."))
         held.is_fencing = True
-        return await self._settle(claim, None)
+        return await self._settle(claim, ClaimState.RELEASED)
 
     async def abandon(self, claim: Granted) -> None:
-        """Forget a claim whose call may have run and has no answer.
+        """Give up a call that may have run and has no answer.
 
-        The row stays as it is: resends are told "undetermined" from now on.
+        Resends are told "undetermined" from now on, through every daemon once
+        the store has taken it.
         """
-        self._held.pop(claim.key, None)
+        held = self._held.get(claim.key)
+        if held is not None:
+            held.is_unknown = True
+            await self._settle(claim, ClaimState.UNKEPT)
 
     def _judge_held(
         self, held: _Held, fingerprint: BodyFingerprint
     ) -> Result[ClaimOutcome, ClaimError]:
         if held.is_fencing:
             return Failure(ClaimStoreDown("An earlier try is being given up."))
-        if held.fingerprint != fingerprint:
+        if held.attempt.row.fingerprint != fingerprint:
             return Success(BodyDiffers())
         if held.answer is not None:
             return Success(Answered(held.answer))
+        if held.is_unknown:
+            return Success(Undetermined(self._daemon))
         return Success(InProgress(self._daemon))
 
-    async def _claim_row(
-        self, name: str, fingerprint: BodyFingerprint, request: RequestId
-    ) -> Result[ClaimOutcome, ClaimError]:
-        row = self._make_row(fingerprint, request)
+    async def _claim_row(self, held: _Held) -> Result[ClaimOutcome, ClaimError]:
         deadline_seconds = self._clock.now_seconds() + self._limits.wait_seconds
-        version = ABSENT_VERSION
         for _ in range(_CLAIM_TRIES):
+            attempt = held.attempt
             outcome = await self._writer.write(
-                name, version, encode_claim(row), deadline_seconds
+                attempt.key,
+                attempt.version,
+                encode_claim(attempt.row),
+                deadline_seconds,
             )
             match outcome:
                 case Success(new_version):
-                    return Success(Granted(name, row, new_version))
+                    return Success(replace(attempt, version=new_version))
                 case Failure(TableConflict()):
-                    pass
+                    decided = await self._claim_moved(held)
+                    if decided is not None:
+                        return decided
                 case Failure(OutcomeUnknown(reason=reason)):
-                    self._fence_later(Granted(name, row, version))
+                    self._fence_later(held)
                     return Failure(ClaimStoreDown(reason))
                 case Failure(error):
                     return Failure(ClaimStoreDown(error.reason))
-            found = await self._read_row(name)
-            if isinstance(found, Failure):
+        self._fence_later(held)
+        return Failure(ClaimStoreDown("The claim did not settle."))
+
+    async def _claim_moved(
+        self, held: _Held
+    ) -> Result[ClaimOutcome, ClaimError] | None:
+        """Decide by the row that broke our condition; None to write again."""
+        attempt = held.attempt
+        match await self._read_row(attempt.key):
+            case Success(current):
+                pass
+            case Failure(_):
                 # The key has been used, by an earlier try or by this one.
-                self._fence_later(Granted(name, row, version))
+                self._fence_later(held)
                 return Success(Undetermined(self._daemon))
-            current = found.unwrap()
-            if current is None or current.version < version:
-                continue
-            claimed = decode_claim(current)
-            if claimed.token == row.token:
-                return Success(Granted(name, claimed, current.version))
-            if claimed.state is not ClaimState.RELEASED:
-                return await self._judge_row(claimed, fingerprint)
-            version = current.version
-        self._fence_later(Granted(name, row, version))
-        return Failure(ClaimStoreDown("The claim did not settle."))
+        if current is None or current.version < attempt.version:
+            # A stale read, or a row that has expired meanwhile.
+            return None
+        claimed = decode_claim(current)
+        if claimed.token == attempt.row.token:
+            return Success(replace(attempt, version=current.version))
+        if claimed.state is ClaimState.RELEASED:
+            held.attempt = replace(attempt, version=current.version)
+            return None
+        return await self._judge_row(claimed, attempt.row.fingerprint)
 
     def _make_row(self, fingerprint: BodyFingerprint, request: RequestId) -> ClaimRow:
         return ClaimRow(
@@ -302,29 +337,39 @@
         return Success(Undetermined(row.owner))
 
     async def _settle(
-        self, claim: Granted, answer: StoredAnswer | None
+        self, claim: Granted, ending: _Ending
     ) -> Result[None, ClaimError]:
-        """Store an answer, or fence the claim when there is none."""
-        if await self._settle_once(claim, answer):
-            self._held.pop(claim.key, None)
+        """Write how the claim ended; go on trying when the store is down."""
+        first = asyncio.get_running_loop().create_future()
+        self._spawn(self._settle_until_done(claim, ending, first))
+        # A caller that leaves meanwhile must not stop the write.
+        if await asyncio.shield(first):
             return Success(None)
-        self._spawn(self._settle_later(claim, answer))
         return Failure(ClaimError("The store is not reachable; it is tried again."))
 
-    def _fence_later(self, claim: Granted) -> None:
-        self._held[claim.key].is_fencing = True
-        self._spawn(self._settle_later(claim, None))
+    def _fence_later(self, held: _Held) -> None:
+        held.is_fencing = True
+        ending = ClaimState.RELEASED
+        self._spawn(self._settle_until_done(held.attempt, ending, None))
 
-    async def _settle_later(self, claim: Granted, answer: StoredAnswer | None) -> None:
-        while not await self._settle_once(claim, answer):
-            if answer is not None and self._unstored_bytes() > _MOST_UNSTORED_BYTES:
+    async def _settle_until_done(
+        self, claim: Granted, ending: _Ending, first: asyncio.Future[bool] | None
+    ) -> None:
+        """Write until it is done; ``first`` tells whether the first try was."""
+        while True:
+            is_done = await self._settle_once(claim, ending)
+            if first is not None and not first.done():
+                first.set_result(is_done)
+            if is_done:
+                break
+            if isinstance(ending, StoredAnswer) and self._is_overfull():
                 _log.error("claims: gave up storing an answer", key=claim.key)
                 break
             await asyncio.sleep(_RETRY_PAUSE_SECONDS)
         self._held.pop(claim.key, None)
 
-    async def _settle_once(self, claim: Granted, answer: StoredAnswer | None) -> bool:
-        row = await self._make_settled_row(claim, answer)
+    async def _settle_once(self, claim: Granted, ending: _Ending) -> bool:
+        row = await self._make_settled_row(claim, ending)
         if row is None:
             return False
         deadline_seconds = self._clock.now_seconds() + self._limits.wait_seconds
@@ -360,11 +405,14 @@
         return isinstance(outcome, Success)
 
     async def _make_settled_row(
-        self, claim: Granted, answer: StoredAnswer | None
+        self, claim: Granted, ending: _Ending
     ) -> ClaimRow | None:
         row = replace(claim.row, changed_wall_seconds=self._clock.wall_seconds())
-        if answer is None:
-            return replace(row, state=ClaimState.RELEASED)
+        match ending:
+            case StoredAnswer() as answer:
+                pass
+            case ClaimState() as state:
+                return replace(row, state=state)
         if len(answer.body) > self._limits.answer_bytes:
             return replace(row, state=ClaimState.UNKEPT)
         if len(answer.body) <= _ROW_ANSWER_BYTES:
@@ -378,10 +426,13 @@
     async def _read_row(self, name: str) -> Result[Row | None, TableError]:
         return (await self._table.read((name,))).map(lambda rows: rows[0])
 
+    def _is_overfull(self) -> bool:
+        return self._unstored_bytes() > _MOST_UNSTORED_BYTES
+
     def _unstored_bytes(self) -> int:
         return sum(len(held.answer.body) for held in self._held.values() if held.answer)
 
-    def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/lycheepost/state/revisions.py
+++ b/lycheepost/state/revisions.py
@@ -114,6 +114,10 @@
         """Call ``on_view`` with each view adopted from now on."""
         self._subscribers.append(on_view)
 
+    def count_daemons_as(self, n_daemons: Callable[[], int]) -> None:
+        """Share the looks at the table among this many daemons from now on."""
+        self._n_daemons = n_daemons
+
     async def start(self) -> None:
         """Start to poll; the view that there is serves at once."""
         self._task = asyncio.create_task(self._run())
