--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -10,6 +10,7 @@
 
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import BodyFingerprint, CustomerId, RequestId
+from lycheepost.decide.quarantine import LossSeen
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -26,7 +27,7 @@
 """A queued request is looked at this often: well under the 0.3 s objective for a
 first token, and 50 wake-ups a second cost an idle daemon under 0.1% of a core."""
 
-_log = structlog.get_logger().bind(part="dispatch")
+_log = structlog.get_logger(part="dispatch")
 
 
 class Dispatcher:
@@ -134,6 +135,14 @@
         until_seconds = self._clock.now_seconds() + for_seconds
         self._scheduler.quarantine(fingerprint, until_seconds)
 
+    def note_loss(self, fingerprint: BodyFingerprint) -> None:
+        """Count a target loss that another daemon saw."""
+        self._scheduler.note_loss(fingerprint, self._clock.now_seconds())
+
+    def take_losses(self) -> list[LossSeen]:
+        """Return the losses seen here since the last call."""
+        return self._scheduler.take_losses()
+
     def _wake(self, outcomes: list[Outcome]) -> None:
         for outcome in outcomes:
             future = self._waiting.get(outcome.request)
--- a/lycheepost/operators/confirming.py
+++ b/lycheepost/operators/confirming.py
@@ -9,17 +9,23 @@
 
 import dataclasses
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import structlog
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import PlanId, Revision
-from lycheepost.generated.configuration import AppliedPlan, Configuration
+from lycheepost.generated.configuration import (
+    AppliedPlan,
+    CapacityIntentKind,
+    Configuration,
+)
 from lycheepost.generated.operators import (
     ConfirmAnswer,
     OperatorErrorKind,
     Plan,
+    PlanConflict,
     PlanState,
     ShownKey,
 )
@@ -28,7 +34,11 @@
 from lycheepost.operators.callerkeys import derive_caller_key
 from lycheepost.operators.errors import OperatorError
 from lycheepost.operators.intents import parse_intent
-from lycheepost.operators.planning import draft_intent, remember_plan
+from lycheepost.operators.planning import (
+    DraftContext,
+    draft_intent,
+    remember_plan,
+)
 from lycheepost.operators.plans import (
     RETRY_SECONDS,
     PlanRaced,
@@ -45,7 +55,7 @@
 means that another revision won, so at 0.74 revisions a second more than a few
 in a row means that something else is wrong."""
 
-_log = structlog.get_logger().bind(part="operators")
+_log = structlog.get_logger(part="operators")
 
 
 @dataclass(frozen=True)
@@ -158,17 +168,24 @@
         return OperatorError(
             "The plan has expired; plan again.", OperatorErrorKind.PLAN_EXPIRED
         )
-    blocking = [item for item in plan.conflicts if item.is_blocking]
-    if blocking:
-        return OperatorError(
-            "The plan has conflicts that block it.",
-            OperatorErrorKind.CONFLICT,
-            tuple(Fault(item.subject, "", item.reason) for item in blocking),
-        )
+    blocked = _check_conflicts(plan.conflicts)
+    if blocked is not None:
+        return blocked
     configuration = deps.revisions.view.configuration
     return _check_basis(plan, configuration, call.allow_unrelated)
 
 
+def _check_conflicts(conflicts: Iterable[PlanConflict]) -> OperatorError | None:
+    blocking = [item for item in conflicts if item.is_blocking]
+    if not blocking:
+        return None
+    return OperatorError(
+        "Conflicts block the plan.",
+        OperatorErrorKind.CONFLICT,
+        tuple(Fault(item.subject, "", item.reason) for item in blocking),
+    )
+
+
 def _check_basis(
     plan: Plan, configuration: Configuration, allow_unrelated: bool
 ) -> OperatorError | None:
@@ -193,13 +210,23 @@
     if refused is not None:
         return Failure(refused)
     intent = parse_intent({"changes": plan.changes}).unwrap()
-    drafted = draft_intent(
-        basis, intent, lambda customer: hash_key(_derive_key(call, customer))
+    context = DraftContext(
+        plan_id=plan.plan_id,
+        wall_seconds=deps.clock.wall_seconds(),
+        weights=tuple(plan.weights),
+        settings=deps.settings,
+        hash_for=lambda customer: hash_key(_derive_key(call, customer)),
     )
+    drafted = draft_intent(basis, intent, context)
     if not isinstance(drafted, Success):
         reason = "The plan no longer fits the configuration; plan again."
         faults = tuple(drafted.failure())
         return Failure(OperatorError(reason, OperatorErrorKind.BASIS_MOVED, faults))
+    # Two plans that touch different targets of one group may each leave enough
+    # of them serving and together too few, so the head is checked again.
+    blocked = _check_conflicts(drafted.unwrap().conflicts())
+    if blocked is not None:
+        return Failure(blocked)
     changed = remember_plan(
         drafted.unwrap().draft.finish(), plan, call.operator.name, call.token_hash
     )
@@ -270,6 +297,11 @@
             for customer in shown
         ],
         n_keys_withheld=len(customers) - len(shown),
+        intents=[
+            step.subject.partition("/")[2]
+            for step in plan.steps
+            if step.action in set(CapacityIntentKind)
+        ],
     )
 
 
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -49,7 +49,7 @@
 """A target that stays dead is refused every few seconds; peers hear of it once."""
 _SUSPECT_SECONDS = 60.0
 """A daemon suspected for this long without a word counts as gone."""
-_log = structlog.get_logger().bind(part="members")
+_log = structlog.get_logger(part="members")
 
 OnTargetSign = Callable[[TargetId, TargetSign], None]
 OnMember = Callable[[Member], None]
@@ -215,10 +215,6 @@
         """Tell peers that this daemon leaves."""
         self._update_me(replace(self._me, state=MemberState.LEAVING))
 
-    def announce_callers_url(self, callers_url: str) -> None:
-        """Tell where callers reach this daemon, once its port is known."""
-        self._update_me(replace(self._me, callers_url=callers_url))
-
     def hear(self, member: Member) -> bool:
         """Take what is said of a daemon; return whether it was news."""
         if member.daemon == self._me.daemon:
--- a/lycheepost/state/revisions.py
+++ b/lycheepost/state/revisions.py
@@ -65,7 +65,7 @@
 216 reads a second."""
 PEER_SOURCE = "peer"
 _COMMIT_SECONDS = 10.0
-_log = structlog.get_logger().bind(part="revisions")
+_log = structlog.get_logger(part="revisions")
 
 OnView = Callable[[ConfigurationView], None]
 
