--- /dev/null
+++ b/lycheepost/bench/capacity_check.py
@@ -0,0 +1,440 @@
+"""Check in seeded random runs how capacity intents are carried out.
+
+Several daemons run the real runner, lease keeper and revision keeper over the
+table stand-in in virtual time, while processes are suspended and killed, targets
+crash, hang and fall silent, the table goes down and loses answers, and operators
+plan, pause and cancel. After every change these must hold:
+
+- no more targets load at once than the group allows, whoever holds the duty;
+- a change takes no serving target out while too few others serve;
+- no load cuts a request that a target runs;
+- a target that checks fencing takes no order of a holder that was overtaken;
+
+and once the faults end, every intent comes to an end and every serving target
+holds the weights that the configuration says.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lycheepost.bench.capacity_fleet import (
+    BOOT_WEIGHTS,
+    GatedTable,
+    Holder,
+    ModelOrders,
+    ModelTarget,
+    Tally,
+    run_traffic,
+)
+from lycheepost.core.ids import DaemonId, Revision, TargetId
+from lycheepost.decide.records import TargetState
+from lycheepost.generated.configuration import (
+    CapacityIntentState,
+    CapacityStepState,
+    Configuration,
+    Model,
+    Target,
+    TargetDesiredState,
+    TargetGroup,
+    TargetGroupKind,
+)
+from lycheepost.generated.engine import EngineHealthState
+from lycheepost.generated.operators import (
+    CancelIntent,
+    ChangeRole,
+    HoldReady,
+    NewWeights,
+    PauseIntent,
+    ResumeIntent,
+    Retire,
+    WeightsFact,
+)
+from lycheepost.generated.settings import OperatorSettings
+from lycheepost.operators.capacity_changes import (
+    CapacityChange,
+    CapacityContext,
+    apply_capacity_change,
+)
+from lycheepost.operators.capacity_ports import CapacityDeps
+from lycheepost.operators.capacity_runner import Look, make_capacity_runner
+from lycheepost.operators.change_results import Applied
+from lycheepost.operators.items import Draft
+from lycheepost.standin.objects import make_object_model
+from lycheepost.standin.table import TableModel, make_table_model
+from lycheepost.standin.virtualtime import run_virtual, virtual_clock
+from lycheepost.state.leases import LeaseKeeper
+from lycheepost.state.revisions import RevisionKeeper, make_revision_keeper
+from lycheepost.state.view import ConfigurationView
+
+_GROUP = "engines"
+_MODEL = "reader"
+_N_DAEMONS = 3
+_FAULTS_SECONDS = 70
+_QUIET_SECONDS = 150
+_LEASE_SECONDS = 6.0
+_MARGIN_SECONDS = 2.0
+_RECENT_SECONDS = 5.0
+"""A holder sees a target at most this long ago when its decision is recorded."""
+_SETTINGS = OperatorSettings(
+    drain_settle_seconds=4.0, load_timeout_seconds=25.0, warm_step_seconds=2.0
+)
+
+
+@dataclass(frozen=True)
+class CapacityRun:
+    """What one seeded run came to."""
+
+    seed: int
+    checks_fencing: bool
+    n_targets: int
+    load_limit: int
+    min_serving: int
+    n_revisions: int
+    n_loads: int
+    n_most_loads: int
+    n_orders: int
+    n_late_orders: int
+    n_late_loads: int
+    n_holders: int
+    violations: tuple[str, ...]
+
+
+class CapacityWorld:
+    """One run: its fleet, daemons, faults and operators."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.chance = random.Random(seed)
+        self.checks_fencing = seed % 2 == 0
+        self.n_targets = self.chance.randint(3, 6)
+        self.load_limit = self.chance.randint(1, 3)
+        self.min_serving = self.chance.randint(1, 2)
+        self.tally = Tally()
+        self.targets: dict[str, ModelTarget] = {}
+        for index in range(self.n_targets):
+            name = f"e{index}"
+            self.targets[name] = ModelTarget(
+                name, self.checks_fencing, self.tally, self.load_limit, self.targets
+            )
+        self.table: TableModel = make_table_model(virtual_clock())
+        self.objects = make_object_model()
+        self.history: list[tuple[float, Configuration]] = []
+        self.ready: list[tuple[float, frozenset[str]]] = []
+        self.holders = [Holder() for _ in range(_N_DAEMONS)]
+        self.tasks: list[asyncio.Task[None]] = []
+        self.n_holders = 0
+        self.n_named = 0
+        self.orders: list[ModelOrders] = []
+        self.is_disturbed = True
+
+    async def run(self) -> CapacityRun:
+        """Run faults and operators, then quiet, and judge."""
+        clock = virtual_clock()
+        self.observer = make_revision_keeper(
+            self.table, self.objects, clock, poll_seconds=0.3
+        )
+        await self._seed_configuration()
+        self.observer.subscribe(self._judge_revision)
+        await self.observer.start()
+        traffic = asyncio.create_task(run_traffic(self.targets, self.history))
+        self.tasks = [
+            asyncio.create_task(self._run_daemon(index)) for index in range(_N_DAEMONS)
+        ]
+        for _ in range(_FAULTS_SECONDS):
+            self._note_ready()
+            await self._disturb()
+            await asyncio.sleep(1.0)
+        self._end_faults()
+        for _ in range(_QUIET_SECONDS):
+            self._note_ready()
+            await asyncio.sleep(1.0)
+        await self._judge_end()
+        for task in [*self.tasks, traffic]:
+            task.cancel()
+        await asyncio.gather(*self.tasks, traffic, return_exceptions=True)
+        await self.observer.stop()
+        return self._report()
+
+    async def _seed_configuration(self) -> None:
+        n_standby = self.chance.randint(0, self.n_targets - self.min_serving - 1)
+        targets = [
+            Target(
+                target=name,
+                target_group=_GROUP,
+                availability_zone=f"z{index % 2}",
+                url=f"http://127.0.0.1:{9000 + index}",
+                weights_version=BOOT_WEIGHTS,
+                desired_state=TargetDesiredState.STANDBY
+                if index < n_standby
+                else TargetDesiredState.SERVING,
+            )
+            for index, name in enumerate(self.targets)
+        ]
+        group = TargetGroup(
+            target_group=_GROUP,
+            kind=TargetGroupKind.ENGINE,
+            checks_fencing=self.checks_fencing,
+            concurrent_loads=self.load_limit,
+            min_serving=self.min_serving,
+        )
+        model = Model(model=_MODEL, weights_version=BOOT_WEIGHTS, target_group=_GROUP)
+        first = Configuration(
+            revision=1, target_groups=[group], models=[model], targets=targets
+        )
+        await self.observer.commit(Revision(0), first)
+        self.history.append((0.0, self.observer.view.configuration))
+        await self._operate(
+            NewWeights(model=_MODEL, weights_version="w2"), self.observer
+        )
+        self.history.append((0.0, self.observer.view.configuration))
+
+    async def _run_daemon(self, index: int) -> None:
+        holder = self.holders[index]
+        clock = virtual_clock()
+        table = GatedTable(self.table, holder)
+        revisions = make_revision_keeper(table, self.objects, clock, poll_seconds=0.5)
+        await revisions.start()
+        leases = LeaseKeeper(
+            table, clock, DaemonId(f"d{index}"), _LEASE_SECONDS, _MARGIN_SECONDS
+        )
+        orders = ModelOrders(self.targets, holder, self.chance)
+        orders.is_disturbed = self.is_disturbed
+        self.orders.append(orders)
+        deps = CapacityDeps(
+            revisions=revisions,
+            leases=leases,
+            orders=orders,
+            states=self._states,
+            clock=clock,
+            settings=_SETTINGS,
+        )
+        runner = make_capacity_runner(deps, seed=self.seed * 10 + index)
+        try:
+            while True:
+                look = await runner.look()
+                number = int(str(runner.status()["fencing_number"]))
+                if look in (Look.STEADY, Look.RECORDED):
+                    self._note_holder(number)
+                await asyncio.sleep(_SETTINGS.capacity_tick_seconds)
+        finally:
+            await revisions.stop()
+
+    def _note_holder(self, number: int) -> None:
+        """Remember who has begun; from now on older orders are out of turn."""
+        self.n_holders = max(self.n_holders, number)
+        for target in self.targets.values():
+            # A target that was silent or loading has not been shown the number.
+            if target.is_settled():
+                target.newest_holder = max(target.newest_holder, number)
+
+    def _states(self) -> dict[TargetId, TargetState]:
+        return {
+            TargetId(name): TargetState.GONE
+            if target.is_silent
+            else TargetState.SERVING
+            for name, target in self.targets.items()
+        }
+
+    async def _disturb(self) -> None:
+        """Do what a bad second may bring."""
+        chance = self.chance
+        now_seconds = virtual_clock().now_seconds()
+        if chance.random() < 0.06:
+            holder = chance.choice(self.holders)
+            holder.paused_until_seconds = now_seconds + chance.uniform(1.0, 25.0)
+        if chance.random() < 0.03:
+            index = chance.randrange(_N_DAEMONS)
+            self.tasks[index].cancel()
+            self.holders[index] = Holder()
+            self.tasks[index] = asyncio.create_task(self._run_daemon(index))
+        if chance.random() < 0.03:
+            chance.choice(list(self.targets.values())).crash()
+        if chance.random() < 0.04:
+            target = chance.choice(list(self.targets.values()))
+            target.silent_until_seconds = now_seconds + chance.uniform(2.0, 12.0)
+        if chance.random() < 0.02:
+            chance.choice(list(self.targets.values())).is_load_stuck = True
+        if chance.random() < 0.03:
+            self.table.faults.n_lost_answers = 1
+        if chance.random() < 0.02:
+            self.table.faults.n_late_writes = 1
+        if chance.random() < 0.02:
+            self.table.faults.is_down = not self.table.faults.is_down
+        elif self.table.faults.is_down and chance.random() < 0.2:
+            self.table.faults.is_down = False
+        if chance.random() < 0.06:
+            await self._operate_at_random()
+
+    def _end_faults(self) -> None:
+        self.table.faults.is_down = False
+        self.is_disturbed = False
+        for orders in self.orders:
+            orders.is_disturbed = False
+        now_seconds = virtual_clock().now_seconds()
+        for holder in self.holders:
+            holder.paused_until_seconds = min(holder.paused_until_seconds, now_seconds)
+        for target in self.targets.values():
+            target.is_load_stuck = False
+            target.silent_until_seconds = 0.0
+
+    async def _operate_at_random(self) -> None:
+        intents = self.observer.view.configuration.capacity_intents
+        names = list(self.targets)
+        wishes: list[CapacityChange] = [
+            NewWeights(model=_MODEL, weights_version=self.chance.choice(("w1", "w2"))),
+            HoldReady(target_group=_GROUP, n_targets=self.n_targets),
+            HoldReady(
+                target_group=_GROUP,
+                n_targets=self.n_targets - 1,
+                end_wall_seconds=virtual_clock().wall_seconds() + 40,
+            ),
+            Retire(target_group=_GROUP, targets=[self.chance.choice(names)]),
+            ChangeRole(
+                target_group=_GROUP, targets=[self.chance.choice(names)], role="prefill"
+            ),
+        ]
+        for intent in intents:
+            wishes += [
+                PauseIntent(intent=intent.intent),
+                ResumeIntent(intent=intent.intent),
+                CancelIntent(intent=intent.intent),
+            ]
+        await self._operate(self.chance.choice(wishes), self.observer)
+
+    async def _operate(self, change: CapacityChange, keeper: RevisionKeeper) -> None:
+        """Plan and confirm one change as the operators' API does."""
+        basis = keeper.view.configuration
+        draft = Draft(basis)
+        self.n_named += 1
+        fact = WeightsFact(
+            model=_MODEL,
+            weights_version=getattr(change, "weights_version", BOOT_WEIGHTS),
+            is_known=True,
+            is_present=True,
+            load_seconds=6.0,
+        )
+        context = CapacityContext(
+            intent_name=f"i{self.n_named}",
+            now_wall_seconds=virtual_clock().wall_seconds(),
+            weights={(fact.model, fact.weights_version): fact},
+            drain_seconds=_SETTINGS.drain_settle_seconds,
+            warm_step_seconds=_SETTINGS.warm_step_seconds,
+        )
+        applied = apply_capacity_change(draft, change, context)
+        if not isinstance(applied, Applied):
+            return
+        if any(conflict.is_blocking for conflict in applied.conflicts):
+            return
+        changed = dataclasses.replace(draft.finish(), revision=basis.revision + 1)
+        await keeper.commit(Revision(basis.revision), changed)
+
+    def _truly_ready(self, configuration: Configuration) -> frozenset[str]:
+        return frozenset(
+            target.target
+            for target in configuration.targets
+            if target.desired_state is TargetDesiredState.SERVING
+            and target.serving_share >= 1.0
+            and self.targets[target.target].state is EngineHealthState.SERVING
+            and self.targets[target.target].weights_version == target.weights_version
+            and not self.targets[target.target].is_silent
+        )
+
+    def _note_ready(self) -> None:
+        now_seconds = virtual_clock().now_seconds()
+        ready = self._truly_ready(self.observer.view.configuration)
+        self.ready.append((now_seconds, ready))
+        del self.ready[:-20]
+
+    def _judge_revision(self, view: ConfigurationView) -> None:
+        """Check that no change leaves too few serving."""
+        before = self.history[-1][1]
+        after = view.configuration
+        now_seconds = virtual_clock().now_seconds()
+        self.history.append((now_seconds, after))
+        taken = self._truly_ready(before) - {
+            target.target
+            for target in after.targets
+            if target.desired_state is TargetDesiredState.SERVING
+        }
+        # What crashed within the last moments may still have been seen serving.
+        recent: set[str] = set()
+        for at_seconds, ready in self.ready:
+            if at_seconds >= now_seconds - _RECENT_SECONDS:
+                recent |= ready
+        left = {
+            target.target
+            for target in after.targets
+            if target.desired_state is TargetDesiredState.SERVING
+            and target.serving_share >= 1.0
+        } & (recent | self._truly_ready(after))
+        if taken and len(left) < self.min_serving:
+            self.tally.violations.append(
+                f"revision {after.revision} takes {sorted(taken)},"
+                f" leaves {sorted(left)}"
+            )
+
+    async def _judge_end(self) -> None:
+        """Check that all came to an end and targets hold what is recorded."""
+        await self.observer.refresh()
+        configuration = self.observer.view.configuration
+        for intent in configuration.capacity_intents:
+            open_steps = [
+                step.target
+                for step in intent.steps
+                if step.state
+                in (
+                    CapacityStepState.DRAINING,
+                    CapacityStepState.LOADING,
+                    CapacityStepState.WARMING,
+                )
+            ]
+            if open_steps:
+                self.tally.violations.append(
+                    f"{intent.intent} {intent.kind.value} is stuck at {open_steps}"
+                )
+        self._judge_targets(configuration)
+
+    def _judge_targets(self, configuration: Configuration) -> None:
+        is_failed = any(
+            intent.state is CapacityIntentState.FAILED
+            for intent in configuration.capacity_intents
+        )
+        for target in configuration.targets:
+            if target.desired_state is not TargetDesiredState.SERVING or is_failed:
+                continue
+            model = self.targets[target.target]
+            if model.weights_version != target.weights_version:
+                self.tally.violations.append(
+                    f"{target.target} holds {model.weights_version}"
+                    f" and is to hold {target.weights_version}"
+                )
+
+    def _report(self) -> CapacityRun:
+        return CapacityRun(
+            seed=self.seed,
+            checks_fencing=self.checks_fencing,
+            n_targets=self.n_targets,
+            load_limit=self.load_limit,
+            min_serving=self.min_serving,
+            n_revisions=self.observer.view.configuration.revision,
+            n_loads=self.tally.n_loads,
+            n_most_loads=self.tally.n_most_loads,
+            n_orders=self.tally.n_orders,
+            n_late_orders=self.tally.n_late_orders,
+            n_late_loads=self.tally.n_late_loads,
+            n_holders=self.n_holders,
+            violations=tuple(self.tally.violations),
+        )
+
+
+async def _run_one(seed: int) -> CapacityRun:
+    return await CapacityWorld(seed).run()
+
+
+def run_capacity_checks(seeds: Iterable[int]) -> Iterable[CapacityRun]:
+    """Yield the outcome of one run per seed."""
+    for seed in seeds:
+        yield run_virtual(_run_one(seed))
--- /dev/null
+++ b/lycheepost/bench/capacity_fleet.py
@@ -0,0 +1,321 @@
+"""Targets and faults for checking how capacity intents are carried out.
+
+Small models in virtual time: a target drains, loads, serves, crashes, falls
+silent; an order to it is delayed, loses its answer, or leaves a paused holder
+late. Each model counts what must never happen.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.errors import LycheepostError
+from lycheepost.generated.configuration import Configuration, Target, TargetDesiredState
+from lycheepost.generated.engine import (
+    EngineHealth,
+    EngineHealthState,
+    EngineLoad,
+    EngineOrder,
+    EngineOrderAnswer,
+)
+from lycheepost.platform.table import (
+    Committed,
+    Page,
+    Row,
+    TableError,
+    TablePort,
+    Transaction,
+)
+from lycheepost.standin.virtualtime import virtual_clock
+
+BOOT_WEIGHTS = "w1"
+LOAD_SECONDS = 6.0
+_ORDER_TIMEOUT_SECONDS = 1.5
+_SUSPENDED_SEND_SHARE = 0.15
+_SETTLED_SECONDS = 8.0
+_LAG_SECONDS = 2.0
+"""How long daemons go on sending work after the configuration says otherwise."""
+
+
+@dataclass
+class Tally:
+    """What happened, and what never may."""
+
+    n_loads: int = 0
+    n_most_loads: int = 0
+    n_orders: int = 0
+    n_late_orders: int = 0
+    """Orders of an overtaken holder that a target took."""
+    n_late_loads: int = 0
+    """Loads above the limit that a late order to a target without a fencing check
+    began; nothing that a sender does can rule these out."""
+    violations: list[str] = field(default_factory=list)
+
+
+class ModelTarget:
+    """One engine.
+
+    Args:
+        name: Its name.
+        checks_fencing: Whether it refuses an old fencing number.
+        tally: Where it counts.
+        load_limit: Most targets that may load at once.
+        fleet: All targets, to count the loads.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        checks_fencing: bool,
+        tally: Tally,
+        load_limit: int,
+        fleet: dict[str, "ModelTarget"],
+    ) -> None:
+        self.name = name
+        self.checks_fencing = checks_fencing
+        self.tally = tally
+        self.load_limit = load_limit
+        self.fleet = fleet
+        self.boot = 0
+        self.n_running = 0
+        self.silent_until_seconds = 0.0
+        self.is_load_stuck = False
+        self.fencing_number = 0
+        self.newest_holder = 0
+        self.settled_seconds = 0.0
+        self._task: asyncio.Task[None] | None = None
+        self._come_up()
+
+    def _come_up(self) -> None:
+        self.state = EngineHealthState.SERVING
+        self.weights_version = BOOT_WEIGHTS
+        self.role = ""
+        self.desired_version = 0
+        self.fencing_number = 0
+        self.newest_holder = 0
+        self.n_running = 0
+        self.settled_seconds = virtual_clock().now_seconds()
+
+    @property
+    def is_silent(self) -> bool:
+        """Return whether no call gets through."""
+        return virtual_clock().now_seconds() < self.silent_until_seconds
+
+    def crash(self) -> None:
+        """Come back empty, with the weights it boots with."""
+        if self._task is not None:
+            self._task.cancel()
+        self.boot += 1
+        self._come_up()
+
+    def health(self) -> EngineHealth:
+        """Return what it says of itself."""
+        return EngineHealth(
+            boot_id=f"{self.name}-{self.boot}",
+            state=self.state,
+            model="reader",
+            weights_version=self.weights_version,
+            role=self.role,
+            desired_version=self.desired_version,
+            fencing_number=self.fencing_number,
+        )
+
+    def is_settled(self) -> bool:
+        """Return whether it has answered, and not loaded, for some looks."""
+        now_seconds = virtual_clock().now_seconds()
+        since_seconds = max(self.settled_seconds, self.silent_until_seconds)
+        is_loading = self.state is EngineHealthState.LOADING
+        return not is_loading and now_seconds > since_seconds + _SETTLED_SECONDS
+
+    def load(self) -> EngineLoad:
+        """Return what it runs."""
+        return EngineLoad(
+            boot_id=f"{self.name}-{self.boot}",
+            age_seconds=0.0,
+            n_running=self.n_running,
+            n_queued=0,
+            queued_prompt_tokens=0,
+            cached_tokens=0,
+        )
+
+    def take(self, order: EngineOrder) -> EngineOrderAnswer:
+        """Take an order or refuse it."""
+        is_old = order.fencing_number < self.fencing_number
+        if self.checks_fencing and is_old:
+            return self._answer(False, "old fencing number")
+        is_late = order.fencing_number < self.newest_holder
+        if is_late:
+            self.tally.n_late_orders += 1
+            if self.checks_fencing:
+                self.tally.violations.append(f"{self.name} took an order out of turn")
+        self.fencing_number = max(self.fencing_number, order.fencing_number)
+        if self.checks_fencing and order.desired_version < self.desired_version:
+            return self._answer(False, "old desired version")
+        self.tally.n_orders += 1
+        self.desired_version = order.desired_version
+        self._carry_out(order, is_late)
+        return self._answer(True, "")
+
+    def _answer(self, is_accepted: bool, reason: str) -> EngineOrderAnswer:
+        return EngineOrderAnswer(
+            is_accepted=is_accepted,
+            fencing_number=self.fencing_number,
+            desired_version=self.desired_version,
+            reason=reason,
+        )
+
+    def _carry_out(self, order: EngineOrder, is_late: bool) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        weights = order.weights_version or self.weights_version
+        needs_load = weights != self.weights_version or order.role not in (
+            "",
+            self.role,
+        )
+        if not needs_load:
+            self.state = order.state
+            return
+        self.state = EngineHealthState.LOADING
+        self._count_load(is_late)
+        self._task = asyncio.create_task(self._finish_load(order, weights))
+
+    def _count_load(self, is_late: bool) -> None:
+        loading = [
+            target
+            for target in self.fleet.values()
+            if target.state is EngineHealthState.LOADING
+        ]
+        self.tally.n_loads += 1
+        self.tally.n_most_loads = max(self.tally.n_most_loads, len(loading))
+        if len(loading) > self.load_limit:
+            if is_late and not self.checks_fencing:
+                self.tally.n_late_loads += 1
+            else:
+                names = ", ".join(target.name for target in loading)
+                self.tally.violations.append(f"too many load at once: {names}")
+        if self.n_running and not is_late:
+            self.tally.violations.append(f"a load cut {self.n_running} on {self.name}")
+
+    async def _finish_load(self, order: EngineOrder, weights: str) -> None:
+        await asyncio.sleep(LOAD_SECONDS)
+        while self.is_load_stuck:  # noqa: ASYNC110 (a fault that a run sets and ends)
+            await asyncio.sleep(1.0)
+        self.settled_seconds = virtual_clock().now_seconds()
+        self.weights_version = weights
+        self.role = order.role or self.role
+        self.state = order.state
+
+
+async def run_traffic(
+    targets: dict[str, ModelTarget], history: list[tuple[float, Configuration]]
+) -> None:
+    """Send work to targets by what daemons believe, a little behind the head."""
+    clock = virtual_clock()
+    while True:
+        now_seconds = clock.now_seconds()
+        late = [item for at, item in history if at <= now_seconds - _LAG_SECONDS]
+        believed = late[-1] if late else history[0][1]
+        for target in believed.targets:
+            model = targets[target.target]
+            takes = (
+                target.desired_state is TargetDesiredState.SERVING
+                and model.state is EngineHealthState.SERVING
+                and model.weights_version == target.weights_version
+            )
+            model.n_running = 1 if takes else max(0, model.n_running - 1)
+        await asyncio.sleep(1.0)
+
+
+class Holder:
+    """One daemon's process, which can be suspended."""
+
+    def __init__(self) -> None:
+        self.paused_until_seconds = 0.0
+
+    async def pass_gate(self) -> None:
+        """Wait while the process is suspended."""
+        clock = virtual_clock()
+        while (wait_seconds := self.paused_until_seconds - clock.now_seconds()) > 0:  # noqa: ASYNC110, E501
+            await asyncio.sleep(wait_seconds)
+
+
+class GatedTable:
+    """The table as one daemon reaches it; suspension shows around each call."""
+
+    def __init__(self, inner: TablePort, holder: Holder) -> None:
+        self._inner = inner
+        self._holder = holder
+
+    async def read(
+        self, keys: tuple[str, ...]
+    ) -> Result[tuple[Row | None, ...], TableError]:
+        """Read through the gate."""
+        await self._holder.pass_gate()
+        found = await self._inner.read(keys)
+        await self._holder.pass_gate()
+        return found
+
+    async def scan(
+        self, prefix: str, after_key: str | None, limit: int
+    ) -> Result[Page, TableError]:
+        """Scan through the gate."""
+        await self._holder.pass_gate()
+        return await self._inner.scan(prefix, after_key, limit)
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, TableError]:
+        """Commit through the gate."""
+        await self._holder.pass_gate()
+        outcome = await self._inner.commit(transaction)
+        await self._holder.pass_gate()
+        return outcome
+
+
+class ModelOrders:
+    """Orders of one daemon to the model targets."""
+
+    def __init__(
+        self, targets: dict[str, ModelTarget], holder: Holder, chance: random.Random
+    ) -> None:
+        self._targets = targets
+        self._holder = holder
+        self._chance = chance
+        self.is_disturbed = True
+
+    async def send(
+        self, target: Target, order: EngineOrder
+    ) -> Result[EngineOrderAnswer, LycheepostError]:
+        """Send an order; it may leave late, arrive late, or lose its answer."""
+        # The lease was asked just before. A process suspended here wakes and
+        # writes the order all the same.
+        if self.is_disturbed and self._chance.random() < _SUSPENDED_SEND_SHARE:
+            now_seconds = virtual_clock().now_seconds()
+            pause_seconds = self._chance.uniform(1.0, 40.0)
+            self._holder.paused_until_seconds = now_seconds + pause_seconds
+        await self._holder.pass_gate()
+        model = self._targets[target.target]
+        delay_seconds = self._chance.choice((0.0, 0.0, 0.1, _ORDER_TIMEOUT_SECONDS))
+        await asyncio.sleep(delay_seconds)
+        if model.is_silent:
+            return Failure(LycheepostError("silent"))
+        answer = model.take(order)
+        await self._holder.pass_gate()
+        if self._chance.random() < 0.1:
+            return Failure(LycheepostError("the answer was lost"))
+        return Success(answer)
+
+    async def read_state(self, target: Target) -> Result[EngineHealth, LycheepostError]:
+        """Ask a target what it is."""
+        model = self._targets[target.target]
+        await asyncio.sleep(0.0)
+        if model.is_silent:
+            return Failure(LycheepostError("silent"))
+        return Success(model.health())
+
+    async def read_load(self, target: Target) -> Result[EngineLoad, LycheepostError]:
+        """Ask a target what it runs."""
+        model = self._targets[target.target]
+        if model.is_silent:
+            return Failure(LycheepostError("silent"))
+        return Success(model.load())
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -18,22 +18,25 @@
 
 from lycheepost.core.ids import Revision, TargetId
 from lycheepost.generated.configuration import Configuration, Target
-from lycheepost.generated.engine import EngineOrder
+from lycheepost.generated.engine import EngineHealth, EngineHealthState, EngineOrder
 from lycheepost.operators.capacity import decide_capacity
 from lycheepost.operators.capacity_ports import CapacityDeps
 from lycheepost.operators.capacity_records import (
+    UNSEEN,
     CapacityAction,
     CapacityTiming,
+    Observed,
     OrderAction,
     WarmAction,
 )
-from lycheepost.operators.capacity_watch import CapacityWatch
+from lycheepost.operators.capacity_watch import CapacityWatch, open_groups
 from lycheepost.state.leases import Lease, LeaseTaken
 
 DUTY = "capacity"
 _SPREAD_SECONDS_PER_DAEMON = 0.1
 """Daemons without the duty try for it spread over this time each, so that 540 of
 them read the lease about fifteen times a second in all."""
+_SETTLED = (EngineHealthState.SERVING, EngineHealthState.STANDBY)
 _log = structlog.get_logger().bind(part="capacity")
 
 
@@ -62,6 +65,7 @@
         self._lease: Lease | None = None
         self._is_fresh = False
         self._next_try_seconds = float("-inf")
+        self._fenced: set[tuple[TargetId, str]] = set()
         self._warmed: set[tuple[TargetId, str]] = set()
         self._task: asyncio.Task[None] | None = None
         self._last_look = Look.NO_DUTY
@@ -102,6 +106,7 @@
             return Look.NO_DUTY
         configuration = self._deps.revisions.view.configuration
         observed = await self._watch.observe(configuration)
+        await self._raise_fences(configuration, observed)
         if not self._watch.has_read_back:
             return Look.READING_BACK
         decision = decide_capacity(
@@ -150,6 +155,7 @@
         if not isinstance(refreshed, Success):
             return False
         self._watch.forget(self._deps.revisions.view.configuration)
+        self._fenced.clear()
         self._is_fresh = True
         return True
 
@@ -168,6 +174,49 @@
         self._is_fresh = self._is_fresh and isinstance(refreshed, Success)
         return Look.NOT_RECORDED
 
+    async def _raise_fences(
+        self, configuration: Configuration, observed: dict[TargetId, Observed]
+    ) -> None:
+        """Show each target our fencing number before anything else is done.
+
+        A target refuses an old number only once it has seen a newer one. An
+        earlier holder that was paused in the midst of a send may wake at any
+        time; its order must find the newer number there already.
+        """
+        checking = {
+            group.target_group
+            for group in configuration.target_groups
+            if group.checks_fencing and group.target_group in open_groups(configuration)
+        }
+        for target in configuration.targets:
+            name = TargetId(target.target)
+            health = observed.get(name, UNSEEN).health
+            if target.target_group in checking and health is not None:
+                await self._raise_fence(target, health)
+
+    async def _raise_fence(self, target: Target, health: EngineHealth) -> None:
+        name = TargetId(target.target)
+        lease = self._lease
+        is_settled = health.state in _SETTLED
+        # A target that came back from a crash has forgotten the number.
+        key = (name, health.boot_id)
+        if lease is None or not is_settled or key in self._fenced:
+            return
+        if health.fencing_number >= lease.fencing_number:
+            return
+        stay = EngineOrder(
+            order_id=f"stay-{name}-{lease.fencing_number}",
+            fencing_number=lease.fencing_number,
+            desired_version=health.desired_version,
+            state=health.state,
+            model=health.model,
+            weights_version=health.weights_version,
+            adapter=health.adapter,
+            role=health.role,
+        )
+        if await self._send_order(target, stay):
+            self._fenced.add(key)
+
     async def _act(
         self, configuration: Configuration, actions: tuple[CapacityAction, ...]
     ) -> None:
@@ -181,7 +230,7 @@
     async def _send(self, configuration: Configuration, action: OrderAction) -> None:
         lease = self._lease
         target = _find_target(configuration, action.target)
-        if target is None or lease is None or not self._holds():
+        if target is None or lease is None:
             return
         order = EngineOrder(
             order_id=action.order_id,
@@ -192,15 +241,21 @@
             weights_version=action.weights_version,
             role=action.role,
         )
+        await self._send_order(target, order)
+
+    async def _send_order(self, target: Target, order: EngineOrder) -> bool:
+        """Send an order if the lease still holds; return whether it was answered."""
+        if not self._holds():
+            return False
         sent = await self._deps.orders.send(target, order)
         if not isinstance(sent, Success):
-            _log.info("capacity: order not answered", target=action.target)
-            return
-        answer = sent.unwrap()
-        if answer.fencing_number > lease.fencing_number:
+            _log.info("capacity: order not answered", target=target.target)
+            return False
+        if sent.unwrap().fencing_number > order.fencing_number:
             # Somebody holds a later lease: whatever our clock says, stop.
-            _log.warning("capacity: overtaken", target=action.target)
+            _log.warning("capacity: overtaken", target=target.target)
             self._lease = None
+        return True
 
     async def _import(self, configuration: Configuration, action: WarmAction) -> None:
         key = (action.target, action.weights_version)
--- a/lycheepost/operators/capacity_steps.py
+++ b/lycheepost/operators/capacity_steps.py
@@ -57,7 +57,7 @@
         return None
     match step.state:
         case CapacityStepState.WAITING:
-            _start(work, intent, step, target, next_revision)
+            _start(work, intent, step, target)
         case CapacityStepState.DRAINING:
             _drain(work, intent, step, target, timing, next_revision)
         case CapacityStepState.LOADING:
@@ -120,7 +120,6 @@
     intent: CapacityIntent,
     step: CapacityStep,
     target: Target,
-    next_revision: int,
 ) -> None:
     if intent.state is not CapacityIntentState.RUNNING:
         return
@@ -136,33 +135,21 @@
     if work.observe(step.target).health is None or not work.has_free_load(step.target):
         # A silent target would hold a load slot and do nothing with it.
         return
-    if not is_serving:
-        was_serving = intent.kind is CapacityIntentKind.HOLD_READY or step.was_serving
-        _order(work, intent, step, next_revision, was_serving)
-        return
+    # A target that stands by may have served until a moment ago and still run
+    # something, so it is drained as well.
+    is_to_serve = is_serving or intent.kind is CapacityIntentKind.HOLD_READY
     held = held_version(target, work.model())
     work.put_target(
         dataclasses.replace(
             target, desired_state=TargetDesiredState.STANDBY, weights_version=held
         )
     )
-    _enter(work, intent, step, CapacityStepState.DRAINING, was_serving=True)
-
-
-def _order(
-    work: GroupWork,
-    intent: CapacityIntent,
-    step: CapacityStep,
-    next_revision: int,
-    was_serving: bool,
-) -> None:
     _enter(
         work,
         intent,
         step,
-        CapacityStepState.LOADING,
-        desired_version=next_revision,
-        was_serving=was_serving,
+        CapacityStepState.DRAINING,
+        was_serving=is_to_serve or step.was_serving,
     )
 
 
@@ -182,14 +169,14 @@
     if intent.kind is CapacityIntentKind.RETIRE:
         _enter(work, intent, step, CapacityStepState.DONE)
         return
-    _order(work, intent, step, next_revision, step.was_serving)
+    _enter(work, intent, step, CapacityStepState.LOADING, desired_version=next_revision)
 
 
 def _put_back(
     work: GroupWork, intent: CapacityIntent, step: CapacityStep, target: Target
 ) -> None:
     state = TargetDesiredState.STANDBY
-    if step.was_serving:
+    if step.was_serving and intent.kind is not CapacityIntentKind.HOLD_READY:
         state = TargetDesiredState.SERVING
     work.put_target(dataclasses.replace(target, desired_state=state))
     _enter(work, intent, step, CapacityStepState.WAITING)
--- a/lycheepost/operators/capacity_watch.py
+++ b/lycheepost/operators/capacity_watch.py
@@ -65,11 +65,7 @@
 
     def forget(self, configuration: Configuration) -> None:
         """Begin as a new holder: every target with open intents is to be asked."""
-        groups = {
-            intent.target_group
-            for intent in configuration.capacity_intents
-            if intent.state in UNFINISHED or _is_busy(intent.steps)
-        }
+        groups = open_groups(configuration)
         self._unread = {
             TargetId(target.target)
             for target in _engine_targets(configuration)
@@ -214,6 +210,15 @@
             listing.absent_since_seconds.setdefault(name, now_seconds)
 
 
+def open_groups(configuration: Configuration) -> set[str]:
+    """Return the target groups in which an intent is not at its end."""
+    return {
+        intent.target_group
+        for intent in configuration.capacity_intents
+        if intent.state in UNFINISHED or _is_busy(intent.steps)
+    }
+
+
 def _engine_targets(configuration: Configuration) -> list[Target]:
     engines = {
         group.target_group
