--- a/lycheepost/report/page.py
+++ b/lycheepost/report/page.py
@@ -178,17 +178,18 @@
     axes.set_yscale("symlog", linthresh=1)
     axes.set_ylim(bottom=0)
     axes.set_ylabel("burn rate (1 spends it in 3 days)")
+    axes.xaxis_date()
     locator = matplotlib.dates.AutoDateLocator()
     axes.xaxis.set_major_locator(locator)
     axes.xaxis.set_major_formatter(matplotlib.dates.ConciseDateFormatter(locator))
     axes.set_xlabel("UTC")
-    if axes.lines:
+    if axes.get_legend_handles_labels()[0]:
         axes.legend(fontsize=8, loc="upper left")
 
 
 def _rates_by_hour(
     slots: list[BurnSlot], level: Level, allowed_share: float
-) -> tuple[list[datetime], list[float]]:
+) -> tuple[list[float], list[float]]:
     """Return the burn rate of every hour; five minutes hold too few events."""
     sums: dict[int, tuple[int, int]] = {}
     for slot in slots:
@@ -203,7 +204,8 @@
     rates = [_rate(*sums.get(hour, (0, 0)), allowed_share) for hour in hours]
     if all(math.isnan(rate) for rate in rates):
         return [], []
-    times = [datetime.fromtimestamp(hour * HOUR_SECONDS, UTC) for hour in hours]
+    starts = [datetime.fromtimestamp(hour * HOUR_SECONDS, UTC) for hour in hours]
+    times = [float(matplotlib.dates.date2num(start)) for start in starts]
     return times, rates
 
 
