--- a/lycheepost/app/demo.py
+++ b/lycheepost/app/demo.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from lycheepost.app.daemon import Daemon, make_daemon
-from lycheepost.app.standins import HOST, FleetShape, StandinFleet, standin_answers
+from lycheepost.app.standins import HOST, FleetShape, StandinFleet
 from lycheepost.core.ids import Revision
 from lycheepost.generated.settings import (
     DaemonSettings,
@@ -27,6 +27,7 @@
     StateSettings,
 )
 from lycheepost.loadgen.drive import LoadPlan, Progress, run_load
+from lycheepost.loadgen.expected import make_standin_answers
 from lycheepost.loadgen.mixes import Deployment
 from lycheepost.loadgen.report import LoadReport
 from lycheepost.utils.keys import OPERATOR_KEY_PREFIX, hash_key, make_key
@@ -195,7 +196,7 @@
         deployment=Deployment.PRAIRIE,
         model=shape.engine_group,
         service_path=f"/services/{shape.service_group}/{ORDERS_PATH}",
-        answers=standin_answers(),
+        answers=make_standin_answers(),
         n_seconds=plan.n_seconds,
         rate_per_second=plan.rate_per_second,
         seed=plan.seed,
--- a/lycheepost/app/standins.py
+++ b/lycheepost/app/standins.py
@@ -5,14 +5,11 @@
 against it over HTTP, as they would against the real ones.
 """
 
-import json
-from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
 from aiohttp import web
 
-from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import (
     AvailabilityZone,
     CustomerId,
@@ -28,12 +25,10 @@
     TargetGroupKind,
 )
 from lycheepost.generated.settings import PlatformSettings
-from lycheepost.loadgen.audit import Answers, Evidence
-from lycheepost.loadgen.completions import encode_completion
-from lycheepost.loadgen.requests import Completion
+from lycheepost.loadgen.audit import Evidence
+from lycheepost.loadgen.expected import collect_evidence
 from lycheepost.platform.vms import Vm, VmRole, VmState
 from lycheepost.platform.weights import WeightsInfo
-from lycheepost.standin.answers import AnswerText, chat_prompt_text
 from lycheepost.standin.engine import EngineStandin, EngineStandinSettings, make_engine
 from lycheepost.standin.objects import make_object_model, make_objects_app
 from lycheepost.standin.service import (
@@ -185,18 +180,7 @@
 
     def evidence(self) -> Evidence:
         """Return what the targets recorded, for the audit."""
-        return Evidence(
-            order_runs=Counter(
-                json.loads(order.body)["order_id"]
-                for service in self.services
-                for order in service.orders
-            ),
-            prompt_hashes=frozenset(
-                record.prompt_hash
-                for engine in self.engines
-                for record in engine.records
-            ),
-        )
+        return collect_evidence(self.engines, self.services)
 
     def _make_engine(self, index: int) -> EngineStandin:
         shape = self.shape
@@ -230,22 +214,3 @@
 
 def _make_server(make_app: Callable[[], web.Application]) -> StandinServer:
     return StandinServer(make_app, HOST, 0)
-
-
-def standin_answers() -> Answers:
-    """Return what the audit may expect of the stand-in engines."""
-    return Answers(text=_expected_text, prompt_hash=_prompt_hash)
-
-
-def _prompt_text(request: Completion) -> str:
-    body = json.loads(encode_completion(request, ""))
-    return chat_prompt_text(body["messages"])
-
-
-def _expected_text(request: Completion) -> str:
-    answer = AnswerText(_prompt_text(request))
-    return "".join(answer.next_token() for _ in range(request.max_tokens))
-
-
-def _prompt_hash(request: Completion) -> int:
-    return hash_bytes(_prompt_text(request).encode())
