--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -15,6 +15,12 @@
     model,
     serve,
     settings,
+    load,
+    model,
+    report,
+    serve,
+    settings,
+    standin,
 )
 
 app = typer.Typer(
@@ -27,11 +33,15 @@
 app.add_typer(bench.app, name="bench")
 app.command()(demo.demo)
 app.command()(serve.serve)
+app.command()(standin.standin)
 app.add_typer(settings.app, name="settings")
+app.command("load")(load.load)
+app.add_typer(report.app, name="report")
 app.add_typer(customer.app, name="customer")
 app.add_typer(model.app, name="model")
 app.add_typer(intent.app, name="intent")
 app.add_typer(fleet.app, name="fleet")
+app.add_typer(bench.app, name="bench")
 
 
 def run() -> None:
