--- a/lycheepost/targets/engine.py
+++ b/lycheepost/targets/engine.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import RequestId
+from lycheepost.core.ids import RequestId, TargetId
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.calls import EngineCall
 from lycheepost.targets.errors import (
@@ -23,12 +23,16 @@
     TargetRefused,
     TargetUnreachable,
 )
+from lycheepost.targets.session import make_session
 from lycheepost.targets.stream import EngineStream
 
 _log = structlog.get_logger(part="targets")
 _REFUSAL_BYTES = 16 * 1024
 """Most of a refusal's body that is kept for the caller."""
 _CANCEL_SECONDS = 2.0
+_IN_USE_SECONDS = 60.0
+"""A target stays of interest this long after its last request; hot prefixes
+shift within minutes."""
 _MOST_CANCELS = 1000
 """Cancel calls in flight; a dead target must not pile them up without bound.
 One that is left out only costs the engine the rest of one answer."""
@@ -44,6 +48,7 @@
         self._streams: set[EngineStream] = set()
         self._cancels: set[asyncio.Task[None]] = set()
         self._watch_task: asyncio.Task[None] | None = None
+        self._used_seconds: dict[TargetId, float] = {}
 
     async def start(self) -> None:
         """Open the connection pool and the watch over silent streams."""
@@ -68,6 +73,11 @@
         """Return counts for the status page."""
         return {"n_streams": len(self._streams), "n_cancels": len(self._cancels)}
 
+    def is_in_use(self, target: TargetId) -> bool:
+        """Tell whether this daemon sent a request to a target lately."""
+        used_seconds = self._used_seconds.get(target, float("-inf"))
+        return self._clock.now_seconds() - used_seconds < _IN_USE_SECONDS
+
     async def start_call(self, call: EngineCall) -> Result[EngineStream, TargetError]:
         """Send a request and wait for the engine's response headers.
 
@@ -75,9 +85,10 @@
             The stream, or ``TargetUnreachable`` and ``TargetRefused`` when the
             request was certainly not run, or ``TargetLost``.
         """
+        self._used_seconds[call.target] = self._clock.now_seconds()
         try:
             async with asyncio.timeout(self.settings.first_byte_seconds):
-                response = await self._post(call)
+                response = await self._post_or_find(call)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Failure(TargetUnreachable("the target takes no connection"))
         except aiohttp.InvalidURL:
@@ -127,6 +138,39 @@
             raise RuntimeError("the engine client is not started")
         return self._session
 
+    async def _post_or_find(self, call: EngineCall) -> aiohttp.ClientResponse:
+        """Post a request; look for its stream when no answer begins.
+
+        A pooled connection that died unnoticed swallows the request, and its
+        caller would wait out the whole first-byte bound. So after the silence
+        bound the target is asked over a new connection: it either has the
+        stream, or has never heard of the request.
+
+        Raises:
+            TimeoutError: The target does not know the request.
+        """
+        post = asyncio.create_task(self._post(call))
+        try:
+            bound = self.settings.silence_seconds
+            done, _ = await asyncio.wait({post}, timeout=bound)
+            if done or not call.expects_stream:
+                return await post
+            found = await self.resume(call, 0)
+            if post.done():
+                if found is not None:
+                    found.close()
+                return await post
+            if found is None:
+                raise TimeoutError("the target does not know the request")
+            _log.info(
+                "targets: found a stream whose answer did not come",
+                request=call.request,
+                target=call.target,
+            )
+            return found
+        finally:
+            post.cancel()
+
     async def _post(self, call: EngineCall) -> aiohttp.ClientResponse:
         headers = {
             "Content-Type": "application/json",
@@ -220,28 +264,6 @@
     return float(text) if text.isdecimal() else None
 
 
-def make_session(
-    settings: StreamSettings, is_pooled: bool = True
-) -> aiohttp.ClientSession:
-    """Return a session whose connections are reused only while fresh, or never.
-
-    A connection that idled for long may have been forgotten by something
-    between the two ends; it would swallow the next request without a sign.
-    """
-    if is_pooled:
-        keepalive_seconds = settings.idle_connection_seconds
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_seconds)
-    else:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.connect_seconds)
-    return aiohttp.ClientSession(
-        connector=connector,
-        timeout=timeout,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
-
-
 def make_engine_client(settings: StreamSettings, clock: Clock) -> EngineClient:
     """Return a client that is not yet started."""
     return EngineClient(settings, clock)
--- /dev/null
+++ b/lycheepost/targets/observe.py
@@ -0,0 +1,275 @@
+"""Asks engines for health, load and cache events, and passes on what they say.
+
+One task works through ``targets.pollplan``. Answers become records of the
+decisions (``LoadReport``) and signs of a target's state, and go to the functions
+given at the start. Cache events carry a sequence: what is missing between two
+answers is counted, logged and left to the belief, which drops what may be lost.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import Incarnation, TargetId
+from lycheepost.decide.records import LoadReport, TargetState
+from lycheepost.generated.configuration import Target
+from lycheepost.generated.engine import (
+    CacheEvent,
+    CacheEvents,
+    EngineHealth,
+    EngineHealthState,
+    EngineLoad,
+)
+from lycheepost.generated.settings import TargetSettings
+from lycheepost.state.signs import (
+    TargetSign,
+    connected_sign,
+    health_sign,
+    refused_sign,
+)
+from lycheepost.targets.control import ControlClient
+from lycheepost.targets.errors import TargetError, TargetUnreachable
+from lycheepost.targets.pollplan import (
+    Poll,
+    PollPlan,
+    PollSettings,
+    ReportKind,
+)
+
+_log = structlog.get_logger().bind(part="targets")
+_MOST_CALLS = 64
+"""Calls in flight: targets that do not answer for two seconds must not hold up
+the reports of all others, nor pile up."""
+_LOOK_SECONDS = 0.05
+_REFRESH_SECONDS = 5.0
+
+
+@dataclass(frozen=True)
+class ObserverCallbacks:
+    """Where reports go.
+
+    Attributes:
+        on_sign: Gets what an answer, or its lack, says of a target's state.
+        on_load: Gets load reports.
+        on_events: Gets a target's boot id and its cache events in order.
+    """
+
+    on_sign: Callable[[TargetId, TargetSign], None]
+    on_load: Callable[[LoadReport], None]
+    on_events: Callable[[TargetId, Incarnation, tuple[CacheEvent, ...]], None]
+
+
+@dataclass
+class EventCursor:
+    """How far one target's cache events have been read.
+
+    Attributes:
+        n_lost: Events that were never told, over all incarnations.
+    """
+
+    boot_id: str = ""
+    sequence: int = 0
+    n_lost: int = 0
+
+    def follow(self, answer: CacheEvents) -> tuple[CacheEvent, ...] | None:
+        """Take an answer; None when it must be asked for again from the start.
+
+        A new boot id means that the engine came back empty and counts from 1
+        again: events read with the old sequence would leave out its first ones.
+        """
+        if answer.boot_id != self.boot_id:
+            is_partial = self.sequence > 0
+            self.boot_id = answer.boot_id
+            self.sequence = 0
+            if is_partial:
+                return None
+        fresh = [item for item in answer.events if item.sequence > self.sequence]
+        fresh.sort(key=lambda item: item.sequence)
+        if fresh:
+            n_spanned = fresh[-1].sequence - self.sequence
+            self.n_lost += n_spanned - len(fresh)
+            self.sequence = fresh[-1].sequence
+        return tuple(fresh)
+
+
+class TargetObserver:
+    """The part that keeps asking engines."""
+
+    def __init__(
+        self,
+        settings: TargetSettings,
+        control: ControlClient,
+        clock: Clock,
+        callbacks: ObserverCallbacks,
+        is_in_use: Callable[[TargetId], bool],
+        seed: int,
+    ) -> None:
+        periods = {
+            ReportKind.HEALTH: settings.health_poll_seconds,
+            ReportKind.LOAD: settings.load_poll_seconds,
+            ReportKind.EVENTS: settings.events_poll_seconds,
+        }
+        self._plan = PollPlan(
+            PollSettings(periods, settings.poll_calls_per_second), is_in_use, seed
+        )
+        self._control = control
+        self._clock = clock
+        self._callbacks = callbacks
+        self._urls: dict[TargetId, str] = {}
+        self._incarnations: dict[TargetId, Incarnation] = {}
+        self._cursors: dict[TargetId, EventCursor] = {}
+        self._calls: dict[Poll, asyncio.Task[None]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to ask."""
+        self._task = asyncio.create_task(self._run(), name="target-observer")
+
+    async def drain(self) -> None:
+        """Go on: requests in flight still need to be placed."""
+
+    async def stop(self) -> None:
+        """Stop asking."""
+        for task in (self._task, *self._calls.values()):
+            if task is not None:
+                task.cancel()
+
+    def status(self) -> dict[str, Any]:
+        """Return counts for the status page."""
+        return {
+            "n_targets": len(self._urls),
+            "poll_slowness": self._plan.slowness,
+            "n_events_lost": sum(item.n_lost for item in self._cursors.values()),
+            **self._control.status(),
+        }
+
+    def incarnations(self) -> dict[TargetId, Incarnation]:
+        """Return the boot id that each target last named."""
+        return dict(self._incarnations)
+
+    def replace_targets(self, targets: Iterable[Target]) -> None:
+        """Follow the configuration; only engines may be given."""
+        self._urls = {TargetId(item.target): item.url for item in targets}
+        for known in (self._incarnations, self._cursors):
+            for target in set(known) - set(self._urls):
+                del known[target]
+        self._plan.replace_targets(self._urls, self._clock.now_seconds())
+
+    async def _run(self) -> None:
+        refreshed_seconds = self._clock.now_seconds()
+        while True:
+            now_seconds = self._clock.now_seconds()
+            if now_seconds - refreshed_seconds > _REFRESH_SECONDS:
+                refreshed_seconds = now_seconds
+                self._plan.refresh()
+            for poll in self._plan.take_due(now_seconds):
+                self._begin(poll)
+            await asyncio.sleep(_LOOK_SECONDS)
+
+    def _begin(self, poll: Poll) -> None:
+        # A target that has not yet answered the last call is not asked again.
+        if poll in self._calls or len(self._calls) >= _MOST_CALLS:
+            return
+        task = asyncio.create_task(self._ask(poll))
+        self._calls[poll] = task
+        task.add_done_callback(lambda done: self._calls.pop(poll, None))
+
+    async def _ask(self, poll: Poll) -> None:
+        url = self._urls.get(poll.target)
+        if url is None:
+            return
+        match poll.kind:
+            case ReportKind.HEALTH:
+                health = await self._control.read(f"{url}/health", EngineHealth)
+                self._take_health(poll.target, health)
+            case ReportKind.LOAD:
+                load = await self._control.read(f"{url}/load", EngineLoad)
+                self._take_load(poll.target, load)
+            case ReportKind.EVENTS:
+                await self._ask_events(poll.target, url)
+
+    def _take_health(
+        self, target: TargetId, answer: Result[EngineHealth, TargetError]
+    ) -> None:
+        match answer:
+            case Success(health):
+                self._note_boot(target, health.boot_id)
+                self._callbacks.on_sign(target, connected_sign())
+                state = _STATES[health.state]
+                self._callbacks.on_sign(target, health_sign(state))
+            case Failure(TargetUnreachable()):
+                self._callbacks.on_sign(target, refused_sign())
+
+    def _take_load(
+        self, target: TargetId, answer: Result[EngineLoad, TargetError]
+    ) -> None:
+        match answer:
+            case Success(load):
+                self._note_boot(target, load.boot_id)
+                now_seconds = self._clock.now_seconds()
+                self._callbacks.on_load(
+                    LoadReport(
+                        target=target,
+                        incarnation=Incarnation(load.boot_id),
+                        measured_seconds=now_seconds - load.age_seconds,
+                        n_running=load.n_running,
+                        n_queued=load.n_queued,
+                        queued_prompt_tokens=load.queued_prompt_tokens,
+                        cached_tokens=load.cached_tokens,
+                    )
+                )
+
+    async def _ask_events(self, target: TargetId, url: str) -> None:
+        cursor = self._cursors.setdefault(target, EventCursor())
+        address = f"{url}/events?after={cursor.sequence}"
+        match await self._control.read(address, CacheEvents):
+            case Success(answer):
+                self._take_events(target, cursor, answer)
+
+    def _take_events(
+        self, target: TargetId, cursor: EventCursor, answer: CacheEvents
+    ) -> None:
+        n_lost = cursor.n_lost
+        events = cursor.follow(answer)
+        self._note_boot(target, answer.boot_id)
+        if events is None:
+            return  # The next call starts at the new incarnation's first event.
+        if cursor.n_lost > n_lost:
+            _log.info(
+                "targets: cache events lost",
+                target=target,
+                n_lost=cursor.n_lost - n_lost,
+            )
+        self._callbacks.on_events(target, Incarnation(answer.boot_id), events)
+
+    def _note_boot(self, target: TargetId, boot_id: str) -> None:
+        known = self._incarnations.get(target)
+        if known is not None and known != boot_id:
+            _log.info("targets: target has restarted", target=target)
+        self._incarnations[target] = Incarnation(boot_id)
+
+
+_STATES = {
+    EngineHealthState.SERVING: TargetState.SERVING,
+    # An engine that loads weights refuses all work until it is done.
+    EngineHealthState.LOADING: TargetState.GONE,
+    EngineHealthState.STANDBY: TargetState.LEAVING,
+    EngineHealthState.LEAVING: TargetState.LEAVING,
+}
+
+
+def make_target_observer(
+    settings: TargetSettings,
+    control: ControlClient,
+    clock: Clock,
+    callbacks: ObserverCallbacks,
+    is_in_use: Callable[[TargetId], bool] = lambda target: True,
+    seed: int = 0,
+) -> TargetObserver:
+    """Return an observer that is not yet started and knows no target."""
+    return TargetObserver(settings, control, clock, callbacks, is_in_use, seed)
--- a/lycheepost/targets/service.py
+++ b/lycheepost/targets/service.py
@@ -9,8 +9,8 @@
 
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.calls import ServiceAnswer, ServiceCall
-from lycheepost.targets.engine import make_session
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
+from lycheepost.targets.session import make_session, read_bounded
 
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer that is passed on; a larger one must not fill the memory."""
@@ -94,7 +94,7 @@
             data=call.body or None,
             allow_redirects=False,
         ) as response:
-            body = await _read_bounded(response)
+            body = await read_bounded(response, _MAX_ANSWER_BYTES)
             kept = tuple(
                 (name, value)
                 for name, value in response.headers.items()
@@ -116,16 +116,6 @@
         return session
 
 
-async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
-    body = await response.content.read(_MAX_ANSWER_BYTES)
-    while not response.content.at_eof():
-        more = await response.content.readany()
-        if len(body) + len(more) > _MAX_ANSWER_BYTES:
-            raise aiohttp.ClientPayloadError("the answer is too large")
-        body += more
-    return body
-
-
 def make_service_client(settings: StreamSettings) -> ServiceClient:
     """Return a client that is not yet started."""
     return ServiceClient(settings)
--- a/lycheepost/targets/stream.py
+++ b/lycheepost/targets/stream.py
@@ -19,6 +19,7 @@
 from lycheepost.targets.continuation import EventRewriter
 from lycheepost.targets.direct import Diversion, divert, restore
 from lycheepost.targets.errors import StreamCrossed, StreamLost
+from lycheepost.targets.session import read_bounded
 from lycheepost.targets.sse import (
     BrokenStreamError,
     Chunk,
@@ -299,7 +300,7 @@
     async def _read_whole(self) -> bytes:
         try:
             async with asyncio.timeout(self._client.settings.first_byte_seconds):
-                body = await self._read_bounded()
+                body = await read_bounded(self._response, _MAX_WHOLE_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise self._lose(_describe(error)) from None
         try:
@@ -314,16 +315,6 @@
         self._response.release()
         return body
 
-    async def _read_bounded(self) -> bytes:
-        parts = []
-        n_bytes = 0
-        async for part in self._content.iter_any():
-            n_bytes += len(part)
-            if n_bytes > _MAX_WHOLE_BYTES:
-                raise aiohttp.ClientPayloadError("too large")
-            parts.append(part)
-        return b"".join(parts)
-
 
 def _describe(error: BaseException | None) -> str:
     if error is None:
