Prove streams under faults; wake a relay whose parser failed

The features showed a hang: DirectReader called super() after it had turned itself back, the TypeError surfaced in the HTTP parser, and nothing woke the relay; the silence watch only reached waiting readers.

--- a/features/targets/steps/bed.py
+++ b/features/targets/steps/bed.py
@@ -97,7 +97,7 @@
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await web.TCPSite(runner, "127.0.0.1", 0).start()
-    bed.url = "http://127.0.0.1:%d" % runner.addresses[0][1]
+    bed.url = f"http://127.0.0.1:{runner.addresses[0][1]}"
     return bed
 
 
--- a/lycheepost/targets/direct.py
+++ b/lycheepost/targets/direct.py
@@ -49,15 +49,16 @@
 
     def feed_eof(self) -> None:
         """Note the end of the body."""
+        # Not super(): once restored this is no longer a DirectReader.
         diversion = restore(self)
-        super().feed_eof()
+        StreamReader.feed_eof(self)
         if diversion is not None:
             diversion.on_end(None)
 
     def set_exception(self, exc: BaseException, *causes: BaseException) -> None:
         """Note that the connection broke."""
         diversion = restore(self)
-        super().set_exception(exc, *causes)
+        StreamReader.set_exception(self, exc, *causes)
         if diversion is not None:
             diversion.on_end(exc)
 
--- a/lycheepost/targets/stream.py
+++ b/lycheepost/targets/stream.py
@@ -66,6 +66,7 @@
         self._rewriter = EventRewriter(call.continues) if call.continues else None
         self._tries_left = client.settings.resume_tries
         self._is_waiting = False
+        self._stop: Callable[[BaseException | None], None] | None = None
         self._quiet_since_seconds: float | None = None
         self._n_events_seen = 0
         self._is_over = False
@@ -162,10 +163,12 @@
             ready = await self._read_events()
             return not ready or write(ready)
         self._is_waiting = True
+        self._stop = stop
         try:
             error = await ended
         finally:
             self._is_waiting = False
+            self._stop = None
             restore(content)
         if is_stopped:
             return False
@@ -194,7 +197,10 @@
         bound = settings.silence_seconds if n_events else settings.first_byte_seconds
         if now_seconds - self._quiet_since_seconds > bound:
             self._quiet_since_seconds = None
-            self._content.set_exception(TimeoutError("silent"))
+            silence = TimeoutError("silent")
+            self._content.set_exception(silence)
+            if self._stop is not None:
+                self._stop(silence)
 
     def resume_reading(self) -> None:
         """Take from the target again after ``pump`` was stopped."""
