Keep suspects of different daemons apart; pause before a retry after a loss

Cause: an innocent chat that was lost beside a killer was retried by its daemon on the very target to which another daemon had just sent the killer, and both were quarantined (features/callers/faults.feature, failing before). Cost: that pause is added for callers of a dead engine only.

--- a/features/callers/steps/api.py
+++ b/features/callers/steps/api.py
@@ -29,7 +29,7 @@
 
 
 async def ask_async(context, text):
-    client = openai_client(context)
+    client = await context.stack.enter_async_context(openai_client(context))
     messages = [{"role": "user", "content": text}]
     asked = {"model": context.model, "messages": messages, "max_tokens": 6}
     whole = await client.chat.completions.create(**asked)
@@ -48,7 +48,7 @@
 @when("the openai client asks for a text completion whole and streamed")
 def when_openai_completion(context):
     async def ask():
-        client = openai_client(context)
+        client = await context.stack.enter_async_context(openai_client(context))
         asked = {"model": context.model, "prompt": "once", "max_tokens": 4}
         whole = await client.completions.create(**asked)
         chunks = await client.completions.create(**asked, stream=True)
--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -9,8 +9,8 @@
 
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import BodyFingerprint, DaemonId
-from lycheepost.generated.messages import QuarantineNotice
+from lycheepost.core.ids import BodyFingerprint, DaemonId, TargetId
+from lycheepost.generated.messages import QuarantineNotice, SuspectPlaced
 from lycheepost.peers.exchange import PeerExchange
 
 TELL_SECONDS = 0.05
@@ -28,6 +28,8 @@
         self._clock = clock
         self._task: asyncio.Task[None] | None = None
         exchange.subscribe(QuarantineNotice, self._take)
+        exchange.subscribe(SuspectPlaced, self._take_suspect)
+        dispatcher.on_suspect(self._tell_suspect)
 
     async def start(self) -> None:
         """Start telling."""
@@ -66,3 +68,9 @@
         for_seconds = notice.until_wall_seconds - self._clock.wall_seconds()
         if for_seconds > 0:
             self._dispatcher.quarantine(fingerprint, for_seconds)
+
+    def _tell_suspect(self, target: TargetId) -> None:
+        self._exchange.broadcast(SuspectPlaced(target=target))
+
+    def _take_suspect(self, notice: SuspectPlaced, _sender: DaemonId) -> None:
+        self._dispatcher.note_peer_suspect(TargetId(notice.target))
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -52,7 +52,14 @@
 
     def parts(self) -> list[Part]:
         """Return the parts in the order in which to start them."""
-        return [self.engines, self.services, self.dispatcher, self.feed, self.losses]
+        return [
+            self.engines,
+            self.services,
+            self.dispatcher,
+            self.feed,
+            self.losses,
+            self.front,
+        ]
 
 
 def make_traffic(
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import BodyFingerprint, CustomerId, RequestId
+from lycheepost.core.ids import BodyFingerprint, CustomerId, RequestId, TargetId
 from lycheepost.decide.quarantine import LossSeen
 from lycheepost.decide.records import (
     Dispatch,
@@ -42,6 +43,7 @@
         self._scheduler = scheduler
         self._clock = clock
         self._waiting: dict[RequestId, asyncio.Future[Outcome]] = {}
+        self._on_suspect: Callable[[TargetId], None] | None = None
         self._ticker: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -143,7 +145,18 @@
         """Return the losses seen here since the last call."""
         return self._scheduler.take_losses()
 
+    def note_peer_suspect(self, target: TargetId) -> None:
+        """Keep suspects off a target on which another daemon tries one."""
+        self._scheduler.note_peer_suspect(target, self._clock.now_seconds())
+
+    def on_suspect(self, callback: Callable[[TargetId], None]) -> None:
+        """Call ``callback`` with each target that gets a suspect, at once."""
+        self._on_suspect = callback
+
     def _wake(self, outcomes: list[Outcome]) -> None:
+        if outcomes and self._on_suspect is not None:
+            for target in self._scheduler.take_suspect_targets():
+                self._on_suspect(target)
         for outcome in outcomes:
             future = self._waiting.get(outcome.request)
             if future is not None and not future.done():
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import random
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -21,6 +22,7 @@
 from lycheepost.callers.sinks import RelayCallerGone, RelayComplete, RelayLost, Sink
 from lycheepost.core.ids import TargetId, WeightsVersion
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse, Work
+from lycheepost.decide.retry import retry_pause_seconds
 from lycheepost.targets.calls import Delivered, EngineCall
 from lycheepost.targets.continuation import continuation_body
 from lycheepost.targets.errors import (
@@ -36,6 +38,7 @@
 """A lost target is seen by all daemons within about a second."""
 _BUSY_STATUSES = (409, 429, 503)
 """The target is at fault or busy, not the request; another target may take it."""
+_rng = random.Random()
 _log = structlog.get_logger(part="callers")
 
 
@@ -90,6 +93,7 @@
         self._body = job.body
         self._delivered: Delivered | None = None
         self._first_seconds: float | None = None
+        self._is_after_loss = False
 
     async def run(self) -> Finished:
         """Try targets until the answer is whole or no try is left.
@@ -107,6 +111,7 @@
                     finished = await self._try_target(outcome)
             if finished is not None:
                 return finished
+            await self._pause()
             outcome = await self._deps.dispatcher.readmit(self._work)
 
     async def _try_target(self, dispatch: Dispatch) -> Finished | None:
@@ -133,8 +138,16 @@
             self._plan_continuation(dispatch.target, error)
             return None
         finally:
+            self._is_after_loss = kind is FinishKind.TARGET_LOST
             self._deps.dispatcher.finish(self._work.request, kind)
 
+    async def _pause(self) -> None:
+        """Wait a moment after a lost target; a refused one is left at once."""
+        if self._is_after_loss:
+            has_output = self._delivered is not None
+            await asyncio.sleep(retry_pause_seconds(has_output, _rng))
+        self._is_after_loss = False
+
     def _make_call(self, target: TargetId) -> EngineCall:
         view = self._deps.configuration.view
         return EngineCall(
--- a/lycheepost/callers/keyed.py
+++ b/lycheepost/callers/keyed.py
@@ -73,6 +73,13 @@
         while self._runs:
             await asyncio.wait(set(self._runs))
 
+    async def stop(self) -> None:
+        """Cut off the runs that are left; their outcome stays unknown."""
+        runs = set(self._runs)
+        for run in runs:
+            run.cancel()
+        await asyncio.gather(*runs, return_exceptions=True)
+
     async def run_once(self, request: KeyedRequest, run: Run) -> StoredAnswer:
         """Return the answer of the key's one run, now or from an earlier send.
 
--- a/lycheepost/callers/routes.py
+++ b/lycheepost/callers/routes.py
@@ -78,6 +78,13 @@
         await self._idle.wait()
         await self.keyed.drain()
 
+    async def start(self) -> None:
+        """Do nothing: requests come through the listener."""
+
+    async def stop(self) -> None:
+        """Cut off the keyed runs that are left."""
+        await self.keyed.stop()
+
     def _work(self, answer: Answer) -> Handler:
         """Wrap a handler that runs work on targets."""
 
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -14,7 +14,7 @@
 )
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.placement import Choice, Placement
-from lycheepost.decide.quarantine import Quarantine
+from lycheepost.decide.quarantine import PeerSuspects, Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting, make_waiting
 from lycheepost.decide.rates import follow_slowness
 from lycheepost.decide.records import (
@@ -46,6 +46,8 @@
         self._quarantine = quarantine
         self.queue = FairQueue()
         self.placement = Placement(settings, rng)
+        self.peer_suspects = PeerSuspects()
+        self.suspect_targets: list[TargetId] = []
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
 
@@ -103,7 +105,7 @@
         return None if choice is None else replace(choice, can_take=False)
 
     def _targets_with_suspects(self, now_seconds: float) -> frozenset[TargetId]:
-        return frozenset(
+        return self.peer_suspects.targets(now_seconds) | frozenset(
             target
             for target, load in self.placement.loads.items()
             if any(
@@ -129,6 +131,8 @@
         load.belief.add(work.levels)
         self.placement.note_holder(work, target)
         self._running[work.request] = target
+        if self._quarantine.is_suspect(work.fingerprint, now_seconds):
+            self.suspect_targets.append(target)
         self.queue.charge(work.customer, cost_seconds)
         self._rate.count(cost_seconds)
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
--- a/lycheepost/decide/quarantine.py
+++ b/lycheepost/decide/quarantine.py
@@ -10,12 +10,17 @@
 
 from dataclasses import dataclass
 
-from lycheepost.core.ids import BodyFingerprint
+from lycheepost.core.ids import BodyFingerprint, TargetId
 
 MAX_SUSPECTS = 10_000
 """Bounds memory when whole availability zones fail: the oldest are dropped."""
 
 
+PEER_SUSPECT_SECONDS = 2.0
+"""A target to which a peer sent a suspect is avoided by ours for this long: a
+request that kills its target has mostly done so by then."""
+
+
 @dataclass(frozen=True, slots=True)
 class LossSeen:
     """A fingerprint was running on a target that was lost; for peers."""
@@ -85,3 +90,25 @@
         """Acquit a suspect that ran to its end."""
         if self._counts:
             self._counts.pop(fingerprint, None)
+
+
+class PeerSuspects:
+    """Targets on which other daemons try suspects just now.
+
+    Without it two daemons may send a killer and an innocent suspect to the same
+    target, which then convicts both.
+    """
+
+    def __init__(self) -> None:
+        self._until: dict[TargetId, float] = {}
+
+    def note(self, target: TargetId, now_seconds: float) -> None:
+        """Avoid a target for suspects of our own for a while."""
+        self._until[target] = now_seconds + PEER_SUSPECT_SECONDS
+
+    def targets(self, now_seconds: float) -> frozenset[TargetId]:
+        """Return the targets to avoid now."""
+        for target, until_seconds in list(self._until.items()):
+            if until_seconds <= now_seconds:
+                del self._until[target]
+        return frozenset(self._until)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -224,6 +224,20 @@
         self._losses = []
         return losses
 
+    def note_peer_suspect(self, target: TargetId, now_seconds: float) -> None:
+        """Keep suspects off a target on which a peer tries one."""
+        group = self._group_by_target.get(target)
+        if group is not None:
+            group.peer_suspects.note(target, now_seconds)
+
+    def take_suspect_targets(self) -> list[TargetId]:
+        """Return the targets that got a suspect since the last call."""
+        targets = []
+        for group in self._groups.values():
+            targets += group.suspect_targets
+            group.suspect_targets = []
+        return targets
+
     def drain(self) -> list[Outcome]:
         """Take no new work and refuse what still waits, as not run."""
         self._is_draining = True
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -22,6 +22,7 @@
     RevisionDeltas,
     RevisionFetch,
     RevisionWhole,
+    SuspectPlaced,
     TargetNews,
 )
 
@@ -35,6 +36,7 @@
     "members": MemberNews,
     "target": TargetNews,
     "quarantine": QuarantineNotice,
+    "suspect": SuspectPlaced,
     "fetch": RevisionFetch,
     "deltas": RevisionDeltas,
     "whole": RevisionWhole,
