--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -1,8 +1,11 @@
 """Where a request goes: the target with the lowest predicted cost.
 
-Cost = predicted time to the first token, plus the prefill that another target
-would have spared, each by the deployment's weight. Prairie weighs the wait,
-Mercia the recomputation. A small preference by ring order makes daemons agree
+Cost = predicted time to the first token, plus what its prefill costs those that
+wait behind it, plus the prefill that another target would have spared, each by
+the deployment's weight. Prairie weighs the wait, Mercia the recomputation. The
+second part keeps a busy fleet from melting down: without it each request that
+finds its owner full is recomputed elsewhere, which makes the fleet busier, and
+the next owner full. A small preference by ring order makes daemons agree
 on a new prefix before cache events reach them, and lets a hot prefix gain
 owners as its first ones fill up and lose them when demand falls.
 """
@@ -27,6 +30,10 @@
 """Cost of each step away from the first owner: below what a caller notices,
 above the noise of predictions."""
 
+MAX_DELAYED = 10.0
+"""Requests counted as delayed by one more prefill; beyond it the estimate of
+those that wait is too coarse to outweigh everything else."""
+
 OWNER_STEPS = 4
 """Steps after which all other targets count alike."""
 
@@ -165,8 +172,11 @@
         recompute = avoidable * self.rates.token_seconds
         target = choice.load.view.target
         steps = owners.index(target) if target in owners else OWNER_STEPS
+        delayed_requests = choice.ahead_tokens / self.rates.uncached_tokens
+        prefill = choice.uncached_tokens * self.rates.token_seconds
+        delay_of_others = prefill * min(MAX_DELAYED, delayed_requests)
         return (
-            self._settings.wait_weight * choice.wait_seconds
+            self._settings.wait_weight * (choice.wait_seconds + delay_of_others)
             + self._settings.recompute_weight * recompute
             + steps * OWNER_SECONDS
         )
--- a/lycheepost/decide/settings.py
+++ b/lycheepost/decide/settings.py
@@ -49,7 +49,7 @@
     first_token_seconds: float = 0.03
     engine_queue_seconds: float = 0.25
     admit_patience_share: float = 0.5
-    queue_seconds: float = 2.0
+    queue_seconds: float = 20.0
 
 
 def make_scheduler_settings(settings: Settings) -> SchedulerSettings:
