--- a/lycheepost/callers/headers.py
+++ b/lycheepost/callers/headers.py
@@ -54,6 +54,12 @@
         return Failure(error)
 
 
+def echoed_id(headers: Mapping[str, str]) -> str:
+    """Return the caller's own request id for an answer; empty when unusable."""
+    value = headers.get("X-Request-Id", "")
+    return value if _TOKEN.fullmatch(value) else ""
+
+
 def _read_token(headers: Mapping[str, str], name: str) -> str:
     value = headers.get(name, "")
     if value and not _TOKEN.fullmatch(value):
