--- a/lycheepost/bench/policyload.py
+++ b/lycheepost/bench/policyload.py
@@ -77,7 +77,7 @@
     n_daemons=7,
     # 150,000 tokens an engine leave within about 25 s at this demand.
     cache_tokens=150_000,
-    capacity_per_second=90.0,
+    capacity_per_second=80.0,
     # A shopper does not wait; recomputing costs only engine time.
     wait_weight=1.0,
     recompute_weight=0.5,
@@ -102,7 +102,7 @@
     n_daemons=7,
     # Letters are long: 400,000 tokens an engine leave within about a minute.
     cache_tokens=400_000,
-    capacity_per_second=30.0,
+    capacity_per_second=32.0,
     # Summaries are timely rather than instant; the budget is a charity's.
     wait_weight=0.3,
     recompute_weight=3.0,
--- a/lycheepost/bench/policysim.py
+++ b/lycheepost/bench/policysim.py
@@ -135,6 +135,18 @@
     return Scheduler(settings, seed)
 
 
+def make_engine_request(work: Work) -> EngineRequest:
+    """Return the request as the daemon would send it."""
+    return EngineRequest(
+        request=work.request,
+        salt=work.customer,
+        levels=work.levels,
+        prompt_tokens=work.prompt_tokens,
+        output_tokens=work.output_tokens,
+        priority=work.priority.value,
+    )
+
+
 class Simulation:
     """One run of one policy."""
 
@@ -294,14 +306,7 @@
         if self._states[target] is TargetState.GONE:
             self._push(now_seconds + DETECT_LOSS_SECONDS, Kind.RETRY, trace)
             return
-        spec = EngineRequest(
-            request=work.request,
-            salt=work.customer,
-            levels=work.levels,
-            prompt_tokens=work.prompt_tokens,
-            output_tokens=work.output_tokens,
-            priority=work.priority.value,
-        )
+        spec = make_engine_request(work)
         events = self.engines[target].submit(spec, now_seconds)
         self._observe(target, events, now_seconds)
 
