--- a/lycheepost/bench/policybaselines.py
+++ b/lycheepost/bench/policybaselines.py
@@ -14,7 +14,7 @@
     RequestId,
     TargetId,
 )
-from lycheepost.decide.queueing import FairQueue, make_waiting
+from lycheepost.decide.queueing import FairQueue
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -309,7 +309,7 @@
 
     def push(self, work: Work, now_seconds: float) -> None:
         """Queue in the customer's lane, at one unit a request."""
-        self._queue.push(make_waiting(work, 1.0, now_seconds))
+        self._queue.push(self._queue.make_waiting(work, 1.0, now_seconds))
 
     def pop(self, now_seconds: float) -> Work | None:
         """Return the next in fair order."""
--- a/lycheepost/decide/admission.py
+++ b/lycheepost/decide/admission.py
@@ -10,7 +10,7 @@
 import random
 from dataclasses import dataclass
 
-from lycheepost.decide.queueing import FairQueue, Lane
+from lycheepost.decide.queueing import CREDIT_SECONDS, FairQueue, Waiting
 from lycheepost.decide.records import RefusalReason, Work
 from lycheepost.decide.settings import SchedulerSettings
 
@@ -20,6 +20,15 @@
 
 MEASURE_SECONDS = 1.0
 
+MIN_PREDICTED_SECONDS = 0.1
+BIAS_GAIN = 0.05
+MAX_BIAS = 3.0
+"""A prediction that is off by more is mended at its source."""
+
+GIVE_UP_SLACK = 1.2
+"""A request that has waited this much more than its budget is refused at once:
+its place in the queue would go to one that comes too late, too."""
+
 MIN_RETRY_AFTER_SECONDS = 0.5
 MAX_RETRY_AFTER_SECONDS = 30.0
 """A caller that is told to come back later than this goes away for good."""
@@ -82,19 +91,45 @@
     is_own_share: bool
 
 
-def predict_queue_wait(queue: FairQueue, lane: Lane, rate: float) -> QueueWait:
-    """Return how long a new request of ``lane`` would wait in ``queue``.
+def predict_queue_wait(
+    queue: FairQueue, waiting: Waiting, rate: float, bias: float
+) -> QueueWait:
+    """Return how long a new request would wait in ``queue``.
 
-    A customer gets at least its weight's share of the rate, so it waits for its
-    own queue at that share, or for the whole queue at the full rate, whichever
-    is less.
+    A customer gets at least its weight's share of the rate, so it waits until
+    the queue's virtual time reaches its own at that share, or for the whole
+    queue at the full rate, whichever is less.
+
+    Args:
+        queue: The queue before the request.
+        waiting: The request's entry.
+        rate: Engine seconds served per second.
+        bias: Observed over predicted waits of late.
     """
+    lane = queue.lane(waiting.work.customer)
     active = [item.weight for item in queue.lanes.values() if item.waiting]
     weights = sum(active) + (0.0 if lane.waiting else lane.weight)
-    own_seconds = lane.queued_cost_seconds * weights / (lane.weight * rate)
+    ahead = queue.ahead_seconds(waiting) / lane.weight
+    lead = max(lane.virtual_seconds - queue.virtual_seconds, -CREDIT_SECONDS)
+    own_seconds = max(0.0, lead + ahead) * weights / rate
     all_seconds = queue.queued_cost_seconds / rate
     is_own_share = len(active) > 1 and own_seconds >= all_seconds / 2
-    return QueueWait(min(own_seconds, all_seconds), is_own_share)
+    return QueueWait(bias * min(own_seconds, all_seconds), is_own_share)
+
+
+class WaitBias:
+    """Observed over predicted waits, so that predictions mend themselves."""
+
+    def __init__(self) -> None:
+        self.value = 1.0
+
+    def observe(self, waited_seconds: float, predicted_seconds: float) -> None:
+        """Learn from one request that left the queue."""
+        if predicted_seconds < MIN_PREDICTED_SECONDS:
+            return
+        ratio = waited_seconds / (predicted_seconds / self.value)
+        moved = self.value + BIAS_GAIN * (ratio - self.value)
+        self.value = min(MAX_BIAS, max(1.0 / MAX_BIAS, moved))
 
 
 def budget_seconds(work: Work, settings: SchedulerSettings) -> float:
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -5,8 +5,10 @@
 
 from lycheepost.core.ids import RequestId, TargetId
 from lycheepost.decide.admission import (
+    GIVE_UP_SLACK,
     QueueWait,
     ServiceRate,
+    WaitBias,
     budget_seconds,
     predict_queue_wait,
     reason_of,
@@ -15,7 +17,7 @@
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.placement import Choice, Placement
 from lycheepost.decide.quarantine import Quarantine
-from lycheepost.decide.queueing import FairQueue, Waiting, make_waiting
+from lycheepost.decide.queueing import FairQueue, Waiting
 from lycheepost.decide.rates import follow_slowness
 from lycheepost.decide.records import (
     Dispatch,
@@ -31,6 +33,10 @@
 """Requests looked at when a slot frees up: enough to pass those that wait for
 a full target, few enough to bound the cost of a decision under saturation."""
 
+PRESSURE_GAIN = 0.01
+"""Per tick of 20 ms: the pressure follows the queue within about 2 s, longer
+than a short burst that the engines absorb, shorter than callers' patience."""
+
 
 class Group:
     """Queue and targets of one target group."""
@@ -48,6 +54,7 @@
         self.placement = Placement(settings, rng)
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
+        self._bias = WaitBias()
 
     def remove_target(self, target: TargetId) -> None:
         """Forget a target that is no longer configured."""
@@ -66,13 +73,22 @@
         cost = self._cost_seconds(work, choice.uncached_tokens)
         if choice.can_take and not len(self.queue):
             return [self._dispatch(work, choice, cost, now_seconds)]
-        lane = self.queue.lane(work.customer)
-        wait = predict_queue_wait(self.queue, lane, self._rate.per_second())
-        if wait.seconds + choice.wait_seconds > budget_seconds(work, self._settings):
+        return self._queue_up(work, choice, cost, now_seconds)
+
+    def _queue_up(
+        self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
+    ) -> list[Outcome]:
+        budget = budget_seconds(work, self._settings)
+        give_up = work.arrived_seconds + budget * GIVE_UP_SLACK
+        waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
+        rate = self._rate.per_second()
+        wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
+        if wait.seconds + choice.wait_seconds > budget:
             return [self._refuse(work, reason_of(wait), wait)]
         if self._is_full(work):
             return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
-        self.queue.push(make_waiting(work, cost, now_seconds))
+        waiting.predicted_seconds = wait.seconds
+        self.queue.push(waiting)
         return self.pump(now_seconds)
 
     def _is_full(self, work: Work) -> bool:
@@ -87,11 +103,17 @@
         return Refuse(work.request, reason, seconds)
 
     def _choose(
-        self, work: Work, now_seconds: float, extra_tokens: dict[TargetId, int]
+        self,
+        work: Work,
+        now_seconds: float,
+        extra_tokens: dict[TargetId, int],
+        only_free: bool = False,
     ) -> Choice | None:
         avoid = work.excluded
         if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            return self.placement.best(work, now_seconds, avoid, extra_tokens)
+            return self.placement.best(
+                work, now_seconds, avoid, extra_tokens, only_free
+            )
         alone = avoid | self._targets_with_suspects(now_seconds)
         choice = self.placement.best(work, now_seconds, alone, extra_tokens)
         if choice is not None:
@@ -149,7 +171,11 @@
         self, waiting: Waiting, now_seconds: float, extra_tokens: dict[TargetId, int]
     ) -> Outcome | None:
         work = waiting.work
-        choice = self._choose(work, now_seconds, extra_tokens)
+        # A request that waits for the target with its prefix must not wait for
+        # ever while others fill it: from half of its time on, any target does.
+        halfway = 0.25*waiting.enqueued_seconds + 0.75*waiting.give_up_seconds
+        only_free = now_seconds > halfway
+        choice = self._choose(work, now_seconds, extra_tokens, only_free)
         if choice is None:
             return None
         if not choice.can_take:
@@ -158,6 +184,8 @@
             extra_tokens[target] = tokens
             return None
         self.queue.remove(work.request)
+        waited_seconds = now_seconds - waiting.enqueued_seconds
+        self._bias.observe(waited_seconds, waiting.predicted_seconds)
         cost = self._cost_seconds(work, choice.uncached_tokens)
         return self._dispatch(work, choice, cost, now_seconds)
 
@@ -215,9 +243,12 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
         self._rate.update(now_seconds, len(self.queue) > 0)
+        pressure = self.placement.pressure
+        step = (float(len(self.queue) > 0) - pressure) * PRESSURE_GAIN
+        self.placement.pressure = pressure + step
         outcomes: list[Outcome] = []
         for waiting in self.queue.all():
-            if now_seconds < waiting.deadline_seconds:
+            if now_seconds < waiting.give_up_seconds:
                 continue
             self.queue.remove(waiting.work.request)
             wait = QueueWait(waiting.work.patience_seconds, False)
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -34,6 +34,11 @@
 """Requests counted as delayed by one more prefill; beyond it the estimate of
 those that wait is too coarse to outweigh everything else."""
 
+PRESSURE_PRICE = 20.0
+"""Price of avoidable prefill while the queue is never empty. Each second of it
+is then a second taken from someone who is refused, however short this request's
+own wait may get; saving a second of wait is worth a twentieth of it."""
+
 OWNER_STEPS = 4
 """Steps after which all other targets count alike."""
 
@@ -74,6 +79,7 @@
         self.loads: dict[TargetId, TargetLoad] = {}
         self._serving: list[TargetLoad] = []
         self.rates = make_rates(settings)
+        self.pressure = 0.0
 
     def refresh(self) -> None:
         """Follow a change of the targets."""
@@ -124,6 +130,7 @@
         now_seconds: float,
         avoid: frozenset[TargetId] | set[TargetId],
         extra_tokens: dict[TargetId, int],
+        only_free: bool = False,
     ) -> Choice | None:
         """Return the best placement of ``work``; None when no target fits.
 
@@ -133,6 +140,7 @@
             avoid: Targets that must not get this request.
             extra_tokens: Prompt tokens of requests ahead in the queue that
                 wait for a target, by target.
+            only_free: Leave out targets without room now.
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
         weighed: list[Choice] = []
@@ -142,6 +150,8 @@
                 continue
             ahead = extra_tokens.get(target, 0) if extra_tokens else 0
             weighed.append(self._weigh(load, work, now_seconds, ahead))
+        if only_free:
+            weighed = [choice for choice in weighed if choice.can_take]
         if not weighed:
             return None
         least_uncached = min(choice.uncached_tokens for choice in weighed)
@@ -175,9 +185,10 @@
         delayed_requests = choice.ahead_tokens / self.rates.uncached_tokens
         prefill = choice.uncached_tokens * self.rates.token_seconds
         delay_of_others = prefill * min(MAX_DELAYED, delayed_requests)
+        price = self._settings.recompute_weight + PRESSURE_PRICE * self.pressure
         return (
             self._settings.wait_weight * (choice.wait_seconds + delay_of_others)
-            + self._settings.recompute_weight * recompute
+            + price * recompute
             + steps * OWNER_SECONDS
         )
 
--- a/lycheepost/decide/queueing.py
+++ b/lycheepost/decide/queueing.py
@@ -8,7 +8,7 @@
 that arrived a little earlier, then the order of arrival.
 """
 
-from bisect import insort
+from bisect import bisect_right, insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from operator import attrgetter
@@ -20,9 +20,22 @@
 """Head start of one priority class over the next. A bound instead of a strict
 order, so that a flow of urgent work cannot starve a batch for ever."""
 
-LENGTH_SECONDS_PER_SECOND = 4.0
-"""Delay in rank per second of predicted cost: a 2 s letter lets short captions
-of the next 8 s pass, and no more, so neither starves the other."""
+LENGTH_SHARE = 0.1
+MAX_LENGTH = 4.0
+"""Each mean cost of a request delays its rank by a tenth of its patience, up to
+four of them. Short work passes long work, and under overload a request whose
+prefix is cached passes one whose prefix is not, so whole batches are served
+while they are warm instead of parts of all of them cold. The bound keeps long
+and cold work from starving."""
+
+COST_GAIN = 0.02
+"""Weight of one request in the mean cost; fifty settle it."""
+
+CREDIT_SECONDS = 3.0
+"""Engine time that an idle customer may have saved up, over its weight: a
+customer far inside its share may send some requests at once without waiting
+behind those who are over theirs. It is forgotten beyond that, or a customer
+that slept all night could shut out all others in the morning."""
 
 
 @dataclass(slots=True)
@@ -33,13 +46,17 @@
         rank: Order within the customer; lower goes first.
         cost_seconds: Predicted engine time.
         deadline_seconds: When the caller leaves.
+        give_up_seconds: When it is refused if it still waits.
+        predicted_seconds: Wait that was predicted for it.
     """
 
     work: Work
     rank: float
     cost_seconds: float
     deadline_seconds: float
+    give_up_seconds: float
     enqueued_seconds: float
+    predicted_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -66,15 +83,14 @@
 _BY_VIRTUAL = attrgetter("virtual_seconds")
 
 
-def make_waiting(work: Work, cost_seconds: float, now_seconds: float) -> Waiting:
-    """Return the queue entry of ``work``."""
-    rank = (
+def rank_of(work: Work, cost_seconds: float, mean_seconds: float) -> float:
+    """Return the order of ``work`` within its customer; lower goes first."""
+    length = min(MAX_LENGTH, cost_seconds / max(mean_seconds, 1e-6))
+    return (
         work.arrived_seconds
         + work.priority.value * PRIORITY_SECONDS
-        + cost_seconds * LENGTH_SECONDS_PER_SECOND
+        + length * LENGTH_SHARE * work.patience_seconds
     )
-    deadline_seconds = work.arrived_seconds + work.patience_seconds
-    return Waiting(work, rank, cost_seconds, deadline_seconds, now_seconds)
 
 
 class FairQueue:
@@ -84,7 +100,8 @@
         self.lanes: dict[CustomerId, Lane] = {}
         self._weights: dict[CustomerId, float] = {}
         self._by_request: dict[RequestId, Waiting] = {}
-        self._virtual_seconds = 0.0
+        self._mean_seconds: float | None = None
+        self.virtual_seconds = 0.0
         self.queued_cost_seconds = 0.0
 
     def __len__(self) -> int:
@@ -104,10 +121,38 @@
         lane = self.lanes.get(customer)
         if lane is None:
             weight = self._weights.get(customer, 1.0)
-            lane = Lane(customer, weight, self._virtual_seconds)
+            lane = Lane(customer, weight, self.virtual_seconds)
             self.lanes[customer] = lane
         return lane
 
+    def make_waiting(
+        self,
+        work: Work,
+        cost_seconds: float,
+        now_seconds: float,
+        give_up_seconds: float | None = None,
+    ) -> Waiting:
+        """Return a queue entry, ranked against the mean cost so far."""
+        mean_seconds = self._mean_seconds or cost_seconds
+        self._mean_seconds = mean_seconds + COST_GAIN * (cost_seconds - mean_seconds)
+        deadline_seconds = work.arrived_seconds + work.patience_seconds
+        return Waiting(
+            work=work,
+            rank=rank_of(work, cost_seconds, mean_seconds),
+            cost_seconds=cost_seconds,
+            deadline_seconds=deadline_seconds,
+            give_up_seconds=give_up_seconds or deadline_seconds,
+            enqueued_seconds=now_seconds,
+        )
+
+    def ahead_seconds(self, waiting: Waiting) -> float:
+        """Return the cost of its customer's requests that rank before it."""
+        lane = self.lane(waiting.work.customer)
+        index = bisect_right(lane.waiting, waiting.rank, key=_BY_RANK)
+        if index == len(lane.waiting):
+            return lane.queued_cost_seconds
+        return sum(item.cost_seconds for item in lane.waiting[:index])
+
     def push(self, waiting: Waiting) -> None:
         """Add a request behind those of its customer that rank before it."""
         lane = self.lane(waiting.work.customer)
@@ -119,9 +164,8 @@
         self._by_request[waiting.work.request] = waiting
 
     def _catch_up(self, lane: Lane) -> None:
-        # Idle time is not saved up: a customer that slept all night could
-        # otherwise shut out all others in the morning.
-        lane.virtual_seconds = max(lane.virtual_seconds, self._virtual_seconds)
+        oldest = self.virtual_seconds - CREDIT_SECONDS / lane.weight
+        lane.virtual_seconds = max(lane.virtual_seconds, oldest)
 
     def remove(self, request: RequestId) -> Waiting | None:
         """Take a request out; None when it does not wait here."""
@@ -145,7 +189,7 @@
     def _advance(self) -> None:
         active = [lane.virtual_seconds for lane in self.lanes.values() if lane.waiting]
         if active:
-            self._virtual_seconds = max(self._virtual_seconds, min(active))
+            self.virtual_seconds = max(self.virtual_seconds, min(active))
 
     def in_order(self, limit: int) -> Iterator[Waiting]:
         """Yield up to ``limit`` requests in fair order, as of the call."""
--- a/lycheepost/decide/settings.py
+++ b/lycheepost/decide/settings.py
@@ -48,7 +48,7 @@
     decode_seconds_per_token: float = 0.7e-3
     first_token_seconds: float = 0.03
     engine_queue_seconds: float = 0.25
-    admit_patience_share: float = 0.5
+    admit_patience_share: float = 0.4
     queue_seconds: float = 20.0
 
 
