--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -27,6 +27,7 @@
     add_completion=False,
 )
 
+app.add_typer(bench.app, name="bench")
 app.command()(demo.demo)
 app.command()(serve.serve)
 app.command()(standin.standin)
--- a/lycheepost/targets/relay.py
+++ b/lycheepost/targets/relay.py
@@ -45,14 +45,30 @@
 RelayOutcome = RelayComplete | RelayLost | RelayCallerGone
 
 
-async def relay(stream: EngineStream, response: web.StreamResponse) -> RelayOutcome:
-    """Write a stream's answer to a prepared response until either side ends."""
+async def relay(
+    stream: EngineStream,
+    response: web.StreamResponse,
+    request: web.BaseRequest | None = None,
+) -> RelayOutcome:
+    """Write a stream's answer to a prepared response until either side ends.
+
+    Args:
+        stream: The verified answer.
+        response: The caller's response, already prepared.
+        request: The caller's request; with it each piece goes to the caller's
+            transport in the callback that read it.
+    """
     try:
-        while True:
-            data = await stream.read()
-            if data is None:
-                return RelayComplete(stream.n_events, stream.usage)
-            await response.write(data)
+        # The first piece goes the usual way, because aiohttp holds the headers
+        # back to send them with it.
+        data = await stream.read()
+        if data is None:
+            return RelayComplete(stream.n_events, stream.usage)
+        await response.write(data)
+        if request is None or not await _relay_directly(stream, response, request):
+            while (data := await stream.read()) is not None:
+                await response.write(data)
+        return RelayComplete(stream.n_events, stream.usage)
     except StreamLost as error:
         return RelayLost(error)
     except ConnectionError:
@@ -62,3 +78,30 @@
         # The handler was cancelled, because the caller left or the daemon stops.
         await stream.cancel()
         raise
+
+
+async def _relay_directly(
+    stream: EngineStream, response: web.StreamResponse, request: web.BaseRequest
+) -> bool:
+    """Relay from read callback to transport; False when that cannot be."""
+    transport = request.transport
+    is_chunked = response.headers.get("Transfer-Encoding") == "chunked"
+    if transport is None or response.compression or not is_chunked:
+        return False
+
+    def write(data: bytes) -> bool:
+        if transport.is_closing():
+            return False
+        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        return not protocol.writing_paused
+
+    protocol = request.protocol
+    while not await stream.pump(write):
+        if transport.is_closing():
+            raise ConnectionResetError("the caller has left")
+        # The caller reads slower than the target sends. The target is not read
+        # until the transport has sent what it holds, so the daemon keeps no
+        # more than the transport's bound and one read for each such stream.
+        await request.writer.drain()
+        stream.resume_reading()
+    return True
