--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -38,7 +38,6 @@
 app.add_typer(model.app, name="model")
 app.add_typer(intent.app, name="intent")
 app.add_typer(fleet.app, name="fleet")
-app.add_typer(bench.app, name="bench")
 
 
 def run() -> None:
