--- a/lycheepost/bench/control.py
+++ b/lycheepost/bench/control.py
@@ -249,7 +249,7 @@
 
 
 async def _herd(seed: int, spreading: Spreading, n_daemons: int) -> HerdRecord:
-    """Restart a whole fleet after about 100 revisions, of which none is in a snapshot."""
+    """Restart a whole fleet after 100 changes, of which none is in a snapshot."""
     before = make_fleet(3, seed, Spreading.PEERS, make_configuration(8, 20))
     await before.start()
     for number in range(100):
