--- /dev/null
+++ b/features/peers/environment.py
@@ -0,0 +1,23 @@
+"""One event loop per scenario; everything in it is closed afterwards."""
+
+import asyncio
+import logging
+
+import structlog
+
+
+def before_all(context):
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+
+
+def before_scenario(context, scenario):
+    context.loop = asyncio.new_event_loop()
+    context.closers = []
+
+
+def after_scenario(context, scenario):
+    for close in reversed(context.closers):
+        context.loop.run_until_complete(close())
+    context.loop.close()
