--- /dev/null
+++ b/features/state/steps/machines.py
@@ -0,0 +1,350 @@
+"""Stateful tests: hypothesis draws what happens, the models judge the outcome."""
+
+import asyncio
+import itertools
+from dataclasses import replace
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from returns.result import Success
+
+from lycheepost.core.ids import (
+    BodyFingerprint,
+    CustomerId,
+    DaemonId,
+    IdempotencyKey,
+    RequestId,
+    Revision,
+)
+from lycheepost.generated.configuration import Customer
+from lycheepost.standin.objects import make_object_model
+from lycheepost.standin.table import make_table_model
+from lycheepost.standin.virtualtime import VirtualTimeLoop
+from lycheepost.state.claim_rows import (
+    Answered,
+    BodyDiffers,
+    Granted,
+    StoredAnswer,
+)
+from lycheepost.state.claims import ClaimLimits, make_claim_keeper
+from lycheepost.state.leases import LeaseKeeper
+from lycheepost.state.revisions import make_revision_keeper
+from lycheepost.state.snapshots import SnapshotWork
+
+SETTINGS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=80,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+)
+DAEMONS = st.integers(0, 2)
+KEYS = st.integers(0, 1)
+BODIES = st.sampled_from([1, 1, 1, 2])
+FAULTS = st.sampled_from(["lost", "late", "stale", "refused", "slow", "down", "up"])
+
+
+class StoreMachine(RuleBasedStateMachine):
+    """A store in virtual time with faults drawn between the steps."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = VirtualTimeLoop()
+        self.store = make_table_model(self.loop, 1e9, 1e9)
+        self.objects = make_object_model(self.loop)
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    @rule(fault=FAULTS)
+    def fault(self, fault):
+        faults = self.store.faults
+        match fault:
+            case "lost":
+                faults.n_lost_answers += 1
+            case "late":
+                faults.n_late_writes, faults.late_seconds = 2, 3.0
+            case "stale":
+                faults.n_stale_reads += 1
+            case "refused":
+                faults.n_refused += 2
+            case "slow":
+                faults.delay_seconds = 0.5
+            case "down":
+                faults.is_down = True
+            case "up":
+                self.heal()
+
+    def heal(self):
+        faults = self.store.faults
+        faults.is_down = False
+        faults.n_lost_answers = faults.n_late_writes = 0
+        faults.n_stale_reads = faults.n_refused = 0
+        faults.delay_seconds = 0.0
+
+    @rule(seconds=st.sampled_from([0.1, 2.0, 8.0]))
+    def wait(self, seconds):
+        self.run(asyncio.sleep(seconds))
+
+    def teardown(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(asyncio.sleep(0))
+        self.loop.close()
+
+
+class ClaimMachine(StoreMachine):
+    """Orders sent through three daemons that crash and meet every fault."""
+
+    def __init__(self):
+        super().__init__()
+        self.boots = {}
+        self.keepers = {}
+        self.ran = {}
+        self.answers = {}
+        self.open = []
+        self.in_doubt = False
+        self.numbers = itertools.count()
+        for number in range(3):
+            self.boot(number)
+
+    def boot(self, number):
+        boot = f"boot-{next(self.numbers)}"
+        self.boots[DaemonId(f"d{number}")] = boot
+        keeper = make_claim_keeper(
+            self.store,
+            self.objects,
+            self.loop,
+            DaemonId(f"d{number}"),
+            ClaimLimits(wait_seconds=2.0, even_writes_per_second=1e6),
+            lambda owner, owner_boot: self.boots.get(owner) == owner_boot,
+            boot,
+        )
+        self.keepers[number] = keeper
+        self.run(keeper.start())
+
+    async def claim(self, number, key, body, patience_seconds):
+        claim = self.keepers[number].claim(
+            CustomerId("c"),
+            IdempotencyKey(f"k{key}"),
+            BodyFingerprint(body),
+            RequestId("r"),
+        )
+        try:
+            return number, await asyncio.wait_for(claim, patience_seconds)
+        except TimeoutError:
+            return number, None
+
+    @rule(
+        key=KEYS,
+        body=BODIES,
+        senders=st.lists(DAEMONS, min_size=1, max_size=3),
+        patience_seconds=st.sampled_from([0.2, 30.0]),
+        then=st.sampled_from(["run", "answer", "release", "abandon", "keep"]),
+    )
+    def send(self, key, body, senders, patience_seconds, then):
+        async def send_all():
+            return await asyncio.gather(
+                *(self.claim(n, key, body, patience_seconds) for n in senders)
+            )
+
+        for number, outcome in self.run(send_all()):
+            if isinstance(outcome, Success):
+                self.judge(number, key, body, outcome.unwrap(), then)
+
+    def judge(self, number, key, body, outcome, then):
+        match outcome:
+            case Granted() as granted:
+                assert key not in self.ran, "a second run"
+                self.ran[key] = body
+                self.open.append((number, key, granted, self.keepers[number]))
+                self.end(len(self.open) - 1, then)
+            case Answered(answer):
+                assert self.answers.get(key) == answer, "not the first answer"
+            case BodyDiffers():
+                assert self.ran.get(key) != body, "the same body was refused"
+
+    @rule(index=st.integers(0, 5), then=st.sampled_from(["answer", "release"]))
+    def end_later(self, index, then):
+        if index < len(self.open):
+            self.end(index, then)
+
+    def end(self, index, then):
+        number, key, granted, keeper = self.open[index]
+        if then in ("run", "keep"):
+            return
+        self.open.pop(index)
+        if keeper is not self.keepers[number]:
+            return
+        match then:
+            case "answer":
+                body = b"x" * (20_000 if key else 10) + str(index).encode()
+                self.answers[key] = StoredAnswer(200, "text/plain", body)
+                self.run(keeper.store_answer(granted, self.answers[key]))
+            case "abandon":
+                self.run(keeper.abandon(granted))
+            case "release":
+                del self.ran[key]
+                self.run(keeper.release(granted))
+
+    @rule(number=DAEMONS)
+    def crash(self, number):
+        # What it could not settle yet stays claimed for ever, and never runs.
+        self.in_doubt |= self.keepers[number].status()["n_unsettled"] > 0
+        self.run(self.keepers[number].stop())
+        self.boot(number)
+
+    def teardown(self):
+        self.heal()
+        self.run(asyncio.sleep(30))
+        for key, number in itertools.product(range(2), range(3)):
+            body = self.ran.get(key, 1)
+            outcome = self.run(self.claim(number, key, body, 60))[1]
+            assert isinstance(outcome, Success), "a healthy store decides"
+            if key not in self.ran and not self.in_doubt:
+                assert isinstance(outcome.unwrap(), Granted), "lost, and never ran"
+            self.judge(number, key, body, outcome.unwrap(), "answer")
+        super().teardown()
+
+
+class LeaseMachine(StoreMachine):
+    """Three daemons that acquire, renew and release one lease."""
+
+    def __init__(self):
+        super().__init__()
+        self.keepers = {n: self.make(n) for n in range(3)}
+        self.leases = {}
+        self.highest = 0
+
+    def make(self, number):
+        return LeaseKeeper(self.store, self.loop, DaemonId(f"d{number}"), 6.0, 1.0)
+
+    @rule(number=DAEMONS)
+    def acquire(self, number):
+        if number in self.leases:
+            return
+        outcome = self.run(self.keepers[number].acquire("duty"))
+        if isinstance(outcome, Success):
+            lease = outcome.unwrap()
+            assert lease.fencing_number > self.highest, "a fencing number again"
+            self.highest = lease.fencing_number
+            self.leases[number] = lease
+
+    @rule(number=DAEMONS)
+    def renew(self, number):
+        lease = self.leases.get(number)
+        if lease is None:
+            return
+        outcome = self.run(self.keepers[number].renew(lease))
+        if isinstance(outcome, Success):
+            self.leases[number] = outcome.unwrap()
+
+    @rule(number=DAEMONS)
+    def release(self, number):
+        lease = self.leases.pop(number, None)
+        if lease is not None:
+            self.run(self.keepers[number].release(lease))
+
+    @rule(number=DAEMONS)
+    def crash(self, number):
+        self.leases.pop(number, None)
+        self.keepers[number] = self.make(number)
+
+    @invariant()
+    def at_most_one_holder(self):
+        now_seconds = self.loop.now_seconds()
+        held = [n for n, lease in self.leases.items() if lease.is_held(now_seconds)]
+        assert len(held) <= 1, held
+
+
+class RevisionMachine(StoreMachine):
+    """Three daemons whose operators race while peers pass revisions on."""
+
+    def __init__(self):
+        super().__init__()
+        self.numbers = itertools.count(1)
+        self.history = {}
+        self.keepers = {n: self.make(n) for n in range(3)}
+        self.seen = dict.fromkeys(range(3), 0)
+        self.confirmed = 0
+
+    def make(self, number):
+        return make_revision_keeper(self.store, self.objects, self.loop, seed=number)
+
+    @rule(numbers=st.lists(DAEMONS, min_size=1, max_size=3), is_old=st.booleans())
+    def commit(self, numbers, is_old):
+        async def commit_all():
+            return await asyncio.gather(*(self.commit_one(n, is_old) for n in numbers))
+
+        outcomes = self.run(commit_all())
+        won = [out.unwrap() for out, _ in outcomes if isinstance(out, Success)]
+        assert len(won) == len(set(won)), "two changes became one revision"
+        for outcome, name in outcomes:
+            if isinstance(outcome, Success):
+                self.confirm(outcome.unwrap(), name)
+
+    async def commit_one(self, number, is_old):
+        keeper = self.keepers[number]
+        before = keeper.accepted
+        name = f"customer-{next(self.numbers)}"
+        customers = [*before.customers, Customer(customer=name, key_hashes=[])]
+        basis = max(0, before.revision - is_old)
+        changed = replace(before, customers=customers)
+        return await keeper.commit(Revision(basis), changed), name
+
+    def confirm(self, revision, name):
+        self.confirmed = max(self.confirmed, revision)
+        holder = next(k for k in self.keepers.values() if k.revision >= revision)
+        names = [item.customer for item in holder.accepted.customers]
+        assert names.count(name) == 1, "a confirmed change is missing"
+
+    @rule(number=DAEMONS)
+    def refresh(self, number):
+        self.run(self.keepers[number].refresh())
+
+    @rule(giver=DAEMONS, taker=DAEMONS, is_whole=st.booleans())
+    def pass_on(self, giver, taker, is_whole):
+        giver, taker = self.keepers[giver], self.keepers[taker]
+        deltas = giver.deltas_after(taker.revision)
+        if is_whole or deltas is None:
+            taker.offer(giver.accepted, "peer")
+        else:
+            taker.offer_deltas(deltas, "peer")
+
+    @rule(number=DAEMONS)
+    def restart(self, number):
+        self.keepers[number] = self.make(number)
+        self.seen[number] = 0
+
+    @rule(number=DAEMONS)
+    def snapshot(self, number):
+        work = SnapshotWork(self.store, self.objects, self.keepers[number], every=2)
+        self.run(work.work(None))
+
+    @invariant()
+    def never_back_and_agreed(self):
+        for number, keeper in self.keepers.items():
+            assert keeper.revision >= self.seen[number], "went back"
+            self.seen[number] = keeper.revision
+            known = self.history.setdefault(keeper.revision, keeper.accepted)
+            assert known == keeper.accepted, "one revision, two contents"
+
+    def teardown(self):
+        self.heal()
+        self.run(asyncio.sleep(30))
+        fresh = self.make(9)
+        outcome = self.run(fresh.refresh())
+        assert isinstance(outcome, Success), outcome
+        assert fresh.revision >= self.confirmed, "a confirmed change reverted"
+        known = self.history.get(fresh.revision, fresh.accepted)
+        assert known == fresh.accepted, "one revision, two contents"
+        super().teardown()
+
+
+MACHINES = {
+    "claims": ClaimMachine,
+    "leases": LeaseMachine,
+    "revisions": RevisionMachine,
+}
--- a/lycheepost/state/snapshots.py
+++ b/lycheepost/state/snapshots.py
@@ -33,11 +33,23 @@
 
 
 class SnapshotWork:
-    """What the holder of the duty does, each time it is called."""
+    """What the holder of the duty does, each time it is called.
+
+    Args:
+        table: Where the head and the deltas are.
+        objects: Where snapshots go.
+        keeper: The configuration of this daemon.
+        every: Revisions between snapshots.
+    """
 
     def __init__(
-        self, table: TablePort, objects: ObjectPort, keeper: RevisionKeeper
+        self,
+        table: TablePort,
+        objects: ObjectPort,
+        keeper: RevisionKeeper,
+        every: int = SNAPSHOT_EVERY,
     ) -> None:
+        self._every = every
         self._table = table
         self._objects = objects
         self._keeper = keeper
@@ -53,7 +65,7 @@
                 return
         accepted = self._keeper.accepted
         n_after = accepted.revision - head.snapshot
-        if accepted.revision > head.revision or n_after < SNAPSHOT_EVERY:
+        if accepted.revision > head.revision or n_after < self._every:
             return
         written = await write_snapshot(self._objects, accepted)
         if isinstance(written, Failure):
