--- a/lycheepost/callers/keyed.py
+++ b/lycheepost/callers/keyed.py
@@ -73,6 +73,13 @@
         while self._runs:
             await asyncio.wait(set(self._runs))
 
+    async def stop(self) -> None:
+        """Cut off the runs that are left; their outcome stays unknown."""
+        runs = set(self._runs)
+        for run in runs:
+            run.cancel()
+        await asyncio.gather(*runs, return_exceptions=True)
+
     async def run_once(self, request: KeyedRequest, run: Run) -> StoredAnswer:
         """Return the answer of the key's one run, now or from an earlier send.
 
@@ -108,12 +115,13 @@
         try:
             stored = await run()
         except CallerError as error:
-            await self._give_up(claim, error.executed)
+            # The caller does not wait for the store to take it.
             _settle(answer, error)
+            await self._give_up(claim, error.executed)
         except BaseException as error:
             # It is not known how far the run came, so nobody may run it again.
-            await self._deps.claims.abandon(claim)
             _settle(answer, error)
+            await self._deps.claims.abandon(claim)
             raise
         else:
             # The caller does not wait for the store: if this daemon dies before
--- a/lycheepost/callers/routes.py
+++ b/lycheepost/callers/routes.py
@@ -16,6 +16,7 @@
     from_refusal,
 )
 from lycheepost.callers.flow import answer_completion
+from lycheepost.callers.headers import echoed_id
 from lycheepost.callers.identify import identify_customer, list_models, read_bearer
 from lycheepost.callers.keyed import KeyedRunner
 from lycheepost.callers.parse import Endpoint
@@ -77,6 +78,13 @@
         await self._idle.wait()
         await self.keyed.drain()
 
+    async def start(self) -> None:
+        """Do nothing: requests come through the listener."""
+
+    async def stop(self) -> None:
+        """Cut off the keyed runs that are left."""
+        await self.keyed.stop()
+
     def _work(self, answer: Answer) -> Handler:
         """Wrap a handler that runs work on targets."""
 
@@ -119,7 +127,7 @@
             # caller is told "unknown" rather than a "no" that could be untrue.
             _log.exception("callers: a request failed inside the daemon")
             response = error_response(_INTERNAL_ERROR)
-        response.headers["X-Request-Id"] = request_id
+        response.headers["X-Request-Id"] = echoed_id(request.headers) or request_id
         return response
 
     def _refuse_draining(self) -> web.Response:
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -1,6 +1,7 @@
 """The decisions within one target group: its queue, its targets, its rates."""
 
 import random
+from dataclasses import replace
 
 from lycheepost.core.ids import RequestId, TargetId
 from lycheepost.decide.admission import (
@@ -13,7 +14,7 @@
 )
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.placement import Choice, Placement
-from lycheepost.decide.quarantine import Quarantine
+from lycheepost.decide.quarantine import PeerSuspects, Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting, make_waiting
 from lycheepost.decide.rates import follow_slowness
 from lycheepost.decide.records import (
@@ -45,6 +46,8 @@
         self._quarantine = quarantine
         self.queue = FairQueue()
         self.placement = Placement(settings, rng)
+        self.peer_suspects = PeerSuspects()
+        self.suspect_targets: list[TargetId] = []
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
 
@@ -89,12 +92,20 @@
         self, work: Work, now_seconds: float, extra_tokens: dict[TargetId, int]
     ) -> Choice | None:
         avoid = work.excluded
-        if self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            avoid = avoid | self._targets_with_suspects(now_seconds)
-        return self.placement.best(work, now_seconds, avoid, extra_tokens)
+        if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
+            return self.placement.best(work, now_seconds, avoid, extra_tokens)
+        alone = avoid | self._targets_with_suspects(now_seconds)
+        choice = self.placement.best(work, now_seconds, alone, extra_tokens)
+        if choice is not None:
+            return choice
+        # A target that is lost with many requests makes them all suspects, more
+        # than there are targets to try each alone on. They wait for their turn;
+        # refusing them would fail the innocent ones.
+        choice = self.placement.best(work, now_seconds, avoid, extra_tokens)
+        return None if choice is None else replace(choice, can_take=False)
 
     def _targets_with_suspects(self, now_seconds: float) -> frozenset[TargetId]:
-        return frozenset(
+        return self.peer_suspects.targets(now_seconds) | frozenset(
             target
             for target, load in self.placement.loads.items()
             if any(
@@ -120,6 +131,8 @@
         load.belief.add(work.levels)
         self.placement.note_holder(work, target)
         self._running[work.request] = target
+        if self._quarantine.is_suspect(work.fingerprint, now_seconds):
+            self.suspect_targets.append(target)
         self.queue.charge(work.customer, cost_seconds)
         self._rate.count(cost_seconds)
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -21,6 +21,7 @@
     RevisionDeltas,
     RevisionFetch,
     RevisionWhole,
+    SuspectPlaced,
     TargetNews,
 )
 
@@ -34,6 +35,7 @@
     "members": MemberNews,
     "target": TargetNews,
     "quarantine": QuarantineNotice,
+    "suspect": SuspectPlaced,
     "fetch": RevisionFetch,
     "deltas": RevisionDeltas,
     "whole": RevisionWhole,
