--- a/features/state/steps/machines.py
+++ b/features/state/steps/machines.py
@@ -28,6 +28,7 @@
     StoredAnswer,
 )
 from lycheepost.state.claims import ClaimLimits, make_claim_keeper
+from lycheepost.state.errors import CommitUnknown
 from lycheepost.state.leases import LeaseKeeper
 from lycheepost.state.revisions import make_revision_keeper
 from lycheepost.state.snapshots import SnapshotWork
@@ -41,9 +42,13 @@
     suppress_health_check=list(HealthCheck),
 )
 DAEMONS = st.integers(0, 2)
-KEYS = st.integers(0, 1)
+N_KEYS = 6
+KEYS = st.integers(0, N_KEYS - 1)
 BODIES = st.sampled_from([1, 1, 1, 2])
-FAULTS = st.sampled_from(["lost", "late", "stale", "refused", "slow", "down", "up"])
+FAULTS = st.sampled_from(
+    ["lost", "late", "lost, down", "late, down", "stale", "refused", "slow", "down"]
+    + ["up"] * 3
+)
 
 
 class StoreMachine(RuleBasedStateMachine):
@@ -66,6 +71,12 @@
                 faults.n_lost_answers += 1
             case "late":
                 faults.n_late_writes, faults.late_seconds = 2, 3.0
+            case "lost, down":
+                faults.n_lost_answers = 1
+                self.loop.call_later(0.01, setattr, faults, "is_down", True)
+            case "late, down":
+                faults.n_late_writes, faults.late_seconds = 1, 12.0
+                self.loop.call_later(0.01, setattr, faults, "is_down", True)
             case "stale":
                 faults.n_stale_reads += 1
             case "refused":
@@ -84,6 +95,12 @@
         faults.n_stale_reads = faults.n_refused = 0
         faults.delay_seconds = 0.0
 
+    def recover(self):
+        """End every fault, also one that is about to begin, and let all settle."""
+        self.run(asyncio.sleep(0.1))
+        self.heal()
+        self.run(asyncio.sleep(30))
+
     @rule(seconds=st.sampled_from([0.1, 2.0, 8.0]))
     def wait(self, seconds):
         self.run(asyncio.sleep(seconds))
@@ -180,7 +197,7 @@
             return
         match then:
             case "answer":
-                body = b"x" * (20_000 if key else 10) + str(index).encode()
+                body = b"x" * (20_000 if key % 2 else 10) + str(index).encode()
                 self.answers[key] = StoredAnswer(200, "text/plain", body)
                 self.run(keeper.store_answer(granted, self.answers[key]))
             case "abandon":
@@ -197,16 +214,20 @@
         self.boot(number)
 
     def teardown(self):
-        self.heal()
-        self.run(asyncio.sleep(30))
-        for key, number in itertools.product(range(2), range(3)):
+        self.recover()
+        try:
+            self.send_all_again()
+        finally:
+            super().teardown()
+
+    def send_all_again(self):
+        for key, number in itertools.product(range(N_KEYS), range(3)):
             body = self.ran.get(key, 1)
             outcome = self.run(self.claim(number, key, body, 60))[1]
             assert isinstance(outcome, Success), "a healthy store decides"
             if key not in self.ran and not self.in_doubt:
                 assert isinstance(outcome.unwrap(), Granted), "lost, and never ran"
             self.judge(number, key, body, outcome.unwrap(), "answer")
-        super().teardown()
 
 
 class LeaseMachine(StoreMachine):
@@ -269,6 +290,7 @@
         self.keepers = {n: self.make(n) for n in range(3)}
         self.seen = dict.fromkeys(range(3), 0)
         self.confirmed = 0
+        self.refused = set()
 
     def make(self, number):
         return make_revision_keeper(self.store, self.objects, self.loop, seed=number)
@@ -284,6 +306,8 @@
         for outcome, name in outcomes:
             if isinstance(outcome, Success):
                 self.confirm(outcome.unwrap(), name)
+            elif not isinstance(outcome.failure(), CommitUnknown):
+                self.refused.add(name)
 
     async def commit_one(self, number, is_old):
         keeper = self.keepers[number]
@@ -332,14 +356,15 @@
             assert known == keeper.accepted, "one revision, two contents"
 
     def teardown(self):
-        self.heal()
-        self.run(asyncio.sleep(30))
+        self.recover()
         fresh = self.make(9)
         outcome = self.run(fresh.refresh())
         assert isinstance(outcome, Success), outcome
         assert fresh.revision >= self.confirmed, "a confirmed change reverted"
         known = self.history.get(fresh.revision, fresh.accepted)
         assert known == fresh.accepted, "one revision, two contents"
+        names = {item.customer for item in fresh.accepted.customers}
+        assert not names & self.refused, "a refused change is in force"
         super().teardown()
 
 
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -39,7 +39,7 @@
 come each second, and one takes well under a second to reach everybody."""
 _PROBE_TURNS = 30
 _LINKLESS_SECONDS = 0.1
-_log = structlog.get_logger().bind(part="peers")
+_log = structlog.get_logger(part="peers")
 
 T = TypeVar("T")
 OnPeerMessage = Callable[[Any, DaemonId], None]
--- a/lycheepost/peers/revisions.py
+++ b/lycheepost/peers/revisions.py
@@ -29,7 +29,7 @@
 _ASK_AGAIN_SECONDS = 1.0
 """While an answer is awaited no other peer is asked for the same, because every
 link tells of a new revision within milliseconds."""
-_log = structlog.get_logger().bind(part="peers")
+_log = structlog.get_logger(part="peers")
 
 
 class RevisionExchange:
--- a/lycheepost/peers/sockets.py
+++ b/lycheepost/peers/sockets.py
@@ -29,7 +29,7 @@
 more than twenty times that is damage or an attack."""
 _LOOPBACK_HOSTS = ("127.0.0.1", "::1")
 _IDENTITY_SEPARATOR = b"#"
-_log = structlog.get_logger().bind(part="peers")
+_log = structlog.get_logger(part="peers")
 
 
 @dataclass(frozen=True)
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -26,7 +26,7 @@
 )
 
 VERSION = 1
-_log = structlog.get_logger().bind(part="peers")
+_log = structlog.get_logger(part="peers")
 
 MESSAGE_TYPES: dict[str, type] = {
     "hello": PeerHello,
--- a/lycheepost/state/claims.py
+++ b/lycheepost/state/claims.py
@@ -363,7 +363,7 @@
             if is_done:
                 break
             if isinstance(ending, StoredAnswer) and self._is_overfull():
-                _log.error("claims: gave up storing an answer", key=claim.key)
+                _log.error("claims: gave up storing an answer", claim=claim.key)
                 break
             await asyncio.sleep(_RETRY_PAUSE_SECONDS)
         self._held.pop(claim.key, None)
--- a/lycheepost/state/duties.py
+++ b/lycheepost/state/duties.py
@@ -21,7 +21,7 @@
 CANDIDATES = 3
 """Daemons that stand ready for a duty: enough that a rack or an availability zone
 may go, few enough that a duty costs under one read a second."""
-_log = structlog.get_logger().bind(part="duties")
+_log = structlog.get_logger(part="duties")
 
 Work = Callable[[Callable[[], Lease]], Awaitable[None]]
 
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -151,13 +151,11 @@
         return taken
 
     async def renew(self, lease: Lease) -> Result[Lease, LeaseError]:
-        """Prolong a lease that is still held; keep the returned one instead.
+        """Prolong a lease; keep the returned one instead.
 
-        A lease that has run out by our own clock is not renewed: another daemon
-        may have begun, and a renewal that overtook it would give two holders.
+        One that has run out by our own clock may be prolonged too: if another
+        daemon has taken it the row has moved, and the renewal is refused.
         """
-        if not lease.is_held(self._clock.now_seconds()):
-            return Failure(LeaseLost(f"The lease of {lease.duty} has run out."))
         return await self._take(
             lease.duty, lease.version, lease.token, lease.fencing_number
         )
--- a/lycheepost/state/snapshots.py
+++ b/lycheepost/state/snapshots.py
@@ -29,7 +29,7 @@
 """Revisions between snapshots. A snapshot of 3 MB packs to about 0.4 MB; at 64,000
 changes a day this is one in six minutes, and 1.2 KB a second for its writer."""
 _ROWS_PER_REMOVAL = 64
-_log = structlog.get_logger().bind(part="snapshots")
+_log = structlog.get_logger(part="snapshots")
 
 
 class SnapshotWork:
