--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -226,8 +226,9 @@
         """Remember who has begun; from now on older orders are out of turn."""
         self.n_holders = max(self.n_holders, number)
         for target in self.targets.values():
-            # A target that was silent or loading has not been shown the number.
-            if target.is_settled():
+            # A target that was silent or loading has not been shown the number;
+            # one that checks no number is given no order by a holder it replaced.
+            if target.is_settled() or not target.checks_fencing:
                 target.newest_holder = max(target.newest_holder, number)
 
     def _states(self) -> dict[TargetId, TargetState]:
--- a/lycheepost/operators/capacity.py
+++ b/lycheepost/operators/capacity.py
@@ -37,6 +37,7 @@
     Observations,
     accepted_versions,
     held_version,
+    newest_version,
 )
 from lycheepost.operators.capacity_steps import is_released, move_step
 from lycheepost.operators.items import Draft
@@ -164,15 +165,22 @@
 
 
 def _add_missing_steps(work: GroupWork, intent: CapacityIntent) -> bool:
-    """Add a step for each target that does not hold the new version."""
+    """Add a step for each target that does not hold the new version.
+
+    A target whose step is done may have changed since: another intent loaded it
+    again, or its VM came back after it seemed gone.
+    """
     model = work.model()
-    known = {step.target for step in work.intents[intent.intent].steps}
+    open_steps = {
+        step.target for step in work.intents[intent.intent].steps if _is_open(step)
+    }
     missing = [
         target
         for target in work.targets.values()
         if target.desired_state is not TargetDesiredState.RETIRED
         and held_version(target, model) != intent.weights_version
-        and target.target not in known
+        and target.target not in open_steps
+        and not work.observe(target.target).is_lost
     ]
     if missing:
         work.put_steps(
@@ -212,7 +220,8 @@
     if intent.state is not CapacityIntentState.RUNNING:
         return
     model = work.model()
-    version = "" if model is None else model.weights_version
+    # While the model changes, what comes up now comes up with the new weights.
+    version = "" if model is None else newest_version(model)
     coming = {
         step.target
         for owner, step in work.steps()
@@ -328,11 +337,7 @@
     if model is None:
         return
     name = f"repair-{work.group.target_group}"
-    claimed = {
-        step.target
-        for intent, step in work.steps()
-        if _is_open(step) and (intent.state in UNFINISHED or step.state in ACTIVE_STEPS)
-    }
+    claimed = {step.target for intent, step in work.steps() if _claims(intent, step)}
     wrong = [
         target
         for target in work.targets.values()
@@ -347,6 +352,21 @@
     work.put_steps(name, [_repair_step(target, model) for target in wrong])
 
 
+def _claims(intent: CapacityIntent, step: CapacityStep) -> bool:
+    """Return whether a step will load its target, so that no repair need.
+
+    A step that waits in a paused intent, or to retire, would keep a target that
+    serves nobody from being mended.
+    """
+    if step.state in ACTIVE_STEPS:
+        return True
+    if step.state is CapacityStepState.FAILED:
+        return intent.state in UNFINISHED
+    is_running = intent.state is CapacityIntentState.RUNNING
+    loads = intent.kind in (CapacityIntentKind.REPAIR, CapacityIntentKind.NEW_WEIGHTS)
+    return step.state is CapacityStepState.WAITING and is_running and loads
+
+
 def _is_wrong(
     work: GroupWork, target: Target, model: Model, timing: CapacityTiming
 ) -> bool:
@@ -360,7 +380,7 @@
 
 def _repair_step(target: Target, model: Model) -> CapacityStep:
     held = held_version(target, model)
-    version = held if held in accepted_versions(model) else model.weights_version
+    version = held if held in accepted_versions(model) else newest_version(model)
     return dataclasses.replace(_waiting_step(target.target, version), was_serving=True)
 
 
--- a/lycheepost/operators/capacity_records.py
+++ b/lycheepost/operators/capacity_records.py
@@ -138,3 +138,8 @@
 def accepted_versions(model: Model) -> frozenset[str]:
     """Return the weights that requests for ``model`` may be served with."""
     return frozenset({model.weights_version, model.next_weights_version}) - {""}
+
+
+def newest_version(model: Model) -> str:
+    """Return the weights that a target should load now."""
+    return model.next_weights_version or model.weights_version
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -29,7 +29,7 @@
     OrderAction,
     WarmAction,
 )
-from lycheepost.operators.capacity_watch import CapacityWatch, open_groups
+from lycheepost.operators.capacity_watch import CapacityWatch
 from lycheepost.state.leases import Lease, LeaseTaken
 
 DUTY = "capacity"
@@ -181,12 +181,13 @@
 
         A target refuses an old number only once it has seen a newer one. An
         earlier holder that was paused in the midst of a send may wake at any
-        time; its order must find the newer number there already.
+        time; its order must find the newer number there already. Targets without
+        open intents are shown it as they are asked by turns.
         """
         checking = {
             group.target_group
             for group in configuration.target_groups
-            if group.checks_fencing and group.target_group in open_groups(configuration)
+            if group.checks_fencing
         }
         for target in configuration.targets:
             name = TargetId(target.target)
