--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -107,6 +107,9 @@
         configuration = self._deps.revisions.view.configuration
         observed = await self._watch.observe(configuration)
         await self._raise_fences(configuration, observed)
+        if not self._holds():
+            # A pause in the look outlasted the lease: what was seen is old.
+            return Look.NO_DUTY
         if not self._watch.has_read_back:
             return Look.READING_BACK
         decision = decide_capacity(
