--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -399,12 +399,15 @@
         self._judge_targets(configuration)
 
     def _judge_targets(self, configuration: Configuration) -> None:
-        is_failed = any(
-            intent.state is CapacityIntentState.FAILED
+        held_up = {
+            step.target
             for intent in configuration.capacity_intents
-        )
+            if intent.state in (CapacityIntentState.FAILED, CapacityIntentState.PAUSED)
+            for step in intent.steps
+        }
         for target in configuration.targets:
-            if target.desired_state is not TargetDesiredState.SERVING or is_failed:
+            is_serving = target.desired_state is TargetDesiredState.SERVING
+            if not is_serving or target.target in held_up:
                 continue
             model = self.targets[target.target]
             if model.weights_version != target.weights_version:
--- a/lycheepost/bench/capacity_fleet.py
+++ b/lycheepost/bench/capacity_fleet.py
@@ -95,7 +95,9 @@
         self.role = ""
         self.desired_version = 0
         self.fencing_number = 0
-        self.newest_holder = 0
+        if self.checks_fencing:
+            # It has forgotten the number until it is shown it again.
+            self.newest_holder = 0
         self.n_running = 0
         self.settled_seconds = virtual_clock().now_seconds()
 
