--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -78,9 +78,8 @@
 _MARGIN_SECONDS = 2.0
 _RECENT_SECONDS = 5.0
 """A holder sees a target at most this long ago when its decision is recorded."""
-_SETTINGS = OperatorSettings(
-    drain_settle_seconds=4.0, load_timeout_seconds=25.0, warm_step_seconds=2.0
-)
+_DRAIN_SECONDS = 4.0
+_WARM_STEP_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
@@ -112,6 +111,13 @@
         self.n_targets = self.chance.randint(3, 6)
         self.load_limit = self.chance.randint(1, 3)
         self.min_serving = self.chance.randint(1, 2)
+        self.settings = OperatorSettings(
+            drain_settle_seconds=_DRAIN_SECONDS,
+            load_timeout_seconds=25.0,
+            warm_step_seconds=_WARM_STEP_SECONDS,
+            # With few reads a look cannot see the whole group, as in a large one.
+            capacity_reads_per_tick=self.chance.choice((2, 64)),
+        )
         self.tally = Tally()
         self.targets: dict[str, ModelTarget] = {}
         for index in range(self.n_targets):
@@ -139,7 +145,9 @@
         await self._seed_configuration()
         self.observer.subscribe(self._judge_revision)
         await self.observer.start()
-        traffic = asyncio.create_task(run_traffic(self.targets, self.history))
+        traffic = asyncio.create_task(
+            run_traffic(self.targets, self.history, self.chance)
+        )
         self.tasks = [
             asyncio.create_task(self._run_daemon(index)) for index in range(_N_DAEMONS)
         ]
@@ -209,7 +217,7 @@
             orders=orders,
             states=self._states,
             clock=clock,
-            settings=_SETTINGS,
+            settings=self.settings,
         )
         runner = make_capacity_runner(deps, seed=self.seed * 10 + index)
         try:
@@ -218,7 +226,7 @@
                 number = int(str(runner.status()["fencing_number"]))
                 if look in (Look.STEADY, Look.RECORDED):
                     self._note_holder(number)
-                await asyncio.sleep(_SETTINGS.capacity_tick_seconds)
+                await asyncio.sleep(self.settings.capacity_tick_seconds)
         finally:
             await revisions.stop()
 
@@ -321,8 +329,8 @@
             intent_name=f"i{self.n_named}",
             now_wall_seconds=virtual_clock().wall_seconds(),
             weights={(fact.model, fact.weights_version): fact},
-            drain_seconds=_SETTINGS.drain_settle_seconds,
-            warm_step_seconds=_SETTINGS.warm_step_seconds,
+            drain_seconds=_DRAIN_SECONDS,
+            warm_step_seconds=_WARM_STEP_SECONDS,
         )
         applied = apply_capacity_change(draft, change, context)
         if not isinstance(applied, Applied):
--- a/lycheepost/bench/capacity_fleet.py
+++ b/lycheepost/bench/capacity_fleet.py
@@ -34,6 +34,7 @@
 LOAD_SECONDS = 6.0
 _ORDER_TIMEOUT_SECONDS = 1.5
 _SUSPENDED_SEND_SHARE = 0.15
+_LONGEST_ANSWER_SECONDS = 15.0
 _SETTLED_SECONDS = 8.0
 _LAG_SECONDS = 2.0
 """How long daemons go on sending work after the configuration says otherwise."""
@@ -214,10 +215,13 @@
 
 
 async def run_traffic(
-    targets: dict[str, ModelTarget], history: list[tuple[float, Configuration]]
+    targets: dict[str, ModelTarget],
+    history: list[tuple[float, Configuration]],
+    chance: random.Random,
 ) -> None:
     """Send work to targets by what daemons believe, a little behind the head."""
     clock = virtual_clock()
+    ends_seconds: dict[tuple[str, int], float] = {}
     while True:
         now_seconds = clock.now_seconds()
         late = [item for at, item in history if at <= now_seconds - _LAG_SECONDS]
@@ -229,7 +233,12 @@
                 and model.state is EngineHealthState.SERVING
                 and model.weights_version == target.weights_version
             )
-            model.n_running = 1 if takes else max(0, model.n_running - 1)
+            # A crash ends what ran; else an answer goes on to its own end.
+            run = (target.target, model.boot)
+            if takes and now_seconds >= ends_seconds.get(run, 0.0):
+                long_seconds = chance.uniform(1.0, _LONGEST_ANSWER_SECONDS)
+                ends_seconds[run] = now_seconds + long_seconds
+            model.n_running = int(now_seconds < ends_seconds.get(run, 0.0))
         await asyncio.sleep(1.0)
 
 
--- a/lycheepost/operators/capacity_watch.py
+++ b/lycheepost/operators/capacity_watch.py
@@ -89,7 +89,7 @@
             *(self._ask(targets[name], name in draining) for name in chosen)
         )
         told = dict(zip(chosen, answers, strict=True))
-        self._unread -= set(chosen)
+        self._unread &= set(targets) - set(chosen)
         self._note(configuration, targets, told)
         return self._join(targets, told)
 
@@ -100,13 +100,17 @@
         stepping = _targets_in(configuration, set(ACTIVE_STEPS)) | _ordered(
             configuration
         )
-        first = [*stepping, *self._loading, *self._wrong_since_seconds]
+        first = dict.fromkeys([*stepping, *self._loading, *self._wrong_since_seconds])
         heads = _waiting_heads(configuration)
-        others = self._next_by_turns(configuration, limit)
-        ordered = dict.fromkeys([*first, *self._unread, *heads, *others])
-        known = [name for name in ordered if name in targets]
-        n_first = sum(name in set(first) for name in known)
-        return known[: max(limit, n_first)]
+        turns = self._next_by_turns(configuration, limit)
+        # The limit bounds the others only: were targets in the midst of a step
+        # to use it up, a new holder would never have asked all the rest.
+        others = [
+            name
+            for name in dict.fromkeys([*sorted(self._unread), *heads, *turns])
+            if name not in first
+        ]
+        return [name for name in [*first, *others[:limit]] if name in targets]
 
     def _next_by_turns(self, configuration: Configuration, n: int) -> list[TargetId]:
         names = [TargetId(item.target) for item in _engine_targets(configuration)]
