--- /dev/null
+++ b/features/callers/steps/faults.py
@@ -0,0 +1,184 @@
+"""Steps on answers under failing engines, and on draining."""
+
+import asyncio
+import json
+
+import aiohttp
+from behave import then, when
+from fleet import (
+    CHAT,
+    call,
+    chat_body,
+    expected_chat,
+    sleep_until,
+    streamed_text,
+)
+
+from lycheepost.standin.enginerun import RunState
+
+N_TOKENS = 60
+
+
+async def chat(context, number, is_streamed, daemon=0):
+    text = f"chat {number}"
+    body = chat_body(context, text, max_tokens=N_TOKENS, stream=is_streamed)
+    answer = await call(context, CHAT, body, daemon=daemon)
+    assert answer.status == 200, answer
+    if is_streamed:
+        got, is_finished = streamed_text(answer.body)
+        assert is_finished, answer.body[-300:]
+    else:
+        got = json.loads(answer.body)["choices"][0]["message"]["content"]
+    assert got == expected_chat(text, N_TOKENS), (number, got)
+
+
+@when("{n:d} chats run, {form}, and the busiest engine {fault} in the middle")
+def when_chats(context, n, form, fault):
+    engines = context.fleet.standins.engines
+
+    def is_middle():
+        return sum(run.n_tokens for e in engines for run in e.running()) > n * 5
+
+    async def run():
+        streamed = form == "streamed"
+        chats = [asyncio.create_task(chat(context, i, streamed)) for i in range(n)]
+        await sleep_until(is_middle)
+        busiest = max(engines, key=lambda engine: len(engine.running()))
+        assert busiest.running(), "the fault must hit running chats"
+        busiest.crash() if fault == "crashes" else busiest.freeze()
+        return await asyncio.gather(*chats, return_exceptions=True)
+
+    context.outcomes = context.run(run())
+
+
+@then("every chat is whole and its caller's own")
+def then_whole(context):
+    bad = [outcome for outcome in context.outcomes if outcome is not None]
+    assert not bad, bad
+
+
+@when("a streamed chat with tools loses its engine in the middle")
+def when_tools(context):
+    tools = [{"type": "function", "function": {"name": "f", "parameters": {}}}]
+    body = chat_body(context, "t", max_tokens=80, stream=True, tools=tools)
+    engines = context.fleet.standins.engines
+
+    async def run():
+        task = asyncio.create_task(call(context, CHAT, body))
+        await sleep_until(
+            lambda: any(run.n_tokens > 5 for e in engines for run in e.running())
+        )
+        next(engine for engine in engines if engine.running()).crash()
+        return await task
+
+    context.answer = context.run(run())
+
+
+@then("the stream ends with an error event and without a final mark")
+def then_error_event(context):
+    assert context.answer.status == 200
+    assert b"[DONE]" not in context.answer.body
+    last = context.answer.body.strip().split(b"\n\n")[-1]
+    error = json.loads(last.removeprefix(b"data: "))["error"]
+    assert error["code"] == "answer_broken", error
+
+
+@when("a request that crashes engines is sent {n:d} times through all daemons")
+def when_killer(context, n):
+    body = chat_body(context, "please kill-the-engine now")
+    boots = {engine.boot_id for engine in context.fleet.standins.engines}
+
+    async def run():
+        innocent = [
+            asyncio.create_task(chat(context, i, True, i % 3)) for i in range(9)
+        ]
+        for index in range(n):
+            context.answer = await call(context, CHAT, body, daemon=index % 3)
+            await asyncio.sleep(0.15)
+        return await asyncio.gather(*innocent, return_exceptions=True)
+
+    context.outcomes = context.run(run())
+    now = {engine.boot_id for engine in context.fleet.standins.engines}
+    context.n_crashes = len(now - boots)
+
+
+@then("at most {n:d} engines have crashed")
+def then_crashes(context, n):
+    assert 1 <= context.n_crashes <= n, context.n_crashes
+
+
+@then('the last send is refused with code "{code}"')
+def then_refused(context, code):
+    assert context.answer.code == code, context.answer
+
+
+@then("innocent chats sent meanwhile are whole")
+def then_innocent(context):
+    then_whole(context)
+
+
+@when("a caller leaves in the middle of a long stream")
+def when_caller_leaves(context):
+    body = chat_body(context, "long", max_tokens=2000, stream=True)
+    headers = {"Authorization": f"Bearer {context.keys[0]}"}
+
+    async def run():
+        async with aiohttp.ClientSession() as session:
+            url = context.urls[0] + CHAT
+            async with session.post(url, json=body, headers=headers) as response:
+                await response.content.readany()
+
+    context.run(run())
+
+
+@then("the engine cancels that run")
+def then_cancelled(context):
+    def is_cancelled():
+        records = [r for e in context.fleet.standins.engines for r in e.records]
+        return [record.state for record in records] == [RunState.CANCELLED]
+
+    context.run(sleep_until(is_cancelled))
+
+
+@when("{n:d} streams run through the first daemon and it is told to drain")
+def when_drain(context, n):
+    first = context.fleet.daemons[0]
+
+    async def addresses():
+        answer = await call(context, "/v1/addresses", daemon=1)
+        return json.loads(answer.body)["addresses"]
+
+    async def run():
+        chats = [asyncio.create_task(chat(context, i, True)) for i in range(n)]
+        await sleep_until(lambda: first.traffic.front.n_open == n)
+        drain = asyncio.create_task(first.drain())
+        for _ in range(200):
+            if context.urls[0] not in await addresses():
+                break
+            await asyncio.sleep(0.01)
+        context.is_left_first = not first.traffic.drain_state.is_draining
+        await sleep_until(lambda: first.traffic.drain_state.is_draining)
+        context.answer = await call(context, CHAT, chat_body(context, "late"))
+        outcomes = await asyncio.gather(*chats, return_exceptions=True)
+        await drain
+        return outcomes
+
+    context.outcomes = context.run(run())
+
+
+@then("its address leaves the other daemon's answer first")
+def then_left_first(context):
+    assert context.is_left_first
+
+
+@then("all {n:d} streams are whole")
+def then_streams_whole(context, n):
+    assert len(context.outcomes) == n
+    then_whole(context)
+
+
+@then("new requests to it are refused as not executed")
+def then_drain_refusal(context):
+    assert context.answer.status == 503, context.answer
+    assert context.answer.code == "shutting_down"
+    assert context.answer.headers["Lycheepost-Executed"] == "no"
