--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -101,6 +101,48 @@
     violations: tuple[str, ...]
 
 
+@dataclass
+class CapacitySummary:
+    """What all runs came to.
+
+    Attributes:
+        n_broken: Runs in which a promise was broken.
+        n_late_orders: Orders of an overtaken holder that a target took.
+        n_late_loads: Loads above the limit that such an order began, all on
+            targets which check no fencing number.
+    """
+
+    n_runs: int = 0
+    n_broken: int = 0
+    n_revisions: int = 0
+    n_holders: int = 0
+    n_loads: int = 0
+    n_orders: int = 0
+    n_late_orders: int = 0
+    n_late_loads: int = 0
+
+    def add(self, run: CapacityRun) -> None:
+        """Count one run."""
+        self.n_runs += 1
+        self.n_broken += bool(run.violations)
+        self.n_revisions += run.n_revisions
+        self.n_holders += run.n_holders
+        self.n_loads += run.n_loads
+        self.n_orders += run.n_orders
+        self.n_late_orders += run.n_late_orders
+        self.n_late_loads += run.n_late_loads
+
+    def describe(self) -> str:
+        """Return one line for a person."""
+        return (
+            f"{self.n_runs} runs, {self.n_broken} broke a promise;"
+            f" {self.n_holders} holders, {self.n_revisions} revisions,"
+            f" {self.n_orders} orders, {self.n_loads} loads;"
+            f" without a fencing check: {self.n_late_orders} late orders taken,"
+            f" {self.n_late_loads} loads above the limit by them"
+        )
+
+
 class CapacityWorld:
     """One run: its fleet, daemons, faults and operators."""
 
