--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -16,13 +16,14 @@
     format_table,
     write_plots,
 )
-from lycheepost.commands import benchrelay
+from lycheepost.commands import benchcapacity, benchrelay
 
 app = typer.Typer(
     help="Measure policies and costs, each against a baseline.", no_args_is_help=True
 )
 
 app.command()(benchrelay.relay)
+app.command()(benchcapacity.capacity)
 app.command(hidden=True)(benchrelay.relay_source)
 app.command(hidden=True)(benchrelay.relay_sink)
 
--- /dev/null
+++ b/lycheepost/commands/benchcapacity.py
@@ -0,0 +1,31 @@
+"""``lycheepost bench capacity``: check capacity intents in random runs."""
+
+import json
+from dataclasses import asdict
+from typing import Annotated
+
+import structlog
+import typer
+
+from lycheepost.bench.capacity_check import CapacitySummary, run_capacity_checks
+from lycheepost.commands.output import ExitCode
+
+
+def capacity(
+    runs: Annotated[int, typer.Option(help="Seeded random runs.")] = 200,
+    first_seed: Annotated[int, typer.Option(help="Seed of the first run.")] = 0,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Check capacity intents under suspended holders, crashes and lost answers.
+
+    Exit codes: 0 no promise was broken, 1 one was; its seed repeats the run.
+    """
+    # Thousands of runs log each fault they provoke.
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+    summary = CapacitySummary()
+    for run in run_capacity_checks(range(first_seed, first_seed + runs)):
+        summary.add(run)
+        if run.violations:
+            typer.echo(f"seed {run.seed}: {'; '.join(run.violations)}", err=True)
+    typer.echo(json.dumps(asdict(summary)) if as_json else summary.describe())
+    raise typer.Exit(ExitCode.FAILED if summary.n_broken else ExitCode.OK)
