--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -37,7 +37,7 @@
 """Daemons without the duty try for it spread over this time each, so that 540 of
 them read the lease about fifteen times a second in all."""
 _SETTLED = (EngineHealthState.SERVING, EngineHealthState.STANDBY)
-_log = structlog.get_logger().bind(part="capacity")
+_log = structlog.get_logger(part="capacity")
 
 
 class Look(Enum):
