--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -20,6 +20,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from returns.result import Success
+
 from lycheepost.bench.capacity_fleet import (
     BOOT_WEIGHTS,
     GatedTable,
@@ -66,7 +68,7 @@
 from lycheepost.standin.table import TableModel, make_table_model
 from lycheepost.standin.virtualtime import run_virtual, virtual_clock
 from lycheepost.state.leases import LeaseKeeper
-from lycheepost.state.revisions import RevisionKeeper, make_revision_keeper
+from lycheepost.state.revisions import make_revision_keeper
 from lycheepost.state.view import ConfigurationView
 
 _GROUP = "engines"
@@ -162,11 +164,7 @@
         )
         self.tally = Tally()
         self.targets: dict[str, ModelTarget] = {}
-        for index in range(self.n_targets):
-            name = f"e{index}"
-            self.targets[name] = ModelTarget(
-                name, self.checks_fencing, self.tally, self.load_limit, self.targets
-            )
+        self._make_targets()
         self.table: TableModel = make_table_model(virtual_clock())
         self.objects = make_object_model()
         self.history: list[tuple[float, Configuration]] = []
@@ -178,6 +176,13 @@
         self.orders: list[ModelOrders] = []
         self.is_disturbed = True
 
+    def _make_targets(self) -> None:
+        for index in range(self.n_targets):
+            name = f"e{index}"
+            self.targets[name] = ModelTarget(
+                name, self.checks_fencing, self.tally, self.load_limit, self.targets
+            )
+
     async def run(self) -> CapacityRun:
         """Run faults and operators, then quiet, and judge."""
         clock = virtual_clock()
@@ -236,9 +241,7 @@
         )
         await self.observer.commit(Revision(0), first)
         self.history.append((0.0, self.observer.view.configuration))
-        await self._operate(
-            NewWeights(model=_MODEL, weights_version="w2"), self.observer
-        )
+        await self.operate(NewWeights(model=_MODEL, weights_version="w2"))
         self.history.append((0.0, self.observer.view.configuration))
 
     async def _run_daemon(self, index: int) -> None:
@@ -353,10 +356,11 @@
                 ResumeIntent(intent=intent.intent),
                 CancelIntent(intent=intent.intent),
             ]
-        await self._operate(self.chance.choice(wishes), self.observer)
+        await self.operate(self.chance.choice(wishes))
 
-    async def _operate(self, change: CapacityChange, keeper: RevisionKeeper) -> None:
-        """Plan and confirm one change as the operators' API does."""
+    async def operate(self, change: CapacityChange) -> bool:
+        """Plan and confirm one change; return whether it was taken."""
+        keeper = self.observer
         basis = keeper.view.configuration
         draft = Draft(basis)
         self.n_named += 1
@@ -376,11 +380,12 @@
         )
         applied = apply_capacity_change(draft, change, context)
         if not isinstance(applied, Applied):
-            return
+            return False
         if any(conflict.is_blocking for conflict in applied.conflicts):
-            return
+            return False
         changed = dataclasses.replace(draft.finish(), revision=basis.revision + 1)
-        await keeper.commit(Revision(basis.revision), changed)
+        committed = await keeper.commit(Revision(basis.revision), changed)
+        return isinstance(committed, Success)
 
     def _truly_ready(self, configuration: Configuration) -> frozenset[str]:
         return frozenset(
