--- a/features/capacity/steps/capacity_steps.py
+++ b/features/capacity/steps/capacity_steps.py
@@ -112,9 +112,9 @@
 def when_suspended_send(context):
     world = context.world
     context.answers = []
-    inner = ModelOrders.send
+    inner = ModelOrders.deliver
 
-    async def send(self, target, order):
+    async def deliver(self, target, order):
         is_load = order.weights_version == "w2" and "stay" not in order.order_id
         if is_load and not context.answers:
             context.answers.append(None)
@@ -127,7 +127,7 @@
         return await inner(self, target, order)
 
     for orders in world.orders:
-        orders.send = send.__get__(orders)
+        orders.deliver = deliver.__get__(orders)
 
 
 @then("the late order was {fate}")
--- a/features/operators/plans.feature
+++ b/features/operators/plans.feature
@@ -141,3 +141,39 @@
       | a key nobody has    | 401    |
       | the caller key      | 403    |
       | an operator key     | 200    |
+
+  Scenario Outline: A capacity plan says how long it takes and what stands against it
+    When the weight store is <store>
+    And ada plans '<intent>' at daemon 1
+    Then the plan takes <seconds> s
+    And the conflicts are "<conflicts>"
+
+    Examples:
+      | store | intent | seconds | conflicts |
+      | up    | {"kind": "new_weights", "model": "reader", "weights_version": "w2"} | 330 | |
+      | up    | {"kind": "new_weights", "model": "reader", "weights_version": "w9"} | 150 | blocked models/reader |
+      | down  | {"kind": "new_weights", "model": "reader", "weights_version": "w2"} | 150 | models/reader |
+      | up    | {"kind": "hold_ready", "target_group": "engines", "n_targets": 4}  | 105 | blocked target_groups/engines |
+      | up    | {"kind": "retire", "target_group": "engines", "targets": ["e1", "e2"]} | 5 | blocked target_groups/engines |
+      | up    | {"changes": [{"kind": "new_weights", "model": "reader", "weights_version": "w2"}, {"kind": "retire", "target_group": "engines", "targets": ["e1"]}]} | 330 | capacity_intents/ |
+      | up    | {"changes": [{"kind": "new_weights", "model": "reader", "weights_version": "w2"}, {"kind": "new_weights", "model": "reader", "weights_version": "w1"}]} | 330 | blocked capacity_intents/ |
+      | up    | {"changes": [{"kind": "hold_ready", "target_group": "engines", "n_targets": 3}, {"kind": "retire", "target_group": "engines", "targets": ["e1"]}]} | 5 | blocked capacity_intents/ |
+
+  Scenario: Two operators start rollouts of the same model
+    Each sees no rollout under way and plans one to another version. If both
+    were taken, targets would load back and forth; whoever confirms second must
+    be told of the first, even when asking to go on past unrelated changes.
+
+    When ada plans '{"kind": "new_weights", "model": "reader", "weights_version": "w2"}' at daemon 1
+    And ben plans '{"kind": "new_weights", "model": "reader", "weights_version": "w1"}' at daemon 2
+    And ada confirms at daemon 1
+    And ben confirms at daemon 2 allowing unrelated
+    Then the answer is 409
+    And the answer names "cancel it first"
+
+  Scenario: A running intent is paused while it moves
+    When ada plans '{"kind": "new_weights", "model": "reader", "weights_version": "w2"}' at daemon 1
+    And ada confirms at daemon 1
+    And ben plans a pause of it, and its progress is recorded before he confirms
+    Then the answer is 200
+    And the intent is paused
--- a/features/operators/steps/plan_steps.py
+++ b/features/operators/steps/plan_steps.py
@@ -1,6 +1,7 @@
 """Steps of planning and confirming."""
 
 import asyncio
+import dataclasses
 import json
 import pathlib
 import sys
@@ -132,6 +133,51 @@
     context.answer = context.world.call(0, "GET", "/v1/intents", key=keys[key])
 
 
+@when("the weight store is {store}")
+def when_store(context, store):
+    context.world.weights.faults.is_down = store == "down"
+
+
+@then("the plan takes {seconds:d} s")
+def then_takes(context, seconds):
+    estimate = context.plans["ada"]["estimate"]
+    assert estimate["seconds"] == seconds, estimate
+
+
+@then('the conflicts are "{text}"')
+def then_conflicts(context, text):
+    found = " ".join(
+        ("blocked " if item["is_blocking"] else "") + item["subject"]
+        for item in context.plans["ada"]["conflicts"]
+    )
+    assert found.startswith(text), context.plans["ada"]["conflicts"]
+
+
+@then('the conflicts are ""')
+def then_no_conflicts(context):
+    assert context.plans["ada"]["conflicts"] == []
+
+
+@when("ben plans a pause of it, and its progress is recorded before he confirms")
+def when_pause_moving(context):
+    (name,) = context.answer[1]["intents"]
+    document = {"kind": "pause_intent", "intent": name}
+    plan = context.world.plan(1, document, "ben")
+    keeper = context.world.keepers[0]
+    basis = context.world.configuration(0)
+    intent = basis.capacity_intents[0]
+    moved = dataclasses.replace(intent, note="moved")
+    changed = dataclasses.replace(basis, capacity_intents=[moved])
+    context.world.run(keeper.commit(basis.revision, changed))
+    context.answer = context.world.confirm(1, plan["plan_id"], "ben")
+
+
+@then("the intent is paused")
+def then_paused(context):
+    (intent,) = context.world.configuration(0).capacity_intents
+    assert intent.state.value == "paused" and intent.note == "moved"
+
+
 @then("the answer is {status:d}")
 def then_status(context, status):
     assert context.answer[0] == status, context.answer
--- a/lycheepost/bench/capacity_fleet.py
+++ b/lycheepost/bench/capacity_fleet.py
@@ -301,6 +301,14 @@
         self, target: Target, order: EngineOrder
     ) -> Result[EngineOrderAnswer, LycheepostError]:
         """Send an order; it may leave late, arrive late, or lose its answer."""
+        # A sender that gives up waiting does not take back what it has written.
+        sending = asyncio.create_task(self.deliver(target, order))
+        return await asyncio.shield(sending)
+
+    async def deliver(
+        self, target: Target, order: EngineOrder
+    ) -> Result[EngineOrderAnswer, LycheepostError]:
+        """Bring one order to its target."""
         # The lease was asked just before. A process suspended here wakes and
         # writes the order all the same.
         if self.is_disturbed and self._chance.random() < _SUSPENDED_SEND_SHARE:
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -251,8 +251,15 @@
         """Send an order if the lease still holds; return whether it was answered."""
         if not self._holds():
             return False
-        sent = await self._deps.orders.send(target, order)
-        if not isinstance(sent, Success):
+        sent = None
+        try:
+            async with asyncio.timeout(self._deps.settings.order_timeout_seconds):
+                sent = await self._deps.orders.send(target, order)
+        except TimeoutError:
+            # Given up before the margin ends, so that it cannot arrive after the
+            # next holder has begun.
+            pass
+        if sent is None or not isinstance(sent, Success):
             _log.info("capacity: order not answered", target=target.target)
             return False
         if sent.unwrap().fencing_number > order.fencing_number:
--- a/lycheepost/operators/routes.py
+++ b/lycheepost/operators/routes.py
@@ -96,6 +96,9 @@
         parsed = parse_intent(document)
         if not isinstance(parsed, Success):
             return Failure(_invalid_intent(parsed.failure()))
+        # What this operator confirmed a moment ago at another daemon may not be
+        # in force here yet. If the store is down, keeping the plan says so.
+        await self._deps.revisions.refresh()
         view = self._deps.revisions.view
         intent = parsed.unwrap()
         keys = versions_to_ask(view.configuration, intent)
