--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 from enum import Enum
 
@@ -106,7 +107,8 @@
             return Look.NO_DUTY
         configuration = self._deps.revisions.view.configuration
         observed = await self._watch.observe(configuration)
-        await self._raise_fences(configuration, observed)
+        unshown = await self._raise_fences(configuration, observed)
+        observed |= {name: _without_answer(observed[name]) for name in unshown}
         if not self._holds():
             # A pause in the look outlasted the lease: what was seen is old.
             return Look.NO_DUTY
@@ -179,35 +181,45 @@
 
     async def _raise_fences(
         self, configuration: Configuration, observed: dict[TargetId, Observed]
-    ) -> None:
+    ) -> set[TargetId]:
         """Show each target our fencing number before anything else is done.
 
         A target refuses an old number only once it has seen a newer one. An
         earlier holder that was paused in the midst of a send may wake at any
         time; its order must find the newer number there already. Targets without
         open intents are shown it as they are asked by turns.
+
+        Returns:
+            The targets that could not be shown it. What they said may be undone
+            by a late order, so nothing is decided on it.
         """
         checking = {
             group.target_group
             for group in configuration.target_groups
             if group.checks_fencing
         }
+        unshown = set()
         for target in configuration.targets:
             name = TargetId(target.target)
             health = observed.get(name, UNSEEN).health
-            if target.target_group in checking and health is not None:
-                await self._raise_fence(target, health)
+            if target.target_group not in checking or health is None:
+                continue
+            if not await self._raise_fence(target, health):
+                unshown.add(name)
+        return unshown
 
-    async def _raise_fence(self, target: Target, health: EngineHealth) -> None:
+    async def _raise_fence(self, target: Target, health: EngineHealth) -> bool:
         name = TargetId(target.target)
         lease = self._lease
-        is_settled = health.state in _SETTLED
         # A target that came back from a crash has forgotten the number.
         key = (name, health.boot_id)
-        if lease is None or not is_settled or key in self._fenced:
-            return
-        if health.fencing_number >= lease.fencing_number:
-            return
+        if lease is None:
+            return False
+        if key in self._fenced or health.fencing_number >= lease.fencing_number:
+            return True
+        if health.state not in _SETTLED:
+            # An order would end its load; while it loads it holds a slot anyway.
+            return True
         stay = EngineOrder(
             order_id=f"stay-{name}-{lease.fencing_number}",
             fencing_number=lease.fencing_number,
@@ -218,8 +230,10 @@
             adapter=health.adapter,
             role=health.role,
         )
-        if await self._send_order(target, stay):
+        is_shown = await self._send_order(target, stay)
+        if is_shown:
             self._fenced.add(key)
+        return is_shown
 
     async def _act(
         self, configuration: Configuration, actions: tuple[CapacityAction, ...]
@@ -297,6 +311,10 @@
             self._task = None
 
 
+def _without_answer(observed: Observed) -> Observed:
+    return dataclasses.replace(observed, health=None, n_running=None)
+
+
 def _find_target(configuration: Configuration, name: TargetId) -> Target | None:
     return next((item for item in configuration.targets if item.target == name), None)
 
--- a/lycheepost/operators/capacity_watch.py
+++ b/lycheepost/operators/capacity_watch.py
@@ -101,16 +101,16 @@
             configuration
         )
         first = dict.fromkeys([*stepping, *self._loading, *self._wrong_since_seconds])
-        heads = _waiting_heads(configuration)
-        turns = self._next_by_turns(configuration, limit)
         # The limit bounds the others only: were targets in the midst of a step
-        # to use it up, a new holder would never have asked all the rest.
-        others = [
-            name
-            for name in dict.fromkeys([*sorted(self._unread), *heads, *turns])
-            if name not in first
-        ]
-        return [name for name in [*first, *others[:limit]] if name in targets]
+        # to use it up, a new holder would never have asked all the rest. And half
+        # of it is kept for turns, or a target that came back from a crash with
+        # other weights would count as serving for as long as steps wait.
+        heads = [*sorted(self._unread), *_waiting_heads(configuration)]
+        heads = heads[: limit if self._unread else limit // 2]
+        turns = self._next_by_turns(configuration, limit - len(heads))
+        others = dict.fromkeys([*heads, *turns])
+        chosen = [name for name in others if name not in first][:limit]
+        return [name for name in [*first, *chosen] if name in targets]
 
     def _next_by_turns(self, configuration: Configuration, n: int) -> list[TargetId]:
         names = [TargetId(item.target) for item in _engine_targets(configuration)]
