--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -78,6 +78,7 @@
 _STILL_SECONDS = 40
 """All is over once nothing is open and nothing has been recorded for this long:
 longer than a take-over and a repair need to begin."""
+_TAKE_OVER_SECONDS = 60
 _MOST_QUIET_SECONDS = 400
 _LEASE_SECONDS = 6.0
 _MARGIN_SECONDS = 2.0
@@ -207,10 +208,10 @@
             await self._disturb()
             await asyncio.sleep(1.0)
         self._end_faults()
-        for _ in range(_MOST_QUIET_SECONDS):
+        for second in range(_MOST_QUIET_SECONDS):
             self._note_ready()
             await asyncio.sleep(1.0)
-            if self._is_over():
+            if second > _TAKE_OVER_SECONDS and self._is_over():
                 break
         await self._judge_end()
         for task in [*self.tasks, traffic]:
--- a/lycheepost/operators/capacity_group.py
+++ b/lycheepost/operators/capacity_group.py
@@ -68,6 +68,7 @@
         self._observed = observed
         self._loads: set[str] | None = None
         self._n_ready: int | None = None
+        self._busy: set[str] | None = None
         self.targets: dict[str, Target] = {
             target.target: target
             for target in draft.all("targets")
@@ -106,7 +107,7 @@
         )
         self.intents[intent.intent] = counted
         self.draft.put(counted)
-        self._loads = None
+        self._loads = self._n_ready = self._busy = None
 
     def put_steps(self, intent: str, steps: Iterable[CapacityStep]) -> None:
         """Change the steps of some targets, or add them.
@@ -136,7 +137,11 @@
 
     def busy_targets(self) -> set[str]:
         """Return the targets that are in the midst of a step."""
-        return {step.target for _, step in self.steps() if step.state in ACTIVE_STEPS}
+        if self._busy is None:
+            self._busy = {
+                step.target for _, step in self.steps() if step.state in ACTIVE_STEPS
+            }
+        return self._busy
 
     def loads(self) -> set[str]:
         """Return every target that may be reading weights now or shortly."""
@@ -176,7 +181,7 @@
         """Return whether a target surely serves its full share of traffic."""
         if target.desired_state is not TargetDesiredState.SERVING:
             return False
-        if target.serving_share < FULL_SHARE:
+        if target.serving_share < FULL_SHARE or target.target in self.busy_targets():
             return False
         observed = self.observe(target.target)
         return observed.is_serving and self._holds_accepted(target, observed)
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -312,7 +312,7 @@
 
 
 def _without_answer(observed: Observed) -> Observed:
-    return dataclasses.replace(observed, health=None, n_running=None)
+    return dataclasses.replace(observed, is_serving=False, health=None, n_running=None)
 
 
 def _find_target(configuration: Configuration, name: TargetId) -> Target | None:
--- a/lycheepost/operators/capacity_steps.py
+++ b/lycheepost/operators/capacity_steps.py
@@ -296,12 +296,16 @@
     timing: CapacityTiming,
 ) -> WarmAction | None:
     health = work.observe(step.target).health
-    if health is not None and not _has_arrived(health, make_order(work, intent, step)):
+    order = make_order(work, intent, step)
+    if health is not None and not _has_arrived(health, order):
         # It crashed and came back without what it had loaded.
         standby = dataclasses.replace(target, desired_state=TargetDesiredState.STANDBY)
         work.put_target(standby)
         _enter(work, intent, step, CapacityStepState.WAITING)
         return None
+    if health is None:
+        # Nothing shows that it still holds what it loaded.
+        return None
     if target.serving_share >= FULL_SHARE:
         _enter(work, intent, step, CapacityStepState.DONE)
         return None
