--- a/lycheepost/operators/capacity_records.py
+++ b/lycheepost/operators/capacity_records.py
@@ -41,8 +41,8 @@
         health: Its answer this time; None when it was not asked or is silent.
         n_running: Requests it runs; None when unknown.
         load_wall_seconds: When ``n_running`` was measured.
-        wrong_seconds: How long it has been seen with other weights than the
-            configuration says, without a break.
+        wrong_seconds: Time since it was first seen with other weights than the
+            configuration says, and not with the right ones since.
     """
 
     is_serving: bool
--- a/lycheepost/operators/capacity_watch.py
+++ b/lycheepost/operators/capacity_watch.py
@@ -149,8 +149,8 @@
         now_seconds = self._clock.now_seconds()
         for name, answer in told.items():
             if answer.health is None:
-                # A target seen loading and silent since may be loading still.
-                self._wrong_since_seconds.pop(name, None)
+                # A target that is silent since it was seen loading, or with
+                # other weights, may be so still.
                 continue
             if answer.health.state is EngineHealthState.LOADING:
                 self._loading[name] = answer.health
@@ -166,9 +166,9 @@
                 self._wrong_since_seconds.setdefault(name, now_seconds)
             else:
                 self._wrong_since_seconds.pop(name, None)
-        self._loading = {
-            name: health for name, health in self._loading.items() if name in targets
-        }
+        for remembered in (self._loading, self._wrong_since_seconds):
+            for name in [name for name in remembered if name not in targets]:
+                del remembered[name]
 
     def _join(
         self, targets: dict[TargetId, Target], told: dict[TargetId, Observed]
@@ -179,8 +179,10 @@
         for name in targets:
             answer = told.get(name, Observed(is_serving=False))
             wrong_since = self._wrong_since_seconds.get(name, now_seconds)
+            is_wrong = name in self._wrong_since_seconds
+            is_listed_serving = states.get(name) is TargetState.SERVING
             joined[name] = Observed(
-                is_serving=states.get(name) is TargetState.SERVING,
+                is_serving=is_listed_serving and not is_wrong,
                 is_gone=self._is_gone(name, now_seconds),
                 health=answer.health or self._loading.get(name),
                 n_running=answer.n_running,
