--- a/lycheepost/bench/capacity_fleet.py
+++ b/lycheepost/bench/capacity_fleet.py
@@ -143,13 +143,13 @@
         is_late = order.fencing_number < self.newest_holder
         if order.fencing_number >= self.tally.newest_number:
             self.has_forgotten = False
+        self.fencing_number = max(self.fencing_number, order.fencing_number)
+        if self.checks_fencing and order.desired_version < self.desired_version:
+            return self._answer(False, "old desired version")
         if is_late:
             self.tally.n_late_orders += 1
             if self.checks_fencing and not self.has_forgotten:
                 self.tally.violations.append(f"{self.name} took an order out of turn")
-        self.fencing_number = max(self.fencing_number, order.fencing_number)
-        if self.checks_fencing and order.desired_version < self.desired_version:
-            return self._answer(False, "old desired version")
         self.tally.n_orders += 1
         self.desired_version = order.desired_version
         self._carry_out(order, is_late)
--- a/lycheepost/operators/capacity_steps.py
+++ b/lycheepost/operators/capacity_steps.py
@@ -132,9 +132,13 @@
         _retire(work, target)
         _enter(work, intent, step, CapacityStepState.DRAINING, was_serving=is_serving)
         return
-    if work.observe(step.target).health is None or not work.has_free_load(step.target):
+    observed = work.observe(step.target)
+    if observed.health is None or not work.has_free_load(step.target):
         # A silent target would hold a load slot and do nothing with it.
         return
+    if observed.is_loading and step.desired_version == 0:
+        # It loads for somebody else; only a step's own load is begun again.
+        return
     # A target that stands by may have served until a moment ago and still run
     # something, so it is drained as well.
     is_to_serve = is_serving or intent.kind is CapacityIntentKind.HOLD_READY
