--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -16,7 +16,11 @@
     format_table,
     write_plots,
 )
-from lycheepost.commands import benchcontrol, benchrelay
+from lycheepost.commands import (
+    benchcapacity,
+    benchcontrol,
+    benchrelay,
+)
 
 app = typer.Typer(
     help="Measure policies and costs, each against a baseline.", no_args_is_help=True
@@ -25,6 +29,7 @@
 app.command()(benchcontrol.control)
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
+app.command()(benchcapacity.capacity)
 app.command(hidden=True)(benchrelay.relay_source)
 app.command(hidden=True)(benchrelay.relay_sink)
 
--- a/lycheepost/operators/capacity_watch.py
+++ b/lycheepost/operators/capacity_watch.py
@@ -89,7 +89,7 @@
             *(self._ask(targets[name], name in draining) for name in chosen)
         )
         told = dict(zip(chosen, answers, strict=True))
-        self._unread -= set(chosen)
+        self._unread &= set(targets) - set(chosen)
         self._note(configuration, targets, told)
         return self._join(targets, told)
 
@@ -100,13 +100,17 @@
         stepping = _targets_in(configuration, set(ACTIVE_STEPS)) | _ordered(
             configuration
         )
-        first = [*stepping, *self._loading, *self._wrong_since_seconds]
-        heads = _waiting_heads(configuration)
-        others = self._next_by_turns(configuration, limit)
-        ordered = dict.fromkeys([*first, *self._unread, *heads, *others])
-        known = [name for name in ordered if name in targets]
-        n_first = sum(name in set(first) for name in known)
-        return known[: max(limit, n_first)]
+        first = dict.fromkeys([*stepping, *self._loading, *self._wrong_since_seconds])
+        # The limit bounds the others only: were targets in the midst of a step
+        # to use it up, a new holder would never have asked all the rest. And half
+        # of it is kept for turns, or a target that came back from a crash with
+        # other weights would count as serving for as long as steps wait.
+        heads = [*sorted(self._unread), *_waiting_heads(configuration)]
+        heads = heads[: limit if self._unread else limit // 2]
+        turns = self._next_by_turns(configuration, limit - len(heads))
+        others = dict.fromkeys([*heads, *turns])
+        chosen = [name for name in others if name not in first][:limit]
+        return [name for name in [*first, *chosen] if name in targets]
 
     def _next_by_turns(self, configuration: Configuration, n: int) -> list[TargetId]:
         names = [TargetId(item.target) for item in _engine_targets(configuration)]
@@ -145,8 +149,8 @@
         now_seconds = self._clock.now_seconds()
         for name, answer in told.items():
             if answer.health is None:
-                # A target seen loading and silent since may be loading still.
-                self._wrong_since_seconds.pop(name, None)
+                # A target that is silent since it was seen loading, or with
+                # other weights, may be so still.
                 continue
             if answer.health.state is EngineHealthState.LOADING:
                 self._loading[name] = answer.health
@@ -162,9 +166,9 @@
                 self._wrong_since_seconds.setdefault(name, now_seconds)
             else:
                 self._wrong_since_seconds.pop(name, None)
-        self._loading = {
-            name: health for name, health in self._loading.items() if name in targets
-        }
+        for remembered in (self._loading, self._wrong_since_seconds):
+            for name in [name for name in remembered if name not in targets]:
+                del remembered[name]
 
     def _join(
         self, targets: dict[TargetId, Target], told: dict[TargetId, Observed]
@@ -175,8 +179,10 @@
         for name in targets:
             answer = told.get(name, Observed(is_serving=False))
             wrong_since = self._wrong_since_seconds.get(name, now_seconds)
+            is_wrong = name in self._wrong_since_seconds
+            is_listed_serving = states.get(name) is TargetState.SERVING
             joined[name] = Observed(
-                is_serving=states.get(name) is TargetState.SERVING,
+                is_serving=is_listed_serving and not is_wrong,
                 is_gone=self._is_gone(name, now_seconds),
                 health=answer.health or self._loading.get(name),
                 n_running=answer.n_running,
