--- /dev/null
+++ b/features/state/members.feature
@@ -0,0 +1,56 @@
+Feature: The most pessimistic sign counts, and callers are told whom to use
+
+  Scenario Outline: A target that operators want <desired>, with the signs <signs>, is <state>
+    The VM list says that a VM lives, and its engine says that it leaves.
+    New work sent there would be cut off, and the list may lag by several seconds.
+
+    Given a target that operators want <desired>
+    When the signs <signs> come in
+    Then the target is <state>
+
+    Examples:
+      | desired | signs                                        | state   |
+      | serving | none                                         | serving |
+      | serving | list live, health serving                    | serving |
+      | serving | list live, health leaving                    | leaving |
+      | serving | list leaving, health serving                 | leaving |
+      | serving | health warming, list live                    | warming |
+      | serving | connection gone, health serving              | gone    |
+      | serving | connection gone, 6 seconds, health serving   | serving |
+      | serving | connection gone, connection serving          | serving |
+      | serving | peer leaving, list live                      | leaving |
+      | serving | peer leaving, 100 seconds, list live         | serving |
+      | serving | list leaving, list absent                    | leaving |
+      | serving | list live, list absent                       | serving |
+      | serving | list leaving, list live                      | serving |
+      | retired | list live, health serving                    | leaving |
+      | standby | none                                         | leaving |
+
+  Scenario Outline: Callers of a fleet with <members> are sent to <addresses>
+    Given a daemon in zone x that knows <members>
+    Then its addresses answer is <addresses>
+
+    Examples:
+      | members                                    | addresses |
+      | a x live 0.1, b x live 0.95                | a b       |
+      | a x live 0.1, b x leaving 0.0              | a         |
+      | a y live 0.1, b x live 0.1                 | b a       |
+      | a y live 0.1, b x live 0.95                | a b       |
+      | a x suspect 0.1, b x live 0.1              | b         |
+      | a x suspect 0.1, b x leaving 0.1           | a         |
+      | a x leaving 0.1, b x gone 0.1              | a         |
+
+  Scenario: Customers are spread over a large fleet by shuffle sharding
+    Each daemon keeps state for the customers that it serves. If every customer
+    used every daemon, that state and its messages would grow with the fleet.
+
+    Given 540 daemons in 9 zones
+    When 990 customers ask for addresses
+    Then each is given 8 daemons in at least 7 zones
+    And no daemon is given to more than 40 customers
+    And without one daemon no other customer's daemons change but by one
+
+  Scenario: A daemon that others take for dead says that it lives
+    Given daemons A and B that know each other
+    When B hears that A is suspected, and A hears it too
+    Then A says again that it lives, and B takes it for live
--- /dev/null
+++ b/features/state/steps/member_steps.py
@@ -0,0 +1,181 @@
+import asyncio
+import statistics
+from collections import Counter
+
+from behave import given, then, when
+from claim_steps import use_virtual_time
+
+from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId, TargetId
+from lycheepost.decide.records import TargetState
+from lycheepost.generated.configuration import (
+    Configuration,
+    Target,
+    TargetDesiredState,
+)
+from lycheepost.platform.vms import Vm, VmRole, VmState
+from lycheepost.standin.vmlist import make_vm_list_model
+from lycheepost.state.addresses import Member, MemberState, choose_addresses
+from lycheepost.state.members import make_member_keeper
+from lycheepost.state.signs import (
+    SignSource,
+    TargetSign,
+    connected_sign,
+    health_sign,
+    refused_sign,
+)
+from lycheepost.state.view import make_view
+
+TARGET = TargetId("t")
+
+
+def make_member(name, zone="x", state="live", load=0.0):
+    return Member(
+        daemon=DaemonId(name),
+        boot="b",
+        state=MemberState(state),
+        availability_zone=AvailabilityZone(zone),
+        callers_url=f"http://{name}",
+        peer_endpoint=f"tcp://{name}",
+        load=float(load),
+    )
+
+
+def make_members(context, name="me", configuration=None):
+    view = make_view(configuration or Configuration(revision=0))
+    vm_list = make_vm_list_model(context.loop)
+    return make_member_keeper(vm_list, context.loop, make_member(name), lambda: view)
+
+
+@given("a target that operators want {desired}")
+def step_target(context, desired):
+    use_virtual_time(context)
+    target = Target(
+        target=TARGET,
+        target_group="g",
+        availability_zone="x",
+        url="http://127.0.0.1:1",
+        desired_state=TargetDesiredState(desired),
+    )
+    configuration = Configuration(revision=1, targets=[target])
+    context.members = make_members(context, configuration=configuration)
+
+
+@when("the signs {signs} come in")
+def step_signs(context, signs):
+    for sign in signs.split(", "):
+        take_sign(context, *sign.split())
+
+
+def take_sign(context, source, said="", *_):
+    now_seconds = context.loop.now_seconds()
+    match source, said:
+        case "none", _:
+            return
+        case "list", "absent":
+            context.members.take_list((), now_seconds)
+        case "list", _:
+            zone = AvailabilityZone("x")
+            vm = Vm(TARGET, VmRole.TARGET, VmState(said), zone, "127.0.0.1")
+            context.members.take_list((vm,), now_seconds)
+        case seconds, "seconds":
+            context.loop.run_until_complete(asyncio.sleep(float(seconds)))
+        case _:
+            sign = make_sign(source, TargetState(said))
+            context.members.observe_target(TARGET, sign, now_seconds)
+
+
+def make_sign(source, state):
+    match source:
+        case "health":
+            return health_sign(state)
+        case "connection" if state is TargetState.GONE:
+            return refused_sign()
+        case "connection":
+            return connected_sign()
+    return TargetSign(SignSource.PEER, state)
+
+
+@then("the target is {state}")
+def step_state(context, state):
+    found = context.members.target_states()[TARGET]
+    assert found is TargetState(state), found
+
+
+@given("a daemon in zone x that knows {members}")
+def step_knows(context, members):
+    context.known = [make_member(*member.split()) for member in members.split(", ")]
+
+
+@then("its addresses answer is {names}")
+def step_addresses(context, names):
+    zone = AvailabilityZone("x")
+    chosen = choose_addresses(context.known, CustomerId("c"), zone, 0.1)
+    found = " ".join(address.daemon for address in chosen)
+    assert found == names, found
+
+
+@given("{n:d} daemons in {zones:d} zones")
+def step_fleet(context, n, zones):
+    context.known = [make_member(f"d{i}", f"z{i % zones}") for i in range(n)]
+
+
+@when("{n:d} customers ask for addresses")
+def step_customers(context, n):
+    context.customers = [CustomerId(f"c{i}") for i in range(n)]
+    context.chosen = {name: choose(context.known, name) for name in context.customers}
+
+
+def choose(members, customer):
+    zone = AvailabilityZone("z0")
+    return choose_addresses(members, customer, zone, 1 / 990)
+
+
+@then("each is given {n:d} daemons in at least {zones:d} zones")
+def step_given(context, n, zones):
+    for chosen in context.chosen.values():
+        assert len({item.daemon for item in chosen}) == n
+        assert len({item.availability_zone for item in chosen}) >= zones
+
+
+@then("no daemon is given to more than {n:d} customers")
+def step_spread(context, n):
+    counts = Counter(
+        item.daemon for chosen in context.chosen.values() for item in chosen
+    )
+    assert max(counts.values()) <= n, max(counts.values())
+    assert statistics.mean(counts.values()) > n / 4
+
+
+@then("without one daemon no other customer's daemons change but by one")
+def step_without(context):
+    rest = context.known[1:]
+    gone = context.known[0].daemon
+    for name, before in context.chosen.items():
+        old = {item.daemon for item in before}
+        new = {item.daemon for item in choose(rest, name)}
+        assert len(new - old) <= 1
+        assert gone in old or new == old
+
+
+@given("daemons A and B that know each other")
+def step_know(context):
+    use_virtual_time(context)
+    context.a, context.b = make_members(context, "A"), make_members(context, "B")
+    context.said = []
+    context.a.on_member(context.said.append)
+    context.b.hear(context.a.me())
+
+
+@when("B hears that A is suspected, and A hears it too")
+def step_suspected(context):
+    context.b.suspect(DaemonId("A"), context.loop.now_seconds())
+    suspected = context.b.get(DaemonId("A"))
+    assert suspected.state is MemberState.SUSPECT
+    context.a.hear(suspected)
+
+
+@then("A says again that it lives, and B takes it for live")
+def step_refuted(context):
+    assert len(context.said) == 1
+    assert context.b.hear(context.said[0])
+    assert context.b.get(DaemonId("A")).state is MemberState.LIVE
