Count standing-by and silent targets as not ready, and mend them

Cause: a late order of an earlier holder to targets that check no fencing made two serving targets stand by; their weights were right, so they counted as ready and nobody mended them (seed 1225).

--- a/lycheepost/operators/capacity_group.py
+++ b/lycheepost/operators/capacity_group.py
@@ -21,6 +21,7 @@
     TargetDesiredState,
     TargetGroup,
 )
+from lycheepost.generated.engine import EngineHealthState
 from lycheepost.generated.operators import PlanConflict
 from lycheepost.operators.capacity_records import (
     ACTIVE_STEPS,
@@ -191,11 +192,15 @@
         return name in self.targets and self.is_ready(self.targets[name])
 
     def _holds_accepted(self, target: Target, observed: Observed) -> bool:
+        """Return whether a target may serve, by what is recorded and reported."""
+        health = observed.health
+        if health is not None and health.state is not EngineHealthState.SERVING:
+            return False
         model = self.model()
         if model is None:
             return True
         held = held_version(target, model)
-        reported = held if observed.health is None else observed.health.weights_version
+        reported = held if health is None else health.weights_version
         return reported == held and held in accepted_versions(model)
 
     def n_ready(self) -> int:
--- a/lycheepost/operators/capacity_watch.py
+++ b/lycheepost/operators/capacity_watch.py
@@ -59,6 +59,7 @@
         self._clock: Clock = deps.clock
         self._wrong_since_seconds: dict[TargetId, float] = {}
         self._loading: dict[TargetId, EngineHealth] = {}
+        self._silent: set[TargetId] = set()
         self._unread: set[TargetId] = set()
         self._cursor = 0
         self._listing = Listing({}, set())
@@ -73,6 +74,7 @@
         }
         self._wrong_since_seconds.clear()
         self._loading.clear()
+        self._silent.clear()
 
     @property
     def has_read_back(self) -> bool:
@@ -107,13 +109,13 @@
         # other weights would count as serving for as long as steps wait.
         heads = [*sorted(self._unread), *_waiting_heads(configuration)]
         heads = heads[: limit if self._unread else limit // 2]
-        turns = self._next_by_turns(configuration, limit - len(heads))
-        others = dict.fromkeys([*heads, *turns])
-        chosen = [name for name in others if name not in first][:limit]
-        return [name for name in [*first, *chosen] if name in targets]
-
-    def _next_by_turns(self, configuration: Configuration, n: int) -> list[TargetId]:
+        asked = dict.fromkeys([*first, *heads])
         names = [TargetId(item.target) for item in _engine_targets(configuration)]
+        rest = [name for name in names if name not in asked]
+        turns = self._next_by_turns(rest, limit - len(heads))
+        return [name for name in [*asked, *turns] if name in targets]
+
+    def _next_by_turns(self, names: list[TargetId], n: int) -> list[TargetId]:
         if not names:
             return []
         start = self._cursor % len(names)
@@ -149,26 +151,25 @@
         now_seconds = self._clock.now_seconds()
         for name, answer in told.items():
             if answer.health is None:
+                self._silent.add(name)
                 # A target that is silent since it was seen loading, or with
                 # other weights, may be so still.
                 continue
+            self._silent.discard(name)
             if answer.health.state is EngineHealthState.LOADING:
                 self._loading[name] = answer.health
             else:
                 self._loading.pop(name, None)
             target = targets[name]
             held = held_version(target, models.get(target.target_group))
-            is_wrong = (
-                target.desired_state is TargetDesiredState.SERVING
-                and held not in ("", answer.health.weights_version)
-            )
-            if is_wrong:
+            if _is_wrong(target, held, answer.health):
                 self._wrong_since_seconds.setdefault(name, now_seconds)
             else:
                 self._wrong_since_seconds.pop(name, None)
         for remembered in (self._loading, self._wrong_since_seconds):
             for name in [name for name in remembered if name not in targets]:
                 del remembered[name]
+        self._silent &= set(targets)
 
     def _join(
         self, targets: dict[TargetId, Target], told: dict[TargetId, Observed]
@@ -179,10 +180,12 @@
         for name in targets:
             answer = told.get(name, Observed(is_serving=False))
             wrong_since = self._wrong_since_seconds.get(name, now_seconds)
-            is_wrong = name in self._wrong_since_seconds
+            # What was last seen silent or wrong is not ready until it is seen well,
+            # whatever others say of it.
+            is_doubtful = name in self._wrong_since_seconds or name in self._silent
             is_listed_serving = states.get(name) is TargetState.SERVING
             joined[name] = Observed(
-                is_serving=is_listed_serving and not is_wrong,
+                is_serving=is_listed_serving and not is_doubtful,
                 is_gone=self._is_gone(name, now_seconds),
                 health=answer.health or self._loading.get(name),
                 n_running=answer.n_running,
@@ -216,6 +219,14 @@
             listing.absent_since_seconds.setdefault(name, now_seconds)
 
 
+def _is_wrong(target: Target, held: str, health: EngineHealth) -> bool:
+    """Return whether a target that is to serve cannot, by its own word."""
+    if target.desired_state is not TargetDesiredState.SERVING:
+        return False
+    stands_by = health.state is EngineHealthState.STANDBY
+    return stands_by or held not in ("", health.weights_version)
+
+
 def open_groups(configuration: Configuration) -> set[str]:
     """Return the target groups in which an intent is not at its end."""
     return {
