--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -34,6 +34,7 @@
 from lycheepost.core.ids import DaemonId, Revision, TargetId
 from lycheepost.decide.records import TargetState
 from lycheepost.generated.configuration import (
+    CapacityIntentKind,
     CapacityIntentState,
     Configuration,
     Model,
@@ -524,6 +525,8 @@
             for intent in configuration.capacity_intents
             for step in intent.steps
             if step.state in ACTIVE_STEPS
+            # To retire a target no order is sent.
+            and intent.kind is not CapacityIntentKind.RETIRE
         }
         for configuration in (before, after)
     ]
