Prove the promises with whole daemons; mend the start of a daemon

Cause, each found by a scenario of features/promises: - A restarted daemon without a configuration answered 401 to valid keys; published clients give up on 401. It now says 503 not_configured with Retry-After, and /readyz waits. The feed now follows each adopted revision. - A change of a customer's share alone never reached the scheduler. Ruled out: slow loading of the configuration itself (peers answer in one round trip).

--- /dev/null
+++ b/features/promises/failures.feature
@@ -0,0 +1,73 @@
+Feature: What must hold while something fails
+  Three daemons, four engines and two order services run as tasks of one process
+  and speak HTTP. Callers send prompts and print orders while one thing fails,
+  or two. Whatever happens, no answer is wrong, crossed or silently cut, no
+  order runs twice or is lost, and no refusal lies; afterwards all is as before.
+
+  Scenario Outline: One failure while callers send
+    A shopper waits for a caption or a ticket. In the middle of the traffic
+    <failure>. The shopper may be refused and told so, or may wait a
+    little longer, but gets nothing wrong and no second print.
+
+    Given a running fleet
+    When callers send for 0.8 seconds and meanwhile <failure>
+    Then the audit finds nothing wrong
+    And at least <answered>% of the requests were answered
+    And afterwards every request is answered
+
+    Examples: targets
+      | failure                               | answered |
+      | an engine crashes                     | 95       |
+      | every engine crashes                  | 20       |
+      | an engine's connections go silent     | 95       |
+      | every engine's connections go silent  | 95       |
+      | a service crashes                     | 90       |
+      | services' connections go silent       | 90       |
+      | services' answers are lost            | 85       |
+      | services refuse calls                 | 90       |
+      | a target is slow                      | 99       |
+
+    Examples: streams
+      | failure                               | answered |
+      | streams end early, cleanly            | 90       |
+      | streams break off                     | 90       |
+      | streams go silent                     | 90       |
+      | events are doubled                    | 90       |
+      | events are skipped                    | 90       |
+      | events of others come                 | 90       |
+      | answers name others                   | 75       |
+      | requests are swallowed                | 85       |
+      | engines refuse                        | 75       |
+
+    Examples: platform and daemons
+      | failure                               | answered |
+      | the table is down                     | 80       |
+      | the table is slow                     | 95       |
+      | the table's answers are lost          | 90       |
+      | the table's writes come late          | 90       |
+      | the table's reads are stale           | 95       |
+      | the whole platform is down            | 80       |
+      | a daemon restarts                     | 80       |
+      | all daemons restart                   | 20       |
+      | a daemon drains                       | 99       |
+
+  Scenario Outline: Two failures at once
+    Failures do not wait for each other. In the middle of the traffic <first>,
+    and at the same time <second>.
+
+    Given a running fleet
+    When callers send for 0.8 seconds and meanwhile <first> while <second>
+    Then the audit finds nothing wrong
+    And at least <answered>% of the requests were answered
+    And afterwards every request is answered
+
+    Examples:
+      | first                        | second                            | answered |
+      | the whole platform is down   | all daemons restart               | 0        |
+      | the table is down            | a daemon restarts                 | 30       |
+      | an engine crashes            | an engine's connections go silent | 80       |
+      | the table's answers are lost | services' answers are lost        | 50       |
+      | the table's writes come late | a daemon restarts                 | 50       |
+      | a target is slow             | streams break off                 | 90       |
+      | a service crashes            | the table's answers are lost      | 50       |
+      | a daemon drains              | an engine crashes                 | 80       |
--- /dev/null
+++ b/features/promises/promises.feature
@@ -0,0 +1,116 @@
+Feature: What must always hold
+  Scenario: A router that restarts serves immediately
+    A VM is replaced in the middle of the day. Its daemon comes up with nothing;
+    a caller that reaches it at once must be served or told to come back, never
+    that its key is wrong.
+
+    Given a running fleet
+    When a daemon restarts and is asked at once, again and again
+    Then it never says that the key is wrong
+    And it answers a completion within 2 seconds
+
+  Scenario: A router that restarts while the platform is down serves
+    The platform is down for hours and a VM is replaced. The new daemon gets the
+    configuration from its peers, in force as before, and serves.
+
+    Given a running fleet
+    And the platform is down
+    When daemon 1 restarts
+    Then daemon 1 has revision 1 again within 4 seconds
+    And daemon 1 answers completions
+    And an order is refused as not run and did not run
+
+  Scenario: A configuration never reverts
+    Operators change the configuration while one daemon is cut off and another
+    restarts. Nobody may fall back to an older revision, also not while the
+    table answers with old rows.
+
+    Given a running fleet
+    When 5 changes are accepted while a daemon restarts and reads are stale
+    Then every daemon reaches the last revision within 4 seconds
+    And no daemon ever showed a lower revision than before
+
+  Scenario: A leaving target gets no new work after a few seconds
+    Operators retire a target during traffic. Its VM goes away a little later.
+
+    Given a running fleet
+    When an operator retires engine 0 and confirms it during traffic
+    Then engine 0 gets no new request 3 seconds after the confirmation
+    And the audit finds nothing wrong
+
+  Scenario Outline: Operators race
+    Two operators plan against the same configuration and both confirm. One
+    wins; the other is told what moved, and nothing of its plan is applied.
+
+    Given a running fleet
+    When two operators confirm plans on one basis, <how>
+    Then exactly one is in force and the other was told what moved
+
+    Examples:
+      | how                                             |
+      | one after the other                             |
+      | at the same time through two daemons            |
+      | at the same time and the table's answer is lost |
+      | and the daemon that planned them restarts       |
+
+  Scenario: A plan changes nothing until it is confirmed
+    Given a running fleet
+    When an operator plans to retire engine 0 and does not confirm
+    Then the revision is still 1 and engine 0 still gets work
+
+  Scenario: One request crashes each target that runs it
+    A caller sends a prompt that crashes the engine, and sends it again when it
+    fails, through every daemon. After two engines nobody may run it, and the
+    others' requests on those engines are answered.
+
+    Given a running fleet
+    When a caller sends a crashing prompt 6 times through all daemons during traffic
+    Then at most 2 engines have crashed
+    And the caller is told that it is not tried again
+    And the audit finds nothing wrong
+
+  Scenario Outline: A non-idempotent call runs at most once
+    A kiosk sends an order and <trouble>. It sends the same key again, through
+    every daemon. The lab must see the order once, and each answer that comes
+    must be the first one, byte for byte.
+
+    Given a running fleet
+    When an order is sent 5 times through all daemons and <trouble>
+    Then the order ran <runs>
+    And every answer to it is the same, or says that the outcome is unknown
+
+    Examples:
+      | trouble                              | runs           |
+      | nothing happens                      | exactly once   |
+      | the service's answer is lost         | exactly once   |
+      | the service crashes before the run   | at most once   |
+      | the service crashes after the run    | exactly once   |
+      | the table's answer is lost           | exactly once   |
+      | the daemon that ran it restarts      | exactly once   |
+      | all sends come at once               | exactly once   |
+
+  Scenario: One key with another body is refused
+    Given a running fleet
+    When an order is sent with a key that another order has used
+    Then it is refused with 422 and has not run
+
+  Scenario: One customer's requests never use another's cache
+    Two customers send the same long prompt to one engine. The second must pay
+    for its own prompt: a faster answer would tell what others ask.
+
+    Given a running fleet
+    When two customers send the same prompt, the first one three times
+    Then the first customer's repeats found cached tokens
+    And the second customer's did not
+
+  Scenario: A graceful shutdown cuts no request
+    A VM is told to leave while long answers run and more arrive.
+
+    Given a running fleet
+    When daemon 1 drains and stops while 20 long answers run through it
+    Then all 20 answers are whole
+
+  Scenario: A slow caller costs bounded memory and its leaving frees the engine
+    Given a running fleet
+    When 10 callers leave in the middle of long answers
+    Then the engines run nothing 2 seconds later
--- a/lycheepost/app/feed.py
+++ b/lycheepost/app/feed.py
@@ -80,7 +80,7 @@
         self._get_view = get_view
         self._get_states = get_states
         self._get_incarnations = get_incarnations
-        self._last: tuple[TargetView, ...] | None = None
+        self._last: tuple[int, tuple[TargetView, ...]] | None = None
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -100,9 +100,12 @@
         """Pass the targets on if anything about them has changed."""
         view = self._get_view()
         views = make_target_views(view, self._get_states(), self._get_incarnations())
-        if views == self._last:
+        # The revision counts too: a change of a customer's share alone would
+        # otherwise not be in force until some target changes.
+        seen = (view.configuration.revision, views)
+        if seen == self._last:
             return
-        self._last = views
+        self._last = seen
         self._dispatcher.set_shares(
             {
                 CustomerId(customer.customer): customer.share_weight
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -85,6 +85,9 @@
         state.members.target_states,
         lambda: {},
     )
+    # A daemon that has just got its first configuration must find targets at
+    # once; until the next look it would refuse with "no target".
+    state.revisions.subscribe(lambda _view: feed.feed())
     drain_state = DrainState()
 
     def on_unreachable(target: TargetId) -> None:
--- a/lycheepost/callers/identify.py
+++ b/lycheepost/callers/identify.py
@@ -17,6 +17,14 @@
 
 _BEARER = "bearer "
 
+_NOT_CONFIGURED = CallerError(
+    "This daemon has just started and holds no accepted configuration yet.",
+    status=503,
+    type=ErrorType.SERVER,
+    code="not_configured",
+    retry_after_seconds=1.0,
+)
+
 
 def read_bearer(headers: Mapping[str, str]) -> str | None:
     """Return the bearer key of a request; None when there is none."""
@@ -34,9 +42,22 @@
     if key is None:
         return Failure(unauthenticated("A bearer key is missing."))
     customer = view.customer_by_key_hash.get(hash_key(key))
-    if customer is None:
-        return Failure(unauthenticated("The key is not known or no longer valid."))
-    return Success(customer)
+    if customer is not None:
+        return Success(customer)
+    if not is_configured(view):
+        return Failure(_NOT_CONFIGURED)
+    return Failure(unauthenticated("The key is not known or no longer valid."))
+
+
+def is_configured(view: ConfigurationView) -> bool:
+    """Tell whether an accepted configuration has been seen.
+
+    A daemon that has just restarted may hold only what its settings say. A key
+    that it does not know is then not wrong: it is unknown here for a moment. A
+    client that is told "invalid key" gives up for good; one that is told to come
+    back asks again, or asks another address.
+    """
+    return view.configuration.revision > 0
 
 
 def find_model(
--- a/lycheepost/callers/routes.py
+++ b/lycheepost/callers/routes.py
@@ -17,7 +17,12 @@
 )
 from lycheepost.callers.flow import answer_completion
 from lycheepost.callers.headers import echoed_id
-from lycheepost.callers.identify import identify_customer, list_models, read_bearer
+from lycheepost.callers.identify import (
+    identify_customer,
+    is_configured,
+    list_models,
+    read_bearer,
+)
 from lycheepost.callers.keyed import KeyedRunner
 from lycheepost.callers.parse import Endpoint
 from lycheepost.callers.services import answer_service
@@ -177,6 +182,9 @@
     async def _readyz(self, _request: web.Request) -> web.Response:
         if self._deps.is_draining():
             return web.json_response({"status": "draining"}, status=503)
+        view = self._deps.configuration.view
+        if not view.customers and not is_configured(view):
+            return web.json_response({"status": "not configured"}, status=503)
         return web.json_response({"status": "ready"})
 
     async def _status(self, _request: web.Request) -> web.Response:
--- a/lycheepost/loadgen/calls.py
+++ b/lycheepost/loadgen/calls.py
@@ -64,8 +64,7 @@
             async with line.session.post(
                 f"{line.address}{service_path}", data=call.body, headers=headers
             ) as response:
-                # Without the header it is the service's own answer, relayed.
-                if EXECUTED_HEADER in response.headers and response.status >= 400:
+                if _is_refusal(response):
                     return await read_refusal(response, sent_seconds)
                 return ServiceAnswered(
                     status=response.status,
@@ -79,6 +78,12 @@
         return Unreached(type(error).__name__)
 
 
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    """Tell a refusal from the service's own answer, which is relayed."""
+    executed = response.headers.get(EXECUTED_HEADER, Executed.YES.value)
+    return response.status >= 400 and executed != Executed.YES.value
+
+
 async def run_call(
     call: ServiceCall,
     book: AddressBook,
