--- a/features/promises/environment.py
+++ b/features/promises/environment.py
@@ -1,20 +1,8 @@
-"""One event loop and at most one fleet per scenario."""
+"""The hooks that features/promises shares with its neighbours."""
 
-import asyncio
-import logging
+import pathlib
+import sys
 
-import structlog
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
-
-def before_scenario(context, scenario):
-    context.loop = asyncio.new_event_loop()
-    context.fleet = None
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
-    )
-
-
-def after_scenario(context, scenario):
-    if context.fleet is not None:
-        context.loop.run_until_complete(context.fleet.stop())
-    context.loop.close()
+from fleet_hooks import after_scenario, before_scenario  # noqa: E402, F401
--- a/features/promises/steps/fleet.py
+++ b/features/promises/steps/fleet.py
@@ -19,6 +19,7 @@
 from lycheepost.loadgen.expected import make_standin_answers
 from lycheepost.loadgen.mixes import Deployment
 from lycheepost.standin.engine import EngineStandinSettings
+from lycheepost.standin.enginetiming import SimpleTimingSettings
 
 N_DAEMONS = 3
 POISON = "poisonous"
@@ -42,7 +43,11 @@
     def __init__(self, n_daemons=N_DAEMONS):
         shape = replace(
             demo_shape(),
-            engine=EngineStandinSettings(crash_text=POISON, restart_seconds=0.4),
+            engine=EngineStandinSettings(
+                crash_text=POISON,
+                restart_seconds=0.4,
+                timing=SimpleTimingSettings(token_gap_seconds=0.002),
+            ),
         )
         self.standins = StandinFleet(shape)
         self.operator_key = "lpo-promises"
@@ -110,14 +115,14 @@
             model=shape.engine_group,
             service_path=f"/services/{shape.service_group}/orders",
             answers=make_standin_answers(),
-            n_seconds=0.8,
-            rate_per_second=90,
+            n_seconds=0.6,
+            rate_per_second=120,
             seed=5,
             read_evidence=read_evidence,
         )
         return replace(plan, **fields)
 
-    async def load_with(self, provoke, after_seconds=0.2, **fields):
+    async def load_with(self, provoke, after_seconds=0.15, **fields):
         """Send traffic, provoke something meanwhile, and return the report."""
 
         async def later():
