--- a/lycheepost/operators/intents.py
+++ b/lycheepost/operators/intents.py
@@ -147,7 +147,8 @@
     if not isinstance(document, dict):
         return Failure([Fault("(document)", "", "is not an object")])
     kind = document.get("kind")
-    if kind not in set(ChangeKind):
+    # A list or an object cannot even be looked up.
+    if not isinstance(kind, str) or kind not in set(ChangeKind):
         known = ", ".join(ChangeKind)
         return Failure([Fault("kind", str(kind)[:60], f"is not one of {known}")])
     fields = {name: value for name, value in document.items() if name != "kind"}
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -46,6 +46,12 @@
 }
 
 
+_MOST_UNKNOWN = 64
+"""Names kept apart; a later release adds a few, a faulty one must not fill the
+memory and the log with made-up ones."""
+_OTHER = "(other)"
+
+
 @dataclass(slots=True)
 class WireCounts:
     """What could not be understood, for ``/admin/status``."""
@@ -92,8 +98,11 @@
     """Return the message of this kind, or None when it is not understood."""
     message_type = MESSAGE_TYPES.get(kind)
     if message_type is None:
-        if not counts.unknown_kinds[kind]:
-            _log.info("peers: unknown kind", kind=kind)
+        if kind not in counts.unknown_kinds:
+            if len(counts.unknown_kinds) >= _MOST_UNKNOWN:
+                kind = _OTHER
+            else:
+                _log.info("peers: unknown kind", kind=kind)
         counts.unknown_kinds[kind] += 1
         return None
     try:
@@ -103,5 +112,8 @@
         counts.n_damaged += 1
         return None
     for name in set(document) - _FIELDS[message_type]:
-        counts.unknown_fields[f"{kind}.{name}"] += 1
+        label = f"{kind}.{name}"
+        if len(counts.unknown_fields) >= _MOST_UNKNOWN:
+            label = _OTHER
+        counts.unknown_fields[label] += 1
     return message
--- a/lycheepost/platform/http_table.py
+++ b/lycheepost/platform/http_table.py
@@ -34,7 +34,7 @@
     ) -> Result[tuple[Row | None, ...], TableError]:
         """Return the rows of ``keys`` in order."""
         outcome = await self._call("/read", ReadBody(keys), ReadAnswer, False)
-        return outcome.map(lambda answer: answer.rows)
+        return outcome.bind(lambda answer: _check_rows(answer, len(keys)))
 
     async def scan(
         self, prefix: str, after_key: str | None, limit: int
@@ -81,10 +81,23 @@
 def _decode(data: bytes, answer_type: type[T], is_write: bool) -> Result[T, TableError]:
     try:
         return Success(msgspec.json.decode(data, type=answer_type))
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return Failure(_lost("The answer could not be read.", is_write))
 
 
+def _check_rows(
+    answer: ReadAnswer, n_keys: int
+) -> Result[tuple[Row | None, ...], TableError]:
+    """Refuse an answer with another number of rows than keys were asked.
+
+    Rows are told apart by their place; one that is missing would shift the
+    others to keys that they do not belong to.
+    """
+    if len(answer.rows) != n_keys:
+        return Failure(TableUnavailable("The answer has another number of rows."))
+    return Success(answer.rows)
+
+
 def _read_status(answer: HttpAnswer, is_write: bool) -> TableError:
     match answer.status:
         case 409:
@@ -101,5 +114,5 @@
 def _read_keys(body: bytes) -> tuple[str, ...]:
     try:
         return msgspec.json.decode(body, type=tuple[str, ...])
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return ()
--- a/lycheepost/report/history.py
+++ b/lycheepost/report/history.py
@@ -59,7 +59,7 @@
         if not unpacker.eof:
             return None
         return msgspec.msgpack.decode(text, type=BurnSlot)
-    except (zlib.error, msgspec.DecodeError, msgspec.ValidationError):
+    except (zlib.error, msgspec.MsgspecError, ValueError, RecursionError):
         return None
 
 
--- a/lycheepost/state/revision_rows.py
+++ b/lycheepost/state/revision_rows.py
@@ -34,6 +34,11 @@
 EMPTY = Configuration(revision=0)
 
 
+_DAMAGED = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
+"""What decoding damaged bytes raises. The poll of the configuration must outlive
+them: its task would end, and later changes would never come into force here."""
+
+
 @dataclass(frozen=True, slots=True)
 class Head:
     """The highest revision and the newest snapshot.
@@ -61,7 +66,10 @@
         case Success((None,)):
             return Success(Head(Revision(0), Revision(0), ABSENT_VERSION))
         case Success((Row() as row,)):
-            value = msgspec.msgpack.decode(row.value, type=_HeadValue)
+            try:
+                value = msgspec.msgpack.decode(row.value, type=_HeadValue)
+            except _DAMAGED:
+                return Failure(StateError("The head of the configuration is damaged."))
             return Success(Head(value.revision, value.snapshot, row.version))
         case Failure(error):
             return Failure(StoreUnreachable(error.reason))
@@ -110,7 +118,10 @@
         whole = await _join_parts(table, Revision(revision), row.value)
         if isinstance(whole, Failure):
             return whole
-        deltas.append(decode_delta(whole.unwrap()))
+        try:
+            deltas.append(decode_delta(whole.unwrap()))
+        except _DAMAGED:
+            break
     return Success(tuple(deltas))
 
 
@@ -194,14 +205,14 @@
     """Return the configuration of a snapshot, or an error if it is damaged."""
     try:
         return Success(decode_delta(data).changes)
-    except (msgspec.MsgspecError, ValueError):
+    except _DAMAGED:
         return Failure(StateError("The snapshot cannot be read."))
 
 
 async def _join_parts(
     table: TablePort, revision: Revision, first: bytes
 ) -> Result[bytes, StateError]:
-    n_more = first[0]
+    n_more = first[0] if first else 0
     if n_more == 0:
         return Success(first[1:])
     keys = tuple(_part_key(revision, index) for index in range(1, n_more + 1))
