--- a/lycheepost/report/history.py
+++ b/lycheepost/report/history.py
@@ -37,7 +37,7 @@
 _MOST_SLOT_BYTES = 16_000_000
 """No honest slot is larger; a damaged object must not fill the memory."""
 
-_log = structlog.get_logger().bind(part="report")
+_log = structlog.get_logger(part="report")
 
 
 def fine_from_seconds(wall_seconds: float) -> float:
--- a/lycheepost/targets/observe.py
+++ b/lycheepost/targets/observe.py
@@ -41,7 +41,7 @@
     ReportKind,
 )
 
-_log = structlog.get_logger().bind(part="targets")
+_log = structlog.get_logger(part="targets")
 _MOST_CALLS = 64
 """Calls in flight: targets that do not answer for two seconds must not hold up
 the reports of all others, nor pile up."""
