Feed the scheduler with the engines' own reports

Nothing asked engines for load, cache events, health or boot ids, so belief and load stood on our own dispatches alone and a restarted engine kept the belief of its earlier life. The daemon now runs the observer; signs go to the members' view, loads and events to the scheduler, boot ids into TargetView.

--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -194,6 +194,7 @@
         "claims": state.claims.status(),
         "duties": [duty.status() for duty in state.duties],
         "engines": traffic.engines.status(),
+        "reports": traffic.observer.status(),
         "report": history.status(),
     }
 
--- a/lycheepost/app/feed.py
+++ b/lycheepost/app/feed.py
@@ -75,11 +75,13 @@
         get_view: Callable[[], ConfigurationView],
         get_states: States,
         get_incarnations: Incarnations,
+        on_view: Callable[[ConfigurationView], None],
     ) -> None:
         self._dispatcher = dispatcher
         self._get_view = get_view
         self._get_states = get_states
         self._get_incarnations = get_incarnations
+        self._on_view = on_view
         self._last: tuple[int, tuple[TargetView, ...]] | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -106,6 +108,7 @@
         if seen == self._last:
             return
         self._last = seen
+        self._on_view(view)
         self._dispatcher.set_shares(
             {
                 CustomerId(customer.customer): customer.share_weight
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -18,11 +18,23 @@
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import make_scheduler_settings
 from lycheepost.generated.callers import AddressList
+from lycheepost.generated.configuration import (
+    Target,
+    TargetDesiredState,
+    TargetGroupKind,
+)
 from lycheepost.generated.settings import Settings
 from lycheepost.peers.shared import SharedState
 from lycheepost.report.samples import Recorder
 from lycheepost.state.signs import SignSource, TargetSign
+from lycheepost.state.view import ConfigurationView
+from lycheepost.targets.control import ControlClient, make_control_client
 from lycheepost.targets.engine import EngineClient, make_engine_client
+from lycheepost.targets.observe import (
+    ObserverCallbacks,
+    TargetObserver,
+    make_target_observer,
+)
 from lycheepost.targets.service import ServiceClient, make_service_client
 from lycheepost.utils.metrics import Metrics
 
@@ -45,6 +57,8 @@
     dispatcher: Dispatcher
     engines: EngineClient
     services: ServiceClient
+    control: ControlClient
+    observer: TargetObserver
     feed: TargetFeed
     losses: LossExchange
     front: CallerFront
@@ -55,6 +69,8 @@
         return [
             self.engines,
             self.services,
+            self.control,
+            self.observer,
             self.dispatcher,
             self.feed,
             self.losses,
@@ -86,11 +102,27 @@
     dispatcher = Dispatcher(scheduler, clock)
     engines = make_engine_client(settings.streams, clock)
     services = make_service_client(settings.streams)
+    control = make_control_client(settings.streams)
+    observer = make_target_observer(
+        settings.targets,
+        control,
+        clock,
+        ObserverCallbacks(
+            on_sign=lambda target, sign: state.members.observe_target(
+                target, sign, clock.now_seconds()
+            ),
+            on_load=dispatcher.observe_load,
+            on_events=dispatcher.observe_cache_events,
+        ),
+        engines.is_in_use,
+        seed,
+    )
     feed = TargetFeed(
         dispatcher,
         lambda: state.revisions.view,
         state.members.target_states,
-        lambda: {},
+        observer.incarnations,
+        lambda view: observer.replace_targets(engine_targets(view)),
     )
     # A daemon that has just got its first configuration must find targets at
     # once; until the next look it would refuse with "no target".
@@ -131,6 +163,8 @@
         dispatcher=dispatcher,
         engines=engines,
         services=services,
+        control=control,
+        observer=observer,
         feed=feed,
         losses=LossExchange(dispatcher, state.exchange, clock),
         front=front,
@@ -138,6 +172,21 @@
     )
 
 
+def engine_targets(view: ConfigurationView) -> list[Target]:
+    """Return the targets that can be asked for an engine's reports."""
+    engines = {
+        name
+        for name, group in view.target_groups.items()
+        if group.kind is TargetGroupKind.ENGINE
+    }
+    return [
+        target
+        for target in view.targets.values()
+        if target.target_group in engines
+        and target.desired_state is not TargetDesiredState.RETIRED
+    ]
+
+
 def _request_ids(prefix: str) -> Callable[[], RequestId]:
     """Return a maker of ids that no other daemon and no earlier start can make."""
     numbers = itertools.count(1)
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -10,7 +10,13 @@
 import structlog
 
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import BodyFingerprint, CustomerId, RequestId, TargetId
+from lycheepost.core.ids import (
+    BodyFingerprint,
+    CustomerId,
+    Incarnation,
+    RequestId,
+    TargetId,
+)
 from lycheepost.decide.quarantine import LossSeen
 from lycheepost.decide.records import (
     Dispatch,
@@ -23,6 +29,7 @@
     Work,
 )
 from lycheepost.decide.scheduler import Scheduler
+from lycheepost.generated.engine import CacheEvent
 
 TICK_SECONDS = 0.02
 """A queued request is looked at this often: well under the 0.3 s objective for a
@@ -123,6 +130,13 @@
         """Pass on a target's load report."""
         self._scheduler.observe_load(report, self._clock.now_seconds())
 
+    def observe_cache_events(
+        self, target: TargetId, boot_id: Incarnation, events: tuple[CacheEvent, ...]
+    ) -> None:
+        """Pass on a target's cache events, in the order of their sequence."""
+        now_seconds = self._clock.now_seconds()
+        self._scheduler.observe_cache_events(target, boot_id, events, now_seconds)
+
     def replace_targets(self, targets: tuple[TargetView, ...]) -> None:
         """Tell which targets there are now and in which state."""
         now_seconds = self._clock.now_seconds()
