--- /dev/null
+++ b/features/targets/steps/reports.py
@@ -0,0 +1,204 @@
+"""Steps on reports of engines."""
+
+import asyncio
+from collections import Counter, defaultdict
+
+import aiohttp
+from bed import SETTINGS, wait_until
+from behave import given, then, when
+
+from lycheepost.core.clock import SystemClock
+from lycheepost.core.ids import TargetId
+from lycheepost.generated.configuration import Target
+from lycheepost.generated.engine import EngineHealthState
+from lycheepost.generated.settings import TargetSettings
+from lycheepost.standin.engine import EngineStandinSettings, make_engine
+from lycheepost.standin.enginetiming import SimpleTimingSettings
+from lycheepost.targets.control import make_control_client
+from lycheepost.targets.observe import ObserverCallbacks, make_target_observer
+from lycheepost.targets.pollplan import PollPlan, PollSettings, ReportKind
+
+FAST = TargetSettings(
+    load_poll_seconds=0.05,
+    health_poll_seconds=0.05,
+    events_poll_seconds=0.05,
+    poll_calls_per_second=1000,
+)
+
+
+def start_engine(context, gap_share=0.0, load_lag_seconds=0.0):
+    timing = SimpleTimingSettings(
+        event_gap_share=gap_share, event_lag_seconds=0.02, token_gap_seconds=0.001
+    )
+    settings = EngineStandinSettings(
+        timing=timing, restart_seconds=0.1, load_lag_seconds=load_lag_seconds
+    )
+    context.engine = make_engine(settings)
+    context.run(context.engine.start())
+    context.stack.push_async_callback(context.engine.stop)
+    context.first_boot = context.engine.boot_id
+
+
+@given("an engine that loses half of its cache events")
+def given_gaps(context):
+    start_engine(context, gap_share=0.5)
+
+
+@given("an engine that loses no cache events")
+def given_no_gaps(context):
+    start_engine(context)
+
+
+@given("an engine whose load reports are {seconds:g} seconds old")
+def given_lag(context, seconds):
+    start_engine(context, load_lag_seconds=seconds)
+
+
+def observe(context):
+    context.seen = defaultdict(list)
+    clock = SystemClock()
+    callbacks = ObserverCallbacks(
+        on_sign=lambda target, sign: context.seen["signs"].append(sign),
+        on_load=lambda report: context.seen["loads"].append(
+            (clock.now_seconds(), report)
+        ),
+        on_events=lambda target, boot, events: context.seen[boot].extend(events),
+    )
+    control = make_control_client(SETTINGS)
+    context.observer = make_target_observer(FAST, control, clock, callbacks)
+    target = Target(
+        target="t", target_group="g", availability_zone="z", url=context.engine.url
+    )
+    context.observer.replace_targets([target])
+    for part in (control, context.observer):
+        context.run(part.start())
+        context.stack.push_async_callback(part.stop)
+
+
+async def run_prompts(engine, n, text):
+    async with aiohttp.ClientSession() as session:
+        for index in range(n):
+            body = {"prompt": f"{text} {index}", "max_tokens": 1}
+            url = f"{engine.url}/v1/completions"
+            async with session.post(url, json=body) as answer:
+                assert answer.status == 200
+
+
+@when("an observer follows it while {n:d} prompts run")
+def when_observed(context, n):
+    observe(context)
+    context.run(run_prompts(context.engine, n, "prompt"))
+    context.run(asyncio.sleep(0.3))
+
+
+@when("the engine crashes, comes back and runs {n:d} prompts")
+def when_crashed(context, n):
+
+    async def crash():
+        context.engine.crash()
+        await wait_until(lambda: context.engine.boot_id != context.first_boot)
+
+    context.run(crash())
+    context.run(asyncio.sleep(0.2))
+    context.run(run_prompts(context.engine, n, "again"))
+    context.run(wait_until(lambda: len(context.seen[context.engine.boot_id]) >= n))
+
+
+@then("the observed events are in order, each once")
+def then_order(context):
+    sequences = [event.sequence for event in context.seen[context.first_boot]]
+    assert sequences == sorted(set(sequences)) and sequences
+
+
+@then("the events lost are those missing between them")
+def then_lost(context):
+    sequences = [event.sequence for event in context.seen[context.first_boot]]
+    lost = context.observer.status()["n_events_lost"]
+    assert lost == sequences[-1] - len(sequences) > 0, (lost, sequences)
+
+
+@then("the observer has passed on the new life's events from the first")
+def then_new_life(context):
+    sequences = [event.sequence for event in context.seen[context.engine.boot_id]]
+    assert sequences == [1, 2], sequences
+    assert [event.sequence for event in context.seen[context.first_boot]]
+
+
+@then("the observer names the new boot id")
+def then_new_boot(context):
+    assert context.observer.incarnations() == {"t": context.engine.boot_id}
+
+
+@then("the load reports were measured at least {seconds:g} seconds before they came")
+def then_measured(context, seconds):
+    # The first reports come before the engine has a history of that length.
+    context.seen["loads"].clear()
+    context.run(asyncio.sleep(2 * seconds))
+    came, report = context.seen["loads"][-1]
+    assert came - report.measured_seconds >= seconds
+
+
+@when("the engine is {state} and an observer asks")
+def when_state(context, state):
+    if state == "stopped":
+        context.run(context.engine.stop())
+    else:
+        context.engine.state = EngineHealthState(state)
+    observe(context)
+    context.run(wait_until(lambda: context.seen["signs"]))
+
+
+@then('the sign of its state is "{sign}"')
+def then_sign(context, sign):
+    assert context.seen["signs"][-1].state.value == sign
+
+
+@when(
+    "a plan with {budget:d} calls a second follows {n_targets:d} targets, "
+    "{n_in_use:d} in use, for {seconds:d} seconds"
+)
+def when_planned(context, budget, n_targets, n_in_use, seconds):
+    periods = dict.fromkeys(ReportKind, 1.0) | {ReportKind.EVENTS: 0.5}
+    targets = [TargetId(f"t{index}") for index in range(n_targets)]
+    context.in_use = set(targets[:n_in_use])
+    plan = PollPlan(PollSettings(periods, budget), context.in_use.__contains__, 1)
+    plan.replace_targets(targets, 0.0)
+    context.targets = targets
+    context.seconds = seconds
+    context.asked = defaultdict(list)
+    for step in range(seconds * 20):
+        for poll in plan.take_due(step / 20):
+            context.asked[poll].append(step / 20)
+
+
+@then("it asks at most {most:d} times a second")
+def then_budget(context, most):
+    # The first periods spread the fleet; the pace counts from then on.
+    half = context.seconds / 2
+    n_late = Counter()
+    for times in context.asked.values():
+        n_late["calls"] += sum(time >= half for time in times)
+    assert n_late["calls"] <= most * half, n_late["calls"] / half
+
+
+@then("each target in use is asked for each report at least every {period:g} seconds")
+def then_in_use(context, period):
+    check_period(context, context.in_use, period, set(ReportKind))
+
+
+@then("each other target is asked for its health at least every {idle:g} seconds")
+def then_idle(context, idle):
+    others = set(context.targets) - context.in_use
+    check_period(context, others, idle, {ReportKind.HEALTH})
+
+
+def check_period(context, targets, period, kinds):
+    if period > context.seconds:
+        return
+    asked = {target: set() for target in targets}
+    for poll, times in context.asked.items():
+        if poll.target in targets and poll.kind in kinds:
+            asked[poll.target].add(poll.kind)
+            gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+            assert max(gaps) <= period, (poll, max(gaps))
+    assert all(found == kinds for found in asked.values())
