Admit whole batches under pressure, and never refuse inside a share

Cause: under overload parts of every batch were admitted, each prefix was evicted between two of its requests, and engines recomputed. Now a cold prefix gets none of the queue under pressure unless its customer is behind the fair order; customers whose demand lies below the max-min level are not refused. The service rate was never updated (0.0 as start read as unset); mended.

--- a/lycheepost/decide/admission.py
+++ b/lycheepost/decide/admission.py
@@ -58,10 +58,12 @@
 
     def update(self, now_seconds: float, is_backlogged: bool) -> None:
         """Note the queue's state; closes a measuring interval when due."""
-        if self._started_seconds is None:
+        started_seconds = self._started_seconds
+        if started_seconds is None:
             self._start(now_seconds)
+            return
         self._was_empty = self._was_empty or not is_backlogged
-        elapsed = now_seconds - (self._started_seconds or now_seconds)
+        elapsed = now_seconds - started_seconds
         if elapsed < MEASURE_SECONDS:
             return
         measured = self._cost_seconds / elapsed
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from lycheepost.core.ids import RequestId, TargetId
+from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.admission import (
     GIVE_UP_SLACK,
     QueueWait,
@@ -28,6 +28,7 @@
     Work,
 )
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.shares import FairShares
 
 SCANNED_REQUESTS = 8
 """Requests looked at when a slot frees up: enough to pass those that wait for
@@ -37,6 +38,33 @@
 """Per tick of 20 ms: the pressure follows the queue within about 2 s, longer
 than a short burst that the engines absorb, shorter than callers' patience."""
 
+COLD_DISCOUNT = 1.0
+"""Under pressure a prompt whose shared prefix is cached nowhere gets less of
+the queue. What is admitted then is whole batches while they are warm; without
+it parts of every batch are served, each prefix is evicted between two of its
+requests, and the engines spend their time on recomputing. When too few new
+batches come in, the queue runs empty and the pressure falls."""
+
+COLD_LEAD = -4.0
+"""Mean costs by which a customer must be behind the fair order for its new
+batches to be taken under pressure; so each customer's turn comes."""
+
+ENGINE_PATIENCE_SHARE = 0.05
+"""Share of the patience that work may wait inside an engine. What waits there
+can no longer be ordered fairly nor refused early; an engine in which nothing
+waits idles between our dispatches."""
+
+INSIDE_PATIENCE_SHARE = 0.8
+"""A customer inside its share is refused only when the engines themselves are
+too slow for it; the rest covers the error of that prediction."""
+
+
+def _is_warm(work: Work, choice: Choice) -> bool:
+    levels = work.levels
+    if len(levels) < 2:
+        return True
+    return choice.cached_tokens >= levels[-2].end_tokens
+
 
 class Group:
     """Queue and targets of one target group."""
@@ -51,11 +79,18 @@
         self._rng = rng
         self._quarantine = quarantine
         self.queue = FairQueue()
+        self.shares = FairShares()
         self.placement = Placement(settings, rng)
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
+        self._usual_rate = ServiceRate(1.0)
         self._bias = WaitBias()
 
+    def set_weights(self, weights: dict[CustomerId, float]) -> None:
+        """Set each customer's weight in fair sharing."""
+        self.queue.set_weights(weights)
+        self.shares.set_weights(weights)
+
     def remove_target(self, target: TargetId) -> None:
         """Forget a target that is no longer configured."""
         self.placement.loads.pop(target, None)
@@ -64,6 +99,15 @@
         prefill = uncached_tokens * self._settings.prefill_seconds_per_token
         return prefill + work.output_tokens * self._settings.decode_seconds_per_token
 
+    def _usual_cost_seconds(self, work: Work) -> float:
+        """Return the cost with as much cached as is usual.
+
+        A refused prefix never gets cached; by its actual cost its customer
+        would seem to ask for ever more, and be refused for that.
+        """
+        uncached_share = self.placement.rates.uncached_share
+        return self._cost_seconds(work, int(work.prompt_tokens * uncached_share))
+
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
         choice = self._choose(work, now_seconds, {})
@@ -71,6 +115,7 @@
             seconds = retry_after_seconds(1.0, self._rng)
             return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
         cost = self._cost_seconds(work, choice.uncached_tokens)
+        self.shares.observe(work.customer, self._usual_cost_seconds(work), now_seconds)
         if choice.can_take and not len(self.queue):
             return [self._dispatch(work, choice, cost, now_seconds)]
         return self._queue_up(work, choice, cost, now_seconds)
@@ -79,6 +124,11 @@
         self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
     ) -> list[Outcome]:
         budget = budget_seconds(work, self._settings)
+        is_inside = self.shares.is_inside(work.customer)
+        if is_inside:
+            budget = work.patience_seconds * INSIDE_PATIENCE_SHARE
+        elif not _is_warm(work, choice) and self._lead_seconds(work) > COLD_LEAD:
+            budget *= 1.0 - COLD_DISCOUNT * self.placement.pressure
         give_up = work.arrived_seconds + budget * GIVE_UP_SLACK
         waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
         rate = self._rate.per_second()
@@ -91,6 +141,10 @@
         self.queue.push(waiting)
         return self.pump(now_seconds)
 
+    def _lead_seconds(self, work: Work) -> float:
+        mean_seconds = self.queue.mean_seconds or 1.0
+        return self.queue.lead_seconds(work.customer) / mean_seconds
+
     def _is_full(self, work: Work) -> bool:
         own = len(self.queue.lane(work.customer).waiting)
         return (
@@ -107,13 +161,10 @@
         work: Work,
         now_seconds: float,
         extra_tokens: dict[TargetId, int],
-        only_free: bool = False,
     ) -> Choice | None:
         avoid = work.excluded
         if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            return self.placement.best(
-                work, now_seconds, avoid, extra_tokens, only_free
-            )
+            return self.placement.best(work, now_seconds, avoid, extra_tokens)
         alone = avoid | self._targets_with_suspects(now_seconds)
         choice = self.placement.best(work, now_seconds, alone, extra_tokens)
         if choice is not None:
@@ -153,6 +204,7 @@
         self._running[work.request] = target
         self.queue.charge(work.customer, cost_seconds)
         self._rate.count(cost_seconds)
+        self._usual_rate.count(self._usual_cost_seconds(work))
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
 
     def pump(self, now_seconds: float) -> list[Outcome]:
@@ -161,7 +213,7 @@
         if not len(self.queue) or not self.placement.has_room(now_seconds):
             return outcomes
         extra_tokens: dict[TargetId, int] = {}
-        for waiting in self.queue.in_order(SCANNED_REQUESTS):
+        for waiting in self.queue.in_order(SCANNED_REQUESTS, self.shares.is_inside):
             outcome = self._try_waiting(waiting, now_seconds, extra_tokens)
             if outcome is not None:
                 outcomes.append(outcome)
@@ -171,11 +223,7 @@
         self, waiting: Waiting, now_seconds: float, extra_tokens: dict[TargetId, int]
     ) -> Outcome | None:
         work = waiting.work
-        # A request that waits for the target with its prefix must not wait for
-        # ever while others fill it: from half of its time on, any target does.
-        halfway = 0.25*waiting.enqueued_seconds + 0.75*waiting.give_up_seconds
-        only_free = now_seconds > halfway
-        choice = self._choose(work, now_seconds, extra_tokens, only_free)
+        choice = self._choose(work, now_seconds, extra_tokens)
         if choice is None:
             return None
         if not choice.can_take:
@@ -219,7 +267,7 @@
         own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
         load.window.observe(
             delay_seconds=elapsed - own_seconds * load.slowness,
-            target_seconds=self._settings.engine_queue_seconds,
+            target_seconds=entry.work.patience_seconds * ENGINE_PATIENCE_SHARE,
             is_limiting=load.queued_tokens > load.window.tokens / 2,
             now_seconds=now_seconds,
         )
@@ -243,6 +291,8 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
         self._rate.update(now_seconds, len(self.queue) > 0)
+        self._usual_rate.update(now_seconds, len(self.queue) > 0)
+        self.shares.divide(self._usual_rate.per_second(), now_seconds)
         pressure = self.placement.pressure
         step = (float(len(self.queue) > 0) - pressure) * PRESSURE_GAIN
         self.placement.pressure = pressure + step
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -130,7 +130,6 @@
         now_seconds: float,
         avoid: frozenset[TargetId] | set[TargetId],
         extra_tokens: dict[TargetId, int],
-        only_free: bool = False,
     ) -> Choice | None:
         """Return the best placement of ``work``; None when no target fits.
 
@@ -140,7 +139,6 @@
             avoid: Targets that must not get this request.
             extra_tokens: Prompt tokens of requests ahead in the queue that
                 wait for a target, by target.
-            only_free: Leave out targets without room now.
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
         weighed: list[Choice] = []
@@ -150,8 +148,6 @@
                 continue
             ahead = extra_tokens.get(target, 0) if extra_tokens else 0
             weighed.append(self._weigh(load, work, now_seconds, ahead))
-        if only_free:
-            weighed = [choice for choice in weighed if choice.can_take]
         if not weighed:
             return None
         least_uncached = min(choice.uncached_tokens for choice in weighed)
--- a/lycheepost/decide/queueing.py
+++ b/lycheepost/decide/queueing.py
@@ -9,7 +9,7 @@
 """
 
 from bisect import bisect_right, insort
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from operator import attrgetter
 
@@ -31,6 +31,9 @@
 COST_GAIN = 0.02
 """Weight of one request in the mean cost; fifty settle it."""
 
+INSIDE_LEAD_SECONDS = 1e6
+"""Puts all requests of customers inside their share before all others."""
+
 CREDIT_SECONDS = 3.0
 """Engine time that an idle customer may have saved up, over its weight: a
 customer far inside its share may send some requests at once without waiting
@@ -100,7 +103,7 @@
         self.lanes: dict[CustomerId, Lane] = {}
         self._weights: dict[CustomerId, float] = {}
         self._by_request: dict[RequestId, Waiting] = {}
-        self._mean_seconds: float | None = None
+        self.mean_seconds: float | None = None
         self.virtual_seconds = 0.0
         self.queued_cost_seconds = 0.0
 
@@ -133,8 +136,8 @@
         give_up_seconds: float | None = None,
     ) -> Waiting:
         """Return a queue entry, ranked against the mean cost so far."""
-        mean_seconds = self._mean_seconds or cost_seconds
-        self._mean_seconds = mean_seconds + COST_GAIN * (cost_seconds - mean_seconds)
+        mean_seconds = self.mean_seconds or cost_seconds
+        self.mean_seconds = mean_seconds + COST_GAIN * (cost_seconds - mean_seconds)
         deadline_seconds = work.arrived_seconds + work.patience_seconds
         return Waiting(
             work=work,
@@ -167,6 +170,13 @@
         oldest = self.virtual_seconds - CREDIT_SECONDS / lane.weight
         lane.virtual_seconds = max(lane.virtual_seconds, oldest)
 
+    def lead_seconds(self, customer: CustomerId) -> float:
+        """Return how far a customer's service is ahead of the fair order.
+
+        Not above zero: it has had less than its share of late.
+        """
+        return self.lane(customer).virtual_seconds - self.virtual_seconds
+
     def remove(self, request: RequestId) -> Waiting | None:
         """Take a request out; None when it does not wait here."""
         waiting = self._by_request.pop(request, None)
@@ -191,10 +201,18 @@
         if active:
             self.virtual_seconds = max(self.virtual_seconds, min(active))
 
-    def in_order(self, limit: int) -> Iterator[Waiting]:
-        """Yield up to ``limit`` requests in fair order, as of the call."""
+    def in_order(
+        self, limit: int, is_inside: Callable[[CustomerId], bool] | None = None
+    ) -> Iterator[Waiting]:
+        """Yield up to ``limit`` requests in fair order, as of the call.
+
+        Args:
+            limit: Most requests to yield.
+            is_inside: Tells customers that ask for no more than their share;
+                theirs go first, as they cannot crowd out the others.
+        """
         heads = [
-            _Head(lane.virtual_seconds, lane)
+            _Head(self._start_of(lane, is_inside), lane)
             for lane in self.lanes.values()
             if lane.waiting
         ]
@@ -209,6 +227,13 @@
                 heads.remove(head)
         return iter(picked)
 
+    def _start_of(
+        self, lane: Lane, is_inside: Callable[[CustomerId], bool] | None
+    ) -> float:
+        if is_inside is not None and is_inside(lane.customer):
+            return lane.virtual_seconds - INSIDE_LEAD_SECONDS
+        return lane.virtual_seconds
+
     def all(self) -> list[Waiting]:
         """Return every waiting request."""
         return list(self._by_request.values())
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -90,7 +90,7 @@
         group = self._groups.get(name)
         if group is None:
             group = Group(self._settings, self._rng, self._quarantine)
-            group.queue.set_weights(self._weights)
+            group.set_weights(self._weights)
             self._groups[name] = group
         return group
 
@@ -98,7 +98,7 @@
         """Set each customer's weight in fair sharing; 1 when missing."""
         self._weights = weights
         for group in self._groups.values():
-            group.queue.set_weights(weights)
+            group.set_weights(weights)
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Take a new request."""
--- a/lycheepost/decide/settings.py
+++ b/lycheepost/decide/settings.py
@@ -27,9 +27,6 @@
         prefill_seconds_per_token: First guess, until measured.
         decode_seconds_per_token: Engine time that one output token takes.
         first_token_seconds: First guess of the fixed part of a first token.
-        engine_queue_seconds: Prefill work that may wait inside an engine. Work
-            queued there cannot be reordered fairly nor refused early, but an
-            engine with none idles between our dispatches.
         admit_patience_share: Share of a caller's patience that the predicted
             wait may take; the rest covers errors of the prediction.
         queue_seconds: Longest wait that a queue is allowed to build up.
@@ -47,7 +44,6 @@
     prefill_seconds_per_token: float = 50e-6
     decode_seconds_per_token: float = 0.7e-3
     first_token_seconds: float = 0.03
-    engine_queue_seconds: float = 0.25
     admit_patience_share: float = 0.4
     queue_seconds: float = 20.0
 
