Tell slow targets by their own rate; weigh candidates in one loop

A restarted target starts with fresh slowness, window and load; late messages of a dead incarnation are ignored everywhere; an idle stretch of over 5 s no longer reads as no own load. Slowness fades while unobserved, so a recovered target is probed.

--- a/lycheepost/decide/belief.py
+++ b/lycheepost/decide/belief.py
@@ -93,24 +93,32 @@
         self._entries.clear()
         self._tokens = 0
 
-    def restart(self, incarnation: Incarnation) -> None:
-        """Follow the target to a new incarnation, which starts empty."""
+    def follow(self, incarnation: Incarnation) -> bool:
+        """Take note of the incarnation that a message speaks for.
+
+        Late messages of a dead incarnation would fill the belief with blocks
+        that no longer exist. A new incarnation announces a restart that we
+        have not been told of.
+
+        Returns:
+            Whether the message is of the present incarnation.
+        """
+        if incarnation in self._retired:
+            return False
+        if incarnation != self.incarnation:
+            self._restart(incarnation)
+        return True
+
+    def _restart(self, incarnation: Incarnation) -> None:
         self.clear()
         self._retired.add(self.incarnation)
         self.incarnation = incarnation
         self._sequence = None
 
     def observe(self, incarnation: Incarnation, events: Sequence[CacheEvent]) -> None:
-        """Apply cache events, which may be late and have gaps.
-
-        Late events of a dead incarnation would fill the belief with blocks
-        that no longer exist, so they are ignored. A new incarnation announces
-        a restart that we have not been told of, and starts empty.
-        """
-        if incarnation in self._retired:
+        """Apply cache events, which may be late and have gaps."""
+        if not self.follow(incarnation):
             return
-        if incarnation != self.incarnation:
-            self.restart(incarnation)
         for event in events:
             self._observe_one(event)
         self._evict()
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -18,7 +18,6 @@
 from lycheepost.decide.placement import Choice, Placement
 from lycheepost.decide.quarantine import PeerSuspects, Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting
-from lycheepost.decide.rates import follow_slowness
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -125,13 +124,8 @@
     def _queue_up(
         self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
     ) -> list[Outcome]:
-        budget = budget_seconds(work, self._settings)
-        is_inside = self.shares.is_inside(work.customer)
-        if is_inside:
-            budget = work.patience_seconds * INSIDE_PATIENCE_SHARE
-        elif not _is_warm(work, choice) and self._lead_seconds(work) > COLD_LEAD:
-            budget *= 1.0 - COLD_DISCOUNT * self.placement.pressure
-        give_up = work.arrived_seconds + budget * GIVE_UP_SLACK
+        budget = self._budget_seconds(work, choice, now_seconds)
+        give_up = now_seconds + budget * GIVE_UP_SLACK
         waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
         rate = self._rate.per_second()
         wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
@@ -143,6 +137,19 @@
         self.queue.push(waiting)
         return self.pump(now_seconds)
 
+    def _budget_seconds(self, work: Work, choice: Choice, now_seconds: float) -> float:
+        """Return how long from now ``work`` may wait for its first token."""
+        if work.excluded:
+            # A target failed it, not the load: it has its caller's whole time.
+            elapsed = now_seconds - work.arrived_seconds
+            return max(0.0, work.patience_seconds - elapsed)
+        if self.shares.is_inside(work.customer):
+            return work.patience_seconds * INSIDE_PATIENCE_SHARE
+        budget = budget_seconds(work, self._settings)
+        if _is_warm(work, choice) or self._lead_seconds(work) < COLD_LEAD:
+            return budget
+        return budget * (1.0 - COLD_DISCOUNT * self.placement.pressure)
+
     def _lead_seconds(self, work: Work) -> float:
         mean_seconds = self.queue.mean_seconds or 1.0
         return self.queue.lead_seconds(work.customer) / mean_seconds
@@ -267,10 +274,10 @@
             rates.observe_uncached(uncached, entry.work.prompt_tokens)
         elapsed = now_seconds - entry.dispatched_seconds
         ratio = rates.observe_first_token(elapsed, entry.ahead_tokens + uncached)
-        load.slowness = follow_slowness(load.slowness, ratio)
+        load.slowness.observe(ratio, now_seconds)
         own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
         load.window.observe(
-            delay_seconds=elapsed - own_seconds * load.slowness,
+            delay_seconds=elapsed - own_seconds * load.slowness.value,
             target_seconds=entry.work.patience_seconds * ENGINE_PATIENCE_SHARE,
             is_limiting=load.queued_tokens > load.window.tokens / 2,
             now_seconds=now_seconds,
@@ -329,7 +336,7 @@
                     "state": load.view.state.value,
                     "n_in_flight": len(load.in_flight),
                     "n_believed_levels": len(load.belief),
-                    "slowness": round(load.slowness, 3),
+                    "slowness": round(load.slowness.value, 3),
                 }
                 for target, load in self.placement.loads.items()
             },
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -13,6 +13,7 @@
 from lycheepost.decide.belief import CacheBelief
 from lycheepost.decide.concurrency import Window
 from lycheepost.decide.records import LoadReport, TargetView, Work
+from lycheepost.decide.slow import Slowness
 
 HISTORY_SECONDS = 5.0
 """Load reports are at most a few seconds late."""
@@ -72,14 +73,17 @@
     others_tokens: float = 0.0
     others_running: float = 0.0
     reported_seconds: float = float("-inf")
-    slowness: float = 1.0
+    slowness: Slowness = field(default_factory=Slowness)
     history: deque[OwnLoad] = field(default_factory=deque)
 
     def replace_view(self, view: TargetView) -> None:
         """Follow a change; what an older incarnation or weights cached is gone."""
-        has_restarted = view.incarnation != self.view.incarnation
-        if has_restarted and view.incarnation != self.belief.incarnation:
-            self.belief.restart(view.incarnation)
+        if view.incarnation != self.view.incarnation:
+            self.belief.follow(view.incarnation)
+            self.others_tokens = 0.0
+            self.others_running = 0.0
+            self.slowness = Slowness()
+            self.window = Window()
         if view.weights_version != self.view.weights_version:
             self.belief.clear()
         self.view = view
@@ -115,7 +119,9 @@
     def _remember(self, now_seconds: float) -> None:
         own = OwnLoad(now_seconds, self.queued_prompt_tokens, len(self.in_flight))
         self.history.append(own)
-        while self.history[0].at_seconds < now_seconds - HISTORY_SECONDS:
+        # The newest entry before the horizon stays: it was true until the next.
+        horizon = now_seconds - HISTORY_SECONDS
+        while len(self.history) > 1 and self.history[1].at_seconds < horizon:
             self.history.popleft()
 
     def _own_at(self, at_seconds: float) -> OwnLoad:
@@ -133,6 +139,8 @@
         """
         if report.measured_seconds <= self.reported_seconds:
             return
+        if not self.belief.follow(report.incarnation):
+            return
         own = self._own_at(report.measured_seconds)
         self.reported_seconds = report.measured_seconds
         n_requests = report.n_running + report.n_queued
@@ -144,17 +152,21 @@
         self.others_tokens = (self.others_tokens + others_tokens) / 2
         self.others_running = (self.others_running + others_running) / 2
 
-    def backlog_tokens(self, now_seconds: float) -> float:
-        """Return the prompt tokens that wait for prefill there now."""
-        if now_seconds - self.reported_seconds > REPORT_SECONDS:
-            return self.queued_tokens
-        return self.queued_tokens + self.others_tokens
-
-    def n_running(self, now_seconds: float) -> float:
-        """Return the requests that run or wait there now."""
+    def estimate(self, now_seconds: float) -> tuple[float, float]:
+        """Return the tokens waiting for prefill there and the requests there."""
         if now_seconds - self.reported_seconds > REPORT_SECONDS:
-            return len(self.in_flight)
-        return len(self.in_flight) + self.others_running
+            return self.queued_tokens, len(self.in_flight)
+        return (
+            self.queued_tokens + self.others_tokens,
+            len(self.in_flight) + self.others_running,
+        )
+
+    def has_room(self, n_running: float) -> bool:
+        """Tell whether it may take one more beside ``n_running``."""
+        if n_running >= self.limit():
+            return False
+        # One request may always go: windows are narrower than long prompts.
+        return not self.queued_tokens or self.queued_tokens < self.window.tokens
 
     def limit(self) -> float:
         """Return the most requests that it should hold."""
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -10,6 +10,7 @@
 owners as its first ones fill up and lose them when demand falls.
 """
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Sequence
@@ -94,7 +95,9 @@
         """Tell whether some target may take work now; guesses in large groups."""
         if len(self._serving) > SCORE_ALL_TARGETS:
             return True
-        return any(self._can_take(load, now_seconds) for load in self._serving)
+        return any(
+            load.has_room(load.estimate(now_seconds)[1]) for load in self._serving
+        )
 
     def note_holder(self, work: Work, target: TargetId) -> None:
         """Remember that ``target`` is about to hold the levels of ``work``."""
@@ -141,69 +144,70 @@
                 wait for a target, by target.
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
-        weighed: list[Choice] = []
+        version = work.weights_version
+        usable: list[tuple[TargetLoad, int]] = []
         for load in self._candidates(work, owners):
-            target = load.view.target
-            if target in avoid or not _has_weights(load, work):
+            view = load.view
+            if view.target in avoid or (version and view.weights_version != version):
                 continue
-            ahead = extra_tokens.get(target, 0) if extra_tokens else 0
-            weighed.append(self._weigh(load, work, now_seconds, ahead))
-        if not weighed:
+            uncached = work.prompt_tokens - load.belief.cached_tokens(work.levels)
+            usable.append((load, uncached if uncached > 0 else 0))
+        if not usable:
             return None
-        least_uncached = min(choice.uncached_tokens for choice in weighed)
-        return min(
-            weighed, key=lambda choice: self._score(choice, least_uncached, owners)
-        )
+        return self._lowest(usable, owners, now_seconds, extra_tokens, work)
 
-    def _weigh(
-        self, load: TargetLoad, work: Work, now_seconds: float, ahead: int
+    def _lowest(
+        self,
+        usable: list[tuple[TargetLoad, int]],
+        owners: list[TargetId],
+        now_seconds: float,
+        extra_tokens: dict[TargetId, int],
+        work: Work,
     ) -> Choice:
-        cached = min(load.belief.cached_tokens(work.levels), work.prompt_tokens)
-        uncached = work.prompt_tokens - cached
+        """Return the target of lowest cost.
+
+        One loop without calls per target where it can be avoided: it runs for
+        each arriving request, 100 of them a second in a daemon, and for each
+        waiting one whenever room appears.
+        """
         rates = self.rates
-        ahead_tokens = load.backlog_tokens(now_seconds) + ahead
-        tokens = ahead_tokens + uncached
-        wait = rates.first_token_seconds + tokens * rates.token_seconds
-        wait *= load.slowness
-        excess = load.n_running(now_seconds) + 1 - load.limit()
-        if excess > 0:
-            wait += excess * rates.hold_seconds / load.limit()
-        can_take = self._can_take(load, now_seconds)
-        return Choice(load, wait, cached, uncached, ahead_tokens, can_take)
-
-    def _score(
-        self, choice: Choice, least_uncached: int, owners: list[TargetId]
-    ) -> float:
-        avoidable = choice.uncached_tokens - least_uncached
-        recompute = avoidable * self.rates.token_seconds
-        target = choice.load.view.target
-        steps = owners.index(target) if target in owners else OWNER_STEPS
-        delayed_requests = choice.ahead_tokens / self.rates.uncached_tokens
-        prefill = choice.uncached_tokens * self.rates.token_seconds
-        delay_of_others = prefill * min(MAX_DELAYED, delayed_requests)
+        token_seconds = rates.token_seconds
+        wait_weight = self._settings.wait_weight
         price = self._settings.recompute_weight + PRESSURE_PRICE * self.pressure
-        return (
-            self._settings.wait_weight * (choice.wait_seconds + delay_of_others)
-            + price * recompute
-            + steps * OWNER_SECONDS
-        )
-
-    def _can_take(self, load: TargetLoad, now_seconds: float) -> bool:
-        if load.n_running(now_seconds) >= load.limit():
-            return False
-        return not load.queued_tokens or load.queued_tokens < load.window.tokens
+        least_uncached = min([item[1] for item in usable])
+        best_score = math.inf
+        best: tuple[TargetLoad, int, float, float, float] | None = None
+        for load, uncached in usable:
+            target = load.view.target
+            ahead, n_running = load.estimate(now_seconds)
+            if extra_tokens:
+                ahead += extra_tokens.get(target, 0)
+            prefill = uncached * token_seconds
+            wait = rates.first_token_seconds + ahead * token_seconds + prefill
+            wait *= load.slowness.now(now_seconds)
+            excess = n_running + 1.0 - load.limit()
+            if excess > 0.0:
+                wait += excess * rates.hold_seconds / load.limit()
+            delayed = min(MAX_DELAYED, ahead / rates.uncached_tokens)
+            steps = owners.index(target) if target in owners else OWNER_STEPS
+            score = (
+                wait_weight * (wait + prefill * delayed)
+                + price * (uncached - least_uncached) * token_seconds
+                + steps * OWNER_SECONDS
+            )
+            if score < best_score:
+                best_score = score
+                best = (load, uncached, wait, ahead, n_running)
+        assert best is not None
+        load, uncached, wait, ahead, n_running = best
+        cached = work.prompt_tokens - uncached
+        return Choice(load, wait, cached, uncached, ahead, load.has_room(n_running))
 
 
 def _takes_new_work(load: TargetLoad) -> bool:
     return load.view.state in (TargetState.SERVING, TargetState.WARMING)
 
 
-def _has_weights(load: TargetLoad, work: Work) -> bool:
-    return not work.weights_version or (
-        load.view.weights_version == work.weights_version
-    )
-
-
 def _owner_key(work: Work) -> int:
     """Return what a prefix is owned by: the deepest level that may be shared.
 
--- a/lycheepost/decide/rates.py
+++ b/lycheepost/decide/rates.py
@@ -1,8 +1,7 @@
-"""Measured speeds of a target group's engines and of each target.
+"""Measured speeds of a target group's engines.
 
-First tokens tell how fast prompts are worked off. The group's figure is what
-its targets do in general; a target's own figure over the group's tells a slow
-target from a fleet that is busy as a whole.
+First tokens tell how fast prompts are worked off in general; ``decide.slow``
+sets each target against it.
 """
 
 from dataclasses import dataclass
@@ -18,12 +17,6 @@
 LARGE_TOKENS = 800
 """Above this the time per token can be told from the fixed part."""
 
-SLOWNESS_GAIN = 0.15
-"""A slow target is told within some ten first tokens."""
-
-MIN_SLOWNESS = 0.5
-MAX_SLOWNESS = 20.0
-
 
 @dataclass(slots=True)
 class Rates:
@@ -44,7 +37,7 @@
     uncached_tokens: float = 1000.0
 
     def observe_first_token(self, elapsed_seconds: float, n_tokens: float) -> float:
-        """Learn from one first token; returns the target's slowness in it.
+        """Learn from one first token; returns observed over predicted time.
 
         Args:
             elapsed_seconds: From the dispatch to the first token.
@@ -75,9 +68,3 @@
 def make_rates(settings: SchedulerSettings) -> Rates:
     """Return the first guesses."""
     return Rates(settings.prefill_seconds_per_token, settings.first_token_seconds)
-
-
-def follow_slowness(slowness: float, ratio: float) -> float:
-    """Return a target's slowness after one more observation."""
-    ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
-    return slowness + SLOWNESS_GAIN * (ratio - slowness)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -194,8 +194,6 @@
         if group is None:
             return
         load = group.placement.loads[report.target]
-        if report.incarnation != load.belief.incarnation:
-            load.belief.restart(report.incarnation)
         load.observe(report, group.placement.rates.uncached_share)
 
     def observe_cache_events(
