--- a/lycheepost/bench/decision.py
+++ b/lycheepost/bench/decision.py
@@ -5,12 +5,13 @@
 """
 
 import gc
+import math
 import time
 from dataclasses import asdict, dataclass, replace
 
 import numpy as np
 
-from lycheepost.bench.policyload import GROUP, PRAIRIE, SCENARIOS, WEIGHTS, Demand
+from lycheepost.bench.policyload import GROUP, PRAIRIE, WEIGHTS, Demand, Scenario
 from lycheepost.core.ids import AvailabilityZone, Incarnation, TargetId
 from lycheepost.decide import placement
 from lycheepost.decide.records import (
@@ -27,9 +28,14 @@
 N_DECISIONS = 4000
 N_DECISIONS_ALL_SCORED = 100
 """Scoring 12,000 targets takes tens of milliseconds; a hundred tell enough."""
-IN_FLIGHT = 500
-"""Requests that one daemon has open: 52,000 a second over 540 daemons at a few
-seconds each."""
+DAEMON_RATE = 96.0
+"""Requests a second of one daemon: 52,000 a second over 540."""
+RATE_PER_SERVER = 1.2
+"""And before a small fleet, its part of what the servers can take."""
+IN_FLIGHT_SECONDS = 4.0
+"""How long a request stays open."""
+WARM_DECISIONS = 500
+"""Decisions left out at the start, while nothing is in flight."""
 N_ZONES = 9
 
 
@@ -65,9 +71,11 @@
     )
 
 
-def _make_works(n_works: int, seed: int) -> list[Work]:
-    deployment = replace(PRAIRIE, capacity_per_second=1000.0)
-    demand = Demand(deployment, SCENARIOS["steady"], seed)
+def _make_works(n_works: int, n_servers: int, seed: int) -> list[Work]:
+    rate = min(DAEMON_RATE, RATE_PER_SERVER * n_servers)
+    deployment = replace(PRAIRIE, capacity_per_second=rate)
+    scenario = Scenario("decision", lambda _now: 1.0, duration_seconds=math.inf)
+    demand = Demand(deployment, scenario, seed)
     works = []
     for _, arrival in demand.arrivals():
         works.append(arrival.work)
@@ -79,7 +87,7 @@
 def _measure(policy: str, n_servers: int, n_decisions: int, seed: int) -> list[int]:
     scheduler = Scheduler(SchedulerSettings(), seed)
     scheduler.replace_targets(_make_views(n_servers), 0.0)
-    works = _make_works(n_decisions + IN_FLIGHT, seed)
+    works = _make_works(n_decisions + WARM_DECISIONS, n_servers, seed)
     costs = []
     opened: list[Work] = []
     gc.collect()
@@ -90,12 +98,12 @@
             started = time.perf_counter_ns()
             outcomes = scheduler.arrive(work, now_seconds)
             elapsed = time.perf_counter_ns() - started
-            if index >= IN_FLIGHT:
+            if index >= WARM_DECISIONS:
                 costs.append(elapsed)
             if any(isinstance(outcome, Dispatch) for outcome in outcomes):
                 scheduler.first_token(work.request, now_seconds + 0.05, None)
                 opened.append(work)
-            if len(opened) > IN_FLIGHT:
+            while opened[0].arrived_seconds < now_seconds - IN_FLIGHT_SECONDS:
                 ended = opened.pop(0)
                 scheduler.finish(ended.request, now_seconds, FinishKind.COMPLETE)
     finally:
--- a/lycheepost/bench/policyload.py
+++ b/lycheepost/bench/policyload.py
@@ -6,9 +6,11 @@
 """
 
 import heapq
+import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from operator import itemgetter
 
 from lycheepost.core.hashing import chain_digest, hash_bytes
 from lycheepost.core.ids import (
@@ -262,54 +264,57 @@
         """Yield the arrivals in order of time.
 
         Batches start as a Poisson process whose rate follows the scenario; each
-        then sends its requests one by one. Requests on the hot batch are a
-        process of their own.
+        then sends its requests one by one. The process begins early enough for
+        batches to be under way at the start; the demand would else take as long
+        as a batch to reach its level. Requests on the hot batch are a process
+        of their own.
         """
+        merged = heapq.merge(
+            self._batch_requests(), self._hot_requests(), key=itemgetter(0)
+        )
+        for at_seconds, batch in merged:
+            yield at_seconds, self._arrive(batch, at_seconds)
+
+    def _batch_requests(self) -> Iterator[tuple[float, _Batch]]:
+        deployment = self._deployment
         pending: list[tuple[float, int, _Batch]] = []
+        next_batch = -deployment.batch_requests.high * deployment.batch_gap_seconds.high
         mean_requests = (
-            self._deployment.batch_requests.low + self._deployment.batch_requests.high
+            deployment.batch_requests.low + deployment.batch_requests.high
         ) / 2
-        next_batch = 0.0
-        next_hot = 0.0
         n_pushed = 0
         while True:
-            if pending and pending[0][0] <= min(next_batch, next_hot):
-                at_seconds, _, batch = heapq.heappop(pending)
-                if at_seconds > self._scenario.duration_seconds:
-                    return
-                yield at_seconds, self._arrive(batch, at_seconds)
-                batch.remaining -= 1
-                if batch.remaining > 0:
-                    gap = self._deployment.batch_gap_seconds.draw(self._rng)
-                    n_pushed += 1
-                    heapq.heappush(pending, (at_seconds + gap, n_pushed, batch))
-                continue
-            now_seconds = min(next_batch, next_hot)
-            if now_seconds > self._scenario.duration_seconds:
-                if not pending:
-                    return
-                next_batch = next_hot = float("inf")
-                continue
-            rate = self._rate(now_seconds)
-            if next_hot <= next_batch:
-                hot_rate = rate * self._scenario.hot_share
-                if hot_rate > 0:
-                    yield (
-                        now_seconds,
-                        self._arrive(self._hot_batch(now_seconds), now_seconds),
-                    )
-                    next_hot = now_seconds + self._rng.expovariate(hot_rate)
-                else:
-                    next_hot = float("inf")
-                continue
-            customer = self._rng.choices(self.customers, self._shares)[0]
-            n_pushed += 1
-            heapq.heappush(pending, (now_seconds, n_pushed, self._new_batch(customer)))
-            batch_rate = rate * (1.0 - self._scenario.hot_share) / mean_requests
-            next_batch = now_seconds + self._rng.expovariate(batch_rate)
+            at_seconds = min(next_batch, pending[0][0] if pending else math.inf)
+            if at_seconds > self._scenario.duration_seconds:
+                return
+            if at_seconds == next_batch:
+                batch = self._new_batch(self._draw_customer())
+                rate = self._rate(at_seconds) * (1.0 - self._scenario.hot_share)
+                next_batch += self._rng.expovariate(rate / mean_requests)
+            else:
+                batch = heapq.heappop(pending)[2]
+            if at_seconds >= 0.0:
+                yield at_seconds, batch
+            batch.remaining -= 1
+            if batch.remaining > 0:
+                gap_seconds = deployment.batch_gap_seconds.draw(self._rng)
+                n_pushed += 1
+                heapq.heappush(pending, (at_seconds + gap_seconds, n_pushed, batch))
+
+    def _hot_requests(self) -> Iterator[tuple[float, _Batch]]:
+        if not self._scenario.hot_share:
+            return
+        at_seconds = 0.0
+        while at_seconds <= self._scenario.duration_seconds:
+            yield at_seconds, self._hot_batch(at_seconds)
+            rate = self._rate(at_seconds) * self._scenario.hot_share
+            at_seconds += self._rng.expovariate(rate)
+
+    def _draw_customer(self) -> CustomerId:
+        return self._rng.choices(self.customers, self._shares)[0]
 
     def _rate(self, now_seconds: float) -> float:
-        level = self._scenario.level(now_seconds)
+        level = self._scenario.level(max(0.0, now_seconds))
         return self._deployment.capacity_per_second * level
 
     def _arrive(self, batch: _Batch, now_seconds: float) -> Arrival:
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -121,6 +121,7 @@
             if len(names) >= self._settings.candidates:
                 break
             names.extend(self._holders.get(level.digest, ()))
+        del names[self._settings.candidates :]
         loads = {name: self.loads[name] for name in names if name in self.loads}
         for _ in range(RANDOM_CANDIDATES):
             load = self._serving[int(self._rng.random() * len(self._serving))]
