--- /dev/null
+++ b/features/peers/fleet.feature
@@ -0,0 +1,46 @@
+Feature: Many daemons together
+
+  Scenario Outline: A confirmed change with <latency> store latency is in force everywhere
+    An operator takes a leaked key out of force, and every daemon must refuse it.
+
+    When 20 daemons take 50 changes with a store latency of <latency>
+    Then every change was in force on all of them within <limit>
+
+    Examples:
+      | latency     | limit     |
+      | 0.0 seconds | 2 seconds |
+      | 0.2 seconds | 4 seconds |
+
+  Scenario: A herd of restarts stays inside the store's reads
+    All VMs are replaced within a second, and every daemon starts with nothing.
+    If each read the whole configuration the table would throttle them all.
+
+    When 100 daemons restart at the same moment, with and without peers
+    Then with peers no second sees more than 700 reads, and all have the configuration
+    And without peers it sees more
+
+  Scenario: The store is down for an hour
+    When the store is down for an hour under 6 daemons, with a restart and leaving targets
+    Then every look-up was answered, and nothing went back
+    And leaving targets were avoided within 5 seconds everywhere
+    And the restarted daemon had the configuration within 5 seconds
+    And after the hour a change is in force on all of them
+
+  Scenario: A daemon that leaves is out of every addresses answer within 2 seconds
+    Given a fleet of 12 daemons with the store down
+    When a daemon announces that it leaves
+    Then within 2 seconds no addresses answer names it
+
+  Scenario: Two regions lose each other for an hour and find each other again
+    Each side takes the other for gone. Without a probe of those who seem gone
+    neither would ever look again, and changes would cross by the table alone.
+
+    Given a fleet of 12 daemons with the store down
+    When the links between two halves pass nothing for an hour
+    Then each half takes the other for gone
+    And within 5 minutes after that all daemons know each other as live
+
+  Scenario: A daemon that dies without a word is out of every addresses answer
+    Given a fleet of 12 daemons with the store down
+    When a daemon dies without a word
+    Then within 20 seconds no addresses answer names it
--- /dev/null
+++ b/features/peers/sockets.feature
@@ -0,0 +1,60 @@
+Feature: Messages between daemons over sockets
+
+  Scenario Outline: A daemon with <keys> hears nothing and is not heard
+    Somebody on the network starts a daemon of their own to read customers' key
+    hashes or to slip in a configuration. Their connection must end in the
+    handshake.
+
+    Given three daemons of one deployment that share keys
+    And a stranger with <keys> who knows where they are
+    When one of the three commits a change
+    Then the other two have it within 5 seconds
+    And the stranger has heard nothing and nobody has heard it
+
+    Examples:
+      | keys          |
+      | other keys    |
+      | no keys       |
+
+  Scenario: The keys of a deployment are changed one daemon at a time
+    Given a daemon with old keys that trusts the new ones
+    And a daemon with new keys that trusts the old ones
+    When the first commits a change
+    Then the other has it within 10 seconds
+
+  Scenario: A link that has gone silent is replaced while new ones work
+    A device between two daemons forgets an open connection: nothing arrives any
+    more and nobody is told. The daemons would miss changes until a restart.
+
+    Given two daemons whose link passes through a relay
+    When the relay forgets the open connections without closing them
+    And one of the two commits a change after that
+    Then the other has it within 10 seconds
+
+  Scenario Outline: A newer release sends <message>: it is counted, and the link lives
+    Releases run side by side for days while a fleet is updated.
+
+    Given two daemons that are linked
+    When one receives <message>
+    Then it has counted <counted> and still takes heartbeats
+
+    Examples:
+      | message          | counted        |
+      | an unknown kind  | unknown_kinds  |
+      | an unknown field | unknown_fields |
+      | a damaged frame  | n_damaged      |
+      | a damaged body   | n_damaged      |
+
+  Scenario: A flood of an unknown kind is passed on to those who know it
+    Given three daemons in a row, the middle one of an older release
+    When the first floods a notice that the middle one does not know
+    Then the last one has it
+
+  Scenario: A peer that takes nothing costs dropped messages, not time or memory
+    Given a daemon whose peer does not exist, with room for 50 messages
+    When it sends 500 messages to that peer
+    Then at least 400 of them were dropped at once
+
+  Scenario: Without keys a daemon does not listen on a network
+    When a daemon without keys is to listen on "10.0.0.1"
+    Then it refuses to start
--- /dev/null
+++ b/features/peers/steps/socket_steps.py
@@ -0,0 +1,281 @@
+import asyncio
+from dataclasses import dataclass, replace
+
+import msgspec
+from behave import given, then, when
+from relay import Relay
+
+from lycheepost.core.clock import SystemClock
+from lycheepost.core.ids import AvailabilityZone, DaemonId, Revision
+from lycheepost.generated.configuration import Configuration, Customer
+from lycheepost.generated.messages import QuarantineNotice
+from lycheepost.peers import wire
+from lycheepost.peers.exchange import make_peer_exchange
+from lycheepost.peers.membership import MemberExchange
+from lycheepost.peers.revisions import RevisionExchange
+from lycheepost.peers.sockets import PeerError, make_peer_keys, make_socket_transport
+from lycheepost.standin.objects import make_object_model
+from lycheepost.standin.table import make_table_model
+from lycheepost.standin.vmlist import make_vm_list_model
+from lycheepost.state.addresses import Member, MemberState
+from lycheepost.state.members import make_member_keeper
+from lycheepost.state.revisions import make_revision_keeper
+
+EXCHANGE_SECONDS = 0.1
+
+
+@dataclass
+class Node:
+    name: DaemonId
+    transport: object
+    revisions: object
+    members: object
+    exchange: object
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+def start_node(context, name, keys):
+    """Start a daemon whose table is its own, so that only peers tell it things."""
+    clock = SystemClock()
+    name = DaemonId(name)
+    transport = make_socket_transport(name, keys=keys)
+    revisions = make_revision_keeper(make_table_model(), make_object_model(), clock)
+    me = Member(name, f"{name}-1", MemberState.LIVE, AvailabilityZone("x"), "u", "")
+    members = make_member_keeper(
+        make_vm_list_model(), clock, me, lambda: revisions.view
+    )
+    exchange = make_peer_exchange(
+        transport,
+        members,
+        clock,
+        lambda: revisions.revision,
+        exchange_seconds=EXCHANGE_SECONDS,
+    )
+    MemberExchange(exchange, members, clock)
+    RevisionExchange(exchange, revisions, clock)
+    run(context, exchange.start())
+    context.closers.append(exchange.stop)
+    return Node(name, transport, revisions, members, exchange)
+
+
+def introduce(node, other, endpoint=""):
+    node.members.add_seed(other.name, endpoint or other.transport.endpoint)
+
+
+def start_linked(context, names, keys=None):
+    nodes = [start_node(context, name, keys) for name in names]
+    for node in nodes:
+        for other in nodes:
+            introduce(node, other)
+    return nodes
+
+
+async def commit(node, basis=0):
+    customers = [Customer(customer="c", key_hashes=[])]
+    configuration = Configuration(revision=basis, customers=customers)
+    return await node.revisions.commit(Revision(basis), configuration)
+
+
+def wait_until(context, is_true, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            while True:
+                if is_true():
+                    return
+                await asyncio.sleep(0.02)
+
+    run(context, wait())
+
+
+@given("three daemons of one deployment that share keys")
+def step_three(context):
+    context.nodes = start_linked(context, "abc", make_peer_keys())
+
+
+@given("a stranger with {keys} who knows where they are")
+def step_stranger(context, keys):
+    own = make_peer_keys() if keys == "other keys" else None
+    context.stranger = start_node(context, "stranger", own)
+    for node in context.nodes:
+        introduce(context.stranger, node)
+        introduce(node, context.stranger)
+    run(context, commit(context.stranger))
+    run(context, asyncio.sleep(5 * EXCHANGE_SECONDS))
+
+
+@when("one of the three commits a change")
+@when("the first commits a change")
+@when("one of the two commits a change after that")
+def step_commits(context):
+    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
+    assert run(context, commit(context.nodes[0])) is not None
+    assert context.nodes[0].revisions.revision == 1
+
+
+@then("the other two have it within {seconds:d} seconds")
+@then("the other has it within {seconds:d} seconds")
+def step_have(context, seconds):
+    others = context.nodes[1:]
+    wait_until(context, lambda: all(n.revisions.revision == 1 for n in others), seconds)
+    assert all("c" in node.revisions.view.customers for node in others)
+
+
+@then("the stranger has heard nothing and nobody has heard it")
+def step_unheard(context):
+    assert context.stranger.transport.bytes_in == 0
+    for node in context.nodes:
+        assert "stranger" not in node.transport._accepted
+        assert node.revisions.status()["source"] != "peer stranger"
+
+
+@given("a daemon with old keys that trusts the new ones")
+def step_old(context):
+    context.old, context.new = make_peer_keys(), make_peer_keys()
+    keys = replace(context.old, trusted=(context.new.public,))
+    context.nodes = [start_node(context, "old", keys)]
+
+
+@given("a daemon with new keys that trusts the old ones")
+def step_new(context):
+    keys = replace(context.new, trusted=(context.old.public,))
+    context.nodes.append(start_node(context, "new", keys))
+    old, new = context.nodes
+    introduce(old, new)
+    introduce(new, old)
+
+
+@given("two daemons whose link passes through a relay")
+def step_relay(context):
+    context.nodes = [start_node(context, name, None) for name in "ab"]
+    first, second = context.nodes
+    context.relay = Relay(second.transport.endpoint)
+    run(context, context.relay.start())
+    context.closers.append(context.relay.stop)
+    introduce(first, second, context.relay.endpoint)
+    wait_until(context, lambda: context.relay.n_connections > 0, 5)
+    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
+    # The second knows the first by its greeting only, over the same relay.
+    assert second.exchange.linked() == ("a",)
+    second.members._members.pop(DaemonId("a"))
+
+
+@when("the relay forgets the open connections without closing them")
+def step_forget(context):
+    context.relay.forget()
+
+
+@given("two daemons that are linked")
+def step_linked(context):
+    context.nodes = start_linked(context, "ab")
+    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
+
+
+def make_message(message):
+    match message:
+        case "an unknown kind":
+            return wire_frame("news-of-2030", {"a": 1})
+        case "an unknown field":
+            return wire_frame("heartbeat", {"revision": 0, "mood": "good"})
+        case "a damaged frame":
+            return b"\xc1\xff\x00"
+        case "a damaged body":
+            return wire_frame("heartbeat", {"revision": "many"})
+    raise ValueError(message)
+
+
+def wire_frame(kind, body):
+    frame = {"version": 9, "kind": kind, "body": msgspec.msgpack.encode(body), "x": 1}
+    return msgspec.msgpack.encode(frame)
+
+
+@when("one receives {message}")
+def step_receives(context, message):
+    first, second = context.nodes
+    assert first.transport.send(second.name, make_message(message))
+    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
+
+
+@then("it has counted {counted} and still takes heartbeats")
+def step_counted(context, counted):
+    first, second = context.nodes
+    assert second.exchange.status()[counted], second.exchange.status()
+    heard = second.transport.bytes_in
+    run(context, asyncio.sleep(5 * EXCHANGE_SECONDS))
+    assert second.transport.bytes_in > heard
+    assert first.name in second.exchange.linked()
+
+
+@given("three daemons in a row, the middle one of an older release")
+def step_row(context):
+    context.nodes = [start_node(context, name, None) for name in "abc"]
+    first, middle, last = context.nodes
+    introduce(first, middle)
+    introduce(middle, last)
+    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
+    context.got = []
+    last.exchange.subscribe(
+        QuarantineNotice, lambda notice, origin: context.got.append((notice, origin))
+    )
+
+
+@when("the first floods a notice that the middle one does not know")
+def step_flood(context):
+    known = wire.MESSAGE_TYPES.pop("quarantine")
+    first = context.nodes[0]
+    notice = QuarantineNotice(fingerprint=7, until_wall_seconds=9.0)
+    first.exchange.broadcast(notice)
+    middle = context.nodes[1]
+    wait_until(context, lambda: middle.exchange.counts.unknown_kinds, 5)
+    wire.MESSAGE_TYPES["quarantine"] = known
+    first.exchange.broadcast(notice)
+
+
+@then("the last one has it")
+def step_last(context):
+    wait_until(context, lambda: context.got, 5)
+    notice, origin = context.got[0]
+    assert (notice.fingerprint, origin) == (7, "a")
+
+
+@given("a daemon whose peer does not exist, with room for {n:d} messages")
+def step_room(context, n):
+    context.transport = make_socket_transport(DaemonId("a"), queue_messages=n)
+    run(context, context.transport.start(lambda sender, data: None))
+    context.closers.append(context.transport.stop)
+
+    async def connect():
+        context.transport.connect(DaemonId("b"), "tcp://127.0.0.1:9")
+
+    run(context, connect())
+
+
+@when("it sends {n:d} messages to that peer")
+def step_sends(context, n):
+    async def send_all():
+        return [context.transport.send(DaemonId("b"), b"x" * 100) for _ in range(n)]
+
+    context.sent = run(context, send_all())
+
+
+@then("at least {n:d} of them were dropped at once")
+def step_dropped(context, n):
+    assert context.sent.count(False) >= n
+    assert context.transport.n_dropped >= n
+
+
+@when('a daemon without keys is to listen on "{host}"')
+def step_listen(context, host):
+    transport = make_socket_transport(DaemonId("a"), host=host)
+    context.error = None
+    try:
+        run(context, transport.start(lambda sender, data: None))
+    except PeerError as error:
+        context.error = error
+
+
+@then("it refuses to start")
+def step_refuses(context):
+    assert "CURVE" in str(context.error)
--- a/lycheepost/bench/control.py
+++ b/lycheepost/bench/control.py
@@ -9,12 +9,19 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from typing import Any
 
 import numpy as np
 
 from lycheepost.bench.adoption import measure_adoption
+from lycheepost.bench.controlrecords import (
+    CostRecord,
+    HerdRecord,
+    OutageRecord,
+    SlopeRecord,
+    SpreadRecord,
+)
 from lycheepost.bench.fleet import (
     ModelDaemon,
     ModelFleet,
@@ -34,99 +41,16 @@
 _HOUR_SECONDS = 3600.0
 
 
-@dataclass(frozen=True, slots=True)
-class SpreadRecord:
-    """Time from a confirmed change until it is in force on every daemon."""
-
-    measure: str
-    policy: str
-    n_daemons: int
-    store_latency_seconds: float
-    n_changes: int
-    p50_seconds: float
-    max_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class CostRecord:
-    """What one daemon costs while changes come at the design rate.
-
-    ``bytes_out_per_second`` and ``bytes_in_per_second`` count headers and framing
-    of messages between daemons; ``cpu_share`` is of one core, without sockets.
-    """
-
-    measure: str
-    policy: str
-    n_daemons: int
-    changes_per_second: float
-    reads_per_second: float
-    reads_per_second_daemon: float
-    writes_per_second: float
-    writes_per_second_daemon: float
-    bytes_out_per_second: float
-    bytes_in_per_second: float
-    busiest_bytes_out_per_second: float
-    cpu_share: float
-
-
-@dataclass(frozen=True, slots=True)
-class SlopeRecord:
-    """How a cost of the whole store or of one daemon grows with the fleet."""
-
-    measure: str
-    policy: str
-    cost: str
-    slope_per_daemon: float
-    at_zero: float
-    at_540_daemons: float
-
-
-@dataclass(frozen=True, slots=True)
-class HerdRecord:
-    """All daemons of a fleet start at the same moment with nothing.
-
-    ``reads_busiest_second`` counts the table's reads and the object store's gets
-    and listings; ``last_adopted_seconds`` is when the last daemon had the
-    configuration.
-    """
-
-    measure: str
-    policy: str
-    n_daemons: int
-    reads_busiest_second: int
-    reads_throttled: int
-    n_reads: int
-    p50_adopted_seconds: float
-    last_adopted_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class OutageRecord:
-    """The store is down for an hour."""
-
-    measure: str
-    n_daemons: int
-    outage_seconds: float
-    n_lookups: int
-    n_lookups_failed: int
-    leaving_avoided_max_seconds: float
-    restarted_adopted_seconds: float
-    revision_before: int
-    revision_lowest_seen: int
-    revision_after: int
-    n_daemons_behind_after: int
-
-
 def measure_control(seed: int, sizes: tuple[int, ...], herd: int) -> list[Any]:
     """Run every measure and return its records."""
     records: list[Any] = []
     for spreading in Spreading:
         for latency_seconds in (0.0, 0.2):
-            records.append(run_virtual(_spread(seed, spreading, 20, latency_seconds)))
+            records.append(measure_spread(seed, spreading, 20, latency_seconds))
         costs = [measure_cost(seed, spreading, size) for size in sizes]
         records += [*costs, *_slopes(costs)]
-        records.append(run_virtual(_herd(seed, spreading, herd)))
-    records.append(run_virtual(_outage(seed, 20)))
+        records.append(measure_herd(seed, spreading, herd))
+    records.append(measure_outage(seed, 20))
     return [*records, *measure_adoption()]
 
 
@@ -138,6 +62,23 @@
     }
 
 
+def measure_spread(
+    seed: int, spreading: Spreading, n_daemons: int, latency_seconds: float
+) -> SpreadRecord:
+    """Time 50 changes on a fleet whose store answers after ``latency_seconds``."""
+    return run_virtual(_spread(seed, spreading, n_daemons, latency_seconds))
+
+
+def measure_herd(seed: int, spreading: Spreading, n_daemons: int) -> HerdRecord:
+    """Restart a whole fleet at the same moment."""
+    return run_virtual(_herd(seed, spreading, n_daemons))
+
+
+def measure_outage(seed: int, n_daemons: int) -> OutageRecord:
+    """Take the store away for an hour of virtual time."""
+    return run_virtual(_outage(seed, n_daemons))
+
+
 async def _spread(
     seed: int, spreading: Spreading, n_daemons: int, latency_seconds: float
 ) -> SpreadRecord:
