--- a/lycheepost/state/claims.py
+++ b/lycheepost/state/claims.py
@@ -13,9 +13,8 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any
 
 import structlog
 from returns.result import Failure, Result, Success
@@ -38,8 +37,8 @@
     TablePort,
 )
 from lycheepost.state.claim_batch import BatchWriter
+from lycheepost.state.claim_endings import ClaimEnder, HeldClaim
 from lycheepost.state.claim_rows import (
-    ANSWER_PREFIX,
     Answered,
     BodyDiffers,
     ClaimBusy,
@@ -58,19 +57,10 @@
 )
 from lycheepost.state.pacing import WritePace
 
-_ROW_ANSWER_BYTES = 8192
-"""Larger answers go to the object store: 64 of these fill half a megabyte, which
-one transaction may carry."""
-_MOST_UNSTORED_BYTES = 8 * 1024 * 1024
-"""Answers held while the store is down; it bounds the daemon's memory. Over it
-the oldest are given up, and their resends are told "undetermined"."""
 _CLAIM_TRIES = 4
-_RETRY_PAUSE_SECONDS = 1.0
 _log = structlog.get_logger(part="claims")
 
 OwnerIsLive = Callable[[DaemonId, str], bool]
-_Ending = StoredAnswer | ClaimState
-"""How a claim ends: with an answer, ``RELEASED``, or ``UNKEPT``."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,24 +84,6 @@
     most_writes_per_second: float = 300.0
 
 
-@dataclass(slots=True)
-class _Held:
-    """What this daemon itself knows of a key.
-
-    Attributes:
-        attempt: The row that this daemon writes or wrote, and the version on
-            which that is conditioned.
-        answer: Waits to be stored.
-        is_fencing: The claim is being given up as not run.
-        is_unknown: The call has ended without an answer and may have run.
-    """
-
-    attempt: Granted
-    answer: StoredAnswer | None = None
-    is_fencing: bool = False
-    is_unknown: bool = False
-
-
 class ClaimKeeper:
     """Makes and settles claims for one daemon; made by ``make_claim_keeper``."""
 
@@ -136,8 +108,15 @@
         self._writer = BatchWriter(
             table, clock, pace, limits.batch_seconds, limits.batch_rows
         )
-        self._held: dict[str, _Held] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._ender = ClaimEnder(
+            table,
+            objects,
+            clock,
+            self._writer,
+            limits.wait_seconds,
+            limits.answer_bytes,
+        )
+        self._held = self._ender.held
 
     async def start(self) -> None:
         """Start the writing task."""
@@ -145,25 +124,22 @@
 
     async def drain(self) -> None:
         """Wait until every answer is stored and every doubtful claim fenced."""
-        while self._tasks:
-            await asyncio.wait(set(self._tasks))
+        await self._ender.drain()
 
     async def stop(self) -> None:
         """Stop; answers that are not stored yet are lost to resends."""
-        for task in set(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._ender.stop()
         await self._writer.stop()
 
     def status(self) -> dict[str, int]:
         """Return counts for ``/admin/status``."""
         return {
             "n_held": len(self._held),
-            "n_unsettled": len(self._tasks),
+            "n_unsettled": self._ender.n_unsettled,
             "n_waiting": self._writer.n_waiting,
             "n_transactions": self._writer.n_transactions,
             "n_rows": self._writer.n_rows,
-            "unstored_bytes": self._unstored_bytes(),
+            "unstored_bytes": self._ender.unstored_bytes(),
         }
 
     async def claim(
@@ -188,12 +164,12 @@
             reason = "Too many claims are waiting for the table."
             return Failure(ClaimBusy(reason, max(1.0, wait_seconds)))
         row = self._make_row(fingerprint, request)
-        held = self._held[name] = _Held(Granted(name, row, ABSENT_VERSION))
+        held = self._held[name] = HeldClaim(Granted(name, row, ABSENT_VERSION))
         try:
             outcome = await self._claim_row(held)
         except asyncio.CancelledError:
             # The caller has left: nobody will run what may yet be claimed.
-            self._fence_later(held)
+            self._ender.fence_later(held)
             raise
         if not _keeps_hold(outcome) and not held.is_fencing:
             del self._held[name]
@@ -212,7 +188,7 @@
         if held is None:
             return Failure(ClaimError("This daemon does not hold the claim."))
         held.answer = answer
-        return await self._settle(claim, answer)
+        return await self._ender.settle(claim, answer)
 
     async def release(self, claim: Granted) -> Result[None, ClaimError]:
         """Give up a claim whose call is proven to have reached no target."""
@@ -220,7 +196,7 @@
         if held is None or held.answer is not None:
             return Failure(ClaimError("The claim is not open."))
         held.is_fencing = True
-        return await self._settle(claim, ClaimState.RELEASED)
+        return await self._ender.settle(claim, ClaimState.RELEASED)
 
     async def abandon(self, claim: Granted) -> None:
         """Give up a call that may have run and has no answer.
@@ -231,10 +207,10 @@
         held = self._held.get(claim.key)
         if held is not None:
             held.is_unknown = True
-            await self._settle(claim, ClaimState.UNKEPT)
+            await self._ender.settle(claim, ClaimState.UNKEPT)
 
     def _judge_held(
-        self, held: _Held, fingerprint: BodyFingerprint
+        self, held: HeldClaim, fingerprint: BodyFingerprint
     ) -> Result[ClaimOutcome, ClaimError]:
         if held.is_fencing:
             return Failure(ClaimStoreDown("An earlier try is being given up."))
@@ -246,7 +222,7 @@
             return Success(Undetermined(self._daemon))
         return Success(InProgress(self._daemon))
 
-    async def _claim_row(self, held: _Held) -> Result[ClaimOutcome, ClaimError]:
+    async def _claim_row(self, held: HeldClaim) -> Result[ClaimOutcome, ClaimError]:
         deadline_seconds = self._clock.now_seconds() + self._limits.wait_seconds
         for _ in range(_CLAIM_TRIES):
             attempt = held.attempt
@@ -264,15 +240,15 @@
                     if decided is not None:
                         return decided
                 case Failure(OutcomeUnknown(reason=reason)):
-                    self._fence_later(held)
+                    self._ender.fence_later(held)
                     return Failure(ClaimStoreDown(reason))
                 case Failure(error):
                     return Failure(ClaimStoreDown(error.reason))
-        self._fence_later(held)
+        self._ender.fence_later(held)
         return Failure(ClaimStoreDown("The claim did not settle."))
 
     async def _claim_moved(
-        self, held: _Held
+        self, held: HeldClaim
     ) -> Result[ClaimOutcome, ClaimError] | None:
         """Decide by the row that broke our condition; None to write again."""
         attempt = held.attempt
@@ -281,7 +257,7 @@
                 pass
             case Failure(_):
                 # The key has been used, by an earlier try or by this one.
-                self._fence_later(held)
+                self._ender.fence_later(held)
                 return Success(Undetermined(self._daemon))
         if current is None or current.version < attempt.version:
             # A stale read, or a row that has expired meanwhile.
@@ -336,107 +312,9 @@
         # Not an error: an error would say that the call has not run.
         return Success(Undetermined(row.owner))
 
-    async def _settle(
-        self, claim: Granted, ending: _Ending
-    ) -> Result[None, ClaimError]:
-        """Write how the claim ended; go on trying when the store is down."""
-        first = asyncio.get_running_loop().create_future()
-        self._spawn(self._settle_until_done(claim, ending, first))
-        # A caller that leaves meanwhile must not stop the write.
-        if await asyncio.shield(first):
-            return Success(None)
-        return Failure(ClaimError("The store is not reachable; it is tried again."))
-
-    def _fence_later(self, held: _Held) -> None:
-        held.is_fencing = True
-        ending = ClaimState.RELEASED
-        self._spawn(self._settle_until_done(held.attempt, ending, None))
-
-    async def _settle_until_done(
-        self, claim: Granted, ending: _Ending, first: asyncio.Future[bool] | None
-    ) -> None:
-        """Write until it is done; ``first`` tells whether the first try was."""
-        while True:
-            is_done = await self._settle_once(claim, ending)
-            if first is not None and not first.done():
-                first.set_result(is_done)
-            if is_done:
-                break
-            if isinstance(ending, StoredAnswer) and self._is_overfull():
-                _log.error("claims: gave up storing an answer", claim=claim.key)
-                break
-            await asyncio.sleep(_RETRY_PAUSE_SECONDS)
-        self._held.pop(claim.key, None)
-
-    async def _settle_once(self, claim: Granted, ending: _Ending) -> bool:
-        row = await self._make_settled_row(claim, ending)
-        if row is None:
-            return False
-        deadline_seconds = self._clock.now_seconds() + self._limits.wait_seconds
-        outcome = await self._writer.write(
-            claim.key, claim.version, encode_claim(row), deadline_seconds
-        )
-        match outcome:
-            case Success():
-                return True
-            case Failure(TableConflict()):
-                return await self._settle_moved(claim, row)
-        return False
-
-    async def _settle_moved(self, claim: Granted, row: ClaimRow) -> bool:
-        """Settle at the version to which our own earlier write moved the key."""
-        found = await self._read_row(claim.key)
-        if isinstance(found, Failure):
-            return False
-        current = found.unwrap()
-        if current is None or current.version <= claim.version:
-            return False
-        held = decode_claim(current)
-        if held.token != claim.row.token:
-            return True
-        if held.state is not ClaimState.CLAIMED:
-            return True
-        outcome = await self._writer.write(
-            claim.key,
-            current.version,
-            encode_claim(row),
-            self._clock.now_seconds() + self._limits.wait_seconds,
-        )
-        return isinstance(outcome, Success)
-
-    async def _make_settled_row(
-        self, claim: Granted, ending: _Ending
-    ) -> ClaimRow | None:
-        row = replace(claim.row, changed_wall_seconds=self._clock.wall_seconds())
-        match ending:
-            case StoredAnswer() as answer:
-                pass
-            case ClaimState() as state:
-                return replace(row, state=state)
-        if len(answer.body) > self._limits.answer_bytes:
-            return replace(row, state=ClaimState.UNKEPT)
-        if len(answer.body) <= _ROW_ANSWER_BYTES:
-            return replace(row, state=ClaimState.ANSWERED, answer=answer)
-        name = ANSWER_PREFIX + claim.key + "/" + claim.row.token
-        head = f"{answer.status}\n{answer.content_type}\n".encode()
-        if isinstance(await self._objects.put(name, head + answer.body), Failure):
-            return None
-        return replace(row, state=ClaimState.ANSWERED, answer_object=name)
-
     async def _read_row(self, name: str) -> Result[Row | None, TableError]:
         return (await self._table.read((name,))).map(lambda rows: rows[0])
 
-    def _is_overfull(self) -> bool:
-        return self._unstored_bytes() > _MOST_UNSTORED_BYTES
-
-    def _unstored_bytes(self) -> int:
-        return sum(len(held.answer.body) for held in self._held.values() if held.answer)
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def make_claim_keeper(
     table: TablePort,
