--- a/features/state/steps/machines.py
+++ b/features/state/steps/machines.py
@@ -89,11 +89,7 @@
                 self.heal()
 
     def heal(self):
-        faults = self.store.faults
-        faults.is_down = False
-        faults.n_lost_answers = faults.n_late_writes = 0
-        faults.n_stale_reads = faults.n_refused = 0
-        faults.delay_seconds = 0.0
+        self.store.faults.clear()
 
     def recover(self):
         """End every fault, also one that is about to begin, and let all settle."""
--- a/lycheepost/bench/leasechaos.py
+++ b/lycheepost/bench/leasechaos.py
@@ -216,6 +216,7 @@
     faults = asyncio.create_task(_fault_table(run))
     await asyncio.sleep(_RUN_SECONDS)
     run.is_quiet = True
+    run.table.faults.clear()
     await asyncio.sleep(_QUIET_SECONDS)
     for task in (*daemons, faults):
         task.cancel()
--- a/lycheepost/standin/platformfaults.py
+++ b/lycheepost/standin/platformfaults.py
@@ -5,7 +5,7 @@
 themselves, so that a scenario can provoke exactly one lost answer.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 
 @dataclass(slots=True)
@@ -39,6 +39,11 @@
     n_partial_lists: int = 0
     lag_seconds: float = 0.0
 
+    def clear(self) -> None:
+        """End every fault."""
+        for item in fields(self):
+            setattr(self, item.name, item.default)
+
     def take(self, name: str) -> bool:
         """Use up one of the counted faults ``name``; False when none is left."""
         left = getattr(self, name)
