Keep only bad signs, and answers of addresses until members change

A look at the states of 12,000 targets, four times a second, evaluated each target; now it copies what operators want and evaluates those with a bad sign.

--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -29,12 +29,8 @@
     choose_addresses,
     load_step,
 )
-from lycheepost.state.signs import (
-    LISTED_VALID_SECONDS,
-    SignBook,
-    SignSource,
-    TargetSign,
-)
+from lycheepost.state.signs import LISTED_VALID_SECONDS, SignSource, TargetSign
+from lycheepost.state.targetstates import OnTargetSign, TargetStates
 from lycheepost.state.view import ConfigurationView
 
 _VM_BYTES = 120
@@ -45,13 +41,10 @@
 _FLEET_LOAD_NEWS_SECONDS = 2.0
 """The whole fleet tells one change of load in two seconds at most: a flood costs
 each daemon about 2 KB, which is all that control may cost in a second."""
-_TARGET_NEWS_SECONDS = 60.0
-"""A target that stays dead is refused every few seconds; peers hear of it once."""
 _SUSPECT_SECONDS = 60.0
 """A daemon suspected for this long without a word counts as gone."""
 _log = structlog.get_logger(part="members")
 
-OnTargetSign = Callable[[TargetId, TargetSign], None]
 OnMember = Callable[[Member], None]
 
 
@@ -77,14 +70,14 @@
         self._random = random.Random(seed)
         self._members: dict[DaemonId, Member] = {me.daemon: me}
         self._suspected_seconds: dict[DaemonId, float] = {}
-        self._signs = SignBook()
+        self._targets = TargetStates()
+        self._answers: dict[CustomerId | None, Addresses] = {}
+        self._answers_view: ConfigurationView | None = None
         self._listed: dict[str, VmState] = {}
         self._n_vms = 0
         self._task: asyncio.Task[None] | None = None
-        self._on_target_sign: list[OnTargetSign] = []
         self._on_member: list[OnMember] = []
         self._load_news_seconds = float("-inf")
-        self._told_seconds: dict[tuple[TargetId, TargetState], float] = {}
         self.n_lists = 0
         self.n_failed_lists = 0
 
@@ -118,7 +111,7 @@
 
     def on_target_sign(self, callback: OnTargetSign) -> None:
         """Call ``callback`` with signs that peers should hear of."""
-        self._on_target_sign.append(callback)
+        self._targets.on_sign(callback)
 
     def on_member(self, callback: OnMember) -> None:
         """Call ``callback`` with members whose state peers should hear of."""
@@ -127,6 +120,18 @@
     def addresses(self, customer: CustomerId | None, now_seconds: float) -> Addresses:
         """Return where callers of ``customer`` should connect, in order."""
         self._expire_suspects(now_seconds)
+        view = self._get_view()
+        if view is not self._answers_view:
+            self._answers_view = view
+            self._answers.clear()
+        answer = self._answers.get(customer)
+        if answer is None:
+            # Choosing among 540 members takes most of a millisecond.
+            answer = self._choose(customer)
+            self._answers[customer] = answer
+        return answer
+
+    def _choose(self, customer: CustomerId | None) -> Addresses:
         chosen = choose_addresses(
             tuple(self._members.values()),
             customer,
@@ -137,30 +142,15 @@
 
     def target_states(self) -> dict[TargetId, TargetState]:
         """Return the state of every configured target for new work."""
-        now_seconds = self._clock.now_seconds()
-        return {
-            name: self._signs.state(name, target.desired_state, now_seconds)
-            for name, target in self._get_view().targets.items()
-        }
+        targets = self._get_view().targets
+        return self._targets.states(targets, self._clock.now_seconds())
 
     def observe_target(
         self, target: TargetId, sign: TargetSign, now_seconds: float
     ) -> None:
-        """Take note of what was seen of a target; peers hear of bad signs.
-
-        Signs of ``PEER`` are not passed on again, so that none can go round.
-        """
-        before = self._state_of(target, now_seconds)
-        self._signs.observe(target, sign, now_seconds)
-        after = self._state_of(target, now_seconds)
-        is_worse = after is not before and sign.state is not TargetState.SERVING
-        if sign.source is SignSource.PEER or not is_worse:
-            return
-        told_seconds = self._told_seconds.get((target, sign.state), float("-inf"))
-        if now_seconds - told_seconds >= _TARGET_NEWS_SECONDS:
-            self._told_seconds[target, sign.state] = now_seconds
-            for callback in self._on_target_sign:
-                callback(target, sign)
+        """Take note of what was seen of a target; peers hear of bad signs."""
+        configured = self._get_view().targets.get(target)
+        self._targets.observe(target, configured, sign, now_seconds)
 
     def members(self) -> tuple[Member, ...]:
         """Return every daemon known, this one too."""
@@ -199,9 +189,7 @@
         """Take a peer from the settings, to ask before anything else is known."""
         if daemon != self._me.daemon and daemon not in self._members:
             zone = AvailabilityZone("")
-            self._members[daemon] = Member(
-                daemon, "", MemberState.LIVE, zone, "", endpoint
-            )
+            self._put(Member(daemon, "", MemberState.LIVE, zone, "", endpoint))
 
     def set_peer_endpoint(self, endpoint: str) -> None:
         """Tell where peers reach this daemon, once its socket is open."""
@@ -237,7 +225,7 @@
             return self._hear_suspicion(member, known)
         if known is not None and not _is_newer(member, known):
             return False
-        self._members[member.daemon] = member
+        self._put(member)
         self._suspected_seconds.pop(member.daemon, None)
         return known is None or _differs(known, member)
 
@@ -247,7 +235,7 @@
         if known is None or known.state is not MemberState.LIVE:
             return
         suspected = replace(known, state=MemberState.SUSPECT)
-        self._members[daemon] = suspected
+        self._put(suspected)
         self._suspected_seconds[daemon] = now_seconds
         _log.info("members: suspect", daemon=daemon)
         for callback in self._on_member:
@@ -273,14 +261,14 @@
                 MemberState.LIVE if vm.state is VmState.LIVE else MemberState.LEAVING
             )
             zone = AvailabilityZone(vm.availability_zone)
-            self._members[name] = Member(
-                name, "", state, zone, vm.callers_url, vm.peer_endpoint
-            )
+            self._put(Member(name, "", state, zone, vm.callers_url, vm.peer_endpoint))
         elif vm.state is VmState.LEAVING and known.state is MemberState.LIVE:
-            self._members[name] = replace(known, state=MemberState.LEAVING)
+            self._put(replace(known, state=MemberState.LEAVING))
         elif not known.boot and vm.peer_endpoint != known.peer_endpoint:
-            self._members[name] = replace(
-                known, peer_endpoint=vm.peer_endpoint, callers_url=vm.callers_url
+            self._put(
+                replace(
+                    known, peer_endpoint=vm.peer_endpoint, callers_url=vm.callers_url
+                )
             )
 
     def _take_target(self, vm: Vm, now_seconds: float) -> None:
@@ -288,24 +276,22 @@
         sign = TargetSign(SignSource.VM_LIST, state, LISTED_VALID_SECONDS)
         self.observe_target(TargetId(vm.name), sign, now_seconds)
 
-    def _state_of(self, target: TargetId, now_seconds: float) -> TargetState | None:
-        known = self._get_view().targets.get(target)
-        if known is None:
-            return None
-        return self._signs.state(target, known.desired_state, now_seconds)
-
     def _traffic_share(self, customer: CustomerId | None) -> float:
         customers = self._get_view().customers
         total = sum(item.share_weight for item in customers.values())
         known = None if customer is None else customers.get(customer)
         return known.share_weight / total if known is not None and total else 0.0
 
+    def _put(self, member: Member) -> None:
+        self._members[member.daemon] = member
+        self._answers.clear()
+
     def _update_me(self, member: Member) -> None:
         is_news = _differs(self._me, member)
         if is_news:
             member = replace(member, sequence=member.sequence + 1)
         self._me = member
-        self._members[member.daemon] = member
+        self._put(member)
         if is_news:
             for callback in self._on_member:
                 callback(member)
@@ -315,7 +301,7 @@
         if said.boot == self._me.boot and said.state is not self._me.state:
             sequence = max(said.sequence, self._me.sequence) + 1
             self._me = replace(self._me, sequence=sequence)
-            self._members[self._me.daemon] = self._me
+            self._put(self._me)
             for callback in self._on_member:
                 callback(self._me)
 
@@ -324,7 +310,7 @@
             return False
         if known.boot != said.boot or known.sequence > said.sequence:
             return False
-        self._members[said.daemon] = replace(known, state=MemberState.SUSPECT)
+        self._put(replace(known, state=MemberState.SUSPECT))
         self._suspected_seconds[said.daemon] = self._clock.now_seconds()
         return True
 
@@ -333,7 +319,7 @@
             if now_seconds - since_seconds > _SUSPECT_SECONDS:
                 del self._suspected_seconds[daemon]
                 gone = replace(self._members[daemon], state=MemberState.GONE)
-                self._members[daemon] = gone
+                self._put(gone)
 
     async def look(self) -> bool:
         """Look at the VM list once; return whether it answered."""
--- a/lycheepost/state/signs.py
+++ b/lycheepost/state/signs.py
@@ -79,14 +79,29 @@
 
 
 class SignBook:
-    """The newest sign of each source for each target."""
+    """The newest bad sign of each source for each target.
+
+    A sign that a target serves clears the bad one of its source and is not kept:
+    at 12,000 targets only the few in trouble may cost anything at each look.
+    """
 
     def __init__(self) -> None:
         self._heard: dict[TargetId, dict[SignSource, _Heard]] = {}
 
     def observe(self, target: TargetId, sign: TargetSign, now_seconds: float) -> None:
         """Take note of a sign; it replaces the older one of its source."""
-        self._heard.setdefault(target, {})[sign.source] = _Heard(sign, now_seconds)
+        if sign.state is not TargetState.SERVING:
+            self._heard.setdefault(target, {})[sign.source] = _Heard(sign, now_seconds)
+            return
+        heard = self._heard.get(target)
+        if heard is not None:
+            heard.pop(sign.source, None)
+            if not heard:
+                del self._heard[target]
+
+    def in_trouble(self) -> tuple[TargetId, ...]:
+        """Return the targets with a bad sign, valid or not."""
+        return tuple(self._heard)
 
     def state(
         self, target: TargetId, desired: TargetDesiredState, now_seconds: float
@@ -98,19 +113,15 @@
             for heard in signs
             if now_seconds - heard.heard_seconds <= heard.sign.valid_seconds
         ]
-        return _worst([_from_desired(desired), *valid])
-
-    def forget_all_but(self, targets: set[TargetId]) -> None:
-        """Drop the signs of targets that the configuration no longer names."""
-        for target in set(self._heard) - targets:
-            del self._heard[target]
+        return _worst([state_of_desired(desired), *valid])
 
 
 def _worst(states: Iterable[TargetState]) -> TargetState:
     return max(states, key=_BADNESS.__getitem__)
 
 
-def _from_desired(desired: TargetDesiredState) -> TargetState:
+def state_of_desired(desired: TargetDesiredState) -> TargetState:
+    """Return the state that operators want, as new work sees it."""
     if desired is TargetDesiredState.SERVING:
         return TargetState.SERVING
     return TargetState.LEAVING
