--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from returns.pipeline import is_successful
 
+from lycheepost.app.capacity import make_capacity
 from lycheepost.app.listeners import Listener, make_listener
 from lycheepost.app.parts import Part, drain_parts, start_parts, stop_parts
 from lycheepost.app.platform import Platform, make_http_platform
@@ -28,6 +29,7 @@
 from lycheepost.report.history import HistoryKeeper
 from lycheepost.report.routes import make_report_routes
 from lycheepost.report.samples import Recorder
+from lycheepost.targets.control import make_control_client
 from lycheepost.utils.metrics import make_metrics
 
 _log = structlog.get_logger(part="app")
@@ -132,7 +134,8 @@
     )
 
     def status() -> dict[str, Any]:
-        return make_status(settings, state, traffic, history)
+        described = make_status(settings, state, traffic, history)
+        return described | {"capacity": capacity.status()}
 
     metrics = make_metrics(settings.metrics)
     traffic = make_traffic(settings, state, recorder, metrics, clock, status)
@@ -140,11 +143,15 @@
         settings, platform, state, recorder, history, clock
     )
     callers, operators = _make_listeners(settings, traffic, operator_routes)
+    control = make_control_client(settings.streams)
+    capacity = make_capacity(settings, platform, state, control, clock)
     parts: list[Part] = [
         platform,
         state,
         *traffic.parts(),
         history,
+        control,
+        capacity,
         callers,
         operators,
     ]
--- a/lycheepost/app/listeners.py
+++ b/lycheepost/app/listeners.py
@@ -1,12 +1,13 @@
 """The daemon's HTTP listeners."""
 
-import ssl
 from collections.abc import Sequence
 
 import structlog
 from aiohttp import web
+from returns.result import Failure, Success
 
 from lycheepost.generated.settings import LimitSettings, TlsSettings
+from lycheepost.utils.tls import TlsKeeper, make_tls_keeper
 
 KEEP_ALIVE_SECONDS = 75.0
 """Longer than the usual idle time of client pools, so that a client closes first
@@ -35,7 +36,7 @@
         host: str,
         port: int,
         limits: LimitSettings,
-        tls: ssl.SSLContext | None = None,
+        tls: TlsKeeper | None = None,
     ) -> None:
         self._name = name
         self._routes = routes
@@ -81,13 +82,15 @@
             self._runner,
             self._host,
             self._port,
-            ssl_context=self._tls,
+            ssl_context=None if self._tls is None else self._tls.context,
             backlog=1024,
             # Several daemons on one VM share its cores, each on its own port;
             # two on one port would be a mistake that must show.
             reuse_port=False,
         )
         await self._site.start()
+        if self._tls is not None:
+            await self._tls.start()
         self._port = self._runner.addresses[0][1]
         _log.info("app: listening", name=self._name, port=self._port)
 
@@ -96,6 +99,8 @@
 
     async def stop(self) -> None:
         """Close the port and what connections are left."""
+        if self._tls is not None:
+            await self._tls.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -111,11 +116,13 @@
     """Return a listener that is not started yet.
 
     Raises:
-        OSError: A certificate file cannot be read.
-        ssl.SSLError: Certificate and key do not go together.
+        TlsError: Certificate and key cannot be read or do not go together.
     """
-    context = None
+    keeper = None
     if tls is not None:
-        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        context.load_cert_chain(tls.certificate_path, tls.key_path)
-    return Listener(name, routes, host, port, limits, context)
+        match make_tls_keeper(name, tls):
+            case Success(made):
+                keeper = made
+            case Failure(error):
+                raise error
+    return Listener(name, routes, host, port, limits, keeper)
--- a/lycheepost/operators/capacity_ports.py
+++ b/lycheepost/operators/capacity_ports.py
@@ -57,7 +57,8 @@
 
     Attributes:
         states: The most pessimistic sign of each target.
-        n_daemons: How many daemons live; spreads their tries for the duty.
+        is_candidate: Whether this daemon stands ready for the duty; only a few
+            do, so that the others need not read the lease.
         vms: Tells which targets are gone for good; None where nothing lists them.
         warm: None where no KV is kept.
     """
@@ -68,6 +69,6 @@
     states: Callable[[], dict[TargetId, TargetState]]
     clock: Clock
     settings: OperatorSettings
-    n_daemons: Callable[[], int] = lambda: 1
+    is_candidate: Callable[[], bool] = lambda: True
     vms: VmListPort | None = None
     warm: WarmPort | None = None
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -34,9 +34,8 @@
 from lycheepost.state.leases import Lease, LeaseTaken
 
 DUTY = "capacity"
-_SPREAD_SECONDS_PER_DAEMON = 0.1
-"""Daemons without the duty try for it spread over this time each, so that 540 of
-them read the lease about fifteen times a second in all."""
+_SPREAD_SECONDS = 1.0
+"""Tries of several daemons for the duty do not fall together."""
 _SETTLED = (EngineHealthState.SERVING, EngineHealthState.STANDBY)
 _log = structlog.get_logger(part="capacity")
 
@@ -137,7 +136,7 @@
                 _log.info("capacity: duty lost", fencing_number=lease.fencing_number)
                 self._lease = None
             return self._lease is not None
-        if now_seconds < self._next_try_seconds:
+        if now_seconds < self._next_try_seconds or not self._deps.is_candidate():
             return False
         acquired = await self._deps.leases.acquire(DUTY)
         if isinstance(acquired, Success):
@@ -148,10 +147,8 @@
         wait_seconds = self._deps.settings.capacity_tick_seconds
         if isinstance(error, LeaseTaken):
             wait_seconds = max(wait_seconds, error.retry_after_seconds)
-        spread_seconds = _SPREAD_SECONDS_PER_DAEMON * self._deps.n_daemons()
-        self._next_try_seconds = (
-            now_seconds + wait_seconds + self._random.uniform(0.0, spread_seconds)
-        )
+        wait_seconds += self._random.uniform(0.0, _SPREAD_SECONDS)
+        self._next_try_seconds = now_seconds + wait_seconds
         return False
 
     async def _begin_duty(self) -> bool:
