Serve with both versions while a model changes

A request is bound to one version at its arrival, split as the targets are. Before: every request asked for the model's old version, whose last targets are taken out near the end of a rollout.

--- a/lycheepost/app/demo.py
+++ b/lycheepost/app/demo.py
@@ -113,7 +113,8 @@
         standins: What the daemon talks to.
         seeds: Peers that run already.
         operator_key: Opens its operators' API.
-        base: Replaces limits, objectives, streams and targets.
+        base: Replaces limits, objectives, streams, targets and the timing of
+            operators' changes.
     """
     index = len(seeds)
     settings = Settings(
@@ -141,6 +142,7 @@
         objectives=base.objectives,
         streams=base.streams,
         targets=base.targets,
+        operators=replace(base.operators, key_hashes=settings.operators.key_hashes),
     )
 
 
--- a/lycheepost/callers/deps.py
+++ b/lycheepost/callers/deps.py
@@ -1,12 +1,13 @@
 """What the callers' front stands on, as typed ports."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from returns.result import Result
 
 from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.callers.versions import RequestVersions
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -78,6 +79,7 @@
         on_sample: Told of each finished request.
         is_draining: Whether this daemon is leaving.
         status: The whole of ``/admin/status``.
+        versions: Chooses the weights of a request while its model changes.
     """
 
     settings: Settings
@@ -94,3 +96,4 @@
     on_sample: Callable[[Sample], None]
     is_draining: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
+    versions: RequestVersions = field(default_factory=RequestVersions)
--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -63,6 +63,7 @@
     request_id: RequestId
     customer: Customer
     model: Model
+    weights_version: WeightsVersion
     headers: CallerHeaders
     call: CompletionCall
     body: bytes
@@ -108,10 +109,14 @@
     call = unwrap(parse_completion(endpoint, body))
     model = unwrap(find_model(view, customer, call.model))
     _check_size(call, model)
+    weights_version = deps.versions.choose(
+        view, model, CustomerId(customer.customer), call.segments
+    )
     return Asked(
         request_id=request_id,
         customer=customer,
         model=model,
+        weights_version=weights_version,
         headers=headers,
         call=call,
         body=body,
@@ -143,7 +148,7 @@
     """Fingerprint the prompt and write the engine's body."""
     customer = CustomerId(asked.customer.customer)
     model = ModelId(asked.model.model)
-    weights_version = WeightsVersion(asked.model.weights_version)
+    weights_version = asked.weights_version
     call = asked.call
     work = Work(
         request=asked.request_id,
