--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -57,9 +57,9 @@
 from lycheepost.generated.settings import OperatorSettings
 from lycheepost.operators.capacity_changes import (
     CapacityChange,
-    CapacityContext,
     apply_capacity_change,
 )
+from lycheepost.operators.capacity_estimates import CapacityContext
 from lycheepost.operators.capacity_ports import CapacityDeps
 from lycheepost.operators.capacity_records import ACTIVE_STEPS
 from lycheepost.operators.capacity_runner import Look, make_capacity_runner
--- a/lycheepost/operators/capacity.py
+++ b/lycheepost/operators/capacity.py
@@ -13,21 +13,24 @@
 """
 
 import dataclasses
-from itertools import groupby
 
 from lycheepost.generated.configuration import (
     CapacityIntent,
     CapacityIntentKind,
     CapacityIntentState,
-    CapacityStep,
     CapacityStepState,
     Configuration,
     Model,
-    Target,
     TargetDesiredState,
     TargetGroupKind,
 )
 from lycheepost.operators.capacity_group import UNFINISHED, GroupWork
+from lycheepost.operators.capacity_holds import fill_hold
+from lycheepost.operators.capacity_newsteps import (
+    is_open,
+    spread_over_zones,
+    waiting_step,
+)
 from lycheepost.operators.capacity_records import (
     ACTIVE_STEPS,
     FAILED_TARGETS_LIMIT,
@@ -35,10 +38,9 @@
     CapacityDecision,
     CapacityTiming,
     Observations,
-    accepted_versions,
     held_version,
-    newest_version,
 )
+from lycheepost.operators.capacity_repairs import plan_repairs
 from lycheepost.operators.capacity_steps import is_released, move_step
 from lycheepost.operators.items import Draft
 
@@ -72,7 +74,7 @@
     for group in configuration.target_groups:
         work = GroupWork(draft, group, observed, now_wall_seconds)
         if group.kind is TargetGroupKind.ENGINE:
-            _plan_repairs(work, timing)
+            plan_repairs(work, timing)
         actions += _move_group(work, timing, configuration.revision + 1)
         _forget_ended(work, timing)
     changed = draft.finish()
@@ -89,7 +91,7 @@
     for name in _sort_intents(work):
         _begin(work, work.intents[name])
         if work.intents[name].kind is CapacityIntentKind.HOLD_READY:
-            _fill_hold(work, work.intents[name])
+            fill_hold(work, work.intents[name])
         for step in work.intents[name].steps:
             intent = work.intents[name]
             action = move_step(work, intent, step, timing, next_revision)
@@ -130,19 +132,11 @@
     if intent.kind is CapacityIntentKind.NEW_WEIGHTS:
         _begin_new_weights(work, intent)
     elif intent.kind is not CapacityIntentKind.HOLD_READY:
-        steps = [_waiting_step(target, "") for target in intent.targets]
+        steps = [waiting_step(target, "") for target in intent.targets]
         work.put_intent(dataclasses.replace(intent, steps=steps))
     _set_state(work, work.intents[intent.intent], CapacityIntentState.RUNNING)
 
 
-def _waiting_step(target: str, weights_version: str) -> CapacityStep:
-    return CapacityStep(
-        target=target,
-        state=CapacityStepState.WAITING,
-        weights_version=weights_version,
-    )
-
-
 def _begin_new_weights(work: GroupWork, intent: CapacityIntent) -> None:
     """Let requests be served with both versions, and say who holds which.
 
@@ -172,7 +166,7 @@
     """
     model = work.model()
     open_steps = {
-        step.target for step in work.intents[intent.intent].steps if _is_open(step)
+        step.target for step in work.intents[intent.intent].steps if is_open(step)
     }
     missing = [
         target
@@ -186,98 +180,13 @@
         work.put_steps(
             intent.intent,
             [
-                _waiting_step(target.target, intent.weights_version)
-                for target in _spread_over_zones(missing)
+                waiting_step(target.target, intent.weights_version)
+                for target in spread_over_zones(missing)
             ],
         )
     return bool(missing)
 
 
-def _spread_over_zones(targets: list[Target]) -> list[Target]:
-    """Return standby targets first, then the others by turns of their zones.
-
-    A standby target costs no capacity; and two targets that are out at once
-    should not be half of what one availability zone has.
-    """
-
-    def zone(target: Target) -> str:
-        return target.availability_zone
-
-    ordered = sorted(targets, key=zone)
-    ranked = [
-        (target.desired_state is TargetDesiredState.SERVING, rank, target)
-        for _, members in groupby(ordered, key=zone)
-        for rank, target in enumerate(members)
-    ]
-    return [item[2] for item in sorted(ranked, key=lambda item: item[:2])]
-
-
-def _fill_hold(work: GroupWork, intent: CapacityIntent) -> None:
-    """Keep enough steps under way for the held number to serve."""
-    if is_released(intent):
-        _release(work, intent)
-        return
-    if intent.state is not CapacityIntentState.RUNNING:
-        return
-    model = work.model()
-    # While the model changes, what comes up now comes up with the new weights.
-    version = "" if model is None else newest_version(model)
-    coming = {
-        step.target
-        for owner, step in work.steps()
-        if _will_serve(owner, step) and not work.is_ready_name(step.target)
-    }
-    n_missing = intent.n_targets - work.n_ready() - len(coming)
-    busy = {step.target for _, step in work.steps() if _is_open(step)}
-    spare = [
-        target
-        for target in work.targets.values()
-        if target.desired_state is TargetDesiredState.STANDBY
-        and target.target not in busy
-        and work.observe(target.target).health is not None
-    ]
-    chosen = _spread_over_zones(spare)[: max(0, n_missing)]
-    if chosen:
-        steps = [_waiting_step(target.target, version) for target in chosen]
-        work.put_steps(intent.intent, steps)
-
-
-def _will_serve(intent: CapacityIntent, step: CapacityStep) -> bool:
-    if step.state in ACTIVE_STEPS:
-        return step.was_serving
-    is_hold = intent.kind is CapacityIntentKind.HOLD_READY
-    return is_hold and step.state is CapacityStepState.WAITING
-
-
-def _is_open(step: CapacityStep) -> bool:
-    """Return whether a step still claims its target."""
-    return step.state is not CapacityStepState.DONE
-
-
-def _release(work: GroupWork, intent: CapacityIntent) -> None:
-    """Let the targets of an ended hold stand by again, as far as others serve."""
-    elsewhere = {
-        step.target
-        for owner, step in work.steps()
-        if owner.intent != intent.intent and step.state in ACTIVE_STEPS
-    }
-    for step in intent.steps:
-        target = work.targets.get(step.target)
-        if step.state is CapacityStepState.WAITING or target is None:
-            work.drop_step(intent.intent, step.target)
-            continue
-        if step.state not in (CapacityStepState.WARMING, CapacityStepState.DONE):
-            continue
-        if step.target in elsewhere:
-            continue
-        if target.desired_state is not TargetDesiredState.SERVING:
-            work.drop_step(intent.intent, step.target)
-        elif work.may_take_out(target):
-            standby = TargetDesiredState.STANDBY
-            work.put_target(dataclasses.replace(target, desired_state=standby))
-            work.drop_step(intent.intent, step.target)
-
-
 def _end(work: GroupWork, intent: CapacityIntent) -> None:
     if intent.state is not CapacityIntentState.RUNNING:
         return
@@ -326,81 +235,6 @@
     return dataclasses.replace(model, weights_version=version, next_weights_version="")
 
 
-def _plan_repairs(work: GroupWork, timing: CapacityTiming) -> None:
-    """Load again what a target should hold and does not.
-
-    An engine that crashed comes back with the weights it boots with; a target
-    that ignores fencing may have taken a late order of an earlier holder. Both
-    refuse every request meant for them until they hold what is recorded.
-    """
-    model = work.model()
-    if model is None:
-        return
-    name = f"repair-{work.group.target_group}"
-    claimed = {step.target for intent, step in work.steps() if _claims(intent, step)}
-    wrong = [
-        target
-        for target in work.targets.values()
-        if target.desired_state is TargetDesiredState.SERVING
-        and target.target not in claimed
-        and _is_wrong(work, target, model, timing)
-    ]
-    if not wrong:
-        return
-    if name not in work.intents or work.intents[name].state not in UNFINISHED:
-        work.put_intent(_make_repair(work, name, work.intents.get(name)))
-    work.put_steps(name, [_repair_step(target, model) for target in wrong])
-
-
-def _claims(intent: CapacityIntent, step: CapacityStep) -> bool:
-    """Return whether a step will load its target, so that no repair need.
-
-    A step that waits in a paused intent, or to retire, would keep a target that
-    serves nobody from being mended.
-    """
-    if step.state in ACTIVE_STEPS:
-        return True
-    if step.state is CapacityStepState.FAILED:
-        return intent.state in UNFINISHED
-    is_running = intent.state is CapacityIntentState.RUNNING
-    loads = intent.kind in (CapacityIntentKind.REPAIR, CapacityIntentKind.NEW_WEIGHTS)
-    return step.state is CapacityStepState.WAITING and is_running and loads
-
-
-def _is_wrong(
-    work: GroupWork, target: Target, model: Model, timing: CapacityTiming
-) -> bool:
-    observed = work.observe(target.target)
-    if observed.health is None:
-        return False
-    if held_version(target, model) not in accepted_versions(model):
-        return True
-    return observed.wrong_seconds >= timing.repair_after_seconds
-
-
-def _repair_step(target: Target, model: Model) -> CapacityStep:
-    held = held_version(target, model)
-    version = held if held in accepted_versions(model) else newest_version(model)
-    return dataclasses.replace(_waiting_step(target.target, version), was_serving=True)
-
-
-def _make_repair(
-    work: GroupWork, name: str, earlier: CapacityIntent | None
-) -> CapacityIntent:
-    steps = [] if earlier is None else earlier.steps
-    # A failed load may still be under way: its record holds its slot.
-    failed = [step for step in steps if step.state is CapacityStepState.FAILED]
-    return CapacityIntent(
-        intent=name,
-        kind=CapacityIntentKind.REPAIR,
-        target_group=work.group.target_group,
-        state=CapacityIntentState.RUNNING,
-        start_wall_seconds=work.now_wall_seconds,
-        steps=failed,
-        note="targets hold other weights than recorded",
-    )
-
-
 def _forget_ended(work: GroupWork, timing: CapacityTiming) -> None:
     """Drop intents that ended long ago, so that the configuration stays small."""
     for intent in list(work.intents.values()):
--- /dev/null
+++ b/lycheepost/operators/capacity_repairs.py
@@ -0,0 +1,98 @@
+"""Find targets that cannot do what is recorded of them, and mend them."""
+
+import dataclasses
+
+from lycheepost.generated.configuration import (
+    CapacityIntent,
+    CapacityIntentKind,
+    CapacityIntentState,
+    CapacityStep,
+    CapacityStepState,
+    Model,
+    Target,
+    TargetDesiredState,
+)
+from lycheepost.operators.capacity_group import UNFINISHED, GroupWork
+from lycheepost.operators.capacity_newsteps import waiting_step
+from lycheepost.operators.capacity_records import (
+    ACTIVE_STEPS,
+    CapacityTiming,
+    accepted_versions,
+    held_version,
+    newest_version,
+)
+
+
+def plan_repairs(work: GroupWork, timing: CapacityTiming) -> None:
+    """Load again what a target should hold and does not.
+
+    An engine that crashed comes back with the weights it boots with; a target
+    that ignores fencing may have taken a late order of an earlier holder. Both
+    refuse every request meant for them until they hold what is recorded.
+    """
+    model = work.model()
+    if model is None:
+        return
+    name = f"repair-{work.group.target_group}"
+    claimed = {step.target for intent, step in work.steps() if _claims(intent, step)}
+    wrong = [
+        target
+        for target in work.targets.values()
+        if target.desired_state is TargetDesiredState.SERVING
+        and target.target not in claimed
+        and _is_wrong(work, target, model, timing)
+    ]
+    if not wrong:
+        return
+    if name not in work.intents or work.intents[name].state not in UNFINISHED:
+        work.put_intent(_make_repair(work, name, work.intents.get(name)))
+    work.put_steps(name, [_repair_step(target, model) for target in wrong])
+
+
+def _claims(intent: CapacityIntent, step: CapacityStep) -> bool:
+    """Return whether a step will load its target, so that no repair need.
+
+    A step that waits in a paused intent, or to retire, would keep a target that
+    serves nobody from being mended.
+    """
+    if step.state in ACTIVE_STEPS:
+        return True
+    if step.state is CapacityStepState.FAILED:
+        return intent.state in UNFINISHED
+    is_running = intent.state is CapacityIntentState.RUNNING
+    loads = intent.kind in (CapacityIntentKind.REPAIR, CapacityIntentKind.NEW_WEIGHTS)
+    return step.state is CapacityStepState.WAITING and is_running and loads
+
+
+def _is_wrong(
+    work: GroupWork, target: Target, model: Model, timing: CapacityTiming
+) -> bool:
+    observed = work.observe(target.target)
+    if observed.health is None:
+        return False
+    if held_version(target, model) not in accepted_versions(model):
+        return True
+    return observed.wrong_seconds >= timing.repair_after_seconds
+
+
+def _repair_step(target: Target, model: Model) -> CapacityStep:
+    held = held_version(target, model)
+    version = held if held in accepted_versions(model) else newest_version(model)
+    return dataclasses.replace(waiting_step(target.target, version), was_serving=True)
+
+
+def _make_repair(
+    work: GroupWork, name: str, earlier: CapacityIntent | None
+) -> CapacityIntent:
+    steps = [] if earlier is None else earlier.steps
+    # A failed load may still be under way: its record holds its slot.
+    failed = [step for step in steps if step.state is CapacityStepState.FAILED]
+    return CapacityIntent(
+        intent=name,
+        kind=CapacityIntentKind.REPAIR,
+        target_group=work.group.target_group,
+        state=CapacityIntentState.RUNNING,
+        start_wall_seconds=work.now_wall_seconds,
+        steps=failed,
+        note="targets hold other weights than recorded",
+    )
--- /dev/null
+++ b/lycheepost/operators/capacity_steering.py
@@ -0,0 +1,74 @@
+"""Pause, resume and cancel capacity intents."""
+
+import dataclasses
+
+from lycheepost.generated.configuration import (
+    CapacityIntent,
+    CapacityIntentState,
+    CapacityStepState,
+)
+from lycheepost.generated.operators import CancelIntent, PauseIntent, ResumeIntent
+from lycheepost.operators.capacity_estimates import CapacityContext
+from lycheepost.operators.capacity_group import UNFINISHED
+from lycheepost.operators.change_results import Applied, ChangeResult, check_present
+from lycheepost.operators.items import Draft
+from lycheepost.utils.documents import Fault
+
+Steering = PauseIntent | ResumeIntent | CancelIntent
+
+_STEERED_FROM = {
+    PauseIntent: {CapacityIntentState.SCHEDULED, CapacityIntentState.RUNNING},
+    ResumeIntent: {CapacityIntentState.PAUSED, CapacityIntentState.FAILED},
+    CancelIntent: set(UNFINISHED),
+}
+_STEERED_TO = {
+    PauseIntent: CapacityIntentState.PAUSED,
+    CancelIntent: CapacityIntentState.CANCELLED,
+}
+_STEERED_ACTION = {
+    PauseIntent: "pause_intent",
+    ResumeIntent: "resume_intent",
+    CancelIntent: "cancel_intent",
+}
+
+
+def steer_intent(
+    draft: Draft, change: Steering, context: CapacityContext
+) -> ChangeResult:
+    """Change the state of an intent as an operator asks."""
+    subject = f"capacity_intents/{change.intent}"
+    faults = check_present(draft, subject, "intent")
+    if faults:
+        return faults
+    intent = draft.find(subject)
+    kind = type(change)
+    if intent.state not in _STEERED_FROM[kind]:
+        return [Fault("intent", change.intent, f"is {intent.state.value}")]
+    if isinstance(change, ResumeIntent):
+        draft.put(_resume(intent))
+    else:
+        ended_seconds = 0.0
+        if isinstance(change, CancelIntent):
+            ended_seconds = context.now_wall_seconds
+        draft.put(
+            dataclasses.replace(
+                intent, state=_STEERED_TO[kind], ended_wall_seconds=ended_seconds
+            )
+        )
+    n_open = sum(step.state is not CapacityStepState.DONE for step in intent.steps)
+    detail = f"{intent.kind.value}, {n_open} of {len(intent.steps)} steps open"
+    return Applied(_STEERED_ACTION[kind], subject, detail)
+
+
+def _resume(intent: CapacityIntent) -> CapacityIntent:
+    """Return the intent running again, its failed steps to be tried again."""
+    steps = [
+        dataclasses.replace(step, state=CapacityStepState.WAITING, note="")
+        if step.state is CapacityStepState.FAILED
+        else step
+        for step in intent.steps
+    ]
+    state = CapacityIntentState.RUNNING
+    if not steps:
+        state = CapacityIntentState.SCHEDULED
+    return dataclasses.replace(intent, state=state, steps=steps, note="")
--- a/lycheepost/operators/planning.py
+++ b/lycheepost/operators/planning.py
@@ -25,10 +25,9 @@
 from lycheepost.generated.settings import OperatorSettings
 from lycheepost.operators.capacity_changes import (
     CapacityChange,
-    CapacityContext,
-    WeightsKey,
     apply_capacity_change,
 )
+from lycheepost.operators.capacity_estimates import CapacityContext, WeightsKey
 from lycheepost.operators.change_results import Applied, HashForCustomer
 from lycheepost.operators.changes import apply_plain_change
 from lycheepost.operators.intents import Change, Intent, prefix_fault
--- a/lycheepost/operators/weightsfacts.py
+++ b/lycheepost/operators/weightsfacts.py
@@ -7,7 +7,7 @@
 
 from lycheepost.core.ids import ModelId
 from lycheepost.generated.operators import WeightsFact
-from lycheepost.operators.capacity_changes import WeightsKey
+from lycheepost.operators.capacity_estimates import WeightsKey
 from lycheepost.platform.weights import WeightsInfo, WeightsPort
 
 
