Put the engine model behind the stand-in engine's HTTP face

It now runs standin.enginemodel in real time; one field (most_iterations) lets the model show each token.

--- a/features/promises/steps/fleet.py
+++ b/features/promises/steps/fleet.py
@@ -19,7 +19,7 @@
 from lycheepost.loadgen.expected import make_standin_answers
 from lycheepost.loadgen.mixes import Deployment
 from lycheepost.standin.engine import EngineStandinSettings
-from lycheepost.standin.enginetiming import SimpleTimingSettings
+from lycheepost.standin.enginetiming import make_speeds
 
 N_DAEMONS = 3
 POISON = "poisonous"
@@ -46,7 +46,7 @@
             engine=EngineStandinSettings(
                 crash_text=POISON,
                 restart_seconds=0.4,
-                timing=SimpleTimingSettings(token_gap_seconds=0.002),
+                timing=make_speeds(iteration_seconds=0.002),
             ),
         )
         self.standins = StandinFleet(shape)
--- a/features/targets/steps/reports.py
+++ b/features/targets/steps/reports.py
@@ -13,7 +13,7 @@
 from lycheepost.generated.engine import EngineHealthState
 from lycheepost.generated.settings import TargetSettings
 from lycheepost.standin.engine import EngineStandinSettings, make_engine
-from lycheepost.standin.enginetiming import SimpleTimingSettings
+from lycheepost.standin.enginetiming import make_speeds
 from lycheepost.targets.control import make_control_client
 from lycheepost.targets.observe import ObserverCallbacks, make_target_observer
 from lycheepost.targets.pollplan import PollPlan, PollSettings, ReportKind
@@ -27,8 +27,8 @@
 
 
 def start_engine(context, gap_share=0.0, load_lag_seconds=0.0):
-    timing = SimpleTimingSettings(
-        event_gap_share=gap_share, event_lag_seconds=0.02, token_gap_seconds=0.001
+    timing = make_speeds(
+        event_loss_share=gap_share, event_lag_seconds=0.02, iteration_seconds=0.001
     )
     settings = EngineStandinSettings(
         timing=timing, restart_seconds=0.1, load_lag_seconds=load_lag_seconds
--- a/features/targets/steps/streams.py
+++ b/features/targets/steps/streams.py
@@ -10,7 +10,7 @@
 
 from lycheepost.standin.engine import EngineStandinSettings, make_engine
 from lycheepost.standin.enginerun import RunState
-from lycheepost.standin.enginetiming import SimpleTimingSettings
+from lycheepost.standin.enginetiming import make_speeds
 from lycheepost.targets.calls import CHAT_PATH, COMPLETION_PATH
 
 
@@ -21,7 +21,7 @@
 
 @given("the engine generates without a pause")
 def given_fast_engine(context):
-    timing = SimpleTimingSettings(token_gap_seconds=0.0)
+    timing = make_speeds(iteration_seconds=0.0)
     context.bed = context.run(open_bed(context.stack, timing=timing, max_tokens=20000))
 
 
--- a/lycheepost/standin/engine.py
+++ b/lycheepost/standin/engine.py
@@ -9,7 +9,7 @@
 import json
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import structlog
@@ -17,7 +17,7 @@
 
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.core.hashing import hash_bytes
-from lycheepost.core.ids import PrefixDigest
+from lycheepost.core.ids import PrefixDigest, RequestId
 from lycheepost.decide.records import PrefixLevel
 from lycheepost.generated.engine import (
     CacheEvents,
@@ -28,6 +28,7 @@
     EngineOrderAnswer,
 )
 from lycheepost.standin import answers
+from lycheepost.standin.enginemodel import EngineRequest, EngineSettings
 from lycheepost.standin.enginerun import (
     EngineRun,
     RunRecord,
@@ -35,10 +36,9 @@
     make_run_request,
 )
 from lycheepost.standin.enginetiming import (
+    STANDIN_SPEEDS,
     EngineTiming,
-    EngineWork,
-    SimpleTiming,
-    SimpleTimingSettings,
+    make_engine_timing,
 )
 from lycheepost.standin.faults import (
     CrashAt,
@@ -92,7 +92,7 @@
     load_weights_seconds: float = 0.5
     max_tokens: int = 4096
     crash_text: str = ""
-    timing: SimpleTimingSettings = field(default_factory=SimpleTimingSettings)
+    timing: EngineSettings = STANDIN_SPEEDS
 
 
 TimingFactory = Callable[[], EngineTiming]
@@ -139,6 +139,7 @@
             if task is not None:
                 task.cancel()
         self._end_runs()
+        self._timing.close()
         await self._server.stop()
 
     def crash(self) -> None:
@@ -159,6 +160,7 @@
     async def _restart(self) -> None:
         _log.info("standin: engine crashed", engine=self.settings.name)
         await self._server.stop()
+        self._timing.close()
         self._boot()
         await asyncio.sleep(self.settings.restart_seconds)
         await self._server.start()
@@ -229,8 +231,8 @@
         asked = make_run_request(name, is_chat, body, self.settings.max_tokens)
         prompt_tokens = answers.count_prompt_tokens(asked.prompt_text)
         digests = request.headers.get("X-Prefix-Digests", "")
-        work = EngineWork(
-            request=name,
+        work = EngineRequest(
+            request=RequestId(name),
             salt=str(body.get("cache_salt", "")),
             levels=_parse_levels(digests, asked.prompt_text, prompt_tokens),
             prompt_tokens=prompt_tokens,
@@ -544,5 +546,7 @@
     """Return an engine that is not yet started."""
     used_clock = clock or SystemClock()
     return EngineStandin(
-        settings, used_clock, lambda: SimpleTiming(settings.timing, used_clock)
+        settings,
+        used_clock,
+        lambda: make_engine_timing(settings.name, settings.timing, used_clock),
     )
--- a/lycheepost/standin/enginemodel.py
+++ b/lycheepost/standin/enginemodel.py
@@ -45,6 +45,8 @@
         event_lag_seconds: A cache event is published this long after it.
         event_loss_share: Share of cache events that are lost.
         slowness: All work takes this many times as long.
+        most_iterations: Equal iterations run as one event at most; 1 shows
+            each token when it comes, many save events in virtual time.
     """
 
     prefill_seconds_per_token: float = 50e-6
@@ -57,6 +59,7 @@
     event_lag_seconds: float = 0.7
     event_loss_share: float = 0.02
     slowness: float = 1.0
+    most_iterations: int = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -371,7 +374,8 @@
     def _iterations_until_finish(self) -> int:
         while self._running and self._running[0][2].is_cancelled:
             heapq.heappop(self._running)
-        return max(1, self._running[0][0] - self._token_count)
+        n_iterations = max(1, self._running[0][0] - self._token_count)
+        return min(n_iterations, self.settings.most_iterations)
 
     def _note_load(self, now_seconds: float) -> None:
         report = EngineReport(
--- a/lycheepost/standin/enginerun.py
+++ b/lycheepost/standin/enginerun.py
@@ -12,7 +12,8 @@
 from typing import Any
 
 from lycheepost.standin import answers
-from lycheepost.standin.enginetiming import EngineTiming, EngineWork
+from lycheepost.standin.enginemodel import EngineRequest
+from lycheepost.standin.enginetiming import EngineTiming
 
 
 class RunState(Enum):
@@ -73,7 +74,7 @@
     def __init__(
         self,
         request: RunRequest,
-        work: EngineWork,
+        work: EngineRequest,
         timing: EngineTiming,
         record: RunRecord,
     ) -> None:
