--- a/features/capacity/steps/whole_steps.py
+++ b/features/capacity/steps/whole_steps.py
@@ -1,6 +1,7 @@
 """Steps of a rollout over real sockets."""
 
 import asyncio
+import unittest.mock
 
 import aiohttp
 from behave import given, then, when
@@ -14,6 +15,7 @@
     Settings,
 )
 from lycheepost.platform.weights import WeightsInfo
+from lycheepost.standin.engine import EngineStandin
 
 TIMING = OperatorSettings(
     capacity_tick_seconds=0.2, drain_settle_seconds=1.0, warm_step_seconds=0.3
@@ -100,7 +102,21 @@
 
 @when("new weights are confirmed while callers send")
 def when_rolled(context):
-    asyncio.run(roll_out(context))
+    take = EngineStandin._post_kv
+    context.imports = []
+
+    async def count(self, request):
+        answer = await take(self, request)
+        context.imports.append((answer.status, self.weights_version))
+        return answer
+
+    with unittest.mock.patch.object(EngineStandin, "_post_kv", count):
+        asyncio.run(roll_out(context))
+
+
+@then("the engines that came up later were given kept blocks before their share rose")
+def then_imported(context):
+    assert context.imports and set(context.imports) == {(200, "w2")}, context.imports
 
 
 @then("every engine holds the new weights")
--- a/lycheepost/app/capacity.py
+++ b/lycheepost/app/capacity.py
@@ -3,6 +3,7 @@
 from lycheepost.app.platform import Platform
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
+from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.generated.settings import Settings
 from lycheepost.operators.capacity_ports import CapacityDeps
 from lycheepost.operators.capacity_runner import (
@@ -10,6 +11,7 @@
     CapacityRunner,
     make_capacity_runner,
 )
+from lycheepost.operators.capacity_warm import KvWarmer
 from lycheepost.peers.shared import SharedState
 from lycheepost.state.duties import is_candidate
 from lycheepost.targets.control import ControlClient
@@ -21,6 +23,7 @@
     platform: Platform,
     state: SharedState,
     control: ControlClient,
+    hot: HotPrefixes,
     clock: Clock,
 ) -> CapacityRunner:
     """Return the part that carries out capacity intents.
@@ -37,5 +40,6 @@
         settings=settings.operators,
         is_candidate=lambda: is_candidate(DUTY, me, state.members.members()),
         vms=platform.vm_list,
+        warm=KvWarmer(control, lambda: state.revisions.view, hot),
     )
     return make_capacity_runner(deps, seed=hash_bytes(me.encode()))
--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -144,7 +144,7 @@
     )
     callers, operators = _make_listeners(settings, traffic, operator_routes)
     control = make_control_client(settings.streams)
-    capacity = make_capacity(settings, platform, state, control, clock)
+    capacity = make_capacity(settings, platform, state, control, traffic.hot, clock)
     parts: list[Part] = [
         platform,
         state,
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -14,6 +14,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
+from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.decide.records import TargetState
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import make_scheduler_settings
@@ -49,6 +50,7 @@
     losses: LossExchange
     front: CallerFront
     drain_state: DrainState
+    hot: HotPrefixes
 
     def parts(self) -> list[Part]:
         """Return the parts in the order in which to start them."""
@@ -109,6 +111,7 @@
             valid_for_seconds=chosen.valid_for_seconds,
         )
 
+    hot = HotPrefixes()
     front = CallerFront(
         CallerDeps(
             settings=settings,
@@ -125,9 +128,11 @@
             on_sample=lambda sample: recorder.record(sample, clock.wall_seconds()),
             is_draining=lambda: drain_state.is_draining,
             status=status,
+            hot=hot,
         )
     )
     return Traffic(
+        hot=hot,
         dispatcher=dispatcher,
         engines=engines,
         services=services,
--- a/lycheepost/callers/deps.py
+++ b/lycheepost/callers/deps.py
@@ -16,6 +16,7 @@
     RequestId,
     TargetId,
 )
+from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.generated.callers import AddressList
 from lycheepost.generated.settings import Settings
 from lycheepost.report.samples import Sample
@@ -80,6 +81,7 @@
         is_draining: Whether this daemon is leaving.
         status: The whole of ``/admin/status``.
         versions: Chooses the weights of a request while its model changes.
+        hot: Counts the prefixes that requests share, to warm targets with.
     """
 
     settings: Settings
@@ -97,3 +99,4 @@
     is_draining: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
     versions: RequestVersions = field(default_factory=RequestVersions)
+    hot: HotPrefixes = field(default_factory=HotPrefixes)
--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -85,6 +85,12 @@
     """
     asked = await _ask(deps, endpoint, request_id, request)
     job = _make_job(asked)
+    deps.hot.note(
+        job.work.model,
+        asked.weights_version,
+        cache_salt(asked.customer),
+        job.work.levels,
+    )
     if asked.headers.idempotency_key is not None:
         return await _answer_keyed(deps, keyed, asked, job, request)
     if asked.call.is_streamed:
--- /dev/null
+++ b/lycheepost/decide/hotprefixes.py
@@ -0,0 +1,84 @@
+"""The prefixes that most requests share, as one daemon sees them.
+
+A target that comes up is given the kept blocks of these before it takes traffic.
+Counts are kept for a bounded number of prefixes (the space-saving algorithm: a
+new one takes over the place and the count of the rarest), so that memory does
+not grow with the prefixes of 990 customers, and halve now and then, so that
+what was hot yesterday gives way.
+"""
+
+from dataclasses import dataclass
+
+from lycheepost.core.ids import ModelId, PrefixDigest, WeightsVersion
+from lycheepost.decide.records import PrefixLevel
+
+KEPT_PREFIXES = 512
+"""About 100 KB. A target is warmed with a few dozen; the rest keeps the counts of
+those honest."""
+_HALVE_AFTER = 20_000
+"""Requests: at 100 a second, a little over three minutes."""
+
+
+@dataclass(frozen=True, slots=True)
+class HotPrefix:
+    """One shared prefix.
+
+    Attributes:
+        cache_salt: Separates the customer's blocks on engines.
+    """
+
+    model: ModelId
+    weights_version: WeightsVersion
+    cache_salt: str
+    digest: PrefixDigest
+
+
+class HotPrefixes:
+    """Counts shared prefixes; the last level of a prompt is its own text."""
+
+    def __init__(self) -> None:
+        self._counts: dict[HotPrefix, int] = {}
+        self._n_noted = 0
+
+    def note(
+        self,
+        model: ModelId,
+        weights_version: WeightsVersion,
+        cache_salt: str,
+        levels: tuple[PrefixLevel, ...],
+    ) -> None:
+        """Count the levels of one request but its last."""
+        for level in levels[:-1]:
+            prefix = HotPrefix(model, weights_version, cache_salt, level.digest)
+            self._count(prefix)
+        self._n_noted += 1
+        if self._n_noted >= _HALVE_AFTER:
+            self._halve()
+
+    def top(
+        self, model: ModelId, weights_version: WeightsVersion, n: int
+    ) -> list[HotPrefix]:
+        """Return the hottest prefixes of one version, the hottest first."""
+        counted = [
+            (count, prefix)
+            for prefix, count in self._counts.items()
+            if (prefix.model, prefix.weights_version) == (model, weights_version)
+        ]
+        counted.sort(key=lambda item: item[0], reverse=True)
+        return [prefix for _, prefix in counted[:n]]
+
+    def _count(self, prefix: HotPrefix) -> None:
+        if prefix in self._counts:
+            self._counts[prefix] += 1
+            return
+        inherited = 0
+        if len(self._counts) >= KEPT_PREFIXES:
+            rarest = min(self._counts, key=self._counts.__getitem__)
+            inherited = self._counts.pop(rarest)
+        self._counts[prefix] = inherited + 1
+
+    def _halve(self) -> None:
+        self._n_noted = 0
+        self._counts = {
+            prefix: count // 2 for prefix, count in self._counts.items() if count > 1
+        }
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -67,6 +67,7 @@
         self._next_try_seconds = float("-inf")
         self._fenced: set[tuple[TargetId, str]] = set()
         self._warmed: set[tuple[TargetId, str]] = set()
+        self._imports: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
         self._last_look = Look.NO_DUTY
 
@@ -235,12 +236,18 @@
     async def _act(
         self, configuration: Configuration, actions: tuple[CapacityAction, ...]
     ) -> None:
+        warming = {
+            (action.target, action.weights_version)
+            for action in actions
+            if isinstance(action, WarmAction)
+        }
+        self._warmed &= warming
         for action in actions:
             match action:
                 case OrderAction():
                     await self._send(configuration, action)
                 case WarmAction():
-                    await self._import(configuration, action)
+                    self._begin_import(configuration, action)
 
     async def _send(self, configuration: Configuration, action: OrderAction) -> None:
         lease = self._lease
@@ -279,16 +286,24 @@
             self._lease = None
         return True
 
-    async def _import(self, configuration: Configuration, action: WarmAction) -> None:
+    def _begin_import(self, configuration: Configuration, action: WarmAction) -> None:
         key = (action.target, action.weights_version)
         target = _find_target(configuration, action.target)
-        if self._deps.warm is None or target is None or key in self._warmed:
+        if target is None or key in self._warmed:
             return
         self._warmed.add(key)
+        # Imports take seconds: a look that waited for them would lose the lease.
+        task = asyncio.create_task(self._import(target, action))
+        self._imports.add(task)
+        task.add_done_callback(self._imports.discard)
+
+    async def _import(self, target: Target, action: WarmAction) -> None:
+        if self._deps.warm is None:
+            return
         warmed = await self._deps.warm.warm(
             target, action.model, action.weights_version
         )
-        n_tokens = warmed.unwrap() if isinstance(warmed, Success) else 0
+        n_tokens = warmed.value_or(0)
         _log.info("capacity: warmed", target=action.target, n_tokens=n_tokens)
 
     async def _run(self) -> None:
@@ -306,6 +321,8 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
+        for task in self._imports:
+            task.cancel()
 
 
 def _without_answer(observed: Observed) -> Observed:
--- /dev/null
+++ b/lycheepost/operators/capacity_warm.py
@@ -0,0 +1,106 @@
+"""Import kept KV into a target before it takes traffic.
+
+The daemon that drives the change knows the hottest prefixes of its own requests.
+For each it asks a few targets with the same weights for the kept blocks and
+hands them on. An engine refuses blocks of other weights, so nothing computed by
+older weights can get in. It only steers: a prefix that nobody holds any more is
+left out, and the target computes it when it is asked for.
+"""
+
+import asyncio
+import urllib.parse
+from collections.abc import Callable
+
+from returns.result import Result, Success
+
+from lycheepost.core.errors import LycheepostError
+from lycheepost.core.hashing import rendezvous_order
+from lycheepost.core.ids import ModelId, TargetGroupId, WeightsVersion
+from lycheepost.decide.hotprefixes import HotPrefix, HotPrefixes
+from lycheepost.generated.configuration import Target, TargetDesiredState
+from lycheepost.generated.engine import KvExport, KvImport, KvImportAnswer
+from lycheepost.operators.capacity_records import held_version
+from lycheepost.state.view import ConfigurationView
+from lycheepost.targets.control import ControlClient
+
+WARMED_PREFIXES = 32
+"""More would take longer than the first rise of the target's share."""
+_DONORS_ASKED = 3
+"""Owners of a prefix come first in its rendezvous order."""
+_WARM_SECONDS = 10.0
+
+
+class KvWarmer:
+    """Implements ``WarmPort`` over the engines' own calls.
+
+    Args:
+        control: Sends the calls.
+        get_view: Tells which targets hold which weights.
+        hot: What this daemon's callers ask for most.
+    """
+
+    def __init__(
+        self,
+        control: ControlClient,
+        get_view: Callable[[], ConfigurationView],
+        hot: HotPrefixes,
+    ) -> None:
+        self._control = control
+        self._get_view = get_view
+        self._hot = hot
+
+    async def warm(
+        self, target: Target, model: ModelId, weights_version: WeightsVersion
+    ) -> Result[int, LycheepostError]:
+        """Import the hottest kept prefixes; return how many tokens."""
+        prefixes = self._hot.top(model, weights_version, WARMED_PREFIXES)
+        donors = self._find_donors(target, model, weights_version)
+        n_tokens = 0
+        try:
+            async with asyncio.timeout(_WARM_SECONDS):
+                for prefix in prefixes:
+                    n_tokens += await self._import(target, prefix, donors)
+        except TimeoutError:
+            # What has been imported is there; the rest is computed when asked for.
+            pass
+        return Success(n_tokens)
+
+    def _find_donors(
+        self, target: Target, model: ModelId, weights_version: WeightsVersion
+    ) -> dict[str, Target]:
+        view = self._get_view()
+        group = TargetGroupId(target.target_group)
+        return {
+            other.target: other
+            for other in view.targets_by_group.get(group, ())
+            if other.target != target.target
+            and other.desired_state is TargetDesiredState.SERVING
+            and held_version(other, view.models.get(model)) == weights_version
+        }
+
+    async def _import(
+        self, target: Target, prefix: HotPrefix, donors: dict[str, Target]
+    ) -> int:
+        for name in rendezvous_order(prefix.digest, donors)[:_DONORS_ASKED]:
+            kept = await self._export(donors[name], prefix)
+            if kept is None:
+                continue
+            body = KvImport(
+                cache_salt=prefix.cache_salt,
+                digest=prefix.digest,
+                n_tokens=kept.n_tokens,
+                weights_version=prefix.weights_version,
+            )
+            url = f"{target.url}/kv/import"
+            answer = await self._control.send(url, body, KvImportAnswer)
+            return answer.map(lambda taken: taken.n_tokens).value_or(0)
+        return 0
+
+    async def _export(self, donor: Target, prefix: HotPrefix) -> KvExport | None:
+        salt = urllib.parse.quote(prefix.cache_salt, safe="")
+        url = f"{donor.url}/kv/{prefix.digest}?cache_salt={salt}"
+        kept = await self._control.read(url, KvExport)
+        found = kept.value_or(None)
+        if found is None or found.weights_version != prefix.weights_version:
+            return None
+        return found
