--- a/features/capacity/steps/capacity_steps.py
+++ b/features/capacity/steps/capacity_steps.py
@@ -12,7 +12,7 @@
 from scripted import ScriptedWorld  # noqa: E402
 
 from lycheepost.bench.capacity_check import run_capacity_checks  # noqa: E402
-from lycheepost.bench.capacity_fleet import ModelOrders  # noqa: E402
+from lycheepost.bench.capacity_holder import ModelOrders  # noqa: E402
 from lycheepost.core.ids import Revision  # noqa: E402
 from lycheepost.generated.configuration import (  # noqa: E402
     CapacityIntentState,
--- a/features/capacity/steps/scripted.py
+++ b/features/capacity/steps/scripted.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from lycheepost.bench.capacity_check import CapacityWorld
 from lycheepost.bench.capacity_fleet import run_traffic
+from lycheepost.bench.capacity_world import CapacityWorld
 from lycheepost.core.ids import Revision
 from lycheepost.generated.configuration import (
     Configuration,
