--- /dev/null
+++ b/features/operators/commands.feature
@@ -0,0 +1,46 @@
+Feature: Operators' commands
+
+  Background:
+    Given 2 daemons and a fleet of three engines
+    And a shell with ada's key
+
+  Scenario Outline: Exit codes tell a script what happened
+    When the command "<command>" is run
+    Then it exits with <code>
+    And it prints "<text>"
+
+    Examples:
+      | command                                                    | code | text               |
+      | customer create beta --yes                                 | 0    | shown this once    |
+      | customer create acme --yes                                 | 2    | exists already     |
+      | customer rotate-key acme --end-old --yes --json            | 0    | lpk-               |
+      | customer disable acme --yes                                | 0    | in force           |
+      | customer list --json                                       | 0    | "n_keys": 1        |
+      | customer list --key lpo-wrong                              | 1    | not known          |
+      | customer list --url http://127.0.0.1:9                     | 3    | No answer          |
+      | model list                                                 | 0    | reader: weights w1 |
+      | model set-version reader w2 --at-once --yes                | 1    | Conflicts block    |
+      | model set-version reader w2 --yes                          | 0    | capacity intent    |
+      | intent plan broken.yaml                                    | 2    | is not YAML        |
+      | intent plan missing.yaml                                   | 2    | cannot be read     |
+      | intent plan good.yaml                                      | 0    | intent confirm     |
+      | intent confirm plan-000000000000-00                        | 1    | no such plan       |
+      | intent pause nothing --yes                                 | 2    | does not exist     |
+      | intent show                                                | 0    | applied            |
+
+  Scenario: A plan that is not confirmed changes nothing
+    When the command "customer create beta" is run and answered with "n"
+    Then it exits with 1
+    And the configuration has no customer "beta"
+
+  Scenario: The daemon goes away in the midst of a confirm
+    Ada confirms and the connection breaks: no answer, three times. She must not
+    guess; the command tells her how to learn what happened.
+
+    Given a plan that creates "beta"
+    When the daemon applies the confirm and breaks the connection every time
+    Then it exits with 3
+    And it prints "--token"
+    When the printed command is run against the other daemon
+    Then it exits with 0
+    And it prints "shown this once"
