--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -53,7 +53,7 @@
 can no longer be ordered fairly nor refused early; an engine in which nothing
 waits idles between our dispatches."""
 
-INSIDE_PATIENCE_SHARE = 0.8
+INSIDE_PATIENCE_SHARE = 0.7
 """A customer inside its share is refused only when the engines themselves are
 too slow for it; the rest covers the error of that prediction."""
 
@@ -125,7 +125,8 @@
         self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
     ) -> list[Outcome]:
         budget = self._budget_seconds(work, choice, now_seconds)
-        give_up = now_seconds + budget * GIVE_UP_SLACK
+        longest = max(budget, work.patience_seconds * INSIDE_PATIENCE_SHARE)
+        give_up = now_seconds + min(budget * GIVE_UP_SLACK, longest)
         waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
         rate = self._rate.per_second()
         wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
@@ -142,7 +143,7 @@
         if work.excluded:
             # A target failed it, not the load: it has its caller's whole time.
             elapsed = now_seconds - work.arrived_seconds
-            return max(0.0, work.patience_seconds - elapsed)
+            return max(0.0, work.patience_seconds - elapsed) / GIVE_UP_SLACK
         if self.shares.is_inside(work.customer):
             return work.patience_seconds * INSIDE_PATIENCE_SHARE
         budget = budget_seconds(work, self._settings)
