--- /dev/null
+++ b/features/decide/steps/decisions.py
@@ -0,0 +1,208 @@
+"""Steps of decisions.feature."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.decide.steps.common import Desk, make_view
+from lycheepost.core.ids import Incarnation, TargetId, WeightsVersion
+from lycheepost.decide.belief import CacheBelief
+from lycheepost.decide.records import (
+    FinishKind,
+    LoadReport,
+    PrefixLevel,
+    RefusalReason,
+    TargetState,
+)
+from lycheepost.generated.engine import CacheEvent, CacheEventKind
+
+
+@given("a scheduler before {n_targets:d} targets")
+def make_desk(context, n_targets):
+    context.desk = Desk(n_targets)
+
+
+@when("{n_requests:d} requests of one customer arrive in one moment")
+def arrive_many(context, n_requests):
+    for index in range(n_requests):
+        context.desk.arrive(f"many-{index}", customer="large")
+
+
+@then("some are sent and some are refused at once with a time to come back")
+def check_early(context):
+    desk = context.desk
+    assert desk.sent and desk.refused
+    for refusal in desk.refused.values():
+        assert refusal.retry_after_seconds > 0, refusal
+
+
+@then("every time to come back differs from the next")
+def check_jitter(context):
+    times = [item.retry_after_seconds for item in context.desk.refused.values()]
+    assert len(set(times)) > len(times) / 2, times
+
+
+@when("{seconds:d} seconds pass without any first token")
+def pass_time(context, seconds):
+    desk = context.desk
+    desk.ended = dict.fromkeys(desk.refused, desk.now_seconds)
+    for _ in range(seconds * 50):
+        desk.wait(0.02)
+        for request in desk.refused:
+            desk.ended.setdefault(request, desk.now_seconds)
+
+
+@then("every request was sent, or refused within {percent:d} in 100 of its patience")
+def check_not_held(context, percent):
+    desk = context.desk
+    assert set(desk.works) == set(desk.sent) | set(desk.refused)
+    for request, ended in desk.ended.items():
+        work = desk.works[request]
+        waited = ended - work.arrived_seconds
+        assert waited <= work.patience_seconds * percent / 100, waited
+
+
+@when('a request "{name}" of another customer arrives')
+def arrive_one(context, name):
+    context.desk.arrive(name, customer="small")
+
+
+@when("the running requests end one after another")
+def end_all(context):
+    desk = context.desk
+    context.already = list(desk.sent)
+    for request in context.already[:4]:
+        desk.wait(0.1)
+        desk.scheduler.first_token(request, desk.now_seconds, None)
+        outcomes = desk.scheduler.finish(request, desk.now_seconds, FinishKind.COMPLETE)
+        desk.note(outcomes)
+
+
+@then('"{name}" is among the next {count:d} that are sent')
+def check_next(context, name, count):
+    assert name not in context.already
+    later = [item for item in context.desk.sent if item not in context.already]
+    assert name in later[:count], later
+
+
+@when("the daemon drains")
+def drain(context):
+    context.desk.note(context.desk.scheduler.drain())
+
+
+@then("every request was sent or refused as shutting down")
+def check_drained(context):
+    desk = context.desk
+    early = {RefusalReason.DEADLINE, RefusalReason.OVER_SHARE}
+    reasons = {item.reason for item in desk.refused.values()} - early
+    assert reasons == {RefusalReason.SHUTTING_DOWN}, reasons
+    assert set(desk.works) == set(desk.sent) | set(desk.refused)
+
+
+@then("a new request is refused as shutting down")
+def check_new(context):
+    context.desk.arrive("new")
+    assert context.desk.refused["new"].reason is RefusalReason.SHUTTING_DOWN
+
+
+@when("target 0 becomes {state}")
+def change_state(context, state):
+    desk = context.desk
+    desk.views[0] = replace(desk.views[0], state=TargetState(state))
+    desk.announce()
+
+
+@then("no request went to target 0")
+def check_avoided(context):
+    assert context.desk.sent
+    assert TargetId("target-0") not in context.desk.sent.values()
+
+
+@when("requests have filled the belief about target 0")
+def fill_belief(context):
+    context.desk.arrive("first", body="same")
+    context.work = context.desk.works["first"]
+    assert believed(context) == context.work.prompt_tokens
+
+
+def believed(context):
+    """Return what the next dispatch of the same prompt expects to be cached."""
+    desk = context.desk
+    work = replace(context.work, request=f"again-{desk.now_seconds}")
+    desk.now_seconds += 1.0
+    for outcome in desk.scheduler.arrive(work, desk.now_seconds):
+        desk.scheduler.finish(work.request, desk.now_seconds, FinishKind.CANCELLED)
+        return outcome.expected_cached_tokens
+    raise AssertionError("not sent")
+
+
+def stored(sequence, digest, n_tokens=100):
+    kind = CacheEventKind.STORED
+    return CacheEvent(sequence=sequence, kind=kind, digest=digest, n_tokens=n_tokens)
+
+
+def report(context, boot):
+    context.desk.scheduler.observe_load(
+        LoadReport(
+            target=TargetId("target-0"),
+            incarnation=Incarnation(boot),
+            measured_seconds=context.desk.now_seconds,
+            n_running=0,
+            n_queued=0,
+            queued_prompt_tokens=0,
+            cached_tokens=0,
+        ),
+        context.desk.now_seconds,
+    )
+
+
+def send_events(context, boot, events):
+    context.desk.scheduler.observe_cache_events(
+        TargetId("target-0"), Incarnation(boot), events, context.desk.now_seconds
+    )
+
+
+@when("{event} happens to target 0")
+def happen(context, event):
+    desk = context.desk
+    match event:
+        case "a restart seen by membership":
+            desk.views[0] = make_view(0, boot="2")
+            desk.announce()
+        case "a restart seen in load reports":
+            report(context, "boot-0-2")
+        case "a restart seen in cache events":
+            send_events(context, "boot-0-2", (stored(1, 5),))
+        case "late events of the dead engine":
+            report(context, "boot-0-2")
+            levels = context.work.levels
+            late = tuple(stored(i + 1, lv.digest) for i, lv in enumerate(levels))
+            send_events(context, "boot-0-1", late)
+        case "a change of weights":
+            version = WeightsVersion("weights-2")
+            desk.views[0] = replace(desk.views[0], weights_version=version)
+            desk.announce()
+            context.work = replace(context.work, weights_version=version)
+
+
+@then("the same prompt expects no cached tokens there")
+def check_no_belief(context):
+    assert believed(context) == 0
+
+
+@when("target 0 announces {n_stored:d} stored levels and then skips {n_lost:d} events")
+def skip_events(context, n_stored, n_lost):
+    context.belief = CacheBelief(Incarnation("boot"), 10**9)
+    events = [stored(sequence, sequence) for sequence in range(1, n_stored + 1)]
+    events.append(stored(n_stored + n_lost + 1, n_stored + n_lost + 1))
+    context.belief.observe(Incarnation("boot"), events)
+
+
+@then("the {count:d} oldest levels are no longer believed and the rest are")
+def check_gap(context, count):
+    found = [
+        digest
+        for digest in range(1, 51)
+        if context.belief.cached_tokens((PrefixLevel(digest, 100),))
+    ]
+    assert found == list(range(count + 1, 51)), found
--- /dev/null
+++ b/features/decide/steps/faults.py
@@ -0,0 +1,250 @@
+"""Steps of faults.feature."""
+
+import heapq
+from collections import Counter
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.decide.steps.common import Desk, make_view
+from lycheepost.core.ids import Incarnation, TargetId
+from lycheepost.decide.records import FinishKind, LoadReport, RefusalReason
+
+KILLER = "killer"
+TARGET_0 = TargetId("target-0")
+
+
+@when(
+    "{count:d} requests run on target 0 and one of them kills every target it runs on"
+)
+def run_on_one(context, count):
+    desk = context.desk
+    others = {key: desk.views[key] for key in desk.views if key != 0}
+    desk.views = {0: desk.views[0]}
+    desk.announce()
+    for index in range(count - 1):
+        desk.arrive(f"neighbour-{index}", patience_seconds=60.0)
+    desk.arrive(KILLER, patience_seconds=60.0)
+    assert set(desk.sent.values()) == {TARGET_0} and len(desk.sent) == count
+    desk.views.update(others)
+    desk.announce()
+    context.reached = Counter()
+    context.complete = set()
+
+
+@when("lost requests are retried until nothing changes")
+def retry_lost(context):
+    desk = context.desk
+    for _ in range(50):
+        running = dict(desk.sent)
+        desk.sent.clear()
+        lost_target = running.get(KILLER)
+        context.reached[KILLER] += lost_target is not None
+        lost = [name for name, target in running.items() if target == lost_target]
+        for name in lost:
+            lose(desk, name, lost_target)
+        for name in running:
+            if name not in lost:
+                desk.scheduler.first_token(name, desk.now_seconds, None)
+                kind = FinishKind.COMPLETE
+                desk.note(desk.scheduler.finish(name, desk.now_seconds, kind))
+                context.complete.add(name)
+        for name in lost:
+            desk.note(desk.scheduler.retry(desk.works[name], desk.now_seconds))
+        desk.wait(0.5)
+
+
+def lose(desk, name, target):
+    """End a request by the loss of its target."""
+    work = desk.works[name]
+    desk.works[name] = replace(work, excluded=work.excluded | {target})
+    kind = FinishKind.TARGET_LOST
+    desk.note(desk.scheduler.finish(name, desk.now_seconds, kind))
+
+
+@then("the killer reached exactly {count:d} targets and is refused as quarantined")
+def check_killer(context, count):
+    assert context.reached[KILLER] == count, context.reached
+    assert context.desk.refused[KILLER].reason is RefusalReason.QUARANTINED
+
+
+@then("its resend is refused as quarantined")
+def check_resend(context):
+    context.desk.arrive("resend", body=KILLER)
+    assert context.desk.refused["resend"].reason is RefusalReason.QUARANTINED
+
+
+@then("all other requests complete")
+def check_others(context):
+    others = set(context.desk.works) - {KILLER, "resend"}
+    assert context.complete == others, others - context.complete
+
+
+@when("{count:d} requests in turn fail on every target they reach")
+def fail_all(context, count):
+    desk = context.desk
+    context.n_retries = 0
+    for index in range(count):
+        name = f"request-{index}"
+        desk.arrive(name)
+        while name in desk.sent:
+            target = desk.sent.pop(name)
+            work = desk.works[name]
+            desk.works[name] = replace(work, excluded=work.excluded | {target})
+            kind = FinishKind.TARGET_REFUSED
+            desk.note(desk.scheduler.finish(name, desk.now_seconds, kind))
+            desk.note(desk.scheduler.retry(desk.works[name], desk.now_seconds))
+            context.n_retries += name in desk.sent
+    context.n_requests = count
+
+
+@then("at most {burst:d} plus a tenth of them were retries")
+def check_budget(context, burst):
+    assert 0 < context.n_retries <= burst + context.n_requests / 10
+
+
+class Player:
+    """Plays requests through a desk on targets that serve one after another."""
+
+    SERVICE_SECONDS = 0.02
+
+    def __init__(self, desk):
+        self.desk = desk
+        self.ending = []
+        self.n_sent = 0
+        self.free_at = {}
+
+    def send(self, body, slowness):
+        """Send one request; returns its target, or None when it waits."""
+        desk = self.desk
+        self.n_sent += 1
+        name = f"played-{self.n_sent}"
+        desk.arrive(name, body=body, patience_seconds=20.0)
+        target = desk.sent.get(name)
+        if target is not None:
+            seconds = self.SERVICE_SECONDS * slowness.get(target, 1.0)
+            start = max(desk.now_seconds, self.free_at.get(target, 0.0))
+            self.free_at[target] = start + seconds
+            heapq.heappush(self.ending, (start + seconds, name))
+        return target
+
+    def run_to(self, end_seconds):
+        desk = self.desk
+        while self.ending and self.ending[0][0] <= end_seconds:
+            at_seconds, name = heapq.heappop(self.ending)
+            desk.now_seconds = max(desk.now_seconds, at_seconds)
+            desk.scheduler.first_token(name, desk.now_seconds, None)
+            desk.scheduler.finish(name, desk.now_seconds, FinishKind.COMPLETE)
+        desk.now_seconds = max(desk.now_seconds, end_seconds)
+
+    def play(self, seconds, per_second, slowness, body=None):
+        """Return how many requests went to each target."""
+        targets = Counter()
+        for index in range(int(seconds * per_second)):
+            text = body or f"own-{self.n_sent}"
+            targets[self.send(text, slowness)] += 1
+            self.run_to(self.desk.now_seconds + 1.0 / per_second)
+            self.desk.scheduler.tick(self.desk.now_seconds)
+        return targets
+
+
+@when("target 0 takes {times:d} times as long for {seconds:d} seconds and is then well")
+def play_slow(context, times, seconds):
+    player = Player(context.desk)
+    slowness = {TARGET_0: float(times)}
+    player.play(seconds / 2, 20, slowness)
+    context.while_slow = player.play(seconds / 2, 20, slowness)
+    player.play(60, 20, {})
+    context.afterwards = player.play(20, 20, {})
+
+
+def share_of(targets):
+    return 100 * targets[TARGET_0] / sum(targets.values())
+
+
+@then("its share of the work falls below {percent:d} in 100 while it is slow")
+def check_less(context, percent):
+    assert share_of(context.while_slow) < percent, context.while_slow
+
+
+@then("its share of the work is above {percent:d} in 100 a minute later")
+def check_back(context, percent):
+    assert share_of(context.afterwards) > percent, context.afterwards
+
+
+def make_report(target, at_seconds, n_running, prompt_tokens, boot):
+    return LoadReport(
+        target=target,
+        incarnation=Incarnation(boot),
+        measured_seconds=at_seconds,
+        n_running=n_running,
+        n_queued=0,
+        queued_prompt_tokens=prompt_tokens,
+        cached_tokens=0,
+    )
+
+
+@when("{count:d} requests run on target 0 and a report tells of just these {same:d}")
+def report_own(context, count, same):
+    desk = context.desk
+    for index in range(count):
+        desk.arrive(f"own-{index}")
+    tokens = sum(work.prompt_tokens for work in desk.works.values())
+    desk.wait(1.0)
+    report = make_report(TARGET_0, desk.now_seconds - 0.5, same, tokens, "boot-0-1")
+    desk.scheduler.observe_load(report, desk.now_seconds)
+
+
+@then("the estimate for target 0 is {count:d} requests")
+def check_estimate(context, count):
+    status = context.desk.scheduler.status()
+    target = status["groups"]["engines"]["targets"][TARGET_0]
+    assert target["n_estimated"] == count, target
+
+
+@given(
+    "{n_daemons:d} schedulers before {n_targets:d} targets of which 0 reports least load"
+)
+def make_desks(context, n_daemons, n_targets):
+    context.desks = [Desk(n_targets) for _ in range(n_daemons)]
+    for desk in context.desks:
+        for index in desk.views:
+            desk.views[index] = make_view(index, limit=64)
+        desk.announce()
+        for index in desk.views:
+            busy = 0 if index == 0 else 8
+            report = make_report(
+                TargetId(f"target-{index}"), 99.0, busy, busy * 1000, f"boot-{index}-1"
+            )
+            desk.scheduler.observe_load(report, desk.now_seconds)
+
+
+@when("each gets {count:d} requests in one moment")
+def fill_desks(context, count):
+    for number, desk in enumerate(context.desks):
+        for index in range(count):
+            desk.arrive(f"daemon-{number}-{index}")
+
+
+@then("target 0 gets at most {most:d} of the {total:d}")
+def check_spread(context, most, total):
+    sent = Counter(target for desk in context.desks for target in desk.sent.values())
+    assert sum(sent.values()) == total, sent
+    assert sent[TARGET_0] <= most, sent
+
+
+@when("one prefix is asked for {per_second:d} times a second for {seconds:d} seconds")
+@when("then {per_second:d} times a second for {seconds:d} seconds")
+def play_hot(context, per_second, seconds):
+    if not hasattr(context, "player"):
+        context.player = Player(context.desk)
+        context.owners = []
+    targets = context.player.play(seconds, per_second, {}, body="hot album")
+    total = sum(targets.values())
+    context.owners.append(sum(count > total / 20 for count in targets.values()))
+
+
+@then("it had {first:d} owner, then at least {second:d}, then {third:d} again")
+def check_owners(context, first, second, third):
+    before, during, after = context.owners
+    assert (before, after) == (first, third) and during >= second, context.owners
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -15,7 +15,7 @@
     retry_after_seconds,
 )
 from lycheepost.decide.load import InFlight, TargetLoad
-from lycheepost.decide.placement import Choice, Placement
+from lycheepost.decide.placement import Ahead, Choice, Placement
 from lycheepost.decide.quarantine import PeerSuspects, Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting
 from lycheepost.decide.records import (
@@ -86,6 +86,7 @@
         self._rate = ServiceRate(1.0)
         self._usual_rate = ServiceRate(1.0)
         self._bias = WaitBias()
+        self._bound = Ahead()
 
     def set_weights(self, weights: dict[CustomerId, float]) -> None:
         """Set each customer's weight in fair sharing."""
@@ -111,7 +112,7 @@
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
-        choice = self._choose(work, now_seconds, {})
+        choice = self._choose(work, now_seconds, self._bound)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
             return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
@@ -136,8 +137,28 @@
             return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
         waiting.predicted_seconds = wait.seconds
         self.queue.push(waiting)
+        self._bind(waiting, choice)
         return self.pump(now_seconds)
 
+    def _bind(self, waiting: Waiting, choice: Choice) -> None:
+        """Note for which target a request waits."""
+        self._unbind(waiting)
+        waiting.bound = (choice.load.view.target, choice.uncached_tokens)
+        self._bound.add(*waiting.bound)
+
+    def _unbind(self, waiting: Waiting) -> None:
+        if waiting.bound is not None:
+            self._bound.remove(*waiting.bound)
+            waiting.bound = None
+
+    def remove(self, request: RequestId) -> bool:
+        """Take a request out of the queue; False when it does not wait."""
+        waiting = self.queue.remove(request)
+        if waiting is None:
+            return False
+        self._unbind(waiting)
+        return True
+
     def _budget_seconds(self, work: Work, choice: Choice, now_seconds: float) -> float:
         """Return how long from now ``work`` may wait for its first token."""
         if work.excluded:
@@ -170,19 +191,19 @@
         self,
         work: Work,
         now_seconds: float,
-        extra_tokens: dict[TargetId, int],
+        ahead_of: Ahead,
     ) -> Choice | None:
         avoid = work.excluded
         if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            return self.placement.best(work, now_seconds, avoid, extra_tokens)
+            return self.placement.best(work, now_seconds, avoid, ahead_of)
         alone = avoid | self._targets_with_suspects(now_seconds)
-        choice = self.placement.best(work, now_seconds, alone, extra_tokens)
+        choice = self.placement.best(work, now_seconds, alone, ahead_of)
         if choice is not None:
             return choice
         # A target that is lost with many requests makes them all suspects, more
         # than there are targets to try each alone on. They wait for their turn;
         # refusing them would fail the innocent ones.
-        choice = self.placement.best(work, now_seconds, avoid, extra_tokens)
+        choice = self.placement.best(work, now_seconds, avoid, ahead_of)
         return None if choice is None else replace(choice, can_take=False)
 
     def _targets_with_suspects(self, now_seconds: float) -> frozenset[TargetId]:
@@ -224,26 +245,25 @@
         outcomes: list[Outcome] = []
         if not len(self.queue) or not self.placement.has_room(now_seconds):
             return outcomes
-        extra_tokens: dict[TargetId, int] = {}
+        ahead_of = Ahead()
         for waiting in self.queue.in_order(SCANNED_REQUESTS, self.shares.is_inside):
-            outcome = self._try_waiting(waiting, now_seconds, extra_tokens)
+            outcome = self._try_waiting(waiting, now_seconds, ahead_of)
             if outcome is not None:
                 outcomes.append(outcome)
         return outcomes
 
     def _try_waiting(
-        self, waiting: Waiting, now_seconds: float, extra_tokens: dict[TargetId, int]
+        self, waiting: Waiting, now_seconds: float, ahead_of: Ahead
     ) -> Outcome | None:
         work = waiting.work
-        choice = self._choose(work, now_seconds, extra_tokens)
+        choice = self._choose(work, now_seconds, ahead_of)
         if choice is None:
             return None
         if not choice.can_take:
-            target = choice.load.view.target
-            tokens = extra_tokens.get(target, 0) + choice.uncached_tokens
-            extra_tokens[target] = tokens
+            ahead_of.add(choice.load.view.target, choice.uncached_tokens)
+            self._bind(waiting, choice)
             return None
-        self.queue.remove(work.request)
+        self.remove(work.request)
         waited_seconds = now_seconds - waiting.enqueued_seconds
         self._bias.observe(waited_seconds, waiting.predicted_seconds)
         cost = self._cost_seconds(work, choice.uncached_tokens)
@@ -275,7 +295,7 @@
             rates.observe_uncached(uncached, entry.work.prompt_tokens)
         elapsed = now_seconds - entry.dispatched_seconds
         ratio = rates.observe_first_token(elapsed, entry.ahead_tokens + uncached)
-        load.slowness.observe(ratio, now_seconds)
+        load.slowness.observe(ratio / rates.usual_ratio, now_seconds)
         own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
         load.window.observe(
             delay_seconds=elapsed - own_seconds * load.slowness.value,
@@ -312,7 +332,7 @@
         for waiting in self.queue.all():
             if now_seconds < waiting.give_up_seconds:
                 continue
-            self.queue.remove(waiting.work.request)
+            self.remove(waiting.work.request)
             wait = QueueWait(waiting.work.patience_seconds, False)
             outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
         outcomes.extend(self.pump(now_seconds))
@@ -322,22 +342,25 @@
         """Refuse everything that waits."""
         outcomes: list[Outcome] = []
         for waiting in self.queue.all():
-            self.queue.remove(waiting.work.request)
+            self.remove(waiting.work.request)
             outcomes.append(self._refuse(waiting.work, reason, QueueWait(0.0, False)))
         return outcomes
 
-    def status(self) -> dict[str, object]:
+    def status(self, now_seconds: float) -> dict[str, object]:
         """Return the queue and the targets in short."""
         return {
             "n_waiting": len(self.queue),
             "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
             "service_rate": round(self._rate.per_second(), 3),
+            "pressure": round(self.placement.pressure, 3),
             "targets": {
                 target: {
                     "state": load.view.state.value,
                     "n_in_flight": len(load.in_flight),
+                    "n_estimated": round(load.estimate(now_seconds)[1], 1),
                     "n_believed_levels": len(load.belief),
-                    "slowness": round(load.slowness.value, 3),
+                    "window_tokens": round(load.window.tokens),
+                    "slowness": round(load.slowness.now(now_seconds), 3),
                 }
                 for target, load in self.placement.loads.items()
             },
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -69,6 +69,31 @@
     can_take: bool
 
 
+class Ahead:
+    """Requests of our own queue that wait for a target, by target.
+
+    Without them the target of a hot prefix looks as if only its running work
+    lay ahead, however many of ours already wait for it.
+    """
+
+    def __init__(self) -> None:
+        self.tokens: dict[TargetId, int] = {}
+        self.requests: dict[TargetId, int] = {}
+
+    def add(self, target: TargetId, n_tokens: int) -> None:
+        """Count one more request that waits for ``target``."""
+        self.tokens[target] = self.tokens.get(target, 0) + n_tokens
+        self.requests[target] = self.requests.get(target, 0) + 1
+
+    def remove(self, target: TargetId, n_tokens: int) -> None:
+        """Stop counting one."""
+        self.tokens[target] -= n_tokens
+        self.requests[target] -= 1
+        if not self.requests[target]:
+            del self.tokens[target]
+            del self.requests[target]
+
+
 class Placement:
     """Candidates and scores within one target group."""
 
@@ -133,7 +158,7 @@
         work: Work,
         now_seconds: float,
         avoid: frozenset[TargetId] | set[TargetId],
-        extra_tokens: dict[TargetId, int],
+        ahead_of: Ahead,
     ) -> Choice | None:
         """Return the best placement of ``work``; None when no target fits.
 
@@ -141,8 +166,7 @@
             work: The request to place.
             now_seconds: The present time.
             avoid: Targets that must not get this request.
-            extra_tokens: Prompt tokens of requests ahead in the queue that
-                wait for a target, by target.
+            ahead_of: Requests ahead in the queue that wait for a target.
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
         version = work.weights_version
@@ -155,14 +179,14 @@
             usable.append((load, uncached if uncached > 0 else 0))
         if not usable:
             return None
-        return self._lowest(usable, owners, now_seconds, extra_tokens, work)
+        return self._lowest(usable, owners, now_seconds, ahead_of, work)
 
     def _lowest(
         self,
         usable: list[tuple[TargetLoad, int]],
         owners: list[TargetId],
         now_seconds: float,
-        extra_tokens: dict[TargetId, int],
+        ahead_of: Ahead,
         work: Work,
     ) -> Choice:
         """Return the target of lowest cost.
@@ -181,12 +205,15 @@
         for load, uncached in usable:
             target = load.view.target
             ahead, n_running = load.estimate(now_seconds)
-            if extra_tokens:
-                ahead += extra_tokens.get(target, 0)
+            if ahead_of.tokens:
+                ahead += ahead_of.tokens.get(target, 0)
+                n_ahead = ahead_of.requests.get(target, 0)
+            else:
+                n_ahead = 0
             prefill = uncached * token_seconds
             wait = rates.first_token_seconds + ahead * token_seconds + prefill
             wait *= load.slowness.now(now_seconds)
-            excess = n_running + 1.0 - load.limit()
+            excess = n_running + n_ahead + 1.0 - load.limit()
             if excess > 0.0:
                 wait += excess * rates.hold_seconds / load.limit()
             delayed = min(MAX_DELAYED, ahead / rates.uncached_tokens)
--- a/lycheepost/decide/queueing.py
+++ b/lycheepost/decide/queueing.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from operator import attrgetter
 
-from lycheepost.core.ids import CustomerId, RequestId
+from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.records import Work
 
 PRIORITY_SECONDS = 4.0
@@ -51,6 +51,7 @@
         deadline_seconds: When the caller leaves.
         give_up_seconds: When it is refused if it still waits.
         predicted_seconds: Wait that was predicted for it.
+        bound: The target it waits for and the tokens to prefill there.
     """
 
     work: Work
@@ -60,6 +61,7 @@
     give_up_seconds: float
     enqueued_seconds: float
     predicted_seconds: float = 0.0
+    bound: tuple[TargetId, int] | None = None
 
 
 @dataclass(slots=True)
--- a/lycheepost/decide/rates.py
+++ b/lycheepost/decide/rates.py
@@ -11,6 +11,9 @@
 GAIN = 0.05
 """Weight of one observation; some twenty settle a figure."""
 
+MAX_RATIO = 4.0
+"""One hanging target must not make slowness the usual."""
+
 SMALL_TOKENS = 300
 """Below this the fixed part of a first token is nearly all of it."""
 
@@ -28,6 +31,8 @@
         hold_seconds: How long a request occupies a slot.
         uncached_share: Share of prompt tokens that engines had to compute.
         uncached_tokens: Tokens of a prompt that engines had to compute.
+        usual_ratio: Observed over predicted first-token time of all targets,
+            which each target is compared with.
     """
 
     token_seconds: float
@@ -35,6 +40,7 @@
     hold_seconds: float = 1.0
     uncached_share: float = 0.5
     uncached_tokens: float = 1000.0
+    usual_ratio: float = 1.0
 
     def observe_first_token(self, elapsed_seconds: float, n_tokens: float) -> float:
         """Learn from one first token; returns observed over predicted time.
@@ -51,7 +57,9 @@
         elif n_tokens > LARGE_TOKENS:
             seconds = max(0.0, elapsed_seconds - self.first_token_seconds) / n_tokens
             self.token_seconds += GAIN * (seconds - self.token_seconds)
-        return elapsed_seconds / max(predicted, 1e-3)
+        ratio = elapsed_seconds / max(predicted, 1e-3)
+        self.usual_ratio += GAIN * (min(ratio, MAX_RATIO) - self.usual_ratio)
+        return ratio
 
     def observe_hold(self, held_seconds: float) -> None:
         """Learn how long a request occupied its slot."""
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -57,6 +57,7 @@
         self._budget = RetryBudget(settings.retry_share)
         self._losses: list[LossSeen] = []
         self._is_draining = False
+        self._now_seconds = 0.0
 
     def replace_targets(
         self, targets: tuple[TargetView, ...], now_seconds: float
@@ -175,13 +176,14 @@
     def cancel(self, request: RequestId, now_seconds: float) -> list[Outcome]:
         """Drop a request that still waits; its caller has left."""
         group = self._group_by_request.get(request)
-        if group is None or group.queue.remove(request) is None:
+        if group is None or not group.remove(request):
             return []
         del self._group_by_request[request]
         return group.pump(now_seconds)
 
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Do what falls due with time; called every 20 ms."""
+        self._now_seconds = now_seconds
         outcomes: list[Outcome] = []
         for group in self._groups.values():
             outcomes.extend(group.tick(now_seconds))
@@ -249,5 +251,8 @@
         """Return queues and loads for ``/admin/status``."""
         return {
             "is_draining": self._is_draining,
-            "groups": {name: group.status() for name, group in self._groups.items()},
+            "groups": {
+                name: group.status(self._now_seconds)
+                for name, group in self._groups.items()
+            },
         }
