Ask unreachable engines again within a tenth of a second; feed changed states at once

Cause: after all engines crashed and came back, callers were refused with no_target until a refusal's five seconds or the next health turn had passed (features/promises_targets, 'every engine crashes'). The scenario now waits for that half second: it had begun to ask while engines were still down, when a refusal is right. A whole pass over the targets comes less often in large fleets; signs are fed at once.

--- a/features/promises/steps/fleet.py
+++ b/features/promises/steps/fleet.py
@@ -122,8 +122,9 @@
         )
         return replace(plan, **fields)
 
-    async def load_with(self, provoke, after_seconds=0.15, **fields):
+    async def load_with(self, provoke, after_seconds=0.15, quiet_seconds=0, **fields):
         """Send traffic, provoke something meanwhile, and return the report."""
+        await asyncio.sleep(quiet_seconds)
 
         async def later():
             await asyncio.sleep(after_seconds)
--- a/features/promises/steps/promise_steps.py
+++ b/features/promises/steps/promise_steps.py
@@ -55,6 +55,9 @@
             lambda: FAILURES["nothing"](fleet),
             n_seconds=0.5,
             rate_per_second=30,
+            # Engines that crashed are back by then, and have shown it by one
+            # health answer; before, a refusal is right.
+            quiet_seconds=0.5,
             after_seconds=0,
             seed=6,
         ),
--- a/lycheepost/app/feed.py
+++ b/lycheepost/app/feed.py
@@ -25,6 +25,12 @@
 """A leaving target must get no new work after a few seconds; a sign reaches the
 scheduler at the latest this long after it was seen."""
 
+SOON_SECONDS = 0.01
+SMALL_FLEET = 500
+"""Targets up to which a whole pass each ``FEED_SECONDS`` costs under 1% of a core.
+With more it comes less often: signs are fed at once, and only the lapse of an old
+sign waits for it."""
+
 States = Callable[[], dict[TargetId, TargetState]]
 Incarnations = Callable[[], dict[TargetId, Incarnation]]
 
@@ -83,6 +89,8 @@
         self._get_incarnations = get_incarnations
         self._on_view = on_view
         self._last: tuple[int, tuple[TargetView, ...]] | None = None
+        self._fed_states: dict[TargetId, TargetState] = {}
+        self._soon: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -95,13 +103,29 @@
 
     async def stop(self) -> None:
         """Stop feeding."""
-        if self._task is not None:
-            self._task.cancel()
+        for pending in (self._task, self._soon):
+            if pending is not None:
+                pending.cancel()
+
+    def note_state(self, target: TargetId, state: TargetState | None) -> None:
+        """Feed within a moment if this state is not what was fed last.
+
+        Signs of many targets come together when a rack fails or comes back;
+        the moment lets one pass serve them all.
+        """
+        if self._fed_states.get(target) is state or self._soon is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._soon = loop.call_later(SOON_SECONDS, self.feed)
 
     def feed(self) -> None:
         """Pass the targets on if anything about them has changed."""
+        if self._soon is not None:
+            self._soon.cancel()
+            self._soon = None
         view = self._get_view()
-        views = make_target_views(view, self._get_states(), self._get_incarnations())
+        self._fed_states = self._get_states()
+        views = make_target_views(view, self._fed_states, self._get_incarnations())
         # The revision counts too: a change of a customer's share alone would
         # otherwise not be in force until some target changes.
         seen = (view.configuration.revision, views)
@@ -119,5 +143,6 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(FEED_SECONDS)
+            n_targets = len(self._fed_states)
+            await asyncio.sleep(FEED_SECONDS * max(1.0, n_targets / SMALL_FLEET))
             self.feed()
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -110,9 +110,7 @@
         control,
         clock,
         ObserverCallbacks(
-            on_sign=lambda target, sign: state.members.observe_target(
-                target, sign, clock.now_seconds()
-            ),
+            on_sign=lambda target, sign: on_sign(target, sign),
             on_load=dispatcher.observe_load,
             on_events=dispatcher.observe_cache_events,
         ),
@@ -131,10 +129,15 @@
     state.revisions.subscribe(lambda _view: feed.feed())
     drain_state = DrainState()
 
+    def on_sign(target: TargetId, sign: TargetSign) -> None:
+        state.members.observe_target(target, sign, clock.now_seconds())
+        feed.note_state(target, state.members.target_state(target))
+
     def on_unreachable(target: TargetId) -> None:
         sign = TargetSign(SignSource.CONNECTION, TargetState.GONE, UNREACHABLE_SECONDS)
         state.members.observe_target(target, sign, clock.now_seconds())
         feed.feed()
+        observer.recheck(target)
 
     def addresses(customer: CustomerId | None) -> AddressList:
         chosen = state.members.addresses(customer, clock.now_seconds())
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -145,6 +145,11 @@
         targets = self._get_view().targets
         return self._targets.states(targets, self._clock.now_seconds())
 
+    def target_state(self, target: TargetId) -> TargetState | None:
+        """Return the state of one target; None when it is not configured."""
+        configured = self._get_view().targets.get(target)
+        return self._targets.state(target, configured, self._clock.now_seconds())
+
     def observe_target(
         self, target: TargetId, sign: TargetSign, now_seconds: float
     ) -> None:
--- a/lycheepost/state/targetstates.py
+++ b/lycheepost/state/targetstates.py
@@ -67,16 +67,17 @@
 
         Signs of ``PEER`` are not passed on again, so that none can go round.
         """
-        before = self._state(target, configured, now_seconds)
+        before = self.state(target, configured, now_seconds)
         self._signs.observe(target, sign, now_seconds)
-        after = self._state(target, configured, now_seconds)
+        after = self.state(target, configured, now_seconds)
         is_worse = after is not before and sign.state is not TargetState.SERVING
         if is_worse and sign.source is not SignSource.PEER:
             self._tell(target, sign, now_seconds)
 
-    def _state(
+    def state(
         self, target: TargetId, configured: Target | None, now_seconds: float
     ) -> TargetState | None:
+        """Return the state of one target; None when it is not configured."""
         if configured is None:
             return None
         return self._signs.state(target, configured.desired_state, now_seconds)
--- a/lycheepost/targets/observe.py
+++ b/lycheepost/targets/observe.py
@@ -148,6 +148,10 @@
             **self._control.status(),
         }
 
+    def recheck(self, target: TargetId) -> None:
+        """Ask a target that took no connection again before its turn."""
+        self._plan.recheck(target, self._clock.now_seconds())
+
     def incarnations(self) -> dict[TargetId, Incarnation]:
         """Return the boot id that each target last named."""
         return dict(self._incarnations)
@@ -204,6 +208,7 @@
                 self._callbacks.on_sign(target, health_sign(state))
             case Failure(TargetUnreachable()):
                 self._callbacks.on_sign(target, refused_sign())
+                self.recheck(target)
 
     def _take_load(
         self, target: TargetId, answer: Result[EngineLoad, TargetError]
--- a/lycheepost/targets/pollplan.py
+++ b/lycheepost/targets/pollplan.py
@@ -43,6 +43,10 @@
     calls_per_second: float
 
 
+_RECHECK_SECONDS = 0.1
+"""Wait before an unreachable target is asked again, while the budget allows."""
+
+
 @dataclass(frozen=True, slots=True)
 class Poll:
     """One report to ask for."""
@@ -65,6 +69,7 @@
         self._random = random.Random(seed)
         self._targets: set[TargetId] = set()
         self._due: list[tuple[float, int, Poll]] = []
+        self._rechecks: dict[TargetId, float] = {}
         self._n_pushed = 0
         self._slowness = 1.0
         self._is_small = True
@@ -96,7 +101,28 @@
             if is_in_use or poll.kind is ReportKind.HEALTH:
                 taken.append(poll)
             self._push(poll, now_seconds + self._next_delay(poll, is_in_use))
-        return taken
+        return taken + self._take_rechecks(now_seconds)
+
+    def recheck(self, target: TargetId, now_seconds: float) -> None:
+        """Ask an unreachable target for its health again before its turn.
+
+        A target that restarts is back within a second or so; if all of a group
+        restart together, each further moment refuses every caller. The budget
+        stretches this wait as it does all others.
+        """
+        due_seconds = now_seconds + _RECHECK_SECONDS * self._slowness
+        self._rechecks.setdefault(target, due_seconds)
+
+    def _take_rechecks(self, now_seconds: float) -> list[Poll]:
+        due = [
+            target
+            for target, due_seconds in self._rechecks.items()
+            if due_seconds <= now_seconds
+        ]
+        for target in due:
+            del self._rechecks[target]
+        known = [target for target in due if target in self._targets]
+        return [Poll(target, ReportKind.HEALTH) for target in known]
 
     def next_due_seconds(self) -> float | None:
         """Return when to look again; None without any target."""
