Count a loss only if its run was sent after the last one; drop refuted refusals

Cause: 30 callers sent the same body while all engines crashed, and every one of them was told 422 quarantined for ten minutes: each copy in flight on one lost engine had counted as a loss of its own. And a peer's word that an engine took no connection outlived our own connection to it by seconds. Before: 30 of 30 and every later send refused; 6 of 15 requests refused half a second after the engines were back.

--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -57,13 +57,22 @@
                     fingerprint=loss.fingerprint,
                     until_wall_seconds=loss.until_seconds + offset_seconds,
                     is_quarantined=loss.is_quarantined,
+                    started_wall_seconds=loss.started_seconds + offset_seconds,
+                    lost_wall_seconds=loss.lost_seconds + offset_seconds,
                 )
             )
 
     def _take(self, notice: QuarantineNotice, _sender: DaemonId) -> None:
         fingerprint = BodyFingerprint(notice.fingerprint)
         if not notice.is_quarantined:
-            self._dispatcher.note_loss(fingerprint)
+            # Wall clocks of VMs agree to milliseconds; a loss is told apart from
+            # the next by the pause before a retry.
+            offset_seconds = self._clock.now_seconds() - self._clock.wall_seconds()
+            self._dispatcher.note_loss(
+                fingerprint,
+                notice.started_wall_seconds + offset_seconds,
+                notice.lost_wall_seconds + offset_seconds,
+            )
             return
         for_seconds = notice.until_wall_seconds - self._clock.wall_seconds()
         if for_seconds > 0:
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -151,9 +151,14 @@
         until_seconds = self._clock.now_seconds() + for_seconds
         self._scheduler.quarantine(fingerprint, until_seconds)
 
-    def note_loss(self, fingerprint: BodyFingerprint) -> None:
-        """Count a target loss that another daemon saw."""
-        self._scheduler.note_loss(fingerprint, self._clock.now_seconds())
+    def note_loss(
+        self,
+        fingerprint: BodyFingerprint,
+        started_seconds: float,
+        lost_seconds: float,
+    ) -> None:
+        """Count a target loss that another daemon saw; times of our clock."""
+        self._scheduler.note_loss(fingerprint, started_seconds, lost_seconds)
 
     def take_losses(self) -> list[LossSeen]:
         """Return the losses seen here since the last call."""
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -286,8 +286,8 @@
 
     def finish(
         self, request: RequestId, now_seconds: float, kind: FinishKind
-    ) -> Work | None:
-        """Note the end of a request and return it."""
+    ) -> InFlight | None:
+        """Note the end of a request and return how it was in flight."""
         target = self._running.pop(request, None)
         load = self.placement.loads.get(target) if target is not None else None
         entry = load.end(request, now_seconds) if load is not None else None
@@ -298,7 +298,7 @@
             self.placement.rates.observe_hold(held)
         if kind is FinishKind.TARGET_LOST:
             load.belief.clear()
-        return entry.work
+        return entry
 
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
--- a/lycheepost/decide/quarantine.py
+++ b/lycheepost/decide/quarantine.py
@@ -23,13 +23,27 @@
 
 @dataclass(frozen=True, slots=True)
 class LossSeen:
-    """A fingerprint was running on a target that was lost; for peers."""
+    """A fingerprint was running on a target that was lost; for peers.
+
+    Attributes:
+        started_seconds: When the run that was lost was sent.
+        lost_seconds: When its loss was seen.
+    """
 
     fingerprint: BodyFingerprint
+    started_seconds: float
+    lost_seconds: float
     until_seconds: float
     is_quarantined: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Suspect:
+    n_losses: int
+    lost_seconds: float
+    until_seconds: float
+
+
 class Quarantine:
     """Losses counted per fingerprint.
 
@@ -41,7 +55,7 @@
     def __init__(self, losses: int, keep_seconds: float) -> None:
         self._losses = losses
         self._keep_seconds = keep_seconds
-        self._counts: dict[BodyFingerprint, tuple[int, float]] = {}
+        self._counts: dict[BodyFingerprint, _Suspect] = {}
         self._until: dict[BodyFingerprint, float] = {}
 
     def add(self, fingerprint: BodyFingerprint, until_seconds: float) -> None:
@@ -67,24 +81,48 @@
         entry = self._counts.get(fingerprint)
         if entry is None:
             return False
-        if entry[1] <= now_seconds:
+        if entry.until_seconds <= now_seconds:
             del self._counts[fingerprint]
             return False
         return True
 
-    def note_loss(self, fingerprint: BodyFingerprint, now_seconds: float) -> LossSeen:
-        """Count a loss, seen here or told by a peer."""
+    def note_loss(
+        self,
+        fingerprint: BodyFingerprint,
+        started_seconds: float,
+        lost_seconds: float,
+    ) -> LossSeen | None:
+        """Count a loss, seen here or told by a peer.
+
+        A run that was sent before the last counted loss tells nothing new: many
+        callers may send the same body, and a rack that fails takes several
+        targets at once. Counting each of those runs would quarantine whatever
+        is most popular.
+
+        Args:
+            fingerprint: What was running.
+            started_seconds: When this run of it was sent.
+            lost_seconds: When its target was found lost.
+
+        Returns:
+            The loss to tell the peers of; None when it does not count.
+        """
         count = 1
-        if self.is_suspect(fingerprint, now_seconds):
-            count += self._counts[fingerprint][0]
-        until_seconds = now_seconds + self._keep_seconds
-        self._counts[fingerprint] = (count, until_seconds)
+        if self.is_suspect(fingerprint, lost_seconds):
+            suspect = self._counts[fingerprint]
+            if started_seconds <= suspect.lost_seconds:
+                return None
+            count += suspect.n_losses
+        until_seconds = lost_seconds + self._keep_seconds
+        self._counts[fingerprint] = _Suspect(count, lost_seconds, until_seconds)
         while len(self._counts) > MAX_SUSPECTS:
             del self._counts[next(iter(self._counts))]
         is_quarantined = count >= self._losses
         if is_quarantined:
             self.add(fingerprint, until_seconds)
-        return LossSeen(fingerprint, until_seconds, is_quarantined)
+        return LossSeen(
+            fingerprint, started_seconds, lost_seconds, until_seconds, is_quarantined
+        )
 
     def clear(self, fingerprint: BodyFingerprint) -> None:
         """Acquit a suspect that ran to its end."""
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -161,13 +161,15 @@
         group = self._group_by_request.pop(request, None)
         if group is None:
             return []
-        work = group.finish(request, now_seconds, kind)
-        if work is not None and kind is FinishKind.TARGET_LOST:
-            self._losses.append(
-                self._quarantine.note_loss(work.fingerprint, now_seconds)
+        entry = group.finish(request, now_seconds, kind)
+        if entry is not None and kind is FinishKind.TARGET_LOST:
+            loss = self._quarantine.note_loss(
+                entry.work.fingerprint, entry.dispatched_seconds, now_seconds
             )
-        if work is not None and kind is FinishKind.COMPLETE:
-            self._quarantine.clear(work.fingerprint)
+            if loss is not None:
+                self._losses.append(loss)
+        if entry is not None and kind is FinishKind.COMPLETE:
+            self._quarantine.clear(entry.work.fingerprint)
         outcomes = group.pump(now_seconds)
         self._forget_refused(outcomes)
         return outcomes
@@ -212,9 +214,14 @@
         """Refuse a fingerprint that a peer has quarantined."""
         self._quarantine.add(fingerprint, until_seconds)
 
-    def note_loss(self, fingerprint: BodyFingerprint, now_seconds: float) -> None:
+    def note_loss(
+        self,
+        fingerprint: BodyFingerprint,
+        started_seconds: float,
+        lost_seconds: float,
+    ) -> None:
         """Count a target loss that a peer saw this fingerprint running in."""
-        self._quarantine.note_loss(fingerprint, now_seconds)
+        self._quarantine.note_loss(fingerprint, started_seconds, lost_seconds)
 
     def take_losses(self) -> list[LossSeen]:
         """Return the losses seen since the last call, to tell the peers."""
--- a/lycheepost/state/signs.py
+++ b/lycheepost/state/signs.py
@@ -96,9 +96,22 @@
         heard = self._heard.get(target)
         if heard is not None:
             heard.pop(sign.source, None)
+            if sign.source is SignSource.CONNECTION:
+                self._drop_peer_refusal(heard)
             if not heard:
                 del self._heard[target]
 
+    @staticmethod
+    def _drop_peer_refusal(heard: dict[SignSource, _Heard]) -> None:
+        """Forget a peer's older word that the target takes no connection.
+
+        Without it a target that restarted within a second would stay avoided
+        for as long as the peer's sign counts, although it answers us.
+        """
+        told = heard.get(SignSource.PEER)
+        if told is not None and told.sign.state is TargetState.GONE:
+            del heard[SignSource.PEER]
+
     def in_trouble(self) -> tuple[TargetId, ...]:
         """Return the targets with a bad sign, valid or not."""
         return tuple(self._heard)
