--- a/features/capacity/steps/scripted.py
+++ b/features/capacity/steps/scripted.py
@@ -52,6 +52,7 @@
     async def open(self):
         self.targets.clear()
         self._make_targets()
+        self.judge = self._make_judge()
         self.observer = make_revision_keeper(
             self.table, self.objects, virtual_clock(), poll_seconds=0.3
         )
@@ -86,11 +87,11 @@
             targets=targets,
         )
         await self.observer.commit(Revision(0), first)
-        self.history.append((0.0, self.observer.view.configuration))
-        self.observer.subscribe(self._judge_revision)
+        self.judge.history.append((0.0, self.observer.view.configuration))
+        self.observer.subscribe(self.judge.judge_revision)
         self.observer.subscribe(self._judge_served)
         await self.observer.start()
-        asyncio.create_task(run_traffic(self.targets, self.history, self.chance))
+        asyncio.create_task(run_traffic(self.targets, self.judge.history, self.chance))
         self.tasks = [asyncio.create_task(self._run_daemon(n)) for n in range(3)]
 
     def _judge_served(self, view):
@@ -105,14 +106,14 @@
 
     async def wait(self, seconds):
         for _ in range(int(seconds)):
-            self._note_ready()
+            self.judge.note_ready()
             await asyncio.sleep(1.0)
 
     async def wait_until(self, check, seconds=600):
         for _ in range(seconds * 4):
             if check():
                 return
-            self._note_ready()
+            self.judge.note_ready()
             await asyncio.sleep(0.25)
         raise AssertionError(f"not within {seconds} s: {self.configuration}")
 
@@ -138,7 +139,7 @@
         return int(row.value.decode().split('"holder":"d')[1][0])
 
     def count_ready(self):
-        return len(self._truly_ready(self.configuration))
+        return len(self.judge.truly_ready(self.configuration))
 
     def count_serving(self):
         return sum(
--- a/features/capacity/steps/whole_steps.py
+++ b/features/capacity/steps/whole_steps.py
@@ -56,8 +56,8 @@
         headers = {"Authorization": f"Bearer {keys[number % len(keys)]}"}
         url = daemon.callers_url + "/v1/chat/completions"
         async with session.post(url, json=body, headers=headers) as answer:
-            await answer.read()
-            statuses.append(answer.status)
+            text = await answer.text()
+            statuses.append("" if answer.status == 200 else text)
 
 
 async def roll_out(context):
@@ -126,7 +126,7 @@
 
 @then("every request was answered with 200")
 def then_answered(context):
-    bad = [status for status in context.statuses if status != 200]
+    bad = [text for text in context.statuses if text]
     assert not bad and len(context.statuses) > context.n_at_end > 50, (
         bad,
         len(context.statuses),
