--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from lycheepost.app.slopes import measure_daemon_slopes
 from lycheepost.bench.decision import DecisionRecord, measure_decisions
 from lycheepost.bench.policy import POLICIES, list_runs, measure_all
 from lycheepost.bench.policylimits import check_limits, measure_capacity
@@ -16,6 +17,7 @@
     format_table,
     write_plots,
 )
+from lycheepost.bench.slopes import Slope, measure_slopes, to_document
 from lycheepost.commands import benchrelay
 
 app = typer.Typer(
@@ -117,3 +119,30 @@
         f"{record.policy:<12}{record.n_servers:>8}{record.p50_microseconds:>10.1f}"
         f"{record.p99_microseconds:>10.1f}{record.mean_microseconds:>10.1f}"
     )
+
+
+@app.command()
+def slopes(
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print a list of records.")
+    ] = False,
+) -> None:
+    """Measure how the costs of a daemon's parts grow with their sizes."""
+    records = measure_slopes() + measure_daemon_slopes()
+    if as_json:
+        print(json.dumps([to_document(record) for record in records], indent=1))
+        return
+    for record in records:
+        print(_format_slope(record))
+
+
+def _format_slope(record: Slope) -> str:
+    points = ", ".join(
+        f"{size}: {value:.4g}"
+        for size, value in zip(record.sizes, record.values, strict=True)
+    )
+    return (
+        f"{record.part}: {record.cost} by {record.size}: {points}; "
+        f"{record.per_unit:.3g} each; {record.at_design_size:.4g} at "
+        f"{record.design_size}"
+    )
