--- /dev/null
+++ b/features/app/commands.feature
@@ -0,0 +1,37 @@
+Feature: The command line tells faults of its input
+
+  Scenario Outline: A settings file with faults
+    Given a settings file that <fault>
+    When "settings check" and "serve" read it
+    Then both exit with code 2 and name "<path>" and "<reason>"
+
+    Examples:
+      | fault                          | path                             | reason                |
+      | has a key that is not known    | limits                           | unexpected            |
+      | has a text for a number        | limits.body_bytes                | is not of type        |
+      | has a number out of range      | limits.max_tries                 | less than the minimum |
+      | lacks the platform             | platform                         | required              |
+      | is not YAML                    | (document)                       | is not YAML           |
+      | has one half of a peer key     | peers.public_key                 | both keys             |
+      | has a margin beyond its lease  | state.lease_margin_seconds       | under half            |
+      | has a certificate that is gone | listeners.callers_tls            | is not a file         |
+      | has a faulty fallback          | fallback_configuration.customers | is not of type        |
+
+  Scenario: All faults of a file are told at once
+    Given a settings file that has three faults
+    When "settings check" and "serve" read it
+    Then three faults are told and no secret is shown
+
+  Scenario Outline: The examples are in order
+    When "settings check" reads examples/<name>.yaml
+    Then it exits with code 0
+
+    Examples:
+      | name    |
+      | prairie |
+      | mercia  |
+
+  Scenario: A port is taken
+    Given a settings file whose port is taken
+    When "serve" reads it
+    Then it exits with code 1 and says why
--- a/lycheepost/callers/sinks.py
+++ b/lycheepost/callers/sinks.py
@@ -49,7 +49,7 @@
 
     async def pump(self, stream: EngineStream) -> RelayOutcome:
         """Relay the rest of a stream at the caller's pace."""
-        return await relay(stream, self.response)
+        return await relay(stream, self.response, self._request)
 
 
 class BufferSink:
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -19,12 +19,20 @@
 )
 from lycheepost.bench.slopes import Slope, measure_slopes, to_document
 from lycheepost.commands import benchrelay
+from lycheepost.commands import (
+    benchcapacity,
+    benchcontrol,
+    benchrelay,
+)
 
 app = typer.Typer(
     help="Measure policies and costs, each against a baseline.", no_args_is_help=True
 )
 
+app.command()(benchcontrol.control)
+app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
+app.command()(benchcapacity.capacity)
 app.command(hidden=True)(benchrelay.relay_source)
 app.command(hidden=True)(benchrelay.relay_sink)
 
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -3,10 +3,12 @@
 import random
 from dataclasses import replace
 
-from lycheepost.core.ids import RequestId, TargetId
+from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.admission import (
+    GIVE_UP_SLACK,
     QueueWait,
     ServiceRate,
+    WaitBias,
     budget_seconds,
     predict_queue_wait,
     reason_of,
@@ -15,8 +17,7 @@
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.placement import Choice, Placement
 from lycheepost.decide.quarantine import PeerSuspects, Quarantine
-from lycheepost.decide.queueing import FairQueue, Waiting, make_waiting
-from lycheepost.decide.rates import follow_slowness
+from lycheepost.decide.queueing import FairQueue, Waiting
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -26,11 +27,43 @@
     Work,
 )
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.shares import FairShares
 
 SCANNED_REQUESTS = 8
 """Requests looked at when a slot frees up: enough to pass those that wait for
 a full target, few enough to bound the cost of a decision under saturation."""
 
+PRESSURE_GAIN = 0.01
+"""Per tick of 20 ms: the pressure follows the queue within about 2 s, longer
+than a short burst that the engines absorb, shorter than callers' patience."""
+
+COLD_DISCOUNT = 1.0
+"""Under pressure a prompt whose shared prefix is cached nowhere gets less of
+the queue. What is admitted then is whole batches while they are warm; without
+it parts of every batch are served, each prefix is evicted between two of its
+requests, and the engines spend their time on recomputing. When too few new
+batches come in, the queue runs empty and the pressure falls."""
+
+COLD_LEAD = -4.0
+"""Mean costs by which a customer must be behind the fair order for its new
+batches to be taken under pressure; so each customer's turn comes."""
+
+ENGINE_PATIENCE_SHARE = 0.05
+"""Share of the patience that work may wait inside an engine. What waits there
+can no longer be ordered fairly nor refused early; an engine in which nothing
+waits idles between our dispatches."""
+
+INSIDE_PATIENCE_SHARE = 0.7
+"""A customer inside its share is refused only when the engines themselves are
+too slow for it; the rest covers the error of that prediction."""
+
+
+def _is_warm(work: Work, choice: Choice) -> bool:
+    levels = work.levels
+    if len(levels) < 2:
+        return True
+    return choice.cached_tokens >= levels[-2].end_tokens
+
 
 class Group:
     """Queue and targets of one target group."""
@@ -45,11 +78,19 @@
         self._rng = rng
         self._quarantine = quarantine
         self.queue = FairQueue()
+        self.shares = FairShares()
         self.placement = Placement(settings, rng)
         self.peer_suspects = PeerSuspects()
         self.suspect_targets: list[TargetId] = []
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
+        self._usual_rate = ServiceRate(1.0)
+        self._bias = WaitBias()
+
+    def set_weights(self, weights: dict[CustomerId, float]) -> None:
+        """Set each customer's weight in fair sharing."""
+        self.queue.set_weights(weights)
+        self.shares.set_weights(weights)
 
     def remove_target(self, target: TargetId) -> None:
         """Forget a target that is no longer configured."""
@@ -59,6 +100,15 @@
         prefill = uncached_tokens * self._settings.prefill_seconds_per_token
         return prefill + work.output_tokens * self._settings.decode_seconds_per_token
 
+    def _usual_cost_seconds(self, work: Work) -> float:
+        """Return the cost with as much cached as is usual.
+
+        A refused prefix never gets cached; by its actual cost its customer
+        would seem to ask for ever more, and be refused for that.
+        """
+        uncached_share = self.placement.rates.uncached_share
+        return self._cost_seconds(work, int(work.prompt_tokens * uncached_share))
+
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
         choice = self._choose(work, now_seconds, {})
@@ -66,17 +116,45 @@
             seconds = retry_after_seconds(1.0, self._rng)
             return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
         cost = self._cost_seconds(work, choice.uncached_tokens)
+        self.shares.observe(work.customer, self._usual_cost_seconds(work), now_seconds)
         if choice.can_take and not len(self.queue):
             return [self._dispatch(work, choice, cost, now_seconds)]
-        lane = self.queue.lane(work.customer)
-        wait = predict_queue_wait(self.queue, lane, self._rate.per_second())
-        if wait.seconds + choice.wait_seconds > budget_seconds(work, self._settings):
+        return self._queue_up(work, choice, cost, now_seconds)
+
+    def _queue_up(
+        self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
+    ) -> list[Outcome]:
+        budget = self._budget_seconds(work, choice, now_seconds)
+        longest = max(budget, work.patience_seconds * INSIDE_PATIENCE_SHARE)
+        give_up = now_seconds + min(budget * GIVE_UP_SLACK, longest)
+        waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
+        rate = self._rate.per_second()
+        wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
+        if wait.seconds + choice.wait_seconds > budget:
             return [self._refuse(work, reason_of(wait), wait)]
         if self._is_full(work):
             return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
-        self.queue.push(make_waiting(work, cost, now_seconds))
+        waiting.predicted_seconds = wait.seconds
+        self.queue.push(waiting)
         return self.pump(now_seconds)
 
+    def _budget_seconds(self, work: Work, choice: Choice, now_seconds: float) -> float:
+        """Return how long from now ``work`` may wait for its first token."""
+        if work.excluded:
+            # A target failed it, not the load: it has its caller's whole time.
+            elapsed = now_seconds - work.arrived_seconds
+            return max(0.0, work.patience_seconds - elapsed) / GIVE_UP_SLACK
+        if self.shares.is_inside(work.customer):
+            return work.patience_seconds * INSIDE_PATIENCE_SHARE
+        budget = budget_seconds(work, self._settings)
+        if _is_warm(work, choice) or self._lead_seconds(work) < COLD_LEAD:
+            return budget
+        return budget * (1.0 - COLD_DISCOUNT * self.placement.pressure)
+
+    def _lead_seconds(self, work: Work) -> float:
+        mean_seconds = self.queue.mean_seconds or 1.0
+        return self.queue.lead_seconds(work.customer) / mean_seconds
+
     def _is_full(self, work: Work) -> bool:
         own = len(self.queue.lane(work.customer).waiting)
         return (
@@ -89,7 +167,10 @@
         return Refuse(work.request, reason, seconds)
 
     def _choose(
-        self, work: Work, now_seconds: float, extra_tokens: dict[TargetId, int]
+        self,
+        work: Work,
+        now_seconds: float,
+        extra_tokens: dict[TargetId, int],
     ) -> Choice | None:
         avoid = work.excluded
         if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
@@ -135,6 +216,7 @@
             self.suspect_targets.append(target)
         self.queue.charge(work.customer, cost_seconds)
         self._rate.count(cost_seconds)
+        self._usual_rate.count(self._usual_cost_seconds(work))
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
 
     def pump(self, now_seconds: float) -> list[Outcome]:
@@ -143,7 +225,7 @@
         if not len(self.queue) or not self.placement.has_room(now_seconds):
             return outcomes
         extra_tokens: dict[TargetId, int] = {}
-        for waiting in self.queue.in_order(SCANNED_REQUESTS):
+        for waiting in self.queue.in_order(SCANNED_REQUESTS, self.shares.is_inside):
             outcome = self._try_waiting(waiting, now_seconds, extra_tokens)
             if outcome is not None:
                 outcomes.append(outcome)
@@ -162,6 +244,8 @@
             extra_tokens[target] = tokens
             return None
         self.queue.remove(work.request)
+        waited_seconds = now_seconds - waiting.enqueued_seconds
+        self._bias.observe(waited_seconds, waiting.predicted_seconds)
         cost = self._cost_seconds(work, choice.uncached_tokens)
         return self._dispatch(work, choice, cost, now_seconds)
 
@@ -191,11 +275,11 @@
             rates.observe_uncached(uncached, entry.work.prompt_tokens)
         elapsed = now_seconds - entry.dispatched_seconds
         ratio = rates.observe_first_token(elapsed, entry.ahead_tokens + uncached)
-        load.slowness = follow_slowness(load.slowness, ratio)
+        load.slowness.observe(ratio, now_seconds)
         own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
         load.window.observe(
-            delay_seconds=elapsed - own_seconds * load.slowness,
-            target_seconds=self._settings.engine_queue_seconds,
+            delay_seconds=elapsed - own_seconds * load.slowness.value,
+            target_seconds=entry.work.patience_seconds * ENGINE_PATIENCE_SHARE,
             is_limiting=load.queued_tokens > load.window.tokens / 2,
             now_seconds=now_seconds,
         )
@@ -219,9 +303,14 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
         self._rate.update(now_seconds, len(self.queue) > 0)
+        self._usual_rate.update(now_seconds, len(self.queue) > 0)
+        self.shares.divide(self._usual_rate.per_second(), now_seconds)
+        pressure = self.placement.pressure
+        step = (float(len(self.queue) > 0) - pressure) * PRESSURE_GAIN
+        self.placement.pressure = pressure + step
         outcomes: list[Outcome] = []
         for waiting in self.queue.all():
-            if now_seconds < waiting.deadline_seconds:
+            if now_seconds < waiting.give_up_seconds:
                 continue
             self.queue.remove(waiting.work.request)
             wait = QueueWait(waiting.work.patience_seconds, False)
@@ -248,7 +337,7 @@
                     "state": load.view.state.value,
                     "n_in_flight": len(load.in_flight),
                     "n_believed_levels": len(load.belief),
-                    "slowness": round(load.slowness, 3),
+                    "slowness": round(load.slowness.value, 3),
                 }
                 for target, load in self.placement.loads.items()
             },
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -1,12 +1,16 @@
 """Where a request goes: the target with the lowest predicted cost.
 
-Cost = predicted time to the first token, plus the prefill that another target
-would have spared, each by the deployment's weight. Prairie weighs the wait,
-Mercia the recomputation. A small preference by ring order makes daemons agree
+Cost = predicted time to the first token, plus what its prefill costs those that
+wait behind it, plus the prefill that another target would have spared, each by
+the deployment's weight. Prairie weighs the wait, Mercia the recomputation. The
+second part keeps a busy fleet from melting down: without it each request that
+finds its owner full is recomputed elsewhere, which makes the fleet busier, and
+the next owner full. A small preference by ring order makes daemons agree
 on a new prefix before cache events reach them, and lets a hot prefix gain
 owners as its first ones fill up and lose them when demand falls.
 """
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Sequence
@@ -27,6 +31,15 @@
 """Cost of each step away from the first owner: below what a caller notices,
 above the noise of predictions."""
 
+MAX_DELAYED = 10.0
+"""Requests counted as delayed by one more prefill; beyond it the estimate of
+those that wait is too coarse to outweigh everything else."""
+
+PRESSURE_PRICE = 20.0
+"""Price of avoidable prefill while the queue is never empty. Each second of it
+is then a second taken from someone who is refused, however short this request's
+own wait may get; saving a second of wait is worth a twentieth of it."""
+
 OWNER_STEPS = 4
 """Steps after which all other targets count alike."""
 
@@ -67,6 +80,7 @@
         self.loads: dict[TargetId, TargetLoad] = {}
         self._serving: list[TargetLoad] = []
         self.rates = make_rates(settings)
+        self.pressure = 0.0
 
     def refresh(self) -> None:
         """Follow a change of the targets."""
@@ -81,7 +95,9 @@
         """Tell whether some target may take work now; guesses in large groups."""
         if len(self._serving) > SCORE_ALL_TARGETS:
             return True
-        return any(self._can_take(load, now_seconds) for load in self._serving)
+        return any(
+            load.has_room(load.estimate(now_seconds)[1]) for load in self._serving
+        )
 
     def note_holder(self, work: Work, target: TargetId) -> None:
         """Remember that ``target`` is about to hold the levels of ``work``."""
@@ -105,6 +121,7 @@
             if len(names) >= self._settings.candidates:
                 break
             names.extend(self._holders.get(level.digest, ()))
+        del names[self._settings.candidates :]
         loads = {name: self.loads[name] for name in names if name in self.loads}
         for _ in range(RANDOM_CANDIDATES):
             load = self._serving[int(self._rng.random() * len(self._serving))]
@@ -128,65 +145,70 @@
                 wait for a target, by target.
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
-        weighed: list[Choice] = []
+        version = work.weights_version
+        usable: list[tuple[TargetLoad, int]] = []
         for load in self._candidates(work, owners):
-            target = load.view.target
-            if target in avoid or not _has_weights(load, work):
+            view = load.view
+            if view.target in avoid or (version and view.weights_version != version):
                 continue
-            ahead = extra_tokens.get(target, 0) if extra_tokens else 0
-            weighed.append(self._weigh(load, work, now_seconds, ahead))
-        if not weighed:
+            uncached = work.prompt_tokens - load.belief.cached_tokens(work.levels)
+            usable.append((load, uncached if uncached > 0 else 0))
+        if not usable:
             return None
-        least_uncached = min(choice.uncached_tokens for choice in weighed)
-        return min(
-            weighed, key=lambda choice: self._score(choice, least_uncached, owners)
-        )
+        return self._lowest(usable, owners, now_seconds, extra_tokens, work)
 
-    def _weigh(
-        self, load: TargetLoad, work: Work, now_seconds: float, ahead: int
+    def _lowest(
+        self,
+        usable: list[tuple[TargetLoad, int]],
+        owners: list[TargetId],
+        now_seconds: float,
+        extra_tokens: dict[TargetId, int],
+        work: Work,
     ) -> Choice:
-        cached = min(load.belief.cached_tokens(work.levels), work.prompt_tokens)
-        uncached = work.prompt_tokens - cached
-        rates = self.rates
-        ahead_tokens = load.backlog_tokens(now_seconds) + ahead
-        tokens = ahead_tokens + uncached
-        wait = rates.first_token_seconds + tokens * rates.token_seconds
-        wait *= load.slowness
-        excess = load.n_running(now_seconds) + 1 - load.limit()
-        if excess > 0:
-            wait += excess * rates.hold_seconds / load.limit()
-        can_take = self._can_take(load, now_seconds)
-        return Choice(load, wait, cached, uncached, ahead_tokens, can_take)
-
-    def _score(
-        self, choice: Choice, least_uncached: int, owners: list[TargetId]
-    ) -> float:
-        avoidable = choice.uncached_tokens - least_uncached
-        recompute = avoidable * self.rates.token_seconds
-        target = choice.load.view.target
-        steps = owners.index(target) if target in owners else OWNER_STEPS
-        return (
-            self._settings.wait_weight * choice.wait_seconds
-            + self._settings.recompute_weight * recompute
-            + steps * OWNER_SECONDS
-        )
+        """Return the target of lowest cost.
 
-    def _can_take(self, load: TargetLoad, now_seconds: float) -> bool:
-        if load.n_running(now_seconds) >= load.limit():
-            return False
-        return not load.queued_tokens or load.queued_tokens < load.window.tokens
+        One loop without calls per target where it can be avoided: it runs for
+        each arriving request, 100 of them a second in a daemon, and for each
+        waiting one whenever room appears.
+        """
+        rates = self.rates
+        token_seconds = rates.token_seconds
+        wait_weight = self._settings.wait_weight
+        price = self._settings.recompute_weight + PRESSURE_PRICE * self.pressure
+        least_uncached = min([item[1] for item in usable])
+        best_score = math.inf
+        best: tuple[TargetLoad, int, float, float, float] | None = None
+        for load, uncached in usable:
+            target = load.view.target
+            ahead, n_running = load.estimate(now_seconds)
+            if extra_tokens:
+                ahead += extra_tokens.get(target, 0)
+            prefill = uncached * token_seconds
+            wait = rates.first_token_seconds + ahead * token_seconds + prefill
+            wait *= load.slowness.now(now_seconds)
+            excess = n_running + 1.0 - load.limit()
+            if excess > 0.0:
+                wait += excess * rates.hold_seconds / load.limit()
+            delayed = min(MAX_DELAYED, ahead / rates.uncached_tokens)
+            steps = owners.index(target) if target in owners else OWNER_STEPS
+            score = (
+                wait_weight * (wait + prefill * delayed)
+                + price * (uncached - least_uncached) * token_seconds
+                + steps * OWNER_SECONDS
+            )
+            if score < best_score:
+                best_score = score
+                best = (load, uncached, wait, ahead, n_running)
+        assert best is not None
+        load, uncached, wait, ahead, n_running = best
+        cached = work.prompt_tokens - uncached
+        return Choice(load, wait, cached, uncached, ahead, load.has_room(n_running))
 
 
 def _takes_new_work(load: TargetLoad) -> bool:
     return load.view.state in (TargetState.SERVING, TargetState.WARMING)
 
 
-def _has_weights(load: TargetLoad, work: Work) -> bool:
-    return not work.weights_version or (
-        load.view.weights_version == work.weights_version
-    )
-
-
 def _owner_key(work: Work) -> int:
     """Return what a prefix is owned by: the deepest level that may be shared.
 
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -38,7 +38,8 @@
 """Floods remembered so as to pass each on once. At the size to design for a few
 come each second, and one takes well under a second to reach everybody."""
 _PROBE_TURNS = 30
-_log = structlog.get_logger().bind(part="peers")
+_LINKLESS_SECONDS = 0.1
+_log = structlog.get_logger(part="peers")
 
 T = TypeVar("T")
 OnPeerMessage = Callable[[Any, DaemonId], None]
@@ -140,8 +141,7 @@
 
     def send(self, daemon: DaemonId, message: Any) -> bool:
         """Send to one daemon with whom there is a link; False when dropped."""
-        me = self._members.me().daemon
-        return self._send_data(daemon, encode_message(me, message))
+        return self._send_data(daemon, encode_message(message))
 
     def tell_revision(self) -> None:
         """Tell the revision in force to the links that do not know of it.
@@ -165,7 +165,12 @@
             self._choose_links(now_seconds)
             self._send_heartbeats(now_seconds)
             self._turn += 1
-            await asyncio.sleep(self._exchange_seconds)
+            # Until there is a link, members may become known at any moment, and
+            # a daemon that has just started needs its peers at once.
+            pause_seconds = self._exchange_seconds
+            if not self._links:
+                pause_seconds = min(_LINKLESS_SECONDS, pause_seconds)
+            await asyncio.sleep(pause_seconds)
 
     def _send_heartbeats(self, now_seconds: float) -> None:
         """Send one on each link that carried nothing since the last exchange."""
@@ -292,7 +297,7 @@
         return True
 
     def _send_to_links(self, message: Any, but: DaemonId | None) -> None:
-        data = encode_message(self._members.me().daemon, message)
+        data = encode_message(message)
         for daemon in list(self._links):
             if daemon != but:
                 self._send_data(daemon, data)
--- a/lycheepost/targets/stream.py
+++ b/lycheepost/targets/stream.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -16,7 +17,9 @@
 from lycheepost.core.ids import Incarnation
 from lycheepost.targets.calls import EngineCall
 from lycheepost.targets.continuation import EventRewriter
+from lycheepost.targets.direct import Diversion, divert, restore
 from lycheepost.targets.errors import StreamCrossed, StreamLost
+from lycheepost.targets.session import read_bounded
 from lycheepost.targets.sse import (
     BrokenStreamError,
     Chunk,
@@ -63,7 +66,9 @@
         self._rewriter = EventRewriter(call.continues) if call.continues else None
         self._tries_left = client.settings.resume_tries
         self._is_waiting = False
-        self._waiting_since_seconds: float | None = None
+        self._stop: Callable[[BaseException | None], None] | None = None
+        self._quiet_since_seconds: float | None = None
+        self._n_events_seen = 0
         self._is_over = False
 
     @property
@@ -97,24 +102,116 @@
             self._close()
             self._client.cancel_later(self.call)
 
+    async def pump(self, write: Callable[[bytes], bool]) -> bool:
+        """Hand verified bytes to ``write`` in the read callback itself.
+
+        Args:
+            write: Must not block; returns False to be left alone for now.
+
+        Returns:
+            True when the answer is complete, False when ``write`` said stop.
+
+        Raises:
+            StreamLost: The rest cannot be had from this target.
+            StreamCrossed: The target sent another request's answer.
+        """
+        if not self.call.expects_stream:
+            while (ready := await self.read()) is not None:
+                if not write(ready):
+                    return False
+            return True
+        while not self._checker.is_done:
+            if not await self._pump_connection(write):
+                return False
+        if not self._is_over:
+            await self._end()
+        return True
+
+    async def _pump_connection(self, write: Callable[[bytes], bool]) -> bool:
+        """Pump until the connection needs attention; False on a stop."""
+        content = self._content
+        ended: asyncio.Future[BaseException | None]
+        ended = asyncio.get_running_loop().create_future()
+        is_stopped = False
+
+        def stop(error: BaseException | None) -> None:
+            restore(content)
+            if not ended.done():
+                ended.set_result(error)
+
+        def take(data: bytes) -> None:
+            nonlocal is_stopped
+            try:
+                ready = self._checker.feed(data)
+            except BrokenStreamError as error:
+                stop(error)
+                return
+            if ready and not write(ready if rewrite is None else rewrite(ready)):
+                is_stopped = True
+                self._pause()
+                stop(None)
+            elif self._checker.is_done:
+                stop(None)
+
+        rewrite = self._rewriter.rewrite if self._rewriter else None
+        # Only an empty reader can be diverted without a change of order, so
+        # what it holds is taken out first.
+        if content.exception() is None and (held := content.read_nowait()):
+            ready = await self._check(held)
+            return not ready or write(ready)
+        if content.is_eof() or not divert(content, Diversion(take, stop)):
+            ready = await self._read_events()
+            return not ready or write(ready)
+        self._is_waiting = True
+        self._stop = stop
+        try:
+            error = await ended
+        finally:
+            self._is_waiting = False
+            self._stop = None
+            restore(content)
+        if is_stopped:
+            return False
+        if isinstance(error, CrossedEventError):
+            raise self._lose(str(error), is_crossed=True)
+        if not self._checker.is_done:
+            await self._recover(_describe(error))
+        return True
+
     def check_silence(self, now_seconds: float) -> None:
-        """Break a connection over which nothing came for too long.
+        """Break a connection over which no event came for too long.
 
         Only time spent waiting for the target counts; a caller who reads slowly
         holds the stream up without any fault of the target's.
         """
-        if not self._is_waiting:
-            self._waiting_since_seconds = None
+        n_events = self._checker.n_events
+        is_quiet = self._is_waiting and n_events == self._n_events_seen
+        self._n_events_seen = n_events
+        if not is_quiet:
+            self._quiet_since_seconds = None
             return
-        if self._waiting_since_seconds is None:
-            self._waiting_since_seconds = now_seconds
+        if self._quiet_since_seconds is None:
+            self._quiet_since_seconds = now_seconds
             return
         settings = self._client.settings
-        is_begun = self._checker.n_events > 0
-        bound = settings.silence_seconds if is_begun else settings.first_byte_seconds
-        if now_seconds - self._waiting_since_seconds > bound:
-            self._waiting_since_seconds = None
-            self._content.set_exception(TimeoutError("silent"))
+        bound = settings.silence_seconds if n_events else settings.first_byte_seconds
+        if now_seconds - self._quiet_since_seconds > bound:
+            self._quiet_since_seconds = None
+            silence = TimeoutError("silent")
+            self._content.set_exception(silence)
+            if self._stop is not None:
+                self._stop(silence)
+
+    def resume_reading(self) -> None:
+        """Take from the target again after ``pump`` was stopped."""
+        connection = self._response.connection
+        if connection is not None and connection.protocol is not None:
+            connection.protocol.resume_reading()
+
+    def _pause(self) -> None:
+        connection = self._response.connection
+        if connection is not None and connection.protocol is not None:
+            connection.protocol.pause_reading()
 
     async def _read_events(self) -> bytes:
         """Return verified events; nothing when the connection was replaced."""
@@ -126,10 +223,13 @@
             return b""
         finally:
             self._is_waiting = False
-            self._waiting_since_seconds = None
         if not data:
             await self._recover("the stream ended early")
             return b""
+        return await self._check(data)
+
+    async def _check(self, data: bytes) -> bytes:
+        """Return the events that may be delivered."""
         try:
             ready = self._checker.feed(data)
         except CrossedEventError as error:
@@ -206,7 +306,7 @@
     async def _read_whole(self) -> bytes:
         try:
             async with asyncio.timeout(self._client.settings.first_byte_seconds):
-                body = await self._read_bounded()
+                body = await read_bounded(self._response, _MAX_WHOLE_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise self._lose(_describe(error)) from None
         try:
@@ -221,18 +321,12 @@
         self._response.release()
         return body
 
-    async def _read_bounded(self) -> bytes:
-        parts = []
-        n_bytes = 0
-        async for part in self._content.iter_any():
-            n_bytes += len(part)
-            if n_bytes > _MAX_WHOLE_BYTES:
-                raise aiohttp.ClientPayloadError("too large")
-            parts.append(part)
-        return b"".join(parts)
-
 
-def _describe(error: BaseException) -> str:
+def _describe(error: BaseException | None) -> str:
+    if error is None:
+        return "the stream ended early"
+    if isinstance(error, BrokenStreamError):
+        return str(error)
     if isinstance(error, TimeoutError):
         return "the connection fell silent"
     return "the connection broke"
