--- a/features/decide/steps/faults.py
+++ b/features/decide/steps/faults.py
@@ -140,7 +140,7 @@
     def play(self, seconds, per_second, slowness, body=None):
         """Return how many requests went to each target."""
         targets = Counter()
-        for index in range(int(seconds * per_second)):
+        for _index in range(int(seconds * per_second)):
             text = body or f"own-{self.n_sent}"
             targets[self.send(text, slowness)] += 1
             self.run_to(self.desk.now_seconds + 1.0 / per_second)
@@ -203,7 +203,8 @@
 
 
 @given(
-    "{n_daemons:d} schedulers before {n_targets:d} targets of which 0 reports least load"
+    "{n_daemons:d} schedulers before {n_targets:d} targets of which 0 reports "
+    "least load"
 )
 def make_desks(context, n_daemons, n_targets):
     context.desks = [Desk(n_targets) for _ in range(n_daemons)]
