--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 
 binary: $(VENV)/.dev
 	$(BIN)/python tools/build_binary.py
+	$(BIN)/python tools/check_binary.py
 
 clean:
 	rm -rf $(VENV) build dist
