--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -45,7 +45,24 @@
         str(ROOT / "packaging" / "entry.py"),
     ]
     subprocess.run(command, check=True)
-    return BUILD / "dist" / "lycheepost"
+    folder = BUILD / "dist" / "lycheepost"
+    strip_libraries(folder)
+    return folder
+
+
+def strip_libraries(folder: pathlib.Path) -> None:
+    """Take debug symbols out; without ``strip`` the file is only larger.
+
+    The VMs have no disks, so what is unpacked costs memory. NumPy's bundled
+    libraries are left alone: stripped ones no longer load.
+    """
+    strip = shutil.which("strip")
+    if strip is None:
+        return
+    for path in folder.rglob("*.so*"):
+        if path.is_symlink() or "numpy.libs" in path.parts:
+            continue
+        subprocess.run([strip, "--strip-unneeded", path], check=False)
 
 
 def build_stub() -> bytes:
