--- a/features/bench/steps/policy.py
+++ b/features/bench/steps/policy.py
@@ -22,6 +22,9 @@
     return simulation
 
 
+capacity_of = functools.cache(measure_capacity)
+
+
 @given("the {deployment} fleet under {scenario} for {seconds:d} seconds")
 def run_ours(context, deployment, scenario, seconds):
     context.run = functools.partial(run, deployment, scenario, seconds=float(seconds))
@@ -55,7 +58,7 @@
     "the answers inside patience are at least {percent:d} in 100 of what engines can do"
 )
 def check_goodput(context, percent):
-    capacity = measure_capacity(context.deployment, SEED)
+    capacity = capacity_of(context.deployment, SEED)
     goodput = served_per_second(context.simulation)
     assert goodput >= capacity * percent / 100, (goodput, capacity)
 
