--- a/features/bench/steps/policy.py
+++ b/features/bench/steps/policy.py
@@ -9,7 +9,8 @@
 from lycheepost.bench.policylimits import measure_capacity, served_per_second
 from lycheepost.bench.policyload import DEPLOYMENTS, PRAIRIE, SCENARIOS, Scenario
 from lycheepost.bench.policyscore import measured, score, score_customers
-from lycheepost.bench.policysim import OUR_POLICY, Fate, Simulation
+from lycheepost.bench.policysim import Simulation
+from lycheepost.bench.policytrace import OUR_POLICY, Fate
 
 SEED = 5
 
--- a/lycheepost/bench/policy.py
+++ b/lycheepost/bench/policy.py
@@ -7,7 +7,8 @@
 from lycheepost.bench.policybaselines import BASELINES
 from lycheepost.bench.policyload import DEPLOYMENTS, SCENARIOS
 from lycheepost.bench.policyscore import PolicyRecord, score
-from lycheepost.bench.policysim import OUR_POLICY, Simulation
+from lycheepost.bench.policysim import Simulation
+from lycheepost.bench.policytrace import OUR_POLICY
 
 POLICIES = (*BASELINES, OUR_POLICY)
 
--- a/lycheepost/bench/policylimits.py
+++ b/lycheepost/bench/policylimits.py
@@ -11,15 +11,12 @@
     score,
     score_customers,
 )
-from lycheepost.bench.policysim import (
-    OUR_POLICY,
-    Fate,
-    Simulation,
-    make_engine_request,
-)
+from lycheepost.bench.policysim import Simulation
+from lycheepost.bench.policytrace import OUR_POLICY, Fate, make_engine_request
 from lycheepost.core.ids import PrefixDigest
 from lycheepost.decide.records import Work
-from lycheepost.standin.enginemodel import Engine, EngineEventKind, EngineSettings
+from lycheepost.standin.enginemodel import Engine
+from lycheepost.standin.enginerecords import EngineEventKind, EngineSettings
 
 HIT_RATE_SLACK = 0.03
 GOODPUT_SHARE = 0.95
--- a/lycheepost/bench/policyreport.py
+++ b/lycheepost/bench/policyreport.py
@@ -7,7 +7,7 @@
 from statistics import mean
 
 from lycheepost.bench.policyscore import PolicyRecord
-from lycheepost.bench.policysim import OUR_POLICY
+from lycheepost.bench.policytrace import OUR_POLICY
 
 _HEADER = (
     f"{'deployment':<11}{'scenario':<18}{'policy':<18}{'requests':>9}{'hit':>7}"
--- a/lycheepost/bench/policyscore.py
+++ b/lycheepost/bench/policyscore.py
@@ -12,7 +12,8 @@
 import numpy as np
 
 from lycheepost.bench.policyload import Deployment
-from lycheepost.bench.policysim import Fate, Simulation, Trace
+from lycheepost.bench.policysim import Simulation
+from lycheepost.bench.policytrace import Fate, Trace
 from lycheepost.core.ids import CustomerId
 from lycheepost.decide.records import Work
 from lycheepost.standin.enginecache import EngineCache
--- a/lycheepost/bench/policysim.py
+++ b/lycheepost/bench/policysim.py
@@ -13,7 +13,7 @@
 from functools import partial
 from typing import Any
 
-from lycheepost.bench.policybaselines import BASELINES, Policy
+from lycheepost.bench.policybaselines import Policy
 from lycheepost.bench.policyload import (
     GROUP,
     WEIGHTS,
@@ -22,6 +22,12 @@
     Deployment,
     Scenario,
 )
+from lycheepost.bench.policytrace import (
+    Fate,
+    Trace,
+    make_engine_request,
+    make_policy,
+)
 from lycheepost.core.ids import (
     AvailabilityZone,
     Incarnation,
@@ -37,19 +43,14 @@
     Refuse,
     TargetState,
     TargetView,
-    Work,
 )
-from lycheepost.decide.scheduler import Scheduler
-from lycheepost.decide.settings import SchedulerSettings
-from lycheepost.standin.enginemodel import (
-    Engine,
+from lycheepost.standin.enginemodel import Engine
+from lycheepost.standin.enginerecords import (
     EngineEvent,
     EngineEventKind,
-    EngineRequest,
     EngineSettings,
 )
 
-OUR_POLICY = "lycheepost"
 TICK_SECONDS = 0.02
 LOAD_POLL_SECONDS = 1.0
 EVENTS_POLL_SECONDS = 0.5
@@ -63,38 +64,6 @@
 N_ZONES = 3
 
 
-class Fate(Enum):
-    """How a request ended for its caller."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    LEFT = "left"
-    FAILED = "failed"
-
-
-@dataclass(slots=True)
-class Trace:
-    """What happened to one request.
-
-    Attributes:
-        ended_seconds: When the caller had its answer, refusal, or left.
-        waited_seconds: Time to the first token, when there was one.
-        n_targets: Targets that it reached.
-    """
-
-    work: Work
-    daemon: int
-    fate: Fate | None = None
-    ended_seconds: float = 0.0
-    waited_seconds: float | None = None
-    cached_tokens: int = 0
-    recomputed_tokens: int = 0
-    target: TargetId | None = None
-    retry_after_seconds: float | None = None
-    n_targets: int = 0
-    generation: int = 0
-
-
 class Kind(Enum):
     """Kinds of entries on the event heap."""
 
@@ -113,40 +82,6 @@
     sequences: dict[TargetId, tuple[Incarnation, int]] = field(default_factory=dict)
 
 
-def make_policy(
-    name: str, deployment: Deployment, seed: int, changes: dict[str, Any] | None
-) -> Policy:
-    """Return one daemon's policy.
-
-    Args:
-        name: ``lycheepost`` or a baseline.
-        deployment: Gives the weights of ours.
-        seed: Seeds random choices.
-        changes: Scheduler settings to replace, for experiments.
-    """
-    if name != OUR_POLICY:
-        return BASELINES[name](seed)
-    settings = SchedulerSettings(
-        wait_weight=deployment.wait_weight,
-        recompute_weight=deployment.recompute_weight,
-    )
-    if changes:
-        settings = replace(settings, **changes)
-    return Scheduler(settings, seed)
-
-
-def make_engine_request(work: Work) -> EngineRequest:
-    """Return the request as the daemon would send it."""
-    return EngineRequest(
-        request=work.request,
-        salt=work.customer,
-        levels=work.levels,
-        prompt_tokens=work.prompt_tokens,
-        output_tokens=work.output_tokens,
-        priority=work.priority.value,
-    )
-
-
 class Simulation:
     """One run of one policy."""
 
--- a/lycheepost/standin/engine.py
+++ b/lycheepost/standin/engine.py
@@ -28,7 +28,7 @@
     EngineOrderAnswer,
 )
 from lycheepost.standin import answers
-from lycheepost.standin.enginemodel import EngineRequest, EngineSettings
+from lycheepost.standin.enginerecords import EngineRequest, EngineSettings
 from lycheepost.standin.enginerun import (
     EngineRun,
     RunRecord,
--- a/lycheepost/standin/enginerun.py
+++ b/lycheepost/standin/enginerun.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from lycheepost.standin import answers
-from lycheepost.standin.enginemodel import EngineRequest
+from lycheepost.standin.enginerecords import EngineRequest
 from lycheepost.standin.enginetiming import EngineTiming
 
 
--- a/lycheepost/standin/enginetiming.py
+++ b/lycheepost/standin/enginetiming.py
@@ -13,8 +13,8 @@
 from lycheepost.core.ids import PrefixDigest, RequestId
 from lycheepost.decide.records import PrefixLevel
 from lycheepost.generated.engine import CacheEvent
-from lycheepost.standin.enginemodel import (
-    Engine,
+from lycheepost.standin.enginemodel import Engine
+from lycheepost.standin.enginerecords import (
     EngineEvent,
     EngineEventKind,
     EngineRequest,
