--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -14,6 +14,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
+from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.decide.records import TargetState
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import make_scheduler_settings
@@ -63,6 +64,7 @@
     losses: LossExchange
     front: CallerFront
     drain_state: DrainState
+    hot: HotPrefixes
 
     def parts(self) -> list[Part]:
         """Return the parts in the order in which to start them."""
@@ -108,9 +110,7 @@
         control,
         clock,
         ObserverCallbacks(
-            on_sign=lambda target, sign: state.members.observe_target(
-                target, sign, clock.now_seconds()
-            ),
+            on_sign=lambda target, sign: on_sign(target, sign),
             on_load=dispatcher.observe_load,
             on_events=dispatcher.observe_cache_events,
         ),
@@ -129,10 +129,15 @@
     state.revisions.subscribe(lambda _view: feed.feed())
     drain_state = DrainState()
 
+    def on_sign(target: TargetId, sign: TargetSign) -> None:
+        state.members.observe_target(target, sign, clock.now_seconds())
+        feed.note_state(target, state.members.target_state(target))
+
     def on_unreachable(target: TargetId) -> None:
         sign = TargetSign(SignSource.CONNECTION, TargetState.GONE, UNREACHABLE_SECONDS)
         state.members.observe_target(target, sign, clock.now_seconds())
         feed.feed()
+        observer.recheck(target)
 
     def addresses(customer: CustomerId | None) -> AddressList:
         chosen = state.members.addresses(customer, clock.now_seconds())
@@ -141,6 +146,7 @@
             valid_for_seconds=chosen.valid_for_seconds,
         )
 
+    hot = HotPrefixes()
     front = CallerFront(
         CallerDeps(
             settings=settings,
@@ -157,9 +163,11 @@
             on_sample=lambda sample: recorder.record(sample, clock.wall_seconds()),
             is_draining=lambda: drain_state.is_draining,
             status=status,
+            hot=hot,
         )
     )
     return Traffic(
+        hot=hot,
         dispatcher=dispatcher,
         engines=engines,
         services=services,
