--- a/features/platform/steps/table_steps.py
+++ b/features/platform/steps/table_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 from reach import SLOW_SECONDS, reach
@@ -6,6 +7,7 @@
 
 from lycheepost.platform.http_table import make_http_table
 from lycheepost.platform.table import Condition, Transaction, Write
+from lycheepost.standin.platformfaults import Faults
 from lycheepost.standin.table import make_table_app, make_table_model
 
 MOMENT_SECONDS = 1.2
@@ -59,6 +61,8 @@
             faults.answer_delay_seconds = SLOW_SECONDS
         case "slow service":
             faults.delay_seconds = SLOW_SECONDS
+        case "one refusal":
+            faults.n_refused = 1
         case "stale read":
             faults.n_stale_reads = 1
         case _:
@@ -96,6 +100,23 @@
         context.outcome = type(outcome.failure()).__name__
 
 
+@when('"{key}" is read {n:d} times')
+def step_read_often(context, key, n):
+
+    async def read_all():
+        for _ in range(n):
+            assert not isinstance(await context.port.read((key,)), Success)
+
+    with mock.patch.object(Faults, "refuses", return_value=True) as refuses:
+        context.loop.run_until_complete(read_all())
+        context.n_calls = refuses.call_count
+
+
+@then("the service has had at most {n:d} calls")
+def step_calls(context, n):
+    assert 100 < context.n_calls <= n, context.n_calls
+
+
 @when('"{prefix}" is scanned by pages of {limit:d}')
 def step_scan(context, prefix, limit):
     async def scan():
--- a/features/platform/table.feature
+++ b/features/platform/table.feature
@@ -51,6 +51,17 @@
       | memory         | down         | TableUnavailable |
       | HTTP           | down         | TableUnavailable |
       | HTTP           | slow answer  | TableUnavailable |
+      | memory         | one refusal  | TableUnavailable |
+      | HTTP           | one refusal  | new              |
+
+  Scenario: Reads of a service that is down are retried within a budget
+    The table is down and every daemon asks it. Three tries for each call would
+    triple the load on a service that is coming back.
+
+    Given a table reached by HTTP
+    When the table has the fault down
+    And "a" is read 100 times
+    Then the service has had at most 125 calls
 
   Scenario Outline: <implementation>: a transaction takes effect whole or not at all
     Given a table reached by <implementation>
--- a/lycheepost/platform/http_objects.py
+++ b/lycheepost/platform/http_objects.py
@@ -8,6 +8,7 @@
 
 from lycheepost.platform.http_calls import HttpAnswer, HttpCaller
 from lycheepost.platform.objects import ObjectError, ObjectMissing
+from lycheepost.platform.retries import RetryBudget, retry_read
 
 
 class HttpObjects:
@@ -15,10 +16,11 @@
 
     def __init__(self, caller: HttpCaller) -> None:
         self._caller = caller
+        self._retries = RetryBudget()
 
     async def get(self, name: str) -> Result[bytes, ObjectError]:
         """Return one object."""
-        return await self._call("GET", _path(name))
+        return await self._read(_path(name))
 
     async def put(self, name: str, data: bytes) -> Result[None, ObjectError]:
         """Write or replace one object."""
@@ -26,7 +28,7 @@
 
     async def list_names(self, prefix: str) -> Result[tuple[str, ...], ObjectError]:
         """Return the names that start with ``prefix``; the list may lag."""
-        outcome = await self._call("GET", f"/names?prefix={quote(prefix, safe='')}")
+        outcome = await self._read(f"/names?prefix={quote(prefix, safe='')}")
         return outcome.bind(_decode_names)
 
     async def delete(self, name: str) -> Result[None, ObjectError]:
@@ -37,6 +39,13 @@
         """Close the session if this client made it."""
         await self._caller.close()
 
+    async def _read(self, path: str) -> Result[bytes, ObjectError]:
+        return await retry_read(
+            lambda: self._call("GET", path),
+            lambda error: not isinstance(error, ObjectMissing),
+            self._retries,
+        )
+
     async def _call(
         self, method: str, path: str, body: bytes | None = None
     ) -> Result[bytes, ObjectError]:
--- a/lycheepost/platform/http_table.py
+++ b/lycheepost/platform/http_table.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.platform.http_calls import AnswerLost, HttpAnswer, HttpCaller, NotSent
+from lycheepost.platform.retries import RetryBudget, retry_read
 from lycheepost.platform.table import (
     Committed,
     OutcomeUnknown,
@@ -28,12 +29,13 @@
 
     def __init__(self, caller: HttpCaller) -> None:
         self._caller = caller
+        self._retries = RetryBudget()
 
     async def read(
         self, keys: tuple[str, ...]
     ) -> Result[tuple[Row | None, ...], TableError]:
         """Return the rows of ``keys`` in order."""
-        outcome = await self._call("/read", ReadBody(keys), ReadAnswer, False)
+        outcome = await self._read("/read", ReadBody(keys), ReadAnswer)
         return outcome.bind(lambda answer: _check_rows(answer, len(keys)))
 
     async def scan(
@@ -41,7 +43,7 @@
     ) -> Result[Page, TableError]:
         """Return up to ``limit`` rows whose keys start with ``prefix``."""
         body = ScanBody(prefix, after_key, limit)
-        return await self._call("/scan", body, Page, False)
+        return await self._read("/scan", body, Page)
 
     async def commit(self, transaction: Transaction) -> Result[Committed, TableError]:
         """Apply a transaction whole, or not at all."""
@@ -51,6 +53,15 @@
         """Close the session if this client made it."""
         await self._caller.close()
 
+    async def _read(
+        self, path: str, body: Any, answer_type: type[T]
+    ) -> Result[T, TableError]:
+        return await retry_read(
+            lambda: self._call(path, body, answer_type, False),
+            lambda error: isinstance(error, TableUnavailable | TableThrottled),
+            self._retries,
+        )
+
     async def _call(
         self, path: str, body: Any, answer_type: type[T], is_write: bool
     ) -> Result[T, TableError]:
--- a/lycheepost/state/pacing.py
+++ b/lycheepost/state/pacing.py
@@ -12,6 +12,9 @@
 _INCREASE_SHARE = 0.05
 """Part of the even share added after each accepted write."""
 _DECREASE_FACTOR = 0.5
+_ROUNDING = 1e-6
+"""Part of a write that may be missing: waits too short for the clock to show would
+never end."""
 _BURST_WRITES = 4.0
 """Writes that a daemon which was idle may send at once: a claim that comes
 alone must not wait."""
@@ -38,7 +41,8 @@
     def wait_seconds(self, now_seconds: float) -> float:
         """Return how long the next write must wait; 0 when it may go now."""
         self._refill(now_seconds)
-        return max(0.0, (1.0 - self.level) / self.rate)
+        missing = 1.0 - self.level
+        return missing / self.rate if missing > _ROUNDING else 0.0
 
     def spend(self, now_seconds: float) -> None:
         """Count one write."""
