--- a/features/capacity/steps/version_steps.py
+++ b/features/capacity/steps/version_steps.py
@@ -2,28 +2,31 @@
 
 from behave import given, then
 
-from lycheepost.core.ids import ModelId
-from lycheepost.decide.versions import make_version_chooser
-from lycheepost.generated.configuration import (
-    Configuration,
-    Model,
-    Target,
-    TargetDesiredState,
+from lycheepost.core.ids import (
+    AvailabilityZone,
+    Incarnation,
+    ModelId,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
 )
+from lycheepost.decide.records import TargetState, TargetView
+from lycheepost.decide.versions import make_version_chooser
+from lycheepost.generated.configuration import Model
 
 READER = ModelId("reader")
 
 
 def choose_all(names):
-    state = TargetDesiredState
     targets = [
-        Target(
-            target=f"e{index}",
-            target_group="engines",
-            availability_zone="z",
-            url="http://127.0.0.1:1",
-            weights_version=name,
-            desired_state=state.STANDBY if name == "-" else state.SERVING,
+        TargetView(
+            target=TargetId(f"e{index}"),
+            target_group=TargetGroupId("engines"),
+            availability_zone=AvailabilityZone("z"),
+            state=TargetState.LEAVING if name == "-" else TargetState.SERVING,
+            incarnation=Incarnation("1"),
+            weights_version=WeightsVersion("w2" if name == "-" else name),
+            concurrency_limit=32,
         )
         for index, name in enumerate(names)
     ]
@@ -33,8 +36,7 @@
         next_weights_version="w2",
         target_group="engines",
     )
-    configuration = Configuration(revision=1, models=[model], targets=targets)
-    chooser = make_version_chooser(configuration)
+    chooser = make_version_chooser([model], targets)
     return [chooser.choose(READER, key) for key in range(2000)]
 
 
--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -29,7 +29,6 @@
 from lycheepost.report.history import HistoryKeeper
 from lycheepost.report.routes import make_report_routes
 from lycheepost.report.samples import Recorder
-from lycheepost.targets.control import make_control_client
 from lycheepost.utils.metrics import make_metrics
 
 _log = structlog.get_logger(part="app")
@@ -143,14 +142,14 @@
         settings, platform, state, recorder, history, clock
     )
     callers, operators = _make_listeners(settings, traffic, operator_routes)
-    control = make_control_client(settings.streams)
-    capacity = make_capacity(settings, platform, state, control, traffic.hot, clock)
+    capacity = make_capacity(
+        settings, platform, state, traffic.control, traffic.hot, clock
+    )
     parts: list[Part] = [
         platform,
         state,
         *traffic.parts(),
         history,
-        control,
         capacity,
         callers,
         operators,
--- a/lycheepost/app/feed.py
+++ b/lycheepost/app/feed.py
@@ -33,6 +33,7 @@
 
 States = Callable[[], dict[TargetId, TargetState]]
 Incarnations = Callable[[], dict[TargetId, Incarnation]]
+OnTargets = Callable[[ConfigurationView, tuple[TargetView, ...]], None]
 
 
 def make_target_views(
@@ -81,13 +82,13 @@
         get_view: Callable[[], ConfigurationView],
         get_states: States,
         get_incarnations: Incarnations,
-        on_view: Callable[[ConfigurationView], None],
+        on_targets: OnTargets,
     ) -> None:
         self._dispatcher = dispatcher
         self._get_view = get_view
         self._get_states = get_states
         self._get_incarnations = get_incarnations
-        self._on_view = on_view
+        self._on_targets = on_targets
         self._last: tuple[int, tuple[TargetView, ...]] | None = None
         self._fed_states: dict[TargetId, TargetState] = {}
         self._soon: asyncio.TimerHandle | None = None
@@ -132,7 +133,7 @@
         if seen == self._last:
             return
         self._last = seen
-        self._on_view(view)
+        self._on_targets(view, views)
         self._dispatcher.set_shares(
             {
                 CustomerId(customer.customer): customer.share_weight
--- a/lycheepost/app/slopes.py
+++ b/lycheepost/app/slopes.py
@@ -37,7 +37,7 @@
             lambda: self.view,
             lambda: {},
             lambda: {},
-            lambda _view: None,
+            lambda _view, _targets: None,
         )
         self.feed.feed()
 
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -11,11 +11,12 @@
 from lycheepost.callers.deps import CallerDeps
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.routes import CallerFront
+from lycheepost.callers.versions import RequestVersions
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.hotprefixes import HotPrefixes
-from lycheepost.decide.records import TargetState
+from lycheepost.decide.records import TargetState, TargetView
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import make_scheduler_settings
 from lycheepost.generated.callers import AddressList
@@ -117,12 +118,18 @@
         engines.is_in_use,
         seed,
     )
+    versions = RequestVersions()
+
+    def on_targets(view: ConfigurationView, targets: tuple[TargetView, ...]) -> None:
+        observer.replace_targets(engine_targets(view))
+        versions.replace(view, targets)
+
     feed = TargetFeed(
         dispatcher,
         lambda: state.revisions.view,
         state.members.target_states,
         observer.incarnations,
-        lambda view: observer.replace_targets(engine_targets(view)),
+        on_targets,
     )
     # A daemon that has just got its first configuration must find targets at
     # once; until the next look it would refuse with "no target".
@@ -163,6 +170,7 @@
             on_sample=lambda sample: recorder.record(sample, clock.wall_seconds()),
             is_draining=lambda: drain_state.is_draining,
             status=status,
+            versions=versions,
             hot=hot,
         )
     )
--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -116,7 +116,7 @@
     model = unwrap(find_model(view, customer, call.model))
     _check_size(call, model)
     weights_version = deps.versions.choose(
-        view, model, CustomerId(customer.customer), call.segments
+        model, CustomerId(customer.customer), call.segments
     )
     return Asked(
         request_id=request_id,
--- a/lycheepost/callers/versions.py
+++ b/lycheepost/callers/versions.py
@@ -1,9 +1,10 @@
-"""The weights version of each request, by the configuration in force."""
+"""The weights version of each request, by the targets that serve now."""
 
 from dataclasses import dataclass, field
 
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import CustomerId, ModelId, WeightsVersion
+from lycheepost.decide.records import TargetView
 from lycheepost.decide.versions import VersionChooser, make_version_chooser
 from lycheepost.generated.configuration import Model
 from lycheepost.state.view import ConfigurationView
@@ -15,24 +16,20 @@
 
 @dataclass
 class RequestVersions:
-    """Chooses versions; counts a model's targets once per revision."""
+    """Chooses versions; counts targets when they change, not per request."""
 
-    _revision: int = -1
     _chooser: VersionChooser = field(default_factory=lambda: VersionChooser({}, {}))
 
+    def replace(self, view: ConfigurationView, targets: tuple[TargetView, ...]) -> None:
+        """Choose by these targets from now on."""
+        self._chooser = make_version_chooser(view.models.values(), targets)
+
     def choose(
-        self,
-        view: ConfigurationView,
-        model: Model,
-        customer: CustomerId,
-        segments: tuple[bytes, ...],
+        self, model: Model, customer: CustomerId, segments: tuple[bytes, ...]
     ) -> WeightsVersion:
         """Return the weights that a request is to be served with."""
         if not model.next_weights_version:
             return WeightsVersion(model.weights_version)
-        if self._revision != view.configuration.revision:
-            self._chooser = make_version_chooser(view.configuration)
-            self._revision = view.configuration.revision
         outermost = segments[0][:_KEY_BYTES] if segments else b""
         key = hash_bytes(outermost, hash_bytes(customer.encode()))
         return self._chooser.choose(ModelId(model.model), key)
--- a/lycheepost/decide/versions.py
+++ b/lycheepost/decide/versions.py
@@ -8,18 +8,17 @@
 stay together on warm caches while the split moves over with the rollout.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import ModelId, TargetGroupId, WeightsVersion
-from lycheepost.generated.configuration import (
-    Configuration,
-    Model,
-    TargetDesiredState,
-)
+from lycheepost.decide.records import TargetState, TargetView
+from lycheepost.generated.configuration import Model
 
 _KEY_BYTES = 8
 _KEYS = 2**64
+_TAKING_WORK = (TargetState.SERVING, TargetState.WARMING)
 
 
 @dataclass(frozen=True)
@@ -36,7 +35,7 @@
 
 
 class VersionChooser:
-    """Versions by model for one revision; made by ``make_version_chooser``."""
+    """Versions by model; made by ``make_version_chooser``."""
 
     def __init__(
         self,
@@ -62,21 +61,30 @@
         return split.following if point < split.following_share else split.current
 
 
-def make_version_chooser(configuration: Configuration) -> VersionChooser:
-    """Return the chooser of one revision; make it once when it is adopted."""
+def make_version_chooser(
+    models: Iterable[Model], targets: Iterable[TargetView]
+) -> VersionChooser:
+    """Return the chooser for what the targets are now.
+
+    Args:
+        models: The models in force.
+        targets: As the scheduler knows them. A target that takes no new work
+            draws no requests to its version: right after a load its own health
+            answer may be a second behind the configuration.
+    """
     capacity: dict[tuple[TargetGroupId, str], float] = {}
-    for target in configuration.targets:
-        if target.desired_state is TargetDesiredState.SERVING:
-            key = (TargetGroupId(target.target_group), target.weights_version)
+    for target in targets:
+        if target.state in _TAKING_WORK:
+            key = (target.target_group, str(target.weights_version))
             share = target.concurrency_limit * target.serving_share
             capacity[key] = capacity.get(key, 0.0) + share
+    models = tuple(models)
     versions = {
-        ModelId(model.model): WeightsVersion(model.weights_version)
-        for model in configuration.models
+        ModelId(model.model): WeightsVersion(model.weights_version) for model in models
     }
     splits = {
         ModelId(model.model): _make_split(model, capacity)
-        for model in configuration.models
+        for model in models
         if model.next_weights_version
     }
     return VersionChooser(versions, splits)
@@ -87,9 +95,7 @@
 ) -> VersionSplit:
     group = TargetGroupId(model.target_group)
     following = capacity.get((group, model.next_weights_version), 0.0)
-    # A target without a version of its own follows the model's current one.
     current = capacity.get((group, model.weights_version), 0.0)
-    current += capacity.get((group, ""), 0.0)
     total = current + following
     return VersionSplit(
         current=WeightsVersion(model.weights_version),
