Let the order that shows the fencing number begin no load

Cause: it named the weights last read; late, at an engine that had crashed meanwhile, it began a load beside the planned ones (seed 9802 of 10,000).

--- a/features/capacity/rollout.feature
+++ b/features/capacity/rollout.feature
@@ -158,3 +158,16 @@
   Scenario: Seeded random runs break no promise
     When 16 seeded random runs are made
     Then none broke a promise
+
+  Scenario: An order to stay as it is comes late
+    A new holder shows every target its fencing number by an order to stay as it
+    is. One engine crashes while that order is on its way and comes back with the
+    weights it boots with. Were the order to name weights, the engine would load
+    them beside the loads that are planned.
+
+    Given 4 serving and 0 standby targets, 1 loads, floor 2
+    When an operator confirms new weights "w2"
+    Then the intent ends as done
+    When e1 crashes as the next holder's order to stay arrives
+    Then that order began no load
+    And every target holds "w2" within 120 s
--- a/features/capacity/steps/capacity_steps.py
+++ b/features/capacity/steps/capacity_steps.py
@@ -4,6 +4,7 @@
 import dataclasses
 import pathlib
 import sys
+import unittest.mock
 
 from behave import given, then, when
 
@@ -12,6 +13,7 @@
 from scripted import ScriptedWorld  # noqa: E402
 
 from lycheepost.bench.capacity_check import run_capacity_checks  # noqa: E402
+from lycheepost.bench.capacity_fleet import ModelTarget  # noqa: E402
 from lycheepost.bench.capacity_holder import ModelOrders  # noqa: E402
 from lycheepost.core.ids import Revision  # noqa: E402
 from lycheepost.generated.configuration import (  # noqa: E402
@@ -368,3 +370,30 @@
     broken = [(run.seed, run.violations) for run in context.runs if run.violations]
     assert broken == [], broken
     assert sum(run.n_loads for run in context.runs) > 0
+
+
+@when("e1 crashes as the next holder's order to stay arrives")
+def when_stay_late(context):
+    world = context.world
+    context.begun = []
+    take = ModelTarget.take
+
+    def crash_and_take(self, order):
+        if order.order_id.startswith("stay-e1") and not context.begun:
+            self.crash()
+            loads = world.tally.n_loads
+            answer = take(self, order)
+            context.begun.append(world.tally.n_loads - loads)
+            return answer
+        return take(self, order)
+
+    with unittest.mock.patch.object(ModelTarget, "take", crash_and_take):
+        wanted = NewWeights(model="reader", weights_version="w2")
+        operate(context, wanted)
+        world.holders[world.holder_index()].paused_until_seconds = float("inf")
+        run(context, world.wait_until(lambda: context.begun))
+
+
+@then("that order began no load")
+def then_no_load(context):
+    assert context.begun == [0], context.begun
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -222,11 +222,9 @@
             order_id=f"stay-{name}-{lease.fencing_number}",
             fencing_number=lease.fencing_number,
             desired_version=health.desired_version,
+            # It names no weights and no role, so that it can begin no load: the
+            # target may have crashed since it was asked, or the order be late.
             state=health.state,
-            model=health.model,
-            weights_version=health.weights_version,
-            adapter=health.adapter,
-            role=health.role,
         )
         is_shown = await self._send_order(target, stay)
         if is_shown:
