--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -32,6 +32,7 @@
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
 app.command()(benchcapacity.capacity)
+app.command()(benchcapacity.capacity_look)
 app.command(hidden=True)(benchrelay.relay_source)
 app.command(hidden=True)(benchrelay.relay_sink)
 
--- a/lycheepost/commands/benchcapacity.py
+++ b/lycheepost/commands/benchcapacity.py
@@ -8,6 +8,7 @@
 import typer
 
 from lycheepost.bench.capacity_check import CapacitySummary, run_capacity_checks
+from lycheepost.bench.capacity_look import measure_looks
 from lycheepost.commands.output import ExitCode
 
 
@@ -29,3 +30,25 @@
             typer.echo(f"seed {run.seed}: {'; '.join(run.violations)}", err=True)
     typer.echo(json.dumps(asdict(summary)) if as_json else summary.describe())
     raise typer.Exit(ExitCode.FAILED if summary.n_broken else ExitCode.OK)
+
+
+def capacity_look(
+    sizes: Annotated[
+        list[int], typer.Option("--targets", help="Fleet size; repeat for several.")
+    ] = [750, 3000, 12000],  # noqa: B006
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Measure what one look of the capacity duty costs, by fleet size.
+
+    Exit code 0 when it has measured.
+    """
+    records = measure_looks(tuple(sizes))
+    if as_json:
+        typer.echo(json.dumps([asdict(record) for record in records]))
+        return
+    for record in records:
+        typer.echo(
+            f"{record.n_targets} targets: {record.quiet_ms} ms a look,"
+            f" {record.rollout_ms} ms during a rollout,"
+            f" {record.core_share:.2%} of a core"
+        )
