--- a/lycheepost/app/run.py
+++ b/lycheepost/app/run.py
@@ -8,6 +8,8 @@
 import structlog
 import uvloop
 
+from lycheepost.utils.collector import tune_collector
+
 _log = structlog.get_logger(part="app")
 
 
@@ -52,6 +54,7 @@
         loop.add_signal_handler(number, signals.put_nowait, number)
     application = make_application()
     await application.start()
+    tune_collector()
     try:
         if on_started is not None:
             await on_started(application)
--- a/lycheepost/bench/relay.py
+++ b/lycheepost/bench/relay.py
@@ -33,6 +33,7 @@
 from lycheepost.targets.calls import CHAT_PATH, EngineCall
 from lycheepost.targets.engine import EngineClient, make_engine_client
 from lycheepost.targets.relay import relay
+from lycheepost.utils.collector import tune_collector
 
 _STREAM_HEADERS = {"Content-Type": "text/event-stream"}
 
@@ -106,6 +107,7 @@
     """
     # Streams that are open when the sink stops end with an error per handler.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    tune_collector()  # As a daemon does; both forms of relay gain by it.
     return uvloop.run(_run(settings))
 
 
--- a/lycheepost/targets/sse.py
+++ b/lycheepost/targets/sse.py
@@ -225,14 +225,15 @@
             and data.find(_EVENT_END) == len(data) - 2
         ):
             self._last_data = data
-            self._advance()
+            self.n_events += 1
+            self._expected = b"id: %d%b" % (self.n_events + 1, self._head)
             self.delivered.add(data)
             return data
         return self._feed_any(data)
 
     def _advance(self) -> None:
         self.n_events += 1
-        self._expected = b"id: %d" % (self.n_events + 1) + self._head
+        self._expected = b"id: %d%b" % (self.n_events + 1, self._head)
 
     def _feed_any(self, data: bytes) -> bytes:
         *events, self._tail = (self._tail + data).split(_EVENT_END)
