Give each lease write its own mark, and queue throttled claims again

A renewal whose answer was lost took effect; another daemon waited it out and took over; the first tried again, was refused, and a stale read of its own earlier renewal passed for the new one. Each write now carries its own mark, and only that very write read back counts. A scenario replays the sequence and fails without the mark.

--- a/features/state/leases.feature
+++ b/features/state/leases.feature
@@ -31,3 +31,14 @@
       | A releases the lease | 0 seconds    |
       | A is paused          | 12 seconds   |
       | A renews, then dies  | 12 seconds   |
+
+  Scenario: A renewal that was lost earlier and is read back late prolongs nothing
+    A's renewal takes effect and its answer is lost. B waits that renewal out and
+    takes over. A tries again, is refused, reads the row, and the read is stale: it
+    shows A's own earlier renewal. Taken for the new one, A would hold again beside
+    B, and targets that ignore fencing would obey both.
+
+    Given daemon A holds the duty for 10 seconds with a margin of 2
+    When A loses the answer to a renewal and B takes over after it has run out
+    And A renews again and reads the row as it was
+    Then A does not hold the duty
--- a/features/state/steps/lease_steps.py
+++ b/features/state/steps/lease_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 from claim_steps import use_virtual_time
+from returns.result import Success
 
 from lycheepost.bench.leasechaos import measure_case
 from lycheepost.core.ids import DaemonId
@@ -97,3 +98,28 @@
 @then("the fencing number has risen")
 def step_risen(context):
     assert context.taken.fencing_number == context.lease.fencing_number + 1
+
+
+@when("A loses the answer to a renewal and B takes over after it has run out")
+def step_lost_renewal(context):
+    faults = context.store.faults
+    faults.n_lost_answers = 1
+    context.loop.call_later(0.01, setattr, faults, "is_down", True)
+    lost = context.loop.run_until_complete(context.a.renew(context.lease))
+    assert not isinstance(lost, Success)
+    faults.clear()
+    context.loop.run_until_complete(context.b.acquire("duty"))
+    context.loop.run_until_complete(asyncio.sleep(12.1))
+    context.taken = context.loop.run_until_complete(context.b.acquire("duty")).unwrap()
+
+
+@when("A renews again and reads the row as it was")
+def step_stale_renewal(context):
+    context.store.faults.n_stale_reads = 1
+    context.renewed = context.loop.run_until_complete(context.a.renew(context.lease))
+
+
+@then("A does not hold the duty")
+def step_holds_not(context):
+    assert context.taken.is_held(context.loop.now_seconds())
+    assert not isinstance(context.renewed, Success), context.renewed
--- a/lycheepost/bench/control.py
+++ b/lycheepost/bench/control.py
@@ -15,6 +15,7 @@
 import numpy as np
 
 from lycheepost.bench.adoption import measure_adoption
+from lycheepost.bench.claimrate import measure_claims
 from lycheepost.bench.controlrecords import (
     CostRecord,
     HerdRecord,
@@ -51,7 +52,7 @@
         records += [*costs, *_slopes(costs)]
         records.append(measure_herd(seed, spreading, herd))
     records.append(measure_outage(seed, 20))
-    return [*records, *measure_adoption()]
+    return [*records, *measure_claims(seed), *measure_adoption()]
 
 
 def to_document(record: Any) -> dict[str, Any]:
--- a/lycheepost/state/claim_batch.py
+++ b/lycheepost/state/claim_batch.py
@@ -166,9 +166,13 @@
                         if write.key in moved:
                             _settle(write, Failure(error))
                     batch = [write for write in batch if write.key not in moved]
+                case Failure(TableThrottled()):
+                    # Nothing was written: go again, slower, before the others.
+                    self._pace.throttled()
+                    self._waiting.extendleft(reversed(batch))
+                    self._has_work.set()
+                    return
                 case Failure(error):
-                    if isinstance(error, TableThrottled):
-                        self._pace.throttled()
                     for write in batch:
                         _settle(write, Failure(error))
                     return
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -62,14 +62,33 @@
     """The lease has run out or somebody else has taken it."""
 
 
+@dataclass(frozen=True)
+class OwnRowMoved(TableConflict):
+    """An earlier renewal of the same lease has moved the row.
+
+    Attributes:
+        version: Version of the row now.
+    """
+
+    version: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRow:
-    """The row of one duty; an empty ``token`` means that it was released."""
+    """The row of one duty.
+
+    Attributes:
+        token: The same for all renewals of a lease; empty when it was released.
+        attempt: Different for each write, so that a holder whose answer was lost
+            never takes an earlier renewal of its own, read back, for the one that
+            it has just tried: it would count its lease from too late.
+    """
 
     holder: DaemonId
     token: str
     fencing_number: FencingNumber
     length_seconds: float
+    attempt: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,7 +181,7 @@
 
     async def release(self, lease: Lease) -> Result[None, LeaseError]:
         """Give the lease up, so that another daemon need not wait it out."""
-        row = LeaseRow(self._daemon, "", lease.fencing_number, self._length_seconds)
+        row = self._make_row("", lease.fencing_number)
         written = await self._commit(lease.duty, lease.version, row)
         match written:
             case Success():
@@ -186,6 +205,10 @@
         end_seconds = seen.seen_seconds + held.length_seconds + self._margin_seconds
         return max(0.0, end_seconds - now_seconds)
 
+    def _make_row(self, token: str, number: FencingNumber) -> LeaseRow:
+        attempt = secrets.token_hex(8)
+        return LeaseRow(self._daemon, token, number, self._length_seconds, attempt)
+
     async def _take(
         self, duty: str, version: int, token: str, number: FencingNumber
     ) -> Result[Lease, LeaseError]:
@@ -193,13 +216,15 @@
         # later than this, however long the store takes to answer.
         start_seconds = self._clock.now_seconds()
         until_seconds = start_seconds + self._length_seconds - self._margin_seconds
-        row = LeaseRow(self._daemon, token, number, self._length_seconds)
-        match await self._commit(duty, version, row):
+        written = await self._commit(duty, version, self._make_row(token, number))
+        match written:
             case Success(new_version):
                 lease = Lease(duty, token, number, until_seconds, new_version)
                 if lease.is_held(self._clock.now_seconds()):
                     return Success(lease)
                 return Failure(LeaseLost("The store answered after the lease."))
+            case Failure(OwnRowMoved(version=new_version)):
+                return await self._take(duty, new_version, token, number)
             case Failure(TableConflict(reason=reason)):
                 return Failure(LeaseLost(f"{duty}: {reason}"))
             case Failure(error):
@@ -229,11 +254,15 @@
     async def _read_own(
         self, duty: str, version: int, row: LeaseRow, conflict: TableConflict
     ) -> Result[int, TableError]:
-        """Tell an earlier try of our own from another daemon's write."""
+        """Tell this write, an earlier one of our own and another daemon's apart."""
         match await self._table.read((_key(duty),)):
-            case Success((Row() as found,)):
-                if found.version > version and _decode(found) == row:
+            case Success((Row() as found,)) if found.version > version:
+                held = _decode(found)
+                if held == row:
                     return Success(found.version)
+                if row.token and held.token == row.token:
+                    # Each time the version is higher, so this comes to an end.
+                    return Failure(OwnRowMoved(conflict.reason, (), found.version))
             case Failure(error):
                 return Failure(error)
         return Failure(conflict)
