--- a/features/targets/steps/streams.py
+++ b/features/targets/steps/streams.py
@@ -10,7 +10,7 @@
 
 from lycheepost.standin.engine import EngineStandinSettings, make_engine
 from lycheepost.standin.enginerun import RunState
-from lycheepost.standin.enginetiming import SimpleTimingSettings
+from lycheepost.standin.enginetiming import make_speeds
 from lycheepost.targets.calls import CHAT_PATH, COMPLETION_PATH
 
 
@@ -21,7 +21,7 @@
 
 @given("the engine generates without a pause")
 def given_fast_engine(context):
-    timing = SimpleTimingSettings(token_gap_seconds=0.0)
+    timing = make_speeds(iteration_seconds=0.0)
     context.bed = context.run(open_bed(context.stack, timing=timing, max_tokens=20000))
 
 
@@ -53,18 +53,6 @@
     context.bed.engine.weights_version = weights
 
 
-@given("the engine's boot id changes once {n:d} events are out")
-def given_boot_change(context, n):
-    engine = context.bed.engine
-
-    async def change():
-        await wait_until(lambda: engine.records and engine.records[0].n_tokens >= n - 1)
-        engine.boot_id = "another life"
-
-    task = context.loop.create_task(change())
-    context.stack.callback(task.cancel)
-
-
 @when("a caller asks for {n:d} tokens over a relay")
 def when_relay(context, n):
     context.run(fetch(context.bed, n, "no"))
--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from returns.pipeline import is_successful
 
+from lycheepost.app.capacity import make_capacity
 from lycheepost.app.listeners import Listener, make_listener
 from lycheepost.app.parts import Part, drain_parts, start_parts, stop_parts
 from lycheepost.app.platform import Platform, make_http_platform
@@ -132,7 +133,8 @@
     )
 
     def status() -> dict[str, Any]:
-        return make_status(settings, state, traffic, history)
+        described = make_status(settings, state, traffic, history)
+        return described | {"capacity": capacity.status()}
 
     metrics = make_metrics(settings.metrics)
     traffic = make_traffic(settings, state, recorder, metrics, clock, status)
@@ -140,11 +142,15 @@
         settings, platform, state, recorder, history, clock
     )
     callers, operators = _make_listeners(settings, traffic, operator_routes)
+    capacity = make_capacity(
+        settings, platform, state, traffic.control, traffic.hot, clock
+    )
     parts: list[Part] = [
         platform,
         state,
         *traffic.parts(),
         history,
+        capacity,
         callers,
         operators,
     ]
@@ -194,6 +200,7 @@
         "claims": state.claims.status(),
         "duties": [duty.status() for duty in state.duties],
         "engines": traffic.engines.status(),
+        "reports": traffic.observer.status(),
         "report": history.status(),
     }
 
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -11,18 +11,32 @@
 from lycheepost.callers.deps import CallerDeps
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.routes import CallerFront
+from lycheepost.callers.versions import RequestVersions
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
-from lycheepost.decide.records import TargetState
+from lycheepost.decide.hotprefixes import HotPrefixes
+from lycheepost.decide.records import TargetState, TargetView
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import make_scheduler_settings
 from lycheepost.generated.callers import AddressList
+from lycheepost.generated.configuration import (
+    Target,
+    TargetDesiredState,
+    TargetGroupKind,
+)
 from lycheepost.generated.settings import Settings
 from lycheepost.peers.shared import SharedState
 from lycheepost.report.samples import Recorder
 from lycheepost.state.signs import SignSource, TargetSign
+from lycheepost.state.view import ConfigurationView
+from lycheepost.targets.control import ControlClient, make_control_client
 from lycheepost.targets.engine import EngineClient, make_engine_client
+from lycheepost.targets.observe import (
+    ObserverCallbacks,
+    TargetObserver,
+    make_target_observer,
+)
 from lycheepost.targets.service import ServiceClient, make_service_client
 from lycheepost.utils.metrics import Metrics
 
@@ -45,16 +59,21 @@
     dispatcher: Dispatcher
     engines: EngineClient
     services: ServiceClient
+    control: ControlClient
+    observer: TargetObserver
     feed: TargetFeed
     losses: LossExchange
     front: CallerFront
     drain_state: DrainState
+    hot: HotPrefixes
 
     def parts(self) -> list[Part]:
         """Return the parts in the order in which to start them."""
         return [
             self.engines,
             self.services,
+            self.control,
+            self.observer,
             self.dispatcher,
             self.feed,
             self.losses,
@@ -86,21 +105,46 @@
     dispatcher = Dispatcher(scheduler, clock)
     engines = make_engine_client(settings.streams, clock)
     services = make_service_client(settings.streams)
+    control = make_control_client(settings.streams)
+    observer = make_target_observer(
+        settings.targets,
+        control,
+        clock,
+        ObserverCallbacks(
+            on_sign=lambda target, sign: on_sign(target, sign),
+            on_load=dispatcher.observe_load,
+            on_events=dispatcher.observe_cache_events,
+        ),
+        engines.is_in_use,
+        seed,
+    )
+    versions = RequestVersions()
+
+    def on_targets(view: ConfigurationView, targets: tuple[TargetView, ...]) -> None:
+        observer.replace_targets(engine_targets(view))
+        versions.replace(view, targets)
+
     feed = TargetFeed(
         dispatcher,
         lambda: state.revisions.view,
         state.members.target_states,
-        lambda: {},
+        observer.incarnations,
+        on_targets,
     )
     # A daemon that has just got its first configuration must find targets at
     # once; until the next look it would refuse with "no target".
     state.revisions.subscribe(lambda _view: feed.feed())
     drain_state = DrainState()
 
+    def on_sign(target: TargetId, sign: TargetSign) -> None:
+        state.members.observe_target(target, sign, clock.now_seconds())
+        feed.note_state(target, state.members.target_state(target))
+
     def on_unreachable(target: TargetId) -> None:
         sign = TargetSign(SignSource.CONNECTION, TargetState.GONE, UNREACHABLE_SECONDS)
         state.members.observe_target(target, sign, clock.now_seconds())
         feed.feed()
+        observer.recheck(target)
 
     def addresses(customer: CustomerId | None) -> AddressList:
         chosen = state.members.addresses(customer, clock.now_seconds())
@@ -109,6 +153,7 @@
             valid_for_seconds=chosen.valid_for_seconds,
         )
 
+    hot = HotPrefixes()
     front = CallerFront(
         CallerDeps(
             settings=settings,
@@ -125,12 +170,17 @@
             on_sample=lambda sample: recorder.record(sample, clock.wall_seconds()),
             is_draining=lambda: drain_state.is_draining,
             status=status,
+            versions=versions,
+            hot=hot,
         )
     )
     return Traffic(
+        hot=hot,
         dispatcher=dispatcher,
         engines=engines,
         services=services,
+        control=control,
+        observer=observer,
         feed=feed,
         losses=LossExchange(dispatcher, state.exchange, clock),
         front=front,
@@ -138,6 +188,21 @@
     )
 
 
+def engine_targets(view: ConfigurationView) -> list[Target]:
+    """Return the targets that can be asked for an engine's reports."""
+    engines = {
+        name
+        for name, group in view.target_groups.items()
+        if group.kind is TargetGroupKind.ENGINE
+    }
+    return [
+        target
+        for target in view.targets.values()
+        if target.target_group in engines
+        and target.desired_state is not TargetDesiredState.RETIRED
+    ]
+
+
 def _request_ids(prefix: str) -> Callable[[], RequestId]:
     """Return a maker of ids that no other daemon and no earlier start can make."""
     numbers = itertools.count(1)
--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -63,6 +63,7 @@
     request_id: RequestId
     customer: Customer
     model: Model
+    weights_version: WeightsVersion
     headers: CallerHeaders
     call: CompletionCall
     body: bytes
@@ -84,6 +85,12 @@
     """
     asked = await _ask(deps, endpoint, request_id, request)
     job = _make_job(asked)
+    deps.hot.note(
+        job.work.model,
+        asked.weights_version,
+        cache_salt(asked.customer),
+        job.work.levels,
+    )
     if asked.headers.idempotency_key is not None:
         return await _answer_keyed(deps, keyed, asked, job, request)
     if asked.call.is_streamed:
@@ -108,10 +115,14 @@
     call = unwrap(parse_completion(endpoint, body))
     model = unwrap(find_model(view, customer, call.model))
     _check_size(call, model)
+    weights_version = deps.versions.choose(
+        model, CustomerId(customer.customer), call.segments
+    )
     return Asked(
         request_id=request_id,
         customer=customer,
         model=model,
+        weights_version=weights_version,
         headers=headers,
         call=call,
         body=body,
@@ -143,7 +154,7 @@
     """Fingerprint the prompt and write the engine's body."""
     customer = CustomerId(asked.customer.customer)
     model = ModelId(asked.model.model)
-    weights_version = WeightsVersion(asked.model.weights_version)
+    weights_version = asked.weights_version
     call = asked.call
     work = Work(
         request=asked.request_id,
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from lycheepost.core.ids import RequestId, TargetId
+from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.admission import (
     GIVE_UP_SLACK,
     QueueWait,
@@ -15,10 +15,9 @@
     retry_after_seconds,
 )
 from lycheepost.decide.load import InFlight, TargetLoad
-from lycheepost.decide.placement import Choice, Placement
+from lycheepost.decide.placement import Ahead, Choice, Placement
 from lycheepost.decide.quarantine import PeerSuspects, Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting
-from lycheepost.decide.rates import follow_slowness
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -28,6 +27,7 @@
     Work,
 )
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.shares import FairShares
 
 SCANNED_REQUESTS = 8
 """Requests looked at when a slot frees up: enough to pass those that wait for
@@ -37,6 +37,38 @@
 """Per tick of 20 ms: the pressure follows the queue within about 2 s, longer
 than a short burst that the engines absorb, shorter than callers' patience."""
 
+COLD_DISCOUNT = 1.0
+"""Under pressure a prompt whose shared prefix is cached nowhere gets less of
+the queue. What is admitted then is whole batches while they are warm; without
+it parts of every batch are served, each prefix is evicted between two of its
+requests, and the engines spend their time on recomputing. When too few new
+batches come in, the queue runs empty and the pressure falls."""
+
+COLD_LEAD = -4.0
+"""Mean costs by which a customer must be behind the fair order for its new
+batches to be taken under pressure; so each customer's turn comes."""
+
+ENGINE_PATIENCE_SHARE = 0.05
+"""Share of the patience that work may wait inside an engine. What waits there
+can no longer be ordered fairly nor refused early; an engine in which nothing
+waits idles between our dispatches."""
+
+CROWDED_SHARE = 0.5
+"""Share of targets without room from which the fleet counts as crowded. Below
+it the queue waits for a few targets, such as the owners of a hot prefix, and
+refusing new work for that would leave the others idle."""
+
+INSIDE_PATIENCE_SHARE = 0.7
+"""A customer inside its share is refused only when the engines themselves are
+too slow for it; the rest covers the error of that prediction."""
+
+
+def _is_warm(work: Work, choice: Choice) -> bool:
+    levels = work.levels
+    if len(levels) < 2:
+        return True
+    return choice.cached_tokens >= levels[-2].end_tokens
+
 
 class Group:
     """Queue and targets of one target group."""
@@ -51,12 +83,20 @@
         self._rng = rng
         self._quarantine = quarantine
         self.queue = FairQueue()
+        self.shares = FairShares()
         self.placement = Placement(settings, rng)
         self.peer_suspects = PeerSuspects()
         self.suspect_targets: list[TargetId] = []
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
+        self._usual_rate = ServiceRate(1.0)
         self._bias = WaitBias()
+        self._bound = Ahead()
+
+    def set_weights(self, weights: dict[CustomerId, float]) -> None:
+        """Set each customer's weight in fair sharing."""
+        self.queue.set_weights(weights)
+        self.shares.set_weights(weights)
 
     def remove_target(self, target: TargetId) -> None:
         """Forget a target that is no longer configured."""
@@ -66,13 +106,23 @@
         prefill = uncached_tokens * self._settings.prefill_seconds_per_token
         return prefill + work.output_tokens * self._settings.decode_seconds_per_token
 
+    def _usual_cost_seconds(self, work: Work) -> float:
+        """Return the cost with as much cached as is usual.
+
+        A refused prefix never gets cached; by its actual cost its customer
+        would seem to ask for ever more, and be refused for that.
+        """
+        uncached_share = self.placement.rates.uncached_share
+        return self._cost_seconds(work, int(work.prompt_tokens * uncached_share))
+
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
-        choice = self._choose(work, now_seconds, {})
+        choice = self._choose(work, now_seconds, self._bound)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
             return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
         cost = self._cost_seconds(work, choice.uncached_tokens)
+        self.shares.observe(work.customer, self._usual_cost_seconds(work), now_seconds)
         if choice.can_take and not len(self.queue):
             return [self._dispatch(work, choice, cost, now_seconds)]
         return self._queue_up(work, choice, cost, now_seconds)
@@ -80,8 +130,9 @@
     def _queue_up(
         self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
     ) -> list[Outcome]:
-        budget = budget_seconds(work, self._settings)
-        give_up = work.arrived_seconds + budget * GIVE_UP_SLACK
+        budget = self._budget_seconds(work, choice, now_seconds)
+        longest = max(budget, work.patience_seconds * INSIDE_PATIENCE_SHARE)
+        give_up = now_seconds + min(budget * GIVE_UP_SLACK, longest)
         waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
         rate = self._rate.per_second()
         wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
@@ -91,8 +142,47 @@
             return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
         waiting.predicted_seconds = wait.seconds
         self.queue.push(waiting)
+        self._bind(waiting, choice)
         return self.pump(now_seconds)
 
+    def _bind(self, waiting: Waiting, choice: Choice) -> None:
+        """Note for which target a request waits."""
+        self._unbind(waiting)
+        waiting.bound = (choice.load.view.target, choice.uncached_tokens)
+        self._bound.add(*waiting.bound)
+
+    def _unbind(self, waiting: Waiting) -> None:
+        if waiting.bound is not None:
+            self._bound.remove(*waiting.bound)
+            waiting.bound = None
+
+    def remove(self, request: RequestId) -> bool:
+        """Take a request out of the queue; False when it does not wait."""
+        waiting = self.queue.remove(request)
+        if waiting is None:
+            return False
+        self._unbind(waiting)
+        return True
+
+    def _budget_seconds(self, work: Work, choice: Choice, now_seconds: float) -> float:
+        """Return how long from now ``work`` may wait for its first token."""
+        if work.excluded:
+            # A target failed it, not the load: it has its caller's whole time.
+            elapsed = now_seconds - work.arrived_seconds
+            return max(0.0, work.patience_seconds - elapsed) / GIVE_UP_SLACK
+        if self.shares.is_inside(work.customer):
+            return work.patience_seconds * INSIDE_PATIENCE_SHARE
+        budget = budget_seconds(work, self._settings)
+        if _is_warm(work, choice) or self._lead_seconds(work) < COLD_LEAD:
+            return budget
+        if choice.can_take and self.placement.full_share(now_seconds) < CROWDED_SHARE:
+            return budget
+        return budget * (1.0 - COLD_DISCOUNT * self.placement.pressure)
+
+    def _lead_seconds(self, work: Work) -> float:
+        mean_seconds = self.queue.mean_seconds or 1.0
+        return self.queue.lead_seconds(work.customer) / mean_seconds
+
     def _is_full(self, work: Work) -> bool:
         own = len(self.queue.lane(work.customer).waiting)
         return (
@@ -108,22 +198,19 @@
         self,
         work: Work,
         now_seconds: float,
-        extra_tokens: dict[TargetId, int],
-        only_free: bool = False,
+        ahead_of: Ahead,
     ) -> Choice | None:
         avoid = work.excluded
         if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            return self.placement.best(
-                work, now_seconds, avoid, extra_tokens, only_free
-            )
+            return self.placement.best(work, now_seconds, avoid, ahead_of)
         alone = avoid | self._targets_with_suspects(now_seconds)
-        choice = self.placement.best(work, now_seconds, alone, extra_tokens)
+        choice = self.placement.best(work, now_seconds, alone, ahead_of)
         if choice is not None:
             return choice
         # A target that is lost with many requests makes them all suspects, more
         # than there are targets to try each alone on. They wait for their turn;
         # refusing them would fail the innocent ones.
-        choice = self.placement.best(work, now_seconds, avoid, extra_tokens)
+        choice = self.placement.best(work, now_seconds, avoid, ahead_of)
         return None if choice is None else replace(choice, can_take=False)
 
     def _targets_with_suspects(self, now_seconds: float) -> frozenset[TargetId]:
@@ -157,6 +244,7 @@
             self.suspect_targets.append(target)
         self.queue.charge(work.customer, cost_seconds)
         self._rate.count(cost_seconds)
+        self._usual_rate.count(self._usual_cost_seconds(work))
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
 
     def pump(self, now_seconds: float) -> list[Outcome]:
@@ -164,30 +252,25 @@
         outcomes: list[Outcome] = []
         if not len(self.queue) or not self.placement.has_room(now_seconds):
             return outcomes
-        extra_tokens: dict[TargetId, int] = {}
-        for waiting in self.queue.in_order(SCANNED_REQUESTS):
-            outcome = self._try_waiting(waiting, now_seconds, extra_tokens)
+        ahead_of = Ahead()
+        for waiting in self.queue.in_order(SCANNED_REQUESTS, self.shares.is_inside):
+            outcome = self._try_waiting(waiting, now_seconds, ahead_of)
             if outcome is not None:
                 outcomes.append(outcome)
         return outcomes
 
     def _try_waiting(
-        self, waiting: Waiting, now_seconds: float, extra_tokens: dict[TargetId, int]
+        self, waiting: Waiting, now_seconds: float, ahead_of: Ahead
     ) -> Outcome | None:
         work = waiting.work
-        # A request that waits for the target with its prefix must not wait for
-        # ever while others fill it: from half of its time on, any target does.
-        halfway = 0.25 * waiting.enqueued_seconds + 0.75 * waiting.give_up_seconds
-        only_free = now_seconds > halfway
-        choice = self._choose(work, now_seconds, extra_tokens, only_free)
+        choice = self._choose(work, now_seconds, ahead_of)
         if choice is None:
             return None
         if not choice.can_take:
-            target = choice.load.view.target
-            tokens = extra_tokens.get(target, 0) + choice.uncached_tokens
-            extra_tokens[target] = tokens
+            ahead_of.add(choice.load.view.target, choice.uncached_tokens)
+            self._bind(waiting, choice)
             return None
-        self.queue.remove(work.request)
+        self.remove(work.request)
         waited_seconds = now_seconds - waiting.enqueued_seconds
         self._bias.observe(waited_seconds, waiting.predicted_seconds)
         cost = self._cost_seconds(work, choice.uncached_tokens)
@@ -219,19 +302,19 @@
             rates.observe_uncached(uncached, entry.work.prompt_tokens)
         elapsed = now_seconds - entry.dispatched_seconds
         ratio = rates.observe_first_token(elapsed, entry.ahead_tokens + uncached)
-        load.slowness = follow_slowness(load.slowness, ratio)
+        load.slowness.observe(ratio / rates.usual_ratio, now_seconds)
         own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
         load.window.observe(
-            delay_seconds=elapsed - own_seconds * load.slowness,
-            target_seconds=self._settings.engine_queue_seconds,
+            delay_seconds=elapsed - own_seconds * load.slowness.value,
+            target_seconds=entry.work.patience_seconds * ENGINE_PATIENCE_SHARE,
             is_limiting=load.queued_tokens > load.window.tokens / 2,
             now_seconds=now_seconds,
         )
 
     def finish(
         self, request: RequestId, now_seconds: float, kind: FinishKind
-    ) -> Work | None:
-        """Note the end of a request and return it."""
+    ) -> InFlight | None:
+        """Note the end of a request and return how it was in flight."""
         target = self._running.pop(request, None)
         load = self.placement.loads.get(target) if target is not None else None
         entry = load.end(request, now_seconds) if load is not None else None
@@ -242,11 +325,13 @@
             self.placement.rates.observe_hold(held)
         if kind is FinishKind.TARGET_LOST:
             load.belief.clear()
-        return entry.work
+        return entry
 
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
         self._rate.update(now_seconds, len(self.queue) > 0)
+        self._usual_rate.update(now_seconds, len(self.queue) > 0)
+        self.shares.divide(self._usual_rate.per_second(), now_seconds)
         pressure = self.placement.pressure
         step = (float(len(self.queue) > 0) - pressure) * PRESSURE_GAIN
         self.placement.pressure = pressure + step
@@ -254,7 +339,7 @@
         for waiting in self.queue.all():
             if now_seconds < waiting.give_up_seconds:
                 continue
-            self.queue.remove(waiting.work.request)
+            self.remove(waiting.work.request)
             wait = QueueWait(waiting.work.patience_seconds, False)
             outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
         outcomes.extend(self.pump(now_seconds))
@@ -264,22 +349,25 @@
         """Refuse everything that waits."""
         outcomes: list[Outcome] = []
         for waiting in self.queue.all():
-            self.queue.remove(waiting.work.request)
+            self.remove(waiting.work.request)
             outcomes.append(self._refuse(waiting.work, reason, QueueWait(0.0, False)))
         return outcomes
 
-    def status(self) -> dict[str, object]:
+    def status(self, now_seconds: float) -> dict[str, object]:
         """Return the queue and the targets in short."""
         return {
             "n_waiting": len(self.queue),
             "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
             "service_rate": round(self._rate.per_second(), 3),
+            "pressure": round(self.placement.pressure, 3),
             "targets": {
                 target: {
                     "state": load.view.state.value,
                     "n_in_flight": len(load.in_flight),
+                    "n_estimated": round(load.estimate(now_seconds)[1], 1),
                     "n_believed_levels": len(load.belief),
-                    "slowness": round(load.slowness, 3),
+                    "window_tokens": round(load.window.tokens),
+                    "slowness": round(load.slowness.now(now_seconds), 3),
                 }
                 for target, load in self.placement.loads.items()
             },
--- a/lycheepost/decide/rates.py
+++ b/lycheepost/decide/rates.py
@@ -1,8 +1,7 @@
-"""Measured speeds of a target group's engines and of each target.
+"""Measured speeds of a target group's engines.
 
-First tokens tell how fast prompts are worked off. The group's figure is what
-its targets do in general; a target's own figure over the group's tells a slow
-target from a fleet that is busy as a whole.
+First tokens tell how fast prompts are worked off in general; ``decide.slow``
+sets each target against it.
 """
 
 from dataclasses import dataclass
@@ -12,18 +11,15 @@
 GAIN = 0.05
 """Weight of one observation; some twenty settle a figure."""
 
+MAX_RATIO = 4.0
+"""One hanging target must not make slowness the usual."""
+
 SMALL_TOKENS = 300
 """Below this the fixed part of a first token is nearly all of it."""
 
 LARGE_TOKENS = 800
 """Above this the time per token can be told from the fixed part."""
 
-SLOWNESS_GAIN = 0.15
-"""A slow target is told within some ten first tokens."""
-
-MIN_SLOWNESS = 0.5
-MAX_SLOWNESS = 20.0
-
 
 @dataclass(slots=True)
 class Rates:
@@ -35,6 +31,8 @@
         hold_seconds: How long a request occupies a slot.
         uncached_share: Share of prompt tokens that engines had to compute.
         uncached_tokens: Tokens of a prompt that engines had to compute.
+        usual_ratio: Observed over predicted first-token time of all targets,
+            which each target is compared with.
     """
 
     token_seconds: float
@@ -42,9 +40,10 @@
     hold_seconds: float = 1.0
     uncached_share: float = 0.5
     uncached_tokens: float = 1000.0
+    usual_ratio: float = 1.0
 
     def observe_first_token(self, elapsed_seconds: float, n_tokens: float) -> float:
-        """Learn from one first token; returns the target's slowness in it.
+        """Learn from one first token; returns observed over predicted time.
 
         Args:
             elapsed_seconds: From the dispatch to the first token.
@@ -58,7 +57,9 @@
         elif n_tokens > LARGE_TOKENS:
             seconds = max(0.0, elapsed_seconds - self.first_token_seconds) / n_tokens
             self.token_seconds += GAIN * (seconds - self.token_seconds)
-        return elapsed_seconds / max(predicted, 1e-3)
+        ratio = elapsed_seconds / max(predicted, 1e-3)
+        self.usual_ratio += GAIN * (min(ratio, MAX_RATIO) - self.usual_ratio)
+        return ratio
 
     def observe_hold(self, held_seconds: float) -> None:
         """Learn how long a request occupied its slot."""
@@ -75,9 +76,3 @@
 def make_rates(settings: SchedulerSettings) -> Rates:
     """Return the first guesses."""
     return Rates(settings.prefill_seconds_per_token, settings.first_token_seconds)
-
-
-def follow_slowness(slowness: float, ratio: float) -> float:
-    """Return a target's slowness after one more observation."""
-    ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
-    return slowness + SLOWNESS_GAIN * (ratio - slowness)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -57,6 +57,7 @@
         self._budget = RetryBudget(settings.retry_share)
         self._losses: list[LossSeen] = []
         self._is_draining = False
+        self._now_seconds = 0.0
 
     def replace_targets(
         self, targets: tuple[TargetView, ...], now_seconds: float
@@ -90,7 +91,7 @@
         group = self._groups.get(name)
         if group is None:
             group = Group(self._settings, self._rng, self._quarantine)
-            group.queue.set_weights(self._weights)
+            group.set_weights(self._weights)
             self._groups[name] = group
         return group
 
@@ -98,7 +99,7 @@
         """Set each customer's weight in fair sharing; 1 when missing."""
         self._weights = weights
         for group in self._groups.values():
-            group.queue.set_weights(weights)
+            group.set_weights(weights)
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Take a new request."""
@@ -161,13 +162,15 @@
         group = self._group_by_request.pop(request, None)
         if group is None:
             return []
-        work = group.finish(request, now_seconds, kind)
-        if work is not None and kind is FinishKind.TARGET_LOST:
-            self._losses.append(
-                self._quarantine.note_loss(work.fingerprint, now_seconds)
+        entry = group.finish(request, now_seconds, kind)
+        if entry is not None and kind is FinishKind.TARGET_LOST:
+            loss = self._quarantine.note_loss(
+                entry.work.fingerprint, entry.dispatched_seconds, now_seconds
             )
-        if work is not None and kind is FinishKind.COMPLETE:
-            self._quarantine.clear(work.fingerprint)
+            if loss is not None:
+                self._losses.append(loss)
+        if entry is not None and kind is FinishKind.COMPLETE:
+            self._quarantine.clear(entry.work.fingerprint)
         outcomes = group.pump(now_seconds)
         self._forget_refused(outcomes)
         return outcomes
@@ -175,13 +178,14 @@
     def cancel(self, request: RequestId, now_seconds: float) -> list[Outcome]:
         """Drop a request that still waits; its caller has left."""
         group = self._group_by_request.get(request)
-        if group is None or group.queue.remove(request) is None:
+        if group is None or not group.remove(request):
             return []
         del self._group_by_request[request]
         return group.pump(now_seconds)
 
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Do what falls due with time; called every 20 ms."""
+        self._now_seconds = now_seconds
         outcomes: list[Outcome] = []
         for group in self._groups.values():
             outcomes.extend(group.tick(now_seconds))
@@ -194,8 +198,6 @@
         if group is None:
             return
         load = group.placement.loads[report.target]
-        if report.incarnation != load.belief.incarnation:
-            load.belief.restart(report.incarnation)
         load.observe(report, group.placement.rates.uncached_share)
 
     def observe_cache_events(
@@ -214,9 +216,14 @@
         """Refuse a fingerprint that a peer has quarantined."""
         self._quarantine.add(fingerprint, until_seconds)
 
-    def note_loss(self, fingerprint: BodyFingerprint, now_seconds: float) -> None:
+    def note_loss(
+        self,
+        fingerprint: BodyFingerprint,
+        started_seconds: float,
+        lost_seconds: float,
+    ) -> None:
         """Count a target loss that a peer saw this fingerprint running in."""
-        self._quarantine.note_loss(fingerprint, now_seconds)
+        self._quarantine.note_loss(fingerprint, started_seconds, lost_seconds)
 
     def take_losses(self) -> list[LossSeen]:
         """Return the losses seen since the last call, to tell the peers."""
@@ -251,5 +258,8 @@
         """Return queues and loads for ``/admin/status``."""
         return {
             "is_draining": self._is_draining,
-            "groups": {name: group.status() for name, group in self._groups.items()},
+            "groups": {
+                name: group.status(self._now_seconds)
+                for name, group in self._groups.items()
+            },
         }
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -17,13 +17,12 @@
 import structlog
 from returns.result import Success
 
-from lycheepost.core.ids import Revision, TargetId
+from lycheepost.core.ids import Revision, TargetGroupId, TargetId
 from lycheepost.generated.configuration import Configuration, Target
 from lycheepost.generated.engine import EngineHealth, EngineHealthState, EngineOrder
 from lycheepost.operators.capacity import decide_capacity
 from lycheepost.operators.capacity_ports import CapacityDeps
 from lycheepost.operators.capacity_records import (
-    UNSEEN,
     CapacityAction,
     CapacityTiming,
     Observed,
@@ -32,11 +31,11 @@
 )
 from lycheepost.operators.capacity_watch import CapacityWatch
 from lycheepost.state.leases import Lease, LeaseTaken
+from lycheepost.state.view import ConfigurationView
 
 DUTY = "capacity"
-_SPREAD_SECONDS_PER_DAEMON = 0.1
-"""Daemons without the duty try for it spread over this time each, so that 540 of
-them read the lease about fifteen times a second in all."""
+_SPREAD_SECONDS = 1.0
+"""Tries of several daemons for the duty do not fall together."""
 _SETTLED = (EngineHealthState.SERVING, EngineHealthState.STANDBY)
 _log = structlog.get_logger(part="capacity")
 
@@ -68,6 +67,7 @@
         self._next_try_seconds = float("-inf")
         self._fenced: set[tuple[TargetId, str]] = set()
         self._warmed: set[tuple[TargetId, str]] = set()
+        self._imports: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
         self._last_look = Look.NO_DUTY
 
@@ -105,9 +105,10 @@
             return Look.NO_DUTY
         if not self._is_fresh and not await self._begin_duty():
             return Look.NO_DUTY
-        configuration = self._deps.revisions.view.configuration
-        observed = await self._watch.observe(configuration)
-        unshown = await self._raise_fences(configuration, observed)
+        view = self._deps.revisions.view
+        configuration = view.configuration
+        observed = await self._watch.observe(view)
+        unshown = await self._raise_fences(view, observed)
         observed |= {name: _without_answer(observed[name]) for name in unshown}
         if not self._holds():
             # A pause in the look outlasted the lease: what was seen is old.
@@ -137,7 +138,7 @@
                 _log.info("capacity: duty lost", fencing_number=lease.fencing_number)
                 self._lease = None
             return self._lease is not None
-        if now_seconds < self._next_try_seconds:
+        if now_seconds < self._next_try_seconds or not self._deps.is_candidate():
             return False
         acquired = await self._deps.leases.acquire(DUTY)
         if isinstance(acquired, Success):
@@ -148,10 +149,8 @@
         wait_seconds = self._deps.settings.capacity_tick_seconds
         if isinstance(error, LeaseTaken):
             wait_seconds = max(wait_seconds, error.retry_after_seconds)
-        spread_seconds = _SPREAD_SECONDS_PER_DAEMON * self._deps.n_daemons()
-        self._next_try_seconds = (
-            now_seconds + wait_seconds + self._random.uniform(0.0, spread_seconds)
-        )
+        wait_seconds += self._random.uniform(0.0, _SPREAD_SECONDS)
+        self._next_try_seconds = now_seconds + wait_seconds
         return False
 
     async def _begin_duty(self) -> bool:
@@ -180,7 +179,7 @@
         return Look.NOT_RECORDED
 
     async def _raise_fences(
-        self, configuration: Configuration, observed: dict[TargetId, Observed]
+        self, view: ConfigurationView, observed: dict[TargetId, Observed]
     ) -> set[TargetId]:
         """Show each target our fencing number before anything else is done.
 
@@ -193,18 +192,14 @@
             The targets that could not be shown it. What they said may be undone
             by a late order, so nothing is decided on it.
         """
-        checking = {
-            group.target_group
-            for group in configuration.target_groups
-            if group.checks_fencing
-        }
         unshown = set()
-        for target in configuration.targets:
-            name = TargetId(target.target)
-            health = observed.get(name, UNSEEN).health
-            if target.target_group not in checking or health is None:
+        for name, answer in observed.items():
+            target = view.targets[name]
+            group = view.target_groups.get(TargetGroupId(target.target_group))
+            checks_fencing = group is not None and group.checks_fencing
+            if not checks_fencing or answer.health is None:
                 continue
-            if not await self._raise_fence(target, health):
+            if not await self._raise_fence(target, answer.health):
                 unshown.add(name)
         return unshown
 
@@ -224,11 +219,9 @@
             order_id=f"stay-{name}-{lease.fencing_number}",
             fencing_number=lease.fencing_number,
             desired_version=health.desired_version,
+            # It names no weights and no role, so that it can begin no load: the
+            # target may have crashed since it was asked, or the order be late.
             state=health.state,
-            model=health.model,
-            weights_version=health.weights_version,
-            adapter=health.adapter,
-            role=health.role,
         )
         is_shown = await self._send_order(target, stay)
         if is_shown:
@@ -238,12 +231,18 @@
     async def _act(
         self, configuration: Configuration, actions: tuple[CapacityAction, ...]
     ) -> None:
+        warming = {
+            (action.target, action.weights_version)
+            for action in actions
+            if isinstance(action, WarmAction)
+        }
+        self._warmed &= warming
         for action in actions:
             match action:
                 case OrderAction():
                     await self._send(configuration, action)
                 case WarmAction():
-                    await self._import(configuration, action)
+                    self._begin_import(configuration, action)
 
     async def _send(self, configuration: Configuration, action: OrderAction) -> None:
         lease = self._lease
@@ -282,16 +281,24 @@
             self._lease = None
         return True
 
-    async def _import(self, configuration: Configuration, action: WarmAction) -> None:
+    def _begin_import(self, configuration: Configuration, action: WarmAction) -> None:
         key = (action.target, action.weights_version)
         target = _find_target(configuration, action.target)
-        if self._deps.warm is None or target is None or key in self._warmed:
+        if target is None or key in self._warmed:
             return
         self._warmed.add(key)
+        # Imports take seconds: a look that waited for them would lose the lease.
+        task = asyncio.create_task(self._import(target, action))
+        self._imports.add(task)
+        task.add_done_callback(self._imports.discard)
+
+    async def _import(self, target: Target, action: WarmAction) -> None:
+        if self._deps.warm is None:
+            return
         warmed = await self._deps.warm.warm(
             target, action.model, action.weights_version
         )
-        n_tokens = warmed.unwrap() if isinstance(warmed, Success) else 0
+        n_tokens = warmed.value_or(0)
         _log.info("capacity: warmed", target=action.target, n_tokens=n_tokens)
 
     async def _run(self) -> None:
@@ -309,6 +316,8 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
+        for task in self._imports:
+            task.cancel()
 
 
 def _without_answer(observed: Observed) -> Observed:
--- a/lycheepost/targets/observe.py
+++ b/lycheepost/targets/observe.py
@@ -41,7 +41,7 @@
     ReportKind,
 )
 
-_log = structlog.get_logger().bind(part="targets")
+_log = structlog.get_logger(part="targets")
 _MOST_CALLS = 64
 """Calls in flight: targets that do not answer for two seconds must not hold up
 the reports of all others, nor pile up."""
@@ -148,6 +148,10 @@
             **self._control.status(),
         }
 
+    def recheck(self, target: TargetId) -> None:
+        """Ask a target that took no connection again before its turn."""
+        self._plan.recheck(target, self._clock.now_seconds())
+
     def incarnations(self) -> dict[TargetId, Incarnation]:
         """Return the boot id that each target last named."""
         return dict(self._incarnations)
@@ -204,6 +208,7 @@
                 self._callbacks.on_sign(target, health_sign(state))
             case Failure(TargetUnreachable()):
                 self._callbacks.on_sign(target, refused_sign())
+                self.recheck(target)
 
     def _take_load(
         self, target: TargetId, answer: Result[EngineLoad, TargetError]
@@ -256,8 +261,10 @@
 
 _STATES = {
     EngineHealthState.SERVING: TargetState.SERVING,
-    # An engine that loads weights refuses all work until it is done.
-    EngineHealthState.LOADING: TargetState.GONE,
+    # It refuses work until it has loaded and may be ready before the next
+    # answer is read; a try costs one refusal, while no target at all in the
+    # midst of a rollout would cost callers their answer.
+    EngineHealthState.LOADING: TargetState.WARMING,
     EngineHealthState.STANDBY: TargetState.LEAVING,
     EngineHealthState.LEAVING: TargetState.LEAVING,
 }
