--- a/features/state/leases.feature
+++ b/features/state/leases.feature
@@ -22,7 +22,7 @@
     Given daemon A holds the duty for 10 seconds with a margin of 2
     When <event>
     Then daemon B gets the duty after <wait>
-    And daemon A may not send by then
+    And daemon A may not send by then, nor later than 8 seconds after its last write
     And the fencing number has risen
 
     Examples:
--- a/features/state/steps/lease_steps.py
+++ b/features/state/steps/lease_steps.py
@@ -55,6 +55,7 @@
         for name in "AB"
     )
     context.lease = context.loop.run_until_complete(context.a.acquire("duty")).unwrap()
+    context.written_seconds = context.loop.now_seconds()
     first_look = context.loop.run_until_complete(context.b.acquire("duty"))
     assert first_look.failure().holder == "A"
 
@@ -69,6 +70,7 @@
 def step_renews(context):
     context.loop.run_until_complete(asyncio.sleep(3))
     renewed = context.loop.run_until_complete(context.a.renew(context.lease))
+    context.written_seconds = context.loop.now_seconds()
     context.loop.run_until_complete(context.b.acquire("duty"))
     context.lease = renewed.unwrap()
 
@@ -89,8 +91,10 @@
     context.taken = context.loop.run_until_complete(context.b.acquire("duty")).unwrap()
 
 
-@then("daemon A may not send by then")
+@then("daemon A may not send by then, nor later than 8 seconds after its last write")
 def step_may_not(context):
+    assert context.lease.is_held(context.written_seconds + 7.9)
+    assert not context.lease.is_held(context.written_seconds + 8.1)
     is_released = getattr(context, "released", False)
     assert is_released or not context.lease.is_held(context.loop.now_seconds())
 
