--- a/features/app/commands.feature
+++ b/features/app/commands.feature
@@ -14,6 +14,7 @@
       | is not YAML                    | (document)                       | is not YAML           |
       | has one half of a peer key     | peers.public_key                 | both keys             |
       | has a margin beyond its lease  | state.lease_margin_seconds       | under half            |
+      | lets orders outlive the margin | operators.order_timeout_seconds  | next holder           |
       | has a certificate that is gone | listeners.callers_tls            | is not a file         |
       | has a faulty fallback          | fallback_configuration.customers | is not of type        |
 
--- a/features/app/steps/commands.py
+++ b/features/app/steps/commands.py
@@ -41,6 +41,8 @@
             settings["peers"] = {"secret_key": "x"}
         case "has a margin beyond its lease":
             settings["state"] = {"lease_seconds": 2, "lease_margin_seconds": 3}
+        case "lets orders outlive the margin":
+            settings["operators"] = {"order_timeout_seconds": 5}
         case "has a certificate that is gone":
             tls = {"certificate_path": "gone.pem", "key_path": "gone.pem"}
             settings["listeners"]["callers_tls"] = tls
--- a/lycheepost/app/settings.py
+++ b/lycheepost/app/settings.py
@@ -73,6 +73,7 @@
     """Return the faults that lie between fields."""
     return [
         *_check_lease(settings),
+        *_check_orders(settings),
         *_check_patience(settings),
         *_check_queues(settings),
         *_check_ports(settings),
@@ -96,6 +97,20 @@
     ]
 
 
+def _check_orders(settings: Settings) -> list[Fault]:
+    operators = settings.operators
+    if operators.order_timeout_seconds < settings.state.lease_margin_seconds:
+        return []
+    return [
+        Fault(
+            "operators.order_timeout_seconds",
+            str(operators.order_timeout_seconds),
+            "must be under state.lease_margin_seconds, or an order may arrive after "
+            "the next holder has begun",
+        )
+    ]
+
+
 def _check_patience(settings: Settings) -> list[Fault]:
     limits = settings.limits
     if limits.default_patience_seconds <= limits.max_patience_seconds:
