--- a/features/operators/plans.feature
+++ b/features/operators/plans.feature
@@ -86,6 +86,14 @@
       | {"kind": "create_customer", "customer": "beta"}       | ada      | other | 0 | 1        |
       | {"kind": "rotate_customer_key", "customer": "acme"}   | ben      | t     | 0 | 1        |
 
+  Scenario: Another customer under a name that was used before
+    A customer leaves and another organisation is created under its name. Were
+    its blocks on the engines told apart by the name alone, the newcomer would be
+    answered from the old one's prompts.
+
+    When acme is disabled, removed and created again
+    Then its cached blocks are not those of the first
+
   Scenario: A plan that waited too long
     When ada plans '{"kind": "create_customer", "customer": "beta"}' at daemon 1
     And 901 seconds pass
--- a/features/operators/steps/plan_steps.py
+++ b/features/operators/steps/plan_steps.py
@@ -98,6 +98,30 @@
     assert state["is_dead"]
 
 
+@when("acme is disabled, removed and created again")
+def when_again(context):
+    context.first_salt = cache_salt(context)
+    for document in (
+        {"kind": "alter_customer", "customer": "acme", "is_enabled": False},
+        {"kind": "remove", "what": "customer", "name": "acme"},
+        {"kind": "create_customer", "customer": "acme"},
+    ):
+        plan_id = context.world.plan(0, document)["plan_id"]
+        status, body = context.world.confirm(0, plan_id)
+        assert status == 200, body
+
+
+def cache_salt(context):
+    (customer,) = context.world.configuration(1).customers
+    return customer.cache_salt
+
+
+@then("its cached blocks are not those of the first")
+def then_other_salt(context):
+    salt = cache_salt(context)
+    assert salt and salt != context.first_salt, salt
+
+
 @when("{seconds:d} seconds pass")
 def when_time_passes(context, seconds):
     context.world.clock.advance(seconds)
--- a/lycheepost/operators/customer_changes.py
+++ b/lycheepost/operators/customer_changes.py
@@ -20,6 +20,8 @@
 from lycheepost.operators.items import Draft
 from lycheepost.utils.documents import Fault
 
+_SALT_CHARACTERS = 16
+
 
 def _check_customer_lists(
     draft: Draft, change: CreateCustomer | AlterCustomer
@@ -40,9 +42,13 @@
     faults += _check_key_unused(draft, change.key_hash)
     if faults:
         return faults
+    key_hash = change.key_hash or hash_for(change.customer)
     customer = Customer(
         customer=change.customer,
-        key_hashes=[change.key_hash or hash_for(change.customer)],
+        key_hashes=[key_hash],
+        # The name alone would not do: a customer that is removed, and another
+        # created under its name, would share cached blocks on the engines.
+        cache_salt=f"{change.customer}:{key_hash[:_SALT_CHARACTERS]}",
         share_weight=change.share_weight,
         models=change.models,
         target_groups=change.target_groups,
