Drop the delay of others from a placement's cost

It stood in for the price of recomputation before the price under pressure came; now it only spreads work off the holders of its prefix.

--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -1,11 +1,11 @@
 """Where a request goes: the target with the lowest predicted cost.
 
-Cost = predicted time to the first token, plus what its prefill costs those that
-wait behind it, plus the prefill that another target would have spared, each by
-the deployment's weight. Prairie weighs the wait, Mercia the recomputation. The
-second part keeps a busy fleet from melting down: without it each request that
-finds its owner full is recomputed elsewhere, which makes the fleet busier, and
-the next owner full. A small preference by ring order makes daemons agree
+Cost = predicted time to the first token, plus the prefill that another target
+would have spared, each by the deployment's weight. Prairie weighs the wait,
+Mercia the recomputation. Under pressure avoidable prefill has a further price:
+without it each request that finds its owner full is recomputed elsewhere, which
+makes the fleet busier, and the next owner full, until it does little else. A
+small preference by ring order makes daemons agree
 on a new prefix before cache events reach them, and lets a hot prefix gain
 owners as its first ones fill up and lose them when demand falls.
 """
@@ -31,10 +31,6 @@
 """Cost of each step away from the first owner: below what a caller notices,
 above the noise of predictions."""
 
-MAX_DELAYED = 10.0
-"""Requests counted as delayed by one more prefill; beyond it the estimate of
-those that wait is too coarse to outweigh everything else."""
-
 PRESSURE_PRICE = 20.0
 """Price of avoidable prefill while the queue is never empty. Each second of it
 is then a second taken from someone who is refused, however short this request's
@@ -224,10 +220,9 @@
             excess = n_running + n_ahead + 1.0 - load.limit()
             if excess > 0.0:
                 wait += excess * rates.hold_seconds / load.limit()
-            delayed = min(MAX_DELAYED, ahead / rates.uncached_tokens)
             steps = owners.index(target) if target in owners else OWNER_STEPS
             score = (
-                wait_weight * (wait + prefill * delayed)
+                wait_weight * wait
                 + price * (uncached - least_uncached) * token_seconds
                 + steps * OWNER_SECONDS
             )
--- a/lycheepost/decide/rates.py
+++ b/lycheepost/decide/rates.py
@@ -30,7 +30,6 @@
         first_token_seconds: Fixed part of a first token.
         hold_seconds: How long a request occupies a slot.
         uncached_share: Share of prompt tokens that engines had to compute.
-        uncached_tokens: Tokens of a prompt that engines had to compute.
         usual_ratio: Observed over predicted first-token time of all targets,
             which each target is compared with.
     """
@@ -39,7 +38,6 @@
     first_token_seconds: float
     hold_seconds: float = 1.0
     uncached_share: float = 0.5
-    uncached_tokens: float = 1000.0
     usual_ratio: float = 1.0
 
     def observe_first_token(self, elapsed_seconds: float, n_tokens: float) -> float:
@@ -69,8 +67,6 @@
         """Learn how much of a prompt had to be computed."""
         share = uncached_tokens / max(1, prompt_tokens)
         self.uncached_share += GAIN * (share - self.uncached_share)
-        self.uncached_tokens += GAIN * (uncached_tokens - self.uncached_tokens)
-        self.uncached_tokens = max(1.0, self.uncached_tokens)
 
 
 def make_rates(settings: SchedulerSettings) -> Rates:
