--- a/features/peers/fleet.feature
+++ b/features/peers/fleet.feature
@@ -44,3 +44,12 @@
     Given a fleet of 12 daemons with the store down
     When a daemon dies without a word
     Then within 20 seconds no addresses answer names it
+
+  Scenario: One daemon sees that a target leaves, and all of them avoid it
+    With 12,000 targets no daemon can ask each of them for its health, nor look at
+    the whole VM list more than once in many minutes. New work must stop all the
+    same, whichever daemon gets it.
+
+    Given a fleet of 12 daemons with the store down
+    When one daemon hears from a target that it leaves
+    Then within 2 seconds every daemon avoids that target
--- a/features/peers/steps/fleet_steps.py
+++ b/features/peers/steps/fleet_steps.py
@@ -4,11 +4,14 @@
 
 from lycheepost.bench.control import measure_herd, measure_outage, measure_spread
 from lycheepost.bench.fleet import Spreading, make_configuration, make_fleet
-from lycheepost.core.ids import CustomerId, DaemonId
+from lycheepost.core.ids import CustomerId, DaemonId, TargetId
+from lycheepost.decide.records import TargetState
 from lycheepost.standin.virtualtime import VirtualTimeLoop
 from lycheepost.state.addresses import MemberState
+from lycheepost.state.signs import health_sign
 
 SEED = 3
+TARGET = TargetId("target-1")
 
 
 def run(context, work):
@@ -158,3 +161,21 @@
     for daemon in context.fleet.daemons:
         states = find_states(context, daemon)
         assert set(states.values()) == {MemberState.LIVE}, (daemon.name, states)
+
+
+@when("one daemon hears from a target that it leaves")
+def step_target_leaves(context):
+    members = context.fleet.daemons[5].state.members
+    sign = health_sign(TargetState.LEAVING)
+    context.loop.call_soon(
+        members.observe_target, TARGET, sign, context.loop.now_seconds()
+    )
+
+
+@then("within {seconds:d} seconds every daemon avoids that target")
+def step_target_avoided(context, seconds):
+    run(context, asyncio.sleep(seconds))
+    states = [
+        daemon.state.members.target_states()[TARGET] for daemon in context.fleet.daemons
+    ]
+    assert states == [TargetState.LEAVING] * len(states), states
--- a/lycheepost/bench/control.py
+++ b/lycheepost/bench/control.py
@@ -32,12 +32,15 @@
     make_fleet,
     start_daemon,
 )
+from lycheepost.bench.messagecost import measure_messages
 from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId, TargetId
 from lycheepost.decide.records import TargetState
 from lycheepost.platform.vms import Vm, VmRole, VmState
 from lycheepost.standin.virtualtime import run_virtual, virtual_clock
 
 CHANGES_PER_SECOND = 64_000 / 86_400
+_MESSAGES_PER_SECOND = 7.0
+"""Of a daemon in each direction: the bytes that ``cost`` shows, at 130 a message."""
 _SETTLE_SECONDS = 30.0
 _HOUR_SECONDS = 3600.0
 
@@ -52,7 +55,10 @@
         records += [*costs, *_slopes(costs)]
         records.append(measure_herd(seed, spreading, herd))
     records.append(measure_outage(seed, 20))
-    return [*records, *measure_claims(seed), *measure_adoption()]
+    records += measure_claims(seed)
+    records += measure_adoption()
+    records += measure_messages(_MESSAGES_PER_SECOND)
+    return records
 
 
 def to_document(record: Any) -> dict[str, Any]:
