--- a/lycheepost/bench/capacity_check.py
+++ b/lycheepost/bench/capacity_check.py
@@ -27,7 +27,8 @@
 
     Attributes:
         n_broken: Runs in which a promise was broken.
-        n_late_orders: Orders of an overtaken holder that a target took.
+        n_late_orders: Orders of an overtaken holder that a target took, since it
+            checks no fencing or has crashed since it was shown the number.
         n_late_loads: Loads above the limit that such an order began, all on
             targets which check no fencing number.
     """
@@ -58,8 +59,9 @@
             f"{self.n_runs} runs, {self.n_broken} broke a promise;"
             f" {self.n_holders} holders, {self.n_revisions} revisions,"
             f" {self.n_orders} orders, {self.n_loads} loads;"
-            f" without a fencing check: {self.n_late_orders} late orders taken,"
-            f" {self.n_late_loads} loads above the limit by them"
+            f" {self.n_late_orders} late orders taken by targets that check no"
+            f" fencing or had crashed since, {self.n_late_loads} loads above the limit"
+            " by them"
         )
 
 
