--- a/features/capacity/rollout.feature
+++ b/features/capacity/rollout.feature
@@ -94,6 +94,30 @@
       | answer       |
       | fall silent  |
 
+  Scenario: A load hangs at a target that nobody reaches any more
+    It counts as failed after a while, yet it may read the weight store still.
+    Were its slot free, the next target would load beside it.
+
+    Given 4 serving and 0 standby targets, 1 loads, floor 2
+    When an operator confirms new weights "w2"
+    And its first load hangs and its target falls silent for 120 s
+    Then no other target has begun to load after 100 s
+    And the intent ends as done
+    And no promise was broken and callers always had a target
+
+  Scenario: An order left with a paused holder, when the load was given up meanwhile
+    The holder is suspended at the write of a load order. The next holder's own
+    order never arrives, the load counts as failed, and another target loads. Then
+    the first wakes and writes: unless the target knows the newer number by now,
+    it loads as well.
+
+    Given 4 serving and 0 standby targets, 1 loads, floor 2
+    When an operator confirms new weights "w2"
+    And the holder is suspended for 60 s at its next load order and later ones are lost
+    Then the late order was refused
+    And the intent ends as done
+    And no promise was broken and callers always had a target
+
   Scenario: Paused midway, then resumed
     Given 5 serving and 0 standby targets, 1 loads, floor 3
     When an operator confirms new weights "w2"
--- a/features/capacity/steps/capacity_steps.py
+++ b/features/capacity/steps/capacity_steps.py
@@ -110,8 +110,33 @@
     assert context.world.holder_index() != context.old_holder
 
 
+@when("its first load hangs and its target falls silent for 120 s")
+def when_hangs_silent(context):
+    world = context.world
+    for target in world.targets.values():
+        target.is_load_stuck = True
+    run(context, world.wait_until(lambda: world.tally.n_loads == 1))
+    for target in world.targets.values():
+        if target.state is EngineHealthState.LOADING:
+            target.silent_until_seconds = context.loop.now_seconds() + 120
+
+
+@then("no other target has begun to load after 100 s")
+def then_no_other(context):
+    run(context, context.world.wait(100))
+    assert context.world.tally.n_loads == 1, context.world.tally
+    assert context.world.steps_in("failed"), context.world.configuration
+    for target in context.world.targets.values():
+        target.is_load_stuck = False
+
+
+@when("the holder is suspended for 60 s at its next load order and later ones are lost")
+def when_suspended_lost(context):
+    when_suspended_send(context, loses_later=True)
+
+
 @when("the holder is suspended for 60 s at its next load order")
-def when_suspended_send(context):
+def when_suspended_send(context, loses_later=False):
     world = context.world
     context.answers = []
     inner = ModelOrders.deliver
@@ -120,6 +145,7 @@
         is_load = order.weights_version == "w2" and "stay" not in order.order_id
         if is_load and not context.answers:
             context.answers.append(None)
+            context.first_target = target.target
             until_seconds = context.loop.now_seconds() + 60
             self._holder.paused_until_seconds = until_seconds
             await self._holder.pass_gate()
