--- a/features/capacity/steps/capacity_steps.py
+++ b/features/capacity/steps/capacity_steps.py
@@ -7,6 +7,7 @@
 import unittest.mock
 
 from behave import given, then, when
+from returns.result import Failure
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
@@ -15,6 +16,7 @@
 from lycheepost.bench.capacity_check import run_capacity_checks  # noqa: E402
 from lycheepost.bench.capacity_fleet import ModelTarget  # noqa: E402
 from lycheepost.bench.capacity_holder import ModelOrders  # noqa: E402
+from lycheepost.core.errors import LycheepostError  # noqa: E402
 from lycheepost.core.ids import Revision  # noqa: E402
 from lycheepost.generated.configuration import (  # noqa: E402
     CapacityIntentState,
@@ -135,6 +137,11 @@
     when_suspended_send(context, loses_later=True)
 
 
+def is_lost(context, target):
+    """Return whether an order to the first target is lost: until the late one."""
+    return context.answers == [None] and target.target == context.first_target
+
+
 @when("the holder is suspended for 60 s at its next load order")
 def when_suspended_send(context, loses_later=False):
     world = context.world
@@ -152,6 +159,8 @@
             loads = world.tally.n_loads
             answer = world.targets[target.target].take(order)
             context.answers.append((answer, world.tally.n_loads - loads))
+        elif loses_later and is_load and is_lost(context, target):
+            return Failure(LycheepostError("lost"))
         return await inner(self, target, order)
 
     for orders in world.orders:
