--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -23,6 +23,8 @@
     benchcontrol,
     benchrelay,
 )
+from lycheepost.generated.settings import LogLevel, LogSettings
+from lycheepost.utils.logs import configure_logs
 
 app = typer.Typer(
     help="Measure policies and costs, each against a baseline.", no_args_is_help=True
@@ -135,6 +137,8 @@
     ] = False,
 ) -> None:
     """Measure how the costs of a daemon's parts grow with their sizes."""
+    # Standard output is for the records alone.
+    configure_logs(LogSettings(level=LogLevel.ERROR))
     records = measure_slopes() + measure_daemon_slopes()
     if as_json:
         print(json.dumps([to_document(record) for record in records], indent=1))
