Report levels as gauges; keep a caller's priority from passing other customers

Cause: docs/METRICS.md had to name what a dashboard shows, and nothing reported levels. And X-Priority went to the engine as it came, so that a customer that marks everything urgent would have passed all others there. After: 12 gauges, proved against the page by features/app; engines are told only 'batch' or not.

--- a/features/app/commands.feature
+++ b/features/app/commands.feature
@@ -36,3 +36,8 @@
     Given a settings file whose port is taken
     When "serve" reads it
     Then it exits with code 1 and says why
+
+  Scenario: Gauges tell what the status page tells
+    Given a daemon with a statsd server
+    When its gauges are reported
+    Then the server got every gauge of docs/METRICS.md and no other
--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -12,6 +13,7 @@
 from returns.pipeline import is_successful
 
 from lycheepost.app.capacity import make_capacity
+from lycheepost.app.gauges import GaugeReporter
 from lycheepost.app.listeners import Listener, make_listener
 from lycheepost.app.parts import Part, drain_parts, start_parts, stop_parts
 from lycheepost.app.platform import Platform, make_http_platform
@@ -42,6 +44,7 @@
         traffic: The parts that carry requests.
         callers: The callers' listener; tells the port.
         operators: The operators' listener; tells the port.
+        status: The answer of ``/admin/status``.
     """
 
     def __init__(
@@ -52,8 +55,10 @@
         callers: Listener,
         operators: Listener,
         parts: list[Part],
+        status: Callable[[], dict[str, Any]],
     ) -> None:
         self.state = state
+        self.status = status
         self.traffic = traffic
         self.callers = callers
         self.operators = operators
@@ -154,7 +159,9 @@
         callers,
         operators,
     ]
-    return Daemon(settings, state, traffic, callers, operators, parts)
+    if settings.metrics.statsd_host:
+        parts.append(GaugeReporter(status, metrics))
+    return Daemon(settings, state, traffic, callers, operators, parts, status)
 
 
 def _member_names(state: SharedState) -> tuple[str, ...]:
--- /dev/null
+++ b/lycheepost/app/gauges.py
@@ -0,0 +1,82 @@
+"""Reports this daemon's levels as gauges every few seconds.
+
+Counters and timings are reported where things happen; levels are read from the
+status that ``/admin/status`` also shows, so that both tell the same.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import structlog
+
+from lycheepost.utils.metrics import Metrics
+
+GAUGE_SECONDS = 15.0
+"""A dashboard's usual step. The status counts every target, tens of milliseconds
+at 12,000 of them, so it must not be asked for each second."""
+
+_log = structlog.get_logger(part="app")
+
+
+def read_gauges(status: dict[str, Any]) -> Iterator[tuple[str, float]]:
+    """Return names and values; names are listed in docs/METRICS.md."""
+    yield "open_requests", status["n_open"]
+    yield "revision", status["revision"]
+    yield "is_draining", float(status["is_draining"])
+    yield "members_live", _count(status["members"], "live")
+    yield "targets_serving", _count(status["targets"], "serving")
+    yield "targets_known", len(status["targets"])
+    yield (
+        "queued_requests",
+        sum(group["n_waiting"] for group in status["queues"]["groups"].values()),
+    )
+    yield "claims_unsettled", status["claims"]["n_unsettled"]
+    yield "peer_links", len(status["peers"]["links"])
+    yield "peer_messages_dropped", status["peers"]["n_dropped"]
+    yield "table_polls_failed", status["configuration"]["n_failed_polls"]
+    yield "duties_held", sum(duty["is_held"] for duty in status["duties"])
+
+
+def _count(states: dict[str, str], wanted: str) -> int:
+    return sum(state == wanted for state in states.values())
+
+
+class GaugeReporter:
+    """A task that reports gauges.
+
+    Args:
+        status: The answer of ``/admin/status``.
+        metrics: Where gauges go.
+    """
+
+    def __init__(self, status: Callable[[], dict[str, Any]], metrics: Metrics) -> None:
+        self._status = status
+        self._metrics = metrics
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to report."""
+        self._task = asyncio.create_task(self._run(), name="gauges")
+
+    async def drain(self) -> None:
+        """Go on: the drain is what an operator wants to see."""
+
+    async def stop(self) -> None:
+        """Stop reporting."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def report(self) -> None:
+        """Report every gauge once."""
+        for name, value in read_gauges(self._status()):
+            self._metrics.gauge(name, value)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(GAUGE_SECONDS)
+            try:
+                self.report()
+            except Exception:
+                # A level that cannot be read must not end all reporting.
+                _log.exception("app: gauges could not be read")
--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -43,7 +43,7 @@
     WeightsVersion,
 )
 from lycheepost.decide.levels import estimate_tokens, fingerprint_levels
-from lycheepost.decide.records import Work
+from lycheepost.decide.records import Priority, Work
 from lycheepost.generated.configuration import Customer, Model
 from lycheepost.report.samples import EndKind, OnceState, Sample
 from lycheepost.state.claim_rows import StoredAnswer
@@ -178,7 +178,10 @@
         work=work,
         path=call.endpoint.value,
         body=engine_body(
-            call, cache_salt(asked.customer), work.priority.value, expects_stream
+            call,
+            cache_salt(asked.customer),
+            engine_priority(work.priority),
+            expects_stream,
         ),
         is_continuable=call.is_continuable,
         is_keyed=asked.headers.idempotency_key is not None,
@@ -186,6 +189,16 @@
     )
 
 
+def engine_priority(priority: Priority) -> int:
+    """Return the priority that the engine is told; lower runs first.
+
+    An engine serves all customers together, so nobody may raise a request above
+    those of others; a batch request may step back behind them. Between requests
+    of one customer the queue here goes by the full priority.
+    """
+    return 1 if priority is Priority.BATCH else 0
+
+
 async def _answer_stream(
     deps: CallerDeps, asked: Asked, job: Job, request: web.Request
 ) -> web.StreamResponse:
