--- a/features/decide/decisions.feature
+++ b/features/decide/decisions.feature
@@ -74,3 +74,11 @@
     Given a scheduler before 200 targets
     When a request has failed on every target but the last
     Then it is sent to the last
+
+  Scenario: A plain service is shared fairly up to its concurrency limit
+    Print orders carry no tokens. One customer floods the service; another's
+    single order must still be among the next to go out.
+    Given a scheduler before 1 targets
+    When 30 orders of one customer and one "modest" of another arrive
+    Then 8 are sent and none is refused for the load of others
+    And "modest" is sent before the flood is through
--- a/features/decide/steps/common.py
+++ b/features/decide/steps/common.py
@@ -48,21 +48,21 @@
     levels = fingerprint_levels(
         CustomerId(customer), MODEL, WEIGHTS, [text * 200, name.encode() * 20]
     )
-    return Work(
-        request=RequestId(name),
-        customer=CustomerId(customer),
-        target_group=GROUP,
-        model=MODEL,
-        weights_version=WEIGHTS,
-        levels=levels,
-        prompt_tokens=levels[-1].end_tokens,
-        output_tokens=50,
-        priority=Priority.NORMAL,
-        arrived_seconds=now_seconds,
-        patience_seconds=patience_seconds,
-        fingerprint=fingerprint_body(CustomerId(customer), text),
-        **changes,
-    )
+    fields = {
+        "request": RequestId(name),
+        "customer": CustomerId(customer),
+        "target_group": GROUP,
+        "model": MODEL,
+        "weights_version": WEIGHTS,
+        "levels": levels,
+        "prompt_tokens": levels[-1].end_tokens,
+        "output_tokens": 50,
+        "priority": Priority.NORMAL,
+        "arrived_seconds": now_seconds,
+        "patience_seconds": patience_seconds,
+        "fingerprint": fingerprint_body(CustomerId(customer), text),
+    }
+    return Work(**(fields | changes))
 
 
 class Desk:
--- a/features/decide/steps/decisions.py
+++ b/features/decide/steps/decisions.py
@@ -219,3 +219,29 @@
 @then("it is sent to the last")
 def check_last(context):
     assert context.desk.sent == {"unlucky": context.last}, context.desk.refused
+
+
+@when('{count:d} orders of one customer and one "{name}" of another arrive')
+def arrive_orders(context, count, name):
+    order = {"levels": (), "prompt_tokens": 0, "output_tokens": 0}
+    for index in range(count):
+        context.desk.arrive(f"order-{index}", customer="large", **order)
+    context.desk.arrive(name, customer="small", **order)
+
+
+@then("{count:d} are sent and none is refused for the load of others")
+def check_limit(context, count):
+    assert len(context.desk.sent) == count, context.desk.sent
+    assert "modest" not in context.desk.refused, context.desk.refused
+
+
+@then('"{name}" is sent before the flood is through')
+def check_turn(context, name):
+    desk = context.desk
+    for request in list(desk.sent)[:3]:
+        desk.wait(0.1)
+        desk.scheduler.first_token(request, desk.now_seconds, None)
+        kind = FinishKind.COMPLETE
+        desk.note(desk.scheduler.finish(request, desk.now_seconds, kind))
+    assert name in desk.sent
+    assert len(desk.sent) < len(desk.works)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -33,6 +33,10 @@
 """Requests looked at when a slot frees up: enough to pass those that wait for
 a full target, few enough to bound the cost of a decision under saturation."""
 
+MIN_COST_SECONDS = 0.01
+"""Cost of a request without tokens, as plain services have them: at no cost, a
+customer that floods a service would never be over its share."""
+
 PRESSURE_GAIN = 0.01
 """Per tick of 20 ms: the pressure follows the queue within about 2 s, longer
 than a short burst that the engines absorb, shorter than callers' patience."""
@@ -104,7 +108,8 @@
 
     def _cost_seconds(self, work: Work, uncached_tokens: int) -> float:
         prefill = uncached_tokens * self._settings.prefill_seconds_per_token
-        return prefill + work.output_tokens * self._settings.decode_seconds_per_token
+        decode = work.output_tokens * self._settings.decode_seconds_per_token
+        return max(MIN_COST_SECONDS, prefill + decode)
 
     def _usual_cost_seconds(self, work: Work) -> float:
         """Return the cost with as much cached as is usual.
