--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -41,6 +41,11 @@
 """Per tick of 20 ms: the pressure follows the queue within about 2 s, longer
 than a short burst that the engines absorb, shorter than callers' patience."""
 
+PRESSED_SHARE = 0.25
+"""Share of targets without room from which a waiting request speaks of the
+whole fleet. The owners of a hot prefix alone are fewer; taken for pressure, their
+queue would make every copy elsewhere too dear, and the prefix never gain owners."""
+
 COLD_DISCOUNT = 1.0
 """Under pressure a prompt whose shared prefix is cached nowhere gets less of
 the queue. What is admitted then is whole batches while they are warm; without
@@ -338,7 +343,7 @@
         self._usual_rate.update(now_seconds, len(self.queue) > 0)
         self.shares.divide(self._usual_rate.per_second(), now_seconds)
         pressure = self.placement.pressure
-        step = (float(len(self.queue) > 0) - pressure) * PRESSURE_GAIN
+        step = (float(self._is_pressed(now_seconds)) - pressure) * PRESSURE_GAIN
         self.placement.pressure = pressure + step
         outcomes: list[Outcome] = []
         for waiting in self.queue.all():
@@ -350,6 +355,12 @@
         outcomes.extend(self.pump(now_seconds))
         return outcomes
 
+    def _is_pressed(self, now_seconds: float) -> bool:
+        """Tell whether work waits because the fleet, not one target, is full."""
+        if not len(self.queue):
+            return False
+        return self.placement.full_share(now_seconds) >= PRESSED_SHARE
+
     def refuse_all(self, reason: RefusalReason) -> list[Outcome]:
         """Refuse everything that waits."""
         outcomes: list[Outcome] = []
