Serve modest customers off full owners; judge modesty by the interval

The feature counted a customer that was 1.5 times over its share for ten seconds as modest, since its average was not; it now asks for 0.9 of the level in each of three 10 s intervals, and allows 1 in 1000 where it allowed 10.

--- a/features/bench/policy.feature
+++ b/features/bench/policy.feature
@@ -46,7 +46,7 @@
     # The issue asks for none at all: see "What is missed" in the design notes.
     Examples:
       | scenario         | seconds | count |
-      | saturation_1_5   | 50      | 10    |
+      | saturation_1_5   | 50      | 1     |
       | skewed_customers | 55      | 1     |
 
   Scenario: A hot prefix gains owners as its demand grows and loses them again
--- a/features/bench/steps/policy.py
+++ b/features/bench/steps/policy.py
@@ -13,6 +13,7 @@
 from lycheepost.bench.policytrace import OUR_POLICY, Fate
 
 SEED = 5
+INTERVAL_SECONDS = 10.0
 
 
 @functools.cache
@@ -75,10 +76,22 @@
 )
 def check_modest(context, count):
     traces = measured(context.simulation)
-    customers = score_customers(traces)
-    level = max(item.allocation for item in customers.values())
-    inside = {name for name, item in customers.items() if item.demand < 0.9 * level}
-    assert inside
+    start = min(trace.work.arrived_seconds for trace in traces)
+    inside = {trace.work.customer for trace in traces}
+    for index in range(3):
+        # A customer may be modest on average and far over its share for a while.
+        begin = start + index * INTERVAL_SECONDS
+        part = [
+            trace
+            for trace in traces
+            if begin <= trace.work.arrived_seconds < begin + INTERVAL_SECONDS
+        ]
+        customers = score_customers(part)
+        level = max(item.allocation for item in customers.values())
+        inside &= {
+            name for name, item in customers.items() if item.demand < 0.9 * level
+        }
+    assert len(inside) >= 3, inside
     fates = [trace.fate for trace in traces if trace.work.customer in inside]
     n_refused = sum(fate is not Fate.SERVED for fate in fates)
     assert n_refused <= len(fates) * count / 1000, (n_refused, len(fates))
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -155,6 +155,15 @@
         self._bind(waiting, choice)
         return self.pump(now_seconds)
 
+    def _is_late(self, waiting: Waiting, now_seconds: float) -> bool:
+        """Tell whether a customer inside its share has waited half its time.
+
+        It waits for the owner of its prefix, which others keep full. They are
+        over their share and it is not, so it need not spare the fleet.
+        """
+        halfway = (waiting.enqueued_seconds + waiting.give_up_seconds) / 2
+        return now_seconds > halfway and self.shares.is_inside(waiting.work.customer)
+
     def _bind(self, waiting: Waiting, choice: Choice) -> None:
         """Note for which target a request waits."""
         self._unbind(waiting)
@@ -209,10 +218,11 @@
         work: Work,
         now_seconds: float,
         ahead_of: Ahead,
+        is_late: bool = False,
     ) -> Choice | None:
         avoid = work.excluded
         if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            return self.placement.best(work, now_seconds, avoid, ahead_of)
+            return self.placement.best(work, now_seconds, avoid, ahead_of, is_late)
         alone = avoid | self._targets_with_suspects(now_seconds)
         choice = self.placement.best(work, now_seconds, alone, ahead_of)
         if choice is not None:
@@ -273,7 +283,9 @@
         self, waiting: Waiting, now_seconds: float, ahead_of: Ahead
     ) -> Outcome | None:
         work = waiting.work
-        choice = self._choose(work, now_seconds, ahead_of)
+        choice = self._choose(
+            work, now_seconds, ahead_of, self._is_late(waiting, now_seconds)
+        )
         if choice is None:
             return None
         if not choice.can_take:
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -166,6 +166,7 @@
         now_seconds: float,
         avoid: frozenset[TargetId] | set[TargetId],
         ahead_of: Ahead,
+        is_late: bool = False,
     ) -> Choice | None:
         """Return the best placement of ``work``; None when no target fits.
 
@@ -174,6 +175,7 @@
             now_seconds: The present time.
             avoid: Targets that must not get this request.
             ahead_of: Requests ahead in the queue that wait for a target.
+            is_late: Leave out the price of recomputation under pressure.
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
         usable = _usable(self._candidates(work, owners), work, avoid)
@@ -183,7 +185,7 @@
             usable = _usable(self._serving, work, avoid)
         if not usable:
             return None
-        return self._lowest(usable, owners, now_seconds, ahead_of, work)
+        return self._lowest(usable, owners, now_seconds, ahead_of, work, is_late)
 
     def _lowest(
         self,
@@ -192,6 +194,7 @@
         now_seconds: float,
         ahead_of: Ahead,
         work: Work,
+        is_late: bool,
     ) -> Choice:
         """Return the target of lowest cost.
 
@@ -202,7 +205,9 @@
         rates = self.rates
         token_seconds = rates.token_seconds
         wait_weight = self._settings.wait_weight
-        price = self._settings.recompute_weight + PRESSURE_PRICE * self.pressure
+        price = self._settings.recompute_weight
+        if not is_late:
+            price += PRESSURE_PRICE * self.pressure
         least_uncached = min([item[1] for item in usable])
         best_score = math.inf
         best: tuple[TargetLoad, int, float, float, float] | None = None
