Tighten three scenarios that a removed guard did not fail

Each guard was removed in turn. Two removals failed nothing: the opening chunk of a continued answer (now counted), and the restart of event reading for a new life (now a scenario of its own). Two made a scenario hang: answers are now awaited for 15 s at most. Removing the drop of a doubled event still fails nothing, since the stream then heals by a resume; it only saves that.

--- a/features/targets/reports.feature
+++ b/features/targets/reports.feature
@@ -20,6 +20,14 @@
     Then the observer has passed on the new life's events from the first
     And the observer names the new boot id
 
+  Scenario: A new life that has already counted past the old one is read whole
+    The engine was back and busy before anyone asked it, so its answer to "after
+    5" looks like a continuation. Its first events would never be read.
+
+    Given cache events 1 to 5 of one life were read
+    When the answer to "after 5" holds events 6 to 8 of another life
+    Then none of them is taken, and after asking from the start all 8 are
+
   Scenario: A load report counts from when it was measured
     Given an engine whose load reports are 0.4 seconds old
     When an observer follows it while 5 prompts run
--- a/features/targets/steps/reports.py
+++ b/features/targets/steps/reports.py
@@ -10,12 +10,21 @@
 from lycheepost.core.clock import SystemClock
 from lycheepost.core.ids import TargetId
 from lycheepost.generated.configuration import Target
-from lycheepost.generated.engine import EngineHealthState
+from lycheepost.generated.engine import (
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    EngineHealthState,
+)
 from lycheepost.generated.settings import TargetSettings
 from lycheepost.standin.engine import EngineStandinSettings, make_engine
 from lycheepost.standin.enginetiming import make_speeds
 from lycheepost.targets.control import make_control_client
-from lycheepost.targets.observe import ObserverCallbacks, make_target_observer
+from lycheepost.targets.observe import (
+    EventCursor,
+    ObserverCallbacks,
+    make_target_observer,
+)
 from lycheepost.targets.pollplan import PollPlan, PollSettings, ReportKind
 
 FAST = TargetSettings(
@@ -124,6 +133,32 @@
     assert [event.sequence for event in context.seen[context.first_boot]]
 
 
+def events_of(boot_id, first, last):
+    events = [
+        CacheEvent(sequence=number, kind=CacheEventKind.STORED, digest=number)
+        for number in range(first, last + 1)
+    ]
+    return CacheEvents(boot_id=boot_id, events=events)
+
+
+@given("cache events 1 to 5 of one life were read")
+def given_cursor(context):
+    context.cursor = EventCursor()
+    assert len(context.cursor.follow(events_of("a", 1, 5))) == 5
+
+
+@when('the answer to "after 5" holds events 6 to 8 of another life')
+def when_other_life(context):
+    context.taken = context.cursor.follow(events_of("b", 6, 8))
+
+
+@then("none of them is taken, and after asking from the start all 8 are")
+def then_from_start(context):
+    assert context.taken is None and context.cursor.sequence == 0
+    assert len(context.cursor.follow(events_of("b", 1, 8))) == 8
+    assert context.cursor.n_lost == 0
+
+
 @then("the observer names the new boot id")
 def then_new_boot(context):
     assert context.observer.incarnations() == {"t": context.engine.boot_id}
--- a/features/targets/steps/streams.py
+++ b/features/targets/steps/streams.py
@@ -55,18 +55,23 @@
 
 @when("a caller asks for {n:d} tokens over a relay")
 def when_relay(context, n):
-    context.run(fetch(context.bed, n, "no"))
+    run_bounded(context, fetch(context.bed, n, "no"))
 
 
 @when("a caller asks for {n:d} tokens piece by piece")
 def when_direct(context, n):
-    context.run(read_directly(context.bed, n))
+    run_bounded(context, read_directly(context.bed, n))
 
 
 @when("a caller asks for {n:d} tokens of a {kind}, to be continued elsewhere")
 def when_elsewhere(context, n, kind):
     context.bed.path = CHAT_PATH if kind == "chat" else COMPLETION_PATH
-    context.run(fetch(context.bed, n, "yes"))
+    run_bounded(context, fetch(context.bed, n, "yes"))
+
+
+def run_bounded(context, reading):
+    """Fail instead of hanging when an answer neither comes nor is given up."""
+    context.run(asyncio.wait_for(reading, 15))
 
 
 async def fetch(bed, n_tokens, elsewhere):
@@ -152,6 +157,8 @@
     assert words == context.bed.expected(12), (words, context.bed.outcome)
     assert numbers == list(range(1, len(numbers) + 1)), numbers
     assert is_done
+    n_openings = context.bed.raw.count(b'"role"')
+    assert n_openings == (context.bed.path == CHAT_PATH), n_openings
 
 
 @then("the engine ran {n:d} request")
