Forget daemons that are gone for long, and hear a new start whose clock is behind

Members that left under names which never come back stayed for ever, and a daemon restarted on a VM with an earlier wall clock was never heard again.

--- a/features/state/members.feature
+++ b/features/state/members.feature
@@ -54,3 +54,24 @@
     Given daemons A and B that know each other
     When B hears that A is suspected, and A hears it too
     Then A says again that it lives, and B takes it for live
+
+  Scenario Outline: A daemon that was last <state> is <fate> after <hours> hours of silence
+    With 890 restarts a day under new names, members that are never forgotten would
+    fill memory and every list of members.
+
+    Given daemons A and B that know each other
+    When B hears that A is <state> and then nothing for <hours> hours
+    Then to B daemon A is <fate>
+
+    Examples:
+      | state   | hours | fate    |
+      | live    | 9     | live    |
+      | leaving | 0.5   | leaving |
+      | leaving | 2     | gone    |
+      | leaving | 8     | unknown |
+      | suspect | 0.5   | gone    |
+
+  Scenario: A daemon starts again on a VM whose clock is behind
+    Given daemons A and B that know each other
+    When A starts again with a clock that is an hour behind, and B suspects the old A
+    Then B takes the new A for live
--- a/features/state/steps/member_steps.py
+++ b/features/state/steps/member_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import statistics
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, when
 from claim_steps import use_virtual_time
@@ -179,3 +180,34 @@
     assert len(context.said) == 1
     assert context.b.hear(context.said[0])
     assert context.b.get(DaemonId("A")).state is MemberState.LIVE
+
+
+@when("B hears that A is {state} and then nothing for {hours:f} hours")
+@when("B hears that A is {state} and then nothing for {hours:d} hours")
+def step_silence(context, state, hours):
+    context.b.hear(replace(context.a.me(), state=MemberState(state), sequence=1))
+    for _ in range(int(hours * 60)):
+        context.loop.run_until_complete(asyncio.sleep(60.1))
+        context.b.members()
+
+
+@then("to B daemon A is {fate}")
+def step_fate(context, fate):
+    known = context.b.get(DaemonId("A"))
+    assert (known.state.value if known else "unknown") == fate, known
+
+
+@when("A starts again with a clock that is an hour behind, and B suspects the old A")
+def step_behind(context):
+    old = replace(context.a.me(), sequence=1, started_wall_seconds=7200.0)
+    context.b.hear(old)
+    fresh = replace(old, boot="new", sequence=0, started_wall_seconds=3600.0)
+    assert not context.b.hear(fresh)
+    context.b.suspect(DaemonId("A"), context.loop.now_seconds())
+    assert context.b.hear(fresh)
+
+
+@then("B takes the new A for live")
+def step_new_live(context):
+    known = context.b.get(DaemonId("A"))
+    assert (known.boot, known.state) == ("new", MemberState.LIVE)
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -29,6 +29,7 @@
     choose_addresses,
     load_step,
 )
+from lycheepost.state.memberrules import MOST_SECONDS, differs, is_newer
 from lycheepost.state.signs import LISTED_VALID_SECONDS, SignSource, TargetSign
 from lycheepost.state.targetstates import OnTargetSign, TargetStates
 from lycheepost.state.view import ConfigurationView
@@ -41,8 +42,6 @@
 _FLEET_LOAD_NEWS_SECONDS = 2.0
 """The whole fleet tells one change of load in two seconds at most: a flood costs
 each daemon about 2 KB, which is all that control may cost in a second."""
-_SUSPECT_SECONDS = 60.0
-"""A daemon suspected for this long without a word counts as gone."""
 _log = structlog.get_logger(part="members")
 
 OnMember = Callable[[Member], None]
@@ -69,7 +68,7 @@
         self._addresses_valid_seconds = addresses_valid_seconds
         self._random = random.Random(seed)
         self._members: dict[DaemonId, Member] = {me.daemon: me}
-        self._suspected_seconds: dict[DaemonId, float] = {}
+        self._since_seconds: dict[DaemonId, float] = {}
         self._targets = TargetStates()
         self._answers: dict[CustomerId | None, Addresses] = {}
         self._answers_view: ConfigurationView | None = None
@@ -119,7 +118,7 @@
 
     def addresses(self, customer: CustomerId | None, now_seconds: float) -> Addresses:
         """Return where callers of ``customer`` should connect, in order."""
-        self._expire_suspects(now_seconds)
+        self._expire(now_seconds)
         view = self._get_view()
         if view is not self._answers_view:
             self._answers_view = view
@@ -159,7 +158,7 @@
 
     def members(self) -> tuple[Member, ...]:
         """Return every daemon known, this one too."""
-        self._expire_suspects(self._clock.now_seconds())
+        self._expire(self._clock.now_seconds())
         return tuple(self._members.values())
 
     def get(self, daemon: DaemonId) -> Member | None:
@@ -228,11 +227,10 @@
         known = self._members.get(member.daemon)
         if member.state is MemberState.SUSPECT:
             return self._hear_suspicion(member, known)
-        if known is not None and not _is_newer(member, known):
+        if known is not None and not is_newer(member, known):
             return False
         self._put(member)
-        self._suspected_seconds.pop(member.daemon, None)
-        return known is None or _differs(known, member)
+        return known is None or differs(known, member)
 
     def suspect(self, daemon: DaemonId, now_seconds: float) -> None:
         """Take note that a daemon does not answer, and tell the peers."""
@@ -241,7 +239,6 @@
             return
         suspected = replace(known, state=MemberState.SUSPECT)
         self._put(suspected)
-        self._suspected_seconds[daemon] = now_seconds
         _log.info("members: suspect", daemon=daemon)
         for callback in self._on_member:
             callback(suspected)
@@ -288,11 +285,16 @@
         return known.share_weight / total if known is not None and total else 0.0
 
     def _put(self, member: Member) -> None:
+        before = self._members.get(member.daemon)
         self._members[member.daemon] = member
         self._answers.clear()
+        if member.state is MemberState.LIVE or member.daemon == self._me.daemon:
+            self._since_seconds.pop(member.daemon, None)
+        elif before is None or before.state is not member.state:
+            self._since_seconds[member.daemon] = self._clock.now_seconds()
 
     def _update_me(self, member: Member) -> None:
-        is_news = _differs(self._me, member)
+        is_news = differs(self._me, member)
         if is_news:
             member = replace(member, sequence=member.sequence + 1)
         self._me = member
@@ -316,15 +318,19 @@
         if known.boot != said.boot or known.sequence > said.sequence:
             return False
         self._put(replace(known, state=MemberState.SUSPECT))
-        self._suspected_seconds[said.daemon] = self._clock.now_seconds()
         return True
 
-    def _expire_suspects(self, now_seconds: float) -> None:
-        for daemon, since_seconds in list(self._suspected_seconds.items()):
-            if now_seconds - since_seconds > _SUSPECT_SECONDS:
-                del self._suspected_seconds[daemon]
-                gone = replace(self._members[daemon], state=MemberState.GONE)
-                self._put(gone)
+    def _expire(self, now_seconds: float) -> None:
+        """Take the silent for gone, and forget those who are gone for long."""
+        for daemon, since_seconds in list(self._since_seconds.items()):
+            member = self._members[daemon]
+            if now_seconds - since_seconds <= MOST_SECONDS[member.state]:
+                continue
+            if member.state is MemberState.GONE:
+                del self._members[daemon], self._since_seconds[daemon]
+                self._answers.clear()
+            else:
+                self._put(replace(member, state=MemberState.GONE))
 
     async def look(self) -> bool:
         """Look at the VM list once; return whether it answered."""
@@ -371,22 +377,3 @@
     return MemberKeeper(
         vm_list, clock, me, get_view, poll_seconds, addresses_valid_seconds, seed
     )
-
-
-def _is_newer(said: Member, known: Member) -> bool:
-    if not known.boot:
-        return True
-    if said.boot != known.boot:
-        return said.started_wall_seconds >= known.started_wall_seconds
-    return said.sequence > known.sequence
-
-
-def _differs(one: Member, other: Member) -> bool:
-    """Return whether peers should hear of the change; a small move of load is none."""
-    return (
-        one.state is not other.state
-        or one.boot != other.boot
-        or one.callers_url != other.callers_url
-        or one.peer_endpoint != other.peer_endpoint
-        or load_step(one.load) != load_step(other.load)
-    )
