Share the table's writes by the fleet's size

Cause: the share was 1/7 of the writes whatever the fleet, and halving stopped at half of it, so 540 daemons could not come down to what the table takes.

--- a/features/state/steps/claim_steps.py
+++ b/features/state/steps/claim_steps.py
@@ -36,7 +36,7 @@
     context.objects = make_object_model(context.loop)
 
 
-def start_keeper(context, name, even_writes_per_second=1e4):
+def start_keeper(context, name, writes_per_second=1e4):
     context.boots[name] = f"{name}-{len(context.started)}"
     keeper = make_claim_keeper(
         context.store,
@@ -45,11 +45,11 @@
         DaemonId(name),
         ClaimLimits(
             wait_seconds=2.0,
-            even_writes_per_second=even_writes_per_second,
-            most_writes_per_second=even_writes_per_second,
+            most_writes_per_second=writes_per_second,
         ),
         lambda owner, boot: context.boots.get(owner) == boot,
         context.boots[name],
+        lambda: 1,
     )
     context.keepers[name] = keeper
     context.started.append(keeper)
--- a/features/state/steps/machines.py
+++ b/features/state/steps/machines.py
@@ -131,7 +131,7 @@
             self.objects,
             self.loop,
             DaemonId(f"d{number}"),
-            ClaimLimits(wait_seconds=2.0, even_writes_per_second=1e6),
+            ClaimLimits(wait_seconds=2.0, most_writes_per_second=1e7),
             lambda owner, owner_boot: self.boots.get(owner) == owner_boot,
             boot,
         )
--- a/lycheepost/bench/claimrate.py
+++ b/lycheepost/bench/claimrate.py
@@ -1,7 +1,7 @@
 """How many non-idempotent calls the table's write budget carries.
 
-Seven daemons claim calls as they come, in virtual time, against a table that
-takes 300 transactions a second and answers after 10 ms. The baseline gives each
+Seven daemons, and 540, claim calls as they come, in virtual time, against a table
+that takes 300 transactions a second and answers after 10 ms. The baseline gives each
 claim a transaction of its own. Answers are stored as well, so each call needs two
 writes.
 """
@@ -27,8 +27,8 @@
 from lycheepost.state.claim_rows import Granted, StoredAnswer
 from lycheepost.state.claims import ClaimKeeper, ClaimLimits, make_claim_keeper
 
-N_DAEMONS = 7
 WRITES_PER_SECOND = 300.0
+_LOADS = ((7, 70.0), (7, 700.0), (7, 3500.0), (540, 3500.0))
 _SECONDS = 10.0
 _LATENCY_SECONDS = 0.01
 _ANSWER = StoredAnswer(200, "application/json", b'{"ticket": 1}')
@@ -60,34 +60,42 @@
 
 
 def measure_claims(seed: int) -> list[ClaimRateRecord]:
-    """Return records for three loads, each with group commit and without."""
+    """Return records for several loads, each with group commit and without."""
     together = ClaimLimits(
-        even_writes_per_second=WRITES_PER_SECOND / N_DAEMONS,
         most_writes_per_second=WRITES_PER_SECOND,
     )
     alone = replace(together, batch_rows=1, batch_seconds=0.0)
     records = []
-    for offered_per_second in (70.0, 700.0, 3500.0):
+    for n_daemons, offered_per_second in _LOADS:
         for policy, limits in (
             ("lycheepost", together),
             ("a transaction for each claim", alone),
         ):
-            work = _measure(seed, policy, limits, offered_per_second)
+            work = _measure(seed, policy, limits, n_daemons, offered_per_second)
             records.append(run_virtual(work))
     return records
 
 
 async def _measure(
-    seed: int, policy: str, limits: ClaimLimits, offered_per_second: float
+    seed: int,
+    policy: str,
+    limits: ClaimLimits,
+    n_daemons: int,
+    offered_per_second: float,
 ) -> ClaimRateRecord:
     clock = virtual_clock()
     table = make_table_model(clock, 1e9, WRITES_PER_SECOND)
     table.faults.delay_seconds = _LATENCY_SECONDS
     keepers = [
         make_claim_keeper(
-            table, make_object_model(clock), clock, DaemonId(f"daemon-{n}"), limits
+            table,
+            make_object_model(clock),
+            clock,
+            DaemonId(f"daemon-{n}"),
+            limits,
+            n_daemons=lambda: n_daemons,
         )
-        for n in range(N_DAEMONS)
+        for n in range(n_daemons)
     ]
     for keeper in keepers:
         await keeper.start()
@@ -95,7 +103,7 @@
     dice = random.Random(seed)
     calls = []
     for number in range(int(offered_per_second * _SECONDS)):
-        keeper = keepers[dice.randrange(N_DAEMONS)]
+        keeper = keepers[dice.randrange(n_daemons)]
         calls.append(asyncio.create_task(_call(keeper, number, tally)))
         await asyncio.sleep(dice.expovariate(offered_per_second))
     transactions = table.writes.n_units
@@ -105,7 +113,7 @@
     return ClaimRateRecord(
         measure="claims",
         policy=policy,
-        n_daemons=N_DAEMONS,
+        n_daemons=n_daemons,
         offered_per_second=offered_per_second,
         granted_per_second=tally.outcomes["granted"] / _SECONDS,
         n_refused=tally.outcomes["refused"],
--- a/lycheepost/peers/shared.py
+++ b/lycheepost/peers/shared.py
@@ -159,6 +159,7 @@
         _claim_limits(settings),
         members.owner_is_live,
         boot,
+        lambda: max(members.n_live(), _FEWEST_DAEMONS),
     )
     leases = LeaseKeeper(
         ports.table, clock, daemon, state.lease_seconds, state.lease_margin_seconds
@@ -193,11 +194,9 @@
         answer_bytes=settings.streams.stored_answer_bytes,
         batch_seconds=settings.state.claim_batch_seconds,
         batch_rows=settings.state.claim_batch,
-        even_writes_per_second=most / _EXPECTED_DAEMONS,
         most_writes_per_second=most,
     )
 
 
-_EXPECTED_DAEMONS = 7
-"""Daemons of today's deployments. Members are not known yet when the limits are
-made; a daemon of a larger fleet finds its rate when the table throttles it."""
+_FEWEST_DAEMONS = 7
+"""Daemons of today's deployments, assumed until members tell of more."""
--- a/lycheepost/state/claims.py
+++ b/lycheepost/state/claims.py
@@ -58,6 +58,7 @@
 from lycheepost.state.pacing import WritePace
 
 _CLAIM_TRIES = 4
+_EXPECTED_DAEMONS = 7
 _log = structlog.get_logger(part="claims")
 
 OwnerIsLive = Callable[[DaemonId, str], bool]
@@ -72,15 +73,13 @@
         answer_bytes: Largest answer that is kept for resends.
         batch_seconds: How long a claim waits for others to share a transaction.
         batch_rows: Most claims in one transaction.
-        even_writes_per_second: This daemon's even share of the table's writes.
-        most_writes_per_second: All of the table's writes.
+        most_writes_per_second: The table's writes, for all daemons together.
     """
 
     wait_seconds: float = 4.0
     answer_bytes: int = 262_144
     batch_seconds: float = 0.005
     batch_rows: int = 64
-    even_writes_per_second: float = 40.0
     most_writes_per_second: float = 300.0
 
 
@@ -96,6 +95,7 @@
         boot: str,
         limits: ClaimLimits,
         owner_is_live: OwnerIsLive,
+        n_daemons: Callable[[], int],
     ) -> None:
         self._table = table
         self._objects = objects
@@ -104,7 +104,8 @@
         self._boot = boot
         self._limits = limits
         self._owner_is_live = owner_is_live
-        pace = WritePace(limits.even_writes_per_second, limits.most_writes_per_second)
+        most = limits.most_writes_per_second
+        pace = WritePace(lambda: most / max(1, n_daemons()), most)
         self._writer = BatchWriter(
             table, clock, pace, limits.batch_seconds, limits.batch_rows
         )
@@ -324,6 +325,7 @@
     limits: ClaimLimits | None = None,
     owner_is_live: OwnerIsLive | None = None,
     boot: str = "",
+    n_daemons: Callable[[], int] | None = None,
 ) -> ClaimKeeper:
     """Return the claims of one daemon.
 
@@ -332,10 +334,12 @@
         objects: Where answers too large for a row are.
         clock: Clock of deadlines and of the rows' ages.
         daemon: This daemon.
-        limits: Bounds; the defaults suit seven daemons.
+        limits: Bounds.
         owner_is_live: Whether a daemon with this boot id still runs; when None,
             no other daemon counts as live.
         boot: Unique for each start of the daemon; made up when empty.
+        n_daemons: How many daemons share the table's writes; when None, as many
+            as today's deployments have.
     """
     return ClaimKeeper(
         table,
@@ -345,6 +349,7 @@
         boot or secrets.token_hex(6),
         limits or ClaimLimits(),
         owner_is_live or (lambda owner, owner_boot: False),
+        n_daemons or (lambda: _EXPECTED_DAEMONS),
     )
 
 
