--- a/lycheepost/standin/engine.py
+++ b/lycheepost/standin/engine.py
@@ -355,8 +355,7 @@
                 case Skipped(event=n) if n == index:
                     continue
                 case Crossed(event=n) if n == index:
-                    own = run.request.answer_id.encode()
-                    data = data.replace(own, own + b"-other")
+                    data = _cross_event(data)
             await response.write(data)
         if run.record.state is not RunState.COMPLETE:
             self._server.cut_connection(request)
@@ -520,6 +519,22 @@
         return web.json_response({"n_tokens": level.end_tokens})
 
 
+def _cross_event(data: bytes) -> bytes:
+    """Return an event with another request's id and words in place of its own."""
+    head, separator, body = data.partition(b"data: ")
+    if body.strip() == b"[DONE]":
+        return data
+    chunk = json.loads(body)
+    chunk["id"] += "-other"
+    for choice in chunk.get("choices", []):
+        delta = choice.get("delta", {})
+        if delta.get("content"):
+            delta["content"] = " other"
+        if choice.get("text"):
+            choice["text"] = " other"
+    return head + separator + json.dumps(chunk).encode() + b"\n\n"
+
+
 def _refuse(status: int, reason: str, retry_after: int | None = None) -> web.Response:
     headers = {} if retry_after is None else {"Retry-After": str(retry_after)}
     body = {"error": {"message": reason, "type": "engine_error", "code": status}}
