End counted faults before a scenario asks for what comes afterwards

Cause: on a fresh clone on a busy machine 'Two failures at once -- @1.4' failed: two orders met lost answers that the earlier traffic had been too slow to use up. Ruled out: the router; 'outcome_unknown' was the right answer to them.

--- a/features/promises/steps/failures.py
+++ b/features/promises/steps/failures.py
@@ -147,3 +147,12 @@
 
 async def provoke_all(fleet, names):
     await asyncio.gather(*(FAILURES[name](fleet) for name in names))
+
+
+def clear_counted_faults(fleet):
+    """Take back the faults that no call has shown yet."""
+    for target in (*fleet.standins.engines, *fleet.standins.services):
+        target.faults.clear()
+    table_faults = fleet.standins.table.faults
+    for name in ("n_lost_answers", "n_late_writes", "n_stale_reads", "n_refused"):
+        setattr(table_faults, name, 0)
--- a/features/promises/steps/promise_steps.py
+++ b/features/promises/steps/promise_steps.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
-from failures import FAILURES, provoke_all  # noqa: E402
+from failures import FAILURES, provoke_all  # noqa: E402, clear_counted_faults
 from fleet import Fleet  # noqa: E402
 
 
@@ -49,6 +49,9 @@
 @then("afterwards every request is answered")
 def then_afterwards(context):
     fleet = context.fleet
+    # On a busy machine fewer calls came than there were faults to show; those
+    # left belong to the failure, which has ended.
+    clear_counted_faults(fleet)
     report = run(
         context,
         fleet.load_with(
