--- a/features/decide/decisions.feature
+++ b/features/decide/decisions.feature
@@ -67,3 +67,18 @@
     Given a scheduler before 1 targets
     When target 0 announces 50 stored levels and then skips 20 events
     Then the 20 oldest levels are no longer believed and the rest are
+
+  Scenario: Before a large fleet a request finds a target beyond its candidates
+    All candidates of a prefix have already failed a request. Before hundreds of
+    others it must not be refused for want of a target.
+    Given a scheduler before 200 targets
+    When a request has failed on every target but the last
+    Then it is sent to the last
+
+  Scenario: A plain service is shared fairly up to its concurrency limit
+    Print orders carry no tokens. One customer floods the service; another's
+    single order must still be among the next to go out.
+    Given a scheduler before 1 targets
+    When 30 orders of one customer and one "modest" of another arrive
+    Then 8 are sent and none is refused for the load of others
+    And "modest" is sent before the flood is through
