--- a/features/promises/steps/promise_steps.py
+++ b/features/promises/steps/promise_steps.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
-from failures import FAILURES, provoke_all  # noqa: E402, clear_counted_faults
+from failures import FAILURES, clear_counted_faults, provoke_all  # noqa: E402
 from fleet import Fleet  # noqa: E402
 
 
--- a/lycheepost/standin/faults.py
+++ b/lycheepost/standin/faults.py
@@ -144,10 +144,6 @@
         """Let the next ``n_calls`` calls whose text ``is_meant`` show a fault."""
         self._waiting.extend([(fault, is_meant)] * n_calls)
 
-    def clear(self) -> None:
-        """Take back every fault that no call has shown yet."""
-        self._waiting.clear()
-
     def take(self, text: str) -> F | None:
         """Return the fault of a call, if one waits for it, and use it up.
 
