--- a/features/callers/faults.feature
+++ b/features/callers/faults.feature
@@ -42,3 +42,12 @@
     Then its address leaves the other daemon's answer first
     And all 8 streams are whole
     And new requests to it are refused as not executed
+
+  Scenario: Connections that break do not make a request a killer
+    One caption's stream breaks on engine after engine, though the engines live
+    on: a switch on the way drops it. Its caller sends it again and must be
+    served; taken for a killer it would be refused for ten minutes.
+    Given a running fleet of 1 daemons
+    And each engine breaks one stream and refuses to resume it
+    When the same chat is sent until it is whole, at most 4 times
+    Then the last of them is whole
--- a/features/callers/steps/faults.py
+++ b/features/callers/steps/faults.py
@@ -4,7 +4,7 @@
 import json
 
 import aiohttp
-from behave import then, when
+from behave import given, then, when
 from fleet import (
     CHAT,
     call,
@@ -15,6 +15,7 @@
 )
 
 from lycheepost.standin.enginerun import RunState
+from lycheepost.standin.faults import Refused, Truncated
 
 N_TOKENS = 60
 
@@ -182,3 +183,31 @@
     assert context.answer.status == 503, context.answer
     assert context.answer.code == "shutting_down"
     assert context.answer.headers["Lycheepost-Executed"] == "no"
+
+
+@given("each engine breaks one stream and refuses to resume it")
+def given_breaks(context):
+    for engine in context.fleet.standins.engines:
+        engine.faults.add(Truncated(after_events=3, is_clean=False))
+        engine.resume_faults.add(Refused(status=404))
+
+
+@when("the same chat is sent until it is whole, at most {n:d} times")
+def when_until_whole(context, n):
+    body = chat_body(context, "again", max_tokens=N_TOKENS, stream=True)
+
+    async def send():
+        for _ in range(n):
+            answer = await call(context, CHAT, body)
+            if streamed_text(answer.body)[1]:
+                break
+        return answer
+
+    context.answer = context.run(send())
+
+
+@then("the last of them is whole")
+def then_last_whole(context):
+    text, is_finished = streamed_text(context.answer.body)
+    assert is_finished, context.answer
+    assert text == expected_chat("again", N_TOKENS), text
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -1,5 +1,6 @@
 """The parts that carry requests: scheduler, clients of targets, callers' front."""
 
+import asyncio
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,7 +15,7 @@
 from lycheepost.callers.versions import RequestVersions
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
-from lycheepost.core.ids import CustomerId, RequestId, TargetId
+from lycheepost.core.ids import CustomerId, Incarnation, RequestId, TargetId
 from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.decide.records import TargetState, TargetView
 from lycheepost.decide.scheduler import Scheduler
@@ -25,6 +26,7 @@
     TargetDesiredState,
     TargetGroupKind,
 )
+from lycheepost.generated.engine import EngineHealth
 from lycheepost.generated.settings import Settings
 from lycheepost.peers.shared import SharedState
 from lycheepost.report.samples import Recorder
@@ -45,6 +47,10 @@
 answers tell meanwhile whether it is back."""
 
 
+SAME_TARGET_SECONDS = 0.5
+"""An engine answers for its health in milliseconds, or it is in trouble."""
+
+
 @dataclass
 class DrainState:
     """Whether the daemon still takes new requests."""
@@ -146,6 +152,17 @@
         feed.feed()
         observer.recheck(target)
 
+    async def is_same_target(target: TargetId, boot_id: Incarnation) -> bool:
+        configured = state.revisions.view.targets.get(target)
+        if configured is None or not boot_id:
+            return False
+        try:
+            async with asyncio.timeout(SAME_TARGET_SECONDS):
+                health = await control.read(f"{configured.url}/health", EngineHealth)
+        except TimeoutError:
+            return False
+        return health.map(lambda answer: answer.boot_id == boot_id).value_or(False)
+
     def addresses(customer: CustomerId | None) -> AddressList:
         chosen = state.members.addresses(customer, clock.now_seconds())
         return AddressList(
@@ -167,6 +184,8 @@
             addresses=addresses,
             make_request_id=_request_ids(f"{me.daemon}-{me.boot}"),
             on_unreachable=on_unreachable,
+            is_same_target=is_same_target,
+            incarnation_of=observer.incarnation,
             on_sample=lambda sample: recorder.record(sample, clock.wall_seconds()),
             is_draining=lambda: drain_state.is_draining,
             status=status,
--- a/lycheepost/callers/deps.py
+++ b/lycheepost/callers/deps.py
@@ -1,6 +1,6 @@
 """What the callers' front stands on, as typed ports."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -13,6 +13,7 @@
     BodyFingerprint,
     CustomerId,
     IdempotencyKey,
+    Incarnation,
     RequestId,
     TargetId,
 )
@@ -77,6 +78,8 @@
         addresses: The addresses answer for a customer, or for nobody known.
         make_request_id: Gives ids that are unique in the fleet.
         on_unreachable: Told of a target that took no connection.
+        incarnation_of: The boot id that a target last named.
+        is_same_target: Asks a target whether it is still the incarnation given.
         on_sample: Told of each finished request.
         is_draining: Whether this daemon is leaving.
         status: The whole of ``/admin/status``.
@@ -95,6 +98,8 @@
     addresses: Callable[[CustomerId | None], AddressList]
     make_request_id: Callable[[], RequestId]
     on_unreachable: Callable[[TargetId], None]
+    is_same_target: Callable[[TargetId, Incarnation], Awaitable[bool]]
+    incarnation_of: Callable[[TargetId], Incarnation]
     on_sample: Callable[[Sample], None]
     is_draining: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -20,7 +20,7 @@
 from lycheepost.callers.deps import CallerDeps
 from lycheepost.callers.errors import CallerError, ErrorType, Executed, from_refusal
 from lycheepost.callers.sinks import RelayCallerGone, RelayComplete, RelayLost, Sink
-from lycheepost.core.ids import TargetId, WeightsVersion
+from lycheepost.core.ids import Incarnation, TargetId, WeightsVersion
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse, Work
 from lycheepost.decide.retry import retry_pause_seconds
 from lycheepost.targets.calls import Delivered, EngineCall
@@ -94,6 +94,7 @@
         self._delivered: Delivered | None = None
         self._first_seconds: float | None = None
         self._is_after_loss = False
+        self._boot_id = Incarnation("")
 
     async def run(self) -> Finished:
         """Try targets until the answer is whole or no try is left.
@@ -118,14 +119,16 @@
         """Send to one target; None when another try is allowed and due."""
         kind = FinishKind.CANCELLED
         call = self._make_call(dispatch.target)
+        self._boot_id = self._deps.incarnation_of(dispatch.target)
         try:
             match await self._deps.engines.start_call(call):
                 case Success(stream):
                     self.executed = Executed.YES
+                    self._boot_id = stream.boot_id
                     finished, kind = await self._relay(stream)
                     return finished
                 case Failure(error):
-                    kind = _finish_kind(error)
+                    kind = await self._finish_kind(dispatch.target, error)
                     self._judge_failure(dispatch.target, error)
                     return None
             raise AssertionError("a result is a success or a failure")
@@ -134,7 +137,7 @@
             self._deps.engines.cancel_later(call)
             raise
         except StreamLost as error:
-            kind = FinishKind.TARGET_LOST
+            kind = await self._finish_kind(dispatch.target, error)
             self._plan_continuation(dispatch.target, error)
             return None
         finally:
@@ -203,6 +206,24 @@
             is_caller_gone=is_caller_gone,
         )
 
+    async def _finish_kind(self, target: TargetId, error: TargetError) -> FinishKind:
+        """Return what a failure says of the target.
+
+        Only a target that is gone, or has come back empty, may have been killed
+        by this request. Without the question two connections that break would
+        quarantine an innocent request.
+        """
+        match error:
+            case TargetUnreachable():
+                return FinishKind.TARGET_REFUSED
+            case TargetRefused(status=status) if status not in _BUSY_STATUSES:
+                return FinishKind.COMPLETE
+            case TargetRefused():
+                return FinishKind.TARGET_REFUSED
+        if await self._deps.is_same_target(target, self._boot_id):
+            return FinishKind.ANSWER_LOST
+        return FinishKind.TARGET_LOST
+
     def _judge_failure(self, target: TargetId, error: TargetError) -> None:
         """Judge a call that gave no answer.
 
@@ -287,18 +308,6 @@
         return replace(error, is_safe_to_resend=is_safe)
 
 
-def _finish_kind(error: TargetError) -> FinishKind:
-    match error:
-        case TargetUnreachable():
-            return FinishKind.TARGET_REFUSED
-        case TargetRefused(status=status) if status not in _BUSY_STATUSES:
-            return FinishKind.COMPLETE
-        case TargetRefused():
-            return FinishKind.TARGET_REFUSED
-        case _:
-            return FinishKind.TARGET_LOST
-
-
 def _from_engine_error(error: TargetRefused) -> CallerError:
     reason = "The engine refused the request."
     try:
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -56,6 +56,8 @@
     COMPLETE = "complete"
     CANCELLED = "cancelled"
     TARGET_REFUSED = "target_refused"
+    ANSWER_LOST = "answer_lost"
+    """The answer broke off while the target lives on; no sign of a killer."""
     TARGET_LOST = "target_lost"
 
 
--- a/lycheepost/targets/observe.py
+++ b/lycheepost/targets/observe.py
@@ -152,6 +152,10 @@
         """Ask a target that took no connection again before its turn."""
         self._plan.recheck(target, self._clock.now_seconds())
 
+    def incarnation(self, target: TargetId) -> Incarnation:
+        """Return the boot id that a target last named; empty when none."""
+        return self._incarnations.get(target, Incarnation(""))
+
     def incarnations(self) -> dict[TargetId, Incarnation]:
         """Return the boot id that each target last named."""
         return dict(self._incarnations)
