Make the stand-in refuse a resume; end a broken stream without closing

Showing it brought out a second fault: the daemon closed the connection after a broken stream, and the client's next request on it failed.

--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -219,8 +219,11 @@
 
 
 async def _end_broken(sink: LiveSink, error: CallerError) -> None:
-    """End a stream that cannot be completed with an explicit error."""
-    sink.response.force_close()
+    """End a stream that cannot be completed with an explicit error.
+
+    The connection stays usable. Closing it here would break the next request
+    that the client's pool has already put on it.
+    """
     try:
         await sink.response.write(error_event(error))
         await sink.response.write_eof()
--- a/lycheepost/standin/engine.py
+++ b/lycheepost/standin/engine.py
@@ -377,6 +377,8 @@
         fault = self.resume_faults.take(run.request.request)
         if isinstance(fault, Swallowed):
             await asyncio.sleep(_NEVER_SECONDS)
+        if isinstance(fault, Refused):
+            return _refuse(fault.status, "the stream cannot be resumed")
         return await self._send_stream(request, run, start, fault)
 
     async def _post_cancel(self, request: web.Request) -> web.StreamResponse:
