--- a/features/bench/policy.feature
+++ b/features/bench/policy.feature
@@ -43,11 +43,11 @@
     Given the prairie fleet under <scenario> for <seconds> seconds
     Then at most <count> in 1000 requests of customers clearly inside their share are refused
 
-    # The issue asks for none at all: see "What is missed" in the design notes.
+    # Three times what engines can do leaves no customer inside an equal part.
     Examples:
       | scenario         | seconds | count |
-      | saturation_1_5   | 50      | 1     |
-      | skewed_customers | 55      | 1     |
+      | saturation_1_5   | 50      | 0     |
+      | skewed_customers | 55      | 0     |
 
   Scenario: A hot prefix gains owners as its demand grows and loses them again
     One album is opened by everyone in town at once. One engine cannot serve it.
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -79,7 +79,7 @@
     except (FileNotFoundError, json.JSONDecodeError):
         return []
     return [
-        Outcome(f"{feature['name']}: {element['name']}", element["status"])
+        Outcome(f"{feature['name']}: {element['name']}".strip(), element["status"])
         for feature in features
         for element in feature.get("elements", [])
         if element["type"] == "scenario"
