--- a/features/capacity/steps/whole_steps.py
+++ b/features/capacity/steps/whole_steps.py
@@ -86,7 +86,9 @@
             _, body = await call(session, fleet, 0, "GET", "/v1/fleet")
             context.fleet = body
             context.told = await ask_revisions(body["daemons"])
-        context.held = [engine.weights_version for engine in fleet.standins.engines]
+        context.held = [
+            engine.desk.weights_version for engine in fleet.standins.engines
+        ]
 
 
 async def wait_until_done(session, fleet, name):
@@ -111,7 +113,7 @@
 
     async def count(self, request):
         answer = await take(self, request)
-        context.imports.append((answer.status, self.weights_version))
+        context.imports.append((answer.status, self.desk.weights_version))
         return answer
 
     with unittest.mock.patch.object(EngineStandin, "_post_kv", count):
--- a/features/promises/steps/fleet.py
+++ b/features/promises/steps/fleet.py
@@ -18,7 +18,7 @@
 from lycheepost.loadgen.drive import LoadPlan, run_load
 from lycheepost.loadgen.expected import make_standin_answers
 from lycheepost.loadgen.mixes import Deployment
-from lycheepost.standin.engine import EngineStandinSettings
+from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.standin.enginetiming import make_speeds
 
 N_DAEMONS = 3
--- a/features/targets/steps/bed.py
+++ b/features/targets/steps/bed.py
@@ -12,7 +12,8 @@
 from lycheepost.core.clock import SystemClock
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.standin import answers, faults
-from lycheepost.standin.engine import EngineStandinSettings, make_engine
+from lycheepost.standin.engine import make_engine
+from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.targets.calls import CHAT_PATH, COMPLETION_PATH, Delivered, EngineCall
 from lycheepost.targets.continuation import continuation_body
 from lycheepost.targets.engine import make_engine_client
--- a/features/targets/steps/streams.py
+++ b/features/targets/steps/streams.py
@@ -8,8 +8,9 @@
 from bed import open_bed, parse_fault, read_directly, wait_until
 from behave import given, then, when
 
-from lycheepost.standin.engine import EngineStandinSettings, make_engine
+from lycheepost.standin.engine import make_engine
 from lycheepost.standin.enginerun import RunState
+from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.standin.enginetiming import make_speeds
 from lycheepost.targets.calls import CHAT_PATH, COMPLETION_PATH
 
@@ -50,7 +51,7 @@
 
 @given('the engine holds the weights "{weights}"')
 def given_weights(context, weights):
-    context.bed.engine.weights_version = weights
+    context.bed.engine.desk.weights_version = weights
 
 
 @when("a caller asks for {n:d} tokens over a relay")
--- a/lycheepost/app/standin.py
+++ b/lycheepost/app/standin.py
@@ -9,7 +9,8 @@
 from lycheepost.generated.standin import StandinSettings
 from lycheepost.platform.vms import Vm, VmRole, VmState
 from lycheepost.platform.weights import WeightsInfo
-from lycheepost.standin.engine import EngineStandinSettings, make_engine
+from lycheepost.standin.engine import make_engine
+from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.standin.objects import make_object_model, make_objects_app
 from lycheepost.standin.service import ServiceStandinSettings, make_service
 from lycheepost.standin.table import make_table_app, make_table_model
--- a/lycheepost/standin/engine.py
+++ b/lycheepost/standin/engine.py
@@ -9,7 +9,6 @@
 import json
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import structlog
@@ -24,22 +23,22 @@
     EngineHealth,
     EngineHealthState,
     EngineLoad,
-    EngineOrder,
-    EngineOrderAnswer,
 )
 from lycheepost.standin import answers
-from lycheepost.standin.enginerecords import EngineRequest, EngineSettings
+from lycheepost.standin.engineorders import EngineOrders
+from lycheepost.standin.enginerecords import EngineRequest
 from lycheepost.standin.enginerun import (
     EngineRun,
     RunRecord,
     RunState,
     make_run_request,
 )
+from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.standin.enginetiming import (
-    STANDIN_SPEEDS,
     EngineTiming,
     make_engine_timing,
 )
+from lycheepost.standin.enginewire import cross_event, parse_levels, refuse
 from lycheepost.standin.faults import (
     CrashAt,
     Crossed,
@@ -56,7 +55,7 @@
     WrongEcho,
 )
 from lycheepost.standin.webserver import StandinServer
-from lycheepost.utils.documents import convert_document, encode_record
+from lycheepost.utils.documents import encode_record
 
 _log = structlog.get_logger(part="standin")
 _KEPT_RUNS = 2000
@@ -64,37 +63,6 @@
 _NEVER_SECONDS = 3600.0
 
 
-@dataclass(frozen=True)
-class EngineStandinSettings:
-    """What one stand-in engine is.
-
-    Attributes:
-        name: For logs only.
-        port: 0 takes a free port, which a restart after a crash keeps.
-        checks_fencing: Refuse orders whose fencing number is below one seen.
-        restart_seconds: Time from a crash to the empty engine's return.
-        resume_grace_seconds: How long a run goes on without a reader.
-        load_lag_seconds: Age of the load that is reported.
-        load_weights_seconds: Time to load other weights after an order.
-        max_tokens: Longest answer.
-        crash_text: A prompt with this text crashes the engine; empty for none.
-    """
-
-    name: str = "engine"
-    host: str = "127.0.0.1"
-    port: int = 0
-    model: str = "caption-llm"
-    weights_version: str = "w1"
-    checks_fencing: bool = True
-    restart_seconds: float = 1.0
-    resume_grace_seconds: float = 5.0
-    load_lag_seconds: float = 0.5
-    load_weights_seconds: float = 0.5
-    max_tokens: int = 4096
-    crash_text: str = ""
-    timing: EngineSettings = STANDIN_SPEEDS
-
-
 TimingFactory = Callable[[], EngineTiming]
 
 
@@ -111,13 +79,12 @@
         self.faults: FaultPlan[StreamFault] = FaultPlan()
         self.resume_faults: FaultPlan[StreamFault] = FaultPlan()
         self.records: list[RunRecord] = []
-        self.orders: list[EngineOrder] = []
         self._clock = clock
         self._make_timing = make_timing
         self._server = StandinServer(self._make_app, settings.host, settings.port)
         self._runs: dict[str, EngineRun] = {}
         self._loads: list[tuple[float, EngineLoad]] = []
-        self._order_task: asyncio.Task[None] | None = None
+        self.desk = EngineOrders(settings, self._use_new_weights)
         self._restart_task: asyncio.Task[None] | None = None
         self._sample_task: asyncio.Task[None] | None = None
         self._boot()
@@ -135,7 +102,8 @@
 
     async def stop(self) -> None:
         """Cut all connections and stop."""
-        for task in (self._restart_task, self._order_task, self._sample_task):
+        self.desk.stop()
+        for task in (self._restart_task, self._sample_task):
             if task is not None:
                 task.cancel()
         self._end_runs()
@@ -169,17 +137,15 @@
     def _boot(self) -> None:
         """Start empty: no cache, no runs, no memory of orders, a new boot id."""
         self.boot_id = uuid.uuid4().hex
-        self.state = EngineHealthState.SERVING
-        self.model = self.settings.model
-        self.weights_version = self.settings.weights_version
-        self.adapter = ""
-        self.role = ""
-        self.desired_version = 0
-        self.fencing_number = 0
+        self.desk.reset()
         self._runs = {}
         self._loads = []
         self._timing = self._make_timing()
 
+    def _use_new_weights(self) -> None:
+        """Drop the cache: its blocks are worth nothing to other weights."""
+        self._timing = self._make_timing()
+
     def _end_runs(self) -> None:
         for run in self._runs.values():
             run.end(RunState.CRASHED)
@@ -193,7 +159,7 @@
         app.router.add_get("/health", self._get_health)
         app.router.add_get("/load", self._get_load)
         app.router.add_get("/events", self._get_events)
-        app.router.add_post("/orders", self._post_order)
+        app.router.add_post("/orders", self.desk.post)
         app.router.add_get("/kv/{digest}", self._get_kv)
         app.router.add_post("/kv/import", self._post_kv)
         return app
@@ -207,19 +173,19 @@
         if isinstance(fault, Swallowed):
             await asyncio.sleep(_NEVER_SECONDS)
         if isinstance(fault, Refused):
-            return _refuse(fault.status, "refused by fault", fault.retry_after_seconds)
+            return refuse(fault.status, "refused by fault", fault.retry_after_seconds)
         if self.settings.crash_text and self.settings.crash_text in text:
             self.crash()
             await asyncio.sleep(_NEVER_SECONDS)
-        if self.state is not EngineHealthState.SERVING:
-            return _refuse(503, f"engine is {self.state.value}", 1)
-        wanted = request.headers.get("X-Weights-Version", self.weights_version)
-        if wanted != self.weights_version:
-            return _refuse(409, "engine holds other weights")
+        if self.desk.state is not EngineHealthState.SERVING:
+            return refuse(503, f"engine is {self.desk.state.value}", 1)
+        wanted = request.headers.get("X-Weights-Version", self.desk.weights_version)
+        if wanted != self.desk.weights_version:
+            return refuse(409, "engine holds other weights")
         try:
             run = self._start_run(request, json.loads(raw))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            return _refuse(400, f"bad request: {error}")
+            return refuse(400, f"bad request: {error}")
         is_stream = bool(json.loads(raw).get("stream"))
         if is_stream:
             return await self._send_stream(request, run, 0, fault)
@@ -234,7 +200,7 @@
         work = EngineRequest(
             request=RequestId(name),
             salt=str(body.get("cache_salt", "")),
-            levels=_parse_levels(digests, asked.prompt_text, prompt_tokens),
+            levels=parse_levels(digests, asked.prompt_text, prompt_tokens),
             prompt_tokens=prompt_tokens,
             output_tokens=asked.n_tokens,
             priority=int(body.get("priority", 0)),
@@ -262,7 +228,7 @@
         return {
             "X-Request-Id": run.request.request,
             "X-Boot-Id": self.boot_id,
-            "X-Weights-Version": self.weights_version,
+            "X-Weights-Version": self.desk.weights_version,
         }
 
     async def _send_whole(
@@ -274,7 +240,7 @@
             run.end(RunState.CANCELLED)
             raise
         if run.record.state is not RunState.COMPLETE:
-            return _refuse(499, f"run was {run.record.state.value}")
+            return refuse(499, f"run was {run.record.state.value}")
         if isinstance(fault, SlowFirstByte):
             await asyncio.sleep(fault.seconds)
         headers = self._headers(run)
@@ -355,7 +321,7 @@
                 case Skipped(event=n) if n == index:
                     continue
                 case Crossed(event=n) if n == index:
-                    data = _cross_event(data)
+                    data = cross_event(data)
             await response.write(data)
         if run.record.state is not RunState.COMPLETE:
             self._server.cut_connection(request)
@@ -372,19 +338,19 @@
     async def _get_stream(self, request: web.Request) -> web.StreamResponse:
         run = self._runs.get(request.match_info["request"])
         if run is None or run.record.state is RunState.CANCELLED:
-            return _refuse(404, "no such stream")
+            return refuse(404, "no such stream")
         start = int(request.headers.get("Last-Event-ID", "0"))
         fault = self.resume_faults.take(run.request.request)
         if isinstance(fault, Swallowed):
             await asyncio.sleep(_NEVER_SECONDS)
         if isinstance(fault, Refused):
-            return _refuse(fault.status, "the stream cannot be resumed")
+            return refuse(fault.status, "the stream cannot be resumed")
         return await self._send_stream(request, run, start, fault)
 
     async def _post_cancel(self, request: web.Request) -> web.StreamResponse:
         run = self._runs.get(request.match_info["request"])
         if run is None:
-            return _refuse(404, "no such request")
+            return refuse(404, "no such request")
         run.end(RunState.CANCELLED)
         return web.json_response({"state": run.record.state.value})
 
@@ -393,13 +359,13 @@
     async def _get_health(self, request: web.Request) -> web.StreamResponse:
         health = EngineHealth(
             boot_id=self.boot_id,
-            state=self.state,
-            model=self.model,
-            weights_version=self.weights_version,
-            adapter=self.adapter,
-            role=self.role,
-            desired_version=self.desired_version,
-            fencing_number=self.fencing_number,
+            state=self.desk.state,
+            model=self.desk.model,
+            weights_version=self.desk.weights_version,
+            adapter=self.desk.adapter,
+            role=self.desk.role,
+            desired_version=self.desk.desired_version,
+            fencing_number=self.desk.fencing_number,
         )
         return await self._report(request, health)
 
@@ -450,113 +416,30 @@
             self._loads.append((now, self._sample_load(0.0)))
             await asyncio.sleep(pause)
 
-    # Orders and kept KV.
-
-    async def _post_order(self, request: web.Request) -> web.StreamResponse:
-        converted = convert_document(
-            "engine", await request.json(), EngineOrder, "EngineOrder"
-        )
-        order = converted.value_or(None)
-        if order is None:
-            faults = "; ".join(str(fault) for fault in converted.failure())
-            return _refuse(400, faults)
-        if self.settings.checks_fencing and order.fencing_number < self.fencing_number:
-            return self._answer_order(409, "old fencing number")
-        self.fencing_number = max(self.fencing_number, order.fencing_number)
-        if order.desired_version < self.desired_version:
-            return self._answer_order(409, "old desired version")
-        self.orders.append(order)
-        self.desired_version = order.desired_version
-        if self._order_task is not None:
-            self._order_task.cancel()
-        self._order_task = asyncio.create_task(self._carry_out(order))
-        return self._answer_order(200, "")
-
-    def _answer_order(self, status: int, reason: str) -> web.Response:
-        answer = EngineOrderAnswer(
-            is_accepted=status == 200,
-            fencing_number=self.fencing_number,
-            desired_version=self.desired_version,
-            reason=reason,
-        )
-        return web.Response(
-            status=status,
-            body=encode_record(answer),
-            content_type="application/json",
-        )
-
-    async def _carry_out(self, order: EngineOrder) -> None:
-        self.role = order.role or self.role
-        self.adapter = order.adapter or self.adapter
-        weights = order.weights_version or self.weights_version
-        model = order.model or self.model
-        if (weights, model) != (self.weights_version, self.model):
-            self.state = EngineHealthState.LOADING
-            await asyncio.sleep(self.settings.load_weights_seconds)
-            # Blocks computed with the old weights are worth nothing to the new.
-            self._timing = self._make_timing()
-            self.weights_version = weights
-            self.model = model
-        self.state = order.state
+    # Kept KV.
 
     async def _get_kv(self, request: web.Request) -> web.StreamResponse:
         digest = PrefixDigest(int(request.match_info["digest"]))
         level = self._timing.holds(request.query.get("cache_salt", ""), digest)
         if level is None:
-            return _refuse(404, "not cached")
+            return refuse(404, "not cached")
         return web.json_response(
             {
                 "digest": level.digest,
                 "n_tokens": level.end_tokens,
-                "weights_version": self.weights_version,
+                "weights_version": self.desk.weights_version,
             }
         )
 
     async def _post_kv(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
-        if body.get("weights_version") != self.weights_version:
-            return _refuse(409, "engine holds other weights")
+        if body.get("weights_version") != self.desk.weights_version:
+            return refuse(409, "engine holds other weights")
         level = PrefixLevel(PrefixDigest(int(body["digest"])), int(body["n_tokens"]))
         self._timing.import_prefix(str(body.get("cache_salt", "")), level)
         return web.json_response({"n_tokens": level.end_tokens})
 
 
-def _cross_event(data: bytes) -> bytes:
-    """Return an event with another request's id and words in place of its own."""
-    head, separator, body = data.partition(b"data: ")
-    if body.strip() == b"[DONE]":
-        return data
-    chunk = json.loads(body)
-    chunk["id"] += "-other"
-    for choice in chunk.get("choices", []):
-        delta = choice.get("delta", {})
-        if delta.get("content"):
-            delta["content"] = " other"
-        if choice.get("text"):
-            choice["text"] = " other"
-    return head + separator + json.dumps(chunk).encode() + b"\n\n"
-
-
-def _refuse(status: int, reason: str, retry_after: int | None = None) -> web.Response:
-    headers = {} if retry_after is None else {"Retry-After": str(retry_after)}
-    body = {"error": {"message": reason, "type": "engine_error", "code": status}}
-    return web.json_response(body, status=status, headers=headers)
-
-
-def _parse_levels(
-    header: str, prompt_text: str, prompt_tokens: int
-) -> tuple[PrefixLevel, ...]:
-    """Read ``X-Prefix-Digests``; without it the whole prompt is one level."""
-    if not header:
-        digest = PrefixDigest(hash_bytes(prompt_text.encode()))
-        return (PrefixLevel(digest, prompt_tokens),)
-    levels = []
-    for part in header.split(","):
-        digest_text, _, end_tokens = part.strip().partition(":")
-        levels.append(PrefixLevel(PrefixDigest(int(digest_text)), int(end_tokens)))
-    return tuple(levels)
-
-
 def make_engine(
     settings: EngineStandinSettings, clock: Clock | None = None
 ) -> EngineStandin:
