--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -68,7 +68,6 @@
     control: ControlClient
     observer: TargetObserver
     feed: TargetFeed
-    losses: LossExchange
     front: CallerFront
     drain_state: DrainState
     hot: HotPrefixes
@@ -82,7 +81,6 @@
             self.observer,
             self.dispatcher,
             self.feed,
-            self.losses,
             self.front,
         ]
 
@@ -137,6 +135,7 @@
         observer.incarnations,
         on_targets,
     )
+    LossExchange(dispatcher, state.exchange, clock)
     # A daemon that has just got its first configuration must find targets at
     # once; until the next look it would refuse with "no target".
     state.revisions.subscribe(lambda _view: feed.feed())
@@ -201,7 +200,6 @@
         control=control,
         observer=observer,
         feed=feed,
-        losses=LossExchange(dispatcher, state.exchange, clock),
         front=front,
         drain_state=drain_state,
     )
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -50,6 +50,7 @@
         self._scheduler = scheduler
         self._clock = clock
         self._waiting: dict[RequestId, asyncio.Future[Outcome]] = {}
+        self._on_loss: Callable[[LossSeen], None] | None = None
         self._on_suspect: Callable[[TargetId], None] | None = None
         self._ticker: asyncio.Task[None] | None = None
 
@@ -124,7 +125,11 @@
     def finish(self, request: RequestId, kind: FinishKind) -> None:
         """Tell how a dispatched request ended; frees its slot."""
         now_seconds = self._clock.now_seconds()
-        self._wake(self._scheduler.finish(request, now_seconds, kind))
+        outcomes = self._scheduler.finish(request, now_seconds, kind)
+        for loss in self._scheduler.take_losses():
+            if self._on_loss is not None:
+                self._on_loss(loss)
+        self._wake(outcomes)
 
     def observe_load(self, report: LoadReport) -> None:
         """Pass on a target's load report."""
@@ -160,9 +165,9 @@
         """Count a target loss that another daemon saw; times of our clock."""
         self._scheduler.note_loss(fingerprint, started_seconds, lost_seconds)
 
-    def take_losses(self) -> list[LossSeen]:
-        """Return the losses seen here since the last call."""
-        return self._scheduler.take_losses()
+    def on_loss(self, callback: Callable[[LossSeen], None]) -> None:
+        """Call ``callback`` with each loss that counts, at once."""
+        self._on_loss = callback
 
     def note_peer_suspect(self, target: TargetId) -> None:
         """Keep suspects off a target on which another daemon tries one."""
