Pass an answer's usage on to the decisions; take out what did nothing

Cause: the daemon told the cached tokens at an answer's end through first_token, which ignores the second call, so no engine's usage was ever learned from. And Scheduler.progress and Dispatch.import_digest did nothing.

--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -113,14 +113,15 @@
         else:
             self._wake(self._scheduler.cancel(request, self._clock.now_seconds()))
 
-    def first_token(self, request: RequestId, cached_tokens: int | None) -> None:
-        """Tell that the first token came."""
-        now_seconds = self._clock.now_seconds()
-        self._scheduler.first_token(request, now_seconds, cached_tokens)
+    def first_token(self, request: RequestId) -> None:
+        """Tell that the first token came; the engine's usage is not known yet."""
+        self._scheduler.first_token(request, self._clock.now_seconds(), None)
 
-    def progress(self, request: RequestId, n_tokens: int) -> None:
-        """Tell how many tokens have come."""
-        self._scheduler.progress(request, self._clock.now_seconds(), n_tokens)
+    def note_usage(
+        self, request: RequestId, prompt_tokens: int, cached_tokens: int
+    ) -> None:
+        """Pass on the usage that came with the end of an answer."""
+        self._scheduler.note_usage(request, prompt_tokens, cached_tokens)
 
     def finish(self, request: RequestId, kind: FinishKind) -> None:
         """Tell how a dispatched request ended; frees its slot."""
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -185,7 +185,7 @@
                 raise error
 
     def _note_first(self) -> None:
-        self._deps.dispatcher.first_token(self._work.request, None)
+        self._deps.dispatcher.first_token(self._work.request)
         if self._first_seconds is None:
             self._first_seconds = self._deps.clock.now_seconds()
 
@@ -195,8 +195,9 @@
         n_gaps = stream.n_events - 1
         usage = stream.usage
         if usage is not None:
-            cached_tokens = usage.cached_tokens
-            self._deps.dispatcher.first_token(self._work.request, cached_tokens)
+            self._deps.dispatcher.note_usage(
+                self._work.request, usage.prompt_tokens, usage.cached_tokens
+            )
         return Finished(
             ttft_seconds=first_seconds - self._work.arrived_seconds,
             token_gap_seconds=(
--- a/lycheepost/callers/services.py
+++ b/lycheepost/callers/services.py
@@ -193,7 +193,7 @@
         match await deps.services.call(call):
             case Success(answer):
                 kind = FinishKind.COMPLETE
-                deps.dispatcher.first_token(asked.work.request, None)
+                deps.dispatcher.first_token(asked.work.request)
                 content_type = dict(answer.headers).get("Content-Type", _OCTETS)
                 return StoredAnswer(answer.status, content_type, answer.body)
             case Failure(error):
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -310,6 +310,11 @@
         self._learn(load, entry, now_seconds, cached_tokens)
         load.first_token(entry, now_seconds)
 
+    def note_usage(self, prompt_tokens: int, cached_tokens: int) -> None:
+        """Learn what share of prompts engines compute, told with an answer's end."""
+        uncached = max(0, prompt_tokens - cached_tokens)
+        self.placement.rates.observe_uncached(uncached, prompt_tokens)
+
     def _learn(
         self,
         load: TargetLoad,
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -148,15 +148,12 @@
     Attributes:
         predicted_wait_seconds: Predicted time to the first token.
         expected_cached_tokens: Prompt tokens believed to be cached there.
-        import_digest: Kept KV to import before the prefill, when that is
-            cheaper than computing it; None for no import.
     """
 
     request: RequestId
     target: TargetId
     predicted_wait_seconds: float
     expected_cached_tokens: int
-    import_digest: PrefixDigest | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -152,8 +152,13 @@
         if group is not None:
             group.first_token(request, now_seconds, cached_tokens)
 
-    def progress(self, request: RequestId, now_seconds: float, n_tokens: int) -> None:
-        """Note relayed output tokens."""
+    def note_usage(
+        self, request: RequestId, prompt_tokens: int, cached_tokens: int
+    ) -> None:
+        """Learn from the usage that an engine tells with the end of an answer."""
+        group = self._group_by_request.get(request)
+        if group is not None and prompt_tokens > 0:
+            group.note_usage(prompt_tokens, cached_tokens)
 
     def finish(
         self, request: RequestId, now_seconds: float, kind: FinishKind
