Place a request again when its target was removed before the send

Cause: the look-up of a target that an operator had just removed raised inside the daemon: the caller got 500 'unknown' for a request that was never sent, and the scheduler's slot was never given back. Found by reading.

--- a/features/callers/faults.feature
+++ b/features/callers/faults.feature
@@ -51,3 +51,12 @@
     And each engine breaks one stream and refuses to resume it
     When the same chat is sent until it is whole, at most 4 times
     Then the last of them is whole
+
+  Scenario: A target is removed after a request was placed on it
+    An operator removes a target in the moment between the choice and the send.
+    The request has not been sent and must go to another target; a slot that is
+    never given back would make the daemon look busier for good.
+    Given a running fleet of 1 daemons
+    And the next target chosen is removed before the send
+    When a chat is sent
+    Then it is whole and no slot is taken
--- a/features/callers/steps/faults.py
+++ b/features/callers/steps/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import aiohttp
 from behave import given, then, when
@@ -211,3 +212,34 @@
     text, is_finished = streamed_text(context.answer.body)
     assert is_finished, context.answer
     assert text == expected_chat("again", N_TOKENS), text
+
+
+@given("the next target chosen is removed before the send")
+def given_removed(context):
+    dispatcher = context.fleet.daemons[0].traffic.dispatcher
+    revisions = context.fleet.daemons[0].state.revisions
+    admit = dispatcher.admit
+
+    async def admit_and_remove(work):
+        outcome = await admit(work)
+        now = revisions.view.configuration
+        left = [item for item in now.targets if item.target != outcome.target]
+        context.removed = outcome.target
+        revisions.offer(replace(now, revision=now.revision + 1, targets=left), "test")
+        return outcome
+
+    dispatcher.admit = admit_and_remove
+
+
+@when("a chat is sent")
+def when_chat(context):
+    context.outcomes = [context.run(chat(context, 1, True))]
+
+
+@then("it is whole and no slot is taken")
+def then_no_slot(context):
+    assert context.outcomes == [None]
+    status = context.fleet.daemons[0].traffic.dispatcher.status()
+    targets = status["groups"][context.model]["targets"]
+    assert context.removed not in targets
+    assert all(target["n_in_flight"] == 0 for target in targets.values()), targets
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -118,7 +118,12 @@
     async def _try_target(self, dispatch: Dispatch) -> Finished | None:
         """Send to one target; None when another try is allowed and due."""
         kind = FinishKind.CANCELLED
-        call = self._make_call(dispatch.target)
+        url = target_url(self._deps, dispatch.target)
+        if url is None:
+            self._exclude(dispatch.target)
+            self._deps.dispatcher.finish(self._work.request, FinishKind.TARGET_REFUSED)
+            return None
+        call = self._make_call(dispatch.target, url)
         self._boot_id = self._deps.incarnation_of(dispatch.target)
         try:
             match await self._deps.engines.start_call(call):
@@ -151,11 +156,13 @@
             await asyncio.sleep(retry_pause_seconds(has_output, _rng))
         self._is_after_loss = False
 
-    def _make_call(self, target: TargetId) -> EngineCall:
-        view = self._deps.configuration.view
+    def _exclude(self, target: TargetId) -> None:
+        self._work = replace(self._work, excluded=self._work.excluded | {target})
+
+    def _make_call(self, target: TargetId, url: str) -> EngineCall:
         return EngineCall(
             target=target,
-            url=view.targets[target].url,
+            url=url,
             request=self._work.request,
             path=self._job.path,
             body=self._body,
@@ -237,7 +244,7 @@
             target=target,
             reason=error.reason,
         )
-        self._work = replace(self._work, excluded=self._work.excluded | {target})
+        self._exclude(target)
         match error:
             case TargetUnreachable():
                 self._deps.on_unreachable(target)
@@ -278,7 +285,7 @@
             reason=error.reason,
             n_events=error.n_events,
         )
-        self._work = replace(self._work, excluded=self._work.excluded | {target})
+        self._exclude(target)
         self._check_repeatable()
         if error.n_events == 0:
             return
@@ -309,6 +316,16 @@
         return replace(error, is_safe_to_resend=is_safe)
 
 
+def target_url(deps: CallerDeps, target: TargetId) -> str | None:
+    """Return where a target is; None when it was removed after it was chosen.
+
+    A request may wait in the queue while an operator removes its target. Nothing
+    has been sent then, so it is placed again.
+    """
+    configured = deps.configuration.view.targets.get(target)
+    return None if configured is None else configured.url
+
+
 def _from_engine_error(error: TargetRefused) -> CallerError:
     reason = "The engine refused the request."
     try:
--- a/lycheepost/callers/services.py
+++ b/lycheepost/callers/services.py
@@ -20,6 +20,7 @@
     Executed,
     from_refusal,
 )
+from lycheepost.callers.exchange import target_url
 from lycheepost.callers.flow import end_of
 from lycheepost.callers.headers import CallerHeaders, read_headers
 from lycheepost.callers.identify import find_service, identify_customer
@@ -179,9 +180,13 @@
 ) -> StoredAnswer | TargetError:
     """Call one target; the scheduler learns how it went in any case."""
     kind = FinishKind.CANCELLED
+    url = target_url(deps, target)
+    if url is None:
+        deps.dispatcher.finish(asked.work.request, FinishKind.TARGET_REFUSED)
+        return TargetUnreachable("the target was removed")
     call = ServiceCall(
         target=target,
-        url=deps.configuration.view.targets[target].url,
+        url=url,
         request=asked.work.request,
         method=asked.method,
         path=asked.path,
