Let a drain wait for calls whose callers have left

Cause: a call without a key that must not repeat ran in a task that nobody held: a drain did not wait for it, and the event loop may even drop such a task. Found by reading.

--- a/features/callers/once.feature
+++ b/features/callers/once.feature
@@ -60,6 +60,14 @@
     Then the answer has status 201
     And the order ran 1 times
 
+  Scenario: A shopper walks off, and then the daemon drains
+    An order without a key is running when its caller leaves and the daemon is
+    told to stop. Nobody will ask for its answer, but it must not be cut half-way.
+    Given a running fleet of 1 daemons
+    And the order service takes 0.6 seconds
+    When an order without a key is sent, its caller leaves and the daemon drains
+    Then the order ran 1 times before the drain ended
+
   Scenario: A keyed streamed answer is replayed to a resend
     Given a running fleet of 2 daemons
     When a streamed chat is sent twice with one key through two daemons
--- a/features/callers/steps/once.py
+++ b/features/callers/steps/once.py
@@ -169,6 +169,26 @@
     context.run(send())
 
 
+@when("an order without a key is sent, its caller leaves and the daemon drains")
+def when_drains(context):
+    path = f"/services/{context.fleet.standins.shape.service_group}/orders"
+
+    async def send():
+        task = asyncio.create_task(call(context, path, ORDER))
+        await asyncio.sleep(0.2)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await context.fleet.daemons[0].drain()
+        context.n_runs = order_runs(context)
+
+    context.run(send())
+
+
+@then("the order ran {n:d} times before the drain ended")
+def then_ran_before(context, n):
+    assert context.n_runs == n, context.n_runs
+
+
 @when("the order is sent again through the other daemon until it is settled")
 def when_settled(context):
     context.answer = context.run(settled(context, 1))
--- a/lycheepost/callers/keyed.py
+++ b/lycheepost/callers/keyed.py
@@ -1,4 +1,4 @@
-"""Run a request with an idempotency key at most once.
+"""Run a request that must not repeat at most once.
 
 The claim comes before admission: a resend must get the first answer even while
 the queue is full, and a refusal of the owner can then truly say "not run",
@@ -6,8 +6,9 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import structlog
 from returns.result import Failure, Success
@@ -53,7 +54,7 @@
 
 
 class KeyedRunner:
-    """Owns the runs of keyed requests.
+    """Owns the runs of requests that must not repeat.
 
     A run is a task of its own: a caller that leaves must not cut off a print
     order whose answer it will ask for again.
@@ -106,7 +107,22 @@
         if isinstance(claim, StoredAnswer):
             return claim
         answer: Answer = asyncio.get_running_loop().create_future()
-        task = asyncio.create_task(self._run_claimed(claim, run, answer))
+        return await self._own(self._run_claimed(claim, run, answer), answer)
+
+    async def run_through(self, run: Run) -> StoredAnswer:
+        """Run a request without a key to its end, also when its caller leaves.
+
+        Raises:
+            CallerError: There is no answer.
+        """
+        answer: Answer = asyncio.get_running_loop().create_future()
+        return await self._own(_run_plain(run, answer), answer)
+
+    async def _own(
+        self, work: Coroutine[Any, Any, None], answer: Answer
+    ) -> StoredAnswer:
+        """Start a run that a drain waits for, and wait for its answer."""
+        task = asyncio.create_task(work)
         self._runs.add(task)
         task.add_done_callback(self._runs.discard)
         return await asyncio.shield(answer)
@@ -137,6 +153,15 @@
                 await self._deps.claims.abandon(claim)
 
 
+async def _run_plain(run: Run, answer: Answer) -> None:
+    try:
+        answer.set_result(await run())
+    except BaseException as error:
+        _settle(answer, error)
+        if not isinstance(error, CallerError):
+            raise
+
+
 def _settle(answer: Answer, error: BaseException) -> None:
     answer.set_exception(error)
     # The caller may have left; the error is then logged nowhere else.
--- a/lycheepost/callers/services.py
+++ b/lycheepost/callers/services.py
@@ -5,7 +5,6 @@
 with a key in the whole fleet, without one by this daemon.
 """
 
-import asyncio
 from dataclasses import dataclass, replace
 
 from aiohttp import web
@@ -87,7 +86,7 @@
         stored = await _run(deps, asked)
     else:
         # A caller that leaves must not cut the call off half-way.
-        stored = await asyncio.shield(asyncio.ensure_future(_run(deps, asked)))
+        stored = await keyed.run_through(lambda: _run(deps, asked))
     return web.Response(
         status=stored.status,
         body=stored.body,
