--- a/features/callers/once.feature
+++ b/features/callers/once.feature
@@ -72,3 +72,11 @@
     Given a running fleet of 2 daemons
     When a streamed chat is sent twice with one key through two daemons
     Then both streams are equal byte for byte and the engine ran one chat
+
+  Scenario: A caller leaves a keyed stream and asks for it again
+    A hostel's connection drops in the middle of a letter's summary. The summary
+    is finished without it, so that the resend gets all of it and the engine does
+    not compute it twice.
+    Given a running fleet of 2 daemons
+    When a keyed stream is left in the middle and asked for again elsewhere
+    Then all of the stream comes and the engine ran one chat
--- a/features/callers/steps/once.py
+++ b/features/callers/steps/once.py
@@ -3,8 +3,17 @@
 import asyncio
 import json
 
+import aiohttp
 from behave import given, then, when
-from fleet import CHAT, call, chat_body, n_runs, sleep_until
+from fleet import (
+    CHAT,
+    call,
+    chat_body,
+    expected_chat,
+    n_runs,
+    sleep_until,
+    streamed_text,
+)
 
 from lycheepost.standin.faults import (
     CrashAfterRun,
@@ -215,3 +224,31 @@
     assert first.body == second.body
     assert first.body.endswith(b"data: [DONE]\n\n")
     assert n_runs(context) == 1
+
+
+@when("a keyed stream is left in the middle and asked for again elsewhere")
+def when_left_keyed(context):
+    body = chat_body(context, "left", stream=True, max_tokens=60)
+    headers = {"Idempotency-Key": "left-1"}
+    sent = headers | {"Authorization": f"Bearer {context.keys[0]}"}
+
+    async def send():
+        async with aiohttp.ClientSession() as session:
+            url = context.urls[0] + CHAT
+            async with session.post(url, json=body, headers=sent) as response:
+                await response.content.readany()
+        for _ in range(200):
+            answer = await call(context, CHAT, body, headers=headers, daemon=1)
+            if answer.status == 200:
+                return answer
+            await asyncio.sleep(0.05)
+        return answer
+
+    context.answer = context.run(send())
+
+
+@then("all of the stream comes and the engine ran one chat")
+def then_whole_resend(context):
+    assert context.answer.status == 200, context.answer
+    assert streamed_text(context.answer.body) == (expected_chat("left", 60), True)
+    assert n_runs(context) == 1
