--- a/features/capacity/steps/whole_steps.py
+++ b/features/capacity/steps/whole_steps.py
@@ -15,7 +15,7 @@
     Settings,
 )
 from lycheepost.operators.client import ask_revisions
-from lycheepost.platform.weights import WeightsInfo
+from lycheepost.ports.weights import WeightsInfo
 from lycheepost.standin.engine import EngineStandin
 
 TIMING = OperatorSettings(
--- a/features/operators/steps/world.py
+++ b/features/operators/steps/world.py
@@ -9,8 +9,8 @@
 from lycheepost.generated.settings import OperatorSettings
 from lycheepost.operators.ports import OperatorDeps
 from lycheepost.operators.routes import make_operator_routes
-from lycheepost.platform.table import OutcomeUnknown, TableUnavailable
-from lycheepost.platform.weights import WeightsInfo
+from lycheepost.ports.table import OutcomeUnknown, TableUnavailable
+from lycheepost.ports.weights import WeightsInfo
 from lycheepost.standin.objects import make_object_model
 from lycheepost.standin.table import make_table_model
 from lycheepost.standin.weightstore import make_weight_store_model
--- a/features/platform/steps/service_steps.py
+++ b/features/ports/steps/service_steps.py
@@ -6,11 +6,11 @@
 from returns.result import Success
 
 from lycheepost.core.ids import AvailabilityZone, ModelId, WeightsVersion
-from lycheepost.platform.http_objects import make_http_objects
-from lycheepost.platform.http_vms import make_http_vm_list
-from lycheepost.platform.http_weights import make_http_weights
-from lycheepost.platform.vms import Vm, VmRole, VmState
-from lycheepost.platform.weights import WeightsInfo
+from lycheepost.ports.http_objects import make_http_objects
+from lycheepost.ports.http_vms import make_http_vm_list
+from lycheepost.ports.http_weights import make_http_weights
+from lycheepost.ports.vms import Vm, VmRole, VmState
+from lycheepost.ports.weights import WeightsInfo
 from lycheepost.standin.objects import make_object_model, make_objects_app
 from lycheepost.standin.vmlist import make_vm_list_app, make_vm_list_model
 from lycheepost.standin.weightstore import (
--- a/features/platform/steps/table_steps.py
+++ b/features/ports/steps/table_steps.py
@@ -5,8 +5,8 @@
 from reach import SLOW_SECONDS, reach
 from returns.result import Success
 
-from lycheepost.platform.http_table import make_http_table
-from lycheepost.platform.table import Condition, Transaction, Write
+from lycheepost.ports.http_table import make_http_table
+from lycheepost.ports.table import Condition, Transaction, Write
 from lycheepost.standin.platformfaults import Faults
 from lycheepost.standin.table import make_table_app, make_table_model
 
--- a/features/report/steps/history_steps.py
+++ b/features/report/steps/history_steps.py
@@ -8,7 +8,7 @@
 
 from lycheepost.core.clock import FakeClock
 from lycheepost.core.ids import DaemonId
-from lycheepost.platform.objects import ObjectError, ObjectMissing
+from lycheepost.ports.objects import ObjectError, ObjectMissing
 from lycheepost.report.burn import dedupe_slots
 from lycheepost.report.history import HistoryKeeper, fine_from_seconds
 from lycheepost.report.samples import make_recorder
--- a/features/state/steps/member_steps.py
+++ b/features/state/steps/member_steps.py
@@ -13,7 +13,7 @@
     Target,
     TargetDesiredState,
 )
-from lycheepost.platform.vms import Vm, VmRole, VmState
+from lycheepost.ports.vms import Vm, VmRole, VmState
 from lycheepost.standin.vmlist import make_vm_list_model
 from lycheepost.state.addresses import Member, MemberState, choose_addresses
 from lycheepost.state.members import make_member_keeper
--- a/lycheepost/app/platform.py
+++ b/lycheepost/app/platform.py
@@ -4,14 +4,14 @@
 from dataclasses import dataclass
 
 from lycheepost.generated.settings import Settings
-from lycheepost.platform.http_objects import make_http_objects
-from lycheepost.platform.http_table import make_http_table
-from lycheepost.platform.http_vms import make_http_vm_list
-from lycheepost.platform.http_weights import make_http_weights
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import TablePort
-from lycheepost.platform.vms import VmListPort
-from lycheepost.platform.weights import WeightsPort
+from lycheepost.ports.http_objects import make_http_objects
+from lycheepost.ports.http_table import make_http_table
+from lycheepost.ports.http_vms import make_http_vm_list
+from lycheepost.ports.http_weights import make_http_weights
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import TablePort
+from lycheepost.ports.vms import VmListPort
+from lycheepost.ports.weights import WeightsPort
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/lycheepost/app/platformdaemon.py
@@ -0,0 +1,392 @@
+"""The daemon on the users' platform: joins the adapter with the product's parts.
+
+``make_platform_daemon`` joins the parts; ``PlatformDaemon`` runs their life cycle.
+Nothing is decided here.
+"""
+
+import asyncio
+import functools
+import itertools
+import random
+import secrets
+from collections.abc import Callable
+
+import structlog
+
+from lycheepost.app.fleet import Fleet, Identity
+from lycheepost.app.losses import LossExchange
+from lycheepost.app.parts import Part, start_parts, stop_parts
+from lycheepost.app.rawlistener import RawListener
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.callers.forwarddeps import ForwardDeps
+from lycheepost.core.clock import Clock, SystemClock
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.core.ids import (
+    Incarnation,
+    ModelId,
+    RequestId,
+    TargetGroupId,
+    TargetId,
+)
+from lycheepost.core.routing import RouteTable
+from lycheepost.decide.freshness import KeyRule
+from lycheepost.decide.records import LoadReport
+from lycheepost.decide.scheduler import Scheduler
+from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.generated.messages import TargetChanging
+from lycheepost.generated.settings import StreamSettings
+from lycheepost.operators.weightsrollout import WeightsRollout
+from lycheepost.peers.exchange import make_peer_exchange
+from lycheepost.peers.membership import MemberExchange
+from lycheepost.peers.sockets import make_socket_transport
+from lycheepost.platform.dialect import ServerDialect
+from lycheepost.platform.following import (
+    OperatorFollower,
+    ServerFollower,
+    make_watches,
+)
+from lycheepost.platform.ingress import ClientFront, Directory, Readiness
+from lycheepost.platform.orders import ServerOrders
+from lycheepost.platform.settings import NodeSettings
+from lycheepost.platform.store import StoreClient
+from lycheepost.state.addresses import Member, MemberState
+from lycheepost.state.duties import DutyRunner, is_candidate
+from lycheepost.state.leases import LeaseKeeper
+from lycheepost.state.memberrows import MemberRows
+from lycheepost.state.members import make_member_keeper
+from lycheepost.state.routing import RoutingKeeper
+from lycheepost.state.targetlist import TargetList
+from lycheepost.state.view import ConfigurationView, make_view
+from lycheepost.targets.forward import ForwardClient
+from lycheepost.targets.forwardcall import AnswerHead
+from lycheepost.utils.metrics import Metrics, NoMetrics
+
+WEIGHTS_DUTY = "weights"
+LEASE_SECONDS = 4.5
+LEASE_MARGIN_SECONDS = 1.75
+"""A holder orders until 2.75 s after its last renewal, the next one from 6.25 s on.
+Between them lie 3.5 s, more than the platform asks between two holders' orders to
+one server, and less than it allows for new weights to be in force."""
+DUTY_PERIOD_SECONDS = 0.9
+"""Three renewals within the time that a holder may order."""
+
+EXCHANGE_SECONDS = 0.4
+PEER_LINKS = 6
+"""In a fleet of seven each daemon is linked with all others, so that word of a
+target's change takes one hop."""
+
+MEMBER_LOOK_SECONDS = 12.0
+"""Peers tell of each other; the table is looked at only to find peers at all."""
+
+REFRESH_SECONDS = 0.1
+"""How soon a target that was left alone is seen to be due again."""
+
+ADDRESS_SECONDS = 2.0
+"""How long clients may keep an addresses answer. Some keep it three times as long,
+and the answer's own age adds a second: within the time that a daemon which leaves
+goes on serving."""
+
+LEAVE_SECONDS = 6.2
+"""How long a daemon that leaves goes on serving clients that still have its
+address, within eight seconds until it is killed."""
+
+LEAVE_CUT_SECONDS = 1.2
+"""Time for what is still in flight after that."""
+
+_log = structlog.get_logger(part="app")
+
+
+class TargetTicker:
+    """A task that lets time pass for the target list."""
+
+    def __init__(self, targets: TargetList) -> None:
+        self._targets = targets
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin."""
+        self._task = asyncio.create_task(self._run(), name="target-ticker")
+
+    async def drain(self) -> None:
+        """Go on: requests in flight still need targets."""
+
+    async def stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(REFRESH_SECONDS)
+            self._targets.refresh()
+
+
+class PlatformDaemon:
+    """One running daemon on the platform."""
+
+    def __init__(
+        self, front: ClientFront, fleet: Fleet, rollout: Part, parts: list[Part]
+    ) -> None:
+        self._front = front
+        self._fleet = fleet
+        self._rollout = rollout
+        self._parts = parts
+        self.is_leaving = False
+
+    async def start(self) -> None:
+        """Start all parts.
+
+        Raises:
+            OSError: A port is taken.
+        """
+        await start_parts(self._parts)
+        _log.info("app: serving")
+
+    async def drain(self) -> None:
+        """Leave the addresses first, then finish every request in flight."""
+        self.is_leaving = True
+        self._front.is_leaving = True
+        _log.info("app: draining", n_open=self._front.n_open)
+        await self._rollout.stop()
+        leave = asyncio.create_task(self._fleet.drain())
+        await asyncio.sleep(LEAVE_SECONDS)
+        leave.cancel()
+        try:
+            async with asyncio.timeout(LEAVE_CUT_SECONDS):
+                await self._front.drain()
+        except TimeoutError:
+            _log.warning("app: requests outlived the drain", n_open=self._front.n_open)
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        await stop_parts(self._parts)
+        _log.info("app: stopped")
+
+
+def make_platform_daemon(
+    node: NodeSettings, clock: Clock | None = None, metrics: Metrics | None = None
+) -> PlatformDaemon:
+    """Join the parts of one daemon; nothing is started yet.
+
+    Args:
+        node: What the platform tells this process.
+        clock: Tells the time; this machine's when None.
+        metrics: Where metrics go; nowhere when None.
+    """
+    clock = clock or SystemClock()
+    metrics = metrics or NoMetrics()
+    boot = secrets.token_hex(6)
+    seed = hash_bytes(f"{node.daemon}/{boot}".encode())
+    rng = random.Random(seed)
+    store = StoreClient(node.store, clock)
+    client = ForwardClient(StreamSettings(), ServerDialect())
+    orders = ServerOrders()
+    dispatcher = Dispatcher(Scheduler(_scheduler_settings(node), seed), clock)
+    targets = TargetList(clock, dispatcher.replace_targets)
+    routing = RoutingKeeper()
+    routing.subscribe(targets.set_table)
+
+    me = Member(
+        daemon=node.daemon,
+        boot=boot,
+        state=MemberState.LIVE,
+        availability_zone=node.availability_zone,
+        callers_url="" if node.clients is None else str(node.clients),
+        peer_endpoint="",
+        started_wall_seconds=clock.wall_seconds(),
+    )
+    view = _no_view()
+    members = make_member_keeper(
+        MemberRows(store),
+        clock,
+        me,
+        lambda: view,
+        MEMBER_LOOK_SECONDS,
+        ADDRESS_SECONDS,
+        seed,
+    )
+    transport = make_socket_transport(node.daemon, node.host, node.peer_ports[0])
+    exchange = make_peer_exchange(
+        transport, members, clock, lambda: 0, PEER_LINKS, EXCHANGE_SECONDS
+    )
+    MemberExchange(exchange, members, clock)
+    LossExchange(dispatcher, exchange, clock)
+    identity = Identity(node.daemon, boot, node.availability_zone, node.host)
+    fleet = Fleet(identity, store, transport, exchange, members)
+
+    rollout = WeightsRollout(
+        orders,
+        targets,
+        clock,
+        node.daemon,
+        lambda model: _groups_of(routing.table, model),
+        exchange.broadcast,
+    )
+    exchange.subscribe(
+        TargetChanging, lambda message, _sender: _take_changing(targets, message)
+    )
+    leases = LeaseKeeper(
+        store,
+        clock,
+        node.daemon,
+        LEASE_SECONDS,
+        LEASE_MARGIN_SECONDS,
+        node.bounds.lease_seconds + 0.3,
+    )
+    duty = DutyRunner(
+        leases,
+        WEIGHTS_DUTY,
+        lambda: is_candidate(WEIGHTS_DUTY, node.daemon, members.members()),
+        rollout.work,
+        DUTY_PERIOD_SECONDS,
+        clock,
+        seed,
+    )
+    operators = OperatorFollower(routing, rollout.want)
+    watches = make_watches(store, clock, operators, ServerFollower(targets), seed)
+
+    async def is_same_target(target: TargetId) -> bool:
+        listed = targets.get(target)
+        if listed is None or routing.table is None:
+            return False
+        group = routing.table.groups.get(listed.target_group)
+        path = "/health" if group is None else group.health_path
+        return await orders.is_same(target, listed.address, path)
+
+    deps = ForwardDeps(
+        routing=routing,
+        dispatcher=dispatcher,
+        client=client,
+        targets=targets,
+        clock=clock,
+        metrics=metrics,
+        key_rule=lambda: KeyRule(
+            node.bounds.revoke_seconds, node.bounds.is_revoke_strict
+        ),
+        is_same_target=is_same_target,
+        make_request_id=_request_ids(boot),
+        pick_point=rng.random,
+        on_head=functools.partial(_take_load, dispatcher, clock),
+    )
+    front = ClientFront(deps)
+    parts: list[Part] = [
+        store,
+        client,
+        orders,
+        dispatcher,
+        *watches,
+        TargetTicker(targets),
+        fleet,
+        rollout,
+        duty,
+    ]
+    daemon = PlatformDaemon(front, fleet, _Both(duty, rollout), parts)
+
+    def is_ready() -> bool:
+        return routing.table is not None and not daemon.is_leaving
+
+    def addresses() -> list[str]:
+        answer = members.addresses(None, clock.now_seconds())
+        return [item.url for item in answer.addresses]
+
+    valid_seconds = min(ADDRESS_SECONDS, node.bounds.address_seconds)
+    parts += _listeners(
+        (
+            ("clients", node.clients, front.handle),
+            ("readiness", node.readiness, Readiness(is_ready).handle),
+            ("directory", node.directory, Directory(addresses, valid_seconds).handle),
+        )
+    )
+    return daemon
+
+
+class _Both:
+    """Two parts that end together, in order."""
+
+    def __init__(self, first: Part, second: Part) -> None:
+        self._parts = (first, second)
+
+    async def start(self) -> None:
+        """Do nothing: each is started as a part of its own."""
+
+    async def drain(self) -> None:
+        """Drain both."""
+        for part in self._parts:
+            await part.drain()
+
+    async def stop(self) -> None:
+        """Stop both."""
+        for part in self._parts:
+            await part.stop()
+
+
+def _listeners(described: tuple) -> list[Part]:
+    return [
+        RawListener(name, handler, endpoint.host, endpoint.port)
+        for name, endpoint, handler in described
+        if endpoint is not None
+    ]
+
+
+def _scheduler_settings(node: NodeSettings) -> SchedulerSettings:
+    return SchedulerSettings(
+        retry_share=node.bounds.retry_share / 2,
+        retry_burst=max(1.0, node.bounds.retry_burst / 2 / 7),
+        max_tries=6,
+        admit_patience_share=0.9,
+        prefill_seconds_per_token=25e-6,
+        quarantine_losses=2,
+    )
+
+
+def _no_view() -> ConfigurationView:
+    from lycheepost.generated.configuration import Configuration
+
+    return make_view(Configuration(revision=0))
+
+
+def _groups_of(table: RouteTable | None, model: ModelId) -> tuple[TargetGroupId, ...]:
+    if table is None:
+        return ()
+    return tuple(
+        name
+        for name, group in table.groups.items()
+        if group.engine is not None and model in group.engine.models
+    )
+
+
+def _take_changing(targets: TargetList, message: TargetChanging) -> None:
+    """Follow what the holder of the weights duty does to a target."""
+    target = TargetId(message.target)
+    seconds = 0.0 if message.is_done else message.for_seconds
+    if message.is_done and message.weights_version:
+        from lycheepost.core.ids import WeightsVersion
+
+        targets.note_weights(
+            target, ModelId(message.model), WeightsVersion(message.weights_version)
+        )
+    targets.note_changing(target, seconds)
+
+
+def _take_load(
+    dispatcher: Dispatcher, clock: Clock, target: TargetId, head: AnswerHead
+) -> None:
+    """Pass the load that a target states on to the decisions."""
+    if head.load is None:
+        return
+    dispatcher.observe_load(
+        LoadReport(
+            target=target,
+            incarnation=Incarnation(target),
+            measured_seconds=clock.now_seconds(),
+            n_running=head.load.n_running,
+            n_queued=head.load.n_waiting,
+            queued_prompt_tokens=0,
+            cached_tokens=0,
+        )
+    )
+
+
+def _request_ids(boot: str) -> Callable[[], RequestId]:
+    numbers = itertools.count(1)
+    return lambda: RequestId(f"{boot}-{next(numbers)}")
--- /dev/null
+++ b/lycheepost/app/rawlistener.py
@@ -0,0 +1,71 @@
+"""A listener whose requests all go to one handler, without routes of our own."""
+
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+
+KEEP_ALIVE_SECONDS = 75.0
+"""Clients keep idle connections for up to 15 seconds at present deployments; who
+closes first must not be this side, or a request would cross the close."""
+
+HEAD_BYTES = 32 * 1024
+"""Longest line or header; twice what operators allow today."""
+
+MOST_HEADERS = 128
+BACKLOG = 1024
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+_log = structlog.get_logger(part="app")
+
+
+class RawListener:
+    """One port and its handler.
+
+    Args:
+        name: Stands in logs.
+        handler: Gets every request, whatever its path.
+        host: IP number to listen on.
+        port: Port to listen on; 0 takes a free one.
+    """
+
+    def __init__(self, name: str, handler: Handler, host: str, port: int) -> None:
+        self._name = name
+        self._handler = handler
+        self._host = host
+        self.port = port
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The port is taken or the address is not ours.
+        """
+        server = web.Server(
+            self._handler,
+            # A client that leaves must let its target stop at once.
+            handler_cancellation=True,
+            # A body goes on as it came, whatever it is encoded with.
+            auto_decompress=False,
+            access_log=None,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+            max_line_size=HEAD_BYTES,
+            max_field_size=HEAD_BYTES,
+            max_headers=MOST_HEADERS,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._host, self.port, backlog=BACKLOG)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+        _log.info("app: listening", name=self._name, port=self.port)
+
+    async def drain(self) -> None:
+        """Go on listening: whoever owns the requests waits for them."""
+
+    async def stop(self) -> None:
+        """Close the port and what connections are left."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- a/lycheepost/app/standin.py
+++ b/lycheepost/app/standin.py
@@ -7,8 +7,8 @@
 
 from lycheepost.core.ids import AvailabilityZone, ModelId, WeightsVersion
 from lycheepost.generated.standin import StandinSettings
-from lycheepost.platform.vms import Vm, VmRole, VmState
-from lycheepost.platform.weights import WeightsInfo
+from lycheepost.ports.vms import Vm, VmRole, VmState
+from lycheepost.ports.weights import WeightsInfo
 from lycheepost.standin.engine import make_engine
 from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.standin.objects import make_object_model, make_objects_app
--- a/lycheepost/app/standins.py
+++ b/lycheepost/app/standins.py
@@ -27,8 +27,8 @@
 from lycheepost.generated.settings import PlatformSettings
 from lycheepost.loadgen.audit import Evidence
 from lycheepost.loadgen.expected import collect_evidence
-from lycheepost.platform.vms import Vm, VmRole, VmState
-from lycheepost.platform.weights import WeightsInfo
+from lycheepost.ports.vms import Vm, VmRole, VmState
+from lycheepost.ports.weights import WeightsInfo
 from lycheepost.standin.engine import EngineStandin, make_engine
 from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.standin.objects import make_object_model, make_objects_app
--- a/lycheepost/bench/capacity_holder.py
+++ b/lycheepost/bench/capacity_holder.py
@@ -20,7 +20,7 @@
     EngineOrder,
     EngineOrderAnswer,
 )
-from lycheepost.platform.table import (
+from lycheepost.ports.table import (
     Committed,
     Page,
     Row,
--- a/lycheepost/bench/control.py
+++ b/lycheepost/bench/control.py
@@ -35,7 +35,7 @@
 from lycheepost.bench.messagecost import measure_messages
 from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId, TargetId
 from lycheepost.decide.records import TargetState
-from lycheepost.platform.vms import Vm, VmRole, VmState
+from lycheepost.ports.vms import Vm, VmRole, VmState
 from lycheepost.standin.virtualtime import run_virtual, virtual_clock
 
 CHANGES_PER_SECOND = 64_000 / 86_400
--- a/lycheepost/bench/fleet.py
+++ b/lycheepost/bench/fleet.py
@@ -30,7 +30,7 @@
     StateSettings,
 )
 from lycheepost.peers.shared import Ports, SharedState, make_shared_state
-from lycheepost.platform.vms import Vm, VmRole, VmState
+from lycheepost.ports.vms import Vm, VmRole, VmState
 from lycheepost.standin.network import LinkModel, NetworkModel
 from lycheepost.standin.objects import ObjectModel, make_object_model
 from lycheepost.standin.table import TableModel, make_table_model
--- a/lycheepost/bench/leasechaos.py
+++ b/lycheepost/bench/leasechaos.py
@@ -19,7 +19,7 @@
 from returns.result import Result, Success
 
 from lycheepost.core.ids import DaemonId, FencingNumber
-from lycheepost.platform.table import (
+from lycheepost.ports.table import (
     Committed,
     Page,
     Row,
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -83,12 +83,22 @@
             work, self._scheduler.arrive(work, self._clock.now_seconds())
         )
 
-    async def readmit(self, work: Work) -> Outcome:
-        """Place work again after a target failed it."""
+    async def readmit(self, work: Work, is_free: bool = False) -> Outcome:
+        """Place work again after a target failed it.
+
+        Args:
+            work: The request, with the targets that failed it excluded.
+            is_free: No byte of it has reached a target.
+        """
+        now_seconds = self._clock.now_seconds()
         return await self._await_outcome(
-            work, self._scheduler.retry(work, self._clock.now_seconds())
+            work, self._scheduler.retry(work, now_seconds, is_free)
         )
 
+    def set_retry_burst(self, burst: float) -> None:
+        """Set how many retries of one target group may be saved up here."""
+        self._scheduler.set_retry_burst(burst)
+
     async def _await_outcome(self, work: Work, outcomes: list[Outcome]) -> Outcome:
         future = asyncio.get_running_loop().create_future()
         self._waiting[work.request] = future
--- /dev/null
+++ b/lycheepost/callers/forwarderrors.py
@@ -0,0 +1,86 @@
+"""The answers that this system gives itself to forwarded requests.
+
+Each says by ``executed`` whether a target may have run the request. What says that
+it did not run must be true for good: nothing is sent after such an answer.
+"""
+
+from lycheepost.callers.errors import CallerError, ErrorType, Executed
+from lycheepost.decide.routes import RouteFault
+
+CONFIGURATION_RETRY_SECONDS = 0.3
+"""A daemon that has just started gets its configuration in about this time."""
+
+CONFIRMATION_RETRY_SECONDS = 0.5
+"""Another daemon, which reaches the store, can serve the key at once."""
+
+
+def not_configured() -> CallerError:
+    """Return the error of a daemon that has no configuration yet."""
+    return CallerError(
+        "This daemon has just started and holds no configuration yet.",
+        status=503,
+        type=ErrorType.SERVER,
+        code="not_configured",
+        retry_after_seconds=CONFIGURATION_RETRY_SECONDS,
+    )
+
+
+def key_unconfirmed() -> CallerError:
+    """Return the error for a key that cannot be trusted at the moment.
+
+    Not 401: the key is most likely good, and another daemon can tell.
+    """
+    return CallerError(
+        "The configuration could not be confirmed of late; use another address.",
+        status=503,
+        type=ErrorType.SERVER,
+        code="key_unconfirmed",
+        retry_after_seconds=CONFIRMATION_RETRY_SECONDS,
+    )
+
+
+def from_route_fault(fault: RouteFault) -> CallerError:
+    """Return the error for a request that has no way."""
+    match fault:
+        case RouteFault.NO_ROUTE:
+            return CallerError("No route matches.", status=404, code="no_route")
+        case RouteFault.UNKNOWN_KEY:
+            return CallerError(
+                "The key is not known.",
+                status=401,
+                type=ErrorType.AUTHENTICATION,
+                code="invalid_api_key",
+            )
+
+
+def too_late(executed: Executed) -> CallerError:
+    """Return the error for a request whose time is up."""
+    return CallerError(
+        "The request's time is up.",
+        status=503 if executed is Executed.NO else 504,
+        type=ErrorType.SERVER,
+        code="deadline",
+        executed=executed,
+    )
+
+
+def outcome_unknown() -> CallerError:
+    """Return the error for a request that may have run and has no answer."""
+    return CallerError(
+        "The target was lost; whether it ran the request is not known.",
+        status=502,
+        type=ErrorType.SERVER,
+        code="outcome_unknown",
+        executed=Executed.UNKNOWN,
+    )
+
+
+def not_run(retry_after_seconds: float) -> CallerError:
+    """Return the error for a request that no target ran."""
+    return CallerError(
+        "No target could take the request.",
+        status=503,
+        type=ErrorType.SERVER,
+        code="not_run",
+        retry_after_seconds=retry_after_seconds,
+    )
--- /dev/null
+++ b/lycheepost/callers/forwarding.py
@@ -0,0 +1,393 @@
+"""The way of one forwarded request.
+
+identify -> admit -> place -> send -> relay -> settle, over the same queue, placement
+and retry budget as every other request. ``decide.attempts`` says what follows a
+send that did not serve the caller.
+"""
+
+import asyncio
+from dataclasses import replace
+
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.callers.errors import CallerError, Executed, from_refusal
+from lycheepost.callers.forwarddeps import CallerSide, ForwardDeps, ForwardRequest
+from lycheepost.callers.forwarderrors import (
+    from_route_fault,
+    key_unconfirmed,
+    not_configured,
+    not_run,
+    outcome_unknown,
+    too_late,
+)
+from lycheepost.callers.forwardwork import cache_scope, make_work, rank_of
+from lycheepost.callers.relaying import AnswerRelay, RelayEnd, SilentTarget
+from lycheepost.core.ids import TargetId, WeightsVersion
+from lycheepost.core.routing import ListedTarget, RouteKind, RouteTable
+from lycheepost.decide.attempts import (
+    SendEnd,
+    Sends,
+    Step,
+    last_step,
+    next_step,
+    silence_seconds,
+)
+from lycheepost.decide.freshness import may_trust_key
+from lycheepost.decide.records import Dispatch, FinishKind, Refuse
+from lycheepost.decide.routes import RouteFault, Way, find_way
+from lycheepost.decide.targethealth import Ending
+from lycheepost.targets.errors import TargetError, TargetUnreachable
+from lycheepost.targets.forward import ForwardAnswer
+from lycheepost.targets.forwardcall import EngineTerms, ForwardCall
+
+RETRY_AFTER_SECONDS = 0.2
+"""After this a target that was busy or changing has mostly room again."""
+
+DEADLINE_MARGIN_SECONDS = 0.02
+"""The answer that the time is up should reach the caller while it still listens."""
+
+_REJECTION_BYTES = 65536
+"""A refusal is a short sentence."""
+
+_FINISH_KINDS = {
+    SendEnd.NOT_SENT: FinishKind.TARGET_REFUSED,
+    SendEnd.NOT_RUN: FinishKind.TARGET_REFUSED,
+    SendEnd.FAILED: FinishKind.COMPLETE,
+}
+
+_log = structlog.get_logger(part="forward")
+
+
+def identify(deps: ForwardDeps, request: ForwardRequest) -> Way:
+    """Return a request's way by the configuration in force now.
+
+    Raises:
+        CallerError: It has none, or its key cannot be trusted now.
+    """
+    table = _table(deps)
+    way = find_way(table, request.host, request.path, request.key)
+    if isinstance(way, RouteFault):
+        _check_fresh(deps, way is RouteFault.UNKNOWN_KEY)
+        raise from_route_fault(way)
+    _check_fresh(deps, way.is_keyed)
+    return way
+
+
+def _table(deps: ForwardDeps) -> RouteTable:
+    table = deps.routing.table
+    if table is None:
+        raise not_configured()
+    return table
+
+
+def _check_fresh(deps: ForwardDeps, needs_key: bool) -> None:
+    """Refuse to judge by a key while the configuration may be outdated."""
+    if not needs_key:
+        return
+    now_seconds = deps.clock.now_seconds()
+    if not may_trust_key(deps.key_rule(), deps.routing.confirmed_seconds, now_seconds):
+        raise key_unconfirmed()
+
+
+class Forwarding:
+    """The tries of one forwarded request; lives as long as it.
+
+    Args:
+        deps: What forwarding stands on.
+        request: The caller's request.
+        way: Its route and sender.
+        caller: Where the answer goes.
+    """
+
+    def __init__(
+        self,
+        deps: ForwardDeps,
+        request: ForwardRequest,
+        way: Way,
+        caller: CallerSide,
+    ) -> None:
+        self._deps = deps
+        self._request = request
+        self._way = way
+        self._relay = AnswerRelay(deps, request, way.route, caller)
+        self._work = make_work(deps, request, way, _table(deps))
+        self._sends = Sends()
+        self._is_sent = False
+        until = way.route.timeout_seconds
+        if request.patience_seconds is not None:
+            until = min(until, request.patience_seconds)
+        self._until_seconds = request.arrived_seconds + until
+        self._log = _log.bind(
+            request_id=request.caller_id,
+            route=way.route.name,
+            customer=way.holder.customer,
+        )
+
+    @property
+    def executed(self) -> Executed:
+        """Return whether a target may have run the request by now."""
+        if self._is_sent or self._sends.n_runs:
+            return Executed.UNKNOWN
+        return Executed.NO
+
+    async def run(self) -> None:
+        """Serve the request, or raise why it is not served.
+
+        Raises:
+            CallerError: Nothing has been sent to the caller yet.
+        """
+        remaining = self._remaining_seconds() - DEADLINE_MARGIN_SECONDS
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                await self._serve()
+        except TimeoutError:
+            self._log.info(
+                "forward: out of time",
+                n_sends=self._sends.n_sends,
+                executed=self.executed.value,
+                has_begun=self._relay.has_begun,
+            )
+            if self._relay.has_begun:
+                self._relay.cut()
+                return
+            raise too_late(self.executed) from None
+        except CallerError as error:
+            self._log.info(
+                "forward: not served",
+                code=error.code,
+                status=error.status,
+                executed=error.executed.value,
+                n_sends=self._sends.n_sends,
+                n_runs=self._sends.n_runs,
+                elapsed_seconds=self._elapsed_seconds(),
+            )
+            raise
+
+    def _elapsed_seconds(self) -> float:
+        now_seconds = self._deps.clock.now_seconds()
+        return round(now_seconds - self._request.arrived_seconds, 4)
+
+    def _remaining_seconds(self) -> float:
+        return self._until_seconds - self._deps.clock.now_seconds()
+
+    async def _serve(self) -> None:
+        outcome = await self._deps.dispatcher.admit(self._work)
+        while True:
+            match outcome:
+                case Refuse():
+                    await self._end_refused(outcome)
+                    return
+                case Dispatch():
+                    end = await self._try_target(outcome)
+            if end is None:
+                return
+            if not await self._goes_on(end):
+                return
+            is_free = end is SendEnd.NOT_SENT
+            outcome = await self._deps.dispatcher.readmit(self._work, is_free)
+
+    async def _end_refused(self, refusal: Refuse) -> None:
+        """End when the scheduler has no target for it."""
+        if self._relay.has_begun:
+            self._relay.cut()
+            return
+        if await self._relay.pass_on_failure():
+            return
+        if self._sends.n_runs:
+            raise outcome_unknown()
+        raise from_refusal(refusal, Executed.NO)
+
+    async def _goes_on(self, end: SendEnd) -> bool:
+        """Judge a send that did not serve the caller; False when it is over.
+
+        Raises:
+            CallerError: It is over, and the caller has got nothing yet.
+        """
+        self._sends = self._sends.add(end)
+        remaining_seconds = self._remaining_seconds()
+        step = next_step(self._way.route, self._sends, end, remaining_seconds)
+        if step is Step.TRY_AGAIN and self._relay.has_begun:
+            can_go_on = self._relay.can_continue
+            step = step if can_go_on else last_step(self._sends, SendEnd.CUT)
+        match step:
+            case Step.TRY_AGAIN:
+                return True
+            case Step.PASS_ON:
+                await self._relay.pass_on_failure()
+            case Step.CUT_OFF:
+                self._relay.cut()
+            case Step.REFUSE:
+                raise not_run(RETRY_AFTER_SECONDS)
+            case Step.GIVE_UP:
+                if not await self._relay.pass_on_failure():
+                    raise outcome_unknown()
+        return False
+
+    async def _try_target(self, dispatch: Dispatch) -> SendEnd | None:
+        """Send to one target; None when the caller has its answer."""
+        target = dispatch.target
+        self._work = replace(self._work, excluded=self._work.excluded | {target})
+        end: SendEnd | None = None
+        kind = FinishKind.CANCELLED
+        sent_seconds = self._deps.clock.now_seconds()
+        try:
+            listed = self._deps.targets.get(target)
+            if listed is None:
+                end, reason = SendEnd.NOT_SENT, "the target has left"
+            else:
+                end, reason = await self._send(listed)
+            kind = await self._finish_kind(target, end)
+            return end
+        finally:
+            self._is_sent = False
+            self._deps.dispatcher.finish(self._work.request, kind)
+            now_seconds = self._deps.clock.now_seconds()
+            if end is None and kind is FinishKind.CANCELLED:
+                reason = "cancelled"
+            self._log.info(
+                "forward: sent",
+                target=target,
+                end="served" if kind is FinishKind.COMPLETE and end is None else reason,
+                predicted_seconds=round(dispatch.predicted_wait_seconds, 3),
+                expected_cached_tokens=dispatch.expected_cached_tokens,
+                held_seconds=round(now_seconds - sent_seconds, 4),
+                first_seconds=self._relay.first_seconds,
+            )
+
+    async def _send(self, listed: ListedTarget) -> tuple[SendEnd | None, str]:
+        """Send to one target and relay its answer.
+
+        Returns:
+            How it ended, None when the caller is served, and why.
+        """
+        # Last look before the bytes go out: the key may have been taken away, or
+        # its confirmation grown old, while the request waited.
+        identify(self._deps, self._request)
+        call = self._make_call(listed)
+        wait_seconds = silence_seconds(
+            self._way.route, self._sends, call.remaining_seconds
+        )
+        target = TargetId(listed.target)
+        self._is_sent = True
+        try:
+            async with asyncio.timeout(wait_seconds):
+                sent = await self._deps.client.send(call)
+        except TimeoutError:
+            self._deps.targets.note_end(target, Ending.BAD)
+            return SendEnd.LOST, "silent"
+        match sent:
+            case Failure(TargetUnreachable(reason=reason)):
+                self._is_sent = False
+                self._deps.targets.note_end(target, Ending.UNREACHABLE)
+                return SendEnd.NOT_SENT, reason
+            case Failure(TargetError(reason=reason)):
+                self._deps.targets.note_end(target, Ending.BAD)
+                return SendEnd.LOST, reason
+            case Success(answer):
+                return await self._take_answer(listed, answer, wait_seconds)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _take_answer(
+        self, listed: ListedTarget, answer: ForwardAnswer, wait_seconds: float
+    ) -> tuple[SendEnd | None, str]:
+        target = TargetId(listed.target)
+        head = answer.head
+        self._deps.on_head(target, head)
+        if head.was_not_run or head.is_other_target:
+            self._is_sent = False
+            await self._read_rejection(answer)
+            self._note_rejection(target, answer)
+            return SendEnd.NOT_RUN, f"rejected with {head.status}"
+        if self._work.model and head.weights_version is not None:
+            self._deps.targets.note_weights(
+                target, self._work.model, head.weights_version
+            )
+        try:
+            result = await self._relay.take(answer, wait_seconds, self._note_first)
+        except SilentTarget:
+            self._deps.targets.note_end(target, Ending.BAD)
+            return SendEnd.LOST, "silent"
+        finally:
+            answer.close()
+        ending = Ending.GOOD if result.end is None else Ending.BAD
+        if result is not RelayEnd.CALLER_LEFT:
+            self._deps.targets.note_end(target, ending)
+        return result.end, result.value
+
+    async def _read_rejection(self, answer: ForwardAnswer) -> None:
+        """Read a short refusal to its end, so that its connection can be kept."""
+        try:
+            await answer.read_whole(_REJECTION_BYTES)
+        except TargetError as error:
+            self._log.info("forward: rejection broke off", reason=error.reason)
+        finally:
+            answer.close()
+
+    def _note_first(self) -> None:
+        self._deps.dispatcher.first_token(self._work.request)
+
+    def _note_rejection(self, target: TargetId, answer: ForwardAnswer) -> None:
+        """Learn from a target that did not run the request."""
+        head = answer.head
+        targets = self._deps.targets
+        if not head.is_other_target:
+            targets.note_end(target, Ending.BAD)
+            return
+        if head.target is not None and head.target != target:
+            targets.note_other_at_address(target)
+        elif head.weights_version is not None:
+            targets.note_weights(target, self._work.model, head.weights_version)
+
+    def _make_call(self, listed: ListedTarget) -> ForwardCall:
+        request = self._request
+        route = self._way.route
+        return ForwardCall(
+            target=TargetId(listed.target),
+            address=listed.address,
+            request=self._work.request,
+            method=request.method,
+            raw_path=request.raw_path,
+            headers=request.headers,
+            body=request.body,
+            remaining_seconds=self._remaining_seconds(),
+            customer=self._way.holder.customer,
+            engine=self._engine_terms(listed),
+            after_event=self._relay.after_event,
+            may_reuse_connection=route.is_repeatable,
+        )
+
+    def _engine_terms(self, listed: ListedTarget) -> EngineTerms | None:
+        prompt = self._request.prompt
+        if prompt is None:
+            return None
+        target = TargetId(listed.target)
+        version = self._deps.targets.weights_of(target, prompt.model)
+        version = version or WeightsVersion("")
+        table = _table(self._deps)
+        store = "" if table.kv_store is None else table.kv_store.address
+        return EngineTerms(
+            model=prompt.model,
+            cache_scope=cache_scope(self._way.holder, version),
+            weights_version=version,
+            rank=rank_of(self._way),
+            fetch_from=store,
+            store_to=store,
+        )
+
+    async def _finish_kind(self, target: TargetId, end: SendEnd | None) -> FinishKind:
+        """Return what the end of a send says of the target.
+
+        Only a target that is gone may have been killed by this request; two broken
+        connections must not put an innocent request into quarantine.
+        """
+        if end is None:
+            return FinishKind.COMPLETE
+        known = _FINISH_KINDS.get(end)
+        if known is not None:
+            return known
+        if self._way.route.kind is RouteKind.NON_IDEMPOTENT:
+            return FinishKind.ANSWER_LOST
+        if await self._deps.is_same_target(target):
+            return FinishKind.ANSWER_LOST
+        return FinishKind.TARGET_LOST
--- /dev/null
+++ b/lycheepost/callers/forwardwork.py
@@ -0,0 +1,105 @@
+"""Turn a forwarded request into the work that the decisions know."""
+
+from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
+from lycheepost.core.hashing import chain_digest, fingerprint_body, hash_bytes
+from lycheepost.core.ids import ModelId, PrefixDigest, WeightsVersion
+from lycheepost.core.routing import KeyHolder, Prompt, Route, RouteKind, RouteTable
+from lycheepost.decide.records import PrefixLevel, Priority, Work
+from lycheepost.decide.routes import Way, choose_group
+
+FIRST_EVENT_SECONDS = 2.0
+FIRST_EVENT_OBJECTIVES = 4.0
+FIRST_EVENT_GAPS = 8.0
+"""A caller leaves a stream that stays silent for the longest of these: two
+seconds, four objectives, eight times the pause that is on time."""
+
+_PLAIN_OUTPUT_TOKENS = 1
+"""A plain service makes no tokens; one stands for the answer."""
+
+
+def cache_scope(holder: KeyHolder, version: WeightsVersion) -> str:
+    """Return the scope in which an engine may share cached prompt parts.
+
+    Parts made with other weights give wrong answers, and those of an isolated
+    customer must not even show by their speed that they exist.
+    """
+    owner = holder.customer if holder.is_isolated else ""
+    return f"{version}:{owner}"
+
+
+def patience_seconds(route: Route, request: ForwardRequest) -> float:
+    """Return how long the caller waits for the first part of its answer."""
+    patience = route.timeout_seconds
+    if request.patience_seconds is not None:
+        patience = min(patience, request.patience_seconds)
+    if route.kind is not RouteKind.STREAM:
+        return patience
+    silence = max(
+        FIRST_EVENT_SECONDS,
+        FIRST_EVENT_OBJECTIVES * route.objective_seconds,
+        FIRST_EVENT_GAPS * route.gap_seconds,
+    )
+    return min(patience, silence)
+
+
+def prompt_levels(holder: KeyHolder, prompt: Prompt) -> tuple[PrefixLevel, ...]:
+    """Return the prefix levels of a prompt that is told in parts.
+
+    The weights are no part of the digests: what a target kept under other weights
+    is forgotten when they change.
+    """
+    root = f"{cache_scope(holder, WeightsVersion(''))}\x00{prompt.model}"
+    digest = PrefixDigest(hash_bytes(root.encode()))
+    n_tokens = 0
+    levels = []
+    for part in prompt.parts:
+        digest = chain_digest(digest, part.part_id.encode())
+        n_tokens += part.n_tokens
+        levels.append(PrefixLevel(digest, n_tokens))
+    return tuple(levels)
+
+
+def rank_of(way: Way) -> int:
+    """Return how urgent a request is; a customer's rank goes before its route's."""
+    return way.route.rank if way.holder.rank is None else way.holder.rank
+
+
+def _priority(way: Way) -> Priority:
+    return Priority(min(rank_of(way), Priority.BATCH.value))
+
+
+def make_work(
+    deps: ForwardDeps, request: ForwardRequest, way: Way, table: RouteTable
+) -> Work:
+    """Return the work of a request on its route.
+
+    Args:
+        deps: Gives the id and the point at which split traffic is divided.
+        request: The caller's request.
+        way: Its route and sender.
+        table: The configuration that the route is of.
+    """
+    route = way.route
+    prompt = request.prompt
+    group = choose_group(route, deps.pick_point())
+    if table.groups.get(group) is None or table.groups[group].engine is None:
+        prompt = None
+    identity = f"{request.method} {request.host}{request.raw_path}\n".encode()
+    customer = way.holder.customer
+    return Work(
+        request=deps.make_request_id(),
+        customer=customer,
+        target_group=group,
+        model=ModelId("") if prompt is None else prompt.model,
+        weights_version=WeightsVersion(""),
+        levels=() if prompt is None else prompt_levels(way.holder, prompt),
+        prompt_tokens=0 if prompt is None else prompt.n_tokens,
+        output_tokens=(
+            _PLAIN_OUTPUT_TOKENS if prompt is None else prompt.max_output_tokens
+        ),
+        priority=_priority(way),
+        arrived_seconds=request.arrived_seconds,
+        patience_seconds=patience_seconds(route, request),
+        fingerprint=fingerprint_body(customer, identity + request.body),
+        is_idempotent=route.is_repeatable,
+    )
--- /dev/null
+++ b/lycheepost/callers/relaying.py
@@ -0,0 +1,224 @@
+"""Hand a target's answer to the caller so that it is whole, or visibly not.
+
+Short answers are read to their end before the first byte goes out: one that
+breaks off can then still be had elsewhere, or be told as a failure. Streams go
+out as they come, up to the end of the last whole event, so that another target
+can continue them.
+"""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+import structlog
+
+from lycheepost.callers.forwarddeps import CallerSide, ForwardDeps, ForwardRequest
+from lycheepost.core.routing import Route, RouteKind
+from lycheepost.decide.attempts import SendEnd
+from lycheepost.targets.errors import TargetError
+from lycheepost.targets.events import EventSplitter
+from lycheepost.targets.forward import ForwardAnswer
+from lycheepost.targets.forwardcall import AnswerHead
+
+MOST_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest whole answer held in memory; a larger one is told as a failure."""
+
+_FIRST_ERROR_STATUS = 400
+_FIRST_SERVER_ERROR_STATUS = 500
+
+_log = structlog.get_logger(part="relay")
+
+
+class SilentTarget(Exception):
+    """The head came, and nothing of the body in time."""
+
+
+class RelayEnd(Enum):
+    """How the relaying of one answer ended."""
+
+    SERVED = "served"
+    CALLER_LEFT = "caller_left"
+    FAILED = "failed"
+    UNSEALED = "unsealed"
+    BROKEN = "broken"
+    CUT = "cut"
+    OUT_OF_ORDER = "out_of_order"
+
+    @property
+    def end(self) -> SendEnd | None:
+        """Return what it means for the request; None when nothing more is due."""
+        match self:
+            case RelayEnd.SERVED | RelayEnd.CALLER_LEFT:
+                return None
+            case RelayEnd.FAILED:
+                return SendEnd.FAILED
+            case RelayEnd.UNSEALED | RelayEnd.BROKEN:
+                return SendEnd.BROKEN
+            case RelayEnd.CUT | RelayEnd.OUT_OF_ORDER:
+                return SendEnd.CUT
+
+
+class AnswerRelay:
+    """Hands the answers of one request's targets to its caller.
+
+    Attributes:
+        has_begun: The caller has got part of an answer.
+        first_seconds: From arrival to the first part that went out; None before.
+    """
+
+    def __init__(
+        self,
+        deps: ForwardDeps,
+        request: ForwardRequest,
+        route: Route,
+        caller: CallerSide,
+    ) -> None:
+        self.has_begun = False
+        self.first_seconds: float | None = None
+        self._deps = deps
+        self._request = request
+        self._route = route
+        self._caller = caller
+        self._splitter = EventSplitter()
+        self._failure: tuple[AnswerHead, bytes] | None = None
+
+    @property
+    def after_event(self) -> int | None:
+        """Return the last event that the caller has; None for no event yet."""
+        last_id = self._splitter.last_id
+        return self._request.after_event if last_id is None else last_id
+
+    @property
+    def can_continue(self) -> bool:
+        """Tell whether another target can go on after what the caller has."""
+        return self._route.is_resumable and self._splitter.last_id is not None
+
+    async def take(
+        self,
+        answer: ForwardAnswer,
+        wait_seconds: float,
+        on_first: Callable[[], None],
+    ) -> RelayEnd:
+        """Relay one answer.
+
+        Args:
+            answer: Its head has come, and the target ran the request.
+            wait_seconds: Longest wait for the first part of its body.
+            on_first: Called when the first part has come.
+
+        Raises:
+            SilentTarget: Nothing came in time; the caller has got nothing of it.
+        """
+        head = answer.head
+        if head.is_encoded or (
+            head.status < _FIRST_ERROR_STATUS and not head.is_sealed
+        ):
+            return RelayEnd.UNSEALED
+        is_stream = self._route.kind is RouteKind.STREAM
+        if head.status < _FIRST_ERROR_STATUS and is_stream:
+            return await self._relay_stream(answer, wait_seconds, on_first)
+        if self.has_begun:
+            return RelayEnd.CUT
+        return await self._relay_whole(answer, on_first)
+
+    async def _relay_whole(
+        self, answer: ForwardAnswer, on_first: Callable[[], None]
+    ) -> RelayEnd:
+        on_first()
+        try:
+            body = await answer.read_whole(MOST_ANSWER_BYTES)
+        except TargetError:
+            return RelayEnd.BROKEN
+        if answer.head.status >= _FIRST_SERVER_ERROR_STATUS:
+            self._failure = (answer.head, body)
+            return RelayEnd.FAILED
+        return await self._send_whole(answer.head, body)
+
+    async def _send_whole(self, head: AnswerHead, body: bytes) -> RelayEnd:
+        self._note_begun()
+        try:
+            await self._caller.begin(head, len(body))
+            await self._caller.write(body)
+            await self._caller.finish()
+        except ConnectionError:
+            return RelayEnd.CALLER_LEFT
+        return RelayEnd.SERVED
+
+    async def pass_on_failure(self) -> bool:
+        """Hand the last target's own failure to the caller; False without one."""
+        if self._failure is None or self.has_begun:
+            return False
+        head, body = self._failure
+        await self._send_whole(head, body)
+        return True
+
+    async def _relay_stream(
+        self,
+        answer: ForwardAnswer,
+        wait_seconds: float,
+        on_first: Callable[[], None],
+    ) -> RelayEnd:
+        self._splitter.restart()
+        after_id = self._splitter.last_id
+        try:
+            data = await self._read_first(answer, wait_seconds)
+            on_first()
+            while data is not None:
+                events = self._splitter.feed(data)
+                if not self._is_in_order(after_id):
+                    return RelayEnd.OUT_OF_ORDER
+                await self._send_events(answer.head, events)
+                data = await answer.read()
+            await self._send_events(answer.head, self._splitter.flush())
+            await self._finish_stream(answer.head)
+        except TargetError:
+            return RelayEnd.CUT if self.has_begun else RelayEnd.BROKEN
+        except ConnectionError:
+            return RelayEnd.CALLER_LEFT
+        return RelayEnd.SERVED
+
+    async def _read_first(
+        self, answer: ForwardAnswer, wait_seconds: float
+    ) -> bytes | None:
+        try:
+            async with asyncio.timeout(wait_seconds):
+                return await answer.read()
+        except TimeoutError:
+            raise SilentTarget from None
+
+    def _is_in_order(self, after_id: int | None) -> bool:
+        """Tell whether a continuation goes on after what the caller has.
+
+        A target that began anew would give events a second time.
+        """
+        first_id = self._splitter.first_id
+        return after_id is None or first_id is None or first_id > after_id
+
+    async def _send_events(self, head: AnswerHead, events: bytes) -> None:
+        if not events:
+            return
+        if not self.has_begun:
+            self._note_begun()
+            await self._caller.begin(head, None)
+        await self._caller.write(events)
+
+    async def _finish_stream(self, head: AnswerHead) -> None:
+        if not self.has_begun:
+            self._note_begun()
+            await self._caller.begin(head, None)
+        await self._caller.finish()
+
+    def _note_begun(self) -> None:
+        self.has_begun = True
+        now_seconds = self._deps.clock.now_seconds()
+        self.first_seconds = round(now_seconds - self._request.arrived_seconds, 4)
+        self._deps.metrics.timing("ttft", self.first_seconds)
+
+    def cut(self) -> None:
+        """Break the caller's connection; its answer cannot be completed."""
+        _log.warning(
+            "relay: answer cut",
+            request_id=self._request.caller_id,
+            last_event=self._splitter.last_id,
+        )
+        self._caller.cut()
--- a/lycheepost/commands/output.py
+++ b/lycheepost/commands/output.py
@@ -2,11 +2,13 @@
 
 import sys
 from enum import IntEnum
-from typing import NoReturn
+from typing import TYPE_CHECKING, NoReturn
 
 import typer
 
-from lycheepost.utils.documents import Fault
+if TYPE_CHECKING:
+    # Checking documents takes a schema library, which a daemon does not hold.
+    from lycheepost.utils.documents import Fault
 
 
 class ExitCode(IntEnum):
@@ -24,7 +26,7 @@
     raise typer.Exit(code)
 
 
-def fail_with_faults(faults: list[Fault]) -> NoReturn:
+def fail_with_faults(faults: "list[Fault]") -> NoReturn:
     """Print every fault, one a line, and exit."""
     for fault in faults:
         print(fault, file=sys.stderr)
--- a/lycheepost/commands/serve.py
+++ b/lycheepost/commands/serve.py
@@ -6,24 +6,45 @@
 import typer
 from returns.result import Failure, Success
 
-from lycheepost.app.daemon import make_daemon
-from lycheepost.app.run import run_until_signal
-from lycheepost.app.settings import read_settings
 from lycheepost.commands.output import ExitCode, fail, fail_with_faults
+from lycheepost.generated.settings import LogSettings
 from lycheepost.utils.logs import configure_logs
-from lycheepost.utils.tls import TlsError
 
 
 def serve(
     settings_file: Annotated[
-        pathlib.Path, typer.Option("--settings", help="Settings file in YAML.")
-    ],
+        pathlib.Path | None, typer.Option("--settings", help="Settings file in YAML.")
+    ] = None,
+    node_file: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            "--node-file",
+            envvar="LYCHEEPOST_NODE_FILE",
+            help="Settings file of the users' platform, where that runs the daemon.",
+        ),
+    ] = None,
 ) -> None:
     """Run one daemon until SIGTERM, which drains it; a second one stops it.
 
     Exit code 0 after a stop, 2 when the settings have faults, 1 when a port is
     taken or a certificate cannot be used.
     """
+    if settings_file is not None:
+        _serve_alone(settings_file)
+    elif node_file is not None:
+        _serve_on_platform(node_file)
+    else:
+        fail("Give --settings or --node-file.", ExitCode.BAD_INPUT)
+
+
+def _serve_alone(settings_file: pathlib.Path) -> None:
+    """Run a daemon with settings of our own."""
+    # Imported here: the daemon on the platform must not hold these modules.
+    from lycheepost.app.daemon import make_daemon
+    from lycheepost.app.run import run_until_signal
+    from lycheepost.app.settings import read_settings
+    from lycheepost.utils.tls import TlsError
+
     match read_settings(settings_file):
         case Success(settings):
             pass
@@ -34,3 +55,21 @@
         run_until_signal(lambda: make_daemon(settings))
     except (OSError, TlsError) as error:
         fail(f"The daemon cannot start: {error}.", ExitCode.FAILED)
+
+
+def _serve_on_platform(node_file: pathlib.Path) -> None:
+    """Run a daemon with the settings that the platform hands out."""
+    from lycheepost.app.platformdaemon import make_platform_daemon
+    from lycheepost.app.run import run_until_signal
+    from lycheepost.platform.settings import read_node_settings
+
+    match read_node_settings(node_file):
+        case Success(node):
+            pass
+        case Failure(error):
+            fail(" ".join((error.reason, *error.faults)), ExitCode.BAD_INPUT)
+    configure_logs(LogSettings(), node.daemon)
+    try:
+        run_until_signal(lambda: make_platform_daemon(node))
+    except OSError as error:
+        fail(f"The daemon cannot start: {error}.", ExitCode.FAILED)
--- a/lycheepost/decide/retry.py
+++ b/lycheepost/decide/retry.py
@@ -37,15 +37,22 @@
 
     Args:
         share: Retries earned by one first try.
+        burst: Most retries saved up.
     """
 
-    def __init__(self, share: float) -> None:
+    def __init__(self, share: float, burst: float = BURST_RETRIES) -> None:
         self._share = share
-        self._tokens = BURST_RETRIES
+        self._burst = burst
+        self._tokens = burst
+
+    def set_burst(self, burst: float) -> None:
+        """Follow a change of this daemon's part of the fleet's budget."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
 
     def earn(self) -> None:
         """Count a first try."""
-        self._tokens = min(BURST_RETRIES, self._tokens + self._share)
+        self._tokens = min(self._burst, self._tokens + self._share)
 
     def spend(self) -> bool:
         """Take one retry; False when the budget is spent."""
--- /dev/null
+++ b/lycheepost/decide/rollout.py
@@ -0,0 +1,69 @@
+"""Which targets are given new weights next.
+
+Each operator's version is to be in place everywhere within a bound, and answers
+begun on older weights are worth less to callers the longer that takes. A target
+that changes its weights serves nothing meanwhile and forgets its cache. So
+targets change a few at a time, the least busy first, each straight to the newest
+version: a version that was named and then overtaken is never loaded. A target is
+left alone for a moment before its order, so that few runs go on under weights
+that they did not begin with.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
+
+AT_ONCE_SHARE = 0.34
+"""Part of a group that changes at once. The rest carries the traffic meanwhile; at
+half of a group, callers would wait longer than the change takes."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetWeights:
+    """One target as the holder of the duty sees it.
+
+    Attributes:
+        version: Place of its weights among the versions of its model.
+        n_running: Requests that it runs, as it last said.
+        is_changing: An order to it is under way, also one to a version that was
+            overtaken meanwhile: it takes no other until that is done.
+    """
+
+    target: TargetId
+    version: int
+    n_running: int
+    is_changing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WeightsOrder:
+    """Bring one target to a version."""
+
+    target: TargetId
+    model: ModelId
+    version: WeightsVersion
+
+
+def most_at_once(n_targets: int) -> int:
+    """Return how many targets of a group may change at the same time."""
+    return max(1, int(n_targets * AT_ONCE_SHARE))
+
+
+def next_orders(
+    model: ModelId, wanted: int, targets: Sequence[TargetWeights]
+) -> tuple[WeightsOrder, ...]:
+    """Return the orders to prepare now.
+
+    Args:
+        model: The model whose weights change.
+        wanted: Place of the newest version.
+        targets: All targets of the model.
+    """
+    n_free = most_at_once(len(targets)) - sum(item.is_changing for item in targets)
+    ready = [item for item in targets if item.version < wanted and not item.is_changing]
+    ready.sort(key=lambda item: (item.n_running, item.target))
+    version = WeightsVersion(str(wanted))
+    return tuple(
+        WeightsOrder(item.target, model, version) for item in ready[: max(0, n_free)]
+    )
--- /dev/null
+++ b/lycheepost/decide/routes.py
@@ -0,0 +1,74 @@
+"""Which route a request takes, whose it is, and which target group serves it."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from lycheepost.core.ids import CustomerId, TargetGroupId
+from lycheepost.core.routing import KeyHolder, Route, RouteTable
+
+ANYBODY = KeyHolder(CustomerId(""))
+"""Who asks on a public route, or where no keys are in use."""
+
+
+class RouteFault(Enum):
+    """Why a request has no way."""
+
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+
+
+@dataclass(frozen=True, slots=True)
+class Way:
+    """A request's route and its sender.
+
+    Attributes:
+        is_keyed: The request is allowed only because of its key.
+    """
+
+    route: Route
+    holder: KeyHolder
+    is_keyed: bool
+
+
+def find_route(table: RouteTable, host: str, path: str) -> Route | None:
+    """Return the route of ``host`` with the longest prefix of ``path``."""
+    routes = table.by_host.get(host, ())
+    return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+
+def find_way(
+    table: RouteTable, host: str, path: str, key: str | None
+) -> Way | RouteFault:
+    """Return a request's route and sender, or why it has none.
+
+    Args:
+        table: The configuration in force.
+        host: Host name asked for, without a port.
+        path: Path asked for, without the query.
+        key: The caller's key; None when it sent none.
+    """
+    route = find_route(table, host, path)
+    if route is None:
+        return RouteFault.NO_ROUTE
+    if route.is_public or table.key_holders is None:
+        return Way(route, ANYBODY, False)
+    holder = table.key_holders.get(key) if key is not None else None
+    if holder is None:
+        return RouteFault.UNKNOWN_KEY
+    return Way(route, holder, True)
+
+
+def choose_group(route: Route, point: float) -> TargetGroupId:
+    """Return the target group that serves one request of ``route``.
+
+    Args:
+        route: The route; groups without weight get nothing.
+        point: Evenly spread in [0, 1); the same point gives the same group.
+    """
+    total = sum(share.weight for share in route.shares)
+    rest = point * total
+    for share in route.shares:
+        rest -= share.weight
+        if rest < 0:
+            return share.target_group
+    return route.shares[-1].target_group
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -54,7 +54,8 @@
         self._quarantine = Quarantine(
             settings.quarantine_losses, settings.quarantine_seconds
         )
-        self._budget = RetryBudget(settings.retry_share)
+        self._retry_burst = settings.retry_burst
+        self._budgets: dict[TargetGroupId, RetryBudget] = {}
         self._losses: list[LossSeen] = []
         self._is_draining = False
         self._now_seconds = 0.0
@@ -106,18 +107,41 @@
         refusal = self._refuse_early(work, now_seconds)
         if refusal is not None:
             return [refusal]
-        self._budget.earn()
+        self._budget(work.target_group).earn()
         return self._admit(work, now_seconds)
 
-    def retry(self, work: Work, now_seconds: float) -> list[Outcome]:
+    def _budget(self, target_group: TargetGroupId) -> RetryBudget:
+        """Return the budget of one group: trouble of one must not spend another's."""
+        budget = self._budgets.get(target_group)
+        if budget is None:
+            budget = RetryBudget(self._settings.retry_share, self._retry_burst)
+            self._budgets[target_group] = budget
+        return budget
+
+    def set_retry_burst(self, burst: float) -> None:
+        """Set how many retries of one group may be saved up here."""
+        self._retry_burst = burst
+        for budget in self._budgets.values():
+            budget.set_burst(burst)
+
+    def retry(
+        self, work: Work, now_seconds: float, is_free: bool = False
+    ) -> list[Outcome]:
         """Take a request again after a target failed it.
 
         ``work.excluded`` names the targets that have failed it.
+
+        Args:
+            work: The request.
+            now_seconds: The present time.
+            is_free: No byte of it has reached a target, so that sending it now
+                loads the fleet no more than a first try.
         """
         refusal = self._refuse_early(work, now_seconds)
         if refusal is not None:
             return [refusal]
-        if len(work.excluded) >= self._settings.max_tries or not self._budget.spend():
+        is_spent = len(work.excluded) >= self._settings.max_tries
+        if is_spent or not (is_free or self._budget(work.target_group).spend()):
             seconds = retry_after_seconds(GONE_RETRY_SECONDS, self._rng)
             return [Refuse(work.request, RefusalReason.RETRY_BUDGET, seconds)]
         return self._admit(work, now_seconds)
--- a/lycheepost/operators/capacity_ports.py
+++ b/lycheepost/operators/capacity_ports.py
@@ -19,7 +19,7 @@
 )
 from lycheepost.generated.settings import OperatorSettings
 from lycheepost.operators.ports import RevisionPort
-from lycheepost.platform.vms import VmListPort
+from lycheepost.ports.vms import VmListPort
 from lycheepost.state.leases import LeaseKeeper
 
 
--- a/lycheepost/operators/capacity_watch.py
+++ b/lycheepost/operators/capacity_watch.py
@@ -36,7 +36,7 @@
     accepted_versions,
     held_version,
 )
-from lycheepost.platform.vms import VmRole
+from lycheepost.ports.vms import VmRole
 from lycheepost.state.view import ConfigurationView
 
 _WAITING_READ_PER_INTENT = 8
--- a/lycheepost/operators/plans.py
+++ b/lycheepost/operators/plans.py
@@ -13,7 +13,7 @@
 from lycheepost.core.ids import PlanId
 from lycheepost.generated.operators import OperatorErrorKind, Plan
 from lycheepost.operators.errors import OperatorError
-from lycheepost.platform.table import (
+from lycheepost.ports.table import (
     ABSENT_VERSION,
     Condition,
     OutcomeUnknown,
--- a/lycheepost/operators/ports.py
+++ b/lycheepost/operators/ports.py
@@ -11,8 +11,8 @@
 from lycheepost.generated.configuration import Configuration
 from lycheepost.generated.operators import FleetStatus
 from lycheepost.generated.settings import OperatorSettings
-from lycheepost.platform.table import TablePort
-from lycheepost.platform.weights import WeightsPort
+from lycheepost.ports.table import TablePort
+from lycheepost.ports.weights import WeightsPort
 from lycheepost.state.errors import StateError
 from lycheepost.state.view import ConfigurationView
 
--- a/lycheepost/operators/weightsfacts.py
+++ b/lycheepost/operators/weightsfacts.py
@@ -8,7 +8,7 @@
 from lycheepost.core.ids import ModelId
 from lycheepost.generated.operators import WeightsFact
 from lycheepost.operators.capacity_estimates import WeightsKey
-from lycheepost.platform.weights import WeightsInfo, WeightsPort
+from lycheepost.ports.weights import WeightsInfo, WeightsPort
 
 
 async def ask_weights(
--- /dev/null
+++ b/lycheepost/operators/weightsrollout.py
@@ -0,0 +1,275 @@
+"""Bring the weights that operators named to all targets; one daemon at a time.
+
+The duty's lease says who may order. Each target is first kept out of new work in
+the whole fleet, then ordered, then asked until the weights are in place. An order
+names the count of orders that its target must have accepted before it, so one that
+arrives late changes nothing.
+"""
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import DaemonId, ModelId, TargetGroupId, TargetId
+from lycheepost.core.routing import ListedTarget
+from lycheepost.decide.rollout import TargetWeights, WeightsOrder, next_orders
+from lycheepost.generated.messages import TargetChanging
+from lycheepost.state.leases import Lease
+from lycheepost.state.targetlist import CHANGE_SECONDS, TargetList, weights_number
+from lycheepost.targets.weightsport import (
+    LoadWeights,
+    OrderAnswer,
+    RunsMeanwhile,
+    TargetReport,
+    WeightsPort,
+)
+
+PASS_SECONDS = 0.1
+"""Between two looks at what is to be done, which cost nothing but a comparison."""
+
+STEER_SECONDS = 0.12
+"""From the word that a target changes until its order: the word reaches all daemons
+in a few milliseconds, and most short runs end meanwhile."""
+
+ASK_SECONDS = 0.2
+"""Between questions whether the weights are in place; loading takes about one to
+two seconds, and a report is a tenth of a second late."""
+
+LOAD_SECONDS = 5.0
+"""A target that has not loaded by then is looked at anew."""
+
+SHOWN_SECONDS = 0.6
+"""By then a report shows an order that was taken."""
+
+FAILED_PAUSE_SECONDS = 0.4
+"""Before a target that did not take an order is asked again."""
+
+_log = structlog.get_logger(part="weights")
+
+Tell = Callable[[TargetChanging], None]
+CurrentLease = Callable[[], Lease]
+
+
+class WeightsRollout:
+    """Carries out the duty while its lease is held.
+
+    Args:
+        port: Reports of targets and orders to them.
+        targets: The targets and what is known of their weights.
+        clock: The clock of the leases.
+        daemon: Named in orders as their holder.
+        groups_of: Returns the target groups that serve a model.
+        tell: Tells the peers of a change.
+    """
+
+    def __init__(
+        self,
+        port: WeightsPort,
+        targets: TargetList,
+        clock: Clock,
+        daemon: DaemonId,
+        groups_of: Callable[[ModelId], tuple[TargetGroupId, ...]],
+        tell: Tell,
+    ) -> None:
+        self._port = port
+        self._targets = targets
+        self._clock = clock
+        self._daemon = daemon
+        self._groups_of = groups_of
+        self._tell = tell
+        self._wanted: dict[ModelId, int] = {}
+        self._n_running: dict[TargetId, int] = {}
+        self._changes: dict[TargetId, asyncio.Task[None]] = {}
+        self._current: CurrentLease | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._wake = asyncio.Event()
+
+    async def start(self) -> None:
+        """Begin to look at what is to be done."""
+        self._task = asyncio.create_task(self._run(), name="weights")
+
+    async def drain(self) -> None:
+        """Begin no further change, and let those under way end."""
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop; orders that were accepted are carried out all the same."""
+        tasks = [*self._changes.values()]
+        tasks += [] if self._task is None else [self._task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def status(self) -> dict[str, object]:
+        """Return what is wanted and under way, for the status page."""
+        return {
+            "wanted": dict(self._wanted),
+            "changing": sorted(self._changes),
+            "may_order": self._may_order(),
+        }
+
+    def want(self, model: ModelId, version: int) -> None:
+        """Take the newest version that an operator named; older ones are ignored."""
+        if version > self._wanted.get(model, 0):
+            _log.info("weights: named", model=model, version=version)
+            self._wanted[model] = version
+            self._wake.set()
+
+    async def work(self, current: CurrentLease) -> None:
+        """Take the lease that the duty holds now; called again and again."""
+        self._current = current
+        self._wake.set()
+
+    def _may_order(self) -> bool:
+        """Return whether the lease allows an order now; asked at each send."""
+        if self._current is None:
+            return False
+        try:
+            return self._current().is_held(self._clock.now_seconds())
+        except RuntimeError:
+            # The duty has lost its lease since it last called.
+            return False
+
+    async def _run(self) -> None:
+        while True:
+            self._wake.clear()
+            if self._may_order():
+                for model, version in self._wanted.items():
+                    self._begin(model, version)
+            try:
+                async with asyncio.timeout(PASS_SECONDS):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def _begin(self, model: ModelId, wanted: int) -> None:
+        """Begin the changes of one model that may begin now."""
+        listed = [
+            target
+            for group in self._groups_of(model)
+            for target in self._targets.listed(group)
+        ]
+        weights = [self._weights(target, model) for target in listed]
+        by_name = {TargetId(target.target): target for target in listed}
+        for order in next_orders(model, wanted, weights):
+            change = asyncio.create_task(self._change(by_name[order.target], order))
+            self._changes[order.target] = change
+            change.add_done_callback(partial(self._end_change, order.target))
+
+    def _end_change(self, target: TargetId, _task: asyncio.Task[None]) -> None:
+        self._changes.pop(target, None)
+
+    def _weights(self, target: ListedTarget, model: ModelId) -> TargetWeights:
+        name = TargetId(target.target)
+        return TargetWeights(
+            target=name,
+            version=weights_number(target.weights.get(model)),
+            n_running=self._n_running.get(name, 0),
+            is_changing=name in self._changes,
+        )
+
+    async def _change(self, target: ListedTarget, order: WeightsOrder) -> None:
+        """Change the weights of one target, or leave it as it is."""
+        self._announce(order, is_done=False)
+        await asyncio.sleep(STEER_SECONDS)
+        is_done = await self._order(target, order)
+        if is_done:
+            is_done = await self._wait_loaded(target, order)
+        self._announce(order, is_done=True)
+        if not is_done:
+            await asyncio.sleep(FAILED_PAUSE_SECONDS)
+
+    def _announce(self, order: WeightsOrder, is_done: bool) -> None:
+        """Keep new work off a target, or let it come, here and at the peers."""
+        self._targets.note_changing(order.target, 0.0 if is_done else CHANGE_SECONDS)
+        self._tell(
+            TargetChanging(
+                target=order.target,
+                model=order.model,
+                weights_version=self._version_of(order),
+                is_done=is_done,
+                for_seconds=CHANGE_SECONDS,
+            )
+        )
+
+    def _version_of(self, order: WeightsOrder) -> str:
+        return self._targets.weights_of(order.target, order.model) or ""
+
+    async def _order(self, target: ListedTarget, order: WeightsOrder) -> bool:
+        """Send the order; return whether to wait for the weights."""
+        match await self._port.read_report(target):
+            case Success(report):
+                self._learn(order, report)
+            case Failure(error):
+                _log.info(
+                    "weights: no report", target=order.target, reason=error.reason
+                )
+                return False
+        if report.is_changing or self._is_loaded(order):
+            return True
+        if not self._may_order() or self._current is None:
+            _log.info("weights: lease gone before the order", target=order.target)
+            return False
+        lease = self._current()
+        answer = await self._port.order(
+            target,
+            LoadWeights(
+                model=order.model,
+                version=order.version,
+                runs=RunsMeanwhile.GO_ON,
+                holder=self._daemon,
+                fencing_number=lease.fencing_number,
+                expected_orders=report.n_orders,
+            ),
+        )
+        _log.info(
+            "weights: ordered",
+            target=order.target,
+            version=order.version,
+            fencing_number=lease.fencing_number,
+            expected_orders=report.n_orders,
+            n_running=report.n_running,
+            answer=str(answer),
+        )
+        match answer:
+            case Success(said):
+                return said in (OrderAnswer.ACCEPTED, OrderAnswer.ALREADY)
+            case Failure(_):
+                # It may have been taken; the reports will tell.
+                return True
+        raise AssertionError("a result is a success or a failure")
+
+    def _learn(self, order: WeightsOrder, report: TargetReport) -> None:
+        self._n_running[order.target] = report.n_running
+        version = report.weights.get(order.model)
+        if version is not None and not report.is_changing:
+            self._targets.note_weights(order.target, order.model, version)
+
+    def _is_loaded(self, order: WeightsOrder) -> bool:
+        known = self._targets.weights_of(order.target, order.model)
+        return weights_number(known) >= weights_number(order.version)
+
+    async def _wait_loaded(self, target: ListedTarget, order: WeightsOrder) -> bool:
+        """Ask until the weights are in place; False when that takes too long."""
+        ordered_seconds = self._clock.now_seconds()
+        elapsed_seconds = 0.0
+        while elapsed_seconds < LOAD_SECONDS:
+            await asyncio.sleep(ASK_SECONDS)
+            elapsed_seconds = self._clock.now_seconds() - ordered_seconds
+            match await self._port.read_report(target):
+                case Success(report):
+                    self._learn(order, report)
+                    if self._is_loaded(order):
+                        return True
+                    if not report.is_changing and elapsed_seconds > SHOWN_SECONDS:
+                        return False
+                case Failure(error):
+                    _log.info(
+                        "weights: no report", target=order.target, reason=error.reason
+                    )
+                    return False
+        return False
--- a/lycheepost/peers/shared.py
+++ b/lycheepost/peers/shared.py
@@ -12,9 +12,9 @@
 from lycheepost.peers.membership import MemberExchange
 from lycheepost.peers.revisions import RevisionExchange
 from lycheepost.peers.transport import Transport
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import TablePort
-from lycheepost.platform.vms import VmListPort
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import TablePort
+from lycheepost.ports.vms import VmListPort
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.claim_expiry import ClaimExpiryWork
 from lycheepost.state.claims import ClaimKeeper, ClaimLimits, make_claim_keeper
--- a/lycheepost/peers/sockets.py
+++ b/lycheepost/peers/sockets.py
@@ -91,6 +91,10 @@
         """Return where peers reach this daemon; known after ``start``."""
         return f"tcp://{self._host}:{self._port}"
 
+    def set_keys(self, keys: PeerKeys) -> None:
+        """Set the keys before ``start``, where they become known only then."""
+        self._keys = keys
+
     async def start(self, on_message: OnMessage) -> None:
         """Open the listening socket.
 
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -22,6 +22,7 @@
     RevisionFetch,
     RevisionWhole,
     SuspectPlaced,
+    TargetChanging,
     TargetNews,
 )
 
@@ -36,6 +37,7 @@
     "target": TargetNews,
     "quarantine": QuarantineNotice,
     "suspect": SuspectPlaced,
+    "changing": TargetChanging,
     "fetch": RevisionFetch,
     "deltas": RevisionDeltas,
     "whole": RevisionWhole,
--- /dev/null
+++ b/lycheepost/platform/dialect.py
@@ -0,0 +1,106 @@
+"""Calls to the platform's servers and the heads of their answers."""
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict
+
+from lycheepost.core.ids import TargetId, WeightsVersion
+from lycheepost.platform import headers as names
+from lycheepost.targets.forwardcall import (
+    AnswerHead,
+    EngineTerms,
+    ForwardCall,
+    SaidLoad,
+)
+
+_MISDIRECTED_STATUS = 421
+_MILLISECONDS = 1000.0
+
+
+class ServerDialect:
+    """Implements ``targets.forwardcall.Dialect``."""
+
+    def encode(self, call: ForwardCall) -> list[tuple[str, str]]:
+        """Return all headers of a call."""
+        replaced = {names.DEADLINE.lower(), names.LAST_EVENT.lower()}
+        headers = [item for item in call.headers if item[0].lower() not in replaced]
+        remaining_ms = max(1, int(call.remaining_seconds * _MILLISECONDS))
+        headers.append((names.DEADLINE, str(remaining_ms)))
+        headers.append((names.EXPECTED_TARGET, call.target))
+        if call.customer:
+            headers.append((names.CUSTOMER, call.customer))
+        if call.after_event is not None:
+            headers.append((names.LAST_EVENT, str(call.after_event)))
+        if call.engine is not None:
+            headers.extend(_engine_headers(call.engine))
+        return headers
+
+    def decode(
+        self, call: ForwardCall, status: int, headers: list[tuple[str, str]]
+    ) -> AnswerHead:
+        """Return the head of an answer to ``call``."""
+        found = CIMultiDict(headers)
+        asked_id = CIMultiDict(call.headers).get(names.ATTEMPT_ID)
+        answered_id = found.get(names.ATTEMPT_ID)
+        target = found.get(names.TARGET)
+        weights = found.get(names.WEIGHTS)
+        is_other = status == _MISDIRECTED_STATUS
+        return AnswerHead(
+            status=status,
+            headers=passed_back(headers),
+            answers_other=answered_id is not None and answered_id != asked_id,
+            is_sealed=names.SEAL in found,
+            is_encoded=found.get("Content-Encoding", "identity") != "identity",
+            was_not_run=names.NOT_RUN in found,
+            is_other_target=is_other,
+            has_length="Content-Length" in found or "Transfer-Encoding" in found,
+            target=TargetId(target) if target else None,
+            weights_version=WeightsVersion(weights) if weights else None,
+            load=decode_load(found.get(names.LOAD, "")),
+        )
+
+
+def _engine_headers(terms: EngineTerms) -> list[tuple[str, str]]:
+    headers = [
+        (names.CACHE_SCOPE, terms.cache_scope),
+        (names.RANK, str(min(terms.rank, names.MOST_RANK))),
+    ]
+    if terms.weights_version:
+        headers.append((names.EXPECTED_WEIGHTS, terms.weights_version))
+    if terms.fetch_from:
+        headers.append((names.FETCH_FROM, terms.fetch_from))
+    if terms.store_to:
+        headers.append((names.STORE_TO, terms.store_to))
+    return headers
+
+
+def passed_back(headers: list[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
+    """Return the headers of an answer that go to the client.
+
+    The server's load is for this system only.
+    """
+    return tuple(
+        item
+        for item in names.passed_on(headers)
+        if item[0].lower() != names.LOAD.lower()
+    )
+
+
+def decode_load(text: str) -> SaidLoad | None:
+    """Return the load that a server states; None when it states none."""
+    words = text.split(",")
+    if len(words) != 3:
+        return None
+    try:
+        n_running, n_waiting, n_slots = (int(word) for word in words)
+    except ValueError:
+        return None
+    return SaidLoad(n_running, n_waiting, n_slots)
+
+
+def header_number(headers: Mapping[str, str], name: str) -> int | None:
+    """Return a header's whole number; None when it is missing or none."""
+    try:
+        return int(headers[name])
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/lycheepost/platform/documents.py
@@ -0,0 +1,261 @@
+"""What operators and servers write into the store, decoded into our records."""
+
+from dataclasses import dataclass
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.errors import LycheepostError
+from lycheepost.core.ids import (
+    AvailabilityZone,
+    CustomerId,
+    ModelId,
+    TargetGroupId,
+    WeightsVersion,
+)
+from lycheepost.core.routing import (
+    CallerLimits,
+    EngineTraits,
+    GroupShare,
+    KeyHolder,
+    KvStore,
+    ListedTarget,
+    Route,
+    RoutedGroup,
+    RouteKind,
+    RouteTable,
+    make_route_table,
+)
+
+OPERATOR_TABLE = "op"
+SERVER_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+WEIGHTS_PREFIX = "version/"
+
+_MILLISECONDS = 1000.0
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+_LEAVING = "draining"
+
+
+@dataclass(frozen=True)
+class DocumentFault(LycheepostError):
+    """A row that cannot be used."""
+
+
+class _WireShare(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _WireRoute(msgspec.Struct):
+    """A route; it names one service or splits its traffic between several."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_WireShare] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    target_gap_ms: float = 0
+
+
+class _WireModel(msgspec.Struct):
+    name: str
+
+
+class _WireEngine(msgspec.Struct):
+    slots: int
+    kv_capacity_tokens: int
+    kv_token_bytes: float = 0
+    link_mbps: float = 0
+    models: list[_WireModel] = []
+
+
+class _WireService(msgspec.Struct):
+    """A service, or with ``kv_store_addr`` the store of kept KV cache."""
+
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 0
+    engine: _WireEngine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
+    kv_capacity_tokens: int = 0
+
+
+class _WireLimits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _WireTenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute]
+    services: list[_WireService]
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] | None = None
+
+
+class _WireServerModel(msgspec.Struct):
+    """``version`` is that of the weights."""
+
+    name: str
+    version: int
+
+
+class _WireServer(msgspec.Struct):
+    """A server's own entry; its ``version`` is that of its software, not weights."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    models: list[_WireServerModel] = []
+
+
+class _WireWeights(msgspec.Struct):
+    model: str
+    version: int
+
+
+def decode_configuration(data: bytes) -> Result[RouteTable, DocumentFault]:
+    """Return the route table that an operator's configuration describes."""
+    try:
+        wire = msgspec.json.decode(data, type=_WireConfiguration)
+        return Success(_to_route_table(wire))
+    except (msgspec.DecodeError, KeyError) as error:
+        return Failure(DocumentFault(f"the configuration cannot be read: {error}"))
+
+
+def _to_route_table(wire: _WireConfiguration) -> RouteTable:
+    return make_route_table(
+        version=wire.version,
+        routes=tuple(_to_route(route) for route in wire.routes),
+        groups=tuple(
+            _to_group(item) for item in wire.services if not item.kv_store_addr
+        ),
+        limits=CallerLimits(
+            header_bytes=wire.limits.max_header_bytes,
+            body_bytes=wire.limits.max_body_bytes,
+            header_seconds=wire.limits.header_timeout_ms / _MILLISECONDS,
+            idle_seconds=wire.limits.idle_timeout_ms / _MILLISECONDS,
+        ),
+        key_holders=None if wire.tenants is None else _key_holders(wire.tenants),
+        kv_store=_kv_store(wire.services),
+    )
+
+
+def _to_route(wire: _WireRoute) -> Route:
+    shares = tuple(
+        GroupShare(TargetGroupId(share.service), share.weight)
+        for share in wire.traffic_split
+    )
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        path_prefix=wire.prefix,
+        kind=_KINDS[wire.kind],
+        shares=shares or (GroupShare(TargetGroupId(wire.service), 1.0),),
+        timeout_seconds=wire.timeout_ms / _MILLISECONDS,
+        objective_seconds=wire.target_latency_ms / _MILLISECONDS,
+        gap_seconds=wire.target_gap_ms / _MILLISECONDS,
+        max_runs=wire.max_attempts,
+        rank=wire.priority,
+        is_public=wire.public,
+        is_resumable=wire.resumable,
+    )
+
+
+def _to_group(wire: _WireService) -> RoutedGroup:
+    engine = None
+    if wire.engine is not None:
+        engine = EngineTraits(
+            slots=wire.engine.slots,
+            kv_tokens=wire.engine.kv_capacity_tokens,
+            kv_token_bytes=wire.engine.kv_token_bytes,
+            link_mbps=wire.engine.link_mbps,
+            models=tuple(ModelId(model.name) for model in wire.engine.models),
+        )
+    return RoutedGroup(
+        TargetGroupId(wire.name), wire.health_path, wire.max_conns, engine
+    )
+
+
+def _key_holders(tenants: list[_WireTenant]) -> dict[str, KeyHolder]:
+    return {
+        key: KeyHolder(CustomerId(tenant.name), tenant.priority, tenant.isolated)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
+def _kv_store(services: list[_WireService]) -> KvStore | None:
+    for item in services:
+        if item.kv_store_addr:
+            zone = AvailabilityZone(item.zone)
+            return KvStore(item.kv_store_addr, zone, item.kv_capacity_tokens)
+    return None
+
+
+def decode_server(name: str, data: bytes) -> Result[ListedTarget, DocumentFault]:
+    """Return the target that a server's entry describes.
+
+    Args:
+        name: The entry's key: the id of one start of the server.
+        data: The entry.
+    """
+    try:
+        wire = msgspec.json.decode(data, type=_WireServer)
+    except msgspec.DecodeError as error:
+        return Failure(DocumentFault(f"the entry of {name} cannot be read: {error}"))
+    return Success(
+        ListedTarget(
+            target=name,
+            target_group=TargetGroupId(wire.service),
+            address=wire.address,
+            availability_zone=AvailabilityZone(wire.zone),
+            slots=wire.slots,
+            is_leaving=wire.state == _LEAVING,
+            weights={
+                ModelId(model.name): WeightsVersion(str(model.version))
+                for model in wire.models
+            },
+        )
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class NamedWeights:
+    """The newest weights that an operator named for a model."""
+
+    model: ModelId
+    version: int
+
+
+def decode_weights(data: bytes) -> Result[NamedWeights, DocumentFault]:
+    """Return the weights that an operator named."""
+    try:
+        wire = msgspec.json.decode(data, type=_WireWeights)
+    except msgspec.DecodeError as error:
+        return Failure(DocumentFault(f"the weights cannot be read: {error}"))
+    return Success(NamedWeights(ModelId(wire.model), wire.version))
--- /dev/null
+++ b/lycheepost/platform/following.py
@@ -0,0 +1,125 @@
+"""Follow what operators and servers write, and pass it on in our own records."""
+
+from collections.abc import Callable
+
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import ModelId, TargetId
+from lycheepost.core.routing import ListedTarget
+from lycheepost.platform.documents import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+    WEIGHTS_PREFIX,
+    decode_configuration,
+    decode_server,
+    decode_weights,
+)
+from lycheepost.ports.feed import ChangedRow, FeedPort
+from lycheepost.state.routing import RoutingKeeper
+from lycheepost.state.targetlist import TargetList
+from lycheepost.state.watch import Seen, Watch
+
+HELD_SECONDS = 1.8
+"""How long the store holds a question. A confirmation of keys is then at most
+twice as old, well inside the five seconds after which a key that was taken away
+must be refused; and a connection that went silent is noticed in 2.5 s."""
+
+_log = structlog.get_logger(part="following")
+
+
+class OperatorFollower:
+    """Puts configurations in force and tells of named weights.
+
+    Args:
+        routing: Holds the route table.
+        on_weights: Told of the newest version of a model, upward only.
+    """
+
+    def __init__(
+        self, routing: RoutingKeeper, on_weights: Callable[[ModelId, int], None]
+    ) -> None:
+        self._routing = routing
+        self._on_weights = on_weights
+        self._is_readable = True
+
+    def take(self, seen: Seen) -> None:
+        """Take one answer of the store."""
+        for row in seen.rows:
+            self._take_row(row)
+        table = self._routing.table
+        if table is not None and self._is_readable:
+            self._routing.confirm(table.version, seen.confirmed_seconds)
+
+    def _take_row(self, row: ChangedRow) -> None:
+        if row.value is None:
+            return
+        if row.key == CONFIGURATION_KEY:
+            self._take_configuration(row.value)
+        elif row.key.startswith(WEIGHTS_PREFIX):
+            self._take_weights(row.value)
+
+    def _take_configuration(self, data: bytes) -> None:
+        match decode_configuration(data):
+            case Success(table):
+                self._is_readable = True
+                self._routing.adopt(table, "store")
+            case Failure(error):
+                # The table in force is no longer the newest, so its keys must not
+                # be confirmed by answers of the store.
+                self._is_readable = False
+                _log.error("following: configuration", reason=error.reason)
+
+    def _take_weights(self, data: bytes) -> None:
+        match decode_weights(data):
+            case Success(named):
+                self._on_weights(named.model, named.version)
+            case Failure(error):
+                _log.error("following: weights", reason=error.reason)
+
+
+class ServerFollower:
+    """Passes servers' entries on to the target list."""
+
+    def __init__(self, targets: TargetList) -> None:
+        self._targets = targets
+
+    def take(self, seen: Seen) -> None:
+        """Take one answer of the store."""
+        listed = [
+            target
+            for row in seen.rows
+            if row.value is not None
+            and (target := _decode(row.key, row.value)) is not None
+        ]
+        if seen.is_whole:
+            self._targets.take_all(listed, seen.was_lost)
+            return
+        removed = [TargetId(row.key) for row in seen.rows if row.value is None]
+        if listed or removed:
+            self._targets.take(listed, removed, seen.was_lost)
+
+
+def _decode(name: str, data: bytes) -> ListedTarget | None:
+    match decode_server(name, data):
+        case Success(target):
+            return target
+        case Failure(error):
+            _log.error("following: server entry", reason=error.reason)
+    return None
+
+
+def make_watches(
+    feed: FeedPort,
+    clock: Clock,
+    operators: OperatorFollower,
+    servers: ServerFollower,
+    seed: int,
+) -> tuple[Watch, Watch]:
+    """Return the watches of the operators' and the servers' tables."""
+    return (
+        Watch(feed, OPERATOR_TABLE, clock, HELD_SECONDS, operators.take, seed),
+        Watch(feed, SERVER_TABLE, clock, HELD_SECONDS, servers.take, seed + 1),
+    )
--- /dev/null
+++ b/lycheepost/platform/ingress.py
@@ -0,0 +1,304 @@
+"""Where the platform's clients come in: requests, readiness and the directory."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+import structlog
+from aiohttp import web
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from lycheepost.callers.errors import CallerError, ErrorType, Executed
+from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
+from lycheepost.callers.forwarding import Forwarding, identify
+from lycheepost.core.ids import ModelId
+from lycheepost.core.routing import Prompt, PromptPart, RouteKind
+from lycheepost.platform import headers as names
+from lycheepost.platform.dialect import header_number
+from lycheepost.targets.forwardcall import AnswerHead
+
+_MILLISECONDS = 1000.0
+_log = structlog.get_logger(part="ingress")
+
+_INTERNAL_ERROR = CallerError(
+    "The daemon failed on this request.",
+    status=502,
+    type=ErrorType.SERVER,
+    code="internal_error",
+    executed=Executed.UNKNOWN,
+)
+
+
+class ClientSide:
+    """Implements ``callers.forwarddeps.CallerSide`` over aiohttp.
+
+    Args:
+        request: The client's request.
+        is_leaving: The connection shall end with this answer.
+    """
+
+    def __init__(
+        self, request: web.BaseRequest, is_leaving: Callable[[], bool]
+    ) -> None:
+        self._request = request
+        self._is_leaving = is_leaving
+        self.response: web.StreamResponse | None = None
+
+    async def begin(self, head: AnswerHead, length: int | None) -> None:
+        """Send the head."""
+        response = web.StreamResponse(
+            status=head.status, headers=CIMultiDict(head.headers)
+        )
+        if length is None:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = length
+        if self._is_leaving():
+            response.force_close()
+        self.response = response
+        await self._guard(response.prepare(self._request))
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes of the body."""
+        assert self.response is not None
+        if data:
+            await self._guard(self.response.write(data))
+
+    async def finish(self) -> None:
+        """End the answer as whole."""
+        assert self.response is not None
+        await self._guard(self.response.write_eof())
+
+    def cut(self) -> None:
+        """Break the connection at once."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _guard(self, step: Coroutine[Any, Any, Any]) -> None:
+        try:
+            await step
+        except RuntimeError as error:
+            # What aiohttp raises once the connection is gone.
+            raise ConnectionError(str(error)) from error
+
+
+class ClientFront:
+    """Serves clients' requests.
+
+    Attributes:
+        n_open: Requests that are being served.
+        is_leaving: Connections end with their next answer.
+    """
+
+    def __init__(self, deps: ForwardDeps) -> None:
+        self.n_open = 0
+        self.is_leaving = False
+        self._deps = deps
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._runs: set[asyncio.Task[None]] = set()
+
+    async def drain(self) -> None:
+        """Wait until no request is being served."""
+        await self._idle.wait()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        self.n_open += 1
+        self._idle.clear()
+        side = ClientSide(request, lambda: self.is_leaving)
+        try:
+            await self._serve(request, side)
+        except CallerError as error:
+            self._deps.metrics.count(f"errors.{error.code}")
+            return self._error_response(error, request)
+        except ConnectionError:
+            _log.info("ingress: client left", request_id=_attempt_id(request))
+        except Exception:
+            _log.exception("ingress: failed", request_id=_attempt_id(request))
+            if side.response is None:
+                return self._error_response(_INTERNAL_ERROR, request)
+            side.cut()
+        finally:
+            self.n_open -= 1
+            if self.n_open == 0:
+                self._idle.set()
+        # aiohttp asks for a response object also where the connection was cut.
+        return side.response or web.Response(status=502)
+
+    async def _serve(self, request: web.BaseRequest, side: ClientSide) -> None:
+        arrived_seconds = self._deps.clock.now_seconds()
+        _check_path(request)
+        body = await self._read_body(request)
+        asked = decode_request(request, body, arrived_seconds)
+        way = identify(self._deps, asked)
+        forwarding = Forwarding(self._deps, asked, way, side)
+        if way.route.kind is not RouteKind.NON_IDEMPOTENT:
+            await forwarding.run()
+            return
+        # A client that leaves must not cut such a request off half-way: it may
+        # have run, and a break in the middle is all that would come of it.
+        run = asyncio.create_task(forwarding.run())
+        self._runs.add(run)
+        run.add_done_callback(self._end_run)
+        await asyncio.shield(run)
+
+    def _end_run(self, run: asyncio.Task[None]) -> None:
+        self._runs.discard(run)
+        if not run.cancelled():
+            run.exception()
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        table = self._deps.routing.table
+        most_bytes = 4 * 1024 * 1024 if table is None else table.limits.body_bytes
+        parts: list[bytes] = []
+        n_bytes = request.content_length or 0
+        if n_bytes > most_bytes:
+            raise _too_large()
+        n_bytes = 0
+        async for part in request.content.iter_any():
+            n_bytes += len(part)
+            if n_bytes > most_bytes:
+                raise _too_large()
+            parts.append(part)
+        return b"".join(parts)
+
+    def _error_response(
+        self, error: CallerError, request: web.BaseRequest
+    ) -> web.Response:
+        """Return our own answer; it carries no seal."""
+        headers = {}
+        attempt_id = _attempt_id(request)
+        if attempt_id:
+            headers[names.ATTEMPT_ID] = attempt_id
+        if error.executed is Executed.NO and error.retry_after_seconds is not None:
+            headers[names.RETRY_AFTER] = f"{error.retry_after_seconds:.3f}"
+        response = web.Response(
+            status=_status(error), text=error.reason + "\n", headers=headers
+        )
+        if self.is_leaving:
+            response.force_close()
+        return response
+
+
+def _status(error: CallerError) -> int:
+    """Return the status; some promise that the request never runs."""
+    if error.code == "quarantined":
+        return 503 if error.executed is Executed.NO else 502
+    if error.status in (429, 503) and error.executed is not Executed.NO:
+        return 502
+    return error.status
+
+
+def _too_large() -> CallerError:
+    return CallerError("The body is too large.", status=413, code="too_large")
+
+
+def _check_path(request: web.BaseRequest) -> None:
+    """Refuse paths that could not be forwarded byte for byte."""
+    path = request.raw_path
+    if not path.startswith("/") or "#" in path or path.endswith("?"):
+        raise CallerError("The path cannot be forwarded.", status=400, code="bad_path")
+
+
+def _attempt_id(request: web.BaseRequest) -> str:
+    return request.headers.get(names.ATTEMPT_ID, "")
+
+
+def decode_request(
+    request: web.BaseRequest, body: bytes, arrived_seconds: float
+) -> ForwardRequest:
+    """Return a client's request in our own records."""
+    headers = request.headers
+    host = headers.get("Host", "").rpartition(":")[0] or headers.get("Host", "")
+    deadline_ms = header_number(headers, names.DEADLINE)
+    kept = [
+        (name, value)
+        for name, value in names.passed_on([*headers.items()])
+        if name.lower() not in names.SYSTEM_ONLY
+    ]
+    return ForwardRequest(
+        caller_id=headers.get(names.ATTEMPT_ID, ""),
+        method=request.method,
+        host=host.lower(),
+        raw_path=request.raw_path,
+        headers=tuple(kept),
+        key=_decode_key(headers),
+        patience_seconds=None if deadline_ms is None else deadline_ms / _MILLISECONDS,
+        prompt=decode_prompt(headers),
+        after_event=header_number(headers, names.LAST_EVENT),
+        body=body,
+        arrived_seconds=arrived_seconds,
+    )
+
+
+def _decode_key(headers: CIMultiDictProxy[str]) -> str | None:
+    value = headers.get(names.AUTHORIZATION, "")
+    if not value.lower().startswith(names.KEY_SCHEME):
+        return None
+    return value[len(names.KEY_SCHEME) :].strip() or None
+
+
+def decode_prompt(headers: CIMultiDictProxy[str]) -> Prompt | None:
+    """Return what a client says of its prompt; None when it cannot be read."""
+    model = headers.get(names.MODEL)
+    if model is None:
+        return None
+    try:
+        n_tokens, n_output = (int(n) for n in headers.get(names.TOKENS, "").split(","))
+        parts = tuple(
+            PromptPart(part_id.strip(), int(n))
+            for part_id, _, n in (
+                word.partition(":")
+                for word in headers.get(names.PROMPT_PARTS, "").split(",")
+                if word
+            )
+        )
+    except ValueError:
+        return None
+    return Prompt(ModelId(model), n_tokens, n_output, parts)
+
+
+class Readiness:
+    """Answers the platform's question whether this daemon is ready."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer 200 when ready, else 503."""
+        if request.path != "/ready":
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
+
+
+class Directory:
+    """Tells clients which addresses to use.
+
+    Args:
+        addresses: The addresses, best first.
+        valid_seconds: How long an answer may be kept.
+    """
+
+    def __init__(
+        self, addresses: Callable[[], list[str]], valid_seconds: float
+    ) -> None:
+        self._addresses = addresses
+        self._valid_seconds = valid_seconds
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a look-up; nobody to name is a failure, not an empty list."""
+        if request.path != "/lookup":
+            return web.Response(status=404)
+        addresses = self._addresses()[:MOST_ADDRESSES]
+        if not addresses:
+            return web.Response(status=503)
+        answer = {"addresses": addresses, "ttl_s": self._valid_seconds}
+        return web.Response(
+            body=msgspec.json.encode(answer), content_type="application/json"
+        )
+
+
+MOST_ADDRESSES = 64
+"""Most addresses that clients take from one answer."""
--- /dev/null
+++ b/lycheepost/platform/orders.py
@@ -0,0 +1,184 @@
+"""Reports of the platform's servers and orders to them.
+
+Each call uses a connection of its own: an order on a kept connection that has died
+would leave open whether it arrived.
+"""
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
+from lycheepost.core.routing import ListedTarget
+from lycheepost.platform import headers as names
+from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
+from lycheepost.targets.weightsport import (
+    LoadWeights,
+    OrderAnswer,
+    RunsMeanwhile,
+    TargetReport,
+)
+
+CALL_SECONDS = 0.6
+"""A server answers a report or takes an order in milliseconds; one that hangs must
+not hold up the others."""
+CONNECT_SECONDS = 0.3
+
+_MODES = {
+    RunsMeanwhile.FINISH_FIRST: "block",
+    RunsMeanwhile.CUT: "truncate",
+    RunsMeanwhile.GO_ON: "retain",
+}
+_ANSWERS = {
+    200: OrderAnswer.ALREADY,
+    202: OrderAnswer.ACCEPTED,
+    400: OrderAnswer.INVALID,
+    409: OrderAnswer.BUSY,
+    412: OrderAnswer.FENCED,
+    421: OrderAnswer.OTHER_TARGET,
+}
+
+
+class _WireModel(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _WireReport(msgspec.Struct):
+    """``seq`` counts accepted orders, ``active`` and ``queued`` requests."""
+
+    models: list[_WireModel]
+    busy: bool
+    seq: int
+    queued: int = 0
+    active: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+
+
+class _WireOrder(msgspec.Struct):
+    """``expected`` is the count of accepted orders that the server must have."""
+
+    op: str
+    model: str
+    version: int
+    mode: str
+    holder: str
+    fence: int
+    expected: int
+
+
+class ServerOrders:
+    """Implements ``targets.weightsport.WeightsPort``."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+        self.n_orders = 0
+
+    async def start(self) -> None:
+        """Open the session."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(
+                total=CALL_SECONDS, sock_connect=CONNECT_SECONDS
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def drain(self) -> None:
+        """Do nothing: the duty ends first."""
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_report(
+        self, target: ListedTarget
+    ) -> Result[TargetReport, TargetError]:
+        """Return what a server says of itself."""
+        answer = await self._call("GET", target, "/report", None)
+        return answer.bind(_decode_report)
+
+    async def order(
+        self, target: ListedTarget, order: LoadWeights
+    ) -> Result[OrderAnswer, TargetError]:
+        """Send one order."""
+        self.n_orders += 1
+        body = _WireOrder(
+            op="version",
+            model=order.model,
+            version=int(order.version),
+            mode=_MODES[order.runs],
+            holder=order.holder,
+            fence=order.fencing_number,
+            expected=order.expected_orders,
+        )
+        answer = await self._call("POST", target, "/order", msgspec.json.encode(body))
+        return answer.bind(_decode_order_answer)
+
+    async def is_same(self, target: TargetId, address: str, path: str) -> bool:
+        """Ask whether the start of a server that was sent to still answers."""
+        if self._session is None:
+            return False
+        headers = {names.EXPECTED_TARGET: target}
+        try:
+            async with self._session.get(
+                f"http://{address}{path}", headers=headers
+            ) as response:
+                named = response.headers.get(names.TARGET)
+                return named is None or named == target
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+
+    async def _call(
+        self, method: str, target: ListedTarget, path: str, body: bytes | None
+    ) -> Result[tuple[int, bytes], TargetError]:
+        if self._session is None:
+            raise RuntimeError("the session is not open")
+        headers = {names.EXPECTED_TARGET: target.target}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            async with self._session.request(
+                method, f"http://{target.address}{path}", headers=headers, data=body
+            ) as response:
+                return Success((response.status, await response.read()))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Failure(TargetUnreachable(f"no connection: {error}"))
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Failure(TargetLost(f"no answer: {type(error).__name__}"))
+
+
+def _decode_report(answer: tuple[int, bytes]) -> Result[TargetReport, TargetError]:
+    status, body = answer
+    if status != 200:
+        return Failure(TargetError(f"the report has status {status}"))
+    try:
+        wire = msgspec.json.decode(body, type=_WireReport)
+    except msgspec.DecodeError as error:
+        return Failure(TargetError(f"the report cannot be read: {error}"))
+    return Success(
+        TargetReport(
+            weights={
+                ModelId(model.name): WeightsVersion(str(model.version))
+                for model in wire.models
+            },
+            n_orders=wire.seq,
+            is_changing=wire.busy,
+            n_running=wire.active,
+            n_waiting=wire.queued,
+            kv_used_tokens=wire.kv_used,
+            kv_total_tokens=wire.kv_total,
+        )
+    )
+
+
+def _decode_order_answer(
+    answer: tuple[int, bytes],
+) -> Result[OrderAnswer, TargetError]:
+    status, _body = answer
+    found = _ANSWERS.get(status)
+    if found is None:
+        return Failure(TargetLost(f"the order was answered with {status}"))
+    return Success(found)
--- /dev/null
+++ b/lycheepost/platform/settings.py
@@ -0,0 +1,186 @@
+"""The platform's settings file, decoded once into what it says of this process.
+
+Lines of the form ``a.b=value``. New fields may come and are ignored; of the known
+ones every fault is reported at once.
+"""
+
+import os
+import pathlib
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.errors import LycheepostError
+from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
+
+SETTINGS_VARIABLE = "LYCHEEPOST_NODE_FILE"
+_MILLISECONDS = 1000.0
+
+
+@dataclass(frozen=True)
+class SettingsFaults(LycheepostError):
+    """A settings file that cannot be used.
+
+    Attributes:
+        faults: One sentence for each fault.
+    """
+
+    faults: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the platform's rules allow.
+
+    Attributes:
+        revoke_seconds: After this a key that was taken away runs nothing.
+        is_revoke_strict: Also on machines that are cut off.
+        drain_seconds: After this a leaving target gets nothing new.
+        grace_seconds: From SIGTERM to SIGKILL.
+        lease_seconds: Two holders' orders to one target lie at least so far apart.
+        retry_share: Repeats that the fleet may send, as a share of requests.
+        retry_burst: Repeats that the fleet may send beyond that, per window.
+        address_seconds: Longest time that clients keep an addresses answer.
+    """
+
+    revoke_seconds: float
+    is_revoke_strict: bool
+    drain_seconds: float
+    grace_seconds: float
+    lease_seconds: float
+    retry_share: float
+    retry_burst: float
+    address_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What the platform tells one process.
+
+    Attributes:
+        clients: Where clients are served.
+        readiness: Where the platform asks whether this process is ready.
+        directory: Where clients ask for addresses.
+        peer_ports: First and last port free for the daemons' own traffic.
+        store: Address of the platform's store.
+    """
+
+    daemon: DaemonId
+    availability_zone: AvailabilityZone
+    region: RegionId
+    host: str
+    clients: Endpoint | None
+    readiness: Endpoint | None
+    directory: Endpoint | None
+    peer_ports: tuple[int, int]
+    store: Endpoint
+    bounds: Bounds
+
+
+class _Reader:
+    """Reads typed fields and collects every fault."""
+
+    def __init__(self, values: dict[str, str]) -> None:
+        self._values = values
+        self.faults: list[str] = []
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self._values.get(name, default)
+        if value is None:
+            self.faults.append(f"{name} is missing.")
+            return ""
+        return value
+
+    def number(self, name: str, default: float | None = None) -> float:
+        value = self._values.get(name)
+        if value is None and default is not None:
+            return default
+        try:
+            return float(self.text(name))
+        except ValueError:
+            if value is not None:
+                self.faults.append(f"{name} is {value!r}, not a number.")
+            return 0.0
+
+    def endpoint(self, name: str) -> Endpoint:
+        host, _, port = self.text(name).rpartition(":")
+        if name in self._values and not (host and port.isdigit()):
+            self.faults.append(f"{name} is {self._values[name]!r}, not IP:PORT.")
+        return Endpoint(host, int(port) if port.isdigit() else 0)
+
+    def optional_endpoint(self, name: str) -> Endpoint | None:
+        return self.endpoint(name) if self._values.get(name) else None
+
+    def ports(self, name: str) -> tuple[int, int]:
+        first, _, last = self.text(name).partition(",")
+        if not (first.isdigit() and last.isdigit()):
+            self.faults.append(f"{name} is not FIRST,LAST.")
+            return 0, 0
+        return int(first), int(last)
+
+
+def split_lines(text: str) -> dict[str, str]:
+    """Return the fields of a settings file; lines without ``=`` are ignored."""
+    pairs = (line.partition("=") for line in text.splitlines())
+    return {name.strip(): value.strip() for name, mark, value in pairs if mark}
+
+
+def decode_settings(text: str) -> Result[NodeSettings, SettingsFaults]:
+    """Return what a settings file says, or all its faults."""
+    reader = _Reader(split_lines(text))
+    settings = NodeSettings(
+        daemon=DaemonId(reader.text("node_name")),
+        availability_zone=AvailabilityZone(reader.text("zone")),
+        region=RegionId(reader.text("region", "")),
+        host=reader.text("ip"),
+        clients=reader.optional_endpoint("listen.front"),
+        readiness=reader.optional_endpoint("listen.ready"),
+        directory=reader.optional_endpoint("listen.directory"),
+        peer_ports=reader.ports("port_range"),
+        store=reader.endpoint("platform.address"),
+        bounds=_decode_bounds(reader),
+    )
+    if reader.faults:
+        return Failure(
+            SettingsFaults("The settings cannot be used.", tuple(reader.faults))
+        )
+    return Success(settings)
+
+
+def _decode_bounds(reader: _Reader) -> Bounds:
+    return Bounds(
+        revoke_seconds=reader.number("bounds.revoke_ms", 5000) / _MILLISECONDS,
+        is_revoke_strict=reader.text("bounds.strict_revoke", "true") == "true",
+        drain_seconds=reader.number("bounds.drain_ms", 2000) / _MILLISECONDS,
+        grace_seconds=reader.number("bounds.grace_s", 8),
+        lease_seconds=reader.number("bounds.lease_ms", 3000) / _MILLISECONDS,
+        retry_share=reader.number("bounds.retry_ratio", 0.1),
+        retry_burst=reader.number("bounds.retry_slack", 10),
+        address_seconds=reader.number("bounds.ttl_max_s", 2),
+    )
+
+
+def settings_path() -> pathlib.Path:
+    """Return where the platform says that the settings file is."""
+    return pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+
+
+def read_node_settings(path: pathlib.Path) -> Result[NodeSettings, SettingsFaults]:
+    """Return what the file at ``path`` says, or all its faults."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        reason = f"{path} cannot be read: {error.strerror}."
+        return Failure(SettingsFaults(reason, (reason,)))
+    return decode_settings(text)
--- /dev/null
+++ b/lycheepost/platform/store.py
@@ -0,0 +1,264 @@
+"""The one client of the platform's store.
+
+Implements the table port and the feed port. A call that was not answered may have
+taken effect, or may yet: only where no byte was sent, or where the store said so,
+is a write known not to have been done.
+"""
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.platform.settings import Endpoint
+from lycheepost.platform.storewire import (
+    WireCommitted,
+    WireExpected,
+    WirePut,
+    WireRemove,
+    WireRows,
+    WireTransaction,
+    encode_value,
+)
+from lycheepost.ports.feed import Changes, HistoryGone
+from lycheepost.ports.table import (
+    Committed,
+    OutcomeUnknown,
+    Page,
+    Row,
+    TableConflict,
+    TableError,
+    TableThrottled,
+    TableUnavailable,
+    Transaction,
+)
+
+OWN_TABLE = "lycheepost"
+"""All rows of this system."""
+
+CONNECT_SECONDS = 0.5
+CALL_SECONDS = 1.0
+"""The store answers in milliseconds; one that is sixty times slower still does."""
+
+HELD_MARGIN_SECONDS = 0.7
+"""Beyond the time a question is held; later the connection counts as dead."""
+
+_PAGE_ROWS = 500
+_T = TypeVar("_T")
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """A status and a body."""
+
+    status: int
+    body: bytes
+
+
+class StoreClient:
+    """Calls to the store.
+
+    Args:
+        address: Where the store is.
+        clock: Times the calls.
+
+    Attributes:
+        n_calls: Calls made, also refused ones.
+    """
+
+    def __init__(self, address: Endpoint, clock: Clock) -> None:
+        self._base = f"http://{address}"
+        self._clock = clock
+        self._session: aiohttp.ClientSession | None = None
+        self.n_calls = 0
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def drain(self) -> None:
+        """Do nothing: others still use it while they drain."""
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def status(self) -> dict[str, object]:
+        """Return counts for the status page."""
+        return {"n_calls": self.n_calls}
+
+    async def read(
+        self, keys: tuple[str, ...]
+    ) -> Result[tuple[Row | None, ...], TableError]:
+        """Return the rows of ``keys`` in order, from one consistent state."""
+        query = {"from": min(keys), "to": max(keys) + "\0"}
+        match await self._get_rows(OWN_TABLE, query):
+            case Success(answer):
+                rows = {row.key: row.to_row() for row in answer.rows}
+                return Success(tuple(rows.get(key) for key in keys))
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+    async def scan(
+        self, prefix: str, after_key: str | None, limit: int
+    ) -> Result[Page, TableError]:
+        """Return up to ``limit`` rows whose keys start with ``prefix``."""
+        first = prefix if after_key is None else after_key + "\0"
+        last = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+        query = {"from": first, "to": last, "limit": str(min(limit, _PAGE_ROWS))}
+        match await self._get_rows(OWN_TABLE, query):
+            case Success(answer):
+                rows = tuple(row.to_row() for row in answer.rows)
+                next_key = rows[-1].key if answer.has_more and rows else None
+                return Success(Page(rows, next_key))
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, TableError]:
+        """Apply a transaction whole, or not at all."""
+        body = msgspec.json.encode(_encode_transaction(transaction))
+        answer = await self._call("POST", "/rows-tx", {}, CALL_SECONDS, body)
+        match answer.bind(lambda found: _decode(found, WireCommitted)):
+            case Success(committed):
+                n_writes = len(transaction.writes)
+                return Success(Committed((committed.ver,) * n_writes))
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+    async def read_table(self, table: str) -> Result[Changes, TableError]:
+        """Return every row of ``table``.
+
+        The version is the first page's: what changed while later pages were read
+        is then told again as a change.
+        """
+        changes: Changes | None = None
+        query: dict[str, str] = {}
+        while True:
+            match await self._get_rows(table, query):
+                case Success(page):
+                    pass
+                case Failure(error):
+                    return Failure(error)
+            rows = tuple(row.to_change() for row in page.rows)
+            if changes is not None:
+                rows = changes.rows + rows
+            changes = Changes(rows, page.ver if changes is None else changes.version)
+            if not page.has_more or not page.rows:
+                return Success(changes)
+            query = {"from": page.rows[-1].key + "\0"}
+
+    async def wait_changes(
+        self, table: str, after: int, wait_seconds: float
+    ) -> Result[Changes, TableError]:
+        """Return the changes after a version, as soon as there are some."""
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(int(wait_seconds * 1000)),
+        }
+        timeout_seconds = wait_seconds + HELD_MARGIN_SECONDS
+        answer = await self._call("GET", "/rows-feed", query, timeout_seconds)
+        return answer.bind(lambda found: _decode(found, WireRows)).map(
+            lambda found: Changes(
+                tuple(row.to_change() for row in found.rows), found.ver
+            )
+        )
+
+    async def _get_rows(
+        self, table: str, query: dict[str, str]
+    ) -> Result[WireRows, TableError]:
+        full = {"table": table, "part": "", **query}
+        answer = await self._call("GET", "/rows-get", full, CALL_SECONDS)
+        return answer.bind(lambda found: _decode(found, WireRows))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        timeout_seconds: float,
+        body: bytes | None = None,
+    ) -> Result[_Answer, TableError]:
+        if self._session is None:
+            raise RuntimeError("the store client is not started")
+        self.n_calls += 1
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_seconds, sock_connect=CONNECT_SECONDS
+        )
+        headers = {} if body is None else {"Content-Type": "application/json"}
+        try:
+            async with self._session.request(
+                method,
+                self._base + path,
+                params=query,
+                data=body,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                return Success(_Answer(response.status, await response.read()))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Failure(TableUnavailable(f"no connection to the store: {error}"))
+        except TimeoutError:
+            return Failure(OutcomeUnknown("the store did not answer in time"))
+        except (aiohttp.ClientError, OSError) as error:
+            reason = f"the connection to the store broke: {type(error).__name__}"
+            return Failure(OutcomeUnknown(reason))
+
+
+def _encode_transaction(transaction: Transaction) -> WireTransaction:
+    return WireTransaction(
+        expected=[
+            WireExpected(OWN_TABLE, "", item.key, item.version)
+            for item in transaction.conditions
+        ],
+        puts=[
+            WirePut(OWN_TABLE, "", item.key, encode_value(item.value))
+            for item in transaction.writes
+            if item.value is not None
+        ],
+        remove=[
+            WireRemove(OWN_TABLE, "", item.key)
+            for item in transaction.writes
+            if item.value is None
+        ],
+    )
+
+
+def _decode(answer: _Answer, kind: type[_T]) -> Result[_T, TableError]:
+    """Return the body of a good answer, or what the status says of the call."""
+    match answer.status:
+        case 200:
+            pass
+        case 410:
+            return Failure(HistoryGone("the store no longer keeps that history"))
+        case 412:
+            return Failure(_decode_conflict(answer.body))
+        case 429:
+            return Failure(TableThrottled("the store is over its rate"))
+        case 503:
+            return Failure(TableUnavailable("the store takes no calls"))
+        case status:
+            return Failure(TableError(f"the store answered {status}"))
+    try:
+        return Success(msgspec.json.decode(answer.body, type=kind))
+    except msgspec.DecodeError as error:
+        # A success that cannot be read: a write may well have been done.
+        return Failure(OutcomeUnknown(f"the store's answer cannot be read: {error}"))
+
+
+def _decode_conflict(body: bytes) -> TableConflict:
+    try:
+        rows = msgspec.json.decode(body, type=WireRows).rows
+    except msgspec.DecodeError:
+        rows = []
+    return TableConflict("a row has moved", tuple(row.key for row in rows))
--- /dev/null
+++ b/lycheepost/platform/storewire.py
@@ -0,0 +1,84 @@
+"""Bodies of the calls to the platform's store."""
+
+from base64 import b64decode, b64encode
+
+import msgspec
+
+from lycheepost.ports.feed import ChangedRow
+from lycheepost.ports.table import Row
+
+
+class WireRow(msgspec.Struct, omit_defaults=True):
+    """A row in an answer; ``ver`` counts transactions of the whole store."""
+
+    key: str
+    table: str = ""
+    part: str = ""
+    value: str = ""
+    ver: int = 0
+    deleted: bool = False
+
+    def to_row(self) -> Row:
+        """Return it as a row of the table port."""
+        return Row(self.key, b64decode(self.value), self.ver)
+
+    def to_change(self) -> ChangedRow:
+        """Return it as a change."""
+        return ChangedRow(self.key, None if self.deleted else b64decode(self.value))
+
+
+class WireRows(msgspec.Struct):
+    """An answer about rows.
+
+    ``ver`` is the store's newest version, not that of a row.
+    """
+
+    rows: list[WireRow] = []
+    ver: int = 0
+    now_ms: float = 0
+    has_more: bool = False
+
+
+class WireExpected(msgspec.Struct):
+    """A condition; ``ver`` 0 means that there is no such row."""
+
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class WirePut(msgspec.Struct):
+    """A row to write."""
+
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class WireRemove(msgspec.Struct):
+    """A row to drop."""
+
+    table: str
+    part: str
+    key: str
+
+
+class WireTransaction(msgspec.Struct):
+    """Conditions and writes that take effect together or not at all."""
+
+    expected: list[WireExpected]
+    puts: list[WirePut]
+    remove: list[WireRemove]
+
+
+class WireCommitted(msgspec.Struct):
+    """Answer to a transaction that took effect."""
+
+    ver: int
+
+
+def encode_value(value: bytes) -> str:
+    """Return a row's value as it goes into a body."""
+    return b64encode(value).decode()
--- a/lycheepost/platform/http_objects.py
+++ b/lycheepost/ports/http_objects.py
@@ -6,9 +6,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lycheepost.platform.http_calls import HttpAnswer, HttpCaller
-from lycheepost.platform.objects import ObjectError, ObjectMissing
-from lycheepost.platform.retries import RetryBudget, retry_read
+from lycheepost.ports.http_calls import HttpAnswer, HttpCaller
+from lycheepost.ports.objects import ObjectError, ObjectMissing
+from lycheepost.ports.retries import RetryBudget, retry_read
 
 
 class HttpObjects:
--- a/lycheepost/platform/http_table.py
+++ b/lycheepost/ports/http_table.py
@@ -6,9 +6,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lycheepost.platform.http_calls import AnswerLost, HttpAnswer, HttpCaller, NotSent
-from lycheepost.platform.retries import RetryBudget, retry_read
-from lycheepost.platform.table import (
+from lycheepost.ports.http_calls import AnswerLost, HttpAnswer, HttpCaller, NotSent
+from lycheepost.ports.retries import RetryBudget, retry_read
+from lycheepost.ports.table import (
     Committed,
     OutcomeUnknown,
     Page,
@@ -19,7 +19,7 @@
     TableUnavailable,
     Transaction,
 )
-from lycheepost.platform.table_wire import ReadAnswer, ReadBody, ScanBody
+from lycheepost.ports.table_wire import ReadAnswer, ReadBody, ScanBody
 
 T = TypeVar("T")
 
--- a/lycheepost/platform/http_vms.py
+++ b/lycheepost/ports/http_vms.py
@@ -4,8 +4,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lycheepost.platform.http_calls import HttpAnswer, HttpCaller
-from lycheepost.platform.vms import Vm, VmListError
+from lycheepost.ports.http_calls import HttpAnswer, HttpCaller
+from lycheepost.ports.vms import Vm, VmListError
 
 
 class HttpVmList:
--- a/lycheepost/platform/http_weights.py
+++ b/lycheepost/ports/http_weights.py
@@ -7,8 +7,8 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import ModelId
-from lycheepost.platform.http_calls import HttpAnswer, HttpCaller
-from lycheepost.platform.weights import WeightsError, WeightsInfo
+from lycheepost.ports.http_calls import HttpAnswer, HttpCaller
+from lycheepost.ports.weights import WeightsError, WeightsInfo
 
 
 class HttpWeights:
--- a/lycheepost/platform/table_wire.py
+++ b/lycheepost/ports/table_wire.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from lycheepost.platform.table import Row
+from lycheepost.ports.table import Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/report/history.py
+++ b/lycheepost/report/history.py
@@ -22,7 +22,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes, rendezvous_order
 from lycheepost.generated.report import BurnHistory, BurnSlot
-from lycheepost.platform.objects import ObjectPort
+from lycheepost.ports.objects import ObjectPort
 from lycheepost.report.samples import HOUR_SECONDS, Recorder, sum_slots
 
 SAVE_SECONDS = 20.0
--- a/lycheepost/standin/objects.py
+++ b/lycheepost/standin/objects.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.clock import Clock, SystemClock
-from lycheepost.platform.objects import ObjectError, ObjectMissing
+from lycheepost.ports.objects import ObjectError, ObjectMissing
 from lycheepost.standin.meter import Meter
 from lycheepost.standin.platformfaults import Faults
 
--- a/lycheepost/standin/table.py
+++ b/lycheepost/standin/table.py
@@ -15,7 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.clock import Clock, SystemClock
-from lycheepost.platform.table import (
+from lycheepost.ports.table import (
     ABSENT_VERSION,
     Committed,
     OutcomeUnknown,
@@ -28,7 +28,7 @@
     Transaction,
     Write,
 )
-from lycheepost.platform.table_wire import ReadAnswer, ReadBody, ScanBody
+from lycheepost.ports.table_wire import ReadAnswer, ReadBody, ScanBody
 from lycheepost.standin.meter import Meter
 from lycheepost.standin.platformfaults import Faults
 
--- a/lycheepost/standin/vmlist.py
+++ b/lycheepost/standin/vmlist.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.clock import Clock, SystemClock
-from lycheepost.platform.vms import Vm, VmListError, VmState
+from lycheepost.ports.vms import Vm, VmListError, VmState
 from lycheepost.standin.platformfaults import Faults
 
 MODEL_KEY: web.AppKey["VmListModel"] = web.AppKey("model")
--- a/lycheepost/standin/weightstore.py
+++ b/lycheepost/standin/weightstore.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import ModelId, WeightsVersion
-from lycheepost.platform.weights import WeightsError, WeightsInfo
+from lycheepost.ports.weights import WeightsError, WeightsInfo
 from lycheepost.standin.platformfaults import Faults
 
 MODEL_KEY: web.AppKey["WeightStoreModel"] = web.AppKey("model")
--- a/lycheepost/state/claim_batch.py
+++ b/lycheepost/state/claim_batch.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.clock import Clock
-from lycheepost.platform.table import (
+from lycheepost.ports.table import (
     Committed,
     Condition,
     TableConflict,
--- a/lycheepost/state/claim_endings.py
+++ b/lycheepost/state/claim_endings.py
@@ -13,8 +13,8 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.clock import Clock
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import Row, TableConflict, TableError, TablePort
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import Row, TableConflict, TableError, TablePort
 from lycheepost.state.claim_batch import BatchWriter
 from lycheepost.state.claim_rows import (
     ANSWER_PREFIX,
--- a/lycheepost/state/claim_expiry.py
+++ b/lycheepost/state/claim_expiry.py
@@ -10,8 +10,8 @@
 from returns.result import Failure, Success
 
 from lycheepost.core.clock import Clock
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import (
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import (
     Condition,
     Page,
     Row,
--- a/lycheepost/state/claim_rows.py
+++ b/lycheepost/state/claim_rows.py
@@ -13,7 +13,7 @@
     IdempotencyKey,
     RequestId,
 )
-from lycheepost.platform.table import Row
+from lycheepost.ports.table import Row
 from lycheepost.state.errors import StateError
 
 CLAIM_PREFIX = "claim/"
--- a/lycheepost/state/claims.py
+++ b/lycheepost/state/claims.py
@@ -27,8 +27,8 @@
     IdempotencyKey,
     RequestId,
 )
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import (
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import (
     ABSENT_VERSION,
     OutcomeUnknown,
     Row,
--- a/lycheepost/state/duties.py
+++ b/lycheepost/state/duties.py
@@ -76,7 +76,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
         lease, self._lease = self._lease, None
-        if lease is not None and lease.is_held(self._clock.now_seconds()):
+        if lease is not None and lease.is_kept(self._clock.now_seconds()):
             await self._leases.release(lease)
 
     def status(self) -> dict[str, object]:
@@ -112,7 +112,7 @@
             case Success(lease):
                 self._lease = lease
             case Failure(error):
-                if not self._lease.is_held(self._clock.now_seconds()):
+                if not self._lease.is_kept(self._clock.now_seconds()):
                     _log.warning("duties: lost", duty=self._duty, reason=error.reason)
                     self._lease = None
         return self._period_seconds
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -14,7 +14,7 @@
 """
 
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 import structlog
@@ -22,7 +22,7 @@
 
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, FencingNumber
-from lycheepost.platform.table import (
+from lycheepost.ports.table import (
     ABSENT_VERSION,
     Committed,
     Condition,
@@ -99,6 +99,8 @@
         until_seconds: End of the lease less the margin, by a clock that counts
             suspension.
         version: Version of the row, for the next renewal.
+        rests_until_seconds: No order before this time: the holder before gave the
+            lease up and may have sent its last order just then.
     """
 
     duty: str
@@ -106,9 +108,14 @@
     fencing_number: FencingNumber
     until_seconds: float
     version: int
+    rests_until_seconds: float = float("-inf")
 
     def is_held(self, now_seconds: float) -> bool:
         """Return whether an order may be sent now; ask again at each send."""
+        return self.rests_until_seconds <= now_seconds < self.until_seconds
+
+    def is_kept(self, now_seconds: float) -> bool:
+        """Return whether nobody else can have taken it."""
         return now_seconds < self.until_seconds
 
 
@@ -131,6 +138,9 @@
         margin_seconds: How long before the end its holder stops, and how long
             after the end another daemon waits. It covers clock drift and orders
             still on their way.
+        rest_seconds: How long a new holder sends no order after a daemon that
+            gave the lease up; targets that tell holders apart only by the time
+            between their orders need it.
     """
 
     def __init__(
@@ -140,6 +150,7 @@
         daemon: DaemonId,
         length_seconds: float,
         margin_seconds: float,
+        rest_seconds: float = 0.0,
     ) -> None:
         if margin_seconds >= length_seconds:
             raise ValueError("The margin must be shorter than the lease.")
@@ -148,6 +159,7 @@
         self._daemon = daemon
         self._length_seconds = length_seconds
         self._margin_seconds = margin_seconds
+        self._rest_seconds = rest_seconds
         self._sightings: dict[str, Sighting] = {}
 
     async def acquire(self, duty: str) -> Result[Lease, LeaseError]:
@@ -165,19 +177,33 @@
         number = FencingNumber(1 if held is None else held.fencing_number + 1)
         version = ABSENT_VERSION if row is None else row.version
         taken = await self._take(duty, version, secrets.token_hex(8), number)
-        if isinstance(taken, Success):
-            _log.info("leases: acquired", duty=duty, fencing_number=number)
+        match taken:
+            case Success(lease):
+                _log.info("leases: acquired", duty=duty, fencing_number=number)
+                return Success(self._rested(lease, held))
         return taken
 
+    def _rested(self, lease: Lease, before: LeaseRow | None) -> Lease:
+        """Add the rest that is due after another daemon's release."""
+        was_released = before is not None and not before.token
+        if before is None or not was_released or before.holder == self._daemon:
+            return lease
+        now_seconds = self._clock.now_seconds()
+        return replace(lease, rests_until_seconds=now_seconds + self._rest_seconds)
+
     async def renew(self, lease: Lease) -> Result[Lease, LeaseError]:
         """Prolong a lease; keep the returned one instead.
 
         One that has run out by our own clock may be prolonged too: if another
         daemon has taken it the row has moved, and the renewal is refused.
         """
-        return await self._take(
+        renewed = await self._take(
             lease.duty, lease.version, lease.token, lease.fencing_number
         )
+        rests_until = lease.rests_until_seconds
+        return renewed.map(
+            lambda taken: replace(taken, rests_until_seconds=rests_until)
+        )
 
     async def release(self, lease: Lease) -> Result[None, LeaseError]:
         """Give the lease up, so that another daemon need not wait it out."""
@@ -220,7 +246,7 @@
         match written:
             case Success(new_version):
                 lease = Lease(duty, token, number, until_seconds, new_version)
-                if lease.is_held(self._clock.now_seconds()):
+                if lease.is_kept(self._clock.now_seconds()):
                     return Success(lease)
                 return Failure(LeaseLost("The store answered after the lease."))
             case Failure(OwnRowMoved(version=new_version)):
--- /dev/null
+++ b/lycheepost/state/memberrows.py
@@ -0,0 +1,125 @@
+"""Daemons find each other through rows of their own in the table.
+
+Each daemon writes one row when it starts and removes it when it leaves. A daemon
+that dies leaves its row behind; that a row exists says only where to ask, and
+whoever does not answer there is no member.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.ids import AvailabilityZone, DaemonId
+from lycheepost.ports.table import (
+    ABSENT_VERSION,
+    Condition,
+    Row,
+    TableConflict,
+    TableError,
+    TablePort,
+    Transaction,
+    Write,
+)
+from lycheepost.ports.vms import Vm, VmListError, VmRole, VmState
+
+_PREFIX = "member/"
+_PAGE_ROWS = 500
+_log = structlog.get_logger(part="members")
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRow:
+    """Where one daemon is reached."""
+
+    availability_zone: str
+    host: str
+    callers_url: str
+    peer_endpoint: str
+    boot: str
+
+
+class MemberRows:
+    """Implements ``ports.vms.VmListPort`` over the rows of the daemons.
+
+    Args:
+        table: Where the rows are.
+    """
+
+    def __init__(self, table: TablePort) -> None:
+        self._table = table
+
+    async def list_vms(self) -> Result[tuple[Vm, ...], VmListError]:
+        """Return every daemon that has a row."""
+        vms: list[Vm] = []
+        after_key: str | None = None
+        while True:
+            match await self._table.scan(_PREFIX, after_key, _PAGE_ROWS):
+                case Success(page):
+                    vms.extend(_to_vm(row) for row in page.rows)
+                case Failure(error):
+                    return Failure(VmListError(error.reason))
+            if page.next_key is None:
+                return Success(tuple(vms))
+            after_key = page.next_key
+
+    async def register(
+        self, daemon: DaemonId, member: MemberRow
+    ) -> Result[None, TableError]:
+        """Write the row of this daemon, over that of an earlier start."""
+        return await self._write(daemon, msgspec.json.encode(member))
+
+    async def remove(self, daemon: DaemonId, boot: str) -> Result[None, TableError]:
+        """Remove this start's row; another start's is left as it is."""
+        match await self._table.read((_key(daemon),)):
+            case Success((Row() as row,)) if _decode(row).boot == boot:
+                return await self._commit(daemon, row.version, None)
+            case Failure(error):
+                return Failure(error)
+        return Success(None)
+
+    async def _write(self, daemon: DaemonId, value: bytes) -> Result[None, TableError]:
+        match await self._table.read((_key(daemon),)):
+            case Success((row,)):
+                version = ABSENT_VERSION if row is None else row.version
+                return await self._commit(daemon, version, value)
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _commit(
+        self, daemon: DaemonId, version: int, value: bytes | None
+    ) -> Result[None, TableError]:
+        key = _key(daemon)
+        transaction = Transaction((Condition(key, version),), (Write(key, value),))
+        match await self._table.commit(transaction):
+            case Success():
+                return Success(None)
+            case Failure(TableConflict() as error):
+                _log.info("members: row moved", daemon=daemon)
+                return Failure(error)
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+
+def _key(daemon: DaemonId) -> str:
+    return _PREFIX + daemon
+
+
+def _decode(row: Row) -> MemberRow:
+    return msgspec.json.decode(row.value, type=MemberRow)
+
+
+def _to_vm(row: Row) -> Vm:
+    member = _decode(row)
+    return Vm(
+        name=row.key.removeprefix(_PREFIX),
+        role=VmRole.DAEMON,
+        state=VmState.LIVE,
+        availability_zone=AvailabilityZone(member.availability_zone),
+        address=member.host,
+        callers_url=member.callers_url,
+        peer_endpoint=member.peer_endpoint,
+    )
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -21,7 +21,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId, TargetId
 from lycheepost.decide.records import TargetState
-from lycheepost.platform.vms import Vm, VmListPort, VmRole, VmState
+from lycheepost.ports.vms import Vm, VmListPort, VmRole, VmState
 from lycheepost.state.addresses import (
     Addresses,
     Member,
--- /dev/null
+++ b/lycheepost/state/peerkeys.py
@@ -0,0 +1,77 @@
+"""The key pair that the daemons of a deployment share for their peer links.
+
+Where no operator hands keys out, the first daemon makes a pair and puts it into
+the table, under the condition that there is none; all others read it. Whoever may
+read the table may be a peer.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheepost.ports.table import (
+    ABSENT_VERSION,
+    Condition,
+    Row,
+    TableConflict,
+    TableError,
+    TablePort,
+    Transaction,
+    Write,
+)
+
+_KEY = "peer-keys"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredKeys:
+    """A CURVE key pair in Z85."""
+
+    public: str
+    secret: str
+
+
+async def load_peer_keys(
+    table: TablePort, make: Callable[[], StoredKeys]
+) -> Result[StoredKeys, TableError]:
+    """Return the shared pair; make it when there is none yet.
+
+    Args:
+        table: Where the pair is kept.
+        make: Returns a new pair.
+    """
+    match await _read(table):
+        case Success(StoredKeys() as found):
+            return Success(found)
+        case Failure(error):
+            return Failure(error)
+    keys = make()
+    value = msgspec.json.encode(keys)
+    made = Transaction((Condition(_KEY, ABSENT_VERSION),), (Write(_KEY, value),))
+    match await table.commit(made):
+        case Success():
+            return Success(keys)
+        case Failure(TableConflict()):
+            return (await _read(table)).bind(_require)
+        case Failure(error):
+            return Failure(error)
+    raise AssertionError("a result is a success or a failure")
+
+
+async def _read(table: TablePort) -> Result[StoredKeys | None, TableError]:
+    match await table.read((_KEY,)):
+        case Success((Row(value=value),)):
+            return Success(msgspec.json.decode(value, type=StoredKeys))
+        case Success(_):
+            return Success(None)
+        case Failure(error):
+            return Failure(error)
+    raise AssertionError("a result is a success or a failure")
+
+
+def _require(keys: StoredKeys | None) -> Result[StoredKeys, TableError]:
+    if keys is None:
+        return Failure(TableError("the peer keys were removed"))
+    return Success(keys)
--- a/lycheepost/state/revision_rows.py
+++ b/lycheepost/state/revision_rows.py
@@ -13,8 +13,8 @@
 
 from lycheepost.core.ids import Revision
 from lycheepost.generated.configuration import Configuration
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import (
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import (
     ABSENT_VERSION,
     Condition,
     Row,
--- a/lycheepost/state/revisions.py
+++ b/lycheepost/state/revisions.py
@@ -22,8 +22,8 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import Revision
 from lycheepost.generated.configuration import Configuration
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import (
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import (
     OutcomeUnknown,
     TableConflict,
     TablePort,
--- /dev/null
+++ b/lycheepost/state/routing.py
@@ -0,0 +1,79 @@
+"""The route table in force in this daemon.
+
+Versions only rise, whoever tells of them: a table that comes late, from a store
+answer that was overtaken or from a peer that is behind, is ignored. Until the
+first table there is nothing to answer "not found" or "key unknown" from.
+"""
+
+from collections.abc import Callable
+
+import structlog
+
+from lycheepost.core.routing import RouteTable
+
+_log = structlog.get_logger(part="routing")
+
+OnTable = Callable[[RouteTable], None]
+
+
+class RoutingKeeper:
+    """Holds the newest route table and how fresh it is.
+
+    Attributes:
+        table: None before the first one.
+        confirmed_seconds: The table was the newest at this time, or later, by a
+            clock that counts suspension; None when that was never proven.
+    """
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+        self.confirmed_seconds: float | None = None
+        self._subscribers: list[OnTable] = []
+
+    def subscribe(self, callback: OnTable) -> None:
+        """Call ``callback`` with each table that comes into force."""
+        self._subscribers.append(callback)
+
+    def adopt(self, table: RouteTable, source: str) -> bool:
+        """Put a table in force unless a newer one is; return whether it was.
+
+        Args:
+            table: A whole configuration.
+            source: Who told of it, for the log.
+        """
+        current = self.table
+        if current is not None and table.version <= current.version:
+            return False
+        self.table = table
+        _log.info(
+            "routing: configuration in force",
+            version=table.version,
+            before=None if current is None else current.version,
+            n_routes=sum(len(routes) for routes in table.by_host.values()),
+            n_keys=len(table.key_holders or ()),
+            source=source,
+        )
+        for callback in self._subscribers:
+            callback(table)
+        return True
+
+    def confirm(self, version: int, confirmed_seconds: float) -> None:
+        """Note that ``version`` was the newest at a time.
+
+        A confirmation of another version than the one in force says nothing about
+        the keys that are being served from here.
+        """
+        if self.table is None or self.table.version != version:
+            return
+        if self.confirmed_seconds is None or confirmed_seconds > self.confirmed_seconds:
+            self.confirmed_seconds = confirmed_seconds
+
+    def status(self, now_seconds: float) -> dict[str, object]:
+        """Return version and age, for the status page."""
+        confirmed = self.confirmed_seconds
+        return {
+            "version": None if self.table is None else self.table.version,
+            "confirmed_age_seconds": (
+                None if confirmed is None else now_seconds - confirmed
+            ),
+        }
--- a/lycheepost/state/settle.py
+++ b/lycheepost/state/settle.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.clock import Clock
-from lycheepost.platform.table import (
+from lycheepost.ports.table import (
     Committed,
     OutcomeUnknown,
     TableConflict,
--- a/lycheepost/state/snapshots.py
+++ b/lycheepost/state/snapshots.py
@@ -11,8 +11,8 @@
 from returns.result import Failure, Success
 
 from lycheepost.core.ids import Revision
-from lycheepost.platform.objects import ObjectPort
-from lycheepost.platform.table import Page, TablePort, Transaction, Write
+from lycheepost.ports.objects import ObjectPort
+from lycheepost.ports.table import Page, TablePort, Transaction, Write
 from lycheepost.state.leases import Lease
 from lycheepost.state.revision_rows import (
     REVISION_PREFIX,
--- /dev/null
+++ b/lycheepost/state/targetlist.py
@@ -0,0 +1,258 @@
+"""The targets of routed requests, as this daemon may use them now.
+
+Joins four sources: what targets registered, orders that change their weights,
+what answers say of the weights, and how requests end there. Whoever may not take
+new work is out of the views that the scheduler gets.
+
+A target whose registration lapses while the store is away has not left: it
+registers again within about two seconds of the store's return. So a removal that
+is seen right after an outage counts only after that time.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+
+import structlog
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import (
+    Incarnation,
+    ModelId,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
+)
+from lycheepost.core.routing import ListedTarget, RouteTable
+from lycheepost.decide.records import TargetState, TargetView
+from lycheepost.decide.targethealth import Ending, TargetHealth
+
+LAPSE_SECONDS = 2.2
+"""Registrations that lapsed are back two seconds after the store; and one round
+trip through the target and the store."""
+
+CHANGE_SECONDS = 6.0
+"""A target that was ordered to change its weights is used again after this time
+even if nobody told that it is done: the daemon that knew may have died."""
+
+_log = structlog.get_logger(part="targets")
+
+OnViews = Callable[[tuple[TargetView, ...]], None]
+
+
+@dataclass(slots=True)
+class _Known:
+    """What is known of one target.
+
+    Attributes:
+        gone_seconds: When its removal counts; None while it is registered.
+        weights: By model; what was learned last.
+        changing_until_seconds: New weights are being put in until then.
+    """
+
+    listed: ListedTarget
+    gone_seconds: float | None = None
+    weights: dict[ModelId, WeightsVersion] | None = None
+    changing_until_seconds: float = float("-inf")
+
+
+class TargetList:
+    """The targets that may take routed requests.
+
+    Args:
+        clock: A clock that counts suspension.
+        on_views: Gets all views whenever one has changed.
+    """
+
+    def __init__(self, clock: Clock, on_views: OnViews) -> None:
+        self._clock = clock
+        self._on_views = on_views
+        self._known: dict[TargetId, _Known] = {}
+        self._health: dict[TargetGroupId, TargetHealth] = {}
+        self._table: RouteTable | None = None
+        self._views: tuple[TargetView, ...] = ()
+
+    def get(self, target: TargetId) -> ListedTarget | None:
+        """Return a target that may still be sent to; None when it has left."""
+        known = self._known.get(target)
+        if known is None or known.listed.is_leaving:
+            return None
+        return known.listed
+
+    def listed(self, target_group: TargetGroupId) -> tuple[ListedTarget, ...]:
+        """Return the registered targets of a group, with the weights known now."""
+        return tuple(
+            replace(known.listed, weights=known.weights or {})
+            for known in self._known.values()
+            if known.listed.target_group == target_group
+        )
+
+    def weights_of(self, target: TargetId, model: ModelId) -> WeightsVersion | None:
+        """Return the weights that a target holds, as far as known."""
+        known = self._known.get(target)
+        return None if known is None or not known.weights else known.weights.get(model)
+
+    def set_table(self, table: RouteTable) -> None:
+        """Follow the route table: its groups say what their targets can do."""
+        self._table = table
+        self.refresh()
+
+    def take(
+        self,
+        listed: Iterable[ListedTarget],
+        removed: Iterable[TargetId],
+        was_lost: bool,
+    ) -> None:
+        """Take registrations and removals.
+
+        Args:
+            listed: Targets as they registered.
+            removed: Targets whose registrations are gone.
+            was_lost: The store had not answered before.
+        """
+        for target in listed:
+            self._put(target)
+        now_seconds = self._clock.now_seconds()
+        for name in removed:
+            known = self._known.get(name)
+            if known is None or known.gone_seconds is not None:
+                continue
+            # While the wait lasts it goes on serving: most of them live.
+            wait_seconds = LAPSE_SECONDS if was_lost else 0.0
+            known.gone_seconds = now_seconds + wait_seconds
+            _log.info("targets: registration gone", target=name, wait=wait_seconds)
+        self.refresh()
+
+    def take_all(self, listed: Iterable[ListedTarget], was_lost: bool) -> None:
+        """Take a whole read: whoever is not in it is removed."""
+        targets = tuple(listed)
+        names = {TargetId(target.target) for target in targets}
+        self.take(
+            targets, [name for name in self._known if name not in names], was_lost
+        )
+
+    def _put(self, listed: ListedTarget) -> None:
+        name = TargetId(listed.target)
+        known = self._known.get(name)
+        if known is None:
+            self._known[name] = _Known(listed, weights=dict(listed.weights))
+            _log.info(
+                "targets: registered",
+                target=name,
+                target_group=listed.target_group,
+                address=listed.address,
+            )
+            return
+        if listed.is_leaving and not known.listed.is_leaving:
+            _log.info("targets: leaving", target=name)
+        if listed.weights != known.listed.weights:
+            self._learn(known, listed.weights)
+        known.listed = listed
+        known.gone_seconds = None
+
+    def _learn(self, known: _Known, weights: Mapping[ModelId, WeightsVersion]) -> None:
+        """Take weights that are newer; registrations come late."""
+        current = known.weights or {}
+        newer = {
+            model: version
+            for model, version in weights.items()
+            if weights_number(version) > weights_number(current.get(model))
+        }
+        if newer:
+            known.weights = current | newer
+            known.changing_until_seconds = float("-inf")
+
+    def note_weights(
+        self, target: TargetId, model: ModelId, version: WeightsVersion
+    ) -> None:
+        """Learn which weights a target answered with or was left with."""
+        known = self._known.get(target)
+        if known is None or (known.weights or {}).get(model) == version:
+            return
+        self._learn(known, {model: version})
+        self.refresh()
+
+    def note_changing(self, target: TargetId, for_seconds: float) -> None:
+        """Keep new work off a target whose weights are being changed."""
+        known = self._known.get(target)
+        if known is not None:
+            known.changing_until_seconds = self._clock.now_seconds() + for_seconds
+            self.refresh()
+
+    def note_end(self, target: TargetId, ending: Ending) -> None:
+        """Learn from the end of a request."""
+        known = self._known.get(target)
+        if known is None:
+            return
+        health = self._health.setdefault(known.listed.target_group, TargetHealth())
+        if health.observe(target, ending, self._clock.now_seconds()):
+            _log.info("targets: left alone", target=target, ending=ending.value)
+            self.refresh()
+
+    def note_other_at_address(self, target: TargetId) -> None:
+        """Drop a target whose address another one answers at; it has ended."""
+        known = self._known.get(target)
+        if known is not None and known.gone_seconds is None:
+            _log.info("targets: address has another target", target=target)
+            known.gone_seconds = self._clock.now_seconds()
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Make the views anew; called on changes and as time passes."""
+        now_seconds = self._clock.now_seconds()
+        self._forget_gone(now_seconds)
+        resting = self._resting(now_seconds)
+        views = tuple(
+            self._view(name, known, name in resting, now_seconds)
+            for name, known in sorted(self._known.items())
+        )
+        if views != self._views:
+            self._views = views
+            self._on_views(views)
+
+    def _forget_gone(self, now_seconds: float) -> None:
+        for name, known in list(self._known.items()):
+            if known.gone_seconds is not None and known.gone_seconds <= now_seconds:
+                del self._known[name]
+        for health in self._health.values():
+            health.forget(self._known)
+
+    def _resting(self, now_seconds: float) -> set[TargetId]:
+        resting: set[TargetId] = set()
+        for group, health in self._health.items():
+            names = [
+                name
+                for name, known in self._known.items()
+                if known.listed.target_group == group and not known.listed.is_leaving
+            ]
+            resting |= health.resting(names, now_seconds)
+        return resting
+
+    def _view(
+        self, name: TargetId, known: _Known, is_resting: bool, now_seconds: float
+    ) -> TargetView:
+        listed = known.listed
+        state = TargetState.SERVING
+        if listed.is_leaving:
+            state = TargetState.LEAVING
+        elif is_resting or now_seconds < known.changing_until_seconds:
+            state = TargetState.GONE
+        group = (
+            None if self._table is None else self._table.groups.get(listed.target_group)
+        )
+        engine = None if group is None else group.engine
+        versions = sorted((known.weights or {}).values())
+        return TargetView(
+            target=name,
+            target_group=listed.target_group,
+            availability_zone=listed.availability_zone,
+            state=state,
+            incarnation=Incarnation(name),
+            weights_version=WeightsVersion(",".join(versions)),
+            concurrency_limit=listed.slots,
+            cache_tokens=0 if engine is None else engine.kv_tokens,
+        )
+
+
+def weights_number(version: WeightsVersion | None) -> int:
+    """Return the place of a version among the versions of its model; 0 for none."""
+    return int(version) if version else 0
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -36,9 +36,9 @@
 from lycheepost.generated.engine import CacheEvents, EngineHealth, EngineLoad
 from lycheepost.operators.intents import parse_intent
 from lycheepost.peers.wire import MESSAGE_TYPES, WireCounts, decode_message
-from lycheepost.platform.http_calls import HttpAnswer
-from lycheepost.platform.http_table import HttpTable
-from lycheepost.platform.table import (
+from lycheepost.ports.http_calls import HttpAnswer
+from lycheepost.ports.http_table import HttpTable
+from lycheepost.ports.table import (
     Committed,
     Condition,
     OutcomeUnknown,
