Log to standard output without blocking; serve metrics and the daemon's beliefs

Cause: a reader of the logs that stops would stop the daemon, and the platform fetches metrics as text.

The metrics port serves the counters and /admin/status.

--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -10,11 +10,13 @@
 import random
 import secrets
 from collections.abc import Callable
+from typing import Any
 
 import structlog
 
 from lycheepost.app.fleet import Fleet, Identity
 from lycheepost.app.losses import LossExchange
+from lycheepost.app.metricspage import MetricsPage
 from lycheepost.app.parts import Part, start_parts, stop_parts
 from lycheepost.app.rawlistener import RawListener
 from lycheepost.callers.dispatch import Dispatcher
@@ -47,7 +49,7 @@
 )
 from lycheepost.platform.ingress import ClientFront, Directory, Readiness
 from lycheepost.platform.orders import ServerOrders
-from lycheepost.platform.settings import NodeSettings
+from lycheepost.platform.settings import Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.duties import DutyRunner, is_candidate
@@ -59,7 +61,10 @@
 from lycheepost.state.view import ConfigurationView, make_view
 from lycheepost.targets.forward import ForwardClient
 from lycheepost.targets.forwardcall import AnswerHead
-from lycheepost.utils.metrics import Metrics, NoMetrics
+from lycheepost.utils.metrics import ServedMetrics
+
+METRICS_PORT = 9109
+"""Named in deploy/system.toml as well; outside of the range that peers use."""
 
 WEIGHTS_DUTY = "weights"
 LEASE_SECONDS = 4.5
@@ -164,17 +169,17 @@
 
 
 def make_platform_daemon(
-    node: NodeSettings, clock: Clock | None = None, metrics: Metrics | None = None
+    node: NodeSettings, clock: Clock | None = None, metrics_port: int = METRICS_PORT
 ) -> PlatformDaemon:
     """Join the parts of one daemon; nothing is started yet.
 
     Args:
         node: What the platform tells this process.
         clock: Tells the time; this machine's when None.
-        metrics: Where metrics go; nowhere when None.
+        metrics_port: Where metrics are served; 0 takes a free port.
     """
     clock = clock or SystemClock()
-    metrics = metrics or NoMetrics()
+    metrics = ServedMetrics()
     boot = secrets.token_hex(6)
     seed = hash_bytes(f"{node.daemon}/{boot}".encode())
     rng = random.Random(seed)
@@ -289,12 +294,36 @@
         answer = members.addresses(None, clock.now_seconds())
         return [item.url for item in answer.addresses]
 
+    def status() -> dict[str, Any]:
+        now_seconds = clock.now_seconds()
+        return {
+            "daemon_id": node.daemon,
+            "boot": boot,
+            "is_leaving": daemon.is_leaving,
+            "n_open": front.n_open,
+            "configuration": routing.status(now_seconds),
+            "watches": [watch.status() for watch in watches],
+            "members": members.status()["members"],
+            "peers": exchange.status(),
+            "targets": targets.status(),
+            "weights": rollout.status(),
+            "duties": [duty.status()],
+            "queues": dispatcher.status(),
+            "sends": client.status(),
+            "store": store.status(),
+        }
+
     valid_seconds = min(ADDRESS_SECONDS, node.bounds.address_seconds)
     parts += _listeners(
         (
             ("clients", node.clients, front.handle),
             ("readiness", node.readiness, Readiness(is_ready).handle),
             ("directory", node.directory, Directory(addresses, valid_seconds).handle),
+            (
+                "metrics",
+                Endpoint(node.host, metrics_port),
+                MetricsPage(metrics, status).handle,
+            ),
         )
     )
     return daemon
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -35,7 +35,7 @@
 )
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse
-from lycheepost.decide.routes import RouteFault, Way, find_way
+from lycheepost.decide.routes import RouteFault, Way, choose_kv_store, find_way
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardAnswer
@@ -364,8 +364,7 @@
         target = TargetId(listed.target)
         version = self._deps.targets.weights_of(target, prompt.model)
         version = version or WeightsVersion("")
-        table = _table(self._deps)
-        store = "" if table.kv_store is None else table.kv_store.address
+        store = choose_kv_store(_table(self._deps), listed.availability_zone)
         return EngineTerms(
             model=prompt.model,
             cache_scope=cache_scope(self._way.holder, version),
--- a/lycheepost/commands/serve.py
+++ b/lycheepost/commands/serve.py
@@ -1,7 +1,8 @@
 """``lycheepost serve``: run one daemon."""
 
 import pathlib
-from typing import Annotated
+import sys
+from typing import Annotated, TextIO, cast
 
 import typer
 from returns.result import Failure, Success
@@ -9,6 +10,7 @@
 from lycheepost.commands.output import ExitCode, fail, fail_with_faults
 from lycheepost.generated.settings import LogSettings
 from lycheepost.utils.logs import configure_logs
+from lycheepost.utils.logwriter import LogWriter
 
 
 def serve(
@@ -37,6 +39,11 @@
         fail("Give --settings or --node-file.", ExitCode.BAD_INPUT)
 
 
+def _standard_output() -> TextIO:
+    """Return standard output as a place for log lines that never blocks."""
+    return cast("TextIO", LogWriter(sys.stdout.fileno()))
+
+
 def _serve_alone(settings_file: pathlib.Path) -> None:
     """Run a daemon with settings of our own."""
     # Imported here: the daemon on the platform must not hold these modules.
@@ -50,7 +57,7 @@
             pass
         case Failure(faults):
             fail_with_faults(faults)
-    configure_logs(settings.logs, settings.daemon.daemon_id)
+    configure_logs(settings.logs, settings.daemon.daemon_id, _standard_output())
     try:
         run_until_signal(lambda: make_daemon(settings))
     except (OSError, TlsError) as error:
@@ -68,7 +75,7 @@
             pass
         case Failure(error):
             fail(" ".join((error.reason, *error.faults)), ExitCode.BAD_INPUT)
-    configure_logs(LogSettings(), node.daemon)
+    configure_logs(LogSettings(), node.daemon, _standard_output())
     try:
         run_until_signal(lambda: make_platform_daemon(node))
     except OSError as error:
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -152,7 +152,7 @@
         by_host: Routes of each host, longest prefix first.
         groups: Target groups by name.
         key_holders: Who holds each key; None when no keys are in use.
-        kv_store: Where engines keep KV cache beyond their own; None without one.
+        kv_stores: Where engines keep KV cache beyond their own.
     """
 
     version: int
@@ -160,7 +160,7 @@
     groups: Mapping[TargetGroupId, RoutedGroup]
     limits: CallerLimits
     key_holders: Mapping[str, KeyHolder] | None = None
-    kv_store: KvStore | None = None
+    kv_stores: tuple[KvStore, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +216,7 @@
     groups: tuple[RoutedGroup, ...],
     limits: CallerLimits,
     key_holders: Mapping[str, KeyHolder] | None,
-    kv_store: KvStore | None,
+    kv_stores: tuple[KvStore, ...],
 ) -> RouteTable:
     """Return a table with its look-ups built."""
     by_host: dict[str, list[Route]] = {}
@@ -231,5 +231,5 @@
         groups={group.target_group: group for group in groups},
         limits=limits,
         key_holders=key_holders,
-        kv_store=kv_store,
+        kv_stores=kv_stores,
     )
--- a/lycheepost/decide/routes.py
+++ b/lycheepost/decide/routes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lycheepost.core.ids import CustomerId, TargetGroupId
+from lycheepost.core.ids import AvailabilityZone, CustomerId, TargetGroupId
 from lycheepost.core.routing import KeyHolder, Route, RouteTable
 
 ANYBODY = KeyHolder(CustomerId(""))
@@ -72,3 +72,16 @@
         if rest < 0:
             return share.target_group
     return route.shares[-1].target_group
+
+
+def choose_kv_store(table: RouteTable, zone: AvailabilityZone) -> str:
+    """Return the address of the KV store that a target should use; empty for none.
+
+    The one in the target's own availability zone, as moving KV cache between zones
+    takes twice as long and is paid for; else the first, the same for all targets,
+    so that what one of them kept the others find.
+    """
+    stores = sorted(table.kv_stores, key=lambda store: store.address)
+    near = [store for store in stores if store.availability_zone == zone]
+    chosen = next(iter(near or stores), None)
+    return "" if chosen is None else chosen.address
--- a/lycheepost/platform/documents.py
+++ b/lycheepost/platform/documents.py
@@ -161,7 +161,9 @@
             idle_seconds=wire.limits.idle_timeout_ms / _MILLISECONDS,
         ),
         key_holders=None if wire.tenants is None else _key_holders(wire.tenants),
-        kv_store=_kv_store(wire.services),
+        kv_stores=tuple(
+            _to_kv_store(item) for item in wire.services if item.kv_store_addr
+        ),
     )
 
 
@@ -209,12 +211,9 @@
     }
 
 
-def _kv_store(services: list[_WireService]) -> KvStore | None:
-    for item in services:
-        if item.kv_store_addr:
-            zone = AvailabilityZone(item.zone)
-            return KvStore(item.kv_store_addr, zone, item.kv_capacity_tokens)
-    return None
+def _to_kv_store(wire: _WireService) -> KvStore:
+    zone = AvailabilityZone(wire.zone)
+    return KvStore(wire.kv_store_addr, zone, wire.kv_capacity_tokens)
 
 
 def decode_server(name: str, data: bytes) -> Result[ListedTarget, DocumentFault]:
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -91,6 +91,20 @@
         known = self._known.get(target)
         return None if known is None or not known.weights else known.weights.get(model)
 
+    def status(self) -> dict[str, object]:
+        """Return what is known of each target, for the status page."""
+        states = {view.target: view.state.value for view in self._views}
+        return {
+            str(name): {
+                "state": states.get(name),
+                "target_group": known.listed.target_group,
+                "address": known.listed.address,
+                "weights": known.weights,
+                "is_leaving": known.listed.is_leaving,
+            }
+            for name, known in self._known.items()
+        }
+
     def set_table(self, table: RouteTable) -> None:
         """Follow the route table: its groups say what their targets can do."""
         self._table = table
--- a/lycheepost/utils/logs.py
+++ b/lycheepost/utils/logs.py
@@ -1,4 +1,7 @@
-"""Structured logs on standard error, one line an event.
+"""Structured logs, one line an event.
+
+A daemon writes them to standard output, bounded (``utils.logwriter``); a command
+whose output a script reads writes them to standard error.
 
 Every part binds ``part`` and begins its events with the same word. The request
 id is bound in a context variable, so that each line of one request carries it.
@@ -9,8 +12,9 @@
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any
+from typing import Any, TextIO
 
+import msgspec
 import structlog
 
 from lycheepost.generated.settings import LogFormat, LogSettings
@@ -28,14 +32,22 @@
     return event
 
 
-def configure_logs(settings: LogSettings, daemon_id: str = "") -> None:
+def _encode(event: object, **_options: object) -> str:
+    """Return an event as JSON; what has no JSON form is told by its text."""
+    return msgspec.json.encode(event, enc_hook=str).decode()
+
+
+def configure_logs(
+    settings: LogSettings, daemon_id: str = "", output: TextIO | None = None
+) -> None:
     """Set up logging for this process.
 
     Args:
         settings: Level and format.
         daemon_id: Stands in every line when given.
+        output: Where lines go; standard error when None.
     """
-    renderer: Any = structlog.processors.JSONRenderer()
+    renderer: Any = structlog.processors.JSONRenderer(serializer=_encode)
     if settings.format is LogFormat.CONSOLE:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     level = logging.getLevelNamesMapping()[settings.level.value.upper()]
@@ -49,7 +61,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=output or sys.stderr),
         cache_logger_on_first_use=False,
     )
     # aiohttp reports faults of handlers through the standard library; it must
