Prove the calm path over stand-ins that speak the platform's protocol

platform/models/ gives the row store, engines and plain services a face that speaks the protocol; features/platform runs real daemons before them: bytes both ways, forged headers, smuggled heads, keys, leaving targets, an absent store.

Found by it: with a short bound on keys the store's held questions were longer than a key may be trusted, and every keyed request was refused. The time that a question is held now follows the bound.

--- /dev/null
+++ b/features/decide/rollout.feature
@@ -0,0 +1,53 @@
+Feature: New weights for many targets, and targets that show trouble
+  Pure decisions: no network and no clock.
+
+  Scenario: Weights change a few targets at a time, the least busy first
+    A version is named while all targets serve. If all changed at once nobody would
+    serve; one after the other would take six times as long as one change.
+    Given 6 targets with version 1
+    When version 2 is named
+    Then the 2 targets with the fewest requests are ordered to version 2
+
+  Scenario: A version that was overtaken is never loaded
+    Version 2 is being put into two targets when version 3 is named.
+    Given 6 targets with version 1 of which 2 are changing
+    When version 3 is named
+    Then nobody is ordered
+    When the changing targets are done with version 2
+    Then the 2 targets with the fewest requests are ordered to version 3
+
+  Scenario: A single target changes all the same
+    Given 1 targets with version 1
+    When version 2 is named
+    Then the 1 targets with the fewest requests are ordered to version 2
+
+  Scenario Outline: A target whose requests end as <ending> among <n> others that are well
+    Its health answer is good, so only its requests show the trouble.
+    Given <n> targets that are well
+    When one more ends <count> requests as <ending>
+    Then the odd one is <outcome>
+
+    Examples:
+      | n | count | ending      | outcome     |
+      | 5 | 1     | BAD         | used        |
+      | 5 | 3     | BAD         | left alone  |
+      | 5 | 1     | UNREACHABLE | left alone  |
+
+  Scenario: A service that fails everywhere keeps its targets
+    Every target fails a third of its requests. Leaving them all alone would turn a
+    bad service into none.
+    When each of 4 targets ends 3 requests as BAD and 6 as GOOD
+    Then none of them is left alone
+
+  Scenario: Targets that are all unreachable are still tried
+    The daemon's own link is down. With no target left it would refuse everything
+    after its link is back.
+    When each of 4 targets ends 1 requests as UNREACHABLE and 0 as GOOD
+    Then none of them is left alone
+
+  Scenario: A target that recovers is used again, one that does not less and less
+    Given 5 targets that are well
+    When one more is unreachable whenever it is tried for 30 s
+    Then tries number at most 12
+    When it answers again
+    Then it serves again within 5 s
--- /dev/null
+++ b/features/decide/steps/routed.py
@@ -0,0 +1,151 @@
+"""Steps of routed.feature."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from lycheepost.core.ids import CustomerId, TargetGroupId
+from lycheepost.core.routing import (
+    CallerLimits,
+    GroupShare,
+    KeyHolder,
+    Route,
+    RouteKind,
+    make_route_table,
+)
+from lycheepost.decide.attempts import (
+    SendEnd,
+    Sends,
+    Step,
+    next_step,
+    silence_seconds,
+)
+from lycheepost.decide.freshness import KeyRule, may_trust_key
+from lycheepost.decide.routes import Way, choose_group, find_way
+
+LIMITS = CallerLimits(16384, 4194304, 3.0, 15.0)
+GROUP = TargetGroupId("g")
+NOW_SECONDS = 1000.0
+
+
+def make_route(name, prefix, kind=RouteKind.IDEMPOTENT, is_public=False):
+    return Route(
+        name=name,
+        host="a",
+        path_prefix=prefix,
+        kind=kind,
+        shares=(GroupShare(GROUP, 1.0),),
+        timeout_seconds=1.0,
+        objective_seconds=0.1,
+        is_public=is_public,
+    )
+
+
+@given("routes that share prefixes, one of them public, for two customers")
+def step_routes(context):
+    routes = (
+        make_route("short", "/x/"),
+        make_route("long", "/x/y/"),
+        make_route("public", "/open/", is_public=True),
+    )
+    holders = {
+        "k-one": KeyHolder(CustomerId("one")),
+        "k-two": KeyHolder(CustomerId("two")),
+    }
+    context.routes = make_route_table(1, routes, (), LIMITS, holders, ())
+
+
+@when("a request for {path} at {host} comes with key {key}")
+def step_request(context, path, host, key):
+    context.way = find_way(context.routes, host, path, None if key == "none" else key)
+
+
+@then("its way is {outcome}")
+def step_way(context, outcome):
+    way = context.way
+    found = way.name if not isinstance(way, Way) else way.route.name
+    if isinstance(way, Way) and way.is_keyed:
+        found += f" as {way.holder.customer}"
+    assert found == outcome, found
+
+
+@given("a route with groups of weight {first:d} and {second:d}")
+def step_split(context, first, second):
+    shares = (
+        GroupShare(TargetGroupId("a"), first),
+        GroupShare(TargetGroupId("b"), second),
+    )
+    context.route = replace(make_route("r", "/"), shares=shares)
+
+
+@when("{n:d} evenly spread requests take it")
+def step_spread(context, n):
+    context.groups = [choose_group(context.route, i / n) for i in range(n)]
+
+
+@then("the groups get {first:d} and {second:d} of them")
+def step_shares(context, first, second):
+    counts = [context.groups.count(name) for name in ("a", "b")]
+    assert counts == [first, second], counts
+
+
+@when(
+    "keys must be out of use after {bound:d} s and the last confirmation is {age} s old"
+)
+def step_confirmation(context, bound, age):
+    rule = KeyRule(bound, True)
+    confirmed = None if age == "never" else NOW_SECONDS - float(age)
+    context.is_trusted = may_trust_key(rule, confirmed, NOW_SECONDS)
+
+
+@then("a keyed request is {outcome}")
+def step_trusted(context, outcome):
+    assert context.is_trusted == (outcome == "served")
+
+
+@given("an {kind} route with at most {most:d} runs")
+@given("a {kind} route with at most {most:d} runs")
+def step_kind(context, kind, most):
+    is_resumable = kind == "resumable"
+    found = RouteKind.STREAM if is_resumable else RouteKind(kind)
+    route = make_route("r", "/", found)
+    context.route = replace(route, max_runs=most, is_resumable=is_resumable)
+
+
+@when("a request that has {runs:d} runs besides ends as {end} with {left:g} s left")
+def step_end(context, runs, end, left):
+    end = SendEnd(end)
+    sends = Sends(runs, runs).add(end)
+    context.step = next_step(context.route, sends, end, left)
+
+
+@then("the next step is {step}")
+def step_next(context, step):
+    assert context.step is Step[step], context.step
+
+
+@when("every send of a request ends as {end}")
+def step_every(context, end):
+    end = SendEnd(end)
+    sends = Sends()
+    step = Step.TRY_AGAIN
+    while step is Step.TRY_AGAIN:
+        sends = sends.add(end)
+        step = next_step(context.route, sends, end, 10.0)
+    context.sends, context.step = sends, step
+
+
+@then("it is refused as not run after {n:d} sends")
+def step_refused(context, n):
+    assert context.step is Step.REFUSE
+    assert context.sends == Sends(n, 0), context.sends
+
+
+@when("a request has {left:g} s left and {runs:d} runs")
+def step_left(context, left, runs):
+    context.silence = silence_seconds(context.route, Sends(runs, runs), left)
+
+
+@then("a silent target is left after {seconds:g} s")
+def step_silence(context, seconds):
+    assert abs(context.silence - seconds) < 1e-9, context.silence
--- /dev/null
+++ b/features/platform/environment.py
@@ -0,0 +1,23 @@
+"""One event loop and one deployment per scenario; all of it ends afterwards."""
+
+import asyncio
+import logging
+
+import structlog
+
+
+def before_all(context):
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+
+
+def before_scenario(context, scenario):
+    context.loop = asyncio.new_event_loop()
+    context.deployment = None
+
+
+def after_scenario(context, scenario):
+    if context.deployment is not None:
+        context.loop.run_until_complete(context.deployment.stop())
+    context.loop.close()
--- /dev/null
+++ b/features/platform/requests.feature
@@ -0,0 +1,116 @@
+Feature: Requests of the platform's clients
+  Real daemons before stand-ins that speak the platform's protocol, on loopback.
+
+  Scenario Outline: A <what> comes back byte for byte, and ran as its client sent it
+    Given a deployment with 1 daemon
+    When a client asks for a <what>
+    Then it gets the server's whole answer with its seal
+    And it ran once, with its method, path, query and body
+    And the server was told its customer and not its key
+
+    Examples:
+      | what            |
+      | look-up         |
+      | order           |
+      | resumable stream|
+      | album stream    |
+
+  Scenario: Headers that only the system may set are not taken from clients
+    A client asks to read under another customer's cache scope, to be somebody else
+    or to reserve memory. None of that may reach a server.
+    Given a deployment with 1 daemon
+    When a client forges system headers
+    Then the server got none of the forged values
+
+  Scenario: Cached prompts are kept apart by weights, and by customer where isolated
+    Given a deployment with 1 daemon
+    When both customers send the same prompt
+    Then the isolated customer's cache scope is its own
+    And both name the weights that they expect
+
+  Scenario Outline: <what> is answered with <status>
+    Given a deployment with 1 daemon
+    When a client sends <what>
+    Then it gets status <status> without a seal
+    And nothing ran
+
+    Examples:
+      | what                       | status |
+      | a path without route       | 404    |
+      | an unknown host            | 404    |
+      | a wrong key                | 401    |
+      | no key                     | 401    |
+      | a key of another scheme    | 401    |
+      | a body that is too large   | 413    |
+      | a path with a fragment     | 400    |
+
+  Scenario Outline: <bytes> on the wire are refused and run nothing
+    A head that two parsers could read in two ways lets a client put a second
+    request into the body of the first, which then runs as somebody else's.
+    Given a deployment with 1 daemon
+    When the raw head <bytes> comes in
+    Then the answer is an error and the connection ends
+    And nothing ran
+
+    Examples:
+      | bytes                      |
+      | two lengths                |
+      | a length and chunks        |
+      | a chunk of no number       |
+      | a bare line feed in a name |
+      | a very long header         |
+
+  Scenario: A daemon without a configuration refuses as not run
+    It has just started, the store does not answer. Clients must go elsewhere or
+    come back; 401 or 404 would send them away for good.
+    Given a deployment with 1 daemon and no configuration
+    When a client asks for a look-up
+    Then it gets status 503 without a seal
+    And it is told when to come back
+    And nothing ran
+
+  Scenario: A configuration that cannot be read changes nothing and confirms nothing
+    An operator's row is damaged. The routes in force go on for a while; but keys
+    may have been taken away by what cannot be read, so they are not confirmed.
+    Given a deployment with 1 daemon
+    When the configuration is replaced by one that cannot be read
+    And a client asks for a look-up
+    Then it gets the server's whole answer with its seal
+    And keys are no longer confirmed
+
+  Scenario: A key that was taken away is refused at once
+    Given a deployment with 1 daemon
+    When the key of customer one is taken away
+    Then a look-up with that key soon gets status 401
+    And the other customer is still served
+
+  Scenario: Keys are refused, not served, by a daemon that cannot confirm them
+    The store refuses one machine for long. Whatever it still served with a key
+    might run after the key was taken away.
+    Given a deployment with 1 daemon whose keys must be out of use after 1.6 s
+    When the store refuses every call
+    Then a look-up soon gets status 503
+    When the store answers again
+    Then a look-up soon gets status 200
+
+  Scenario: A server that leaves gets nothing new
+    Given a deployment with 1 daemon
+    When one plain server announces that it leaves
+    Then 20 look-ups run on the other one
+
+  Scenario: A server that the store no longer lists gets nothing new
+    Given a deployment with 1 daemon
+    When one plain server is removed from the store
+    Then 20 look-ups run on the other one
+
+  Scenario: A registration that lapsed while the store was away is not a leaving
+    The store was down so long that all entries ran out. The servers live; they
+    write themselves in again soon after. Until then they must be used.
+    Given a deployment with 1 daemon
+    When the store is away, forgets all servers and comes back
+    Then a look-up is served at once
+
+  Scenario: The store forgets its history
+    Given a deployment with 1 daemon
+    When the store drops its history and the key of customer one is taken away
+    Then a look-up with that key soon gets status 401
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -59,6 +59,7 @@
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.targetlist import TargetList
 from lycheepost.state.view import ConfigurationView, make_view
+from lycheepost.state.watch import Watch
 from lycheepost.targets.forward import ForwardClient
 from lycheepost.targets.forwardcall import AnswerHead
 from lycheepost.utils.metrics import ServedMetrics
@@ -127,11 +128,25 @@
 
 
 class PlatformDaemon:
-    """One running daemon on the platform."""
+    """One running daemon on the platform.
+
+    Attributes:
+        routing: The configuration in force.
+        watches: How fresh the operators' and the targets' tables are known.
+        is_leaving: It was told to stop.
+    """
 
     def __init__(
-        self, front: ClientFront, fleet: Fleet, rollout: Part, parts: list[Part]
+        self,
+        front: ClientFront,
+        fleet: Fleet,
+        rollout: Part,
+        parts: list[Part],
+        routing: RoutingKeeper,
+        watches: tuple[Watch, Watch],
     ) -> None:
+        self.routing = routing
+        self.watches = watches
         self._front = front
         self._fleet = fleet
         self._rollout = rollout
@@ -248,7 +263,9 @@
         seed,
     )
     operators = OperatorFollower(routing, rollout.want)
-    watches = make_watches(store, clock, operators, ServerFollower(targets), seed)
+    key_rule = KeyRule(node.bounds.revoke_seconds, node.bounds.is_revoke_strict)
+    servers = ServerFollower(targets)
+    watches = make_watches(store, clock, operators, servers, key_rule, seed)
 
     async def is_same_target(target: TargetId) -> bool:
         listed = targets.get(target)
@@ -265,9 +282,7 @@
         targets=targets,
         clock=clock,
         metrics=metrics,
-        key_rule=lambda: KeyRule(
-            node.bounds.revoke_seconds, node.bounds.is_revoke_strict
-        ),
+        key_rule=lambda: key_rule,
         is_same_target=is_same_target,
         make_request_id=_request_ids(boot),
         pick_point=rng.random,
@@ -285,7 +300,8 @@
         rollout,
         duty,
     ]
-    daemon = PlatformDaemon(front, fleet, _Both(duty, rollout), parts)
+    both = _Both(duty, rollout)
+    daemon = PlatformDaemon(front, fleet, both, parts, routing, watches)
 
     def is_ready() -> bool:
         return routing.table is not None and not daemon.is_leaving
--- a/lycheepost/decide/freshness.py
+++ b/lycheepost/decide/freshness.py
@@ -37,6 +37,20 @@
         return max(0.0, self.revoke_seconds - WATCH_LAG_SECONDS - CHECK_SECONDS)
 
 
+MOST_HELD_SECONDS = 1.8
+"""Longest time that a question to the store is held. A connection that went silent
+is noticed after about this time, and leaving targets must be known sooner."""
+
+HELD_SHARE = 0.4
+"""Part of the trusted time that a question is held. The answer confirms what was
+true when the question was sent, so keys rest on confirmations up to twice as old."""
+
+
+def held_seconds(rule: KeyRule) -> float:
+    """Return how long a question to the store may be held."""
+    return min(MOST_HELD_SECONDS, HELD_SHARE * rule.trusted_seconds)
+
+
 def may_trust_key(
     rule: KeyRule, confirmed_seconds: float | None, now_seconds: float
 ) -> bool:
--- a/lycheepost/platform/following.py
+++ b/lycheepost/platform/following.py
@@ -8,6 +8,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import ModelId, TargetId
 from lycheepost.core.routing import ListedTarget
+from lycheepost.decide.freshness import MOST_HELD_SECONDS, KeyRule, held_seconds
 from lycheepost.platform.documents import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -22,11 +23,6 @@
 from lycheepost.state.targetlist import TargetList
 from lycheepost.state.watch import Seen, Watch
 
-HELD_SECONDS = 1.8
-"""How long the store holds a question. A confirmation of keys is then at most
-twice as old, well inside the five seconds after which a key that was taken away
-must be refused; and a connection that went silent is noticed in 2.5 s."""
-
 _log = structlog.get_logger(part="following")
 
 
@@ -116,10 +112,12 @@
     clock: Clock,
     operators: OperatorFollower,
     servers: ServerFollower,
+    key_rule: KeyRule,
     seed: int,
 ) -> tuple[Watch, Watch]:
     """Return the watches of the operators' and the servers' tables."""
+    wait_seconds = held_seconds(key_rule)
     return (
-        Watch(feed, OPERATOR_TABLE, clock, HELD_SECONDS, operators.take, seed),
-        Watch(feed, SERVER_TABLE, clock, HELD_SECONDS, servers.take, seed + 1),
+        Watch(feed, OPERATOR_TABLE, clock, wait_seconds, operators.take, seed),
+        Watch(feed, SERVER_TABLE, clock, MOST_HELD_SECONDS, servers.take, seed + 1),
     )
--- /dev/null
+++ b/lycheepost/platform/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the platform's store and servers that speak its protocol."""
