Never call a send that the deadline cut 'not run'; serve no outdated weights

Feature 'not called "not run"' failed with 503, now 504.

The target list now knows the newest versions and keeps such targets out two seconds before the bound.

--- /dev/null
+++ b/features/platform/failures.feature
@@ -0,0 +1,78 @@
+Feature: Servers that fail requests of the platform's clients
+  Real daemons before stand-ins that speak the platform's protocol, on loopback.
+
+  Scenario Outline: A <what> whose <n> first servers show <fault>: <outcome>
+    What may run again does, elsewhere; what may not is told as it is: "not run"
+    only where no server began it, a broken connection or 502 and 504 where one may
+    have. No answer of another request or half of one may look like the answer.
+    Given a deployment with 1 daemon
+    When the next <n> servers that get a <what> show <fault>
+    And a client asks for a <what>
+    Then the outcome is <outcome>
+    And it ran <runs> times
+
+    Examples:
+      | what             | n | fault          | outcome           | runs |
+      | look-up          | 1 | lost answer    | answer            | 2    |
+      | look-up          | 1 | own failure    | answer            | 2    |
+      | look-up          | 1 | broken answer  | answer            | 2    |
+      | look-up          | 1 | no seal        | answer            | 2    |
+      | look-up          | 1 | silence        | answer            | 1    |
+      | look-up          | 1 | refusal        | answer            | 1    |
+      | look-up          | 2 | own failure    | server's failure  | 2    |
+      | look-up          | 2 | lost answer    | 502               | 2    |
+      | look-up          | 9 | refusal        | 503 and come back | 0    |
+      | order            | 1 | lost answer    | 502               | 1    |
+      | order            | 1 | own failure    | server's failure  | 1    |
+      | order            | 1 | broken answer  | 502               | 1    |
+      | order            | 1 | no seal        | 502               | 1    |
+      | order            | 1 | refusal        | answer            | 1    |
+      | order            | 9 | refusal        | 503 and come back | 0    |
+      | resumable stream | 1 | break          | answer            | 2    |
+      | resumable stream | 1 | crash          | answer            | 2    |
+      | resumable stream | 2 | break          | cut               | 2    |
+      | album stream     | 1 | break          | cut               | 1    |
+      | album stream     | 1 | refusal        | answer            | 1    |
+
+  Scenario Outline: A <what> that a server took and never answered is not called "not run"
+    The server hangs. The client's time runs out while the request is with it. If
+    the daemon said "not run", the client would order again, and both could run.
+    Given a deployment with 1 daemon
+    When the next 9 servers that get a <what> show silence
+    And a client waits 400 ms for a <what>
+    Then the outcome is <outcome>
+
+    Examples:
+      | what    | outcome |
+      | order   | 504     |
+      | look-up | 504     |
+
+  Scenario: An extra answer goes to nobody
+    A server sends a second answer behind the first. On a kept connection it would
+    be taken for the answer to the next request.
+    Given a deployment with 1 daemon
+    When the next 9 servers that get a look-up show extra answer
+    And a client asks 10 times for a look-up
+    Then each time it gets the server's whole answer with its seal
+
+  Scenario: Connections that went silent are noticed
+    All open connections to the servers stop without a reset; new ones work. A
+    daemon that trusted kept connections would lose every request on them.
+    Given a deployment with 1 daemon
+    When a client asks 10 times for a look-up
+    And all connections to the servers go silent
+    And a client asks 10 times for a look-up
+    Then each time it gets the server's whole answer with its seal
+
+  Scenario: A client that leaves stops its stream at the server
+    Given a deployment with 1 daemon
+    When a client leaves in the middle of a long stream
+    Then the server soon runs nothing
+
+  Scenario: A server whose address another one took over is left alone
+    The server is gone and its address belongs to a server of another service,
+    which refuses what is meant for the old one. Nothing may run there.
+    Given a deployment with 1 daemon
+    When the address of one plain server belongs to a server of another service
+    Then 20 look-ups run on the other one
+    And the new server ran nothing
--- /dev/null
+++ b/features/platform/steps/failure_steps.py
@@ -0,0 +1,146 @@
+"""Steps of failures.feature."""
+
+import asyncio
+
+import aiohttp
+from behave import then, when
+from request_steps import BODY, REQUESTS, ask, step_whole
+
+from lycheepost.platform import headers as names
+from lycheepost.platform.models.serverface import (
+    ExtraAnswer,
+    OwnFailure,
+    PlatformServer,
+    Unsealed,
+)
+from lycheepost.standin.faults import (
+    CrashAt,
+    FaultPlan,
+    LostAnswer,
+    Refused,
+    Swallowed,
+    Truncated,
+)
+
+FAULTS = {
+    "lost answer": LostAnswer(),
+    "own failure": OwnFailure(),
+    "broken answer": Truncated(0),
+    "no seal": Unsealed(),
+    "silence": Swallowed(),
+    "refusal": Refused(503),
+    "break": Truncated(3),
+    "crash": CrashAt(3),
+    "extra answer": ExtraAnswer(),
+}
+
+
+@when("the next {n:d} servers that get a {what} show {fault}")
+def step_faults(context, n, what, fault):
+    plan = FaultPlan()
+    plan.add(FAULTS[fault], n)
+    service = "llm" if "stream" in what else "plain"
+    for server in context.deployment.group(service):
+        server.faults = plan
+
+
+@when("a client waits {ms:d} ms for a {what}")
+def step_short(context, what, ms):
+    ask(context, what, **{names.DEADLINE: str(ms)})
+
+
+@then("the outcome is {outcome}")
+def step_outcome(context, outcome):
+    answer = context.answer
+    match outcome:
+        case "answer":
+            step_whole(context)
+        case "server's failure":
+            assert answer.status == 500 and names.SEAL in answer.headers, answer
+        case "cut":
+            assert not answer.is_whole, answer
+        case "503 and come back":
+            assert answer.status == 503 and names.SEAL not in answer.headers, answer
+            assert float(answer.headers[names.RETRY_AFTER]) > 0
+        case status:
+            assert answer.status == int(status), answer
+            assert names.SEAL not in answer.headers
+
+
+@then("it ran {n:d} times")
+def step_runs(context, n):
+    runs = context.deployment.runs(context.deployment.attempt_id)
+    assert len(runs) == n, runs
+    assert len({run.body for run in runs}) <= 1
+
+
+@when("a client asks {n:d} times for a {what}")
+def step_many(context, n, what):
+    context.answers = []
+    for _ in range(n):
+        ask(context, what)
+        context.answers.append(context.answer)
+
+
+@then("each time it gets the server's whole answer with its seal")
+def step_each(context):
+    for answer in context.answers:
+        context.answer = answer
+        step_whole(context)
+
+
+@when("all connections to the servers go silent")
+def step_silent(context):
+    for server in context.deployment.servers:
+        server.freeze()
+
+
+@when("a client leaves in the middle of a long stream")
+def step_leave(context):
+    deployment = context.deployment
+    for server in deployment.group("llm"):
+        server.n_events = 10_000
+    _method, path, _body = REQUESTS["album stream"]
+    headers = deployment.prompt_headers(**{names.TOKENS: "150,10000"})
+
+    async def leave():
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{deployment.nodes[0].clients}{path}"
+            async with session.post(url, headers=headers, data=BODY) as response:
+                await response.content.readany()
+                response.close()
+
+    context.loop.run_until_complete(leave())
+
+
+@then("the server soon runs nothing")
+def step_idle(context):
+    deployment = context.deployment
+    assert len(deployment.runs()) == 1
+
+    async def is_idle():
+        await asyncio.sleep(0)
+        return all(server.n_running == 0 for server in deployment.servers)
+
+    context.loop.run_until_complete(deployment.until(is_idle))
+
+
+@when("the address of one plain server belongs to a server of another service")
+def step_taken_over(context):
+    deployment = context.deployment
+    old = deployment.group("plain")[0]
+    context.new = PlatformServer("other")
+    port = int(old.address.rpartition(":")[2])
+
+    async def take_over():
+        await old.stop()
+        context.new.use_port(port)
+        await context.new.start()
+
+    context.loop.run_until_complete(take_over())
+    deployment.servers.append(context.new)
+
+
+@then("the new server ran nothing")
+def step_new(context):
+    assert context.new.runs == []
--- /dev/null
+++ b/features/state/steps/targetlist_steps.py
@@ -0,0 +1,121 @@
+"""Steps of targetlist.feature."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from lycheepost.core.clock import FakeClock
+from lycheepost.core.ids import (
+    AvailabilityZone,
+    ModelId,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
+)
+from lycheepost.core.routing import ListedTarget
+from lycheepost.decide.records import TargetState
+from lycheepost.state.targetlist import TargetList
+
+MODEL = ModelId("m")
+WEIGHTS_SECONDS = 10.0
+
+
+def make_target(name, version="1"):
+    return ListedTarget(
+        target=name,
+        target_group=TargetGroupId("g"),
+        address="1.2.3.4:5",
+        availability_zone=AvailabilityZone("z"),
+        slots=4,
+        weights={MODEL: WeightsVersion(version)},
+    )
+
+
+def names_of(text):
+    return [] if text == "nothing" else text.split(" and ")
+
+
+@given("registered targets {names}")
+def step_registered(context, names):
+    context.clock = FakeClock()
+    context.views = ()
+
+    def on_views(views):
+        context.views = views
+
+    context.list = TargetList(context.clock, on_views, WEIGHTS_SECONDS)
+    context.list.take_all([make_target(name) for name in names_of(names)], False)
+
+
+@when("{name} registers as leaving")
+def step_leaving(context, name):
+    leaving = replace(make_target(name), is_leaving=True)
+    context.list.take([leaving], [], False)
+
+
+@when("{name} registers with version {version}")
+def step_registers_version(context, name, version):
+    context.list.take([make_target(name, version)], [], False)
+
+
+@when("the registration of {name} is removed")
+def step_removed(context, name):
+    context.list.take([], [TargetId(name)], False)
+
+
+@when("the registrations of {names} are gone as the store comes back")
+def step_gone(context, names):
+    del names
+    context.list.take_all([], True)
+
+
+@when("{seconds:g} s passes and {name} registers again")
+def step_again(context, seconds, name):
+    context.clock.advance(seconds)
+    context.list.take([make_target(name)], [], False)
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.clock.advance(seconds)
+    context.list.refresh()
+
+
+@when("{name} is said to change its weights for {seconds:g} s")
+def step_change(context, name, seconds):
+    context.list.note_changing(TargetId(name), seconds)
+
+
+@when("{name} answers with version {version}")
+def step_answers(context, name, version):
+    context.list.note_weights(TargetId(name), MODEL, WeightsVersion(version))
+
+
+@when("version {version:d} is named and put into {name}")
+def step_named(context, version, name):
+    context.list.want(MODEL, version, context.clock.now_seconds())
+    context.list.note_weights(TargetId(name), MODEL, WeightsVersion("2"))
+
+
+@when("version {version:d} is found named at the start")
+def step_found(context, version):
+    context.list.want(MODEL, version, None)
+
+
+@then("{names} may be used")
+def step_usable(context, names):
+    found = [
+        str(view.target) for view in context.views if view.state is TargetState.SERVING
+    ]
+    assert found == names_of(names), found
+
+
+@then("{name} may be used and {other} may not be sent to")
+def step_not_sent(context, name, other):
+    step_usable(context, name)
+    assert context.list.get(TargetId(other)) is None
+
+
+@then("{name} holds version {version}")
+def step_holds(context, name, version):
+    assert context.list.weights_of(TargetId(name), MODEL) == version
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -202,7 +202,7 @@
     client = ForwardClient(StreamSettings(), ServerDialect())
     orders = ServerOrders()
     dispatcher = Dispatcher(Scheduler(_scheduler_settings(node), seed), clock)
-    targets = TargetList(clock, dispatcher.replace_targets)
+    targets = TargetList(clock, dispatcher.replace_targets, node.bounds.weights_seconds)
     routing = RoutingKeeper()
     routing.subscribe(targets.set_table)
 
@@ -262,7 +262,12 @@
         clock,
         seed,
     )
-    operators = OperatorFollower(routing, rollout.want)
+
+    def on_weights(model: ModelId, version: int, named_seconds: float | None) -> None:
+        targets.want(model, version, named_seconds)
+        rollout.want(model, version)
+
+    operators = OperatorFollower(routing, clock, on_weights)
     key_rule = KeyRule(node.bounds.revoke_seconds, node.bounds.is_revoke_strict)
     servers = ServerFollower(targets)
     watches = make_watches(store, clock, operators, servers, key_rule, seed)
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -205,6 +205,7 @@
             CallerError: It is over, and the caller has got nothing yet.
         """
         self._sends = self._sends.add(end)
+        self._is_sent = False
         remaining_seconds = self._remaining_seconds()
         step = next_step(self._way.route, self._sends, end, remaining_seconds)
         if step is Step.TRY_AGAIN and self._relay.has_begun:
@@ -240,7 +241,8 @@
             kind = await self._finish_kind(target, end)
             return end
         finally:
-            self._is_sent = False
+            # A send that is cut short by the deadline stays counted as sent: the
+            # target may be at work, and "not run" would be untrue.
             self._deps.dispatcher.finish(self._work.request, kind)
             now_seconds = self._deps.clock.now_seconds()
             if end is None and kind is FinishKind.CANCELLED:
--- a/lycheepost/platform/following.py
+++ b/lycheepost/platform/following.py
@@ -23,6 +23,8 @@
 from lycheepost.state.targetlist import TargetList
 from lycheepost.state.watch import Seen, Watch
 
+OnWeights = Callable[[ModelId, int, float | None], None]
+
 _log = structlog.get_logger(part="following")
 
 
@@ -31,31 +33,38 @@
 
     Args:
         routing: Holds the route table.
-        on_weights: Told of the newest version of a model, upward only.
+        clock: Tells when an answer came.
+        on_weights: Told of the version that is named for a model, and from when on
+            it may have been; None when that is not known.
     """
 
     def __init__(
-        self, routing: RoutingKeeper, on_weights: Callable[[ModelId, int], None]
+        self, routing: RoutingKeeper, clock: Clock, on_weights: OnWeights
     ) -> None:
         self._routing = routing
+        self._clock = clock
         self._on_weights = on_weights
         self._is_readable = True
 
     def take(self, seen: Seen) -> None:
         """Take one answer of the store."""
+        # A change is told at once; what a whole read finds may be older.
+        named_seconds: float | None = self._clock.now_seconds()
+        if seen.is_whole:
+            named_seconds = seen.before_seconds
         for row in seen.rows:
-            self._take_row(row)
+            self._take_row(row, named_seconds)
         table = self._routing.table
         if table is not None and self._is_readable:
             self._routing.confirm(table.version, seen.confirmed_seconds)
 
-    def _take_row(self, row: ChangedRow) -> None:
+    def _take_row(self, row: ChangedRow, named_seconds: float | None) -> None:
         if row.value is None:
             return
         if row.key == CONFIGURATION_KEY:
             self._take_configuration(row.value)
         elif row.key.startswith(WEIGHTS_PREFIX):
-            self._take_weights(row.value)
+            self._take_weights(row.value, named_seconds)
 
     def _take_configuration(self, data: bytes) -> None:
         match decode_configuration(data):
@@ -68,10 +77,10 @@
                 self._is_readable = False
                 _log.error("following: configuration", reason=error.reason)
 
-    def _take_weights(self, data: bytes) -> None:
+    def _take_weights(self, data: bytes, named_seconds: float | None) -> None:
         match decode_weights(data):
             case Success(named):
-                self._on_weights(named.model, named.version)
+                self._on_weights(named.model, named.version, named_seconds)
             case Failure(error):
                 _log.error("following: weights", reason=error.reason)
 
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -51,6 +51,7 @@
         lease_seconds: Two holders' orders to one target lie at least so far apart.
         retry_share: Repeats that the fleet may send, as a share of requests.
         retry_burst: Repeats that the fleet may send beyond that, per window.
+        weights_seconds: After this no request may begin on older weights.
         address_seconds: Longest time that clients keep an addresses answer.
     """
 
@@ -61,6 +62,7 @@
     lease_seconds: float
     retry_share: float
     retry_burst: float
+    weights_seconds: float
     address_seconds: float
 
 
@@ -167,6 +169,7 @@
         lease_seconds=reader.number("bounds.lease_ms", 3000) / _MILLISECONDS,
         retry_share=reader.number("bounds.retry_ratio", 0.1),
         retry_burst=reader.number("bounds.retry_slack", 10),
+        weights_seconds=reader.number("bounds.version_ms", 10000) / _MILLISECONDS,
         address_seconds=reader.number("bounds.ttl_max_s", 2),
     )
 
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -30,6 +30,14 @@
 """Registrations that lapsed are back two seconds after the store; and one round
 trip through the target and the store."""
 
+OLD_WEIGHTS_MARGIN_SECONDS = 2.0
+"""How long before old weights may no longer be served they get no new requests: one
+that waits in a target's queue begins that much later."""
+
+START_SECONDS = 2.5
+"""How long a daemon that has just started serves weights that it finds outdated. It
+cannot know when the newer ones were named."""
+
 CHANGE_SECONDS = 6.0
 """A target that was ordered to change its weights is used again after this time
 even if nobody told that it is done: the daemon that knew may have died."""
@@ -39,6 +47,14 @@
 OnViews = Callable[[tuple[TargetView, ...]], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Wanted:
+    """The newest weights of a model, and until when older ones may be served."""
+
+    version: int
+    old_until_seconds: float
+
+
 @dataclass(slots=True)
 class _Known:
     """What is known of one target.
@@ -61,11 +77,14 @@
     Args:
         clock: A clock that counts suspension.
         on_views: Gets all views whenever one has changed.
+        weights_seconds: How long after new weights were named old ones may serve.
     """
 
-    def __init__(self, clock: Clock, on_views: OnViews) -> None:
+    def __init__(self, clock: Clock, on_views: OnViews, weights_seconds: float) -> None:
         self._clock = clock
         self._on_views = on_views
+        self._weights_seconds = weights_seconds
+        self._wanted: dict[ModelId, _Wanted] = {}
         self._known: dict[TargetId, _Known] = {}
         self._health: dict[TargetGroupId, TargetHealth] = {}
         self._table: RouteTable | None = None
@@ -175,6 +194,49 @@
             known.weights = current | newer
             known.changing_until_seconds = float("-inf")
 
+    def want(self, model: ModelId, version: int, named_seconds: float | None) -> None:
+        """Take the newest version that an operator named for a model.
+
+        Args:
+            model: The model.
+            version: Place of the version among those of its model.
+            named_seconds: It was named at this time or later; None when it was
+                found at the start and nothing is known.
+        """
+        wanted = self._wanted.get(model)
+        if wanted is not None and version <= wanted.version:
+            return
+        until_seconds = self._clock.now_seconds() + START_SECONDS
+        if named_seconds is not None:
+            served_seconds = self._weights_seconds - OLD_WEIGHTS_MARGIN_SECONDS
+            until_seconds = named_seconds + served_seconds
+        if wanted is not None and self._has_behind(model, wanted.version):
+            # Who is behind by two versions was due for the first one.
+            until_seconds = min(until_seconds, wanted.old_until_seconds)
+        self._wanted[model] = _Wanted(version, until_seconds)
+        self.refresh()
+
+    def _has_behind(self, model: ModelId, version: int) -> bool:
+        return any(
+            weights_number(known.weights.get(model)) < version
+            for known in self._known.values()
+            if known.weights and model in known.weights
+        )
+
+    def _is_unfit(self, known: _Known, now_seconds: float) -> bool:
+        """Tell whether a target's weights keep it from serving."""
+        is_changing = now_seconds < known.changing_until_seconds
+        return is_changing or self._is_outdated(known, now_seconds)
+
+    def _is_outdated(self, known: _Known, now_seconds: float) -> bool:
+        """Tell whether a target's weights may no longer be served."""
+        return any(
+            weights_number(version) < wanted.version
+            and now_seconds >= wanted.old_until_seconds
+            for model, version in (known.weights or {}).items()
+            if (wanted := self._wanted.get(model)) is not None
+        )
+
     def note_weights(
         self, target: TargetId, model: ModelId, version: WeightsVersion
     ) -> None:
@@ -248,7 +310,7 @@
         state = TargetState.SERVING
         if listed.is_leaving:
             state = TargetState.LEAVING
-        elif is_resting or now_seconds < known.changing_until_seconds:
+        elif is_resting or self._is_unfit(known, now_seconds):
             state = TargetState.GONE
         group = (
             None if self._table is None else self._table.groups.get(listed.target_group)
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -35,12 +35,15 @@
     Attributes:
         rows: Changed rows; all rows when ``is_whole``, so others are gone.
         confirmed_seconds: The table was as it is known now at this time, or later.
+        before_seconds: What ``confirmed_seconds`` was before this answer; None for
+            the first one. Whatever changed did so after that.
         was_lost: The first answer after a failure.
     """
 
     rows: tuple[ChangedRow, ...]
     is_whole: bool
     confirmed_seconds: float
+    before_seconds: float | None
     was_lost: bool
 
 
@@ -148,9 +151,10 @@
             _log.info("watch: regained", table=self._table)
         self.n_answers += 1
         self._version = changes.version
-        self.confirmed_seconds = sent_seconds
+        before, self.confirmed_seconds = self.confirmed_seconds, sent_seconds
+        seen = Seen(changes.rows, is_whole, sent_seconds, before, was_lost)
         try:
-            self._on_seen(Seen(changes.rows, is_whole, sent_seconds, was_lost))
+            self._on_seen(seen)
         except Exception:
             # One row that cannot be handled must not end the watch: keys could
             # then no longer be confirmed, and every request would be refused.
