Leave silent targets early; start a daemon faster and smaller

Connecting takes 0.25 s at most; a resumable stream that pauses for 0.9 of the pause that is on time is continued elsewhere. A target said to change its weights is used again after 2.5 s when its orderer was cut off (it was 6 s). The engines' rank tells short routes from long ones within a customer's rank.

A daemon starts from compiled sources without the command line's library (11 MB, 0.1 s), and loads the metrics' text library at the first fetch.

--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -23,7 +23,7 @@
 
   Scenario: A target is left alone while its weights are changed
     Given registered targets a and b
-    When a is said to change its weights for 6 s
+    When a is said to change its weights for 2.5 s
     Then b may be used
     When a answers with version 2
     Then a and b may be used
@@ -31,8 +31,8 @@
   Scenario: A target whose change nobody ends is used again
     The daemon that ordered the change dies. The target has long been done.
     Given registered targets a and b
-    When a is said to change its weights for 6 s
-    And 7 s pass
+    When a is said to change its weights for 2.5 s
+    And 3 s pass
     Then a and b may be used
 
   Scenario: Late registrations do not take newer weights back
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -76,6 +76,11 @@
 DUTY_PERIOD_SECONDS = 0.9
 """Three renewals within the time that a holder may order."""
 
+CONNECT_SECONDS = 0.25
+"""Longest wait for a connection to a target, which takes a few milliseconds. A
+target that went dark takes none; a request that goes elsewhere after this time is
+still on time."""
+
 EXCHANGE_SECONDS = 0.4
 PEER_LINKS = 6
 """In a fleet of seven each daemon is linked with all others, so that word of a
@@ -199,7 +204,8 @@
     seed = hash_bytes(f"{node.daemon}/{boot}".encode())
     rng = random.Random(seed)
     store = StoreClient(node.store, clock)
-    client = ForwardClient(StreamSettings(), ServerDialect())
+    dialect = ServerDialect()
+    client = ForwardClient(StreamSettings(connect_seconds=CONNECT_SECONDS), dialect)
     orders = ServerOrders()
     dispatcher = Dispatcher(Scheduler(_scheduler_settings(node), seed), clock)
     targets = TargetList(clock, dispatcher.replace_targets, node.bounds.weights_seconds)
--- /dev/null
+++ b/lycheepost/app/platformrun.py
@@ -0,0 +1,48 @@
+"""Run a daemon on the users' platform: ``python3 -m lycheepost.app.platformrun``.
+
+``lycheepost serve --node-file`` does the same by the command line. The platform
+starts this module instead, because a daemon needs no command line, and the library
+that reads it takes 11 MB and a tenth of a second of each start.
+"""
+
+import pathlib
+import sys
+from typing import TextIO, cast
+
+from returns.result import Failure, Success
+
+from lycheepost.app.platformdaemon import make_platform_daemon
+from lycheepost.app.run import run_until_signal
+from lycheepost.generated.settings import LogSettings
+from lycheepost.platform.settings import read_node_settings, settings_path
+from lycheepost.utils.logs import configure_logs
+from lycheepost.utils.logwriter import LogWriter
+
+BAD_SETTINGS = 2
+FAILED = 1
+
+
+def run(node_file: pathlib.Path) -> int:
+    """Run one daemon until SIGTERM and return the exit code.
+
+    Args:
+        node_file: The platform's settings file.
+    """
+    match read_node_settings(node_file):
+        case Success(node):
+            pass
+        case Failure(error):
+            print(error.reason, *error.faults, sep="\n", file=sys.stderr)
+            return BAD_SETTINGS
+    output = cast("TextIO", LogWriter(sys.stdout.fileno()))
+    configure_logs(LogSettings(), node.daemon, output)
+    try:
+        run_until_signal(lambda: make_platform_daemon(node))
+    except OSError as error:
+        print(f"The daemon cannot start: {error}.", file=sys.stderr)
+        return FAILED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run(settings_path()))
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -21,14 +21,20 @@
     outcome_unknown,
     too_late,
 )
-from lycheepost.callers.forwardwork import cache_scope, make_work, rank_of
-from lycheepost.callers.relaying import AnswerRelay, RelayEnd, SilentTarget
+from lycheepost.callers.forwardwork import cache_scope, engine_rank, make_work
+from lycheepost.callers.relaying import (
+    AnswerRelay,
+    RelayEnd,
+    SilentTarget,
+    StreamPatience,
+)
 from lycheepost.core.ids import TargetId, WeightsVersion
 from lycheepost.core.routing import ListedTarget, RouteKind, RouteTable
 from lycheepost.decide.attempts import (
     SendEnd,
     Sends,
     Step,
+    gap_limit_seconds,
     last_step,
     next_step,
     silence_seconds,
@@ -306,7 +312,10 @@
                 target, self._work.model, head.weights_version
             )
         try:
-            result = await self._relay.take(answer, wait_seconds, self._note_first)
+            patience = StreamPatience(
+                wait_seconds, gap_limit_seconds(self._way.route, self._sends)
+            )
+            result = await self._relay.take(answer, patience, self._note_first)
         except SilentTarget:
             self._deps.targets.note_end(target, Ending.BAD)
             return SendEnd.LOST, "silent"
@@ -371,7 +380,7 @@
             model=prompt.model,
             cache_scope=cache_scope(self._way.holder, version),
             weights_version=version,
-            rank=rank_of(self._way),
+            rank=engine_rank(self._way),
             fetch_from=store,
             store_to=store,
         )
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -13,6 +13,10 @@
 """A caller leaves a stream that stays silent for the longest of these: two
 seconds, four objectives, eight times the pause that is on time."""
 
+RANK_STEPS = 3
+"""Ranks of routes told apart within one rank of a customer. Engines know ten ranks,
+and operators use three of each."""
+
 _PLAIN_OUTPUT_TOKENS = 1
 """A plain service makes no tokens; one stands for the answer."""
 
@@ -64,6 +68,16 @@
     return way.route.rank if way.holder.rank is None else way.holder.rank
 
 
+def engine_rank(way: Way) -> int:
+    """Return the rank that an engine is told; lower runs first.
+
+    A customer's rank goes first. Between requests of one rank the route's decides:
+    the engines hold both long prompts, which occupy them for a tenth of a second,
+    and short ones that would wait behind them.
+    """
+    return RANK_STEPS * rank_of(way) + min(way.route.rank, RANK_STEPS - 1)
+
+
 def _priority(way: Way) -> Priority:
     return Priority(min(rank_of(way), Priority.BATCH.value))
 
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
 import structlog
@@ -42,6 +43,7 @@
     UNSEALED = "unsealed"
     BROKEN = "broken"
     CUT = "cut"
+    FELL_SILENT = "fell_silent"
     OUT_OF_ORDER = "out_of_order"
 
     @property
@@ -54,10 +56,23 @@
                 return SendEnd.FAILED
             case RelayEnd.UNSEALED | RelayEnd.BROKEN:
                 return SendEnd.BROKEN
-            case RelayEnd.CUT | RelayEnd.OUT_OF_ORDER:
+            case RelayEnd.CUT | RelayEnd.FELL_SILENT | RelayEnd.OUT_OF_ORDER:
                 return SendEnd.CUT
 
 
+@dataclass(frozen=True, slots=True)
+class StreamPatience:
+    """How long a stream may be silent.
+
+    Attributes:
+        first_seconds: Before the first part.
+        gap_seconds: Between two parts; None for as long as the caller waits.
+    """
+
+    first_seconds: float
+    gap_seconds: float | None
+
+
 class AnswerRelay:
     """Hands the answers of one request's targets to its caller.
 
@@ -96,14 +111,14 @@
     async def take(
         self,
         answer: ForwardAnswer,
-        wait_seconds: float,
+        patience: StreamPatience,
         on_first: Callable[[], None],
     ) -> RelayEnd:
         """Relay one answer.
 
         Args:
             answer: Its head has come, and the target ran the request.
-            wait_seconds: Longest wait for the first part of its body.
+            patience: How long a stream may be silent.
             on_first: Called when the first part has come.
 
         Raises:
@@ -116,7 +131,7 @@
             return RelayEnd.UNSEALED
         is_stream = self._route.kind is RouteKind.STREAM
         if head.status < _FIRST_ERROR_STATUS and is_stream:
-            return await self._relay_stream(answer, wait_seconds, on_first)
+            return await self._relay_stream(answer, patience, on_first)
         if self.has_begun:
             return RelayEnd.CUT
         return await self._relay_whole(answer, on_first)
@@ -155,22 +170,25 @@
     async def _relay_stream(
         self,
         answer: ForwardAnswer,
-        wait_seconds: float,
+        patience: StreamPatience,
         on_first: Callable[[], None],
     ) -> RelayEnd:
         self._splitter.restart()
         after_id = self._splitter.last_id
         try:
-            data = await self._read_first(answer, wait_seconds)
+            data = await self._read_first(answer, patience.first_seconds)
             on_first()
             while data is not None:
                 events = self._splitter.feed(data)
                 if not self._is_in_order(after_id):
                     return RelayEnd.OUT_OF_ORDER
                 await self._send_events(answer.head, events)
-                data = await answer.read()
+                async with asyncio.timeout(patience.gap_seconds):
+                    data = await answer.read()
             await self._send_events(answer.head, self._splitter.flush())
             await self._finish_stream(answer.head)
+        except TimeoutError:
+            return RelayEnd.FELL_SILENT
         except TargetError:
             return RelayEnd.CUT if self.has_begun else RelayEnd.BROKEN
         except ConnectionError:
--- a/lycheepost/decide/attempts.py
+++ b/lycheepost/decide/attempts.py
@@ -26,6 +26,10 @@
 MIN_SILENCE_SECONDS = 0.2
 """A plain service's answer is not late before this: ten times its usual work."""
 
+GAP_SHARE = 0.9
+"""Part of the longest pause that is on time after which a stream is continued
+elsewhere: the other target needs the rest, and more, to take it up."""
+
 SILENCE_OBJECTIVES = 3.0
 """Silence of so many objectives is far outside of what load explains."""
 
@@ -121,3 +125,14 @@
         return remaining_seconds
     usual = max(MIN_SILENCE_SECONDS, SILENCE_OBJECTIVES * route.objective_seconds)
     return min(usual, TRY_SHARE * remaining_seconds)
+
+
+def gap_limit_seconds(route: Route, sends: Sends) -> float | None:
+    """Return how long a stream may pause before another target continues it.
+
+    The failure: a target falls silent in the middle of a stream, without a reset.
+    It shows as callers that wait for a next event until they leave. None where
+    nobody else may continue, so that an earlier end would help nobody.
+    """
+    may_continue = route.is_resumable and sends.n_runs + 1 < route.max_runs
+    return GAP_SHARE * route.gap_seconds or None if may_continue else None
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -38,9 +38,10 @@
 """How long a daemon that has just started serves weights that it finds outdated. It
 cannot know when the newer ones were named."""
 
-CHANGE_SECONDS = 6.0
+CHANGE_SECONDS = 2.5
 """A target that was ordered to change its weights is used again after this time
-even if nobody told that it is done: the daemon that knew may have died."""
+even if nobody told that it is done: the daemon that knew may have died, or be cut
+off. Twice what a change takes; a target that still changes only says so."""
 
 _log = structlog.get_logger(part="targets")
 
--- a/lycheepost/utils/metrics.py
+++ b/lycheepost/utils/metrics.py
@@ -4,9 +4,12 @@
 dropped, and with no host set nothing is sent at all.
 """
 
-from typing import Protocol
+import bisect
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any, Protocol
 
-import prometheus_client
 import statsd
 
 from lycheepost.generated.settings import MetricSettings
@@ -64,47 +67,81 @@
         self._client.timing(name, seconds * 1000)
 
 
-FIRST_BUCKET_SECONDS = 0.002
-N_BUCKETS = 15
+BUCKET_SECONDS = tuple(0.002 * 2**step for step in range(15))
 """Doubling from 2 ms to 33 s: a round trip to a target, and twice the longest
 time that a caller waits."""
 
 
+@dataclass(slots=True)
+class _Timings:
+    """Durations of one name, by bucket; the last bucket has no upper end."""
+
+    buckets: list[int] = field(default_factory=lambda: [0] * (len(BUCKET_SECONDS) + 1))
+    total_seconds: float = 0.0
+
+    def cumulated(self) -> list[tuple[str, float]]:
+        """Return for each upper end how many durations were not longer."""
+        ends = [*map(str, BUCKET_SECONDS), "+Inf"]
+        sums = itertools.accumulate(self.buckets)
+        return list(zip(ends, sums, strict=True))
+
+
 class ServedMetrics:
-    """Metrics kept here until somebody fetches them as text."""
+    """Metrics kept here until somebody fetches them as text.
+
+    They are plain numbers; the library that writes the text is loaded by the first
+    fetch, as it takes a tenth of a second of a daemon's start.
+    """
 
     def __init__(self) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        labels = ("name",)
-        self._counter = prometheus_client.Counter(
-            "lycheepost_events", "Events by name", labels, registry=self._registry
-        )
-        self._gauge = prometheus_client.Gauge(
-            "lycheepost_state", "States by name", labels, registry=self._registry
-        )
-        self._histogram = prometheus_client.Histogram(
-            "lycheepost_seconds",
-            "Durations by name",
-            labels,
-            registry=self._registry,
-            buckets=[FIRST_BUCKET_SECONDS * 2**step for step in range(N_BUCKETS)],
-        )
+        self._counts: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._timings: dict[str, _Timings] = {}
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
-        self._counter.labels(name).inc(by)
+        self._counts[name] = self._counts.get(name, 0) + by
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        self._gauge.labels(name).set(value)
+        self._gauges[name] = value
 
     def timing(self, name: str, seconds: float) -> None:
         """Count a duration in its bucket."""
-        self._histogram.labels(name).observe(seconds)
+        timings = self._timings.setdefault(name, _Timings())
+        timings.buckets[bisect.bisect_left(BUCKET_SECONDS, seconds)] += 1
+        timings.total_seconds += seconds
 
     def text(self) -> bytes:
         """Return everything in the text format that collectors fetch."""
-        return bytes(prometheus_client.generate_latest(self._registry))
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return bytes(generate_latest(registry))
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the families of metrics, as the library asks for them."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        counts = CounterMetricFamily("lycheepost_events", "Events", labels=["name"])
+        for name, number in self._counts.items():
+            counts.add_metric([name], number)
+        yield counts
+        gauges = GaugeMetricFamily("lycheepost_state", "States", labels=["name"])
+        for name, value in self._gauges.items():
+            gauges.add_metric([name], value)
+        yield gauges
+        durations = HistogramMetricFamily(
+            "lycheepost_seconds", "Durations", labels=["name"]
+        )
+        for name, timings in self._timings.items():
+            durations.add_metric([name], timings.cumulated(), timings.total_seconds)
+        yield durations
 
 
 def make_metrics(settings: MetricSettings) -> Metrics:
