Take nothing new well before the end of a drain

It now takes requests for 0.36 of the time (2.9 s), refuses later ones as not run, and has 4.4 s to finish. Clients keep addresses for 0.9 s instead of 2 s.

Ruled out: the server's fault (its run was cut by our close).

--- /dev/null
+++ b/features/platform/fleet.feature
@@ -0,0 +1,37 @@
+Feature: Several daemons on the platform
+  Real daemons before stand-ins that speak the platform's protocol, on loopback.
+
+  Scenario: Clients learn of all daemons, and no longer of one that leaves
+    A daemon is told to stop. Clients that go on to it for a moment are still
+    served; then they have to be sent away unharmed, and what it took must end.
+    Given a deployment with 2 daemons
+    When one daemon is told to stop while a long stream runs through it
+    Then it is not ready, and soon the other's directory names it no longer
+    And it soon refuses new requests as not run
+    And the long stream ends whole before it stops
+
+  Scenario: Daemons find each other again after all of them died
+    Given a deployment with 2 daemons
+    When both daemons are killed and two start anew
+    Then each directory soon names both
+
+  Scenario: New weights reach every server once, ordered by one daemon
+    Given a deployment with 3 daemons
+    When version 2 of the weights is named
+    Then all engines soon hold version 2
+    And each was ordered once, by one holder with one fencing number
+    And a stream is served by version 2
+
+  Scenario: Weights that were overtaken are skipped
+    Given a deployment with 1 daemon
+    When versions 2, 3 and 4 of the weights are named at once
+    Then all engines soon hold version 4
+    And no engine was ordered more than twice
+
+  Scenario: An order that got no answer is not repeated blindly
+    A server takes an order and its answer is lost. A second order with the same
+    expected count is refused once the first was taken.
+    Given a deployment with 1 daemon
+    When version 2 of the weights is named while order answers are lost
+    Then all engines soon hold version 2
+    And no order was accepted twice
--- a/features/platform/steps/deployment.py
+++ b/features/platform/steps/deployment.py
@@ -12,7 +12,7 @@
 import msgspec
 import yarl
 
-from lycheepost.app.platformdaemon import make_platform_daemon
+from lycheepost.app.platformdaemon import LeavePlan, make_platform_daemon
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import PlatformServer
@@ -158,7 +158,8 @@
             store=Endpoint(HOST, int(self.store.url.rpartition(":")[2])),
             bounds=self.bounds,
         )
-        daemon = make_platform_daemon(node, metrics_port=0)
+        plan = LeavePlan(take_seconds=0.4, finish_seconds=5.0)
+        daemon = make_platform_daemon(node, metrics_port=0, leave_plan=plan)
         await daemon.start()
         self.nodes.append(node)
         self.daemons.append(daemon)
--- /dev/null
+++ b/features/platform/steps/fleet_steps.py
@@ -0,0 +1,155 @@
+"""Steps of fleet.feature."""
+
+import asyncio
+
+import msgspec
+from behave import then, when
+from deployment import MODEL
+from request_steps import BODY, REQUESTS, ask
+
+from lycheepost.platform import headers as names
+from lycheepost.platform.models.serverface import event_bytes
+
+N_LONG = 400
+
+
+@when("one daemon is told to stop while a long stream runs through it")
+def step_stop(context):
+    deployment = context.deployment
+    for server in deployment.group("llm"):
+        server.n_events = N_LONG
+    _method, path, body = REQUESTS["album stream"]
+    headers = deployment.prompt_headers(**{names.TOKENS: f"150,{N_LONG}"})
+
+    async def begin():
+        stream = asyncio.ensure_future(deployment.ask("POST", path, headers, body))
+        async with asyncio.timeout(10):
+            while not deployment.runs():
+                await asyncio.sleep(0.01)
+        drain = asyncio.ensure_future(deployment.daemons[0].drain())
+        await asyncio.sleep(0)
+        return stream, drain
+
+    context.stream, context.drain = context.loop.run_until_complete(begin())
+
+
+@then("it is not ready, and soon the other's directory names it no longer")
+def step_not_ready(context):
+    deployment = context.deployment
+    assert context.loop.run_until_complete(deployment.ready(0)) == 503
+    own = str(deployment.nodes[0].clients)
+
+    async def is_gone():
+        addresses = await deployment.addresses(1)
+        return addresses and own not in addresses
+
+    context.loop.run_until_complete(deployment.until(is_gone))
+
+
+@then("it soon refuses new requests as not run")
+def step_refuses(context):
+    deployment = context.deployment
+
+    async def is_refused():
+        method, path, body = REQUESTS["look-up"]
+        answer = await deployment.ask(method, path, deployment.headers(), body)
+        assert answer.status in (200, 503), answer
+        return answer.status == 503 and not deployment.runs(deployment.attempt_id)
+
+    context.loop.run_until_complete(deployment.until(is_refused))
+
+
+@then("the long stream ends whole before it stops")
+def step_whole_stream(context):
+    answer = context.loop.run_until_complete(context.stream)
+    expected = b"".join(event_bytes(n, BODY) for n in range(1, N_LONG + 1))
+    assert answer.is_whole and answer.body == expected, answer.status
+    context.loop.run_until_complete(context.drain)
+
+
+@when("both daemons are killed and two start anew")
+def step_killed(context):
+    deployment = context.deployment
+
+    async def restart():
+        for daemon in deployment.daemons:
+            await daemon.stop()
+        deployment.daemons.clear()
+        deployment.nodes.clear()
+        for _ in range(2):
+            await deployment.add_daemon()
+
+    context.loop.run_until_complete(restart())
+
+
+@then("each directory soon names both")
+def step_both(context):
+    deployment = context.deployment
+    wanted = {str(node.clients) for node in deployment.nodes}
+
+    async def is_complete():
+        found = [set(await deployment.addresses(i)) for i in range(2)]
+        return all(addresses == wanted for addresses in found)
+
+    context.loop.run_until_complete(deployment.until(is_complete))
+
+
+def name_weights(context, version):
+    value = msgspec.json.encode({"model": MODEL, "version": version})
+    context.deployment.store.store.put("op", f"version/{MODEL}", value)
+
+
+@when("version {version:d} of the weights is named")
+def step_named(context, version):
+    name_weights(context, version)
+
+
+@when("versions 2, 3 and 4 of the weights are named at once")
+def step_named_three(context):
+    for version in (2, 3, 4):
+        name_weights(context, version)
+
+
+@when("version {version:d} of the weights is named while order answers are lost")
+def step_named_lost(context, version):
+    for server in context.deployment.group("llm"):
+        server.loses_order_answers = True
+    name_weights(context, version)
+
+
+@then("all engines soon hold version {version:d}")
+def step_hold(context, version):
+    deployment = context.deployment
+
+    async def is_done():
+        return all(
+            server.state.version == version for server in deployment.group("llm")
+        )
+
+    context.loop.run_until_complete(deployment.until(is_done))
+
+
+@then("each was ordered once, by one holder with one fencing number")
+def step_once(context):
+    orders = [server.state.orders for server in context.deployment.group("llm")]
+    assert [len(found) for found in orders] == [1, 1], orders
+    assert len({(found[0]["holder"], found[0]["fence"]) for found in orders}) == 1
+
+
+@then("a stream is served by version {version:d}")
+def step_version(context, version):
+    answer = ask(context, "album stream")
+    assert answer.status == 200, answer
+    assert answer.headers[names.WEIGHTS] == str(version)
+
+
+@then("no engine was ordered more than twice")
+def step_twice(context):
+    for server in context.deployment.group("llm"):
+        assert len(server.state.orders) <= 2, server.state.orders
+
+
+@then("no order was accepted twice")
+def step_accepted(context):
+    for server in context.deployment.group("llm"):
+        assert server.state.n_orders == 1, server.state
--- a/features/platform/steps/request_steps.py
+++ b/features/platform/steps/request_steps.py
@@ -121,15 +121,16 @@
 
 @when("both customers send the same prompt")
 def step_both(context):
+    context.runs = []
     for key in KEYS:
         ask(context, "album stream", key=key)
+        deployment = context.deployment
+        context.runs += deployment.runs(deployment.attempt_id)
 
 
 @then("the isolated customer's cache scope is its own")
 def step_scopes(context):
-    scopes = [
-        run.headers[names.CACHE_SCOPE.lower()] for run in context.deployment.runs()
-    ]
+    scopes = [run.headers[names.CACHE_SCOPE.lower()] for run in context.runs]
     assert len(set(scopes)) == 2, scopes
     assert KEYS["k-two"] in scopes[1] and KEYS["k-two"] not in scopes[0]
 
@@ -170,7 +171,11 @@
 
 
 def send_raw(context, start_line, headers=b"", rest=b""):
-    """Send bytes over a connection of their own and return all that comes."""
+    """Send bytes over a connection of their own and return all that comes.
+
+    With bytes behind the head the client closes its side: the server reads on for
+    a while after a head that it refused.
+    """
     deployment = context.deployment
 
     async def talk():
@@ -185,6 +190,8 @@
             + b"\r\n"
             + rest
         )
+        if rest:
+            writer.write_eof()
         async with asyncio.timeout(10):
             data = await reader.read()
         writer.close()
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -10,6 +10,7 @@
 import random
 import secrets
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import structlog
@@ -92,17 +93,9 @@
 REFRESH_SECONDS = 0.1
 """How soon a target that was left alone is seen to be due again."""
 
-ADDRESS_SECONDS = 2.0
-"""How long clients may keep an addresses answer. Some keep it three times as long,
-and the answer's own age adds a second: within the time that a daemon which leaves
-goes on serving."""
-
-LEAVE_SECONDS = 6.2
-"""How long a daemon that leaves goes on serving clients that still have its
-address, within eight seconds until it is killed."""
-
-LEAVE_CUT_SECONDS = 1.2
-"""Time for what is still in flight after that."""
+ADDRESS_SECONDS = 0.9
+"""How long clients may keep an addresses answer. Some keep it three times as long:
+as long as a daemon that leaves goes on taking requests."""
 
 _log = structlog.get_logger(part="app")
 
@@ -132,6 +125,32 @@
             self._targets.refresh()
 
 
+@dataclass(frozen=True, slots=True)
+class LeavePlan:
+    """How a daemon that was told to stop spends its time.
+
+    Attributes:
+        take_seconds: It goes on taking requests of clients that still have its
+            address. What it takes later might not be finished in time.
+        finish_seconds: Then it finishes what it took, at most this long.
+    """
+
+    take_seconds: float
+    finish_seconds: float
+
+
+TAKE_SHARE = 0.36
+FINISH_SHARE = 0.55
+"""Shares of the time until the platform kills a process. The first is 2.9 of eight
+seconds: clients have learned of other addresses by then, and a request that is taken
+has more than four seconds to end. The rest is for closing."""
+
+
+def make_leave_plan(grace_seconds: float) -> LeavePlan:
+    """Return the plan for a platform that kills after ``grace_seconds``."""
+    return LeavePlan(TAKE_SHARE * grace_seconds, FINISH_SHARE * grace_seconds)
+
+
 class PlatformDaemon:
     """One running daemon on the platform.
 
@@ -149,7 +168,9 @@
         parts: list[Part],
         routing: RoutingKeeper,
         watches: tuple[Watch, Watch],
+        plan: LeavePlan,
     ) -> None:
+        self._plan = plan
         self.routing = routing
         self.watches = watches
         self._front = front
@@ -174,10 +195,12 @@
         _log.info("app: draining", n_open=self._front.n_open)
         await self._rollout.stop()
         leave = asyncio.create_task(self._fleet.drain())
-        await asyncio.sleep(LEAVE_SECONDS)
+        await asyncio.sleep(self._plan.take_seconds)
         leave.cancel()
+        self._front.is_closed = True
+        _log.info("app: takes nothing new", n_open=self._front.n_open)
         try:
-            async with asyncio.timeout(LEAVE_CUT_SECONDS):
+            async with asyncio.timeout(self._plan.finish_seconds):
                 await self._front.drain()
         except TimeoutError:
             _log.warning("app: requests outlived the drain", n_open=self._front.n_open)
@@ -189,7 +212,10 @@
 
 
 def make_platform_daemon(
-    node: NodeSettings, clock: Clock | None = None, metrics_port: int = METRICS_PORT
+    node: NodeSettings,
+    clock: Clock | None = None,
+    metrics_port: int = METRICS_PORT,
+    leave_plan: LeavePlan | None = None,
 ) -> PlatformDaemon:
     """Join the parts of one daemon; nothing is started yet.
 
@@ -197,6 +223,7 @@
         node: What the platform tells this process.
         clock: Tells the time; this machine's when None.
         metrics_port: Where metrics are served; 0 takes a free port.
+        leave_plan: How it ends; by the platform's time for it when None.
     """
     clock = clock or SystemClock()
     metrics = ServedMetrics()
@@ -312,7 +339,8 @@
         duty,
     ]
     both = _Both(duty, rollout)
-    daemon = PlatformDaemon(front, fleet, both, parts, routing, watches)
+    leave_plan = leave_plan or make_leave_plan(node.bounds.grace_seconds)
+    daemon = PlatformDaemon(front, fleet, both, parts, routing, watches, leave_plan)
 
     def is_ready() -> bool:
         return routing.table is not None and not daemon.is_leaving
--- a/lycheepost/callers/forwarderrors.py
+++ b/lycheepost/callers/forwarderrors.py
@@ -10,6 +10,9 @@
 CONFIGURATION_RETRY_SECONDS = 0.3
 """A daemon that has just started gets its configuration in about this time."""
 
+LEAVING_RETRY_SECONDS = 0.02
+"""Any other daemon can take the request at once."""
+
 CONFIRMATION_RETRY_SECONDS = 0.5
 """Another daemon, which reaches the store, can serve the key at once."""
 
@@ -53,6 +56,17 @@
             )
 
 
+def leaving() -> CallerError:
+    """Return the error of a daemon that takes nothing new."""
+    return CallerError(
+        "This daemon is leaving; use another address.",
+        status=503,
+        type=ErrorType.SERVER,
+        code="shutting_down",
+        retry_after_seconds=LEAVING_RETRY_SECONDS,
+    )
+
+
 def too_late(executed: Executed) -> CallerError:
     """Return the error for a request whose time is up."""
     return CallerError(
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -11,6 +11,7 @@
 
 from lycheepost.callers.errors import CallerError, ErrorType, Executed
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
+from lycheepost.callers.forwarderrors import leaving
 from lycheepost.callers.forwarding import Forwarding, identify
 from lycheepost.core.ids import ModelId
 from lycheepost.core.routing import Prompt, PromptPart, RouteKind
@@ -89,11 +90,13 @@
     Attributes:
         n_open: Requests that are being served.
         is_leaving: Connections end with their next answer.
+        is_closed: No request is taken any more.
     """
 
     def __init__(self, deps: ForwardDeps) -> None:
         self.n_open = 0
         self.is_leaving = False
+        self.is_closed = False
         self._deps = deps
         self._idle = asyncio.Event()
         self._idle.set()
@@ -129,6 +132,8 @@
 
     async def _serve(self, request: web.BaseRequest, side: ClientSide) -> None:
         arrived_seconds = self._deps.clock.now_seconds()
+        if self.is_closed:
+            raise leaving()
         _check_path(request)
         body = await self._read_body(request)
         asked = decode_request(request, body, arrived_seconds)
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -102,6 +102,7 @@
     Attributes:
         runs: Everything that it began to work on.
         n_running: What it works on now.
+        loses_order_answers: Orders are taken and their answers lost.
         n_events: Events of each stream.
         faults: Faults that wait for calls, by attempt id.
     """
@@ -120,6 +121,7 @@
         self.runs: list[ServerRun] = []
         self.faults: FaultPlan[ServerFault] = FaultPlan()
         self.is_leaving = False
+        self.loses_order_answers = False
         self.n_events = n_events
         self._run_seconds = run_seconds
         self.n_running = 0
@@ -238,6 +240,8 @@
         task = asyncio.create_task(self._load(order["version"]))
         self._loads.add(task)
         task.add_done_callback(self._loads.discard)
+        if self.loses_order_answers:
+            self._server.cut_connection(request)
         return web.Response(status=202)
 
     async def _load(self, version: int) -> None:
