Follow cache events: place by what engines keep, copy from engines first

Cause: each daemon knew of the engines' caches only from its own seventh of the traffic, and every copy came over the one link of the store, which is full at the peak (52 copies a second of up to 116 MB over 39 Gbit/s).

--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -16,6 +16,7 @@
 import structlog
 
 from lycheepost.app.fleet import Fleet, Identity
+from lycheepost.app.keptparts import KeptPartsKeeper
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.metricspage import MetricsPage
 from lycheepost.app.parts import Part, start_parts, stop_parts
@@ -33,7 +34,7 @@
 )
 from lycheepost.core.routing import RouteTable
 from lycheepost.decide.freshness import KeyRule
-from lycheepost.decide.records import LoadReport
+from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.generated.messages import TargetChanging
@@ -42,6 +43,7 @@
 from lycheepost.peers.exchange import make_peer_exchange
 from lycheepost.peers.membership import MemberExchange
 from lycheepost.peers.sockets import make_socket_transport
+from lycheepost.platform.cacheevents import CacheEventsClient
 from lycheepost.platform.dialect import ServerDialect
 from lycheepost.platform.following import (
     OperatorFollower,
@@ -235,9 +237,17 @@
     client = ForwardClient(StreamSettings(connect_seconds=CONNECT_SECONDS), dialect)
     orders = ServerOrders()
     dispatcher = Dispatcher(Scheduler(_scheduler_settings(node), seed), clock)
-    targets = TargetList(clock, dispatcher.replace_targets, node.bounds.weights_seconds)
+
+    def on_views(views: tuple[TargetView, ...]) -> None:
+        dispatcher.replace_targets(views)
+        kept.refresh()
+
+    targets = TargetList(clock, on_views, node.bounds.weights_seconds)
+    cache_events = CacheEventsClient()
+    kept = KeptPartsKeeper(cache_events, dispatcher, targets)
     routing = RoutingKeeper()
     routing.subscribe(targets.set_table)
+    routing.subscribe(kept.set_table)
 
     me = Member(
         daemon=node.daemon,
@@ -325,13 +335,16 @@
         make_request_id=_request_ids(boot),
         pick_point=rng.random,
         on_head=functools.partial(_take_load, dispatcher, clock),
+        choose_source=kept.choose,
     )
     front = ClientFront(deps)
     parts: list[Part] = [
         store,
         client,
         orders,
+        cache_events,
         dispatcher,
+        kept,
         *watches,
         TargetTicker(targets),
         fleet,
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -21,7 +21,7 @@
     outcome_unknown,
     too_late,
 )
-from lycheepost.callers.forwardwork import cache_scope, engine_rank, make_work
+from lycheepost.callers.forwardwork import engine_rank, make_work
 from lycheepost.callers.relaying import (
     AnswerRelay,
     RelayEnd,
@@ -40,8 +40,9 @@
     silence_seconds,
 )
 from lycheepost.decide.freshness import may_trust_key
+from lycheepost.decide.promptlevels import make_scope, prompt_levels
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse
-from lycheepost.decide.routes import RouteFault, Way, choose_kv_store, find_way
+from lycheepost.decide.routes import RouteFault, Way, find_way
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardAnswer
@@ -375,14 +376,15 @@
         target = TargetId(listed.target)
         version = self._deps.targets.weights_of(target, prompt.model)
         version = version or WeightsVersion("")
-        store = choose_kv_store(_table(self._deps), listed.availability_zone)
+        scope = make_scope(self._way.holder, version)
+        source = self._deps.choose_source(listed, prompt_levels(scope, prompt))
         return EngineTerms(
             model=prompt.model,
-            cache_scope=cache_scope(self._way.holder, version),
+            cache_scope=str(scope),
             weights_version=version,
             rank=engine_rank(self._way),
-            fetch_from=store,
-            store_to=store,
+            fetch_from=source.fetch_from,
+            store_to=source.store_to,
         )
 
     async def _finish_kind(self, target: TargetId, end: SendEnd | None) -> FinishKind:
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -1,9 +1,10 @@
 """Turn a forwarded request into the work that the decisions know."""
 
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
-from lycheepost.core.hashing import chain_digest, fingerprint_body, hash_bytes
-from lycheepost.core.ids import ModelId, PrefixDigest, WeightsVersion
-from lycheepost.core.routing import KeyHolder, Prompt, Route, RouteKind, RouteTable
+from lycheepost.core.hashing import fingerprint_body
+from lycheepost.core.ids import ModelId, WeightsVersion
+from lycheepost.core.routing import Prompt, Route, RouteKind, RouteTable
+from lycheepost.decide.promptlevels import make_scope, prompt_levels
 from lycheepost.decide.records import PrefixLevel, Priority, Work
 from lycheepost.decide.routes import Way, choose_group
 
@@ -21,16 +22,6 @@
 """A plain service makes no tokens; one stands for the answer."""
 
 
-def cache_scope(holder: KeyHolder, version: WeightsVersion) -> str:
-    """Return the scope in which an engine may share cached prompt parts.
-
-    Parts made with other weights give wrong answers, and those of an isolated
-    customer must not even show by their speed that they exist.
-    """
-    owner = holder.customer if holder.is_isolated else ""
-    return f"{version}:{owner}"
-
-
 def patience_seconds(route: Route, request: ForwardRequest) -> float:
     """Return how long the caller waits for the first part of its answer."""
     patience = route.timeout_seconds
@@ -46,21 +37,10 @@
     return min(patience, silence)
 
 
-def prompt_levels(holder: KeyHolder, prompt: Prompt) -> tuple[PrefixLevel, ...]:
-    """Return the prefix levels of a prompt that is told in parts.
-
-    The weights are no part of the digests: what a target kept under other weights
-    is forgotten when they change.
-    """
-    root = f"{cache_scope(holder, WeightsVersion(''))}\x00{prompt.model}"
-    digest = PrefixDigest(hash_bytes(root.encode()))
-    n_tokens = 0
-    levels = []
-    for part in prompt.parts:
-        digest = chain_digest(digest, part.part_id.encode())
-        n_tokens += part.n_tokens
-        levels.append(PrefixLevel(digest, n_tokens))
-    return tuple(levels)
+def _levels(deps: ForwardDeps, way: Way, prompt: Prompt) -> tuple[PrefixLevel, ...]:
+    """Return the levels under the newest weights that any target holds."""
+    version = deps.targets.newest_weights(prompt.model)
+    return prompt_levels(make_scope(way.holder, version), prompt)
 
 
 def rank_of(way: Way) -> int:
@@ -106,7 +86,7 @@
         target_group=group,
         model=ModelId("") if prompt is None else prompt.model,
         weights_version=WeightsVersion(""),
-        levels=() if prompt is None else prompt_levels(way.holder, prompt),
+        levels=() if prompt is None else _levels(deps, way, prompt),
         prompt_tokens=0 if prompt is None else prompt.n_tokens,
         output_tokens=(
             _PLAIN_OUTPUT_TOKENS if prompt is None else prompt.max_output_tokens
--- /dev/null
+++ b/lycheepost/decide/promptlevels.py
@@ -0,0 +1,62 @@
+"""Prefix levels of prompts that are told in parts, and the scope they are kept in.
+
+An engine keeps each part under the scope that it was sent with. The scope names the
+weights, because parts made with others give wrong answers, and the customer where
+it is isolated, because not even the speed of an answer may show what others asked.
+"""
+
+from dataclasses import dataclass
+
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.core.ids import CustomerId, ModelId, PrefixDigest, WeightsVersion
+from lycheepost.core.routing import KeyHolder, Prompt
+from lycheepost.decide.records import PrefixLevel
+
+_SEPARATOR = ":"
+
+
+@dataclass(frozen=True, slots=True)
+class CacheScope:
+    """Within what cached parts are shared.
+
+    Attributes:
+        owner: An isolated customer; empty for what all others share.
+    """
+
+    weights_version: WeightsVersion
+    owner: CustomerId
+
+    def __str__(self) -> str:
+        return f"{self.weights_version}{_SEPARATOR}{self.owner}"
+
+
+def make_scope(holder: KeyHolder, weights_version: WeightsVersion) -> CacheScope:
+    """Return the scope of a customer's requests under some weights."""
+    owner = holder.customer if holder.is_isolated else CustomerId("")
+    return CacheScope(weights_version, owner)
+
+
+def split_scope(text: str) -> CacheScope:
+    """Return the scope that was sent as ``text``."""
+    version, _, owner = text.partition(_SEPARATOR)
+    return CacheScope(WeightsVersion(version), CustomerId(owner))
+
+
+def part_digest(scope: CacheScope, model: ModelId, part_id: str) -> PrefixDigest:
+    """Return the digest of one part of a prompt.
+
+    The same for all prompts that hold the part: an engine's events name parts, not
+    the prompts that they came with.
+    """
+    return PrefixDigest(hash_bytes(f"{scope}\x00{model}\x00{part_id}".encode()))
+
+
+def prompt_levels(scope: CacheScope, prompt: Prompt) -> tuple[PrefixLevel, ...]:
+    """Return the prefix levels of a prompt, outermost first."""
+    n_tokens = 0
+    levels = []
+    for part in prompt.parts:
+        n_tokens += part.n_tokens
+        digest = part_digest(scope, prompt.model, part.part_id)
+        levels.append(PrefixLevel(digest, n_tokens))
+    return tuple(levels)
--- /dev/null
+++ b/lycheepost/platform/cacheevents.py
@@ -0,0 +1,91 @@
+"""Cache events of the platform's engines and stores."""
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.ids import ModelId
+from lycheepost.decide.promptlevels import part_digest, split_scope
+from lycheepost.generated.engine import CacheEvent, CacheEventKind
+from lycheepost.targets.cachewatch import CacheNews
+from lycheepost.targets.errors import TargetError, TargetLost
+
+HELD_MS = 1000
+"""The longest that a question may be held."""
+CALL_SECONDS = 1.8
+CONNECT_SECONDS = 0.3
+
+_WireEvent = tuple[int, str, str, str, int, str]
+"""Number, ``+`` or ``-``, cache scope, part id, tokens kept now, model."""
+
+
+class _WireNews(msgspec.Struct):
+    """``boot_epoch`` changes at a restart; ``lost`` tells of a gap."""
+
+    boot_epoch: int
+    next: int
+    lost: bool
+    events: list[_WireEvent]
+
+
+class CacheEventsClient:
+    """Implements ``targets.cachewatch.CacheEventsPort``."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=5.0),
+            timeout=aiohttp.ClientTimeout(
+                total=CALL_SECONDS, sock_connect=CONNECT_SECONDS
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def drain(self) -> None:
+        """Do nothing: the watch ends first."""
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_events(
+        self, address: str, since: int
+    ) -> Result[CacheNews, TargetError]:
+        """Return the events after ``since``."""
+        if self._session is None:
+            raise RuntimeError("the session is not open")
+        try:
+            async with self._session.get(
+                f"http://{address}/kv-events",
+                params={"since": str(since)},
+                headers={"Wait-Ms": str(HELD_MS)},
+            ) as response:
+                if response.status != 200:
+                    return Failure(TargetError(f"status {response.status}"))
+                return _decode(await response.read())
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Failure(TargetLost(f"no answer: {type(error).__name__}"))
+
+
+def _decode(body: bytes) -> Result[CacheNews, TargetError]:
+    try:
+        wire = msgspec.json.decode(body, type=_WireNews)
+    except msgspec.DecodeError as error:
+        return Failure(TargetError(f"events cannot be read: {error}"))
+    events = tuple(_to_event(event) for event in wire.events)
+    return Success(CacheNews(wire.boot_epoch, wire.next, wire.lost, events))
+
+
+def _to_event(wire: _WireEvent) -> CacheEvent:
+    number, sign, scope, part_id, n_tokens, model = wire
+    is_kept = sign == "+" and n_tokens > 0
+    return CacheEvent(
+        sequence=number,
+        kind=CacheEventKind.STORED if is_kept else CacheEventKind.EVICTED,
+        digest=part_digest(split_scope(scope), ModelId(model), part_id),
+        n_tokens=n_tokens,
+    )
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -90,6 +90,7 @@
         self._health: dict[TargetGroupId, TargetHealth] = {}
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
+        self._newest: dict[ModelId, WeightsVersion] = {}
 
     def get(self, target: TargetId) -> ListedTarget | None:
         """Return a target that may still be sent to; None when it has left."""
@@ -125,6 +126,10 @@
             for name, known in self._known.items()
         }
 
+    def newest_weights(self, model: ModelId) -> WeightsVersion:
+        """Return the newest weights of a model that any target holds."""
+        return self._newest.get(model, WeightsVersion(""))
+
     def set_table(self, table: RouteTable) -> None:
         """Follow the route table: its groups say what their targets can do."""
         self._table = table
@@ -277,6 +282,7 @@
         """Make the views anew; called on changes and as time passes."""
         now_seconds = self._clock.now_seconds()
         self._forget_gone(now_seconds)
+        self._newest = self._find_newest()
         resting = self._resting(now_seconds)
         views = tuple(
             self._view(name, known, name in resting, now_seconds)
@@ -286,6 +292,14 @@
             self._views = views
             self._on_views(views)
 
+    def _find_newest(self) -> dict[ModelId, WeightsVersion]:
+        newest: dict[ModelId, WeightsVersion] = {}
+        for known in self._known.values():
+            for model, version in (known.weights or {}).items():
+                if weights_number(version) > weights_number(newest.get(model)):
+                    newest[model] = version
+        return newest
+
     def _forget_gone(self, now_seconds: float) -> None:
         for name, known in list(self._known.items()):
             if known.gone_seconds is not None and known.gone_seconds <= now_seconds:
--- /dev/null
+++ b/lycheepost/targets/cachewatch.py
@@ -0,0 +1,120 @@
+"""Follow the cache events of engines and stores.
+
+One task for each: it asks for what came after the last event and waits for more.
+Events come late and some are lost; what they tell only steers where work and
+copies go, and never what a request is allowed to use.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from lycheepost.generated.engine import CacheEvent, CacheEventKind
+from lycheepost.targets.errors import TargetError
+
+PACE_SECONDS = 0.5
+"""Between two questions to one engine. Belief that is half a second old is as good:
+a part is kept for many seconds. Asking at every event would cost each engine and
+each daemon ten calls a second."""
+
+FAILED_SECONDS = 1.0
+
+_log = structlog.get_logger(part="cache")
+
+
+@dataclass(frozen=True, slots=True)
+class CacheNews:
+    """An answer to a question for cache events.
+
+    Attributes:
+        epoch: Changes when the cache was lost as a whole.
+        next_number: Where the next question goes on.
+        has_gap: Events before these are no longer kept.
+    """
+
+    epoch: int
+    next_number: int
+    has_gap: bool
+    events: tuple[CacheEvent, ...]
+
+
+class CacheEventsPort(Protocol):
+    """Asks engines and stores for their cache events."""
+
+    async def read_events(
+        self, address: str, since: int
+    ) -> Result[CacheNews, TargetError]:
+        """Return the events after ``since``; held until there are some."""
+        ...
+
+
+OnEvents = Callable[[str, tuple[CacheEvent, ...]], None]
+
+CLEARED = CacheEvent(sequence=0, kind=CacheEventKind.CLEARED, digest=0)
+
+
+class CacheWatch:
+    """Follows every address that it is told to.
+
+    Args:
+        port: Asks for events.
+        on_events: Gets the events of one address, in order.
+    """
+
+    def __init__(self, port: CacheEventsPort, on_events: OnEvents) -> None:
+        self._port = port
+        self._on_events = on_events
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._is_started = False
+        self._wanted: set[str] = set()
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._is_started = True
+        self.follow(self._wanted)
+
+    async def drain(self) -> None:
+        """Go on: requests are still placed."""
+
+    async def stop(self) -> None:
+        """Stop following."""
+        self._is_started = False
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def follow(self, addresses: Iterable[str]) -> None:
+        """Follow these addresses from now on and no others."""
+        self._wanted = set(addresses)
+        if not self._is_started:
+            return
+        for address in set(self._tasks) - self._wanted:
+            self._tasks.pop(address).cancel()
+        for address in self._wanted - set(self._tasks):
+            self._tasks[address] = asyncio.create_task(self._run(address))
+
+    async def _run(self, address: str) -> None:
+        since = 0
+        epoch: int | None = None
+        was_lost = False
+        while True:
+            match await self._port.read_events(address, since):
+                case Success(news):
+                    if epoch is not None and news.epoch != epoch:
+                        _log.info("cache: restarted", address=address)
+                        self._on_events(address, (CLEARED,))
+                    epoch, since = news.epoch, news.next_number
+                    was_lost = False
+                    if news.events:
+                        self._on_events(address, news.events)
+                    await asyncio.sleep(PACE_SECONDS)
+                case Failure(error):
+                    if not was_lost:
+                        _log.info("cache: lost", address=address, reason=error.reason)
+                    was_lost = True
+                    await asyncio.sleep(FAILED_SECONDS)
