Cut a stream that an error overtakes; copy cached parts from the store only

Feature 'is cut': what came is the beginning of the answer and nothing else.

Copies from other engines are dropped again: their caches turn over in three seconds.

--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -76,3 +76,11 @@
     When the address of one plain server belongs to a server of another service
     Then 20 look-ups run on the other one
     And the new server ran nothing
+
+  Scenario: A stream whose key is taken away in its middle is cut
+    Its server breaks off, and before another one can continue, the key is gone. The
+    daemon once sent the error's head into the open stream: bytes that are no answer.
+    Given a deployment with 1 daemon
+    When a resumable stream breaks off just as its key is taken away
+    Then the outcome is cut
+    And what came of it is the beginning of the answer
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -1,6 +1,7 @@
 """Steps of failures.feature."""
 
 import asyncio
+from dataclasses import replace
 
 import aiohttp
 from behave import then, when
@@ -12,6 +13,7 @@
     OwnFailure,
     PlatformServer,
     Unsealed,
+    event_bytes,
 )
 from lycheepost.standin.faults import (
     CrashAt,
@@ -144,3 +146,23 @@
 @then("the new server ran nothing")
 def step_new(context):
     assert context.new.runs == []
+
+
+@when("a resumable stream breaks off just as its key is taken away")
+def step_key_gone(context):
+    deployment = context.deployment
+    keeper = deployment.daemons[0].routing
+    step_faults(context, 1, "resumable stream", "break")
+    for server in deployment.group("llm"):
+        server.on_fault = lambda: keeper.adopt(without_key(keeper.table), "test")
+    ask(context, "resumable stream")
+
+
+def without_key(table):
+    return replace(table, version=table.version + 1, key_holders={})
+
+
+@then("what came of it is the beginning of the answer")
+def step_beginning(context):
+    expected = b"".join(event_bytes(n, BODY) for n in range(1, 4))
+    assert context.answer.body == expected, context.answer.body
--- /dev/null
+++ b/lycheepost/app/cachefollow.py
@@ -0,0 +1,64 @@
+"""Lets placement know what the engines on the platform keep in their caches."""
+
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.core.ids import Incarnation, TargetId
+from lycheepost.core.routing import RouteTable
+from lycheepost.generated.engine import CacheEvent
+from lycheepost.state.targetlist import TargetList
+from lycheepost.targets.cachewatch import CacheEventsPort, CacheWatch
+
+
+class CacheFollower:
+    """Follows the engines' cache events for the scheduler's belief.
+
+    A daemon sends only its own part of the traffic; what the other daemons' requests
+    put into a cache, or drove out of it, it learns from the events.
+
+    Args:
+        port: Asks for events.
+        dispatcher: Places requests by what engines keep.
+        targets: The engines there are.
+    """
+
+    def __init__(
+        self, port: CacheEventsPort, dispatcher: Dispatcher, targets: TargetList
+    ) -> None:
+        self._watch = CacheWatch(port, self._take)
+        self._dispatcher = dispatcher
+        self._targets = targets
+        self._table: RouteTable | None = None
+        self._by_address: dict[str, TargetId] = {}
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        await self._watch.start()
+
+    async def drain(self) -> None:
+        """Go on: requests are still placed."""
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self._watch.stop()
+
+    def set_table(self, table: RouteTable) -> None:
+        """Follow the route table: it says which targets are engines."""
+        self._table = table
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Follow the engines that there are now."""
+        if self._table is None:
+            return
+        self._by_address = {
+            target.address: TargetId(target.target)
+            for name, group in self._table.groups.items()
+            if group.engine is not None
+            for target in self._targets.listed(name)
+        }
+        self._watch.follow(self._by_address)
+
+    def _take(self, address: str, events: tuple[CacheEvent, ...]) -> None:
+        target = self._by_address.get(address)
+        if target is not None:
+            boot = Incarnation(target)
+            self._dispatcher.observe_cache_events(target, boot, events)
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -15,8 +15,8 @@
 
 import structlog
 
+from lycheepost.app.cachefollow import CacheFollower
 from lycheepost.app.fleet import Fleet, Identity
-from lycheepost.app.keptparts import KeptPartsKeeper
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.metricspage import MetricsPage
 from lycheepost.app.parts import Part, start_parts, stop_parts
@@ -240,14 +240,14 @@
 
     def on_views(views: tuple[TargetView, ...]) -> None:
         dispatcher.replace_targets(views)
-        kept.refresh()
+        caches.refresh()
 
     targets = TargetList(clock, on_views, node.bounds.weights_seconds)
     cache_events = CacheEventsClient()
-    kept = KeptPartsKeeper(cache_events, dispatcher, targets)
+    caches = CacheFollower(cache_events, dispatcher, targets)
     routing = RoutingKeeper()
     routing.subscribe(targets.set_table)
-    routing.subscribe(kept.set_table)
+    routing.subscribe(caches.set_table)
 
     me = Member(
         daemon=node.daemon,
@@ -335,7 +335,6 @@
         make_request_id=_request_ids(boot),
         pick_point=rng.random,
         on_head=functools.partial(_take_load, dispatcher, clock),
-        choose_source=kept.choose,
     )
     front = ClientFront(deps)
     parts: list[Part] = [
@@ -344,7 +343,7 @@
         orders,
         cache_events,
         dispatcher,
-        kept,
+        caches,
         *watches,
         TargetTicker(targets),
         fleet,
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -14,7 +14,6 @@
 )
 from lycheepost.core.routing import ListedTarget, Prompt, RouteTable
 from lycheepost.decide.freshness import KeyRule
-from lycheepost.decide.records import PrefixLevel
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.forward import ForwardClient
 from lycheepost.targets.forwardcall import AnswerHead
@@ -54,19 +53,6 @@
         return self.raw_path.partition("?")[0]
 
 
-@dataclass(frozen=True, slots=True)
-class KvSource:
-    """Addresses of KV cache for one request; empty for none.
-
-    Attributes:
-        fetch_from: An engine or a store that may keep more than the target does.
-        store_to: The store that keeps what the target reads.
-    """
-
-    fetch_from: str = ""
-    store_to: str = ""
-
-
 class CallerSide(Protocol):
     """The connection to the caller; it gets one answer."""
 
@@ -141,8 +127,6 @@
         is_same_target: Whether a target still answers as the start that it was.
         pick_point: Gives a number in [0, 1) to split traffic by.
         on_head: Told of each answer's head, for the load that it states.
-        choose_source: Where a target should fetch what it lacks of a prompt, and
-            where it should keep what it reads.
     """
 
     routing: RoutingPort
@@ -156,4 +140,3 @@
     make_request_id: Callable[[], RequestId]
     pick_point: Callable[[], float]
     on_head: Callable[[TargetId, AnswerHead], None]
-    choose_source: Callable[[ListedTarget, tuple[PrefixLevel, ...]], KvSource]
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -40,9 +40,9 @@
     silence_seconds,
 )
 from lycheepost.decide.freshness import may_trust_key
-from lycheepost.decide.promptlevels import make_scope, prompt_levels
+from lycheepost.decide.promptlevels import make_scope
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse
-from lycheepost.decide.routes import RouteFault, Way, find_way
+from lycheepost.decide.routes import RouteFault, Way, choose_kv_store, find_way
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardAnswer
@@ -121,7 +121,6 @@
         self._work = make_work(deps, request, way, _table(deps))
         self._sends = Sends()
         self._is_sent = False
-        self._fetch_from = ""
         until = way.route.timeout_seconds
         if request.patience_seconds is not None:
             until = min(until, request.patience_seconds)
@@ -170,7 +169,10 @@
                 n_runs=self._sends.n_runs,
                 elapsed_seconds=self._elapsed_seconds(),
             )
-            raise
+            if not self._relay.has_begun:
+                raise
+            # An error's head in the middle of a stream would be read as part of it.
+            self._relay.cut()
 
     def _elapsed_seconds(self) -> float:
         now_seconds = self._deps.clock.now_seconds()
@@ -261,7 +263,6 @@
                 end="served" if kind is FinishKind.COMPLETE and end is None else reason,
                 predicted_seconds=round(dispatch.predicted_wait_seconds, 3),
                 expected_cached_tokens=dispatch.expected_cached_tokens,
-                fetch_from=self._fetch_from,
                 held_seconds=round(now_seconds - sent_seconds, 4),
                 first_seconds=self._relay.first_seconds,
             )
@@ -379,15 +380,14 @@
         version = self._deps.targets.weights_of(target, prompt.model)
         version = version or WeightsVersion("")
         scope = make_scope(self._way.holder, version)
-        source = self._deps.choose_source(listed, prompt_levels(scope, prompt))
-        self._fetch_from = source.fetch_from
+        store = choose_kv_store(_table(self._deps), listed.availability_zone)
         return EngineTerms(
             model=prompt.model,
             cache_scope=str(scope),
             weights_version=version,
             rank=engine_rank(self._way),
-            fetch_from=source.fetch_from,
-            store_to=source.store_to,
+            fetch_from=store,
+            store_to=store,
         )
 
     async def _finish_kind(self, target: TargetId, end: SendEnd | None) -> FinishKind:
--- a/lycheepost/decide/belief.py
+++ b/lycheepost/decide/belief.py
@@ -85,6 +85,17 @@
         _, n_tokens = self._entries.popitem(last=False)
         self._tokens -= n_tokens
 
+    def _trim(self, digest: PrefixDigest, n_left: int) -> None:
+        """Note that an entry lost its end; less than half is as good as nothing."""
+        n_tokens = self._entries.get(digest)
+        if n_tokens is None:
+            return
+        if n_left < n_tokens / 2:
+            self._forget(digest)
+            return
+        self._entries[digest] = n_left
+        self._tokens -= n_tokens - n_left
+
     def _forget(self, digest: PrefixDigest) -> None:
         self._tokens -= self._entries.pop(digest, 0)
 
@@ -134,6 +145,8 @@
         match event.kind:
             case CacheEventKind.STORED:
                 self._touch(digest, event.n_tokens)
+            case CacheEventKind.TRIMMED:
+                self._trim(digest, event.n_tokens)
             case CacheEventKind.EVICTED:
                 self._forget(digest)
             case CacheEventKind.CLEARED:
--- a/lycheepost/platform/cacheevents.py
+++ b/lycheepost/platform/cacheevents.py
@@ -82,10 +82,12 @@
 
 def _to_event(wire: _WireEvent) -> CacheEvent:
     number, sign, scope, part_id, n_tokens, model = wire
-    is_kept = sign == "+" and n_tokens > 0
+    kind = CacheEventKind.EVICTED
+    if n_tokens > 0:
+        kind = CacheEventKind.STORED if sign == "+" else CacheEventKind.TRIMMED
     return CacheEvent(
         sequence=number,
-        kind=CacheEventKind.STORED if is_kept else CacheEventKind.EVICTED,
+        kind=kind,
         digest=part_digest(split_scope(scope), ModelId(model), part_id),
         n_tokens=n_tokens,
     )
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -103,6 +104,7 @@
         runs: Everything that it began to work on.
         n_running: What it works on now.
         loses_order_answers: Orders are taken and their answers lost.
+        on_fault: Called as a stream is about to be broken off.
         n_events: Events of each stream.
         faults: Faults that wait for calls, by attempt id.
     """
@@ -122,6 +124,7 @@
         self.faults: FaultPlan[ServerFault] = FaultPlan()
         self.is_leaving = False
         self.loses_order_answers = False
+        self.on_fault: Callable[[], object] = lambda: None
         self.n_events = n_events
         self._run_seconds = run_seconds
         self.n_running = 0
@@ -348,6 +351,7 @@
         event = event_bytes(number, body)
         match fault:
             case Truncated(after_events=n) if number > n:
+                self.on_fault()
                 await response.write(event[: len(event) // 2])
                 self._server.cut_connection(request)
                 return False
