Share load among daemons; count retries over a sliding window

peers tell what they have at each target every 0.15 s (in fleets of up to 12 links); the budget counts exactly over any ten seconds and uses 0.85 of what the fleet may, divided among the daemons that live.

--- /dev/null
+++ b/features/decide/peerloads.feature
@@ -0,0 +1,16 @@
+Feature: Daemons that tell each other their load
+  Virtual time, no sockets: schedulers hand each other what they have under way.
+
+  Scenario: Requests that come together at all daemons spread over the targets
+    Every daemon gets a request at nearly the same moment, again and again, before
+    any target has answered. Each sees only a seventh of the load by itself.
+    Given 7 daemons before 6 targets that tell each other their load
+    When each daemon gets 12 requests, one at a time in turn
+    Then the busiest target has at most 1.15 times the mean
+
+  Scenario: The last word of a daemon that died is forgotten
+    A daemon dies with a target full of its requests. The others must not spare that
+    target for ever.
+    Given 2 daemons before 2 targets that tell each other their load
+    When the first daemon has 20 requests and dies
+    Then the second counts none of them a moment later
--- /dev/null
+++ b/features/decide/steps/peerloads_steps.py
@@ -0,0 +1,63 @@
+"""Steps of peerloads.feature."""
+
+from collections import Counter
+
+from behave import given, then, when
+
+from features.decide.steps.common import Desk, make_view
+from lycheepost.core.ids import DaemonId, TargetId
+from lycheepost.decide.peerloads import PeerLoads
+
+
+@given("{n:d} daemons before {n_targets:d} targets that tell each other their load")
+def step_daemons(context, n, n_targets):
+    context.desks = [Desk(n_targets) for _ in range(n)]
+    context.peers = [PeerLoads() for _ in range(n)]
+    for desk in context.desks:
+        desk.views = {index: make_view(index, limit=64) for index in range(n_targets)}
+        desk.announce()
+
+
+def tell(context, number):
+    """Let one daemon's load be known to the others."""
+    desk = context.desks[number]
+    loads = desk.scheduler.under_way()
+    for index, peers in enumerate(context.peers):
+        if index == number:
+            continue
+        other = context.desks[index]
+        peers.observe(DaemonId(str(number)), loads, other.now_seconds)
+        for target in {view.target for view in other.views.values()}:
+            load = peers.at(target, other.now_seconds)
+            other.scheduler.note_others(target, load, other.now_seconds)
+
+
+@when("each daemon gets {count:d} requests, one at a time in turn")
+def step_requests(context, count):
+    for index in range(count):
+        for number, desk in enumerate(context.desks):
+            desk.arrive(f"{number}-{index}")
+            tell(context, number)
+
+
+@then("the busiest target has at most {ratio:g} times the mean")
+def step_spread(context, ratio):
+    sent = Counter(target for desk in context.desks for target in desk.sent.values())
+    mean = sum(sent.values()) / len(context.desks[0].views)
+    assert max(sent.values()) <= ratio * mean, sent
+
+
+@when("the first daemon has {count:d} requests and dies")
+def step_dies(context, count):
+    for index in range(count):
+        context.desks[0].arrive(f"r-{index}")
+    tell(context, 0)
+    context.desks[1].now_seconds += 2.0
+
+
+@then("the second counts none of them a moment later")
+def step_none(context):
+    now_seconds = context.desks[1].now_seconds
+    peers = context.peers[1]
+    assert not peers.is_known(now_seconds)
+    assert peers.at(TargetId("target-0"), now_seconds).n_running == 0
--- /dev/null
+++ b/features/decide/steps/retries_steps.py
@@ -0,0 +1,59 @@
+"""Steps of retries.feature."""
+
+from behave import given, then, when
+
+from lycheepost.decide.retry import RetryBudget
+
+
+@given("a budget of {share:g} of the requests and {burst:g} beyond, in any ten seconds")
+def step_budget(context, share, burst):
+    context.budget = RetryBudget(share, burst)
+    context.now_seconds = 0.0
+
+
+@when("{n:d} requests have come in {seconds:g} s")
+def step_requests(context, n, seconds):
+    for _ in range(n):
+        context.budget.earn(context.now_seconds)
+        context.now_seconds += seconds / n
+
+
+@when("{seconds:g} s pass without any")
+def step_pass(context, seconds):
+    context.now_seconds += seconds
+
+
+@when(
+    "{n:d} requests a second come for {seconds:d} s, each tried again if allowed"
+)
+def step_flow(context, n, seconds):
+    context.retries = []
+    for index in range(n * seconds):
+        now_seconds = index / n
+        context.budget.earn(now_seconds)
+        if context.budget.spend(now_seconds):
+            context.retries.append(now_seconds)
+
+
+@then("no ten seconds hold more than {most:d} retries")
+def step_window(context, most):
+    for start in context.retries:
+        held = [at for at in context.retries if start <= at < start + 10.0]
+        assert len(held) <= most, (start, len(held))
+
+
+def spend(context, n):
+    return sum(context.budget.spend(context.now_seconds) for _ in range(n))
+
+
+@then("{allowed:d} of {n:d} retries at once are allowed")
+def step_allowed(context, allowed, n):
+    found = spend(context, n)
+    assert found == allowed, found
+
+
+@then("{allowed:d} of {n:d} retries a second later are allowed")
+def step_later(context, allowed, n):
+    context.now_seconds += 1.0
+    found = spend(context, n)
+    assert found == allowed, found
--- /dev/null
+++ b/lycheepost/app/loads.py
@@ -0,0 +1,102 @@
+"""Share with the peers what is under way at each target."""
+
+import asyncio
+
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import DaemonId, TargetId
+from lycheepost.decide.peerloads import PeerLoads, UnderWay
+from lycheepost.decide.records import LoadReport
+from lycheepost.generated.messages import LoadNews, TargetLoad
+from lycheepost.peers.exchange import PeerExchange
+
+TELL_SECONDS = 0.15
+"""Between two words of our load. A request that waits for its first token does so
+for about as long; seven daemons send 280 short messages a second in all."""
+
+MOST_LINKS = 12
+"""In a larger fleet daemons have not all links with each other; the load that targets
+state in their answers serves there."""
+
+
+class LoadExchange:
+    """Tells our load to the peers and theirs to the scheduler.
+
+    Args:
+        dispatcher: Knows our load and places by the sum.
+        exchange: The links.
+        clock: The clock of the decisions.
+    """
+
+    def __init__(
+        self, dispatcher: Dispatcher, exchange: PeerExchange, clock: Clock
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._exchange = exchange
+        self._clock = clock
+        self._peers = PeerLoads()
+        self._targets: tuple[TargetId, ...] = ()
+        self._has_told_nothing = True
+        self._task: asyncio.Task[None] | None = None
+        exchange.subscribe(LoadNews, self._take)
+
+    async def start(self) -> None:
+        """Begin to tell."""
+        self._task = asyncio.create_task(self._run(), name="loads")
+
+    async def drain(self) -> None:
+        """Go on: what is in flight here still counts for the others."""
+
+    async def stop(self) -> None:
+        """Stop telling."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def set_targets(self, targets: tuple[TargetId, ...]) -> None:
+        """Follow the targets that the scheduler knows."""
+        self._targets = targets
+
+    def observe_report(self, report: LoadReport) -> None:
+        """Take a target's own word; it counts where no peer tells its load."""
+        if not self._peers.is_known(self._clock.now_seconds()):
+            self._dispatcher.observe_load(report)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_SECONDS)
+            self._tell()
+            self._pass_on()
+
+    def _tell(self) -> None:
+        links = self._exchange.linked()
+        loads = self._dispatcher.under_way()
+        has_nothing = not loads
+        if len(links) > MOST_LINKS or (has_nothing and self._has_told_nothing):
+            return
+        self._has_told_nothing = has_nothing
+        news = LoadNews(
+            loads=[
+                TargetLoad(
+                    target=target,
+                    queued_tokens=load.queued_tokens,
+                    n_running=load.n_running,
+                )
+                for target, load in loads.items()
+            ]
+        )
+        for daemon in links:
+            self._exchange.send(daemon, news)
+
+    def _pass_on(self) -> None:
+        now_seconds = self._clock.now_seconds()
+        if not self._peers.is_known(now_seconds):
+            return
+        for target in self._targets:
+            self._dispatcher.note_others(target, self._peers.at(target, now_seconds))
+
+    def _take(self, news: LoadNews, sender: DaemonId) -> None:
+        loads = {
+            TargetId(load.target): UnderWay(load.queued_tokens, load.n_running)
+            for load in news.loads
+        }
+        self._peers.observe(sender, loads, self._clock.now_seconds())
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -17,6 +17,7 @@
 
 from lycheepost.app.cachefollow import CacheFollower
 from lycheepost.app.fleet import Fleet, Identity
+from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.metricspage import MetricsPage
 from lycheepost.app.parts import Part, start_parts, stop_parts
@@ -92,6 +93,14 @@
 MEMBER_LOOK_SECONDS = 12.0
 """Peers tell of each other; the table is looked at only to find peers at all."""
 
+RETRY_SHARE = 0.85
+"""Part of the allowed repeats that is used; the rest covers what is not counted
+here, such as requests that the daemons see differently than the clients."""
+
+FEWEST_DAEMONS = 4
+"""Repeats are divided among at least so many: a daemon that has not yet heard of its
+peers must not take all of them."""
+
 REFRESH_SECONDS = 0.1
 """How soon a target that was left alone is seen to be due again."""
 
@@ -102,16 +111,22 @@
 _log = structlog.get_logger(part="app")
 
 
-class TargetTicker:
-    """A task that lets time pass for the target list."""
+def retry_burst(node: NodeSettings, n_daemons: int) -> float:
+    """Return this daemon's part of the repeats that the fleet may save up."""
+    n_sharing = max(FEWEST_DAEMONS, n_daemons)
+    return max(1.0, RETRY_SHARE * node.bounds.retry_burst / n_sharing)
+
 
-    def __init__(self, targets: TargetList) -> None:
-        self._targets = targets
+class Ticker:
+    """A task that lets time pass for parts that have no task of their own."""
+
+    def __init__(self, on_tick: Callable[[], None]) -> None:
+        self._on_tick = on_tick
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Begin."""
-        self._task = asyncio.create_task(self._run(), name="target-ticker")
+        self._task = asyncio.create_task(self._run(), name="ticker")
 
     async def drain(self) -> None:
         """Go on: requests in flight still need targets."""
@@ -124,7 +139,7 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(REFRESH_SECONDS)
-            self._targets.refresh()
+            self._on_tick()
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +256,7 @@
     def on_views(views: tuple[TargetView, ...]) -> None:
         dispatcher.replace_targets(views)
         caches.refresh()
+        loads.set_targets(tuple(view.target for view in views))
 
     targets = TargetList(clock, on_views, node.bounds.weights_seconds)
     cache_events = CacheEventsClient()
@@ -274,6 +290,7 @@
     )
     MemberExchange(exchange, members, clock)
     LossExchange(dispatcher, exchange, clock)
+    loads = LoadExchange(dispatcher, exchange, clock)
     identity = Identity(node.daemon, boot, node.availability_zone, node.host)
     fleet = Fleet(identity, store, transport, exchange, members)
 
@@ -323,6 +340,10 @@
         path = "/health" if group is None else group.health_path
         return await orders.is_same(target, listed.address, path)
 
+    def on_tick() -> None:
+        targets.refresh()
+        dispatcher.set_retry_burst(retry_burst(node, members.n_live()))
+
     deps = ForwardDeps(
         routing=routing,
         dispatcher=dispatcher,
@@ -334,7 +355,7 @@
         is_same_target=is_same_target,
         make_request_id=_request_ids(boot),
         pick_point=rng.random,
-        on_head=functools.partial(_take_load, dispatcher, clock),
+        on_head=functools.partial(_take_load, loads, clock),
     )
     front = ClientFront(deps)
     parts: list[Part] = [
@@ -345,8 +366,9 @@
         dispatcher,
         caches,
         *watches,
-        TargetTicker(targets),
+        Ticker(on_tick),
         fleet,
+        loads,
         rollout,
         duty,
     ]
@@ -426,8 +448,8 @@
 
 def _scheduler_settings(node: NodeSettings) -> SchedulerSettings:
     return SchedulerSettings(
-        retry_share=node.bounds.retry_share / 2,
-        retry_burst=max(1.0, node.bounds.retry_burst / 2 / 7),
+        retry_share=RETRY_SHARE * node.bounds.retry_share,
+        retry_burst=retry_burst(node, FEWEST_DAEMONS),
         max_tries=6,
         admit_patience_share=0.9,
         prefill_seconds_per_token=25e-6,
@@ -465,12 +487,12 @@
 
 
 def _take_load(
-    dispatcher: Dispatcher, clock: Clock, target: TargetId, head: AnswerHead
+    loads: LoadExchange, clock: Clock, target: TargetId, head: AnswerHead
 ) -> None:
     """Pass the load that a target states on to the decisions."""
     if head.load is None:
         return
-    dispatcher.observe_load(
+    loads.observe_report(
         LoadReport(
             target=target,
             incarnation=Incarnation(target),
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -17,6 +17,7 @@
     RequestId,
     TargetId,
 )
+from lycheepost.decide.peerloads import UnderWay
 from lycheepost.decide.quarantine import LossSeen
 from lycheepost.decide.records import (
     Dispatch,
@@ -153,6 +154,14 @@
         now_seconds = self._clock.now_seconds()
         self._scheduler.observe_cache_events(target, boot_id, events, now_seconds)
 
+    def note_others(self, target: TargetId, load: UnderWay) -> None:
+        """Pass on what the other daemons have under way at a target."""
+        self._scheduler.note_others(target, load, self._clock.now_seconds())
+
+    def under_way(self) -> dict[TargetId, UnderWay]:
+        """Return what is under way from here, for the peers."""
+        return self._scheduler.under_way()
+
     def replace_targets(self, targets: tuple[TargetView, ...]) -> None:
         """Tell which targets there are now and in which state."""
         now_seconds = self._clock.now_seconds()
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -152,6 +152,12 @@
         self.others_tokens = (self.others_tokens + others_tokens) / 2
         self.others_running = (self.others_running + others_running) / 2
 
+    def set_others(self, tokens: int, n_running: int, now_seconds: float) -> None:
+        """Take what the other daemons told that they have here."""
+        self.others_tokens = float(tokens)
+        self.others_running = float(n_running)
+        self.reported_seconds = now_seconds
+
     def estimate(self, now_seconds: float) -> tuple[float, float]:
         """Return the tokens waiting for prefill there and the requests there."""
         if now_seconds - self.reported_seconds > REPORT_SECONDS:
--- /dev/null
+++ b/lycheepost/decide/peerloads.py
@@ -0,0 +1,69 @@
+"""What the other daemons have under way at each target.
+
+The failure: daemons that do not see each other's work all choose the target that
+looked idle a moment ago. It shows as targets that reject a third of their arrivals
+while others stand empty. In a small fleet each daemon tells the others what it has
+at each target several times a second, and everybody places by the sum.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from lycheepost.core.ids import DaemonId, TargetId
+
+FRESH_SECONDS = 1.0
+"""A daemon that was silent for longer has most likely died, and its requests with
+it; what its targets still run shows in their own reports."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnderWay:
+    """What one daemon has at one target.
+
+    Attributes:
+        queued_tokens: Prompt tokens to be read before their first token.
+        n_running: Requests sent and not ended.
+    """
+
+    queued_tokens: int
+    n_running: int
+
+
+@dataclass(slots=True)
+class _Told:
+    at_seconds: float
+    loads: Mapping[TargetId, UnderWay]
+
+
+@dataclass(slots=True)
+class PeerLoads:
+    """The last word of each daemon."""
+
+    _told: dict[DaemonId, _Told] = field(default_factory=dict)
+
+    def observe(
+        self, daemon: DaemonId, loads: Mapping[TargetId, UnderWay], now_seconds: float
+    ) -> None:
+        """Take what a daemon has under way; it replaces what it told before."""
+        self._told[daemon] = _Told(now_seconds, loads)
+
+    def is_known(self, now_seconds: float) -> bool:
+        """Tell whether any peer has told its load of late."""
+        self._forget_silent(now_seconds)
+        return bool(self._told)
+
+    def at(self, target: TargetId, now_seconds: float) -> UnderWay:
+        """Return what all peers together have at a target."""
+        self._forget_silent(now_seconds)
+        found = [
+            told.loads[target] for told in self._told.values() if target in told.loads
+        ]
+        return UnderWay(
+            sum(load.queued_tokens for load in found),
+            sum(load.n_running for load in found),
+        )
+
+    def _forget_silent(self, now_seconds: float) -> None:
+        for daemon, told in list(self._told.items()):
+            if now_seconds - told.at_seconds > FRESH_SECONDS:
+                del self._told[daemon]
--- a/lycheepost/decide/retry.py
+++ b/lycheepost/decide/retry.py
@@ -1,11 +1,13 @@
 """A budget for second tries.
 
 When many targets fail at once, every request would be tried again and the rest
-of the fleet would get the load twice over, and fail too. First tries earn a
-share of a retry each, up to a cap; a retry spends one.
+of the fleet would get the load twice over, and fail too. In any ten seconds a group
+gets a few retries, and a share of one for each first try.
 """
 
 import random
+from collections import deque
+from dataclasses import dataclass
 
 NO_OUTPUT_PAUSE_SECONDS = 0.1
 """Longest pause of a request that had no output yet when its target was lost."""
@@ -16,6 +18,12 @@
 not meet it a second time. A caller notices a gap of that length hardly, and only
 when an engine dies."""
 
+WINDOW_SECONDS = 10.5
+"""The span that the platform's rule on repeats looks at, and one slot more, so that
+no span of ten seconds escapes."""
+
+SLOT_SECONDS = 0.5
+
 BURST_RETRIES = 64.0
 """One lost target's worth of requests in flight may all be retried at once."""
 
@@ -32,31 +40,55 @@
     return rng.uniform(0.0, NO_OUTPUT_PAUSE_SECONDS)
 
 
+@dataclass(slots=True)
+class _Slot:
+    """Counts of a short span of time."""
+
+    started_seconds: float
+    n_requests: int = 0
+    n_retries: int = 0
+
+
 class RetryBudget:
-    """Retries still allowed.
+    """Retries still allowed, in any span as long as the window.
+
+    Counted exactly, not by tokens that trickle in: a target that is lost takes tens
+    of requests with it in one moment, and those may all be tried again if little
+    was retried before, while the sum over any window stays inside the bound.
 
     Args:
-        share: Retries earned by one first try.
-        burst: Most retries saved up.
+        share: Retries allowed for each request of the window.
+        burst: Retries allowed beyond that.
     """
 
     def __init__(self, share: float, burst: float = BURST_RETRIES) -> None:
         self._share = share
         self._burst = burst
-        self._tokens = burst
+        self._slots: deque[_Slot] = deque()
 
     def set_burst(self, burst: float) -> None:
         """Follow a change of this daemon's part of the fleet's budget."""
         self._burst = burst
-        self._tokens = min(self._tokens, burst)
 
-    def earn(self) -> None:
+    def earn(self, now_seconds: float) -> None:
         """Count a first try."""
-        self._tokens = min(self._burst, self._tokens + self._share)
+        self._slot(now_seconds).n_requests += 1
 
-    def spend(self) -> bool:
+    def spend(self, now_seconds: float) -> bool:
         """Take one retry; False when the budget is spent."""
-        if self._tokens < 1.0:
+        slot = self._slot(now_seconds)
+        n_requests = sum(item.n_requests for item in self._slots)
+        n_retries = sum(item.n_retries for item in self._slots)
+        if n_retries + 1 > self._burst + self._share * n_requests:
             return False
-        self._tokens -= 1.0
+        slot.n_retries += 1
         return True
+
+    def _slot(self, now_seconds: float) -> _Slot:
+        """Return the slot of the present time, without those before the window."""
+        slots = self._slots
+        while slots and slots[0].started_seconds < now_seconds - WINDOW_SECONDS:
+            slots.popleft()
+        if not slots or now_seconds - slots[-1].started_seconds >= SLOT_SECONDS:
+            slots.append(_Slot(now_seconds))
+        return slots[-1]
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -18,6 +18,7 @@
 from lycheepost.decide.belief import CacheBelief
 from lycheepost.decide.group import Group
 from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.peerloads import UnderWay
 from lycheepost.decide.quarantine import LossSeen, Quarantine
 from lycheepost.decide.records import (
     FinishKind,
@@ -107,7 +108,7 @@
         refusal = self._refuse_early(work, now_seconds)
         if refusal is not None:
             return [refusal]
-        self._budget(work.target_group).earn()
+        self._budget(work.target_group).earn(now_seconds)
         return self._admit(work, now_seconds)
 
     def _budget(self, target_group: TargetGroupId) -> RetryBudget:
@@ -118,6 +119,9 @@
             self._budgets[target_group] = budget
         return budget
 
+    def _spend(self, work: Work, now_seconds: float) -> bool:
+        return self._budget(work.target_group).spend(now_seconds)
+
     def set_retry_burst(self, burst: float) -> None:
         """Set how many retries of one group may be saved up here."""
         self._retry_burst = burst
@@ -141,7 +145,7 @@
         if refusal is not None:
             return [refusal]
         is_spent = len(work.excluded) >= self._settings.max_tries
-        if is_spent or not (is_free or self._budget(work.target_group).spend()):
+        if is_spent or not (is_free or self._spend(work, now_seconds)):
             seconds = retry_after_seconds(GONE_RETRY_SECONDS, self._rng)
             return [Refuse(work.request, RefusalReason.RETRY_BUDGET, seconds)]
         return self._admit(work, now_seconds)
@@ -229,6 +233,24 @@
         load = group.placement.loads[report.target]
         load.observe(report, group.placement.rates.uncached_share)
 
+    def note_others(self, target: TargetId, load: UnderWay, now_seconds: float) -> None:
+        """Take what the other daemons have under way at a target."""
+        group = self._group_by_target.get(target)
+        if group is not None:
+            group.placement.loads[target].set_others(
+                load.queued_tokens, load.n_running, now_seconds
+            )
+
+    def under_way(self) -> dict[TargetId, UnderWay]:
+        """Return what is under way from here, for the peers."""
+        found: dict[TargetId, UnderWay] = {}
+        for target, group in self._group_by_target.items():
+            load = group.placement.loads[target]
+            if load.in_flight:
+                n_running = len(load.in_flight)
+                found[target] = UnderWay(load.queued_tokens, n_running)
+        return found
+
     def observe_cache_events(
         self,
         target: TargetId,
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -12,6 +12,7 @@
 import structlog
 
 from lycheepost.generated.messages import (
+    LoadNews,
     MemberNews,
     PeerEnvelope,
     PeerFlood,
@@ -38,6 +39,7 @@
     "quarantine": QuarantineNotice,
     "suspect": SuspectPlaced,
     "changing": TargetChanging,
+    "loads": LoadNews,
     "fetch": RevisionFetch,
     "deltas": RevisionDeltas,
     "whole": RevisionWhole,
