--- a/features/decide/steps/retries_steps.py
+++ b/features/decide/steps/retries_steps.py
@@ -23,9 +23,7 @@
     context.now_seconds += seconds
 
 
-@when(
-    "{n:d} requests a second come for {seconds:d} s, each tried again if allowed"
-)
+@when("{n:d} requests a second come for {seconds:d} s, each tried again if allowed")
 def step_flow(context, n, seconds):
     context.retries = []
     for index in range(n * seconds):
--- a/features/platform/steps/deployment.py
+++ b/features/platform/steps/deployment.py
@@ -12,6 +12,7 @@
 import msgspec
 import yarl
 
+from lycheepost.app.earlysockets import open_sockets
 from lycheepost.app.platformdaemon import LeavePlan, make_platform_daemon
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 from lycheepost.platform import headers as names
@@ -159,7 +160,8 @@
             bounds=self.bounds,
         )
         plan = LeavePlan(take_seconds=0.4, finish_seconds=5.0)
-        daemon = make_platform_daemon(node, metrics_port=0, leave_plan=plan)
+        sockets = open_sockets(node)
+        daemon = make_platform_daemon(node, sockets, metrics_port=0, leave_plan=plan)
         await daemon.start()
         self.nodes.append(node)
         self.daemons.append(daemon)
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -16,6 +16,7 @@
 import structlog
 
 from lycheepost.app.cachefollow import CacheFollower
+from lycheepost.app.earlysockets import EarlySockets, open_socket
 from lycheepost.app.fleet import Fleet, Identity
 from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
@@ -230,6 +231,7 @@
 
 def make_platform_daemon(
     node: NodeSettings,
+    sockets: EarlySockets,
     clock: Clock | None = None,
     metrics_port: int = METRICS_PORT,
     leave_plan: LeavePlan | None = None,
@@ -238,6 +240,7 @@
 
     Args:
         node: What the platform tells this process.
+        sockets: Ports that listen already.
         clock: Tells the time; this machine's when None.
         metrics_port: Where metrics are served; 0 takes a free port.
         leave_plan: How it ends; by the platform's time for it when None.
@@ -405,12 +408,16 @@
     valid_seconds = min(ADDRESS_SECONDS, node.bounds.address_seconds)
     parts += _listeners(
         (
-            ("clients", node.clients, front.handle),
-            ("readiness", node.readiness, Readiness(is_ready).handle),
-            ("directory", node.directory, Directory(addresses, valid_seconds).handle),
+            ("clients", sockets.clients, front.handle),
+            ("readiness", sockets.readiness, Readiness(is_ready).handle),
+            (
+                "directory",
+                sockets.directory,
+                Directory(addresses, valid_seconds).handle,
+            ),
             (
                 "metrics",
-                Endpoint(node.host, metrics_port),
+                open_socket(Endpoint(node.host, metrics_port)),
                 MetricsPage(metrics, status).handle,
             ),
         )
@@ -440,9 +447,9 @@
 
 def _listeners(described: tuple) -> list[Part]:
     return [
-        RawListener(name, handler, endpoint.host, endpoint.port)
-        for name, endpoint, handler in described
-        if endpoint is not None
+        RawListener(name, handler, listening)
+        for name, listening, handler in described
+        if listening is not None
     ]
 
 
--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -11,12 +11,12 @@
 
 from returns.result import Failure, Success
 
-from lycheepost.app.platformdaemon import make_platform_daemon
-from lycheepost.app.run import run_until_signal
-from lycheepost.generated.settings import LogSettings
-from lycheepost.platform.settings import read_node_settings, settings_path
-from lycheepost.utils.logs import configure_logs
-from lycheepost.utils.logwriter import LogWriter
+from lycheepost.app.earlysockets import EarlySockets, open_sockets
+from lycheepost.platform.settings import (
+    NodeSettings,
+    read_node_settings,
+    settings_path,
+)
 
 BAD_SETTINGS = 2
 FAILED = 1
@@ -34,10 +34,26 @@
         case Failure(error):
             print(error.reason, *error.faults, sep="\n", file=sys.stderr)
             return BAD_SETTINGS
+    try:
+        sockets = open_sockets(node)
+    except OSError as error:
+        print(f"The daemon cannot start: {error}.", file=sys.stderr)
+        return FAILED
+    return _serve(node, sockets)
+
+
+def _serve(node: NodeSettings, sockets: EarlySockets) -> int:
+    # Loaded only now: it takes half a second, in which connections wait.
+    from lycheepost.app.platformdaemon import make_platform_daemon
+    from lycheepost.app.run import run_until_signal
+    from lycheepost.generated.settings import LogSettings
+    from lycheepost.utils.logs import configure_logs
+    from lycheepost.utils.logwriter import LogWriter
+
     output = cast("TextIO", LogWriter(sys.stdout.fileno()))
     configure_logs(LogSettings(), node.daemon, output)
     try:
-        run_until_signal(lambda: make_platform_daemon(node))
+        run_until_signal(lambda: make_platform_daemon(node, sockets))
     except OSError as error:
         print(f"The daemon cannot start: {error}.", file=sys.stderr)
         return FAILED
--- a/lycheepost/app/rawlistener.py
+++ b/lycheepost/app/rawlistener.py
@@ -1,10 +1,13 @@
 """A listener whose requests all go to one handler, without routes of our own."""
 
+import socket
 from collections.abc import Awaitable, Callable
 
 import structlog
 from aiohttp import web
 
+from lycheepost.app.earlysockets import BACKLOG
+
 KEEP_ALIVE_SECONDS = 75.0
 """Clients keep idle connections for up to 15 seconds at present deployments; who
 closes first must not be this side, or a request would cross the close."""
@@ -13,7 +16,6 @@
 """Longest line or header; twice what operators allow today."""
 
 MOST_HEADERS = 128
-BACKLOG = 1024
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -26,23 +28,17 @@
     Args:
         name: Stands in logs.
         handler: Gets every request, whatever its path.
-        host: IP number to listen on.
-        port: Port to listen on; 0 takes a free one.
+        listening: An open socket; closed with the listener.
     """
 
-    def __init__(self, name: str, handler: Handler, host: str, port: int) -> None:
+    def __init__(self, name: str, handler: Handler, listening: socket.socket) -> None:
         self._name = name
         self._handler = handler
-        self._host = host
-        self.port = port
+        self._listening = listening
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
-        """Listen.
-
-        Raises:
-            OSError: The port is taken or the address is not ours.
-        """
+        """Serve the connections that wait and those that come."""
         server = web.Server(
             self._handler,
             # A client that leaves must let its target stop at once.
@@ -57,10 +53,10 @@
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._host, self.port, backlog=BACKLOG)
+        site = web.SockSite(self._runner, self._listening, backlog=BACKLOG)
         await site.start()
-        self.port = self._runner.addresses[0][1]
-        _log.info("app: listening", name=self._name, port=self.port)
+        port = self._listening.getsockname()[1]
+        _log.info("app: listening", name=self._name, port=port)
 
     async def drain(self) -> None:
         """Go on listening: whoever owns the requests waits for them."""
