Send callers to no daemon that cannot confirm their keys

Such a daemon is not ready and announces itself as leaving until the store confirms its configuration again. Feature 'Callers are not sent ...'.

--- a/features/platform/fleet.feature
+++ b/features/platform/fleet.feature
@@ -35,3 +35,12 @@
     When version 2 of the weights is named while order answers are lost
     Then all engines soon hold version 2
     And no order was accepted twice
+
+  Scenario: Callers are not sent to a daemon that cannot confirm their keys
+    The store refuses one machine, which can serve no keyed request after a few
+    seconds. Its peers still reach it, so nobody would take it for dead.
+    Given a deployment with 2 daemons
+    When one daemon can no longer reach the store
+    Then it soon is not ready, and the other's directory names it no longer
+    When it reaches the store again
+    Then each directory soon names both
--- a/features/platform/steps/fleet_steps.py
+++ b/features/platform/steps/fleet_steps.py
@@ -153,3 +153,27 @@
 def step_accepted(context):
     for server in context.deployment.group("llm"):
         assert server.state.n_orders == 1, server.state
+
+
+@when("one daemon can no longer reach the store")
+def step_unreached(context):
+    # All daemons of a test share one address; so the client itself is told.
+    context.cut = context.deployment.daemons[0].store
+    context.address = context.cut.base
+    context.cut.base = "http://127.0.0.1:9"
+
+
+@then("it soon is not ready, and the other's directory names it no longer")
+def step_stepped_back(context):
+    deployment = context.deployment
+
+    async def is_unready():
+        return await deployment.ready(0) == 503
+
+    context.loop.run_until_complete(deployment.until(is_unready))
+    step_not_ready(context)
+
+
+@when("it reaches the store again")
+def step_reached(context):
+    context.cut.base = context.address
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -35,7 +35,7 @@
     TargetId,
 )
 from lycheepost.core.routing import RouteTable
-from lycheepost.decide.freshness import KeyRule
+from lycheepost.decide.freshness import KeyRule, may_trust_key
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
@@ -177,6 +177,7 @@
     """One running daemon on the platform.
 
     Attributes:
+        store: The client of the platform's store.
         routing: The configuration in force.
         watches: How fresh the operators' and the targets' tables are known.
         is_leaving: It was told to stop.
@@ -191,7 +192,9 @@
         routing: RoutingKeeper,
         watches: tuple[Watch, Watch],
         plan: LeavePlan,
+        store: StoreClient,
     ) -> None:
+        self.store = store
         self._plan = plan
         self.routing = routing
         self.watches = watches
@@ -348,9 +351,24 @@
         path = "/health" if group is None else group.health_path
         return await orders.is_same(target, listed.address, path)
 
+    def is_fit() -> bool:
+        """Tell whether keyed requests can be served now."""
+        now_seconds = clock.now_seconds()
+        return routing.table is not None and may_trust_key(
+            key_rule, routing.confirmed_seconds, now_seconds
+        )
+
     def on_tick() -> None:
         targets.refresh()
         dispatcher.set_retry_burst(retry_burst(node, members.n_live()))
+        if daemon.is_leaving:
+            return
+        # Callers that are sent here while keys cannot be confirmed are refused, and
+        # have lost one of the few tries that they make.
+        if is_fit():
+            members.announce_live()
+        else:
+            members.announce_leaving()
 
     deps = ForwardDeps(
         routing=routing,
@@ -382,10 +400,12 @@
     ]
     both = _Both(duty, rollout)
     leave_plan = leave_plan or make_leave_plan(node.bounds.grace_seconds)
-    daemon = PlatformDaemon(front, fleet, both, parts, routing, watches, leave_plan)
+    daemon = PlatformDaemon(
+        front, fleet, both, parts, routing, watches, leave_plan, store
+    )
 
     def is_ready() -> bool:
-        return routing.table is not None and not daemon.is_leaving
+        return is_fit() and not daemon.is_leaving
 
     def addresses() -> list[str]:
         answer = members.addresses(None, clock.now_seconds())
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -66,11 +66,12 @@
         clock: Times the calls.
 
     Attributes:
+        base: Base address of the store.
         n_calls: Calls made, also refused ones.
     """
 
     def __init__(self, address: Endpoint, clock: Clock) -> None:
-        self._base = f"http://{address}"
+        self.base = f"http://{address}"
         self._clock = clock
         self._session: aiohttp.ClientSession | None = None
         self.n_calls = 0
@@ -199,7 +200,7 @@
         try:
             async with self._session.request(
                 method,
-                self._base + path,
+                self.base + path,
                 params=query,
                 data=body,
                 headers=headers,
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -216,9 +216,14 @@
         self._update_me(replace(self._me, load=load))
 
     def announce_leaving(self) -> None:
-        """Tell peers that this daemon leaves."""
+        """Tell peers that this daemon leaves, or cannot serve for now."""
         self._update_me(replace(self._me, state=MemberState.LEAVING))
 
+    def announce_live(self) -> None:
+        """Tell peers that this daemon serves again, after it had to step back."""
+        if self._me.state is not MemberState.LIVE:
+            self._update_me(replace(self._me, state=MemberState.LIVE))
+
     def hear(self, member: Member) -> bool:
         """Take what is said of a daemon; return whether it was news."""
         if member.daemon == self._me.daemon:
