Handle SIGHUP and settings that change without a signal

Cause: SIGHUP ended the process, as nothing handled it.

app/run.py reloads on it; app/settingswatch.py also looks every two seconds, follows bounds, says what counts from the next start, and keeps what it has when a file cannot be read.

--- /dev/null
+++ b/features/app/settingswatch.feature
@@ -0,0 +1,31 @@
+Feature: Settings that change while a daemon runs on the platform
+
+  Scenario: Bounds are followed, the rest counts from the next start
+    Given a settings file of the platform and a watch on it
+    When the bound on keys changes to 3000 ms and the zone to "zone-b"
+    Then the watch has the bound of 3 s
+
+  Scenario Outline: A file that <fault> changes nothing
+    The file is being written while it is read, or was damaged. A daemon that took it
+    as it stands would lose its bounds, or its life.
+    Given a settings file of the platform and a watch on it
+    When the file <fault>
+    Then the watch has the bound of 5 s
+
+    Examples:
+      | fault                    |
+      | is gone                  |
+      | is empty                 |
+      | has a bound of no number |
+
+  Scenario: All faults of a settings file are told at once
+    When a settings file has no name, no store and a port of no number
+    Then all 3 faults are told
+
+  Scenario: SIGHUP reads the settings again and does not end the process
+    A process that does not handle the signal is ended by it, with all its requests.
+    Given a platform daemon as a process
+    When it gets SIGHUP twice
+    Then it still answers, and its log tells of each reload
+    When it gets SIGTERM
+    Then it ends by itself with code 0
--- /dev/null
+++ b/features/app/steps/settings_steps.py
@@ -0,0 +1,139 @@
+"""Steps of settingswatch.feature."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+from behave import given, then, when
+
+from lycheepost.app.settingswatch import SettingsWatch
+from lycheepost.platform.settings import decode_settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+PATIENCE_SECONDS = 20.0
+TEXT = """node_name=front-a-1
+zone=zone-a
+ip=127.0.0.1
+port_range=7340,7355
+platform.address=127.0.0.1:9
+bounds.revoke_ms=5000
+bounds.grace_s=1
+a.new.field=ignored
+"""
+
+
+@given("a settings file of the platform and a watch on it")
+def step_file(context):
+    context.folder = tempfile.TemporaryDirectory()
+    context.path = pathlib.Path(context.folder.name) / "node.conf"
+    context.path.write_text(TEXT)
+    node = decode_settings(TEXT).unwrap()
+    context.watch = SettingsWatch(node, context.path)
+
+
+@when('the bound on keys changes to {ms:d} ms and the zone to "{zone}"')
+def step_change(context, ms, zone):
+    text = TEXT.replace("revoke_ms=5000", f"revoke_ms={ms}")
+    context.path.write_text(text.replace("zone=zone-a", f"zone={zone}"))
+    context.watch.look()
+
+
+@when("the file {fault}")
+def step_fault(context, fault):
+    match fault:
+        case "is gone":
+            context.path.unlink()
+        case "is empty":
+            context.path.write_text("")
+        case "has a bound of no number":
+            context.path.write_text(TEXT.replace("5000", "soon"))
+    context.watch.look()
+
+
+@then("the watch has the bound of {seconds:g} s")
+def step_bound(context, seconds):
+    assert context.watch.bounds.revoke_seconds == seconds
+
+
+@when("a settings file has no name, no store and a port of no number")
+def step_faults(context):
+    text = "zone=a\nip=1.2.3.4\nport_range=1,2\nlisten.front=1.2.3.4:http\n"
+    context.faults = decode_settings(text).failure().faults
+
+
+@then("all {n:d} faults are told")
+def step_all(context, n):
+    assert len(context.faults) == n, context.faults
+
+
+@given("a platform daemon as a process")
+def step_process(context):
+    step_file(context)
+    ports = [free_port() for _ in range(2)]
+    context.ready_port = ports[0]
+    listen = f"listen.ready=127.0.0.1:{ports[0]}\nlisten.front=127.0.0.1:{ports[1]}\n"
+    context.path.write_text(TEXT + listen)
+    context.log = pathlib.Path(context.folder.name) / "log"
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lycheepost", "serve", "--node-file", context.path],
+        cwd=ROOT,
+        stdout=context.log.open("w"),
+        stderr=subprocess.STDOUT,
+        env={**os.environ, "LYCHEEPOST_METRICS_PORT": "0"},
+    )
+    context.processes["daemon"] = process
+    wait_until(lambda: "app: serving" in context.log.read_text())
+
+
+def free_port():
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, "it did not come about"
+        time.sleep(0.05)
+
+
+@when("it gets SIGHUP twice")
+def step_hup(context):
+    for n in (1, 2):
+        context.processes["daemon"].send_signal(signal.SIGHUP)
+        wait_until(lambda n=n: count_reloads(context) == n)
+
+
+def count_reloads(context):
+    lines = [json.loads(line) for line in context.log.read_text().splitlines()]
+    return sum(line["event"] == "settings: read" for line in lines)
+
+
+@then("it still answers, and its log tells of each reload")
+def step_answers(context):
+    try:
+        urllib.request.urlopen(f"http://127.0.0.1:{context.ready_port}/ready")
+        raise AssertionError("it is ready without a store")
+    except urllib.error.HTTPError as error:
+        assert error.code == 503
+    assert count_reloads(context) == 2
+
+
+@when("it gets SIGTERM")
+def step_term(context):
+    context.processes["daemon"].send_signal(signal.SIGTERM)
+
+
+@then("it ends by itself with code 0")
+def step_ends(context):
+    code = context.processes["daemon"].wait(timeout=PATIENCE_SECONDS)
+    assert code == 0, context.log.read_text()
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 import itertools
+import pathlib
 import random
 import secrets
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 from lycheepost.app.metricspage import MetricsPage
 from lycheepost.app.parts import Part, start_parts, stop_parts
 from lycheepost.app.rawlistener import RawListener
+from lycheepost.app.settingswatch import SettingsWatch
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock, SystemClock
@@ -54,7 +56,7 @@
 )
 from lycheepost.platform.ingress import ClientFront, Directory, Readiness
 from lycheepost.platform.orders import ServerOrders
-from lycheepost.platform.settings import Endpoint, NodeSettings
+from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.duties import DutyRunner, is_candidate
@@ -116,6 +118,10 @@
 _log = structlog.get_logger(part="app")
 
 
+def _key_rule(bounds: Bounds) -> KeyRule:
+    return KeyRule(bounds.revoke_seconds, bounds.is_revoke_strict)
+
+
 def retry_burst(node: NodeSettings, n_daemons: int) -> float:
     """Return this daemon's part of the repeats that the fleet may save up."""
     n_sharing = max(FEWEST_DAEMONS, n_daemons)
@@ -193,8 +199,10 @@
         watches: tuple[Watch, Watch],
         plan: LeavePlan,
         store: StoreClient,
+        settings: SettingsWatch,
     ) -> None:
         self.store = store
+        self._settings = settings
         self._plan = plan
         self.routing = routing
         self.watches = watches
@@ -230,6 +238,10 @@
         except TimeoutError:
             _log.warning("app: requests outlived the drain", n_open=self._front.n_open)
 
+    async def reload(self) -> None:
+        """Read the platform's settings again."""
+        self._settings.look()
+
     async def stop(self) -> None:
         """Stop all parts."""
         await stop_parts(self._parts)
@@ -242,6 +254,7 @@
     clock: Clock | None = None,
     metrics_port: int = METRICS_PORT,
     leave_plan: LeavePlan | None = None,
+    settings_file: pathlib.Path | None = None,
 ) -> PlatformDaemon:
     """Join the parts of one daemon; nothing is started yet.
 
@@ -251,6 +264,7 @@
         clock: Tells the time; this machine's when None.
         metrics_port: Where metrics are served; 0 takes a free port.
         leave_plan: How it ends; by the platform's time for it when None.
+        settings_file: Where ``node`` was read from; looked at for changes.
     """
     clock = clock or SystemClock()
     metrics = ServedMetrics()
@@ -339,9 +353,11 @@
         rollout.want(model, version)
 
     operators = OperatorFollower(routing, clock, on_weights)
-    key_rule = KeyRule(node.bounds.revoke_seconds, node.bounds.is_revoke_strict)
+    settings = SettingsWatch(node, settings_file)
     servers = ServerFollower(targets)
-    watches = make_watches(store, clock, operators, servers, key_rule, seed)
+    watches = make_watches(
+        store, clock, operators, servers, _key_rule(node.bounds), seed
+    )
 
     async def is_same_target(target: TargetId) -> bool:
         listed = targets.get(target)
@@ -355,7 +371,7 @@
         """Tell whether keyed requests can be served now."""
         now_seconds = clock.now_seconds()
         return routing.table is not None and may_trust_key(
-            key_rule, routing.confirmed_seconds, now_seconds
+            _key_rule(settings.bounds), routing.confirmed_seconds, now_seconds
         )
 
     def on_tick() -> None:
@@ -377,7 +393,7 @@
         targets=targets,
         clock=clock,
         metrics=metrics,
-        key_rule=lambda: key_rule,
+        key_rule=lambda: _key_rule(settings.bounds),
         is_same_target=is_same_target,
         make_request_id=_request_ids(boot),
         pick_point=rng.random,
@@ -393,6 +409,7 @@
         caches,
         *watches,
         Ticker(on_tick),
+        settings,
         fleet,
         loads,
         rollout,
@@ -401,7 +418,7 @@
     both = _Both(duty, rollout)
     leave_plan = leave_plan or make_leave_plan(node.bounds.grace_seconds)
     daemon = PlatformDaemon(
-        front, fleet, both, parts, routing, watches, leave_plan, store
+        front, fleet, both, parts, routing, watches, leave_plan, store, settings
     )
 
     def is_ready() -> bool:
--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -5,6 +5,7 @@
 that reads it takes 11 MB and a tenth of a second of each start.
 """
 
+import os
 import pathlib
 import sys
 from typing import TextIO, cast
@@ -18,6 +19,9 @@
     settings_path,
 )
 
+METRICS_VARIABLE = "LYCHEEPOST_METRICS_PORT"
+"""Another port for metrics, where several daemons share an address."""
+
 BAD_SETTINGS = 2
 FAILED = 1
 
@@ -39,12 +43,12 @@
     except OSError as error:
         print(f"The daemon cannot start: {error}.", file=sys.stderr)
         return FAILED
-    return _serve(node, sockets)
+    return _serve(node, sockets, node_file)
 
 
-def _serve(node: NodeSettings, sockets: EarlySockets) -> int:
+def _serve(node: NodeSettings, sockets: EarlySockets, node_file: pathlib.Path) -> int:
     # Loaded only now: it takes half a second, in which connections wait.
-    from lycheepost.app.platformdaemon import make_platform_daemon
+    from lycheepost.app.platformdaemon import METRICS_PORT, make_platform_daemon
     from lycheepost.app.run import run_until_signal
     from lycheepost.generated.settings import LogSettings
     from lycheepost.utils.logs import configure_logs
@@ -53,7 +57,14 @@
     output = cast("TextIO", LogWriter(sys.stdout.fileno()))
     configure_logs(LogSettings(), node.daemon, output)
     try:
-        run_until_signal(lambda: make_platform_daemon(node, sockets))
+        run_until_signal(
+            lambda: make_platform_daemon(
+                node,
+                sockets,
+                metrics_port=int(os.environ.get(METRICS_VARIABLE, METRICS_PORT)),
+                settings_file=node_file,
+            )
+        )
     except OSError as error:
         print(f"The daemon cannot start: {error}.", file=sys.stderr)
         return FAILED
--- a/lycheepost/app/run.py
+++ b/lycheepost/app/run.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 import structlog
 import uvloop
@@ -29,13 +29,23 @@
         ...
 
 
+@runtime_checkable
+class Reloadable(Protocol):
+    """An application that follows changes of its settings while it runs."""
+
+    async def reload(self) -> None:
+        """Read the settings again and follow what can be followed."""
+        ...
+
+
 def run_until_signal(
     make_application: Callable[[], Application],
     on_started: Callable[[Application], Awaitable[None]] | None = None,
 ) -> None:
     """Run on uvloop until SIGTERM or SIGINT.
 
-    The first signal drains, a second one stops at once.
+    The first signal drains, a second one stops at once. SIGHUP reads the settings
+    again where the application can; it never ends the process.
 
     Args:
         make_application: Called inside the loop.
@@ -50,7 +60,7 @@
 ) -> None:
     signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         loop.add_signal_handler(number, signals.put_nowait, number)
     application = make_application()
     await application.start()
@@ -58,18 +68,32 @@
     try:
         if on_started is not None:
             await on_started(application)
-        received = await signals.get()
+        received = await _wait_to_stop(application, signals)
         _log.info("app: signal received", signal=received.name)
         await _drain_or_second_signal(application, signals)
     finally:
         await application.stop()
 
 
+async def _wait_to_stop(
+    application: Application, signals: "asyncio.Queue[signal.Signals]"
+) -> signal.Signals:
+    """Return the signal to stop; reload on each signal to do so."""
+    while True:
+        received = await signals.get()
+        if received is not signal.SIGHUP:
+            return received
+        if isinstance(application, Reloadable):
+            await application.reload()
+        else:
+            _log.info("app: settings are read at the start only")
+
+
 async def _drain_or_second_signal(
     application: Application, signals: "asyncio.Queue[signal.Signals]"
 ) -> None:
     drain = asyncio.create_task(application.drain())
-    second = asyncio.create_task(signals.get())
+    second = asyncio.create_task(_wait_to_stop(application, signals))
     await asyncio.wait({drain, second}, return_when=asyncio.FIRST_COMPLETED)
     for task in (drain, second):
         task.cancel()
--- /dev/null
+++ b/lycheepost/app/settingswatch.py
@@ -0,0 +1,89 @@
+"""Follow changes of the platform's settings file while the daemon runs.
+
+The platform may tell of a change by a signal, or not at all, so the file is looked at
+every few seconds as well. Bounds are followed at once; what says where this process
+listens or who it is counts from the next start, and a log line says so. A file that
+cannot be read changes nothing.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.platform.settings import Bounds, NodeSettings, read_node_settings
+
+LOOK_SECONDS = 2.0
+"""The file is small, and a look costs one question for its time of change."""
+
+_log = structlog.get_logger(part="settings")
+
+
+class SettingsWatch:
+    """The settings in force.
+
+    Args:
+        node: What was read at the start.
+        path: Where from; None when there is no file.
+
+    Attributes:
+        bounds: The bounds in force.
+    """
+
+    def __init__(self, node: NodeSettings, path: pathlib.Path | None) -> None:
+        self.bounds: Bounds = node.bounds
+        self._node = node
+        self._path = path
+        self._changed_ns = self._look_time()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to look."""
+        self._task = asyncio.create_task(self._run(), name="settings")
+
+    async def drain(self) -> None:
+        """Go on: bounds still count."""
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def look(self) -> None:
+        """Read the file and follow what has changed."""
+        if self._path is None:
+            return
+        self._changed_ns = self._look_time()
+        match read_node_settings(self._path):
+            case Success(node):
+                self._follow(node)
+            case Failure(error):
+                faults = list(error.faults)
+                _log.error("settings: kept", reason=error.reason, faults=faults)
+
+    def _follow(self, node: NodeSettings) -> None:
+        changed = [
+            item.name
+            for item in dataclasses.fields(node)
+            if getattr(node, item.name) != getattr(self._node, item.name)
+        ]
+        self._node = node
+        self.bounds = node.bounds
+        at_next_start = [name for name in changed if name != "bounds"]
+        _log.info("settings: read", changed=changed, at_next_start=at_next_start)
+
+    def _look_time(self) -> int:
+        if self._path is None:
+            return 0
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError:
+            return 0
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            if self._look_time() != self._changed_ns:
+                self.look()
