Explain a request from its logs: lycheepost explain ID [LOGS...]

Every error that a caller gets is one log line with its code, whether the request ran, the configuration and the age of its confirmation.

--- a/lycheepost/commands/main.py
+++ b/lycheepost/commands/main.py
@@ -23,6 +23,7 @@
     "fleet",
     "load",
     "report",
+    "explain",
     "bench",
 )
 """Names of the commands and of their modules, in the order of ``--help``."""
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -115,6 +115,7 @@
             await self._serve(request, side)
         except CallerError as error:
             self._deps.metrics.count(f"errors.{error.code}")
+            self._log_error(error, request)
             return self._error_response(error, request)
         except ConnectionError:
             _log.info("ingress: client left", request_id=_attempt_id(request))
@@ -169,6 +170,24 @@
             parts.append(part)
         return b"".join(parts)
 
+    def _log_error(self, error: CallerError, request: web.BaseRequest) -> None:
+        """Tell what was answered and how fresh the knowledge was that decided it."""
+        routing = self._deps.routing
+        confirmed = routing.confirmed_seconds
+        age_seconds = None
+        if confirmed is not None:
+            age_seconds = round(self._deps.clock.now_seconds() - confirmed, 3)
+        _log.info(
+            "ingress: answered with an error",
+            request_id=_attempt_id(request),
+            status=_status(error),
+            code=error.code,
+            executed=error.executed.value,
+            retry_after_seconds=error.retry_after_seconds,
+            configuration=None if routing.table is None else routing.table.version,
+            confirmed_age_seconds=age_seconds,
+        )
+
     def _error_response(
         self, error: CallerError, request: web.BaseRequest
     ) -> web.Response:
