--- /dev/null
+++ b/features/platform/demo.feature
@@ -0,0 +1,19 @@
+Feature: The demo on a model of the platform
+
+  Scenario: Mixed traffic with faults and new weights breaks no promise
+    When the platform demo runs for 3 s
+    Then its audit finds nothing
+    And most requests were served, some by the new weights
+
+  Scenario Outline: The audit finds <what>
+    An audit that finds nothing proves nothing unless it can find something.
+    When the audit is shown <what>
+    Then it tells of "<words>"
+
+    Examples:
+      | what                            | words               |
+      | another request's answer        | not its own         |
+      | a cut answer with other bytes   | not a beginning     |
+      | an order that ran twice         | ran 2 times         |
+      | an order that ran, called unrun | called not run      |
+      | a look-up that ran at an engine | ran at llm          |
--- a/features/platform/steps/fleet_steps.py
+++ b/features/platform/steps/fleet_steps.py
@@ -2,9 +2,7 @@
 
 import asyncio
 
-import msgspec
 from behave import then, when
-from deployment import MODEL
 from request_steps import BODY, REQUESTS, ask
 
 from lycheepost.platform import headers as names
@@ -95,8 +93,7 @@
 
 
 def name_weights(context, version):
-    value = msgspec.json.encode({"model": MODEL, "version": version})
-    context.deployment.store.store.put("op", f"version/{MODEL}", value)
+    context.deployment.name_weights(version)
 
 
 @when("version {version:d} of the weights is named")
--- /dev/null
+++ b/lycheepost/app/platformfleet.py
@@ -0,0 +1,317 @@
+"""A small deployment of the users' platform on loopback, as tasks of one process.
+
+A store, engines and plain services that speak the platform's protocol, and daemons
+before them. The demo and whole-system tests use it.
+"""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+import yarl
+
+from lycheepost.app.earlysockets import open_sockets
+from lycheepost.app.platformdaemon import (
+    LeavePlan,
+    PlatformDaemon,
+    make_platform_daemon,
+)
+from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
+from lycheepost.platform import headers as names
+from lycheepost.platform.models.serverface import PlatformServer, ServerRun
+from lycheepost.platform.models.storeface import StoreFace
+from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
+
+HOST = "127.0.0.1"
+MODEL = "m0"
+SITE = "site.example"
+ENGINES = "llm"
+PLAIN = "plain"
+ZONE = AvailabilityZone("zone-a")
+PATIENCE_SECONDS = 10.0
+POLL_SECONDS = 0.02
+KEYS = {"k-one": "one", "k-two": "two"}
+"""Keys and their customers; the second customer is isolated."""
+
+ISOLATED_KEY = "k-two"
+BOUNDS = Bounds(
+    revoke_seconds=5.0,
+    is_revoke_strict=True,
+    drain_seconds=2.0,
+    grace_seconds=8.0,
+    lease_seconds=3.0,
+    retry_share=0.2,
+    retry_burst=54,
+    weights_seconds=10.0,
+    address_seconds=5.0,
+)
+
+
+@dataclass
+class Answer:
+    """What a client got; ``status`` None when the connection broke first."""
+
+    status: int | None
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = True
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on now."""
+    with socket.socket() as found:
+        found.bind((HOST, 0))
+        return int(found.getsockname()[1])
+
+
+def make_route(
+    name: str, prefix: str, kind: str, service: str, **more: Any
+) -> dict[str, Any]:
+    """Return a route as an operator writes it."""
+    return {
+        "name": name,
+        "host": SITE,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 100,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+        **more,
+    }
+
+
+def make_configuration(
+    version: int = 1, keys: tuple[str, ...] = tuple(KEYS)
+) -> dict[str, Any]:
+    """Return a configuration as an operator writes it."""
+    engine = {"slots": 32, "kv_capacity_tokens": 100000, "models": [{"name": MODEL}]}
+    return {
+        "version": version,
+        "routes": [
+            make_route("look", "/look/", "idempotent", PLAIN),
+            make_route("order", "/order/", "non_idempotent", PLAIN, max_attempts=1),
+            make_route("title", "/title/", "streaming", ENGINES, resumable=True),
+            make_route("album", "/album/", "streaming", ENGINES, max_attempts=1),
+        ],
+        "services": [
+            {"name": PLAIN, "health_path": "/health", "max_conns": 100},
+            {
+                "name": ENGINES,
+                "health_path": "/health",
+                "max_conns": 100,
+                "engine": engine,
+            },
+        ],
+        "tenants": [
+            {
+                "name": KEYS[key],
+                "api_keys": [key],
+                "priority": 1,
+                "isolated": key == ISOLATED_KEY,
+            }
+            for key in keys
+        ],
+    }
+
+
+class PlatformFleet:
+    """Store, servers and daemons, as tasks of the running loop.
+
+    Args:
+        bounds: What the platform's rules allow.
+
+    Attributes:
+        store: The platform's store.
+        servers: Engines and plain services.
+        nodes: What each daemon was told.
+        daemons: The daemons, in the same order.
+        attempt_id: The id of the last request made.
+    """
+
+    def __init__(self, bounds: Bounds = BOUNDS) -> None:
+        self.store = StoreFace()
+        self.servers: list[PlatformServer] = []
+        self.nodes: list[NodeSettings] = []
+        self.daemons: list[PlatformDaemon] = []
+        self.attempt_id = ""
+        self._bounds = bounds
+        self._n_attempts = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the clients' connections."""
+        if self._session is None:
+            raise RuntimeError("the fleet is not started")
+        return self._session
+
+    async def start(
+        self,
+        n_daemons: int = 1,
+        n_plain: int = 2,
+        n_engines: int = 2,
+        is_configured: bool = True,
+    ) -> None:
+        """Start everything and wait until the daemons are ready."""
+        self._session = aiohttp.ClientSession(auto_decompress=False)
+        await self.store.start()
+        for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
+            for _ in range(n):
+                await self.add_server(PlatformServer(service, model))
+        if is_configured:
+            self.configure(make_configuration())
+        for _ in range(n_daemons):
+            await self.add_daemon()
+        if is_configured:
+            await self.until(self.all_ready)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for daemon in self.daemons:
+            await daemon.stop()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+        await self.session.close()
+
+    async def add_server(self, server: PlatformServer) -> None:
+        """Start one server and register it."""
+        await server.start()
+        self.servers.append(server)
+        self.register(server)
+
+    def register(self, server: PlatformServer) -> None:
+        """Write a server's entry as it is now."""
+        self.store.store.put("servers", server.name, server.entry(ZONE))
+
+    def configure(self, document: dict[str, Any]) -> None:
+        """Write a configuration, as an operator does."""
+        self.store.store.put("op", "config", msgspec.json.encode(document))
+
+    def name_weights(self, version: int) -> None:
+        """Name new weights, as an operator does."""
+        value = msgspec.json.encode({"model": MODEL, "version": version})
+        self.store.store.put("op", f"version/{MODEL}", value)
+
+    async def add_daemon(self) -> None:
+        """Start one more daemon."""
+        node = NodeSettings(
+            daemon=DaemonId(f"front-{len(self.nodes)}"),
+            availability_zone=ZONE,
+            region=RegionId("r"),
+            host=HOST,
+            clients=Endpoint(HOST, free_port()),
+            readiness=Endpoint(HOST, free_port()),
+            directory=Endpoint(HOST, free_port()),
+            peer_ports=(free_port(), 0),
+            store=Endpoint(HOST, int(self.store.url.rpartition(":")[2])),
+            bounds=self._bounds,
+        )
+        plan = LeavePlan(take_seconds=0.4, finish_seconds=5.0)
+        daemon = make_platform_daemon(
+            node, open_sockets(node), metrics_port=0, leave_plan=plan
+        )
+        await daemon.start()
+        self.nodes.append(node)
+        self.daemons.append(daemon)
+
+    async def until(self, condition: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until a condition holds; fail after a generous bound."""
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while True:
+                if await condition():
+                    return
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def all_ready(self) -> bool:
+        """Tell whether every daemon is ready and in the directory."""
+        for index in range(len(self.nodes)):
+            if await self.ready(index) != 200:
+                return False
+        return len(await self.addresses(0)) == len(self.nodes)
+
+    async def ready(self, index: int = 0) -> int:
+        """Return the status of a daemon's readiness."""
+        url = f"http://{self.nodes[index].readiness}/ready"
+        async with self.session.get(url) as answer:
+            return answer.status
+
+    async def addresses(self, index: int = 0) -> list[str]:
+        """Return what a daemon's directory answers."""
+        url = f"http://{self.nodes[index].directory}/lookup?name={SITE}&zone={ZONE}"
+        async with self.session.get(url) as answer:
+            if answer.status != 200:
+                return []
+            return list((await answer.json())["addresses"])
+
+    def group(self, service: str) -> list[PlatformServer]:
+        """Return the servers of one service."""
+        return [server for server in self.servers if server.service == service]
+
+    def runs(self, attempt_id: str | None = None) -> list[ServerRun]:
+        """Return what servers ran, of one request or of all."""
+        return [
+            run
+            for server in self.servers
+            for run in server.runs
+            if attempt_id is None or run.attempt_id == attempt_id
+        ]
+
+    def headers(self, key: str = "k-one", **more: str) -> dict[str, str]:
+        """Return the headers of a new request."""
+        self._n_attempts += 1
+        self.attempt_id = f"attempt-{self._n_attempts}"
+        found = {
+            "Host": SITE,
+            names.ATTEMPT_ID: self.attempt_id,
+            names.DEADLINE: "3000",
+            **more,
+        }
+        if key:
+            found[names.AUTHORIZATION] = f"Token {key}"
+        return found
+
+    def prompt_headers(
+        self, key: str = "k-one", parts: str = "aa:100,bb:50", **more: str
+    ) -> dict[str, str]:
+        """Return the headers of a new request with a prompt."""
+        prompt = {
+            names.MODEL: MODEL,
+            names.TOKENS: "150,6",
+            names.PROMPT_PARTS: parts,
+        }
+        return self.headers(key, **{**prompt, **more})
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        index: int = 0,
+    ) -> Answer:
+        """Send one request through a daemon and read what comes."""
+        url = yarl.URL(f"http://{self.nodes[index].clients}{path}", encoded=True)
+        try:
+            response = await self.session.request(
+                method, url, headers=headers, data=body or None
+            )
+        except aiohttp.ClientError:
+            return Answer(None, is_whole=False)
+        answer = Answer(response.status, dict(response.headers))
+        try:
+            async for part in response.content.iter_any():
+                answer.body += part
+        except aiohttp.ClientError:
+            answer.is_whole = False
+        response.close()
+        return answer
--- a/lycheepost/commands/demo.py
+++ b/lycheepost/commands/demo.py
@@ -1,6 +1,7 @@
 """``lycheepost demo``: a whole deployment in one process, driven and audited."""
 
 import asyncio
+import json
 import pathlib
 import signal
 import sys
@@ -20,6 +21,7 @@
     run_demo,
     run_fleet,
 )
+from lycheepost.app.platformdemo import PlatformDemoPlan, run_platform_demo
 from lycheepost.app.settings import read_settings
 from lycheepost.commands.output import ExitCode, fail_with_faults
 from lycheepost.generated.settings import LogFormat, LogLevel, LogSettings, Settings
@@ -49,6 +51,10 @@
     json_output: Annotated[
         bool, typer.Option("--json", help="Print JSON lines instead of text.")
     ] = False,
+    platform: Annotated[
+        bool,
+        typer.Option("--platform", help="Run on a model of the users' platform."),
+    ] = False,
 ) -> None:
     """Run stand-ins and three daemons in one process and send mixed traffic.
 
@@ -56,6 +62,9 @@
     and no non-idempotent call ran twice; 1 otherwise.
     """
     configure_logs(LogSettings(level=LogLevel.ERROR, format=LogFormat.CONSOLE))
+    if platform:
+        plan_there = PlatformDemoPlan(seconds, rate, seed)
+        raise typer.Exit(uvloop.run(_drive_platform(plan_there, json_output)))
     settings = _read_base(settings_file)
     plan = DemoPlan(seconds, rate, seed, kill_engine, settings)
     if keep:
@@ -64,6 +73,17 @@
     raise typer.Exit(uvloop.run(_drive(plan, json_output)))
 
 
+async def _drive_platform(plan: PlatformDemoPlan, json_output: bool) -> int:
+    report = await run_platform_demo(plan)
+    described = report.describe()
+    if json_output:
+        print(json.dumps(described))
+    else:
+        for name, value in described.items():
+            print(f"{name}: {value}")
+    return ExitCode.FAILED if report.violations else ExitCode.OK
+
+
 def _read_base(settings_file: pathlib.Path | None) -> Settings | None:
     if settings_file is None:
         return None
--- a/lycheepost/commands/settings.py
+++ b/lycheepost/commands/settings.py
@@ -2,15 +2,20 @@
 
 import json
 import pathlib
+import re
 from dataclasses import asdict
 from typing import Annotated
 
 import typer
 import zmq
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from lycheepost.app.settings import read_settings
 from lycheepost.commands.output import ExitCode, fail_with_faults
+from lycheepost.platform.settings import read_node_settings
+from lycheepost.utils.documents import Fault
+
+_NODE_LINE = re.compile(r"^[a-z0-9_.-]+=")
 
 app = typer.Typer(help="Check settings files.", no_args_is_help=True)
 
@@ -24,9 +29,10 @@
 ) -> None:
     """Check a settings file; print every fault at once.
 
-    Exit code 0 when it is in order, 2 when it has faults.
+    A file of lines ``a.b=value`` is taken for one of the users' platform, any other
+    for YAML of our own. Exit code 0 when it is in order, 2 when it has faults.
     """
-    match read_settings(file):
+    match _read(file):
         case Failure(faults):
             if json_output:
                 print(json.dumps([asdict(fault) for fault in faults]))
@@ -36,6 +42,24 @@
             print("[]" if json_output else f"{file}: no faults")
 
 
+def _read(file: pathlib.Path) -> Result[object, list[Fault]]:
+    """Read a file of either kind."""
+    if not _is_node_file(file):
+        return read_settings(file)
+    return read_node_settings(file).alt(
+        lambda error: [Fault("(file)", str(file), fault) for fault in error.faults]
+    )
+
+
+def _is_node_file(file: pathlib.Path) -> bool:
+    try:
+        lines = file.read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError):
+        return False
+    filled = [line for line in lines if line.strip()]
+    return bool(filled) and all(_NODE_LINE.match(line) for line in filled)
+
+
 @app.command("peer-keys")
 def peer_keys() -> None:
     """Print a new CURVE key pair for the peers section of one daemon."""
