--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -5,212 +5,117 @@
 """
 
 import asyncio
-import functools
-import itertools
 import pathlib
-import random
-import secrets
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import structlog
 
-from lycheepost.app.cachefollow import CacheFollower
 from lycheepost.app.earlysockets import EarlySockets, open_socket
-from lycheepost.app.fleet import Fleet, Identity
-from lycheepost.app.loads import LoadExchange
-from lycheepost.app.losses import LossExchange
+from lycheepost.app.leaveplan import LeavePlan, make_leave_plan
 from lycheepost.app.metricspage import MetricsPage
 from lycheepost.app.parts import Part, start_parts, stop_parts
+from lycheepost.app.platformbase import PlatformBase, make_base
+from lycheepost.app.platformpeers import (
+    ADDRESS_SECONDS,
+    PlatformPeers,
+    WeightsDuty,
+    make_platform_peers,
+    make_weights_duty,
+)
+from lycheepost.app.platformtraffic import (
+    PlatformTraffic,
+    make_key_rule,
+    make_platform_traffic,
+    retry_burst,
+)
 from lycheepost.app.rawlistener import RawListener
 from lycheepost.app.settingswatch import SettingsWatch
-from lycheepost.callers.dispatch import Dispatcher
-from lycheepost.callers.forwarddeps import ForwardDeps
+from lycheepost.app.ticker import Ticker
 from lycheepost.core.clock import Clock, SystemClock
-from lycheepost.core.hashing import hash_bytes
-from lycheepost.core.ids import (
-    Incarnation,
-    ModelId,
-    RequestId,
-    TargetGroupId,
-    TargetId,
-)
-from lycheepost.core.routing import RouteTable
-from lycheepost.decide.freshness import KeyRule, may_trust_key
-from lycheepost.decide.records import LoadReport, TargetView
-from lycheepost.decide.scheduler import Scheduler
-from lycheepost.decide.settings import SchedulerSettings
-from lycheepost.generated.messages import TargetChanging
-from lycheepost.generated.settings import StreamSettings
-from lycheepost.operators.weightsrollout import WeightsRollout
-from lycheepost.peers.exchange import make_peer_exchange
-from lycheepost.peers.membership import MemberExchange
-from lycheepost.peers.sockets import make_socket_transport
-from lycheepost.platform.cacheevents import CacheEventsClient
-from lycheepost.platform.dialect import ServerDialect
+from lycheepost.core.ids import ModelId
+from lycheepost.decide.freshness import may_trust_key
 from lycheepost.platform.following import (
     OperatorFollower,
     ServerFollower,
     make_watches,
 )
-from lycheepost.platform.ingress import ClientFront, Directory, Readiness
-from lycheepost.platform.orders import ServerOrders
-from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
+from lycheepost.platform.ingress import Directory, Readiness
+from lycheepost.platform.settings import Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
-from lycheepost.state.addresses import Member, MemberState
-from lycheepost.state.duties import DutyRunner, is_candidate
-from lycheepost.state.leases import LeaseKeeper
-from lycheepost.state.memberrows import MemberRows
-from lycheepost.state.members import make_member_keeper
 from lycheepost.state.routing import RoutingKeeper
-from lycheepost.state.targetlist import TargetList
-from lycheepost.state.view import ConfigurationView, make_view
 from lycheepost.state.watch import Watch
-from lycheepost.targets.forward import ForwardClient
-from lycheepost.targets.forwardcall import AnswerHead
 from lycheepost.utils.metrics import ServedMetrics
 
 METRICS_PORT = 9109
 """Named in deploy/system.toml as well; outside of the range that peers use."""
 
-WEIGHTS_DUTY = "weights"
-LEASE_SECONDS = 3.6
-LEASE_MARGIN_SECONDS = 1.65
-"""A holder orders until 1.95 s after its last renewal, the next one from 5.25 s on.
-Between them lie 3.3 s, more than the platform asks between two holders' orders to
-one server; and weights that were named as their holder died are in place within the
-ten seconds that it allows, with four seconds for the change itself."""
-DUTY_PERIOD_SECONDS = 0.8
-"""Two renewals within the time that a holder may order."""
-DUTY_WATCH_SECONDS = 0.7
-"""How often the daemons that stand ready look at the lease: a tenth of the time
-allowed, at four reads a second of the store's two thousand."""
-
-CONNECT_SECONDS = 0.25
-"""Longest wait for a connection to a target, which takes a few milliseconds. A
-target that went dark takes none; a request that goes elsewhere after this time is
-still on time."""
-
-EXCHANGE_SECONDS = 0.4
-PEER_LINKS = 6
-"""In a fleet of seven each daemon is linked with all others, so that word of a
-target's change takes one hop."""
-
-MEMBER_LOOK_SECONDS = 12.0
-"""Peers tell of each other; the table is looked at only to find peers at all."""
-
-RETRY_SHARE = 0.85
-"""Part of the allowed repeats that is used; the rest covers what is not counted
-here, such as requests that the daemons see differently than the clients."""
-
-FEWEST_DAEMONS = 4
-"""Repeats are divided among at least so many: a daemon that has not yet heard of its
-peers must not take all of them."""
-
-REFRESH_SECONDS = 0.1
-"""How soon a target that was left alone is seen to be due again."""
-
-ADDRESS_SECONDS = 0.9
-"""How long clients may keep an addresses answer. Some keep it three times as long:
-as long as a daemon that leaves goes on taking requests."""
-
 _log = structlog.get_logger(part="app")
 
 
-def _key_rule(bounds: Bounds) -> KeyRule:
-    return KeyRule(bounds.revoke_seconds, bounds.is_revoke_strict)
-
-
-def retry_burst(node: NodeSettings, n_daemons: int) -> float:
-    """Return this daemon's part of the repeats that the fleet may save up."""
-    n_sharing = max(FEWEST_DAEMONS, n_daemons)
-    return max(1.0, RETRY_SHARE * node.bounds.retry_burst / n_sharing)
-
-
-class Ticker:
-    """A task that lets time pass for parts that have no task of their own."""
-
-    def __init__(self, on_tick: Callable[[], None]) -> None:
-        self._on_tick = on_tick
-        self._task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin."""
-        self._task = asyncio.create_task(self._run(), name="ticker")
-
-    async def drain(self) -> None:
-        """Go on: requests in flight still need targets."""
-
-    async def stop(self) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(REFRESH_SECONDS)
-            self._on_tick()
-
-
 @dataclass(frozen=True, slots=True)
-class LeavePlan:
-    """How a daemon that was told to stop spends its time.
+class DaemonParts:
+    """What a daemon on the platform is made of."""
 
-    Attributes:
-        take_seconds: It goes on taking requests of clients that still have its
-            address. What it takes later might not be finished in time.
-        finish_seconds: Then it finishes what it took, at most this long.
-    """
-
-    take_seconds: float
-    finish_seconds: float
-
-
-TAKE_SHARE = 0.36
-FINISH_SHARE = 0.55
-"""Shares of the time until the platform kills a process. The first is 2.9 of eight
-seconds: clients have learned of other addresses by then, and a request that is taken
-has more than four seconds to end. The rest is for closing."""
-
-
-def make_leave_plan(grace_seconds: float) -> LeavePlan:
-    """Return the plan for a platform that kills after ``grace_seconds``."""
-    return LeavePlan(TAKE_SHARE * grace_seconds, FINISH_SHARE * grace_seconds)
+    base: PlatformBase
+    peers: PlatformPeers
+    traffic: PlatformTraffic
+    weights: WeightsDuty
+    watches: tuple[Watch, Watch]
+    settings: SettingsWatch
 
 
 class PlatformDaemon:
     """One running daemon on the platform.
 
+    Args:
+        made: Its parts.
+        metrics: What is counted.
+        plan: How it ends.
+        sockets: Ports that listen already.
+        metrics_port: Where metrics are served.
+
     Attributes:
-        store: The client of the platform's store.
-        routing: The configuration in force.
-        watches: How fresh the operators' and the targets' tables are known.
         is_leaving: It was told to stop.
     """
 
     def __init__(
         self,
-        front: ClientFront,
-        fleet: Fleet,
-        rollout: Part,
-        parts: list[Part],
-        routing: RoutingKeeper,
-        watches: tuple[Watch, Watch],
+        made: DaemonParts,
+        metrics: ServedMetrics,
         plan: LeavePlan,
-        store: StoreClient,
-        settings: SettingsWatch,
+        sockets: EarlySockets,
+        metrics_port: int,
     ) -> None:
-        self.store = store
-        self._settings = settings
-        self._plan = plan
-        self.routing = routing
-        self.watches = watches
-        self._front = front
-        self._fleet = fleet
-        self._rollout = rollout
-        self._parts = parts
         self.is_leaving = False
+        self._made = made
+        self._plan = plan
+        self._front = made.traffic.front
+        self._parts: list[Part] = [
+            made.base.store,
+            *made.traffic.parts(),
+            *made.watches,
+            Ticker(self._tick),
+            made.settings,
+            made.peers.fleet,
+            *made.weights.parts(),
+            *self._listeners(metrics, sockets, metrics_port),
+        ]
+
+    @property
+    def store(self) -> StoreClient:
+        """Return the client of the platform's store."""
+        return self._made.base.store
+
+    @property
+    def routing(self) -> RoutingKeeper:
+        """Return the configuration in force."""
+        return self._made.traffic.routing
+
+    @property
+    def watches(self) -> tuple[Watch, Watch]:
+        """Return the watches of the operators' and of the targets' table."""
+        return self._made.watches
 
     async def start(self) -> None:
         """Start all parts.
@@ -219,15 +124,15 @@
             OSError: A port is taken.
         """
         await start_parts(self._parts)
-        _log.info("app: serving")
+        _log.info("app: serving", boot=self._made.base.boot)
 
     async def drain(self) -> None:
         """Leave the addresses first, then finish every request in flight."""
         self.is_leaving = True
         self._front.is_leaving = True
         _log.info("app: draining", n_open=self._front.n_open)
-        await self._rollout.stop()
-        leave = asyncio.create_task(self._fleet.drain())
+        await self._made.weights.give_up()
+        leave = asyncio.create_task(self._made.peers.fleet.drain())
         await asyncio.sleep(self._plan.take_seconds)
         leave.cancel()
         self._front.is_closed = True
@@ -240,13 +145,85 @@
 
     async def reload(self) -> None:
         """Read the platform's settings again."""
-        self._settings.look()
+        self._made.settings.look()
 
     async def stop(self) -> None:
         """Stop all parts."""
         await stop_parts(self._parts)
         _log.info("app: stopped")
 
+    def _listeners(
+        self, metrics: ServedMetrics, sockets: EarlySockets, metrics_port: int
+    ) -> list[RawListener]:
+        node = self._made.base.node
+        valid_seconds = min(ADDRESS_SECONDS, node.bounds.address_seconds)
+        directory = Directory(self._addresses, valid_seconds)
+        page = MetricsPage(metrics, self.status)
+        metrics_socket = open_socket(Endpoint(node.host, metrics_port))
+        described = (
+            ("clients", self._front.handle, sockets.clients),
+            ("readiness", Readiness(self._is_ready).handle, sockets.readiness),
+            ("directory", directory.handle, sockets.directory),
+            ("metrics", page.handle, metrics_socket),
+        )
+        return [
+            RawListener(name, handler, listening)
+            for name, handler, listening in described
+            if listening is not None
+        ]
+
+    def _is_fit(self) -> bool:
+        """Tell whether keyed requests can be served now."""
+        routing = self.routing
+        return routing.table is not None and may_trust_key(
+            make_key_rule(self._made.settings.bounds),
+            routing.confirmed_seconds,
+            self._made.base.clock.now_seconds(),
+        )
+
+    def _is_ready(self) -> bool:
+        return self._is_fit() and not self.is_leaving
+
+    def _tick(self) -> None:
+        """Let time pass for targets, budgets and this daemon's own standing."""
+        members = self._made.peers.members
+        burst = retry_burst(self._made.settings.bounds, members.n_live())
+        self._made.traffic.targets.refresh()
+        self._made.traffic.dispatcher.set_retry_burst(burst)
+        if self.is_leaving:
+            return
+        # Callers that are sent here while keys cannot be confirmed are refused, and
+        # have lost one of the few tries that they make.
+        if self._is_fit():
+            members.announce_live()
+        else:
+            members.announce_leaving()
+
+    def _addresses(self) -> list[str]:
+        now_seconds = self._made.base.clock.now_seconds()
+        answer = self._made.peers.members.addresses(None, now_seconds)
+        return [item.url for item in answer.addresses]
+
+    def status(self) -> dict[str, Any]:
+        """Return what this daemon believes, with ages."""
+        made = self._made
+        return {
+            "daemon_id": made.base.node.daemon,
+            "boot": made.base.boot,
+            "is_leaving": self.is_leaving,
+            "n_open": self._front.n_open,
+            "configuration": self.routing.status(made.base.clock.now_seconds()),
+            "watches": [watch.status() for watch in made.watches],
+            "members": made.peers.members.status()["members"],
+            "peers": made.peers.exchange.status(),
+            "targets": made.traffic.targets.status(),
+            "weights": made.weights.rollout.status(),
+            "duties": [made.weights.duty.status()],
+            "queues": made.traffic.dispatcher.status(),
+            "sends": made.traffic.client.status(),
+            "store": made.base.store.status(),
+        }
+
 
 def make_platform_daemon(
     node: NodeSettings,
@@ -266,294 +243,34 @@
         leave_plan: How it ends; by the platform's time for it when None.
         settings_file: Where ``node`` was read from; looked at for changes.
     """
-    clock = clock or SystemClock()
+    base = make_base(node, clock or SystemClock())
     metrics = ServedMetrics()
-    boot = secrets.token_hex(6)
-    seed = hash_bytes(f"{node.daemon}/{boot}".encode())
-    rng = random.Random(seed)
-    store = StoreClient(node.store, clock)
-    dialect = ServerDialect()
-    client = ForwardClient(StreamSettings(connect_seconds=CONNECT_SECONDS), dialect)
-    orders = ServerOrders()
-    dispatcher = Dispatcher(Scheduler(_scheduler_settings(node), seed), clock)
-
-    def on_views(views: tuple[TargetView, ...]) -> None:
-        dispatcher.replace_targets(views)
-        caches.refresh()
-        loads.set_targets(tuple(view.target for view in views))
-
-    targets = TargetList(clock, on_views, node.bounds.weights_seconds)
-    cache_events = CacheEventsClient()
-    caches = CacheFollower(cache_events, dispatcher, targets)
-    routing = RoutingKeeper()
-    routing.subscribe(targets.set_table)
-    routing.subscribe(caches.set_table)
-
-    me = Member(
-        daemon=node.daemon,
-        boot=boot,
-        state=MemberState.LIVE,
-        availability_zone=node.availability_zone,
-        callers_url="" if node.clients is None else str(node.clients),
-        peer_endpoint="",
-        started_wall_seconds=clock.wall_seconds(),
-    )
-    view = _no_view()
-    members = make_member_keeper(
-        MemberRows(store),
-        clock,
-        me,
-        lambda: view,
-        MEMBER_LOOK_SECONDS,
-        ADDRESS_SECONDS,
-        seed,
-    )
-    transport = make_socket_transport(node.daemon, node.host, node.peer_ports[0])
-    exchange = make_peer_exchange(
-        transport, members, clock, lambda: 0, PEER_LINKS, EXCHANGE_SECONDS
-    )
-    MemberExchange(exchange, members, clock)
-    LossExchange(dispatcher, exchange, clock)
-    loads = LoadExchange(dispatcher, exchange, clock)
-    identity = Identity(node.daemon, boot, node.availability_zone, node.host)
-    fleet = Fleet(identity, store, transport, exchange, members)
-
-    rollout = WeightsRollout(
-        orders,
-        targets,
-        clock,
-        node.daemon,
-        lambda model: _groups_of(routing.table, model),
-        exchange.broadcast,
-    )
-    exchange.subscribe(
-        TargetChanging, lambda message, _sender: _take_changing(targets, message)
-    )
-    leases = LeaseKeeper(
-        store,
-        clock,
-        node.daemon,
-        LEASE_SECONDS,
-        LEASE_MARGIN_SECONDS,
-        node.bounds.lease_seconds + 0.3,
-    )
-    duty = DutyRunner(
-        leases,
-        WEIGHTS_DUTY,
-        lambda: is_candidate(WEIGHTS_DUTY, node.daemon, members.members()),
-        rollout.work,
-        DUTY_PERIOD_SECONDS,
-        clock,
-        seed,
-        DUTY_WATCH_SECONDS,
-    )
-
-    def on_weights(model: ModelId, version: int, named_seconds: float | None) -> None:
-        targets.want(model, version, named_seconds)
-        rollout.want(model, version)
-
-    operators = OperatorFollower(routing, clock, on_weights)
     settings = SettingsWatch(node, settings_file)
-    servers = ServerFollower(targets)
-    watches = make_watches(
-        store, clock, operators, servers, _key_rule(node.bounds), seed
-    )
-
-    async def is_same_target(target: TargetId) -> bool:
-        listed = targets.get(target)
-        if listed is None or routing.table is None:
-            return False
-        group = routing.table.groups.get(listed.target_group)
-        path = "/health" if group is None else group.health_path
-        return await orders.is_same(target, listed.address, path)
-
-    def is_fit() -> bool:
-        """Tell whether keyed requests can be served now."""
-        now_seconds = clock.now_seconds()
-        return routing.table is not None and may_trust_key(
-            _key_rule(settings.bounds), routing.confirmed_seconds, now_seconds
-        )
-
-    def on_tick() -> None:
-        targets.refresh()
-        dispatcher.set_retry_burst(retry_burst(node, members.n_live()))
-        if daemon.is_leaving:
-            return
-        # Callers that are sent here while keys cannot be confirmed are refused, and
-        # have lost one of the few tries that they make.
-        if is_fit():
-            members.announce_live()
-        else:
-            members.announce_leaving()
-
-    deps = ForwardDeps(
-        routing=routing,
-        dispatcher=dispatcher,
-        client=client,
-        targets=targets,
-        clock=clock,
-        metrics=metrics,
-        key_rule=lambda: _key_rule(settings.bounds),
-        is_same_target=is_same_target,
-        make_request_id=_request_ids(boot),
-        pick_point=rng.random,
-        on_head=functools.partial(_take_load, loads, clock),
-    )
-    front = ClientFront(deps)
-    parts: list[Part] = [
-        store,
-        client,
-        orders,
-        cache_events,
-        dispatcher,
-        caches,
-        *watches,
-        Ticker(on_tick),
-        settings,
-        fleet,
-        loads,
-        rollout,
-        duty,
-    ]
-    both = _Both(duty, rollout)
-    leave_plan = leave_plan or make_leave_plan(node.bounds.grace_seconds)
-    daemon = PlatformDaemon(
-        front, fleet, both, parts, routing, watches, leave_plan, store, settings
-    )
-
-    def is_ready() -> bool:
-        return is_fit() and not daemon.is_leaving
-
-    def addresses() -> list[str]:
-        answer = members.addresses(None, clock.now_seconds())
-        return [item.url for item in answer.addresses]
-
-    def status() -> dict[str, Any]:
-        now_seconds = clock.now_seconds()
-        return {
-            "daemon_id": node.daemon,
-            "boot": boot,
-            "is_leaving": daemon.is_leaving,
-            "n_open": front.n_open,
-            "configuration": routing.status(now_seconds),
-            "watches": [watch.status() for watch in watches],
-            "members": members.status()["members"],
-            "peers": exchange.status(),
-            "targets": targets.status(),
-            "weights": rollout.status(),
-            "duties": [duty.status()],
-            "queues": dispatcher.status(),
-            "sends": client.status(),
-            "store": store.status(),
-        }
-
-    valid_seconds = min(ADDRESS_SECONDS, node.bounds.address_seconds)
-    parts += _listeners(
-        (
-            ("clients", sockets.clients, front.handle),
-            ("readiness", sockets.readiness, Readiness(is_ready).handle),
-            (
-                "directory",
-                sockets.directory,
-                Directory(addresses, valid_seconds).handle,
-            ),
-            (
-                "metrics",
-                open_socket(Endpoint(node.host, metrics_port)),
-                MetricsPage(metrics, status).handle,
-            ),
-        )
-    )
-    return daemon
-
-
-class _Both:
-    """Two parts that end together, in order."""
-
-    def __init__(self, first: Part, second: Part) -> None:
-        self._parts = (first, second)
-
-    async def start(self) -> None:
-        """Do nothing: each is started as a part of its own."""
-
-    async def drain(self) -> None:
-        """Drain both."""
-        for part in self._parts:
-            await part.drain()
-
-    async def stop(self) -> None:
-        """Stop both."""
-        for part in self._parts:
-            await part.stop()
-
-
-def _listeners(described: tuple) -> list[Part]:
-    return [
-        RawListener(name, handler, listening)
-        for name, listening, handler in described
-        if listening is not None
-    ]
-
-
-def _scheduler_settings(node: NodeSettings) -> SchedulerSettings:
-    return SchedulerSettings(
-        retry_share=RETRY_SHARE * node.bounds.retry_share,
-        retry_burst=retry_burst(node, FEWEST_DAEMONS),
-        max_tries=6,
-        admit_patience_share=0.9,
-        prefill_seconds_per_token=25e-6,
-        quarantine_losses=2,
+    peers = make_platform_peers(base)
+    traffic = make_platform_traffic(
+        base, peers.exchange, metrics, lambda: settings.bounds
     )
-
-
-def _no_view() -> ConfigurationView:
-    from lycheepost.generated.configuration import Configuration
-
-    return make_view(Configuration(revision=0))
-
-
-def _groups_of(table: RouteTable | None, model: ModelId) -> tuple[TargetGroupId, ...]:
-    if table is None:
-        return ()
-    return tuple(
-        name
-        for name, group in table.groups.items()
-        if group.engine is not None and model in group.engine.models
+    weights = make_weights_duty(
+        base, peers, traffic.targets, traffic.orders, lambda: traffic.routing.table
     )
+    watches = _make_watches(base, traffic, weights)
+    made = DaemonParts(base, peers, traffic, weights, watches, settings)
+    plan = leave_plan or make_leave_plan(node.bounds.grace_seconds)
+    return PlatformDaemon(made, metrics, plan, sockets, metrics_port)
 
 
-def _take_changing(targets: TargetList, message: TargetChanging) -> None:
-    """Follow what the holder of the weights duty does to a target."""
-    target = TargetId(message.target)
-    seconds = 0.0 if message.is_done else message.for_seconds
-    if message.is_done and message.weights_version:
-        from lycheepost.core.ids import WeightsVersion
-
-        targets.note_weights(
-            target, ModelId(message.model), WeightsVersion(message.weights_version)
-        )
-    targets.note_changing(target, seconds)
-
-
-def _take_load(
-    loads: LoadExchange, clock: Clock, target: TargetId, head: AnswerHead
-) -> None:
-    """Pass the load that a target states on to the decisions."""
-    if head.load is None:
-        return
-    loads.observe_report(
-        LoadReport(
-            target=target,
-            incarnation=Incarnation(target),
-            measured_seconds=clock.now_seconds(),
-            n_running=head.load.n_running,
-            n_queued=head.load.n_waiting,
-            queued_prompt_tokens=0,
-            cached_tokens=0,
-        )
+def _make_watches(
+    base: PlatformBase, traffic: PlatformTraffic, weights: WeightsDuty
+) -> tuple[Watch, Watch]:
+    def on_weights(model: ModelId, version: int, named_seconds: float | None) -> None:
+        traffic.targets.want(model, version, named_seconds)
+        weights.rollout.want(model, version)
+
+    return make_watches(
+        base.store,
+        base.clock,
+        OperatorFollower(traffic.routing, base.clock, on_weights),
+        ServerFollower(traffic.targets),
+        make_key_rule(base.node.bounds),
+        base.seed,
     )
-
-
-def _request_ids(boot: str) -> Callable[[], RequestId]:
-    numbers = itertools.count(1)
-    return lambda: RequestId(f"{boot}-{next(numbers)}")
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -15,11 +15,8 @@
 import yarl
 
 from lycheepost.app.earlysockets import open_sockets
-from lycheepost.app.platformdaemon import (
-    LeavePlan,
-    PlatformDaemon,
-    make_platform_daemon,
-)
+from lycheepost.app.leaveplan import LeavePlan
+from lycheepost.app.platformdaemon import PlatformDaemon, make_platform_daemon
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import PlatformServer, ServerRun
--- /dev/null
+++ b/lycheepost/app/platformpeers.py
@@ -0,0 +1,183 @@
+"""The other daemons on the platform: members, links, and the weights duty."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lycheepost.app.fleet import Fleet, Identity
+from lycheepost.app.parts import Part
+from lycheepost.app.platformbase import PlatformBase
+from lycheepost.core.ids import ModelId, TargetGroupId, TargetId, WeightsVersion
+from lycheepost.core.routing import RouteTable
+from lycheepost.generated.configuration import Configuration
+from lycheepost.generated.messages import TargetChanging
+from lycheepost.operators.weightsrollout import WeightsRollout
+from lycheepost.peers.exchange import PeerExchange, make_peer_exchange
+from lycheepost.peers.membership import MemberExchange
+from lycheepost.peers.sockets import make_socket_transport
+from lycheepost.platform.orders import ServerOrders
+from lycheepost.state.addresses import Member, MemberState
+from lycheepost.state.duties import DutyRunner, is_candidate
+from lycheepost.state.leases import LeaseKeeper
+from lycheepost.state.memberrows import MemberRows
+from lycheepost.state.members import MemberKeeper, make_member_keeper
+from lycheepost.state.targetlist import TargetList
+from lycheepost.state.view import make_view
+
+EXCHANGE_SECONDS = 0.4
+PEER_LINKS = 6
+"""In a fleet of seven each daemon is linked with all others, so that word of a
+target's change takes one hop."""
+
+MEMBER_LOOK_SECONDS = 12.0
+"""Peers tell of each other; the table is looked at only to find peers at all."""
+
+ADDRESS_SECONDS = 0.9
+"""How long clients may keep an addresses answer. Some keep it three times as long:
+as long as a daemon that leaves goes on taking requests."""
+
+WEIGHTS_DUTY = "weights"
+LEASE_SECONDS = 3.6
+LEASE_MARGIN_SECONDS = 1.65
+"""A holder orders until 1.95 s after its last renewal, the next one from 5.25 s on.
+Between them lie 3.3 s, more than the platform asks between two holders' orders to
+one server; and weights that were named as their holder died are in place within the
+ten seconds that it allows, with four seconds for the change itself."""
+
+REST_MARGIN_SECONDS = 0.3
+"""Beyond the time between two holders' orders that the platform asks for, for an
+order that is still on its way when its holder gives the lease up."""
+
+DUTY_PERIOD_SECONDS = 0.8
+"""Two renewals within the time that a holder may order."""
+
+DUTY_WATCH_SECONDS = 0.7
+"""How often the daemons that stand ready look at the lease: a tenth of the time
+allowed, at four reads a second of the store's two thousand."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformPeers:
+    """This daemon among its peers."""
+
+    members: MemberKeeper
+    exchange: PeerExchange
+    fleet: Fleet
+
+
+@dataclass(frozen=True, slots=True)
+class WeightsDuty:
+    """The duty of bringing new weights to the targets."""
+
+    rollout: WeightsRollout
+    duty: DutyRunner
+
+    def parts(self) -> list[Part]:
+        """Return the parts in the order of their start."""
+        return [self.rollout, self.duty]
+
+    async def give_up(self) -> None:
+        """Give the lease up, and begin no further change."""
+        await self.duty.stop()
+        await self.rollout.stop()
+
+
+def make_platform_peers(base: PlatformBase) -> PlatformPeers:
+    """Return members and links; nothing is opened yet."""
+    node = base.node
+    me = Member(
+        daemon=node.daemon,
+        boot=base.boot,
+        state=MemberState.LIVE,
+        availability_zone=node.availability_zone,
+        callers_url="" if node.clients is None else str(node.clients),
+        peer_endpoint="",
+        started_wall_seconds=base.clock.wall_seconds(),
+    )
+    # Members alone are kept here; the targets come from the platform's own list.
+    view = make_view(Configuration(revision=0))
+    members = make_member_keeper(
+        MemberRows(base.store),
+        base.clock,
+        me,
+        lambda: view,
+        MEMBER_LOOK_SECONDS,
+        ADDRESS_SECONDS,
+        base.seed,
+    )
+    transport = make_socket_transport(node.daemon, node.host, node.peer_ports[0])
+    exchange = make_peer_exchange(
+        transport, members, base.clock, lambda: 0, PEER_LINKS, EXCHANGE_SECONDS
+    )
+    MemberExchange(exchange, members, base.clock)
+    identity = Identity(node.daemon, base.boot, node.availability_zone, node.host)
+    fleet = Fleet(identity, base.store, transport, exchange, members)
+    return PlatformPeers(members, exchange, fleet)
+
+
+def make_weights_duty(
+    base: PlatformBase,
+    peers: PlatformPeers,
+    targets: TargetList,
+    orders: ServerOrders,
+    get_table: Callable[[], RouteTable | None],
+) -> WeightsDuty:
+    """Return the weights duty of this daemon.
+
+    Args:
+        base: What the parts have in common.
+        peers: Who else stands ready, and who is told of changes.
+        targets: The targets to change.
+        orders: Orders to them and their reports.
+        get_table: The route table in force; it says which groups serve a model.
+    """
+    daemon = base.node.daemon
+    rollout = WeightsRollout(
+        orders,
+        targets,
+        base.clock,
+        daemon,
+        lambda model: _groups_of(get_table(), model),
+        peers.exchange.broadcast,
+    )
+    peers.exchange.subscribe(
+        TargetChanging, lambda message, _sender: _take_changing(targets, message)
+    )
+    leases = LeaseKeeper(
+        base.store,
+        base.clock,
+        daemon,
+        LEASE_SECONDS,
+        LEASE_MARGIN_SECONDS,
+        base.node.bounds.lease_seconds + REST_MARGIN_SECONDS,
+    )
+    duty = DutyRunner(
+        leases,
+        WEIGHTS_DUTY,
+        lambda: is_candidate(WEIGHTS_DUTY, daemon, peers.members.members()),
+        rollout.work,
+        DUTY_PERIOD_SECONDS,
+        base.clock,
+        base.seed,
+        DUTY_WATCH_SECONDS,
+    )
+    return WeightsDuty(rollout, duty)
+
+
+def _groups_of(table: RouteTable | None, model: ModelId) -> tuple[TargetGroupId, ...]:
+    if table is None:
+        return ()
+    return tuple(
+        name
+        for name, group in table.groups.items()
+        if group.engine is not None and model in group.engine.models
+    )
+
+
+def _take_changing(targets: TargetList, message: TargetChanging) -> None:
+    """Follow what the holder of the weights duty does to a target."""
+    target = TargetId(message.target)
+    if message.is_done and message.weights_version:
+        version = WeightsVersion(message.weights_version)
+        targets.note_weights(target, ModelId(message.model), version)
+    seconds = 0.0 if message.is_done else message.for_seconds
+    targets.note_changing(target, seconds)
--- /dev/null
+++ b/lycheepost/app/platformtraffic.py
@@ -0,0 +1,205 @@
+"""The parts of a daemon on the platform that carry requests."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lycheepost.app.cachefollow import CacheFollower
+from lycheepost.app.loads import LoadExchange
+from lycheepost.app.losses import LossExchange
+from lycheepost.app.parts import Part
+from lycheepost.app.platformbase import PlatformBase
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.callers.forwarddeps import ForwardDeps
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import Incarnation, RequestId, TargetId
+from lycheepost.decide.freshness import KeyRule
+from lycheepost.decide.records import LoadReport, TargetView
+from lycheepost.decide.scheduler import Scheduler
+from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.generated.settings import StreamSettings
+from lycheepost.peers.exchange import PeerExchange
+from lycheepost.platform.cacheevents import CacheEventsClient
+from lycheepost.platform.dialect import ServerDialect
+from lycheepost.platform.ingress import ClientFront
+from lycheepost.platform.orders import ServerOrders
+from lycheepost.platform.settings import Bounds
+from lycheepost.state.routing import RoutingKeeper
+from lycheepost.state.targetlist import TargetList
+from lycheepost.targets.forward import ForwardClient
+from lycheepost.targets.forwardcall import AnswerHead
+from lycheepost.utils.metrics import Metrics
+
+CONNECT_SECONDS = 0.25
+"""Longest wait for a connection to a target, which takes a few milliseconds. A
+target that went dark takes none; a request that goes elsewhere after this time is
+still on time."""
+
+RETRY_SHARE = 0.85
+"""Part of the allowed repeats that is used; the rest covers what is not counted
+here, such as requests that the daemons see differently than the clients."""
+
+FEWEST_DAEMONS = 4
+"""Repeats are divided among at least so many: a daemon that has not yet heard of its
+peers must not take all of them."""
+
+MOST_TARGETS_A_REQUEST = 6
+"""Targets that one request may be sent to before it is given up; how many of them may
+run it is its route's business."""
+
+ADMIT_SHARE = 0.9
+"""Part of a caller's patience that a predicted wait may take. Late answers are still
+worth a third here, and what waits inside the engines is bounded."""
+
+PREFILL_SECONDS_PER_TOKEN = 25e-6
+"""First guess, until measured: the platform's sheets tell 18 and 28 microseconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformTraffic:
+    """What carries requests."""
+
+    dispatcher: Dispatcher
+    client: ForwardClient
+    orders: ServerOrders
+    targets: TargetList
+    routing: RoutingKeeper
+    front: ClientFront
+    cache_events: CacheEventsClient
+    caches: CacheFollower
+    loads: LoadExchange
+
+    def parts(self) -> list[Part]:
+        """Return the parts in the order of their start."""
+        return [
+            self.client,
+            self.orders,
+            self.cache_events,
+            self.dispatcher,
+            self.caches,
+            self.loads,
+        ]
+
+
+def make_platform_traffic(
+    base: PlatformBase,
+    exchange: PeerExchange,
+    metrics: Metrics,
+    get_bounds: Callable[[], Bounds],
+) -> PlatformTraffic:
+    """Join the parts that carry requests; nothing is started yet.
+
+    Args:
+        base: What the parts have in common.
+        exchange: Links to the peers, for losses and loads.
+        metrics: Where metrics go.
+        get_bounds: The bounds in force.
+    """
+    clock = base.clock
+    dispatcher = Dispatcher(Scheduler(_scheduler_settings(base), base.seed), clock)
+    LossExchange(dispatcher, exchange, clock)
+    loads = LoadExchange(dispatcher, exchange, clock)
+
+    def on_views(views: tuple[TargetView, ...]) -> None:
+        dispatcher.replace_targets(views)
+        caches.refresh()
+        loads.set_targets(tuple(view.target for view in views))
+
+    targets = TargetList(clock, on_views, base.node.bounds.weights_seconds)
+    cache_events = CacheEventsClient()
+    caches = CacheFollower(cache_events, dispatcher, targets)
+    routing = RoutingKeeper()
+    routing.subscribe(targets.set_table)
+    routing.subscribe(caches.set_table)
+    settings = StreamSettings(connect_seconds=CONNECT_SECONDS)
+    client = ForwardClient(settings, ServerDialect())
+    orders = ServerOrders()
+
+    async def is_same_target(target: TargetId) -> bool:
+        return await _is_same_target(targets, routing, orders, target)
+
+    deps = ForwardDeps(
+        routing=routing,
+        dispatcher=dispatcher,
+        client=client,
+        targets=targets,
+        clock=clock,
+        metrics=metrics,
+        key_rule=lambda: make_key_rule(get_bounds()),
+        is_same_target=is_same_target,
+        make_request_id=_request_ids(base.boot),
+        pick_point=base.rng.random,
+        on_head=lambda target, head: _take_load(loads, clock, target, head),
+    )
+    return PlatformTraffic(
+        dispatcher=dispatcher,
+        client=client,
+        orders=orders,
+        targets=targets,
+        routing=routing,
+        front=ClientFront(deps),
+        cache_events=cache_events,
+        caches=caches,
+        loads=loads,
+    )
+
+
+def make_key_rule(bounds: Bounds) -> KeyRule:
+    """Return how long keys may be trusted."""
+    return KeyRule(bounds.revoke_seconds, bounds.is_revoke_strict)
+
+
+def retry_burst(bounds: Bounds, n_daemons: int) -> float:
+    """Return this daemon's part of the repeats that the fleet may save up."""
+    n_sharing = max(FEWEST_DAEMONS, n_daemons)
+    return max(1.0, RETRY_SHARE * bounds.retry_burst / n_sharing)
+
+
+def _scheduler_settings(base: PlatformBase) -> SchedulerSettings:
+    bounds = base.node.bounds
+    return SchedulerSettings(
+        retry_share=RETRY_SHARE * bounds.retry_share,
+        retry_burst=retry_burst(bounds, FEWEST_DAEMONS),
+        max_tries=MOST_TARGETS_A_REQUEST,
+        admit_patience_share=ADMIT_SHARE,
+        prefill_seconds_per_token=PREFILL_SECONDS_PER_TOKEN,
+    )
+
+
+async def _is_same_target(
+    targets: TargetList, routing: RoutingKeeper, orders: ServerOrders, target: TargetId
+) -> bool:
+    """Ask a target that lost a request whether it still is the start that it was."""
+    listed = targets.get(target)
+    table = routing.table
+    if listed is None or table is None:
+        return False
+    group = table.groups.get(listed.target_group)
+    if group is None:
+        return False
+    return await orders.is_same(target, listed.address, group.health_path)
+
+
+def _take_load(
+    loads: LoadExchange, clock: Clock, target: TargetId, head: AnswerHead
+) -> None:
+    """Pass the load that a target states on to the decisions."""
+    if head.load is None:
+        return
+    loads.observe_report(
+        LoadReport(
+            target=target,
+            incarnation=Incarnation(target),
+            measured_seconds=clock.now_seconds(),
+            n_running=head.load.n_running,
+            n_queued=head.load.n_waiting,
+            queued_prompt_tokens=0,
+            cached_tokens=0,
+        )
+    )
+
+
+def _request_ids(boot: str) -> Callable[[], RequestId]:
+    """Return a maker of ids that no other daemon and no earlier start can make."""
+    numbers = itertools.count(1)
+    return lambda: RequestId(f"{boot}-{next(numbers)}")
