--- a/features/decide/peerloads.feature
+++ b/features/decide/peerloads.feature
@@ -25,3 +25,12 @@
     And the rest waits at the daemons
     When a target has read all of its prompts
     Then some of what waited goes there at once
+
+  Scenario: A target whose answers are worth less gets work when the others are busy
+    Some targets still hold older weights. While the others have room their answers
+    are better; a long wait there would be worse than older weights.
+    Given a daemon before 4 targets of which 2 cost 0.15 s more
+    When it gets 8 requests
+    Then those 2 get none of them
+    When it gets 60 requests more
+    Then those 2 get some of them
--- a/features/decide/steps/peerloads_steps.py
+++ b/features/decide/steps/peerloads_steps.py
@@ -1,6 +1,7 @@
 """Steps of peerloads.feature."""
 
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -102,3 +103,40 @@
     for desk in context.desks:
         desk.note(desk.scheduler.pump(desk.now_seconds))
     assert waiting_tokens(context)[context.read] > 0
+
+
+@given("a daemon before {n:d} targets of which {n_old:d} cost {seconds:g} s more")
+def step_old(context, n, n_old, seconds):
+    context.desk = Desk(n)
+    context.old = [f"target-{index}" for index in range(n_old)]
+    context.desk.views = {
+        index: replace(
+            make_view(index, limit=64),
+            penalty_seconds=seconds if index < n_old else 0.0,
+        )
+        for index in range(n)
+    }
+    context.desk.announce()
+    context.n_asked = 0
+
+
+@when("it gets {count:d} requests")
+@when("it gets {count:d} requests more")
+def step_gets(context, count):
+    for _ in range(count):
+        context.n_asked += 1
+        context.desk.arrive(f"request-{context.n_asked}")
+
+
+def sent_to_old(context):
+    return sum(str(target) in context.old for target in context.desk.sent.values())
+
+
+@then("those {n:d} get none of them")
+def step_none_old(context, n):
+    assert sent_to_old(context) == 0, context.desk.sent
+
+
+@then("those {n:d} get some of them")
+def step_some_old(context, n):
+    assert sent_to_old(context) > 0, context.desk.sent
--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -119,3 +119,9 @@
 @then("{name} holds version {version}")
 def step_holds(context, name, version):
     assert context.list.weights_of(TargetId(name), MODEL) == version
+
+
+@then("{name} costs {seconds:g} s and {other} {others:g} s more")
+def step_penalty(context, name, seconds, other, others):
+    found = {str(view.target): view.penalty_seconds for view in context.views}
+    assert found == {name: seconds, other: others}, found
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -59,3 +59,10 @@
     Then a and b may be used
     When 3 s pass
     Then nothing may be used
+
+  Scenario: Newer weights are preferred some time after they were named
+    Given registered targets a and b
+    When version 2 is named and put into b
+    Then a costs 0 s and b 0 s more
+    When 1.3 s pass
+    Then a costs 0.15 s and b 0 s more
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -1,7 +1,8 @@
 """Where a request goes: the target with the lowest predicted cost.
 
 Cost = predicted time to the first token, plus the prefill that another target
-would have spared, each by the deployment's weight. Prairie weighs the wait,
+would have spared, each by the deployment's weight, plus what an answer from there is
+worth less. Prairie weighs the wait,
 Mercia the recomputation. Under pressure avoidable prefill has a further price:
 without it each request that finds its owner full is recomputed elsewhere, which
 makes the fleet busier, and the next owner full, until it does little else. A
@@ -230,6 +231,7 @@
                 wait_weight * wait
                 + price * (uncached - least_uncached) * token_seconds
                 + steps * OWNER_SECONDS
+                + load.view.penalty_seconds
             )
             if score < best_score:
                 best_score = score
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -110,6 +110,7 @@
     Attributes:
         concurrency_limit: Most requests the target should run at once.
         serving_share: Share of normal traffic, 0 to 1; grows while warming.
+        penalty_seconds: What an answer from here is worth less, told as a wait.
     """
 
     target: TargetId
@@ -121,6 +122,7 @@
     concurrency_limit: int
     cache_tokens: int = 0
     serving_share: float = 1.0
+    penalty_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -35,7 +35,7 @@
 """From the word that a target changes until its order: the word reaches all daemons
 in a few milliseconds, and most short runs end meanwhile."""
 
-ASK_SECONDS = 0.2
+ASK_SECONDS = 0.1
 """Between questions whether the weights are in place; loading takes about one to
 two seconds, and a report is a tenth of a second late."""
 
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -34,6 +34,13 @@
 """How long before old weights may no longer be served they get no new requests: one
 that waits in a target's queue begins that much later."""
 
+OLD_FREE_SECONDS = 1.2
+"""So soon after new weights were named, an answer with older ones is as good."""
+
+OLD_WEIGHTS_SECONDS = 0.15
+"""Later it is worth a fifth less to its caller: as much as the risk of missing the
+objective of half a second by a wait of so much longer."""
+
 START_SECONDS = 2.5
 """How long a daemon that has just started serves weights that it finds outdated. It
 cannot know when the newer ones were named."""
@@ -53,6 +60,7 @@
     """The newest weights of a model, and until when older ones may be served."""
 
     version: int
+    named_seconds: float
     old_until_seconds: float
 
 
@@ -212,14 +220,16 @@
         wanted = self._wanted.get(model)
         if wanted is not None and version <= wanted.version:
             return
-        until_seconds = self._clock.now_seconds() + START_SECONDS
+        now_seconds = self._clock.now_seconds()
+        until_seconds = now_seconds + START_SECONDS
         if named_seconds is not None:
             served_seconds = self._weights_seconds - OLD_WEIGHTS_MARGIN_SECONDS
             until_seconds = named_seconds + served_seconds
         if wanted is not None and self._has_behind(model, wanted.version):
             # Who is behind by two versions was due for the first one.
             until_seconds = min(until_seconds, wanted.old_until_seconds)
-        self._wanted[model] = _Wanted(version, until_seconds)
+        known_seconds = now_seconds if named_seconds is None else named_seconds
+        self._wanted[model] = _Wanted(version, known_seconds, until_seconds)
         self.refresh()
 
     def _has_behind(self, model: ModelId, version: int) -> bool:
@@ -243,6 +253,16 @@
             if (wanted := self._wanted.get(model)) is not None
         )
 
+    def _penalty_seconds(self, known: _Known, now_seconds: float) -> float:
+        """Return what answers made with a target's weights are worth less."""
+        is_old = any(
+            weights_number(version) < wanted.version
+            and now_seconds >= wanted.named_seconds + OLD_FREE_SECONDS
+            for model, version in (known.weights or {}).items()
+            if (wanted := self._wanted.get(model)) is not None
+        )
+        return OLD_WEIGHTS_SECONDS if is_old else 0.0
+
     def note_weights(
         self, target: TargetId, model: ModelId, version: WeightsVersion
     ) -> None:
@@ -341,6 +361,7 @@
             weights_version=WeightsVersion(",".join(versions)),
             concurrency_limit=listed.slots,
             cache_tokens=0 if engine is None else engine.kv_tokens,
+            penalty_seconds=self._penalty_seconds(known, now_seconds),
         )
 
 
