Start no process from any bench; end the circle of engine and stream

The ends of bench relay are commands that whoever measures starts; bench policy has no workers. EngineStream names what it needs of its client in a port of its own.

--- a/lycheepost/bench/policy.py
+++ b/lycheepost/bench/policy.py
@@ -1,7 +1,6 @@
 """Runs of the policy bench and their selection."""
 
 from collections.abc import Iterable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
 from lycheepost.bench.policybaselines import BASELINES
@@ -53,10 +52,6 @@
     return score(simulate(run), run.policy, run.seed)
 
 
-def measure_all(runs: list[Run], n_workers: int = 1) -> Iterator[PolicyRecord]:
-    """Make all runs, several at once when ``n_workers`` is above 1."""
-    if n_workers <= 1 or len(runs) == 1:
-        yield from map(measure, runs)
-        return
-    with ProcessPoolExecutor(n_workers) as pool:
-        yield from pool.map(measure, runs)
+def measure_all(runs: list[Run]) -> Iterator[PolicyRecord]:
+    """Make all runs, one after another; whoever wants several at once starts them."""
+    return map(measure, runs)
--- a/lycheepost/bench/relay.py
+++ b/lycheepost/bench/relay.py
@@ -1,10 +1,10 @@
 """Real-time cost of relaying streams, beside a plain aiohttp relay.
 
-This process relays; a paced source and a counting sink run as two child
-processes (``bench.relaypeer``), because they would otherwise share one
-interpreter lock with the relay. Only this tool starts processes, never the
-daemon. The relay under test is the daemon's own (``targets.relay`` over
-``targets.engine``); the baseline is ``iter_any`` to ``StreamResponse.write``.
+This process relays; a paced source and a counting sink (``bench.relaypeer``) run
+as two processes of their own, because they would otherwise share one interpreter
+lock with the relay. Whoever measures starts them. The relay under test is the
+daemon's own (``targets.relay`` over ``targets.engine``); the baseline is ``iter_any``
+to ``StreamResponse.write``.
 
 Two figures: tokens a second that a full core can relay (events relayed per
 second of this process's processor time), and the time to first token that the
@@ -14,19 +14,20 @@
 import asyncio
 import json
 import logging
-import sys
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, replace
+from dataclasses import asdict, dataclass, replace
 from enum import Enum
 from typing import Any
 
 import aiohttp
 import numpy
 import uvloop
+import yarl
 from aiohttp import web
 
+from lycheepost.bench.relaypeer import SINK_PORT, SOURCE_PORT, SinkSettings
 from lycheepost.core.clock import SystemClock
 from lycheepost.core.ids import RequestId, TargetId, WeightsVersion
 from lycheepost.generated.settings import StreamSettings
@@ -35,10 +36,11 @@
 from lycheepost.targets.relay import relay
 from lycheepost.utils.collector import tune_collector
 
+_HOST = "127.0.0.1"
 _STREAM_HEADERS = {"Content-Type": "text/event-stream"}
 
 _LINE_BYTES = 1 << 22
-"""Longest line of a child: the report with all its times to first token."""
+"""Longest line of the sink: the report with all its times to first token."""
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -63,6 +65,8 @@
             that 1,980 streams begin about 100 requests a second.
         n_latency_tokens: Tokens of an answer in the latency run; short ones
             give more first tokens to measure.
+        source_port: Where ``bench relay-source`` listens.
+        sink_port: Where ``bench relay-sink`` listens.
     """
 
     n_streams: int = 1980
@@ -71,6 +75,8 @@
     n_latency_tokens: int = 32
     warm_seconds: float = 6.0
     seconds: float = 8.0
+    source_port: int = SOURCE_PORT
+    sink_port: int = SINK_PORT
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,15 +120,13 @@
 async def _run(settings: RelayBenchSettings) -> list[RelayRecord]:
     records = []
     latency = []
-    async with _open_source() as source_url:
-        for form in RelayForm:
-            size = SinkSize(settings.n_streams, settings.n_tokens)
-            records.append(
-                await _measure(form, "throughput", source_url, size, settings)
-            )
-        for form in RelayForm:
-            size = SinkSize(settings.n_latency_streams, settings.n_latency_tokens)
-            latency.append(await _measure(form, "latency", source_url, size, settings))
+    source_url = f"http://{_HOST}:{settings.source_port}"
+    for form in RelayForm:
+        size = SinkSize(settings.n_streams, settings.n_tokens)
+        records.append(await _measure(form, "throughput", source_url, size, settings))
+    for form in RelayForm:
+        size = SinkSize(settings.n_latency_streams, settings.n_latency_tokens)
+        latency.append(await _measure(form, "latency", source_url, size, settings))
     return records + _compare(latency)
 
 
@@ -191,21 +195,18 @@
 ) -> tuple[dict[str, Any], Window]:
     window = Window()
     report: dict[str, Any] = {}
-    arguments = [
-        "--url",
-        url,
-        "--n-streams",
-        str(size.n_streams),
-        "--n-tokens",
-        str(size.n_tokens),
-        "--warm-seconds",
-        str(settings.warm_seconds),
-        "--seconds",
-        str(settings.seconds),
-    ]
-    async with _open_child("relay-sink", arguments) as child:
+    address = yarl.URL(url)
+    asked = SinkSettings(
+        host=address.host or "",
+        port=address.port or 0,
+        n_streams=size.n_streams,
+        n_tokens=size.n_tokens,
+        warm_seconds=settings.warm_seconds,
+        seconds=settings.seconds,
+    )
+    async with _ask_sink(settings.sink_port, asked) as lines:
         while not report:
-            line = await _read_line(child)
+            line = await _read_line(lines)
             match line["event"]:
                 case "start":
                     window.start_seconds = time.process_time()
@@ -217,39 +218,21 @@
 
 
 @asynccontextmanager
-async def _open_source() -> AsyncIterator[str]:
-    async with _open_child("relay-source", []) as child:
-        yield (await _read_line(child))["url"]
-
-
-@asynccontextmanager
-async def _open_child(
-    command: str, arguments: list[str]
-) -> AsyncIterator[asyncio.subprocess.Process]:
-    program = [sys.executable]
-    if not getattr(sys, "frozen", False):
-        program += ["-c", "from lycheepost.commands.main import run; run()"]
-    child = await asyncio.create_subprocess_exec(
-        *program,
-        "bench",
-        command,
-        *arguments,
-        stdout=asyncio.subprocess.PIPE,
-        limit=_LINE_BYTES,
-    )
+async def _ask_sink(
+    port: int, asked: SinkSettings
+) -> AsyncIterator[asyncio.StreamReader]:
+    reader, writer = await asyncio.open_connection(_HOST, port, limit=_LINE_BYTES)
     try:
-        yield child
+        writer.write(json.dumps(asdict(asked)).encode() + b"\n")
+        yield reader
     finally:
-        if child.returncode is None:
-            child.kill()
-        await child.wait()
+        writer.close()
 
 
-async def _read_line(child: asyncio.subprocess.Process) -> dict[str, Any]:
-    assert child.stdout is not None
-    line = await child.stdout.readline()
+async def _read_line(reader: asyncio.StreamReader) -> dict[str, Any]:
+    line = await reader.readline()
     if not line:
-        raise RuntimeError("an end of the relay bench stopped early")
+        raise RuntimeError("the sink stopped early")
     read: dict[str, Any] = json.loads(line)
     return read
 
--- a/lycheepost/bench/relaypeer.py
+++ b/lycheepost/bench/relaypeer.py
@@ -10,8 +10,8 @@
 import functools
 import json
 import random
-import sys
 import time
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from typing import cast
 
@@ -53,6 +53,13 @@
     gap_p99_seconds: float
 
 
+SOURCE_PORT = 9301
+SINK_PORT = 9302
+"""Where the two ends listen unless they are told otherwise."""
+
+Say = Callable[[dict[str, object]], None]
+
+
 class Source:
     """Serves streams whose tokens come at an even pace."""
 
@@ -60,16 +67,14 @@
         self._slots: list[set[SourceStream]] = [set() for _ in range(_N_SLOTS)]
         self._slot = 0
 
-    async def run(self) -> None:
-        """Listen, print the address as one JSON line and serve for good."""
+    async def run(self, port: int = SOURCE_PORT) -> None:
+        """Listen on ``port`` and serve for good."""
         app = web.Application()
         app.router.add_post("/v1/chat/completions", self._serve)
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0, backlog=4096)
+        site = web.TCPSite(runner, "127.0.0.1", port, backlog=4096)
         await site.start()
-        port = runner.addresses[0][1]
-        print(json.dumps({"url": f"http://127.0.0.1:{port}"}), flush=True)
         await self._tick()
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
@@ -225,8 +230,30 @@
     seconds: float
 
 
-async def run_sink(settings: SinkSettings) -> None:
-    """Keep streams open; print ``start``, ``end`` and a report as JSON lines."""
+async def serve_sink(port: int = SINK_PORT) -> None:
+    """Make the runs that are asked for on ``port``, one after another, for good.
+
+    A run is asked for with its settings as one JSON line; it is answered with JSON
+    lines as it goes on.
+    """
+    server = await asyncio.start_server(_answer, "127.0.0.1", port)
+    async with server:
+        await server.serve_forever()
+
+
+async def _answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    settings = SinkSettings(**json.loads(await reader.readline()))
+
+    def say(record: dict[str, object]) -> None:
+        writer.write(json.dumps(record).encode() + b"\n")
+
+    await run_sink(settings, say)
+    await writer.drain()
+    writer.close()
+
+
+async def run_sink(settings: SinkSettings, say: Say) -> None:
+    """Keep streams open; tell ``start``, ``end`` and a report."""
     counts = SinkCounts()
     tasks = [
         asyncio.create_task(_keep_stream(settings, counts, index))
@@ -234,12 +261,12 @@
     ]
     await asyncio.sleep(settings.warm_seconds)
     counts.is_measuring = True
-    _say({"event": "start"})
+    say({"event": "start"})
     started = time.monotonic()
     await asyncio.sleep(settings.seconds)
     counts.is_measuring = False
     seconds = time.monotonic() - started
-    _say({"event": "end"})
+    say({"event": "end"})
     gaps = counts.gap_seconds or [0.0]
     report = SinkReport(
         n_tokens=counts.n_tokens,
@@ -249,7 +276,7 @@
         first_token_seconds=counts.first_token_seconds,
         gap_p99_seconds=float(numpy.percentile(gaps, 99)),
     )
-    _say({"event": "report", "report": asdict(report)})
+    say({"event": "report", "report": asdict(report)})
     for task in tasks:
         task.cancel()
 
@@ -276,8 +303,3 @@
 
 def _same(stream: SinkStream) -> SinkStream:
     return stream
-
-
-def _say(record: dict[str, object]) -> None:
-    sys.stdout.write(json.dumps(record) + "\n")
-    sys.stdout.flush()
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -70,9 +70,6 @@
     plots: Annotated[
         pathlib.Path | None, typer.Option(help="Write plots into this folder.")
     ] = None,
-    workers: Annotated[
-        int, typer.Option(min=1, help="Runs made at once; above 1 in processes.")
-    ] = 1,
 ) -> None:
     """Compare policies in virtual time on the engine model."""
     _check_names(deployment, list(DEPLOYMENTS), "--deployment")
@@ -81,7 +78,7 @@
     if capacity:
         _print_capacity(deployment, seed)
         return
-    records = list(measure_all(list_runs(deployment, scenario, policy, seed), workers))
+    records = list(measure_all(list_runs(deployment, scenario, policy, seed)))
     if as_json:
         print(json.dumps([record.to_dict() for record in records], indent=1))
     else:
--- a/lycheepost/commands/benchrelay.py
+++ b/lycheepost/commands/benchrelay.py
@@ -6,14 +6,14 @@
 
 import typer
 import uvloop
-import yarl
 
 from lycheepost.bench.relay import (
     RelayBenchSettings,
     RelayRecord,
     run_relay_bench,
 )
-from lycheepost.bench.relaypeer import SinkSettings, Source, run_sink
+from lycheepost.bench.relaypeer import SINK_PORT, SOURCE_PORT, Source, serve_sink
+from lycheepost.commands.output import ExitCode, fail
 
 
 def relay(
@@ -23,12 +23,25 @@
     ] = 200,
     seconds: Annotated[float, typer.Option(help="Length of each window.")] = 8.0,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+    source_port: Annotated[int, typer.Option(help="Of relay-source.")] = SOURCE_PORT,
+    sink_port: Annotated[int, typer.Option(help="Of relay-sink.")] = SINK_PORT,
 ) -> None:
-    """Measure what relaying a stream costs; starts two child processes."""
+    """Measure what relaying a stream costs.
+
+    Start `lycheepost bench relay-source` and `relay-sink` first, each in a terminal
+    of its own. Exit code 3 when one of them does not answer.
+    """
     settings = RelayBenchSettings(
-        n_streams=n_streams, n_latency_streams=n_latency_streams, seconds=seconds
+        n_streams=n_streams,
+        n_latency_streams=n_latency_streams,
+        seconds=seconds,
+        source_port=source_port,
+        sink_port=sink_port,
     )
-    records = run_relay_bench(settings)
+    try:
+        records = run_relay_bench(settings)
+    except ConnectionError as error:
+        fail(f"The source or the sink does not answer: {error}.", ExitCode.UNREACHABLE)
     if as_json:
         typer.echo(json.dumps([asdict(record) for record in records]))
         return
@@ -36,29 +49,18 @@
         typer.echo(_describe(record))
 
 
-def relay_source() -> None:
-    """Serve paced streams for the relay bench until killed."""
-    uvloop.run(Source().run())
+def relay_source(
+    port: Annotated[int, typer.Option(help="Where to listen.")] = SOURCE_PORT,
+) -> None:
+    """Serve paced streams for the relay bench until stopped."""
+    uvloop.run(Source().run(port))
 
 
 def relay_sink(
-    url: Annotated[str, typer.Option()],
-    n_streams: Annotated[int, typer.Option()],
-    n_tokens: Annotated[int, typer.Option()],
-    warm_seconds: Annotated[float, typer.Option()],
-    seconds: Annotated[float, typer.Option()],
+    port: Annotated[int, typer.Option(help="Where to listen.")] = SINK_PORT,
 ) -> None:
-    """Read streams for the relay bench and print what was seen."""
-    address = yarl.URL(url)
-    settings = SinkSettings(
-        host=address.host or "",
-        port=address.port or 0,
-        n_streams=n_streams,
-        n_tokens=n_tokens,
-        warm_seconds=warm_seconds,
-        seconds=seconds,
-    )
-    uvloop.run(run_sink(settings))
+    """Read streams for the relay bench, as it asks, until stopped."""
+    uvloop.run(serve_sink(port))
 
 
 def _describe(record: RelayRecord) -> str:
--- a/lycheepost/targets/stream.py
+++ b/lycheepost/targets/stream.py
@@ -8,13 +8,14 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import aiohttp
 import msgspec
 import structlog
 
 from lycheepost.core.ids import Incarnation
+from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.calls import EngineCall
 from lycheepost.targets.continuation import EventRewriter
 from lycheepost.targets.direct import Diversion, divert, restore
@@ -29,9 +30,6 @@
     decode_chunk,
 )
 
-if TYPE_CHECKING:
-    from lycheepost.targets.engine import EngineClient
-
 _log = structlog.get_logger(part="targets")
 _MAX_WHOLE_BYTES = 16 * 1024 * 1024
 """Largest answer that is not streamed; 4,096 tokens with log probabilities take
@@ -40,6 +38,29 @@
 """Wait for the end of the HTTP body after ``[DONE]``, to reuse the connection."""
 
 
+class StreamOwner(Protocol):
+    """What a stream needs of the client that opened it."""
+
+    @property
+    def settings(self) -> StreamSettings:
+        """Return the time-outs of streams."""
+        ...
+
+    async def resume(
+        self, call: EngineCall, last_event: int
+    ) -> aiohttp.ClientResponse | None:
+        """Open the stream of a call again, after an event; None when it is gone."""
+        ...
+
+    def cancel_later(self, call: EngineCall) -> None:
+        """Tell the target to stop a call, without waiting for it."""
+        ...
+
+    def forget(self, stream: "EngineStream") -> None:
+        """Stop counting a stream that has ended."""
+        ...
+
+
 class EngineStream:
     """An answer that is being read.
 
@@ -51,7 +72,7 @@
 
     def __init__(
         self,
-        client: "EngineClient",
+        client: StreamOwner,
         call: EngineCall,
         response: aiohttp.ClientResponse,
     ) -> None:
--- a/tools/run_benches.py
+++ b/tools/run_benches.py
@@ -25,14 +25,23 @@
     "decision": ["bench", "decision", "--json"],
     "control": ["bench", "control", "--json"],
     "relay": ["bench", "relay", "--json"],
-    "policy": ["bench", "policy", "--workers", "4", "--json"],
+    "policy": ["bench", "policy", "--json"],
 }
 
+ENDS = {"relay": [["bench", "relay-source"], ["bench", "relay-sink"]]}
+"""What has to run beside a bench, in processes of its own."""
+
+ENDS_SECONDS = 3.0
+"""Until they listen."""
+
 
 def run_bench(name: str) -> bool:
     """Run one bench and write its file; False when it failed."""
     program = str(pathlib.Path(sys.executable).parent / "lycheepost")
     started_seconds = time.monotonic()
+    ends = [subprocess.Popen([program, *words]) for words in ENDS.get(name, [])]
+    if ends:
+        time.sleep(ENDS_SECONDS)
     try:
         finished = subprocess.run(
             [program, *BENCHES[name]],
@@ -45,6 +54,10 @@
     except (subprocess.TimeoutExpired, json.JSONDecodeError) as error:
         print(f"{name}: {type(error).__name__}")
         return False
+    finally:
+        for end in ends:
+            end.terminate()
+            end.wait()
     if finished.returncode:
         print(f"{name}: exit code {finished.returncode}\n{finished.stderr[-2000:]}")
         return False
