Say in the log when a placed request was not sent after all

Cause: a request whose key could no longer be confirmed at the last look before its send was logged as sent and cancelled, and explain told of a send that never was.

--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -242,6 +242,7 @@
         end: SendEnd | None = None
         kind = FinishKind.CANCELLED
         sent_seconds = self._deps.clock.now_seconds()
+        reason = "cancelled"
         try:
             listed = self._deps.targets.get(target)
             if listed is None:
@@ -250,13 +251,14 @@
                 end, reason = await self._send(listed)
             kind = await self._finish_kind(target, end)
             return end
+        except CallerError as error:
+            reason = f"not sent: {error.code}"
+            raise
         finally:
             # A send that is cut short by the deadline stays counted as sent: the
             # target may be at work, and "not run" would be untrue.
             self._deps.dispatcher.finish(self._work.request, kind)
             now_seconds = self._deps.clock.now_seconds()
-            if end is None and kind is FinishKind.CANCELLED:
-                reason = "cancelled"
             self._log.info(
                 "forward: sent",
                 target=target,
--- a/lycheepost/report/explain.py
+++ b/lycheepost/report/explain.py
@@ -104,6 +104,8 @@
 def _tell_send(number: int, line: LogLine) -> str:
     end = line.text("end")
     target = line.text("target")
+    if end.startswith("not sent"):
+        return f"It was placed at {target} and {end}."
     held = line.text("held_seconds")
     return f"Send {number} went to {target} and ended after {held} s: {end}."
 
