--- /dev/null
+++ b/features/app/logwriter.feature
@@ -0,0 +1,22 @@
+Feature: Log lines that never make the daemon wait
+
+  Scenario: Nobody reads the logs
+    Standard output is a pipe whose reader has stopped. A daemon that waited for it
+    would serve nobody.
+    Given a pipe that nobody reads
+    When 2000 lines of 1000 bytes are written
+    Then writing never waited, and some lines were dropped
+    When the reader reads again and one more line is written
+    Then a line tells how many were dropped
+
+  Scenario: More lines than any reader needs are dropped and counted
+    Given a pipe that is read all the time
+    When 5000 short lines are written in one moment
+    Then 1500 lines came
+    When 10 s pass and one more line is written
+    Then a line tells that 3500 were dropped
+
+  Scenario: Whoever read the logs has gone
+    Given a pipe whose reader has gone
+    When 10 short lines are written in one moment
+    Then nothing fails
