--- a/lycheepost/app/platformbase.py
+++ b/lycheepost/app/platformbase.py
@@ -36,5 +36,5 @@
     boot = secrets.token_hex(6)
     seed = hash_bytes(f"{node.daemon}/{boot}".encode())
     return PlatformBase(
-        node, clock, StoreClient(node.store, clock), boot, seed, random.Random(seed)
+        node, clock, StoreClient(node.store), boot, seed, random.Random(seed)
     )
--- a/lycheepost/platform/cacheevents.py
+++ b/lycheepost/platform/cacheevents.py
@@ -7,6 +7,7 @@
 from lycheepost.core.ids import ModelId
 from lycheepost.decide.promptlevels import part_digest, split_scope
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
+from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.cachewatch import CacheNews
 from lycheepost.targets.errors import TargetError, TargetLost
 
@@ -14,6 +15,8 @@
 """The longest that a question may be held."""
 CALL_SECONDS = 1.8
 CONNECT_SECONDS = 0.3
+KEPT_SECONDS = 5.0
+"""Ten times the pause between two questions."""
 
 _WireEvent = tuple[int, str, str, str, int, str]
 """Number, ``+`` or ``-``, cache scope, part id, tokens kept now, model."""
@@ -36,13 +39,7 @@
 
     async def start(self) -> None:
         """Open the session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=5.0),
-            timeout=aiohttp.ClientTimeout(
-                total=CALL_SECONDS, sock_connect=CONNECT_SECONDS
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = make_call_session(CALL_SECONDS, CONNECT_SECONDS, KEPT_SECONDS)
 
     async def drain(self) -> None:
         """Do nothing: the watch ends first."""
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -11,6 +11,7 @@
 from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
 from lycheepost.core.routing import ListedTarget
 from lycheepost.platform import headers as names
+from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.weightsport import (
     LoadWeights,
@@ -77,13 +78,7 @@
 
     async def start(self) -> None:
         """Open the session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=aiohttp.ClientTimeout(
-                total=CALL_SECONDS, sock_connect=CONNECT_SECONDS
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = make_call_session(CALL_SECONDS, CONNECT_SECONDS)
 
     async def drain(self) -> None:
         """Do nothing: the duty ends first."""
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -12,7 +12,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lycheepost.core.clock import Clock
+from lycheepost.platform.sessions import make_call_session
 from lycheepost.platform.settings import Endpoint
 from lycheepost.platform.storewire import (
     WireCommitted,
@@ -43,6 +43,9 @@
 CALL_SECONDS = 1.0
 """The store answers in milliseconds; one that is sixty times slower still does."""
 
+KEPT_SECONDS = 15.0
+"""Connections are used every second or two; one that died is noticed by its call."""
+
 HELD_MARGIN_SECONDS = 0.7
 """Beyond the time a question is held; later the connection counts as dead."""
 
@@ -63,25 +66,20 @@
 
     Args:
         address: Where the store is.
-        clock: Times the calls.
 
     Attributes:
         base: Base address of the store.
         n_calls: Calls made, also refused ones.
     """
 
-    def __init__(self, address: Endpoint, clock: Clock) -> None:
+    def __init__(self, address: Endpoint) -> None:
         self.base = f"http://{address}"
-        self._clock = clock
         self._session: aiohttp.ClientSession | None = None
         self.n_calls = 0
 
     async def start(self) -> None:
         """Open the connection pool."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = make_call_session(CALL_SECONDS, CONNECT_SECONDS, KEPT_SECONDS)
 
     async def drain(self) -> None:
         """Do nothing: others still use it while they drain."""
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -13,7 +13,7 @@
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.forwardcall import AnswerHead, Dialect, ForwardCall
-from lycheepost.targets.session import make_session
+from lycheepost.targets.session import SessionPair
 
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """aiohttp would add them; the target must get the caller's headers and no others."""
@@ -100,26 +100,21 @@
     """
 
     def __init__(self, settings: StreamSettings, dialect: Dialect) -> None:
-        self._settings = settings
+        self._sessions = SessionPair(settings)
         self._dialect = dialect
-        self._pooled: aiohttp.ClientSession | None = None
-        self._fresh: aiohttp.ClientSession | None = None
         self.n_calls = 0
         self.n_stale_answers = 0
 
     async def start(self) -> None:
         """Open the connection pools."""
-        self._pooled = make_session(self._settings)
-        self._fresh = make_session(self._settings, is_pooled=False)
+        await self._sessions.start()
 
     async def drain(self) -> None:
         """Do nothing: calls belong to open requests."""
 
     async def stop(self) -> None:
         """Close all connections."""
-        for session in (self._pooled, self._fresh):
-            if session is not None:
-                await session.close()
+        await self._sessions.stop()
 
     def status(self) -> dict[str, Any]:
         """Return counts for the status page."""
@@ -152,9 +147,7 @@
         return Success(ForwardAnswer(head, response))
 
     async def _open(self, call: ForwardCall) -> aiohttp.ClientResponse:
-        session = self._pooled if call.may_reuse_connection else self._fresh
-        if session is None:
-            raise RuntimeError("the forward client is not started")
+        session = self._sessions.choose(call.may_reuse_connection)
         return await session.request(
             call.method,
             yarl.URL(f"http://{call.address}{call.raw_path}", encoded=True),
--- a/lycheepost/targets/service.py
+++ b/lycheepost/targets/service.py
@@ -10,7 +10,7 @@
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.calls import ServiceAnswer, ServiceCall
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
-from lycheepost.targets.session import make_session, read_bounded
+from lycheepost.targets.session import SessionPair, read_bounded
 
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer that is passed on; a larger one must not fill the memory."""
@@ -36,23 +36,19 @@
 
     def __init__(self, settings: StreamSettings) -> None:
         self._settings = settings
-        self._pooled: aiohttp.ClientSession | None = None
-        self._fresh: aiohttp.ClientSession | None = None
+        self._sessions = SessionPair(settings)
         self._n_calls = 0
 
     async def start(self) -> None:
         """Open the connection pools."""
-        self._pooled = make_session(self._settings)
-        self._fresh = make_session(self._settings, is_pooled=False)
+        await self._sessions.start()
 
     async def drain(self) -> None:
         """Nothing runs here beside the calls of open requests."""
 
     async def stop(self) -> None:
         """Close all connections."""
-        for session in (self._pooled, self._fresh):
-            if session is not None:
-                await session.close()
+        await self._sessions.stop()
 
     def status(self) -> dict[str, Any]:
         """Return counts for the status page."""
@@ -85,7 +81,7 @@
             for name, value in call.headers
             if name.lower() not in _HOP_HEADERS
         ]
-        session = self._session(call)
+        session = self._sessions.choose(call.is_idempotent)
         url = yarl.URL(call.url + call.path, encoded=True)
         async with session.request(
             call.method,
@@ -102,19 +98,6 @@
             )
             return ServiceAnswer(response.status, kept, body)
 
-    def _session(self, call: ServiceCall) -> aiohttp.ClientSession:
-        """Return the pool for a call.
-
-        A pooled connection may have died unnoticed. It would swallow a call
-        that may not be repeated, whose caller then gets no better answer than
-        "unknown". So each such call proves the way with a new connection, for
-        one round trip of under a millisecond.
-        """
-        session = self._pooled if call.is_idempotent else self._fresh
-        if session is None:
-            raise RuntimeError("the service client is not started")
-        return session
-
 
 def make_service_client(settings: StreamSettings) -> ServiceClient:
     """Return a client that is not yet started."""
--- a/lycheepost/targets/session.py
+++ b/lycheepost/targets/session.py
@@ -48,6 +48,42 @@
     )
 
 
+class SessionPair:
+    """Connections for calls that may be repeated, and for those that may not.
+
+    A pooled connection may have died unnoticed. It would swallow a call that may not
+    be repeated, whose caller then gets no better answer than "unknown". So each such
+    call proves the way with a new connection, for one round trip of under a
+    millisecond.
+
+    Args:
+        settings: Time-outs and the age of kept connections.
+    """
+
+    def __init__(self, settings: StreamSettings) -> None:
+        self._settings = settings
+        self._pooled: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open both pools."""
+        self._pooled = make_session(self._settings)
+        self._fresh = make_session(self._settings, is_pooled=False)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._fresh):
+            if session is not None:
+                await session.close()
+
+    def choose(self, may_repeat: bool) -> aiohttp.ClientSession:
+        """Return the session for a call."""
+        session = self._pooled if may_repeat else self._fresh
+        if session is None:
+            raise RuntimeError("the sessions are not open")
+        return session
+
+
 async def read_bounded(response: aiohttp.ClientResponse, most_bytes: int) -> bytes:
     """Return a whole body.
 
