--- /dev/null
+++ b/features/state/steps/holder_steps.py
@@ -0,0 +1,157 @@
+"""Steps of holders.feature."""
+
+import asyncio
+import os
+import random
+from dataclasses import dataclass, field
+
+from behave import then, when
+
+from lycheepost.core.ids import DaemonId
+from lycheepost.standin.table import make_table_model
+from lycheepost.standin.virtualtime import VirtualTimeLoop
+from lycheepost.state.duties import DutyRunner
+from lycheepost.state.leases import LeaseKeeper
+
+LENGTH_SECONDS, MARGIN_SECONDS, REST_SECONDS = 3.6, 1.65, 3.3
+PERIOD_SECONDS, WATCH_SECONDS = 0.8, 0.7
+ORDER_SECONDS = 0.1
+NAMES = ("A", "B", "C")
+
+
+@dataclass
+class Run:
+    """What one seeded run showed: when who ordered under which number."""
+
+    seed: int
+    orders: list = field(default_factory=list)
+
+
+class Machine:
+    """One daemon that orders all the time while it may."""
+
+    def __init__(self, run, name, table, clock):
+        self.run, self.name, self.clock = run, name, clock
+        leases = LeaseKeeper(
+            table, clock, DaemonId(name), LENGTH_SECONDS, MARGIN_SECONDS, REST_SECONDS
+        )
+        self.current = None
+        self.runner = DutyRunner(
+            leases,
+            "weights",
+            lambda: True,
+            self.work,
+            PERIOD_SECONDS,
+            clock,
+            run.seed,
+            WATCH_SECONDS,
+        )
+        self.task = None
+
+    async def work(self, current):
+        self.current = current
+
+    async def start(self):
+        await self.runner.start()
+        self.task = asyncio.ensure_future(self.order())
+
+    async def order(self):
+        while True:
+            await asyncio.sleep(ORDER_SECONDS)
+            if self.current is None:
+                continue
+            try:
+                lease = self.current()
+            except RuntimeError:
+                continue
+            now_seconds = self.clock.now_seconds()
+            if lease.is_held(now_seconds):
+                number = lease.fencing_number
+                self.run.orders.append((now_seconds, self.name, number))
+
+    def kill(self):
+        self.task.cancel()
+        self.runner._task.cancel()
+
+    async def stop(self):
+        self.task.cancel()
+        await self.runner.stop()
+
+
+def disturb(rng, faults):
+    faults.clear()
+    match rng.randrange(6):
+        case 0:
+            faults.n_lost_answers = rng.randint(1, 3)
+        case 1:
+            faults.n_late_writes = rng.randint(1, 2)
+            faults.late_seconds = rng.uniform(0.5, 6.0)
+        case 2:
+            faults.delay_seconds = rng.uniform(0.05, 0.6)
+        case 3:
+            faults.is_down = True
+
+
+async def chaos(run, loop, seconds):
+    rng = random.Random(run.seed)
+    table = make_table_model(loop)
+    machines = {name: Machine(run, name, table, loop) for name in NAMES}
+    for machine in machines.values():
+        await machine.start()
+    end_seconds = loop.now_seconds() + seconds
+    while loop.now_seconds() < end_seconds:
+        await asyncio.sleep(rng.uniform(0.2, 4.0))
+        disturb(rng, table.faults)
+        name = rng.choice(NAMES)
+        if rng.random() < 0.5:
+            machines[name].kill()
+        else:
+            await machines[name].stop()
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        machines[name] = Machine(run, name, table, loop)
+        await machines[name].start()
+    for machine in machines.values():
+        machine.kill()
+
+
+@when("{n:d} seeded runs of {seconds:d} s are made with three daemons")
+def step_runs(context, n, seconds):
+    context.runs = []
+    for seed in range(int(os.environ.get("LYCHEEPOST_RUNS", n))):
+        loop = VirtualTimeLoop()
+        run = Run(seed)
+        loop.run_until_complete(chaos(run, loop, seconds))
+        loop.close()
+        context.runs.append(run)
+
+
+@then("orders of different holders are at least {least:g} s apart in each")
+def step_apart(context, least):
+    for run in context.runs:
+        for (before, one, _), (after, other, _) in zip(
+            run.orders, run.orders[1:], strict=False
+        ):
+            assert one == other or after - before >= least, (
+                run.seed,
+                one,
+                other,
+                before,
+                after,
+            )
+
+
+@then("each fencing number has one holder")
+def step_numbers(context):
+    for run in context.runs:
+        holders = {}
+        for _, name, number in run.orders:
+            assert holders.setdefault(number, name) == name, (run.seed, number)
+
+
+@then("in most runs the duty changed hands several times")
+def step_changed(context):
+    counts = [
+        sum(a[1] != b[1] for a, b in zip(run.orders, run.orders[1:], strict=False))
+        for run in context.runs
+    ]
+    assert sorted(counts)[len(counts) // 2] >= 2, counts
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -82,6 +82,8 @@
         attempt: Different for each write, so that a holder whose answer was lost
             never takes an earlier renewal of its own, read back, for the one that
             it has just tried: it would count its lease from too late.
+        has_rested: A holder that gave up had ordered, or could have. One that gave
+            up while it rested after another holder leaves that rest to the next.
     """
 
     holder: DaemonId
@@ -89,6 +91,7 @@
     fencing_number: FencingNumber
     length_seconds: float
     attempt: str
+    has_rested: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,8 +188,9 @@
 
     def _rested(self, lease: Lease, before: LeaseRow | None) -> Lease:
         """Add the rest that is due after another daemon's release."""
-        was_released = before is not None and not before.token
-        if before is None or not was_released or before.holder == self._daemon:
+        if before is None or before.token:
+            return lease
+        if before.holder == self._daemon and before.has_rested:
             return lease
         now_seconds = self._clock.now_seconds()
         return replace(lease, rests_until_seconds=now_seconds + self._rest_seconds)
@@ -207,7 +211,8 @@
 
     async def release(self, lease: Lease) -> Result[None, LeaseError]:
         """Give the lease up, so that another daemon need not wait it out."""
-        row = self._make_row("", lease.fencing_number)
+        has_rested = lease.rests_until_seconds <= self._clock.now_seconds()
+        row = self._make_row("", lease.fencing_number, has_rested)
         written = await self._commit(lease.duty, lease.version, row)
         match written:
             case Success():
@@ -231,9 +236,14 @@
         end_seconds = seen.seen_seconds + held.length_seconds + self._margin_seconds
         return max(0.0, end_seconds - now_seconds)
 
-    def _make_row(self, token: str, number: FencingNumber) -> LeaseRow:
+    def _make_row(
+        self, token: str, number: FencingNumber, has_rested: bool = True
+    ) -> LeaseRow:
         attempt = secrets.token_hex(8)
-        return LeaseRow(self._daemon, token, number, self._length_seconds, attempt)
+        length_seconds = self._length_seconds
+        return LeaseRow(
+            self._daemon, token, number, length_seconds, attempt, has_rested
+        )
 
     async def _take(
         self, duty: str, version: int, token: str, number: FencingNumber
