--- /dev/null
+++ b/features/platform/documents.feature
@@ -0,0 +1,44 @@
+Feature: What operators and servers write, decoded
+
+  Scenario: A configuration becomes routes, groups, keys and stores
+    When a configuration with all fields and some new ones is decoded
+    Then its routes, groups, keys and stores are what it says
+
+  Scenario Outline: A <row> that <fault> is told and changes nothing
+    Rows come from other programs, of other releases. One that cannot be read must not
+    take the daemon down, nor be taken for another.
+    When a <row> that <fault> is decoded
+    Then the decoder tells a fault
+
+    Examples:
+      | row           | fault                     |
+      | configuration | is no JSON                |
+      | configuration | has no version            |
+      | configuration | has an unknown kind       |
+      | configuration | is a list                 |
+      | server entry  | is no JSON                |
+      | server entry  | has no address            |
+      | server entry  | has slots of text         |
+      | weights row   | has no model              |
+      | weights row   | has a version of text     |
+
+  Scenario Outline: Cache events: <wire> becomes <event>
+    When the cache event <wire> is decoded
+    Then it is <event>
+
+    Examples:
+      | wire                           | event                  |
+      | [7,"+","2:","aa",2496,"m0"]    | stored with 2496       |
+      | [8,"-","2:","aa",128,"m0"]     | trimmed with 128       |
+      | [9,"-","2:","aa",0,"m0"]       | evicted with 0         |
+
+  Scenario: The digest of a part is the same for a prompt and for an event
+    When the same part is named by a prompt and by an event of its scope
+    Then both have one digest, and another scope has another
+
+  Scenario: A cache that restarted empty is forgotten
+    An engine loses its cache without a new registration. What is believed of it must
+    go, or its requests would be placed there for nothing.
+    Given an engine whose events are followed
+    When it tells two events, then comes back with another epoch
+    Then its belief was cleared between them
