Name no daemon that only its row in the store tells of

Answers name only daemons that have been heard of. The new scenario fails without. Ruled out: a missing suspicion (the others suspected it in 3 s).

--- a/features/platform/fleet.feature
+++ b/features/platform/fleet.feature
@@ -44,3 +44,10 @@
     Then it soon is not ready, and the other's directory names it no longer
     When it reaches the store again
     Then each directory soon names both
+
+  Scenario: A daemon that starts names none that died long ago
+    A machine was lost and left its row in the store. A daemon that starts later reads
+    the row, and for seconds sent callers to an address where nobody is.
+    Given a deployment with 1 daemon
+    When another daemon starts while the row of a dead one lies in the store
+    Then no directory answer ever names the dead one
--- a/features/platform/steps/fleet_steps.py
+++ b/features/platform/steps/fleet_steps.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+import msgspec
 from behave import then, when
 from request_steps import BODY, REQUESTS, ask
 
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import event_bytes
+from lycheepost.state.memberrows import MemberRow
 
 N_LONG = 400
 
@@ -174,3 +176,30 @@
 @when("it reaches the store again")
 def step_reached(context):
     context.cut.base = context.address
+
+
+DEAD = "127.0.0.1:9"
+
+
+@when("another daemon starts while the row of a dead one lies in the store")
+def step_dead_row(context):
+    deployment = context.deployment
+    row = MemberRow("zone-a", "127.0.0.1", DEAD, "tcp://127.0.0.1:9", "old")
+    store = deployment.store.store
+    store.put("lycheepost", "member/front-dead", msgspec.json.encode(row))
+    context.loop.run_until_complete(deployment.add_daemon())
+
+
+@then("no directory answer ever names the dead one")
+def step_not_named(context):
+    deployment = context.deployment
+
+    async def look():
+        for _ in range(60):
+            for index in range(2):
+                assert DEAD not in await deployment.addresses(index)
+            await asyncio.sleep(0.02)
+        members = deployment.daemons[1].status()["members"]
+        assert "front-dead" in members, "the row was not read"
+
+    context.loop.run_until_complete(look())
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -103,6 +103,7 @@
         MEMBER_LOOK_SECONDS,
         ADDRESS_SECONDS,
         base.seed,
+        names_unheard=False,
     )
     transport = make_socket_transport(node.daemon, node.host, node.peer_ports[0])
     exchange = make_peer_exchange(
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -59,7 +59,9 @@
         poll_seconds: float,
         addresses_valid_seconds: float,
         seed: int,
+        names_unheard: bool = True,
     ) -> None:
+        self._names_unheard = names_unheard
         self._vm_list = vm_list
         self._clock = clock
         self._me = me
@@ -132,13 +134,26 @@
 
     def _choose(self, customer: CustomerId | None) -> Addresses:
         chosen = choose_addresses(
-            tuple(self._members.values()),
+            self._nameable(),
             customer,
             self._me.availability_zone,
             self._traffic_share(customer),
         )
         return Addresses(chosen, self._addresses_valid_seconds)
 
+    def _nameable(self) -> tuple[Member, ...]:
+        """Return the daemons that an answer may name.
+
+        Where the list is made of rows that daemons write themselves, one that died
+        left its row behind. A daemon that starts later would name it until its
+        silence shows; so only those that have been heard of are named.
+        """
+        return tuple(
+            member
+            for member in self._members.values()
+            if self._names_unheard or member.boot
+        )
+
     def target_states(self) -> dict[TargetId, TargetState]:
         """Return the state of every configured target for new work."""
         targets = self._get_view().targets
@@ -367,6 +382,7 @@
     poll_seconds: float = 2.0,
     addresses_valid_seconds: float = 10.0,
     seed: int = 0,
+    names_unheard: bool = True,
 ) -> MemberKeeper:
     """Return the members and targets of one daemon.
 
@@ -378,7 +394,15 @@
         poll_seconds: Shortest time between looks at the list.
         addresses_valid_seconds: How long callers may keep an answer.
         seed: Seed of the jitter.
+        names_unheard: Name daemons in answers that are only on the list.
     """
     return MemberKeeper(
-        vm_list, clock, me, get_view, poll_seconds, addresses_valid_seconds, seed
+        vm_list,
+        clock,
+        me,
+        get_view,
+        poll_seconds,
+        addresses_valid_seconds,
+        seed,
+        names_unheard,
     )
