Refuse prompts and heads that cannot be taken as they are

A client that stated a prompt of -5 tokens lowered the load that the scheduler saw; one whose description could not be read was sent on to an engine without a cache scope, where an isolated customer's parts could be shared. Both are refused with 400 now. The operator's bound on a request's headers was decoded and never asked; above it a request gets 431. A server that stated weights which are no number made the daemon fail on an answer that was good.

Shown by eight rows in features/platform that failed before. The end of a run whose client had left was dropped without a line in the log.

--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -32,6 +32,20 @@
       | [8,"-","2:","aa",128,"m0"]     | trimmed with 128       |
       | [9,"-","2:","aa",0,"m0"]       | evicted with 0         |
 
+  Scenario Outline: An answer that states weights <text> tells <weights>
+    A server states something that is no number. Its answer is sealed and good; only
+    nothing is learned of its weights.
+    When an answer states weights <text>
+    Then it tells <weights>
+
+    Examples:
+      | text | weights |
+      | 3    | 3       |
+      | 0    | 0       |
+      | -3   | nothing |
+      | v3   | nothing |
+      | 3,4  | nothing |
+
   Scenario: The digest of a part is the same for a prompt and for an event
     When the same part is named by a prompt and by an event of its scope
     Then both have one digest, and another scope has another
--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -43,6 +43,11 @@
       | a key of another scheme    | 401    |
       | a body that is too large   | 413    |
       | a path with a fragment     | 400    |
+      | a prompt of minus 5 tokens | 400    |
+      | a prompt of "many" tokens  | 400    |
+      | a part of minus 5 tokens   | 400    |
+      | a part without tokens      | 400    |
+      | heads above the limit      | 431    |
 
   Scenario Outline: <bytes> on the wire are refused and run nothing
     A head that two parsers could read in two ways lets a client put a second
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -6,17 +6,27 @@
 from behave import given, then, when
 from returns.result import Failure, Success
 
-from lycheepost.core.ids import CustomerId, ModelId, TargetGroupId, WeightsVersion
+from lycheepost.core.ids import (
+    CustomerId,
+    ModelId,
+    RequestId,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
+)
 from lycheepost.core.routing import KeyHolder, Prompt, PromptPart, RouteKind
 from lycheepost.decide.promptlevels import CacheScope, prompt_levels
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
+from lycheepost.platform import headers as names
 from lycheepost.platform.cacheevents import _decode
+from lycheepost.platform.dialect import ServerDialect
 from lycheepost.platform.documents import (
     decode_configuration,
     decode_server,
     decode_weights,
 )
 from lycheepost.targets.cachewatch import CLEARED, CacheNews, CacheWatch
+from lycheepost.targets.forwardcall import ForwardCall
 
 CONFIGURATION = {
     "version": 7,
@@ -118,6 +128,21 @@
     assert context.found.failure().reason
 
 
+@when("an answer states weights {text}")
+def step_states(context, text):
+    call = ForwardCall(
+        TargetId("i-1"), "1.2.3.4:5", RequestId("r"), "GET", "/", (), b"", 1.0,
+        CustomerId(""),
+    )  # fmt: skip
+    head = ServerDialect().decode(call, 200, [(names.WEIGHTS, text)])
+    context.found = head.weights_version
+
+
+@then("it tells {weights}")
+def step_tells(context, weights):
+    assert context.found == (None if weights == "nothing" else weights)
+
+
 def decode_event(wire):
     body = b'{"boot_epoch":1,"next":9,"lost":false,"events":[%s]}' % wire.encode()
     return _decode(body).unwrap().events[0]
--- a/features/platform/steps/request_steps.py
+++ b/features/platform/steps/request_steps.py
@@ -159,6 +159,19 @@
             headers[names.AUTHORIZATION] = "Bearer k-one"
         case "a body that is too large":
             method, body = "POST", bytes(5 * 1024 * 1024)
+        case "a prompt of minus 5 tokens":
+            path = "/title/1"
+            headers = deployment.prompt_headers(**{names.TOKENS: "-5,6"})
+        case 'a prompt of "many" tokens':
+            path = "/title/1"
+            headers = deployment.prompt_headers(**{names.TOKENS: "many,6"})
+        case "a part of minus 5 tokens":
+            path, headers = "/title/1", deployment.prompt_headers(parts="aa:-5")
+        case "a part without tokens":
+            path, headers = "/title/1", deployment.prompt_headers(parts="aa")
+        case "heads above the limit":
+            # Each is short enough by itself; operators bound them all together.
+            headers |= {f"X-Own-{n}": "a" * 4000 for n in range(5)}
         case "a path with a fragment":
             context.raw = send_raw(context, b"GET /look/1#x HTTP/1.1\r\n")
             context.answer = None
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -43,7 +43,7 @@
         asked_id = CIMultiDict(call.headers).get(names.ATTEMPT_ID)
         answered_id = found.get(names.ATTEMPT_ID)
         target = found.get(names.TARGET)
-        weights = found.get(names.WEIGHTS)
+        weights = count_of(found.get(names.WEIGHTS, ""))
         is_other = status == _MISDIRECTED_STATUS
         return AnswerHead(
             status=status,
@@ -55,7 +55,7 @@
             is_other_target=is_other,
             has_length="Content-Length" in found or "Transfer-Encoding" in found,
             target=TargetId(target) if target else None,
-            weights_version=WeightsVersion(weights) if weights else None,
+            weights_version=None if weights is None else WeightsVersion(str(weights)),
             load=decode_load(found.get(names.LOAD, "")),
         )
 
@@ -88,14 +88,20 @@
 
 def decode_load(text: str) -> SaidLoad | None:
     """Return the load that a server states; None when it states none."""
-    words = text.split(",")
-    if len(words) != 3:
-        return None
-    try:
-        n_running, n_waiting, n_slots = (int(word) for word in words)
-    except ValueError:
-        return None
-    return SaidLoad(n_running, n_waiting, n_slots)
+    match [count_of(word) for word in text.split(",")]:
+        case [int(n_running), int(n_waiting), int(n_slots)]:
+            return SaidLoad(n_running, n_waiting, n_slots)
+    return None
+
+
+def count_of(text: str) -> int | None:
+    """Return the number that a text states; None when it is no count.
+
+    A count below nothing, taken as it stands, would make a load or a prompt seem to
+    free what others use.
+    """
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdigit() else None
 
 
 def header_number(headers: Mapping[str, str], name: str) -> int | None:
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -16,9 +16,16 @@
 from lycheepost.core.ids import ModelId
 from lycheepost.core.routing import Prompt, PromptPart, RouteKind
 from lycheepost.platform import headers as names
-from lycheepost.platform.dialect import header_number
+from lycheepost.platform.dialect import count_of, header_number
 from lycheepost.targets.forwardcall import AnswerHead
 
+UNCONFIGURED_BYTES = 4 * 1024 * 1024
+"""Largest body before a configuration says more: what operators allow where they
+say nothing. Nothing runs then; it is read only to answer in order."""
+
+MOST_ADDRESSES = 64
+"""Most addresses that clients take from one answer, by the platform's protocol."""
+
 _MILLISECONDS = 1000.0
 _log = structlog.get_logger(part="ingress")
 
@@ -136,6 +143,7 @@
         if self.is_closed:
             raise leaving()
         _check_path(request)
+        self._check_head(request)
         body = await self._read_body(request)
         asked = decode_request(request, body, arrived_seconds)
         way = identify(self._deps, asked)
@@ -151,13 +159,24 @@
         await asyncio.shield(run)
 
     def _end_run(self, run: asyncio.Task[None]) -> None:
+        """Tell how a run ended that its client did not wait for."""
         self._runs.discard(run)
-        if not run.cancelled():
-            run.exception()
+        error = None if run.cancelled() else run.exception()
+        if error is not None:
+            _log.info("ingress: run ended", error=type(error).__name__)
+
+    def _check_head(self, request: web.BaseRequest) -> None:
+        """Refuse heads above the operator's limit; none is known at first."""
+        table = self._deps.routing.table
+        n_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
+        if table is not None and n_bytes > table.limits.header_bytes:
+            raise CallerError(
+                "The headers are too large.", status=431, code="headers_too_large"
+            )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         table = self._deps.routing.table
-        most_bytes = 4 * 1024 * 1024 if table is None else table.limits.body_bytes
+        most_bytes = UNCONFIGURED_BYTES if table is None else table.limits.body_bytes
         parts: list[bytes] = []
         n_bytes = request.content_length or 0
         if n_bytes > most_bytes:
@@ -265,23 +284,40 @@
 
 
 def decode_prompt(headers: CIMultiDictProxy[str]) -> Prompt | None:
-    """Return what a client says of its prompt; None when it cannot be read."""
+    """Return what a client says of its prompt; None when it sends none.
+
+    Raises:
+        CallerError: What it says cannot be read.
+    """
     model = headers.get(names.MODEL)
     if model is None:
         return None
-    try:
-        n_tokens, n_output = (int(n) for n in headers.get(names.TOKENS, "").split(","))
-        parts = tuple(
-            PromptPart(part_id.strip(), int(n))
-            for part_id, _, n in (
-                word.partition(":")
-                for word in headers.get(names.PROMPT_PARTS, "").split(",")
-                if word
-            )
-        )
-    except ValueError:
-        return None
-    return Prompt(ModelId(model), n_tokens, n_output, parts)
+    match [count_of(word) for word in headers.get(names.TOKENS, "").split(",")]:
+        case [int(n_tokens), int(n_output)]:
+            parts = _decode_parts(headers.get(names.PROMPT_PARTS, ""))
+            return Prompt(ModelId(model), n_tokens, n_output, parts)
+    raise _bad_prompt()
+
+
+def _decode_parts(text: str) -> tuple[PromptPart, ...]:
+    parts: list[PromptPart] = []
+    for word in filter(None, text.split(",")):
+        part_id, _, count = word.partition(":")
+        n_tokens = count_of(count)
+        if n_tokens is None:
+            raise _bad_prompt()
+        parts.append(PromptPart(part_id.strip(), n_tokens))
+    return tuple(parts)
+
+
+def _bad_prompt() -> CallerError:
+    """Return the refusal of a prompt whose description cannot be read.
+
+    Sent on as it is, it would run outside of its customer's cache scope.
+    """
+    return CallerError(
+        "The description of the prompt cannot be read.", status=400, code="bad_prompt"
+    )
 
 
 class Readiness:
@@ -322,7 +358,3 @@
         return web.Response(
             body=msgspec.json.encode(answer), content_type="application/json"
         )
-
-
-MOST_ADDRESSES = 64
-"""Most addresses that clients take from one answer."""
