Outlive rows of members and leases that cannot be read

A row of another release, or a damaged one, raised inside the task that looks at the rows: the daemon never looked at members again, or never stood ready for its duty again, and nothing said so. Such a member's row is now left out and may be overwritten by its daemon; such a lease's row is nobody's to take, because nobody could tell when its holder stops. Both are told as errors in the log.

A renewal that was refused, a lease that was not taken and a list of members that was not read are logged with their reason.

--- a/features/state/leases.feature
+++ b/features/state/leases.feature
@@ -54,3 +54,12 @@
     Examples:
       | watch | most |
       | 0.7   | 6.1  |
+
+  Scenario: A lease's row that cannot be read is nobody's, and ends no daemon's duty
+    Another release wrote it. Whoever took the lease over could order beside a
+    holder that it cannot see; a daemon that fell over it would never look again.
+    Given a lease whose row cannot be read
+    When a daemon stands ready for its duty for 20 s
+    Then it has not worked
+    When the row is removed
+    Then it works within 2 s
--- a/features/state/members.feature
+++ b/features/state/members.feature
@@ -75,3 +75,11 @@
     Given daemons A and B that know each other
     When A starts again with a clock that is an hour behind, and B suspects the old A
     Then B takes the new A for live
+
+  Scenario: A member's row that cannot be read hides no other
+    Another release wrote its row, or it was damaged. A daemon that stopped looking
+    at the rows because of it would find no peer that starts later.
+    Given rows of the daemons "a" and "b", and one of "c" that cannot be read
+    When a daemon looks at the rows
+    Then it finds "a" and "b"
+    And it can write its own row over that of "c"
--- a/features/state/steps/duty_steps.py
+++ b/features/state/steps/duty_steps.py
@@ -6,6 +6,7 @@
 from claim_steps import use_virtual_time
 
 from lycheepost.core.ids import DaemonId
+from lycheepost.ports.table import Condition, Transaction, Write
 from lycheepost.state.duties import DutyRunner
 from lycheepost.state.leases import LeaseKeeper
 
@@ -63,3 +64,45 @@
     # The last renewal lies up to one period and its jitter before the death.
     assert min(context.taken) >= least - 1.1 * PERIOD_SECONDS, context.taken
     assert max(context.taken) <= most, context.taken
+
+
+def write_row(context, value):
+    """Write the duty's row over what stands there."""
+    (row,) = context.loop.run_until_complete(
+        context.store.read(("lease/duty",))
+    ).unwrap()
+    condition = Condition("lease/duty", 0 if row is None else row.version)
+    transaction = Transaction((condition,), (Write("lease/duty", value),))
+    context.loop.run_until_complete(context.store.commit(transaction)).unwrap()
+
+
+@given("a lease whose row cannot be read")
+def step_unreadable(context):
+    use_virtual_time(context)
+    write_row(context, b'{"held_by": "another release"}')
+    context.worked = {}
+
+
+@when("a daemon stands ready for its duty for {seconds:g} s")
+def step_ready(context, seconds):
+    context.runner = make_runner(context, "A", 3.6, 1.65, 0.7)
+    context.closers.append(context.runner.stop)
+    context.loop.run_until_complete(context.runner.start())
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+@then("it has not worked")
+def step_idle(context):
+    assert context.worked == {}
+
+
+@when("the row is removed")
+def step_row_removed(context):
+    write_row(context, None)
+    context.removed_seconds = context.loop.now_seconds()
+
+
+@then("it works within {seconds:g} s")
+def step_works(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+    assert context.worked["A"] - context.removed_seconds <= seconds
--- a/features/state/steps/member_steps.py
+++ b/features/state/steps/member_steps.py
@@ -13,9 +13,11 @@
     Target,
     TargetDesiredState,
 )
+from lycheepost.ports.table import Condition, Transaction, Write
 from lycheepost.ports.vms import Vm, VmRole, VmState
 from lycheepost.standin.vmlist import make_vm_list_model
 from lycheepost.state.addresses import Member, MemberState, choose_addresses
+from lycheepost.state.memberrows import MemberRow, MemberRows
 from lycheepost.state.members import make_member_keeper
 from lycheepost.state.signs import (
     SignSource,
@@ -211,3 +213,38 @@
 def step_new_live(context):
     known = context.b.get(DaemonId("A"))
     assert (known.boot, known.state) == ("new", MemberState.LIVE)
+
+
+def row_of(name):
+    return MemberRow("x", "127.0.0.1", f"http://{name}", f"tcp://{name}", "b")
+
+
+@given('rows of the daemons "a" and "b", and one of "c" that cannot be read')
+def step_rows(context):
+    use_virtual_time(context)
+    context.rows = MemberRows(context.store)
+    for name in ("a", "b"):
+        written = context.rows.register(DaemonId(name), row_of(name))
+        context.loop.run_until_complete(written).unwrap()
+    damaged = Write("member/c", b'{"boot": 7}')
+    transaction = Transaction((Condition("member/c", 0),), (damaged,))
+    context.loop.run_until_complete(context.store.commit(transaction)).unwrap()
+
+
+@when("a daemon looks at the rows")
+def step_look(context):
+    context.found = context.loop.run_until_complete(context.rows.list_vms()).unwrap()
+
+
+@then('it finds "a" and "b"')
+def step_found(context):
+    assert [vm.name for vm in context.found] == ["a", "b"], context.found
+
+
+@then('it can write its own row over that of "c"')
+def step_write(context):
+    loop, me = context.loop, DaemonId("c")
+    loop.run_until_complete(context.rows.remove(me, "an earlier start")).unwrap()
+    loop.run_until_complete(context.rows.register(me, row_of("c"))).unwrap()
+    found = loop.run_until_complete(context.rows.list_vms()).unwrap()
+    assert [vm.name for vm in found] == ["a", "b", "c"], found
--- a/lycheepost/state/duties.py
+++ b/lycheepost/state/duties.py
@@ -108,6 +108,8 @@
             case Failure(LeaseTaken(retry_after_seconds=seconds)):
                 wait_seconds = max(self._period_seconds, seconds)
                 return min(wait_seconds, self._watch_seconds)
+            case Failure(error):
+                _log.info("duties: not taken", duty=self._duty, reason=error.reason)
         return self._period_seconds
 
     async def _hold(self) -> float:
@@ -118,8 +120,10 @@
             case Success(lease):
                 self._lease = lease
             case Failure(error):
-                if not self._lease.is_kept(self._clock.now_seconds()):
-                    _log.warning("duties: lost", duty=self._duty, reason=error.reason)
+                is_kept = self._lease.is_kept(self._clock.now_seconds())
+                said = "duties: not renewed" if is_kept else "duties: lost"
+                _log.warning(said, duty=self._duty, reason=error.reason)
+                if not is_kept:
                     self._lease = None
         return self._period_seconds
 
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -172,7 +172,13 @@
                 pass
             case Failure(error):
                 return Failure(LeaseError(error.reason))
-        held = None if row is None else _decode(row)
+        held = None
+        if row is not None:
+            match _decode(row):
+                case Success(held):
+                    pass
+                case Failure(error):
+                    return Failure(error)
         wait_seconds = self._remaining_seconds(duty, row, held)
         if held is not None and wait_seconds > 0:
             reason = f"The duty {duty} is held by {held.holder}."
@@ -293,10 +299,10 @@
         """Tell this write, an earlier one of our own and another daemon's apart."""
         match await self._table.read((_key(duty),)):
             case Success((Row() as found,)) if found.version > version:
-                held = _decode(found)
+                held = _decode(found).value_or(None)
                 if held == row:
                     return Success(found.version)
-                if row.token and held.token == row.token:
+                if held is not None and row.token and held.token == row.token:
                     # Each time the version is higher, so this comes to an end.
                     return Failure(OwnRowMoved(conflict.reason, (), found.version))
             case Failure(error):
@@ -308,5 +314,15 @@
     return _KEY_PREFIX + duty
 
 
-def _decode(row: Row) -> LeaseRow:
-    return msgspec.json.decode(row.value, type=LeaseRow)
+def _decode(row: Row) -> Result[LeaseRow, LeaseError]:
+    """Return the row of a duty.
+
+    One that cannot be read may be another release's lease. It is left alone, as
+    there would be no way to tell when its holder stops.
+    """
+    try:
+        return Success(msgspec.json.decode(row.value, type=LeaseRow))
+    except msgspec.DecodeError as error:
+        reason = f"The row {row.key} cannot be read: {error}"
+        _log.error("leases: row cannot be read", key=row.key, reason=reason)
+        return Failure(LeaseError(reason))
--- a/lycheepost/state/memberrows.py
+++ b/lycheepost/state/memberrows.py
@@ -57,7 +57,7 @@
         while True:
             match await self._table.scan(_PREFIX, after_key, _PAGE_ROWS):
                 case Success(page):
-                    vms.extend(_to_vm(row) for row in page.rows)
+                    vms.extend(filter(None, map(_to_vm, page.rows)))
                 case Failure(error):
                     return Failure(VmListError(error.reason))
             if page.next_key is None:
@@ -73,7 +73,7 @@
     async def remove(self, daemon: DaemonId, boot: str) -> Result[None, TableError]:
         """Remove this start's row; another start's is left as it is."""
         match await self._table.read((_key(daemon),)):
-            case Success((Row() as row,)) if _decode(row).boot == boot:
+            case Success((Row() as row,)) if _boot_of(row) == boot:
                 return await self._commit(daemon, row.version, None)
             case Failure(error):
                 return Failure(error)
@@ -108,12 +108,24 @@
     return _PREFIX + daemon
 
 
-def _decode(row: Row) -> MemberRow:
-    return msgspec.json.decode(row.value, type=MemberRow)
+def _decode(row: Row) -> MemberRow | None:
+    """Return a daemon's row; None when another release wrote it in another shape."""
+    try:
+        return msgspec.json.decode(row.value, type=MemberRow)
+    except msgspec.DecodeError as error:
+        _log.error("members: row cannot be read", key=row.key, reason=str(error))
+        return None
 
 
-def _to_vm(row: Row) -> Vm:
+def _boot_of(row: Row) -> str | None:
     member = _decode(row)
+    return None if member is None else member.boot
+
+
+def _to_vm(row: Row) -> Vm | None:
+    member = _decode(row)
+    if member is None:
+        return None
     return Vm(
         name=row.key.removeprefix(_PREFIX),
         role=VmRole.DAEMON,
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -359,8 +359,9 @@
                 self.n_lists += 1
                 self.take_list(vms, self._clock.now_seconds())
                 return True
-            case Failure(_):
+            case Failure(error):
                 self.n_failed_lists += 1
+                _log.info("members: list not read", reason=error.reason)
         return False
 
     async def _run(self) -> None:
