Follow every bound of the platform, also while a daemon runs

Repeats were counted over ten seconds whatever span the platform asks for: a deployment that counts over forty would have seen up to four times the repeats it allows. The span is read from the settings now and goes with the other terms.

All are asked for when they are used; the time between two holders' orders counts from the next start, and the log says so. A bound that is negative or no finite number and a port that none can be are faults.

--- a/features/app/settingswatch.feature
+++ b/features/app/settingswatch.feature
@@ -5,6 +5,22 @@
     When the bound on keys changes to 3000 ms and the zone to "zone-b"
     Then the watch has the bound of 3 s
 
+  Scenario Outline: The bound on <bound> that changes while it runs is followed
+    An operator makes a bound shorter. A daemon that went on by the bound of its start
+    would refuse every key between two confirmations, serve weights for too long, or
+    send more repeats than are allowed.
+    Given a platform daemon with a settings file
+    When the bound on <bound> becomes <value>
+    Then the daemon goes by <seen>
+
+    Examples:
+      | bound           | value | seen                         |
+      | revoke_ms       | 2500  | questions held for 0.52 s    |
+      | retry_ratio     | 0.4   | repeats of 0.34 per request  |
+      | retry_window_s  | 40    | a window of 40 s for repeats |
+      | version_ms      | 4000  | old weights for 2.5 s        |
+      | ttl_max_s       | 0.5   | addresses kept for 0.5 s     |
+
   Scenario Outline: A file that <fault> changes nothing
     The file is being written while it is read, or was damaged. A daemon that took it
     as it stands would lose its bounds, or its life.
@@ -17,6 +33,10 @@
       | is gone                  |
       | is empty                 |
       | has a bound of no number |
+      | has a bound below 0      |
+      | has a bound that is nan  |
+      | has a port above 65535   |
+      | has ports from last on   |
 
   Scenario: All faults of a settings file are told at once
     When a settings file has no name, no store and a port of no number
--- a/features/app/steps/settings_steps.py
+++ b/features/app/steps/settings_steps.py
@@ -1,5 +1,6 @@
 """Steps of settingswatch.feature."""
 
+import asyncio
 import json
 import os
 import pathlib
@@ -14,6 +15,8 @@
 
 from behave import given, then, when
 
+from lycheepost.app.earlysockets import open_sockets
+from lycheepost.app.platformdaemon import make_platform_daemon
 from lycheepost.app.settingswatch import SettingsWatch
 from lycheepost.platform.settings import decode_settings
 
@@ -55,6 +58,16 @@
             context.path.write_text("")
         case "has a bound of no number":
             context.path.write_text(TEXT.replace("5000", "soon"))
+        case "has a bound below 0":
+            context.path.write_text(TEXT.replace("5000", "-1"))
+        case "has a bound that is nan":
+            context.path.write_text(TEXT.replace("5000", "nan"))
+        case "has a port above 65535":
+            text = TEXT.replace("0.1:9", "0.1:70000")
+            context.path.write_text(text.replace("5000", "3000"))
+        case "has ports from last on":
+            text = TEXT.replace("7340,7355", "7355,7340")
+            context.path.write_text(text.replace("5000", "3000"))
     context.watch.look()
 
 
@@ -74,6 +87,42 @@
     assert len(context.faults) == n, context.faults
 
 
+@given("a platform daemon with a settings file")
+def step_daemon(context):
+    step_file(context)
+    node = decode_settings(TEXT).unwrap()
+    context.daemon = make_platform_daemon(
+        node, open_sockets(node), metrics_port=0, settings_file=context.path
+    )
+
+
+@when("the bound on {bound} becomes {value}")
+def step_bound_changes(context, bound, value):
+    kept = [line for line in TEXT.splitlines() if f"bounds.{bound}=" not in line]
+    context.path.write_text("\n".join([*kept, f"bounds.{bound}={value}"]))
+
+    async def reload():
+        await context.daemon.reload()
+        context.daemon._tick()
+
+    asyncio.run(reload())
+
+
+@then("the daemon goes by {seen}")
+def step_goes_by(context, seen):
+    daemon = context.daemon
+    terms = daemon._made.traffic.dispatcher._scheduler._retry_terms
+    old_seconds = daemon._made.traffic.targets.old_weights_seconds()
+    found = {
+        "questions held": f"for {daemon.watches[0]._wait_seconds():.3g} s",
+        "repeats": f"of {terms.share:.3g} per request",
+        "a window": f"of {terms.window_seconds:.3g} s for repeats",
+        "old weights": f"for {old_seconds:.3g} s",
+        "addresses kept": f"for {daemon._address_seconds():.3g} s",
+    }
+    assert seen in [f"{name} {value}" for name, value in found.items()], found
+
+
 @given("a platform daemon as a process")
 def step_process(context):
     step_file(context)
--- a/features/decide/retries.feature
+++ b/features/decide/retries.feature
@@ -12,7 +12,20 @@
   Scenario: The bound holds over any ten seconds
     Given a budget of 0.2 of the requests and 6 beyond, in any ten seconds
     When 10 requests a second come for 60 s, each tried again if allowed
-    Then no ten seconds hold more than 26 retries
+    Then no 10 s hold more than 26 retries
+
+  Scenario: The bound holds over the span that a deployment asks for
+    Another deployment counts over forty seconds. A budget that came back after ten
+    would send four times as many repeats as are allowed there.
+    Given a budget of 0.2 of the requests and 6 beyond, in any 40 s
+    When 10 requests a second come for 120 s, each tried again if allowed
+    Then no 40 s hold more than 86 retries
+
+  Scenario: Terms that change count from now on
+    Given a budget of 0.2 of the requests and 6 beyond, in any ten seconds
+    When 80 requests have come in 8 s
+    And the terms become 0 of the requests and 3 beyond
+    Then 3 of 20 retries at once are allowed
 
   Scenario: Without requests the budget comes back with time
     Given a budget of 0.2 of the requests and 6 beyond, in any ten seconds
--- a/features/decide/steps/retries_steps.py
+++ b/features/decide/steps/retries_steps.py
@@ -2,15 +2,25 @@
 
 from behave import given, then, when
 
-from lycheepost.decide.retry import RetryBudget
+from lycheepost.decide.retry import RetryBudget, RetryTerms
 
 
 @given("a budget of {share:g} of the requests and {burst:g} beyond, in any ten seconds")
 def step_budget(context, share, burst):
-    context.budget = RetryBudget(share, burst)
+    step_budget_in(context, share, burst, 10.0)
+
+
+@given("a budget of {share:g} of the requests and {burst:g} beyond, in any {n:g} s")
+def step_budget_in(context, share, burst, n):
+    context.budget = RetryBudget(RetryTerms(share, burst, n))
     context.now_seconds = 0.0
 
 
+@when("the terms become {share:g} of the requests and {burst:g} beyond")
+def step_terms(context, share, burst):
+    context.budget.set_terms(RetryTerms(share, burst, 10.0))
+
+
 @when("{n:d} requests have come in {seconds:g} s")
 def step_requests(context, n, seconds):
     for _ in range(n):
@@ -33,10 +43,10 @@
             context.retries.append(now_seconds)
 
 
-@then("no ten seconds hold more than {most:d} retries")
-def step_window(context, most):
+@then("no {seconds:g} s hold more than {most:d} retries")
+def step_window(context, seconds, most):
     for start in context.retries:
-        held = [at for at in context.retries if start <= at < start + 10.0]
+        held = [at for at in context.retries if start <= at < start + seconds]
         assert len(held) <= most, (start, len(held))
 
 
--- a/features/state/steps/adoption_steps.py
+++ b/features/state/steps/adoption_steps.py
@@ -106,7 +106,7 @@
         if int(known.get("config", b"0")) < accepted[-1]:
             wrong.append(seed)
 
-    watch = Watch(FaultyFeed(store, rng, loop), TABLE, loop, 1.0, on_seen, seed)
+    watch = Watch(FaultyFeed(store, rng, loop), TABLE, loop, lambda: 1.0, on_seen, seed)
     await watch.start()
     for number in range(1, 40):
         await asyncio.sleep(rng.uniform(0.0, 0.8))
--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -43,7 +43,7 @@
     def on_views(views):
         context.views = views
 
-    context.list = TargetList(context.clock, on_views, WEIGHTS_SECONDS)
+    context.list = TargetList(context.clock, on_views, lambda: WEIGHTS_SECONDS)
     context.list.take_all([make_target(name) for name in names_of(names)], False)
 
 
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -27,7 +27,7 @@
     PlatformTraffic,
     make_key_rule,
     make_platform_traffic,
-    retry_burst,
+    retry_terms,
 )
 from lycheepost.app.rawlistener import RawListener
 from lycheepost.app.settingswatch import SettingsWatch
@@ -71,7 +71,7 @@
     Args:
         made: Its parts.
         metrics: What is counted.
-        plan: How it ends.
+        plan: How it ends; None for the platform's time in force by then.
         sockets: Ports that listen already.
         metrics_port: Where metrics are served.
 
@@ -83,7 +83,7 @@
         self,
         made: DaemonParts,
         metrics: ServedMetrics,
-        plan: LeavePlan,
+        plan: LeavePlan | None,
         sockets: EarlySockets,
         metrics_port: int,
     ) -> None:
@@ -128,17 +128,19 @@
 
     async def drain(self) -> None:
         """Leave the addresses first, then finish every request in flight."""
+        grace_seconds = self._made.settings.bounds.grace_seconds
+        plan = self._plan or make_leave_plan(grace_seconds)
         self.is_leaving = True
         self._front.is_leaving = True
         _log.info("app: draining", n_open=self._front.n_open)
         await self._made.weights.give_up()
         leave = asyncio.create_task(self._made.peers.fleet.drain())
-        await asyncio.sleep(self._plan.take_seconds)
+        await asyncio.sleep(plan.take_seconds)
         leave.cancel()
         self._front.is_closed = True
         _log.info("app: takes nothing new", n_open=self._front.n_open)
         try:
-            async with asyncio.timeout(self._plan.finish_seconds):
+            async with asyncio.timeout(plan.finish_seconds):
                 await self._front.drain()
         except TimeoutError:
             _log.warning("app: requests outlived the drain", n_open=self._front.n_open)
@@ -156,8 +158,7 @@
         self, metrics: ServedMetrics, sockets: EarlySockets, metrics_port: int
     ) -> list[RawListener]:
         node = self._made.base.node
-        valid_seconds = min(ADDRESS_SECONDS, node.bounds.address_seconds)
-        directory = Directory(self._addresses, valid_seconds)
+        directory = Directory(self._addresses, self._address_seconds)
         page = MetricsPage(metrics, self.status)
         metrics_socket = open_socket(Endpoint(node.host, metrics_port))
         described = (
@@ -187,9 +188,9 @@
     def _tick(self) -> None:
         """Let time pass for targets, budgets and this daemon's own standing."""
         members = self._made.peers.members
-        burst = retry_burst(self._made.settings.bounds, members.n_live())
+        terms = retry_terms(self._made.settings.bounds, members.n_live())
         self._made.traffic.targets.refresh()
-        self._made.traffic.dispatcher.set_retry_burst(burst)
+        self._made.traffic.dispatcher.set_retry_terms(terms)
         if self.is_leaving:
             return
         # Callers that are sent here while keys cannot be confirmed are refused, and
@@ -199,6 +200,9 @@
         else:
             members.announce_leaving()
 
+    def _address_seconds(self) -> float:
+        return min(ADDRESS_SECONDS, self._made.settings.bounds.address_seconds)
+
     def _addresses(self) -> list[str]:
         now_seconds = self._made.base.clock.now_seconds()
         answer = self._made.peers.members.addresses(None, now_seconds)
@@ -240,7 +244,7 @@
         sockets: Ports that listen already.
         clock: Tells the time; this machine's when None.
         metrics_port: Where metrics are served; 0 takes a free port.
-        leave_plan: How it ends; by the platform's time for it when None.
+        leave_plan: How it ends; None for the platform's time in force by then.
         settings_file: Where ``node`` was read from; looked at for changes.
     """
     base = make_base(node, clock or SystemClock())
@@ -253,14 +257,16 @@
     weights = make_weights_duty(
         base, peers, traffic.targets, traffic.orders, lambda: traffic.routing.table
     )
-    watches = _make_watches(base, traffic, weights)
+    watches = _make_watches(base, traffic, weights, settings)
     made = DaemonParts(base, peers, traffic, weights, watches, settings)
-    plan = leave_plan or make_leave_plan(node.bounds.grace_seconds)
-    return PlatformDaemon(made, metrics, plan, sockets, metrics_port)
+    return PlatformDaemon(made, metrics, leave_plan, sockets, metrics_port)
 
 
 def _make_watches(
-    base: PlatformBase, traffic: PlatformTraffic, weights: WeightsDuty
+    base: PlatformBase,
+    traffic: PlatformTraffic,
+    weights: WeightsDuty,
+    settings: SettingsWatch,
 ) -> tuple[Watch, Watch]:
     def on_weights(model: ModelId, version: int, named_seconds: float | None) -> None:
         traffic.targets.want(model, version, named_seconds)
@@ -271,6 +277,6 @@
         base.clock,
         OperatorFollower(traffic.routing, base.clock, on_weights),
         ServerFollower(traffic.targets),
-        make_key_rule(base.node.bounds),
+        lambda: make_key_rule(settings.bounds),
         base.seed,
     )
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -43,6 +43,7 @@
     lease_seconds=3.0,
     retry_share=0.2,
     retry_burst=54,
+    retry_window_seconds=10.0,
     weights_seconds=10.0,
     address_seconds=5.0,
 )
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -15,6 +15,7 @@
 from lycheepost.core.ids import Incarnation, RequestId, TargetId
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.records import LoadReport, TargetView
+from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.generated.settings import StreamSettings
@@ -96,7 +97,8 @@
         get_bounds: The bounds in force.
     """
     clock = base.clock
-    dispatcher = Dispatcher(Scheduler(_scheduler_settings(base), base.seed), clock)
+    dispatcher = Dispatcher(Scheduler(_scheduler_settings(), base.seed), clock)
+    dispatcher.set_retry_terms(retry_terms(get_bounds(), FEWEST_DAEMONS))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
 
@@ -105,7 +107,7 @@
         caches.refresh()
         loads.set_targets(tuple(view.target for view in views))
 
-    targets = TargetList(clock, on_views, base.node.bounds.weights_seconds)
+    targets = TargetList(clock, on_views, lambda: get_bounds().weights_seconds)
     cache_events = CacheEventsClient()
     caches = CacheFollower(cache_events, dispatcher, targets)
     routing = RoutingKeeper()
@@ -149,17 +151,18 @@
     return KeyRule(bounds.revoke_seconds, bounds.is_revoke_strict)
 
 
-def retry_burst(bounds: Bounds, n_daemons: int) -> float:
-    """Return this daemon's part of the repeats that the fleet may save up."""
+def retry_terms(bounds: Bounds, n_daemons: int) -> RetryTerms:
+    """Return this daemon's part of the repeats that the fleet may send."""
     n_sharing = max(FEWEST_DAEMONS, n_daemons)
-    return max(1.0, RETRY_SHARE * bounds.retry_burst / n_sharing)
+    return RetryTerms(
+        share=RETRY_SHARE * bounds.retry_share,
+        burst=max(1.0, RETRY_SHARE * bounds.retry_burst / n_sharing),
+        window_seconds=bounds.retry_window_seconds,
+    )
 
 
-def _scheduler_settings(base: PlatformBase) -> SchedulerSettings:
-    bounds = base.node.bounds
+def _scheduler_settings() -> SchedulerSettings:
     return SchedulerSettings(
-        retry_share=RETRY_SHARE * bounds.retry_share,
-        retry_burst=retry_burst(bounds, FEWEST_DAEMONS),
         max_tries=MOST_TARGETS_A_REQUEST,
         admit_patience_share=ADMIT_SHARE,
         prefill_seconds_per_token=PREFILL_SECONDS_PER_TOKEN,
--- a/lycheepost/app/settingswatch.py
+++ b/lycheepost/app/settingswatch.py
@@ -1,9 +1,10 @@
 """Follow changes of the platform's settings file while the daemon runs.
 
 The platform may tell of a change by a signal, or not at all, so the file is looked at
-every few seconds as well. Bounds are followed at once; what says where this process
-listens or who it is counts from the next start, and a log line says so. A file that
-cannot be read changes nothing.
+every few seconds as well. Bounds are followed at once, but for the time between two
+holders' orders, which counts from the next start, as does what says where this
+process listens or who it is; a log line says so. A file that cannot be read changes
+nothing.
 """
 
 import asyncio
@@ -69,9 +70,11 @@
             for item in dataclasses.fields(node)
             if getattr(node, item.name) != getattr(self._node, item.name)
         ]
+        at_next_start = [name for name in changed if name != "bounds"]
+        if node.bounds.lease_seconds != self.bounds.lease_seconds:
+            at_next_start.append("bounds.lease_seconds")
         self._node = node
         self.bounds = node.bounds
-        at_next_start = [name for name in changed if name != "bounds"]
         _log.info("settings: read", changed=changed, at_next_start=at_next_start)
 
     def _look_time(self) -> int:
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -29,6 +29,7 @@
     TargetView,
     Work,
 )
+from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.generated.engine import CacheEvent
 
@@ -96,9 +97,9 @@
             work, self._scheduler.retry(work, now_seconds, is_free)
         )
 
-    def set_retry_burst(self, burst: float) -> None:
-        """Set how many retries of one target group may be saved up here."""
-        self._scheduler.set_retry_burst(burst)
+    def set_retry_terms(self, terms: RetryTerms) -> None:
+        """Set what may be tried again here in each target group."""
+        self._scheduler.set_retry_terms(terms)
 
     async def _await_outcome(self, work: Work, outcomes: list[Outcome]) -> Outcome:
         future = asyncio.get_running_loop().create_future()
--- a/lycheepost/decide/retry.py
+++ b/lycheepost/decide/retry.py
@@ -18,11 +18,9 @@
 not meet it a second time. A caller notices a gap of that length hardly, and only
 when an engine dies."""
 
-WINDOW_SECONDS = 10.5
-"""The span that the platform's rule on repeats looks at, and one slot more, so that
-no span of ten seconds escapes."""
-
 SLOT_SECONDS = 0.5
+"""Counts are kept for so long together; the window is longer by one of them, so that
+no span of its length escapes."""
 
 BURST_RETRIES = 64.0
 """One lost target's worth of requests in flight may all be retried at once."""
@@ -49,6 +47,21 @@
     n_retries: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """What may be tried again.
+
+    Attributes:
+        share: Retries allowed for each request of the window.
+        burst: Retries allowed beyond that.
+        window_seconds: In any span of this length.
+    """
+
+    share: float
+    burst: float = BURST_RETRIES
+    window_seconds: float = 10.0
+
+
 class RetryBudget:
     """Retries still allowed, in any span as long as the window.
 
@@ -57,18 +70,16 @@
     was retried before, while the sum over any window stays inside the bound.
 
     Args:
-        share: Retries allowed for each request of the window.
-        burst: Retries allowed beyond that.
+        terms: What is allowed.
     """
 
-    def __init__(self, share: float, burst: float = BURST_RETRIES) -> None:
-        self._share = share
-        self._burst = burst
+    def __init__(self, terms: RetryTerms) -> None:
+        self._terms = terms
         self._slots: deque[_Slot] = deque()
 
-    def set_burst(self, burst: float) -> None:
-        """Follow a change of this daemon's part of the fleet's budget."""
-        self._burst = burst
+    def set_terms(self, terms: RetryTerms) -> None:
+        """Follow a change of what is allowed, or of this daemon's part of it."""
+        self._terms = terms
 
     def earn(self, now_seconds: float) -> None:
         """Count a first try."""
@@ -79,7 +90,7 @@
         slot = self._slot(now_seconds)
         n_requests = sum(item.n_requests for item in self._slots)
         n_retries = sum(item.n_retries for item in self._slots)
-        if n_retries + 1 > self._burst + self._share * n_requests:
+        if n_retries + 1 > self._terms.burst + self._terms.share * n_requests:
             return False
         slot.n_retries += 1
         return True
@@ -87,7 +98,8 @@
     def _slot(self, now_seconds: float) -> _Slot:
         """Return the slot of the present time, without those before the window."""
         slots = self._slots
-        while slots and slots[0].started_seconds < now_seconds - WINDOW_SECONDS:
+        first_seconds = now_seconds - self._terms.window_seconds - SLOT_SECONDS
+        while slots and slots[0].started_seconds < first_seconds:
             slots.popleft()
         if not slots or now_seconds - slots[-1].started_seconds >= SLOT_SECONDS:
             slots.append(_Slot(now_seconds))
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -29,7 +29,7 @@
     TargetView,
     Work,
 )
-from lycheepost.decide.retry import RetryBudget
+from lycheepost.decide.retry import RetryBudget, RetryTerms
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.generated.engine import CacheEvent
 
@@ -55,7 +55,7 @@
         self._quarantine = Quarantine(
             settings.quarantine_losses, settings.quarantine_seconds
         )
-        self._retry_burst = settings.retry_burst
+        self._retry_terms = RetryTerms(settings.retry_share)
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
         self._losses: list[LossSeen] = []
         self._is_draining = False
@@ -115,18 +115,18 @@
         """Return the budget of one group: trouble of one must not spend another's."""
         budget = self._budgets.get(target_group)
         if budget is None:
-            budget = RetryBudget(self._settings.retry_share, self._retry_burst)
+            budget = RetryBudget(self._retry_terms)
             self._budgets[target_group] = budget
         return budget
 
     def _spend(self, work: Work, now_seconds: float) -> bool:
         return self._budget(work.target_group).spend(now_seconds)
 
-    def set_retry_burst(self, burst: float) -> None:
-        """Set how many retries of one group may be saved up here."""
-        self._retry_burst = burst
+    def set_retry_terms(self, terms: RetryTerms) -> None:
+        """Set what may be tried again here in each group."""
+        self._retry_terms = terms
         for budget in self._budgets.values():
-            budget.set_burst(burst)
+            budget.set_terms(terms)
 
     def retry(
         self, work: Work, now_seconds: float, is_free: bool = False
--- a/lycheepost/decide/settings.py
+++ b/lycheepost/decide/settings.py
@@ -6,7 +6,6 @@
 
 from dataclasses import dataclass
 
-from lycheepost.decide.retry import BURST_RETRIES
 from lycheepost.generated.settings import Settings
 
 
@@ -21,7 +20,6 @@
         recompute_weight: Cost of one second of avoidable prefill.
         retry_share: Retries as a share of first tries, so that a fleet in
             trouble is not loaded twice.
-        retry_burst: Retries of one target group that may be saved up.
         max_tries: Most targets that one request may reach.
         quarantine_losses: Target losses after which a request is quarantined.
         quarantine_seconds: How long a quarantined request stays refused.
@@ -39,7 +37,6 @@
     wait_weight: float = 1.0
     recompute_weight: float = 1.0
     retry_share: float = 0.1
-    retry_burst: float = BURST_RETRIES
     max_tries: int = 3
     quarantine_losses: int = 2
     quarantine_seconds: float = 600.0
--- a/lycheepost/platform/following.py
+++ b/lycheepost/platform/following.py
@@ -121,12 +121,25 @@
     clock: Clock,
     operators: OperatorFollower,
     servers: ServerFollower,
-    key_rule: KeyRule,
+    key_rule: Callable[[], KeyRule],
     seed: int,
 ) -> tuple[Watch, Watch]:
     """Return the watches of the operators' and the servers' tables."""
-    wait_seconds = held_seconds(key_rule)
     return (
-        Watch(feed, OPERATOR_TABLE, clock, wait_seconds, operators.take, seed),
-        Watch(feed, SERVER_TABLE, clock, MOST_HELD_SECONDS, servers.take, seed + 1),
+        Watch(
+            feed,
+            OPERATOR_TABLE,
+            clock,
+            lambda: held_seconds(key_rule()),
+            operators.take,
+            seed,
+        ),
+        Watch(
+            feed,
+            SERVER_TABLE,
+            clock,
+            lambda: MOST_HELD_SECONDS,
+            servers.take,
+            seed + 1,
+        ),
     )
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -338,11 +338,11 @@
 
     Args:
         addresses: The addresses, best first.
-        valid_seconds: How long an answer may be kept.
+        valid_seconds: Returns how long an answer may be kept.
     """
 
     def __init__(
-        self, addresses: Callable[[], list[str]], valid_seconds: float
+        self, addresses: Callable[[], list[str]], valid_seconds: Callable[[], float]
     ) -> None:
         self._addresses = addresses
         self._valid_seconds = valid_seconds
@@ -354,7 +354,7 @@
         addresses = self._addresses()[:MOST_ADDRESSES]
         if not addresses:
             return web.Response(status=503)
-        answer = {"addresses": addresses, "ttl_s": self._valid_seconds}
+        answer = {"addresses": addresses, "ttl_s": self._valid_seconds()}
         return web.Response(
             body=msgspec.json.encode(answer), content_type="application/json"
         )
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -4,6 +4,7 @@
 ones every fault is reported at once.
 """
 
+import math
 import os
 import pathlib
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 
 SETTINGS_VARIABLE = "LYCHEEPOST_NODE_FILE"
+MOST_PORT = 65535
 _MILLISECONDS = 1000.0
 
 
@@ -50,7 +52,8 @@
         grace_seconds: From SIGTERM to SIGKILL.
         lease_seconds: Two holders' orders to one target lie at least so far apart.
         retry_share: Repeats that the fleet may send, as a share of requests.
-        retry_burst: Repeats that the fleet may send beyond that, per window.
+        retry_burst: Repeats that the fleet may send beyond that.
+        retry_window_seconds: In any span of this length.
         weights_seconds: After this no request may begin on older weights.
         address_seconds: Longest time that clients keep an addresses answer.
     """
@@ -62,6 +65,7 @@
     lease_seconds: float
     retry_share: float
     retry_burst: float
+    retry_window_seconds: float
     weights_seconds: float
     address_seconds: float
 
@@ -108,28 +112,43 @@
         value = self._values.get(name)
         if value is None and default is not None:
             return default
+        text = self.text(name)
         try:
-            return float(self.text(name))
+            found = float(text)
         except ValueError:
-            if value is not None:
-                self.faults.append(f"{name} is {value!r}, not a number.")
-            return 0.0
+            found = math.nan
+        if math.isfinite(found) and found >= 0.0:
+            return found
+        if value is not None:
+            self.faults.append(f"{name} is {value!r}, not a number from 0 on.")
+        return 0.0
 
     def endpoint(self, name: str) -> Endpoint:
-        host, _, port = self.text(name).rpartition(":")
-        if name in self._values and not (host and port.isdigit()):
+        host, _, text = self.text(name).rpartition(":")
+        port = _port_of(text)
+        if name in self._values and not (host and port):
             self.faults.append(f"{name} is {self._values[name]!r}, not IP:PORT.")
-        return Endpoint(host, int(port) if port.isdigit() else 0)
+        return Endpoint(host, port or 0)
 
     def optional_endpoint(self, name: str) -> Endpoint | None:
         return self.endpoint(name) if self._values.get(name) else None
 
     def ports(self, name: str) -> tuple[int, int]:
-        first, _, last = self.text(name).partition(",")
-        if not (first.isdigit() and last.isdigit()):
+        first, last = (_port_of(text) for text in self._pair(name))
+        if first is None or last is None or last < first:
             self.faults.append(f"{name} is not FIRST,LAST.")
             return 0, 0
-        return int(first), int(last)
+        return first, last
+
+    def _pair(self, name: str) -> tuple[str, str]:
+        first, _, last = self.text(name).partition(",")
+        return first, last
+
+
+def _port_of(text: str) -> int | None:
+    """Return the port that a text states; None when it is none."""
+    is_number = text.isascii() and text.isdigit()
+    return int(text) if is_number and 0 < int(text) <= MOST_PORT else None
 
 
 def split_lines(text: str) -> dict[str, str]:
@@ -161,6 +180,7 @@
 
 
 def _decode_bounds(reader: _Reader) -> Bounds:
+    """Return the bounds; one that is missing is as the platform's pages give it."""
     return Bounds(
         revoke_seconds=reader.number("bounds.revoke_ms", 5000) / _MILLISECONDS,
         is_revoke_strict=reader.text("bounds.strict_revoke", "true") == "true",
@@ -169,6 +189,7 @@
         lease_seconds=reader.number("bounds.lease_ms", 3000) / _MILLISECONDS,
         retry_share=reader.number("bounds.retry_ratio", 0.1),
         retry_burst=reader.number("bounds.retry_slack", 10),
+        retry_window_seconds=reader.number("bounds.retry_window_s", 10),
         weights_seconds=reader.number("bounds.version_ms", 10000) / _MILLISECONDS,
         address_seconds=reader.number("bounds.ttl_max_s", 2),
     )
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -86,10 +86,13 @@
     Args:
         clock: A clock that counts suspension.
         on_views: Gets all views whenever one has changed.
-        weights_seconds: How long after new weights were named old ones may serve.
+        weights_seconds: Returns how long after new weights were named old ones may
+            serve.
     """
 
-    def __init__(self, clock: Clock, on_views: OnViews, weights_seconds: float) -> None:
+    def __init__(
+        self, clock: Clock, on_views: OnViews, weights_seconds: Callable[[], float]
+    ) -> None:
         self._clock = clock
         self._on_views = on_views
         self._weights_seconds = weights_seconds
@@ -223,8 +226,7 @@
         now_seconds = self._clock.now_seconds()
         until_seconds = now_seconds + START_SECONDS
         if named_seconds is not None:
-            served_seconds = self._weights_seconds - OLD_WEIGHTS_MARGIN_SECONDS
-            until_seconds = named_seconds + served_seconds
+            until_seconds = named_seconds + self.old_weights_seconds()
         if wanted is not None and self._has_behind(model, wanted.version):
             # Who is behind by two versions was due for the first one.
             until_seconds = min(until_seconds, wanted.old_until_seconds)
@@ -232,6 +234,10 @@
         self._wanted[model] = _Wanted(version, known_seconds, until_seconds)
         self.refresh()
 
+    def old_weights_seconds(self) -> float:
+        """Return how long after newer weights were named old ones get requests."""
+        return max(0.0, self._weights_seconds() - OLD_WEIGHTS_MARGIN_SECONDS)
+
     def _has_behind(self, model: ModelId, version: int) -> bool:
         return any(
             weights_number(known.weights.get(model)) < version
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -57,7 +57,7 @@
         feed: The store.
         table: Name of the table.
         clock: A clock that counts suspension.
-        wait_seconds: How long a question is held.
+        wait_seconds: Returns how long a question is held.
         on_seen: Told of each answer.
         seed: Seed of the jitter.
 
@@ -71,7 +71,7 @@
         feed: FeedPort,
         table: str,
         clock: Clock,
-        wait_seconds: float,
+        wait_seconds: Callable[[], float],
         on_seen: OnSeen,
         seed: int = 0,
     ) -> None:
@@ -131,7 +131,7 @@
             answer = await self._feed.read_table(self._table)
         else:
             answer = await self._feed.wait_changes(
-                self._table, version, self._wait_seconds
+                self._table, version, self._wait_seconds()
             )
         match answer:
             case Success(changes):
