Read rows far apart whole; tell errors that were swallowed

Rows that stand more than one page apart were read as if the ones behind the first page were missing. They are read page by page now, and a read during which rows moved fails. On the platform only single rows are read so far, so no deployment has shown it.

A group of weight 0 could get a request when the parts of the weights summed up to less than their sum. The reason of a broken answer, of a target that is asked whether it still is the same, and of a failed change of weights went nowhere; they are logged. A metrics port that is no number ends the start with a sentence.

--- a/features/decide/routed.feature
+++ b/features/decide/routed.feature
@@ -24,6 +24,11 @@
     When 1000 evenly spread requests take it
     Then the groups get 900 and 100 of them
 
+  Scenario: A group of weight nought gets nothing, whatever the rounding
+    Given a route with five groups of weight 33.3 and one of 0
+    When a request at the last point below 1 takes it
+    Then it goes to one of the five
+
   Scenario Outline: A key rests on a confirmation that is <age> s old: <outcome>
     A key was taken away while this daemon could not reach the store. Every
     request that it still served with that key after the bound would be a breach.
--- a/features/decide/steps/routed.py
+++ b/features/decide/steps/routed.py
@@ -1,5 +1,6 @@
 """Steps of routed.feature."""
 
+import math
 from dataclasses import replace
 
 from behave import given, then, when
@@ -78,6 +79,24 @@
     context.route = replace(make_route("r", "/"), shares=shares)
 
 
+@given("a route with five groups of weight 33.3 and one of 0")
+def step_nought(context):
+    # Their sum is rounded up, so taking away one after the other leaves nought.
+    shares = (GroupShare(TargetGroupId("a"), 33.3),) * 5
+    shares += (GroupShare(TargetGroupId("b"), 0.0),)
+    context.route = replace(make_route("r", "/"), shares=shares)
+
+
+@when("a request at the last point below 1 takes it")
+def step_last_point(context):
+    context.group = choose_group(context.route, math.nextafter(1.0, 0.0))
+
+
+@then("it goes to one of the five")
+def step_five(context):
+    assert context.group == "a"
+
+
 @when("{n:d} evenly spread requests take it")
 def step_spread(context, n):
     context.groups = [choose_group(context.route, i / n) for i in range(n)]
--- a/features/platform/environment.py
+++ b/features/platform/environment.py
@@ -15,9 +15,12 @@
 def before_scenario(context, scenario):
     context.loop = asyncio.new_event_loop()
     context.deployment = None
+    context.closers = []
 
 
 def after_scenario(context, scenario):
     if context.deployment is not None:
         context.loop.run_until_complete(context.deployment.stop())
+    for close in reversed(context.closers):
+        context.loop.run_until_complete(close())
     context.loop.close()
--- /dev/null
+++ b/features/platform/steps/store_steps.py
@@ -0,0 +1,60 @@
+"""Steps of store.feature."""
+
+from behave import given, then, when
+from returns.result import Failure
+
+from lycheepost.platform.models.storeface import StoreFace
+from lycheepost.platform.settings import Endpoint
+from lycheepost.platform.store import OWN_TABLE, StoreClient
+from lycheepost.standin.rowstore import RowChange, RowStore
+
+
+class MovingStore(RowStore):
+    """A store in which another daemon writes before each answer."""
+
+    def rows(self, table):
+        self.put(table, "other", b"x")
+        return super().rows(table)
+
+
+def start(context, face, n):
+    rows = [RowChange(OWN_TABLE, f"r/{number:04}", b"x") for number in range(n)]
+    face.store.apply(rows)
+    context.loop.run_until_complete(face.start())
+    context.closers.append(face.stop)
+    host, _, port = face.url.rpartition("/")[2].rpartition(":")
+    context.client = StoreClient(Endpoint(host, int(port)))
+    context.loop.run_until_complete(context.client.start())
+    context.closers.append(context.client.stop)
+    context.last = f"r/{n - 1:04}"
+
+
+@given("a store with {n:d} rows")
+def step_store(context, n):
+    start(context, StoreFace(), n)
+
+
+@given("a store with {n:d} rows that changes at every call")
+def step_moving(context, n):
+    face = StoreFace()
+    face.store = MovingStore()
+    start(context, face, n)
+
+
+@when("the first and the last row are read together with one that is missing")
+def step_read(context):
+    keys = ("r/0000", context.last, "r/0000a")
+    context.found = context.loop.run_until_complete(context.client.read(keys))
+
+
+@then("the first two are found and the third is not")
+def step_found(context):
+    first, last, missing = context.found.unwrap()
+    assert first.key == "r/0000" and last.key == context.last
+    assert missing is None
+
+
+@then("the read fails and says why")
+def step_fails(context):
+    assert isinstance(context.found, Failure), context.found
+    assert "moved" in context.found.failure().reason
--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -54,6 +54,10 @@
     from lycheepost.utils.logs import configure_logs
     from lycheepost.utils.logwriter import LogWriter
 
+    metrics_port = os.environ.get(METRICS_VARIABLE, str(METRICS_PORT))
+    if not metrics_port.isdigit():
+        print(f"{METRICS_VARIABLE} is {metrics_port!r}, no port.", file=sys.stderr)
+        return BAD_SETTINGS
     output = cast("TextIO", LogWriter(sys.stdout.fileno()))
     configure_logs(LogSettings(), node.daemon, output)
     try:
@@ -61,7 +65,7 @@
             lambda: make_platform_daemon(
                 node,
                 sockets,
-                metrics_port=int(os.environ.get(METRICS_VARIABLE, METRICS_PORT)),
+                metrics_port=int(metrics_port),
                 settings_file=node_file,
             )
         )
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -142,7 +142,8 @@
         on_first()
         try:
             body = await answer.read_whole(MOST_ANSWER_BYTES)
-        except TargetError:
+        except TargetError as error:
+            self._log_broken(error)
             return RelayEnd.BROKEN
         if answer.head.status >= _FIRST_SERVER_ERROR_STATUS:
             self._failure = (answer.head, body)
@@ -189,7 +190,8 @@
             await self._finish_stream(answer.head)
         except TimeoutError:
             return RelayEnd.FELL_SILENT
-        except TargetError:
+        except TargetError as error:
+            self._log_broken(error)
             return RelayEnd.CUT if self.has_begun else RelayEnd.BROKEN
         except ConnectionError:
             return RelayEnd.CALLER_LEFT
@@ -232,6 +234,13 @@
         self.first_seconds = round(now_seconds - self._request.arrived_seconds, 4)
         self._deps.metrics.timing("ttft", self.first_seconds)
 
+    def _log_broken(self, error: TargetError) -> None:
+        _log.info(
+            "relay: answer broken",
+            request_id=self._request.caller_id,
+            reason=error.reason,
+        )
+
     def cut(self) -> None:
         """Break the caller's connection; its answer cannot be completed."""
         _log.warning(
--- a/lycheepost/decide/routes.py
+++ b/lycheepost/decide/routes.py
@@ -65,13 +65,14 @@
         route: The route; groups without weight get nothing.
         point: Evenly spread in [0, 1); the same point gives the same group.
     """
-    total = sum(share.weight for share in route.shares)
-    rest = point * total
-    for share in route.shares:
+    weighted = [share for share in route.shares if share.weight > 0] or route.shares
+    rest = point * sum(share.weight for share in weighted)
+    for share in weighted:
         rest -= share.weight
         if rest < 0:
             return share.target_group
-    return route.shares[-1].target_group
+    # The sum of the parts may be a last bit short of the whole.
+    return weighted[-1].target_group
 
 
 def choose_kv_store(table: RouteTable, zone: AvailabilityZone) -> str:
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -160,8 +160,11 @@
             self._changes[order.target] = change
             change.add_done_callback(partial(self._end_change, order.target))
 
-    def _end_change(self, target: TargetId, _task: asyncio.Task[None]) -> None:
+    def _end_change(self, target: TargetId, change: asyncio.Task[None]) -> None:
         self._changes.pop(target, None)
+        error = None if change.cancelled() else change.exception()
+        if error is not None:
+            _log.error("weights: change failed", target=target, reason=repr(error))
 
     def _weights(self, target: ListedTarget, model: ModelId) -> TargetWeights:
         name = TargetId(target.target)
--- a/lycheepost/platform/cacheevents.py
+++ b/lycheepost/platform/cacheevents.py
@@ -14,7 +14,9 @@
 HELD_MS = 1000
 """The longest that a question may be held."""
 CALL_SECONDS = 1.8
+"""The time of holding, and as much again less a fifth for an engine that is busy."""
 CONNECT_SECONDS = 0.3
+"""As for orders: a connection takes a few milliseconds."""
 KEPT_SECONDS = 5.0
 """Ten times the pause between two questions."""
 
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import msgspec
+import structlog
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
@@ -24,6 +25,7 @@
 """A server answers a report or takes an order in milliseconds; one that hangs must
 not hold up the others."""
 CONNECT_SECONDS = 0.3
+"""A connection takes a few milliseconds; half of the call is left for the answer."""
 
 _MODES = {
     RunsMeanwhile.FINISH_FIRST: "block",
@@ -40,6 +42,9 @@
 }
 
 
+_log = structlog.get_logger(part="orders")
+
+
 class _WireModel(msgspec.Struct):
     name: str
     version: int
@@ -123,7 +128,9 @@
             ) as response:
                 named = response.headers.get(names.TARGET)
                 return named is None or named == target
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            reason = type(error).__name__
+            _log.info("orders: target not found", target=target, reason=reason)
             return False
 
     async def _call(
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -40,8 +40,11 @@
 """All rows of this system."""
 
 CONNECT_SECONDS = 0.5
+"""A connection takes a few milliseconds, also between availability zones."""
+
 CALL_SECONDS = 1.0
-"""The store answers in milliseconds; one that is sixty times slower still does."""
+"""A read or a transaction takes some milliseconds, by the platform's protocol; a
+store that is a hundred times slower is away for what this system asks of it."""
 
 KEPT_SECONDS = 15.0
 """Connections are used every second or two; one that died is noticed by its call."""
@@ -50,6 +53,8 @@
 """Beyond the time a question is held; later the connection counts as dead."""
 
 _PAGE_ROWS = 500
+"""Most rows of one answer, by the platform's protocol."""
+
 _T = TypeVar("_T")
 
 
@@ -97,14 +102,23 @@
         self, keys: tuple[str, ...]
     ) -> Result[tuple[Row | None, ...], TableError]:
         """Return the rows of ``keys`` in order, from one consistent state."""
-        query = {"from": min(keys), "to": max(keys) + "\0"}
-        match await self._get_rows(OWN_TABLE, query):
-            case Success(answer):
-                rows = {row.key: row.to_row() for row in answer.rows}
+        first_key, end_key = min(keys), max(keys) + "\0"
+        rows: dict[str, Row] = {}
+        version: int | None = None
+        while True:
+            query = {"from": first_key, "to": end_key}
+            match await self._get_rows(OWN_TABLE, query):
+                case Success(page):
+                    pass
+                case Failure(error):
+                    return Failure(error)
+            if version not in (None, page.ver):
+                return Failure(TableError("rows moved while they were read"))
+            version = page.ver
+            rows.update((row.key, row.to_row()) for row in page.rows)
+            if not page.has_more or not page.rows:
                 return Success(tuple(rows.get(key) for key in keys))
-            case Failure(error):
-                return Failure(error)
-        raise AssertionError("a result is a success or a failure")
+            first_key = page.rows[-1].key + "\0"
 
     async def scan(
         self, prefix: str, after_key: str | None, limit: int
