Give the demo's platform ports that stay taken

A port that was free a moment ago may be somebody else's when the daemon binds it. The sockets are opened on port 0 and handed over listening.

--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -14,7 +14,7 @@
 import msgspec
 import yarl
 
-from lycheepost.app.earlysockets import open_sockets
+from lycheepost.app.earlysockets import EarlySockets, open_socket
 from lycheepost.app.leaveplan import LeavePlan
 from lycheepost.app.platformdaemon import PlatformDaemon, make_platform_daemon
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
@@ -59,11 +59,13 @@
     is_whole: bool = True
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on now."""
-    with socket.socket() as found:
-        found.bind((HOST, 0))
-        return int(found.getsockname()[1])
+def _listen() -> socket.socket:
+    """Return a socket that listens on a free port."""
+    return open_socket(Endpoint(HOST, 0))
+
+
+def _endpoint_of(listening: socket.socket) -> Endpoint:
+    return Endpoint(HOST, int(listening.getsockname()[1]))
 
 
 def make_route(
@@ -202,21 +204,25 @@
 
     async def add_daemon(self) -> None:
         """Start one more daemon."""
+        clients, readiness, directory = _listen(), _listen(), _listen()
         node = NodeSettings(
             daemon=DaemonId(f"front-{len(self.nodes)}"),
             availability_zone=ZONE,
             region=RegionId("r"),
             host=HOST,
-            clients=Endpoint(HOST, free_port()),
-            readiness=Endpoint(HOST, free_port()),
-            directory=Endpoint(HOST, free_port()),
-            peer_ports=(free_port(), 0),
+            clients=_endpoint_of(clients),
+            readiness=_endpoint_of(readiness),
+            directory=_endpoint_of(directory),
+            peer_ports=(0, 0),
             store=Endpoint(HOST, int(self.store.url.rpartition(":")[2])),
             bounds=self._bounds,
         )
         plan = LeavePlan(take_seconds=0.4, finish_seconds=5.0)
         daemon = make_platform_daemon(
-            node, open_sockets(node), metrics_port=0, leave_plan=plan
+            node,
+            EarlySockets(clients, readiness, directory),
+            metrics_port=0,
+            leave_plan=plan,
         )
         await daemon.start()
         self.nodes.append(node)
