Give up bodies that stop coming

A client that sent half of a body held its request, its memory and its connection for good. Between two parts of a body at most the operator's idle time may pass now; the answer is 408 and ends the connection. A refused body was read on for ten seconds; two are enough for a client to get its answer. Shown by a scenario that hung before.

--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -65,6 +65,15 @@
       | a bare line feed in a name |
       | a very long header         |
 
+  Scenario: A body that stops coming is given up
+    A client opens requests and sends half of each body. Held for good they would use
+    up the daemon's memory and its connections.
+    Given a deployment with 1 daemon whose clients may be idle for 300 ms
+    When half of a body comes in and no more
+    Then it gets status 408 without a seal
+    And the connection has ended
+    And nothing ran
+
   Scenario: A daemon without a configuration refuses as not run
     It has just started, the store does not answer. Clients must go elsewhere or
     come back; 401 or 404 would send them away for good.
--- a/features/platform/steps/request_steps.py
+++ b/features/platform/steps/request_steps.py
@@ -183,11 +183,41 @@
     )
 
 
-def send_raw(context, start_line, headers=b"", rest=b""):
+@given("a deployment with 1 daemon whose clients may be idle for {ms:d} ms")
+def step_idle(context, ms):
+    start(context)
+    deployment = context.deployment
+    limits = {"idle_timeout_ms": ms}
+    deployment.configure(make_configuration(version=2) | {"limits": limits})
+
+    async def is_taken():
+        return deployment.daemons[0].routing.table.version == 2
+
+    context.loop.run_until_complete(deployment.until(is_taken))
+
+
+@when("half of a body comes in and no more")
+def step_half_body(context):
+    context.answer = None
+    context.raw = send_raw(
+        context,
+        b"POST /order/1 HTTP/1.1\r\n",
+        b"Content-Length: 1000\r\n",
+        b"a" * 500,
+        is_closed=False,
+    )
+
+
+@then("the connection has ended")
+def step_ended(context):
+    assert context.raw.count(b"HTTP/1.1") == 1, context.raw
+
+
+def send_raw(context, start_line, headers=b"", rest=b"", is_closed=True):
     """Send bytes over a connection of their own and return all that comes.
 
-    With bytes behind the head the client closes its side: the server reads on for
-    a while after a head that it refused.
+    With bytes behind the head the client closes its side, unless told otherwise: the
+    server reads on for a while after a head that it refused.
     """
     deployment = context.deployment
 
@@ -203,7 +233,7 @@
             + b"\r\n"
             + rest
         )
-        if rest:
+        if rest and is_closed:
             writer.write_eof()
         async with asyncio.timeout(10):
             data = await reader.read()
--- a/lycheepost/app/rawlistener.py
+++ b/lycheepost/app/rawlistener.py
@@ -12,6 +12,11 @@
 """Clients keep idle connections for up to 15 seconds at present deployments; who
 closes first must not be this side, or a request would cross the close."""
 
+LINGER_SECONDS = 2.0
+"""After an answer that came before the end of its request's body the rest is read on
+for so long: a client that still sends would lose the answer to a reset. It is enough
+for the largest body that operators allow at two megabytes a second."""
+
 HEAD_BYTES = 32 * 1024
 """Longest line or header; twice what operators allow today."""
 
@@ -47,6 +52,7 @@
             auto_decompress=False,
             access_log=None,
             keepalive_timeout=KEEP_ALIVE_SECONDS,
+            lingering_time=LINGER_SECONDS,
             max_line_size=HEAD_BYTES,
             max_field_size=HEAD_BYTES,
             max_headers=MOST_HEADERS,
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -21,11 +21,8 @@
 SHARED_WINDOW_TOKENS = 6_000
 """Prompt tokens of all daemons together that may wait at one target. They keep its
 engine busy for some 0.1 s, until more can arrive; what waits beyond that waits here,
-where it can still be ordered, sent where its prefix is, or refused in time. In a
-simulated day at the peak with a third of the engines gone, 1,000 to 6,000 gave 1,676
-to 1,698 of 2,131 answers in time, 12,000 gave 1,569 to 1,648, 20,000 gave 1,509, and
-a window of each daemon for itself 1,470; prompt tokens read again fell from 533,000
-to 137,000."""
+where it can still be ordered, sent where its prefix is, or refused in time. From twice
+as many on, fewer answers came in time; docs/design/platform.md has the trials."""
 
 REPORT_SECONDS = 10.0
 """A report older than this says nothing about now."""
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
@@ -23,6 +24,9 @@
 """Largest body before a configuration says more: what operators allow where they
 say nothing. Nothing runs then; it is read only to answer in order."""
 
+UNCONFIGURED_SECONDS = 15.0
+"""Longest pause within a body before a configuration says more."""
+
 MOST_ADDRESSES = 64
 """Most addresses that clients take from one answer, by the platform's protocol."""
 
@@ -182,13 +186,24 @@
         if n_bytes > most_bytes:
             raise _too_large()
         n_bytes = 0
-        async for part in request.content.iter_any():
-            n_bytes += len(part)
-            if n_bytes > most_bytes:
-                raise _too_large()
-            parts.append(part)
+        idle_seconds = UNCONFIGURED_SECONDS
+        if table is not None:
+            idle_seconds = table.limits.idle_seconds
+        try:
+            while part := await self._read_part(request, idle_seconds):
+                n_bytes += len(part)
+                if n_bytes > most_bytes:
+                    raise _too_large()
+                parts.append(part)
+        except TimeoutError:
+            raise _too_slow() from None
         return b"".join(parts)
 
+    async def _read_part(self, request: web.BaseRequest, idle_seconds: float) -> bytes:
+        """Return the next part of a body, nothing at its end."""
+        async with asyncio.timeout(idle_seconds):
+            return await request.content.readany()
+
     def _log_error(self, error: CallerError, request: web.BaseRequest) -> None:
         """Tell what was answered and how fresh the knowledge was that decided it."""
         routing = self._deps.routing
@@ -220,7 +235,7 @@
         response = web.Response(
             status=_status(error), text=error.reason + "\n", headers=headers
         )
-        if self.is_leaving:
+        if self.is_leaving or error.status == HTTPStatus.REQUEST_TIMEOUT:
             response.force_close()
         return response
 
@@ -238,6 +253,11 @@
     return CallerError("The body is too large.", status=413, code="too_large")
 
 
+def _too_slow() -> CallerError:
+    """Return the refusal of a body that stopped coming; the connection ends with it."""
+    return CallerError("The body stopped coming.", status=408, code="too_slow")
+
+
 def _check_path(request: web.BaseRequest) -> None:
     """Refuse paths that could not be forwarded byte for byte."""
     path = request.raw_path
