Bound the event that a stream holds back

A target that streams and never ends its event was held whole, so that one request could take the daemon's memory. Above 1 MB the stream counts as broken. Shown by a scenario that took 6.5 MB before; the other rows of it test the splitter byte by byte, which only whole systems did so far.

--- a/lycheepost/targets/events.py
+++ b/lycheepost/targets/events.py
@@ -8,6 +8,12 @@
 
 import re
 
+from lycheepost.targets.errors import TargetLost
+
+MOST_EVENT_BYTES = 1024 * 1024
+"""Largest event that is held back. Events of a stream hold some words each, a
+thousandth of this."""
+
 _ID_LINE = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?:\n|$)")
 _ENDS = (b"\n\n", b"\r\n\r\n")
 
@@ -31,10 +37,16 @@
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Take bytes and return those that end with a whole event."""
+        """Take bytes and return those that end with a whole event.
+
+        Raises:
+            TargetLost: An event is larger than may be held back.
+        """
         held = self._rest + data
         end = max(_end_of_last(held, mark) for mark in _ENDS)
         whole, self._rest = held[:end], held[end:]
+        if len(self._rest) > MOST_EVENT_BYTES:
+            raise TargetLost("an event of the stream does not end")
         ids = _ID_LINE.findall(whole)
         if ids:
             self.last_id = int(ids[-1])
