Tell when a long-running task ends by a fault

A part holds its task, so Python never tells that it raised: the part was simply gone, without a line in the log.

--- a/lycheepost/app/feed.py
+++ b/lycheepost/app/feed.py
@@ -21,6 +21,7 @@
 from lycheepost.decide.records import TargetState, TargetView
 from lycheepost.generated.configuration import Target, TargetDesiredState
 from lycheepost.state.view import ConfigurationView
+from lycheepost.utils.tasks import start_task
 
 FEED_SECONDS = 1.0
 """Signs and revisions are fed when they come; this look only finds signs that ran
@@ -155,7 +156,7 @@
     async def start(self) -> None:
         """Feed once, so that the first request finds its targets, then go on."""
         self.feed()
-        self._task = asyncio.create_task(self._run(), name="target-feed")
+        self._task = start_task(self._run(), "target-feed")
 
     async def drain(self) -> None:
         """Do nothing: requests in flight still need to be placed."""
--- a/lycheepost/app/fleet.py
+++ b/lycheepost/app/fleet.py
@@ -22,6 +22,7 @@
 from lycheepost.state.memberrows import MemberRow, MemberRows
 from lycheepost.state.members import MemberKeeper
 from lycheepost.state.peerkeys import StoredKeys, load_peer_keys
+from lycheepost.utils.tasks import start_task
 
 RETRY_SECONDS = 0.5
 """Between tries while the store does not answer."""
@@ -73,7 +74,7 @@
 
     async def start(self) -> None:
         """Begin to join."""
-        self._task = asyncio.create_task(self._join(), name="fleet-join")
+        self._task = start_task(self._join(), "fleet-join")
 
     async def drain(self) -> None:
         """Leave the addresses answers, and remove the row."""
--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -11,6 +11,7 @@
 import structlog
 
 from lycheepost.utils.metrics import Metrics
+from lycheepost.utils.tasks import start_task
 
 GAUGE_SECONDS = 15.0
 """A dashboard's usual step. The status counts every target, tens of milliseconds
@@ -57,7 +58,7 @@
 
     async def start(self) -> None:
         """Start to report."""
-        self._task = asyncio.create_task(self._run(), name="gauges")
+        self._task = start_task(self._run(), "gauges")
 
     async def drain(self) -> None:
         """Go on: the drain is what an operator wants to see."""
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -9,6 +9,7 @@
 from lycheepost.decide.records import LoadReport
 from lycheepost.generated.messages import LoadNews, TargetLoad
 from lycheepost.peers.exchange import PeerExchange
+from lycheepost.utils.tasks import start_task
 
 TELL_SECONDS = 0.03
 """How soon a change of our load is told. What waits at a target is bounded for all
@@ -46,7 +47,7 @@
 
     async def start(self) -> None:
         """Begin to tell."""
-        self._task = asyncio.create_task(self._run(), name="loads")
+        self._task = start_task(self._run(), "loads")
 
     async def drain(self) -> None:
         """Go on: what is in flight here still counts for the others."""
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -46,6 +46,7 @@
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.watch import Watch
 from lycheepost.utils.metrics import ServedMetrics
+from lycheepost.utils.tasks import start_task
 
 METRICS_PORT = 9109
 """Named in deploy/system.toml as well; outside of the range that peers use."""
@@ -134,7 +135,7 @@
         self._front.is_leaving = True
         _log.info("app: draining", n_open=self._front.n_open)
         await self._made.weights.give_up()
-        leave = asyncio.create_task(self._made.peers.fleet.drain())
+        leave = start_task(self._made.peers.fleet.drain(), "leave")
         await asyncio.sleep(plan.take_seconds)
         leave.cancel()
         self._front.is_closed = True
--- a/lycheepost/app/settingswatch.py
+++ b/lycheepost/app/settingswatch.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Success
 
 from lycheepost.platform.settings import Bounds, NodeSettings, read_node_settings
+from lycheepost.utils.tasks import start_task
 
 LOOK_SECONDS = 2.0
 """The file is small, and a look costs one question for its time of change."""
@@ -42,7 +43,7 @@
 
     async def start(self) -> None:
         """Begin to look."""
-        self._task = asyncio.create_task(self._run(), name="settings")
+        self._task = start_task(self._run(), "settings")
 
     async def drain(self) -> None:
         """Go on: bounds still count."""
--- a/lycheepost/app/ticker.py
+++ b/lycheepost/app/ticker.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from lycheepost.utils.tasks import start_task
+
 REFRESH_SECONDS = 0.1
 """How soon a target that was left alone is seen to be due again."""
 
@@ -24,7 +26,7 @@
 
     async def start(self) -> None:
         """Begin."""
-        self._task = asyncio.create_task(self._run(), name="ticker")
+        self._task = start_task(self._run(), "ticker")
 
     async def drain(self) -> None:
         """Go on: requests in flight still need targets."""
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -32,6 +32,7 @@
 from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.generated.engine import CacheEvent
+from lycheepost.utils.tasks import start_task
 
 TICK_SECONDS = 0.02
 """A queued request is looked at this often: well under the 0.3 s objective for a
@@ -58,7 +59,7 @@
 
     async def start(self) -> None:
         """Start the tick."""
-        self._ticker = asyncio.create_task(self._tick(), name="dispatch-tick")
+        self._ticker = start_task(self._tick(), "dispatch-tick")
 
     async def drain(self) -> None:
         """Refuse what still waits; what was dispatched goes on."""
--- a/lycheepost/operators/capacity_runner.py
+++ b/lycheepost/operators/capacity_runner.py
@@ -32,6 +32,7 @@
 from lycheepost.operators.capacity_watch import CapacityWatch
 from lycheepost.state.leases import Lease, LeaseTaken
 from lycheepost.state.view import ConfigurationView
+from lycheepost.utils.tasks import start_task
 
 DUTY = "capacity"
 _SPREAD_SECONDS = 1.0
@@ -73,7 +74,7 @@
 
     async def start(self) -> None:
         """Begin to look."""
-        self._task = asyncio.create_task(self._run(), name="capacity")
+        self._task = start_task(self._run(), "capacity")
 
     async def drain(self) -> None:
         """Stop looking and give the duty up, so that another need not wait."""
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -27,6 +27,7 @@
     TargetReport,
     WeightsPort,
 )
+from lycheepost.utils.tasks import start_task
 
 PASS_SECONDS = 0.1
 """Between two looks at what is to be done, which cost nothing but a comparison."""
@@ -90,7 +91,7 @@
 
     async def start(self) -> None:
         """Begin to look at what is to be done."""
-        self._task = asyncio.create_task(self._run(), name="weights")
+        self._task = start_task(self._run(), "weights")
 
     async def drain(self) -> None:
         """Begin no further change, and let those under way end."""
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -28,6 +28,7 @@
     kind_of,
 )
 from lycheepost.state.members import MemberKeeper
+from lycheepost.utils.tasks import start_task
 
 _SILENT_EXCHANGES = 3.0
 """Exchanges without a word after which a link is replaced; the same again, and
@@ -90,7 +91,7 @@
         """Open the socket and the first links."""
         await self._transport.start(self._receive)
         self._members.set_peer_endpoint(self._transport.endpoint)
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task(self._run(), "peer-exchange")
 
     async def drain(self) -> None:
         """Do nothing: members announce that this daemon leaves."""
--- a/lycheepost/peers/sockets.py
+++ b/lycheepost/peers/sockets.py
@@ -22,6 +22,7 @@
 from lycheepost.core.errors import LycheepostError
 from lycheepost.core.ids import DaemonId
 from lycheepost.peers.transport import OnMessage
+from lycheepost.utils.tasks import start_task
 
 _ZAP_DOMAIN = "peers"
 _MOST_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -119,7 +120,7 @@
             raise PeerError(f"The peer port cannot be opened: {error}.") from error
         bound = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
         self._port = int(bound.rpartition(":")[2])
-        self._router_reader = asyncio.create_task(self._read_router(self._router))
+        self._router_reader = start_task(self._read_router(self._router), "peer-reader")
 
     async def stop(self) -> None:
         """Close all links."""
@@ -155,7 +156,9 @@
             dealer.setsockopt_string(zmq.CURVE_SERVERKEY, self._server_key(daemon))
         dealer.connect(endpoint)
         self._dealers[daemon] = dealer
-        self._readers[daemon] = asyncio.create_task(self._read_dealer(daemon, dealer))
+        self._readers[daemon] = start_task(
+            self._read_dealer(daemon, dealer), "peer-reader"
+        )
 
     def disconnect(self, daemon: DaemonId) -> None:
         """Close the link that this side opened."""
--- a/lycheepost/report/explain.py
+++ b/lycheepost/report/explain.py
@@ -28,6 +28,9 @@
     "not_run": "Every target that was tried refused it unrun.",
     "too_large": "Its body was larger than the configuration allows.",
     "bad_path": "Its path could not be forwarded byte for byte.",
+    "bad_prompt": "What it said of its prompt could not be read.",
+    "headers_too_large": "Its headers were larger than the configuration allows.",
+    "too_slow": "Its body stopped coming.",
     "internal_error": "The daemon itself failed; its log holds the exception.",
 }
 
--- a/lycheepost/state/claim_batch.py
+++ b/lycheepost/state/claim_batch.py
@@ -24,6 +24,7 @@
 )
 from lycheepost.state.pacing import WritePace
 from lycheepost.state.settle import commit_settled
+from lycheepost.utils.tasks import start_task
 
 _MOST_WAITING = 4096
 """Writes waiting in one daemon; more are refused at once as not run."""
@@ -73,7 +74,7 @@
 
     def start(self) -> None:
         """Start the task."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task(self._run(), "claim-batches")
 
     async def stop(self) -> None:
         """Stop the task; what still waits fails as not written."""
--- a/lycheepost/state/duties.py
+++ b/lycheepost/state/duties.py
@@ -17,6 +17,7 @@
 from lycheepost.core.ids import DaemonId
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.leases import Lease, LeaseKeeper, LeaseTaken
+from lycheepost.utils.tasks import start_task
 
 CANDIDATES = 3
 """Daemons that stand ready for a duty: enough that a rack or an availability zone
@@ -68,7 +69,7 @@
 
     async def start(self) -> None:
         """Begin to stand ready."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task(self._run(), "duty")
 
     async def drain(self) -> None:
         """Give the lease up, so that another daemon takes over at once."""
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -33,6 +33,7 @@
 from lycheepost.state.signs import LISTED_VALID_SECONDS, SignSource, TargetSign
 from lycheepost.state.targetstates import OnTargetSign, TargetStates
 from lycheepost.state.view import ConfigurationView
+from lycheepost.utils.tasks import start_task
 
 _VM_BYTES = 120
 _LIST_BYTES_PER_SECOND = 1000.0
@@ -84,7 +85,7 @@
 
     async def start(self) -> None:
         """Start to look at the VM list."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task(self._run(), "members")
 
     async def drain(self) -> None:
         """Leave the addresses answers, here and through the peers."""
--- a/lycheepost/state/revisions.py
+++ b/lycheepost/state/revisions.py
@@ -48,6 +48,7 @@
 )
 from lycheepost.state.settle import commit_settled
 from lycheepost.state.view import ConfigurationView, make_view
+from lycheepost.utils.tasks import start_task
 
 _FLEET_POLLERS = 16
 """Looks at the head per poll interval by the whole fleet: with 540 daemons and
@@ -125,7 +126,7 @@
 
     async def start(self) -> None:
         """Start to poll; the view that there is serves at once."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_task(self._run(), "revisions")
 
     async def drain(self) -> None:
         """Do nothing: the configuration is needed until the end."""
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -19,6 +19,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.ports.feed import ChangedRow, Changes, FeedPort, HistoryGone
 from lycheepost.ports.table import TableError
+from lycheepost.utils.tasks import start_task
 
 FIRST_PAUSE_SECONDS = 0.1
 LAST_PAUSE_SECONDS = 0.8
@@ -90,7 +91,7 @@
 
     async def start(self) -> None:
         """Begin to follow."""
-        self._task = asyncio.create_task(self._run(), name=f"watch-{self._table}")
+        self._task = start_task(self._run(), f"watch-{self._table}")
 
     async def drain(self) -> None:
         """Go on: requests in flight still rest on what is known."""
--- a/lycheepost/targets/cachewatch.py
+++ b/lycheepost/targets/cachewatch.py
@@ -15,6 +15,7 @@
 
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
 from lycheepost.targets.errors import TargetError
+from lycheepost.utils.tasks import start_task
 
 PACE_SECONDS = 0.5
 """Between two questions to one engine. Belief that is half a second old is as good:
@@ -96,7 +97,7 @@
         for address in set(self._tasks) - self._wanted:
             self._tasks.pop(address).cancel()
         for address in self._wanted - set(self._tasks):
-            self._tasks[address] = asyncio.create_task(self._run(address))
+            self._tasks[address] = start_task(self._run(address), "cache-events")
 
     async def _run(self, address: str) -> None:
         since = 0
--- a/lycheepost/targets/engine.py
+++ b/lycheepost/targets/engine.py
@@ -25,6 +25,7 @@
 )
 from lycheepost.targets.session import make_session
 from lycheepost.targets.stream import EngineStream
+from lycheepost.utils.tasks import start_task
 
 _log = structlog.get_logger(part="targets")
 _REFUSAL_BYTES = 16 * 1024
@@ -53,7 +54,7 @@
     async def start(self) -> None:
         """Open the connection pool and the watch over silent streams."""
         self._session = make_session(self.settings)
-        self._watch_task = asyncio.create_task(self._watch())
+        self._watch_task = start_task(self._watch(), "engine-watch")
 
     async def drain(self) -> None:
         """Wait for cancel calls in flight; streams belong to their requests."""
--- a/lycheepost/targets/observe.py
+++ b/lycheepost/targets/observe.py
@@ -40,6 +40,7 @@
     PollSettings,
     ReportKind,
 )
+from lycheepost.utils.tasks import start_task
 
 _log = structlog.get_logger(part="targets")
 _MOST_CALLS = 64
@@ -128,7 +129,7 @@
 
     async def start(self) -> None:
         """Begin to ask."""
-        self._task = asyncio.create_task(self._run(), name="target-observer")
+        self._task = start_task(self._run(), "target-observer")
 
     async def drain(self) -> None:
         """Go on: requests in flight still need to be placed."""
