Fail the platform's demo when little is served; tell when to come back

The demo's audit looked at answers only, so that a fleet which refused everything passed it. Less than eight of ten served is a violation now. A request that ran out of time before any target had it was refused as not run without a time to wait for.

Two rows failed before.

--- a/features/platform/demo.feature
+++ b/features/platform/demo.feature
@@ -17,3 +17,4 @@
       | an order that ran twice         | ran 2 times         |
       | an order that ran, called unrun | called not run      |
       | a look-up that ran at an engine | ran at llm          |
+      | refusals and nothing else       | 0 of 3 were served  |
--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -47,6 +47,20 @@
       | order   | 504     |
       | look-up | 504     |
 
+  Scenario Outline: The refusal that is <code> tells when to come back
+    A request did not run and its client may try elsewhere. Without a time to wait
+    for, all clients of a fleet in trouble come back in the same moment.
+    When a request that did not run is refused as <code>
+    Then it gets a status of 503 and a time to wait for
+
+    Examples:
+      | code            |
+      | not_configured  |
+      | key_unconfirmed |
+      | leaving         |
+      | too_late        |
+      | not_run         |
+
   Scenario: An extra answer goes to nobody
     A server sends a second answer behind the first. On a kept connection it would
     be taken for the answer to the next request.
--- a/features/platform/steps/demo_steps.py
+++ b/features/platform/steps/demo_steps.py
@@ -47,6 +47,9 @@
     }
     if what in answers:
         platformdemo._judge(fleet, asked, "a1", answers[what], 0.1, report)
+    elif what == "refusals and nothing else":
+        report.outcomes.update(["order 503", "look 503", "title cut"])
+        platformdemo._audit_served(report)
     elif what == "an order that ran twice":
         platformdemo._audit_runs(make_fleet("/order/1", "/order/1"), report)
     else:
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -7,6 +7,8 @@
 from behave import then, when
 from request_steps import BODY, REQUESTS, ask, step_whole
 
+from lycheepost.callers import forwarderrors
+from lycheepost.callers.errors import Executed
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import (
     ExtraAnswer,
@@ -46,6 +48,19 @@
         server.faults = plan
 
 
+@when("a request that did not run is refused as {code}")
+def step_refused_as(context, code):
+    given = {"too_late": (Executed.NO,), "not_run": (0.2,)}
+    context.error = getattr(forwarderrors, code)(*given.get(code, ()))
+
+
+@then("it gets a status of 503 and a time to wait for")
+def step_wait_for(context):
+    error = context.error
+    assert error.status == 503 and error.executed is Executed.NO
+    assert error.retry_after_seconds is not None and error.retry_after_seconds > 0
+
+
 @when("a client waits {ms:d} ms for a {what}")
 def step_short(context, what, ms):
     ask(context, what, **{names.DEADLINE: str(ms)})
--- a/lycheepost/app/platformdemo.py
+++ b/lycheepost/app/platformdemo.py
@@ -29,7 +29,12 @@
 FAULT_SHARE = 0.03
 """Share of requests that meet a fault of their server."""
 
+LEAST_SERVED_SHARE = 0.8
+"""Of ten requests fewer than one meets a fault that cannot be made good."""
+
 WEIGHTS_AFTER_SHARE = 0.4
+"""New weights are named after this part of the requests."""
+
 FAULTS = (LostAnswer(), OwnFailure(), Refused(503), Truncated(2))
 _NOT_RUN = (429, 503)
 
@@ -101,6 +106,7 @@
     finally:
         await fleet.stop()
     _audit_runs(fleet, report)
+    _audit_served(report)
     return report
 
 
@@ -177,6 +183,14 @@
         report.violations.append(f"{attempt_id}: called not run, and it ran")
 
 
+def _audit_served(report: PlatformDemoReport) -> None:
+    """Count what was served: answers that nobody got break no other promise."""
+    n_asked = sum(report.outcomes.values())
+    n_served = sum(n for kind, n in report.outcomes.items() if kind.endswith("served"))
+    if n_served < LEAST_SERVED_SHARE * n_asked or not n_asked:
+        report.violations.append(f"{n_served} of {n_asked} were served")
+
+
 def _audit_runs(fleet: PlatformFleet, report: PlatformDemoReport) -> None:
     """Count what may run once and ran twice, and what ran where it must not."""
     runs = Counter(
--- a/lycheepost/callers/forwarderrors.py
+++ b/lycheepost/callers/forwarderrors.py
@@ -13,6 +13,9 @@
 LEAVING_RETRY_SECONDS = 0.02
 """Any other daemon can take the request at once."""
 
+DEADLINE_RETRY_SECONDS = 0.2
+"""The queue that took up all its time is a moment shorter by then."""
+
 CONFIRMATION_RETRY_SECONDS = 0.5
 """Another daemon, which reaches the store, can serve the key at once."""
 
@@ -75,6 +78,9 @@
         type=ErrorType.SERVER,
         code="deadline",
         executed=executed,
+        retry_after_seconds=(
+            DEADLINE_RETRY_SECONDS if executed is Executed.NO else None
+        ),
     )
 
 
