Wait for peer keys that cannot be read

A row of another release ended the task that joins the fleet, and the daemon stayed alone. It asks again now, and the log says why. Shown by a scenario that failed before.

--- a/features/state/members.feature
+++ b/features/state/members.feature
@@ -76,6 +76,13 @@
     When A starts again with a clock that is an hour behind, and B suspects the old A
     Then B takes the new A for live
 
+  Scenario: Keys of the peers that cannot be read are waited for
+    Another release wrote them. A daemon that fell over them would stay alone for good;
+    one that wrote its own would cut off all the others.
+    Given keys of the peers that cannot be read
+    When a daemon loads them
+    Then it is told why, and has written none
+
   Scenario: A member's row that cannot be read hides no other
     Another release wrote its row, or it was damaged. A daemon that stopped looking
     at the rows because of it would find no peer that starts later.
--- a/features/state/steps/member_steps.py
+++ b/features/state/steps/member_steps.py
@@ -19,6 +19,7 @@
 from lycheepost.state.addresses import Member, MemberState, choose_addresses
 from lycheepost.state.memberrows import MemberRow, MemberRows
 from lycheepost.state.members import make_member_keeper
+from lycheepost.state.peerkeys import StoredKeys, load_peer_keys
 from lycheepost.state.signs import (
     SignSource,
     TargetSign,
@@ -215,6 +216,29 @@
     assert (known.boot, known.state) == ("new", MemberState.LIVE)
 
 
+@given("keys of the peers that cannot be read")
+def step_keys(context):
+    use_virtual_time(context)
+    context.damaged = b'{"keys": []}'
+    damaged = Write("peer-keys", context.damaged)
+    transaction = Transaction((Condition("peer-keys", 0),), (damaged,))
+    context.loop.run_until_complete(context.store.commit(transaction)).unwrap()
+
+
+@when("a daemon loads them")
+def step_load(context):
+    made = load_peer_keys(context.store, lambda: StoredKeys("a", "b"))
+    context.found = context.loop.run_until_complete(made)
+
+
+@then("it is told why, and has written none")
+def step_told_why(context):
+    assert "cannot be read" in context.found.failure().reason
+    read = context.store.read(("peer-keys",))
+    (row,) = context.loop.run_until_complete(read).unwrap()
+    assert row.value == context.damaged
+
+
 def row_of(name):
     return MemberRow("x", "127.0.0.1", f"http://{name}", f"tcp://{name}", "b")
 
--- a/lycheepost/state/peerkeys.py
+++ b/lycheepost/state/peerkeys.py
@@ -63,7 +63,7 @@
 async def _read(table: TablePort) -> Result[StoredKeys | None, TableError]:
     match await table.read((_KEY,)):
         case Success((Row(value=value),)):
-            return Success(msgspec.json.decode(value, type=StoredKeys))
+            return _decode(value)
         case Success(_):
             return Success(None)
         case Failure(error):
@@ -71,6 +71,13 @@
     raise AssertionError("a result is a success or a failure")
 
 
+def _decode(value: bytes) -> Result[StoredKeys | None, TableError]:
+    try:
+        return Success(msgspec.json.decode(value, type=StoredKeys))
+    except msgspec.DecodeError as error:
+        return Failure(TableError(f"the peer keys cannot be read: {error}"))
+
+
 def _require(keys: StoredKeys | None) -> Result[StoredKeys, TableError]:
     if keys is None:
         return Failure(TableError("the peer keys were removed"))
