Leave a silent stream only when another target can take it

Cause: a stream that paused for 0.45 s (nine tenths of the pause that is on time) was closed and then tried elsewhere. Busy engines read prompts between tokens and pause as long, so a loaded fleet took streams from engines that were at work, read their prompts again, and where the retry budget or the queue refused the second try the caller's answer was cut. A continued stream also kept the patience counted from its arrival, so the rest of a long one was refused as too late wherever there was a queue.

Ruled out: only a longer limit (a second try that is refused still cuts).

--- a/features/decide/steps/routed.py
+++ b/features/decide/steps/routed.py
@@ -19,10 +19,10 @@
     Sends,
     Step,
     next_step,
-    silence_seconds,
 )
 from lycheepost.decide.freshness import KeyRule, may_trust_key
 from lycheepost.decide.routes import Way, choose_group, find_way
+from lycheepost.decide.silence import silence_seconds
 
 LIMITS = CallerLimits(16384, 4194304, 3.0, 15.0)
 GROUP = TargetGroupId("g")
--- /dev/null
+++ b/features/decide/steps/silence_steps.py
@@ -0,0 +1,167 @@
+"""Steps of silence.feature."""
+
+import asyncio
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.decide.steps.common import Desk
+from lycheepost.callers.forwardwork import continued_work
+from lycheepost.callers.relaying import read_patiently
+from lycheepost.core.ids import TargetGroupId
+from lycheepost.core.routing import GroupShare, Route, RouteKind
+from lycheepost.decide.attempts import Sends
+from lycheepost.decide.peerloads import UnderWay
+from lycheepost.decide.records import FinishKind
+from lycheepost.decide.retry import RetryTerms
+from lycheepost.decide.silence import gap_limit_seconds, silence_seconds
+
+FOREVER = "forever"
+PAUSE_SECONDS = 0.05
+
+
+def make_stream_route(kind="resumable"):
+    is_resumable = kind == "resumable"
+    return Route(
+        name="r",
+        host="a",
+        path_prefix="/",
+        kind=RouteKind.STREAM if is_resumable else RouteKind(kind),
+        shares=(GroupShare(TargetGroupId("g"), 1.0),),
+        timeout_seconds=15.0,
+        objective_seconds=0.5,
+        gap_seconds=0.5,
+        max_runs=2,
+        is_resumable=is_resumable,
+    )
+
+
+@given("an {kind} route with at most 2 runs, 0.5 s to its first part and between two")
+@given("a {kind} route with at most 2 runs, 0.5 s to its first part and between two")
+def step_route(context, kind):
+    context.route = make_stream_route(kind)
+
+
+@when("a request of it has {left:g} s left and {runs:d} runs")
+def step_request(context, left, runs):
+    sends = Sends(runs, runs)
+    context.first = silence_seconds(context.route, sends, left)
+    context.gap = gap_limit_seconds(context.route, sends)
+
+
+@then("its first part is waited for {seconds:g} s")
+def step_first(context, seconds):
+    assert abs(context.first - seconds) < 1e-9, context.first
+
+
+@then("the part after it for {seconds}")
+def step_gap(context, seconds):
+    found = FOREVER if context.gap is None else f"{context.gap:g} s"
+    assert found == seconds.replace("forever s", FOREVER), found
+
+
+@given("a request under way at a silent target while {state}")
+def step_under_way(context, state):
+    n_targets = 1 if state == "there is no other target" else 2
+    desk = context.desk = Desk(n_targets)
+    n_retries = 0.0 if state == "no retry is left" else 64.0
+    desk.scheduler.set_retry_terms(RetryTerms(0.0, n_retries))
+    desk.arrive("silent")
+    context.silent = desk.sent["silent"]
+    if state == "no other target has room":
+        fill_others(context)
+
+
+def fill_others(context):
+    desk = context.desk
+    for view in desk.views.values():
+        if view.target != context.silent:
+            load = UnderWay(queued_tokens=0, n_running=view.concurrency_limit)
+            desk.scheduler.note_others(view.target, load, desk.now_seconds)
+
+
+@given("a budget of one retry")
+def step_one_retry(context):
+    context.desk.scheduler.set_retry_terms(RetryTerms(0.0, 1.0))
+
+
+@when("it asks for another try")
+def step_ask(context):
+    desk = context.desk
+    context.work = replace(desk.works["silent"], excluded=frozenset({context.silent}))
+    context.is_left = desk.scheduler.take_retry(context.work, desk.now_seconds)
+
+
+@then("its silent target is {outcome}")
+def step_left(context, outcome):
+    assert context.is_left is (outcome == "left")
+
+
+@when("it is tried again with the retry that it took")
+def step_again(context):
+    desk = context.desk
+    desk.scheduler.finish(
+        context.work.request, desk.now_seconds, FinishKind.ANSWER_LOST
+    )
+    desk.note(desk.scheduler.retry(context.work, desk.now_seconds, is_free=True))
+
+
+@then("it is sent to the other target")
+def step_sent(context):
+    assert context.desk.sent["silent"] != context.silent
+
+
+@given("a stream of a route whose callers wait 4 s for the next part")
+def step_stream(context):
+    desk = Desk(1)
+    desk.arrive("stream")
+    context.work = desk.works["stream"]
+    context.route = make_stream_route()
+
+
+@when("it is continued {elapsed:g} s after it arrived")
+def step_continue(context, elapsed):
+    context.elapsed = elapsed
+    context.work = continued_work(context.work, context.route, elapsed)
+
+
+@then("it may wait {seconds:g} s more")
+def step_more(context, seconds):
+    assert context.work.patience_seconds - context.elapsed == seconds
+
+
+class PausingAnswer:
+    """Says nothing to its first read for longer than the limit."""
+
+    def __init__(self):
+        self.n_reads = 0
+
+    async def read(self):
+        self.n_reads += 1
+        if self.n_reads == 1:
+            await asyncio.Event().wait()
+        return b"the rest"
+
+
+@given("an answer that pauses for long, and then goes on")
+def step_answer(context):
+    context.answer = PausingAnswer()
+
+
+@when("it is read with a limit on pauses, and {may} be left")
+def step_read(context, may):
+    reading = read_patiently(context.answer, PAUSE_SECONDS, lambda: may == "may")
+    try:
+        context.outcome = asyncio.run(reading)
+    except TimeoutError:
+        context.outcome = None
+
+
+@then("the reader gives it up")
+def step_given_up(context):
+    assert context.outcome is None
+
+
+@then("the reader gets what it was")
+def step_got(context):
+    assert context.outcome == b"the rest"
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -91,13 +91,17 @@
 
         Args:
             work: The request, with the targets that failed it excluded.
-            is_free: No byte of it has reached a target.
+            is_free: No byte of it has reached a target, or its retry was taken.
         """
         now_seconds = self._clock.now_seconds()
         return await self._await_outcome(
             work, self._scheduler.retry(work, now_seconds, is_free)
         )
 
+    def take_retry(self, work: Work) -> bool:
+        """Reserve a retry for work whose target may still answer."""
+        return self._scheduler.take_retry(work, self._clock.now_seconds())
+
     def set_retry_terms(self, terms: RetryTerms) -> None:
         """Set what may be tried again here in each target group."""
         self._scheduler.set_retry_terms(terms)
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 import structlog
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from lycheepost.callers.errors import CallerError, Executed, from_refusal
 from lycheepost.callers.forwarddeps import CallerSide, ForwardDeps, ForwardRequest
@@ -21,7 +21,7 @@
     outcome_unknown,
     too_late,
 )
-from lycheepost.callers.forwardwork import engine_rank, make_work
+from lycheepost.callers.forwardwork import continued_work, engine_rank, make_work
 from lycheepost.callers.relaying import (
     AnswerRelay,
     RelayEnd,
@@ -34,15 +34,14 @@
     SendEnd,
     Sends,
     Step,
-    gap_limit_seconds,
     last_step,
     next_step,
-    silence_seconds,
 )
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.promptlevels import make_scope
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse
 from lycheepost.decide.routes import RouteFault, Way, choose_kv_store, find_way
+from lycheepost.decide.silence import gap_limit_seconds, silence_seconds
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardAnswer
@@ -121,6 +120,7 @@
         self._work = make_work(deps, request, way, _table(deps))
         self._sends = Sends()
         self._is_sent = False
+        self._has_retry = False
         until = way.route.timeout_seconds
         if request.patience_seconds is not None:
             until = min(until, request.patience_seconds)
@@ -194,7 +194,8 @@
                 return
             if not await self._goes_on(end):
                 return
-            is_free = end is SendEnd.NOT_SENT
+            is_free = end is SendEnd.NOT_SENT or self._has_retry
+            self._has_retry = False
             outcome = await self._deps.dispatcher.readmit(self._work, is_free)
 
     async def _end_refused(self, refusal: Refuse) -> None:
@@ -223,6 +224,10 @@
             step = step if can_go_on else last_step(self._sends, SendEnd.CUT)
         match step:
             case Step.TRY_AGAIN:
+                if self._relay.has_begun:
+                    self._work = continued_work(
+                        self._work, self._way.route, self._elapsed_seconds()
+                    )
                 return True
             case Step.PASS_ON:
                 await self._relay.pass_on_failure()
@@ -285,8 +290,7 @@
         target = TargetId(listed.target)
         self._is_sent = True
         try:
-            async with asyncio.timeout(wait_seconds):
-                sent = await self._deps.client.send(call)
+            sent = await self._await_head(call, wait_seconds)
         except TimeoutError:
             self._deps.targets.note_end(target, Ending.BAD)
             return SendEnd.LOST, "silent"
@@ -302,6 +306,38 @@
                 return await self._take_answer(listed, answer, wait_seconds)
         raise AssertionError("a result is a success or a failure")
 
+    async def _await_head(
+        self, call: ForwardCall, wait_seconds: float
+    ) -> Result[ForwardAnswer, TargetError]:
+        """Send, and return the head of the answer.
+
+        Raises:
+            TimeoutError: None came in time, and another target can be tried.
+        """
+        sending = asyncio.ensure_future(self._deps.client.send(call))
+        try:
+            while True:
+                ended, _ = await asyncio.wait({sending}, timeout=wait_seconds)
+                if ended:
+                    return sending.result()
+                if self._may_leave():
+                    raise TimeoutError
+        finally:
+            sending.cancel()
+
+    def _may_leave(self) -> bool:
+        """Reserve a try at another target before a silent one is given up."""
+        lost = SendEnd.CUT if self._relay.has_begun else SendEnd.LOST
+        step = next_step(
+            self._way.route, self._sends.add(lost), lost, self._remaining_seconds()
+        )
+        if step is not Step.TRY_AGAIN:
+            return False
+        if self._relay.has_begun and not self._relay.can_continue:
+            return False
+        self._has_retry = self._deps.dispatcher.take_retry(self._work)
+        return self._has_retry
+
     async def _take_answer(
         self, listed: ListedTarget, answer: ForwardAnswer, wait_seconds: float
     ) -> tuple[SendEnd | None, str]:
@@ -319,7 +355,9 @@
             )
         try:
             patience = StreamPatience(
-                wait_seconds, gap_limit_seconds(self._way.route, self._sends)
+                wait_seconds,
+                gap_limit_seconds(self._way.route, self._sends),
+                self._may_leave,
             )
             result = await self._relay.take(answer, patience, self._note_first)
         except SilentTarget:
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -1,5 +1,7 @@
 """Turn a forwarded request into the work that the decisions know."""
 
+from dataclasses import replace
+
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.core.hashing import fingerprint_body
 from lycheepost.core.ids import ModelId, WeightsVersion
@@ -7,12 +9,7 @@
 from lycheepost.decide.promptlevels import make_scope, prompt_levels
 from lycheepost.decide.records import PrefixLevel, Priority, Work
 from lycheepost.decide.routes import Way, choose_group
-
-FIRST_EVENT_SECONDS = 2.0
-FIRST_EVENT_OBJECTIVES = 4.0
-FIRST_EVENT_GAPS = 8.0
-"""A caller leaves a stream that stays silent for the longest of these: two
-seconds, four objectives, eight times the pause that is on time."""
+from lycheepost.decide.silence import stream_patience_seconds
 
 RANK_STEPS = 3
 """Ranks of routes told apart within one rank of a customer. Engines know ten ranks,
@@ -29,12 +26,18 @@
         patience = min(patience, request.patience_seconds)
     if route.kind is not RouteKind.STREAM:
         return patience
-    silence = max(
-        FIRST_EVENT_SECONDS,
-        FIRST_EVENT_OBJECTIVES * route.objective_seconds,
-        FIRST_EVENT_GAPS * route.gap_seconds,
-    )
-    return min(patience, silence)
+    return min(patience, stream_patience_seconds(route))
+
+
+def continued_work(work: Work, route: Route, elapsed_seconds: float) -> Work:
+    """Return the work of a stream whose caller has part of it already.
+
+    The caller's patience begins anew with each part that it gets. Counted from its
+    arrival it is spent soon, and the rest of a long stream would be refused as too
+    late wherever there is a queue.
+    """
+    patience = elapsed_seconds + stream_patience_seconds(route)
+    return replace(work, patience_seconds=patience)
 
 
 def _levels(deps: ForwardDeps, way: Way, prompt: Prompt) -> tuple[PrefixLevel, ...]:
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -67,10 +67,29 @@
     Attributes:
         first_seconds: Before the first part.
         gap_seconds: Between two parts; None for as long as the caller waits.
+        may_leave: Asked when it was silent for so long; False to wait once more.
     """
 
     first_seconds: float
     gap_seconds: float | None
+    may_leave: Callable[[], bool]
+
+
+async def read_patiently(
+    answer: ForwardAnswer, wait_seconds: float | None, may_leave: Callable[[], bool]
+) -> bytes | None:
+    """Return the next bytes of an answer; None after its end.
+
+    Raises:
+        TimeoutError: It was silent for ``wait_seconds``, and may be left.
+    """
+    while True:
+        try:
+            async with asyncio.timeout(wait_seconds):
+                return await answer.read()
+        except TimeoutError:
+            if may_leave():
+                raise
 
 
 class AnswerRelay:
@@ -177,15 +196,14 @@
         self._splitter.restart()
         after_id = self._splitter.last_id
         try:
-            data = await self._read_first(answer, patience.first_seconds)
+            data = await self._read_first(answer, patience)
             on_first()
             while data is not None:
                 events = self._splitter.feed(data)
                 if not self._is_in_order(after_id):
                     return RelayEnd.OUT_OF_ORDER
                 await self._send_events(answer.head, events)
-                async with asyncio.timeout(patience.gap_seconds):
-                    data = await answer.read()
+                data = await self._read_next(answer, patience)
             await self._send_events(answer.head, self._splitter.flush())
             await self._finish_stream(answer.head)
         except TimeoutError:
@@ -198,14 +216,20 @@
         return RelayEnd.SERVED
 
     async def _read_first(
-        self, answer: ForwardAnswer, wait_seconds: float
+        self, answer: ForwardAnswer, patience: StreamPatience
     ) -> bytes | None:
         try:
-            async with asyncio.timeout(wait_seconds):
-                return await answer.read()
+            return await read_patiently(
+                answer, patience.first_seconds, patience.may_leave
+            )
         except TimeoutError:
             raise SilentTarget from None
 
+    async def _read_next(
+        self, answer: ForwardAnswer, patience: StreamPatience
+    ) -> bytes | None:
+        return await read_patiently(answer, patience.gap_seconds, patience.may_leave)
+
     def _is_in_order(self, after_id: int | None) -> bool:
         """Tell whether a continuation goes on after what the caller has.
 
--- a/lycheepost/decide/attempts.py
+++ b/lycheepost/decide/attempts.py
@@ -19,20 +19,6 @@
 MIN_TRY_SECONDS = 0.03
 """With less time left no target can answer: a round trip and the shortest work."""
 
-TRY_SHARE = 0.45
-"""Part of the remaining time that a first try of a repeatable request may take
-without an answer. It leaves a second target as long as the first had."""
-
-MIN_SILENCE_SECONDS = 0.2
-"""A plain service's answer is not late before this: ten times its usual work."""
-
-GAP_SHARE = 0.9
-"""Part of the longest pause that is on time after which a stream is continued
-elsewhere: the other target needs the rest, and more, to take it up."""
-
-SILENCE_OBJECTIVES = 3.0
-"""Silence of so many objectives is far outside of what load explains."""
-
 
 class SendEnd(Enum):
     """How one send ended without an answer for the caller."""
@@ -110,29 +96,3 @@
             return Step.CUT_OFF
         case _:
             return Step.REFUSE if sends.n_runs == 0 else Step.GIVE_UP
-
-
-def silence_seconds(route: Route, sends: Sends, remaining_seconds: float) -> float:
-    """Return how long to wait for the first part of an answer.
-
-    The failure: a target takes the request and says nothing, because it hangs or
-    the connection goes silent. It shows as requests that reach their deadline.
-    A request that may run again goes elsewhere while there is time for it; any
-    other has no use for an earlier end.
-    """
-    may_repeat = route.is_repeatable and sends.n_runs + 1 < route.max_runs
-    if not may_repeat:
-        return remaining_seconds
-    usual = max(MIN_SILENCE_SECONDS, SILENCE_OBJECTIVES * route.objective_seconds)
-    return min(usual, TRY_SHARE * remaining_seconds)
-
-
-def gap_limit_seconds(route: Route, sends: Sends) -> float | None:
-    """Return how long a stream may pause before another target continues it.
-
-    The failure: a target falls silent in the middle of a stream, without a reset.
-    It shows as callers that wait for a next event until they leave. None where
-    nobody else may continue, so that an earlier end would help nobody.
-    """
-    may_continue = route.is_resumable and sends.n_runs + 1 < route.max_runs
-    return GAP_SHARE * route.gap_seconds or None if may_continue else None
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -137,6 +137,11 @@
             return [self._dispatch(work, choice, cost, now_seconds)]
         return self._queue_up(work, choice, cost, now_seconds)
 
+    def has_room_for(self, work: Work, now_seconds: float) -> bool:
+        """Tell whether a target that has not failed ``work`` could take it now."""
+        choice = self._choose(work, now_seconds, self._bound)
+        return choice is not None and choice.can_take
+
     def _queue_up(
         self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
     ) -> list[Outcome]:
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -139,7 +139,8 @@
             work: The request.
             now_seconds: The present time.
             is_free: No byte of it has reached a target, so that sending it now
-                loads the fleet no more than a first try.
+                loads the fleet no more than a first try; or its retry was taken
+                before.
         """
         refusal = self._refuse_early(work, now_seconds)
         if refusal is not None:
@@ -150,6 +151,24 @@
             return [Refuse(work.request, RefusalReason.RETRY_BUDGET, seconds)]
         return self._admit(work, now_seconds)
 
+    def take_retry(self, work: Work, now_seconds: float) -> bool:
+        """Reserve a retry for work whose target may still answer.
+
+        The load is a fleet so busy that its targets fall silent for a moment. Work
+        that is taken from one of them and then finds no other, or no budget, has
+        lost an answer that was on its way.
+
+        Returns:
+            Whether another target has room for it now and the budget allows it;
+            ``retry`` is then told that it is free.
+        """
+        is_spent = len(work.excluded) >= self._settings.max_tries
+        if is_spent or self._refuse_early(work, now_seconds) is not None:
+            return False
+        if not self._group(work.target_group).has_room_for(work, now_seconds):
+            return False
+        return self._spend(work, now_seconds)
+
     def _admit(self, work: Work, now_seconds: float) -> list[Outcome]:
         group = self._group(work.target_group)
         self._group_by_request[work.request] = group
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -4,6 +4,7 @@
 a whole answer that was the right one, with nothing behind it.
 """
 
+import asyncio
 from typing import Any
 
 import aiohttp
@@ -64,7 +65,8 @@
         the connection tells that the rest is missing.
         """
         if not self.head.has_length and self._closed is not None:
-            await self._closed
+            # A read that is given up must not end the future for the next one.
+            await asyncio.shield(self._closed)
 
     async def read_whole(self, most_bytes: int) -> bytes:
         """Return the whole body.
