Divide a large fleet into cells that know each other's load

Cause: beyond a dozen links daemons told nobody their load, but took the little that a few linked peers told for all of it; and every daemon asked every engine for its cache events, which engines hold only a few of.

Ruled out: word of every request to every daemon (about 330 messages a second in and out of each).

Now: cells of about eight daemons and their part of the targets, computed by each daemon from what it knows; load is told, cache events followed and work placed within the cell. Fleets of up to twelve are one cell, as before.

--- a/lycheepost/app/cachefollow.py
+++ b/lycheepost/app/cachefollow.py
@@ -3,6 +3,7 @@
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.ids import Incarnation, TargetId
 from lycheepost.core.routing import RouteTable
+from lycheepost.decide.records import Reach, TargetView
 from lycheepost.generated.engine import CacheEvent
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.cachewatch import CacheEventsPort, CacheWatch
@@ -28,6 +29,7 @@
         self._targets = targets
         self._table: RouteTable | None = None
         self._by_address: dict[str, TargetId] = {}
+        self._near: frozenset[TargetId] = frozenset()
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -45,6 +47,18 @@
         self._table = table
         self.refresh()
 
+    def set_targets(self, views: tuple[TargetView, ...]) -> None:
+        """Follow the engines of our cell that there are now.
+
+        An engine holds a few of these questions at a time and refuses the others.
+        Were all daemons of a large fleet to ask all engines, most of what they and
+        the engines do would be that.
+        """
+        self._near = frozenset(
+            view.target for view in views if view.reach is Reach.CELL
+        )
+        self.refresh()
+
     def refresh(self) -> None:
         """Follow the engines that there are now."""
         if self._table is None:
@@ -54,6 +68,7 @@
             for name, group in self._table.groups.items()
             if group.engine is not None
             for target in self._targets.listed(name)
+            if TargetId(target.target) in self._near
         }
         self._watch.follow(self._by_address)
 
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -6,7 +6,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, TargetId
 from lycheepost.decide.peerloads import PeerLoads, UnderWay
-from lycheepost.decide.records import LoadReport
+from lycheepost.decide.records import LoadReport, Reach, TargetView
 from lycheepost.generated.messages import LoadNews, TargetLoad
 from lycheepost.peers.exchange import PeerExchange
 from lycheepost.utils.tasks import start_task
@@ -18,13 +18,9 @@
 AGAIN_SECONDS = 0.4
 """An unchanged load is told again, or peers would take this daemon for dead."""
 
-MOST_LINKS = 12
-"""In a larger fleet daemons have not all links with each other; the load that targets
-state in their answers serves there."""
-
 
 class LoadExchange:
-    """Tells our load to the peers and theirs to the scheduler.
+    """Tells our load to the daemons of our cell and theirs to the scheduler.
 
     Args:
         dispatcher: Knows our load and places by the sum.
@@ -40,6 +36,7 @@
         self._clock = clock
         self._peers = PeerLoads()
         self._targets: tuple[TargetId, ...] = ()
+        self._mates: tuple[DaemonId, ...] = ()
         self._told: dict[TargetId, UnderWay] = {}
         self._told_seconds = float("-inf")
         self._task: asyncio.Task[None] | None = None
@@ -57,13 +54,18 @@
         if self._task is not None:
             self._task.cancel()
 
-    def set_targets(self, targets: tuple[TargetId, ...]) -> None:
+    def set_targets(self, views: tuple[TargetView, ...]) -> None:
         """Follow the targets that the scheduler knows."""
-        self._targets = targets
+        self._targets = tuple(view.target for view in views if view.reach is Reach.CELL)
+
+    def set_mates(self, mates: tuple[DaemonId, ...]) -> None:
+        """Follow who else is of our cell."""
+        self._mates = mates
 
     def observe_report(self, report: LoadReport) -> None:
-        """Take a target's own word; it counts where no peer tells its load."""
-        if not self._peers.is_known(self._clock.now_seconds()):
+        """Take a target's own word; it counts where no peer tells all of its load."""
+        is_told = self._peers.is_known(self._clock.now_seconds())
+        if not is_told or report.target not in self._targets:
             self._dispatcher.observe_load(report)
 
     async def _run(self) -> None:
@@ -73,11 +75,10 @@
             self._pass_on()
 
     def _tell(self) -> None:
-        links = self._exchange.linked()
         loads = self._dispatcher.under_way()
         now_seconds = self._clock.now_seconds()
         is_due = bool(loads) and now_seconds - self._told_seconds > AGAIN_SECONDS
-        if len(links) > MOST_LINKS or (loads == self._told and not is_due):
+        if loads == self._told and not is_due:
             return
         self._told, self._told_seconds = loads, now_seconds
         news = LoadNews(
@@ -90,7 +91,7 @@
                 for target, load in loads.items()
             ]
         )
-        for daemon in links:
+        for daemon in self._mates:
             self._exchange.send(daemon, news)
 
     def _pass_on(self) -> None:
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -20,6 +20,7 @@
     ADDRESS_SECONDS,
     PlatformPeers,
     WeightsDuty,
+    cell_of,
     make_platform_peers,
     make_weights_duty,
 )
@@ -190,6 +191,7 @@
         """Let time pass for targets, budgets and this daemon's own standing."""
         members = self._made.peers.members
         terms = retry_terms(self._made.settings.bounds, members.n_live())
+        self._made.traffic.set_cell(cell_of(members.me(), members.members()))
         self._made.traffic.targets.refresh()
         self._made.traffic.dispatcher.set_retry_terms(terms)
         if self.is_leaving:
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -8,6 +8,7 @@
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.core.ids import ModelId, TargetGroupId, TargetId, WeightsVersion
 from lycheepost.core.routing import RouteTable
+from lycheepost.decide.cells import Cell, Peer, find_cell
 from lycheepost.generated.configuration import Configuration
 from lycheepost.generated.messages import TargetChanging
 from lycheepost.operators.weightsrollout import WeightsRollout
@@ -24,9 +25,9 @@
 from lycheepost.state.view import make_view
 
 EXCHANGE_SECONDS = 0.4
-PEER_LINKS = 6
-"""In a fleet of seven each daemon is linked with all others, so that word of a
-target's change takes one hop."""
+PEER_LINKS = 3
+"""Beside the links within a cell: enough that word of a target's change reaches
+seventy daemons in four hops, also when some of them are dead."""
 
 MEMBER_LOOK_SECONDS = 12.0
 """Peers tell of each other; the table is looked at only to find peers at all."""
@@ -107,7 +108,13 @@
     )
     transport = make_socket_transport(node.daemon, node.host, node.peer_ports[0])
     exchange = make_peer_exchange(
-        transport, members, base.clock, lambda: 0, PEER_LINKS, EXCHANGE_SECONDS
+        transport,
+        members,
+        base.clock,
+        lambda: 0,
+        PEER_LINKS,
+        EXCHANGE_SECONDS,
+        lambda known: _mates(me, known),
     )
     MemberExchange(exchange, members, base.clock)
     identity = Identity(node.daemon, base.boot, node.availability_zone, node.host)
@@ -115,6 +122,26 @@
     return PlatformPeers(members, exchange, fleet)
 
 
+def cell_of(me: Member, members: tuple[Member, ...]) -> Cell:
+    """Return the cell of ``me`` among the members that serve."""
+    return find_cell(
+        _to_peer(me),
+        (_to_peer(item) for item in members if item.state is MemberState.LIVE),
+    )
+
+
+def _to_peer(member: Member) -> Peer:
+    return Peer(member.daemon, member.availability_zone)
+
+
+def _mates(me: Member, members: tuple[Member, ...]) -> tuple[Member, ...]:
+    """Return the members of our cell; load is told to them directly."""
+    names = set(cell_of(me, members).mates)
+    return tuple(
+        member for member in members if member.daemon in names and member.peer_endpoint
+    )
+
+
 def make_weights_duty(
     base: PlatformBase,
     peers: PlatformPeers,
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -13,6 +13,7 @@
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import Incarnation, RequestId, TargetId
+from lycheepost.decide.cells import Cell
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.retry import RetryTerms
@@ -81,6 +82,11 @@
             self.loads,
         ]
 
+    def set_cell(self, cell: Cell) -> None:
+        """Follow the cell of this daemon."""
+        self.targets.set_cell(cell)
+        self.loads.set_mates(cell.mates)
+
 
 def make_platform_traffic(
     base: PlatformBase,
@@ -104,8 +110,8 @@
 
     def on_views(views: tuple[TargetView, ...]) -> None:
         dispatcher.replace_targets(views)
-        caches.refresh()
-        loads.set_targets(tuple(view.target for view in views))
+        caches.set_targets(views)
+        loads.set_targets(views)
 
     targets = TargetList(clock, on_views, lambda: get_bounds().weights_seconds)
     cache_events = CacheEventsClient()
--- /dev/null
+++ b/lycheepost/decide/cells.py
@@ -0,0 +1,112 @@
+"""Divide a large fleet into cells, in which daemons know each other's load.
+
+The load: tens of daemons before tens of engines. Each daemon sends a request to one
+engine every ten seconds or so, which tells it nothing of the engine's load now; and
+word of every request to every daemon would take each of them hundreds of messages a
+second. Daemons that place blindly fill some engines while others stand empty.
+
+So the fleet is divided. A cell is some eight daemons and their part of the targets.
+Its daemons tell each other what they have under way, as those of a small fleet do,
+and place their requests within the cell. Another cell's target is taken only when
+their own are much busier. What a daemon hears and tells is then the same in a fleet
+of ten daemons and of a thousand.
+
+Every daemon computes the cells by itself from the members and targets that it knows.
+Two that know different ones for a moment place a little worse; nothing else depends
+on it.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+
+from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
+from lycheepost.decide.records import Reach, TargetView
+
+CELL_DAEMONS = 8
+"""Daemons of a cell: enough that chance evens out what their callers ask for, few
+enough that each can hear all of the others thirty times a second."""
+
+ONE_CELL_DAEMONS = 12
+"""A fleet of up to so many is one cell. Two cells of six would have little to gain,
+and a fleet of seven that gets a few more VMs would be divided in the middle of it."""
+
+MIN_CELL_TARGETS = 3
+"""Fewest targets of a cell: with fewer, one that is lost or changes its weights takes
+too much of the cell with it, so the group is not divided."""
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A daemon that takes part, as far as its cell goes."""
+
+    daemon: DaemonId
+    availability_zone: AvailabilityZone
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One daemon's cell.
+
+    Attributes:
+        number: From 0 on.
+        n_cells: Cells of the fleet.
+        mates: The other daemons of the cell.
+    """
+
+    number: int = 0
+    n_cells: int = 1
+    mates: tuple[DaemonId, ...] = ()
+
+
+def find_cell(me: Peer, peers: Iterable[Peer]) -> Cell:
+    """Return the cell of ``me`` among the daemons that serve.
+
+    Daemons are ordered by availability zone first, so that most of a cell lies in
+    one, and its requests and cache copies need not cross to another.
+    """
+    known = {peer.daemon: peer for peer in (me, *peers)}
+    if len(known) <= ONE_CELL_DAEMONS:
+        return Cell(mates=tuple(name for name in known if name != me.daemon))
+    ordered = sorted(known, key=lambda name: (known[name].availability_zone, name))
+    n_cells = max(1, round(len(ordered) / CELL_DAEMONS))
+    numbers = {
+        name: _part(index, len(ordered), n_cells) for index, name in enumerate(ordered)
+    }
+    mates = tuple(
+        name
+        for name in ordered
+        if numbers[name] == numbers[me.daemon] and name != me.daemon
+    )
+    return Cell(numbers[me.daemon], n_cells, mates)
+
+
+def _part(index: int, n_items: int, n_parts: int) -> int:
+    """Return in which of ``n_parts`` equal parts an item lies."""
+    return index * n_parts // n_items
+
+
+def set_reach(views: Sequence[TargetView], cell: Cell) -> tuple[TargetView, ...]:
+    """Return the views with what each target is to the cell."""
+    if cell.n_cells == 1:
+        return tuple(views)
+    sizes = Counter(view.target_group for view in views)
+    seen: dict[TargetGroupId, int] = defaultdict(int)
+    reaches: dict[str, Reach] = {}
+    for view in sorted(views, key=lambda item: (item.availability_zone, item.target)):
+        group = view.target_group
+        index, seen[group] = seen[group], seen[group] + 1
+        reaches[view.target] = _reach(index, sizes[group], cell)
+    return tuple(replace(view, reach=reaches[view.target]) for view in views)
+
+
+def _reach(index: int, n_targets: int, cell: Cell) -> Reach:
+    """Return what the target at this place of its group's order is to the cell."""
+    n_parts = min(cell.n_cells, n_targets // MIN_CELL_TARGETS)
+    if n_parts <= 1:
+        return Reach.FLEET
+    own = _part(cell.number, cell.n_cells, n_parts)
+    if _part(index, n_targets, n_parts) != own:
+        return Reach.FAR
+    # Where several cells share a part, the load of its targets is not known whole.
+    return Reach.CELL if n_parts == cell.n_cells else Reach.FLEET
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -20,7 +20,7 @@
 from lycheepost.core.ids import PrefixDigest, TargetId
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.rates import make_rates
-from lycheepost.decide.records import TargetState, Work
+from lycheepost.decide.records import Reach, TargetState, Work
 from lycheepost.decide.ring import Ring
 from lycheepost.decide.settings import SchedulerSettings
 
@@ -43,6 +43,10 @@
 RANDOM_CANDIDATES = 2
 """Two random targets bound the load where owners and holders are all full."""
 
+FAR_SECONDS = 0.25
+"""Cost of another cell's target, whose load is not known: half of what callers are
+promised to wait, and more than the queues of two cells differ by chance."""
+
 HOLDERS_PER_DIGEST = 6
 MAX_HELD_DIGESTS = 100_000
 """Bounds memory to about 20 MB for the prefixes that one daemon sees."""
@@ -102,22 +106,25 @@
         self.loads: dict[TargetId, TargetLoad] = {}
         self._serving: list[TargetLoad] = []
         self._serving_by_id: dict[TargetId, TargetLoad] = {}
+        self._far: list[TargetLoad] = []
         self.rates = make_rates(settings)
         self.pressure = 0.0
 
     def refresh(self) -> None:
         """Follow a change of the targets."""
-        self._serving = [load for load in self.loads.values() if _takes_new_work(load)]
+        taking = [load for load in self.loads.values() if _takes_new_work(load)]
+        self._far = [load for load in taking if load.view.reach is Reach.FAR]
+        self._serving = [load for load in taking if load.view.reach is not Reach.FAR]
         self._serving_by_id = {load.view.target: load for load in self._serving}
         self._ring.replace(set(self._serving_by_id))
 
     def is_empty(self) -> bool:
         """Tell whether no target takes new work."""
-        return not self._serving
+        return not self._serving and not self._far
 
     def has_room(self, now_seconds: float) -> bool:
         """Tell whether some target may take work now; guesses in large groups."""
-        if len(self._serving) > SCORE_ALL_TARGETS:
+        if len(self._serving) > SCORE_ALL_TARGETS or self._far:
             return True
         return any(
             load.has_room(load.estimate(now_seconds)[1]) for load in self._serving
@@ -147,7 +154,7 @@
 
     def _candidates(self, work: Work, owners: Sequence[TargetId]) -> list[TargetLoad]:
         if len(self._serving) <= SCORE_ALL_TARGETS:
-            return self._serving
+            return [*self._serving, *self._pick_far()]
         names = list(owners)
         for level in reversed(work.levels):
             if len(names) >= self._settings.candidates:
@@ -159,7 +166,12 @@
         for _ in range(RANDOM_CANDIDATES):
             load = self._serving[int(self._rng.random() * len(self._serving))]
             loads[load.view.target] = load
-        return list(loads.values())
+        return [*loads.values(), *self._pick_far()]
+
+    def _pick_far(self) -> list[TargetLoad]:
+        """Return some targets of other cells, for when this one's are busy."""
+        n_picked = min(RANDOM_CANDIDATES, len(self._far))
+        return self._rng.sample(self._far, n_picked) if n_picked else []
 
     def best(
         self,
@@ -180,10 +192,10 @@
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
         usable = _usable(self._candidates(work, owners), work, avoid)
-        if not usable and len(self._serving) > SCORE_ALL_TARGETS:
+        if not usable:
             # All candidates have failed it or are kept from it: rare enough to
             # look at every target rather than refuse it before thousands.
-            usable = _usable(self._serving, work, avoid)
+            usable = _usable([*self._serving, *self._far], work, avoid)
         if not usable:
             return None
         return self._lowest(usable, owners, now_seconds, ahead_of, work, is_late)
@@ -233,6 +245,8 @@
                 + steps * OWNER_SECONDS
                 + load.view.penalty_seconds
             )
+            if load.view.reach is Reach.FAR:
+                score += FAR_SECONDS
             if score < best_score:
                 best_score = score
                 best = (load, uncached, wait, ahead, n_running)
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -38,6 +38,17 @@
     GONE = "gone"
 
 
+class Reach(Enum):
+    """What a target is to the cell of this daemon; see ``decide.cells``."""
+
+    CELL = "cell"
+    """Only daemons of the cell use it, but for what others have too much."""
+    FLEET = "fleet"
+    """Daemons outside of the cell use it as well."""
+    FAR = "far"
+    """It is of another cell."""
+
+
 class RefusalReason(Enum):
     """Why a request was refused before it reached any target."""
 
@@ -111,6 +122,7 @@
         concurrency_limit: Most requests the target should run at once.
         serving_share: Share of normal traffic, 0 to 1; grows while warming.
         penalty_seconds: What an answer from here is worth less, told as a wait.
+        reach: What it is to this daemon's cell.
     """
 
     target: TargetId
@@ -123,6 +135,7 @@
     cache_tokens: int = 0
     serving_share: float = 1.0
     penalty_seconds: float = 0.0
+    reach: Reach = Reach.CELL
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -27,6 +27,7 @@
     encode_message,
     kind_of,
 )
+from lycheepost.state.addresses import Member
 from lycheepost.state.members import MemberKeeper
 from lycheepost.utils.tasks import start_task
 
@@ -44,6 +45,7 @@
 
 T = TypeVar("T")
 OnPeerMessage = Callable[[Any, DaemonId], None]
+ChooseMates = Callable[[tuple[Member, ...]], tuple[Member, ...]]
 
 
 @dataclass(slots=True)
@@ -70,7 +72,9 @@
         get_revision: Callable[[], int],
         fanout: int,
         exchange_seconds: float,
+        choose_mates: ChooseMates,
     ) -> None:
+        self._choose_mates = choose_mates
         self._transport = transport
         self._members = members
         self._clock = clock
@@ -189,6 +193,7 @@
         me = self._members.me().daemon
         members = self._members.members()
         wanted = list(choose_neighbours(me, members, self._fanout))
+        wanted += self._choose_mates(members)
         if self._turn % _PROBE_TURNS == 0:
             probe = choose_probe(me, members, self._turn // _PROBE_TURNS)
             wanted += [] if probe is None else [probe]
@@ -321,6 +326,7 @@
     get_revision: Callable[[], int],
     fanout: int = 4,
     exchange_seconds: float = 1.0,
+    choose_mates: ChooseMates = lambda _members: (),
 ) -> PeerExchange:
     """Return the peer part of one daemon.
 
@@ -331,7 +337,14 @@
         get_revision: Returns the revision in force, told in heartbeats.
         fanout: Links that this daemon opens.
         exchange_seconds: Time between heartbeats.
+        choose_mates: Picks further members to hold links with.
     """
     return PeerExchange(
-        transport, members, clock, get_revision, fanout, exchange_seconds
+        transport,
+        members,
+        clock,
+        get_revision,
+        fanout,
+        exchange_seconds,
+        choose_mates,
     )
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -23,6 +23,7 @@
     WeightsVersion,
 )
 from lycheepost.core.routing import ListedTarget, RouteTable
+from lycheepost.decide.cells import Cell, set_reach
 from lycheepost.decide.records import TargetState, TargetView
 from lycheepost.decide.targethealth import Ending, TargetHealth
 
@@ -102,6 +103,7 @@
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
         self._newest: dict[ModelId, WeightsVersion] = {}
+        self._cell = Cell()
 
     def get(self, target: TargetId) -> ListedTarget | None:
         """Return a target that may still be sent to; None when it has left."""
@@ -146,6 +148,10 @@
         self._table = table
         self.refresh()
 
+    def set_cell(self, cell: Cell) -> None:
+        """Follow the cell of this daemon; the next refresh makes use of it."""
+        self._cell = cell
+
     def take(
         self,
         listed: Iterable[ListedTarget],
@@ -314,6 +320,7 @@
             self._view(name, known, name in resting, now_seconds)
             for name, known in sorted(self._known.items())
         )
+        views = set_reach(views, self._cell)
         if views != self._views:
             self._views = views
             self._on_views(views)
