Follow the store through one daemon of each cell

Cause: every daemon held two questions at the store and asked anew after each answer.

Ruled out: telling changes without being asked (a message that waits in a frozen daemon's buffer would look fresh); passing on that the store was lost for a while (a follower that is in touch all along would keep a removed server for 2.2 s, longer than it may).

A whole read goes to a peer only while nothing is known.

Now: one of a cell asks the store, the others ask it and turn to the store at once when it fails. A confirmation at second hand counts from the arrival of the question, which lies after its sending.

--- /dev/null
+++ b/features/peers/feedshare.feature
@@ -0,0 +1,43 @@
+Feature: One daemon of a cell follows the store, the others ask it
+  Virtual time; messages are encoded and carried by a model of the links.
+
+  Scenario: What a daemon takes for confirmed is true, whoever told it
+    Keys rest on the configuration's last confirmation. The store fails, messages are
+    late by seconds or lost, and the daemon that is asked changes. If word at second
+    hand looked fresher than it is, a key that was taken away would be served.
+    When 4 daemons follow a store with faults through 40 seeded runs of changes
+    Then each of them knows the newest rows at the end
+    And nothing was taken for confirmed that was not
+
+  Scenario Outline: <n> daemons of a cell ask the store as often as <most> alone
+    When <n> daemons follow a calm store for 60 s
+    Then the store is asked at most <most> times as often as by one daemon alone
+
+    Examples:
+      | n | most |
+      | 1 | 1.05 |
+      | 8 | 1.5  |
+
+  Scenario Outline: A change is known everywhere soon when the one who is asked <fault>
+    The daemon that follows the store for its cell stops answering. A target leaves at
+    that moment, and no daemon may send anything there three seconds later.
+    Given 8 daemons that follow a calm store
+    When the one who is asked <fault>
+    And a row changes
+    Then every other daemon knows the row within <seconds> s
+
+    Examples:
+      | fault                      | seconds |
+      | goes on as before          | 0.1     |
+      | dies                       | 1.0     |
+      | is cut off from the store  | 3.0     |
+      | is slow to hear and answer | 3.0     |
+
+  Scenario: A peer that is far behind gets the whole table
+    Given a copy of a table with the changes of 300 answers
+    When it is asked for what came after version 5
+    Then it tells all rows, and that they are all
+    When it is asked for what came after version 290
+    Then it tells the changes since
+    When it is asked for what came after version 400
+    Then it tells nothing yet
--- /dev/null
+++ b/features/peers/steps/feedshare_steps.py
@@ -0,0 +1,311 @@
+"""Steps of feedshare.feature."""
+
+import asyncio
+import os
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from behave import given, then, when
+from returns.result import Failure, Success
+
+from lycheepost.core.ids import DaemonId
+from lycheepost.peers.feedshare import SharedFeed
+from lycheepost.peers.wire import WireCounts, decode_message, encode_message
+from lycheepost.ports.feed import ChangedRow, Changes, HistoryGone
+from lycheepost.ports.table import TableUnavailable
+from lycheepost.standin.network import LinkModel, NetworkModel
+from lycheepost.standin.rowstore import RowStore
+from lycheepost.standin.virtualtime import VirtualTimeLoop
+from lycheepost.state.feedmirror import FeedMirror
+from lycheepost.state.watch import Watch
+
+TABLE = "servers"
+KEY = "config"
+HELD_SECONDS = 1.5
+STORE_SECONDS = 0.004
+
+
+def n_runs(n):
+    return int(os.environ.get("LYCHEEPOST_RUNS", n))
+
+
+class LinkedExchange:
+    """The part of ``PeerExchange`` that is used, over the model of the links."""
+
+    def __init__(self, network, daemon):
+        self.link = network.links.get(daemon)
+        self.subscribers = defaultdict(list)
+        self.counts = WireCounts()
+
+    def subscribe(self, kind, on_message):
+        self.subscribers[kind].append(on_message)
+
+    def send(self, daemon, message):
+        return self.link.send(daemon, encode_message(message))
+
+    def receive(self, sender, data):
+        message = decode_message(data, self.counts)
+        for on_message in self.subscribers[type(message)]:
+            on_message(message, sender)
+
+
+class StoreFeed:
+    """One daemon's way to the store; fails as it is told."""
+
+    def __init__(self, store, rng=None):
+        self.store, self.rng = store, rng
+        self.n_calls = 0
+        self.is_cut = False
+
+    async def read_table(self, table):
+        rows = [ChangedRow(row.key, row.value) for row in self.store.rows(table)]
+        return await self.answer(rows, is_whole=True)
+
+    async def wait_changes(self, table, after, wait_seconds):
+        if after < self.store.oldest_version:
+            self.n_calls += 1
+            return Failure(HistoryGone("gone"))
+        rows = await self.store.wait_changes(table, after, wait_seconds)
+        if after < self.store.oldest_version:
+            self.n_calls += 1
+            return Failure(HistoryGone("gone"))
+        changed = [
+            ChangedRow(row.key, None if row.value is None else row.value)
+            for row in rows
+        ]
+        return await self.answer(changed, is_whole=False)
+
+    async def answer(self, rows, is_whole):
+        self.n_calls += 1
+        version = self.store.version
+        await asyncio.sleep(STORE_SECONDS)
+        if self.is_cut:
+            return Failure(TableUnavailable("away"))
+        if self.rng is not None:
+            await asyncio.sleep(self.rng.choice((0.0, 0.3)))
+            if self.rng.random() < 0.15:
+                return Failure(TableUnavailable("down"))
+        return Success(Changes(tuple(rows), version, is_whole=is_whole))
+
+
+@dataclass
+class Follower:
+    """One daemon that follows the store."""
+
+    feed: StoreFeed
+    shared: SharedFeed
+    watch: Watch
+    known: dict = field(default_factory=dict)
+
+    async def stop(self):
+        await self.watch.stop()
+        await self.shared.stop()
+
+
+class Cell:
+    """Daemons of one cell before one store."""
+
+    def __init__(self, loop, n, rng=None, on_confirmed=None):
+        self.loop = loop
+        self.store = RowStore()
+        self.network = NetworkModel(seed=1)
+        self.names = [DaemonId(f"daemon-{index}") for index in range(n)]
+        self.source = self.names[0]
+        self.on_confirmed = on_confirmed
+        self.followers = [self.make(name, rng) for name in self.names]
+
+    def make(self, name, rng):
+        LinkModel(self.network, name)
+        exchange = LinkedExchange(self.network, name)
+        feed = StoreFeed(self.store, rng)
+        shared = SharedFeed(
+            feed,
+            exchange,
+            self.loop,
+            lambda: None if self.source == name else self.source,
+        )
+        follower = Follower(feed, shared, None)
+        follower.watch = Watch(
+            shared,
+            TABLE,
+            self.loop,
+            lambda: HELD_SECONDS,
+            lambda seen: self.take(follower, seen),
+        )
+        follower.exchange = exchange
+        return follower
+
+    def take(self, follower, seen):
+        if seen.is_whole:
+            follower.known.clear()
+        for row in seen.rows:
+            if row.value is None:
+                follower.known.pop(row.key, None)
+            else:
+                follower.known[row.key] = row.value
+        if self.on_confirmed is not None:
+            self.on_confirmed(follower, seen)
+
+    async def start(self):
+        for follower in self.followers:
+            await follower.exchange.link.start(follower.exchange.receive)
+            await follower.shared.start()
+            await follower.watch.start()
+
+    async def stop(self):
+        for follower in self.followers:
+            await follower.stop()
+
+    @property
+    def n_calls(self):
+        return sum(follower.feed.n_calls for follower in self.followers)
+
+
+async def follow_with_faults(loop, n, seed, wrong):
+    rng = random.Random(seed)
+    history = [(loop.now_seconds(), 0)]
+
+    def check(follower, seen):
+        accepted = [number for at, number in history if at <= seen.confirmed_seconds]
+        if int(follower.known.get(KEY, b"0")) < accepted[-1]:
+            wrong.append(seed)
+
+    cell = Cell(loop, n, rng, check)
+    await cell.start()
+    for number in range(1, 40):
+        await asyncio.sleep(rng.uniform(0.0, 0.8))
+        cell.store.put(TABLE, KEY, str(number).encode())
+        history.append((loop.now_seconds(), number))
+        cell.network.delay_seconds = rng.choice((0.001, 0.001, 0.2, 2.0))
+        if rng.random() < 0.2:
+            cell.store.drop_history()
+        if rng.random() < 0.2:
+            cell.source = rng.choice(cell.names)
+        if rng.random() < 0.2:
+            cell.network.isolate(rng.choice(cell.names))
+        if rng.random() < 0.3:
+            cell.network.heal()
+    cell.network.heal()
+    cell.network.delay_seconds = 0.001
+    await asyncio.sleep(30.0)
+    await cell.stop()
+    return all(int(follower.known[KEY]) == 39 for follower in cell.followers)
+
+
+@when(
+    "{n:d} daemons follow a store with faults through {runs:d} seeded runs of changes"
+)
+def step_faults(context, n, runs):
+    context.wrong, context.ended = [], []
+    for seed in range(n_runs(runs)):
+        loop = VirtualTimeLoop()
+        work = follow_with_faults(loop, n, seed, context.wrong)
+        context.ended.append(loop.run_until_complete(work))
+        loop.close()
+
+
+@then("each of them knows the newest rows at the end")
+def step_newest(context):
+    assert all(context.ended), [i for i, ok in enumerate(context.ended) if not ok]
+
+
+@then("nothing was taken for confirmed that was not")
+def step_true(context):
+    assert context.wrong == [], sorted(set(context.wrong))
+
+
+async def follow_calmly(loop, n, seconds):
+    cell = Cell(loop, n)
+    await cell.start()
+    await asyncio.sleep(seconds)
+    await cell.stop()
+    return cell.n_calls
+
+
+@when("{n:d} daemons follow a calm store for {seconds:d} s")
+def step_calm(context, n, seconds):
+    counts = []
+    for number in (n, 1):
+        loop = VirtualTimeLoop()
+        counts.append(loop.run_until_complete(follow_calmly(loop, number, seconds)))
+        loop.close()
+    context.n_calls, context.n_alone = counts
+
+
+@then("the store is asked at most {most:g} times as often as by one daemon alone")
+def step_asked(context, most):
+    assert context.n_calls <= most * context.n_alone, (context.n_calls, context.n_alone)
+
+
+@given("{n:d} daemons that follow a calm store")
+def step_cell(context, n):
+    context.loop = VirtualTimeLoop()
+    context.cell = Cell(context.loop, n)
+    context.cell.store.put(TABLE, "target", b"here")
+    context.loop.run_until_complete(context.cell.start())
+    wait(context, 10.0)
+
+
+def wait(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+@when("the one who is asked {fault}")
+def step_fault(context, fault):
+    cell = context.cell
+    first = cell.followers[0]
+    match fault:
+        case "goes on as before":
+            pass
+        case "dies":
+            context.loop.run_until_complete(first.stop())
+            cell.network.isolate(cell.source)
+        case "is cut off from the store":
+            first.feed.is_cut = True
+        case "is slow to hear and answer":
+            cell.network.delay_seconds = 0.7
+
+
+@when("a row changes")
+def step_row(context):
+    context.cell.store.put(TABLE, "target", b"leaving")
+
+
+@then("every other daemon knows the row within {seconds:g} s")
+def step_knows(context, seconds):
+    wait(context, seconds)
+    others = context.cell.followers[1:]
+    assert all(item.known["target"] == b"leaving" for item in others)
+    context.loop.run_until_complete(context.cell.stop())
+
+
+@given("a copy of a table with the changes of {n:d} answers")
+def step_copy(context, n):
+    context.mirror = FeedMirror()
+    context.mirror.take(Changes((), 1, is_whole=True), 0.0)
+    for version in range(2, n + 2):
+        row = ChangedRow(f"row-{version % 7}", str(version).encode())
+        context.mirror.take(Changes((row,), version), 0.0)
+
+
+@when("it is asked for what came after version {after:d}")
+def step_after(context, after):
+    context.changes = context.mirror.changes_after(after)
+    context.after = after
+
+
+@then("it tells all rows, and that they are all")
+def step_whole(context):
+    assert context.changes.is_whole and len(context.changes.rows) == 7
+
+
+@then("it tells the changes since")
+def step_since(context):
+    assert not context.changes.is_whole
+    assert len(context.changes.rows) == context.mirror.version - context.after
+
+
+@then("it tells nothing yet")
+def step_nothing(context):
+    assert context.changes is None
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -44,6 +44,7 @@
 from lycheepost.platform.ingress import Directory, Readiness
 from lycheepost.platform.settings import Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
+from lycheepost.ports.feed import FeedPort
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.watch import Watch
 from lycheepost.utils.metrics import ServedMetrics
@@ -96,6 +97,7 @@
         self._parts: list[Part] = [
             made.base.store,
             *made.traffic.parts(),
+            made.peers.feed,
             *made.watches,
             Ticker(self._tick),
             made.settings,
@@ -223,6 +225,7 @@
             "watches": [watch.status() for watch in made.watches],
             "members": made.peers.members.status()["members"],
             "peers": made.peers.exchange.status(),
+            "feed": made.peers.feed.status(),
             "targets": made.traffic.targets.status(),
             "weights": made.weights.rollout.status(),
             "duties": [made.weights.duty.status()],
@@ -260,13 +263,14 @@
     weights = make_weights_duty(
         base, peers, traffic.targets, traffic.orders, lambda: traffic.routing.table
     )
-    watches = _make_watches(base, traffic, weights, settings)
+    watches = _make_watches(base, peers.feed, traffic, weights, settings)
     made = DaemonParts(base, peers, traffic, weights, watches, settings)
     return PlatformDaemon(made, metrics, leave_plan, sockets, metrics_port)
 
 
 def _make_watches(
     base: PlatformBase,
+    feed: FeedPort,
     traffic: PlatformTraffic,
     weights: WeightsDuty,
     settings: SettingsWatch,
@@ -276,7 +280,7 @@
         weights.rollout.want(model, version)
 
     return make_watches(
-        base.store,
+        feed,
         base.clock,
         OperatorFollower(traffic.routing, base.clock, on_weights),
         ServerFollower(traffic.targets),
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -8,11 +8,12 @@
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.core.ids import ModelId, TargetGroupId, TargetId, WeightsVersion
 from lycheepost.core.routing import RouteTable
-from lycheepost.decide.cells import Cell, Peer, find_cell
+from lycheepost.decide.cells import Cell, Peer, find_cell, find_source
 from lycheepost.generated.configuration import Configuration
 from lycheepost.generated.messages import TargetChanging
 from lycheepost.operators.weightsrollout import WeightsRollout
 from lycheepost.peers.exchange import PeerExchange, make_peer_exchange
+from lycheepost.peers.feedshare import SharedFeed
 from lycheepost.peers.membership import MemberExchange
 from lycheepost.peers.sockets import make_socket_transport
 from lycheepost.platform.orders import ServerOrders
@@ -63,6 +64,7 @@
     members: MemberKeeper
     exchange: PeerExchange
     fleet: Fleet
+    feed: SharedFeed
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,9 +119,15 @@
         lambda known: _mates(me, known),
     )
     MemberExchange(exchange, members, base.clock)
+    feed = SharedFeed(
+        base.store,
+        exchange,
+        base.clock,
+        lambda: find_source(node.daemon, cell_of(members.me(), members.members())),
+    )
     identity = Identity(node.daemon, base.boot, node.availability_zone, node.host)
     fleet = Fleet(identity, base.store, transport, exchange, members)
-    return PlatformPeers(members, exchange, fleet)
+    return PlatformPeers(members, exchange, fleet, feed)
 
 
 def cell_of(me: Member, members: tuple[Member, ...]) -> Cell:
--- a/lycheepost/decide/cells.py
+++ b/lycheepost/decide/cells.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from lycheepost.core.hashing import hash_bytes, rendezvous_order
 from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
 from lycheepost.decide.records import Reach, TargetView
 
@@ -35,6 +36,8 @@
 """Fewest targets of a cell: with fewer, one that is lost or changes its weights takes
 too much of the cell with it, so the group is not divided."""
 
+_SOURCE_KEY = hash_bytes(b"source")
+
 
 @dataclass(frozen=True, slots=True)
 class Peer:
@@ -81,6 +84,12 @@
     return Cell(numbers[me.daemon], n_cells, mates)
 
 
+def find_source(me: DaemonId, cell: Cell) -> DaemonId | None:
+    """Return who of the cell follows the store for the others; None for ``me``."""
+    first = DaemonId(rendezvous_order(_SOURCE_KEY, (me, *cell.mates))[0])
+    return None if first == me else first
+
+
 def _part(index: int, n_items: int, n_parts: int) -> int:
     """Return in which of ``n_parts`` equal parts an item lies."""
     return index * n_parts // n_items
--- /dev/null
+++ b/lycheepost/peers/feedshare.py
@@ -0,0 +1,286 @@
+"""Follow the store through a peer that follows it.
+
+One daemon of each cell asks the store; the others ask that daemon, and turn to the
+store themselves as soon as it does not answer, is behind, or is cut off. So the calls
+to the store grow with the cells and not with the daemons, and nothing is served by
+word of a peer that the store would not have said.
+
+How fresh an answer is counts from the arrival of its question at the peer: that lies
+after its sending here, so what was confirmed so long after the arrival was confirmed
+at least so long after the sending. Neither a message that was long on its way nor a
+daemon that slept makes an answer look fresher than it is.
+"""
+
+import asyncio
+import itertools
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import DaemonId
+from lycheepost.generated.messages import FeedAnswer, FeedAsk, FeedRow
+from lycheepost.peers.exchange import PeerExchange
+from lycheepost.ports.feed import ChangedRow, Changes, FeedPort
+from lycheepost.ports.table import TableError
+from lycheepost.state.feedmirror import FeedMirror
+from lycheepost.utils.tasks import start_task
+
+ASKED_HELD_SECONDS = 0.6
+"""How long a question to a peer is held. Keys rest on confirmations of up to 3.8 s:
+this, twice the time for which the store holds the peer's question, and the margin
+below leave over a second of that."""
+
+STORE_HELD_SECONDS = 0.8
+"""How long the store holds a question of a daemon that answers others."""
+
+ANSWER_SECONDS = 0.3
+"""Beyond the time of holding; later the peer counts as dead. Between availability
+zones a message takes a few milliseconds, and a daemon is rarely busy for so long."""
+
+DIRECT_SECONDS = 3.0
+"""How long the store is asked after a peer has failed. A peer that died is found out,
+and another one chosen, within that time."""
+
+LOOK_SECONDS = 0.1
+"""Between two looks at what is held for too long."""
+
+NO_VERSION = -1
+
+_log = structlog.get_logger(part="feed")
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """A question of a peer that waits for a change."""
+
+    sender: DaemonId
+    ask: FeedAsk
+    arrived_seconds: float
+
+    @property
+    def until_seconds(self) -> float:
+        return self.arrived_seconds + self.ask.wait_seconds
+
+
+class SharedFeed:
+    """Implements ``ports.feed.FeedPort`` over a peer and the store.
+
+    Args:
+        store: The store's own feed.
+        exchange: Links to the peers.
+        clock: A clock that counts suspension.
+        get_source: Returns the peer to ask; None to ask the store.
+    """
+
+    def __init__(
+        self,
+        store: FeedPort,
+        exchange: PeerExchange,
+        clock: Clock,
+        get_source: Callable[[], DaemonId | None],
+    ) -> None:
+        self._store = store
+        self._exchange = exchange
+        self._clock = clock
+        self._get_source = get_source
+        self._mirrors: dict[str, FeedMirror] = defaultdict(FeedMirror)
+        self._known: set[str] = set()
+        self._held: list[_Held] = []
+        self._numbers = itertools.count(1)
+        self._answers: dict[int, asyncio.Future[FeedAnswer]] = {}
+        self._direct_until_seconds = float("-inf")
+        self._task: asyncio.Task[None] | None = None
+        self.n_peer_answers = 0
+        self.n_peer_failures = 0
+        exchange.subscribe(FeedAsk, self._take_ask)
+        exchange.subscribe(FeedAnswer, self._take_answer)
+
+    async def start(self) -> None:
+        """Begin to answer peers."""
+        self._task = start_task(self._run(), "feed-share")
+
+    async def drain(self) -> None:
+        """Go on: peers may still ask."""
+
+    async def stop(self) -> None:
+        """Stop answering."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def status(self) -> dict[str, object]:
+        """Return where the store's word comes from, for the status page."""
+        return {
+            "source": self._source() or "store",
+            "n_peer_answers": self.n_peer_answers,
+            "n_peer_failures": self.n_peer_failures,
+            "n_held": len(self._held),
+        }
+
+    async def read_table(self, table: str) -> Result[Changes, TableError]:
+        """Return every row of ``table``.
+
+        A peer is asked only as long as nothing is known: its copy may be older than
+        what was known here before, and rows would go back.
+        """
+        if table not in self._known:
+            told = await self._ask_peer(table, NO_VERSION, 0.0)
+            if told is not None:
+                return Success(told)
+        sent_seconds = self._clock.now_seconds()
+        return self._note(table, await self._store.read_table(table), sent_seconds)
+
+    async def wait_changes(
+        self, table: str, after: int, wait_seconds: float
+    ) -> Result[Changes, TableError]:
+        """Return the changes after a version, as soon as there are some."""
+        told = await self._ask_peer(table, after, min(wait_seconds, ASKED_HELD_SECONDS))
+        if told is not None:
+            return Success(told)
+        sent_seconds = self._clock.now_seconds()
+        held_seconds = min(wait_seconds, STORE_HELD_SECONDS)
+        answer = await self._store.wait_changes(table, after, held_seconds)
+        return self._note(table, answer, sent_seconds)
+
+    def _note(
+        self, table: str, answer: Result[Changes, TableError], sent_seconds: float
+    ) -> Result[Changes, TableError]:
+        """Keep what the store told, and answer the peers that wait for it."""
+        mirror = self._mirrors[table]
+        match answer:
+            case Success(changes):
+                mirror.take(changes, sent_seconds)
+                self._known.add(table)
+            case Failure(_):
+                mirror.note_lost()
+        self._answer_held()
+        return answer
+
+    def _source(self) -> DaemonId | None:
+        if self._clock.now_seconds() < self._direct_until_seconds:
+            return None
+        return self._get_source()
+
+    async def _ask_peer(
+        self, table: str, after: int, wait_seconds: float
+    ) -> Changes | None:
+        """Return what a peer told; None where the store is to be asked."""
+        source = self._source()
+        if source is None:
+            return None
+        number = next(self._numbers)
+        ask = FeedAsk(
+            number=number, table=table, after=after, wait_seconds=wait_seconds
+        )
+        sent_seconds = self._clock.now_seconds()
+        answer = await self._send(source, ask)
+        if answer is None or not answer.is_known:
+            self._note_failure(source, table, answer is None)
+            return None
+        self.n_peer_answers += 1
+        self._known.add(table)
+        return Changes(
+            tuple(_to_change(row) for row in answer.rows),
+            answer.version,
+            answer.is_whole,
+            sent_seconds + answer.confirmed_after_seconds,
+        )
+
+    async def _send(self, source: DaemonId, ask: FeedAsk) -> FeedAnswer | None:
+        """Send a question and return its answer; None when there is none."""
+        future: asyncio.Future[FeedAnswer]
+        future = asyncio.get_running_loop().create_future()
+        self._answers[ask.number] = future
+        try:
+            if not self._exchange.send(source, ask):
+                return None
+            async with asyncio.timeout(ask.wait_seconds + ANSWER_SECONDS):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._answers[ask.number]
+
+    def _note_failure(self, source: DaemonId, table: str, is_silent: bool) -> None:
+        self.n_peer_failures += 1
+        now_seconds = self._clock.now_seconds()
+        self._direct_until_seconds = now_seconds + DIRECT_SECONDS
+        _log.info(
+            "feed: asks the store itself",
+            peer=source,
+            table=table,
+            reason="no answer" if is_silent else "not known there",
+            for_seconds=DIRECT_SECONDS,
+        )
+
+    def _take_answer(self, answer: FeedAnswer, _sender: DaemonId) -> None:
+        future = self._answers.get(answer.number)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def _take_ask(self, ask: FeedAsk, sender: DaemonId) -> None:
+        now_seconds = self._clock.now_seconds()
+        held = _Held(sender, ask, now_seconds)
+        if self._source() is not None or not self._mirrors[ask.table].knows(
+            now_seconds
+        ):
+            # Word at third hand would only be older.
+            self._refuse(held)
+        elif not self._try_answer(held, now_seconds):
+            self._held.append(held)
+
+    def _refuse(self, held: _Held) -> None:
+        self._exchange.send(held.sender, FeedAnswer(number=held.ask.number))
+
+    def _try_answer(self, held: _Held, now_seconds: float) -> bool:
+        """Answer a question if there is something to tell; return whether so."""
+        mirror = self._mirrors[held.ask.table]
+        changes = mirror.changes_after(held.ask.after)
+        is_due = now_seconds >= held.until_seconds
+        if changes is None or not (changes.rows or is_due):
+            return False
+        answer = FeedAnswer(
+            number=held.ask.number,
+            is_known=True,
+            version=changes.version,
+            is_whole=changes.is_whole,
+            confirmed_after_seconds=mirror.confirmed_after_seconds(
+                held.arrived_seconds
+            ),
+            rows=[_to_row(row) for row in changes.rows],
+        )
+        self._exchange.send(held.sender, answer)
+        return True
+
+    def _answer_held(self) -> None:
+        """Answer what can be answered now, and refuse what cannot be in time."""
+        now_seconds = self._clock.now_seconds()
+        kept: list[_Held] = []
+        for held in self._held:
+            if not self._mirrors[held.ask.table].knows(now_seconds):
+                self._refuse(held)
+            elif self._try_answer(held, now_seconds):
+                continue
+            elif now_seconds >= held.until_seconds:
+                self._refuse(held)
+            else:
+                kept.append(held)
+        self._held = kept
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            self._answer_held()
+
+
+def _to_change(row: FeedRow) -> ChangedRow:
+    return ChangedRow(row.key, None if row.is_removed else row.value)
+
+
+def _to_row(row: ChangedRow) -> FeedRow:
+    if row.value is None:
+        return FeedRow(key=row.key, value=b"", is_removed=True)
+    return FeedRow(key=row.key, value=row.value)
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -12,6 +12,8 @@
 import structlog
 
 from lycheepost.generated.messages import (
+    FeedAnswer,
+    FeedAsk,
     LoadNews,
     MemberNews,
     PeerEnvelope,
@@ -40,6 +42,8 @@
     "suspect": SuspectPlaced,
     "changing": TargetChanging,
     "loads": LoadNews,
+    "feed-ask": FeedAsk,
+    "feed-answer": FeedAnswer,
     "fetch": RevisionFetch,
     "deltas": RevisionDeltas,
     "whole": RevisionWhole,
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -165,7 +165,8 @@
             rows = tuple(row.to_change() for row in page.rows)
             if changes is not None:
                 rows = changes.rows + rows
-            changes = Changes(rows, page.ver if changes is None else changes.version)
+            version = page.ver if changes is None else changes.version
+            changes = Changes(rows, version, is_whole=True)
             if not page.has_more or not page.rows:
                 return Success(changes)
             query = {"from": page.rows[-1].key + "\0"}
--- a/lycheepost/ports/feed.py
+++ b/lycheepost/ports/feed.py
@@ -27,10 +27,15 @@
     Attributes:
         rows: Those that changed, in order; all of them for a whole read.
         version: The service's newest version when it answered.
+        is_whole: These are all rows; a row that is not among them is gone.
+        confirmed_seconds: When the table was as told here, by the clock of whoever
+            asked; None for the moment at which the question was sent.
     """
 
     rows: tuple[ChangedRow, ...]
     version: int
+    is_whole: bool = False
+    confirmed_seconds: float | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/lycheepost/state/feedmirror.py
@@ -0,0 +1,92 @@
+"""A copy of a table that the store is asked about, to answer peers from.
+
+Pure logic: every method takes ``now_seconds``.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from lycheepost.ports.feed import ChangedRow, Changes
+
+KEPT_ANSWERS = 256
+"""Answers of the store whose changes are kept apart. A peer that is further behind
+gets the whole table; peers ask twice a second."""
+
+MOST_AGE_SECONDS = 1.8
+"""A copy that was not confirmed for longer is not passed on. The store confirms it
+every 0.8 s; peers that get no answer here ask the store themselves."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Step:
+    """What one answer of the store told."""
+
+    version: int
+    rows: tuple[ChangedRow, ...]
+
+
+@dataclass(slots=True)
+class FeedMirror:
+    """One table as the store told it, and how.
+
+    Attributes:
+        version: The store's version at the last answer; None before any.
+    """
+
+    version: int | None = None
+    _rows: dict[str, bytes] = field(default_factory=dict)
+    _steps: deque[_Step] = field(default_factory=deque)
+    _base_version: int = 0
+    _confirmed_seconds: float = float("-inf")
+    _is_lost: bool = False
+
+    def take(self, changes: Changes, confirmed_seconds: float) -> None:
+        """Take an answer of the store to a question that was sent then."""
+        if changes.is_whole:
+            self._rows = {}
+            self._steps.clear()
+            self._base_version = changes.version
+        for row in changes.rows:
+            if row.value is None:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row.value
+        if changes.rows:
+            self._steps.append(_Step(changes.version, changes.rows))
+        while len(self._steps) > KEPT_ANSWERS:
+            self._base_version = self._steps.popleft().version
+        self.version = changes.version
+        self._confirmed_seconds = confirmed_seconds
+        self._is_lost = False
+
+    def note_lost(self) -> None:
+        """Take note that the store did not answer."""
+        self._is_lost = True
+
+    def confirmed_after_seconds(self, since_seconds: float) -> float:
+        """Return when it was last confirmed, counted from ``since_seconds``."""
+        return self._confirmed_seconds - since_seconds
+
+    def knows(self, now_seconds: float) -> bool:
+        """Tell whether it is fresh enough to be passed on."""
+        age_seconds = now_seconds - self._confirmed_seconds
+        return not self._is_lost and age_seconds <= MOST_AGE_SECONDS
+
+    def changes_after(self, after: int) -> Changes | None:
+        """Return the changes after a version; None where that lies ahead.
+
+        Whoever asked may have heard the store itself since the last answer here.
+        """
+        if self.version is None or after > self.version:
+            return None
+        if after < self._base_version:
+            rows = tuple(ChangedRow(key, value) for key, value in self._rows.items())
+            return Changes(rows, self.version, is_whole=True)
+        steps = [step for step in self._steps if step.version > after]
+        return Changes(tuple(_rows_of(steps)), self.version)
+
+
+def _rows_of(steps: Iterable[_Step]) -> Iterable[ChangedRow]:
+    for step in steps:
+        yield from step.rows
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -136,7 +136,8 @@
             )
         match answer:
             case Success(changes):
-                self._take(changes, version is None, sent_seconds)
+                is_whole = version is None or changes.is_whole
+                self._take(changes, is_whole, sent_seconds)
                 return True
             case Failure(HistoryGone()):
                 _log.info("watch: history gone", table=self._table, version=version)
@@ -152,8 +153,21 @@
             _log.info("watch: regained", table=self._table)
         self.n_answers += 1
         self._version = changes.version
-        before, self.confirmed_seconds = self.confirmed_seconds, sent_seconds
-        seen = Seen(changes.rows, is_whole, sent_seconds, before, was_lost)
+        before = self.confirmed_seconds
+        confirmed_seconds = changes.confirmed_seconds
+        if confirmed_seconds is None:
+            confirmed_seconds = sent_seconds
+        if before is not None:
+            # A peer's word may be older than what the store itself told before.
+            confirmed_seconds = max(before, confirmed_seconds)
+        self.confirmed_seconds = confirmed_seconds
+        seen = Seen(
+            changes.rows,
+            is_whole,
+            confirmed_seconds,
+            before,
+            was_lost,
+        )
         try:
             self._on_seen(seen)
         except Exception:
