Tell of lost targets by ages, not by the time of day

Where a VM's time of day jumps by seconds, a run seems to have begun before the last counted loss and does not count, or a quarantine ends early or late; the killing request then reaches further targets.

Ruled out: comparing the senders' clocks (they jump at any moment).

--- /dev/null
+++ b/features/app/losses.feature
@@ -0,0 +1,21 @@
+Feature: Daemons tell each other which requests their targets died of
+
+  Scenario Outline: A killer is known everywhere although a time of day is <offset> s off
+    A request kills the target that runs it and comes back through another daemon,
+    which kills the next. The time of day has jumped on one of the daemons: by the
+    clock on the wall the second run seems to have begun before the first was lost,
+    so that the two losses count as one.
+    Given two daemons whose times of day differ by <offset> s
+    When a request kills a target through each of them in turn
+    Then both refuse it from then on
+
+    Examples:
+      | offset |
+      | 0      |
+      | 5      |
+      | -5     |
+
+  Scenario: A quarantine lasts as long at a daemon whose time of day is ahead
+    Given two daemons whose times of day differ by 700 s
+    When a request kills a target through each of them in turn
+    Then both refuse it for 600 s
--- /dev/null
+++ b/features/app/steps/losses_steps.py
@@ -0,0 +1,97 @@
+"""Steps of losses.feature."""
+
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from features.decide.steps.common import make_view, make_work
+from lycheepost.app.losses import LossExchange
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.decide.records import FinishKind, RefusalReason
+from lycheepost.decide.scheduler import Scheduler
+from lycheepost.decide.settings import SchedulerSettings
+
+
+@dataclass
+class SteppedClock:
+    """Two daemons' steady clocks agree; their times of day may not."""
+
+    offset_seconds: float
+    steady_seconds: float = 1000.0
+
+    def now_seconds(self):
+        return self.steady_seconds
+
+    def wall_seconds(self):
+        return 1e9 + self.steady_seconds + self.offset_seconds
+
+
+class PairExchange:
+    """Passes what one daemon tells on to the other."""
+
+    def __init__(self):
+        self.subscribers = {}
+        self.other = None
+
+    def subscribe(self, kind, on_message):
+        self.subscribers[kind] = on_message
+
+    def broadcast(self, message):
+        self.other.subscribers[type(message)](message, "peer")
+
+
+class LossDaemon:
+    """A scheduler, and what it tells of losses."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.scheduler = Scheduler(SchedulerSettings(), seed=1)
+        self.dispatcher = Dispatcher(self.scheduler, clock)
+        self.exchange = PairExchange()
+        LossExchange(self.dispatcher, self.exchange, clock)
+        views = tuple(make_view(index) for index in range(4))
+        self.scheduler.replace_targets(views, clock.now_seconds())
+
+    def run_killer(self, name):
+        now_seconds = self.clock.now_seconds()
+        work = make_work(name, now_seconds, body="killer")
+        return self.scheduler.arrive(work, now_seconds)[0]
+
+
+@given("two daemons whose times of day differ by {offset:g} s")
+def step_daemons(context, offset):
+    first, second = LossDaemon(SteppedClock(0.0)), LossDaemon(SteppedClock(offset))
+    first.exchange.other, second.exchange.other = second.exchange, first.exchange
+    context.daemons = (first, second)
+
+
+def wait(context, seconds):
+    for daemon in context.daemons:
+        daemon.clock.steady_seconds += seconds
+
+
+@when("a request kills a target through each of them in turn")
+def step_kills(context):
+    for number, daemon in enumerate(context.daemons):
+        sent = daemon.run_killer(f"run-{number}")
+        wait(context, 0.2)
+        daemon.dispatcher.finish(sent.request, FinishKind.TARGET_LOST)
+        wait(context, 0.2)
+
+
+def refusals(context, name):
+    outcomes = [daemon.run_killer(name) for daemon in context.daemons]
+    return [getattr(outcome, "reason", None) for outcome in outcomes]
+
+
+@then("both refuse it from then on")
+def step_refuse(context):
+    assert refusals(context, "again") == [RefusalReason.QUARANTINED] * 2
+
+
+@then("both refuse it for {seconds:d} s")
+def step_refuse_for(context, seconds):
+    wait(context, seconds - 1.0)
+    step_refuse(context)
+    wait(context, 2.0)
+    assert RefusalReason.QUARANTINED not in refusals(context, "late")
--- a/features/peers/steps/socket_steps.py
+++ b/features/peers/steps/socket_steps.py
@@ -240,7 +240,7 @@
     patched = mock.patch("lycheepost.peers.exchange.decode_body", decode_as_older)
     patched.start()
     context.add_cleanup(patched.stop)
-    first.exchange.broadcast(QuarantineNotice(fingerprint=7, until_wall_seconds=9.0))
+    first.exchange.broadcast(QuarantineNotice(fingerprint=7, for_seconds=9.0))
 
 
 @then("the last one has it, and the middle one has counted it")
--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -28,31 +28,30 @@
         dispatcher.on_suspect(self._tell_suspect)
 
     def _tell_loss(self, loss: LossSeen) -> None:
-        offset_seconds = self._clock.wall_seconds() - self._clock.now_seconds()
+        now_seconds = self._clock.now_seconds()
         self._exchange.broadcast(
             QuarantineNotice(
                 fingerprint=loss.fingerprint,
-                until_wall_seconds=loss.until_seconds + offset_seconds,
+                for_seconds=loss.until_seconds - now_seconds,
                 is_quarantined=loss.is_quarantined,
-                started_wall_seconds=loss.started_seconds + offset_seconds,
-                lost_wall_seconds=loss.lost_seconds + offset_seconds,
+                started_ago_seconds=now_seconds - loss.started_seconds,
+                lost_ago_seconds=now_seconds - loss.lost_seconds,
             )
         )
 
     def _take_loss(self, notice: QuarantineNotice, _sender: DaemonId) -> None:
         fingerprint = BodyFingerprint(notice.fingerprint)
         if notice.is_quarantined:
-            for_seconds = notice.until_wall_seconds - self._clock.wall_seconds()
-            if for_seconds > 0:
-                self._dispatcher.quarantine(fingerprint, for_seconds)
+            if notice.for_seconds > 0:
+                self._dispatcher.quarantine(fingerprint, notice.for_seconds)
             return
-        # Wall clocks of VMs agree to milliseconds; a loss is told apart from the
-        # next by the pause before a retry.
-        offset_seconds = self._clock.now_seconds() - self._clock.wall_seconds()
+        # A notice takes some milliseconds; a loss is told apart from the next by the
+        # pause before a retry, which is longer.
+        now_seconds = self._clock.now_seconds()
         self._dispatcher.note_loss(
             fingerprint,
-            notice.started_wall_seconds + offset_seconds,
-            notice.lost_wall_seconds + offset_seconds,
+            now_seconds - notice.started_ago_seconds,
+            now_seconds - notice.lost_ago_seconds,
         )
 
     def _tell_suspect(self, target: TargetId) -> None:
