Count a customer as over its share only beyond chance

Cause: a daemon of seven sees some ten requests of a small customer in the span over which demand is counted, so its estimate is off by a third by chance, and one of 1,021 requests of modest customers was refused at 1.5 times what the engines can do.

Ruled out: a longer span (a large customer's surge passes as modest for as long).

--- a/lycheepost/decide/shares.py
+++ b/lycheepost/decide/shares.py
@@ -22,21 +22,47 @@
 DIVIDE_SECONDS = 0.25
 """Time between two divisions; sorting 990 customers costs half a millisecond."""
 
+CHANCE_DEVIATIONS = 1.0
+"""Standard deviations by which a customer's demand must be over the level. A daemon
+of seven sees some ten requests of a small customer, and three more or less by chance;
+without the margin one in a thousand requests of modest customers was refused at one
+and a half times what the engines can do. For a large customer it is a few in 100."""
+
 FORGET_SHARE = 1e-3
 """Customers whose demand has faded below this of a second are dropped."""
 
 
 @dataclass(slots=True)
 class _Demand:
+    """What one customer asked for of late; older requests count less.
+
+    Attributes:
+        cost_seconds: Engine time.
+        n_requests: Requests.
+    """
+
     cost_seconds: float = 0.0
+    n_requests: float = 0.0
     at_seconds: float = 0.0
 
     def decay(self, now_seconds: float) -> None:
         elapsed = now_seconds - self.at_seconds
         if elapsed > 0:
-            self.cost_seconds *= math.exp(-elapsed / DEMAND_SECONDS)
+            share = math.exp(-elapsed / DEMAND_SECONDS)
+            self.cost_seconds *= share
+            self.n_requests *= share
             self.at_seconds = now_seconds
 
+    def certain_cost_seconds(self) -> float:
+        """Return the engine time without what may be chance.
+
+        Of ``n`` requests in a span the square root of ``n`` is their deviation.
+        """
+        if self.n_requests <= 0.0:
+            return 0.0
+        chance = CHANCE_DEVIATIONS / math.sqrt(self.n_requests)
+        return self.cost_seconds * max(0.0, 1.0 - chance)
+
 
 class FairShares:
     """Demand per customer and the level of a max-min fair division."""
@@ -58,9 +84,10 @@
         self, customer: CustomerId, cost_seconds: float, now_seconds: float
     ) -> None:
         """Count a request that arrived, whether or not it is taken."""
-        demand = self._demands.setdefault(customer, _Demand(0.0, now_seconds))
+        demand = self._demands.setdefault(customer, _Demand(at_seconds=now_seconds))
         demand.decay(now_seconds)
         demand.cost_seconds += cost_seconds
+        demand.n_requests += 1.0
 
     def divide(self, capacity: float, now_seconds: float) -> None:
         """Divide ``capacity`` (engine seconds a second) when it is due."""
@@ -92,5 +119,6 @@
         demand = self._demands.get(customer)
         if demand is None:
             return True
-        asked = demand.cost_seconds / DEMAND_SECONDS / self._weight(customer)
+        cost_seconds = demand.certain_cost_seconds()
+        asked = cost_seconds / DEMAND_SECONDS / self._weight(customer)
         return asked <= self._level
