Show what daemons on the platform believe, and where they differ

lycheepost fleet beliefs ADDRESS... reads the status pages of daemons, prints one line each with ages, and tells what they believe differently or which duty has two holders. The reading is a pure pass (report/beliefs.py) with a feature of its own; a feature over real links checks that one of three daemons follows the store and another takes over when it is killed.

--- a/features/platform/fleet.feature
+++ b/features/platform/fleet.feature
@@ -51,3 +51,14 @@
     Given a deployment with 1 daemon
     When another daemon starts while the row of a dead one lies in the store
     Then no directory answer ever names the dead one
+
+  Scenario: One daemon follows the store, the others follow it
+    The store's calls are few and dear. Three daemons that each held their questions
+    there would ask it three times as often for the same news.
+    Given a deployment with 3 daemons
+    Then soon one of them follows the store and the others follow that one
+    And what the daemons tell of themselves does not differ
+    When a new configuration is written
+    Then all of them soon have it in force
+    When the one that follows the store is killed
+    Then soon one of them follows the store and the others follow that one
--- a/features/platform/steps/fleet_steps.py
+++ b/features/platform/steps/fleet_steps.py
@@ -6,8 +6,10 @@
 from behave import then, when
 from request_steps import BODY, REQUESTS, ask
 
+from lycheepost.app.platformfleet import make_configuration
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import event_bytes
+from lycheepost.report.beliefs import find_differences, read_belief
 from lycheepost.state.memberrows import MemberRow
 
 N_LONG = 400
@@ -203,3 +205,57 @@
         assert "front-dead" in members, "the row was not read"
 
     context.loop.run_until_complete(look())
+
+
+def read_beliefs(context):
+    """Return what each daemon tells of itself, read as the command line does."""
+    return [
+        read_belief(msgspec.json.encode(daemon.status(), enc_hook=str)).unwrap()
+        for daemon in context.deployment.daemons
+    ]
+
+
+@then("soon one of them follows the store and the others follow that one")
+def step_followed(context):
+    async def is_so():
+        beliefs = read_beliefs(context)
+        first = [belief for belief in beliefs if belief.source == "store"]
+        others = {belief.source for belief in beliefs if belief.source != "store"}
+        return len(first) == 1 and others == {first[0].daemon}
+
+    context.loop.run_until_complete(context.deployment.until(is_so))
+
+
+@then("what the daemons tell of themselves does not differ")
+def step_alike(context):
+    async def is_alike():
+        return not find_differences(read_beliefs(context))
+
+    context.loop.run_until_complete(context.deployment.until(is_alike))
+
+
+@when("a new configuration is written")
+def step_configured(context):
+    before = max(belief.configuration for belief in read_beliefs(context))
+    context.version = before + 3
+    document = make_configuration() | {"version": context.version}
+    context.deployment.configure(document)
+
+
+@then("all of them soon have it in force")
+def step_in_force(context):
+    async def is_in_force():
+        beliefs = read_beliefs(context)
+        return all(belief.configuration == context.version for belief in beliefs)
+
+    context.loop.run_until_complete(context.deployment.until(is_in_force))
+
+
+@when("the one that follows the store is killed")
+def step_source_killed(context):
+    deployment = context.deployment
+    sources = [belief.source for belief in read_beliefs(context)]
+    index = sources.index("store")
+    daemon = deployment.daemons.pop(index)
+    deployment.nodes.pop(index)
+    context.loop.run_until_complete(daemon.stop())
--- /dev/null
+++ b/features/report/beliefs.feature
@@ -0,0 +1,37 @@
+Feature: What daemons believe is read and compared
+
+  Scenario Outline: Daemons that differ in <what> are told apart
+    Callers of one daemon are refused and those of another are served. The difference
+    between what the two believe says where to look.
+    Given status pages of three daemons
+    When the third believes <other>
+    Then they differ in <what>, and the third stands alone
+
+    Examples:
+      | what          | other                    |
+      | configuration | an older configuration   |
+      | members       | that a peer is gone      |
+      | targets       | that a target is gone    |
+      | weights       | older weights            |
+
+  Scenario: Daemons that believe the same do not differ
+    Given status pages of three daemons
+    When they are compared
+    Then they do not differ
+
+  Scenario: Two holders of one duty are told
+    Given status pages of three daemons
+    When the third believes that it holds a duty of the first
+    Then the duty is told with both holders
+
+  Scenario Outline: A page that <what> is a typed failure
+    Given a status page that <what>
+    When it is read
+    Then it is a failure that says what it is
+
+    Examples:
+      | what                       |
+      | is not JSON                |
+      | is a list                  |
+      | lacks the configuration    |
+      | is of the product's own VM |
--- a/lycheepost/commands/fleet.py
+++ b/lycheepost/commands/fleet.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from lycheepost.commands.beliefs import beliefs
 from lycheepost.commands.operatorcalls import (
     DEFAULT_URL,
     CaFile,
@@ -23,6 +24,9 @@
     """Daemons and targets."""
 
 
+app.command()(beliefs)
+
+
 @app.command()
 def show(
     key: Key,
