Take a vouched answer without a request's id for another's

Cause: an answer that named no request was taken for the answer to the call on whose connection it came. A server names the request in every answer that it vouches for; one without may be late and somebody else's.

--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -41,14 +41,13 @@
         """Return the head of an answer to ``call``."""
         found = CIMultiDict(headers)
         asked_id = CIMultiDict(call.headers).get(names.ATTEMPT_ID)
-        answered_id = found.get(names.ATTEMPT_ID)
         target = found.get(names.TARGET)
         weights = count_of(found.get(names.WEIGHTS, ""))
         is_other = status == _MISDIRECTED_STATUS
         return AnswerHead(
             status=status,
             headers=passed_back(headers),
-            answers_other=answered_id is not None and answered_id != asked_id,
+            answers_other=_answers_other(found, asked_id),
             is_sealed=names.SEAL in found,
             is_encoded=found.get("Content-Encoding", "identity") != "identity",
             was_not_run=names.NOT_RUN in found,
@@ -60,6 +59,18 @@
         )
 
 
+def _answers_other(found: Mapping[str, str], asked_id: str | None) -> bool:
+    """Tell whether an answer is one to another request.
+
+    A server names the request in each answer that it vouches for. One without a name
+    came from a server that spoils its answers, perhaps late and to somebody else.
+    """
+    answered_id = found.get(names.ATTEMPT_ID)
+    if answered_id is None and names.SEAL not in found:
+        return False
+    return answered_id != asked_id
+
+
 def _engine_headers(terms: EngineTerms) -> list[tuple[str, str]]:
     headers = [
         (names.CACHE_SCOPE, terms.cache_scope),
