Ask the next daemon of the cell when the first does not know the store

Now: the next one of the cell is asked, a table at most four times a second, and a daemon keeps its place in the cells until it is gone.

--- a/features/decide/cells.feature
+++ b/features/decide/cells.feature
@@ -40,6 +40,22 @@
     When each finds its cell
     Then at least 7 in 10 of all cells' pairs lie in one zone
 
+  Scenario: The daemons of a cell agree on whom to ask for what the store tells
+    Each follows the store through another one of its cell. Were two to ask each other,
+    or all the store, nothing would be known or nothing saved.
+    Given 67 daemons in 3 availability zones
+    When each finds whom to ask
+    Then one daemon of each cell asks nobody, and all others ask it first
+    When those that ask nobody do not serve
+    Then one daemon of each cell asks nobody, and all others ask it first
+
+  Scenario: A daemon that cannot serve for a moment moves no cell
+    A third of the daemons loses the store for some seconds. Each that leaves the
+    directory would move the cells of all others, and again when it is back.
+    Given 67 daemons in 3 availability zones
+    When each finds its cell
+    Then it is the same whichever of them serve
+
   Scenario: A cell places within itself, and elsewhere only when it is much busier
     Given a daemon of a cell with 3 of 12 targets
     When it gets 12 requests
--- a/features/decide/steps/cells_steps.py
+++ b/features/decide/steps/cells_steps.py
@@ -7,7 +7,14 @@
 
 from features.decide.steps.common import Desk, make_view
 from lycheepost.core.ids import AvailabilityZone, DaemonId
-from lycheepost.decide.cells import Cell, Peer, Place, find_cell, find_reaches
+from lycheepost.decide.cells import (
+    Cell,
+    Peer,
+    Place,
+    find_cell,
+    find_reaches,
+    find_sources,
+)
 from lycheepost.decide.peerloads import PeerLoads
 from lycheepost.decide.records import Reach, TargetState
 
@@ -106,6 +113,47 @@
     assert 10 * sum(pairs) >= tenths * len(pairs), sum(pairs) / len(pairs)
 
 
+@when("each finds whom to ask")
+def step_sources(context):
+    step_cells(context)
+    find_all_sources(context, set(context.cells))
+
+
+def find_all_sources(context, serving):
+    context.serving = serving
+    context.sources = {
+        name: find_sources(name, cell, serving)
+        for name, cell in context.cells.items()
+        if name in serving
+    }
+
+
+@when("those that ask nobody do not serve")
+def step_first_away(context):
+    away = {name for name, sources in context.sources.items() if not sources}
+    find_all_sources(context, set(context.cells) - away)
+
+
+@then("one daemon of each cell asks nobody, and all others ask it first")
+def step_one_source(context):
+    for number in {cell.number for cell in context.cells.values()}:
+        sources = {
+            name: found
+            for name, found in context.sources.items()
+            if context.cells[name].number == number
+        }
+        first = [name for name, found in sources.items() if not found]
+        assert len(first) == 1, first
+        assert {found[0] for found in sources.values() if found} == set(first)
+
+
+@then("it is the same whichever of them serve")
+def step_same(context):
+    for peer in context.daemons:
+        others = [item for item in context.daemons if item != peer]
+        assert find_cell(peer, others) == context.cells[peer.daemon]
+
+
 def announce(desk, cell, targets):
     desk.views = dict(enumerate(set_reach(targets, cell)))
     desk.announce()
--- a/features/peers/steps/feedshare_steps.py
+++ b/features/peers/steps/feedshare_steps.py
@@ -123,7 +123,7 @@
             feed,
             exchange,
             self.loop,
-            lambda: None if self.source == name else self.source,
+            lambda: () if self.source == name else (self.source,),
         )
         follower = Follower(feed, shared, None)
         follower.watch = Watch(
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -6,9 +6,15 @@
 from lycheepost.app.fleet import Fleet, Identity
 from lycheepost.app.parts import Part
 from lycheepost.app.platformbase import PlatformBase
-from lycheepost.core.ids import ModelId, TargetGroupId, TargetId, WeightsVersion
+from lycheepost.core.ids import (
+    DaemonId,
+    ModelId,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
+)
 from lycheepost.core.routing import RouteTable
-from lycheepost.decide.cells import Cell, Peer, find_cell, find_source
+from lycheepost.decide.cells import Cell, Peer, find_cell, find_sources
 from lycheepost.generated.configuration import Configuration
 from lycheepost.generated.messages import TargetChanging
 from lycheepost.operators.weightsrollout import WeightsRollout
@@ -123,7 +129,7 @@
         base.store,
         exchange,
         base.clock,
-        lambda: find_source(node.daemon, cell_of(members.me(), members.members())),
+        lambda: _sources_of(members.me(), members.members()),
     )
     identity = Identity(node.daemon, base.boot, node.availability_zone, node.host)
     fleet = Fleet(identity, base.store, transport, exchange, members)
@@ -131,13 +137,19 @@
 
 
 def cell_of(me: Member, members: tuple[Member, ...]) -> Cell:
-    """Return the cell of ``me`` among the members that serve."""
+    """Return the cell of ``me`` among the members that there are."""
     return find_cell(
         _to_peer(me),
-        (_to_peer(item) for item in members if item.state is MemberState.LIVE),
+        (_to_peer(item) for item in members if item.state is not MemberState.GONE),
     )
 
 
+def _sources_of(me: Member, members: tuple[Member, ...]) -> tuple[DaemonId, ...]:
+    """Return whom ``me`` asks for what the store tells, best first."""
+    live = {item.daemon for item in members if item.state is MemberState.LIVE}
+    return find_sources(me.daemon, cell_of(me, members), live)
+
+
 def _to_peer(member: Member) -> Peer:
     return Peer(member.daemon, member.availability_zone)
 
--- a/lycheepost/decide/cells.py
+++ b/lycheepost/decide/cells.py
@@ -17,7 +17,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from lycheepost.core.hashing import hash_bytes, rendezvous_order
@@ -63,7 +63,10 @@
 
 
 def find_cell(me: Peer, peers: Iterable[Peer]) -> Cell:
-    """Return the cell of ``me`` among the daemons that serve.
+    """Return the cell of ``me`` among the daemons that there are.
+
+    One that leaves, or cannot serve for a moment, keeps its place: taken out, it would
+    move the cells of all others, and again when it comes back.
 
     Daemons are ordered by availability zone first, so that most of a cell lies in
     one, and its requests and cache copies need not cross to another.
@@ -84,10 +87,22 @@
     return Cell(numbers[me.daemon], n_cells, mates)
 
 
-def find_source(me: DaemonId, cell: Cell) -> DaemonId | None:
-    """Return who of the cell follows the store for the others; None for ``me``."""
-    first = DaemonId(rendezvous_order(_SOURCE_KEY, (me, *cell.mates))[0])
-    return None if first == me else first
+def find_sources(
+    me: DaemonId, cell: Cell, serving: Container[DaemonId]
+) -> tuple[DaemonId, ...]:
+    """Return whom of the cell to ask for what the store tells, best first.
+
+    All daemons of a cell have the same order and ask those before themselves in it;
+    the first one has nobody to ask but the store.
+
+    Args:
+        me: Who asks.
+        cell: Its cell.
+        serving: The daemons that serve now; one that does not may be cut off.
+    """
+    order = rendezvous_order(_SOURCE_KEY, (me, *cell.mates))
+    before = (DaemonId(name) for name in order[: order.index(me)])
+    return tuple(name for name in before if name in serving)
 
 
 def _part(index: int, n_items: int, n_parts: int) -> int:
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -41,9 +41,18 @@
 """Beyond the time of holding; later the peer counts as dead. Between availability
 zones a message takes a few milliseconds, and a daemon is rarely busy for so long."""
 
-DIRECT_SECONDS = 3.0
-"""How long the store is asked after a peer has failed. A peer that died is found out,
-and another one chosen, within that time."""
+FAILED_SECONDS = 5.0
+"""How long a peer that failed is not asked; the next one of the cell is, or the store.
+A peer that died is found out within that time."""
+
+REFUSED_SECONDS = 2.0
+"""The same for a peer that answers, but has not heard the store itself: it has just
+started, or will have found its own way back by then."""
+
+PACE_SECONDS = 0.25
+"""Shortest time between two questions to the store for one table. While weights are
+changed the servers' entries change some twenty times a second, and each change would
+be asked for by itself; targets that leave must be known within two seconds."""
 
 LOOK_SECONDS = 0.1
 """Between two looks at what is held for too long."""
@@ -73,7 +82,7 @@
         store: The store's own feed.
         exchange: Links to the peers.
         clock: A clock that counts suspension.
-        get_source: Returns the peer to ask; None to ask the store.
+        get_sources: Returns the peers to ask, best first; none to ask the store.
     """
 
     def __init__(
@@ -81,18 +90,19 @@
         store: FeedPort,
         exchange: PeerExchange,
         clock: Clock,
-        get_source: Callable[[], DaemonId | None],
+        get_sources: Callable[[], tuple[DaemonId, ...]],
     ) -> None:
         self._store = store
         self._exchange = exchange
         self._clock = clock
-        self._get_source = get_source
+        self._get_sources = get_sources
         self._mirrors: dict[str, FeedMirror] = defaultdict(FeedMirror)
         self._known: set[str] = set()
         self._held: list[_Held] = []
         self._numbers = itertools.count(1)
         self._answers: dict[int, asyncio.Future[FeedAnswer]] = {}
-        self._direct_until_seconds = float("-inf")
+        self._failed_until: dict[DaemonId, float] = {}
+        self._asked_seconds: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
         self.n_peer_answers = 0
         self.n_peer_failures = 0
@@ -140,6 +150,7 @@
         told = await self._ask_peer(table, after, min(wait_seconds, ASKED_HELD_SECONDS))
         if told is not None:
             return Success(told)
+        await self._pace(table)
         sent_seconds = self._clock.now_seconds()
         held_seconds = min(wait_seconds, STORE_HELD_SECONDS)
         answer = await self._store.wait_changes(table, after, held_seconds)
@@ -159,10 +170,21 @@
         self._answer_held()
         return answer
 
+    async def _pace(self, table: str) -> None:
+        """Wait until the store may be asked again for a table."""
+        now_seconds = self._clock.now_seconds()
+        asked_seconds = self._asked_seconds.get(table, float("-inf"))
+        due_seconds = max(now_seconds, asked_seconds + PACE_SECONDS)
+        self._asked_seconds[table] = due_seconds
+        await asyncio.sleep(due_seconds - now_seconds)
+
     def _source(self) -> DaemonId | None:
-        if self._clock.now_seconds() < self._direct_until_seconds:
-            return None
-        return self._get_source()
+        """Return the peer to ask now; None for the store."""
+        now_seconds = self._clock.now_seconds()
+        for daemon in self._get_sources():
+            if now_seconds >= self._failed_until.get(daemon, float("-inf")):
+                return daemon
+        return None
 
     async def _ask_peer(
         self, table: str, after: int, wait_seconds: float
@@ -206,14 +228,14 @@
 
     def _note_failure(self, source: DaemonId, table: str, is_silent: bool) -> None:
         self.n_peer_failures += 1
-        now_seconds = self._clock.now_seconds()
-        self._direct_until_seconds = now_seconds + DIRECT_SECONDS
+        rest_seconds = FAILED_SECONDS if is_silent else REFUSED_SECONDS
+        self._failed_until[source] = self._clock.now_seconds() + rest_seconds
         _log.info(
-            "feed: asks the store itself",
+            "feed: peer failed",
             peer=source,
             table=table,
             reason="no answer" if is_silent else "not known there",
-            for_seconds=DIRECT_SECONDS,
+            not_asked_for_seconds=rest_seconds,
         )
 
     def _take_answer(self, answer: FeedAnswer, _sender: DaemonId) -> None:
