Rest only for what is left after the last holder's last order

Ruled out: a shorter rest (targets check no fence and tell holders apart by the time between their orders alone).

Now: a released lease says how long others must still wait, counted from the last order that was sent.

--- a/features/state/holders.feature
+++ b/features/state/holders.feature
@@ -9,3 +9,11 @@
     Then orders of different holders are at least 3 s apart in each
     And each fencing number has one holder
     And in most runs the duty changed hands several times
+
+  Scenario: Daemons that are stopped in turn still bring new weights
+    Every daemon is stopped and started again, one each two seconds. Each new holder
+    rested for the full time after the one before, then was stopped before that was
+    over. None ever ordered, until the fleet refused all requests as too outdated.
+    When three daemons are stopped in turn, one each 2 s, for 30 s
+    Then orders of different holders are at least 3 s apart in each
+    And no 8 s pass without an order
--- a/features/state/steps/holder_steps.py
+++ b/features/state/steps/holder_steps.py
@@ -1,6 +1,7 @@
 """Steps of holders.feature."""
 
 import asyncio
+import math
 import os
 import random
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
 
     seed: int
     orders: list = field(default_factory=list)
+    ended_seconds: float = 0.0
 
 
 class Machine:
@@ -45,7 +47,9 @@
             clock,
             run.seed,
             WATCH_SECONDS,
+            lambda: self.last_order_seconds,
         )
+        self.last_order_seconds = -math.inf
         self.task = None
 
     async def work(self, current):
@@ -67,8 +71,12 @@
             now_seconds = self.clock.now_seconds()
             if lease.is_held(now_seconds):
                 number = lease.fencing_number
+                self.last_order_seconds = now_seconds
                 self.run.orders.append((now_seconds, self.name, number))
 
+    def holds(self):
+        return self.runner._lease is not None
+
     def kill(self):
         self.task.cancel()
         self.runner._task.cancel()
@@ -155,3 +163,40 @@
         for run in context.runs
     ]
     assert sorted(counts)[len(counts) // 2] >= 2, counts
+
+
+async def roll(run, loop, gap_seconds, seconds):
+    table = make_table_model(loop)
+    machines = {name: Machine(run, name, table, loop) for name in NAMES}
+    for machine in machines.values():
+        await machine.start()
+    await asyncio.sleep(2.0)
+    for index in range(int(seconds / gap_seconds)):
+        name = NAMES[index % len(NAMES)]
+        holders = [item for item in NAMES if machines[item].holds()]
+        # The one that holds the lease is stopped, also while it rests.
+        name = holders[0] if holders else name
+        await machines[name].stop()
+        await asyncio.sleep(gap_seconds)
+        machines[name] = Machine(run, name, table, loop)
+        await machines[name].start()
+    for machine in machines.values():
+        machine.kill()
+    run.ended_seconds = loop.now_seconds()
+
+
+@when("three daemons are stopped in turn, one each {gap:g} s, for {seconds:g} s")
+def step_roll(context, gap, seconds):
+    loop = VirtualTimeLoop()
+    run = Run(0)
+    loop.run_until_complete(roll(run, loop, gap, seconds))
+    loop.close()
+    context.runs = [run]
+
+
+@then("no {seconds:g} s pass without an order")
+def step_ordered(context, seconds):
+    (run,) = context.runs
+    times = [*(at for at, _, _ in run.orders), run.ended_seconds]
+    gaps = [after - at for at, after in zip(times, times[1:], strict=False)]
+    assert max(gaps) <= seconds, max(gaps)
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -207,6 +207,7 @@
         base.clock,
         base.seed,
         DUTY_WATCH_SECONDS,
+        rollout.last_order_seconds,
     )
     return WeightsDuty(rollout, duty)
 
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -91,6 +92,7 @@
         self._n_running: dict[TargetId, int] = {}
         self._changes: dict[TargetId, asyncio.Task[None]] = {}
         self._current: CurrentLease | None = None
+        self._last_order_seconds = -math.inf
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
 
@@ -130,6 +132,10 @@
         self._current = current
         self._wake.set()
 
+    def last_order_seconds(self) -> float:
+        """Return when an order was last sent; minus infinity before the first."""
+        return self._last_order_seconds
+
     def _may_order(self) -> bool:
         """Return whether the lease allows an order now; asked at each send."""
         if self._current is None:
@@ -216,6 +222,7 @@
             _log.info("weights: lease gone before the order", target=order.target)
             return False
         lease = self._current()
+        self._last_order_seconds = self._clock.now_seconds()
         answer = await self._port.order(
             target,
             LoadWeights(
--- a/lycheepost/state/duties.py
+++ b/lycheepost/state/duties.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -42,6 +43,8 @@
         watch_seconds: Longest time between two looks at a lease that somebody else
             holds. A lease counts as run out only when it was seen not to move for
             its length, so a long pause between looks is added to every takeover.
+        last_order_seconds: Returns when the work last sent an order; infinite when
+            that is not known.
     """
 
     def __init__(
@@ -53,8 +56,10 @@
         period_seconds: float,
         clock: Clock,
         seed: int = 0,
-        watch_seconds: float = float("inf"),
+        watch_seconds: float = math.inf,
+        last_order_seconds: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._last_order_seconds = last_order_seconds
         self._watch_seconds = watch_seconds
         self._leases = leases
         self._duty = duty
@@ -83,7 +88,7 @@
             self._task = None
         lease, self._lease = self._lease, None
         if lease is not None and lease.is_kept(self._clock.now_seconds()):
-            await self._leases.release(lease)
+            await self._leases.release(lease, self._last_order_seconds())
 
     def status(self) -> dict[str, object]:
         """Return whether this daemon holds the duty."""
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -13,6 +13,7 @@
 lease before it starts.
 """
 
+import math
 import secrets
 from dataclasses import dataclass, replace
 
@@ -82,8 +83,10 @@
         attempt: Different for each write, so that a holder whose answer was lost
             never takes an earlier renewal of its own, read back, for the one that
             it has just tried: it would count its lease from too late.
-        has_rested: A holder that gave up had ordered, or could have. One that gave
-            up while it rested after another holder leaves that rest to the next.
+        rest_seconds: In the row of a lease that was given up: how long from then on
+            no other daemon may order, for the orders of this holder and those before.
+        inherited_rest_seconds: The same for this holder itself: for the orders of
+            those before it.
     """
 
     holder: DaemonId
@@ -91,7 +94,8 @@
     fencing_number: FencingNumber
     length_seconds: float
     attempt: str
-    has_rested: bool = True
+    rest_seconds: float = 0.0
+    inherited_rest_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,8 +145,8 @@
         margin_seconds: How long before the end its holder stops, and how long
             after the end another daemon waits. It covers clock drift and orders
             still on their way.
-        rest_seconds: How long a new holder sends no order after a daemon that
-            gave the lease up; targets that tell holders apart only by the time
+        rest_seconds: How long after the last order of a daemon that gave the lease up
+            another one sends none; targets that tell holders apart only by the time
             between their orders need it.
     """
 
@@ -196,10 +200,11 @@
         """Add the rest that is due after another daemon's release."""
         if before is None or before.token:
             return lease
-        if before.holder == self._daemon and before.has_rested:
-            return lease
+        rest_seconds = before.rest_seconds
+        if before.holder == self._daemon:
+            rest_seconds = before.inherited_rest_seconds
         now_seconds = self._clock.now_seconds()
-        return replace(lease, rests_until_seconds=now_seconds + self._rest_seconds)
+        return replace(lease, rests_until_seconds=now_seconds + rest_seconds)
 
     async def renew(self, lease: Lease) -> Result[Lease, LeaseError]:
         """Prolong a lease; keep the returned one instead.
@@ -215,10 +220,29 @@
             lambda taken: replace(taken, rests_until_seconds=rests_until)
         )
 
-    async def release(self, lease: Lease) -> Result[None, LeaseError]:
-        """Give the lease up, so that another daemon need not wait it out."""
-        has_rested = lease.rests_until_seconds <= self._clock.now_seconds()
-        row = self._make_row("", lease.fencing_number, has_rested)
+    async def release(
+        self, lease: Lease, last_order_seconds: float = math.inf
+    ) -> Result[None, LeaseError]:
+        """Give the lease up, so that another daemon need not wait it out.
+
+        The next holder rests only for what is left of the time after the last order:
+        where each daemon is stopped in turn, and each rested anew for the full time,
+        none would ever order.
+
+        Args:
+            lease: The lease.
+            last_order_seconds: When its holder last sent an order; infinite when that
+                is not known and may have been just now.
+        """
+        now_seconds = self._clock.now_seconds()
+        since_seconds = now_seconds - min(now_seconds, last_order_seconds)
+        inherited = max(0.0, lease.rests_until_seconds - now_seconds)
+        own = max(0.0, self._rest_seconds - since_seconds)
+        row = replace(
+            self._make_row("", lease.fencing_number),
+            rest_seconds=max(own, inherited),
+            inherited_rest_seconds=inherited,
+        )
         written = await self._commit(lease.duty, lease.version, row)
         match written:
             case Success():
@@ -242,14 +266,9 @@
         end_seconds = seen.seen_seconds + held.length_seconds + self._margin_seconds
         return max(0.0, end_seconds - now_seconds)
 
-    def _make_row(
-        self, token: str, number: FencingNumber, has_rested: bool = True
-    ) -> LeaseRow:
+    def _make_row(self, token: str, number: FencingNumber) -> LeaseRow:
         attempt = secrets.token_hex(8)
-        length_seconds = self._length_seconds
-        return LeaseRow(
-            self._daemon, token, number, length_seconds, attempt, has_rested
-        )
+        return LeaseRow(self._daemon, token, number, self._length_seconds, attempt)
 
     async def _take(
         self, duty: str, version: int, token: str, number: FencingNumber
