Tell daemons that start how long older weights may be served

Ruled out: a longer guess (weights that have been outdated for long would be served). Now peers answer a greeting with the time that is left; a time that is known is never moved.

--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -103,6 +103,16 @@
     context.list.want(MODEL, version, None)
 
 
+@when("version {version:d} is named")
+def step_named(context, version):
+    context.list.want(MODEL, version, context.clock.now_seconds())
+
+
+@when("a peer tells that old weights serve for {seconds:g} s")
+def step_told(context, seconds):
+    context.list.note_old_weights(MODEL, seconds)
+
+
 @then("{names} may be used")
 def step_usable(context, names):
     found = [
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -60,6 +60,29 @@
     When 3 s pass
     Then nothing may be used
 
+  Scenario Outline: A daemon that starts is told by a peer how long old weights serve
+    All daemons are stopped in turn while weights change. One that has just started
+    refused every request after 2.5 s, while its peers served for seconds more.
+    Given registered targets a and b
+    When <first>
+    And <second>
+    And 3 s pass
+    Then a and b may be used
+    When 4 s pass
+    Then nothing may be used
+
+    Examples:
+      | first                                       | second                                      |
+      | version 2 is found named at the start       | a peer tells that old weights serve for 5 s |
+      | a peer tells that old weights serve for 5 s | version 2 is found named at the start       |
+
+  Scenario: What a peer tells moves no time that is known
+    Given registered targets a and b
+    When version 2 is named
+    And a peer tells that old weights serve for 1 s
+    And 3 s pass
+    Then a and b may be used
+
   Scenario: Newer weights are preferred some time after they were named
     Given registered targets a and b
     When version 2 is named and put into b
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -6,6 +6,7 @@
 from lycheepost.app.fleet import Fleet, Identity
 from lycheepost.app.parts import Part
 from lycheepost.app.platformbase import PlatformBase
+from lycheepost.app.weightsdue import WeightsDueExchange
 from lycheepost.core.ids import (
     DaemonId,
     ModelId,
@@ -190,6 +191,7 @@
         TargetsChanging,
         lambda message, _sender: targets.note_changes(to_changes(message)),
     )
+    WeightsDueExchange(peers.exchange, targets)
     leases = LeaseKeeper(
         base.store,
         base.clock,
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -27,6 +27,7 @@
     SuspectPlaced,
     TargetNews,
     TargetsChanging,
+    WeightsDue,
 )
 
 VERSION = 1
@@ -42,6 +43,7 @@
     "suspect": SuspectPlaced,
     "changing": TargetsChanging,
     "loads": LoadNews,
+    "weights-due": WeightsDue,
     "feed-ask": FeedAsk,
     "feed-answer": FeedAnswer,
     "fetch": RevisionFetch,
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -58,11 +58,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _Wanted:
-    """The newest weights of a model, and until when older ones may be served."""
+    """The newest weights of a model, and until when older ones may be served.
+
+    Attributes:
+        is_guessed: The time is the guess of a daemon that has just started.
+    """
 
     version: int
     named_seconds: float
     old_until_seconds: float
+    is_guessed: bool
 
 
 @dataclass(slots=True)
@@ -118,6 +123,7 @@
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
         self._newest: dict[ModelId, WeightsVersion] = {}
+        self._told_until: dict[ModelId, float] = {}
         self._cell = Cell()
         self._reaches: dict[TargetId, Reach] = {}
         self._is_reach_due = True
@@ -261,10 +267,50 @@
         if wanted is not None and self._has_behind(model, wanted.version):
             # Who is behind by two versions was due for the first one.
             until_seconds = min(until_seconds, wanted.old_until_seconds)
+        is_guessed = named_seconds is None
+        if wanted is not None and wanted.is_guessed:
+            is_guessed = until_seconds == wanted.old_until_seconds
         known_seconds = now_seconds if named_seconds is None else named_seconds
-        self._wanted[model] = _Wanted(version, known_seconds, until_seconds)
+        self._wanted[model] = _Wanted(version, known_seconds, until_seconds, is_guessed)
+        self._correct_guess(model)
         self.refresh()
 
+    def old_weights_due(self) -> dict[ModelId, float]:
+        """Return how long older weights of each model may still be served.
+
+        Models of which only a guess is known are left out.
+        """
+        now_seconds = self._clock.now_seconds()
+        return {
+            model: wanted.old_until_seconds - now_seconds
+            for model, wanted in self._wanted.items()
+            if not wanted.is_guessed
+        }
+
+    def note_old_weights(self, model: ModelId, for_seconds: float) -> None:
+        """Take from a peer how long older weights of a model may still be served.
+
+        The failure: a daemon starts while weights are being changed. It cannot know
+        when they were named, and would soon refuse requests that its peers serve.
+        """
+        self._told_until[model] = self._clock.now_seconds() + for_seconds
+        self._correct_guess(model)
+        self.refresh()
+
+    def _correct_guess(self, model: ModelId) -> None:
+        wanted, told_seconds = self._wanted.get(model), self._told_until.get(model)
+        if wanted is None or told_seconds is None or not wanted.is_guessed:
+            return
+        _log.info(
+            "targets: told until when older weights serve",
+            model=model,
+            version=wanted.version,
+            for_seconds=round(told_seconds - self._clock.now_seconds(), 3),
+        )
+        self._wanted[model] = replace(
+            wanted, old_until_seconds=told_seconds, is_guessed=False
+        )
+
     def old_weights_seconds(self) -> float:
         """Return how long after newer weights were named old ones get requests."""
         return max(0.0, self._weights_seconds() - OLD_WEIGHTS_MARGIN_SECONDS)
