Let requests wait for the first answers of the store after a start

Ruled out: serving only once the store has answered (connections would be refused instead of kept waiting).

--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -128,3 +128,15 @@
     Given a deployment with 1 daemon
     When the store drops its history and the key of customer one is taken away
     Then a look-up with that key soon gets status 401
+
+  Scenario Outline: A request that comes before the first answer of the store <outcome>
+    All daemons start again. Clients that waited for their connections come in some
+    milliseconds before the store has told anything, and were refused at once.
+    Given a deployment whose store takes <seconds> s for each answer
+    When a new daemon gets a request as it starts
+    Then it <outcome>
+
+    Examples:
+      | seconds | outcome               |
+      | 0.2     | is served             |
+      | 3.0     | is refused as not run |
--- a/features/platform/steps/request_steps.py
+++ b/features/platform/steps/request_steps.py
@@ -411,3 +411,34 @@
     store.put("op", "other", b"{}")
     context.deployment.configure(make_configuration(5, keys=("k-two",)))
     store.drop_history()
+
+
+@given("a deployment whose store takes {seconds:g} s for each answer")
+def step_slow_store(context, seconds):
+    context.deployment = Deployment()
+    context.loop.run_until_complete(context.deployment.start(1))
+    context.deployment.store.store.faults.delay_seconds = seconds
+
+
+@when("a new daemon gets a request as it starts")
+def step_first_request(context):
+    deployment = context.deployment
+    method, path, body = REQUESTS["look-up"]
+
+    async def ask_at_once():
+        await deployment.add_daemon()
+        headers = deployment.headers()
+        return await deployment.ask(method, path, headers, body, index=1)
+
+    context.answer = context.loop.run_until_complete(ask_at_once())
+
+
+@then("it is served")
+def step_first_served(context):
+    assert context.answer.status == 200, context.answer
+
+
+@then("it is refused as not run")
+def step_first_refused(context):
+    assert context.answer.status == 503, context.answer
+    assert context.answer.headers["Retry-After"]
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -45,6 +45,7 @@
 from lycheepost.platform.settings import Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
+from lycheepost.state.firstreads import FirstReads
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.watch import Watch
 from lycheepost.utils.metrics import ServedMetrics
@@ -53,6 +54,9 @@
 METRICS_PORT = 9109
 """Named in deploy/system.toml as well; outside of the range that peers use."""
 
+N_TABLES = 2
+"""The operators' and the targets'."""
+
 _log = structlog.get_logger(part="app")
 
 
@@ -257,13 +261,16 @@
     metrics = ServedMetrics()
     settings = SettingsWatch(node, settings_file)
     peers = make_platform_peers(base)
+    first_reads = FirstReads(n_wanted=N_TABLES)
     traffic = make_platform_traffic(
-        base, peers.exchange, metrics, lambda: settings.bounds
+        base, peers.exchange, metrics, lambda: settings.bounds, first_reads
     )
     weights = make_weights_duty(
         base, peers, traffic.targets, traffic.orders, lambda: traffic.routing.table
     )
     watches = _make_watches(base, peers.feed, traffic, weights, settings)
+    for watch in watches:
+        watch.on_first(first_reads.note)
     made = DaemonParts(base, peers, traffic, weights, watches, settings)
     return PlatformDaemon(made, metrics, leave_plan, sockets, metrics_port)
 
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -26,6 +26,7 @@
 from lycheepost.platform.ingress import ClientFront
 from lycheepost.platform.orders import ServerOrders
 from lycheepost.platform.settings import Bounds
+from lycheepost.state.firstreads import FirstReads
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
@@ -93,6 +94,7 @@
     exchange: PeerExchange,
     metrics: Metrics,
     get_bounds: Callable[[], Bounds],
+    first_reads: FirstReads,
 ) -> PlatformTraffic:
     """Join the parts that carry requests; nothing is started yet.
 
@@ -101,6 +103,7 @@
         exchange: Links to the peers, for losses and loads.
         metrics: Where metrics go.
         get_bounds: The bounds in force.
+        first_reads: Requests wait for these.
     """
     clock = base.clock
     dispatcher = Dispatcher(Scheduler(_scheduler_settings(), base.seed), clock)
@@ -145,7 +148,7 @@
         orders=orders,
         targets=targets,
         routing=routing,
-        front=ClientFront(deps),
+        front=ClientFront(deps, first_reads),
         cache_events=cache_events,
         caches=caches,
         loads=loads,
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -1,6 +1,7 @@
 """Where the platform's clients come in: requests, readiness and the directory."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 from typing import Any
@@ -18,6 +19,7 @@
 from lycheepost.core.routing import Prompt, PromptPart, RouteKind
 from lycheepost.platform import headers as names
 from lycheepost.platform.dialect import count_of, header_number
+from lycheepost.state.firstreads import FirstReads
 from lycheepost.targets.forwardcall import AnswerHead
 
 UNCONFIGURED_BYTES = 4 * 1024 * 1024
@@ -27,6 +29,10 @@
 UNCONFIGURED_SECONDS = 15.0
 """Longest pause within a body before a configuration says more."""
 
+FIRST_SHARE = 0.3
+"""Part of a caller's patience that it may wait for the first answers of the store after
+a start; then it still has time to go elsewhere."""
+
 MOST_ADDRESSES = 64
 """Most addresses that clients take from one answer, by the platform's protocol."""
 
@@ -98,17 +104,22 @@
 class ClientFront:
     """Serves clients' requests.
 
+    Args:
+        deps: What forwarding stands on.
+        first_reads: Requests wait for these.
+
     Attributes:
         n_open: Requests that are being served.
         is_leaving: Connections end with their next answer.
         is_closed: No request is taken any more.
     """
 
-    def __init__(self, deps: ForwardDeps) -> None:
+    def __init__(self, deps: ForwardDeps, first_reads: FirstReads) -> None:
         self.n_open = 0
         self.is_leaving = False
         self.is_closed = False
         self._deps = deps
+        self._first_reads = first_reads
         self._idle = asyncio.Event()
         self._idle.set()
         self._runs: set[asyncio.Task[None]] = set()
@@ -150,6 +161,7 @@
         self._check_head(request)
         body = await self._read_body(request)
         asked = decode_request(request, body, arrived_seconds)
+        await self._first_reads.wait(_first_wait_seconds(asked))
         way = identify(self._deps, asked)
         forwarding = Forwarding(self._deps, asked, way, side)
         if way.route.kind is not RouteKind.NON_IDEMPOTENT:
@@ -240,6 +252,12 @@
         return response
 
 
+def _first_wait_seconds(request: ForwardRequest) -> float:
+    """Return how long a request waits for a daemon that has just started."""
+    patience_seconds = request.patience_seconds
+    return math.inf if patience_seconds is None else FIRST_SHARE * patience_seconds
+
+
 def _status(error: CallerError) -> int:
     """Return the status; some promise that the request never runs."""
     if error.code == "quarantined":
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -86,9 +86,14 @@
         self._random = random.Random(seed)
         self._version: int | None = None
         self._task: asyncio.Task[None] | None = None
+        self._on_first: Callable[[], None] | None = None
         self.n_answers = 0
         self.n_failures = 0
 
+    def on_first(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when the first answer was taken."""
+        self._on_first = callback
+
     async def start(self) -> None:
         """Begin to follow."""
         self._task = start_task(self._run(), f"watch-{self._table}")
@@ -174,6 +179,8 @@
             # One row that cannot be handled must not end the watch: keys could
             # then no longer be confirmed, and every request would be refused.
             _log.exception("watch: an answer could not be taken", table=self._table)
+        if self.n_answers == 1 and self._on_first is not None:
+            self._on_first()
 
     def _note_lost(self, error: TableError) -> None:
         self.n_failures += 1
