Keep what a peer told in the copy that others are answered from

A daemon that had followed a peer kept no copy of what it was told; when it followed the store again, its copy went on after a gap, and it told that copy to others as all that had changed.

Ruled out: lost or late messages (the row was missing although the links had been whole for 30 s).

Now answers of peers go into the copy as well, and a copy that an answer does not go on from is told to nobody until it is whole again.

--- a/features/peers/feedshare.feature
+++ b/features/peers/feedshare.feature
@@ -9,6 +9,20 @@
     Then each of them knows the newest rows at the end
     And nothing was taken for confirmed that was not
 
+  Scenario: Runs that failed before
+    Seed 33: a whole table came from a peer whose copy was older than what was known.
+    Seed 2158: a daemon that had followed a peer followed the store again, so that its
+    copy lacked what the peer had told meanwhile, for everybody who asked it.
+    When 4 daemons follow a store with faults through the seeds 33 and 2158
+    Then each of them knows the newest rows at the end
+    And nothing was taken for confirmed that was not
+
+  Scenario: A copy with a gap is told to nobody
+    Given a copy of a table with the changes of 5 answers
+    When an answer is taken that goes on after a later version
+    And it is asked for what came after version 3
+    Then it tells nothing yet
+
   Scenario Outline: <n> daemons of a cell ask the store as often as <most> alone
     When <n> daemons follow a calm store for 60 s
     Then the store is asked at most <most> times as often as by one daemon alone
--- a/features/peers/steps/feedshare_steps.py
+++ b/features/peers/steps/feedshare_steps.py
@@ -197,8 +197,17 @@
     "{n:d} daemons follow a store with faults through {runs:d} seeded runs of changes"
 )
 def step_faults(context, n, runs):
+    run_seeds(context, n, range(n_runs(runs)))
+
+
+@when("{n:d} daemons follow a store with faults through the seeds 33 and 2158")
+def step_failed_seeds(context, n):
+    run_seeds(context, n, (33, 2158))
+
+
+def run_seeds(context, n, seeds):
     context.wrong, context.ended = [], []
-    for seed in range(n_runs(runs)):
+    for seed in seeds:
         loop = VirtualTimeLoop()
         work = follow_with_faults(loop, n, seed, context.wrong)
         context.ended.append(loop.run_until_complete(work))
@@ -283,10 +292,16 @@
 @given("a copy of a table with the changes of {n:d} answers")
 def step_copy(context, n):
     context.mirror = FeedMirror()
-    context.mirror.take(Changes((), 1, is_whole=True), 0.0)
+    context.mirror.take(Changes((), 1, is_whole=True), None, 0.0)
     for version in range(2, n + 2):
         row = ChangedRow(f"row-{version % 7}", str(version).encode())
-        context.mirror.take(Changes((row,), version), 0.0)
+        context.mirror.take(Changes((row,), version), version - 1, 0.0)
+
+
+@when("an answer is taken that goes on after a later version")
+def step_gap(context):
+    version = context.mirror.version
+    context.mirror.take(Changes((), version + 9), version + 8, 0.0)
 
 
 @when("it is asked for what came after version {after:d}")
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -141,7 +141,8 @@
             if told is not None:
                 return Success(told)
         sent_seconds = self._clock.now_seconds()
-        return self._note(table, await self._store.read_table(table), sent_seconds)
+        answer = await self._store.read_table(table)
+        return self._note(table, None, answer, sent_seconds)
 
     async def wait_changes(
         self, table: str, after: int, wait_seconds: float
@@ -154,16 +155,20 @@
         sent_seconds = self._clock.now_seconds()
         held_seconds = min(wait_seconds, STORE_HELD_SECONDS)
         answer = await self._store.wait_changes(table, after, held_seconds)
-        return self._note(table, answer, sent_seconds)
+        return self._note(table, after, answer, sent_seconds)
 
     def _note(
-        self, table: str, answer: Result[Changes, TableError], sent_seconds: float
+        self,
+        table: str,
+        after: int | None,
+        answer: Result[Changes, TableError],
+        sent_seconds: float,
     ) -> Result[Changes, TableError]:
         """Keep what the store told, and answer the peers that wait for it."""
         mirror = self._mirrors[table]
         match answer:
             case Success(changes):
-                mirror.take(changes, sent_seconds)
+                mirror.take(changes, after, sent_seconds)
                 self._known.add(table)
             case Failure(_):
                 mirror.note_lost()
@@ -204,12 +209,16 @@
             return None
         self.n_peer_answers += 1
         self._known.add(table)
-        return Changes(
+        confirmed_seconds = sent_seconds + answer.confirmed_after_seconds
+        changes = Changes(
             tuple(_to_change(row) for row in answer.rows),
             answer.version,
             answer.is_whole,
-            sent_seconds + answer.confirmed_after_seconds,
+            confirmed_seconds,
         )
+        # Kept as well, or the copy would have a gap once the store is asked again.
+        self._mirrors[table].take(changes, after, confirmed_seconds)
+        return changes
 
     async def _send(self, source: DaemonId, ask: FeedAsk) -> FeedAnswer | None:
         """Send a question and return its answer; None when there is none."""
--- a/lycheepost/state/feedmirror.py
+++ b/lycheepost/state/feedmirror.py
@@ -1,4 +1,4 @@
-"""A copy of a table that the store is asked about, to answer peers from.
+"""A copy of a table that a daemon follows, to answer peers from.
 
 Pure logic: every method takes ``now_seconds``.
 """
@@ -31,7 +31,8 @@
     """One table as the store told it, and how.
 
     Attributes:
-        version: The store's version at the last answer; None before any.
+        version: The store's version at the last answer; None while it is not known
+            whole.
     """
 
     version: int | None = None
@@ -41,12 +42,25 @@
     _confirmed_seconds: float = float("-inf")
     _is_lost: bool = False
 
-    def take(self, changes: Changes, confirmed_seconds: float) -> None:
-        """Take an answer of the store to a question that was sent then."""
+    def take(
+        self, changes: Changes, after: int | None, confirmed_seconds: float
+    ) -> None:
+        """Take an answer of the store, or of a peer.
+
+        Args:
+            changes: What it told.
+            after: The version that was asked for; None for a whole read.
+            confirmed_seconds: When the table was known to be so.
+        """
         if changes.is_whole:
             self._rows = {}
             self._steps.clear()
             self._base_version = changes.version
+        elif after != self.version:
+            # Rows between the two versions were never seen here. Told to a peer as
+            # all that changed, they would be missing there for good.
+            self.version = None
+            return
         for row in changes.rows:
             if row.value is None:
                 self._rows.pop(row.key, None)
