Add a fault soak of real daemons before a model of the platform

Daemons run as processes; every way between them, the store, the servers and the clients goes through a loopback proxy that delays, resets, cuts one way or silences. Kills, pauses, stops with SIGHUP, restarts, store faults, new weights and configurations that take a key away come in seeded series that overlap. Checked: answers whole and their callers' own, 'not run' true also later, at most one run, no run with a key long taken away, all daemons ready again.

--- /dev/null
+++ b/features/soak/soak.feature
@@ -0,0 +1,8 @@
+Feature: The fault soak, in short
+  Real daemons as processes, with faults from outside; the long runs are made by hand:
+  python tools/faultsoak.py --seeds 1-50 --seconds 10
+
+  Scenario: A short seeded run finds no broken promise and leaves nothing behind
+    When the fault soak runs seed 7 with 3 daemons for 5 s
+    Then it tells of answers that were served, and of no violation
+    And none of its processes is left
--- /dev/null
+++ b/features/soak/steps/soak_steps.py
@@ -0,0 +1,43 @@
+"""Steps of soak.feature."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import psutil
+from behave import then, when
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+
+
+@when("the fault soak runs seed {seed:d} with {n:d} daemons for {seconds:d} s")
+def step_run(context, seed, n, seconds):
+    before = set(psutil.pids())
+    words = ["--seeds", str(seed), "--daemons", str(n), "--seconds", str(seconds)]
+    context.run = subprocess.run(
+        [sys.executable, "tools/faultsoak.py", *words, "--json"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    context.left = [pid for pid in psutil.pids() if pid not in before]
+
+
+@then("it tells of answers that were served, and of no violation")
+def step_told(context):
+    assert context.run.returncode == 0, context.run.stdout + context.run.stderr
+    told = json.loads(context.run.stdout.splitlines()[0])
+    assert told["violations"] == []
+    assert any(name.endswith("served") for name in told["outcomes"])
+
+
+@then("none of its processes is left")
+def step_left(context):
+    for pid in context.left:
+        try:
+            words = psutil.Process(pid).cmdline()
+        except psutil.NoSuchProcess:
+            continue
+        is_daemon = "lycheepost.app.platformrun" in words
+        assert not (is_daemon and psutil.Process(pid).ppid() == 1), words
--- a/lycheepost/app/platformdemo.py
+++ b/lycheepost/app/platformdemo.py
@@ -11,7 +11,14 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from lycheepost.app.platformfleet import ENGINES, KEYS, PLAIN, Answer, PlatformFleet
+from lycheepost.app.platformfleet import (
+    ENGINES,
+    KEYS,
+    MODEL,
+    PLAIN,
+    Answer,
+    PlatformFleet,
+)
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import (
     OwnFailure,
@@ -82,7 +89,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Asked:
+class Asked:
     """One request and the answer that is right."""
 
     kind: str
@@ -93,6 +100,7 @@
 
     @property
     def is_stream(self) -> bool:
+        """Tell whether its answer is a stream."""
         return self.kind in ("title", "album")
 
 
@@ -105,7 +113,7 @@
         await _drive(fleet, plan, report)
     finally:
         await fleet.stop()
-    _audit_runs(fleet, report)
+    audit_runs(fleet, report)
     _audit_served(report)
     return report
 
@@ -124,48 +132,56 @@
                 fleet.name_weights(2)
             if rng.random() < FAULT_SHARE:
                 faults.add(rng.choice(FAULTS))
-            group.create_task(_ask(fleet, _make_asked(rng, number), rng, report))
+            group.create_task(_ask(fleet, make_asked(rng, number), rng, report))
             await asyncio.sleep(rng.expovariate(plan.rate_per_second))
 
 
-def _make_asked(rng: random.Random, number: int) -> _Asked:
+def make_asked(rng: random.Random, number: int) -> Asked:
+    """Return a request of the seed's choice."""
     kind = rng.choices(("album", "title", "order", "look"), (45, 31, 19, 8))[0]
     path = f"/{kind}/{number}"
     if kind == "look":
-        return _Asked(kind, "GET", path, b"", answer_text(path, b""))
+        return Asked(kind, "GET", path, b"", answer_text(path, b""))
     body = f"body of request {number}".encode()
     if kind == "order":
-        return _Asked(kind, "POST", path, body, answer_text(path, body))
+        return Asked(kind, "POST", path, body, answer_text(path, body))
     events = b"".join(event_bytes(n, body) for n in range(1, N_EVENTS + 1))
-    return _Asked(kind, "POST", path, body, events)
+    return Asked(kind, "POST", path, body, events)
+
+
+def prompt_of(rng: random.Random, asked: Asked) -> dict[str, str]:
+    """Return the headers that tell a request's prompt; none for a plain one."""
+    if not asked.is_stream:
+        return {}
+    album = rng.randrange(N_ALBUMS)
+    return {
+        names.MODEL: MODEL,
+        names.TOKENS: f"6500,{N_EVENTS}",
+        names.PROMPT_PARTS: f"a0:2520,b{album:x}:3780,c{asked.path[7:]}:200",
+    }
 
 
 async def _ask(
-    fleet: PlatformFleet, asked: _Asked, rng: random.Random, report: PlatformDemoReport
+    fleet: PlatformFleet, asked: Asked, rng: random.Random, report: PlatformDemoReport
 ) -> None:
     key = rng.choice(tuple(KEYS))
-    if asked.is_stream:
-        album = rng.randrange(N_ALBUMS)
-        parts = f"a0:2520,b{album:x}:3780,c{asked.path[7:]}:200"
-        more = {names.TOKENS: f"6500,{N_EVENTS}"}
-        headers = fleet.prompt_headers(key, parts, **more)
-    else:
-        headers = fleet.headers(key)
+    headers = fleet.headers(key, **prompt_of(rng, asked))
     index = rng.randrange(len(fleet.daemons))
     started = time.monotonic()
     answer = await fleet.ask(asked.method, asked.path, headers, asked.body, index)
     elapsed = time.monotonic() - started
-    _judge(fleet, asked, headers[names.ATTEMPT_ID], answer, elapsed, report)
+    judge(fleet, asked, headers[names.ATTEMPT_ID], answer, elapsed, report)
 
 
-def _judge(
+def judge(
     fleet: PlatformFleet,
-    asked: _Asked,
+    asked: Asked,
     attempt_id: str,
     answer: Answer,
     elapsed_seconds: float,
     report: PlatformDemoReport,
 ) -> None:
+    """Count one answer, and note whatever it breaks."""
     is_served = answer.status == 200 and answer.is_whole
     if is_served:
         report.outcomes[f"{asked.kind} served"] += 1
@@ -191,7 +207,7 @@
         report.violations.append(f"{n_served} of {n_asked} were served")
 
 
-def _audit_runs(fleet: PlatformFleet, report: PlatformDemoReport) -> None:
+def audit_runs(fleet: PlatformFleet, report: PlatformDemoReport) -> None:
     """Count what may run once and ran twice, and what ran where it must not."""
     runs = Counter(
         run.attempt_id
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -90,7 +90,9 @@
 
 
 def make_configuration(
-    version: int = 1, keys: tuple[str, ...] = tuple(KEYS)
+    version: int = 1,
+    keys: tuple[str, ...] = tuple(KEYS),
+    customers: Mapping[str, str] = KEYS,
 ) -> dict[str, Any]:
     """Return a configuration as an operator writes it."""
     engine = {"slots": 32, "kv_capacity_tokens": 100000, "models": [{"name": MODEL}]}
@@ -113,7 +115,7 @@
         ],
         "tenants": [
             {
-                "name": KEYS[key],
+                "name": customers[key],
                 "api_keys": [key],
                 "priority": 1,
                 "isolated": key == ISOLATED_KEY,
--- /dev/null
+++ b/tools/faultsoak.py
@@ -0,0 +1,310 @@
+"""Run real daemons on a model of the platform under seeded faults from outside.
+
+    python tools/faultsoak.py --seeds 1-50 --seconds 20 [--daemons 6] [--json]
+
+The daemons are processes; the store, the engines and the plain services are stand-ins
+in this one. Every way between them goes through a loopback proxy that delays, resets,
+cuts one way or silences. Processes are stopped, paused, killed and started again by
+signals, and the store fails, answers late or loses answers, in series that overlap.
+Clients keep using their connections until the process behind them is gone. Every
+answer is checked while it runs; afterwards, what ran against what was answered. Every
+process that was started here is ended here, by its id. Exit code 0 without a violation.
+
+A seed that ever failed stays in ``FAILED_SEEDS`` with its cause and runs first.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
+from soakproxy import Weather
+
+from lycheepost.app.platformdemo import (
+    PlatformDemoReport,
+    audit_runs,
+    judge,
+    make_asked,
+    prompt_of,
+)
+from lycheepost.app.platformfleet import KEYS, Answer, make_configuration
+from lycheepost.platform import headers as names
+
+FAILED_SEEDS: dict[int, str] = {}
+"""Seeds that failed, each with its cause."""
+
+LOST_KEY = "k-lost"
+"""Taken away in the middle of a run."""
+
+REVOKE_SECONDS = 5.0
+RATE_PER_SECOND = 20.0
+SETTLE_SECONDS = 12.0
+"""After the last fault all daemons must be ready again within this time."""
+
+N_PLAIN = 3
+N_ENGINES = 3
+_NOT_RUN = (408, 421, 429, 503)
+
+
+@dataclass
+class SoakRun:
+    """One seed.
+
+    Attributes:
+        sent_seconds: When each attempt was sent, and with which key.
+        refused: Attempts that may run once and were told not to have run.
+        revoked_seconds: When the key was gone from the configuration.
+    """
+
+    seed: int
+    fleet: ProcessFleet
+    rng: random.Random
+    until_seconds: float
+    report: PlatformDemoReport = field(default_factory=PlatformDemoReport)
+    sent_seconds: dict[str, tuple[float, str]] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    revoked_seconds: float = float("inf")
+    faults: Counter[str] = field(default_factory=Counter)
+    version: int = 1
+    weights: int = 1
+
+    def is_over(self) -> bool:
+        """Tell whether no further fault may begin."""
+        return time.monotonic() >= self.until_seconds
+
+
+async def pause(run: SoakRun, low: float, high: float) -> None:
+    """Wait for some time of the seed's choice."""
+    await asyncio.sleep(run.rng.uniform(low, high))
+
+
+async def kill(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Kill a process and start it again."""
+    daemon.send(signal.SIGKILL)
+    await pause(run, 0.2, 1.5)
+    await daemon.end(0.0)
+    daemon.start()
+
+
+async def freeze(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Pause a process."""
+    daemon.send(signal.SIGSTOP)
+    await pause(run, 0.3, 4.0)
+    daemon.send(signal.SIGCONT)
+
+
+async def stop(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Tell a process to end, and start it again."""
+    daemon.send(signal.SIGHUP)
+    await daemon.end(8.0)
+    daemon.start()
+
+
+async def blind(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Spoil a daemon's way to the store."""
+    daemon.store.set_weather(run.rng.choice(list(Weather)))
+    daemon.store.reset(run.rng, 0.5)
+    await pause(run, 0.5, 6.0)
+    daemon.store.set_weather(Weather.CLEAR)
+    daemon.store.reset()
+
+
+async def spoil_clients(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Spoil the clients' way to a daemon."""
+    daemon.clients.set_weather(run.rng.choice(list(Weather)))
+    await pause(run, 0.3, 2.0)
+    daemon.clients.set_weather(Weather.CLEAR)
+    daemon.clients.reset(run.rng, 0.7)
+
+
+async def spoil_server(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Spoil all daemons' way to one server."""
+    server = run.rng.choice(run.fleet.servers)
+    if not isinstance(server, ProxiedServer) or server.proxy is None:
+        return
+    server.proxy.set_weather(run.rng.choice(list(Weather)))
+    server.proxy.reset(run.rng, 0.5)
+    await pause(run, 0.3, 3.0)
+    server.proxy.set_weather(Weather.CLEAR)
+
+
+async def spoil_store(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let the store itself be away, slow, or lose answers."""
+    faults = run.fleet.store.store.faults
+    match run.rng.randrange(4):
+        case 0:
+            faults.is_down = True
+        case 1:
+            faults.delay_seconds = run.rng.uniform(0.1, 0.8)
+        case 2:
+            faults.n_lost_answers = run.rng.randint(1, 4)
+        case 3:
+            faults.n_late_writes = run.rng.randint(1, 3)
+            faults.late_seconds = run.rng.uniform(0.5, 5.0)
+    await pause(run, 0.5, 4.0)
+    faults.clear()
+
+
+async def name_weights(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Name new weights."""
+    run.weights += 1
+    run.fleet.name_weights(run.weights)
+
+
+async def configure(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Write a new configuration; the first one takes a key away."""
+    run.version += run.rng.randint(1, 4)
+    run.fleet.configure(make_configuration(run.version))
+    run.revoked_seconds = min(run.revoked_seconds, time.monotonic())
+
+
+FAULTS: tuple[Callable[[SoakRun, DaemonProcess], Awaitable[None]], ...] = (
+    kill,
+    freeze,
+    stop,
+    blind,
+    spoil_clients,
+    spoil_server,
+    spoil_store,
+    name_weights,
+    configure,
+)
+
+
+async def disturb(run: SoakRun) -> None:
+    """Begin one fault after the other; each ends by itself, and they overlap."""
+    async with asyncio.TaskGroup() as group:
+        while not run.is_over():
+            await pause(run, 0.3, 2.0)
+            fault = run.rng.choice(FAULTS)
+            daemon = run.rng.choice(run.fleet.processes)
+            run.faults[fault.__name__] += 1
+            group.create_task(fault(run, daemon))
+
+
+async def ask(run: SoakRun, number: int) -> None:
+    """Send one request through one daemon, and judge its answer."""
+    fleet = run.fleet
+    asked = make_asked(run.rng, number)
+    key = run.rng.choice((*KEYS, LOST_KEY))
+    headers = fleet.headers(key, **prompt_of(run.rng, asked))
+    attempt_id = headers[names.ATTEMPT_ID]
+    index = run.rng.randrange(len(fleet.processes))
+    run.sent_seconds[attempt_id] = (time.monotonic(), key)
+    started_seconds = time.monotonic()
+    answer = Answer(None, is_whole=False)
+    try:
+        async with asyncio.timeout(4.0):
+            answer = await fleet.ask(
+                asked.method, asked.path, headers, asked.body, index
+            )
+    except TimeoutError:
+        # A client that leaves; what came of its request is checked at the end.
+        pass
+    elapsed_seconds = time.monotonic() - started_seconds
+    judge(fleet, asked, attempt_id, answer, elapsed_seconds, run.report)
+    if answer.status in _NOT_RUN and names.SEAL not in answer.headers:
+        run.refused.add(attempt_id)
+
+
+async def drive(run: SoakRun) -> None:
+    """Send requests until the faults are over and a little longer."""
+    number = 0
+    async with asyncio.TaskGroup() as group:
+        while time.monotonic() < run.until_seconds + 2.0:
+            number += 1
+            group.create_task(ask(run, number))
+            await asyncio.sleep(run.rng.expovariate(RATE_PER_SECOND))
+
+
+def audit(run: SoakRun) -> None:
+    """Check what ran against what was answered."""
+    audit_runs(run.fleet, run.report)
+    violations = run.report.violations
+    for server in run.fleet.servers:
+        for done in server.runs:
+            is_once = done.path.startswith(("/order", "/album"))
+            if is_once and done.attempt_id in run.refused:
+                violations.append(f"{done.attempt_id}: refused as not run, and ran")
+            sent_seconds, key = run.sent_seconds[done.attempt_id]
+            late_seconds = sent_seconds - run.revoked_seconds - REVOKE_SECONDS
+            if key == LOST_KEY and late_seconds > 0:
+                violations.append(f"{done.attempt_id}: ran with a key long taken away")
+
+
+async def check_settled(run: SoakRun) -> None:
+    """Check that all daemons are ready again."""
+    until_seconds = time.monotonic() + SETTLE_SECONDS
+    while not await run.fleet.all_up():
+        if time.monotonic() > until_seconds:
+            run.report.violations.append("not all daemons are ready again")
+            return
+        await asyncio.sleep(0.2)
+
+
+async def soak(seed: int, n_daemons: int, n_seconds: float) -> SoakRun:
+    """Run one seed."""
+    with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as folder:
+        fleet = ProcessFleet(pathlib.Path(folder))
+        keys = {**KEYS, LOST_KEY: "lost"}
+        try:
+            await fleet.begin(n_daemons, N_PLAIN, N_ENGINES, keys)
+            until_seconds = time.monotonic() + n_seconds
+            run = SoakRun(seed, fleet, random.Random(seed), until_seconds)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(disturb(run))
+                group.create_task(drive(run))
+            await check_settled(run)
+            audit(run)
+            if run.report.violations:
+                keep_logs(pathlib.Path(folder), seed)
+            return run
+        finally:
+            await fleet.end()
+
+
+def keep_logs(folder: pathlib.Path, seed: int) -> None:
+    """Keep the daemons' logs of a run that failed."""
+    kept = pathlib.Path("soak-logs") / str(seed)
+    kept.mkdir(parents=True, exist_ok=True)
+    for log in folder.glob("*.log"):
+        (kept / log.name).write_bytes(log.read_bytes())
+
+
+def seeds_of(text: str) -> list[int]:
+    """Return the seeds of ``A-B`` or ``A,B,...``."""
+    if "-" in text:
+        first, last = text.split("-")
+        return list(range(int(first), int(last) + 1))
+    return [int(word) for word in text.split(",")]
+
+
+def main() -> int:
+    """Run all seeds and tell what was found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-5")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--daemons", type=int, default=6)
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    n_bad = 0
+    for seed in [*FAILED_SEEDS, *seeds_of(options.seeds)]:
+        run = asyncio.run(soak(seed, options.daemons, options.seconds))
+        n_bad += bool(run.report.violations)
+        found = {"seed": seed, "faults": dict(run.faults), **run.report.describe()}
+        print(json.dumps(found) if options.json else found, flush=True)
+    print(f"{n_bad} seeds with violations")
+    return 1 if n_bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soakfleet.py
@@ -0,0 +1,200 @@
+"""Real daemons as processes before stand-ins of the platform, through proxies."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+
+import aiohttp
+from soakproxy import Proxy
+
+from lycheepost.app.platformfleet import (
+    BOUNDS,
+    ENGINES,
+    HOST,
+    MODEL,
+    PLAIN,
+    ZONE,
+    PlatformFleet,
+    make_configuration,
+)
+from lycheepost.core.ids import DaemonId, RegionId
+from lycheepost.platform.models.serverface import PlatformServer
+from lycheepost.platform.settings import Endpoint, NodeSettings
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+GRACE_SECONDS = 8.0
+
+
+def free_ports(n: int) -> list[int]:
+    """Return ports that nobody listens on now."""
+    held = [socket.create_server((HOST, 0)) for _ in range(n)]
+    ports = [int(item.getsockname()[1]) for item in held]
+    for item in held:
+        item.close()
+    return ports
+
+
+class ProxiedServer(PlatformServer):
+    """A server that daemons reach through a proxy, and that notes when it ran what."""
+
+    def __init__(self, service: str, model: str = "") -> None:
+        super().__init__(service, model)
+        self.proxy: Proxy | None = None
+        self.ran_seconds: dict[str, float] = {}
+
+    @property
+    def address(self) -> str:
+        """Return the address that it registers: its proxy's."""
+        if self.proxy is None:
+            return super().address
+        return f"{HOST}:{self.proxy.port}"
+
+    async def start(self) -> None:
+        """Listen, and open the proxy before it."""
+        await super().start()
+        host, _, port = super().address.partition(":")
+        self.proxy = Proxy((host, int(port)))
+        await self.proxy.start()
+
+    async def stop(self) -> None:
+        """Close both."""
+        if self.proxy is not None:
+            await self.proxy.stop()
+        await super().stop()
+
+    def _record(self, request: aiohttp.web.Request, body: bytes) -> None:
+        super()._record(request, body)
+        self.ran_seconds[self.runs[-1].attempt_id] = time.monotonic()
+
+
+@dataclass
+class DaemonProcess:
+    """One daemon, which may be started again."""
+
+    node_file: pathlib.Path
+    metrics_port: int
+    store: Proxy
+    clients: Proxy
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start it; its log goes beside its settings, after what is there."""
+        environment = {
+            **os.environ,
+            "LYCHEEPOST_NODE_FILE": str(self.node_file),
+            "LYCHEEPOST_METRICS_PORT": str(self.metrics_port),
+        }
+        with self.node_file.with_suffix(".log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "lycheepost.app.platformrun"],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this very process, if it lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def end(self, within_seconds: float) -> None:
+        """Stop it; kill it if it does not end in time."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        until_seconds = time.monotonic() + within_seconds
+        while self.process is not None and self.process.poll() is None:
+            if time.monotonic() > until_seconds:
+                self.send(signal.SIGKILL)
+            await asyncio.sleep(0.05)
+
+
+class ProcessFleet(PlatformFleet):
+    """The platform's stand-ins in this process, the daemons in their own.
+
+    Args:
+        folder: For settings files and logs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        super().__init__(BOUNDS)
+        self.folder = folder
+        self.processes: list[DaemonProcess] = []
+
+    async def begin(
+        self, n_daemons: int, n_plain: int, n_engines: int, keys: dict[str, str]
+    ) -> None:
+        """Start everything and wait until the daemons are ready."""
+        await self.start(0, 0, 0, is_configured=False)
+        self.configure(make_configuration(1, tuple(keys), keys))
+        for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
+            for _ in range(n):
+                await self.add_server(ProxiedServer(service, model))
+        for _ in range(n_daemons):
+            await self.add_process()
+        await self.until(self.all_up)
+
+    async def add_process(self) -> None:
+        """Start one more daemon in a process of its own."""
+        store_port = int(self.store.url.rpartition(":")[2])
+        store = Proxy((HOST, store_port))
+        await store.start()
+        front, ready, directory, metrics, first = free_ports(5)
+        clients = Proxy((HOST, front))
+        await clients.start()
+        name = f"front-{len(self.nodes)}"
+        settings = {
+            "node_name": name,
+            "zone": ZONE,
+            "region": "r",
+            "ip": HOST,
+            "listen.front": f"{HOST}:{front}",
+            "listen.ready": f"{HOST}:{ready}",
+            "listen.directory": f"{HOST}:{directory}",
+            "port_range": f"{first},{first}",
+            "platform.address": f"{HOST}:{store.port}",
+        }
+        node_file = self.folder / f"{name}.conf"
+        node_file.write_text("".join(f"{k}={v}\n" for k, v in settings.items()))
+        self.nodes.append(
+            NodeSettings(
+                daemon=DaemonId(name),
+                availability_zone=ZONE,
+                region=RegionId("r"),
+                host=HOST,
+                clients=Endpoint(HOST, clients.port),
+                readiness=Endpoint(HOST, ready),
+                directory=Endpoint(HOST, directory),
+                peer_ports=(first, first),
+                store=Endpoint(HOST, store.port),
+                bounds=BOUNDS,
+            )
+        )
+        process = DaemonProcess(node_file, metrics, store, clients)
+        process.start()
+        self.processes.append(process)
+
+    async def all_up(self) -> bool:
+        """Tell whether every daemon is ready; one that does not answer is not."""
+        for index in range(len(self.nodes)):
+            try:
+                async with asyncio.timeout(1.0):
+                    if await self.ready(index) != 200:
+                        return False
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                return False
+        return True
+
+    async def end(self) -> None:
+        """End every process that was started here, and the stand-ins."""
+        await asyncio.gather(*(item.end(GRACE_SECONDS) for item in self.processes))
+        for item in self.processes:
+            await item.store.stop()
+            await item.clients.stop()
+        await self.stop()
--- /dev/null
+++ b/tools/soakproxy.py
@@ -0,0 +1,106 @@
+"""A loopback proxy that delays, resets, cuts one way and silences connections."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+CHUNK_BYTES = 65536
+
+
+class Weather(Enum):
+    """What happens to the bytes of a proxy's connections."""
+
+    CLEAR = "clear"
+    DELAYED = "delayed"
+    """Every chunk waits."""
+    ONE_WAY = "one_way"
+    """What the far end answers is lost; what is sent to it arrives."""
+    SILENT = "silent"
+    """Nothing passes, in either direction, and nothing is closed."""
+
+
+@dataclass
+class Proxy:
+    """One listening port before one far end.
+
+    Attributes:
+        far: ``(host, port)`` behind it; may change while it runs.
+        weather: What happens to bytes from now on.
+        delay_seconds: While delayed.
+    """
+
+    far: tuple[str, int]
+    weather: Weather = Weather.CLEAR
+    delay_seconds: float = 0.2
+    _audible: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    @property
+    def port(self) -> int:
+        """Return the port it listens on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def set_weather(self, weather: Weather) -> None:
+        """Change what happens to bytes from now on."""
+        self.weather = weather
+        if weather is Weather.SILENT:
+            self._audible.clear()
+        else:
+            self._audible.set()
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on a free port."""
+        self.set_weather(self.weather)
+        self._server = await asyncio.start_server(self._serve, host, 0)
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    def reset(self, rng: random.Random | None = None, share: float = 1.0) -> None:
+        """Reset some of the connections that are open."""
+        for writer in list(self._writers):
+            if rng is None or rng.random() < share:
+                writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.far)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, far_writer, is_answer=False))
+                group.create_task(self._pump(far_reader, writer, is_answer=True))
+        except* (ConnectionError, OSError):
+            pass
+        finally:
+            self._writers -= {writer, far_writer}
+            writer.transport.abort()
+            far_writer.transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_answer: bool,
+    ) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            await self._audible.wait()
+            if self.weather is Weather.ONE_WAY and is_answer:
+                continue
+            if self.weather is Weather.DELAYED:
+                await asyncio.sleep(self.delay_seconds)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
