--- a/features/platform/steps/demo_steps.py
+++ b/features/platform/steps/demo_steps.py
@@ -38,7 +38,7 @@
 @when("the audit is shown {what}")
 def step_shown(context, what):
     report = platformdemo.PlatformDemoReport()
-    asked = platformdemo._Asked("order", "POST", "/order/1", b"", b"right")
+    asked = platformdemo.Asked("order", "POST", "/order/1", b"", b"right")
     fleet = make_fleet("/order/1")
     answers = {
         "another request's answer": Answer(200, {}, b"wrong"),
@@ -46,14 +46,14 @@
         "an order that ran, called unrun": Answer(503),
     }
     if what in answers:
-        platformdemo._judge(fleet, asked, "a1", answers[what], 0.1, report)
+        platformdemo.judge(fleet, asked, "a1", answers[what], 0.1, report)
     elif what == "refusals and nothing else":
         report.outcomes.update(["order 503", "look 503", "title cut"])
         platformdemo._audit_served(report)
     elif what == "an order that ran twice":
-        platformdemo._audit_runs(make_fleet("/order/1", "/order/1"), report)
+        platformdemo.audit_runs(make_fleet("/order/1", "/order/1"), report)
     else:
-        platformdemo._audit_runs(make_fleet("/look/1", service="llm"), report)
+        platformdemo.audit_runs(make_fleet("/look/1", service="llm"), report)
     context.report = report
 
 
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -230,9 +230,13 @@
         self.nodes.append(node)
         self.daemons.append(daemon)
 
-    async def until(self, condition: Callable[[], Awaitable[bool]]) -> None:
+    async def until(
+        self,
+        condition: Callable[[], Awaitable[bool]],
+        within_seconds: float = PATIENCE_SECONDS,
+    ) -> None:
         """Wait until a condition holds; fail after a generous bound."""
-        async with asyncio.timeout(PATIENCE_SECONDS):
+        async with asyncio.timeout(within_seconds):
             while True:
                 if await condition():
                     return
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -25,8 +25,8 @@
     CHANGE_SECONDS,
     TargetList,
     WeightsChange,
-    weights_number,
 )
+from lycheepost.state.wantedweights import weights_number
 from lycheepost.targets.weightsport import (
     LoadWeights,
     OrderAnswer,
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -26,26 +26,16 @@
 from lycheepost.decide.cells import Cell, Place, find_reaches
 from lycheepost.decide.records import Reach, TargetState, TargetView
 from lycheepost.decide.targethealth import Ending, TargetHealth
+from lycheepost.state.wantedweights import (
+    OLD_WEIGHTS_MARGIN_SECONDS,
+    WantedWeights,
+    weights_number,
+)
 
 LAPSE_SECONDS = 2.2
 """Registrations that lapsed are back two seconds after the store; and one round
 trip through the target and the store."""
 
-OLD_WEIGHTS_MARGIN_SECONDS = 1.5
-"""How long before old weights may no longer be served they get no new requests: one
-that waits in a target's queue begins that much later."""
-
-OLD_FREE_SECONDS = 1.2
-"""So soon after new weights were named, an answer with older ones is as good."""
-
-OLD_WEIGHTS_SECONDS = 0.15
-"""Later it is worth a fifth less to its caller: as much as the risk of missing the
-objective of half a second by a wait of so much longer."""
-
-START_SECONDS = 2.5
-"""How long a daemon that has just started serves weights that it finds outdated. It
-cannot know when the newer ones were named."""
-
 CHANGE_SECONDS = 2.5
 """A target that was ordered to change its weights is used again after this time
 even if nobody told that it is done: the daemon that knew may have died, or be cut
@@ -56,20 +46,6 @@
 OnViews = Callable[[tuple[TargetView, ...]], None]
 
 
-@dataclass(frozen=True, slots=True)
-class _Wanted:
-    """The newest weights of a model, and until when older ones may be served.
-
-    Attributes:
-        is_guessed: The time is the guess of a daemon that has just started.
-    """
-
-    version: int
-    named_seconds: float
-    old_until_seconds: float
-    is_guessed: bool
-
-
 @dataclass(slots=True)
 class _Known:
     """What is known of one target.
@@ -117,13 +93,12 @@
         self._clock = clock
         self._on_views = on_views
         self._weights_seconds = weights_seconds
-        self._wanted: dict[ModelId, _Wanted] = {}
+        self._wanted = WantedWeights()
         self._known: dict[TargetId, _Known] = {}
         self._health: dict[TargetGroupId, TargetHealth] = {}
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
         self._newest: dict[ModelId, WeightsVersion] = {}
-        self._told_until: dict[ModelId, float] = {}
         self._cell = Cell()
         self._reaches: dict[TargetId, Reach] = {}
         self._is_reach_due = True
@@ -257,94 +232,39 @@
             named_seconds: It was named at this time or later; None when it was
                 found at the start and nothing is known.
         """
-        wanted = self._wanted.get(model)
-        if wanted is not None and version <= wanted.version:
-            return
         now_seconds = self._clock.now_seconds()
-        until_seconds = now_seconds + START_SECONDS
-        if named_seconds is not None:
-            until_seconds = named_seconds + self.old_weights_seconds()
-        if wanted is not None and self._has_behind(model, wanted.version):
-            # Who is behind by two versions was due for the first one.
-            until_seconds = min(until_seconds, wanted.old_until_seconds)
-        is_guessed = named_seconds is None
-        if wanted is not None and wanted.is_guessed:
-            is_guessed = until_seconds == wanted.old_until_seconds
-        known_seconds = now_seconds if named_seconds is None else named_seconds
-        self._wanted[model] = _Wanted(version, known_seconds, until_seconds, is_guessed)
-        self._correct_guess(model)
-        self.refresh()
+        versions = [
+            weights_number(known.weights[model])
+            for known in self._known.values()
+            if known.weights and model in known.weights
+        ]
+        bound_seconds = self.old_weights_seconds()
+        if self._wanted.want(
+            model, version, named_seconds, versions, bound_seconds, now_seconds
+        ):
+            self.refresh()
 
     def old_weights_due(self) -> dict[ModelId, float]:
         """Return how long older weights of each model may still be served.
 
         Models of which only a guess is known are left out.
         """
-        now_seconds = self._clock.now_seconds()
-        return {
-            model: wanted.old_until_seconds - now_seconds
-            for model, wanted in self._wanted.items()
-            if not wanted.is_guessed
-        }
+        return self._wanted.due_seconds(self._clock.now_seconds())
 
     def note_old_weights(self, model: ModelId, for_seconds: float) -> None:
-        """Take from a peer how long older weights of a model may still be served.
-
-        The failure: a daemon starts while weights are being changed. It cannot know
-        when they were named, and would soon refuse requests that its peers serve.
-        """
-        self._told_until[model] = self._clock.now_seconds() + for_seconds
-        self._correct_guess(model)
+        """Take from a peer how long older weights of a model may still be served."""
+        self._wanted.note_told(model, self._clock.now_seconds() + for_seconds)
         self.refresh()
 
-    def _correct_guess(self, model: ModelId) -> None:
-        wanted, told_seconds = self._wanted.get(model), self._told_until.get(model)
-        if wanted is None or told_seconds is None or not wanted.is_guessed:
-            return
-        _log.info(
-            "targets: told until when older weights serve",
-            model=model,
-            version=wanted.version,
-            for_seconds=round(told_seconds - self._clock.now_seconds(), 3),
-        )
-        self._wanted[model] = replace(
-            wanted, old_until_seconds=told_seconds, is_guessed=False
-        )
-
     def old_weights_seconds(self) -> float:
         """Return how long after newer weights were named old ones get requests."""
         return max(0.0, self._weights_seconds() - OLD_WEIGHTS_MARGIN_SECONDS)
 
-    def _has_behind(self, model: ModelId, version: int) -> bool:
-        return any(
-            weights_number(known.weights.get(model)) < version
-            for known in self._known.values()
-            if known.weights and model in known.weights
-        )
-
     def _is_unfit(self, known: _Known, now_seconds: float) -> bool:
         """Tell whether a target's weights keep it from serving."""
         is_changing = now_seconds < known.changing_until_seconds
-        return is_changing or self._is_outdated(known, now_seconds)
-
-    def _is_outdated(self, known: _Known, now_seconds: float) -> bool:
-        """Tell whether a target's weights may no longer be served."""
-        return any(
-            weights_number(version) < wanted.version
-            and now_seconds >= wanted.old_until_seconds
-            for model, version in (known.weights or {}).items()
-            if (wanted := self._wanted.get(model)) is not None
-        )
-
-    def _penalty_seconds(self, known: _Known, now_seconds: float) -> float:
-        """Return what answers made with a target's weights are worth less."""
-        is_old = any(
-            weights_number(version) < wanted.version
-            and now_seconds >= wanted.named_seconds + OLD_FREE_SECONDS
-            for model, version in (known.weights or {}).items()
-            if (wanted := self._wanted.get(model)) is not None
-        )
-        return OLD_WEIGHTS_SECONDS if is_old else 0.0
+        weights = known.weights or {}
+        return is_changing or self._wanted.is_outdated(weights, now_seconds)
 
     def note_weights(
         self, target: TargetId, model: ModelId, version: WeightsVersion
@@ -464,11 +384,8 @@
             weights_version=WeightsVersion(",".join(versions)),
             concurrency_limit=listed.slots,
             cache_tokens=0 if engine is None else engine.kv_tokens,
-            penalty_seconds=self._penalty_seconds(known, now_seconds),
+            penalty_seconds=self._wanted.penalty_seconds(
+                known.weights or {}, now_seconds
+            ),
             reach=self._reaches[name],
         )
-
-
-def weights_number(version: WeightsVersion | None) -> int:
-    """Return the place of a version among the versions of its model; 0 for none."""
-    return int(version) if version else 0
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -29,6 +29,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_SECONDS = 8.0
+START_SECONDS = 90.0
+"""For all processes to be up the first time, also on a machine that is busy."""
 
 
 def free_ports(n: int) -> list[int]:
@@ -138,7 +140,7 @@
                 await self.add_server(ProxiedServer(service, model))
         for _ in range(n_daemons):
             await self.add_process()
-        await self.until(self.all_up)
+        await self.until(self.all_up, START_SECONDS)
 
     async def add_process(self) -> None:
         """Start one more daemon in a process of its own."""
