--- /dev/null
+++ b/features/peers/steps/flood_steps.py
@@ -0,0 +1,69 @@
+"""Steps of floods.feature."""
+
+from collections import Counter, deque
+
+from behave import given, then, when
+
+from lycheepost.app.platformpeers import PEER_LINKS, cell_of
+from lycheepost.core.ids import AvailabilityZone, DaemonId
+from lycheepost.peers.exchange import _flooded_by_others
+from lycheepost.peers.neighbours import choose_neighbours
+from lycheepost.state.addresses import Member, MemberState
+
+
+def make_member(index):
+    name = DaemonId(f"daemon-{index:03}")
+    zone = AvailabilityZone(f"zone-{index % 3}")
+    return Member(name, "boot", MemberState.LIVE, zone, "", f"tcp://{name}")
+
+
+@given("{n:d} daemons in cells, linked by their rings and with their mates")
+def step_links(context, n):
+    members = tuple(make_member(index) for index in range(n))
+    context.links = {member.daemon: set() for member in members}
+    context.not_flooded = {}
+    for me in members:
+        names = set(cell_of(me, members).mates)
+        mates = tuple(member for member in members if member.daemon in names)
+        neighbours = choose_neighbours(me.daemon, members, PEER_LINKS)
+        context.not_flooded[me.daemon] = _flooded_by_others(members, neighbours, mates)
+        for other in (*neighbours, *mates):
+            context.links[me.daemon].add(other.daemon)
+            context.links[other.daemon].add(me.daemon)
+
+
+@when("{n:d} of them are dead and not yet missed")
+def step_dead(context, n):
+    names = sorted(context.links)
+    step = max(1, len(names) // n) if n else len(names) + 1
+    context.dead = set(names[::step][:n])
+
+
+def flood(context, origin):
+    """Return the copies that each living daemon gets of a flood."""
+    copies = Counter()
+    seen, queue = {origin}, deque([(origin, None)])
+    while queue:
+        me, source = queue.popleft()
+        for other in context.links[me] - context.not_flooded[me] - {source}:
+            if other in context.dead:
+                continue
+            copies[other] += 1
+            if other not in seen:
+                seen.add(other)
+                queue.append((other, me))
+    return copies
+
+
+@then("a flood of each reaches all that live")
+def step_reaches(context):
+    living = set(context.links) - context.dead
+    context.copies = {origin: flood(context, origin) for origin in living}
+    for origin, copies in context.copies.items():
+        assert set(copies) | {origin} == living, origin
+
+
+@then("each gets at most {most:d} copies of it on average")
+def step_copies(context, most):
+    for copies in context.copies.values():
+        assert sum(copies.values()) <= most * len(copies)
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -27,7 +27,7 @@
 from dataclasses import dataclass, field
 
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
-from soakproxy import Weather
+from soakproxy import LinkState
 
 from lycheepost.app.platformdemo import (
     PlatformDemoReport,
@@ -109,35 +109,35 @@
     daemon.start()
 
 
-async def blind(run: SoakRun, daemon: DaemonProcess) -> None:
-    """Spoil a daemon's way to the store."""
-    daemon.store.set_weather(run.rng.choice(list(Weather)))
+async def disturb_store_link(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Disturb a daemon's way to the store."""
+    daemon.store.set_state(run.rng.choice(list(LinkState)))
     daemon.store.reset(run.rng, 0.5)
     await pause(run, 0.5, 6.0)
-    daemon.store.set_weather(Weather.CLEAR)
+    daemon.store.set_state(LinkState.OPEN)
     daemon.store.reset()
 
 
-async def spoil_clients(run: SoakRun, daemon: DaemonProcess) -> None:
-    """Spoil the clients' way to a daemon."""
-    daemon.clients.set_weather(run.rng.choice(list(Weather)))
+async def disturb_client_link(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Disturb the clients' way to a daemon."""
+    daemon.clients.set_state(run.rng.choice(list(LinkState)))
     await pause(run, 0.3, 2.0)
-    daemon.clients.set_weather(Weather.CLEAR)
+    daemon.clients.set_state(LinkState.OPEN)
     daemon.clients.reset(run.rng, 0.7)
 
 
-async def spoil_server(run: SoakRun, _daemon: DaemonProcess) -> None:
-    """Spoil all daemons' way to one server."""
+async def disturb_server_link(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Disturb all daemons' way to one server."""
     server = run.rng.choice(run.fleet.servers)
     if not isinstance(server, ProxiedServer) or server.proxy is None:
         return
-    server.proxy.set_weather(run.rng.choice(list(Weather)))
+    server.proxy.set_state(run.rng.choice(list(LinkState)))
     server.proxy.reset(run.rng, 0.5)
     await pause(run, 0.3, 3.0)
-    server.proxy.set_weather(Weather.CLEAR)
+    server.proxy.set_state(LinkState.OPEN)
 
 
-async def spoil_store(run: SoakRun, _daemon: DaemonProcess) -> None:
+async def disturb_store(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let the store itself be away, slow, or lose answers."""
     faults = run.fleet.store.store.faults
     match run.rng.randrange(4):
@@ -171,10 +171,10 @@
     kill,
     freeze,
     stop,
-    blind,
-    spoil_clients,
-    spoil_server,
-    spoil_store,
+    disturb_store_link,
+    disturb_client_link,
+    disturb_server_link,
+    disturb_store,
     name_weights,
     configure,
 )
--- a/tools/soakproxy.py
+++ b/tools/soakproxy.py
@@ -8,10 +8,10 @@
 CHUNK_BYTES = 65536
 
 
-class Weather(Enum):
+class LinkState(Enum):
     """What happens to the bytes of a proxy's connections."""
 
-    CLEAR = "clear"
+    OPEN = "open"
     DELAYED = "delayed"
     """Every chunk waits."""
     ONE_WAY = "one_way"
@@ -26,14 +26,14 @@
 
     Attributes:
         far: ``(host, port)`` behind it; may change while it runs.
-        weather: What happens to bytes from now on.
+        state: What happens to bytes from now on.
         delay_seconds: While delayed.
     """
 
     far: tuple[str, int]
-    weather: Weather = Weather.CLEAR
+    state: LinkState = LinkState.OPEN
     delay_seconds: float = 0.2
-    _audible: asyncio.Event = field(default_factory=asyncio.Event)
+    _passing: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -43,17 +43,17 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
-    def set_weather(self, weather: Weather) -> None:
+    def set_state(self, state: LinkState) -> None:
         """Change what happens to bytes from now on."""
-        self.weather = weather
-        if weather is Weather.SILENT:
-            self._audible.clear()
+        self.state = state
+        if state is LinkState.SILENT:
+            self._passing.clear()
         else:
-            self._audible.set()
+            self._passing.set()
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
-        self.set_weather(self.weather)
+        self.set_state(self.state)
         self._server = await asyncio.start_server(self._serve, host, 0)
 
     async def stop(self) -> None:
@@ -95,10 +95,10 @@
         is_answer: bool,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
-            await self._audible.wait()
-            if self.weather is Weather.ONE_WAY and is_answer:
+            await self._passing.wait()
+            if self.state is LinkState.ONE_WAY and is_answer:
                 continue
-            if self.weather is Weather.DELAYED:
+            if self.state is LinkState.DELAYED:
                 await asyncio.sleep(self.delay_seconds)
             writer.write(data)
             await writer.drain()
