Let a lease that its holder takes back keep the others' rest

A daemon ordered, gave the lease up, started anew, took its own lease back and gave it up once more; that release was counted from the new start's orders, of which there were none, so the next holder did not rest.

Now a lease that was taken back carries until when others must rest.

--- a/features/state/steps/holder_steps.py
+++ b/features/state/steps/holder_steps.py
@@ -124,8 +124,17 @@
 
 @when("{n:d} seeded runs of {seconds:d} s are made with three daemons")
 def step_runs(context, n, seconds):
+    make_runs(context, range(int(os.environ.get("LYCHEEPOST_RUNS", n))), seconds)
+
+
+@when("the seeded run {seed:d} of {seconds:d} s is made with three daemons")
+def step_seed(context, seed, seconds):
+    make_runs(context, (seed,), seconds)
+
+
+def make_runs(context, seeds, seconds):
     context.runs = []
-    for seed in range(int(os.environ.get("LYCHEEPOST_RUNS", n))):
+    for seed in seeds:
         loop = VirtualTimeLoop()
         run = Run(seed)
         loop.run_until_complete(chaos(run, loop, seconds))
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -108,6 +108,8 @@
         version: Version of the row, for the next renewal.
         rests_until_seconds: No order before this time: the holder before gave the
             lease up and may have sent its last order just then.
+        others_rest_until_seconds: No order of another daemon before this time: an
+            earlier start of this one gave the lease up after its orders.
     """
 
     duty: str
@@ -116,6 +118,7 @@
     until_seconds: float
     version: int
     rests_until_seconds: float = float("-inf")
+    others_rest_until_seconds: float = float("-inf")
 
     def is_held(self, now_seconds: float) -> bool:
         """Return whether an order may be sent now; ask again at each send."""
@@ -200,11 +203,15 @@
         """Add the rest that is due after another daemon's release."""
         if before is None or before.token:
             return lease
-        rest_seconds = before.rest_seconds
-        if before.holder == self._daemon:
-            rest_seconds = before.inherited_rest_seconds
         now_seconds = self._clock.now_seconds()
-        return replace(lease, rests_until_seconds=now_seconds + rest_seconds)
+        others_until_seconds = now_seconds + before.rest_seconds
+        if before.holder != self._daemon:
+            return replace(lease, rests_until_seconds=others_until_seconds)
+        return replace(
+            lease,
+            rests_until_seconds=now_seconds + before.inherited_rest_seconds,
+            others_rest_until_seconds=others_until_seconds,
+        )
 
     async def renew(self, lease: Lease) -> Result[Lease, LeaseError]:
         """Prolong a lease; keep the returned one instead.
@@ -215,9 +222,12 @@
         renewed = await self._take(
             lease.duty, lease.version, lease.token, lease.fencing_number
         )
-        rests_until = lease.rests_until_seconds
         return renewed.map(
-            lambda taken: replace(taken, rests_until_seconds=rests_until)
+            lambda taken: replace(
+                taken,
+                rests_until_seconds=lease.rests_until_seconds,
+                others_rest_until_seconds=lease.others_rest_until_seconds,
+            )
         )
 
     async def release(
@@ -237,7 +247,10 @@
         now_seconds = self._clock.now_seconds()
         since_seconds = now_seconds - min(now_seconds, last_order_seconds)
         inherited = max(0.0, lease.rests_until_seconds - now_seconds)
-        own = max(0.0, self._rest_seconds - since_seconds)
+        own = max(
+            self._rest_seconds - since_seconds,
+            lease.others_rest_until_seconds - now_seconds,
+        )
         row = replace(
             self._make_row("", lease.fencing_number),
             rest_seconds=max(own, inherited),
