--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -1,6 +1,7 @@
 """Real daemons as processes before stand-ins of the platform, through proxies."""
 
 import asyncio
+import itertools
 import os
 import pathlib
 import signal
@@ -29,17 +30,30 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_SECONDS = 8.0
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 START_SECONDS = 90.0
 """For all processes to be up the first time, also on a machine that is busy."""
 
+_ports = itertools.cycle(
+    range(FIRST_PORT + os.getpid() % 10_000, LAST_PORT),
+)
+
 
 def free_ports(n: int) -> list[int]:
-    """Return ports that nobody listens on now."""
-    held = [socket.create_server((HOST, 0)) for _ in range(n)]
-    ports = [int(item.getsockname()[1]) for item in held]
-    for item in held:
-        item.close()
-    return ports
+    """Return ports that nobody listens on now, each given out once.
+
+    They lie below those that the system picks by itself: a proxy that took such a port
+    between this call and the daemon's start would keep the daemon from starting.
+    """
+    found: list[int] = []
+    while len(found) < n:
+        port = next(_ports)
+        try:
+            socket.create_server((HOST, port)).close()
+        except OSError:
+            continue
+        found.append(port)
+    return found
 
 
 class ProxiedServer(PlatformServer):
