Check calls that may not be repeated by a record of their own

The step on such calls asked for the list that the step before it had found empty, so it could not fail. It has its own list now, and asks that such calls were made.

--- a/features/targets/steps/reuse_steps.py
+++ b/features/targets/steps/reuse_steps.py
@@ -49,7 +49,9 @@
 
     arrivals: list = field(default_factory=list)
     wrong: list = field(default_factory=list)
+    repeated: list = field(default_factory=list)
     n_reused: int = 0
+    n_once: int = 0
 
 
 def body_of(attempt):
@@ -230,7 +232,8 @@
     for call in calls:
         found = [n for attempt, n in seen.arrivals if attempt == call.request]
         if not call.may_reuse_connection and found not in ([], [1]):
-            seen.wrong.append((call.request, found))
+            seen.repeated.append((call.request, found))
+        seen.n_once += not call.may_reuse_connection and bool(found)
         seen.n_reused += sum(n > 1 for n in found)
 
 
@@ -249,7 +252,12 @@
     "no call that may not be repeated reached the target twice or on a used connection"
 )
 def step_once(context):
-    assert all(not seen.wrong for seen in context.seen.values())
+    repeated = {
+        seed: seen.repeated for seed, seen in context.seen.items() if seen.repeated
+    }
+    assert not repeated, repeated
+    n_once = sum(seen.n_once for seen in context.seen.values())
+    assert n_once > len(context.seen), n_once
 
 
 @then("some connections were used again")
