Let the soak fail when hardly anything is served, or a daemon is left

A run whose daemons refused every request had passed: nothing it checked could fail then. And a daemon left behind counted only if it had become a child of process 1.

--- a/features/soak/steps/soak_steps.py
+++ b/features/soak/steps/soak_steps.py
@@ -40,4 +40,4 @@
         except psutil.NoSuchProcess:
             continue
         is_daemon = "lycheepost.app.platformrun" in words
-        assert not (is_daemon and psutil.Process(pid).ppid() == 1), words
+        assert not is_daemon, words
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -50,6 +50,10 @@
 SETTLE_SECONDS = 12.0
 """After the last fault all daemons must be ready again within this time."""
 
+LEAST_SERVED_SHARE = 0.25
+"""Daemons that refused everything would break no other promise. A third of the requests
+carries a key that is taken away; of the rest most are served between the faults."""
+
 N_PLAIN = 3
 N_ENGINES = 3
 _NOT_RUN = (408, 421, 429, 503)
@@ -230,6 +234,10 @@
     """Check what ran against what was answered."""
     audit_runs(run.fleet, run.report)
     violations = run.report.violations
+    outcomes = run.report.outcomes
+    n_served = sum(n for name, n in outcomes.items() if name.endswith("served"))
+    if n_served < LEAST_SERVED_SHARE * sum(outcomes.values()):
+        violations.append(f"only {n_served} of {sum(outcomes.values())} were served")
     for server in run.fleet.servers:
         for done in server.runs:
             is_once = done.path.startswith(("/order", "/album"))
