--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -308,7 +308,12 @@
     for seed in [*FAILED_SEEDS, *seeds_of(options.seeds)]:
         run = asyncio.run(soak(seed, options.daemons, options.seconds))
         n_bad += bool(run.report.violations)
-        found = {"seed": seed, "faults": dict(run.faults), **run.report.describe()}
+        found = {
+            "seed": seed,
+            "faults": dict(run.faults),
+            "pids": [pid for item in run.fleet.processes for pid in item.pids],
+            **run.report.describe(),
+        }
         print(json.dumps(found) if options.json else found, flush=True)
     print(f"{n_bad} seeds with violations")
     return 1 if n_bad else 0
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 from soakproxy import Proxy
@@ -98,6 +98,7 @@
     store: Proxy
     clients: Proxy
     process: subprocess.Popen[bytes] | None = None
+    pids: list[int] = field(default_factory=list)
 
     def start(self) -> None:
         """Start it; its log goes beside its settings, after what is there."""
@@ -114,6 +115,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.pids.append(self.process.pid)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this very process, if it lives."""
