--- a/features/app/losses.feature
+++ b/features/app/losses.feature
@@ -16,6 +16,8 @@
       | -5     |
 
   Scenario: A quarantine lasts as long at a daemon whose time of day is ahead
+    The end of a quarantine was told as a time of day. To a daemon whose clock had
+    jumped ahead it was over at once, so that the killer ran there again.
     Given two daemons whose times of day differ by 700 s
     When a request kills a target through each of them in turn
     Then both refuse it for 600 s
--- a/features/decide/silence.feature
+++ b/features/decide/silence.feature
@@ -33,6 +33,8 @@
       | no retry is left                   | kept    |
 
   Scenario: A retry that was reserved is not charged twice
+    A silent target is left with the last retry of the budget. Charged once more as it
+    is tried again, the request would be refused, though its retry was its own.
     Given a request under way at a silent target while another target has room
     And a budget of one retry
     When it asks for another try
@@ -47,6 +49,8 @@
     Then it may wait 4 s more
 
   Scenario Outline: A pause of an answer is <outcome> when the answer <may> be left
+    A busy engine pauses, then goes on. A reader that gives it up where no other target
+    can be had cuts an answer that was on its way.
     Given an answer that pauses for long, and then goes on
     When it is read with a limit on pauses, and <may> be left
     Then <outcome>
--- a/features/peers/feedshare.feature
+++ b/features/peers/feedshare.feature
@@ -18,6 +18,8 @@
     And nothing was taken for confirmed that was not
 
   Scenario: A copy with a gap is told to nobody
+    A daemon followed a peer for a while and the store again. Rows that changed between
+    were never in its copy; told as all that changed, they would be missing elsewhere.
     Given a copy of a table with the changes of 5 answers
     When an answer is taken that goes on after a later version
     And it is asked for what came after version 3
@@ -48,6 +50,8 @@
       | is slow to hear and answer | 3.0     |
 
   Scenario: A peer that is far behind gets the whole table
+    A daemon slept through more changes than are kept apart. Told only those that are
+    left, it would lack a target's leaving for good.
     Given a copy of a table with the changes of 300 answers
     When it is asked for what came after version 5
     Then it tells all rows, and that they are all
