Let each named version of weights have a time of its own

An engine that missed a version, because orders to it were lost, moved that time to its own; when the next version was named (13.0 s), all engines that held the one before were refused at once: 44 to 88 requests with 'no_target' in a second.

Now what a target holds is due with the first version above it, and peers tell daemons that start each version by itself. The special case for targets that are behind by two goes. The new scenario failed before.

--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -110,7 +110,7 @@
 
 @when("a peer tells that old weights serve for {seconds:g} s")
 def step_told(context, seconds):
-    context.list.note_old_weights(MODEL, seconds)
+    context.list.note_named(MODEL, 2, seconds)
 
 
 @then("{names} may be used")
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -60,6 +60,19 @@
     When 3 s pass
     Then nothing may be used
 
+  Scenario: One target that lags behind does not outdate the others
+    Orders are lost and one engine misses a version for long. When the next version is
+    named, all engines that hold the one before were refused at once, as if they had
+    been due with the one that lags; for a second nothing was served.
+    Given registered targets a and b
+    When version 2 is named and put into b
+    And 9 s pass
+    Then b may be used
+    When version 3 is named
+    Then b may be used
+    When 9 s pass
+    Then nothing may be used
+
   Scenario Outline: A daemon that starts is told by a peer how long old weights serve
     All daemons are stopped in turn while weights change. One that has just started
     refused every request after 2.5 s, while its peers served for seconds more.
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -191,7 +191,7 @@
         TargetsChanging,
         lambda message, _sender: targets.note_changes(to_changes(message)),
     )
-    WeightsDueExchange(peers.exchange, targets)
+    WeightsDueExchange(peers.exchange, targets, base.clock)
     leases = LeaseKeeper(
         base.store,
         base.clock,
--- a/lycheepost/app/weightsdue.py
+++ b/lycheepost/app/weightsdue.py
@@ -1,5 +1,6 @@
 """Tell daemons that start until when older weights may be served."""
 
+from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, ModelId
 from lycheepost.generated.messages import PeerHello, WeightsDue
 from lycheepost.peers.exchange import PeerExchange
@@ -9,17 +10,25 @@
 class WeightsDueExchange:
     """Answers the greeting of each peer; it has no task of its own."""
 
-    def __init__(self, exchange: PeerExchange, targets: TargetList) -> None:
+    def __init__(
+        self, exchange: PeerExchange, targets: TargetList, clock: Clock
+    ) -> None:
         self._exchange = exchange
         self._targets = targets
+        self._clock = clock
         exchange.subscribe(PeerHello, self._tell)
         exchange.subscribe(WeightsDue, self._take)
 
     def _tell(self, _hello: PeerHello, sender: DaemonId) -> None:
-        for model, seconds in self._targets.old_weights_due().items():
-            self._exchange.send(
-                sender, WeightsDue(model=model, old_for_seconds=seconds)
-            )
+        now_seconds = self._clock.now_seconds()
+        for model, versions in self._targets.named_weights().items():
+            for named in versions:
+                due = WeightsDue(
+                    model=model,
+                    version=named.version,
+                    old_for_seconds=named.old_until_seconds - now_seconds,
+                )
+                self._exchange.send(sender, due)
 
     def _take(self, due: WeightsDue, _sender: DaemonId) -> None:
-        self._targets.note_old_weights(ModelId(due.model), due.old_for_seconds)
+        self._targets.note_named(ModelId(due.model), due.version, due.old_for_seconds)
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -28,6 +28,7 @@
 from lycheepost.decide.targethealth import Ending, TargetHealth
 from lycheepost.state.wantedweights import (
     OLD_WEIGHTS_MARGIN_SECONDS,
+    NamedVersion,
     WantedWeights,
     weights_number,
 )
@@ -224,7 +225,7 @@
             known.changing_until_seconds = float("-inf")
 
     def want(self, model: ModelId, version: int, named_seconds: float | None) -> None:
-        """Take the newest version that an operator named for a model.
+        """Take a version that an operator named for a model.
 
         Args:
             model: The model.
@@ -232,28 +233,24 @@
             named_seconds: It was named at this time or later; None when it was
                 found at the start and nothing is known.
         """
-        now_seconds = self._clock.now_seconds()
-        versions = [
-            weights_number(known.weights[model])
-            for known in self._known.values()
-            if known.weights and model in known.weights
-        ]
-        bound_seconds = self.old_weights_seconds()
-        if self._wanted.want(
-            model, version, named_seconds, versions, bound_seconds, now_seconds
-        ):
-            self.refresh()
-
-    def old_weights_due(self) -> dict[ModelId, float]:
-        """Return how long older weights of each model may still be served.
+        self._wanted.want(
+            model,
+            version,
+            named_seconds,
+            self.old_weights_seconds(),
+            self._clock.now_seconds(),
+        )
+        self.refresh()
 
-        Models of which only a guess is known are left out.
-        """
-        return self._wanted.due_seconds(self._clock.now_seconds())
+    def named_weights(self) -> Mapping[ModelId, tuple[NamedVersion, ...]]:
+        """Return the named versions of each model whose times are no guess."""
+        return self._wanted.known()
 
-    def note_old_weights(self, model: ModelId, for_seconds: float) -> None:
-        """Take from a peer how long older weights of a model may still be served."""
-        self._wanted.note_told(model, self._clock.now_seconds() + for_seconds)
+    def note_named(self, model: ModelId, version: int, old_for_seconds: float) -> None:
+        """Take from a peer how long weights older than a version may be served."""
+        now_seconds = self._clock.now_seconds()
+        until_seconds = now_seconds + old_for_seconds
+        self._wanted.note_told(model, version, until_seconds, now_seconds)
         self.refresh()
 
     def old_weights_seconds(self) -> float:
--- a/lycheepost/state/wantedweights.py
+++ b/lycheepost/state/wantedweights.py
@@ -1,10 +1,14 @@
 """The weights that operators named, and until when older ones may be served.
 
+Each named version has a time of its own. What a target holds is due with the first
+version above it: one that lags behind by two is due earlier than the others, and
+does not make them due.
+
 Pure logic: every method takes ``now_seconds`` or a time.
 """
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -25,95 +29,93 @@
 """How long a daemon that has just started serves weights that it finds outdated. It
 cannot know when the newer ones were named."""
 
+KEPT_VERSIONS = 16
+"""Versions of a model that are remembered; a target that is further behind is due with
+the first of these."""
+
 _log = structlog.get_logger(part="targets")
 
 
 @dataclass(frozen=True, slots=True)
-class _Wanted:
-    """The newest weights of a model, and until when older ones may be served.
+class NamedVersion:
+    """A version of a model, and until when older ones may be served.
 
     Attributes:
+        version: Its place among the versions of its model.
+        named_seconds: It was named then, as far as known.
+        old_until_seconds: Older ones may be served until then.
         is_guessed: The time is the guess of a daemon that has just started.
     """
 
     version: int
     named_seconds: float
     old_until_seconds: float
-    is_guessed: bool
+    is_guessed: bool = False
 
 
 @dataclass(slots=True)
 class WantedWeights:
-    """What is wanted of each model."""
+    """What was named for each model, the oldest version first."""
 
-    _wanted: dict[ModelId, _Wanted] = field(default_factory=dict)
-    _told_until: dict[ModelId, float] = field(default_factory=dict)
+    _named: dict[ModelId, tuple[NamedVersion, ...]] = field(default_factory=dict)
 
     def want(
         self,
         model: ModelId,
         version: int,
         named_seconds: float | None,
-        held: Iterable[int],
         bound_seconds: float,
         now_seconds: float,
-    ) -> bool:
-        """Take the newest version that an operator named; return whether it is new.
+    ) -> None:
+        """Take a version that an operator named; one that is known stays as it is.
 
         Args:
             model: The model.
             version: Place of the version among those of its model.
             named_seconds: It was named at this time or later; None when it was
                 found at the start and nothing is known.
-            held: Versions that targets hold now.
             bound_seconds: How long after the naming older ones may be served.
             now_seconds: The present time.
         """
-        before = self._wanted.get(model)
-        if before is not None and version <= before.version:
-            return False
-        until_seconds = now_seconds + START_SECONDS
-        if named_seconds is not None:
-            until_seconds = named_seconds + bound_seconds
-        is_guessed = named_seconds is None
-        if before is not None and _is_due_earlier(before, held, until_seconds):
-            # Who is behind by two versions was due for the first one.
-            until_seconds = before.old_until_seconds
-            is_guessed = before.is_guessed
-        known_seconds = now_seconds if named_seconds is None else named_seconds
-        self._wanted[model] = _Wanted(version, known_seconds, until_seconds, is_guessed)
-        self._correct_guess(model)
-        return True
-
-    def note_told(self, model: ModelId, until_seconds: float) -> None:
-        """Take from a peer until when older weights of a model may be served.
+        if named_seconds is None:
+            guess_seconds = now_seconds + START_SECONDS
+            named = NamedVersion(version, now_seconds, guess_seconds, is_guessed=True)
+        else:
+            named = NamedVersion(version, named_seconds, named_seconds + bound_seconds)
+        self._add(model, named)
+
+    def note_told(
+        self, model: ModelId, version: int, until_seconds: float, now_seconds: float
+    ) -> None:
+        """Take from a peer until when weights older than a version may be served.
 
         The failure: a daemon starts while weights are being changed. It cannot know
         when they were named, and would soon refuse requests that its peers serve.
         """
-        self._told_until[model] = until_seconds
-        self._correct_guess(model)
+        self._add(model, NamedVersion(version, now_seconds, until_seconds))
 
-    def _correct_guess(self, model: ModelId) -> None:
-        wanted, told_seconds = self._wanted.get(model), self._told_until.get(model)
-        if wanted is None or told_seconds is None or not wanted.is_guessed:
+    def _add(self, model: ModelId, named: NamedVersion) -> None:
+        """Add a version, or put a known time in the place of a guess."""
+        known = {item.version: item for item in self._named.get(model, ())}
+        before = known.get(named.version)
+        if before is not None and (not before.is_guessed or named.is_guessed):
             return
+        known[named.version] = named
+        ordered = sorted(known.values(), key=lambda item: item.version)
+        self._named[model] = tuple(ordered[-KEPT_VERSIONS:])
         _log.info(
-            "targets: told until when older weights serve",
+            "targets: weights are due",
             model=model,
-            version=wanted.version,
-            later_seconds=round(told_seconds - wanted.old_until_seconds, 3),
-        )
-        self._wanted[model] = replace(
-            wanted, old_until_seconds=told_seconds, is_guessed=False
+            version=named.version,
+            old_until_seconds=round(named.old_until_seconds, 3),
+            is_guessed=named.is_guessed,
         )
 
-    def due_seconds(self, now_seconds: float) -> dict[ModelId, float]:
-        """Return how long older weights may be served, where that is no guess."""
+    def known(self) -> Mapping[ModelId, tuple[NamedVersion, ...]]:
+        """Return the versions whose times are no guess."""
         return {
-            model: wanted.old_until_seconds - now_seconds
-            for model, wanted in self._wanted.items()
-            if not wanted.is_guessed
+            model: tuple(item for item in versions if not item.is_guessed)
+            for model, versions in self._named.items()
         }
 
     def is_outdated(
@@ -121,7 +123,7 @@
     ) -> bool:
         """Tell whether a target's weights may no longer be served."""
         return any(
-            now_seconds >= wanted.old_until_seconds for wanted in self._behind(weights)
+            now_seconds >= named.old_until_seconds for named in self._above(weights)
         )
 
     def penalty_seconds(
@@ -129,24 +131,21 @@
     ) -> float:
         """Return what answers made with a target's weights are worth less."""
         is_old = any(
-            now_seconds >= wanted.named_seconds + OLD_FREE_SECONDS
-            for wanted in self._behind(weights)
+            now_seconds >= named.named_seconds + OLD_FREE_SECONDS
+            for named in self._above(weights)
         )
         return OLD_WEIGHTS_SECONDS if is_old else 0.0
 
-    def _behind(self, weights: Mapping[ModelId, WeightsVersion]) -> list[_Wanted]:
-        """Return what is wanted of the models that are older than that."""
-        return [
-            wanted
-            for model, version in weights.items()
-            if (wanted := self._wanted.get(model)) is not None
-            and weights_number(version) < wanted.version
-        ]
-
-
-def _is_due_earlier(before: _Wanted, held: Iterable[int], until_seconds: float) -> bool:
-    is_behind = any(number < before.version for number in held)
-    return is_behind and before.old_until_seconds < until_seconds
+    def _above(self, weights: Mapping[ModelId, WeightsVersion]) -> list[NamedVersion]:
+        """Return the first version above each that a target holds."""
+        found: list[NamedVersion] = []
+        for model, version in weights.items():
+            number = weights_number(version)
+            versions = self._named.get(model, ())
+            first = next((item for item in versions if item.version > number), None)
+            if first is not None:
+                found.append(first)
+        return found
 
 
 def weights_number(version: WeightsVersion | None) -> int:
