Close an answer that comes when nobody waits for it any more

Cause, found by reading: a request cancelled in the tick in which its answer's head came left the answer to the garbage collector, with its connection open and its target at work. The wait is a function of its own now and closes what comes.

--- /dev/null
+++ b/features/callers/steps/awaiting_steps.py
@@ -0,0 +1,78 @@
+"""Steps of awaiting.feature."""
+
+import asyncio
+
+from behave import given, then, when
+from returns.result import Success
+
+from lycheepost.callers.awaiting import await_head
+
+WAIT_SECONDS = 0.01
+
+
+class CountedAnswer:
+    """Counts how often it is closed."""
+
+    def __init__(self):
+        self.n_closed = 0
+
+    def close(self):
+        self.n_closed += 1
+
+
+async def hold_through(answer, gate):
+    """Answer although the wait was cancelled, as a send does that has just ended."""
+    try:
+        await gate.wait()
+    except asyncio.CancelledError:
+        return Success(answer)
+    return Success(answer)
+
+
+@given("a send whose answer comes in the moment in which its caller {what}")
+def step_moment(context, what):
+    context.answer = CountedAnswer()
+    context.what = what
+
+
+@given("a send whose answer comes in time")
+def step_in_time(context):
+    context.answer = CountedAnswer()
+    context.what = "waits"
+
+
+async def wait(context):
+    gate = asyncio.Event()
+    gives_up = context.what == "gives its target up"
+    send = hold_through(context.answer, gate)
+    waiting = asyncio.ensure_future(await_head(send, WAIT_SECONDS, lambda: gives_up))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    if context.what == "leaves":
+        gate.set()
+        waiting.cancel()
+    elif context.what == "waits":
+        gate.set()
+    try:
+        context.got = await waiting
+    except (TimeoutError, asyncio.CancelledError):
+        context.got = None
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+@when("it is waited for")
+def step_wait(context):
+    asyncio.run(wait(context))
+
+
+@then("its answer is closed")
+def step_closed(context):
+    assert context.got is None
+    assert context.answer.n_closed == 1, context.answer.n_closed
+
+
+@then("its answer is open, and is what was waited for")
+def step_open(context):
+    assert context.got.unwrap() is context.answer
+    assert context.answer.n_closed == 0
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -9,8 +9,9 @@
 from dataclasses import replace
 
 import structlog
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
+from lycheepost.callers.awaiting import await_head
 from lycheepost.callers.errors import CallerError, Executed, from_refusal
 from lycheepost.callers.forwarddeps import CallerSide, ForwardDeps, ForwardRequest
 from lycheepost.callers.forwarderrors import (
@@ -290,7 +291,8 @@
         target = TargetId(listed.target)
         self._is_sent = True
         try:
-            sent = await self._await_head(call, wait_seconds)
+            send = self._deps.client.send(call)
+            sent = await await_head(send, wait_seconds, self._may_leave)
         except TimeoutError:
             self._deps.targets.note_end(target, Ending.BAD)
             return SendEnd.LOST, "silent"
@@ -306,25 +308,6 @@
                 return await self._take_answer(listed, answer, wait_seconds)
         raise AssertionError("a result is a success or a failure")
 
-    async def _await_head(
-        self, call: ForwardCall, wait_seconds: float
-    ) -> Result[ForwardAnswer, TargetError]:
-        """Send, and return the head of the answer.
-
-        Raises:
-            TimeoutError: None came in time, and another target can be tried.
-        """
-        sending = asyncio.ensure_future(self._deps.client.send(call))
-        try:
-            while True:
-                ended, _ = await asyncio.wait({sending}, timeout=wait_seconds)
-                if ended:
-                    return sending.result()
-                if self._may_leave():
-                    raise TimeoutError
-        finally:
-            sending.cancel()
-
     def _may_leave(self) -> bool:
         """Reserve a try at another target before a silent one is given up."""
         lost = SendEnd.CUT if self._relay.has_begun else SendEnd.LOST
