--- a/features/fuzz/fuzz.feature
+++ b/features/fuzz/fuzz.feature
@@ -22,3 +22,6 @@
       | engines' reports        |
       | table answers           |
       | stored rows and objects |
+      | servers' entries        |
+      | answers of the platform's store |
+      | rows of daemons and duties |
--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -19,9 +19,45 @@
       | server entry  | is no JSON                |
       | server entry  | has no address            |
       | server entry  | has slots of text         |
+      | server entry  | has no slot               |
+      | server entry  | has no zone               |
+      | server entry  | has an unknown state      |
+      | server entry  | has a name for an address |
+      | server entry  | has a start of text       |
+      | server entry  | has a start with a point  |
+      | server entry  | has a start before 1970   |
+      | server entry  | has a null start          |
+      | server entry  | has models of text        |
+      | server entry  | is nested without end     |
+      | weights row   | is nested without end     |
       | weights row   | has no model              |
       | weights row   | has a version of text     |
 
+  Scenario Outline: A server's entry with a start of <start> tells <started>
+    Deployments differ in whether servers state their start.
+    When a server entry with a start of <start> is decoded
+    Then its target started at <started>
+
+    Examples:
+      | start         | started       |
+      | nothing       | nothing       |
+      | 1783498657083 | 1783498657083 |
+
+  Scenario: Another writer's entries leave the other servers as they are
+    A program that is not a server writes into the servers' table: beside their
+    entries, over one of them, and bytes that are not even text. An answer that holds
+    such a row was not taken at all, so that servers which left went on getting work.
+    Given the entries of servers a, b and c are followed
+    When one answer tells that b leaves, and holds unusable rows for c and for d
+    Then a may be used
+    And a bounded line tells of each unusable row
+    When c writes a good entry again
+    Then a and c may be used
+
+  Scenario: A row of the store whose value cannot be read costs only itself
+    When the store answers with a row that is no base64 between two good ones
+    Then three rows are taken and the middle one is empty
+
   Scenario Outline: Cache events: <wire> becomes <event>
     When the cache event <wire> is decoded
     Then it is <event>
@@ -63,3 +99,10 @@
     Given an engine whose events are followed
     When it tells two events, then comes back with another epoch
     Then its belief was cleared between them
+
+  Scenario: A start of an engine is followed from its first event
+    An engine is back under its name and its count of events began anew. Asked for
+    what came after the last event of its earlier start, it would tell nothing.
+    Given an engine whose events are followed
+    When the engine starts again under its name and tells one event
+    Then the event counts for its new start, and was asked for from the beginning
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -3,11 +3,16 @@
 import asyncio
 import json
 
+import msgspec
+import structlog
 from behave import given, then, when
 from returns.result import Failure, Success
+from structlog.testing import capture_logs
 
+from lycheepost.core.clock import FakeClock
 from lycheepost.core.ids import (
     CustomerId,
+    Incarnation,
     ModelId,
     RequestId,
     TargetGroupId,
@@ -20,12 +25,23 @@
 from lycheepost.platform import headers as names
 from lycheepost.platform.cacheevents import _decode
 from lycheepost.platform.dialect import ServerDialect
-from lycheepost.platform.documents import (
-    decode_configuration,
-    decode_server,
-    decode_weights,
+from lycheepost.platform.documents import decode_configuration, decode_weights
+from lycheepost.platform.following import (
+    MOST_LOGGED_CHARACTERS,
+    MOST_UNUSABLE_LOGGED,
+    ServerFollower,
+)
+from lycheepost.platform.registrations import decode_server
+from lycheepost.platform.storewire import WireRows, encode_value
+from lycheepost.ports.feed import ChangedRow
+from lycheepost.state.targetlist import TargetList
+from lycheepost.state.watch import Seen
+from lycheepost.targets.cachewatch import (
+    CLEARED,
+    CacheNews,
+    CacheSource,
+    CacheWatch,
 )
-from lycheepost.targets.cachewatch import CLEARED, CacheNews, CacheWatch
 from lycheepost.targets.forwardcall import ForwardCall
 
 CONFIGURATION = {
@@ -93,6 +109,24 @@
     assert found.key_holders == {"k1": holder, "k2": holder}
 
 
+ENTRY = {
+    "service": "one",
+    "address": "1.2.3.4:5",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 1,
+}
+
+
+def make_entry(**changes):
+    return json.dumps(ENTRY | changes).encode()
+
+
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
 FAULTY = {
     ("configuration", "is no JSON"): b"{",
     ("configuration", "has no version"): b'{"routes":[],"services":[]}',
@@ -101,10 +135,26 @@
     ).encode(),
     ("configuration", "is a list"): b"[]",
     ("server entry", "is no JSON"): b"\xff",
-    ("server entry", "has no address"): b'{"service":"one"}',
-    ("server entry", "has slots of text"): (
-        b'{"service":"one","address":"1.2.3.4:5","slots":"many"}'
-    ),
+    ("server entry", "has no address"): json.dumps(
+        {key: value for key, value in ENTRY.items() if key != "address"}
+    ).encode(),
+    ("server entry", "has slots of text"): make_entry(slots="many"),
+    ("server entry", "has no slot"): make_entry(slots=0),
+    ("server entry", "has no zone"): json.dumps(
+        {key: value for key, value in ENTRY.items() if key != "zone"}
+    ).encode(),
+    ("server entry", "has an unknown state"): make_entry(state="asleep"),
+    ("server entry", "has a name for an address"): make_entry(address="a.example:5"),
+    ("server entry", "has a start of text"): make_entry(born="1783498657083"),
+    ("server entry", "has a start with a point"): make_entry(born=1783498657083.0),
+    ("server entry", "has a start before 1970"): make_entry(born=-5),
+    ("server entry", "has a null start"): make_entry(born=None),
+    ("server entry", "has models of text"): make_entry(models="m0"),
+    ("server entry", "is nested without end"): make_entry()[:-1]
+    + b',"more":'
+    + NESTED
+    + b"}",
+    ("weights row", "is nested without end"): NESTED,
     ("weights row", "has no model"): b'{"version":2}',
     ("weights row", "has a version of text"): b'{"model":"m0","version":"x"}',
 }
@@ -128,6 +178,90 @@
     assert context.found.failure().reason
 
 
+@when("a server entry with a start of {start} is decoded")
+def step_entry_start(context, start):
+    changes = {} if start == "nothing" else {"born": int(start)}
+    context.found = decode_server("i-1", make_entry(**changes)).unwrap()
+
+
+@then("its target started at {started}")
+def step_started(context, started):
+    expected = None if started == "nothing" else int(started)
+    assert context.found.started_ms == expected
+
+
+def seen(rows, is_whole=False):
+    return Seen(rows, is_whole, 1.0, None, False)
+
+
+@given("the entries of servers a, b and c are followed")
+def step_followed(context):
+    context.views = ()
+
+    def on_views(views):
+        context.views = views
+
+    targets = TargetList(FakeClock(), on_views, lambda: 10.0)
+    context.follower = ServerFollower(targets)
+    rows = tuple(ChangedRow(name, make_entry()) for name in "abc")
+    context.follower.take(seen(rows, is_whole=True))
+    step_usable(context, "a, b and c")
+
+
+@when("one answer tells that b leaves, and holds unusable rows for c and for d")
+def step_unusable(context):
+    rows = (
+        ChangedRow("c", b"\xff\x00"),
+        ChangedRow("d", b"[1]"),
+        ChangedRow("b", make_entry(state="draining")),
+    )
+    silenced = structlog.get_config()["wrapper_class"]
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
+    context.add_cleanup(structlog.configure, wrapper_class=silenced)
+    with capture_logs() as context.logs:
+        context.follower.take(seen(rows))
+        for number in range(2 * MOST_UNUSABLE_LOGGED):
+            name = f"x{number}-" + "x" * 2 * MOST_LOGGED_CHARACTERS
+            context.follower.take(seen((ChangedRow(name, b"y" * 5000),)))
+
+
+@then("{names} may be used")
+def step_usable(context, names):
+    found = [view.target for view in context.views if view.state.value == "serving"]
+    assert found == names.replace(" and ", ", ").split(", "), found
+
+
+@then("a bounded line tells of each unusable row")
+def step_bounded(context):
+    lines = [line for line in context.logs if "unusable entry" in line["event"]]
+    assert [line["target"] for line in lines[:2]] == ["c", "d"]
+    assert len(lines) == MOST_UNUSABLE_LOGGED
+    assert all(len(line["target"]) <= MOST_LOGGED_CHARACTERS for line in lines)
+    assert all(len(line["reason"]) <= MOST_LOGGED_CHARACTERS for line in lines)
+
+
+@when("c writes a good entry again")
+def step_good_again(context):
+    context.follower.take(seen((ChangedRow("c", make_entry()),)))
+
+
+@when("the store answers with a row that is no base64 between two good ones")
+def step_rows(context):
+    rows = [
+        {"key": "a", "value": encode_value(b"1"), "ver": 1},
+        {"key": "b", "value": "=A=", "ver": 2},
+        {"key": "c", "value": encode_value(b"3"), "ver": 3},
+    ]
+    body = json.dumps({"rows": rows, "ver": 3}).encode()
+    answer = msgspec.json.decode(body, type=WireRows)
+    context.rows = [row.to_change() for row in answer.rows]
+
+
+@then("three rows are taken and the middle one is empty")
+def step_three(context):
+    assert [row.value for row in context.rows] == [b"1", b"", b"3"], context.rows
+
+
 @when("an answer states weights {text}")
 def step_states(context, text):
     call = ForwardCall(
@@ -176,6 +310,10 @@
     assert len(set(context.levels)) == 3
 
 
+def make_source(address, boot="boot-1"):
+    return CacheSource(TargetId("i-1"), Incarnation(boot), address)
+
+
 class ScriptedEvents:
     """Answers with what the scenario says, then holds for good."""
 
@@ -220,10 +358,10 @@
 def step_begin(context, n):
     context.port = CountedEvents()
     watch = CacheWatch(context.port, lambda _a, _got: None)
-    addresses = [f"1.2.3.{index}:5" for index in range(n)]
+    sources = [make_source(f"1.2.3.{index}:5") for index in range(n)]
 
     async def run():
-        watch.follow(addresses)
+        watch.follow(sources)
         await watch.start()
         async with asyncio.timeout(20):
             while len(context.port.whole) < n:
@@ -242,7 +380,7 @@
 @when("it tells two events, then comes back with another epoch")
 def step_epoch(context):
     async def run():
-        context.watch.follow(["1.2.3.4:5"])
+        context.watch.follow([make_source("1.2.3.4:5")])
         await context.watch.start()
         async with asyncio.timeout(10):
             while len(context.told) < 3:
@@ -255,3 +393,45 @@
 @then("its belief was cleared between them")
 def step_cleared(context):
     assert context.told == [(context.event,), (CLEARED,), (context.event,)]
+
+
+@when("the engine starts again under its name and tells one event")
+def step_engine_restarts(context):
+    """The first start's question is still held as the second start is known."""
+    context.sources = []
+    port = StartedAgain()
+    watch = CacheWatch(port, lambda source, _got: context.sources.append(source))
+
+    async def run():
+        watch.follow([make_source("1.2.3.4:5", "boot-1")])
+        await watch.start()
+        async with asyncio.timeout(10):
+            while len(context.sources) < 1:
+                await asyncio.sleep(0.01)
+            watch.follow([make_source("1.2.3.4:5", "boot-2")])
+            while len(context.sources) < 2:
+                await asyncio.sleep(0.01)
+        await watch.stop()
+
+    context.loop.run_until_complete(run())
+    context.asked = port.asked
+
+
+class StartedAgain:
+    """Tells one event to each whole read and holds every other question."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def read_events(self, address, since):
+        self.asked.append(since)
+        if since > 0:
+            await asyncio.sleep(3600)
+        event = CacheEvent(sequence=9, kind=CacheEventKind.STORED, digest=5, n_tokens=9)
+        return Success(CacheNews(1, 9, False, (event,)))
+
+
+@then("the event counts for its new start, and was asked for from the beginning")
+def step_new_start(context):
+    assert [source.incarnation for source in context.sources] == ["boot-1", "boot-2"]
+    assert context.asked.count(0) == 2
--- /dev/null
+++ b/features/platform/steps/start_steps.py
@@ -0,0 +1,100 @@
+"""Steps of starts.feature."""
+
+import asyncio
+
+from behave import given, then, when
+from fleet_steps import name_weights
+from request_steps import ask, start
+
+from lycheepost.platform.models.serverface import CrashAndReturn
+from lycheepost.standin.faults import FaultPlan
+
+SLOW_LOAD_SECONDS = 0.4
+
+
+@given("a deployment with {n:d} daemon whose servers state their starts")
+@given("a deployment with {n:d} daemons whose servers state their starts")
+def step_stated(context, n):
+    start(context, n_daemons=n, states_starts=True)
+
+
+@when("each engine that gets a resumable stream dies of it and is back at once")
+def step_killer(context):
+    context.plan = FaultPlan()
+    context.n_planned = 100
+    context.plan.add(CrashAndReturn(), context.n_planned)
+    for server in context.deployment.group("llm"):
+        server.faults = context.plan
+
+
+@then("engines died of it {words} and no more")
+def step_died(context, words):
+    assert words == "twice"
+    assert len(context.deployment.runs()) == 2, context.deployment.runs()
+
+
+def restart(context):
+    server = context.deployment.group("llm")[0]
+    server.restart()
+    context.deployment.register(server)
+    context.restarted = server
+    return server
+
+
+@when("one engine starts again")
+def step_restarted(context):
+    restart(context)
+
+
+@when("one engine starts again and a late order puts version 1 into it")
+def step_taken_back(context):
+    server = restart(context)
+    server.state.version = 1
+    server.state.n_orders = 1
+
+
+@when("clients go on asking for streams")
+def step_go_on(context):
+    async def pause():
+        await asyncio.sleep(0.1)
+
+    for _ in range(30):
+        ask(context, "album stream")
+        context.loop.run_until_complete(pause())
+
+
+@then("its last order named the count of orders of its new start")
+def step_expected(context):
+    orders = context.restarted.state.orders
+    assert [order["expected"] for order in orders] == [1], orders
+
+
+@when("version {version:d} of the weights is named and an engine dies as it changes")
+def step_dies_changing(context, version):
+    server = context.deployment.group("llm")[0]
+    server.state.load_seconds = SLOW_LOAD_SECONDS
+    name_weights(context, version)
+
+    async def die():
+        async def is_changing():
+            return server.state.is_changing
+
+        await context.deployment.until(is_changing)
+        server.restart()
+        context.deployment.register(server)
+
+    context.loop.run_until_complete(die())
+
+
+@then("all daemons soon tell of its new start")
+def step_told(context):
+    server = context.restarted
+
+    async def is_told():
+        found = {
+            daemon.status()["targets"][server.name]["started_ms"]
+            for daemon in context.deployment.daemons
+        }
+        return found == {server.state.started_ms}
+
+    context.loop.run_until_complete(context.deployment.until(is_told))
--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -13,21 +13,25 @@
     WeightsVersion,
 )
 from lycheepost.core.routing import ListedTarget
+from lycheepost.core.starts import TargetStart
 from lycheepost.decide.records import TargetState
+from lycheepost.generated.messages import TargetsChanging
+from lycheepost.operators.weightsnews import to_changes, to_message
 from lycheepost.state.targetlist import TargetList, WeightsChange
 
 MODEL = ModelId("m")
 WEIGHTS_SECONDS = 10.0
 
 
-def make_target(name, version="1"):
+def make_target(name, version="1", started_ms=None):
     return ListedTarget(
-        target=name,
+        target=TargetId(name),
         target_group=TargetGroupId("g"),
         address="1.2.3.4:5",
         availability_zone=AvailabilityZone("z"),
         slots=4,
         weights={MODEL: WeightsVersion(version)},
+        started_ms=started_ms,
     )
 
 
@@ -35,6 +39,13 @@
     return [] if text == "nothing" else text.split(" and ")
 
 
+@given("registered targets {names} that started at {started_ms:d}")
+def step_registered_starts(context, names, started_ms):
+    step_registered(context, "nothing")
+    targets = [make_target(name, "1", started_ms) for name in names_of(names)]
+    context.list.take_all(targets, False)
+
+
 @given("registered targets {names}")
 def step_registered(context, names):
     context.clock = FakeClock()
@@ -47,6 +58,34 @@
     context.list.take_all([make_target(name) for name in names_of(names)], False)
 
 
+@when("{name} registers as leaving as started at {started_ms:d}")
+def step_leaving_start(context, name, started_ms):
+    leaving = replace(make_target(name, "1", started_ms), is_leaving=True)
+    context.list.take([leaving], [], False)
+
+
+@when("{name} registers with version {version} as started at {started_ms:d}")
+def step_registers_start(context, name, version, started_ms):
+    context.list.take([make_target(name, version, started_ms)], [], False)
+
+
+@when("{name} reports that it started at {started_ms:d}")
+def step_reports_start(context, name, started_ms):
+    context.list.note_start(TargetStart(TargetId(name), started_ms))
+
+
+@when("something unusable is registered for {name}")
+def step_overwritten(context, name):
+    context.list.overwritten([TargetId(name)])
+
+
+@when("a peer tells that {name} as started at {started_ms:d} changes for {seconds:g} s")
+def step_peer_change(context, name, started_ms, seconds):
+    told = WeightsChange(TargetStart(TargetId(name), started_ms), MODEL, None, seconds)
+    message = TargetsChanging(changes=[to_message(told)])
+    context.list.note_changes(to_changes(message))
+
+
 @when("{name} registers as leaving")
 def step_leaving(context, name):
     leaving = replace(make_target(name), is_leaving=True)
@@ -83,8 +122,8 @@
 
 @when("{name} is said to change its weights for {seconds:g} s")
 def step_change(context, name, seconds):
-    change = WeightsChange(TargetId(name), MODEL, None, seconds)
-    context.list.note_changes((change,))
+    start = context.list.get(TargetId(name)).start
+    context.list.note_changes((WeightsChange(start, MODEL, None, seconds),))
 
 
 @when("{name} answers with version {version}")
@@ -132,6 +171,14 @@
     assert context.list.weights_of(TargetId(name), MODEL) == version
 
 
+@then("{name} is believed to be the start at {started_ms:d}")
+def step_start(context, name, started_ms):
+    start = TargetStart(TargetId(name), started_ms)
+    assert context.list.get(start.target).start == start
+    (view,) = [view for view in context.views if view.target == name]
+    assert view.incarnation == start.incarnation
+
+
 @then("{name} costs {seconds:g} s and {other} {others:g} s more")
 def step_penalty(context, name, seconds, other, others):
     found = {str(view.target): view.penalty_seconds for view in context.views}
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -102,3 +102,78 @@
     Then a costs 0 s and b 0 s more
     When 1.3 s pass
     Then a costs 0.15 s and b 0 s more
+
+  Scenario: A target that starts again under its name begins anew
+    An engine dies and is back within a second, with its name and without anything
+    else. What was believed of its cache and its change of weights is of a process
+    that has ended, and the weights that it states now are the ones that it has.
+    Given registered targets a and b that started at 1000
+    When a answers with version 2
+    And a is said to change its weights for 2.5 s
+    And a registers with version 1 as started at 2000
+    Then a and b may be used
+    And a holds version 1
+    And a is believed to be the start at 2000
+
+  Scenario: An entry of an earlier start changes nothing
+    Entries come late. One that an engine wrote before it died arrives after the one
+    of its new start, and would make daemons send to where nobody listens.
+    Given registered targets a and b that started at 1000
+    When a registers with version 2 as started at 2000
+    And a registers as leaving as started at 1000
+    Then a and b may be used
+    And a holds version 2
+    And a is believed to be the start at 2000
+
+  Scenario: An entry that is told twice changes nothing
+    Given registered targets a and b that started at 1000
+    When a answers with version 2
+    And a registers with version 1 as started at 1000
+    Then a holds version 2
+
+  Scenario: A target tells its new start before its entry does
+    An engine that died is asked whether it is still the one that lost a request. Its
+    report states a new start; its entry follows a second later.
+    Given registered targets a and b that started at 1000
+    When a reports that it started at 2000
+    Then a is believed to be the start at 2000
+    When a registers with version 1 as started at 1000
+    Then a is believed to be the start at 2000
+
+  Scenario: An earlier start stays known while a target is off the list
+    Given registered targets a and b that started at 1000
+    When a registers with version 1 as started at 2000
+    And the registration of a is removed
+    And a registers with version 1 as started at 1000
+    Then b may be used
+
+  Scenario: A change of an earlier start keeps no work off the new one
+    A peer tells that an engine changes its weights. The engine has died meanwhile and
+    started again; the change has ended with it.
+    Given registered targets a and b that started at 1000
+    When a registers with version 1 as started at 2000
+    And a peer tells that a as started at 1000 changes for 2.5 s
+    Then a and b may be used
+    When a peer tells that a as started at 2000 changes for 2.5 s
+    Then b may be used
+
+  Scenario: A target is believed when it holds older weights than it did
+    An engine starts again. An order that was sent to its earlier start arrives late
+    and, as the count of orders began anew, is carried out: it is back at version 1.
+    Everybody believed in version 2, and every request to it was rejected for good.
+    Given registered targets a and b
+    When a answers with version 2
+    And a answers with version 1
+    Then a holds version 2
+    When 1 s pass
+    And a answers with version 1
+    Then a holds version 1
+
+  Scenario: A target whose entry is overwritten is not used until it writes a good one
+    Somebody else's program writes into an engine's entry. Whatever stands there is no
+    address that a caller's prompt may be sent to.
+    Given registered targets a and b
+    When something unusable is registered for a
+    Then b may be used and a may not be sent to
+    When a registers with version 1
+    Then a and b may be used
--- a/lycheepost/app/cachefollow.py
+++ b/lycheepost/app/cachefollow.py
@@ -1,12 +1,12 @@
 """Lets placement know what the engines on the platform keep in their caches."""
 
 from lycheepost.callers.dispatch import Dispatcher
-from lycheepost.core.ids import Incarnation, TargetId
+from lycheepost.core.ids import TargetId
 from lycheepost.core.routing import RouteTable
 from lycheepost.decide.records import Reach, TargetView
 from lycheepost.generated.engine import CacheEvent
 from lycheepost.state.targetlist import TargetList
-from lycheepost.targets.cachewatch import CacheEventsPort, CacheWatch
+from lycheepost.targets.cachewatch import CacheEventsPort, CacheSource, CacheWatch
 
 
 class CacheFollower:
@@ -28,7 +28,6 @@
         self._dispatcher = dispatcher
         self._targets = targets
         self._table: RouteTable | None = None
-        self._by_address: dict[str, TargetId] = {}
         self._near: frozenset[TargetId] = frozenset()
 
     async def start(self) -> None:
@@ -63,17 +62,13 @@
         """Follow the engines that there are now."""
         if self._table is None:
             return
-        self._by_address = {
-            target.address: TargetId(target.target)
+        self._watch.follow(
+            CacheSource(target.target, target.start.incarnation, target.address)
             for name, group in self._table.groups.items()
             if group.engine is not None
             for target in self._targets.listed(name)
-            if TargetId(target.target) in self._near
-        }
-        self._watch.follow(self._by_address)
+            if target.target in self._near
+        )
 
-    def _take(self, address: str, events: tuple[CacheEvent, ...]) -> None:
-        target = self._by_address.get(address)
-        if target is not None:
-            boot = Incarnation(target)
-            self._dispatcher.observe_cache_events(target, boot, events)
+    def _take(self, source: CacheSource, events: tuple[CacheEvent, ...]) -> None:
+        self._dispatcher.observe_cache_events(source.target, source.incarnation, events)
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -31,6 +31,8 @@
 ZONE = AvailabilityZone("zone-a")
 PATIENCE_SECONDS = 10.0
 POLL_SECONDS = 0.02
+FIRST_START_MS = 1_700_000_000_000
+"""When the first starts of servers were, for those that state it."""
 KEYS = {"k-one": "one", "k-two": "two"}
 """Keys and their customers; the second customer is isolated."""
 
@@ -162,13 +164,24 @@
         n_plain: int = 2,
         n_engines: int = 2,
         is_configured: bool = True,
+        states_starts: bool = False,
     ) -> None:
-        """Start everything and wait until the daemons are ready."""
+        """Start everything and wait until the daemons are ready.
+
+        Args:
+            n_daemons: Daemons.
+            n_plain: Plain services.
+            n_engines: Engines.
+            is_configured: An operator has written a configuration.
+            states_starts: Servers state when they started.
+        """
         self._session = aiohttp.ClientSession(auto_decompress=False)
         await self.store.start()
         for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
             for _ in range(n):
-                await self.add_server(PlatformServer(service, model))
+                server = PlatformServer(service, model)
+                server.state.started_ms = FIRST_START_MS if states_starts else None
+                await self.add_server(server)
         if is_configured:
             self.configure(make_configuration())
         for _ in range(n_daemons):
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import structlog
+from returns.result import Failure, Success
+
 from lycheepost.app.cachefollow import CacheFollower
 from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
@@ -12,7 +15,9 @@
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import Incarnation, RequestId, TargetId
+from lycheepost.core.ids import RequestId
+from lycheepost.core.routing import ListedTarget
+from lycheepost.core.starts import TargetStart
 from lycheepost.decide.cells import Cell
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.records import LoadReport, TargetView
@@ -57,6 +62,8 @@
 PREFILL_SECONDS_PER_TOKEN = 25e-6
 """First guess, until measured: the platform's sheets tell 18 and 28 microseconds."""
 
+_log = structlog.get_logger(part="targets")
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformTraffic:
@@ -126,8 +133,8 @@
     client = ForwardClient(settings, ServerDialect())
     orders = ServerOrders()
 
-    async def is_same_target(target: TargetId) -> bool:
-        return await _is_same_target(targets, routing, orders, target)
+    async def is_same_start(sent_to: ListedTarget) -> bool:
+        return await _is_same_start(targets, routing, orders, sent_to)
 
     deps = ForwardDeps(
         routing=routing,
@@ -137,10 +144,10 @@
         clock=clock,
         metrics=metrics,
         key_rule=lambda: make_key_rule(get_bounds()),
-        is_same_target=is_same_target,
+        is_same_start=is_same_start,
         make_request_id=_request_ids(base.boot),
         pick_point=base.rng.random,
-        on_head=lambda target, head: _take_load(loads, clock, target, head),
+        on_head=lambda sent_to, head: _take_load(loads, clock, sent_to, head),
     )
     return PlatformTraffic(
         dispatcher=dispatcher,
@@ -178,30 +185,43 @@
     )
 
 
-async def _is_same_target(
-    targets: TargetList, routing: RoutingKeeper, orders: ServerOrders, target: TargetId
+async def _is_same_start(
+    targets: TargetList,
+    routing: RoutingKeeper,
+    orders: ServerOrders,
+    sent_to: ListedTarget,
 ) -> bool:
-    """Ask a target that lost a request whether it still is the start that it was."""
-    listed = targets.get(target)
+    """Ask a target that lost a request whether it still is the start that it was.
+
+    A target may be back under its name at once. Engines state when they started; a
+    plain service only answers to its name, and its entry tells of the new start.
+    """
     table = routing.table
-    if listed is None or table is None:
-        return False
-    group = table.groups.get(listed.target_group)
-    if group is None:
+    group = None if table is None else table.groups.get(sent_to.target_group)
+    if group is None or targets.get(sent_to.target) is None:
         return False
-    return await orders.is_same(target, listed.address, group.health_path)
+    if group.engine is None or sent_to.started_ms is None:
+        is_answering = await orders.is_answering(sent_to, group.health_path)
+        return is_answering and targets.is_start(sent_to.start)
+    match await orders.read_report(sent_to):
+        case Success(report):
+            targets.note_start(TargetStart(sent_to.target, report.started_ms))
+            return targets.is_start(sent_to.start)
+        case Failure(error):
+            _log.info("targets: no report", target=sent_to.target, reason=error.reason)
+    return False
 
 
 def _take_load(
-    loads: LoadExchange, clock: Clock, target: TargetId, head: AnswerHead
+    loads: LoadExchange, clock: Clock, sent_to: ListedTarget, head: AnswerHead
 ) -> None:
     """Pass the load that a target states on to the decisions."""
     if head.load is None:
         return
     loads.observe_report(
         LoadReport(
-            target=target,
-            incarnation=Incarnation(target),
+            target=sent_to.target,
+            incarnation=sent_to.start.incarnation,
             measured_seconds=clock.now_seconds(),
             n_running=head.load.n_running,
             n_queued=head.load.n_waiting,
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -124,9 +124,11 @@
 
     Attributes:
         key_rule: How long keys may be trusted; read anew for each request.
-        is_same_target: Whether a target still answers as the start that it was.
+        is_same_start: Whether a target still is the start that it was when it was
+            sent to.
         pick_point: Gives a number in [0, 1) to split traffic by.
-        on_head: Told of each answer's head, for the load that it states.
+        on_head: Told of each answer's head, for the load that it states, and of the
+            target as it was sent to.
     """
 
     routing: RoutingPort
@@ -136,7 +138,7 @@
     clock: Clock
     metrics: Metrics
     key_rule: Callable[[], KeyRule]
-    is_same_target: Callable[[TargetId], Awaitable[bool]]
+    is_same_start: Callable[[ListedTarget], Awaitable[bool]]
     make_request_id: Callable[[], RequestId]
     pick_point: Callable[[], float]
-    on_head: Callable[[TargetId, AnswerHead], None]
+    on_head: Callable[[ListedTarget, AnswerHead], None]
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -253,9 +253,10 @@
             listed = self._deps.targets.get(target)
             if listed is None:
                 end, reason = SendEnd.NOT_SENT, "the target has left"
+                kind = FinishKind.TARGET_REFUSED
             else:
                 end, reason = await self._send(listed)
-            kind = await self._finish_kind(target, end)
+                kind = await self._finish_kind(listed, end)
             return end
         except CallerError as error:
             reason = f"not sent: {error.code}"
@@ -288,7 +289,7 @@
         wait_seconds = silence_seconds(
             self._way.route, self._sends, call.remaining_seconds
         )
-        target = TargetId(listed.target)
+        target = listed.target
         self._is_sent = True
         try:
             send = self._deps.client.send(call)
@@ -324,9 +325,9 @@
     async def _take_answer(
         self, listed: ListedTarget, answer: ForwardAnswer, wait_seconds: float
     ) -> tuple[SendEnd | None, str]:
-        target = TargetId(listed.target)
+        target = listed.target
         head = answer.head
-        self._deps.on_head(target, head)
+        self._deps.on_head(listed, head)
         if head.was_not_run or head.is_other_target:
             self._is_sent = False
             await self._read_rejection(answer)
@@ -381,7 +382,7 @@
         request = self._request
         route = self._way.route
         return ForwardCall(
-            target=TargetId(listed.target),
+            target=listed.target,
             address=listed.address,
             request=self._work.request,
             method=request.method,
@@ -399,7 +400,7 @@
         prompt = self._request.prompt
         if prompt is None:
             return None
-        target = TargetId(listed.target)
+        target = listed.target
         version = self._deps.targets.weights_of(target, prompt.model)
         version = version or WeightsVersion("")
         scope = make_scope(self._way.holder, version)
@@ -413,7 +414,9 @@
             store_to=store,
         )
 
-    async def _finish_kind(self, target: TargetId, end: SendEnd | None) -> FinishKind:
+    async def _finish_kind(
+        self, listed: ListedTarget, end: SendEnd | None
+    ) -> FinishKind:
         """Return what the end of a send says of the target.
 
         Only a target that is gone may have been killed by this request; two broken
@@ -426,6 +429,6 @@
             return known
         if self._way.route.kind is RouteKind.NON_IDEMPOTENT:
             return FinishKind.ANSWER_LOST
-        if await self._deps.is_same_target(target):
+        if await self._deps.is_same_start(listed):
             return FinishKind.ANSWER_LOST
         return FinishKind.TARGET_LOST
--- a/lycheepost/callers/parse.py
+++ b/lycheepost/callers/parse.py
@@ -14,6 +14,7 @@
 from lycheepost.callers.errors import CallerError, invalid
 from lycheepost.core.ids import ModelId
 from lycheepost.generated.callers import ChatMessage
+from lycheepost.utils.decoding import UNREADABLE
 
 DEFAULT_OUTPUT_TOKENS = 256
 """Tokens expected of an answer whose caller sets no limit; only for prediction."""
@@ -80,7 +81,7 @@
 def _parse(endpoint: Endpoint, body: bytes) -> CompletionCall:
     try:
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise invalid(f"The body is not a JSON object: {error}.") from error
     model = _take(fields, "model", str, None)
     if not model:
@@ -107,7 +108,7 @@
         return default
     try:
         return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise invalid(f"The field {name} is not valid: {error}.", name) from error
 
 
@@ -142,7 +143,7 @@
     for index, message in enumerate(messages):
         try:
             msgspec.json.decode(message, type=ChatMessage)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except UNREADABLE as error:
             param = f"messages[{index}]"
             raise invalid(f"A message is not valid: {error}.", param) from error
     return tuple(bytes(message) for message in messages)
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -14,8 +14,10 @@
     CustomerId,
     ModelId,
     TargetGroupId,
+    TargetId,
     WeightsVersion,
 )
+from lycheepost.core.starts import TargetStart
 
 
 class RouteKind(Enum):
@@ -194,20 +196,27 @@
     """A target as it registered itself.
 
     Attributes:
-        target: Names one start of one process; never used again.
+        target: Its name, which it keeps when it starts again.
         address: ``IP:PORT``; may be another target's later.
         slots: Requests that it works on at once.
         is_leaving: It asked for no new work.
         weights: Weights in place, by model.
+        started_ms: Unix millisecond of its start; None where it states none.
     """
 
-    target: str
+    target: TargetId
     target_group: TargetGroupId
     address: str
     availability_zone: AvailabilityZone
     slots: int
     is_leaving: bool = False
     weights: Mapping[ModelId, WeightsVersion] = field(default_factory=dict)
+    started_ms: int | None = None
+
+    @property
+    def start(self) -> TargetStart:
+        """Return which start of the target registered."""
+        return TargetStart(self.target, self.started_ms)
 
 
 def make_route_table(
--- a/lycheepost/decide/targethealth.py
+++ b/lycheepost/decide/targethealth.py
@@ -128,8 +128,12 @@
         record = self._records.get(target)
         return record is not None and now_seconds < record.rest_until_seconds
 
+    def forget_one(self, target: TargetId) -> None:
+        """Forget a target: it has started again, and its endings were another's."""
+        self._records.pop(target, None)
+
     def forget(self, kept: Iterable[TargetId]) -> None:
-        """Forget all targets but ``kept``; names are never used again."""
+        """Forget all targets but ``kept``."""
         names = set(kept)
         for target in [name for name in self._records if name not in names]:
             del self._records[target]
--- a/lycheepost/operators/weightsnews.py
+++ b/lycheepost/operators/weightsnews.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
+from lycheepost.core.starts import TargetStart
 from lycheepost.generated.messages import TargetChanging, TargetsChanging
 from lycheepost.state.targetlist import TargetList, WeightsChange
 
@@ -41,12 +42,14 @@
 
     def _flush(self) -> None:
         changes, self._waiting = self._waiting, []
-        self._tell(TargetsChanging(changes=[_to_message(item) for item in changes]))
+        self._tell(TargetsChanging(changes=[to_message(item) for item in changes]))
 
 
-def _to_message(change: WeightsChange) -> TargetChanging:
+def to_message(change: WeightsChange) -> TargetChanging:
+    """Return a change as it is told."""
     return TargetChanging(
-        target=change.target,
+        target=change.start.target,
+        started_ms=change.start.started_ms,
         model=change.model,
         weights_version=change.version or "",
         is_done=change.for_seconds <= 0.0,
@@ -59,7 +62,7 @@
     for item in message.changes:
         is_known = item.is_done and bool(item.weights_version)
         yield WeightsChange(
-            TargetId(item.target),
+            TargetStart(TargetId(item.target), item.started_ms),
             ModelId(item.model),
             WeightsVersion(item.weights_version) if is_known else None,
             0.0 if item.is_done else item.for_seconds,
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -17,6 +17,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, ModelId, TargetGroupId, TargetId
 from lycheepost.core.routing import ListedTarget
+from lycheepost.core.starts import TargetStart
 from lycheepost.decide.rollout import TargetWeights, WeightsOrder, next_orders
 from lycheepost.generated.messages import TargetsChanging
 from lycheepost.operators.weightsnews import WeightsNews
@@ -166,7 +167,7 @@
             for target in self._targets.listed(group)
         ]
         weights = [self._weights(target, model) for target in listed]
-        by_name = {TargetId(target.target): target for target in listed}
+        by_name = {target.target: target for target in listed}
         for order in next_orders(model, wanted, weights):
             change = asyncio.create_task(self._change(by_name[order.target], order))
             self._changes[order.target] = change
@@ -179,7 +180,7 @@
             _log.error("weights: change failed", target=target, reason=repr(error))
 
     def _weights(self, target: ListedTarget, model: ModelId) -> TargetWeights:
-        name = TargetId(target.target)
+        name = target.target
         return TargetWeights(
             target=name,
             version=weights_number(target.weights.get(model)),
@@ -189,22 +190,22 @@
 
     async def _change(self, target: ListedTarget, order: WeightsOrder) -> None:
         """Change the weights of one target, or leave it as it is."""
-        self._announce(order, is_done=False)
+        self._announce(target.start, order, is_done=False)
         await asyncio.sleep(STEER_SECONDS)
         is_done = await self._order(target, order)
         if is_done:
             is_done = await self._wait_loaded(target, order)
-        self._announce(order, is_done=True)
+        self._announce(target.start, order, is_done=True)
         if not is_done:
             await asyncio.sleep(FAILED_PAUSE_SECONDS)
 
-    def _announce(self, order: WeightsOrder, is_done: bool) -> None:
+    def _announce(self, start: TargetStart, order: WeightsOrder, is_done: bool) -> None:
         """Keep new work off a target, or let it come, here and at the peers."""
         version = (
             self._targets.weights_of(order.target, order.model) if is_done else None
         )
         for_seconds = 0.0 if is_done else CHANGE_SECONDS
-        self._news.tell(WeightsChange(order.target, order.model, version, for_seconds))
+        self._news.tell(WeightsChange(start, order.model, version, for_seconds))
 
     async def _order(self, target: ListedTarget, order: WeightsOrder) -> bool:
         """Send the order; return whether to wait for the weights."""
@@ -216,6 +217,8 @@
                     "weights: no report", target=order.target, reason=error.reason
                 )
                 return False
+        if self._is_other_start(target, report):
+            return False
         if report.is_changing or self._is_loaded(order):
             return True
         if not self._may_order() or self._current is None:
@@ -251,7 +254,27 @@
                 return True
         raise AssertionError("a result is a success or a failure")
 
+    def _is_other_start(self, target: ListedTarget, report: TargetReport) -> bool:
+        """Tell whether a target has started again since its change was begun.
+
+        Its count of orders has begun anew and it holds the weights that it had: the
+        change under way is over, and the next look at what is due begins another.
+        """
+        start = TargetStart(target.target, report.started_ms)
+        if not start.is_newer_than(target.start):
+            return False
+        if target.started_ms is None:
+            # It registered before it stated its start.
+            return False
+        _log.info(
+            "weights: target started again",
+            target=target.target,
+            started_ms=report.started_ms,
+        )
+        return True
+
     def _learn(self, order: WeightsOrder, report: TargetReport) -> None:
+        self._targets.note_start(TargetStart(order.target, report.started_ms))
         self._n_running[order.target] = report.n_running
         version = report.weights.get(order.model)
         if version is not None and not report.is_changing:
@@ -271,6 +294,8 @@
             match await self._port.read_report(target):
                 case Success(report):
                     self._learn(order, report)
+                    if self._is_other_start(target, report):
+                        return False
                     if self._is_loaded(order):
                         return True
                     if not report.is_changing and elapsed_seconds > SHOWN_SECONDS:
--- a/lycheepost/platform/cacheevents.py
+++ b/lycheepost/platform/cacheevents.py
@@ -10,6 +10,7 @@
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.cachewatch import CacheNews
 from lycheepost.targets.errors import TargetError, TargetLost
+from lycheepost.utils.decoding import UNREADABLE
 
 HELD_MS = 1000
 """The longest that a question may be held."""
@@ -73,7 +74,7 @@
 def _decode(body: bytes) -> Result[CacheNews, TargetError]:
     try:
         wire = msgspec.json.decode(body, type=_WireNews)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Failure(TargetError(f"events cannot be read: {error}"))
     events = tuple(_to_event(event) for event in wire.events)
     return Success(CacheNews(wire.boot_epoch, wire.next, wire.lost, events))
--- a/lycheepost/platform/documents.py
+++ b/lycheepost/platform/documents.py
@@ -1,4 +1,4 @@
-"""What operators and servers write into the store, decoded into our records."""
+"""What operators write into the store, decoded into our records."""
 
 from dataclasses import dataclass
 
@@ -11,7 +11,6 @@
     CustomerId,
     ModelId,
     TargetGroupId,
-    WeightsVersion,
 )
 from lycheepost.core.routing import (
     CallerLimits,
@@ -19,16 +18,15 @@
     GroupShare,
     KeyHolder,
     KvStore,
-    ListedTarget,
     Route,
     RoutedGroup,
     RouteKind,
     RouteTable,
     make_route_table,
 )
+from lycheepost.utils.decoding import UNREADABLE
 
 OPERATOR_TABLE = "op"
-SERVER_TABLE = "servers"
 CONFIGURATION_KEY = "config"
 WEIGHTS_PREFIX = "version/"
 
@@ -38,7 +36,6 @@
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
-_LEAVING = "draining"
 
 
 @dataclass(frozen=True)
@@ -115,24 +112,6 @@
     tenants: list[_WireTenant] | None = None
 
 
-class _WireServerModel(msgspec.Struct):
-    """``version`` is that of the weights."""
-
-    name: str
-    version: int
-
-
-class _WireServer(msgspec.Struct):
-    """A server's own entry; its ``version`` is that of its software, not weights."""
-
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    models: list[_WireServerModel] = []
-
-
 class _WireWeights(msgspec.Struct):
     model: str
     version: int
@@ -143,7 +122,7 @@
     try:
         wire = msgspec.json.decode(data, type=_WireConfiguration)
         return Success(_to_route_table(wire))
-    except (msgspec.DecodeError, KeyError) as error:
+    except (*UNREADABLE, KeyError) as error:
         return Failure(DocumentFault(f"the configuration cannot be read: {error}"))
 
 
@@ -216,33 +195,6 @@
     return KvStore(wire.kv_store_addr, zone, wire.kv_capacity_tokens)
 
 
-def decode_server(name: str, data: bytes) -> Result[ListedTarget, DocumentFault]:
-    """Return the target that a server's entry describes.
-
-    Args:
-        name: The entry's key: the id of one start of the server.
-        data: The entry.
-    """
-    try:
-        wire = msgspec.json.decode(data, type=_WireServer)
-    except msgspec.DecodeError as error:
-        return Failure(DocumentFault(f"the entry of {name} cannot be read: {error}"))
-    return Success(
-        ListedTarget(
-            target=name,
-            target_group=TargetGroupId(wire.service),
-            address=wire.address,
-            availability_zone=AvailabilityZone(wire.zone),
-            slots=wire.slots,
-            is_leaving=wire.state == _LEAVING,
-            weights={
-                ModelId(model.name): WeightsVersion(str(model.version))
-                for model in wire.models
-            },
-        )
-    )
-
-
 @dataclass(frozen=True, slots=True)
 class NamedWeights:
     """The newest weights that an operator named for a model."""
@@ -255,6 +207,6 @@
     """Return the weights that an operator named."""
     try:
         wire = msgspec.json.decode(data, type=_WireWeights)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Failure(DocumentFault(f"the weights cannot be read: {error}"))
     return Success(NamedWeights(ModelId(wire.model), wire.version))
--- a/lycheepost/platform/following.py
+++ b/lycheepost/platform/following.py
@@ -12,17 +12,23 @@
 from lycheepost.platform.documents import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
-    SERVER_TABLE,
     WEIGHTS_PREFIX,
     decode_configuration,
-    decode_server,
     decode_weights,
 )
+from lycheepost.platform.registrations import SERVER_TABLE, decode_server
 from lycheepost.ports.feed import ChangedRow, FeedPort
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.targetlist import TargetList
 from lycheepost.state.watch import Seen, Watch
 
+MOST_UNUSABLE_LOGGED = 200
+"""Lines on unusable entries in a process's life: a writer that writes one a second
+is told of for three minutes, and cannot fill the log."""
+
+MOST_LOGGED_CHARACTERS = 200
+"""Of names and reasons that another writer chose; the store allows as many bytes."""
+
 OnWeights = Callable[[ModelId, int, float | None], None]
 
 _log = structlog.get_logger(part="following")
@@ -86,19 +92,31 @@
 
 
 class ServerFollower:
-    """Passes servers' entries on to the target list."""
+    """Passes servers' entries on to the target list.
+
+    The failure: another writer's row lies where a server's entry was, or beside it.
+    Taken as an entry it would send requests to nobody; an error over it would leave
+    the whole answer untaken. So each row is decoded by itself, and a target whose
+    entry cannot be used is not used until it has written one that can.
+    """
 
     def __init__(self, targets: TargetList) -> None:
         self._targets = targets
+        self._n_unusable = 0
 
     def take(self, seen: Seen) -> None:
         """Take one answer of the store."""
-        listed = [
-            target
-            for row in seen.rows
-            if row.value is not None
-            and (target := _decode(row.key, row.value)) is not None
-        ]
+        listed: list[ListedTarget] = []
+        unusable: list[TargetId] = []
+        for row in seen.rows:
+            if row.value is None:
+                continue
+            target = self._decode(row.key, row.value)
+            if target is None:
+                unusable.append(TargetId(row.key))
+            else:
+                listed.append(target)
+        self._targets.overwritten(unusable)
         if seen.is_whole:
             self._targets.take_all(listed, seen.was_lost)
             return
@@ -106,14 +124,24 @@
         if listed or removed:
             self._targets.take(listed, removed, seen.was_lost)
 
-
-def _decode(name: str, data: bytes) -> ListedTarget | None:
-    match decode_server(name, data):
-        case Success(target):
-            return target
-        case Failure(error):
-            _log.error("following: server entry", reason=error.reason)
-    return None
+    def _decode(self, name: str, data: bytes) -> ListedTarget | None:
+        match decode_server(name, data):
+            case Success(target):
+                return target
+            case Failure(error):
+                self._note_unusable(name, error.reason)
+        return None
+
+    def _note_unusable(self, name: str, reason: str) -> None:
+        """Log an unusable entry; only the first ones, as a writer may go on."""
+        self._n_unusable += 1
+        if self._n_unusable <= MOST_UNUSABLE_LOGGED:
+            _log.warning(
+                "following: unusable entry",
+                target=name[:MOST_LOGGED_CHARACTERS],
+                reason=reason[:MOST_LOGGED_CHARACTERS],
+                n_unusable=self._n_unusable,
+            )
 
 
 def make_watches(
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -32,6 +32,8 @@
 from lycheepost.standin.webserver import StandinServer
 
 _NEVER_SECONDS = 3600.0
+RESTART_MS = 1500
+"""From one start of a server to its next."""
 _numbers = itertools.count(1)
 
 
@@ -52,6 +54,11 @@
     """A success without the server's seal."""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashAndReturn:
+    """The server dies of the request and is back at once, under the same name."""
+
+
 ServerFault = (
     Truncated
     | Silent
@@ -62,6 +69,7 @@
     | ExtraAnswer
     | Unsealed
     | CrashAt
+    | CrashAndReturn
 )
 
 
@@ -82,9 +90,11 @@
 
     Attributes:
         load_seconds: How long new weights take.
+        started_ms: Unix millisecond of its start; None to state none.
     """
 
     model: str
+    started_ms: int | None = None
     version: int = 1
     n_orders: int = 0
     is_changing: bool = False
@@ -150,6 +160,23 @@
         self._timing.close()
         await self._server.stop()
 
+    def restart(self) -> None:
+        """Die and be back at once under the same name, holding only the weights."""
+        old = self.state
+        if old.started_ms is None:
+            raise ValueError("a server that states no start has a new name after it")
+        self.state = ServerState(
+            old.model,
+            started_ms=old.started_ms + RESTART_MS,
+            version=old.version,
+            load_seconds=old.load_seconds,
+        )
+        self._timing.close()
+        self._timing = make_engine_timing(self.name, STANDIN_SPEEDS, SystemClock())
+        for load in self._loads:
+            load.cancel()
+        self._server.cut_connections()
+
     def freeze(self) -> None:
         """Let open connections go silent for good; new ones work."""
         self._server.freeze_connections()
@@ -160,7 +187,8 @@
         if self.state.model:
             models = [{"name": self.state.model, "version": self.state.version}]
         return msgspec.json.encode(
-            {
+            self._own_word()
+            | {
                 "service": self.service,
                 "address": self.address,
                 "zone": zone,
@@ -173,6 +201,11 @@
             }
         )
 
+    def _own_word(self) -> dict[str, object]:
+        """Return what stands in all that the server says of itself."""
+        started_ms = self.state.started_ms
+        return {} if started_ms is None else {"born": started_ms}
+
     def _make_app(self) -> web.Application:
         app = web.Application(client_max_size=16 * 1024 * 1024)
         app.router.add_get("/report", self._report)
@@ -218,7 +251,8 @@
             [{"name": state.model, "version": state.version}] if state.model else []
         )
         return web.json_response(
-            {
+            self._own_word()
+            | {
                 "stage": "colocated",
                 "models": models,
                 "busy": state.is_changing,
@@ -265,6 +299,9 @@
             case Swallowed():
                 await asyncio.sleep(_NEVER_SECONDS)
         self._record(request, body)
+        if isinstance(fault, CrashAndReturn):
+            self.restart()
+            await asyncio.sleep(_NEVER_SECONDS)
         self.n_running += 1
         try:
             if names.MODEL in request.headers and self.state.model:
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -9,7 +9,7 @@
 import structlog
 from returns.result import Failure, Result, Success
 
-from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
+from lycheepost.core.ids import ModelId, WeightsVersion
 from lycheepost.core.routing import ListedTarget
 from lycheepost.platform import headers as names
 from lycheepost.platform.sessions import make_call_session
@@ -20,6 +20,7 @@
     RunsMeanwhile,
     TargetReport,
 )
+from lycheepost.utils.decoding import UNREADABLE
 
 CALL_SECONDS = 0.6
 """A server answers a report or takes an order in milliseconds; one that hangs must
@@ -51,7 +52,10 @@
 
 
 class _WireReport(msgspec.Struct):
-    """``seq`` counts accepted orders, ``active`` and ``queued`` requests."""
+    """``seq`` counts accepted orders, ``active`` and ``queued`` requests.
+
+    ``born`` is the Unix millisecond of the server's start, where it states one.
+    """
 
     models: list[_WireModel]
     busy: bool
@@ -60,6 +64,7 @@
     active: int = 0
     kv_used: int = 0
     kv_total: int = 0
+    born: int | None = None
 
 
 class _WireOrder(msgspec.Struct):
@@ -117,20 +122,28 @@
         answer = await self._call("POST", target, "/order", msgspec.json.encode(body))
         return answer.bind(_decode_order_answer)
 
-    async def is_same(self, target: TargetId, address: str, path: str) -> bool:
-        """Ask whether the start of a server that was sent to still answers."""
+    async def is_answering(self, target: ListedTarget, path: str) -> bool:
+        """Ask whether a server still answers under its id.
+
+        Args:
+            target: The server.
+            path: Where it tells its health.
+        """
         if self._session is None:
             return False
-        headers = {names.EXPECTED_TARGET: target}
+        headers = {names.EXPECTED_TARGET: target.target}
         try:
             async with self._session.get(
-                f"http://{address}{path}", headers=headers
+                f"http://{target.address}{path}", headers=headers
             ) as response:
                 named = response.headers.get(names.TARGET)
-                return named is None or named == target
+                return named is None or named == target.target
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            reason = type(error).__name__
-            _log.info("orders: target not found", target=target, reason=reason)
+            _log.info(
+                "orders: target not found",
+                target=target.target,
+                reason=type(error).__name__,
+            )
             return False
 
     async def _call(
@@ -138,7 +151,7 @@
     ) -> Result[tuple[int, bytes], TargetError]:
         if self._session is None:
             raise RuntimeError("the session is not open")
-        headers = {names.EXPECTED_TARGET: target.target}
+        headers: dict[str, str] = {names.EXPECTED_TARGET: target.target}
         if body is not None:
             headers["Content-Type"] = "application/json"
         try:
@@ -158,7 +171,7 @@
         return Failure(TargetError(f"the report has status {status}"))
     try:
         wire = msgspec.json.decode(body, type=_WireReport)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Failure(TargetError(f"the report cannot be read: {error}"))
     return Success(
         TargetReport(
@@ -172,6 +185,7 @@
             n_waiting=wire.queued,
             kv_used_tokens=wire.kv_used,
             kv_total_tokens=wire.kv_total,
+            started_ms=wire.born,
         )
     )
 
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -125,7 +125,7 @@
 
     def endpoint(self, name: str) -> Endpoint:
         host, _, text = self.text(name).rpartition(":")
-        port = _port_of(text)
+        port = port_of(text)
         if name in self._values and not (host and port):
             self.faults.append(f"{name} is {self._values[name]!r}, not IP:PORT.")
         return Endpoint(host, port or 0)
@@ -134,7 +134,7 @@
         return self.endpoint(name) if self._values.get(name) else None
 
     def ports(self, name: str) -> tuple[int, int]:
-        first, last = (_port_of(text) for text in self._pair(name))
+        first, last = (port_of(text) for text in self._pair(name))
         if first is None or last is None or last < first:
             self.faults.append(f"{name} is not FIRST,LAST.")
             return 0, 0
@@ -145,7 +145,7 @@
         return first, last
 
 
-def _port_of(text: str) -> int | None:
+def port_of(text: str) -> int | None:
     """Return the port that a text states; None when it is none."""
     is_number = text.isascii() and text.isdigit()
     return int(text) if is_number and 0 < int(text) <= MOST_PORT else None
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -35,6 +35,7 @@
     TableUnavailable,
     Transaction,
 )
+from lycheepost.utils.decoding import UNREADABLE
 
 OWN_TABLE = "lycheepost"
 """All rows of this system."""
@@ -265,7 +266,7 @@
             return Failure(TableError(f"the store answered {status}"))
     try:
         return Success(msgspec.json.decode(answer.body, type=kind))
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         # A success that cannot be read: a write may well have been done.
         return Failure(OutcomeUnknown(f"the store's answer cannot be read: {error}"))
 
@@ -273,6 +274,6 @@
 def _decode_conflict(body: bytes) -> TableConflict:
     try:
         rows = msgspec.json.decode(body, type=WireRows).rows
-    except msgspec.DecodeError:
+    except UNREADABLE:
         rows = []
     return TableConflict("a row has moved", tuple(row.key for row in rows))
--- a/lycheepost/platform/storewire.py
+++ b/lycheepost/platform/storewire.py
@@ -1,12 +1,16 @@
 """Bodies of the calls to the platform's store."""
 
+import binascii
 from base64 import b64decode, b64encode
 
 import msgspec
+import structlog
 
 from lycheepost.ports.feed import ChangedRow
 from lycheepost.ports.table import Row
 
+_log = structlog.get_logger(part="store")
+
 
 class WireRow(msgspec.Struct, omit_defaults=True):
     """A row in an answer; ``ver`` counts transactions of the whole store."""
@@ -20,11 +24,23 @@
 
     def to_row(self) -> Row:
         """Return it as a row of the table port."""
-        return Row(self.key, b64decode(self.value), self.ver)
+        return Row(self.key, self._bytes(), self.ver)
 
     def to_change(self) -> ChangedRow:
         """Return it as a change."""
-        return ChangedRow(self.key, None if self.deleted else b64decode(self.value))
+        return ChangedRow(self.key, None if self.deleted else self._bytes())
+
+    def _bytes(self) -> bytes:
+        """Return the value; empty when it cannot be read.
+
+        Another writer's value must not cost us the rest of the answer. No row of ours
+        and none that we understand is empty, so its reader tells it as unusable.
+        """
+        try:
+            return b64decode(self.value)
+        except (binascii.Error, ValueError) as error:
+            _log.warning("store: value cannot be read", reason=str(error))
+            return b""
 
 
 class WireRows(msgspec.Struct):
--- a/lycheepost/state/leases.py
+++ b/lycheepost/state/leases.py
@@ -36,6 +36,7 @@
 )
 from lycheepost.state.errors import StateError
 from lycheepost.state.settle import commit_settled
+from lycheepost.utils.decoding import UNREADABLE
 
 _KEY_PREFIX = "lease/"
 _log = structlog.get_logger(part="leases")
@@ -181,7 +182,7 @@
                 return Failure(LeaseError(error.reason))
         held = None
         if row is not None:
-            match _decode(row):
+            match decode_lease(row):
                 case Success(held):
                     pass
                 case Failure(error):
@@ -331,7 +332,7 @@
         """Tell this write, an earlier one of our own and another daemon's apart."""
         match await self._table.read((_key(duty),)):
             case Success((Row() as found,)) if found.version > version:
-                held = _decode(found).value_or(None)
+                held = decode_lease(found).value_or(None)
                 if held == row:
                     return Success(found.version)
                 if held is not None and row.token and held.token == row.token:
@@ -346,7 +347,7 @@
     return _KEY_PREFIX + duty
 
 
-def _decode(row: Row) -> Result[LeaseRow, LeaseError]:
+def decode_lease(row: Row) -> Result[LeaseRow, LeaseError]:
     """Return the row of a duty.
 
     One that cannot be read may be another release's lease. It is left alone, as
@@ -354,7 +355,7 @@
     """
     try:
         return Success(msgspec.json.decode(row.value, type=LeaseRow))
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         reason = f"The row {row.key} cannot be read: {error}"
         _log.error("leases: row cannot be read", key=row.key, reason=reason)
         return Failure(LeaseError(reason))
--- a/lycheepost/state/memberrows.py
+++ b/lycheepost/state/memberrows.py
@@ -23,6 +23,7 @@
     Write,
 )
 from lycheepost.ports.vms import Vm, VmListError, VmRole, VmState
+from lycheepost.utils.decoding import UNREADABLE
 
 _PREFIX = "member/"
 _PAGE_ROWS = 500
@@ -57,7 +58,7 @@
         while True:
             match await self._table.scan(_PREFIX, after_key, _PAGE_ROWS):
                 case Success(page):
-                    vms.extend(filter(None, map(_to_vm, page.rows)))
+                    vms.extend(filter(None, map(to_vm, page.rows)))
                 case Failure(error):
                     return Failure(VmListError(error.reason))
             if page.next_key is None:
@@ -112,7 +113,7 @@
     """Return a daemon's row; None when another release wrote it in another shape."""
     try:
         return msgspec.json.decode(row.value, type=MemberRow)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         _log.error("members: row cannot be read", key=row.key, reason=str(error))
         return None
 
@@ -122,7 +123,8 @@
     return None if member is None else member.boot
 
 
-def _to_vm(row: Row) -> Vm | None:
+def to_vm(row: Row) -> Vm | None:
+    """Return the daemon of a row; None when the row cannot be read."""
     member = _decode(row)
     if member is None:
         return None
--- a/lycheepost/state/peerkeys.py
+++ b/lycheepost/state/peerkeys.py
@@ -21,6 +21,7 @@
     Transaction,
     Write,
 )
+from lycheepost.utils.decoding import UNREADABLE
 
 _KEY = "peer-keys"
 
@@ -74,7 +75,7 @@
 def _decode(value: bytes) -> Result[StoredKeys | None, TableError]:
     try:
         return Success(msgspec.json.decode(value, type=StoredKeys))
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Failure(TableError(f"the peer keys cannot be read: {error}"))
 
 
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -16,16 +16,17 @@
 
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
-    Incarnation,
     ModelId,
     TargetGroupId,
     TargetId,
     WeightsVersion,
 )
 from lycheepost.core.routing import ListedTarget, RouteTable
+from lycheepost.core.starts import TargetStart
 from lycheepost.decide.cells import Cell, Place, find_reaches
 from lycheepost.decide.records import Reach, TargetState, TargetView
 from lycheepost.decide.targethealth import Ending, TargetHealth
+from lycheepost.state.targetstarts import TargetStarts
 from lycheepost.state.wantedweights import (
     OLD_WEIGHTS_MARGIN_SECONDS,
     NamedVersion,
@@ -42,6 +43,11 @@
 even if nobody told that it is done: the daemon that knew may have died, or be cut
 off. Twice what a change takes; a target that still changes only says so."""
 
+SETTLED_SECONDS = 0.6
+"""What a target says of its weights is believed, also when they are older than those
+that it was believed to hold, once that belief is so old: a report is some 0.1 s late,
+and an answer's head seldom takes half a second."""
+
 _log = structlog.get_logger(part="targets")
 
 OnViews = Callable[[tuple[TargetView, ...]], None]
@@ -54,12 +60,14 @@
     Attributes:
         gone_seconds: When its removal counts; None while it is registered.
         weights: By model; what was learned last.
+        learned_seconds: When ``weights`` last changed.
         changing_until_seconds: New weights are being put in until then.
     """
 
     listed: ListedTarget
     gone_seconds: float | None = None
     weights: dict[ModelId, WeightsVersion] | None = None
+    learned_seconds: float = float("-inf")
     changing_until_seconds: float = float("-inf")
 
 
@@ -68,11 +76,12 @@
     """What is done to the weights of one target.
 
     Attributes:
+        start: Which start of the target it is done to.
         version: The version that it holds now; None where that is not known.
         for_seconds: How long it gets no new work from now on; 0 when it is done.
     """
 
-    target: TargetId
+    start: TargetStart
     model: ModelId
     version: WeightsVersion | None
     for_seconds: float
@@ -96,6 +105,7 @@
         self._weights_seconds = weights_seconds
         self._wanted = WantedWeights()
         self._known: dict[TargetId, _Known] = {}
+        self._starts = TargetStarts()
         self._health: dict[TargetGroupId, TargetHealth] = {}
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
@@ -133,6 +143,7 @@
                 "target_group": known.listed.target_group,
                 "address": known.listed.address,
                 "weights": known.weights,
+                "started_ms": known.listed.started_ms,
                 "is_leaving": known.listed.is_leaving,
             }
             for name, known in self._known.items()
@@ -188,23 +199,42 @@
     def take_all(self, listed: Iterable[ListedTarget], was_lost: bool) -> None:
         """Take a whole read: whoever is not in it is removed."""
         targets = tuple(listed)
-        names = {TargetId(target.target) for target in targets}
+        names = {target.target for target in targets}
         self.take(
             targets, [name for name in self._known if name not in names], was_lost
         )
 
+    def overwritten(self, names: Iterable[TargetId]) -> None:
+        """Stop using targets in whose place something unusable is registered.
+
+        Unlike a registration that lapsed it says nothing of the target's life, so
+        there is no wait: whoever wrote it may write an address there next.
+        """
+        found = [self._known[name] for name in names if name in self._known]
+        for known in found:
+            known.gone_seconds = self._clock.now_seconds()
+            _log.warning("targets: registration unusable", target=known.listed.target)
+        if found:
+            self.refresh()
+
     def _put(self, listed: ListedTarget) -> None:
-        name = TargetId(listed.target)
-        known = self._known.get(name)
-        if known is None:
-            self._known[name] = _Known(listed, weights=dict(listed.weights))
+        name = listed.target
+        if self._starts.is_old(listed.start):
+            # A late entry of an earlier start: its state, weights and address are
+            # those of a process that has ended.
+            newest_ms = self._starts.newest(name).started_ms
             _log.info(
-                "targets: registered",
+                "targets: registration of an earlier start",
                 target=name,
-                target_group=listed.target_group,
-                address=listed.address,
+                started_ms=listed.started_ms,
+                newest_ms=newest_ms,
             )
             return
+        is_restarted = self._starts.note(listed.start)
+        known = self._known.get(name)
+        if known is None or is_restarted:
+            self._register(listed, is_restarted)
+            return
         if listed.is_leaving and not known.listed.is_leaving:
             _log.info("targets: leaving", target=name)
         if listed.weights != known.listed.weights:
@@ -212,6 +242,46 @@
         known.listed = listed
         known.gone_seconds = None
 
+    def _register(self, listed: ListedTarget, is_restarted: bool) -> None:
+        """Begin anew with a target: nothing of an earlier start holds for it."""
+        self._known[listed.target] = _Known(listed, weights=dict(listed.weights))
+        self._forget_health(listed)
+        _log.info(
+            "targets: registered",
+            target=listed.target,
+            target_group=listed.target_group,
+            address=listed.address,
+            started_ms=listed.started_ms,
+            is_restarted=is_restarted,
+        )
+
+    def _forget_health(self, listed: ListedTarget) -> None:
+        health = self._health.get(listed.target_group)
+        if health is not None:
+            health.forget_one(listed.target)
+
+    def note_start(self, start: TargetStart) -> None:
+        """Learn from a target itself which start of it answers.
+
+        The failure: a target dies and starts again under its name before its entry
+        tells so. Its cache would be believed full, its requests be taken for running,
+        and a request that killed it be taken for innocent. It holds the weights that
+        it had; its next entry or answer tells if that was other ones.
+        """
+        known = self._known.get(start.target)
+        if known is None or not start.is_newer_than(known.listed.start):
+            return
+        if self._starts.note(start):
+            listed = replace(
+                known.listed, started_ms=start.started_ms, weights=known.weights or {}
+            )
+            self._register(listed, is_restarted=True)
+            self.refresh()
+
+    def is_start(self, start: TargetStart) -> bool:
+        """Tell whether a start of a target is the newest that is known of it."""
+        return not self._starts.is_old(start)
+
     def _learn(self, known: _Known, weights: Mapping[ModelId, WeightsVersion]) -> None:
         """Take weights that are newer; registrations come late."""
         current = known.weights or {}
@@ -222,8 +292,34 @@
         }
         if newer:
             known.weights = current | newer
+            known.learned_seconds = self._clock.now_seconds()
             known.changing_until_seconds = float("-inf")
 
+    def _unlearn(self, known: _Known, model: ModelId, version: WeightsVersion) -> None:
+        """Take weights older than those that a target was believed to hold.
+
+        The failure: a target starts again, and an order that was sent to its earlier
+        start reaches it late and is carried out, as its count of orders has begun
+        anew. It shows as a target that rejects every request for its weights, and as
+        one that is never brought to the newest. Its own word, once the belief is no
+        longer fresh, is better than the belief.
+        """
+        now_seconds = self._clock.now_seconds()
+        current = known.weights or {}
+        if weights_number(version) >= weights_number(current.get(model)):
+            return
+        if now_seconds - known.learned_seconds < SETTLED_SECONDS:
+            return
+        _log.warning(
+            "targets: weights are older than believed",
+            target=known.listed.target,
+            model=model,
+            version=version,
+            believed=current.get(model),
+        )
+        known.weights = {**current, model: version}
+        known.learned_seconds = now_seconds
+
     def want(self, model: ModelId, version: int, named_seconds: float | None) -> None:
         """Take a version that an operator named for a model.
 
@@ -266,11 +362,12 @@
     def note_weights(
         self, target: TargetId, model: ModelId, version: WeightsVersion
     ) -> None:
-        """Learn which weights a target answered with or was left with."""
+        """Learn which weights a target says that it holds now."""
         known = self._known.get(target)
         if known is None or (known.weights or {}).get(model) == version:
             return
         self._learn(known, {model: version})
+        self._unlearn(known, model, version)
         self.refresh()
 
     def note_changes(self, changes: Iterable[WeightsChange]) -> None:
@@ -280,8 +377,9 @@
         """
         now_seconds = self._clock.now_seconds()
         for change in changes:
-            known = self._known.get(change.target)
-            if known is None:
+            self.note_start(change.start)
+            known = self._known.get(change.start.target)
+            if known is None or change.start.is_older_than(known.listed.start):
                 continue
             if change.version is not None:
                 self._learn(known, {change.model: change.version})
@@ -377,7 +475,7 @@
             target_group=listed.target_group,
             availability_zone=listed.availability_zone,
             state=state,
-            incarnation=Incarnation(name),
+            incarnation=listed.start.incarnation,
             weights_version=WeightsVersion(",".join(versions)),
             concurrency_limit=listed.slots,
             cache_tokens=0 if engine is None else engine.kv_tokens,
--- a/lycheepost/targets/cachewatch.py
+++ b/lycheepost/targets/cachewatch.py
@@ -13,6 +13,7 @@
 import structlog
 from returns.result import Failure, Result, Success
 
+from lycheepost.core.ids import Incarnation, TargetId
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
 from lycheepost.targets.errors import TargetError
 from lycheepost.utils.tasks import start_task
@@ -49,6 +50,19 @@
     events: tuple[CacheEvent, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CacheSource:
+    """One start of an engine, and where it tells its events.
+
+    A start is followed by itself: what an earlier one told, and what it was asked
+    last, say nothing of a cache that is empty again.
+    """
+
+    target: TargetId
+    incarnation: Incarnation
+    address: str
+
+
 class CacheEventsPort(Protocol):
     """Asks engines and stores for their cache events."""
 
@@ -59,25 +73,25 @@
         ...
 
 
-OnEvents = Callable[[str, tuple[CacheEvent, ...]], None]
+OnEvents = Callable[[CacheSource, tuple[CacheEvent, ...]], None]
 
 CLEARED = CacheEvent(sequence=0, kind=CacheEventKind.CLEARED, digest=0)
 
 
 class CacheWatch:
-    """Follows every address that it is told to.
+    """Follows every source that it is told to.
 
     Args:
         port: Asks for events.
-        on_events: Gets the events of one address, in order.
+        on_events: Gets the events of one source, in order.
     """
 
     def __init__(self, port: CacheEventsPort, on_events: OnEvents) -> None:
         self._port = port
         self._on_events = on_events
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._tasks: dict[CacheSource, asyncio.Task[None]] = {}
         self._is_started = False
-        self._wanted: set[str] = set()
+        self._wanted: set[CacheSource] = set()
         self._whole_reads = asyncio.Lock()
 
     async def start(self) -> None:
@@ -96,17 +110,18 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def follow(self, addresses: Iterable[str]) -> None:
-        """Follow these addresses from now on and no others."""
-        self._wanted = set(addresses)
+    def follow(self, sources: Iterable[CacheSource]) -> None:
+        """Follow these sources from now on and no others."""
+        self._wanted = set(sources)
         if not self._is_started:
             return
-        for address in set(self._tasks) - self._wanted:
-            self._tasks.pop(address).cancel()
-        for address in self._wanted - set(self._tasks):
-            self._tasks[address] = start_task(self._run(address), "cache-events")
+        for source in set(self._tasks) - self._wanted:
+            self._tasks.pop(source).cancel()
+        for source in self._wanted - set(self._tasks):
+            self._tasks[source] = start_task(self._run(source), "cache-events")
 
-    async def _run(self, address: str) -> None:
+    async def _run(self, source: CacheSource) -> None:
+        address = source.address
         since = 0
         epoch: int | None = None
         was_lost = False
@@ -115,11 +130,11 @@
                 case Success(news):
                     if epoch is not None and news.epoch != epoch:
                         _log.info("cache: restarted", address=address)
-                        self._on_events(address, (CLEARED,))
+                        self._on_events(source, (CLEARED,))
                     epoch, since = news.epoch, news.next_number
                     was_lost = False
                     if news.events:
-                        self._on_events(address, news.events)
+                        self._on_events(source, news.events)
                     await asyncio.sleep(PACE_SECONDS)
                 case Failure(error):
                     if not was_lost:
--- a/lycheepost/targets/weightsport.py
+++ b/lycheepost/targets/weightsport.py
@@ -27,6 +27,7 @@
         n_orders: Orders accepted since its start; an order names the count that
             it expects, so that a late one cannot undo a newer one.
         is_changing: An order is being carried out.
+        started_ms: Unix millisecond of the target's start; None where it states none.
     """
 
     weights: dict[ModelId, WeightsVersion]
@@ -36,6 +37,7 @@
     n_waiting: int
     kv_used_tokens: int
     kv_total_tokens: int
+    started_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
