Do not lose the task that opens links to a row with an unusable endpoint

Cause: the endpoint of a daemon's row goes to the socket library as it is. One that it cannot use raises there, which ends the task that follows all members. Before: the four cases of the new outline raised zmq.ZMQError (the code read; two of them seen with the guard taken out). After: 16 scenarios of features/peers/sockets pass.

--- a/features/peers/sockets.feature
+++ b/features/peers/sockets.feature
@@ -59,3 +59,18 @@
   Scenario: Without keys a daemon does not listen on a network
     When a daemon without keys is to listen on "10.0.0.1"
     Then it refuses to start
+
+  Scenario Outline: An endpoint that cannot be used costs only its daemon
+    The row of a daemon was written over by somebody else. The task that opens links
+    ended over it, and no daemon that came later was ever linked.
+
+    Given two daemons that are linked
+    When the row of another daemon names <endpoint> as its endpoint
+    Then the links of the two are as they were
+
+    Examples:
+      | endpoint        |
+      | nonsense        |
+      | tcp://          |
+      | tcp://1.2.3.4   |
+      | tcp://1.2.3.4:x |
--- a/lycheepost/peers/sockets.py
+++ b/lycheepost/peers/sockets.py
@@ -154,7 +154,16 @@
         if self._keys is not None:
             self._set_own_key(dealer, self._keys)
             dealer.setsockopt_string(zmq.CURVE_SERVERKEY, self._server_key(daemon))
-        dealer.connect(endpoint)
+        try:
+            dealer.connect(endpoint)
+        except zmq.ZMQError as error:
+            # Its row may be another writer's. Raised, the error would end the task
+            # that follows all members, over one that cannot be reached anyway.
+            _log.warning(
+                "peers: endpoint cannot be used", peer=daemon, reason=str(error)
+            )
+            dealer.close(linger=0)
+            return
         self._dealers[daemon] = dealer
         self._readers[daemon] = start_task(
             self._read_dealer(daemon, dealer), "peer-reader"
