Let the features' processes take free ports themselves and tell them

Cause of the red line (daemons not ready within 15 s, now and then, beside load): the steps asked for free ports, let go of them, and the processes bound them seconds later, while four folders of features and their outgoing connections took ports as well. That this was all of it is NOT shown by a trace of a failed run. Ruled out: a longer wait; it would only hide a daemon that has ended. Now: port 0 wherever a feature starts a process, the address read from the line 'app: serving' (listen.* of the platform's settings takes 0 as well); all output kept, and printed when a scenario fails.

--- a/features/app/environment.py
+++ b/features/app/environment.py
@@ -1,11 +1,21 @@
-"""Ends every process that a scenario started, by its id."""
+"""Ends every process that a scenario started, by its id.
+
+What the processes of a failed scenario wrote is printed: without it nobody could tell
+why one of them did not come up.
+"""
+
+LAST_CHARACTERS = 4000
 
 
 def before_scenario(context, scenario):
     context.processes = {}
+    context.outputs = []
 
 
 def after_scenario(context, scenario):
+    if scenario.status == "failed":
+        for output in context.outputs:
+            print(f"{output.name}:\n{output.read_text()[-LAST_CHARACTERS:]}")
     for process in context.processes.values():
         if process.poll() is None:
             process.kill()
--- a/features/app/steps/processes.py
+++ b/features/app/steps/processes.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,26 +23,32 @@
 PLATFORM = ("table", "objects", "weights", "vm-list")
 
 
-def free_ports(n_ports):
-    """Return ports that are free now; all held open until all are known."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(n_ports)]
-    ports = [item.getsockname()[1] for item in held]
-    for item in held:
-        item.close()
-    return ports
-
-
-def start(context, name, arguments, settings, is_announced=False):
+def start(context, name, arguments, settings):
+    """Start a process; what it writes goes to a file that a failure prints."""
     path = pathlib.Path(tempfile.mkdtemp()) / f"{name}.yaml"
     path.write_text(yaml.safe_dump(settings))
-    process = subprocess.Popen(
-        [PROGRAM, *arguments, "--settings", str(path)],
-        stdout=subprocess.PIPE if is_announced else subprocess.DEVNULL,
-        stderr=subprocess.DEVNULL,
-        text=True,
-    )
+    output = path.with_suffix(".log")
+    with output.open("w") as log:
+        process = subprocess.Popen(
+            [PROGRAM, *arguments, "--settings", str(path)],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
     context.processes[name] = process
-    return process.stdout.readline().strip() if is_announced else ""
+    context.outputs.append(output)
+    return output
+
+
+def start_standin(context, name, arguments):
+    """Start a stand-in on a port of its choice; return the address that it tells."""
+    output = start(context, name, ["standin", *arguments], {})
+    wait_for(lambda: output.read_text().startswith("http") and "\n" in read(output))
+    return read(output).splitlines()[0].strip()
+
+
+def read(output):
+    return output.read_text()
 
 
 def make_configuration(urls):
@@ -75,7 +80,8 @@
 
 
 def daemon_settings(context, index):
-    me, other = context.daemon_ports[index], context.daemon_ports[1 - index]
+    other = context.serving.get(1 - index)
+    seeds = [] if other is None else [other["peer_endpoint"]]
     return {
         "deployment": "feature",
         "daemon": {
@@ -84,15 +90,12 @@
             "region": "prairies",
             "announce_leaving_seconds": 0.3,
         },
-        "listeners": {"callers_port": me[0], "operators_port": me[1]},
+        "listeners": {"callers_port": 0, "operators_port": 0},
         "peers": {
-            "port": me[2],
             "exchange_seconds": 0.2,
             "seeds": [
-                {
-                    "daemon_id": f"entry-{1 - index}",
-                    "endpoint": f"tcp://127.0.0.1:{other[2]}",
-                }
+                {"daemon_id": f"entry-{1 - index}", "endpoint": endpoint}
+                for endpoint in seeds
             ],
         },
         "platform": {
@@ -107,12 +110,23 @@
 
 
 def start_daemon(context, index):
-    start(context, f"daemon-{index}", ["serve"], daemon_settings(context, index))
+    settings = daemon_settings(context, index)
+    output = start(context, f"daemon-{index}", ["serve"], settings)
+    wait_for(lambda: find_serving(output) is not None)
+    context.serving[index] = find_serving(output)
     wait_for(lambda: call(context, index, "/readyz")[0] == 200)
 
 
+def find_serving(output):
+    """Return the line by which a daemon tells its addresses; None before it."""
+    for line in output.read_text().splitlines():
+        if '"app: serving"' in line:
+            return json.loads(line)
+    return None
+
+
 def call(context, index, path, body=None, headers=None):
-    url = f"http://127.0.0.1:{context.daemon_ports[index][0]}{path}"
+    url = context.serving[index]["url"] + path
     data = None if body is None else json.dumps(body).encode()
     sent = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
     request = urllib.request.Request(url, data=data, headers=sent | (headers or {}))
@@ -154,13 +168,12 @@
 @given("the platform, two engines, a plain service and two daemons as processes")
 def given_all(context):
     context.urls = {}
+    context.serving = {}
     for kind in PLATFORM:
-        context.urls[kind] = start(context, kind, ["standin", kind], {}, True)
+        context.urls[kind] = start_standin(context, kind, [kind])
     for name in ("engine-1", "engine-2"):
-        context.urls[name] = start(context, name, ["standin", "engine"], {}, True)
-    context.urls["orders"] = start(context, "orders", ["standin", "service"], {}, True)
-    ports = free_ports(6)
-    context.daemon_ports = [ports[:3], ports[3:]]
+        context.urls[name] = start_standin(context, name, ["engine"])
+    context.urls["orders"] = start_standin(context, "orders", ["service"])
     for index in (0, 1):
         start_daemon(context, index)
 
@@ -206,7 +219,7 @@
 
 @then("the second daemon's addresses soon name only itself")
 def then_only_itself(context):
-    own = f"http://127.0.0.1:{context.daemon_ports[1][0]}"
+    own = context.serving[1]["url"]
 
     def is_alone():
         answer = json.loads(call(context, 1, "/v1/addresses")[2])
--- a/features/app/steps/settings_steps.py
+++ b/features/app/steps/settings_steps.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -126,9 +125,7 @@
 @given("a platform daemon as a process")
 def step_process(context):
     step_file(context)
-    ports = [free_port() for _ in range(2)]
-    context.ready_port = ports[0]
-    listen = f"listen.ready=127.0.0.1:{ports[0]}\nlisten.front=127.0.0.1:{ports[1]}\n"
+    listen = "listen.ready=127.0.0.1:0\nlisten.front=127.0.0.1:0\n"
     context.path.write_text(TEXT + listen)
     context.log = pathlib.Path(context.folder.name) / "log"
     process = subprocess.Popen(
@@ -140,12 +137,12 @@
     )
     context.processes["daemon"] = process
     wait_until(lambda: "app: serving" in context.log.read_text())
+    (serving,) = [line for line in read_lines(context) if "serving" in line["event"]]
+    context.readiness = serving["readiness"]
 
 
-def free_port():
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
+def read_lines(context):
+    return [json.loads(line) for line in context.log.read_text().splitlines()]
 
 
 def wait_until(condition):
@@ -163,14 +160,14 @@
 
 
 def count_reloads(context):
-    lines = [json.loads(line) for line in context.log.read_text().splitlines()]
+    lines = read_lines(context)
     return sum(line["event"] == "settings: read" for line in lines)
 
 
 @then("it still answers, and its log tells of each reload")
 def step_answers(context):
     try:
-        urllib.request.urlopen(f"http://127.0.0.1:{context.ready_port}/ready")
+        urllib.request.urlopen(f"http://{context.readiness}/ready")
         raise AssertionError("it is ready without a store")
     except urllib.error.HTTPError as error:
         assert error.code == 503
--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -81,7 +81,11 @@
         await start_parts(self._parts)
         # Only now are the ports known where the settings leave them open.
         self.state.members.set_callers_url(self.callers_url)
-        _log.info("app: serving", url=self.callers_url)
+        _log.info(
+            "app: serving",
+            url=self.callers_url,
+            peer_endpoint=self.state.members.me().peer_endpoint,
+        )
 
     async def drain(self) -> None:
         """Leave the addresses first, then finish every request in flight.
--- a/lycheepost/app/earlysockets.py
+++ b/lycheepost/app/earlysockets.py
@@ -8,7 +8,7 @@
 """
 
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lycheepost.platform.settings import Endpoint, NodeSettings
 
@@ -59,3 +59,20 @@
 
 def _open(endpoint: Endpoint | None) -> socket.socket | None:
     return None if endpoint is None else open_socket(endpoint)
+
+
+def with_real_ports(node: NodeSettings, sockets: EarlySockets) -> NodeSettings:
+    """Return the settings with the ports that were taken where they leave them open."""
+    return replace(
+        node,
+        clients=_endpoint_of(sockets.clients),
+        readiness=_endpoint_of(sockets.readiness),
+        directory=_endpoint_of(sockets.directory),
+    )
+
+
+def _endpoint_of(listening: socket.socket | None) -> Endpoint | None:
+    if listening is None:
+        return None
+    host, port = listening.getsockname()
+    return Endpoint(host, port)
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -132,7 +132,14 @@
             OSError: A port is taken.
         """
         await start_parts(self._parts)
-        _log.info("app: serving", boot=self._made.base.boot)
+        node = self._made.base.node
+        _log.info(
+            "app: serving",
+            boot=self._made.base.boot,
+            clients=str(node.clients),
+            readiness=str(node.readiness),
+            directory=str(node.directory),
+        )
 
     async def drain(self) -> None:
         """Leave the addresses first, then finish every request in flight."""
--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -12,7 +12,11 @@
 
 from returns.result import Failure, Success
 
-from lycheepost.app.earlysockets import EarlySockets, open_sockets
+from lycheepost.app.earlysockets import (
+    EarlySockets,
+    open_sockets,
+    with_real_ports,
+)
 from lycheepost.platform.settings import (
     NodeSettings,
     read_node_settings,
@@ -43,7 +47,7 @@
     except OSError as error:
         print(f"The daemon cannot start: {error}.", file=sys.stderr)
         return FAILED
-    return _serve(node, sockets, node_file)
+    return _serve(with_real_ports(node, sockets), sockets, node_file)
 
 
 def _serve(node: NodeSettings, sockets: EarlySockets, node_file: pathlib.Path) -> int:
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -130,8 +130,12 @@
             self.faults.append(f"{name} is {self._values[name]!r}, not IP:PORT.")
         return Endpoint(host, port or 0)
 
-    def optional_endpoint(self, name: str) -> Endpoint | None:
-        return self.endpoint(name) if self._values.get(name) else None
+    def listening_endpoint(self, name: str) -> Endpoint | None:
+        """Return where to listen; port 0 takes a free one."""
+        if not self._values.get(name):
+            return None
+        host, _, port = self.text(name).rpartition(":")
+        return Endpoint(host, 0) if host and port == "0" else self.endpoint(name)
 
     def ports(self, name: str) -> tuple[int, int]:
         first, last = (port_of(text) for text in self._pair(name))
@@ -165,9 +169,9 @@
         availability_zone=AvailabilityZone(reader.text("zone")),
         region=RegionId(reader.text("region", "")),
         host=reader.text("ip"),
-        clients=reader.optional_endpoint("listen.front"),
-        readiness=reader.optional_endpoint("listen.ready"),
-        directory=reader.optional_endpoint("listen.directory"),
+        clients=reader.listening_endpoint("listen.front"),
+        readiness=reader.listening_endpoint("listen.ready"),
+        directory=reader.listening_endpoint("listen.directory"),
         peer_ports=reader.ports("port_range"),
         store=reader.endpoint("platform.address"),
         bounds=_decode_bounds(reader),
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -29,7 +29,9 @@
 from returns.result import Failure, Result, Success
 
 # Before the modules below make their loggers: hostile bytes fill any log.
-structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+structlog.configure(
+    wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+)
 
 from lycheepost.app.settings import check_settings
 from lycheepost.callers.parse import Endpoint, engine_body, parse_completion
