Send a prompt to the KV store only while its shared parts are not kept there

Cause: each prompt was sent to the store whole, its own text with it. Hypothesis: the store's own events tell all daemons what it keeps; a prompt whose shared parts are kept, or were sent within the last second, need not go there. Ruled out: memory of one daemon alone (a daemon meets a template every twenty seconds, so each of seven would send it anew). On the way: a cache that restarted empty was never forgotten, as the event that tells so has number 0 and was taken for an old one, and so were all that followed.

--- /dev/null
+++ b/features/decide/kvcopies.feature
@@ -0,0 +1,39 @@
+Feature: What prompts are sent to the store of kept KV cache
+  Pure decisions: no network and no clock.
+
+  Scenario: Many prompts that share a long part
+    Forty prompts a second begin with one of twelve templates and end with text of
+    their own. Each was sent whole to the store: its link was busy with text that
+    nobody asks for again, and fetches of the templates were not even started.
+    Given 12 templates of 6300 tokens before prompts with 2900 tokens of their own
+    When 400 prompts come in 10 s, and the store tells 0.6 s late what it was sent
+    Then no more than 14 prompts were sent to the store
+    And every template is kept there
+
+  Scenario: A template that the store dropped is sent again
+    Given a store that keeps template a
+    Then a prompt of template a is not sent
+    When the store drops template a
+    Then a prompt of template a is sent
+
+  Scenario: A store that restarted empty gets everything again
+    Given a store that keeps template a
+    When the store restarts empty
+    Then a prompt of template a is sent
+
+  Scenario: A store that tells nothing is sent each part once a second
+    Its events are lost or late. What was asked for a moment ago is most likely there.
+    Given a store that tells nothing
+    When prompts of template a come every 0.1 s for 3.05 s
+    Then 4 prompts were sent to the store
+
+  Scenario: Text that only one request has is sent for nobody
+    Given a store that tells nothing
+    When a prompt without a shared part comes
+    Then 0 prompts were sent to the store
+
+  Scenario: Parts are kept apart by what they are shared within
+    The same template under other weights, or of an isolated customer, is another.
+    Given a store that keeps template a
+    When a prompt of template a comes under other weights
+    Then 1 prompts were sent to the store
--- a/lycheepost/app/cachefollow.py
+++ b/lycheepost/app/cachefollow.py
@@ -1,8 +1,9 @@
-"""Lets placement know what the engines on the platform keep in their caches."""
+"""Lets the decisions know what engines and stores keep of prompts' KV cache."""
 
 from lycheepost.callers.dispatch import Dispatcher
-from lycheepost.core.ids import TargetId
+from lycheepost.core.ids import Incarnation, TargetId
 from lycheepost.core.routing import RouteTable
+from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.records import Reach, TargetView
 from lycheepost.generated.engine import CacheEvent
 from lycheepost.state.targetlist import TargetList
@@ -10,7 +11,7 @@
 
 
 class CacheFollower:
-    """Follows the engines' cache events for the scheduler's belief.
+    """Follows the cache events of engines and stores.
 
     A daemon sends only its own part of the traffic; what the other daemons' requests
     put into a cache, or drove out of it, it learns from the events.
@@ -19,11 +20,17 @@
         port: Asks for events.
         dispatcher: Places requests by what engines keep.
         targets: The engines there are.
+        copies: Decides what is sent to stores.
     """
 
     def __init__(
-        self, port: CacheEventsPort, dispatcher: Dispatcher, targets: TargetList
+        self,
+        port: CacheEventsPort,
+        dispatcher: Dispatcher,
+        targets: TargetList,
+        copies: KvCopies,
     ) -> None:
+        self._copies = copies
         self._watch = CacheWatch(port, self._take)
         self._dispatcher = dispatcher
         self._targets = targets
@@ -59,16 +66,29 @@
         self.refresh()
 
     def refresh(self) -> None:
-        """Follow the engines that there are now."""
+        """Follow the engines and stores that there are now."""
         if self._table is None:
             return
-        self._watch.follow(
+        stores = [store.address for store in self._table.kv_stores]
+        self._copies.keep_only(stores)
+        self._watch.follow([*self._engines(self._table), *map(_store_source, stores)])
+
+    def _engines(self, table: RouteTable) -> list[CacheSource]:
+        return [
             CacheSource(target.target, target.start.incarnation, target.address)
-            for name, group in self._table.groups.items()
+            for name, group in table.groups.items()
             if group.engine is not None
             for target in self._targets.listed(name)
             if target.target in self._near
-        )
+        ]
 
     def _take(self, source: CacheSource, events: tuple[CacheEvent, ...]) -> None:
+        if source.target is None:
+            self._copies.observe(source.address, source.incarnation, events)
+            return
         self._dispatcher.observe_cache_events(source.target, source.incarnation, events)
+
+
+def _store_source(address: str) -> CacheSource:
+    """Return a store as a source; its epoch alone tells its starts apart."""
+    return CacheSource(None, Incarnation(address), address)
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -20,6 +20,7 @@
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.cells import Cell
 from lycheepost.decide.freshness import KeyRule
+from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
@@ -125,7 +126,8 @@
 
     targets = TargetList(clock, on_views, lambda: get_bounds().weights_seconds)
     cache_events = CacheEventsClient()
-    caches = CacheFollower(cache_events, dispatcher, targets)
+    kv_copies = KvCopies()
+    caches = CacheFollower(cache_events, dispatcher, targets, kv_copies)
     routing = RoutingKeeper()
     routing.subscribe(targets.set_table)
     routing.subscribe(caches.set_table)
@@ -143,6 +145,7 @@
         targets=targets,
         clock=clock,
         metrics=metrics,
+        kv_copies=kv_copies,
         key_rule=lambda: make_key_rule(get_bounds()),
         is_same_start=is_same_start,
         make_request_id=_request_ids(base.boot),
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -14,6 +14,7 @@
 )
 from lycheepost.core.routing import ListedTarget, Prompt, RouteTable
 from lycheepost.decide.freshness import KeyRule
+from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.forward import ForwardClient
 from lycheepost.targets.forwardcall import AnswerHead
@@ -123,6 +124,7 @@
     """Everything that forwarding stands on.
 
     Attributes:
+        kv_copies: What the stores of KV cache are believed to keep.
         key_rule: How long keys may be trusted; read anew for each request.
         is_same_start: Whether a target still is the start that it was when it was
             sent to.
@@ -137,6 +139,7 @@
     targets: ForwardTargets
     clock: Clock
     metrics: Metrics
+    kv_copies: KvCopies
     key_rule: Callable[[], KeyRule]
     is_same_start: Callable[[ListedTarget], Awaitable[bool]]
     make_request_id: Callable[[], RequestId]
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -39,7 +39,7 @@
     next_step,
 )
 from lycheepost.decide.freshness import may_trust_key
-from lycheepost.decide.promptlevels import make_scope
+from lycheepost.decide.promptlevels import make_scope, prompt_levels
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse
 from lycheepost.decide.routes import RouteFault, Way, choose_kv_store, find_way
 from lycheepost.decide.silence import gap_limit_seconds, silence_seconds
@@ -405,13 +405,16 @@
         version = version or WeightsVersion("")
         scope = make_scope(self._way.holder, version)
         store = choose_kv_store(_table(self._deps), listed.availability_zone)
+        is_sent = bool(store) and self._deps.kv_copies.should_send(
+            store, prompt_levels(scope, prompt), self._deps.clock.now_seconds()
+        )
         return EngineTerms(
             model=prompt.model,
             cache_scope=str(scope),
             weights_version=version,
             rank=engine_rank(self._way),
             fetch_from=store,
-            store_to=store,
+            store_to=store if is_sent else "",
         )
 
     async def _finish_kind(
--- a/lycheepost/decide/belief.py
+++ b/lycheepost/decide/belief.py
@@ -17,6 +17,11 @@
 133,000 each; level boundaries are some tens of times fewer."""
 
 
+COUNT_ANEW = 0
+"""Number of the event that tells of a cache that restarted empty; real ones count
+from 1."""
+
+
 class CacheBelief:
     """Prefix levels believed to be cached by one incarnation of one target.
 
@@ -57,6 +62,10 @@
                 return level.end_tokens
         return 0
 
+    def holds(self, digest: PrefixDigest) -> bool:
+        """Tell whether one part is believed to be cached, whatever else is."""
+        return digest in self._entries
+
     def add(self, levels: Sequence[PrefixLevel]) -> None:
         """Record that the target has, or is about to have, these levels.
 
@@ -135,6 +144,12 @@
         self._evict()
 
     def _observe_one(self, event: CacheEvent) -> None:
+        if event.sequence == COUNT_ANEW:
+            # A cache that restarted empty counts its events from the beginning. Taken
+            # by its number, this event and all that follow would be old ones.
+            self.clear()
+            self._sequence = None
+            return
         last = self._sequence
         if last is not None and event.sequence <= last:
             return
--- /dev/null
+++ b/lycheepost/decide/kvcopies.py
@@ -0,0 +1,96 @@
+"""Which prompts' KV cache goes to a store of kept KV cache.
+
+The load: every prompt begins with long parts that many others share, and ends with
+text of its own. An engine that is told to send a prompt to the store sends all of it.
+If each is sent, most of what the store is sent is text that never comes again: it
+drives the shared parts out, and it keeps the store's one link so busy that fetches of
+shared parts are not even started. The engines then read the same parts again and
+again, which takes some hundred times as long as to fetch them.
+
+So a prompt is sent only while the store is not believed to keep all of its shared
+parts. What is believed comes from the store's own events, so that the daemons need not
+tell each other.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from lycheepost.core.ids import Incarnation, PrefixDigest
+from lycheepost.decide.belief import CacheBelief
+from lycheepost.decide.records import PrefixLevel
+from lycheepost.generated.engine import CacheEvent
+
+ASKED_SECONDS = 1.0
+"""After a prompt was sent to a store its parts count as kept for so long without the
+store's word: an engine sends them once it has read them, and the store's events are
+asked for twice a second."""
+
+MOST_ASKED = 10_000
+"""Parts that were sent of late; bounds memory to some two megabytes."""
+
+_UNKNOWN_SIZE = 0
+"""A store tells what it drops; it is not guessed here from its size."""
+
+
+class KvCopies:
+    """What the stores are believed to keep, and what was sent to them of late."""
+
+    def __init__(self) -> None:
+        self._stores: dict[str, CacheBelief] = {}
+        self._asked: OrderedDict[tuple[str, PrefixDigest], float] = OrderedDict()
+
+    def observe(
+        self, store: str, incarnation: Incarnation, events: Sequence[CacheEvent]
+    ) -> None:
+        """Take in a store's events.
+
+        Args:
+            store: Its address.
+            incarnation: Which start of it tells them.
+            events: In order; some may be missing.
+        """
+        belief = self._stores.get(store)
+        if belief is None:
+            belief = CacheBelief(incarnation, _UNKNOWN_SIZE)
+            self._stores[store] = belief
+        belief.observe(incarnation, events)
+
+    def keep_only(self, stores: Sequence[str]) -> None:
+        """Forget all stores but these."""
+        for store in set(self._stores) - set(stores):
+            del self._stores[store]
+
+    def should_send(
+        self, store: str, levels: Sequence[PrefixLevel], now_seconds: float
+    ) -> bool:
+        """Decide whether a prompt is sent to a store; counts it as sent if so.
+
+        Args:
+            store: The store's address.
+            levels: The prompt's levels; the last one is the request's own.
+            now_seconds: The present time.
+        """
+        shared = levels[:-1]
+        missing = [
+            level.digest
+            for level in shared
+            if not self._is_kept(store, level.digest, now_seconds)
+        ]
+        if not missing:
+            return False
+        for digest in missing:
+            self._note_asked(store, digest, now_seconds)
+        return True
+
+    def _is_kept(self, store: str, digest: PrefixDigest, now_seconds: float) -> bool:
+        belief = self._stores.get(store)
+        if belief is not None and belief.holds(digest):
+            return True
+        asked_seconds = self._asked.get((store, digest))
+        return asked_seconds is not None and now_seconds < asked_seconds + ASKED_SECONDS
+
+    def _note_asked(self, store: str, digest: PrefixDigest, now_seconds: float) -> None:
+        self._asked[store, digest] = now_seconds
+        self._asked.move_to_end((store, digest))
+        while len(self._asked) > MOST_ASKED:
+            self._asked.popitem(last=False)
--- a/lycheepost/targets/cachewatch.py
+++ b/lycheepost/targets/cachewatch.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import Incarnation, TargetId
+from lycheepost.decide.belief import COUNT_ANEW
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
 from lycheepost.targets.errors import TargetError
 from lycheepost.utils.tasks import start_task
@@ -52,13 +53,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CacheSource:
-    """One start of an engine, and where it tells its events.
+    """One start of an engine or a store, and where it tells its events.
 
     A start is followed by itself: what an earlier one told, and what it was asked
     last, say nothing of a cache that is empty again.
+
+    Attributes:
+        target: The engine; None for a store.
     """
 
-    target: TargetId
+    target: TargetId | None
     incarnation: Incarnation
     address: str
 
@@ -75,7 +79,7 @@
 
 OnEvents = Callable[[CacheSource, tuple[CacheEvent, ...]], None]
 
-CLEARED = CacheEvent(sequence=0, kind=CacheEventKind.CLEARED, digest=0)
+CLEARED = CacheEvent(sequence=COUNT_ANEW, kind=CacheEventKind.CLEARED, digest=0)
 
 
 class CacheWatch:
