Order new weights once a target's runs have ended, 0.6 s after it was left alone at most

Cause: a target was ordered 0.12 s after it got no new work, while most of its streams still ran. What they made after the change is worth nothing, and its pause makes each of them late.

--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -5,7 +5,12 @@
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, TargetId
-from lycheepost.decide.peerloads import PeerLoads, UnderWay, find_changes
+from lycheepost.decide.peerloads import (
+    NOTHING,
+    PeerLoads,
+    UnderWay,
+    find_changes,
+)
 from lycheepost.decide.records import LoadReport, Reach, TargetView
 from lycheepost.generated.messages import LoadNews, TargetLoad
 from lycheepost.peers.exchange import PeerExchange
@@ -63,6 +68,12 @@
         """Follow who else is of our cell."""
         self._mates = mates
 
+    def count_running(self, target: TargetId) -> int:
+        """Return how many requests of this daemon and its peers run at a target."""
+        own = self._dispatcher.under_way().get(target, NOTHING)
+        others = self._peers.at(target, self._clock.now_seconds())
+        return own.n_running + others.n_running
+
     def observe_report(self, report: LoadReport) -> None:
         """Take a target's own word; it counts where no peer tells all of its load."""
         is_told = self._peers.is_known(self._clock.now_seconds())
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -273,7 +273,12 @@
         base, peers.exchange, metrics, lambda: settings.bounds, first_reads
     )
     weights = make_weights_duty(
-        base, peers, traffic.targets, traffic.orders, lambda: traffic.routing.table
+        base,
+        peers,
+        traffic.targets,
+        traffic.orders,
+        lambda: traffic.routing.table,
+        traffic.loads.count_running,
     )
     watches = _make_watches(base, peers.feed, traffic, weights, settings)
     for watch in watches:
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -11,6 +11,7 @@
     DaemonId,
     ModelId,
     TargetGroupId,
+    TargetId,
 )
 from lycheepost.core.routing import RouteTable
 from lycheepost.decide.cells import Cell, Peer, find_cell, find_sources
@@ -168,6 +169,7 @@
     targets: TargetList,
     orders: ServerOrders,
     get_table: Callable[[], RouteTable | None],
+    count_running: Callable[[TargetId], int],
 ) -> WeightsDuty:
     """Return the weights duty of this daemon.
 
@@ -177,6 +179,7 @@
         targets: The targets to change.
         orders: Orders to them and their reports.
         get_table: The route table in force; it says which groups serve a model.
+        count_running: Returns how many requests run at a target.
     """
     daemon = base.node.daemon
     rollout = WeightsRollout(
@@ -186,6 +189,7 @@
         daemon,
         lambda model: _groups_of(get_table(), model),
         peers.exchange.broadcast,
+        count_running,
     )
     peers.exchange.subscribe(
         TargetsChanging,
--- a/lycheepost/decide/rollout.py
+++ b/lycheepost/decide/rollout.py
@@ -5,8 +5,9 @@
 that changes its weights serves nothing meanwhile and forgets its cache. So
 targets change a few at a time, the least busy first, each straight to the newest
 version: a version that was named and then overtaken is never loaded. A target is
-left alone for a moment before its order, so that few runs go on under weights
-that they did not begin with.
+left alone before its order until its runs have ended, or for a short time: what a run
+makes under weights that it did not begin with is worth nothing to its caller, and the
+pause of a change makes each stream late.
 """
 
 from collections.abc import Sequence
@@ -19,6 +20,28 @@
 half of a group, callers would wait longer than the change takes."""
 
 
+LEAST_ALONE_SECONDS = 0.1
+"""Time for the word that a target changes to reach all daemons, and for what they had
+sent by then to show in the load that they tell."""
+
+MOST_ALONE_SECONDS = 0.6
+"""Longest time that a target waits without new work for its runs to end. Most streams
+are shorter; a longer wait keeps the others busier and lets more requests begin on old
+weights."""
+
+
+def is_due(alone_seconds: float, n_running: int) -> bool:
+    """Tell whether a target that gets no new work is ordered now.
+
+    Args:
+        alone_seconds: For how long it has got none.
+        n_running: Requests that it still runs, as far as known.
+    """
+    if alone_seconds < LEAST_ALONE_SECONDS:
+        return False
+    return n_running == 0 or alone_seconds >= MOST_ALONE_SECONDS
+
+
 @dataclass(frozen=True, slots=True)
 class TargetWeights:
     """One target as the holder of the duty sees it.
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -18,7 +18,12 @@
 from lycheepost.core.ids import DaemonId, ModelId, TargetGroupId, TargetId
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
-from lycheepost.decide.rollout import TargetWeights, WeightsOrder, next_orders
+from lycheepost.decide.rollout import (
+    TargetWeights,
+    WeightsOrder,
+    is_due,
+    next_orders,
+)
 from lycheepost.generated.messages import TargetsChanging
 from lycheepost.operators.weightsnews import WeightsNews
 from lycheepost.state.leases import Lease
@@ -40,9 +45,9 @@
 PASS_SECONDS = 0.1
 """Between two looks at what is to be done, which cost nothing but a comparison."""
 
-STEER_SECONDS = 0.12
-"""From the word that a target changes until its order: the word reaches all daemons
-in a few milliseconds, and most short runs end meanwhile."""
+LOOK_SECONDS = 0.03
+"""Between looks at what a target that is left alone still runs: as often as daemons
+tell each other their load."""
 
 ASK_SECONDS = 0.1
 """Between questions whether the weights are in place; loading takes about one to
@@ -72,6 +77,7 @@
         daemon: Named in orders as their holder.
         groups_of: Returns the target groups that serve a model.
         tell: Tells the peers of changes.
+        count_running: Returns how many requests of all known daemons run at a target.
     """
 
     def __init__(
@@ -82,7 +88,9 @@
         daemon: DaemonId,
         groups_of: Callable[[ModelId], tuple[TargetGroupId, ...]],
         tell: Callable[[TargetsChanging], None],
+        count_running: Callable[[TargetId], int],
     ) -> None:
+        self._count_running = count_running
         self._port = port
         self._targets = targets
         self._clock = clock
@@ -90,7 +98,6 @@
         self._groups_of = groups_of
         self._news = WeightsNews(targets, tell)
         self._wanted: dict[ModelId, int] = {}
-        self._n_running: dict[TargetId, int] = {}
         self._changes: dict[TargetId, asyncio.Task[None]] = {}
         self._current: CurrentLease | None = None
         self._last_order_seconds = -math.inf
@@ -184,14 +191,14 @@
         return TargetWeights(
             target=name,
             version=weights_number(target.weights.get(model)),
-            n_running=self._n_running.get(name, 0),
+            n_running=self._count_running(name),
             is_changing=name in self._changes,
         )
 
     async def _change(self, target: ListedTarget, order: WeightsOrder) -> None:
         """Change the weights of one target, or leave it as it is."""
         self._announce(target.start, order, is_done=False)
-        await asyncio.sleep(STEER_SECONDS)
+        await self._wait_alone(order)
         is_done = await self._order(target, order)
         if is_done:
             is_done = await self._wait_loaded(target, order)
@@ -199,6 +206,14 @@
         if not is_done:
             await asyncio.sleep(FAILED_PAUSE_SECONDS)
 
+    async def _wait_alone(self, order: WeightsOrder) -> None:
+        """Wait until a target that gets no new work may be ordered."""
+        began_seconds = self._clock.now_seconds()
+        alone_seconds = 0.0
+        while not is_due(alone_seconds, self._count_running(order.target)):
+            await asyncio.sleep(LOOK_SECONDS)
+            alone_seconds = self._clock.now_seconds() - began_seconds
+
     def _announce(self, start: TargetStart, order: WeightsOrder, is_done: bool) -> None:
         """Keep new work off a target, or let it come, here and at the peers."""
         version = (
@@ -275,7 +290,6 @@
 
     def _learn(self, order: WeightsOrder, report: TargetReport) -> None:
         self._targets.note_start(TargetStart(order.target, report.started_ms))
-        self._n_running[order.target] = report.n_running
         version = report.weights.get(order.model)
         if version is not None and not report.is_changing:
             self._targets.note_weights(order.target, order.model, version)
