--- /dev/null
+++ b/features/decide/steps/turns_steps.py
@@ -0,0 +1,130 @@
+"""Steps of turns.feature."""
+
+import random
+from collections import Counter
+
+from behave import given, then, when
+
+from features.decide.steps.common import Desk, make_view
+from lycheepost.core.ids import DaemonId, TargetId
+from lycheepost.decide.peerloads import PeerLoads
+from lycheepost.decide.turns import Turns
+
+TARGET = TargetId("target-0")
+PROMPT_TOKENS = 9000
+READ_TOKENS_A_SECOND = 40_000
+TELL_SECONDS = 0.03
+
+
+@given(
+    "{n:d} daemons with {count:d} waiting requests each at {n_targets:d} full targets"
+)
+def step_waiting(context, n, count, n_targets):
+    context.desks = [
+        Desk(n_targets, max_tries=6, admit_patience_share=0.9) for _ in range(n)
+    ]
+    context.peers = [PeerLoads() for _ in range(n)]
+    context.order = {TargetId(f"target-{index}"): [] for index in range(n_targets)}
+    for desk in context.desks:
+        desk.views = {index: make_view(index, limit=64) for index in range(n_targets)}
+        desk.announce()
+    for index in range(count):
+        for number, desk in enumerate(context.desks):
+            arrive(context, desk, number, f"{number}-{index}")
+            tell_all(context)
+
+
+def arrive(context, desk, number, name):
+    before = set(desk.sent)
+    desk.arrive(name, levels=(), prompt_tokens=PROMPT_TOKENS, patience_seconds=60.0)
+    note_sent(context, number, before)
+
+
+def note_sent(context, number, before):
+    desk = context.desks[number]
+    for name in desk.sent:
+        if name not in before:
+            context.order[desk.sent[name]].append((number, name))
+
+
+def tell_all(context):
+    """Let all daemons hear of all, as it was at one moment."""
+    now_seconds = context.desks[0].now_seconds
+    for number, desk in enumerate(context.desks):
+        loads = desk.scheduler.under_way()
+        for index, peers in enumerate(context.peers):
+            if index != number:
+                peers.observe(DaemonId(str(number)), loads, now_seconds)
+                waiting = desk.scheduler.waiting_groups()
+                peers.note_waiting(DaemonId(str(number)), waiting)
+    for number, desk in enumerate(context.desks):
+        peers, before = context.peers[number], set(desk.sent)
+        for target in context.order:
+            load = peers.at(target, now_seconds)
+            desk.scheduler.note_others(target, load, now_seconds)
+        desk.scheduler.draw_turns(
+            lambda group, peers=peers: peers.n_waiting(group, now_seconds), now_seconds
+        )
+        desk.note(desk.scheduler.pump(now_seconds))
+        note_sent(context, number, before)
+
+
+@when("the targets read their prompts for {seconds:d} s, and load is told each 30 ms")
+def step_read(context, seconds):
+    context.most, context.n_idle, context.n_looks = 0, 0, 0
+    left = dict.fromkeys(context.order, PROMPT_TOKENS)
+    for _ in range(round(seconds / TELL_SECONDS)):
+        for target, waiting in context.order.items():
+            context.n_looks += 1
+            context.n_idle += not waiting
+            context.most = max(context.most, PROMPT_TOKENS * len(waiting))
+            left[target] -= READ_TOKENS_A_SECOND * TELL_SECONDS
+            if waiting and left[target] <= 0:
+                number, name = waiting.pop(0)
+                desk = context.desks[number]
+                desk.scheduler.first_token(name, desk.now_seconds, None)
+                left[target] = PROMPT_TOKENS
+        for desk in context.desks:
+            desk.now_seconds += TELL_SECONDS
+        tell_all(context)
+
+
+@then("no target had more than {most:d} prompt tokens waiting")
+def step_most(context, most):
+    assert 0 < context.most <= most, context.most
+
+
+@then("the targets were idle for less than {share:d} in 100 of the time")
+def step_idle(context, share):
+    assert 100 * context.n_idle < share * context.n_looks, context.n_idle
+
+
+@given("1 daemon that draws lots for {n:d} places with {others:d} others")
+def step_alone(context, n, others):
+    context.turns = Turns(random.Random(1))
+    context.turns.draw({TARGET: float(n)}, 1 + others)
+
+
+@then("it may send {n:d} requests")
+def step_may(context, n):
+    for _ in range(n):
+        assert context.turns.may_take(TARGET)
+        context.turns.note_taken(TARGET)
+
+
+@given("{n:d} daemons that each draw lots for {places:d} places {count:d} times")
+def step_lots(context, n, places, count):
+    context.taken, context.places = Counter(), places * count
+    for daemon in range(n):
+        turns = Turns(random.Random(daemon))
+        for _ in range(count):
+            turns.draw({TARGET: float(places)}, n)
+            while turns.may_take(TARGET):
+                turns.note_taken(TARGET)
+                context.taken[daemon] += 1
+
+
+@then("all of them together took the room {least:g} to {most:g} times")
+def step_taken(context, least, most):
+    share = sum(context.taken.values()) / context.places
+    assert least <= share <= most, share
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -4,7 +4,7 @@
 
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import DaemonId, TargetId
+from lycheepost.core.ids import DaemonId, TargetGroupId, TargetId
 from lycheepost.decide.peerloads import (
     NOTHING,
     PeerLoads,
@@ -44,6 +44,7 @@
         self._targets: tuple[TargetId, ...] = ()
         self._mates: tuple[DaemonId, ...] = ()
         self._told: dict[TargetId, UnderWay] = {}
+        self._told_waiting: tuple[TargetGroupId, ...] = ()
         self._whole_seconds = float("-inf")
         self._task: asyncio.Task[None] | None = None
         exchange.subscribe(LoadNews, self._take)
@@ -91,13 +92,15 @@
         now_seconds = self._clock.now_seconds()
         is_whole = now_seconds - self._whole_seconds > AGAIN_SECONDS
         told = loads if is_whole else find_changes(self._told, loads)
-        if not told and loads == self._told:
+        waiting = self._dispatcher.waiting_groups()
+        if not told and waiting == self._told_waiting and not (is_whole and loads):
             return
-        self._told = loads
+        self._told, self._told_waiting = loads, waiting
         if is_whole:
             self._whole_seconds = now_seconds
         news = LoadNews(
             is_whole=is_whole,
+            waiting_groups=list(waiting),
             loads=[
                 TargetLoad(
                     target=target,
@@ -112,11 +115,16 @@
 
     def _pass_on(self) -> None:
         now_seconds = self._clock.now_seconds()
-        if not self._peers.is_known(now_seconds):
-            return
-        for target in self._targets:
-            self._dispatcher.note_others(target, self._peers.at(target, now_seconds))
-        self._dispatcher.pump()
+        is_known = self._peers.is_known(now_seconds)
+        if is_known:
+            for target in self._targets:
+                load = self._peers.at(target, now_seconds)
+                self._dispatcher.note_others(target, load)
+        self._dispatcher.draw_turns(
+            lambda group: self._peers.n_waiting(group, now_seconds)
+        )
+        if is_known:
+            self._dispatcher.pump()
 
     def _take(self, news: LoadNews, sender: DaemonId) -> None:
         loads = {
@@ -128,3 +136,4 @@
             self._peers.observe(sender, loads, now_seconds)
         else:
             self._peers.observe_changes(sender, loads, now_seconds)
+        self._peers.note_waiting(sender, map(TargetGroupId, news.waiting_groups))
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -15,6 +15,7 @@
     CustomerId,
     Incarnation,
     RequestId,
+    TargetGroupId,
     TargetId,
 )
 from lycheepost.decide.peerloads import UnderWay
@@ -164,6 +165,14 @@
         """Pass on what the other daemons have under way at a target."""
         self._scheduler.note_others(target, load, self._clock.now_seconds())
 
+    def draw_turns(self, n_waiting: Callable[[TargetGroupId], int]) -> None:
+        """Draw lots with the peers whose requests wait for the same targets."""
+        self._scheduler.draw_turns(n_waiting, self._clock.now_seconds())
+
+    def waiting_groups(self) -> tuple[TargetGroupId, ...]:
+        """Return the groups that requests wait for here, for the peers."""
+        return self._scheduler.waiting_groups()
+
     def pump(self) -> None:
         """Send out what waits and has room by what the others told."""
         self._wake(self._scheduler.pump(self._clock.now_seconds()))
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -28,6 +28,7 @@
 )
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.shares import FairShares
+from lycheepost.decide.turns import Turns
 
 SCANNED_REQUESTS = 8
 """Requests looked at when a slot frees up: enough to pass those that wait for
@@ -94,6 +95,7 @@
         self.queue = FairQueue()
         self.shares = FairShares()
         self.placement = Placement(settings, rng)
+        self.turns = Turns(rng)
         self.peer_suspects = PeerSuspects()
         self.suspect_targets: list[TargetId] = []
         self._running: dict[RequestId, TargetId] = {}
@@ -272,6 +274,21 @@
         self._usual_rate.count(self._usual_cost_seconds(work))
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
 
+    def draw_turns(self, n_peers: int, now_seconds: float) -> None:
+        """Draw lots for the room at the targets with the peers that wait for it too.
+
+        Args:
+            n_peers: Other daemons with requests waiting for this group.
+            now_seconds: The present time.
+        """
+        if not len(self.queue):
+            return
+        places = {
+            target: load.places(now_seconds)
+            for target, load in self.placement.loads.items()
+        }
+        self.turns.draw(places, 1 + n_peers)
+
     def pump(self, now_seconds: float) -> list[Outcome]:
         """Send out what waits and now has room."""
         outcomes: list[Outcome] = []
@@ -293,10 +310,12 @@
         )
         if choice is None:
             return None
-        if not choice.can_take:
-            ahead_of.add(choice.load.view.target, choice.uncached_tokens)
+        target = choice.load.view.target
+        if not choice.can_take or not self.turns.may_take(target):
+            ahead_of.add(target, choice.uncached_tokens)
             self._bind(waiting, choice)
             return None
+        self.turns.note_taken(target)
         self.remove(work.request)
         waited_seconds = now_seconds - waiting.enqueued_seconds
         self._bias.observe(waited_seconds, waiting.predicted_seconds)
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -186,6 +186,14 @@
         # One request may always go: windows are narrower than long prompts.
         return not self.queued_tokens or self.queued_tokens < self.window.tokens
 
+    def places(self, now_seconds: float) -> float:
+        """Return for how many more requests it has room; one where prompts wait."""
+        n_running = self.estimate(now_seconds)[1]
+        if not self.has_room(n_running):
+            return 0.0
+        is_engine = self.view.cache_tokens > 0
+        return 1.0 if is_engine else self.limit() - n_running
+
     def limit(self) -> float:
         """Return the most requests that it should hold."""
         return max(1.0, self.view.concurrency_limit * self.view.serving_share)
--- a/lycheepost/decide/peerloads.py
+++ b/lycheepost/decide/peerloads.py
@@ -6,10 +6,10 @@
 at each target several times a second, and everybody places by the sum.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from lycheepost.core.ids import DaemonId, TargetId
+from lycheepost.core.ids import DaemonId, TargetGroupId, TargetId
 
 FRESH_SECONDS = 1.0
 """A daemon that was silent for longer has most likely died, and its requests with
@@ -49,6 +49,7 @@
 class _Told:
     at_seconds: float
     loads: Mapping[TargetId, UnderWay]
+    waiting_groups: frozenset[TargetGroupId] = frozenset()
 
 
 @dataclass(slots=True)
@@ -63,6 +64,17 @@
         """Take what a daemon has under way; it replaces what it told before."""
         self._told[daemon] = _Told(now_seconds, loads)
 
+    def note_waiting(self, daemon: DaemonId, groups: Iterable[TargetGroupId]) -> None:
+        """Take which groups a daemon has requests waiting for."""
+        told = self._told.get(daemon)
+        if told is not None:
+            told.waiting_groups = frozenset(groups)
+
+    def n_waiting(self, group: TargetGroupId, now_seconds: float) -> int:
+        """Return how many daemons have requests waiting for a group."""
+        self._forget_silent(now_seconds)
+        return sum(group in told.waiting_groups for told in self._told.values())
+
     def observe_changes(
         self, daemon: DaemonId, loads: Mapping[TargetId, UnderWay], now_seconds: float
     ) -> None:
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -260,6 +261,24 @@
                 load.queued_tokens, load.n_running, now_seconds
             )
 
+    def draw_turns(
+        self, n_waiting: Callable[[TargetGroupId], int], now_seconds: float
+    ) -> None:
+        """Draw lots for the room that other daemons see as well.
+
+        Args:
+            n_waiting: Returns how many peers have requests waiting for a group.
+            now_seconds: The present time.
+        """
+        for name, group in self._groups.items():
+            group.draw_turns(n_waiting(name), now_seconds)
+
+    def waiting_groups(self) -> tuple[TargetGroupId, ...]:
+        """Return the groups that requests wait for here, for the peers."""
+        return tuple(
+            sorted(name for name, group in self._groups.items() if len(group.queue))
+        )
+
     def pump(self, now_seconds: float) -> list[Outcome]:
         """Send out what waits and has room by what the others told."""
         outcomes: list[Outcome] = []
