Let requests that can no longer be on time make way for those that can

Cause: in an overload of some seconds everybody waited for the whole backlog, and nearly all answers were late, although as many were served.

--- /dev/null
+++ b/features/decide/steps/latework_steps.py
@@ -0,0 +1,132 @@
+"""Steps of latework.feature."""
+
+import random
+
+from behave import given, then, when
+
+from features.decide.steps.common import Desk, make_view, make_work
+from lycheepost.core.ids import TargetId
+from lycheepost.decide.latework import LateWork
+from lycheepost.decide.queueing import FairQueue
+from lycheepost.decide.records import FinishKind
+
+STEP_SECONDS = 0.02
+PATIENCE_SECONDS = 4.0
+PROMPT_TOKENS = 10_000
+
+
+class Line:
+    """Targets that read one prompt after the other, and when each was read."""
+
+    def __init__(self, n_targets, rate, objective_seconds):
+        self.desk = Desk(
+            n_targets,
+            admit_patience_share=0.9,
+            prefill_seconds_per_token=1.0 / rate / PROMPT_TOKENS,
+        )
+        self.desk.views = {i: make_view(i, limit=64) for i in range(n_targets)}
+        self.desk.announce()
+        self.objective_seconds = objective_seconds
+        self.seconds_each = 1.0 / rate
+        self.reading = {TargetId(f"target-{i}"): [] for i in range(n_targets)}
+        self.left = dict.fromkeys(self.reading, self.seconds_each)
+        self.seen, self.waits, self.n_asked = set(), [], 0
+        self.rng = random.Random(3)
+
+    def run(self, per_second, seconds):
+        for _ in range(round(seconds / STEP_SECONDS)):
+            if self.rng.random() < per_second * STEP_SECONDS:
+                self.ask()
+            self.read()
+            self.desk.wait(STEP_SECONDS)
+            self.note_sent()
+
+    def ask(self):
+        self.n_asked += 1
+        self.desk.arrive(
+            f"request-{self.n_asked}",
+            levels=(),
+            prompt_tokens=PROMPT_TOKENS,
+            customer=f"customer-{self.n_asked % 5}",
+            patience_seconds=PATIENCE_SECONDS,
+            objective_seconds=self.objective_seconds,
+        )
+        self.note_sent()
+
+    def note_sent(self):
+        for name in [name for name in self.desk.sent if name not in self.seen]:
+            self.seen.add(name)
+            self.reading[self.desk.sent[name]].append(name)
+
+    def read(self):
+        for target, waiting in self.reading.items():
+            if not waiting:
+                continue
+            self.left[target] -= STEP_SECONDS
+            if self.left[target] > 0:
+                continue
+            name = waiting.pop(0)
+            self.left[target] = self.seconds_each
+            now_seconds = self.desk.now_seconds
+            self.waits.append(now_seconds - self.desk.works[name].arrived_seconds)
+            scheduler = self.desk.scheduler
+            scheduler.first_token(name, now_seconds, None)
+            self.desk.note(scheduler.finish(name, now_seconds, FinishKind.COMPLETE))
+
+    def n_on_time(self, objective_seconds):
+        return sum(wait <= objective_seconds for wait in self.waits)
+
+
+@given(
+    "{n:d} targets that each read {rate:d} prompts a second, an objective of {s:g} s"
+)
+def step_targets(context, n, rate, s):
+    context.objective = s
+    context.line = Line(n, rate, s)
+    context.by_arrival = Line(n, rate, float("inf"))
+
+
+@when("{n:d} requests a second come for {s:d} s, then {m:d} a second for {t:d} s")
+def step_come(context, n, s, m, t):
+    for line in (context.line, context.by_arrival):
+        line.run(n, s)
+        line.run(m, t)
+        line.run(0, PATIENCE_SECONDS)
+
+
+@then("of 100 requests at least {least:d} are on time, {more:d} more than by arrival")
+def step_on_time(context, least, more):
+    share, by_arrival = (
+        100 * line.n_on_time(context.objective) / line.n_asked
+        for line in (context.line, context.by_arrival)
+    )
+    assert share >= least and share >= by_arrival + more, (share, by_arrival)
+
+
+@then("no fewer are served than by arrival, but for {n:d} in 100")
+def step_served(context, n):
+    served, by_arrival = (len(x.waits) for x in (context.line, context.by_arrival))
+    assert served >= by_arrival * (1 - n / 100), (served, by_arrival)
+
+
+@then("at least {n:d} in 100 of what was served was late")
+def step_some_late(context, n):
+    line = context.line
+    n_late = len(line.waits) - line.n_on_time(context.objective)
+    assert 100 * n_late >= n * len(line.waits), (n_late, len(line.waits))
+
+
+@given("requests that are late with {a:d} s, {b:d} s and {c:d} s left")
+def step_late(context, a, b, c):
+    queue, context.late = FairQueue(), LateWork()
+    for left in (a, b, c):
+        work = make_work(f"left-{left}", 0.0, patience_seconds=float(left))
+        context.late.add(queue.make_waiting(work, 1.0, 0.0))
+
+
+@then("they go out as those with {a:d} s, {b:d} s and {c:d} s left")
+def step_order(context, a, b, c):
+    found = [waiting.work.request for waiting in context.late.first(3)]
+    assert found == [f"left-{left}" for left in (a, b, c)], found
+    assert context.late.remove(found[1]) is not None
+    assert [waiting.work.request for waiting in context.late] == [found[0], found[2]]
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -1,5 +1,6 @@
 """Turn a forwarded request into the work that the decisions know."""
 
+import math
 from dataclasses import replace
 
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
@@ -100,5 +101,6 @@
         patience_seconds=patience_seconds(route, request),
         fingerprint=fingerprint_body(customer, identity + request.body),
         is_idempotent=route.is_repeatable,
+        objective_seconds=route.objective_seconds or math.inf,
         kept_tokens=deps.kv_copies.kept_tokens(levels),
     )
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -14,6 +14,7 @@
     reason_of,
     retry_after_seconds,
 )
+from lycheepost.decide.latework import LateWork
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.placement import Ahead, Choice, Placement
 from lycheepost.decide.quarantine import PeerSuspects, Quarantine
@@ -93,6 +94,7 @@
         self._rng = rng
         self._quarantine = quarantine
         self.queue = FairQueue()
+        self.late = LateWork()
         self.shares = FairShares()
         self.placement = Placement(settings, rng)
         self.turns = Turns(rng)
@@ -104,6 +106,11 @@
         self._bias = WaitBias()
         self._bound = Ahead()
 
+    @property
+    def n_waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self.queue) + len(self.late)
+
     def set_weights(self, weights: dict[CustomerId, float]) -> None:
         """Set each customer's weight in fair sharing."""
         self.queue.set_weights(weights)
@@ -158,11 +165,26 @@
         if self._is_full(work):
             return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
         waiting.predicted_seconds = wait.seconds
+        waiting.hopeful_until_seconds = self._hopeful_until(work, choice)
         self.queue.push(waiting)
         self._bind(waiting, choice)
         return self.pump(now_seconds)
 
-    def _is_late(self, waiting: Waiting, now_seconds: float) -> bool:
+    def _hopeful_until(self, work: Work, choice: Choice) -> float:
+        """Return by when work must be sent out to meet its objective."""
+        rates = self.placement.rates
+        own_seconds = choice.uncached_tokens * rates.token_seconds
+        own_seconds += rates.first_token_seconds
+        return work.arrived_seconds + work.objective_seconds - own_seconds
+
+    def _set_late_aside(self, now_seconds: float) -> None:
+        """Let requests whose objective has passed make way for the others."""
+        for waiting in self.queue.all():
+            if now_seconds > waiting.hopeful_until_seconds:
+                self.queue.remove(waiting.work.request)
+                self.late.add(waiting)
+
+    def _has_waited_long(self, waiting: Waiting, now_seconds: float) -> bool:
         """Tell whether a customer inside its share has waited half its time.
 
         It waits for the owner of its prefix, which others keep full. They are
@@ -184,7 +206,7 @@
 
     def remove(self, request: RequestId) -> bool:
         """Take a request out of the queue; False when it does not wait."""
-        waiting = self.queue.remove(request)
+        waiting = self.queue.remove(request) or self.late.remove(request)
         if waiting is None:
             return False
         self._unbind(waiting)
@@ -212,7 +234,7 @@
     def _is_full(self, work: Work) -> bool:
         own = len(self.queue.lane(work.customer).waiting)
         return (
-            len(self.queue) >= self._settings.queue_requests
+            self.n_waiting >= self._settings.queue_requests
             or own >= self._settings.customer_queue_requests
         )
 
@@ -281,7 +303,7 @@
             n_peers: Other daemons with requests waiting for this group.
             now_seconds: The present time.
         """
-        if not len(self.queue):
+        if not self.n_waiting:
             return
         places = {
             target: load.places(now_seconds)
@@ -292,13 +314,28 @@
     def pump(self, now_seconds: float) -> list[Outcome]:
         """Send out what waits and now has room."""
         outcomes: list[Outcome] = []
-        if not len(self.queue) or not self.placement.has_room(now_seconds):
+        if not self.n_waiting or not self.placement.has_room(now_seconds):
             return outcomes
         ahead_of = Ahead()
+        if self.late.is_due():
+            outcomes += self._pump_late(1, now_seconds, ahead_of)
         for waiting in self.queue.in_order(SCANNED_REQUESTS, self.shares.is_inside):
             outcome = self._try_waiting(waiting, now_seconds, ahead_of)
             if outcome is not None:
                 outcomes.append(outcome)
+                self.late.note_other(waiting.cost_seconds)
+        return outcomes + self._pump_late(SCANNED_REQUESTS, now_seconds, ahead_of)
+
+    def _pump_late(
+        self, n_scanned: int, now_seconds: float, ahead_of: Ahead
+    ) -> list[Outcome]:
+        """Send out late requests that have room."""
+        outcomes: list[Outcome] = []
+        for waiting in self.late.first(n_scanned):
+            outcome = self._try_waiting(waiting, now_seconds, ahead_of)
+            if outcome is not None:
+                outcomes.append(outcome)
+                self.late.note_own(waiting.cost_seconds)
         return outcomes
 
     def _try_waiting(
@@ -306,7 +343,7 @@
     ) -> Outcome | None:
         work = waiting.work
         choice = self._choose(
-            work, now_seconds, ahead_of, self._is_late(waiting, now_seconds)
+            work, now_seconds, ahead_of, self._has_waited_long(waiting, now_seconds)
         )
         if choice is None:
             return None
@@ -380,32 +417,33 @@
 
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
-        self._rate.update(now_seconds, len(self.queue) > 0)
-        self._usual_rate.update(now_seconds, len(self.queue) > 0)
+        self._rate.update(now_seconds, self.n_waiting > 0)
+        self._usual_rate.update(now_seconds, self.n_waiting > 0)
         self.shares.divide(self._usual_rate.per_second(), now_seconds)
         pressure = self.placement.pressure
         step = (float(self._is_pressed(now_seconds)) - pressure) * PRESSURE_GAIN
         self.placement.pressure = pressure + step
         outcomes: list[Outcome] = []
-        for waiting in self.queue.all():
+        for waiting in [*self.queue.all(), *self.late]:
             if now_seconds < waiting.give_up_seconds:
                 continue
             self.remove(waiting.work.request)
             wait = QueueWait(waiting.work.patience_seconds, False)
             outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
+        self._set_late_aside(now_seconds)
         outcomes.extend(self.pump(now_seconds))
         return outcomes
 
     def _is_pressed(self, now_seconds: float) -> bool:
         """Tell whether work waits because the fleet, not one target, is full."""
-        if not len(self.queue):
+        if not self.n_waiting:
             return False
         return self.placement.full_share(now_seconds) >= PRESSED_SHARE
 
     def refuse_all(self, reason: RefusalReason) -> list[Outcome]:
         """Refuse everything that waits."""
         outcomes: list[Outcome] = []
-        for waiting in self.queue.all():
+        for waiting in [*self.queue.all(), *self.late]:
             self.remove(waiting.work.request)
             outcomes.append(self._refuse(waiting.work, reason, QueueWait(0.0, False)))
         return outcomes
@@ -413,7 +451,8 @@
     def status(self, now_seconds: float) -> dict[str, object]:
         """Return the queue and the targets in short."""
         return {
-            "n_waiting": len(self.queue),
+            "n_waiting": self.n_waiting,
+            "n_late": len(self.late),
             "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
             "service_rate": round(self._rate.per_second(), 3),
             "pressure": round(self.placement.pressure, 3),
--- a/lycheepost/decide/queueing.py
+++ b/lycheepost/decide/queueing.py
@@ -50,6 +50,7 @@
         cost_seconds: Predicted engine time.
         deadline_seconds: When the caller leaves.
         give_up_seconds: When it is refused if it still waits.
+        hopeful_until_seconds: Sent out by then it may still meet its objective.
         predicted_seconds: Wait that was predicted for it.
         bound: The target it waits for and the tokens to prefill there.
     """
@@ -60,6 +61,7 @@
     deadline_seconds: float
     give_up_seconds: float
     enqueued_seconds: float
+    hopeful_until_seconds: float = float("inf")
     predicted_seconds: float = 0.0
     bound: tuple[TargetId, int] | None = None
 
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -96,6 +96,8 @@
         arrived_seconds: When the daemon received the request.
         patience_seconds: How long the caller waits for the first token.
         excluded: Targets that have already failed this request.
+        objective_seconds: From its arrival to a first token that is on time; infinite
+            where none is told.
         kept_tokens: Tokens from the prompt's start that a KV store is believed to
             keep, for targets that can fetch them.
     """
@@ -114,6 +116,7 @@
     fingerprint: BodyFingerprint
     is_idempotent: bool = True
     excluded: frozenset[TargetId] = field(default_factory=frozenset)
+    objective_seconds: float = float("inf")
     kept_tokens: int = 0
 
 
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -276,7 +276,7 @@
     def waiting_groups(self) -> tuple[TargetGroupId, ...]:
         """Return the groups that requests wait for here, for the peers."""
         return tuple(
-            sorted(name for name, group in self._groups.items() if len(group.queue))
+            sorted(name for name, group in self._groups.items() if group.n_waiting)
         )
 
     def pump(self, now_seconds: float) -> list[Outcome]:
