--- a/features/decide/rollout.feature
+++ b/features/decide/rollout.feature
@@ -21,6 +21,19 @@
     When version 2 is named
     Then the 1 targets with the fewest requests are ordered to version 2
 
+  Scenario Outline: A target is ordered once its runs have ended, or after a while
+    A target gets no new work before its order. What its runs make after it is worth
+    nothing, and each of them pauses; but while it waits others begin on old weights.
+    Given a target that has been left alone for <alone> s with <running> runs
+    Then it is <outcome>
+
+    Examples:
+      | alone | running | outcome        |
+      | 0.05  | 0       | not yet due    |
+      | 0.15  | 0       | ordered        |
+      | 0.15  | 3       | not yet due    |
+      | 0.65  | 3       | ordered        |
+
   Scenario Outline: A target whose requests end as <ending> among <n> others that are well
     Its health answer is good, so only its requests show the trouble.
     Given <n> targets that are well
--- /dev/null
+++ b/features/decide/steps/mechanisms_steps.py
@@ -0,0 +1,88 @@
+"""Steps of mechanisms.feature."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from returns.result import Failure, Success
+
+from features.decide.steps.common import Desk, make_work
+from lycheepost.core.ids import Incarnation, PrefixDigest
+from lycheepost.decide.kvcopies import KvCopies
+from lycheepost.decide.mechanisms import Mechanism, names_of, parse_mechanisms
+from lycheepost.decide.records import FinishKind, PrefixLevel
+from lycheepost.generated.engine import CacheEvent, CacheEventKind
+
+STORE = "10.0.0.1:80"
+LEVELS = (PrefixLevel(PrefixDigest(1), 100), PrefixLevel(PrefixDigest(2), 150))
+
+
+@when("mechanisms are switched off by {text}")
+def step_parse(context, text):
+    context.found = parse_mechanisms("" if text == "nothing" else text)
+
+
+@then("they are {outcome}")
+def step_parsed(context, outcome):
+    match context.found:
+        case Success(mechanisms):
+            assert (" and ".join(names_of(mechanisms)) or "none") == outcome
+        case Failure(reason):
+            assert outcome == "refused" and "late_aside" in reason, reason
+
+
+@given("the mechanism {name} is switched off")
+def step_off(context, name):
+    context.off = frozenset({Mechanism(name)})
+
+
+def make_copies(off):
+    copies = KvCopies(off)
+    event = CacheEvent(
+        sequence=1, kind=CacheEventKind.STORED, digest=LEVELS[0].digest, n_tokens=100
+    )
+    copies.observe(STORE, Incarnation(STORE), (event,))
+    return copies
+
+
+@then("a prompt goes to a store that keeps all of it")
+def step_sent(context):
+    assert not make_copies(frozenset()).should_send(STORE, LEVELS, 1.0)
+    assert make_copies(context.off).should_send(STORE, LEVELS, 1.0)
+
+
+@then("nothing of a prompt counts as kept")
+def step_not_kept(context):
+    assert make_copies(frozenset()).kept_tokens(LEVELS) == 100
+    assert make_copies(context.off).kept_tokens(LEVELS) == 0
+
+
+def n_sent_with_lots(off):
+    """Return what goes out to a target that is free again, of 20 that wait."""
+    desk = Desk(1, switched_off=off)
+    desk.views[0] = replace(desk.views[0], cache_tokens=0, concurrency_limit=10)
+    desk.announce()
+    for index in range(30):
+        desk.arrive(f"r-{index}", levels=(), prompt_tokens=0)
+    first = dict(desk.sent)
+    desk.scheduler.draw_turns(lambda _group: 6, desk.now_seconds)
+    for name in first:
+        desk.note(desk.scheduler.finish(name, desk.now_seconds, FinishKind.COMPLETE))
+    return len(desk.sent) - len(first)
+
+
+@then("a daemon with 6 peers that wait sends out all that has room")
+def step_all_room(context):
+    assert n_sent_with_lots(context.off) == 10
+    assert n_sent_with_lots(frozenset()) < 10
+
+
+@then("a request whose objective has passed waits where it was")
+def step_stays(context):
+    for off, n_late in ((frozenset(), 1), (context.off, 0)):
+        desk = Desk(1, switched_off=off)
+        for index in range(9):
+            work = make_work(f"r-{index}", desk.now_seconds, objective_seconds=0.1)
+            desk.note(desk.scheduler.arrive(work, desk.now_seconds))
+        desk.wait(0.2)
+        (group,) = desk.scheduler.status()["groups"].values()
+        assert (group["n_late"] > 0) == bool(n_late), group
--- a/features/decide/steps/rollout_steps.py
+++ b/features/decide/steps/rollout_steps.py
@@ -5,7 +5,11 @@
 from behave import given, then, when
 
 from lycheepost.core.ids import ModelId, TargetId
-from lycheepost.decide.rollout import TargetWeights, next_orders
+from lycheepost.decide.rollout import (
+    TargetWeights,
+    is_due,
+    next_orders,
+)
 from lycheepost.decide.targethealth import Ending, TargetHealth
 
 MODEL = ModelId("m")
@@ -56,6 +60,21 @@
     assert next_orders(MODEL, context.wanted, context.targets) == ()
 
 
+@given("a target that has been left alone for {alone:g} s with {running:d} runs")
+def step_alone(context, alone, running):
+    context.is_due = is_due(alone, running)
+
+
+@then("it is ordered")
+def step_is_due(context):
+    assert context.is_due
+
+
+@then("it is not yet due")
+def step_not_due(context):
+    assert not context.is_due
+
+
 @given("{n:d} targets that are well")
 def step_well(context, n):
     context.health = TargetHealth()
--- a/features/report/steps/beliefs_steps.py
+++ b/features/report/steps/beliefs_steps.py
@@ -12,6 +12,7 @@
     "daemon_id": "a",
     "boot": "1",
     "is_leaving": False,
+    "switched_off": [],
     "configuration": {"version": 7, "confirmed_age_seconds": 0.4},
     "watches": [
         {"table": "op", "age_seconds": 0.4},
--- a/lycheepost/app/cachefollow.py
+++ b/lycheepost/app/cachefollow.py
@@ -21,6 +21,7 @@
         dispatcher: Places requests by what engines keep.
         targets: The engines there are.
         copies: Decides what is sent to stores.
+        follows_engines: Engines' events are followed, and not only those of stores.
     """
 
     def __init__(
@@ -29,7 +30,9 @@
         dispatcher: Dispatcher,
         targets: TargetList,
         copies: KvCopies,
+        follows_engines: bool = True,
     ) -> None:
+        self._follows_engines = follows_engines
         self._copies = copies
         self._watch = CacheWatch(port, self._take)
         self._dispatcher = dispatcher
@@ -74,6 +77,8 @@
         self._watch.follow([*self._engines(self._table), *map(_store_source, stores)])
 
     def _engines(self, table: RouteTable) -> list[CacheSource]:
+        if not self._follows_engines:
+            return []
         return [
             CacheSource(target.target, target.start.incarnation, target.address)
             for name, group in table.groups.items()
--- a/lycheepost/app/platformbase.py
+++ b/lycheepost/app/platformbase.py
@@ -6,6 +6,7 @@
 
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.platform.settings import NodeSettings
 from lycheepost.platform.store import StoreClient
 
@@ -21,6 +22,7 @@
         boot: Unique for each start.
         seed: Of everything random in this start.
         rng: Random numbers from that seed.
+        switched_off: Mechanisms of the decisions that are not used.
     """
 
     node: NodeSettings
@@ -29,12 +31,23 @@
     boot: str
     seed: int
     rng: random.Random = field(repr=False)
+    switched_off: frozenset[Mechanism] = frozenset()
 
 
-def make_base(node: NodeSettings, clock: Clock) -> PlatformBase:
+def make_base(
+    node: NodeSettings,
+    clock: Clock,
+    switched_off: frozenset[Mechanism] = frozenset(),
+) -> PlatformBase:
     """Return the base of a new start."""
     boot = secrets.token_hex(6)
     seed = hash_bytes(f"{node.daemon}/{boot}".encode())
     return PlatformBase(
-        node, clock, StoreClient(node.store), boot, seed, random.Random(seed)
+        node,
+        clock,
+        StoreClient(node.store),
+        boot,
+        seed,
+        random.Random(seed),
+        switched_off,
     )
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -36,6 +36,7 @@
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.core.ids import ModelId
 from lycheepost.decide.freshness import may_trust_key
+from lycheepost.decide.mechanisms import Mechanism, names_of
 from lycheepost.platform.following import (
     OperatorFollower,
     ServerFollower,
@@ -139,6 +140,7 @@
             clients=str(node.clients),
             readiness=str(node.readiness),
             directory=str(node.directory),
+            switched_off=names_of(self._made.base.switched_off),
         )
 
     async def drain(self) -> None:
@@ -231,6 +233,7 @@
             "daemon_id": made.base.node.daemon,
             "boot": made.base.boot,
             "is_leaving": self.is_leaving,
+            "switched_off": names_of(made.base.switched_off),
             "n_open": self._front.n_open,
             "configuration": self.routing.status(made.base.clock.now_seconds()),
             "watches": [watch.status() for watch in made.watches],
@@ -253,6 +256,7 @@
     metrics_port: int = METRICS_PORT,
     leave_plan: LeavePlan | None = None,
     settings_file: pathlib.Path | None = None,
+    switched_off: frozenset[Mechanism] = frozenset(),
 ) -> PlatformDaemon:
     """Join the parts of one daemon; nothing is started yet.
 
@@ -263,8 +267,9 @@
         metrics_port: Where metrics are served; 0 takes a free port.
         leave_plan: How it ends; None for the platform's time in force by then.
         settings_file: Where ``node`` was read from; looked at for changes.
+        switched_off: Mechanisms of the decisions that are not used.
     """
-    base = make_base(node, clock or SystemClock())
+    base = make_base(node, clock or SystemClock(), switched_off)
     metrics = ServedMetrics()
     settings = SettingsWatch(node, settings_file)
     peers = make_platform_peers(base)
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -15,6 +15,8 @@
 )
 from lycheepost.core.routing import RouteTable
 from lycheepost.decide.cells import Cell, Peer, find_cell, find_sources
+from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.rollout import LEAST_ALONE_SECONDS, MOST_ALONE_SECONDS
 from lycheepost.generated.configuration import Configuration
 from lycheepost.generated.messages import TargetsChanging
 from lycheepost.operators.weightsnews import to_changes
@@ -190,6 +192,11 @@
         lambda model: _groups_of(get_table(), model),
         peers.exchange.broadcast,
         count_running,
+        most_alone_seconds=(
+            LEAST_ALONE_SECONDS
+            if Mechanism.RUNS_END in base.switched_off
+            else MOST_ALONE_SECONDS
+        ),
     )
     peers.exchange.subscribe(
         TargetsChanging,
--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -26,6 +26,9 @@
 METRICS_VARIABLE = "LYCHEEPOST_METRICS_PORT"
 """Another port for metrics, where several daemons share an address."""
 
+SWITCHED_OFF_VARIABLE = "LYCHEEPOST_SWITCHED_OFF"
+"""Mechanisms of the decisions that are not used, joined by commas."""
+
 BAD_SETTINGS = 2
 FAILED = 1
 
@@ -54,6 +57,7 @@
     # Loaded only now: it takes half a second, in which connections wait.
     from lycheepost.app.platformdaemon import METRICS_PORT, make_platform_daemon
     from lycheepost.app.run import run_until_signal
+    from lycheepost.decide.mechanisms import parse_mechanisms
     from lycheepost.generated.settings import LogSettings
     from lycheepost.utils.logs import configure_logs
     from lycheepost.utils.logwriter import LogWriter
@@ -62,6 +66,12 @@
     if not metrics_port.isdigit():
         print(f"{METRICS_VARIABLE} is {metrics_port!r}, no port.", file=sys.stderr)
         return BAD_SETTINGS
+    match parse_mechanisms(os.environ.get(SWITCHED_OFF_VARIABLE, "")):
+        case Success(switched_off):
+            pass
+        case Failure(reason):
+            print(f"{SWITCHED_OFF_VARIABLE}: {reason}.", file=sys.stderr)
+            return BAD_SETTINGS
     output = cast("TextIO", LogWriter(sys.stdout.fileno()))
     configure_logs(LogSettings(), node.daemon, output)
     try:
@@ -71,6 +81,7 @@
                 sockets,
                 metrics_port=int(metrics_port),
                 settings_file=node_file,
+                switched_off=switched_off,
             )
         )
     except OSError as error:
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -21,6 +21,7 @@
 from lycheepost.decide.cells import Cell
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.kvcopies import KvCopies
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
@@ -114,7 +115,9 @@
         first_reads: Requests wait for these.
     """
     clock = base.clock
-    dispatcher = Dispatcher(Scheduler(_scheduler_settings(), base.seed), clock)
+    switched_off = base.switched_off
+    settings = _scheduler_settings(switched_off)
+    dispatcher = Dispatcher(Scheduler(settings, base.seed), clock)
     dispatcher.set_retry_terms(retry_terms(get_bounds(), FEWEST_DAEMONS))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
@@ -124,15 +127,26 @@
         caches.set_targets(views)
         loads.set_targets(views)
 
-    targets = TargetList(clock, on_views, lambda: get_bounds().weights_seconds)
+    targets = TargetList(
+        clock,
+        on_views,
+        lambda: get_bounds().weights_seconds,
+        prefers_new_weights=Mechanism.NEW_WEIGHTS not in switched_off,
+    )
     cache_events = CacheEventsClient()
-    kv_copies = KvCopies()
-    caches = CacheFollower(cache_events, dispatcher, targets, kv_copies)
+    kv_copies = KvCopies(switched_off)
+    caches = CacheFollower(
+        cache_events,
+        dispatcher,
+        targets,
+        kv_copies,
+        follows_engines=Mechanism.CACHE_EVENTS not in switched_off,
+    )
     routing = RoutingKeeper()
     routing.subscribe(targets.set_table)
     routing.subscribe(caches.set_table)
-    settings = StreamSettings(connect_seconds=CONNECT_SECONDS)
-    client = ForwardClient(settings, ServerDialect())
+    streams = StreamSettings(connect_seconds=CONNECT_SECONDS)
+    client = ForwardClient(streams, ServerDialect())
     orders = ServerOrders()
 
     async def is_same_start(sent_to: ListedTarget) -> bool:
@@ -180,8 +194,9 @@
     )
 
 
-def _scheduler_settings() -> SchedulerSettings:
+def _scheduler_settings(switched_off: frozenset[Mechanism]) -> SchedulerSettings:
     return SchedulerSettings(
+        switched_off=switched_off,
         max_tries=MOST_TARGETS_A_REQUEST,
         admit_patience_share=ADMIT_SHARE,
         prefill_seconds_per_token=PREFILL_SECONDS_PER_TOKEN,
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -1,5 +1,6 @@
 """The decisions within one target group: its queue, its targets, its rates."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -16,6 +17,7 @@
 )
 from lycheepost.decide.latework import LateWork
 from lycheepost.decide.load import InFlight, TargetLoad
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.placement import Ahead, Choice, Placement
 from lycheepost.decide.quarantine import PeerSuspects, Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting
@@ -172,6 +174,8 @@
 
     def _hopeful_until(self, work: Work, choice: Choice) -> float:
         """Return by when work must be sent out to meet its objective."""
+        if Mechanism.LATE_ASIDE in self._settings.switched_off:
+            return math.inf
         rates = self.placement.rates
         own_seconds = choice.uncached_tokens * rates.token_seconds
         own_seconds += rates.first_token_seconds
@@ -303,7 +307,7 @@
             n_peers: Other daemons with requests waiting for this group.
             now_seconds: The present time.
         """
-        if not self.n_waiting:
+        if not self.n_waiting or Mechanism.LOTS in self._settings.switched_off:
             return
         places = {
             target: load.places(now_seconds)
--- a/lycheepost/decide/kvcopies.py
+++ b/lycheepost/decide/kvcopies.py
@@ -17,6 +17,7 @@
 
 from lycheepost.core.ids import Incarnation, PrefixDigest
 from lycheepost.decide.belief import CacheBelief
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.records import PrefixLevel
 from lycheepost.generated.engine import CacheEvent
 
@@ -33,9 +34,15 @@
 
 
 class KvCopies:
-    """What the stores are believed to keep, and what was sent to them of late."""
+    """What the stores are believed to keep, and what was sent to them of late.
 
-    def __init__(self) -> None:
+    Args:
+        switched_off: Mechanisms that are not used.
+    """
+
+    def __init__(self, switched_off: frozenset[Mechanism] = frozenset()) -> None:
+        self._sends_all = Mechanism.KV_SENDS in switched_off
+        self._counts_fetches = Mechanism.KV_FETCHES not in switched_off
         self._stores: dict[str, CacheBelief] = {}
         self._asked: OrderedDict[tuple[str, PrefixDigest], float] = OrderedDict()
 
@@ -66,7 +73,7 @@
         Args:
             levels: The prompt's levels, outermost first.
         """
-        if not self._stores:
+        if not self._stores or not self._counts_fetches:
             return 0
         n_tokens = 0
         for level in levels:
@@ -85,6 +92,8 @@
             levels: The prompt's levels; the last one is the request's own.
             now_seconds: The present time.
         """
+        if self._sends_all:
+            return True
         shared = levels[:-1]
         missing = [
             level.digest
--- a/lycheepost/decide/rollout.py
+++ b/lycheepost/decide/rollout.py
@@ -30,16 +30,19 @@
 weights."""
 
 
-def is_due(alone_seconds: float, n_running: int) -> bool:
+def is_due(
+    alone_seconds: float, n_running: int, most_seconds: float = MOST_ALONE_SECONDS
+) -> bool:
     """Tell whether a target that gets no new work is ordered now.
 
     Args:
         alone_seconds: For how long it has got none.
         n_running: Requests that it still runs, as far as known.
+        most_seconds: Longest time to wait for their end.
     """
     if alone_seconds < LEAST_ALONE_SECONDS:
         return False
-    return n_running == 0 or alone_seconds >= MOST_ALONE_SECONDS
+    return n_running == 0 or alone_seconds >= most_seconds
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/settings.py
+++ b/lycheepost/decide/settings.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.generated.settings import Settings
 
 
@@ -30,6 +31,7 @@
         admit_patience_share: Share of a caller's patience that the predicted
             wait may take; the rest covers errors of the prediction.
         queue_seconds: Longest wait that a queue is allowed to build up.
+        switched_off: Mechanisms that are not used.
     """
 
     queue_requests: int = 2000
@@ -46,6 +48,7 @@
     first_token_seconds: float = 0.03
     admit_patience_share: float = 0.4
     queue_seconds: float = 20.0
+    switched_off: frozenset[Mechanism] = frozenset()
 
 
 def make_scheduler_settings(settings: Settings) -> SchedulerSettings:
@@ -62,4 +65,5 @@
         quarantine_losses=limits.quarantine_losses,
         quarantine_seconds=limits.quarantine_seconds,
         candidates=settings.targets.candidates,
+        switched_off=frozenset(Mechanism(name.value) for name in settings.switched_off),
     )
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -19,6 +19,7 @@
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.rollout import (
+    MOST_ALONE_SECONDS,
     TargetWeights,
     WeightsOrder,
     is_due,
@@ -78,6 +79,7 @@
         groups_of: Returns the target groups that serve a model.
         tell: Tells the peers of changes.
         count_running: Returns how many requests of all known daemons run at a target.
+        most_alone_seconds: How long a target's runs may take to end before its order.
     """
 
     def __init__(
@@ -89,7 +91,9 @@
         groups_of: Callable[[ModelId], tuple[TargetGroupId, ...]],
         tell: Callable[[TargetsChanging], None],
         count_running: Callable[[TargetId], int],
+        most_alone_seconds: float = MOST_ALONE_SECONDS,
     ) -> None:
+        self._most_alone_seconds = most_alone_seconds
         self._count_running = count_running
         self._port = port
         self._targets = targets
@@ -210,7 +214,11 @@
         """Wait until a target that gets no new work may be ordered."""
         began_seconds = self._clock.now_seconds()
         alone_seconds = 0.0
-        while not is_due(alone_seconds, self._count_running(order.target)):
+        while not is_due(
+            alone_seconds,
+            self._count_running(order.target),
+            self._most_alone_seconds,
+        ):
             await asyncio.sleep(LOOK_SECONDS)
             alone_seconds = self._clock.now_seconds() - began_seconds
 
--- a/lycheepost/report/beliefs.py
+++ b/lycheepost/report/beliefs.py
@@ -33,6 +33,7 @@
         n_targets: Targets by their state.
         weights: Targets by model and weights version.
         duties: Duties that it holds.
+        switched_off: Mechanisms of the decisions that it does not use.
     """
 
     daemon: str
@@ -45,6 +46,7 @@
     n_targets: Mapping[str, int] = field(default_factory=dict)
     weights: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
     duties: tuple[str, ...] = ()
+    switched_off: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +90,7 @@
         ),
         weights=_count_weights(status["targets"].values()),
         duties=tuple(duty["duty"] for duty in status["duties"] if duty["is_held"]),
+        switched_off=tuple(status["switched_off"]),
     )
 
 
@@ -104,6 +107,9 @@
     known = tuple(beliefs)
     subjects = {
         "configuration": {item.daemon: str(item.configuration) for item in known},
+        "switched off": {
+            item.daemon: ", ".join(item.switched_off) or "nothing" for item in known
+        },
         "members": {item.daemon: _say(item.n_members) for item in known},
         "targets": {item.daemon: _say(item.n_targets) for item in known},
         "weights": {
@@ -155,8 +161,15 @@
         f" {_say_age(belief.confirmed_age_seconds)}; {ages}, told by {belief.source};"
         f" members {_say(belief.n_members)}; targets {_say(belief.n_targets)};"
         f" weights {weights or 'none'}; holds {', '.join(belief.duties) or 'no duty'}"
+        f"{_say_switched_off(belief)}"
     )
 
 
+def _say_switched_off(belief: Belief) -> str:
+    if not belief.switched_off:
+        return ""
+    return f"; does without {', '.join(belief.switched_off)}"
+
+
 def _say_age(age_seconds: float | None) -> str:
     return "never" if age_seconds is None else f"{age_seconds:.1f} s ago"
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -96,11 +96,17 @@
         on_views: Gets all views whenever one has changed.
         weights_seconds: Returns how long after new weights were named old ones may
             serve.
+        prefers_new_weights: Targets with older weights than named cost more.
     """
 
     def __init__(
-        self, clock: Clock, on_views: OnViews, weights_seconds: Callable[[], float]
+        self,
+        clock: Clock,
+        on_views: OnViews,
+        weights_seconds: Callable[[], float],
+        prefers_new_weights: bool = True,
     ) -> None:
+        self._prefers_new_weights = prefers_new_weights
         self._clock = clock
         self._on_views = on_views
         self._weights_seconds = weights_seconds
@@ -457,6 +463,12 @@
             resting |= health.resting(names, now_seconds)
         return resting
 
+    def _penalty_seconds(self, known: _Known, now_seconds: float) -> float:
+        """Return what answers of a target are worth less, told as a wait."""
+        if not self._prefers_new_weights:
+            return 0.0
+        return self._wanted.penalty_seconds(known.weights or {}, now_seconds)
+
     def _view(
         self, name: TargetId, known: _Known, is_resting: bool, now_seconds: float
     ) -> TargetView:
@@ -480,9 +492,7 @@
             weights_version=WeightsVersion(",".join(versions)),
             concurrency_limit=listed.slots,
             cache_tokens=0 if engine is None else engine.kv_tokens,
-            penalty_seconds=self._wanted.penalty_seconds(
-                known.weights or {}, now_seconds
-            ),
+            penalty_seconds=self._penalty_seconds(known, now_seconds),
             reach=self._reaches[name],
             fetch_token_seconds=(
                 0.0
