--- a/features/decide/rollout.feature
+++ b/features/decide/rollout.feature
@@ -23,16 +23,22 @@
 
   Scenario Outline: A target is ordered once its runs have ended, or after a while
     A target gets no new work before its order. What its runs make after it is worth
-    nothing, and each of them pauses; but while it waits others begin on old weights.
+    nothing, and each of them pauses; but all changes after its own wait with it, and
+    the requests of meanwhile begin on the old weights of those targets.
     Given a target that has been left alone for <alone> s with <running> runs
+    When <old> of 9 targets serve on old weights
     Then it is <outcome>
 
     Examples:
-      | alone | running | outcome        |
-      | 0.05  | 0       | not yet due    |
-      | 0.15  | 0       | ordered        |
-      | 0.15  | 3       | not yet due    |
-      | 0.65  | 3       | ordered        |
+      | alone | running | old | outcome     |
+      | 0.05  | 0       | 6   | not yet due |
+      | 0.15  | 0       | 6   | ordered     |
+      | 0.15  | 3       | 6   | not yet due |
+      | 0.25  | 3       | 6   | ordered     |
+      | 0.25  | 3       | 3   | not yet due |
+      | 0.45  | 3       | 3   | ordered     |
+      | 0.45  | 3       | 0   | not yet due |
+      | 0.65  | 3       | 0   | ordered     |
 
   Scenario Outline: A target whose requests end as <ending> among <n> others that are well
     Its health answer is good, so only its requests show the trouble.
--- a/features/decide/steps/rollout_steps.py
+++ b/features/decide/steps/rollout_steps.py
@@ -9,6 +9,7 @@
     TargetWeights,
     is_due,
     next_orders,
+    old_share,
 )
 from lycheepost.decide.targethealth import Ending, TargetHealth
 
@@ -62,7 +63,17 @@
 
 @given("a target that has been left alone for {alone:g} s with {running:d} runs")
 def step_alone(context, alone, running):
-    context.is_due = is_due(alone, running)
+    context.alone, context.running = alone, running
+
+
+@when("{n_old:d} of {n:d} targets serve on old weights")
+def step_old(context, n_old, n):
+    targets = make_targets(n)
+    targets = [
+        replace(item, version=1 if index < n_old else 2)
+        for index, item in enumerate(targets)
+    ]
+    context.is_due = is_due(context.alone, context.running, old_share(2, targets))
 
 
 @then("it is ordered")
--- a/lycheepost/decide/rollout.py
+++ b/lycheepost/decide/rollout.py
@@ -25,24 +25,38 @@
 sent by then to show in the load that they tell."""
 
 MOST_ALONE_SECONDS = 0.6
-"""Longest time that a target waits without new work for its runs to end. Most streams
-are shorter; a longer wait keeps the others busier and lets more requests begin on old
-weights."""
+"""Longest time that a target waits without new work for its runs to end, when no other
+serves old weights any more. Most streams are shorter; a longer wait keeps the others
+busier."""
 
 
 def is_due(
-    alone_seconds: float, n_running: int, most_seconds: float = MOST_ALONE_SECONDS
+    alone_seconds: float,
+    n_running: int,
+    old_share: float,
+    most_seconds: float = MOST_ALONE_SECONDS,
 ) -> bool:
     """Tell whether a target that gets no new work is ordered now.
 
+    Each moment that it waits puts off all changes that come after its own, in which
+    requests begin on old weights. So the first targets wait hardly at all, and the last
+    ones as long as it is worth to their runs.
+
     Args:
         alone_seconds: For how long it has got none.
         n_running: Requests that it still runs, as far as known.
+        old_share: Part of all targets that serve on old weights meanwhile.
         most_seconds: Longest time to wait for their end.
     """
     if alone_seconds < LEAST_ALONE_SECONDS:
         return False
-    return n_running == 0 or alone_seconds >= most_seconds
+    return n_running == 0 or alone_seconds >= most_seconds * (1.0 - old_share)
+
+
+def old_share(wanted: int, targets: Sequence["TargetWeights"]) -> float:
+    """Return the part of the targets that serve on weights older than wanted."""
+    n_old = sum(item.version < wanted and not item.is_changing for item in targets)
+    return n_old / max(1, len(targets))
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -24,6 +24,7 @@
     WeightsOrder,
     is_due,
     next_orders,
+    old_share,
 )
 from lycheepost.generated.messages import TargetsChanging
 from lycheepost.operators.weightsnews import WeightsNews
@@ -172,17 +173,23 @@
 
     def _begin(self, model: ModelId, wanted: int) -> None:
         """Begin the changes of one model that may begin now."""
-        listed = [
+        by_name = {target.target: target for target in self._listed(model)}
+        for order in next_orders(model, wanted, self._all_weights(model)):
+            change = asyncio.create_task(self._change(by_name[order.target], order))
+            self._changes[order.target] = change
+            change.add_done_callback(partial(self._end_change, order.target))
+
+    def _listed(self, model: ModelId) -> list[ListedTarget]:
+        """Return the targets of a model."""
+        return [
             target
             for group in self._groups_of(model)
             for target in self._targets.listed(group)
         ]
-        weights = [self._weights(target, model) for target in listed]
-        by_name = {target.target: target for target in listed}
-        for order in next_orders(model, wanted, weights):
-            change = asyncio.create_task(self._change(by_name[order.target], order))
-            self._changes[order.target] = change
-            change.add_done_callback(partial(self._end_change, order.target))
+
+    def _all_weights(self, model: ModelId) -> list[TargetWeights]:
+        """Return what is known of the weights of a model's targets."""
+        return [self._weights(target, model) for target in self._listed(model)]
 
     def _end_change(self, target: TargetId, change: asyncio.Task[None]) -> None:
         self._changes.pop(target, None)
@@ -217,6 +224,7 @@
         while not is_due(
             alone_seconds,
             self._count_running(order.target),
+            old_share(weights_number(order.version), self._all_weights(order.model)),
             self._most_alone_seconds,
         ):
             await asyncio.sleep(LOOK_SECONDS)
