Ask whether weights are in place when they are due to be, and go on at once

Cause: a target that had its weights waited up to 0.1 s to be asked, and the next one another 0.1 s for its turn, while each early question is a call that counts. Now the first question comes after 0.85 of the time that changes have taken of late, then one each 0.06 s, and the end of a change wakes the rollout.

--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -51,9 +51,16 @@
 """Between looks at what a target that is left alone still runs: as often as daemons
 tell each other their load."""
 
-ASK_SECONDS = 0.1
-"""Between questions whether the weights are in place; loading takes about one to
-two seconds, and a report is a tenth of a second late."""
+ASK_SECONDS = 0.06
+"""Between questions whether the weights are in place: so long a target stands still in
+vain at most, and others wait for their turn."""
+
+ASK_FIRST_SHARE = 0.85
+"""Part of the time that changes have taken of late after which the first question is
+put; earlier ones are answered with no, and each is a call that the target pays for."""
+
+LOAD_GAIN = 0.3
+"""Weight of one change in that time; it differs with how many change at once."""
 
 LOAD_SECONDS = 5.0
 """A target that has not loaded by then is looked at anew."""
@@ -105,6 +112,7 @@
         self._wanted: dict[ModelId, int] = {}
         self._changes: dict[TargetId, asyncio.Task[None]] = {}
         self._current: CurrentLease | None = None
+        self._load_seconds = 0.0
         self._last_order_seconds = -math.inf
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
@@ -193,6 +201,7 @@
 
     def _end_change(self, target: TargetId, change: asyncio.Task[None]) -> None:
         self._changes.pop(target, None)
+        self._wake.set()
         error = None if change.cancelled() else change.exception()
         if error is not None:
             _log.error("weights: change failed", target=target, reason=repr(error))
@@ -314,12 +323,19 @@
         known = self._targets.weights_of(order.target, order.model)
         return weights_number(known) >= weights_number(order.version)
 
+    def _learn_load(self, elapsed_seconds: float) -> None:
+        """Learn how long a change takes until a report shows it."""
+        gain = LOAD_GAIN if self._load_seconds else 1.0
+        self._load_seconds += gain * (elapsed_seconds - self._load_seconds)
+
     async def _wait_loaded(self, target: ListedTarget, order: WeightsOrder) -> bool:
         """Ask until the weights are in place; False when that takes too long."""
         ordered_seconds = self._clock.now_seconds()
         elapsed_seconds = 0.0
+        pause_seconds = max(ASK_SECONDS, ASK_FIRST_SHARE * self._load_seconds)
         while elapsed_seconds < LOAD_SECONDS:
-            await asyncio.sleep(ASK_SECONDS)
+            await asyncio.sleep(pause_seconds)
+            pause_seconds = ASK_SECONDS
             elapsed_seconds = self._clock.now_seconds() - ordered_seconds
             match await self._port.read_report(target):
                 case Success(report):
@@ -327,6 +343,7 @@
                     if self._is_other_start(target, report):
                         return False
                     if self._is_loaded(order):
+                        self._learn_load(elapsed_seconds)
                         return True
                     if not report.is_changing and elapsed_seconds > SHOWN_SECONDS:
                         return False
