Let ten daemons of a fleet follow the events of a KV store, not all

Cause: since prompts go to the store as needed, every daemon asks it for its events. A store holds twelve such questions at once and refuses the others, and refusals count like probes: in a fleet of 86 daemons most of the calls. Ruled out: one daemon a cell (24 cells at 195 daemons are too many already). A fleet of up to ten is as before. The other daemons of a larger fleet send each prompt as they did before and count nothing as kept; sharing the belief with them is left. Not measured at size yet.

--- a/features/decide/cells.feature
+++ b/features/decide/cells.feature
@@ -77,3 +77,17 @@
     Given 24 daemons in 3 cells before 18 targets, that tell their cell their load
     When each of them gets 9 requests, one at a time in turn
     Then the busiest of all targets has at most 1.2 times the mean
+
+  Scenario Outline: Of <n> daemons <followers> follow a KV store
+    A store holds a dozen questions for its events at once. In a fleet of 86 daemons
+    most calls to it would be refused, and each counts like a question for its health.
+    Given <n> daemons in 3 availability zones
+    When each finds whether it follows the KV stores
+    Then <followers> of them do
+
+    Examples:
+      | n   | followers |
+      | 1   | 1         |
+      | 7   | 7         |
+      | 12  | 10        |
+      | 86  | 10        |
--- a/features/decide/steps/cells_steps.py
+++ b/features/decide/steps/cells_steps.py
@@ -14,6 +14,7 @@
     find_cell,
     find_reaches,
     find_sources,
+    follows_stores,
 )
 from lycheepost.decide.peerloads import PeerLoads
 from lycheepost.decide.records import Reach, TargetState
@@ -55,6 +56,22 @@
     }
 
 
+@when("each finds whether it follows the KV stores")
+def step_followers(context):
+    names = [peer.daemon for peer in context.daemons]
+    # Each knows the others in an order of its own.
+    context.followers = [
+        name
+        for index, name in enumerate(names)
+        if follows_stores(name, names[index:] + names[:index])
+    ]
+
+
+@then("{n:d} of them do")
+def step_n_followers(context, n):
+    assert len(context.followers) == n, context.followers
+
+
 @then("there are {n_cells:d} cells of {least:d} to {most:d} daemons")
 def step_sizes(context, n_cells, least, most):
     sizes = Counter(cell.number for cell in context.cells.values())
--- a/lycheepost/app/cachefollow.py
+++ b/lycheepost/app/cachefollow.py
@@ -33,6 +33,7 @@
         follows_engines: bool = True,
     ) -> None:
         self._follows_engines = follows_engines
+        self._follows_stores = True
         self._copies = copies
         self._watch = CacheWatch(port, self._take)
         self._dispatcher = dispatcher
@@ -68,11 +69,19 @@
         )
         self.refresh()
 
+    def follow_stores(self, is_follower: bool) -> None:
+        """Follow the KV stores, or leave that to other daemons."""
+        if is_follower != self._follows_stores:
+            self._follows_stores = is_follower
+            self.refresh()
+
     def refresh(self) -> None:
         """Follow the engines and stores that there are now."""
         if self._table is None:
             return
-        stores = [store.address for store in self._table.kv_stores]
+        stores: list[str] = []
+        if self._follows_stores:
+            stores = [store.address for store in self._table.kv_stores]
         self._copies.keep_only(stores)
         self._watch.follow([*self._engines(self._table), *map(_store_source, stores)])
 
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -34,7 +34,8 @@
 from lycheepost.app.settingswatch import SettingsWatch
 from lycheepost.app.ticker import Ticker
 from lycheepost.core.clock import Clock, SystemClock
-from lycheepost.core.ids import ModelId
+from lycheepost.core.ids import DaemonId, ModelId
+from lycheepost.decide.cells import follows_stores
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
 from lycheepost.platform.following import (
@@ -46,6 +47,7 @@
 from lycheepost.platform.settings import Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
+from lycheepost.state.addresses import MemberState
 from lycheepost.state.firstreads import FirstReads
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.watch import Watch
@@ -99,6 +101,7 @@
         self._made = made
         self._plan = plan
         self._front = made.traffic.front
+        self._live: frozenset[DaemonId] = frozenset()
         self._parts: list[Part] = [
             made.base.store,
             *made.traffic.parts(),
@@ -206,7 +209,15 @@
         """Let time pass for targets, budgets and this daemon's own standing."""
         members = self._made.peers.members
         terms = retry_terms(self._made.settings.bounds, members.n_live())
-        self._made.traffic.set_cell(cell_of(members.me(), members.members()))
+        me, known = members.me(), members.members()
+        self._made.traffic.set_cell(cell_of(me, known))
+        live = frozenset(
+            item.daemon for item in known if item.state is MemberState.LIVE
+        )
+        if live != self._live:
+            self._live = live
+            is_follower = follows_stores(me.daemon, live)
+            self._made.traffic.caches.follow_stores(is_follower)
         self._made.traffic.targets.refresh()
         self._made.traffic.dispatcher.set_retry_terms(terms)
         if self.is_leaving:
--- a/lycheepost/decide/cells.py
+++ b/lycheepost/decide/cells.py
@@ -36,7 +36,13 @@
 """Fewest targets of a cell: with fewer, one that is lost or changes its weights takes
 too much of the cell with it, so the group is not divided."""
 
+MOST_STORE_FOLLOWERS = 10
+"""Daemons that follow the cache events of a KV store. A store holds a dozen such
+questions at once and refuses the others, so that in a fleet of a hundred most calls to
+it would be refusals. Two are left for daemons that start again."""
+
 _SOURCE_KEY = hash_bytes(b"source")
+_FOLLOWER_KEY = hash_bytes(b"kv-store")
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +111,17 @@
     return tuple(name for name in before if name in serving)
 
 
+def follows_stores(me: DaemonId, daemons: Iterable[DaemonId]) -> bool:
+    """Tell whether a daemon is one of those that follow the KV stores.
+
+    Args:
+        me: The daemon.
+        daemons: All daemons that serve now; ``me`` counts in any case.
+    """
+    order = rendezvous_order(_FOLLOWER_KEY, {me, *daemons})
+    return me in order[:MOST_STORE_FOLLOWERS]
+
+
 def _part(index: int, n_items: int, n_parts: int) -> int:
     """Return in which of ``n_parts`` equal parts an item lies."""
     return index * n_parts // n_items
