Split the views from the target list, and the platform's edges from the fuzzer

What the scheduler is shown of a target is a pure pass of its own (state/targetviews.py); strategies and the edges that take what others wrote into the store are modules of their own.

--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -24,10 +24,10 @@
 from lycheepost.core.routing import ListedTarget, RouteTable
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.cells import Cell, Place, find_reaches
-from lycheepost.decide.records import Reach, TargetState, TargetView
-from lycheepost.decide.routes import fetch_token_seconds
+from lycheepost.decide.records import Reach, TargetView
 from lycheepost.decide.targethealth import Ending, TargetHealth
 from lycheepost.state.targetstarts import TargetStarts
+from lycheepost.state.targetviews import Standing, make_view
 from lycheepost.state.wantedweights import (
     OLD_WEIGHTS_MARGIN_SECONDS,
     NamedVersion,
@@ -419,7 +419,7 @@
         self._find_reaches()
         resting = self._resting(now_seconds)
         views = tuple(
-            self._view(name, known, name in resting, now_seconds)
+            self._view(known, name in resting, now_seconds)
             for name, known in sorted(self._known.items())
         )
         if views != self._views:
@@ -469,34 +469,11 @@
             return 0.0
         return self._wanted.penalty_seconds(known.weights or {}, now_seconds)
 
-    def _view(
-        self, name: TargetId, known: _Known, is_resting: bool, now_seconds: float
-    ) -> TargetView:
-        listed = known.listed
-        state = TargetState.SERVING
-        if listed.is_leaving:
-            state = TargetState.LEAVING
-        elif is_resting or self._is_unfit(known, now_seconds):
-            state = TargetState.GONE
-        group = (
-            None if self._table is None else self._table.groups.get(listed.target_group)
-        )
-        engine = None if group is None else group.engine
-        versions = sorted((known.weights or {}).values())
-        return TargetView(
-            target=name,
-            target_group=listed.target_group,
-            availability_zone=listed.availability_zone,
-            state=state,
-            incarnation=listed.start.incarnation,
-            weights_version=WeightsVersion(",".join(versions)),
-            concurrency_limit=listed.slots,
-            cache_tokens=0 if engine is None else engine.kv_tokens,
+    def _view(self, known: _Known, is_resting: bool, now_seconds: float) -> TargetView:
+        standing = Standing(
+            weights=known.weights or {},
+            is_left_alone=is_resting or self._is_unfit(known, now_seconds),
             penalty_seconds=self._penalty_seconds(known, now_seconds),
-            reach=self._reaches[name],
-            fetch_token_seconds=(
-                0.0
-                if self._table is None
-                else fetch_token_seconds(self._table, listed.availability_zone, engine)
-            ),
+            reach=self._reaches[known.listed.target],
         )
+        return make_view(known.listed, standing, self._table)
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -33,16 +33,21 @@
     wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
 )
 
+from fuzzplatform import (
+    ENTRIES,
+    MEMBER_ROWS,
+    STORE_ANSWERS,
+    check_entry,
+    check_member_row,
+    check_store_answer,
+)
+from fuzzstrategies import JSON, NESTED, NESTED_MSGPACK, mutated, with_fields
+
 from lycheepost.app.settings import check_settings
 from lycheepost.callers.parse import Endpoint, engine_body, parse_completion
-from lycheepost.core.clock import FakeClock
-from lycheepost.decide.records import TargetView
 from lycheepost.generated.engine import CacheEvents, EngineHealth, EngineLoad
 from lycheepost.operators.intents import parse_intent
 from lycheepost.peers.wire import MESSAGE_TYPES, WireCounts, decode_message
-from lycheepost.platform.following import ServerFollower
-from lycheepost.platform.storewire import WireRows
-from lycheepost.ports.feed import ChangedRow
 from lycheepost.ports.http_calls import HttpAnswer
 from lycheepost.ports.http_table import HttpTable
 from lycheepost.ports.table import (
@@ -55,52 +60,10 @@
     Write,
 )
 from lycheepost.report.history import unpack_slot
-from lycheepost.state.leases import decode_lease
-from lycheepost.state.memberrows import to_vm
 from lycheepost.state.revision_rows import decode_snapshot, read_deltas, read_head
-from lycheepost.state.targetlist import TargetList
-from lycheepost.state.watch import Seen
 from lycheepost.targets.sse import BrokenStreamError, EventChecker
-from lycheepost.utils.decoding import UNREADABLE
 from lycheepost.utils.documents import convert_document, parse_yaml
 
-JSON = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers(-(2**70), 2**70)
-    | st.floats(allow_nan=False)
-    | st.text(max_size=20),
-    lambda inner: (
-        st.lists(inner, max_size=4)
-        | st.dictionaries(st.text(max_size=12), inner, max_size=4)
-    ),
-    max_leaves=12,
-)
-
-NESTED = st.integers(1, 3000).map(lambda depth: b"[" * depth + b"]" * depth)
-NESTED_MSGPACK = st.integers(1, 3000).map(lambda depth: b"\x91" * depth + b"\xc0")
-
-
-def mutated(good: st.SearchStrategy[bytes]) -> st.SearchStrategy[bytes]:
-    """Return good bytes with a few of them cut out, changed or repeated."""
-
-    def mutate(data: bytes, edits: list[tuple[int, int, bytes]]) -> bytes:
-        for place, length, new in edits:
-            start = place % (len(data) + 1)
-            data = data[:start] + new + data[start + length :]
-        return data
-
-    edit = st.tuples(st.integers(0, 10_000), st.integers(0, 8), st.binary(max_size=6))
-    return st.builds(mutate, good, st.lists(edit, max_size=3))
-
-
-def with_fields(fields: dict[str, st.SearchStrategy[Any]]) -> st.SearchStrategy[Any]:
-    """Return objects with some known fields, good or not, and some others."""
-    known = st.fixed_dictionaries({}, optional=fields)
-    extra = st.dictionaries(st.text(max_size=12), JSON, max_size=2)
-    return st.builds(lambda left, right: right | left, known, extra)
-
-
 # Callers' bodies
 
 _COMPLETION = with_fields(
@@ -352,107 +315,6 @@
             assert isinstance(error, TableError)
 
 
-ENTRIES = (
-    st.binary(max_size=60)
-    | NESTED
-    | mutated(
-        st.just(
-            b'{"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1",'
-            b'"slots":4,"state":"ready","cold_left_ms":0,"seq":1,'
-            b'"models":[{"name":"m","version":2}],"born":1783498657083}'
-        )
-    )
-    | with_fields(
-        {
-            "service": st.just("s") | JSON,
-            "address": st.just("1.2.3.4:5") | JSON,
-            "zone": st.just("z") | JSON,
-            "version": st.just("v1") | JSON,
-            "slots": st.just(4) | JSON,
-            "state": st.sampled_from(["ready", "draining", "asleep"]) | JSON,
-            "cold_left_ms": st.just(0) | JSON,
-            "seq": st.just(1) | JSON,
-            "models": st.just([{"name": "m", "version": 2}]) | JSON,
-            "born": st.integers(-5, 2**65) | JSON,
-        }
-    ).map(lambda entry: json.dumps(entry).encode())
-)
-
-
-def check_entry(data: bytes) -> None:
-    """A foreign entry names no target and leaves the others as they are."""
-    views: list[tuple[TargetView, ...]] = [()]
-    targets = TargetList(FakeClock(), views.append, lambda: 10.0)
-    follower = ServerFollower(targets)
-    good = _GOOD_ENTRY
-    rows = (ChangedRow("a", good), ChangedRow("b", good), ChangedRow("c", good))
-    follower.take(Seen(rows, True, 1.0, None, False))
-    rows = (ChangedRow("a", data), ChangedRow("x", data), ChangedRow("b", None))
-    follower.take(Seen(rows, False, 2.0, 1.0, False))
-    found = {view.target for view in views[-1]}
-    assert "c" in found and "b" not in found, found
-    for view in views[-1]:
-        assert view.concurrency_limit > 0 and isinstance(view.target_group, str)
-
-
-def check_store_answer(data: bytes) -> None:
-    """An answer of the platform's store is rows or cannot be read as a whole."""
-    try:
-        answer = msgspec.json.decode(data, type=WireRows)
-    except UNREADABLE:
-        return
-    for row in answer.rows:
-        assert isinstance(row.to_row().value, bytes)
-        assert isinstance(row.to_change(), ChangedRow)
-
-
-STORE_ANSWERS = (
-    NESTED
-    | mutated(st.just(b'{"rows":[{"key":"k","value":"AAECAw==","ver":3}],"ver":3}'))
-    | st.builds(
-        lambda text: json.dumps({"rows": [{"key": "k", "value": text}]}).encode(),
-        st.text(max_size=20),
-    )
-)
-
-_GOOD_ENTRY = json.dumps(
-    {
-        "service": "s",
-        "address": "1.2.3.4:5",
-        "zone": "z",
-        "version": "v1",
-        "slots": 4,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "seq": 1,
-    }
-).encode()
-
-
-MEMBER_ROWS = (
-    st.binary(max_size=60)
-    | NESTED
-    | mutated(
-        st.just(
-            b'{"availability_zone":"z","host":"1.2.3.4","callers_url":"1.2.3.4:5",'
-            b'"peer_endpoint":"tcp://1.2.3.4:6","boot":"b"}'
-        )
-        | st.just(
-            b'{"holder":"d","token":"t","fencing_number":1,"length_seconds":3.6,'
-            b'"attempt":"a"}'
-        )
-    )
-    | JSON.map(lambda value: json.dumps(value).encode())
-)
-
-
-def check_member_row(data: bytes) -> None:
-    """A daemon's or a duty's row that cannot be read is nobody's."""
-    row = Row("member/x", data, 1)
-    to_vm(row)
-    assert isinstance(decode_lease(row), Result)
-
-
 STORED = st.binary(max_size=60) | NESTED_MSGPACK | mutated(JSON.map(json_to_msgpack))
 
 
