--- a/features/decide/kvcopies.feature
+++ b/features/decide/kvcopies.feature
@@ -37,3 +37,14 @@
     Given a store that keeps template a
     When a prompt of template a comes under other weights
     Then 1 prompts were sent to the store
+
+  Scenario: Three stores that together have room for what is shared
+    Each store had all albums sent to it, had room for half of them, and had dropped
+    most again when they were asked for; engines of zones without a store filled the
+    link of one. Divided by what is shared, each store keeps its part of the albums.
+    Given 3 stores and 3000 albums
+    When the store of each album is chosen
+    Then each store has between 30 and 37 in 100 of them
+    And prompts of one album have one store
+    When one store is gone
+    Then only its albums have another store
--- a/features/decide/steps/kvcopies_steps.py
+++ b/features/decide/steps/kvcopies_steps.py
@@ -1,13 +1,27 @@
 """Steps of kvcopies.feature."""
 
 import random
+from collections import Counter
 
 from behave import given, then, when
 
-from lycheepost.core.ids import CustomerId, Incarnation, ModelId, WeightsVersion
-from lycheepost.core.routing import Prompt, PromptPart
+from lycheepost.core.ids import (
+    AvailabilityZone,
+    CustomerId,
+    Incarnation,
+    ModelId,
+    WeightsVersion,
+)
+from lycheepost.core.routing import (
+    CallerLimits,
+    KvStore,
+    Prompt,
+    PromptPart,
+    make_route_table,
+)
 from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.promptlevels import CacheScope, prompt_levels
+from lycheepost.decide.routes import choose_kv_store
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
 from lycheepost.targets.cachewatch import CLEARED
 
@@ -124,3 +138,52 @@
 @then("{n:d} prompts were sent to the store")
 def step_n_sent(context, n):
     assert context.n_sent == n, context.n_sent
+
+
+def make_table(n_stores):
+    stores = tuple(
+        KvStore(f"10.0.0.{index}:80", AvailabilityZone("a"), 1000)
+        for index in range(n_stores)
+    )
+    return make_route_table(1, (), (), CallerLimits(1, 1, 1.0, 1.0), None, stores)
+
+
+def choose_all(table, albums, own="x"):
+    return {album: choose_kv_store(table, levels_of(album, own)) for album in albums}
+
+
+@given("{n_stores:d} stores and {n_albums:d} albums")
+def step_albums(context, n_stores, n_albums):
+    context.routes = make_table(n_stores)
+    context.albums = [f"album-{index}" for index in range(n_albums)]
+
+
+@when("the store of each album is chosen")
+def step_choose(context):
+    context.chosen = choose_all(context.routes, context.albums)
+
+
+@then("each store has between {least:d} and {most:d} in 100 of them")
+def step_divided(context, least, most):
+    counts = Counter(context.chosen.values())
+    assert len(counts) == len(context.routes.kv_stores), counts
+    for count in counts.values():
+        assert least <= 100 * count / len(context.albums) <= most, counts
+
+
+@then("prompts of one album have one store")
+def step_one_store(context):
+    assert choose_all(context.routes, context.albums, "y") == context.chosen
+
+
+@when("one store is gone")
+def step_store_gone(context):
+    context.gone = context.routes.kv_stores[-1].address
+    left = make_table(len(context.routes.kv_stores) - 1)
+    context.left = choose_all(left, context.albums)
+
+
+@then("only its albums have another store")
+def step_moved(context):
+    for album, store in context.chosen.items():
+        assert store == context.gone or context.left[album] == store
--- a/features/peers/steps/flood_steps.py
+++ b/features/peers/steps/flood_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from lycheepost.app.platformpeers import PEER_LINKS, cell_of
+from lycheepost.app.fleetplace import EntryChooser, find_place
+from lycheepost.app.platformpeers import PEER_LINKS
 from lycheepost.core.ids import AvailabilityZone, DaemonId
 from lycheepost.peers.exchange import _flooded_by_others
 from lycheepost.peers.neighbours import choose_neighbours
@@ -17,15 +18,19 @@
     return Member(name, "boot", MemberState.LIVE, zone, "", f"tcp://{name}")
 
 
-@given("{n:d} daemons in cells, linked by their rings and with their mates")
+@given("{n:d} daemons, linked by their rings, with their mates and with whom they ask")
 def step_links(context, n):
     members = tuple(make_member(index) for index in range(n))
     context.links = {member.daemon: set() for member in members}
     context.not_flooded = {}
+    context.neighbours = {}
+    entry = EntryChooser().choose(members)
     for me in members:
-        names = set(cell_of(me, members).mates)
+        place = find_place(me, members, entry)
+        names = {*place.mates, *place.sources}
         mates = tuple(member for member in members if member.daemon in names)
         neighbours = choose_neighbours(me.daemon, members, PEER_LINKS)
+        context.neighbours[me.daemon] = {item.daemon for item in neighbours}
         context.not_flooded[me.daemon] = _flooded_by_others(members, neighbours, mates)
         for other in (*neighbours, *mates):
             context.links[me.daemon].add(other.daemon)
@@ -46,7 +51,9 @@
     while queue:
         me, source = queue.popleft()
         for other in context.links[me] - context.not_flooded[me] - {source}:
-            if other in context.dead:
+            is_wanted = me not in context.not_flooded[other]
+            is_near = other in context.neighbours[me]
+            if other in context.dead or not (is_wanted or is_near):
                 continue
             copies[other] += 1
             if other not in seen:
--- a/lycheepost/app/cachefollow.py
+++ b/lycheepost/app/cachefollow.py
@@ -4,7 +4,7 @@
 from lycheepost.core.ids import Incarnation, TargetId
 from lycheepost.core.routing import RouteTable
 from lycheepost.decide.kvcopies import KvCopies
-from lycheepost.decide.records import Reach, TargetView
+from lycheepost.decide.records import TargetView
 from lycheepost.generated.engine import CacheEvent
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.cachewatch import CacheEventsPort, CacheSource, CacheWatch
@@ -21,7 +21,7 @@
         dispatcher: Places requests by what engines keep.
         targets: The engines there are.
         copies: Decides what is sent to stores.
-        follows_engines: Engines' events are followed, and not only those of stores.
+        may_follow_engines: Engines' events are followed, and not only those of stores.
     """
 
     def __init__(
@@ -30,16 +30,17 @@
         dispatcher: Dispatcher,
         targets: TargetList,
         copies: KvCopies,
-        follows_engines: bool = True,
+        may_follow_engines: bool = True,
     ) -> None:
-        self._follows_engines = follows_engines
+        self._may_follow_engines = may_follow_engines
+        self._follows_engines = True
         self._follows_stores = True
         self._copies = copies
         self._watch = CacheWatch(port, self._take)
         self._dispatcher = dispatcher
         self._targets = targets
         self._table: RouteTable | None = None
-        self._near: frozenset[TargetId] = frozenset()
+        self._viewed: frozenset[TargetId] = frozenset()
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -58,16 +59,20 @@
         self.refresh()
 
     def set_targets(self, views: tuple[TargetView, ...]) -> None:
-        """Follow the engines of our cell that there are now.
+        """Follow the engines that there are now."""
+        self._viewed = frozenset(view.target for view in views)
+        self.refresh()
+
+    def follow_engines(self, is_follower: bool) -> None:
+        """Follow the engines, or leave that to other daemons.
 
         An engine holds a few of these questions at a time and refuses the others.
         Were all daemons of a large fleet to ask all engines, most of what they and
         the engines do would be that.
         """
-        self._near = frozenset(
-            view.target for view in views if view.reach is Reach.CELL
-        )
-        self.refresh()
+        if is_follower != self._follows_engines:
+            self._follows_engines = is_follower
+            self.refresh()
 
     def follow_stores(self, is_follower: bool) -> None:
         """Follow the KV stores, or leave that to other daemons."""
@@ -86,14 +91,14 @@
         self._watch.follow([*self._engines(self._table), *map(_store_source, stores)])
 
     def _engines(self, table: RouteTable) -> list[CacheSource]:
-        if not self._follows_engines:
+        if not (self._may_follow_engines and self._follows_engines):
             return []
         return [
             CacheSource(target.target, target.start.incarnation, target.address)
             for name, group in table.groups.items()
             if group.engine is not None
             for target in self._targets.listed(name)
-            if target.target in self._near
+            if target.target in self._viewed
         ]
 
     def _take(self, source: CacheSource, events: tuple[CacheEvent, ...]) -> None:
--- /dev/null
+++ b/lycheepost/app/fleetplace.py
@@ -0,0 +1,97 @@
+"""Where this daemon stands in the fleet, as far as it knows the others."""
+
+from dataclasses import dataclass
+
+from lycheepost.core.fleetmember import FleetMember
+from lycheepost.core.ids import DaemonId
+from lycheepost.decide.entry import choose_entry
+from lycheepost.decide.feedtree import find_sources
+from lycheepost.state.addresses import Member, MemberState
+from lycheepost.state.members import MemberKeeper
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlace:
+    """One daemon's place.
+
+    Attributes:
+        entry: The daemons that callers are told to use.
+        mates: The other entry daemons, for one of them; nobody for the others.
+        sources: Whom it asks for what the store tells, best first.
+    """
+
+    entry: frozenset[DaemonId]
+    mates: tuple[DaemonId, ...]
+    sources: tuple[DaemonId, ...]
+
+
+class EntryChooser:
+    """Chooses the entry daemons among members.
+
+    Attributes:
+        n_targets: Targets of the fleet.
+    """
+
+    def __init__(self) -> None:
+        self.n_targets = 0
+
+    def choose(self, members: tuple[Member, ...]) -> frozenset[DaemonId]:
+        """Return the entry daemons among the members that serve."""
+        live = [item for item in members if item.state is MemberState.LIVE]
+        return choose_entry(map(to_fleet_member, live), self.n_targets)
+
+
+def find_place(
+    me: Member, members: tuple[Member, ...], entry: frozenset[DaemonId]
+) -> FleetPlace:
+    """Return the place of ``me``.
+
+    Args:
+        me: This daemon.
+        members: Every daemon that it knows.
+        entry: The entry daemons.
+    """
+    others = [item for item in members if item.daemon != me.daemon]
+    mates = sorted(entry - {me.daemon}) if me.daemon in entry else ()
+    known = [item for item in others if item.state is not MemberState.GONE]
+    live = {item.daemon for item in others if item.state is MemberState.LIVE}
+    sources = find_sources(to_fleet_member(me), map(to_fleet_member, known), live)
+    return FleetPlace(entry, tuple(mates), sources)
+
+
+def to_fleet_member(member: Member) -> FleetMember:
+    """Return a member as the decisions on the fleet see it."""
+    return FleetMember(member.daemon, member.availability_zone, member.capacity)
+
+
+class PlaceFinder:
+    """Finds the place of this daemon anew when a member has changed.
+
+    With two hundred members it takes a millisecond, and is asked for at each exchange
+    with the peers and at each question to the store.
+
+    Args:
+        members: The members as this daemon sees them.
+        chooser: Chooses the entry daemons for ``members``.
+    """
+
+    def __init__(self, members: MemberKeeper, chooser: EntryChooser) -> None:
+        self._members = members
+        self._chooser = chooser
+        self._place: FleetPlace | None = None
+        self._change: int | None = None
+
+    def set_targets(self, n_targets: int) -> None:
+        """Follow how many targets there are."""
+        if n_targets != self._chooser.n_targets:
+            self._chooser.n_targets = n_targets
+            self._members.choose_anew()
+
+    def place(self) -> FleetPlace:
+        """Return the place by what is known now."""
+        members = self._members.members()
+        if self._place is None or self._change != self._members.n_changes:
+            self._change = self._members.n_changes
+            me = self._members.me()
+            self._place = find_place(me, members, self._members.entry())
+        return self._place
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -1,18 +1,18 @@
-"""Share with the peers what is under way at each target."""
+"""Share with the peers what is under way at each target, and what was placed there."""
 
 import asyncio
 
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import DaemonId, TargetGroupId, TargetId
+from lycheepost.core.ids import DaemonId, PrefixDigest, TargetGroupId, TargetId
 from lycheepost.decide.peerloads import (
     NOTHING,
     PeerLoads,
     UnderWay,
     find_changes,
 )
-from lycheepost.decide.records import LoadReport, Reach, TargetView
-from lycheepost.generated.messages import LoadNews, TargetLoad
+from lycheepost.decide.records import LoadReport, Placed, PrefixLevel, TargetView
+from lycheepost.generated.messages import LoadNews, PlacedPrompt, TargetLoad
 from lycheepost.peers.exchange import PeerExchange
 from lycheepost.utils.tasks import start_task
 
@@ -20,13 +20,16 @@
 """How soon a change of our load is told. What waits at a target is bounded for all
 daemons together, so each must know within less than a prompt takes to be read."""
 
+ALONE_SECONDS = 0.4
+"""Between two looks at whether there is somebody to tell."""
+
 AGAIN_SECONDS = 0.4
 """So often all of our load is told, also when it is unchanged: peers would take this
 daemon for dead, and one that missed a change would believe in it for good."""
 
 
 class LoadExchange:
-    """Tells our load to the daemons of our cell and theirs to the scheduler.
+    """Tells our load to the other entry daemons and theirs to the scheduler.
 
     Args:
         dispatcher: Knows our load and places by the sum.
@@ -63,10 +66,10 @@
 
     def set_targets(self, views: tuple[TargetView, ...]) -> None:
         """Follow the targets that the scheduler knows."""
-        self._targets = tuple(view.target for view in views if view.reach is Reach.CELL)
+        self._targets = tuple(view.target for view in views)
 
     def set_mates(self, mates: tuple[DaemonId, ...]) -> None:
-        """Follow who else is of our cell."""
+        """Follow who else is told; nobody where this daemon stands by."""
         self._mates = mates
 
     def count_running(self, target: TargetId) -> int:
@@ -83,17 +86,20 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(TELL_SECONDS)
-            self._tell()
-            self._pass_on()
+            await asyncio.sleep(TELL_SECONDS if self._mates else ALONE_SECONDS)
+            placed = self._dispatcher.take_placed()
+            if self._mates:
+                self._tell(placed)
+                self._pass_on()
 
-    def _tell(self) -> None:
+    def _tell(self, placed: tuple[Placed, ...]) -> None:
         loads = self._dispatcher.under_way()
         now_seconds = self._clock.now_seconds()
         is_whole = now_seconds - self._whole_seconds > AGAIN_SECONDS
         told = loads if is_whole else find_changes(self._told, loads)
         waiting = self._dispatcher.waiting_groups()
-        if not told and waiting == self._told_waiting and not (is_whole and loads):
+        is_news = told or placed or waiting != self._told_waiting
+        if not is_news and not (is_whole and loads):
             return
         self._told, self._told_waiting = loads, waiting
         if is_whole:
@@ -109,6 +115,7 @@
                 )
                 for target, load in told.items()
             ],
+            placed=[_to_message(item) for item in placed],
         )
         for daemon in self._mates:
             self._exchange.send(daemon, news)
@@ -137,3 +144,19 @@
         else:
             self._peers.observe_changes(sender, loads, now_seconds)
         self._peers.note_waiting(sender, map(TargetGroupId, news.waiting_groups))
+        for item in news.placed:
+            self._dispatcher.note_placed(_from_message(item))
+
+
+def _to_message(placed: Placed) -> PlacedPrompt:
+    return PlacedPrompt(
+        target=placed.target,
+        digests=[level.digest for level in placed.levels],
+        end_tokens=[level.end_tokens for level in placed.levels],
+    )
+
+
+def _from_message(message: PlacedPrompt) -> Placed:
+    pairs = zip(message.digests, message.end_tokens, strict=False)
+    levels = tuple(PrefixLevel(PrefixDigest(digest), end) for digest, end in pairs)
+    return Placed(TargetId(message.target), levels)
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -20,12 +20,12 @@
     ADDRESS_SECONDS,
     PlatformPeers,
     WeightsDuty,
-    cell_of,
     make_platform_peers,
     make_weights_duty,
 )
 from lycheepost.app.platformtraffic import (
     PlatformTraffic,
+    count_sharing,
     make_key_rule,
     make_platform_traffic,
     retry_terms,
@@ -34,8 +34,7 @@
 from lycheepost.app.settingswatch import SettingsWatch
 from lycheepost.app.ticker import Ticker
 from lycheepost.core.clock import Clock, SystemClock
-from lycheepost.core.ids import DaemonId, ModelId
-from lycheepost.decide.cells import follows_stores
+from lycheepost.core.ids import ModelId
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
 from lycheepost.platform.following import (
@@ -47,7 +46,6 @@
 from lycheepost.platform.settings import Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
-from lycheepost.state.addresses import MemberState
 from lycheepost.state.firstreads import FirstReads
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.watch import Watch
@@ -101,7 +99,6 @@
         self._made = made
         self._plan = plan
         self._front = made.traffic.front
-        self._live: frozenset[DaemonId] = frozenset()
         self._parts: list[Part] = [
             made.base.store,
             *made.traffic.parts(),
@@ -208,16 +205,9 @@
     def _tick(self) -> None:
         """Let time pass for targets, budgets and this daemon's own standing."""
         members = self._made.peers.members
-        terms = retry_terms(self._made.settings.bounds, members.n_live())
-        me, known = members.me(), members.members()
-        self._made.traffic.set_cell(cell_of(me, known))
-        live = frozenset(
-            item.daemon for item in known if item.state is MemberState.LIVE
-        )
-        if live != self._live:
-            self._live = live
-            is_follower = follows_stores(me.daemon, live)
-            self._made.traffic.caches.follow_stores(is_follower)
+        terms = retry_terms(self._made.settings.bounds, self._count_sharing())
+        self._follow_place()
+        self._made.base.store.calls.tell(self._made.base.clock.now_seconds())
         self._made.traffic.targets.refresh()
         self._made.traffic.dispatcher.set_retry_terms(terms)
         if self.is_leaving:
@@ -229,6 +219,17 @@
         else:
             members.announce_leaving()
 
+    def _follow_place(self) -> None:
+        """Do what the place of this daemon in the fleet asks for."""
+        peers, traffic = self._made.peers, self._made.traffic
+        peers.places.set_targets(traffic.targets.n_listed)
+        traffic.follow_place(peers.members.me().daemon, peers.places.place())
+
+    def _count_sharing(self) -> int:
+        """Return among how many daemons the fleet's repeats are divided."""
+        members, entry = self._made.peers.members, self._made.peers.members.entry()
+        return count_sharing(members.me().daemon, entry, members.n_live())
+
     def _address_seconds(self) -> float:
         return min(ADDRESS_SECONDS, self._made.settings.bounds.address_seconds)
 
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -4,17 +4,16 @@
 from dataclasses import dataclass
 
 from lycheepost.app.fleet import Fleet, Identity
+from lycheepost.app.fleetplace import EntryChooser, PlaceFinder
 from lycheepost.app.parts import Part
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.weightsdue import WeightsDueExchange
 from lycheepost.core.ids import (
-    DaemonId,
     ModelId,
     TargetGroupId,
     TargetId,
 )
 from lycheepost.core.routing import RouteTable
-from lycheepost.decide.cells import Cell, Peer, find_cell, find_sources
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.rollout import LEAST_ALONE_SECONDS, MOST_ALONE_SECONDS
 from lycheepost.generated.configuration import Configuration
@@ -42,6 +41,10 @@
 MEMBER_LOOK_SECONDS = 12.0
 """Peers tell of each other; the table is looked at only to find peers at all."""
 
+FLEET_LOOK_SECONDS = 2.0
+"""So often one daemon of the fleet looks at the table, however many there are: one that
+nobody has told of is found, and then told of, within some seconds."""
+
 ADDRESS_SECONDS = 0.9
 """How long clients may keep an addresses answer. Some keep it three times as long:
 as long as a daemon that leaves goes on taking requests."""
@@ -61,6 +64,10 @@
 DUTY_PERIOD_SECONDS = 0.8
 """Two renewals within the time that a holder may order."""
 
+DUTY_SETTLE_SECONDS = 1.2
+"""How long after its start a daemon knows the others. A lease of an earlier start runs
+out only after five seconds."""
+
 DUTY_WATCH_SECONDS = 0.7
 """How often the daemons that stand ready look at the lease: a tenth of the time
 allowed, at four reads a second of the store's two thousand."""
@@ -68,12 +75,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformPeers:
-    """This daemon among its peers."""
+    """This daemon among its peers.
+
+    Attributes:
+        places: Where this daemon stands.
+    """
 
     members: MemberKeeper
     exchange: PeerExchange
     fleet: Fleet
     feed: SharedFeed
+    places: PlaceFinder
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,9 +116,11 @@
         callers_url="" if node.clients is None else str(node.clients),
         peer_endpoint="",
         started_wall_seconds=base.clock.wall_seconds(),
+        capacity=node.capacity,
     )
     # Members alone are kept here; the targets come from the platform's own list.
     view = make_view(Configuration(revision=0))
+    chooser = EntryChooser()
     members = make_member_keeper(
         MemberRows(base.store),
         base.clock,
@@ -116,7 +130,10 @@
         ADDRESS_SECONDS,
         base.seed,
         names_unheard=False,
+        choose_entry=chooser.choose,
+        fleet_poll_seconds=FLEET_LOOK_SECONDS,
     )
+    places = PlaceFinder(members, chooser)
     transport = make_socket_transport(node.daemon, node.host, node.peer_ports[0])
     exchange = make_peer_exchange(
         transport,
@@ -125,41 +142,24 @@
         lambda: 0,
         PEER_LINKS,
         EXCHANGE_SECONDS,
-        lambda known: _mates(me, known),
+        lambda known: _linked(places, known),
     )
     MemberExchange(exchange, members, base.clock)
     feed = SharedFeed(
         base.store,
         exchange,
         base.clock,
-        lambda: _sources_of(members.me(), members.members()),
+        lambda: places.place().sources,
     )
     identity = Identity(node.daemon, base.boot, node.availability_zone, node.host)
     fleet = Fleet(identity, base.store, transport, exchange, members)
-    return PlatformPeers(members, exchange, fleet, feed)
-
-
-def cell_of(me: Member, members: tuple[Member, ...]) -> Cell:
-    """Return the cell of ``me`` among the members that there are."""
-    return find_cell(
-        _to_peer(me),
-        (_to_peer(item) for item in members if item.state is not MemberState.GONE),
-    )
-
-
-def _sources_of(me: Member, members: tuple[Member, ...]) -> tuple[DaemonId, ...]:
-    """Return whom ``me`` asks for what the store tells, best first."""
-    live = {item.daemon for item in members if item.state is MemberState.LIVE}
-    return find_sources(me.daemon, cell_of(me, members), live)
-
-
-def _to_peer(member: Member) -> Peer:
-    return Peer(member.daemon, member.availability_zone)
+    return PlatformPeers(members, exchange, fleet, feed, places)
 
 
-def _mates(me: Member, members: tuple[Member, ...]) -> tuple[Member, ...]:
-    """Return the members of our cell; load is told to them directly."""
-    names = set(cell_of(me, members).mates)
+def _linked(places: PlaceFinder, members: tuple[Member, ...]) -> tuple[Member, ...]:
+    """Return the members to hold links with, beside the rings."""
+    place = places.place()
+    names = {*place.mates, *place.sources}
     return tuple(
         member for member in members if member.daemon in names and member.peer_endpoint
     )
@@ -221,6 +221,7 @@
         base.seed,
         DUTY_WATCH_SECONDS,
         rollout.last_order_seconds,
+        DUTY_SETTLE_SECONDS,
     )
     return WeightsDuty(rollout, duty)
 
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -1,6 +1,7 @@
 """The parts of a daemon on the platform that carry requests."""
 
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 from returns.result import Failure, Success
 
 from lycheepost.app.cachefollow import CacheFollower
+from lycheepost.app.fleetplace import FleetPlace
 from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.parts import Part
@@ -15,10 +17,10 @@
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import RequestId
+from lycheepost.core.ids import DaemonId, RequestId
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
-from lycheepost.decide.cells import Cell
+from lycheepost.decide.entry import follows_engines, follows_stores
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.mechanisms import Mechanism
@@ -49,6 +51,9 @@
 """Part of the allowed repeats that is used; the rest covers what is not counted
 here, such as requests that the daemons see differently than the clients."""
 
+ENTRY_RETRY_SHARE = 0.7
+"""Part of the repeats that the entry daemons of a large fleet divide among them."""
+
 FEWEST_DAEMONS = 4
 """Repeats are divided among at least so many: a daemon that has not yet heard of its
 peers must not take all of them."""
@@ -92,10 +97,11 @@
             self.loads,
         ]
 
-    def set_cell(self, cell: Cell) -> None:
-        """Follow the cell of this daemon."""
-        self.targets.set_cell(cell)
-        self.loads.set_mates(cell.mates)
+    def follow_place(self, me: DaemonId, place: FleetPlace) -> None:
+        """Follow the place of this daemon in the fleet."""
+        self.loads.set_mates(place.mates)
+        self.caches.follow_stores(follows_stores(me, place.entry))
+        self.caches.follow_engines(follows_engines(me, place.entry))
 
 
 def make_platform_traffic(
@@ -140,7 +146,7 @@
         dispatcher,
         targets,
         kv_copies,
-        follows_engines=Mechanism.CACHE_EVENTS not in switched_off,
+        may_follow_engines=Mechanism.CACHE_EVENTS not in switched_off,
     )
     routing = RoutingKeeper()
     routing.subscribe(targets.set_table)
@@ -184,6 +190,25 @@
     return KeyRule(bounds.revoke_seconds, bounds.is_revoke_strict)
 
 
+def count_sharing(me: DaemonId, entry: frozenset[DaemonId], n_live: int) -> int:
+    """Return by how much the fleet's repeats are divided for one daemon.
+
+    Entry daemons share most of them. The others get few requests, but each must be
+    able to repeat some as soon as callers come to it.
+
+    Args:
+        me: The daemon.
+        entry: The entry daemons.
+        n_live: All daemons that serve, these too.
+    """
+    n_entry = len(entry)
+    if n_entry >= n_live:
+        return n_live
+    if me in entry:
+        return math.ceil(n_entry / ENTRY_RETRY_SHARE)
+    return math.ceil((n_live - n_entry) / (1.0 - ENTRY_RETRY_SHARE))
+
+
 def retry_terms(bounds: Bounds, n_daemons: int) -> RetryTerms:
     """Return this daemon's part of the repeats that the fleet may send."""
     n_sharing = max(FEWEST_DAEMONS, n_daemons)
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -25,6 +25,7 @@
     FinishKind,
     LoadReport,
     Outcome,
+    Placed,
     RefusalReason,
     Refuse,
     TargetView,
@@ -173,6 +174,14 @@
         """Return the groups that requests wait for here, for the peers."""
         return self._scheduler.waiting_groups()
 
+    def take_placed(self) -> tuple[Placed, ...]:
+        """Return the prompts that were sent out since the last call, for the peers."""
+        return self._scheduler.take_placed()
+
+    def note_placed(self, placed: Placed) -> None:
+        """Pass on a prompt that another daemon has sent to a target."""
+        self._scheduler.note_placed(placed)
+
     def pump(self) -> None:
         """Send out what waits and has room by what the others told."""
         self._wake(self._scheduler.pump(self._clock.now_seconds()))
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -405,9 +405,10 @@
         version = self._deps.targets.weights_of(target, prompt.model)
         version = version or WeightsVersion("")
         scope = make_scope(self._way.holder, version)
-        store = choose_kv_store(_table(self._deps), listed.availability_zone)
+        levels = prompt_levels(scope, prompt)
+        store = choose_kv_store(_table(self._deps), levels)
         is_sent = bool(store) and self._deps.kv_copies.should_send(
-            store, prompt_levels(scope, prompt), self._deps.clock.now_seconds()
+            store, levels, self._deps.clock.now_seconds()
         )
         return EngineTerms(
             model=prompt.model,
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -9,7 +9,7 @@
 from lycheepost.core.routing import Prompt, Route, RouteKind, RouteTable
 from lycheepost.decide.promptlevels import make_scope, prompt_levels
 from lycheepost.decide.records import PrefixLevel, Priority, Work
-from lycheepost.decide.routes import Way, choose_group
+from lycheepost.decide.routes import Way, choose_group, choose_kv_store
 from lycheepost.decide.silence import stream_patience_seconds
 
 RANK_STEPS = 3
@@ -102,5 +102,5 @@
         fingerprint=fingerprint_body(customer, identity + request.body),
         is_idempotent=route.is_repeatable,
         objective_seconds=route.objective_seconds or math.inf,
-        kept_tokens=deps.kv_copies.kept_tokens(levels),
+        kept_tokens=deps.kv_copies.kept_tokens(choose_kv_store(table, levels), levels),
     )
--- /dev/null
+++ b/lycheepost/decide/entry.py
@@ -0,0 +1,117 @@
+"""Choose the daemons that callers of a large fleet are told to use.
+
+The load: two hundred daemons before forty engines. Spread over all of them, each gets
+a request or two a second and sends one to a given engine every half a minute. It knows
+neither what waits there nor which prompts are cached there, so prompts are read again
+where they are not cached, and wait at engines that others have filled. Telling each
+daemon of all that the others do would cost more than the requests themselves.
+
+So callers are sent to some ten daemons, the entry daemons, which tell each other
+everything. The others stand by: they hold the configuration, serve whoever still
+comes to them, and take the place of an entry daemon as soon as it is missed.
+
+Every daemon computes the entry daemons by itself, from the members that it knows. Two
+that know different ones for a moment name different addresses; each of these serves.
+"""
+
+from collections.abc import Iterable
+
+from lycheepost.core.fleetmember import FleetMember
+from lycheepost.core.hashing import hash_bytes, rendezvous_order
+from lycheepost.core.ids import AvailabilityZone, DaemonId
+
+SMALL_FLEET_DAEMONS = 12
+"""In a fleet of up to so many all are entry daemons: each can hear all others."""
+
+FEWEST_ENTRY_DAEMONS = 10
+"""The loss of one takes a tenth of the requests under way with it; a store of KV cache
+holds a dozen questions for its events, so that all of them can follow it."""
+
+MOST_ENTRY_DAEMONS = 24
+"""Each hears the load of all others thirty times a second; with more, hearing costs a
+narrow VM over a tenth of its processor."""
+
+MOST_STORE_FOLLOWERS = 10
+"""Daemons that follow the cache events of a KV store. A store holds a dozen such
+questions at once and refuses the others, each at the price of a health check. Two are
+left for daemons that start again."""
+
+MOST_ENGINE_FOLLOWERS = 8
+"""Questions for its cache events that an engine holds at once."""
+
+_FOLLOWER_KEY = hash_bytes(b"kv-store")
+
+TARGET_CORES = 0.1
+"""Processor cores of entry daemons for each target: a target is sent some six requests
+a second of 5 ms each, and half of the daemons may be gone in a burst of 1.7 times the
+usual load."""
+
+TARGET_LINK_MBPS = 3.0
+"""The same for network links: some 1 Mbit/s, in and out, for each target."""
+
+
+def choose_entry(
+    candidates: Iterable[FleetMember], n_targets: int
+) -> frozenset[DaemonId]:
+    """Return the entry daemons.
+
+    The widest VM of each availability zone comes first, so that no zone's loss leaves
+    callers without an address, then the widest of all. Equal ones are ordered by a
+    hash of their names, which no other daemon's coming or going changes.
+
+    Args:
+        candidates: The daemons that serve now.
+        n_targets: Targets of the fleet; they tell how much traffic there may be.
+    """
+    ordered = _in_order(candidates)
+    if len(ordered) <= SMALL_FLEET_DAEMONS:
+        return frozenset(item.daemon for item in ordered)
+    chosen: list[FleetMember] = []
+    for candidate in ordered:
+        if len(chosen) >= MOST_ENTRY_DAEMONS or _is_enough(chosen, n_targets):
+            break
+        chosen.append(candidate)
+    return frozenset(item.daemon for item in chosen)
+
+
+def follows_stores(me: DaemonId, entry: frozenset[DaemonId]) -> bool:
+    """Tell whether a daemon is one of those that follow the KV stores."""
+    return me in rendezvous_order(_FOLLOWER_KEY, entry)[:MOST_STORE_FOLLOWERS]
+
+
+def follows_engines(me: DaemonId, entry: frozenset[DaemonId]) -> bool:
+    """Tell whether a daemon follows the cache events of engines.
+
+    An engine holds fewer such questions than a store. Where there are more entry
+    daemons they tell each other what they placed, and ask no engine.
+    """
+    return me in entry and len(entry) <= MOST_ENGINE_FOLLOWERS
+
+
+def _in_order(candidates: Iterable[FleetMember]) -> list[FleetMember]:
+    by_width = sorted(candidates, key=_width_key)
+    n_seen: dict[AvailabilityZone, int] = {}
+    keyed: list[tuple[bool, int]] = []
+    for index, item in enumerate(by_width):
+        is_first = item.availability_zone not in n_seen
+        n_seen[item.availability_zone] = 1
+        keyed.append((not is_first, index))
+    return [by_width[index] for _, index in sorted(keyed)]
+
+
+def _width_key(candidate: FleetMember) -> tuple[float, float, int]:
+    capacity = candidate.capacity
+    order = hash_bytes(candidate.daemon.encode())
+    return -capacity.processor_cores, -capacity.link_mbps, order
+
+
+def _is_enough(chosen: list[FleetMember], n_targets: int) -> bool:
+    """Tell whether so many can carry the traffic of the targets."""
+    if len(chosen) < FEWEST_ENTRY_DAEMONS:
+        return False
+    n_cores = sum(item.capacity.processor_cores for item in chosen)
+    link_mbps = sum(item.capacity.link_mbps for item in chosen)
+    return (
+        n_cores >= TARGET_CORES * n_targets
+        and link_mbps >= TARGET_LINK_MBPS * n_targets
+    )
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import deque
 from dataclasses import replace
 
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
@@ -25,6 +26,7 @@
     Dispatch,
     FinishKind,
     Outcome,
+    Placed,
     RefusalReason,
     Refuse,
     Work,
@@ -71,6 +73,10 @@
 it the queue waits for a few targets, such as the owners of a hot prefix, and
 refusing new work for that would leave the others idle."""
 
+MOST_PLACED = 1_000
+"""Prompts that peers were not told of yet; some thirty seconds of a daemon's traffic,
+where nobody asks for them."""
+
 INSIDE_PATIENCE_SHARE = 0.7
 """A customer inside its share is refused only when the engines themselves are
 too slow for it; the rest covers the error of that prediction."""
@@ -102,6 +108,7 @@
         self.turns = Turns(rng)
         self.peer_suspects = PeerSuspects()
         self.suspect_targets: list[TargetId] = []
+        self.placed: deque[Placed] = deque(maxlen=MOST_PLACED)
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
         self._usual_rate = ServiceRate(1.0)
@@ -291,7 +298,9 @@
         )
         load.start(entry, now_seconds)
         load.belief.add(work.levels)
-        self.placement.note_holder(work, target)
+        self.placement.note_holder(work.levels, target)
+        if work.levels:
+            self.placed.append(Placed(target, work.levels))
         self._running[work.request] = target
         if self._quarantine.is_suspect(work.fingerprint, now_seconds):
             self.suspect_targets.append(target)
@@ -300,6 +309,17 @@
         self._usual_rate.count(self._usual_cost_seconds(work))
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
 
+    def note_placed(self, placed: Placed) -> None:
+        """Believe that a target caches what a peer has sent to it.
+
+        Without it each daemon would take a prompt for cached only where it has sent
+        one with the same parts itself, and ten daemons would have ten owners read it.
+        """
+        load = self.placement.loads.get(placed.target)
+        if load is not None:
+            load.belief.add(placed.levels)
+            self.placement.note_holder(placed.levels, placed.target)
+
     def draw_turns(self, n_peers: int, now_seconds: float) -> None:
         """Draw lots for the room at the targets with the peers that wait for it too.
 
--- a/lycheepost/decide/kvcopies.py
+++ b/lycheepost/decide/kvcopies.py
@@ -67,17 +67,19 @@
         for store in set(self._stores) - set(stores):
             del self._stores[store]
 
-    def kept_tokens(self, levels: Sequence[PrefixLevel]) -> int:
-        """Return the tokens of the longest beginning that every store keeps.
+    def kept_tokens(self, store: str, levels: Sequence[PrefixLevel]) -> int:
+        """Return the tokens of the longest beginning that a store keeps.
 
         Args:
+            store: The store's address.
             levels: The prompt's levels, outermost first.
         """
-        if not self._stores or not self._counts_fetches:
+        belief = self._stores.get(store)
+        if belief is None or not self._counts_fetches:
             return 0
         n_tokens = 0
         for level in levels:
-            if not all(belief.holds(level.digest) for belief in self._stores.values()):
+            if not belief.holds(level.digest):
                 break
             n_tokens = level.end_tokens
         return n_tokens
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -20,9 +20,10 @@
 from lycheepost.core.ids import PrefixDigest, TargetId
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.rates import make_rates
-from lycheepost.decide.records import Reach, TargetState, Work
+from lycheepost.decide.records import PrefixLevel, TargetState, Work
 from lycheepost.decide.ring import Ring
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.sharedlevel import shared_digest
 
 SCORE_ALL_TARGETS = 12
 """Up to this many targets are all scored; above, only candidates, so that a
@@ -43,10 +44,6 @@
 RANDOM_CANDIDATES = 2
 """Two random targets bound the load where owners and holders are all full."""
 
-FAR_SECONDS = 0.25
-"""Cost of another cell's target, whose load is not known: half of what callers are
-promised to wait, and more than the queues of two cells differ by chance."""
-
 HOLDERS_PER_DIGEST = 6
 MAX_HELD_DIGESTS = 100_000
 """Bounds memory to about 20 MB for the prefixes that one daemon sees."""
@@ -108,25 +105,22 @@
         self.loads: dict[TargetId, TargetLoad] = {}
         self._serving: list[TargetLoad] = []
         self._serving_by_id: dict[TargetId, TargetLoad] = {}
-        self._far: list[TargetLoad] = []
         self.rates = make_rates(settings)
         self.pressure = 0.0
 
     def refresh(self) -> None:
         """Follow a change of the targets."""
-        taking = [load for load in self.loads.values() if _takes_new_work(load)]
-        self._far = [load for load in taking if load.view.reach is Reach.FAR]
-        self._serving = [load for load in taking if load.view.reach is not Reach.FAR]
+        self._serving = [load for load in self.loads.values() if _takes_new_work(load)]
         self._serving_by_id = {load.view.target: load for load in self._serving}
         self._ring.replace(set(self._serving_by_id))
 
     def is_empty(self) -> bool:
         """Tell whether no target takes new work."""
-        return not self._serving and not self._far
+        return not self._serving
 
     def has_room(self, now_seconds: float) -> bool:
         """Tell whether some target may take work now; guesses in large groups."""
-        if len(self._serving) > SCORE_ALL_TARGETS or self._far:
+        if len(self._serving) > SCORE_ALL_TARGETS:
             return True
         return any(
             load.has_room(load.estimate(now_seconds)[1]) for load in self._serving
@@ -140,11 +134,11 @@
         n_full = sum(not load.has_room(load.estimate(now_seconds)[1]) for load in loads)
         return n_full / max(1, len(loads))
 
-    def note_holder(self, work: Work, target: TargetId) -> None:
-        """Remember that ``target`` is about to hold the levels of ``work``."""
+    def note_holder(self, levels: Sequence[PrefixLevel], target: TargetId) -> None:
+        """Remember that ``target`` is about to hold ``levels``."""
         if len(self._serving) <= SCORE_ALL_TARGETS:
             return
-        for level in work.levels:
+        for level in levels:
             holders = self._holders.setdefault(level.digest, [])
             self._holders.move_to_end(level.digest)
             if target in holders:
@@ -156,7 +150,7 @@
 
     def _candidates(self, work: Work, owners: Sequence[TargetId]) -> list[TargetLoad]:
         if len(self._serving) <= SCORE_ALL_TARGETS:
-            return [*self._serving, *self._pick_far()]
+            return self._serving
         names = list(owners)
         for level in reversed(work.levels):
             if len(names) >= self._settings.candidates:
@@ -168,12 +162,7 @@
         for _ in range(RANDOM_CANDIDATES):
             load = self._serving[int(self._rng.random() * len(self._serving))]
             loads[load.view.target] = load
-        return [*loads.values(), *self._pick_far()]
-
-    def _pick_far(self) -> list[TargetLoad]:
-        """Return some targets of other cells, for when this one's are busy."""
-        n_picked = min(RANDOM_CANDIDATES, len(self._far))
-        return self._rng.sample(self._far, n_picked) if n_picked else []
+        return list(loads.values())
 
     def best(
         self,
@@ -197,7 +186,7 @@
         if not usable:
             # All candidates have failed it or are kept from it: rare enough to
             # look at every target rather than refuse it before thousands.
-            usable = _usable([*self._serving, *self._far], work, avoid)
+            usable = _usable(self._serving, work, avoid)
         if not usable:
             return None
         return self._lowest(usable, owners, now_seconds, ahead_of, work, is_late)
@@ -248,8 +237,6 @@
                 + steps * OWNER_SECONDS
                 + load.view.penalty_seconds
             )
-            if load.view.reach is Reach.FAR:
-                score += FAR_SECONDS
             if score < best_score:
                 best_score = score
                 best = (load, uncached, wait, ahead, n_running)
@@ -290,12 +277,6 @@
 
 
 def _owner_key(work: Work) -> int:
-    """Return what a prefix is owned by: the deepest level that may be shared.
-
-    The last level ends with the request's own text, which hardly ever comes
-    again; the one above is the album or the batch of letters.
-    """
-    levels = work.levels
-    if not levels:
-        return int(work.fingerprint)
-    return int(levels[-2 if len(levels) > 1 else -1].digest)
+    """Return what a prompt is placed by: what others share of it, or itself."""
+    digest = shared_digest(work.levels)
+    return int(work.fingerprint if digest is None else digest)
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -38,17 +38,6 @@
     GONE = "gone"
 
 
-class Reach(Enum):
-    """What a target is to the cell of this daemon; see ``decide.cells``."""
-
-    CELL = "cell"
-    """Only daemons of the cell use it, but for what others have too much."""
-    FLEET = "fleet"
-    """Daemons outside of the cell use it as well."""
-    FAR = "far"
-    """It is of another cell."""
-
-
 class RefusalReason(Enum):
     """Why a request was refused before it reached any target."""
 
@@ -128,7 +117,6 @@
         concurrency_limit: Most requests the target should run at once.
         serving_share: Share of normal traffic, 0 to 1; grows while warming.
         penalty_seconds: What an answer from here is worth less, told as a wait.
-        reach: What it is to this daemon's cell.
         fetch_token_seconds: Time to fetch one token's KV cache from its store; 0 where
             it has none.
     """
@@ -143,7 +131,6 @@
     cache_tokens: int = 0
     serving_share: float = 1.0
     penalty_seconds: float = 0.0
-    reach: Reach = Reach.CELL
     fetch_token_seconds: float = 0.0
 
 
@@ -195,3 +182,15 @@
 
 
 Outcome = Dispatch | Refuse
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A prompt that a target is about to cache.
+
+    Attributes:
+        levels: Its levels, outermost first.
+    """
+
+    target: TargetId
+    levels: tuple[PrefixLevel, ...]
--- a/lycheepost/decide/routes.py
+++ b/lycheepost/decide/routes.py
@@ -1,8 +1,10 @@
 """Which route a request takes, whose it is, and which target group serves it."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
+from lycheepost.core.hashing import rendezvous_order
 from lycheepost.core.ids import AvailabilityZone, CustomerId, TargetGroupId
 from lycheepost.core.routing import (
     EngineTraits,
@@ -11,6 +13,8 @@
     Route,
     RouteTable,
 )
+from lycheepost.decide.records import PrefixLevel
+from lycheepost.decide.sharedlevel import shared_digest
 
 _BITS = 8.0
 _MEGA = 1e6
@@ -99,13 +103,19 @@
     """Return how long a target needs to fetch one token's KV cache; 0 for never.
 
     Args:
-        table: Names the stores.
+        table: Names the stores; a prompt may be kept by any one of them.
         zone: The target's availability zone.
         engine: What the target is able to do; None for a plain service.
     """
-    store = _find_kv_store(table, zone)
-    if engine is None or store is None:
+    if engine is None or not table.kv_stores:
         return 0.0
+    seconds = [_fetch_seconds(store, zone, engine) for store in table.kv_stores]
+    return sum(seconds) / len(seconds) if all(seconds) else 0.0
+
+
+def _fetch_seconds(
+    store: KvStore, zone: AvailabilityZone, engine: EngineTraits
+) -> float:
     link_mbps = min(STORE_SHARE * store.link_mbps, engine.link_mbps)
     if link_mbps <= 0.0 or engine.kv_token_bytes <= 0.0:
         return 0.0
@@ -113,18 +123,18 @@
     return factor * engine.kv_token_bytes * _BITS / (link_mbps * _MEGA)
 
 
-def choose_kv_store(table: RouteTable, zone: AvailabilityZone) -> str:
-    """Return the address of the KV store that a target should use; empty for none.
+def choose_kv_store(table: RouteTable, levels: Sequence[PrefixLevel]) -> str:
+    """Return the address of the KV store that keeps a prompt; empty for none.
 
-    The one in the target's own availability zone, as moving KV cache between zones
-    takes twice as long and is paid for; else the first, the same for all targets,
-    so that what one of them kept the others find.
+    The load: three stores, each of which has room for half of what is shared, and a
+    link that a third of the fetches fills. Where each engine uses the store of its
+    zone, every store is sent everything and drops it again before it is asked for, and
+    zones without a store share the link of one. So the prompts are divided among the
+    stores by what others share of them: together they keep it all, and each link
+    carries its part. What crosses zones takes twice as long, a few milliseconds.
     """
-    store = _find_kv_store(table, zone)
-    return "" if store is None else store.address
-
-
-def _find_kv_store(table: RouteTable, zone: AvailabilityZone) -> KvStore | None:
-    stores = sorted(table.kv_stores, key=lambda store: store.address)
-    near = [store for store in stores if store.availability_zone == zone]
-    return next(iter(near or stores), None)
+    digest = shared_digest(levels)
+    if digest is None:
+        return ""
+    addresses = (store.address for store in table.kv_stores)
+    return next(iter(rendezvous_order(digest, addresses)), "")
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -25,6 +25,7 @@
     FinishKind,
     LoadReport,
     Outcome,
+    Placed,
     RefusalReason,
     Refuse,
     TargetView,
@@ -321,6 +322,20 @@
         """Count a target loss that a peer saw this fingerprint running in."""
         self._quarantine.note_loss(fingerprint, started_seconds, lost_seconds)
 
+    def take_placed(self) -> tuple[Placed, ...]:
+        """Return the prompts that were sent out since the last call, for the peers."""
+        placed: list[Placed] = []
+        for group in self._groups.values():
+            placed += group.placed
+            group.placed.clear()
+        return tuple(placed)
+
+    def note_placed(self, placed: Placed) -> None:
+        """Take a prompt that a peer has sent to a target."""
+        group = self._group_by_target.get(placed.target)
+        if group is not None:
+            group.note_placed(placed)
+
     def take_losses(self) -> list[LossSeen]:
         """Return the losses seen since the last call, to tell the peers."""
         losses = self._losses
--- /dev/null
+++ b/lycheepost/decide/sharedlevel.py
@@ -0,0 +1,17 @@
+"""The part of a prompt by which its cached copies are placed."""
+
+from collections.abc import Sequence
+
+from lycheepost.core.ids import PrefixDigest
+from lycheepost.decide.records import PrefixLevel
+
+
+def shared_digest(levels: Sequence[PrefixLevel]) -> PrefixDigest | None:
+    """Return the deepest level that other prompts may share; None without levels.
+
+    The last level ends with the request's own text, which hardly ever comes again; the
+    one above is the album or the batch of letters.
+    """
+    if not levels:
+        return None
+    return levels[-2 if len(levels) > 1 else -1].digest
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -59,6 +59,8 @@
     sent_seconds: float = float("-inf")
     revision: int = 0
     """The highest revision that the other end is known to know of."""
+    wants_floods: bool = True
+    """What the other end said last."""
 
 
 class PeerExchange:
@@ -86,6 +88,7 @@
         self._seen: OrderedDict[tuple[str, str, int], None] = OrderedDict()
         self._n_floods = 0
         self._no_flood: frozenset[DaemonId] = frozenset()
+        self._neighbours: frozenset[DaemonId] = frozenset()
         self._turn = 0
         self._has_members = False
         self._task: asyncio.Task[None] | None = None
@@ -195,7 +198,14 @@
         members = self._members.members()
         neighbours = choose_neighbours(me, members, self._fanout)
         mates = self._choose_mates(members)
-        self._no_flood = _flooded_by_others(members, neighbours, mates)
+        before, self._no_flood = (
+            self._no_flood,
+            _flooded_by_others(members, neighbours, mates),
+        )
+        for daemon in before ^ self._no_flood:
+            if daemon in self._links:
+                self._greet(daemon)
+        self._neighbours = frozenset(member.daemon for member in neighbours)
         wanted = [*neighbours, *mates]
         if self._turn % _PROBE_TURNS == 0:
             probe = choose_probe(me, members, self._turn // _PROBE_TURNS)
@@ -220,7 +230,11 @@
 
     def _greet(self, daemon: DaemonId) -> None:
         member = to_peer_member(self._members.me())
-        hello = PeerHello(member=member, wants_members=not self._has_members)
+        hello = PeerHello(
+            member=member,
+            wants_members=not self._has_members,
+            wants_floods=daemon not in self._no_flood,
+        )
         self.send(daemon, hello)
 
     def _check_silence(self, now_seconds: float) -> None:
@@ -272,6 +286,7 @@
                 self._pass_to_subscribers(message, sender)
         if isinstance(message, PeerHello):
             self._has_members = True
+            link.wants_floods = message.wants_floods
 
     def _note_heard(self, sender: DaemonId) -> _Link:
         now_seconds = self._clock.now_seconds()
@@ -307,8 +322,9 @@
 
     def _send_to_links(self, message: Any, but: DaemonId | None) -> None:
         data = encode_message(message)
-        for daemon in list(self._links):
-            if daemon != but and daemon not in self._no_flood:
+        for daemon, link in list(self._links.items()):
+            is_wanted = link.wants_floods or daemon in self._neighbours
+            if daemon != but and is_wanted and daemon not in self._no_flood:
                 self._send_data(daemon, data)
 
     def _send_data(self, daemon: DaemonId, data: bytes) -> bool:
@@ -327,11 +343,12 @@
     neighbours: tuple[Member, ...],
     mates: tuple[Member, ...],
 ) -> frozenset[DaemonId]:
-    """Return the mates to whom floods are not sent.
+    """Return the mates to whom floods are not sent, and who need not send them to us.
 
     The neighbours alone reach everybody. Were floods to go over the links with all
-    mates as well, each daemon of a large fleet would get every flood ten times. Where
-    the mates are the whole fleet, they get it straight.
+    mates as well, each daemon of a large fleet would get every flood ten times, and
+    one that thirty others ask would send it thirty times. Where the mates are the whole
+    fleet, they get it straight.
     """
     if len(mates) + 1 >= len(members):
         return frozenset()
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -1,9 +1,9 @@
-"""Follow the store through a peer that follows it.
+"""Follow the store through a peer that follows it, directly or through another.
 
-One daemon of each cell asks the store; the others ask that daemon, and turn to the
-store themselves as soon as it does not answer, is behind, or is cut off. So the calls
-to the store grow with the cells and not with the daemons, and nothing is served by
-word of a peer that the store would not have said.
+Few daemons ask the store; the others ask one of these, or one that does, and turn to
+the store themselves when nobody answers, or all are behind or cut off. So the calls
+to the store hardly grow with the daemons, and nothing is served by word of a peer that
+the store would not have said.
 
 How fresh an answer is counts from the arrival of its question at the peer: that lies
 after its sending here, so what was confirmed so long after the arrival was confirmed
@@ -16,6 +16,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import structlog
 from returns.result import Failure, Result, Success
@@ -30,9 +31,11 @@
 from lycheepost.utils.tasks import start_task
 
 ASKED_HELD_SECONDS = 0.6
-"""How long a question to a peer is held. Keys rest on confirmations of up to 3.8 s:
-this, twice the time for which the store holds the peer's question, and the margin
-below leave over a second of that."""
+"""How long a question to a peer is held. Keys rest on confirmations of up to 3.8 s.
+What a peer passes on is up to 2.4 s old, and 3.0 s when its answer comes."""
+
+MOST_REFUSALS = 2
+"""Peers that are asked one after the other before the store is."""
 
 STORE_HELD_SECONDS = 0.8
 """How long the store holds a question of a daemon that answers others."""
@@ -54,6 +57,13 @@
 changed the servers' entries change some twenty times a second, and each change would
 be asked for by itself; targets that leave must be known within two seconds."""
 
+FALLBACK_PACE_SECONDS = 0.8
+"""The same where a peer should tell, but does not. After the start of two hundred
+daemons that is so for a second or two, in which the entries of all servers change."""
+
+LINKLESS_SECONDS = 0.2
+"""How long a peer is not asked that there is no link with yet."""
+
 LOOK_SECONDS = 0.1
 """Between two looks at what is held for too long."""
 
@@ -62,6 +72,13 @@
 _log = structlog.get_logger(part="feed")
 
 
+class Silence(Enum):
+    """Why a peer did not answer."""
+
+    NO_LINK = "no link yet"
+    NO_ANSWER = "no answer"
+
+
 @dataclass(frozen=True, slots=True)
 class _Held:
     """A question of a peer that waits for a change."""
@@ -137,7 +154,7 @@
         what was known here before, and rows would go back.
         """
         if table not in self._known:
-            told = await self._ask_peer(table, NO_VERSION, 0.0)
+            told = await self._ask_peers(table, NO_VERSION, 0.0)
             if told is not None:
                 return Success(told)
         sent_seconds = self._clock.now_seconds()
@@ -148,7 +165,9 @@
         self, table: str, after: int, wait_seconds: float
     ) -> Result[Changes, TableError]:
         """Return the changes after a version, as soon as there are some."""
-        told = await self._ask_peer(table, after, min(wait_seconds, ASKED_HELD_SECONDS))
+        told = await self._ask_peers(
+            table, after, min(wait_seconds, ASKED_HELD_SECONDS)
+        )
         if told is not None:
             return Success(told)
         await self._pace(table)
@@ -179,7 +198,8 @@
         """Wait until the store may be asked again for a table."""
         now_seconds = self._clock.now_seconds()
         asked_seconds = self._asked_seconds.get(table, float("-inf"))
-        due_seconds = max(now_seconds, asked_seconds + PACE_SECONDS)
+        pace_seconds = FALLBACK_PACE_SECONDS if self._get_sources() else PACE_SECONDS
+        due_seconds = max(now_seconds, asked_seconds + pace_seconds)
         self._asked_seconds[table] = due_seconds
         await asyncio.sleep(due_seconds - now_seconds)
 
@@ -191,22 +211,46 @@
                 return daemon
         return None
 
-    async def _ask_peer(
+    async def _ask_peers(
         self, table: str, after: int, wait_seconds: float
     ) -> Changes | None:
-        """Return what a peer told; None where the store is to be asked."""
-        source = self._source()
-        if source is None:
-            return None
+        """Return what a peer told; None where the store is to be asked.
+
+        One that refuses has lost its own way to the store, for itself alone or for
+        all that ask through it. The next one is asked at once: were all of these to
+        turn to the store, two hundred daemons would ask it at the same moment.
+        """
+        for _ in range(MOST_REFUSALS):
+            source = self._source()
+            if source is None:
+                return None
+            told = await self._ask_peer(source, table, after, wait_seconds)
+            if told is not None:
+                return told
+        return None
+
+    async def _ask_peer(
+        self, source: DaemonId, table: str, after: int, wait_seconds: float
+    ) -> Changes | None:
+        """Return what one peer told; None where it told nothing."""
         number = next(self._numbers)
         ask = FeedAsk(
             number=number, table=table, after=after, wait_seconds=wait_seconds
         )
         sent_seconds = self._clock.now_seconds()
         answer = await self._send(source, ask)
-        if answer is None or not answer.is_known:
-            self._note_failure(source, table, answer is None)
-            return None
+        match answer:
+            case FeedAnswer(is_known=True):
+                pass
+            case FeedAnswer():
+                self._note_failure(source, table, "not known there", REFUSED_SECONDS)
+                return None
+            case Silence.NO_LINK:
+                self._note_failure(source, table, answer.value, LINKLESS_SECONDS)
+                return None
+            case Silence.NO_ANSWER:
+                self._note_failure(source, table, answer.value, FAILED_SECONDS)
+                return None
         self.n_peer_answers += 1
         self._known.add(table)
         confirmed_seconds = sent_seconds + answer.confirmed_after_seconds
@@ -220,30 +264,31 @@
         self._mirrors[table].take(changes, after, confirmed_seconds)
         return changes
 
-    async def _send(self, source: DaemonId, ask: FeedAsk) -> FeedAnswer | None:
-        """Send a question and return its answer; None when there is none."""
+    async def _send(self, source: DaemonId, ask: FeedAsk) -> FeedAnswer | Silence:
+        """Send a question and return its answer, or why there is none."""
         future: asyncio.Future[FeedAnswer]
         future = asyncio.get_running_loop().create_future()
         self._answers[ask.number] = future
         try:
             if not self._exchange.send(source, ask):
-                return None
+                return Silence.NO_LINK
             async with asyncio.timeout(ask.wait_seconds + ANSWER_SECONDS):
                 return await future
         except TimeoutError:
-            return None
+            return Silence.NO_ANSWER
         finally:
             del self._answers[ask.number]
 
-    def _note_failure(self, source: DaemonId, table: str, is_silent: bool) -> None:
+    def _note_failure(
+        self, source: DaemonId, table: str, reason: str, rest_seconds: float
+    ) -> None:
         self.n_peer_failures += 1
-        rest_seconds = FAILED_SECONDS if is_silent else REFUSED_SECONDS
         self._failed_until[source] = self._clock.now_seconds() + rest_seconds
         _log.info(
             "feed: peer failed",
             peer=source,
             table=table,
-            reason="no answer" if is_silent else "not known there",
+            reason=reason,
             not_asked_for_seconds=rest_seconds,
         )
 
@@ -255,10 +300,7 @@
     def _take_ask(self, ask: FeedAsk, sender: DaemonId) -> None:
         now_seconds = self._clock.now_seconds()
         held = _Held(sender, ask, now_seconds)
-        if self._source() is not None or not self._mirrors[ask.table].knows(
-            now_seconds
-        ):
-            # Word at third hand would only be older.
+        if not self._mirrors[ask.table].knows(now_seconds):
             self._refuse(held)
         elif not self._try_answer(held, now_seconds):
             self._held.append(held)
--- a/lycheepost/peers/records.py
+++ b/lycheepost/peers/records.py
@@ -1,5 +1,6 @@
 """Turn the state's records into peer messages and back."""
 
+from lycheepost.core.capacity import Capacity
 from lycheepost.core.ids import AvailabilityZone, DaemonId
 from lycheepost.generated.messages import PeerMember
 from lycheepost.state.addresses import Member, MemberState
@@ -17,6 +18,8 @@
         load=round(member.load, 2),
         sequence=member.sequence,
         started_wall_seconds=member.started_wall_seconds,
+        processor_cores=member.capacity.processor_cores,
+        link_mbps=member.capacity.link_mbps,
     )
 
 
@@ -36,4 +39,5 @@
         load=message.load,
         sequence=message.sequence,
         started_wall_seconds=message.started_wall_seconds,
+        capacity=Capacity(message.processor_cores, message.link_mbps),
     )
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
+from lycheepost.core.capacity import UNKNOWN_CAPACITY, Capacity
 from lycheepost.core.errors import LycheepostError
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 
@@ -80,6 +81,7 @@
         directory: Where clients ask for addresses.
         peer_ports: First and last port free for the daemons' own traffic.
         store: Address of the platform's store.
+        capacity: What this VM can carry.
     """
 
     daemon: DaemonId
@@ -92,6 +94,7 @@
     peer_ports: tuple[int, int]
     store: Endpoint
     bounds: Bounds
+    capacity: Capacity = UNKNOWN_CAPACITY
 
 
 class _Reader:
@@ -175,6 +178,10 @@
         peer_ports=reader.ports("port_range"),
         store=reader.endpoint("platform.address"),
         bounds=_decode_bounds(reader),
+        capacity=Capacity(
+            reader.number("limits.cpu_share", 0) * reader.number("limits.cores", 1),
+            reader.number("limits.link_mbps", 0),
+        ),
     )
     if reader.faults:
         return Failure(
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -14,6 +14,12 @@
 
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.platform.settings import Endpoint
+from lycheepost.platform.storecalls import (
+    StoreCalls,
+    commit_kind,
+    feed_kind,
+    read_kind,
+)
 from lycheepost.platform.storewire import (
     WireCommitted,
     WireExpected,
@@ -76,12 +82,14 @@
     Attributes:
         base: Base address of the store.
         n_calls: Calls made, also refused ones.
+        calls: The same by kind, for the log.
     """
 
     def __init__(self, address: Endpoint) -> None:
         self.base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
         self.n_calls = 0
+        self.calls = StoreCalls()
 
     async def start(self) -> None:
         """Open the connection pool."""
@@ -139,6 +147,7 @@
 
     async def commit(self, transaction: Transaction) -> Result[Committed, TableError]:
         """Apply a transaction whole, or not at all."""
+        self.calls.note(commit_kind(transaction))
         body = msgspec.json.encode(_encode_transaction(transaction))
         answer = await self._call("POST", "/rows-tx", {}, CALL_SECONDS, body)
         match answer.bind(lambda found: _decode(found, WireCommitted)):
@@ -182,6 +191,7 @@
             "wait_ms": str(int(wait_seconds * 1000)),
         }
         timeout_seconds = wait_seconds + HELD_MARGIN_SECONDS
+        self.calls.note(feed_kind(table))
         answer = await self._call("GET", "/rows-feed", query, timeout_seconds)
         return answer.bind(lambda found: _decode(found, WireRows)).map(
             lambda found: Changes(
@@ -192,6 +202,7 @@
     async def _get_rows(
         self, table: str, query: dict[str, str]
     ) -> Result[WireRows, TableError]:
+        self.calls.note(read_kind(table, query.get("from", "")))
         full = {"table": table, "part": "", **query}
         answer = await self._call("GET", "/rows-get", full, CALL_SECONDS)
         return answer.bind(lambda found: _decode(found, WireRows))
--- /dev/null
+++ b/lycheepost/platform/storecalls.py
@@ -0,0 +1,54 @@
+"""Count the calls to the platform's store by what they were made for."""
+
+from collections import Counter
+
+import structlog
+
+from lycheepost.ports.table import Transaction
+
+TELL_SECONDS = 5.0
+"""Between two lines on the calls of a process: one line in five seconds, and none where
+no call was made."""
+
+_log = structlog.get_logger(part="store")
+
+
+class StoreCalls:
+    """Calls since the last line, by kind."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+        self._told_seconds = float("-inf")
+
+    def note(self, kind: str) -> None:
+        """Count one call."""
+        self._counts[kind] += 1
+
+    def tell(self, now_seconds: float) -> None:
+        """Write a line if one is due."""
+        if not self._counts or now_seconds < self._told_seconds + TELL_SECONDS:
+            return
+        self._told_seconds = now_seconds
+        _log.info("store: calls", counts=dict(sorted(self._counts.items())))
+        self._counts.clear()
+
+
+def read_kind(table: str, first_key: str) -> str:
+    """Return the kind of a read of rows."""
+    return f"read {table} {_subject(first_key)}".rstrip()
+
+
+def feed_kind(table: str) -> str:
+    """Return the kind of a question for changes."""
+    return f"feed {table}"
+
+
+def commit_kind(transaction: Transaction) -> str:
+    """Return the kind of a transaction, by its first row."""
+    key = transaction.writes[0].key if transaction.writes else ""
+    return f"commit {_subject(key)}".rstrip()
+
+
+def _subject(key: str) -> str:
+    """Return what rows with this key are about, without whose they are."""
+    return key.partition("/")[0]
--- a/lycheepost/state/addresses.py
+++ b/lycheepost/state/addresses.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from lycheepost.core.capacity import UNKNOWN_CAPACITY, Capacity
 from lycheepost.core.hashing import hash_bytes, rendezvous_order
 from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId
 
@@ -42,6 +43,7 @@
         boot: Changes with each start.
         load: Share of its capacity in use, 0 to 1.
         sequence: Rises with each announcement of this boot.
+        capacity: What its VM can carry.
     """
 
     daemon: DaemonId
@@ -53,6 +55,7 @@
     load: float = 0.0
     sequence: int = 0
     started_wall_seconds: float = 0.0
+    capacity: Capacity = UNKNOWN_CAPACITY
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +80,7 @@
     customer: CustomerId | None,
     zone: AvailabilityZone,
     traffic_share: float,
+    entry: frozenset[DaemonId] | None = None,
 ) -> tuple[Address, ...]:
     """Return the addresses for one customer.
 
@@ -85,12 +89,15 @@
         customer: Whom to answer; None gives all live daemons.
         zone: Availability zone of the caller, as the answering daemon's.
         traffic_share: The customer's expected share of all traffic, 0 to 1.
+        entry: The daemons that carry the traffic; None for all.
 
     Returns:
         Live daemons only; suspects when there are no live ones; leaving daemons
         when nothing else is left, because an empty answer helps nobody.
     """
     usable = _best_class([member for member in members if member.callers_url])
+    if entry is not None:
+        usable = [member for member in usable if member.daemon in entry] or usable
     if customer is not None:
         usable = _shard(usable, customer, traffic_share)
     key = hash_bytes((customer or "").encode())
--- a/lycheepost/state/duties.py
+++ b/lycheepost/state/duties.py
@@ -45,6 +45,9 @@
             its length, so a long pause between looks is added to every takeover.
         last_order_seconds: Returns when the work last sent an order; infinite when
             that is not known.
+        settle_seconds: How long after its start a daemon takes no lease. Until it
+            knows the others each takes itself for a candidate, and two hundred that
+            start at once would all read the lease.
     """
 
     def __init__(
@@ -58,7 +61,9 @@
         seed: int = 0,
         watch_seconds: float = math.inf,
         last_order_seconds: Callable[[], float] = lambda: math.inf,
+        settle_seconds: float = 0.0,
     ) -> None:
+        self._settle_seconds = settle_seconds
         self._last_order_seconds = last_order_seconds
         self._watch_seconds = watch_seconds
         self._leases = leases
@@ -97,6 +102,7 @@
         return {"duty": self._duty, "is_held": is_held, "n_failures": self.n_failures}
 
     async def _run(self) -> None:
+        await asyncio.sleep(self._settle_seconds)
         while True:
             if self._lease is not None:
                 wait_seconds = await self._hold()
--- a/lycheepost/state/feedmirror.py
+++ b/lycheepost/state/feedmirror.py
@@ -13,9 +13,11 @@
 """Answers of the store whose changes are kept apart. A peer that is further behind
 gets the whole table; peers ask twice a second."""
 
-MOST_AGE_SECONDS = 1.8
-"""A copy that was not confirmed for longer is not passed on. The store confirms it
-every 0.8 s; peers that get no answer here ask the store themselves."""
+MOST_AGE_SECONDS = 2.4
+"""A copy that was not confirmed for longer is not passed on. The store confirms that of
+a daemon that asks it every 0.8 s; who asks that daemon hears of it within 0.6 s more,
+and who asks through one more within 1.2 s. The rest is for one that dies on the way:
+its place is taken after 0.9 s, and those behind it need not ask the store meanwhile."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/state/memberrules.py
+++ b/lycheepost/state/memberrules.py
@@ -32,5 +32,6 @@
         or one.boot != other.boot
         or one.callers_url != other.callers_url
         or one.peer_endpoint != other.peer_endpoint
+        or one.capacity != other.capacity
         or load_step(one.load) != load_step(other.load)
     )
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -46,10 +46,15 @@
 _log = structlog.get_logger(part="members")
 
 OnMember = Callable[[Member], None]
+ChooseEntry = Callable[[tuple[Member, ...]], frozenset[DaemonId]]
 
 
 class MemberKeeper:
-    """Members and targets of one daemon; made by ``make_member_keeper``."""
+    """Members and targets of one daemon; made by ``make_member_keeper``.
+
+    Attributes:
+        n_changes: Rises with each change of a member.
+    """
 
     def __init__(
         self,
@@ -61,8 +66,13 @@
         addresses_valid_seconds: float,
         seed: int,
         names_unheard: bool = True,
+        choose_entry: ChooseEntry | None = None,
+        fleet_poll_seconds: float = 0.0,
     ) -> None:
+        self._fleet_poll_seconds = fleet_poll_seconds
         self._names_unheard = names_unheard
+        self._choose_entry = choose_entry
+        self._entry: frozenset[DaemonId] | None = None
         self._vm_list = vm_list
         self._clock = clock
         self._me = me
@@ -80,6 +90,7 @@
         self._task: asyncio.Task[None] | None = None
         self._on_member: list[OnMember] = []
         self._load_news_seconds = float("-inf")
+        self.n_changes = 0
         self.n_lists = 0
         self.n_failed_lists = 0
 
@@ -139,9 +150,25 @@
             customer,
             self._me.availability_zone,
             self._traffic_share(customer),
+            None if self._choose_entry is None else self.entry(),
         )
         return Addresses(chosen, self._addresses_valid_seconds)
 
+    def entry(self) -> frozenset[DaemonId]:
+        """Return the daemons that carry the traffic, among those heard of."""
+        if self._entry is None:
+            nameable = self._nameable()
+            names = frozenset(member.daemon for member in nameable)
+            choose = self._choose_entry
+            self._entry = names if choose is None else choose(nameable)
+        return self._entry
+
+    def choose_anew(self) -> None:
+        """Choose answers and entry daemons anew: what they rest on has changed."""
+        self.n_changes += 1
+        self._answers.clear()
+        self._entry = None
+
     def _nameable(self) -> tuple[Member, ...]:
         """Return the daemons that an answer may name.
 
@@ -308,7 +335,7 @@
     def _put(self, member: Member) -> None:
         before = self._members.get(member.daemon)
         self._members[member.daemon] = member
-        self._answers.clear()
+        self.choose_anew()
         if member.state is MemberState.LIVE or member.daemon == self._me.daemon:
             self._since_seconds.pop(member.daemon, None)
         elif before is None or before.state is not member.state:
@@ -349,7 +376,7 @@
                 continue
             if member.state is MemberState.GONE:
                 del self._members[daemon], self._since_seconds[daemon]
-                self._answers.clear()
+                self.choose_anew()
             else:
                 self._put(replace(member, state=MemberState.GONE))
 
@@ -372,7 +399,8 @@
 
     def _next_look_seconds(self) -> float:
         allowed_seconds = self._n_vms * _VM_BYTES / _LIST_BYTES_PER_SECOND
-        mean_seconds = max(self._poll_seconds, allowed_seconds)
+        shared_seconds = self.n_live() * self._fleet_poll_seconds
+        mean_seconds = max(self._poll_seconds, allowed_seconds, shared_seconds)
         return mean_seconds * self._random.uniform(0.5, 1.5)
 
 
@@ -385,6 +413,8 @@
     addresses_valid_seconds: float = 10.0,
     seed: int = 0,
     names_unheard: bool = True,
+    choose_entry: ChooseEntry | None = None,
+    fleet_poll_seconds: float = 0.0,
 ) -> MemberKeeper:
     """Return the members and targets of one daemon.
 
@@ -397,6 +427,9 @@
         addresses_valid_seconds: How long callers may keep an answer.
         seed: Seed of the jitter.
         names_unheard: Name daemons in answers that are only on the list.
+        choose_entry: Returns the daemons that answers for nobody in particular name;
+            None for all.
+        fleet_poll_seconds: Shortest time between looks of any two daemons of the fleet.
     """
     return MemberKeeper(
         vm_list,
@@ -407,4 +440,6 @@
         addresses_valid_seconds,
         seed,
         names_unheard,
+        choose_entry,
+        fleet_poll_seconds,
     )
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -23,8 +23,7 @@
 )
 from lycheepost.core.routing import ListedTarget, RouteTable
 from lycheepost.core.starts import TargetStart
-from lycheepost.decide.cells import Cell, Place, find_reaches
-from lycheepost.decide.records import Reach, TargetView
+from lycheepost.decide.records import TargetView
 from lycheepost.decide.targethealth import Ending, TargetHealth
 from lycheepost.state.targetstarts import TargetStarts
 from lycheepost.state.targetviews import Standing, make_view
@@ -117,9 +116,11 @@
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
         self._newest: dict[ModelId, WeightsVersion] = {}
-        self._cell = Cell()
-        self._reaches: dict[TargetId, Reach] = {}
-        self._is_reach_due = True
+
+    @property
+    def n_listed(self) -> int:
+        """Return how many targets there are."""
+        return len(self._known)
 
     def get(self, target: TargetId) -> ListedTarget | None:
         """Return a target that may still be sent to; None when it has left."""
@@ -165,18 +166,6 @@
         self._table = table
         self.refresh()
 
-    def set_cell(self, cell: Cell) -> None:
-        """Follow the cell of this daemon; the next refresh makes use of it."""
-        if cell != self._cell:
-            _log.info(
-                "targets: cell changed",
-                number=cell.number,
-                n_cells=cell.n_cells,
-                n_mates=len(cell.mates),
-            )
-            self._cell = cell
-            self._is_reach_due = True
-
     def take(
         self,
         listed: Iterable[ListedTarget],
@@ -416,7 +405,6 @@
         now_seconds = self._clock.now_seconds()
         self._forget_gone(now_seconds)
         self._newest = self._find_newest()
-        self._find_reaches()
         resting = self._resting(now_seconds)
         views = tuple(
             self._view(known, name in resting, now_seconds)
@@ -426,17 +414,6 @@
             self._views = views
             self._on_views(views)
 
-    def _find_reaches(self) -> None:
-        """Find anew what the targets are to our cell, when either has changed."""
-        if not self._is_reach_due and self._reaches.keys() == self._known.keys():
-            return
-        self._is_reach_due = False
-        places = [
-            Place(name, known.listed.target_group, known.listed.availability_zone)
-            for name, known in self._known.items()
-        ]
-        self._reaches = find_reaches(places, self._cell)
-
     def _find_newest(self) -> dict[ModelId, WeightsVersion]:
         newest: dict[ModelId, WeightsVersion] = {}
         for known in self._known.values():
@@ -474,6 +451,5 @@
             weights=known.weights or {},
             is_left_alone=is_resting or self._is_unfit(known, now_seconds),
             penalty_seconds=self._penalty_seconds(known, now_seconds),
-            reach=self._reaches[known.listed.target],
         )
         return make_view(known.listed, standing, self._table)
--- a/lycheepost/state/targetviews.py
+++ b/lycheepost/state/targetviews.py
@@ -5,7 +5,7 @@
 
 from lycheepost.core.ids import ModelId, WeightsVersion
 from lycheepost.core.routing import ListedTarget, RouteTable
-from lycheepost.decide.records import Reach, TargetState, TargetView
+from lycheepost.decide.records import TargetState, TargetView
 from lycheepost.decide.routes import fetch_token_seconds
 
 
@@ -17,13 +17,11 @@
         weights: Weights in place, by model.
         is_left_alone: It gets no new work now, because of its weights or its health.
         penalty_seconds: What its answers are worth less, told as a wait.
-        reach: What it is to this daemon's cell.
     """
 
     weights: Mapping[ModelId, WeightsVersion]
     is_left_alone: bool
     penalty_seconds: float
-    reach: Reach
 
 
 def make_view(
@@ -52,7 +50,6 @@
         concurrency_limit=listed.slots,
         cache_tokens=0 if engine is None else engine.kv_tokens,
         penalty_seconds=standing.penalty_seconds,
-        reach=standing.reach,
         fetch_token_seconds=fetch_seconds,
     )
 
