Send an engine its next prompt while it reads the last, by how fast it reads

Cause: a prompt counted as waiting in full until its first token had come back. An engine that had all but read 9,000 tokens looked full, and idled until all daemons had heard of its first token; callers waited up to two seconds in our queues while weights changed and a third of the engines was out.

Change: decide/backlog reckons what is left from the speed at which the group's targets have been seen to read; a quarter of what was sent counts as left until its first token.

Ruled out: the same reckoning in the cost of a place. A burst that shares one part then filled one target (9 of 24 requests where 6 are the bound).

--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -10,15 +10,17 @@
 from dataclasses import dataclass, field
 
 from lycheepost.core.ids import RequestId
+from lycheepost.decide.backlog import Backlog
 from lycheepost.decide.belief import CacheBelief
 from lycheepost.decide.concurrency import Window
+from lycheepost.decide.rates import Rates
 from lycheepost.decide.records import LoadReport, TargetView, Work
 from lycheepost.decide.slow import Slowness
 
 HISTORY_SECONDS = 5.0
 """Load reports are at most a few seconds late."""
 
-SHARED_WINDOW_TOKENS = 6_000
+SHARED_WINDOW_TOKENS = 4_500
 """Prompt tokens of all daemons together that may wait at one target. They keep its
 engine busy for some 0.1 s, until more can arrive; what waits beyond that waits here,
 where it can still be ordered, sent where its prefix is, or refused in time. From twice
@@ -62,6 +64,8 @@
     """Everything the decisions hold about one target.
 
     Attributes:
+        rates: Measured speeds of its group.
+        backlog: What it has to read of all that was sent to it.
         queued_tokens: Our own uncached tokens without a first token yet.
         queued_prompt_tokens: The whole prompts of the same requests, which is
             what engines report, as they look into the cache only later.
@@ -73,6 +77,8 @@
 
     view: TargetView
     belief: CacheBelief
+    rates: Rates
+    backlog: Backlog = field(default_factory=Backlog)
     in_flight: dict[RequestId, InFlight] = field(default_factory=dict)
     queued_tokens: int = 0
     queued_prompt_tokens: int = 0
@@ -92,6 +98,7 @@
             self.others_running = 0.0
             self.slowness = Slowness()
             self.window = Window()
+            self.backlog = Backlog()
         if view.weights_version != self.view.weights_version:
             self.belief.clear()
         self.view = view
@@ -101,6 +108,7 @@
         self.in_flight[entry.work.request] = entry
         self._count_queued(entry, 1)
         self._remember(now_seconds)
+        self._follow_sent(now_seconds)
 
     def first_token(self, entry: InFlight, now_seconds: float) -> None:
         """Count the end of a prefill."""
@@ -109,6 +117,7 @@
         entry.has_first_token = True
         self._count_queued(entry, -1)
         self._remember(now_seconds)
+        self._follow_sent(now_seconds)
 
     def end(self, request: RequestId, now_seconds: float) -> InFlight | None:
         """Stop counting a request."""
@@ -118,12 +127,28 @@
         if not entry.has_first_token:
             self._count_queued(entry, -1)
         self._remember(now_seconds)
+        self._follow_sent(now_seconds)
         return entry
 
     def _count_queued(self, entry: InFlight, sign: int) -> None:
         self.queued_tokens += sign * entry.uncached_tokens
         self.queued_prompt_tokens += sign * entry.work.prompt_tokens
 
+    def _follow_sent(self, now_seconds: float) -> None:
+        sent_tokens = self.queued_tokens + self._known_others(now_seconds)[0]
+        self.backlog.set_sent(
+            sent_tokens, self._token_seconds(now_seconds), now_seconds
+        )
+
+    def _token_seconds(self, now_seconds: float) -> float:
+        return self.rates.token_seconds * self.slowness.now(now_seconds)
+
+    def _known_others(self, now_seconds: float) -> tuple[float, float]:
+        """Return tokens and requests of other daemons; an old word says nothing."""
+        if now_seconds - self.reported_seconds > REPORT_SECONDS:
+            return 0.0, 0.0
+        return self.others_tokens, self.others_running
+
     def _remember(self, now_seconds: float) -> None:
         own = OwnLoad(now_seconds, self.queued_prompt_tokens, len(self.in_flight))
         self.history.append(own)
@@ -159,6 +184,7 @@
         # long gone when it arrives.
         self.others_tokens = (self.others_tokens + others_tokens) / 2
         self.others_running = (self.others_running + others_running) / 2
+        self._follow_sent(report.measured_seconds)
 
     def set_others(self, tokens: int, n_running: int, now_seconds: float) -> None:
         """Take what the other daemons told that they have here."""
@@ -166,30 +192,28 @@
         self.others_running = float(n_running)
         self.reported_seconds = now_seconds
         self.is_shared = True
+        self._follow_sent(now_seconds)
 
     def estimate(self, now_seconds: float) -> tuple[float, float]:
-        """Return the tokens waiting for prefill there and the requests there."""
-        if now_seconds - self.reported_seconds > REPORT_SECONDS:
-            return self.queued_tokens, len(self.in_flight)
-        return (
-            self.queued_tokens + self.others_tokens,
-            len(self.in_flight) + self.others_running,
-        )
+        """Return the tokens without a first token yet there, and the requests there."""
+        others_tokens, others_running = self._known_others(now_seconds)
+        n_running = len(self.in_flight) + others_running
+        return self.queued_tokens + others_tokens, n_running
 
-    def has_room(self, n_running: float) -> bool:
+    def has_room(self, n_running: float, now_seconds: float) -> bool:
         """Tell whether it may take one more beside ``n_running``."""
         if n_running >= self.limit():
             return False
         if self.is_shared:
-            n_waiting = self.queued_tokens + self.others_tokens
-            return not n_waiting or n_waiting < SHARED_WINDOW_TOKENS
+            token_seconds = self._token_seconds(now_seconds)
+            return self.backlog.left(token_seconds, now_seconds) < SHARED_WINDOW_TOKENS
         # One request may always go: windows are narrower than long prompts.
         return not self.queued_tokens or self.queued_tokens < self.window.tokens
 
     def places(self, now_seconds: float) -> float:
         """Return for how many more requests it has room; one where prompts wait."""
         n_running = self.estimate(now_seconds)[1]
-        if not self.has_room(n_running):
+        if not self.has_room(n_running, now_seconds):
             return 0.0
         is_engine = self.view.cache_tokens > 0
         return 1.0 if is_engine else self.limit() - n_running
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -123,7 +123,8 @@
         if len(self._serving) > SCORE_ALL_TARGETS:
             return True
         return any(
-            load.has_room(load.estimate(now_seconds)[1]) for load in self._serving
+            load.has_room(load.estimate(now_seconds)[1], now_seconds)
+            for load in self._serving
         )
 
     def full_share(self, now_seconds: float) -> float:
@@ -131,7 +132,10 @@
         loads = self._serving
         if len(loads) > SCORE_ALL_TARGETS:
             loads = self._rng.sample(loads, SCORE_ALL_TARGETS)
-        n_full = sum(not load.has_room(load.estimate(now_seconds)[1]) for load in loads)
+        n_full = sum(
+            not load.has_room(load.estimate(now_seconds)[1], now_seconds)
+            for load in loads
+        )
         return n_full / max(1, len(loads))
 
     def note_holder(self, levels: Sequence[PrefixLevel], target: TargetId) -> None:
@@ -242,8 +246,9 @@
                 best = (load, uncached, wait, ahead, n_running)
         assert best is not None
         load, uncached, wait, ahead, n_running = best
+        can_take = load.has_room(n_running, now_seconds)
         cached = work.prompt_tokens - uncached
-        return Choice(load, wait, cached, uncached, ahead, load.has_room(n_running))
+        return Choice(load, wait, cached, uncached, ahead, can_take)
 
 
 def _usable(
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -87,7 +87,9 @@
         load = group.placement.loads.get(view.target)
         if load is None:
             belief = CacheBelief(view.incarnation, view.cache_tokens)
-            group.placement.loads[view.target] = TargetLoad(view, belief)
+            group.placement.loads[view.target] = TargetLoad(
+                view, belief, group.placement.rates
+            )
             return
         load.replace_view(view)
 
