Let floods go around one zone, and ask two peers for all members instead of ten

Each asked every link for all 195 members, 40 KB an answer, and told each link of each member that it learned of.

Change: two of three rings go around an availability zone; two peers are asked in one exchange; what others have told goes only over the links of the rings.

--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -39,6 +39,11 @@
 _REMEMBERED_FLOODS = 4096
 """Floods remembered so as to pass each on once. At the size to design for a few
 come each second, and one takes well under a second to reach everybody."""
+MOST_ASKED = 2
+"""Peers that a daemon asks for all members in one exchange, until one has answered. Of
+two hundred members each answer takes forty kilobytes, and when all daemons start at
+once each of them would be sent it ten times."""
+
 _PROBE_TURNS = 30
 _LINKLESS_SECONDS = 0.1
 _log = structlog.get_logger(part="peers")
@@ -91,6 +96,7 @@
         self._neighbours: frozenset[DaemonId] = frozenset()
         self._turn = 0
         self._has_members = False
+        self._n_asked = 0
         self._task: asyncio.Task[None] | None = None
         self.counts = WireCounts()
         self.n_replaced_links = 0
@@ -167,6 +173,16 @@
         """Return the daemons with whom there is a link."""
         return tuple(self._links)
 
+    def flooded(self) -> tuple[DaemonId, ...]:
+        """Return those of them to whom floods go."""
+        return tuple(
+            daemon for daemon, link in self._links.items() if self._floods(daemon, link)
+        )
+
+    def _floods(self, daemon: DaemonId, link: _Link) -> bool:
+        is_wanted = link.wants_floods or daemon in self._neighbours
+        return is_wanted and daemon not in self._no_flood
+
     async def _run(self) -> None:
         while True:
             now_seconds = self._clock.now_seconds()
@@ -174,6 +190,7 @@
             self._choose_links(now_seconds)
             self._send_heartbeats(now_seconds)
             self._turn += 1
+            self._n_asked = 0
             # Until there is a link, members may become known at any moment, and
             # a daemon that has just started needs its peers at once.
             pause_seconds = self._exchange_seconds
@@ -230,9 +247,11 @@
 
     def _greet(self, daemon: DaemonId) -> None:
         member = to_peer_member(self._members.me())
+        asks = not self._has_members and self._n_asked < MOST_ASKED
+        self._n_asked += asks
         hello = PeerHello(
             member=member,
-            wants_members=not self._has_members,
+            wants_members=asks,
             wants_floods=daemon not in self._no_flood,
         )
         self.send(daemon, hello)
@@ -323,8 +342,7 @@
     def _send_to_links(self, message: Any, but: DaemonId | None) -> None:
         data = encode_message(message)
         for daemon, link in list(self._links.items()):
-            is_wanted = link.wants_floods or daemon in self._neighbours
-            if daemon != but and is_wanted and daemon not in self._no_flood:
+            if daemon != but and self._floods(daemon, link):
                 self._send_data(daemon, data)
 
     def _send_data(self, daemon: DaemonId, data: bytes) -> bool:
--- a/lycheepost/peers/membership.py
+++ b/lycheepost/peers/membership.py
@@ -83,11 +83,15 @@
     def _send_news(self) -> None:
         news, self._news = self._news, {}
         known = {daemon: self._members.get(daemon) for daemon in news}
+        flooded = set(self._exchange.flooded())
         for link in self._exchange.linked():
+            # Over other links goes only what nobody else has told before.
             members = [
                 to_peer_member(member)
                 for daemon, source in news.items()
-                if source != link and (member := known[daemon]) is not None
+                if source != link
+                and (source is None or link in flooded)
+                and (member := known[daemon]) is not None
             ]
             if members:
                 self._exchange.send(link, MemberNews(members=members))
--- a/lycheepost/peers/neighbours.py
+++ b/lycheepost/peers/neighbours.py
@@ -7,6 +7,10 @@
 a message floods 540 daemons in four to five steps. Rendezvous hashing was tried
 first: some daemons were then chosen by three times as many as others and spent
 3.5 KB a second where the mean was 1.9.
+
+All rings but the last go around one availability zone where that has enough daemons:
+a flood then crosses between zones once for each daemon and not three times, and when
+two hundred start at once that is most of what crosses.
 """
 
 from collections.abc import Iterable
@@ -16,6 +20,11 @@
 from lycheepost.state.addresses import Member, MemberState
 
 
+ZONE_DAEMONS = 8
+"""Other daemons of a zone from which on it has rings of its own. In a ring of fewer, two
+that die at once often lie next to each other in both of its rings."""
+
+
 def choose_neighbours(
     me: DaemonId, members: Iterable[Member], fanout: int
 ) -> tuple[Member, ...]:
@@ -23,14 +32,20 @@
 
     One daemon that comes or goes changes the link of its predecessors only.
     """
+    known = tuple(members)
+    zone = next((item.availability_zone for item in known if item.daemon == me), None)
     by_name = {
         member.daemon: member
-        for member in members
+        for member in known
         if member.daemon != me
         and member.peer_endpoint
         and member.state is MemberState.LIVE
     }
-    chosen = {_successor(me, by_name, ring): None for ring in range(fanout) if by_name}
+    near = [name for name, item in by_name.items() if item.availability_zone == zone]
+    rings = [near if len(near) >= ZONE_DAEMONS else by_name] * (fanout - 1) + [by_name]
+    chosen = {
+        _successor(me, names, ring): None for ring, names in enumerate(rings) if names
+    }
     return tuple(by_name[name] for name in chosen)
 
 
