Let the order of owners count for no more than owners spare

Cause: each step away from a prompt's owner cost 10 ms, also for a request of a plain service and for prompts that share 200 tokens, which are read in 4 ms. So these went where their hash said, past idle targets of the same zone.

Change: a step costs what the shared tokens would take to be read, divided by the steps; a target of another zone costs 4 ms, two round trips.

--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -138,6 +138,7 @@
         on_views,
         lambda: get_bounds().weights_seconds,
         prefers_new_weights=Mechanism.NEW_WEIGHTS not in switched_off,
+        availability_zone=base.node.availability_zone,
     )
     cache_events = CacheEventsClient()
     kv_copies = KvCopies(switched_off)
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -30,9 +30,13 @@
 decision costs the same before 100 and before 12,000 servers."""
 
 OWNER_SECONDS = 0.01
-"""Cost of each step away from the first owner: below what a caller notices,
+"""Most that a step away from the first owner costs: below what a caller notices,
 above the noise of predictions."""
 
+TIE_SECONDS = 0.0003
+"""Least that it costs. Where nothing is shared, targets that are equally good are still
+taken in an order that differs from request to request."""
+
 PRESSURE_PRICE = 20.0
 """Price of avoidable prefill while the queue is never empty. Each second of it
 is then a second taken from someone who is refused, however short this request's
@@ -195,6 +199,15 @@
             return None
         return self._lowest(usable, owners, now_seconds, ahead_of, work, is_late)
 
+    def _step_seconds(self, work: Work) -> float:
+        """Return what a step away from the first owner costs.
+
+        No more than the prefill that owners spare: a short prompt, or a request of a
+        plain service, goes where the wait is shortest, and not where its hash says.
+        """
+        saved_seconds = _shared_tokens(work) * self.rates.token_seconds
+        return min(OWNER_SECONDS, max(TIE_SECONDS, saved_seconds / OWNER_STEPS))
+
     def _lowest(
         self,
         usable: list[tuple[TargetLoad, int, int]],
@@ -216,6 +229,7 @@
         price = self._settings.recompute_weight
         if not is_late:
             price += PRESSURE_PRICE * self.pressure
+        step_seconds = self._step_seconds(work)
         least_uncached = min([item[1] for item in usable])
         best_score = math.inf
         best: tuple[TargetLoad, int, float, float, float] | None = None
@@ -238,7 +252,7 @@
             score = (
                 wait_weight * wait
                 + price * (uncached - least_uncached) * token_seconds
-                + steps * OWNER_SECONDS
+                + steps * step_seconds
                 + load.view.penalty_seconds
             )
             if score < best_score:
@@ -285,3 +299,8 @@
     """Return what a prompt is placed by: what others share of it, or itself."""
     digest = shared_digest(work.levels)
     return int(work.fingerprint if digest is None else digest)
+
+
+def _shared_tokens(work: Work) -> int:
+    """Return the tokens that other prompts may share."""
+    return work.levels[-2].end_tokens if len(work.levels) > 1 else 0
--- a/lycheepost/peers/neighbours.py
+++ b/lycheepost/peers/neighbours.py
@@ -19,10 +19,9 @@
 from lycheepost.core.ids import DaemonId
 from lycheepost.state.addresses import Member, MemberState
 
-
 ZONE_DAEMONS = 8
-"""Other daemons of a zone from which on it has rings of its own. In a ring of fewer, two
-that die at once often lie next to each other in both of its rings."""
+"""Other daemons of a zone from which on it has rings of its own. In a ring of fewer,
+two that die at once often lie next to each other in both of its rings."""
 
 
 def choose_neighbours(
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -16,6 +16,7 @@
 
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
+    AvailabilityZone,
     ModelId,
     TargetGroupId,
     TargetId,
@@ -43,6 +44,12 @@
 even if nobody told that it is done: the daemon that knew may have died, or be cut
 off. Twice what a change takes; a target that still changes only says so."""
 
+ZONE_SECONDS = 0.004
+"""What a target in another availability zone costs: a round trip for the connection and
+one for the request, and the bytes of both are paid for."""
+
+NO_ZONE = AvailabilityZone("")
+
 SETTLED_SECONDS = 0.6
 """What a target says of its weights is believed, also when they are older than those
 that it was believed to hold, once that belief is so old: a report is some 0.1 s late,
@@ -96,6 +103,7 @@
         weights_seconds: Returns how long after new weights were named old ones may
             serve.
         prefers_new_weights: Targets with older weights than named cost more.
+        availability_zone: Where this daemon is; empty to take all zones alike.
     """
 
     def __init__(
@@ -104,7 +112,9 @@
         on_views: OnViews,
         weights_seconds: Callable[[], float],
         prefers_new_weights: bool = True,
+        availability_zone: AvailabilityZone = NO_ZONE,
     ) -> None:
+        self._availability_zone = availability_zone
         self._prefers_new_weights = prefers_new_weights
         self._clock = clock
         self._on_views = on_views
@@ -442,9 +452,13 @@
 
     def _penalty_seconds(self, known: _Known, now_seconds: float) -> float:
         """Return what answers of a target are worth less, told as a wait."""
+        is_near = known.listed.availability_zone == self._availability_zone
+        far_seconds = 0.0 if is_near or not self._availability_zone else ZONE_SECONDS
         if not self._prefers_new_weights:
-            return 0.0
-        return self._wanted.penalty_seconds(known.weights or {}, now_seconds)
+            return far_seconds
+        return far_seconds + self._wanted.penalty_seconds(
+            known.weights or {}, now_seconds
+        )
 
     def _view(self, known: _Known, is_resting: bool, now_seconds: float) -> TargetView:
         standing = Standing(
