--- a/features/peers/sockets.feature
+++ b/features/peers/sockets.feature
@@ -74,3 +74,8 @@
       | tcp://          |
       | tcp://1.2.3.4   |
       | tcp://1.2.3.4:x |
+
+  Scenario: Every message that daemons send each other has a kind
+    One without a kind raises where it is sent, in the task that tells its news: that
+    task ends, and with it what else it does, as the renewals of a lease.
+    Then each message of the schema is a kind or part of one
--- a/features/peers/steps/socket_steps.py
+++ b/features/peers/steps/socket_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 from dataclasses import dataclass, replace
 from unittest import mock
 
@@ -8,6 +9,7 @@
 
 from lycheepost.core.clock import SystemClock
 from lycheepost.core.ids import AvailabilityZone, DaemonId, Revision
+from lycheepost.generated import messages
 from lycheepost.generated.configuration import Configuration, Customer
 from lycheepost.generated.messages import QuarantineNotice
 from lycheepost.peers import wire
@@ -290,3 +292,20 @@
 @then("it refuses to start")
 def step_refuses(context):
     assert "CURVE" in str(context.error)
+
+
+@then("each message of the schema is a kind or part of one")
+def step_kinds(context):
+    found = {
+        item
+        for item in vars(messages).values()
+        if dataclasses.is_dataclass(item) and item.__module__ == messages.__name__
+    }
+    parts = {
+        part
+        for item in found
+        for field in dataclasses.fields(item)
+        for part in found
+        if part.__name__ in str(field.type)
+    }
+    assert found - parts == set(wire.MESSAGE_TYPES.values()), found - parts
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -14,6 +14,7 @@
 from lycheepost.generated.messages import (
     FeedAnswer,
     FeedAsk,
+    LeaseNews,
     LoadNews,
     MemberNews,
     PeerEnvelope,
@@ -43,6 +44,7 @@
     "suspect": SuspectPlaced,
     "changing": TargetsChanging,
     "loads": LoadNews,
+    "lease": LeaseNews,
     "weights-due": WeightsDue,
     "feed-ask": FeedAsk,
     "feed-answer": FeedAnswer,
