Let daemons that nobody asks wait longer for a store that is down

Change: who is asked by others goes on as before; the others ask the store every 3 s once it has not answered, and their peers meanwhile.

The line on a send tells how long the request waited here.

--- a/features/peers/feedshare.feature
+++ b/features/peers/feedshare.feature
@@ -9,6 +9,20 @@
     Then each of them knows the newest rows at the end
     And nothing was taken for confirmed that was not
 
+  Scenario: What is told at third hand is true as well
+    In a fleet of two hundred most daemons ask one that asks another. Messages are late
+    or lost, daemons are cut off, and what is passed on grows old on the way.
+    When 7 daemons of a tree follow a store with faults through 40 seeded runs
+    Then each of them knows the newest rows at the end
+    And nothing was taken for confirmed that was not
+
+  Scenario: Forty daemons do not all ask a store that is down
+    The store takes no calls for eight seconds. Each daemon would ask it once a second
+    for each table; those that nobody asks leave it to the others.
+    When 40 daemons of a tree lose the store for 8 s
+    Then they ask it at most 160 times meanwhile
+    And all of them know a change 2.5 s after its return
+
   Scenario: Runs that failed before
     Seed 33: a whole table came from a peer whose copy was older than what was known.
     Seed 2158: a daemon that had followed a peer followed the store again, so that its
--- a/features/peers/steps/feedshare_steps.py
+++ b/features/peers/steps/feedshare_steps.py
@@ -106,8 +106,9 @@
 class Cell:
     """Daemons of one cell before one store."""
 
-    def __init__(self, loop, n, rng=None, on_confirmed=None):
+    def __init__(self, loop, n, rng=None, on_confirmed=None, is_tree=False):
         self.loop = loop
+        self.is_tree = is_tree
         self.store = RowStore()
         self.network = NetworkModel(seed=1)
         self.names = [DaemonId(f"daemon-{index}") for index in range(n)]
@@ -123,7 +124,7 @@
             feed,
             exchange,
             self.loop,
-            lambda: () if self.source == name else (self.source,),
+            lambda: self.sources_of(name),
         )
         follower = Follower(feed, shared, None)
         follower.watch = Watch(
@@ -136,6 +137,14 @@
         follower.exchange = exchange
         return follower
 
+    def sources_of(self, name):
+        """Return whom a daemon asks: the source, or those above it in a tree."""
+        if not self.is_tree:
+            return () if self.source == name else (self.source,)
+        index = self.names.index(name)
+        above = {0: (), 1: (0,), 2: (1, 0)}.get(index, (1 + index % 2, 2 - index % 2))
+        return tuple(self.names[number] for number in above)
+
     def take(self, follower, seen):
         if seen.is_whole:
             follower.known.clear()
@@ -162,7 +171,7 @@
         return sum(follower.feed.n_calls for follower in self.followers)
 
 
-async def follow_with_faults(loop, n, seed, wrong):
+async def follow_with_faults(loop, n, seed, wrong, is_tree=False):
     rng = random.Random(seed)
     history = [(loop.now_seconds(), 0)]
 
@@ -171,7 +180,7 @@
         if int(follower.known.get(KEY, b"0")) < accepted[-1]:
             wrong.append(seed)
 
-    cell = Cell(loop, n, rng, check)
+    cell = Cell(loop, n, rng, check, is_tree)
     await cell.start()
     for number in range(1, 40):
         await asyncio.sleep(rng.uniform(0.0, 0.8))
@@ -205,11 +214,53 @@
     run_seeds(context, n, (33, 2158))
 
 
-def run_seeds(context, n, seeds):
+@when("{n:d} daemons of a tree follow a store with faults through {runs:d} seeded runs")
+def step_tree_faults(context, n, runs):
+    run_seeds(context, n, range(n_runs(runs)), is_tree=True)
+
+
+async def lose_store(loop, n, seconds):
+    cell = Cell(loop, n, is_tree=True)
+    cell.store.put(TABLE, KEY, b"1")
+    await cell.start()
+    await asyncio.sleep(10.0)
+    before = cell.n_calls
+    for follower in cell.followers:
+        follower.feed.is_cut = True
+    await asyncio.sleep(seconds)
+    n_calls = cell.n_calls - before
+    for follower in cell.followers:
+        follower.feed.is_cut = False
+    cell.store.put(TABLE, KEY, b"2")
+    await asyncio.sleep(2.5)
+    n_behind = sum(item.known[KEY] != b"2" for item in cell.followers)
+    await cell.stop()
+    return n_calls, n_behind
+
+
+@when("{n:d} daemons of a tree lose the store for {seconds:d} s")
+def step_lose_store(context, n, seconds):
+    loop = VirtualTimeLoop()
+    work = lose_store(loop, n, seconds)
+    context.n_calls, context.n_behind = loop.run_until_complete(work)
+    loop.close()
+
+
+@then("they ask it at most {most:d} times meanwhile")
+def step_lost_calls(context, most):
+    assert 0 < context.n_calls <= most, context.n_calls
+
+
+@then("all of them know a change {seconds:g} s after its return")
+def step_none_behind(context, seconds):
+    assert context.n_behind == 0, context.n_behind
+
+
+def run_seeds(context, n, seeds, is_tree=False):
     context.wrong, context.ended = [], []
     for seed in seeds:
         loop = VirtualTimeLoop()
-        work = follow_with_faults(loop, n, seed, context.wrong)
+        work = follow_with_faults(loop, n, seed, context.wrong, is_tree)
         context.ended.append(loop.run_until_complete(work))
         loop.close()
 
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -272,6 +272,7 @@
                 end="served" if kind is FinishKind.COMPLETE and end is None else reason,
                 predicted_seconds=round(dispatch.predicted_wait_seconds, 3),
                 expected_cached_tokens=dispatch.expected_cached_tokens,
+                waited_seconds=round(sent_seconds - self._request.arrived_seconds, 4),
                 held_seconds=round(now_seconds - sent_seconds, 4),
                 first_seconds=self._relay.first_seconds,
                 longest_gap_seconds=self._relay.longest_gap_seconds,
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -61,12 +61,20 @@
 """The same where a peer should tell, but does not. After the start of two hundred
 daemons that is so for a second or two, in which the entries of all servers change."""
 
+LOST_PACE_SECONDS = 3.0
+"""The same for a daemon that nobody asks, once the store has not answered it either.
+When the store is down, two hundred daemons that each tried once a second would make
+most of a day's calls; those that others ask go on trying, and tell of its return."""
+
 LINKLESS_SECONDS = 0.2
 """How long a peer is not asked that there is no link with yet."""
 
 LOOK_SECONDS = 0.1
 """Between two looks at what is held for too long."""
 
+ASKED_BY_SECONDS = 5.0
+"""A daemon that was asked so long ago counts as one that others ask."""
+
 NO_VERSION = -1
 
 _log = structlog.get_logger(part="feed")
@@ -120,6 +128,7 @@
         self._answers: dict[int, asyncio.Future[FeedAnswer]] = {}
         self._failed_until: dict[DaemonId, float] = {}
         self._asked_seconds: dict[str, float] = {}
+        self._asked_by_seconds = float("-inf")
         self._task: asyncio.Task[None] | None = None
         self.n_peer_answers = 0
         self.n_peer_failures = 0
@@ -198,11 +207,19 @@
         """Wait until the store may be asked again for a table."""
         now_seconds = self._clock.now_seconds()
         asked_seconds = self._asked_seconds.get(table, float("-inf"))
-        pace_seconds = FALLBACK_PACE_SECONDS if self._get_sources() else PACE_SECONDS
-        due_seconds = max(now_seconds, asked_seconds + pace_seconds)
+        due_seconds = max(now_seconds, asked_seconds + self._pace_seconds(table))
         self._asked_seconds[table] = due_seconds
         await asyncio.sleep(due_seconds - now_seconds)
 
+    def _pace_seconds(self, table: str) -> float:
+        if not self._get_sources():
+            return PACE_SECONDS
+        now_seconds = self._clock.now_seconds()
+        is_asked = now_seconds < self._asked_by_seconds + ASKED_BY_SECONDS
+        if self._mirrors[table].is_lost and not is_asked:
+            return LOST_PACE_SECONDS
+        return FALLBACK_PACE_SECONDS
+
     def _source(self) -> DaemonId | None:
         """Return the peer to ask now; None for the store."""
         now_seconds = self._clock.now_seconds()
@@ -299,6 +316,7 @@
 
     def _take_ask(self, ask: FeedAsk, sender: DaemonId) -> None:
         now_seconds = self._clock.now_seconds()
+        self._asked_by_seconds = now_seconds
         held = _Held(sender, ask, now_seconds)
         if not self._mirrors[ask.table].knows(now_seconds):
             self._refuse(held)
--- a/lycheepost/state/feedmirror.py
+++ b/lycheepost/state/feedmirror.py
@@ -35,6 +35,7 @@
     Attributes:
         version: The store's version at the last answer; None while it is not known
             whole.
+        is_lost: The store did not answer the last question.
     """
 
     version: int | None = None
@@ -42,7 +43,7 @@
     _steps: deque[_Step] = field(default_factory=deque)
     _base_version: int = 0
     _confirmed_seconds: float = float("-inf")
-    _is_lost: bool = False
+    is_lost: bool = False
 
     def take(
         self, changes: Changes, after: int | None, confirmed_seconds: float
@@ -74,11 +75,11 @@
             self._base_version = self._steps.popleft().version
         self.version = changes.version
         self._confirmed_seconds = confirmed_seconds
-        self._is_lost = False
+        self.is_lost = False
 
     def note_lost(self) -> None:
         """Take note that the store did not answer."""
-        self._is_lost = True
+        self.is_lost = True
 
     def confirmed_after_seconds(self, since_seconds: float) -> float:
         """Return when it was last confirmed, counted from ``since_seconds``."""
@@ -87,7 +88,7 @@
     def knows(self, now_seconds: float) -> bool:
         """Tell whether it is fresh enough to be passed on."""
         age_seconds = now_seconds - self._confirmed_seconds
-        return not self._is_lost and age_seconds <= MOST_AGE_SECONDS
+        return not self.is_lost and age_seconds <= MOST_AGE_SECONDS
 
     def changes_after(self, after: int) -> Changes | None:
         """Return the changes after a version; None where that lies ahead.
