--- a/lycheepost/app/fleetplace.py
+++ b/lycheepost/app/fleetplace.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+import structlog
+
 from lycheepost.core.fleetmember import FleetMember
 from lycheepost.core.ids import DaemonId
 from lycheepost.decide.entry import choose_entry
@@ -9,6 +11,8 @@
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.members import MemberKeeper
 
+_log = structlog.get_logger(part="fleet")
+
 
 @dataclass(frozen=True, slots=True)
 class FleetPlace:
@@ -92,6 +96,19 @@
         members = self._members.members()
         if self._place is None or self._change != self._members.n_changes:
             self._change = self._members.n_changes
+            before = self._place
             me = self._members.me()
             self._place = find_place(me, members, self._members.entry())
+            if self._place != before:
+                self._tell(me, self._place, len(members))
         return self._place
+
+    def _tell(self, me: Member, place: FleetPlace, n_members: int) -> None:
+        _log.info(
+            "fleet: place changed",
+            is_entry=me.daemon in place.entry,
+            entry=sorted(place.entry),
+            sources=place.sources,
+            n_members=n_members,
+            n_targets=self._chooser.n_targets,
+        )
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -250,6 +250,7 @@
             "configuration": self.routing.status(made.base.clock.now_seconds()),
             "watches": [watch.status() for watch in made.watches],
             "members": made.peers.members.status()["members"],
+            "entry": sorted(made.peers.places.place().entry),
             "peers": made.peers.exchange.status(),
             "feed": made.peers.feed.status(),
             "targets": made.traffic.targets.status(),
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -35,8 +35,8 @@
 
 EXCHANGE_SECONDS = 0.4
 PEER_LINKS = 3
-"""Beside the links within a cell: enough that word of a target's change reaches
-seventy daemons in four hops, also when some of them are dead."""
+"""Links of the rings, beside those for load and for questions: enough that word of a
+target's change reaches all daemons in few steps, also when some of them are dead."""
 
 MEMBER_LOOK_SECONDS = 12.0
 """Peers tell of each other; the table is looked at only to find peers at all."""
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -45,7 +45,7 @@
 zones a message takes a few milliseconds, and a daemon is rarely busy for so long."""
 
 FAILED_SECONDS = 5.0
-"""How long a peer that failed is not asked; the next one of the cell is, or the store.
+"""How long a peer that failed is not asked; the next one is, or the store.
 A peer that died is found out within that time."""
 
 REFUSED_SECONDS = 2.0
