Ask for the first changes 1.2 s after a start, when it is known whom to ask

Before it knows any other, each takes itself for the one that asks the store.

Change: the first question waits until 1.2 s after the start, and goes to a peer if one is known by then.

--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -57,6 +57,11 @@
 changed the servers' entries change some twenty times a second, and each change would
 be asked for by itself; targets that leave must be known within two seconds."""
 
+SETTLE_SECONDS = 1.2
+"""How long after its start a daemon asks the store for no changes: by then it knows
+whom else to ask. What it read at its start counts as fresh for three times as long.
+When two hundred start at once, their first questions were a tenth of a day's calls."""
+
 FALLBACK_PACE_SECONDS = 0.8
 """The same where a peer should tell, but does not. After the start of two hundred
 daemons that is so for a second or two, in which the entries of all servers change."""
@@ -130,6 +135,8 @@
         self._failed_until: dict[DaemonId, float] = {}
         self._asked_seconds: dict[str, float] = {}
         self._asked_by_seconds = float("-inf")
+        self._started_seconds = float("-inf")
+        self._has_settled = False
         self._task: asyncio.Task[None] | None = None
         self.n_peer_answers = 0
         self.n_peer_failures = 0
@@ -138,6 +145,7 @@
 
     async def start(self) -> None:
         """Begin to answer peers."""
+        self._started_seconds = self._clock.now_seconds()
         self._task = start_task(self._run(), "feed-share")
 
     async def drain(self) -> None:
@@ -180,7 +188,11 @@
         )
         if told is not None:
             return Success(told)
+        is_first = not self._has_settled
         await self._pace(table)
+        if is_first:
+            self._has_settled = True
+            return await self.wait_changes(table, after, wait_seconds)
         sent_seconds = self._clock.now_seconds()
         held_seconds = min(wait_seconds, STORE_HELD_SECONDS)
         answer = await self._store.wait_changes(table, after, held_seconds)
@@ -209,6 +221,8 @@
         now_seconds = self._clock.now_seconds()
         asked_seconds = self._asked_seconds.get(table, float("-inf"))
         due_seconds = max(now_seconds, asked_seconds + self._pace_seconds(table))
+        if not self._has_settled:
+            due_seconds = max(due_seconds, self._started_seconds + SETTLE_SECONDS)
         self._asked_seconds[table] = due_seconds
         await asyncio.sleep(due_seconds - now_seconds)
 
