Keep links with daemons that cannot serve for now

Cause: before an operator's first configuration each daemon tells that it cannot serve. With the entry daemons, links went to those that serve only: all closed, and nobody heard of the others' return.

The scenario of daemons that wait for a configuration fails without it.

--- a/features/platform/fleet.feature
+++ b/features/platform/fleet.feature
@@ -62,3 +62,13 @@
     Then all of them soon have it in force
     When the one that follows the store is killed
     Then soon one of them follows the store and the others follow that one
+
+  Scenario: Daemons that wait for the first configuration still know each other
+    All daemons start before an operator has written anything, and tell each other that
+    they cannot serve yet. Each then took the others for leaving and closed its links.
+    Once the configuration had come nobody heard that the others serve: each placed
+    its requests, and asked the store, as though it were alone.
+    Given 3 daemons that have waited 2 s for the first configuration
+    When the first configuration is written
+    Then each directory soon names all 3
+    And soon one of them follows the store and the others follow that one
--- a/features/platform/steps/fleet_steps.py
+++ b/features/platform/steps/fleet_steps.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import msgspec
-from behave import then, when
-from request_steps import BODY, REQUESTS, ask
+from behave import given, then, when
+from request_steps import BODY, REQUESTS, ask, start
 
 from lycheepost.app.platformfleet import make_configuration
 from lycheepost.platform import headers as names
@@ -15,6 +15,28 @@
 N_LONG = 400
 
 
+@given("{n:d} daemons that have waited {seconds:d} s for the first configuration")
+def step_unconfigured(context, n, seconds):
+    start(context, n_daemons=n, is_configured=False)
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+@when("the first configuration is written")
+def step_first_configuration(context):
+    context.deployment.configure(make_configuration())
+
+
+@then("each directory soon names all {n:d}")
+def step_all_named(context, n):
+    deployment = context.deployment
+
+    async def is_named():
+        found = [await deployment.addresses(index) for index in range(n)]
+        return all(len(addresses) == n for addresses in found)
+
+    context.loop.run_until_complete(deployment.until(is_named))
+
+
 @when("one daemon is told to stop while a long stream runs through it")
 def step_stop(context):
     deployment = context.deployment
--- a/lycheepost/app/fleetplace.py
+++ b/lycheepost/app/fleetplace.py
@@ -6,8 +6,9 @@
 
 from lycheepost.core.fleetmember import FleetMember
 from lycheepost.core.ids import DaemonId
-from lycheepost.decide.entry import choose_entry
+from lycheepost.decide.entry import SMALL_FLEET_DAEMONS, choose_entry
 from lycheepost.decide.feedtree import find_sources
+from lycheepost.peers.neighbours import LINKED_STATES
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.members import MemberKeeper
 
@@ -40,9 +41,14 @@
         self.n_targets = 0
 
     def choose(self, members: tuple[Member, ...]) -> frozenset[DaemonId]:
-        """Return the entry daemons among the members that serve."""
-        live = [item for item in members if item.state is MemberState.LIVE]
-        return choose_entry(map(to_fleet_member, live), self.n_targets)
+        """Return the entry daemons among the members that serve.
+
+        Where none does, as while the store is down, they are chosen among all that may
+        serve again: those who were entry daemons go on hearing of each other.
+        """
+        found = [item for item in members if item.state is MemberState.LIVE]
+        found = found or [item for item in members if item.state in LINKED_STATES]
+        return choose_entry(map(to_fleet_member, found), self.n_targets)
 
 
 def find_place(
@@ -56,11 +62,24 @@
         entry: The entry daemons.
     """
     others = [item for item in members if item.daemon != me.daemon]
-    mates = sorted(entry - {me.daemon}) if me.daemon in entry else ()
     known = [item for item in others if item.state is not MemberState.GONE]
+    mates = _mates(me, known, entry)
     live = {item.daemon for item in others if item.state is MemberState.LIVE}
     sources = find_sources(to_fleet_member(me), map(to_fleet_member, known), live)
-    return FleetPlace(entry, tuple(mates), sources)
+    return FleetPlace(entry, mates, sources)
+
+
+def _mates(
+    me: Member, known: list[Member], entry: frozenset[DaemonId]
+) -> tuple[DaemonId, ...]:
+    """Return whom ``me`` tells its load.
+
+    In a small fleet that is everybody, also who cannot serve for a moment: it still
+    has requests under way, and will serve again.
+    """
+    if len(known) < SMALL_FLEET_DAEMONS:
+        return tuple(sorted(item.daemon for item in known))
+    return tuple(sorted(entry - {me.daemon})) if me.daemon in entry else ()
 
 
 def to_fleet_member(member: Member) -> FleetMember:
--- a/lycheepost/peers/neighbours.py
+++ b/lycheepost/peers/neighbours.py
@@ -19,6 +19,11 @@
 from lycheepost.core.ids import DaemonId
 from lycheepost.state.addresses import Member, MemberState
 
+LINKED_STATES = (MemberState.LIVE, MemberState.LEAVING)
+"""A daemon that leaves, or says that it cannot serve for now, still passes news on, and
+must hear and be heard. When all of a fleet cannot serve, as before the first
+configuration, each would otherwise close its links and hear of nobody's return."""
+
 ZONE_DAEMONS = 8
 """Other daemons of a zone from which on it has rings of its own. In a ring of fewer,
 two that die at once often lie next to each other in both of its rings."""
@@ -27,7 +32,7 @@
 def choose_neighbours(
     me: DaemonId, members: Iterable[Member], fanout: int
 ) -> tuple[Member, ...]:
-    """Return the members to open links to: the next live one in each ring.
+    """Return the members to open links to: the next one in each ring.
 
     One daemon that comes or goes changes the link of its predecessors only.
     """
@@ -38,7 +43,7 @@
         for member in known
         if member.daemon != me
         and member.peer_endpoint
-        and member.state is MemberState.LIVE
+        and member.state in LINKED_STATES
     }
     near = [name for name, item in by_name.items() if item.availability_zone == zone]
     rings = [near if len(near) >= ZONE_DAEMONS else by_name] * (fanout - 1) + [by_name]
