Look after a target that has started again until no late order can come

Cause: an engine that an order to its earlier start took back to old weights was mended only once a request was sent to it.

Change: who holds the duty asks such a target for its weights 1, 3, 6 and 12 s after its start.

--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -68,6 +68,11 @@
 SHOWN_SECONDS = 0.6
 """By then a report shows an order that was taken."""
 
+RESTART_LOOKS_SECONDS = (1.0, 2.0, 3.0, 6.0)
+"""Pauses between looks at a target that has started again. An order to its earlier
+start may be carried out up to twelve seconds late and put older weights in; where no
+request goes to it, nobody else would notice."""
+
 FAILED_PAUSE_SECONDS = 0.4
 """Before a target that did not take an order is asked again."""
 
@@ -111,6 +116,8 @@
         self._news = WeightsNews(targets, tell)
         self._wanted: dict[ModelId, int] = {}
         self._changes: dict[TargetId, asyncio.Task[None]] = {}
+        self._started_ms: dict[TargetId, int] = {}
+        self._looks: set[asyncio.Task[None]] = set()
         self._current: CurrentLease | None = None
         self._load_seconds = 0.0
         self._last_order_seconds = -math.inf
@@ -127,7 +134,7 @@
 
     async def stop(self) -> None:
         """Stop; orders that were accepted are carried out all the same."""
-        tasks = [*self._changes.values()]
+        tasks = [*self._changes.values(), *self._looks]
         tasks += [] if self._task is None else [self._task]
         for task in tasks:
             task.cancel()
@@ -182,11 +189,41 @@
     def _begin(self, model: ModelId, wanted: int) -> None:
         """Begin the changes of one model that may begin now."""
         by_name = {target.target: target for target in self._listed(model)}
+        for target in by_name.values():
+            self._note_start(target, model)
         for order in next_orders(model, wanted, self._all_weights(model)):
             change = asyncio.create_task(self._change(by_name[order.target], order))
             self._changes[order.target] = change
             change.add_done_callback(partial(self._end_change, order.target))
 
+    def _note_start(self, target: ListedTarget, model: ModelId) -> None:
+        """Look after a target that has started again since it was last seen."""
+        if target.started_ms is None:
+            return
+        before_ms = self._started_ms.get(target.target)
+        self._started_ms[target.target] = target.started_ms
+        if before_ms is None or before_ms == target.started_ms:
+            return
+        look = start_task(self._look_after(target, model), "weights-restarted")
+        self._looks.add(look)
+        look.add_done_callback(self._looks.discard)
+
+    async def _look_after(self, target: ListedTarget, model: ModelId) -> None:
+        """Ask a target for its weights, several times while a late order may come."""
+        for pause_seconds in RESTART_LOOKS_SECONDS:
+            await asyncio.sleep(pause_seconds)
+            if not self._may_order() or self._targets.get(target.target) is None:
+                return
+            match await self._port.read_report(target):
+                case Success(report):
+                    version = report.weights.get(model)
+                    if version is not None and not report.is_changing:
+                        self._targets.note_weights(target.target, model, version)
+                case Failure(error):
+                    _log.info(
+                        "weights: no report", target=target.target, reason=error.reason
+                    )
+
     def _listed(self, model: ModelId) -> list[ListedTarget]:
         """Return the targets of a model."""
         return [
