--- a/lycheepost/decide/entry.py
+++ b/lycheepost/decide/entry.py
@@ -89,14 +89,15 @@
 
 
 def _in_order(candidates: Iterable[FleetMember]) -> list[FleetMember]:
-    by_width = sorted(candidates, key=_width_key)
-    n_seen: dict[AvailabilityZone, int] = {}
-    keyed: list[tuple[bool, int]] = []
-    for index, item in enumerate(by_width):
-        is_first = item.availability_zone not in n_seen
-        n_seen[item.availability_zone] = 1
-        keyed.append((not is_first, index))
-    return [by_width[index] for _, index in sorted(keyed)]
+    """Return the widest of each availability zone, then all others by width."""
+    zones: set[AvailabilityZone] = set()
+    first: list[FleetMember] = []
+    others: list[FleetMember] = []
+    for item in sorted(candidates, key=_width_key):
+        is_first = item.availability_zone not in zones
+        zones.add(item.availability_zone)
+        (first if is_first else others).append(item)
+    return [*first, *others]
 
 
 def _width_key(candidate: FleetMember) -> tuple[float, float, int]:
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -427,8 +427,8 @@
         addresses_valid_seconds: How long callers may keep an answer.
         seed: Seed of the jitter.
         names_unheard: Name daemons in answers that are only on the list.
-        choose_entry: Returns the daemons that answers for nobody in particular name;
-            None for all.
+        choose_entry: Returns the daemons that carry the traffic, of those that serve;
+            only they are named in answers. None for all.
         fleet_poll_seconds: Shortest time between looks of any two daemons of the fleet.
     """
     return MemberKeeper(
