Hold customers to their quotas over all daemons

Cause: a customer's rate_per_s, burst, unit and uncached_tokens were not read; all that was beyond a limit was sent on, and engines read it in place of what is owed.

A request may overdraw the bucket: where it must fit, short ones keep it nearly empty and long ones never pass. Units are taken before a request queues and given back when it surely never ran. Refused ones are told when their own units will have come.

--- /dev/null
+++ b/features/decide/quotas.feature
@@ -0,0 +1,101 @@
+Feature: Customers are held to their quotas by all daemons together
+  Daemons in virtual time, with messages that take up to 20 ms, and an audit that sees
+  the whole fleet. Quotas are counted in tokens of prompt and answer.
+
+  Scenario Outline: In no window is more let through than is tolerated: <scenario>
+    One customer asks for nearly five times its usual, through all daemons at once. Its
+    work would be read in place of what the others ask for; where daemons lose sight of
+    each other, each would let it have the whole quota.
+    When 10 daemons and 16 customers play "<scenario>" with seeds 1 to 3
+    Then the worst window holds at most what is tolerated
+
+    Examples:
+      | scenario                     |
+      | hot                          |
+      | hot, messages lost           |
+      | half cut off                 |
+      | half cut off in a burst      |
+      | one cut off                  |
+      | half frozen                  |
+      | one killed                   |
+      | all killed                   |
+      | all killed twice             |
+      | all killed in a flood        |
+      | rolling restart              |
+
+  Scenario Outline: <n> daemons keep to it as well
+    When <n> daemons and 16 customers play "half cut off in a burst" with seeds 1 to 2
+    Then the worst window holds at most what is tolerated
+
+    Examples:
+      | n  |
+      | 2  |
+      | 5  |
+      | 24 |
+
+  Scenario Outline: A customer inside its quota isn't refused for it: <scenario>
+    Counting what each daemon alone sees, those on one daemon were held to a tenth of
+    what their customer may ask.
+    When 10 daemons and 16 customers play "<scenario>" with seeds 1 to 3
+    Then at most 1 in 1000 requests of customers inside their quotas is refused
+
+    Examples:
+      | scenario                |
+      | usual                   |
+      | callers on one daemon   |
+      | hot                     |
+      | one killed, usual       |
+      | rolling restart, usual  |
+
+  Scenario Outline: The audit sees it where <guard> is taken out
+    A check that passes whatever the daemons do shows nothing.
+    Given daemons without <guard>
+    When 10 daemons and 16 customers play "<scenario>" with seeds 1 to 3
+    Then the worst window holds more than is tolerated
+
+    Examples:
+      | guard                            | scenario                |
+      | word of the others               | hot                     |
+      | a part for those who are silent  | half cut off in a burst |
+      | a smaller bucket after a start   | all killed in a flood   |
+
+  Scenario: A lowered quota binds daemons that were frozen when it came
+    The half that stood still knows the old quota only. It is told the new one as it
+    wakes, and must not spend what the old one had left.
+    When 10 daemons and 16 customers play "lowered while half is frozen" with seeds 1 to 3
+    Then the windows that begin 8 s after the change hold at most what is tolerated
+
+  Scenario: Long requests of a customer beyond its quota pass as often as short ones
+    What is left is never enough for a long prompt while short ones come all the time.
+    Given a daemon and a customer with 10000 units a second
+    When requests of 100 and of 9000 units come 40 times a second for 100 s
+    Then both sizes pass equally often, within a fifth
+
+  Scenario: Refused requests are told to come back one after the other
+    Told the same moment, a hundred come back together and are refused together.
+    Given a daemon and a customer with 10000 units a second
+    When 50 requests of 1000 units come at once and come back when told
+    Then all have passed within 6 s, none with more than 3 refusals
+
+  Scenario: A request that never ran gives its units back
+    Given a daemon and a customer with 10000 units a second
+    When a request of 12000 units is let through and never runs
+    Then the next one is let through
+
+  Scenario: A raised quota serves at once, and one that is taken away limits nothing
+    Given a daemon and a customer with 10000 units a second
+    When its quota is used up
+    Then it is refused
+    When its quota is raised to 100000 units a second
+    Then it is let through
+    When its quota is taken away
+    Then it is let through 100 times
+
+  Scenario: What a daemon that stands by lets through is counted by all
+    Its callers still hold an address of before. It isn't heard by the others, so the
+    daemon that it asks for changes tells them.
+    Given 3 entry daemons and one that stands by, with a customer of 10000 units a second
+    When the one that stands by lets requests through until it refuses
+    Then it let through at most what one daemon may while it is not heard
+    And soon the entry daemons know of it
+    And soon it knows what is left
--- /dev/null
+++ b/features/decide/steps/quotas_steps.py
@@ -0,0 +1,275 @@
+"""Steps of quotas.feature."""
+
+import random
+from unittest import mock
+
+from behave import given, then, when
+
+from lycheepost.bench.quotapolicies import POLICIES
+from lycheepost.bench.quotas import make_plan
+from lycheepost.bench.quotaworld import World
+from lycheepost.core.ids import CustomerId, DaemonId
+from lycheepost.core.quotas import Quota, QuotaTolerance, QuotaUnit
+from lycheepost.decide import fleetquota
+from lycheepost.decide.fleetquota import FleetQuotas
+
+CUSTOMER = CustomerId("one")
+STEP_SECONDS = 0.05
+
+BREAKS = {
+    "word of the others": [
+        mock.patch.object(FleetQuotas, "hear", lambda *_: None),
+        mock.patch.object(FleetQuotas, "_find_share", lambda *_: 1.0),
+    ],
+    "a part for those who are silent": [
+        mock.patch.object(FleetQuotas, "_find_share", lambda *_: 1.0),
+    ],
+    "a smaller bucket after a start": [
+        mock.patch.object(fleetquota, "START_SHARE", 1e9),
+        mock.patch.object(FleetQuotas, "_find_share", lambda *_: 1.0),
+    ],
+}
+"""What takes each guard out."""
+
+
+@given("daemons without {guard}")
+def step_broken(context, guard):
+    for patch in BREAKS[guard]:
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@when(
+    "{n:d} daemons and {n_customers:d} customers play"
+    ' "{scenario}" with seeds {first:d} to {last:d}'
+)
+def step_play(context, n, n_customers, scenario, first, last):
+    context.plays = []
+    for seed in range(first, last + 1):
+        plan = make_plan(scenario, n, n_customers, seed)
+        context.plays.append((plan, World(plan, POLICIES["shared"]).run()))
+
+
+def worst(context):
+    """Return the worst window of all plays, as a part of what is tolerated."""
+    return max(audit.worst_overrun(plan) for plan, audit in context.plays)
+
+
+@then("the worst window holds at most what is tolerated")
+def step_tolerated(context):
+    assert worst(context) <= 1.0, worst(context)
+
+
+@then("the worst window holds more than is tolerated")
+def step_not_tolerated(context):
+    assert worst(context) > 1.0, worst(context)
+
+
+@then("at most 1 in {n:d} requests of customers inside their quotas is refused")
+def step_not_refused(context, n):
+    for _plan, audit in context.plays:
+        modest = audit.modest()
+        n_asked = sum(audit.n_requests[name] for name in modest)
+        n_refused = sum(audit.n_refused[name] for name in modest)
+        assert n_asked > 1000, n_asked
+        assert n_refused * n <= n_asked, (n_refused, n_asked)
+
+
+@then(
+    "the windows that begin {seconds:g} s after the change"
+    " hold at most what is tolerated"
+)
+def step_lowered(context, seconds):
+    for plan, audit in context.plays:
+        [fault] = [fault for fault in plan.faults if fault.kind == "scale"]
+        begin_seconds = fault.at_seconds + seconds
+        for customer, quota in plan.quotas.items():
+            lowered = Quota(
+                quota.unit,
+                fault.factor * quota.rate_per_second,
+                fault.factor * quota.burst,
+            )
+            window_seconds = plan.tolerance.window_seconds
+            allowed = lowered.rate_per_second * window_seconds + lowered.burst
+            allowed += plan.tolerance.of(lowered)
+            audit.passed[customer] = [
+                item for item in audit.passed[customer] if item[0] >= begin_seconds
+            ]
+            most = audit.worst_window(customer, window_seconds)
+            assert 0 < most <= allowed, (customer, most, allowed)
+
+
+def make_quota(units_per_second):
+    return Quota(QuotaUnit.TOKENS, units_per_second, units_per_second, 200.0)
+
+
+def make_quotas(start=1):
+    """Return the quotas of a daemon that has run for a while."""
+    quotas = FleetQuotas(start, -60.0)
+    quotas.set_tolerance(QuotaTolerance(0.1, 1000.0, 8.0))
+    return quotas
+
+
+@given("a daemon and a customer with {rate:d} units a second")
+def step_daemon(context, rate):
+    context.now_seconds = 0.0
+    context.quotas = make_quotas()
+    context.quotas.set_entry((), 0.0)
+    context.quotas.set_quotas({CUSTOMER: make_quota(rate)}, 0.0)
+
+
+@when(
+    "requests of {small:d} and of {large:d} units"
+    " come {n:d} times a second for {seconds:d} s"
+)
+def step_sizes(context, small, large, n, seconds):
+    rng = random.Random(1)
+    context.n_passed = {small: 0, large: 0}
+    context.n_asked = n * seconds
+    arrivals = [
+        (rng.uniform(0.0, seconds), units)
+        for units in (small, large)
+        for _ in range(n * seconds)
+    ]
+    for now_seconds, units in sorted(arrivals):
+        waits = context.quotas.take(CUSTOMER, units, now_seconds)
+        context.n_passed[units] += waits is None
+
+
+@then("both sizes pass equally often, within a fifth")
+def step_equal(context):
+    few, many = sorted(context.n_passed.values())
+    assert 0 < few < context.n_asked / 4
+    assert few >= 0.8 * many, context.n_passed
+
+
+@when("{n:d} requests of {units:d} units come at once and come back when told")
+def step_return(context, n, units):
+    context.n_refusals = [0] * n
+    context.ended_seconds = [None] * n
+    due = [(0.0, index) for index in range(n)]
+    while due:
+        due.sort()
+        now_seconds, index = due.pop(0)
+        wait_seconds = context.quotas.take(CUSTOMER, units, now_seconds)
+        if wait_seconds is None:
+            context.ended_seconds[index] = now_seconds
+        else:
+            context.n_refusals[index] += 1
+            due.append((now_seconds + wait_seconds, index))
+
+
+@then("all have passed within {seconds:g} s, none with more than {n:d} refusals")
+def step_returned(context, seconds, n):
+    assert max(context.ended_seconds) <= seconds, context.ended_seconds
+    assert max(context.n_refusals) <= n, context.n_refusals
+
+
+@when("a request of {units:d} units is let through and never runs")
+def step_unrun(context, units):
+    assert context.quotas.take(CUSTOMER, units, 0.0) is None
+    context.quotas.give_back(CUSTOMER, units, 0.0)
+
+
+@then("the next one is let through")
+@then("it is let through")
+def step_through(context):
+    assert context.quotas.take(CUSTOMER, 1.0, context.now_seconds) is None
+
+
+@then("it is let through {n:d} times")
+def step_through_times(context, n):
+    for _ in range(n):
+        assert context.quotas.take(CUSTOMER, 1e6, context.now_seconds) is None
+
+
+@when("its quota is used up")
+def step_used_up(context):
+    while context.quotas.take(CUSTOMER, 500.0, 0.0) is None:
+        pass
+
+
+@then("it is refused")
+def step_refused(context):
+    assert context.quotas.take(CUSTOMER, 1.0, 0.0) > 0.0
+
+
+@when("its quota is raised to {rate:d} units a second")
+def step_raised(context, rate):
+    context.quotas.set_quotas({CUSTOMER: make_quota(rate)}, 0.0)
+
+
+@when("its quota is taken away")
+def step_taken_away(context):
+    context.quotas.set_quotas({}, 0.0)
+
+
+@given(
+    "{n:d} entry daemons and one that stands by,"
+    " with a customer of {rate:d} units a second"
+)
+def step_standing_by(context, n, rate):
+    names = [DaemonId(f"d{index}") for index in range(n)]
+    context.fleet = {name: make_quotas(index) for index, name in enumerate(names)}
+    context.standing_by = DaemonId("by")
+    context.fleet[context.standing_by] = make_quotas(99)
+    context.n_entry = n
+    context.rate = rate
+    for name, quotas in context.fleet.items():
+        quotas.set_quotas({CUSTOMER: make_quota(rate)}, 0.0)
+        if name == context.standing_by:
+            quotas.set_standing_by(names[0], n, 0.0)
+        else:
+            quotas.set_entry([other for other in names if other != name], 0.0)
+    context.now_seconds = 0.0
+    exchange(context)
+
+
+def exchange(context, is_whole=False):
+    """Let everybody tell its listeners once."""
+    context.now_seconds += STEP_SECONDS
+    for name, quotas in context.fleet.items():
+        listeners = quotas.listeners(context.now_seconds)
+        if not listeners:
+            continue
+        news = quotas.news(is_whole, context.now_seconds)
+        for listener in listeners:
+            context.fleet[listener].hear(name, news, context.now_seconds)
+
+
+def left(context, name):
+    status = context.fleet[name].status(context.now_seconds)
+    return status["customers"][CUSTOMER]["left"]
+
+
+@when("the one that stands by lets requests through until it refuses")
+def step_lets_through(context):
+    context.before = left(context, DaemonId("d1"))
+    quotas = context.fleet[context.standing_by]
+    context.spent = 0.0
+    while quotas.take(CUSTOMER, 50.0, context.now_seconds) is None:
+        context.spent += 50.0
+
+
+@then("it let through at most what one daemon may while it is not heard")
+def step_part(context):
+    capacity = context.rate * 1.5
+    assert 0.0 < context.spent <= capacity / context.n_entry, context.spent
+
+
+@then("soon the entry daemons know of it")
+def step_known(context):
+    exchange(context)
+    exchange(context)
+    for index in range(context.n_entry):
+        gone = context.before - left(context, DaemonId(f"d{index}"))
+        refilled = context.rate * 2 * STEP_SECONDS
+        assert abs(context.spent - gone) <= refilled, (index, gone, context.spent)
+
+
+@then("soon it knows what is left")
+def step_told(context):
+    exchange(context)
+    assert abs(left(context, context.standing_by) - left(context, DaemonId("d0"))) < 1.0
+    quotas = context.fleet[context.standing_by]
+    assert quotas.take(CUSTOMER, 1.0, context.now_seconds) is None
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -35,6 +35,7 @@
 from lycheepost.app.ticker import Ticker
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.core.ids import ModelId
+from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
 from lycheepost.platform.following import (
@@ -71,6 +72,7 @@
     weights: WeightsDuty
     watches: tuple[Watch, Watch]
     settings: SettingsWatch
+    quotas: FleetQuotas
 
 
 class PlatformDaemon:
@@ -210,6 +212,7 @@
         self._made.base.store.calls.tell(self._made.base.clock.now_seconds())
         self._made.traffic.targets.refresh()
         self._made.traffic.dispatcher.set_retry_terms(terms)
+        self._made.quotas.set_tolerance(self._made.settings.bounds.quota_tolerance)
         if self.is_leaving:
             return
         # Callers that are sent here while keys cannot be confirmed are refused, and
@@ -258,6 +261,7 @@
             "duties": [made.weights.duty.status()],
             "queues": made.traffic.dispatcher.status(),
             "sends": made.traffic.client.status(),
+            "quotas": made.quotas.status(made.base.clock.now_seconds()),
             "store": made.base.store.status(),
         }
 
@@ -285,10 +289,16 @@
     base = make_base(node, clock or SystemClock(), switched_off)
     metrics = ServedMetrics()
     settings = SettingsWatch(node, settings_file)
-    peers = make_platform_peers(base)
+    fleet_quotas = FleetQuotas(base.seed, base.clock.now_seconds())
+    peers = make_platform_peers(base, fleet_quotas)
     first_reads = FirstReads(n_wanted=N_TABLES)
     traffic = make_platform_traffic(
-        base, peers.exchange, metrics, lambda: settings.bounds, first_reads
+        base,
+        peers.exchange,
+        metrics,
+        lambda: settings.bounds,
+        first_reads,
+        fleet_quotas,
     )
     weights = make_weights_duty(
         base,
@@ -301,7 +311,7 @@
     watches = _make_watches(base, peers.feed, traffic, weights, settings)
     for watch in watches:
         watch.on_first(first_reads.note)
-    made = DaemonParts(base, peers, traffic, weights, watches, settings)
+    made = DaemonParts(base, peers, traffic, weights, watches, settings, fleet_quotas)
     return PlatformDaemon(made, metrics, leave_plan, sockets, metrics_port)
 
 
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -9,11 +9,13 @@
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.weightsdue import WeightsDueExchange
 from lycheepost.core.ids import (
+    DaemonId,
     ModelId,
     TargetGroupId,
     TargetId,
 )
 from lycheepost.core.routing import RouteTable
+from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.rollout import LEAST_ALONE_SECONDS, MOST_ALONE_SECONDS
 from lycheepost.generated.configuration import Configuration
@@ -105,8 +107,13 @@
         await self.rollout.stop()
 
 
-def make_platform_peers(base: PlatformBase) -> PlatformPeers:
-    """Return members and links; nothing is opened yet."""
+def make_platform_peers(base: PlatformBase, quotas: FleetQuotas) -> PlatformPeers:
+    """Return members and links; nothing is opened yet.
+
+    Args:
+        base: What the parts have in common.
+        quotas: Says with whom the customers' quotas are shared.
+    """
     node = base.node
     me = Member(
         daemon=node.daemon,
@@ -142,7 +149,9 @@
         lambda: 0,
         PEER_LINKS,
         EXCHANGE_SECONDS,
-        lambda known: _linked(places, known),
+        lambda known: _linked(
+            places, quotas.listeners(base.clock.now_seconds()), known
+        ),
     )
     MemberExchange(exchange, members, base.clock)
     feed = SharedFeed(
@@ -156,10 +165,18 @@
     return PlatformPeers(members, exchange, fleet, feed, places)
 
 
-def _linked(places: PlaceFinder, members: tuple[Member, ...]) -> tuple[Member, ...]:
-    """Return the members to hold links with, beside the rings."""
+def _linked(
+    places: PlaceFinder,
+    quota_listeners: tuple[DaemonId, ...],
+    members: tuple[Member, ...],
+) -> tuple[Member, ...]:
+    """Return the members to hold links with, beside the rings.
+
+    With those who share quotas longer than they are mates: a daemon that leaves goes
+    on taking requests for some seconds, which must be counted.
+    """
     place = places.place()
-    names = {*place.mates, *place.sources}
+    names = {*place.mates, *place.sources, *quota_listeners}
     return tuple(
         member for member in members if member.daemon in names and member.peer_endpoint
     )
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -14,6 +14,7 @@
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.parts import Part
 from lycheepost.app.platformbase import PlatformBase
+from lycheepost.app.quotas import QuotaExchange
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock
@@ -21,6 +22,7 @@
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.entry import follows_engines, follows_stores
+from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.mechanisms import Mechanism
@@ -85,6 +87,7 @@
     cache_events: CacheEventsClient
     caches: CacheFollower
     loads: LoadExchange
+    quotas: QuotaExchange
 
     def parts(self) -> list[Part]:
         """Return the parts in the order of their start."""
@@ -95,11 +98,13 @@
             self.dispatcher,
             self.caches,
             self.loads,
+            self.quotas,
         ]
 
     def follow_place(self, me: DaemonId, place: FleetPlace) -> None:
         """Follow the place of this daemon in the fleet."""
         self.loads.set_mates(place.mates)
+        self.quotas.follow_place(me, place)
         self.caches.follow_stores(follows_stores(me, place.entry))
         self.caches.follow_engines(follows_engines(me, place.entry))
 
@@ -110,6 +115,7 @@
     metrics: Metrics,
     get_bounds: Callable[[], Bounds],
     first_reads: FirstReads,
+    fleet_quotas: FleetQuotas,
 ) -> PlatformTraffic:
     """Join the parts that carry requests; nothing is started yet.
 
@@ -119,6 +125,7 @@
         metrics: Where metrics go.
         get_bounds: The bounds in force.
         first_reads: Requests wait for these.
+        fleet_quotas: What customers may ask of the fleet.
     """
     clock = base.clock
     switched_off = base.switched_off
@@ -127,6 +134,8 @@
     dispatcher.set_retry_terms(retry_terms(get_bounds(), FEWEST_DAEMONS))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
+    fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
+    quotas = QuotaExchange(fleet_quotas, exchange, clock)
 
     def on_views(views: tuple[TargetView, ...]) -> None:
         dispatcher.replace_targets(views)
@@ -152,6 +161,7 @@
     routing = RoutingKeeper()
     routing.subscribe(targets.set_table)
     routing.subscribe(caches.set_table)
+    routing.subscribe(quotas.set_table)
     streams = StreamSettings(connect_seconds=CONNECT_SECONDS)
     client = ForwardClient(streams, ServerDialect())
     orders = ServerOrders()
@@ -166,6 +176,7 @@
         targets=targets,
         clock=clock,
         metrics=metrics,
+        quotas=fleet_quotas,
         kv_copies=kv_copies,
         key_rule=lambda: make_key_rule(get_bounds()),
         is_same_start=is_same_start,
@@ -183,6 +194,7 @@
         cache_events=cache_events,
         caches=caches,
         loads=loads,
+        quotas=quotas,
     )
 
 
--- /dev/null
+++ b/lycheepost/bench/quotaworld.py
@@ -0,0 +1,406 @@
+"""A fleet in virtual time that holds customers to their quotas.
+
+Daemons, the messages between them, and the faults that strike them, in steps of some
+milliseconds. What decides is a policy of ``bench.quotapolicies``; an audit looks at
+what was let through, as somebody who sees the whole fleet.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
+from time import perf_counter
+from typing import Any, Protocol
+
+from lycheepost.core.ids import CustomerId, DaemonId
+from lycheepost.core.quotas import Quota, QuotaTolerance
+from lycheepost.decide.tokenbucket import TokenBucket
+
+STEP_SECONDS = 0.01
+LEAST_DELAY_SECONDS = 0.001
+MOST_DELAY_SECONDS = 0.02
+LINK_SECONDS = 0.4
+"""From the start of a daemon until it has links and says something over them."""
+
+DETECT_SECONDS = 1.2
+"""Until the others take a silent daemon for gone."""
+
+LONG_TOKENS = 9200.0
+SHORT_TOKENS = 880.0
+MOST_TOKENS = 57000.0
+LONG_SHARE = 0.45
+_LOG_SPREAD = 0.7
+
+
+class Policy(Protocol):
+    """How one daemon holds customers to their quotas."""
+
+    def set_quotas(self, quotas: dict[CustomerId, Quota], now_seconds: float) -> None:
+        """Follow the quotas in force."""
+        ...
+
+    def set_mates(self, mates: Sequence[DaemonId], now_seconds: float) -> None:
+        """Follow the other daemons that serve, as far as this one knows."""
+        ...
+
+    def take(
+        self, customer: CustomerId, units: float, now_seconds: float
+    ) -> float | None:
+        """Let a request through, or return when to come back."""
+        ...
+
+    def tell(self, now_seconds: float) -> tuple[Any, int, tuple[DaemonId, ...]] | None:
+        """Return a message, its size in bytes and who gets it; None for no message."""
+        ...
+
+    def hear(self, sender: DaemonId, message: Any, now_seconds: float) -> None:
+        """Take a message."""
+        ...
+
+
+MakePolicy = Callable[[DaemonId, int, float, "World"], Policy]
+
+
+class Health(Enum):
+    """What a daemon does at the moment."""
+
+    SERVING = "serving"
+    FROZEN = "frozen"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What one customer asks for.
+
+    Attributes:
+        units_per_second: On average.
+        from_seconds: Since when.
+        until_seconds: Until when.
+        daemon: The one daemon on which all its callers hang; None for all alike.
+    """
+
+    customer: CustomerId
+    units_per_second: float
+    from_seconds: float = 0.0
+    until_seconds: float = float("inf")
+    daemon: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that strikes the fleet.
+
+    Attributes:
+        kind: ``kill``, ``freeze``, ``cut`` (off from all that aren't struck) or
+            ``scale`` (all quotas, by ``factor``).
+        daemons: Whom it strikes, by number.
+    """
+
+    kind: str
+    at_seconds: float
+    for_seconds: float = 0.0
+    daemons: tuple[int, ...] = ()
+    factor: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One run.
+
+    Attributes:
+        n_daemons: Daemons that callers are sent to.
+        lost_share: Messages that are lost on the way.
+    """
+
+    n_daemons: int
+    quotas: dict[CustomerId, Quota]
+    tolerance: QuotaTolerance
+    demands: tuple[Demand, ...]
+    faults: tuple[Fault, ...] = ()
+    seconds: float = 30.0
+    lost_share: float = 0.0
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class _Daemon:
+    name: DaemonId
+    policy: Policy
+    started_seconds: float
+    health: Health = Health.SERVING
+    silent_since_seconds: float = float("inf")
+    held: list[tuple[CustomerId, float]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Audit:
+    """What was let through and what was refused.
+
+    Attributes:
+        passed: Moments and units, by customer.
+        n_requests: Requests that reached a daemon, by customer.
+        n_refused: Those of them that were refused.
+        n_beyond: Those that one bucket for the whole fleet would refuse.
+        n_bytes: Sent between daemons.
+        decide_seconds: Processor time of the decisions.
+    """
+
+    passed: dict[CustomerId, list[tuple[float, float]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    n_requests: Counter[CustomerId] = field(default_factory=Counter)
+    n_refused: Counter[CustomerId] = field(default_factory=Counter)
+    n_beyond: Counter[CustomerId] = field(default_factory=Counter)
+    n_bytes: int = 0
+    decide_seconds: float = 0.0
+
+    def worst_window(self, customer: CustomerId, window_seconds: float) -> float:
+        """Return the most units let through in any span of ``window_seconds``."""
+        recent: deque[tuple[float, float]] = deque()
+        most = total = 0.0
+        for at_seconds, units in self.passed[customer]:
+            recent.append((at_seconds, units))
+            total += units
+            while recent[0][0] < at_seconds - window_seconds:
+                total -= recent.popleft()[1]
+            most = max(most, total)
+        return most
+
+    def modest(self) -> tuple[CustomerId, ...]:
+        """Return the customers that one bucket for the fleet would never refuse."""
+        return tuple(name for name in self.n_requests if not self.n_beyond[name])
+
+    def worst_overrun(self, plan: Plan) -> float:
+        """Return the worst window of any customer over what its quota tolerates."""
+        window_seconds = plan.tolerance.window_seconds
+        found = (
+            self.worst_window(customer, window_seconds)
+            / (
+                quota.rate_per_second * window_seconds
+                + quota.burst
+                + plan.tolerance.of(quota)
+            )
+            for customer, quota in plan.quotas.items()
+        )
+        return max(found, default=0.0)
+
+
+class World:
+    """One run of a fleet.
+
+    Args:
+        plan: What happens.
+        make_policy: Makes the policy of a daemon at each start of it.
+
+    Attributes:
+        daemons: By name.
+        quotas: In force now.
+    """
+
+    def __init__(self, plan: Plan, make_policy: MakePolicy) -> None:
+        self.plan = plan
+        self.audit = Audit()
+        self.now_seconds = 0.0
+        self.quotas = dict(plan.quotas)
+        self._make_policy = make_policy
+        self._rng = random.Random(plan.seed)
+        self._starts = itertools.count(1)
+        self._messages: list[tuple[float, int, DaemonId, DaemonId, Any]] = []
+        self._numbers = itertools.count()
+        self._cut: frozenset[DaemonId] = frozenset()
+        self._heal_seconds = float("-inf")
+        names = [DaemonId(f"d{index}") for index in range(plan.n_daemons)]
+        self.daemons = {name: self._start(name, -60.0) for name in names}
+        self._ideal = {
+            customer: TokenBucket(quota.rate_per_second, quota.burst, quota.burst, 0.0)
+            for customer, quota in plan.quotas.items()
+        }
+
+    def _start(self, name: DaemonId, at_seconds: float) -> _Daemon:
+        policy = self._make_policy(name, next(self._starts), at_seconds, self)
+        policy.set_quotas(self.quotas, max(0.0, at_seconds))
+        return _Daemon(name, policy, at_seconds)
+
+    def can_reach(self, one: DaemonId, other: DaemonId) -> bool:
+        """Tell whether messages go between two daemons now."""
+        return (one in self._cut) == (other in self._cut)
+
+    def is_serving(self, name: DaemonId) -> bool:
+        """Tell whether a daemon answers now."""
+        return self.daemons[name].health is Health.SERVING
+
+    def run(self) -> Audit:
+        """Play it to its end."""
+        arrivals = iter(sorted(self._arrivals()))
+        events = sorted(self._events(), key=lambda event: event[0])
+        upcoming = next(arrivals, None)
+        while self.now_seconds < self.plan.seconds:
+            self.now_seconds += STEP_SECONDS
+            while events and events[0][0] <= self.now_seconds:
+                events.pop(0)[1]()
+            self._deliver()
+            while upcoming is not None and upcoming[0] <= self.now_seconds:
+                self._arrive(*upcoming)
+                upcoming = next(arrivals, None)
+            self._tell()
+        return self.audit
+
+    def _arrivals(self) -> Iterator[tuple[float, int, CustomerId, float]]:
+        mean_units = LONG_SHARE * LONG_TOKENS + (1.0 - LONG_SHARE) * SHORT_TOKENS
+        for demand in self.plan.demands:
+            at_seconds = demand.from_seconds
+            until_seconds = min(demand.until_seconds, self.plan.seconds)
+            per_second = demand.units_per_second / mean_units
+            while True:
+                at_seconds += self._rng.expovariate(per_second)
+                if at_seconds >= until_seconds:
+                    break
+                index = demand.daemon
+                if index is None:
+                    index = self._rng.randrange(self.plan.n_daemons)
+                yield at_seconds, index, demand.customer, self._units()
+
+    def _units(self) -> float:
+        is_long = self._rng.random() < LONG_SHARE
+        mean_units = LONG_TOKENS if is_long else SHORT_TOKENS
+        spread = self._rng.lognormvariate(-(_LOG_SPREAD**2) / 2, _LOG_SPREAD)
+        return float(round(min(MOST_TOKENS, mean_units * spread)))
+
+    def _events(self) -> Iterator[tuple[float, Callable[[], None]]]:
+        for fault in self.plan.faults:
+            names = tuple(DaemonId(f"d{index}") for index in fault.daemons)
+            until_seconds = fault.at_seconds + fault.for_seconds
+            match fault.kind:
+                case "kill":
+                    yield fault.at_seconds, partial(self._kill, names)
+                    yield until_seconds, partial(self._restart, names)
+                case "freeze":
+                    yield fault.at_seconds, partial(self._freeze, names)
+                    yield until_seconds, partial(self._thaw, names)
+                case "cut":
+                    yield fault.at_seconds, partial(self._set_cut, names)
+                    yield until_seconds, partial(self._set_cut, ())
+                case "scale":
+                    yield fault.at_seconds, partial(self._scale, fault.factor)
+                case kind:
+                    raise ValueError(f"{kind}: no such fault")
+
+    def _kill(self, names: Sequence[DaemonId]) -> None:
+        for name in names:
+            self.daemons[name].health = Health.DEAD
+            self.daemons[name].silent_since_seconds = self.now_seconds
+
+    def _restart(self, names: Sequence[DaemonId]) -> None:
+        for name in names:
+            self.daemons[name] = self._start(name, self.now_seconds)
+
+    def _freeze(self, names: Sequence[DaemonId]) -> None:
+        for name in names:
+            self.daemons[name].health = Health.FROZEN
+            self.daemons[name].silent_since_seconds = self.now_seconds
+
+    def _thaw(self, names: Sequence[DaemonId]) -> None:
+        for name in names:
+            daemon = self.daemons[name]
+            daemon.health = Health.SERVING
+            daemon.silent_since_seconds = float("inf")
+            held, daemon.held = daemon.held, []
+            for customer, units in held:
+                self._decide(daemon, customer, units)
+            daemon.policy.set_quotas(self.quotas, self.now_seconds)
+
+    def _set_cut(self, names: Sequence[DaemonId]) -> None:
+        self._cut = frozenset(names)
+
+    def _scale(self, factor: float) -> None:
+        self.quotas = {
+            customer: Quota(
+                quota.unit,
+                factor * quota.rate_per_second,
+                factor * quota.burst,
+                quota.plain_units,
+            )
+            for customer, quota in self.quotas.items()
+        }
+        for customer, quota in self.quotas.items():
+            self._ideal[customer].set_terms(quota.rate_per_second, quota.burst)
+        for daemon in self.daemons.values():
+            if daemon.health is Health.SERVING:
+                daemon.policy.set_quotas(self.quotas, self.now_seconds)
+
+    def _arrive(
+        self, at_seconds: float, index: int, customer: CustomerId, units: float
+    ) -> None:
+        ideal = self._ideal[customer]
+        ideal.refill(at_seconds)
+        if ideal.wait_seconds() == 0.0:
+            ideal.add(-units)
+        else:
+            self.audit.n_beyond[customer] += 1
+        daemon = self.daemons[DaemonId(f"d{index}")]
+        match daemon.health:
+            case Health.SERVING:
+                self._decide(daemon, customer, units)
+            case Health.FROZEN:
+                daemon.held.append((customer, units))
+
+    def _decide(self, daemon: _Daemon, customer: CustomerId, units: float) -> None:
+        audit = self.audit
+        audit.n_requests[customer] += 1
+        began_seconds = perf_counter()
+        wait_seconds = daemon.policy.take(customer, units, self.now_seconds)
+        audit.decide_seconds += perf_counter() - began_seconds
+        if wait_seconds is None:
+            audit.passed[customer].append((self.now_seconds, units))
+        else:
+            audit.n_refused[customer] += 1
+
+    def _tell(self) -> None:
+        for daemon in self.daemons.values():
+            age_seconds = self.now_seconds - daemon.started_seconds
+            if daemon.health is not Health.SERVING or age_seconds < LINK_SECONDS:
+                continue
+            daemon.policy.set_mates(self._mates(daemon.name), self.now_seconds)
+            told = daemon.policy.tell(self.now_seconds)
+            if told is not None:
+                message, n_bytes, listeners = told
+                for listener in listeners:
+                    self._send(daemon.name, listener, message, n_bytes)
+
+    def _mates(self, name: DaemonId) -> list[DaemonId]:
+        """Return whom a daemon takes for serving: those who fell silent of late too."""
+        return [
+            other.name
+            for other in self.daemons.values()
+            if other.name != name
+            and self.now_seconds - other.silent_since_seconds < DETECT_SECONDS
+        ]
+
+    def _send(
+        self, sender: DaemonId, listener: DaemonId, message: Any, n_bytes: int
+    ) -> None:
+        self.audit.n_bytes += n_bytes
+        is_lost = self._rng.random() < self.plan.lost_share
+        if listener not in self.daemons or is_lost:
+            return
+        delay_seconds = self._rng.uniform(LEAST_DELAY_SECONDS, MOST_DELAY_SECONDS)
+        due_seconds = self.now_seconds + delay_seconds
+        item = (due_seconds, next(self._numbers), sender, listener, message)
+        heapq.heappush(self._messages, item)
+
+    def _deliver(self) -> None:
+        while self._messages and self._messages[0][0] <= self.now_seconds:
+            _due, _number, sender, listener, message = heapq.heappop(self._messages)
+            daemon = self.daemons[listener]
+            is_linked = self.now_seconds - daemon.started_seconds >= LINK_SECONDS
+            if (
+                daemon.health is Health.SERVING
+                and is_linked
+                and self.can_reach(sender, listener)
+            ):
+                daemon.policy.hear(sender, message, self.now_seconds)
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -13,6 +13,7 @@
     WeightsVersion,
 )
 from lycheepost.core.routing import ListedTarget, Prompt, RouteTable
+from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.targethealth import Ending
@@ -124,6 +125,7 @@
     """Everything that forwarding stands on.
 
     Attributes:
+        quotas: What customers may ask of the fleet.
         kv_copies: What the stores of KV cache are believed to keep.
         key_rule: How long keys may be trusted; read anew for each request.
         is_same_start: Whether a target still is the start that it was when it was
@@ -139,6 +141,7 @@
     targets: ForwardTargets
     clock: Clock
     metrics: Metrics
+    quotas: FleetQuotas
     kv_copies: KvCopies
     key_rule: Callable[[], KeyRule]
     is_same_start: Callable[[ListedTarget], Awaitable[bool]]
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -20,6 +20,7 @@
     not_configured,
     not_run,
     outcome_unknown,
+    over_quota,
     too_late,
 )
 from lycheepost.callers.forwardwork import continued_work, engine_rank, make_work
@@ -122,6 +123,7 @@
         self._sends = Sends()
         self._is_sent = False
         self._has_retry = False
+        self._charged_units = 0.0
         until = way.route.timeout_seconds
         if request.patience_seconds is not None:
             until = min(until, request.patience_seconds)
@@ -174,6 +176,36 @@
                 raise
             # An error's head in the middle of a stream would be read as part of it.
             self._relay.cut()
+        finally:
+            self._settle_quota()
+
+    def _charge_quota(self) -> None:
+        """Take the request's units from its customer's quota.
+
+        Before it is queued: what is beyond a quota must not wait before what is not.
+        """
+        customer = self._way.holder.customer
+        quota = _table(self._deps).quotas.get(customer)
+        if quota is None:
+            return
+        prompt = self._request.prompt
+        n_tokens = None
+        if prompt is not None:
+            n_tokens = prompt.n_tokens + prompt.max_output_tokens
+        units = quota.units_of(n_tokens)
+        now_seconds = self._deps.clock.now_seconds()
+        wait_seconds = self._deps.quotas.take(customer, units, now_seconds)
+        if wait_seconds is not None:
+            raise over_quota(wait_seconds)
+        self._charged_units = units
+
+    def _settle_quota(self) -> None:
+        """Give back the units of a request that surely never ran."""
+        if self._charged_units == 0.0 or self.executed is not Executed.NO:
+            return
+        customer = self._way.holder.customer
+        now_seconds = self._deps.clock.now_seconds()
+        self._deps.quotas.give_back(customer, self._charged_units, now_seconds)
 
     def _elapsed_seconds(self) -> float:
         now_seconds = self._deps.clock.now_seconds()
@@ -183,6 +215,7 @@
         return self._until_seconds - self._deps.clock.now_seconds()
 
     async def _serve(self) -> None:
+        self._charge_quota()
         outcome = await self._deps.dispatcher.admit(self._work)
         while True:
             match outcome:
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -17,6 +17,7 @@
     TargetId,
     WeightsVersion,
 )
+from lycheepost.core.quotas import Quota
 from lycheepost.core.starts import TargetStart
 
 
@@ -157,6 +158,7 @@
         groups: Target groups by name.
         key_holders: Who holds each key; None when no keys are in use.
         kv_stores: Where engines keep KV cache beyond their own.
+        quotas: What customers may ask of the fleet; one that is not named has no limit.
     """
 
     version: int
@@ -165,6 +167,7 @@
     limits: CallerLimits
     key_holders: Mapping[str, KeyHolder] | None = None
     kv_stores: tuple[KvStore, ...] = ()
+    quotas: Mapping[CustomerId, Quota] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,6 +231,7 @@
     limits: CallerLimits,
     key_holders: Mapping[str, KeyHolder] | None,
     kv_stores: tuple[KvStore, ...],
+    quotas: Mapping[CustomerId, Quota] | None = None,
 ) -> RouteTable:
     """Return a table with its look-ups built."""
     by_host: dict[str, list[Route]] = {}
@@ -243,4 +247,5 @@
         limits=limits,
         key_holders=key_holders,
         kv_stores=kv_stores,
+        quotas=quotas or {},
     )
--- /dev/null
+++ b/lycheepost/peers/quotanews.py
@@ -0,0 +1,35 @@
+"""What daemons say of quotas, as it travels between them."""
+
+from lycheepost.core.ids import CustomerId
+from lycheepost.decide.fleetquota import QuotaNews, QuotaWord
+from lycheepost.generated.messages import CustomerSpent, QuotaSpent
+
+
+def to_message(news: QuotaNews) -> QuotaSpent:
+    """Return what travels between daemons."""
+    return QuotaSpent(
+        start=news.start,
+        is_entry=news.is_entry,
+        is_seasoned=news.is_seasoned,
+        wants_relay=news.wants_relay,
+        customers=[
+            CustomerSpent(
+                customer=customer, spent_units=word.spent, left_units=word.level
+            )
+            for customer, word in news.words.items()
+        ],
+    )
+
+
+def from_message(message: QuotaSpent) -> QuotaNews:
+    """Return what a message says."""
+    return QuotaNews(
+        message.start,
+        message.is_entry,
+        message.is_seasoned,
+        message.wants_relay,
+        {
+            CustomerId(item.customer): QuotaWord(item.spent_units, item.left_units)
+            for item in message.customers
+        },
+    )
--- a/lycheepost/platform/documents.py
+++ b/lycheepost/platform/documents.py
@@ -12,6 +12,7 @@
     ModelId,
     TargetGroupId,
 )
+from lycheepost.core.quotas import Quota, QuotaUnit
 from lycheepost.core.routing import (
     CallerLimits,
     EngineTraits,
@@ -31,6 +32,9 @@
 WEIGHTS_PREFIX = "version/"
 
 _MILLISECONDS = 1000.0
+_QUOTA_UNITS = {"token_stream": QuotaUnit.TOKENS}
+"""Quotas of any other unit count requests."""
+
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -99,10 +103,23 @@
 
 
 class _WireTenant(msgspec.Struct):
+    """A customer.
+
+    Attributes:
+        unit: What its quota counts.
+        uncached_tokens: Tokens that a request counts for which states none.
+        rate_per_s: Units of its quota a second; 0 where it has none.
+        burst: Units beyond that.
+    """
+
     name: str
     api_keys: list[str] = []
     priority: int | None = None
     isolated: bool = False
+    unit: str = ""
+    uncached_tokens: float = 1.0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class _WireConfiguration(msgspec.Struct):
@@ -144,6 +161,7 @@
         kv_stores=tuple(
             _to_kv_store(item) for item in wire.services if item.kv_store_addr
         ),
+        quotas=_quotas(wire.tenants or []),
     )
 
 
@@ -191,6 +209,19 @@
     }
 
 
+def _quotas(tenants: list[_WireTenant]) -> dict[CustomerId, Quota]:
+    return {
+        CustomerId(tenant.name): Quota(
+            _QUOTA_UNITS.get(tenant.unit, QuotaUnit.REQUESTS),
+            tenant.rate_per_s,
+            tenant.burst,
+            tenant.uncached_tokens,
+        )
+        for tenant in tenants
+        if tenant.rate_per_s > 0.0
+    }
+
+
 def _to_kv_store(wire: _WireService) -> KvStore:
     zone = AvailabilityZone(wire.zone)
     return KvStore(wire.kv_store_addr, zone, wire.kv_capacity_tokens, wire.link_mbps)
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -14,6 +14,7 @@
 from lycheepost.core.capacity import UNKNOWN_CAPACITY, Capacity
 from lycheepost.core.errors import LycheepostError
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
+from lycheepost.core.quotas import QuotaTolerance
 
 SETTINGS_VARIABLE = "LYCHEEPOST_NODE_FILE"
 MOST_PORT = 65535
@@ -57,6 +58,7 @@
         retry_window_seconds: In any span of this length.
         weights_seconds: After this no request may begin on older weights.
         address_seconds: Longest time that clients keep an addresses answer.
+        quota_tolerance: How far the fleet may go beyond a customer's quota.
     """
 
     revoke_seconds: float
@@ -69,6 +71,7 @@
     retry_window_seconds: float
     weights_seconds: float
     address_seconds: float
+    quota_tolerance: QuotaTolerance = QuotaTolerance()
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,6 +206,11 @@
         retry_window_seconds=reader.number("bounds.retry_window_s", 10),
         weights_seconds=reader.number("bounds.version_ms", 10000) / _MILLISECONDS,
         address_seconds=reader.number("bounds.ttl_max_s", 2),
+        quota_tolerance=QuotaTolerance(
+            share=reader.number("bounds.quota_overshoot", 0),
+            units=reader.number("bounds.quota_slack", 0),
+            window_seconds=reader.number("bounds.quota_window_s", 1),
+        ),
     )
 
 
