Quotas through the own interface: intents, command, 429 with the usual headers

The platform's customers had quotas, the product's own had none. A customer's quota stands in the configuration (unit, rate, burst; null for no limit); set_customer_quota and remove_customer_quota are intents with a plan; lycheepost customer quota, remove-quota and quotas set, remove and show it; GET /v1/quotas tells what is left as one daemon sees it. Both ways of a request take and give back units through callers/quotacharge; a resend that gets a stored answer takes none. Bad figures are refused with a sentence each.

Bound: among the product's own daemons everyone is a mate, so links grow with the square of the fleet while there are quotas; fleets beyond some dozens need entry daemons there too. Two daemons that are asked in the same 50 ms may let through the burst twice.

--- a/features/operators/commands.feature
+++ b/features/operators/commands.feature
@@ -15,6 +15,13 @@
       | customer create acme --yes                                 | 2    | exists already     |
       | customer rotate-key acme --end-old --yes --json            | 0    | lpk-               |
       | customer disable acme --yes                                | 0    | in force           |
+      | customer quota acme --rate-per-second 5000 --burst 9000 --yes | 0 | in force         |
+      | customer quota acme --rate-per-second 0 --burst 9000 --yes | 2    | rate_per_second    |
+      | customer quota acme --rate-per-second 50 --burst 0.5 --yes | 2    | one request        |
+      | customer quota acme --unit calls --rate-per-second 5 --burst 9 --yes | 2 | unit       |
+      | customer remove-quota acme --yes                           | 0    | in force           |
+      | customer remove-quota nobody --yes                         | 2    | does not exist     |
+      | customer quotas                                            | 0    | by itself          |
       | customer list --json                                       | 0    | "n_keys": 1        |
       | customer list --key lpo-wrong                              | 1    | not known          |
       | customer list --url http://127.0.0.1:9                     | 3    | No answer          |
--- a/features/operators/plans.feature
+++ b/features/operators/plans.feature
@@ -127,6 +127,8 @@
       | {"kind": "add_target", "target": "e4", "target_group": "engines", "availability_zone": "derby", "url": "http://127.0.0.1:9001"} | 422 | url |
       | {"kind": "remove", "what": "target", "name": "e1"} | 422 | name |
       | {"changes": [], "extra": 1} | 422 | changes extra |
+      | {"kind": "set_customer_quota", "customer": "acme", "unit": "words", "rate_per_second": -1, "burst": "x"} | 422 | burst rate_per_second unit |
+      | {"kind": "set_customer_quota", "customer": "nobody", "unit": "tokens", "rate_per_second": 5, "burst": 0.5} | 422 | customer quota |
 
   Scenario Outline: A plan that would hurt callers cannot be confirmed
     When ada plans '<intent>' at daemon 1
--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +23,7 @@
 from lycheepost.app.traffic import Traffic, make_traffic
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.core.ids import DaemonId
+from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.generated.settings import PeerSettings, Settings
 from lycheepost.operators.access import identify_operator
 from lycheepost.operators.ports import OperatorDeps
@@ -31,8 +33,12 @@
 from lycheepost.report.history import HistoryKeeper
 from lycheepost.report.routes import make_report_routes
 from lycheepost.report.samples import Recorder
+from lycheepost.state.addresses import Member
 from lycheepost.utils.metrics import make_metrics
 
+_START_BITS = 48
+"""Enough that two starts of a daemon never have the same number."""
+
 _log = structlog.get_logger(part="app")
 
 
@@ -128,12 +134,14 @@
     """
     clock = clock or SystemClock()
     platform = platform or make_http_platform(settings)
+    fleet_quotas = make_fleet_quotas(clock)
     state = make_shared_state(
         Ports(platform.table, platform.objects, platform.vm_list),
         make_transport(settings),
         clock,
         settings,
         fallback_configuration(settings),
+        choose_mates=lambda members: _quota_mates(fleet_quotas, members, clock),
     )
     me = state.members.me()
     recorder = Recorder(me.daemon, me.boot, settings.objectives)
@@ -146,9 +154,11 @@
         return described | {"capacity": capacity.status()}
 
     metrics = make_metrics(settings.metrics)
-    traffic = make_traffic(settings, state, recorder, metrics, clock, status)
+    traffic = make_traffic(
+        settings, state, recorder, metrics, clock, status, fleet_quotas
+    )
     operator_routes = _make_operator_routes(
-        settings, platform, state, recorder, history, clock
+        settings, platform, state, recorder, history, clock, fleet_quotas
     )
     callers, operators = _make_listeners(settings, traffic, operator_routes)
     capacity = make_capacity(
@@ -168,6 +178,21 @@
     return Daemon(settings, state, traffic, callers, operators, parts, status)
 
 
+def make_fleet_quotas(clock: Clock) -> FleetQuotas:
+    """Return the quotas of a daemon that starts now."""
+    return FleetQuotas(secrets.randbits(_START_BITS), clock.now_seconds())
+
+
+def _quota_mates(
+    quotas: FleetQuotas, members: tuple[Member, ...], clock: Clock
+) -> tuple[Member, ...]:
+    """Return the members with whom quotas are shared, while there are any quotas."""
+    if not quotas.has_quotas:
+        return ()
+    names = set(quotas.listeners(clock.now_seconds()))
+    return tuple(member for member in members if member.daemon in names)
+
+
 def _member_names(state: SharedState) -> tuple[str, ...]:
     return tuple(member.daemon for member in state.members.members())
 
@@ -223,6 +248,7 @@
     recorder: Recorder,
     history: HistoryKeeper,
     clock: Clock,
+    fleet_quotas: FleetQuotas,
 ) -> list[web.RouteDef]:
     deps = OperatorDeps(
         revisions=state.revisions,
@@ -231,6 +257,7 @@
         settings=settings.operators,
         weights=platform.weights,
         fleet=lambda: fleet_status(settings, state.revisions, state.members),
+        quotas=lambda: fleet_quotas.status(clock.now_seconds()),
     )
     report_routes = make_report_routes(
         recorder,
--- a/lycheepost/app/quotas.py
+++ b/lycheepost/app/quotas.py
@@ -1,10 +1,12 @@
 """Tell the peers what was let through of each customer's quota, and hear theirs."""
 
 import asyncio
+from collections.abc import Callable, Mapping
 
 from lycheepost.app.fleetplace import FleetPlace
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import DaemonId
+from lycheepost.core.ids import CustomerId, DaemonId
+from lycheepost.core.quotas import Quota
 from lycheepost.core.routing import RouteTable
 from lycheepost.decide.fleetquota import (
     HEARTBEAT_SECONDS,
@@ -28,11 +30,18 @@
         quotas: The quotas; nobody else passes news to them.
         exchange: The links.
         clock: The clock of the decisions.
+        get_mates: Returns the other daemons that serve, in a fleet in which all do;
+            None where ``follow_place`` tells.
     """
 
     def __init__(
-        self, quotas: FleetQuotas, exchange: PeerExchange, clock: Clock
+        self,
+        quotas: FleetQuotas,
+        exchange: PeerExchange,
+        clock: Clock,
+        get_mates: Callable[[], tuple[DaemonId, ...]] | None = None,
     ) -> None:
+        self._get_mates = get_mates
         self._quotas = quotas
         self._exchange = exchange
         self._clock = clock
@@ -53,9 +62,17 @@
         if self._task is not None:
             self._task.cancel()
 
+    def status(self) -> dict[str, object]:
+        """Return what is left for each customer, as seen here."""
+        return self._quotas.status(self._clock.now_seconds())
+
     def set_table(self, table: RouteTable) -> None:
-        """Follow the quotas of the configuration in force."""
-        self._quotas.set_quotas(table.quotas, self._clock.now_seconds())
+        """Follow the quotas of the route table in force."""
+        self.set_quotas(table.quotas)
+
+    def set_quotas(self, quotas: Mapping[CustomerId, Quota]) -> None:
+        """Follow the quotas in force."""
+        self._quotas.set_quotas(quotas, self._clock.now_seconds())
 
     def follow_place(self, me: DaemonId, place: FleetPlace) -> None:
         """Follow the place of this daemon in the fleet."""
@@ -76,6 +93,8 @@
 
     def _tell(self) -> None:
         now_seconds = self._clock.now_seconds()
+        if self._get_mates is not None:
+            self._quotas.set_entry(self._get_mates(), now_seconds)
         listeners = self._quotas.listeners(now_seconds)
         if not listeners:
             return
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -9,13 +9,21 @@
 from lycheepost.app.feed import TargetFeed
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.parts import Part
+from lycheepost.app.quotas import QuotaExchange
 from lycheepost.callers.deps import CallerDeps
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.routes import CallerFront
 from lycheepost.callers.versions import RequestVersions
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
-from lycheepost.core.ids import CustomerId, Incarnation, RequestId, TargetId
+from lycheepost.core.ids import (
+    CustomerId,
+    DaemonId,
+    Incarnation,
+    RequestId,
+    TargetId,
+)
+from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.decide.records import TargetState, TargetView
 from lycheepost.decide.scheduler import Scheduler
@@ -30,6 +38,9 @@
 from lycheepost.generated.settings import Settings
 from lycheepost.peers.shared import SharedState
 from lycheepost.report.samples import Recorder
+from lycheepost.state.addresses import MemberState
+from lycheepost.state.customerquotas import list_quotas
+from lycheepost.state.members import MemberKeeper
 from lycheepost.state.signs import SignSource, TargetSign
 from lycheepost.state.view import ConfigurationView
 from lycheepost.targets.control import ControlClient, make_control_client
@@ -71,6 +82,7 @@
     front: CallerFront
     drain_state: DrainState
     hot: HotPrefixes
+    quotas: QuotaExchange
 
     def parts(self) -> list[Part]:
         """Return the parts in the order in which to start them."""
@@ -81,6 +93,7 @@
             self.observer,
             self.dispatcher,
             self.feed,
+            self.quotas,
             self.front,
         ]
 
@@ -92,6 +105,7 @@
     metrics: Metrics,
     clock: Clock,
     status: Callable[[], dict[str, Any]],
+    fleet_quotas: FleetQuotas,
 ) -> Traffic:
     """Join the parts that carry requests.
 
@@ -102,6 +116,7 @@
         metrics: Where metrics go.
         clock: Tells the time.
         status: The answer of ``/admin/status``.
+        fleet_quotas: What customers may ask of the fleet.
     """
     me = state.members.me()
     seed = hash_bytes(me.boot.encode())
@@ -139,6 +154,12 @@
     # A daemon that has just got its first configuration must find targets at
     # once; until the next look it would refuse with "no target".
     state.revisions.subscribe(lambda _view: feed.feed())
+    quotas = QuotaExchange(
+        fleet_quotas, state.exchange, clock, lambda: serving_peers(state.members)
+    )
+    state.revisions.subscribe(
+        lambda view: quotas.set_quotas(list_quotas(view.customers))
+    )
     drain_state = DrainState()
 
     def on_sign(target: TargetId, sign: TargetSign) -> None:
@@ -190,10 +211,12 @@
             status=status,
             versions=versions,
             hot=hot,
+            quotas=fleet_quotas,
         )
     )
     return Traffic(
         hot=hot,
+        quotas=quotas,
         dispatcher=dispatcher,
         engines=engines,
         services=services,
@@ -205,6 +228,16 @@
     )
 
 
+def serving_peers(members: MemberKeeper) -> tuple[DaemonId, ...]:
+    """Return the other daemons that callers may be sent to."""
+    me = members.me().daemon
+    return tuple(
+        member.daemon
+        for member in members.members()
+        if member.daemon != me and member.state is MemberState.LIVE
+    )
+
+
 def engine_targets(view: ConfigurationView) -> list[Target]:
     """Return the targets that can be asked for an engine's reports."""
     engines = {
--- a/lycheepost/callers/deps.py
+++ b/lycheepost/callers/deps.py
@@ -17,6 +17,7 @@
     RequestId,
     TargetId,
 )
+from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.generated.callers import AddressList
 from lycheepost.generated.settings import Settings
@@ -85,6 +86,7 @@
         status: The whole of ``/admin/status``.
         versions: Chooses the weights of a request while its model changes.
         hot: Counts the prefixes that requests share, to warm targets with.
+        quotas: What customers may ask of the fleet; None where nobody counts it.
     """
 
     settings: Settings
@@ -105,3 +107,4 @@
     status: Callable[[], dict[str, Any]]
     versions: RequestVersions = field(default_factory=RequestVersions)
     hot: HotPrefixes = field(default_factory=HotPrefixes)
+    quotas: FleetQuotas | None = None
--- a/lycheepost/callers/errors.py
+++ b/lycheepost/callers/errors.py
@@ -41,6 +41,21 @@
     SERVER = "server_error"
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """A limit that is used up, for the headers that OpenAI clients read.
+
+    Attributes:
+        unit: What is counted, as a word.
+        burst: Most units at once.
+        reset_seconds: Until a request may pass again.
+    """
+
+    unit: str
+    burst: float
+    reset_seconds: float
+
+
 @dataclass(frozen=True)
 class CallerError(LycheepostError):
     """An answer that is an error.
@@ -51,6 +66,7 @@
         param: The field at fault, if one is.
         executed: Whether the request may have run.
         retry_after_seconds: When a resend may succeed; None when it will not.
+        rate_limit: The limit that the request is beyond; None for other errors.
         is_safe_to_resend: A resend cannot double work: nothing ran, or the
             request is idempotent, or its key ties a resend to the first send.
     """
@@ -62,6 +78,7 @@
     executed: Executed = Executed.NO
     retry_after_seconds: float | None = None
     is_safe_to_resend: bool = True
+    rate_limit: RateLimit | None = None
 
 
 _REFUSALS: dict[RefusalReason, tuple[int, ErrorType, str]] = {
@@ -139,12 +156,22 @@
     if error.retry_after_seconds is not None:
         # Whole seconds are the only form that every client understands.
         headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_seconds)))
+    if error.rate_limit is not None:
+        headers |= _rate_limit_headers(error.rate_limit)
     if not error.is_safe_to_resend:
         # The published clients resend by themselves; this one must not.
         headers[SHOULD_RETRY_HEADER] = "false"
     return headers
 
 
+def _rate_limit_headers(limit: RateLimit) -> dict[str, str]:
+    return {
+        f"x-ratelimit-limit-{limit.unit}": f"{limit.burst:.0f}",
+        f"x-ratelimit-remaining-{limit.unit}": "0",
+        f"x-ratelimit-reset-{limit.unit}": f"{limit.reset_seconds:.3f}s",
+    }
+
+
 def error_response(error: CallerError) -> web.Response:
     """Return the whole HTTP answer of an error."""
     return web.Response(
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -19,10 +19,12 @@
 
 from lycheepost.callers.deps import CallerDeps
 from lycheepost.callers.errors import CallerError, ErrorType, Executed, from_refusal
+from lycheepost.callers.quotacharge import QuotaCharge
 from lycheepost.callers.sinks import RelayCallerGone, RelayComplete, RelayLost, Sink
 from lycheepost.core.ids import Incarnation, TargetId, WeightsVersion
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse, Work
 from lycheepost.decide.retry import retry_pause_seconds
+from lycheepost.state.customerquotas import quota_of
 from lycheepost.targets.calls import Delivered, EngineCall
 from lycheepost.targets.continuation import continuation_body
 from lycheepost.targets.errors import (
@@ -86,6 +88,7 @@
 
     def __init__(self, deps: CallerDeps, job: Job, sink: Sink) -> None:
         self.executed = Executed.NO
+        self._charge = make_charge(deps, job.work)
         self._deps = deps
         self._job = job
         self._sink = sink
@@ -103,6 +106,13 @@
             CallerError: There is no whole answer; it says whether any part of
                 the request may have run.
         """
+        self._charge.take()
+        try:
+            return await self._try_targets()
+        finally:
+            self._charge.settle(self.executed)
+
+    async def _try_targets(self) -> Finished:
         outcome = await self._deps.dispatcher.admit(self._work)
         while True:
             match outcome:
@@ -339,3 +349,11 @@
         code="engine_refused",
         executed=Executed.UNKNOWN,
     )
+
+
+def make_charge(deps: CallerDeps, work: Work) -> QuotaCharge:
+    """Return what a request takes from its customer's quota."""
+    customer = deps.configuration.view.customers.get(work.customer)
+    quota = None if customer is None else quota_of(customer)
+    n_tokens = work.prompt_tokens + work.output_tokens if work.model else None
+    return QuotaCharge(deps.quotas, deps.clock, work.customer, quota, n_tokens)
--- a/lycheepost/callers/forwarderrors.py
+++ b/lycheepost/callers/forwarderrors.py
@@ -95,17 +95,6 @@
     )
 
 
-def over_quota(retry_after_seconds: float) -> CallerError:
-    """Return the error for a request beyond its customer's quota."""
-    return CallerError(
-        "The customer has used up its quota.",
-        status=429,
-        type=ErrorType.RATE_LIMIT,
-        code="over_quota",
-        retry_after_seconds=retry_after_seconds,
-    )
-
-
 def not_run(retry_after_seconds: float) -> CallerError:
     """Return the error for a request that no target ran."""
     return CallerError(
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -20,10 +20,10 @@
     not_configured,
     not_run,
     outcome_unknown,
-    over_quota,
     too_late,
 )
 from lycheepost.callers.forwardwork import continued_work, engine_rank, make_work
+from lycheepost.callers.quotacharge import QuotaCharge
 from lycheepost.callers.relaying import (
     AnswerRelay,
     RelayEnd,
@@ -98,6 +98,15 @@
         raise key_unconfirmed()
 
 
+def _make_charge(deps: ForwardDeps, request: ForwardRequest, way: Way) -> QuotaCharge:
+    """Return what a request takes from its customer's quota."""
+    prompt = request.prompt
+    n_tokens = None if prompt is None else prompt.n_tokens + prompt.max_output_tokens
+    customer = way.holder.customer
+    quota = _table(deps).quotas.get(customer)
+    return QuotaCharge(deps.quotas, deps.clock, customer, quota, n_tokens)
+
+
 class Forwarding:
     """The tries of one forwarded request; lives as long as it.
 
@@ -123,7 +132,7 @@
         self._sends = Sends()
         self._is_sent = False
         self._has_retry = False
-        self._charged_units = 0.0
+        self._charge = _make_charge(deps, request, way)
         until = way.route.timeout_seconds
         if request.patience_seconds is not None:
             until = min(until, request.patience_seconds)
@@ -177,35 +186,7 @@
             # An error's head in the middle of a stream would be read as part of it.
             self._relay.cut()
         finally:
-            self._settle_quota()
-
-    def _charge_quota(self) -> None:
-        """Take the request's units from its customer's quota.
-
-        Before it is queued: what is beyond a quota must not wait before what is not.
-        """
-        customer = self._way.holder.customer
-        quota = _table(self._deps).quotas.get(customer)
-        if quota is None:
-            return
-        prompt = self._request.prompt
-        n_tokens = None
-        if prompt is not None:
-            n_tokens = prompt.n_tokens + prompt.max_output_tokens
-        units = quota.units_of(n_tokens)
-        now_seconds = self._deps.clock.now_seconds()
-        wait_seconds = self._deps.quotas.take(customer, units, now_seconds)
-        if wait_seconds is not None:
-            raise over_quota(wait_seconds)
-        self._charged_units = units
-
-    def _settle_quota(self) -> None:
-        """Give back the units of a request that surely never ran."""
-        if self._charged_units == 0.0 or self.executed is not Executed.NO:
-            return
-        customer = self._way.holder.customer
-        now_seconds = self._deps.clock.now_seconds()
-        self._deps.quotas.give_back(customer, self._charged_units, now_seconds)
+            self._charge.settle(self.executed)
 
     def _elapsed_seconds(self) -> float:
         now_seconds = self._deps.clock.now_seconds()
@@ -215,7 +196,7 @@
         return self._until_seconds - self._deps.clock.now_seconds()
 
     async def _serve(self) -> None:
-        self._charge_quota()
+        self._charge.take()
         outcome = await self._deps.dispatcher.admit(self._work)
         while True:
             match outcome:
@@ -305,6 +286,7 @@
                 end="served" if kind is FinishKind.COMPLETE and end is None else reason,
                 predicted_seconds=round(dispatch.predicted_wait_seconds, 3),
                 expected_cached_tokens=dispatch.expected_cached_tokens,
+                quota_units=self._charge.units,
                 waited_seconds=round(sent_seconds - self._request.arrived_seconds, 4),
                 held_seconds=round(now_seconds - sent_seconds, 4),
                 first_seconds=self._relay.first_seconds,
--- /dev/null
+++ b/lycheepost/callers/quotacharge.py
@@ -0,0 +1,83 @@
+"""Take a request's units from its customer's quota, and give them back if it never ran.
+
+They are taken before the request is queued: what is beyond a quota must not wait in
+front of what is not.
+"""
+
+from lycheepost.callers.errors import (
+    CallerError,
+    ErrorType,
+    Executed,
+    RateLimit,
+)
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import CustomerId
+from lycheepost.core.quotas import Quota
+from lycheepost.decide.fleetquota import FleetQuotas
+
+
+class QuotaCharge:
+    """What one request takes from its customer's quota.
+
+    Args:
+        quotas: The quotas of all customers; None where nobody counts them.
+        clock: The clock of the decisions.
+        customer: Who asks.
+        quota: The customer's; None where it has none.
+        n_tokens: Tokens of the prompt and at most of the answer; None for a request
+            that tells of none.
+
+    Attributes:
+        units: Taken and not given back.
+    """
+
+    def __init__(
+        self,
+        quotas: FleetQuotas | None,
+        clock: Clock,
+        customer: CustomerId,
+        quota: Quota | None,
+        n_tokens: int | None,
+    ) -> None:
+        self.units = 0.0
+        self._quotas = quotas
+        self._clock = clock
+        self._customer = customer
+        self._quota = quota
+        self._n_tokens = n_tokens
+
+    def take(self) -> None:
+        """Take the units.
+
+        Raises:
+            CallerError: The quota is used up; the request has not run.
+        """
+        if self._quota is None or self._quotas is None:
+            return
+        units = self._quota.units_of(self._n_tokens)
+        now_seconds = self._clock.now_seconds()
+        wait_seconds = self._quotas.take(self._customer, units, now_seconds)
+        if wait_seconds is not None:
+            raise over_quota(self._quota, wait_seconds)
+        self.units = units
+
+    def settle(self, executed: Executed) -> None:
+        """Give the units back if the request surely never ran."""
+        if self._quotas is None or self.units == 0.0 or executed is not Executed.NO:
+            return
+        now_seconds = self._clock.now_seconds()
+        self._quotas.give_back(self._customer, self.units, now_seconds)
+        self.units = 0.0
+
+
+def over_quota(quota: Quota, retry_after_seconds: float) -> CallerError:
+    """Return the error for a request beyond its customer's quota."""
+    unit = quota.unit.value
+    return CallerError(
+        f"The quota of {quota.rate_per_second:g} {unit} a second is used up.",
+        status=429,
+        type=ErrorType.RATE_LIMIT,
+        code="over_quota",
+        retry_after_seconds=retry_after_seconds,
+        rate_limit=RateLimit(unit, quota.burst, retry_after_seconds),
+    )
--- a/lycheepost/callers/services.py
+++ b/lycheepost/callers/services.py
@@ -5,6 +5,7 @@
 with a key in the whole fleet, without one by this daemon.
 """
 
+import asyncio
 from dataclasses import dataclass, replace
 
 from aiohttp import web
@@ -19,7 +20,7 @@
     Executed,
     from_refusal,
 )
-from lycheepost.callers.exchange import target_url
+from lycheepost.callers.exchange import make_charge, target_url
 from lycheepost.callers.flow import end_of
 from lycheepost.callers.headers import CallerHeaders, read_headers
 from lycheepost.callers.identify import find_service, identify_customer
@@ -141,11 +142,22 @@
 
 async def _run(deps: CallerDeps, asked: Asked) -> StoredAnswer:
     """Call targets until one answers or no try is left."""
+    charge = make_charge(deps, asked.work)
+    executed = Executed.NO
     try:
+        charge.take()
         answer = await _try_targets(deps, asked)
+        executed = Executed.YES
     except CallerError as error:
+        executed = error.executed
         _note(deps, asked, end_of(error), error.executed is not Executed.UNKNOWN)
         raise
+    except asyncio.CancelledError:
+        # The caller left in the middle; a target may be at work.
+        executed = Executed.UNKNOWN
+        raise
+    finally:
+        charge.settle(executed)
     end = EndKind.SUCCESS if answer.status < 500 else EndKind.FAILED
     _note(deps, asked, end, True)
     return answer
--- a/lycheepost/commands/customer.py
+++ b/lycheepost/commands/customer.py
@@ -108,6 +108,85 @@
     plan_and_confirm(connection, document, yes, json_output)
 
 
+@app.command()
+def quota(
+    customer: Name,
+    key: Key,
+    rate_per_second: Annotated[
+        float, typer.Option(help="Units that come back each second.")
+    ],
+    burst: Annotated[
+        float, typer.Option(help="Units that may be spent at once after a silence.")
+    ],
+    unit: Annotated[str, typer.Option(help="requests or tokens.")] = "tokens",
+    plain_units: Annotated[
+        float, typer.Option(help="Tokens that a request without a prompt counts for.")
+    ] = 1.0,
+    url: Url = DEFAULT_URL,
+    ca_file: CaFile = "",
+    yes: Yes = False,
+    json_output: Json = False,
+) -> None:
+    """Bound what a customer may ask of all daemons together.
+
+    Exit codes: 0 set, 1 refused, 2 faulty input, 3 no answer.
+    """
+    document = {
+        "kind": "set_customer_quota",
+        "customer": customer,
+        "unit": unit,
+        "rate_per_second": rate_per_second,
+        "burst": burst,
+        "plain_units": plain_units,
+    }
+    connection = ApiConnection(url, key, ca_file)
+    plan_and_confirm(connection, document, yes, json_output)
+
+
+@app.command("remove-quota")
+def remove_quota(
+    customer: Name,
+    key: Key,
+    url: Url = DEFAULT_URL,
+    ca_file: CaFile = "",
+    yes: Yes = False,
+    json_output: Json = False,
+) -> None:
+    """Let a customer ask for as much as it is served.
+
+    Exit codes: 0 removed, 1 refused, 2 faulty input, 3 no answer.
+    """
+    document = {"kind": "remove_customer_quota", "customer": customer}
+    connection = ApiConnection(url, key, ca_file)
+    plan_and_confirm(connection, document, yes, json_output)
+
+
+@app.command("quotas")
+def show_quotas(
+    key: Key,
+    url: Url = DEFAULT_URL,
+    ca_file: CaFile = "",
+    json_output: Json = False,
+) -> None:
+    """Show each customer's quota and what is left of it, as one daemon sees it.
+
+    Exit codes: 0 shown, 1 refused, 3 no answer.
+    """
+    connection = ApiConnection(url, key, ca_file)
+    body = request(connection, "GET", "/v1/quotas", None, json_output)
+    if json_output:
+        print(json.dumps(body))
+        return
+    print(f"this daemon may let through {body['share']:.0%} of each quota by itself")
+    for name, item in sorted(body["customers"].items()):
+        print(
+            f"{name}: {item['rate_per_second']:g} {item['unit']} a second,"
+            f" burst {item['burst']:g}, {item['left']:.0f} left;"
+            f" let through here {item['spent_here']:.0f},"
+            f" refused here {item['n_refused_here']} requests"
+        )
+
+
 @app.command()
 def disable(
     customer: Name,
--- a/lycheepost/operators/changes.py
+++ b/lycheepost/operators/changes.py
@@ -14,15 +14,19 @@
     CreateModel,
     CreateTargetGroup,
     Remove,
+    RemoveCustomerQuota,
     RetireTarget,
     RotateCustomerKey,
+    SetCustomerQuota,
     SetWeightsVersion,
 )
 from lycheepost.operators.change_results import ChangeResult, HashForCustomer
 from lycheepost.operators.customer_changes import (
     alter_customer,
     create_customer,
+    remove_customer_quota,
     rotate_customer_key,
+    set_customer_quota,
 )
 from lycheepost.operators.items import Draft
 from lycheepost.operators.model_changes import (
@@ -49,8 +53,10 @@
     | CreateModel
     | CreateTargetGroup
     | Remove
+    | RemoveCustomerQuota
     | RetireTarget
     | RotateCustomerKey
+    | SetCustomerQuota
     | SetWeightsVersion
 )
 
@@ -66,6 +72,10 @@
             return alter_customer(draft, change)
         case RotateCustomerKey():
             return rotate_customer_key(draft, change, hash_for)
+        case SetCustomerQuota():
+            return set_customer_quota(draft, change)
+        case RemoveCustomerQuota():
+            return remove_customer_quota(draft, change)
         case CreateModel():
             return create_model(draft, change)
         case AlterModel():
--- a/lycheepost/operators/customer_changes.py
+++ b/lycheepost/operators/customer_changes.py
@@ -2,11 +2,18 @@
 
 import dataclasses
 
-from lycheepost.generated.configuration import Customer
+from lycheepost.core.quotas import quota_faults
+from lycheepost.generated.configuration import (
+    Customer,
+    CustomerQuota,
+    CustomerQuotaUnit,
+)
 from lycheepost.generated.operators import (
     AlterCustomer,
     CreateCustomer,
+    RemoveCustomerQuota,
     RotateCustomerKey,
+    SetCustomerQuota,
 )
 from lycheepost.operators.change_results import (
     Applied,
@@ -18,6 +25,7 @@
     replace_given,
 )
 from lycheepost.operators.items import Draft
+from lycheepost.state.customerquotas import to_quota
 from lycheepost.utils.documents import Fault
 
 _SALT_CHARACTERS = 16
@@ -96,3 +104,33 @@
     n_ended = len(customer.key_hashes) - len(kept)
     detail = f"a new key; {len(kept)} old keys work on, {n_ended} end"
     return Applied("rotate_customer_key", subject, detail)
+
+
+def set_customer_quota(draft: Draft, change: SetCustomerQuota) -> ChangeResult:
+    """Bound what a customer may ask of all daemons together."""
+    subject = f"customers/{change.customer}"
+    faults = check_present(draft, subject, "customer")
+    written = CustomerQuota(
+        unit=CustomerQuotaUnit(change.unit.value),
+        rate_per_second=change.rate_per_second,
+        burst=change.burst,
+        plain_units=change.plain_units,
+    )
+    reasons = quota_faults(to_quota(written))
+    faults += [Fault("quota", change.customer, reason) for reason in reasons]
+    if faults:
+        return faults
+    draft.put(dataclasses.replace(draft.find(subject), quota=written))
+    rate = f"{change.rate_per_second:g} {change.unit.value} a second"
+    detail = f"{rate}, burst {change.burst:g}"
+    return Applied("set_customer_quota", subject, detail)
+
+
+def remove_customer_quota(draft: Draft, change: RemoveCustomerQuota) -> ChangeResult:
+    """Let a customer ask for as much as it is served."""
+    subject = f"customers/{change.customer}"
+    faults = check_present(draft, subject, "customer")
+    if faults:
+        return faults
+    draft.put(dataclasses.replace(draft.find(subject), quota=None))
+    return Applied("remove_customer_quota", subject, "no limit")
--- a/lycheepost/operators/intents.py
+++ b/lycheepost/operators/intents.py
@@ -25,10 +25,12 @@
     NewWeights,
     PauseIntent,
     Remove,
+    RemoveCustomerQuota,
     ResumeIntent,
     Retire,
     RetireTarget,
     RotateCustomerKey,
+    SetCustomerQuota,
     SetWeightsVersion,
 )
 from lycheepost.utils.documents import Fault, convert_document
@@ -51,10 +53,12 @@
     | NewWeights
     | PauseIntent
     | Remove
+    | RemoveCustomerQuota
     | ResumeIntent
     | Retire
     | RetireTarget
     | RotateCustomerKey
+    | SetCustomerQuota
     | SetWeightsVersion
 )
 
@@ -62,6 +66,8 @@
     ChangeKind.CREATE_CUSTOMER: CreateCustomer,
     ChangeKind.ALTER_CUSTOMER: AlterCustomer,
     ChangeKind.ROTATE_CUSTOMER_KEY: RotateCustomerKey,
+    ChangeKind.SET_CUSTOMER_QUOTA: SetCustomerQuota,
+    ChangeKind.REMOVE_CUSTOMER_QUOTA: RemoveCustomerQuota,
     ChangeKind.CREATE_MODEL: CreateModel,
     ChangeKind.ALTER_MODEL: AlterModel,
     ChangeKind.SET_WEIGHTS_VERSION: SetWeightsVersion,
--- a/lycheepost/operators/ports.py
+++ b/lycheepost/operators/ports.py
@@ -36,6 +36,11 @@
         ...
 
 
+def no_quotas() -> dict[str, object]:
+    """Return the account of a daemon that counts no quotas."""
+    return {"share": 1.0, "is_seasoned": True, "customers": {}}
+
+
 @dataclass(frozen=True)
 class OperatorDeps:
     """Everything that the operators' API stands on.
@@ -44,6 +49,7 @@
         weights: Tells which versions exist and how long they load; None where
             no weight store is configured.
         fleet: Describes daemons and targets as this daemon sees them.
+        quotas: Describes what is left of customers' quotas, as this daemon sees it.
     """
 
     revisions: RevisionPort
@@ -52,3 +58,4 @@
     settings: OperatorSettings
     weights: WeightsPort | None = None
     fleet: Callable[[], FleetStatus] | None = None
+    quotas: Callable[[], dict[str, object]] = no_quotas
--- a/lycheepost/operators/routes.py
+++ b/lycheepost/operators/routes.py
@@ -57,6 +57,7 @@
         web.post("/v1/plans/{plan_id}/confirm", api.guard(api.confirm)),
         web.get("/v1/configuration", api.guard(api.show_configuration)),
         web.get("/v1/fleet", api.guard(api.show_fleet)),
+        web.get("/v1/quotas", api.guard(api.show_quotas)),
     ]
 
 
@@ -160,6 +161,10 @@
             return Failure(OperatorError(reason, kind, retry_after_seconds=1.0))
         return Success(self._deps.fleet())
 
+    async def show_quotas(self, request: web.Request, operator: Operator) -> Answer:
+        """Answer with what is left of each customer's quota, as seen here."""
+        return Success(self._deps.quotas())
+
 
 async def _read_document(request: web.Request) -> Result[Any, OperatorError]:
     # A length is only a promise of the client's, so the bytes are counted.
--- a/lycheepost/peers/shared.py
+++ b/lycheepost/peers/shared.py
@@ -8,7 +8,7 @@
 from lycheepost.core.ids import AvailabilityZone, DaemonId
 from lycheepost.generated.configuration import Configuration
 from lycheepost.generated.settings import Settings
-from lycheepost.peers.exchange import PeerExchange, make_peer_exchange
+from lycheepost.peers.exchange import ChooseMates, PeerExchange, make_peer_exchange
 from lycheepost.peers.membership import MemberExchange
 from lycheepost.peers.revisions import RevisionExchange
 from lycheepost.peers.transport import Transport
@@ -94,6 +94,7 @@
     fallback: Configuration | None = None,
     callers_url: str = "",
     boot: str = "",
+    choose_mates: ChooseMates = lambda _members: (),
 ) -> SharedState:
     """Return the shared state of one daemon.
 
@@ -107,6 +108,7 @@
             ``members.set_callers_url`` tells it later.
         boot: Unique for each start of the daemon, also the seed of its jitter;
             made up when empty.
+        choose_mates: Picks members to hold links with, beside those of the rings.
     """
     daemon = DaemonId(settings.daemon.daemon_id)
     boot = boot or secrets.token_hex(6)
@@ -148,6 +150,7 @@
         lambda: revisions.revision,
         settings.peers.fanout,
         settings.peers.exchange_seconds,
+        choose_mates,
     )
     MemberExchange(exchange, members, clock)
     RevisionExchange(exchange, revisions, clock)
--- a/lycheepost/report/explain.py
+++ b/lycheepost/report/explain.py
@@ -20,6 +20,9 @@
     "no_target": "No target took new work: all had left, failed, or were changing.",
     "deadline": "The time that its caller waits was up, or would have been.",
     "over_share": "Its customer asked for more than its share while others waited.",
+    "over_quota": (
+        "Its customer had used up its quota; what is left stands in the status."
+    ),
     "queue_full": "The queue was full.",
     "quarantined": "Targets had been lost while they ran this same request.",
     "retry_budget": "Targets failed it, and the budget of retries was used up.",
--- /dev/null
+++ b/lycheepost/state/customerquotas.py
@@ -0,0 +1,29 @@
+"""Customers' quotas as a configuration holds them, in the decisions' own records."""
+
+from lycheepost.core.ids import CustomerId
+from lycheepost.core.quotas import Quota, QuotaUnit
+from lycheepost.generated.configuration import Customer, CustomerQuota
+
+
+def to_quota(written: CustomerQuota) -> Quota:
+    """Return a quota as a configuration states it."""
+    return Quota(
+        QuotaUnit(written.unit.value),
+        written.rate_per_second,
+        written.burst,
+        written.plain_units,
+    )
+
+
+def quota_of(customer: Customer) -> Quota | None:
+    """Return a customer's quota; None where it has none."""
+    return None if customer.quota is None else to_quota(customer.quota)
+
+
+def list_quotas(customers: dict[CustomerId, Customer]) -> dict[CustomerId, Quota]:
+    """Return the quotas of those customers that have one."""
+    return {
+        name: to_quota(customer.quota)
+        for name, customer in customers.items()
+        if customer.quota is not None
+    }
