--- a/features/decide/entry.feature
+++ b/features/decide/entry.feature
@@ -66,3 +66,20 @@
       | 7  | 7         | 7       |
       | 12 | 10        | 0       |
       | 86 | 10        | 0       |
+
+  Scenario Outline: With <entry> of <n> daemons to name, an answer is kept <how>
+    All daemons have lost power. The first one back is named alone for half a second;
+    each caller that keeps the answer comes to it while the others stand idle.
+    Then with <entry> of <n> daemons to name, an answer is to be kept <how>
+
+    Examples:
+      | entry | n   | how     |
+      | 1     | 1   | as long |
+      | 1     | 2   | as long |
+      | 1     | 7   | briefly |
+      | 3     | 7   | briefly |
+      | 4     | 7   | as long |
+      | 1     | 195 | briefly |
+      | 4     | 195 | briefly |
+      | 5     | 195 | as long |
+      | 10    | 195 | as long |
--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -65,6 +65,20 @@
     When 10 daemons and 16 customers play "lowered while half is frozen" with seeds 1 to 3
     Then the windows that begin 8 s after the change hold at most what is tolerated
 
+  Scenario Outline: A customer beyond its quota gets what it allows: <scenario>
+    Daemons hear of a lower quota up to a second apart. Those that heard first counted
+    what came meanwhile against the new one, the others against the old one: six of ten
+    believed in a debt that was none, and a customer got three quarters of its quota.
+    When 10 daemons and 16 customers play "<scenario>" with seeds 1 to 3
+    Then from second <since> on the hot customers get 0.95 of their quotas or more
+
+    Examples:
+      | scenario        | since |
+      | hot             | 2     |
+      | lowered         | 12    |
+      | one killed      | 14    |
+      | all killed      | 14    |
+
   Scenario: Long requests of a customer beyond its quota pass as often as short ones
     What is left is never enough for a long prompt while short ones come all the time.
     Given a daemon and a customer with 10000 units a second
--- a/features/decide/steps/entry_steps.py
+++ b/features/decide/steps/entry_steps.py
@@ -8,7 +8,12 @@
 from lycheepost.core.capacity import Capacity
 from lycheepost.core.fleetmember import FleetMember
 from lycheepost.core.ids import AvailabilityZone, DaemonId
-from lycheepost.decide.entry import choose_entry, follows_engines, follows_stores
+from lycheepost.decide.entry import (
+    choose_entry,
+    follows_engines,
+    follows_stores,
+    is_short,
+)
 from lycheepost.decide.peerloads import PeerLoads
 
 WIDE = Capacity(processor_cores=2.15, link_mbps=100.0)
@@ -157,3 +162,8 @@
     sent = Counter(target for desk in context.desks for target in desk.sent.values())
     mean = sum(sent.values()) / context.n_targets
     assert max(sent.values()) <= ratio * mean, sent
+
+
+@then("with {entry:d} of {n:d} daemons to name, an answer is to be kept {how}")
+def step_kept(context, entry, n, how):
+    assert is_short(entry, n) == (how == "briefly")
--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from lycheepost.bench.quotapolicies import POLICIES
-from lycheepost.bench.quotas import make_plan
+from lycheepost.bench.quotas import LARGE, SMALL, make_plan
 from lycheepost.bench.quotaworld import World
 from lycheepost.core.ids import CustomerId, DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance, QuotaUnit
@@ -99,6 +99,20 @@
             assert 0 < most <= allowed, (customer, most, allowed)
 
 
+@then(
+    "from second {since:g} on those beyond their quotas get {share:g} of them or more"
+)
+def step_hot_served(context, since, share):
+    for plan, audit in context.plays:
+        factors = [fault.factor for fault in plan.faults if fault.kind == "scale"]
+        factor = factors[0] if factors else 1.0
+        for customer in (LARGE, SMALL):
+            rate = factor * plan.quotas[customer].rate_per_second
+            units = audit.units_between(customer, since, plan.seconds)
+            allowed = rate * (plan.seconds - since)
+            assert units >= share * allowed, (customer, units / allowed)
+
+
 def make_quota(units_per_second):
     return Quota(QuotaUnit.TOKENS, units_per_second, units_per_second, 200.0)
 
--- a/features/platform/fleet.feature
+++ b/features/platform/fleet.feature
@@ -72,3 +72,11 @@
     When the first configuration is written
     Then each directory soon names all 3
     And soon one of them follows the store and the others follow that one
+
+  Scenario: While few daemons can be named, their addresses are to be kept briefly
+    All but one daemon leave, or cannot reach the store. Callers that go on naming the
+    one for a second fill it, though the others are back a moment later.
+    Given a deployment with 4 daemons
+    Then an answer of the directory is to be kept for 0.9 s
+    When 3 of them say that they cannot serve for now
+    Then an answer of the directory is to be kept for 0.25 s
--- a/features/platform/steps/fleet_steps.py
+++ b/features/platform/steps/fleet_steps.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from behave import given, then, when
+from deployment import SITE
 from request_steps import BODY, REQUESTS, ask, start
 
 from lycheepost.app.platformfleet import make_configuration
@@ -281,3 +282,23 @@
     daemon = deployment.daemons.pop(index)
     deployment.nodes.pop(index)
     context.loop.run_until_complete(daemon.stop())
+
+
+@then("an answer of the directory is to be kept for {seconds:g} s")
+def step_kept(context, seconds):
+    deployment = context.deployment
+
+    async def is_told():
+        node = deployment.nodes[0]
+        url = f"http://{node.directory}/lookup?name={SITE}&region=r&zone=zone-a"
+        async with deployment.session.get(url) as answer:
+            return (await answer.json())["ttl_s"] == seconds
+
+    context.loop.run_until_complete(deployment.until(is_told))
+
+
+@when("{n:d} of them say that they cannot serve for now")
+def step_cannot_serve(context, n):
+    for daemon in context.deployment.daemons[-n:]:
+        daemon.is_leaving = True
+        daemon._made.peers.members.announce_leaving()
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -18,6 +18,7 @@
 from lycheepost.app.platformbase import PlatformBase, make_base
 from lycheepost.app.platformpeers import (
     ADDRESS_SECONDS,
+    BRIEF_ADDRESS_SECONDS,
     PlatformPeers,
     WeightsDuty,
     make_platform_peers,
@@ -35,6 +36,7 @@
 from lycheepost.app.ticker import Ticker
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.core.ids import ModelId
+from lycheepost.decide.entry import is_short
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
@@ -47,6 +49,7 @@
 from lycheepost.platform.settings import Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
+from lycheepost.state.addresses import MemberState
 from lycheepost.state.firstreads import FirstReads
 from lycheepost.state.routing import RoutingKeeper
 from lycheepost.state.watch import Watch
@@ -234,7 +237,13 @@
         return count_sharing(members.me().daemon, entry, members.n_live())
 
     def _address_seconds(self) -> float:
-        return min(ADDRESS_SECONDS, self._made.settings.bounds.address_seconds)
+        members = self._made.peers.members
+        states = [member.state for member in members.members()]
+        n_daemons = len(states) - states.count(MemberState.GONE)
+        seconds = ADDRESS_SECONDS
+        if is_short(len(members.entry()), n_daemons):
+            seconds = BRIEF_ADDRESS_SECONDS
+        return min(seconds, self._made.settings.bounds.address_seconds)
 
     def _addresses(self) -> list[str]:
         now_seconds = self._made.base.clock.now_seconds()
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -51,6 +51,10 @@
 """How long clients may keep an addresses answer. Some keep it three times as long:
 as long as a daemon that leaves goes on taking requests."""
 
+BRIEF_ADDRESS_SECONDS = 0.25
+"""The same while few daemons can be named. Callers that ask four times a second cost
+each daemon little, as all of them answer."""
+
 WEIGHTS_DUTY = "weights"
 LEASE_SECONDS = 3.6
 LEASE_MARGIN_SECONDS = 1.65
--- a/lycheepost/bench/quotas.py
+++ b/lycheepost/bench/quotas.py
@@ -134,6 +134,7 @@
             tuple(Fault("kill", 10.0 + 2.0 * index, 0.7, every) for index in range(3)),
             0.0,
         ),
+        "lowered": (usual, (Fault("scale", 8.0, factor=0.4),), 0.0),
         "rolling restart": (hot, rolling, 0.0),
         "rolling restart, usual": (usual, rolling, 0.0),
         "lowered while half is frozen": (
@@ -169,6 +170,7 @@
     "all killed",
     "all killed twice",
     "all killed in a flood",
+    "lowered",
     "rolling restart",
     "rolling restart, usual",
 )
--- a/lycheepost/bench/quotaworld.py
+++ b/lycheepost/bench/quotaworld.py
@@ -26,6 +26,9 @@
 LINK_SECONDS = 0.4
 """From the start of a daemon until it has links and says something over them."""
 
+APPLY_SECONDS = 1.0
+"""Longest time until a daemon hears of a change of the quotas."""
+
 DETECT_SECONDS = 1.2
 """Until the others take a silent daemon for gone."""
 
@@ -171,6 +174,16 @@
             most = max(most, total)
         return most
 
+    def units_between(
+        self, customer: CustomerId, from_seconds: float, until_seconds: float
+    ) -> float:
+        """Return the units let through in a span of time."""
+        return sum(
+            units
+            for at_seconds, units in self.passed[customer]
+            if from_seconds <= at_seconds < until_seconds
+        )
+
     def modest(self) -> tuple[CustomerId, ...]:
         """Return the customers that one bucket for the fleet would never refuse."""
         return tuple(name for name in self.n_requests if not self.n_beyond[name])
@@ -212,6 +225,7 @@
         self._starts = itertools.count(1)
         self._messages: list[tuple[float, int, DaemonId, DaemonId, Any]] = []
         self._numbers = itertools.count()
+        self._changes: list[tuple[float, DaemonId]] = []
         self._cut: frozenset[DaemonId] = frozenset()
         self._heal_seconds = float("-inf")
         names = [DaemonId(f"d{index}") for index in range(plan.n_daemons)]
@@ -243,6 +257,7 @@
             self.now_seconds += STEP_SECONDS
             while events and events[0][0] <= self.now_seconds:
                 events.pop(0)[1]()
+            self._apply_changes()
             self._deliver()
             while upcoming is not None and upcoming[0] <= self.now_seconds:
                 self._arrive(*upcoming)
@@ -329,9 +344,16 @@
         }
         for customer, quota in self.quotas.items():
             self._ideal[customer].set_terms(quota.rate_per_second, quota.burst)
-        for daemon in self.daemons.values():
-            if daemon.health is Health.SERVING:
-                daemon.policy.set_quotas(self.quotas, self.now_seconds)
+        for name in self.daemons:
+            due_seconds = self.now_seconds + self._rng.uniform(0.0, APPLY_SECONDS)
+            heapq.heappush(self._changes, (due_seconds, name))
+
+    def _apply_changes(self) -> None:
+        """Let daemons hear of the quotas in force, each at its own moment."""
+        while self._changes and self._changes[0][0] <= self.now_seconds:
+            _due, name = heapq.heappop(self._changes)
+            if self.is_serving(name):
+                self.daemons[name].policy.set_quotas(self.quotas, self.now_seconds)
 
     def _arrive(
         self, at_seconds: float, index: int, customer: CustomerId, units: float
--- a/lycheepost/decide/entry.py
+++ b/lycheepost/decide/entry.py
@@ -31,6 +31,9 @@
 """Each hears the load of all others up to thirty times a second, so what all hear grows
 with the square of their number. A bound by reckoning, not measured."""
 
+LEAST_ENTRY_SHARE = 0.5
+"""Part of the entry daemons with which the others carry the traffic for a while."""
+
 MOST_STORE_FOLLOWERS = 10
 """Daemons that follow the cache events of a KV store. A store holds a dozen such
 questions at once and refuses the others, each at the price of a health check. Two are
@@ -75,6 +78,23 @@
     return frozenset(item.daemon for item in chosen)
 
 
+def is_short(n_entry: int, n_daemons: int) -> bool:
+    """Tell whether callers are sent to far fewer daemons than there should be.
+
+    The load: all daemons have lost power, or could not reach the store, and the first
+    one is back. For a moment it is the only one that can be named, and every caller
+    comes to it. The others follow within half a second, so an answer of that moment
+    is to be kept briefly: callers that kept it as long as others would fill one narrow
+    VM while all others stand idle.
+
+    Args:
+        n_entry: Daemons that callers are sent to.
+        n_daemons: Daemons of the fleet, also those that cannot serve for a moment.
+    """
+    n_wanted = min(FEWEST_ENTRY_DAEMONS, n_daemons)
+    return n_entry < LEAST_ENTRY_SHARE * n_wanted
+
+
 def follows_stores(me: DaemonId, entry: frozenset[DaemonId]) -> bool:
     """Tell whether a daemon is one of those that follow the KV stores."""
     return me in rendezvous_order(_FOLLOWER_KEY, entry)[:MOST_STORE_FOLLOWERS]
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -51,14 +51,18 @@
 """Daemons that the traffic is taken to be divided among until they are known."""
 
 EXTRA_SHARE = 0.2
-"""Part of what is tolerated beyond a quota by which the bucket is larger. It covers
-requests that were counted here and not where they were asked for, so that a customer
-just inside its quota isn't refused."""
+"""Part of what is tolerated beyond a quota that is let through. It covers requests that
+were counted here and did not run, and what daemons count twice or late, so that nobody
+is refused below the quota."""
 
 START_SHARE = 0.4
 """The same for what a bucket holds at the start of a daemon that nobody tells how much
 is left. When all daemons have lost power, none of them knows what was spent before."""
 
+APPROACH_SHARE = 0.01
+"""Part of the difference to the level of a mate that is made up with each word of it.
+Ten daemons that each say something twenty times a second agree after a second."""
+
 MOST_WAIT_SECONDS = 10.0
 """A caller that is told to come back later than this has gone elsewhere."""
 
@@ -206,23 +210,28 @@
 
     def _make_meter(self, quota: Quota, now_seconds: float) -> _Meter:
         tolerated = self._tolerance.of(quota)
-        capacity = quota.burst + EXTRA_SHARE * tolerated
+        rate, capacity = self._terms(quota)
         age_seconds = now_seconds - self._started_seconds
         level = min(quota.burst, START_SHARE * tolerated)
-        level = min(capacity, level + quota.rate_per_second * age_seconds)
-        fleet = TokenBucket(quota.rate_per_second, capacity, level, now_seconds)
+        level = min(capacity, level + rate * age_seconds)
+        fleet = TokenBucket(rate, capacity, level, now_seconds)
         meter = _Meter(quota, fleet, promised_seconds=now_seconds)
         _divide(meter, self._share)
         return meter
 
     def _set_terms(self, meter: _Meter, quota: Quota) -> None:
         meter.quota = quota
-        rate = quota.rate_per_second
-        capacity = quota.burst + EXTRA_SHARE * self._tolerance.of(quota)
+        rate, capacity = self._terms(quota)
         meter.fleet.set_terms(rate, capacity)
         if meter.reachable is not None:
             meter.reachable.set_terms(self._share * rate, self._share * capacity)
 
+    def _terms(self, quota: Quota) -> tuple[float, float]:
+        """Return the rate and the capacity of a quota's bucket."""
+        more = 1.0 + EXTRA_SHARE * self._tolerance.share
+        capacity = more * quota.burst + EXTRA_SHARE * self._tolerance.units
+        return more * quota.rate_per_second, capacity
+
     def set_entry(self, mates: Iterable[DaemonId], now_seconds: float) -> None:
         """Follow the other daemons that callers are sent to, as one of them."""
         self._is_entry = True
@@ -326,6 +335,7 @@
             meter.told[daemon] = word.spent
             if before is not None and not adopts:
                 meter.add(before - word.spent)
+                self._approach(meter, word, news.is_seasoned)
             elif news.is_seasoned:
                 # What it let through before this daemon heard of it is in its level.
                 meter.add(min(0.0, word.level - meter.fleet.level))
@@ -333,6 +343,16 @@
                 meter.add(-word.spent)
         self._is_seasoned = self._is_seasoned or (self._is_entry and adopts)
 
+    def _approach(self, meter: _Meter, word: QuotaWord, is_seasoned: bool) -> None:
+        """Go some way to the level that a mate tells.
+
+        Levels part where daemons hear of a change of the quota at different moments,
+        and stay apart while a customer is beyond it. Each goes to the mean, so that
+        together they believe in no more than before.
+        """
+        if is_seasoned and self._is_seasoned:
+            meter.fleet.add(APPROACH_SHARE * (word.level - meter.fleet.level))
+
     def _known(self, news: QuotaNews) -> Iterator[tuple[_Meter, QuotaWord]]:
         for customer, word in news.words.items():
             meter = self._meters.get(customer)
