--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -70,7 +70,7 @@
     what came meanwhile against the new one, the others against the old one: six of ten
     believed in a debt that was none, and a customer got three quarters of its quota.
     When 10 daemons and 16 customers play "<scenario>" with seeds 1 to 3
-    Then from second <since> on the hot customers get 0.95 of their quotas or more
+    Then from second <since> on those beyond their quotas get 0.95 of them or more
 
     Examples:
       | scenario        | since |
