--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -10,8 +10,9 @@
 from lycheepost.bench.quotaworld import MOST_TOKENS, World
 from lycheepost.core.ids import CustomerId, DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance, QuotaUnit
-from lycheepost.decide import fleetquota
+from lycheepost.decide import quotameter
 from lycheepost.decide.fleetquota import FleetQuotas
+from lycheepost.decide.quotamates import QuotaMates
 
 CUSTOMER = CustomerId("one")
 STEP_SECONDS = 0.05
@@ -19,14 +20,14 @@
 BREAKS = {
     "word of the others": [
         mock.patch.object(FleetQuotas, "hear", lambda *_: None),
-        mock.patch.object(FleetQuotas, "_find_share", lambda *_: 1.0),
+        mock.patch.object(QuotaMates, "find_share", lambda *_: 1.0),
     ],
     "a part for those who are silent": [
-        mock.patch.object(FleetQuotas, "_find_share", lambda *_: 1.0),
+        mock.patch.object(QuotaMates, "find_share", lambda *_: 1.0),
     ],
     "a smaller bucket after a start": [
-        mock.patch.object(fleetquota, "START_SHARE", 1e9),
-        mock.patch.object(FleetQuotas, "_find_share", lambda *_: 1.0),
+        mock.patch.object(quotameter, "START_SHARE", 1e9),
+        mock.patch.object(QuotaMates, "find_share", lambda *_: 1.0),
     ],
 }
 """What takes each guard out."""
--- a/lycheepost/bench/quotapolicies.py
+++ b/lycheepost/bench/quotapolicies.py
@@ -17,11 +17,11 @@
 from lycheepost.core.quotas import Quota
 from lycheepost.decide.fleetquota import (
     HEARTBEAT_SECONDS,
-    START_SHARE,
     TELL_SECONDS,
     WHOLE_SECONDS,
     FleetQuotas,
 )
+from lycheepost.decide.quotameter import START_SHARE
 from lycheepost.decide.tokenbucket import TokenBucket
 from lycheepost.peers.quotanews import to_message
 
--- /dev/null
+++ b/lycheepost/decide/quotamates.py
@@ -0,0 +1,173 @@
+"""Which daemons let requests through beside this one, and which of them are heard.
+
+A mate that isn't heard of may be dead, frozen, or serving callers behind a cut. Until
+it is certain to serve nobody it is taken to spend its part of each quota.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from lycheepost.core.ids import DaemonId
+
+SILENT_SECONDS = 0.6
+"""A mate that was silent for so long has missed two heartbeats and a resend."""
+
+LINGER_SECONDS = 4.0
+"""A daemon that is no mate any more may go on serving for so long: those who leave take
+requests for some seconds, and those who are cut off from the store until they can no
+longer confirm their callers' keys."""
+
+CUT_OFF_SECONDS = 20.0
+"""The same where most mates went missing at once. Then it is more likely this daemon
+that is cut off, and the others may serve for as long as the cut lasts."""
+
+SETTLE_SECONDS = 1.2
+"""How long after its start a daemon may not know which others are its mates."""
+
+UNKNOWN_DAEMONS = 10
+"""Daemons that the traffic is taken to be divided among until they are known."""
+
+
+@dataclass(slots=True)
+class _Mate:
+    """Another daemon that lets requests through.
+
+    Attributes:
+        named_seconds: When it last was one of the mates.
+        start: Differs between two starts of it; None before its first word.
+        heard_seconds: When it last said something.
+    """
+
+    named_seconds: float
+    start: int | None = None
+    heard_seconds: float = float("-inf")
+
+    def is_heard(self, now_seconds: float) -> bool:
+        return now_seconds - self.heard_seconds <= SILENT_SECONDS
+
+    def note_heard(self, start: int, now_seconds: float) -> bool:
+        """Note that it spoke; return whether its counts go on from before."""
+        goes_on = self.start == start
+        self.start = start
+        self.heard_seconds = now_seconds
+        return goes_on
+
+
+@dataclass(slots=True)
+class QuotaMates:
+    """The other daemons, as one of them sees them.
+
+    Attributes:
+        started_seconds: When this daemon started.
+        is_entry: Callers are sent to this daemon.
+        is_seasoned: All mates were heard since this daemon is one of them, or one that
+            had heard all told it what is left.
+        relay: Whom this daemon tells what it lets through while it stands by.
+    """
+
+    started_seconds: float
+    is_entry: bool = False
+    is_seasoned: bool = False
+    relay: DaemonId | None = None
+    _mates: dict[DaemonId, _Mate] = field(default_factory=dict)
+    _relayed: dict[DaemonId, _Mate] = field(default_factory=dict)
+    _relay_heard_seconds: float = float("-inf")
+    _n_daemons: int = UNKNOWN_DAEMONS
+    _n_expected: int = UNKNOWN_DAEMONS
+
+    def set_fleet(self, n_daemons: int) -> None:
+        """Follow how many daemons there may be, also those that were not heard yet.
+
+        Until they are known a daemon that starts takes itself for one of many.
+        """
+        self._n_expected = min(UNKNOWN_DAEMONS, n_daemons)
+
+    def set_entry(self, mates: Iterable[DaemonId], now_seconds: float) -> None:
+        """Follow the other daemons that callers are sent to, as one of them."""
+        self.is_entry = True
+        self.relay = None
+        for daemon in mates:
+            mate = self._mates.setdefault(daemon, _Mate(now_seconds))
+            mate.named_seconds = now_seconds
+        self._n_daemons = 1 + len(self._mates)
+
+    def set_standing_by(self, relay: DaemonId | None, n_entry: int) -> None:
+        """Follow whom to tell as a daemon that callers are not sent to.
+
+        Args:
+            relay: The daemon that tells the others what is let through here.
+            n_entry: Daemons that callers are sent to.
+        """
+        self.is_entry = False
+        self.is_seasoned = False
+        if relay != self.relay:
+            self._relay_heard_seconds = float("-inf")
+        self.relay = relay
+        self._n_daemons = 1 + max(n_entry, len(self._mates))
+
+    @property
+    def is_alone(self) -> bool:
+        """Tell whether nobody counts on hearing from this daemon: it stands by."""
+        return not (self.is_entry or self._mates)
+
+    def listeners(self) -> tuple[DaemonId, ...]:
+        """Return the mates, who lately was a mate, and who stands by and has asked."""
+        return tuple(sorted({*self._mates, *self._relayed}))
+
+    def note_mate(
+        self, daemon: DaemonId, start: int, is_entry: bool, now_seconds: float
+    ) -> bool:
+        """Note that a mate spoke; return whether its counts go on from before."""
+        mate = self._mates.setdefault(daemon, _Mate(now_seconds))
+        if is_entry:
+            mate.named_seconds = now_seconds
+        return mate.note_heard(start, now_seconds)
+
+    def note_relayed(self, daemon: DaemonId, start: int, now_seconds: float) -> bool:
+        """The same of a daemon that stands by, and is told about by this one."""
+        mate = self._relayed.setdefault(daemon, _Mate(now_seconds))
+        return mate.note_heard(start, now_seconds)
+
+    def note_relay(self, now_seconds: float) -> None:
+        """Note that the relay spoke."""
+        self._relay_heard_seconds = now_seconds
+
+    def find_share(self, now_seconds: float) -> float:
+        """Return the part of a quota that those who hear each other may spend."""
+        n_heard = self._count_heard(now_seconds)
+        n_daemons = max(self._n_daemons, 1 + len(self._mates))
+        if self.is_alone:
+            silent_seconds = now_seconds - self._relay_heard_seconds
+            return 1.0 if silent_seconds <= SILENT_SECONDS else 1.0 / n_daemons
+        if now_seconds - self.started_seconds < SETTLE_SECONDS:
+            n_daemons = max(n_daemons, self._n_expected)
+        elif n_heard == n_daemons and self.is_entry:
+            self.is_seasoned = True
+        return n_heard / n_daemons
+
+    def forget(self, now_seconds: float) -> list[DaemonId]:
+        """Forget who can no longer serve anybody; return who that is."""
+        n_heard = self._count_heard(now_seconds)
+        is_cut_off = 2 * n_heard <= 1 + len(self._mates)
+        most_seconds = CUT_OFF_SECONDS if is_cut_off else LINGER_SECONDS
+        gone = [
+            daemon
+            for daemon, mate in self._mates.items()
+            if now_seconds - mate.named_seconds > most_seconds
+        ]
+        for daemon in gone:
+            del self._mates[daemon]
+        silent = [
+            daemon
+            for daemon, mate in self._relayed.items()
+            if now_seconds - mate.heard_seconds > LINGER_SECONDS
+        ]
+        for daemon in silent:
+            del self._relayed[daemon]
+        if self.is_entry:
+            self._n_daemons = 1 + len(self._mates)
+        return gone + silent
+
+    def _count_heard(self, now_seconds: float) -> int:
+        """Return how many mates are heard, and this daemon."""
+        return 1 + sum(mate.is_heard(now_seconds) for mate in self._mates.values())
--- a/lycheepost/peers/quotanews.py
+++ b/lycheepost/peers/quotanews.py
@@ -1,7 +1,8 @@
 """What daemons say of quotas, as it travels between them."""
 
 from lycheepost.core.ids import CustomerId
-from lycheepost.decide.fleetquota import QuotaNews, QuotaWord
+from lycheepost.decide.fleetquota import QuotaNews
+from lycheepost.decide.quotameter import QuotaWord
 from lycheepost.generated.messages import CustomerSpent, QuotaSpent
 
 
