--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -281,8 +281,9 @@
 
 
 def left(context, name):
-    status = context.fleet[name].status(context.now_seconds)
-    return status["customers"][CUSTOMER]["left"]
+    quotas = context.fleet[name]
+    quotas.status(context.now_seconds)
+    return quotas.left(CUSTOMER)
 
 
 @when("the one that stands by lets requests through until it refuses")
--- a/features/fuzz/fuzz.feature
+++ b/features/fuzz/fuzz.feature
@@ -25,3 +25,5 @@
       | servers' entries        |
       | answers of the platform's store |
       | rows of daemons and duties |
+      | peers' words on quotas  |
+      | operators' quotas       |
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -224,6 +224,11 @@
         self._spend(meter, units, now_seconds)
         return None
 
+    def left(self, customer: CustomerId) -> float | None:
+        """Return what is left for a customer; None where it has no quota."""
+        meter = self._meters.get(customer)
+        return None if meter is None else meter.fleet.level
+
     def give_back(self, customer: CustomerId, units: float, now_seconds: float) -> None:
         """Return the units of a request that was let through and never ran."""
         meter = self._meters.get(customer)
--- a/lycheepost/peers/quotanews.py
+++ b/lycheepost/peers/quotanews.py
@@ -1,5 +1,7 @@
 """What daemons say of quotas, as it travels between them."""
 
+import math
+
 from lycheepost.core.ids import CustomerId
 from lycheepost.decide.fleetquota import QuotaNews
 from lycheepost.decide.quotameter import QuotaWord
@@ -23,7 +25,11 @@
 
 
 def from_message(message: QuotaSpent) -> QuotaNews:
-    """Return what a message says."""
+    """Return what a message says.
+
+    A count that is no number would be in the bucket for good, and its customer be
+    refused, or let through, for as long as the daemon lives; it is left out.
+    """
     return QuotaNews(
         message.start,
         message.is_entry,
@@ -32,5 +38,6 @@
         {
             CustomerId(item.customer): QuotaWord(item.spent_units, item.left_units)
             for item in message.customers
+            if math.isfinite(item.spent_units) and math.isfinite(item.left_units)
         },
     )
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -41,6 +41,12 @@
     check_member_row,
     check_store_answer,
 )
+from fuzzquotas import (
+    QUOTA_DOCUMENTS,
+    QUOTA_WORDS,
+    check_quota_document,
+    check_quota_words,
+)
 from fuzzstrategies import JSON, NESTED, NESTED_MSGPACK, mutated, with_fields
 
 from lycheepost.app.settings import check_settings
@@ -358,6 +364,8 @@
     "servers' entries": Edge(ENTRIES, check_entry),
     "answers of the platform's store": Edge(STORE_ANSWERS, check_store_answer),
     "rows of daemons and duties": Edge(MEMBER_ROWS, check_member_row),
+    "peers' words on quotas": Edge(QUOTA_WORDS, check_quota_words),
+    "operators' quotas": Edge(QUOTA_DOCUMENTS, check_quota_document),
 }
 
 
