Name random admission and late work by the field's terms

Lots, turns, set aside and make way were metaphors that a reader had to learn. The two mechanisms that can be switched off are called random_admission and late_last.

--- a/features/decide/mechanisms.feature
+++ b/features/decide/mechanisms.feature
@@ -8,11 +8,11 @@
     Examples:
       | text             | outcome             |
       | nothing          | none                |
-      | lots             | lots                |
-      | lots, late_aside | late_aside and lots |
-      | lots,,           | lots                |
+      | random_admission             | random_admission                |
+      | random_admission, late_last | late_last and random_admission |
+      | random_admission,,           | random_admission                |
       | lotse            | refused             |
-      | LOTS             | refused             |
+      | RANDOM_ADMISSION             | refused             |
 
   Scenario: Without kv_sends every prompt goes to the store
     Given the mechanism kv_sends is switched off
@@ -22,10 +22,10 @@
     Given the mechanism kv_fetches is switched off
     Then nothing of a prompt counts as kept
 
-  Scenario: Without lots a daemon takes all the room that it sees
-    Given the mechanism lots is switched off
+  Scenario: Without random_admission a daemon takes all the room that it sees
+    Given the mechanism random_admission is switched off
     Then a daemon with 6 peers that wait sends out all that has room
 
-  Scenario: Without late_aside nobody makes way
-    Given the mechanism late_aside is switched off
+  Scenario: Without late_last nobody makes way
+    Given the mechanism late_last is switched off
     Then a request whose objective has passed waits where it was
--- a/features/decide/turns.feature
+++ b/features/decide/randomadmission.feature
@@ -11,9 +11,9 @@
     And the targets were idle for at most 6 in 100 of the time
 
   Scenario: A daemon whose requests alone wait takes all the room that it sees
-    Given 1 daemon that draws lots for 3 places with 0 others
+    Given 1 daemon that admits at random to 3 places with 0 others
     Then it may send 3 requests
 
-  Scenario: Lots share room out evenly in the mean
-    Given 7 daemons that each draw lots for 2 places 700 times
+  Scenario: Random admission divides room evenly in the mean
+    Given 7 daemons that each admit at random to 2 places 700 times
     Then all of them together took the room 0.9 to 1.1 times
--- a/features/decide/steps/mechanisms_steps.py
+++ b/features/decide/steps/mechanisms_steps.py
@@ -27,7 +27,7 @@
         case Success(mechanisms):
             assert (" and ".join(names_of(mechanisms)) or "none") == outcome
         case Failure(reason):
-            assert outcome == "refused" and "late_aside" in reason, reason
+            assert outcome == "refused" and "late_last" in reason, reason
 
 
 @given("the mechanism {name} is switched off")
@@ -64,7 +64,7 @@
     for index in range(30):
         desk.arrive(f"r-{index}", levels=(), prompt_tokens=0)
     first = dict(desk.sent)
-    desk.scheduler.draw_turns(lambda _group: 6, desk.now_seconds)
+    desk.scheduler.draw_admission(lambda _group: 6, desk.now_seconds)
     for name in first:
         desk.note(desk.scheduler.finish(name, desk.now_seconds, FinishKind.COMPLETE))
     return len(desk.sent) - len(first)
--- a/features/decide/steps/turns_steps.py
+++ b/features/decide/steps/randomadmission_steps.py
@@ -8,7 +8,7 @@
 from features.decide.steps.common import Desk, make_view
 from lycheepost.core.ids import DaemonId, TargetId
 from lycheepost.decide.peerloads import PeerLoads
-from lycheepost.decide.turns import Turns
+from lycheepost.decide.randomadmission import RandomAdmission
 
 TARGET = TargetId("target-0")
 PROMPT_TOKENS = 4000
@@ -62,7 +62,7 @@
         for target in context.order:
             load = peers.at(target, now_seconds)
             desk.scheduler.note_others(target, load, now_seconds)
-        desk.scheduler.draw_turns(
+        desk.scheduler.draw_admission(
             lambda group, peers=peers: peers.n_waiting(group, now_seconds), now_seconds
         )
         desk.note(desk.scheduler.pump(now_seconds))
@@ -99,9 +99,9 @@
     assert 100 * context.n_idle <= share * len(context.waiting), context.n_idle
 
 
-@given("1 daemon that draws lots for {n:d} places with {others:d} others")
+@given("1 daemon that admits at random to {n:d} places with {others:d} others")
 def step_alone(context, n, others):
-    context.turns = Turns(random.Random(1))
+    context.turns = RandomAdmission(random.Random(1))
     context.turns.draw({TARGET: float(n)}, 1 + others)
 
 
@@ -112,11 +112,11 @@
         context.turns.note_taken(TARGET)
 
 
-@given("{n:d} daemons that each draw lots for {places:d} places {count:d} times")
+@given("{n:d} daemons that each admit at random to {places:d} places {count:d} times")
 def step_lots(context, n, places, count):
     context.taken, context.places = Counter(), places * count
     for daemon in range(n):
-        turns = Turns(random.Random(daemon))
+        turns = RandomAdmission(random.Random(daemon))
         for _ in range(count):
             turns.draw({TARGET: float(places)}, n)
             while turns.may_take(TARGET):
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -127,7 +127,7 @@
             for target in self._targets:
                 load = self._peers.at(target, now_seconds)
                 self._dispatcher.note_others(target, load)
-        self._dispatcher.draw_turns(
+        self._dispatcher.draw_admission(
             lambda group: self._peers.n_waiting(group, now_seconds)
         )
         if is_known:
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -173,9 +173,9 @@
         """Pass on what the other daemons have under way at a target."""
         self._scheduler.note_others(target, load, self._clock.now_seconds())
 
-    def draw_turns(self, n_waiting: Callable[[TargetGroupId], int]) -> None:
-        """Draw lots with the peers whose requests wait for the same targets."""
-        self._scheduler.draw_turns(n_waiting, self._clock.now_seconds())
+    def draw_admission(self, n_waiting: Callable[[TargetGroupId], int]) -> None:
+        """Draw a part of the room that peers with waiting requests see as well."""
+        self._scheduler.draw_admission(n_waiting, self._clock.now_seconds())
 
     def waiting_groups(self) -> tuple[TargetGroupId, ...]:
         """Return the groups that requests wait for here, for the peers."""
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -22,6 +22,7 @@
 from lycheepost.decide.placement import Ahead, Choice, Placement
 from lycheepost.decide.quarantine import PeerSuspects, Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting
+from lycheepost.decide.randomadmission import RandomAdmission
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -33,7 +34,6 @@
 )
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.shares import FairShares
-from lycheepost.decide.turns import Turns
 
 SCANNED_REQUESTS = 8
 """Requests looked at when a slot frees up: enough to pass those that wait for
@@ -105,7 +105,7 @@
         self.late = LateWork()
         self.shares = FairShares()
         self.placement = Placement(settings, rng)
-        self.turns = Turns(rng)
+        self.admission = RandomAdmission(rng)
         self.peer_suspects = PeerSuspects()
         self.suspect_targets: list[TargetId] = []
         self.placed: deque[Placed] = deque(maxlen=MOST_PLACED)
@@ -181,15 +181,15 @@
 
     def _hopeful_until(self, work: Work, choice: Choice) -> float:
         """Return by when work must be sent out to meet its objective."""
-        if Mechanism.LATE_ASIDE in self._settings.switched_off:
+        if Mechanism.LATE_LAST in self._settings.switched_off:
             return math.inf
         rates = self.placement.rates
         own_seconds = choice.uncached_tokens * rates.token_seconds
         own_seconds += rates.first_token_seconds
         return work.arrived_seconds + work.objective_seconds - own_seconds
 
-    def _set_late_aside(self, now_seconds: float) -> None:
-        """Let requests whose objective has passed make way for the others."""
+    def _deprioritize_late(self, now_seconds: float) -> None:
+        """Give requests whose objective has passed a lower priority."""
         for waiting in self.queue.all():
             if now_seconds > waiting.hopeful_until_seconds:
                 self.queue.remove(waiting.work.request)
@@ -320,20 +320,23 @@
             load.belief.add(placed.levels)
             self.placement.note_holder(placed.levels, placed.target)
 
-    def draw_turns(self, n_peers: int, now_seconds: float) -> None:
-        """Draw lots for the room at the targets with the peers that wait for it too.
+    def draw_admission(self, n_peers: int, now_seconds: float) -> None:
+        """Draw a part of the room at the targets, where peers wait for it too.
 
         Args:
             n_peers: Other daemons with requests waiting for this group.
             now_seconds: The present time.
         """
-        if not self.n_waiting or Mechanism.LOTS in self._settings.switched_off:
+        if (
+            not self.n_waiting
+            or Mechanism.RANDOM_ADMISSION in self._settings.switched_off
+        ):
             return
         places = {
             target: load.places(now_seconds)
             for target, load in self.placement.loads.items()
         }
-        self.turns.draw(places, 1 + n_peers)
+        self.admission.draw(places, 1 + n_peers)
 
     def pump(self, now_seconds: float) -> list[Outcome]:
         """Send out what waits and now has room."""
@@ -372,11 +375,11 @@
         if choice is None:
             return None
         target = choice.load.view.target
-        if not choice.can_take or not self.turns.may_take(target):
+        if not choice.can_take or not self.admission.may_take(target):
             ahead_of.add(target, choice.uncached_tokens)
             self._bind(waiting, choice)
             return None
-        self.turns.note_taken(target)
+        self.admission.note_taken(target)
         self.remove(work.request)
         waited_seconds = now_seconds - waiting.enqueued_seconds
         self._bias.observe(waited_seconds, waiting.predicted_seconds)
@@ -454,7 +457,7 @@
             self.remove(waiting.work.request)
             wait = QueueWait(waiting.work.patience_seconds, False)
             outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
-        self._set_late_aside(now_seconds)
+        self._deprioritize_late(now_seconds)
         outcomes.extend(self.pump(now_seconds))
         return outcomes
 
--- a/lycheepost/decide/latework.py
+++ b/lycheepost/decide/latework.py
@@ -4,7 +4,7 @@
 rest can do. In the order of arrival everybody waits for the whole backlog, so that each
 answer is late by as much, although nearly as many callers are served as ever. An answer
 is late at one second or at three; only one that can still be on time gains by going
-first. So those whose objective has passed step aside: they get the room that the others
+first. So those whose objective has passed get a lower priority: the room that others
 leave, and a fixed part of it besides, so that a long overload does not starve them.
 Among themselves the one whose caller leaves first goes first.
 
--- a/lycheepost/decide/turns.py
+++ b/lycheepost/decide/randomadmission.py
@@ -6,11 +6,11 @@
 where six thousand are meant to wait: a second and more in which nobody can order those
 requests, send them elsewhere or refuse them, while their callers' objectives pass.
 
-So the daemons that have requests waiting draw lots, each by itself and without a word:
-at a target with room for one more, each of ``k`` daemons may take it with a chance of
-one in ``k``. Lots are drawn anew as often as the daemons tell each other their load. If
-nobody drew the room it stays free until then, which a target does not notice that has
-other prompts to read meanwhile.
+So each daemon that has requests waiting admits them at random, by itself and without a
+word: at a target with room for one more, each of ``k`` daemons may take it with a
+probability of 1/``k``. That is drawn anew as often as the daemons tell each other their
+load. Room that nobody drew stays free until then, which a target does not notice that
+has other prompts to read meanwhile.
 
 Pure logic, but for the random numbers that are handed in.
 """
@@ -21,11 +21,11 @@
 from lycheepost.core.ids import TargetId
 
 
-class Turns:
-    """How many waiting requests this daemon may send to each target until the next lot.
+class RandomAdmission:
+    """How many waiting requests may go from here to each target until the next draw.
 
     Args:
-        rng: Where the lots come from.
+        rng: Random numbers.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -33,7 +33,7 @@
         self._left: dict[TargetId, int] | None = None
 
     def draw(self, places: Mapping[TargetId, float], n_daemons: int) -> None:
-        """Draw lots for the room that there is now.
+        """Draw this daemon's part of the room that there is now.
 
         Args:
             places: Requests that each target has room for.
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -268,17 +268,17 @@
                 load.queued_tokens, load.n_running, now_seconds
             )
 
-    def draw_turns(
+    def draw_admission(
         self, n_waiting: Callable[[TargetGroupId], int], now_seconds: float
     ) -> None:
-        """Draw lots for the room that other daemons see as well.
+        """Draw a part of the room that other daemons see as well.
 
         Args:
             n_waiting: Returns how many peers have requests waiting for a group.
             now_seconds: The present time.
         """
         for name, group in self._groups.items():
-            group.draw_turns(n_waiting(name), now_seconds)
+            group.draw_admission(n_waiting(name), now_seconds)
 
     def waiting_groups(self) -> tuple[TargetGroupId, ...]:
         """Return the groups that requests wait for here, for the peers."""
--- a/lycheepost/targets/continuation.py
+++ b/lycheepost/targets/continuation.py
@@ -81,7 +81,7 @@
 
 
 class EventRewriter:
-    """Turns the second engine's events into the rest of the caller's stream.
+    """RandomAdmission the second engine's events into the rest of the caller's stream.
 
     Attributes:
         n_events: Number of the last event that the caller got.
