--- a/features/decide/steps/randomadmission_steps.py
+++ b/features/decide/steps/randomadmission_steps.py
@@ -1,4 +1,4 @@
-"""Steps of turns.feature."""
+"""Steps of randomadmission.feature."""
 
 import random
 from collections import Counter
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -327,10 +327,8 @@
             n_peers: Other daemons with requests waiting for this group.
             now_seconds: The present time.
         """
-        if (
-            not self.n_waiting
-            or Mechanism.RANDOM_ADMISSION in self._settings.switched_off
-        ):
+        is_off = Mechanism.RANDOM_ADMISSION in self._settings.switched_off
+        if is_off or not self.n_waiting:
             return
         places = {
             target: load.places(now_seconds)
