--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -13,25 +13,29 @@
 
 from lycheepost.callers.awaiting import await_head
 from lycheepost.callers.errors import CallerError, Executed, from_refusal
+from lycheepost.callers.forwardcalls import (
+    Progress,
+    make_call,
+    make_charge,
+    route_table,
+)
 from lycheepost.callers.forwarddeps import CallerSide, ForwardDeps, ForwardRequest
 from lycheepost.callers.forwarderrors import (
     from_route_fault,
     key_unconfirmed,
-    not_configured,
     not_run,
     outcome_unknown,
     too_late,
 )
-from lycheepost.callers.forwardwork import continued_work, engine_rank, make_work
-from lycheepost.callers.quotacharge import QuotaCharge
+from lycheepost.callers.forwardwork import continued_work, make_work
 from lycheepost.callers.relaying import (
     AnswerRelay,
     RelayEnd,
     SilentTarget,
     StreamPatience,
 )
-from lycheepost.core.ids import TargetId, WeightsVersion
-from lycheepost.core.routing import ListedTarget, RouteKind, RouteTable
+from lycheepost.core.ids import TargetId
+from lycheepost.core.routing import ListedTarget, RouteKind
 from lycheepost.decide.attempts import (
     SendEnd,
     Sends,
@@ -40,14 +44,12 @@
     next_step,
 )
 from lycheepost.decide.freshness import may_trust_key
-from lycheepost.decide.promptlevels import make_scope, prompt_levels
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse
-from lycheepost.decide.routes import RouteFault, Way, choose_kv_store, find_way
+from lycheepost.decide.routes import RouteFault, Way, find_way
 from lycheepost.decide.silence import gap_limit_seconds, silence_seconds
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardAnswer
-from lycheepost.targets.forwardcall import EngineTerms, ForwardCall
 
 RETRY_AFTER_SECONDS = 0.2
 """After this a target that was busy or changing has mostly room again."""
@@ -73,7 +75,7 @@
     Raises:
         CallerError: It has none, or its key cannot be trusted now.
     """
-    table = _table(deps)
+    table = route_table(deps)
     way = find_way(table, request.host, request.path, request.key)
     if isinstance(way, RouteFault):
         _check_fresh(deps, way is RouteFault.UNKNOWN_KEY)
@@ -82,13 +84,6 @@
     return way
 
 
-def _table(deps: ForwardDeps) -> RouteTable:
-    table = deps.routing.table
-    if table is None:
-        raise not_configured()
-    return table
-
-
 def _check_fresh(deps: ForwardDeps, needs_key: bool) -> None:
     """Refuse to judge by a key while the configuration may be outdated."""
     if not needs_key:
@@ -98,15 +93,6 @@
         raise key_unconfirmed()
 
 
-def _make_charge(deps: ForwardDeps, request: ForwardRequest, way: Way) -> QuotaCharge:
-    """Return what a request takes from its customer's quota."""
-    prompt = request.prompt
-    n_tokens = None if prompt is None else prompt.n_tokens + prompt.max_output_tokens
-    customer = way.holder.customer
-    quota = _table(deps).quotas.get(customer)
-    return QuotaCharge(deps.quotas, deps.clock, customer, quota, n_tokens)
-
-
 class Forwarding:
     """The tries of one forwarded request; lives as long as it.
 
@@ -128,11 +114,11 @@
         self._request = request
         self._way = way
         self._relay = AnswerRelay(deps, request, way.route, caller)
-        self._work = make_work(deps, request, way, _table(deps))
+        self._work = make_work(deps, request, way, route_table(deps))
         self._sends = Sends()
         self._is_sent = False
         self._has_retry = False
-        self._charge = _make_charge(deps, request, way)
+        self._charge = make_charge(deps, request, way)
         until = way.route.timeout_seconds
         if request.patience_seconds is not None:
             until = min(until, request.patience_seconds)
@@ -302,7 +288,7 @@
         # Last look before the bytes go out: the key may have been taken away, or
         # its confirmation grown old, while the request waited.
         identify(self._deps, self._request)
-        call = self._make_call(listed)
+        call = make_call(self._deps, self._request, self._way, listed, self._progress())
         wait_seconds = silence_seconds(
             self._way.route, self._sends, call.remaining_seconds
         )
@@ -380,6 +366,12 @@
         finally:
             answer.close()
 
+    def _progress(self) -> Progress:
+        """Return what this request has come to by now."""
+        return Progress(
+            self._work.request, self._remaining_seconds(), self._relay.after_event
+        )
+
     def _note_first(self) -> None:
         self._deps.dispatcher.first_token(self._work.request)
 
@@ -395,46 +387,6 @@
         elif head.weights_version is not None:
             targets.note_weights(target, self._work.model, head.weights_version)
 
-    def _make_call(self, listed: ListedTarget) -> ForwardCall:
-        request = self._request
-        route = self._way.route
-        return ForwardCall(
-            target=listed.target,
-            address=listed.address,
-            request=self._work.request,
-            method=request.method,
-            raw_path=request.raw_path,
-            headers=request.headers,
-            body=request.body,
-            remaining_seconds=self._remaining_seconds(),
-            customer=self._way.holder.customer,
-            engine=self._engine_terms(listed),
-            after_event=self._relay.after_event,
-            may_reuse_connection=route.is_repeatable,
-        )
-
-    def _engine_terms(self, listed: ListedTarget) -> EngineTerms | None:
-        prompt = self._request.prompt
-        if prompt is None:
-            return None
-        target = listed.target
-        version = self._deps.targets.weights_of(target, prompt.model)
-        version = version or WeightsVersion("")
-        scope = make_scope(self._way.holder, version)
-        levels = prompt_levels(scope, prompt)
-        store = choose_kv_store(_table(self._deps), levels)
-        is_sent = bool(store) and self._deps.kv_copies.should_send(
-            store, levels, self._deps.clock.now_seconds()
-        )
-        return EngineTerms(
-            model=prompt.model,
-            cache_scope=str(scope),
-            weights_version=version,
-            rank=engine_rank(self._way),
-            fetch_from=store,
-            store_to=store if is_sent else "",
-        )
-
     async def _finish_kind(
         self, listed: ListedTarget, end: SendEnd | None
     ) -> FinishKind:
