--- a/features/platform/quotas.feature
+++ b/features/platform/quotas.feature
@@ -21,6 +21,7 @@
     Then it gets status 429 without a seal
     And it is told to come back when tokens will have come
     And the refused request never ran
+    And the metrics tell what is left of its quota
     When a client of the other customer asks for a album stream
     Then it gets the server's whole answer with its seal
     When the first client comes back when told
--- a/features/platform/steps/quota_steps.py
+++ b/features/platform/steps/quota_steps.py
@@ -101,6 +101,17 @@
     assert not deployment.runs(deployment.attempt_id)
 
 
+@then("the metrics tell what is left of its quota")
+def step_metrics(context):
+    daemon = context.deployment.daemons[0]
+
+    async def is_told():
+        text = daemon._made.traffic.front._deps.metrics.text()
+        return f"quota_refused.{FIRST}".encode() in text
+
+    context.loop.run_until_complete(context.deployment.until(is_told))
+
+
 @when("a client of the other customer asks for a {what}")
 def step_other(context, what):
     ask(context, what, key="k-two")
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -135,7 +135,7 @@
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
-    quotas = QuotaExchange(fleet_quotas, exchange, clock)
+    quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
 
     def on_views(views: tuple[TargetView, ...]) -> None:
         dispatcher.replace_targets(views)
--- a/lycheepost/app/quotas.py
+++ b/lycheepost/app/quotas.py
@@ -19,10 +19,15 @@
 from lycheepost.generated.messages import QuotaSpent
 from lycheepost.peers.exchange import PeerExchange
 from lycheepost.peers.quotanews import from_message, to_message
+from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
-LOG_SECONDS = 1.0
-"""Shortest time between two lines on who is heard."""
+REPORT_SECONDS = 1.0
+"""Shortest time between two lines on who is heard, and between two sets of gauges."""
+
+MOST_MEASURED = 32
+"""Customers with gauges of their own, the first ones of whom requests were refused:
+each name stays in the metrics for good."""
 
 IDLE_SECONDS = 0.4
 """Between two looks at whether any customer has a quota."""
@@ -37,6 +42,7 @@
         quotas: The quotas; nobody else passes news to them.
         exchange: The links.
         clock: The clock of the decisions.
+        metrics: Where gauges go.
         get_mates: Returns the other daemons that serve, in a fleet in which all do;
             None where ``follow_place`` tells.
     """
@@ -46,14 +52,17 @@
         quotas: FleetQuotas,
         exchange: PeerExchange,
         clock: Clock,
+        metrics: Metrics,
         get_mates: Callable[[], tuple[DaemonId, ...]] | None = None,
     ) -> None:
         self._get_mates = get_mates
+        self._metrics = metrics
+        self._measured: set[CustomerId] = set()
         self._quotas = quotas
         self._exchange = exchange
         self._clock = clock
         self._n_share_changes = 0
-        self._logged_seconds = float("-inf")
+        self._reported_seconds = float("-inf")
         self._told_seconds = float("-inf")
         self._whole_seconds = float("-inf")
         self._task: asyncio.Task[None] | None = None
@@ -102,13 +111,14 @@
                 await asyncio.sleep(IDLE_SECONDS)
                 continue
             await asyncio.sleep(TELL_SECONDS)
-            self._tell()
-
-    def _tell(self) -> None:
-        now_seconds = self._clock.now_seconds()
-        self._log_share(now_seconds)
-        if self._get_mates is not None:
-            self._quotas.set_entry(self._get_mates(), now_seconds)
+            now_seconds = self._clock.now_seconds()
+            if self._get_mates is not None:
+                self._quotas.set_entry(self._get_mates(), now_seconds)
+            self._tell(now_seconds)
+            self._report(now_seconds)
+
+    def _tell(self, now_seconds: float) -> None:
+        """Tell the listeners what was let through, or that this daemon lives."""
         listeners = self._quotas.listeners(now_seconds)
         if not listeners:
             return
@@ -124,18 +134,27 @@
         for daemon in listeners:
             self._exchange.send(daemon, message)
 
-    def _log_share(self, now_seconds: float) -> None:
-        """Tell of a change of the daemons that are heard, at most once a second."""
-        is_due = now_seconds - self._logged_seconds > LOG_SECONDS
-        if not is_due or self._n_share_changes == self._quotas.n_share_changes:
+    def _report(self, now_seconds: float) -> None:
+        """Log and measure, at most once a second."""
+        if now_seconds - self._reported_seconds < REPORT_SECONDS:
+            return
+        self._reported_seconds = now_seconds
+        self._log_share()
+        for customer, meter in self._quotas.refused():
+            if len(self._measured) < MOST_MEASURED:
+                self._measured.add(customer)
+            if customer in self._measured:
+                self._metrics.gauge(f"quota_left.{customer}", meter.fleet.level)
+                self._metrics.gauge(f"quota_refused.{customer}", meter.n_refused)
+
+    def _log_share(self) -> None:
+        """Tell of a change of the daemons that are heard."""
+        n_changes = self._quotas.n_share_changes
+        if n_changes == self._n_share_changes:
             return
-        self._logged_seconds = now_seconds
-        self._n_share_changes = self._quotas.n_share_changes
-        _log.info(
-            "quotas: share changed",
-            share=round(self._quotas.share, 3),
-            n_changes=self._n_share_changes,
-        )
+        self._n_share_changes = n_changes
+        share = round(self._quotas.share, 3)
+        _log.info("quotas: share changed", share=share, n_changes=n_changes)
 
     def _take(self, message: QuotaSpent, sender: DaemonId) -> None:
         self._quotas.hear(sender, from_message(message), self._clock.now_seconds())
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -155,7 +155,11 @@
     # once; until the next look it would refuse with "no target".
     state.revisions.subscribe(lambda _view: feed.feed())
     quotas = QuotaExchange(
-        fleet_quotas, state.exchange, clock, lambda: serving_peers(state.members)
+        fleet_quotas,
+        state.exchange,
+        clock,
+        metrics,
+        lambda: serving_peers(state.members),
     )
     state.revisions.subscribe(
         lambda view: quotas.set_quotas(list_quotas(view.customers))
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -224,6 +224,12 @@
         self._spend(meter, units, now_seconds)
         return None
 
+    def refused(self) -> Iterator[tuple[CustomerId, QuotaMeter]]:
+        """Yield the customers of whom requests were refused here."""
+        for customer, meter in self._meters.items():
+            if meter.n_refused:
+                yield customer, meter
+
     def left(self, customer: CustomerId) -> float | None:
         """Return what is left for a customer; None where it has no quota."""
         meter = self._meters.get(customer)
