--- a/lycheepost/app/quotas.py
+++ b/lycheepost/app/quotas.py
@@ -111,11 +111,18 @@
                 await asyncio.sleep(IDLE_SECONDS)
                 continue
             await asyncio.sleep(TELL_SECONDS)
-            now_seconds = self._clock.now_seconds()
-            if self._get_mates is not None:
-                self._quotas.set_entry(self._get_mates(), now_seconds)
-            self._tell(now_seconds)
-            self._report(now_seconds)
+            try:
+                self._exchange_once(self._clock.now_seconds())
+            except Exception:
+                # Without the next word the others would take this daemon for cut off,
+                # and hold their customers to a part of each quota for good.
+                _log.exception("quotas: one exchange failed")
+
+    def _exchange_once(self, now_seconds: float) -> None:
+        if self._get_mates is not None:
+            self._quotas.set_entry(self._get_mates(), now_seconds)
+        self._tell(now_seconds)
+        self._report(now_seconds)
 
     def _tell(self, now_seconds: float) -> None:
         """Tell the listeners what was let through, or that this daemon lives."""
