Quotas: parts that fit all who may be asked at a start; who is a mate, and since when

Now a daemon that starts goes by all rows in the store until it has ten mates, a word of a daemon that is no mate counts for nothing, counts begin anew with each change of place, and a part grows by what is known, less what was spent from it. Each has a scenario.

--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -135,3 +135,26 @@
     Then it let through at most what one daemon may while it is not heard
     And soon the entry daemons know of it
     And soon it knows what is left
+
+  Scenario: What a former entry daemon says after it was forgotten counts for nothing
+    It was one of those that callers are sent to for a minute, and says once more what
+    it let through in all that time. Counted again, its customers would be refused for
+    seconds.
+    Given 3 entry daemons and one that stands by, with a customer of 10000 units a second
+    When one of the 3 has let through 500 units a second for 60 s and then stands by
+    And it still says so 5 s later
+    Then the others have all of the quota left
+
+  Scenario: A daemon that stands by has one relay, whoever else speaks to it
+    Two daemons told it what is left. It took the second for a mate, waited to be told
+    by it for ever after, and held its callers to a part of each quota.
+    Given 3 entry daemons and one that stands by, with a customer of 10000 units a second
+    When another entry daemon speaks to the one that stands by
+    Then the one that stands by still has one listener, its relay
+
+  Scenario: All daemons start at once, and callers come to all of them
+    Each names itself to callers at first. Were each to take itself for one of ten, two
+    hundred would let through twenty times what a customer may have.
+    Given 200 daemons that have just started and know that they are 200
+    When a customer of 1000000 units a second asks each for 10000 units 20 times in 1 s
+    Then together they let through at most what its quota allows
--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -1,5 +1,6 @@
 """Steps of quotas.feature."""
 
+import dataclasses
 import random
 from unittest import mock
 
@@ -10,7 +11,7 @@
 from lycheepost.bench.quotaworld import MOST_TOKENS, World
 from lycheepost.core.ids import CustomerId, DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance, QuotaUnit
-from lycheepost.decide import quotameter
+from lycheepost.decide import fleetquota, quotameter
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.quotamates import QuotaMates
 
@@ -354,3 +355,84 @@
 def step_agree(context, units):
     found = [left(context, name) for name in context.fleet]
     assert max(found) - min(found) <= units, found
+
+
+@when(
+    "one of the 3 has let through {units:d} units a second for {n:d} s"
+    " and then stands by"
+)
+def step_former(context, units, n):
+    former = context.fleet[DaemonId("d2")]
+    for _ in range(round(n / STEP_SECONDS)):
+        former.take(CUSTOMER, units * STEP_SECONDS, context.now_seconds)
+        exchange(context)
+    for name in (DaemonId("d0"), DaemonId("d1")):
+        others = [DaemonId("d0"), DaemonId("d1")]
+        mates = [other for other in others if other != name]
+        context.fleet[name].set_entry(mates, context.now_seconds)
+    former.set_standing_by(DaemonId("d0"), 2, context.now_seconds)
+
+
+@when("it still says so {seconds:g} s later")
+def step_says(context, seconds):
+    former = context.fleet[DaemonId("d2")]
+    news = former.news(True, context.now_seconds)
+    words = {CUSTOMER: fleetquota.QuotaWord(30_000.0, 0.0)}
+    context.now_seconds += seconds
+    for name in (DaemonId("d0"), DaemonId("d1")):
+        quotas = context.fleet[name]
+        quotas.listeners(context.now_seconds)
+        said = dataclasses.replace(news, words=words, wants_relay=False)
+        quotas.hear(DaemonId("d2"), said, context.now_seconds)
+
+
+@then("the others have all of the quota left")
+def step_all_left(context):
+    for name in (DaemonId("d0"), DaemonId("d1")):
+        assert left(context, name) >= context.rate, left(context, name)
+
+
+@when("another entry daemon speaks to the one that stands by")
+def step_speaks(context):
+    quotas = context.fleet[context.standing_by]
+    quotas.take(CUSTOMER, 1.0, context.now_seconds)
+    news = context.fleet[DaemonId("d1")].news(True, context.now_seconds)
+    quotas.hear(DaemonId("d1"), news, context.now_seconds)
+
+
+@then("the one that stands by still has one listener, its relay")
+def step_one_listener(context):
+    listeners = context.fleet[context.standing_by].listeners(context.now_seconds)
+    assert listeners == (DaemonId("d0"),), listeners
+
+
+@given("{n:d} daemons that have just started and know that they are {same:d}")
+def step_just_started(context, n, same):
+    context.fleet = {}
+    for index in range(n):
+        quotas = FleetQuotas(index, 0.0)
+        quotas.set_tolerance(QuotaTolerance(0.1, 110_000.0, 8.0))
+        quotas.set_fleet(same)
+        quotas.set_entry((), 0.0)
+        context.fleet[DaemonId(f"d{index}")] = quotas
+
+
+@when(
+    "a customer of {rate:d} units a second asks each for {units:d} units"
+    " {n:d} times in {seconds:g} s"
+)
+def step_asks_all(context, rate, units, n, seconds):
+    context.rate, context.passed = rate, 0.0
+    for index in range(n):
+        now_seconds = seconds * index / n
+        for quotas in context.fleet.values():
+            if index == 0:
+                quotas.set_quotas({CUSTOMER: make_quota(rate)}, 0.0)
+            if quotas.take(CUSTOMER, units, now_seconds) is None:
+                context.passed += units
+
+
+@then("together they let through at most what its quota allows")
+def step_quota_allows(context):
+    tolerated = QuotaTolerance(0.1, 110_000.0, 8.0).of(make_quota(context.rate))
+    assert 0.0 < context.passed <= 9.0 * context.rate + tolerated, context.passed
--- a/lycheepost/bench/quotapolicies.py
+++ b/lycheepost/bench/quotapolicies.py
@@ -33,6 +33,9 @@
 LEAST_SHARE = 0.3
 """Part of the rate that is divided evenly, for callers that come to another daemon."""
 
+READ_SECONDS = 0.1
+"""From a daemon's first request until it has read how many daemons there are."""
+
 QUESTION_BYTES = 60
 """A question to an owner, or its answer."""
 
@@ -44,6 +47,7 @@
         self.quotas = FleetQuotas(start, at_seconds)
         self.quotas.set_tolerance(world.plan.tolerance)
         self._n_daemons = world.plan.n_daemons
+        self._started_seconds = at_seconds
         self._told_seconds = self._whole_seconds = float("-inf")
 
     def set_quotas(self, quotas: dict[CustomerId, Quota], now_seconds: float) -> None:
@@ -52,13 +56,14 @@
 
     def set_mates(self, mates: Sequence[DaemonId], now_seconds: float) -> None:
         """Follow who else serves."""
-        self.quotas.set_fleet(self._n_daemons)
         self.quotas.set_entry(mates, now_seconds)
 
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
     ) -> float | None:
         """Let a request through, or return when to come back."""
+        if now_seconds - self._started_seconds >= READ_SECONDS:
+            self.quotas.set_fleet(self._n_daemons)
         return self.quotas.take(customer, units, now_seconds)
 
     def tell(self, now_seconds: float) -> Told | None:
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -106,6 +106,10 @@
 
     def set_entry(self, mates: Iterable[DaemonId], now_seconds: float) -> None:
         """Follow the other daemons that callers are sent to, as one of them."""
+        if self._mates.is_standing_by:
+            # Those who forgot this daemon would count what it spent as one of them
+            # before a second time.
+            self._count_anew()
         self._mates.set_entry(mates, now_seconds)
         self._look(now_seconds)
 
@@ -119,6 +123,8 @@
             n_entry: Daemons that callers are sent to.
             now_seconds: The present time.
         """
+        if self._mates.is_alone and relay != self._mates.relay:
+            self._count_anew()
         self._mates.set_standing_by(relay, n_entry)
         self._look(now_seconds)
 
@@ -156,14 +162,18 @@
         )
 
     def hear(self, daemon: DaemonId, news: QuotaNews, now_seconds: float) -> None:
-        """Take what another daemon says."""
+        """Take what another daemon says.
+
+        A daemon that is no mate any more, and was forgotten here, isn't one again for
+        what it still says: its counts reach back to what was counted long ago.
+        """
         for meter, _word in self._known(news):
             meter.catch_up(now_seconds)
         if news.wants_relay:
             self._hear_relayed(daemon, news, now_seconds)
-        elif daemon == self._mates.relay and self._mates.is_alone:
-            self._hear_relay(news, now_seconds)
-        else:
+        elif self._mates.is_alone:
+            self._hear_relay(daemon, news, now_seconds)
+        elif news.is_entry or self._mates.is_mate(daemon):
             self._hear_mate(daemon, news, now_seconds)
         self._look(now_seconds)
 
@@ -177,8 +187,12 @@
                 meter.told.pop(daemon, None)
             self._spend(meter, meter.note_spent(daemon, word.spent), now_seconds)
 
-    def _hear_relay(self, news: QuotaNews, now_seconds: float) -> None:
+    def _hear_relay(
+        self, daemon: DaemonId, news: QuotaNews, now_seconds: float
+    ) -> None:
         """Take over what is left; the relay has counted what was spent here."""
+        if daemon != self._mates.relay:
+            return
         self._mates.note_relay(now_seconds)
         for meter, word in self._known(news):
             meter.take_level(word)
@@ -251,7 +265,7 @@
         self._spent_seconds = now_seconds
 
     def _count_anew(self) -> None:
-        """Begin new counts: the relay has forgotten the ones before."""
+        """Begin new counts, where others may have forgotten the ones before."""
         self._start += 1
         for meter in self._meters.values():
             meter.spent = 0.0
--- a/lycheepost/decide/quotamates.py
+++ b/lycheepost/decide/quotamates.py
@@ -22,10 +22,19 @@
 that is cut off, and the others may serve for as long as the cut lasts."""
 
 SETTLE_SECONDS = 1.2
-"""How long after its start a daemon may not know which others are its mates."""
+"""How long after its start a daemon may not know which others are its mates, where
+they are few."""
 
-UNKNOWN_DAEMONS = 10
-"""Daemons that the traffic is taken to be divided among until they are known."""
+UNNAMED_SECONDS = 0.5
+"""How long a daemon that never spoke counts as a mate after it was last one. When all
+daemons start at once, each takes others for its mates for a moment."""
+
+SETTLED_DAEMONS = 10
+"""A daemon that has so many mates, with itself, knows them also before that."""
+
+UNKNOWN_DAEMONS = 50
+"""Daemons that callers may come to, until it is known how many there are. When all
+start at once each names itself to callers first, so that they come to all."""
 
 
 @dataclass(slots=True)
@@ -60,6 +69,7 @@
     Attributes:
         started_seconds: When this daemon started.
         is_entry: Callers are sent to this daemon.
+        is_standing_by: They are not; neither is known at first.
         is_seasoned: All mates were heard since this daemon is one of them, or one that
             had heard all told it what is left.
         relay: Whom this daemon tells what it lets through while it stands by.
@@ -67,6 +77,7 @@
 
     started_seconds: float
     is_entry: bool = False
+    is_standing_by: bool = False
     is_seasoned: bool = False
     relay: DaemonId | None = None
     _mates: dict[DaemonId, _Mate] = field(default_factory=dict)
@@ -80,11 +91,12 @@
 
         Until they are known a daemon that starts takes itself for one of many.
         """
-        self._n_expected = min(UNKNOWN_DAEMONS, n_daemons)
+        self._n_expected = n_daemons
 
     def set_entry(self, mates: Iterable[DaemonId], now_seconds: float) -> None:
         """Follow the other daemons that callers are sent to, as one of them."""
         self.is_entry = True
+        self.is_standing_by = False
         self.relay = None
         for daemon in mates:
             mate = self._mates.setdefault(daemon, _Mate(now_seconds))
@@ -99,6 +111,7 @@
             n_entry: Daemons that callers are sent to.
         """
         self.is_entry = False
+        self.is_standing_by = True
         self.is_seasoned = False
         if relay != self.relay:
             self._relay_heard_seconds = float("-inf")
@@ -114,6 +127,10 @@
         """Return the mates, who lately was a mate, and who stands by and has asked."""
         return tuple(sorted({*self._mates, *self._relayed}))
 
+    def is_mate(self, daemon: DaemonId) -> bool:
+        """Tell whether a daemon is one of the mates."""
+        return daemon in self._mates
+
     def note_mate(
         self, daemon: DaemonId, start: int, is_entry: bool, now_seconds: float
     ) -> bool:
@@ -138,8 +155,11 @@
         n_daemons = max(self._n_daemons, 1 + len(self._mates))
         if self.is_alone:
             silent_seconds = now_seconds - self._relay_heard_seconds
-            return 1.0 if silent_seconds <= SILENT_SECONDS else 1.0 / n_daemons
-        if now_seconds - self.started_seconds < SETTLE_SECONDS:
+            if silent_seconds <= SILENT_SECONDS:
+                return 1.0
+            return 1.0 / min(n_daemons, self._n_expected)
+        is_young = now_seconds - self.started_seconds < SETTLE_SECONDS
+        if is_young and n_heard < SETTLED_DAEMONS:
             n_daemons = max(n_daemons, self._n_expected)
         elif n_heard == n_daemons and self.is_entry:
             self.is_seasoned = True
@@ -153,7 +173,8 @@
         gone = [
             daemon
             for daemon, mate in self._mates.items()
-            if now_seconds - mate.named_seconds > most_seconds
+            if now_seconds - mate.named_seconds
+            > (UNNAMED_SECONDS if mate.start is None else most_seconds)
         ]
         for daemon in gone:
             del self._mates[daemon]
--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -78,6 +78,8 @@
     n_refused: int = 0
     is_changed: bool = False
     _lower: _Lower | None = None
+    _apart_spent: float = 0.0
+    """By those who hear each other, since they are fewer than all."""
     _promised: float = 0.0
     _promised_seconds: float = 0.0
 
@@ -135,11 +137,11 @@
         """Let the daemons that hear each other spend their part of what is left."""
         if share >= 1.0:
             self.reachable = None
+            self._apart_spent = 0.0
             return
         fleet = self.fleet
-        left = share * max(0.0, fleet.level)
-        if self.reachable is not None:
-            left = min(left, self.reachable.level)
+        before = max(0.0, fleet.level + self._apart_spent)
+        left = share * before - self._apart_spent
         self.reachable = TokenBucket(
             share * fleet.rate_per_second,
             share * fleet.capacity,
@@ -164,6 +166,7 @@
         self.fleet.add(units)
         if self.reachable is not None:
             self.reachable.add(units)
+            self._apart_spent -= units
 
     def refuse(self, units: float) -> float:
         """Count a refused request; return after how many seconds it may come back.
