--- a/lycheepost/decide/quotamates.py
+++ b/lycheepost/decide/quotamates.py
@@ -32,7 +32,7 @@
 SETTLED_DAEMONS = 10
 """A daemon that has so many mates, with itself, knows them also before that."""
 
-UNKNOWN_DAEMONS = 50
+UNKNOWN_DAEMONS = 20
 """Daemons that callers may come to, until it is known how many there are. When all
 start at once each names itself to callers first, so that they come to all."""
 
