--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -13,6 +13,7 @@
       | scenario                     |
       | hot                          |
       | hot, messages lost           |
+      | hot, four hear late          |
       | half cut off                 |
       | half cut off in a burst      |
       | one cut off                  |
@@ -85,6 +86,13 @@
       | one killed      | 14    |
       | all killed      | 14    |
 
+  Scenario: Daemons that hear late don't make the others let more through
+    Four of ten daemons are so busy that they hear 0.8 s late of what was spent. Their
+    counts are too high, and the others went up to them again and again: a customer got
+    an eighth more than its quota, for as long as it asked.
+    When 10 daemons and 16 customers play "hot, four hear late" with seeds 1 to 3
+    Then from second 5 on a hot customer gets at most 1.025 of its quota
+
   Scenario: A lower quota binds one window after it came
     A customer has used what its higher quota allowed. Held to the lower one at once, it
     would be refused for what it was allowed to ask.
--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -117,6 +117,14 @@
             assert units >= share * allowed, (customer, units / allowed)
 
 
+@then("from second {since:g} on a hot customer gets at most {share:g} of its quota")
+def step_hot_bounded(context, since, share):
+    for plan, audit in context.plays:
+        units = audit.units_between(LARGE, since, plan.seconds)
+        allowed = plan.quotas[LARGE].rate_per_second * (plan.seconds - since)
+        assert units <= share * allowed, units / allowed
+
+
 def make_quota(units_per_second):
     return Quota(QuotaUnit.TOKENS, units_per_second, units_per_second, 200.0)
 
--- a/lycheepost/bench/quotas.py
+++ b/lycheepost/bench/quotas.py
@@ -112,6 +112,7 @@
         "callers on one daemon": (hung, (), 0.0),
         "hot": (hot, (), 0.0),
         "hot, messages lost": (hot, (), 0.1),
+        "hot, four hear late": (hot, (), 0.0),
         "half cut off": (hot, (Fault("cut", 8.0, 9.0, half),), 0.0),
         "half cut off in a burst": (
             _hot(quotas, from_seconds=8.0),
@@ -151,6 +152,7 @@
         demands,
         faults,
         lost_share=lost_share,
+        n_late=4 if scenario == "hot, four hear late" else 0,
         seed=seed,
     )
 
@@ -160,6 +162,7 @@
     "callers on one daemon",
     "hot",
     "hot, messages lost",
+    "hot, four hear late",
     "half cut off",
     "half cut off in a burst",
     "one cut off",
--- a/lycheepost/bench/quotaworld.py
+++ b/lycheepost/bench/quotaworld.py
@@ -23,6 +23,9 @@
 STEP_SECONDS = 0.01
 LEAST_DELAY_SECONDS = 0.001
 MOST_DELAY_SECONDS = 0.02
+LATE_SECONDS = 0.8
+"""How much later a daemon hears whose processor is busy."""
+
 LINK_SECONDS = 0.4
 """From the start of a daemon until it has links and says something over them."""
 
@@ -118,6 +121,7 @@
     Attributes:
         n_daemons: Daemons that callers are sent to.
         lost_share: Messages that are lost on the way.
+        n_late: The first daemons, so many of them, hear everything late.
     """
 
     n_daemons: int
@@ -127,6 +131,7 @@
     faults: tuple[Fault, ...] = ()
     seconds: float = 30.0
     lost_share: float = 0.0
+    n_late: int = 0
     seed: int = 1
 
 
@@ -411,10 +416,15 @@
         if listener not in self.daemons or is_lost:
             return
         delay_seconds = self._rng.uniform(LEAST_DELAY_SECONDS, MOST_DELAY_SECONDS)
+        if self._is_late(listener):
+            delay_seconds += LATE_SECONDS
         due_seconds = self.now_seconds + delay_seconds
         item = (due_seconds, next(self._numbers), sender, listener, message)
         heapq.heappush(self._messages, item)
 
+    def _is_late(self, name: DaemonId) -> bool:
+        return int(name.removeprefix("d")) < self.plan.n_late
+
     def _deliver(self) -> None:
         while self._messages and self._messages[0][0] <= self.now_seconds:
             _due, _number, sender, listener, message = heapq.heappop(self._messages)
