Follow no level of a mate: drop the way in which counts of a quota met

So levels aren't followed at all: counts that parted at a lower quota stay apart until the customer asks for less; the fleet as a whole keeps to the quota.

--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -201,7 +201,6 @@
         mates = self._mates
         goes_on = mates.note_mate(daemon, news.start, news.is_entry, now_seconds)
         adopts = news.is_seasoned and not mates.is_seasoned
-        is_exact = news.is_seasoned and mates.is_seasoned
         for meter, word in self._known(news):
             if not goes_on:
                 meter.told.pop(daemon, None)
@@ -210,7 +209,7 @@
                 # What it let through before this daemon heard of it is in its level.
                 meter.take_lower_level(daemon, word)
             else:
-                meter.take_mate_word(daemon, word, is_exact and not is_first)
+                meter.take_mate_word(daemon, word)
         mates.is_seasoned = mates.is_seasoned or (mates.is_entry and adopts)
 
     def _known(self, news: QuotaNews) -> Iterator[tuple[QuotaMeter, QuotaWord]]:
--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -21,10 +21,6 @@
 """The same for what a bucket holds at the start of a daemon that nobody tells how much
 is left. When all daemons have lost power, none of them knows what was spent before."""
 
-APPROACH_SHARE = 0.005
-"""Part of the difference to a lower level of a mate that is made up with each word of
-it. Ten daemons that each say something twenty times a second agree after a second."""
-
 MOST_WAIT_SECONDS = 10.0
 """A caller that is told to come back later than this has gone elsewhere."""
 
@@ -192,23 +188,13 @@
         self.told[daemon] = spent
         return spent - before
 
-    def take_mate_word(self, daemon: DaemonId, word: QuotaWord, is_exact: bool) -> None:
+    def take_mate_word(self, daemon: DaemonId, word: QuotaWord) -> None:
         """Count what a mate let through since its last word.
 
-        Args:
-            daemon: The mate.
-            word: What it says.
-            is_exact: Both levels, the mate's and the one here, rest on what the whole
-                fleet spent.
+        Its level isn't followed. A busy daemon hears late of what was spent, so that
+        its level is always too high, and each word of it would raise the others again.
         """
         self._add(-self.note_spent(daemon, word.spent))
-        if is_exact:
-            # Levels part where daemons hear of a change of the quota at different
-            # moments, and stay apart while a customer is beyond it. They meet at the
-            # lowest: a busy daemon hears late of what was spent, so its level is always
-            # too high, and were the others to go up to it they would do so for ever.
-            difference = word.level - self.fleet.level
-            self.fleet.add(APPROACH_SHARE * min(0.0, difference))
 
     def take_lower_level(self, daemon: DaemonId, word: QuotaWord) -> None:
         """Take the level of a daemon that knows more, if it is the lower one."""
