--- a/features/capacity/steps/capacity_steps.py
+++ b/features/capacity/steps/capacity_steps.py
@@ -23,7 +23,7 @@
     TargetDesiredState,
 )
 from lycheepost.generated.engine import EngineHealthState  # noqa: E402
-from lycheepost.generated.operators import (  # noqa: E402
+from lycheepost.generated.intents import (  # noqa: E402
     CancelIntent,
     HoldReady,
     NewWeights,
--- a/lycheepost/app/status.py
+++ b/lycheepost/app/status.py
@@ -2,7 +2,11 @@
 
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.records import TargetState
-from lycheepost.generated.operators import FleetDaemon, FleetStatus, FleetTarget
+from lycheepost.generated.operators import (
+    FleetDaemon,
+    FleetStatus,
+    FleetTarget,
+)
 from lycheepost.generated.settings import Settings
 from lycheepost.state.members import MemberKeeper
 from lycheepost.state.revisions import RevisionKeeper
--- a/lycheepost/bench/capacity_world.py
+++ b/lycheepost/bench/capacity_world.py
@@ -30,7 +30,7 @@
     TargetGroup,
     TargetGroupKind,
 )
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     CancelIntent,
     ChangeRole,
     HoldReady,
@@ -38,6 +38,8 @@
     PauseIntent,
     ResumeIntent,
     Retire,
+)
+from lycheepost.generated.operators import (
     WeightsFact,
 )
 from lycheepost.generated.settings import OperatorSettings
--- a/lycheepost/operators/access.py
+++ b/lycheepost/operators/access.py
@@ -10,7 +10,9 @@
 
 from returns.result import Failure, Result, Success
 
-from lycheepost.generated.operators import OperatorErrorKind
+from lycheepost.generated.operators import (
+    OperatorErrorKind,
+)
 from lycheepost.operators.errors import OperatorError
 from lycheepost.operators.ports import OperatorDeps
 from lycheepost.utils.keys import hash_key
--- a/lycheepost/operators/basis.py
+++ b/lycheepost/operators/basis.py
@@ -9,7 +9,9 @@
 """
 
 from lycheepost.generated.configuration import AppliedPlan, Configuration
-from lycheepost.generated.operators import Plan
+from lycheepost.generated.operators import (
+    Plan,
+)
 from lycheepost.operators.items import Draft, digest_item
 from lycheepost.operators.planning import KEPT_APPLIED_PLANS
 from lycheepost.utils.documents import Fault
--- a/lycheepost/operators/capacity_changes.py
+++ b/lycheepost/operators/capacity_changes.py
@@ -17,16 +17,18 @@
     TargetDesiredState,
     TargetGroupKind,
 )
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     CancelIntent,
     ChangeRole,
     HoldReady,
     NewWeights,
     PauseIntent,
-    PlanConflict,
     ResumeIntent,
     Retire,
 )
+from lycheepost.generated.operators import (
+    PlanConflict,
+)
 from lycheepost.operators.capacity_estimates import (
     CapacityContext,
     estimate_load,
--- a/lycheepost/operators/capacity_estimates.py
+++ b/lycheepost/operators/capacity_estimates.py
@@ -10,7 +10,10 @@
     TargetDesiredState,
     TargetGroup,
 )
-from lycheepost.generated.operators import PlanConflict, WeightsFact
+from lycheepost.generated.operators import (
+    PlanConflict,
+    WeightsFact,
+)
 from lycheepost.operators.capacity_records import SERVING_SHARES
 from lycheepost.operators.items import Draft
 
--- a/lycheepost/operators/capacity_group.py
+++ b/lycheepost/operators/capacity_group.py
@@ -22,7 +22,9 @@
     TargetGroup,
 )
 from lycheepost.generated.engine import EngineHealthState
-from lycheepost.generated.operators import PlanConflict
+from lycheepost.generated.operators import (
+    PlanConflict,
+)
 from lycheepost.operators.capacity_records import (
     ACTIVE_STEPS,
     FULL_SHARE,
--- a/lycheepost/operators/capacity_steering.py
+++ b/lycheepost/operators/capacity_steering.py
@@ -7,7 +7,11 @@
     CapacityIntentState,
     CapacityStepState,
 )
-from lycheepost.generated.operators import CancelIntent, PauseIntent, ResumeIntent
+from lycheepost.generated.intents import (
+    CancelIntent,
+    PauseIntent,
+    ResumeIntent,
+)
 from lycheepost.operators.capacity_estimates import CapacityContext
 from lycheepost.operators.capacity_group import UNFINISHED
 from lycheepost.operators.change_results import Applied, ChangeResult, check_present
--- a/lycheepost/operators/change_results.py
+++ b/lycheepost/operators/change_results.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lycheepost.generated.operators import PlanConflict
+from lycheepost.generated.operators import (
+    PlanConflict,
+)
 from lycheepost.operators.items import Draft
 from lycheepost.utils.documents import Fault
 
--- a/lycheepost/operators/changes.py
+++ b/lycheepost/operators/changes.py
@@ -4,7 +4,7 @@
 changes the draft and returns the step that it made, or returns every fault.
 """
 
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     AddTarget,
     AlterCustomer,
     AlterModel,
--- a/lycheepost/operators/customer_changes.py
+++ b/lycheepost/operators/customer_changes.py
@@ -8,7 +8,7 @@
     CustomerQuota,
     CustomerQuotaUnit,
 )
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     AlterCustomer,
     CreateCustomer,
     RemoveCustomerQuota,
--- a/lycheepost/operators/errors.py
+++ b/lycheepost/operators/errors.py
@@ -3,7 +3,11 @@
 from dataclasses import dataclass
 
 from lycheepost.core.errors import LycheepostError
-from lycheepost.generated.operators import ErrorBody, ErrorFault, OperatorErrorKind
+from lycheepost.generated.operators import (
+    ErrorBody,
+    ErrorFault,
+    OperatorErrorKind,
+)
 from lycheepost.utils.documents import Fault
 
 _STATUS = {
--- a/lycheepost/operators/intents.py
+++ b/lycheepost/operators/intents.py
@@ -9,7 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     AddTarget,
     AlterCustomer,
     AlterModel,
@@ -159,7 +159,7 @@
         return Failure([Fault("kind", str(kind)[:60], f"is not one of {known}")])
     fields = {name: value for name, value in document.items() if name != "kind"}
     record = _RECORDS[ChangeKind(kind)]
-    return convert_document("operators", fields, record, record.__name__)
+    return convert_document("intents", fields, record, record.__name__)
 
 
 def prefix_fault(prefix: str, fault: Fault) -> Fault:
--- a/lycheepost/operators/items.py
+++ b/lycheepost/operators/items.py
@@ -19,7 +19,9 @@
     Target,
     TargetGroup,
 )
-from lycheepost.generated.operators import BasisItem
+from lycheepost.generated.operators import (
+    BasisItem,
+)
 from lycheepost.utils.documents import encode_record
 
 Item = Customer | Model | TargetGroup | Target | CapacityIntent
--- a/lycheepost/operators/model_changes.py
+++ b/lycheepost/operators/model_changes.py
@@ -7,12 +7,14 @@
     TargetDesiredState,
     TargetGroupKind,
 )
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     AlterModel,
     CreateModel,
-    PlanConflict,
     SetWeightsVersion,
 )
+from lycheepost.generated.operators import (
+    PlanConflict,
+)
 from lycheepost.operators.change_results import (
     Applied,
     ChangeResult,
--- a/lycheepost/operators/planning.py
+++ b/lycheepost/operators/planning.py
@@ -11,10 +11,12 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.generated.configuration import AppliedPlan, Configuration
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     ChangeRole,
     HoldReady,
     NewWeights,
+)
+from lycheepost.generated.operators import (
     Plan,
     PlanConflict,
     PlanEstimate,
--- a/lycheepost/operators/plans.py
+++ b/lycheepost/operators/plans.py
@@ -11,7 +11,10 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import PlanId
-from lycheepost.generated.operators import OperatorErrorKind, Plan
+from lycheepost.generated.operators import (
+    OperatorErrorKind,
+    Plan,
+)
 from lycheepost.operators.errors import OperatorError
 from lycheepost.ports.table import (
     ABSENT_VERSION,
--- a/lycheepost/operators/ports.py
+++ b/lycheepost/operators/ports.py
@@ -9,7 +9,9 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import Revision
 from lycheepost.generated.configuration import Configuration
-from lycheepost.generated.operators import FleetStatus
+from lycheepost.generated.operators import (
+    FleetStatus,
+)
 from lycheepost.generated.settings import OperatorSettings
 from lycheepost.ports.table import TablePort
 from lycheepost.ports.weights import WeightsPort
--- a/lycheepost/operators/removal.py
+++ b/lycheepost/operators/removal.py
@@ -1,7 +1,10 @@
 """Remove what nothing uses any more."""
 
 from lycheepost.generated.configuration import TargetDesiredState
-from lycheepost.generated.operators import Remove, RemovedKind
+from lycheepost.generated.intents import (
+    Remove,
+    RemovedKind,
+)
 from lycheepost.operators.capacity_records import ACTIVE_STEPS
 from lycheepost.operators.change_results import (
     Applied,
--- a/lycheepost/operators/routes.py
+++ b/lycheepost/operators/routes.py
@@ -14,7 +14,10 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import PlanId
-from lycheepost.generated.operators import OperatorErrorKind, Plan
+from lycheepost.generated.operators import (
+    OperatorErrorKind,
+    Plan,
+)
 from lycheepost.operators.access import Operator, identify_operator
 from lycheepost.operators.confirming import ConfirmCall, confirm_plan
 from lycheepost.operators.errors import OperatorError
--- a/lycheepost/operators/target_changes.py
+++ b/lycheepost/operators/target_changes.py
@@ -8,14 +8,16 @@
     TargetGroup,
     TargetGroupKind,
 )
-from lycheepost.generated.operators import (
+from lycheepost.generated.intents import (
     AddTarget,
     AlterTarget,
     AlterTargetGroup,
     CreateTargetGroup,
-    PlanConflict,
     RetireTarget,
 )
+from lycheepost.generated.operators import (
+    PlanConflict,
+)
 from lycheepost.operators.change_results import (
     Applied,
     ChangeResult,
--- a/lycheepost/operators/weightsfacts.py
+++ b/lycheepost/operators/weightsfacts.py
@@ -6,7 +6,9 @@
 from returns.result import Success
 
 from lycheepost.core.ids import ModelId
-from lycheepost.generated.operators import WeightsFact
+from lycheepost.generated.operators import (
+    WeightsFact,
+)
 from lycheepost.operators.capacity_estimates import WeightsKey
 from lycheepost.ports.weights import WeightsInfo, WeightsPort
 
