Name counts of quotas counts, and a daemon that has heard all synced

"Word" and "seasoned" were figures of speech. QuotaCount, counts, take_mate_count; is_synced, also on the wire and in /admin/status. No decision changes.

--- a/features/callers/steps/quota_steps.py
+++ b/features/callers/steps/quota_steps.py
@@ -34,7 +34,7 @@
 
     def is_shared():
         found = [daemon.traffic.quotas.status() for daemon in daemons]
-        return all(item["customers"] and item["is_seasoned"] for item in found)
+        return all(item["customers"] and item["is_synced"] for item in found)
 
     await sleep_until(is_shared)
 
--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -62,7 +62,7 @@
 
     Examples:
       | guard                            | scenario                |
-      | word of the others               | hot                     |
+      | counts of the others             | hot                     |
       | a part for those who are silent  | half cut off in a burst |
       | a smaller bucket after a start   | all killed in a flood   |
 
--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -20,7 +20,7 @@
 STEP_SECONDS = 0.05
 
 BREAKS = {
-    "word of the others": [
+    "counts of the others": [
         mock.patch.object(FleetQuotas, "hear", lambda *_: None),
         mock.patch.object(QuotaMates, "find_share", lambda *_: 1.0),
     ],
@@ -388,12 +388,12 @@
 def step_says(context, seconds):
     former = context.fleet[DaemonId("d2")]
     news = former.news(True, context.now_seconds)
-    words = {CUSTOMER: fleetquota.QuotaWord(30_000.0, 0.0)}
+    counts = {CUSTOMER: fleetquota.QuotaCount(30_000.0, 0.0)}
     context.now_seconds += seconds
     for name in (DaemonId("d0"), DaemonId("d1")):
         quotas = context.fleet[name]
         quotas.listeners(context.now_seconds)
-        said = dataclasses.replace(news, words=words, wants_relay=False)
+        said = dataclasses.replace(news, counts=counts, wants_relay=False)
         quotas.hear(DaemonId("d2"), said, context.now_seconds)
 
 
--- a/features/fuzz/fuzz.feature
+++ b/features/fuzz/fuzz.feature
@@ -25,5 +25,5 @@
       | servers' entries        |
       | answers of the platform's store |
       | rows of daemons and duties |
-      | peers' words on quotas  |
+      | peers' counts of quotas |
       | operators' quotas       |
--- a/features/platform/steps/quota_steps.py
+++ b/features/platform/steps/quota_steps.py
@@ -73,7 +73,7 @@
     async def is_shared():
         found = [daemon.status()["quotas"] for daemon in deployment.daemons]
         return all(
-            quotas["customers"] and quotas["share"] == 1.0 and quotas["is_seasoned"]
+            quotas["customers"] and quotas["share"] == 1.0 and quotas["is_synced"]
             for quotas in found
         )
 
--- a/lycheepost/app/quotas.py
+++ b/lycheepost/app/quotas.py
@@ -114,8 +114,8 @@
             try:
                 self._exchange_once(self._clock.now_seconds())
             except Exception:
-                # Without the next word the others would take this daemon for cut off,
-                # and hold their customers to a part of each quota for good.
+                # Without the next message the others would take this daemon for cut
+                # off, and hold their customers to a part of each quota for good.
                 _log.exception("quotas: one exchange failed")
 
     def _exchange_once(self, now_seconds: float) -> None:
@@ -132,7 +132,7 @@
         is_whole = now_seconds - self._whole_seconds > WHOLE_SECONDS
         news = self._quotas.news(is_whole, now_seconds)
         is_due = now_seconds - self._told_seconds > HEARTBEAT_SECONDS
-        if not news.words and not is_due:
+        if not news.counts and not is_due:
             return
         self._told_seconds = now_seconds
         if is_whole:
--- a/lycheepost/bench/quotapolicies.py
+++ b/lycheepost/bench/quotapolicies.py
@@ -74,7 +74,7 @@
         listeners = self.quotas.listeners(now_seconds)
         news = self.quotas.news(is_whole, now_seconds)
         is_due = now_seconds - self._told_seconds > HEARTBEAT_SECONDS
-        if not news.words and not is_due:
+        if not news.counts and not is_due:
             return None
         self._told_seconds = now_seconds
         if is_whole:
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -16,7 +16,7 @@
 from lycheepost.core.ids import CustomerId, DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance
 from lycheepost.decide.quotamates import LINGER_SECONDS, UNKNOWN_DAEMONS, QuotaMates
-from lycheepost.decide.quotameter import QuotaMeter, QuotaWord, make_meter
+from lycheepost.decide.quotameter import QuotaCount, QuotaMeter, make_meter
 
 TELL_SECONDS = 0.05
 """How soon a mate is told of what was let through. A customer that asks for five times
@@ -36,16 +36,16 @@
     Attributes:
         start: Differs between two starts of the sender.
         is_entry: Callers are sent to the sender.
-        is_seasoned: Its levels rest on what the whole fleet spent.
+        is_synced: Its levels rest on what the whole fleet spent.
         wants_relay: The receiver shall tell its mates what the sender spends.
-        words: What it says of customers.
+        counts: What it says of customers.
     """
 
     start: int
     is_entry: bool
-    is_seasoned: bool
+    is_synced: bool
     wants_relay: bool
-    words: Mapping[CustomerId, QuotaWord]
+    counts: Mapping[CustomerId, QuotaCount]
 
 
 class FleetQuotas:
@@ -149,16 +149,16 @@
             now_seconds: The present time.
         """
         self._catch_up(now_seconds)
-        words = {
-            customer: QuotaWord(meter.spent, meter.fleet.level)
+        counts = {
+            customer: QuotaCount(meter.spent, meter.fleet.level)
             for customer, meter in self._meters.items()
             if meter.is_changed or (is_whole and meter.fleet.level < meter.quota.burst)
         }
-        for customer in words:
+        for customer in counts:
             self._meters[customer].is_changed = False
         mates = self._mates
         return QuotaNews(
-            self._start, mates.is_entry, mates.is_seasoned, mates.is_alone, words
+            self._start, mates.is_entry, mates.is_synced, mates.is_alone, counts
         )
 
     def hear(self, daemon: DaemonId, news: QuotaNews, now_seconds: float) -> None:
@@ -167,7 +167,7 @@
         A daemon that is no mate any more, and was forgotten here, isn't one again for
         what it still says: its counts reach back to what was counted long ago.
         """
-        for meter, _word in self._known(news):
+        for meter, _count in self._known(news):
             meter.catch_up(now_seconds)
         if news.wants_relay:
             self._hear_relayed(daemon, news, now_seconds)
@@ -182,10 +182,10 @@
     ) -> None:
         """Count what a daemon that stands by lets through as let through here."""
         goes_on = self._mates.note_relayed(daemon, news.start, now_seconds)
-        for meter, word in self._known(news):
+        for meter, count in self._known(news):
             if not goes_on:
                 meter.told.pop(daemon, None)
-            self._spend(meter, meter.note_spent(daemon, word.spent), now_seconds)
+            self._spend(meter, meter.note_spent(daemon, count.spent), now_seconds)
 
     def _hear_relay(
         self, daemon: DaemonId, news: QuotaNews, now_seconds: float
@@ -194,29 +194,29 @@
         if daemon != self._mates.relay:
             return
         self._mates.note_relay(now_seconds)
-        for meter, word in self._known(news):
-            meter.take_level(word)
+        for meter, count in self._known(news):
+            meter.take_level(count)
 
     def _hear_mate(self, daemon: DaemonId, news: QuotaNews, now_seconds: float) -> None:
         mates = self._mates
         goes_on = mates.note_mate(daemon, news.start, news.is_entry, now_seconds)
-        adopts = news.is_seasoned and not mates.is_seasoned
-        for meter, word in self._known(news):
+        adopts = news.is_synced and not mates.is_synced
+        for meter, count in self._known(news):
             if not goes_on:
                 meter.told.pop(daemon, None)
             is_first = daemon not in meter.told
-            if adopts or (is_first and news.is_seasoned):
+            if adopts or (is_first and news.is_synced):
                 # What it let through before this daemon heard of it is in its level.
-                meter.take_lower_level(daemon, word)
+                meter.take_lower_level(daemon, count)
             else:
-                meter.take_mate_word(daemon, word)
-        mates.is_seasoned = mates.is_seasoned or (mates.is_entry and adopts)
+                meter.take_mate_count(daemon, count)
+        mates.is_synced = mates.is_synced or (mates.is_entry and adopts)
 
-    def _known(self, news: QuotaNews) -> Iterator[tuple[QuotaMeter, QuotaWord]]:
-        for customer, word in news.words.items():
+    def _known(self, news: QuotaNews) -> Iterator[tuple[QuotaMeter, QuotaCount]]:
+        for customer, count in news.counts.items():
             meter = self._meters.get(customer)
             if meter is not None:
-                yield meter, word
+                yield meter, count
 
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
@@ -274,7 +274,7 @@
         self._catch_up(now_seconds)
         return {
             "share": round(self.share, 3),
-            "is_seasoned": self._mates.is_seasoned,
+            "is_synced": self._mates.is_synced,
             "customers": {
                 customer: meter.status() for customer, meter in self._meters.items()
             },
--- a/lycheepost/decide/quotamates.py
+++ b/lycheepost/decide/quotamates.py
@@ -43,7 +43,7 @@
 
     Attributes:
         named_seconds: When it last was one of the mates.
-        start: Differs between two starts of it; None before its first word.
+        start: Differs between two starts of it; None before it spoke.
         heard_seconds: When it last said something.
     """
 
@@ -70,7 +70,7 @@
         started_seconds: When this daemon started.
         is_entry: Callers are sent to this daemon.
         is_standing_by: They are not; neither is known at first.
-        is_seasoned: All mates were heard since this daemon is one of them, or one that
+        is_synced: All mates were heard since this daemon is one of them, or one that
             had heard all told it what is left.
         relay: Whom this daemon tells what it lets through while it stands by.
     """
@@ -78,7 +78,7 @@
     started_seconds: float
     is_entry: bool = False
     is_standing_by: bool = False
-    is_seasoned: bool = False
+    is_synced: bool = False
     relay: DaemonId | None = None
     _mates: dict[DaemonId, _Mate] = field(default_factory=dict)
     _relayed: dict[DaemonId, _Mate] = field(default_factory=dict)
@@ -112,7 +112,7 @@
         """
         self.is_entry = False
         self.is_standing_by = True
-        self.is_seasoned = False
+        self.is_synced = False
         if relay != self.relay:
             self._relay_heard_seconds = float("-inf")
         self.relay = relay
@@ -162,7 +162,7 @@
         if is_young and n_heard < SETTLED_DAEMONS:
             n_daemons = max(n_daemons, self._n_expected)
         elif n_heard == n_daemons and self.is_entry:
-            self.is_seasoned = True
+            self.is_synced = True
         return n_heard / n_daemons
 
     def forget(self, now_seconds: float) -> list[DaemonId]:
--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class QuotaWord:
+class QuotaCount:
     """What one daemon says of one customer.
 
     Attributes:
@@ -188,22 +188,23 @@
         self.told[daemon] = spent
         return spent - before
 
-    def take_mate_word(self, daemon: DaemonId, word: QuotaWord) -> None:
-        """Count what a mate let through since its last word.
+    def take_mate_count(self, daemon: DaemonId, count: QuotaCount) -> None:
+        """Count what a mate let through since it last spoke.
 
         Its level isn't followed. A busy daemon hears late of what was spent, so that
-        its level is always too high, and each word of it would raise the others again.
+        its level is always too high, and each message of it would raise the others
+        again.
         """
-        self._add(-self.note_spent(daemon, word.spent))
+        self._add(-self.note_spent(daemon, count.spent))
 
-    def take_lower_level(self, daemon: DaemonId, word: QuotaWord) -> None:
+    def take_lower_level(self, daemon: DaemonId, count: QuotaCount) -> None:
         """Take the level of a daemon that knows more, if it is the lower one."""
-        self.told[daemon] = word.spent
-        self._add(min(0.0, word.level - self.fleet.level))
+        self.told[daemon] = count.spent
+        self._add(min(0.0, count.level - self.fleet.level))
 
-    def take_level(self, word: QuotaWord) -> None:
+    def take_level(self, count: QuotaCount) -> None:
         """Take the level of a daemon that has counted all that was spent here."""
-        self.fleet.level = min(self.fleet.capacity, word.level)
+        self.fleet.level = min(self.fleet.capacity, count.level)
 
     def status(self) -> dict[str, object]:
         """Return the quota, what is left of it, and what was refused here."""
--- a/lycheepost/operators/ports.py
+++ b/lycheepost/operators/ports.py
@@ -40,7 +40,7 @@
 
 def no_quotas() -> dict[str, object]:
     """Return the account of a daemon that counts no quotas."""
-    return {"share": 1.0, "is_seasoned": True, "customers": {}}
+    return {"share": 1.0, "is_synced": True, "customers": {}}
 
 
 @dataclass(frozen=True)
--- a/lycheepost/peers/quotanews.py
+++ b/lycheepost/peers/quotanews.py
@@ -4,7 +4,7 @@
 
 from lycheepost.core.ids import CustomerId
 from lycheepost.decide.fleetquota import QuotaNews
-from lycheepost.decide.quotameter import QuotaWord
+from lycheepost.decide.quotameter import QuotaCount
 from lycheepost.generated.messages import CustomerSpent, QuotaSpent
 
 
@@ -13,13 +13,13 @@
     return QuotaSpent(
         start=news.start,
         is_entry=news.is_entry,
-        is_seasoned=news.is_seasoned,
+        is_synced=news.is_synced,
         wants_relay=news.wants_relay,
         customers=[
             CustomerSpent(
-                customer=customer, spent_units=word.spent, left_units=word.level
+                customer=customer, spent_units=count.spent, left_units=count.level
             )
-            for customer, word in news.words.items()
+            for customer, count in news.counts.items()
         ],
     )
 
@@ -33,10 +33,10 @@
     return QuotaNews(
         message.start,
         message.is_entry,
-        message.is_seasoned,
+        message.is_synced,
         message.wants_relay,
         {
-            CustomerId(item.customer): QuotaWord(item.spent_units, item.left_units)
+            CustomerId(item.customer): QuotaCount(item.spent_units, item.left_units)
             for item in message.customers
             if math.isfinite(item.spent_units) and math.isfinite(item.left_units)
         },
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -42,10 +42,10 @@
     check_store_answer,
 )
 from fuzzquotas import (
+    QUOTA_COUNTS,
     QUOTA_DOCUMENTS,
-    QUOTA_WORDS,
+    check_quota_counts,
     check_quota_document,
-    check_quota_words,
 )
 from fuzzstrategies import JSON, NESTED, NESTED_MSGPACK, mutated, with_fields
 
@@ -364,7 +364,7 @@
     "servers' entries": Edge(ENTRIES, check_entry),
     "answers of the platform's store": Edge(STORE_ANSWERS, check_store_answer),
     "rows of daemons and duties": Edge(MEMBER_ROWS, check_member_row),
-    "peers' words on quotas": Edge(QUOTA_WORDS, check_quota_words),
+    "peers' counts of quotas": Edge(QUOTA_COUNTS, check_quota_counts),
     "operators' quotas": Edge(QUOTA_DOCUMENTS, check_quota_document),
 }
 
--- a/tools/fuzzquotas.py
+++ b/tools/fuzzquotas.py
@@ -1,4 +1,4 @@
-"""Hostile words of peers on customers' quotas, and quotas as operators may write."""
+"""Hostile counts of peers of customers' quotas, and quotas as operators may write."""
 
 import json
 import math
@@ -23,7 +23,7 @@
     QuotaSpent,
     start=st.integers(-1, 2),
     is_entry=_FLAGS,
-    is_seasoned=_FLAGS,
+    is_synced=_FLAGS,
     wants_relay=_FLAGS,
     customers=st.lists(
         st.builds(
@@ -36,7 +36,7 @@
     ),
 )
 
-QUOTA_WORDS = st.lists(
+QUOTA_COUNTS = st.lists(
     st.tuples(st.sampled_from(["a", "b", "relay"]), _MESSAGES), max_size=8
 )
 
@@ -51,13 +51,13 @@
 )
 
 
-def check_quota_words(words: list[tuple[str, QuotaSpent]]) -> None:
+def check_quota_counts(said: list[tuple[str, QuotaSpent]]) -> None:
     """Whatever peers say, a customer is let through or told when to come back."""
     quotas = FleetQuotas(1, -60.0)
     quotas.set_tolerance(QuotaTolerance(0.1, 100.0, 8.0))
     quotas.set_quotas({CUSTOMER: Quota(QuotaUnit.TOKENS, RATE, RATE, 1.0)}, 0.0)
     quotas.set_entry([DaemonId("a")], 0.0)
-    for index, (sender, message) in enumerate(words):
+    for index, (sender, message) in enumerate(said):
         now_seconds = 0.1 * index
         data = msgspec.msgpack.encode(message)
         heard = msgspec.msgpack.decode(data, type=QuotaSpent)
