--- a/lycheepost/app/quotas.py
+++ b/lycheepost/app/quotas.py
@@ -164,4 +164,8 @@
         _log.info("quotas: share changed", share=share, n_changes=n_changes)
 
     def _take(self, message: QuotaSpent, sender: DaemonId) -> None:
-        self._quotas.hear(sender, from_message(message), self._clock.now_seconds())
+        news = from_message(message)
+        n_left_out = len(message.customers) - len(news.counts)
+        if n_left_out:
+            _log.warning("quotas: counts left out", sender=sender, n=n_left_out)
+        self._quotas.hear(sender, news, self._clock.now_seconds())
--- a/lycheepost/state/customerquotas.py
+++ b/lycheepost/state/customerquotas.py
@@ -23,7 +23,7 @@
 def list_quotas(customers: dict[CustomerId, Customer]) -> dict[CustomerId, Quota]:
     """Return the quotas of those customers that have one."""
     return {
-        name: to_quota(customer.quota)
+        name: quota
         for name, customer in customers.items()
-        if customer.quota is not None
+        if (quota := quota_of(customer)) is not None
     }
