--- a/tools/losses.py
+++ b/tools/losses.py
@@ -11,18 +11,16 @@
 import argparse
 import json
 import pathlib
-import re
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
+from playlog import LogLine, read_lines
+
 LEAST_SHOWN = 0.001
 """Parts of worth below this are summed up."""
 
-_LINE = re.compile(r"^\s*-?[\d.]+\s+\S+\s+(\{.*\})\s*$")
-"""Simulated time, the daemon, and what it wrote."""
-
 
 @dataclass(frozen=True)
 class Loss:
@@ -72,23 +70,11 @@
         yield f"{found['name']}: {n_owed} owed, {', '.join(shares)}"
 
 
-def read_events(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
-    """Yield what the daemons logged; other lines are passed over."""
-    for line in lines:
-        match = _LINE.match(line)
-        if match is None:
-            continue
-        try:
-            yield json.loads(match[1])
-        except json.JSONDecodeError:
-            # A line that was cut off, as the play ended or the log ran full.
-            continue
-
-
-def sum_up_sends(events: Iterable[dict[str, Any]]) -> dict[str, RouteSends]:
+def sum_up_sends(lines: Iterable[LogLine]) -> dict[str, RouteSends]:
     """Return what became of the sends of each route."""
     routes: dict[str, RouteSends] = defaultdict(RouteSends)
-    for event in events:
+    for line in lines:
+        event = line.record
         if event.get("event") != "forward: sent":
             continue
         sends = routes[event["route"]]
@@ -138,7 +124,7 @@
     if arguments.log is None:
         return
     with arguments.log.open(errors="replace") as lines:
-        routes = sum_up_sends(read_events(lines))
+        routes = sum_up_sends(read_lines(lines))
     for name, sends in sorted(routes.items(), key=lambda item: -item[1].ends.total()):
         print(describe_sends(name, sends))
 
--- a/tools/storecalls.py
+++ b/tools/storecalls.py
@@ -10,28 +10,19 @@
 import argparse
 import json
 import pathlib
-import re
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
-_LINE = re.compile(r"^\s*(-?[\d.]+)\s+\S+\s+(\{.*\})\s*$")
-"""Simulated time, the daemon, and what it wrote."""
+from playlog import read_lines
 
 EVENT = "store: calls"
 
 
 def read_calls(lines: Iterable[str]) -> Iterator[tuple[float, Counter[str]]]:
     """Yield the time and the calls of each line on calls."""
-    for line in lines:
-        match = _LINE.match(line)
-        if match is None or EVENT not in line:
-            continue
-        try:
-            event = json.loads(match[2])
-        except json.JSONDecodeError:
-            # A line that was cut off, as the play ended or the log ran full.
-            continue
-        yield float(match[1]), Counter(event["counts"])
+    for line in read_lines(lines):
+        if line.record.get("event") == EVENT:
+            yield line.at_seconds, Counter(line.record["counts"])
 
 
 def sum_up(calls: Iterable[tuple[float, Counter[str]]]) -> dict[str, Counter[str]]:
