--- a/features/callers/quotas.feature
+++ b/features/callers/quotas.feature
@@ -15,6 +15,8 @@
     Then it is served
 
   Scenario: A request that was refused for another reason gives its units back
+    A service is down for a minute and its caller tries again and again. Were each try
+    counted, the customer would be refused when the service is back.
     Given a running fleet of 1 daemons
     And the first customer may ask for 2 requests a second, 3 at once
     When it calls a service that nobody runs 6 times
--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -27,6 +27,8 @@
       | rolling restart              |
 
   Scenario Outline: <n> daemons keep to it as well
+    What each may spend while others are silent goes by their number. Where it were
+    right for ten only, a small fleet would refuse nearly all, a large one too little.
     When <n> daemons and 16 customers play "half cut off in a burst" with seeds 1 to 2
     Then the worst window holds at most what is tolerated
 
@@ -126,11 +128,15 @@
     Then all have passed within 6 s, none with more than 3 refusals
 
   Scenario: A request that never ran gives its units back
+    No target could take it. Counted all the same, its customer would be refused for
+    work that nobody did.
     Given a daemon and a customer with 10000 units a second
     When a request of 12000 units is let through and never runs
     Then the next one is let through
 
   Scenario: A raised quota serves at once, and one that is taken away limits nothing
+    An operator raises the quota of a customer that is being refused. Were its bucket
+    to fill first, shoppers would be turned away for what it may ask.
     Given a daemon and a customer with 10000 units a second
     When its quota is used up
     Then it is refused
