Show that two daemons may try a killer and an innocent request on one target

Two daemons that try suspects at the same moment choose the same target, since each hears of the other's try only afterwards; the second loss then convicts both. The new scenario shows it without a clock or load. Dividing the targets for suspects among daemons would mend it, and changes where lost requests go on all deployments, which has to be compared first.

--- a/features/app/losses.feature
+++ b/features/app/losses.feature
@@ -21,3 +21,12 @@
     Given two daemons whose times of day differ by 700 s
     When a request kills a target through each of them in turn
     Then both refuse it for 600 s
+
+  Scenario: A killer and an innocent suspect are not tried on one target at a time
+    Both died with one target and are tried again by two daemons at the same moment,
+    before either can hear where the other one tries. The killer takes its second target
+    with it, and the innocent request is refused for ten minutes.
+    Given two daemons whose times of day differ by 0 s
+    When a killer and an innocent request, each of its own daemon, are lost with one target
+    And both are tried again before either daemon hears of the other's try
+    Then they are tried on different targets
--- a/features/app/steps/losses_steps.py
+++ b/features/app/steps/losses_steps.py
@@ -95,3 +95,36 @@
     step_refuse(context)
     wait(context, 2.0)
     assert RefusalReason.QUARANTINED not in refusals(context, "late")
+
+
+def send_both(context, name):
+    """Let the first daemon send the killer and the second the innocent request."""
+    sent = []
+    for daemon, body in zip(context.daemons, ("killer", "innocent"), strict=True):
+        now_seconds = daemon.clock.now_seconds()
+        work = make_work(f"{name}-{body}", now_seconds, body=body)
+        sent += daemon.scheduler.arrive(work, now_seconds)
+    return sent
+
+
+@when(
+    "a killer and an innocent request, each of its own daemon, are lost with one target"
+)
+def step_both_lost(context):
+    sent = send_both(context, "first")
+    assert len({outcome.target for outcome in sent}) == 1, sent
+    wait(context, 0.2)
+    for daemon, outcome in zip(context.daemons, sent, strict=True):
+        daemon.dispatcher.finish(outcome.request, FinishKind.TARGET_LOST)
+    wait(context, 0.2)
+
+
+@when("both are tried again before either daemon hears of the other's try")
+def step_both_again(context):
+    context.tried = send_both(context, "second")
+
+
+@then("they are tried on different targets")
+def step_apart(context):
+    first, second = context.tried
+    assert first.target != second.target, context.tried
