--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -15,6 +15,7 @@
 from lycheepost.app.parts import Part
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotas import QuotaExchange
+from lycheepost.app.ratelimits import LimitKeeper
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock
@@ -134,6 +135,7 @@
     dispatcher.set_retry_terms(retry_terms(get_bounds(), FEWEST_DAEMONS))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
+    limits = LimitKeeper(clock, metrics)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
 
@@ -141,6 +143,7 @@
         dispatcher.replace_targets(views)
         caches.set_targets(views)
         loads.set_targets(views)
+        limits.set_targets(views)
 
     targets = TargetList(
         clock,
@@ -166,6 +169,10 @@
     client = ForwardClient(streams, ServerDialect())
     orders = ServerOrders()
 
+    def on_head(sent_to: ListedTarget, head: AnswerHead, sent_seconds: float) -> None:
+        _take_load(loads, clock, sent_to, head)
+        limits.note_head(sent_to, head, sent_seconds)
+
     async def is_same_start(sent_to: ListedTarget) -> bool:
         return await _is_same_start(targets, routing, orders, sent_to)
 
@@ -182,7 +189,7 @@
         is_same_start=is_same_start,
         make_request_id=_request_ids(base.boot),
         pick_point=base.rng.random,
-        on_head=lambda sent_to, head: _take_load(loads, clock, sent_to, head),
+        on_head=on_head,
     )
     return PlatformTraffic(
         dispatcher=dispatcher,
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -131,8 +131,8 @@
         is_same_start: Whether a target still is the start that it was when it was
             sent to.
         pick_point: Gives a number in [0, 1) to split traffic by.
-        on_head: Told of each answer's head, for the load that it states, and of the
-            target as it was sent to.
+        on_head: Told of each answer's head, for the load and the limit that it states,
+            with the target as it was sent to and when that was.
     """
 
     routing: RoutingPort
@@ -147,4 +147,4 @@
     is_same_start: Callable[[ListedTarget], Awaitable[bool]]
     make_request_id: Callable[[], RequestId]
     pick_point: Callable[[], float]
-    on_head: Callable[[ListedTarget, AnswerHead], None]
+    on_head: Callable[[ListedTarget, AnswerHead, float], None]
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -293,6 +293,7 @@
             self._way.route, self._sends, call.remaining_seconds
         )
         target = listed.target
+        sent_seconds = self._deps.clock.now_seconds()
         self._is_sent = True
         try:
             send = self._deps.client.send(call)
@@ -309,7 +310,9 @@
                 self._deps.targets.note_end(target, Ending.BAD)
                 return SendEnd.LOST, reason
             case Success(answer):
-                return await self._take_answer(listed, answer, wait_seconds)
+                return await self._take_answer(
+                    listed, answer, wait_seconds, sent_seconds
+                )
         raise AssertionError("a result is a success or a failure")
 
     def _may_leave(self) -> bool:
@@ -326,11 +329,15 @@
         return self._has_retry
 
     async def _take_answer(
-        self, listed: ListedTarget, answer: ForwardAnswer, wait_seconds: float
+        self,
+        listed: ListedTarget,
+        answer: ForwardAnswer,
+        wait_seconds: float,
+        sent_seconds: float,
     ) -> tuple[SendEnd | None, str]:
         target = listed.target
         head = answer.head
-        self._deps.on_head(listed, head)
+        self._deps.on_head(listed, head, sent_seconds)
         if head.was_not_run or head.is_other_target:
             self._is_sent = False
             await self._read_rejection(answer)
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -1,11 +1,13 @@
 """Calls to the platform's servers and the heads of their answers."""
 
+import math
 from collections.abc import Mapping
 
 from multidict import CIMultiDict
 
 from lycheepost.core.ids import TargetId, WeightsVersion
 from lycheepost.platform import headers as names
+from lycheepost.platform.unknownheaders import UnknownHeaders
 from lycheepost.targets.forwardcall import (
     AnswerHead,
     EngineTerms,
@@ -20,6 +22,9 @@
 class ServerDialect:
     """Implements ``targets.forwardcall.Dialect``."""
 
+    def __init__(self) -> None:
+        self._unknown = UnknownHeaders()
+
     def encode(self, call: ForwardCall) -> list[tuple[str, str]]:
         """Return all headers of a call."""
         replaced = {names.DEADLINE.lower(), names.LAST_EVENT.lower()}
@@ -40,6 +45,7 @@
     ) -> AnswerHead:
         """Return the head of an answer to ``call``."""
         found = CIMultiDict(headers)
+        self._unknown.note(found)
         asked_id = CIMultiDict(call.headers).get(names.ATTEMPT_ID)
         target = found.get(names.TARGET)
         weights = count_of(found.get(names.WEIGHTS, ""))
@@ -56,6 +62,7 @@
             target=TargetId(target) if target else None,
             weights_version=None if weights is None else WeightsVersion(str(weights)),
             load=decode_load(found.get(names.LOAD, "")),
+            limit_per_second=decode_limit(found.get(names.RATE_LIMIT, "")),
         )
 
 
@@ -105,6 +112,18 @@
     return None
 
 
+def decode_limit(text: str) -> float | None:
+    """Return the requests a second that a server takes; None when it names none.
+
+    What is no number would refuse all requests for as long as the server says it.
+    """
+    try:
+        per_second = float(text)
+    except ValueError:
+        return None
+    return per_second if math.isfinite(per_second) and per_second >= 0.0 else None
+
+
 def count_of(text: str) -> int | None:
     """Return the number that a text states; None when it is no count.
 
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -117,6 +117,8 @@
         on_fault: Called as a stream is about to be broken off.
         n_events: Events of each stream.
         faults: Faults that wait for calls, by attempt id.
+        limit_per_second: Requests that it names as its limit; None for no limit. It
+            serves them all the same.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         self.faults: FaultPlan[ServerFault] = FaultPlan()
         self.is_leaving = False
         self.loses_order_answers = False
+        self.limit_per_second: float | None = None
         self.on_fault: Callable[[], object] = lambda: None
         self.n_events = n_events
         self._run_seconds = run_seconds
@@ -216,6 +219,8 @@
 
     def _head(self, request: web.Request) -> dict[str, str]:
         head = {names.TARGET: self.name, names.LOAD: f"{self.n_running},0,32"}
+        if self.limit_per_second is not None:
+            head[names.RATE_LIMIT] = str(self.limit_per_second)
         attempt_id = request.headers.get(names.ATTEMPT_ID)
         if attempt_id:
             head[names.ATTEMPT_ID] = attempt_id
--- /dev/null
+++ b/lycheepost/platform/unknownheaders.py
@@ -0,0 +1,53 @@
+"""Names of answer headers that the adapter doesn't know.
+
+A signal that the platform has added leaves no other trace: the header goes on to the
+client, and the daemon behaves as before.
+"""
+
+from collections.abc import Iterable
+
+import structlog
+
+from lycheepost.platform import headers as names
+
+MOST_NAMES = 32
+"""A server that makes names up must not fill the log."""
+
+_KNOWN = names.CONNECTION_ONLY | {
+    name.lower()
+    for name in (
+        names.ATTEMPT_ID,
+        names.SEAL,
+        names.NOT_RUN,
+        names.TARGET,
+        names.LOAD,
+        names.RATE_LIMIT,
+        names.WEIGHTS,
+        names.RETRY_AFTER,
+        "Cache-Control",
+        "Content-Encoding",
+        "Content-Type",
+        "Date",
+        "Server",
+    )
+}
+
+_log = structlog.get_logger(part="targets")
+
+
+class UnknownHeaders:
+    """Logs each unknown name once."""
+
+    def __init__(self) -> None:
+        self._seen: set[str] = set()
+
+    def note(self, headers: Iterable[str]) -> None:
+        """Take the names of one answer's headers."""
+        for name in headers:
+            lowered = name.lower()
+            if lowered in _KNOWN or lowered in self._seen:
+                continue
+            if len(self._seen) >= MOST_NAMES:
+                return
+            self._seen.add(lowered)
+            _log.warning("targets: unknown answer header", name=name)
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -85,6 +85,8 @@
         is_other_target: Another target has the address, or other weights are there.
         target: Who answered, where it says so.
         weights_version: Weights that the answer is made with, where it says so.
+        limit_per_second: Requests that the target takes from all daemons together;
+            None where it names no limit.
         has_length: A length or chunks tell where the body ends.
     """
 
@@ -99,6 +101,7 @@
     target: TargetId | None = None
     weights_version: WeightsVersion | None = None
     load: SaidLoad | None = None
+    limit_per_second: float | None = None
 
 
 class Dialect(Protocol):
