--- /dev/null
+++ b/features/platform/ratelimits.feature
@@ -0,0 +1,23 @@
+Feature: Limits that the platform's servers name
+  Real daemons before stand-ins that speak the platform's protocol, on loopback.
+
+  Scenario Outline: A server that writes <written> names <limit>
+    Then a server that writes "<written>" names <limit>
+
+    Examples:
+      | written | limit                    |
+      | 1.3     | a limit of 1.3 a second  |
+      | 40      | a limit of 40 a second   |
+      | 0       | a limit of 0 a second    |
+      | -1      | no limit                 |
+      | nan     | no limit                 |
+      | inf     | no limit                 |
+      | many    | no limit                 |
+      |         | no limit                 |
+
+  Scenario: Daemons together send a server no more than the limit it names
+    Guards against a limit that no daemon reads: a server in need gets what it always got.
+    Given a deployment with 3 daemons
+    When clients ask all daemons for look-ups, 30 a second for 10 s, and after 1 s the first server names a limit of 1 a second
+    Then from 3 s after that it gets at most one and a half times its limit and 5 more in any 4 s
+    And all look-ups are served
--- /dev/null
+++ b/features/platform/steps/ratelimit_steps.py
@@ -0,0 +1,91 @@
+"""Steps of ratelimits.feature."""
+
+import asyncio
+import itertools
+
+from behave import then, when
+from deployment import Deployment
+
+from lycheepost.platform.dialect import decode_limit
+
+LIMITS = {
+    "a limit of 1.3 a second": 1.3,
+    "a limit of 40 a second": 40.0,
+    "a limit of 0 a second": 0.0,
+    "no limit": None,
+}
+PLAIN = "plain"
+WINDOW_SECONDS = 4.0
+GRACE_SECONDS = 3.0
+TOLERATED_SHARE = 1.5
+TOLERATED_REQUESTS = 5
+
+
+@then('a server that writes "{written}" names {limit}')
+def step_decoded(context, written, limit):
+    assert decode_limit(written) == LIMITS[limit], decode_limit(written)
+
+
+@then('a server that writes "" names {limit}')
+def step_nothing(context, limit):
+    assert decode_limit("") == LIMITS[limit]
+
+
+async def look_up(deployment: Deployment, index: int, statuses: list[int | None]):
+    headers = deployment.headers("k-one")
+    answer = await deployment.ask("GET", f"/look/{index}", headers, index=index % 3)
+    statuses.append(answer.status)
+
+
+async def ask_steadily(deployment, per_second, seconds, limit_seconds, limit):
+    """Ask at an even rate.
+
+    Returns:
+        Statuses, and the times at which the first server had got another request, from
+        the moment at which it named its limit.
+    """
+    server = deployment.group(PLAIN)[0]
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    statuses, arrivals, tasks = [], [], []
+    for number in itertools.count():
+        elapsed = loop.time() - started
+        if elapsed > seconds:
+            break
+        if elapsed > limit_seconds:
+            server.limit_per_second = limit
+        arrivals += [elapsed - limit_seconds] * (len(server.runs) - len(arrivals))
+        tasks.append(asyncio.create_task(look_up(deployment, number, statuses)))
+        await asyncio.sleep(started + (number + 1) / per_second - loop.time())
+    await asyncio.gather(*tasks)
+    return statuses, arrivals
+
+
+@when(
+    "clients ask all daemons for look-ups, {per_second:d} a second for {seconds:d} s,"
+    " and after {limit_seconds:g} s the first server names a limit of {limit:g}"
+    " a second"
+)
+def step_ask(context, per_second, seconds, limit_seconds, limit):
+    context.limit = limit
+    context.statuses, context.arrivals = context.loop.run_until_complete(
+        ask_steadily(context.deployment, per_second, seconds, limit_seconds, limit)
+    )
+
+
+@then(
+    "from 3 s after that it gets at most one and a half times its limit and 5 more in"
+    " any 4 s"
+)
+def step_within(context):
+    allowed = TOLERATED_SHARE * context.limit * WINDOW_SECONDS + TOLERATED_REQUESTS
+    ends = [at for at in context.arrivals if at >= GRACE_SECONDS]
+    for end in ends:
+        n = sum(end - WINDOW_SECONDS < at <= end for at in context.arrivals)
+        assert n <= allowed, f"{n} in 4 s up to {end:.3f} s, allowed {allowed:g}"
+
+
+@then("all look-ups are served")
+def step_served(context):
+    bad = [status for status in context.statuses if status != 200]
+    assert not bad, bad
