Hold to the limits that targets name, over all daemons together

What callers saw: nothing yet.

Cause: a signal of a target that says 'less' was not part of any decision. Placement knew slots and waiting prompts, both of which this target had to spare.

Fix: a limit is divided among all daemons that may send. Each sends at its own moments, drawn at random over its interval, and elsewhere in between; what no target can take is refused at once with the time after which a limit lets it pass. Who hears a limit, or its end, tells the others; dividing itself needs nobody's word, so a cut or a dead peer doesn't raise what the target gets. On hearing a limit a daemon pauses for 2 s, as the target has had too much by then; a moment that was left unused for 2 s is drawn anew, or all daemons would send at once after a quiet minute.

--- a/features/decide/ratelimits.feature
+++ b/features/decide/ratelimits.feature
@@ -21,3 +21,45 @@
     When a peer tells of a limit of 5 a second that it heard just now
     Then the limit is 5 a second
     And what a peer told is not told on
+
+  Scenario Outline: The fleet keeps to a limit that is divided: <load>
+    Guards against daemons that each send all that a target takes from the whole fleet.
+    When <load> are played with seeds 1 to 5
+    Then no window is beyond what is tolerated
+
+    Examples:
+      | load                            |
+      | 7 daemons, limit 1              |
+      | 7 daemons, limit 1, half on one |
+      | 10 daemons, limit 12 of 40      |
+      | 24 daemons, limit 1             |
+      | 24 daemons, limit 1, after quiet |
+      | 24 daemons, limit 2             |
+      | 7 daemons, limit 0              |
+
+  Scenario: What a limited target does not take goes to the others at once
+    Guards against requests that queue for a target in need while others have room.
+    Given a daemon before 3 targets of which the first names a limit of 1 a second
+    When it gets 60 requests in 10 s
+    Then the first target gets at most 2 of them
+    And all of them are sent within 0.1 s
+
+  Scenario: Where all targets are limited, requests are refused at once with the time
+    Guards against requests that wait until their callers have left, and against callers
+    that are told to come back while the limits still keep them out.
+    Given a daemon before 2 targets that all name a limit of 0.2 a second
+    When it gets 6 requests in 1 s
+    Then all of them are refused at once
+    And each is told to come back when a limit will let it pass
+
+  Scenario: A limit that has ended keeps nothing back
+    Given a daemon before 1 target that names a limit of 1 a second and then none
+    When it gets 6 requests in 1 s
+    Then all of them are sent within 0.1 s
+
+  Scenario: A limit is held after its target has moved to another group
+    Guards against a limit that is forgotten with the load of a target.
+    Given a daemon before 1 target that names a limit of 1 a second
+    When the target moves to another group
+    And it gets 6 requests in 1 s
+    Then the first target gets at most 1 of them
--- a/features/decide/steps/ratelimits_steps.py
+++ b/features/decide/steps/ratelimits_steps.py
@@ -1,9 +1,14 @@
 """Steps of ratelimits.feature."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
-from lycheepost.core.ids import TargetId
+from features.decide.steps.common import Desk
+from lycheepost.bench.ratelimits import SCENARIOS, Way, measure_way
+from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.decide.ratelimits import SaidLimit, TargetLimits
+from lycheepost.decide.records import FinishKind
 
 TARGET = TargetId("target-0")
 
@@ -51,4 +56,118 @@
 
 @then("what a peer told is not told on")
 def step_not_own(context):
-    assert not context.limits.own()
+    assert not context.limits.own(context.now_seconds)
+
+
+@when("{load} are played with seeds 1 to 5")
+def step_played(context, load):
+    scenario = next(item for item in SCENARIOS if item.name == load)
+    context.record = measure_way(scenario, Way.DIVIDED, (1, 2, 3, 4, 5))
+
+
+@then("no window is beyond what is tolerated")
+def step_tolerated(context):
+    assert context.record.worst_overrun <= 1.0, context.record
+
+
+def make_limited(context, n_targets, n_limited, per_second):
+    context.desk = Desk(n_targets)
+    for index in range(n_limited):
+        set_limit(context, index, per_second)
+
+
+def set_limit(context, index, per_second):
+    desk = context.desk
+    target = TargetId(f"target-{index}")
+    desk.note(desk.scheduler.set_limit(target, per_second, desk.now_seconds))
+
+
+@given(
+    "a daemon before {n:d} targets of which the first names a limit of"
+    " {per_second:g} a second"
+)
+def step_first_limited(context, n, per_second):
+    make_limited(context, n, 1, per_second)
+
+
+@given("a daemon before {n:d} targets that all name a limit of {per_second:g} a second")
+def step_all_limited(context, n, per_second):
+    make_limited(context, n, n, per_second)
+
+
+@given("a daemon before 1 target that names a limit of {per_second:g} a second")
+def step_one_limited(context, per_second):
+    make_limited(context, 1, 1, per_second)
+
+
+@given(
+    "a daemon before 1 target that names a limit of {per_second:g} a second and then"
+    " none"
+)
+def step_ended(context, per_second):
+    make_limited(context, 1, 1, per_second)
+    set_limit(context, 0, None)
+
+
+@when("it gets {n:d} requests in {seconds:d} s")
+def step_gets(context, n, seconds):
+    desk = context.desk
+    context.longest_seconds = 0.0
+    for index in range(n):
+        name = f"r-{index}"
+        began_seconds = desk.now_seconds
+        desk.arrive(name, target_group=desk.views[0].target_group)
+        desk.wait(seconds / n)
+        if name in desk.sent:
+            waited_seconds = wait_of(desk, name) - began_seconds
+            context.longest_seconds = max(context.longest_seconds, waited_seconds)
+            kind = FinishKind.COMPLETE
+            desk.note(desk.scheduler.finish(name, desk.now_seconds, kind))
+
+
+def wait_of(desk, name):
+    """Return when a request was sent."""
+    target = desk.sent[name]
+    for group in desk.scheduler._groups.values():
+        load = group.placement.loads.get(target)
+        if load is not None and name in load.in_flight:
+            return load.in_flight[name].dispatched_seconds
+    raise AssertionError(f"{name} isn't in flight")
+
+
+@when("the target moves to another group")
+def step_moves(context):
+    desk = context.desk
+    desk.views = {0: replace(desk.views[0], target_group=TargetGroupId("others"))}
+    desk.announce()
+
+
+@then("the first target gets at most {most:d} of them")
+def step_first_gets(context, most):
+    n_sent = sum(target == TARGET for target in context.desk.sent.values())
+    assert n_sent <= most, n_sent
+
+
+@then("all of them are sent within 0.1 s")
+def step_all_sent(context):
+    desk = context.desk
+    assert len(desk.sent) == len(desk.works), (desk.sent, desk.refused)
+    assert context.longest_seconds <= 0.1, context.longest_seconds
+
+
+@then("all of them are refused at once")
+def step_all_refused(context):
+    desk = context.desk
+    assert len(desk.refused) == len(desk.works), (desk.sent, desk.refused)
+
+
+@then("each is told to come back when a limit will let it pass")
+def step_told_when(context):
+    desk = context.desk
+    group = next(iter(desk.scheduler._groups.values()))
+    loads = group.placement.loads.values()
+    soonest = min(load.pace.next_seconds for load in loads)
+    for index, name in enumerate(desk.works):
+        came_seconds = desk.works[name].arrived_seconds
+        told = desk.refused[name].retry_after_seconds
+        assert came_seconds + told >= min(soonest, came_seconds + 30.0), (index, told)
--- a/features/platform/ratelimits.feature
+++ b/features/platform/ratelimits.feature
@@ -21,3 +21,10 @@
     When clients ask all daemons for look-ups, 30 a second for 10 s, and after 1 s the first server names a limit of 4 a second
     Then from 3 s after that it gets at most one and a half times its limit and 5 more in any 4 s
     And all look-ups are served
+
+  Scenario: A limit that has ended is soon held to by nobody
+    Guards against daemons that go on sparing a server that is well again.
+    Given a deployment with 3 daemons
+    When clients ask all daemons for look-ups, 30 a second for 9 s, and from 1 s to 4 s the first server names a limit of 1 a second
+    Then no daemon holds to a limit any more
+    And all look-ups are served
--- a/features/platform/steps/ratelimit_steps.py
+++ b/features/platform/steps/ratelimit_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 
 from behave import then, when
 from deployment import Deployment
@@ -37,9 +38,19 @@
     statuses.append(answer.status)
 
 
-async def ask_steadily(deployment, per_second, seconds, limit_seconds, limit):
+async def ask_steadily(
+    deployment, per_second, seconds, limit_seconds, limit, end_seconds=math.inf
+):
     """Ask at an even rate.
 
+    Args:
+        deployment: What is asked.
+        per_second: Look-ups a second.
+        seconds: For how long.
+        limit_seconds: When the first server begins to name its limit.
+        limit: The limit in requests a second.
+        end_seconds: When it stops naming it.
+
     Returns:
         Statuses, and the times at which the first server had got another request, from
         the moment at which it named its limit.
@@ -53,7 +64,7 @@
         if elapsed > seconds:
             break
         if elapsed > limit_seconds:
-            server.limit_per_second = limit
+            server.limit_per_second = limit if elapsed < end_seconds else None
         arrivals += [elapsed - limit_seconds] * (len(server.runs) - len(arrivals))
         tasks.append(asyncio.create_task(look_up(deployment, number, statuses)))
         await asyncio.sleep(started + (number + 1) / per_second - loop.time())
@@ -89,3 +100,22 @@
 def step_served(context):
     bad = [status for status in context.statuses if status != 200]
     assert not bad, bad
+
+
+@when(
+    "clients ask all daemons for look-ups, {per_second:d} a second for {seconds:d} s,"
+    " and from {limit_seconds:g} s to {end_seconds:g} s the first server names a limit"
+    " of {limit:g} a second"
+)
+def step_ask_ended(context, per_second, seconds, limit_seconds, end_seconds, limit):
+    context.statuses, context.arrivals = context.loop.run_until_complete(
+        ask_steadily(
+            context.deployment, per_second, seconds, limit_seconds, limit, end_seconds
+        )
+    )
+
+
+@then("no daemon holds to a limit any more")
+def step_forgotten(context):
+    limits = [daemon.status()["limits"] for daemon in context.deployment.daemons]
+    assert limits == [{}, {}, {}], limits
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -40,6 +40,7 @@
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
+from lycheepost.decide.quotamates import UNKNOWN_DAEMONS
 from lycheepost.platform.following import (
     OperatorFollower,
     ServerFollower,
@@ -215,6 +216,7 @@
         self._made.base.store.calls.tell(self._made.base.clock.now_seconds())
         self._made.traffic.targets.refresh()
         self._made.traffic.dispatcher.set_retry_terms(terms)
+        self._made.traffic.dispatcher.set_sharing_limits(self._count_senders())
         self._made.quotas.set_tolerance(self._made.settings.bounds.quota_tolerance)
         if self.is_leaving:
             return
@@ -238,12 +240,27 @@
         members, entry = self._made.peers.members, self._made.peers.members.entry()
         return count_sharing(members.me().daemon, entry, members.n_live())
 
+    def _count_senders(self) -> int:
+        """Return among how many daemons the limits of targets are divided.
+
+        All that aren't gone count. Daemons that cannot reach the store are not live,
+        and go on sending requests that need no key.
+        """
+        members = self._made.peers.members
+        n_daemons = self._n_daemons()
+        if not members.n_lists:
+            n_daemons = max(UNKNOWN_DAEMONS, n_daemons)
+        return count_sharing(members.me().daemon, members.entry(), n_daemons)
+
+    def _n_daemons(self) -> int:
+        """Return how many daemons the fleet has, also those that are not live."""
+        states = [member.state for member in self._made.peers.members.members()]
+        return max(1, len(states) - states.count(MemberState.GONE))
+
     def _address_seconds(self) -> float:
         members = self._made.peers.members
-        states = [member.state for member in members.members()]
-        n_daemons = len(states) - states.count(MemberState.GONE)
         seconds = ADDRESS_SECONDS
-        if is_short(len(members.entry()), n_daemons):
+        if is_short(len(members.entry()), self._n_daemons()):
             seconds = BRIEF_ADDRESS_SECONDS
         return min(seconds, self._made.settings.bounds.address_seconds)
 
@@ -272,6 +289,7 @@
             "duties": [made.weights.duty.status()],
             "queues": made.traffic.dispatcher.status(),
             "sends": made.traffic.client.status(),
+            "limits": made.traffic.limits.status(),
             "quotas": made.quotas.status(made.base.clock.now_seconds()),
             "store": made.base.store.status(),
         }
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -15,7 +15,7 @@
 from lycheepost.app.parts import Part
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotas import QuotaExchange
-from lycheepost.app.ratelimits import LimitKeeper
+from lycheepost.app.ratelimits import LimitExchange
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock
@@ -88,6 +88,7 @@
     cache_events: CacheEventsClient
     caches: CacheFollower
     loads: LoadExchange
+    limits: LimitExchange
     quotas: QuotaExchange
 
     def parts(self) -> list[Part]:
@@ -99,12 +100,14 @@
             self.dispatcher,
             self.caches,
             self.loads,
+            self.limits,
             self.quotas,
         ]
 
     def follow_place(self, me: DaemonId, place: FleetPlace) -> None:
         """Follow the place of this daemon in the fleet."""
         self.loads.set_mates(place.mates)
+        self.limits.set_mates(place.mates)
         self.quotas.follow_place(me, place)
         self.caches.follow_stores(follows_stores(me, place.entry))
         self.caches.follow_engines(follows_engines(me, place.entry))
@@ -135,7 +138,7 @@
     dispatcher.set_retry_terms(retry_terms(get_bounds(), FEWEST_DAEMONS))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
-    limits = LimitKeeper(clock, metrics)
+    limits = LimitExchange(dispatcher, exchange, clock, metrics)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
 
@@ -201,6 +204,7 @@
         cache_events=cache_events,
         caches=caches,
         loads=loads,
+        limits=limits,
         quotas=quotas,
     )
 
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -173,6 +173,15 @@
         """Pass on what the other daemons have under way at a target."""
         self._scheduler.note_others(target, load, self._clock.now_seconds())
 
+    def set_limit(self, target: TargetId, per_second: float | None) -> None:
+        """Pass on a target's limit; None once it names none."""
+        now_seconds = self._clock.now_seconds()
+        self._wake(self._scheduler.set_limit(target, per_second, now_seconds))
+
+    def set_sharing_limits(self, n_daemons: int) -> None:
+        """Pass on among how many daemons the limits of targets are divided."""
+        self._scheduler.set_sharing_limits(n_daemons, self._clock.now_seconds())
+
     def draw_admission(self, n_waiting: Callable[[TargetGroupId], int]) -> None:
         """Draw a part of the room that peers with waiting requests see as well."""
         self._scheduler.draw_admission(n_waiting, self._clock.now_seconds())
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -20,6 +20,7 @@
 from lycheepost.commands import (
     benchcapacity,
     benchcontrol,
+    benchlimit,
     benchquota,
     benchrelay,
 )
@@ -31,6 +32,7 @@
 )
 
 app.command()(benchcontrol.control)
+app.command()(benchlimit.limit)
 app.command()(benchquota.quota)
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -8,6 +8,7 @@
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.admission import (
     GIVE_UP_SLACK,
+    MAX_RETRY_AFTER_SECONDS,
     QueueWait,
     ServiceRate,
     WaitBias,
@@ -32,6 +33,7 @@
     Refuse,
     Work,
 )
+from lycheepost.decide.sendpace import SendPace, make_send_pace
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.shares import FairShares
 
@@ -110,6 +112,7 @@
         self.suspect_targets: list[TargetId] = []
         self.placed: deque[Placed] = deque(maxlen=MOST_PLACED)
         self._running: dict[RequestId, TargetId] = {}
+        self._paces: dict[TargetId, SendPace] = {}
         self._rate = ServiceRate(1.0)
         self._usual_rate = ServiceRate(1.0)
         self._bias = WaitBias()
@@ -128,6 +131,32 @@
     def remove_target(self, target: TargetId) -> None:
         """Forget a target that is no longer configured."""
         self.placement.loads.pop(target, None)
+        self._paces.pop(target, None)
+
+    def set_limit(
+        self,
+        target: TargetId,
+        per_second: float | None,
+        n_daemons: int,
+        now_seconds: float,
+    ) -> None:
+        """Follow the limit of a target; None where it has none.
+
+        Args:
+            target: The target.
+            per_second: Requests that it takes from all daemons.
+            n_daemons: Daemons that the limit is divided among.
+            now_seconds: The present time.
+        """
+        load = self.placement.loads[target]
+        if per_second is None:
+            load.pace = None
+            self._paces.pop(target, None)
+        elif load.pace is None:
+            load.pace = make_send_pace(per_second, n_daemons, now_seconds, self._rng)
+            self._paces[target] = load.pace
+        else:
+            load.pace.change(per_second, n_daemons, now_seconds)
 
     def _cost_seconds(self, work: Work, uncached_tokens: int) -> float:
         prefill = uncached_tokens * self._settings.prefill_seconds_per_token
@@ -170,7 +199,7 @@
         rate = self._rate.per_second()
         wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
         if wait.seconds + choice.wait_seconds > budget:
-            return [self._refuse(work, reason_of(wait), wait)]
+            return [self._refuse(work, reason_of(wait), wait, choice.paced_seconds)]
         if self._is_full(work):
             return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
         waiting.predicted_seconds = wait.seconds
@@ -249,8 +278,16 @@
             or own >= self._settings.customer_queue_requests
         )
 
-    def _refuse(self, work: Work, reason: RefusalReason, wait: QueueWait) -> Refuse:
-        seconds = retry_after_seconds(wait.seconds, self._rng)
+    def _refuse(
+        self,
+        work: Work,
+        reason: RefusalReason,
+        wait: QueueWait,
+        paced_seconds: float = 0.0,
+    ) -> Refuse:
+        """Refuse with the time after which the queue, and the limits, let it pass."""
+        seconds = retry_after_seconds(wait.seconds, self._rng) + paced_seconds
+        seconds = min(MAX_RETRY_AFTER_SECONDS, seconds)
         return Refuse(work.request, reason, seconds)
 
     def _choose(
@@ -442,6 +479,8 @@
 
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
+        for pace in self._paces.values():
+            pace.renew_unused(now_seconds, self._rng)
         self._rate.update(now_seconds, self.n_waiting > 0)
         self._usual_rate.update(now_seconds, self.n_waiting > 0)
         self.shares.divide(self._usual_rate.per_second(), now_seconds)
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -15,6 +15,7 @@
 from lycheepost.decide.concurrency import Window
 from lycheepost.decide.rates import Rates
 from lycheepost.decide.records import LoadReport, TargetView, Work
+from lycheepost.decide.sendpace import SendPace
 from lycheepost.decide.slow import Slowness
 
 HISTORY_SECONDS = 5.0
@@ -72,6 +73,7 @@
         others_running: Requests of other daemons that run there.
         slowness: Observed over predicted first-token time, smoothed.
         is_shared: The other daemons tell what they have there.
+        pace: When this daemon may send to it; None while it names no limit.
     """
 
     view: TargetView
@@ -87,6 +89,7 @@
     reported_seconds: float = float("-inf")
     slowness: Slowness = field(default_factory=Slowness)
     is_shared: bool = False
+    pace: SendPace | None = None
     history: deque[OwnLoad] = field(default_factory=deque)
 
     def replace_view(self, view: TargetView) -> None:
@@ -105,6 +108,8 @@
     def start(self, entry: InFlight, now_seconds: float) -> None:
         """Count a dispatched request."""
         self.in_flight[entry.work.request] = entry
+        if self.pace is not None:
+            self.pace.note_sent(now_seconds)
         self._count_queued(entry, 1)
         self._remember(now_seconds)
         self._follow_sent(now_seconds)
@@ -201,7 +206,7 @@
 
     def has_room(self, n_running: float, now_seconds: float) -> bool:
         """Tell whether it may take one more beside ``n_running``."""
-        if n_running >= self.limit():
+        if self.is_paced(now_seconds) or n_running >= self.limit():
             return False
         if self.is_shared:
             token_seconds = self._token_seconds(now_seconds)
@@ -209,13 +214,23 @@
         # One request may always go: windows are narrower than long prompts.
         return not self.queued_tokens or self.queued_tokens < self.window.tokens
 
+    def is_paced(self, now_seconds: float) -> bool:
+        """Tell whether its limit leaves nothing to this daemon now."""
+        return self.pace is not None and self.pace.next_seconds > now_seconds
+
+    def paced_seconds(self, now_seconds: float, n_ahead: int = 0) -> float:
+        """Return how long its limit makes a request wait behind ``n_ahead`` others."""
+        if self.pace is None:
+            return 0.0
+        return self.pace.wait_seconds(now_seconds, n_ahead)
+
     def places(self, now_seconds: float) -> float:
         """Return for how many more requests it has room; one where prompts wait."""
         n_running = self.estimate(now_seconds)[1]
         if not self.has_room(n_running, now_seconds):
             return 0.0
         is_engine = self.view.cache_tokens > 0
-        return 1.0 if is_engine else self.limit() - n_running
+        return 1.0 if is_engine or self.pace is not None else self.limit() - n_running
 
     def limit(self) -> float:
         """Return the most requests that it should hold."""
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -63,6 +63,7 @@
             or fetched by it from a KV store.
         uncached_tokens: Prompt tokens to prefill there.
         can_take: Whether the target has room for it now.
+        paced_seconds: The part of the wait that the target's limit makes.
     """
 
     load: TargetLoad
@@ -71,6 +72,7 @@
     uncached_tokens: int
     ahead_tokens: float
     can_take: bool
+    paced_seconds: float = 0.0
 
 
 class Ahead:
@@ -132,10 +134,15 @@
         )
 
     def full_share(self, now_seconds: float) -> float:
-        """Return the share of targets without room; sampled in large groups."""
+        """Return the share of targets without room; sampled in large groups.
+
+        Targets that their limit keeps from this daemon don't count unless it keeps all:
+        they say nothing of how busy the others are.
+        """
         loads = self._serving
         if len(loads) > SCORE_ALL_TARGETS:
             loads = self._rng.sample(loads, SCORE_ALL_TARGETS)
+        loads = [load for load in loads if not load.is_paced(now_seconds)] or loads
         n_full = sum(
             not load.has_room(load.estimate(now_seconds)[1], now_seconds)
             for load in loads
@@ -245,6 +252,8 @@
             prefill += fetched * load.view.fetch_token_seconds
             wait = rates.first_token_seconds + ahead * token_seconds + prefill
             wait *= load.slowness.now(now_seconds)
+            if load.pace is not None:
+                wait += load.paced_seconds(now_seconds, n_ahead)
             excess = n_running + n_ahead + 1.0 - load.limit()
             if excess > 0.0:
                 wait += excess * rates.hold_seconds / load.limit()
@@ -262,7 +271,9 @@
         load, uncached, wait, ahead, n_running = best
         can_take = load.has_room(n_running, now_seconds)
         cached = work.prompt_tokens - uncached
-        return Choice(load, wait, cached, uncached, ahead, can_take)
+        n_ahead = ahead_of.requests.get(load.view.target, 0)
+        paced_seconds = load.paced_seconds(now_seconds, n_ahead)
+        return Choice(load, wait, cached, uncached, ahead, can_take, paced_seconds)
 
 
 def _usable(
--- a/lycheepost/decide/ratelimits.py
+++ b/lycheepost/decide/ratelimits.py
@@ -5,11 +5,15 @@
 daemons hear at different moments, so each word counts by when the target said it.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 from lycheepost.core.ids import TargetId
 
+TELL_END_SECONDS = 5.0
+"""How long peers are told that a limit has ended. One that misses it hears it with its
+own next answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class SaidLimit:
@@ -26,16 +30,24 @@
     is_own: bool = True
 
 
+def _is_old_end(said: SaidLimit, now_seconds: float) -> bool:
+    is_ended = said.per_second is None
+    return is_ended and now_seconds - said.said_seconds > TELL_END_SECONDS
+
+
 class TargetLimits:
     """The last word of each target that has named a limit."""
 
     def __init__(self) -> None:
         self._said: dict[TargetId, SaidLimit] = {}
 
-    @property
-    def n_limited(self) -> int:
-        """Return how many targets name a limit."""
-        return sum(said.per_second is not None for said in self._said.values())
+    def in_force(self) -> dict[TargetId, float]:
+        """Return the limits of all targets that name one, in requests a second."""
+        return {
+            target: said.per_second
+            for target, said in self._said.items()
+            if said.per_second is not None
+        }
 
     def of(self, target: TargetId) -> float | None:
         """Return the limit of a target in requests a second; None for no limit."""
@@ -83,9 +95,16 @@
         self._said[target] = replace(said, is_own=False)
         return before is None or before.per_second != said.per_second
 
-    def own(self) -> Mapping[TargetId, SaidLimit]:
-        """Return what targets said to this daemon, for the peers."""
-        return {target: said for target, said in self._said.items() if said.is_own}
+    def own(self, now_seconds: float) -> dict[TargetId, SaidLimit]:
+        """Return what targets said to this daemon, for the peers.
+
+        What a peer told isn't told on, and the end of a limit only for a while.
+        """
+        return {
+            target: said
+            for target, said in self._said.items()
+            if said.is_own and not _is_old_end(said, now_seconds)
+        }
 
     def keep(self, targets: Collection[TargetId]) -> None:
         """Forget targets that are not among these."""
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -21,6 +21,7 @@
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.peerloads import UnderWay
 from lycheepost.decide.quarantine import LossSeen, Quarantine
+from lycheepost.decide.quotamates import UNKNOWN_DAEMONS
 from lycheepost.decide.records import (
     FinishKind,
     LoadReport,
@@ -59,6 +60,8 @@
         )
         self._retry_terms = RetryTerms(settings.retry_share)
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
+        self._limits: dict[TargetId, float] = {}
+        self._n_sharing_limits = UNKNOWN_DAEMONS
         self._losses: list[LossSeen] = []
         self._is_draining = False
         self._now_seconds = 0.0
@@ -70,15 +73,16 @@
         wanted = {view.target: view for view in targets}
         for target in [name for name in self._group_by_target if name not in wanted]:
             self._group_by_target.pop(target).remove_target(target)
+            self._limits.pop(target, None)
         for view in targets:
-            self._place_view(view)
+            self._place_view(view, now_seconds)
         outcomes: list[Outcome] = []
         for group in self._groups.values():
             group.placement.refresh()
             outcomes.extend(group.pump(now_seconds))
         return outcomes
 
-    def _place_view(self, view: TargetView) -> None:
+    def _place_view(self, view: TargetView, now_seconds: float) -> None:
         group = self._group(view.target_group)
         before = self._group_by_target.get(view.target)
         if before is not None and before is not group:
@@ -90,6 +94,7 @@
             group.placement.loads[view.target] = TargetLoad(
                 view, belief, group.placement.rates
             )
+            self._pass_limit(view.target, now_seconds)
             return
         load.replace_view(view)
 
@@ -260,6 +265,38 @@
         load = group.placement.loads[report.target]
         load.observe(report, group.placement.rates.uncached_share)
 
+    def set_limit(
+        self, target: TargetId, per_second: float | None, now_seconds: float
+    ) -> list[Outcome]:
+        """Follow the limit that a target names, in requests a second of all daemons.
+
+        Args:
+            target: The target.
+            per_second: The limit; None once it names none.
+            now_seconds: The present time.
+        """
+        self._limits.pop(target, None)
+        if per_second is not None:
+            self._limits[target] = per_second
+        self._pass_limit(target, now_seconds)
+        group = self._group_by_target.get(target)
+        return [] if group is None else group.pump(now_seconds)
+
+    def _pass_limit(self, target: TargetId, now_seconds: float) -> None:
+        """Tell a target's group of its limit."""
+        group = self._group_by_target.get(target)
+        if group is not None:
+            per_second = self._limits.get(target)
+            group.set_limit(target, per_second, self._n_sharing_limits, now_seconds)
+
+    def set_sharing_limits(self, n_daemons: int, now_seconds: float) -> None:
+        """Follow among how many daemons the limits of targets are divided."""
+        if n_daemons == self._n_sharing_limits:
+            return
+        self._n_sharing_limits = n_daemons
+        for target in self._limits:
+            self._pass_limit(target, now_seconds)
+
     def note_others(self, target: TargetId, load: UnderWay, now_seconds: float) -> None:
         """Take what the other daemons have under way at a target."""
         group = self._group_by_target.get(target)
