Leave targets that their limit keeps out of placement while others can be used

Cause: a limited target stood in the choice with the time until its next moment as a wait. Under pressure a prompt that is read elsewhere costs twenty times its time, so work queued for the limited target that caches its prompt, made the queue look backlogged, and was refused or timed out. In a group of more than 12 targets, the same where the candidates alone are limited.

Fix: the choice is among targets that may be sent to now; a limit's wait counts only where it keeps all of them.

--- a/features/decide/ratelimits.feature
+++ b/features/decide/ratelimits.feature
@@ -63,3 +63,16 @@
     When the target moves to another group
     And it gets 6 requests in 1 s
     Then the first target gets at most 1 of them
+
+  Scenario: A prompt that a limited target caches goes elsewhere under pressure
+    Guards against requests that queue for a target in need because it has their prompt.
+    Given a daemon before 3 targets of which the first names a limit of 10 a second
+    And the first target caches a long prompt that many ask for, while work waits
+    When it gets 20 requests for that prompt in 2 s
+    Then all of them are sent within 0.1 s
+
+  Scenario: In a group of many targets the unlimited ones are found
+    Guards against requests that wait for the limited candidates of a large group.
+    Given a daemon before 40 targets of which all but one name a limit of 0.2 a second
+    When it gets 20 requests in 2 s
+    Then all of them are sent within 0.1 s
--- a/features/decide/steps/ratelimits_steps.py
+++ b/features/decide/steps/ratelimits_steps.py
@@ -4,13 +4,14 @@
 
 from behave import given, then, when
 
-from features.decide.steps.common import Desk
+from features.decide.steps.common import Desk, make_work
 from lycheepost.bench.ratelimits import SCENARIOS, Way, measure_way
 from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.decide.ratelimits import SaidLimit, TargetLimits
 from lycheepost.decide.records import FinishKind
 
 TARGET = TargetId("target-0")
+LONG_BODY = "a long prompt " * 12
 
 
 @given("a target that has named a limit of {per_second:g} a second")
@@ -111,12 +112,17 @@
 
 @when("it gets {n:d} requests in {seconds:d} s")
 def step_gets(context, n, seconds):
+    gets(context, n, seconds)
+
+
+def gets(context, n, seconds, **fields):
+    """Let requests arrive evenly; each ends before the next one comes."""
     desk = context.desk
     context.longest_seconds = 0.0
     for index in range(n):
         name = f"r-{index}"
         began_seconds = desk.now_seconds
-        desk.arrive(name, target_group=desk.views[0].target_group)
+        desk.arrive(name, target_group=desk.views[0].target_group, **fields)
         desk.wait(seconds / n)
         if name in desk.sent:
             waited_seconds = wait_of(desk, name) - began_seconds
@@ -171,3 +177,25 @@
         came_seconds = desk.works[name].arrived_seconds
         told = desk.refused[name].retry_after_seconds
         assert came_seconds + told >= min(soonest, came_seconds + 30.0), (index, told)
+
+
+@given(
+    "a daemon before {n:d} targets of which all but one name a limit of"
+    " {per_second:g} a second"
+)
+def step_all_but_one(context, n, per_second):
+    make_limited(context, n, n - 1, per_second)
+
+
+@given("the first target caches a long prompt that many ask for, while work waits")
+def step_cached(context):
+    desk = context.desk
+    group = next(iter(desk.scheduler._groups.values()))
+    levels = make_work("first", desk.now_seconds, body=LONG_BODY).levels
+    group.placement.loads[TARGET].belief.add(levels)
+    group.placement.pressure = 1.0
+
+
+@when("it gets {n:d} requests for that prompt in {seconds:d} s")
+def step_gets_prompt(context, n, seconds):
+    gets(context, n, seconds, body=LONG_BODY)
--- a/lycheepost/app/ratelimits.py
+++ b/lycheepost/app/ratelimits.py
@@ -64,7 +64,7 @@
 
     def status(self) -> dict[str, object]:
         """Return the limits in force by target, in requests a second."""
-        return {**self._limits.in_force()}
+        return {str(name): limit for name, limit in self._limits.in_force().items()}
 
     def set_mates(self, mates: tuple[DaemonId, ...]) -> None:
         """Follow who is told."""
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -198,13 +198,17 @@
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
         usable = _usable(self._candidates(work, owners), work, avoid)
-        if not usable:
-            # All candidates have failed it or are kept from it: rare enough to
-            # look at every target rather than refuse it before thousands.
+        unpaced = _unpaced(usable, now_seconds)
+        if not unpaced:
+            # All candidates have failed it, or are kept from it or by their limits:
+            # rare enough to look at every target rather than refuse it before
+            # thousands.
             usable = _usable(self._serving, work, avoid)
+            unpaced = _unpaced(usable, now_seconds)
         if not usable:
             return None
-        return self._lowest(usable, owners, now_seconds, ahead_of, work, is_late)
+        chosen_from = unpaced or usable
+        return self._lowest(chosen_from, owners, now_seconds, ahead_of, work, is_late)
 
     def _step_seconds(self, work: Work) -> float:
         """Return what a step away from the first owner costs.
@@ -302,6 +306,17 @@
     return usable
 
 
+def _unpaced(
+    usable: list[tuple[TargetLoad, int, int]], now_seconds: float
+) -> list[tuple[TargetLoad, int, int]]:
+    """Return the targets that their limits leave to this daemon now.
+
+    The load: a hot prompt that a target in need caches. Work that waited for its limit
+    would be late, and the queue that it makes would have others refused.
+    """
+    return [item for item in usable if not item[0].is_paced(now_seconds)]
+
+
 def _takes_new_work(load: TargetLoad) -> bool:
     return load.view.state in (TargetState.SERVING, TargetState.WARMING)
 
