--- /dev/null
+++ b/features/peers/limitnews.feature
@@ -0,0 +1,20 @@
+Feature: What daemons tell each other of the limits of targets
+
+  Scenario: A limit and its end come as they were told
+    Given a daemon that tells of a limit of 1.3 a second from 2 s ago and of one that ended
+    When a peer takes the message
+    Then it has both, as said 2 s ago on its own clock
+
+  Scenario Outline: A limit with <figure> as its <field> is left out
+    Guards against a figure that would hold all requests back, or none, for good.
+    Given a daemon that tells of a limit with <figure> as its <field>
+    When a peer takes the message
+    Then it has none of them
+
+    Examples:
+      | figure | field            |
+      | nan    | limit_per_second |
+      | -1     | limit_per_second |
+      | inf    | limit_per_second |
+      | -5     | age_seconds      |
+      | nan    | age_seconds      |
--- /dev/null
+++ b/features/peers/steps/limitnews_steps.py
@@ -0,0 +1,53 @@
+"""Steps of limitnews.feature."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from lycheepost.core.ids import TargetId
+from lycheepost.decide.ratelimits import SaidLimit
+from lycheepost.generated.messages import LimitNews, TargetLimit
+from lycheepost.peers.limitnews import from_message, to_message
+
+LIMITED, ENDED = TargetId("limited"), TargetId("ended")
+SENDER_SECONDS = 1000.0
+RECEIVER_SECONDS = 50.0
+
+
+@given(
+    "a daemon that tells of a limit of {per_second:g} a second from {age_seconds:g} s"
+    " ago and of one that ended"
+)
+def step_tells(context, per_second, age_seconds):
+    said_seconds = SENDER_SECONDS - age_seconds
+    limits = {
+        LIMITED: SaidLimit(per_second, said_seconds),
+        ENDED: SaidLimit(None, said_seconds),
+    }
+    context.per_second = per_second
+    context.message = to_message(limits, SENDER_SECONDS)
+
+
+@given("a daemon that tells of a limit with {figure:g} as its {field}")
+def step_bad(context, figure, field):
+    sound = TargetLimit(target=LIMITED, limit_per_second=1.0, age_seconds=0.0)
+    context.message = LimitNews(limits=[replace(sound, **{field: figure})])
+
+
+@when("a peer takes the message")
+def step_takes(context):
+    context.taken = from_message(context.message, RECEIVER_SECONDS)
+
+
+@then("it has both, as said {age_seconds:g} s ago on its own clock")
+def step_both(context, age_seconds):
+    said_seconds = RECEIVER_SECONDS - age_seconds
+    assert context.taken == [
+        (LIMITED, SaidLimit(context.per_second, said_seconds, is_own=False)),
+        (ENDED, SaidLimit(None, said_seconds, is_own=False)),
+    ], context.taken
+
+
+@then("it has none of them")
+def step_none(context):
+    assert not context.taken, context.taken
--- a/features/platform/ratelimits.feature
+++ b/features/platform/ratelimits.feature
@@ -28,3 +28,9 @@
     When clients ask all daemons for look-ups, 30 a second for 9 s, and from 1 s to 4 s the first server names a limit of 1 a second
     Then no daemon holds to a limit any more
     And all look-ups are served
+
+  Scenario: A limit that one daemon hears is known to all
+    Guards against daemons that each send on until a target has told them itself.
+    Given a deployment with 3 daemons
+    When the first server names a limit of 2 a second and one daemon alone is asked
+    Then all daemons hold to the limit of that server within 1 s
--- a/features/platform/steps/ratelimit_steps.py
+++ b/features/platform/steps/ratelimit_steps.py
@@ -119,3 +119,28 @@
 def step_forgotten(context):
     limits = [daemon.status()["limits"] for daemon in context.deployment.daemons]
     assert limits == [{}, {}, {}], limits
+
+
+@when(
+    "the first server names a limit of {limit:g} a second and one daemon alone is asked"
+)
+def step_one_asked(context, limit):
+    deployment = context.deployment
+    server = deployment.group(PLAIN)[0]
+    server.limit_per_second = limit
+    context.limits = {server.name: limit}
+
+    async def is_heard():
+        await look_up(deployment, 0, [])
+        return deployment.daemons[0].status()["limits"] == context.limits
+
+    context.loop.run_until_complete(deployment.until(is_heard))
+
+
+@then("all daemons hold to the limit of that server within 1 s")
+def step_all_hold(context):
+    async def all_hold():
+        found = [daemon.status()["limits"] for daemon in context.deployment.daemons]
+        return found == [context.limits] * len(found)
+
+    context.loop.run_until_complete(context.deployment.until(all_hold, 1.0))
--- a/tools/run_benches.py
+++ b/tools/run_benches.py
@@ -25,6 +25,7 @@
     "decision": ["bench", "decision", "--json"],
     "control": ["bench", "control", "--json"],
     "relay": ["bench", "relay", "--json"],
+    "limit": ["bench", "limit", "--json"],
     "quota": ["bench", "quota", "--json"],
     "policy": ["bench", "policy", "--json"],
 }
