Read the load of servers that state more than three figures

What callers saw: nothing by itself; on deployments whose servers state a fourth figure a daemon that hears no peer places without any server's load.

The decoder took exactly three figures and returned no load for four.

Evidence: 'A server that writes 3,0,8,140' and '3,0,8,x' failed before (None) and pass. The fourth figure itself, how long work takes on the server's machine, still decides nothing.

--- /dev/null
+++ b/features/platform/loads.feature
@@ -0,0 +1,14 @@
+Feature: The load that the platform's servers state
+
+  Scenario Outline: A server that writes <written> states <load>
+    Guards against a load that is dropped whole for a figure that is not known.
+    Then a server that writes "<written>" states <load>
+
+    Examples:
+      | written    | load                           |
+      | 3,0,8      | 3 running, 0 waiting, 8 slots  |
+      | 3,0,8,140  | 3 running, 0 waiting, 8 slots  |
+      | 3,0,8,x    | 3 running, 0 waiting, 8 slots  |
+      | 3,0        | no load                        |
+      | 3,-1,8     | no load                        |
+      | 3,x,8,140  | no load                        |
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -105,9 +105,12 @@
 
 
 def decode_load(text: str) -> SaidLoad | None:
-    """Return the load that a server states; None when it states none."""
+    """Return the load that a server states; None when it states none.
+
+    Some servers state more figures behind these three.
+    """
     match [count_of(word) for word in text.split(",")]:
-        case [int(n_running), int(n_waiting), int(n_slots)]:
+        case [int(n_running), int(n_waiting), int(n_slots), *_]:
             return SaidLoad(n_running, n_waiting, n_slots)
     return None
 
--- a/lycheepost/platform/headers.py
+++ b/lycheepost/platform/headers.py
@@ -9,7 +9,7 @@
 TARGET = "X-Lycheepost-Instance-Id"
 EXPECTED_TARGET = "X-Lycheepost-Target-Instance"
 LOAD = "X-Lycheepost-Server-Load"
-"""``running,waiting,slots``."""
+"""``running,waiting,slots``, at some servers with more figures behind them."""
 RATE_LIMIT = "Server-Limit"
 """Requests a second, a decimal number, that the server takes from all daemons together
 while its answers name it."""
