--- a/features/decide/ratelimits.feature
+++ b/features/decide/ratelimits.feature
@@ -17,6 +17,7 @@
     Then there is no limit
 
   Scenario: Newer word from a peer counts
+    Guards against a daemon that keeps to its own older word, or tells on what it was told.
     Given a target that has named a limit of 2 a second
     When a peer tells of a limit of 5 a second that it heard just now
     Then the limit is 5 a second
@@ -53,6 +54,7 @@
     And each is told to come back when a limit will let it pass
 
   Scenario: A limit that has ended keeps nothing back
+    Guards against a daemon that goes on holding requests back from a target that is well.
     Given a daemon before 1 target that names a limit of 1 a second and then none
     When it gets 6 requests in 1 s
     Then all of them are sent within 0.1 s
