Hear and log that targets leave or ask for back-off

Nothing is decided by either yet.

One record (decide/notices) now keeps all that targets say of themselves beside their load, and one exchange (app/notices, before: app/ratelimits) follows it. New are the lines 'targets: says that it leaves' and 'targets: back-off asked', the gauges targets_leaving and targets_backed_off, and 'notices' in the status in place of 'limits'. Neither is taken from a spoilt answer; a time that is no number counts as none.

--- a/features/platform/steps/ratelimit_steps.py
+++ b/features/platform/steps/ratelimit_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from deployment import Deployment
 
-from lycheepost.platform.dialect import decode_limit
+from lycheepost.platform.dialect import decode_figure
 
 LIMITS = {
     "a limit of 1.3 a second": 1.3,
@@ -24,12 +24,12 @@
 
 @then('a server that writes "{written}" names {limit}')
 def step_decoded(context, written, limit):
-    assert decode_limit(written) == LIMITS[limit], decode_limit(written)
+    assert decode_figure(written) == LIMITS[limit], decode_figure(written)
 
 
 @then('a server that writes "" names {limit}')
 def step_nothing(context, limit):
-    assert decode_limit("") == LIMITS[limit]
+    assert decode_figure("") == LIMITS[limit]
 
 
 async def look_up(deployment: Deployment, index: int, statuses: list[int | None]):
@@ -117,7 +117,9 @@
 
 @then("no daemon holds to a limit any more")
 def step_forgotten(context):
-    limits = [daemon.status()["limits"] for daemon in context.deployment.daemons]
+    limits = [
+        daemon.status()["notices"]["limits"] for daemon in context.deployment.daemons
+    ]
     assert limits == [{}, {}, {}], limits
 
 
@@ -132,7 +134,7 @@
 
     async def is_heard():
         await look_up(deployment, 0, [])
-        return deployment.daemons[0].status()["limits"] == context.limits
+        return deployment.daemons[0].status()["notices"]["limits"] == context.limits
 
     context.loop.run_until_complete(deployment.until(is_heard))
 
@@ -140,7 +142,10 @@
 @then("all daemons hold to the limit of that server within 1 s")
 def step_all_hold(context):
     async def all_hold():
-        found = [daemon.status()["limits"] for daemon in context.deployment.daemons]
+        found = [
+            daemon.status()["notices"]["limits"]
+            for daemon in context.deployment.daemons
+        ]
         return found == [context.limits] * len(found)
 
     context.loop.run_until_complete(context.deployment.until(all_hold, 1.0))
--- /dev/null
+++ b/lycheepost/app/notices.py
@@ -0,0 +1,185 @@
+"""Passes what targets say of themselves to the decisions and to the peers."""
+
+import asyncio
+
+import structlog
+
+from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.core.clock import Clock
+from lycheepost.core.ids import DaemonId, TargetId
+from lycheepost.core.routing import ListedTarget
+from lycheepost.decide.notices import (
+    BackOffAsked,
+    IsLeaving,
+    LimitChanged,
+    NoticeChange,
+    TargetNotices,
+)
+from lycheepost.decide.ratelimits import SaidLimit
+from lycheepost.decide.records import TargetView
+from lycheepost.generated.messages import LimitNews
+from lycheepost.peers.exchange import PeerExchange
+from lycheepost.peers.limitnews import from_message, to_message
+from lycheepost.targets.forwardcall import AnswerHead
+from lycheepost.utils.metrics import Metrics
+from lycheepost.utils.tasks import start_task
+
+AGAIN_SECONDS = 0.4
+"""So often peers are told of all limits that were named here: one that has just started
+or missed a word must hear it before it sends many requests."""
+
+_FROM_ANSWER = "answer"
+
+_log = structlog.get_logger(part="targets")
+
+
+class NoticeExchange:
+    """Passes what targets say of themselves to the decisions and to the peers.
+
+    Args:
+        notices: Keeps it.
+        dispatcher: Holds to it.
+        exchange: The links.
+        clock: The clock of the decisions.
+        metrics: Where gauges go.
+    """
+
+    def __init__(
+        self,
+        notices: TargetNotices,
+        dispatcher: Dispatcher,
+        exchange: PeerExchange,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._notices = notices
+        self._dispatcher = dispatcher
+        self._exchange = exchange
+        self._clock = clock
+        self._metrics = metrics
+        self._targets: tuple[TargetId, ...] = ()
+        self._mates: tuple[DaemonId, ...] = ()
+        self._task: asyncio.Task[None] | None = None
+        exchange.subscribe(LimitNews, self._take)
+
+    async def start(self) -> None:
+        """Begin to tell."""
+        self._task = start_task(self._run(), "notices")
+
+    async def drain(self) -> None:
+        """Go on: requests are sent to targets until the end."""
+
+    async def stop(self) -> None:
+        """Stop telling."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def status(self) -> dict[str, object]:
+        """Return what targets say of themselves, by target.
+
+        Limits are in requests a second, back-offs in the seconds that are left.
+        """
+        backoffs = self._notices.backoffs.in_force(self._clock.now_seconds())
+        return {
+            "limits": {
+                str(name): limit
+                for name, limit in self._notices.limits.in_force().items()
+            },
+            "leaving": sorted(
+                str(start.target)
+                for start in self._notices.leaving.among(self._targets)
+            ),
+            "backoffs": {str(name): round(left, 3) for name, left in backoffs.items()},
+        }
+
+    def set_mates(self, mates: tuple[DaemonId, ...]) -> None:
+        """Follow who is told."""
+        self._mates = mates
+
+    def set_targets(self, views: tuple[TargetView, ...]) -> None:
+        """Follow the targets that there are."""
+        self._targets = tuple(view.target for view in views)
+        self._notices.keep(self._targets, self._clock.now_seconds())
+        self._set_gauges()
+
+    def note_head(
+        self, sent_to: ListedTarget, head: AnswerHead, sent_seconds: float
+    ) -> None:
+        """Take what the head of an answer says of its target."""
+        if head.is_other_target:
+            return
+        now_seconds = self._clock.now_seconds()
+        changes = self._notices.note_answer(
+            sent_to.start,
+            head.notice,
+            sent_seconds,
+            now_seconds,
+            is_sealed=head.is_sealed,
+            was_not_run=head.was_not_run,
+        )
+        for change in changes:
+            self._follow(change, _FROM_ANSWER)
+            self._tell_change(change, now_seconds)
+        if changes:
+            self._set_gauges()
+
+    def _follow(self, change: NoticeChange, source: str) -> None:
+        """Hold to what a target says now."""
+        match change:
+            case LimitChanged(target, per_second):
+                _log.info(
+                    "targets: limit changed",
+                    target=target,
+                    limit_per_second=per_second,
+                    source=source,
+                )
+                self._dispatcher.set_limit(target, per_second)
+            case IsLeaving(start):
+                _log.info(
+                    "targets: says that it leaves",
+                    target=start.target,
+                    started_ms=start.started_ms,
+                    source=source,
+                )
+            case BackOffAsked(target, until_seconds):
+                left_seconds = until_seconds - self._clock.now_seconds()
+                _log.info(
+                    "targets: back-off asked",
+                    target=target,
+                    for_seconds=round(left_seconds, 3),
+                )
+
+    def _set_gauges(self) -> None:
+        backoffs = self._notices.backoffs.in_force(self._clock.now_seconds())
+        leaving = list(self._notices.leaving.among(self._targets))
+        self._metrics.gauge("targets_limited", len(self._notices.limits.in_force()))
+        self._metrics.gauge("targets_leaving", len(leaving))
+        self._metrics.gauge("targets_backed_off", len(backoffs))
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(AGAIN_SECONDS)
+            self._set_gauges()
+            now_seconds = self._clock.now_seconds()
+            limits = self._notices.limits.own(now_seconds)
+            if limits:
+                self._tell(limits, now_seconds)
+
+    def _tell_change(self, change: NoticeChange, now_seconds: float) -> None:
+        """Tell the peers of a change that concerns them too."""
+        match change:
+            case LimitChanged(target, _):
+                said = self._notices.limits.own(now_seconds).get(target)
+                if said is not None:
+                    self._tell({target: said}, now_seconds)
+
+    def _tell(self, limits: dict[TargetId, SaidLimit], now_seconds: float) -> None:
+        message = to_message(limits, now_seconds)
+        for daemon in self._mates:
+            self._exchange.send(daemon, message)
+
+    def _take(self, message: LimitNews, sender: DaemonId) -> None:
+        for target, said in from_message(message, self._clock.now_seconds()):
+            if self._notices.limits.note_told(target, said):
+                self._follow(LimitChanged(target, said.per_second), sender)
+        self._set_gauges()
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -289,7 +289,7 @@
             "duties": [made.weights.duty.status()],
             "queues": made.traffic.dispatcher.status(),
             "sends": made.traffic.client.status(),
-            "limits": made.traffic.limits.status(),
+            "notices": made.traffic.notices.status(),
             "quotas": made.quotas.status(made.base.clock.now_seconds()),
             "store": made.base.store.status(),
         }
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -12,10 +12,10 @@
 from lycheepost.app.fleetplace import FleetPlace
 from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
+from lycheepost.app.notices import NoticeExchange
 from lycheepost.app.parts import Part
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotas import QuotaExchange
-from lycheepost.app.ratelimits import LimitExchange
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
 from lycheepost.core.clock import Clock
@@ -27,6 +27,7 @@
 from lycheepost.decide.freshness import KeyRule
 from lycheepost.decide.kvcopies import KvCopies
 from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.notices import TargetNotices
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
@@ -88,7 +89,7 @@
     cache_events: CacheEventsClient
     caches: CacheFollower
     loads: LoadExchange
-    limits: LimitExchange
+    notices: NoticeExchange
     quotas: QuotaExchange
 
     def parts(self) -> list[Part]:
@@ -100,14 +101,14 @@
             self.dispatcher,
             self.caches,
             self.loads,
-            self.limits,
+            self.notices,
             self.quotas,
         ]
 
     def follow_place(self, me: DaemonId, place: FleetPlace) -> None:
         """Follow the place of this daemon in the fleet."""
         self.loads.set_mates(place.mates)
-        self.limits.set_mates(place.mates)
+        self.notices.set_mates(place.mates)
         self.quotas.follow_place(me, place)
         self.caches.follow_stores(follows_stores(me, place.entry))
         self.caches.follow_engines(follows_engines(me, place.entry))
@@ -138,7 +139,7 @@
     dispatcher.set_retry_terms(retry_terms(get_bounds(), FEWEST_DAEMONS))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
-    limits = LimitExchange(dispatcher, exchange, clock, metrics)
+    notices = NoticeExchange(TargetNotices(), dispatcher, exchange, clock, metrics)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
 
@@ -146,7 +147,7 @@
         dispatcher.replace_targets(views)
         caches.set_targets(views)
         loads.set_targets(views)
-        limits.set_targets(views)
+        notices.set_targets(views)
 
     targets = TargetList(
         clock,
@@ -174,7 +175,7 @@
 
     def on_head(sent_to: ListedTarget, head: AnswerHead, sent_seconds: float) -> None:
         _take_load(loads, clock, sent_to, head)
-        limits.note_head(sent_to, head, sent_seconds)
+        notices.note_head(sent_to, head, sent_seconds)
 
     async def is_same_start(sent_to: ListedTarget) -> bool:
         return await _is_same_start(targets, routing, orders, sent_to)
@@ -204,7 +205,7 @@
         cache_events=cache_events,
         caches=caches,
         loads=loads,
-        limits=limits,
+        notices=notices,
         quotas=quotas,
     )
 
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from lycheepost.core.ids import TargetId, WeightsVersion
+from lycheepost.core.notices import TargetNotice
 from lycheepost.platform import headers as names
 from lycheepost.platform.unknownheaders import UnknownHeaders
 from lycheepost.targets.forwardcall import (
@@ -16,6 +17,8 @@
 )
 
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
+_LEAVING_WORD = "1"
 _MILLISECONDS = 1000.0
 
 
@@ -62,7 +65,7 @@
             target=TargetId(target) if target else None,
             weights_version=None if weights is None else WeightsVersion(str(weights)),
             load=decode_load(found.get(names.LOAD, "")),
-            limit_per_second=decode_limit(found.get(names.RATE_LIMIT, "")),
+            notice=decode_notice(status, found),
         )
 
 
@@ -115,16 +118,33 @@
     return None
 
 
-def decode_limit(text: str) -> float | None:
-    """Return the requests a second that a server takes; None when it names none.
+def decode_notice(status: int, headers: Mapping[str, str]) -> TargetNotice:
+    """Return what the head of an answer says of its server, beside its load.
 
-    What is no number would refuse all requests for as long as the server says it.
+    Args:
+        status: The status of the answer.
+        headers: Its headers, by names of any case.
+    """
+    retry_after_seconds = None
+    if status == _UNAVAILABLE_STATUS:
+        retry_after_seconds = decode_figure(headers.get(names.RETRY_AFTER, ""))
+    return TargetNotice(
+        limit_per_second=decode_figure(headers.get(names.RATE_LIMIT, "")),
+        is_leaving=headers.get(names.LEAVING, "").strip() == _LEAVING_WORD,
+        retry_after_seconds=retry_after_seconds,
+    )
+
+
+def decode_figure(text: str) -> float | None:
+    """Return the figure that a text states; None when it states none.
+
+    What is no number would keep all requests away for as long as a server says it.
     """
     try:
-        per_second = float(text)
+        figure = float(text)
     except ValueError:
         return None
-    return per_second if math.isfinite(per_second) and per_second >= 0.0 else None
+    return figure if math.isfinite(figure) and figure >= 0.0 else None
 
 
 def count_of(text: str) -> int | None:
--- a/lycheepost/platform/headers.py
+++ b/lycheepost/platform/headers.py
@@ -13,6 +13,8 @@
 RATE_LIMIT = "Server-Limit"
 """Requests a second, a decimal number, that the server takes from all daemons together
 while its answers name it."""
+LEAVING = "Server-Leaving"
+"""``1`` in all answers of a server that is leaving."""
 CUSTOMER = "X-Lycheepost-Tenant"
 MODEL = "X-Lycheepost-Model"
 TOKENS = "X-Lycheepost-Token-Usage"
@@ -30,6 +32,8 @@
 LAST_EVENT = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
+"""Seconds, perhaps with a fraction. Sent to clients with a refusal. A server sends it
+with a 503, and then wants nothing from the daemon that it answers for so long."""
 
 KEY_SCHEME = "token "
 
--- a/lycheepost/platform/unknownheaders.py
+++ b/lycheepost/platform/unknownheaders.py
@@ -22,6 +22,7 @@
         names.TARGET,
         names.LOAD,
         names.RATE_LIMIT,
+        names.LEAVING,
         names.WEIGHTS,
         names.RETRY_AFTER,
         "Cache-Control",
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from lycheepost.core.ids import CustomerId, ModelId, RequestId, TargetId, WeightsVersion
+from lycheepost.core.notices import NO_NOTICE, TargetNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,8 +86,7 @@
         is_other_target: Another target has the address, or other weights are there.
         target: Who answered, where it says so.
         weights_version: Weights that the answer is made with, where it says so.
-        limit_per_second: Requests that the target takes from all daemons together;
-            None where it names no limit.
+        notice: What the target says of itself, beside its load.
         has_length: A length or chunks tell where the body ends.
     """
 
@@ -101,7 +101,7 @@
     target: TargetId | None = None
     weights_version: WeightsVersion | None = None
     load: SaidLoad | None = None
-    limit_per_second: float | None = None
+    notice: TargetNotice = NO_NOTICE
 
 
 class Dialect(Protocol):
