--- /dev/null
+++ b/features/platform/notices.feature
@@ -0,0 +1,88 @@
+Feature: What the platform's servers say of themselves
+  Real daemons before stand-ins that speak the platform's protocol, on loopback.
+
+  Scenario Outline: A 503 whose Retry-After is <written> asks for <pause>
+    Guards against a pause that is misread and keeps a server away for good, or not at all.
+    Then a 503 with the Retry-After "<written>" asks for <pause>
+
+    Examples:
+      | written | pause    |
+      | 3       | 3 s      |
+      | 0.25    | 0.25 s   |
+      | -1      | no pause |
+      | nan     | no pause |
+      | inf     | no pause |
+      | soon    | no pause |
+
+  Scenario Outline: An answer with <header> of a server says that it leaves: <leaves>
+    Guards against a server that is left alone for a word that it didn't say.
+    Then an answer with "<header>" says that its server leaves: <leaves>
+
+    Examples:
+      | header            | leaves |
+      | Server-Leaving: 1 | yes    |
+      | server-leaving: 1 | yes    |
+      | Server-Leaving: 0 | no     |
+      | Server-Leaving:   | no     |
+      | Server: 1         | no     |
+
+  Scenario Outline: Only a 503 asks for a pause
+    Guards against a server that is left alone for a header of its own answers.
+    Then an answer with status <status> and a Retry-After asks for no pause
+
+    Examples:
+      | status |
+      | 200    |
+      | 429    |
+      | 500    |
+
+  Scenario: A server whose answers say that it leaves gets no more requests
+    Guards against a daemon that hears of a server's leaving only from the store.
+    Given a deployment with 1 daemon
+    When clients ask for look-ups, 30 a second for 4 s, and after 1 s the first server says that it leaves
+    Then it gets nothing from 2 s after that
+    And every client is served
+
+  Scenario: A server that leaves gets nothing after its registration has lapsed and is back
+    Guards against a word that is forgotten with the registration of its server.
+    Given a deployment with 1 daemon
+    When clients ask for look-ups, 30 a second for 5 s, and after 1 s the first server says that it leaves
+    And its registration is removed 0.5 s after that, and written again 0.5 s later
+    Then it gets nothing from 2 s after that
+    And every client is served
+
+  Scenario: A server that leaves gets nothing more while others bring their requests
+    Guards against requests that wait, or are tried again, on a server that leaves.
+    Given a deployment with 1 daemon
+    When clients ask for streams, 10 a second for 4 s, and after 1 s the first engine says that it leaves
+    Then it gets nothing from 2 s after that
+    And every client is served
+
+  Scenario: A server that asks for a pause gets no more requests in it
+    Guards against a daemon that goes on trying a server which has turned it away.
+    Given a deployment with 1 daemon
+    When clients ask for look-ups, 30 a second for 6 s, and after 1 s the first server turns all away for 3 s
+    Then at most two requests reach it between half a second after each and the end of that pause
+    And every client is served
+
+  Scenario: An engine that asks for a pause gets no more requests in it
+    Guards against a prompt that goes back to the engine that caches it.
+    Given a deployment with 1 daemon
+    When clients ask for streams, 10 a second for 6 s, and after 1 s the first engine turns all away for 3 s
+    Then at most two requests reach it between half a second after each and the end of that pause
+    And every client is served
+
+  Scenario: A server is used again when its pause is over
+    Guards against a server that is left alone for good.
+    Given a deployment with 1 daemon
+    When clients ask for look-ups, 30 a second for 6 s, and from 1 s to 2 s the first server turns all away for 1 s
+    Then it serves look-ups again
+
+  Scenario: Where all servers ask for a pause, clients are told at once to come back after it
+    Guards against requests that wait for servers which will not take them.
+    Given a deployment with 1 daemon
+    When all plain servers turn all away for 5 s
+    And look-ups are sent until both have turned one away
+    And one more look-up is sent
+    Then it is refused within 0.5 s, as not run, and told to come back in 4 s to 8 s
+    And no server was asked for it
--- /dev/null
+++ b/features/platform/steps/notice_steps.py
@@ -0,0 +1,269 @@
+"""Steps of notices.feature."""
+
+import asyncio
+import itertools
+import math
+import time
+
+from behave import then, when
+from deployment import Deployment
+from multidict import CIMultiDict
+
+from lycheepost.platform import headers as names
+from lycheepost.platform.dialect import decode_notice
+
+GRACE_SECONDS = 0.5
+MOST_IN_PAUSE = 2
+N_ALBUMS = 8
+"""Shared parts of prompts: enough that each engine owns some."""
+GROUPS = {"look-ups": "plain", "streams": "llm"}
+
+
+@then('a 503 with the Retry-After "{written}" asks for {pause}')
+def step_pause(context, written, pause):
+    expected = None if pause == "no pause" else float(pause.removesuffix(" s"))
+    notice = decode_notice(503, CIMultiDict({names.RETRY_AFTER: written}))
+    assert notice.retry_after_seconds == expected, notice
+
+
+@then('an answer with "{header}" says that its server leaves: {leaves}')
+def step_leaves(context, header, leaves):
+    name, _, value = header.partition(":")
+    notice = decode_notice(200, CIMultiDict({name: value}))
+    assert notice.is_leaving == (leaves == "yes"), notice
+
+
+@then("an answer with status {status:d} and a Retry-After asks for no pause")
+def step_no_pause(context, status):
+    notice = decode_notice(status, CIMultiDict({names.RETRY_AFTER: "3"}))
+    assert notice.retry_after_seconds is None, notice
+
+
+class Traffic:
+    """Requests at an even rate, and what the first server of their group does.
+
+    Args:
+        deployment: What is asked.
+        what: ``look-ups`` or ``streams``.
+        per_second: How many a second.
+        seconds: For how long.
+
+    Attributes:
+        server: The first server of the group.
+        statuses: What clients got.
+        arrivals: When requests reached the server, from the start of the traffic.
+        changes: What happens when, in seconds from the start, in order.
+    """
+
+    def __init__(self, deployment: Deployment, what: str, per_second: int, seconds):
+        self.deployment = deployment
+        self.what = what
+        self.server = deployment.group(GROUPS[what])[0]
+        self.statuses: list[int | None] = []
+        self.arrivals: list[float] = []
+        self.changes = []
+        self._per_second = per_second
+        self._seconds = seconds
+        self._n_known = 0
+
+    async def run(self) -> None:
+        """Ask until the end."""
+        started = asyncio.get_running_loop().time()
+        self.started = started
+        tasks = []
+        for number in itertools.count():
+            elapsed = asyncio.get_running_loop().time() - started
+            self._note_arrivals(elapsed)
+            if elapsed > self._seconds:
+                break
+            while self.changes and self.changes[0][0] <= elapsed:
+                self.changes.pop(0)[1]()
+            tasks.append(asyncio.create_task(self._ask(number)))
+            due = started + (number + 1) / self._per_second
+            await asyncio.sleep(due - asyncio.get_running_loop().time())
+        await asyncio.gather(*tasks)
+
+    def _note_arrivals(self, elapsed: float) -> None:
+        n_arrived = len(self.server.runs) + len(self.server.turned_away)
+        self.arrivals += [elapsed] * (n_arrived - self._n_known)
+        self._n_known = n_arrived
+
+    async def _ask(self, number: int) -> None:
+        deployment = self.deployment
+        index = number % len(deployment.nodes)
+        if self.what == "streams":
+            parts = f"a{number % N_ALBUMS}:100,{number:x}:50"
+            headers = deployment.prompt_headers("k-one", parts=parts)
+            answer = await deployment.ask("POST", "/title/x", headers, index=index)
+        else:
+            headers = deployment.headers("k-one")
+            answer = await deployment.ask("GET", f"/look/{number}", headers, b"", index)
+        self.statuses.append(answer.status if answer.is_whole else None)
+
+
+def make_traffic(context, what, per_second, seconds):
+    """Return traffic whose results the later steps check."""
+    context.traffic = Traffic(context.deployment, what, per_second, seconds)
+    context.pending = True
+    return context.traffic
+
+
+def play(context):
+    """Run the traffic that was prepared, once."""
+    if context.pending:
+        context.pending = False
+        context.loop.run_until_complete(context.traffic.run())
+    return context.traffic
+
+
+@when(
+    "clients ask for {what}, {per_second:d} a second for {seconds:d} s, and after"
+    " {after_seconds:g} s the first {kind} says that it leaves"
+)
+def step_ask_leaving(context, what, per_second, seconds, after_seconds, kind):
+    traffic = make_traffic(context, what, per_second, seconds)
+    context.changed_seconds = after_seconds
+
+    def leave():
+        traffic.server.says_leaving = True
+
+    traffic.changes.append((after_seconds, leave))
+
+
+@when(
+    "its registration is removed {removed_seconds:g} s after that, and written again"
+    " {again_seconds:g} s later"
+)
+def step_lapse(context, removed_seconds, again_seconds):
+    traffic, deployment = context.traffic, context.deployment
+    removed = context.changed_seconds + removed_seconds
+    rows = deployment.store.store
+    traffic.changes += [
+        (removed, lambda: rows.put("servers", traffic.server.name, None)),
+        (removed + again_seconds, lambda: deployment.register(traffic.server)),
+    ]
+
+
+@then("it gets nothing from {seconds:g} s after that")
+def step_nothing(context, seconds):
+    traffic = play(context)
+    since = context.changed_seconds + seconds
+    late = [at for at in traffic.arrivals if at > since]
+    assert not late, f"{len(late)} requests from {since:g} s on, the last at {late[-1]}"
+
+
+@then("every client is served")
+def step_all_served(context):
+    traffic = play(context)
+    bad = [status for status in traffic.statuses if status != 200]
+    assert not bad, bad
+
+
+@when(
+    "clients ask for {what}, {per_second:d} a second for {seconds:d} s, and after"
+    " {after_seconds:g} s the first {kind} turns all away for {pause_seconds:g} s"
+)
+def step_ask_pause(
+    context, what, per_second, seconds, after_seconds, kind, pause_seconds
+):
+    prepare_pause(
+        context, what, per_second, seconds, after_seconds, math.inf, pause_seconds
+    )
+
+
+@when(
+    "clients ask for {what}, {per_second:d} a second for {seconds:d} s, and from"
+    " {from_seconds:g} s to {to_seconds:g} s the first server turns all away for"
+    " {pause_seconds:g} s"
+)
+def step_ask_short_pause(
+    context, what, per_second, seconds, from_seconds, to_seconds, pause_seconds
+):
+    prepare_pause(
+        context, what, per_second, seconds, from_seconds, to_seconds, pause_seconds
+    )
+
+
+def prepare_pause(
+    context, what, per_second, seconds, from_seconds, to_seconds, pause_seconds
+):
+    """Let the first server turn requests away between two moments."""
+    traffic = make_traffic(context, what, per_second, seconds)
+    context.pause_seconds = pause_seconds
+    context.to_seconds = to_seconds
+
+    def begin():
+        traffic.server.backoff_seconds = pause_seconds
+
+    def end():
+        traffic.server.backoff_seconds = None
+        context.n_runs = len(traffic.server.runs)
+
+    traffic.changes += [(from_seconds, begin), (to_seconds, end)]
+
+
+@then(
+    "at most two requests reach it between half a second after each and the end of that"
+    " pause"
+)
+def step_few(context):
+    traffic = play(context)
+    asked = [at - traffic.started for at in traffic.server.turned_away]
+    assert asked, "it turned nothing away"
+    for at in asked:
+        since, until = at + GRACE_SECONDS, at + context.pause_seconds
+        n = sum(since < arrived <= until for arrived in asked)
+        assert n <= MOST_IN_PAUSE, f"{n} requests in the pause asked for at {at:.3f} s"
+
+
+@then("it serves look-ups again")
+def step_again(context):
+    traffic = play(context)
+    assert len(traffic.server.runs) > context.n_runs
+
+
+@when("all plain servers turn all away for {pause_seconds:g} s")
+def step_all_pause(context, pause_seconds):
+    for server in context.deployment.group("plain"):
+        server.backoff_seconds = pause_seconds
+
+
+async def ask_look_up(deployment):
+    return await deployment.ask("GET", "/look/x", deployment.headers("k-one"))
+
+
+@when("look-ups are sent until both have turned one away")
+def step_until_both(context):
+    servers = context.deployment.group("plain")
+
+    async def are_both():
+        await ask_look_up(context.deployment)
+        return all(server.turned_away for server in servers)
+
+    context.loop.run_until_complete(context.deployment.until(are_both))
+
+
+@when("one more look-up is sent")
+def step_another(context):
+    servers = context.deployment.group("plain")
+    context.n_before = [len(server.turned_away) for server in servers]
+    started_seconds = time.monotonic()
+    context.answer = context.loop.run_until_complete(ask_look_up(context.deployment))
+    context.elapsed_seconds = time.monotonic() - started_seconds
+
+
+@then(
+    "it is refused within {within_seconds:g} s, as not run, and told to come back in"
+    " {least_seconds:g} s to {most_seconds:g} s"
+)
+def step_refused(context, within_seconds, least_seconds, most_seconds):
+    assert context.answer.status == 503, context.answer
+    assert context.elapsed_seconds < within_seconds, context.elapsed_seconds
+    retry_after_seconds = float(context.answer.headers[names.RETRY_AFTER])
+    assert least_seconds <= retry_after_seconds <= most_seconds, retry_after_seconds
+
+
+@then("no server was asked for it")
+def step_none_asked(context):
+    servers = context.deployment.group("plain")
+    assert [len(server.turned_away) for server in servers] == context.n_before
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -119,6 +119,11 @@
         faults: Faults that wait for calls, by attempt id.
         limit_per_second: Requests that it names as its limit; None for no limit. It
             serves them all the same.
+        says_leaving: Its answers say that it leaves. It serves all the same, and its
+            entry in the store stays as it is.
+        backoff_seconds: It turns requests away and asks for a pause of this length;
+            None to take them.
+        turned_away: When it did so, by the loop's clock.
     """
 
     def __init__(
@@ -137,6 +142,9 @@
         self.is_leaving = False
         self.loses_order_answers = False
         self.limit_per_second: float | None = None
+        self.says_leaving = False
+        self.backoff_seconds: float | None = None
+        self.turned_away: list[float] = []
         self.on_fault: Callable[[], object] = lambda: None
         self.n_events = n_events
         self._run_seconds = run_seconds
@@ -221,6 +229,8 @@
         head = {names.TARGET: self.name, names.LOAD: f"{self.n_running},0,32"}
         if self.limit_per_second is not None:
             head[names.RATE_LIMIT] = str(self.limit_per_second)
+        if self.says_leaving:
+            head[names.LEAVING] = "1"
         attempt_id = request.headers.get(names.ATTEMPT_ID)
         if attempt_id:
             head[names.ATTEMPT_ID] = attempt_id
@@ -232,6 +242,12 @@
         head = self._head(request) | {names.NOT_RUN: "1"}
         return web.Response(status=status, headers=head)
 
+    def _turn_away(self, request: web.Request, backoff_seconds: float) -> web.Response:
+        self.turned_away.append(asyncio.get_running_loop().time())
+        response = self._reject(request, 503)
+        response.headers[names.RETRY_AFTER] = str(backoff_seconds)
+        return response
+
     def _check(self, request: web.Request) -> web.Response | None:
         headers = request.headers
         if headers.get(names.EXPECTED_TARGET, self.name) != self.name:
@@ -241,6 +257,8 @@
             return web.Response(status=421, headers=self._head(request))
         if names.ATTEMPT_ID not in headers:
             return self._reject(request, 400)
+        if self.backoff_seconds is not None:
+            return self._turn_away(request, self.backoff_seconds)
         if self.state.is_changing:
             return self._reject(request, 503)
         return None
