Use a target no more once one of its answers says that it leaves

What callers saw: nothing yet; they would have seen answers that break off when the target ends.

Cause: nothing read the header. The store was away, so the registration could not tell. On its return the registration had lapsed, and daemons waited 2.2 s for it to come back; when it is back a target begins anew, so a word that hangs on it would be lost again.

Why this works: the word is kept by start of the target, apart from its registration, and marks the target as a registration that says so does: it is out of placement, and the last look before a send fails. Daemons tell each other at once and every 0.4 s, also what they were told, as the word has no end. A later start of the target is used again.

--- a/features/peers/limitnews.feature
+++ b/features/peers/noticenews.feature
@@ -1,4 +1,4 @@
-Feature: What daemons tell each other of the limits of targets
+Feature: What daemons tell each other of what targets say of themselves
 
   Scenario: A limit and its end come as they were told
     Given a daemon that tells of a limit of 1.3 a second from 2 s ago and of one that ended
@@ -18,3 +18,9 @@
       | inf    | limit_per_second |
       | -5     | age_seconds      |
       | nan    | age_seconds      |
+
+  Scenario: Targets that leave come as they were told
+    Guards against a word on one start of a target that is taken for another start's.
+    Given a daemon that tells of a target that leaves and states its start, and of another
+    When a peer takes the message
+    Then it knows both starts to be leaving
--- a/features/peers/steps/limitnews_steps.py
+++ b/features/peers/steps/noticenews_steps.py
@@ -1,13 +1,14 @@
-"""Steps of limitnews.feature."""
+"""Steps of noticenews.feature."""
 
 from dataclasses import replace
 
 from behave import given, then, when
 
 from lycheepost.core.ids import TargetId
+from lycheepost.core.starts import TargetStart
 from lycheepost.decide.ratelimits import SaidLimit
-from lycheepost.generated.messages import LimitNews, TargetLimit
-from lycheepost.peers.limitnews import from_message, to_message
+from lycheepost.generated.messages import NoticeNews, TargetLimit
+from lycheepost.peers.noticenews import leaving_of, limits_of, to_message
 
 LIMITED, ENDED = TargetId("limited"), TargetId("ended")
 SENDER_SECONDS = 1000.0
@@ -25,18 +26,18 @@
         ENDED: SaidLimit(None, said_seconds),
     }
     context.per_second = per_second
-    context.message = to_message(limits, SENDER_SECONDS)
+    context.message = to_message(limits, (), SENDER_SECONDS)
 
 
 @given("a daemon that tells of a limit with {figure:g} as its {field}")
 def step_bad(context, figure, field):
     sound = TargetLimit(target=LIMITED, limit_per_second=1.0, age_seconds=0.0)
-    context.message = LimitNews(limits=[replace(sound, **{field: figure})])
+    context.message = NoticeNews(limits=[replace(sound, **{field: figure})])
 
 
 @when("a peer takes the message")
 def step_takes(context):
-    context.taken = from_message(context.message, RECEIVER_SECONDS)
+    context.taken = limits_of(context.message, RECEIVER_SECONDS)
 
 
 @then("it has both, as said {age_seconds:g} s ago on its own clock")
@@ -51,3 +52,16 @@
 @then("it has none of them")
 def step_none(context):
     assert not context.taken, context.taken
+
+
+@given(
+    "a daemon that tells of a target that leaves and states its start, and of another"
+)
+def step_tells_leaving(context):
+    context.starts = [TargetStart(LIMITED, 1_700_000_000_000), TargetStart(ENDED)]
+    context.message = to_message({}, context.starts, SENDER_SECONDS)
+
+
+@then("it knows both starts to be leaving")
+def step_knows_leaving(context):
+    assert leaving_of(context.message) == context.starts, context.message
--- a/features/platform/notices.feature
+++ b/features/platform/notices.feature
@@ -58,6 +58,19 @@
     Then it gets nothing from 2 s after that
     And every client is served
 
+  Scenario: A leaving that one daemon hears is known to all
+    Guards against daemons that each send on until a server has told them itself.
+    Given a deployment with 3 daemons
+    When the first server says that it leaves and one daemon alone is asked
+    Then all daemons know that it leaves within 1 s
+
+  Scenario: A daemon that starts while a server leaves is told of it
+    Guards against a daemon that begins with a request to a server that leaves.
+    Given a deployment with 2 daemons
+    When the first server says that it leaves and one daemon alone is asked
+    And one more daemon starts
+    Then all daemons know that it leaves within 2 s
+
   Scenario: A server that asks for a pause gets no more requests in it
     Guards against a daemon that goes on trying a server which has turned it away.
     Given a deployment with 1 daemon
--- a/features/platform/steps/notice_steps.py
+++ b/features/platform/steps/notice_steps.py
@@ -267,3 +267,38 @@
 def step_none_asked(context):
     servers = context.deployment.group("plain")
     assert [len(server.turned_away) for server in servers] == context.n_before
+
+
+@when("the first server says that it leaves and one daemon alone is asked")
+def step_one_hears(context):
+    deployment = context.deployment
+    server = deployment.group("plain")[0]
+    server.says_leaving = True
+    context.leaving = [server.name]
+
+    async def is_heard():
+        await ask_look_up(deployment)
+        return leaving_of(deployment.daemons[0]) == context.leaving
+
+    context.loop.run_until_complete(deployment.until(is_heard))
+
+
+@when("one more daemon starts")
+def step_one_more(context):
+    context.loop.run_until_complete(context.deployment.add_daemon())
+
+
+@then("all daemons know that it leaves within {seconds:g} s")
+def step_all_know(context, seconds):
+    deployment = context.deployment
+
+    async def all_know():
+        known = [leaving_of(daemon) for daemon in deployment.daemons]
+        return known == [context.leaving] * len(known)
+
+    context.loop.run_until_complete(deployment.until(all_know, seconds))
+
+
+def leaving_of(daemon):
+    """Return the targets that a daemon knows to be leaving."""
+    return daemon.status()["notices"]["leaving"]
--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -14,6 +14,7 @@
 )
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
+from lycheepost.decide.leaving import LeavingTargets
 from lycheepost.decide.records import TargetState
 from lycheepost.generated.messages import TargetsChanging
 from lycheepost.operators.weightsnews import to_changes, to_message
@@ -54,7 +55,10 @@
     def on_views(views):
         context.views = views
 
-    context.list = TargetList(context.clock, on_views, lambda: WEIGHTS_SECONDS)
+    context.leaving = LeavingTargets()
+    context.list = TargetList(
+        context.clock, on_views, lambda: WEIGHTS_SECONDS, leaving=context.leaving
+    )
     context.list.take_all([make_target(name) for name in names_of(names)], False)
 
 
@@ -64,6 +68,22 @@
     context.list.take([leaving], [], False)
 
 
+@when("an answer of {name} as started at {started_ms:d} says that it leaves")
+def step_says_leaving_start(context, name, started_ms):
+    say_leaving(context, TargetStart(TargetId(name), started_ms))
+
+
+@when("an answer of {name} says that it leaves")
+def step_says_leaving(context, name):
+    say_leaving(context, context.list.get(TargetId(name)).start)
+
+
+def say_leaving(context, start):
+    """Note a word as the exchange does."""
+    if context.leaving.note(start):
+        context.list.note_leaving(start)
+
+
 @when("{name} registers with version {version} as started at {started_ms:d}")
 def step_registers_start(context, name, version, started_ms):
     context.list.take([make_target(name, version, started_ms)], [], False)
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -11,6 +11,37 @@
     When the registration of a is removed
     Then b may be used and a may not be sent to
 
+  Scenario: A target whose answer says that it leaves is not used any more
+    Guards against a daemon that hears of a leaving only from the store.
+    Given registered targets a and b
+    When an answer of a says that it leaves
+    Then b may be used and a may not be sent to
+    When a registers with version 1
+    Then b may be used and a may not be sent to
+
+  Scenario: A target that said that it leaves is not used when its registration is back
+    Guards against a word that is forgotten with the registration.
+    Given registered targets a and b
+    When an answer of a says that it leaves
+    And the registration of a is removed
+    And a registers with version 1
+    Then b may be used and a may not be sent to
+
+  Scenario: A later start of a target that was leaving is used
+    Guards against a target that is left alone for what its earlier start said.
+    Given registered targets a and b that started at 1000
+    When an answer of a says that it leaves
+    Then b may be used and a may not be sent to
+    When a registers with version 1 as started at 2000
+    Then a and b may be used
+
+  Scenario: What an earlier start said of leaving does not concern a later one
+    Guards against a late answer that takes the new start of a target out.
+    Given registered targets a and b that started at 1000
+    When a registers with version 1 as started at 2000
+    And an answer of a as started at 1000 says that it leaves
+    Then a and b may be used
+
   Scenario: A registration that lapsed while the store was away counts later
     The store was away, so nobody could renew. On its return all registrations are
     gone; targets that live write themselves in again within two seconds.
--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -8,6 +8,7 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, TargetId
 from lycheepost.core.routing import ListedTarget
+from lycheepost.core.starts import TargetStart
 from lycheepost.decide.notices import (
     BackOffAsked,
     IsLeaving,
@@ -17,16 +18,17 @@
 )
 from lycheepost.decide.ratelimits import SaidLimit
 from lycheepost.decide.records import TargetView
-from lycheepost.generated.messages import LimitNews
+from lycheepost.generated.messages import NoticeNews
 from lycheepost.peers.exchange import PeerExchange
-from lycheepost.peers.limitnews import from_message, to_message
+from lycheepost.peers.noticenews import leaving_of, limits_of, to_message
+from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forwardcall import AnswerHead
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
 AGAIN_SECONDS = 0.4
-"""So often peers are told of all limits that were named here: one that has just started
-or missed a word must hear it before it sends many requests."""
+"""So often peers are told all of it: one that has just started or missed a word must
+hear it before it sends many requests."""
 
 _FROM_ANSWER = "answer"
 
@@ -38,7 +40,8 @@
 
     Args:
         notices: Keeps it.
-        dispatcher: Holds to it.
+        dispatcher: Holds to limits.
+        targets: Leaves out targets that are leaving.
         exchange: The links.
         clock: The clock of the decisions.
         metrics: Where gauges go.
@@ -48,19 +51,21 @@
         self,
         notices: TargetNotices,
         dispatcher: Dispatcher,
+        targets: TargetList,
         exchange: PeerExchange,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._notices = notices
         self._dispatcher = dispatcher
+        self._list = targets
         self._exchange = exchange
         self._clock = clock
         self._metrics = metrics
         self._targets: tuple[TargetId, ...] = ()
         self._mates: tuple[DaemonId, ...] = ()
         self._task: asyncio.Task[None] | None = None
-        exchange.subscribe(LimitNews, self._take)
+        exchange.subscribe(NoticeNews, self._take)
 
     async def start(self) -> None:
         """Begin to tell."""
@@ -141,6 +146,7 @@
                     started_ms=start.started_ms,
                     source=source,
                 )
+                self._list.note_leaving(start)
             case BackOffAsked(target, until_seconds):
                 left_seconds = until_seconds - self._clock.now_seconds()
                 _log.info(
@@ -162,8 +168,9 @@
             self._set_gauges()
             now_seconds = self._clock.now_seconds()
             limits = self._notices.limits.own(now_seconds)
-            if limits:
-                self._tell(limits, now_seconds)
+            leaving = list(self._notices.leaving.among(self._targets))
+            if limits or leaving:
+                self._tell(limits, leaving)
 
     def _tell_change(self, change: NoticeChange, now_seconds: float) -> None:
         """Tell the peers of a change that concerns them too."""
@@ -171,15 +178,22 @@
             case LimitChanged(target, _):
                 said = self._notices.limits.own(now_seconds).get(target)
                 if said is not None:
-                    self._tell({target: said}, now_seconds)
+                    self._tell({target: said}, [])
+            case IsLeaving(start):
+                self._tell({}, [start])
 
-    def _tell(self, limits: dict[TargetId, SaidLimit], now_seconds: float) -> None:
-        message = to_message(limits, now_seconds)
+    def _tell(
+        self, limits: dict[TargetId, SaidLimit], leaving: list[TargetStart]
+    ) -> None:
+        message = to_message(limits, leaving, self._clock.now_seconds())
         for daemon in self._mates:
             self._exchange.send(daemon, message)
 
-    def _take(self, message: LimitNews, sender: DaemonId) -> None:
-        for target, said in from_message(message, self._clock.now_seconds()):
+    def _take(self, message: NoticeNews, sender: DaemonId) -> None:
+        for target, said in limits_of(message, self._clock.now_seconds()):
             if self._notices.limits.note_told(target, said):
                 self._follow(LimitChanged(target, said.per_second), sender)
+        for start in leaving_of(message):
+            if self._notices.leaving.note(start):
+                self._follow(IsLeaving(start), sender)
         self._set_gauges()
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -139,7 +139,6 @@
     dispatcher.set_retry_terms(retry_terms(get_bounds(), FEWEST_DAEMONS))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
-    notices = NoticeExchange(TargetNotices(), dispatcher, exchange, clock, metrics)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
 
@@ -149,12 +148,17 @@
         loads.set_targets(views)
         notices.set_targets(views)
 
+    known_notices = TargetNotices()
     targets = TargetList(
         clock,
         on_views,
         lambda: get_bounds().weights_seconds,
         prefers_new_weights=Mechanism.NEW_WEIGHTS not in switched_off,
         availability_zone=base.node.availability_zone,
+        leaving=known_notices.leaving,
+    )
+    notices = NoticeExchange(
+        known_notices, dispatcher, targets, exchange, clock, metrics
     )
     cache_events = CacheEventsClient()
     kv_copies = KvCopies(switched_off)
--- a/lycheepost/peers/limitnews.py
+++ b/lycheepost/peers/noticenews.py
@@ -1,16 +1,21 @@
-"""What daemons say of the limits of targets, as it travels between them."""
+"""What targets have said of themselves, as it travels between daemons."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from lycheepost.core.ids import TargetId
+from lycheepost.core.starts import TargetStart
 from lycheepost.decide.ratelimits import SaidLimit
-from lycheepost.generated.messages import LimitNews, TargetLimit
+from lycheepost.generated.messages import LeavingTarget, NoticeNews, TargetLimit
 
 
-def to_message(limits: Mapping[TargetId, SaidLimit], now_seconds: float) -> LimitNews:
+def to_message(
+    limits: Mapping[TargetId, SaidLimit],
+    leaving: Iterable[TargetStart],
+    now_seconds: float,
+) -> NoticeNews:
     """Return what travels between daemons."""
-    return LimitNews(
+    return NoticeNews(
         limits=[
             TargetLimit(
                 target=target,
@@ -19,14 +24,18 @@
                 is_ended=said.per_second is None,
             )
             for target, said in limits.items()
-        ]
+        ],
+        leaving=[
+            LeavingTarget(target=start.target, started_ms=start.started_ms)
+            for start in leaving
+        ],
     )
 
 
-def from_message(
-    message: LimitNews, now_seconds: float
+def limits_of(
+    message: NoticeNews, now_seconds: float
 ) -> list[tuple[TargetId, SaidLimit]]:
-    """Return what a message says; figures that are none are left out."""
+    """Return the limits that a message tells; figures that are none are left out."""
     return [
         (
             TargetId(item.target),
@@ -41,6 +50,13 @@
     ]
 
 
+def leaving_of(message: NoticeNews) -> list[TargetStart]:
+    """Return the starts of targets that a message tells to be leaving."""
+    return [
+        TargetStart(TargetId(item.target), item.started_ms) for item in message.leaving
+    ]
+
+
 def _is_sound(item: TargetLimit) -> bool:
     figures = (item.limit_per_second, item.age_seconds)
     return all(math.isfinite(figure) and figure >= 0.0 for figure in figures)
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -1,8 +1,8 @@
 """The targets of routed requests, as this daemon may use them now.
 
-Joins four sources: what targets registered, orders that change their weights,
-what answers say of the weights, and how requests end there. Whoever may not take
-new work is out of the views that the scheduler gets.
+Joins four sources: what targets registered, orders that change their weights, what
+answers say of the weights and of leaving, and how requests end there. Whoever may not
+take new work is out of the views that the scheduler gets.
 
 A target whose registration lapses while the store is away has not left: it
 registers again within about two seconds of the store's return. So a removal that
@@ -24,6 +24,7 @@
 )
 from lycheepost.core.routing import ListedTarget, RouteTable
 from lycheepost.core.starts import TargetStart
+from lycheepost.decide.leaving import LeavingTargets
 from lycheepost.decide.records import TargetView
 from lycheepost.decide.targethealth import Ending, TargetHealth
 from lycheepost.state.targetstarts import TargetStarts
@@ -104,6 +105,7 @@
             serve.
         prefers_new_weights: Targets with older weights than named cost more.
         availability_zone: Where this daemon is; empty to take all zones alike.
+        leaving: The targets whose answers say that they are leaving.
     """
 
     def __init__(
@@ -113,7 +115,9 @@
         weights_seconds: Callable[[], float],
         prefers_new_weights: bool = True,
         availability_zone: AvailabilityZone = NO_ZONE,
+        leaving: LeavingTargets | None = None,
     ) -> None:
+        self._leaving = LeavingTargets() if leaving is None else leaving
         self._availability_zone = availability_zone
         self._prefers_new_weights = prefers_new_weights
         self._clock = clock
@@ -236,6 +240,8 @@
                 newest_ms=newest_ms,
             )
             return
+        if self._leaving.is_leaving(listed.start):
+            listed = replace(listed, is_leaving=True)
         is_restarted = self._starts.note(listed.start)
         known = self._known.get(name)
         if known is None or is_restarted:
@@ -284,6 +290,14 @@
             self._register(listed, is_restarted=True)
             self.refresh()
 
+    def note_leaving(self, start: TargetStart) -> None:
+        """Use a target no more: an answer of this start has said that it leaves."""
+        known = self._known.get(start.target)
+        if known is None or known.listed.start.is_newer_than(start):
+            return
+        known.listed = replace(known.listed, is_leaving=True)
+        self.refresh()
+
     def is_start(self, start: TargetStart) -> bool:
         """Tell whether a start of a target is the newest that is known of it."""
         return not self._starts.is_old(start)
