Send a target nothing in the back-off that it has asked for

What callers saw: little, as most requests were served by another target a few milliseconds later.

Cause: Retry-After of a target was part of no decision. Only the health record kept a daemon away, by its own times (0.5 s and doubling), and only once there were enough bad endings beside good ones.

Why this works: the target is held back from this daemon, as its limit may hold it back: left out of placement while others can be used; where all are held back a request waits if its caller can, or is refused at once with the time that is left.

--- a/features/decide/ratelimits.feature
+++ b/features/decide/ratelimits.feature
@@ -1,4 +1,4 @@
-Feature: Limits that targets name
+Feature: Limits and back-offs that targets name
   Virtual time, no sockets.
 
   Scenario: An answer to an earlier request does not end a limit
@@ -53,6 +53,51 @@
     Then all of them are refused at once
     And each is told to come back when a limit will let it pass
 
+  Scenario: What would go to a backed-off target goes to the others at once
+    Guards against requests that wait out the back-off of the target which caches them.
+    Given a daemon before 3 targets of which the first asks for a back-off of 5 s
+    And the first target caches a long prompt that many ask for, while work waits
+    When it gets 20 requests for that prompt in 2 s
+    Then the first target gets at most 0 of them
+    And all of them are sent within 0.1 s
+
+  Scenario: Where all targets are backed off, requests are refused at once with the time
+    Guards against requests that wait until their callers have left.
+    Given a daemon before 2 targets that all ask for a back-off of 20 s
+    When it gets 6 requests in 1 s
+    Then all of them are refused at once
+    And each is told to come back when the back-offs are over
+
+  Scenario: A request waits for the end of a back-off that its caller can wait for
+    Guards against callers that are refused, though a target will soon take them.
+    Given a daemon before 1 target that asks for a back-off of 0.5 s
+    When it gets 1 request in 2 s
+    Then it is sent 0.5 s to 0.6 s later
+
+  Scenario: A target is used again when its back-off is over
+    Guards against a target that is left alone for good.
+    Given a daemon before 1 target that asks for a back-off of 1 s
+    When 1 s passes
+    And it gets 6 requests in 1 s
+    Then all of them are sent within 0.1 s
+
+  Scenario: A back-off is held while its target isn't listed
+    Guards against a back-off that is forgotten with the load of a target.
+    Given a daemon before 2 targets of which the first asks for a back-off of 5 s
+    When the first target isn't listed for 1 s
+    And it gets 6 requests in 1 s
+    Then the first target gets at most 0 of them
+
+  Scenario: A limit and a back-off of one target both hold
+    Guards against a back-off that ends a limit, or a limit that ends a back-off.
+    Given a daemon before 1 target that names a limit of 1 a second
+    And the first target asks for a back-off of 10 s
+    When it gets 6 requests in 1 s
+    Then all of them are refused at once
+    When 10 s pass
+    And it gets 6 requests in 1 s
+    Then the first target gets at most 2 of them
+
   Scenario: A limit that has ended keeps nothing back
     Guards against a daemon that goes on holding requests back from a target that is well.
     Given a daemon before 1 target that names a limit of 1 a second and then none
--- a/features/decide/steps/ratelimits_steps.py
+++ b/features/decide/steps/ratelimits_steps.py
@@ -199,3 +199,73 @@
 @when("it gets {n:d} requests for that prompt in {seconds:d} s")
 def step_gets_prompt(context, n, seconds):
     gets(context, n, seconds, body=LONG_BODY)
+
+
+def back_off(context, index, seconds):
+    desk = context.desk
+    target = TargetId(f"target-{index}")
+    context.backoff_until_seconds = desk.now_seconds + seconds
+    desk.scheduler.back_off(target, context.backoff_until_seconds)
+
+
+@given(
+    "a daemon before {n:d} targets of which the first asks for a back-off of"
+    " {seconds:g} s"
+)
+def step_first_backed_off(context, n, seconds):
+    make_limited(context, n, 0, 0.0)
+    back_off(context, 0, seconds)
+
+
+@given("a daemon before {n:d} targets that all ask for a back-off of {seconds:g} s")
+def step_all_backed_off(context, n, seconds):
+    make_limited(context, n, 0, 0.0)
+    for index in range(n):
+        back_off(context, index, seconds)
+
+
+@given("a daemon before 1 target that asks for a back-off of {seconds:g} s")
+def step_one_backed_off(context, seconds):
+    step_all_backed_off(context, 1, seconds)
+
+
+@given("the first target asks for a back-off of {seconds:g} s")
+def step_backs_off(context, seconds):
+    back_off(context, 0, seconds)
+
+
+@when("it gets 1 request in {seconds:d} s")
+def step_gets_one(context, seconds):
+    gets(context, 1, seconds)
+
+
+@when("{seconds:g} s pass")
+@when("{seconds:g} s passes")
+def step_pass(context, seconds):
+    context.desk.wait(seconds)
+
+
+@when("the first target isn't listed for {seconds:g} s")
+def step_not_listed(context, seconds):
+    desk = context.desk
+    view = desk.views.pop(0)
+    desk.announce()
+    desk.wait(seconds)
+    desk.views[0] = view
+    desk.announce()
+
+
+@then("each is told to come back when the back-offs are over")
+def step_told_backoff(context):
+    desk = context.desk
+    for name, work in desk.works.items():
+        told_seconds = desk.refused[name].retry_after_seconds
+        until_seconds = work.arrived_seconds + told_seconds
+        assert until_seconds >= context.backoff_until_seconds, (name, told_seconds)
+
+
+@then("it is sent {least_seconds:g} s to {most_seconds:g} s later")
+def step_sent_later(context, least_seconds, most_seconds):
+    waited_seconds = context.longest_seconds
+    assert len(context.desk.sent) == 1, context.desk.refused
+    assert least_seconds <= waited_seconds <= most_seconds, waited_seconds
--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -40,7 +40,7 @@
 
     Args:
         notices: Keeps it.
-        dispatcher: Holds to limits.
+        dispatcher: Holds to limits and back-offs.
         targets: Leaves out targets that are leaving.
         exchange: The links.
         clock: The clock of the decisions.
@@ -154,6 +154,7 @@
                     target=target,
                     for_seconds=round(left_seconds, 3),
                 )
+                self._dispatcher.back_off(target, until_seconds)
 
     def _set_gauges(self) -> None:
         backoffs = self._notices.backoffs.in_force(self._clock.now_seconds())
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -178,6 +178,10 @@
         now_seconds = self._clock.now_seconds()
         self._wake(self._scheduler.set_limit(target, per_second, now_seconds))
 
+    def back_off(self, target: TargetId, until_seconds: float) -> None:
+        """Send a target nothing until then; waiting requests go out by the tick."""
+        self._scheduler.back_off(target, until_seconds)
+
     def set_sharing_limits(self, n_daemons: int) -> None:
         """Pass on among how many daemons the limits of targets are divided."""
         self._scheduler.set_sharing_limits(n_daemons, self._clock.now_seconds())
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -158,6 +158,10 @@
         else:
             load.pace.change(per_second, n_daemons, now_seconds)
 
+    def back_off(self, target: TargetId, until_seconds: float) -> None:
+        """Send a target nothing until then."""
+        self.placement.loads[target].backoff_until_seconds = until_seconds
+
     def _cost_seconds(self, work: Work, uncached_tokens: int) -> float:
         prefill = uncached_tokens * self._settings.prefill_seconds_per_token
         decode = work.output_tokens * self._settings.decode_seconds_per_token
@@ -199,7 +203,7 @@
         rate = self._rate.per_second()
         wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
         if wait.seconds + choice.wait_seconds > budget:
-            return [self._refuse(work, reason_of(wait), wait, choice.paced_seconds)]
+            return [self._refuse(work, reason_of(wait), wait, choice.held_back_seconds)]
         if self._is_full(work):
             return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
         waiting.predicted_seconds = wait.seconds
@@ -283,10 +287,10 @@
         work: Work,
         reason: RefusalReason,
         wait: QueueWait,
-        paced_seconds: float = 0.0,
+        held_back_seconds: float = 0.0,
     ) -> Refuse:
-        """Refuse with the time after which the queue, and the limits, let it pass."""
-        seconds = retry_after_seconds(wait.seconds, self._rng) + paced_seconds
+        """Refuse with the time after which the queue, and the targets, let it pass."""
+        seconds = retry_after_seconds(wait.seconds, self._rng) + held_back_seconds
         seconds = min(MAX_RETRY_AFTER_SECONDS, seconds)
         return Refuse(work.request, reason, seconds)
 
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -74,6 +74,7 @@
         slowness: Observed over predicted first-token time, smoothed.
         is_shared: The other daemons tell what they have there.
         pace: When this daemon may send to it; None while it names no limit.
+        backoff_until_seconds: It wants no request from this daemon until then.
     """
 
     view: TargetView
@@ -90,6 +91,7 @@
     slowness: Slowness = field(default_factory=Slowness)
     is_shared: bool = False
     pace: SendPace | None = None
+    backoff_until_seconds: float = float("-inf")
     history: deque[OwnLoad] = field(default_factory=deque)
 
     def replace_view(self, view: TargetView) -> None:
@@ -206,7 +208,7 @@
 
     def has_room(self, n_running: float, now_seconds: float) -> bool:
         """Tell whether it may take one more beside ``n_running``."""
-        if self.is_paced(now_seconds) or n_running >= self.limit():
+        if self.is_held_back(now_seconds) or n_running >= self.limit():
             return False
         if self.is_shared:
             token_seconds = self._token_seconds(now_seconds)
@@ -214,15 +216,18 @@
         # One request may always go: windows are narrower than long prompts.
         return not self.queued_tokens or self.queued_tokens < self.window.tokens
 
-    def is_paced(self, now_seconds: float) -> bool:
-        """Tell whether its limit leaves nothing to this daemon now."""
+    def is_held_back(self, now_seconds: float) -> bool:
+        """Tell whether its limit, or a back-off, leaves nothing to this daemon now."""
+        if self.backoff_until_seconds > now_seconds:
+            return True
         return self.pace is not None and self.pace.next_seconds > now_seconds
 
-    def paced_seconds(self, now_seconds: float, n_ahead: int = 0) -> float:
-        """Return how long its limit makes a request wait behind ``n_ahead`` others."""
+    def held_back_seconds(self, now_seconds: float, n_ahead: int = 0) -> float:
+        """Return how long a request is held back behind ``n_ahead`` others."""
+        backoff_seconds = max(0.0, self.backoff_until_seconds - now_seconds)
         if self.pace is None:
-            return 0.0
-        return self.pace.wait_seconds(now_seconds, n_ahead)
+            return backoff_seconds
+        return max(backoff_seconds, self.pace.wait_seconds(now_seconds, n_ahead))
 
     def places(self, now_seconds: float) -> float:
         """Return for how many more requests it has room; one where prompts wait."""
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -63,7 +63,8 @@
             or fetched by it from a KV store.
         uncached_tokens: Prompt tokens to prefill there.
         can_take: Whether the target has room for it now.
-        paced_seconds: The part of the wait that the target's limit makes.
+        held_back_seconds: The part of the wait that the target's limit or its back-off
+            makes.
     """
 
     load: TargetLoad
@@ -72,7 +73,7 @@
     uncached_tokens: int
     ahead_tokens: float
     can_take: bool
-    paced_seconds: float = 0.0
+    held_back_seconds: float = 0.0
 
 
 class Ahead:
@@ -136,13 +137,13 @@
     def full_share(self, now_seconds: float) -> float:
         """Return the share of targets without room; sampled in large groups.
 
-        Targets that their limit keeps from this daemon don't count unless it keeps all:
-        they say nothing of how busy the others are.
+        Targets that are held back from this daemon don't count unless all are: they say
+        nothing of how busy the others are.
         """
         loads = self._serving
         if len(loads) > SCORE_ALL_TARGETS:
             loads = self._rng.sample(loads, SCORE_ALL_TARGETS)
-        loads = [load for load in loads if not load.is_paced(now_seconds)] or loads
+        loads = [load for load in loads if not load.is_held_back(now_seconds)] or loads
         n_full = sum(
             not load.has_room(load.estimate(now_seconds)[1], now_seconds)
             for load in loads
@@ -198,16 +199,16 @@
         """
         owners = self._ring.owners(_owner_key(work), OWNER_STEPS)
         usable = _usable(self._candidates(work, owners), work, avoid)
-        unpaced = _unpaced(usable, now_seconds)
-        if not unpaced:
-            # All candidates have failed it, or are kept from it or by their limits:
+        free = _not_held_back(usable, now_seconds)
+        if not free:
+            # All candidates have failed it, or are kept from it or held back:
             # rare enough to look at every target rather than refuse it before
             # thousands.
             usable = _usable(self._serving, work, avoid)
-            unpaced = _unpaced(usable, now_seconds)
+            free = _not_held_back(usable, now_seconds)
         if not usable:
             return None
-        chosen_from = unpaced or usable
+        chosen_from = free or usable
         return self._lowest(chosen_from, owners, now_seconds, ahead_of, work, is_late)
 
     def _step_seconds(self, work: Work) -> float:
@@ -256,8 +257,8 @@
             prefill += fetched * load.view.fetch_token_seconds
             wait = rates.first_token_seconds + ahead * token_seconds + prefill
             wait *= load.slowness.now(now_seconds)
-            if load.pace is not None:
-                wait += load.paced_seconds(now_seconds, n_ahead)
+            if load.pace is not None or load.backoff_until_seconds > now_seconds:
+                wait += load.held_back_seconds(now_seconds, n_ahead)
             excess = n_running + n_ahead + 1.0 - load.limit()
             if excess > 0.0:
                 wait += excess * rates.hold_seconds / load.limit()
@@ -276,8 +277,8 @@
         can_take = load.has_room(n_running, now_seconds)
         cached = work.prompt_tokens - uncached
         n_ahead = ahead_of.requests.get(load.view.target, 0)
-        paced_seconds = load.paced_seconds(now_seconds, n_ahead)
-        return Choice(load, wait, cached, uncached, ahead, can_take, paced_seconds)
+        held_back_seconds = load.held_back_seconds(now_seconds, n_ahead)
+        return Choice(load, wait, cached, uncached, ahead, can_take, held_back_seconds)
 
 
 def _usable(
@@ -306,15 +307,16 @@
     return usable
 
 
-def _unpaced(
+def _not_held_back(
     usable: list[tuple[TargetLoad, int, int]], now_seconds: float
 ) -> list[tuple[TargetLoad, int, int]]:
-    """Return the targets that their limits leave to this daemon now.
+    """Return the targets that are not held back from this daemon now.
 
-    The load: a hot prompt that a target in need caches. Work that waited for its limit
-    would be late, and the queue that it makes would have others refused.
+    The load: a hot prompt that a target in need caches. Work that waited for its limit,
+    or for the end of its back-off, would be late, and the queue that it makes would
+    have others refused.
     """
-    return [item for item in usable if not item[0].is_paced(now_seconds)]
+    return [item for item in usable if not item[0].is_held_back(now_seconds)]
 
 
 def _takes_new_work(load: TargetLoad) -> bool:
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -61,6 +61,7 @@
         self._retry_terms = RetryTerms(settings.retry_share)
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
         self._limits: dict[TargetId, float] = {}
+        self._backoffs: dict[TargetId, float] = {}
         self._n_sharing_limits = UNKNOWN_DAEMONS
         self._losses: list[LossSeen] = []
         self._is_draining = False
@@ -71,6 +72,7 @@
     ) -> list[Outcome]:
         """Follow a change of the targets; work may now go out or find none."""
         wanted = {view.target: view for view in targets}
+        self._forget_backoffs(wanted, now_seconds)
         for target in [name for name in self._group_by_target if name not in wanted]:
             self._group_by_target.pop(target).remove_target(target)
             self._limits.pop(target, None)
@@ -82,6 +84,16 @@
             outcomes.extend(group.pump(now_seconds))
         return outcomes
 
+    def _forget_backoffs(
+        self, targets: Collection[TargetId], now_seconds: float
+    ) -> None:
+        """Forget back-offs that are over; a target that is away for now has asked."""
+        self._backoffs = {
+            target: until_seconds
+            for target, until_seconds in self._backoffs.items()
+            if target in targets or until_seconds > now_seconds
+        }
+
     def _place_view(self, view: TargetView, now_seconds: float) -> None:
         group = self._group(view.target_group)
         before = self._group_by_target.get(view.target)
@@ -95,6 +107,7 @@
                 view, belief, group.placement.rates
             )
             self._pass_limit(view.target, now_seconds)
+            self._pass_backoff(view.target)
             return
         load.replace_view(view)
 
@@ -282,6 +295,17 @@
         group = self._group_by_target.get(target)
         return [] if group is None else group.pump(now_seconds)
 
+    def back_off(self, target: TargetId, until_seconds: float) -> None:
+        """Send a target nothing until then, as it has asked."""
+        self._backoffs[target] = until_seconds
+        self._pass_backoff(target)
+
+    def _pass_backoff(self, target: TargetId) -> None:
+        """Tell a target's group until when it is backed off."""
+        group = self._group_by_target.get(target)
+        if group is not None and target in self._backoffs:
+            group.back_off(target, self._backoffs[target])
+
     def _pass_limit(self, target: TargetId, now_seconds: float) -> None:
         """Tell a target's group of its limit."""
         group = self._group_by_target.get(target)
