--- a/features/platform/notices.feature
+++ b/features/platform/notices.feature
@@ -71,6 +71,21 @@
     And one more daemon starts
     Then all daemons know that it leaves within 2 s
 
+  Scenario: A server that leaves is not given new weights
+    Guards against a load of weights that serves nobody.
+    Given a deployment with 1 daemon
+    When the first engine says that it leaves and a stream is sent to each
+    And version 2 of the weights is named
+    Then the other engines soon hold version 2
+    And the first engine got no order
+
+  Scenario: A leaving that only the answer to a call says is heard
+    Guards against a word that is read in the answers to clients' requests alone.
+    Given a deployment with 1 daemon
+    When the first engine says that it leaves
+    And version 2 of the weights is named
+    Then all daemons know that it leaves within 3 s
+
   Scenario: A server that asks for a pause gets no more requests in it
     Guards against a daemon that goes on trying a server which has turned it away.
     Given a deployment with 1 daemon
--- a/features/platform/steps/notice_steps.py
+++ b/features/platform/steps/notice_steps.py
@@ -302,3 +302,41 @@
 def leaving_of(daemon):
     """Return the targets that a daemon knows to be leaving."""
     return daemon.status()["notices"]["leaving"]
+
+
+@when("the first engine says that it leaves")
+def step_engine_leaves(context):
+    server = context.deployment.group("llm")[0]
+    server.says_leaving = True
+    context.leaving = [server.name]
+
+
+@when("the first engine says that it leaves and a stream is sent to each")
+def step_engine_leaves_heard(context):
+    step_engine_leaves(context)
+    deployment = context.deployment
+    numbers = itertools.count()
+
+    async def is_heard():
+        headers = deployment.prompt_headers("k-one", parts=f"{next(numbers):x}:150")
+        await deployment.ask("POST", "/title/x", headers)
+        return leaving_of(deployment.daemons[0]) == context.leaving
+
+    context.loop.run_until_complete(deployment.until(is_heard))
+
+
+@then("the other engines soon hold version {version:d}")
+def step_others_hold(context, version):
+    deployment = context.deployment
+
+    async def all_hold():
+        engines = deployment.group("llm")[1:]
+        return all(engine.state.version == version for engine in engines)
+
+    context.loop.run_until_complete(deployment.until(all_hold))
+
+
+@then("the first engine got no order")
+def step_no_order(context):
+    engine = context.deployment.group("llm")[0]
+    assert not engine.state.orders, engine.state.orders
--- a/lycheepost/app/cachefollow.py
+++ b/lycheepost/app/cachefollow.py
@@ -98,7 +98,7 @@
             for name, group in table.groups.items()
             if group.engine is not None
             for target in self._targets.listed(name)
-            if target.target in self._viewed
+            if target.target in self._viewed and not target.is_leaving
         ]
 
     def _take(self, source: CacheSource, events: tuple[CacheEvent, ...]) -> None:
--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -7,6 +7,7 @@
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, TargetId
+from lycheepost.core.notices import TargetNotice
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.notices import (
@@ -107,21 +108,45 @@
         self._notices.keep(self._targets, self._clock.now_seconds())
         self._set_gauges()
 
+    def is_backed_off(self, target: TargetId) -> bool:
+        """Tell whether a target wants no request from this daemon now."""
+        until_seconds = self._notices.backoffs.until_seconds(target)
+        return self._clock.now_seconds() < until_seconds
+
     def note_head(
         self, sent_to: ListedTarget, head: AnswerHead, sent_seconds: float
     ) -> None:
         """Take what the head of an answer says of its target."""
         if head.is_other_target:
             return
-        now_seconds = self._clock.now_seconds()
         changes = self._notices.note_answer(
             sent_to.start,
             head.notice,
             sent_seconds,
-            now_seconds,
+            self._clock.now_seconds(),
             is_sealed=head.is_sealed,
             was_not_run=head.was_not_run,
         )
+        self._follow_all(changes)
+
+    def note_call(self, sent_to: ListedTarget, notice: TargetNotice) -> None:
+        """Take what the answer to a call beside the requests says of its target.
+
+        Whether it would name a limit isn't known, so it ends none.
+        """
+        now_seconds = self._clock.now_seconds()
+        changes = self._notices.note_answer(
+            sent_to.start,
+            notice,
+            now_seconds,
+            now_seconds,
+            is_sealed=False,
+            was_not_run=True,
+        )
+        self._follow_all(changes)
+
+    def _follow_all(self, changes: list[NoticeChange]) -> None:
+        now_seconds = self._clock.now_seconds()
         for change in changes:
             self._follow(change, _FROM_ANSWER)
             self._tell_change(change, now_seconds)
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -175,13 +175,16 @@
     routing.subscribe(quotas.set_table)
     streams = StreamSettings(connect_seconds=CONNECT_SECONDS)
     client = ForwardClient(streams, ServerDialect())
-    orders = ServerOrders()
+    orders = ServerOrders(notices.note_call)
 
     def on_head(sent_to: ListedTarget, head: AnswerHead, sent_seconds: float) -> None:
         _take_load(loads, clock, sent_to, head)
         notices.note_head(sent_to, head, sent_seconds)
 
     async def is_same_start(sent_to: ListedTarget) -> bool:
+        if notices.is_backed_off(sent_to.target):
+            # It has asked for no request, and has answered a moment ago.
+            return targets.is_start(sent_to.start)
         return await _is_same_start(targets, routing, orders, sent_to)
 
     deps = ForwardDeps(
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -225,11 +225,15 @@
                     )
 
     def _listed(self, model: ModelId) -> list[ListedTarget]:
-        """Return the targets of a model."""
+        """Return the targets of a model that get requests or will.
+
+        A target that leaves gets none, so that a load would serve nobody.
+        """
         return [
             target
             for group in self._groups_of(model)
             for target in self._targets.listed(group)
+            if not target.is_leaving
         ]
 
     def _all_weights(self, model: ModelId) -> list[TargetWeights]:
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -16,7 +16,8 @@
     SaidLoad,
 )
 
-_MISDIRECTED_STATUS = 421
+MISDIRECTED_STATUS = 421
+"""Another server has the address, or other weights than were asked for."""
 _UNAVAILABLE_STATUS = 503
 _LEAVING_WORD = "1"
 _MILLISECONDS = 1000.0
@@ -52,7 +53,7 @@
         asked_id = CIMultiDict(call.headers).get(names.ATTEMPT_ID)
         target = found.get(names.TARGET)
         weights = count_of(found.get(names.WEIGHTS, ""))
-        is_other = status == _MISDIRECTED_STATUS
+        is_other = status == MISDIRECTED_STATUS
         return AnswerHead(
             status=status,
             headers=passed_back(headers),
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -227,10 +227,7 @@
 
     def _head(self, request: web.Request) -> dict[str, str]:
         head = {names.TARGET: self.name, names.LOAD: f"{self.n_running},0,32"}
-        if self.limit_per_second is not None:
-            head[names.RATE_LIMIT] = str(self.limit_per_second)
-        if self.says_leaving:
-            head[names.LEAVING] = "1"
+        head |= self._notice_head()
         attempt_id = request.headers.get(names.ATTEMPT_ID)
         if attempt_id:
             head[names.ATTEMPT_ID] = attempt_id
@@ -238,6 +235,15 @@
             head[names.WEIGHTS] = str(self.state.version)
         return head
 
+    def _notice_head(self) -> dict[str, str]:
+        """Return what stands in the heads of all its answers."""
+        head = {}
+        if self.limit_per_second is not None:
+            head[names.RATE_LIMIT] = str(self.limit_per_second)
+        if self.says_leaving:
+            head[names.LEAVING] = "1"
+        return head
+
     def _reject(self, request: web.Request, status: int) -> web.Response:
         head = self._head(request) | {names.NOT_RUN: "1"}
         return web.Response(status=status, headers=head)
@@ -284,7 +290,8 @@
                 "active": self.n_running,
                 "kv_used": 0,
                 "kv_total": 1000,
-            }
+            },
+            headers=self._notice_head(),
         )
 
     async def _order(self, request: web.Request) -> web.StreamResponse:
@@ -292,9 +299,9 @@
         state = self.state
         state.orders.append(order)
         if state.is_changing or order.get("expected", state.n_orders) != state.n_orders:
-            return web.Response(status=409)
+            return web.Response(status=409, headers=self._notice_head())
         if order["version"] == state.version:
-            return web.Response(status=200)
+            return web.Response(status=200, headers=self._notice_head())
         state.n_orders += 1
         state.is_changing = True
         task = asyncio.create_task(self._load(order["version"]))
@@ -302,7 +309,7 @@
         task.add_done_callback(self._loads.discard)
         if self.loses_order_answers:
             self._server.cut_connection(request)
-        return web.Response(status=202)
+        return web.Response(status=202, headers=self._notice_head())
 
     async def _load(self, version: int) -> None:
         await asyncio.sleep(self.state.load_seconds)
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -4,14 +4,18 @@
 would leave open whether it arrived.
 """
 
+from collections.abc import Callable
+
 import aiohttp
 import msgspec
 import structlog
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.ids import ModelId, WeightsVersion
+from lycheepost.core.notices import TargetNotice
 from lycheepost.core.routing import ListedTarget
 from lycheepost.platform import headers as names
+from lycheepost.platform.dialect import MISDIRECTED_STATUS, decode_notice
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.weightsport import (
@@ -39,10 +43,12 @@
     400: OrderAnswer.INVALID,
     409: OrderAnswer.BUSY,
     412: OrderAnswer.FENCED,
-    421: OrderAnswer.OTHER_TARGET,
+    MISDIRECTED_STATUS: OrderAnswer.OTHER_TARGET,
 }
 
 
+OnNotice = Callable[[ListedTarget, TargetNotice], None]
+
 _log = structlog.get_logger(part="orders")
 
 
@@ -80,9 +86,14 @@
 
 
 class ServerOrders:
-    """Implements ``targets.weightsport.WeightsPort``."""
+    """Implements ``targets.weightsport.WeightsPort``.
+
+    Args:
+        on_notice: Told of what each answer says of its server, beside the body.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, on_notice: OnNotice) -> None:
+        self._on_notice = on_notice
         self._session: aiohttp.ClientSession | None = None
         self.n_orders = 0
 
@@ -136,8 +147,7 @@
             async with self._session.get(
                 f"http://{target.address}{path}", headers=headers
             ) as response:
-                named = response.headers.get(names.TARGET)
-                return named is None or named == target.target
+                return self._hear(target, response)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             _log.info(
                 "orders: target not found",
@@ -146,6 +156,16 @@
             )
             return False
 
+    def _hear(self, target: ListedTarget, response: aiohttp.ClientResponse) -> bool:
+        """Pass on what an answer says of its server; False when it is another's."""
+        named = response.headers.get(names.TARGET)
+        if named is not None and named != target.target:
+            return False
+        if response.status != MISDIRECTED_STATUS:
+            notice = decode_notice(response.status, response.headers)
+            self._on_notice(target, notice)
+        return True
+
     async def _call(
         self, method: str, target: ListedTarget, path: str, body: bytes | None
     ) -> Result[tuple[int, bytes], TargetError]:
@@ -158,6 +178,7 @@
             async with self._session.request(
                 method, f"http://{target.address}{path}", headers=headers, data=body
             ) as response:
+                self._hear(target, response)
                 return Success((response.status, await response.read()))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(TargetUnreachable(f"no connection: {error}"))
