--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -18,6 +18,7 @@
 )
 from lycheepost.bench.slopes import Slope, measure_slopes, to_document
 from lycheepost.commands import (
+    benchbackoff,
     benchcapacity,
     benchcontrol,
     benchlimit,
@@ -32,6 +33,7 @@
 )
 
 app.command()(benchcontrol.control)
+app.command()(benchbackoff.backoff)
 app.command()(benchlimit.limit)
 app.command()(benchquota.quota)
 app.command()(benchcontrol.leases)
--- a/tools/run_benches.py
+++ b/tools/run_benches.py
@@ -26,6 +26,7 @@
     "control": ["bench", "control", "--json"],
     "relay": ["bench", "relay", "--json"],
     "limit": ["bench", "limit", "--json"],
+    "backoff": ["bench", "backoff", "--json"],
     "quota": ["bench", "quota", "--json"],
     "policy": ["bench", "policy", "--json"],
 }
