Soak servers that leave, shed and limit among kills, freezes and cuts

tools/faultsoak.py lets servers say that they leave (their registration lapses and is back meanwhile), turn requests away with a pause, and name limits, in series that overlap with its other faults, and checks each arrival against what its server had told the same daemon. A daemon that was restarted or frozen since, and a server whose links were disturbed, is excused.

--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -5,7 +5,8 @@
 The daemons are processes; the store, the engines and the plain services are stand-ins
 in this one. Every way between them goes through a loopback proxy that delays, resets,
 cuts one way or silences. Processes are stopped, paused, killed and started again by
-signals, and the store fails, answers late or loses answers, in series that overlap.
+signals, and the store fails, answers late or loses answers, in series that overlap;
+servers meanwhile say that they leave, name limits, or turn requests away for a while.
 Clients keep using their connections until the process behind them is gone. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
 process that was started here is ended here, by its id. Exit code 0 without a violation.
@@ -27,6 +28,7 @@
 from dataclasses import dataclass, field
 
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
+from soaknotices import DaemonWords, Span, find_broken
 from soakproxy import LinkState
 
 from lycheepost.app.platformdemo import (
@@ -67,6 +69,7 @@
         sent_seconds: When each attempt was sent, and with which key.
         refused: Attempts that may run once and were told not to have run.
         revoked_seconds: When the key was gone from the configuration.
+        words: What the daemons were sent and handed on, and when they were disturbed.
     """
 
     seed: int
@@ -80,6 +83,13 @@
     faults: Counter[str] = field(default_factory=Counter)
     version: int = 1
     weights: int = 1
+    words: DaemonWords = field(default_factory=DaemonWords)
+
+    def note_disturbed(self, daemon: DaemonProcess, from_seconds: float) -> None:
+        """Note that a daemon was killed, stopped or frozen until now."""
+        index = self.fleet.processes.index(daemon)
+        span = Span(from_seconds, time.monotonic())
+        self.words.disturbed.setdefault(index, []).append(span)
 
     def is_over(self) -> bool:
         """Tell whether no further fault may begin."""
@@ -93,24 +103,30 @@
 
 async def kill(run: SoakRun, daemon: DaemonProcess) -> None:
     """Kill a process and start it again."""
+    from_seconds = time.monotonic()
     daemon.send(signal.SIGKILL)
     await pause(run, 0.2, 1.5)
     await daemon.end(0.0)
     daemon.start()
+    run.note_disturbed(daemon, from_seconds)
 
 
 async def freeze(run: SoakRun, daemon: DaemonProcess) -> None:
     """Pause a process."""
+    from_seconds = time.monotonic()
     daemon.send(signal.SIGSTOP)
     await pause(run, 0.3, 4.0)
     daemon.send(signal.SIGCONT)
+    run.note_disturbed(daemon, from_seconds)
 
 
 async def stop(run: SoakRun, daemon: DaemonProcess) -> None:
     """Tell a process to end, and start it again."""
+    from_seconds = time.monotonic()
     daemon.send(signal.SIGHUP)
     await daemon.end(8.0)
     daemon.start()
+    run.note_disturbed(daemon, from_seconds)
 
 
 async def disturb_store_link(run: SoakRun, daemon: DaemonProcess) -> None:
@@ -135,10 +151,12 @@
     server = run.rng.choice(run.fleet.servers)
     if not isinstance(server, ProxiedServer) or server.proxy is None:
         return
+    from_seconds = time.monotonic()
     server.proxy.set_state(run.rng.choice(list(LinkState)))
     server.proxy.reset(run.rng, 0.5)
     await pause(run, 0.3, 3.0)
     server.proxy.set_state(LinkState.OPEN)
+    server.words.cut.append(Span(from_seconds, time.monotonic()))
 
 
 async def disturb_store(run: SoakRun, _daemon: DaemonProcess) -> None:
@@ -171,6 +189,34 @@
     run.revoked_seconds = min(run.revoked_seconds, time.monotonic())
 
 
+async def leave(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let one server say that it leaves; its registration lapses and is back."""
+    server = run.rng.choice(run.fleet.servers)
+    if any(other.says_leaving for other in run.fleet.group(server.service)):
+        return
+    server.says_leaving = True
+    await pause(run, 0.2, 2.0)
+    run.fleet.store.store.put("servers", server.name, None)
+    await pause(run, 0.2, 2.0)
+    run.fleet.register(server)
+
+
+async def shed(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let one server turn requests away, and ask for a pause each time."""
+    server = run.rng.choice(run.fleet.servers)
+    server.backoff_seconds = run.rng.uniform(0.3, 4.0)
+    await pause(run, 0.5, 5.0)
+    server.backoff_seconds = None
+
+
+async def limit(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let one server name a limit for a while."""
+    server = run.rng.choice(run.fleet.servers)
+    server.limit_per_second = run.rng.uniform(0.5, 4.0)
+    await pause(run, 1.0, 5.0)
+    server.limit_per_second = None
+
+
 FAULTS: tuple[Callable[[SoakRun, DaemonProcess], Awaitable[None]], ...] = (
     kill,
     freeze,
@@ -181,6 +227,9 @@
     disturb_store,
     name_weights,
     configure,
+    leave,
+    shed,
+    limit,
 )
 
 
@@ -203,8 +252,10 @@
     headers = fleet.headers(key, **prompt_of(run.rng, asked))
     attempt_id = headers[names.ATTEMPT_ID]
     index = run.rng.randrange(len(fleet.processes))
-    run.sent_seconds[attempt_id] = (time.monotonic(), key)
     started_seconds = time.monotonic()
+    run.sent_seconds[attempt_id] = (started_seconds, key)
+    run.words.daemon_of[attempt_id] = index
+    run.words.sent_seconds[attempt_id] = started_seconds
     answer = Answer(None, is_whole=False)
     try:
         async with asyncio.timeout(4.0):
@@ -215,6 +266,8 @@
         # A client that leaves; what came of its request is checked at the end.
         pass
     elapsed_seconds = time.monotonic() - started_seconds
+    if answer.status == 200 and answer.is_whole:
+        run.words.handed_on_seconds[attempt_id] = time.monotonic()
     judge(fleet, asked, attempt_id, answer, elapsed_seconds, run.report)
     if answer.status in _NOT_RUN and names.SEAL not in answer.headers:
         run.refused.add(attempt_id)
@@ -247,6 +300,12 @@
             late_seconds = sent_seconds - run.revoked_seconds - REVOKE_SECONDS
             if key == LOST_KEY and late_seconds > 0:
                 violations.append(f"{done.attempt_id}: ran with a key long taken away")
+    servers = {
+        server.name: server.words
+        for server in run.fleet.servers
+        if isinstance(server, ProxiedServer)
+    }
+    violations.extend(find_broken(servers, run.words))
 
 
 async def check_settled(run: SoakRun) -> None:
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+from soaknotices import Pause, ServerWords
 from soakproxy import Proxy
 
 from lycheepost.app.platformfleet import (
@@ -25,6 +26,7 @@
     make_configuration,
 )
 from lycheepost.core.ids import DaemonId, RegionId
+from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import PlatformServer
 from lycheepost.platform.settings import Endpoint, NodeSettings
 
@@ -57,12 +59,16 @@
 
 
 class ProxiedServer(PlatformServer):
-    """A server that daemons reach through a proxy, and that notes when it ran what."""
+    """A server that daemons reach through a proxy, and that notes what it got and said.
+
+    Attributes:
+        words: These notes.
+    """
 
     def __init__(self, service: str, model: str = "") -> None:
         super().__init__(service, model)
         self.proxy: Proxy | None = None
-        self.ran_seconds: dict[str, float] = {}
+        self.words = ServerWords()
 
     @property
     def address(self) -> str:
@@ -86,7 +92,22 @@
 
     def _record(self, request: aiohttp.web.Request, body: bytes) -> None:
         super()._record(request, body)
-        self.ran_seconds[self.runs[-1].attempt_id] = time.monotonic()
+        self.words.arrived_seconds[self.runs[-1].attempt_id] = time.monotonic()
+
+    def _head(self, request: aiohttp.web.Request) -> dict[str, str]:
+        attempt_id = request.headers.get(names.ATTEMPT_ID)
+        if self.says_leaving and attempt_id in self.words.arrived_seconds:
+            self.words.said_leaving.add(attempt_id)
+        return super()._head(request)
+
+    def _turn_away(
+        self, request: aiohttp.web.Request, backoff_seconds: float
+    ) -> aiohttp.web.Response:
+        attempt_id = request.headers[names.ATTEMPT_ID]
+        now_seconds = time.monotonic()
+        self.words.arrived_seconds[attempt_id] = now_seconds
+        self.words.pauses.append(Pause(attempt_id, now_seconds, backoff_seconds))
+        return super()._turn_away(request, backoff_seconds)
 
 
 @dataclass
