--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -210,8 +210,6 @@
                 meter.take_lower_level(daemon, count)
             else:
                 meter.take_mate_count(daemon, count)
-                if mates.is_synced and news.is_synced:
-                    meter.follow_most(mates.n_daemons)
         mates.is_synced = mates.is_synced or (mates.is_entry and adopts)
 
     def _known(self, news: QuotaNews) -> Iterator[tuple[QuotaMeter, QuotaCount]]:
@@ -303,4 +301,3 @@
     def _forget_counts(self, daemon: DaemonId) -> None:
         for meter in self._meters.values():
             meter.told.pop(daemon, None)
-            meter.levels.pop(daemon, None)
--- a/lycheepost/decide/quotamates.py
+++ b/lycheepost/decide/quotamates.py
@@ -127,11 +127,6 @@
         """Return the mates, who lately was a mate, and who stands by and has asked."""
         return tuple(sorted({*self._mates, *self._relayed}))
 
-    @property
-    def n_daemons(self) -> int:
-        """Return how many daemons let requests through, with this one."""
-        return 1 + len(self._mates)
-
     def is_mate(self, daemon: DaemonId) -> bool:
         """Tell whether a daemon is one of the mates."""
         return daemon in self._mates
--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -21,17 +21,6 @@
 """The same for what a bucket holds at the start of a daemon that nobody tells how much
 is left. When all daemons have lost power, none of them knows what was spent before."""
 
-FRESH_SECONDS = 0.25
-"""A level that a mate told longer ago isn't compared with: it was told five times since
-where the customer asks for much."""
-
-ON_WAY_SECONDS = 0.1
-"""Units that come within this time may be on their way from daemon to daemon, so that
-levels differ by them."""
-
-RAISE_SHARE = 0.1
-"""Part of the difference by which a level rises with each word of a mate."""
-
 MOST_WAIT_SECONDS = 10.0
 """A caller that is told to come back later than this has gone elsewhere."""
 
@@ -61,14 +50,6 @@
     due_seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class ToldLevel:
-    """Units that are left, as a mate has told them."""
-
-    level: float
-    told_seconds: float
-
-
 @dataclass(slots=True)
 class QuotaMeter:
     """One customer; made by ``make_meter``.
@@ -80,7 +61,6 @@
             missing; None while none is.
         spent: Units let through here since the start.
         told: The count of units that each daemon has told.
-        levels: The level that each mate has told last.
         n_refused: Requests refused here.
         is_changed: Something was let through since the mates were told.
     """
@@ -91,7 +71,6 @@
     reachable: TokenBucket | None = None
     spent: float = 0.0
     told: dict[DaemonId, float] = field(default_factory=dict)
-    levels: dict[DaemonId, ToldLevel] = field(default_factory=dict)
     n_refused: int = 0
     is_changed: bool = False
     _lower: _Lower | None = None
@@ -212,38 +191,11 @@
     def take_mate_count(self, daemon: DaemonId, count: QuotaCount) -> None:
         """Count what a mate let through since it last spoke.
 
-        Its level alone isn't followed. A busy daemon hears late of what was spent, so
-        that its level is always too high, and each message of it would raise the others
+        Its level isn't followed. A busy daemon hears late of what was spent, so that
+        its level is always too high, and each message of it would raise the others
         again.
         """
         self._add(-self.note_spent(daemon, count.spent))
-        self.levels[daemon] = ToldLevel(count.level, self.fleet.at_seconds)
-
-    def follow_most(self, n_daemons: int) -> None:
-        """Raise a level that is below those of most daemons.
-
-        Counts may have parted, for one by a quota that was lowered at different moments
-        for each. A customer that goes on asking never lets the buckets fill up, so that
-        a debt that was none stays for good. Most daemons are taken not to hear late:
-        the level in the middle is theirs.
-
-        Args:
-            n_daemons: Daemons that let requests through, with this one.
-        """
-        oldest_seconds = self.fleet.at_seconds - FRESH_SECONDS
-        levels = [
-            told.level
-            for told in self.levels.values()
-            if told.told_seconds >= oldest_seconds
-        ]
-        levels = sorted([*levels, self.fleet.level])
-        if 2 * len(levels) <= n_daemons:
-            return
-        middle = levels[(len(levels) - 1) // 2]
-        on_way = ON_WAY_SECONDS * self.fleet.rate_per_second
-        gap = middle - on_way - self.fleet.level
-        if gap > 0.0:
-            self.fleet.add(RAISE_SHARE * gap)
 
     def take_lower_level(self, daemon: DaemonId, count: QuotaCount) -> None:
         """Take the level of a daemon that knows more, if it is the lower one."""
