Try suspects that were lost together on targets of their own

What callers saw: an innocent request refused for ten minutes as a killer. Cause: a killer and an innocent request are lost with one target, and two daemons try them again at the same moment, before either hears of the other's try, on the target that both find best; its loss convicts both. Told to each other only after the choice, no word can be early enough.

Now the choice itself keeps them apart: daemons that have heard of the same losses give the suspects of the last 3 s the same places, and a suspect of place n is tried on the n-th serving target, as long as that has room and tries no other suspect.

--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -305,7 +305,9 @@
         if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
             return self.placement.best(work, now_seconds, avoid, ahead_of, is_late)
         alone = avoid | self._targets_with_suspects(now_seconds)
-        choice = self.placement.best(work, now_seconds, alone, ahead_of)
+        choice = self._choose_apart(work, now_seconds, alone, ahead_of)
+        if choice is None:
+            choice = self.placement.best(work, now_seconds, alone, ahead_of)
         if choice is not None:
             return choice
         # A target that is lost with many requests makes them all suspects, more
@@ -314,6 +316,31 @@
         choice = self.placement.best(work, now_seconds, avoid, ahead_of)
         return None if choice is None else replace(choice, can_take=False)
 
+    def _choose_apart(
+        self,
+        work: Work,
+        now_seconds: float,
+        avoid: frozenset[TargetId],
+        ahead_of: Ahead,
+    ) -> Choice | None:
+        """Choose the target on which only this suspect is tried by any daemon.
+
+        The failure: a killer and an innocent request are lost with one target. Two
+        daemons try them again at the same moment, before either hears of the other's
+        try, on the target that both find best, and its loss convicts both.
+
+        Returns:
+            None where no other suspect may be tried now, or that target has no room.
+        """
+        place = self._quarantine.place_of(work.fingerprint, now_seconds)
+        targets = self.placement.serving()
+        if place is None or not targets:
+            return None
+        own = targets[place % len(targets)]
+        others = avoid | (frozenset(targets) - {own})
+        choice = self.placement.best(work, now_seconds, others, ahead_of)
+        return choice if choice is not None and choice.can_take else None
+
     def _targets_with_suspects(self, now_seconds: float) -> frozenset[TargetId]:
         return self.peer_suspects.targets(now_seconds) | frozenset(
             target
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -121,6 +121,10 @@
         self._serving_by_id = {load.view.target: load for load in self._serving}
         self._ring.replace(set(self._serving_by_id))
 
+    def serving(self) -> list[TargetId]:
+        """Return the targets that take new work, in an order that daemons share."""
+        return sorted(self._serving_by_id)
+
     def is_empty(self) -> bool:
         """Tell whether no target takes new work."""
         return not self._serving
--- a/lycheepost/decide/quarantine.py
+++ b/lycheepost/decide/quarantine.py
@@ -16,6 +16,13 @@
 """Bounds memory when whole availability zones fail: the oldest are dropped."""
 
 
+TOGETHER_SECONDS = 3.0
+"""Fingerprints whose losses are no older are tried again at about the same time."""
+
+MOST_TOGETHER = 64
+"""Fingerprints that are put in order: what one target runs. Where more are lost, the
+newest are."""
+
 PEER_SUSPECT_SECONDS = 2.0
 """A target to which a peer sent a suspect is avoided by ours for this long: a
 request that kills its target has mostly done so by then."""
@@ -57,6 +64,8 @@
         self._keep_seconds = keep_seconds
         self._counts: dict[BodyFingerprint, _Suspect] = {}
         self._until: dict[BodyFingerprint, float] = {}
+        self._lost_seconds: dict[BodyFingerprint, float] = {}
+        """Last losses, in their order; one that was acquitted meanwhile stays."""
 
     def add(self, fingerprint: BodyFingerprint, until_seconds: float) -> None:
         """Quarantine a fingerprint, as decided here or told by a peer."""
@@ -115,6 +124,7 @@
             count += suspect.n_losses
         until_seconds = lost_seconds + self._keep_seconds
         self._counts[fingerprint] = _Suspect(count, lost_seconds, until_seconds)
+        self._note_lost(fingerprint, lost_seconds)
         while len(self._counts) > MAX_SUSPECTS:
             del self._counts[next(iter(self._counts))]
         is_quarantined = count >= self._losses
@@ -124,6 +134,31 @@
             fingerprint, started_seconds, lost_seconds, until_seconds, is_quarantined
         )
 
+    def _note_lost(self, fingerprint: BodyFingerprint, lost_seconds: float) -> None:
+        self._lost_seconds.pop(fingerprint, None)
+        self._lost_seconds[fingerprint] = lost_seconds
+        while len(self._lost_seconds) > MOST_TOGETHER:
+            del self._lost_seconds[next(iter(self._lost_seconds))]
+
+    def place_of(self, fingerprint: BodyFingerprint, now_seconds: float) -> int | None:
+        """Return the place of a suspect among those that were lost lately.
+
+        Daemons that have heard of the same losses give the same places, whoever of the
+        suspects they try.
+
+        Returns:
+            Its place, from 0 on; None where no other was lost lately.
+        """
+        oldest_seconds = now_seconds - TOGETHER_SECONDS
+        lately = sorted(
+            name
+            for name, at_seconds in self._lost_seconds.items()
+            if at_seconds >= oldest_seconds
+        )
+        if len(lately) < 2 or fingerprint not in lately:
+            return None
+        return lately.index(fingerprint)
+
     def clear(self, fingerprint: BodyFingerprint) -> None:
         """Acquit a suspect that ran to its end."""
         if self._counts:
