--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -17,6 +17,7 @@
       | look-up          | 1 | own failure    | answer            | 2    |
       | look-up          | 1 | broken answer  | answer            | 2    |
       | look-up          | 1 | no seal        | answer            | 2    |
+      | look-up          | 1 | encoding       | answer            | 2    |
       | look-up          | 1 | silence        | answer            | 1    |
       | look-up          | 1 | refusal        | answer            | 1    |
       | look-up          | 2 | own failure    | server's failure  | 2    |
@@ -26,6 +27,7 @@
       | order            | 1 | own failure    | server's failure  | 1    |
       | order            | 1 | broken answer  | 502               | 1    |
       | order            | 1 | no seal        | 502               | 1    |
+      | order            | 1 | encoding       | 502               | 1    |
       | order            | 1 | refusal        | answer            | 1    |
       | order            | 9 | refusal        | 503 and come back | 0    |
       | resumable stream | 1 | break          | answer            | 2    |
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -11,6 +11,7 @@
 from lycheepost.callers.errors import Executed
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverface import (
+    Encoded,
     ExtraAnswer,
     OwnFailure,
     PlatformServer,
@@ -31,6 +32,7 @@
     "own failure": OwnFailure(),
     "broken answer": Truncated(0),
     "no seal": Unsealed(),
+    "encoding": Encoded(),
     "silence": Swallowed(),
     "refusal": Refused(503),
     "break": Truncated(3),
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -54,6 +54,11 @@
     """A success without the server's seal."""
 
 
+@dataclass(frozen=True, slots=True)
+class Encoded:
+    """A success whose body is said to be encoded, as by something on the way."""
+
+
 @dataclass(frozen=True, slots=True)
 class CrashAndReturn:
     """The server dies of the request and is back at once, under the same name."""
@@ -68,6 +73,7 @@
     | OwnFailure
     | ExtraAnswer
     | Unsealed
+    | Encoded
     | CrashAt
     | CrashAndReturn
 )
@@ -366,6 +372,8 @@
                 await response.write(text[: len(text) // 2])
                 self._server.cut_connection(request)
                 return response
+            case Encoded():
+                head["Content-Encoding"] = "gzip"
             case ExtraAnswer():
                 return await self._answer_twice(request, head, text)
         return web.Response(headers=head, body=text)
