Look once more before a send whether its target has asked for a pause

A burst is placed in one moment, and its requests go out one after the other; the first may be turned away before the last is sent. The look beside the one for targets that have left sends it elsewhere, without a repeat of the budget. The scenario fails without it.

--- a/features/platform/notices.feature
+++ b/features/platform/notices.feature
@@ -100,6 +100,12 @@
     Then at most two requests reach it between half a second after each and the end of that pause
     And every client is served
 
+  Scenario: A request that was placed before its server asked for a pause goes elsewhere
+    Guards against a burst that was placed in one moment and goes out after the word.
+    Given a deployment with 1 daemon
+    When a look-up is placed, and its server then asks the daemon for a pause
+    Then it is served by the other server
+
   Scenario: A server is used again when its pause is over
     Guards against a server that is left alone for good.
     Given a deployment with 1 daemon
--- a/features/platform/steps/notice_steps.py
+++ b/features/platform/steps/notice_steps.py
@@ -9,6 +9,7 @@
 from deployment import Deployment
 from multidict import CIMultiDict
 
+from lycheepost.core.notices import TargetNotice
 from lycheepost.platform import headers as names
 from lycheepost.platform.dialect import decode_notice
 
@@ -340,3 +341,28 @@
 def step_no_order(context):
     engine = context.deployment.group("llm")[0]
     assert not engine.state.orders, engine.state.orders
+
+
+@when("a look-up is placed, and its server then asks the daemon for a pause")
+def step_placed_first(context):
+    traffic = context.deployment.daemons[0]._made.traffic
+    admit = traffic.dispatcher.admit
+    context.placed = []
+
+    async def admit_and_hear(work):
+        outcome = await admit(work)
+        listed = traffic.targets.get(outcome.target)
+        traffic.notices.note_call(listed, TargetNotice(retry_after_seconds=3.0))
+        context.placed.append(outcome.target)
+        return outcome
+
+    traffic.dispatcher.admit = admit_and_hear
+    context.answer = context.loop.run_until_complete(ask_look_up(context.deployment))
+
+
+@then("it is served by the other server")
+def step_served_by_other(context):
+    assert context.answer.status == 200, context.answer
+    served = [server for server in context.deployment.group("plain") if server.runs]
+    assert len(served) == 1, served
+    assert served[0].name not in context.placed, context.placed
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -201,6 +201,7 @@
         make_request_id=_request_ids(base.boot),
         pick_point=base.rng.random,
         on_head=on_head,
+        is_backed_off=notices.is_backed_off,
     )
     return PlatformTraffic(
         dispatcher=dispatcher,
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -131,8 +131,9 @@
         is_same_start: Whether a target still is the start that it was when it was
             sent to.
         pick_point: Gives a number in [0, 1) to split traffic by.
-        on_head: Told of each answer's head, for the load and the limit that it states,
-            with the target as it was sent to and when that was.
+        on_head: Told of each answer's head, for what it says of the target, with the
+            target as it was sent to and when that was.
+        is_backed_off: Whether a target wants no request from this daemon now.
     """
 
     routing: RoutingPort
@@ -148,3 +149,4 @@
     make_request_id: Callable[[], RequestId]
     pick_point: Callable[[], float]
     on_head: Callable[[ListedTarget, AnswerHead, float], None]
+    is_backed_off: Callable[[TargetId], bool]
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -254,6 +254,9 @@
             if listed is None:
                 end, reason = SendEnd.NOT_SENT, "the target has left"
                 kind = FinishKind.TARGET_REFUSED
+            elif self._deps.is_backed_off(target):
+                end, reason = SendEnd.NOT_SENT, "the target has asked for a pause"
+                kind = FinishKind.TARGET_REFUSED
             else:
                 end, reason = await self._send(listed)
                 kind = await self._finish_kind(listed, end)
