--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -3,7 +3,6 @@
 import math
 import random
 from collections import deque
-from dataclasses import replace
 
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.admission import (
@@ -21,7 +20,7 @@
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.placement import Ahead, Choice, Placement
-from lycheepost.decide.quarantine import PeerSuspects, Quarantine
+from lycheepost.decide.quarantine import Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting
 from lycheepost.decide.randomadmission import RandomAdmission
 from lycheepost.decide.records import (
@@ -36,6 +35,7 @@
 from lycheepost.decide.sendpace import SendPace, make_send_pace
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.shares import FairShares
+from lycheepost.decide.suspects import SuspectPlacement
 
 SCANNED_REQUESTS = 8
 """Requests looked at when a slot frees up: enough to pass those that wait for
@@ -102,14 +102,12 @@
     ) -> None:
         self._settings = settings
         self._rng = rng
-        self._quarantine = quarantine
         self.queue = FairQueue()
         self.late = LateWork()
         self.shares = FairShares()
         self.placement = Placement(settings, rng)
+        self.suspects = SuspectPlacement(quarantine, self.placement)
         self.admission = RandomAdmission(rng)
-        self.peer_suspects = PeerSuspects()
-        self.suspect_targets: list[TargetId] = []
         self.placed: deque[Placed] = deque(maxlen=MOST_PLACED)
         self._running: dict[RequestId, TargetId] = {}
         self._paces: dict[TargetId, SendPace] = {}
@@ -301,55 +299,9 @@
         ahead_of: Ahead,
         is_late: bool = False,
     ) -> Choice | None:
-        avoid = work.excluded
-        if not self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            return self.placement.best(work, now_seconds, avoid, ahead_of, is_late)
-        alone = avoid | self._targets_with_suspects(now_seconds)
-        choice = self._choose_apart(work, now_seconds, alone, ahead_of)
-        if choice is None:
-            choice = self.placement.best(work, now_seconds, alone, ahead_of)
-        if choice is not None:
-            return choice
-        # A target that is lost with many requests makes them all suspects, more
-        # than there are targets to try each alone on. They wait for their turn;
-        # refusing them would fail the innocent ones.
-        choice = self.placement.best(work, now_seconds, avoid, ahead_of)
-        return None if choice is None else replace(choice, can_take=False)
-
-    def _choose_apart(
-        self,
-        work: Work,
-        now_seconds: float,
-        avoid: frozenset[TargetId],
-        ahead_of: Ahead,
-    ) -> Choice | None:
-        """Choose the target on which only this suspect is tried by any daemon.
-
-        The failure: a killer and an innocent request are lost with one target. Two
-        daemons try them again at the same moment, before either hears of the other's
-        try, on the target that both find best, and its loss convicts both.
-
-        Returns:
-            None where no other suspect may be tried now, or that target has no room.
-        """
-        place = self._quarantine.place_of(work.fingerprint, now_seconds)
-        targets = self.placement.serving()
-        if place is None or not targets:
-            return None
-        own = targets[place % len(targets)]
-        others = avoid | (frozenset(targets) - {own})
-        choice = self.placement.best(work, now_seconds, others, ahead_of)
-        return choice if choice is not None and choice.can_take else None
-
-    def _targets_with_suspects(self, now_seconds: float) -> frozenset[TargetId]:
-        return self.peer_suspects.targets(now_seconds) | frozenset(
-            target
-            for target, load in self.placement.loads.items()
-            if any(
-                self._quarantine.is_suspect(entry.work.fingerprint, now_seconds)
-                for entry in load.in_flight.values()
-            )
-        )
+        if self.suspects.is_suspect(work, now_seconds):
+            return self.suspects.choose(work, now_seconds, ahead_of)
+        return self.placement.best(work, now_seconds, work.excluded, ahead_of, is_late)
 
     def _dispatch(
         self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
@@ -370,8 +322,8 @@
         if work.levels:
             self.placed.append(Placed(target, work.levels))
         self._running[work.request] = target
-        if self._quarantine.is_suspect(work.fingerprint, now_seconds):
-            self.suspect_targets.append(target)
+        if self.suspects.is_suspect(work, now_seconds):
+            self.suspects.note_sent(target)
         self.queue.charge(work.customer, cost_seconds)
         self._rate.count(cost_seconds)
         self._usual_rate.count(self._usual_cost_seconds(work))
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -413,14 +413,13 @@
         """Keep suspects off a target on which a peer tries one."""
         group = self._group_by_target.get(target)
         if group is not None:
-            group.peer_suspects.note(target, now_seconds)
+            group.suspects.peers.note(target, now_seconds)
 
     def take_suspect_targets(self) -> list[TargetId]:
         """Return the targets that got a suspect since the last call."""
         targets = []
         for group in self._groups.values():
-            targets += group.suspect_targets
-            group.suspect_targets = []
+            targets += group.suspects.take_tried()
         return targets
 
     def drain(self) -> list[Outcome]:
