--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -183,7 +183,7 @@
 
     def _set_gauges(self) -> None:
         backoffs = self._notices.backoffs.in_force(self._clock.now_seconds())
-        leaving = list(self._notices.leaving.among(self._targets))
+        leaving = self._notices.leaving.among(self._targets)
         self._metrics.gauge("targets_limited", len(self._notices.limits.in_force()))
         self._metrics.gauge("targets_leaving", len(leaving))
         self._metrics.gauge("targets_backed_off", len(backoffs))
@@ -194,7 +194,7 @@
             self._set_gauges()
             now_seconds = self._clock.now_seconds()
             limits = self._notices.limits.own(now_seconds)
-            leaving = list(self._notices.leaving.among(self._targets))
+            leaving = self._notices.leaving.among(self._targets)
             if limits or leaving:
                 self._tell(limits, leaving)
 
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -255,7 +255,7 @@
                 end, reason = SendEnd.NOT_SENT, "the target has left"
                 kind = FinishKind.TARGET_REFUSED
             elif self._deps.is_backed_off(target):
-                end, reason = SendEnd.NOT_SENT, "the target has asked for a pause"
+                end, reason = SendEnd.NOT_SENT, "the target has asked for a back-off"
                 kind = FinishKind.TARGET_REFUSED
             else:
                 end, reason = await self._send(listed)
--- a/lycheepost/commands/benchbackoff.py
+++ b/lycheepost/commands/benchbackoff.py
@@ -14,7 +14,7 @@
         bool, typer.Option("--json", help="Print a list of records.")
     ] = False,
 ) -> None:
-    """Compare ways to keep the pauses that targets ask daemons for."""
+    """Compare ways to keep the back-offs that targets ask daemons for."""
     records = list(measure_backoffs(tuple(range(1, seeds + 1))))
     if as_json:
         print(json.dumps([record.to_dict() for record in records], indent=1))
--- a/lycheepost/decide/leaving.py
+++ b/lycheepost/decide/leaving.py
@@ -7,7 +7,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 from lycheepost.core.ids import TargetId
 from lycheepost.core.starts import TargetStart
@@ -32,10 +32,10 @@
         return True
 
     def is_leaving(self, start: TargetStart) -> bool:
-        """Tell whether a start, or a later one of the same target, is leaving."""
+        """Tell whether this start, or one after it, has said that it leaves."""
         known = self._starts.get(start.target)
         return known is not None and not start.is_newer_than(known)
 
-    def among(self, targets: Collection[TargetId]) -> Iterable[TargetStart]:
-        """Return the leaving starts of these targets."""
+    def among(self, targets: Collection[TargetId]) -> list[TargetStart]:
+        """Return the starts of these targets that have said so."""
         return [self._starts[name] for name in targets if name in self._starts]
