--- a/features/app/steps/quotanews_steps.py
+++ b/features/app/steps/quotanews_steps.py
@@ -62,12 +62,12 @@
 def step_fail(context, seconds):
     context.n_told = 0
 
-    def send(_daemon, _message):
+    def send_to_each(_daemons, _message):
         context.n_told += 1
         if context.n_told == 1:
             raise OSError("no socket")
 
-    context.peers.send = send
+    context.peers.send_to_each = send_to_each
 
     async def run():
         loop = asyncio.get_running_loop()
--- a/features/decide/steps/peerloads_steps.py
+++ b/features/decide/steps/peerloads_steps.py
@@ -8,7 +8,7 @@
 
 from features.decide.steps.common import Desk, make_view
 from lycheepost.core.ids import DaemonId, TargetId
-from lycheepost.decide.peerloads import PeerLoads, UnderWay, find_changes
+from lycheepost.decide.peerloads import NOTHING, PeerLoads, UnderWay, find_changes
 
 
 @given("{n:d} daemons before {n_targets:d} targets that tell each other their load")
@@ -29,8 +29,10 @@
             continue
         other = context.desks[index]
         peers.observe(DaemonId(str(number)), loads, other.now_seconds)
+        totals = peers.totals(other.now_seconds)
         for target in {view.target for view in other.views.values()}:
-            load = peers.at(target, other.now_seconds)
+            load = totals.get(target, NOTHING)
+            assert load == peers.at(target, other.now_seconds), (target, load)
             other.scheduler.note_others(target, load, other.now_seconds)
 
 
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -117,16 +117,15 @@
             ],
             placed=[_to_message(item) for item in placed],
         )
-        for daemon in self._mates:
-            self._exchange.send(daemon, news)
+        self._exchange.send_to_each(self._mates, news)
 
     def _pass_on(self) -> None:
         now_seconds = self._clock.now_seconds()
         is_known = self._peers.is_known(now_seconds)
         if is_known:
+            totals = self._peers.totals(now_seconds)
             for target in self._targets:
-                load = self._peers.at(target, now_seconds)
-                self._dispatcher.note_others(target, load)
+                self._dispatcher.note_others(target, totals.get(target, NOTHING))
         self._dispatcher.draw_admission(
             lambda group: self._peers.n_waiting(group, now_seconds)
         )
--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -212,8 +212,7 @@
         self, limits: dict[TargetId, SaidLimit], leaving: list[TargetStart]
     ) -> None:
         message = to_message(limits, leaving, self._clock.now_seconds())
-        for daemon in self._mates:
-            self._exchange.send(daemon, message)
+        self._exchange.send_to_each(self._mates, message)
 
     def _take(self, message: NoticeNews, sender: DaemonId) -> None:
         for target, said in limits_of(message, self._clock.now_seconds()):
--- a/lycheepost/app/quotas.py
+++ b/lycheepost/app/quotas.py
@@ -138,8 +138,7 @@
         if is_whole:
             self._whole_seconds = now_seconds
         message = to_message(news)
-        for daemon in listeners:
-            self._exchange.send(daemon, message)
+        self._exchange.send_to_each(listeners, message)
 
     def _report(self, now_seconds: float) -> None:
         """Log and measure, at most once a second."""
--- a/lycheepost/decide/peerloads.py
+++ b/lycheepost/decide/peerloads.py
@@ -100,6 +100,20 @@
             sum(load.n_running for load in found),
         )
 
+    def totals(self, now_seconds: float) -> dict[TargetId, UnderWay]:
+        """Return the same of all targets at which any peer has something."""
+        self._forget_silent(now_seconds)
+        tokens: dict[TargetId, int] = {}
+        running: dict[TargetId, int] = {}
+        for told in self._told.values():
+            for target, load in told.loads.items():
+                tokens[target] = tokens.get(target, 0) + load.queued_tokens
+                running[target] = running.get(target, 0) + load.n_running
+        return {
+            target: UnderWay(n_tokens, running[target])
+            for target, n_tokens in tokens.items()
+        }
+
     def _forget_silent(self, now_seconds: float) -> None:
         for daemon, told in list(self._told.items()):
             if now_seconds - told.at_seconds > FRESH_SECONDS:
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import OrderedDict, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -158,6 +158,12 @@
         """Send to one daemon with whom there is a link; False when dropped."""
         return self._send_data(daemon, encode_message(message))
 
+    def send_to_each(self, daemons: Iterable[DaemonId], message: Any) -> None:
+        """Send one message to several daemons; it is packed once."""
+        data = encode_message(message)
+        for daemon in daemons:
+            self._send_data(daemon, data)
+
     def tell_revision(self) -> None:
         """Tell the revision in force to the links that do not know of it.
 
