--- a/features/platform/ratelimits.feature
+++ b/features/platform/ratelimits.feature
@@ -2,6 +2,7 @@
   Real daemons before stand-ins that speak the platform's protocol, on loopback.
 
   Scenario Outline: A server that writes <written> names <limit>
+    Guards against a figure that is none and would keep all requests away.
     Then a server that writes "<written>" names <limit>
 
     Examples:
--- a/lycheepost/peers/socketreader.py
+++ b/lycheepost/peers/socketreader.py
@@ -4,8 +4,8 @@
 was taken. So each notice reads until nothing is left, and a send, which may take a
 notice with it, is followed by a look as well.
 
-``zmq.asyncio`` does the same with a future for each message, which is the larger part
-of what messages cost daemons that tell each other their load.
+``zmq.asyncio`` does the same with a future for each message, which takes longer than
+the message itself.
 """
 
 import asyncio
