--- a/features/platform/notices.feature
+++ b/features/platform/notices.feature
@@ -79,6 +79,12 @@
     Then the other engines soon hold version 2
     And the first engine got no order
 
+  Scenario: A server that leaves is not asked for its cache events
+    Guards against calls to a server that nothing is placed on any more.
+    Given a deployment with 1 daemon
+    When the first engine says that it leaves and a stream is sent to each
+    Then the daemon follows the cache events of the other engines only
+
   Scenario: A leaving that only the answer to a call says is heard
     Guards against a word that is read in the answers to clients' requests alone.
     Given a deployment with 1 daemon
@@ -106,6 +112,17 @@
     When a look-up is placed, and its server then asks the daemon for a pause
     Then it is served by the other server
 
+  Scenario Outline: A server that lost a request <in a pause> is asked for its health <n> times
+    Guards against health checks in the time in which a server wants no request.
+    Given a deployment with 1 daemon
+    When a server loses a request <in a pause>
+    Then it was asked for its health <n> times
+
+    Examples:
+      | in a pause        | n |
+      | outside its pause | 1 |
+      | during its pause  | 0 |
+
   Scenario: A server is used again when its pause is over
     Guards against a server that is left alone for good.
     Given a deployment with 1 daemon
--- a/features/platform/steps/notice_steps.py
+++ b/features/platform/steps/notice_steps.py
@@ -366,3 +366,35 @@
     served = [server for server in context.deployment.group("plain") if server.runs]
     assert len(served) == 1, served
     assert served[0].name not in context.placed, context.placed
+
+
+@then("the daemon follows the cache events of the other engines only")
+def step_follows_others(context):
+    followed = {
+        source.target
+        for source in context.deployment.daemons[0]._made.traffic.caches._watch._tasks
+        if source.target is not None
+    }
+    others = context.deployment.group("llm")[1:]
+    assert followed == {engine.name for engine in others}, followed
+
+
+@when("a server loses a request {when} its pause")
+def step_loses(context, when):
+    deployment = context.deployment
+    traffic = deployment.daemons[0]._made.traffic
+    context.server = server = deployment.group("plain")[0]
+    listed = traffic.targets.get(server.name)
+    if when == "during":
+        notice = TargetNotice(retry_after_seconds=3.0)
+        traffic.notices.note_call(listed, notice)
+
+    async def ask_start():
+        return await traffic.front._deps.is_same_start(listed)
+
+    assert context.loop.run_until_complete(ask_start())
+
+
+@then("it was asked for its health {n:d} times")
+def step_health_checks(context, n):
+    assert context.server.n_health_checks == n, context.server.n_health_checks
--- a/lycheepost/platform/models/serverface.py
+++ b/lycheepost/platform/models/serverface.py
@@ -130,6 +130,7 @@
         backoff_seconds: It turns requests away and asks for a pause of this length;
             None to take them.
         turned_away: When it did so, by the loop's clock.
+        n_health_checks: How often it was asked for its health.
     """
 
     def __init__(
@@ -151,6 +152,7 @@
         self.says_leaving = False
         self.backoff_seconds: float | None = None
         self.turned_away: list[float] = []
+        self.n_health_checks = 0
         self.on_fault: Callable[[], object] = lambda: None
         self.n_events = n_events
         self._run_seconds = run_seconds
@@ -276,6 +278,7 @@
         return None
 
     async def _health(self, request: web.Request) -> web.StreamResponse:
+        self.n_health_checks += 1
         await self._server.gate(request)
         status = 503 if self.is_leaving else 200
         return web.Response(status=status, headers=self._head(request))
