--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -19,6 +19,7 @@
 from lycheepost.decide.latework import LateWork
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.paces import TargetPaces
 from lycheepost.decide.placement import Ahead, Choice, Placement
 from lycheepost.decide.quarantine import Quarantine
 from lycheepost.decide.queueing import FairQueue, Waiting
@@ -32,7 +33,6 @@
     Refuse,
     Work,
 )
-from lycheepost.decide.sendpace import SendPace, make_send_pace
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.shares import FairShares
 from lycheepost.decide.suspects import SuspectPlacement
@@ -106,11 +106,11 @@
         self.late = LateWork()
         self.shares = FairShares()
         self.placement = Placement(settings, rng)
+        self.paces = TargetPaces(self.placement.loads, rng)
         self.suspects = SuspectPlacement(quarantine, self.placement)
         self.admission = RandomAdmission(rng)
         self.placed: deque[Placed] = deque(maxlen=MOST_PLACED)
         self._running: dict[RequestId, TargetId] = {}
-        self._paces: dict[TargetId, SendPace] = {}
         self._rate = ServiceRate(1.0)
         self._usual_rate = ServiceRate(1.0)
         self._bias = WaitBias()
@@ -129,36 +129,7 @@
     def remove_target(self, target: TargetId) -> None:
         """Forget a target that is no longer configured."""
         self.placement.loads.pop(target, None)
-        self._paces.pop(target, None)
-
-    def set_limit(
-        self,
-        target: TargetId,
-        per_second: float | None,
-        n_daemons: int,
-        now_seconds: float,
-    ) -> None:
-        """Follow the limit of a target; None where it has none.
-
-        Args:
-            target: The target.
-            per_second: Requests that it takes from all daemons.
-            n_daemons: Daemons that the limit is divided among.
-            now_seconds: The present time.
-        """
-        load = self.placement.loads[target]
-        if per_second is None:
-            load.pace = None
-            self._paces.pop(target, None)
-        elif load.pace is None:
-            load.pace = make_send_pace(per_second, n_daemons, now_seconds, self._rng)
-            self._paces[target] = load.pace
-        else:
-            load.pace.change(per_second, n_daemons, now_seconds)
-
-    def back_off(self, target: TargetId, until_seconds: float) -> None:
-        """Send a target nothing until then."""
-        self.placement.loads[target].backoff_until_seconds = until_seconds
+        self.paces.forget(target)
 
     def _cost_seconds(self, work: Work, uncached_tokens: int) -> float:
         prefill = uncached_tokens * self._settings.prefill_seconds_per_token
@@ -462,8 +433,7 @@
 
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse what cannot be served any more; send out what has room."""
-        for pace in self._paces.values():
-            pace.renew_unused(now_seconds, self._rng)
+        self.paces.renew_unused(now_seconds)
         self._rate.update(now_seconds, self.n_waiting > 0)
         self._usual_rate.update(now_seconds, self.n_waiting > 0)
         self.shares.divide(self._usual_rate.per_second(), now_seconds)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -304,14 +304,16 @@
         """Tell a target's group until when it is backed off."""
         group = self._group_by_target.get(target)
         if group is not None and target in self._backoffs:
-            group.back_off(target, self._backoffs[target])
+            group.paces.back_off(target, self._backoffs[target])
 
     def _pass_limit(self, target: TargetId, now_seconds: float) -> None:
         """Tell a target's group of its limit."""
         group = self._group_by_target.get(target)
         if group is not None:
             per_second = self._limits.get(target)
-            group.set_limit(target, per_second, self._n_sharing_limits, now_seconds)
+            group.paces.set_limit(
+                target, per_second, self._n_sharing_limits, now_seconds
+            )
 
     def set_sharing_limits(self, n_daemons: int, now_seconds: float) -> None:
         """Follow among how many daemons the limits of targets are divided."""
