Hold the ports of stand-ins and of restarted daemons while nobody listens on them

Cause: a daemon of the test comes back on the port that it had, which lies in the range that outgoing connections get theirs from, and another process had taken it in between. Shown by a script: a connection that is told to take just that port gets it, and the server can't listen again; where a bound socket holds the port, the connection can't have it, and the server can. The port of the run itself wasn't watched, so that it was such a connection is inferred.

Now a socket that never listens holds the port.

--- a/features/promises/steps/fleet.py
+++ b/features/promises/steps/fleet.py
@@ -20,6 +20,7 @@
 from lycheepost.loadgen.mixes import Deployment
 from lycheepost.standin.enginesettings import EngineStandinSettings
 from lycheepost.standin.enginetiming import make_speeds
+from lycheepost.standin.ports import port_of, reserve_port
 
 N_DAEMONS = 3
 POISON = "poisonous"
@@ -54,17 +55,20 @@
         self.n_daemons = n_daemons
         self.settings = []
         self.daemons = []
+        self.held_ports = []
 
     async def start(self):
         await self.standins.start()
         for _ in range(self.n_daemons):
             seeds = [peer_address(daemon) for daemon in self.daemons]
             settings = make_demo_settings(self.standins, seeds, self.operator_key, BASE)
-            daemon = make_daemon(settings)
-            await daemon.start()
-            # A restart comes back on the same ports, as a VM's daemon does.
-            listeners = replace(settings.listeners, callers_port=daemon.callers.port)
+            # A restart comes back on the same port, as a VM's daemon does.
+            self.held_ports.append(reserve_port(settings.listeners.host))
+            port = port_of(self.held_ports[-1])
+            listeners = replace(settings.listeners, callers_port=port)
             self.settings.append(replace(settings, listeners=listeners))
+            daemon = make_daemon(self.settings[-1])
+            await daemon.start()
             self.daemons.append(daemon)
         await self.daemons[0].state.revisions.commit(
             Revision(0), self.standins.configuration()
@@ -75,6 +79,8 @@
         for daemon in self.daemons:
             await daemon.stop()
         await self.standins.stop()
+        for held in self.held_ports:
+            held.close()
 
     def revisions(self):
         return [daemon.state.revisions.revision for daemon in self.daemons]
--- a/lycheepost/standin/webserver.py
+++ b/lycheepost/standin/webserver.py
@@ -1,12 +1,15 @@
 """An aiohttp server for stand-ins that can cut and freeze its connections."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 from weakref import WeakSet
 
 from aiohttp import web
 
+from lycheepost.standin.ports import port_of, reserve_port
+
 _NEVER_SECONDS = 3600.0
 
 
@@ -19,6 +22,7 @@
         self._make_app = make_app
         self._host = host
         self._port = port
+        self._held_port: socket.socket | None = None
         self._runner: web.AppRunner | None = None
         self._frozen: WeakSet[Any] = WeakSet()
 
@@ -38,9 +42,11 @@
             shutdown_timeout=0.0,
         )
         await self._runner.setup()
+        if self._port == 0:
+            self._held_port = reserve_port(self._host)
+            self._port = port_of(self._held_port)
         site = web.TCPSite(self._runner, self._host, self._port, shutdown_timeout=0.0)
         await site.start()
-        self._port = self._runner.addresses[0][1]
         return self.url
 
     async def stop(self) -> None:
