Soak: check what servers that name a limit get

The soak let servers name limits and checked nothing by it. Each window of 4 s is now held against the limit, for daemons that handed on an answer which names it and were not disturbed since. Limits hold up to 8 s, 5 before.

--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -28,7 +28,7 @@
 from dataclasses import dataclass, field
 
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
-from soaknotices import DaemonWords, Span, find_broken
+from soaknotices import DaemonWords, NamedLimit, Span, find_broken
 from soakproxy import LinkState
 
 from lycheepost.app.platformdemo import (
@@ -212,9 +212,14 @@
 async def limit(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let one server name a limit for a while."""
     server = run.rng.choice(run.fleet.servers)
-    server.limit_per_second = run.rng.uniform(0.5, 4.0)
-    await pause(run, 1.0, 5.0)
+    if not isinstance(server, ProxiedServer) or server.limit_per_second is not None:
+        return
+    from_seconds = time.monotonic()
+    server.limit_per_second = per_second = run.rng.uniform(0.5, 4.0)
+    await pause(run, 1.0, 8.0)
     server.limit_per_second = None
+    span = Span(from_seconds, time.monotonic())
+    server.words.limits.append(NamedLimit(per_second, span))
 
 
 FAULTS: tuple[Callable[[SoakRun, DaemonProcess], Awaitable[None]], ...] = (
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -98,6 +98,8 @@
         attempt_id = request.headers.get(names.ATTEMPT_ID)
         if self.says_leaving and attempt_id in self.words.arrived_seconds:
             self.words.said_leaving.add(attempt_id)
+        if self.limit_per_second and attempt_id in self.words.arrived_seconds:
+            self.words.said_limit.add(attempt_id)
         return super()._head(request)
 
     def _turn_away(
