Interfaces of the parts for hard load: gap objectives, streams, held tokens

Placement knows of a target's load only its waiting tokens and its requests. Parts that answer pauses, room and uneven targets need what runs there: streams with a gap objective, tokens held, output tokens in an event. All daemons tell it with their loads; nothing decides by it yet, so no behaviour changes.

--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -113,6 +113,8 @@
                     target=target,
                     queued_tokens=load.queued_tokens,
                     n_running=load.n_running,
+                    n_streams=load.n_streams,
+                    held_tokens=load.held_tokens,
                 )
                 for target, load in changed.items()
             ],
@@ -135,7 +137,9 @@
 
     def _receive(self, update: LoadNews, sender: DaemonId) -> None:
         loads = {
-            TargetId(load.target): DaemonLoad(load.queued_tokens, load.n_running)
+            TargetId(load.target): DaemonLoad(
+                load.queued_tokens, load.n_running, load.n_streams, load.held_tokens
+            )
             for load in update.loads
         }
         now_seconds = self._clock.now_seconds()
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -113,6 +113,8 @@
         fingerprint=fingerprint_body(customer, identity + request.body),
         is_idempotent=route.is_repeatable,
         objective_seconds=route.objective_seconds or math.inf,
+        gap_seconds=route.gap_seconds,
+        rank=engine_rank(route_match),
         stored_tokens=deps.kv_store_contents.stored_tokens(
             choose_kv_store(table, levels), levels
         ),
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -88,6 +88,7 @@
         kv_token_bytes: Size of one token's KV cache.
         link_mbps: Bandwidth of an engine's link.
         models: Models served.
+        event_tokens: Output tokens in one event of a stream.
     """
 
     slots: int
@@ -95,6 +96,7 @@
     kv_token_bytes: float
     link_mbps: float
     models: tuple[ModelId, ...]
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -13,6 +13,7 @@
 from lycheepost.decide.backlog import Backlog
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.concurrency import Window
+from lycheepost.decide.peerloads import NO_LOAD, DaemonLoad
 from lycheepost.decide.rates import Rates
 from lycheepost.decide.records import LoadReport, TargetView, Work
 from lycheepost.decide.requestpacer import RequestPacer
@@ -70,8 +71,12 @@
         queued_tokens: This daemon's uncached tokens without a first token yet.
         queued_prompt_tokens: Whole prompts of the same requests. Engines report these,
             as they look up the cache only later.
+        n_streams: This daemon's requests with a gap objective that have their first
+            token.
+        held_tokens: Tokens that this daemon's requests occupy in its memory at most.
         peers_tokens: Uncached tokens of peers that wait there.
         peers_running: Requests of peers that run there.
+        peers_load: The load that peers last reported there.
         slowness: Smoothed ratio of observed to predicted first-token time.
         has_peer_reports: Whether peers report their load there.
         rate_limiter: Its rate limit for this daemon; None while it sets no limit.
@@ -85,9 +90,12 @@
     in_flight: dict[RequestId, InFlight] = field(default_factory=dict)
     queued_tokens: int = 0
     queued_prompt_tokens: int = 0
+    n_streams: int = 0
+    held_tokens: int = 0
     window: Window = field(default_factory=Window)
     peers_tokens: float = 0.0
     peers_running: float = 0.0
+    peers_load: DaemonLoad = NO_LOAD
     reported_seconds: float = float("-inf")
     slowness: Slowness = field(default_factory=Slowness)
     has_peer_reports: bool = False
@@ -101,6 +109,7 @@
             self.cache_estimate.check_incarnation(view.incarnation)
             self.peers_tokens = 0.0
             self.peers_running = 0.0
+            self.peers_load = NO_LOAD
             self.slowness = Slowness()
             self.window = Window()
             self.backlog = Backlog()
@@ -114,6 +123,7 @@
         if self.rate_limiter is not None:
             self.rate_limiter.note_sent(now_seconds)
         self._count_queued(entry, 1)
+        self.held_tokens += _held_tokens(entry.work)
         self._record_own_load(now_seconds)
         self._update_backlog(now_seconds)
 
@@ -123,6 +133,7 @@
             return
         entry.has_first_token = True
         self._count_queued(entry, -1)
+        self.n_streams += _is_stream(entry.work)
         self._record_own_load(now_seconds)
         self._update_backlog(now_seconds)
 
@@ -131,7 +142,10 @@
         entry = self.in_flight.pop(request, None)
         if entry is None:
             return None
-        if not entry.has_first_token:
+        self.held_tokens -= _held_tokens(entry.work)
+        if entry.has_first_token:
+            self.n_streams -= _is_stream(entry.work)
+        else:
             self._count_queued(entry, -1)
         self._record_own_load(now_seconds)
         self._update_backlog(now_seconds)
@@ -143,11 +157,10 @@
 
     def _update_backlog(self, now_seconds: float) -> None:
         sent_tokens = self.queued_tokens + self._known_peer_load(now_seconds)[0]
-        self.backlog.set_sent(
-            sent_tokens, self._token_seconds(now_seconds), now_seconds
-        )
+        self.backlog.set_sent(sent_tokens, self.token_seconds(now_seconds), now_seconds)
 
-    def _token_seconds(self, now_seconds: float) -> float:
+    def token_seconds(self, now_seconds: float) -> float:
+        """Return the prefill time of one token."""
         return self.rates.token_seconds * self.slowness.now(now_seconds)
 
     def _known_peer_load(self, now_seconds: float) -> tuple[float, float]:
@@ -193,10 +206,17 @@
         self.peers_running = (self.peers_running + peers_running) / 2
         self._update_backlog(report.measured_seconds)
 
-    def set_peer_load(self, tokens: int, n_running: int, now_seconds: float) -> None:
+    def own_load(self) -> DaemonLoad:
+        """Return this daemon's load, to be sent to peers."""
+        return DaemonLoad(
+            self.queued_tokens, len(self.in_flight), self.n_streams, self.held_tokens
+        )
+
+    def set_peer_load(self, load: DaemonLoad, now_seconds: float) -> None:
         """Set the load that peers report at this target."""
-        self.peers_tokens = float(tokens)
-        self.peers_running = float(n_running)
+        self.peers_tokens = float(load.queued_tokens)
+        self.peers_running = float(load.n_running)
+        self.peers_load = load
         self.reported_seconds = now_seconds
         self.has_peer_reports = True
         self._update_backlog(now_seconds)
@@ -207,12 +227,25 @@
         n_running = len(self.in_flight) + peers_running
         return self.queued_tokens + peers_tokens, n_running
 
+    def reading_seconds(self, now_seconds: float) -> float:
+        """Return how long the prompts of all daemons there still take to prefill."""
+        token_seconds = self.token_seconds(now_seconds)
+        return self.backlog.left(token_seconds, now_seconds) * token_seconds
+
+    def all_streams(self) -> int:
+        """Return the streams of all daemons that run there."""
+        return self.n_streams + self.peers_load.n_streams
+
+    def all_held_tokens(self) -> int:
+        """Return the tokens that the requests of all daemons occupy there at most."""
+        return self.held_tokens + self.peers_load.held_tokens
+
     def has_capacity(self, n_running: float, now_seconds: float) -> bool:
         """Return whether it may take one more request besides ``n_running``."""
         if self.is_throttled(now_seconds) or n_running >= self.max_requests():
             return False
         if self.has_peer_reports:
-            token_seconds = self._token_seconds(now_seconds)
+            token_seconds = self.token_seconds(now_seconds)
             return self.backlog.left(token_seconds, now_seconds) < SHARED_WINDOW_TOKENS
         # One request is always allowed: a long prompt may exceed the window.
         return not self.queued_tokens or self.queued_tokens < self.window.tokens
@@ -250,3 +283,11 @@
     def max_requests(self) -> float:
         """Return the most requests that it should have at a time."""
         return max(1.0, self.view.concurrency_limit * self.view.serving_share)
+
+
+def _held_tokens(work: Work) -> int:
+    return work.prompt_tokens + work.output_tokens
+
+
+def _is_stream(work: Work) -> bool:
+    return work.gap_seconds > 0.0
--- a/lycheepost/decide/mechanisms.py
+++ b/lycheepost/decide/mechanisms.py
@@ -29,6 +29,20 @@
     """Orders to targets wait until their runs have ended; off: for a fixed time."""
     NEW_WEIGHTS = "new_weights"
     """Targets with the newest weights are preferred; off: all are equal."""
+    PAUSE_GUARD = "pause_guard"
+    """Prompts are kept from engines where they would pause streams beyond their gap
+    objective; off: placement ignores streams."""
+    SLACK_ORDER = "slack_order"
+    """Waiting requests of all customers are ordered by their slack inside fair shares;
+    off: by virtual time alone."""
+    MEMORY_ROOM = "memory_room"
+    """Requests are sent only where the target's memory has room; off: slots alone
+    count."""
+    TARGET_RATES = "target_rates"
+    """Each target has measured rates of its own; off: those of its group."""
+    MACHINE_STATES = "machine_states"
+    """The momentary speed that targets report counts for placement; off: it is
+    ignored."""
 
 
 def parse_mechanisms(text: str) -> Result[frozenset[Mechanism], str]:
--- a/lycheepost/decide/peerloads.py
+++ b/lycheepost/decide/peerloads.py
@@ -23,10 +23,14 @@
     Attributes:
         queued_tokens: Prompt tokens of requests that have no first token yet.
         n_running: Requests sent that have not ended.
+        n_streams: Those of them with a gap objective that have their first token.
+        held_tokens: Tokens that all of them occupy in the target's memory at most.
     """
 
     queued_tokens: int
     n_running: int
+    n_streams: int = 0
+    held_tokens: int = 0
 
 
 NO_LOAD = DaemonLoad(0, 0)
@@ -100,21 +104,22 @@
         return DaemonLoad(
             sum(load.queued_tokens for load in found),
             sum(load.n_running for load in found),
+            sum(load.n_streams for load in found),
+            sum(load.held_tokens for load in found),
         )
 
     def totals(self, now_seconds: float) -> dict[TargetId, DaemonLoad]:
         """Return the total load of all peers, for each target that has any."""
         self._drop_expired(now_seconds)
-        tokens: dict[TargetId, int] = {}
-        running: dict[TargetId, int] = {}
+        sums: dict[TargetId, list[int]] = {}
         for report in self._reports.values():
             for target, load in report.loads.items():
-                tokens[target] = tokens.get(target, 0) + load.queued_tokens
-                running[target] = running.get(target, 0) + load.n_running
-        return {
-            target: DaemonLoad(n_tokens, running[target])
-            for target, n_tokens in tokens.items()
-        }
+                total = sums.setdefault(target, [0, 0, 0, 0])
+                total[0] += load.queued_tokens
+                total[1] += load.n_running
+                total[2] += load.n_streams
+                total[3] += load.held_tokens
+        return {target: DaemonLoad(*total) for target, total in sums.items()}
 
     def _drop_expired(self, now_seconds: float) -> None:
         for daemon, report in list(self._reports.items()):
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -91,6 +91,9 @@
             infinite if there is none.
         stored_tokens: Tokens of the prompt's prefix that a KV store is estimated to
             hold, for targets that can fetch them.
+        gap_seconds: Longest pause between the events of its response at which it meets
+            its objective; 0 if there is none.
+        rank: Urgency among all requests of its target group; 0 is the most urgent.
     """
 
     request: RequestId
@@ -109,6 +112,8 @@
     excluded: frozenset[TargetId] = field(default_factory=frozenset)
     objective_seconds: float = float("inf")
     stored_tokens: int = 0
+    gap_seconds: float = 0.0
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +126,7 @@
         penalty_seconds: Extra cost of a response from this target, as seconds of wait.
         fetch_token_seconds: Time to fetch one token's KV cache from a KV store; 0 if it
             cannot fetch.
+        event_tokens: Output tokens in one event of a stream.
     """
 
     target: TargetId
@@ -134,6 +140,7 @@
     serving_share: float = 1.0
     penalty_seconds: float = 0.0
     fetch_token_seconds: float = 0.0
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -333,9 +333,7 @@
         """Set the load that peers have at a target."""
         group = self._group_by_target.get(target)
         if group is not None:
-            group.placement.loads[target].set_peer_load(
-                load.queued_tokens, load.n_running, now_seconds
-            )
+            group.placement.loads[target].set_peer_load(load, now_seconds)
 
     def draw_admission(
         self, n_waiting: Callable[[TargetGroupId], int], now_seconds: float
@@ -368,8 +366,7 @@
         for target, group in self._group_by_target.items():
             load = group.placement.loads[target]
             if load.in_flight:
-                n_running = len(load.in_flight)
-                found[target] = DaemonLoad(load.queued_tokens, n_running)
+                found[target] = load.own_load()
         return found
 
     def observe_cache_events(
--- a/lycheepost/platform/documents.py
+++ b/lycheepost/platform/documents.py
@@ -79,6 +79,7 @@
     kv_capacity_tokens: int
     kv_token_bytes: float = 0
     link_mbps: float = 0
+    stride: int = 1
     models: list[_WireModel] = []
 
 
@@ -195,6 +196,7 @@
             kv_token_bytes=wire.engine.kv_token_bytes,
             link_mbps=wire.engine.link_mbps,
             models=tuple(ModelId(model.name) for model in wire.engine.models),
+            event_tokens=max(1, wire.engine.stride),
         )
     return RoutedGroup(
         TargetGroupId(wire.name), wire.health_path, wire.max_conns, engine
