Move the waiting side of a target group into its own module

The queue, late work, budgets, refusals, awaited targets, shares and rates of service are now in decide/waiting.py.

--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -1,27 +1,15 @@
-"""Scheduling within one target group: its queue, its targets and their rates."""
+"""Scheduling within one target group: its targets, their rates and its dispatches."""
 
-import math
 import random
 from collections import deque
 
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
-from lycheepost.decide.admission import (
-    GIVE_UP_SLACK,
-    MAX_RETRY_AFTER_SECONDS,
-    QueueWait,
-    ServiceRate,
-    WaitBias,
-    budget_seconds,
-    predict_queue_wait,
-    reason_of,
-    retry_after_seconds,
-)
-from lycheepost.decide.latework import LateWork
+from lycheepost.decide.admission import retry_after_seconds
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.placement import Choice, Placement, WaitingByTarget
 from lycheepost.decide.quarantine import Quarantine
-from lycheepost.decide.queueing import FairQueue, QueuedRequest
+from lycheepost.decide.queueing import QueuedRequest
 from lycheepost.decide.randomadmission import RandomAdmission
 from lycheepost.decide.records import (
     Dispatch,
@@ -33,18 +21,14 @@
     Work,
 )
 from lycheepost.decide.settings import SchedulerSettings
-from lycheepost.decide.shares import FairShares
 from lycheepost.decide.suspects import SuspectPlacement
 from lycheepost.decide.throttling import TargetThrottle
+from lycheepost.decide.waiting import WaitingWork, work_cost_seconds
 
 SCANNED_REQUESTS = 8
 """Requests examined when a slot becomes free: enough to pass those that wait for a full
 target, few enough to bound the cost of a decision under saturation."""
 
-MIN_COST_SECONDS = 0.01
-"""Cost of a request without tokens, as for plain services. At zero cost a customer that
-floods a service would never exceed its share."""
-
 PRESSURE_GAIN = 0.01
 """Per tick of 20 ms: the pressure follows the queue within about 2 s, which is longer
 than a burst that the engines absorb and shorter than callers' timeouts."""
@@ -54,38 +38,13 @@
 group. The owners of one hot prefix are fewer. If their queue counted as pressure,
 placing the prefix elsewhere would be too expensive and it would never gain owners."""
 
-COLD_DISCOUNT = 1.0
-"""Share of the allowed wait that full pressure takes from a prompt whose shared prefix
-is not cached, so that a batch with one prefix is served together. Otherwise parts of
-all batches are served, each prefix is evicted between its requests, and engines mostly
-recompute. If too few such prompts are admitted, the queue empties; pressure falls."""
-
-MAX_COLD_LEAD = -4.0
-"""Lead over the fair order, in mean request costs, below which a customer's uncached
-prefixes are admitted under pressure, so that every customer is served eventually."""
-
 ENGINE_WAIT_SHARE = 0.05
 """Share of the first-token timeout that work may wait inside an engine. It can't be
 ordered fairly or refused early there; without it engines idle between dispatches."""
 
-CROWDED_FULL_SHARE = 0.5
-"""Share of full targets from which the group counts as crowded. Below it work waits for
-a few, such as a hot prefix's owners, and refusing new work would leave others idle."""
-
 MAX_UNPUBLISHED_PROMPTS = 1_000
 """Prompts kept for peers if nothing collects them: about 30 s of a daemon's traffic."""
 
-INSIDE_TIMEOUT_SHARE = 0.7
-"""Share of its first-token timeout that a customer inside its fair share may wait: it
-is refused only if the engines are too slow. The rest covers prediction errors."""
-
-
-def _is_shared_prefix_cached(work: Work, choice: Choice) -> bool:
-    levels = work.levels
-    if len(levels) < 2:
-        return True
-    return choice.cached_tokens >= levels[-2].end_tokens
-
 
 class Group:
     """Queue and targets of one target group."""
@@ -98,174 +57,51 @@
     ) -> None:
         self._settings = settings
         self._rng = rng
-        self.queue = FairQueue()
-        self.late = LateWork()
-        self.shares = FairShares()
         self.placement = Placement(settings, rng)
+        self.waiting = WaitingWork(settings, rng, self.placement)
         self.throttle = TargetThrottle(self.placement.loads, rng)
         self.suspects = SuspectPlacement(quarantine, self.placement)
         self.admission = RandomAdmission(rng)
         self.placed: deque[Placed] = deque(maxlen=MAX_UNPUBLISHED_PROMPTS)
         self._running: dict[RequestId, TargetId] = {}
-        self._rate = ServiceRate(1.0)
-        self._usual_rate = ServiceRate(1.0)
-        self._bias = WaitBias()
-        self._awaited = WaitingByTarget()
 
     @property
     def n_waiting(self) -> int:
         """Return how many requests wait."""
-        return len(self.queue) + len(self.late)
+        return len(self.waiting)
 
     def set_weights(self, weights: dict[CustomerId, float]) -> None:
         """Set each customer's weight in fair queueing."""
-        self.queue.set_weights(weights)
-        self.shares.set_weights(weights)
+        self.waiting.set_weights(weights)
 
     def remove_target(self, target: TargetId) -> None:
         """Remove a target that is no longer configured."""
         self.placement.loads.pop(target, None)
         self.throttle.forget(target)
 
-    def _cost_seconds(self, work: Work, uncached_tokens: int) -> float:
-        prefill = uncached_tokens * self._settings.prefill_seconds_per_token
-        decode = work.output_tokens * self._settings.decode_seconds_per_token
-        return max(MIN_COST_SECONDS, prefill + decode)
-
-    def _usual_cost_seconds(self, work: Work) -> float:
-        """Return the cost at the group's average cache hit rate.
-
-        A prefix whose requests are refused is never cached, so their actual cost is
-        high: demand measured by it would seem to grow, and more would be refused.
-        """
-        uncached_share = self.placement.rates.uncached_share
-        return self._cost_seconds(work, int(work.prompt_tokens * uncached_share))
-
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
-        choice = self._choose(work, now_seconds, self._awaited)
+        choice = self._choose(work, now_seconds, self.waiting.awaited)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
             return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
-        cost = self._cost_seconds(work, choice.uncached_tokens)
-        self.shares.observe(work.customer, self._usual_cost_seconds(work), now_seconds)
-        if choice.can_take and not len(self.queue):
+        cost = work_cost_seconds(self._settings, work, choice.uncached_tokens)
+        self.waiting.note_arrival(work, now_seconds)
+        if choice.can_take and not len(self.waiting.queue):
             return [self._dispatch(work, choice, cost, now_seconds)]
-        return self._enqueue(work, choice, cost, now_seconds)
+        refusal = self.waiting.admit(work, choice, cost, now_seconds)
+        if refusal is not None:
+            return [refusal]
+        return self.dispatch_waiting(now_seconds)
 
     def has_capacity_for(self, work: Work, now_seconds: float) -> bool:
         """Return whether a target that has not failed ``work`` has capacity for it."""
-        choice = self._choose(work, now_seconds, self._awaited)
+        choice = self._choose(work, now_seconds, self.waiting.awaited)
         return choice is not None and choice.can_take
 
-    def _enqueue(
-        self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
-    ) -> list[Outcome]:
-        budget = self._budget_seconds(work, choice, now_seconds)
-        longest = max(budget, work.first_token_timeout_seconds * INSIDE_TIMEOUT_SHARE)
-        give_up = now_seconds + min(budget * GIVE_UP_SLACK, longest)
-        waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
-        rate = self._rate.per_second()
-        wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
-        if wait.seconds + choice.wait_seconds > budget:
-            return [self._refuse(work, reason_of(wait), wait, choice.throttled_seconds)]
-        if self._is_full(work):
-            return [self._refuse(work, RefusalReason.QUEUE_FULL, wait)]
-        waiting.predicted_seconds = wait.seconds
-        waiting.latest_dispatch_seconds = self._latest_dispatch_seconds(work, choice)
-        self.queue.push(waiting)
-        self._set_awaited_target(waiting, choice)
-        return self.dispatch_waiting(now_seconds)
-
-    def _latest_dispatch_seconds(self, work: Work, choice: Choice) -> float:
-        """Return until when work must be dispatched to meet its objective."""
-        if Mechanism.LATE_LAST in self._settings.switched_off:
-            return math.inf
-        rates = self.placement.rates
-        own_seconds = choice.uncached_tokens * rates.token_seconds
-        own_seconds += rates.first_token_seconds
-        return work.arrived_seconds + work.objective_seconds - own_seconds
-
-    def _deprioritize_late(self, now_seconds: float) -> None:
-        """Give requests whose objective has passed a lower priority."""
-        for waiting in self.queue.all():
-            if now_seconds > waiting.latest_dispatch_seconds:
-                self.queue.remove(waiting.work.request)
-                self.late.add(waiting)
-
-    def _has_waited_long(self, waiting: QueuedRequest, now_seconds: float) -> bool:
-        """Return whether a request of a customer inside its share waited half its time.
-
-        Customers over their share keep the owner of its prefix full, so it is placed
-        without the price of recomputation under pressure.
-        """
-        halfway = (waiting.enqueued_seconds + waiting.give_up_seconds) / 2
-        return now_seconds > halfway and self.shares.is_within_share(
-            waiting.work.customer
-        )
-
-    def _set_awaited_target(self, waiting: QueuedRequest, choice: Choice) -> None:
-        """Record the target that a request waits for."""
-        self._clear_awaited_target(waiting)
-        waiting.awaited_target = (choice.load.view.target, choice.uncached_tokens)
-        self._awaited.add(*waiting.awaited_target)
-
-    def _clear_awaited_target(self, waiting: QueuedRequest) -> None:
-        if waiting.awaited_target is not None:
-            self._awaited.remove(*waiting.awaited_target)
-            waiting.awaited_target = None
-
     def remove(self, request: RequestId) -> bool:
         """Take a request out of the queue; False when it does not wait."""
-        waiting = self.queue.remove(request) or self.late.remove(request)
-        if waiting is None:
-            return False
-        self._clear_awaited_target(waiting)
-        return True
-
-    def _budget_seconds(self, work: Work, choice: Choice, now_seconds: float) -> float:
-        """Return how long from now ``work`` may wait for its first token."""
-        if work.excluded:
-            # A target failed it, not the load, so it may use the rest of its timeout.
-            elapsed = now_seconds - work.arrived_seconds
-            return max(0.0, work.first_token_timeout_seconds - elapsed) / GIVE_UP_SLACK
-        if self.shares.is_within_share(work.customer):
-            return work.first_token_timeout_seconds * INSIDE_TIMEOUT_SHARE
-        budget = budget_seconds(work, self._settings)
-        if (
-            _is_shared_prefix_cached(work, choice)
-            or self._lead_seconds(work) < MAX_COLD_LEAD
-        ):
-            return budget
-        if (
-            choice.can_take
-            and self.placement.full_share(now_seconds) < CROWDED_FULL_SHARE
-        ):
-            return budget
-        return budget * (1.0 - COLD_DISCOUNT * self.placement.pressure)
-
-    def _lead_seconds(self, work: Work) -> float:
-        mean_seconds = self.queue.mean_seconds or 1.0
-        return self.queue.lead_seconds(work.customer) / mean_seconds
-
-    def _is_full(self, work: Work) -> bool:
-        own = len(self.queue.lane(work.customer).waiting)
-        return (
-            self.n_waiting >= self._settings.queue_requests
-            or own >= self._settings.customer_queue_requests
-        )
-
-    def _refuse(
-        self,
-        work: Work,
-        reason: RefusalReason,
-        wait: QueueWait,
-        throttled_seconds: float = 0.0,
-    ) -> Refuse:
-        """Refuse, to be retried once the queue and the targets' throttling allow it."""
-        seconds = retry_after_seconds(wait.seconds, self._rng) + throttled_seconds
-        seconds = min(MAX_RETRY_AFTER_SECONDS, seconds)
-        return Refuse(work.request, reason, seconds)
+        return self.waiting.remove(request)
 
     def _choose(
         self,
@@ -301,9 +137,7 @@
         self._running[work.request] = target
         if self.suspects.is_suspect(work, now_seconds):
             self.suspects.note_sent(target)
-        self.queue.charge(work.customer, cost_seconds)
-        self._rate.count(cost_seconds)
-        self._usual_rate.count(self._usual_cost_seconds(work))
+        self.waiting.note_dispatched(work, cost_seconds)
         return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
 
     def note_placed(self, placed: Placed) -> None:
@@ -334,15 +168,15 @@
         if not self.n_waiting or not self.placement.has_capacity(now_seconds):
             return outcomes
         waiting_ahead = WaitingByTarget()
-        if self.late.is_due():
+        if self.waiting.late.is_due():
             outcomes += self._dispatch_late(1, now_seconds, waiting_ahead)
-        for waiting in self.queue.in_order(
-            SCANNED_REQUESTS, self.shares.is_within_share
+        for waiting in self.waiting.queue.in_order(
+            SCANNED_REQUESTS, self.waiting.shares.is_within_share
         ):
             outcome = self._try_waiting(waiting, now_seconds, waiting_ahead)
             if outcome is not None:
                 outcomes.append(outcome)
-                self.late.count_on_time(waiting.cost_seconds)
+                self.waiting.late.count_on_time(waiting.cost_seconds)
         return outcomes + self._dispatch_late(
             SCANNED_REQUESTS, now_seconds, waiting_ahead
         )
@@ -352,11 +186,11 @@
     ) -> list[Outcome]:
         """Dispatch the late requests for which a target has capacity."""
         outcomes: list[Outcome] = []
-        for waiting in self.late.first(n_scanned):
+        for waiting in self.waiting.late.first(n_scanned):
             outcome = self._try_waiting(waiting, now_seconds, waiting_ahead)
             if outcome is not None:
                 outcomes.append(outcome)
-                self.late.count_late(waiting.cost_seconds)
+                self.waiting.late.count_late(waiting.cost_seconds)
         return outcomes
 
     def _try_waiting(
@@ -367,20 +201,18 @@
             work,
             now_seconds,
             waiting_ahead,
-            self._has_waited_long(waiting, now_seconds),
+            self.waiting.has_waited_long(waiting, now_seconds),
         )
         if choice is None:
             return None
         target = choice.load.view.target
         if not choice.can_take or not self.admission.may_take(target):
             waiting_ahead.add(target, choice.uncached_tokens)
-            self._set_awaited_target(waiting, choice)
+            self.waiting.set_awaited_target(waiting, choice)
             return None
         self.admission.note_taken(target)
-        self.remove(work.request)
-        waited_seconds = now_seconds - waiting.enqueued_seconds
-        self._bias.observe(waited_seconds, waiting.predicted_seconds)
-        cost = self._cost_seconds(work, choice.uncached_tokens)
+        self.waiting.take(waiting, now_seconds)
+        cost = work_cost_seconds(self._settings, work, choice.uncached_tokens)
         return self._dispatch(work, choice, cost, now_seconds)
 
     def first_token(
@@ -442,20 +274,11 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse requests whose time has run out, and dispatch others."""
         self.throttle.redraw_expired(now_seconds)
-        self._rate.update(now_seconds, self.n_waiting > 0)
-        self._usual_rate.update(now_seconds, self.n_waiting > 0)
-        self.shares.divide(self._usual_rate.per_second(), now_seconds)
+        self.waiting.update(now_seconds)
         pressure = self.placement.pressure
         step = (float(self._is_under_pressure(now_seconds)) - pressure) * PRESSURE_GAIN
         self.placement.pressure = pressure + step
-        outcomes: list[Outcome] = []
-        for waiting in [*self.queue.all(), *self.late]:
-            if now_seconds < waiting.give_up_seconds:
-                continue
-            self.remove(waiting.work.request)
-            wait = QueueWait(waiting.work.first_token_timeout_seconds, False)
-            outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
-        self._deprioritize_late(now_seconds)
+        outcomes = self.waiting.refuse_expired(now_seconds)
         outcomes.extend(self.dispatch_waiting(now_seconds))
         return outcomes
 
@@ -467,19 +290,12 @@
 
     def refuse_all(self, reason: RefusalReason) -> list[Outcome]:
         """Refuse all waiting requests."""
-        outcomes: list[Outcome] = []
-        for waiting in [*self.queue.all(), *self.late]:
-            self.remove(waiting.work.request)
-            outcomes.append(self._refuse(waiting.work, reason, QueueWait(0.0, False)))
-        return outcomes
+        return self.waiting.refuse_all(reason)
 
     def status(self, now_seconds: float) -> dict[str, object]:
         """Return a summary of the queue and the targets."""
         return {
-            "n_waiting": self.n_waiting,
-            "n_late": len(self.late),
-            "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
-            "service_rate": round(self._rate.per_second(), 3),
+            **self.waiting.status(),
             "pressure": round(self.placement.pressure, 3),
             "targets": {
                 target: {
--- /dev/null
+++ b/lycheepost/decide/waiting.py
@@ -0,0 +1,268 @@
+"""Requests of one target group that wait: admission, refusals and expiry.
+
+Pure logic.
+"""
+
+import math
+import random
+
+from lycheepost.core.ids import CustomerId, RequestId
+from lycheepost.decide.admission import (
+    GIVE_UP_SLACK,
+    MAX_RETRY_AFTER_SECONDS,
+    QueueWait,
+    ServiceRate,
+    WaitBias,
+    budget_seconds,
+    predict_queue_wait,
+    reason_of,
+    retry_after_seconds,
+)
+from lycheepost.decide.latework import LateWork
+from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.placement import Choice, Placement, WaitingByTarget
+from lycheepost.decide.queueing import FairQueue, QueuedRequest
+from lycheepost.decide.records import Outcome, RefusalReason, Refuse, Work
+from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.shares import FairShares
+
+MIN_COST_SECONDS = 0.01
+"""Cost of a request without tokens, as for plain services. At zero cost a customer that
+floods a service would never exceed its share."""
+
+COLD_DISCOUNT = 1.0
+"""Share of the allowed wait that full pressure takes from a prompt whose shared prefix
+is not cached, so that a batch with one prefix is served together. Otherwise parts of
+all batches are served, each prefix is evicted between its requests, and engines mostly
+recompute. If too few such prompts are admitted, the queue empties; pressure falls."""
+
+MAX_COLD_LEAD = -4.0
+"""Lead over the fair order, in mean request costs, below which a customer's uncached
+prefixes are admitted under pressure, so that every customer is served eventually."""
+
+CROWDED_FULL_SHARE = 0.5
+"""Share of full targets from which the group counts as crowded. Below it work waits for
+a few, such as a hot prefix's owners, and refusing new work would leave others idle."""
+
+INSIDE_TIMEOUT_SHARE = 0.7
+"""Share of its first-token timeout that a customer inside its fair share may wait: it
+is refused only if the engines are too slow. The rest covers prediction errors."""
+
+
+def _is_shared_prefix_cached(work: Work, choice: Choice) -> bool:
+    levels = work.levels
+    if len(levels) < 2:
+        return True
+    return choice.cached_tokens >= levels[-2].end_tokens
+
+
+def work_cost_seconds(
+    settings: SchedulerSettings, work: Work, uncached_tokens: int
+) -> float:
+    """Return the engine time that ``work`` takes."""
+    prefill = uncached_tokens * settings.prefill_seconds_per_token
+    decode = work.output_tokens * settings.decode_seconds_per_token
+    return max(MIN_COST_SECONDS, prefill + decode)
+
+
+class WaitingWork:
+    """The waiting requests of one target group, and who is refused.
+
+    Args:
+        settings: Bounds of queues and waits.
+        rng: Source of jitter.
+        placement: The group's targets.
+    """
+
+    def __init__(
+        self, settings: SchedulerSettings, rng: random.Random, placement: Placement
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._placement = placement
+        self.queue = FairQueue()
+        self.late = LateWork()
+        self.shares = FairShares()
+        self.awaited = WaitingByTarget()
+        self._rate = ServiceRate(1.0)
+        self._usual_rate = ServiceRate(1.0)
+        self._bias = WaitBias()
+
+    def __len__(self) -> int:
+        return len(self.queue) + len(self.late)
+
+    def set_weights(self, weights: dict[CustomerId, float]) -> None:
+        """Set each customer's weight in fair queueing."""
+        self.queue.set_weights(weights)
+        self.shares.set_weights(weights)
+
+    def _usual_cost_seconds(self, work: Work) -> float:
+        """Return the cost at the group's average cache hit rate.
+
+        A prefix whose requests are refused is never cached, so their actual cost is
+        high: demand measured by it would seem to grow, and more would be refused.
+        """
+        uncached_share = self._placement.rates.uncached_share
+        uncached_tokens = int(work.prompt_tokens * uncached_share)
+        return work_cost_seconds(self._settings, work, uncached_tokens)
+
+    def note_arrival(self, work: Work, now_seconds: float) -> None:
+        """Count a request as demand of its customer."""
+        self.shares.observe(work.customer, self._usual_cost_seconds(work), now_seconds)
+
+    def note_dispatched(self, work: Work, cost_seconds: float) -> None:
+        """Charge dispatched work to its customer and to the service rate."""
+        self.queue.charge(work.customer, cost_seconds)
+        self._rate.count(cost_seconds)
+        self._usual_rate.count(self._usual_cost_seconds(work))
+
+    def admit(
+        self, work: Work, choice: Choice, cost_seconds: float, now_seconds: float
+    ) -> Refuse | None:
+        """Queue a request, or return its refusal."""
+        budget = self._budget_seconds(work, choice, now_seconds)
+        longest = max(budget, work.first_token_timeout_seconds * INSIDE_TIMEOUT_SHARE)
+        give_up = now_seconds + min(budget * GIVE_UP_SLACK, longest)
+        waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
+        rate = self._rate.per_second()
+        wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
+        if wait.seconds + choice.wait_seconds > budget:
+            return self._refuse(work, reason_of(wait), wait, choice.throttled_seconds)
+        if self._is_full(work):
+            return self._refuse(work, RefusalReason.QUEUE_FULL, wait)
+        waiting.predicted_seconds = wait.seconds
+        waiting.latest_dispatch_seconds = self._latest_dispatch_seconds(work, choice)
+        self.queue.push(waiting)
+        self.set_awaited_target(waiting, choice)
+        return None
+
+    def _latest_dispatch_seconds(self, work: Work, choice: Choice) -> float:
+        """Return until when work must be dispatched to meet its objective."""
+        if Mechanism.LATE_LAST in self._settings.switched_off:
+            return math.inf
+        rates = self._placement.rates
+        own_seconds = choice.uncached_tokens * rates.token_seconds
+        own_seconds += rates.first_token_seconds
+        return work.arrived_seconds + work.objective_seconds - own_seconds
+
+    def _deprioritize_late(self, now_seconds: float) -> None:
+        """Give requests whose objective has passed a lower priority."""
+        for waiting in self.queue.all():
+            if now_seconds > waiting.latest_dispatch_seconds:
+                self.queue.remove(waiting.work.request)
+                self.late.add(waiting)
+
+    def has_waited_long(self, waiting: QueuedRequest, now_seconds: float) -> bool:
+        """Return whether a request of a customer inside its share waited half its time.
+
+        Customers over their share keep the owner of its prefix full, so it is placed
+        without the price of recomputation under pressure.
+        """
+        halfway = (waiting.enqueued_seconds + waiting.give_up_seconds) / 2
+        return now_seconds > halfway and self.shares.is_within_share(
+            waiting.work.customer
+        )
+
+    def set_awaited_target(self, waiting: QueuedRequest, choice: Choice) -> None:
+        """Record the target that a request waits for."""
+        self._clear_awaited_target(waiting)
+        waiting.awaited_target = (choice.load.view.target, choice.uncached_tokens)
+        self.awaited.add(*waiting.awaited_target)
+
+    def _clear_awaited_target(self, waiting: QueuedRequest) -> None:
+        if waiting.awaited_target is not None:
+            self.awaited.remove(*waiting.awaited_target)
+            waiting.awaited_target = None
+
+    def remove(self, request: RequestId) -> bool:
+        """Take a request out; False when it does not wait."""
+        waiting = self.queue.remove(request) or self.late.remove(request)
+        if waiting is None:
+            return False
+        self._clear_awaited_target(waiting)
+        return True
+
+    def take(self, waiting: QueuedRequest, now_seconds: float) -> None:
+        """Take a request out to dispatch it, and compare its wait to the predicted."""
+        self.remove(waiting.work.request)
+        waited_seconds = now_seconds - waiting.enqueued_seconds
+        self._bias.observe(waited_seconds, waiting.predicted_seconds)
+
+    def _budget_seconds(self, work: Work, choice: Choice, now_seconds: float) -> float:
+        """Return how long from now ``work`` may wait for its first token."""
+        if work.excluded:
+            # A target failed it, not the load, so it may use the rest of its timeout.
+            elapsed = now_seconds - work.arrived_seconds
+            return max(0.0, work.first_token_timeout_seconds - elapsed) / GIVE_UP_SLACK
+        if self.shares.is_within_share(work.customer):
+            return work.first_token_timeout_seconds * INSIDE_TIMEOUT_SHARE
+        budget = budget_seconds(work, self._settings)
+        if (
+            _is_shared_prefix_cached(work, choice)
+            or self._lead_seconds(work) < MAX_COLD_LEAD
+        ):
+            return budget
+        if (
+            choice.can_take
+            and self._placement.full_share(now_seconds) < CROWDED_FULL_SHARE
+        ):
+            return budget
+        return budget * (1.0 - COLD_DISCOUNT * self._placement.pressure)
+
+    def _lead_seconds(self, work: Work) -> float:
+        mean_seconds = self.queue.mean_seconds or 1.0
+        return self.queue.lead_seconds(work.customer) / mean_seconds
+
+    def _is_full(self, work: Work) -> bool:
+        own = len(self.queue.lane(work.customer).waiting)
+        return (
+            len(self) >= self._settings.queue_requests
+            or own >= self._settings.customer_queue_requests
+        )
+
+    def _refuse(
+        self,
+        work: Work,
+        reason: RefusalReason,
+        wait: QueueWait,
+        throttled_seconds: float = 0.0,
+    ) -> Refuse:
+        """Refuse, to be retried once the queue and the targets' throttling allow it."""
+        seconds = retry_after_seconds(wait.seconds, self._rng) + throttled_seconds
+        seconds = min(MAX_RETRY_AFTER_SECONDS, seconds)
+        return Refuse(work.request, reason, seconds)
+
+    def update(self, now_seconds: float) -> None:
+        """Update the measured rates and the customers' shares."""
+        self._rate.update(now_seconds, len(self) > 0)
+        self._usual_rate.update(now_seconds, len(self) > 0)
+        self.shares.divide(self._usual_rate.per_second(), now_seconds)
+
+    def refuse_expired(self, now_seconds: float) -> list[Outcome]:
+        """Refuse requests whose time has run out, and mark those that are late."""
+        outcomes: list[Outcome] = []
+        for waiting in [*self.queue.all(), *self.late]:
+            if now_seconds < waiting.give_up_seconds:
+                continue
+            self.remove(waiting.work.request)
+            wait = QueueWait(waiting.work.first_token_timeout_seconds, False)
+            outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
+        self._deprioritize_late(now_seconds)
+        return outcomes
+
+    def refuse_all(self, reason: RefusalReason) -> list[Outcome]:
+        """Refuse all waiting requests."""
+        outcomes: list[Outcome] = []
+        for waiting in [*self.queue.all(), *self.late]:
+            self.remove(waiting.work.request)
+            outcomes.append(self._refuse(waiting.work, reason, QueueWait(0.0, False)))
+        return outcomes
+
+    def status(self) -> dict[str, object]:
+        """Return a summary of the queue."""
+        return {
+            "n_waiting": len(self),
+            "n_late": len(self.late),
+            "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
+            "service_rate": round(self._rate.per_second(), 3),
+        }
