Views of targets are kept until their inputs change

A record now keeps its view, and the weights that targets share are checked once. The record and the views move to state/targetrecords.

--- a/lycheepost/decide/targethealth.py
+++ b/lycheepost/decide/targethealth.py
@@ -110,6 +110,13 @@
         # The first requests after the ejection decide whether it is ejected again.
         record.bad /= 2.0
 
+    def has_ejections(self, now_seconds: float) -> bool:
+        """Return whether the ejection of any target has not ended."""
+        return any(
+            now_seconds < record.ejected_until_seconds
+            for record in self._records.values()
+        )
+
     def ejected(
         self, targets: Iterable[TargetId], now_seconds: float
     ) -> frozenset[TargetId]:
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -31,8 +31,8 @@
     NamedWeights,
     weights_number,
 )
+from lycheepost.state.targetrecords import NO_ZONE, TargetRecord, ViewBuilder
 from lycheepost.state.targetstarts import TargetStarts
-from lycheepost.state.targetviews import TargetCondition, make_view
 
 REGISTRATION_GRACE_SECONDS = 2.2
 """Lapsed registrations are renewed within two seconds of the store's return, plus one
@@ -43,12 +43,6 @@
 report of completion: the daemon that would report may have died or be disconnected. A
 target that is still changing its weights says so in its response."""
 
-CROSS_ZONE_PENALTY_SECONDS = 0.004
-"""Cost of a target in another availability zone: one round trip for the connection and
-one for the request, whose traffic is also billed."""
-
-NO_ZONE = AvailabilityZone("")
-
 REPORT_LAG_SECONDS = 0.6
 """A target's report of weights older than the recorded ones counts once the record has
 this age: reports are about 0.1 s late, and headers seldom take half a second."""
@@ -58,24 +52,6 @@
 OnViews = Callable[[tuple[TargetView, ...]], None]
 
 
-@dataclass(slots=True)
-class _TargetRecord:
-    """The recorded state of one target.
-
-    Attributes:
-        removed_seconds: When its removal takes effect; None while it is registered.
-        weights: Last known weights, by model.
-        weights_changed_seconds: When ``weights`` last changed.
-        changing_until_seconds: When a weights change in progress ends at the latest.
-    """
-
-    listed: ListedTarget
-    removed_seconds: float | None = None
-    weights: dict[ModelId, WeightsVersion] | None = None
-    weights_changed_seconds: float = float("-inf")
-    changing_until_seconds: float = float("-inf")
-
-
 @dataclass(frozen=True, slots=True)
 class WeightsChange:
     """A change of the weights of one target.
@@ -123,7 +99,7 @@
         self._on_views = on_views
         self._weights_seconds = weights_seconds
         self._named_weights = NamedWeights()
-        self._known: dict[TargetId, _TargetRecord] = {}
+        self._known: dict[TargetId, TargetRecord] = {}
         self._starts = TargetStarts()
         self._health: dict[TargetGroupId, TargetHealth] = {}
         self._table: RouteTable | None = None
@@ -145,7 +121,7 @@
     def listed(self, target_group: TargetGroupId) -> tuple[ListedTarget, ...]:
         """Return the registered targets of a group, with their last known weights."""
         return tuple(
-            replace(known.listed, weights=known.weights or {})
+            replace(known.listed, weights=known.weights)
             for known in self._known.values()
             if known.listed.target_group == target_group
         )
@@ -254,7 +230,7 @@
 
     def _register(self, listed: ListedTarget, is_restarted: bool) -> None:
         """Replace a target's record; no data of an earlier start applies to it."""
-        self._known[listed.target] = _TargetRecord(listed, weights=dict(listed.weights))
+        self._known[listed.target] = TargetRecord(listed, dict(listed.weights))
         self._forget_health(listed)
         _log.info(
             "targets: registered",
@@ -283,7 +259,7 @@
             return
         if self._starts.note(start):
             listed = replace(
-                known.listed, started_ms=start.started_ms, weights=known.weights or {}
+                known.listed, started_ms=start.started_ms, weights=known.weights
             )
             self._register(listed, is_restarted=True)
             self.refresh()
@@ -301,22 +277,22 @@
         return not self._starts.is_old(start)
 
     def _upgrade(
-        self, known: _TargetRecord, weights: Mapping[ModelId, WeightsVersion]
+        self, known: TargetRecord, weights: Mapping[ModelId, WeightsVersion]
     ) -> None:
         """Record newer weights; ignore older ones, which are usually late reports."""
-        current = known.weights or {}
+        current = known.weights
         newer = {
             model: version
             for model, version in weights.items()
             if weights_number(version) > weights_number(current.get(model))
         }
         if newer:
-            known.weights = current | newer
+            known.weights = {**current, **newer}
             known.weights_changed_seconds = self._clock.now_seconds()
             known.changing_until_seconds = float("-inf")
 
     def _downgrade(
-        self, known: _TargetRecord, model: ModelId, version: WeightsVersion
+        self, known: TargetRecord, model: ModelId, version: WeightsVersion
     ) -> None:
         """Record weights older than those that a target was recorded to hold.
 
@@ -326,7 +302,7 @@
         counts after ``REPORT_LAG_SECONDS``.
         """
         now_seconds = self._clock.now_seconds()
-        current = known.weights or {}
+        current = known.weights
         if weights_number(version) >= weights_number(current.get(model)):
             return
         if now_seconds - known.weights_changed_seconds < REPORT_LAG_SECONDS:
@@ -374,18 +350,12 @@
         """Return how long old weights get new requests after newer ones were named."""
         return max(0.0, self._weights_seconds() - OLD_WEIGHTS_MARGIN_SECONDS)
 
-    def _has_unusable_weights(self, known: _TargetRecord, now_seconds: float) -> bool:
-        """Return whether a target cannot serve because of its weights."""
-        is_changing = now_seconds < known.changing_until_seconds
-        weights = known.weights or {}
-        return is_changing or self._named_weights.is_outdated(weights, now_seconds)
-
     def note_weights(
         self, target: TargetId, model: ModelId, version: WeightsVersion
     ) -> None:
         """Record the weights that a target reports to hold."""
         known = self._known.get(target)
-        if known is None or (known.weights or {}).get(model) == version:
+        if known is None or known.weights.get(model) == version:
             return
         self._upgrade(known, {model: version})
         self._downgrade(known, model, version)
@@ -426,37 +396,41 @@
         """Rebuild the views; called on changes and periodically."""
         now_seconds = self._clock.now_seconds()
         self._forget_gone(now_seconds)
-        self._newest = self._find_newest()
         ejected = self._ejected(now_seconds)
+        builder = ViewBuilder(
+            self._named_weights,
+            self._table,
+            self._availability_zone,
+            self._prefers_new_weights,
+            now_seconds,
+        )
         views = tuple(
-            self._view(known, name in ejected, now_seconds)
+            builder.build(known, name in ejected)
             for name, known in sorted(self._known.items())
         )
+        self._newest = builder.newest_weights()
         if views != self._views:
             self._views = views
             self._on_views(views)
 
-    def _find_newest(self) -> dict[ModelId, WeightsVersion]:
-        newest: dict[ModelId, WeightsVersion] = {}
-        for known in self._known.values():
-            for model, version in (known.weights or {}).items():
-                if weights_number(version) > weights_number(newest.get(model)):
-                    newest[model] = version
-        return newest
-
     def _forget_gone(self, now_seconds: float) -> None:
-        for name, known in list(self._known.items()):
-            if (
-                known.removed_seconds is not None
-                and known.removed_seconds <= now_seconds
-            ):
-                del self._known[name]
-        for health in self._health.values():
-            health.forget(self._known)
+        gone = [
+            name
+            for name, known in self._known.items()
+            if known.removed_seconds is not None
+            and known.removed_seconds <= now_seconds
+        ]
+        for name in gone:
+            del self._known[name]
+        if gone:
+            for health in self._health.values():
+                health.forget(self._known)
 
     def _ejected(self, now_seconds: float) -> set[TargetId]:
         ejected: set[TargetId] = set()
         for group, health in self._health.items():
+            if not health.has_ejections(now_seconds):
+                continue
             names = [
                 name
                 for name, known in self._known.items()
@@ -464,27 +438,3 @@
             ]
             ejected |= health.ejected(names, now_seconds)
         return ejected
-
-    def _penalty_seconds(self, known: _TargetRecord, now_seconds: float) -> float:
-        """Return the cost of using a target, as an equivalent waiting time."""
-        is_near = known.listed.availability_zone == self._availability_zone
-        far_seconds = (
-            0.0
-            if is_near or not self._availability_zone
-            else CROSS_ZONE_PENALTY_SECONDS
-        )
-        if not self._prefers_new_weights:
-            return far_seconds
-        return far_seconds + self._named_weights.penalty_seconds(
-            known.weights or {}, now_seconds
-        )
-
-    def _view(
-        self, known: _TargetRecord, is_ejected: bool, now_seconds: float
-    ) -> TargetView:
-        condition = TargetCondition(
-            weights=known.weights or {},
-            is_excluded=is_ejected or self._has_unusable_weights(known, now_seconds),
-            penalty_seconds=self._penalty_seconds(known, now_seconds),
-        )
-        return make_view(known.listed, condition, self._table)
