Rare heartbeats to the end that didn't open a link; reads check for messages

A standby daemon of 86 got 35 messages a second, mostly heartbeats of both ends of each link every 0.4 s, while only the end that opened a link checks it for silence. Its hello says so, and the other end's heartbeats come every fifth exchange. A read of an empty ZeroMQ socket raised an exception each time; it checks the socket's events first.

behave features/peers: 50 scenarios passed.

--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -36,6 +36,9 @@
 daemon is marked as suspect."""
 _INCOMING_TIMEOUT_EXCHANGES = 15.0
 """Exchanges without a message after which nothing is sent on an incoming link."""
+_RARE_HEARTBEAT_EXCHANGES = 5.0
+"""Exchanges between heartbeats to the end of a link that does not check for silence:
+three of them within ``_INCOMING_TIMEOUT_EXCHANGES``."""
 _MAX_REMEMBERED_FLOODS = 4096
 """Floods remembered in order to forward each one once. At the design size a few arrive
 each second, and one takes well under a second to reach the fleet."""
@@ -66,6 +69,8 @@
     """The revision that the other end last reported or was notified of."""
     wants_floods: bool = True
     """Whether the other end wants floods, by its last hello."""
+    expects_heartbeats: bool = True
+    """Whether the other end replaces the link if it is silent, by its last hello."""
 
 
 class PeerExchange:
@@ -209,9 +214,10 @@
     def _send_heartbeats(self, now_seconds: float) -> None:
         """Send one on each link that is idle or whose other end lacks the revision."""
         revision = self._get_revision()
-        due_seconds = now_seconds - self._exchange_seconds / 2
         for daemon, link in list(self._links.items()):
-            if link.sent_seconds <= due_seconds or link.revision < revision:
+            idle_exchanges = (now_seconds - link.sent_seconds) / self._exchange_seconds
+            is_idle = idle_exchanges >= _idle_exchanges(link)
+            if is_idle or link.revision < revision:
                 self._send_heartbeat(daemon, link, revision)
 
     def _send_heartbeat(self, daemon: DaemonId, link: _Link, revision: int) -> None:
@@ -265,6 +271,7 @@
             member=member,
             wants_members=wants_members,
             wants_floods=daemon not in self._no_flood,
+            expects_heartbeats=self._links[daemon].is_ours,
         )
         self.send(daemon, hello)
 
@@ -318,6 +325,7 @@
         if isinstance(message, PeerHello):
             self._has_members = True
             link.wants_floods = message.wants_floods
+            link.expects_heartbeats = message.expects_heartbeats
 
     def _record_contact(self, sender: DaemonId) -> _Link:
         now_seconds = self._clock.now_seconds()
@@ -368,6 +376,16 @@
             on_message(message, sender)
 
 
+def _idle_exchanges(link: _Link) -> float:
+    """Return after how many exchanges without a message a heartbeat is due.
+
+    Half an exchange is subtracted, so that the heartbeat is sent at the exchange before
+    the limit. Only the end that opened a link checks it for silence.
+    """
+    exchanges = 1.0 if link.expects_heartbeats else _RARE_HEARTBEAT_EXCHANGES
+    return exchanges - 0.5
+
+
 def _peers_without_floods(
     members: tuple[Member, ...],
     neighbours: tuple[Member, ...],
--- a/lycheepost/peers/socketreader.py
+++ b/lycheepost/peers/socketreader.py
@@ -20,6 +20,9 @@
 NOBLOCK = int(zmq.NOBLOCK)
 """As a plain integer: an operation on pyzmq's flags takes longer than a receive."""
 
+_EVENTS = int(zmq.EVENTS)
+_POLLIN = int(zmq.POLLIN)
+
 OnParts = Callable[[list[bytes]], None]
 
 _log = structlog.get_logger(part="peers")
@@ -61,7 +64,7 @@
 
     def _read(self) -> None:
         for _ in range(MAX_MESSAGES_PER_READ):
-            if self._is_closed:
+            if self._is_closed or not self._has_message():
                 return
             try:
                 parts = self._socket.recv_multipart(NOBLOCK)
@@ -70,6 +73,14 @@
             self._deliver(parts)
         self.schedule_read()
 
+    def _has_message(self) -> bool:
+        """Return whether a receive would succeed.
+
+        Most reads find one message or none. The exception of a receive that finds none
+        takes longer than the check and the receive together.
+        """
+        return bool(int(self._socket.getsockopt(_EVENTS)) & _POLLIN)
+
     def _deliver(self, parts: list[bytes]) -> None:
         try:
             self._on_parts(parts)
