--- /dev/null
+++ b/features/peers/steps/heartbeat_steps.py
@@ -0,0 +1,155 @@
+"""Steps of heartbeats.feature: two exchanges over in-memory links, in virtual time."""
+
+import asyncio
+
+from behave import given, then, when
+
+from lycheepost.core.ids import AvailabilityZone, DaemonId
+from lycheepost.generated.configuration import Configuration
+from lycheepost.peers.exchange import make_peer_exchange
+from lycheepost.peers.membership import MemberExchange
+from lycheepost.standin.network import LinkModel, NetworkModel
+from lycheepost.standin.virtualtime import run_virtual, virtual_clock
+from lycheepost.standin.vmlist import make_vm_list_model
+from lycheepost.state.addresses import Member, MemberState
+from lycheepost.state.members import make_member_manager
+from lycheepost.state.view import make_view
+
+EXCHANGE_SECONDS = 0.4
+NAMES = (DaemonId("a"), DaemonId("b"))
+OTHER = dict(zip(NAMES, reversed(NAMES), strict=True))
+
+
+class Pair:
+    """Two daemons; only those in ``openers`` know the other from the start."""
+
+    def __init__(self, openers):
+        self.clock = virtual_clock()
+        self.network = NetworkModel()
+        self.openers = openers
+        self.exchanges = {}
+        self.links = {}
+        self.n_starts = 0
+
+    async def start(self, name):
+        """Start a daemon; its transport replaces that of an earlier start."""
+        self.n_starts += 1
+        link = self.links[name] = LinkModel(self.network, name)
+        view = make_view(Configuration(revision=0))
+        zone = AvailabilityZone("zone")
+        boot = f"boot-{self.n_starts}"
+        members = make_member_manager(
+            make_vm_list_model(self.clock),
+            self.clock,
+            Member(name, boot, MemberState.LIVE, zone, "", ""),
+            lambda: view,
+        )
+        exchange = make_peer_exchange(
+            link,
+            members,
+            self.clock,
+            lambda: 0,
+            fanout=0 if name not in self.openers else 1,
+            exchange_seconds=EXCHANGE_SECONDS,
+        )
+        MemberExchange(exchange, members, self.clock)
+        if name in self.openers:
+            members.add_configured_peer(OTHER[name], OTHER[name])
+        self.exchanges[name] = exchange
+        await exchange.start()
+
+    async def stop(self):
+        for exchange in self.exchanges.values():
+            await exchange.stop()
+
+
+@given('"{name}" has opened a link to "{other}"')
+def step_opener(context, name, other):
+    context.openers = {*getattr(context, "openers", ()), DaemonId(name)}
+    context.acts = []
+
+
+@given('the hello of "b" does not say whether it expects heartbeats')
+def step_older(context):
+    async def act(pair):
+        pair.network.deliver = without_expectation(pair.network.deliver)
+
+    context.acts.insert(0, act)
+
+
+def without_expectation(deliver):
+    """Return a delivery that renames the field, as if the sender did not know it."""
+    field = b"expects_heartbeats"
+
+    def deliver_older(sender, receiver, data):
+        deliver(sender, receiver, data.replace(field, field.upper()))
+
+    return deliver_older
+
+
+@when("{n:d} exchanges pass")
+def step_pass(context, n):
+    async def act(_pair):
+        await asyncio.sleep(n * EXCHANGE_SECONDS)
+
+    context.acts.append(act)
+
+
+@when('nothing from "b" arrives any more')
+def step_silent(context):
+    async def act(pair):
+        pair.network.cut.add((NAMES[1], NAMES[0]))
+
+    context.acts.append(act)
+
+
+@when('"b" restarts without opening a link')
+def step_restart(context):
+    async def act(pair):
+        await pair.exchanges[NAMES[1]].stop()
+        await pair.start(NAMES[1])
+
+    context.acts.append(act)
+
+
+def run(context):
+    """Run the acts once, and keep what the daemons have at the end."""
+    if hasattr(context, "sent"):
+        return
+
+    async def main():
+        pair = Pair(context.openers)
+        for name in NAMES:
+            await pair.start(name)
+        for act in context.acts:
+            await act(pair)
+        context.sent = {name: pair.links[name].messages_out for name in NAMES}
+        context.linked = {name: pair.exchanges[name].linked_daemons() for name in NAMES}
+        context.n_replaced = pair.exchanges[NAMES[0]].n_replaced_links
+        await pair.stop()
+
+    run_virtual(main())
+
+
+@then('"{name}" has sent between {fewest:d} and {most:d} messages')
+def step_sent_between(context, name, fewest, most):
+    run(context)
+    assert fewest <= context.sent[name] <= most, context.sent
+
+
+@then('"{name}" has sent at least {fewest:d} messages')
+def step_sent(context, name, fewest):
+    run(context)
+    assert context.sent[name] >= fewest, context.sent
+
+
+@then("both have the link")
+def step_both(context):
+    run(context)
+    assert context.linked == {name: (OTHER[name],) for name in NAMES}, context.linked
+
+
+@then('"a" has replaced the link')
+def step_replaced(context):
+    run(context)
+    assert context.n_replaced >= 1
