Totals of the peers' load are updated with each change

Totals now follow each change, and the scheduler gets the changed ones at each report, all of them every 0.4 s and after a change of targets.

--- a/features/decide/peerloads.feature
+++ b/features/decide/peerloads.feature
@@ -46,3 +46,10 @@
     Given 2 daemons before 2 targets that exchange their load
     When the second receives a change before a full report
     Then the second knows of no peer
+
+  Scenario: Totals that are updated with each change are the sums of all reports
+    Guards against totals that drift: a change counted twice, or the load of a daemon
+    that fell silent or restarted counted forever.
+    Given 5 daemons that send random reports about 6 targets
+    When 400 reports arrive, with pauses, for seeds 1 to 5
+    Then after each the totals are the sums of the reports that hold
--- a/features/decide/steps/peerloads_steps.py
+++ b/features/decide/steps/peerloads_steps.py
@@ -8,13 +8,20 @@
 
 from features.decide.steps.common import SchedulerDriver, make_view
 from lycheepost.core.ids import DaemonId, TargetId
-from lycheepost.decide.peerloads import NO_LOAD, DaemonLoad, PeerLoads, find_changes
+from lycheepost.decide.peerloads import (
+    MAX_AGE_SECONDS,
+    NO_LOAD,
+    DaemonLoad,
+    PeerLoads,
+    find_changes,
+)
 
 
 @given("{n:d} daemons before {n_targets:d} targets that exchange their load")
 def step_daemons(context, n, n_targets):
     context.drivers = [SchedulerDriver(n_targets) for _ in range(n)]
     context.peers = [PeerLoads() for _ in range(n)]
+    context.told = {}
     for driver in context.drivers:
         driver.views = {index: make_view(index, limit=64) for index in range(n_targets)}
         driver.announce()
@@ -29,13 +36,27 @@
             continue
         other = context.drivers[index]
         peers.observe(DaemonId(str(number)), loads, other.now_seconds)
-        totals = peers.totals(other.now_seconds)
+        context.told.setdefault(index, {})[number] = loads
+        changed = peers.take_changed(other.now_seconds)
         for target in {view.target for view in other.views.values()}:
-            load = totals.get(target, NO_LOAD)
+            load = sum_of(context.told[index].values(), target)
             assert load == peers.at(target, other.now_seconds), (target, load)
+            known = other.scheduler._group_by_target[target].placement.loads[target]
+            assert target in changed or load == known.peers_load, (target, load)
             other.scheduler.set_peer_load(target, load, other.now_seconds)
 
 
+def sum_of(reports, target):
+    """Return the total load of several reports at a target."""
+    found = [report.get(target, NO_LOAD) for report in reports]
+    return DaemonLoad(
+        sum(load.queued_tokens for load in found),
+        sum(load.n_running for load in found),
+        sum(load.n_streams for load in found),
+        sum(load.held_tokens for load in found),
+    )
+
+
 @when("each daemon gets {count:d} requests, one at a time in turn")
 def step_requests(context, count):
     for index in range(count):
@@ -191,3 +212,71 @@
 @then("the second knows of no peer")
 def step_no_peer(context):
     assert not context.peers[1].is_known(0.0)
+
+
+class PlainLoads:
+    """What a list of the last reports, added up at each look, would return."""
+
+    def __init__(self):
+        self.reports = {}
+
+    def receive(self, daemon, loads, is_whole, now_seconds):
+        self.drop_expired(now_seconds)
+        before = {} if is_whole else self.reports.get(daemon, (0.0, None))[1]
+        if before is not None:
+            self.reports[daemon] = (now_seconds, {**before, **loads})
+
+    def drop_expired(self, now_seconds):
+        self.reports = {
+            daemon: (seconds, loads)
+            for daemon, (seconds, loads) in self.reports.items()
+            if now_seconds - seconds <= MAX_AGE_SECONDS
+        }
+
+    def at(self, target, now_seconds):
+        self.drop_expired(now_seconds)
+        return sum_of([loads for _seconds, loads in self.reports.values()], target)
+
+
+@given("{n:d} daemons that send random reports about {n_targets:d} targets")
+def step_random(context, n, n_targets):
+    context.daemons = [DaemonId(str(number)) for number in range(n)]
+    context.targets = [TargetId(f"target-{number}") for number in range(n_targets)]
+
+
+@when("{count:d} reports arrive, with pauses, for seeds {first:d} to {last:d}")
+def step_random_reports(context, count, first, last):
+    context.differences, context.n_silent = [], 0
+    for seed in range(first, last + 1):
+        compare_with_plain(context, random.Random(seed), count)
+
+
+def compare_with_plain(context, rng, count):
+    """Compare totals and reported changes after each report and pause."""
+    peers, plain, seen, now_seconds = PeerLoads(), PlainLoads(), {}, 100.0
+    for _ in range(count):
+        now_seconds += rng.choice([0.0, 0.03, 0.03, 0.4, 0.7])
+        daemon, is_whole = rng.choice(context.daemons), rng.random() < 0.3
+        names = rng.sample(context.targets, rng.randrange(len(context.targets)))
+        loads = {name: DaemonLoad(*rng.choices((0, 0, 1, 7), k=4)) for name in names}
+        observe = peers.observe if is_whole else peers.observe_changes
+        n_before = len(plain.reports)
+        plain.drop_expired(now_seconds)
+        context.n_silent += n_before - len(plain.reports)
+        observe(daemon, loads, now_seconds)
+        plain.receive(daemon, loads, is_whole, now_seconds)
+        changed = peers.take_changed(now_seconds)
+        if peers.is_known(now_seconds) != bool(plain.reports):
+            context.differences.append((now_seconds, plain.reports))
+        for target in context.targets:
+            total = plain.at(target, now_seconds)
+            is_told = target in changed or total == seen.get(target, NO_LOAD)
+            if peers.at(target, now_seconds) != total or not is_told:
+                context.differences.append((now_seconds, target, total, is_told))
+            seen[target] = total
+
+
+@then("after each the totals are the sums of the reports that hold")
+def step_random_equal(context):
+    assert context.n_silent > 0
+    assert not context.differences, context.differences[:3]
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -28,6 +28,10 @@
 assume that this daemon is dead, and one that missed a change would keep a stale
 load."""
 
+FULL_UPDATE_SECONDS = 0.4
+"""Interval between updates of all targets, so that the scheduler can tell a load that
+has not changed from one that is out of date."""
+
 
 class LoadExchange:
     """Sends this daemon's load to its peers and passes theirs to the scheduler.
@@ -45,11 +49,12 @@
         self._exchange = exchange
         self._clock = clock
         self._peer_loads = PeerLoads()
-        self._targets: tuple[TargetId, ...] = ()
+        self._targets: frozenset[TargetId] = frozenset()
         self._peers: tuple[DaemonId, ...] = ()
         self._published: dict[TargetId, DaemonLoad] = {}
         self._published_waiting: tuple[TargetGroupId, ...] = ()
         self._last_full_report_seconds = float("-inf")
+        self._next_full_update_seconds = float("-inf")
         self._task: asyncio.Task[None] | None = None
         exchange.subscribe(LoadNews, self._receive)
 
@@ -67,7 +72,9 @@
 
     def set_targets(self, views: tuple[TargetView, ...]) -> None:
         """Set the targets that the scheduler knows."""
-        self._targets = tuple(view.target for view in views)
+        self._targets = frozenset(view.target for view in views)
+        # The scheduler knows nothing yet of new and of restarted targets.
+        self._next_full_update_seconds = float("-inf")
 
     def set_peers(self, peers: tuple[DaemonId, ...]) -> None:
         """Set the peers to send load to; none for a standby daemon."""
@@ -126,15 +133,26 @@
         now_seconds = self._clock.now_seconds()
         is_known = self._peer_loads.is_known(now_seconds)
         if is_known:
-            totals = self._peer_loads.totals(now_seconds)
-            for target in self._targets:
-                self._dispatcher.set_peer_load(target, totals.get(target, NO_LOAD))
+            for target in self._take_due(now_seconds):
+                load = self._peer_loads.at(target, now_seconds)
+                self._dispatcher.set_peer_load(target, load)
+        else:
+            # The targets' own reports are used until a peer reports again.
+            self._next_full_update_seconds = float("-inf")
         self._dispatcher.draw_admission(
             lambda group: self._peer_loads.n_waiting(group, now_seconds)
         )
         if is_known:
             self._dispatcher.dispatch_waiting()
 
+    def _take_due(self, now_seconds: float) -> frozenset[TargetId]:
+        """Return the targets whose load to pass on; at times all of them."""
+        changed = self._peer_loads.take_changed(now_seconds)
+        if now_seconds < self._next_full_update_seconds:
+            return changed & self._targets
+        self._next_full_update_seconds = now_seconds + FULL_UPDATE_SECONDS
+        return self._targets
+
     def _receive(self, update: LoadNews, sender: DaemonId) -> None:
         loads = {
             TargetId(load.target): DaemonLoad(
--- a/lycheepost/decide/peerloads.py
+++ b/lycheepost/decide/peerloads.py
@@ -32,6 +32,15 @@
     n_streams: int = 0
     held_tokens: int = 0
 
+    def with_changed(self, before: "DaemonLoad", after: "DaemonLoad") -> "DaemonLoad":
+        """Return this sum with one of its terms changed."""
+        return DaemonLoad(
+            self.queued_tokens + after.queued_tokens - before.queued_tokens,
+            self.n_running + after.n_running - before.n_running,
+            self.n_streams + after.n_streams - before.n_streams,
+            self.held_tokens + after.held_tokens - before.held_tokens,
+        )
+
 
 NO_LOAD = DaemonLoad(0, 0)
 
@@ -52,21 +61,30 @@
 @dataclass(slots=True)
 class _Report:
     received_seconds: float
-    loads: Mapping[TargetId, DaemonLoad]
+    loads: dict[TargetId, DaemonLoad] = field(default_factory=dict)
     waiting_groups: frozenset[TargetGroupId] = frozenset()
 
 
 @dataclass(slots=True)
 class PeerLoads:
-    """The last load report of each daemon."""
+    """The last load report of each daemon, and their totals per target.
+
+    The totals are updated with each change: summing all reports thirty times per second
+    would cost the number of daemons times that of targets each time.
+    """
 
     _reports: dict[DaemonId, _Report] = field(default_factory=dict)
+    _totals: dict[TargetId, DaemonLoad] = field(default_factory=dict)
+    _changed: set[TargetId] = field(default_factory=set)
+    _first_expiry_seconds: float = float("inf")
 
     def observe(
         self, daemon: DaemonId, loads: Mapping[TargetId, DaemonLoad], now_seconds: float
     ) -> None:
         """Store a daemon's full load report in place of the previous one."""
-        self._reports[daemon] = _Report(now_seconds, loads)
+        report = self._reports.setdefault(daemon, _Report(now_seconds))
+        ended = dict.fromkeys(report.loads.keys() - loads.keys(), NO_LOAD)
+        self._update(report, ended | dict(loads), now_seconds)
 
     def note_waiting(self, daemon: DaemonId, groups: Iterable[TargetGroupId]) -> None:
         """Store the groups for which a daemon has requests waiting."""
@@ -86,7 +104,7 @@
         self._drop_expired(now_seconds)
         report = self._reports.get(daemon)
         if report is not None:
-            self._reports[daemon] = _Report(now_seconds, {**report.loads, **loads})
+            self._update(report, loads, now_seconds)
 
     def is_known(self, now_seconds: float) -> bool:
         """Return whether any peer has reported its load recently."""
@@ -96,32 +114,47 @@
     def at(self, target: TargetId, now_seconds: float) -> DaemonLoad:
         """Return the total load of all peers at a target."""
         self._drop_expired(now_seconds)
-        found = [
-            report.loads[target]
-            for report in self._reports.values()
-            if target in report.loads
-        ]
-        return DaemonLoad(
-            sum(load.queued_tokens for load in found),
-            sum(load.n_running for load in found),
-            sum(load.n_streams for load in found),
-            sum(load.held_tokens for load in found),
-        )
+        return self._totals.get(target, NO_LOAD)
 
-    def totals(self, now_seconds: float) -> dict[TargetId, DaemonLoad]:
-        """Return the total load of all peers, for each target that has any."""
+    def take_changed(self, now_seconds: float) -> frozenset[TargetId]:
+        """Return the targets whose total has changed since the last call."""
         self._drop_expired(now_seconds)
-        sums: dict[TargetId, list[int]] = {}
-        for report in self._reports.values():
-            for target, load in report.loads.items():
-                total = sums.setdefault(target, [0, 0, 0, 0])
-                total[0] += load.queued_tokens
-                total[1] += load.n_running
-                total[2] += load.n_streams
-                total[3] += load.held_tokens
-        return {target: DaemonLoad(*total) for target, total in sums.items()}
+        changed = frozenset(self._changed)
+        self._changed.clear()
+        return changed
+
+    def _update(
+        self, report: _Report, loads: Mapping[TargetId, DaemonLoad], now_seconds: float
+    ) -> None:
+        report.received_seconds = now_seconds
+        expiry_seconds = now_seconds + MAX_AGE_SECONDS
+        self._first_expiry_seconds = min(self._first_expiry_seconds, expiry_seconds)
+        for target, load in loads.items():
+            before = report.loads.get(target, NO_LOAD)
+            if load == before:
+                continue
+            self._count(target, before, load)
+            if load == NO_LOAD:
+                del report.loads[target]
+            else:
+                report.loads[target] = load
+
+    def _count(self, target: TargetId, before: DaemonLoad, after: DaemonLoad) -> None:
+        total = self._totals.get(target, NO_LOAD).with_changed(before, after)
+        self._changed.add(target)
+        if total == NO_LOAD:
+            self._totals.pop(target, None)
+        else:
+            self._totals[target] = total
 
     def _drop_expired(self, now_seconds: float) -> None:
+        if now_seconds <= self._first_expiry_seconds:
+            return
         for daemon, report in list(self._reports.items()):
             if now_seconds - report.received_seconds > MAX_AGE_SECONDS:
                 del self._reports[daemon]
+                for target, load in report.loads.items():
+                    self._count(target, load, NO_LOAD)
+        received = (report.received_seconds for report in self._reports.values())
+        self._first_expiry_seconds = min(received, default=float("inf"))
+        self._first_expiry_seconds += MAX_AGE_SECONDS
