--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -22,6 +22,7 @@
     read_node_settings,
     settings_path,
 )
+from lycheepost.utils.collector import loading_modules
 
 METRICS_VARIABLE = "LYCHEEPOST_METRICS_PORT"
 """Overrides the metrics port, for several daemons on one address."""
@@ -56,12 +57,13 @@
 def _serve(node: NodeSettings, sockets: EarlySockets, node_file: pathlib.Path) -> int:
     # Imported after the sockets are open: the import takes half a second, in which
     # connections wait in the accept queue.
-    from lycheepost.app.platformdaemon import METRICS_PORT, make_platform_daemon
-    from lycheepost.app.run import run_until_signal
-    from lycheepost.decide.mechanisms import parse_mechanisms
-    from lycheepost.generated.settings import LogSettings
-    from lycheepost.utils.logs import configure_logs
-    from lycheepost.utils.logwriter import LogWriter
+    with loading_modules():
+        from lycheepost.app.platformdaemon import METRICS_PORT, make_platform_daemon
+        from lycheepost.app.run import run_until_signal
+        from lycheepost.decide.mechanisms import parse_mechanisms
+        from lycheepost.generated.settings import LogSettings
+        from lycheepost.utils.logs import configure_logs
+        from lycheepost.utils.logwriter import LogWriter
 
     metrics_port = os.environ.get(METRICS_VARIABLE, str(METRICS_PORT))
     if not metrics_port.isdigit():
