--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -22,6 +22,7 @@
     benchcapacity,
     benchcontrol,
     benchlimit,
+    benchprocessor,
     benchquota,
     benchrelay,
 )
@@ -39,6 +40,7 @@
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
 app.command()(benchcapacity.capacity)
+app.command()(benchprocessor.processor)
 app.command()(benchcapacity.capacity_look)
 app.command(hidden=True)(benchrelay.relay_source)
 app.command(hidden=True)(benchrelay.relay_sink)
