Tests: announce that daemons leave on their loop

The step called announce_leaving outside the running loop. The announcement schedules a message, which needs a running loop unless an earlier one is still queued, so the step raised "no running event loop" when nothing was queued. What it checks is unchanged.

--- a/features/platform/steps/fleet_steps.py
+++ b/features/platform/steps/fleet_steps.py
@@ -303,6 +303,10 @@
 
 @when("{n:d} of them report that they cannot serve")
 def step_cannot_serve(context, n):
-    for daemon in context.deployment.daemons[-n:]:
-        daemon.is_leaving = True
-        daemon._components.peers.members.announce_leaving()
+    async def announce():
+        for daemon in context.deployment.daemons[-n:]:
+            daemon.is_leaving = True
+            daemon._components.peers.members.announce_leaving()
+
+    # Announcing schedules a message, for which the daemons' loop must run.
+    context.loop.run_until_complete(announce())
