Tests: hold the engine's slot until all three requests wait

The step sent three requests while one of 20 tokens ran (0.1 s). When the test process was delayed for longer, that one ended first, and the engine rightly started whichever request came. The slot is now held until the engine reports all three as waiting, and the order is that of the first tokens instead of that of the clients' responses.

--- a/features/standin/steps/engine.py
+++ b/features/standin/steps/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from unittest import mock
 
 import aiohttp
 from behave import given, then, when
@@ -12,7 +13,7 @@
 from lycheepost.standin import answers
 from lycheepost.standin.engine import EngineStandinSettings, make_engine
 from lycheepost.standin.enginerun import RunState
-from lycheepost.standin.enginetiming import make_speeds
+from lycheepost.standin.enginetiming import EngineTiming, make_speeds
 
 
 @when("answers of many prompts are truncated after any word and continued")
@@ -129,22 +130,46 @@
 
 @when("a request runs and ones of priority 2, 0 and 1 wait")
 def when_priorities(context):
-    async def run():
-        first = asyncio.create_task(
-            post(context.engine, {"prompt": "x", "max_tokens": 20}, name="first")
-        )
-        await asyncio.sleep(0.05)
-        order = []
-
-        async def wait(priority):
-            body = {"prompt": f"{priority}", "max_tokens": 2, "priority": priority}
-            await post(context.engine, body, name=str(priority))
-            order.append(priority)
-
-        await asyncio.gather(first, *(wait(priority) for priority in (2, 0, 1)))
-        return order
-
-    context.order = context.run(run())
+    context.order = context.run(run_by_priority(context.engine, (2, 0, 1)))
+
+
+async def run_by_priority(engine, priorities):
+    """Return the order in which requests start that wait for the same slot.
+
+    The request that holds the slot is cancelled only once all of them wait.
+    """
+    started = []
+    prefill = EngineTiming.prefill
+
+    async def record_start(self, work):
+        cached_tokens = await prefill(self, work)
+        started.append(work.request)
+        return cached_tokens
+
+    async def wait_for_load(n_running, n_queued):
+        async with asyncio.timeout(10):
+            while True:
+                counts = engine._timing.counts()
+                if (counts.n_running, counts.n_queued) == (n_running, n_queued):
+                    return
+                await asyncio.sleep(0.01)
+
+    def send(name, n_tokens, priority):
+        body = {"prompt": name, "max_tokens": n_tokens, "priority": priority}
+        return asyncio.create_task(post(engine, body, name=name))
+
+    with mock.patch.object(EngineTiming, "prefill", record_start):
+        holder = send("holder", 1_000_000, 0)
+        await wait_for_load(1, 0)
+        waiting = []
+        for priority in priorities:
+            waiting.append(send(str(priority), 2, priority))
+            await wait_for_load(1, len(waiting))
+        async with aiohttp.ClientSession() as session:
+            await session.post(f"{engine.url}/v1/requests/holder/cancel")
+        await asyncio.gather(holder, *waiting)
+    assert started.pop(0) == "holder"
+    return [int(name) for name in started]
 
 
 @then("they start in the order 0, 1, 2")
