Tests: wait for the link and for the message of a newer release

The steps waited 0.3 s for a link and 0.3 s for the message. Their daemons replace a link over which nothing came for 0.3 s, and a message on a replaced link is lost: a pause of the test process was enough, which the status showed (n_replaced_links 1, bytes_in 0). The daemons of these scenarios now exchange once a second, the steps wait for the link and the count, and the link must be the same one afterwards; before, a link that was replaced in time passed.

--- a/features/peers/steps/socket_steps.py
+++ b/features/peers/steps/socket_steps.py
@@ -25,6 +25,10 @@
 from lycheepost.state.revisions import make_revision_manager
 
 EXCHANGE_SECONDS = 0.1
+LINKED_EXCHANGE_SECONDS = 1.0
+"""A link that nothing came over for three exchanges is replaced, and what was sent over
+it is lost. With this time between exchanges a pause of the process doesn't do that."""
+N_HEARTBEAT_EXCHANGES = 5
 
 
 @dataclass
@@ -40,7 +44,9 @@
     return context.loop.run_until_complete(work)
 
 
-def start_node(context, name, keys, shares_members=True):
+def start_node(
+    context, name, keys, shares_members=True, exchange_seconds=EXCHANGE_SECONDS
+):
     """Start a daemon with a table of its own, so that only peers send it changes."""
     clock = SystemClock()
     name = DaemonId(name)
@@ -55,7 +61,7 @@
         members,
         clock,
         lambda: revisions.revision,
-        exchange_seconds=EXCHANGE_SECONDS,
+        exchange_seconds=exchange_seconds,
     )
     if shares_members:
         MemberExchange(exchange, members, clock)
@@ -69,8 +75,11 @@
     node.members.add_configured_peer(other.name, endpoint or other.transport.endpoint)
 
 
-def start_linked(context, names, keys=None):
-    nodes = [start_node(context, name, keys) for name in names]
+def start_linked(context, names, keys=None, exchange_seconds=EXCHANGE_SECONDS):
+    nodes = [
+        start_node(context, name, keys, exchange_seconds=exchange_seconds)
+        for name in names
+    ]
     for node in nodes:
         for other in nodes:
             introduce(node, other)
@@ -177,8 +186,10 @@
 
 @given("two daemons that are linked")
 def step_linked(context):
-    context.nodes = start_linked(context, "ab")
-    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
+    context.nodes = start_linked(
+        context, "ab", exchange_seconds=LINKED_EXCHANGE_SECONDS
+    )
+    wait_until(context, lambda: all(n.transport.bytes_in for n in context.nodes), 10)
 
 
 def make_message(message):
@@ -202,18 +213,22 @@
 @when("one receives {message}")
 def step_receives(context, message):
     first, second = context.nodes
+    context.dealers = [dict(node.transport._dealers) for node in context.nodes]
     assert first.transport.send(second.name, make_message(message))
-    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
 
 
 @then("it has counted {counted} and still takes heartbeats")
 def step_counted(context, counted):
     first, second = context.nodes
-    assert second.exchange.status()[counted], second.exchange.status()
+    wait_until(context, lambda: second.exchange.status()[counted], 5)
     bytes_in = second.transport.bytes_in
-    run(context, asyncio.sleep(5 * EXCHANGE_SECONDS))
-    assert second.transport.bytes_in > bytes_in
+    wait_until(
+        context,
+        lambda: second.transport.bytes_in > bytes_in,
+        N_HEARTBEAT_EXCHANGES * LINKED_EXCHANGE_SECONDS,
+    )
     assert first.name in second.exchange.linked_daemons()
+    assert [node.transport._dealers for node in context.nodes] == context.dealers
 
 
 @given("three daemons in a row, the middle one of an older release")
