--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -25,6 +25,14 @@
       | lowered while half is frozen |
       | rolling restart              |
 
+  Scenario: All daemons of a large fleet are killed while one customer floods it
+    Until they know each other again, 77 daemons admit requests, though ten suffice later.
+    Guards against 77 daemons that each overdraw what was left by one long request, and
+    against refusals of customers that are inside their quotas.
+    When 77 daemons and 16 customers play "all killed beside a flood" with seeds 1 to 3
+    Then the worst window holds at most what is tolerated
+    And at most 10 in 1000 requests of customers inside their quotas are refused
+
   Scenario Outline: <n> daemons keep to it as well
     Guards against a share of unreachable daemons that is right for ten daemons only: a
     small fleet would refuse nearly all requests, a large one too few.
--- a/lycheepost/bench/quotaaudit.py
+++ b/lycheepost/bench/quotaaudit.py
@@ -20,6 +20,7 @@
         n_requests: Requests that reached a daemon, by customer.
         n_refused: Those of them that were refused.
         n_beyond: Those that one bucket for the whole fleet would refuse.
+        n_owed_refused: Those that it would let through and a daemon refused.
         lowered: Quotas that came in place of the plan's, and since when they bind all
             daemons.
         n_bytes: Sent between daemons.
@@ -32,6 +33,7 @@
     n_requests: Counter[CustomerId] = field(default_factory=Counter)
     n_refused: Counter[CustomerId] = field(default_factory=Counter)
     n_beyond: Counter[CustomerId] = field(default_factory=Counter)
+    n_owed_refused: Counter[CustomerId] = field(default_factory=Counter)
     lowered: tuple[dict[CustomerId, Quota], float] | None = None
     n_bytes: int = 0
     decide_seconds: float = 0.0
--- a/lycheepost/bench/quotaplan.py
+++ b/lycheepost/bench/quotaplan.py
@@ -58,6 +58,8 @@
         n_daemons: Daemons that callers are sent to.
         lost_share: Messages that are lost on the way.
         n_late: The first daemons, so many of them, hear everything late.
+        n_entry: The first daemons, so many of them, are the entry daemons; None where
+            all are.
     """
 
     n_daemons: int
@@ -68,4 +70,5 @@
     seconds: float = 30.0
     lost_share: float = 0.0
     n_late: int = 0
+    n_entry: int | None = None
     seed: int = 1
--- a/lycheepost/bench/quotapolicies.py
+++ b/lycheepost/bench/quotapolicies.py
@@ -58,6 +58,10 @@
         """Follow who else serves."""
         self.quotas.set_entry(mates, now_seconds)
 
+    def set_relay(self, relay: DaemonId, n_entry: int, now_seconds: float) -> None:
+        """Stand by."""
+        self.quotas.set_standby(relay, n_entry, now_seconds)
+
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
     ) -> float | None:
@@ -139,6 +143,9 @@
         for name in set(self._others) - set(mates):
             del self._others[name]
 
+    def set_relay(self, relay: DaemonId, n_entry: int, now_seconds: float) -> None:
+        """Stand by; nothing is reported."""
+
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
     ) -> float | None:
@@ -214,6 +221,9 @@
         """Follow who else serves."""
         self._mates = tuple(mates)
 
+    def set_relay(self, relay: DaemonId, n_entry: int, now_seconds: float) -> None:
+        """Stand by; nothing is reported."""
+
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
     ) -> float | None:
--- a/lycheepost/bench/quotascenarios.py
+++ b/lycheepost/bench/quotascenarios.py
@@ -24,6 +24,12 @@
 
 _N_LATE = 4
 
+N_ENTRY = 10
+"""Entry daemons where the others stand by."""
+
+BESIDE_FLOOD_FACTOR = 5.0
+"""What one customer asks for beside others that are inside their quotas."""
+
 SCENARIOS = (
     "usual",
     "callers on one daemon",
@@ -40,6 +46,7 @@
     "all killed",
     "all killed twice",
     "all killed in a flood",
+    "all killed beside a flood",
     "lowered",
     "rolling restart",
     "rolling restart, usual",
@@ -53,6 +60,7 @@
     faults: tuple[Fault, ...] = ()
     lost_share: float = 0.0
     n_late: int = 0
+    n_entry: int | None = None
 
 
 def make_quotas(n_customers: int) -> dict[CustomerId, Quota]:
@@ -88,6 +96,13 @@
     return (Demand(LARGE, FLOOD_FACTOR * quotas[LARGE].rate_per_second),)
 
 
+def _beside_flood(quotas: dict[CustomerId, Quota]) -> tuple[Demand, ...]:
+    """Return the usual demand with one large customer far beyond its quota."""
+    flood = Demand(LARGE, BESIDE_FLOOD_FACTOR * quotas[LARGE].rate_per_second)
+    others = (demand for demand in _usual(quotas) if demand.customer != LARGE)
+    return (flood, *others)
+
+
 def _usual(
     quotas: dict[CustomerId, Quota], daemon: int | None = None
 ) -> tuple[Demand, ...]:
@@ -159,6 +174,9 @@
         "all killed": _Scenario(hot, (all_killed,)),
         "all killed twice": _Scenario(hot, (all_killed, all_killed_later)),
         "all killed in a flood": _Scenario(_flood(quotas), thrice),
+        "all killed beside a flood": _Scenario(
+            _beside_flood(quotas), (all_killed,), n_entry=N_ENTRY
+        ),
         "rolling restart": _Scenario(hot, rolling),
         "rolling restart, usual": _Scenario(usual, rolling),
     }
@@ -188,5 +206,6 @@
         chosen.faults,
         lost_share=chosen.lost_share,
         n_late=chosen.n_late,
+        n_entry=chosen.n_entry,
         seed=seed,
     )
--- a/lycheepost/bench/quotaworld.py
+++ b/lycheepost/bench/quotaworld.py
@@ -36,6 +36,10 @@
 DETECT_SECONDS = 1.2
 """Until the others take a silent daemon for gone."""
 
+STALE_ADDRESS_SECONDS = 1.2
+"""From the start of all daemons until callers use the entry daemons only. Before it, each
+daemon gives them its own address."""
+
 LONG_TOKENS = 9200.0
 SHORT_TOKENS = 880.0
 MOST_TOKENS = 57000.0
@@ -54,6 +58,10 @@
         """Follow the other daemons that serve, as far as this one knows."""
         ...
 
+    def set_relay(self, relay: DaemonId, n_entry: int, now_seconds: float) -> None:
+        """Stand by, and report through an entry daemon."""
+        ...
+
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
     ) -> float | None:
@@ -114,7 +122,8 @@
         self._numbers = itertools.count()
         self._changes: list[tuple[float, DaemonId]] = []
         self._cut: frozenset[DaemonId] = frozenset()
-        self._heal_seconds = float("-inf")
+        self._restarted_seconds = float("-inf")
+        self._n_entry = plan.n_daemons if plan.n_entry is None else plan.n_entry
         names = [DaemonId(f"d{index}") for index in range(plan.n_daemons)]
         self.daemons = {name: self._start(name, -60.0) for name in names}
         self._ideal = {
@@ -198,6 +207,8 @@
     def _restart(self, names: Sequence[DaemonId]) -> None:
         for name in names:
             self.daemons[name] = self._start(name, self.now_seconds)
+        if len(names) == len(self.daemons):
+            self._restarted_seconds = self.now_seconds
 
     def _freeze(self, names: Sequence[DaemonId]) -> None:
         for name in names:
@@ -256,6 +267,8 @@
             ideal.add(-units)
         else:
             self.audit.n_beyond[customer] += 1
+        if self.now_seconds - self._restarted_seconds > STALE_ADDRESS_SECONDS:
+            index %= self._n_entry
         daemon = self.daemons[DaemonId(f"d{index}")]
         match daemon.health:
             case Health.SERVING:
@@ -279,18 +292,26 @@
             age_seconds = self.now_seconds - daemon.started_seconds
             if daemon.health is not Health.SERVING or age_seconds < LINK_SECONDS:
                 continue
-            daemon.policy.set_mates(self._mates(daemon.name), self.now_seconds)
+            self._set_role(daemon)
             told = daemon.policy.tell(self.now_seconds)
             if told is not None:
                 message, n_bytes, listeners = told
                 for listener in listeners:
                     self._send(daemon.name, listener, message, n_bytes)
 
+    def _set_role(self, daemon: _Daemon) -> None:
+        mates = self._mates(daemon.name)
+        if _number(daemon.name) < self._n_entry:
+            daemon.policy.set_mates(mates, self.now_seconds)
+        elif mates:
+            relay = mates[_number(daemon.name) % len(mates)]
+            daemon.policy.set_relay(relay, len(mates), self.now_seconds)
+
     def _mates(self, name: DaemonId) -> list[DaemonId]:
-        """Return whom a daemon takes for serving: those who fell silent of late too."""
+        """Return the other entry daemons, also those that fell silent of late."""
         return [
             other.name
-            for other in self.daemons.values()
+            for other in itertools.islice(self.daemons.values(), self._n_entry)
             if other.name != name
             and self.now_seconds - other.silent_since_seconds < DETECT_SECONDS
         ]
@@ -310,7 +331,7 @@
         heapq.heappush(self._messages, item)
 
     def _is_late(self, name: DaemonId) -> bool:
-        return int(name.removeprefix("d")) < self.plan.n_late
+        return _number(name) < self.plan.n_late
 
     def _deliver(self) -> None:
         while self._messages and self._messages[0][0] <= self.now_seconds:
@@ -323,3 +344,7 @@
                 and self.can_reach(sender, listener)
             ):
                 daemon.policy.receive(sender, message, self.now_seconds)
+
+
+def _number(name: DaemonId) -> int:
+    return int(name.removeprefix("d"))
