Quotas: what customers used is recorded for the next start of the fleet

After a kill of all daemons none knew what had been spent.

Entry daemons now record level and demand of the customers near their quotas, at random moments four times a second together, in one row of the store; nothing is written while nobody is near. A daemon that starts reads the row with its tables, takes the recorded level, and, for as long as it doesn't reach its peers (3 s at most), lets through the part of the requests that the quota allows of the recorded demand. That part needs no number of daemons. Peers tell each other what was asked for beside what was spent.

--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -78,6 +78,56 @@
       | a smaller bucket after a start   | all killed in a flood   |
       | hearing of a lower quota         | lowered                 |
 
+  Scenario: The audit sees it where the record of an earlier start is taken out
+    Guards against an audit of a large fleet that passes whatever the daemons do.
+    Given daemons without the record of an earlier start
+    When 77 daemons and 16 customers play "all killed beside a flood" with seeds 1 to 1
+    Then the worst window holds more than is tolerated
+
+  Scenario Outline: A daemon that starts after all were killed goes by the record: <use>
+    It knows 77 daemons and reaches none. Guards against refusals of a customer that asks
+    for no more than its quota, and against a flood that each daemon admits anew.
+    Given a daemon of 77 that has just started, and a record of <use>
+    When it is asked for 10000 units a second in requests of 500, for 2 s
+    Then it admits between <least> and <most> of them
+
+    Examples:
+      | use                                       | least | most |
+      | 8000 units left, 9000 asked a second      | 0.95  | 1.0  |
+      | 8000 units left, 50000 asked a second     | 0.05  | 0.4  |
+      | -5000 units left, 9000 asked a second     | 0.5   | 0.8  |
+      | a debt of a billion units                 | 0.2   | 1.0  |
+
+  Scenario: The record counts only until other daemons are known
+    Guards against an old record that limits a customer for as long as a daemon runs.
+    Given a daemon of 77 that has just started, and a record of 0 units left, 50000 asked a second
+    When a peer that knows of 9000 units left reports to it
+    Then it has 9000 units left
+
+  Scenario: A record that is read late changes nothing
+    Guards against a store that returns after seconds with levels of before.
+    Given a daemon and a customer with 10000 units a second
+    When a record of 0 units left, 50000 asked a second is read after 60 s
+    Then the next one is let through
+
+  Scenario: Only customers near their quotas are recorded
+    Guards against a row that grows with the customers of a fleet.
+    Given 300 customers, of which 250 ask for their whole quota and 1 for twice as much
+    When a daemon records their use
+    Then the record holds 200 customers, among them the one that asks for most
+
+  Scenario Outline: Whether the use of quotas is recorded: <case>
+    Guards against calls to the store in a deployment that has no use for them.
+    When daemons decide on the record with <case>
+    Then it is <outcome>, because <reason>
+
+    Examples:
+      | case                   | outcome      | reason                                    |
+      | 77 daemons and quotas  | recorded     | 77 daemons share quotas                   |
+      | 1 daemon and quotas    | not recorded | a single daemon has no counts to agree on |
+      | 77 daemons, no quotas  | not recorded | no customer has a quota                   |
+      | the mechanism off      | not recorded | switched off                              |
+
   Scenario: A lowered quota binds daemons that were frozen when it came
     Guards against daemons that resume with the old quota and spend what it had left.
     When 10 daemons and 16 customers play "lowered while half is frozen" with seeds 1 to 3
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -60,8 +60,8 @@
 METRICS_PORT = 9109
 """Also given in deploy/system.toml; outside of the port range that peers use."""
 
-N_TABLES = 2
-"""The tables of the operators and of the targets."""
+N_FIRST_READS = 3
+"""The tables of the operators and of the targets, and the record of the quotas' use."""
 
 _log = structlog.get_logger(part="app")
 
@@ -308,6 +308,7 @@
             "sends": components.traffic.client.status(),
             "notices": components.traffic.notices.status(),
             "quotas": components.quotas.status(components.base.clock.now_seconds()),
+            "quota_record": components.traffic.quota_recorder.status(),
             "store": components.base.store.status(),
         }
 
@@ -338,7 +339,7 @@
     settings = SettingsWatch(node, settings_file)
     fleet_quotas = FleetQuotas(base.seed, base.clock.now_seconds())
     peers = make_platform_peers(base, fleet_quotas)
-    first_reads = InitialReads(n_tables=N_TABLES)
+    first_reads = InitialReads(n_tables=N_FIRST_READS)
     traffic = make_platform_traffic(
         base,
         peers.exchange,
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -15,6 +15,7 @@
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.notices import NoticeExchange
 from lycheepost.app.platformbase import PlatformBase
+from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps
@@ -40,6 +41,7 @@
 from lycheepost.platform.orders import ServerOrders
 from lycheepost.platform.settings import Bounds
 from lycheepost.state.initial_reads import InitialReads
+from lycheepost.state.quotarows import QuotaRows
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
@@ -92,6 +94,7 @@
     loads: LoadExchange
     notices: NoticeExchange
     quotas: QuotaExchange
+    quota_recorder: QuotaRecorder
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
@@ -104,6 +107,7 @@
             self.loads,
             self.notices,
             self.quotas,
+            self.quota_recorder,
         ]
 
     def set_topology(self, me: DaemonId, topology: FleetTopology) -> None:
@@ -130,7 +134,7 @@
         exchange: Links to the peers, for losses and loads.
         metrics: Receives the metrics.
         get_bounds: Returns the current bounds.
-        first_reads: The first reads of the tables, which requests wait for.
+        first_reads: The first reads of the store, which requests wait for.
         fleet_quotas: The customers' quotas for the whole fleet.
     """
     clock = base.clock
@@ -142,6 +146,14 @@
     loads = LoadExchange(dispatcher, exchange, clock)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
+    quota_recorder = QuotaRecorder(
+        fleet_quotas,
+        QuotaRows(base.store),
+        clock,
+        base.rng.random,
+        first_reads.note,
+        Mechanism.QUOTA_RECORD in switched_off,
+    )
 
     def on_views(views: tuple[TargetView, ...]) -> None:
         dispatcher.replace_targets(views)
@@ -218,6 +230,7 @@
         loads=loads,
         notices=notices,
         quotas=quotas,
+        quota_recorder=quota_recorder,
     )
 
 
--- a/lycheepost/bench/quotapolicies.py
+++ b/lycheepost/bench/quotapolicies.py
@@ -6,6 +6,7 @@
 customer's bucket, for each request.
 """
 
+import random
 from collections.abc import Sequence
 from typing import Any
 
@@ -22,6 +23,7 @@
     FleetQuotas,
 )
 from lycheepost.decide.quotameter import START_TOLERANCE_SHARE
+from lycheepost.decide.quotarecord import RECORD_INTERVAL_SECONDS, draws_record
 from lycheepost.decide.tokenbucket import TokenBucket
 from lycheepost.peers.quota_messages import to_message
 
@@ -46,6 +48,10 @@
     def __init__(self, start: int, at_seconds: float, world: World) -> None:
         self.quotas = FleetQuotas(start, at_seconds)
         self.quotas.set_tolerance(world.plan.tolerance)
+        self.quotas.set_record(world.record, at_seconds)
+        self._world = world
+        self._rng = random.Random(start)
+        self._recorded_seconds = at_seconds
         self._n_daemons = world.plan.n_daemons
         self._started_seconds = at_seconds
         self._told_seconds = self._whole_seconds = float("-inf")
@@ -74,6 +80,7 @@
         """Return a message, its size and its listeners."""
         if now_seconds - self._told_seconds < UPDATE_INTERVAL_SECONDS:
             return None
+        self._record(now_seconds)
         is_whole = now_seconds - self._whole_seconds > FULL_UPDATE_INTERVAL_SECONDS
         listeners = self.quotas.listeners(now_seconds)
         update = self.quotas.update(is_whole, now_seconds)
@@ -86,6 +93,15 @@
         n_bytes = len(msgspec.msgpack.encode(to_message(update)))
         return update, n_bytes, listeners
 
+    def _record(self, now_seconds: float) -> None:
+        if now_seconds - self._recorded_seconds < RECORD_INTERVAL_SECONDS:
+            return
+        self._recorded_seconds = now_seconds
+        if self.quotas.is_synced and draws_record(
+            self.quotas.n_sharing, self._rng.random()
+        ):
+            self._world.record = self.quotas.make_record(now_seconds)
+
     def receive(self, sender: DaemonId, message: Any, now_seconds: float) -> None:
         """Take a message."""
         self.quotas.receive(sender, message, now_seconds)
--- a/lycheepost/bench/quotaworld.py
+++ b/lycheepost/bench/quotaworld.py
@@ -19,6 +19,7 @@
 from lycheepost.bench.quotaplan import FaultKind, Plan
 from lycheepost.core.ids import CustomerId, DaemonId
 from lycheepost.core.quotas import Quota
+from lycheepost.decide.quotarecord import QuotaRecord
 from lycheepost.decide.tokenbucket import TokenBucket
 
 STEP_SECONDS = 0.01
@@ -37,8 +38,8 @@
 """Until the others take a silent daemon for gone."""
 
 STALE_ADDRESS_SECONDS = 1.2
-"""From the start of all daemons until callers use the entry daemons only. Before it, each
-daemon gives them its own address."""
+"""From the start of all daemons until callers use the entry daemons only. Before it,
+each daemon gives them its own address."""
 
 LONG_TOKENS = 9200.0
 SHORT_TOKENS = 880.0
@@ -95,7 +96,7 @@
     started_seconds: float
     health: Health = Health.SERVING
     silent_since_seconds: float = float("inf")
-    held: list[tuple[CustomerId, float]] = field(default_factory=list)
+    held: list[tuple[CustomerId, float, bool]] = field(default_factory=list)
 
 
 class World:
@@ -108,6 +109,7 @@
     Attributes:
         daemons: By name.
         quotas: In force now.
+        record: The use of the quotas that daemons recorded last.
     """
 
     def __init__(self, plan: Plan, make_policy: MakePolicy) -> None:
@@ -115,6 +117,7 @@
         self.audit = Audit()
         self.now_seconds = 0.0
         self.quotas = dict(plan.quotas)
+        self.record: QuotaRecord = {}
         self._make_policy = make_policy
         self._rng = random.Random(plan.seed)
         self._starts = itertools.count(1)
@@ -221,8 +224,8 @@
             daemon.health = Health.SERVING
             daemon.silent_since_seconds = float("inf")
             held, daemon.held = daemon.held, []
-            for customer, units in held:
-                self._decide(daemon, customer, units)
+            for customer, units, is_owed in held:
+                self._decide(daemon, customer, units, is_owed)
             self._tell_quotas(daemon)
 
     def _set_cut(self, names: Sequence[DaemonId]) -> None:
@@ -263,7 +266,8 @@
     ) -> None:
         ideal = self._ideal[customer]
         ideal.refill(at_seconds)
-        if ideal.wait_seconds() == 0.0:
+        is_owed = ideal.wait_seconds() == 0.0
+        if is_owed:
             ideal.add(-units)
         else:
             self.audit.n_beyond[customer] += 1
@@ -272,11 +276,13 @@
         daemon = self.daemons[DaemonId(f"d{index}")]
         match daemon.health:
             case Health.SERVING:
-                self._decide(daemon, customer, units)
+                self._decide(daemon, customer, units, is_owed)
             case Health.FROZEN:
-                daemon.held.append((customer, units))
+                daemon.held.append((customer, units, is_owed))
 
-    def _decide(self, daemon: _Daemon, customer: CustomerId, units: float) -> None:
+    def _decide(
+        self, daemon: _Daemon, customer: CustomerId, units: float, is_owed: bool
+    ) -> None:
         audit = self.audit
         audit.n_requests[customer] += 1
         began_seconds = perf_counter()
@@ -286,6 +292,7 @@
             audit.passed[customer].append((self.now_seconds, units))
         else:
             audit.n_refused[customer] += 1
+            audit.n_owed_refused[customer] += is_owed
 
     def _tell(self) -> None:
         for daemon in self.daemons.values():
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -10,6 +10,7 @@
 for a remote call.
 """
 
+import random
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
@@ -17,6 +18,10 @@
 from lycheepost.core.quotas import Quota, QuotaTolerance
 from lycheepost.decide.quotameter import QuotaCount, QuotaMeter, make_meter
 from lycheepost.decide.quotapeers import ASSUMED_DAEMONS, LINGER_SECONDS, QuotaPeers
+from lycheepost.decide.quotarecord import (
+    MAX_RECORDED_CUSTOMERS,
+    QuotaRecord,
+)
 
 UPDATE_INTERVAL_SECONDS = 0.05
 """Time between two updates to a peer. In this time a customer that asks for five times
@@ -29,6 +34,10 @@
 FULL_UPDATE_INTERVAL_SECONDS = 1.0
 """Time between two updates that cover all customers, which replace lost messages."""
 
+RECORD_VALID_SECONDS = 3.0
+"""How long after its start a daemon that doesn't reach all peers goes by the recorded
+demand. The roles of daemons change for some seconds after a start of all."""
+
 
 @dataclass(frozen=True, slots=True)
 class QuotaUpdate:
@@ -73,12 +82,24 @@
         self._peers = QuotaPeers(started_seconds)
         self._refreshed_seconds = float("-inf")
         self._spent_seconds = float("-inf")
+        self._record: QuotaRecord = {}
+        self._rng = random.Random(start)
 
     @property
     def has_quotas(self) -> bool:
         """Return whether any customer has a quota."""
         return bool(self._meters)
 
+    @property
+    def is_synced(self) -> bool:
+        """Return whether this is an entry daemon that knows what the fleet spent."""
+        return self._peers.is_entry and self._peers.is_synced
+
+    @property
+    def n_sharing(self) -> int:
+        """Return the number of daemons that share the quotas, this one included."""
+        return 1 + len(self._peers.listeners())
+
     def set_tolerance(self, tolerance: QuotaTolerance) -> None:
         """Set how far the fleet may exceed a quota."""
         if tolerance == self._tolerance:
@@ -100,9 +121,43 @@
                 self._meters[customer] = make_meter(
                     quota, self._tolerance, self.share, age_seconds, now_seconds
                 )
+                self._apply_record(customer, now_seconds)
             else:
                 meter.change(quota, now_seconds)
 
+    def set_record(self, record: QuotaRecord, now_seconds: float) -> None:
+        """Set the use that an earlier start of the fleet recorded.
+
+        It has no effect once peers have reported what the fleet spent.
+        """
+        self._record = record
+        for customer in record:
+            self._apply_record(customer, now_seconds)
+
+    def _apply_record(self, customer: CustomerId, now_seconds: float) -> None:
+        meter, use = self._meters.get(customer), self._record.get(customer)
+        is_late = now_seconds - self._started_seconds > RECORD_VALID_SECONDS
+        if meter is None or use is None or is_late or self._peers.is_synced:
+            return
+        meter.catch_up(now_seconds)
+        meter.apply_record(use)
+
+    def make_record(self, now_seconds: float) -> QuotaRecord:
+        """Return the use of the customers near their quotas."""
+        self._catch_up(now_seconds)
+        found = {
+            customer: meter.use()
+            for customer, meter in self._meters.items()
+            if meter.is_near_quota()
+        }
+        if len(found) <= MAX_RECORDED_CUSTOMERS:
+            return found
+        by_demand = sorted(found, key=self._demand_share, reverse=True)
+        return {name: found[name] for name in by_demand[:MAX_RECORDED_CUSTOMERS]}
+
+    def _demand_share(self, customer: CustomerId) -> float:
+        return self._meters[customer].demand_share()
+
     def set_fleet(self, n_daemons: int) -> None:
         """Set how many daemons there may be, including those not yet reachable."""
         self._peers.set_fleet(n_daemons)
@@ -153,7 +208,7 @@
         """
         self._catch_up(now_seconds)
         counts = {
-            customer: QuotaCount(meter.spent, meter.fleet.level)
+            customer: QuotaCount(meter.spent, meter.fleet.level, meter.asked)
             for customer, meter in self._meters.items()
             if meter.is_changed or (is_full and meter.fleet.level < meter.quota.burst)
         }
@@ -189,7 +244,9 @@
         is_same_start = self._peers.note_relayed(daemon, update.start, now_seconds)
         for meter, count in self._known(update):
             if not is_same_start:
-                meter.reported_spent.pop(daemon, None)
+                meter.forget(daemon)
+            asked = meter.update_reported_asked(daemon, count.asked)
+            meter.ask(asked)
             self._spend(
                 meter, meter.update_reported_spent(daemon, count.spent), now_seconds
             )
@@ -214,7 +271,8 @@
         adopts = update.is_synced and not peers.is_synced
         for meter, count in self._known(update):
             if not is_same_start:
-                meter.reported_spent.pop(daemon, None)
+                meter.forget(daemon)
+            meter.add_peer_demand(daemon, count)
             is_first = daemon not in meter.reported_spent
             if adopts or (is_first and update.is_synced):
                 # Its level includes what it admitted before its first update here.
@@ -243,11 +301,35 @@
         if now_seconds - self._refreshed_seconds > UPDATE_INTERVAL_SECONDS:
             self._refresh_peers(now_seconds)
         meter.catch_up(now_seconds)
-        if meter.wait_seconds() > 0.0:
-            return meter.refuse(units)
+        meter.ask(units)
+        wait_seconds = self._wait_seconds(meter, units, now_seconds)
+        if wait_seconds > 0.0:
+            return meter.refuse(units, wait_seconds)
         self._spend(meter, units, now_seconds)
         return None
 
+    def _wait_seconds(
+        self, meter: QuotaMeter, units: float, now_seconds: float
+    ) -> float:
+        """Return the time until a request may be admitted; 0 for now.
+
+        Shortly after a start of all daemons, each admits the part of the requests that
+        the quota allows of the recorded demand. Its share of the quota would not do:
+        one long request overdraws it, and tens of daemons that don't know each other
+        would each admit one.
+        """
+        pass_share = meter.pass_share()
+        age_seconds = now_seconds - self._started_seconds
+        if (
+            self.share >= 1.0
+            or pass_share is None
+            or age_seconds > RECORD_VALID_SECONDS
+        ):
+            return meter.wait_seconds()
+        if self._rng.random() < pass_share:
+            return meter.fleet.wait_seconds()
+        return max(meter.fleet.wait_seconds(), units / meter.fleet.rate_per_second)
+
     def refused(self) -> Iterator[tuple[CustomerId, QuotaMeter]]:
         """Yield the customers with requests refused by this daemon."""
         for customer, meter in self._meters.items():
@@ -278,7 +360,7 @@
         """Restart the counts from 0, since others may have dropped the old ones."""
         self._start += 1
         for meter in self._meters.values():
-            meter.spent = 0.0
+            meter.restart_counts()
 
     def status(self, now_seconds: float) -> dict[str, object]:
         """Return the units left and the requests refused here, per customer."""
@@ -311,4 +393,4 @@
 
     def _forget_counts(self, daemon: DaemonId) -> None:
         for meter in self._meters.values():
-            meter.reported_spent.pop(daemon, None)
+            meter.forget(daemon)
--- a/lycheepost/decide/mechanisms.py
+++ b/lycheepost/decide/mechanisms.py
@@ -43,6 +43,9 @@
     MACHINE_STATES = "machine_states"
     """The momentary speed that targets report counts for placement; off: it is
     ignored."""
+    QUOTA_RECORD = "quota_record"
+    """Daemons record the use of quotas in the store for the next start; off: each start
+    begins without it."""
 
 
 def parse_mechanisms(text: str) -> Result[frozenset[Mechanism], str]:
--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -10,6 +10,12 @@
 
 from lycheepost.core.ids import DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance
+from lycheepost.decide.quotademand import QuotaDemand
+from lycheepost.decide.quotarecord import (
+    RECORDED_DEMAND_SHARE,
+    RECORDED_LEVEL_SHARE,
+    RecordedUse,
+)
 from lycheepost.decide.tokenbucket import TokenBucket
 
 USED_TOLERANCE_SHARE = 0.2
@@ -32,10 +38,12 @@
     Attributes:
         spent: Units that it has admitted since its counts last restarted from 0.
         level: Units left for the fleet, as far as it knows.
+        asked: Units that were requested from it in the same time, admitted or not.
     """
 
     spent: float
     level: float
+    asked: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +68,13 @@
         reachable: Units left for the reachable daemons while others are unreachable;
             None while all are reachable.
         spent: Units admitted here since the counts last restarted from 0.
+        asked: Units requested here in the same time, admitted or not.
         reported_spent: Units spent as last reported by each daemon.
+        demand: Units that the customer requests from the whole fleet.
+        recorded: The use that an earlier start of the fleet recorded; None where there
+            is no record, or once peers have reported their levels.
         n_refused: Requests refused here.
-        is_changed: Whether units were admitted here since the last update to the peers.
+        is_changed: Whether units were requested here since the last update.
     """
 
     quota: Quota
@@ -70,9 +82,13 @@
     fleet: TokenBucket
     reachable: TokenBucket | None = None
     spent: float = 0.0
+    asked: float = 0.0
     reported_spent: dict[DaemonId, float] = field(default_factory=dict)
+    demand: QuotaDemand = field(default_factory=QuotaDemand)
+    recorded: RecordedUse | None = None
     n_refused: int = 0
     is_changed: bool = False
+    _reported_asked: dict[DaemonId, float] = field(default_factory=dict)
     _pending: _PendingQuota | None = None
     _partition_spent: float = 0.0
     """Units spent by the reachable daemons since others became unreachable."""
@@ -166,11 +182,62 @@
             self.reachable.add(units)
             self._partition_spent -= units
 
-    def refuse(self, units: float) -> float:
+    def ask(self, units: float) -> None:
+        """Count units that were requested here."""
+        self.asked += units
+        self.demand.add(units, self.fleet.at_seconds)
+        self.is_changed = True
+
+    def restart_counts(self) -> None:
+        """Restart the counts from 0."""
+        self.spent = self.asked = 0.0
+
+    def apply_record(self, use: RecordedUse) -> None:
+        """Start from the use that an earlier start of the fleet recorded.
+
+        A debt beyond the capacity isn't believed: it would take longer to pay than any
+        request that the fleet admits.
+        """
+        self.recorded = use
+        level = max(use.level, -self.fleet.capacity)
+        self._add(min(0.0, level - self.fleet.level))
+
+    def use(self) -> RecordedUse:
+        """Return the use to record."""
+        now_seconds = self.fleet.at_seconds
+        return RecordedUse(self.fleet.level, self.demand.per_second(now_seconds))
+
+    def demand_share(self) -> float:
+        """Return the demand as a fraction of the rate of the quota."""
+        demand_per_second = self.demand.per_second(self.fleet.at_seconds)
+        return demand_per_second / self.quota.rate_per_second
+
+    def is_near_quota(self) -> bool:
+        """Return whether the customer is near its quota, or beyond it."""
+        return (
+            self.fleet.level < RECORDED_LEVEL_SHARE * self.quota.burst
+            or self.demand_share() > RECORDED_DEMAND_SHARE
+        )
+
+    def pass_share(self) -> float | None:
+        """Return the fraction of the recorded demand that the quota allows.
+
+        None if no use was recorded.
+        """
+        if self.recorded is None:
+            return None
+        demand_per_second = self.recorded.demand_per_second
+        return min(1.0, self.fleet.rate_per_second / max(1e-9, demand_per_second))
+
+    def refuse(self, units: float, wait_seconds: float) -> float:
         """Count a refused request; return the seconds after which it may retry.
 
         If a hundred refused requests got the same retry time, they would return and be
         refused together. So each gets the time at which its own units are refilled.
+
+        Args:
+            units: Units of the request.
+            wait_seconds: Time until any request may be admitted.
         """
         self.n_refused += 1
         rate_per_second = self.fleet.rate_per_second
@@ -180,8 +247,7 @@
         promised = max(0.0, self._promised - rate_per_second * elapsed_seconds)
         max_units = MAX_WAIT_SECONDS * rate_per_second
         self._promised = min(max_units, promised + units)
-        wait_seconds = self.wait_seconds() + promised / rate_per_second
-        return min(MAX_WAIT_SECONDS, wait_seconds)
+        return min(MAX_WAIT_SECONDS, wait_seconds + promised / rate_per_second)
 
     def update_reported_spent(self, daemon: DaemonId, spent: float) -> float:
         """Store a daemon's spent count; return its increase."""
@@ -189,6 +255,22 @@
         self.reported_spent[daemon] = spent
         return spent - before
 
+    def update_reported_asked(self, daemon: DaemonId, asked: float) -> float:
+        """Store a daemon's asked count; return its increase, 0 for the first one."""
+        before = self._reported_asked.get(daemon, asked)
+        self._reported_asked[daemon] = asked
+        return max(0.0, asked - before)
+
+    def forget(self, daemon: DaemonId) -> None:
+        """Drop the counts that a daemon reported."""
+        self.reported_spent.pop(daemon, None)
+        self._reported_asked.pop(daemon, None)
+
+    def add_peer_demand(self, daemon: DaemonId, count: QuotaCount) -> None:
+        """Count what was requested from a peer since its last update."""
+        units = self.update_reported_asked(daemon, count.asked)
+        self.demand.add(units, self.fleet.at_seconds)
+
     def add_peer_count(self, daemon: DaemonId, count: QuotaCount) -> None:
         """Subtract what a peer admitted since its last update.
 
@@ -198,9 +280,19 @@
         self._add(-self.update_reported_spent(daemon, count.spent))
 
     def adopt_lower_level(self, daemon: DaemonId, count: QuotaCount) -> None:
-        """Adopt the level of a better informed daemon if it is lower."""
+        """Adopt the level of a better informed daemon if it is lower.
+
+        It replaces a recorded level also where it is higher: the record may be old.
+        """
         self.reported_spent[daemon] = count.spent
-        self._add(min(0.0, count.level - self.fleet.level))
+        change = count.level - self.fleet.level
+        if self.recorded is None:
+            self._add(min(0.0, change))
+            return
+        self.recorded = None
+        # The peer may not have counted yet what was admitted here.
+        rise = change - max(0.0, self.spent)
+        self._add(rise if rise > 0.0 else min(0.0, change))
 
     def adopt_level(self, count: QuotaCount) -> None:
         """Adopt the level of a daemon that has counted all units spent here."""
--- a/lycheepost/peers/quota_messages.py
+++ b/lycheepost/peers/quota_messages.py
@@ -17,7 +17,10 @@
         wants_relay=usage.wants_relay,
         customers=[
             CustomerSpent(
-                customer=customer, spent_units=count.spent, left_units=count.level
+                customer=customer,
+                spent_units=count.spent,
+                left_units=count.level,
+                asked_units=count.asked,
             )
             for customer, count in usage.counts.items()
         ],
@@ -36,8 +39,14 @@
         message.is_synced,
         message.wants_relay,
         {
-            CustomerId(item.customer): QuotaCount(item.spent_units, item.left_units)
+            CustomerId(item.customer): QuotaCount(
+                item.spent_units, item.left_units, item.asked_units
+            )
             for item in message.customers
-            if math.isfinite(item.spent_units) and math.isfinite(item.left_units)
+            if all(
+                map(
+                    math.isfinite, (item.spent_units, item.left_units, item.asked_units)
+                )
+            )
         },
     )
--- a/lycheepost/state/initial_reads.py
+++ b/lycheepost/state/initial_reads.py
@@ -18,7 +18,7 @@
     """Counts the tables that have been read.
 
     Attributes:
-        n_tables: Number of tables that must be read.
+        n_tables: Number of reads of the store that requests wait for.
     """
 
     n_tables: int
--- a/tools/fuzzquotas.py
+++ b/tools/fuzzquotas.py
@@ -31,6 +31,7 @@
             customer=st.sampled_from(["c", "other"]),
             spent_units=_FIGURES,
             left_units=_FIGURES,
+            asked_units=_FIGURES,
         ),
         max_size=3,
     ),
