--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -74,7 +74,7 @@
         recorded: The use that an earlier start of the fleet recorded; None where there
             is no record, or once peers have reported their levels.
         n_refused: Requests refused here.
-        is_changed: Whether units were requested here since the last update.
+        is_changed: Whether units were admitted here since the last update to the peers.
     """
 
     quota: Quota
@@ -183,10 +183,13 @@
             self._partition_spent -= units
 
     def ask(self, units: float) -> None:
-        """Count units that were requested here."""
+        """Count units that were requested here.
+
+        Peers are told with the next units that are admitted: a demand need not be known
+        as soon as what was spent.
+        """
         self.asked += units
         self.demand.add(units, self.fleet.at_seconds)
-        self.is_changed = True
 
     def restart_counts(self) -> None:
         """Restart the counts from 0."""
