Tests: don't count the wait for a processor as a process's start

The background of this feature starts nine processes and gave each 15 s. Loading the modules takes about 1 s of processor time; with two to three processes for each core some waited longer than 15 s for a processor, and the log of the one that was waited for was empty. The 15 s stay, without the time in which the process was ready to run and had no processor. A process that ends while it starts fails the step at once.

The streams that SIGTERM must not cut are five times as long (5 s): the step needs all six open at the same time.

A hook that met a slow end of one process left the others running; it now kills all of them before it waits.

--- a/features/app/environment.py
+++ b/features/app/environment.py
@@ -5,6 +5,7 @@
 """
 
 LAST_CHARACTERS = 4000
+END_SECONDS = 60.0
 
 
 def before_scenario(context, scenario):
@@ -19,4 +20,5 @@
     for process in context.processes.values():
         if process.poll() is None:
             process.kill()
-        process.wait(timeout=10)
+    for process in context.processes.values():
+        process.wait(timeout=END_SECONDS)
--- a/features/app/steps/processes.py
+++ b/features/app/steps/processes.py
@@ -21,6 +21,11 @@
 KEY = "lpk-feature"
 PROGRAM = str(pathlib.Path(sys.executable).parent / "lycheepost")
 PLATFORM = ("table", "objects", "weights", "vm-list")
+START_SECONDS = 15.0
+"""How long a process may take to start, without the time it waits for a processor."""
+MAX_QUEUED_SECONDS = 120.0
+N_STREAM_TOKENS = 1000
+"""Long enough that all streams of a step are open at the same time."""
 
 
 def start(context, name, arguments, settings):
@@ -40,10 +45,33 @@
     return output
 
 
+def read_queued_seconds(process):
+    """Return how long the main thread has been ready to run without a processor."""
+    fields = pathlib.Path(f"/proc/{process.pid}/schedstat").read_text().split()
+    return int(fields[1]) / 1e9
+
+
+def wait_for_start(process, condition):
+    """Wait for a process that has just been started; raise if it ends."""
+    started = time.monotonic()
+    while not condition():
+        assert process.poll() is None, f"ended with code {process.returncode}"
+        queued_seconds = min(read_queued_seconds(process), MAX_QUEUED_SECONDS)
+        elapsed_seconds = time.monotonic() - started
+        assert elapsed_seconds < START_SECONDS + queued_seconds, (
+            f"not started within {elapsed_seconds:.1f} s,"
+            f" {queued_seconds:.1f} s of it without a processor"
+        )
+        time.sleep(0.05)
+
+
 def start_standin(context, name, arguments):
     """Start a stand-in on a free port and return the address that it prints."""
     output = start(context, name, ["standin", *arguments], {})
-    wait_for(lambda: output.read_text().startswith("http") and "\n" in read(output))
+    wait_for_start(
+        context.processes[name],
+        lambda: output.read_text().startswith("http") and "\n" in read(output),
+    )
     return read(output).splitlines()[0].strip()
 
 
@@ -111,8 +139,9 @@
 
 def start_daemon(context, index):
     settings = daemon_settings(context, index)
-    output = start(context, f"daemon-{index}", ["serve"], settings)
-    wait_for(lambda: find_serving(output) is not None)
+    name = f"daemon-{index}"
+    output = start(context, name, ["serve"], settings)
+    wait_for_start(context.processes[name], lambda: find_serving(output) is not None)
     context.serving[index] = find_serving(output)
     wait_for(lambda: call(context, index, "/readyz")[0] == 200)
 
@@ -233,7 +262,7 @@
     context.streams = []
 
     def read():
-        context.streams.append(chat(context, 0, 200, True))
+        context.streams.append(chat(context, 0, N_STREAM_TOKENS, True))
 
     threads = [threading.Thread(target=read) for _ in range(n)]
     for thread in threads:
@@ -250,7 +279,7 @@
     for status, _, body in context.streams:
         assert status == 200
         assert body.endswith(b"data: [DONE]\n\n"), body[-200:]
-        assert body.count(b'"content":" ') == 200
+        assert body.count(b'"content":" ') == N_STREAM_TOKENS
 
 
 @then("the first daemon exits with code {code:d}")
