Tests: count a leaving from the first response that says it

The first engine was to say that it leaves from 1 s on, and to get nothing from 3 s on. Where placement had sent all streams to the other engine since 0.9 s, it had said nothing by then: the request that failed the check was the one whose response tells the daemon.

The busiest server now leaves, the 2 s count from the first response with its notice, whichever call it answers, and traffic goes on until 3 s after that, as before. A run in which no response says it fails.

--- a/features/platform/notices.feature
+++ b/features/platform/notices.feature
@@ -39,14 +39,14 @@
   Scenario: A server whose answers say that it leaves gets no more requests
     Guards against a daemon that learns only from the store that a server leaves.
     Given a deployment with 1 daemon
-    When clients ask for look-ups, 30 a second for 4 s, and after 1 s the first server says that it leaves
+    When clients ask for look-ups, 30 a second for 4 s, and after 1 s the busiest server says that it leaves
     Then it gets nothing from 2 s after that
     And every client is served
 
   Scenario: A server that leaves gets nothing after its registration has lapsed and is back
     Guards against a leaving announcement that is lost with the server's registration.
     Given a deployment with 1 daemon
-    When clients ask for look-ups, 30 a second for 5 s, and after 1 s the first server says that it leaves
+    When clients ask for look-ups, 30 a second for 5 s, and after 1 s the busiest server says that it leaves
     And its registration is removed 0.5 s after that, and written again 0.5 s later
     Then it gets nothing from 2 s after that
     And every client is served
@@ -54,7 +54,7 @@
   Scenario: A server that leaves gets nothing more while others bring their requests
     Guards against requests that wait or are retried at a server that leaves.
     Given a deployment with 1 daemon
-    When clients ask for streams, 10 a second for 4 s, and after 1 s the first engine says that it leaves
+    When clients ask for streams, 10 a second for 4 s, and after 1 s the busiest engine says that it leaves
     Then it gets nothing from 2 s after that
     And every client is served
 
--- a/features/platform/steps/notice_steps.py
+++ b/features/platform/steps/notice_steps.py
@@ -15,6 +15,7 @@
 
 GRACE_SECONDS = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
+MAX_TRAFFIC_SECONDS = 30.0
 N_ALBUMS = 8
 """Number of shared prompt parts; with so many each engine caches some."""
 GROUPS = {"look-ups": "plain", "streams": "llm"}
@@ -41,7 +42,7 @@
 
 
 class Traffic:
-    """Sends requests at an even rate and records the first server of their group.
+    """Sends requests at an even rate and records one server of their group.
 
     Args:
         deployment: The deployment that gets the requests.
@@ -50,22 +51,37 @@
         seconds: Duration of the traffic.
 
     Attributes:
-        server: The first server of the group.
+        server: The first server of the group, or the one that leaves.
         statuses: Statuses that clients received; None for a truncated response.
-        arrivals: Times at which requests reached the server, since the start.
+        failures: Number, status and body of responses other than a 200.
+        leaves_seconds: When a server begins to say that it leaves; None for never. The
+            traffic goes on until the server has said so for the rest of its duration.
         changes: Pairs of a time since the start and a function to call then, in order.
     """
 
     def __init__(self, deployment: Deployment, what: str, per_second: int, seconds):
         self.deployment = deployment
         self.what = what
-        self.server = deployment.group(GROUPS[what])[0]
+        self.servers = deployment.group(GROUPS[what])
+        self.server = self.servers[0]
         self.statuses: list[int | None] = []
-        self.arrivals: list[float] = []
+        self.failures: list[tuple[int, int | None, bytes]] = []
+        self.leaves_seconds: float | None = None
         self.changes = []
         self._per_second = per_second
         self._seconds = seconds
-        self._n_known = 0
+        self._arrivals: dict[str, list[float]] = {s.name: [] for s in self.servers}
+
+    @property
+    def arrivals(self) -> list[float]:
+        """Return the times at which requests reached the server, since the start."""
+        return self._arrivals[self.server.name]
+
+    @property
+    def said_seconds(self) -> float | None:
+        """Return when the server first said that it leaves, since the start."""
+        said = self.server.leaving_said_seconds
+        return None if said is None else said - self.started
 
     async def run(self) -> None:
         """Send requests until the traffic ends."""
@@ -75,7 +91,7 @@
         for number in itertools.count():
             elapsed = asyncio.get_running_loop().time() - started
             self._note_arrivals(elapsed)
-            if elapsed > self._seconds:
+            if elapsed > self._end_seconds():
                 break
             while self.changes and self.changes[0][0] <= elapsed:
                 self.changes.pop(0)[1]()
@@ -84,10 +100,18 @@
             await asyncio.sleep(due - asyncio.get_running_loop().time())
         await asyncio.gather(*tasks)
 
+    def _end_seconds(self) -> float:
+        if self.leaves_seconds is None:
+            return self._seconds
+        if self.said_seconds is None:
+            return MAX_TRAFFIC_SECONDS
+        return self.said_seconds + self._seconds - self.leaves_seconds
+
     def _note_arrivals(self, elapsed: float) -> None:
-        n_arrived = len(self.server.runs) + len(self.server.rejected_seconds)
-        self.arrivals += [elapsed] * (n_arrived - self._n_known)
-        self._n_known = n_arrived
+        for server in self.servers:
+            arrivals = self._arrivals[server.name]
+            n_arrived = len(server.runs) + len(server.rejected_seconds)
+            arrivals += [elapsed] * (n_arrived - len(arrivals))
 
     async def _ask(self, number: int) -> None:
         deployment = self.deployment
@@ -100,6 +124,8 @@
             headers = deployment.headers("k-one")
             answer = await deployment.ask("GET", f"/look/{number}", headers, b"", index)
         self.statuses.append(answer.status if answer.is_whole else None)
+        if answer.status != 200:
+            self.failures.append((number, answer.status, answer.body))
 
 
 def make_traffic(context, what, per_second, seconds):
@@ -119,13 +145,14 @@
 
 @when(
     "clients ask for {what}, {per_second:d} a second for {seconds:d} s, and after"
-    " {after_seconds:g} s the first {kind} says that it leaves"
+    " {after_seconds:g} s the busiest {kind} says that it leaves"
 )
 def step_ask_leaving(context, what, per_second, seconds, after_seconds, kind):
     traffic = make_traffic(context, what, per_second, seconds)
-    context.changed_seconds = after_seconds
+    context.changed_seconds = traffic.leaves_seconds = after_seconds
 
     def leave():
+        traffic.server = max(traffic.servers, key=lambda server: len(server.runs))
         traffic.server.announces_leaving = True
 
     traffic.changes.append((after_seconds, leave))
@@ -148,7 +175,8 @@
 @then("it gets nothing from {seconds:g} s after that")
 def step_nothing(context, seconds):
     traffic = play(context)
-    since = context.changed_seconds + seconds
+    assert traffic.said_seconds is not None, "no response of the server said it"
+    since = traffic.said_seconds + seconds
     late = [at for at in traffic.arrivals if at > since]
     assert not late, f"{len(late)} requests from {since:g} s on, the last at {late[-1]}"
 
@@ -157,7 +185,7 @@
 def step_all_served(context):
     traffic = play(context)
     bad = [status for status in traffic.statuses if status != 200]
-    assert not bad, bad
+    assert not bad, (bad, traffic.failures)
 
 
 @when(
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -128,6 +128,8 @@
             enforce it.
         announces_leaving: Whether its responses say that it is leaving. It still serves
             requests, and its entry in the store does not change.
+        leaving_said_seconds: The time of the first response that said so, by the loop's
+            clock; None before it.
         backoff_seconds: If set, it rejects requests and asks for a back-off of this
             length.
         rejected_seconds: The times of these rejections, by the loop's clock.
@@ -151,6 +153,7 @@
         self.drops_order_answers = False
         self.limit_per_second: float | None = None
         self.announces_leaving = False
+        self.leaving_said_seconds: float | None = None
         self.backoff_seconds: float | None = None
         self.rejected_seconds: list[float] = []
         self.n_health_checks = 0
@@ -253,6 +256,8 @@
             headers[names.RATE_LIMIT] = str(self.limit_per_second)
         if self.announces_leaving:
             headers[names.LEAVING] = "1"
+            if self.leaving_said_seconds is None:
+                self.leaving_said_seconds = asyncio.get_running_loop().time()
         return headers
 
     def _reject(self, request: web.Request, status: int) -> web.Response:
