--- a/features/platform/ratelimits.feature
+++ b/features/platform/ratelimits.feature
@@ -18,7 +18,7 @@
 
   Scenario: Daemons together send a server no more than the limit it names
     Guards against daemons that ignore the limit of an overloaded server.
-    Given a deployment with 3 daemons
+    Given a deployment with 3 daemons that may use keys without confirming them
     When clients ask all daemons for look-ups, 30 a second for 10 s, and after 1 s the first server states a limit of 4 a second
     Then from 3 s after that it gets at most one and a half times its limit and 5 more in any 4 s
     And all look-ups are served
