Tests: as many looks in a step of warming as with the default settings

The daemon that drives a rollout imports kept blocks at the first look at a loaded engine, unless its share is due to rise by then. The scenario raised it every 0.3 s and looked every 0.2 s: a look that came 0.1 s late skipped the import, and where that happened for all engines none was imported. By default a step takes 7.5 looks (15 s and 2 s); the scenario now has the same ratio (1.5 s and 0.2 s). Its check stays.

--- a/features/capacity/steps/whole_steps.py
+++ b/features/capacity/steps/whole_steps.py
@@ -19,7 +19,7 @@
 from lycheepost.standin.engine import EngineStandin
 
 TIMING = OperatorSettings(
-    capacity_tick_seconds=0.2, drain_settle_seconds=1.0, warm_step_seconds=0.3
+    capacity_tick_seconds=0.2, drain_settle_seconds=1.0, warm_step_seconds=1.5
 )
 MODEL = "caption-llm"
 
