Room in the engines' memories is counted by all daemons together

An engine with fewer tokens of memory than its slots can fill puts running requests back when its memory runs out. Daemons counted requests only, and told each other the stated maximum of the tokens held.

decide/room judges whether memory is short from the sizes and the tokens held at busy moments; only then a request needs room at its target. What is held is the prompt, shared parts once in a daemon, and the output expected from the caller's hint and from how far hints have been off. Not measured yet.

--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -145,6 +145,10 @@
         """Report the first token; the engine's usage is not known yet."""
         self._scheduler.first_token(request, self._clock.now_seconds(), None)
 
+    def note_events(self, request: RequestId, n_events: int) -> None:
+        """Report how many events a complete stream had."""
+        self._scheduler.note_events(request, n_events)
+
     def note_usage(
         self, request: RequestId, prompt_tokens: int, cached_tokens: int
     ) -> None:
@@ -255,6 +259,13 @@
             for target in self._scheduler.take_suspect_targets():
                 self._on_suspect(target)
         for outcome in outcomes:
+            if isinstance(outcome, Dispatch) and outcome.put_back:
+                _log.info(
+                    "dispatch: puts less urgent requests back",
+                    request=outcome.request,
+                    target=outcome.target,
+                    put_back=list(outcome.put_back),
+                )
             future = self._waiting.get(outcome.request)
             if future is not None and not future.done():
                 future.set_result(outcome)
--- a/lycheepost/callers/errors.py
+++ b/lycheepost/callers/errors.py
@@ -112,6 +112,11 @@
         ErrorType.SERVER,
         "The target failed and the retry budget is used up.",
     ),
+    RefusalReason.TOO_LARGE: (
+        503,
+        ErrorType.SERVER,
+        "The prompt is larger than the memory of any target.",
+    ),
     RefusalReason.SHUTTING_DOWN: (
         503,
         ErrorType.SERVER,
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -267,6 +267,10 @@
         finally:
             # An attempt that the deadline interrupts still counts as sent: the target
             # may be running it, so reporting "not run" could be false.
+            if kind is FinishKind.COMPLETE and end is None:
+                self._deps.dispatcher.note_events(
+                    self._work.request, self._relay.n_events
+                )
             self._deps.dispatcher.finish(self._work.request, kind)
             now_seconds = self._deps.clock.now_seconds()
             self._log.info(
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -115,6 +115,7 @@
         objective_seconds=route.objective_seconds or math.inf,
         gap_seconds=route.gap_seconds,
         rank=engine_rank(route_match),
+        hint_tokens=0 if prompt is None else prompt.hint_tokens,
         stored_tokens=deps.kv_store_contents.stored_tokens(
             choose_kv_store(table, levels), levels
         ),
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -126,6 +126,11 @@
         last_id = self._splitter.last_id
         return self._request.after_event if last_id is None else last_id
 
+    @property
+    def n_events(self) -> int:
+        """Return how many events the caller has received."""
+        return self._splitter.n_events
+
     @property
     def can_continue(self) -> bool:
         """Return whether another target can continue after the caller's last event."""
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -193,12 +193,14 @@
 
     Attributes:
         parts: In order; the last one is unique to this request or session.
+        hint_tokens: The caller's estimate of the tokens of its response; 0 if none.
     """
 
     model: ModelId
     n_tokens: int
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = field(default_factory=tuple)
+    hint_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -143,6 +143,11 @@
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
+        room = self.placement.room
+        if room.is_too_large(work):
+            room.counts.n_too_large += 1
+            return [Refuse(work.request, RefusalReason.TOO_LARGE, None)]
+        room.note_arrival(work)
         choice = self._choose(work, now_seconds, self._awaited)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
@@ -221,6 +226,7 @@
         if waiting is None:
             return False
         self._clear_awaited_target(waiting)
+        self.placement.room.release(request)
         return True
 
     def _budget_seconds(self, work: Work, choice: Choice, now_seconds: float) -> float:
@@ -293,6 +299,8 @@
             cost_seconds,
             choice.ahead_tokens,
         )
+        put_back = load.put_back(work, now_seconds)
+        self.placement.room.counts.n_put_back += len(put_back)
         load.start(entry, now_seconds)
         load.cache_estimate.add(work.levels)
         self.placement.note_holder(work.levels, target)
@@ -304,7 +312,9 @@
         self.queue.charge(work.customer, cost_seconds)
         self._rate.count(cost_seconds)
         self._usual_rate.count(self._usual_cost_seconds(work))
-        return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
+        return Dispatch(
+            work.request, target, choice.wait_seconds, choice.cached_tokens, put_back
+        )
 
     def note_placed(self, placed: Placed) -> None:
         """Record that a target caches a prompt that a peer has sent to it.
@@ -375,6 +385,8 @@
         if not choice.can_take or not self.admission.may_take(target):
             waiting_ahead.add(target, choice.uncached_tokens)
             self._set_awaited_target(waiting, choice)
+            if not choice.has_room:
+                self.placement.reserve_room(work, choice.load, now_seconds)
             return None
         self.admission.note_taken(target)
         self.remove(work.request)
@@ -395,6 +407,15 @@
         self._learn(load, entry, now_seconds, cached_tokens)
         load.first_token(entry, now_seconds)
 
+    def note_events(self, request: RequestId, n_events: int) -> None:
+        """Learn the length of a complete stream from its events."""
+        target = self._running.get(request)
+        load = self.placement.loads.get(target) if target is not None else None
+        entry = load.in_flight.get(request) if load is not None else None
+        if load is not None and entry is not None:
+            n_tokens = n_events * load.view.event_tokens
+            self.placement.room.note_output(entry.work, n_tokens)
+
     def note_usage(self, prompt_tokens: int, cached_tokens: int) -> None:
         """Update the uncached share with the usage reported at a response's end."""
         uncached = max(0, prompt_tokens - cached_tokens)
@@ -442,6 +463,7 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse requests whose time has run out, and dispatch others."""
         self.throttle.redraw_expired(now_seconds)
+        self.placement.room.expire(now_seconds)
         self._rate.update(now_seconds, self.n_waiting > 0)
         self._usual_rate.update(now_seconds, self.n_waiting > 0)
         self.shares.divide(self._usual_rate.per_second(), now_seconds)
@@ -481,6 +503,7 @@
             "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
             "service_rate": round(self._rate.per_second(), 3),
             "pressure": round(self.placement.pressure, 3),
+            "room": self.placement.room_status(now_seconds),
             "targets": {
                 target: {
                     "state": load.view.state.value,
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -13,10 +13,12 @@
 from lycheepost.decide.backlog import Backlog
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.concurrency import Window
+from lycheepost.decide.heldmemory import HeldMemory
 from lycheepost.decide.peerloads import NO_LOAD, DaemonLoad
 from lycheepost.decide.rates import Rates
 from lycheepost.decide.records import LoadReport, TargetView, Work
 from lycheepost.decide.requestpacer import RequestPacer
+from lycheepost.decide.room import GroupRoom, Holder, choose_yielding
 from lycheepost.decide.slow import Slowness
 
 HISTORY_SECONDS = 5.0
@@ -40,6 +42,7 @@
         uncached_tokens: Prompt tokens estimated to need prefill.
         cost_seconds: Engine time charged to the customer.
         ahead_tokens: Uncached tokens that waited at the target when it was sent.
+        held_tokens: Tokens that it is expected to hold in the target's memory.
     """
 
     work: Work
@@ -50,6 +53,7 @@
     ahead_tokens: float
     is_probe: bool = False
     has_first_token: bool = False
+    held_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -73,7 +77,8 @@
             as they look up the cache only later.
         n_streams: This daemon's requests with a gap objective that have their first
             token.
-        held_tokens: Tokens that this daemon's requests occupy in its memory at most.
+        held: What this daemon's requests are expected to hold in its memory.
+        room: Room in the memories of its group.
         peers_tokens: Uncached tokens of peers that wait there.
         peers_running: Requests of peers that run there.
         peers_load: The load that peers last reported there.
@@ -91,7 +96,8 @@
     queued_tokens: int = 0
     queued_prompt_tokens: int = 0
     n_streams: int = 0
-    held_tokens: int = 0
+    held: HeldMemory = field(default_factory=HeldMemory)
+    room: GroupRoom = field(default_factory=GroupRoom)
     window: Window = field(default_factory=Window)
     peers_tokens: float = 0.0
     peers_running: float = 0.0
@@ -110,6 +116,7 @@
             self.peers_tokens = 0.0
             self.peers_running = 0.0
             self.peers_load = NO_LOAD
+            self.held.clear()
             self.slowness = Slowness()
             self.window = Window()
             self.backlog = Backlog()
@@ -123,7 +130,14 @@
         if self.rate_limiter is not None:
             self.rate_limiter.note_sent(now_seconds)
         self._count_queued(entry, 1)
-        self.held_tokens += _held_tokens(entry.work)
+        entry.held_tokens = self.room.expected_tokens(entry.work)
+        self.held.add(entry.work.request, entry.work.levels, entry.held_tokens)
+        self.room.note_held(
+            self.all_held_tokens(now_seconds),
+            self.view.memory_tokens,
+            self.max_requests(),
+            now_seconds,
+        )
         self._record_own_load(now_seconds)
         self._update_backlog(now_seconds)
 
@@ -142,7 +156,7 @@
         entry = self.in_flight.pop(request, None)
         if entry is None:
             return None
-        self.held_tokens -= _held_tokens(entry.work)
+        self.held.remove(request)
         if entry.has_first_token:
             self.n_streams -= _is_stream(entry.work)
         else:
@@ -207,9 +221,16 @@
         self._update_backlog(report.measured_seconds)
 
     def own_load(self) -> DaemonLoad:
-        """Return this daemon's load, to be sent to peers."""
+        """Return this daemon's load, to be sent to peers.
+
+        Room that it keeps for a waiting request counts as held, so that peers leave it.
+        """
+        reserved_tokens = self.room.reserved_tokens(self.view.target)
         return DaemonLoad(
-            self.queued_tokens, len(self.in_flight), self.n_streams, self.held_tokens
+            self.queued_tokens,
+            len(self.in_flight),
+            self.n_streams,
+            self.held.tokens + reserved_tokens,
         )
 
     def set_peer_load(self, load: DaemonLoad, now_seconds: float) -> None:
@@ -236,9 +257,56 @@
         """Return the streams of all daemons that run there."""
         return self.n_streams + self.peers_load.n_streams
 
-    def all_held_tokens(self) -> int:
-        """Return the tokens that the requests of all daemons occupy there at most."""
-        return self.held_tokens + self.peers_load.held_tokens
+    def all_held_tokens(self, now_seconds: float) -> int:
+        """Return the tokens that the requests of all daemons are expected to hold."""
+        if now_seconds - self.reported_seconds > MAX_REPORT_AGE_SECONDS:
+            return self.held.tokens
+        return self.held.tokens + self.peers_load.held_tokens
+
+    def missing_tokens(self, work: Work, now_seconds: float) -> int:
+        """Return the tokens of memory that a request lacks there; 0 if it fits.
+
+        Cached parts that no running request uses yield, so only held tokens count. A
+        request that is expected to fill the whole memory fits when nothing is held.
+        """
+        memory_tokens = self.view.memory_tokens
+        if not self.room.need.is_short or not memory_tokens:
+            return 0
+        held = self.all_held_tokens(now_seconds)
+        held += self.room.reserved_tokens(self.view.target, work.request)
+        n_tokens = min(memory_tokens, self.room.expected_tokens(work))
+        added = self.held.added_tokens(work.levels, n_tokens)
+        return max(0, held + added - memory_tokens)
+
+    def has_room(self, work: Work, now_seconds: float) -> bool:
+        """Return whether a request fits, or is meant to displace less urgent ones."""
+        missing_tokens = self.missing_tokens(work, now_seconds)
+        return not missing_tokens or bool(self._yielding(work, missing_tokens))
+
+    def put_back(self, work: Work, now_seconds: float) -> tuple[RequestId, ...]:
+        """Return the requests of this daemon that a request is meant to displace."""
+        missing_tokens = self.missing_tokens(work, now_seconds)
+        return self._yielding(work, missing_tokens) if missing_tokens else ()
+
+    def room_wait_seconds(self, work: Work, now_seconds: float) -> float:
+        """Return the predicted wait until a request finds room there."""
+        missing_tokens = self.missing_tokens(work, now_seconds)
+        if not missing_tokens:
+            return 0.0
+        return missing_tokens / self.view.memory_tokens * self.rates.hold_seconds
+
+    def _yielding(self, work: Work, missing_tokens: int) -> tuple[RequestId, ...]:
+        holders = [
+            Holder(
+                entry.work.request,
+                entry.work.rank,
+                entry.dispatched_seconds,
+                entry.held_tokens,
+                entry.has_first_token and _is_stream(entry.work),
+            )
+            for entry in self.in_flight.values()
+        ]
+        return choose_yielding(holders, work.rank, missing_tokens)
 
     def has_capacity(self, n_running: float, now_seconds: float) -> bool:
         """Return whether it may take one more request besides ``n_running``."""
@@ -285,9 +353,5 @@
         return max(1.0, self.view.concurrency_limit * self.view.serving_share)
 
 
-def _held_tokens(work: Work) -> int:
-    return work.prompt_tokens + work.output_tokens
-
-
 def _is_stream(work: Work) -> bool:
     return work.gap_seconds > 0.0
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -19,9 +19,11 @@
 
 from lycheepost.core.ids import PrefixDigest, TargetId
 from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.rates import make_rates
 from lycheepost.decide.records import PrefixLevel, TargetState, Work
 from lycheepost.decide.ring import Ring
+from lycheepost.decide.room import GroupRoom
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.sharedlevel import shared_digest
 
@@ -67,6 +69,7 @@
         can_take: Whether the target has capacity for it now.
         throttled_seconds: The part of the wait that is due to the target's rate limit
             or back-off.
+        has_room: Whether its memory has room for the request.
     """
 
     load: TargetLoad
@@ -76,6 +79,7 @@
     ahead_tokens: float
     can_take: bool
     throttled_seconds: float = 0.0
+    has_room: bool = True
 
 
 class WaitingByTarget:
@@ -120,6 +124,7 @@
         self._serving: list[TargetLoad] = []
         self._serving_by_id: dict[TargetId, TargetLoad] = {}
         self.rates = make_rates(settings)
+        self.room = GroupRoom(Mechanism.MEMORY_ROOM not in settings.switched_off)
         self.pressure = 0.0
 
     def refresh(self) -> None:
@@ -127,6 +132,7 @@
         self._serving = [load for load in self.loads.values() if _takes_new_work(load)]
         self._serving_by_id = {load.view.target: load for load in self._serving}
         self._ring.replace(set(self._serving_by_id))
+        self.room.set_memories(load.view.memory_tokens for load in self._serving)
 
     def serving(self) -> list[TargetId]:
         """Return the targets that take new work, in the same order on every daemon."""
@@ -175,6 +181,21 @@
         while len(self._holders) > MAX_HELD_DIGESTS:
             self._holders.popitem(last=False)
 
+    def reserve_room(self, work: Work, load: TargetLoad, now_seconds: float) -> None:
+        """Keep room on a target for a request that waits there for memory."""
+        n_tokens = min(load.view.memory_tokens, self.room.expected_tokens(work))
+        self.room.counts.n_waited += 1
+        self.room.reserve(work, load.view.target, n_tokens, now_seconds)
+
+    def room_status(self, now_seconds: float) -> dict[str, object]:
+        """Return the room left on the fullest target, and what its lack has caused."""
+        left = [
+            load.view.memory_tokens - load.all_held_tokens(now_seconds)
+            for load in self._serving
+            if load.view.memory_tokens
+        ]
+        return {"least_left_tokens": min(left, default=None), **self.room.status()}
+
     def _candidates(self, work: Work, owners: Sequence[TargetId]) -> list[TargetLoad]:
         if len(self._serving) <= SCORE_ALL_TARGETS:
             return self._serving
@@ -256,6 +277,7 @@
         if not ignores_pressure:
             price += PRESSURE_PRICE * self.pressure
         step_seconds = self._step_seconds(work)
+        is_room_short = self.room.need.is_short
         min_uncached = min([item[1] for item in usable])
         best_score = math.inf
         best: tuple[TargetLoad, int, float, float, float] | None = None
@@ -279,6 +301,8 @@
             excess = n_running + n_ahead + 1.0 - load.max_requests()
             if excess > 0.0:
                 wait += excess * rates.hold_seconds / load.max_requests()
+            if is_room_short:
+                wait += load.room_wait_seconds(work, now_seconds)
             steps = owners.index(target) if target in owners else MAX_OWNER_STEPS
             score = (
                 wait_weight * wait
@@ -291,11 +315,21 @@
                 best = (load, uncached, wait, ahead, n_running)
         assert best is not None
         load, uncached, wait, ahead, n_running = best
-        can_take = load.has_capacity(n_running, now_seconds)
+        has_room = load.has_room(work, now_seconds)
+        can_take = has_room and load.has_capacity(n_running, now_seconds)
         cached = work.prompt_tokens - uncached
         n_ahead = waiting_ahead.requests.get(load.view.target, 0)
         throttled_seconds = load.throttled_seconds(now_seconds, n_ahead)
-        return Choice(load, wait, cached, uncached, ahead, can_take, throttled_seconds)
+        return Choice(
+            load,
+            wait,
+            cached,
+            uncached,
+            ahead,
+            can_take,
+            throttled_seconds,
+            has_room,
+        )
 
 
 def _usable(
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -48,6 +48,7 @@
     QUARANTINED = "quarantined"
     RETRY_BUDGET = "retry_budget"
     SHUTTING_DOWN = "shutting_down"
+    TOO_LARGE = "too_large_for_memory"
 
 
 class FinishKind(Enum):
@@ -94,6 +95,7 @@
         gap_seconds: Longest pause between the events of its response at which it meets
             its objective; 0 if there is none.
         rank: Urgency among all requests of its target group; 0 is the most urgent.
+        hint_tokens: The caller's estimate of the tokens of its response; 0 if none.
     """
 
     request: RequestId
@@ -114,6 +116,7 @@
     stored_tokens: int = 0
     gap_seconds: float = 0.0
     rank: int = 0
+    hint_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +130,8 @@
         fetch_token_seconds: Time to fetch one token's KV cache from a KV store; 0 if it
             cannot fetch.
         event_tokens: Output tokens in one event of a stream.
+        memory_tokens: Tokens of running requests and cached parts that it holds
+            together; 0 if unknown.
     """
 
     target: TargetId
@@ -141,6 +146,7 @@
     penalty_seconds: float = 0.0
     fetch_token_seconds: float = 0.0
     event_tokens: int = 1
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,12 +174,14 @@
     Attributes:
         predicted_wait_seconds: Predicted time to the first token.
         expected_cached_tokens: Prompt tokens estimated to be cached there.
+        put_back: Less urgent requests there that it is meant to displace from memory.
     """
 
     request: RequestId
     target: TargetId
     predicted_wait_seconds: float
     expected_cached_tokens: int
+    put_back: tuple[RequestId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -107,7 +107,10 @@
         if load is None:
             cache_estimate = CacheEstimate(view.incarnation, view.cache_tokens)
             group.placement.loads[view.target] = TargetLoad(
-                view, cache_estimate, group.placement.rates
+                view,
+                cache_estimate,
+                group.placement.rates,
+                room=group.placement.room,
             )
             self._pass_limit(view.target, now_seconds)
             self._pass_backoff(view.target)
@@ -224,6 +227,12 @@
         if group is not None:
             group.first_token(request, now_seconds, cached_tokens)
 
+    def note_events(self, request: RequestId, n_events: int) -> None:
+        """Record how many events a complete stream had."""
+        group = self._group_by_request.get(request)
+        if group is not None:
+            group.note_events(request, n_events)
+
     def note_usage(
         self, request: RequestId, prompt_tokens: int, cached_tokens: int
     ) -> None:
@@ -365,7 +374,7 @@
         found: dict[TargetId, DaemonLoad] = {}
         for target, group in self._group_by_target.items():
             load = group.placement.loads[target]
-            if load.in_flight:
+            if load.in_flight or group.placement.room.is_reserved(target):
                 found[target] = load.own_load()
         return found
 
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -343,7 +343,9 @@
     match [parse_count(word) for word in headers.get(names.TOKENS, "").split(",")]:
         case [int(n_tokens), int(n_output)]:
             parts = _decode_parts(headers.get(names.PROMPT_PARTS, ""))
-            return Prompt(ModelId(model), n_tokens, n_output, parts)
+            # A hint that is no count is as good as none.
+            hint = parse_count(headers.get(names.LENGTH_HINT, "")) or 0
+            return Prompt(ModelId(model), n_tokens, n_output, parts, hint)
     raise _bad_prompt()
 
 
--- a/lycheepost/state/targetviews.py
+++ b/lycheepost/state/targetviews.py
@@ -53,6 +53,7 @@
         penalty_seconds=condition.penalty_seconds,
         fetch_token_seconds=fetch_seconds,
         event_tokens=1 if engine is None else engine.event_tokens,
+        memory_tokens=0 if engine is None else engine.kv_tokens,
     )
 
 
--- a/lycheepost/targets/events.py
+++ b/lycheepost/targets/events.py
@@ -29,11 +29,13 @@
     Attributes:
         last_id: Id of the last complete event; None before the first.
         first_id: Id of the first complete event since the last ``restart``.
+        n_events: Number of complete events with an id.
     """
 
     def __init__(self) -> None:
         self.last_id: int | None = None
         self.first_id: int | None = None
+        self.n_events = 0
         self._partial_event = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -49,6 +51,7 @@
             raise TargetLost("an event of the stream does not end")
         ids = _ID_LINE.findall(complete)
         if ids:
+            self.n_events += len(ids)
             self.last_id = int(ids[-1])
             self.first_id = int(ids[0]) if self.first_id is None else self.first_id
         return complete
