--- a/features/decide/steps/common.py
+++ b/features/decide/steps/common.py
@@ -80,6 +80,7 @@
         self.works = {}
         self.sent = {}
         self.refused = {}
+        self.put_back = {}
         self.announce()
 
     def announce(self):
@@ -91,6 +92,7 @@
             match outcome:
                 case Dispatch():
                     self.sent[outcome.request] = outcome.target
+                    self.put_back[outcome.request] = outcome.put_back
                 case Refuse():
                     self.refused[outcome.request] = outcome
 
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -24,6 +24,7 @@
     benchlimit,
     benchquota,
     benchrelay,
+    benchroom,
 )
 from lycheepost.generated.settings import LogLevel, LogSettings
 from lycheepost.utils.logs import configure_logs
@@ -36,6 +37,7 @@
 app.command()(benchbackoff.backoff)
 app.command()(benchlimit.limit)
 app.command()(benchquota.quota)
+app.command()(benchroom.room)
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
 app.command()(benchcapacity.capacity)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -147,7 +147,7 @@
         if room.is_too_large(work):
             room.counts.n_too_large += 1
             return [Refuse(work.request, RefusalReason.TOO_LARGE, None)]
-        room.note_arrival(work)
+        room.note_arrival(work, now_seconds)
         choice = self._choose(work, now_seconds, self._awaited)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -132,12 +132,7 @@
         self._count_queued(entry, 1)
         entry.held_tokens = self.room.expected_tokens(entry.work)
         self.held.add(entry.work.request, entry.work.levels, entry.held_tokens)
-        self.room.note_held(
-            self.all_held_tokens(now_seconds),
-            self.view.memory_tokens,
-            self.max_requests(),
-            now_seconds,
-        )
+        self._judge_room(now_seconds)
         self._record_own_load(now_seconds)
         self._update_backlog(now_seconds)
 
@@ -237,8 +232,11 @@
         """Set the load that peers report at this target."""
         self.peers_tokens = float(load.queued_tokens)
         self.peers_running = float(load.n_running)
+        is_fuller = load.held_tokens > self.peers_load.held_tokens
         self.peers_load = load
         self.reported_seconds = now_seconds
+        if is_fuller:
+            self._judge_room(now_seconds)
         self.has_peer_reports = True
         self._update_backlog(now_seconds)
 
@@ -308,6 +306,12 @@
         ]
         return choose_yielding(holders, work.rank, missing_tokens)
 
+    def _judge_room(self, now_seconds: float) -> None:
+        held_tokens = self.all_held_tokens(now_seconds)
+        self.room.note_held(
+            held_tokens, self.view.memory_tokens, self.max_requests(), now_seconds
+        )
+
     def has_capacity(self, n_running: float, now_seconds: float) -> bool:
         """Return whether it may take one more request besides ``n_running``."""
         if self.is_throttled(now_seconds) or n_running >= self.max_requests():
--- a/lycheepost/decide/room.py
+++ b/lycheepost/decide/room.py
@@ -24,8 +24,12 @@
 QUANTILE_GAIN = 0.2
 """Relative step of a quantile; a tenfold change is followed within fifteen steps."""
 
-INITIAL_HINT_RATIO = 2.0
-"""Of estimates that are right at the median and off by half, nine in ten are below."""
+MEDIAN = 0.5
+
+RUN_SHARE = 0.5
+"""Share of its output that a request holds on average while it runs. The sum of what
+requests hold at their ends would keep a third of the memory unused, as few of them end
+at the same time."""
 
 MIN_HINT_RATIO = 0.25
 MAX_HINT_RATIO = 64.0
@@ -65,14 +69,14 @@
 
 @dataclass(slots=True)
 class HintErrors:
-    """How far callers' estimates of their output fall short.
+    """How far callers' estimates of their output are off.
 
     Attributes:
-        ratio: Actual over estimated output that nine in ten responses stay below.
+        ratio: Actual over estimated output, at the median.
     """
 
     ratio: RelativeQuantile = field(
-        default_factory=lambda: RelativeQuantile(LONG_QUANTILE, INITIAL_HINT_RATIO)
+        default_factory=lambda: RelativeQuantile(MEDIAN, 1.0)
     )
 
     def expected_tokens(self, hint_tokens: int, max_tokens: int) -> int:
@@ -198,6 +202,8 @@
     def __init__(self, is_on: bool = True) -> None:
         self._is_on = is_on
         self._largest_memory_tokens = 0
+        self._memory_tokens = 0
+        self._n_slots = 0.0
         self._long = RelativeQuantile(LONG_QUANTILE)
         self._hints = HintErrors()
         self._peak = RecentPeak()
@@ -210,20 +216,22 @@
         self._largest_memory_tokens = max(memories_tokens, default=0)
 
     def expected_tokens(self, work: Work) -> int:
-        """Return the tokens that a request will hold when it ends."""
-        return work.prompt_tokens + self._hints.expected_tokens(
+        """Return the tokens that a request is expected to hold while it runs."""
+        output_tokens = self._hints.expected_tokens(
             work.hint_tokens, work.output_tokens
         )
+        return work.prompt_tokens + round(RUN_SHARE * output_tokens)
 
     def is_too_large(self, work: Work) -> bool:
         """Return whether no target can hold a request, however idle it is."""
         memory_tokens = self._largest_memory_tokens
         return self._is_on and 0 < memory_tokens < work.prompt_tokens
 
-    def note_arrival(self, work: Work) -> None:
+    def note_arrival(self, work: Work, now_seconds: float) -> None:
         """Count the size of an arriving request."""
         if self._is_on and work.prompt_tokens > 0:
             self._long.observe(self.expected_tokens(work))
+            self._judge(now_seconds)
 
     def note_output(self, work: Work, output_tokens: int) -> None:
         """Learn from the length of a complete response."""
@@ -242,9 +250,15 @@
         """
         if not self._is_on or memory_tokens <= 0:
             return
+        self._memory_tokens, self._n_slots = memory_tokens, n_slots
         self._peak.observe(held_tokens, now_seconds)
+        self._judge(now_seconds)
+
+    def _judge(self, now_seconds: float) -> None:
         peak_tokens = self._peak.now(now_seconds)
-        use = MemoryUse(memory_tokens, n_slots, self._long.value, peak_tokens)
+        use = MemoryUse(
+            self._memory_tokens, self._n_slots, self._long.value, peak_tokens
+        )
         self.need = judge_room(use, self.need.is_short)
 
     def reserve(
