--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -85,6 +85,18 @@
       | v3   | nothing |
       | 3,4  | nothing |
 
+  Scenario Outline: A length hint of <hint> is read as <tokens>
+    Guards against a request that is refused, or holds less than nothing, for its hint.
+    When a prompt comes with the length hint <hint>
+    Then its hint is <tokens> tokens
+
+    Examples:
+      | hint    | tokens |
+      | 40      | 40     |
+      | -40     | 0      |
+      | 4e1     | 0      |
+      | nothing | 0      |
+
   Scenario: The digest of a part is the same for a prompt and for an event
     Guards against cache events that match no prompt, or prompts of another scope.
     When the same part is named by a prompt and by an event of its scope
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 from behave import given, then, when
+from multidict import CIMultiDict, CIMultiDictProxy
 from returns.result import Failure, Success
 from structlog.testing import capture_logs
 
@@ -31,6 +32,7 @@
     MAX_UNUSABLE_LOGGED,
     ServerFollower,
 )
+from lycheepost.platform.ingress import decode_prompt
 from lycheepost.platform.registrations import decode_server
 from lycheepost.platform.storewire import WireRows, encode_value
 from lycheepost.ports.feed import ChangedRow
@@ -293,6 +295,19 @@
     assert found == (kind, n), found
 
 
+@when("a prompt comes with the length hint {hint}")
+def step_hint(context, hint):
+    headers = {names.MODEL: "m0", names.TOKENS: "150,60"}
+    if hint != "nothing":
+        headers[names.LENGTH_HINT] = hint
+    context.prompt = decode_prompt(CIMultiDictProxy(CIMultiDict(headers)))
+
+
+@then("its hint is {n:d} tokens")
+def step_hint_tokens(context, n):
+    assert context.prompt.hint_tokens == n, context.prompt
+
+
 @when("the same part is named by a prompt and by an event of its scope")
 def step_digests(context):
     prompt = Prompt(ModelId("m0"), 10, 1, (PromptPart("aa", 10),))
--- a/lycheepost/decide/peerloads.py
+++ b/lycheepost/decide/peerloads.py
@@ -24,7 +24,8 @@
         queued_tokens: Prompt tokens of requests that have no first token yet.
         n_running: Requests sent that have not ended.
         n_streams: Those of them with a gap objective that have their first token.
-        held_tokens: Tokens that all of them occupy in the target's memory at most.
+        held_tokens: Tokens that all of them are expected to occupy in the target's
+            memory, with room kept there for a request that waits.
     """
 
     queued_tokens: int
--- a/tools/run_benches.py
+++ b/tools/run_benches.py
@@ -27,6 +27,7 @@
     "relay": ["bench", "relay", "--json"],
     "limit": ["bench", "limit", "--json"],
     "backoff": ["bench", "backoff", "--json"],
+    "room": ["bench", "room", "--json"],
     "quota": ["bench", "quota", "--json"],
     "policy": ["bench", "policy", "--json"],
 }
