--- a/features/platform/steps/slowreader_steps.py
+++ b/features/platform/steps/slowreader_steps.py
@@ -32,8 +32,12 @@
 @when("{n:d} clients ask for a look-up and do not read")
 def step_deaf(context, n):
     context.clients = [open_deaf_client(context) for _ in range(n)]
-    context.loop.run_until_complete(asyncio.sleep(1.0))
-    assert len(context.deployment.runs()) >= n
+    deployment = context.deployment
+
+    async def have_run():
+        return len(deployment.runs()) >= n and buffers(context)["answers"]["n_denied"]
+
+    context.loop.run_until_complete(deployment.until(have_run))
 
 
 def open_deaf_client(context):
