--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -65,6 +65,7 @@
         self._on_suspect: Callable[[TargetId], None] | None = None
         self._ticker: asyncio.Task[None] | None = None
         self._has_work = asyncio.Event()
+        self._short_groups: frozenset[TargetGroupId] = frozenset()
 
     async def start(self) -> None:
         """Start the tick."""
@@ -279,10 +280,25 @@
             await self._pause()
             try:
                 self._deliver(self._scheduler.tick(self._clock.now_seconds()))
+                self._log_room()
             except Exception:
                 # Without further ticks, queued requests would wait forever.
                 _log.exception("dispatch: the tick failed")
 
+    def _log_room(self) -> None:
+        """Log the groups whose memory became short, or is no longer."""
+        needs = self._scheduler.room_needs()
+        short = frozenset(name for name, need in needs.items() if need.is_short)
+        for name in sorted(short ^ self._short_groups):
+            need = needs.get(name)
+            _log.info(
+                "dispatch: memory of targets",
+                group=name,
+                is_short=name in short,
+                reason=None if need is None else need.reason,
+            )
+        self._short_groups = short
+
     async def _pause(self) -> None:
         """Wait for the next tick, or, while idle, for the next request."""
         if self._scheduler.has_work():
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -34,6 +34,7 @@
     Work,
 )
 from lycheepost.decide.retry import RetryBudget, RetryTerms
+from lycheepost.decide.room import RoomNeed
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.generated.engine import CacheEvent
 
@@ -369,6 +370,10 @@
             outcomes.extend(group.dispatch_waiting(now_seconds))
         return outcomes
 
+    def room_needs(self) -> dict[TargetGroupId, RoomNeed]:
+        """Return whether memory limits the targets of each group, and why."""
+        return {name: group.placement.room.need for name, group in self._groups.items()}
+
     def under_way(self) -> dict[TargetId, DaemonLoad]:
         """Return this daemon's load at each target, to be sent to peers."""
         found: dict[TargetId, DaemonLoad] = {}
