--- a/features/decide/room.feature
+++ b/features/decide/room.feature
@@ -44,6 +44,12 @@
     When a prompt of 60000 tokens comes
     Then it is sent
 
+  Scenario: A prompt that one target without stated memory may hold is not refused
+    Guards against a refusal for good by what is known of the other targets.
+    Given a daemon before 2 engines, one of which states no memory
+    When a prompt of 60001 tokens comes
+    Then it is sent
+
   Scenario: A large prompt does not starve behind small ones that fit
     Guards against small requests that take all room as it becomes free.
     Given a daemon before 1 engine whose memory is full of long prompts
--- a/features/decide/steps/room_steps.py
+++ b/features/decide/steps/room_steps.py
@@ -113,6 +113,14 @@
     make_daemons(context, 1, n_engines)
 
 
+@given("a daemon before 2 engines, one of which states no memory")
+def step_daemon_unknown(context):
+    make_daemons(context, 1, 2)
+    driver = context.driver
+    driver.views[1] = replace(driver.views[1], memory_tokens=0)
+    driver.announce()
+
+
 @given("a daemon before 1 engine")
 def step_daemon_engine(context):
     make_daemons(context, 1, 1)
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -132,7 +132,7 @@
         self._serving = [load for load in self.loads.values() if _takes_new_work(load)]
         self._serving_by_id = {load.view.target: load for load in self._serving}
         self._ring.replace(set(self._serving_by_id))
-        self.room.set_memories(load.view.memory_tokens for load in self._serving)
+        self.room.set_memories(load.view.memory_tokens for load in self.loads.values())
 
     def serving(self) -> list[TargetId]:
         """Return the targets that take new work, in the same order on every daemon."""
--- a/lycheepost/decide/room.py
+++ b/lycheepost/decide/room.py
@@ -212,8 +212,9 @@
         self.reservation: Reservation | None = None
 
     def set_memories(self, memories_tokens: Iterable[int]) -> None:
-        """Set the memory of each target that takes new work."""
-        self._largest_memory_tokens = max(memories_tokens, default=0)
+        """Set the memory of each target, also of those that take no new work now."""
+        sizes = tuple(memories_tokens)
+        self._largest_memory_tokens = max(sizes) if sizes and all(sizes) else 0
 
     def expected_tokens(self, work: Work) -> int:
         """Return the tokens that a request is expected to hold while it runs."""
