--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import structlog
@@ -32,7 +32,7 @@
         "queued_requests",
         sum(group["n_waiting"] for group in status["queues"]["groups"].values()),
     )
-    yield from _read_room(status["queues"]["groups"].values())
+    yield from _read_room(status["queues"]["groups"])
     for name, budget in status.get("buffers", {}).items():
         yield f"buffered_bytes.{name}", budget["held_bytes"]
         yield f"buffers_denied.{name}", budget["n_denied"]
@@ -43,13 +43,13 @@
     yield "duties_held", sum(duty["is_held"] for duty in status["duties"])
 
 
-def _read_room(groups: Iterable[dict[str, Any]]) -> Iterator[tuple[str, float]]:
-    """Yield the gauges of the engines' memory, over all groups."""
-    rooms = [group["room"] for group in groups]
-    left = [room["least_left_tokens"] for room in rooms]
-    known = [n_tokens for n_tokens in left if n_tokens is not None]
-    if known:
-        yield "room_least_left_tokens", min(known)
+def _read_room(groups: dict[str, Any]) -> Iterator[tuple[str, float]]:
+    """Yield the gauges of the engines' memory."""
+    rooms = [group["room"] for group in groups.values()]
+    for name, group in groups.items():
+        left_tokens = group["room"]["least_left_tokens"]
+        if left_tokens is not None:
+            yield f"room_least_left_tokens.{name}", left_tokens
     yield "room_is_short", float(any(room["is_short"] for room in rooms))
     yield "room_waits", sum(room["n_waited"] for room in rooms)
     yield "room_put_back", sum(room["n_put_back"] for room in rooms)
