--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -25,6 +25,7 @@
     benchprocessor,
     benchquota,
     benchrelay,
+    benchroom,
 )
 from lycheepost.generated.settings import LogLevel, LogSettings
 from lycheepost.utils.logs import configure_logs
@@ -37,6 +38,7 @@
 app.command()(benchbackoff.backoff)
 app.command()(benchlimit.limit)
 app.command()(benchquota.quota)
+app.command()(benchroom.room)
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
 app.command()(benchcapacity.capacity)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -81,6 +81,11 @@
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
+        room = self.placement.room
+        if room.is_too_large(work):
+            room.counts.n_too_large += 1
+            return [Refuse(work.request, RefusalReason.TOO_LARGE, None)]
+        room.note_arrival(work, now_seconds)
         choice = self._choose(work, now_seconds, self.waiting.awaited)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
@@ -129,6 +134,8 @@
             cost_seconds,
             choice.ahead_tokens,
         )
+        put_back = load.put_back(work, now_seconds)
+        self.placement.room.counts.n_put_back += len(put_back)
         load.start(entry, now_seconds)
         load.cache_estimate.add(work.levels)
         self.placement.note_holder(work.levels, target)
@@ -138,7 +145,9 @@
         if self.suspects.is_suspect(work, now_seconds):
             self.suspects.note_sent(target)
         self.waiting.note_dispatched(work, cost_seconds)
-        return Dispatch(work.request, target, choice.wait_seconds, choice.cached_tokens)
+        return Dispatch(
+            work.request, target, choice.wait_seconds, choice.cached_tokens, put_back
+        )
 
     def note_placed(self, placed: Placed) -> None:
         """Record that a target caches a prompt that a peer has sent to it.
@@ -209,6 +218,8 @@
         if not choice.can_take or not self.admission.may_take(target):
             waiting_ahead.add(target, choice.uncached_tokens)
             self.waiting.set_awaited_target(waiting, choice)
+            if not choice.has_room:
+                self.placement.reserve_room(work, choice.load, now_seconds)
             return None
         self.admission.note_taken(target)
         self.waiting.take(waiting, now_seconds)
@@ -227,6 +238,15 @@
         self._learn(load, entry, now_seconds, cached_tokens)
         load.first_token(entry, now_seconds)
 
+    def note_events(self, request: RequestId, n_events: int) -> None:
+        """Learn the length of a complete stream from its events."""
+        target = self._running.get(request)
+        load = self.placement.loads.get(target) if target is not None else None
+        entry = load.in_flight.get(request) if load is not None else None
+        if load is not None and entry is not None:
+            n_tokens = n_events * load.view.event_tokens
+            self.placement.room.note_output(entry.work, n_tokens)
+
     def note_usage(self, prompt_tokens: int, cached_tokens: int) -> None:
         """Update the uncached share with the usage reported at a response's end."""
         uncached = max(0, prompt_tokens - cached_tokens)
@@ -274,6 +294,7 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse requests whose time has run out, and dispatch others."""
         self.throttle.redraw_expired(now_seconds)
+        self.placement.room.expire(now_seconds)
         self.waiting.update(now_seconds)
         pressure = self.placement.pressure
         step = (float(self._is_under_pressure(now_seconds)) - pressure) * PRESSURE_GAIN
@@ -297,6 +318,7 @@
         return {
             **self.waiting.status(),
             "pressure": round(self.placement.pressure, 3),
+            "room": self.placement.room_status(now_seconds),
             "targets": {
                 target: {
                     "state": load.view.state.value,
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -34,6 +34,7 @@
     Work,
 )
 from lycheepost.decide.retry import RetryBudget, RetryTerms
+from lycheepost.decide.room import RoomNeed
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.generated.engine import CacheEvent
 
@@ -107,7 +108,10 @@
         if load is None:
             cache_estimate = CacheEstimate(view.incarnation, view.cache_tokens)
             group.placement.loads[view.target] = TargetLoad(
-                view, cache_estimate, group.placement.rates
+                view,
+                cache_estimate,
+                group.placement.rates,
+                room=group.placement.room,
             )
             self._pass_limit(view.target, now_seconds)
             self._pass_backoff(view.target)
@@ -224,6 +228,12 @@
         if group is not None:
             group.first_token(request, now_seconds, cached_tokens)
 
+    def note_events(self, request: RequestId, n_events: int) -> None:
+        """Record how many events a complete stream had."""
+        group = self._group_by_request.get(request)
+        if group is not None:
+            group.note_events(request, n_events)
+
     def note_usage(
         self, request: RequestId, prompt_tokens: int, cached_tokens: int
     ) -> None:
@@ -360,12 +370,16 @@
             outcomes.extend(group.dispatch_waiting(now_seconds))
         return outcomes
 
+    def room_needs(self) -> dict[TargetGroupId, RoomNeed]:
+        """Return whether memory limits the targets of each group, and why."""
+        return {name: group.placement.room.need for name, group in self._groups.items()}
+
     def under_way(self) -> dict[TargetId, DaemonLoad]:
         """Return this daemon's load at each target, to be sent to peers."""
         found: dict[TargetId, DaemonLoad] = {}
         for target, group in self._group_by_target.items():
             load = group.placement.loads[target]
-            if load.in_flight:
+            if load.in_flight or group.placement.room.is_reserved(target):
                 found[target] = load.own_load()
         return found
 
--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -180,6 +180,7 @@
         if waiting is None:
             return False
         self._clear_awaited_target(waiting)
+        self._placement.room.release(request)
         return True
 
     def take(self, waiting: QueuedRequest, now_seconds: float) -> None:
