Quotas: a new daemon holds what exceeds only its own share

Where a record was read and doesn't name the customer, such a request now waits until the daemon reaches its peers, for 1.6 s after its start at most; then its bucket decides.

--- a/features/app/quotarecorder.feature
+++ b/features/app/quotarecorder.feature
@@ -53,6 +53,31 @@
     And one without the record starts
     Then the new daemon has more than 2500 units left
 
+  Scenario: A request that exceeds only the share of a new daemon is held for a moment
+    Few peers may not be all until 1.2 s after the start. Guards against refusals of
+    customers inside their quotas after a start of all.
+    Given a daemon whose customer asks for 0.2 times its quota of 10000 units a second
+    When it runs for 5 s and is killed
+    And another one starts and meets its peer after 0.7 s
+    And it gets 3 requests of 3000 units at once
+    Then it admits 3 of them, 1.2 s after its start or a moment later
+
+  Scenario: No request is held for longer
+    Guards against requests that wait for peers that never come.
+    Given a daemon whose customer asks for 0.2 times its quota of 10000 units a second
+    When it runs for 5 s and is killed
+    And another one starts and meets its peer after 60 s
+    And it gets 3 requests of 3000 units at once
+    Then it admits 1 of them, and the last is refused 1.6 s after its start
+
+  Scenario: Requests of a customer near its quota are not held
+    Guards against a flood of requests that wait in all daemons.
+    Given a daemon whose customer asks for 5 times its quota of 10000 units a second
+    When it runs for 5 s and is killed
+    And another one starts and meets its peer after 60 s
+    And it gets 30 requests of 900 units at once
+    Then some are refused at once
+
   Scenario Outline: A record that can't be read counts as none: <bytes>
     Guards against a row of another release that keeps all daemons from starting.
     When a record of <bytes> is read
--- a/features/app/steps/quotarecorder_steps.py
+++ b/features/app/steps/quotarecorder_steps.py
@@ -8,6 +8,8 @@
 from returns.result import Failure, Success
 
 from lycheepost.app.quotarecorder import QuotaRecorder
+from lycheepost.callers.errors import CallerError
+from lycheepost.callers.quotacharge import QuotaCharge
 from lycheepost.core.ids import CustomerId, DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance, QuotaUnit
 from lycheepost.decide.fleetquota import FleetQuotas, QuotaUpdate
@@ -194,6 +196,66 @@
     )
 
 
+@when("another one starts and meets its peer after {seconds:g} s")
+def step_starts_alone(context, seconds):
+    context.meets_after_seconds = seconds
+    context.daemon = Daemon(context.fake_table, context.daemon.rate, 2, False)
+
+
+async def ask_once(daemon, units, decided):
+    quota = Quota(QuotaUnit.TOKENS, daemon.rate, daemon.rate, 1.0)
+    charge = QuotaCharge(daemon.quotas, daemon.table_clock(), CUSTOMER, quota, units)
+    began_seconds = daemon.table.now_seconds
+    try:
+        await charge.take()
+        is_admitted = True
+    except CallerError:
+        is_admitted = False
+    decided.append((is_admitted, daemon.table.now_seconds - began_seconds))
+
+
+async def run_asked(daemon, n, units, meets_after_seconds):
+    decided = []
+    while not daemon.n_reads:
+        await asyncio.sleep(0.001)
+    started_seconds = daemon.table.now_seconds
+    tasks = [asyncio.create_task(ask_once(daemon, units, decided)) for _ in range(n)]
+    while len(decided) < n:
+        age_seconds = daemon.table.now_seconds - started_seconds
+        await daemon.run(0.0, STEP_SECONDS, age_seconds >= meets_after_seconds)
+    await asyncio.gather(*tasks)
+    return decided
+
+
+@when("it gets {n:d} requests of {units:d} units at once")
+def step_gets(context, n, units):
+    [context.decided] = play(
+        context, run_asked(context.daemon, n, units, context.meets_after_seconds)
+    )
+
+
+@then(
+    "it admits {n:d} of them, {seconds:g} s after its start or a moment later",
+)
+def step_admits_later(context, n, seconds):
+    admitted = [waited for is_admitted, waited in context.decided if is_admitted]
+    assert len(admitted) == n, context.decided
+    assert seconds <= max(admitted) <= seconds + 4 * STEP_SECONDS, admitted
+
+
+@then("it admits {n:d} of them, and the last is refused {seconds:g} s after its start")
+def step_refused_later(context, n, seconds):
+    refused = [waited for is_admitted, waited in context.decided if not is_admitted]
+    assert len(refused) == len(context.decided) - n, context.decided
+    assert abs(max(refused) - seconds) <= 2 * STEP_SECONDS, refused
+
+
+@then("some are refused at once")
+def step_refused_at_once(context):
+    refused = [waited for is_admitted, waited in context.decided if not is_admitted]
+    assert refused and max(refused) <= STEP_SECONDS, context.decided
+
+
 @then("the table was written at most {n:d} times a second")
 def step_written_rate(context, n):
     n_writes = len(context.fake_table.written_seconds)
--- a/lycheepost/bench/quotapolicies.py
+++ b/lycheepost/bench/quotapolicies.py
@@ -48,7 +48,8 @@
     def __init__(self, start: int, at_seconds: float, world: World) -> None:
         self.quotas = FleetQuotas(start, at_seconds)
         self.quotas.set_tolerance(world.plan.tolerance)
-        self.quotas.set_record(world.record, at_seconds)
+        if at_seconds > 0.0:
+            self.quotas.set_record(world.record, at_seconds)
         self._world = world
         self._rng = random.Random(start)
         self._recorded_seconds = at_seconds
@@ -76,6 +77,10 @@
             self.quotas.set_fleet(self._n_daemons)
         return self.quotas.take(customer, units, now_seconds)
 
+    def hold_seconds(self, customer: CustomerId, now_seconds: float) -> float:
+        """Return how long to hold a request."""
+        return self.quotas.hold_seconds(customer, now_seconds)
+
     def tell(self, now_seconds: float) -> Told | None:
         """Return a message, its size and its listeners."""
         if now_seconds - self._told_seconds < UPDATE_INTERVAL_SECONDS:
@@ -178,6 +183,10 @@
         for customer in self._demand:
             self._demand[customer] *= kept
 
+    def hold_seconds(self, customer: CustomerId, now_seconds: float) -> float:
+        """Hold nothing."""
+        return 0.0
+
     def tell(self, now_seconds: float) -> Told | None:
         """Return a message, its size and its listeners."""
         if now_seconds - self._told_seconds < UPDATE_INTERVAL_SECONDS:
@@ -257,6 +266,10 @@
             bucket = policy._owned[customer]
         return _take_from(bucket, units, now_seconds)
 
+    def hold_seconds(self, customer: CustomerId, now_seconds: float) -> float:
+        """Hold nothing."""
+        return 0.0
+
     def tell(self, now_seconds: float) -> Told | None:
         """Return a message, its size and its listeners."""
         return None
--- a/lycheepost/bench/quotaworld.py
+++ b/lycheepost/bench/quotaworld.py
@@ -69,6 +69,10 @@
         """Let a request through, or return when to come back."""
         ...
 
+    def hold_seconds(self, customer: CustomerId, now_seconds: float) -> float:
+        """Return how long to hold a request before deciding on it; 0 for not at all."""
+        ...
+
     def tell(self, now_seconds: float) -> tuple[Any, int, tuple[DaemonId, ...]] | None:
         """Return a message, its size in bytes and who gets it; None for no message."""
         ...
@@ -223,11 +227,17 @@
             daemon = self.daemons[name]
             daemon.health = Health.SERVING
             daemon.silent_since_seconds = float("inf")
-            held, daemon.held = daemon.held, []
-            for customer, units, is_owed in held:
-                self._decide(daemon, customer, units, is_owed)
+            self._decide_held(daemon)
             self._tell_quotas(daemon)
 
+    def _decide_held(self, daemon: _Daemon) -> None:
+        held, daemon.held = daemon.held, []
+        for customer, units, is_owed in held:
+            if daemon.policy.hold_seconds(customer, self.now_seconds) > 0.0:
+                daemon.held.append((customer, units, is_owed))
+            else:
+                self._decide(daemon, customer, units, is_owed)
+
     def _set_cut(self, names: Sequence[DaemonId]) -> None:
         self._cut = frozenset(names)
 
@@ -276,7 +286,10 @@
         daemon = self.daemons[DaemonId(f"d{index}")]
         match daemon.health:
             case Health.SERVING:
-                self._decide(daemon, customer, units, is_owed)
+                if daemon.policy.hold_seconds(customer, self.now_seconds) > 0.0:
+                    daemon.held.append((customer, units, is_owed))
+                else:
+                    self._decide(daemon, customer, units, is_owed)
             case Health.FROZEN:
                 daemon.held.append((customer, units, is_owed))
 
@@ -300,6 +313,7 @@
             if daemon.health is not Health.SERVING or age_seconds < LINK_SECONDS:
                 continue
             self._set_role(daemon)
+            self._decide_held(daemon)
             told = daemon.policy.tell(self.now_seconds)
             if told is not None:
                 message, n_bytes, listeners = told
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -105,7 +105,7 @@
             CallerError: The response is not complete; it says whether the request may
                 have run.
         """
-        self._charge.take()
+        await self._charge.take()
         try:
             return await self._try_targets()
         finally:
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -182,7 +182,7 @@
         return self._deadline_seconds - self._deps.clock.now_seconds()
 
     async def _serve(self) -> None:
-        self._charge.take()
+        await self._charge.take()
         outcome = await self._deps.dispatcher.admit(self._work)
         while True:
             match outcome:
--- a/lycheepost/callers/quotacharge.py
+++ b/lycheepost/callers/quotacharge.py
@@ -4,6 +4,8 @@
 delay those within one.
 """
 
+import asyncio
+
 from lycheepost.callers.errors import (
     CallerError,
     ErrorType,
@@ -46,14 +48,15 @@
         self._quota = quota
         self._n_tokens = n_tokens
 
-    def take(self) -> None:
-        """Take the units.
+    async def take(self) -> None:
+        """Take the units, after a moment if the daemon has just started.
 
         Raises:
             CallerError: The quota is used up; the request has not run.
         """
         if self._quota is None or self._quotas is None:
             return
+        await self._hold(self._quotas)
         units = self._quota.units_of(self._n_tokens)
         now_seconds = self._clock.now_seconds()
         wait_seconds = self._quotas.take(self._customer, units, now_seconds)
@@ -61,6 +64,15 @@
             raise over_quota(self._quota, wait_seconds)
         self.units = units
 
+    async def _hold(self, quotas: FleetQuotas) -> None:
+        """Wait while the daemon can't tell yet whether the quota is used up."""
+        while True:
+            now_seconds = self._clock.now_seconds()
+            hold_seconds = quotas.hold_seconds(self._customer, now_seconds)
+            if hold_seconds <= 0.0:
+                return
+            await asyncio.sleep(hold_seconds)
+
     def settle(self, executed: Executed) -> None:
         """Refund the units if the request certainly never ran."""
         if self._quotas is None or self.units == 0.0 or executed is not Executed.NO:
--- a/lycheepost/callers/services.py
+++ b/lycheepost/callers/services.py
@@ -148,7 +148,7 @@
     charge = make_charge(deps, checked.work)
     executed = Executed.NO
     try:
-        charge.take()
+        await charge.take()
         answer = await _try_targets(deps, checked)
         executed = Executed.YES
     except CallerError as error:
--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -38,6 +38,10 @@
 """How long after its start a daemon that doesn't reach all peers goes by the recorded
 demand. The roles of daemons change for some seconds after a start of all."""
 
+HOLD_SECONDS = 1.6
+"""How long after its start a daemon holds requests that exceed only its own share:
+until ``SETTLE_SECONDS`` have passed, and some messages more."""
+
 
 @dataclass(frozen=True, slots=True)
 class QuotaUpdate:
@@ -82,7 +86,7 @@
         self._peers = QuotaPeers(started_seconds)
         self._refreshed_seconds = float("-inf")
         self._spent_seconds = float("-inf")
-        self._record: QuotaRecord = {}
+        self._record: QuotaRecord | None = None
         self._rng = random.Random(start)
 
     @property
@@ -135,7 +139,8 @@
             self._apply_record(customer, now_seconds)
 
     def _apply_record(self, customer: CustomerId, now_seconds: float) -> None:
-        meter, use = self._meters.get(customer), self._record.get(customer)
+        meter = self._meters.get(customer)
+        use = None if self._record is None else self._record.get(customer)
         is_late = now_seconds - self._started_seconds > RECORD_VALID_SECONDS
         if meter is None or use is None or is_late or self._peers.is_synced:
             return
@@ -287,6 +292,24 @@
             if meter is not None:
                 yield meter, count
 
+    def hold_seconds(self, customer: CustomerId, now_seconds: float) -> float:
+        """Return how long to hold a request before asking again; 0 for not at all.
+
+        Shortly after its start a daemon without peers has a small share of each quota.
+        A customer that was not near its quota when the fleet was killed is likely to be
+        inside it, so its requests wait until the daemon knows what others admit.
+        """
+        meter = self._meters.get(customer)
+        remaining_seconds = HOLD_SECONDS - (now_seconds - self._started_seconds)
+        if meter is None or self._record is None or customer in self._record:
+            return 0.0
+        if remaining_seconds <= 0.0 or self.share >= 1.0:
+            return 0.0
+        meter.catch_up(now_seconds)
+        if meter.fleet.wait_seconds() > 0.0 or meter.wait_seconds() <= 0.0:
+            return 0.0
+        return UPDATE_INTERVAL_SECONDS
+
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
     ) -> float | None:
