Quotas: scenarios of what a new daemon holds, and of a record read late

Each guard of the record and of held requests was taken out once; two were not seen to be missing: a customer that the record names, and the age of a record.

--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -98,6 +98,20 @@
       | -5000 units left, 9000 asked a second     | 0.5   | 0.8  |
       | a debt of a billion units                 | 0.2   | 1.0  |
 
+  Scenario Outline: Whether a new daemon holds requests: a record of <use>, <units> units spent
+    It knows 77 daemons and reaches none. Guards against requests that wait although it is
+    known that they are beyond a quota, or that may never be decided better.
+    Given a daemon of 77 that has just started, and a record of <use>
+    When it admits a request of <units> units
+    Then it <holds> the next one
+
+    Examples:
+      | use                                   | units | holds        |
+      | nobody                                | 3000  | holds        |
+      | nobody                                | 20000 | doesn't hold |
+      | 8000 units left, 50000 asked a second | 3000  | doesn't hold |
+      | nothing, as it was not read           | 3000  | doesn't hold |
+
   Scenario: The record counts only until other daemons are known
     Guards against an old record that limits a customer for as long as a daemon runs.
     Given a daemon of 77 that has just started, and a record of 0 units left, 50000 asked a second
@@ -106,7 +120,7 @@
 
   Scenario: A record that is read late changes nothing
     Guards against a store that returns after seconds with levels of before.
-    Given a daemon and a customer with 10000 units a second
+    Given a daemon of 77 that has just started, and a record of nothing, as it was not read
     When a record of 0 units left, 50000 asked a second is read after 60 s
     Then the next one is let through
 
--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -213,10 +213,27 @@
     context.quotas = FleetQuotas(1, 0.0)
     context.quotas.set_tolerance(QuotaTolerance(0.1, 10_000.0, 8.0))
     context.quotas.set_fleet(n)
-    context.quotas.set_record({CUSTOMER: USES[use]}, 0.0)
+    if use == "nobody":
+        context.quotas.set_record({}, 0.0)
+    elif use in USES:
+        context.quotas.set_record({CUSTOMER: USES[use]}, 0.0)
+    else:
+        assert use == "nothing, as it was not read", use
     context.quotas.set_quotas({CUSTOMER: make_quota(10_000)}, 0.0)
 
 
+@when("it admits a request of {units:d} units")
+def step_admits_one(context, units):
+    while context.quotas.take(CUSTOMER, units, 0.0) is not None:
+        pass
+
+
+@then("it {holds} the next one")
+def step_holds(context, holds):
+    hold_seconds = context.quotas.hold_seconds(CUSTOMER, 0.0)
+    assert (hold_seconds > 0.0) == (holds == "holds"), hold_seconds
+
+
 @when(
     "it is asked for {rate:d} units a second in requests of {units:d},"
     " for {seconds:d} s"
