--- a/features/platform/steps/quota_steps.py
+++ b/features/platform/steps/quota_steps.py
@@ -171,7 +171,7 @@
     # One request may overdraw the quota, and each daemon learns of the other's
     # requests with a delay.
     margin = 0.2 * context.rate
-    assert context.n_refused > 0
+    assert context.n_refused > 0, (context.n_units, allowed, elapsed_seconds)
     assert 0.7 * allowed <= context.n_units <= allowed + margin, (
         context.n_units,
         allowed,
