Order waiting requests of all customers by their objectives

Urgent short requests waited behind long ones of other customers, as the queue ordered by virtual time across customers, and daemons divided free slots at random whatever waited there. Where the objectives of a group differ by half or more, requests of customers inside their share go by objective, with a bounded advantage for short and urgent work; the shortest with the tightest objective may join the backlog of a target that leaves it on time; late work waits for targets that are nearly idle, except its fixed share, until half of its time has passed. Refused callers return spread over the time in which room appears. Not measured on a deployment yet.

--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -24,6 +24,7 @@
 from lycheepost.decide.suspects import SuspectPlacement
 from lycheepost.decide.throttling import TargetThrottle
 from lycheepost.decide.waiting import WaitingWork, work_cost_seconds
+from lycheepost.decide.waitingorder import Claim
 
 SCANNED_REQUESTS = 8
 """Requests examined when a slot becomes free: enough to pass those that wait for a full
@@ -86,8 +87,10 @@
             seconds = retry_after_seconds(1.0, self._rng)
             return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
         cost = work_cost_seconds(self._settings, work, choice.uncached_tokens)
-        self.waiting.note_arrival(work, now_seconds)
-        if choice.can_take and not len(self.waiting.queue):
+        self.waiting.note_arrival(work, choice, now_seconds)
+        claim = self.waiting.claim(work)
+        can_use = self.waiting.can_use(work, choice, claim, now_seconds)
+        if can_use and (claim is Claim.AHEAD or not len(self.waiting.queue)):
             return [self._dispatch(work, choice, cost, now_seconds)]
         refusal = self.waiting.admit(work, choice, cost, now_seconds)
         if refusal is not None:
@@ -169,11 +172,10 @@
             return outcomes
         waiting_ahead = WaitingByTarget()
         if self.waiting.late.is_due():
-            outcomes += self._dispatch_late(1, now_seconds, waiting_ahead)
-        for waiting in self.waiting.queue.in_order(
-            SCANNED_REQUESTS, self.waiting.shares.is_within_share
-        ):
-            outcome = self._try_waiting(waiting, now_seconds, waiting_ahead)
+            outcomes += self._dispatch_late(1, now_seconds, waiting_ahead, True)
+        for waiting in self.waiting.in_order(SCANNED_REQUESTS):
+            claim = self.waiting.claim(waiting.work)
+            outcome = self._try_waiting(waiting, now_seconds, waiting_ahead, claim)
             if outcome is not None:
                 outcomes.append(outcome)
                 self.waiting.late.count_on_time(waiting.cost_seconds)
@@ -182,19 +184,28 @@
         )
 
     def _dispatch_late(
-        self, n_scanned: int, now_seconds: float, waiting_ahead: WaitingByTarget
+        self,
+        n_scanned: int,
+        now_seconds: float,
+        waiting_ahead: WaitingByTarget,
+        is_due: bool = False,
     ) -> list[Outcome]:
         """Dispatch the late requests for which a target has capacity."""
         outcomes: list[Outcome] = []
         for waiting in self.waiting.late.first(n_scanned):
-            outcome = self._try_waiting(waiting, now_seconds, waiting_ahead)
+            claim = self.waiting.late_claim(waiting, is_due, now_seconds)
+            outcome = self._try_waiting(waiting, now_seconds, waiting_ahead, claim)
             if outcome is not None:
                 outcomes.append(outcome)
                 self.waiting.late.count_late(waiting.cost_seconds)
         return outcomes
 
     def _try_waiting(
-        self, waiting: QueuedRequest, now_seconds: float, waiting_ahead: WaitingByTarget
+        self,
+        waiting: QueuedRequest,
+        now_seconds: float,
+        waiting_ahead: WaitingByTarget,
+        claim: Claim,
     ) -> Outcome | None:
         work = waiting.work
         choice = self._choose(
@@ -206,15 +217,26 @@
         if choice is None:
             return None
         target = choice.load.view.target
-        if not choice.can_take or not self.admission.may_take(target):
+        if not self._may_send(work, choice, claim, now_seconds):
             waiting_ahead.add(target, choice.uncached_tokens)
             self.waiting.set_awaited_target(waiting, choice)
             return None
-        self.admission.note_taken(target)
         self.waiting.take(waiting, now_seconds)
         cost = work_cost_seconds(self._settings, work, choice.uncached_tokens)
         return self._dispatch(work, choice, cost, now_seconds)
 
+    def _may_send(
+        self, work: Work, choice: Choice, claim: Claim, now_seconds: float
+    ) -> bool:
+        """Return whether a waiting request may be sent to the chosen target now."""
+        target = choice.load.view.target
+        if not self.waiting.can_use(work, choice, claim, now_seconds):
+            return False
+        if self.admission.may_take(target):
+            self.admission.note_taken(target)
+            return True
+        return claim is Claim.AHEAD
+
     def first_token(
         self, request: RequestId, now_seconds: float, cached_tokens: int | None
     ) -> None:
@@ -288,9 +310,9 @@
             return False
         return self.placement.full_share(now_seconds) >= PRESSURE_FULL_SHARE
 
-    def refuse_all(self, reason: RefusalReason) -> list[Outcome]:
+    def refuse_all(self, reason: RefusalReason, now_seconds: float) -> list[Outcome]:
         """Refuse all waiting requests."""
-        return self.waiting.refuse_all(reason)
+        return self.waiting.refuse_all(reason, now_seconds)
 
     def status(self, now_seconds: float) -> dict[str, object]:
         """Return a summary of the queue and the targets."""
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -240,9 +240,13 @@
         """Return the tokens that the requests of all daemons occupy there at most."""
         return self.held_tokens + self.peers_load.held_tokens
 
+    def has_slot(self, n_running: float, now_seconds: float) -> bool:
+        """Return whether a slot is free besides ``n_running`` requests."""
+        return not self.is_throttled(now_seconds) and n_running < self.max_requests()
+
     def has_capacity(self, n_running: float, now_seconds: float) -> bool:
         """Return whether it may take one more request besides ``n_running``."""
-        if self.is_throttled(now_seconds) or n_running >= self.max_requests():
+        if not self.has_slot(n_running, now_seconds):
             return False
         if self.has_peer_reports:
             token_seconds = self.token_seconds(now_seconds)
--- a/lycheepost/decide/queueing.py
+++ b/lycheepost/decide/queueing.py
@@ -8,7 +8,7 @@
 the order of arrival.
 """
 
-from bisect import bisect_right, insort
+from bisect import bisect_left, bisect_right, insort
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from operator import attrgetter
@@ -53,6 +53,8 @@
         latest_dispatch_seconds: Last dispatch time at which it can meet its objective.
         predicted_seconds: Predicted wait.
         awaited_target: The target it waits for and the tokens to prefill there.
+        place_seconds: Its place among the requests of all customers (see
+            ``decide.waitingorder``); lower goes first.
     """
 
     work: Work
@@ -64,6 +66,7 @@
     latest_dispatch_seconds: float = float("inf")
     predicted_seconds: float = 0.0
     awaited_target: tuple[TargetId, int] | None = None
+    place_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -87,6 +90,7 @@
 
 
 _BY_RANK = attrgetter("rank")
+_BY_PLACE = attrgetter("place_seconds")
 _BY_VIRTUAL = attrgetter("virtual_seconds")
 
 
@@ -107,6 +111,7 @@
         self.lanes: dict[CustomerId, Lane] = {}
         self._weights: dict[CustomerId, float] = {}
         self._by_request: dict[RequestId, QueuedRequest] = {}
+        self._by_place: list[QueuedRequest] = []
         self.mean_seconds: float | None = None
         self.virtual_seconds = 0.0
         self.queued_cost_seconds = 0.0
@@ -166,6 +171,7 @@
         if not lane.waiting:
             self._limit_credit(lane)
         insort(lane.waiting, waiting, key=_BY_RANK)
+        insort(self._by_place, waiting, key=_BY_PLACE)
         lane.queued_cost_seconds += waiting.cost_seconds
         self.queued_cost_seconds += waiting.cost_seconds
         self._by_request[waiting.work.request] = waiting
@@ -188,10 +194,17 @@
             return None
         lane = self.lanes[waiting.work.customer]
         lane.waiting.remove(waiting)
+        self._remove_place(waiting)
         lane.queued_cost_seconds -= waiting.cost_seconds
         self.queued_cost_seconds -= waiting.cost_seconds
         return waiting
 
+    def _remove_place(self, waiting: QueuedRequest) -> None:
+        index = bisect_left(self._by_place, waiting.place_seconds, key=_BY_PLACE)
+        while self._by_place[index] is not waiting:
+            index += 1
+        del self._by_place[index]
+
     def charge(self, customer: CustomerId, cost_seconds: float) -> None:
         """Count dispatched work against its customer's share."""
         lane = self.lane(customer)
@@ -215,11 +228,38 @@
             is_inside: Returns whether a customer's demand is within its share. Requests
                 of such customers go first, as they cannot displace the others.
         """
-        cursors = [
-            _LaneCursor(self._start_of(lane, is_inside), lane)
-            for lane in self.lanes.values()
-            if lane.waiting
-        ]
+        lanes = [lane for lane in self.lanes.values() if lane.waiting]
+        return self._in_fair_order(lanes, limit, is_inside)
+
+    def in_place_order(
+        self, limit: int, is_inside: Callable[[CustomerId], bool]
+    ) -> Iterator[QueuedRequest]:
+        """Yield up to ``limit`` requests by their places, as of the call.
+
+        Customers over their share follow, in fair order among themselves.
+        """
+        picked: list[QueuedRequest] = []
+        over: dict[CustomerId, Lane] = {}
+        for waiting in self._by_place:
+            customer = waiting.work.customer
+            if customer in over:
+                continue
+            if not is_inside(customer):
+                over[customer] = self.lanes[customer]
+                continue
+            picked.append(waiting)
+            if len(picked) == limit:
+                return iter(picked)
+        rest = self._in_fair_order(list(over.values()), limit - len(picked), None)
+        return iter([*picked, *rest])
+
+    def _in_fair_order(
+        self,
+        lanes: list[Lane],
+        limit: int,
+        is_inside: Callable[[CustomerId], bool] | None,
+    ) -> Iterator[QueuedRequest]:
+        cursors = [_LaneCursor(self._start_of(lane, is_inside), lane) for lane in lanes]
         picked: list[QueuedRequest] = []
         while cursors and len(picked) < limit:
             cursor = min(cursors, key=_BY_VIRTUAL)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -432,7 +432,9 @@
         self._is_draining = True
         outcomes: list[Outcome] = []
         for group in self._groups.values():
-            outcomes.extend(group.refuse_all(RefusalReason.SHUTTING_DOWN))
+            outcomes.extend(
+                group.refuse_all(RefusalReason.SHUTTING_DOWN, self._now_seconds)
+            )
         self._forget_refused(outcomes)
         return outcomes
 
--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -5,6 +5,8 @@
 
 import math
 import random
+from collections import Counter
+from collections.abc import Iterator
 
 from lycheepost.core.ids import CustomerId, RequestId
 from lycheepost.decide.admission import (
@@ -19,12 +21,14 @@
     retry_after_seconds,
 )
 from lycheepost.decide.latework import LateWork
+from lycheepost.decide.load import SHARED_WINDOW_TOKENS
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.placement import Choice, Placement, WaitingByTarget
 from lycheepost.decide.queueing import FairQueue, QueuedRequest
 from lycheepost.decide.records import Outcome, RefusalReason, Refuse, Work
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.shares import FairShares
+from lycheepost.decide.waitingorder import Claim, WaitingOrder, return_seconds
 
 MIN_COST_SECONDS = 0.01
 """Cost of a request without tokens, as for plain services. At zero cost a customer that
@@ -83,7 +87,11 @@
         self.queue = FairQueue()
         self.late = LateWork()
         self.shares = FairShares()
+        self.order = WaitingOrder(Mechanism.SLACK_ORDER in settings.switched_off)
         self.awaited = WaitingByTarget()
+        self.n_ahead = 0
+        self.n_late = 0
+        self.n_refused: Counter[RefusalReason] = Counter()
         self._rate = ServiceRate(1.0)
         self._usual_rate = ServiceRate(1.0)
         self._bias = WaitBias()
@@ -106,8 +114,9 @@
         uncached_tokens = int(work.prompt_tokens * uncached_share)
         return work_cost_seconds(self._settings, work, uncached_tokens)
 
-    def note_arrival(self, work: Work, now_seconds: float) -> None:
+    def note_arrival(self, work: Work, choice: Choice, now_seconds: float) -> None:
         """Count a request as demand of its customer."""
+        self.order.observe(work, choice.uncached_tokens, now_seconds)
         self.shares.observe(work.customer, self._usual_cost_seconds(work), now_seconds)
 
     def note_dispatched(self, work: Work, cost_seconds: float) -> None:
@@ -127,11 +136,14 @@
         rate = self._rate.per_second()
         wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
         if wait.seconds + choice.wait_seconds > budget:
-            return self._refuse(work, reason_of(wait), wait, choice.throttled_seconds)
+            return self._refuse(
+                work, reason_of(wait), wait, now_seconds, choice.throttled_seconds
+            )
         if self._is_full(work):
-            return self._refuse(work, RefusalReason.QUEUE_FULL, wait)
+            return self._refuse(work, RefusalReason.QUEUE_FULL, wait, now_seconds)
         waiting.predicted_seconds = wait.seconds
         waiting.latest_dispatch_seconds = self._latest_dispatch_seconds(work, choice)
+        waiting.place_seconds = self.order.place_seconds(work, choice.uncached_tokens)
         self.queue.push(waiting)
         self.set_awaited_target(waiting, choice)
         return None
@@ -141,8 +153,10 @@
         if Mechanism.LATE_LAST in self._settings.switched_off:
             return math.inf
         rates = self._placement.rates
-        own_seconds = choice.uncached_tokens * rates.token_seconds
-        own_seconds += rates.first_token_seconds
+        n_tokens = choice.uncached_tokens
+        if self.order.is_used:
+            n_tokens += SHARED_WINDOW_TOKENS
+        own_seconds = n_tokens * rates.token_seconds + rates.first_token_seconds
         return work.arrived_seconds + work.objective_seconds - own_seconds
 
     def _deprioritize_late(self, now_seconds: float) -> None:
@@ -151,6 +165,56 @@
             if now_seconds > waiting.latest_dispatch_seconds:
                 self.queue.remove(waiting.work.request)
                 self.late.add(waiting)
+                self.n_late += 1
+
+    def in_order(self, limit: int) -> Iterator[QueuedRequest]:
+        """Yield up to ``limit`` requests that can be on time, in order."""
+        if self.order.is_used:
+            return self.queue.in_place_order(limit, self.shares.is_within_share)
+        return self.queue.in_order(limit, self.shares.is_within_share)
+
+    def claim(self, work: Work) -> Claim:
+        """Return what capacity a request that can be on time may use."""
+        if not self.order.is_used:
+            return Claim.USUAL
+        return self.order.claim(work, self.shares.is_within_share(work.customer))
+
+    def late_claim(
+        self, waiting: QueuedRequest, is_due: bool, now_seconds: float
+    ) -> Claim:
+        """Return what capacity a late request may use.
+
+        Args:
+            waiting: The request.
+            is_due: Whether the share of late requests covers it.
+            now_seconds: The current time.
+        """
+        halfway_seconds = (waiting.enqueued_seconds + waiting.give_up_seconds) / 2
+        if is_due or not self.order.is_used or now_seconds >= halfway_seconds:
+            return Claim.USUAL
+        return Claim.SPARE
+
+    def can_use(
+        self, work: Work, choice: Choice, claim: Claim, now_seconds: float
+    ) -> bool:
+        """Return whether the chosen target has the capacity that ``work`` may use."""
+        load = choice.load
+        match claim:
+            case Claim.USUAL:
+                return choice.can_take
+            case Claim.SPARE:
+                backlog_seconds = load.reading_seconds(now_seconds)
+                longest_seconds = self.order.late_backlog_seconds()
+                return choice.can_take and backlog_seconds <= longest_seconds
+            case Claim.AHEAD:
+                if choice.can_take:
+                    return True
+                n_running = load.estimate(now_seconds)[1]
+                # The prediction counts all work there, also what runs after it.
+                arrival_seconds = now_seconds + choice.wait_seconds
+                objective_seconds = work.arrived_seconds + work.objective_seconds
+                is_on_time = arrival_seconds <= objective_seconds
+                return is_on_time and load.has_slot(n_running, now_seconds)
 
     def has_waited_long(self, waiting: QueuedRequest, now_seconds: float) -> bool:
         """Return whether a request of a customer inside its share waited half its time.
@@ -225,9 +289,17 @@
         work: Work,
         reason: RefusalReason,
         wait: QueueWait,
+        now_seconds: float,
         throttled_seconds: float = 0.0,
     ) -> Refuse:
         """Refuse, to be retried once the queue and the targets' throttling allow it."""
+        self.n_refused[reason] += 1
+        if self.order.is_used:
+            wait_seconds = wait.seconds + throttled_seconds
+            left_seconds = work.arrived_seconds + work.first_token_timeout_seconds
+            left_seconds -= now_seconds
+            seconds = return_seconds(wait_seconds, left_seconds, self._rng.random())
+            return Refuse(work.request, reason, seconds)
         seconds = retry_after_seconds(wait.seconds, self._rng) + throttled_seconds
         seconds = min(MAX_RETRY_AFTER_SECONDS, seconds)
         return Refuse(work.request, reason, seconds)
@@ -246,16 +318,19 @@
                 continue
             self.remove(waiting.work.request)
             wait = QueueWait(waiting.work.first_token_timeout_seconds, False)
-            outcomes.append(self._refuse(waiting.work, RefusalReason.DEADLINE, wait))
+            outcomes.append(
+                self._refuse(waiting.work, RefusalReason.DEADLINE, wait, now_seconds)
+            )
         self._deprioritize_late(now_seconds)
         return outcomes
 
-    def refuse_all(self, reason: RefusalReason) -> list[Outcome]:
+    def refuse_all(self, reason: RefusalReason, now_seconds: float) -> list[Outcome]:
         """Refuse all waiting requests."""
         outcomes: list[Outcome] = []
         for waiting in [*self.queue.all(), *self.late]:
             self.remove(waiting.work.request)
-            outcomes.append(self._refuse(waiting.work, reason, QueueWait(0.0, False)))
+            wait = QueueWait(0.0, False)
+            outcomes.append(self._refuse(waiting.work, reason, wait, now_seconds))
         return outcomes
 
     def status(self) -> dict[str, object]:
@@ -265,4 +340,23 @@
             "n_late": len(self.late),
             "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
             "service_rate": round(self._rate.per_second(), 3),
+            "order": self._order_status(),
+        }
+
+    def _order_status(self) -> dict[str, object]:
+        """Return the order in use and what it has done since the start."""
+        waiting_by_rank = Counter(
+            waiting.work.rank for waiting in [*self.queue.all(), *self.late]
+        )
+        return {
+            "is_by_slack": self.order.is_used,
+            "reason": self.order.condition.reason,
+            "waiting_by_rank": {
+                str(rank): n for rank, n in sorted(waiting_by_rank.items())
+            },
+            "n_ahead": self.n_ahead,
+            "n_late": self.n_late,
+            "n_refused": dict(
+                sorted((reason.value, n) for reason, n in self.n_refused.items())
+            ),
         }
