Send no request that would be late there before those that can be on time

A queued long request whose chosen target would answer it after its objective kept that target from others: half of those sent from the queue were late by a little. Such a request now joins the late ones at that moment.

--- a/lycheepost/bench/policyload.py
+++ b/lycheepost/bench/policyload.py
@@ -220,9 +220,10 @@
     daemon: int
 
 
-def _level(
+def level_under(
     parents: tuple[PrefixLevel, ...], label: str, n_tokens: int
 ) -> tuple[PrefixLevel, ...]:
+    """Return ``parents`` and one more level, of the text that ``label`` stands for."""
     parent = parents[-1].digest if parents else PrefixDigest(hash_bytes(b"root"))
     start = parents[-1].end_tokens if parents else 0
     digest = chain_digest(parent, label.encode())
@@ -251,10 +252,10 @@
         rng = self._rng
         self._n_batches += 1
         template = rng.randrange(deployment.n_templates)
-        levels = _level((), customer, deployment.customer_tokens)
-        levels = _level(levels, f"template-{template}", deployment.template_tokens)
+        levels = level_under((), customer, deployment.customer_tokens)
+        levels = level_under(levels, f"template-{template}", deployment.template_tokens)
         n_tokens = int(deployment.batch_tokens.draw(rng))
-        levels = _level(levels, f"batch-{self._n_batches}", n_tokens)
+        levels = level_under(levels, f"batch-{self._n_batches}", n_tokens)
         return _Batch(customer, levels, round(deployment.batch_requests.draw(rng)))
 
     def _hot_batch(self, now_seconds: float) -> _Batch:
@@ -331,7 +332,7 @@
         if is_long:
             own_tokens *= LONG_FACTOR
         label = f"request-{self._n_requests}"
-        levels = _level(batch.levels, label, int(own_tokens))
+        levels = level_under(batch.levels, label, int(own_tokens))
         work = Work(
             request=RequestId(label),
             customer=batch.customer,
--- a/lycheepost/bench/policysim.py
+++ b/lycheepost/bench/policysim.py
@@ -7,11 +7,11 @@
 
 import heapq
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from lycheepost.bench.policybaselines import Policy
 from lycheepost.bench.policyload import (
@@ -76,6 +76,14 @@
     CALL = 6
 
 
+class SeededDemand(Protocol):
+    """The requests of one run."""
+
+    def arrivals(self) -> Iterator[tuple[float, Arrival]]:
+        """Yield the arrivals in order of time."""
+        ...
+
+
 @dataclass(slots=True)
 class _Daemon:
     policy: Policy
@@ -99,7 +107,7 @@
         self._seed = seed
         self._changes = changes
         self.rng = random.Random(f"simulation/{seed}")
-        self.demand = Demand(deployment, scenario, seed)
+        self.demand: SeededDemand = Demand(deployment, scenario, seed)
         settings = EngineSettings(cache_tokens=deployment.cache_tokens)
         self.engines = {
             TargetId(f"engine-{index}"): Engine(f"engine-{index}", settings, seed)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -91,6 +91,7 @@
         claim = self.waiting.claim(work)
         can_use = self.waiting.can_use(work, choice, claim, now_seconds)
         if can_use and (claim is Claim.AHEAD or not len(self.waiting.queue)):
+            self.waiting.count_ahead(claim, choice)
             return [self._dispatch(work, choice, cost, now_seconds)]
         refusal = self.waiting.admit(work, choice, cost, now_seconds)
         if refusal is not None:
@@ -217,10 +218,13 @@
         if choice is None:
             return None
         target = choice.load.view.target
+        if self.waiting.move_if_late(waiting, choice, claim, now_seconds):
+            return None
         if not self._may_send(work, choice, claim, now_seconds):
             waiting_ahead.add(target, choice.uncached_tokens)
             self.waiting.set_awaited_target(waiting, choice)
             return None
+        self.waiting.count_ahead(claim, choice)
         self.waiting.take(waiting, now_seconds)
         cost = work_cost_seconds(self._settings, work, choice.uncached_tokens)
         return self._dispatch(work, choice, cost, now_seconds)
--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -21,7 +21,6 @@
     retry_after_seconds,
 )
 from lycheepost.decide.latework import LateWork
-from lycheepost.decide.load import SHARED_WINDOW_TOKENS
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.placement import Choice, Placement, WaitingByTarget
 from lycheepost.decide.queueing import FairQueue, QueuedRequest
@@ -153,19 +152,20 @@
         if Mechanism.LATE_LAST in self._settings.switched_off:
             return math.inf
         rates = self._placement.rates
-        n_tokens = choice.uncached_tokens
-        if self.order.is_used:
-            n_tokens += SHARED_WINDOW_TOKENS
-        own_seconds = n_tokens * rates.token_seconds + rates.first_token_seconds
+        own_seconds = choice.uncached_tokens * rates.token_seconds
+        own_seconds += rates.first_token_seconds
         return work.arrived_seconds + work.objective_seconds - own_seconds
 
     def _deprioritize_late(self, now_seconds: float) -> None:
         """Give requests whose objective has passed a lower priority."""
         for waiting in self.queue.all():
             if now_seconds > waiting.latest_dispatch_seconds:
-                self.queue.remove(waiting.work.request)
-                self.late.add(waiting)
-                self.n_late += 1
+                self._make_late(waiting)
+
+    def _make_late(self, waiting: QueuedRequest) -> None:
+        self.queue.remove(waiting.work.request)
+        self.late.add(waiting)
+        self.n_late += 1
 
     def in_order(self, limit: int) -> Iterator[QueuedRequest]:
         """Yield up to ``limit`` requests that can be on time, in order."""
@@ -212,10 +212,35 @@
                 n_running = load.estimate(now_seconds)[1]
                 # The prediction counts all work there, also what runs after it.
                 arrival_seconds = now_seconds + choice.wait_seconds
-                objective_seconds = work.arrived_seconds + work.objective_seconds
-                is_on_time = arrival_seconds <= objective_seconds
+                due_seconds = work.arrived_seconds + work.objective_seconds
+                is_on_time = arrival_seconds <= due_seconds
                 return is_on_time and load.has_slot(n_running, now_seconds)
 
+    def count_ahead(self, claim: Claim, choice: Choice) -> None:
+        """Count a request that is sent to a target without the usual capacity."""
+        self.n_ahead += claim is Claim.AHEAD and not choice.can_take
+
+    def move_if_late(
+        self, waiting: QueuedRequest, choice: Choice, claim: Claim, now_seconds: float
+    ) -> bool:
+        """Move a request to the late ones if the chosen target would be too slow.
+
+        Sent there, it would keep the target from requests that can be on time.
+
+        Returns:
+            Whether it was moved.
+        """
+        work = waiting.work
+        if not self.order.is_used or claim is not Claim.USUAL:
+            return False
+        arrival_seconds = now_seconds + choice.wait_seconds
+        if arrival_seconds <= work.arrived_seconds + work.objective_seconds:
+            return False
+        if work.request not in self.queue:
+            return False
+        self._make_late(waiting)
+        return True
+
     def has_waited_long(self, waiting: QueuedRequest, now_seconds: float) -> bool:
         """Return whether a request of a customer inside its share waited half its time.
 
