--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -169,7 +169,7 @@
     def dispatch_waiting(self, now_seconds: float) -> list[Outcome]:
         """Dispatch the waiting requests for which a target has capacity."""
         outcomes: list[Outcome] = []
-        if not self.n_waiting or not self.placement.has_capacity(now_seconds):
+        if not self.n_waiting or not self._may_dispatch(now_seconds):
             return outcomes
         waiting_ahead = WaitingByTarget()
         if self.waiting.late.is_due():
@@ -184,6 +184,10 @@
             SCANNED_REQUESTS, now_seconds, waiting_ahead
         )
 
+    def _may_dispatch(self, now_seconds: float) -> bool:
+        """Return whether any waiting request may find capacity."""
+        return self.waiting.order.is_used or self.placement.has_capacity(now_seconds)
+
     def _dispatch_late(
         self,
         n_scanned: int,
