--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import structlog
 
+from lycheepost.decide.records import RefusalReason
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
@@ -17,6 +18,9 @@
 """The usual step of a dashboard. Computing the status takes tens of milliseconds at
 12,000 targets, so it must not be done every second."""
 
+N_RANKS = 10
+"""Engines accept ranks from 0 to 9."""
+
 _log = structlog.get_logger(part="app")
 
 
@@ -32,6 +36,7 @@
         "queued_requests",
         sum(group["n_waiting"] for group in status["queues"]["groups"].values()),
     )
+    yield from _order_gauges(status["queues"]["groups"].values())
     yield "claims_unsettled", status["claims"]["n_unsettled"]
     yield "peer_links", len(status["peers"]["links"])
     yield "peer_messages_dropped", status["peers"]["n_dropped"]
@@ -39,6 +44,19 @@
     yield "duties_held", sum(duty["is_held"] for duty in status["duties"])
 
 
+def _order_gauges(groups: Iterable[dict[str, Any]]) -> Iterator[tuple[str, float]]:
+    orders = [group["order"] for group in groups]
+    yield "groups_by_slack", sum(order["is_by_slack"] for order in orders)
+    yield "sent_ahead", sum(order["n_ahead"] for order in orders)
+    yield "late_requests", sum(order["n_late"] for order in orders)
+    for rank in range(N_RANKS):
+        waiting = [order["waiting_by_rank"].get(str(rank), 0) for order in orders]
+        yield f"queued_rank.{rank}", sum(waiting)
+    for reason in RefusalReason:
+        refused = [order["n_refused"].get(reason.value, 0) for order in orders]
+        yield f"refused.{reason.value}", sum(refused)
+
+
 def _count(states: dict[str, str], wanted: str) -> int:
     return sum(state == wanted for state in states.values())
 
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from lycheepost.callers.orderlog import OrderLog
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -65,6 +66,7 @@
         self._on_suspect: Callable[[TargetId], None] | None = None
         self._ticker: asyncio.Task[None] | None = None
         self._has_work = asyncio.Event()
+        self._order_log = OrderLog()
 
     async def start(self) -> None:
         """Start the tick."""
@@ -268,6 +270,7 @@
             await self._pause()
             try:
                 self._deliver(self._scheduler.tick(self._clock.now_seconds()))
+                self._order_log.update(self._scheduler.order_conditions())
             except Exception:
                 # Without further ticks, queued requests would wait forever.
                 _log.exception("dispatch: the tick failed")
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -35,6 +35,7 @@
 )
 from lycheepost.decide.retry import RetryBudget, RetryTerms
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.waitingorder import OrderCondition
 from lycheepost.generated.engine import CacheEvent
 
 GONE_RETRY_SECONDS = 2.0
@@ -438,6 +439,12 @@
         self._forget_refused(outcomes)
         return outcomes
 
+    def order_conditions(self) -> dict[TargetGroupId, OrderCondition]:
+        """Return whether each group orders waiting requests by slack, and why."""
+        return {
+            name: group.waiting.order.condition for name, group in self._groups.items()
+        }
+
     def status(self) -> dict[str, object]:
         """Return queues and loads for ``/admin/status``."""
         return {
