--- a/features/decide/waitingorder.feature
+++ b/features/decide/waitingorder.feature
@@ -73,28 +73,6 @@
       | a huge one 1 s old           | a short one                      |
       | one of rank 4 that is 1 s old | one of rank 0                   |
 
-  Scenario: Late work waits for targets that are nearly idle
-    Guards against late work that keeps a target from another daemon's requests.
-    Given a late request, and a target with half of the usual backlog
-    Then the late request waits
-    And it is sent when the backlog is gone
-
-  Scenario: Late work is not starved
-    Guards against late work that waits for an idle target until its caller leaves.
-    Given a late request, and a target with half of the usual backlog
-    When it has waited half of its time
-    Then it is sent
-
-  Scenario: The share of late work is served while others are on time
-    Given a late request, and a target with half of the usual backlog
-    When the share of late work covers it
-    Then it is sent
-
-  Scenario: A request that would be late at its target joins the late ones
-    Guards against requests that are all late by a little.
-    Given a request that waits, and a target that would answer it too late
-    Then it is counted as late and not sent
-
   Scenario Outline: Refused callers don't come back together
     Guards against a herd of callers after a third of the time that they have left.
     Given 300 callers that are refused with a wait of <wait> s and <left> s left
--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from lycheepost.decide.records import RefusalReason
+from lycheepost.decide.records import Priority, RefusalReason
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
@@ -18,8 +18,12 @@
 """The usual step of a dashboard. Computing the status takes tens of milliseconds at
 12,000 targets, so it must not be done every second."""
 
-N_RANKS = 10
-"""Engines accept ranks from 0 to 9."""
+QUEUE_REASONS = (
+    RefusalReason.DEADLINE,
+    RefusalReason.OVER_SHARE,
+    RefusalReason.QUEUE_FULL,
+)
+"""Why a request that has to wait is refused."""
 
 _log = structlog.get_logger(part="app")
 
@@ -49,12 +53,13 @@
     yield "groups_by_slack", sum(order["is_by_slack"] for order in orders)
     yield "sent_ahead", sum(order["n_ahead"] for order in orders)
     yield "late_requests", sum(order["n_late"] for order in orders)
-    for rank in range(N_RANKS):
-        waiting = [order["waiting_by_rank"].get(str(rank), 0) for order in orders]
-        yield f"queued_rank.{rank}", sum(waiting)
-    for reason in RefusalReason:
+    for priority in Priority:
+        name = priority.name.lower()
+        waiting = [order["waiting_by_priority"].get(name, 0) for order in orders]
+        yield f"queued_{name}", sum(waiting)
+    for reason in QUEUE_REASONS:
         refused = [order["n_refused"].get(reason.value, 0) for order in orders]
-        yield f"refused.{reason.value}", sum(refused)
+        yield f"refused_{reason.value}", sum(refused)
 
 
 def _count(states: dict[str, str], wanted: str) -> int:
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -173,7 +173,7 @@
             return outcomes
         waiting_ahead = WaitingByTarget()
         if self.waiting.late.is_due():
-            outcomes += self._dispatch_late(1, now_seconds, waiting_ahead, True)
+            outcomes += self._dispatch_late(1, now_seconds, waiting_ahead)
         for waiting in self.waiting.in_order(SCANNED_REQUESTS):
             claim = self.waiting.claim(waiting.work)
             outcome = self._try_waiting(waiting, now_seconds, waiting_ahead, claim)
@@ -189,17 +189,14 @@
         return self.waiting.order.is_used or self.placement.has_capacity(now_seconds)
 
     def _dispatch_late(
-        self,
-        n_scanned: int,
-        now_seconds: float,
-        waiting_ahead: WaitingByTarget,
-        is_due: bool = False,
+        self, n_scanned: int, now_seconds: float, waiting_ahead: WaitingByTarget
     ) -> list[Outcome]:
         """Dispatch the late requests for which a target has capacity."""
         outcomes: list[Outcome] = []
         for waiting in self.waiting.late.first(n_scanned):
-            claim = self.waiting.late_claim(waiting, is_due, now_seconds)
-            outcome = self._try_waiting(waiting, now_seconds, waiting_ahead, claim)
+            outcome = self._try_waiting(
+                waiting, now_seconds, waiting_ahead, Claim.USUAL
+            )
             if outcome is not None:
                 outcomes.append(outcome)
                 self.waiting.late.count_late(waiting.cost_seconds)
@@ -222,8 +219,6 @@
         if choice is None:
             return None
         target = choice.load.view.target
-        if self.waiting.move_if_late(waiting, choice, claim, now_seconds):
-            return None
         if not self._may_send(work, choice, claim, now_seconds):
             waiting_ahead.add(target, choice.uncached_tokens)
             self.waiting.set_awaited_target(waiting, choice)
--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -160,12 +160,9 @@
         """Give requests whose objective has passed a lower priority."""
         for waiting in self.queue.all():
             if now_seconds > waiting.latest_dispatch_seconds:
-                self._make_late(waiting)
-
-    def _make_late(self, waiting: QueuedRequest) -> None:
-        self.queue.remove(waiting.work.request)
-        self.late.add(waiting)
-        self.n_late += 1
+                self.queue.remove(waiting.work.request)
+                self.late.add(waiting)
+                self.n_late += 1
 
     def in_order(self, limit: int) -> Iterator[QueuedRequest]:
         """Yield up to ``limit`` requests that can be on time, in order."""
@@ -179,21 +176,6 @@
             return Claim.USUAL
         return self.order.claim(work, self.shares.is_within_share(work.customer))
 
-    def late_claim(
-        self, waiting: QueuedRequest, is_due: bool, now_seconds: float
-    ) -> Claim:
-        """Return what capacity a late request may use.
-
-        Args:
-            waiting: The request.
-            is_due: Whether the share of late requests covers it.
-            now_seconds: The current time.
-        """
-        halfway_seconds = (waiting.enqueued_seconds + waiting.give_up_seconds) / 2
-        if is_due or not self.order.is_used or now_seconds >= halfway_seconds:
-            return Claim.USUAL
-        return Claim.SPARE
-
     def can_use(
         self, work: Work, choice: Choice, claim: Claim, now_seconds: float
     ) -> bool:
@@ -202,16 +184,15 @@
         match claim:
             case Claim.USUAL:
                 return choice.can_take
-            case Claim.SPARE:
-                backlog_seconds = load.reading_seconds(now_seconds)
-                longest_seconds = self.order.late_backlog_seconds()
-                return choice.can_take and backlog_seconds <= longest_seconds
             case Claim.AHEAD:
                 if choice.can_take:
                     return True
                 n_running = load.estimate(now_seconds)[1]
-                # The prediction counts all work there, also what runs after it.
-                arrival_seconds = now_seconds + choice.wait_seconds
+                # Counts all work there, also what the engine runs after it.
+                wait_seconds = load.reading_seconds(now_seconds)
+                wait_seconds += choice.uncached_tokens * load.token_seconds(now_seconds)
+                wait_seconds += self._placement.rates.first_token_seconds
+                arrival_seconds = now_seconds + wait_seconds
                 due_seconds = work.arrived_seconds + work.objective_seconds
                 is_on_time = arrival_seconds <= due_seconds
                 return is_on_time and load.has_slot(n_running, now_seconds)
@@ -220,27 +201,6 @@
         """Count a request that is sent to a target without the usual capacity."""
         self.n_ahead += claim is Claim.AHEAD and not choice.can_take
 
-    def move_if_late(
-        self, waiting: QueuedRequest, choice: Choice, claim: Claim, now_seconds: float
-    ) -> bool:
-        """Move a request to the late ones if the chosen target would be too slow.
-
-        Sent there, it would keep the target from requests that can be on time.
-
-        Returns:
-            Whether it was moved.
-        """
-        work = waiting.work
-        if not self.order.is_used or claim is not Claim.USUAL:
-            return False
-        arrival_seconds = now_seconds + choice.wait_seconds
-        if arrival_seconds <= work.arrived_seconds + work.objective_seconds:
-            return False
-        if work.request not in self.queue:
-            return False
-        self._make_late(waiting)
-        return True
-
     def has_waited_long(self, waiting: QueuedRequest, now_seconds: float) -> bool:
         """Return whether a request of a customer inside its share waited half its time.
 
@@ -370,15 +330,14 @@
 
     def _order_status(self) -> dict[str, object]:
         """Return the order in use and what it has done since the start."""
-        waiting_by_rank = Counter(
-            waiting.work.rank for waiting in [*self.queue.all(), *self.late]
+        waiting_by_priority = Counter(
+            waiting.work.priority.name.lower()
+            for waiting in [*self.queue.all(), *self.late]
         )
         return {
             "is_by_slack": self.order.is_used,
             "reason": self.order.condition.reason,
-            "waiting_by_rank": {
-                str(rank): n for rank, n in sorted(waiting_by_rank.items())
-            },
+            "waiting_by_priority": dict(sorted(waiting_by_priority.items())),
             "n_ahead": self.n_ahead,
             "n_late": self.n_late,
             "n_refused": dict(
--- a/lycheepost/decide/waitingorder.py
+++ b/lycheepost/decide/waitingorder.py
@@ -6,11 +6,9 @@
 with a bounded advantage for short and for urgent work. Requests that can't be on time
 any more leave the order and are served in their own (``decide.latework``).
 
-Daemons agree on this order without messages, as the target's backlog decides who may
-use it: short work with the tightest objective may join a backlog that leaves it on
-time, as engines run it before less urgent work; other work waits for the usual
-capacity; late work waits for targets that are nearly idle, until half of its time has
-passed.
+With tens of daemons each has one or two waiting requests, so their order in each daemon
+is not enough. Short requests with the tightest objective may therefore join the backlog
+of a target where they are on time: the engine runs them before less urgent work.
 
 Pure logic.
 """
@@ -36,11 +34,6 @@
 it takes, up to ``MAX_COST_RATIO`` of them. The bound keeps the longest requests from
 starving."""
 
-LATE_BACKLOG_SHARE = 0.1
-"""Share of the tightest objective that a target's backlog may take when it is sent late
-work. Requests that can be on time have filled the target before; a target with only
-late work keeps some, so that it never idles."""
-
 KIND_SECONDS = 60.0
 """A kind of request that has not arrived for this long no longer counts."""
 
@@ -65,8 +58,6 @@
     """A slot, whatever waits there, if the request is on time behind it."""
     USUAL = "usual"
     """The capacity that the target has for any request."""
-    SPARE = "spare"
-    """The capacity of a target that is nearly idle."""
 
 
 @dataclass(slots=True)
@@ -196,10 +187,6 @@
             return Claim.AHEAD
         return Claim.USUAL
 
-    def late_backlog_seconds(self) -> float:
-        """Return the longest backlog of a target that takes late work."""
-        return LATE_BACKLOG_SHARE * self.condition.tightest_seconds
-
 
 def _moved(mean: float, value: float) -> float:
     return mean + MEAN_GAIN * (value - mean) if mean else value
