--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -180,22 +180,24 @@
         self, work: Work, choice: Choice, claim: Claim, now_seconds: float
     ) -> bool:
         """Return whether the chosen target has the capacity that ``work`` may use."""
-        load = choice.load
         match claim:
             case Claim.USUAL:
                 return choice.can_take
             case Claim.AHEAD:
-                if choice.can_take:
-                    return True
-                n_running = load.estimate(now_seconds)[1]
-                # Counts all work there, also what the engine runs after it.
-                wait_seconds = load.reading_seconds(now_seconds)
-                wait_seconds += choice.uncached_tokens * load.token_seconds(now_seconds)
-                wait_seconds += self._placement.rates.first_token_seconds
-                arrival_seconds = now_seconds + wait_seconds
-                due_seconds = work.arrived_seconds + work.objective_seconds
-                is_on_time = arrival_seconds <= due_seconds
-                return is_on_time and load.has_slot(n_running, now_seconds)
+                return choice.can_take or self._can_join(work, choice, now_seconds)
+
+    def _can_join(self, work: Work, choice: Choice, now_seconds: float) -> bool:
+        """Return whether a slot is free and ``work`` on time behind all work there.
+
+        The engine runs part of that work after it, so it is sooner in most cases.
+        """
+        load = choice.load
+        due_seconds = work.arrived_seconds + work.objective_seconds
+        due_seconds -= self._placement.rates.first_token_seconds
+        due_seconds -= choice.uncached_tokens * load.token_seconds(now_seconds)
+        if now_seconds + load.reading_seconds(now_seconds) > due_seconds:
+            return False
+        return load.has_slot(load.estimate(now_seconds)[1], now_seconds)
 
     def count_ahead(self, claim: Claim, choice: Choice) -> None:
         """Count a request that is sent to a target without the usual capacity."""
