--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import structlog
 
+from lycheepost.decide.records import Priority, RefusalReason
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
@@ -17,6 +18,13 @@
 """The usual step of a dashboard. Computing the status takes tens of milliseconds at
 12,000 targets, so it must not be done every second."""
 
+QUEUE_REASONS = (
+    RefusalReason.DEADLINE,
+    RefusalReason.OVER_SHARE,
+    RefusalReason.QUEUE_FULL,
+)
+"""Why a request that has to wait is refused."""
+
 _log = structlog.get_logger(part="app")
 
 
@@ -36,6 +44,7 @@
     for name, budget in status.get("buffers", {}).items():
         yield f"buffered_bytes.{name}", budget["held_bytes"]
         yield f"buffers_denied.{name}", budget["n_denied"]
+    yield from _order_gauges(status["queues"]["groups"].values())
     yield "claims_unsettled", status["claims"]["n_unsettled"]
     yield "peer_links", len(status["peers"]["links"])
     yield "peer_messages_dropped", status["peers"]["n_dropped"]
@@ -56,6 +65,20 @@
     yield "room_too_large", sum(room["n_too_large"] for room in rooms)
 
 
+def _order_gauges(groups: Iterable[dict[str, Any]]) -> Iterator[tuple[str, float]]:
+    orders = [group["order"] for group in groups]
+    yield "groups_by_slack", sum(order["is_by_slack"] for order in orders)
+    yield "sent_ahead", sum(order["n_ahead"] for order in orders)
+    yield "late_requests", sum(order["n_late"] for order in orders)
+    for priority in Priority:
+        name = priority.name.lower()
+        waiting = [order["waiting_by_priority"].get(name, 0) for order in orders]
+        yield f"queued_{name}", sum(waiting)
+    for reason in QUEUE_REASONS:
+        refused = [order["n_refused"].get(reason.value, 0) for order in orders]
+        yield f"refused_{reason.value}", sum(refused)
+
+
 def _count(states: dict[str, str], wanted: str) -> int:
     return sum(state == wanted for state in states.values())
 
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from lycheepost.callers.orderlog import OrderLog
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -66,6 +67,7 @@
         self._ticker: asyncio.Task[None] | None = None
         self._has_work = asyncio.Event()
         self._short_groups: frozenset[TargetGroupId] = frozenset()
+        self._order_log = OrderLog()
 
     async def start(self) -> None:
         """Start the tick."""
@@ -281,6 +283,7 @@
             try:
                 self._deliver(self._scheduler.tick(self._clock.now_seconds()))
                 self._log_room()
+                self._order_log.update(self._scheduler.order_conditions())
             except Exception:
                 # Without further ticks, queued requests would wait forever.
                 _log.exception("dispatch: the tick failed")
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -22,6 +22,7 @@
     benchcapacity,
     benchcontrol,
     benchlimit,
+    benchorder,
     benchprocessor,
     benchquota,
     benchrelay,
@@ -37,6 +38,7 @@
 app.command()(benchcontrol.control)
 app.command()(benchbackoff.backoff)
 app.command()(benchlimit.limit)
+app.command()(benchorder.order)
 app.command()(benchquota.quota)
 app.command()(benchroom.room)
 app.command()(benchcontrol.leases)
