Slow readers: the relayed responses are tested with a small budget

With a hundred clients that do not read, loopback took most of their responses, so a further one was mostly held as a whole.

--- a/features/platform/slowreaders.feature
+++ b/features/platform/slowreaders.feature
@@ -15,9 +15,19 @@
     Guards against a response that is cut or refused because others fill the memory.
     Given a deployment with 1 daemon
     And responses of plain servers that have 1 MB
-    And 100 clients ask for a look-up and do not read
+    And a daemon that may hold 0.1 MB of responses
     When a client reads a look-up of 1 MB
-    Then it gets all of it with its seal
+    Then it gets all of it with its seal, relayed as it arrived
+
+  Scenario: A response that breaks off while it is relayed as it arrives is cut
+    Guards against a truncated response that ends as if it were complete.
+    Given a deployment with 1 daemon
+    And responses of plain servers that have 1 MB
+    And a daemon that may hold 0.1 MB of responses
+    When the next 1 servers that get a look-up show broken answer
+    And a client reads a look-up of 1 MB
+    Then it gets a part that does not look complete
+    And no other server was asked
 
   Scenario: Bodies of requests that wait are bounded
     Guards against a daemon that is killed for its memory by bodies that wait for slow
--- a/features/platform/steps/slowreader_steps.py
+++ b/features/platform/steps/slowreader_steps.py
@@ -28,7 +28,12 @@
         server.run_seconds = seconds
 
 
-@given("{n:d} clients ask for a look-up and do not read")
+@given("a daemon that may hold {megabytes:g} MB of responses")
+def step_small_budget(context, megabytes):
+    deps = context.deployment.daemons[0]._ingress._deps
+    deps.answer_bytes.max_bytes = int(megabytes * MEGABYTE)
+
+
 @when("{n:d} clients ask for a look-up and do not read")
 def step_deaf(context, n):
     context.clients = [open_deaf_client(context) for _ in range(n)]
@@ -106,12 +111,25 @@
     )
 
 
-@then("it gets all of it with its seal")
+@then("it gets all of it with its seal, relayed as it arrived")
 def step_all(context):
     answer = context.answer
     assert answer.status == 200 and answer.is_whole, answer.status
     assert answer.body == ANSWER * N_REPEATS, len(answer.body)
     assert answer.headers[names.SEAL] == seal_of(ANSWER * N_REPEATS)
+    assert buffers(context)["answers"]["n_denied"] == 1, buffers(context)
+
+
+@then("it gets a part that does not look complete")
+def step_part(context):
+    answer = context.answer
+    assert answer.status == 200 and not answer.is_whole, answer.status
+    assert len(answer.body) < len(ANSWER) * N_REPEATS
+
+
+@then("no other server was asked")
+def step_no_other(context):
+    assert len(context.deployment.runs()) == 1
 
 
 @when("{n:d} clients send orders of 1 MB at once")
