--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -99,6 +99,8 @@
         self._n_floods = 0
         self._no_flood: frozenset[DaemonId] = frozenset()
         self._neighbours: frozenset[DaemonId] = frozenset()
+        self._neighbour_members: tuple[Member, ...] = ()
+        self._neighbours_at_change: int | None = None
         self._n_exchanges = 0
         self._has_members = False
         self._n_member_requests = 0
@@ -227,7 +229,7 @@
     def _choose_links(self, now_seconds: float) -> None:
         me = self._members.me().daemon
         members = self._members.members()
-        neighbours = choose_neighbours(me, members, self._fanout)
+        neighbours = self._find_neighbours(members)
         peers = self._choose_peers(members)
         before, self._no_flood = (
             self._no_flood,
@@ -252,6 +254,15 @@
             for name in set(self._links) - kept:
                 self._close(name)
 
+    def _find_neighbours(self, members: tuple[Member, ...]) -> tuple[Member, ...]:
+        """Return the neighbours, computed again only after a member has changed."""
+        n_changes = self._members.n_changes
+        if self._neighbours_at_change != n_changes:
+            me = self._members.me().daemon
+            self._neighbour_members = choose_neighbours(me, members, self._fanout)
+            self._neighbours_at_change = n_changes
+        return self._neighbour_members
+
     def _open(self, daemon: DaemonId, endpoint: str, now_seconds: float) -> None:
         self._transport.connect(daemon, endpoint)
         self._links[daemon] = _Link(now_seconds, now_seconds, True)
