Ticks rebuild the views of targets only when the time alone may change one

Five times a second each daemon compared the views of all targets, work that grows with daemons times targets. The list now knows when the next removal, weights change, ejection or deadline of old weights ends; until then a tick costs one comparison.

--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -16,6 +16,7 @@
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.leaving import LeavingTargets
 from lycheepost.decide.records import TargetState
+from lycheepost.decide.targethealth import Ending
 from lycheepost.generated.messages import TargetsChanging
 from lycheepost.operators.weightsupdates import to_changes, to_message
 from lycheepost.state.targetlist import TargetList, WeightsChange
@@ -139,10 +140,18 @@
     context.list.take([make_target(name)], [], False)
 
 
+@when("{name} accepts no connection")
+def step_unreachable(context, name):
+    context.list.note_end(TargetId(name), Ending.UNREACHABLE)
+
+
 @when("{seconds:g} s pass")
 def step_pass(context, seconds):
     context.clock.advance(seconds)
+    context.list.refresh_if_due()
+    views = context.views
     context.list.refresh()
+    assert context.views == views, "a change with the time alone was not seen"
 
 
 @when("{name} is reported to change its weights for {seconds:g} s")
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -218,3 +218,13 @@
     Then b may be used and a may not be sent to
     When a registers with version 1
     Then a and b may be used
+
+  Scenario: An ejected target is used again though nothing else happens
+    Guards against views that are kept beyond the end of an ejection.
+    Given registered targets a and b and c
+    When a accepts no connection
+    Then b and c may be used
+    When 0.4 s pass
+    Then b and c may be used
+    When 0.2 s pass
+    Then a and b and c may be used
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -222,7 +222,7 @@
         self._components.base.store.calls.log_if_due(
             self._components.base.clock.now_seconds()
         )
-        self._components.traffic.targets.refresh()
+        self._components.traffic.targets.refresh_if_due()
         self._components.traffic.dispatcher.set_retry_terms(terms)
         self._components.traffic.dispatcher.set_sharing_limits(
             self._count_limit_shares()
--- a/lycheepost/app/processorcost.py
+++ b/lycheepost/app/processorcost.py
@@ -206,7 +206,7 @@
     def _tick(self) -> None:
         self._topology_tracker.set_targets(self.targets.n_listed)
         self._loads.set_peers(self._topology_tracker.topology().peers)
-        self.targets.refresh()
+        self.targets.refresh_if_due()
 
 
 def measure_processor(sizes: tuple[int, ...] = SIZES) -> Iterator[ProcessorRecord]:
--- a/lycheepost/decide/targethealth.py
+++ b/lycheepost/decide/targethealth.py
@@ -110,12 +110,14 @@
         # The first requests after the ejection decide whether it is ejected again.
         record.bad /= 2.0
 
+    def next_change_seconds(self, now_seconds: float) -> float:
+        """Return when the next ejection ends; infinite if no target is ejected."""
+        ends = (record.ejected_until_seconds for record in self._records.values())
+        return min((at for at in ends if at > now_seconds), default=float("inf"))
+
     def has_ejections(self, now_seconds: float) -> bool:
         """Return whether the ejection of any target has not ended."""
-        return any(
-            now_seconds < record.ejected_until_seconds
-            for record in self._records.values()
-        )
+        return self.next_change_seconds(now_seconds) < float("inf")
 
     def ejected(
         self, targets: Iterable[TargetId], now_seconds: float
--- a/lycheepost/state/namedweights.py
+++ b/lycheepost/state/namedweights.py
@@ -137,6 +137,19 @@
         )
         return OLD_WEIGHTS_PENALTY_SECONDS if is_old else 0.0
 
+    def next_change_seconds(self, now_seconds: float) -> float:
+        """Return when older weights get a penalty or a deadline passes next."""
+        times = (
+            at
+            for versions in self._named.values()
+            for named in versions
+            for at in (
+                named.named_seconds + OLD_WEIGHTS_GRACE_SECONDS,
+                named.old_until_seconds,
+            )
+        )
+        return min((at for at in times if at > now_seconds), default=float("inf"))
+
     def _above(self, weights: Mapping[ModelId, WeightsVersion]) -> list[NamedVersion]:
         """Return the first named version above each one that a target holds."""
         found: list[NamedVersion] = []
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -105,6 +105,7 @@
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
         self._newest: dict[ModelId, WeightsVersion] = {}
+        self._next_change_seconds = float("-inf")
 
     @property
     def n_listed(self) -> int:
@@ -392,8 +393,17 @@
             known.removed_seconds = self._clock.now_seconds()
             self.refresh()
 
+    def refresh_if_due(self) -> None:
+        """Rebuild the views if one may have changed with the time alone.
+
+        Called periodically. In most calls nothing has changed, and the views of all
+        targets would be compared for it.
+        """
+        if self._clock.now_seconds() >= self._next_change_seconds:
+            self.refresh()
+
     def refresh(self) -> None:
-        """Rebuild the views; called on changes and periodically."""
+        """Rebuild the views; called on changes."""
         now_seconds = self._clock.now_seconds()
         self._forget_gone(now_seconds)
         ejected = self._ejected(now_seconds)
@@ -409,10 +419,22 @@
             for name, known in sorted(self._known.items())
         )
         self._newest = builder.newest_weights()
+        self._next_change_seconds = self._find_next_change(now_seconds)
         if views != self._views:
             self._views = views
             self._on_views(views)
 
+    def _find_next_change(self, now_seconds: float) -> float:
+        """Return when a view may change next without another call."""
+        times = [self._named_weights.next_change_seconds(now_seconds)]
+        times += [
+            item.next_change_seconds(now_seconds) for item in self._health.values()
+        ]
+        times += [
+            item.next_change_seconds(now_seconds) for item in self._known.values()
+        ]
+        return min(times)
+
     def _forget_gone(self, now_seconds: float) -> None:
         gone = [
             name
--- a/lycheepost/state/targetrecords.py
+++ b/lycheepost/state/targetrecords.py
@@ -63,6 +63,14 @@
     changing_until_seconds: float = float("-inf")
     _built: _BuiltView | None = field(default=None, init=False, repr=False)
 
+    def next_change_seconds(self, now_seconds: float) -> float:
+        """Return when its removal or its weights change ends; infinite for neither."""
+        times = (self.removed_seconds, self.changing_until_seconds)
+        return min(
+            (at for at in times if at is not None and at > now_seconds),
+            default=float("inf"),
+        )
+
     def view(self, table: RouteTable | None, condition: TargetCondition) -> TargetView:
         """Return the view for this condition."""
         built = self._built
