--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -181,8 +181,10 @@
             if self._may_order():
                 for model, version in self._wanted.items():
                     self._begin_changes(model, version)
+            # Nearly all daemons never hold the lease; ``work`` wakes those that do.
+            timeout_seconds = None if self._current is None else TICK_SECONDS
             try:
-                async with asyncio.timeout(TICK_SECONDS):
+                async with asyncio.timeout(timeout_seconds):
                     await self._wake.wait()
             except TimeoutError:
                 continue
