--- a/features/operators/steps/rolloutwait_steps.py
+++ b/features/operators/steps/rolloutwait_steps.py
@@ -1,4 +1,4 @@
-"""Steps of rolloutwaits.feature: a rollout in virtual time, with one outdated target."""
+"""Steps of rolloutwaits.feature: a rollout in virtual time and an outdated target."""
 
 import asyncio
 
