--- a/features/fuzz/fuzz.feature
+++ b/features/fuzz/fuzz.feature
@@ -27,3 +27,4 @@
       | rows of daemons and duties |
       | peers' counts of quotas |
       | operators' quotas       |
+      | records of quotas' use  |
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -44,8 +44,10 @@
 from fuzzquotas import (
     QUOTA_COUNTS,
     QUOTA_DOCUMENTS,
+    QUOTA_RECORDS,
     check_quota_counts,
     check_quota_document,
+    check_quota_record,
 )
 from fuzzstrategies import JSON, NESTED, NESTED_MSGPACK, mutated, with_fields
 
@@ -366,6 +368,7 @@
     "rows of daemons and duties": Edge(MEMBER_ROWS, check_member_row),
     "peers' counts of quotas": Edge(QUOTA_COUNTS, check_quota_counts),
     "operators' quotas": Edge(QUOTA_DOCUMENTS, check_quota_document),
+    "records of quotas' use": Edge(QUOTA_RECORDS, check_quota_record),
 }
 
 
--- a/tools/fuzzquotas.py
+++ b/tools/fuzzquotas.py
@@ -13,6 +13,7 @@
 from lycheepost.generated.messages import CustomerSpent, QuotaSpent
 from lycheepost.peers.quota_messages import from_message
 from lycheepost.platform.documents import decode_configuration
+from lycheepost.state.quotarows import decode_record
 
 CUSTOMER = CustomerId("c")
 RATE = 1000.0
@@ -51,6 +52,27 @@
     },
 )
 
+QUOTA_RECORDS = st.one_of(
+    st.binary(max_size=40),
+    st.dictionaries(
+        st.sampled_from(["c", "other"]),
+        st.tuples(_FIGURES, _FIGURES) | st.lists(_FIGURES | st.text(), max_size=3),
+        max_size=2,
+    ).map(msgspec.json.encode),
+)
+
+
+def check_quota_record(value: bytes) -> None:
+    """Whatever the row holds, a customer is soon let through again."""
+    quotas = FleetQuotas(1, 0.0)
+    quotas.set_tolerance(QuotaTolerance(0.1, 100.0, 8.0))
+    quotas.set_record(decode_record(value), 0.0)
+    quotas.set_quotas({CUSTOMER: Quota(QuotaUnit.TOKENS, RATE, RATE, 1.0)}, 0.0)
+    quotas.set_entry((), 0.0)
+    wait_seconds = quotas.take(CUSTOMER, 10.0, 0.0)
+    assert wait_seconds is None or 0.0 < wait_seconds < math.inf, wait_seconds
+    assert quotas.take(CUSTOMER, 10.0, 5.0) is None, quotas.left(CUSTOMER)
+
 
 def check_quota_counts(said: list[tuple[str, QuotaSpent]]) -> None:
     """Whatever peers say, a customer is let through or told when to come back."""
