Move the targets' limits and back-offs out of the scheduler

decide/scheduler.py kept the limits and back-offs that targets ask for beside the decisions themselves. They move to decide/targetnotices.py, which applies them to a target when it is added to a group. Behaviour is unchanged.

--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -22,7 +22,6 @@
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport, Quarantine
-from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
 from lycheepost.decide.records import (
     FinishKind,
     LoadReport,
@@ -35,6 +34,7 @@
 )
 from lycheepost.decide.retry import RetryBudget, RetryTerms
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.targetnotices import TargetNotices
 from lycheepost.generated.engine import CacheEvent
 
 GONE_RETRY_SECONDS = 2.0
@@ -63,9 +63,7 @@
         )
         self._retry_terms = RetryTerms(settings.retry_share)
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
-        self._limits: dict[TargetId, float] = {}
-        self._backoffs: dict[TargetId, float] = {}
-        self._n_sharing_limits = ASSUMED_DAEMONS
+        self._notices = TargetNotices(self._group_by_target)
         self._losses: list[LossReport] = []
         self._is_draining = False
         self._now_seconds = 0.0
@@ -75,10 +73,10 @@
     ) -> list[Outcome]:
         """Replace the targets and dispatch waiting requests."""
         wanted = {view.target: view for view in targets}
-        self._forget_backoffs(wanted, now_seconds)
+        self._notices.forget_backoffs(wanted, now_seconds)
         for target in [name for name in self._group_by_target if name not in wanted]:
             self._group_by_target.pop(target).remove_target(target)
-            self._limits.pop(target, None)
+            self._notices.forget_limit(target)
         for view in targets:
             self._place_view(view, now_seconds)
         outcomes: list[Outcome] = []
@@ -87,16 +85,6 @@
             outcomes.extend(group.dispatch_waiting(now_seconds))
         return outcomes
 
-    def _forget_backoffs(
-        self, targets: Collection[TargetId], now_seconds: float
-    ) -> None:
-        """Drop ended back-offs of absent targets; others stay in case of a return."""
-        self._backoffs = {
-            target: until_seconds
-            for target, until_seconds in self._backoffs.items()
-            if target in targets or until_seconds > now_seconds
-        }
-
     def _place_view(self, view: TargetView, now_seconds: float) -> None:
         group = self._group(view.target_group)
         before = self._group_by_target.get(view.target)
@@ -109,8 +97,7 @@
             group.placement.loads[view.target] = TargetLoad(
                 view, cache_estimate, group.placement.rates
             )
-            self._pass_limit(view.target, now_seconds)
-            self._pass_backoff(view.target)
+            self._notices.apply(view.target, now_seconds)
             return
         load.replace_view(view)
 
@@ -292,40 +279,17 @@
                 limit.
             now_seconds: The current time.
         """
-        self._limits.pop(target, None)
-        if per_second is not None:
-            self._limits[target] = per_second
-        self._pass_limit(target, now_seconds)
+        self._notices.set_limit(target, per_second, now_seconds)
         group = self._group_by_target.get(target)
         return [] if group is None else group.dispatch_waiting(now_seconds)
 
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send no requests to a target until ``until_seconds``, as it has asked."""
-        self._backoffs[target] = until_seconds
-        self._pass_backoff(target)
-
-    def _pass_backoff(self, target: TargetId) -> None:
-        """Pass a target's back-off to its group."""
-        group = self._group_by_target.get(target)
-        if group is not None and target in self._backoffs:
-            group.throttle.back_off(target, self._backoffs[target])
-
-    def _pass_limit(self, target: TargetId, now_seconds: float) -> None:
-        """Pass a target's rate limit to its group."""
-        group = self._group_by_target.get(target)
-        if group is not None:
-            per_second = self._limits.get(target)
-            group.throttle.set_limit(
-                target, per_second, self._n_sharing_limits, now_seconds
-            )
+        self._notices.back_off(target, until_seconds)
 
     def set_sharing_limits(self, n_daemons: int, now_seconds: float) -> None:
         """Set the number of daemons that the targets' limits are divided among."""
-        if n_daemons == self._n_sharing_limits:
-            return
-        self._n_sharing_limits = n_daemons
-        for target in self._limits:
-            self._pass_limit(target, now_seconds)
+        self._notices.set_sharing_limits(n_daemons, now_seconds)
 
     def set_peer_load(
         self, target: TargetId, load: DaemonLoad, now_seconds: float
--- /dev/null
+++ b/lycheepost/decide/targetnotices.py
@@ -0,0 +1,86 @@
+"""Rate limits and back-offs of all targets, kept apart from their groups.
+
+A target may leave the configuration and come back, or move to another group, while its
+limit or back-off still holds.
+"""
+
+from collections.abc import Collection, Mapping
+
+from lycheepost.core.ids import TargetId
+from lycheepost.decide.group import Group
+from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
+
+
+class TargetNotices:
+    """The limits and back-offs that targets have asked for.
+
+    Args:
+        group_by_target: The group of each configured target.
+    """
+
+    def __init__(self, group_by_target: Mapping[TargetId, Group]) -> None:
+        self._group_by_target = group_by_target
+        self._limits: dict[TargetId, float] = {}
+        self._backoffs: dict[TargetId, float] = {}
+        self._n_sharing_limits = ASSUMED_DAEMONS
+
+    def set_limit(
+        self, target: TargetId, per_second: float | None, now_seconds: float
+    ) -> None:
+        """Set the rate limit that a target reports; None for no limit."""
+        self._limits.pop(target, None)
+        if per_second is not None:
+            self._limits[target] = per_second
+        self._pass_limit(target, now_seconds)
+
+    def set_sharing_limits(self, n_daemons: int, now_seconds: float) -> None:
+        """Set the number of daemons that the targets' limits are divided among."""
+        if n_daemons == self._n_sharing_limits:
+            return
+        self._n_sharing_limits = n_daemons
+        for target in self._limits:
+            self._pass_limit(target, now_seconds)
+
+    def back_off(self, target: TargetId, until_seconds: float) -> None:
+        """Send no requests to a target until ``until_seconds``, as it has asked."""
+        self._backoffs[target] = until_seconds
+        self._pass_backoff(target)
+
+    def apply(self, target: TargetId, now_seconds: float) -> None:
+        """Apply the limit and back-off of a target that was added to a group."""
+        self._pass_limit(target, now_seconds)
+        self._pass_backoff(target)
+
+    def forget_limit(self, target: TargetId) -> None:
+        """Drop the limit of a target that is no longer configured."""
+        self._limits.pop(target, None)
+
+    def forget_backoffs(
+        self, targets: Collection[TargetId], now_seconds: float
+    ) -> None:
+        """Drop ended back-offs of absent targets; others stay in case of a return.
+
+        Args:
+            targets: The configured targets.
+            now_seconds: The current time.
+        """
+        self._backoffs = {
+            target: until_seconds
+            for target, until_seconds in self._backoffs.items()
+            if target in targets or until_seconds > now_seconds
+        }
+
+    def _pass_backoff(self, target: TargetId) -> None:
+        """Pass a target's back-off to its group."""
+        group = self._group_by_target.get(target)
+        if group is not None and target in self._backoffs:
+            group.throttle.back_off(target, self._backoffs[target])
+
+    def _pass_limit(self, target: TargetId, now_seconds: float) -> None:
+        """Pass a target's rate limit to its group."""
+        group = self._group_by_target.get(target)
+        if group is not None:
+            per_second = self._limits.get(target)
+            group.throttle.set_limit(
+                target, per_second, self._n_sharing_limits, now_seconds
+            )
