Read no figure of more than 18 digits in headers of servers

A load header with a figure of more than 4,300 digits raised ValueError in parse_count, as Python refuses such numbers, and the response ended as lost. Found by the new fuzzing edge of the load header. Such a figure now counts as none.

--- a/features/platform/loads.feature
+++ b/features/platform/loads.feature
@@ -12,3 +12,8 @@
       | 3,0        | no load                        |
       | 3,-1,8     | no load                        |
       | 3,x,8,140  | no load                        |
+
+  Scenario: A figure of more digits than a number may have
+    Guards against a header that ends the response, as Python refuses to read numbers of
+    more than 4,300 digits.
+    Then a server that writes 5000 digits as its speed states its load without a speed
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -21,6 +21,7 @@
 _UNAVAILABLE_STATUS = 503
 _LEAVING_VALUE = "1"
 _MILLISECONDS = 1000.0
+_MAX_DIGITS = 18
 
 
 class ServerDialect:
@@ -153,10 +154,11 @@
     """Return a whole number >= 0; None when ``text`` is not one.
 
     A negative count would make a load or a prompt appear to free capacity that other
-    requests use.
+    requests use. Python raises an error for numbers of several thousand digits.
     """
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    is_count = len(text) <= _MAX_DIGITS and text.isascii() and text.isdigit()
+    return int(text) if is_count else None
 
 
 def header_int(headers: Mapping[str, str], name: str) -> int | None:
