Rates of each target, and the momentary speed that targets state

Targets of one group may differ in speed by more than a factor of two, and each one's machine is slower for some hundred milliseconds at a time. Placement knew one set of rates for the group and a smoothed ratio for each target, which needs some twenty first tokens; a daemon sees half a one per target and second. Fast targets had first tokens of 0.12 s (p90 0.33 s) and others of 0.24 s (p90 0.68 s).

decide/machinestates.py keeps the fourth figure of the load header: the median of the last ones is the target's usual speed, the distance of the last one from it counts half after 0.2 s. Figures that peers would not expect are told to them with the load news. decide/targetrates.py averages each target's ratio to the group's rates, with the stated speed as prior, and uses the ratios only where they differ by more than the errors of the measurement. They count in the predicted wait, the time per token, and the tokens that may wait at a target.

--- a/features/fuzz/fuzz.feature
+++ b/features/fuzz/fuzz.feature
@@ -27,3 +27,5 @@
       | rows of daemons and duties |
       | peers' counts of quotas |
       | operators' quotas       |
+      | loads that servers state |
+      | peers' speeds of targets |
--- a/features/platform/loads.feature
+++ b/features/platform/loads.feature
@@ -7,8 +7,11 @@
     Examples:
       | written    | load                           |
       | 3,0,8      | 3 running, 0 waiting, 8 slots  |
-      | 3,0,8,140  | 3 running, 0 waiting, 8 slots  |
+      | 3,0,8,140  | 3 running, 0 waiting, 8 slots, 140 percent  |
+      | 3,0,8,140,7  | 3 running, 0 waiting, 8 slots, 140 percent  |
       | 3,0,8,x    | 3 running, 0 waiting, 8 slots  |
+      | 3,0,8,0    | 3 running, 0 waiting, 8 slots  |
+      | 3,0,8,-140 | 3 running, 0 waiting, 8 slots  |
       | 3,0        | no load                        |
       | 3,-1,8     | no load                        |
       | 3,x,8,140  | no load                        |
--- a/features/platform/steps/load_steps.py
+++ b/features/platform/steps/load_steps.py
@@ -5,7 +5,11 @@
 from lycheepost.platform.dialect import decode_load
 from lycheepost.targets.forwardcall import ReportedLoad
 
-LOADS = {"3 running, 0 waiting, 8 slots": ReportedLoad(3, 0, 8), "no load": None}
+LOADS = {
+    "3 running, 0 waiting, 8 slots": ReportedLoad(3, 0, 8),
+    "3 running, 0 waiting, 8 slots, 140 percent": ReportedLoad(3, 0, 8, 140),
+    "no load": None,
+}
 
 
 @then('a server that writes "{written}" states {load}')
--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -5,6 +5,7 @@
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, PrefixDigest, TargetGroupId, TargetId
+from lycheepost.decide.machinestates import StatedState
 from lycheepost.decide.peerloads import (
     NO_LOAD,
     DaemonLoad,
@@ -12,7 +13,12 @@
     find_changes,
 )
 from lycheepost.decide.records import LoadReport, Placed, PrefixLevel, TargetView
-from lycheepost.generated.messages import LoadNews, PlacedPrompt, TargetLoad
+from lycheepost.generated.messages import (
+    LoadNews,
+    MachineSpeed,
+    PlacedPrompt,
+    TargetLoad,
+)
 from lycheepost.peers.exchange import PeerExchange
 from lycheepost.utils.tasks import start_task
 
@@ -28,6 +34,8 @@
 assume that this daemon is dead, and one that missed a change would keep a stale
 load."""
 
+_MILLISECONDS = 1000.0
+
 
 class LoadExchange:
     """Sends this daemon's load to its peers and passes theirs to the scheduler.
@@ -89,17 +97,20 @@
         while True:
             await asyncio.sleep(REPORT_SECONDS if self._peers else IDLE_SECONDS)
             placed = self._dispatcher.take_placed()
+            states = self._dispatcher.take_state_news()
             if self._peers:
-                self._publish(placed)
+                self._publish(placed, states)
                 self._apply_peer_loads()
 
-    def _publish(self, placed: tuple[Placed, ...]) -> None:
+    def _publish(
+        self, placed: tuple[Placed, ...], states: tuple[StatedState, ...]
+    ) -> None:
         loads = self._dispatcher.under_way()
         now_seconds = self._clock.now_seconds()
         is_whole = now_seconds - self._last_full_report_seconds > FULL_REPORT_SECONDS
         changed = loads if is_whole else find_changes(self._published, loads)
         waiting = self._dispatcher.waiting_groups()
-        has_changes = changed or placed or waiting != self._published_waiting
+        has_changes = changed or placed or states or waiting != self._published_waiting
         if not has_changes and not (is_whole and loads):
             return
         self._published, self._published_waiting = loads, waiting
@@ -119,6 +130,7 @@
                 for target, load in changed.items()
             ],
             placed=[_to_message(item) for item in placed],
+            speeds=[_to_speed(item) for item in states],
         )
         self._exchange.send_to_each(self._peers, update)
 
@@ -150,6 +162,8 @@
         self._peer_loads.note_waiting(sender, map(TargetGroupId, update.waiting_groups))
         for item in update.placed:
             self._dispatcher.note_placed(_from_message(item))
+        for speed in update.speeds:
+            self._dispatcher.observe_peer_state(read_speed(speed))
 
 
 def _to_message(placed: Placed) -> PlacedPrompt:
@@ -164,3 +178,22 @@
     pairs = zip(message.digests, message.end_tokens, strict=False)
     levels = tuple(PrefixLevel(PrefixDigest(digest), end) for digest, end in pairs)
     return Placed(TargetId(message.target), levels)
+
+
+def _to_speed(told: StatedState) -> MachineSpeed:
+    return MachineSpeed(
+        target=told.target,
+        percent=round(told.percent),
+        usual_percent=round(told.usual_percent),
+        age_ms=round(told.age_seconds * _MILLISECONDS),
+    )
+
+
+def read_speed(message: MachineSpeed) -> StatedState:
+    """Return what a peer tells of the momentary speed of a target."""
+    return StatedState(
+        TargetId(message.target),
+        message.percent,
+        message.usual_percent,
+        message.age_ms / _MILLISECONDS,
+    )
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -182,6 +182,7 @@
         sent_to: ListedTarget, head: ResponseHead, sent_seconds: float
     ) -> None:
         _report_load(loads, clock, sent_to, head)
+        _report_state(dispatcher, sent_to, head)
         notices.note_headers(sent_to, head, sent_seconds)
 
     async def is_same_incarnation(sent_to: ListedTarget) -> bool:
@@ -310,6 +311,16 @@
     )
 
 
+def _report_state(
+    dispatcher: Dispatcher, sent_to: ListedTarget, head: ResponseHead
+) -> None:
+    """Pass the momentary speed in a response's headers to the scheduler."""
+    if head.load is not None and head.load.duration_percent is not None:
+        dispatcher.observe_machine_state(
+            sent_to.target, sent_to.start.incarnation, head.load.duration_percent
+        )
+
+
 def _request_ids(boot: str) -> Callable[[], RequestId]:
     """Return a generator of ids that are unique across daemons and starts."""
     numbers = itertools.count(1)
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -20,6 +20,7 @@
     TargetGroupId,
     TargetId,
 )
+from lycheepost.decide.machinestates import StatedState
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport
 from lycheepost.decide.records import (
@@ -175,6 +176,22 @@
         """Pass on the load of the other daemons on a target."""
         self._scheduler.set_peer_load(target, load, self._clock.now_seconds())
 
+    def observe_machine_state(
+        self, target: TargetId, incarnation: Incarnation, percent: float
+    ) -> None:
+        """Pass on the momentary speed that a target has stated."""
+        self._scheduler.observe_machine_state(
+            target, incarnation, percent, self._clock.now_seconds()
+        )
+
+    def observe_peer_state(self, told: StatedState) -> None:
+        """Pass on the momentary speed that a target has stated to a peer."""
+        self._scheduler.observe_peer_state(told, self._clock.now_seconds())
+
+    def take_state_news(self) -> tuple[StatedState, ...]:
+        """Return the momentary speeds of targets for the peers."""
+        return self._scheduler.take_state_news(self._clock.now_seconds())
+
     def set_limit(self, target: TargetId, per_second: float | None) -> None:
         """Pass on a target's rate limit; None when it reports none."""
         now_seconds = self._clock.now_seconds()
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections import deque
+from dataclasses import asdict
 
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.admission import (
@@ -18,6 +19,11 @@
 )
 from lycheepost.decide.latework import LateWork
 from lycheepost.decide.load import InFlight, TargetLoad
+from lycheepost.decide.machinestates import (
+    NOTABLE_LOG,
+    needs_machine_states,
+    usual_logs,
+)
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.placement import Choice, Placement, WaitingByTarget
 from lycheepost.decide.quarantine import Quarantine
@@ -35,6 +41,7 @@
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.shares import FairShares
 from lycheepost.decide.suspects import SuspectPlacement
+from lycheepost.decide.targetrates import TargetRates
 from lycheepost.decide.throttling import TargetThrottle
 
 SCANNED_REQUESTS = 8
@@ -105,6 +112,9 @@
         self.throttle = TargetThrottle(self.placement.loads, rng)
         self.suspects = SuspectPlacement(quarantine, self.placement)
         self.admission = RandomAdmission(rng)
+        self.target_rates = TargetRates(
+            Mechanism.TARGET_RATES not in settings.switched_off
+        )
         self.placed: deque[Placed] = deque(maxlen=MAX_UNPUBLISHED_PROMPTS)
         self._running: dict[RequestId, TargetId] = {}
         self._rate = ServiceRate(1.0)
@@ -414,10 +424,13 @@
             rates.observe_uncached(uncached, entry.work.prompt_tokens)
         elapsed = now_seconds - entry.dispatched_seconds
         ratio = rates.observe_first_token(elapsed, entry.ahead_tokens + uncached)
-        load.slowness.observe(ratio / rates.usual_ratio, now_seconds)
+        ratio /= rates.usual_ratio
+        load.slowness.observe(ratio / load.rate_ratio, now_seconds)
+        load.measured_ratio.observe(ratio)
         own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
+        own_seconds *= load.slowness.value * load.rate_ratio
         load.window.observe(
-            delay_seconds=elapsed - own_seconds * load.slowness.value,
+            delay_seconds=elapsed - own_seconds,
             target_seconds=entry.work.first_token_timeout_seconds * ENGINE_WAIT_SHARE,
             is_limiting=load.queued_tokens > load.window.tokens / 2,
             now_seconds=now_seconds,
@@ -442,6 +455,8 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Refuse requests whose time has run out, and dispatch others."""
         self.throttle.redraw_expired(now_seconds)
+        if self.target_rates.is_due(now_seconds):
+            self._update_target_rates(now_seconds)
         self._rate.update(now_seconds, self.n_waiting > 0)
         self._usual_rate.update(now_seconds, self.n_waiting > 0)
         self.shares.divide(self._usual_rate.per_second(), now_seconds)
@@ -459,6 +474,15 @@
         outcomes.extend(self.dispatch_waiting(now_seconds))
         return outcomes
 
+    def _update_target_rates(self, now_seconds: float) -> None:
+        loads = tuple(self.placement.loads.values())
+        logs = usual_logs([load.machine_state for load in loads])
+        for load, stated_log in zip(loads, logs, strict=True):
+            load.measured_ratio.stated_log = stated_log
+        self.target_rates.update([load.measured_ratio for load in loads], now_seconds)
+        for load in loads:
+            load.rate_ratio = self.target_rates.ratio(load.measured_ratio)
+
     def _is_under_pressure(self, now_seconds: float) -> bool:
         """Return whether work waits because the group, not one target, is full."""
         if not self.n_waiting:
@@ -481,6 +505,7 @@
             "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
             "service_rate": round(self._rate.per_second(), 3),
             "pressure": round(self.placement.pressure, 3),
+            **self._speed_status(now_seconds),
             "targets": {
                 target: {
                     "state": load.view.state.value,
@@ -489,7 +514,21 @@
                     "n_believed_levels": len(load.cache_estimate),
                     "window_tokens": round(load.window.tokens),
                     "slowness": round(load.slowness.now(now_seconds), 3),
+                    "rate_ratio": round(load.rate_ratio, 3),
                 }
                 for target, load in self.placement.loads.items()
             },
         }
+
+    def _speed_status(self, now_seconds: float) -> dict[str, object]:
+        states = [load.machine_state for load in self.placement.loads.values()]
+        rates = self.target_rates
+        return {
+            "target_rates": asdict(rates.condition),
+            "target_unevenness": round(rates.uneven.factor, 3),
+            "machine_states": asdict(needs_machine_states(states)),
+            "n_unusual_states": sum(
+                abs(math.log(state.momentary_ratio(now_seconds))) > NOTABLE_LOG
+                for state in states
+            ),
+        }
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -13,11 +13,13 @@
 from lycheepost.decide.backlog import Backlog
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.concurrency import Window
+from lycheepost.decide.machinestates import MachineState
 from lycheepost.decide.peerloads import NO_LOAD, DaemonLoad
 from lycheepost.decide.rates import Rates
 from lycheepost.decide.records import LoadReport, TargetView, Work
 from lycheepost.decide.requestpacer import RequestPacer
 from lycheepost.decide.slow import Slowness
+from lycheepost.decide.targetrates import DurationRatio
 
 HISTORY_SECONDS = 5.0
 """Load reports are at most a few seconds late."""
@@ -78,6 +80,9 @@
         peers_running: Requests of peers that run there.
         peers_load: The load that peers last reported there.
         slowness: Smoothed ratio of observed to predicted first-token time.
+        measured_ratio: Durations there compared with the group's, averaged over long.
+        rate_ratio: The ratio that decisions use; 1 while they use the group's rates.
+        machine_state: The momentary speed that the target states.
         has_peer_reports: Whether peers report their load there.
         rate_limiter: Its rate limit for this daemon; None while it sets no limit.
         backoff_until_seconds: End of the back-off that it asked this daemon for.
@@ -98,6 +103,9 @@
     peers_load: DaemonLoad = NO_LOAD
     reported_seconds: float = float("-inf")
     slowness: Slowness = field(default_factory=Slowness)
+    measured_ratio: DurationRatio = field(default_factory=DurationRatio)
+    rate_ratio: float = 1.0
+    machine_state: MachineState = field(default_factory=MachineState)
     has_peer_reports: bool = False
     rate_limiter: RequestPacer | None = None
     backoff_until_seconds: float = float("-inf")
@@ -111,6 +119,9 @@
             self.peers_running = 0.0
             self.peers_load = NO_LOAD
             self.slowness = Slowness()
+            self.measured_ratio = DurationRatio()
+            self.rate_ratio = 1.0
+            self.machine_state = MachineState()
             self.window = Window()
             self.backlog = Backlog()
         if view.weights_version != self.view.weights_version:
@@ -161,7 +172,22 @@
 
     def token_seconds(self, now_seconds: float) -> float:
         """Return the prefill time of one token."""
-        return self.rates.token_seconds * self.slowness.now(now_seconds)
+        return self.rates.token_seconds * self.duration_ratio(now_seconds)
+
+    def duration_ratio(self, now_seconds: float) -> float:
+        """Return how long work takes there now, compared with the group's rates."""
+        return self.slowness.now(now_seconds) * self._known_ratio(now_seconds)
+
+    def _known_ratio(self, now_seconds: float) -> float:
+        """Return the ratio without ``slowness``; 1 without target rates and states."""
+        return self.rate_ratio * self.machine_state.momentary_ratio(now_seconds)
+
+    def window_tokens(self, now_seconds: float) -> float:
+        """Return how many prompt tokens of all daemons may wait there.
+
+        A target that is known to read twice as fast may have twice as many waiting.
+        """
+        return SHARED_WINDOW_TOKENS / self._known_ratio(now_seconds)
 
     def _known_peer_load(self, now_seconds: float) -> tuple[float, float]:
         """Return the peers' tokens and requests there; zero if the report is old."""
@@ -246,7 +272,8 @@
             return False
         if self.has_peer_reports:
             token_seconds = self.token_seconds(now_seconds)
-            return self.backlog.left(token_seconds, now_seconds) < SHARED_WINDOW_TOKENS
+            left_tokens = self.backlog.left(token_seconds, now_seconds)
+            return left_tokens < self.window_tokens(now_seconds)
         # One request is always allowed: a long prompt may exceed the window.
         return not self.queued_tokens or self.queued_tokens < self.window.tokens
 
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -270,7 +270,7 @@
             prefill = uncached * token_seconds
             prefill += fetched * load.view.fetch_token_seconds
             wait = rates.first_token_seconds + ahead * token_seconds + prefill
-            wait *= load.slowness.now(now_seconds)
+            wait *= load.duration_ratio(now_seconds)
             if (
                 load.rate_limiter is not None
                 or load.backoff_until_seconds > now_seconds
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -20,6 +20,8 @@
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.group import Group
 from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.machinestates import StatedState, StateNews
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport, Quarantine
 from lycheepost.decide.records import (
@@ -64,6 +66,7 @@
         self._retry_terms = RetryTerms(settings.retry_share)
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
         self._notices = TargetNotices(self._group_by_target)
+        self._state_news = StateNews()
         self._losses: list[LossReport] = []
         self._is_draining = False
         self._now_seconds = 0.0
@@ -77,6 +80,7 @@
         for target in [name for name in self._group_by_target if name not in wanted]:
             self._group_by_target.pop(target).remove_target(target)
             self._notices.forget_limit(target)
+            self._state_news.forget(target)
         for view in targets:
             self._place_view(view, now_seconds)
         outcomes: list[Outcome] = []
@@ -99,6 +103,8 @@
             )
             self._notices.apply(view.target, now_seconds)
             return
+        if view.incarnation != load.view.incarnation:
+            self._state_news.forget(view.target)
         load.replace_view(view)
 
     def _group(self, name: TargetGroupId) -> Group:
@@ -268,6 +274,44 @@
         load = group.placement.loads[report.target]
         load.observe(report, group.placement.rates.uncached_share)
 
+    def observe_machine_state(
+        self,
+        target: TargetId,
+        incarnation: Incarnation,
+        percent: float,
+        now_seconds: float,
+    ) -> None:
+        """Apply the momentary speed that a target has stated.
+
+        Args:
+            target: The target.
+            incarnation: The incarnation that was sent the request.
+            percent: Duration of work on its machine, 100 being usual for a target.
+            now_seconds: The current time.
+        """
+        load = self._load(target)
+        if load is None or load.view.incarnation != incarnation:
+            return
+        if Mechanism.MACHINE_STATES in self._settings.switched_off:
+            return
+        load.machine_state.observe(percent, now_seconds)
+        self._state_news.note(target, load.machine_state)
+
+    def observe_peer_state(self, told: StatedState, now_seconds: float) -> None:
+        """Apply the momentary speed that a target has stated to a peer."""
+        load = self._load(told.target)
+        if load is None or Mechanism.MACHINE_STATES in self._settings.switched_off:
+            return
+        load.machine_state.observe_peer(told, now_seconds)
+
+    def take_state_news(self, now_seconds: float) -> tuple[StatedState, ...]:
+        """Return the momentary speeds to be sent to peers."""
+        return self._state_news.take(now_seconds)
+
+    def _load(self, target: TargetId) -> TargetLoad | None:
+        group = self._group_by_target.get(target)
+        return None if group is None else group.placement.loads[target]
+
     def set_limit(
         self, target: TargetId, per_second: float | None, now_seconds: float
     ) -> list[Outcome]:
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -112,11 +112,13 @@
 def decode_load(text: str) -> ReportedLoad | None:
     """Return the load that a server reports; None when the value is missing or invalid.
 
-    Some servers append more figures to these three; they are ignored.
+    Some servers append their momentary speed to these three. Further figures are
+    ignored, and so is a speed of 0, as no work takes no time.
     """
     match [parse_count(word) for word in text.split(",")]:
-        case [int(n_running), int(n_waiting), int(n_slots), *_]:
-            return ReportedLoad(n_running, n_waiting, n_slots)
+        case [int(n_running), int(n_waiting), int(n_slots), *rest]:
+            percent = rest[0] if rest else None
+            return ReportedLoad(n_running, n_waiting, n_slots, percent or None)
     return None
 
 
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -67,11 +67,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """The load that a target reports in a response."""
+    """The load that a target reports in a response.
+
+    Attributes:
+        duration_percent: How long work takes on its machine at this moment, 100 being
+            usual for a target; None if not stated.
+    """
 
     n_running: int
     n_waiting: int
     n_slots: int
+    duration_percent: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -47,6 +47,12 @@
     check_quota_counts,
     check_quota_document,
 )
+from fuzzspeeds import (
+    LOAD_HEADERS,
+    SPEED_LISTS,
+    check_load_header,
+    check_speeds,
+)
 from fuzzstrategies import JSON, NESTED, NESTED_MSGPACK, mutated, with_fields
 
 from lycheepost.app.settings import check_settings
@@ -365,6 +371,8 @@
     "answers of the platform's store": Edge(STORE_ANSWERS, check_store_answer),
     "rows of daemons and duties": Edge(MEMBER_ROWS, check_member_row),
     "peers' counts of quotas": Edge(QUOTA_COUNTS, check_quota_counts),
+    "loads that servers state": Edge(LOAD_HEADERS, check_load_header),
+    "peers' speeds of targets": Edge(SPEED_LISTS, check_speeds),
     "operators' quotas": Edge(QUOTA_DOCUMENTS, check_quota_document),
 }
 
