Count the bytes sent to peers in other zones, by kind of message

Nothing told what the traffic between zones is made of. Each daemon counts what it sends by kind and by whether it leaves the zone; status, gauges and the command lycheepost fleet traffic show it.

--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -35,6 +35,8 @@
     yield "claims_unsettled", status["claims"]["n_unsettled"]
     yield "peer_links", len(status["peers"]["links"])
     yield "peer_messages_dropped", status["peers"]["n_dropped"]
+    for kind, n_bytes in status["peers"]["bytes_by_kind"].items():
+        yield f"peer_bytes_other_zones.{kind}", n_bytes["other_zones"]
     yield "table_polls_failed", status["configuration"]["n_failed_polls"]
     yield "duties_held", sum(duty["is_held"] for duty in status["duties"])
 
--- a/lycheepost/commands/fleet.py
+++ b/lycheepost/commands/fleet.py
@@ -14,6 +14,7 @@
     Url,
     request,
 )
+from lycheepost.commands.peertraffic import traffic
 from lycheepost.operators.client import ApiConnection, ask_revisions
 
 app = typer.Typer(help="Daemons and targets.", no_args_is_help=True)
@@ -25,6 +26,7 @@
 
 
 app.command()(beliefs)
+app.command()(traffic)
 
 
 @app.command()
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -18,6 +18,7 @@
 from lycheepost.generated.messages import PeerFlood, PeerHeartbeat, PeerHello
 from lycheepost.peers.member_messages import to_peer_member
 from lycheepost.peers.neighbours import choose_neighbours, choose_probe
+from lycheepost.peers.traffic import PeerTraffic
 from lycheepost.peers.transport import Transport
 from lycheepost.peers.wire import (
     WireCounts,
@@ -99,6 +100,7 @@
         self._n_member_requests = 0
         self._task: asyncio.Task[None] | None = None
         self.counts = WireCounts()
+        self._traffic = PeerTraffic()
         self.n_replaced_links = 0
 
     async def start(self) -> None:
@@ -124,6 +126,7 @@
             "n_replaced_links": self.n_replaced_links,
             "bytes_out": self._transport.bytes_out,
             "bytes_in": self._transport.bytes_in,
+            "bytes_by_kind": self._traffic.status(),
             "n_dropped": self._transport.n_dropped,
             "unknown_kinds": dict(self.counts.unknown_kinds),
             "unknown_fields": dict(self.counts.unknown_fields),
@@ -156,13 +159,14 @@
 
     def send(self, daemon: DaemonId, message: Any) -> bool:
         """Send to one linked daemon; return False when the message was dropped."""
-        return self._send_data(daemon, encode_message(message))
+        return self._send_data(daemon, encode_message(message), kind_of(message))
 
     def send_to_each(self, daemons: Iterable[DaemonId], message: Any) -> None:
         """Send one message to several daemons, encoded once."""
         data = encode_message(message)
+        kind = kind_of(message)
         for daemon in daemons:
-            self._send_data(daemon, data)
+            self._send_data(daemon, data, kind)
 
     def send_revision(self) -> None:
         """Send the current revision on the links whose other end lacks it.
@@ -221,6 +225,7 @@
     def _choose_links(self, now_seconds: float) -> None:
         me = self._members.me().daemon
         members = self._members.members()
+        self._traffic.set_members(self._members.me().availability_zone, members)
         neighbours = choose_neighbours(me, members, self._fanout)
         peers = self._choose_peers(members)
         before, self._no_flood = (
@@ -351,17 +356,20 @@
             self._seen_floods.popitem(last=False)
         return True
 
-    def _send_to_links(self, message: Any, excluded: DaemonId | None) -> None:
-        data = encode_message(message)
+    def _send_to_links(self, flood: PeerFlood, excluded: DaemonId | None) -> None:
+        data = encode_message(flood)
         for daemon, link in list(self._links.items()):
             if daemon != excluded and self._is_flooded(daemon, link):
-                self._send_data(daemon, data)
+                self._send_data(daemon, data, flood.kind)
 
-    def _send_data(self, daemon: DaemonId, data: bytes) -> bool:
+    def _send_data(self, daemon: DaemonId, data: bytes, kind: str) -> bool:
         link = self._links.get(daemon)
         if link is not None:
             link.sent_seconds = self._clock.now_seconds()
-        return self._transport.send(daemon, data)
+        is_sent = self._transport.send(daemon, data)
+        if is_sent:
+            self._traffic.count(daemon, kind, len(data))
+        return is_sent
 
     def _pass_to_subscribers(self, message: Any, sender: DaemonId) -> None:
         for on_message in self._subscribers[type(message)]:
