--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import structlog
@@ -37,10 +37,27 @@
     yield "peer_messages_dropped", status["peers"]["n_dropped"]
     for kind, n_bytes in status["peers"]["bytes_by_kind"].items():
         yield f"peer_bytes_other_zones.{kind}", n_bytes["other_zones"]
+    yield from _speed_gauges(status["queues"]["groups"].values())
     yield "table_polls_failed", status["configuration"]["n_failed_polls"]
     yield "duties_held", sum(duty["is_held"] for duty in status["duties"])
 
 
+def _speed_gauges(groups: Iterable[dict[str, Any]]) -> Iterator[tuple[str, float]]:
+    groups = list(groups)
+    yield (
+        "groups_with_target_rates",
+        sum(group["target_rates"]["is_met"] for group in groups),
+    )
+    yield (
+        "target_unevenness",
+        max((group["target_unevenness"] for group in groups), default=1.0),
+    )
+    yield (
+        "targets_unusually_fast_or_slow",
+        sum(group["n_unusual_states"] for group in groups),
+    )
+
+
 def _count(states: dict[str, str], wanted: str) -> int:
     return sum(state == wanted for state in states.values())
 
