Count a target's speed once when its rates come into use

The smoothed slowness had already learnt the speed that a target's own ratio then stated, so the product was too small for fast targets until some ten first tokens had come.

--- a/features/bench/policy.feature
+++ b/features/bench/policy.feature
@@ -15,6 +15,7 @@
       | prairie    | hot_prefix     | 1000   | 0.5   | 40     |
       | prairie    | hot_shift      | 1000   | 0.5   | 40     |
       | prairie    | slow_target    | 995    | 0.5   | 60     |
+      | prairie    | uneven_targets | 995    | 0.5   | 80     |
       | prairie    | mixed_lengths  | 985    | 1.0   | 80     |
       | prairie    | engine_crash   | 985    | 1.0   | 80     |
       | prairie    | daemon_restart | 1000   | 1.05  | 40     |
--- a/features/decide/steps/uneven_steps.py
+++ b/features/decide/steps/uneven_steps.py
@@ -15,6 +15,7 @@
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.peerloads import NO_LOAD
 from lycheepost.decide.records import FinishKind
+from lycheepost.decide.slow import Slowness
 from lycheepost.decide.targetrates import (
     DurationRatio,
     TargetRates,
@@ -245,6 +246,17 @@
     context.values.append(measured.value())
 
 
+@when("a ratio of {ratio:g} becomes known of a target of slowness {before:g}")
+def step_known(context, ratio, before):
+    context.slowness = Slowness(before)
+    context.slowness.remove_explained(ratio)
+
+
+@then("its slowness is {after:g}")
+def step_slowness(context, after):
+    assert abs(context.slowness.value - after) < 1e-9, context.slowness
+
+
 @then("its ratio has fallen from above {high:g} to below {low:g}")
 def step_fallen(context, high, low):
     before, after = context.values
--- a/features/decide/uneven.feature
+++ b/features/decide/uneven.feature
@@ -34,6 +34,21 @@
     And all read equally fast and are sent the same for 120 seconds
     Then the slow target gets at least 15 in 100 of the requests in the last 20 seconds
 
+  Scenario Outline: A ratio of <ratio> becomes known of a target of slowness <before>
+    Guards against a speed that counts twice, once in each.
+    When a ratio of <ratio> becomes known of a target of slowness <before>
+    Then its slowness is <after>
+
+    Examples:
+      | ratio | before | after |
+      | 0.5   | 0.6    | 1     |
+      | 0.8   | 0.6    | 0.75  |
+      | 0.5   | 1      | 1     |
+      | 0.5   | 1.4    | 1.4   |
+      | 2     | 3      | 1.5   |
+      | 2     | 1.2    | 1     |
+      | 2     | 0.7    | 0.7   |
+
   Scenario: A target that gets no work is tried again
     Guards against a ratio that stays as only responses would change it.
     When a target was measured 60 times as 3 times slower and then not for 120 seconds
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -481,7 +481,7 @@
             load.measured_ratio.stated_log = stated_log
         self.target_rates.update([load.measured_ratio for load in loads], now_seconds)
         for load in loads:
-            load.rate_ratio = self.target_rates.ratio(load.measured_ratio)
+            load.set_rate_ratio(self.target_rates.ratio(load.measured_ratio))
 
     def _is_under_pressure(self, now_seconds: float) -> bool:
         """Return whether work waits because the group, not one target, is full."""
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -178,6 +178,12 @@
         """Return how long work takes there now, compared with the group's rates."""
         return self.slowness.now(now_seconds) * self._known_ratio(now_seconds)
 
+    def set_rate_ratio(self, ratio: float) -> None:
+        """Set the ratio to the group's rates that decisions use."""
+        if ratio != self.rate_ratio:
+            self.slowness.remove_explained(ratio / self.rate_ratio)
+            self.rate_ratio = ratio
+
     def _known_ratio(self, now_seconds: float) -> float:
         """Return the ratio without ``slowness``; 1 without target rates and states."""
         return self.rate_ratio * self.machine_state.momentary_ratio(now_seconds)
--- a/lycheepost/decide/slow.py
+++ b/lycheepost/decide/slow.py
@@ -45,3 +45,13 @@
             return value
         elapsed = now_seconds - self.observed_seconds
         return float(1.0 + (value - 1.0) * 0.5 ** (elapsed / DECAY_HALF_LIFE_SECONDS))
+
+    def remove_explained(self, ratio: float) -> None:
+        """Remove what a newly known ratio of the target's durations explains.
+
+        Otherwise it would count twice until the next dozen of first tokens.
+        """
+        if ratio < 1.0 and self.value < 1.0:
+            self.value = min(1.0, self.value / ratio)
+        elif ratio > 1.0 and self.value > 1.0:
+            self.value = max(1.0, self.value / ratio)
