Keep the targets' stated speeds out of the scheduler

decide/targetstates.py applies them to the groups and collects the news, as decide/targetnotices.py does with limits. Behaviour is unchanged.

--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -20,7 +20,7 @@
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.group import Group
 from lycheepost.decide.load import TargetLoad
-from lycheepost.decide.machinestates import StatedState, StateNews
+from lycheepost.decide.machinestates import StatedState
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport, Quarantine
@@ -37,6 +37,7 @@
 from lycheepost.decide.retry import RetryBudget, RetryTerms
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.targetnotices import TargetNotices
+from lycheepost.decide.targetstates import TargetStates
 from lycheepost.generated.engine import CacheEvent
 
 GONE_RETRY_SECONDS = 2.0
@@ -66,7 +67,10 @@
         self._retry_terms = RetryTerms(settings.retry_share)
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
         self._notices = TargetNotices(self._group_by_target)
-        self._state_news = StateNews()
+        self._states = TargetStates(
+            self._group_by_target,
+            Mechanism.MACHINE_STATES not in settings.switched_off,
+        )
         self._losses: list[LossReport] = []
         self._is_draining = False
         self._now_seconds = 0.0
@@ -80,7 +84,7 @@
         for target in [name for name in self._group_by_target if name not in wanted]:
             self._group_by_target.pop(target).remove_target(target)
             self._notices.forget_limit(target)
-            self._state_news.forget(target)
+            self._states.forget(target)
         for view in targets:
             self._place_view(view, now_seconds)
         outcomes: list[Outcome] = []
@@ -104,7 +108,7 @@
             self._notices.apply(view.target, now_seconds)
             return
         if view.incarnation != load.view.incarnation:
-            self._state_news.forget(view.target)
+            self._states.forget(view.target)
         load.replace_view(view)
 
     def _group(self, name: TargetGroupId) -> Group:
@@ -281,36 +285,16 @@
         percent: float,
         now_seconds: float,
     ) -> None:
-        """Apply the momentary speed that a target has stated.
-
-        Args:
-            target: The target.
-            incarnation: The incarnation that was sent the request.
-            percent: Duration of work on its machine, 100 being usual for a target.
-            now_seconds: The current time.
-        """
-        load = self._load(target)
-        if load is None or load.view.incarnation != incarnation:
-            return
-        if Mechanism.MACHINE_STATES in self._settings.switched_off:
-            return
-        load.machine_state.observe(percent, now_seconds)
-        self._state_news.note(target, load.machine_state)
+        """Apply the momentary speed that a target has stated, in percent."""
+        self._states.observe(target, incarnation, percent, now_seconds)
 
     def observe_peer_state(self, told: StatedState, now_seconds: float) -> None:
         """Apply the momentary speed that a target has stated to a peer."""
-        load = self._load(told.target)
-        if load is None or Mechanism.MACHINE_STATES in self._settings.switched_off:
-            return
-        load.machine_state.observe_peer(told, now_seconds)
+        self._states.observe_peer(told, now_seconds)
 
     def take_state_news(self, now_seconds: float) -> tuple[StatedState, ...]:
         """Return the momentary speeds to be sent to peers."""
-        return self._state_news.take(now_seconds)
-
-    def _load(self, target: TargetId) -> TargetLoad | None:
-        group = self._group_by_target.get(target)
-        return None if group is None else group.placement.loads[target]
+        return self._states.take_news(now_seconds)
 
     def set_limit(
         self, target: TargetId, per_second: float | None, now_seconds: float
