Let first-token times soon outweigh a stated speed

A stated speed weighed 120 observations, both as evidence that targets differ and as the prior of the ratio. The prior weighs 12 again.

--- a/lycheepost/decide/targetrates.py
+++ b/lycheepost/decide/targetrates.py
@@ -23,9 +23,12 @@
 GROUP_OBSERVATIONS = 12.0
 """Weight of the group's rates as the prior, in observations."""
 
-STATED_OBSERVATIONS = 120.0
-"""Weight of a stated speed as the prior, in observations: first-token times depend on
-much besides the speed."""
+STATED_OBSERVATIONS = 12.0
+"""Weight of a stated speed as the prior, in observations. Part of a first-token time
+doesn't depend on the speed, so that observations soon outweigh it."""
+
+STATED_EVIDENCE = 120.0
+"""Weight of a stated speed as evidence that targets differ, in observations."""
 
 INITIAL_VARIANCE = 0.36
 """Variance of the logarithm of one observation, until measured."""
@@ -99,17 +102,21 @@
             return 0.0
         return self.sum_square - self.sum_log * self.sum_log / self.n_observations
 
-    def evidence(self) -> "Evidence":
-        """Return the average of the observations and of the stated ratio."""
+    def evidence(self, stated_weight: float) -> "Evidence":
+        """Return the average of the observations and of the stated ratio.
+
+        Args:
+            stated_weight: Weight of the stated ratio, in observations.
+        """
         n_observations, sum_log = self.n_observations, self.sum_log
         if self.stated_log is not None:
-            n_observations += STATED_OBSERVATIONS
-            sum_log += STATED_OBSERVATIONS * self.stated_log
+            n_observations += stated_weight
+            sum_log += stated_weight * self.stated_log
         return Evidence(n_observations, sum_log / max(1e-9, n_observations))
 
     def value(self) -> float:
         """Return the ratio, drawn towards the prior by few observations."""
-        evidence = self.evidence()
+        evidence = self.evidence(STATED_OBSERVATIONS)
         n_observations = evidence.n_observations
         if self.stated_log is None:
             n_observations += GROUP_OBSERVATIONS
@@ -149,7 +156,7 @@
     """Compare the slowest quarter of the targets with the fastest."""
     known = [
         evidence
-        for evidence in (item.evidence() for item in ratios)
+        for evidence in (item.evidence(STATED_EVIDENCE) for item in ratios)
         if evidence.n_observations >= MIN_OBSERVATIONS
     ]
     if len(known) < 2:
