--- a/features/fuzz/fuzz.feature
+++ b/features/fuzz/fuzz.feature
@@ -28,3 +28,5 @@
       | peers' counts of quotas |
       | operators' quotas       |
       | records of quotas' use  |
+      | loads that servers state |
+      | peers' speeds of targets |
--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -48,6 +48,9 @@
     yield "claims_unsettled", status["claims"]["n_unsettled"]
     yield "peer_links", len(status["peers"]["links"])
     yield "peer_messages_dropped", status["peers"]["n_dropped"]
+    for kind, n_bytes in status["peers"]["bytes_by_kind"].items():
+        yield f"peer_bytes_other_zones.{kind}", n_bytes["other_zones"]
+    yield from _speed_gauges(status["queues"]["groups"].values())
     yield "table_polls_failed", status["configuration"]["n_failed_polls"]
     yield "duties_held", sum(duty["is_held"] for duty in status["duties"])
 
@@ -79,6 +82,22 @@
         yield f"refused_{reason.value}", sum(refused)
 
 
+def _speed_gauges(groups: Iterable[dict[str, Any]]) -> Iterator[tuple[str, float]]:
+    groups = list(groups)
+    yield (
+        "groups_with_target_rates",
+        sum(group["target_rates"]["is_met"] for group in groups),
+    )
+    yield (
+        "target_unevenness",
+        max((group["target_unevenness"] for group in groups), default=1.0),
+    )
+    yield (
+        "targets_unusually_fast_or_slow",
+        sum(group["n_unusual_states"] for group in groups),
+    )
+
+
 def _count(states: dict[str, str], wanted: str) -> int:
     return sum(state == wanted for state in states.values())
 
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -20,9 +20,10 @@
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.group import Group
 from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.machinestates import StatedState
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport, Quarantine
-from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
 from lycheepost.decide.records import (
     FinishKind,
     LoadReport,
@@ -36,6 +37,8 @@
 from lycheepost.decide.retry import RetryBudget, RetryTerms
 from lycheepost.decide.room import RoomNeed
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.targetnotices import TargetNotices
+from lycheepost.decide.targetstates import TargetStates
 from lycheepost.decide.waitingorder import OrderCondition
 from lycheepost.generated.engine import CacheEvent
 
@@ -65,9 +68,11 @@
         )
         self._retry_terms = RetryTerms(settings.retry_share)
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
-        self._limits: dict[TargetId, float] = {}
-        self._backoffs: dict[TargetId, float] = {}
-        self._n_sharing_limits = ASSUMED_DAEMONS
+        self._notices = TargetNotices(self._group_by_target)
+        self._states = TargetStates(
+            self._group_by_target,
+            Mechanism.MACHINE_STATES not in settings.switched_off,
+        )
         self._losses: list[LossReport] = []
         self._is_draining = False
         self._now_seconds = 0.0
@@ -77,10 +82,11 @@
     ) -> list[Outcome]:
         """Replace the targets and dispatch waiting requests."""
         wanted = {view.target: view for view in targets}
-        self._forget_backoffs(wanted, now_seconds)
+        self._notices.forget_backoffs(wanted, now_seconds)
         for target in [name for name in self._group_by_target if name not in wanted]:
             self._group_by_target.pop(target).remove_target(target)
-            self._limits.pop(target, None)
+            self._notices.forget_limit(target)
+            self._states.forget(target)
         for view in targets:
             self._place_view(view, now_seconds)
         outcomes: list[Outcome] = []
@@ -89,16 +95,6 @@
             outcomes.extend(group.dispatch_waiting(now_seconds))
         return outcomes
 
-    def _forget_backoffs(
-        self, targets: Collection[TargetId], now_seconds: float
-    ) -> None:
-        """Drop ended back-offs of absent targets; others stay in case of a return."""
-        self._backoffs = {
-            target: until_seconds
-            for target, until_seconds in self._backoffs.items()
-            if target in targets or until_seconds > now_seconds
-        }
-
     def _place_view(self, view: TargetView, now_seconds: float) -> None:
         group = self._group(view.target_group)
         before = self._group_by_target.get(view.target)
@@ -114,9 +110,10 @@
                 group.placement.rates,
                 room=group.placement.room,
             )
-            self._pass_limit(view.target, now_seconds)
-            self._pass_backoff(view.target)
+            self._notices.apply(view.target, now_seconds)
             return
+        if view.incarnation != load.view.incarnation:
+            self._states.forget(view.target)
         load.replace_view(view)
 
     def _group(self, name: TargetGroupId) -> Group:
@@ -292,6 +289,24 @@
         load = group.placement.loads[report.target]
         load.observe(report, group.placement.rates.uncached_share)
 
+    def observe_machine_state(
+        self,
+        target: TargetId,
+        incarnation: Incarnation,
+        percent: float,
+        now_seconds: float,
+    ) -> None:
+        """Apply the momentary speed that a target has stated, in percent."""
+        self._states.observe(target, incarnation, percent, now_seconds)
+
+    def observe_peer_state(self, told: StatedState, now_seconds: float) -> None:
+        """Apply the momentary speed that a target has stated to a peer."""
+        self._states.observe_peer(told, now_seconds)
+
+    def take_state_news(self, now_seconds: float) -> tuple[StatedState, ...]:
+        """Return the momentary speeds to be sent to peers."""
+        return self._states.take_news(now_seconds)
+
     def set_limit(
         self, target: TargetId, per_second: float | None, now_seconds: float
     ) -> list[Outcome]:
@@ -303,40 +318,17 @@
                 limit.
             now_seconds: The current time.
         """
-        self._limits.pop(target, None)
-        if per_second is not None:
-            self._limits[target] = per_second
-        self._pass_limit(target, now_seconds)
+        self._notices.set_limit(target, per_second, now_seconds)
         group = self._group_by_target.get(target)
         return [] if group is None else group.dispatch_waiting(now_seconds)
 
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send no requests to a target until ``until_seconds``, as it has asked."""
-        self._backoffs[target] = until_seconds
-        self._pass_backoff(target)
-
-    def _pass_backoff(self, target: TargetId) -> None:
-        """Pass a target's back-off to its group."""
-        group = self._group_by_target.get(target)
-        if group is not None and target in self._backoffs:
-            group.throttle.back_off(target, self._backoffs[target])
-
-    def _pass_limit(self, target: TargetId, now_seconds: float) -> None:
-        """Pass a target's rate limit to its group."""
-        group = self._group_by_target.get(target)
-        if group is not None:
-            per_second = self._limits.get(target)
-            group.throttle.set_limit(
-                target, per_second, self._n_sharing_limits, now_seconds
-            )
+        self._notices.back_off(target, until_seconds)
 
     def set_sharing_limits(self, n_daemons: int, now_seconds: float) -> None:
         """Set the number of daemons that the targets' limits are divided among."""
-        if n_daemons == self._n_sharing_limits:
-            return
-        self._n_sharing_limits = n_daemons
-        for target in self._limits:
-            self._pass_limit(target, now_seconds)
+        self._notices.set_sharing_limits(n_daemons, now_seconds)
 
     def set_peer_load(
         self, target: TargetId, load: DaemonLoad, now_seconds: float
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -21,6 +21,7 @@
 _UNAVAILABLE_STATUS = 503
 _LEAVING_VALUE = "1"
 _MILLISECONDS = 1000.0
+_MAX_DIGITS = 18
 
 
 class ServerDialect:
@@ -111,11 +112,13 @@
 def decode_load(text: str) -> ReportedLoad | None:
     """Return the load that a server reports; None when the value is missing or invalid.
 
-    Some servers append more figures to these three; they are ignored.
+    Some servers append their momentary speed to these three. Further figures are
+    ignored, and so is a speed of 0, as no work takes no time.
     """
     match [parse_count(word) for word in text.split(",")]:
-        case [int(n_running), int(n_waiting), int(n_slots), *_]:
-            return ReportedLoad(n_running, n_waiting, n_slots)
+        case [int(n_running), int(n_waiting), int(n_slots), *rest]:
+            percent = rest[0] if rest else None
+            return ReportedLoad(n_running, n_waiting, n_slots, percent or None)
     return None
 
 
@@ -153,10 +156,11 @@
     """Return a whole number >= 0; None when ``text`` is not one.
 
     A negative count would make a load or a prompt appear to free capacity that other
-    requests use.
+    requests use. Python raises an error for numbers of several thousand digits.
     """
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    is_count = len(text) <= _MAX_DIGITS and text.isascii() and text.isdigit()
+    return int(text) if is_count else None
 
 
 def header_int(headers: Mapping[str, str], name: str) -> int | None:
