--- a/features/decide/quotas.feature
+++ b/features/decide/quotas.feature
@@ -32,6 +32,7 @@
     When 77 daemons and 16 customers play "all killed beside a flood" with seeds 1 to 3
     Then the worst window holds at most what is tolerated
     And at most 10 in 1000 requests of customers inside their quotas are refused
+    And at most 10 in 1000 owed requests of the customers beside it are refused
 
   Scenario Outline: <n> daemons keep to it as well
     Guards against a share of unreachable daemons that is right for ten daemons only: a
--- a/features/decide/steps/quotas_steps.py
+++ b/features/decide/steps/quotas_steps.py
@@ -86,6 +86,16 @@
         assert n_refused * n <= most * n_asked, (n_refused, n_asked)
 
 
+@then("at most {most:d} in {n:d} owed requests of the customers beside it are refused")
+def step_owed(context, most, n):
+    for plan, audit in context.plays:
+        others = [name for name in plan.quotas if name != LARGE]
+        n_owed = sum(audit.n_requests[name] - audit.n_beyond[name] for name in others)
+        n_refused = sum(audit.n_owed_refused[name] for name in others)
+        assert n_owed > 1000, n_owed
+        assert n_refused * n <= most * n_owed, (n_refused, n_owed)
+
+
 @then(
     "the windows that begin {seconds:g} s after the change"
     " hold at most what is tolerated"
