Pauses of streams: long prompts on reading engines, and a budget of reading

One short stream in nine paused beyond its gap objective because long prompts were read beside it wherever their prefix or a free slot was. Long prompts now go to reading engines, as few as their demand needs, and every placement costs the responses that it is expected to pause. In force only where two long prompts take longer to read than the tightest gap objective.

--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from lycheepost.callers.pauselog import PauseLog
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -65,6 +66,7 @@
         self._on_suspect: Callable[[TargetId], None] | None = None
         self._ticker: asyncio.Task[None] | None = None
         self._has_work = asyncio.Event()
+        self._pause_log = PauseLog()
 
     async def start(self) -> None:
         """Start the tick."""
@@ -267,7 +269,9 @@
         while True:
             await self._pause()
             try:
-                self._deliver(self._scheduler.tick(self._clock.now_seconds()))
+                now_seconds = self._clock.now_seconds()
+                self._deliver(self._scheduler.tick(now_seconds))
+                self._pause_log.update(self._scheduler.pause_statuses(), now_seconds)
             except Exception:
                 # Without further ticks, queued requests would wait forever.
                 _log.exception("dispatch: the tick failed")
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -257,9 +257,18 @@
         now_seconds = self._deps.clock.now_seconds()
         if self._last_write_seconds is not None:
             gap_seconds = round(now_seconds - self._last_write_seconds, 4)
+            self._count_pause(gap_seconds)
             self.longest_gap_seconds = max(self.longest_gap_seconds, gap_seconds)
         self._last_write_seconds = now_seconds
 
+    def _count_pause(self, gap_seconds: float) -> None:
+        """Count a stream at its first pause beyond its objective."""
+        limit_seconds = self._route.gap_seconds
+        if 0.0 < limit_seconds < gap_seconds and (
+            self.longest_gap_seconds <= limit_seconds
+        ):
+            self._deps.metrics.count("streams_paused")
+
     async def _finish_stream(self, head: ResponseHead) -> None:
         if not self.has_begun:
             self._note_begun()
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -22,6 +22,7 @@
     benchcapacity,
     benchcontrol,
     benchlimit,
+    benchpauses,
     benchquota,
     benchrelay,
 )
@@ -35,6 +36,7 @@
 app.command()(benchcontrol.control)
 app.command()(benchbackoff.backoff)
 app.command()(benchlimit.limit)
+app.command()(benchpauses.pauses)
 app.command()(benchquota.quota)
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -143,6 +143,7 @@
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
         """Dispatch, queue or refuse one request."""
+        self.placement.pauses.observe(work, now_seconds)
         choice = self._choose(work, now_seconds, self._awaited)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
@@ -481,6 +482,7 @@
             "queued_cost_seconds": round(self.queue.queued_cost_seconds, 3),
             "service_rate": round(self._rate.per_second(), 3),
             "pressure": round(self.placement.pressure, 3),
+            "pauses": self.placement.pauses.status().to_dict(),
             "targets": {
                 target: {
                     "state": load.view.state.value,
--- a/lycheepost/decide/mechanisms.py
+++ b/lycheepost/decide/mechanisms.py
@@ -32,6 +32,12 @@
     PAUSE_GUARD = "pause_guard"
     """Prompts are kept from engines where they would pause streams beyond their gap
     objective; off: placement ignores streams."""
+    READING_ENGINES = "reading_engines"
+    """Long prompts go to few engines and streams to the others; off: only the budget
+    of reading keeps them apart."""
+    READING_BUDGET = "reading_budget"
+    """A placement costs the streams that it is expected to pause; off: only the reading
+    engines keep them apart."""
     SLACK_ORDER = "slack_order"
     """Waiting requests of all customers are ordered by their slack inside fair shares;
     off: by virtual time alone."""
--- /dev/null
+++ b/lycheepost/decide/pauses.py
@@ -0,0 +1,311 @@
+"""Keeps long prompts from pausing streams for longer than their gap objective.
+
+Engines read a prompt in pieces between the tokens of running streams. An event of a
+stream holds several tokens, each of which waits for a piece, so the pause before an
+event grows with what the engine has to read.
+
+Long prompts go to reading engines first (``decide.readingengines``), streams and short
+prompts to the others. Besides, each placement costs as many late responses as it is
+expected to make, by a budget of reading for each engine: the gap objective less the
+time that the event's own tokens take. Nothing is forbidden: if all engines are full, or
+the prompt would itself be late, it is placed all the same.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import asdict, dataclass
+
+from lycheepost.core.ids import TargetId
+from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.rates import Rates
+from lycheepost.decide.readingengines import ReadingEngines
+from lycheepost.decide.records import Work
+from lycheepost.decide.ring import Ring
+
+LONG_SHARE = 0.25
+"""A prompt counts as long if it takes at least this share of the gap objective to read:
+several such prompts in a row pause streams for too long."""
+
+N_PROMPTS_IN_A_ROW = 2
+"""Long prompts that an engine reads one after the other often enough to matter."""
+
+OFF_SHARE = 0.8
+"""Share of the bound below which the guard is given up again, so that variations of the
+measured rates do not switch it."""
+
+EVENT_TOKEN_SECONDS = 0.01
+"""Time between two tokens of a loaded engine that reads no prompt."""
+
+MIN_BUDGET_SHARE = 0.25
+"""Least part of the gap objective that is left for reading."""
+
+TYPICAL_GAIN = 0.05
+"""Weight of one prompt in the typical long prompt."""
+
+MEMORY_SECONDS = 60.0
+"""Gap objectives and long prompts of routes that nobody has called for this long no
+longer count."""
+
+UPDATE_SECONDS = 0.1
+"""Interval at which the reading engines follow the demand: less than one long prompt
+takes to read and more than loads take from daemon to daemon."""
+
+READING_ENGINE_RISK = 0.5
+"""Chance that a stream on a reading engine is paused for too long. Streams run for
+seconds, in which several long prompts arrive there."""
+
+LESS_URGENT_WEIGHT = 0.5
+"""Weight of streams that are less urgent than the prompt that would pause them."""
+
+MAX_LOAD_AGE_SECONDS = 1.0
+"""Streams in older reports of peers have probably ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """Whether the guard takes effect, and why."""
+
+    is_met: bool
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PauseStatus:
+    """State of the guard, for logs and status pages."""
+
+    is_on: bool
+    reason: str
+    n_reading_engines: int
+
+    def to_dict(self) -> dict[str, object]:
+        """Return the fields by name."""
+        return asdict(self)
+
+
+def check_condition(
+    gap_seconds: float | None,
+    long_tokens: float | None,
+    token_seconds: float,
+    was_met: bool,
+) -> Condition:
+    """Return whether long prompts can pause streams for longer than they may wait.
+
+    Args:
+        gap_seconds: The tightest gap objective of recent streams; None for none.
+        long_tokens: Size of a typical long prompt; None if there are none.
+        token_seconds: Time to read one token.
+        was_met: Whether the condition held before.
+    """
+    if gap_seconds is None:
+        return Condition(False, "no stream has a gap objective")
+    if long_tokens is None:
+        return Condition(False, "no prompt is long")
+    pause_seconds = N_PROMPTS_IN_A_ROW * long_tokens * token_seconds
+    bound_seconds = gap_seconds * (OFF_SHARE if was_met else 1.0)
+    is_met = pause_seconds > bound_seconds
+    relation = "more" if is_met else "no more"
+    return Condition(
+        is_met,
+        f"{N_PROMPTS_IN_A_ROW} long prompts of {long_tokens:.0f} tokens take "
+        f"{pause_seconds:.2f} s to read, {relation} than {bound_seconds:.2f} s",
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class PauseCosts:
+    """What a placement of one request costs by the pauses that it makes.
+
+    Attributes:
+        late_seconds: Cost of one late response, as seconds of this request's wait: a
+            request that waits for its whole objective is itself late.
+        is_long: Whether its prompt is long.
+        is_stream: Whether it has a gap objective.
+        stream_weight: Weight of the streams that it would pause.
+    """
+
+    gap_seconds: float
+    late_seconds: float
+    is_long: bool
+    is_stream: bool
+    stream_weight: float
+    reading_engines: frozenset[TargetId]
+    has_budget: bool
+
+    def cost_seconds(
+        self, load: TargetLoad, own_seconds: float, now_seconds: float
+    ) -> float:
+        """Return the cost of a placement.
+
+        Args:
+            load: The target.
+            own_seconds: How long the target would take to read the prompt.
+            now_seconds: The current time.
+        """
+        is_reading_engine = load.view.target in self.reading_engines
+        n_late = 0.0
+        if self.reading_engines and not self.is_long and is_reading_engine:
+            n_late += READING_ENGINE_RISK if self.is_stream else 0.0
+        if not self.has_budget:
+            if self.reading_engines and self.is_long and not is_reading_engine:
+                n_late += 1.0
+            return n_late * self.late_seconds
+        budget_seconds = reading_budget_seconds(self.gap_seconds, load)
+        reading_seconds = load.reading_seconds(now_seconds)
+        before = late_risk(reading_seconds, budget_seconds)
+        after = late_risk(reading_seconds + own_seconds, budget_seconds)
+        n_streams = float(_count_streams(load, now_seconds))
+        if self.reading_engines and self.is_long and not is_reading_engine:
+            # Streams are sent there at any time, also before this daemon hears of them.
+            n_streams += 1.0
+        n_late += (after - before) * n_streams * self.stream_weight
+        # Responses of the prompts that are read before this one wait for this one only.
+        n_reading = max(0.0, load.estimate(now_seconds)[1] - n_streams)
+        n_late += late_risk(own_seconds, budget_seconds) * n_reading
+        if self.is_stream:
+            n_late += before
+        return n_late * self.late_seconds
+
+
+def reading_budget_seconds(gap_seconds: float, load: TargetLoad) -> float:
+    """Return how long an engine may read between two events of its streams."""
+    own_seconds = load.view.event_tokens * EVENT_TOKEN_SECONDS
+    return max(MIN_BUDGET_SHARE * gap_seconds, gap_seconds - own_seconds)
+
+
+def late_risk(reading_seconds: float, budget_seconds: float) -> float:
+    """Return the chance that a stream pauses for too long beside some reading.
+
+    At the budget the chance is even. Below it falls with the square: engines turn slow
+    for moments, and prompts of daemons that have not reported yet are read besides.
+    """
+    use = reading_seconds / budget_seconds
+    return min(1.0, 0.5 * use * use)
+
+
+def _count_streams(load: TargetLoad, now_seconds: float) -> int:
+    if now_seconds - load.reported_seconds > MAX_LOAD_AGE_SECONDS:
+        return load.n_streams
+    return load.all_streams()
+
+
+class PauseGuard:
+    """Pause costs within one target group.
+
+    Args:
+        rates: Measured rates of the group.
+        switched_off: Disabled mechanisms.
+    """
+
+    def __init__(self, rates: Rates, switched_off: frozenset[Mechanism]) -> None:
+        self._rates = rates
+        self._is_enabled = Mechanism.PAUSE_GUARD not in switched_off
+        self._has_reading_engines = Mechanism.READING_ENGINES not in switched_off
+        self._has_budget = Mechanism.READING_BUDGET not in switched_off
+        self.reading_engines = ReadingEngines()
+        reason = "no traffic" if self._is_enabled else "switched off"
+        self.condition = Condition(False, reason)
+        self._gap_seconds: float | None = None
+        self._gap_seen_seconds = float("-inf")
+        self._long_tokens: float | None = None
+        self._long_seen_seconds = float("-inf")
+        self._stream_rank = 0.0
+        self._updated_seconds = float("-inf")
+
+    @property
+    def is_on(self) -> bool:
+        """Return whether placements cost pauses now."""
+        return self.condition.is_met
+
+    def observe(self, work: Work, now_seconds: float) -> None:
+        """Learn from a request that has arrived."""
+        if not self._is_enabled or work.gap_seconds <= 0.0:
+            return
+        if self._gap_seconds is None or work.gap_seconds <= self._gap_seconds:
+            self._gap_seconds = work.gap_seconds
+            self._gap_seen_seconds = now_seconds
+        if not self._is_long(work):
+            self._stream_rank += TYPICAL_GAIN * (work.rank - self._stream_rank)
+            return
+        self._long_seen_seconds = now_seconds
+        if self._long_tokens is None:
+            self._long_tokens = float(work.prompt_tokens)
+        difference = work.prompt_tokens - self._long_tokens
+        self._long_tokens += TYPICAL_GAIN * difference
+
+    def _is_long(self, work: Work) -> bool:
+        if self._gap_seconds is None:
+            return False
+        own_seconds = work.prompt_tokens * self._rates.token_seconds
+        return own_seconds >= LONG_SHARE * self._gap_seconds
+
+    def replace_targets(self, targets: Iterable[TargetId]) -> None:
+        """Set the engines that take new work."""
+        if self.is_on and self._has_reading_engines:
+            self.reading_engines.replace(targets)
+
+    def update(
+        self,
+        targets: Iterable[TargetId],
+        is_reading: Callable[[TargetId], bool],
+        now_seconds: float,
+    ) -> None:
+        """Check the condition and follow the demand, each ``UPDATE_SECONDS``.
+
+        Args:
+            targets: The engines that take new work.
+            is_reading: Returns whether an engine is reading a prompt.
+            now_seconds: The current time.
+        """
+        elapsed_seconds = now_seconds - self._updated_seconds
+        if not self._is_enabled or elapsed_seconds < UPDATE_SECONDS:
+            return
+        self._updated_seconds = now_seconds
+        self._forget(now_seconds)
+        was_on = self.is_on
+        self.condition = check_condition(
+            self._gap_seconds, self._long_tokens, self._rates.token_seconds, was_on
+        )
+        if not self.is_on:
+            if was_on:
+                self.reading_engines.clear()
+            return
+        if not was_on:
+            self.replace_targets(targets)
+        self.reading_engines.update(is_reading, now_seconds)
+
+    def _forget(self, now_seconds: float) -> None:
+        if now_seconds - self._gap_seen_seconds > MEMORY_SECONDS:
+            self._gap_seconds = None
+        if now_seconds - self._long_seen_seconds > MEMORY_SECONDS:
+            self._long_tokens = None
+
+    def costs(self, work: Work) -> PauseCosts | None:
+        """Return the pause costs of a request; None while there are none."""
+        if not self.is_on or self._gap_seconds is None:
+            return None
+        is_more_urgent = work.rank < round(self._stream_rank)
+        return PauseCosts(
+            gap_seconds=self._gap_seconds,
+            late_seconds=min(work.objective_seconds, work.first_token_timeout_seconds),
+            is_long=self._is_long(work),
+            is_stream=work.gap_seconds > 0.0,
+            stream_weight=LESS_URGENT_WEIGHT if is_more_urgent else 1.0,
+            reading_engines=self.reading_engines.targets,
+            has_budget=self._has_budget,
+        )
+
+    def suitable(self, costs: PauseCosts) -> Sequence[TargetId]:
+        """Return the engines that suit a request; empty if all do."""
+        if costs.is_long:
+            return self.reading_engines.ordered
+        return self.reading_engines.others
+
+    def ring_for(self, costs: PauseCosts) -> Ring | None:
+        """Return the ring of the engines that suit a request; None if all do."""
+        engines = self.reading_engines
+        return engines.ring if costs.is_long and engines.targets else None
+
+    def status(self) -> PauseStatus:
+        """Return whether the guard is on, why, and the number of reading engines."""
+        n_reading_engines = len(self.reading_engines.ordered)
+        return PauseStatus(self.is_on, self.condition.reason, n_reading_engines)
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -1,7 +1,8 @@
 """Placement: chooses the target with the lowest predicted cost for a request.
 
 Cost = predicted time to the first token, plus the prefill that another target would
-avoid, each by the deployment's weight, plus the target's penalty. Some deployments give
+avoid, each by the deployment's weight, plus the target's penalty, plus the pauses that
+it makes in streams (``decide.pauses``). Some deployments give
 more weight to the wait, others to the recomputation. Owners are the first targets of a
 prefix on the ring; holders are targets that were recently sent it. Under pressure
 avoidable prefill costs more: otherwise each request that finds its owner full is
@@ -15,10 +16,11 @@
 import random
 from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lycheepost.core.ids import PrefixDigest, TargetId
 from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.pauses import PauseCosts, PauseGuard
 from lycheepost.decide.rates import make_rates
 from lycheepost.decide.records import PrefixLevel, TargetState, Work
 from lycheepost.decide.ring import Ring
@@ -48,6 +50,11 @@
 RANDOM_CANDIDATES = 2
 """Two random targets are added, in case all owners and holders are full."""
 
+MAX_HOLD_SHARE = 0.5
+"""Largest part of its objective after which a request is predicted to have its first
+token from a target that it waits for to spare streams a pause. Predictions of waits are
+low by half where demand rises quickly."""
+
 HOLDERS_PER_DIGEST = 6
 """Most recent holders remembered per prefix."""
 
@@ -120,6 +127,7 @@
         self._serving: list[TargetLoad] = []
         self._serving_by_id: dict[TargetId, TargetLoad] = {}
         self.rates = make_rates(settings)
+        self.pauses = PauseGuard(self.rates, settings.switched_off)
         self.pressure = 0.0
 
     def refresh(self) -> None:
@@ -127,6 +135,7 @@
         self._serving = [load for load in self.loads.values() if _takes_new_work(load)]
         self._serving_by_id = {load.view.target: load for load in self._serving}
         self._ring.replace(set(self._serving_by_id))
+        self.pauses.replace_targets(self._serving_by_id)
 
     def serving(self) -> list[TargetId]:
         """Return the targets that take new work, in the same order on every daemon."""
@@ -175,7 +184,9 @@
         while len(self._holders) > MAX_HELD_DIGESTS:
             self._holders.popitem(last=False)
 
-    def _candidates(self, work: Work, owners: Sequence[TargetId]) -> list[TargetLoad]:
+    def _candidates(
+        self, work: Work, owners: Sequence[TargetId], costs: PauseCosts | None
+    ) -> list[TargetLoad]:
         if len(self._serving) <= SCORE_ALL_TARGETS:
             return self._serving
         names = list(owners)
@@ -186,11 +197,25 @@
         del names[self._settings.candidates :]
         serving = self._serving_by_id
         loads = {name: serving[name] for name in names if name in serving}
-        for _ in range(RANDOM_CANDIDATES):
-            load = self._serving[int(self._rng.random() * len(self._serving))]
+        for load in self._draw(costs):
             loads[load.view.target] = load
         return list(loads.values())
 
+    def _draw(self, costs: PauseCosts | None) -> list[TargetLoad]:
+        """Return random targets that suit a request."""
+        suitable = () if costs is None else self.pauses.suitable(costs)
+        if not suitable:
+            n_serving = len(self._serving)
+            return [
+                self._serving[int(self._rng.random() * n_serving)]
+                for _ in range(RANDOM_CANDIDATES)
+            ]
+        names = [
+            suitable[int(self._rng.random() * len(suitable))]
+            for _ in range(RANDOM_CANDIDATES)
+        ]
+        return [self._serving_by_id[name] for name in names]
+
     def best(
         self,
         work: Work,
@@ -208,8 +233,13 @@
             waiting_ahead: Requests ahead in the queue, by the target they wait for.
             ignores_pressure: Leave out the price of recomputation under pressure.
         """
-        owners = self._ring.owners(_owner_key(work), MAX_OWNER_STEPS)
-        usable = _usable(self._candidates(work, owners), work, avoid)
+        self._update_pauses(now_seconds)
+        costs = self.pauses.costs(work)
+        ring = (
+            self._ring if costs is None else self.pauses.ring_for(costs) or self._ring
+        )
+        owners = ring.owners(_owner_key(work), MAX_OWNER_STEPS)
+        usable = _usable(self._candidates(work, owners, costs), work, avoid)
         free = _not_throttled(usable, now_seconds)
         if not free:
             # All candidates are excluded or throttled. This is rare, so every target
@@ -218,11 +248,33 @@
             free = _not_throttled(usable, now_seconds)
         if not usable:
             return None
-        chosen_from = free or usable
-        return self._cheapest(
-            chosen_from, owners, now_seconds, waiting_ahead, work, ignores_pressure
+        candidates = _Candidates(free or usable, owners, waiting_ahead)
+        choice = self._cheapest(candidates, now_seconds, work, ignores_pressure, costs)
+        if costs is None or choice.can_take or _may_hold(work, choice, now_seconds):
+            return choice
+        candidates = self._with_capacity(candidates, now_seconds)
+        if not candidates.usable:
+            return choice
+        return self._cheapest(candidates, now_seconds, work, ignores_pressure, costs)
+
+    def _update_pauses(self, now_seconds: float) -> None:
+        self.pauses.update(
+            self._serving_by_id,
+            lambda target: self._serving_by_id[target].estimate(now_seconds)[0] > 0.0,
+            now_seconds,
         )
 
+    def _with_capacity(
+        self, candidates: "_Candidates", now_seconds: float
+    ) -> "_Candidates":
+        """Return the candidates that have capacity now."""
+        usable = [
+            item
+            for item in candidates.usable
+            if item[0].has_capacity(item[0].estimate(now_seconds)[1], now_seconds)
+        ]
+        return replace(candidates, usable=usable)
+
     def _step_seconds(self, work: Work) -> float:
         """Return the cost of a step away from the first owner.
 
@@ -236,12 +288,11 @@
 
     def _cheapest(
         self,
-        usable: list[tuple[TargetLoad, int, int]],
-        owners: list[TargetId],
+        candidates: "_Candidates",
         now_seconds: float,
-        waiting_ahead: WaitingByTarget,
         work: Work,
         ignores_pressure: bool,
+        costs: PauseCosts | None,
     ) -> Choice:
         """Return the placement with the lowest cost.
 
@@ -249,6 +300,8 @@
         request, 100 per second in a daemon, and for waiting requests whenever capacity
         becomes free.
         """
+        usable, owners = candidates.usable, candidates.owners
+        waiting_ahead = candidates.waiting_ahead
         rates = self.rates
         token_seconds = rates.token_seconds
         wait_weight = self._settings.wait_weight
@@ -270,7 +323,8 @@
             prefill = uncached * token_seconds
             prefill += fetched * load.view.fetch_token_seconds
             wait = rates.first_token_seconds + ahead * token_seconds + prefill
-            wait *= load.slowness.now(now_seconds)
+            slowness = load.slowness.now(now_seconds)
+            wait *= slowness
             if (
                 load.rate_limiter is not None
                 or load.backoff_until_seconds > now_seconds
@@ -286,6 +340,8 @@
                 + steps * step_seconds
                 + load.view.penalty_seconds
             )
+            if costs is not None and score < best_score:
+                score += costs.cost_seconds(load, prefill * slowness, now_seconds)
             if score < best_score:
                 best_score = score
                 best = (load, uncached, wait, ahead, n_running)
@@ -298,6 +354,28 @@
         return Choice(load, wait, cached, uncached, ahead, can_take, throttled_seconds)
 
 
+@dataclass(frozen=True, slots=True)
+class _Candidates:
+    """What a placement is chosen from.
+
+    Attributes:
+        usable: Targets with the tokens that each must prefill and fetch.
+        owners: The first targets of the prefix, from the ring.
+        waiting_ahead: Requests ahead in the queue, by the target they wait for.
+    """
+
+    usable: list[tuple[TargetLoad, int, int]]
+    owners: list[TargetId]
+    waiting_ahead: WaitingByTarget
+
+
+def _may_hold(work: Work, choice: Choice, now_seconds: float) -> bool:
+    """Return whether a request may wait for a target to spare streams a pause."""
+    waited_seconds = now_seconds - work.arrived_seconds
+    longest_seconds = MAX_HOLD_SHARE * work.objective_seconds
+    return waited_seconds + choice.wait_seconds <= longest_seconds
+
+
 def _usable(
     loads: Sequence[TargetLoad],
     work: Work,
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -20,6 +20,7 @@
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.group import Group
 from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.pauses import PauseStatus
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport, Quarantine
 from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
@@ -436,6 +437,13 @@
         self._forget_refused(outcomes)
         return outcomes
 
+    def pause_statuses(self) -> dict[TargetGroupId, PauseStatus]:
+        """Return the state of each group's pause guard."""
+        return {
+            name: group.placement.pauses.status()
+            for name, group in self._groups.items()
+        }
+
     def status(self) -> dict[str, object]:
         """Return queues and loads for ``/admin/status``."""
         return {
