--- a/lycheepost/decide/pauses.py
+++ b/lycheepost/decide/pauses.py
@@ -11,7 +11,8 @@
 the prompt would itself be late, it is placed all the same.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+import math
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import asdict, dataclass
 
 from lycheepost.core.ids import TargetId
@@ -29,7 +30,7 @@
 N_PROMPTS_IN_A_ROW = 2
 """Long prompts that an engine reads one after the other often enough to matter."""
 
-OFF_SHARE = 0.8
+OFF_SHARE = 0.9
 """Share of the bound below which the guard is given up again, so that variations of the
 measured rates do not switch it."""
 
@@ -46,6 +47,21 @@
 """Gap objectives and long prompts of routes that nobody has called for this long no
 longer count."""
 
+SHORT_GAIN = 0.02
+"""Weight of one request in the share of short prompts."""
+
+MIN_SHORT_SHARE = 0.2
+GIVE_UP_SHORT_SHARE = 0.1
+"""Reading engines are chosen while short prompts are at least this share of all: with
+fewer, they only crowd the long ones."""
+
+READING_SHARE = 0.5
+"""An engine counts as reading if it has this share of a long prompt to read; less is
+that of a short prompt."""
+
+MAX_STREAMS_SHARE = 0.6
+"""Share of the requests that an engine may run which its streams should take."""
+
 UPDATE_SECONDS = 0.1
 """Interval at which the reading engines follow the demand: less than one long prompt
 takes to read and more than loads take from daemon to daemon."""
@@ -118,6 +134,7 @@
     Attributes:
         late_seconds: Cost of one late response, as seconds of this request's wait: a
             request that waits for its whole objective is itself late.
+        waited_seconds: How long this request has waited.
         is_long: Whether its prompt is long.
         is_stream: Whether it has a gap objective.
         stream_weight: Weight of the streams that it would pause.
@@ -125,6 +142,7 @@
 
     gap_seconds: float
     late_seconds: float
+    waited_seconds: float
     is_long: bool
     is_stream: bool
     stream_weight: float
@@ -132,17 +150,22 @@
     has_budget: bool
 
     def cost_seconds(
-        self, load: TargetLoad, own_seconds: float, now_seconds: float
+        self,
+        load: TargetLoad,
+        own_seconds: float,
+        wait_seconds: float,
+        now_seconds: float,
     ) -> float:
         """Return the cost of a placement.
 
         Args:
             load: The target.
             own_seconds: How long the target would take to read the prompt.
+            wait_seconds: Predicted time to the first token.
             now_seconds: The current time.
         """
         is_reading_engine = load.view.target in self.reading_engines
-        n_late = 0.0
+        n_late = late_risk(self.waited_seconds + wait_seconds, self.late_seconds)
         if self.reading_engines and not self.is_long and is_reading_engine:
             n_late += READING_ENGINE_RISK if self.is_stream else 0.0
         if not self.has_budget:
@@ -172,13 +195,13 @@
     return max(MIN_BUDGET_SHARE * gap_seconds, gap_seconds - own_seconds)
 
 
-def late_risk(reading_seconds: float, budget_seconds: float) -> float:
-    """Return the chance that a stream pauses for too long beside some reading.
+def late_risk(predicted_seconds: float, limit_seconds: float) -> float:
+    """Return the chance that something takes longer than its limit.
 
-    At the budget the chance is even. Below it falls with the square: engines turn slow
+    At the limit the chance is even. Below it falls with the square: engines turn slow
     for moments, and prompts of daemons that have not reported yet are read besides.
     """
-    use = reading_seconds / budget_seconds
+    use = predicted_seconds / limit_seconds
     return min(1.0, 0.5 * use * use)
 
 
@@ -209,7 +232,11 @@
         self._long_tokens: float | None = None
         self._long_seen_seconds = float("-inf")
         self._stream_rank = 0.0
+        self._short_share = 0.0
+        self._n_requests = 0
+        self._n_long = 0
         self._updated_seconds = float("-inf")
+        self._is_separating = False
 
     @property
     def is_on(self) -> bool:
@@ -223,37 +250,45 @@
         if self._gap_seconds is None or work.gap_seconds <= self._gap_seconds:
             self._gap_seconds = work.gap_seconds
             self._gap_seen_seconds = now_seconds
-        if not self._is_long(work):
+        is_long = self._is_long(work)
+        self._n_requests += 1
+        gain = max(SHORT_GAIN, 1.0 / self._n_requests)
+        self._short_share += gain * ((not is_long) - self._short_share)
+        if is_long:
+            self._note_long(work.prompt_tokens, now_seconds)
+        else:
             self._stream_rank += TYPICAL_GAIN * (work.rank - self._stream_rank)
-            return
+
+    def _note_long(self, prompt_tokens: int, now_seconds: float) -> None:
+        """Learn the typical long prompt: at first the mean, then a moving one."""
         self._long_seen_seconds = now_seconds
-        if self._long_tokens is None:
-            self._long_tokens = float(work.prompt_tokens)
-        difference = work.prompt_tokens - self._long_tokens
-        self._long_tokens += TYPICAL_GAIN * difference
+        self._n_long += 1
+        before_tokens = self._long_tokens or 0.0
+        gain = max(TYPICAL_GAIN, 1.0 / self._n_long)
+        self._long_tokens = before_tokens + gain * (prompt_tokens - before_tokens)
 
     def _is_long(self, work: Work) -> bool:
+        return work.prompt_tokens >= self._min_long_tokens()
+
+    def _min_long_tokens(self) -> float:
         if self._gap_seconds is None:
-            return False
-        own_seconds = work.prompt_tokens * self._rates.token_seconds
-        return own_seconds >= LONG_SHARE * self._gap_seconds
+            return float("inf")
+        return LONG_SHARE * self._gap_seconds / self._rates.token_seconds
 
     def replace_targets(self, targets: Iterable[TargetId]) -> None:
         """Set the engines that take new work."""
-        if self.is_on and self._has_reading_engines:
+        if self._is_separating:
             self.reading_engines.replace(targets)
 
     def update(
         self,
-        targets: Iterable[TargetId],
-        is_reading: Callable[[TargetId], bool],
+        loads: Mapping[TargetId, TargetLoad],
         now_seconds: float,
     ) -> None:
         """Check the condition and follow the demand, each ``UPDATE_SECONDS``.
 
         Args:
-            targets: The engines that take new work.
-            is_reading: Returns whether an engine is reading a prompt.
+            loads: The engines that take new work.
             now_seconds: The current time.
         """
         elapsed_seconds = now_seconds - self._updated_seconds
@@ -261,25 +296,41 @@
             return
         self._updated_seconds = now_seconds
         self._forget(now_seconds)
-        was_on = self.is_on
         self.condition = check_condition(
-            self._gap_seconds, self._long_tokens, self._rates.token_seconds, was_on
+            self._gap_seconds, self._long_tokens, self._rates.token_seconds, self.is_on
         )
-        if not self.is_on:
-            if was_on:
+        was_separating = self._is_separating
+        share = GIVE_UP_SHORT_SHARE if was_separating else MIN_SHORT_SHARE
+        self._is_separating = (
+            self.is_on and self._has_reading_engines and self._short_share >= share
+        )
+        if not self._is_separating:
+            if was_separating:
                 self.reading_engines.clear()
             return
-        if not was_on:
-            self.replace_targets(targets)
-        self.reading_engines.update(is_reading, now_seconds)
+        if not was_separating:
+            self.replace_targets(loads)
+        least_tokens = READING_SHARE * self._min_long_tokens()
+        self.reading_engines.update(
+            lambda target: loads[target].estimate(now_seconds)[0] >= least_tokens,
+            self._count_stream_engines(loads),
+            now_seconds,
+        )
+
+    def _count_stream_engines(self, loads: Mapping[TargetId, TargetLoad]) -> int:
+        """Return how many engines the running streams of short prompts need."""
+        n_streams = sum([load.all_streams() for load in loads.values()])
+        n_slots = sum([load.view.concurrency_limit for load in loads.values()])
+        n_each = MAX_STREAMS_SHARE * n_slots / max(1, len(loads))
+        return math.ceil(n_streams * self._short_share / max(1.0, n_each))
 
     def _forget(self, now_seconds: float) -> None:
         if now_seconds - self._gap_seen_seconds > MEMORY_SECONDS:
             self._gap_seconds = None
         if now_seconds - self._long_seen_seconds > MEMORY_SECONDS:
-            self._long_tokens = None
+            self._long_tokens, self._n_long = None, 0
 
-    def costs(self, work: Work) -> PauseCosts | None:
+    def costs(self, work: Work, now_seconds: float) -> PauseCosts | None:
         """Return the pause costs of a request; None while there are none."""
         if not self.is_on or self._gap_seconds is None:
             return None
@@ -287,6 +338,7 @@
         return PauseCosts(
             gap_seconds=self._gap_seconds,
             late_seconds=min(work.objective_seconds, work.first_token_timeout_seconds),
+            waited_seconds=now_seconds - work.arrived_seconds,
             is_long=self._is_long(work),
             is_stream=work.gap_seconds > 0.0,
             stream_weight=LESS_URGENT_WEIGHT if is_more_urgent else 1.0,
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -233,8 +233,8 @@
             waiting_ahead: Requests ahead in the queue, by the target they wait for.
             ignores_pressure: Leave out the price of recomputation under pressure.
         """
-        self._update_pauses(now_seconds)
-        costs = self.pauses.costs(work)
+        self.pauses.update(self._serving_by_id, now_seconds)
+        costs = self.pauses.costs(work, now_seconds)
         ring = (
             self._ring if costs is None else self.pauses.ring_for(costs) or self._ring
         )
@@ -257,13 +257,6 @@
             return choice
         return self._cheapest(candidates, now_seconds, work, ignores_pressure, costs)
 
-    def _update_pauses(self, now_seconds: float) -> None:
-        self.pauses.update(
-            self._serving_by_id,
-            lambda target: self._serving_by_id[target].estimate(now_seconds)[0] > 0.0,
-            now_seconds,
-        )
-
     def _with_capacity(
         self, candidates: "_Candidates", now_seconds: float
     ) -> "_Candidates":
@@ -341,7 +334,7 @@
                 + load.view.penalty_seconds
             )
             if costs is not None and score < best_score:
-                score += costs.cost_seconds(load, prefill * slowness, now_seconds)
+                score += costs.cost_seconds(load, prefill * slowness, wait, now_seconds)
             if score < best_score:
                 best_score = score
                 best = (load, uncached, wait, ahead, n_running)
--- a/lycheepost/decide/readingengines.py
+++ b/lycheepost/decide/readingengines.py
@@ -16,12 +16,15 @@
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.ring import Ring
 
-ENGINES_PER_READING = 2.0
-"""Each reading engine needs about as long again to generate the response, during which
-another long prompt would pause it."""
+ENGINES_PER_READING = 3.0
+"""While an engine generates the response to a long prompt, which takes longer than to
+read it, another long prompt would pause it."""
+
+SPARE_DEVIATIONS = 2.0
+"""Standard deviations of the number of prompts that are being read at a time."""
 
 GROWTH_SECONDS = 0.5
-SHRINK_SECONDS = 5.0
+SHRINK_SECONDS = 2.0
 """The number follows growing demand faster than falling demand: a set that is too small
 makes long prompts late, one that is too large only crowds the streams."""
 
@@ -29,7 +32,7 @@
 """The set shrinks only below this share of its size, so that it does not follow random
 variations of demand: an engine that changes sides has running streams."""
 
-MAX_SHARE = 2 / 3
+MAX_SHARE = 0.75
 """Largest part of the engines; the others are left to streams."""
 
 
@@ -63,15 +66,18 @@
         self._updated_seconds = None
         self._choose()
 
-    def update(self, is_reading: Callable[[TargetId], bool], now_seconds: float) -> int:
+    def update(
+        self,
+        is_reading: Callable[[TargetId], bool],
+        n_stream_engines: int,
+        now_seconds: float,
+    ) -> None:
         """Follow the demand.
 
         Args:
-            is_reading: Returns whether an engine is reading a prompt.
+            is_reading: Returns whether an engine is reading a long prompt.
+            n_stream_engines: Engines that the running streams need.
             now_seconds: The current time.
-
-        Returns:
-            The change of the number of reading engines.
         """
         n_reading = float(sum(map(is_reading, self.ordered)))
         elapsed = now_seconds - (self._updated_seconds or now_seconds)
@@ -81,16 +87,13 @@
         weight = 1.0 - math.exp(-elapsed / time_constant)
         self._n_reading += weight * (n_reading - self._n_reading)
         n_needed = engines_needed(self._n_reading)
-        n_before = len(self.ordered)
+        most = most_engines(len(self._order), n_stream_engines)
+        n_needed = min(n_needed, most)
         if n_needed > self._n_wanted or n_needed < SHRINK_SHARE * self._n_wanted:
             self._n_wanted = n_needed
             self._choose()
-        return len(self.ordered) - n_before
 
     def _choose(self) -> None:
-        # Bounds the wanted number too: after a loss of engines it would otherwise stay
-        # larger than any set, and the set would not shrink for a while.
-        self._n_wanted = min(self._n_wanted, max(1, most_engines(len(self._order))))
         n_chosen = min(self._n_wanted, most_engines(len(self._order)))
         self.ordered = tuple(self._order[:n_chosen])
         self.others = tuple(self._order[n_chosen:])
@@ -105,12 +108,19 @@
         n_reading: Mean number of engines that read a long prompt.
     """
     # The square root covers random variations: prompts arrive independently.
-    return max(1, math.ceil(ENGINES_PER_READING * (n_reading + math.sqrt(n_reading))))
+    spare = SPARE_DEVIATIONS * math.sqrt(n_reading)
+    return max(1, math.ceil(ENGINES_PER_READING * n_reading + spare))
+
 
+def most_engines(n_engines: int, n_stream_engines: int = 0) -> int:
+    """Return how many of a group's engines may be reading engines.
 
-def most_engines(n_engines: int) -> int:
-    """Return how many of a group's engines may be reading engines."""
-    return math.floor(MAX_SHARE * n_engines)
+    Args:
+        n_engines: Engines that take new work.
+        n_stream_engines: Engines that the running streams need.
+    """
+    most = min(math.floor(MAX_SHARE * n_engines), n_engines - n_stream_engines)
+    return max(most, min(1, n_engines - 1), 0)
 
 
 def _order_key(target: TargetId) -> tuple[int, TargetId]:
