--- a/features/decide/pauses.feature
+++ b/features/decide/pauses.feature
@@ -20,7 +20,7 @@
   Scenario: A wave of long prompts comes and goes
     Guards against a number of reading engines that does not follow the demand.
     When "a wave of long prompts" is played with seed 1
-    Then there are 4 more reading engines at 9 s than at 6 s, and fewer at 16 s
+    Then there are 4 more reading engines at 9 s than at 6 s, and fewer at 18 s
     And fewer responses are late by a pause alone than without the guard
 
   Scenario: No prompt is long
@@ -107,3 +107,16 @@
     Guards against continued streams that are placed beside long prompts.
     Given a stream with a gap objective
     Then the work of its continuation has the same gap objective
+
+  Scenario Outline: Streams that paused for too long are counted once
+    Guards against an operator who cannot see that callers get pauses.
+    Given a relayed stream with a gap objective of <gap> s
+    When its events come after 0.1, <first> and <second> s
+    Then <n> paused streams are counted
+
+    Examples:
+      | gap | first | second | n |
+      | 0.4 | 0.3   | 0.39   | 0 |
+      | 0.4 | 0.5   | 0.3    | 1 |
+      | 0.4 | 0.5   | 0.6    | 1 |
+      | 0   | 0.5   | 0.6    | 0 |
--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -32,6 +32,13 @@
         "queued_requests",
         sum(group["n_waiting"] for group in status["queues"]["groups"].values()),
     )
+    yield (
+        "reading_engines",
+        sum(
+            group["pauses"]["n_reading_engines"]
+            for group in status["queues"]["groups"].values()
+        ),
+    )
     yield "claims_unsettled", status["claims"]["n_unsettled"]
     yield "peer_links", len(status["peers"]["links"])
     yield "peer_messages_dropped", status["peers"]["n_dropped"]
--- a/lycheepost/decide/pauses.py
+++ b/lycheepost/decide/pauses.py
@@ -70,8 +70,10 @@
 """Chance that a stream on a reading engine is paused for too long. Streams run for
 seconds, in which several long prompts arrive there."""
 
-LESS_URGENT_WEIGHT = 0.5
-"""Weight of streams that are less urgent than the prompt that would pause them."""
+RANK_WEIGHT = 2.0
+MAX_RANK_STEPS = 2.0
+"""Each rank by which streams are more urgent than the prompt that would pause them
+doubles their weight, and each by which they are less urgent halves it."""
 
 MAX_LOAD_AGE_SECONDS = 1.0
 """Streams in older reports of peers have probably ended."""
@@ -137,7 +139,7 @@
         waited_seconds: How long this request has waited.
         is_long: Whether its prompt is long.
         is_stream: Whether it has a gap objective.
-        stream_weight: Weight of the streams that it would pause.
+        stream_weight: Weight of the streams of short prompts that it would pause.
     """
 
     gap_seconds: float
@@ -180,7 +182,10 @@
         if self.reading_engines and self.is_long and not is_reading_engine:
             # Streams are sent there at any time, also before this daemon hears of them.
             n_streams += 1.0
-        n_late += (after - before) * n_streams * self.stream_weight
+        # Streams on reading engines are mostly those of other long prompts.
+        is_shared = self.is_long and is_reading_engine
+        weight = 1.0 if is_shared else self.stream_weight
+        n_late += (after - before) * n_streams * weight
         # Responses of the prompts that are read before this one wait for this one only.
         n_reading = max(0.0, load.estimate(now_seconds)[1] - n_streams)
         n_late += late_risk(own_seconds, budget_seconds) * n_reading
@@ -334,14 +339,15 @@
         """Return the pause costs of a request; None while there are none."""
         if not self.is_on or self._gap_seconds is None:
             return None
-        is_more_urgent = work.rank < round(self._stream_rank)
+        steps = work.rank - self._stream_rank
+        steps = min(MAX_RANK_STEPS, max(-MAX_RANK_STEPS, steps))
         return PauseCosts(
             gap_seconds=self._gap_seconds,
             late_seconds=min(work.objective_seconds, work.first_token_timeout_seconds),
             waited_seconds=now_seconds - work.arrived_seconds,
             is_long=self._is_long(work),
             is_stream=work.gap_seconds > 0.0,
-            stream_weight=LESS_URGENT_WEIGHT if is_more_urgent else 1.0,
+            stream_weight=RANK_WEIGHT**steps,
             reading_engines=self.reading_engines.targets,
             has_budget=self._has_budget,
         )
