--- a/lycheepost/decide/pauses.py
+++ b/lycheepost/decide/pauses.py
@@ -19,7 +19,11 @@
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.rates import Rates
-from lycheepost.decide.readingengines import ReadingEngines
+from lycheepost.decide.readingengines import (
+    SAMPLED_ENGINES,
+    ReadingEngines,
+    sum_of_sample,
+)
 from lycheepost.decide.records import Work
 from lycheepost.decide.ring import Ring
 
@@ -129,6 +133,23 @@
     )
 
 
+@dataclass(slots=True)
+class PlacementState:
+    """What placement determines of a target before it asks for the pause costs.
+
+    Attributes:
+        n_running: Requests of all daemons there.
+        token_seconds: Time to read one token.
+        own_seconds: How long the request's own prompt would take to read.
+        wait_seconds: Predicted time to the first token.
+    """
+
+    n_running: float
+    token_seconds: float
+    own_seconds: float
+    wait_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class PauseCosts:
     """What a placement of one request costs by the pauses that it makes.
@@ -152,46 +173,58 @@
     has_budget: bool
 
     def cost_seconds(
-        self,
-        load: TargetLoad,
-        own_seconds: float,
-        wait_seconds: float,
-        now_seconds: float,
+        self, load: TargetLoad, state: PlacementState, now_seconds: float
     ) -> float:
         """Return the cost of a placement.
 
         Args:
             load: The target.
-            own_seconds: How long the target would take to read the prompt.
-            wait_seconds: Predicted time to the first token.
+            state: What placement has already determined of it.
             now_seconds: The current time.
         """
-        is_reading_engine = load.view.target in self.reading_engines
-        n_late = late_risk(self.waited_seconds + wait_seconds, self.late_seconds)
-        if self.reading_engines and not self.is_long and is_reading_engine:
-            n_late += READING_ENGINE_RISK if self.is_stream else 0.0
-        if not self.has_budget:
-            if self.reading_engines and self.is_long and not is_reading_engine:
-                n_late += 1.0
-            return n_late * self.late_seconds
-        budget_seconds = reading_budget_seconds(self.gap_seconds, load)
-        reading_seconds = load.reading_seconds(now_seconds)
-        before = late_risk(reading_seconds, budget_seconds)
-        after = late_risk(reading_seconds + own_seconds, budget_seconds)
-        n_streams = float(_count_streams(load, now_seconds))
-        if self.reading_engines and self.is_long and not is_reading_engine:
-            # Streams are sent there at any time, also before this daemon hears of them.
-            n_streams += 1.0
-        # Streams on reading engines are mostly those of other long prompts.
-        is_shared = self.is_long and is_reading_engine
-        weight = 1.0 if is_shared else self.stream_weight
-        n_late += (after - before) * n_streams * weight
+        first_seconds = self.waited_seconds + state.wait_seconds
+        n_late = late_risk(first_seconds, self.late_seconds)
+        engines = self.reading_engines
+        is_reading_engine = load.view.target in engines
+        is_misplaced = bool(engines) and self.is_long is not is_reading_engine
+        if is_misplaced and not self.is_long and self.is_stream:
+            n_late += READING_ENGINE_RISK
+        if self.has_budget:
+            n_late += self._count_paused(load, state, is_misplaced, now_seconds)
+        elif is_misplaced and self.is_long:
+            n_late += 1.0
+        return n_late * self.late_seconds
+
+    def _count_paused(
+        self,
+        load: TargetLoad,
+        state: PlacementState,
+        is_misplaced: bool,
+        now_seconds: float,
+    ) -> float:
+        """Return how many responses a placement is expected to pause for too long."""
+        own_seconds = state.own_seconds
+        limit_seconds = reading_budget_seconds(self.gap_seconds, load)
+        token_seconds = state.token_seconds
+        left_tokens = load.backlog.left(token_seconds, now_seconds)
+        reading_seconds = left_tokens * token_seconds
+        before = late_risk(reading_seconds, limit_seconds)
+        after = late_risk(reading_seconds + own_seconds, limit_seconds)
+        n_streams = load.n_streams
+        if now_seconds - load.reported_seconds < MAX_LOAD_AGE_SECONDS:
+            n_streams += load.peers_load.n_streams
         # Responses of the prompts that are read before this one wait for this one only.
-        n_reading = max(0.0, load.estimate(now_seconds)[1] - n_streams)
-        n_late += late_risk(own_seconds, budget_seconds) * n_reading
+        n_reading = max(0.0, state.n_running - n_streams)
+        n_late = late_risk(own_seconds, limit_seconds) * n_reading
         if self.is_stream:
             n_late += before
-        return n_late * self.late_seconds
+        if not self.is_long:
+            return n_late + (after - before) * n_streams * self.stream_weight
+        if is_misplaced:
+            # Streams are sent there at any time, also before this daemon hears of them.
+            return n_late + (after - before) * (n_streams + 1) * self.stream_weight
+        # Streams on reading engines are mostly those of other long prompts.
+        return n_late + (after - before) * n_streams
 
 
 def reading_budget_seconds(gap_seconds: float, load: TargetLoad) -> float:
@@ -210,12 +243,6 @@
     return min(1.0, 0.5 * use * use)
 
 
-def _count_streams(load: TargetLoad, now_seconds: float) -> int:
-    if now_seconds - load.reported_seconds > MAX_LOAD_AGE_SECONDS:
-        return load.n_streams
-    return load.all_streams()
-
-
 class PauseGuard:
     """Pause costs within one target group.
 
@@ -324,9 +351,18 @@
 
     def _count_stream_engines(self, loads: Mapping[TargetId, TargetLoad]) -> int:
         """Return how many engines the running streams of short prompts need."""
-        n_streams = sum([load.all_streams() for load in loads.values()])
-        n_slots = sum([load.view.concurrency_limit for load in loads.values()])
-        n_each = MAX_STREAMS_SHARE * n_slots / max(1, len(loads))
+        engines = self.reading_engines
+
+        def count_streams(target: TargetId) -> float:
+            return loads[target].all_streams()
+
+        n_streams = sum_of_sample(engines.ordered, count_streams)
+        n_streams += sum_of_sample(engines.others, count_streams)
+        limits = [
+            loads[target].view.concurrency_limit
+            for target in engines.others[:SAMPLED_ENGINES]
+        ]
+        n_each = MAX_STREAMS_SHARE * sum(limits) / max(1, len(limits))
         return math.ceil(n_streams * self._short_share / max(1.0, n_each))
 
     def _forget(self, now_seconds: float) -> None:
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -20,7 +20,7 @@
 
 from lycheepost.core.ids import PrefixDigest, TargetId
 from lycheepost.decide.load import TargetLoad
-from lycheepost.decide.pauses import PauseCosts, PauseGuard
+from lycheepost.decide.pauses import PauseCosts, PauseGuard, PlacementState
 from lycheepost.decide.rates import make_rates
 from lycheepost.decide.records import PrefixLevel, TargetState, Work
 from lycheepost.decide.ring import Ring
@@ -334,7 +334,9 @@
                 + load.view.penalty_seconds
             )
             if costs is not None and score < best_score:
-                score += costs.cost_seconds(load, prefill * slowness, wait, now_seconds)
+                speed = token_seconds * slowness
+                state = PlacementState(n_running, speed, uncached * speed, wait)
+                score += costs.cost_seconds(load, state, now_seconds)
             if score < best_score:
                 best_score = score
                 best = (load, uncached, wait, ahead, n_running)
--- a/lycheepost/decide/readingengines.py
+++ b/lycheepost/decide/readingengines.py
@@ -10,7 +10,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import TargetId
@@ -36,6 +36,11 @@
 """Largest part of the engines; the others are left to streams."""
 
 
+SAMPLED_ENGINES = 100
+"""Engines whose load is read at each update, for each side; the first ones of the
+common order, so that all daemons look at the same."""
+
+
 class ReadingEngines:
     """The reading engines of one group, as this daemon believes them to be.
 
@@ -79,7 +84,7 @@
             n_stream_engines: Engines that the running streams need.
             now_seconds: The current time.
         """
-        n_reading = float(sum(map(is_reading, self.ordered)))
+        n_reading = sum_of_sample(self.ordered, is_reading)
         elapsed = now_seconds - (self._updated_seconds or now_seconds)
         self._updated_seconds = now_seconds
         is_growing = n_reading > self._n_reading
@@ -101,6 +106,14 @@
         self.ring.replace(set(self.targets))
 
 
+def sum_of_sample(
+    targets: Sequence[TargetId], value: Callable[[TargetId], float]
+) -> float:
+    """Return the sum of a value over targets, estimated from the first ones."""
+    sampled = targets[:SAMPLED_ENGINES]
+    return sum(map(value, sampled)) * len(targets) / max(1, len(sampled))
+
+
 def engines_needed(n_reading: float) -> int:
     """Return how many reading engines a demand needs.
 
--- a/lycheepost/decide/ring.py
+++ b/lycheepost/decide/ring.py
@@ -15,6 +15,10 @@
 """The owners' shares vary by about 1/sqrt(32), 18%. Placement by load evens that out: a
 loaded owner's requests go to the next one."""
 
+MAX_INSERTED_POINTS = 500
+"""More points are added by sorting all of them, which is cheaper than as many
+insertions in a long list."""
+
 _MASK = 0xFFFFFFFFFFFFFFFF
 
 
@@ -32,7 +36,7 @@
         if removed:
             self._points = [item for item in self._points if item[1] not in removed]
         points = [point for target in added for point in _points_of(target)]
-        if len(points) > len(self._points):
+        if len(points) > MAX_INSERTED_POINTS:
             self._points = sorted(self._points + points)
         else:
             for point in points:
--- a/tools/run_benches.py
+++ b/tools/run_benches.py
@@ -28,6 +28,7 @@
     "limit": ["bench", "limit", "--json"],
     "backoff": ["bench", "backoff", "--json"],
     "quota": ["bench", "quota", "--json"],
+    "pauses": ["bench", "pauses", "--seed", "1", "--seed", "2", "--json"],
     "policy": ["bench", "policy", "--json"],
 }
 
