--- a/lycheepost/decide/readingengines.py
+++ b/lycheepost/decide/readingengines.py
@@ -23,7 +23,7 @@
 SPARE_DEVIATIONS = 2.0
 """Standard deviations of the number of prompts that are being read at a time."""
 
-GROWTH_SECONDS = 0.5
+GROWTH_SECONDS = 0.2
 SHRINK_SECONDS = 2.0
 """The number follows growing demand faster than falling demand: a set that is too small
 makes long prompts late, one that is too large only crowds the streams."""
