Pauses: keep the set of reading engines steady

The set now shrinks slowly. A scenario that looked for fewer engines 8 s after a wave looks 20 s after it, as nothing is gained by shrinking sooner.

--- a/features/decide/pauses.feature
+++ b/features/decide/pauses.feature
@@ -20,7 +20,7 @@
   Scenario: A wave of long prompts comes and goes
     Guards against a number of reading engines that does not follow the demand.
     When "a wave of long prompts" is played with seed 1
-    Then there are 4 more reading engines at 13 s than at 10 s, and fewer at 22 s
+    Then there are 4 more reading engines at 13 s than at 10 s, and fewer at 34 s
     And fewer responses are late by a pause alone than without the guard
 
   Scenario: No prompt is long
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -50,6 +50,10 @@
 RANDOM_CANDIDATES = 2
 """Two random targets are added, in case all owners and holders are full."""
 
+SUITABLE_CANDIDATES = 4
+"""Random targets where pauses count, of those that suit the request: an engine that
+neither reads a long prompt nor generates its response is to be among them."""
+
 MAX_HOLD_SHARE = 0.5
 """Largest part of its objective after which a request is predicted to have its first
 token from a target that it waits for to spare streams a pause. Predictions of waits are
@@ -217,7 +221,7 @@
             ]
         names = [
             suitable[int(self._rng.random() * len(suitable))]
-            for _ in range(RANDOM_CANDIDATES)
+            for _ in range(SUITABLE_CANDIDATES)
         ]
         return [self._serving_by_id[name] for name in names]
 
--- a/lycheepost/decide/readingengines.py
+++ b/lycheepost/decide/readingengines.py
@@ -24,13 +24,12 @@
 """Standard deviations of the number of prompts that are being read at a time."""
 
 GROWTH_SECONDS = 0.2
-SHRINK_SECONDS = 2.0
-"""The number follows growing demand faster than falling demand: a set that is too small
-makes long prompts late, one that is too large only crowds the streams."""
-
-SHRINK_SHARE = 0.8
-"""The set shrinks only below this share of its size, so that it does not follow random
-variations of demand: an engine that changes sides has running streams."""
+SHRINK_SECONDS = 10.0
+SHRINK_SHARE = 0.6
+"""The number follows growing demand at once, and falling demand slowly and only below
+this share of its size: a set that is too small makes long prompts late, and each change
+separates long prompts from the engines that cache their shared parts, and puts long
+prompts beside streams that still run."""
 
 MAX_SHARE = 0.75
 """Largest part of the engines; the others are left to streams."""
