--- a/features/decide/steps/pauses_steps.py
+++ b/features/decide/steps/pauses_steps.py
@@ -10,7 +10,7 @@
 from lycheepost.callers.forwardwork import continued_work
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.mechanisms import Mechanism
-from lycheepost.decide.pauses import check_condition
+from lycheepost.decide.pausecondition import check_condition
 from lycheepost.decide.readingengines import ReadingEngines
 from lycheepost.decide.records import FinishKind
 
--- a/lycheepost/decide/pauses.py
+++ b/lycheepost/decide/pauses.py
@@ -20,6 +20,8 @@
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.pausecondition import Condition, check_condition
+from lycheepost.decide.pausecosts import PauseCosts
 from lycheepost.decide.rates import Rates
 from lycheepost.decide.readingengines import (
     SAMPLED_ENGINES,
@@ -33,19 +35,6 @@
 """A prompt counts as long if it takes at least this share of the gap objective to read:
 several such prompts in a row pause streams for too long."""
 
-N_PROMPTS_IN_A_ROW = 2
-"""Long prompts that an engine reads one after the other often enough to matter."""
-
-OFF_SHARE = 0.9
-"""Share of the bound below which the guard is given up again, so that variations of the
-measured rates do not switch it."""
-
-EVENT_TOKEN_SECONDS = 0.01
-"""Time between two tokens of a loaded engine that reads no prompt."""
-
-MIN_BUDGET_SHARE = 0.25
-"""Least part of the gap objective that is left for reading."""
-
 TYPICAL_GAIN = 0.02
 """Weight of one prompt in the typical long prompt and in the share of short ones."""
 
@@ -78,26 +67,11 @@
 """Interval at which the reading engines follow the demand: less than one long prompt
 takes to read and more than loads take from daemon to daemon."""
 
-READING_ENGINE_RISK = 0.5
-"""Chance that a stream on a reading engine is paused for too long. Streams run for
-seconds, in which several long prompts arrive there."""
-
 RANK_WEIGHT = 2.0
 MAX_RANK_STEPS = 2.0
 """Each rank by which streams are more urgent than the prompt that would pause them
 doubles their weight, and each by which they are less urgent halves it."""
 
-MAX_LOAD_AGE_SECONDS = 1.0
-"""Streams in older reports of peers have probably ended."""
-
-
-@dataclass(frozen=True, slots=True)
-class Condition:
-    """Whether the guard takes effect, and why."""
-
-    is_met: bool
-    reason: str
-
 
 @dataclass(frozen=True, slots=True)
 class PauseStatus:
@@ -112,147 +86,6 @@
         return asdict(self)
 
 
-def check_condition(
-    gap_seconds: float | None,
-    long_tokens: float | None,
-    token_seconds: float | None,
-    was_met: bool,
-) -> Condition:
-    """Return whether long prompts can pause streams for longer than they may wait.
-
-    Args:
-        gap_seconds: The tightest gap objective of recent streams; None for none.
-        long_tokens: Size of a typical long prompt; None if there are none.
-        token_seconds: Time to read one token; None while not measured.
-        was_met: Whether the condition held before.
-    """
-    if gap_seconds is None:
-        return Condition(False, "no stream has a gap objective")
-    if long_tokens is None:
-        return Condition(False, "few prompts are long")
-    if token_seconds is None:
-        return Condition(False, "the time to read a token is not measured yet")
-    pause_seconds = N_PROMPTS_IN_A_ROW * long_tokens * token_seconds
-    bound_seconds = gap_seconds * (OFF_SHARE if was_met else 1.0)
-    is_met = pause_seconds > bound_seconds
-    relation = "more" if is_met else "no more"
-    return Condition(
-        is_met,
-        f"{N_PROMPTS_IN_A_ROW} long prompts of {long_tokens:.0f} tokens take "
-        f"{pause_seconds:.2f} s to read, {relation} than {bound_seconds:.2f} s",
-    )
-
-
-@dataclass(slots=True)
-class PlacementState:
-    """What placement determines of a target before it asks for the pause costs.
-
-    Attributes:
-        n_running: Requests of all daemons there.
-        token_seconds: Time to read one token.
-        own_seconds: How long the request's own prompt would take to read.
-        wait_seconds: Predicted time to the first token.
-    """
-
-    n_running: float
-    token_seconds: float
-    own_seconds: float
-    wait_seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class PauseCosts:
-    """What a placement of one request costs by the pauses that it makes.
-
-    Attributes:
-        late_seconds: Cost of one late response, as seconds of this request's wait: a
-            request that waits for its whole objective is itself late.
-        waited_seconds: How long this request has waited.
-        is_long: Whether its prompt is long.
-        is_stream: Whether it has a gap objective.
-        stream_weight: Weight of the streams of short prompts that it would pause.
-    """
-
-    gap_seconds: float
-    late_seconds: float
-    waited_seconds: float
-    is_long: bool
-    is_stream: bool
-    stream_weight: float
-    reading_engines: frozenset[TargetId]
-    has_budget: bool
-
-    def cost_seconds(
-        self, load: TargetLoad, state: PlacementState, now_seconds: float
-    ) -> float:
-        """Return the cost of a placement.
-
-        Args:
-            load: The target.
-            state: What placement has already determined of it.
-            now_seconds: The current time.
-        """
-        first_seconds = self.waited_seconds + state.wait_seconds
-        n_late = late_risk(first_seconds, self.late_seconds)
-        engines = self.reading_engines
-        is_reading_engine = load.view.target in engines
-        is_misplaced = bool(engines) and self.is_long is not is_reading_engine
-        if is_misplaced and not self.is_long and self.is_stream:
-            n_late += READING_ENGINE_RISK
-        if self.has_budget:
-            n_late += self._count_paused(load, state, is_misplaced, now_seconds)
-        elif is_misplaced and self.is_long:
-            n_late += 1.0
-        return n_late * self.late_seconds
-
-    def _count_paused(
-        self,
-        load: TargetLoad,
-        state: PlacementState,
-        is_misplaced: bool,
-        now_seconds: float,
-    ) -> float:
-        """Return how many responses a placement is expected to pause for too long."""
-        own_seconds = state.own_seconds
-        limit_seconds = reading_budget_seconds(self.gap_seconds, load)
-        token_seconds = state.token_seconds
-        left_tokens = load.backlog.left(token_seconds, now_seconds)
-        reading_seconds = left_tokens * token_seconds
-        before = late_risk(reading_seconds, limit_seconds)
-        after = late_risk(reading_seconds + own_seconds, limit_seconds)
-        n_streams = load.n_streams
-        if now_seconds - load.reported_seconds < MAX_LOAD_AGE_SECONDS:
-            n_streams += load.peers_load.n_streams
-        # Responses of the prompts that are read before this one wait for this one only.
-        n_reading = max(0.0, state.n_running - n_streams)
-        n_late = late_risk(own_seconds, limit_seconds) * n_reading
-        if self.is_stream:
-            n_late += before
-        if not self.is_long:
-            return n_late + (after - before) * n_streams * self.stream_weight
-        if is_misplaced:
-            # Streams are sent there at any time, also before this daemon hears of them.
-            return n_late + (after - before) * (n_streams + 1) * self.stream_weight
-        # Streams on reading engines are mostly those of other long prompts.
-        return n_late + (after - before) * n_streams
-
-
-def reading_budget_seconds(gap_seconds: float, load: TargetLoad) -> float:
-    """Return how long an engine may read between two events of its streams."""
-    own_seconds = load.view.event_tokens * EVENT_TOKEN_SECONDS
-    return max(MIN_BUDGET_SHARE * gap_seconds, gap_seconds - own_seconds)
-
-
-def late_risk(predicted_seconds: float, limit_seconds: float) -> float:
-    """Return the chance that something takes longer than its limit.
-
-    At the limit the chance is even. Below it falls with the square: engines turn slow
-    for moments, and prompts of daemons that have not reported yet are read besides.
-    """
-    use = predicted_seconds / limit_seconds
-    return min(1.0, 0.5 * use * use)
-
-
 class PauseGuard:
     """Pause costs within one target group.
 
@@ -278,6 +111,7 @@
         self._n_prompts = 0
         self._n_long = 0
         self._speed_samples: deque[float] = deque(maxlen=N_SPEED_SAMPLES)
+        self._token_seconds: float | None = None
         self._updated_seconds = float("-inf")
         self._is_separating = False
 
@@ -325,11 +159,8 @@
         if n_tokens >= self._min_long_tokens():
             seconds = max(0.0, elapsed_seconds - self._rates.first_token_seconds)
             self._speed_samples.append(seconds / n_tokens)
-
-    def _usual_token_seconds(self) -> float | None:
-        if len(self._speed_samples) < MIN_SPEED_SAMPLES:
-            return None
-        return statistics.median(self._speed_samples)
+            if len(self._speed_samples) >= MIN_SPEED_SAMPLES:
+                self._token_seconds = statistics.median(self._speed_samples)
 
     def _is_long(self, work: Work) -> bool:
         return work.prompt_tokens >= self._min_long_tokens()
@@ -337,7 +168,8 @@
     def _min_long_tokens(self) -> float:
         if self._gap_seconds is None:
             return float("inf")
-        return LONG_SHARE * self._gap_seconds / self._rates.token_seconds
+        token_seconds = self._token_seconds or self._rates.token_seconds
+        return LONG_SHARE * self._gap_seconds / token_seconds
 
     def replace_targets(self, targets: Iterable[TargetId]) -> None:
         """Set the engines that take new work."""
@@ -362,7 +194,7 @@
         self._forget(now_seconds)
         long_tokens = self._long_tokens if self._n_long >= MIN_LONG_PROMPTS else None
         self.condition = check_condition(
-            self._gap_seconds, long_tokens, self._usual_token_seconds(), self.is_on
+            self._gap_seconds, long_tokens, self._token_seconds, self.is_on
         )
         was_separating = self._is_separating
         share = GIVE_UP_SHORT_SHARE if was_separating else MIN_SHORT_SHARE
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -20,7 +20,8 @@
 
 from lycheepost.core.ids import PrefixDigest, TargetId
 from lycheepost.decide.load import TargetLoad
-from lycheepost.decide.pauses import PauseCosts, PauseGuard, PlacementState
+from lycheepost.decide.pausecosts import PauseCosts, PlacementState
+from lycheepost.decide.pauses import PauseGuard
 from lycheepost.decide.rates import make_rates
 from lycheepost.decide.records import PrefixLevel, TargetState, Work
 from lycheepost.decide.ring import Ring
