--- a/lycheepost/bench/pauseworld.py
+++ b/lycheepost/bench/pauseworld.py
@@ -24,7 +24,7 @@
 )
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.pauses import PauseStatus
-from lycheepost.decide.peerloads import NO_LOAD, DaemonLoad, PeerLoads
+from lycheepost.decide.peerloads import DaemonLoad, PeerLoads
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -403,9 +403,8 @@
     def _use_loads(self, index: int, daemon: _Daemon) -> None:
         scheduler, peers = daemon.scheduler, daemon.peers
         if peers.is_known(self.now_seconds):
-            totals = peers.totals(self.now_seconds)
             for target in self._engines:
-                load = totals.get(target, NO_LOAD)
+                load = peers.at(target, self.now_seconds)
                 scheduler.set_peer_load(target, load, self.now_seconds)
         self._apply(index, scheduler.dispatch_waiting(self.now_seconds))
 
--- a/lycheepost/bench/quotaworld.py
+++ b/lycheepost/bench/quotaworld.py
@@ -19,6 +19,7 @@
 from lycheepost.bench.quotaplan import FaultKind, Plan
 from lycheepost.core.ids import CustomerId, DaemonId
 from lycheepost.core.quotas import Quota
+from lycheepost.decide.quotarecord import QuotaRecord
 from lycheepost.decide.tokenbucket import TokenBucket
 
 STEP_SECONDS = 0.01
@@ -36,6 +37,10 @@
 DETECT_SECONDS = 1.2
 """Until the others take a silent daemon for gone."""
 
+STALE_ADDRESS_SECONDS = 1.2
+"""From the start of all daemons until callers use the entry daemons only. Before it,
+each daemon gives them its own address."""
+
 LONG_TOKENS = 9200.0
 SHORT_TOKENS = 880.0
 MOST_TOKENS = 57000.0
@@ -54,6 +59,10 @@
         """Follow the other daemons that serve, as far as this one knows."""
         ...
 
+    def set_relay(self, relay: DaemonId, n_entry: int, now_seconds: float) -> None:
+        """Stand by, and report through an entry daemon."""
+        ...
+
     def take(
         self, customer: CustomerId, units: float, now_seconds: float
     ) -> float | None:
@@ -87,7 +96,7 @@
     started_seconds: float
     health: Health = Health.SERVING
     silent_since_seconds: float = float("inf")
-    held: list[tuple[CustomerId, float]] = field(default_factory=list)
+    held: list[tuple[CustomerId, float, bool]] = field(default_factory=list)
 
 
 class World:
@@ -100,6 +109,7 @@
     Attributes:
         daemons: By name.
         quotas: In force now.
+        record: The use of the quotas that daemons recorded last.
     """
 
     def __init__(self, plan: Plan, make_policy: MakePolicy) -> None:
@@ -107,6 +117,7 @@
         self.audit = Audit()
         self.now_seconds = 0.0
         self.quotas = dict(plan.quotas)
+        self.record: QuotaRecord = {}
         self._make_policy = make_policy
         self._rng = random.Random(plan.seed)
         self._starts = itertools.count(1)
@@ -114,7 +125,8 @@
         self._numbers = itertools.count()
         self._changes: list[tuple[float, DaemonId]] = []
         self._cut: frozenset[DaemonId] = frozenset()
-        self._heal_seconds = float("-inf")
+        self._restarted_seconds = float("-inf")
+        self._n_entry = plan.n_daemons if plan.n_entry is None else plan.n_entry
         names = [DaemonId(f"d{index}") for index in range(plan.n_daemons)]
         self.daemons = {name: self._start(name, -60.0) for name in names}
         self._ideal = {
@@ -198,6 +210,8 @@
     def _restart(self, names: Sequence[DaemonId]) -> None:
         for name in names:
             self.daemons[name] = self._start(name, self.now_seconds)
+        if len(names) == len(self.daemons):
+            self._restarted_seconds = self.now_seconds
 
     def _freeze(self, names: Sequence[DaemonId]) -> None:
         for name in names:
@@ -210,8 +224,8 @@
             daemon.health = Health.SERVING
             daemon.silent_since_seconds = float("inf")
             held, daemon.held = daemon.held, []
-            for customer, units in held:
-                self._decide(daemon, customer, units)
+            for customer, units, is_owed in held:
+                self._decide(daemon, customer, units, is_owed)
             self._tell_quotas(daemon)
 
     def _set_cut(self, names: Sequence[DaemonId]) -> None:
@@ -252,18 +266,23 @@
     ) -> None:
         ideal = self._ideal[customer]
         ideal.refill(at_seconds)
-        if ideal.wait_seconds() == 0.0:
+        is_owed = ideal.wait_seconds() == 0.0
+        if is_owed:
             ideal.add(-units)
         else:
             self.audit.n_beyond[customer] += 1
+        if self.now_seconds - self._restarted_seconds > STALE_ADDRESS_SECONDS:
+            index %= self._n_entry
         daemon = self.daemons[DaemonId(f"d{index}")]
         match daemon.health:
             case Health.SERVING:
-                self._decide(daemon, customer, units)
+                self._decide(daemon, customer, units, is_owed)
             case Health.FROZEN:
-                daemon.held.append((customer, units))
+                daemon.held.append((customer, units, is_owed))
 
-    def _decide(self, daemon: _Daemon, customer: CustomerId, units: float) -> None:
+    def _decide(
+        self, daemon: _Daemon, customer: CustomerId, units: float, is_owed: bool
+    ) -> None:
         audit = self.audit
         audit.n_requests[customer] += 1
         began_seconds = perf_counter()
@@ -273,24 +292,33 @@
             audit.passed[customer].append((self.now_seconds, units))
         else:
             audit.n_refused[customer] += 1
+            audit.n_owed_refused[customer] += is_owed
 
     def _tell(self) -> None:
         for daemon in self.daemons.values():
             age_seconds = self.now_seconds - daemon.started_seconds
             if daemon.health is not Health.SERVING or age_seconds < LINK_SECONDS:
                 continue
-            daemon.policy.set_mates(self._mates(daemon.name), self.now_seconds)
+            self._set_role(daemon)
             told = daemon.policy.tell(self.now_seconds)
             if told is not None:
                 message, n_bytes, listeners = told
                 for listener in listeners:
                     self._send(daemon.name, listener, message, n_bytes)
 
+    def _set_role(self, daemon: _Daemon) -> None:
+        mates = self._mates(daemon.name)
+        if _number(daemon.name) < self._n_entry:
+            daemon.policy.set_mates(mates, self.now_seconds)
+        elif mates:
+            relay = mates[_number(daemon.name) % len(mates)]
+            daemon.policy.set_relay(relay, len(mates), self.now_seconds)
+
     def _mates(self, name: DaemonId) -> list[DaemonId]:
-        """Return whom a daemon takes for serving: those who fell silent of late too."""
+        """Return the other entry daemons, also those that fell silent of late."""
         return [
             other.name
-            for other in self.daemons.values()
+            for other in itertools.islice(self.daemons.values(), self._n_entry)
             if other.name != name
             and self.now_seconds - other.silent_since_seconds < DETECT_SECONDS
         ]
@@ -310,7 +338,7 @@
         heapq.heappush(self._messages, item)
 
     def _is_late(self, name: DaemonId) -> bool:
-        return int(name.removeprefix("d")) < self.plan.n_late
+        return _number(name) < self.plan.n_late
 
     def _deliver(self) -> None:
         while self._messages and self._messages[0][0] <= self.now_seconds:
@@ -323,3 +351,7 @@
                 and self.can_reach(sender, listener)
             ):
                 daemon.policy.receive(sender, message, self.now_seconds)
+
+
+def _number(name: DaemonId) -> int:
+    return int(name.removeprefix("d"))
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -23,6 +23,7 @@
     benchcontrol,
     benchlimit,
     benchpauses,
+    benchprocessor,
     benchquota,
     benchrelay,
 )
@@ -41,6 +42,7 @@
 app.command()(benchcontrol.leases)
 app.command()(benchrelay.relay)
 app.command()(benchcapacity.capacity)
+app.command()(benchprocessor.processor)
 app.command()(benchcapacity.capacity_look)
 app.command(hidden=True)(benchrelay.relay_source)
 app.command(hidden=True)(benchrelay.relay_sink)
