Pauses: late long prompts look for capacity on all kinds of engines

In a large group the candidates of a long prompt were reading engines only, so that it waited on when all of them were full. A request that would be late where it suits now also draws from all engines.

--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -55,6 +55,9 @@
 """Random targets where pauses count, of those that suit the request: an engine that
 neither reads a long prompt nor generates its response is to be among them."""
 
+OVERFLOW_CANDIDATES = 6
+"""Random targets of all kinds for a request that would be late where it suits."""
+
 MAX_HOLD_SHARE = 0.5
 """Largest part of its objective after which a request is predicted to have its first
 token from a target that it waits for to spare streams a pause. Predictions of waits are
@@ -207,22 +210,22 @@
         del names[self._settings.candidates :]
         serving = self._serving_by_id
         loads = {name: serving[name] for name in names if name in serving}
-        for load in self._draw(costs):
+        n_drawn = RANDOM_CANDIDATES if costs is None else SUITABLE_CANDIDATES
+        for load in self._draw(costs, n_drawn):
             loads[load.view.target] = load
         return list(loads.values())
 
-    def _draw(self, costs: PauseCosts | None) -> list[TargetLoad]:
-        """Return random targets that suit a request."""
+    def _draw(self, costs: PauseCosts | None, n_drawn: int) -> list[TargetLoad]:
+        """Return random targets that suit a request; of all if it has no costs."""
         suitable = () if costs is None else self.pauses.suitable(costs)
         if not suitable:
             n_serving = len(self._serving)
             return [
                 self._serving[int(self._rng.random() * n_serving)]
-                for _ in range(RANDOM_CANDIDATES)
+                for _ in range(n_drawn)
             ]
         names = [
-            suitable[int(self._rng.random() * len(suitable))]
-            for _ in range(SUITABLE_CANDIDATES)
+            suitable[int(self._rng.random() * len(suitable))] for _ in range(n_drawn)
         ]
         return [self._serving_by_id[name] for name in names]
 
@@ -263,21 +266,28 @@
         choice = self._cheapest(candidates, now_seconds, work, ignores_pressure, costs)
         if costs is None or choice.can_take or _may_hold(work, choice, now_seconds):
             return choice
-        candidates = self._with_capacity(candidates, now_seconds)
+        candidates = self._with_capacity(candidates, work, avoid, now_seconds)
         if not candidates.usable:
             return choice
         return self._cheapest(candidates, now_seconds, work, ignores_pressure, costs)
 
     def _with_capacity(
-        self, candidates: "_Candidates", now_seconds: float
+        self,
+        candidates: "_Candidates",
+        work: Work,
+        avoid: frozenset[TargetId] | set[TargetId],
+        now_seconds: float,
     ) -> "_Candidates":
-        """Return the candidates that have capacity now."""
-        usable = [
+        """Return candidates that have capacity now, of all kinds of engines."""
+        usable = {item[0].view.target: item for item in candidates.usable}
+        for item in _usable(self._draw(None, OVERFLOW_CANDIDATES), work, avoid):
+            usable[item[0].view.target] = item
+        with_capacity = [
             item
-            for item in candidates.usable
+            for item in usable.values()
             if item[0].has_capacity(item[0].estimate(now_seconds)[1], now_seconds)
         ]
-        return replace(candidates, usable=usable)
+        return replace(candidates, usable=with_capacity)
 
     def _step_seconds(self, work: Work) -> float:
         """Return the cost of a step away from the first owner.
