--- a/features/decide/pauses.feature
+++ b/features/decide/pauses.feature
@@ -90,6 +90,15 @@
     When an engine reads 53 tokens a ms
     Then pauses count: no
 
+  Scenario: A fast engine answers some requests in a row
+    Guards against a guard that is given up and begun again each second, with all of its
+    reading engines.
+    Given a guard that is on
+    When the speed doubles for 5 s
+    Then the guard is still on
+    When the speed doubles for 20 s
+    Then the guard is off
+
   Scenario: Where the condition does not hold, placement is as before
     Guards against effects on deployments whose streams may pause for longer.
     When 400 requests with a gap objective of 2 s are placed with and without the guard
--- a/features/decide/steps/pauses_steps.py
+++ b/features/decide/steps/pauses_steps.py
@@ -11,12 +11,16 @@
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.pausecondition import check_condition
+from lycheepost.decide.pauses import PauseGuard
+from lycheepost.decide.rates import make_rates
 from lycheepost.decide.readingengines import ReadingEngines
 from lycheepost.decide.records import FinishKind
+from lycheepost.decide.settings import SchedulerSettings
 
 LONG_TOKENS = 9190
 SHORT_TOKENS = 300
 GAP_SECONDS = 0.4
+TOKEN_SECONDS = 26e-6
 STATUS_SECONDS = TICK_STEPS * STEP_SECONDS
 
 
@@ -211,6 +215,46 @@
     assert context.sent[0] == context.sent[1]
 
 
+def read_long_prompts(context, seconds, token_seconds):
+    """Let a guard see a long prompt and a short one every 0.1 s."""
+    for _ in range(round(seconds / 0.1)):
+        context.now_seconds += 0.1
+        for n_tokens in (LONG_TOKENS, SHORT_TOKENS):
+            work = make_work(
+                "prompt",
+                context.now_seconds,
+                prompt_tokens=n_tokens,
+                gap_seconds=GAP_SECONDS,
+            )
+            context.guard.observe(work, context.now_seconds)
+        elapsed_seconds = 0.03 + LONG_TOKENS * token_seconds
+        context.guard.note_first_token(elapsed_seconds, LONG_TOKENS)
+        context.guard.update({}, context.now_seconds)
+
+
+@given("a guard that is on")
+def step_guard_on(context):
+    context.guard = PauseGuard(make_rates(SchedulerSettings()), frozenset())
+    context.now_seconds = 0.0
+    read_long_prompts(context, 5.0, TOKEN_SECONDS)
+    assert context.guard.is_on, context.guard.condition
+
+
+@when("the speed doubles for {seconds:g} s")
+def step_faster(context, seconds):
+    read_long_prompts(context, seconds, TOKEN_SECONDS / 2)
+
+
+@then("the guard is still on")
+def step_still_on(context):
+    assert context.guard.is_on, context.guard.condition
+
+
+@then("the guard is off")
+def step_off(context):
+    assert not context.guard.is_on, context.guard.condition
+
+
 def arrive(driver, name, n_tokens, objective_seconds=0.8):
     driver.arrive(
         name,
--- a/lycheepost/decide/pauses.py
+++ b/lycheepost/decide/pauses.py
@@ -45,12 +45,16 @@
 """Gap objectives and long prompts of routes that nobody has called for this long no
 longer count."""
 
-N_SPEED_SAMPLES = 21
+N_SPEED_SAMPLES = 41
 MIN_SPEED_SAMPLES = 5
 """First tokens of long prompts whose median tells the usual time to read a token. The
 rates for predictions start from a guess and follow momentary waits; that must not
 switch the guard."""
 
+MIN_OFF_SECONDS = 10.0
+"""The guard is given up only when its condition has not held for this long: while the
+median moves between fast and slow engines, daemons would disagree otherwise."""
+
 MIN_SHORT_SHARE = 0.2
 GIVE_UP_SHORT_SHARE = 0.1
 """Reading engines are chosen while short prompts are at least this share of all: with
@@ -112,6 +116,7 @@
         self._n_long = 0
         self._speed_samples: deque[float] = deque(maxlen=N_SPEED_SAMPLES)
         self._token_seconds: float | None = None
+        self._met_seconds = float("-inf")
         self._updated_seconds = float("-inf")
         self._is_separating = False
 
@@ -193,9 +198,13 @@
         self._updated_seconds = now_seconds
         self._forget(now_seconds)
         long_tokens = self._long_tokens if self._n_long >= MIN_LONG_PROMPTS else None
-        self.condition = check_condition(
+        condition = check_condition(
             self._gap_seconds, long_tokens, self._token_seconds, self.is_on
         )
+        if condition.is_met:
+            self._met_seconds = now_seconds
+        if now_seconds - self._met_seconds >= MIN_OFF_SECONDS or condition.is_met:
+            self.condition = condition
         was_separating = self._is_separating
         share = GIVE_UP_SHORT_SHARE if was_separating else MIN_SHORT_SHARE
         self._is_separating = (
