--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -12,6 +12,7 @@
 import structlog
 
 from lycheepost.callers.orderlog import OrderLog
+from lycheepost.callers.pauselog import PauseLog
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
     BodyFingerprint,
@@ -69,6 +70,7 @@
         self._has_work = asyncio.Event()
         self._short_groups: frozenset[TargetGroupId] = frozenset()
         self._order_log = OrderLog()
+        self._pause_log = PauseLog()
 
     async def start(self) -> None:
         """Start the tick."""
@@ -298,9 +300,11 @@
         while True:
             await self._pause()
             try:
-                self._deliver(self._scheduler.tick(self._clock.now_seconds()))
+                now_seconds = self._clock.now_seconds()
+                self._deliver(self._scheduler.tick(now_seconds))
                 self._log_room()
                 self._order_log.update(self._scheduler.order_conditions())
+                self._pause_log.update(self._scheduler.pause_statuses(), now_seconds)
             except Exception:
                 # Without further ticks, queued requests would wait forever.
                 _log.exception("dispatch: the tick failed")
--- a/lycheepost/commands/bench.py
+++ b/lycheepost/commands/bench.py
@@ -23,6 +23,7 @@
     benchcontrol,
     benchlimit,
     benchorder,
+    benchpauses,
     benchprocessor,
     benchquota,
     benchrelay,
@@ -39,6 +40,7 @@
 app.command()(benchbackoff.backoff)
 app.command()(benchlimit.limit)
 app.command()(benchorder.order)
+app.command()(benchpauses.pauses)
 app.command()(benchquota.quota)
 app.command()(benchroom.room)
 app.command()(benchcontrol.leases)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -98,6 +98,7 @@
             room.counts.n_too_large += 1
             return [Refuse(work.request, RefusalReason.TOO_LARGE, None)]
         room.note_arrival(work, now_seconds)
+        self.placement.pauses.observe(work, now_seconds)
         choice = self._choose(work, now_seconds, self.waiting.awaited)
         if choice is None:
             seconds = retry_after_seconds(1.0, self._rng)
@@ -171,6 +172,8 @@
         sent the same parts itself, and ten daemons would have ten targets prefill it.
         """
         load = self.placement.loads.get(placed.target)
+        if placed.levels:
+            self.placement.note_peer_prompt(placed.levels[-1].end_tokens)
         if load is not None:
             load.cache_estimate.add(placed.levels)
             self.placement.note_holder(placed.levels, placed.target)
@@ -305,6 +308,7 @@
         ratio /= rates.usual_ratio
         load.slowness.observe(ratio / load.rate_ratio, now_seconds)
         load.measured_ratio.observe(ratio)
+        self.placement.pauses.note_first_token(elapsed, entry.ahead_tokens + uncached)
         own_seconds = rates.first_token_seconds + uncached * rates.token_seconds
         own_seconds *= load.slowness.value * load.rate_ratio
         load.window.observe(
@@ -370,6 +374,7 @@
             "pressure": round(self.placement.pressure, 3),
             "room": self.placement.room_status(now_seconds),
             **self._speed_status(now_seconds),
+            "pauses": self.placement.pauses.status().to_dict(),
             "targets": {
                 target: {
                     "state": load.view.state.value,
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -22,6 +22,7 @@
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.machinestates import StatedState
 from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.pauses import PauseStatus
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport, Quarantine
 from lycheepost.decide.records import (
@@ -451,6 +452,13 @@
             name: group.waiting.order.condition for name, group in self._groups.items()
         }
 
+    def pause_statuses(self) -> dict[TargetGroupId, PauseStatus]:
+        """Return the state of each group's pause guard."""
+        return {
+            name: group.placement.pauses.status()
+            for name, group in self._groups.items()
+        }
+
     def status(self) -> dict[str, object]:
         """Return queues and loads for ``/admin/status``."""
         return {
--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -192,6 +192,8 @@
         The engine runs part of that work after it, so it is sooner in most cases.
         """
         load = choice.load
+        if not choice.has_room:
+            return False
         due_seconds = work.arrived_seconds + work.objective_seconds
         due_seconds -= self._placement.rates.first_token_seconds
         due_seconds -= choice.uncached_tokens * load.token_seconds(now_seconds)
--- a/tools/run_benches.py
+++ b/tools/run_benches.py
@@ -29,6 +29,7 @@
     "backoff": ["bench", "backoff", "--json"],
     "room": ["bench", "room", "--json"],
     "quota": ["bench", "quota", "--json"],
+    "pauses": ["bench", "pauses", "--seed", "1", "--seed", "2", "--json"],
     "policy": ["bench", "policy", "--json"],
 }
 
