Pace rollouts of weights by the load of their targets

The holder of the duty now changes what demand leaves free, at least as many as a steady schedule needs, at most a third.

--- a/lycheepost/app/loads.py
+++ b/lycheepost/app/loads.py
@@ -79,6 +79,23 @@
         others = self._peer_loads.at(target, self._clock.now_seconds())
         return own.n_running + others.n_running
 
+    def totals(self) -> dict[TargetId, DaemonLoad]:
+        """Return the load of this daemon and its peers at each target that has any."""
+        totals = self._peer_loads.totals(self._clock.now_seconds())
+        for target, own in self._dispatcher.under_way().items():
+            totals[target] = own.plus(totals.get(target, NO_LOAD))
+        return totals
+
+    def has_peers(self) -> bool:
+        """Return whether any peer has reported its load recently."""
+        return self._peer_loads.is_known(self._clock.now_seconds())
+
+    def is_waiting(self, group: TargetGroupId) -> bool:
+        """Return whether requests for a group wait here or at a peer."""
+        if group in self._dispatcher.waiting_groups():
+            return True
+        return self._peer_loads.n_waiting(group, self._clock.now_seconds()) > 0
+
     def observe_report(self, report: LoadReport) -> None:
         """Use a target's own load report unless the peers report all of its load."""
         is_reported = self._peer_loads.is_known(self._clock.now_seconds())
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -353,7 +353,9 @@
         traffic.targets,
         traffic.orders,
         lambda: traffic.routing.table,
-        traffic.loads.count_running,
+        traffic.loads,
+        lambda: settings.bounds,
+        metrics,
     )
     watches = _make_watches(base, peers.feed, traffic, weights, settings)
     for watch in watches:
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -12,7 +12,6 @@
     DaemonId,
     ModelId,
     TargetGroupId,
-    TargetId,
 )
 from lycheepost.core.routing import RouteTable
 from lycheepost.decide.fleetquota import FleetQuotas
@@ -20,6 +19,7 @@
 from lycheepost.decide.rollout import MAX_DRAIN_SECONDS, MIN_DRAIN_SECONDS
 from lycheepost.generated.configuration import Configuration
 from lycheepost.generated.messages import LeaseNews, TargetsChanging
+from lycheepost.operators.rolloutpacer import FleetLoad, RolloutPacer
 from lycheepost.operators.weightsrollout import WeightsRollout
 from lycheepost.operators.weightsupdates import to_changes
 from lycheepost.peers.exchange import PeerExchange, make_peer_exchange
@@ -27,6 +27,7 @@
 from lycheepost.peers.membership import MemberExchange
 from lycheepost.peers.sockets import make_socket_transport
 from lycheepost.platform.orders import ServerOrders
+from lycheepost.platform.settings import Bounds
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.duties import DutyRunner, is_candidate
 from lycheepost.state.leases import Lease, LeaseManager
@@ -34,6 +35,7 @@
 from lycheepost.state.members import MemberManager, make_member_manager
 from lycheepost.state.targetlist import TargetList
 from lycheepost.state.view import make_view
+from lycheepost.utils.metrics import Metrics
 
 EXCHANGE_SECONDS = 0.4
 PEER_LINKS = 3
@@ -196,7 +198,9 @@
     targets: TargetList,
     orders: ServerOrders,
     get_table: Callable[[], RouteTable | None],
-    count_running: Callable[[TargetId], int],
+    load: FleetLoad,
+    get_bounds: Callable[[], Bounds],
+    metrics: Metrics,
 ) -> WeightsDuty:
     """Return the weights duty of this daemon.
 
@@ -206,9 +210,18 @@
         targets: The targets to change.
         orders: Sends orders to targets and reads their reports.
         get_table: Returns the route table, which says which groups serve a model.
-        count_running: Returns the number of requests running at a target.
+        load: The load of all daemons.
+        get_bounds: Returns the current bounds.
+        metrics: Receives the pace of the rollout.
     """
     daemon = base.node.daemon
+    pacer = RolloutPacer(
+        load,
+        base.clock,
+        lambda: get_bounds().weights_seconds,
+        metrics,
+        is_off=Mechanism.ROLLOUT_PACE in base.switched_off,
+    )
     rollout = WeightsRollout(
         orders,
         targets,
@@ -216,7 +229,8 @@
         daemon,
         lambda model: _groups_of(get_table(), model),
         peers.exchange.broadcast,
-        count_running,
+        load,
+        pacer,
         max_drain_seconds=(
             MIN_DRAIN_SECONDS
             if Mechanism.RUNS_END in base.switched_off
--- a/lycheepost/decide/mechanisms.py
+++ b/lycheepost/decide/mechanisms.py
@@ -43,6 +43,9 @@
     MACHINE_STATES = "machine_states"
     """The momentary speed that targets report counts for placement; off: it is
     ignored."""
+    ROLLOUT_PACE = "rollout_pace"
+    """Fewer targets load new weights at the same time while demand needs them; off:
+    always the same share."""
 
 
 def parse_mechanisms(text: str) -> Result[frozenset[Mechanism], str]:
--- a/lycheepost/decide/peerloads.py
+++ b/lycheepost/decide/peerloads.py
@@ -32,6 +32,15 @@
     n_streams: int = 0
     held_tokens: int = 0
 
+    def plus(self, other: "DaemonLoad") -> "DaemonLoad":
+        """Return the sum of two loads at the same target."""
+        return DaemonLoad(
+            self.queued_tokens + other.queued_tokens,
+            self.n_running + other.n_running,
+            self.n_streams + other.n_streams,
+            self.held_tokens + other.held_tokens,
+        )
+
 
 NO_LOAD = DaemonLoad(0, 0)
 
--- a/lycheepost/decide/rollout.py
+++ b/lycheepost/decide/rollout.py
@@ -9,10 +9,18 @@
 it began with is worthless to its caller, and the change pauses every stream.
 """
 
+import math
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from lycheepost.core.ids import ModelId, TargetId, WeightsVersion
+from lycheepost.core.ids import (
+    AvailabilityZone,
+    ModelId,
+    TargetId,
+    WeightsVersion,
+)
+from lycheepost.decide.rolloutpace import RolloutPace
 
 MAX_CHANGING_SHARE = 0.34
 """Share of a group that changes at the same time, while the others carry the traffic.
@@ -64,12 +72,17 @@
         n_running: Requests that it runs, by its last report.
         is_changing: Whether an order to it is in progress, even to a superseded
             version: it accepts no other until that is done.
+        availability_zone: Where it runs.
+        old_for_seconds: How long its weights may still be served if they are old; zero
+            if unknown.
     """
 
     target: TargetId
     version: int
     n_running: int
     is_changing: bool
+    availability_zone: AvailabilityZone = AvailabilityZone("")
+    old_for_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +100,10 @@
 
 
 def next_orders(
-    model: ModelId, wanted: int, targets: Sequence[TargetWeights]
+    model: ModelId,
+    wanted: int,
+    targets: Sequence[TargetWeights],
+    pace: RolloutPace | None = None,
 ) -> tuple[WeightsOrder, ...]:
     """Return the orders to prepare now.
 
@@ -95,11 +111,35 @@
         model: The model whose weights change.
         wanted: Number of the newest version.
         targets: All targets of the model.
+        pace: How many may change at the same time; None for the most.
     """
-    n_free = max_changing(len(targets)) - sum(item.is_changing for item in targets)
+    most = max_changing(len(targets)) if pace is None else pace.n_changing
+    n_free = max(0, most - sum(item.is_changing for item in targets))
     ready = [item for item in targets if item.version < wanted and not item.is_changing]
     ready.sort(key=lambda item: (item.n_running, item.target))
+    if pace is not None and pace.is_limited:
+        ready = _spread(ready, targets, most)
     version = WeightsVersion(str(wanted))
-    return tuple(
-        WeightsOrder(item.target, model, version) for item in ready[: max(0, n_free)]
-    )
+    return tuple(WeightsOrder(item.target, model, version) for item in ready[:n_free])
+
+
+def _spread(
+    ready: Sequence[TargetWeights], targets: Sequence[TargetWeights], most: int
+) -> list[TargetWeights]:
+    """Return targets by deadline, those of zones beyond their part of a pace last.
+
+    Targets whose weights may not be served any more come first: they serve nothing.
+    """
+    sizes = Counter(item.availability_zone for item in targets)
+    n_taken = Counter(item.availability_zone for item in targets if item.is_changing)
+    unused = [item for item in ready if item.old_for_seconds <= 0.0]
+    within: list[TargetWeights] = []
+    beyond: list[TargetWeights] = []
+    for item in sorted(ready, key=lambda item: item.old_for_seconds):
+        if item.old_for_seconds <= 0.0:
+            continue
+        zone = item.availability_zone
+        n_taken[zone] += 1
+        part = math.ceil(most * sizes[zone] / len(targets))
+        (within if n_taken[zone] <= part else beyond).append(item)
+    return unused + within + beyond
--- a/lycheepost/operators/weightsrollout.py
+++ b/lycheepost/operators/weightsrollout.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 
 import structlog
@@ -18,6 +18,7 @@
 from lycheepost.core.ids import DaemonId, ModelId, TargetGroupId, TargetId
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
+from lycheepost.decide.peerloads import NO_LOAD, DaemonLoad
 from lycheepost.decide.rollout import (
     MAX_DRAIN_SECONDS,
     TargetWeights,
@@ -27,6 +28,7 @@
     old_share,
 )
 from lycheepost.generated.messages import TargetsChanging
+from lycheepost.operators.rolloutpacer import FleetLoad, RolloutPacer, old_for_seconds
 from lycheepost.operators.weightsupdates import WeightsUpdates
 from lycheepost.state.leases import Lease
 from lycheepost.state.namedweights import weights_number
@@ -92,7 +94,8 @@
         daemon: Named in orders as their holder.
         groups_of: Returns the target groups that serve a model.
         notify_peers: Sends a message about changes to the peers.
-        count_running: Returns the number of requests of all known daemons at a target.
+        load: The load of all daemons.
+        pacer: Chooses how many targets change at the same time.
         max_drain_seconds: How long running requests may delay a target's order.
     """
 
@@ -104,11 +107,13 @@
         daemon: DaemonId,
         groups_of: Callable[[ModelId], tuple[TargetGroupId, ...]],
         notify_peers: Callable[[TargetsChanging], None],
-        count_running: Callable[[TargetId], int],
+        load: FleetLoad,
+        pacer: RolloutPacer,
         max_drain_seconds: float = MAX_DRAIN_SECONDS,
     ) -> None:
         self._max_drain_seconds = max_drain_seconds
-        self._count_running = count_running
+        self._load = load
+        self._pacer = pacer
         self._port = port
         self._targets = targets
         self._clock = clock
@@ -146,6 +151,7 @@
         return {
             "wanted": dict(self._wanted),
             "changing": sorted(self._changes),
+            "pace": self._pacer.status(),
             "may_order": self._may_order(),
         }
 
@@ -192,7 +198,19 @@
         by_name = {target.target: target for target in self._targets_of(model)}
         for target in by_name.values():
             self._note_start(target, model)
-        for order in next_orders(model, wanted, self._all_weights(model)):
+        has_old = any(
+            weights_number(target.weights.get(model)) < wanted
+            for target in by_name.values()
+        )
+        if not has_old:
+            self._pacer.finish(model)
+            return
+        listed = tuple(by_name.values())
+        totals = self._load.totals()
+        weights = self._all_weights(model, listed, totals)
+        pace = self._pacer.choose(model, wanted, listed, weights, totals)
+        for order in next_orders(model, wanted, weights, pace):
+            self._pacer.begin_change(order.target)
             change = asyncio.create_task(self._change(by_name[order.target], order))
             self._changes[order.target] = change
             change.add_done_callback(partial(self._end_change, order.target))
@@ -237,26 +255,45 @@
             if not target.is_leaving
         ]
 
-    def _all_weights(self, model: ModelId) -> list[TargetWeights]:
-        """Return the known weights of a model's targets."""
-        return [self._weights(target, model) for target in self._targets_of(model)]
+    def _old_share(self, order: WeightsOrder) -> float:
+        """Return the share of a model's targets that serve older weights."""
+        targets = self._targets_of(order.model)
+        return old_share(
+            weights_number(order.version), self._all_weights(order.model, targets, {})
+        )
+
+    def _all_weights(
+        self,
+        model: ModelId,
+        targets: Sequence[ListedTarget],
+        totals: Mapping[TargetId, DaemonLoad],
+    ) -> list[TargetWeights]:
+        """Return the weights of targets, with their load where it is given."""
+        versions = self._targets.named_weights().get(model, ())
+        now_seconds = self._clock.now_seconds()
+        found: list[TargetWeights] = []
+        for target in targets:
+            number = weights_number(target.weights.get(model))
+            found.append(
+                TargetWeights(
+                    target=target.target,
+                    version=number,
+                    n_running=totals.get(target.target, NO_LOAD).n_running,
+                    is_changing=target.target in self._changes,
+                    availability_zone=target.availability_zone,
+                    old_for_seconds=old_for_seconds(versions, number, now_seconds),
+                )
+            )
+        return found
 
     def _end_change(self, target: TargetId, change: asyncio.Task[None]) -> None:
         self._changes.pop(target, None)
+        self._pacer.end_change(target, is_done=False)
         self._wake.set()
         error = None if change.cancelled() else change.exception()
         if error is not None:
             _log.error("weights: change failed", target=target, reason=repr(error))
 
-    def _weights(self, target: ListedTarget, model: ModelId) -> TargetWeights:
-        name = target.target
-        return TargetWeights(
-            target=name,
-            version=weights_number(target.weights.get(model)),
-            n_running=self._count_running(name),
-            is_changing=name in self._changes,
-        )
-
     async def _change(self, target: ListedTarget, order: WeightsOrder) -> None:
         """Change the weights of one target; on failure it keeps its weights."""
         self._announce(target.start, order, is_done=False)
@@ -265,6 +302,7 @@
         if is_done:
             is_done = await self._wait_loaded(target, order)
         self._announce(target.start, order, is_done=True)
+        self._pacer.end_change(order.target, is_done)
         if not is_done:
             await asyncio.sleep(RETRY_DELAY_SECONDS)
 
@@ -274,8 +312,8 @@
         drained_seconds = 0.0
         while not is_due(
             drained_seconds,
-            self._count_running(order.target),
-            old_share(weights_number(order.version), self._all_weights(order.model)),
+            self._load.count_running(order.target),
+            self._old_share(order),
             self._max_drain_seconds,
         ):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
