--- a/features/decide/rolloutpace.feature
+++ b/features/decide/rolloutpace.feature
@@ -121,6 +121,17 @@
     When the load of the targets is unknown
     Then 15 targets change at a time because it is UNKNOWN_LOAD
 
+  Scenario Outline: <n> targets change one at a time as before
+    Guards against a small group whose order depends on a load that can't slow it.
+    Given a bound of 15 s for old weights
+    When all of <n> targets are busy
+    Then 1 targets change at a time because it is LEAST
+
+    Examples:
+      | n |
+      | 1 |
+      | 5 |
+
   Scenario: No zone loses more than its part
     The least loaded targets are all in one zone. Guards against callers of one zone who
     lose most of their near targets.
--- a/features/decide/steps/rolloutpace_steps.py
+++ b/features/decide/steps/rolloutpace_steps.py
@@ -219,6 +219,12 @@
     )
 
 
+@when("all of {n:d} targets are busy")
+def step_all_busy(context, n):
+    schedule = RolloutSchedule(n, 0, (13.5,) * n, context.bound_seconds, 1.5)
+    context.pace = choose_pace(schedule, GroupLoad(n, 1.0), max_changing(n))
+
+
 @when("the load of the targets is unknown")
 def step_unknown(context):
     schedule = RolloutSchedule(N_TARGETS, 0, (13.5,) * N_TARGETS, 15.0, 1.5)
--- a/lycheepost/decide/rolloutpace.py
+++ b/lycheepost/decide/rolloutpace.py
@@ -45,6 +45,7 @@
     SPARE = "demand leaves enough targets free"
     CROWDED = "demand needs the targets"
     NO_TIME = "the bound leaves no time for a slower rollout"
+    LEAST = "targets change one at a time anyway"
     UNKNOWN_LOAD = "the load of the targets is unknown"
     SWITCHED_OFF = "the mechanism is switched off"
 
@@ -110,15 +111,17 @@
         load: The load of the targets; None while unknown.
         max_changing: The most targets that may change without regard to the load.
     """
+    if max_changing <= 1:
+        return RolloutPace(max_changing, PaceReason.LEAST)
     if load is None:
         return RolloutPace(max_changing, PaceReason.UNKNOWN_LOAD)
     n_free = count_free(schedule.n_targets, load)
     if n_free >= max_changing:
         return RolloutPace(max_changing, PaceReason.SPARE)
-    n_needed = count_needed(schedule)
+    n_needed = max(1, math.ceil(count_needed(schedule)))
     if n_needed >= max_changing:
         return RolloutPace(max_changing, PaceReason.NO_TIME)
-    return RolloutPace(max(1, n_free, math.ceil(n_needed)), PaceReason.CROWDED)
+    return RolloutPace(max(n_free, n_needed), PaceReason.CROWDED)
 
 
 def count_free(n_targets: int, load: GroupLoad) -> int:
