--- a/lycheepost/decide/mechanisms.py
+++ b/lycheepost/decide/mechanisms.py
@@ -52,6 +52,9 @@
     QUOTA_RECORD = "quota_record"
     """Daemons record the use of quotas in the store for the next start; off: each start
     begins without it."""
+    ROLLOUT_PACE = "rollout_pace"
+    """Fewer targets load new weights at the same time while demand needs them; off:
+    always the same share."""
 
 
 def parse_mechanisms(text: str) -> Result[frozenset[Mechanism], str]:
--- a/lycheepost/decide/peerloads.py
+++ b/lycheepost/decide/peerloads.py
@@ -98,6 +98,11 @@
         self._drop_expired(now_seconds)
         return sum(group in report.waiting_groups for report in self._reports.values())
 
+    def n_daemons(self, now_seconds: float) -> int:
+        """Return how many daemons have reported recently."""
+        self._drop_expired(now_seconds)
+        return len(self._reports)
+
     def observe_changes(
         self, daemon: DaemonId, loads: Mapping[TargetId, DaemonLoad], now_seconds: float
     ) -> None:
@@ -117,6 +122,11 @@
         self._drop_expired(now_seconds)
         return self._totals.get(target, NO_LOAD)
 
+    def totals(self, now_seconds: float) -> dict[TargetId, DaemonLoad]:
+        """Return the total load of all peers at each target that has any."""
+        self._drop_expired(now_seconds)
+        return dict(self._totals)
+
     def take_changed(self, now_seconds: float) -> frozenset[TargetId]:
         """Return the targets whose total has changed since the last call."""
         self._drop_expired(now_seconds)
