Show load, memory and speed of each target: lycheepost fleet targets

Operators could see neither what an engine reads nor what its memory holds nor which engines are kept for long prompts; the status page had a part of it. One record a target (decide/targetstatus) now feeds the status page and the command.

--- a/lycheepost/commands/fleet.py
+++ b/lycheepost/commands/fleet.py
@@ -15,6 +15,7 @@
     request,
 )
 from lycheepost.commands.peertraffic import traffic
+from lycheepost.commands.targettable import targets
 from lycheepost.operators.client import ApiConnection, ask_revisions
 
 app = typer.Typer(help="Daemons and targets.", no_args_is_help=True)
@@ -26,6 +27,7 @@
 
 
 app.command()(beliefs)
+app.command()(targets)
 app.command()(traffic)
 
 
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -30,6 +30,7 @@
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.suspects import SuspectPlacement
 from lycheepost.decide.targetrates import TargetRates
+from lycheepost.decide.targetstatus import target_status
 from lycheepost.decide.throttling import TargetThrottle
 from lycheepost.decide.waiting import WaitingWork, work_cost_seconds
 from lycheepost.decide.waitingorder import Claim
@@ -369,6 +370,7 @@
 
     def status(self, now_seconds: float) -> dict[str, object]:
         """Return a summary of the queue and the targets."""
+        reading_engines = self.placement.pauses.reading_engines.targets
         return {
             **self.waiting.status(),
             "pressure": round(self.placement.pressure, 3),
@@ -376,15 +378,7 @@
             **self._speed_status(now_seconds),
             "pauses": self.placement.pauses.status().to_dict(),
             "targets": {
-                target: {
-                    "state": load.view.state.value,
-                    "n_in_flight": len(load.in_flight),
-                    "n_estimated": round(load.estimate(now_seconds)[1], 1),
-                    "n_believed_levels": len(load.cache_estimate),
-                    "window_tokens": round(load.window.tokens),
-                    "slowness": round(load.slowness.now(now_seconds), 3),
-                    "rate_ratio": round(load.rate_ratio, 3),
-                }
+                target: target_status(load, target in reading_engines, now_seconds)
                 for target, load in self.placement.loads.items()
             },
         }
