--- a/features/app/steps/loads_steps.py
+++ b/features/app/steps/loads_steps.py
@@ -30,6 +30,9 @@
     def take_placed(self):
         return ()
 
+    def take_state_news(self):
+        return ()
+
     def waiting_groups(self):
         return ()
 
