--- a/features/decide/pauses.feature
+++ b/features/decide/pauses.feature
@@ -108,7 +108,7 @@
     Guards against long prompts that wait behind others while engines have slots.
     Given 3 engines, of which two read a long prompt and the third runs streams
     When a long prompt arrives that can wait for 2 s
-    Then it waits
+    Then the stream waits
     When a long prompt arrives that can wait for 0.4 s
     Then it is sent beside the streams
 
--- a/features/decide/steps/pauses_steps.py
+++ b/features/decide/steps/pauses_steps.py
@@ -296,7 +296,7 @@
     arrive(context.driver, context.name, LONG_TOKENS, seconds)
 
 
-@then("it waits")
+@then("the stream waits")
 def step_waits(context):
     assert context.name not in context.driver.sent, context.driver.sent
     assert context.name not in context.driver.refused
--- a/features/operators/steps/rolloutwait_steps.py
+++ b/features/operators/steps/rolloutwait_steps.py
@@ -1,6 +1,7 @@
 """Steps of rolloutwaits.feature: a rollout in virtual time and an outdated target."""
 
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 
@@ -13,6 +14,7 @@
     WeightsVersion,
 )
 from lycheepost.core.routing import ListedTarget
+from lycheepost.operators.rolloutpacer import RolloutPacer
 from lycheepost.operators.weightsrollout import WeightsRollout
 from lycheepost.standin.virtualtime import run_virtual, virtual_clock
 from lycheepost.state.targetlist import TargetList
@@ -29,6 +31,22 @@
 )
 
 
+class OneRequest:
+    """A fleet whose targets run one request each, without peers."""
+
+    def count_running(self, _target):
+        return 1
+
+    def totals(self):
+        return {}
+
+    def has_peers(self):
+        return False
+
+    def waiting_share(self, _group):
+        return 0.0
+
+
 class HeldLease:
     def is_held(self, _now_seconds):
         return True
@@ -38,6 +56,7 @@
     clock = virtual_clock()
     targets = TargetList(clock, lambda _views: None, lambda: 10.0)
     targets.replace_all([OLD], False)
+    load = OneRequest()
     return WeightsRollout(
         None,
         targets,
@@ -45,7 +64,8 @@
         DaemonId("me"),
         lambda _model: (GROUP,),
         lambda _message: None,
-        lambda _target: 1,
+        load,
+        RolloutPacer(load, clock, lambda: 10.0, mock.Mock()),
     )
 
 
