--- a/lycheepost/decide/pausecondition.py
+++ b/lycheepost/decide/pausecondition.py
@@ -1,6 +1,6 @@
 """Whether long prompts can pause streams for longer than their gap objective."""
 
-from dataclasses import dataclass
+from lycheepost.decide.partcondition import PartCondition
 
 N_PROMPTS_IN_A_ROW = 2
 """Long prompts that an engine reads one after the other often enough to matter."""
@@ -10,20 +10,12 @@
 measured rates do not switch it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Condition:
-    """Whether the guard takes effect, and why."""
-
-    is_met: bool
-    reason: str
-
-
 def check_condition(
     gap_seconds: float | None,
     long_tokens: float | None,
     token_seconds: float | None,
     was_met: bool,
-) -> Condition:
+) -> PartCondition:
     """Return whether long prompts can pause streams for longer than they may wait.
 
     Args:
@@ -33,16 +25,16 @@
         was_met: Whether the condition held before.
     """
     if gap_seconds is None:
-        return Condition(False, "no stream has a gap objective")
+        return PartCondition(False, "no stream has a gap objective")
     if long_tokens is None:
-        return Condition(False, "few prompts are long")
+        return PartCondition(False, "few prompts are long")
     if token_seconds is None:
-        return Condition(False, "the time to read a token is not measured yet")
+        return PartCondition(False, "the time to read a token is not measured yet")
     pause_seconds = N_PROMPTS_IN_A_ROW * long_tokens * token_seconds
     bound_seconds = gap_seconds * (OFF_SHARE if was_met else 1.0)
     is_met = pause_seconds > bound_seconds
     relation = "more" if is_met else "no more"
-    return Condition(
+    return PartCondition(
         is_met,
         f"{N_PROMPTS_IN_A_ROW} long prompts of {long_tokens:.0f} tokens take "
         f"{pause_seconds:.2f} s to read, {relation} than {bound_seconds:.2f} s",
--- a/lycheepost/decide/pauses.py
+++ b/lycheepost/decide/pauses.py
@@ -20,7 +20,8 @@
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.mechanisms import Mechanism
-from lycheepost.decide.pausecondition import Condition, check_condition
+from lycheepost.decide.partcondition import PartCondition
+from lycheepost.decide.pausecondition import check_condition
 from lycheepost.decide.pausecosts import PauseCosts
 from lycheepost.decide.rates import Rates
 from lycheepost.decide.readingengines import (
@@ -105,7 +106,7 @@
         self._has_budget = Mechanism.READING_BUDGET not in switched_off
         self.reading_engines = ReadingEngines()
         reason = "no traffic" if self._is_enabled else "switched off"
-        self.condition = Condition(False, reason)
+        self.condition = PartCondition(False, reason)
         self._gap_seconds: float | None = None
         self._gap_seen_seconds = float("-inf")
         self._long_tokens: float | None = None
