--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -64,8 +64,9 @@
 }
 
 
-MIN_COMPRESSED_BYTES = 256
-"""Shorter bodies save too few bytes to be worth the processor time."""
+MIN_COMPRESSED_BYTES = 1024
+"""Shorter bodies, such as most load reports, of which a daemon gets hundreds a second,
+save too few bytes to be worth the processor time."""
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
 """Largest body that is decompressed: that of a table of some ten thousand rows."""
