Record whether a daemon itself reaches targets: probes, log, gauge, status

Connections that fail at targets are recorded apart from these, and a probe of up to four targets tells: 'paths: targets probed', 'paths: no target is reached', 'paths: restored', gauge own_paths_lost, own_paths in the status. Nothing is decided by it yet. All clients of targets open their connections through one object, so that a stand-in can cut one daemon off.

--- /dev/null
+++ b/features/decide/ownpaths.feature
@@ -0,0 +1,47 @@
+Feature: Whether a daemon itself reaches its targets
+
+  Scenario: A daemon that reaches none of several targets has lost its paths
+    Guards against counting the loss of a daemon's own paths against all its targets.
+    Given a daemon with paths
+    When a probe of 4 targets reaches 0
+    Then its paths are lost
+
+  Scenario Outline: A probe of <n_probed> targets that reaches <n_reached> is no loss
+    Guards against a daemon that takes crashed targets for a loss of its own paths.
+    Given a daemon with paths
+    When a probe of <n_probed> targets reaches <n_reached>
+    Then its paths work
+
+    Examples:
+      | n_probed | n_reached |
+      | 4        | 1         |
+      | 4        | 4         |
+      | 1        | 0         |
+      | 0        | 0         |
+
+  Scenario Outline: Lost paths stay lost: <stay>, when <n_reached> of 4 targets are reached
+    Guards against callers sent back to a daemon that reaches a target by chance.
+    Given a daemon without paths
+    When a probe of 4 targets reaches <n_reached>
+    Then its paths are lost: <stay>
+
+    Examples:
+      | n_reached | stay |
+      | 0         | yes  |
+      | 1         | yes  |
+      | 2         | no   |
+      | 4         | no   |
+
+  Scenario: Paths that are lost are probed more often than paths that work
+    Guards against a daemon that costs connections while single targets are down.
+    Given a daemon with paths
+    When a probe of 4 targets reaches 4
+    Then the next probe may begin after 1 s
+    When a probe of 4 targets reaches 0
+    Then the next probe may begin after 0.5 s
+
+  Scenario: A connection that opens clears the evidence
+    Guards against adding up failures of targets over minutes.
+    Given a daemon with paths
+    When connections to 3 targets fail and one opens
+    Then no target counts as failed
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -54,6 +54,7 @@
 from lycheepost.state.initial_reads import InitialReads
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.watch import Watch
+from lycheepost.targets.network import TargetNetwork
 from lycheepost.utils.metrics import ServedMetrics
 from lycheepost.utils.tasks import start_task
 
@@ -308,6 +309,7 @@
             "queues": components.traffic.dispatcher.status(),
             "sends": components.traffic.client.status(),
             "notices": components.traffic.notices.status(),
+            "own_paths": components.traffic.paths.status(),
             "quotas": components.quotas.status(components.base.clock.now_seconds()),
             "quota_record": components.traffic.quota_recorder.status(),
             "store": components.base.store.status(),
@@ -322,6 +324,7 @@
     leave_plan: LeavePlan | None = None,
     settings_file: pathlib.Path | None = None,
     switched_off: frozenset[Mechanism] = frozenset(),
+    network: TargetNetwork | None = None,
 ) -> PlatformDaemon:
     """Build the components of one daemon without starting them.
 
@@ -334,6 +337,7 @@
             grace period that is in force then.
         settings_file: The file that ``node`` was read from; watched for changes.
         switched_off: Disabled mechanisms of the decisions.
+        network: Opens the connections to targets; None for the usual one.
     """
     base = make_base(node, clock or SystemClock(), switched_off)
     metrics = ServedMetrics()
@@ -348,6 +352,7 @@
         lambda: settings.bounds,
         first_reads,
         fleet_quotas,
+        network or TargetNetwork(),
     )
     weights = make_weights_duty(
         base,
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -18,7 +18,9 @@
 from lycheepost.app.leaveplan import LeavePlan
 from lycheepost.app.platformdaemon import PlatformDaemon, make_platform_daemon
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
+from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.platform import headers as names
+from lycheepost.platform.models.pathcuts import CuttableNetwork
 from lycheepost.platform.models.serverstandin import PlatformServer, ServerRun
 from lycheepost.platform.models.storestandin import StoreStandin
 from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
@@ -138,7 +140,9 @@
         servers: Engines and plain services.
         nodes: The platform's settings of each daemon.
         daemons: The daemons, in the same order as ``nodes``.
+        networks: The paths of each daemon to the servers, in the same order.
         attempt_id: The attempt id of the last request.
+        switched_off: Disabled mechanisms of daemons that are started from now on.
     """
 
     def __init__(self, bounds: Bounds = BOUNDS) -> None:
@@ -146,7 +150,9 @@
         self.servers: list[PlatformServer] = []
         self.nodes: list[NodeSettings] = []
         self.daemons: list[PlatformDaemon] = []
+        self.networks: list[CuttableNetwork] = []
         self.attempt_id = ""
+        self.switched_off: frozenset[Mechanism] = frozenset()
         self._bounds = bounds
         self._n_attempts = 0
         self._session: aiohttp.ClientSession | None = None
@@ -233,15 +239,19 @@
             bounds=self._bounds,
         )
         plan = LeavePlan(accept_seconds=0.4, finish_seconds=5.0)
+        network = CuttableNetwork()
         daemon = make_platform_daemon(
             node,
             EarlySockets(clients, readiness, directory),
             metrics_port=0,
             leave_plan=plan,
+            switched_off=self.switched_off,
+            network=network,
         )
         await daemon.start()
         self.nodes.append(node)
         self.daemons.append(daemon)
+        self.networks.append(network)
 
     async def until(
         self,
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -14,6 +14,7 @@
 from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.notices import NoticeExchange
+from lycheepost.app.paths import PathWatch, ProbeTarget
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
@@ -46,6 +47,7 @@
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
 from lycheepost.targets.forwardcall import ResponseHead
+from lycheepost.targets.network import TargetNetwork
 from lycheepost.utils.metrics import Metrics
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -95,12 +97,14 @@
     notices: NoticeExchange
     quotas: QuotaExchange
     quota_recorder: QuotaRecorder
+    paths: PathWatch
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
         return [
             self.client,
             self.orders,
+            self.paths,
             self.cache_events,
             self.dispatcher,
             self.caches,
@@ -126,6 +130,7 @@
     get_bounds: Callable[[], Bounds],
     first_reads: InitialReads,
     fleet_quotas: FleetQuotas,
+    network: TargetNetwork,
 ) -> PlatformTraffic:
     """Build the components that carry requests without starting them.
 
@@ -136,6 +141,7 @@
         get_bounds: Returns the current bounds.
         first_reads: The first reads of the store, which requests wait for.
         fleet_quotas: The customers' quotas for the whole fleet.
+        network: Opens the connections to targets.
     """
     clock = base.clock
     switched_off = base.switched_off
@@ -173,7 +179,10 @@
     notices = NoticeExchange(
         known_notices, dispatcher, targets, exchange, clock, metrics
     )
-    cache_events = CacheEventsClient()
+    paths = PathWatch(
+        network, clock, metrics, base.rng, lambda: _probe_targets(targets)
+    )
+    cache_events = CacheEventsClient(network)
     kv_store_contents = KvStoreContents(switched_off)
     caches = CacheFollower(
         cache_events,
@@ -187,8 +196,8 @@
     routing.subscribe(caches.set_table)
     routing.subscribe(quotas.set_table)
     streams = StreamSettings(connect_seconds=CONNECT_TIMEOUT_SECONDS)
-    client = ForwardClient(streams, ServerDialect())
-    orders = ServerOrders(notices.note_call)
+    client = ForwardClient(streams, ServerDialect(), network)
+    orders = ServerOrders(notices.note_call, network)
 
     def on_answer_headers(
         sent_to: ListedTarget, head: ResponseHead, sent_seconds: float
@@ -218,6 +227,7 @@
         draw_split_point=base.rng.random,
         on_answer_headers=on_answer_headers,
         is_backed_off=notices.is_backed_off,
+        paths=paths,
     )
     return PlatformTraffic(
         dispatcher=dispatcher,
@@ -232,9 +242,17 @@
         notices=notices,
         quotas=quotas,
         quota_recorder=quota_recorder,
+        paths=paths,
     )
 
 
+def _probe_targets(targets: TargetList) -> list[ProbeTarget]:
+    return [
+        ProbeTarget(item.target, item.target_group, item.address)
+        for item in targets.all_listed()
+    ]
+
+
 def make_key_rule(bounds: Bounds) -> KeyTrustRule:
     """Return the rule for how long confirmed keys are trusted."""
     return KeyTrustRule(bounds.revoke_seconds, bounds.is_revoke_strict)
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -131,6 +131,18 @@
         ...
 
 
+class OwnPathsPort(Protocol):
+    """Whether this daemon itself reaches targets."""
+
+    def note_connected(self) -> None:
+        """Record that a new connection to a target has opened."""
+        ...
+
+    def note_failed(self, target: TargetId) -> None:
+        """Record that a new connection to a target has failed."""
+        ...
+
+
 @dataclass(frozen=True)
 class ForwardDeps:
     """The dependencies of forwarding.
@@ -146,6 +158,7 @@
         on_answer_headers: Called with the target, the headers of its response, which
             may report its state, and the time at which the request was sent.
         is_backed_off: Whether a target has asked for a back-off that still lasts.
+        paths: Whether this daemon itself reaches targets.
         request_bytes: Bodies of requests that are being served.
         answer_bytes: Complete responses on their way to callers.
     """
@@ -164,6 +177,7 @@
     draw_split_point: Callable[[], float]
     on_answer_headers: Callable[[ListedTarget, ResponseHead, float], None]
     is_backed_off: Callable[[TargetId], bool]
+    paths: OwnPathsPort
     request_bytes: ByteBudget = field(
         default_factory=lambda: ByteBudget(MAX_REQUEST_BYTES)
     )
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -313,12 +313,15 @@
         match sent:
             case Failure(TargetUnreachable(reason=reason)):
                 self._is_sent = False
+                self._deps.paths.note_failed(target)
                 self._deps.targets.note_end(target, Ending.UNREACHABLE)
                 return AttemptEnd.NOT_SENT, reason
             case Failure(TargetError(reason=reason)):
                 self._deps.targets.note_end(target, Ending.BAD)
                 return AttemptEnd.LOST, reason
             case Success(answer):
+                if not call.may_reuse_connection:
+                    self._deps.paths.note_connected()
                 return await self._handle_answer(
                     listed, answer, wait_seconds, sent_seconds
                 )
--- /dev/null
+++ b/lycheepost/decide/ownpaths.py
@@ -0,0 +1,106 @@
+"""Whether this daemon itself reaches its targets.
+
+A daemon may lose the paths to all targets while callers, the store and its peers still
+reach it. Its connections then fail at every target, although no target has failed.
+Counted against the targets, that would leave the daemon without usable targets but
+in use. So the paths are judged apart from the targets: connections that fail at
+several targets, without one that opens in between, are no evidence against these.
+
+Only new connections count. Open ones may live on while new ones are refused.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lycheepost.core.ids import TargetId
+
+PROBED_TARGETS = 4
+"""Targets of one probe. At one lost packet in ten, all of four connections fail in one
+probe of ten thousand."""
+
+MIN_PROBED_TARGETS = 2
+"""Minimum number of targets for a verdict: one target that is down says nothing of the
+paths."""
+
+MIN_PROBE_INTERVAL_SECONDS = 1.0
+"""Minimum time between probes while the paths work. Crashed targets make connections
+fail too, and each probe costs some connections."""
+
+LOST_PROBE_INTERVAL_SECONDS = 0.5
+"""Interval of probes without paths: callers are served with a detour until one
+succeeds."""
+
+MIN_RESTORED_SHARE = 0.5
+"""Share of probed targets that must be reached for the paths to count as restored. A
+single one may be reached by chance while nearly all packets are lost."""
+
+
+class PathState(Enum):
+    """Whether this daemon reaches targets."""
+
+    REACHES_TARGETS = "reaches_targets"
+    REACHES_NONE = "reaches_none"
+
+
+@dataclass(slots=True)
+class OwnPaths:
+    """The state of this daemon's own paths to all targets.
+
+    Attributes:
+        state: The verdict of the last probe.
+        since_seconds: When the state was entered.
+        failed: Targets at which a new connection failed, since one last opened.
+    """
+
+    state: PathState = PathState.REACHES_TARGETS
+    since_seconds: float = float("-inf")
+    failed: set[TargetId] = field(default_factory=set)
+    _probed_seconds: float = float("-inf")
+
+    @property
+    def are_lost(self) -> bool:
+        """Return whether no target is reached."""
+        return self.state is PathState.REACHES_NONE
+
+    def note_connected(self) -> None:
+        """Record that a new connection to a target has opened."""
+        self.failed.clear()
+
+    def note_failed(self, target: TargetId) -> None:
+        """Record that a new connection to a target has failed."""
+        self.failed.add(target)
+
+    def probe_wait_seconds(self, now_seconds: float) -> float:
+        """Return the time until the next probe may begin."""
+        interval_seconds = (
+            LOST_PROBE_INTERVAL_SECONDS if self.are_lost else MIN_PROBE_INTERVAL_SECONDS
+        )
+        return max(0.0, self._probed_seconds + interval_seconds - now_seconds)
+
+    def note_probe(
+        self,
+        n_probed: int,
+        reached: Collection[TargetId],
+        now_seconds: float,
+    ) -> bool:
+        """Apply the result of a probe; return whether the state has changed.
+
+        Args:
+            n_probed: Targets that were probed at the same time.
+            reached: Those that accepted a connection.
+            now_seconds: The current time.
+        """
+        self._probed_seconds = now_seconds
+        before = self.state
+        if self.are_lost:
+            if len(reached) >= max(1.0, MIN_RESTORED_SHARE * n_probed):
+                self.state = PathState.REACHES_TARGETS
+        elif not reached and n_probed >= MIN_PROBED_TARGETS:
+            self.state = PathState.REACHES_NONE
+        if reached:
+            self.failed.clear()
+        if self.state is before:
+            return False
+        self.since_seconds = now_seconds
+        return True
--- a/lycheepost/platform/cacheevents.py
+++ b/lycheepost/platform/cacheevents.py
@@ -10,6 +10,7 @@
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.cachewatch import CacheEventBatch
 from lycheepost.targets.errors import TargetError, TargetLost
+from lycheepost.targets.network import TargetNetwork
 from lycheepost.utils.decoding import UNREADABLE
 
 LONG_POLL_MS = 1000
@@ -38,15 +39,23 @@
 
 
 class CacheEventsClient:
-    """Implements ``targets.cachewatch.CacheEventsPort``."""
+    """Implements ``targets.cachewatch.CacheEventsPort``.
 
-    def __init__(self) -> None:
+    Args:
+        network: Opens the connections.
+    """
+
+    def __init__(self, network: TargetNetwork | None = None) -> None:
+        self._network = network
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Open the session."""
         self._session = make_call_session(
-            CALL_TIMEOUT_SECONDS, CONNECT_TIMEOUT_SECONDS, KEEPALIVE_SECONDS
+            CALL_TIMEOUT_SECONDS,
+            CONNECT_TIMEOUT_SECONDS,
+            KEEPALIVE_SECONDS,
+            self._network,
         )
 
     async def drain(self) -> None:
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -18,6 +18,7 @@
 from lycheepost.platform.dialect import MISDIRECTED_STATUS, decode_notice
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
+from lycheepost.targets.network import TargetNetwork
 from lycheepost.targets.weightsport import (
     LoadWeights,
     OrderAnswer,
@@ -90,16 +91,22 @@
 
     Args:
         on_notice: Called with the notice in the headers of each response.
+        network: Opens the connections.
     """
 
-    def __init__(self, on_notice: OnNotice) -> None:
+    def __init__(
+        self, on_notice: OnNotice, network: TargetNetwork | None = None
+    ) -> None:
         self._on_notice = on_notice
+        self._network = network
         self._session: aiohttp.ClientSession | None = None
         self.n_orders = 0
 
     async def start(self) -> None:
         """Open the session."""
-        self._session = make_call_session(CALL_TIMEOUT_SECONDS, CONNECT_TIMEOUT_SECONDS)
+        self._session = make_call_session(
+            CALL_TIMEOUT_SECONDS, CONNECT_TIMEOUT_SECONDS, network=self._network
+        )
 
     async def drain(self) -> None:
         """Do nothing: the duty that sends orders has ended."""
--- a/lycheepost/platform/sessions.py
+++ b/lycheepost/platform/sessions.py
@@ -2,11 +2,14 @@
 
 import aiohttp
 
+from lycheepost.targets.network import TargetNetwork
+
 
 def make_call_session(
     call_timeout_seconds: float,
     connect_timeout_seconds: float,
     keepalive_seconds: float | None = None,
+    network: TargetNetwork | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session whose calls time out.
 
@@ -15,11 +18,9 @@
         connect_timeout_seconds: Maximum time to connect.
         keepalive_seconds: How long idle connections are kept open; None to close each
             connection after its call.
+        network: Opens the connections to targets; None for calls to the store.
     """
-    if keepalive_seconds is None:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    else:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_seconds)
+    connector = (network or TargetNetwork()).make_connector(keepalive_seconds)
     return aiohttp.ClientSession(
         connector=connector,
         timeout=aiohttp.ClientTimeout(
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -127,6 +127,14 @@
             if known.listed.target_group == target_group
         )
 
+    def all_listed(self) -> list[ListedTarget]:
+        """Return all targets that may be sent to."""
+        return [
+            known.listed
+            for known in self._known.values()
+            if not known.listed.is_leaving
+        ]
+
     def weights_of(self, target: TargetId, model: ModelId) -> WeightsVersion | None:
         """Return the weights version of a target, if known."""
         known = self._known.get(target)
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -14,6 +14,7 @@
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.forwardcall import Dialect, ForwardCall, ResponseHead
+from lycheepost.targets.network import TargetNetwork
 from lycheepost.targets.session import SessionPair
 
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -99,10 +100,16 @@
     Args:
         settings: Time-outs and the maximum idle time of pooled connections.
         dialect: Encodes calls and decodes responses.
+        network: Opens the connections.
     """
 
-    def __init__(self, settings: StreamSettings, dialect: Dialect) -> None:
-        self._sessions = SessionPair(settings)
+    def __init__(
+        self,
+        settings: StreamSettings,
+        dialect: Dialect,
+        network: TargetNetwork | None = None,
+    ) -> None:
+        self._sessions = SessionPair(settings, network)
         self._dialect = dialect
         self.n_calls = 0
         self.n_stale_answers = 0
--- a/lycheepost/targets/session.py
+++ b/lycheepost/targets/session.py
@@ -3,6 +3,7 @@
 import aiohttp
 
 from lycheepost.generated.settings import StreamSettings
+from lycheepost.targets.network import TargetNetwork
 
 
 async def _prevent_resend(
@@ -25,18 +26,17 @@
 
 
 def make_session(
-    settings: StreamSettings, is_pooled: bool = True
+    settings: StreamSettings,
+    is_pooled: bool = True,
+    network: TargetNetwork | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session that reuses connections for a limited idle time, or never.
 
     A device in between, such as a switch, may have dropped the state of a connection
     that was idle for long; the next request on it would be lost without an error.
     """
-    if is_pooled:
-        keepalive_seconds = settings.idle_connection_seconds
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_seconds)
-    else:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    keepalive_seconds = settings.idle_connection_seconds if is_pooled else None
+    connector = (network or TargetNetwork()).make_connector(keepalive_seconds)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.connect_seconds)
     return aiohttp.ClientSession(
         connector=connector,
@@ -57,17 +57,23 @@
 
     Args:
         settings: Time-outs and the maximum idle time of pooled connections.
+        network: Opens the connections.
     """
 
-    def __init__(self, settings: StreamSettings) -> None:
+    def __init__(
+        self, settings: StreamSettings, network: TargetNetwork | None = None
+    ) -> None:
         self._settings = settings
+        self._network = network
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Open both pools."""
-        self._pooled = make_session(self._settings)
-        self._fresh = make_session(self._settings, is_pooled=False)
+        self._pooled = make_session(self._settings, network=self._network)
+        self._fresh = make_session(
+            self._settings, is_pooled=False, network=self._network
+        )
 
     async def stop(self) -> None:
         """Close all connections."""
