--- /dev/null
+++ b/features/platform/steps/ownpath_steps.py
@@ -0,0 +1,176 @@
+"""Steps of ownpaths.feature."""
+
+import asyncio
+import itertools
+from collections import Counter
+from dataclasses import dataclass
+
+from behave import then, when
+from deployment import Deployment
+
+from lycheepost.platform.models.pathcuts import PathCut
+
+CONTACT_SECONDS = 3.0
+MIN_SERVED_SHARE = 2.0 / 3.0
+TOLERATED_FAILURES = 10
+TOLERATED_SHARE = 1.0 / 50.0
+ASK_TIMEOUT_SECONDS = 4.0
+
+
+@dataclass
+class Try:
+    """The first try of one client.
+
+    Attributes:
+        sent_seconds: When it was sent, since the cut began.
+        index: The daemon that it was sent to.
+    """
+
+    sent_seconds: float
+    index: int
+    status: int | None = None
+    is_whole: bool = False
+    body: bytes = b""
+
+    @property
+    def is_served(self) -> bool:
+        return self.status == 200 and self.is_whole
+
+
+async def ask(deployment: Deployment, number: int, attempt: Try) -> None:
+    """Send a look-up, an order or a stream."""
+    match number % 3:
+        case 0:
+            method, path, body = "GET", f"/look/{number}", b""
+            headers = deployment.headers("k-one")
+        case 1:
+            method, path, body = "POST", f"/order/{number}", b"one print"
+            headers = deployment.headers("k-one")
+        case _:
+            method, path, body = "POST", "/title/x", b"a title"
+            headers = deployment.prompt_headers("k-one", parts=f"a{number % 4}:100,b:9")
+    try:
+        async with asyncio.timeout(ASK_TIMEOUT_SECONDS):
+            answer = await deployment.ask(method, path, headers, body, attempt.index)
+    except TimeoutError:
+        return
+    attempt.status, attempt.is_whole = answer.status, answer.is_whole
+    attempt.body = answer.body
+
+
+async def play(deployment, per_second, seconds, cut_seconds, indexes, path_cut):
+    """Send first tries at an even rate to all daemons in turn.
+
+    Args:
+        deployment: The deployment.
+        per_second: Tries per second.
+        seconds: Duration of the traffic.
+        cut_seconds: When the paths of the daemons ``indexes`` are cut.
+        indexes: The daemons that are cut off.
+        path_cut: What happens to their connections.
+    """
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    tries, tasks = [], []
+    is_cut = False
+    for number in itertools.count():
+        elapsed = loop.time() - started
+        if elapsed > seconds:
+            break
+        if elapsed > cut_seconds and not is_cut:
+            is_cut = True
+            for index in indexes:
+                deployment.networks[index].cut(path_cut)
+        # Every kind of request is sent to every daemon in turn.
+        index = (number // 3) % len(deployment.daemons)
+        attempt = Try(elapsed - cut_seconds, index)
+        tries.append(attempt)
+        tasks.append(asyncio.create_task(ask(deployment, number, attempt)))
+        due = started + (number + 1) / per_second
+        await asyncio.sleep(max(0.0, due - loop.time()))
+    await asyncio.gather(*tasks)
+    return tries
+
+
+@when(
+    "clients ask all daemons, {per_second:d} a second for {seconds:d} s, and after"
+    " {cut_seconds:g} s the connections of the first daemon to all servers {cut}"
+)
+def step_cut_first(context, per_second, seconds, cut_seconds, cut):
+    context.cut_indexes = (0,)
+    context.tries = context.loop.run_until_complete(
+        play(
+            context.deployment,
+            per_second,
+            seconds,
+            cut_seconds,
+            context.cut_indexes,
+            PathCut(cut),
+        )
+    )
+
+
+@then(
+    "from 3 s after that first tries there are served at least two thirds as often as"
+    " elsewhere"
+)
+def step_served_alike(context):
+    late = [item for item in context.tries if item.sent_seconds >= CONTACT_SECONDS]
+    there = [item for item in late if item.index in context.cut_indexes]
+    elsewhere = [item for item in late if item.index not in context.cut_indexes]
+    assert there and elsewhere, "no tries"
+    n_there = sum(item.is_served for item in there)
+    n_elsewhere = sum(item.is_served for item in elsewhere)
+    n_failed = len(there) - n_there
+    share_there = n_there / len(there)
+    share_elsewhere = n_elsewhere / len(elsewhere)
+    is_broken = (
+        share_there < MIN_SERVED_SHARE * share_elsewhere
+        and n_failed > TOLERATED_FAILURES + TOLERATED_SHARE * len(late)
+    )
+    failed = Counter(item.status for item in there if not item.is_served)
+    assert not is_broken, (
+        f"served {n_there} of {len(there)} there, {n_elsewhere} of {len(elsewhere)}"
+        f" elsewhere; statuses {failed}"
+    )
+
+
+@then("nothing that may run once ran twice")
+def step_once(context):
+    runs = Counter(
+        run.attempt_id
+        for server in context.deployment.servers
+        for run in server.runs
+        if run.path.startswith("/order")
+    )
+    twice = {attempt: n for attempt, n in runs.items() if n > 1}
+    assert not twice, twice
+
+
+@then("all first tries elsewhere are served")
+def step_elsewhere(context):
+    failed = [
+        (item.status, item.body)
+        for item in context.tries
+        if item.index not in context.cut_indexes and not item.is_served
+    ]
+    assert not failed, failed
+
+
+@then(
+    "from 3 s after that its orders are served at least two thirds as often as"
+    " elsewhere"
+)
+def step_orders_alike(context):
+    orders = [
+        item
+        for number, item in enumerate(context.tries)
+        if number % 3 == 1 and item.sent_seconds >= CONTACT_SECONDS
+    ]
+    there = [item.is_served for item in orders if item.index in context.cut_indexes]
+    others = [
+        item.is_served for item in orders if item.index not in context.cut_indexes
+    ]
+    share = sum(there) / len(there)
+    share_elsewhere = sum(others) / len(others)
+    assert share >= MIN_SERVED_SHARE * share_elsewhere, (share, share_elsewhere)
