Judge a daemon's own paths apart from its targets, and serve its callers through peers

Cause: every failed connection counted against its target, and nothing against the daemon. With all targets ejected none is, so each request went through five targets again and was then refused, and nobody was told. Class: the loss of a daemon's own means, booked as a fault of those it talks to.

Now new connections that fail at a group's targets lead to a probe of up to four of them. If none accepts, the daemon's paths to this group are lost: failures no longer count against its targets, waiting requests are withdrawn, and requests for the group go to a peer that reaches it, over the callers' HTTP port, with the number of targets that may have run them before. A peer's refusal is passed on as not run, or another peer is tried; what may have run once and may not be repeated is never sent again. The groups that it does not reach are told to peers with its member record: address responses and entry daemons leave it out while others reach all groups.

HTTP and not the links between daemons: a relayed response needs flow control and a cancel of its own, which a connection has, and must not delay load reports.

--- a/features/callers/steps/awaiting_steps.py
+++ b/features/callers/steps/awaiting_steps.py
@@ -1,6 +1,7 @@
 """Steps of awaiting.feature."""
 
 import asyncio
+import itertools
 
 from behave import given, then, when
 from returns.result import Success
@@ -45,7 +46,9 @@
     gate = asyncio.Event()
     gives_up = context.what == "gives its target up"
     send = hold_through(context.answer, gate)
-    waiting = asyncio.ensure_future(await_headers(send, WAIT_SECONDS, lambda: gives_up))
+    waiting = asyncio.ensure_future(
+        await_headers(send, itertools.repeat(WAIT_SECONDS), lambda: gives_up)
+    )
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     if context.what == "leaves":
--- a/lycheepost/app/fleettopology.py
+++ b/lycheepost/app/fleettopology.py
@@ -35,20 +35,31 @@
 class EntryChooser:
     """Chooses the entry daemons among members.
 
+    Args:
+        ignores_paths: Whether daemons that reach no target of a group are chosen like
+            others.
+
     Attributes:
         n_targets: Number of targets of the fleet.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ignores_paths: bool = False) -> None:
         self.n_targets = 0
+        self._ignores_paths = ignores_paths
 
     def choose(self, members: tuple[Member, ...]) -> frozenset[DaemonId]:
         """Return the entry daemons among the members that are live.
 
-        If none is live, as while the store is down, they are chosen among all members
-        that may become live again, so that entry daemons keep exchanging updates.
+        Daemons without paths to a target group are chosen only if all are without some.
+        If none is
+        live, as while the store is down, they are chosen among all members that may
+        become live again, so that entry daemons keep exchanging updates.
         """
-        found = [item for item in members if item.state is MemberState.LIVE]
+        live = [item for item in members if item.state is MemberState.LIVE]
+        found = [
+            item for item in live if self._ignores_paths or not item.unreached_groups
+        ]
+        found = found or live
         found = found or [item for item in members if item.state in LINKED_STATES]
         return choose_entry(map(to_fleet_member, found), self.n_targets)
 
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -9,7 +9,12 @@
 
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import TargetGroupId, TargetId
-from lycheepost.decide.ownpaths import PROBED_TARGETS, OwnPaths
+from lycheepost.decide.ownpaths import (
+    LOST_PROBE_INTERVAL_SECONDS,
+    PROBED_TARGETS,
+    OwnPaths,
+)
+from lycheepost.decide.silence import QUIET_SECONDS
 from lycheepost.targets.network import TargetNetwork
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
@@ -26,19 +31,22 @@
     """A target that a probe may connect to."""
 
     target: TargetId
-    target_group: TargetGroupId
     address: str
 
 
+OnPathChange = Callable[[TargetGroupId, bool], None]
+
+
 class PathWatch:
-    """Probes targets once connections to them fail, and keeps the verdict.
+    """Probes targets once connections to them fail, and keeps the verdict by group.
 
     Args:
         network: Opens the connections.
         clock: The clock of the daemon.
         metrics: Receives the gauge.
         rng: Draws the probed targets.
-        get_targets: Returns the targets that may be probed.
+        get_targets: Returns the targets of a group that may be probed.
+        get_quiet_seconds: Returns for how long no target of a group has sent anything.
     """
 
     def __init__(
@@ -47,135 +55,162 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
-        get_targets: Callable[[], list[ProbeTarget]],
+        get_targets: Callable[[TargetGroupId], list[ProbeTarget]],
+        get_quiet_seconds: Callable[[TargetGroupId], float],
     ) -> None:
         self._network = network
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
         self._get_targets = get_targets
-        self._paths = OwnPaths()
-        self._probe: asyncio.Task[None] | None = None
-        self._on_change: list[Callable[[bool], None]] = []
-        self._task: asyncio.Task[None] | None = None
-        self._is_wanted = asyncio.Event()
+        self._get_quiet_seconds = get_quiet_seconds
+        self._paths: dict[TargetGroupId, OwnPaths] = {}
+        self._probes: dict[TargetGroupId, asyncio.Task[None]] = {}
+        self._on_change: list[OnPathChange] = []
         self.n_probes = 0
 
     async def start(self) -> None:
-        """Start probing when it is needed."""
+        """Report that the paths work, until a probe shows otherwise."""
         self._set_gauge()
-        self._task = start_task(self._run(), "paths")
 
     async def drain(self) -> None:
         """Do nothing: requests in flight still depend on the paths."""
 
     async def stop(self) -> None:
         """Stop probing."""
-        for task in (self._task, self._probe):
-            if task is not None:
-                task.cancel()
+        for probe in list(self._probes.values()):
+            probe.cancel()
 
     def status(self) -> dict[str, object]:
-        """Return the state of the paths, and the evidence against them."""
+        """Return the state of the paths to each group, and the evidence against it."""
         return {
-            "state": self._paths.state.value,
             "n_probes": self.n_probes,
-            "failed_targets": sorted(self._paths.failed),
+            "groups": {
+                str(name): {
+                    "state": paths.state.value,
+                    "failed_targets": sorted(paths.failed),
+                }
+                for name, paths in self._paths.items()
+            },
         }
 
-    def on_change(self, callback: Callable[[bool], None]) -> None:
-        """Call ``callback`` with whether the paths are lost, on each change."""
+    def on_change(self, callback: OnPathChange) -> None:
+        """Call ``callback`` with a group and whether its paths are lost, on changes."""
         self._on_change.append(callback)
 
-    def are_lost(self) -> bool:
-        """Return whether this daemon reaches no target."""
-        return self._paths.are_lost
+    def are_lost(self, target_group: TargetGroupId) -> bool:
+        """Return whether this daemon reaches no target of a group."""
+        paths = self._paths.get(target_group)
+        return paths is not None and paths.are_lost
+
+    def lost_groups(self) -> frozenset[TargetGroupId]:
+        """Return the groups of which this daemon reaches no target."""
+        return frozenset(name for name, item in self._paths.items() if item.are_lost)
 
-    def note_connected(self) -> None:
+    def note_connected(self, target_group: TargetGroupId) -> None:
         """Record that a new connection to a target has opened."""
-        self._paths.note_connected()
+        if target_group in self._paths:
+            self._paths[target_group].note_connected()
 
-    def note_failed(self, target: TargetId) -> None:
+    def note_failed(self, target_group: TargetGroupId, target: TargetId) -> None:
         """Record that a new connection to a target failed; a probe follows."""
-        self._paths.note_failed(target)
-        self.suspect()
+        self._of(target_group).note_failed(target)
+        self._probe_if_due(target_group)
+
+    def note_quiet(self, target_group: TargetGroupId) -> None:
+        """Probe if no target of a group has sent anything for a while."""
+        if self.is_quiet(target_group):
+            self._probe_if_due(target_group)
+
+    def is_quiet(self, target_group: TargetGroupId) -> bool:
+        """Return whether no target of a group has sent anything for a while."""
+        return self._get_quiet_seconds(target_group) >= QUIET_SECONDS
+
+    async def verify(self, target_group: TargetGroupId) -> bool:
+        """Return whether this daemon reaches no target of a group, by a new probe."""
+        if target_group not in self._probes:
+            self._start_probe(target_group)
+        await self.settle(target_group)
+        return self.are_lost(target_group)
+
+    async def settle(self, target_group: TargetGroupId) -> None:
+        """Wait for the verdict of a probe that is under way."""
+        probe = self._probes.get(target_group)
+        if probe is not None:
+            await asyncio.wait({probe})
+
+    def _of(self, target_group: TargetGroupId) -> OwnPaths:
+        return self._paths.setdefault(target_group, OwnPaths())
 
-    def suspect(self) -> None:
-        """Probe as soon as the interval of the probes allows."""
+    def _probe_if_due(self, target_group: TargetGroupId) -> None:
+        """Start a probe, unless one runs or the last one is too recent."""
         now_seconds = self._clock.now_seconds()
-        if self._probe is None and not self._paths.probe_wait_seconds(now_seconds):
-            self._probe = start_task(self._run_probe(), "path-probe")
-        self._is_wanted.set()
+        if target_group in self._probes:
+            return
+        if not self._of(target_group).probe_wait_seconds(now_seconds):
+            self._start_probe(target_group)
+
+    def _start_probe(self, target_group: TargetGroupId) -> None:
+        probe = start_task(self._probe(target_group), "path-probe")
+        self._probes[target_group] = probe
+        probe.add_done_callback(lambda _probe: self._end_probe(target_group))
+
+    def _end_probe(self, target_group: TargetGroupId) -> None:
+        """Schedule the next probe while the paths are lost."""
+        del self._probes[target_group]
+        if self.are_lost(target_group):
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                LOST_PROBE_INTERVAL_SECONDS, self._probe_if_due, target_group
+            )
 
-    async def settle(self) -> None:
-        """Wait for the verdict of a probe that is under way."""
-        if self._probe is not None:
-            await asyncio.wait({self._probe})
-
-    async def _run(self) -> None:
-        while True:
-            if not self._paths.are_lost:
-                await self._is_wanted.wait()
-                self._is_wanted.clear()
-            now_seconds = self._clock.now_seconds()
-            await asyncio.sleep(self._paths.probe_wait_seconds(now_seconds))
-            if self._paths.are_lost or self._paths.failed:
-                self.suspect()
-            await self.settle()
-
-    async def _run_probe(self) -> None:
-        try:
-            probed = self._draw()
-            results = await asyncio.gather(
-                *(
-                    self._network.can_connect(item.address, PROBE_TIMEOUT_SECONDS)
-                    for item in probed
-                )
+    async def _probe(self, target_group: TargetGroupId) -> None:
+        targets = self._get_targets(target_group)
+        probed = self._rng.sample(targets, min(PROBED_TARGETS, len(targets)))
+        results = await asyncio.gather(
+            *(
+                self._network.can_connect(item.address, PROBE_TIMEOUT_SECONDS)
+                for item in probed
             )
-            reached = [
-                item.target
-                for item, is_reached in zip(probed, results, strict=True)
-                if is_reached
-            ]
-            self._note_probe(len(probed), reached)
-        finally:
-            self._probe = None
-
-    def _draw(self) -> list[ProbeTarget]:
-        """Return random targets, of as many groups as possible."""
-        targets = list(self._get_targets())
-        self._rng.shuffle(targets)
-        seen: dict[TargetGroupId, int] = {}
-        ranked: list[tuple[int, int, ProbeTarget]] = []
-        for index, item in enumerate(targets):
-            n_before = seen.get(item.target_group, 0)
-            seen[item.target_group] = n_before + 1
-            ranked.append((n_before, index, item))
-        ranked.sort(key=lambda entry: entry[:2])
-        return [item for _, _, item in ranked[:PROBED_TARGETS]]
-
-    def _note_probe(self, n_probed: int, reached: list[TargetId]) -> None:
+        )
+        reached = [
+            item.target
+            for item, is_reached in zip(probed, results, strict=True)
+            if is_reached
+        ]
+        self._note_probe(target_group, len(probed), reached)
+
+    def _note_probe(
+        self, target_group: TargetGroupId, n_probed: int, reached: list[TargetId]
+    ) -> None:
         self.n_probes += 1
-        failed = sorted(self._paths.failed)
+        paths = self._of(target_group)
+        failed = sorted(paths.failed)
         now_seconds = self._clock.now_seconds()
-        lasted_seconds = now_seconds - self._paths.since_seconds
-        is_change = self._paths.note_probe(n_probed, reached, now_seconds)
+        lasted_seconds = now_seconds - paths.since_seconds
+        is_change = paths.note_probe(n_probed, reached, now_seconds)
         _log.info(
             "paths: targets probed",
+            group=target_group,
             n_probed=n_probed,
             reached=reached,
             failed_targets=failed,
         )
         if not is_change:
             return
-        are_lost = self._paths.are_lost
-        if are_lost:
-            _log.warning("paths: no target is reached", failed_targets=failed)
+        if paths.are_lost:
+            _log.warning(
+                "paths: no target is reached", group=target_group, failed_targets=failed
+            )
         else:
-            _log.info("paths: restored", lost_for_seconds=round(lasted_seconds, 3))
+            _log.info(
+                "paths: restored",
+                group=target_group,
+                lost_for_seconds=round(lasted_seconds, 3),
+            )
         self._set_gauge()
         for callback in self._on_change:
-            callback(are_lost)
+            callback(target_group, paths.are_lost)
 
     def _set_gauge(self) -> None:
-        self._metrics.gauge("own_paths_lost", float(self._paths.are_lost))
+        self._metrics.gauge("groups_without_path", float(len(self.lost_groups())))
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -348,12 +348,18 @@
     traffic = make_platform_traffic(
         base,
         peers.exchange,
+        peers.members,
         metrics,
         lambda: settings.bounds,
         first_reads,
         fleet_quotas,
         network or TargetNetwork(),
     )
+    traffic.paths.on_change(
+        lambda _group, _are_lost: peers.members.set_unreached_groups(
+            traffic.paths.lost_groups()
+        )
+    )
     weights = make_weights_duty(
         base,
         peers,
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -137,7 +137,7 @@
     )
     # Only members are kept here; the targets come from the platform's own list.
     view = make_view(Configuration(revision=0))
-    chooser = EntryChooser()
+    chooser = EntryChooser(ignores_paths=Mechanism.PATH_STEERING in base.switched_off)
     members = make_member_manager(
         MemberRows(base.store),
         base.clock,
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -19,9 +19,9 @@
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
 from lycheepost.callers.dispatch import Dispatcher
-from lycheepost.callers.forwarddeps import ForwardDeps
+from lycheepost.callers.forwarddeps import ForwardDeps, RelayPeer, Relays
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import DaemonId, RequestId
+from lycheepost.core.ids import DaemonId, RequestId, TargetGroupId
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.entry import follows_engines, follows_stores
@@ -40,9 +40,12 @@
 from lycheepost.platform.dialect import ServerDialect
 from lycheepost.platform.ingress import ClientIngress
 from lycheepost.platform.orders import ServerOrders
+from lycheepost.platform.peerdialect import PeerDialect
 from lycheepost.platform.settings import Bounds
 from lycheepost.state.initial_reads import InitialReads
+from lycheepost.state.members import MemberManager
 from lycheepost.state.quotarows import QuotaRows
+from lycheepost.state.relays import choose_relays
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
@@ -98,11 +101,13 @@
     quotas: QuotaExchange
     quota_recorder: QuotaRecorder
     paths: PathWatch
+    peer_client: ForwardClient
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
         return [
             self.client,
+            self.peer_client,
             self.orders,
             self.paths,
             self.cache_events,
@@ -126,6 +131,7 @@
 def make_platform_traffic(
     base: PlatformBase,
     exchange: PeerExchange,
+    members: MemberManager,
     metrics: Metrics,
     get_bounds: Callable[[], Bounds],
     first_reads: InitialReads,
@@ -137,6 +143,7 @@
     Args:
         base: The state shared by the components.
         exchange: Links to the peers, for losses and loads.
+        members: The daemons that may serve requests for this one.
         metrics: Receives the metrics.
         get_bounds: Returns the current bounds.
         first_reads: The first reads of the store, which requests wait for.
@@ -179,9 +186,6 @@
     notices = NoticeExchange(
         known_notices, dispatcher, targets, exchange, clock, metrics
     )
-    paths = PathWatch(
-        network, clock, metrics, base.rng, lambda: _probe_targets(targets)
-    )
     cache_events = CacheEventsClient(network)
     kv_store_contents = KvStoreContents(switched_off)
     caches = CacheFollower(
@@ -197,6 +201,18 @@
     routing.subscribe(quotas.set_table)
     streams = StreamSettings(connect_seconds=CONNECT_TIMEOUT_SECONDS)
     client = ForwardClient(streams, ServerDialect(), network)
+    peer_client = ForwardClient(streams, PeerDialect())
+    paths = PathWatch(
+        network,
+        clock,
+        metrics,
+        base.rng,
+        lambda group: _probe_targets(targets, group),
+        client.quiet_seconds,
+    )
+    paths.on_change(
+        lambda group, are_lost: _apply_paths(group, are_lost, targets, dispatcher)
+    )
     orders = ServerOrders(notices.note_call, network)
 
     def on_answer_headers(
@@ -210,7 +226,12 @@
         if notices.is_backed_off(sent_to.target):
             # It has recently responded with its back-off, so it needs no health check.
             return targets.is_newest_start(sent_to.start)
-        return await _is_same_start(targets, routing, orders, sent_to)
+        if await _is_same_start(targets, routing, orders, sent_to):
+            return True
+        # Without paths of its own, this daemon cannot tell whether a target is lost.
+        return targets.is_newest_start(sent_to.start) and await paths.verify(
+            sent_to.target_group
+        )
 
     deps = ForwardDeps(
         routing=routing,
@@ -228,6 +249,11 @@
         on_answer_headers=on_answer_headers,
         is_backed_off=notices.is_backed_off,
         paths=paths,
+        relays=Relays(
+            peer_client,
+            lambda group: _relay_peers(base, members, group),
+            is_off=Mechanism.PATH_RELAY in switched_off,
+        ),
     )
     return PlatformTraffic(
         dispatcher=dispatcher,
@@ -235,7 +261,9 @@
         orders=orders,
         targets=targets,
         routing=routing,
-        ingress=ClientIngress(deps, first_reads),
+        ingress=ClientIngress(
+            deps, first_reads, lambda host: _is_peer_host(members, host)
+        ),
         cache_events=cache_events,
         caches=caches,
         loads=loads,
@@ -243,13 +271,54 @@
         quotas=quotas,
         quota_recorder=quota_recorder,
         paths=paths,
+        peer_client=peer_client,
+    )
+
+
+def _apply_paths(
+    target_group: TargetGroupId,
+    are_lost: bool,
+    targets: TargetList,
+    dispatcher: Dispatcher,
+) -> None:
+    """Apply the loss or the return of this daemon's own paths to a group.
+
+    The failures that led to the verdict say nothing of the targets, and the waiting
+    requests are served through peers.
+    """
+    targets.set_unreached(target_group, are_lost)
+    if are_lost:
+        dispatcher.withdraw_waiting(target_group)
+
+
+def _relay_peers(
+    base: PlatformBase, members: MemberManager, target_group: TargetGroupId
+) -> tuple[RelayPeer, ...]:
+    found = choose_relays(
+        base.node.daemon,
+        target_group,
+        base.node.availability_zone,
+        members.members(),
+        members.entry(),
+        base.rng,
+    )
+    return tuple(RelayPeer(item.daemon, item.callers_url) for item in found)
+
+
+def _is_peer_host(members: MemberManager, host: str) -> bool:
+    """Return whether a member of the fleet, itself included, has an address."""
+    return any(
+        item.callers_url.rpartition(":")[0] == host for item in members.members()
     )
 
 
-def _probe_targets(targets: TargetList) -> list[ProbeTarget]:
+def _probe_targets(
+    targets: TargetList, target_group: TargetGroupId
+) -> list[ProbeTarget]:
     return [
-        ProbeTarget(item.target, item.target_group, item.address)
-        for item in targets.all_listed()
+        ProbeTarget(item.target, item.address)
+        for item in targets.listed(target_group)
+        if not item.is_leaving
     ]
 
 
--- a/lycheepost/callers/awaiting.py
+++ b/lycheepost/callers/awaiting.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 from returns.result import Result, Success
@@ -19,14 +19,15 @@
 
 async def await_headers(
     send: Coroutine[Any, Any, AttemptResult],
-    wait_seconds: float,
+    waits_seconds: Iterator[float],
     may_abandon: Callable[[], bool],
 ) -> AttemptResult:
     """Return the result of an attempt.
 
     Args:
         send: The attempt; it is cancelled when it is abandoned.
-        wait_seconds: How long to wait before ``may_abandon`` is called.
+        waits_seconds: How long to wait before each call of ``may_abandon``; after the
+            last one there is no time-out.
         may_abandon: Whether to abandon the attempt; False to wait once more.
 
     Raises:
@@ -35,7 +36,7 @@
     sending = asyncio.ensure_future(send)
     try:
         while True:
-            ended, _ = await asyncio.wait({sending}, timeout=wait_seconds)
+            ended, _ = await asyncio.wait({sending}, timeout=next(waits_seconds, None))
             if ended:
                 return sending.result()
             if may_abandon():
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -201,6 +201,10 @@
         """Return the momentary speeds of targets for the peers."""
         return self._scheduler.take_state_news(self._clock.now_seconds())
 
+    def withdraw_waiting(self, target_group: TargetGroupId) -> None:
+        """Resume the queued requests of a group that this daemon can't reach."""
+        self._deliver(self._scheduler.withdraw_waiting(target_group))
+
     def set_limit(self, target: TargetId, per_second: float | None) -> None:
         """Pass on a target's rate limit; None when it reports none."""
         now_seconds = self._clock.now_seconds()
--- a/lycheepost/callers/errors.py
+++ b/lycheepost/callers/errors.py
@@ -117,6 +117,11 @@
         ErrorType.SERVER,
         "The prompt is larger than the memory of any target.",
     ),
+    RefusalReason.NO_PATH: (
+        503,
+        ErrorType.SERVER,
+        "This daemon reaches no target; use another address.",
+    ),
     RefusalReason.SHUTTING_DOWN: (
         503,
         ErrorType.SERVER,
--- a/lycheepost/callers/forwardcalls.py
+++ b/lycheepost/callers/forwardcalls.py
@@ -83,6 +83,7 @@
         engine=engine,
         after_event=progress.after_event,
         may_reuse_connection=route_match.route.is_repeatable,
+        target_group=listed.target_group,
     )
 
 
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -7,8 +7,10 @@
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
+    DaemonId,
     ModelId,
     RequestId,
+    TargetGroupId,
     TargetId,
     WeightsVersion,
 )
@@ -38,6 +40,8 @@
         prompt: None when the request describes no prompt.
         after_event: Id of the last event that the caller has of an earlier answer;
             None for a request that starts from the beginning.
+        relayed_runs: For a request that a peer relays, on how many targets it may have
+            run before; None for a request of a caller.
     """
 
     caller_id: str
@@ -51,6 +55,7 @@
     after_event: int | None
     body: bytes
     arrived_seconds: float
+    relayed_runs: int | None = None
 
     @property
     def path(self) -> str:
@@ -131,17 +136,60 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class RelayPeer:
+    """A peer that may serve a request for this daemon.
+
+    Attributes:
+        address: ``IP:PORT`` at which it serves callers.
+    """
+
+    daemon: DaemonId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Relays:
+    """Serves requests through peers.
+
+    Attributes:
+        client: Sends requests to peers.
+        choose: Returns the peers to try for a target group, in order.
+        is_off: Whether no request is relayed.
+    """
+
+    client: ForwardClient
+    choose: Callable[[TargetGroupId], tuple[RelayPeer, ...]]
+    is_off: bool = False
+
+
 class OwnPathsPort(Protocol):
-    """Whether this daemon itself reaches targets."""
+    """Whether this daemon itself reaches the targets of a group."""
 
-    def note_connected(self) -> None:
+    def note_connected(self, target_group: TargetGroupId) -> None:
         """Record that a new connection to a target has opened."""
         ...
 
-    def note_failed(self, target: TargetId) -> None:
+    def note_failed(self, target_group: TargetGroupId, target: TargetId) -> None:
         """Record that a new connection to a target has failed."""
         ...
 
+    def are_lost(self, target_group: TargetGroupId) -> bool:
+        """Return whether this daemon reaches no target of a group."""
+        ...
+
+    async def settle(self, target_group: TargetGroupId) -> None:
+        """Wait for the verdict of a probe that is under way."""
+        ...
+
+    def note_quiet(self, target_group: TargetGroupId) -> None:
+        """Record that a request is without response for a while."""
+        ...
+
+    def is_quiet(self, target_group: TargetGroupId) -> bool:
+        """Return whether no target of a group has sent anything for a while."""
+        ...
+
 
 @dataclass(frozen=True)
 class ForwardDeps:
@@ -158,7 +206,8 @@
         on_answer_headers: Called with the target, the headers of its response, which
             may report its state, and the time at which the request was sent.
         is_backed_off: Whether a target has asked for a back-off that still lasts.
-        paths: Whether this daemon itself reaches targets.
+        paths: Whether this daemon itself reaches the targets of a group.
+        relays: Serves requests through peers while it reaches none.
         request_bytes: Bodies of requests that are being served.
         answer_bytes: Complete responses on their way to callers.
     """
@@ -178,6 +227,7 @@
     on_answer_headers: Callable[[ListedTarget, ResponseHead, float], None]
     is_backed_off: Callable[[TargetId], bool]
     paths: OwnPathsPort
+    relays: Relays
     request_bytes: ByteBudget = field(
         default_factory=lambda: ByteBudget(MAX_REQUEST_BYTES)
     )
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -19,7 +19,12 @@
     make_charge,
     route_table,
 )
-from lycheepost.callers.forwarddeps import CallerConnection, ForwardDeps, ForwardRequest
+from lycheepost.callers.forwarddeps import (
+    CallerConnection,
+    ForwardDeps,
+    ForwardRequest,
+    RelayPeer,
+)
 from lycheepost.callers.forwarderrors import (
     from_route_fault,
     key_unconfirmed,
@@ -28,13 +33,20 @@
     too_late,
 )
 from lycheepost.callers.forwardwork import continued_work, make_work
+from lycheepost.callers.peerrelay import (
+    MAX_RELAYS,
+    PeerAttempts,
+    make_peer_call,
+    no_path,
+    try_peer,
+)
 from lycheepost.callers.relaying import (
     AnswerRelay,
     FirstByteTimeout,
     RelayEnd,
     StreamTimeouts,
 )
-from lycheepost.core.ids import TargetId
+from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.core.routing import ListedTarget, RouteKind
 from lycheepost.decide.attempts import (
     AttemptEnd,
@@ -44,13 +56,20 @@
     next_step,
 )
 from lycheepost.decide.freshness import may_trust_key
-from lycheepost.decide.records import Dispatch, FinishKind, Refuse
+from lycheepost.decide.records import Dispatch, FinishKind, RefusalReason, Refuse
 from lycheepost.decide.routes import RouteFault, RouteMatch, match_route
-from lycheepost.decide.silence import first_byte_timeout_seconds, idle_timeout_seconds
+from lycheepost.decide.silence import (
+    first_byte_timeout_seconds,
+    header_waits_seconds,
+    idle_timeout_seconds,
+)
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardResponse
 
+EARLY_SECONDS = 0.005
+"""Timers may fire by this much before the time that they were set for."""
+
 NOT_RUN_RETRY_SECONDS = 0.2
 """By then a target that was busy or changed its weights usually has capacity again."""
 
@@ -115,8 +134,9 @@
         self._route_match = route_match
         self._relay = AnswerRelay(deps, request, route_match.route, caller)
         self._work = make_work(deps, request, route_match, route_table(deps))
-        self._sends = Sends()
+        self._sends = Sends(n_runs=request.relayed_runs or 0)
         self._is_sent = False
+        self._peer_attempts = PeerAttempts()
         self._has_reserved_retry = False
         self._charge = make_charge(deps, request, route_match)
         timeout_seconds = route_match.route.timeout_seconds
@@ -129,10 +149,15 @@
             customer=route_match.holder.customer,
         )
 
+    @property
+    def _target_group(self) -> TargetGroupId:
+        return self._work.target_group
+
     @property
     def executed(self) -> Executed:
         """Return whether a target may have run the request."""
-        if self._is_sent or self._sends.n_runs:
+        is_sent = self._is_sent or self._peer_attempts.is_sent
+        if is_sent or self._sends.n_runs:
             return Executed.UNKNOWN
         return Executed.NO
 
@@ -182,10 +207,17 @@
         return self._deadline_seconds - self._deps.clock.now_seconds()
 
     async def _serve(self) -> None:
-        await self._charge.take()
+        if self._deps.paths.are_lost(self._target_group):
+            await self._serve_through_peers()
+            return
+        if not self._request.relayed_runs:
+            await self._charge.take()
         outcome = await self._deps.dispatcher.admit(self._work)
         while True:
             match outcome:
+                case Refuse(reason=RefusalReason.NO_PATH):
+                    await self._serve_through_peers()
+                    return
                 case Refuse():
                     await self._handle_refusal(outcome)
                     return
@@ -193,12 +225,71 @@
                     end = await self._try_target(outcome)
             if end is None:
                 return
+            await self._deps.paths.settle(self._target_group)
             if not await self._should_continue(end):
                 return
             is_free = end is AttemptEnd.NOT_SENT or self._has_reserved_retry
             self._has_reserved_retry = False
+            if self._deps.paths.are_lost(self._target_group):
+                await self._serve_through_peers(is_free)
+                return
             outcome = await self._deps.dispatcher.readmit(self._work, is_free)
 
+    async def _serve_through_peers(self, is_free: bool = True) -> None:
+        """Serve the request through peers, as this daemon itself reaches no target.
+
+        A peer charges the customer's quota, unless the request has run before.
+
+        Args:
+            is_free: Whether it uses no retry budget.
+        """
+        self._charge.settle(self.executed)
+        relays = self._deps.relays
+        peers = relays.choose(self._target_group)
+        # A peer that relayed the request to this daemon would get it back.
+        is_last = relays.is_off or self._request.relayed_runs is not None
+        may_send = is_free or self._deps.dispatcher.take_retry(self._work)
+        for peer in () if is_last or not may_send else peers[:MAX_RELAYS]:
+            end = await self._try_peer(peer)
+            if end is None or not await self._should_continue(end):
+                return
+        if self._relay.has_begun:
+            self._relay.abort()
+        elif self._sends.n_runs:
+            if not await self._relay.pass_on_failure():
+                raise outcome_unknown()
+        else:
+            raise self._peer_attempts.refusal or no_path(bool(peers))
+
+    async def _try_peer(self, peer: RelayPeer) -> AttemptEnd | None:
+        """Send to one peer; None when nothing more is due to the caller."""
+        identify(self._deps, self._request)
+        call = make_peer_call(
+            self._request,
+            self._route_match.route,
+            peer,
+            self._sends.n_runs,
+            self._remaining_seconds(),
+            self._relay.after_event,
+        )
+        end = await try_peer(
+            self._deps,
+            call,
+            self._route_match.route,
+            self._sends,
+            self._relay,
+            self._peer_attempts,
+        )
+        self._deps.metrics.count("relayed_to_peers")
+        self._log.info(
+            "forward: relayed to a peer",
+            peer=peer.daemon,
+            end="served" if end is None else end.value,
+            first_seconds=self._relay.first_seconds,
+            elapsed_seconds=self._elapsed_seconds(),
+        )
+        return end
+
     async def _handle_refusal(self, refusal: Refuse) -> None:
         """End the request after the scheduler refused it."""
         if self._relay.has_begun:
@@ -217,7 +308,7 @@
             CallerError: No attempt follows, and nothing has been sent to the caller.
         """
         self._sends = self._sends.add(end)
-        self._is_sent = False
+        self._is_sent = self._peer_attempts.is_sent = False
         remaining_seconds = self._remaining_seconds()
         step = next_step(self._route_match.route, self._sends, end, remaining_seconds)
         if step is Step.TRY_AGAIN and self._relay.has_begun:
@@ -306,14 +397,18 @@
         self._is_sent = True
         try:
             send = self._deps.client.send(call)
-            sent = await await_headers(send, wait_seconds, self._may_abandon)
+            sent = await await_headers(
+                send,
+                header_waits_seconds(wait_seconds),
+                lambda: self._may_abandon_at(sent_seconds + wait_seconds),
+            )
         except TimeoutError:
             self._deps.targets.note_end(target, Ending.BAD)
             return AttemptEnd.LOST, "silent"
         match sent:
             case Failure(TargetUnreachable(reason=reason)):
                 self._is_sent = False
-                self._deps.paths.note_failed(target)
+                self._deps.paths.note_failed(self._target_group, target)
                 self._deps.targets.note_end(target, Ending.UNREACHABLE)
                 return AttemptEnd.NOT_SENT, reason
             case Failure(TargetError(reason=reason)):
@@ -321,12 +416,29 @@
                 return AttemptEnd.LOST, reason
             case Success(answer):
                 if not call.may_reuse_connection:
-                    self._deps.paths.note_connected()
+                    self._deps.paths.note_connected(self._target_group)
                 return await self._handle_answer(
                     listed, answer, wait_seconds, sent_seconds
                 )
         raise AssertionError("a result is a success or a failure")
 
+    def _may_abandon_at(self, timeout_seconds: float) -> bool:
+        """Return whether to abandon a target without response.
+
+        Before its timeout this is only done if this daemon hears from no target.
+
+        Args:
+            timeout_seconds: When its timeout ends.
+        """
+        paths, target_group = self._deps.paths, self._target_group
+        paths.note_quiet(target_group)
+        is_early = self._deps.clock.now_seconds() < timeout_seconds - EARLY_SECONDS
+        if is_early and not (
+            paths.are_lost(target_group) and paths.is_quiet(target_group)
+        ):
+            return False
+        return self._may_abandon()
+
     def _may_abandon(self) -> bool:
         """Return whether to abandon a silent target; if so, a retry is reserved."""
         lost = AttemptEnd.CUT if self._relay.has_begun else AttemptEnd.LOST
--- a/lycheepost/decide/mechanisms.py
+++ b/lycheepost/decide/mechanisms.py
@@ -55,6 +55,12 @@
     ROLLOUT_PACE = "rollout_pace"
     """Fewer targets load new weights at the same time while demand needs them; off:
     always the same share."""
+    PATH_RELAY = "path_relay"
+    """Requests for a group of which a daemon reaches no target are served by its peers;
+    off: it refuses them."""
+    PATH_STEERING = "path_steering"
+    """A daemon that reaches no target of a group is left out of address responses; off:
+    it stays in them."""
 
 
 def parse_mechanisms(text: str) -> Result[frozenset[Mechanism], str]:
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -1,10 +1,11 @@
-"""Whether this daemon itself reaches its targets.
+"""Whether this daemon itself reaches the targets of a group.
 
 A daemon may lose the paths to all targets while callers, the store and its peers still
 reach it. Its connections then fail at every target, although no target has failed.
 Counted against the targets, that would leave the daemon without usable targets but
-in use. So the paths are judged apart from the targets: connections that fail at
-several targets, without one that opens in between, are no evidence against these.
+in use. So the paths are judged apart from the targets, for each target group, since
+groups may lie behind different links. A group that no daemon reaches looks the same to
+each of them; what the peers reach tells the difference.
 
 Only new connections count. Open ones may live on while new ones are refused.
 """
@@ -16,8 +17,8 @@
 from lycheepost.core.ids import TargetId
 
 PROBED_TARGETS = 4
-"""Targets of one probe. At one lost packet in ten, all of four connections fail in one
-probe of ten thousand."""
+"""Targets of one probe of a group. At one lost packet in ten, all four connections fail
+in one probe of ten thousand."""
 
 MIN_PROBED_TARGETS = 2
 """Minimum number of targets for a verdict: one target that is down says nothing of the
@@ -37,7 +38,7 @@
 
 
 class PathState(Enum):
-    """Whether this daemon reaches targets."""
+    """Whether this daemon reaches targets of a group."""
 
     REACHES_TARGETS = "reaches_targets"
     REACHES_NONE = "reaches_none"
@@ -45,7 +46,7 @@
 
 @dataclass(slots=True)
 class OwnPaths:
-    """The state of this daemon's own paths to all targets.
+    """The state of this daemon's own paths to the targets of one group.
 
     Attributes:
         state: The verdict of the last probe.
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -49,6 +49,8 @@
     RETRY_BUDGET = "retry_budget"
     SHUTTING_DOWN = "shutting_down"
     TOO_LARGE = "too_large_for_memory"
+    NO_PATH = "no_path"
+    """This daemon itself reaches no target of the group."""
 
 
 class FinishKind(Enum):
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -446,6 +446,15 @@
         self._forget_refused(outcomes)
         return outcomes
 
+    def withdraw_waiting(self, target_group: TargetGroupId) -> list[Outcome]:
+        """Withdraw the waiting requests of a group that this daemon can't reach."""
+        group = self._groups.get(target_group)
+        if group is None:
+            return []
+        outcomes = group.refuse_all(RefusalReason.NO_PATH, self._now_seconds)
+        self._forget_refused(outcomes)
+        return outcomes
+
     def order_conditions(self) -> dict[TargetGroupId, OrderCondition]:
         """Return whether each group orders waiting requests by slack, and why."""
         return {
--- a/lycheepost/decide/silence.py
+++ b/lycheepost/decide/silence.py
@@ -8,6 +8,8 @@
 below the time at which the caller disconnects.
 """
 
+from collections.abc import Iterator
+
 from lycheepost.core.routing import Route, RouteKind
 from lycheepost.decide.attempts import Sends
 
@@ -31,6 +33,10 @@
 """Fraction of the caller's stream timeout after which another target is tried. The rest
 is four times what a loaded engine takes to its first token."""
 
+QUIET_SECONDS = 0.7
+"""A daemon that waits for a response and has heard nothing from any target for this
+time probes its paths. Under load some target sends something many times as often."""
+
 IDLE_TIMEOUT_GAPS = 2.5
 """Idle timeout between two events, in gap objectives. Under full load engines pause for
 0.4 to 0.6 s with an objective of 0.5 s. A limit below that, such as 0.45 s, abandons
@@ -68,6 +74,20 @@
     return min(timeout_seconds, FIRST_ATTEMPT_SHARE * remaining_seconds)
 
 
+def header_waits_seconds(timeout_seconds: float) -> Iterator[float]:
+    """Yield the waits for a response: slices up to the timeout, then whole timeouts.
+
+    After each slice this daemon checks whether it still hears from any target.
+    """
+    left_seconds = timeout_seconds
+    while left_seconds > QUIET_SECONDS:
+        yield QUIET_SECONDS
+        left_seconds -= QUIET_SECONDS
+    yield left_seconds
+    while True:
+        yield timeout_seconds
+
+
 def idle_timeout_seconds(route: Route, attempts: Sends) -> float | None:
     """Return how long a stream may pause before another target continues it.
 
--- a/lycheepost/peers/member_messages.py
+++ b/lycheepost/peers/member_messages.py
@@ -1,7 +1,7 @@
 """Convert members to peer messages and back."""
 
 from lycheepost.core.capacity import Capacity
-from lycheepost.core.ids import AvailabilityZone, DaemonId
+from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
 from lycheepost.generated.messages import PeerMember
 from lycheepost.state.addresses import Member, MemberState
 
@@ -20,6 +20,7 @@
         started_wall_seconds=member.started_wall_seconds,
         processor_cores=member.capacity.processor_cores,
         link_mbps=member.capacity.link_mbps,
+        unreached_groups=sorted(member.unreached_groups),
     )
 
 
@@ -40,4 +41,7 @@
         sequence=message.sequence,
         started_wall_seconds=message.started_wall_seconds,
         capacity=Capacity(message.processor_cores, message.link_mbps),
+        unreached_groups=frozenset(
+            TargetGroupId(name) for name in message.unreached_groups
+        ),
     )
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -20,7 +20,7 @@
 """The address belongs to another server, or the weights differ from those expected."""
 _UNAVAILABLE_STATUS = 503
 _LEAVING_VALUE = "1"
-_MILLISECONDS = 1000.0
+MILLISECONDS = 1000.0
 _MAX_DIGITS = 18
 
 
@@ -34,7 +34,7 @@
         """Return all request headers of a call."""
         replaced = {names.DEADLINE.lower(), names.LAST_EVENT.lower()}
         headers = [item for item in call.headers if item[0].lower() not in replaced]
-        remaining_ms = max(1, int(call.remaining_seconds * _MILLISECONDS))
+        remaining_ms = max(1, int(call.remaining_seconds * MILLISECONDS))
         headers.append((names.DEADLINE, str(remaining_ms)))
         headers.append((names.EXPECTED_TARGET, call.target))
         if call.customer:
@@ -51,14 +51,13 @@
         """Return the status and headers of the response to ``call``."""
         found = CIMultiDict(headers)
         self._unknown.note(found)
-        asked_id = CIMultiDict(call.headers).get(names.ATTEMPT_ID)
         target = found.get(names.TARGET)
         weights = parse_count(found.get(names.WEIGHTS, ""))
         is_other = status == MISDIRECTED_STATUS
         return ResponseHead(
             status=status,
             headers=client_headers(headers),
-            answers_other_request=_answers_other(found, asked_id),
+            answers_other_request=answers_other_request(found, call),
             is_sealed=names.SEAL in found,
             is_encoded=found.get("Content-Encoding", "identity") != "identity",
             was_not_run=names.NOT_RUN in found,
@@ -71,12 +70,13 @@
         )
 
 
-def _answers_other(found: Mapping[str, str], asked_id: str | None) -> bool:
-    """Return whether a response belongs to another request.
+def answers_other_request(found: Mapping[str, str], call: ForwardCall) -> bool:
+    """Return whether a response belongs to another request than ``call``.
 
     A server names the request in each response that it seals. A sealed response without
     an attempt id comes from a faulty server and may belong to an earlier request.
     """
+    asked_id = CIMultiDict(call.headers).get(names.ATTEMPT_ID)
     answered_id = found.get(names.ATTEMPT_ID)
     if answered_id is None and names.SEAL not in found:
         return False
--- a/lycheepost/platform/headers.py
+++ b/lycheepost/platform/headers.py
@@ -37,6 +37,10 @@
 """Seconds, possibly with a fraction. Sent to clients with a refusal. A server that
 sends it with a 503 wants no requests from the answered daemon for that time."""
 
+RELAYED_RUNS = "Lycheepost-Relayed-Runs"
+"""Sent between daemons with a client's request that one relays to another: on how many
+servers it may have run before."""
+
 KEY_SCHEME = "token "
 
 MAX_RANK = 9
@@ -56,6 +60,7 @@
         "X-Lycheepost-Hold",
         "X-Lycheepost-Kv-Backup",
         "Kv-From",
+        RELAYED_RUNS,
     )
 )
 """Never forwarded as sent by a client: a client that could set them could read other
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
 
@@ -111,6 +112,8 @@
     Args:
         deps: Dependencies of forwarding.
         first_reads: The first reads of the store; requests wait for them.
+        is_peer_host: Returns whether a daemon of the fleet has an address. Only these
+            may relay requests.
 
     Attributes:
         n_open: Requests that are being served.
@@ -118,7 +121,13 @@
         is_closed: New requests are refused.
     """
 
-    def __init__(self, deps: ForwardDeps, first_reads: InitialReads) -> None:
+    def __init__(
+        self,
+        deps: ForwardDeps,
+        first_reads: InitialReads,
+        is_peer_host: Callable[[str], bool],
+    ) -> None:
+        self._is_peer_host = is_peer_host
         self.n_open = 0
         self.is_leaving = False
         self.is_closed = False
@@ -175,6 +184,8 @@
         with self._deps.request_bytes.open() as held:
             body = await self._read_body(request, held)
             forward_request = decode_request(request, body, arrived_seconds)
+            if request.remote is None or not self._is_peer_host(request.remote):
+                forward_request = replace(forward_request, relayed_runs=None)
             await self._forward(request, connection, forward_request)
 
     async def _forward(
@@ -355,6 +366,7 @@
         after_event=header_int(headers, names.LAST_EVENT),
         body=body,
         arrived_seconds=arrived_seconds,
+        relayed_runs=parse_count(headers.get(names.RELAYED_RUNS, "")),
     )
 
 
--- a/lycheepost/state/addresses.py
+++ b/lycheepost/state/addresses.py
@@ -16,7 +16,7 @@
 
 from lycheepost.core.capacity import UNKNOWN_CAPACITY, Capacity
 from lycheepost.core.hashing import hash_bytes, rendezvous_order
-from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId
+from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId, TargetGroupId
 
 SHARD_DAEMONS = 8
 """Minimum daemons per customer in a large fleet. With 540 daemons and 990 customers,
@@ -44,6 +44,7 @@
         load: Share of its capacity in use, 0 to 1.
         sequence: Increases with each announcement of this boot.
         capacity: Capacity of its VM.
+        unreached_groups: Target groups of which it reaches no target itself.
     """
 
     daemon: DaemonId
@@ -56,6 +57,7 @@
     sequence: int = 0
     started_wall_seconds: float = 0.0
     capacity: Capacity = UNKNOWN_CAPACITY
+    unreached_groups: frozenset[TargetGroupId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/state/memberrules.py
+++ b/lycheepost/state/memberrules.py
@@ -34,5 +34,6 @@
         or one.callers_url != other.callers_url
         or one.peer_endpoint != other.peer_endpoint
         or one.capacity != other.capacity
+        or one.unreached_groups != other.unreached_groups
         or load_step(one.load) != load_step(other.load)
     )
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -19,7 +19,13 @@
 from returns.result import Failure, Success
 
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import AvailabilityZone, CustomerId, DaemonId, TargetId
+from lycheepost.core.ids import (
+    AvailabilityZone,
+    CustomerId,
+    DaemonId,
+    TargetGroupId,
+    TargetId,
+)
 from lycheepost.decide.records import TargetState
 from lycheepost.ports.vms import Vm, VmListPort, VmRole, VmState
 from lycheepost.state.addresses import (
@@ -261,6 +267,10 @@
         self._load_published_seconds = now_seconds
         self._update_me(replace(self._me, load=load))
 
+    def set_unreached_groups(self, groups: frozenset[TargetGroupId]) -> None:
+        """Announce the target groups of which this daemon reaches no target."""
+        self._update_me(replace(self._me, unreached_groups=groups))
+
     def announce_leaving(self) -> None:
         """Notify peers that this daemon is leaving, or cannot serve for now."""
         self._update_me(replace(self._me, state=MemberState.LEAVING))
@@ -280,6 +290,12 @@
             return self._merge_suspicion(member, known)
         if known is not None and not is_newer(member, known):
             return False
+        if known is not None and known.unreached_groups != member.unreached_groups:
+            _log.info(
+                "members: paths of a daemon to targets",
+                daemon=member.daemon,
+                unreached_groups=sorted(member.unreached_groups),
+            )
         self._put(member)
         return known is None or differs(known, member)
 
--- /dev/null
+++ b/lycheepost/state/relays.py
@@ -0,0 +1,51 @@
+"""Choose the peers that serve the callers of a daemon without paths to targets.
+
+Pure logic: no clock, no I/O.
+"""
+
+import random
+from collections.abc import Collection
+
+from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
+from lycheepost.state.addresses import Member, MemberState
+
+MIN_NEAR_RELAYS = 2
+"""Peers of the own availability zone from which it alone is used. A single peer would
+get all requests of its neighbour on top of its own."""
+
+
+def choose_relays(
+    me: DaemonId,
+    target_group: TargetGroupId,
+    zone: AvailabilityZone,
+    members: Collection[Member],
+    entry: Collection[DaemonId],
+    rng: random.Random,
+) -> tuple[Member, ...]:
+    """Return the peers that may serve a request, in the order in which to try them.
+
+    Entry daemons come first, as they know the load of the targets. Among them those of
+    the own availability zone come first, each order being random.
+
+    Args:
+        me: This daemon.
+        target_group: The target group of the request.
+        zone: Its availability zone.
+        members: All known daemons.
+        entry: The entry daemons.
+        rng: Draws the order.
+    """
+    usable = [
+        member
+        for member in members
+        if member.state is MemberState.LIVE
+        and target_group not in member.unreached_groups
+        and member.callers_url
+        and member.daemon != me
+    ]
+    usable = [member for member in usable if member.daemon in entry] or usable
+    rng.shuffle(usable)
+    near = [member for member in usable if member.availability_zone == zone]
+    if len(near) < MIN_NEAR_RELAYS:
+        return tuple(usable)
+    return (*near, *(member for member in usable if member not in near))
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -102,6 +102,7 @@
         self._known: dict[TargetId, TargetRecord] = {}
         self._starts = TargetStarts()
         self._health: dict[TargetGroupId, TargetHealth] = {}
+        self._unreached: set[TargetGroupId] = set()
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
         self._newest: dict[ModelId, WeightsVersion] = {}
@@ -127,14 +128,6 @@
             if known.listed.target_group == target_group
         )
 
-    def all_listed(self) -> list[ListedTarget]:
-        """Return all targets that may be sent to."""
-        return [
-            known.listed
-            for known in self._known.values()
-            if not known.listed.is_leaving
-        ]
-
     def weights_of(self, target: TargetId, model: ModelId) -> WeightsVersion | None:
         """Return the weights version of a target, if known."""
         known = self._known.get(target)
@@ -383,10 +376,22 @@
             known.changing_until_seconds = now_seconds + change.for_seconds
         self.refresh()
 
+    def set_unreached(self, target_group: TargetGroupId, is_unreached: bool) -> None:
+        """Set whether this daemon itself reaches no target of a group.
+
+        The ends of requests then say nothing of the targets. What was recorded before
+        is dropped as well, as part of it is due to that.
+        """
+        self._unreached.discard(target_group)
+        if is_unreached:
+            self._unreached.add(target_group)
+            self._health.pop(target_group, None)
+        self.refresh()
+
     def note_end(self, target: TargetId, ending: Ending) -> None:
         """Record how a request ended."""
         known = self._known.get(target)
-        if known is None:
+        if known is None or known.listed.target_group in self._unreached:
             return
         health = self._health.setdefault(known.listed.target_group, TargetHealth())
         if health.observe(target, ending, self._clock.now_seconds()):
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -5,12 +5,16 @@
 """
 
 import asyncio
+import math
+import time
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 import yarl
 from returns.result import Failure, Result, Success
 
+from lycheepost.core.ids import TargetGroupId
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.forwardcall import Dialect, ForwardCall, ResponseHead
@@ -28,12 +32,23 @@
 class ForwardResponse:
     """A response whose headers have arrived.
 
+    Args:
+        head: The decoded status and headers.
+        response: The response of the HTTP library.
+        on_data: Called when a part of the body has arrived.
+
     Attributes:
         head: The decoded status and headers.
     """
 
-    def __init__(self, head: ResponseHead, response: aiohttp.ClientResponse) -> None:
+    def __init__(
+        self,
+        head: ResponseHead,
+        response: aiohttp.ClientResponse,
+        on_data: Callable[[], None],
+    ) -> None:
         self.head = head
+        self._on_data = on_data
         self._response = response
         self._is_complete = False
         connection = response.connection
@@ -50,6 +65,7 @@
         try:
             data = await self._response.content.readany()
             if data:
+                self._on_data()
                 return data
             await self._check_end()
         except (aiohttp.ClientError, OSError) as error:
@@ -113,6 +129,7 @@
         self._dialect = dialect
         self.n_calls = 0
         self.n_stale_answers = 0
+        self._heard_seconds: dict[TargetGroupId, float] = {}
 
     async def start(self) -> None:
         """Open the connection pools."""
@@ -145,6 +162,7 @@
             return Failure(TargetUnreachable(f"no connection: {error}"))
         except (aiohttp.ClientError, OSError) as error:
             return Failure(TargetLost(f"no answer: {type(error).__name__}"))
+        self._note_heard(call.target_group)
         headers = [(name, value) for name, value in response.headers.items()]
         head = self._dialect.decode(call, response.status, headers)
         if head.answers_other_request:
@@ -153,7 +171,17 @@
             self.n_stale_answers += 1
             response.close()
             return Failure(TargetLost("the answer belongs to another request"))
-        return Success(ForwardResponse(head, response))
+        return Success(
+            ForwardResponse(head, response, lambda: self._note_heard(call.target_group))
+        )
+
+    def _note_heard(self, target_group: TargetGroupId) -> None:
+        self._heard_seconds[target_group] = time.monotonic()
+
+    def quiet_seconds(self, target_group: TargetGroupId) -> float:
+        """Return for how long no target of a group has sent anything."""
+        heard_seconds = self._heard_seconds.get(target_group, -math.inf)
+        return time.monotonic() - heard_seconds
 
     async def _open(self, call: ForwardCall) -> aiohttp.ClientResponse:
         session = self._sessions.choose(call.may_reuse_connection)
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from lycheepost.core.ids import CustomerId, ModelId, RequestId, TargetId, WeightsVersion
+from lycheepost.core.ids import (
+    CustomerId,
+    ModelId,
+    RequestId,
+    TargetGroupId,
+    TargetId,
+    WeightsVersion,
+)
 from lycheepost.core.notices import NO_NOTICE, TargetNotice
 
 
@@ -32,6 +39,19 @@
     store_to: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RelayOptions:
+    """Options of a request that is relayed to a peer instead of a target.
+
+    Attributes:
+        key: The caller's key, which the peer checks; None when it sent none.
+        n_runs: On how many targets the request may have run before.
+    """
+
+    key: str | None
+    n_runs: int
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardCall:
     """One attempt at a request on one target.
@@ -49,6 +69,8 @@
             beginning.
         may_reuse_connection: Whether a pooled connection may be used: the request
             may be repeated, so it does no harm if the connection is dead.
+        relay: Options for peers; None for targets.
+        target_group: The group of the target; empty for a peer.
     """
 
     target: TargetId
@@ -63,6 +85,8 @@
     engine: EngineOptions | None = None
     after_event: int | None = None
     may_reuse_connection: bool = False
+    relay: RelayOptions | None = None
+    target_group: TargetGroupId = TargetGroupId("")
 
 
 @dataclass(frozen=True, slots=True)
