Release the duty of weights while the own paths are lost

A daemon that holds the lease and reaches no engine renewed it on, so new weights were rolled out by nobody until the cut ended. It releases the lease and competes again once its paths are back.

--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -266,6 +266,7 @@
         DUTY_SETTLE_SECONDS,
         lambda lease: _publish_lease(peers, lease, is_released=False),
         lambda lease: _publish_lease(peers, lease, is_released=True),
+        can_work=lambda: not peers.members.me().unreached_groups,
     )
     return WeightsDuty(rollout, duty)
 
--- a/lycheepost/state/duties.py
+++ b/lycheepost/state/duties.py
@@ -35,6 +35,8 @@
         leases: The leases of this daemon.
         duty: Name of the duty.
         is_candidate: Returns whether this daemon is currently a candidate.
+        can_work: Returns whether it can do the work at present; if not, it releases
+            the lease.
         work: Called repeatedly while the lease is held, with a function that returns
             the newest lease. ``work`` calls it before each order to a target.
         period_seconds: Time between calls of ``work``; less than half a lease.
@@ -66,7 +68,9 @@
         startup_delay_seconds: float = 0.0,
         on_held: Callable[[Lease], None] = lambda _lease: None,
         on_released: Callable[[Lease], None] = lambda _lease: None,
+        can_work: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._can_work = can_work
         self._on_held = on_held
         self._on_released = on_released
         self._startup_delay_seconds = startup_delay_seconds
@@ -97,6 +101,10 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
+        await self._release()
+
+    async def _release(self) -> None:
+        """Release the lease if it is held."""
         lease, self._lease = self._lease, None
         if lease is not None and lease.is_unexpired(self._clock.now_seconds()):
             await self._leases.release(lease, self._last_order_seconds())
@@ -111,7 +119,10 @@
     async def _run(self) -> None:
         await asyncio.sleep(self._startup_delay_seconds)
         while True:
-            if self._lease is not None:
+            if not self._can_work():
+                await self._release()
+                wait_seconds = self._period_seconds
+            elif self._lease is not None:
                 wait_seconds = await self._work_and_renew()
             elif self._is_candidate() and not self._leases.is_renewal_reported(
                 self._duty
