Divide limits of targets among the daemons that reach targets

A daemon without paths sends nothing, and its share of each target's limit was unused. Scenario 'A limit is divided among the daemons that can send': times out without this.

--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -265,11 +265,25 @@
         live but still send requests that need no key.
         """
         members = self._components.peers.members
-        n_daemons = self._n_daemons()
+        n_daemons = self._n_sending_daemons()
         if not members.n_lists:
             n_daemons = max(ASSUMED_DAEMONS, n_daemons)
         return count_retry_shares(members.me().daemon, members.entry(), n_daemons)
 
+    def _n_sending_daemons(self) -> int:
+        """Return the number of daemons that may send requests to targets.
+
+        One that reaches no group sends none, and its callers' requests are sent by the
+        others, which then share the limits among fewer.
+        """
+        groups = self._components.traffic.targets.groups()
+        n_cut = sum(
+            bool(groups) and groups <= member.unreached_groups
+            for member in self._components.peers.members.members()
+            if member.state is not MemberState.GONE
+        )
+        return max(1, self._n_daemons() - n_cut)
+
     def _n_daemons(self) -> int:
         """Return the size of the fleet, including daemons that are not live."""
         states = [member.state for member in self._components.peers.members.members()]
@@ -309,6 +323,7 @@
             "queues": components.traffic.dispatcher.status(),
             "sends": components.traffic.client.status(),
             "notices": components.traffic.notices.status(),
+            "limit_shares": self._count_limit_shares(),
             "own_paths": components.traffic.paths.status(),
             "quotas": components.quotas.status(components.base.clock.now_seconds()),
             "quota_record": components.traffic.quota_recorder.status(),
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -128,6 +128,10 @@
             if known.listed.target_group == target_group
         )
 
+    def groups(self) -> frozenset[TargetGroupId]:
+        """Return the groups that have targets."""
+        return frozenset(known.listed.target_group for known in self._known.values())
+
     def weights_of(self, target: TargetId, model: ModelId) -> WeightsVersion | None:
         """Return the weights version of a target, if known."""
         known = self._known.get(target)
