Probe lost paths until they are back

The next probe was asked for by a timer that fires up to a millisecond early, was not due then, and nothing asked again, so such a daemon would have relayed for good. The timer starts the probe itself now. Scenarios: paths that are back; losses while paths are lost that must not quarantine a request; the duty of weights; shares of limits; all daemons without paths; a client that passes for a daemon.

--- a/features/platform/ownpaths.feature
+++ b/features/platform/ownpaths.feature
@@ -20,3 +20,42 @@
     Given a deployment with 3 daemons
     When clients ask all daemons, 30 a second for 8 s, and after 1 s the connections of the first daemon to all servers refuse_new
     Then from 3 s after that its orders are served at least two thirds as often as elsewhere
+
+  Scenario: A daemon whose paths are back serves by itself again
+    Guards against a daemon that is left out for good after a cut.
+    Given a deployment with 3 daemons
+    When clients ask all daemons, 30 a second for 3 s, and after 0.2 s the connections of the first daemon to all servers hang
+    Then the addresses leave the first daemon out
+    When the paths of the first daemon are restored
+    Then within 3 s the addresses name the first daemon again
+    And its own requests reach the servers again
+    And no daemon counts a server as failed
+
+  Scenario: Requests that ran while paths were lost are no danger to servers
+    Guards against a customer's request refused everywhere after two daemons lost paths.
+    Given a deployment with 3 daemons
+    When one look-up runs through two daemons as their paths are reset, three times
+    Then the same look-up is served by the third daemon
+
+  Scenario: New weights are rolled out though the daemon in charge loses its paths
+    Guards against a holder of the lease that can reach no engine and keeps it.
+    Given a deployment with 3 daemons
+    When the daemon that holds the duty of weights loses its paths
+    And version 2 of the weights is requested
+    Then all engines hold version 2 within 9 s
+
+  Scenario: A limit is divided among the daemons that can send
+    Guards against the share of a limit that is lost with a daemon's paths.
+    Given a deployment with 3 daemons
+    When clients ask all daemons, 30 a second for 3 s, and after 0.2 s the connections of the first daemon to all servers reset
+    Then the other daemons divide limits of servers by 2
+
+  Scenario: All daemons without paths refuse at once
+    Guards against requests held until their deadline while no daemon reaches servers.
+    Given a deployment with 3 daemons
+    When clients ask all daemons, 30 a second for 5 s, and after 0.5 s the connections of all daemons to all servers hang
+    Then from 3 s after that every try is refused as not run, within 0.5 s and with a time to come back
+
+  Scenario: A client can't pass for a daemon
+    Guards against callers that dodge their quota as a request already charged.
+    Then a request relayed from a host that is no daemon's counts as a caller's
--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -8,6 +8,8 @@
 from behave import then, when
 from deployment import Deployment
 
+from lycheepost.callers.forwarddeps import ForwardRequest
+from lycheepost.platform.ingress import trusted_relay
 from lycheepost.platform.models.pathcuts import PathCut
 
 CONTACT_SECONDS = 3.0
@@ -31,6 +33,8 @@
     status: int | None = None
     is_whole: bool = False
     body: bytes = b""
+    held_seconds: float = 0.0
+    retry_after: str | None = None
 
     @property
     def is_served(self) -> bool:
@@ -49,6 +53,8 @@
         case _:
             method, path, body = "POST", "/title/x", b"a title"
             headers = deployment.prompt_headers("k-one", parts=f"a{number % 4}:100,b:9")
+    loop = asyncio.get_running_loop()
+    started = loop.time()
     try:
         async with asyncio.timeout(ASK_TIMEOUT_SECONDS):
             answer = await deployment.ask(method, path, headers, body, attempt.index)
@@ -56,6 +62,8 @@
         return
     attempt.status, attempt.is_whole = answer.status, answer.is_whole
     attempt.body = answer.body
+    attempt.held_seconds = loop.time() - started
+    attempt.retry_after = answer.headers.get("Retry-After")
 
 
 async def play(deployment, per_second, seconds, cut_seconds, indexes, path_cut):
@@ -174,3 +182,168 @@
     share = sum(there) / len(there)
     share_elsewhere = sum(others) / len(others)
     assert share >= MIN_SERVED_SHARE * share_elsewhere, (share, share_elsewhere)
+
+
+def url_of(deployment, index):
+    return str(deployment.nodes[index].clients)
+
+
+@then("the addresses leave the first daemon out")
+def step_left_out(context):
+    addresses = context.loop.run_until_complete(context.deployment.addresses(1))
+    assert url_of(context.deployment, 0) not in addresses, addresses
+    assert len(addresses) == 2, addresses
+
+
+@when("the paths of the first daemon are restored")
+def step_heal(context):
+    context.deployment.networks[0].heal()
+
+
+@then("within 3 s the addresses name the first daemon again")
+def step_named(context):
+    async def is_named():
+        addresses = await context.deployment.addresses(1)
+        return url_of(context.deployment, 0) in addresses
+
+    context.loop.run_until_complete(context.deployment.until(is_named, 3.0))
+
+
+@then("its own requests reach the servers again")
+def step_own(context):
+    deployment = context.deployment
+    n_before = deployment.daemons[0].status()["sends"]["n_calls"]
+    attempt = Try(0.0, 0)
+    context.loop.run_until_complete(ask(deployment, 0, attempt))
+    assert attempt.is_served, attempt
+    assert deployment.daemons[0].status()["sends"]["n_calls"] == n_before + 1
+
+
+@then("no daemon counts a server as failed")
+def step_no_failed(context):
+    for daemon in context.deployment.daemons:
+        states = {item["state"] for item in daemon.status()["targets"].values()}
+        assert states == {"serving"}, states
+
+
+async def look_up_once(deployment, index):
+    headers = deployment.headers("k-one")
+    return await deployment.ask("GET", "/look/same", headers, b"", index)
+
+
+@when("one look-up runs through two daemons as their paths are reset, three times")
+def step_run_reset(context):
+    deployment = context.deployment
+
+    async def run():
+        for server in deployment.group("plain"):
+            server.run_seconds = 0.5
+        for _ in range(3):
+            asked = [asyncio.create_task(look_up_once(deployment, i)) for i in (0, 1)]
+            await asyncio.sleep(0.2)
+            for index in (0, 1):
+                deployment.networks[index].cut(PathCut.RESET)
+            await asyncio.gather(*asked)
+            for index in (0, 1):
+                deployment.networks[index].heal()
+            await asyncio.sleep(1.5)
+
+    context.loop.run_until_complete(run())
+
+
+@then("the same look-up is served by the third daemon")
+def step_same_served(context):
+    answer = context.loop.run_until_complete(look_up_once(context.deployment, 2))
+    assert answer.status == 200, (answer.status, answer.body)
+
+
+@when("the daemon that holds the duty of weights loses its paths")
+def step_holder(context):
+    deployment = context.deployment
+
+    def holders():
+        return [
+            index
+            for index, daemon in enumerate(deployment.daemons)
+            if daemon.status()["duties"][0]["is_held"]
+        ]
+
+    async def is_held():
+        return bool(holders())
+
+    async def lose():
+        await deployment.until(is_held)
+        index = holders()[0]
+        deployment.networks[index].cut(PathCut.HANG)
+        for number in range(6):
+            await ask(deployment, number, Try(0.0, index))
+
+    context.loop.run_until_complete(lose())
+
+
+@then("all engines hold version 2 within {seconds:g} s")
+def step_hold(context, seconds):
+    async def hold():
+        return all(server.state.version == 2 for server in engines)
+
+    engines = context.deployment.group("llm")
+    context.loop.run_until_complete(context.deployment.until(hold, seconds))
+
+
+@then("the other daemons divide limits of servers by {n:d}")
+def step_divide(context, n):
+    async def divide():
+        found = [
+            daemon.status()["limit_shares"] for daemon in context.deployment.daemons
+        ]
+        return found[1:] == [n, n]
+
+    context.loop.run_until_complete(context.deployment.until(divide, 1.0))
+
+
+@when(
+    "clients ask all daemons, {per_second:d} a second for {seconds:d} s, and after"
+    " {cut_seconds:g} s the connections of all daemons to all servers {cut}"
+)
+def step_cut_all(context, per_second, seconds, cut_seconds, cut):
+    context.cut_indexes = (0, 1, 2)
+    context.tries = context.loop.run_until_complete(
+        play(
+            context.deployment,
+            per_second,
+            seconds,
+            cut_seconds,
+            context.cut_indexes,
+            PathCut(cut),
+        )
+    )
+
+
+@then(
+    "from 3 s after that every try is refused as not run, within 0.5 s and with a time"
+    " to come back"
+)
+def step_all_refused(context):
+    late = [item for item in context.tries if item.sent_seconds >= CONTACT_SECONDS]
+    assert late
+    bad = [
+        item
+        for item in late
+        if item.status != 503
+        or item.held_seconds > 0.5
+        or not 0.0 < float(item.retry_after or 0.0) <= 1.0
+    ]
+    assert not bad, bad
+
+
+@then("a request relayed from a host that is no daemon's counts as a caller's")
+def step_no_daemon(context):
+    request = ForwardRequest(
+        "id", "GET", "h", "/", (), None, None, None, None, b"", 0.0, relayed_runs=1
+    )
+    hosts = {"10.1.0.20"}
+    known = trusted_relay(request, "10.1.0.20", hosts.__contains__)
+    assert known.relayed_runs == 1
+    for host in ("10.9.9.9", None):
+        found = trusted_relay(request, host, hosts.__contains__)
+        assert found.relayed_runs is None, found
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -67,6 +67,7 @@
         self._paths: dict[TargetGroupId, OwnPaths] = {}
         self._probes: dict[TargetGroupId, asyncio.Task[None]] = {}
         self._on_change: list[OnPathChange] = []
+        self._is_stopped = False
         self.n_probes = 0
 
     async def start(self) -> None:
@@ -78,6 +79,7 @@
 
     async def stop(self) -> None:
         """Stop probing."""
+        self._is_stopped = True
         for probe in list(self._probes.values()):
             probe.cancel()
 
@@ -158,12 +160,18 @@
     def _end_probe(self, target_group: TargetGroupId) -> None:
         """Schedule the next probe while the paths are lost."""
         del self._probes[target_group]
-        if self.are_lost(target_group):
+        if self.are_lost(target_group) and not self._is_stopped:
             loop = asyncio.get_running_loop()
             loop.call_later(
-                LOST_PROBE_INTERVAL_SECONDS, self._probe_if_due, target_group
+                LOST_PROBE_INTERVAL_SECONDS, self._probe_again, target_group
             )
 
+    def _probe_again(self, target_group: TargetGroupId) -> None:
+        """Probe unless it has been done meanwhile; nothing else ends a loss."""
+        is_due = target_group not in self._probes and self.are_lost(target_group)
+        if is_due and not self._is_stopped:
+            self._start_probe(target_group)
+
     async def _probe(self, target_group: TargetGroupId) -> None:
         targets = self._get_targets(target_group)
         probed = self._rng.sample(targets, min(PROBED_TARGETS, len(targets)))
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -184,8 +184,9 @@
         with self._deps.request_bytes.open() as held:
             body = await self._read_body(request, held)
             forward_request = decode_request(request, body, arrived_seconds)
-            if request.remote is None or not self._is_peer_host(request.remote):
-                forward_request = replace(forward_request, relayed_runs=None)
+            forward_request = trusted_relay(
+                forward_request, request.remote, self._is_peer_host
+            )
             await self._forward(request, connection, forward_request)
 
     async def _forward(
@@ -290,6 +291,19 @@
         return response
 
 
+def trusted_relay(
+    request: ForwardRequest, host: str | None, is_peer_host: Callable[[str], bool]
+) -> ForwardRequest:
+    """Return a request that counts as relayed only if a daemon sent it.
+
+    A relayed request may have been charged already, so a caller that could pass for a
+    daemon would not be held to its quota.
+    """
+    if host is not None and is_peer_host(host):
+        return request
+    return replace(request, relayed_runs=None)
+
+
 def _first_reads_wait_seconds(request: ForwardRequest) -> float:
     """Return how long a request may wait for the first reads of the store."""
     caller_timeout_seconds = request.caller_timeout_seconds
