Hear that servers are brittle, and cause few rejections there, all daemons together

New on the platform: Server-Brittle = N, a server that crashes when it rejects more than N requests in a second for want of room. The number is decoded once, told to peers like a limit, and divided: after a rejection a daemon sends the server nothing for as long as its share of N takes, and all daemons leave a seventh of a brittle server's slots free.

--- a/features/peers/steps/notice_messages_steps.py
+++ b/features/peers/steps/notice_messages_steps.py
@@ -26,7 +26,7 @@
         ENDED: ReportedLimit(None, reported_seconds),
     }
     context.per_second = per_second
-    context.message = to_message(limits, (), SENDER_SECONDS)
+    context.message = to_message(limits, {}, (), SENDER_SECONDS)
 
 
 @given("a daemon that reports a limit with {figure:g} as its {field}")
@@ -37,7 +37,7 @@
 
 @when("a peer receives the message")
 def step_receives(context):
-    context.received = limits_of(context.message, RECEIVER_SECONDS)
+    context.received = limits_of(context.message.limits, RECEIVER_SECONDS)
 
 
 @then("it has both, as reported {age_seconds:g} s ago on its own clock")
@@ -57,7 +57,7 @@
 @given("a daemon that reports a leaving target with its start, and another without")
 def step_reports_leaving(context):
     context.starts = [TargetStart(LIMITED, 1_700_000_000_000), TargetStart(ENDED)]
-    context.message = to_message({}, context.starts, SENDER_SECONDS)
+    context.message = to_message({}, {}, context.starts, SENDER_SECONDS)
 
 
 @then("it knows both starts to be leaving")
--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -12,11 +12,13 @@
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.notices import (
     BackOffRequested,
+    BrittleChanged,
     LimitChanged,
     NoticeChange,
     TargetLeaving,
     TargetNotices,
 )
+from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
 from lycheepost.decide.ratelimits import ReportedLimit
 from lycheepost.decide.records import TargetView
 from lycheepost.generated.messages import NoticeNews
@@ -39,7 +41,7 @@
 class NoticeExchange:
     """Passes the notices of targets to the scheduler and to the peers.
 
-    A notice is a rate limit, a back-off, or the announcement that a target leaves.
+    A notice is a rate limit, a back-off, that a target is brittle, or that it leaves.
 
     Args:
         notices: Stores the notices in force.
@@ -67,6 +69,7 @@
         self._metrics = metrics
         self._targets: tuple[TargetId, ...] = ()
         self._peers: tuple[DaemonId, ...] = ()
+        self._n_sharing = ASSUMED_DAEMONS
         self._task: asyncio.Task[None] | None = None
         exchange.subscribe(NoticeNews, self._receive)
 
@@ -85,7 +88,8 @@
     def status(self) -> dict[str, object]:
         """Return the notices in force, by target.
 
-        Limits are in requests per second, back-offs in remaining seconds.
+        Limits are in requests per second, back-offs in remaining seconds; brittle
+        targets with the rejections per second that they bear.
         """
         backoffs = self._notices.backoffs.in_force(self._clock.now_seconds())
         return {
@@ -93,6 +97,10 @@
                 str(name): limit
                 for name, limit in self._notices.limits.in_force().items()
             },
+            "brittle": {
+                str(name): bearable
+                for name, bearable in self._notices.brittle.in_force().items()
+            },
             "leaving": sorted(
                 str(start.target)
                 for start in self._notices.leaving.among(self._targets)
@@ -129,8 +137,16 @@
             is_sealed=head.is_sealed,
             was_not_run=head.was_not_run,
         )
+        if head.was_not_run and head.notice.retry_after_seconds is None:
+            changes += self._notices.note_rejected(
+                sent_to.target, self._n_sharing, self._clock.now_seconds()
+            )
         self._apply_all(changes)
 
+    def set_sharing(self, n_daemons: int) -> None:
+        """Set the number of daemons that rejections are divided among."""
+        self._n_sharing = n_daemons
+
     def note_call(self, sent_to: ListedTarget, notice: TargetNotice) -> None:
         """Apply the notice in the response to a control call.
 
@@ -166,6 +182,14 @@
                     source=source,
                 )
                 self._dispatcher.set_limit(target, per_second)
+            case BrittleChanged(target, per_second):
+                _log.info(
+                    "targets: brittle",
+                    target=target,
+                    rejections_per_second=per_second,
+                    source=source,
+                )
+                self._dispatcher.set_brittle(target, per_second is not None)
             case TargetLeaving(start):
                 _log.info(
                     "targets: leaving",
@@ -187,6 +211,8 @@
         backoffs = self._notices.backoffs.in_force(self._clock.now_seconds())
         leaving = self._notices.leaving.among(self._targets)
         self._metrics.gauge("targets_limited", len(self._notices.limits.in_force()))
+        brittle = self._notices.brittle.in_force()
+        self._metrics.gauge("targets_brittle", len(brittle))
         self._metrics.gauge("targets_leaving", len(leaving))
         self._metrics.gauge("targets_backed_off", len(backoffs))
 
@@ -196,9 +222,10 @@
             self._set_gauges()
             now_seconds = self._clock.now_seconds()
             limits = self._notices.limits.own(now_seconds)
+            brittle = self._notices.brittle.own(now_seconds)
             leaving = self._notices.leaving.among(self._targets)
-            if limits or leaving:
-                self._publish(limits, leaving)
+            if limits or brittle or leaving:
+                self._publish(limits, brittle, leaving)
 
     def _publish_change(self, change: NoticeChange, now_seconds: float) -> None:
         """Send a change to the peers; back-offs concern this daemon only."""
@@ -206,20 +233,31 @@
             case LimitChanged(target, _):
                 limit = self._notices.limits.own(now_seconds).get(target)
                 if limit is not None:
-                    self._publish({target: limit}, [])
+                    self._publish({target: limit}, {}, [])
+            case BrittleChanged(target, _):
+                bearable = self._notices.brittle.own(now_seconds).get(target)
+                if bearable is not None:
+                    self._publish({}, {target: bearable}, [])
             case TargetLeaving(start):
-                self._publish({}, [start])
+                self._publish({}, {}, [start])
 
     def _publish(
-        self, limits: dict[TargetId, ReportedLimit], leaving: list[TargetStart]
+        self,
+        limits: dict[TargetId, ReportedLimit],
+        brittle: dict[TargetId, ReportedLimit],
+        leaving: list[TargetStart],
     ) -> None:
-        message = to_message(limits, leaving, self._clock.now_seconds())
+        message = to_message(limits, brittle, leaving, self._clock.now_seconds())
         self._exchange.send_to_each(self._peers, message)
 
     def _receive(self, message: NoticeNews, sender: DaemonId) -> None:
-        for target, limit in limits_of(message, self._clock.now_seconds()):
+        now_seconds = self._clock.now_seconds()
+        for target, limit in limits_of(message.limits, now_seconds):
             if self._notices.limits.note_peer_report(target, limit):
                 self._apply(LimitChanged(target, limit.per_second), sender)
+        for target, bearable in limits_of(message.brittle, now_seconds):
+            if self._notices.brittle.note_peer_report(target, bearable):
+                self._apply(BrittleChanged(target, bearable.per_second), sender)
         for start in leaving_of(message):
             if self._notices.leaving.note(start):
                 self._apply(TargetLeaving(start), sender)
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -225,9 +225,9 @@
         )
         self._components.traffic.targets.refresh_if_due()
         self._components.traffic.dispatcher.set_retry_terms(terms)
-        self._components.traffic.dispatcher.set_sharing_limits(
-            self._count_limit_shares()
-        )
+        n_sharing = self._count_limit_shares()
+        self._components.traffic.dispatcher.set_sharing_limits(n_sharing)
+        self._components.traffic.notices.set_sharing(n_sharing)
         self._components.quotas.set_tolerance(
             self._components.settings.bounds.quota_tolerance
         )
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -171,6 +171,7 @@
         n_engines: int = 2,
         is_configured: bool = True,
         states_starts: bool = False,
+        n_slots: int = 32,
     ) -> None:
         """Start everything and wait until the daemons are ready.
 
@@ -180,12 +181,13 @@
             n_engines: Number of engines.
             is_configured: Whether a configuration is written before the start.
             states_starts: Whether servers report their start time.
+            n_slots: Slots of each server.
         """
         self._session = aiohttp.ClientSession(auto_decompress=False)
         await self.store.start()
         for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
             for _ in range(n):
-                server = PlatformServer(service, model)
+                server = PlatformServer(service, model, n_slots=n_slots)
                 server.state.started_ms = FIRST_START_MS if states_starts else None
                 await self.add_server(server)
         if is_configured:
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -210,6 +210,10 @@
         now_seconds = self._clock.now_seconds()
         self._deliver(self._scheduler.set_limit(target, per_second, now_seconds))
 
+    def set_brittle(self, target: TargetId, is_brittle: bool) -> None:
+        """Pass on whether a target crashes when it rejects too many requests."""
+        self._scheduler.set_brittle(target, is_brittle)
+
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send a target nothing until then; the tick dispatches queued requests."""
         self._scheduler.back_off(target, until_seconds)
--- a/lycheepost/core/notices.py
+++ b/lycheepost/core/notices.py
@@ -13,11 +13,14 @@
         is_leaving: Whether it finishes its current requests and then exits.
         retry_after_seconds: Time for which it accepts no request from this daemon,
             after it rejected one; None for no back-off.
+        brittle_per_second: Requests that it may reject in a second for want of room
+            without crashing; None if it is not brittle.
     """
 
     limit_per_second: float | None = None
     is_leaving: bool = False
     retry_after_seconds: float | None = None
+    brittle_per_second: float | None = None
 
 
 NO_NOTICE = TargetNotice()
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -11,6 +11,7 @@
 
 from lycheepost.core.ids import RequestId
 from lycheepost.decide.backlog import Backlog
+from lycheepost.decide.brittle import usable_requests
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.concurrency import Window
 from lycheepost.decide.heldmemory import HeldMemory
@@ -91,6 +92,7 @@
         has_peer_reports: Whether peers report their load there.
         rate_limiter: Its rate limit for this daemon; None while it sets no limit.
         backoff_until_seconds: End of the back-off that it asked this daemon for.
+        is_brittle: Whether it crashes when it rejects too many requests.
     """
 
     view: TargetView
@@ -115,6 +117,7 @@
     has_peer_reports: bool = False
     rate_limiter: RequestPacer | None = None
     backoff_until_seconds: float = float("-inf")
+    is_brittle: bool = False
     history: deque[OwnLoad] = field(default_factory=deque)
 
     def replace_view(self, view: TargetView) -> None:
@@ -391,7 +394,8 @@
 
     def max_requests(self) -> float:
         """Return the most requests that it should have at a time."""
-        return max(1.0, self.view.concurrency_limit * self.view.serving_share)
+        n_requests = max(1.0, self.view.concurrency_limit * self.view.serving_share)
+        return usable_requests(n_requests) if self.is_brittle else n_requests
 
 
 def _is_stream(work: Work) -> bool:
--- a/lycheepost/decide/notices.py
+++ b/lycheepost/decide/notices.py
@@ -1,4 +1,4 @@
-"""Notices of targets about themselves: limits, leaving and back-offs."""
+"""Notices of targets about themselves: limits, leaving, back-offs, brittleness."""
 
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -7,6 +7,7 @@
 from lycheepost.core.notices import TargetNotice
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.backoff import BackOffs
+from lycheepost.decide.brittle import pause_seconds
 from lycheepost.decide.leaving import LeavingTargets
 from lycheepost.decide.ratelimits import TargetLimits
 
@@ -34,7 +35,15 @@
     until_seconds: float
 
 
-NoticeChange = LimitChanged | TargetLeaving | BackOffRequested
+@dataclass(frozen=True, slots=True)
+class BrittleChanged:
+    """A target bears another number of rejections, or is not brittle (None)."""
+
+    target: TargetId
+    per_second: float | None
+
+
+NoticeChange = LimitChanged | TargetLeaving | BackOffRequested | BrittleChanged
 
 
 class TargetNotices:
@@ -42,12 +51,14 @@
 
     Attributes:
         limits: Requests a second that targets accept from all daemons.
+        brittle: Rejections a second that brittle targets bear, of all daemons.
         leaving: Targets that are leaving.
         backoffs: Targets that accept no request from this daemon for a while.
     """
 
     def __init__(self) -> None:
         self.limits = TargetLimits()
+        self.brittle = TargetLimits()
         self.leaving = LeavingTargets()
         self.backoffs = BackOffs()
 
@@ -81,6 +92,11 @@
             target, per_second, sent_seconds, now_seconds
         ):
             changes.append(LimitChanged(target, per_second))
+        brittle = notice.brittle_per_second
+        if (is_sealed or brittle is not None) and self.brittle.note_answer(
+            target, brittle, sent_seconds, now_seconds
+        ):
+            changes.append(BrittleChanged(target, brittle))
         is_trusted = is_sealed or was_not_run
         if notice.is_leaving and is_trusted and self.leaving.note(start):
             changes.append(TargetLeaving(start))
@@ -92,7 +108,26 @@
             changes.append(BackOffRequested(target, until_seconds))
         return changes
 
+    def note_rejected(
+        self, target: TargetId, n_daemons: int, now_seconds: float
+    ) -> list[NoticeChange]:
+        """Apply a rejection for want of room; return what it changed.
+
+        Args:
+            target: The target that rejected a request of this daemon.
+            n_daemons: Daemons that the rejections it bears are divided among.
+            now_seconds: The current time.
+        """
+        bearable = self.brittle.of(target)
+        if bearable is None:
+            return []
+        seconds = pause_seconds(bearable, n_daemons)
+        if not self.backoffs.note(target, seconds, now_seconds):
+            return []
+        return [BackOffRequested(target, self.backoffs.until_seconds(target))]
+
     def keep(self, targets: Collection[TargetId], now_seconds: float) -> None:
-        """For all targets except these, drop the limits and the ended back-offs."""
+        """For all targets except these, drop what they stated and ended back-offs."""
         self.limits.keep(targets)
+        self.brittle.keep(targets)
         self.backoffs.keep(targets, now_seconds)
--- a/lycheepost/decide/ratelimits.py
+++ b/lycheepost/decide/ratelimits.py
@@ -1,4 +1,4 @@
-"""Rate limits that targets have set in their responses.
+"""Rates that targets have stated in their responses, such as rate limits.
 
 An overloaded target states in its responses how many requests a second it accepts from
 all daemons together, until a response states no limit. Responses may arrive out of
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -323,6 +323,10 @@
         group = self._group_by_target.get(target)
         return [] if group is None else group.dispatch_waiting(now_seconds)
 
+    def set_brittle(self, target: TargetId, is_brittle: bool) -> None:
+        """Set whether a target crashes when it rejects too many requests."""
+        self._notices.set_brittle(target, is_brittle)
+
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send no requests to a target until ``until_seconds``, as it has asked."""
         self._notices.back_off(target, until_seconds)
--- a/lycheepost/decide/targetnotices.py
+++ b/lycheepost/decide/targetnotices.py
@@ -22,6 +22,7 @@
         self._group_by_target = group_by_target
         self._limits: dict[TargetId, float] = {}
         self._backoffs: dict[TargetId, float] = {}
+        self._brittle: set[TargetId] = set()
         self._n_sharing_limits = ASSUMED_DAEMONS
 
     def set_limit(
@@ -41,6 +42,13 @@
         for target in self._limits:
             self._pass_limit(target, now_seconds)
 
+    def set_brittle(self, target: TargetId, is_brittle: bool) -> None:
+        """Set whether a target crashes when it rejects too many requests."""
+        self._brittle.discard(target)
+        if is_brittle:
+            self._brittle.add(target)
+        self._pass_brittle(target)
+
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send no requests to a target until ``until_seconds``, as it has asked."""
         self._backoffs[target] = until_seconds
@@ -50,10 +58,12 @@
         """Apply the limit and back-off of a target that was added to a group."""
         self._pass_limit(target, now_seconds)
         self._pass_backoff(target)
+        self._pass_brittle(target)
 
     def forget_limit(self, target: TargetId) -> None:
         """Drop the limit of a target that is no longer configured."""
         self._limits.pop(target, None)
+        self._brittle.discard(target)
 
     def forget_backoffs(
         self, targets: Collection[TargetId], now_seconds: float
@@ -70,6 +80,12 @@
             if target in targets or until_seconds > now_seconds
         }
 
+    def _pass_brittle(self, target: TargetId) -> None:
+        """Pass to a target's group whether it is brittle."""
+        group = self._group_by_target.get(target)
+        if group is not None:
+            group.placement.loads[target].is_brittle = target in self._brittle
+
     def _pass_backoff(self, target: TargetId) -> None:
         """Pass a target's back-off to its group."""
         group = self._group_by_target.get(target)
--- a/lycheepost/peers/notice_messages.py
+++ b/lycheepost/peers/notice_messages.py
@@ -11,20 +11,14 @@
 
 def to_message(
     limits: Mapping[TargetId, ReportedLimit],
+    brittle: Mapping[TargetId, ReportedLimit],
     leaving: Iterable[TargetStart],
     now_seconds: float,
 ) -> NoticeNews:
     """Return the message to send to peers."""
     return NoticeNews(
-        limits=[
-            TargetLimit(
-                target=target,
-                limit_per_second=limit.per_second or 0.0,
-                age_seconds=now_seconds - limit.reported_seconds,
-                is_ended=limit.per_second is None,
-            )
-            for target, limit in limits.items()
-        ],
+        limits=_to_messages(limits, now_seconds),
+        brittle=_to_messages(brittle, now_seconds),
         leaving=[
             LeavingTarget(target=start.target, started_ms=start.started_ms)
             for start in leaving
@@ -32,10 +26,24 @@
     )
 
 
+def _to_messages(
+    reported: Mapping[TargetId, ReportedLimit], now_seconds: float
+) -> list[TargetLimit]:
+    return [
+        TargetLimit(
+            target=target,
+            limit_per_second=limit.per_second or 0.0,
+            age_seconds=now_seconds - limit.reported_seconds,
+            is_ended=limit.per_second is None,
+        )
+        for target, limit in reported.items()
+    ]
+
+
 def limits_of(
-    message: NoticeNews, now_seconds: float
+    items: Iterable[TargetLimit], now_seconds: float
 ) -> list[tuple[TargetId, ReportedLimit]]:
-    """Return the limits in a message; invalid figures are left out."""
+    """Return the stated rates in a message; invalid figures are left out."""
     return [
         (
             TargetId(item.target),
@@ -45,7 +53,7 @@
                 is_own=False,
             ),
         )
-        for item in message.limits
+        for item in items
         if _is_valid(item)
     ]
 
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -136,6 +136,7 @@
         limit_per_second=parse_non_negative(headers.get(names.RATE_LIMIT, "")),
         is_leaving=headers.get(names.LEAVING, "").strip() == _LEAVING_VALUE,
         retry_after_seconds=retry_after_seconds,
+        brittle_per_second=parse_non_negative(headers.get(names.BRITTLE, "")),
     )
 
 
--- a/lycheepost/platform/headers.py
+++ b/lycheepost/platform/headers.py
@@ -13,6 +13,9 @@
 RATE_LIMIT = "Server-Limit"
 """Requests per second that the server accepts from all daemons together; a decimal
 number. It applies while the server's responses carry it."""
+BRITTLE = "Server-Brittle"
+"""Rejections for want of room, in one second, beyond which the server crashes; a
+decimal number. It applies while the server's responses carry it."""
 LEAVING = "Server-Leaving"
 """``1`` in all responses of a server that is leaving."""
 CUSTOMER = "X-Lycheepost-Tenant"
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -35,6 +36,8 @@
 _HANG_SECONDS = 3600.0
 RESTART_MS = 1500
 """Difference between the start times of two successive starts of a server."""
+FALL_SECONDS = 2.0
+"""How long a server that crashed by rejections is away."""
 _numbers = itertools.count(1)
 
 
@@ -136,6 +139,11 @@
             length.
         rejected_seconds: The times of these rejections, by the loop's clock.
         n_health_checks: Number of health checks that it received.
+        n_slots: Requests that it runs at the same time; it rejects others.
+        brittle_per_second: Rejections a second for want of a slot beyond which it
+            crashes, as it states; None if it is not brittle.
+        brittle_from_seconds: When it may begin to crash, by the loop's clock.
+        n_falls: How often it crashed by rejections.
     """
 
     def __init__(
@@ -145,6 +153,7 @@
         n_events: int = 6,
         run_seconds: float = 0.002,
         host: str = "127.0.0.1",
+        n_slots: int = 32,
     ) -> None:
         self.name = f"i-{next(_numbers):04d}"
         self.service = service
@@ -159,6 +168,13 @@
         self.backoff_seconds: float | None = None
         self.rejected_seconds: list[float] = []
         self.n_health_checks = 0
+        self.n_slots = n_slots
+        self.brittle_per_second: float | None = None
+        self.brittle_from_seconds = float("-inf")
+        self.n_falls = 0
+        self._full_seconds: deque[float] = deque()
+        self._awake = asyncio.Event()
+        self._awake.set()
         self.on_fault: Callable[[], object] = lambda: None
         self.n_events = n_events
         self.n_repeats = 1
@@ -209,6 +225,34 @@
         """Stop responding on open connections for good; new connections work."""
         self._server.freeze_connections()
 
+    async def pause(self, seconds: float) -> None:
+        """Send nothing for a time, then go on as if nothing had happened."""
+        self._awake.clear()
+        await asyncio.sleep(seconds)
+        self._awake.set()
+
+    async def _fall(self) -> None:
+        """Crash, and come back after some time."""
+        self.n_falls += 1
+        self._full_seconds.clear()
+        await self._server.stop()
+        await asyncio.sleep(FALL_SECONDS)
+        await self._server.start()
+
+    def _reject_full(self, request: web.Request) -> web.Response:
+        """Reject a request for want of a slot; too many rejections crash it."""
+        now_seconds = asyncio.get_running_loop().time()
+        self._full_seconds.append(now_seconds)
+        while self._full_seconds[0] < now_seconds - 1.0:
+            self._full_seconds.popleft()
+        bound = self.brittle_per_second
+        is_brittle = bound is not None and now_seconds >= self.brittle_from_seconds
+        if is_brittle and len(self._full_seconds) > (bound or 0.0):
+            task = asyncio.create_task(self._fall())
+            self._load_tasks.add(task)
+            task.add_done_callback(self._load_tasks.discard)
+        return self._reject(request, 503)
+
     def entry(self, zone: str) -> bytes:
         """Return the entry that the server writes into the store."""
         models = []
@@ -221,7 +265,7 @@
                 "address": self.address,
                 "zone": zone,
                 "version": "v1",
-                "slots": 32,
+                "slots": self.n_slots,
                 "state": "draining" if self.is_leaving else "ready",
                 "cold_left_ms": 0,
                 "models": models,
@@ -243,7 +287,10 @@
         return app
 
     def _response_headers(self, request: web.Request) -> dict[str, str]:
-        headers = {names.TARGET: self.name, names.LOAD: f"{self.n_running},0,32"}
+        headers = {
+            names.TARGET: self.name,
+            names.LOAD: f"{self.n_running},0,{self.n_slots}",
+        }
         headers |= self._notice_headers()
         attempt_id = request.headers.get(names.ATTEMPT_ID)
         if attempt_id:
@@ -257,6 +304,8 @@
         headers = {}
         if self.limit_per_second is not None:
             headers[names.RATE_LIMIT] = str(self.limit_per_second)
+        if self.brittle_per_second is not None:
+            headers[names.BRITTLE] = f"{self.brittle_per_second:g}"
         if self.announces_leaving:
             headers[names.LEAVING] = "1"
             if self.leaving_said_seconds is None:
@@ -288,15 +337,19 @@
             return self._reject_with_backoff(request, self.backoff_seconds)
         if self.state.is_changing:
             return self._reject(request, 503)
+        if self.n_running >= self.n_slots:
+            return self._reject_full(request)
         return None
 
     async def _health(self, request: web.Request) -> web.StreamResponse:
         self.n_health_checks += 1
         await self._server.block_if_frozen(request)
+        await self._awake.wait()
         status = 503 if self.is_leaving else 200
         return web.Response(status=status, headers=self._response_headers(request))
 
     async def _report(self, request: web.Request) -> web.StreamResponse:
+        await self._awake.wait()
         state = self.state
         models = (
             [{"name": state.model, "version": state.version}] if state.model else []
@@ -341,6 +394,7 @@
     async def _run(self, request: web.Request) -> web.StreamResponse:
         await self._server.block_if_frozen(request)
         body = await request.read()
+        await self._awake.wait()
         refused = self._check(request)
         if refused is not None:
             return refused
@@ -372,6 +426,7 @@
         self, request: web.Request, body: bytes, fault: ServerFault | None
     ) -> web.StreamResponse:
         await asyncio.sleep(self.run_seconds)
+        await self._awake.wait()
         headers = self._response_headers(request)
         text = answer_text(request.raw_path, body) * self.n_repeats
         if not isinstance(fault, Unsealed):
@@ -440,6 +495,7 @@
     ) -> bool:
         """Send one event; return False if a fault ended the stream."""
         event = event_bytes(number, body)
+        await self._awake.wait()
         match fault:
             case Truncated(after_events=n) if number > n:
                 self.on_fault()
--- a/lycheepost/platform/unknownheaders.py
+++ b/lycheepost/platform/unknownheaders.py
@@ -22,6 +22,7 @@
         names.TARGET,
         names.LOAD,
         names.RATE_LIMIT,
+        names.BRITTLE,
         names.LEAVING,
         names.WEIGHTS,
         names.RETRY_AFTER,
