Take brief silence of a target for a pause, not for a failure

New on the platform: a sound server may send nothing for a second and go on. A request that was left to another target after 0.2 to 0.6 s counted as a failure of the silent one, and as its report hung too, as a loss of the target while the request ran, of which two quarantine the request. Now silence under 1.5 s counts only if the target answers others meanwhile.

--- a/features/decide/silence.feature
+++ b/features/decide/silence.feature
@@ -59,3 +59,15 @@
       | may     | outcome                     |
       | may     | the reader gives it up      |
       | may not | the reader gets what it was |
+
+  Scenario Outline: Silence of <silent> s, others heard <heard> s ago, is sound: <sound>
+    Guards against excluding a sound target that pauses for a second, and against using
+    one on that only answers some requests.
+    Then a target that is silent for <silent> s and was heard <heard> s ago is sound: <sound>
+
+    Examples:
+      | silent | heard | sound |
+      | 0.6    | 0.6   | yes   |
+      | 1.2    | 5     | yes   |
+      | 0.6    | 0.1   | no    |
+      | 1.6    | 1.6   | no    |
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -62,6 +62,7 @@
     first_byte_timeout_seconds,
     header_waits_seconds,
     idle_timeout_seconds,
+    is_sound_silence,
 )
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
@@ -138,6 +139,7 @@
         self._is_sent = False
         self._peer_attempts = PeerAttempts()
         self._has_reserved_retry = False
+        self._is_sound_silence = False
         self._charge = make_charge(deps, request, route_match)
         timeout_seconds = route_match.route.timeout_seconds
         if request.caller_timeout_seconds is not None:
@@ -403,7 +405,7 @@
                 lambda: self._may_abandon_at(sent_seconds + wait_seconds),
             )
         except TimeoutError:
-            self._deps.targets.note_end(target, Ending.BAD)
+            self._note_silence(target, self._deps.clock.now_seconds() - sent_seconds)
             return AttemptEnd.LOST, "silent"
         match sent:
             case Failure(TargetUnreachable(reason=reason)):
@@ -482,15 +484,24 @@
             )
             result = await self._relay.relay(answer, timeouts, self._note_first)
         except FirstByteTimeout:
-            self._deps.targets.note_end(target, Ending.BAD)
+            self._note_silence(target, wait_seconds)
             return AttemptEnd.LOST, "silent"
         finally:
             answer.close()
-        ending = Ending.GOOD if result.end is None else Ending.BAD
-        if result is not RelayEnd.CALLER_LEFT:
+        if result is RelayEnd.FELL_SILENT:
+            self._note_silence(target, timeouts.idle_seconds or 0.0)
+        elif result is not RelayEnd.CALLER_LEFT:
+            ending = Ending.GOOD if result.end is None else Ending.BAD
             self._deps.targets.note_end(target, ending)
         return result.end, result.value
 
+    def _note_silence(self, target: TargetId, silent_seconds: float) -> None:
+        """Count the silence of a target as a failure, unless it may be sound."""
+        heard_ago_seconds = self._deps.client.heard_ago_seconds(target)
+        self._is_sound_silence = is_sound_silence(silent_seconds, heard_ago_seconds)
+        if not self._is_sound_silence:
+            self._deps.targets.note_end(target, Ending.BAD)
+
     async def _read_rejection(self, answer: ForwardResponse) -> None:
         """Read a short rejection to its end, so that its connection can be reused."""
         try:
@@ -535,7 +546,9 @@
         known = _FINISH_KINDS.get(end)
         if known is not None:
             return known
-        if self._route_match.route.kind is RouteKind.NON_IDEMPOTENT:
+        is_sound = self._is_sound_silence
+        self._is_sound_silence = False
+        if is_sound or self._route_match.route.kind is RouteKind.NON_IDEMPOTENT:
             return FinishKind.ANSWER_LOST
         if await self._deps.is_same_incarnation(listed):
             return FinishKind.ANSWER_LOST
--- a/lycheepost/decide/silence.py
+++ b/lycheepost/decide/silence.py
@@ -33,6 +33,13 @@
 """Fraction of the caller's stream timeout after which another target is tried. The rest
 is four times what a loaded engine takes to its first token."""
 
+TIMER_SLACK_SECONDS = 0.02
+"""Timers of a busy daemon fire so much late."""
+
+MAX_SOUND_SILENCE_SECONDS = 1.5
+"""A sound target may send nothing for a second, and go on. Shorter silence is therefore
+no failure of a target that has sent nothing to anybody meanwhile."""
+
 QUIET_SECONDS = 0.7
 """A daemon that waits for a response and has heard nothing from any target for this
 time probes its paths. Under load some target sends something many times as often."""
@@ -74,6 +81,19 @@
     return min(timeout_seconds, FIRST_ATTEMPT_SHARE * remaining_seconds)
 
 
+def is_sound_silence(silent_seconds: float, heard_ago_seconds: float) -> bool:
+    """Return whether a target that sends nothing may be sound.
+
+    One that answers other requests meanwhile does not pause: it has lost this one.
+
+    Args:
+        silent_seconds: For how long it has sent nothing on one request.
+        heard_ago_seconds: When it last sent something on any.
+    """
+    is_brief = silent_seconds < MAX_SOUND_SILENCE_SECONDS
+    return is_brief and heard_ago_seconds >= silent_seconds - TIMER_SLACK_SECONDS
+
+
 def header_waits_seconds(timeout_seconds: float) -> Iterator[float]:
     """Yield the waits for a response: slices up to the timeout, then whole timeouts.
 
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -14,13 +15,16 @@
 import yarl
 from returns.result import Failure, Result, Success
 
-from lycheepost.core.ids import TargetGroupId
+from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.forwardcall import Dialect, ForwardCall, ResponseHead
 from lycheepost.targets.network import TargetNetwork
 from lycheepost.targets.session import SessionPair
 
+MAX_HEARD_TARGETS = 20_000
+"""Targets that are remembered, the same number as in ``state.targetstarts``."""
+
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that aiohttp adds by default; the target must get only the caller's."""
 
@@ -130,6 +134,7 @@
         self.n_calls = 0
         self.n_stale_answers = 0
         self._heard_seconds: dict[TargetGroupId, float] = {}
+        self._heard_target_seconds: OrderedDict[TargetId, float] = OrderedDict()
 
     async def start(self) -> None:
         """Open the connection pools."""
@@ -162,7 +167,7 @@
             return Failure(TargetUnreachable(f"no connection: {error}"))
         except (aiohttp.ClientError, OSError) as error:
             return Failure(TargetLost(f"no answer: {type(error).__name__}"))
-        self._note_heard(call.target_group)
+        self._note_heard(call)
         headers = [(name, value) for name, value in response.headers.items()]
         head = self._dialect.decode(call, response.status, headers)
         if head.answers_other_request:
@@ -171,12 +176,20 @@
             self.n_stale_answers += 1
             response.close()
             return Failure(TargetLost("the answer belongs to another request"))
-        return Success(
-            ForwardResponse(head, response, lambda: self._note_heard(call.target_group))
-        )
-
-    def _note_heard(self, target_group: TargetGroupId) -> None:
-        self._heard_seconds[target_group] = time.monotonic()
+        return Success(ForwardResponse(head, response, lambda: self._note_heard(call)))
+
+    def _note_heard(self, call: ForwardCall) -> None:
+        now_seconds = time.monotonic()
+        self._heard_seconds[call.target_group] = now_seconds
+        self._heard_target_seconds[call.target] = now_seconds
+        self._heard_target_seconds.move_to_end(call.target)
+        if len(self._heard_target_seconds) > MAX_HEARD_TARGETS:
+            self._heard_target_seconds.popitem(last=False)
+
+    def heard_ago_seconds(self, target: TargetId) -> float:
+        """Return when a target last sent something; infinite for never."""
+        heard_seconds = self._heard_target_seconds.get(target, -math.inf)
+        return time.monotonic() - heard_seconds
 
     def quiet_seconds(self, target_group: TargetGroupId) -> float:
         """Return for how long no target of a group has sent anything."""
