--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -8,7 +8,8 @@
 import os
 import pathlib
 import sys
-from typing import TextIO, cast
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TextIO, cast
 
 from returns.result import Failure, Success
 
@@ -24,6 +25,9 @@
 )
 from lycheepost.utils.collector import loading_modules
 
+if TYPE_CHECKING:
+    from lycheepost.targets.network import TargetNetwork
+
 METRICS_VARIABLE = "LYCHEEPOST_METRICS_PORT"
 """Overrides the metrics port, for several daemons on one address."""
 
@@ -34,11 +38,16 @@
 FAILED = 1
 
 
-def run(node_file: pathlib.Path) -> int:
+def run(
+    node_file: pathlib.Path,
+    make_network: "Callable[[], TargetNetwork] | None" = None,
+) -> int:
     """Run one daemon until SIGTERM and return the exit code.
 
     Args:
         node_file: The platform's settings file.
+        make_network: Returns what opens the connections to targets; called in the event
+            loop. None for the usual network.
     """
     match read_node_settings(node_file):
         case Success(node):
@@ -51,10 +60,15 @@
     except OSError as error:
         print(f"The daemon cannot start: {error}.", file=sys.stderr)
         return FAILED
-    return _serve(with_real_ports(node, sockets), sockets, node_file)
+    return _serve(with_real_ports(node, sockets), sockets, node_file, make_network)
 
 
-def _serve(node: NodeSettings, sockets: EarlySockets, node_file: pathlib.Path) -> int:
+def _serve(
+    node: NodeSettings,
+    sockets: EarlySockets,
+    node_file: pathlib.Path,
+    make_network: "Callable[[], TargetNetwork] | None",
+) -> int:
     # Imported after the sockets are open: the import takes half a second, in which
     # connections wait in the accept queue.
     with loading_modules():
@@ -88,6 +102,7 @@
                 metrics_port=int(metrics_port),
                 settings_file=node_file,
                 switched_off=switched_off,
+                network=None if make_network is None else make_network(),
             )
         )
     except OSError as error:
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -6,7 +6,8 @@
 in this one. Every way between them goes through a loopback proxy that delays, resets,
 cuts one way or silences. Processes are stopped, paused, killed and started again by
 signals, and the store fails, answers late or loses answers, in series that overlap;
-servers meanwhile say that they leave, name limits, or turn requests away for a while.
+servers meanwhile say that they leave, name limits, are brittle, pause, or turn requests
+away for a while; daemons are cut off from all servers, one or many at a time.
 Clients keep using their connections until the process behind them is gone. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
 process that was started here is ended here, by its id. Exit code 0 without a violation.
@@ -38,8 +39,16 @@
     make_demo_request,
     make_prompt_headers,
 )
-from lycheepost.app.platformfleet import KEYS, Answer, make_configuration
+from lycheepost.app.platformfleet import (
+    ENGINES,
+    KEYS,
+    PLAIN,
+    Answer,
+    make_configuration,
+)
 from lycheepost.platform import headers as names
+from lycheepost.platform.models.pathcuts import PathCut
+from lycheepost.platform.models.serverstandin import PlatformServer
 
 FAILED_SEEDS: dict[int, str] = {}
 """Seeds that failed, each with its cause."""
@@ -58,6 +67,13 @@
 
 N_PLAIN = 3
 N_ENGINES = 3
+RELAYED_SECONDS = 4.0
+"""How long a request may be at a peer: as long as its client waits."""
+
+TOLERATED_FALLS = 2.0
+TOLERATED_FALLS_SHARE = 0.1
+"""Crashes of brittle servers in one time, and for each server, that are allowed."""
+
 _NOT_RUN = (408, 421, 429, 503)
 
 
@@ -91,6 +107,16 @@
         span = Span(from_seconds, time.monotonic())
         self.words.disturbed.setdefault(index, []).append(span)
 
+    def note_brittle(
+        self, servers: list[PlatformServer], span: Span, n_falls: int
+    ) -> None:
+        """Judge how often brittle servers crashed, unless daemons were disturbed."""
+        self.faults["falls"] += n_falls
+        disturbed = [item for spans in self.words.disturbed.values() for item in spans]
+        allowed = TOLERATED_FALLS + TOLERATED_FALLS_SHARE * len(servers)
+        if n_falls > allowed and not any(item.overlaps(span) for item in disturbed):
+            self.report.violations.append(f"brittle servers crashed {n_falls} times")
+
     def is_over(self) -> bool:
         """Tell whether no further fault may begin."""
         return time.monotonic() >= self.until_seconds
@@ -209,6 +235,52 @@
     server.backoff_seconds = None
 
 
+async def cut_paths(run: SoakRun, daemon: DaemonProcess) -> None:
+    """Cut some daemons off from all servers, at times all of them."""
+    processes = run.fleet.processes
+    n_cut = run.rng.randint(1, len(processes))
+    found = [daemon, *(item for item in processes if item is not daemon)][:n_cut]
+    cut = run.rng.choice(list(PathCut))
+    from_seconds = time.monotonic()
+    for item in found:
+        item.set_cut(cut.value)
+    await pause(run, 0.5, 6.0)
+    for item in found:
+        item.set_cut("")
+        # Its requests may be at a peer, which servers say other things to.
+        run.note_disturbed(item, from_seconds - RELAYED_SECONDS)
+    await asyncio.sleep(RELAYED_SECONDS)
+    for item in found:
+        run.note_disturbed(item, from_seconds)
+
+
+async def pause_server(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let one server send nothing for about a second."""
+    await run.rng.choice(run.fleet.servers).pause(run.rng.uniform(0.3, 1.4))
+
+
+async def be_brittle(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let the servers of one service say that they are brittle, with few slots."""
+    servers = run.fleet.group(run.rng.choice((PLAIN, ENGINES)))
+    if any(server.brittle_per_second is not None for server in servers):
+        return
+    from_seconds = time.monotonic()
+    n_before = sum(server.n_falls for server in servers)
+    bearable = run.rng.uniform(1.0, 4.0)
+    for server in servers:
+        server.brittle_per_second = bearable
+        server.brittle_from_seconds = asyncio.get_running_loop().time() + 3.0
+        server.n_slots = 1
+        run.fleet.register(server)
+    await pause(run, 4.0, 8.0)
+    for server in servers:
+        server.brittle_per_second = None
+        server.n_slots = 32
+        run.fleet.register(server)
+    n_falls = sum(server.n_falls for server in servers) - n_before
+    run.note_brittle(servers, Span(from_seconds, time.monotonic()), n_falls)
+
+
 async def limit(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let one server name a limit for a while."""
     server = run.rng.choice(run.fleet.servers)
@@ -235,6 +307,9 @@
     leave,
     shed,
     limit,
+    cut_paths,
+    pause_server,
+    be_brittle,
 )
 
 
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -127,12 +127,11 @@
         """Start it; its log goes beside its settings, after what is there."""
         environment = {
             **os.environ,
-            "LYCHEEPOST_NODE_FILE": str(self.node_file),
             "LYCHEEPOST_METRICS_PORT": str(self.metrics_port),
         }
         with self.node_file.with_suffix(".log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "lycheepost.app.platformrun"],
+                [sys.executable, "tools/soakdaemon.py", str(self.node_file)],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -145,6 +144,11 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def set_cut(self, cut: str) -> None:
+        """Cut its paths to the servers; none of them if ``cut`` is empty."""
+        self.node_file.with_suffix(".cut").write_text(cut)
+        self.send(signal.SIGUSR1)
+
     async def end(self, within_seconds: float) -> None:
         """Stop it; kill it if it does not end in time."""
         self.send(signal.SIGCONT)
