Restore paths with the first target that is reached; ignore late probes

By reading: a group whose targets all crashed looks like lost paths, and with the first of three back its requests would still have been refused, as half of the probed targets were asked for. A probe that outlasts its time-out, as after a suspension, is no evidence.

--- a/features/decide/ownpaths.feature
+++ b/features/decide/ownpaths.feature
@@ -20,7 +20,7 @@
       | 0        | 0         |
 
   Scenario Outline: Lost paths stay lost: <stay>, when <n_reached> of 4 targets are reached
-    Guards against callers sent back to a daemon that reaches a target by chance.
+    Guards against refusing requests while the first of several crashed targets is back.
     Given a daemon without paths
     When a probe of 4 targets reaches <n_reached>
     Then its paths are lost: <stay>
@@ -28,10 +28,16 @@
     Examples:
       | n_reached | stay |
       | 0         | yes  |
-      | 1         | yes  |
+      | 1         | no   |
       | 2         | no   |
       | 4         | no   |
 
+  Scenario: A probe that lasts too long is no evidence
+    Guards against a suspended or slow daemon that takes its own lateness for a cut.
+    Given a daemon with paths
+    When a late probe of 4 targets reaches 0
+    Then its paths work
+
   Scenario: Paths that are lost are probed more often than paths that work
     Guards against a daemon that costs connections while single targets are down.
     Given a daemon with paths
--- a/features/decide/steps/ownpaths_steps.py
+++ b/features/decide/steps/ownpaths_steps.py
@@ -59,3 +59,8 @@
 @then("no target counts as failed")
 def step_cleared(context):
     assert not context.paths.failed
+
+
+@when("a late probe of {n_probed:d} targets reaches 0")
+def step_late(context, n_probed):
+    context.paths.note_probe(n_probed, [], NOW_SECONDS, is_late=True)
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -11,6 +11,7 @@
 from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.decide.ownpaths import (
     LOST_PROBE_INTERVAL_SECONDS,
+    MAX_PROBE_LAG_SECONDS,
     PROBED_TARGETS,
     OwnPaths,
 )
@@ -174,6 +175,7 @@
 
     async def _probe(self, target_group: TargetGroupId) -> None:
         targets = self._get_targets(target_group)
+        started_seconds = self._clock.now_seconds()
         probed = self._rng.sample(targets, min(PROBED_TARGETS, len(targets)))
         results = await asyncio.gather(
             *(
@@ -186,23 +188,30 @@
             for item, is_reached in zip(probed, results, strict=True)
             if is_reached
         ]
-        self._note_probe(target_group, len(probed), reached)
+        lasted_seconds = self._clock.now_seconds() - started_seconds
+        is_late = lasted_seconds > PROBE_TIMEOUT_SECONDS + MAX_PROBE_LAG_SECONDS
+        self._note_probe(target_group, len(probed), reached, is_late)
 
     def _note_probe(
-        self, target_group: TargetGroupId, n_probed: int, reached: list[TargetId]
+        self,
+        target_group: TargetGroupId,
+        n_probed: int,
+        reached: list[TargetId],
+        is_late: bool,
     ) -> None:
         self.n_probes += 1
         paths = self._of(target_group)
         failed = sorted(paths.failed)
         now_seconds = self._clock.now_seconds()
         lasted_seconds = now_seconds - paths.since_seconds
-        is_change = paths.note_probe(n_probed, reached, now_seconds)
+        is_change = paths.note_probe(n_probed, reached, now_seconds, is_late)
         _log.info(
             "paths: targets probed",
             group=target_group,
             n_probed=n_probed,
             reached=reached,
             failed_targets=failed,
+            is_late=is_late,
         )
         if not is_change:
             return
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -32,9 +32,9 @@
 """Interval of probes without paths: callers are served with a detour until one
 succeeds."""
 
-MIN_RESTORED_SHARE = 0.5
-"""Share of probed targets that must be reached for the paths to count as restored. A
-single one may be reached by chance while nearly all packets are lost."""
+MAX_PROBE_LAG_SECONDS = 0.15
+"""A probe that lasts longer than its time-out by this says nothing of the paths: the
+daemon itself was suspended or short of processor time."""
 
 
 class PathState(Enum):
@@ -84,6 +84,7 @@
         n_probed: int,
         reached: Collection[TargetId],
         now_seconds: float,
+        is_late: bool = False,
     ) -> bool:
         """Apply the result of a probe; return whether the state has changed.
 
@@ -91,13 +92,15 @@
             n_probed: Targets that were probed at the same time.
             reached: Those that accepted a connection.
             now_seconds: The current time.
+            is_late: Whether the probe lasted longer than its time-out allows.
         """
         self._probed_seconds = now_seconds
         before = self.state
         if self.are_lost:
-            if len(reached) >= max(1.0, MIN_RESTORED_SHARE * n_probed):
+            # A single target is enough: the others may be down.
+            if reached:
                 self.state = PathState.REACHES_TARGETS
-        elif not reached and n_probed >= MIN_PROBED_TARGETS:
+        elif not reached and n_probed >= MIN_PROBED_TARGETS and not is_late:
             self.state = PathState.REACHES_NONE
         if reached:
             self.failed.clear()
