A daemon that reaches no target does not report all of them to its peers

From the third target that refuses, without one that accepts in between, refusals are taken for the daemon's own.

--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -185,8 +185,11 @@
             async with asyncio.timeout(INCARNATION_TIMEOUT_SECONDS):
                 health = await control.read(f"{configured.url}/health", EngineHealth)
         except TimeoutError:
-            return False
-        return health.map(lambda answer: answer.boot_id == boot_id).value_or(False)
+            return state.members.are_paths_lost
+        # Without paths of its own, this daemon cannot tell whether a target is lost.
+        return health.map(lambda answer: answer.boot_id == boot_id).value_or(
+            state.members.are_paths_lost
+        )
 
     def addresses(customer: CustomerId | None) -> AddressList:
         chosen = state.members.addresses(customer, clock.now_seconds())
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -37,6 +37,34 @@
 daemon itself was suspended or short of processor time."""
 
 
+MIN_REFUSING_TARGETS = 3
+"""Targets that refuse this daemon, without one that accepts in between, from which its
+own paths are suspected."""
+
+
+@dataclass(slots=True)
+class RefusedConnections:
+    """Targets that refused this daemon since one last accepted a connection.
+
+    Attributes:
+        targets: These targets.
+    """
+
+    targets: set[TargetId] = field(default_factory=set)
+
+    def note(self, target: TargetId, is_accepted: bool) -> None:
+        """Record a connection that was accepted or refused."""
+        if is_accepted:
+            self.targets.clear()
+        else:
+            self.targets.add(target)
+
+    @property
+    def are_own(self) -> bool:
+        """Return whether the refusals are likely due to this daemon's own paths."""
+        return len(self.targets) >= MIN_REFUSING_TARGETS
+
+
 class PathState(Enum):
     """Whether this daemon reaches targets of a group."""
 
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -198,6 +198,11 @@
         configured = self._get_view().targets.get(target)
         return self._targets.state(target, configured, self._clock.now_seconds())
 
+    @property
+    def are_paths_lost(self) -> bool:
+        """Return whether this daemon itself likely reaches no target."""
+        return self._targets.are_paths_lost
+
     def observe_target(
         self, target: TargetId, signal: TargetSignal, now_seconds: float
     ) -> None:
--- a/lycheepost/state/targetstates.py
+++ b/lycheepost/state/targetstates.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from lycheepost.core.ids import TargetId
+from lycheepost.decide.ownpaths import RefusedConnections
 from lycheepost.decide.records import TargetState
 from lycheepost.generated.configuration import Target
 from lycheepost.state.signals import (
@@ -27,6 +28,7 @@
 
     def __init__(self) -> None:
         self._signals = SignalBook()
+        self._refused = RefusedConnections()
         # The targets from which ``_desired`` was computed.
         self._desired_source: dict[TargetId, Target] = {}
         self._desired: dict[TargetId, TargetState] = {}
@@ -67,15 +69,25 @@
     ) -> None:
         """Record a signal, and notify subscribers if it makes the target's state worse.
 
-        Signals from ``PEER`` are not forwarded, so that none can circulate.
+        Signals from ``PEER`` are not forwarded, so that none can circulate. Nor are
+        refusals that are likely due to this daemon's own paths: its peers would avoid
+        targets that they reach.
         """
+        if signal.source is SignalSource.CONNECTION:
+            self._refused.note(target, signal.state is TargetState.SERVING)
         before = self.state(target, configured, now_seconds)
         self._signals.observe(target, signal, now_seconds)
         after = self.state(target, configured, now_seconds)
         is_worse = after is not before and signal.state is not TargetState.SERVING
-        if is_worse and signal.source is not SignalSource.PEER:
+        is_own = signal.source is SignalSource.CONNECTION and self._refused.are_own
+        if is_worse and signal.source is not SignalSource.PEER and not is_own:
             self._notify(target, signal, now_seconds)
 
+    @property
+    def are_paths_lost(self) -> bool:
+        """Return whether this daemon itself likely reaches no target."""
+        return self._refused.are_own
+
     def state(
         self, target: TargetId, configured: Target | None, now_seconds: float
     ) -> TargetState | None:
