Round the time to come back up, not down to nothing

A wait of under half a millisecond until the quota allows the request was written as 0.000, so its client came back too early. It is rounded up to a millisecond now.

--- a/features/platform/quotas.feature
+++ b/features/platform/quotas.feature
@@ -14,6 +14,17 @@
       | a rate of 50, counted in requests  | a quota of 50 requests a second  |
       | a rate of 900, counted in tokens   | a quota of 900 tokens a second   |
 
+  Scenario Outline: A wait of <wait> s is told as <told>
+    Guards against a refused client that is told to come back at once.
+    Then a wait of <wait> s is told as "<told>"
+
+    Examples:
+      | wait   | told  |
+      | 0.0003 | 0.001 |
+      | 0      | 0.001 |
+      | 0.2    | 0.200 |
+      | 1.2341 | 1.235 |
+
   Scenario: What is beyond a quota is refused at once, as not run, with the time to wait
     A customer exceeds its quota. If the excess were sent to the engines, it would use the
     prefill capacity that other customers' requests need.
--- a/features/platform/steps/quota_steps.py
+++ b/features/platform/steps/quota_steps.py
@@ -11,6 +11,7 @@
 from lycheepost.core.quotas import Quota, QuotaUnit
 from lycheepost.platform import headers as names
 from lycheepost.platform.documents import decode_configuration
+from lycheepost.platform.ingress import encode_retry_after
 
 FIRST = CustomerId(KEYS["k-one"])
 WRITTEN = {
@@ -176,3 +177,8 @@
         context.n_units,
         allowed,
     )
+
+
+@then('a wait of {wait:g} s is told as "{told}"')
+def step_told(context, wait, told):
+    assert encode_retry_after(wait) == told, encode_retry_after(wait)
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -282,7 +282,7 @@
         if attempt_id:
             headers[names.ATTEMPT_ID] = attempt_id
         if error.executed is Executed.NO and error.retry_after_seconds is not None:
-            headers[names.RETRY_AFTER] = f"{error.retry_after_seconds:.3f}"
+            headers[names.RETRY_AFTER] = encode_retry_after(error.retry_after_seconds)
         response = web.Response(
             status=_status(error), text=error.reason + "\n", headers=headers
         )
@@ -304,6 +304,15 @@
     return replace(request, relayed_runs=None)
 
 
+def encode_retry_after(seconds: float) -> str:
+    """Return a time to come back, rounded up to a millisecond.
+
+    Rounded down, a wait of some tenths of a millisecond would tell a client to come
+    back at once, before the request can be admitted.
+    """
+    return f"{max(1, math.ceil(seconds * _MILLISECONDS)) / _MILLISECONDS:.3f}"
+
+
 def _first_reads_wait_seconds(request: ForwardRequest) -> float:
     """Return how long a request may wait for the first reads of the store."""
     caller_timeout_seconds = request.caller_timeout_seconds
