Do not replace entry daemons, nor stop rollouts, for targets that are down

By reading: if all targets of a group are down, each daemon that notices it looks like one without paths. Entry daemons of a large fleet would then be replaced by standby daemons that have not noticed yet, again and again, and a dead plain service would keep every daemon from the duty of weights. Daemons without paths are replaced only up to two thirds of the entry daemons, and the duty asks for some group of engines only.

--- a/lycheepost/app/fleettopology.py
+++ b/lycheepost/app/fleettopology.py
@@ -12,6 +12,12 @@
 from lycheepost.state.addresses import Member, MemberState
 from lycheepost.state.members import MemberManager
 
+MAX_REPLACED_SHARE = 2.0 / 3.0
+"""Share of the entry daemons up to which those without paths to a target group are
+replaced. It covers the loss of an availability zone and some more. If all targets of a
+group are down, replacing the daemons that notice it first would change the entry
+daemons again and again."""
+
 _log = structlog.get_logger(part="fleet")
 
 
@@ -50,18 +56,23 @@
     def choose(self, members: tuple[Member, ...]) -> frozenset[DaemonId]:
         """Return the entry daemons among the members that are live.
 
-        Daemons without paths to a target group are chosen only if all are without some.
-        If none is
-        live, as while the store is down, they are chosen among all members that may
-        become live again, so that entry daemons keep exchanging updates.
+        If none is live, as while the store is down, they are chosen among all members
+        that may become live again, so that entry daemons keep exchanging updates.
+        Daemons without paths to a target group are replaced by others, unless most of
+        them are without: then its targets are down.
         """
         live = [item for item in members if item.state is MemberState.LIVE]
-        found = [
-            item for item in live if self._ignores_paths or not item.unreached_groups
-        ]
-        found = found or live
-        found = found or [item for item in members if item.state in LINKED_STATES]
-        return choose_entry(map(to_fleet_member, found), self.n_targets)
+        found = live or [item for item in members if item.state in LINKED_STATES]
+        entry = self._choose(found)
+        n_cut = sum(
+            item.daemon in entry and bool(item.unreached_groups) for item in found
+        )
+        if self._ignores_paths or not 0 < n_cut <= MAX_REPLACED_SHARE * len(entry):
+            return entry
+        return self._choose([item for item in found if not item.unreached_groups])
+
+    def _choose(self, members: list[Member]) -> frozenset[DaemonId]:
+        return choose_entry(map(to_fleet_member, members), self.n_targets)
 
 
 def find_topology(
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -266,7 +266,9 @@
         DUTY_SETTLE_SECONDS,
         lambda lease: _publish_lease(peers, lease, is_released=False),
         lambda lease: _publish_lease(peers, lease, is_released=True),
-        can_work=lambda: not peers.members.me().unreached_groups,
+        can_work=lambda: _reaches_engines(
+            get_table(), peers.members.me().unreached_groups
+        ),
     )
     return WeightsDuty(rollout, duty)
 
@@ -291,6 +293,16 @@
         leases.note_renewed(update.duty, update.version)
 
 
+def _reaches_engines(
+    table: RouteTable | None, unreached: frozenset[TargetGroupId]
+) -> bool:
+    """Return whether a daemon reaches some group of engines, as far as it knows."""
+    if table is None:
+        return True
+    engines = {name for name, group in table.groups.items() if group.engine is not None}
+    return not engines or not engines <= unreached
+
+
 def _groups_of(table: RouteTable | None, model: ModelId) -> tuple[TargetGroupId, ...]:
     if table is None:
         return ()
