--- a/features/platform/steps/demo_steps.py
+++ b/features/platform/steps/demo_steps.py
@@ -4,7 +4,8 @@
 
 from lycheepost.app import platformdemo
 from lycheepost.app.platformfleet import Answer, PlatformFleet
-from lycheepost.platform.models.serverstandin import PlatformServer, ServerRun
+from lycheepost.platform.models.serverstandin import PlatformServer
+from lycheepost.platform.models.serverstate import ServerRun
 
 
 @when("the platform demo runs for {seconds:d} s")
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -10,14 +10,13 @@
 from lycheepost.callers import forwarderrors
 from lycheepost.callers.errors import Executed
 from lycheepost.platform import headers as names
-from lycheepost.platform.models.serverstandin import (
+from lycheepost.platform.models.serverfaults import (
     Encoded,
     ExtraAnswer,
-    PlatformServer,
     ServerFailure,
     Unsealed,
-    event_bytes,
 )
+from lycheepost.platform.models.serverstandin import PlatformServer, event_bytes
 from lycheepost.standin.faults import (
     CrashAt,
     FaultPlan,
--- a/features/platform/steps/request_steps.py
+++ b/features/platform/steps/request_steps.py
@@ -7,11 +7,7 @@
 from deployment import BOUNDS, HOST, KEYS, SITE, Deployment, make_configuration
 
 from lycheepost.platform import headers as names
-from lycheepost.platform.models.serverstandin import (
-    answer_text,
-    event_bytes,
-    seal_of,
-)
+from lycheepost.platform.models.serverstandin import answer_text, event_bytes, seal_of
 
 N_EVENTS = 6
 BODY = b"a body of some bytes"
--- a/features/platform/steps/start_steps.py
+++ b/features/platform/steps/start_steps.py
@@ -6,7 +6,7 @@
 from fleet_steps import publish_weights
 from request_steps import ask, start
 
-from lycheepost.platform.models.serverstandin import CrashAndReturn
+from lycheepost.platform.models.serverfaults import CrashAndReturn
 from lycheepost.standin.faults import FaultPlan
 
 SLOW_LOAD_SECONDS = 0.4
--- a/lycheepost/app/platformdemo.py
+++ b/lycheepost/app/platformdemo.py
@@ -20,11 +20,8 @@
     PlatformFleet,
 )
 from lycheepost.platform import headers as names
-from lycheepost.platform.models.serverstandin import (
-    ServerFailure,
-    answer_text,
-    event_bytes,
-)
+from lycheepost.platform.models.serverfaults import ServerFailure
+from lycheepost.platform.models.serverstandin import answer_text, event_bytes
 from lycheepost.standin.faults import FaultPlan, LostAnswer, Refused, Truncated
 
 N_DAEMONS = 3
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -21,7 +21,8 @@
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import CuttableNetwork
-from lycheepost.platform.models.serverstandin import PlatformServer, ServerRun
+from lycheepost.platform.models.serverstandin import PlatformServer
+from lycheepost.platform.models.serverstate import ServerRun
 from lycheepost.platform.models.storestandin import StoreStandin
 from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
 
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -23,23 +23,15 @@
     CallerConnection,
     ForwardDeps,
     ForwardRequest,
-    RelayPeer,
 )
 from lycheepost.callers.forwarderrors import (
-    from_route_fault,
-    key_unconfirmed,
     not_run,
     outcome_unknown,
     too_late,
 )
+from lycheepost.callers.forwardidentify import identify
 from lycheepost.callers.forwardwork import continued_work, make_work
-from lycheepost.callers.peerrelay import (
-    MAX_RELAYS,
-    PeerAttempts,
-    make_peer_call,
-    no_path,
-    try_peer,
-)
+from lycheepost.callers.peerrelay import MAX_RELAYS, PeerAttempts, no_path
 from lycheepost.callers.relaying import (
     AnswerRelay,
     FirstByteTimeout,
@@ -55,9 +47,8 @@
     last_step,
     next_step,
 )
-from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.records import Dispatch, FinishKind, RefusalReason, Refuse
-from lycheepost.decide.routes import RouteFault, RouteMatch, match_route
+from lycheepost.decide.routes import RouteMatch
 from lycheepost.decide.silence import (
     first_byte_timeout_seconds,
     header_waits_seconds,
@@ -89,30 +80,6 @@
 _log = structlog.get_logger(part="forward")
 
 
-def identify(deps: ForwardDeps, request: ForwardRequest) -> RouteMatch:
-    """Return a request's route and sender under the current configuration.
-
-    Raises:
-        CallerError: No route matches, or the key is unknown or cannot be trusted now.
-    """
-    table = route_table(deps)
-    route_match = match_route(table, request.host, request.path, request.key)
-    if isinstance(route_match, RouteFault):
-        _check_fresh(deps, route_match is RouteFault.UNKNOWN_KEY)
-        raise from_route_fault(route_match)
-    _check_fresh(deps, route_match.is_keyed)
-    return route_match
-
-
-def _check_fresh(deps: ForwardDeps, needs_key: bool) -> None:
-    """Refuse to decide by a key while the configuration may be outdated."""
-    if not needs_key:
-        return
-    now_seconds = deps.clock.now_seconds()
-    if not may_trust_key(deps.key_rule(), deps.routing.confirmed_seconds, now_seconds):
-        raise key_unconfirmed()
-
-
 class Forwarding:
     """The attempts at one forwarded request; one instance per request.
 
@@ -137,7 +104,9 @@
         self._work = make_work(deps, request, route_match, route_table(deps))
         self._sends = Sends(n_runs=request.relayed_runs or 0)
         self._is_sent = False
-        self._peer_attempts = PeerAttempts()
+        self._peer_attempts = PeerAttempts(
+            deps, request, route_match.route, self._relay
+        )
         self._has_reserved_retry = False
         self._is_sound_silence = False
         self._charge = make_charge(deps, request, route_match)
@@ -250,9 +219,15 @@
         peers = relays.choose(self._target_group)
         # A peer that relayed the request to this daemon would get it back.
         is_last = relays.is_off or self._request.relayed_runs is not None
-        may_send = is_free or self._deps.dispatcher.take_retry(self._work)
-        for peer in () if is_last or not may_send else peers[:MAX_RELAYS]:
-            end = await self._try_peer(peer)
+        may_send = not is_last and (
+            is_free or self._deps.dispatcher.take_retry(self._work)
+        )
+        for peer in peers[:MAX_RELAYS] if may_send else ():
+            # The key may have been revoked meanwhile.
+            identify(self._deps, self._request)
+            end = await self._peer_attempts.send(
+                peer, self._sends.n_runs, self._remaining_seconds()
+            )
             if end is None or not await self._should_continue(end):
                 return
         if self._relay.has_begun:
@@ -263,35 +238,6 @@
         else:
             raise self._peer_attempts.refusal or no_path(bool(peers))
 
-    async def _try_peer(self, peer: RelayPeer) -> AttemptEnd | None:
-        """Send to one peer; None when nothing more is due to the caller."""
-        identify(self._deps, self._request)
-        call = make_peer_call(
-            self._request,
-            self._route_match.route,
-            peer,
-            self._sends.n_runs,
-            self._remaining_seconds(),
-            self._relay.after_event,
-        )
-        end = await try_peer(
-            self._deps,
-            call,
-            self._route_match.route,
-            self._sends,
-            self._relay,
-            self._peer_attempts,
-        )
-        self._deps.metrics.count("relayed_to_peers")
-        self._log.info(
-            "forward: relayed to a peer",
-            peer=peer.daemon,
-            end="served" if end is None else end.value,
-            first_seconds=self._relay.first_seconds,
-            elapsed_seconds=self._elapsed_seconds(),
-        )
-        return end
-
     async def _handle_refusal(self, refusal: Refuse) -> None:
         """End the request after the scheduler refused it."""
         if self._relay.has_begun:
@@ -434,12 +380,9 @@
         """
         paths, target_group = self._deps.paths, self._target_group
         paths.note_quiet(target_group)
+        is_cut = paths.are_lost(target_group) and paths.is_quiet(target_group)
         is_early = self._deps.clock.now_seconds() < timeout_seconds - EARLY_SECONDS
-        if is_early and not (
-            paths.are_lost(target_group) and paths.is_quiet(target_group)
-        ):
-            return False
-        return self._may_abandon()
+        return (is_cut or not is_early) and self._may_abandon()
 
     def _may_abandon(self) -> bool:
         """Return whether to abandon a silent target; if so, a retry is reserved."""
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -5,8 +5,7 @@
 sent again unless it may be repeated.
 """
 
-from dataclasses import dataclass
-
+import structlog
 from returns.result import Failure, Success
 
 from lycheepost.callers.awaiting import await_headers
@@ -38,20 +37,11 @@
 """Retry time while no daemon reaches targets: paths are probed twice in it."""
 
 _MAX_REFUSAL_BYTES = 65536
-_TOO_MANY_REQUESTS = 429
-
-
-@dataclass(slots=True)
-class PeerAttempts:
-    """The attempts of one request at peers.
+"""As for rejections of targets: a longer body is not read to its end."""
 
-    Attributes:
-        is_sent: Whether a peer may be serving the request now.
-        refusal: The last refusal of a peer; None before.
-    """
+_TOO_MANY_REQUESTS = 429
 
-    is_sent: bool = False
-    refusal: CallerError | None = None
+_log = structlog.get_logger(part="forward")
 
 
 def no_path(has_peers: bool) -> CallerError:
@@ -105,76 +95,106 @@
     )
 
 
-async def try_peer(
-    deps: ForwardDeps,
-    call: ForwardCall,
-    route: Route,
-    sends: Sends,
-    relay: AnswerRelay,
-    attempts: PeerAttempts,
-) -> AttemptEnd | None:
-    """Send a request to one peer and relay its response.
+class PeerAttempts:
+    """The attempts of one request at peers.
 
     Args:
         deps: The dependencies of forwarding.
-        call: The call to the peer.
-        route: The route of the request.
-        sends: The attempts before.
-        relay: Relays the response to the caller.
-        attempts: Updated with the state of this attempt.
-
-    Returns:
-        How the attempt ended; None when nothing more is due to the caller.
-    """
-    attempts.is_sent = True
-    send = deps.relays.client.send(call)
-    waits = iter([call.remaining_seconds])
-    match await await_headers(send, waits, lambda: False):
-        case Failure(TargetUnreachable()):
-            attempts.is_sent = False
-            return AttemptEnd.NOT_SENT
-        case Failure(TargetError()):
-            return AttemptEnd.LOST
-        case Success(answer):
-            pass
-    if answer.head.was_not_run:
-        attempts.is_sent = False
-        attempts.refusal = _refusal(answer.head)
-        await _read_refusal(answer)
-        return AttemptEnd.NOT_RUN
-    if not answer.head.is_sealed:
-        answer.close()
-        return AttemptEnd.LOST
-    return await _relay(answer, call, route, sends, relay)
+        request: The caller's request.
+        route: Its route.
+        relay: Relays responses to the caller.
 
+    Attributes:
+        is_sent: Whether a peer may be serving the request now.
+        refusal: The last refusal of a peer; None before.
+    """
 
-async def _relay(
-    answer: ForwardResponse,
-    call: ForwardCall,
-    route: Route,
-    sends: Sends,
-    relay: AnswerRelay,
-) -> AttemptEnd | None:
-    idle_seconds = idle_timeout_seconds(route, sends)
-    if idle_seconds is not None:
-        idle_seconds *= PEER_IDLE_FACTOR
-    timeouts = StreamTimeouts(call.remaining_seconds, idle_seconds, lambda: True)
-    try:
-        result = await relay.relay(answer, timeouts, lambda: None)
-    except FirstByteTimeout:
-        return AttemptEnd.LOST
-    finally:
-        answer.close()
-    return result.end
+    def __init__(
+        self,
+        deps: ForwardDeps,
+        request: ForwardRequest,
+        route: Route,
+        relay: AnswerRelay,
+    ) -> None:
+        self.is_sent = False
+        self.refusal: CallerError | None = None
+        self._deps = deps
+        self._request = request
+        self._route = route
+        self._relay = relay
+
+    async def send(
+        self, peer: RelayPeer, n_runs: int, remaining_seconds: float
+    ) -> AttemptEnd | None:
+        """Send the request to one peer and relay its response.
+
+        Args:
+            peer: The peer.
+            n_runs: On how many targets the request may have run before.
+            remaining_seconds: Until the deadline of the request.
+
+        Returns:
+            How the attempt ended; None when nothing more is due to the caller.
+        """
+        after_event = self._relay.after_event
+        call = make_peer_call(
+            self._request, self._route, peer, n_runs, remaining_seconds, after_event
+        )
+        self.is_sent = True
+        end = await self._await_end(call)
+        self._deps.metrics.count("relayed_to_peers")
+        _log.info(
+            "forward: relayed to a peer",
+            request_id=self._request.caller_id,
+            peer=peer.daemon,
+            n_runs=n_runs,
+            end="served" if end is None else end.value,
+            first_seconds=self._relay.first_seconds,
+        )
+        return end
+
+    async def _await_end(self, call: ForwardCall) -> AttemptEnd | None:
+        send = self._deps.relays.client.send(call)
+        waits_seconds = iter([call.remaining_seconds])
+        match await await_headers(send, waits_seconds, lambda: False):
+            case Failure(TargetUnreachable()):
+                return AttemptEnd.NOT_SENT
+            case Failure(TargetError()):
+                return AttemptEnd.LOST
+            case Success(answer):
+                return await self._handle_answer(answer, call)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _handle_answer(
+        self, answer: ForwardResponse, call: ForwardCall
+    ) -> AttemptEnd | None:
+        if answer.head.was_not_run:
+            self.refusal = _refusal(answer.head)
+            await _read_refusal(answer)
+            return AttemptEnd.NOT_RUN
+        if not answer.head.is_sealed:
+            answer.close()
+            return AttemptEnd.LOST
+        n_runs = 0 if call.relay is None else call.relay.n_runs
+        idle_seconds = idle_timeout_seconds(self._route, Sends(n_runs=n_runs))
+        if idle_seconds is not None:
+            idle_seconds *= PEER_IDLE_FACTOR
+        timeouts = StreamTimeouts(call.remaining_seconds, idle_seconds, lambda: True)
+        try:
+            result = await self._relay.relay(answer, timeouts, lambda: None)
+        except FirstByteTimeout:
+            return AttemptEnd.LOST
+        finally:
+            answer.close()
+        return result.end
 
 
 async def _read_refusal(answer: ForwardResponse) -> None:
     """Read a refusal to its end, so that its connection can be reused."""
     try:
         await answer.read_body(_MAX_REFUSAL_BYTES)
-    except TargetError:
-        # The status alone counts; the connection is closed below.
-        pass
+    except TargetError as error:
+        _log.info("forward: refusal of a peer broke off", reason=error.reason)
     finally:
         answer.close()
 
@@ -191,5 +211,7 @@
         status=_TOO_MANY_REQUESTS if is_quota else 503,
         type=ErrorType.RATE_LIMIT if is_quota else ErrorType.SERVER,
         code="over_quota" if is_quota else "peer_refused",
-        retry_after_seconds=head.notice.retry_after_seconds,
+        retry_after_seconds=(
+            head.notice.retry_after_seconds or OTHER_DAEMON_RETRY_SECONDS
+        ),
     )
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -15,7 +15,8 @@
 from lycheepost.callers.errors import CallerError, ErrorType, Executed
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.callers.forwarderrors import leaving
-from lycheepost.callers.forwarding import Forwarding, identify
+from lycheepost.callers.forwardidentify import identify
+from lycheepost.callers.forwarding import Forwarding
 from lycheepost.core.ids import ModelId
 from lycheepost.core.routing import Prompt, PromptPart, RouteKind
 from lycheepost.platform import headers as names
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -10,7 +10,6 @@
 import itertools
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 from aiohttp import web
@@ -20,6 +19,15 @@
 from lycheepost.core.ids import PrefixDigest, RequestId
 from lycheepost.decide.records import PrefixLevel
 from lycheepost.platform import headers as names
+from lycheepost.platform.models.serverfaults import (
+    CrashAndReturn,
+    Encoded,
+    ExtraAnswer,
+    ServerFailure,
+    ServerFault,
+    Unsealed,
+)
+from lycheepost.platform.models.serverstate import ServerRun, ServerState
 from lycheepost.standin.enginerecords import EngineRequest
 from lycheepost.standin.enginetiming import STANDIN_SPEEDS, make_engine_timing
 from lycheepost.standin.faults import (
@@ -41,77 +49,6 @@
 _numbers = itertools.count(1)
 
 
-@dataclass(frozen=True, slots=True)
-class ServerFailure:
-    """The server runs the request and responds with an error of its own."""
-
-    status: int = 500
-
-
-@dataclass(frozen=True, slots=True)
-class ExtraAnswer:
-    """A complete response is followed by bytes that belong to no request."""
-
-
-@dataclass(frozen=True, slots=True)
-class Unsealed:
-    """A success response without the server's seal."""
-
-
-@dataclass(frozen=True, slots=True)
-class Encoded:
-    """A success response with a Content-Encoding, as an intermediary would add."""
-
-
-@dataclass(frozen=True, slots=True)
-class CrashAndReturn:
-    """The request crashes the server, which restarts at once under the same name."""
-
-
-ServerFault = (
-    Truncated
-    | Silent
-    | Swallowed
-    | Refused
-    | LostAnswer
-    | ServerFailure
-    | ExtraAnswer
-    | Unsealed
-    | Encoded
-    | CrashAt
-    | CrashAndReturn
-)
-
-
-@dataclass(frozen=True, slots=True)
-class ServerRun:
-    """One request that a server began to run."""
-
-    attempt_id: str
-    method: str
-    path: str
-    body: bytes
-    headers: dict[str, str]
-
-
-@dataclass
-class ServerState:
-    """State that a server reports.
-
-    Attributes:
-        load_seconds: How long new weights take to load.
-        started_ms: Unix time of its start in milliseconds; None if it states none.
-    """
-
-    model: str
-    started_ms: int | None = None
-    version: int = 1
-    n_orders: int = 0
-    is_changing: bool = False
-    load_seconds: float = 0.05
-    orders: list[dict[str, object]] = field(default_factory=list)
-
-
 class PlatformServer:
     """One server that speaks the platform's protocol.
 
