--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -100,22 +100,22 @@
     return tries
 
 
+def play_cut(context, per_second, seconds, cut_seconds, indexes, cut):
+    """Send tries, and keep them for the steps that judge them."""
+    context.cut_indexes = indexes
+    context.tries = context.loop.run_until_complete(
+        play(
+            context.deployment, per_second, seconds, cut_seconds, indexes, PathCut(cut)
+        )
+    )
+
+
 @when(
     "clients ask all daemons, {per_second:d} a second for {seconds:d} s, and after"
     " {cut_seconds:g} s the connections of the first daemon to all servers {cut}"
 )
 def step_cut_first(context, per_second, seconds, cut_seconds, cut):
-    context.cut_indexes = (0,)
-    context.tries = context.loop.run_until_complete(
-        play(
-            context.deployment,
-            per_second,
-            seconds,
-            cut_seconds,
-            context.cut_indexes,
-            PathCut(cut),
-        )
-    )
+    play_cut(context, per_second, seconds, cut_seconds, (0,), cut)
 
 
 @then(
@@ -306,17 +306,7 @@
     " {cut_seconds:g} s the connections of all daemons to all servers {cut}"
 )
 def step_cut_all(context, per_second, seconds, cut_seconds, cut):
-    context.cut_indexes = (0, 1, 2)
-    context.tries = context.loop.run_until_complete(
-        play(
-            context.deployment,
-            per_second,
-            seconds,
-            cut_seconds,
-            context.cut_indexes,
-            PathCut(cut),
-        )
-    )
+    play_cut(context, per_second, seconds, cut_seconds, (0, 1, 2), cut)
 
 
 @then(
