Send a request that was lost on a pooled connection over a new one

Where a burst had left pooled connections to both servers, a look-up was lost on the silent connection to one, and its only other try on the silent connection to the other, for the rest of its time. After a loss a request gets a new connection.

--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -80,6 +80,14 @@
     And a client asks 10 times for a look-up
     Then each time it gets the server's complete response with its seal
 
+  Scenario: Connections to all servers that went silent cost no request
+    Guards against a request whose both tries are lost on silent connections.
+    Given a deployment with 1 daemon
+    When clients ask 60 times at once for a look-up
+    And all connections to the servers stop responding
+    And a client asks 10 times for a look-up
+    Then each time it gets the server's complete response with its seal
+
   Scenario: A client that leaves stops its stream at the server
     Guards against an engine that keeps generating for a client that has disconnected.
     Given a deployment with 1 daemon
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -182,3 +182,22 @@
 def step_beginning(context):
     expected = b"".join(event_bytes(n, BODY) for n in range(1, 4))
     assert context.answer.body == expected, context.answer.body
+
+
+@when("clients ask {n:d} times at once for a look-up")
+def step_at_once(context, n):
+    deployment = context.deployment
+
+    async def ask_all():
+        for server in deployment.group("plain"):
+            server.run_seconds = 0.1
+        asked = [
+            deployment.ask("GET", "/look/1", deployment.headers("k-one"))
+            for _ in range(n)
+        ]
+        answers = await asyncio.gather(*asked)
+        assert {answer.status for answer in answers} == {200}
+
+    context.loop.run_until_complete(ask_all())
+    used = [server.name for server in deployment.group("plain") if server.runs]
+    assert len(used) == 2, used
--- a/lycheepost/callers/forwardcalls.py
+++ b/lycheepost/callers/forwardcalls.py
@@ -21,11 +21,13 @@
         request: Its id in the scheduler.
         remaining_seconds: Until the deadline of the request.
         after_event: Id of the last event that the caller has received, if any.
+        n_runs: On how many targets it may have run before.
     """
 
     request: RequestId
     remaining_seconds: float
     after_event: int | None
+    n_runs: int = 0
 
 
 def route_table(deps: ForwardDeps) -> RouteTable:
@@ -82,7 +84,9 @@
         customer=route_match.holder.customer,
         engine=engine,
         after_event=progress.after_event,
-        may_reuse_connection=route_match.route.is_repeatable,
+        # A request that was lost on a pooled connection gets a new one: all pooled
+        # connections may have gone silent together.
+        may_reuse_connection=(route_match.route.is_repeatable and progress.n_runs == 0),
         target_group=listed.target_group,
     )
 
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -457,7 +457,10 @@
     def _progress(self) -> Progress:
         """Return the current progress of the request."""
         return Progress(
-            self._work.request, self._remaining_seconds(), self._relay.after_event
+            self._work.request,
+            self._remaining_seconds(),
+            self._relay.after_event,
+            self._sends.n_runs,
         )
 
     def _note_first(self) -> None:
