Forget lost paths to a group that has no targets any more

By reading: a group that is removed from the configuration while a daemon is cut off from it stayed lost, as no target could be probed, and left the daemon out of address responses for good. The new scenario fails without this.

--- a/features/decide/ownpaths.feature
+++ b/features/decide/ownpaths.feature
@@ -32,6 +32,12 @@
       | 2         | no   |
       | 4         | no   |
 
+  Scenario: Lost paths to a group that has no targets any more are forgotten
+    Guards against a daemon left out for good as a group is removed while it is cut off.
+    Given a daemon without paths
+    When a probe of 0 targets reaches 0
+    Then its paths work
+
   Scenario: A probe that lasts too long is no evidence
     Guards against a suspended or slow daemon that takes its own lateness for a cut.
     Given a daemon with paths
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -36,7 +36,6 @@
 """A probe that lasts longer than its time-out by this says nothing of the paths: the
 daemon itself was suspended or short of processor time."""
 
-
 MIN_REFUSING_TARGETS = 3
 """Targets that refuse this daemon, without one that accepts in between, from which its
 own paths are suspected."""
@@ -125,12 +124,13 @@
         self._probed_seconds = now_seconds
         before = self.state
         if self.are_lost:
-            # A single target is enough: the others may be down.
-            if reached:
+            # A single target is enough: the others may be down. Of a group without
+            # targets nothing can be told.
+            if reached or not n_probed:
                 self.state = PathState.REACHES_TARGETS
         elif not reached and n_probed >= MIN_PROBED_TARGETS and not is_late:
             self.state = PathState.REACHES_NONE
-        if reached:
+        if reached or not n_probed:
             self.failed.clear()
         if self.state is before:
             return False
