Stand-in: count a crash by rejections once

Part of that was the stand-in: requests that it rejected while a crash was under way each began another one, which was counted again and failed to listen (address in use) when both came back.

--- a/features/platform/brittle.feature
+++ b/features/platform/brittle.feature
@@ -14,6 +14,13 @@
       | nan     | no                   |
       | soon    | no                   |
 
+  Scenario: A stand-in that rejects many requests at once crashes once
+    Guards against a stand-in that counts one crash several times and does not return.
+    Given a stand-in without slots that is brittle at 1
+    When 12 look-ups reach it at the same time
+    Then it has crashed 1 time
+    And it listens again within 3 s
+
   Scenario: Servers that say they are brittle are not rejected to death
     Guards against daemons whose rejected requests together crash an overloaded server.
     Given a deployment with 3 daemons and servers with 4 slots
--- a/features/platform/steps/brittle_steps.py
+++ b/features/platform/steps/brittle_steps.py
@@ -3,14 +3,17 @@
 import asyncio
 import itertools
 
+import aiohttp
 from behave import given, then, when
 from deployment import Deployment
 from multidict import CIMultiDict
 
 from lycheepost.platform import headers as names
 from lycheepost.platform.dialect import decode_notice
+from lycheepost.platform.models.serverstandin import PlatformServer
 
 PLAIN = "plain"
+ATTEMPT = {names.ATTEMPT_ID: "0123456789abcdef"}
 CONTACT_SECONDS = 3.0
 """Servers say that they are brittle for so long before they crash by it."""
 
@@ -25,6 +28,51 @@
     assert notice.brittle_per_second == expected, notice
 
 
+@given("a stand-in without slots that is brittle at {bound:g}")
+def step_standin(context, bound):
+    context.server = PlatformServer(PLAIN, n_slots=0)
+    context.server.brittle_per_second = bound
+    context.loop.run_until_complete(context.server.start())
+
+
+async def connect_and_ask(address):
+    """Ask for a look-up over a new connection; False if there is no response."""
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/look/1", headers=ATTEMPT),
+        ):
+            return True
+    except aiohttp.ClientError:
+        return False
+
+
+@when("{n:d} look-ups reach it at the same time")
+def step_reach(context, n):
+    address = context.server.address
+
+    async def play():
+        await asyncio.gather(*(connect_and_ask(address) for _ in range(n)))
+
+    context.loop.run_until_complete(play())
+
+
+@then("it has crashed {n:d} time")
+def step_crashed(context, n):
+    assert context.server.n_falls == n, context.server.n_falls
+
+
+@then("it listens again within {seconds:g} s")
+def step_listens(context, seconds):
+    async def play():
+        async with asyncio.timeout(seconds):
+            while not await connect_and_ask(context.server.address):
+                await asyncio.sleep(0.05)
+        await context.server.stop()
+
+    context.loop.run_until_complete(play())
+
+
 @given("a deployment with {n:d} daemons and servers with {n_slots:d} slots")
 def step_slots(context, n, n_slots):
     context.deployment = Deployment()
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -110,6 +110,7 @@
         self.brittle_from_seconds = float("-inf")
         self.n_falls = 0
         self._full_seconds: deque[float] = deque()
+        self._is_falling = False
         self._awake = asyncio.Event()
         self._awake.set()
         self.on_fault: Callable[[], object] = lambda: None
@@ -171,10 +172,11 @@
     async def _fall(self) -> None:
         """Crash, and come back after some time."""
         self.n_falls += 1
-        self._full_seconds.clear()
         await self._server.stop()
         await asyncio.sleep(FALL_SECONDS)
+        self._full_seconds.clear()
         await self._server.start()
+        self._is_falling = False
 
     def _reject_full(self, request: web.Request) -> web.Response:
         """Reject a request for want of a slot; too many rejections crash it."""
@@ -184,7 +186,9 @@
             self._full_seconds.popleft()
         bound = self.brittle_per_second
         is_brittle = bound is not None and now_seconds >= self.brittle_from_seconds
-        if is_brittle and len(self._full_seconds) > (bound or 0.0):
+        is_over = len(self._full_seconds) > (bound or 0.0)
+        if is_brittle and is_over and not self._is_falling:
+            self._is_falling = True
             task = asyncio.create_task(self._fall())
             self._load_tasks.add(task)
             task.add_done_callback(self._load_tasks.discard)
