Divide the slots of brittle targets among the daemons

Each daemon now has slots of its own at each brittle target, by its place among the daemons that send requests. The numbers of all add up to 85 % of the slots, so that no daemon need know another one's load. A daemon for which none is left may have one request at one target.

--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -36,6 +36,7 @@
 from lycheepost.app.ticker import Ticker
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.core.ids import ModelId
+from lycheepost.decide.brittle import FleetPosition
 from lycheepost.decide.entry import lacks_entry_daemons
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import may_trust_key
@@ -51,6 +52,7 @@
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
 from lycheepost.state.addresses import MemberState
+from lycheepost.state.fleetposition import fleet_position
 from lycheepost.state.initial_reads import InitialReads
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.watch import Watch
@@ -228,6 +230,7 @@
         n_sharing = self._count_limit_shares()
         self._components.traffic.dispatcher.set_sharing_limits(n_sharing)
         self._components.traffic.notices.set_sharing(n_sharing)
+        self._components.traffic.dispatcher.set_position(self._fleet_position())
         self._components.quotas.set_tolerance(
             self._components.settings.bounds.quota_tolerance
         )
@@ -284,6 +287,17 @@
         )
         return max(1, self._n_daemons() - n_cut)
 
+    def _fleet_position(self) -> FleetPosition:
+        """Return this daemon's place among those that send requests to targets."""
+        members = self._components.peers.members
+        return fleet_position(
+            members.me().daemon,
+            members.members(),
+            members.entry(),
+            self._components.traffic.targets.groups(),
+            1 if members.n_lists else ASSUMED_DAEMONS,
+        )
+
     def _n_daemons(self) -> int:
         """Return the size of the fleet, including daemons that are not live."""
         states = [member.state for member in self._components.peers.members.members()]
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -22,6 +22,7 @@
     TargetGroupId,
     TargetId,
 )
+from lycheepost.decide.brittle import FleetPosition
 from lycheepost.decide.machinestates import StatedState
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.quarantine import LossReport
@@ -214,6 +215,10 @@
         """Pass on whether a target crashes when it rejects too many requests."""
         self._scheduler.set_brittle(target, is_brittle)
 
+    def set_position(self, position: FleetPosition) -> None:
+        """Pass on this daemon's place among those that divide slots."""
+        self._scheduler.set_position(position)
+
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send a target nothing until then; the tick dispatches queued requests."""
         self._scheduler.back_off(target, until_seconds)
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -188,7 +188,12 @@
             target: load.free_slots(now_seconds)
             for target, load in self.placement.loads.items()
         }
-        self.admission.draw(free_slots, 1 + n_peers)
+        own = {
+            target
+            for target, load in self.placement.loads.items()
+            if load.own_slots is not None
+        }
+        self.admission.draw(free_slots, 1 + n_peers, own)
 
     def dispatch_waiting(self, now_seconds: float) -> list[Outcome]:
         """Dispatch the waiting requests for which a target has capacity."""
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -92,7 +92,8 @@
         has_peer_reports: Whether peers report their load there.
         rate_limiter: Its rate limit for this daemon; None while it sets no limit.
         backoff_until_seconds: End of the back-off that it asked this daemon for.
-        is_brittle: Whether it crashes when it rejects too many requests.
+        own_slots: Requests that this daemon may have at a brittle target, which crashes
+            when it rejects too many; None if it is not brittle.
     """
 
     view: TargetView
@@ -117,7 +118,7 @@
     has_peer_reports: bool = False
     rate_limiter: RequestPacer | None = None
     backoff_until_seconds: float = float("-inf")
-    is_brittle: bool = False
+    own_slots: int | None = None
     history: deque[OwnLoad] = field(default_factory=deque)
 
     def replace_view(self, view: TargetView) -> None:
@@ -349,7 +350,9 @@
 
     def has_slot(self, n_running: float, now_seconds: float) -> bool:
         """Return whether a slot is free besides ``n_running`` requests."""
-        return not self.is_throttled(now_seconds) and n_running < self.max_requests()
+        if self.is_throttled(now_seconds) or n_running >= self.max_requests():
+            return False
+        return self.own_slots is None or len(self.in_flight) < self.own_slots
 
     def has_capacity(self, n_running: float, now_seconds: float) -> bool:
         """Return whether it may take one more request besides ``n_running``."""
@@ -363,8 +366,8 @@
         return not self.queued_tokens or self.queued_tokens < self.window.tokens
 
     def is_throttled(self, now_seconds: float) -> bool:
-        """Return whether its rate limit or a back-off blocks this daemon now."""
-        if self.backoff_until_seconds > now_seconds:
+        """Return whether a limit, a back-off or a lack of own slots blocks it now."""
+        if self.backoff_until_seconds > now_seconds or self.own_slots == 0:
             return True
         return (
             self.rate_limiter is not None
@@ -386,16 +389,24 @@
         if not self.has_capacity(n_running, now_seconds):
             return 0.0
         is_engine = self.view.cache_tokens > 0
-        return (
-            1.0
-            if is_engine or self.rate_limiter is not None
-            else self.max_requests() - n_running
-        )
+        if is_engine or self.rate_limiter is not None:
+            return 1.0
+        free_slots = self.max_requests() - n_running
+        if self.own_slots is None:
+            return free_slots
+        return min(free_slots, float(self.own_slots - len(self.in_flight)))
 
     def max_requests(self) -> float:
-        """Return the most requests that it should have at a time."""
+        """Return the most requests of all daemons that it should have at a time."""
         n_requests = max(1.0, self.view.concurrency_limit * self.view.serving_share)
-        return usable_requests(n_requests) if self.is_brittle else n_requests
+        return n_requests if self.own_slots is None else usable_requests(n_requests)
+
+    def excess_requests(self, n_running: float) -> float:
+        """Return how many of ``n_running`` requests of all daemons exceed its slots."""
+        excess = n_running - self.max_requests()
+        if self.own_slots is None:
+            return excess
+        return max(excess, float(len(self.in_flight) + 1 - self.own_slots))
 
 
 def _is_stream(work: Work) -> bool:
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -366,7 +366,7 @@
                 or load.backoff_until_seconds > now_seconds
             ):
                 wait += load.throttled_seconds(now_seconds, n_ahead)
-            excess = n_running + n_ahead + 1.0 - load.max_requests()
+            excess = load.excess_requests(n_running + n_ahead + 1.0)
             if excess > 0.0:
                 wait += excess * rates.hold_seconds / load.max_requests()
             if is_room_short:
--- a/lycheepost/decide/randomadmission.py
+++ b/lycheepost/decide/randomadmission.py
@@ -15,7 +15,7 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from lycheepost.core.ids import TargetId
 
@@ -31,19 +31,26 @@
         self._rng = rng
         self._left: dict[TargetId, int] | None = None
 
-    def draw(self, free_slots: Mapping[TargetId, float], n_daemons: int) -> None:
+    def draw(
+        self,
+        free_slots: Mapping[TargetId, float],
+        n_daemons: int,
+        own: Collection[TargetId] = (),
+    ) -> None:
         """Draw this daemon's part of the free slots.
 
         Args:
             free_slots: Number of requests that each target can still take.
             n_daemons: Daemons with waiting requests, including this one. A single
                 daemon takes all free slots.
+            own: Targets whose free slots are this daemon's alone; it takes all of them.
         """
         if n_daemons <= 1:
             self._left = None
             return
         self._left = {
-            target: self._share(free / n_daemons) for target, free in free_slots.items()
+            target: self._share(free if target in own else free / n_daemons)
+            for target, free in free_slots.items()
         }
 
     def _share(self, expected: float) -> int:
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -17,6 +17,7 @@
     TargetId,
 )
 from lycheepost.decide.admission import retry_after_seconds
+from lycheepost.decide.brittle import FleetPosition
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.group import Group
 from lycheepost.decide.load import TargetLoad
@@ -85,8 +86,9 @@
         wanted = {view.target: view for view in targets}
         self._notices.forget_backoffs(wanted, now_seconds)
         for target in [name for name in self._group_by_target if name not in wanted]:
-            self._group_by_target.pop(target).remove_target(target)
-            self._notices.forget_limit(target)
+            group = self._group_by_target.pop(target)
+            group.remove_target(target)
+            self._notices.forget_limit(target, group)
             self._states.forget(target)
         for view in targets:
             self._place_view(view, now_seconds)
@@ -115,7 +117,10 @@
             return
         if view.incarnation != load.view.incarnation:
             self._states.forget(view.target)
+        n_slots = load.view.concurrency_limit
         load.replace_view(view)
+        if view.concurrency_limit != n_slots:
+            self._notices.apply(view.target, now_seconds)
 
     def _group(self, name: TargetGroupId) -> Group:
         group = self._groups.get(name)
@@ -327,6 +332,10 @@
         """Set whether a target crashes when it rejects too many requests."""
         self._notices.set_brittle(target, is_brittle)
 
+    def set_position(self, position: FleetPosition) -> None:
+        """Set this daemon's place among those that divide brittle targets' slots."""
+        self._notices.set_position(position)
+
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send no requests to a target until ``until_seconds``, as it has asked."""
         self._notices.back_off(target, until_seconds)
--- a/lycheepost/decide/targetnotices.py
+++ b/lycheepost/decide/targetnotices.py
@@ -1,4 +1,4 @@
-"""Rate limits and back-offs of all targets, kept apart from their groups.
+"""Limits, back-offs and brittleness of all targets, kept apart from their groups.
 
 A target may leave the configuration and come back, or move to another group, while its
 limit or back-off still holds.
@@ -7,6 +7,7 @@
 from collections.abc import Collection, Mapping
 
 from lycheepost.core.ids import TargetId
+from lycheepost.decide.brittle import FleetPosition, divide_slots, usable_requests
 from lycheepost.decide.group import Group
 from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
 
@@ -24,6 +25,7 @@
         self._backoffs: dict[TargetId, float] = {}
         self._brittle: set[TargetId] = set()
         self._n_sharing_limits = ASSUMED_DAEMONS
+        self._position = FleetPosition(0, 1)
 
     def set_limit(
         self, target: TargetId, per_second: float | None, now_seconds: float
@@ -47,7 +49,16 @@
         self._brittle.discard(target)
         if is_brittle:
             self._brittle.add(target)
-        self._pass_brittle(target)
+        self._divide_slots(self._group_by_target.get(target))
+
+    def set_position(self, position: FleetPosition) -> None:
+        """Set this daemon's place among those that divide brittle targets' slots."""
+        if position == self._position:
+            return
+        self._position = position
+        groups = {self._group_by_target.get(target) for target in self._brittle}
+        for group in groups:
+            self._divide_slots(group)
 
     def back_off(self, target: TargetId, until_seconds: float) -> None:
         """Send no requests to a target until ``until_seconds``, as it has asked."""
@@ -58,12 +69,20 @@
         """Apply the limit and back-off of a target that was added to a group."""
         self._pass_limit(target, now_seconds)
         self._pass_backoff(target)
-        self._pass_brittle(target)
+        if target in self._brittle:
+            self._divide_slots(self._group_by_target.get(target))
+
+    def forget_limit(self, target: TargetId, group: Group) -> None:
+        """Drop the limit of a target that is no longer configured.
 
-    def forget_limit(self, target: TargetId) -> None:
-        """Drop the limit of a target that is no longer configured."""
+        Args:
+            target: The target.
+            group: The group that it belonged to.
+        """
         self._limits.pop(target, None)
-        self._brittle.discard(target)
+        if target in self._brittle:
+            self._brittle.discard(target)
+            self._divide_slots(group)
 
     def forget_backoffs(
         self, targets: Collection[TargetId], now_seconds: float
@@ -80,11 +99,18 @@
             if target in targets or until_seconds > now_seconds
         }
 
-    def _pass_brittle(self, target: TargetId) -> None:
-        """Pass to a target's group whether it is brittle."""
-        group = self._group_by_target.get(target)
-        if group is not None:
-            group.placement.loads[target].is_brittle = target in self._brittle
+    def _divide_slots(self, group: Group | None) -> None:
+        """Pass to a group how many slots of its brittle targets are this daemon's."""
+        if group is None:
+            return
+        slots_by_target = {
+            name: usable_requests(load.view.concurrency_limit)
+            for name, load in group.placement.loads.items()
+            if name in self._brittle
+        }
+        own_by_target = divide_slots(slots_by_target, self._position)
+        for name, load in group.placement.loads.items():
+            load.own_slots = own_by_target.get(name)
 
     def _pass_backoff(self, target: TargetId) -> None:
         """Pass a target's back-off to its group."""
--- a/lycheepost/decide/targetstatus.py
+++ b/lycheepost/decide/targetstatus.py
@@ -22,7 +22,7 @@
         "n_estimated": round(load.estimate(now_seconds)[1], 1),
         "n_slots": load.view.concurrency_limit,
         "max_requests": load.max_requests(),
-        "is_brittle": load.is_brittle,
+        "own_slots": load.own_slots,
         "n_streams": load.all_streams(),
         "reading_seconds": round(load.reading_seconds(now_seconds), 3),
         "is_reading_engine": is_reading_engine,
