Test a whole availability zone without paths

The zone's callers are served through the other zone, and the addresses name only that. Before, one daemon and all daemons were cut in features, and zones only at random in the soak.

--- a/features/platform/ownpaths.feature
+++ b/features/platform/ownpaths.feature
@@ -15,6 +15,22 @@
       | reset      |
       | refuse_new |
 
+  Scenario Outline: Callers of <n_cut> of <n> daemons, a whole zone, are served: <cut>
+    Guards against relaying to peers of the own zone, which have lost their paths too.
+    Given a deployment with <n> daemons in 2 zones by turns
+    When clients ask all daemons, 40 a second for 8 s, and after 1 s the connections of all daemons of the first zone to all servers <cut>
+    Then from 3 s after that first tries there are served at least two thirds as often as elsewhere
+    And all first tries elsewhere are served
+    And nothing that may run once ran twice
+    And a daemon of the second zone names all others of its zone and none of the first
+
+    Examples:
+      | n | n_cut | cut        |
+      | 4 | 2     | hang       |
+      | 4 | 2     | reset      |
+      | 5 | 3     | refuse_new |
+      | 3 | 2     | hang       |
+
   Scenario: Orders at a daemon whose new connections are refused are served
     Guards against a daemon that takes connections that were open for a path.
     Given a deployment with 3 daemons
--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -5,10 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from behave import then, when
+from behave import given, then, when
 from deployment import Deployment
 
 from lycheepost.callers.forwarddeps import ForwardRequest
+from lycheepost.core.ids import AvailabilityZone
 from lycheepost.platform.ingress import trusted_relay
 from lycheepost.platform.models.pathcuts import PathCut
 
@@ -17,6 +18,7 @@
 TOLERATED_FAILURES = 10
 TOLERATED_SHARE = 1.0 / 50.0
 ASK_TIMEOUT_SECONDS = 4.0
+ZONES = (AvailabilityZone("first"), AvailabilityZone("second"))
 
 
 @dataclass
@@ -118,6 +120,36 @@
     play_cut(context, per_second, seconds, cut_seconds, (0,), cut)
 
 
+@given("a deployment with {n:d} daemons in 2 zones by turns")
+def step_zones(context, n):
+    context.deployment = Deployment()
+    context.loop.run_until_complete(context.deployment.start(n, zones=ZONES))
+
+
+@when(
+    "clients ask all daemons, {per_second:d} a second for {seconds:d} s, and after"
+    " {cut_seconds:g} s the connections of all daemons of the first zone to all"
+    " servers {cut}"
+)
+def step_cut_zone(context, per_second, seconds, cut_seconds, cut):
+    indexes = tuple(indexes_of(context.deployment, ZONES[0]))
+    play_cut(context, per_second, seconds, cut_seconds, indexes, cut)
+
+
+def indexes_of(deployment, zone):
+    nodes = enumerate(deployment.nodes)
+    return [index for index, node in nodes if node.availability_zone == zone]
+
+
+@then("a daemon of the second zone names all others of its zone and none of the first")
+def step_names_zone(context):
+    deployment = context.deployment
+    indexes = indexes_of(deployment, ZONES[1])
+    addresses = context.loop.run_until_complete(deployment.addresses(indexes[0]))
+    expected = {url_of(deployment, index) for index in indexes}
+    assert set(addresses) == expected, (addresses, expected)
+
+
 @then(
     "from 3 s after that first tries there are served at least two thirds as often as"
     " elsewhere"
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -173,6 +173,7 @@
         is_configured: bool = True,
         states_starts: bool = False,
         n_slots: int = 32,
+        zones: Sequence[AvailabilityZone] = (ZONE,),
     ) -> None:
         """Start everything and wait until the daemons are ready.
 
@@ -183,6 +184,7 @@
             is_configured: Whether a configuration is written before the start.
             states_starts: Whether servers report their start time.
             n_slots: Slots of each server.
+            zones: Availability zones that the daemons are in by turns.
         """
         self._session = aiohttp.ClientSession(auto_decompress=False)
         await self.store.start()
@@ -193,8 +195,8 @@
                 await self.add_server(server)
         if is_configured:
             self.configure(make_configuration())
-        for _ in range(n_daemons):
-            await self.add_daemon()
+        for index in range(n_daemons):
+            await self.add_daemon(zones[index % len(zones)])
         if is_configured:
             await self.until(self.all_ready)
 
@@ -226,12 +228,12 @@
         value = msgspec.json.encode({"model": MODEL, "version": version})
         self.store.store.put("op", f"version/{MODEL}", value)
 
-    async def add_daemon(self) -> None:
-        """Start one more daemon."""
+    async def add_daemon(self, zone: AvailabilityZone = ZONE) -> None:
+        """Start one more daemon in an availability zone."""
         clients, readiness, directory = _listen(), _listen(), _listen()
         node = NodeSettings(
             daemon=DaemonId(f"front-{len(self.nodes)}"),
-            availability_zone=ZONE,
+            availability_zone=zone,
             region=RegionId("r"),
             host=HOST,
             clients=_endpoint_of(clients),
