Relay requests to peers over new connections

A repeatable request could be relayed on a pooled connection. Between daemons such a connection may go silent for good, and a relayed request waits for its peer until its deadline, as no second peer is tried while one may serve it. Found by reading, beside the pools of targets; no run has shown it. A relayed request costs one round trip more, and only while paths are lost.

--- a/features/platform/ownpaths.feature
+++ b/features/platform/ownpaths.feature
@@ -72,6 +72,10 @@
     When clients ask all daemons, 30 a second for 5 s, and after 0.5 s the connections of all daemons to all servers hang
     Then from 3 s after that every try is refused as not run, within 0.5 s and with a time to come back
 
+  Scenario: A relayed request opens a new connection to its peer
+    Guards against requests lost on connections between daemons that went silent.
+    Then the call that relays a look-up may not use a pooled connection
+
   Scenario: A client can't pass for a daemon
     Guards against callers that dodge their quota as a request already charged.
     Then a request relayed from a host that is no daemon's counts as a caller's
--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -8,8 +8,9 @@
 from behave import given, then, when
 from deployment import Deployment
 
-from lycheepost.callers.forwarddeps import ForwardRequest
-from lycheepost.core.ids import AvailabilityZone
+from lycheepost.callers.forwarddeps import ForwardRequest, RelayPeer
+from lycheepost.callers.peerrelay import make_peer_call
+from lycheepost.core.ids import AvailabilityZone, DaemonId
 from lycheepost.platform.ingress import trusted_relay
 from lycheepost.platform.models.pathcuts import PathCut
 
@@ -358,6 +359,13 @@
     assert not bad, bad
 
 
+@then("the call that relays a look-up may not use a pooled connection")
+def step_new_connection(context):
+    request = ForwardRequest("id", "GET", "h", "/", (), None, None, None, None, b"", 0)
+    peer = RelayPeer(DaemonId("peer"), "127.0.0.1:1")
+    assert not make_peer_call(request, peer, 0, 1.0, None).may_reuse_connection
+
+
 @then("a request relayed from a host that is no daemon's counts as a caller's")
 def step_no_daemon(context):
     request = ForwardRequest(
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -63,7 +63,6 @@
 
 def make_peer_call(
     request: ForwardRequest,
-    route: Route,
     peer: RelayPeer,
     n_runs: int,
     remaining_seconds: float,
@@ -73,7 +72,6 @@
 
     Args:
         request: The caller's request.
-        route: Its route.
         peer: The peer.
         n_runs: On how many targets it may have run before.
         remaining_seconds: Until the deadline of the request.
@@ -90,7 +88,9 @@
         remaining_seconds=remaining_seconds - PEER_MARGIN_SECONDS,
         customer=CustomerId(""),
         after_event=after_event,
-        may_reuse_connection=route.is_repeatable,
+        # Connections between daemons may go silent, and no second peer is tried while
+        # one may still serve the request.
+        may_reuse_connection=False,
         relay=RelayOptions(request.key, n_runs),
     )
 
@@ -138,7 +138,7 @@
         """
         after_event = self._relay.after_event
         call = make_peer_call(
-            self._request, self._route, peer, n_runs, remaining_seconds, after_event
+            self._request, peer, n_runs, remaining_seconds, after_event
         )
         self.is_sent = True
         end = await self._await_end(call)
