Do not take weights found at the start for newly named when rows are read again

Traced with the logs of all daemons: all lost power at 34.3 s and came back at 36.7 s, each with a guess of 2.5 s for old weights. At 38.557 s front-viborg-3, whose feed of the store the others followed, refused them; they read all rows again from another source. The row of version 4 then came with the time of the last confirmation, 36.7 s, as its earliest naming time, and replaced the guess: old weights until 43.2 s instead of 39.2 s, in four daemons within 2 ms (38.564 to 38.566).

A version that is known is not named again by a later read; only a peer that saw the naming replaces a guess. The new scenario failed before: a and b were used at 3 s.

--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -176,6 +176,11 @@
     context.list.want(MODEL, version, None)
 
 
+@when("version {version:d} is read again with all other rows")
+def step_read_again(context, version):
+    context.list.want(MODEL, version, context.clock.now_seconds())
+
+
 @when("version {version:d} is named")
 def step_named(context, version):
     context.list.want(MODEL, version, context.clock.now_seconds())
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -95,6 +95,15 @@
     When 3 s pass
     Then nothing may be used
 
+  Scenario: Weights found already named are not taken for new when they are read again
+    Guards against old weights served for too long after a change of the feed's source.
+    Given registered targets a and b
+    When version 2 is found already named at startup
+    And 1 s pass
+    And version 2 is read again with all other rows
+    And 2 s pass
+    Then nothing may be used
+
   Scenario: One target that lags behind does not outdate the others
     Guards against one deadline for all engines: orders are lost and one engine misses a
     version. If its deadline applied to the engines with the previous version as well,
--- a/lycheepost/state/namedweights.py
+++ b/lycheepost/state/namedweights.py
@@ -70,6 +70,9 @@
     ) -> None:
         """Record a version that an operator named; a known one is not changed.
 
+        The store's rows are read again as a whole when their source changes. A version
+        that was found at the start is among them, but was not named since.
+
         Args:
             model: The model.
             version: Ordinal of the version within its model.
@@ -78,6 +81,8 @@
             bound_seconds: How long older versions may be served after the naming.
             now_seconds: The current time.
         """
+        if any(item.version == version for item in self._named.get(model, ())):
+            return
         if named_seconds is None:
             guess_seconds = now_seconds + UNKNOWN_NAMING_GRACE_SECONDS
             named = NamedVersion(version, now_seconds, guess_seconds, is_guessed=True)
@@ -96,7 +101,7 @@
         self._add(model, NamedVersion(version, now_seconds, until_seconds))
 
     def _add(self, model: ModelId, named: NamedVersion) -> None:
-        """Add a version, or replace a guessed time by a known one."""
+        """Add a version, or replace a guessed time by one that a peer knows."""
         known = {item.version: item for item in self._named.get(model, ())}
         before = known.get(named.version)
         if before is not None and (not before.is_guessed or named.is_guessed):
