Count an answer of the store from when the store was asked

Callers saw 503 'The configuration could not be confirmed of late' from one daemon of five for up to 0.3 s, some 3.8 s after all had started.

Cause, traced with every poll: a daemon that has started waits 1.2 s, asks peers twice (0.6 s each), then asks the store. The feed returned that answer without the time of the asking, so the watch dated it from before all these waits: 3.0 s old when it arrived, where keys are trusted for 3.8 s. The copy for peers was dated rightly all the while.

--- a/features/peers/feedshare.feature
+++ b/features/peers/feedshare.feature
@@ -65,6 +65,11 @@
       | is cut off from the store  | 3.0     |
       | is slow to receive and answer | 3.0     |
 
+  Scenario: An answer of the store counts from when the store was asked
+    Guards against keys refused after a start, by the age of a wait before the asking.
+    When a daemon has just started before a calm store
+    Then from 2.5 s on its data was confirmed at most 1.7 s ago, for 10 s
+
   Scenario: A peer that is far behind gets the whole table
     Guards against a daemon that never learns that a target leaves. It was suspended
     during more changes than a copy stores, and gets only the stored ones.
--- a/features/peers/steps/feedshare_steps.py
+++ b/features/peers/steps/feedshare_steps.py
@@ -24,6 +24,7 @@
 KEY = "config"
 HELD_SECONDS = 1.5
 STORE_SECONDS = 0.004
+AGE_STEP_SECONDS = 0.1
 
 
 def n_runs(n):
@@ -298,6 +299,36 @@
     assert context.n_calls <= most * context.n_alone, (context.n_calls, context.n_alone)
 
 
+async def confirmed_ages(loop, since_seconds, seconds):
+    """Return how long ago a new daemon's data was confirmed, at many times."""
+    cell = Cell(loop, 1)
+    await cell.start()
+    await asyncio.sleep(since_seconds)
+    ages = []
+    while len(ages) < seconds / AGE_STEP_SECONDS:
+        confirmed_seconds = cell.followers[0].watch.confirmed_seconds
+        ages.append(loop.now_seconds() - confirmed_seconds)
+        await asyncio.sleep(AGE_STEP_SECONDS)
+    await cell.stop()
+    return ages
+
+
+@when("a daemon has just started before a calm store")
+def step_just_started(context):
+    context.loop = VirtualTimeLoop()
+
+
+@then(
+    "from {since:g} s on its data was confirmed at most {age:g} s ago,"
+    " for {seconds:d} s"
+)
+def step_ages(context, since, age, seconds):
+    work = confirmed_ages(context.loop, since, seconds)
+    ages = context.loop.run_until_complete(work)
+    context.loop.close()
+    assert max(ages) <= age, [round(item, 2) for item in ages[:20]]
+
+
 @given("{n:d} daemons that follow a calm store")
 def step_cell(context, n):
     context.loop = VirtualTimeLoop()
--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -191,7 +191,7 @@
 @then("all first tries elsewhere are served")
 def step_elsewhere(context):
     failed = [
-        (item.status, item.body)
+        (round(item.sent_seconds, 2), item.index, item.status, item.body)
         for item in context.tries
         if item.index not in context.cut_indexes and not item.is_served
     ]
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -15,7 +15,7 @@
 import itertools
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import structlog
@@ -210,12 +210,17 @@
         answer: Result[Changes, TableError],
         sent_seconds: float,
     ) -> Result[Changes, TableError]:
-        """Apply an answer of the store to the copy, and answer held requests."""
+        """Apply an answer of the store to the copy, and answer held requests.
+
+        The answer returned is confirmed from when the store was asked. The caller has
+        waited for peers, or for its turn, before that.
+        """
         mirror = self._mirrors[table]
         match answer:
             case Success(changes):
                 mirror.apply(changes, after, sent_seconds)
                 self._known_tables.add(table)
+                answer = Success(replace(changes, confirmed_seconds=sent_seconds))
             case Failure(_):
                 mirror.note_lost()
         self._answer_held()
