Daemons approach the median of what they count as left of a quota

Known red 'Daemons whose counts have parted agree again': a daemon that had counted 5,000 units less than the others refused what the quota allows for good (-4,600 beside 390 and 390 after 10 s), as no daemon follows another's count, which may be behind.

Each daemon now approaches the median of the levels that it was told in the last 0.15 s and its own, by half the difference a second. A median is right while most are. Its own units that no peer can know of yet are left out, or a daemon would get back part of what it has just spent. Levels are compared only under load, when they are told twenty times a second.

--- a/lycheepost/decide/fleetquota.py
+++ b/lycheepost/decide/fleetquota.py
@@ -212,6 +212,8 @@
             now_seconds: The current time.
         """
         self._catch_up(now_seconds)
+        for meter in self._meters.values():
+            meter.approach_peers()
         counts = {
             customer: QuotaCount(meter.spent, meter.fleet.level, meter.asked)
             for customer, meter in self._meters.items()
--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -11,6 +11,11 @@
 from lycheepost.core.ids import DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance
 from lycheepost.decide.quotademand import QuotaDemand
+from lycheepost.decide.quotalevels import (
+    LEVEL_VALID_SECONDS,
+    PeerLevel,
+    correction,
+)
 from lycheepost.decide.quotarecord import (
     RECORDED_DEMAND_SHARE,
     RECORDED_LEVEL_SHARE,
@@ -89,6 +94,13 @@
     n_refused: int = 0
     is_changed: bool = False
     _reported_asked: dict[DaemonId, float] = field(default_factory=dict)
+    _reported_levels: dict[DaemonId, PeerLevel] = field(default_factory=dict)
+    _level_heard_seconds: float = float("-inf")
+    """When a peer last reported its level."""
+    _told_spent: float = 0.0
+    """``spent`` at the last update to the peers."""
+    _corrected_seconds: float = 0.0
+    """When the level was last compared with those of the peers."""
     _pending: _PendingQuota | None = None
     _partition_spent: float = 0.0
     """Units spent by the reachable daemons since others became unreachable."""
@@ -193,7 +205,7 @@
 
     def restart_counts(self) -> None:
         """Restart the counts from 0."""
-        self.spent = self.asked = 0.0
+        self.spent = self.asked = self._told_spent = 0.0
 
     def apply_record(self, use: RecordedUse) -> None:
         """Start from the use that an earlier start of the fleet recorded.
@@ -268,6 +280,7 @@
         """Drop the counts that a daemon reported."""
         self.reported_spent.pop(daemon, None)
         self._reported_asked.pop(daemon, None)
+        self._reported_levels.pop(daemon, None)
 
     def add_peer_demand(self, daemon: DaemonId, count: QuotaCount) -> None:
         """Count what was requested from a peer since its last update."""
@@ -281,6 +294,27 @@
         always too high, and each of its updates would raise the other daemons' levels.
         """
         self._add(-self.update_reported_spent(daemon, count.spent))
+        level = PeerLevel(count.level, self.fleet.at_seconds)
+        self._reported_levels[daemon] = level
+        self._level_heard_seconds = level.at_seconds
+
+    def approach_peers(self) -> None:
+        """Approach the level that most daemons report; called before each update."""
+        now_seconds = self.fleet.at_seconds
+        elapsed_seconds = now_seconds - self._corrected_seconds
+        self._corrected_seconds = now_seconds
+        untold = self.spent - self._told_spent
+        self._told_spent = self.spent
+        if now_seconds - self._level_heard_seconds > LEVEL_VALID_SECONDS:
+            return
+        units = correction(
+            self.fleet.level + untold,
+            self._reported_levels,
+            self.fleet.rate_per_second,
+            elapsed_seconds,
+            now_seconds,
+        )
+        self.fleet.add(units)
 
     def adopt_lower_level(self, daemon: DaemonId, count: QuotaCount) -> None:
         """Adopt the level of a better informed daemon if it is lower.
