Do not eject a target when only rate-limited ones are left

Known red 'Daemons together send a server no more than the limit it names': 503 'No target can give a first token within the request's timeout', with Retry-After of 2.5 to 3.1 s, from one daemon of three, while the second server was sound.

Cause, by the daemons' logs: while the test process stalls, some requests fall silent and the second server is ejected (lt19: 92.383); from 92.438 on the first one has a limit of 4 a second, and every request is refused until the ejection ends. At most half of a group is ejected, but a limited target counted as one that can take over the work.

The new rows of targetlist failed before for a and b, a limited: b was ejected.

--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -140,6 +140,22 @@
     context.list.take([make_target(name)], [], False)
 
 
+@when("{name} has a rate limit")
+def step_limited(context, name):
+    context.list.set_limited(TargetId(name), True)
+
+
+@when("{name} has no rate limit any more")
+def step_unlimited(context, name):
+    context.list.set_limited(TargetId(name), False)
+
+
+@when("{name} fails {n:d} requests")
+def step_fails(context, name, n):
+    for _ in range(n):
+        context.list.note_end(TargetId(name), Ending.BAD)
+
+
 @when("{name} accepts no connection")
 def step_unreachable(context, name):
     context.list.note_end(TargetId(name), Ending.UNREACHABLE)
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -228,6 +228,21 @@
     When a registers with version 1
     Then a and b may be used
 
+  Scenario Outline: A target that fails is ejected unless only <limited> is left
+    Guards against refusing all requests while the only target in use has a rate limit.
+    Given registered targets <targets>
+    When <limited> has a rate limit
+    And <failing> fails 5 requests
+    Then <usable> may be used
+    When <limited> has no rate limit any more
+    Then <unlimited> may be used
+
+    Examples:
+      | targets       | limited | failing | usable        | unlimited |
+      | a and b       | a       | b       | a and b       | a         |
+      | a and b       | a       | a       | b             | b         |
+      | a and b and c | a       | b       | a and c       | a and c   |
+
   Scenario: An ejected target is used again though nothing else happens
     Guards against views that are kept beyond the end of an ejection.
     Given registered targets a and b and c
--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -182,6 +182,7 @@
                     source=source,
                 )
                 self._dispatcher.set_limit(target, per_second)
+                self._list.set_limited(target, per_second is not None)
             case BrittleChanged(target, per_second):
                 _log.info(
                     "targets: brittle",
--- a/lycheepost/decide/targethealth.py
+++ b/lycheepost/decide/targethealth.py
@@ -6,10 +6,11 @@
 Such a target is ejected for a time that doubles with each ejection, after which real
 requests test it again. Targets are compared with the others of their group, so a
 service that fails everywhere loses none of its targets, and at most half of a group is
-ejected for failed requests.
+ejected for failed requests. Targets with a rate limit cannot take over the work of
+others, so they do not count for that half.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -120,16 +121,27 @@
         return self.next_change_seconds(now_seconds) < float("inf")
 
     def ejected(
-        self, targets: Iterable[TargetId], now_seconds: float
+        self,
+        targets: Iterable[TargetId],
+        now_seconds: float,
+        limited: Container[TargetId] = (),
     ) -> frozenset[TargetId]:
-        """Return those of ``targets`` that are ejected now."""
+        """Return those of ``targets`` that are ejected now.
+
+        Args:
+            targets: The targets of the group.
+            now_seconds: The current time.
+            limited: Targets with a rate limit.
+        """
         names = tuple(targets)
         found = [name for name in names if self._is_ejected(name, now_seconds)]
         unreachable = [name for name in found if self._records[name].is_unreachable]
         if len(unreachable) == len(names):
             # This daemon's own network link may be down, so ejecting all is pointless.
             return frozenset()
-        if 2 * len(found) > len(names):
+        n_found = sum(name not in limited for name in found)
+        n_unlimited = sum(name not in limited for name in names)
+        if 2 * len(found) > len(names) or 2 * n_found > n_unlimited:
             return frozenset(unreachable)
         return frozenset(found)
 
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -103,6 +103,7 @@
         self._starts = TargetStarts()
         self._health: dict[TargetGroupId, TargetHealth] = {}
         self._unreached: set[TargetGroupId] = set()
+        self._limited: set[TargetId] = set()
         self._table: RouteTable | None = None
         self._views: tuple[TargetView, ...] = ()
         self._newest: dict[ModelId, WeightsVersion] = {}
@@ -278,6 +279,13 @@
         known.listed = replace(known.listed, is_leaving=True)
         self.refresh()
 
+    def set_limited(self, target: TargetId, is_limited: bool) -> None:
+        """Set whether a target has a rate limit and cannot take over others' work."""
+        self._limited.discard(target)
+        if is_limited and target in self._known:
+            self._limited.add(target)
+        self.refresh()
+
     def is_newest_start(self, start: TargetStart) -> bool:
         """Return whether no later start of the target is known."""
         return not self._starts.is_old(start)
@@ -461,6 +469,7 @@
         ]
         for name in gone:
             del self._known[name]
+            self._limited.discard(name)
         if gone:
             for health in self._health.values():
                 health.forget(self._known)
@@ -475,5 +484,5 @@
                 for name, known in self._known.items()
                 if known.listed.target_group == group and not known.listed.is_leaving
             ]
-            ejected |= health.ejected(names, now_seconds)
+            ejected |= health.ejected(names, now_seconds, self._limited)
         return ejected
