--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -7,7 +7,7 @@
 cuts one way or silences. Processes are stopped, paused, killed and started again by
 signals, and the store fails, answers late or loses answers, in series that overlap;
 servers meanwhile say that they leave, name limits, are brittle, pause, or turn requests
-away for a while; daemons are cut off from all servers, one or many at a time.
+away for a while; daemons are cut off from all servers, one, many or a zone at a time.
 Clients keep using their connections until the process behind them is gone. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
 process that was started here is ended here, by its id. Exit code 0 without a violation.
@@ -239,10 +239,12 @@
 
 
 async def cut_paths(run: SoakRun, daemon: DaemonProcess) -> None:
-    """Cut some daemons off from all servers, at times all of them."""
+    """Cut some daemons off from all servers, at times a whole zone or all of them."""
     processes = run.fleet.processes
     n_cut = run.rng.randint(1, len(processes))
     found = [daemon, *(item for item in processes if item is not daemon)][:n_cut]
+    if n_cut == len(processes) // 2:
+        found = [item for item in processes if item.zone == daemon.zone]
     cut = run.rng.choice(list(PathCut))
     from_seconds = time.monotonic()
     for item in found:
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -25,7 +25,7 @@
     PlatformFleet,
     make_configuration,
 )
-from lycheepost.core.ids import DaemonId, RegionId
+from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverstandin import PlatformServer
 from lycheepost.platform.settings import Endpoint, NodeSettings
@@ -33,6 +33,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_SECONDS = 8.0
 FIRST_PORT, LAST_PORT = 20_000, 32_000
+ZONES = (ZONE, AvailabilityZone("zone-b"))
+"""Zones that the daemons are in by turns; the servers are in the first."""
 START_SECONDS = 90.0
 """For all processes to be up the first time, also on a machine that is busy."""
 
@@ -116,6 +118,7 @@
 class DaemonProcess:
     """One daemon, which may be started again."""
 
+    zone: AvailabilityZone
     node_file: pathlib.Path
     metrics_port: int
     store: Proxy
@@ -195,9 +198,10 @@
         clients = Proxy((HOST, front))
         await clients.start()
         name = f"front-{len(self.nodes)}"
+        zone = ZONES[len(self.nodes) % len(ZONES)]
         settings = {
             "node_name": name,
-            "zone": ZONE,
+            "zone": zone,
             "region": "r",
             "ip": HOST,
             "listen.front": f"{HOST}:{front}",
@@ -211,7 +215,7 @@
         self.nodes.append(
             NodeSettings(
                 daemon=DaemonId(name),
-                availability_zone=ZONE,
+                availability_zone=zone,
                 region=RegionId("r"),
                 host=HOST,
                 clients=Endpoint(HOST, clients.port),
@@ -222,7 +226,7 @@
                 bounds=BOUNDS,
             )
         )
-        process = DaemonProcess(node_file, metrics, store, clients)
+        process = DaemonProcess(zone, node_file, metrics, store, clients)
         process.start()
         self.processes.append(process)
 
