Run the simulations of quotas beside the rest of their folder

That feature alone takes 4.5 minutes of processor time and grew the folder to the limit beside load. It runs in a process of its own now; limit and checks are as before.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,7 +1,8 @@
 """Run every behave folder and end with the line ``N passed, N failed``.
 
 Folders run as separate behave processes, a few at once, because each folder
-mirrors one package and shares nothing with the others. A scenario named in
+mirrors one package and shares nothing with the others. A feature that takes longer
+than most folders runs in a process of its own. A scenario named in
 ``KNOWN-RED.txt`` is run and printed, and its failure does not fail the run.
 """
 
@@ -19,6 +20,8 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PARALLEL_FOLDERS = 4
 FOLDER_TIMEOUT_SECONDS = 600
+LONG_FEATURES = (FEATURES / "decide" / "quotas.feature",)
+"""Features that run beside the rest of their folder."""
 
 
 @dataclass(frozen=True)
@@ -29,15 +32,27 @@
     status: str
 
 
-def list_folders() -> list[pathlib.Path]:
-    """Return the feature folders that hold at least one feature."""
-    return sorted({path.parent for path in FEATURES.rglob("*.feature")})
+@dataclass(frozen=True)
+class Part:
+    """Features that one behave process runs."""
+
+    name: str
+    features: tuple[pathlib.Path, ...]
+
+
+def list_parts() -> list[Part]:
+    """Return the long features, then each folder with its other features."""
+    parts = [Part(f"{path.parent.name}-{path.stem}", (path,)) for path in LONG_FEATURES]
+    for folder in sorted({path.parent for path in FEATURES.rglob("*.feature")}):
+        found = sorted(set(folder.glob("*.feature")) - set(LONG_FEATURES))
+        parts.append(Part(folder.name, tuple(found)))
+    return parts
 
 
-def run_folder(folder: pathlib.Path) -> tuple[pathlib.Path, list[Outcome], str]:
-    """Run behave on one folder and return its outcomes and its output."""
+def run_part(part: Part) -> tuple[Part, list[Outcome], str]:
+    """Run behave on one part and return its outcomes and its output."""
     RESULTS.mkdir(exist_ok=True)
-    result_path = RESULTS / f"{folder.name}.json"
+    result_path = RESULTS / f"{part.name}.json"
     result_path.unlink(missing_ok=True)
     command = [
         sys.executable,
@@ -47,7 +62,7 @@
         f"--outfile={result_path}",
         "--format=progress3",
         "--no-capture",
-        str(folder.relative_to(ROOT)),
+        *(str(path.relative_to(ROOT)) for path in part.features),
     ]
     environment = {**os.environ, "PYTHONHASHSEED": "0", "MPLBACKEND": "Agg"}
     try:
@@ -68,8 +83,8 @@
     if code != 0 and all(outcome.status == "passed" for outcome in outcomes):
         # A crash of behave itself leaves no failed scenario behind; without
         # this record a broken folder would count as passed.
-        outcomes.append(Outcome(f"{folder.name}: behave exited with {code}", "failed"))
-    return folder, outcomes, output
+        outcomes.append(Outcome(f"{part.name}: behave exited with {code}", "failed"))
+    return part, outcomes, output
 
 
 def read_outcomes(result_path: pathlib.Path) -> list[Outcome]:
@@ -95,16 +110,16 @@
 
 
 def main() -> int:
-    """Run all folders and print the verdict last."""
-    folders = list_folders()
+    """Run all features and print the verdict last."""
+    parts = list_parts()
     known_red = read_known_red()
     n_passed = 0
     n_failed = 0
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_FOLDERS) as pool:
-        for folder, outcomes, output in pool.map(run_folder, folders):
+        for part, outcomes, output in pool.map(run_part, parts):
             bad = [outcome for outcome in outcomes if outcome.status != "passed"]
             unexpected = [item for item in bad if item.scenario not in known_red]
-            print(f"{folder.relative_to(ROOT)}: {len(outcomes) - len(bad)} passed")
+            print(f"{part.name}: {len(outcomes) - len(bad)} passed")
             for outcome in bad:
                 label = "FAILED" if outcome in unexpected else "KNOWN RED"
                 print(f"{label}: {outcome.scenario} ({outcome.status})")
