Log how the bodies of targets' responses were framed and how they ended

The event names now what marks the end of the body (length, chunks, the connection), how it ended, and the bytes of an event that had begun. No decision changes; BodyFraming replaces ResponseHead.has_length.

--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -37,6 +37,7 @@
     FirstByteTimeout,
     RelayEnd,
     StreamTimeouts,
+    body_fields,
 )
 from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.core.routing import ListedTarget, RouteKind
@@ -284,6 +285,7 @@
         """Send to one target; None when nothing more is due to the caller."""
         target = dispatch.target
         self._work = replace(self._work, excluded=self._work.excluded | {target})
+        self._relay.begin_attempt()
         end: AttemptEnd | None = None
         kind = FinishKind.CANCELLED
         sent_seconds = self._deps.clock.now_seconds()
@@ -323,6 +325,7 @@
                 held_seconds=round(now_seconds - sent_seconds, 4),
                 first_seconds=self._relay.first_seconds,
                 longest_gap_seconds=self._relay.longest_gap_seconds,
+                **body_fields(self._relay.last_body),
             )
 
     async def _send(self, listed: ListedTarget) -> tuple[AttemptEnd | None, str]:
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -11,7 +11,12 @@
 from lycheepost.callers.awaiting import await_headers
 from lycheepost.callers.errors import CallerError, ErrorType
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest, RelayPeer
-from lycheepost.callers.relaying import AnswerRelay, FirstByteTimeout, StreamTimeouts
+from lycheepost.callers.relaying import (
+    AnswerRelay,
+    FirstByteTimeout,
+    StreamTimeouts,
+    body_fields,
+)
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.core.routing import Route
 from lycheepost.decide.attempts import AttemptEnd, Sends
@@ -141,6 +146,7 @@
             self._request, peer, n_runs, remaining_seconds, after_event
         )
         self.is_sent = True
+        self._relay.begin_attempt()
         end = await self._await_end(call)
         self._deps.metrics.count("relayed_to_peers")
         _log.info(
@@ -150,6 +156,7 @@
             n_runs=n_runs,
             end="served" if end is None else end.value,
             first_seconds=self._relay.first_seconds,
+            **body_fields(self._relay.last_body),
         )
         return end
 
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -18,8 +18,8 @@
 from lycheepost.decide.attempts import AttemptEnd
 from lycheepost.targets.errors import TargetError
 from lycheepost.targets.events import EventSplitter
-from lycheepost.targets.forward import ForwardResponse
-from lycheepost.targets.forwardcall import ResponseHead
+from lycheepost.targets.forward import BodyEnd, ForwardResponse
+from lycheepost.targets.forwardcall import BodyFraming, ResponseHead
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest response that is buffered, so that a faulty target cannot fill the memory; a
@@ -97,6 +97,30 @@
                 raise
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedBody:
+    """How the body of a response was framed and ended, for the log.
+
+    Attributes:
+        n_partial_bytes: Bytes of an event that had begun and did not end.
+    """
+
+    framing: BodyFraming
+    end: BodyEnd
+    n_partial_bytes: int
+
+
+def body_fields(body: RelayedBody | None) -> dict[str, object]:
+    """Return the fields of a log event for a body; none if no headers arrived."""
+    if body is None:
+        return {}
+    return {
+        "framing": body.framing.value,
+        "body_end": body.end.value,
+        "partial_bytes": body.n_partial_bytes,
+    }
+
+
 class AnswerRelay:
     """Relays the responses of one request's targets to its caller.
 
@@ -104,6 +128,8 @@
         has_begun: Part of a response has been sent to the caller.
         first_seconds: From arrival to the first part that was sent; None before.
         longest_gap_seconds: The longest pause between two parts of a stream so far.
+        last_body: How the body of the attempt's response was framed and ended; None
+            before its headers.
     """
 
     def __init__(
@@ -116,6 +142,7 @@
         self.has_begun = False
         self.first_seconds: float | None = None
         self.longest_gap_seconds = 0.0
+        self.last_body: RelayedBody | None = None
         self._last_write_seconds: float | None = None
         self._deps = deps
         self._request = request
@@ -140,6 +167,10 @@
         """Return whether another target can continue after the caller's last event."""
         return self._route.is_resumable and self._splitter.last_id is not None
 
+    def begin_attempt(self) -> None:
+        """Forget how the response of the last attempt ended."""
+        self.last_body = None
+
     async def relay(
         self,
         answer: ForwardResponse,
@@ -156,6 +187,20 @@
         Raises:
             FirstByteTimeout: No byte arrived in time, so none was relayed.
         """
+        self._splitter.restart()
+        try:
+            return await self._relay(answer, timeouts, on_first)
+        finally:
+            self.last_body = RelayedBody(
+                answer.head.framing, answer.body_end, self._splitter.n_partial_bytes
+            )
+
+    async def _relay(
+        self,
+        answer: ForwardResponse,
+        timeouts: StreamTimeouts,
+        on_first: Callable[[], None],
+    ) -> RelayEnd:
         head = answer.head
         if head.is_encoded or (
             head.status < _FIRST_ERROR_STATUS and not head.is_sealed
@@ -253,7 +298,6 @@
         timeouts: StreamTimeouts,
         on_first: Callable[[], None],
     ) -> RelayEnd:
-        self._splitter.restart()
         after_id = self._splitter.last_id
         try:
             data = await self._read_first(answer, timeouts)
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -14,6 +14,7 @@
     ForwardCall,
     ReportedLoad,
     ResponseHead,
+    body_framing,
 )
 
 MISDIRECTED_STATUS = 421
@@ -62,7 +63,7 @@
             is_encoded=found.get("Content-Encoding", "identity") != "identity",
             was_not_run=names.NOT_RUN in found,
             is_other_target=is_other,
-            has_length="Content-Length" in found or "Transfer-Encoding" in found,
+            framing=body_framing(call.method, status, found),
             target=TargetId(target) if target else None,
             weights_version=None if weights is None else WeightsVersion(str(weights)),
             load=decode_load(found.get(names.LOAD, "")),
--- a/lycheepost/platform/peerdialect.py
+++ b/lycheepost/platform/peerdialect.py
@@ -14,7 +14,11 @@
     client_headers,
     parse_non_negative,
 )
-from lycheepost.targets.forwardcall import ForwardCall, ResponseHead
+from lycheepost.targets.forwardcall import (
+    ForwardCall,
+    ResponseHead,
+    body_framing,
+)
 
 _FIRST_SERVER_ERROR_STATUS = 500
 _UNAVAILABLE_STATUS = 503
@@ -58,7 +62,7 @@
             is_encoded=found.get("Content-Encoding", "identity") != "identity",
             was_not_run=not is_sealed and is_refusal,
             is_other_target=False,
-            has_length="Content-Length" in found or "Transfer-Encoding" in found,
+            framing=body_framing(call.method, status, found),
             notice=TargetNotice(
                 retry_after_seconds=parse_non_negative(found.get(names.RETRY_AFTER, ""))
             ),
--- a/lycheepost/targets/events.py
+++ b/lycheepost/targets/events.py
@@ -30,12 +30,14 @@
         last_id: Id of the last complete event; None before the first.
         first_id: Id of the first complete event since the last ``restart``.
         n_events: Number of complete events with an id.
+        n_partial_bytes: Size of the partial event at the end of the last data.
     """
 
     def __init__(self) -> None:
         self.last_id: int | None = None
         self.first_id: int | None = None
         self.n_events = 0
+        self.n_partial_bytes = 0
         self._partial_event = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -47,7 +49,8 @@
         pending = self._partial_event + data
         end = max(_end_after_last(pending, mark) for mark in _EVENT_ENDS)
         complete, self._partial_event = pending[:end], pending[end:]
-        if len(self._partial_event) > MAX_EVENT_BYTES:
+        self.n_partial_bytes = len(self._partial_event)
+        if self.n_partial_bytes > MAX_EVENT_BYTES:
             raise TargetLost("an event of the stream does not end")
         ids = _ID_LINE.findall(complete)
         if ids:
@@ -64,4 +67,5 @@
     def restart(self) -> None:
         """Drop the partial event; another target continues after ``last_id``."""
         self._partial_event = b""
+        self.n_partial_bytes = 0
         self.first_id = None
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -9,6 +9,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import aiohttp
@@ -18,7 +19,12 @@
 from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
-from lycheepost.targets.forwardcall import Dialect, ForwardCall, ResponseHead
+from lycheepost.targets.forwardcall import (
+    BodyFraming,
+    Dialect,
+    ForwardCall,
+    ResponseHead,
+)
 from lycheepost.targets.network import TargetNetwork
 from lycheepost.targets.pools import TargetPools
 
@@ -33,6 +39,21 @@
     """A response that had begun was truncated."""
 
 
+class BodyEnd(Enum):
+    """How the body of a response ended."""
+
+    OPEN = "open"
+    """It has not ended, or was given up."""
+    COMPLETE = "complete"
+    """Its length or last chunk marked the end."""
+    CLOSED = "closed"
+    """The connection that marks its end was closed."""
+    LOST = "lost"
+    """The connection that marks its end ended, and nothing shows how."""
+    BROKEN = "broken"
+    """The connection was reset, or closed before the marked end."""
+
+
 class ForwardResponse:
     """A response whose headers have arrived.
 
@@ -43,6 +64,7 @@
 
     Attributes:
         head: The decoded status and headers.
+        body_end: How its body ended.
     """
 
     def __init__(
@@ -52,6 +74,7 @@
         on_data: Callable[[], None],
     ) -> None:
         self.head = head
+        self.body_end = BodyEnd.OPEN
         self._on_data = on_data
         self._response = response
         self._is_complete = False
@@ -71,23 +94,28 @@
             if data:
                 self._on_data()
                 return data
-            await self._check_end()
+            self.body_end = await self._check_end()
         except (aiohttp.ClientError, OSError) as error:
+            self.body_end = BodyEnd.BROKEN
             self.close()
             raise ResponseTruncated("the answer broke off") from error
         self._is_complete = True
         return None
 
-    async def _check_end(self) -> None:
-        """Raise an error if a body without length was truncated.
+    async def _check_end(self) -> BodyEnd:
+        """Return how the body ended; raise an error if it was truncated.
 
         Such a body ends with its connection. If the connection was reset instead of
         closed, aiohttp reports the same end; only the state of the connection shows
         that the rest is missing.
         """
-        if not self.head.has_length and self._closed is not None:
-            # A cancelled read must not cancel the future, which later reads need.
-            await asyncio.shield(self._closed)
+        if self.head.framing is not BodyFraming.CONNECTION:
+            return BodyEnd.COMPLETE
+        if self._closed is None:
+            return BodyEnd.LOST
+        # A cancelled read must not cancel the future, which later reads need.
+        await asyncio.shield(self._closed)
+        return BodyEnd.CLOSED
 
     async def read_body(self, max_bytes: int) -> bytes:
         """Return the complete body.
