--- a/lycheepost/platform/models/serverfaults.py
+++ b/lycheepost/platform/models/serverfaults.py
@@ -1,6 +1,7 @@
 """Faults that tests inject into the stand-ins of the platform's servers."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from lycheepost.standin.faults import (
     CrashAt,
@@ -10,6 +11,7 @@
     Swallowed,
     Truncated,
 )
+from lycheepost.standin.rawbodies import Framing, Stop
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,40 @@
     """The request crashes the server, which restarts at once under the same name."""
 
 
+class StopPoint(Enum):
+    """Where a body stops."""
+
+    BEFORE_BODY = "before the body"
+    IN_EVENT = "inside an event"
+    BEFORE_BLANK_LINE = "before a blank line"
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenOff:
+    """A response that stops early, for plain responses in the middle of the body.
+
+    Attributes:
+        framing: What marks the end of its body.
+        how: How it stops.
+        point: Where a stream stops, after its complete events.
+        after_events: The number of complete events of a stream.
+        is_in_one_packet: Whether the headers and the body arrive at once.
+    """
+
+    framing: Framing
+    how: Stop
+    point: StopPoint = StopPoint.IN_EVENT
+    after_events: int = 3
+    is_in_one_packet: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Unframed:
+    """A complete response without length or chunks, which ends with its connection."""
+
+    is_in_one_packet: bool = False
+
+
 ServerFault = (
     Truncated
     | Silent
@@ -51,4 +87,6 @@
     | Encoded
     | CrashAt
     | CrashAndReturn
+    | BrokenOff
+    | Unframed
 )
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -20,11 +20,14 @@
 from lycheepost.decide.records import PrefixLevel
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverfaults import (
+    BrokenOff,
     CrashAndReturn,
     Encoded,
     ExtraAnswer,
     ServerFailure,
     ServerFault,
+    StopPoint,
+    Unframed,
     Unsealed,
 )
 from lycheepost.platform.models.serverstate import ServerRun, ServerState
@@ -39,6 +42,12 @@
     Swallowed,
     Truncated,
 )
+from lycheepost.standin.rawbodies import (
+    Framing,
+    RawResponse,
+    Stop,
+    make_unframing_middleware,
+)
 from lycheepost.standin.webserver import StandinServer
 
 _HANG_SECONDS = 3600.0
@@ -81,6 +90,7 @@
             crashes, as it states; None if it is not brittle.
         brittle_from_seconds: When it may begin to crash, by the loop's clock.
         n_falls: How often it crashed by rejections.
+        is_unframed: Whether its responses have neither length nor chunks.
     """
 
     def __init__(
@@ -109,6 +119,7 @@
         self.brittle_per_second: float | None = None
         self.brittle_from_seconds = float("-inf")
         self.n_falls = 0
+        self.is_unframed = False
         self._full_seconds: deque[float] = deque()
         self._is_falling = False
         self._awake = asyncio.Event()
@@ -220,7 +231,8 @@
         return {} if started_ms is None else {"born": started_ms}
 
     def _make_app(self) -> web.Application:
-        app = web.Application(client_max_size=16 * 1024 * 1024)
+        unframe = make_unframing_middleware(lambda: self.is_unframed)
+        app = web.Application(client_max_size=16 * 1024 * 1024, middlewares=[unframe])
         app.router.add_get("/report", self._report)
         app.router.add_post("/order", self._order)
         app.router.add_get("/health", self._health)
@@ -384,6 +396,8 @@
                 await response.write(text[: len(text) // 2])
                 self._server.abort_connection(request)
                 return response
+            case BrokenOff() | Unframed():
+                return _send_raw(request, headers, text, fault)
             case Encoded():
                 headers["Content-Encoding"] = "gzip"
             case ExtraAnswer():
@@ -413,8 +427,13 @@
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         start = int(request.headers.get(names.LAST_EVENT, 0)) + 1
+        if fault is None and self.is_unframed:
+            fault = Unframed()
         try:
             await self._timing.prefill(work)
+            if isinstance(fault, BrokenOff | Unframed):
+                await self._stream_raw(request, headers, start, body, fault)
+                return response
             await response.prepare(request)
             for number in range(start, self.n_events + 1):
                 if number > start:
@@ -426,6 +445,34 @@
         finally:
             self._timing.leave(work)
 
+    async def _stream_raw(
+        self,
+        request: web.Request,
+        headers: dict[str, str],
+        start: int,
+        body: bytes,
+        fault: BrokenOff | Unframed,
+    ) -> None:
+        """Send a stream without length or chunks, or one that stops early."""
+        framing, stop = Framing.CONNECTION, Stop.CLOSE
+        end = self.n_events + 1
+        if isinstance(fault, BrokenOff):
+            framing, stop = fault.framing, fault.how
+            end = start + fault.after_events
+        raw = RawResponse(request, 200, headers, framing, fault.is_in_one_packet)
+        for number in range(start, end):
+            if not fault.is_in_one_packet:
+                await asyncio.sleep(0.002)
+            raw.write(event_bytes(number, body))
+        if isinstance(fault, BrokenOff):
+            match fault.point:
+                case StopPoint.IN_EVENT:
+                    raw.write(event_bytes(end, body)[:-5])
+                case StopPoint.BEFORE_BLANK_LINE:
+                    raw.write(event_bytes(end, body)[:-1])
+            self.on_fault()
+        raw.stop(stop)
+
     async def _send_event(
         self,
         request: web.Request,
@@ -470,6 +517,24 @@
         )
 
 
+def _send_raw(
+    request: web.Request,
+    headers: dict[str, str],
+    text: bytes,
+    fault: BrokenOff | Unframed,
+) -> web.StreamResponse:
+    """Send a plain response that ends with its connection or stops early."""
+    match fault:
+        case BrokenOff(framing=framing, how=stop):
+            text = text[: len(text) // 2]
+        case Unframed():
+            framing, stop = Framing.CONNECTION, Stop.CLOSE
+    raw = RawResponse(request, 200, headers, framing, fault.is_in_one_packet)
+    raw.write(text)
+    raw.stop(stop)
+    return web.Response()
+
+
 def answer_text(path: str, body: bytes) -> bytes:
     """Return the response body of a plain service, a function of path and body."""
     return b"%016x " % hash_bytes(path.encode() + b"\n" + body) * 20
--- /dev/null
+++ b/lycheepost/standin/rawbodies.py
@@ -0,0 +1,118 @@
+"""Responses written to the transport directly, with any framing and any end.
+
+aiohttp marks the end of each body by a length or by chunks. Real servers may let a body
+end with its connection, and a server that crashes may close or reset the connection, or
+even send the last chunk, in the middle of a body.
+"""
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable, Mapping
+from enum import Enum
+from http import HTTPStatus
+
+from aiohttp import web
+from aiohttp.typedefs import Middleware
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
+
+
+class Framing(Enum):
+    """What marks the end of a body."""
+
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """The body ends with its connection."""
+
+
+class Stop(Enum):
+    """How a body stops."""
+
+    CLOSE = "close"
+    RESET = "reset"
+    LAST_CHUNK = "last chunk"
+    """The regular end of a chunked body."""
+
+
+class RawResponse:
+    """One response.
+
+    Args:
+        request: The request that it answers.
+        status: Its status.
+        headers: Its headers, without those that frame the body.
+        framing: What marks the end of its body.
+        is_in_one_packet: Whether all is sent at once, at the end.
+    """
+
+    def __init__(
+        self,
+        request: web.Request,
+        status: int,
+        headers: Mapping[str, str],
+        framing: Framing,
+        is_in_one_packet: bool = False,
+    ) -> None:
+        self._transport = request.transport
+        self._framing = framing
+        self._is_in_one_packet = is_in_one_packet
+        lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if framing is Framing.CHUNKS:
+            lines.append("Transfer-Encoding: chunked")
+        self._pending = "\r\n".join([*lines, "", ""]).encode()
+        self._flush()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the body."""
+        if self._framing is Framing.CHUNKS:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._pending += data
+        self._flush()
+
+    def stop(self, how: Stop) -> None:
+        """End the body and its connection."""
+        if self._transport is None:
+            return
+        if how is Stop.LAST_CHUNK:
+            self._pending += b"0\r\n\r\n"
+        self._transport.write(self._pending)
+        self._pending = b""
+        if how is Stop.RESET:
+            connection = self._transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+    def _flush(self) -> None:
+        if self._transport is not None and not self._is_in_one_packet:
+            self._transport.write(self._pending)
+            self._pending = b""
+
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def make_unframing_middleware(is_unframed: Callable[[], bool]) -> Middleware:
+    """Return a middleware that sends complete responses without length or chunks.
+
+    Args:
+        is_unframed: Returns whether to do so now.
+    """
+
+    @web.middleware
+    async def unframe(request: web.Request, handler: Handler) -> web.StreamResponse:
+        response = await handler(request)
+        if not is_unframed() or response.prepared:
+            return response
+        if isinstance(response, web.Response) and isinstance(response.body, bytes):
+            headers = {**response.headers}
+            headers.pop("Content-Length", None)
+            raw = RawResponse(request, response.status, headers, Framing.CONNECTION)
+            raw.write(response.body)
+            raw.stop(Stop.CLOSE)
+        return response
+
+    return unframe
