Do not take the end of a body for the end of a stream

Cause: at the regular end of a body, which for a body without length or chunks is the end of its connection, the bytes of an event that had begun were sent to the caller, and the response was finished.

decide/streamend judges an ended stream: inside an event it has broken off, and so has one without any event. It is then continued, retried or cut as after a reset. Sessions use TrackedResponse, which takes hold of the connection's end before the response is read, so that a reset is also seen where the HTTP library has given the connection back; reports, orders, cache events, rows and plain services read through it as well.

The scenario of targets/events that asked for the remaining bytes at the regular end of a stream asserted the fault. It asks now whether the stream ends inside an event, with more cases; the bytes after the last event are still checked.

--- a/features/targets/steps/events.py
+++ b/features/targets/steps/events.py
@@ -45,6 +45,11 @@
     assert str(context.splitter.last_id) == last_id
 
 
-@then("at the regular end of the stream it returns {rest}")
+@then("it ends inside an event: {is_inside}")
+def step_inside(context, is_inside):
+    assert context.splitter.is_inside_event == (is_inside == "yes")
+
+
+@then("at the end of a complete stream it returns {rest}")
 def step_rest(context, rest):
     assert context.splitter.flush() == to_bytes(rest)
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -16,10 +16,12 @@
 from lycheepost.callers.forwarddeps import CallerConnection, ForwardDeps, ForwardRequest
 from lycheepost.core.routing import Route, RouteKind
 from lycheepost.decide.attempts import AttemptEnd
-from lycheepost.targets.errors import TargetError
+from lycheepost.decide.streamend import StreamEnd, find_defect
+from lycheepost.targets.errors import TargetError, TargetLost
 from lycheepost.targets.events import EventSplitter
-from lycheepost.targets.forward import BodyEnd, ForwardResponse
-from lycheepost.targets.forwardcall import BodyFraming, ResponseHead
+from lycheepost.targets.forward import ForwardResponse
+from lycheepost.targets.forwardcall import ResponseHead
+from lycheepost.utils.bodies import BodyEnd, BodyFraming
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest response that is buffered, so that a faulty target cannot fill the memory; a
@@ -308,6 +310,7 @@
                     return RelayEnd.OUT_OF_ORDER
                 await self._send_events(answer.head, events)
                 data = await self._read_next(answer, timeouts)
+            self._check_end(answer)
             await self._send_events(answer.head, self._splitter.flush())
             await self._finish_stream(answer.head)
         except TimeoutError:
@@ -319,6 +322,18 @@
             return RelayEnd.CALLER_LEFT
         return RelayEnd.SERVED
 
+    def _check_end(self, answer: ForwardResponse) -> None:
+        """Raise an error if a stream that has ended is not complete."""
+        end = StreamEnd(
+            is_marked=answer.body_end is BodyEnd.MARKED,
+            is_inside_event=self._splitter.is_inside_event,
+            has_events=self._splitter.has_events,
+            is_continuation=self.after_event is not None,
+        )
+        defect = find_defect(end)
+        if defect is not None:
+            raise TargetLost(defect.value)
+
     async def _read_first(
         self, answer: ForwardResponse, timeouts: StreamTimeouts
     ) -> bytes | None:
--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -14,8 +14,8 @@
     ForwardCall,
     ReportedLoad,
     ResponseHead,
-    body_framing,
 )
+from lycheepost.utils.bodies import body_framing
 
 MISDIRECTED_STATUS = 421
 """The address belongs to another server, or the weights differ from those expected."""
--- a/lycheepost/platform/peerdialect.py
+++ b/lycheepost/platform/peerdialect.py
@@ -17,8 +17,8 @@
 from lycheepost.targets.forwardcall import (
     ForwardCall,
     ResponseHead,
-    body_framing,
 )
+from lycheepost.utils.bodies import body_framing
 
 _FIRST_SERVER_ERROR_STATUS = 500
 _UNAVAILABLE_STATUS = 503
--- a/lycheepost/platform/sessions.py
+++ b/lycheepost/platform/sessions.py
@@ -3,6 +3,7 @@
 import aiohttp
 
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.bodies import TrackedResponse
 
 
 def make_call_session(
@@ -27,4 +28,5 @@
             total=call_timeout_seconds, sock_connect=connect_timeout_seconds
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
+        response_class=TrackedResponse,
     )
--- a/lycheepost/targets/events.py
+++ b/lycheepost/targets/events.py
@@ -31,6 +31,7 @@
         first_id: Id of the first complete event since the last ``restart``.
         n_events: Number of complete events with an id.
         n_partial_bytes: Size of the partial event at the end of the last data.
+        has_events: Whether complete events arrived since the last ``restart``.
     """
 
     def __init__(self) -> None:
@@ -38,8 +39,19 @@
         self.first_id: int | None = None
         self.n_events = 0
         self.n_partial_bytes = 0
+        self.has_events = False
         self._partial_event = b""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the received data ends inside an event.
+
+        Blank lines and comments between events belong to none.
+        """
+        *lines, open_line = self._partial_event.replace(b"\r\n", b"\n").split(b"\n")
+        is_field = any(line and not line.startswith(b":") for line in lines)
+        return is_field or bool(open_line.strip(b"\r"))
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the complete events.
 
@@ -50,6 +62,7 @@
         end = max(_end_after_last(pending, mark) for mark in _EVENT_ENDS)
         complete, self._partial_event = pending[:end], pending[end:]
         self.n_partial_bytes = len(self._partial_event)
+        self.has_events |= bool(complete)
         if self.n_partial_bytes > MAX_EVENT_BYTES:
             raise TargetLost("an event of the stream does not end")
         ids = _ID_LINE.findall(complete)
@@ -60,7 +73,7 @@
         return complete
 
     def flush(self) -> bytes:
-        """Return the remaining bytes, after a regular end of the stream."""
+        """Return the bytes after the last event of a complete stream."""
         rest, self._partial_event = self._partial_event, b""
         return rest
 
@@ -68,4 +81,5 @@
         """Drop the partial event; another target continues after ``last_id``."""
         self._partial_event = b""
         self.n_partial_bytes = 0
+        self.has_events = False
         self.first_id = None
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -4,12 +4,10 @@
 response to the right request, with no further bytes after it.
 """
 
-import asyncio
 import math
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from enum import Enum
 from typing import Any
 
 import aiohttp
@@ -19,14 +17,10 @@
 from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
-from lycheepost.targets.forwardcall import (
-    BodyFraming,
-    Dialect,
-    ForwardCall,
-    ResponseHead,
-)
+from lycheepost.targets.forwardcall import Dialect, ForwardCall, ResponseHead
 from lycheepost.targets.network import TargetNetwork
 from lycheepost.targets.pools import TargetPools
+from lycheepost.utils.bodies import BodyEnd, TrackedResponse
 
 MAX_HEARD_TARGETS = 20_000
 """Targets that are remembered, the same number as in ``state.targetstarts``."""
@@ -39,21 +33,6 @@
     """A response that had begun was truncated."""
 
 
-class BodyEnd(Enum):
-    """How the body of a response ended."""
-
-    OPEN = "open"
-    """It has not ended, or was given up."""
-    COMPLETE = "complete"
-    """Its length or last chunk marked the end."""
-    CLOSED = "closed"
-    """The connection that marks its end was closed."""
-    LOST = "lost"
-    """The connection that marks its end ended, and nothing shows how."""
-    BROKEN = "broken"
-    """The connection was reset, or closed before the marked end."""
-
-
 class ForwardResponse:
     """A response whose headers have arrived.
 
@@ -70,18 +49,13 @@
     def __init__(
         self,
         head: ResponseHead,
-        response: aiohttp.ClientResponse,
+        response: TrackedResponse,
         on_data: Callable[[], None],
     ) -> None:
         self.head = head
         self.body_end = BodyEnd.OPEN
         self._on_data = on_data
         self._response = response
-        self._is_complete = False
-        connection = response.connection
-        protocol = None if connection is None else connection.protocol
-        # Read now, because a lost connection no longer says how it ended.
-        self._closed = None if protocol is None else protocol.closed
 
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, or None after a complete body.
@@ -94,29 +68,13 @@
             if data:
                 self._on_data()
                 return data
-            self.body_end = await self._check_end()
+            self.body_end = await self._response.wait_body_end()
         except (aiohttp.ClientError, OSError) as error:
             self.body_end = BodyEnd.BROKEN
             self.close()
             raise ResponseTruncated("the answer broke off") from error
-        self._is_complete = True
         return None
 
-    async def _check_end(self) -> BodyEnd:
-        """Return how the body ended; raise an error if it was truncated.
-
-        Such a body ends with its connection. If the connection was reset instead of
-        closed, aiohttp reports the same end; only the state of the connection shows
-        that the rest is missing.
-        """
-        if self.head.framing is not BodyFraming.CONNECTION:
-            return BodyEnd.COMPLETE
-        if self._closed is None:
-            return BodyEnd.LOST
-        # A cancelled read must not cancel the future, which later reads need.
-        await asyncio.shield(self._closed)
-        return BodyEnd.CLOSED
-
     async def read_body(self, max_bytes: int) -> bytes:
         """Return the complete body.
 
@@ -138,7 +96,7 @@
 
         The target then stops working on the request.
         """
-        if not self._is_complete:
+        if self.body_end not in (BodyEnd.MARKED, BodyEnd.CLOSED):
             self._response.close()
 
 
@@ -238,11 +196,11 @@
         heard_seconds = self._heard_seconds.get(target_group, -math.inf)
         return time.monotonic() - heard_seconds
 
-    async def _open(self, call: ForwardCall) -> aiohttp.ClientResponse:
+    async def _open(self, call: ForwardCall) -> TrackedResponse:
         session = self._pools.choose(
             call.target, call.may_reuse_connection, time.monotonic()
         )
-        return await session.request(
+        response = await session.request(
             call.method,
             yarl.URL(f"http://{call.address}{call.raw_path}", encoded=True),
             headers=self._dialect.encode(call),
@@ -250,3 +208,5 @@
             skip_auto_headers=_NO_AUTO_HEADERS,
             allow_redirects=False,
         )
+        assert isinstance(response, TrackedResponse)
+        return response
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -4,10 +4,7 @@
 only transfers them.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum
-from http import HTTPStatus
 from typing import Protocol
 
 from lycheepost.core.ids import (
@@ -19,6 +16,7 @@
     WeightsVersion,
 )
 from lycheepost.core.notices import NO_NOTICE, TargetNotice
+from lycheepost.utils.bodies import BodyFraming
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,38 +105,6 @@
     duration_percent: int | None = None
 
 
-class BodyFraming(Enum):
-    """What marks the end of a response's body."""
-
-    NONE = "none"
-    """There is no body."""
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CONNECTION = "connection"
-    """The body ends with its connection."""
-
-
-_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-
-
-def body_framing(method: str, status: int, headers: Mapping[str, str]) -> BodyFraming:
-    """Return what marks the end of a response's body, as HTTP/1.1 defines.
-
-    Args:
-        method: The method of the request.
-        status: The status of the response.
-        headers: Its headers; names are matched without regard to case.
-    """
-    if method == "HEAD" or status in _BODILESS_STATUSES:
-        return BodyFraming.NONE
-    if "Transfer-Encoding" in headers:
-        is_chunked = headers["Transfer-Encoding"].lower().endswith("chunked")
-        return BodyFraming.CHUNKS if is_chunked else BodyFraming.CONNECTION
-    if "Content-Length" in headers:
-        return BodyFraming.LENGTH
-    return BodyFraming.CONNECTION
-
-
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a target's response.
--- a/lycheepost/targets/session.py
+++ b/lycheepost/targets/session.py
@@ -4,6 +4,7 @@
 
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.bodies import TrackedResponse
 
 
 async def _prevent_resend(
@@ -44,6 +45,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(_prevent_resend,),
+        response_class=TrackedResponse,
     )
 
 
@@ -93,7 +95,7 @@
     """Return a complete body.
 
     Raises:
-        aiohttp.ClientPayloadError: It is larger than ``max_bytes``.
+        aiohttp.ClientError: It broke off, or is larger than ``max_bytes``.
     """
     parts = []
     n_bytes = 0
@@ -102,4 +104,6 @@
         if n_bytes > max_bytes:
             raise aiohttp.ClientPayloadError("the answer is too large")
         parts.append(part)
+    if isinstance(response, TrackedResponse):
+        await response.wait_body_end()
     return b"".join(parts)
