Recognize broken bodies of plain services, reports, tables and own audits

Answers of plain services without length or chunks whose connection was reset passed as complete to callers of the own interface; so did reports, orders, cache events and rows, which are JSON and so unharmed. The load generator took the last marker for complete without its blank line, so its audit could not find a stream that ends there: the new row of load/audit fails without the change.

--- a/features/load/audit.feature
+++ b/features/load/audit.feature
@@ -21,6 +21,7 @@
       | another's request id  | crossed          |
       | stop with a reason    | looks_finished   |
       | end without a marker  | looks_finished   |
+      | end inside the marker | looks_finished   |
 
     Examples: calls and refusals
       | spoil                 | fault            |
--- a/features/load/steps/spoiled.py
+++ b/features/load/steps/spoiled.py
@@ -87,7 +87,8 @@
         if spoil != "end without a marker":
             last = {"choices": [{"delta": {}, "finish_reason": "stop"}]}
             await response.write(f"data: {json.dumps(last)}\n\n".encode())
-            await response.write(b"data: [DONE]\n\n")
+            is_inside = spoil == "end inside the marker"
+            await response.write(b"data: [DONE]" + (b"" if is_inside else b"\n\n"))
         return response
 
     async def order(self, request):
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -25,6 +25,7 @@
 from lycheepost.platform.models.serverstate import ServerRun
 from lycheepost.platform.models.storestandin import StoreStandin
 from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
+from lycheepost.utils.bodies import TrackedResponse
 
 HOST = "127.0.0.1"
 MODEL = "m0"
@@ -186,7 +187,9 @@
             n_slots: Slots of each server.
             zones: Availability zones that the daemons are in by turns.
         """
-        self._session = aiohttp.ClientSession(auto_decompress=False)
+        self._session = aiohttp.ClientSession(
+            auto_decompress=False, response_class=TrackedResponse
+        )
         await self.store.start()
         for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
             for _ in range(n):
@@ -349,6 +352,8 @@
         try:
             async for part in response.content.iter_any():
                 answer.body += part
+            assert isinstance(response, TrackedResponse)
+            await response.wait_body_end()
         except aiohttp.ClientError:
             answer.is_whole = False
         response.close()
--- a/lycheepost/loadgen/completions.py
+++ b/lycheepost/loadgen/completions.py
@@ -162,11 +162,18 @@
 
 
 async def _events(response: aiohttp.ClientResponse) -> AsyncIterator[str]:
-    """Yield the data of each server-sent event."""
+    """Yield the data of each complete server-sent event.
+
+    An event ends with a blank line; what is left at the end of the body is none.
+    """
+    data: bytes | None = None
     async for raw in response.content:
-        event_line = raw.strip()
-        if event_line.startswith(_DATA_PREFIX):
-            yield event_line[len(_DATA_PREFIX) :].strip().decode()
+        line = raw.strip()
+        if line.startswith(_DATA_PREFIX):
+            data = line[len(_DATA_PREFIX) :].strip()
+        elif not line and data is not None:
+            yield data.decode()
+            data = None
 
 
 async def _read_stream(
--- a/lycheepost/loadgen/drive.py
+++ b/lycheepost/loadgen/drive.py
@@ -30,6 +30,7 @@
 )
 from lycheepost.loadgen.report import LoadReport, make_report
 from lycheepost.loadgen.requests import Completion, Request, ServiceCall
+from lycheepost.utils.bodies import TrackedResponse
 
 _PROGRESS_INTERVAL_SECONDS = 1.0
 _CONNECT_TIMEOUT_SECONDS = 2.0
@@ -112,7 +113,9 @@
     rng = np.random.default_rng(plan.seed)
     connector = aiohttp.TCPConnector(limit=0)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_SECONDS)
-    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout, response_class=TrackedResponse
+    ) as session:
         run = _Run(
             plan=plan,
             mix=make_mix(plan.deployment),
--- a/lycheepost/ports/http_calls.py
+++ b/lycheepost/ports/http_calls.py
@@ -10,6 +10,8 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
+from lycheepost.utils.bodies import TrackedResponse
+
 _IDLE_CONNECTION_SECONDS = 15.0
 """A device on the path may have dropped a pooled connection that is idle for longer."""
 _MAX_CONNECTIONS = 32
@@ -85,5 +87,7 @@
             connector = aiohttp.TCPConnector(
                 limit=_MAX_CONNECTIONS, keepalive_timeout=_IDLE_CONNECTION_SECONDS
             )
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = aiohttp.ClientSession(
+                connector=connector, response_class=TrackedResponse
+            )
         return self._session
--- a/lycheepost/targets/engine.py
+++ b/lycheepost/targets/engine.py
@@ -23,7 +23,7 @@
     TargetRefused,
     TargetUnreachable,
 )
-from lycheepost.targets.session import make_session
+from lycheepost.targets.session import make_session, read_bounded
 from lycheepost.targets.stream import EngineStream
 from lycheepost.utils.tasks import start_task
 
@@ -209,7 +209,7 @@
     ) -> TargetError:
         try:
             async with asyncio.timeout(self.settings.silence_seconds):
-                body = await response.content.read(_MAX_REJECTION_BYTES)
+                body = await read_bounded(response, _MAX_REJECTION_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError):
             body = b""
         response.release()
