Take a response, not an accepted connection, for a path to targets

Cause: the probe of own paths took a connection that opened for a reached target, and only connections that did not open led to a probe. A response that breaks off before its headers, and silence on a new connection for about what a plain response takes, lead to a probe as well.

--- a/features/decide/ownpaths.feature
+++ b/features/decide/ownpaths.feature
@@ -52,8 +52,8 @@
     When a probe of 4 targets reaches 0
     Then the next probe may begin after 0.5 s
 
-  Scenario: A connection that opens clears the evidence
+  Scenario: A response over a new connection clears the evidence
     Guards against adding up failures of targets over minutes.
     Given a daemon with paths
-    When connections to 3 targets fail and one opens
+    When connections to 3 targets fail and one gets a response
     Then no target counts as failed
--- a/features/decide/silence.feature
+++ b/features/decide/silence.feature
@@ -18,6 +18,21 @@
       | stream     | 0    | 15    | forever |
       | idempotent | 0    | 1.5   | forever |
 
+  Scenario Outline: A <kind> request with <left> s left checks the paths after <seconds> s
+    Guards against orders lost until their deadlines on new connections that lead nowhere.
+    Given a <kind> route with at most 2 runs, 0.5 s to its first part and between two
+    And its objective is <objective> s
+    When a request of it waits on a new connection with <left> s left
+    Then the paths are checked after <seconds> s
+
+    Examples:
+      | kind           | objective | left | seconds |
+      | non_idempotent | 0.125     | 0.6  | 0.27    |
+      | non_idempotent | 0.125     | 3.0  | 0.375   |
+      | non_idempotent | 0.04      | 3.0  | 0.2     |
+      | non_idempotent | 0.4       | 9.0  | 0.7     |
+      | stream         | 0.1       | 9.0  | 0.7     |
+
   Scenario Outline: A silent target is <outcome> when <state>
     Guards against a request that leaves a busy, pausing target when there is no other
     target or no retry left, and so loses an answer that was in progress.
--- a/features/decide/steps/ownpaths_steps.py
+++ b/features/decide/steps/ownpaths_steps.py
@@ -29,11 +29,11 @@
     probe(context.paths, n_probed, n_reached)
 
 
-@when("connections to {n:d} targets fail and one opens")
+@when("connections to {n:d} targets fail and one gets a response")
 def step_clear(context, n):
     for number in range(n):
         context.paths.note_failed(TargetId(f"t{number}"))
-    context.paths.note_connected()
+    context.paths.note_answered()
 
 
 @then("its paths are lost")
--- a/features/decide/steps/silence_steps.py
+++ b/features/decide/steps/silence_steps.py
@@ -14,7 +14,11 @@
 from lycheepost.decide.peerloads import DaemonLoad
 from lycheepost.decide.records import FinishKind
 from lycheepost.decide.retry import RetryTerms
-from lycheepost.decide.silence import first_byte_timeout_seconds, idle_timeout_seconds
+from lycheepost.decide.silence import (
+    first_byte_timeout_seconds,
+    idle_timeout_seconds,
+    new_connection_check_seconds,
+)
 
 FOREVER = "forever"
 PAUSE_SECONDS = 0.05
@@ -42,6 +46,21 @@
     context.route = make_stream_route(kind)
 
 
+@given("its objective is {seconds:g} s")
+def step_objective(context, seconds):
+    context.route = replace(context.route, objective_seconds=seconds)
+
+
+@when("a request of it waits on a new connection with {left:g} s left")
+def step_new_connection(context, left):
+    context.check = new_connection_check_seconds(context.route, left)
+
+
+@then("the paths are checked after {seconds:g} s")
+def step_checked(context, seconds):
+    assert abs(context.check - seconds) < 1e-9, context.check
+
+
 @when("a request of it has {left:g} s left and {runs:d} runs")
 def step_request(context, left, runs):
     attempts = Sends(runs, runs)
--- a/features/platform/ownpaths.feature
+++ b/features/platform/ownpaths.feature
@@ -10,10 +10,13 @@
     And nothing that may run once ran twice
 
     Examples:
-      | cut        |
-      | hang       |
-      | reset      |
-      | refuse_new |
+      | cut               |
+      | hang              |
+      | reset             |
+      | refuse_new        |
+      | accept_silent     |
+      | accept_reset      |
+      | accept_new_silent |
 
   Scenario Outline: Callers of <n_cut> of <n> daemons, a whole zone, are served: <cut>
     Guards against relaying to peers of the own zone, which have lost their paths too.
@@ -30,13 +33,19 @@
       | 4 | 2     | reset      |
       | 5 | 3     | refuse_new |
       | 3 | 2     | hang       |
+      | 4 | 2     | accept_silent |
 
-  Scenario: Orders at a daemon whose new connections are refused are served
+  Scenario Outline: Orders at a daemon whose new connections <cut> are served
     Guards against a daemon that takes connections that were open for a path.
     Given a deployment with 3 daemons
-    When clients ask all daemons, 30 a second for 8 s, and after 1 s the connections of the first daemon to all servers refuse_new
+    When clients ask all daemons, 30 a second for 8 s, and after 1 s the connections of the first daemon to all servers <cut>
     Then from 3 s after that its orders are served at least two thirds as often as elsewhere
 
+    Examples:
+      | cut               |
+      | refuse_new        |
+      | accept_new_silent |
+
   Scenario: A daemon whose paths are back serves by itself again
     Guards against a daemon that is left out for good after a cut.
     Given a deployment with 3 daemons
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import structlog
 
@@ -16,12 +17,11 @@
     OwnPaths,
 )
 from lycheepost.decide.silence import QUIET_SECONDS
-from lycheepost.targets.network import TargetNetwork
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
 PROBE_TIMEOUT_SECONDS = 0.25
-"""Connecting normally takes a few milliseconds. With a longer time-out the requests
+"""A response normally takes a few milliseconds. With a longer time-out the requests
 that wait for the verdict could no longer be served in time through a peer."""
 
 _log = structlog.get_logger(part="paths")
@@ -29,10 +29,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeTarget:
-    """A target that a probe may connect to."""
+    """A target that may be probed.
+
+    Attributes:
+        health_path: Path of its health check.
+    """
 
     target: TargetId
     address: str
+    health_path: str
+
+
+class Prober(Protocol):
+    """Asks a target for any response over a new connection."""
+
+    async def is_answered(self, address: str, path: str) -> bool:
+        """Return whether a target responds within ``PROBE_TIMEOUT_SECONDS``."""
+        ...
 
 
 OnPathChange = Callable[[TargetGroupId, bool], None]
@@ -42,7 +55,7 @@
     """Probes targets once connections to them fail, and keeps the verdict by group.
 
     Args:
-        network: Opens the connections.
+        prober: Sends the probes.
         clock: The clock of the daemon.
         metrics: Receives the gauge.
         rng: Draws the probed targets.
@@ -52,14 +65,14 @@
 
     def __init__(
         self,
-        network: TargetNetwork,
+        prober: Prober,
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
         get_targets: Callable[[TargetGroupId], list[ProbeTarget]],
         get_quiet_seconds: Callable[[TargetGroupId], float],
     ) -> None:
-        self._network = network
+        self._prober = prober
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -110,13 +123,16 @@
         """Return the groups of which this daemon reaches no target."""
         return frozenset(name for name, item in self._paths.items() if item.are_lost)
 
-    def note_connected(self, target_group: TargetGroupId) -> None:
-        """Record that a new connection to a target has opened."""
+    def note_answered(self, target_group: TargetGroupId) -> None:
+        """Record that a target has responded over a new connection."""
         if target_group in self._paths:
-            self._paths[target_group].note_connected()
+            self._paths[target_group].note_answered()
 
     def note_failed(self, target_group: TargetGroupId, target: TargetId) -> None:
-        """Record that a new connection to a target failed; a probe follows."""
+        """Record that a new connection to a target failed, or got no response.
+
+        A probe follows.
+        """
         self._of(target_group).note_failed(target)
         self._probe_if_due(target_group)
 
@@ -179,7 +195,7 @@
         probed = self._rng.sample(targets, min(PROBED_TARGETS, len(targets)))
         results = await asyncio.gather(
             *(
-                self._network.can_connect(item.address, PROBE_TIMEOUT_SECONDS)
+                self._prober.is_answered(item.address, item.health_path)
                 for item in probed
             )
         )
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -14,7 +14,7 @@
 from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.notices import NoticeExchange
-from lycheepost.app.paths import PathWatch, ProbeTarget
+from lycheepost.app.paths import PROBE_TIMEOUT_SECONDS, PathWatch, ProbeTarget
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
@@ -40,6 +40,7 @@
 from lycheepost.platform.dialect import ServerDialect
 from lycheepost.platform.ingress import ClientIngress
 from lycheepost.platform.orders import ServerOrders
+from lycheepost.platform.pathprobe import PathProber
 from lycheepost.platform.peerdialect import PeerDialect
 from lycheepost.platform.settings import Bounds
 from lycheepost.state.initial_reads import InitialReads
@@ -100,6 +101,7 @@
     notices: NoticeExchange
     quotas: QuotaExchange
     quota_recorder: QuotaRecorder
+    path_prober: PathProber
     paths: PathWatch
     peer_client: ForwardClient
 
@@ -109,6 +111,7 @@
             self.client,
             self.peer_client,
             self.orders,
+            self.path_prober,
             self.paths,
             self.cache_events,
             self.dispatcher,
@@ -202,12 +205,13 @@
     streams = StreamSettings(connect_seconds=CONNECT_TIMEOUT_SECONDS)
     client = ForwardClient(streams, ServerDialect(), network)
     peer_client = ForwardClient(streams, PeerDialect())
+    path_prober = PathProber(network, PROBE_TIMEOUT_SECONDS)
     paths = PathWatch(
-        network,
+        path_prober,
         clock,
         metrics,
         base.rng,
-        lambda group: _probe_targets(targets, group),
+        lambda group: _probe_targets(targets, routing, group),
         client.quiet_seconds,
     )
     paths.on_change(
@@ -270,6 +274,7 @@
         notices=notices,
         quotas=quotas,
         quota_recorder=quota_recorder,
+        path_prober=path_prober,
         paths=paths,
         peer_client=peer_client,
     )
@@ -313,10 +318,14 @@
 
 
 def _probe_targets(
-    targets: TargetList, target_group: TargetGroupId
+    targets: TargetList, routing: RoutingManager, target_group: TargetGroupId
 ) -> list[ProbeTarget]:
+    table = routing.table
+    group = None if table is None else table.groups.get(target_group)
+    if group is None:
+        return []
     return [
-        ProbeTarget(item.target, item.address)
+        ProbeTarget(item.target, item.address, group.health_path)
         for item in targets.listed(target_group)
         if not item.is_leaving
     ]
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -166,12 +166,12 @@
 class OwnPathsPort(Protocol):
     """Whether this daemon itself reaches the targets of a group."""
 
-    def note_connected(self, target_group: TargetGroupId) -> None:
-        """Record that a new connection to a target has opened."""
+    def note_answered(self, target_group: TargetGroupId) -> None:
+        """Record that a target has responded over a new connection."""
         ...
 
     def note_failed(self, target_group: TargetGroupId, target: TargetId) -> None:
-        """Record that a new connection to a target has failed."""
+        """Record that a connection to a target failed or got no response."""
         ...
 
     def are_lost(self, target_group: TargetGroupId) -> bool:
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -51,14 +51,17 @@
 from lycheepost.decide.records import Dispatch, FinishKind, RefusalReason, Refuse
 from lycheepost.decide.routes import RouteMatch
 from lycheepost.decide.silence import (
+    QUIET_SECONDS,
     first_byte_timeout_seconds,
     header_waits_seconds,
     idle_timeout_seconds,
     is_sound_silence,
+    new_connection_check_seconds,
 )
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardResponse
+from lycheepost.targets.forwardcall import ForwardCall
 
 EARLY_SECONDS = 0.005
 """Timers may fire by this much before the time that they were set for."""
@@ -197,9 +200,9 @@
                     end = await self._try_target(outcome)
             if end is None:
                 return
-            await self._deps.paths.settle(self._target_group)
             if not await self._should_continue(end):
                 return
+            await self._deps.paths.settle(self._target_group)
             is_free = end is AttemptEnd.NOT_SENT or self._has_reserved_retry
             self._has_reserved_retry = False
             if self._deps.paths.are_lost(self._target_group):
@@ -350,8 +353,8 @@
             send = self._deps.client.send(call)
             sent = await await_headers(
                 send,
-                header_waits_seconds(wait_seconds),
-                lambda: self._may_abandon_at(sent_seconds + wait_seconds),
+                header_waits_seconds(wait_seconds, self._check_seconds(call)),
+                lambda: self._may_abandon_at(call, sent_seconds + wait_seconds),
             )
         except TimeoutError:
             silent_seconds = self._deps.clock.now_seconds() - sent_seconds
@@ -366,25 +369,37 @@
                 self._deps.targets.note_end(target, Ending.UNREACHABLE)
                 return AttemptEnd.NOT_SENT, reason
             case Failure(TargetError(reason=reason)):
+                self._deps.paths.note_failed(self._target_group, target)
                 self._deps.targets.note_end(target, Ending.BAD)
                 return AttemptEnd.LOST, reason
             case Success(answer):
                 if not call.may_reuse_connection:
-                    self._deps.paths.note_connected(self._target_group)
+                    self._deps.paths.note_answered(self._target_group)
                 return await self._handle_answer(
                     listed, answer, wait_seconds, sent_seconds
                 )
         raise AssertionError("a result is a success or a failure")
 
-    def _may_abandon_at(self, timeout_seconds: float) -> bool:
+    def _check_seconds(self, call: ForwardCall) -> float:
+        """Return how long to wait for a response between checks of the paths."""
+        if call.may_reuse_connection:
+            return QUIET_SECONDS
+        return new_connection_check_seconds(
+            self._route_match.route, call.remaining_seconds
+        )
+
+    def _may_abandon_at(self, call: ForwardCall, timeout_seconds: float) -> bool:
         """Return whether to abandon a target without response.
 
         Before its timeout this is only done if this daemon hears from no target.
 
         Args:
+            call: The call that waits.
             timeout_seconds: When its timeout ends.
         """
         paths, target_group = self._deps.paths, self._target_group
+        if not call.may_reuse_connection:
+            paths.note_failed(target_group, call.target)
         paths.note_quiet(target_group)
         is_cut = paths.are_lost(target_group) and paths.is_quiet(target_group)
         is_early = self._deps.clock.now_seconds() < timeout_seconds - EARLY_SECONDS
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -7,7 +7,8 @@
 groups may lie behind different links. A group that no daemon reaches looks the same to
 each of them; what the peers reach tells the difference.
 
-Only new connections count. Open ones may live on while new ones are refused.
+Only responses over new connections count. Open connections may live on while new ones
+lead nowhere, and a device in between may accept connections that never reach a target.
 """
 
 from collections.abc import Collection
@@ -78,7 +79,8 @@
     Attributes:
         state: The verdict of the last probe.
         since_seconds: When the state was entered.
-        failed: Targets at which a new connection failed, since one last opened.
+        failed: Targets at which a new connection failed or got no response, since one
+            last responded.
     """
 
     state: PathState = PathState.REACHES_TARGETS
@@ -91,12 +93,12 @@
         """Return whether no target is reached."""
         return self.state is PathState.REACHES_NONE
 
-    def note_connected(self) -> None:
-        """Record that a new connection to a target has opened."""
+    def note_answered(self) -> None:
+        """Record that a target has responded over a new connection."""
         self.failed.clear()
 
     def note_failed(self, target: TargetId) -> None:
-        """Record that a new connection to a target has failed."""
+        """Record that a new connection to a target failed or got no response."""
         self.failed.add(target)
 
     def probe_wait_seconds(self, now_seconds: float) -> float:
@@ -117,7 +119,7 @@
 
         Args:
             n_probed: Targets that were probed at the same time.
-            reached: Those that accepted a connection.
+            reached: Those that responded.
             now_seconds: The current time.
             is_late: Whether the probe lasted longer than its time-out allows.
         """
--- a/lycheepost/decide/silence.py
+++ b/lycheepost/decide/silence.py
@@ -94,15 +94,40 @@
     return is_brief and heard_ago_seconds >= silent_seconds - TIMER_SLACK_SECONDS
 
 
-def header_waits_seconds(timeout_seconds: float) -> Iterator[float]:
+def new_connection_check_seconds(route: Route, remaining_seconds: float) -> float:
+    """Return after which silence on a new connection this daemon checks its paths.
+
+    Open connections may work while new ones lead nowhere, so it does not matter whether
+    this daemon hears from a target elsewhere. The request itself may not be repeated;
+    the check is for those after it.
+
+    Args:
+        route: The route of the request that waits.
+        remaining_seconds: Until its deadline.
+    """
+    if route.kind is RouteKind.STREAM:
+        return QUIET_SECONDS
+    usual_seconds = max(
+        MIN_PLAIN_TIMEOUT_SECONDS, PLAIN_TIMEOUT_OBJECTIVES * route.objective_seconds
+    )
+    return min(QUIET_SECONDS, usual_seconds, FIRST_ATTEMPT_SHARE * remaining_seconds)
+
+
+def header_waits_seconds(
+    timeout_seconds: float, check_seconds: float
+) -> Iterator[float]:
     """Yield the waits for a response: slices up to the timeout, then whole timeouts.
 
     After each slice this daemon checks whether it still hears from any target.
+
+    Args:
+        timeout_seconds: Timeout of the response.
+        check_seconds: Length of a slice.
     """
     left_seconds = timeout_seconds
-    while left_seconds > QUIET_SECONDS:
-        yield QUIET_SECONDS
-        left_seconds -= QUIET_SECONDS
+    while left_seconds > check_seconds:
+        yield check_seconds
+        left_seconds -= check_seconds
     yield left_seconds
     while True:
         yield timeout_seconds
--- a/lycheepost/platform/models/pathcuts.py
+++ b/lycheepost/platform/models/pathcuts.py
@@ -9,6 +9,8 @@
 
 from lycheepost.targets.network import TargetNetwork
 
+_CHUNK_BYTES = 65536
+
 
 class PathCut(Enum):
     """What happens to the connections of a daemon without paths to targets."""
@@ -19,6 +21,19 @@
     """Open ones are reset and new ones refused."""
     REFUSE_NEW = "refuse_new"
     """New ones are refused; open ones work."""
+    ACCEPT_SILENT = "accept_silent"
+    """New ones open and get no response; nothing arrives on open ones."""
+    ACCEPT_RESET = "accept_reset"
+    """New ones open and are reset at the first request; open ones are reset."""
+    ACCEPT_NEW_SILENT = "accept_new_silent"
+    """New ones open and get no response; open ones work."""
+
+
+_ACCEPTING = (
+    PathCut.ACCEPT_SILENT,
+    PathCut.ACCEPT_RESET,
+    PathCut.ACCEPT_NEW_SILENT,
+)
 
 
 class CuttableNetwork(TargetNetwork):
@@ -26,13 +41,14 @@
 
     Attributes:
         path_cut: The cut in force; None while the paths work.
-        n_refused: New connections that a cut prevented.
+        n_refused: New connections that a cut prevented or led nowhere.
     """
 
     def __init__(self) -> None:
         self.path_cut: PathCut | None = None
         self.n_refused = 0
         self._connectors: list[_CuttableConnector] = []
+        self._middlebox: asyncio.Server | None = None
 
     def make_connector(
         self, keepalive_seconds: float | None = None
@@ -42,23 +58,34 @@
         self._connectors.append(connector)
         return connector
 
-    async def can_connect(self, address: str, timeout_seconds: float) -> bool:
-        """Return whether a new connection opens in time."""
-        if self.path_cut is None:
-            return await super().can_connect(address, timeout_seconds)
-        self.n_refused += 1
-        if self.path_cut is PathCut.HANG:
-            await asyncio.sleep(timeout_seconds)
-        return False
+    async def middlebox_port(self) -> int:
+        """Return the port of a server that accepts connections in targets' place."""
+        if self._middlebox is None:
+            self._middlebox = await asyncio.start_server(
+                self._swallow, "127.0.0.1", 0, start_serving=True
+            )
+        return int(self._middlebox.sockets[0].getsockname()[1])
+
+    async def _swallow(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        is_reset = self.path_cut is PathCut.ACCEPT_RESET
+        try:
+            while await reader.read(_CHUNK_BYTES):
+                if is_reset:
+                    writer.transport.abort()
+        except ConnectionError:
+            # The daemon has given the connection up.
+            writer.transport.abort()
 
     def cut(self, path_cut: PathCut) -> None:
         """Cut the paths."""
         self.path_cut = path_cut
         for transport in self._transports():
             match path_cut:
-                case PathCut.HANG:
+                case PathCut.HANG | PathCut.ACCEPT_SILENT:
                     transport.pause_reading()
-                case PathCut.RESET:
+                case PathCut.RESET | PathCut.ACCEPT_RESET:
                     transport.abort()
 
     def heal(self) -> None:
@@ -103,6 +130,11 @@
             self.opened.append(protocol)
             return protocol
         self._network.n_refused += 1
+        if path_cut in _ACCEPTING:
+            port = await self._network.middlebox_port()
+            loop = asyncio.get_running_loop()
+            _, found = await loop.create_connection(self._factory, "127.0.0.1", port)
+            return found
         if path_cut is PathCut.HANG:
             await asyncio.sleep(timeout.sock_connect or 0.0)
             raise aiohttp.ConnectionTimeoutError
--- a/lycheepost/targets/network.py
+++ b/lycheepost/targets/network.py
@@ -4,9 +4,6 @@
 daemon's own paths. Stand-ins replace it to cut them.
 """
 
-import asyncio
-import contextlib
-
 import aiohttp
 
 
@@ -25,18 +22,3 @@
         if keepalive_seconds is None:
             return aiohttp.TCPConnector(limit=0, force_close=True)
         return aiohttp.TCPConnector(limit=0, keepalive_timeout=keepalive_seconds)
-
-    async def can_connect(self, address: str, timeout_seconds: float) -> bool:
-        """Return whether a new connection to ``IP:PORT`` opens in time."""
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, ValueError):
-            # The result is logged with the verdict on all probed targets.
-            return False
-        writer.close()
-        with contextlib.suppress(OSError):
-            # The target may have reset the connection; it has accepted it before.
-            await writer.wait_closed()
-        return True
