Soak: broken and unframed responses, accepted paths that lead nowhere, reserved ports

Two soaks started at the same time took the same ports; ports are now held by a bound socket for the whole run.

--- a/features/soak/steps/soak_steps.py
+++ b/features/soak/steps/soak_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 
@@ -9,6 +10,9 @@
 from behave import then, when
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.insert(0, str(ROOT / "tools"))
+
+from soakfleet import ReservedPorts  # noqa: E402
 
 
 @when("the fault soak runs seed {seed:d} with {n:d} daemons for {seconds:d} s")
@@ -40,3 +44,18 @@
             continue
         # The system may have given the id to somebody else's process meanwhile.
         assert str(ROOT) not in psutil.Process(pid).cwd(), (pid, words)
+
+
+@when("two fleets of processes reserve {n:d} ports each")
+def step_reserve(context, n):
+    fleets = [ReservedPorts(), ReservedPorts()]
+    for reserved in fleets:
+        context.add_cleanup(reserved.release)
+    context.ports = [port for reserved in fleets for port in reserved.take(n)]
+
+
+@then("no port is reserved twice, and each can be listened on")
+def step_ports(context):
+    assert len(set(context.ports)) == len(context.ports)
+    for port in context.ports:
+        socket.create_server(("127.0.0.1", port)).close()
--- a/lycheepost/platform/models/pathcuts.py
+++ b/lycheepost/platform/models/pathcuts.py
@@ -7,6 +7,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from lycheepost.standin.resets import reset
 from lycheepost.targets.network import TargetNetwork
 
 _CHUNK_BYTES = 65536
@@ -73,7 +74,7 @@
         try:
             while await reader.read(_CHUNK_BYTES):
                 if is_reset:
-                    writer.transport.abort()
+                    reset(writer.transport)
         except ConnectionError:
             # The daemon has given the connection up.
             writer.transport.abort()
@@ -81,26 +82,28 @@
     def cut(self, path_cut: PathCut) -> None:
         """Cut the paths."""
         self.path_cut = path_cut
-        for transport in self._transports():
+        for protocol in self._open_protocols():
             match path_cut:
                 case PathCut.HANG | PathCut.ACCEPT_SILENT:
-                    transport.pause_reading()
+                    protocol.transport.pause_reading()
                 case PathCut.RESET | PathCut.ACCEPT_RESET:
-                    transport.abort()
+                    # The end that resets a connection itself is told of no error.
+                    transport = protocol.transport
+                    protocol.connection_lost(ConnectionResetError("cut"))
+                    reset(transport)
 
     def heal(self) -> None:
         """Restore the paths; what was held up arrives."""
         self.path_cut = None
-        for transport in self._transports():
-            transport.resume_reading()
+        for protocol in self._open_protocols():
+            protocol.transport.resume_reading()
 
-    def _transports(self) -> list[Any]:
+    def _open_protocols(self) -> list[Any]:
         found = [item for one in self._connectors for item in one.opened]
-        transports = [protocol.transport for protocol in found]
         return [
-            transport
-            for transport in transports
-            if transport is not None and not transport.is_closing()
+            protocol
+            for protocol in found
+            if protocol.transport is not None and not protocol.transport.is_closing()
         ]
 
 
--- a/lycheepost/standin/rawbodies.py
+++ b/lycheepost/standin/rawbodies.py
@@ -5,8 +5,6 @@
 even send the last chunk, in the middle of a body.
 """
 
-import socket
-import struct
 from collections.abc import Awaitable, Callable, Mapping
 from enum import Enum
 from http import HTTPStatus
@@ -14,8 +12,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Middleware
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER`` with which a close resets the connection."""
+from lycheepost.standin.resets import reset
 
 
 class Framing(Enum):
@@ -80,9 +77,7 @@
         self._transport.write(self._pending)
         self._pending = b""
         if how is Stop.RESET:
-            connection = self._transport.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-            self._transport.abort()
+            reset(self._transport)
         else:
             self._transport.close()
 
--- a/lycheepost/standin/webserver.py
+++ b/lycheepost/standin/webserver.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from lycheepost.standin.ports import port_of, reserve_port
+from lycheepost.standin.resets import reset
 
 _HANG_SECONDS = 3600.0
 """Longer than any caller waits: the call is never answered."""
@@ -65,9 +66,8 @@
 
     def abort_connection(self, request: web.Request) -> None:
         """Reset the connection of one request."""
-        transport: Any = request.transport
-        if transport is not None:
-            transport.abort()
+        if request.transport is not None:
+            reset(request.transport)
 
     def freeze_connections(self) -> None:
         """Stop reading and writing on the connections that are currently open."""
@@ -90,4 +90,4 @@
 
 def _abort_connections(runner: web.AppRunner) -> None:
     for transport in _transports(runner):
-        transport.abort()
+        reset(transport)
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -7,7 +7,9 @@
 cuts one way or silences. Processes are stopped, paused, killed and started again by
 signals, and the store fails, answers late or loses answers, in series that overlap;
 servers meanwhile say that they leave, name limits, are brittle, pause, or turn requests
-away for a while; daemons are cut off from all servers, one, many or a zone at a time.
+away for a while, break off responses and send them without length or chunks; daemons
+are cut off from all servers, one, many or a zone at a time, also by connections that
+are accepted and lead nowhere.
 Clients keep using their connections until the process behind them is gone. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
 process that was started here is ended here, by its id. Exit code 0 without a violation.
@@ -48,7 +50,9 @@
 )
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import PathCut
+from lycheepost.platform.models.serverfaults import BrokenOff, StopPoint
 from lycheepost.platform.models.serverstandin import PlatformServer
+from lycheepost.standin.rawbodies import Framing, Stop
 
 FAILED_SEEDS: dict[int, str] = {
     15: "the signal that cuts paths ended a daemon that was about to start",
@@ -286,6 +290,45 @@
     run.note_brittle(servers, Span(from_seconds, time.monotonic()), n_falls)
 
 
+def draw_break(rng: random.Random) -> BrokenOff:
+    """Return a response that stops early, in a way that a caller can recognize.
+
+    What ends by a close between two events, or as a plain body without length, looks
+    like a complete response.
+    """
+    framing = rng.choice(list(Framing))
+    how = rng.choice([Stop.RESET, Stop.CLOSE, Stop.LAST_CHUNK])
+    if framing is Framing.CONNECTION and how is Stop.LAST_CHUNK:
+        how = Stop.CLOSE
+    return BrokenOff(
+        framing=framing,
+        how=how,
+        point=rng.choice((StopPoint.IN_EVENT, StopPoint.BEFORE_BLANK_LINE)),
+        after_events=rng.randint(0, 4),
+        is_in_one_packet=rng.random() < 0.5,
+    )
+
+
+async def break_off(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let one engine break off some of its next streams, and a service by resets."""
+    run.rng.choice(run.fleet.group(ENGINES)).faults.add(
+        draw_break(run.rng), run.rng.randint(1, 4)
+    )
+    is_in_one_packet = run.rng.random() < 0.5
+    run.rng.choice(run.fleet.group(PLAIN)).faults.add(
+        BrokenOff(Framing.CONNECTION, Stop.RESET, is_in_one_packet=is_in_one_packet),
+        run.rng.randint(1, 3),
+    )
+
+
+async def leave_out_length(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let one server send all responses without length or chunks for a while."""
+    server = run.rng.choice(run.fleet.servers)
+    server.is_unframed = True
+    await pause(run, 0.5, 5.0)
+    server.is_unframed = False
+
+
 async def limit(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let one server name a limit for a while."""
     server = run.rng.choice(run.fleet.servers)
@@ -315,6 +358,8 @@
     cut_paths,
     pause_server,
     be_brittle,
+    break_off,
+    leave_out_length,
 )
 
 
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -1,7 +1,6 @@
 """Real daemons as processes before stand-ins of the platform, through proxies."""
 
 import asyncio
-import itertools
 import os
 import pathlib
 import signal
@@ -29,35 +28,36 @@
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverstandin import PlatformServer
 from lycheepost.platform.settings import Endpoint, NodeSettings
+from lycheepost.standin.ports import port_of, reserve_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 GRACE_SECONDS = 8.0
-FIRST_PORT, LAST_PORT = 20_000, 32_000
 ZONES = (ZONE, AvailabilityZone("zone-b"))
 """Zones that the daemons are in by turns; the servers are in the first."""
 START_SECONDS = 90.0
 """For all processes to be up the first time, also on a machine that is busy."""
 
-_ports = itertools.cycle(
-    range(FIRST_PORT + os.getpid() % 10_000, LAST_PORT),
-)
-
 
-def free_ports(n: int) -> list[int]:
-    """Return ports that nobody listens on now, each given out once.
+class ReservedPorts:
+    """Ports that no other process is given until they are released.
 
-    They lie below those that the system picks by itself: a proxy that took such a port
-    between this call and the daemon's start would keep the daemon from starting.
+    Two runs that only looked for ports without a listener would take the same ones.
     """
-    found: list[int] = []
-    while len(found) < n:
-        port = next(_ports)
-        try:
-            socket.create_server((HOST, port)).close()
-        except OSError:
-            continue
-        found.append(port)
-    return found
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+
+    def take(self, n: int) -> list[int]:
+        """Return ports that can be listened on."""
+        found = [reserve_port(HOST) for _ in range(n)]
+        self._sockets += found
+        return [port_of(item) for item in found]
+
+    def release(self) -> None:
+        """Let other processes have the ports."""
+        for item in self._sockets:
+            item.close()
+        self._sockets.clear()
 
 
 class ProxiedServer(PlatformServer):
@@ -175,6 +175,7 @@
         super().__init__(BOUNDS)
         self.folder = folder
         self.processes: list[DaemonProcess] = []
+        self.ports = ReservedPorts()
 
     async def begin(
         self, n_daemons: int, n_plain: int, n_engines: int, keys: dict[str, str]
@@ -194,7 +195,7 @@
         store_port = int(self.store.url.rpartition(":")[2])
         store = Proxy((HOST, store_port))
         await store.start()
-        front, ready, directory, metrics, first = free_ports(5)
+        front, ready, directory, metrics, first = self.ports.take(5)
         clients = Proxy((HOST, front))
         await clients.start()
         name = f"front-{len(self.nodes)}"
@@ -248,3 +249,4 @@
             await item.store.stop()
             await item.clients.stop()
         await self.stop()
+        self.ports.release()
--- a/tools/soakproxy.py
+++ b/tools/soakproxy.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from lycheepost.standin.resets import reset
+
 CHUNK_BYTES = 65536
 
 
@@ -66,7 +68,7 @@
         """Reset some of the connections that are open."""
         for writer in list(self._writers):
             if rng is None or rng.random() < share:
-                writer.transport.abort()
+                reset(writer.transport)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -74,7 +76,7 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.far)
         except OSError:
-            writer.transport.abort()
+            reset(writer.transport)
             return
         self._writers |= {writer, far_writer}
         try:
@@ -82,7 +84,9 @@
                 group.create_task(self._pump(reader, far_writer, is_answer=False))
                 group.create_task(self._pump(far_reader, writer, is_answer=True))
         except* (ConnectionError, OSError):
-            pass
+            # What broke on one side must not look like a regular end on the other.
+            reset(writer.transport)
+            reset(far_writer.transport)
         finally:
             self._writers -= {writer, far_writer}
             writer.transport.abort()
