Test broken responses through peers, and requests whose bodies stop early

Both hold on the code as it is: a peer's response is chunked and loses its last chunk with the stream, and a request is forwarded only once its body is complete.

--- a/features/platform/endings.feature
+++ b/features/platform/endings.feature
@@ -70,3 +70,36 @@
     And a client asks 5 times for a look-up
     Then each time it gets the server's complete response with its seal
     And all engines hold version 2 within 9 s
+
+  Scenario Outline: A <what> through a peer that stops <point> by a <stop>: <outcome>
+    Guards against a peer's broken stream that the daemon relaying it completes.
+    Given a deployment with 3 daemons
+    When the first daemon has no path to the servers
+    And the next server's <what> stops <point> by a <stop>, framed by connection, in <packets>
+    And a client asks for a <what>
+    Then the outcome is <outcome>
+    And the first daemon has relayed it
+
+    Examples:
+      | what             | point               | stop  | packets      | outcome |
+      | resumable stream | inside an event     | close | many packets | answer  |
+      | resumable stream | before a blank line | reset | one packet   | answer  |
+      | album stream     | inside an event     | close | many packets | cut     |
+      | album stream     | inside an event     | reset | many packets | cut     |
+      | look-up          | inside an event     | reset | one packet   | answer  |
+      | order            | inside an event     | reset | one packet   | 502     |
+
+  Scenario Outline: A request whose body, framed by <framing>, stops by a <end> reaches no server
+    Guards against half an order that a server takes for a whole one.
+    Given a deployment with 1 daemon
+    When a client sends half an order, framed by <framing>, and then a <end>
+    Then no server has run anything
+
+    Examples:
+      | framing | end        |
+      | length  | close      |
+      | length  | reset      |
+      | length  | half close |
+      | chunks  | close      |
+      | chunks  | reset      |
+      | chunks  | half close |
