Suspect own paths where connections are accepted and get no response

Daemons of the callers' own interface took only refused connections for a sign that their own paths are lost. Where connections are accepted and lead nowhere, each lost response counted as a target's, and two of them quarantine a request. Health calls that were sent and got no response now count; they change no target's state, as a target may only be slow. The new scenarios fail without (no callback; paths not suspected).

--- a/features/state/steps/ownrefusal_steps.py
+++ b/features/state/steps/ownrefusal_steps.py
@@ -35,6 +35,12 @@
         observe(context, number, refused_signal(), 0.1 * number)
 
 
+@when("all of them accept its connections and give no response")
+def step_unanswered(context):
+    for target in context.targets:
+        context.states.note_unanswered(target)
+
+
 @when("{n:d} of them refuse its connections while the others accept some")
 def step_some(context, n):
     for number in range(n):
--- a/features/targets/reports.feature
+++ b/features/targets/reports.feature
@@ -66,3 +66,10 @@
       | 40     | 9         | 0        | 40   | 1.3    | 1.3    |
       | 40     | 200       | 12       | 42   | 3      | 20     |
       | 4      | 12000     | 8        | 5    | 100000 | 100000 |
+
+  Scenario: A health call that is accepted and gets no response is told apart
+    Guards against taking an accepted connection for a reached target.
+    Given an engine's address that accepts connections and resets them
+    When it is observed for a moment
+    Then the health calls without a response are told
+    And no signal of its state is
--- a/features/targets/steps/reports.py
+++ b/features/targets/steps/reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from types import SimpleNamespace
 
 import aiohttp
 from bed import SETTINGS, wait_until
@@ -63,6 +64,35 @@
     start_engine(context, load_lag_seconds=seconds)
 
 
+@given("an engine's address that accepts connections and resets them")
+def given_dead_end(context):
+    async def refuse(reader, writer):
+        await reader.read(1)
+        writer.transport.abort()
+
+    server = context.run(asyncio.start_server(refuse, "127.0.0.1", 0))
+    context.stack.callback(server.close)
+    context.engine = SimpleNamespace(
+        url=f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    )
+
+
+@when("it is observed for a moment")
+def when_observed(context):
+    observe(context)
+    context.run(wait_until(lambda: context.seen["unanswered"]))
+
+
+@then("the health calls without a response are told")
+def then_unanswered(context):
+    assert set(context.seen["unanswered"]) == {"t"}
+
+
+@then("no signal of its state is")
+def then_no_signal(context):
+    assert not context.seen["signals"]
+
+
 def observe(context):
     context.seen = defaultdict(list)
     clock = SystemClock()
@@ -72,6 +102,7 @@
             (clock.now_seconds(), report)
         ),
         on_events=lambda target, boot, events: context.seen[boot].extend(events),
+        on_unanswered=lambda target: context.seen["unanswered"].append(target),
     )
     control = make_control_client(SETTINGS)
     context.observer = make_target_observer(FAST, control, clock, callbacks)
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -132,6 +132,7 @@
             on_signal=lambda target, signal: on_signal(target, signal),
             on_load=dispatcher.observe_load,
             on_events=dispatcher.observe_cache_events,
+            on_unanswered=state.members.note_unanswered,
         ),
         engines.is_in_use,
         seed,
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -38,13 +38,13 @@
 daemon itself was suspended or short of processor time."""
 
 MIN_REFUSING_TARGETS = 3
-"""Targets that refuse this daemon, without one that accepts in between, from which its
-own paths are suspected."""
+"""Targets that refuse this daemon or give it no response, without one that responds in
+between, from which its own paths are suspected."""
 
 
 @dataclass(slots=True)
 class RefusedConnections:
-    """Targets that refused this daemon since one last accepted a connection.
+    """Targets that refused this daemon or gave no response since one last responded.
 
     Attributes:
         targets: These targets.
@@ -52,9 +52,9 @@
 
     targets: set[TargetId] = field(default_factory=set)
 
-    def note(self, target: TargetId, is_accepted: bool) -> None:
-        """Record a connection that was accepted or refused."""
-        if is_accepted:
+    def note(self, target: TargetId, is_answered: bool) -> None:
+        """Record a connection that got a response, or got none or was refused."""
+        if is_answered:
             self.targets.clear()
         else:
             self.targets.add(target)
--- a/lycheepost/state/members.py
+++ b/lycheepost/state/members.py
@@ -210,6 +210,10 @@
         configured = self._get_view().targets.get(target)
         self._targets.observe(target, configured, signal, now_seconds)
 
+    def note_unanswered(self, target: TargetId) -> None:
+        """Record a target that accepted a connection and gave no response."""
+        self._targets.note_unanswered(target)
+
     def members(self) -> tuple[Member, ...]:
         """Return all known daemons, including this one."""
         self._expire(self._clock.now_seconds())
--- a/lycheepost/state/targetstates.py
+++ b/lycheepost/state/targetstates.py
@@ -83,6 +83,13 @@
         if is_worse and signal.source is not SignalSource.PEER and not is_own:
             self._notify(target, signal, now_seconds)
 
+    def note_unanswered(self, target: TargetId) -> None:
+        """Record a target that accepted a connection and gave no response.
+
+        It may only be slow, so its state does not change.
+        """
+        self._refused.note(target, is_answered=False)
+
     @property
     def are_paths_lost(self) -> bool:
         """Return whether this daemon itself likely reaches no target."""
--- a/lycheepost/targets/observe.py
+++ b/lycheepost/targets/observe.py
@@ -33,7 +33,7 @@
     refused_signal,
 )
 from lycheepost.targets.control import ControlClient
-from lycheepost.targets.errors import TargetError, TargetUnreachable
+from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.pollplan import (
     Poll,
     PollPlan,
@@ -61,11 +61,13 @@
             target's state.
         on_load: Called with load reports.
         on_events: Called with a target's boot id and its cache events in order.
+        on_unanswered: Called when a health call was sent and got no response.
     """
 
     on_signal: Callable[[TargetId, TargetSignal], None]
     on_load: Callable[[LoadReport], None]
     on_events: Callable[[TargetId, Incarnation, tuple[CacheEvent, ...]], None]
+    on_unanswered: Callable[[TargetId], None]
 
 
 @dataclass
@@ -220,6 +222,8 @@
             case Failure(TargetUnreachable()):
                 self._callbacks.on_signal(target, refused_signal())
                 self.recheck(target)
+            case Failure(TargetLost()):
+                self._callbacks.on_unanswered(target)
 
     def _handle_load(
         self, target: TargetId, answer: Result[EngineLoad, TargetError]
