--- /dev/null
+++ b/lycheepost/callers/targetattempt.py
@@ -0,0 +1,313 @@
+"""One attempt at a forwarded request at one target: send, relay, judge how it ended."""
+
+from dataclasses import dataclass
+
+import structlog
+from returns.result import Failure, Success
+
+from lycheepost.callers.awaiting import await_headers
+from lycheepost.callers.forwardcalls import Progress, make_call
+from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
+from lycheepost.callers.forwardidentify import identify
+from lycheepost.callers.relaying import (
+    AnswerRelay,
+    FirstByteTimeout,
+    RelayEnd,
+    StreamTimeouts,
+)
+from lycheepost.core.ids import TargetId
+from lycheepost.core.routing import ListedTarget, RouteKind
+from lycheepost.decide.attempts import AttemptEnd, Sends, Step, next_step
+from lycheepost.decide.records import FinishKind, Work
+from lycheepost.decide.routes import RouteMatch
+from lycheepost.decide.silence import (
+    QUIET_SECONDS,
+    first_byte_timeout_seconds,
+    header_waits_seconds,
+    idle_timeout_seconds,
+    is_sound_silence,
+    new_connection_check_seconds,
+)
+from lycheepost.decide.targethealth import Ending
+from lycheepost.targets.errors import TargetError, TargetUnreachable
+from lycheepost.targets.forward import ForwardResponse
+from lycheepost.targets.forwardcall import ForwardCall
+
+EARLY_SECONDS = 0.005
+"""Timers may fire by this much before the time that they were set for."""
+
+_MAX_REJECTION_BYTES = 65536
+"""Rejections are short; a longer body is not read to its end."""
+
+_FINISH_KINDS = {
+    AttemptEnd.NOT_SENT: FinishKind.TARGET_REFUSED,
+    AttemptEnd.NOT_RUN: FinishKind.TARGET_REFUSED,
+    AttemptEnd.FAILED: FinishKind.COMPLETE,
+}
+
+_log = structlog.get_logger(part="forward")
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Where a request stands when an attempt begins.
+
+    Attributes:
+        work: The request, as the scheduler knows it.
+        sends: The attempts before.
+        deadline_seconds: Time by which it must be answered.
+    """
+
+    work: Work
+    sends: Sends
+    deadline_seconds: float
+
+
+class TargetAttempt:
+    """One attempt.
+
+    Args:
+        deps: The dependencies of forwarding.
+        request: The caller's request.
+        route_match: Its route and sender.
+        relay: Relays responses to the caller.
+        standing: Where the request stands.
+
+    Attributes:
+        is_sent: Whether the target may be running the request, or have run it.
+        has_reserved_retry: Whether a retry was taken from the budget for the next
+            attempt.
+    """
+
+    def __init__(
+        self,
+        deps: ForwardDeps,
+        request: ForwardRequest,
+        route_match: RouteMatch,
+        relay: AnswerRelay,
+        standing: Standing,
+    ) -> None:
+        self.is_sent = False
+        self.has_reserved_retry = False
+        self._deps = deps
+        self._request = request
+        self._route_match = route_match
+        self._relay = relay
+        self._standing = standing
+        self._is_sound_silence = False
+
+    async def run(self, target: TargetId) -> tuple[AttemptEnd | None, str, FinishKind]:
+        """Send to a target and relay its response.
+
+        Returns:
+            How the attempt ended, None when nothing more is due to the caller; the
+            reason, for the log; and how it counts for the scheduler.
+
+        Raises:
+            CallerError: The caller may no longer be served.
+        """
+        listed = self._deps.targets.get(target)
+        if listed is None:
+            reason = "the target has left"
+            return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
+        if self._deps.is_backed_off(target):
+            reason = "the target has asked for a back-off"
+            return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
+        end, reason = await self._send(listed)
+        return end, reason, await self._finish_kind(listed, end)
+
+    def _remaining_seconds(self) -> float:
+        return self._standing.deadline_seconds - self._deps.clock.now_seconds()
+
+    async def _send(self, listed: ListedTarget) -> tuple[AttemptEnd | None, str]:
+        """Send to one target and relay its response.
+
+        Returns:
+            How the attempt ended, None when nothing more is due, and the reason.
+        """
+        # Check again before any byte is sent: while the request was queued, its key
+        # may have been revoked or the confirmation of the configuration expired.
+        identify(self._deps, self._request)
+        call = make_call(
+            self._deps, self._request, self._route_match, listed, self._progress()
+        )
+        wait_seconds = first_byte_timeout_seconds(
+            self._route_match.route, self._standing.sends, call.remaining_seconds
+        )
+        target = listed.target
+        sent_seconds = self._deps.clock.now_seconds()
+        self.is_sent = True
+        try:
+            send = self._deps.client.send(call)
+            sent = await await_headers(
+                send,
+                header_waits_seconds(wait_seconds, self._check_seconds(call)),
+                lambda: self._may_abandon_at(call, sent_seconds + wait_seconds),
+            )
+        except TimeoutError:
+            silent_seconds = self._deps.clock.now_seconds() - sent_seconds
+            self._note_silence(target, silent_seconds)
+            if call.may_reuse_connection:
+                self._deps.client.note_silent(target, silent_seconds)
+            return AttemptEnd.LOST, "silent"
+        match sent:
+            case Failure(TargetUnreachable(reason=reason)):
+                self.is_sent = False
+                self._deps.paths.note_failed(self._standing.work.target_group, target)
+                self._deps.targets.note_end(target, Ending.UNREACHABLE)
+                return AttemptEnd.NOT_SENT, reason
+            case Failure(TargetError(reason=reason)):
+                self._deps.paths.note_failed(self._standing.work.target_group, target)
+                self._deps.targets.note_end(target, Ending.BAD)
+                return AttemptEnd.LOST, reason
+            case Success(answer):
+                if not call.may_reuse_connection:
+                    self._deps.paths.note_answered(self._standing.work.target_group)
+                return await self._handle_answer(
+                    listed, answer, wait_seconds, sent_seconds
+                )
+        raise AssertionError("a result is a success or a failure")
+
+    def _check_seconds(self, call: ForwardCall) -> float:
+        """Return how long to wait for a response between checks of the paths."""
+        if call.may_reuse_connection:
+            return QUIET_SECONDS
+        return new_connection_check_seconds(
+            self._route_match.route, call.remaining_seconds
+        )
+
+    def _may_abandon_at(self, call: ForwardCall, timeout_seconds: float) -> bool:
+        """Return whether to abandon a target without response.
+
+        Before its timeout this is only done if this daemon hears from no target.
+
+        Args:
+            call: The call that waits.
+            timeout_seconds: When its timeout ends.
+        """
+        paths, target_group = self._deps.paths, self._standing.work.target_group
+        if not call.may_reuse_connection:
+            paths.note_failed(target_group, call.target)
+        paths.note_quiet(target_group)
+        is_cut = paths.are_lost(target_group) and paths.is_quiet(target_group)
+        is_early = self._deps.clock.now_seconds() < timeout_seconds - EARLY_SECONDS
+        return (is_cut or not is_early) and self._may_abandon()
+
+    def _may_abandon(self) -> bool:
+        """Return whether to abandon a silent target; if so, a retry is reserved."""
+        lost = AttemptEnd.CUT if self._relay.has_begun else AttemptEnd.LOST
+        step = next_step(
+            self._route_match.route,
+            self._standing.sends.add(lost),
+            lost,
+            self._remaining_seconds(),
+        )
+        if step is not Step.TRY_AGAIN:
+            return False
+        if self._relay.has_begun and not self._relay.can_continue:
+            return False
+        self.has_reserved_retry = self._deps.dispatcher.take_retry(self._standing.work)
+        return self.has_reserved_retry
+
+    async def _handle_answer(
+        self,
+        listed: ListedTarget,
+        answer: ForwardResponse,
+        wait_seconds: float,
+        sent_seconds: float,
+    ) -> tuple[AttemptEnd | None, str]:
+        target = listed.target
+        head = answer.head
+        self._deps.on_answer_headers(listed, head, sent_seconds)
+        if head.was_not_run or head.is_other_target:
+            self.is_sent = False
+            await self._read_rejection(answer)
+            self._note_rejection(target, answer)
+            return AttemptEnd.NOT_RUN, f"rejected with {head.status}"
+        if self._standing.work.model and head.weights_version is not None:
+            self._deps.targets.note_weights(
+                target, self._standing.work.model, head.weights_version
+            )
+        try:
+            timeouts = StreamTimeouts(
+                wait_seconds,
+                idle_timeout_seconds(self._route_match.route, self._standing.sends),
+                self._may_abandon,
+            )
+            result = await self._relay.relay(answer, timeouts, self._note_first)
+        except FirstByteTimeout:
+            self._note_silence(target, wait_seconds)
+            return AttemptEnd.LOST, "silent"
+        finally:
+            answer.close()
+        if result is RelayEnd.FELL_SILENT:
+            self._note_silence(target, timeouts.idle_seconds or 0.0)
+        elif result is not RelayEnd.CALLER_LEFT:
+            ending = Ending.GOOD if result.end is None else Ending.BAD
+            self._deps.targets.note_end(target, ending)
+        return result.end, result.value
+
+    def _note_silence(self, target: TargetId, silent_seconds: float) -> None:
+        """Count the silence of a target as a failure, unless it may be sound."""
+        heard_ago_seconds = self._deps.client.heard_ago_seconds(target)
+        self._is_sound_silence = is_sound_silence(silent_seconds, heard_ago_seconds)
+        if not self._is_sound_silence:
+            self._deps.targets.note_end(target, Ending.BAD)
+
+    async def _read_rejection(self, answer: ForwardResponse) -> None:
+        """Read a short rejection to its end, so that its connection can be reused."""
+        try:
+            await answer.read_body(_MAX_REJECTION_BYTES)
+        except TargetError as error:
+            _log.info("forward: rejection broke off", reason=error.reason)
+        finally:
+            answer.close()
+
+    def _progress(self) -> Progress:
+        """Return the current progress of the request."""
+        return Progress(
+            self._standing.work.request,
+            self._remaining_seconds(),
+            self._relay.after_event,
+            self._standing.sends.n_runs,
+        )
+
+    def _note_first(self) -> None:
+        self._deps.dispatcher.first_token(self._standing.work.request)
+
+    def _note_rejection(self, target: TargetId, answer: ForwardResponse) -> None:
+        """Update what is known of a target that did not run the request."""
+        head = answer.head
+        targets = self._deps.targets
+        if not head.is_other_target:
+            targets.note_end(target, Ending.BAD)
+            return
+        if head.target is not None and head.target != target:
+            targets.note_other_at_address(target)
+        elif head.weights_version is not None:
+            targets.note_weights(
+                target, self._standing.work.model, head.weights_version
+            )
+
+    async def _finish_kind(
+        self, listed: ListedTarget, end: AttemptEnd | None
+    ) -> FinishKind:
+        """Return how the end of an attempt is reported to the scheduler.
+
+        Only the loss or restart of a target may be attributed to the request. If
+        broken connections counted as well, two of them would quarantine a request
+        that crashes no target.
+        """
+        if end is None:
+            return FinishKind.COMPLETE
+        known = _FINISH_KINDS.get(end)
+        if known is not None:
+            return known
+        if (
+            self._is_sound_silence
+            or self._route_match.route.kind is RouteKind.NON_IDEMPOTENT
+        ):
+            return FinishKind.ANSWER_LOST
+        if await self._deps.is_same_incarnation(listed):
+            return FinishKind.ANSWER_LOST
+        return FinishKind.TARGET_LOST
