Do not probe targets that name a limit or have asked for a back-off

Since probes of own paths are requests, they would count at a target that limits them, and reach one that wants none.

--- a/features/platform/ownpaths.feature
+++ b/features/platform/ownpaths.feature
@@ -81,6 +81,18 @@
     When clients ask all daemons, 30 a second for 5 s, and after 0.5 s the connections of all daemons to all servers hang
     Then from 3 s after that every try is refused as not run, within 0.5 s and with a time to come back
 
+  Scenario Outline: A probe leaves out a server that <says>
+    Guards against probes that reach servers which count or want no requests.
+    Given a deployment with 1 daemon
+    When a plain server <says> and the daemon probes its paths
+    Then the probe has reached all plain servers but that one
+    And no server has run anything
+
+    Examples:
+      | says                 |
+      | names a limit        |
+      | asks for a back-off  |
+
   Scenario: A relayed request opens a new connection to its peer
     Guards against requests lost on connections between daemons that went silent.
     Then the call that relays a look-up may not use a pooled connection
--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -10,7 +10,8 @@
 
 from lycheepost.callers.forwarddeps import ForwardRequest, RelayPeer
 from lycheepost.callers.peerrelay import make_peer_call
-from lycheepost.core.ids import AvailabilityZone, DaemonId
+from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
+from lycheepost.core.notices import TargetNotice
 from lycheepost.platform.ingress import trusted_relay
 from lycheepost.platform.models.pathcuts import PathCut
 
@@ -377,3 +378,30 @@
     for host in ("10.9.9.9", None):
         found = trusted_relay(request, host, hosts.__contains__)
         assert found.relayed_runs is None, found
+
+
+NOTICES = {
+    "names a limit": TargetNotice(limit_per_second=1.0),
+    "asks for a back-off": TargetNotice(retry_after_seconds=3.0),
+}
+
+
+@when("a plain server {says} and the daemon probes its paths")
+def step_probe(context, says):
+    traffic = context.deployment.daemons[0]._components.traffic
+    context.server = context.deployment.group("plain")[0]
+    listed = traffic.targets.get(context.server.name)
+    traffic.notices.note_call(listed, NOTICES[says])
+    verify = traffic.paths.verify(TargetGroupId("plain"))
+    assert not context.loop.run_until_complete(verify)
+
+
+@then("the probe has reached all plain servers but that one")
+def step_probed(context):
+    probed = {
+        server.name
+        for server in context.deployment.group("plain")
+        if server.n_misdirected
+    }
+    others = {server.name for server in context.deployment.group("plain")}
+    assert probed == others - {context.server.name}, probed
--- a/lycheepost/app/notices.py
+++ b/lycheepost/app/notices.py
@@ -123,6 +123,15 @@
         until_seconds = self._notices.backoffs.until_seconds(target)
         return self._clock.now_seconds() < until_seconds
 
+    def may_probe(self, target: TargetId) -> bool:
+        """Return whether a target may be sent a request that serves no caller.
+
+        One that names a limit counts all requests, and one that has asked for a
+        back-off expects none.
+        """
+        is_limited = self._notices.limits.of(target) is not None
+        return not is_limited and not self.is_backed_off(target)
+
     def note_headers(
         self, sent_to: ListedTarget, head: ResponseHead, sent_seconds: float
     ) -> None:
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -211,7 +211,7 @@
         clock,
         metrics,
         base.rng,
-        lambda group: _probe_targets(targets, routing, group),
+        lambda group: _probe_targets(targets, routing, notices, group),
         client.quiet_seconds,
     )
     paths.on_change(
@@ -318,7 +318,10 @@
 
 
 def _probe_targets(
-    targets: TargetList, routing: RoutingManager, target_group: TargetGroupId
+    targets: TargetList,
+    routing: RoutingManager,
+    notices: NoticeExchange,
+    target_group: TargetGroupId,
 ) -> list[ProbeTarget]:
     table = routing.table
     group = None if table is None else table.groups.get(target_group)
@@ -327,7 +330,7 @@
     return [
         ProbeTarget(item.target, item.address, group.health_path)
         for item in targets.listed(target_group)
-        if not item.is_leaving
+        if not item.is_leaving and notices.may_probe(item.target)
     ]
 
 
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -85,6 +85,7 @@
             length.
         rejected_seconds: The times of these rejections, by the loop's clock.
         n_health_checks: Number of health checks that it received.
+        n_misdirected: Number of those that were meant for another server.
         n_slots: Requests that it runs at the same time; it rejects others.
         brittle_per_second: Rejections a second for want of a slot beyond which it
             crashes, as it states; None if it is not brittle.
@@ -115,6 +116,7 @@
         self.backoff_seconds: float | None = None
         self.rejected_seconds: list[float] = []
         self.n_health_checks = 0
+        self.n_misdirected = 0
         self.n_slots = n_slots
         self.brittle_per_second: float | None = None
         self.brittle_from_seconds = float("-inf")
@@ -295,9 +297,12 @@
         return None
 
     async def _health(self, request: web.Request) -> web.StreamResponse:
-        self.n_health_checks += 1
         await self._server.block_if_frozen(request)
         await self._awake.wait()
+        if request.headers.get(names.EXPECTED_TARGET, self.name) != self.name:
+            self.n_misdirected += 1
+            return web.Response(status=421, headers=self._response_headers(request))
+        self.n_health_checks += 1
         status = 503 if self.is_leaving else 200
         return web.Response(status=status, headers=self._response_headers(request))
 
