--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -20,7 +20,10 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PARALLEL_FOLDERS = 4
 FOLDER_TIMEOUT_SECONDS = 600
-LONG_FEATURES = (FEATURES / "decide" / "quotas.feature",)
+LONG_FEATURES = (
+    FEATURES / "platform" / "ownpaths.feature",
+    FEATURES / "decide" / "quotas.feature",
+)
 """Features that run beside the rest of their folder."""
 
 
