Stand-in: reset only what its peer has got; fakes of the pause counter state their framing

A reset drops what has not arrived, so a response that a stand-in breaks off in its middle was nearly empty at the daemon, which held it, and retried the request: 'A response that breaks off while it is relayed as it arrives is cut' asked for a cut. The fake stream of decide/pauses lacked the two fields that a response has now.

--- a/features/decide/steps/pausecount_steps.py
+++ b/features/decide/steps/pausecount_steps.py
@@ -8,6 +8,7 @@
 
 from lycheepost.callers.relaying import AnswerRelay, RelayEnd, StreamTimeouts
 from lycheepost.core.routing import RouteKind
+from lycheepost.utils.bodies import BodyEnd, BodyFraming
 from lycheepost.utils.metrics import ServedMetrics
 
 
@@ -23,7 +24,10 @@
 class PacedStream:
     """A response whose events come after given times."""
 
-    head = SimpleNamespace(status=200, is_sealed=True, is_encoded=False)
+    head = SimpleNamespace(
+        status=200, is_sealed=True, is_encoded=False, framing=BodyFraming.CHUNKS
+    )
+    body_end = BodyEnd.MARKED
 
     def __init__(self, clock, waits):
         self.clock, self.waits = clock, list(waits)
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -399,7 +399,7 @@
                 response.content_length = len(text)
                 await response.prepare(request)
                 await response.write(text[: len(text) // 2])
-                self._server.abort_connection(request)
+                await self._server.abort_after_sending(request)
                 return response
             case BrokenOff() | Unframed():
                 return _send_raw(request, headers, text, fault)
--- a/lycheepost/standin/webserver.py
+++ b/lycheepost/standin/webserver.py
@@ -15,6 +15,10 @@
 """Longer than any caller waits: the call is never answered."""
 
 
+_DELIVERY_SECONDS = 0.02
+"""Bytes over loopback arrive within a millisecond if their reader takes them."""
+
+
 class StandinServer:
     """A server that keeps its port over restarts."""
 
@@ -69,6 +73,17 @@
         if request.transport is not None:
             reset(request.transport)
 
+    async def abort_after_sending(self, request: web.Request) -> None:
+        """Reset the connection of one request once its peer has what was written.
+
+        A reset drops what has not arrived.
+        """
+        if isinstance(request.transport, asyncio.WriteTransport):
+            request.transport.set_write_buffer_limits(0)
+        await request.writer.drain()
+        await asyncio.sleep(_DELIVERY_SECONDS)
+        self.abort_connection(request)
+
     def freeze_connections(self) -> None:
         """Stop reading and writing on the connections that are currently open."""
         for transport in _transports(self._runner):
