--- a/features/platform/steps/ending_steps.py
+++ b/features/platform/steps/ending_steps.py
@@ -1,8 +1,6 @@
 """Steps of endings.feature."""
 
 import asyncio
-import socket
-import struct
 
 from behave import then, when
 from ownpath_steps import Try
@@ -12,6 +10,7 @@
 from lycheepost.platform.models.serverfaults import BrokenOff, StopPoint, Unframed
 from lycheepost.standin.faults import FaultPlan
 from lycheepost.standin.rawbodies import Framing, Stop
+from lycheepost.standin.resets import reset
 
 PACKETS = {"one packet": True, "many packets": False}
 
@@ -107,10 +106,7 @@
         if end == "half close":
             writer.write_eof()
         elif end == "reset":
-            connection = writer.get_extra_info("socket")
-            option = struct.pack("ii", 1, 0)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
-            writer.transport.abort()
+            reset(writer.transport)
         else:
             writer.close()
         await asyncio.sleep(0.3)
--- a/features/targets/steps/bodies_steps.py
+++ b/features/targets/steps/bodies_steps.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import json
-import socket
-import struct
 
 from bed import SETTINGS
 from behave import given, then, when
@@ -25,12 +23,12 @@
 from lycheepost.platform.settings import Endpoint
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.http_calls import HttpCaller
+from lycheepost.standin.resets import reset
 from lycheepost.targets.calls import ServiceCall
 from lycheepost.targets.control import make_control_client
 from lycheepost.targets.service import make_service_client
 from lycheepost.targets.weightsport import LoadWeights, RunningRequestPolicy
 
-RESET = struct.pack("ii", 1, 0)
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
 ENGINE_LOAD = {
     "boot_id": "b",
@@ -131,9 +129,7 @@
             await asyncio.sleep(0.02)
             writer.write(body)
         if end == "reset":
-            connection = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            writer.transport.abort()
+            reset(writer.transport)
         else:
             writer.close()
 
