--- a/features/platform/endings.feature
+++ b/features/platform/endings.feature
@@ -71,23 +71,39 @@
     Then each time it gets the server's complete response with its seal
     And all engines hold version 2 within 9 s
 
-  Scenario Outline: A <what> through a peer that stops <point> by a <stop>: <outcome>
+  Scenario Outline: A <what> through a peer, framed by <framing>, stops <point> by a <stop>: <outcome>
     Guards against a peer's broken stream that the daemon relaying it completes.
     Given a deployment with 3 daemons
     When the first daemon has no path to the servers
-    And the next server's <what> stops <point> by a <stop>, framed by connection, in <packets>
+    And the next server's <what> stops <point> by a <stop>, framed by <framing>, in <packets>
     And a client asks for a <what>
     Then the outcome is <outcome>
     And the first daemon has relayed it
 
     Examples:
-      | what             | point               | stop  | packets      | outcome |
-      | resumable stream | inside an event     | close | many packets | answer  |
-      | resumable stream | before a blank line | reset | one packet   | answer  |
-      | album stream     | inside an event     | close | many packets | cut     |
-      | album stream     | inside an event     | reset | many packets | cut     |
-      | look-up          | inside an event     | reset | one packet   | answer  |
-      | order            | inside an event     | reset | one packet   | 502     |
+      | what             | point               | stop       | framing    | packets      | outcome |
+      | resumable stream | inside an event     | close      | connection | many packets | answer  |
+      | resumable stream | before a blank line | reset      | connection | one packet   | answer  |
+      | resumable stream | inside an event     | last chunk | chunks     | one packet   | answer  |
+      | album stream     | inside an event     | close      | connection | many packets | cut     |
+      | album stream     | inside an event     | reset      | connection | many packets | cut     |
+      | album stream     | before a blank line | last chunk | chunks     | many packets | cut     |
+      | look-up          | inside an event     | reset      | connection | one packet   | answer  |
+      | order            | inside an event     | reset      | connection | one packet   | 502     |
+
+  Scenario Outline: A <what> without length or chunks is complete through a peer
+    Guards against a complete response that is taken for a broken one.
+    Given a deployment with 3 daemons
+    When the first daemon has no path to the servers
+    And the next server's <what> has neither length nor chunks, in one packet
+    And a client asks for a <what>
+    Then the outcome is answer
+    And the first daemon has relayed it
+
+    Examples:
+      | what         |
+      | order        |
+      | album stream |
 
   Scenario Outline: A request whose body, framed by <framing>, stops by a <end> reaches no server
     Guards against half an order that a server takes for a whole one.
