Log the software version of targets and what a stream goes on from

The two hypotheses on streams of two software versions could not be told apart: no log line named an engine's software, nor whether a request was a take-up or the daemon's own continuation. No decision changes. The stand-in for servers states its software and can restart under another version.

--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -42,6 +42,8 @@
             None for a request that starts from the beginning.
         relayed_runs: For a request that a peer relays, on how many targets it may have
             run before; None for a request of a caller.
+        resumed_id: For a stream that a caller takes up again, the caller's id of the
+            request that brought its first event; empty if it names none.
     """
 
     caller_id: str
@@ -56,6 +58,7 @@
     body: bytes
     arrived_seconds: float
     relayed_runs: int | None = None
+    resumed_id: str = ""
 
     @property
     def path(self) -> str:
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -33,7 +33,7 @@
     body_fields,
 )
 from lycheepost.callers.targetattempt import Standing, TargetAttempt
-from lycheepost.core.ids import TargetGroupId
+from lycheepost.core.ids import SoftwareVersion, TargetGroupId
 from lycheepost.decide.attempts import (
     AttemptEnd,
     Sends,
@@ -266,6 +266,9 @@
             Standing(self._work, self._sends, self._deadline_seconds),
         )
         self._relay.begin_attempt()
+        listed = self._deps.targets.get(dispatch.target)
+        software_version = None if listed is None else listed.software_version
+        after_event = self._relay.after_event
         end: AttemptEnd | None = None
         kind = FinishKind.CANCELLED
         sent_seconds = self._deps.clock.now_seconds()
@@ -285,14 +288,27 @@
                 )
             self._deps.dispatcher.finish(self._work.request, kind)
             is_served = kind is FinishKind.COMPLETE and end is None
-            self._log_sent(dispatch, sent_seconds, "served" if is_served else reason)
+            reason = "served" if is_served else reason
+            self._log_sent(
+                dispatch, sent_seconds, reason, software_version, after_event
+            )
 
-    def _log_sent(self, dispatch: Dispatch, sent_seconds: float, end: str) -> None:
+    def _log_sent(
+        self,
+        dispatch: Dispatch,
+        sent_seconds: float,
+        end: str,
+        software_version: SoftwareVersion | None,
+        after_event: int | None,
+    ) -> None:
         now_seconds = self._deps.clock.now_seconds()
         self._log.info(
             "forward: sent",
             target=dispatch.target,
             end=end,
+            software_version=software_version,
+            after_event=after_event,
+            resumed_id=self._request.resumed_id,
             predicted_seconds=round(dispatch.predicted_wait_seconds, 3),
             expected_cached_tokens=dispatch.expected_cached_tokens,
             quota_units=self._charge.units,
--- a/lycheepost/core/ids.py
+++ b/lycheepost/core/ids.py
@@ -4,6 +4,7 @@
 
 CustomerId = NewType("CustomerId", str)
 ModelId = NewType("ModelId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 WeightsVersion = NewType("WeightsVersion", str)
 TargetGroupId = NewType("TargetGroupId", str)
 TargetId = NewType("TargetId", str)
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -13,6 +13,7 @@
     AvailabilityZone,
     CustomerId,
     ModelId,
+    SoftwareVersion,
     TargetGroupId,
     TargetId,
     WeightsVersion,
@@ -214,6 +215,7 @@
         is_leaving: Whether it asked for no new work.
         weights: Loaded weights, by model.
         started_ms: Start time in Unix milliseconds; None if it states none.
+        software_version: Version of its software; None if unknown.
     """
 
     target: TargetId
@@ -224,6 +226,7 @@
     is_leaving: bool = False
     weights: Mapping[ModelId, WeightsVersion] = field(default_factory=dict)
     started_ms: int | None = None
+    software_version: SoftwareVersion | None = SoftwareVersion("")
 
     @property
     def start(self) -> TargetStart:
--- a/lycheepost/platform/headers.py
+++ b/lycheepost/platform/headers.py
@@ -35,6 +35,9 @@
 RANK = "X-Lycheepost-Request-Priority"
 """0 to 9; 0 is the highest priority."""
 LAST_EVENT = "Last-Event-Id"
+RESUMES = "Resumes"
+"""Beside ``Last-Event-Id``: the attempt id with which the client got the first event of
+the stream, also after several take-ups."""
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
 """Seconds, possibly with a fraction. Sent to clients with a refusal. A server that
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -388,6 +388,7 @@
         else deadline_ms / _MILLISECONDS,
         prompt=decode_prompt(headers),
         after_event=header_int(headers, names.LAST_EVENT),
+        resumed_id=headers.get(names.RESUMES, "").strip(),
         body=body,
         arrived_seconds=arrived_seconds,
         relayed_runs=parse_count(headers.get(names.RELAYED_RUNS, "")),
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -153,8 +153,12 @@
         self._timing.close()
         await self._server.stop()
 
-    def restart(self) -> None:
-        """Restart at once under the same name; only the weights are kept."""
+    def restart(self, software: str | None = None) -> None:
+        """Restart at once under the same name; only the weights are kept.
+
+        Args:
+            software: Version of its software from now on; None for the same.
+        """
         old = self.state
         if old.started_ms is None:
             raise ValueError(
@@ -165,6 +169,7 @@
             started_ms=old.started_ms + RESTART_MS,
             version=old.version,
             load_seconds=old.load_seconds,
+            software=old.software if software is None else software,
         )
         self._timing.close()
         self._timing = make_engine_timing(self.name, STANDIN_SPEEDS, SystemClock())
@@ -218,7 +223,7 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": zone,
-                "version": "v1",
+                "version": self.state.software,
                 "slots": self.n_slots,
                 "state": "draining" if self.is_leaving else "ready",
                 "cold_left_ms": 0,
--- a/lycheepost/platform/models/serverstate.py
+++ b/lycheepost/platform/models/serverstate.py
@@ -21,6 +21,7 @@
     Attributes:
         load_seconds: How long new weights take to load.
         started_ms: Unix time of its start in milliseconds; None if it states none.
+        software: Version of its software.
     """
 
     model: str
@@ -30,3 +31,4 @@
     is_changing: bool = False
     load_seconds: float = 0.05
     orders: list[dict[str, object]] = field(default_factory=list)
+    software: str = "v1"
--- a/lycheepost/platform/registrations.py
+++ b/lycheepost/platform/registrations.py
@@ -14,6 +14,7 @@
 from lycheepost.core.ids import (
     AvailabilityZone,
     ModelId,
+    SoftwareVersion,
     TargetGroupId,
     TargetId,
     WeightsVersion,
@@ -93,6 +94,7 @@
                 for model in wire.models
             },
             started_ms=None if wire.born is msgspec.UNSET else wire.born,
+            software_version=SoftwareVersion(wire.version),
         )
     )
 
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -148,6 +148,7 @@
                 "address": known.listed.address,
                 "weights": known.weights,
                 "started_ms": known.listed.started_ms,
+                "software_version": known.listed.software_version,
                 "is_leaving": known.listed.is_leaving,
             }
             for name, known in self._known.items()
@@ -245,6 +246,7 @@
             target_group=listed.target_group,
             address=listed.address,
             started_ms=listed.started_ms,
+            software_version=listed.software_version,
             is_restarted=is_restarted,
         )
 
