Failing scenarios: streams of two software versions

Seen by callers: streams that hold events of two software versions of the engines. The stand-in's events depend on its software, as what two versions generate doesn't fit together.

--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -473,13 +473,13 @@
         for number in range(start, end):
             if not fault.is_in_one_packet:
                 await asyncio.sleep(0.002)
-            raw.write(event_bytes(number, body))
+            raw.write(event_bytes(number, body, self.state.software))
         if isinstance(fault, BrokenOff):
             match fault.point:
                 case StopPoint.IN_EVENT:
-                    raw.write(event_bytes(end, body)[:-5])
+                    raw.write(event_bytes(end, body, self.state.software)[:-5])
                 case StopPoint.BEFORE_BLANK_LINE:
-                    raw.write(event_bytes(end, body)[:-1])
+                    raw.write(event_bytes(end, body, self.state.software)[:-1])
             self.on_fault()
         raw.stop(stop)
 
@@ -492,7 +492,7 @@
         fault: ServerFault | None,
     ) -> bool:
         """Send one event; return False if a fault ended the stream."""
-        event = event_bytes(number, body)
+        event = event_bytes(number, body, self.state.software)
         await self._awake.wait()
         match fault:
             case Truncated(after_events=n) if number > n:
@@ -550,8 +550,17 @@
     return b"%016x " % hash_bytes(path.encode() + b"\n" + body) * 20
 
 
-def event_bytes(number: int, body: bytes) -> bytes:
-    """Return one event of a stream, a function of the request body and the number."""
+FIRST_SOFTWARE = ServerState.software
+
+
+def event_bytes(number: int, body: bytes, software: str = FIRST_SOFTWARE) -> bytes:
+    """Return one event of a stream.
+
+    It is a function of the request body, the number, and the version of the software:
+    what two versions generate does not fit together.
+    """
+    if software != FIRST_SOFTWARE:
+        body = software.encode() + b"\n" + body
     word = hash_bytes(body, number)
     return b"id: %d\ndata: %016x\n\n" % (number, word)
 
