Streams go on only at the software version that began them

Cause: an engine's entry names its software, and the adapter dropped it. Placement knew targets by load, cache and weights only, so a client's take-up, the daemon's own continuation and the rest of a relayed stream went to the cheapest target, whatever had written the beginning. Nothing said that the two fit.

Why it works: a stream is bound to the version of its first event's target. The daemon that begins it records that before the event is sent; beside two versions it tells its peers, all streams that are under way as the second version appears included. A version begins streams only once all peers have confirmed that they know it, or after the time in which an ignorant daemon's list has gone stale; so a daemon with a current list and one version in it knows the version of every stream, and nothing is told of any. What a daemon can't know it relays to peers, and what they don't know is refused at once. A target that restarted begins and takes up nothing until it has registered again.

--- a/features/platform/softwareversions.feature
+++ b/features/platform/softwareversions.feature
@@ -14,6 +14,10 @@
       | at the same daemon     |
       | at another daemon      |
       | at all daemons by turns |
+      | at another daemon, the first one being gone |
+      | at a daemon that has just started |
+      | at a daemon that has just started, the first one being gone |
+      | at a daemon without paths |
 
   Scenario: Streams whose engines break off stay at one version
     Guards against a daemon that continues a stream at another software version.
@@ -28,3 +32,41 @@
     When the engines of 12 streams of both versions break off
     Then no stream holds events of two versions
     And each stream is cut off at once
+
+  Scenario: Streams whose begin no daemon knows are refused at once
+    Guards against daemons that guess the version of a stream after all have restarted.
+    Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
+    When 24 streams of both versions are lost, all daemons are replaced and they are taken up
+    Then no stream holds events of two versions
+    And each take-up is refused at once as not run, with a time to come back
+
+  Scenario: A take-up that names no stream is refused at once beside two versions
+    Guards against a take-up at any version, as its client doesn't say what it takes up.
+    Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
+    When 24 streams of both versions are lost and taken up without their ids
+    Then no stream holds events of two versions
+    And each take-up is refused at once as not run, with no time to come back
+
+  Scenario: With one version streams go on at any daemon, and nothing is told of them
+    Guards against a price for software versions where all servers have the same.
+    Given a deployment with 2 daemons and 3 engines of the version v1
+    When 16 streams are lost, the first daemon is gone and they are taken up without their ids
+    Then at least 9 in 10 of them are complete
+    And no daemon has told another one of streams
+
+  Scenario: Streams stay at one version while the only engines of another one come
+    Guards against streams of the time with one version that later go on at another.
+    Given a deployment with 3 daemons and 3 engines of the version v1
+    When 16 streams are lost, 3 engines of the version v2 come and they are taken up at another daemon, the first one being gone
+    Then no stream holds events of two versions
+    And at least 9 in 10 of them are complete
+
+  Scenario: An engine that is back under its id with other software takes up no old stream
+    Guards against an engine that counts as of its earlier version after a restart.
+    Given a deployment with 2 daemons and 3 engines of the version v1 that state their start
+    When 12 streams run while the busiest engine restarts with the version v2
+    Then no stream holds events of two versions
+    And at least 9 in 10 of them are complete
+    And no further stream of that daemon begins there before it has registered again
+    When that engine registers again
+    Then engines of both versions may begin streams within 3 s
--- a/features/platform/steps/softwareversion_steps.py
+++ b/features/platform/steps/softwareversion_steps.py
@@ -8,7 +8,9 @@
 from behave import given, then, when
 from deployment import MODEL, Deployment
 
+from lycheepost.app.platformfleet import FIRST_START_MS
 from lycheepost.platform import headers as names
+from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverstandin import PlatformServer, event_bytes
 from lycheepost.standin.faults import FaultPlan, Truncated
 
@@ -23,6 +25,7 @@
 MIN_WHOLE_SHARE = 0.9
 CUT_SECONDS = 1.0
 HOLD_SECONDS = 1.0
+REFUSAL_SECONDS = 0.5
 
 
 @dataclass
@@ -35,6 +38,8 @@
         is_whole: Whether the last answer was complete.
         statuses: The status of each answer; None without one.
         seconds: How long the last answer took.
+        retry_after: The time to come back in the last answer.
+        names_first: Whether its client names the first attempt.
     """
 
     body: bytes
@@ -43,6 +48,8 @@
     is_whole: bool = False
     statuses: list[int | None] = field(default_factory=list)
     seconds: float = 0.0
+    retry_after: str | None = None
+    names_first: bool = True
 
     def versions(self):
         """Return the versions whose engines generated its events."""
@@ -60,9 +67,10 @@
         return self.is_whole and len(self.received) == N_EVENTS
 
 
-async def add_engines(deployment, software, n):
+async def add_engines(deployment, software, n, started_ms=None):
     for _ in range(n):
         server = PlatformServer("llm", MODEL, n_events=N_EVENTS, n_slots=N_SLOTS)
+        server.state.started_ms = started_ms
         server.state.software = software
         await deployment.add_server(server)
 
@@ -82,22 +90,87 @@
         await context.deployment.start(n, n_engines=0)
         await add_engines(context.deployment, "v1", n_engines)
         await add_engines(context.deployment, "v2", n_engines)
-        await context.deployment.until(lambda: both_begin(context.deployment))
+        await both_begin(context.deployment)
 
     context.loop.run_until_complete(start())
 
 
-async def both_begin(deployment):
-    """Return whether all daemons begin streams at engines of both versions."""
-    n = N_SLOTS * len(deployment.group("llm")) * 3 // 4
+@given("a deployment with {n:d} daemons and {n_engines:d} engines of the version v1")
+def step_one_version_only(context, n, n_engines):
+    start_one_version(context, n, n_engines, None)
+
+
+@given(
+    "a deployment with {n:d} daemons and {n_engines:d} engines of the version v1 that"
+    " state their start"
+)
+def step_stating_starts(context, n, n_engines):
+    start_one_version(context, n, n_engines, FIRST_START_MS)
+
+
+def start_one_version(context, n, n_engines, started_ms):
+    context.deployment = Deployment()
+
+    async def start():
+        await context.deployment.start(n, n_engines=0)
+        await add_engines(context.deployment, "v1", n_engines, started_ms)
+        await context.deployment.until(lambda: all_begin(context.deployment))
+
+    context.loop.run_until_complete(start())
+
+
+async def all_begin(deployment):
+    """Return whether every daemon begins streams at as many engines as there are."""
+    n = N_SLOTS * len(deployment.group("llm"))
     for index in range(len(deployment.daemons)):
-        streams = [Stream(b"which version %d" % number) for number in range(n)]
+        streams = [Stream(b"which engine %d" % number) for number in range(n)]
         await begin_all(deployment, streams, index, 1)
-        if set().union(*(stream.versions() for stream in streams)) != set(VERSIONS):
+        if not all(stream.received for stream in streams):
             return False
     return True
 
 
+async def both_begin(deployment):
+    """Wait until each daemon begins streams at engines of both versions."""
+    for index in range(len(deployment.daemons)):
+
+        async def does_begin(index=index):
+            await until_idle(deployment)
+            n = N_SLOTS * len(deployment.group("llm")) * 3 // 4
+            streams = [Stream(b"which version %d" % number) for number in range(n)]
+            await begin_all(deployment, streams, index, 1)
+            versions = set().union(*(stream.versions() for stream in streams))
+            return versions == set(VERSIONS)
+
+        await deployment.until(does_begin)
+
+
+async def may_begin(deployment):
+    """Return whether all daemons let engines of both versions begin streams."""
+    for daemon in deployment.daemons:
+        status = daemon.status()
+        group = status["stream_versions"]["groups"].get("llm", {})
+        targets = [
+            target
+            for target in status["targets"].values()
+            if target["target_group"] == "llm"
+        ]
+        if group != {"versions": [*VERSIONS], "held_back": []}:
+            return False
+        if {target["software_version"] for target in targets} != set(VERSIONS):
+            return False
+        if {target["state"] for target in targets} != {"serving"}:
+            return False
+    return True
+
+
+async def until_idle(deployment):
+    async def is_idle():
+        return all(server.n_running == 0 for server in deployment.group("llm"))
+
+    await deployment.until(is_idle)
+
+
 async def begin_all(deployment, streams, index, max_events):
     """Begin streams at once; no client leaves before all have their events."""
     have_all = asyncio.Barrier(len(streams))
@@ -132,7 +205,8 @@
     more = {names.DEADLINE: "8000", names.TOKENS: f"{SHARED_TOKENS + 9},{N_EVENTS}"}
     if stream.first_id:
         more[names.LAST_EVENT] = str(len(stream.received))
-        more[names.RESUMES] = stream.first_id
+        if stream.names_first:
+            more[names.RESUMES] = stream.first_id
     parts = f"{stream.body.hex()}:{SHARED_TOKENS},b:9"
     headers = deployment.prompt_headers(parts=parts, **more)
     attempt_id = deployment.attempt_id
@@ -145,6 +219,7 @@
         async with aiohttp.ClientSession() as session:
             async with session.post(url, headers=headers, data=stream.body) as answer:
                 status = answer.status
+                stream.retry_after = answer.headers.get(names.RETRY_AFTER)
                 async for part in answer.content.iter_any():
                     if status != 200:
                         continue
@@ -180,8 +255,8 @@
         server.faults = plan
 
 
-async def begin_both(deployment, n, index, max_events):
-    """Begin streams at once; a quarter or more are of each version.
+async def begin_streams(deployment, n, index, max_events):
+    """Begin streams at once.
 
     Args:
         deployment: The deployment.
@@ -192,6 +267,12 @@
     streams = [Stream(b"stream %d" % number) for number in range(n)]
     await begin_all(deployment, streams, index, max_events)
     assert all(stream.received for stream in streams), streams
+    return streams
+
+
+async def begin_both(deployment, n, index, max_events):
+    """Begin streams as ``begin_streams``; a quarter or more are of each version."""
+    streams = await begin_streams(deployment, n, index, max_events)
     n_old = sum(
         stream.received[0] == event_bytes(1, stream.body, VERSIONS[0])
         for stream in streams
@@ -200,31 +281,205 @@
     return streams
 
 
+async def lose_first(deployment):
+    """End the first daemon without a farewell, as a kill does."""
+    await end(deployment, 0)
+
+
+async def end(deployment, index):
+    await deployment.daemons[index].stop()
+
+
+async def add_daemon(deployment):
+    await deployment.add_daemon()
+    index = len(deployment.daemons) - 1
+
+    async def is_ready():
+        return await deployment.ready(index) == 200
+
+    await deployment.until(is_ready)
+
+
+async def lose_and_add(deployment):
+    await lose_first(deployment)
+    await add_daemon(deployment)
+
+
+async def lose_paths(deployment):
+    """Cut the second daemon off from all servers, and wait until it knows."""
+    deployment.networks[1].cut(PathCut.RESET)
+
+    async def are_lost():
+        await continue_stream(deployment, Stream(b"probe"), 1, 1)
+        groups = deployment.daemons[1].status()["own_paths"]["groups"]
+        return groups.get("llm", {}).get("state") == "reaches_none"
+
+    await deployment.until(are_lost)
+
+
+async def unchanged(_deployment):
+    """Change nothing."""
+
+
 PLACES = {
-    "at the same daemon": (0,),
-    "at another daemon": (1,),
-    "at all daemons by turns": (1, 2, 0),
+    "at the same daemon": (unchanged, (0,)),
+    "at another daemon": (unchanged, (1,)),
+    "at all daemons by turns": (unchanged, (1, 2, 0)),
+    "at another daemon, the first one being gone": (lose_first, (1,)),
+    "at a daemon that has just started": (add_daemon, (3,)),
+    "at a daemon that has just started, the first one being gone": (lose_and_add, (3,)),
+    "at a daemon without paths": (lose_paths, (1,)),
 }
+"""What happens while the clients are away, and the daemons that they come to then."""
 
 
-@when("{n:d} streams of both versions are lost and taken up {where}")
-def step_take_up(context, n, where):
-    deployment = context.deployment
+async def take_up(deployment, streams, where):
+    change, indexes = PLACES[where]
+    await change(deployment)
+    *before, last = indexes
 
-    async def take_up(stream):
-        *before, last = PLACES[where]
+    async def take_up_one(stream):
         for index in before:
             n_events = len(stream.received) + FIRST_EVENTS
             await continue_stream(deployment, stream, index, n_events)
         await continue_stream(deployment, stream, last)
 
+    await asyncio.gather(*map(take_up_one, streams))
+
+
+@when("{n:d} streams of both versions are lost and taken up without their ids")
+def step_take_up_unnamed(context, n):
+    async def run():
+        context.streams = await begin_both(context.deployment, n, 0, FIRST_EVENTS)
+        for stream in context.streams:
+            stream.names_first = False
+        await take_up(context.deployment, context.streams, "at another daemon")
+
+    context.loop.run_until_complete(run())
+
+
+@when("{n:d} streams of both versions are lost and taken up {where}")
+def step_take_up(context, n, where):
+    async def run():
+        context.streams = await begin_both(context.deployment, n, 0, FIRST_EVENTS)
+        await take_up(context.deployment, context.streams, where)
+
+    context.loop.run_until_complete(run())
+
+
+@when(
+    "{n:d} streams of both versions are lost, all daemons are replaced and they are"
+    " taken up"
+)
+def step_all_replaced(context, n):
+    deployment = context.deployment
+
     async def run():
         context.streams = await begin_both(deployment, n, 0, FIRST_EVENTS)
-        await asyncio.gather(*map(take_up, context.streams))
+        n_daemons = len(deployment.daemons)
+        for index in range(n_daemons):
+            await end(deployment, index)
+        for _ in range(n_daemons):
+            await add_daemon(deployment)
+        await asyncio.gather(
+            *(
+                continue_stream(deployment, stream, n_daemons + number % n_daemons)
+                for number, stream in enumerate(context.streams)
+            )
+        )
+
+    context.loop.run_until_complete(run())
+
+
+@when(
+    "{n:d} streams are lost, the first daemon is gone and they are taken up without"
+    " their ids"
+)
+def step_one_version(context, n):
+    async def run():
+        context.streams = await begin_streams(context.deployment, n, 0, FIRST_EVENTS)
+        for stream in context.streams:
+            stream.names_first = False
+        where = "at another daemon, the first one being gone"
+        await take_up(context.deployment, context.streams, where)
+
+    context.loop.run_until_complete(run())
+
+
+@then("no daemon has told another one of streams")
+def step_nothing_told(context):
+    for daemon in context.deployment.daemons:
+        kinds = daemon.status()["peers"]["bytes_by_kind"]
+        assert "streams" not in str(kinds), kinds
+
+
+@when(
+    "{n:d} streams are lost, {n_engines:d} engines of the version v2 come and they are"
+    " taken up {where}"
+)
+def step_second_version_comes(context, n, n_engines, where):
+    deployment = context.deployment
+
+    async def run():
+        context.streams = await begin_streams(deployment, n, 0, FIRST_EVENTS)
+        await add_engines(deployment, "v2", n_engines)
+        await deployment.until(lambda: may_begin(deployment))
+        await take_up(deployment, context.streams, where)
+
+    context.loop.run_until_complete(run())
+
+
+@when("{n:d} streams run while the busiest engine restarts with the version v2")
+def step_restart(context, n):
+    deployment = context.deployment
+
+    async def restart():
+        engines = deployment.group("llm")
+        while max(engine.n_running for engine in engines) < N_SLOTS / 2:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.03)
+        context.restarted = max(engines, key=lambda engine: engine.n_running)
+        context.restarted.restart("v2")
+
+    async def run():
+        await until_idle(deployment)
+        task = asyncio.create_task(restart())
+        context.streams = await begin_streams(deployment, n, 0, None)
+        await task
+        context.restarted.runs.clear()
+        later = [Stream(b"later %d" % number) for number in range(8)]
+        await begin_all(deployment, later, 0, None)
 
     context.loop.run_until_complete(run())
 
 
+@then("no further stream of that daemon begins there before it has registered again")
+def step_none_at_restarted(context):
+    assert context.restarted.runs == [], context.restarted.runs
+
+
+@when("that engine registers again")
+def step_register(context):
+    context.deployment.register(context.restarted)
+
+
+@then("engines of both versions may begin streams within 3 s")
+def step_both(context):
+    deployment = context.deployment
+    context.loop.run_until_complete(
+        deployment.until(lambda: may_begin(deployment), 3.0)
+    )
+
+
+@then("each take-up is refused at once as not run, with {a_time} to come back")
+def step_refused(context, a_time):
+    for stream in context.streams:
+        assert stream.statuses[-1] == 503, stream.statuses
+        assert stream.seconds < REFUSAL_SECONDS, stream.seconds
+        has_time = stream.retry_after is not None
+        assert has_time == (a_time == "a time"), stream.retry_after
+
+
 @when("the engines of {n:d} streams of both versions break off")
 def step_engines_fail(context, n):
     break_first_runs(context.deployment, Truncated(FIRST_EVENTS))
--- a/lycheepost/app/fleettopology.py
+++ b/lycheepost/app/fleettopology.py
@@ -31,11 +31,17 @@
             daemons if it is one itself, otherwise none. In a small fleet all known
             daemons.
         sources: The daemons that it requests store updates from, best first.
+        n_members: Number of daemons that are not gone, itself included.
     """
 
     entry: frozenset[DaemonId]
     peers: tuple[DaemonId, ...]
     sources: tuple[DaemonId, ...]
+    n_members: int = 1
+
+    def is_peer(self, daemon: DaemonId) -> bool:
+        """Return whether a daemon is one of those that exchange load and notices."""
+        return self.n_members <= SMALL_FLEET_DAEMONS or daemon in self.entry
 
 
 class EntryChooser:
@@ -90,7 +96,7 @@
     peers = _find_peers(me, known, entry)
     live = {item.daemon for item in others if item.state is MemberState.LIVE}
     sources = find_sources(to_fleet_member(me), map(to_fleet_member, known), live)
-    return FleetTopology(entry, peers, sources)
+    return FleetTopology(entry, peers, sources, len(known) + 1)
 
 
 def _find_peers(
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -339,6 +339,7 @@
             "notices": components.traffic.notices.status(),
             "limit_shares": self._count_limit_shares(),
             "own_paths": components.traffic.paths.status(),
+            "stream_versions": components.traffic.stream_versions.status(),
             "quotas": components.quotas.status(components.base.clock.now_seconds()),
             "quota_record": components.traffic.quota_recorder.status(),
             "store": components.base.store.status(),
@@ -383,6 +384,7 @@
         first_reads,
         fleet_quotas,
         network or TargetNetwork(),
+        lambda: watches[1].confirmed_seconds,
     )
     traffic.paths.on_change(
         lambda _group, _are_lost: peers.members.set_unreached_groups(
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -199,7 +199,7 @@
         if is_configured:
             self.configure(make_configuration())
         for index in range(n_daemons):
-            await self.add_daemon(zones[index % len(zones)])
+            await self.add_daemon(zones[index % len(zones)], is_first_start=True)
         if is_configured:
             await self.until(self.all_ready)
 
@@ -231,8 +231,15 @@
         value = msgspec.json.encode({"model": MODEL, "version": version})
         self.store.store.put("op", f"version/{MODEL}", value)
 
-    async def add_daemon(self, zone: AvailabilityZone = ZONE) -> None:
-        """Start one more daemon in an availability zone."""
+    async def add_daemon(
+        self, zone: AvailabilityZone = ZONE, is_first_start: bool = False
+    ) -> None:
+        """Start one more daemon in an availability zone.
+
+        Args:
+            zone: The availability zone.
+            is_first_start: Whether the whole fleet starts for the first time.
+        """
         clients, readiness, directory = _listen(), _listen(), _listen()
         node = NodeSettings(
             daemon=DaemonId(f"front-{len(self.nodes)}"),
@@ -245,6 +252,7 @@
             peer_ports=(0, 0),
             store=Endpoint(HOST, int(self.store.url.rpartition(":")[2])),
             bounds=self._bounds,
+            is_first_start=is_first_start,
         )
         plan = LeavePlan(accept_seconds=0.4, finish_seconds=5.0)
         network = CuttableNetwork()
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -18,6 +18,7 @@
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
+from lycheepost.app.streamversions import StreamVersionExchange
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps, RelayPeer, Relays
 from lycheepost.core.clock import Clock
@@ -34,6 +35,7 @@
 from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.softwareversions import SoftwareVersions
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.peers.exchange import PeerExchange
 from lycheepost.platform.cacheevents import CacheEventsClient
@@ -104,6 +106,7 @@
     path_prober: PathProber
     paths: PathWatch
     peer_client: ForwardClient
+    stream_versions: StreamVersionExchange
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
@@ -118,6 +121,7 @@
             self.caches,
             self.loads,
             self.notices,
+            self.stream_versions,
             self.quotas,
             self.quota_recorder,
         ]
@@ -126,6 +130,7 @@
         """Set the topology of the fleet as seen by this daemon."""
         self.loads.set_peers(topology.peers)
         self.notices.set_peers(topology.peers)
+        self.stream_versions.set_peers(topology.peers, topology.is_peer(me))
         self.quotas.set_topology(me, topology)
         self.caches.follow_stores(follows_stores(me, topology.entry))
         self.caches.follow_engines(follows_engines(me, topology.entry))
@@ -140,6 +145,7 @@
     first_reads: InitialReads,
     fleet_quotas: FleetQuotas,
     network: TargetNetwork,
+    get_listed_seconds: Callable[[], float | None],
 ) -> PlatformTraffic:
     """Build the components that carry requests without starting them.
 
@@ -152,6 +158,8 @@
         first_reads: The first reads of the store, which requests wait for.
         fleet_quotas: The customers' quotas for the whole fleet.
         network: Opens the connections to targets.
+        get_listed_seconds: Returns when the list of targets was last current; None
+            before it was read.
     """
     clock = base.clock
     switched_off = base.switched_off
@@ -178,6 +186,9 @@
         notices.set_targets(views)
 
     known_notices = TargetNotices()
+    software = SoftwareVersions(
+        -math.inf if base.node.is_first_start else clock.now_seconds()
+    )
     targets = TargetList(
         clock,
         on_views,
@@ -185,6 +196,11 @@
         prefers_new_weights=Mechanism.NEW_WEIGHTS not in switched_off,
         availability_zone=base.node.availability_zone,
         leaving=known_notices.leaving,
+        software=software,
+        on_versions=lambda: stream_versions.note_versions(),
+    )
+    stream_versions = StreamVersionExchange(
+        software, exchange, clock, metrics, get_listed_seconds, targets.refresh
     )
     notices = NoticeExchange(
         known_notices, dispatcher, targets, exchange, clock, metrics
@@ -258,6 +274,7 @@
             lambda group: _relay_peers(base, members, group),
             is_off=Mechanism.PATH_RELAY in switched_off,
         ),
+        stream_versions=stream_versions,
     )
     return PlatformTraffic(
         dispatcher=dispatcher,
@@ -277,6 +294,7 @@
         path_prober=path_prober,
         paths=paths,
         peer_client=peer_client,
+        stream_versions=stream_versions,
     )
 
 
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -10,6 +10,8 @@
     DaemonId,
     ModelId,
     RequestId,
+    SoftwareVersion,
+    StreamId,
     TargetGroupId,
     TargetId,
     WeightsVersion,
@@ -65,6 +67,13 @@
         """Return the path without the query."""
         return self.raw_path.partition("?")[0]
 
+    @property
+    def stream(self) -> StreamId:
+        """Return the stream that it begins or takes up; empty if it names none."""
+        if self.after_event is None:
+            return StreamId(self.caller_id)
+        return StreamId(self.resumed_id)
+
 
 MAX_REQUEST_BYTES = 24 * 1024 * 1024
 """Bodies of all open requests. A daemon of a small machine has 88 MB and uses half of
@@ -194,6 +203,34 @@
         ...
 
 
+class StreamVersionsPort(Protocol):
+    """Which software version began which stream."""
+
+    def group_of(self, stream: StreamId) -> TargetGroupId | None:
+        """Return the group that began a stream; None if unknown."""
+        ...
+
+    def version_of(
+        self, stream: StreamId, target_group: TargetGroupId
+    ) -> SoftwareVersion | None:
+        """Return the version at which a stream must go on; None if unknown here."""
+        ...
+
+    def may_peers_know(self, stream: StreamId, target_group: TargetGroupId) -> bool:
+        """Return whether peers may know the version of a stream unknown here."""
+        ...
+
+    def note_begun(
+        self,
+        stream: StreamId,
+        target_group: TargetGroupId,
+        software_version: SoftwareVersion,
+        for_seconds: float,
+    ) -> None:
+        """Record a stream whose first event, or next one, is about to be sent."""
+        ...
+
+
 @dataclass(frozen=True)
 class ForwardDeps:
     """The dependencies of forwarding.
@@ -211,6 +248,7 @@
         is_backed_off: Whether a target has asked for a back-off that still lasts.
         paths: Whether this daemon itself reaches the targets of a group.
         relays: Serves requests through peers while it reaches none.
+        stream_versions: Which software version began which stream.
         request_bytes: Bodies of requests that are being served.
         answer_bytes: Complete responses on their way to callers.
     """
@@ -231,6 +269,7 @@
     is_backed_off: Callable[[TargetId], bool]
     paths: OwnPathsPort
     relays: Relays
+    stream_versions: StreamVersionsPort
     request_bytes: ByteBudget = field(
         default_factory=lambda: ByteBudget(MAX_REQUEST_BYTES)
     )
--- a/lycheepost/callers/forwarderrors.py
+++ b/lycheepost/callers/forwarderrors.py
@@ -59,6 +59,23 @@
             )
 
 
+def stream_unknown(may_peers_know: bool) -> CallerError:
+    """Return the error for the rest of a stream that nobody knows the begin of.
+
+    At a target of another software version the rest would not fit.
+
+    Args:
+        may_peers_know: Whether another daemon may know it.
+    """
+    return CallerError(
+        "It is not known which software version began this stream.",
+        status=503,
+        type=ErrorType.SERVER,
+        code="stream_unknown",
+        retry_after_seconds=LEAVING_RETRY_SECONDS if may_peers_know else None,
+    )
+
+
 def leaving() -> CallerError:
     """Return the error of a daemon that takes no new requests."""
     return CallerError(
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -23,10 +23,16 @@
 from lycheepost.callers.forwarderrors import (
     not_run,
     outcome_unknown,
+    stream_unknown,
     too_late,
 )
 from lycheepost.callers.forwardidentify import identify
-from lycheepost.callers.forwardwork import continued_work, make_work
+from lycheepost.callers.forwardwork import (
+    bound_work,
+    continued_work,
+    make_work,
+    takes_up_stream,
+)
 from lycheepost.callers.peerrelay import MAX_RELAYS, PeerAttempts, no_path
 from lycheepost.callers.relaying import (
     AnswerRelay,
@@ -75,8 +81,10 @@
         self._route_match = route_match
         self._relay = AnswerRelay(deps, request, route_match.route, caller)
         self._work = make_work(deps, request, route_match, route_table(deps))
+        self._is_take_up = takes_up_stream(request, route_match.route)
         self._sends = Sends(n_runs=request.relayed_runs or 0)
         self._attempt: TargetAttempt | None = None
+        self._begun_at: SoftwareVersion | None = None
         self._peer_attempts = PeerAttempts(
             deps, request, route_match.route, self._relay
         )
@@ -152,6 +160,9 @@
         if self._deps.paths.are_lost(self._target_group):
             await self._serve_through_peers()
             return
+        if self._is_take_up and not self._bind_to_origin():
+            await self._serve_unknown_stream()
+            return
         if not self._request.relayed_runs:
             await self._charge.take()
         outcome = await self._deps.dispatcher.admit(self._work)
@@ -178,13 +189,42 @@
                 return
             outcome = await self._deps.dispatcher.readmit(self._work, is_free)
 
-    async def _serve_through_peers(self, is_free: bool = True) -> None:
-        """Serve the request through peers, as this daemon itself reaches no target.
+    def _bind_to_origin(self) -> bool:
+        """Bind the rest of a stream to the software version that began it.
+
+        Returns:
+            Whether that version is known.
+        """
+        version = self._deps.stream_versions.version_of(
+            self._request.stream, self._target_group
+        )
+        if version is None:
+            return False
+        self._work = bound_work(self._work, version)
+        return True
+
+    async def _serve_unknown_stream(self) -> None:
+        """Serve the rest of a stream through a peer that may know what began it."""
+        may_peers_know = self._deps.stream_versions.may_peers_know(
+            self._request.stream, self._target_group
+        )
+        self._deps.metrics.count("streams_of_unknown_version")
+        refusal = stream_unknown(may_peers_know)
+        if not may_peers_know:
+            raise refusal
+        await self._serve_through_peers(refusal=refusal)
+
+    async def _serve_through_peers(
+        self, is_free: bool = True, refusal: CallerError | None = None
+    ) -> None:
+        """Serve the request through peers, as this daemon itself can't.
 
         A peer charges the customer's quota, unless the request has run before.
 
         Args:
             is_free: Whether it uses no retry budget.
+            refusal: The error if no peer serves it; None if this daemon reaches no
+                target.
         """
         self._charge.settle(self.executed)
         relays = self._deps.relays
@@ -208,7 +248,7 @@
             if not await self._relay.pass_on_failure():
                 raise outcome_unknown()
         else:
-            raise self._peer_attempts.refusal or no_path(bool(peers))
+            raise refusal or self._peer_attempts.refusal or no_path(bool(peers))
 
     async def _handle_refusal(self, refusal: Refuse) -> None:
         """End the request after the scheduler refused it."""
@@ -241,6 +281,7 @@
                     self._work = continued_work(
                         self._work, self._route_match.route, self._elapsed_seconds()
                     )
+                    self._work = bound_work(self._work, self._begun_at)
                 return True
             case Step.PASS_ON:
                 await self._relay.pass_on_failure()
@@ -269,6 +310,8 @@
         listed = self._deps.targets.get(dispatch.target)
         software_version = None if listed is None else listed.software_version
         after_event = self._relay.after_event
+        if not self._relay.has_begun:
+            self._begun_at = software_version
         end: AttemptEnd | None = None
         kind = FinishKind.CANCELLED
         sent_seconds = self._deps.clock.now_seconds()
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -5,11 +5,16 @@
 
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.core.hashing import fingerprint_body
-from lycheepost.core.ids import ModelId, WeightsVersion
+from lycheepost.core.ids import ModelId, SoftwareVersion, TargetGroupId, WeightsVersion
 from lycheepost.core.routing import Prompt, Route, RouteKind, RouteTable
 from lycheepost.decide.promptlevels import make_scope, prompt_levels
 from lycheepost.decide.records import PrefixLevel, Priority, Work
-from lycheepost.decide.routes import RouteMatch, choose_group, choose_kv_store
+from lycheepost.decide.routes import (
+    RouteMatch,
+    choose_group,
+    choose_kv_store,
+    is_resumable_stream,
+)
 from lycheepost.decide.silence import caller_stream_timeout_seconds
 
 RANK_STEPS = 3
@@ -41,6 +46,17 @@
     return replace(work, first_token_timeout_seconds=timeout_seconds)
 
 
+def bound_work(work: Work, version: SoftwareVersion | None) -> Work:
+    """Return the work of a stream that goes on only at one software version.
+
+    Args:
+        work: The request.
+        version: The version that began it; if it is not known, no target fits.
+    """
+    versions = frozenset() if version is None else frozenset({version})
+    return replace(work, software_versions=versions)
+
+
 def _levels(
     deps: ForwardDeps, route_match: RouteMatch, prompt: Prompt
 ) -> tuple[PrefixLevel, ...]:
@@ -74,6 +90,24 @@
     return Priority(min(rank_of(route_match), Priority.BATCH.value))
 
 
+def takes_up_stream(request: ForwardRequest, route: Route) -> bool:
+    """Return whether a request asks for the rest of a stream."""
+    return request.after_event is not None and is_resumable_stream(route)
+
+
+def _group(deps: ForwardDeps, request: ForwardRequest, route: Route) -> TargetGroupId:
+    """Return the group for a request: for the rest of a stream, the one that began it.
+
+    A route may have lost that group since, or got others.
+    """
+    if takes_up_stream(request, route):
+        group = deps.stream_versions.group_of(request.stream)
+        if any(share.target_group == group for share in route.shares):
+            assert group is not None
+            return group
+    return choose_group(route, deps.draw_split_point())
+
+
 def make_work(
     deps: ForwardDeps,
     request: ForwardRequest,
@@ -90,7 +124,7 @@
     """
     route = route_match.route
     prompt = request.prompt
-    group = choose_group(route, deps.draw_split_point())
+    group = _group(deps, request, route)
     if table.groups.get(group) is None or table.groups[group].engine is None:
         prompt = None
     identity = f"{request.method} {request.host}{request.raw_path}\n".encode()
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -96,7 +96,7 @@
         # Connections between daemons may go silent, and no second peer is tried while
         # one may still serve the request.
         may_reuse_connection=False,
-        relay=RelayOptions(request.key, n_runs),
+        relay=RelayOptions(request.key, n_runs, request.stream),
     )
 
 
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -9,17 +9,18 @@
 from lycheepost.callers.forwardcalls import Progress, make_call
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.callers.forwardidentify import identify
+from lycheepost.callers.forwardwork import bound_work
 from lycheepost.callers.relaying import (
     AnswerRelay,
     FirstByteTimeout,
     RelayEnd,
     StreamTimeouts,
 )
-from lycheepost.core.ids import TargetId
+from lycheepost.core.ids import SoftwareVersion, TargetId
 from lycheepost.core.routing import ListedTarget, RouteKind
 from lycheepost.decide.attempts import AttemptEnd, Sends, Step, next_step
 from lycheepost.decide.records import FinishKind, Work
-from lycheepost.decide.routes import RouteMatch
+from lycheepost.decide.routes import RouteMatch, is_resumable_stream
 from lycheepost.decide.silence import (
     QUIET_SECONDS,
     first_byte_timeout_seconds,
@@ -95,6 +96,7 @@
         self._relay = relay
         self._standing = standing
         self._is_sound_silence = False
+        self._software_version: SoftwareVersion | None = None
 
     async def run(self, target: TargetId) -> tuple[AttemptEnd | None, str, FinishKind]:
         """Send to a target and relay its response.
@@ -113,9 +115,25 @@
         if self._deps.is_backed_off(target):
             reason = "the target has asked for a back-off"
             return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
+        if not self._fits(listed):
+            reason = "the target's software has another version"
+            return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
+        self._software_version = listed.software_version
         end, reason = await self._send(listed)
         return end, reason, await self._finish_kind(listed, end)
 
+    def _fits(self, listed: ListedTarget) -> bool:
+        """Return whether a target's software fits the request.
+
+        It may have restarted with another version while the request was queued.
+        """
+        if not is_resumable_stream(self._route_match.route):
+            return True
+        versions = self._standing.work.software_versions
+        if versions is None:
+            return listed.software_version is not None
+        return listed.software_version in versions
+
     def _remaining_seconds(self) -> float:
         return self._standing.deadline_seconds - self._deps.clock.now_seconds()
 
@@ -206,7 +224,10 @@
             return False
         if self._relay.has_begun and not self._relay.can_continue:
             return False
-        self.has_reserved_retry = self._deps.dispatcher.take_retry(self._standing.work)
+        work = self._standing.work
+        if self._relay.has_begun:
+            work = bound_work(work, self._software_version)
+        self.has_reserved_retry = self._deps.dispatcher.take_retry(work)
         return self.has_reserved_retry
 
     async def _handle_answer(
@@ -274,6 +295,15 @@
 
     def _note_first(self) -> None:
         self._deps.dispatcher.first_token(self._standing.work.request)
+        version = self._software_version
+        if is_resumable_stream(self._route_match.route) and version is not None:
+            # Before the caller gets its first event, after which it may come again.
+            self._deps.stream_versions.note_begun(
+                self._request.stream,
+                self._standing.work.target_group,
+                version,
+                self._remaining_seconds(),
+            )
 
     def _note_rejection(self, target: TargetId, answer: ForwardResponse) -> None:
         """Update what is known of a target that did not run the request."""
--- a/lycheepost/core/ids.py
+++ b/lycheepost/core/ids.py
@@ -12,6 +12,9 @@
 RegionId = NewType("RegionId", str)
 DaemonId = NewType("DaemonId", str)
 RequestId = NewType("RequestId", str)
+StreamId = NewType("StreamId", str)
+"""A stream over all tries of its caller: the id of the try that began it."""
+
 IdempotencyKey = NewType("IdempotencyKey", str)
 Incarnation = NewType("Incarnation", str)
 """The boot id of a target, which changes whenever it restarts with no state."""
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -32,7 +32,11 @@
 from lycheepost.decide.targetrates import TargetRates
 from lycheepost.decide.targetstatus import target_status
 from lycheepost.decide.throttling import TargetThrottle
-from lycheepost.decide.waiting import WaitingWork, work_cost_seconds
+from lycheepost.decide.waiting import (
+    NO_TARGET_RETRY_SECONDS,
+    WaitingWork,
+    work_cost_seconds,
+)
 from lycheepost.decide.waitingorder import Claim
 
 SCANNED_REQUESTS = 8
@@ -102,7 +106,7 @@
         self.placement.pauses.observe(work, now_seconds)
         choice = self._choose(work, now_seconds, self.waiting.awaited)
         if choice is None:
-            seconds = retry_after_seconds(1.0, self._rng)
+            seconds = retry_after_seconds(NO_TARGET_RETRY_SECONDS, self._rng)
             return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
         cost = work_cost_seconds(self._settings, work, choice.uncached_tokens)
         self.waiting.note_arrival(work, choice, now_seconds)
@@ -121,6 +125,13 @@
         choice = self._choose(work, now_seconds, self.waiting.awaited)
         return choice is not None and choice.can_take
 
+    def refuse_unserved(self, now_seconds: float) -> list[Outcome]:
+        """Refuse the waiting requests that no target may run any more."""
+        if not self.n_waiting:
+            return []
+        versions = self.placement.serving_software()
+        return self.waiting.refuse_unserved(versions, now_seconds)
+
     def remove(self, request: RequestId) -> bool:
         """Take a request out of the queue; False when it does not wait."""
         return self.waiting.remove(request)
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -18,7 +18,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from lycheepost.core.ids import PrefixDigest, TargetId
+from lycheepost.core.ids import PrefixDigest, SoftwareVersion, TargetId
 from lycheepost.decide.load import TargetLoad
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.pausecosts import PauseCosts, PlacementState
@@ -156,6 +156,10 @@
         """Return the targets that take new work, in the same order on every daemon."""
         return sorted(self._serving_by_id)
 
+    def serving_software(self) -> frozenset[SoftwareVersion | None]:
+        """Return the software versions of the targets that take new work."""
+        return frozenset(load.view.software_version for load in self._serving)
+
     def is_empty(self) -> bool:
         """Return whether no target takes new work."""
         return not self._serving
@@ -440,11 +444,17 @@
         target.
     """
     version = work.weights_version
+    software_versions = work.software_versions
     usable: list[tuple[TargetLoad, int, int]] = []
     for load in loads:
         view = load.view
         if view.target in avoid or (version and view.weights_version != version):
             continue
+        if (
+            software_versions is not None
+            and view.software_version not in software_versions
+        ):
+            continue
         cached = load.cache_estimate.cached_tokens(work.levels)
         stored = work.stored_tokens if view.fetch_token_seconds > 0.0 else 0
         fetched = stored - cached if stored > cached else 0
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -15,6 +15,7 @@
     ModelId,
     PrefixDigest,
     RequestId,
+    SoftwareVersion,
     TargetGroupId,
     TargetId,
     WeightsVersion,
@@ -98,6 +99,7 @@
             its objective; 0 if there is none.
         rank: Urgency among all requests of its target group; 0 is the most urgent.
         hint_tokens: The caller's estimate of the tokens of its response; 0 if none.
+        software_versions: Versions of the targets that may run it; None for all.
     """
 
     request: RequestId
@@ -119,6 +121,7 @@
     gap_seconds: float = 0.0
     rank: int = 0
     hint_tokens: int = 0
+    software_versions: frozenset[SoftwareVersion] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +137,7 @@
         event_tokens: Output tokens in one event of a stream.
         memory_tokens: Tokens of running requests and cached parts that it holds
             together; 0 if unknown.
+        software_version: Version of its software; None if unknown.
     """
 
     target: TargetId
@@ -149,6 +153,7 @@
     fetch_token_seconds: float = 0.0
     event_tokens: int = 1
     memory_tokens: int = 0
+    software_version: SoftwareVersion | None = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/routes.py
+++ b/lycheepost/decide/routes.py
@@ -11,6 +11,7 @@
     KeyHolder,
     KvStore,
     Route,
+    RouteKind,
     RouteTable,
 )
 from lycheepost.decide.records import PrefixLevel
@@ -88,6 +89,22 @@
     return weighted[-1].target_group
 
 
+def resumable_groups(table: RouteTable) -> frozenset[TargetGroupId]:
+    """Return the target groups whose streams may go on at another target."""
+    return frozenset(
+        share.target_group
+        for routes in table.by_host.values()
+        for route in routes
+        if is_resumable_stream(route)
+        for share in route.shares
+    )
+
+
+def is_resumable_stream(route: Route) -> bool:
+    """Return whether a route's responses are streams that may be taken up again."""
+    return route.kind is RouteKind.STREAM and route.is_resumable
+
+
 ZONE_FACTOR = 2.0
 """Transfers of KV cache between availability zones take this many times as long, by the
 platform's protocol."""
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -95,7 +95,9 @@
         outcomes: list[Outcome] = []
         for group in self._groups.values():
             group.placement.refresh()
+            outcomes.extend(group.refuse_unserved(now_seconds))
             outcomes.extend(group.dispatch_waiting(now_seconds))
+        self._forget_refused(outcomes)
         return outcomes
 
     def _place_view(self, view: TargetView, now_seconds: float) -> None:
--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from lycheepost.core.ids import CustomerId, RequestId
+from lycheepost.core.ids import CustomerId, RequestId, SoftwareVersion
 from lycheepost.decide.admission import (
     GIVE_UP_SLACK,
     MAX_RETRY_AFTER_SECONDS,
@@ -52,6 +52,11 @@
 is refused only if the engines are too slow. The rest covers prediction errors."""
 
 
+NO_TARGET_RETRY_SECONDS = 1.0
+"""Retry time without a target that may run the request. A replacement of one that
+crashed registers within seconds."""
+
+
 def _is_shared_prefix_cached(work: Work, choice: Choice) -> bool:
     levels = work.levels
     if len(levels) < 2:
@@ -314,6 +319,27 @@
         self._deprioritize_late(now_seconds)
         return outcomes
 
+    def refuse_unserved(
+        self, versions: frozenset[SoftwareVersion | None], now_seconds: float
+    ) -> list[Outcome]:
+        """Refuse requests bound to software versions that no target has any more.
+
+        Args:
+            versions: The versions of the targets that take new requests.
+            now_seconds: The current time.
+        """
+        outcomes: list[Outcome] = []
+        for waiting in [*self.queue.all(), *self.late]:
+            bound = waiting.work.software_versions
+            if bound is None or not bound.isdisjoint(versions):
+                continue
+            self.remove(waiting.work.request)
+            wait = QueueWait(NO_TARGET_RETRY_SECONDS, False)
+            outcomes.append(
+                self._refuse(waiting.work, RefusalReason.NO_TARGET, wait, now_seconds)
+            )
+        return outcomes
+
     def refuse_all(self, reason: RefusalReason, now_seconds: float) -> list[Outcome]:
         """Refuse all waiting requests."""
         outcomes: list[Outcome] = []
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -65,6 +65,7 @@
     opened_seconds: float
     is_ours: bool
     n_silences: int = 0
+    n_received: int = 0
     sent_seconds: float = float("-inf")
     revision: int = 0
     """The revision that the other end last reported or was notified of."""
@@ -201,6 +202,15 @@
         """Return the daemons with which there is a link."""
         return tuple(self._links)
 
+    def heard_within(self, seconds: float) -> frozenset[DaemonId]:
+        """Return the daemons that have sent something within this time."""
+        since_seconds = self._clock.now_seconds() - seconds
+        return frozenset(
+            daemon
+            for daemon, link in self._links.items()
+            if link.n_received and link.last_contact_seconds >= since_seconds
+        )
+
     def flooded_daemons(self) -> tuple[DaemonId, ...]:
         """Return the linked daemons to which floods are sent."""
         return tuple(
@@ -372,6 +382,7 @@
             self._send_hello(sender)
             self._send_heartbeat(sender, link, self._get_revision())
         link.last_contact_seconds = now_seconds
+        link.n_received += 1
         link.n_silences = 0
         return link
 
--- a/lycheepost/peers/wire.py
+++ b/lycheepost/peers/wire.py
@@ -13,6 +13,7 @@
 import structlog
 
 from lycheepost.generated.messages import (
+    BegunStreams,
     FeedAnswer,
     FeedAsk,
     LeaseNews,
@@ -28,6 +29,7 @@
     RevisionDeltas,
     RevisionFetch,
     RevisionWhole,
+    SoftwareNews,
     SuspectPlaced,
     TargetNews,
     TargetsChanging,
@@ -50,6 +52,8 @@
     "limits": NoticeNews,
     "quota": QuotaSpent,
     "lease": LeaseNews,
+    "software": SoftwareNews,
+    "streams": BegunStreams,
     "weights-due": WeightsDue,
     "feed-ask": FeedAsk,
     "feed-answer": FeedAnswer,
--- a/lycheepost/platform/peerdialect.py
+++ b/lycheepost/platform/peerdialect.py
@@ -29,12 +29,18 @@
 
     def encode(self, call: ForwardCall) -> list[tuple[str, str]]:
         """Return all request headers of a relayed request."""
-        replaced = {names.DEADLINE.lower(), names.LAST_EVENT.lower()}
+        replaced = {
+            names.DEADLINE.lower(),
+            names.LAST_EVENT.lower(),
+            names.RESUMES.lower(),
+        }
         headers = [item for item in call.headers if item[0].lower() not in replaced]
         remaining_ms = max(1, int(call.remaining_seconds * MILLISECONDS))
         headers.append((names.DEADLINE, str(remaining_ms)))
         if call.after_event is not None:
             headers.append((names.LAST_EVENT, str(call.after_event)))
+            if call.relay is not None and call.relay.stream:
+                headers.append((names.RESUMES, call.relay.stream))
         if call.relay is not None:
             headers.append((names.RELAYED_RUNS, str(call.relay.n_runs)))
             if call.relay.key is not None:
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -85,6 +85,7 @@
         peer_ports: First and last port available for traffic between daemons.
         store: Address of the platform's store.
         capacity: Processor cores and bandwidth of this VM.
+        is_first_start: Whether the whole fleet starts for the first time.
     """
 
     daemon: DaemonId
@@ -98,6 +99,7 @@
     store: Endpoint
     bounds: Bounds
     capacity: Capacity = UNKNOWN_CAPACITY
+    is_first_start: bool = False
 
 
 class _Reader:
@@ -185,6 +187,7 @@
             reader.number("limits.cpu_share", 0) * reader.number("limits.cores", 1),
             reader.number("limits.link_mbps", 0),
         ),
+        is_first_start=reader.text("bootstrap", "false") == "true",
     )
     if reader.faults:
         return Failure(
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -16,6 +16,7 @@
 from lycheepost.core.ids import (
     AvailabilityZone,
     ModelId,
+    SoftwareVersion,
     TargetGroupId,
     TargetId,
     WeightsVersion,
@@ -24,6 +25,8 @@
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.leaving import LeavingTargets
 from lycheepost.decide.records import TargetView
+from lycheepost.decide.routes import resumable_groups
+from lycheepost.decide.softwareversions import ListedVersions, SoftwareVersions
 from lycheepost.decide.targethealth import Ending, TargetHealth
 from lycheepost.state.namedweights import (
     OLD_WEIGHTS_MARGIN_SECONDS,
@@ -81,6 +84,8 @@
             have a higher cost.
         availability_zone: Zone of this daemon; empty to treat all zones alike.
         leaving: The targets whose responses say that they are leaving.
+        software: The software versions of the groups.
+        on_versions: Called when a group has got a further software version.
     """
 
     def __init__(
@@ -91,7 +96,12 @@
         prefers_new_weights: bool = True,
         availability_zone: AvailabilityZone = NO_ZONE,
         leaving: LeavingTargets | None = None,
+        software: SoftwareVersions | None = None,
+        on_versions: Callable[[], None] = lambda: None,
     ) -> None:
+        self._software = software or SoftwareVersions(float("-inf"))
+        self._on_versions = on_versions
+        self._resumable: frozenset[TargetGroupId] = frozenset()
         self._leaving = LeavingTargets() if leaving is None else leaving
         self._availability_zone = availability_zone
         self._prefers_new_weights = prefers_new_weights
@@ -161,6 +171,7 @@
     def set_table(self, table: RouteTable) -> None:
         """Set the route table; its groups define what their targets can do."""
         self._table = table
+        self._resumable = resumable_groups(table)
         self.refresh()
 
     def take(
@@ -261,14 +272,17 @@
         A target may crash and restart before its registration shows it. Without this
         its cache would be assumed warm and its lost requests running, and the request
         that crashed it would not be found. The weights are assumed unchanged until the
-        next registration or response.
+        next registration or response; its software may have another version.
         """
         known = self._known.get(start.target)
         if known is None or not start.is_newer_than(known.listed.start):
             return
         if self._starts.note(start):
             listed = replace(
-                known.listed, started_ms=start.started_ms, weights=known.weights
+                known.listed,
+                started_ms=start.started_ms,
+                weights=known.weights,
+                software_version=None,
             )
             self._register(listed, is_restarted=True)
             self.refresh()
@@ -434,6 +448,7 @@
         now_seconds = self._clock.now_seconds()
         self._forget_gone(now_seconds)
         ejected = self._ejected(now_seconds)
+        excluded = ejected | self._held_back(ejected, now_seconds)
         builder = ViewBuilder(
             self._named_weights,
             self._table,
@@ -442,7 +457,7 @@
             now_seconds,
         )
         views = tuple(
-            builder.build(known, name in ejected)
+            builder.build(known, name in excluded)
             for name, known in sorted(self._known.items())
         )
         self._newest = builder.newest_weights()
@@ -454,6 +469,7 @@
     def _find_next_change(self, now_seconds: float) -> float:
         """Return when a view may change next without another call."""
         times = [self._named_weights.next_change_seconds(now_seconds)]
+        times.append(self._software.next_change_seconds(now_seconds))
         times += [
             item.next_change_seconds(now_seconds) for item in self._health.values()
         ]
@@ -476,6 +492,32 @@
             for health in self._health.values():
                 health.forget(self._known)
 
+    def _held_back(self, ejected: set[TargetId], now_seconds: float) -> set[TargetId]:
+        """Return the targets that may not begin streams because of their software.
+
+        Only groups whose streams may go on at another target are concerned.
+        """
+        by_group: dict[TargetGroupId, list[TargetRecord]] = {}
+        for known in self._known.values():
+            if known.listed.target_group in self._resumable:
+                by_group.setdefault(known.listed.target_group, []).append(known)
+        listed = {
+            group: _listed_versions(records, ejected)
+            for group, records in by_group.items()
+        }
+        if self._software.set_listed(listed, now_seconds):
+            self._on_versions()
+        held_back: set[TargetId] = set()
+        for group, records in by_group.items():
+            versions = self._software.held_back(group, now_seconds)
+            held_back |= {
+                known.listed.target
+                for known in records
+                if known.listed.software_version is None
+                or known.listed.software_version in versions
+            }
+        return held_back
+
     def _ejected(self, now_seconds: float) -> set[TargetId]:
         ejected: set[TargetId] = set()
         for group, health in self._health.items():
@@ -488,3 +530,18 @@
             ]
             ejected |= health.ejected(names, now_seconds, self._limited)
         return ejected
+
+
+def _listed_versions(
+    records: Iterable[TargetRecord], ejected: set[TargetId]
+) -> ListedVersions:
+    listed: set[SoftwareVersion] = set()
+    usable: set[SoftwareVersion] = set()
+    for known in records:
+        version = known.listed.software_version
+        if version is None:
+            continue
+        listed.add(version)
+        if not known.listed.is_leaving and known.listed.target not in ejected:
+            usable.add(version)
+    return ListedVersions(frozenset(listed), frozenset(usable))
--- a/lycheepost/state/targetviews.py
+++ b/lycheepost/state/targetviews.py
@@ -54,6 +54,7 @@
         fetch_token_seconds=fetch_seconds,
         event_tokens=1 if engine is None else engine.event_tokens,
         memory_tokens=0 if engine is None else engine.kv_tokens,
+        software_version=listed.software_version,
     )
 
 
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -11,6 +11,7 @@
     CustomerId,
     ModelId,
     RequestId,
+    StreamId,
     TargetGroupId,
     TargetId,
     WeightsVersion,
@@ -47,10 +48,12 @@
     Attributes:
         key: The caller's key, which the peer checks; None when it sent none.
         n_runs: On how many targets the request may have run before.
+        stream: The stream that it begins or takes up; empty if unknown.
     """
 
     key: str | None
     n_runs: int
+    stream: StreamId = StreamId("")
 
 
 @dataclass(frozen=True, slots=True)
