--- a/lycheepost/app/streamversions.py
+++ b/lycheepost/app/streamversions.py
@@ -61,6 +61,7 @@
             before it was read.
         on_peers_confirmed: Called when a peer has confirmed versions, after which more
             targets may begin streams.
+        call_soon: Calls a function after ``BATCH_SECONDS``.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         metrics: Metrics,
         get_confirmed_seconds: Callable[[], float | None],
         on_peers_confirmed: Callable[[], None],
+        call_soon: Callable[[Callable[[], None]], object] | None = None,
     ) -> None:
         self._software = software
         self._origins = StreamOrigins()
@@ -82,8 +84,8 @@
         self._peers: tuple[DaemonId, ...] = ()
         self._is_peer = True
         self._untold: list[StreamId] = []
+        self._call_soon = call_soon or _call_after_batch
         self._task: asyncio.Task[None] | None = None
-        self._tell_task: asyncio.Task[None] | None = None
         exchange.subscribe(SoftwareNews, self._receive_software)
         exchange.subscribe(BegunStreams, self._receive_streams)
 
@@ -96,9 +98,9 @@
 
     async def stop(self) -> None:
         """Stop telling peers."""
-        for task in (self._task, self._tell_task):
-            if task is not None:
-                task.cancel()
+        self._peers = ()
+        if self._task is not None:
+            self._task.cancel()
 
     def status(self) -> dict[str, object]:
         """Return the versions of each group for the status page."""
@@ -192,9 +194,9 @@
         origin = StreamOrigin(target_group, software_version, until_seconds)
         self._origins.note(stream, origin, is_own=True)
         if self._software.is_mixed(target_group, now_seconds):
+            if not self._untold:
+                self._call_soon(self._tell_streams)
             self._untold.append(stream)
-            if self._tell_task is None or self._tell_task.done():
-                self._tell_task = start_task(self._tell_soon(), "tell-streams")
 
     def _is_current(self, now_seconds: float) -> bool:
         """Return whether no peer can know a version that is unknown here.
@@ -213,10 +215,6 @@
         n_heard = sum(peer in heard for peer in self._peers)
         return n_heard >= CONTACT_SHARE * len(self._peers)
 
-    async def _tell_soon(self) -> None:
-        await asyncio.sleep(BATCH_SECONDS)
-        self._tell_streams()
-
     def _tell_streams(self) -> None:
         streams, self._untold = self._untold, []
         message = self._to_message(streams)
@@ -304,13 +302,21 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(REPEAT_SECONDS)
-            now_seconds = self._clock.now_seconds()
-            self._origins.expire(now_seconds)
-            for peer in self._peers:
-                if self._software.unconfirmed(peer, now_seconds):
-                    self._send_software(peer, is_answer=False)
-            n_mixed = sum(
-                self._software.is_mixed(group, now_seconds)
-                for group in self._software.groups()
-            )
-            self._metrics.gauge("groups_of_two_versions", n_mixed)
+            self.tick()
+
+    def tick(self) -> None:
+        """Ask peers again that have not confirmed a version; forget old streams."""
+        now_seconds = self._clock.now_seconds()
+        self._origins.expire(now_seconds)
+        for peer in self._peers:
+            if self._software.unconfirmed(peer, now_seconds):
+                self._send_software(peer, is_answer=False)
+        n_mixed = sum(
+            self._software.is_mixed(group, now_seconds)
+            for group in self._software.groups()
+        )
+        self._metrics.gauge("groups_of_two_versions", n_mixed)
+
+
+def _call_after_batch(call: Callable[[], None]) -> object:
+    return asyncio.get_running_loop().call_later(BATCH_SECONDS, call)
