Keep KV cache of two software versions apart in KV stores

Looked for the cause of the mixed streams elsewhere: an engine fetches from a KV store what another engine wrote, under a scope that names weights and customer, but not the software; engines don't check it. The scope that goes out names it now. Digests of what engines keep themselves leave it out, so placement and the exchange of placed prompts are as before; what a store holds is estimated for each version. With one version the same parts are found as before.

--- a/features/decide/steps/fetched_steps.py
+++ b/features/decide/steps/fetched_steps.py
@@ -11,6 +11,7 @@
     Incarnation,
     ModelId,
     PrefixDigest,
+    SoftwareVersion,
     TargetGroupId,
     TargetId,
 )
@@ -71,7 +72,7 @@
         f"request-{index}",
         levels=levels,
         prompt_tokens=TEMPLATE_TOKENS + own_tokens,
-        stored_tokens=stored_tokens,
+        stored_tokens={SoftwareVersion(""): stored_tokens},
     )
 
 
--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -102,6 +102,11 @@
     When the same part is named by a prompt and by an event of its scope
     Then both have one digest, and another scope has another
 
+  Scenario: A store keeps what engines of two software versions write apart
+    Guards against KV cache of one software version that an engine of another fetches.
+    When the same part is written by engines of two software versions
+    Then a store holds it apart for each, and each engine for itself
+
   Scenario: All that engines keep is read from one after the other
     All daemons of a large fleet restart behind links of 10 Mbit/s. If each reads the
     events of its six engines at once, a quarter of a megabyte each, calls time out, are
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -16,6 +16,7 @@
     Incarnation,
     ModelId,
     RequestId,
+    SoftwareVersion,
     TargetGroupId,
     TargetId,
     WeightsVersion,
@@ -279,9 +280,9 @@
     assert context.found == (None if weights == "nothing" else weights)
 
 
-def decode_event(wire):
+def decode_event(wire, is_store=False):
     body = b'{"boot_epoch":1,"next":9,"lost":false,"events":[%s]}' % wire.encode()
-    return _decode(body).unwrap().events[0]
+    return _decode(body, is_store).unwrap().events[0]
 
 
 @when("the cache event {wire} is decoded")
@@ -319,6 +320,26 @@
     context.event = decode_event('[7,"+","2:","aa",10,"m0"]')
 
 
+@when("the same part is written by engines of two software versions")
+def step_written(context):
+    events = ('[7,"+","2:v1:","aa",10,"m0"]', '[8,"+","2:v1%3A1:","aa",10,"m0"]')
+    context.in_store = [decode_event(event, is_store=True).digest for event in events]
+    context.in_engine = [decode_event(event).digest for event in events]
+    prompt = Prompt(ModelId("m0"), 10, 1, (PromptPart("aa", 10),))
+    owner, weights = CustomerId(""), WeightsVersion("2")
+    context.wanted = [
+        prompt_levels(CacheScope(weights, owner, SoftwareVersion(version)), prompt)[0]
+        for version in ("v1", "v1:1", "")
+    ]
+
+
+@then("a store holds it apart for each, and each engine for itself")
+def step_apart(context):
+    old, new, own = (level.digest for level in context.wanted)
+    assert context.in_store == [old, new] and old != new
+    assert context.in_engine == [own, own]
+
+
 @then("both have one digest, and another scope has another")
 def step_same(context):
     assert context.levels[0] == context.event.digest
@@ -335,7 +356,7 @@
     def __init__(self, answers):
         self.answers = answers
 
-    async def read_events(self, address, since):
+    async def read_events(self, address, since, is_store):
         if not self.answers:
             await asyncio.sleep(3600)
         return Success(self.answers.pop(0))
@@ -360,7 +381,7 @@
     def __init__(self):
         self.n_running, self.max_running, self.full_reads = 0, 0, []
 
-    async def read_events(self, address, since):
+    async def read_events(self, address, since, is_store):
         if since > 0:
             await asyncio.sleep(3600)
         self.n_running += 1
@@ -440,7 +461,7 @@
     def __init__(self):
         self.polled_since = []
 
-    async def read_events(self, address, since):
+    async def read_events(self, address, since, is_store):
         self.polled_since.append(since)
         if since > 0:
             await asyncio.sleep(3600)
--- a/lycheepost/callers/forwardcalls.py
+++ b/lycheepost/callers/forwardcalls.py
@@ -1,6 +1,6 @@
 """Build the call to a target and the quota charge of a forwarded request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.callers.forwarderrors import not_configured
@@ -98,10 +98,12 @@
     version = deps.targets.weights_of(listed.target, prompt.model)
     version = version or WeightsVersion("")
     scope = make_scope(route_match.holder, version)
-    levels = prompt_levels(scope, prompt)
-    store = choose_kv_store(route_table(deps), levels)
+    store = ""
+    if listed.software_version is not None:
+        store = choose_kv_store(route_table(deps), prompt_levels(scope, prompt))
+        scope = replace(scope, software_version=listed.software_version)
     should_store = bool(store) and deps.kv_store_contents.should_send(
-        store, levels, deps.clock.now_seconds()
+        store, prompt_levels(scope, prompt), deps.clock.now_seconds()
     )
     return EngineOptions(
         model=prompt.model,
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -133,6 +133,12 @@
         """Return the newest weights that any target holds; empty for none."""
         ...
 
+    def software_versions(
+        self, target_group: TargetGroupId
+    ) -> frozenset[SoftwareVersion]:
+        """Return the known software versions of a group's targets."""
+        ...
+
     def note_weights(
         self, target: TargetId, model: ModelId, version: WeightsVersion
     ) -> None:
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -7,7 +7,7 @@
 from lycheepost.core.hashing import fingerprint_body
 from lycheepost.core.ids import ModelId, SoftwareVersion, TargetGroupId, WeightsVersion
 from lycheepost.core.routing import Prompt, Route, RouteKind, RouteTable
-from lycheepost.decide.promptlevels import make_scope, prompt_levels
+from lycheepost.decide.promptlevels import CacheScope, make_scope, prompt_levels
 from lycheepost.decide.records import PrefixLevel, Priority, Work
 from lycheepost.decide.routes import (
     RouteMatch,
@@ -57,12 +57,29 @@
     return replace(work, software_versions=versions)
 
 
-def _levels(
-    deps: ForwardDeps, route_match: RouteMatch, prompt: Prompt
-) -> tuple[PrefixLevel, ...]:
-    """Return the levels under the newest weights that any target holds."""
+def _scope(deps: ForwardDeps, route_match: RouteMatch, prompt: Prompt) -> CacheScope:
+    """Return the scope under the newest weights that any target holds."""
     version = deps.targets.newest_weights(prompt.model)
-    return prompt_levels(make_scope(route_match.holder, version), prompt)
+    return make_scope(route_match.holder, version)
+
+
+def _stored_tokens(
+    deps: ForwardDeps,
+    scope: CacheScope,
+    prompt: Prompt,
+    store: str,
+    group: TargetGroupId,
+) -> dict[SoftwareVersion, int]:
+    """Return the tokens of a prompt that a KV store holds, by software version."""
+    if not store:
+        return {}
+    contents = deps.kv_store_contents
+    return {
+        version: contents.stored_tokens(
+            store, prompt_levels(replace(scope, software_version=version), prompt)
+        )
+        for version in deps.targets.software_versions(group)
+    }
 
 
 def rank_of(route_match: RouteMatch) -> int:
@@ -129,7 +146,13 @@
         prompt = None
     identity = f"{request.method} {request.host}{request.raw_path}\n".encode()
     customer = route_match.holder.customer
-    levels = () if prompt is None else _levels(deps, route_match, prompt)
+    levels: tuple[PrefixLevel, ...] = ()
+    stored_tokens: dict[SoftwareVersion, int] = {}
+    if prompt is not None:
+        scope = _scope(deps, route_match, prompt)
+        levels = prompt_levels(scope, prompt)
+        store = choose_kv_store(table, levels)
+        stored_tokens = _stored_tokens(deps, scope, prompt, store, group)
     return Work(
         request=deps.make_request_id(),
         customer=customer,
@@ -150,7 +173,5 @@
         gap_seconds=route.gap_seconds,
         rank=engine_rank(route_match),
         hint_tokens=0 if prompt is None else prompt.hint_tokens,
-        stored_tokens=deps.kv_store_contents.stored_tokens(
-            choose_kv_store(table, levels), levels
-        ),
+        stored_tokens=stored_tokens,
     )
--- a/lycheepost/decide/placement.py
+++ b/lycheepost/decide/placement.py
@@ -65,6 +65,8 @@
 token from a target that it waits for to spare streams a pause. Predictions of waits are
 low by half where demand rises quickly."""
 
+NO_SOFTWARE = SoftwareVersion("")
+
 HOLDERS_PER_DIGEST = 6
 """Most recent holders remembered per prefix."""
 
@@ -445,6 +447,7 @@
     """
     version = work.weights_version
     software_versions = work.software_versions
+    stored_tokens = work.stored_tokens
     usable: list[tuple[TargetLoad, int, int]] = []
     for load in loads:
         view = load.view
@@ -456,7 +459,9 @@
         ):
             continue
         cached = load.cache_estimate.cached_tokens(work.levels)
-        stored = work.stored_tokens if view.fetch_token_seconds > 0.0 else 0
+        stored = 0
+        if stored_tokens and view.fetch_token_seconds > 0.0:
+            stored = stored_tokens.get(view.software_version or NO_SOFTWARE, 0)
         fetched = stored - cached if stored > cached else 0
         uncached = work.prompt_tokens - cached - fetched
         usable.append((load, uncached if uncached > 0 else 0, fetched))
--- a/lycheepost/decide/promptlevels.py
+++ b/lycheepost/decide/promptlevels.py
@@ -3,13 +3,22 @@
 An engine caches each part under the scope that it was sent with. The scope names the
 weights, because KV cache computed with other weights gives wrong output. For an
 isolated customer it names the customer, because even response times must not reveal
-what other customers have sent.
+what other customers have sent. It names the version of the engine's software as well: a
+KV store passes parts on between engines, and what two versions write does not fit
+together. An engine's own parts are of its own version, so its digests leave that out.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from urllib.parse import quote, unquote
 
 from lycheepost.core.hashing import hash_bytes
-from lycheepost.core.ids import CustomerId, ModelId, PrefixDigest, WeightsVersion
+from lycheepost.core.ids import (
+    CustomerId,
+    ModelId,
+    PrefixDigest,
+    SoftwareVersion,
+    WeightsVersion,
+)
 from lycheepost.core.routing import KeyHolder, Prompt
 from lycheepost.decide.records import PrefixLevel
 
@@ -22,13 +31,22 @@
 
     Attributes:
         owner: An isolated customer; empty for the scope of all others.
+        software_version: Version of the engines that share the parts; empty within
+            one engine.
     """
 
     weights_version: WeightsVersion
     owner: CustomerId
+    software_version: SoftwareVersion = SoftwareVersion("")
 
     def __str__(self) -> str:
-        return f"{self.weights_version}{_SEPARATOR}{self.owner}"
+        software = quote(self.software_version, safe="")
+        return _SEPARATOR.join((self.weights_version, software, self.owner))
+
+    @property
+    def within_engine(self) -> "CacheScope":
+        """Return the scope without the version of the software."""
+        return replace(self, software_version=SoftwareVersion(""))
 
 
 def make_scope(holder: KeyHolder, weights_version: WeightsVersion) -> CacheScope:
@@ -39,8 +57,11 @@
 
 def split_scope(text: str) -> CacheScope:
     """Return the scope that was sent as ``text``."""
-    version, _, owner = text.partition(_SEPARATOR)
-    return CacheScope(WeightsVersion(version), CustomerId(owner))
+    version, _, rest = text.partition(_SEPARATOR)
+    software, _, owner = rest.partition(_SEPARATOR)
+    return CacheScope(
+        WeightsVersion(version), CustomerId(owner), SoftwareVersion(unquote(software))
+    )
 
 
 def part_digest(scope: CacheScope, model: ModelId, part_id: str) -> PrefixDigest:
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -4,6 +4,7 @@
 the policy bench, which runs the scheduler without a daemon, use the same ones.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -94,7 +95,7 @@
         objective_seconds: Latency objective for the first token, from the arrival;
             infinite if there is none.
         stored_tokens: Tokens of the prompt's prefix that a KV store is estimated to
-            hold, for targets that can fetch them.
+            hold, by software version, for targets of it that can fetch them.
         gap_seconds: Longest pause between the events of its response at which it meets
             its objective; 0 if there is none.
         rank: Urgency among all requests of its target group; 0 is the most urgent.
@@ -117,7 +118,7 @@
     is_idempotent: bool = True
     excluded: frozenset[TargetId] = field(default_factory=frozenset)
     objective_seconds: float = float("inf")
-    stored_tokens: int = 0
+    stored_tokens: Mapping[SoftwareVersion, int] = field(default_factory=dict)
     gap_seconds: float = 0.0
     rank: int = 0
     hint_tokens: int = 0
--- a/lycheepost/platform/cacheevents.py
+++ b/lycheepost/platform/cacheevents.py
@@ -67,7 +67,7 @@
             await self._session.close()
 
     async def read_events(
-        self, address: str, since: int
+        self, address: str, since: int, is_store: bool
     ) -> Result[CacheEventBatch, TargetError]:
         """Return the events with a sequence number after ``since``."""
         if self._session is None:
@@ -80,28 +80,31 @@
             ) as response:
                 if response.status != 200:
                     return Failure(TargetError(f"status {response.status}"))
-                return _decode(await response.read())
+                return _decode(await response.read(), is_store)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Failure(TargetLost(f"no response: {type(error).__name__}"))
 
 
-def _decode(body: bytes) -> Result[CacheEventBatch, TargetError]:
+def _decode(body: bytes, is_store: bool) -> Result[CacheEventBatch, TargetError]:
     try:
         wire = msgspec.json.decode(body, type=_WireEvents)
     except UNREADABLE as error:
         return Failure(TargetError(f"cache events cannot be decoded: {error}"))
-    events = tuple(_to_event(event) for event in wire.events)
+    events = tuple(_to_event(event, is_store) for event in wire.events)
     return Success(CacheEventBatch(wire.boot_epoch, wire.next, wire.lost, events))
 
 
-def _to_event(wire: _WireEvent) -> CacheEvent:
-    number, sign, scope, part_id, n_tokens, model = wire
+def _to_event(wire: _WireEvent, is_store: bool) -> CacheEvent:
+    number, sign, scope_text, part_id, n_tokens, model = wire
+    scope = split_scope(scope_text)
+    if not is_store:
+        scope = scope.within_engine
     kind = CacheEventKind.EVICTED
     if n_tokens > 0:
         kind = CacheEventKind.STORED if sign == "+" else CacheEventKind.TRIMMED
     return CacheEvent(
         sequence=number,
         kind=kind,
-        digest=part_digest(split_scope(scope), ModelId(model), part_id),
+        digest=part_digest(scope, ModelId(model), part_id),
         n_tokens=n_tokens,
     )
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -102,6 +102,7 @@
         self._software = software or SoftwareVersions(float("-inf"))
         self._on_versions = on_versions
         self._resumable: frozenset[TargetGroupId] = frozenset()
+        self._listed_software: dict[TargetGroupId, frozenset[SoftwareVersion]] = {}
         self._leaving = LeavingTargets() if leaving is None else leaving
         self._availability_zone = availability_zone
         self._prefers_new_weights = prefers_new_weights
@@ -168,6 +169,12 @@
         """Return the newest weights of a model that any target holds."""
         return self._newest.get(model, WeightsVersion(""))
 
+    def software_versions(
+        self, target_group: TargetGroupId
+    ) -> frozenset[SoftwareVersion]:
+        """Return the known software versions of a group's targets."""
+        return self._listed_software.get(target_group, frozenset())
+
     def set_table(self, table: RouteTable) -> None:
         """Set the route table; its groups define what their targets can do."""
         self._table = table
@@ -499,16 +506,20 @@
         """
         by_group: dict[TargetGroupId, list[TargetRecord]] = {}
         for known in self._known.values():
-            if known.listed.target_group in self._resumable:
-                by_group.setdefault(known.listed.target_group, []).append(known)
+            by_group.setdefault(known.listed.target_group, []).append(known)
         listed = {
             group: _listed_versions(records, ejected)
             for group, records in by_group.items()
         }
-        if self._software.set_listed(listed, now_seconds):
+        self._listed_software = {
+            group: versions.listed for group, versions in listed.items()
+        }
+        resumable = {name: listed[name] for name in self._resumable & listed.keys()}
+        if self._software.set_listed(resumable, now_seconds):
             self._on_versions()
         held_back: set[TargetId] = set()
-        for group, records in by_group.items():
+        for group in resumable:
+            records = by_group[group]
             versions = self._software.held_back(group, now_seconds)
             held_back |= {
                 known.listed.target
--- a/lycheepost/targets/cachewatch.py
+++ b/lycheepost/targets/cachewatch.py
@@ -73,9 +73,15 @@
     """Reads cache events from engines and stores."""
 
     async def read_events(
-        self, address: str, since: int
+        self, address: str, since: int, is_store: bool
     ) -> Result[CacheEventBatch, TargetError]:
-        """Return the events after ``since``; waits until there are some."""
+        """Return the events after ``since``; waits until there are some.
+
+        Args:
+            address: Of the engine or store.
+            since: Number of the last event before.
+            is_store: Whether engines of several software versions write there.
+        """
         ...
 
 
@@ -132,7 +138,7 @@
         epoch: int | None = None
         is_failing = False
         while True:
-            match await self._read(address, since):
+            match await self._read(source, since):
                 case Success(batch):
                     if epoch is not None and batch.epoch != epoch:
                         _log.info("cache: restarted", address=address)
@@ -153,12 +159,13 @@
                     await asyncio.sleep(FAILED_POLL_PAUSE_SECONDS)
 
     async def _read(
-        self, address: str, since: int
+        self, source: CacheSource, since: int
     ) -> Result[CacheEventBatch, TargetError]:
         """Read one source's events; only one full read runs at a time."""
+        address, is_store = source.address, source.target is None
         if since > 0:
-            return await self._port.read_events(address, since)
+            return await self._port.read_events(address, since, is_store)
         async with self._full_read_lock:
-            answer = await self._port.read_events(address, since)
+            answer = await self._port.read_events(address, since, is_store)
             await asyncio.sleep(FULL_READ_PAUSE_SECONDS)
         return answer
