Ask a target that keeps its name whether it has restarted before a stream goes on

A target that is back under its id with other software before its entry says so would take the rest of a stream of its earlier version. Where it states its start, its report is read first: before the rest of a stream, and before a new one while the list of targets is out of date. Found by thinking about entries that come late, not seen.

Versions are forgotten once their streams are over.

--- a/lycheepost/app/streamversions.py
+++ b/lycheepost/app/streamversions.py
@@ -1,9 +1,9 @@
 """Keeps streams at the software version that began them, also at other daemons.
 
 A caller takes a stream up again at any daemon, which must know the version that began
-it. While a group has one version, that is the one. Beside two, daemons tell each other
-which version began which stream. A daemon that can't know asks its peers to serve the
-request (``callers.forwarding``).
+it. While a group has one version, that is the one. Beside two, and after a start of all
+daemons, they tell each other which version began which stream. A daemon that can't know
+asks its peers to serve the request (``callers.forwarding``).
 """
 
 import asyncio
@@ -167,6 +167,10 @@
             return None
         return self._software.sole(target_group, now_seconds)
 
+    def is_list_current(self) -> bool:
+        """Return whether the list of targets is up to date."""
+        return self._is_list_current(self._clock.now_seconds())
+
     def may_peers_know(self, stream: StreamId, target_group: TargetGroupId) -> bool:
         """Return whether peers may know the version of a stream unknown here."""
         now_seconds = self._clock.now_seconds()
@@ -193,11 +197,18 @@
         until_seconds = now_seconds + min(for_seconds, STREAM_SECONDS)
         origin = StreamOrigin(target_group, software_version, until_seconds)
         self._origins.note(stream, origin, is_own=True)
-        if self._software.is_mixed(target_group, now_seconds):
+        if self._must_tell(target_group, now_seconds):
             if not self._untold:
                 self._call_soon(self._tell_streams)
             self._untold.append(stream)
 
+    def _must_tell(self, target_group: TargetGroupId, now_seconds: float) -> bool:
+        """Return whether peers can't know the version of a group's streams.
+
+        After a start of all daemons nobody knows which versions served before.
+        """
+        return self._software.sole(target_group, now_seconds) is None
+
     def _is_current(self, now_seconds: float) -> bool:
         """Return whether no peer can know a version that is unknown here.
 
@@ -206,15 +217,18 @@
         """
         if not self._is_peer:
             return False
-        confirmed_seconds = self._get_confirmed_seconds()
-        if confirmed_seconds is not None and (
-            now_seconds - confirmed_seconds <= CURRENT_LIST_SECONDS
-        ):
+        if self._is_list_current(now_seconds):
             return True
         heard = self._exchange.heard_within(CONTACT_SECONDS)
         n_heard = sum(peer in heard for peer in self._peers)
         return n_heard >= CONTACT_SHARE * len(self._peers)
 
+    def _is_list_current(self, now_seconds: float) -> bool:
+        confirmed_seconds = self._get_confirmed_seconds()
+        return confirmed_seconds is not None and (
+            now_seconds - confirmed_seconds <= CURRENT_LIST_SECONDS
+        )
+
     def _tell_streams(self) -> None:
         streams, self._untold = self._untold, []
         message = self._to_message(streams)
@@ -294,7 +308,7 @@
         own = [
             stream
             for stream, origin in self._origins.own(now_seconds).items()
-            if self._software.is_mixed(origin.target_group, now_seconds)
+            if self._must_tell(origin.target_group, now_seconds)
         ]
         if own:
             self._exchange.send(peer, self._to_message(own))
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -222,6 +222,10 @@
         """Return the version at which a stream must go on; None if unknown here."""
         ...
 
+    def is_list_current(self) -> bool:
+        """Return whether the list of targets is up to date."""
+        ...
+
     def may_peers_know(self, stream: StreamId, target_group: TargetGroupId) -> bool:
         """Return whether peers may know the version of a stream unknown here."""
         ...
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -118,6 +118,11 @@
         if not self._fits(listed):
             reason = "the target's software has another version"
             return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
+        if self._must_check_start(listed) and not await self._deps.is_same_incarnation(
+            listed
+        ):
+            reason = "the target has restarted or does not answer"
+            return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
         self._software_version = listed.software_version
         end, reason = await self._send(listed)
         return end, reason, await self._finish_kind(listed, end)
@@ -134,6 +139,20 @@
             return listed.software_version is not None
         return listed.software_version in versions
 
+    def _must_check_start(self, listed: ListedTarget) -> bool:
+        """Return whether to ask a target first whether it has restarted.
+
+        One that keeps its name across restarts may be back with other software before
+        its registration says so. It matters where a stream goes on, and where one
+        begins while registrations are out of date.
+        """
+        if listed.started_ms is None or not is_resumable_stream(
+            self._route_match.route
+        ):
+            return False
+        is_bound = self._standing.work.software_versions is not None
+        return is_bound or not self._deps.stream_versions.is_list_current()
+
     def _remaining_seconds(self) -> float:
         return self._standing.deadline_seconds - self._deps.clock.now_seconds()
 
--- a/lycheepost/decide/softwareversions.py
+++ b/lycheepost/decide/softwareversions.py
@@ -91,6 +91,7 @@
                 *listed.get(group, _NONE_LISTED).listed,
             }
             has_gained |= self._see(group, versions, now_seconds)
+            self._forget_over(group, now_seconds)
         return has_gained
 
     def note_told(
@@ -127,6 +128,12 @@
                 sighting.last_seconds = now_seconds
         return has_gained
 
+    def _forget_over(self, target_group: TargetGroupId, now_seconds: float) -> None:
+        known = self.known(target_group, now_seconds)
+        sightings = self._sightings[target_group]
+        for version in [name for name in sightings if name not in known]:
+            del sightings[version]
+
     def _is_over(self, sighting: _Sighting, now_seconds: float) -> bool:
         return now_seconds - sighting.last_seconds > STREAM_SECONDS
 
