Soak: engines of other software versions come, go and return; clients take streams up

More than two streams of two versions in a run are a violation, as by the users' rule; outcomes tell how many take-ups went on.

--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -7,10 +7,12 @@
 cuts one way or silences. Processes are stopped, paused, killed and started again by
 signals, and the store fails, answers late or loses answers, in series that overlap;
 servers meanwhile say that they leave, name limits, are brittle, pause, or turn requests
-away for a while, break off responses and send them without length or chunks; daemons
-are cut off from all servers, one, many or a zone at a time, also by connections that
-are accepted and lead nowhere.
-Clients keep using their connections until the process behind them is gone. Every
+away for a while, break off responses and send them without length or chunks; engines of
+other software versions come and go, or are back under their ids; daemons are cut off
+from all servers, one, many or a zone at a time, also by connections that are accepted
+and lead nowhere.
+Clients keep using their connections until the process behind them is gone, and take up
+streams that they lose at any daemon. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
 process that was started here is ended here, by its id. Exit code 0 without a violation.
 
@@ -28,13 +30,22 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
 from soaknotices import DaemonWords, NamedLimit, Span, find_broken
 from soakproxy import LinkState
+from soakstreams import (
+    VERSIONS,
+    StreamClient,
+    TakenStream,
+    expected_body,
+    split_events,
+    versions_of,
+)
 
 from lycheepost.app.platformdemo import (
+    DemoRequest,
     PlatformDemoReport,
     audit_runs,
     check_answer,
@@ -43,7 +54,9 @@
 )
 from lycheepost.app.platformfleet import (
     ENGINES,
+    FIRST_START_MS,
     KEYS,
+    MODEL,
     PLAIN,
     Answer,
     make_configuration,
@@ -81,6 +94,9 @@
 TOLERATED_FALLS_SHARE = 0.1
 """Crashes of brittle servers in one time, and for each server, that are allowed."""
 
+TOLERATED_MIXED_STREAMS = 2
+"""Streams of two software versions that the users' rule allows in one day."""
+
 _NOT_RUN = (408, 421, 429, 503)
 
 
@@ -93,6 +109,7 @@
         refused: Attempts that may run once and were told not to have run.
         revoked_seconds: When the key was gone from the configuration.
         words: What the daemons were sent and handed on, and when they were disturbed.
+        mixed: Streams that hold events of two software versions.
     """
 
     seed: int
@@ -107,6 +124,7 @@
     version: int = 1
     weights: int = 1
     words: DaemonWords = field(default_factory=DaemonWords)
+    mixed: list[str] = field(default_factory=list)
 
     def note_disturbed(self, daemon: DaemonProcess, from_seconds: float) -> None:
         """Note that a daemon was killed, stopped or frozen until now."""
@@ -329,6 +347,35 @@
     server.is_unframed = False
 
 
+async def replace_engine(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Start an engine of any version beside the others; an old one leaves for it."""
+    old = run.rng.choice(run.fleet.group(ENGINES))
+    if not isinstance(old, ProxiedServer) or old.is_leaving:
+        return
+    new = ProxiedServer(ENGINES, MODEL)
+    new.state.software = run.rng.choice(VERSIONS)
+    new.state.started_ms = FIRST_START_MS
+    new.state.version = old.state.version
+    new.faults = old.faults
+    old.is_leaving = True
+    await run.fleet.add_server(new)
+    await pause(run, 0.2, 2.0)
+    run.fleet.register(old)
+    await pause(run, 0.5, 2.0)
+    run.fleet.store.store.put("servers", old.name, None)
+    await pause(run, 0.2, 2.0)
+    await old.stop()
+
+
+async def restart_engine(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let an engine crash and be back under its id, at times with other software."""
+    server = run.rng.choice(run.fleet.group(ENGINES))
+    if server.is_leaving:
+        return
+    server.restart(run.rng.choice(VERSIONS))
+    run.fleet.register(server)
+
+
 async def limit(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let one server name a limit for a while."""
     server = run.rng.choice(run.fleet.servers)
@@ -360,6 +407,8 @@
     be_brittle,
     break_off,
     leave_out_length,
+    replace_engine,
+    restart_engine,
 )
 
 
@@ -378,6 +427,9 @@
     """Send one request through one daemon, and judge its answer."""
     fleet = run.fleet
     asked = make_demo_request(run.rng, number)
+    if asked.kind == "title":
+        await ask_and_take_up(run, number, asked)
+        return
     key = run.rng.choice((*KEYS, LOST_KEY))
     headers = fleet.headers(key, **make_prompt_headers(run.rng, asked))
     attempt_id = headers[names.ATTEMPT_ID]
@@ -398,11 +450,57 @@
     elapsed_seconds = time.monotonic() - started_seconds
     if answer.status == 200 and answer.is_whole:
         run.words.handed_on_seconds[attempt_id] = time.monotonic()
+    if asked.is_stream and answer.status == 200:
+        asked = as_generated(asked, split_events(answer.body))
     check_answer(fleet, asked, attempt_id, answer, elapsed_seconds, run.report)
     if answer.status in _NOT_RUN and names.SEAL not in answer.headers:
         run.refused.add(attempt_id)
 
 
+def as_generated(asked: DemoRequest, events: list[bytes]) -> DemoRequest:
+    """Return a request for a stream with what its engines' version answers."""
+    versions = versions_of(asked, events)
+    version = next(iter(versions)) if versions else VERSIONS[0]
+    return replace(asked, expected=expected_body(asked, version))
+
+
+async def ask_and_take_up(run: SoakRun, number: int, asked: DemoRequest) -> None:
+    """Ask for one stream, take it up where it is lost, and judge all of it."""
+    key = run.rng.choice(tuple(KEYS))
+    started_seconds = time.monotonic()
+
+    def note_sent(attempt_id: str, index: int) -> None:
+        now_seconds = time.monotonic()
+        run.sent_seconds[attempt_id] = (now_seconds, key)
+        run.words.daemon_of[attempt_id] = index
+        run.words.sent_seconds[attempt_id] = now_seconds
+
+    client = StreamClient(run.fleet, run.rng, note_sent)
+    prompt = make_prompt_headers(run.rng, asked)
+    stream, attempt_id = TakenStream(), ""
+    try:
+        async with asyncio.timeout(4.0):
+            stream, attempt_id = await client.run(asked, key, prompt)
+    except TimeoutError:
+        return
+    if stream.is_whole:
+        run.words.handed_on_seconds[attempt_id] = time.monotonic()
+    run.report.outcomes["title taken up"] += stream.n_taken_up
+    run.report.outcomes["title went on"] += stream.n_gone_on
+    versions = versions_of(asked, stream.events)
+    if versions is not None and len(versions) > 1:
+        run.mixed.append(attempt_id)
+        return
+    answer = Answer(
+        200 if stream.events else stream.status,
+        body=stream.body,
+        is_whole=stream.is_whole,
+    )
+    elapsed_seconds = time.monotonic() - started_seconds
+    generated = as_generated(asked, stream.events)
+    check_answer(run.fleet, generated, attempt_id, answer, elapsed_seconds, run.report)
+
+
 async def drive(run: SoakRun) -> None:
     """Send requests until the faults are over and a little longer."""
     number = 0
@@ -419,8 +517,15 @@
     violations = run.report.violations
     outcomes = run.report.outcomes
     n_served = sum(n for name, n in outcomes.items() if name.endswith("served"))
-    if n_served < LEAST_SERVED_SHARE * sum(outcomes.values()):
-        violations.append(f"only {n_served} of {sum(outcomes.values())} were served")
+    n_asked = sum(
+        n
+        for name, n in outcomes.items()
+        if name not in ("title taken up", "title went on")
+    )
+    if n_served < LEAST_SERVED_SHARE * n_asked:
+        violations.append(f"only {n_served} of {n_asked} were served")
+    if len(run.mixed) > TOLERATED_MIXED_STREAMS:
+        violations.append(f"streams of two software versions: {run.mixed}")
     for server in run.fleet.servers:
         for done in server.runs:
             is_once = done.path.startswith(("/order", "/album"))
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -17,6 +17,7 @@
 from lycheepost.app.platformfleet import (
     BOUNDS,
     ENGINES,
+    FIRST_START_MS,
     HOST,
     MODEL,
     PLAIN,
@@ -34,6 +35,7 @@
 GRACE_SECONDS = 8.0
 ZONES = (ZONE, AvailabilityZone("zone-b"))
 """Zones that the daemons are in by turns; the servers are in the first."""
+FIRST_START_LINE = "bootstrap=true\n"
 START_SECONDS = 90.0
 """For all processes to be up the first time, also on a machine that is busy."""
 
@@ -185,10 +187,13 @@
         self.configure(make_configuration(1, tuple(keys), keys))
         for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
             for _ in range(n):
-                await self.add_server(ProxiedServer(service, model))
+                server = ProxiedServer(service, model)
+                server.state.started_ms = FIRST_START_MS if model else None
+                await self.add_server(server)
         for _ in range(n_daemons):
             await self.add_process()
         await self.until(self.all_up, START_SECONDS)
+        self.end_first_start()
 
     async def add_process(self) -> None:
         """Start one more daemon in a process of its own."""
@@ -212,7 +217,8 @@
             "platform.address": f"{HOST}:{store.port}",
         }
         node_file = self.folder / f"{name}.conf"
-        node_file.write_text("".join(f"{k}={v}\n" for k, v in settings.items()))
+        text = "".join(f"{k}={v}\n" for k, v in settings.items())
+        node_file.write_text(text + FIRST_START_LINE)
         self.nodes.append(
             NodeSettings(
                 daemon=DaemonId(name),
@@ -242,6 +248,12 @@
                 return False
         return True
 
+    def end_first_start(self) -> None:
+        """Change the settings of later starts: the fleet has run before."""
+        for process in self.processes:
+            text = process.node_file.read_text()
+            process.node_file.write_text(text.removesuffix(FIRST_START_LINE))
+
     async def end(self) -> None:
         """End every process that was started here, and the stand-ins."""
         await asyncio.gather(*(item.end(GRACE_SECONDS) for item in self.processes))
