--- a/features/platform/steps/softwareversion_steps.py
+++ b/features/platform/steps/softwareversion_steps.py
@@ -18,13 +18,17 @@
 FIRST_EVENTS = 3
 """Events that a client has when it loses its stream."""
 SHARED_TOKENS = 2000
-N_SLOTS = 8
-"""Of each engine: a third of the streams, so that they are spread over the engines."""
+N_SLOTS = 32
+"""Slots of each engine, unless a scenario says otherwise: more than it lasts to use."""
+
+BACKOFF_SECONDS = 0.3
+"""Back-off of the engines that are not to begin streams now."""
 
 VERSIONS = ("v1", "v2")
 MIN_WHOLE_SHARE = 0.9
 CUT_SECONDS = 1.0
 HOLD_SECONDS = 1.0
+MIN_RUNNING = 3
 REFUSAL_SECONDS = 0.5
 
 
@@ -39,6 +43,7 @@
         statuses: The status of each answer; None without one.
         seconds: How long the last answer took.
         retry_after: The time to come back in the last answer.
+        reason: The text of the last refusal.
         names_first: Whether its client names the first attempt.
     """
 
@@ -49,6 +54,7 @@
     statuses: list[int | None] = field(default_factory=list)
     seconds: float = 0.0
     retry_after: str | None = None
+    reason: str = ""
     names_first: bool = True
 
     def versions(self):
@@ -67,30 +73,35 @@
         return self.is_whole and len(self.received) == N_EVENTS
 
 
-async def add_engines(deployment, software, n, started_ms=None):
+async def add_engines(deployment, software, n, n_slots=N_SLOTS, started_ms=None):
     for _ in range(n):
-        server = PlatformServer("llm", MODEL, n_events=N_EVENTS, n_slots=N_SLOTS)
+        server = PlatformServer("llm", MODEL, n_events=N_EVENTS, n_slots=n_slots)
         server.state.started_ms = started_ms
         server.state.software = software
         await deployment.add_server(server)
 
 
-@given(
-    "a deployment with {n:d} daemon and {n_engines:d} {word} each of the versions v1"
-    " and v2"
-)
-@given(
-    "a deployment with {n:d} daemons and {n_engines:d} {word} each of the versions v1"
-    " and v2"
-)
-def step_two_versions(context, n, n_engines, word):
+TWO_VERSIONS = "{n_engines:d} {engines} each of the versions v1 and v2"
+
+
+@given("a deployment with {n:d} daemons and " + TWO_VERSIONS)
+def step_two_versions(context, n, n_engines, engines):
+    start_two_versions(context, n, n_engines, N_SLOTS)
+
+
+@given("a deployment with 1 daemon and " + TWO_VERSIONS + " with {n_slots:d} slots")
+def step_few_slots(context, n_engines, engines, n_slots):
+    start_two_versions(context, 1, n_engines, n_slots)
+
+
+def start_two_versions(context, n, n_engines, n_slots):
     context.deployment = Deployment()
 
     async def start():
         await context.deployment.start(n, n_engines=0)
-        await add_engines(context.deployment, "v1", n_engines)
-        await add_engines(context.deployment, "v2", n_engines)
-        await both_begin(context.deployment)
+        for version in VERSIONS:
+            await add_engines(context.deployment, version, n_engines, n_slots)
+        await context.deployment.until(lambda: may_begin(context.deployment))
 
     context.loop.run_until_complete(start())
 
@@ -113,38 +124,22 @@
 
     async def start():
         await context.deployment.start(n, n_engines=0)
-        await add_engines(context.deployment, "v1", n_engines, started_ms)
+        await add_engines(context.deployment, "v1", n_engines, started_ms=started_ms)
         await context.deployment.until(lambda: all_begin(context.deployment))
 
     context.loop.run_until_complete(start())
 
 
 async def all_begin(deployment):
-    """Return whether every daemon begins streams at as many engines as there are."""
-    n = N_SLOTS * len(deployment.group("llm"))
+    """Return whether every daemon begins streams."""
     for index in range(len(deployment.daemons)):
-        streams = [Stream(b"which engine %d" % number) for number in range(n)]
-        await begin_all(deployment, streams, index, 1)
-        if not all(stream.received for stream in streams):
+        stream = Stream(b"does it begin")
+        await continue_stream(deployment, stream, index, 1)
+        if not stream.received:
             return False
     return True
 
 
-async def both_begin(deployment):
-    """Wait until each daemon begins streams at engines of both versions."""
-    for index in range(len(deployment.daemons)):
-
-        async def does_begin(index=index):
-            await until_idle(deployment)
-            n = N_SLOTS * len(deployment.group("llm")) * 3 // 4
-            streams = [Stream(b"which version %d" % number) for number in range(n)]
-            await begin_all(deployment, streams, index, 1)
-            versions = set().union(*(stream.versions() for stream in streams))
-            return versions == set(VERSIONS)
-
-        await deployment.until(does_begin)
-
-
 async def may_begin(deployment):
     """Return whether all daemons let engines of both versions begin streams."""
     for daemon in deployment.daemons:
@@ -220,9 +215,10 @@
             async with session.post(url, headers=headers, data=stream.body) as answer:
                 status = answer.status
                 stream.retry_after = answer.headers.get(names.RETRY_AFTER)
+                if status != 200:
+                    stream.reason = await answer.text()
+                    return
                 async for part in answer.content.iter_any():
-                    if status != 200:
-                        continue
                     buffer += part
                     *events, buffer = buffer.split(b"\n\n")
                     stream.received += [event + b"\n\n" for event in events]
@@ -232,7 +228,7 @@
                         await hold()
                         answer.close()
                         return
-                stream.is_whole = status == 200 and not buffer
+                stream.is_whole = not buffer
     except aiohttp.ClientError:
         pass
     finally:
@@ -271,16 +267,39 @@
 
 
 async def begin_both(deployment, n, index, max_events):
-    """Begin streams as ``begin_streams``; a quarter or more are of each version."""
-    streams = await begin_streams(deployment, n, index, max_events)
-    n_old = sum(
-        stream.received[0] == event_bytes(1, stream.body, VERSIONS[0])
-        for stream in streams
-    )
-    assert n / 4 <= n_old <= 3 * n / 4, n_old
+    """Begin streams, half of them at engines of each version."""
+    streams = []
+    for version in VERSIONS:
+        others = [
+            server
+            for server in deployment.group("llm")
+            if server.state.software != version
+        ]
+        for server in others:
+            server.backoff_seconds = BACKOFF_SECONDS
+        for number in range(n // 2):
+            stream = Stream(f"{version} stream {number}".encode())
+            # One after the other: a rejection by each engine uses the retry budget.
+            await continue_stream(deployment, stream, index, max_events)
+            streams.append(stream)
+        for server in others:
+            server.backoff_seconds = None
+        await asyncio.sleep(BACKOFF_SECONDS)
+    assert len(began_at(streams)) == n
+    assert began_at(streams).count("v1") == n / 2, began_at(streams)
     return streams
 
 
+def began_at(streams):
+    """Return the versions that began the streams."""
+    return [
+        version
+        for stream in streams
+        for version in VERSIONS
+        if stream.received[0] == event_bytes(1, stream.body, version)
+    ]
+
+
 async def lose_first(deployment):
     """End the first daemon without a farewell, as a kill does."""
     await end(deployment, 0)
@@ -435,7 +454,7 @@
 
     async def restart():
         engines = deployment.group("llm")
-        while max(engine.n_running for engine in engines) < N_SLOTS / 2:
+        while max(engine.n_running for engine in engines) < MIN_RUNNING:
             await asyncio.sleep(0.005)
         await asyncio.sleep(0.03)
         context.restarted = max(engines, key=lambda engine: engine.n_running)
@@ -484,8 +503,10 @@
 def step_engines_fail(context, n):
     break_first_runs(context.deployment, Truncated(FIRST_EVENTS))
     context.streams = context.loop.run_until_complete(
-        begin_both(context.deployment, n, 0, None)
+        begin_streams(context.deployment, n, 0, None)
     )
+    n_old = began_at(context.streams).count("v1")
+    assert n / 4 <= n_old <= 3 * n / 4, n_old
 
 
 @then("no stream holds events of two versions")
@@ -499,7 +520,7 @@
     whole = [stream for stream in context.streams if stream.is_complete]
     share = len(whole) / len(context.streams)
     assert share >= MIN_WHOLE_SHARE, [
-        (stream.statuses, len(stream.received))
+        (stream.statuses, len(stream.received), stream.reason, stream.seconds)
         for stream in context.streams
         if not stream.is_complete
     ]
