--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -429,7 +429,7 @@
     fleet = run.fleet
     asked = make_demo_request(run.rng, number)
     if asked.kind == "title":
-        await ask_and_take_up(run, number, asked)
+        await ask_and_take_up(run, asked)
         return
     key = run.rng.choice((*KEYS, LOST_KEY))
     headers = fleet.headers(key, **make_prompt_headers(run.rng, asked))
@@ -465,9 +465,9 @@
     return replace(asked, expected=expected_body(asked, version))
 
 
-async def ask_and_take_up(run: SoakRun, number: int, asked: DemoRequest) -> None:
+async def ask_and_take_up(run: SoakRun, asked: DemoRequest) -> None:
     """Ask for one stream, take it up where it is lost, and judge all of it."""
-    key = run.rng.choice(tuple(KEYS))
+    key = run.rng.choice((*KEYS, LOST_KEY))
     started_seconds = time.monotonic()
 
     def note_sent(attempt_id: str, index: int) -> None:
