--- a/features/targets/steps/bodies_steps.py
+++ b/features/targets/steps/bodies_steps.py
@@ -83,7 +83,7 @@
 
 def read_cache_events(address):
     client = CacheEventsClient()
-    return client, lambda: client.read_events(address, 0)
+    return client, lambda: client.read_events(address, 0, is_store=False)
 
 
 def read_rows(address):
