--- a/tools/soakproxy.py
+++ b/tools/soakproxy.py
@@ -30,21 +30,17 @@
         far: ``(host, port)`` behind it; may change while it runs.
         state: What happens to bytes from now on.
         delay_seconds: While delayed.
+        port: The port it listens on, or listened on before it stopped.
     """
 
     far: tuple[str, int]
     state: LinkState = LinkState.OPEN
     delay_seconds: float = 0.2
     _passing: asyncio.Event = field(default_factory=asyncio.Event)
+    port: int = 0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    @property
-    def port(self) -> int:
-        """Return the port it listens on."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
-
     def set_state(self, state: LinkState) -> None:
         """Change what happens to bytes from now on."""
         self.state = state
@@ -57,6 +53,7 @@
         """Listen on a free port."""
         self.set_state(self.state)
         self._server = await asyncio.start_server(self._serve, host, 0)
+        self.port = int(self._server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
         """Close the port and all connections."""
