Demo: engines of two software versions, and an audit that tells them apart

The audits of the demo and the soak compared streams with what one version generates, or told versions by a copy of their own. One module tells which version generated each event; a stream of two differs from what the version of its first event generates.

--- a/lycheepost/app/platformdemo.py
+++ b/lycheepost/app/platformdemo.py
@@ -2,14 +2,15 @@
 
 Three daemons route to stand-ins that implement the platform's protocol. While traffic
 runs, streams are cut off, responses to orders are lost, and new weights are published.
-Every response is checked against its request, and every order against the runs.
+Engines of two software versions serve side by side. Every response is checked against
+its request, every stream for events of one version, and every order against the runs.
 """
 
 import asyncio
 import random
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lycheepost.app.platformfleet import (
     ENGINES,
@@ -21,11 +22,19 @@
 )
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverfaults import ServerFailure
-from lycheepost.platform.models.serverstandin import answer_text, event_bytes
+from lycheepost.platform.models.serverstandin import answer_text
+from lycheepost.platform.models.streamaudit import (
+    split_events,
+    stream_body,
+    versions_of,
+)
 from lycheepost.standin.faults import FaultPlan, LostAnswer, Refused, Truncated
 
 N_DAEMONS = 3
 N_ENGINES = 4
+VERSIONS = ("v1", "v2")
+"""Software versions of the engines, by turns."""
+
 N_EVENTS = 6
 N_ALBUMS = 12
 """Number of albums; prompts of the same album share a prefix."""
@@ -104,7 +113,7 @@
 async def run_platform_demo(plan: PlatformDemoPlan) -> PlatformDemoReport:
     """Run the deployment, send traffic, and audit every response."""
     fleet = PlatformFleet()
-    await fleet.start(N_DAEMONS, n_engines=N_ENGINES)
+    await fleet.start(N_DAEMONS, n_engines=N_ENGINES, software=VERSIONS)
     report = PlatformDemoReport()
     try:
         await _drive(fleet, plan, report)
@@ -142,8 +151,9 @@
     body = f"body of request {number}".encode()
     if kind == "order":
         return DemoRequest(kind, "POST", path, body, answer_text(path, body))
-    events = b"".join(event_bytes(n, body) for n in range(1, N_EVENTS + 1))
-    return DemoRequest(kind, "POST", path, body, events)
+    return DemoRequest(
+        kind, "POST", path, body, stream_body(body, N_EVENTS, VERSIONS[0])
+    )
 
 
 def make_prompt_headers(rng: random.Random, request: DemoRequest) -> dict[str, str]:
@@ -170,9 +180,26 @@
     started = time.monotonic()
     answer = await fleet.ask(request.method, request.path, headers, request.body, index)
     elapsed = time.monotonic() - started
+    request = as_generated(request, answer, VERSIONS)
     check_answer(fleet, request, headers[names.ATTEMPT_ID], answer, elapsed, report)
 
 
+def as_generated(
+    request: DemoRequest, answer: Answer, versions: tuple[str, ...]
+) -> DemoRequest:
+    """Return a request with the stream that the version of its first event generates.
+
+    A stream of events of two versions then differs from what is expected.
+    """
+    if not request.is_stream or answer.status != 200:
+        return request
+    first = split_events(answer.body)[:1]
+    found = versions_of(request.body, first, versions) or {versions[0]}
+    [version] = found
+    expected = stream_body(request.body, N_EVENTS, version)
+    return replace(request, expected=expected)
+
+
 def check_answer(
     fleet: PlatformFleet,
     request: DemoRequest,
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -21,7 +21,7 @@
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import CuttableNetwork
-from lycheepost.platform.models.serverstandin import PlatformServer
+from lycheepost.platform.models.serverstandin import FIRST_SOFTWARE, PlatformServer
 from lycheepost.platform.models.serverstate import ServerRun
 from lycheepost.platform.models.storestandin import StoreStandin
 from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
@@ -175,6 +175,7 @@
         states_starts: bool = False,
         n_slots: int = 32,
         zones: Sequence[AvailabilityZone] = (ZONE,),
+        software: Sequence[str] = (FIRST_SOFTWARE,),
     ) -> None:
         """Start everything and wait until the daemons are ready.
 
@@ -186,14 +187,16 @@
             states_starts: Whether servers report their start time.
             n_slots: Slots of each server.
             zones: Availability zones that the daemons are in by turns.
+            software: Software versions of the servers by turns.
         """
         self._session = aiohttp.ClientSession(
             auto_decompress=False, response_class=TrackedResponse
         )
         await self.store.start()
         for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
-            for _ in range(n):
+            for number in range(n):
                 server = PlatformServer(service, model, n_slots=n_slots)
+                server.state.software = software[number % len(software)]
                 server.state.started_ms = FIRST_START_MS if states_starts else None
                 await self.add_server(server)
         if is_configured:
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -30,23 +30,17 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
 from soaknotices import DaemonWords, NamedLimit, Span, find_broken
 from soakproxy import LinkState
-from soakstreams import (
-    VERSIONS,
-    StreamClient,
-    TakenStream,
-    expected_body,
-    split_events,
-    versions_of,
-)
+from soakstreams import VERSIONS, StreamClient, TakenStream
 
 from lycheepost.app.platformdemo import (
     DemoRequest,
     PlatformDemoReport,
+    as_generated,
     audit_runs,
     check_answer,
     make_demo_request,
@@ -65,6 +59,7 @@
 from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverfaults import BrokenOff, StopPoint
 from lycheepost.platform.models.serverstandin import PlatformServer
+from lycheepost.platform.models.streamaudit import versions_of
 from lycheepost.standin.rawbodies import Framing, Stop
 
 FAILED_SEEDS: dict[int, str] = {
@@ -451,20 +446,12 @@
     elapsed_seconds = time.monotonic() - started_seconds
     if answer.status == 200 and answer.is_whole:
         run.words.handed_on_seconds[attempt_id] = time.monotonic()
-    if asked.is_stream and answer.status == 200:
-        asked = as_generated(asked, split_events(answer.body))
+    asked = as_generated(asked, answer, VERSIONS)
     check_answer(fleet, asked, attempt_id, answer, elapsed_seconds, run.report)
     if answer.status in _NOT_RUN and names.SEAL not in answer.headers:
         run.refused.add(attempt_id)
 
 
-def as_generated(asked: DemoRequest, events: list[bytes]) -> DemoRequest:
-    """Return a request for a stream with what its engines' version answers."""
-    versions = versions_of(asked, events)
-    version = next(iter(versions)) if versions else VERSIONS[0]
-    return replace(asked, expected=expected_body(asked, version))
-
-
 async def ask_and_take_up(run: SoakRun, asked: DemoRequest) -> None:
     """Ask for one stream, take it up where it is lost, and judge all of it."""
     key = run.rng.choice((*KEYS, LOST_KEY))
@@ -488,7 +475,7 @@
         run.words.handed_on_seconds[attempt_id] = time.monotonic()
     run.report.outcomes["title taken up"] += stream.n_taken_up
     run.report.outcomes["title went on"] += stream.n_gone_on
-    versions = versions_of(asked, stream.events)
+    versions = versions_of(asked.body, stream.events, VERSIONS)
     if versions is not None and len(versions) > 1:
         run.mixed.append(attempt_id)
         return
@@ -498,7 +485,7 @@
         is_whole=stream.is_whole,
     )
     elapsed_seconds = time.monotonic() - started_seconds
-    generated = as_generated(asked, stream.events)
+    generated = as_generated(asked, answer, VERSIONS)
     check_answer(run.fleet, generated, attempt_id, answer, elapsed_seconds, run.report)
 
 
--- a/tools/soakstreams.py
+++ b/tools/soakstreams.py
@@ -13,7 +13,6 @@
 
 from lycheepost.app.platformdemo import N_EVENTS, DemoRequest
 from lycheepost.platform import headers as names
-from lycheepost.platform.models.serverstandin import event_bytes
 
 VERSIONS = ("v1", "v2", "v3")
 LEAVE_SHARE = 0.4
@@ -49,30 +48,6 @@
         return b"".join(self.events)
 
 
-def versions_of(asked: DemoRequest, events: list[bytes]) -> set[str] | None:
-    """Return the versions that the events are of; None if some is nobody's."""
-    found: set[str] = set()
-    for number, event in enumerate(events, 1):
-        fitting = {v for v in VERSIONS if event == event_bytes(number, asked.body, v)}
-        if not fitting:
-            return None
-        found |= fitting
-    return found
-
-
-def expected_body(asked: DemoRequest, version: str) -> bytes:
-    """Return the whole stream as engines of a version generate it."""
-    return b"".join(
-        event_bytes(number, asked.body, version) for number in range(1, N_EVENTS + 1)
-    )
-
-
-def split_events(body: bytes) -> list[bytes]:
-    """Return the complete events of a body."""
-    *events, _ = body.split(b"\n\n")
-    return [event + b"\n\n" for event in events]
-
-
 class StreamClient:
     """Asks for one stream until it is complete or cannot go on.
 
