--- a/features/platform/softwareversions.feature
+++ b/features/platform/softwareversions.feature
@@ -76,3 +76,15 @@
     And no further stream of that daemon begins there before it has registered again
     When that engine registers again
     Then engines of both versions may begin streams within 3 s
+
+  Scenario Outline: The demo's audit tells a stream whose events are of <events>: <verdict>
+    Guards against an audit that takes a stream of two software versions for a sound one.
+    Then a whole stream with events of <events> is <verdict>
+
+    Examples:
+      | events            | verdict     |
+      | v1 v1 v1 v1 v1 v1 | sound       |
+      | v2 v2 v2 v2 v2 v2 | sound       |
+      | v1 v1 v2 v2 v2 v2 | a violation |
+      | v2 v2 v2 v2 v2 v1 | a violation |
+      | v2 v2 v2 v3 v3 v3 | a violation |
--- a/features/platform/steps/softwareversion_steps.py
+++ b/features/platform/steps/softwareversion_steps.py
@@ -8,7 +8,13 @@
 from behave import given, then, when
 from deployment import MODEL, Deployment
 
-from lycheepost.app.platformfleet import FIRST_START_MS
+from lycheepost.app.platformdemo import (
+    DemoRequest,
+    PlatformDemoReport,
+    as_generated,
+    check_answer,
+)
+from lycheepost.app.platformfleet import FIRST_START_MS, Answer
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverstandin import PlatformServer, event_bytes
@@ -548,3 +554,17 @@
         assert stream.statuses == [200] and not stream.is_whole, stream
         assert len(stream.received) == FIRST_EVENTS, stream
         assert stream.seconds < CUT_SECONDS, stream
+
+
+@then("a whole stream with events of {events} is {verdict}")
+def step_audit(context, events, verdict):
+    asked = DemoRequest("title", "POST", "/title/1", b"a body", b"")
+    body = b"".join(
+        event_bytes(number, asked.body, version)
+        for number, version in enumerate(events.split(), 1)
+    )
+    answer = Answer(200, body=body)
+    report = PlatformDemoReport()
+    generated = as_generated(asked, answer, VERSIONS)
+    check_answer(Deployment(), generated, "attempt", answer, 0.0, report)
+    assert bool(report.violations) == (verdict == "a violation"), report.violations
--- a/lycheepost/platform/models/streamaudit.py
+++ b/lycheepost/platform/models/streamaudit.py
@@ -24,9 +24,9 @@
     found: set[str] = set()
     for number, event in enumerate(events, 1):
         fitting = {
-            item
-            for item in versions
-            if event == event_bytes(number, request_body, item)
+            version
+            for version in versions
+            if event == event_bytes(number, request_body, version)
         }
         if not fitting:
             return None
