--- a/features/app/steps/streamversion_steps.py
+++ b/features/app/steps/streamversion_steps.py
@@ -359,6 +359,47 @@
     play(context, seconds, troubles, None)
 
 
+@when(
+    "one is cut off from everything, v2 comes {delay:g} s later and {seconds:d} s pass"
+)
+def step_cut_off(context, delay, seconds):
+    world = context.world
+    for _ in range(int(5.0 / STEP_SECONDS)):
+        world.step()
+    cut_off, *others = world.live()
+    cut_off.is_store_cut = cut_off.is_peer_cut = True
+    context.begun, context.taken_up = Counter(), []
+    for step in range(int(seconds / STEP_SECONDS)):
+        if step == round(delay / STEP_SECONDS):
+            world.versions.add(SoftwareVersion("v2"))
+        world.step()
+        if step % 10:
+            continue
+        for daemon in others:
+            held_back = daemon.software.held_back(GROUP, world.clock.seconds)
+            for version in sorted(daemon.listed - held_back):
+                stream = StreamId(f"{daemon.name} {step} {version}")
+                daemon.streams.note_begun(stream, GROUP, version)
+                context.begun[version] += 1
+                found = cut_off.streams.version_of(stream, GROUP)
+                context.taken_up.append((step, version, found))
+
+
+@then("the others have begun streams at both versions")
+def step_both_begun(context):
+    assert set(context.begun) == {"v1", "v2"}, context.begun
+
+
+@then("the one takes none up at another version, and in the end none of v2")
+def step_none_wrong(context):
+    wrong = [item for item in context.taken_up if item[2] not in (None, item[1])]
+    assert not wrong, wrong[:5]
+    assert any(found == "v1" for _, _, found in context.taken_up)
+    assert [found for _, version, found in context.taken_up if version == "v2"][
+        -1
+    ] is None
+
+
 @then("no stream has gone on at another version")
 def step_none_mixed(context):
     world = context.world
--- a/features/app/streamversions.feature
+++ b/features/app/streamversions.feature
@@ -24,6 +24,20 @@
       | 11   | deaths of all           | 0.5   |
       | 12   | deaths of all           | 0.5   |
 
+  Scenario Outline: A daemon out of touch takes up no stream that it can't know: v2 after <seconds> s
+    Guards against a daemon that was cut off with one version, and takes each stream for its.
+    Given 5 daemons that exchange versions, seed 14
+    When one is cut off from everything, v2 comes <seconds> s later and 12 s pass
+    Then the others have begun streams at both versions
+    And the one takes none up at another version, and in the end none of v2
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 1.0     |
+      | 3.0     |
+      | 6.0     |
+
   Scenario: With one version nothing is told of streams
     Guards against a price for software versions where all targets have the same.
     Given 5 daemons that exchange versions, seed 13
