--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -25,8 +25,7 @@
 from lycheepost.core.starts import TargetStart
 from lycheepost.decide.leaving import LeavingTargets
 from lycheepost.decide.records import TargetView
-from lycheepost.decide.routes import resumable_groups
-from lycheepost.decide.softwareversions import ListedVersions, SoftwareVersions
+from lycheepost.decide.softwareversions import SoftwareVersions
 from lycheepost.decide.targethealth import Ending, TargetHealth
 from lycheepost.state.namedweights import (
     OLD_WEIGHTS_MARGIN_SECONDS,
@@ -34,6 +33,7 @@
     NamedWeights,
     weights_number,
 )
+from lycheepost.state.softwarelist import SoftwareList
 from lycheepost.state.targetrecords import NO_ZONE, TargetRecord, ViewBuilder
 from lycheepost.state.targetstarts import TargetStarts
 
@@ -99,10 +99,9 @@
         software: SoftwareVersions | None = None,
         on_versions: Callable[[], None] = lambda: None,
     ) -> None:
-        self._software = software or SoftwareVersions(float("-inf"))
-        self._on_versions = on_versions
-        self._resumable: frozenset[TargetGroupId] = frozenset()
-        self._listed_software: dict[TargetGroupId, frozenset[SoftwareVersion]] = {}
+        self._software = SoftwareList(
+            software or SoftwareVersions(float("-inf")), on_versions
+        )
         self._leaving = LeavingTargets() if leaving is None else leaving
         self._availability_zone = availability_zone
         self._prefers_new_weights = prefers_new_weights
@@ -173,12 +172,12 @@
         self, target_group: TargetGroupId
     ) -> frozenset[SoftwareVersion]:
         """Return the known software versions of a group's targets."""
-        return self._listed_software.get(target_group, frozenset())
+        return self._software.versions(target_group)
 
     def set_table(self, table: RouteTable) -> None:
         """Set the route table; its groups define what their targets can do."""
         self._table = table
-        self._resumable = resumable_groups(table)
+        self._software.set_table(table)
         self.refresh()
 
     def take(
@@ -455,7 +454,9 @@
         now_seconds = self._clock.now_seconds()
         self._forget_gone(now_seconds)
         ejected = self._ejected(now_seconds)
-        excluded = ejected | self._held_back(ejected, now_seconds)
+        excluded = ejected | self._software.held_back(
+            self._known.values(), ejected, now_seconds
+        )
         builder = ViewBuilder(
             self._named_weights,
             self._table,
@@ -499,36 +500,6 @@
             for health in self._health.values():
                 health.forget(self._known)
 
-    def _held_back(self, ejected: set[TargetId], now_seconds: float) -> set[TargetId]:
-        """Return the targets that may not begin streams because of their software.
-
-        Only groups whose streams may go on at another target are concerned.
-        """
-        by_group: dict[TargetGroupId, list[TargetRecord]] = {}
-        for known in self._known.values():
-            by_group.setdefault(known.listed.target_group, []).append(known)
-        listed = {
-            group: _listed_versions(records, ejected)
-            for group, records in by_group.items()
-        }
-        self._listed_software = {
-            group: versions.listed for group, versions in listed.items()
-        }
-        resumable = {name: listed[name] for name in self._resumable & listed.keys()}
-        if self._software.set_listed(resumable, now_seconds):
-            self._on_versions()
-        held_back: set[TargetId] = set()
-        for group in resumable:
-            records = by_group[group]
-            versions = self._software.held_back(group, now_seconds)
-            held_back |= {
-                known.listed.target
-                for known in records
-                if known.listed.software_version is None
-                or known.listed.software_version in versions
-            }
-        return held_back
-
     def _ejected(self, now_seconds: float) -> set[TargetId]:
         ejected: set[TargetId] = set()
         for group, health in self._health.items():
@@ -541,18 +512,3 @@
             ]
             ejected |= health.ejected(names, now_seconds, self._limited)
         return ejected
-
-
-def _listed_versions(
-    records: Iterable[TargetRecord], ejected: set[TargetId]
-) -> ListedVersions:
-    listed: set[SoftwareVersion] = set()
-    usable: set[SoftwareVersion] = set()
-    for known in records:
-        version = known.listed.software_version
-        if version is None:
-            continue
-        listed.add(version)
-        if not known.listed.is_leaving and known.listed.target not in ejected:
-            usable.add(version)
-    return ListedVersions(frozenset(listed), frozenset(usable))
