Use engines that restarted while the store is away; their streams go on nowhere else

What callers would have seen: 'No target serves this now', for as long as the store is away, once engines have restarted under their ids. Cause: uses a target of unknown software for nothing until it registers, which it can't without the store. While registrations are out of date such a target is used now, and its streams are recorded and told as of an unknown version: nobody takes them up, so none is mixed.

--- a/features/platform/softwareversions.feature
+++ b/features/platform/softwareversions.feature
@@ -77,6 +77,14 @@
     When that engine registers again
     Then engines of both versions may begin streams within 3 s
 
+  Scenario: An engine that restarts under its id while the store is away is used
+    Guards against engines that no stream begins at for as long as the store is away.
+    Given a deployment with 2 daemons and 1 engine of the version v1 that state their start
+    When the store is away and all engines restart with the version v2 in the middle of streams
+    Then 8 new streams begin at the daemon that has noticed it
+    And their take-ups at the other daemon are refused at once as not run
+    And no stream holds events of two versions
+
   Scenario Outline: The demo's audit tells a stream whose events are of <events>: <verdict>
     Guards against an audit that takes a stream of two software versions for a sound one.
     Then a whole stream with events of <events> is <verdict>
--- a/features/platform/steps/softwareversion_steps.py
+++ b/features/platform/steps/softwareversion_steps.py
@@ -21,6 +21,7 @@
     check_answer,
 )
 from lycheepost.app.platformfleet import FIRST_START_MS, Answer
+from lycheepost.decide.softwareversions import CURRENT_LIST_SECONDS
 from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverstandin import PlatformServer, event_bytes
 from lycheepost.standin.faults import FaultPlan, Truncated
@@ -36,6 +37,7 @@
 MIN_WHOLE_SHARE = 0.9
 CUT_SECONDS = 1.0
 MIN_RUNNING = 3
+HOLD_TIMEOUT_SECONDS = 10.0
 REFUSAL_SECONDS = 0.5
 
 
@@ -78,10 +80,10 @@
 
 
 @given(
-    "a deployment with {n:d} daemons and {n_engines:d} engines of the version v1 that"
+    "a deployment with {n:d} daemons and {n_engines:d} {engines} of the version v1 that"
     " state their start"
 )
-def step_stating_starts(context, n, n_engines):
+def step_stating_starts(context, n, n_engines, engines):
     start_one_version(context, n, n_engines, FIRST_START_MS)
 
 
@@ -364,6 +366,59 @@
     assert context.restarted.runs == [], context.restarted.runs
 
 
+@when(
+    "the store is away and all engines restart with the version v2 in the middle of"
+    " streams"
+)
+def step_all_restart(context):
+    deployment = context.deployment
+    engines = deployment.group("llm")
+
+    async def is_list_old():
+        daemons = deployment.daemons
+        return all(
+            daemon.status()["watches"][1]["age_seconds"] > CURRENT_LIST_SECONDS
+            for daemon in daemons
+        )
+
+    async def restart():
+        while any(engine.n_running < MIN_RUNNING for engine in engines):
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.03)
+        for engine in engines:
+            engine.restart("v2")
+
+    async def run():
+        deployment.store.store.faults.is_down = True
+        await deployment.until(is_list_old)
+        task = asyncio.create_task(restart())
+        async with asyncio.timeout(HOLD_TIMEOUT_SECONDS):
+            while not task.done():
+                streams = [Stream(b"before %d" % number) for number in range(12)]
+                await begin_all(deployment, streams, 0, None)
+        await task
+
+    context.loop.run_until_complete(run())
+
+
+@then("{n:d} new streams begin at the daemon that has noticed it")
+def step_new_begin(context, n):
+    context.streams = context.loop.run_until_complete(
+        begin_streams(context.deployment, n, 0, FIRST_EVENTS)
+    )
+    assert began_at(context.streams) == ["v2"] * n
+
+
+@then("their take-ups at the other daemon are refused at once as not run")
+def step_take_ups_refused(context):
+    context.loop.run_until_complete(
+        take_up(context.deployment, context.streams, "at another daemon")
+    )
+    for stream in context.streams:
+        assert stream.statuses[-1] == 503, (stream.statuses, stream.versions())
+        assert stream.seconds < REFUSAL_SECONDS, stream.seconds
+
+
 @when("that engine registers again")
 def step_register(context):
     context.deployment.register(context.restarted)
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -198,6 +198,7 @@
         leaving=known_notices.leaving,
         software=software,
         on_versions=lambda: stream_versions.note_versions(),
+        is_list_current=lambda: stream_versions.is_list_current(),
     )
     stream_versions = StreamVersionExchange(
         software, exchange, clock, metrics, get_listed_seconds, targets.refresh
--- a/lycheepost/app/streamversions.py
+++ b/lycheepost/app/streamversions.py
@@ -185,14 +185,14 @@
         self,
         stream: StreamId,
         target_group: TargetGroupId,
-        software_version: SoftwareVersion,
+        software_version: SoftwareVersion | None,
     ) -> None:
         """Record a stream whose first event, or next one, is about to be sent.
 
         Args:
             stream: The stream.
             target_group: The group that serves it.
-            software_version: The version of its target.
+            software_version: The version of its target; None if unknown.
         """
         if not stream or len(stream) > MAX_STREAM_ID_CHARACTERS:
             return
@@ -200,7 +200,7 @@
         until_seconds = now_seconds + STREAM_SECONDS
         origin = StreamOrigin(target_group, software_version, until_seconds)
         self._origins.note(stream, origin, is_own=True)
-        if self._must_tell(target_group, now_seconds):
+        if software_version is None or self._must_tell(target_group, now_seconds):
             if not self._untold:
                 self._call_soon(self._tell_streams)
             self._untold.append(stream)
@@ -261,9 +261,10 @@
         now_seconds = self._clock.now_seconds()
         for item in message.streams:
             for_seconds = min(max(0.0, item.for_seconds), STREAM_SECONDS)
+            version = item.software_version
             origin = StreamOrigin(
                 TargetGroupId(item.target_group),
-                SoftwareVersion(item.software_version),
+                None if version is None else SoftwareVersion(version),
                 now_seconds + for_seconds,
             )
             self._origins.note(StreamId(item.stream), origin, is_own=False)
@@ -317,7 +318,8 @@
         own = [
             stream
             for stream, origin in self._origins.own(now_seconds).items()
-            if self._must_tell(origin.target_group, now_seconds)
+            if origin.software_version is None
+            or self._must_tell(origin.target_group, now_seconds)
         ]
         if own:
             self._exchange.send(peer, self._to_message(own))
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -234,7 +234,7 @@
         self,
         stream: StreamId,
         target_group: TargetGroupId,
-        software_version: SoftwareVersion,
+        software_version: SoftwareVersion | None,
     ) -> None:
         """Record a stream whose first event, or next one, is about to be sent."""
         ...
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -135,9 +135,7 @@
         if not is_resumable_stream(self._route_match.route):
             return True
         versions = self._standing.work.software_versions
-        if versions is None:
-            return listed.software_version is not None
-        return listed.software_version in versions
+        return versions is None or listed.software_version in versions
 
     def _must_check_start(self, listed: ListedTarget) -> bool:
         """Return whether to ask a target first whether it has restarted.
@@ -314,11 +312,12 @@
 
     def _note_first(self) -> None:
         self._deps.dispatcher.first_token(self._standing.work.request)
-        version = self._software_version
-        if is_resumable_stream(self._route_match.route) and version is not None:
+        if is_resumable_stream(self._route_match.route):
             # Before the caller gets its first event, after which it may come again.
             self._deps.stream_versions.note_begun(
-                self._request.stream, self._standing.work.target_group, version
+                self._request.stream,
+                self._standing.work.target_group,
+                self._software_version,
             )
 
     def _note_rejection(self, target: TargetId, answer: ForwardResponse) -> None:
--- a/lycheepost/decide/streamorigins.py
+++ b/lycheepost/decide/streamorigins.py
@@ -22,11 +22,12 @@
     """What began a stream.
 
     Attributes:
+        software_version: None if its target had restarted and not registered again.
         until_seconds: By then its caller no longer waits for it.
     """
 
     target_group: TargetGroupId
-    software_version: SoftwareVersion
+    software_version: SoftwareVersion | None
     until_seconds: float
 
 
--- a/lycheepost/state/softwarelist.py
+++ b/lycheepost/state/softwarelist.py
@@ -8,6 +8,9 @@
 from lycheepost.decide.softwareversions import ListedVersions, SoftwareVersions
 from lycheepost.state.targetrecords import TargetRecord
 
+UNKNOWN_CHECK_SECONDS = 0.5
+"""Time between checks whether a target of unknown version may be used."""
+
 
 class SoftwareList:
     """Passes the listed versions to ``SoftwareVersions`` and applies what it decides.
@@ -15,13 +18,19 @@
     Args:
         software: The software versions of the groups.
         on_versions: Called when a group has got a further software version.
+        is_list_current: Returns whether the registrations are up to date.
     """
 
     def __init__(
-        self, software: SoftwareVersions, on_versions: Callable[[], None]
+        self,
+        software: SoftwareVersions,
+        on_versions: Callable[[], None],
+        is_list_current: Callable[[], bool],
     ) -> None:
         self._software = software
         self._on_versions = on_versions
+        self._is_list_current = is_list_current
+        self._has_unknown = False
         self._resumable: frozenset[TargetGroupId] = frozenset()
         self._listed: dict[TargetGroupId, ListedVersions] = {}
 
@@ -36,7 +45,10 @@
 
     def next_change_seconds(self, now_seconds: float) -> float:
         """Return when a target may begin streams by the time alone."""
-        return self._software.next_change_seconds(now_seconds)
+        at_seconds = self._software.next_change_seconds(now_seconds)
+        if self._has_unknown:
+            at_seconds = min(at_seconds, now_seconds + UNKNOWN_CHECK_SECONDS)
+        return at_seconds
 
     def held_back(
         self,
@@ -46,7 +58,9 @@
     ) -> set[TargetId]:
         """Return the targets that may not begin streams because of their software.
 
-        Only groups whose streams may go on at another target are concerned.
+        Only groups whose streams may go on at another target are concerned. A target
+        that has restarted soon registers its version, so it waits for that; while
+        registrations are out of date it is used, and its streams go on nowhere else.
 
         Args:
             records: All targets.
@@ -64,15 +78,16 @@
         if self._software.set_listed(listed, now_seconds):
             self._on_versions()
         held_back: set[TargetId] = set()
+        unknown: set[TargetId] = set()
         for group in groups:
             versions = self._software.held_back(group, now_seconds)
-            held_back |= {
-                known.listed.target
-                for known in by_group[group]
-                if known.listed.software_version is None
-                or known.listed.software_version in versions
-            }
-        return held_back
+            for known in by_group[group]:
+                if known.listed.software_version is None:
+                    unknown.add(known.listed.target)
+                elif known.listed.software_version in versions:
+                    held_back.add(known.listed.target)
+        self._has_unknown = bool(unknown)
+        return held_back | unknown if self._is_list_current() else held_back
 
 
 def _listed_versions(
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -86,6 +86,7 @@
         leaving: The targets whose responses say that they are leaving.
         software: The software versions of the groups.
         on_versions: Called when a group has got a further software version.
+        is_list_current: Returns whether the registrations are up to date.
     """
 
     def __init__(
@@ -98,9 +99,10 @@
         leaving: LeavingTargets | None = None,
         software: SoftwareVersions | None = None,
         on_versions: Callable[[], None] = lambda: None,
+        is_list_current: Callable[[], bool] = lambda: True,
     ) -> None:
         self._software = SoftwareList(
-            software or SoftwareVersions(float("-inf")), on_versions
+            software or SoftwareVersions(float("-inf")), on_versions, is_list_current
         )
         self._leaving = LeavingTargets() if leaving is None else leaving
         self._availability_zone = availability_zone
