--- /dev/null
+++ b/features/peers/steps/changetime_steps.py
@@ -0,0 +1,168 @@
+"""Steps of changetimes.feature."""
+
+import asyncio
+
+from behave import given, then, when
+from feedcell import TABLE, Cell
+
+from lycheepost.core.capacity import Capacity
+from lycheepost.core.fleetmember import FleetMember
+from lycheepost.core.ids import AvailabilityZone, DaemonId
+from lycheepost.decide.feedtree import find_sources
+from lycheepost.standin.virtualtime import VirtualTimeLoop
+
+ROW = "target"
+N_ZONES = 2
+CALM_SECONDS = 8.0
+SETTLED_SECONDS = 6.0
+SLOW_LINK_SECONDS = 0.1
+"""Delay of a slow link in one direction."""
+
+FAULT_PHASES_SECONDS = tuple(number * 0.17 for number in range(6))
+"""When the fault begins, within the turns of the daemons' requests."""
+
+CHANGE_DELAYS_SECONDS = (-0.05, 0.0, 0.3, 0.8, 1.4, 2.5)
+"""When the row changes, after the fault."""
+
+
+FEW_DAEMONS = 12
+LARGE_FLEET_STEP = 3
+"""A large fleet is played at every third phase, for the time that a play takes."""
+
+
+def make_members(n):
+    return [
+        FleetMember(
+            DaemonId(f"daemon-{index}"),
+            AvailabilityZone(f"zone-{index % N_ZONES}"),
+            Capacity(1.0, 100.0),
+        )
+        for index in range(n)
+    ]
+
+
+def source_table(n):
+    """Return the sources of each daemon; nobody has found any other dead yet."""
+    members = make_members(n)
+    names = {member.daemon for member in members}
+    return {
+        member.daemon: find_sources(
+            member, [item for item in members if item is not member], names
+        )
+        for member in members
+    }
+
+
+def in_order(table):
+    """Return the daemons, most asked first."""
+    n_asked = {name: 0 for name in table}
+    for name in table:
+        for place, source in enumerate(table[name]):
+            n_asked[source] += 100 - place
+    return sorted(table, key=lambda name: (bool(table[name]), -n_asked[name]))
+
+
+def leaders(table):
+    return {sources[0] for sources in table.values() if sources} | {
+        name for name, sources in table.items() if not sources
+    }
+
+
+def begin_fault(cell, table, fault):
+    """Begin the fault; return the daemons that are not in touch."""
+    ordered = in_order(table)
+    if fault.endswith(", over slow links"):
+        fault = fault.removesuffix(", over slow links")
+    first, second, third = ordered[:3]
+    silent, refused, frozen = set(), set(), set()
+    match fault:
+        case "nothing fails":
+            pass
+        case "the first gets no answers of the store":
+            silent = {first}
+        case "the first gets no answers of the store and the second is frozen":
+            silent, frozen = {first}, {second}
+        case "the first is frozen":
+            frozen = {first}
+        case "the first and the second are frozen":
+            frozen = {first, second}
+        case "the first three are frozen":
+            frozen = {first, second, third}
+        case "the store refuses the first":
+            refused = {first}
+        case "the store refuses the first and the second is frozen":
+            refused, frozen = {first}, {second}
+        case "the first three get no answers of the store":
+            silent = {first, second, third}
+        case "the first is frozen and the second gets no answers":
+            frozen, silent = {first}, {second}
+        case "all leaders of groups are frozen":
+            frozen = leaders(table)
+        case "all leaders of groups get no answers of the store":
+            silent = leaders(table)
+        case _:
+            raise ValueError(fault)
+    for name, follower in zip(cell.names, cell.followers, strict=True):
+        follower.feed.is_silent = name in silent
+        follower.feed.is_cut = name in refused
+        if name in frozen:
+            cell.network.isolate(name)
+    return silent | refused | frozen
+
+
+async def play(loop, n, fault, phase_seconds, delay_seconds):
+    """Return how long after the change each daemon in touch knew of it."""
+    table = source_table(n)
+    cell = Cell(loop, n, find_sources=table.__getitem__)
+    cell.store.put(TABLE, ROW, b"old")
+    if fault.endswith("over slow links"):
+        cell.network.delay_seconds = SLOW_LINK_SECONDS
+    await cell.start()
+    await asyncio.sleep(CALM_SECONDS + phase_seconds + min(0.0, delay_seconds))
+    if delay_seconds < 0.0:
+        cell.store.put(TABLE, ROW, b"new")
+        changed_seconds = loop.now_seconds()
+        await asyncio.sleep(-delay_seconds)
+    out_of_touch = begin_fault(cell, table, fault)
+    if delay_seconds >= 0.0:
+        await asyncio.sleep(delay_seconds)
+        cell.store.put(TABLE, ROW, b"new")
+        changed_seconds = loop.now_seconds()
+    await asyncio.sleep(SETTLED_SECONDS)
+    await cell.stop()
+    return {
+        name: follower.known_seconds.get((ROW, b"new"), float("inf")) - changed_seconds
+        for name, follower in zip(cell.names, cell.followers, strict=True)
+        if name not in out_of_touch
+    }
+
+
+@given("{n:d} daemons that follow the store by turns of {bound:g} s")
+def step_daemons(context, n, bound):
+    context.n_daemons, context.bound_seconds = n, bound
+
+
+@when("{fault}, and a row changes at many moments around it")
+def step_fault(context, fault):
+    context.delays = {}
+    phases_seconds = FAULT_PHASES_SECONDS
+    if context.n_daemons > FEW_DAEMONS:
+        phases_seconds = phases_seconds[::LARGE_FLEET_STEP]
+    for phase_seconds in phases_seconds:
+        for delay_seconds in CHANGE_DELAYS_SECONDS:
+            loop = VirtualTimeLoop()
+            work = play(loop, context.n_daemons, fault, phase_seconds, delay_seconds)
+            found = loop.run_until_complete(work)
+            loop.close()
+            worst = max(found, key=found.__getitem__)
+            context.delays[phase_seconds, delay_seconds] = (found[worst], worst)
+
+
+@then("every daemon in touch knows the row within {seconds:g} s")
+def step_within(context, seconds):
+    late = {
+        moment: (round(delay_seconds, 3), name)
+        for moment, (delay_seconds, name) in context.delays.items()
+        if delay_seconds > seconds
+    }
+    assert not late, late
--- a/features/peers/steps/feedcell.py
+++ b/features/peers/steps/feedcell.py
@@ -9,8 +9,9 @@
 from lycheepost.core.ids import DaemonId
 from lycheepost.peers.feedshare import SharedFeed
 from lycheepost.peers.wire import WireCounts, decode_message, encode_message
+from lycheepost.platform.store import CALL_TIMEOUT_SECONDS, LONG_POLL_MARGIN_SECONDS
 from lycheepost.ports.feed import ChangedRow, Changes, HistoryGone
-from lycheepost.ports.table import TableUnavailable
+from lycheepost.ports.table import OutcomeUnknown, TableUnavailable
 from lycheepost.standin.network import LinkModel, NetworkModel
 from lycheepost.standin.rowstore import RowStore
 from lycheepost.state.watch import Watch
@@ -42,14 +43,22 @@
 
 
 class StoreFeed:
-    """One daemon's feed of the store; fails as configured."""
+    """One daemon's feed of the store; fails as configured.
+
+    Attributes:
+        is_cut: Whether the store refuses the daemon.
+        is_silent: Whether the daemon gets no answers of the store.
+    """
 
     def __init__(self, store, rng=None):
         self.store, self.rng = store, rng
         self.n_calls = 0
         self.is_cut = False
+        self.is_silent = False
 
     async def read_table(self, table):
+        if self.is_silent:
+            return await self.time_out(CALL_TIMEOUT_SECONDS)
         rows = [ChangedRow(row.key, row.value) for row in self.store.rows(table)]
         return await self.answer(rows, is_whole=True)
 
@@ -57,7 +66,11 @@
         if after < self.store.oldest_version:
             self.n_calls += 1
             return Failure(HistoryGone("gone"))
+        if self.is_silent:
+            return await self.time_out(wait_seconds + LONG_POLL_MARGIN_SECONDS)
         rows = await self.store.wait_changes(table, after, wait_seconds)
+        if self.is_silent:
+            return await self.time_out(LONG_POLL_MARGIN_SECONDS)
         if after < self.store.oldest_version:
             self.n_calls += 1
             return Failure(HistoryGone("gone"))
@@ -67,6 +80,11 @@
         ]
         return await self.answer(changed, is_whole=False)
 
+    async def time_out(self, seconds):
+        self.n_calls += 1
+        await asyncio.sleep(seconds)
+        return Failure(OutcomeUnknown("silent"))
+
     async def answer(self, rows, is_whole):
         self.n_calls += 1
         version = self.store.version
@@ -82,12 +100,17 @@
 
 @dataclass
 class Follower:
-    """One daemon that follows the store."""
+    """One daemon that follows the store.
+
+    Attributes:
+        known_seconds: When it came to know each row's value.
+    """
 
     feed: StoreFeed
     shared: SharedFeed
     watch: Watch
     known: dict = field(default_factory=dict)
+    known_seconds: dict = field(default_factory=dict)
 
     async def stop(self):
         await self.watch.stop()
@@ -97,9 +120,12 @@
 class Cell:
     """Daemons of one cell that follow one store."""
 
-    def __init__(self, loop, n, rng=None, on_confirmed=None, is_tree=False):
+    def __init__(
+        self, loop, n, rng=None, on_confirmed=None, is_tree=False, find_sources=None
+    ):
         self.loop = loop
         self.is_tree = is_tree
+        self.find_sources = find_sources
         self.store = RowStore()
         self.network = NetworkModel(seed=1)
         self.names = [DaemonId(f"daemon-{index}") for index in range(n)]
@@ -130,6 +156,8 @@
 
     def sources_of(self, name):
         """Return the peers to ask: the source, or its ancestors in the tree."""
+        if self.find_sources is not None:
+            return self.find_sources(name)
         if not self.is_tree:
             return () if self.source == name else (self.source,)
         index = self.names.index(name)
@@ -144,6 +172,8 @@
                 follower.known.pop(row.key, None)
             else:
                 follower.known[row.key] = row.value
+                times = follower.known_seconds
+                times.setdefault((row.key, row.value), self.loop.now_seconds())
         if self.on_confirmed is not None:
             self.on_confirmed(follower, seen)
 
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -68,6 +68,8 @@
 
     Attributes:
         runs: All requests that it began to run.
+        arrivals: The attempt id and the time, by the loop's clock, of each request that
+            arrived, including those that it rejected or that were meant for another.
         n_running: Requests that it currently runs.
         drops_order_answers: Whether it accepts orders but drops the responses.
         on_fault: Called just before a stream is aborted.
@@ -107,6 +109,7 @@
         self.service = service
         self.state = ServerState(model)
         self.runs: list[ServerRun] = []
+        self.arrivals: list[tuple[str, float]] = []
         self.faults: FaultPlan[ServerFault] = FaultPlan()
         self.is_leaving = False
         self.drops_order_answers = False
@@ -357,6 +360,10 @@
     async def _run(self, request: web.Request) -> web.StreamResponse:
         await self._server.block_if_frozen(request)
         body = await request.read()
+        arrived_seconds = asyncio.get_running_loop().time()
+        self.arrivals.append(
+            (request.headers.get(names.ATTEMPT_ID, ""), arrived_seconds)
+        )
         await self._awake.wait()
         refused = self._check(request)
         if refused is not None:
