Log and count what tells the hypotheses on retries and late changes apart

forward: sent and forward: relayed to a peer name the arrivals before; the status has each group's requests, retries and allowed retries; feed: store asked names the age of the copy; routing: configuration in force names the confirmation before it. No decision changes.

--- a/features/peers/steps/changetime_steps.py
+++ b/features/peers/steps/changetime_steps.py
@@ -55,7 +55,7 @@
 
 def in_order(table):
     """Return the daemons, most asked first."""
-    n_asked = {name: 0 for name in table}
+    n_asked = dict.fromkeys(table, 0)
     for name in table:
         for place, source in enumerate(table[name]):
             n_asked[source] += 100 - place
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -238,7 +238,7 @@
             # The key may have been revoked meanwhile.
             identify(self._deps, self._request)
             end = await self._peer_attempts.send(
-                peer, self._sends.n_runs, self._remaining_seconds()
+                peer, self._sends, self._remaining_seconds()
             )
             if end is None or not await self._should_continue(end):
                 return
@@ -349,6 +349,7 @@
             "forward: sent",
             target=dispatch.target,
             end=end,
+            n_arrivals_before=self._sends.n_arrivals,
             software_version=software_version,
             after_event=after_event,
             resumed_id=self._request.resumed_id,
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -129,13 +129,13 @@
         self._relay = relay
 
     async def send(
-        self, peer: RelayPeer, n_runs: int, remaining_seconds: float
+        self, peer: RelayPeer, sends: Sends, remaining_seconds: float
     ) -> AttemptEnd | None:
         """Send the request to one peer and relay its response.
 
         Args:
             peer: The peer.
-            n_runs: On how many targets the request may have run before.
+            sends: The attempts before.
             remaining_seconds: Until the deadline of the request.
 
         Returns:
@@ -143,7 +143,7 @@
         """
         after_event = self._relay.after_event
         call = make_peer_call(
-            self._request, peer, n_runs, remaining_seconds, after_event
+            self._request, peer, sends.n_runs, remaining_seconds, after_event
         )
         self.is_sent = True
         self._relay.begin_attempt()
@@ -153,7 +153,8 @@
             "forward: relayed to a peer",
             request_id=self._request.caller_id,
             peer=peer.daemon,
-            n_runs=n_runs,
+            n_runs=sends.n_runs,
+            n_arrivals_before=sends.n_arrivals,
             end="served" if end is None else end.value,
             first_seconds=self._relay.first_seconds,
             **body_fields(self._relay.last_body),
--- a/lycheepost/decide/attempts.py
+++ b/lycheepost/decide/attempts.py
@@ -57,15 +57,26 @@
     Attributes:
         n_sends: Attempts, whatever their outcome.
         n_runs: Attempts that may have run.
+        n_arrivals: Arrivals at targets, also of attempts that the targets rejected.
     """
 
     n_sends: int = 0
     n_runs: int = 0
+    n_arrivals: int = 0
 
-    def add(self, end: AttemptEnd) -> "Sends":
-        """Return the counts after one more attempt."""
+    def add(self, end: AttemptEnd, n_arrivals: int | None = None) -> "Sends":
+        """Return the counts after one more attempt.
+
+        Args:
+            end: How it ended.
+            n_arrivals: How often the request arrived at targets in it, if known.
+        """
         has_run = end not in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN)
-        return Sends(self.n_sends + 1, self.n_runs + has_run)
+        if n_arrivals is None:
+            n_arrivals = int(end is not AttemptEnd.NOT_SENT)
+        return Sends(
+            self.n_sends + 1, self.n_runs + has_run, self.n_arrivals + n_arrivals
+        )
 
 
 def next_step(
--- a/lycheepost/decide/retry.py
+++ b/lycheepost/decide/retry.py
@@ -95,6 +95,16 @@
         slot.n_retries += 1
         return True
 
+    def status(self, now_seconds: float) -> dict[str, float]:
+        """Return the counts of the current window, for the status page."""
+        self._slot(now_seconds)
+        n_requests = sum(item.n_requests for item in self._slots)
+        return {
+            "n_requests": n_requests,
+            "n_retries": sum(item.n_retries for item in self._slots),
+            "n_allowed": self._terms.burst + self._terms.share * n_requests,
+        }
+
     def _slot(self, now_seconds: float) -> _Slot:
         """Return the current slot, after dropping those before the window."""
         slots = self._slots
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -491,4 +491,8 @@
                 name: group.status(self._now_seconds)
                 for name, group in self._groups.items()
             },
+            "retries": {
+                name: budget.status(self._now_seconds)
+                for name, budget in self._budgets.items()
+            },
         }
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -200,9 +200,21 @@
             return await self.wait_changes(table, after, wait_seconds)
         sent_seconds = self._clock.now_seconds()
         held_seconds = min(wait_seconds, STORE_HOLD_SECONDS)
+        self._log_store_asked(table, sent_seconds)
         answer = await self._store.wait_changes(table, after, held_seconds)
         return self._record_store_answer(table, after, answer, sent_seconds)
 
+    def _log_store_asked(self, table: str, now_seconds: float) -> None:
+        """Log a request to the store of a daemon that has peers to ask."""
+        sources = self._get_sources()
+        if sources:
+            _log.info(
+                "feed: store asked",
+                table=table,
+                sources=sources,
+                age_seconds=round(self._mirrors[table].age_seconds(now_seconds), 3),
+            )
+
     def _record_store_answer(
         self,
         table: str,
--- a/lycheepost/state/feedmirror.py
+++ b/lycheepost/state/feedmirror.py
@@ -87,10 +87,13 @@
         """Return the time of the last confirmation, relative to ``since_seconds``."""
         return self._confirmed_seconds - since_seconds
 
+    def age_seconds(self, now_seconds: float) -> float:
+        """Return how long ago the copy was confirmed; infinite for never."""
+        return now_seconds - self._confirmed_seconds
+
     def is_fresh(self, now_seconds: float) -> bool:
         """Return whether the copy is fresh enough to be forwarded."""
-        age_seconds = now_seconds - self._confirmed_seconds
-        return not self.is_lost and age_seconds <= MAX_AGE_SECONDS
+        return not self.is_lost and self.age_seconds(now_seconds) <= MAX_AGE_SECONDS
 
     def changes_after(self, after: int) -> Changes | None:
         """Return the changes after a version; None if this copy is behind it.
--- a/lycheepost/state/routing.py
+++ b/lycheepost/state/routing.py
@@ -53,6 +53,7 @@
             n_routes=sum(len(routes) for routes in table.by_host.values()),
             n_keys=len(table.key_holders or ()),
             source=source,
+            earlier_confirmed_seconds=self.confirmed_seconds,
         )
         for callback in self._subscribers:
             callback(table)
