Charge what is repeated through peers; a peer counts a request once

Callers' services saw up to 383 repeats in 10 s where 145 were allowed, in a fleet of six daemons of which three had lost their paths, with four of six servers failing.

Cause: a daemon without paths relays a request to a peer, which counted it as a first attempt although it had arrived at a server before, so that its budget grew with the repeats; a second peer was asked without taking a retry. The relay now states how often the request has arrived (Lycheepost-Relayed-Arrivals). The daemon that relays takes the retry for each peer after the first arrival, from its own part, and the peer counts no first attempt. A peer that does not serve a request says how often it has sent it, so that a refusal without arrival costs no retry.

--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -12,6 +12,7 @@
 from lycheepost.callers.peerrelay import make_peer_call
 from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
 from lycheepost.core.notices import TargetNotice
+from lycheepost.decide.attempts import Sends
 from lycheepost.platform.ingress import trusted_relay
 from lycheepost.platform.models.pathcuts import PathCut
 
@@ -364,7 +365,7 @@
 def step_new_connection(context):
     request = ForwardRequest("id", "GET", "h", "/", (), None, None, None, None, b"", 0)
     peer = RelayPeer(DaemonId("peer"), "127.0.0.1:1")
-    assert not make_peer_call(request, peer, 0, 1.0, None).may_reuse_connection
+    assert not make_peer_call(request, peer, Sends(), 1.0, None).may_reuse_connection
 
 
 @then("a request relayed from a host that is no daemon's counts as a caller's")
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -119,6 +119,10 @@
         """Reserve a retry for work whose target may still answer."""
         return self._scheduler.take_retry(work, self._clock.now_seconds())
 
+    def spend_retry(self, target_group: TargetGroupId) -> bool:
+        """Take a retry for a request that a peer is to serve; return False if none."""
+        return self._scheduler.spend_retry(target_group, self._clock.now_seconds())
+
     def set_retry_terms(self, terms: RetryTerms) -> None:
         """Set the limits on retries in each target group."""
         self._scheduler.set_retry_terms(terms)
--- a/lycheepost/callers/errors.py
+++ b/lycheepost/callers/errors.py
@@ -69,6 +69,7 @@
         rate_limit: The limit that the request exceeds; None for other errors.
         is_safe_to_resend: A resend cannot run the request twice: it did not run, or
             is idempotent, or its idempotency key prevents a second run.
+        n_arrivals: How often the request arrived at targets; told to daemons only.
     """
 
     status: int = 400
@@ -78,6 +79,7 @@
     executed: Executed = Executed.NO
     retry_after_seconds: float | None = None
     is_safe_to_resend: bool = True
+    n_arrivals: int = 0
     rate_limit: RateLimit | None = None
 
 
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -60,6 +60,7 @@
     body: bytes
     arrived_seconds: float
     relayed_runs: int | None = None
+    relayed_arrivals: int = 0
     resumed_id: str = ""
 
     @property
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -47,7 +47,13 @@
     last_step,
     next_step,
 )
-from lycheepost.decide.records import Dispatch, FinishKind, RefusalReason, Refuse
+from lycheepost.decide.records import (
+    Dispatch,
+    FinishKind,
+    Outcome,
+    RefusalReason,
+    Refuse,
+)
 from lycheepost.decide.routes import RouteMatch
 
 NOT_RUN_RETRY_SECONDS = 0.2
@@ -82,7 +88,9 @@
         self._relay = AnswerRelay(deps, request, route_match.route, caller)
         self._work = make_work(deps, request, route_match, route_table(deps))
         self._is_take_up = takes_up_stream(request, route_match.route)
-        self._sends = Sends(n_runs=request.relayed_runs or 0)
+        self._sends = Sends(
+            n_runs=request.relayed_runs or 0, n_arrivals=request.relayed_arrivals
+        )
         self._attempt: TargetAttempt | None = None
         self._begun_at: SoftwareVersion | None = None
         self._peer_attempts = PeerAttempts(
@@ -131,7 +139,7 @@
             if self._relay.has_begun:
                 self._relay.abort()
                 return
-            raise too_late(self.executed) from None
+            raise self._with_arrivals(too_late(self.executed)) from None
         except CallerError as error:
             self._log.info(
                 "forward: not served",
@@ -143,12 +151,18 @@
                 elapsed_seconds=self._elapsed_seconds(),
             )
             if not self._relay.has_begun:
-                raise
+                raise self._with_arrivals(error) from error
             # The headers of an error response would be read as part of the stream.
             self._relay.abort()
         finally:
             self._charge.settle(self.executed)
 
+    def _with_arrivals(self, error: CallerError) -> CallerError:
+        """Return an error that states how often this daemon sent the request."""
+        n_here = self._sends.n_arrivals - self._request.relayed_arrivals
+        is_at_target = self._attempt is not None and self._attempt.is_sent
+        return replace(error, n_arrivals=n_here + is_at_target)
+
     def _elapsed_seconds(self) -> float:
         now_seconds = self._deps.clock.now_seconds()
         return round(now_seconds - self._request.arrived_seconds, 4)
@@ -165,11 +179,11 @@
             return
         if not self._request.relayed_runs:
             await self._charge.take()
-        outcome = await self._deps.dispatcher.admit(self._work)
+        outcome = await self._admit()
         while True:
             match outcome:
                 case Refuse(reason=RefusalReason.NO_PATH):
-                    await self._serve_through_peers()
+                    await self._serve_through_peers(has_retry=True)
                     return
                 case Refuse():
                     await self._handle_refusal(outcome)
@@ -189,6 +203,13 @@
                 return
             outcome = await self._deps.dispatcher.readmit(self._work, is_free)
 
+    async def _admit(self) -> Outcome:
+        """Admit the request for its first attempt here."""
+        if self._request.relayed_arrivals:
+            # The daemon that relays it has counted it, and has taken this retry.
+            return await self._deps.dispatcher.readmit(self._work, is_free=True)
+        return await self._deps.dispatcher.admit(self._work)
+
     def _bind_to_origin(self) -> bool:
         """Bind the rest of a stream to the software version that began it.
 
@@ -215,14 +236,17 @@
         await self._serve_through_peers(refusal=refusal)
 
     async def _serve_through_peers(
-        self, is_free: bool = True, refusal: CallerError | None = None
+        self, has_retry: bool = False, refusal: CallerError | None = None
     ) -> None:
         """Serve the request through peers, as this daemon itself can't.
 
-        A peer charges the customer's quota, unless the request has run before.
+        A peer charges the customer's quota, unless the request has run before. It
+        counts the request's first attempt, unless the request has arrived at a target
+        before: then this daemon takes a retry for each peer. What the peer itself
+        repeats is taken from the peer's budget.
 
         Args:
-            is_free: Whether it uses no retry budget.
+            has_retry: Whether a retry was taken that has not been used.
             refusal: The error if no peer serves it; None if this daemon reaches no
                 target.
         """
@@ -231,10 +255,11 @@
         peers = relays.choose(self._target_group)
         # A peer that relayed the request to this daemon would get it back.
         is_last = relays.is_off or self._request.relayed_runs is not None
-        may_send = not is_last and (
-            is_free or self._deps.dispatcher.take_retry(self._work)
-        )
-        for peer in peers[:MAX_RELAYS] if may_send else ():
+        for peer in () if is_last else peers[:MAX_RELAYS]:
+            n_before = self._sends.n_arrivals
+            has_retry = has_retry or not n_before or self._spend_retry()
+            if not has_retry:
+                break
             # The key may have been revoked meanwhile.
             identify(self._deps, self._request)
             end = await self._peer_attempts.send(
@@ -242,6 +267,8 @@
             )
             if end is None or not await self._should_continue(end):
                 return
+            if self._sends.n_arrivals > n_before:
+                has_retry = False
         if self._relay.has_begun:
             self._relay.abort()
         elif self._sends.n_runs:
@@ -250,6 +277,9 @@
         else:
             raise refusal or self._peer_attempts.refusal or no_path(bool(peers))
 
+    def _spend_retry(self) -> bool:
+        return self._deps.dispatcher.spend_retry(self._target_group)
+
     async def _handle_refusal(self, refusal: Refuse) -> None:
         """End the request after the scheduler refused it."""
         if self._relay.has_begun:
@@ -267,9 +297,10 @@
         Raises:
             CallerError: No attempt follows, and nothing has been sent to the caller.
         """
-        self._sends = self._sends.add(end)
+        self._sends = self._sends.add(end, self._peer_attempts.n_arrivals)
         self._attempt = None
         self._peer_attempts.is_sent = False
+        self._peer_attempts.n_arrivals = None
         remaining_seconds = self._remaining_seconds()
         step = next_step(self._route_match.route, self._sends, end, remaining_seconds)
         if step is Step.TRY_AGAIN and self._relay.has_begun:
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -69,7 +69,7 @@
 def make_peer_call(
     request: ForwardRequest,
     peer: RelayPeer,
-    n_runs: int,
+    sends: Sends,
     remaining_seconds: float,
     after_event: int | None,
 ) -> ForwardCall:
@@ -78,7 +78,7 @@
     Args:
         request: The caller's request.
         peer: The peer.
-        n_runs: On how many targets it may have run before.
+        sends: The attempts before.
         remaining_seconds: Until the deadline of the request.
         after_event: Id of the last event that the caller has received, if any.
     """
@@ -96,7 +96,7 @@
         # Connections between daemons may go silent, and no second peer is tried while
         # one may still serve the request.
         may_reuse_connection=False,
-        relay=RelayOptions(request.key, n_runs, request.stream),
+        relay=RelayOptions(request.key, sends.n_runs, sends.n_arrivals, request.stream),
     )
 
 
@@ -111,6 +111,8 @@
 
     Attributes:
         is_sent: Whether a peer may be serving the request now.
+        n_arrivals: How often the request arrived at targets in the last attempt, as
+            stated by the peer; None if unknown.
         refusal: The last refusal of a peer; None before.
     """
 
@@ -122,6 +124,7 @@
         relay: AnswerRelay,
     ) -> None:
         self.is_sent = False
+        self.n_arrivals: int | None = None
         self.refusal: CallerError | None = None
         self._deps = deps
         self._request = request
@@ -143,9 +146,10 @@
         """
         after_event = self._relay.after_event
         call = make_peer_call(
-            self._request, peer, sends.n_runs, remaining_seconds, after_event
+            self._request, peer, sends, remaining_seconds, after_event
         )
         self.is_sent = True
+        self.n_arrivals = None
         self._relay.begin_attempt()
         end = await self._await_end(call)
         self._deps.metrics.count("relayed_to_peers")
@@ -176,6 +180,7 @@
     async def _handle_answer(
         self, answer: ForwardResponse, call: ForwardCall
     ) -> AttemptEnd | None:
+        self.n_arrivals = answer.head.n_arrivals
         if answer.head.was_not_run:
             self.refusal = _refusal(answer.head)
             await _read_refusal(answer)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -154,6 +154,10 @@
             self._budgets[target_group] = budget
         return budget
 
+    def spend_retry(self, target_group: TargetGroupId, now_seconds: float) -> bool:
+        """Take a retry for a request that a peer is to serve."""
+        return self._budget(target_group).spend(now_seconds)
+
     def _spend(self, work: Work, now_seconds: float) -> bool:
         return self._budget(work.target_group).spend(now_seconds)
 
--- a/lycheepost/platform/headers.py
+++ b/lycheepost/platform/headers.py
@@ -47,6 +47,10 @@
 """Sent between daemons with a client's request that one relays to another: on how many
 servers it may have run before."""
 
+RELAYED_ARRIVALS = "Lycheepost-Relayed-Arrivals"
+"""Sent between daemons with a relayed request: how often it may have arrived at servers
+before. In a peer's own response to it: how often it arrived there meanwhile."""
+
 KEY_SCHEME = "token "
 
 MAX_RANK = 9
@@ -67,6 +71,7 @@
         "X-Lycheepost-Kv-Backup",
         "Kv-From",
         RELAYED_RUNS,
+        RELAYED_ARRIVALS,
     )
 )
 """Never forwarded as sent by a client: a client that could set them could read other
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -282,6 +282,8 @@
         attempt_id = _attempt_id(request)
         if attempt_id:
             headers[names.ATTEMPT_ID] = attempt_id
+        if names.RELAYED_RUNS in request.headers:
+            headers[names.RELAYED_ARRIVALS] = str(error.n_arrivals)
         if error.executed is Executed.NO and error.retry_after_seconds is not None:
             headers[names.RETRY_AFTER] = encode_retry_after(error.retry_after_seconds)
         response = web.Response(
@@ -298,11 +300,11 @@
     """Return a request that counts as relayed only if a daemon sent it.
 
     A relayed request may have been charged already, so a caller that could pass for a
-    daemon would not be held to its quota.
+    daemon would not be held to its quota, and its requests would not count for retries.
     """
     if host is not None and is_peer_host(host):
         return request
-    return replace(request, relayed_runs=None)
+    return replace(request, relayed_runs=None, relayed_arrivals=0)
 
 
 def encode_retry_after(seconds: float) -> str:
@@ -392,6 +394,7 @@
         body=body,
         arrived_seconds=arrived_seconds,
         relayed_runs=parse_count(headers.get(names.RELAYED_RUNS, "")),
+        relayed_arrivals=parse_count(headers.get(names.RELAYED_ARRIVALS, "")) or 0,
     )
 
 
--- a/lycheepost/platform/peerdialect.py
+++ b/lycheepost/platform/peerdialect.py
@@ -12,6 +12,7 @@
     MILLISECONDS,
     answers_other_request,
     client_headers,
+    parse_count,
     parse_non_negative,
 )
 from lycheepost.targets.forwardcall import (
@@ -43,6 +44,7 @@
                 headers.append((names.RESUMES, call.relay.stream))
         if call.relay is not None:
             headers.append((names.RELAYED_RUNS, str(call.relay.n_runs)))
+            headers.append((names.RELAYED_ARRIVALS, str(call.relay.n_arrivals)))
             if call.relay.key is not None:
                 headers.append((names.AUTHORIZATION, f"Token {call.relay.key}"))
         return headers
@@ -72,4 +74,5 @@
             notice=TargetNotice(
                 retry_after_seconds=parse_non_negative(found.get(names.RETRY_AFTER, ""))
             ),
+            n_arrivals=parse_count(found.get(names.RELAYED_ARRIVALS, "")),
         )
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -48,11 +48,13 @@
     Attributes:
         key: The caller's key, which the peer checks; None when it sent none.
         n_runs: On how many targets the request may have run before.
+        n_arrivals: How often it may have arrived at targets before.
         stream: The stream that it begins or takes up; empty if unknown.
     """
 
     key: str | None
     n_runs: int
+    n_arrivals: int = 0
     stream: StreamId = StreamId("")
 
 
@@ -127,6 +129,8 @@
         weights_version: Weights that produced the answer, if stated.
         load: The load that the target reports, if any.
         notice: Other reports of the target on its state.
+        n_arrivals: How often a relayed request arrived at targets, as stated by the
+            peer that did not serve it; None if not stated.
     """
 
     status: int
@@ -141,6 +145,7 @@
     weights_version: WeightsVersion | None = None
     load: ReportedLoad | None = None
     notice: TargetNotice = NO_NOTICE
+    n_arrivals: int | None = None
 
 
 class Dialect(Protocol):
