Delay what raises a daemon's part of the retries; count daemons that are not live

Cause: a daemon starts with its whole part, although its earlier start may have used it; it divides the burst by the live daemons of the moment; a new entry daemon takes its larger part at once; a part was never below one retry.

decide/retryparts: a part that rises does so after a window and the time in which daemons hear of each other; a daemon that starts has none for so long, unless the whole fleet starts for the first time; daemons that are no longer heard of count for ten minutes, and all count that aren't gone.

--- a/features/platform/steps/share_steps.py
+++ b/features/platform/steps/share_steps.py
@@ -6,8 +6,9 @@
 from returns.result import Success
 
 from lycheepost.app.platformfleet import BOUNDS
-from lycheepost.app.platformtraffic import count_retry_shares, retry_terms
+from lycheepost.app.platformtraffic import retry_terms
 from lycheepost.core.ids import DaemonId
+from lycheepost.decide.retryparts import count_retry_shares
 from lycheepost.platform import storecalls
 from lycheepost.platform.settings import decode_settings
 from lycheepost.platform.storecalls import StoreCallCounts, feed_kind, read_kind
@@ -35,7 +36,10 @@
     bounds = type(BOUNDS)(**{**vars_of(BOUNDS), "retry_burst": burst})
     context.bursts = {
         name: retry_terms(
-            bounds, count_retry_shares(name, context.entry, len(context.names))
+            bounds,
+            count_retry_shares(
+                name in context.entry, len(context.entry), len(context.names)
+            ),
         ).burst
         for name in context.names
     }
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import pathlib
 from dataclasses import dataclass
 from typing import Any
@@ -26,7 +27,6 @@
 )
 from lycheepost.app.platformtraffic import (
     PlatformTraffic,
-    count_retry_shares,
     make_key_rule,
     make_platform_traffic,
     retry_terms,
@@ -42,6 +42,7 @@
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
 from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
+from lycheepost.decide.retryparts import RetryPart, count_retry_shares
 from lycheepost.platform.following import (
     OperatorFollower,
     ServerFollower,
@@ -109,6 +110,11 @@
         self._components = components
         self._plan = plan
         self._ingress = components.traffic.ingress
+        self._retry_part = RetryPart(
+            components.settings.bounds.retry_window_seconds,
+            components.base.clock.now_seconds(),
+            components.base.node.is_first_start,
+        )
         self._lifecycle: list[Component] = [
             components.base.store,
             *components.traffic.components(),
@@ -218,9 +224,7 @@
     def _tick(self) -> None:
         """Update targets, budgets and the announced state of this daemon."""
         members = self._components.peers.members
-        terms = retry_terms(
-            self._components.settings.bounds, self._count_retry_shares()
-        )
+        terms = retry_terms(self._components.settings.bounds, self._retry_divisor())
         self._update_topology()
         self._components.base.store.calls.log_if_due(
             self._components.base.clock.now_seconds()
@@ -253,13 +257,21 @@
             peers.members.me().daemon, peers.topology_tracker.topology()
         )
 
-    def _count_retry_shares(self) -> int:
-        """Return the divisor of the fleet's retry budget for this daemon."""
-        members, entry = (
-            self._components.peers.members,
-            self._components.peers.members.entry(),
+    def _retry_divisor(self) -> float:
+        """Return the divisor of the fleet's retry budget for this daemon.
+
+        Daemons that are not live count too: they may still send requests.
+        """
+        members = self._components.peers.members
+        if not members.n_lists:
+            return math.inf
+        entry = members.entry()
+        return self._retry_part.divisor(
+            members.me().daemon in entry,
+            len(entry),
+            self._n_daemons(),
+            self._components.base.clock.now_seconds(),
         )
-        return count_retry_shares(members.me().daemon, entry, members.n_live())
 
     def _count_limit_shares(self) -> int:
         """Return the divisor of the targets' rate limits for this daemon.
@@ -271,7 +283,8 @@
         n_daemons = self._n_sending_daemons()
         if not members.n_lists:
             n_daemons = max(ASSUMED_DAEMONS, n_daemons)
-        return count_retry_shares(members.me().daemon, members.entry(), n_daemons)
+        entry = members.entry()
+        return count_retry_shares(members.me().daemon in entry, len(entry), n_daemons)
 
     def _n_sending_daemons(self) -> int:
         """Return the number of daemons that may send requests to targets.
@@ -338,6 +351,7 @@
             "sends": components.traffic.client.status(),
             "notices": components.traffic.notices.status(),
             "limit_shares": self._count_limit_shares(),
+            "retry_divisor": self._retry_divisor(),
             "own_paths": components.traffic.paths.status(),
             "stream_versions": components.traffic.stream_versions.status(),
             "quotas": components.quotas.status(components.base.clock.now_seconds()),
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -33,6 +33,7 @@
 from lycheepost.decide.notices import TargetNotices
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.retry import RetryTerms
+from lycheepost.decide.retryparts import USED_RETRY_SHARE
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.softwareversions import SoftwareVersions
@@ -61,17 +62,6 @@
 unreachable target never accepts; after this time-out a request can still be served in
 time by another target."""
 
-USED_RETRY_SHARE = 0.85
-"""Share of the allowed retries that is used. The rest covers retries that aren't
-counted here, such as requests that daemons and clients count differently."""
-
-ENTRY_RETRY_SHARE = 0.7
-"""Share of the retry budget that the entry daemons of a large fleet divide."""
-
-MIN_RETRY_SHARES = 4
-"""Minimum number of daemons that the retry budget is divided by, so that a daemon that
-doesn't know its peers yet doesn't use all of it."""
-
 MAX_TARGETS_PER_REQUEST = 6
 """Number of targets that a request may be sent to before it fails. The route limits how
 many of them may run it."""
@@ -165,7 +155,8 @@
     switched_off = base.switched_off
     settings = _scheduler_settings(switched_off)
     dispatcher = Dispatcher(Scheduler(settings, base.seed), clock)
-    dispatcher.set_retry_terms(retry_terms(get_bounds(), MIN_RETRY_SHARES))
+    # Until the fleet is known.
+    dispatcher.set_retry_terms(retry_terms(get_bounds(), math.inf))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
@@ -358,31 +349,16 @@
     return KeyTrustRule(bounds.revoke_seconds, bounds.is_revoke_strict)
 
 
-def count_retry_shares(me: DaemonId, entry: frozenset[DaemonId], n_live: int) -> int:
-    """Return the divisor of the fleet's retry budget for one daemon.
-
-    Entry daemons share most of the budget. The others get few requests, but each must
-    be able to retry some as soon as callers use it.
+def retry_terms(bounds: Bounds, divisor: float) -> RetryTerms:
+    """Return this daemon's share of the fleet's retry budget.
 
     Args:
-        me: The daemon.
-        entry: The entry daemons.
-        n_live: Number of live daemons, including the entry daemons.
+        bounds: The fleet's limits.
+        divisor: Among how many equal parts the burst is divided; infinite for no part.
     """
-    n_entry = len(entry)
-    if n_entry >= n_live:
-        return n_live
-    if me in entry:
-        return math.ceil(n_entry / ENTRY_RETRY_SHARE)
-    return math.ceil((n_live - n_entry) / (1.0 - ENTRY_RETRY_SHARE))
-
-
-def retry_terms(bounds: Bounds, n_daemons: int) -> RetryTerms:
-    """Return this daemon's share of the fleet's retry budget."""
-    n_sharing = max(MIN_RETRY_SHARES, n_daemons)
     return RetryTerms(
         share=USED_RETRY_SHARE * bounds.retry_share,
-        burst=max(1.0, USED_RETRY_SHARE * bounds.retry_burst / n_sharing),
+        burst=USED_RETRY_SHARE * bounds.retry_burst / divisor,
         window_seconds=bounds.retry_window_seconds,
     )
 
--- /dev/null
+++ b/lycheepost/decide/retryparts.py
@@ -0,0 +1,115 @@
+"""This daemon's part of the retries that the fleet may send beyond a share of requests.
+
+Daemons count only their own retries, so their parts together must never exceed what the
+fleet may send in any window, also while daemons start, join, become entry daemons or
+cannot hear of each other. Every change that raises a part is therefore delayed: by a
+window, as others may have used the part that it comes from until now, and for daemons
+that are no longer heard of by much longer, as they may only be cut off from this one.
+A daemon that has started again does not know what its earlier start has used, and has
+no part for one window. The share of its own requests is not affected.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+USED_RETRY_SHARE = 0.85
+"""Share of the allowed retries that is used. The rest covers retries that aren't
+counted here, such as requests that daemons and clients count differently."""
+
+ENTRY_RETRY_SHARE = 0.7
+"""Share of the fleet's retries that the entry daemons of a large fleet divide."""
+
+MIN_RETRY_SHARES = 4
+"""Minimum number of daemons that retries are divided by, so that a daemon that doesn't
+know its peers yet doesn't use all of them."""
+
+HEARD_SECONDS = 1.5
+"""Time in which daemons hear of each other's start or change of role."""
+
+CUT_OFF_SECONDS = 600.0
+"""How long a daemon counts that is no longer heard of: longer than most cuts between
+daemons last. Until then the others do without its part."""
+
+
+def count_retry_shares(is_entry: bool, n_entry: int, n_daemons: int) -> int:
+    """Return the divisor of the fleet's retries for one daemon.
+
+    Entry daemons share most of them. The others get few requests, but each must be able
+    to retry some as soon as callers use it.
+
+    Args:
+        is_entry: Whether it is an entry daemon.
+        n_entry: Number of entry daemons.
+        n_daemons: Number of daemons, including the entry daemons.
+    """
+    if n_entry >= n_daemons:
+        return n_daemons
+    if is_entry:
+        return math.ceil(n_entry / ENTRY_RETRY_SHARE)
+    return math.ceil((n_daemons - n_entry) / (1.0 - ENTRY_RETRY_SHARE))
+
+
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """A value and when it was read last."""
+
+    value: float
+    until_seconds: float
+
+
+class HeldMaximum:
+    """The largest of the values of late.
+
+    Args:
+        held_seconds: How long a value counts after it was read last.
+    """
+
+    def __init__(self, held_seconds: float) -> None:
+        self._held_seconds = held_seconds
+        self._readings: deque[_Reading] = deque()
+
+    def note(self, value: float, now_seconds: float) -> float:
+        """Add a value; return the largest one that counts."""
+        while self._readings and self._readings[-1].value <= value:
+            self._readings.pop()
+        self._readings.append(_Reading(value, now_seconds))
+        while self._readings[0].until_seconds < now_seconds - self._held_seconds:
+            self._readings.popleft()
+        return self._readings[0].value
+
+
+class RetryPart:
+    """The part of one daemon.
+
+    Args:
+        window_seconds: Length of the window in which the fleet's retries are counted.
+        started_seconds: When the daemon started.
+        is_first_start: Whether the whole fleet starts for the first time, so that no
+            earlier start can have used anything.
+    """
+
+    def __init__(
+        self, window_seconds: float, started_seconds: float, is_first_start: bool
+    ) -> None:
+        self._daemons = HeldMaximum(CUT_OFF_SECONDS)
+        self._entry_daemons = HeldMaximum(CUT_OFF_SECONDS)
+        self._divisors = HeldMaximum(window_seconds + HEARD_SECONDS)
+        if not is_first_start:
+            self._divisors.note(math.inf, started_seconds)
+
+    def divisor(
+        self, is_entry: bool, n_entry: int, n_daemons: int, now_seconds: float
+    ) -> float:
+        """Return the divisor of the fleet's retries for this daemon.
+
+        Args:
+            is_entry: Whether it is an entry daemon.
+            n_entry: Number of entry daemons.
+            n_daemons: Number of known daemons that are not gone for good.
+            now_seconds: The current time.
+        """
+        n_held = int(self._daemons.note(n_daemons, now_seconds))
+        n_entry_held = int(self._entry_daemons.note(n_entry, now_seconds))
+        n_shares = count_retry_shares(is_entry, n_entry_held, n_held)
+        return self._divisors.note(max(MIN_RETRY_SHARES, n_shares), now_seconds)
