Count a repeat from when it is sent, and give back what is not

A repeat that waits for capacity was counted when it was allowed. Those of one window could arrive at servers in the next, with that window's own. A request that was refused kept the retry that it had taken. Now a retry is reserved, counted from when it is sent, and given back if it is not. Two scenarios of decide/retries, which need the new calls.

--- a/features/decide/retries.feature
+++ b/features/decide/retries.feature
@@ -35,3 +35,18 @@
     When 80 requests have come in 8 s
     And 30 s pass without any
     Then 6 of 20 retries at once are allowed
+
+  Scenario: A repeat that waits counts from when it is sent
+    Guards against repeats of two windows that arrive at servers in one: those of the
+    first have waited for capacity.
+    Given a budget of 0 of the requests and 20 beyond, in any ten seconds
+    When 20 retries are reserved, and sent 9 s later
+    Then 0 of 20 retries at once are allowed
+    When 11 s pass without any
+    Then 20 of 20 retries at once are allowed
+
+  Scenario: A repeat that is not sent is given back
+    Guards against a budget used up by requests that found no capacity.
+    Given a budget of 0 of the requests and 20 beyond, in any ten seconds
+    When 20 retries are reserved, and refused 1 s later
+    Then 20 of 20 retries at once are allowed
--- a/features/decide/steps/retries_steps.py
+++ b/features/decide/steps/retries_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from lycheepost.core.ids import RequestId
 from lycheepost.decide.retry import RetryBudget, RetryTerms
 
 
@@ -65,3 +66,20 @@
     context.now_seconds += 1.0
     found = spend(context, n)
     assert found == allowed, found
+
+
+@when("{n:d} retries are reserved, and {end} {seconds:d} s later")
+def step_reserve(context, n, end, seconds):
+    budget, now_seconds = context.budget, context.now_seconds
+    names = [RequestId(f"request-{number}") for number in range(n)]
+    assert all(budget.reserve(name, now_seconds) for name in names)
+    assert not budget.reserve(RequestId("one more"), now_seconds)
+    context.now_seconds = now_seconds + seconds
+    for name in names:
+        if end == "sent":
+            budget.note_sent(name, context.now_seconds)
+        else:
+            budget.give_back(name)
+    # Two seconds later the slots of the reservations are out of the window.
+    if end == "sent":
+        context.now_seconds += 2.0
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 import pathlib
 from dataclasses import dataclass
 from typing import Any
@@ -42,7 +41,11 @@
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
 from lycheepost.decide.quotapeers import ASSUMED_DAEMONS
-from lycheepost.decide.retryparts import RetryPart, count_retry_shares
+from lycheepost.decide.retryparts import (
+    RetryPart,
+    count_retry_shares,
+    unknown_fleet_divisor,
+)
 from lycheepost.platform.following import (
     OperatorFollower,
     ServerFollower,
@@ -264,7 +267,7 @@
         """
         members = self._components.peers.members
         if not members.n_lists:
-            return math.inf
+            return unknown_fleet_divisor(self._components.base.node.is_first_start)
         entry = members.entry()
         return self._retry_part.divisor(
             members.me().daemon in entry,
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -33,7 +33,7 @@
 from lycheepost.decide.notices import TargetNotices
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.retry import RetryTerms
-from lycheepost.decide.retryparts import USED_RETRY_SHARE
+from lycheepost.decide.retryparts import USED_RETRY_SHARE, unknown_fleet_divisor
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.softwareversions import SoftwareVersions
@@ -155,8 +155,8 @@
     switched_off = base.switched_off
     settings = _scheduler_settings(switched_off)
     dispatcher = Dispatcher(Scheduler(settings, base.seed), clock)
-    # Until the fleet is known.
-    dispatcher.set_retry_terms(retry_terms(get_bounds(), math.inf))
+    divisor = unknown_fleet_divisor(base.node.is_first_start)
+    dispatcher.set_retry_terms(retry_terms(get_bounds(), divisor))
     LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -134,6 +134,7 @@
         self._deliver(outcomes)
         try:
             outcome: Outcome = await future
+            self._settle_retry(outcome)
             return outcome
         except asyncio.CancelledError:
             self._release(work.request, future)
@@ -141,6 +142,15 @@
         finally:
             self._waiting.pop(work.request, None)
 
+    def _settle_retry(self, outcome: Outcome) -> None:
+        """Count the retry of a request that is sent now, or return it."""
+        match outcome:
+            case Dispatch(request=request):
+                self._scheduler.note_retry_sent(request, self._clock.now_seconds())
+            case Refuse(request=request, reason=reason):
+                if reason is not RefusalReason.NO_PATH:
+                    self._scheduler.give_back_retry(request)
+
     def _release(self, request: RequestId, future: "asyncio.Future[Outcome]") -> None:
         was_dispatched = (
             future.done()
--- a/lycheepost/decide/retry.py
+++ b/lycheepost/decide/retry.py
@@ -9,6 +9,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from lycheepost.core.ids import RequestId
+
 NO_OUTPUT_PAUSE_SECONDS = 0.1
 """Longest pause of a request without output when its target was lost."""
 
@@ -18,6 +20,9 @@
 share a target with it again. Callers hardly notice a gap of this length, and it occurs
 only when an engine is lost."""
 
+MAX_UNSENT_SECONDS = 60.0
+"""Longer than any request waits to be sent again."""
+
 SLOT_SECONDS = 0.5
 """Length of one slot of counts. The window is extended by one slot, so that the bound
 holds for every span of its length."""
@@ -76,6 +81,7 @@
     def __init__(self, terms: RetryTerms) -> None:
         self._terms = terms
         self._slots: deque[_Slot] = deque()
+        self._unsent: dict[RequestId, _Slot] = {}
 
     def set_terms(self, terms: RetryTerms) -> None:
         """Change the limits, or this daemon's share of them."""
@@ -95,6 +101,30 @@
         slot.n_retries += 1
         return True
 
+    def reserve(self, request: RequestId, now_seconds: float) -> bool:
+        """Take one retry for a request that is still to be sent."""
+        if not self.spend(now_seconds):
+            return False
+        self._unsent[request] = self._slots[-1]
+        return True
+
+    def note_sent(self, request: RequestId, now_seconds: float) -> None:
+        """Count a reserved retry from now on, when it is sent.
+
+        Requests may wait for seconds before they are sent again. Counted from when they
+        were reserved, those of two windows could arrive in one.
+        """
+        slot = self._unsent.pop(request, None)
+        if slot is not None:
+            slot.n_retries -= 1
+            self._slot(now_seconds).n_retries += 1
+
+    def give_back(self, request: RequestId) -> None:
+        """Return a reserved retry that was not sent."""
+        slot = self._unsent.pop(request, None)
+        if slot is not None:
+            slot.n_retries -= 1
+
     def status(self, now_seconds: float) -> dict[str, float]:
         """Return the counts of the current window, for the status page."""
         self._slot(now_seconds)
@@ -108,9 +138,18 @@
     def _slot(self, now_seconds: float) -> _Slot:
         """Return the current slot, after dropping those before the window."""
         slots = self._slots
+        self._drop_unsent(now_seconds)
         first_seconds = now_seconds - self._terms.window_seconds - SLOT_SECONDS
         while slots and slots[0].started_seconds < first_seconds:
             slots.popleft()
         if not slots or now_seconds - slots[-1].started_seconds >= SLOT_SECONDS:
             slots.append(_Slot(now_seconds))
         return slots[-1]
+
+    def _drop_unsent(self, now_seconds: float) -> None:
+        """Forget reservations of requests that ended before they were sent."""
+        while self._unsent:
+            request, slot = next(iter(self._unsent.items()))
+            if slot.started_seconds >= now_seconds - MAX_UNSENT_SECONDS:
+                return
+            del self._unsent[request]
--- a/lycheepost/decide/retryparts.py
+++ b/lycheepost/decide/retryparts.py
@@ -50,6 +50,15 @@
     return math.ceil((n_daemons - n_entry) / (1.0 - ENTRY_RETRY_SHARE))
 
 
+def unknown_fleet_divisor(is_first_start: bool) -> float:
+    """Return the divisor of a daemon that has not read the list of daemons yet.
+
+    Args:
+        is_first_start: Whether the whole fleet starts for the first time.
+    """
+    return MIN_RETRY_SHARES if is_first_start else math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class _Reading:
     """A value and when it was read last."""
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -36,7 +36,8 @@
     TargetView,
     Work,
 )
-from lycheepost.decide.retry import RetryBudget, RetryTerms
+from lycheepost.decide.retry import RetryTerms
+from lycheepost.decide.retrybudgets import RetryBudgets
 from lycheepost.decide.room import RoomNeed
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.targetnotices import TargetNotices
@@ -68,8 +69,7 @@
         self._quarantine = Quarantine(
             settings.quarantine_losses, settings.quarantine_seconds
         )
-        self._retry_terms = RetryTerms(settings.retry_share)
-        self._budgets: dict[TargetGroupId, RetryBudget] = {}
+        self._budgets = RetryBudgets(RetryTerms(settings.retry_share))
         self._notices = TargetNotices(self._group_by_target)
         self._states = TargetStates(
             self._group_by_target,
@@ -143,29 +143,27 @@
         refusal = self._refuse_early(work, now_seconds)
         if refusal is not None:
             return [refusal]
-        self._budget(work.target_group).note_first_attempt(now_seconds)
+        self._budgets.of(work.target_group).note_first_attempt(now_seconds)
         return self._admit(work, now_seconds)
 
-    def _budget(self, target_group: TargetGroupId) -> RetryBudget:
-        """Return the group's own budget; failures in others must not spend it."""
-        budget = self._budgets.get(target_group)
-        if budget is None:
-            budget = RetryBudget(self._retry_terms)
-            self._budgets[target_group] = budget
-        return budget
-
     def spend_retry(self, target_group: TargetGroupId, now_seconds: float) -> bool:
         """Take a retry for a request that a peer is to serve."""
-        return self._budget(target_group).spend(now_seconds)
+        return self._budgets.of(target_group).spend(now_seconds)
 
     def _spend(self, work: Work, now_seconds: float) -> bool:
-        return self._budget(work.target_group).spend(now_seconds)
+        return self._budgets.of(work.target_group).reserve(work.request, now_seconds)
+
+    def note_retry_sent(self, request: RequestId, now_seconds: float) -> None:
+        """Count a retry from when it is sent; nothing for a first attempt."""
+        self._budgets.note_sent(request, now_seconds)
+
+    def give_back_retry(self, request: RequestId) -> None:
+        """Return the retry of a request that is not sent again."""
+        self._budgets.give_back(request)
 
     def set_retry_terms(self, terms: RetryTerms) -> None:
         """Set the terms of every group's retry budget."""
-        self._retry_terms = terms
-        for budget in self._budgets.values():
-            budget.set_terms(terms)
+        self._budgets.set_terms(terms)
 
     def retry(
         self, work: Work, now_seconds: float, is_free: bool = False
@@ -495,8 +493,5 @@
                 name: group.status(self._now_seconds)
                 for name, group in self._groups.items()
             },
-            "retries": {
-                name: budget.status(self._now_seconds)
-                for name, budget in self._budgets.items()
-            },
+            "retries": self._budgets.status(self._now_seconds),
         }
