Bound the time until a change is known by the age of the copy, not by single waits

Callers got 404 for routes that had been acknowledged more than 2 s before, at daemons in touch: with the first daemon without answers of the store and the second frozen, seven daemons learned of a change after up to 2.41 s; with three frozen, after 2.68 s.

Cause: each wait fitted the bound, their sum did not. A copy was passed on until it was 2.4 s old, two peers were waited for in turn (0.9 s each), then the interval between calls to the store (0.8 s, 3 s once it had failed), then its time-out.

decide/feedtimes derives all waits from the bound: the first peer is left when the copy is 0.6 of the bound old, the second at 0.75, then the store is asked; the sum no longer depends on how many fail, nor on the hops. So that a quiet copy stays young without more calls, a long poll confirms the state when it was answered (platform/storeclock, from the store's own clock), and every answer is passed on at once to all that wait, instead of after 0.6 s. While the store is away peers are asked twice a second, the store itself as often as the time allows after which the bound holds again.

--- a/features/peers/changetimes.feature
+++ b/features/peers/changetimes.feature
@@ -31,3 +31,43 @@
       | 40 | 3.0   | 3.0     | all leaders of groups are frozen |
       | 40 | 3.0   | 3.0     | all leaders of groups get no answers of the store |
       | 40 | 3.0   | 3.0     | all leaders of groups are frozen, over slow links |
+
+  Scenario Outline: Changes are known again 3 s after the return, though <fault>
+    Guards against pauses and intervals, between requests to peers and to a store that
+    does not answer, that last longer than the time after which the bound holds again.
+    Given 7 daemons that follow the store by turns of 2.0 s
+    When <fault> for some seconds, and a row changes 0.5 s after the return
+    Then every daemon in touch knows the row 3.0 s after the return
+
+    Examples:
+      | fault                                                       |
+      | the store refuses all                                       |
+      | nobody gets answers of the store                            |
+      | the store refuses all but the first                         |
+      | nobody but the first gets answers of the store              |
+      | the store refuses all and the first is frozen from then on  |
+      | nobody gets answers of the store, over slow links           |
+
+  Scenario Outline: A daemon that starts knows a change 3 s after its start, though <fault>
+    Guards against an old state that a daemon takes from a peer at its start, and against
+    the wait before it asks the store.
+    Given 7 daemons that follow the store by turns of 2.0 s
+    When a daemon starts again just as <fault>, and a row changes at many moments
+    Then the daemon that has started knows the row within 3.0 s of its start, or 2.0 s of the change
+
+    Examples:
+      | fault                                                                 |
+      | nothing fails                                                         |
+      | the first gets no answers of the store                                |
+      | the first gets no answers of the store and the second is frozen       |
+      | the first and the second are frozen                                   |
+
+  Scenario Outline: The waits add up to less than a bound of <bound> s
+    The sum of the waits in the code; a quarter of the bound is left for the store.
+    Then a daemon knows a change within <bound> s if the store answers it within <answer> s
+
+    Examples:
+      | bound | answer |
+      | 2.0   | 0.5    |
+      | 3.0   | 0.75   |
+      | 4.0   | 1.0    |
--- a/features/peers/steps/feedcell.py
+++ b/features/peers/steps/feedcell.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from lycheepost.core.ids import DaemonId
+from lycheepost.decide.feedtimes import make_feed_times
 from lycheepost.peers.feedshare import SharedFeed
 from lycheepost.peers.wire import WireCounts, decode_message, encode_message
 from lycheepost.platform.store import CALL_TIMEOUT_SECONDS, LONG_POLL_MARGIN_SECONDS
@@ -20,6 +21,8 @@
 KEY = "config"
 HELD_SECONDS = 1.5
 STORE_SECONDS = 0.004
+SMALL_FLEET_TIMES = make_feed_times(2.0, 3.0)
+LARGE_FLEET_TIMES = make_feed_times(3.0, 4.0)
 
 
 class LinkedExchange:
@@ -87,7 +90,10 @@
 
     async def answer(self, rows, is_whole):
         self.n_calls += 1
-        version = self.store.version
+        version, answered_seconds = (
+            self.store.version,
+            asyncio.get_running_loop().time(),
+        )
         await asyncio.sleep(STORE_SECONDS)
         if self.is_cut:
             return Failure(TableUnavailable("away"))
@@ -95,7 +101,7 @@
             await asyncio.sleep(self.rng.choice((0.0, 0.3)))
             if self.rng.random() < 0.15:
                 return Failure(TableUnavailable("down"))
-        return Success(Changes(tuple(rows), version, is_whole=is_whole))
+        return Success(Changes(tuple(rows), version, is_whole, answered_seconds))
 
 
 @dataclass
@@ -121,9 +127,17 @@
     """Daemons of one cell that follow one store."""
 
     def __init__(
-        self, loop, n, rng=None, on_confirmed=None, is_tree=False, find_sources=None
+        self,
+        loop,
+        n,
+        rng=None,
+        on_confirmed=None,
+        is_tree=False,
+        find_sources=None,
+        times=SMALL_FLEET_TIMES,
     ):
         self.loop = loop
+        self.times = times
         self.is_tree = is_tree
         self.find_sources = find_sources
         self.store = RowStore()
@@ -142,6 +156,7 @@
             exchange,
             self.loop,
             lambda: self.sources_of(name),
+            lambda: self.times,
         )
         follower = Follower(feed, shared, None)
         follower.watch = Watch(
--- a/features/peers/steps/feedshare_steps.py
+++ b/features/peers/steps/feedshare_steps.py
@@ -5,7 +5,7 @@
 import random
 
 from behave import given, then, when
-from feedcell import KEY, TABLE, Cell
+from feedcell import KEY, LARGE_FLEET_TIMES, TABLE, Cell
 
 from lycheepost.ports.feed import ChangedRow, Changes
 from lycheepost.standin.virtualtime import VirtualTimeLoop
@@ -67,7 +67,7 @@
 
 
 async def lose_store(loop, n, seconds):
-    cell = Cell(loop, n, is_tree=True)
+    cell = Cell(loop, n, is_tree=True, times=LARGE_FLEET_TIMES)
     cell.store.put(TABLE, KEY, b"1")
     await cell.start()
     await asyncio.sleep(10.0)
--- a/lycheepost/app/platformbase.py
+++ b/lycheepost/app/platformbase.py
@@ -45,7 +45,7 @@
     return PlatformBase(
         node,
         clock,
-        StoreClient(node.store),
+        StoreClient(node.store, clock),
         boot,
         seed,
         random.Random(seed),
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -37,6 +37,7 @@
 from lycheepost.core.ids import ModelId
 from lycheepost.decide.brittle import FleetPosition
 from lycheepost.decide.entry import lacks_entry_daemons
+from lycheepost.decide.feedtimes import FeedTimes, make_feed_times
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import may_trust_key
 from lycheepost.decide.mechanisms import Mechanism, names_of
@@ -52,7 +53,7 @@
     make_watches,
 )
 from lycheepost.platform.ingress import Directory, Readiness
-from lycheepost.platform.settings import Endpoint, NodeSettings
+from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
 from lycheepost.state.addresses import MemberState
@@ -390,7 +391,9 @@
     metrics = ServedMetrics()
     settings = SettingsWatch(node, settings_file)
     fleet_quotas = FleetQuotas(base.seed, base.clock.now_seconds())
-    peers = make_platform_peers(base, fleet_quotas)
+    peers = make_platform_peers(
+        base, fleet_quotas, lambda: feed_times_of(settings.bounds)
+    )
     first_reads = InitialReads(n_tables=N_FIRST_READS)
     traffic = make_platform_traffic(
         base,
@@ -427,6 +430,12 @@
     return PlatformDaemon(components, metrics, leave_plan, sockets, metrics_port)
 
 
+def feed_times_of(bounds: Bounds) -> FeedTimes:
+    """Return the waits that keep the bounds for configurations and for targets."""
+    bound_seconds = min(bounds.apply_seconds, bounds.drain_seconds)
+    return make_feed_times(bound_seconds, bounds.contact_seconds)
+
+
 def _make_watches(
     base: PlatformBase,
     feed: FeedPort,
--- a/lycheepost/app/platformpeers.py
+++ b/lycheepost/app/platformpeers.py
@@ -14,6 +14,7 @@
     TargetGroupId,
 )
 from lycheepost.core.routing import RouteTable
+from lycheepost.decide.feedtimes import FeedTimes
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.rollout import MAX_DRAIN_SECONDS, MIN_DRAIN_SECONDS
@@ -117,12 +118,15 @@
         await self.rollout.stop()
 
 
-def make_platform_peers(base: PlatformBase, quotas: FleetQuotas) -> PlatformPeers:
+def make_platform_peers(
+    base: PlatformBase, quotas: FleetQuotas, get_feed_times: Callable[[], FeedTimes]
+) -> PlatformPeers:
     """Return members and links without opening any connection.
 
     Args:
         base: The state shared by the components.
         quotas: Lists the daemons to exchange quota counts with.
+        get_feed_times: Returns how long to wait for whom when following the store.
     """
     node = base.node
     me = Member(
@@ -169,6 +173,7 @@
         exchange,
         base.clock,
         lambda: topology_tracker.topology().sources,
+        get_feed_times,
     )
     identity = Identity(node.daemon, base.boot, node.availability_zone, node.host)
     fleet = Fleet(identity, base.store, transport, exchange, members)
--- a/lycheepost/decide/retryparts.py
+++ b/lycheepost/decide/retryparts.py
@@ -10,8 +10,8 @@
 """
 
 import math
-from collections import deque
-from dataclasses import dataclass
+
+from lycheepost.utils.heldmaximum import HeldMaximum
 
 USED_RETRY_SHARE = 0.85
 """Share of the allowed retries that is used. The rest covers retries that aren't
@@ -59,35 +59,6 @@
     return MIN_RETRY_SHARES if is_first_start else math.inf
 
 
-@dataclass(frozen=True, slots=True)
-class _Reading:
-    """A value and when it was read last."""
-
-    value: float
-    until_seconds: float
-
-
-class HeldMaximum:
-    """The largest of the values of late.
-
-    Args:
-        held_seconds: How long a value counts after it was read last.
-    """
-
-    def __init__(self, held_seconds: float) -> None:
-        self._held_seconds = held_seconds
-        self._readings: deque[_Reading] = deque()
-
-    def note(self, value: float, now_seconds: float) -> float:
-        """Add a value; return the largest one that counts."""
-        while self._readings and self._readings[-1].value <= value:
-            self._readings.pop()
-        self._readings.append(_Reading(value, now_seconds))
-        while self._readings[0].until_seconds < now_seconds - self._held_seconds:
-            self._readings.popleft()
-        return self._readings[0].value
-
-
 class RetryPart:
     """The part of one daemon.
 
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -59,6 +59,9 @@
         weights_seconds: Time after which no request may begin on older weights.
         address_seconds: Maximum time that clients cache a response of the directory.
         quota_tolerance: How far the fleet may exceed a customer's quota.
+        apply_seconds: Time after which a configuration must be in force everywhere.
+        contact_seconds: Time after the return of the store, of a path to it or of a
+            daemon from which the bounds hold again.
     """
 
     revoke_seconds: float
@@ -72,6 +75,8 @@
     weights_seconds: float
     address_seconds: float
     quota_tolerance: QuotaTolerance = QuotaTolerance()
+    apply_seconds: float = 2.0
+    contact_seconds: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +219,8 @@
             units=reader.number("bounds.quota_slack", 0),
             window_seconds=reader.number("bounds.quota_window_s", 1),
         ),
+        apply_seconds=reader.number("bounds.config_apply_ms", 2000) / _MILLISECONDS,
+        contact_seconds=reader.number("bounds.contact_ms", 3000) / _MILLISECONDS,
     )
 
 
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.platform.settings import Endpoint
 from lycheepost.platform.storecalls import (
@@ -19,6 +20,7 @@
     feed_kind,
     read_kind,
 )
+from lycheepost.platform.storeclock import StoreClock
 from lycheepost.platform.storewire import (
     WireCommitted,
     WireExpected,
@@ -61,6 +63,8 @@
 _PAGE_ROWS = 500
 """Maximum rows of one response, by the platform's protocol."""
 
+_MILLISECONDS = 1000.0
+
 _T = TypeVar("_T")
 
 
@@ -77,6 +81,8 @@
 
     Args:
         address: Address of the store.
+        clock: The clock by which states are confirmed; it includes time spent
+            suspended.
 
     Attributes:
         base: Base URL of the store.
@@ -84,7 +90,9 @@
         calls: The calls by kind, for the log.
     """
 
-    def __init__(self, address: Endpoint) -> None:
+    def __init__(self, address: Endpoint, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
+        self._store_clock = StoreClock()
         self.base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
         self.n_calls = 0
@@ -167,6 +175,7 @@
         """
         changes: Changes | None = None
         query: dict[str, str] = {}
+        sent_seconds = self._clock.now_seconds()
         while True:
             match await self._get_rows(table, query):
                 case Success(page):
@@ -177,7 +186,7 @@
             if changes is not None:
                 rows = changes.rows + rows
             version = page.ver if changes is None else changes.version
-            changes = Changes(rows, version, is_whole=True)
+            changes = Changes(rows, version, True, sent_seconds)
             if not page.has_more or not page.rows:
                 return Success(changes)
             query = {"from": page.rows[-1].key + "\0"}
@@ -186,6 +195,9 @@
         self, table: str, after: int, wait_seconds: float
     ) -> Result[Changes, TableError]:
         """Return the changes after a version as soon as there are any (a long poll)."""
+        sent_seconds = self._clock.now_seconds()
+        if self._store_clock.wants_short_call(sent_seconds):
+            wait_seconds = 0.0
         query = {
             "table": table,
             "after": str(after),
@@ -196,17 +208,28 @@
         answer = await self._call("GET", "/rows-feed", query, timeout_seconds)
         return answer.bind(lambda found: _decode(found, WireRows)).map(
             lambda found: Changes(
-                tuple(row.to_change() for row in found.rows), found.ver
+                tuple(row.to_change() for row in found.rows),
+                found.ver,
+                confirmed_seconds=self._answered_seconds(sent_seconds, found),
             )
         )
 
+    def _answered_seconds(self, sent_seconds: float, found: WireRows) -> float:
+        """Return when an answer was given, at the latest when it was sent for."""
+        return self._store_clock.answered_seconds(
+            sent_seconds, self._clock.now_seconds(), found.now_ms / _MILLISECONDS
+        )
+
     async def _get_rows(
         self, table: str, query: dict[str, str]
     ) -> Result[WireRows, TableError]:
         self.calls.note(read_kind(table, query.get("from", "")))
         full = {"table": table, "part": "", **query}
+        sent_seconds = self._clock.now_seconds()
         answer = await self._call("GET", "/rows-get", full, CALL_TIMEOUT_SECONDS)
-        return answer.bind(lambda found: _decode(found, WireRows))
+        found = answer.bind(lambda found: _decode(found, WireRows))
+        found.map(lambda page: self._answered_seconds(sent_seconds, page))
+        return found
 
     async def _call(
         self,
--- a/lycheepost/state/feedmirror.py
+++ b/lycheepost/state/feedmirror.py
@@ -13,13 +13,6 @@
 """Maximum number of responses whose changes are kept separately. A peer that is further
 behind gets the whole table; a peer requests each table about two times a second."""
 
-MAX_AGE_SECONDS = 2.4
-"""A copy that was last confirmed longer ago is not forwarded. A daemon that polls the
-store gets a confirmation every 0.8 s. A peer that polls this daemon gets it within
-another 0.6 s, for which a request is held while there is no change, and a peer one more
-hop away within 1.2 s. The remainder covers the failure of an intermediate daemon: it is
-replaced after 0.9 s, and until then the daemons behind it need not read the store."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Step:
@@ -76,7 +69,8 @@
         while len(self._steps) > MAX_STEPS:
             self._base_version = self._steps.popleft().version
         self.version = changes.version
-        self._confirmed_seconds = confirmed_seconds
+        # A peer may know the same state from an earlier answer.
+        self._confirmed_seconds = max(self._confirmed_seconds, confirmed_seconds)
         self.is_lost = False
 
     def note_lost(self) -> None:
@@ -91,9 +85,9 @@
         """Return how long ago the copy was confirmed; infinite for never."""
         return now_seconds - self._confirmed_seconds
 
-    def is_fresh(self, now_seconds: float) -> bool:
-        """Return whether the copy is fresh enough to be forwarded."""
-        return not self.is_lost and self.age_seconds(now_seconds) <= MAX_AGE_SECONDS
+    def is_fresh(self, now_seconds: float, max_age_seconds: float) -> bool:
+        """Return whether the copy is young enough, and the store has not failed."""
+        return not self.is_lost and self.age_seconds(now_seconds) <= max_age_seconds
 
     def changes_after(self, after: int) -> Changes | None:
         """Return the changes after a version; None if this copy is behind it.
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -127,7 +127,7 @@
             if await self._poll():
                 backoff_seconds = INITIAL_BACKOFF_SECONDS
                 continue
-            await asyncio.sleep(backoff_seconds * self._random.uniform(0.5, 1.5))
+            await asyncio.sleep(backoff_seconds * self._random.uniform(0.5, 1.0))
             backoff_seconds = min(MAX_BACKOFF_SECONDS, 2.0 * backoff_seconds)
 
     async def _poll(self) -> bool:
