--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -7,10 +7,11 @@
 cuts one way or silences. Processes are stopped, paused, killed and started again by
 signals, and the store fails, answers late or loses answers, in series that overlap;
 servers meanwhile say that they leave, name limits, are brittle, pause, or turn requests
-away for a while, break off responses and send them without length or chunks; engines of
-other software versions come and go, or are back under their ids; daemons are cut off
-from all servers, one, many or a zone at a time, also by connections that are accepted
-and lead nowhere.
+away for a while, break off responses and send them without length or chunks; most
+servers of a service fail at once; engines of other software versions come and go, or
+are back under their ids; daemons are cut off from all servers, one, many or a zone at a
+time, also by connections that are accepted and lead nowhere; the daemon that all others
+ask for changes loses the store as the next one freezes, while routes are added.
 Clients keep using their connections until the process behind them is gone, and take up
 streams that they lose at any daemon. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
@@ -32,9 +33,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from soakchanges import ASKED_SECONDS, Changes, RouteAnswer, feed_order
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
 from soaknotices import DaemonWords, NamedLimit, Span, find_broken
 from soakproxy import LinkState
+from soakretries import SentRequests, begin_failing, find_excess
 from soakstreams import VERSIONS, StreamClient, TakenStream
 
 from lycheepost.app.platformdemo import (
@@ -53,7 +56,6 @@
     MODEL,
     PLAIN,
     Answer,
-    make_configuration,
 )
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import PathCut
@@ -106,6 +108,8 @@
         revoked_seconds: When the key was gone from the configuration.
         words: What the daemons were sent and handed on, and when they were disturbed.
         mixed: Streams that hold events of two software versions.
+        changes: The configuration, and what daemons answered for new routes.
+        requests: When requests were sent to each service.
     """
 
     seed: int
@@ -117,7 +121,10 @@
     refused: set[str] = field(default_factory=set)
     revoked_seconds: float = float("inf")
     faults: Counter[str] = field(default_factory=Counter)
-    version: int = 1
+    changes: Changes = field(
+        default_factory=lambda: Changes(1, {**KEYS, LOST_KEY: "lost"})
+    )
+    requests: SentRequests = field(default_factory=SentRequests)
     weights: int = 1
     words: DaemonWords = field(default_factory=DaemonWords)
     mixed: list[str] = field(default_factory=list)
@@ -178,11 +185,19 @@
 
 async def disturb_store_link(run: SoakRun, daemon: DaemonProcess) -> None:
     """Disturb a daemon's way to the store."""
+    from_seconds = time.monotonic()
     daemon.store.set_state(run.rng.choice(list(LinkState)))
     daemon.store.reset(run.rng, 0.5)
     await pause(run, 0.5, 6.0)
     daemon.store.set_state(LinkState.OPEN)
     daemon.store.reset()
+    note_store(run, daemon, from_seconds)
+
+
+def note_store(run: SoakRun, daemon: DaemonProcess | None, from_seconds: float) -> None:
+    """Note that the store, or a daemon's way to it, was disturbed until now."""
+    index = None if daemon is None else run.fleet.processes.index(daemon)
+    run.changes.store.append((index, Span(from_seconds, time.monotonic())))
 
 
 async def disturb_client_link(run: SoakRun, daemon: DaemonProcess) -> None:
@@ -208,6 +223,7 @@
 
 async def disturb_store(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let the store itself be away, slow, or lose answers."""
+    from_seconds = time.monotonic()
     faults = run.fleet.store.store.faults
     match run.rng.randrange(4):
         case 0:
@@ -221,6 +237,7 @@
             faults.late_seconds = run.rng.uniform(0.5, 5.0)
     await pause(run, 0.5, 4.0)
     faults.clear()
+    note_store(run, None, from_seconds)
 
 
 async def publish_weights(run: SoakRun, _daemon: DaemonProcess) -> None:
@@ -231,11 +248,68 @@
 
 async def configure(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Write a new configuration; the first one takes a key away."""
-    run.version += run.rng.randint(1, 4)
-    run.fleet.configure(make_configuration(run.version))
+    run.changes.version += run.rng.randint(1, 4)
+    run.changes.take_key()
+    run.fleet.configure(run.changes.document())
     run.revoked_seconds = min(run.revoked_seconds, time.monotonic())
 
 
+async def add_route(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Add a route, and ask all daemons for it once it must be in force."""
+    name = f"new-{len(run.changes.routes)}"
+    run.changes.routes.append(name)
+    run.changes.version += 1
+    run.fleet.configure(run.changes.document())
+    acked_seconds = time.monotonic()
+    for after_seconds in ASKED_SECONDS:
+        await asyncio.sleep(max(0.0, acked_seconds + after_seconds - time.monotonic()))
+        async with asyncio.TaskGroup() as group:
+            for index in range(len(run.fleet.processes)):
+                group.create_task(ask_route(run, name, index, acked_seconds))
+
+
+async def ask_route(run: SoakRun, name: str, index: int, acked_seconds: float) -> None:
+    """Ask one daemon for a new route."""
+    headers = run.fleet.headers("k-one")
+    attempt_id = headers[names.ATTEMPT_ID]
+    from_seconds = time.monotonic()
+    run.sent_seconds[attempt_id] = (from_seconds, "k-one")
+    run.words.daemon_of[attempt_id] = index
+    run.words.sent_seconds[attempt_id] = from_seconds
+    run.requests.note("/look", from_seconds)
+    try:
+        async with asyncio.timeout(4.0):
+            answer = await run.fleet.ask("GET", f"/{name}/x", headers, b"", index)
+    except TimeoutError:
+        return
+    asked = Span(from_seconds, time.monotonic())
+    run.changes.answers.append(RouteAnswer(index, asked, acked_seconds, answer.status))
+
+
+async def blind_first(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Take the store from the daemon that all others ask, and freeze the next one."""
+    processes = run.fleet.processes
+    order = feed_order([str(node.daemon) for node in run.fleet.nodes])
+    first, second = (processes[index] for index in order[:2])
+    from_seconds = time.monotonic()
+    first.store.set_state(LinkState.SILENT)
+    second.send(signal.SIGSTOP)
+    await pause(run, 2.0, 5.0)
+    second.send(signal.SIGCONT)
+    first.store.set_state(LinkState.OPEN)
+    first.store.reset()
+    for daemon in (first, second):
+        run.note_disturbed(daemon, from_seconds)
+
+
+async def fail_servers(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let most servers of one service fail, at times while paths are cut."""
+    failing = begin_failing(run.rng, run.fleet)
+    await pause(run, 1.0, 6.0)
+    for server in failing:
+        server.faults.clear()
+
+
 async def leave(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let one server say that it leaves; its registration lapses and is back."""
     server = run.rng.choice(run.fleet.servers)
@@ -395,6 +469,9 @@
     disturb_store,
     publish_weights,
     configure,
+    add_route,
+    blind_first,
+    fail_servers,
     leave,
     shed,
     limit,
@@ -434,6 +511,7 @@
     run.sent_seconds[attempt_id] = (started_seconds, key)
     run.words.daemon_of[attempt_id] = index
     run.words.sent_seconds[attempt_id] = started_seconds
+    run.requests.note(asked.path, started_seconds)
     answer = Answer(None, is_whole=False)
     try:
         async with asyncio.timeout(4.0):
@@ -462,6 +540,7 @@
         run.sent_seconds[attempt_id] = (now_seconds, key)
         run.words.daemon_of[attempt_id] = index
         run.words.sent_seconds[attempt_id] = now_seconds
+        run.requests.note(asked.path, now_seconds)
 
     client = StreamClient(run.fleet, run.rng, note_sent)
     prompt = make_prompt_headers(run.rng, asked)
@@ -529,6 +608,8 @@
         if isinstance(server, ProxiedServer)
     }
     violations.extend(find_broken(servers, run.words))
+    violations.extend(find_excess(run.fleet, run.requests))
+    violations.extend(run.changes.find_late(run.words.disturbed))
 
 
 async def check_settled(run: SoakRun) -> None:
@@ -550,9 +631,11 @@
             await fleet.begin(n_daemons, N_PLAIN, N_ENGINES, keys)
             until_seconds = time.monotonic() + n_seconds
             run = SoakRun(seed, fleet, random.Random(seed), until_seconds)
+            lag = asyncio.create_task(run.changes.watch_lag())
             async with asyncio.TaskGroup() as group:
                 group.create_task(disturb(run))
                 group.create_task(drive(run))
+            lag.cancel()
             await check_settled(run)
             audit(run)
             if run.report.violations:
