Ask the store at once where a second peer's answer could come too late

With a first peer that answered from a copy that grew old and then froze, the floor of 0.1 s under each question could add two tenths of a second to the sum.

--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -283,13 +283,24 @@
         times = self._get_times()
         for due_seconds in (times.peer_due_seconds, times.store_due_seconds):
             source = self._current_source()
-            if source is None:
+            if source is None or self._must_ask_store(table):
                 return None
             changes = await self._ask_peer(source, table, after, due_seconds)
             if changes is not None:
                 return changes
         return None
 
+    def _must_ask_store(self, table: str) -> bool:
+        """Return whether the copy is too old for an answer of a peer to be in time.
+
+        One that is older than the bound is late anyway: the store was away, or this
+        daemon has started.
+        """
+        times = self._get_times()
+        age_seconds = self._mirrors[table].age_seconds(self._clock.now_seconds())
+        latest_seconds = times.store_due_seconds - times.answer_seconds
+        return latest_seconds < age_seconds <= times.bound_seconds
+
     async def _ask_peer(
         self, source: DaemonId, table: str, after: int, due_seconds: float
     ) -> Changes | None:
