Hold the closed port of the load audit's scenario; the scheduler tells its retry terms

The scenario took a free port and released it; another of the tests that run beside it may listen there before the load tool connects, and answer. It now stays bound without listening (standin/ports). No run has shown which process it was.

--- a/features/app/steps/settings_steps.py
+++ b/features/app/steps/settings_steps.py
@@ -110,7 +110,7 @@
 @then("the daemon applies {seen}")
 def step_applies(context, seen):
     daemon = context.daemon
-    terms = daemon._components.traffic.dispatcher._scheduler._retry_terms
+    terms = daemon._components.traffic.dispatcher._scheduler.retry_terms
     old_seconds = daemon._components.traffic.targets.old_weights_seconds()
     found = {
         "long polls": f"of {daemon.watches[0]._wait_seconds():.3g} s",
--- a/features/load/steps/audit_steps.py
+++ b/features/load/steps/audit_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import pathlib
-import socket
 import sys
 
 import numpy as np
@@ -22,6 +21,7 @@
     generate,
     make_mix,
 )
+from lycheepost.standin.ports import port_of, reserve_port
 
 KEYS = {CustomerId("large"): "k1", CustomerId("small"): "k2"}
 
@@ -46,9 +46,9 @@
     port = runner.addresses[0][1]
     addresses = [f"http://127.0.0.1:{port}"]
     if context.has_dead_address:
-        with socket.socket() as closed:
-            closed.bind(("127.0.0.1", 0))
-            addresses.insert(0, f"http://127.0.0.1:{closed.getsockname()[1]}")
+        reserved = reserve_port("127.0.0.1")
+        context.add_cleanup(reserved.close)
+        addresses.insert(0, f"http://127.0.0.1:{port_of(reserved)}")
     context.system.addresses = addresses
     plan = LoadPlan(
         addresses=tuple(addresses),
--- a/lycheepost/decide/retrybudgets.py
+++ b/lycheepost/decide/retrybudgets.py
@@ -4,6 +4,7 @@
 """
 
 from lycheepost.core.ids import RequestId, TargetGroupId
+from lycheepost.decide.records import Work
 from lycheepost.decide.retry import RetryBudget, RetryTerms
 
 
@@ -12,15 +13,18 @@
 
     Args:
         terms: The limits on retries in each group.
+
+    Attributes:
+        terms: These limits.
     """
 
     def __init__(self, terms: RetryTerms) -> None:
-        self._terms = terms
+        self.terms = terms
         self._budgets: dict[TargetGroupId, RetryBudget] = {}
 
     def set_terms(self, terms: RetryTerms) -> None:
         """Set the limits of every group."""
-        self._terms = terms
+        self.terms = terms
         for budget in self._budgets.values():
             budget.set_terms(terms)
 
@@ -28,10 +32,14 @@
         """Return the budget of one group."""
         budget = self._budgets.get(target_group)
         if budget is None:
-            budget = RetryBudget(self._terms)
+            budget = RetryBudget(self.terms)
             self._budgets[target_group] = budget
         return budget
 
+    def reserve(self, work: Work, now_seconds: float) -> bool:
+        """Take one retry for a request that is still to be sent."""
+        return self.of(work.target_group).reserve(work.request, now_seconds)
+
     def note_sent(self, request: RequestId, now_seconds: float) -> None:
         """Count a reserved retry from now on, when it is sent."""
         for budget in self._budgets.values():
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -150,9 +150,6 @@
         """Take a retry for a request that a peer is to serve."""
         return self._budgets.of(target_group).spend(now_seconds)
 
-    def _spend(self, work: Work, now_seconds: float) -> bool:
-        return self._budgets.of(work.target_group).reserve(work.request, now_seconds)
-
     def note_retry_sent(self, request: RequestId, now_seconds: float) -> None:
         """Count a retry from when it is sent; nothing for a first attempt."""
         self._budgets.note_sent(request, now_seconds)
@@ -161,6 +158,11 @@
         """Return the retry of a request that is not sent again."""
         self._budgets.give_back(request)
 
+    @property
+    def retry_terms(self) -> RetryTerms:
+        """Return the terms of every group's retry budget."""
+        return self._budgets.terms
+
     def set_retry_terms(self, terms: RetryTerms) -> None:
         """Set the terms of every group's retry budget."""
         self._budgets.set_terms(terms)
@@ -183,7 +185,7 @@
         if refusal is not None:
             return [refusal]
         is_spent = len(work.excluded) >= self._settings.max_tries
-        if is_spent or not (is_free or self._spend(work, now_seconds)):
+        if is_spent or not (is_free or self._budgets.reserve(work, now_seconds)):
             seconds = retry_after_seconds(GONE_RETRY_SECONDS, self._rng)
             return [Refuse(work.request, RefusalReason.RETRY_BUDGET, seconds)]
         return self._admit(work, now_seconds)
@@ -204,7 +206,7 @@
             return False
         if not self._group(work.target_group).has_capacity_for(work, now_seconds):
             return False
-        return self._spend(work, now_seconds)
+        return self._budgets.reserve(work, now_seconds)
 
     def _admit(self, work: Work, now_seconds: float) -> list[Outcome]:
         group = self._group(work.target_group)
