--- a/features/peers/steps/socket_steps.py
+++ b/features/peers/steps/socket_steps.py
@@ -231,6 +231,12 @@
     assert [node.transport._dealers for node in context.nodes] == context.dealers
 
 
+def are_linked(one, other):
+    """Return whether both daemons have received something of each other."""
+    links = (one.exchange._links.get(other.name), other.exchange._links.get(one.name))
+    return all(link is not None and link.n_received for link in links)
+
+
 @given("three daemons in a row, the middle one of an older release")
 def step_row(context):
     # Without updates of members the two ends never link with each other.
@@ -238,7 +244,9 @@
     first, middle, last = context.nodes
     introduce(first, middle)
     introduce(middle, last)
-    run(context, asyncio.sleep(3 * EXCHANGE_SECONDS))
+    # What is sent before both ends have heard of each other is dropped.
+    for one, other in ((first, middle), (middle, last)):
+        wait_until(context, lambda one=one, other=other: are_linked(one, other), 10)
     context.got = []
     last.exchange.subscribe(
         QuarantineNotice, lambda notice, origin: context.got.append((notice, origin))
