--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -22,6 +22,7 @@
 FOLDER_TIMEOUT_SECONDS = 600
 LONG_FEATURES = (
     FEATURES / "platform" / "ownpaths.feature",
+    FEATURES / "platform" / "retrybudget.feature",
     FEATURES / "decide" / "quotas.feature",
 )
 """Features that run beside the rest of their folder."""
