--- a/lycheepost/utils/heldmaximum.py
+++ b/lycheepost/utils/heldmaximum.py
@@ -1,4 +1,4 @@
-"""The largest of the values of late."""
+"""The largest of recent values."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -13,7 +13,7 @@
 
 
 class HeldMaximum:
-    """The largest of the values of late.
+    """The largest of recent values.
 
     Args:
         held_seconds: How long a value counts after it was read last.
