--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -215,7 +215,7 @@
         )
 
     def _answered_seconds(self, sent_seconds: float, found: WireRows) -> float:
-        """Return when an answer was given, at the latest when it was sent for."""
+        """Return when an answer was given, or a time before; never before its call."""
         return self._store_clock.answered_seconds(
             sent_seconds, self._clock.now_seconds(), found.now_ms / _MILLISECONDS
         )
