Log the prompt parts of each attempt, whether it wrote, and what a loss is blamed on

forward: sent names the attempt's finish, the keys of its shared parts and whether its target completed an event; dispatch: a request was on a lost target names the fingerprint and whether it is quarantined. They tell blame by whole requests from losses that are not counted.

--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -181,6 +181,12 @@
         now_seconds = self._clock.now_seconds()
         outcomes = self._scheduler.finish(request, now_seconds, kind)
         for loss in self._scheduler.take_losses():
+            _log.info(
+                "dispatch: a request was on a lost target",
+                request_id=request,
+                fingerprint=f"{loss.fingerprint:016x}",
+                is_quarantined=loss.is_quarantined,
+            )
             if self._on_loss is not None:
                 self._on_loss(loss)
         self._deliver(outcomes)
--- a/lycheepost/callers/flow.py
+++ b/lycheepost/callers/flow.py
@@ -34,7 +34,7 @@
 )
 from lycheepost.callers.sinks import EVENT_STREAM, BufferSink, LiveSink, TeeSink
 from lycheepost.callers.unwrap import unwrap
-from lycheepost.core.hashing import fingerprint_body
+from lycheepost.core.hashing import fingerprint_body, prompt_part_key
 from lycheepost.core.ids import (
     CustomerId,
     ModelId,
@@ -170,6 +170,7 @@
         first_token_timeout_seconds=checked.headers.first_token_timeout_seconds,
         fingerprint=fingerprint_body(customer, checked.body),
         is_idempotent=not checked.headers.is_marked_non_idempotent,
+        parts=frozenset(prompt_part_key(part) for part in call.segments[:-1] if part),
     )
     # A stream shows at any time whether the engine is still working. Only responses
     # that cannot be assembled from chunks are requested without streaming.
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -32,6 +32,7 @@
     bound_work,
     continued_work,
     make_work,
+    part_names,
     takes_up_stream,
 )
 from lycheepost.callers.peerrelay import MAX_RELAYS, PeerAttempts, no_path
@@ -370,7 +371,7 @@
             is_served = kind is FinishKind.COMPLETE and end is None
             reason = "served" if is_served else reason
             self._log_sent(
-                dispatch, sent_seconds, reason, software_version, after_event
+                dispatch, sent_seconds, reason, kind, software_version, after_event
             )
 
     def _log_sent(
@@ -378,6 +379,7 @@
         dispatch: Dispatch,
         sent_seconds: float,
         end: str,
+        kind: FinishKind,
         software_version: SoftwareVersion | None,
         after_event: int | None,
     ) -> None:
@@ -386,6 +388,9 @@
             "forward: sent",
             target=dispatch.target,
             end=end,
+            finish=kind.value,
+            has_written=self._relay.has_written,
+            parts=part_names(self._work.parts),
             n_arrivals_before=self._sends.n_arrivals,
             software_version=software_version,
             after_event=after_event,
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -1,11 +1,18 @@
 """Turn a forwarded request into the scheduler's ``Work`` record."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import replace
 
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
-from lycheepost.core.hashing import fingerprint_body
-from lycheepost.core.ids import ModelId, SoftwareVersion, TargetGroupId, WeightsVersion
+from lycheepost.core.hashing import fingerprint_body, prompt_part_key
+from lycheepost.core.ids import (
+    ModelId,
+    PromptPartKey,
+    SoftwareVersion,
+    TargetGroupId,
+    WeightsVersion,
+)
 from lycheepost.core.routing import Prompt, Route, RouteKind, RouteTable
 from lycheepost.decide.promptlevels import CacheScope, make_scope, prompt_levels
 from lycheepost.decide.records import PrefixLevel, Priority, Work
@@ -125,6 +132,20 @@
     return choose_group(route, deps.draw_split_point())
 
 
+def shared_part_keys(prompt: Prompt | None) -> frozenset[PromptPartKey]:
+    """Return the keys of the parts that other requests may share."""
+    if prompt is None:
+        return frozenset()
+    return frozenset(
+        prompt_part_key(part.part_id.encode()) for part in prompt.parts[:-1]
+    )
+
+
+def part_names(parts: Iterable[PromptPartKey]) -> list[str]:
+    """Return the names of parts in logs."""
+    return sorted(f"{part:016x}" for part in parts)
+
+
 def make_work(
     deps: ForwardDeps,
     request: ForwardRequest,
@@ -174,4 +195,5 @@
         rank=engine_rank(route_match),
         hint_tokens=0 if prompt is None else prompt.hint_tokens,
         stored_tokens=stored_tokens,
+        parts=shared_part_keys(request.prompt),
     )
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -128,6 +128,7 @@
 
     Attributes:
         has_begun: Part of a response has been sent to the caller.
+        has_written: The attempt's target has completed an event, or its whole answer.
         first_seconds: From arrival to the first part that was sent; None before.
         longest_gap_seconds: The longest pause between two parts of a stream so far.
         last_body: How the body of the attempt's response was framed and ended; None
@@ -142,6 +143,7 @@
         caller: CallerConnection,
     ) -> None:
         self.has_begun = False
+        self.has_written = False
         self.first_seconds: float | None = None
         self.longest_gap_seconds = 0.0
         self.last_body: RelayedBody | None = None
@@ -172,6 +174,7 @@
     def begin_attempt(self) -> None:
         """Forget how the response of the last attempt ended."""
         self.last_body = None
+        self.has_written = False
 
     async def relay(
         self,
@@ -231,6 +234,7 @@
                 self._log_broken(error)
                 return RelayEnd.BROKEN
             body = b"".join(parts)
+            self.has_written = answer.head.status < _FIRST_ERROR_STATUS
             if answer.head.status >= _FIRST_SERVER_ERROR_STATUS:
                 self._failure = (answer.head, body)
                 return RelayEnd.FAILED
@@ -362,6 +366,7 @@
     async def _send_events(self, head: ResponseHead, events: bytes) -> None:
         if not events:
             return
+        self.has_written = True
         if not self.has_begun:
             self._note_begun()
             await self._caller.begin(head, None)
--- a/lycheepost/core/hashing.py
+++ b/lycheepost/core/hashing.py
@@ -9,7 +9,12 @@
 
 import xxhash
 
-from lycheepost.core.ids import BodyFingerprint, CustomerId, PrefixDigest
+from lycheepost.core.ids import (
+    BodyFingerprint,
+    CustomerId,
+    PrefixDigest,
+    PromptPartKey,
+)
 
 
 def hash_bytes(data: bytes, seed: int = 0) -> int:
@@ -27,6 +32,11 @@
     return BodyFingerprint(hash_bytes(body, hash_bytes(customer.encode())))
 
 
+def prompt_part_key(part: bytes) -> PromptPartKey:
+    """Return the key of a prompt part, by its id or its text."""
+    return PromptPartKey(hash_bytes(part))
+
+
 def rendezvous_order(key: int, names: Iterable[str]) -> list[str]:
     """Return ``names`` from the highest to the lowest rendezvous weight.
 
--- a/lycheepost/core/ids.py
+++ b/lycheepost/core/ids.py
@@ -25,5 +25,7 @@
 PrefixDigest = NewType("PrefixDigest", int)
 """64-bit hash that identifies one prefix level: chained in ``decide.levels``, of one
 part alone in ``decide.promptlevels``."""
+PromptPartKey = NewType("PromptPartKey", int)
+"""64-bit hash of one part of a prompt, whoever sends it and whatever surrounds it."""
 BodyFingerprint = NewType("BodyFingerprint", int)
 """64-bit hash of one customer and one request body."""
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -15,6 +15,7 @@
     Incarnation,
     ModelId,
     PrefixDigest,
+    PromptPartKey,
     RequestId,
     SoftwareVersion,
     TargetGroupId,
@@ -101,6 +102,7 @@
         rank: Urgency among all requests of its target group; 0 is the most urgent.
         hint_tokens: The caller's estimate of the tokens of its response; 0 if none.
         software_versions: Versions of the targets that may run it; None for all.
+        parts: The parts of its prompt that other requests may share: all but the last.
     """
 
     request: RequestId
@@ -123,6 +125,7 @@
     rank: int = 0
     hint_tokens: int = 0
     software_versions: frozenset[SoftwareVersion] | None = None
+    parts: frozenset[PromptPartKey] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
