--- /dev/null
+++ b/features/platform/badparts.feature
@@ -0,0 +1,50 @@
+Feature: Parts of prompts that crash every engine that answers them
+  Real daemons with stand-ins for the platform's store and servers, on loopback. No two
+  requests are alike; sound ones share their customer and their other parts.
+
+  Scenario Outline: A part that crashes engines after <sent> were sent is found: <route>
+    Guards against blame by whole requests, under which a part crashes one engine after
+    the other.
+    Given a deployment with 4 daemons and 12 engines that a part crashes after <sent>
+    When clients ask for 20 sound titles and 4 <route> with the part a second for 9 s
+    Then at most 3 requests with the part reach engines later than 3 s after the fifth crash
+    And first tries of sound requests begin at least half as often as before
+
+    Examples:
+      | sent          | route  |
+      | nothing       | titles |
+      | the headers   | titles |
+      | half an event | titles |
+      | nothing       | albums |
+      | half an event | cards  |
+
+  Scenario: Two parts that crash engines are found
+    Guards against one part that is blamed for the crashes of both.
+    Given a deployment with 4 daemons and 12 engines that two parts crash
+    When clients ask for 20 sound titles and 4 titles with the parts a second for 9 s
+    Then at most 3 requests with each part reach engines later than 3 s after its fifth crash
+    And first tries of sound requests begin at least half as often as before
+
+  Scenario: A daemon that starts knows the parts that crash engines
+    Guards against evidence that a daemon loses with its start.
+    Given a deployment with 2 daemons and 8 engines that a part crashes after nothing
+    When clients ask for 20 sound titles and 4 titles with the part a second for 6 s
+    And a daemon is added and gets 10 requests with the part
+    Then none of these reach an engine
+
+  Scenario: Daemons that are replaced in turn keep what they know
+    Guards against a fleet that forgets as its daemons are replaced one after the other.
+    Given a deployment with 2 daemons and 8 engines that a part crashes after nothing
+    When clients ask for 20 sound titles and 4 titles with the part a second for 6 s
+    And all daemons are replaced one after the other
+    And the last one gets 10 requests with the part
+    Then none of these reach an engine
+
+  Scenario: Daemons that are cut off from their peers hear of a part afterwards
+    Guards against evidence that is only told while a link is open.
+    Given a deployment with 2 daemons and 8 engines that a part crashes after nothing
+    And the second daemon hears nothing from the first
+    When the first daemon alone learns of the part
+    And the daemons hear each other again
+    And the second daemon gets 10 requests with the part
+    Then none of these reach an engine
--- /dev/null
+++ b/features/platform/steps/badpart_steps.py
@@ -0,0 +1,307 @@
+"""Steps of badparts.feature."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from behave import given, then, when
+from deployment import Deployment, make_configuration
+
+from lycheepost.app.platformfleet import ENGINES, make_route
+from lycheepost.platform.models.partaudit import TOLERATED_ARRIVALS, late_arrivals
+from lycheepost.platform.models.serverfaults import CrashPoint
+
+AWAY_SECONDS = 2.0
+"""How long a crashed engine is away."""
+BEFORE_SECONDS = 2.0
+"""Time of sound requests alone, before the part comes."""
+CONTACT_SECONDS = 3.0
+ASK_TIMEOUT_SECONDS = 3.5
+N_TOPICS = 6
+MIN_JUDGED = 20
+N_CRASHES = 5
+N_LEARNING = 6
+PATHS = {"titles": "/title/x", "albums": "/album/x", "cards": "/card/x"}
+
+
+@dataclass
+class PartLoad:
+    """What clients sent.
+
+    Attributes:
+        bad: The attempts with each crashing part.
+        sound: When each sound first try was sent, and whether its answer began.
+    """
+
+    bad: dict[str, set[str]] = field(default_factory=dict)
+    sound: list[tuple[float, bool]] = field(default_factory=list)
+
+
+def start(context, n_daemons, n_engines, parts):
+    context.deployment = deployment = Deployment()
+    context.load = PartLoad({part_id: set() for part_id in parts})
+
+    async def run():
+        await deployment.start(n_daemons, n_plain=1, n_engines=n_engines)
+        document = make_configuration(2)
+        document["routes"].append(
+            make_route("card", "/card/", "non_idempotent", ENGINES, max_attempts=1)
+        )
+        deployment.configure(document)
+        await deployment.until(lambda: has_cards(deployment))
+
+    context.loop.run_until_complete(run())
+    context.revivals = set()
+    context.closers.append(lambda: end_revivals(context))
+    for server in deployment.group(ENGINES):
+        server.crash_parts = parts
+        server.on_part_crash = lambda server=server: revive(context, server)
+
+
+async def has_cards(deployment):
+    """Return whether every daemon knows the route of cards."""
+    for index in range(len(deployment.daemons)):
+        headers = deployment.prompt_headers(parts="root:100,first:9")
+        if (
+            await deployment.ask("POST", "/card/0", headers, b"c", index)
+        ).status != 200:
+            return False
+    return True
+
+
+def revive(context, server):
+    work = context.deployment.replace_crashed(server, AWAY_SECONDS)
+    task = context.loop.create_task(work)
+    context.revivals.add(task)
+    task.add_done_callback(context.revivals.discard)
+
+
+async def end_revivals(context):
+    for task in list(context.revivals):
+        task.cancel()
+    await asyncio.gather(*context.revivals, return_exceptions=True)
+
+
+@given(
+    "a deployment with {n:d} daemons and {n_engines:d} engines that a part crashes"
+    " after {sent}"
+)
+def step_one_part(context, n, n_engines, sent):
+    start(context, n, n_engines, {"bad0": CrashPoint(sent)})
+
+
+@given("a deployment with {n:d} daemons and {n_engines:d} engines that two parts crash")
+def step_two_parts(context, n, n_engines):
+    points = {"bad0": CrashPoint.NOTHING, "bad1": CrashPoint.HEADERS}
+    start(context, n, n_engines, points)
+
+
+async def ask(deployment, path, parts, index):
+    """Send one request; return its attempt id and its answer, None without one."""
+    headers = deployment.prompt_headers("k-one", parts=parts)
+    attempt_id = deployment.attempt_id
+    try:
+        async with asyncio.timeout(ASK_TIMEOUT_SECONDS):
+            return attempt_id, await deployment.ask("POST", path, headers, b"t", index)
+    except TimeoutError:
+        return attempt_id, None
+
+
+async def ask_sound(context, number, index):
+    sent_seconds = context.loop.time()
+    parts = f"root:400,topic{number % N_TOPICS}:200,own{number}:30"
+    _, answer = await ask(context.deployment, "/title/x", parts, index)
+    has_begun = answer is not None and answer.status == 200 and bool(answer.body)
+    context.load.sound.append((sent_seconds, has_begun))
+
+
+async def ask_bad(context, path, number, index):
+    """Ask with a crashing part; the client comes again once at the next daemon."""
+    deployment = context.deployment
+    n_daemons = len(deployment.daemons)
+    part_id = sorted(context.load.bad)[number % len(context.load.bad)]
+    topic = f"topic{number % N_TOPICS}:200," if number % 3 else ""
+    parts = f"root:400,{topic}{part_id}:100,bad-own{number}:30"
+    for step in range(2):
+        work = asyncio.create_task(
+            ask(deployment, path, parts, (index + step) % n_daemons)
+        )
+        await asyncio.sleep(0)
+        context.load.bad[part_id].add(deployment.attempt_id)
+        attempt_id, answer = await work
+        context.load.bad[part_id].add(attempt_id)
+        if answer is not None and answer.status == 200 and answer.is_whole:
+            return
+
+
+async def send(context, n_sound, n_bad, path, seconds):
+    """Send requests to all daemons in turn."""
+    loop, n_daemons = context.loop, len(context.deployment.daemons)
+    started, tasks = loop.time(), []
+    context.bad_from_seconds = started + BEFORE_SECONDS
+    n_total = int((BEFORE_SECONDS + seconds) * n_sound)
+    every = n_sound // n_bad
+    for number in range(n_total):
+        await asyncio.sleep(max(0.0, started + number / n_sound - loop.time()))
+        work = ask_sound(context, number, number % n_daemons)
+        tasks.append(asyncio.create_task(work))
+        if number % every == 0 and number >= BEFORE_SECONDS * n_sound:
+            n_sent = number // every
+            work = ask_bad(context, path, n_sent, n_sent % n_daemons)
+            tasks.append(asyncio.create_task(work))
+    await asyncio.gather(*tasks)
+
+
+@when(
+    "clients ask for {n_sound:d} sound titles and {n_bad:d} {route} with the part a"
+    " second for {seconds:d} s"
+)
+def step_ask(context, n_sound, n_bad, route, seconds):
+    work = send(context, n_sound, n_bad, PATHS[route], seconds)
+    context.loop.run_until_complete(work)
+
+
+@when(
+    "clients ask for {n_sound:d} sound titles and {n_bad:d} titles with the parts a"
+    " second for {seconds:d} s"
+)
+def step_ask_two(context, n_sound, n_bad, seconds):
+    step_ask(context, n_sound, n_bad, "titles", seconds)
+
+
+def crashes(context, part_id):
+    return [
+        crash
+        for server in context.deployment.servers
+        for crash in server.part_crashes
+        if crash.part_id == part_id
+    ]
+
+
+def bad_arrivals(context, part_id):
+    attempts = context.load.bad[part_id]
+    return [
+        arrival
+        for server in context.deployment.servers
+        for arrival in server.arrivals
+        if arrival[0] in attempts
+    ]
+
+
+@then(
+    "at most {n:d} requests with the part reach engines later than {seconds:d} s after"
+    " the fifth crash"
+)
+@then(
+    "at most {n:d} requests with each part reach engines later than {seconds:d} s after"
+    " its fifth crash"
+)
+def step_bound(context, n, seconds):
+    assert (n, seconds) == (TOLERATED_ARRIVALS, CONTACT_SECONDS)
+    for part_id, attempts in context.load.bad.items():
+        found = crashes(context, part_id)
+        assert found, "no engine crashed"
+        arrivals = bad_arrivals(context, part_id)
+        times = [crash.crashed_seconds for crash in found]
+        late = late_arrivals(times, arrivals, attempts, CONTACT_SECONDS)
+        counts = (len(found), len(arrivals), len(attempts), len(late))
+        assert len(late) <= n, f"{part_id}: crashes, arrivals, sent, late: {counts}"
+
+
+@then("first tries of sound requests begin at least half as often as before")
+def step_sound(context):
+    found = [
+        crash for part_id in context.load.bad for crash in crashes(context, part_id)
+    ]
+    times = sorted(crash.crashed_seconds for crash in found)
+    from_seconds = times[:5][-1] + 2 * CONTACT_SECONDS
+    before = [ok for at, ok in context.load.sound if at < context.bad_from_seconds]
+    after = [ok for at, ok in context.load.sound if at >= from_seconds]
+    assert len(before) >= MIN_JUDGED and len(after) >= MIN_JUDGED, (before, after)
+    shares = sum(before) / len(before), sum(after) / len(after)
+    assert shares[1] >= 0.5 * shares[0], shares
+
+
+async def ask_late(context, index, n):
+    """Send requests with the part to one daemon; note which attempts these were."""
+    context.late = set()
+    for number in range(n):
+        parts = f"root:400,bad0:100,late{number}:30"
+        attempt_id, _ = await ask(context.deployment, "/title/x", parts, index)
+        context.late.add(attempt_id)
+
+
+@when("a daemon is added and gets {n:d} requests with the part")
+def step_added(context, n):
+    async def run():
+        await context.deployment.add_daemon()
+        await context.deployment.until(context.deployment.all_ready)
+        await ask_late(context, len(context.deployment.daemons) - 1, n)
+
+    context.loop.run_until_complete(run())
+
+
+@when("all daemons are replaced one after the other")
+def step_replace(context):
+    deployment = context.deployment
+
+    async def run():
+        for old in list(deployment.daemons):
+            await deployment.add_daemon()
+            await deployment.until(lambda: is_ready(deployment))
+            await old.stop()
+
+    context.loop.run_until_complete(run())
+
+
+async def is_ready(deployment):
+    return await deployment.ready(len(deployment.daemons) - 1) == 200
+
+
+@when("the last one gets {n:d} requests with the part")
+def step_last(context, n):
+    work = ask_late(context, len(context.deployment.daemons) - 1, n)
+    context.loop.run_until_complete(work)
+
+
+@then("none of these reach an engine")
+def step_none(context):
+    found = [
+        arrival
+        for server in context.deployment.servers
+        for arrival in server.arrivals
+        if arrival[0] in context.late
+    ]
+    assert context.late and not found, found
+
+
+def transport_of(daemon):
+    return daemon._components.peers.exchange._transport
+
+
+@given("the second daemon hears nothing from the first")
+def step_cut_peers(context):
+    first = transport_of(context.deployment.daemons[0])
+    context.send_to_peers = first.send
+    first.send = lambda *_message: False
+
+
+@when("the first daemon alone learns of the part")
+def step_learn(context):
+    async def run():
+        for number in range(N_LEARNING):
+            parts = f"root:400,bad0:100,learn{number}:30"
+            await ask(context.deployment, "/title/x", parts, 0)
+
+    context.loop.run_until_complete(run())
+    assert crashes(context, "bad0")
+
+
+@when("the daemons hear each other again")
+def step_heal_peers(context):
+    transport_of(context.deployment.daemons[0]).send = context.send_to_peers
+    context.loop.run_until_complete(asyncio.sleep(CONTACT_SECONDS))
+
+
+@when("the second daemon gets {n:d} requests with the part")
+def step_second(context, n):
+    context.loop.run_until_complete(ask_late(context, 1, n))
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -225,6 +225,19 @@
         """Write a server's current entry to the store."""
         self.store.store.put("servers", server.name, server.entry(ZONE))
 
+    async def replace_crashed(
+        self, server: PlatformServer, away_seconds: float
+    ) -> None:
+        """Bring a crashed server back under a new name, as servers do themselves.
+
+        Its entry expires in the meantime.
+        """
+        await asyncio.sleep(away_seconds)
+        self.store.store.put("servers", server.name, None)
+        server.rename()
+        await server.start()
+        self.register(server)
+
     def configure(self, document: dict[str, Any]) -> None:
         """Write a configuration to the store, as an operator does."""
         self.store.store.put("op", "config", msgspec.json.encode(document))
--- a/lycheepost/platform/models/serverfaults.py
+++ b/lycheepost/platform/models/serverfaults.py
@@ -68,6 +68,28 @@
     is_in_one_packet: bool = False
 
 
+class CrashPoint(Enum):
+    """What a server has sent when a part of a prompt crashes it."""
+
+    NOTHING = "nothing"
+    HEADERS = "the headers"
+    HALF_EVENT = "half an event"
+
+
+@dataclass(frozen=True, slots=True)
+class PartCrash:
+    """One crash of a server by a part of a prompt.
+
+    Attributes:
+        attempt_id: The request that it was about to answer.
+        crashed_seconds: When it crashed, by the loop's clock.
+    """
+
+    part_id: str
+    attempt_id: str
+    crashed_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Unframed:
     """A complete response without length or chunks, which ends with its connection."""
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -9,7 +9,7 @@
 import asyncio
 import itertools
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 from aiohttp import web
@@ -22,8 +22,10 @@
 from lycheepost.platform.models.serverfaults import (
     BrokenOff,
     CrashAndReturn,
+    CrashPoint,
     Encoded,
     ExtraAnswer,
+    PartCrash,
     ServerFailure,
     ServerFault,
     StopPoint,
@@ -94,6 +96,10 @@
         brittle_from_seconds: When it may begin to crash, by the loop's clock.
         n_falls: How often it crashed by rejections.
         is_unframed: Whether its responses have neither length nor chunks.
+        crash_parts: Shared parts of prompts that crash it as it begins to write an
+            answer, with what it has sent by then.
+        part_crashes: Its crashes by such parts.
+        on_part_crash: Called after each of them; the server stays away.
     """
 
     def __init__(
@@ -125,6 +131,9 @@
         self.brittle_from_seconds = float("-inf")
         self.n_falls = 0
         self.is_unframed = False
+        self.crash_parts: Mapping[str, CrashPoint] = {}
+        self.part_crashes: list[PartCrash] = []
+        self.on_part_crash: Callable[[], object] = lambda: None
         self._full_seconds: deque[float] = deque()
         self._is_falling = False
         self._awake = asyncio.Event()
@@ -180,6 +189,19 @@
             load.cancel()
         self._server.abort_connections()
 
+    def rename(self) -> None:
+        """Come back as a new server, with nothing of before but the weights."""
+        old = self.state
+        self.name = f"i-{next(_numbers):04d}"
+        self.state = ServerState(
+            old.model,
+            started_ms=old.started_ms,
+            version=old.version,
+            load_seconds=old.load_seconds,
+            software=old.software,
+        )
+        self._timing = make_engine_timing(self.name, STANDIN_SPEEDS, SystemClock())
+
     def freeze(self) -> None:
         """Stop responding on open connections for good; new connections work."""
         self._server.freeze_connections()
@@ -451,6 +473,8 @@
             fault = Unframed()
         try:
             await self._timing.prefill(work)
+            if (part_id := self._crashing_part(request)) is not None:
+                await self._crash_by_part(request, response, part_id, start, body)
             if isinstance(fault, BrokenOff | Unframed):
                 await self._stream_raw(request, headers, start, body, fault)
                 return response
@@ -465,6 +489,37 @@
         finally:
             self._timing.leave(work)
 
+    def _crashing_part(self, request: web.Request) -> str | None:
+        """Return a part of the prompt, not the last one, that crashes this server."""
+        *shared, _last = part_ids(request)
+        return next((part for part in shared if part in self.crash_parts), None)
+
+    async def _crash_by_part(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        part_id: str,
+        number: int,
+        body: bytes,
+    ) -> None:
+        """Crash before the first event is complete; the caller gets no answer."""
+        point = self.crash_parts[part_id]
+        if point is not CrashPoint.NOTHING:
+            await response.prepare(request)
+        if point is CrashPoint.HALF_EVENT:
+            await response.write(event_bytes(number, body, self.state.software)[:-5])
+        now_seconds = asyncio.get_running_loop().time()
+        attempt_id = request.headers[names.ATTEMPT_ID]
+        self.part_crashes.append(PartCrash(part_id, attempt_id, now_seconds))
+        task = asyncio.create_task(self._end_by_part())
+        self._load_tasks.add(task)
+        task.add_done_callback(self._load_tasks.discard)
+        await asyncio.sleep(_HANG_SECONDS)
+
+    async def _end_by_part(self) -> None:
+        await self.stop()
+        self.on_part_crash()
+
     async def _stream_raw(
         self,
         request: web.Request,
@@ -537,6 +592,12 @@
         )
 
 
+def part_ids(request: web.Request) -> list[str]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    words = request.headers.get(names.PROMPT_PARTS, "").split(",")
+    return [word.partition(":")[0] for word in words]
+
+
 def _send_raw(
     request: web.Request,
     headers: dict[str, str],
