--- a/features/platform/steps/badpart_steps.py
+++ b/features/platform/steps/badpart_steps.py
@@ -99,9 +99,10 @@
     """Send one request; return its attempt id and its answer, None without one."""
     headers = deployment.prompt_headers("k-one", parts=parts)
     attempt_id = deployment.attempt_id
+    body = attempt_id.encode()
     try:
         async with asyncio.timeout(ASK_TIMEOUT_SECONDS):
-            return attempt_id, await deployment.ask("POST", path, headers, b"t", index)
+            return attempt_id, await deployment.ask("POST", path, headers, body, index)
     except TimeoutError:
         return attempt_id, None
 
@@ -254,7 +255,12 @@
 
 
 async def is_ready(deployment):
-    return await deployment.ready(len(deployment.daemons) - 1) == 200
+    """Return whether the newest daemon is ready and named to clients."""
+    newest = len(deployment.daemons) - 1
+    address = str(deployment.nodes[newest].clients)
+    if await deployment.ready(newest) != 200:
+        return False
+    return address in await deployment.addresses(newest - 1)
 
 
 @when("the last one gets {n:d} requests with the part")
