--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -1,61 +1,253 @@
-"""Shares with the fleet which requests were running on lost targets.
+"""Shares with the fleet which requests and prompt parts were on lost targets.
 
-A request that crashes its target may be retried through any daemon. Each daemon
-reports every loss, every quarantine and every target that runs a suspect request to
-the others at once, so that the second loss is recognised at whichever daemon it occurs.
+Requests that crash their targets may come through any daemon. Each daemon reports every
+loss, every quarantine, every trial and what clears a suspect to the others, so that a
+further loss is recognised at whichever daemon it occurs. A daemon that starts, or is
+reached again, is told all that is in force.
 """
 
+import asyncio
+from collections.abc import Callable
+
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import BodyFingerprint, DaemonId, TargetId
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.core.ids import (
+    BodyFingerprint,
+    DaemonId,
+    Incarnation,
+    PromptPartKey,
+    TargetId,
+)
+from lycheepost.decide.partlosses import LostRun
+from lycheepost.decide.parttrials import TrialNotice
 from lycheepost.decide.quarantine import LossReport
-from lycheepost.generated.messages import QuarantineNotice, SuspectPlaced
+from lycheepost.decide.suspicion import SuspicionNews
+from lycheepost.generated.messages import (
+    LostPromptRun,
+    PeerHello,
+    PromptPartsDigest,
+    PromptPartsLost,
+    PromptPartsWritten,
+    PromptPartTrial,
+    QuarantineNotice,
+    SuspectPlaced,
+    WrittenPromptPart,
+)
 from lycheepost.peers.exchange import PeerExchange
+from lycheepost.utils.tasks import start_task
+
+BATCH_SECONDS = 0.01
+"""Lost runs and cleared parts within this time are told in one message: a lost target
+ends tens of runs at once."""
+
+DIGEST_SECONDS = 1.0
+"""Interval of digests to the peers while any lost run counts. Messages may be lost, and
+daemons may be out of each other's reach for a time."""
+
+MAX_TOLD_RUNS = 200
+"""Lost runs in one message; more are told in several."""
 
 
 class LossExchange:
-    """Exchanges losses and quarantines with the peers, without a task of its own."""
+    """Exchanges losses and quarantines with the peers.
+
+    Args:
+        dispatcher: Counts the losses.
+        exchange: The links to the peers.
+        clock: The clock that the scheduler uses.
+        call_later: Calls a function after ``BATCH_SECONDS``.
+    """
 
     def __init__(
-        self, dispatcher: Dispatcher, exchange: PeerExchange, clock: Clock
+        self,
+        dispatcher: Dispatcher,
+        exchange: PeerExchange,
+        clock: Clock,
+        call_later: Callable[[Callable[[], None]], object] | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._exchange = exchange
         self._clock = clock
+        self._call_later = call_later or _call_after_batch
+        self._runs: list[LostRun] = []
+        self._written: dict[PromptPartKey, float] = {}
+        self._task: asyncio.Task[None] | None = None
+        exchange.subscribe(PeerHello, self._receive_hello)
         exchange.subscribe(QuarantineNotice, self._receive_loss)
         exchange.subscribe(SuspectPlaced, self._receive_suspect)
-        dispatcher.on_loss(self._publish_loss)
+        exchange.subscribe(PromptPartsLost, self._receive_runs)
+        exchange.subscribe(PromptPartsDigest, self._receive_digest)
+        exchange.subscribe(PromptPartsWritten, self._receive_written)
+        exchange.subscribe(PromptPartTrial, self._receive_trial)
+        dispatcher.on_suspicion(self._publish)
         dispatcher.on_suspect(self._publish_suspect)
 
-    def _publish_loss(self, loss: LossReport) -> None:
+    async def start(self) -> None:
+        """Start sending digests."""
+        self._task = start_task(self._run(), "losses")
+
+    async def drain(self) -> None:
+        """Do nothing: requests are sent to targets until the end of the drain."""
+
+    async def stop(self) -> None:
+        """Stop sending digests."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(DIGEST_SECONDS)
+            digest = self._digest()
+            if digest:
+                peers = self._exchange.linked_daemons()
+                self._exchange.send_to_each(peers, PromptPartsDigest(digest=digest))
+
+    def _digest(self) -> int:
+        """Return a digest of the lost runs, in any order; 0 for none."""
+        digest = 0
+        for run in self._dispatcher.suspicion.parts.runs:
+            text = f"{run.incarnation} {sorted(run.parts)}"
+            digest ^= hash_bytes(text.encode())
+        return digest
+
+    def _receive_digest(self, message: PromptPartsDigest, sender: DaemonId) -> None:
+        own = self._digest()
+        if own == message.digest:
+            return
+        if not own:
+            # The digest of a daemon that knows of no run asks for those of the other.
+            self._exchange.send(sender, PromptPartsDigest(digest=own))
+            return
+        runs = list(self._dispatcher.suspicion.parts.runs)
+        for reply in _to_messages(runs, self._clock.now_seconds()):
+            self._exchange.send(sender, reply)
+
+    def _publish(self, news: SuspicionNews) -> None:
         now_seconds = self._clock.now_seconds()
-        self._exchange.broadcast(
-            QuarantineNotice(
-                fingerprint=loss.fingerprint,
-                for_seconds=loss.until_seconds - now_seconds,
-                is_quarantined=loss.is_quarantined,
-                started_ago_seconds=now_seconds - loss.started_seconds,
-                lost_ago_seconds=now_seconds - loss.lost_seconds,
-            )
-        )
+        for loss in news.losses:
+            self._exchange.broadcast(_to_notice(loss, now_seconds))
+        for trial in news.trials:
+            self._exchange.broadcast(_to_trial(trial))
+        if not (news.runs or news.written):
+            return
+        if not (self._runs or self._written):
+            self._call_later(self._publish_batch)
+        self._runs.extend(news.runs)
+        self._written.update(news.written)
+
+    def _publish_batch(self) -> None:
+        now_seconds = self._clock.now_seconds()
+        runs, self._runs = self._runs, []
+        written, self._written = self._written, {}
+        for message in _to_messages(runs, now_seconds):
+            self._exchange.broadcast(message)
+        if written:
+            parts = [
+                WrittenPromptPart(part=part, written_ago_seconds=now_seconds - seconds)
+                for part, seconds in written.items()
+            ]
+            self._exchange.broadcast(PromptPartsWritten(parts=parts))
+
+    def _receive_hello(self, _message: PeerHello, sender: DaemonId) -> None:
+        """Tell a peer with a new link all that is in force."""
+        now_seconds = self._clock.now_seconds()
+        news = self._dispatcher.suspicion.all_news(now_seconds)
+        for loss in news.losses:
+            self._exchange.send(sender, _to_notice(loss, now_seconds))
+        for message in _to_messages(list(news.runs), now_seconds):
+            self._exchange.send(sender, message)
 
     def _receive_loss(self, notice: QuarantineNotice, _sender: DaemonId) -> None:
-        fingerprint = BodyFingerprint(notice.fingerprint)
-        if notice.is_quarantined:
-            if notice.for_seconds > 0:
-                self._dispatcher.quarantine(fingerprint, notice.for_seconds)
-            return
         # The delivery of a notice takes some milliseconds. The pause before a retry is
         # longer, so one loss is still distinguished from the next.
         now_seconds = self._clock.now_seconds()
-        self._dispatcher.note_loss(
-            fingerprint,
+        if notice.is_quarantined and notice.for_seconds <= 0:
+            return
+        loss = LossReport(
+            BodyFingerprint(notice.fingerprint),
             now_seconds - notice.started_ago_seconds,
             now_seconds - notice.lost_ago_seconds,
+            now_seconds + notice.for_seconds,
+            notice.is_quarantined,
+            tuple(map(Incarnation, notice.incarnations)),
+        )
+        self._dispatcher.suspicion.note_peer_loss(loss)
+
+    def _receive_runs(self, message: PromptPartsLost, _sender: DaemonId) -> None:
+        now_seconds = self._clock.now_seconds()
+        for item in message.runs:
+            run = LostRun(
+                Incarnation(item.incarnation),
+                frozenset(map(PromptPartKey, item.parts)),
+                now_seconds - item.started_ago_seconds,
+                now_seconds - item.lost_ago_seconds,
+            )
+            self._dispatcher.suspicion.note_peer_run(run)
+        self._publish_answer()
+
+    def _publish_answer(self) -> None:
+        """Tell what was written on since the runs that a peer has lost were sent."""
+        news = self._dispatcher.suspicion.take_news()
+        if news is not None:
+            self._publish(news)
+
+    def _receive_written(self, message: PromptPartsWritten, _sender: DaemonId) -> None:
+        now_seconds = self._clock.now_seconds()
+        for item in message.parts:
+            self._dispatcher.suspicion.note_peer_written(
+                PromptPartKey(item.part), now_seconds - item.written_ago_seconds
+            )
+
+    def _receive_trial(self, message: PromptPartTrial, _sender: DaemonId) -> None:
+        notice = TrialNotice(
+            frozenset(map(PromptPartKey, message.parts)),
+            message.ticket,
+            message.for_seconds,
         )
+        now_seconds = self._clock.now_seconds()
+        self._dispatcher.suspicion.note_peer_trial(notice, now_seconds)
 
     def _publish_suspect(self, target: TargetId) -> None:
         self._exchange.broadcast(SuspectPlaced(target=target))
 
     def _receive_suspect(self, notice: SuspectPlaced, _sender: DaemonId) -> None:
         self._dispatcher.note_peer_suspect(TargetId(notice.target))
+
+
+def _to_notice(loss: LossReport, now_seconds: float) -> QuarantineNotice:
+    return QuarantineNotice(
+        fingerprint=loss.fingerprint,
+        for_seconds=loss.until_seconds - now_seconds,
+        is_quarantined=loss.is_quarantined,
+        started_ago_seconds=now_seconds - loss.started_seconds,
+        lost_ago_seconds=now_seconds - loss.lost_seconds,
+        incarnations=list(loss.incarnations),
+    )
+
+
+def _to_messages(runs: list[LostRun], now_seconds: float) -> list[PromptPartsLost]:
+    return [
+        PromptPartsLost(
+            runs=[
+                LostPromptRun(
+                    incarnation=run.incarnation,
+                    parts=sorted(run.parts),
+                    started_ago_seconds=now_seconds - run.started_seconds,
+                    lost_ago_seconds=now_seconds - run.lost_seconds,
+                )
+                for run in runs[start : start + MAX_TOLD_RUNS]
+            ]
+        )
+        for start in range(0, len(runs), MAX_TOLD_RUNS)
+    ]
+
+
+def _to_trial(trial: TrialNotice) -> PromptPartTrial:
+    return PromptPartTrial(
+        parts=sorted(trial.parts), ticket=trial.ticket, for_seconds=trial.for_seconds
+    )
+
+
+def _call_after_batch(call: Callable[[], None]) -> object:
+    return asyncio.get_running_loop().call_later(BATCH_SECONDS, call)
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -90,6 +90,7 @@
     cache_events: CacheEventsClient
     caches: CacheFollower
     loads: LoadExchange
+    losses: LossExchange
     notices: NoticeExchange
     quotas: QuotaExchange
     quota_recorder: QuotaRecorder
@@ -110,6 +111,7 @@
             self.dispatcher,
             self.caches,
             self.loads,
+            self.losses,
             self.notices,
             self.stream_versions,
             self.quotas,
@@ -157,7 +159,7 @@
     dispatcher = Dispatcher(Scheduler(settings, base.seed), clock)
     divisor = unknown_fleet_divisor(base.node.is_first_start)
     dispatcher.set_retry_terms(retry_terms(get_bounds(), divisor))
-    LossExchange(dispatcher, exchange, clock)
+    losses = LossExchange(dispatcher, exchange, clock)
     loads = LoadExchange(dispatcher, exchange, clock)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
@@ -280,6 +282,7 @@
         cache_events=cache_events,
         caches=caches,
         loads=loads,
+        losses=losses,
         notices=notices,
         quotas=quotas,
         quota_recorder=quota_recorder,
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -82,6 +82,7 @@
     drain_state: DrainState
     hot: HotPrefixes
     quotas: QuotaExchange
+    losses: LossExchange
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
@@ -93,6 +94,7 @@
             self.dispatcher,
             self.feed,
             self.quotas,
+            self.losses,
             self.caller_api,
         ]
 
@@ -150,7 +152,7 @@
         observer.incarnations,
         on_targets,
     )
-    LossExchange(dispatcher, state.exchange, clock)
+    losses = LossExchange(dispatcher, state.exchange, clock)
     # The first configuration is fed at once. Otherwise requests would be refused with
     # "no target" until the next periodic feed.
     state.revisions.subscribe(lambda _view: feed.feed())
@@ -225,6 +227,7 @@
     )
     return Traffic(
         hot=hot,
+        losses=losses,
         quotas=quotas,
         dispatcher=dispatcher,
         engines=engines,
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -12,10 +12,10 @@
 import structlog
 
 from lycheepost.callers.orderlog import OrderLog
+from lycheepost.callers.partlog import PartLog
 from lycheepost.callers.pauselog import PauseLog
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
-    BodyFingerprint,
     CustomerId,
     Incarnation,
     RequestId,
@@ -25,7 +25,6 @@
 from lycheepost.decide.brittle import FleetPosition
 from lycheepost.decide.machinestates import StatedState
 from lycheepost.decide.peerloads import DaemonLoad
-from lycheepost.decide.quarantine import LossReport
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -39,6 +38,7 @@
 )
 from lycheepost.decide.retry import RetryTerms
 from lycheepost.decide.scheduler import Scheduler
+from lycheepost.decide.suspicion import EndedRun, Suspicion, SuspicionNews
 from lycheepost.generated.engine import CacheEvent
 from lycheepost.utils.tasks import start_task
 
@@ -65,7 +65,8 @@
         self._scheduler = scheduler
         self._clock = clock
         self._waiting: dict[RequestId, asyncio.Future[Outcome]] = {}
-        self._on_loss: Callable[[LossReport], None] | None = None
+        self._on_suspicion: Callable[[SuspicionNews], None] | None = None
+        self._part_log = PartLog()
         self._on_suspect: Callable[[TargetId], None] | None = None
         self._ticker: asyncio.Task[None] | None = None
         self._has_work = asyncio.Event()
@@ -166,6 +167,11 @@
         """Report the first token; the engine's usage is not known yet."""
         self._scheduler.first_token(request, self._clock.now_seconds(), None)
 
+    def note_written(self, request: RequestId) -> None:
+        """Report that a target has completed the first part of an answer."""
+        self._scheduler.note_written(request, self._clock.now_seconds())
+        self._publish_news()
+
     def note_events(self, request: RequestId, n_events: int) -> None:
         """Report how many events a complete stream had."""
         self._scheduler.note_events(request, n_events)
@@ -180,15 +186,6 @@
         """Report how a dispatched request ended; frees its slot."""
         now_seconds = self._clock.now_seconds()
         outcomes = self._scheduler.finish(request, now_seconds, kind)
-        for loss in self._scheduler.take_losses():
-            _log.info(
-                "dispatch: a request was on a lost target",
-                request_id=request,
-                fingerprint=f"{loss.fingerprint:016x}",
-                is_quarantined=loss.is_quarantined,
-            )
-            if self._on_loss is not None:
-                self._on_loss(loss)
         self._deliver(outcomes)
 
     def observe_load(self, report: LoadReport) -> None:
@@ -280,23 +277,33 @@
         """Set the customers' weights in fair sharing."""
         self._scheduler.set_shares(weights)
 
-    def quarantine(self, fingerprint: BodyFingerprint, for_seconds: float) -> None:
-        """Refuse a request that another daemon has quarantined."""
-        until_seconds = self._clock.now_seconds() + for_seconds
-        self._scheduler.quarantine(fingerprint, until_seconds)
+    def note_lost(self, run: EndedRun) -> None:
+        """Count a loss that was found out after the end of the attempt."""
+        self.suspicion.note_lost(run, self._clock.now_seconds())
+        self._publish_news()
 
-    def note_loss(
-        self,
-        fingerprint: BodyFingerprint,
-        started_seconds: float,
-        lost_seconds: float,
-    ) -> None:
-        """Count a target loss reported by a peer; times are by this daemon's clock."""
-        self._scheduler.note_loss(fingerprint, started_seconds, lost_seconds)
+    @property
+    def suspicion(self) -> Suspicion:
+        """Return which requests and parts of prompts may crash targets."""
+        return self._scheduler.suspicion
 
-    def on_loss(self, callback: Callable[[LossReport], None]) -> None:
-        """Call ``callback`` at once with each loss that counts."""
-        self._on_loss = callback
+    def on_suspicion(self, callback: Callable[[SuspicionNews], None]) -> None:
+        """Call ``callback`` at once with what peers are to be told of suspects."""
+        self._on_suspicion = callback
+
+    def _publish_news(self) -> None:
+        news = self.suspicion.take_news()
+        if news is None:
+            return
+        for loss in news.losses:
+            _log.info(
+                "dispatch: a request was on a lost target",
+                fingerprint=f"{loss.fingerprint:016x}",
+                targets=list(loss.incarnations),
+                is_quarantined=loss.is_quarantined,
+            )
+        if self._on_suspicion is not None:
+            self._on_suspicion(news)
 
     def note_peer_suspect(self, target: TargetId) -> None:
         """Keep suspects off a target on which another daemon is trying one.
@@ -310,6 +317,7 @@
         self._on_suspect = callback
 
     def _deliver(self, outcomes: list[Outcome]) -> None:
+        self._publish_news()
         if outcomes and self._on_suspect is not None:
             for target in self._scheduler.take_suspect_targets():
                 self._on_suspect(target)
@@ -336,6 +344,7 @@
                 now_seconds = self._clock.now_seconds()
                 self._deliver(self._scheduler.tick(now_seconds))
                 self._log_room()
+                self._part_log.update(self.suspicion.parts.judgement)
                 self._order_log.update(self._scheduler.order_conditions())
                 self._pause_log.update(self._scheduler.pause_statuses(), now_seconds)
             except Exception:
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -202,6 +202,7 @@
 
     def _note_first_token(self) -> None:
         self._deps.dispatcher.first_token(self._work.request)
+        self._deps.dispatcher.note_written(self._work.request)
         if self._first_seconds is None:
             self._first_seconds = self._deps.clock.now_seconds()
 
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -154,6 +154,7 @@
         self._caller = caller
         self._splitter = EventSplitter()
         self._failure: tuple[ResponseHead, bytes] | None = None
+        self._on_written: Callable[[], None] = lambda: None
 
     @property
     def after_event(self) -> int | None:
@@ -181,6 +182,7 @@
         answer: ForwardResponse,
         timeouts: StreamTimeouts,
         on_first: Callable[[], None],
+        on_written: Callable[[], None] = lambda: None,
     ) -> RelayEnd:
         """Relay one response.
 
@@ -188,11 +190,14 @@
             answer: Its headers have arrived, and the target ran the request.
             timeouts: How long a stream may be silent.
             on_first: Called when the first part has arrived.
+            on_written: Called when the target has completed an event, or a whole
+                successful answer.
 
         Raises:
             FirstByteTimeout: No byte arrived in time, so none was relayed.
         """
         self._splitter.restart()
+        self._on_written = on_written
         try:
             return await self._relay(answer, timeouts, on_first)
         finally:
@@ -234,7 +239,8 @@
                 self._log_broken(error)
                 return RelayEnd.BROKEN
             body = b"".join(parts)
-            self.has_written = answer.head.status < _FIRST_ERROR_STATUS
+            if answer.head.status < _FIRST_ERROR_STATUS:
+                self._note_written()
             if answer.head.status >= _FIRST_SERVER_ERROR_STATUS:
                 self._failure = (answer.head, body)
                 return RelayEnd.FAILED
@@ -366,13 +372,18 @@
     async def _send_events(self, head: ResponseHead, events: bytes) -> None:
         if not events:
             return
-        self.has_written = True
+        self._note_written()
         if not self.has_begun:
             self._note_begun()
             await self._caller.begin(head, None)
         self._note_write()
         await self._caller.write(events)
 
+    def _note_written(self) -> None:
+        if not self.has_written:
+            self.has_written = True
+            self._on_written()
+
     def _note_write(self) -> None:
         now_seconds = self._deps.clock.now_seconds()
         if self._last_write_seconds is not None:
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -272,7 +272,14 @@
                 idle_timeout_seconds(self._route_match.route, self._standing.sends),
                 self._may_abandon,
             )
-            result = await self._relay.relay(answer, timeouts, self._note_first)
+            result = await self._relay.relay(
+                answer,
+                timeouts,
+                self._note_first,
+                lambda: self._deps.dispatcher.note_written(
+                    self._standing.work.request
+                ),
+            )
         except FirstByteTimeout:
             self._note_silence(target, wait_seconds)
             return AttemptEnd.LOST, "silent"
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -3,10 +3,12 @@
 import math
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import asdict
 
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.decide.admission import retry_after_seconds
+from lycheepost.decide.heldsuspects import HeldSuspects
 from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.machinestates import (
     NOTABLE_LOG,
@@ -15,7 +17,6 @@
 )
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.placement import Choice, Placement, WaitingByTarget
-from lycheepost.decide.quarantine import Quarantine
 from lycheepost.decide.queueing import QueuedRequest
 from lycheepost.decide.randomadmission import RandomAdmission
 from lycheepost.decide.records import (
@@ -29,6 +30,7 @@
 )
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.suspects import SuspectPlacement
+from lycheepost.decide.suspicion import Suspicion
 from lycheepost.decide.targetrates import TargetRates
 from lycheepost.decide.targetstatus import target_status
 from lycheepost.decide.throttling import TargetThrottle
@@ -67,20 +69,24 @@
         self,
         settings: SchedulerSettings,
         rng: random.Random,
-        quarantine: Quarantine,
+        suspicion: Suspicion,
     ) -> None:
         self._settings = settings
         self._rng = rng
         self.placement = Placement(settings, rng)
         self.waiting = WaitingWork(settings, rng, self.placement)
         self.throttle = TargetThrottle(self.placement.loads, rng)
-        self.suspects = SuspectPlacement(quarantine, self.placement)
+        self.suspects = SuspectPlacement(suspicion, self.placement)
+        self.held = HeldSuspects()
         self.admission = RandomAdmission(rng)
         self.target_rates = TargetRates(
             Mechanism.TARGET_RATES not in settings.switched_off
         )
         self.placed: deque[Placed] = deque(maxlen=MAX_UNPUBLISHED_PROMPTS)
         self._running: dict[RequestId, TargetId] = {}
+        self._left_behind: dict[RequestId, InFlight] = {}
+        """Requests on targets that are no longer configured: how they end may show
+        that their target was lost."""
 
     @property
     def n_waiting(self) -> int:
@@ -93,7 +99,9 @@
 
     def remove_target(self, target: TargetId) -> None:
         """Remove a target that is no longer configured."""
-        self.placement.loads.pop(target, None)
+        load = self.placement.loads.pop(target, None)
+        if load is not None:
+            self._left_behind.update(load.in_flight)
         self.throttle.forget(target)
 
     def arrive(self, work: Work, now_seconds: float) -> list[Outcome]:
@@ -102,6 +110,8 @@
         if room.is_too_large(work):
             room.counts.n_too_large += 1
             return [Refuse(work.request, RefusalReason.TOO_LARGE, None)]
+        if self.suspects.is_suspect(work, now_seconds):
+            return self._arrive_suspect(work, now_seconds)
         room.note_arrival(work, now_seconds)
         self.placement.pauses.observe(work, now_seconds)
         choice = self._choose(work, now_seconds, self.waiting.awaited)
@@ -120,6 +130,62 @@
             return [refusal]
         return self.dispatch_waiting(now_seconds)
 
+    def _arrive_suspect(self, work: Work, now_seconds: float) -> list[Outcome]:
+        """Dispatch a suspect, or let it wait apart from the queue."""
+        choice = self._choose(work, now_seconds, self.waiting.awaited)
+        seconds = retry_after_seconds(NO_TARGET_RETRY_SECONDS, self._rng)
+        if choice is None:
+            return [Refuse(work.request, RefusalReason.NO_TARGET, seconds)]
+        if self.held.is_full:
+            return [Refuse(work.request, RefusalReason.QUEUE_FULL, seconds)]
+        dispatch = self._try_suspect(work, now_seconds)
+        if dispatch is not None:
+            return [dispatch]
+        self.held.add(work)
+        return []
+
+    def _try_suspect(self, work: Work, now_seconds: float) -> Dispatch | None:
+        """Dispatch a suspect if it may be tried now and a target has capacity."""
+        if not self.suspects.may_send(work, now_seconds):
+            return None
+        choice = self._choose(work, now_seconds, self.waiting.awaited)
+        if choice is None or not choice.can_take:
+            return None
+        cost = work_cost_seconds(self._settings, work, choice.uncached_tokens)
+        return self._dispatch(work, choice, cost, now_seconds)
+
+    def dispatch_held(self, now_seconds: float) -> list[Outcome]:
+        """Dispatch waiting suspects that may be tried now, and release cleared ones."""
+        outcomes: list[Outcome] = []
+        for item in self.held if len(self.held) else ():
+            work = item.work
+            if not self.suspects.is_suspect(work, now_seconds):
+                self.held.remove(work.request)
+                outcomes += self.arrive(work, now_seconds)
+            elif now_seconds >= item.give_up_seconds:
+                self.held.remove(work.request)
+                seconds = retry_after_seconds(NO_TARGET_RETRY_SECONDS, self._rng)
+                outcomes.append(Refuse(work.request, RefusalReason.DEADLINE, seconds))
+            elif (dispatch := self._try_suspect(work, now_seconds)) is not None:
+                self.held.remove(work.request)
+                outcomes.append(dispatch)
+        return outcomes
+
+    def refuse_blamed(self, refused_seconds: Callable[[Work], float]) -> list[Outcome]:
+        """Refuse the waiting requests that are quarantined now.
+
+        Args:
+            refused_seconds: Returns for how long a request is; 0 if it is not.
+        """
+        outcomes: list[Outcome] = []
+        for work in [item.work for item in self.held] + self.waiting.works():
+            seconds = refused_seconds(work)
+            if seconds:
+                self.remove(work.request)
+                reason = RefusalReason.QUARANTINED
+                outcomes.append(Refuse(work.request, reason, seconds))
+        return outcomes
+
     def has_capacity_for(self, work: Work, now_seconds: float) -> bool:
         """Return whether a target that has not failed ``work`` has capacity for it."""
         choice = self._choose(work, now_seconds, self.waiting.awaited)
@@ -134,7 +200,7 @@
 
     def remove(self, request: RequestId) -> bool:
         """Take a request out of the queue; False when it does not wait."""
-        return self.waiting.remove(request)
+        return self.held.remove(request) or self.waiting.remove(request)
 
     def _choose(
         self,
@@ -161,6 +227,7 @@
             choice.uncached_tokens,
             cost_seconds,
             choice.ahead_tokens,
+            incarnation=load.view.incarnation,
         )
         put_back = load.put_back(work, now_seconds)
         self.placement.room.counts.n_put_back += len(put_back)
@@ -171,7 +238,7 @@
             self.placed.append(Placed(target, work.levels))
         self._running[work.request] = target
         if self.suspects.is_suspect(work, now_seconds):
-            self.suspects.note_sent(target)
+            self.suspects.note_sent(work, target, now_seconds)
         self.waiting.note_dispatched(work, cost_seconds)
         return Dispatch(
             work.request, target, choice.wait_seconds, choice.cached_tokens, put_back
@@ -294,6 +361,21 @@
         self._learn(load, entry, now_seconds, cached_tokens)
         load.first_token(entry, now_seconds)
 
+    def note_written(self, request: RequestId) -> InFlight | None:
+        """Record that a target has written; return the request's in-flight entry.
+
+        Returns:
+            None if it is not in flight or has written before.
+        """
+        target = self._running.get(request)
+        load = self.placement.loads.get(target) if target is not None else None
+        entry = None if load is None else load.in_flight.get(request)
+        entry = entry or self._left_behind.get(request)
+        if entry is None or entry.has_written:
+            return None
+        entry.has_written = True
+        return entry
+
     def note_events(self, request: RequestId, n_events: int) -> None:
         """Learn the length of a complete stream from its events."""
         target = self._running.get(request)
@@ -343,7 +425,7 @@
         load = self.placement.loads.get(target) if target is not None else None
         entry = load.end(request, now_seconds) if load is not None else None
         if load is None or entry is None:
-            return None
+            return self._left_behind.pop(request, None)
         if kind is FinishKind.COMPLETE:
             held = now_seconds - entry.dispatched_seconds
             self.placement.rates.observe_hold(held)
@@ -362,6 +444,7 @@
         step = (float(self._is_under_pressure(now_seconds)) - pressure) * PRESSURE_GAIN
         self.placement.pressure = pressure + step
         outcomes = self.waiting.refuse_expired(now_seconds)
+        outcomes.extend(self.dispatch_held(now_seconds))
         outcomes.extend(self.dispatch_waiting(now_seconds))
         return outcomes
 
@@ -382,13 +465,19 @@
 
     def refuse_all(self, reason: RefusalReason, now_seconds: float) -> list[Outcome]:
         """Refuse all waiting requests."""
-        return self.waiting.refuse_all(reason, now_seconds)
+        outcomes: list[Outcome] = []
+        for item in self.held:
+            self.held.remove(item.work.request)
+            seconds = retry_after_seconds(0.0, self._rng)
+            outcomes.append(Refuse(item.work.request, reason, seconds))
+        return outcomes + self.waiting.refuse_all(reason, now_seconds)
 
     def status(self, now_seconds: float) -> dict[str, object]:
         """Return a summary of the queue and the targets."""
         reading_engines = self.placement.pauses.reading_engines.targets
         return {
             **self.waiting.status(),
+            "n_held_suspects": len(self.held),
             "pressure": round(self.placement.pressure, 3),
             "room": self.placement.room_status(now_seconds),
             **self._speed_status(now_seconds),
--- /dev/null
+++ b/lycheepost/decide/partlosses.py
@@ -0,0 +1,300 @@
+"""Blames lost targets on single parts of prompts.
+
+A part of a prompt may crash each target that begins to write an answer on it, in
+requests that have nothing else in common. A run that was on a target when it was lost,
+and had written nothing, speaks against each of its shared parts. A run that wrote
+clears its parts, on whichever target and through whichever daemon. What is left over is
+suspected, tried one request at a time (``decide.parttrials``), and after a few losses
+one after the other refused by all daemons.
+
+Several parts may always be lost together. They are then refused only together, so that
+requests with one of them can still clear it. A part that is blamed by itself explains
+the losses of the targets that it ran on: other parts and requests there are not blamed.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from lycheepost.core.ids import Incarnation, PromptPartKey
+
+LOSSES_TO_BLAME = 3
+"""Losses one after the other after which a part is refused. Two may be a coincidence:
+another part that is not suspected yet, or a failing rack, may hit the target of a
+trial."""
+
+MAX_LOST_RUNS = 512
+"""Lost runs that are kept; a judgement of them takes some milliseconds."""
+
+MAX_WRITTEN_PARTS = 20_000
+"""Parts whose last answer is remembered: more than a daemon sees in some minutes."""
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that had written nothing when its target was lost.
+
+    Attributes:
+        incarnation: The start of the target.
+        parts: The shared parts of its prompt that may be the cause.
+        started_seconds: When it was sent.
+        lost_seconds: When the loss of its target was detected.
+    """
+
+    incarnation: Incarnation
+    parts: frozenset[PromptPartKey]
+    started_seconds: float
+    lost_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class PartBlame:
+    """What speaks against one part.
+
+    Attributes:
+        n_losses: Lost targets; a run sent before the loss before counts with it.
+        lost_seconds: When the last of them was detected.
+        always_with: The parts that all its lost runs have in common, with itself.
+    """
+
+    n_losses: int
+    lost_seconds: float
+    always_with: frozenset[PromptPartKey]
+
+    @property
+    def is_blamed(self) -> bool:
+        """Return whether requests with these parts are refused."""
+        return self.n_losses >= LOSSES_TO_BLAME
+
+
+@dataclass(frozen=True, slots=True)
+class Judgement:
+    """What the lost runs say.
+
+    Attributes:
+        parts: The suspected and the blamed parts.
+        explained: Starts of targets that were lost to a part blamed by itself.
+    """
+
+    parts: Mapping[PromptPartKey, PartBlame] = field(default_factory=dict)
+    explained: frozenset[Incarnation] = frozenset()
+
+
+def judge(runs: Iterable[LostRun]) -> Judgement:
+    """Return which parts the lost runs speak against.
+
+    Args:
+        runs: Lost runs in the order of their losses, without cleared parts.
+    """
+    left = list(runs)
+    explained: set[Incarnation] = set()
+    causes: set[PromptPartKey] = set()
+    while True:
+        found = _find_blame(left)
+        cause = _next_cause(found, causes)
+        if cause is None:
+            return Judgement(found, frozenset(explained))
+        causes.add(cause)
+        explained.update(run.incarnation for run in left if cause in run.parts)
+        left = _without_explained(left, causes, explained)
+
+
+def _without_explained(
+    runs: list[LostRun], causes: set[PromptPartKey], explained: set[Incarnation]
+) -> list[LostRun]:
+    """Return the runs with what explained losses say of other parts left out."""
+    kept = []
+    for run in runs:
+        if run.incarnation in explained:
+            run = replace(run, parts=run.parts & causes)
+        if run.parts:
+            kept.append(run)
+    return kept
+
+
+def _find_blame(runs: list[LostRun]) -> dict[PromptPartKey, PartBlame]:
+    found: dict[PromptPartKey, PartBlame] = {}
+    for run in runs:
+        for part in run.parts:
+            blame = found.get(part)
+            if blame is None:
+                found[part] = PartBlame(1, run.lost_seconds, run.parts)
+                continue
+            common = blame.always_with & run.parts
+            # Runs that were lost at about the same time, as when a rack fails, are one
+            # loss: a popular part would have been on all of its targets.
+            is_next = run.started_seconds > blame.lost_seconds
+            found[part] = PartBlame(
+                blame.n_losses + is_next,
+                run.lost_seconds if is_next else blame.lost_seconds,
+                common,
+            )
+    return found
+
+
+def _next_cause(
+    found: Mapping[PromptPartKey, PartBlame], causes: set[PromptPartKey]
+) -> PromptPartKey | None:
+    """Return the part with the most losses that is blamed by itself, if any is new."""
+    alone = [
+        (blame.n_losses, part)
+        for part, blame in found.items()
+        if part not in causes and blame.is_blamed and len(blame.always_with) == 1
+    ]
+    return max(alone)[1] if alone else None
+
+
+class PartLosses:
+    """The lost runs that are known, of all daemons, and what they say.
+
+    Args:
+        quarantine_seconds: How long a blamed part is refused. Then one request with it
+            is tried.
+
+    Attributes:
+        n_judged: How often the lost runs were judged.
+    """
+
+    def __init__(self, quarantine_seconds: float) -> None:
+        self.n_judged = 0
+        self._quarantine_seconds = quarantine_seconds
+        self._runs: list[LostRun] = []
+        self._written: dict[PromptPartKey, float] = {}
+        self._judgement: Judgement | None = Judgement()
+        self._has_changed = False
+
+    @property
+    def runs(self) -> tuple[LostRun, ...]:
+        """Return the lost runs, in the order of their losses."""
+        return tuple(self._runs)
+
+    @property
+    def judgement(self) -> Judgement:
+        """Return what the lost runs say."""
+        if self._judgement is None:
+            self.n_judged += 1
+            self._judgement = judge(self._runs)
+        return self._judgement
+
+    def take_changed(self) -> bool:
+        """Return whether the lost runs have changed since the last call."""
+        has_changed = self._has_changed
+        self._has_changed = False
+        return has_changed
+
+    def note_lost(self, run: LostRun) -> LostRun | None:
+        """Add a lost run, detected here or by a peer.
+
+        Returns:
+            The run without the parts that have been written on since it was sent; None
+            if none is left or it is known.
+        """
+        parts = frozenset(part for part in run.parts if not self.is_cleared(part, run))
+        run = replace(run, parts=parts)
+        is_known = any(
+            item.incarnation == run.incarnation and item.parts == parts
+            for item in self._runs
+        )
+        if not parts or is_known:
+            return None
+        self._runs.append(run)
+        self._runs.sort(key=lambda item: item.lost_seconds)
+        self._note_changed()
+        self._drop_old(run.lost_seconds)
+        return run
+
+    def is_cleared(self, part: PromptPartKey, run: LostRun) -> bool:
+        """Return whether a part has been written on since a run was sent."""
+        return self.written_seconds(part) >= run.started_seconds
+
+    def written_seconds(self, part: PromptPartKey) -> float:
+        """Return when a part was last written on; minus infinity for never."""
+        return self._written.get(part, -math.inf)
+
+    def note_written(
+        self, parts: Iterable[PromptPartKey], written_seconds: float
+    ) -> frozenset[PromptPartKey]:
+        """Clear the parts of a run that has begun to write, here or through a peer.
+
+        Returns:
+            The parts of them that were suspected.
+        """
+        suspected: set[PromptPartKey] = set()
+        written = self._written
+        for part in parts:
+            written[part] = max(written_seconds, written.pop(part, -math.inf))
+            if self._runs and part in self.judgement.parts:
+                suspected.add(part)
+        while len(written) > MAX_WRITTEN_PARTS:
+            del written[next(iter(written))]
+        if suspected:
+            self._clear()
+        return frozenset(suspected)
+
+    def _clear(self) -> None:
+        runs = (
+            replace(
+                run,
+                parts=frozenset(
+                    part for part in run.parts if not self.is_cleared(part, run)
+                ),
+            )
+            for run in self._runs
+        )
+        self._runs = [run for run in runs if run.parts]
+        self._note_changed()
+
+    def _note_changed(self) -> None:
+        self._judgement = None
+        self._has_changed = True
+
+    def _drop_old(self, now_seconds: float) -> None:
+        """Drop what is older than a quarantine and its trial, and keep the number low.
+
+        Runs that speak against a blamed part are kept longest: without them it would
+        have to crash targets again.
+        """
+        oldest_seconds = now_seconds - 2.0 * self._quarantine_seconds
+        self._runs = [run for run in self._runs if run.lost_seconds >= oldest_seconds]
+        if len(self._runs) <= MAX_LOST_RUNS:
+            return
+        parts = self.judgement.parts
+        self._runs.sort(
+            key=lambda run: (
+                any(part in parts and parts[part].is_blamed for part in run.parts),
+                run.lost_seconds,
+            )
+        )
+        del self._runs[: len(self._runs) - MAX_LOST_RUNS]
+        self._runs.sort(key=lambda run: run.lost_seconds)
+        self._note_changed()
+
+    def suspected(self, parts: frozenset[PromptPartKey]) -> frozenset[PromptPartKey]:
+        """Return those of the parts that are suspected or blamed."""
+        if not self._runs or not parts:
+            return frozenset()
+        return parts & self.judgement.parts.keys()
+
+    def refused_seconds(
+        self, parts: frozenset[PromptPartKey], now_seconds: float
+    ) -> float:
+        """Return for how long a request with these parts is refused; 0 if it is not."""
+        longest_seconds = 0.0
+        for part in self.suspected(parts):
+            blame = self.judgement.parts[part]
+            if blame.is_blamed and blame.always_with <= parts:
+                until_seconds = blame.lost_seconds + self._quarantine_seconds
+                longest_seconds = max(longest_seconds, until_seconds - now_seconds)
+        return longest_seconds
+
+    def status(self, now_seconds: float) -> dict[str, object]:
+        """Return the suspected and the blamed parts for the status page."""
+        return {
+            f"{part:016x}": {
+                "n_losses": blame.n_losses,
+                "lost_ago_seconds": round(now_seconds - blame.lost_seconds, 3),
+                "always_with": sorted(f"{name:016x}" for name in blame.always_with),
+                "is_blamed": blame.is_blamed,
+            }
+            for part, blame in self.judgement.parts.items()
+        }
--- a/lycheepost/decide/quarantine.py
+++ b/lycheepost/decide/quarantine.py
@@ -4,12 +4,13 @@
 targets are lost one after another. A fingerprint that was running on a lost target
 becomes a suspect. A suspect runs on a target without other suspects, so that a second
 loss identifies it and not the unrelated requests that were lost with it the first time.
-A quarantined fingerprint is refused by all daemons for a while.
+A quarantined fingerprint is refused by all daemons for a while. A loss that a part of
+another request explains (``decide.partlosses``) does not count.
 """
 
 from dataclasses import dataclass
 
-from lycheepost.core.ids import BodyFingerprint, TargetId
+from lycheepost.core.ids import BodyFingerprint, Incarnation, TargetId
 
 MAX_SUSPECTS = 10_000
 """Bounds memory when whole availability zones fail; the oldest entries are dropped."""
@@ -35,6 +36,7 @@
     Attributes:
         started_seconds: When the lost run was sent.
         lost_seconds: When the loss was detected.
+        incarnations: The starts of the targets whose losses count.
     """
 
     fingerprint: BodyFingerprint
@@ -42,11 +44,12 @@
     lost_seconds: float
     until_seconds: float
     is_quarantined: bool
+    incarnations: tuple[Incarnation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class _Suspect:
-    n_losses: int
+    incarnations: tuple[Incarnation, ...]
     lost_seconds: float
     until_seconds: float
 
@@ -64,15 +67,52 @@
         self._keep_seconds = keep_seconds
         self._counts: dict[BodyFingerprint, _Suspect] = {}
         self._until: dict[BodyFingerprint, float] = {}
+        self._causes: dict[BodyFingerprint, tuple[Incarnation, ...]] = {}
+        """The losses for which a fingerprint is quarantined, where known."""
+        self._explained: frozenset[Incarnation] = frozenset()
         self._lost_seconds: dict[BodyFingerprint, float] = {}
         """Recent losses, oldest first, including suspects cleared since."""
 
-    def add(self, fingerprint: BodyFingerprint, until_seconds: float) -> None:
-        """Quarantine a fingerprint, as decided here or reported by a peer."""
+    def add(
+        self,
+        fingerprint: BodyFingerprint,
+        until_seconds: float,
+        incarnations: tuple[Incarnation, ...] = (),
+    ) -> None:
+        """Quarantine a fingerprint, as decided here or reported by a peer.
+
+        Args:
+            fingerprint: The fingerprint.
+            until_seconds: When the quarantine ends.
+            incarnations: The losses that led to it; empty if unknown.
+        """
+        if incarnations and self._count(incarnations) < self._losses:
+            return
+        self._causes[fingerprint] = incarnations
         self._until[fingerprint] = max(
             until_seconds, self._until.get(fingerprint, until_seconds)
         )
 
+    def _count(self, incarnations: tuple[Incarnation, ...]) -> int:
+        """Return how many of the losses have no other explanation."""
+        return sum(item not in self._explained for item in incarnations)
+
+    def explain(self, incarnations: frozenset[Incarnation]) -> None:
+        """Drop what the losses of these targets say, as their cause is known."""
+        if incarnations == self._explained:
+            return
+        self._explained = incarnations
+        for fingerprint, suspect in list(self._counts.items()):
+            if not self._count(suspect.incarnations):
+                del self._counts[fingerprint]
+        for fingerprint, causes in list(self._causes.items()):
+            if causes and self._count(causes) < self._losses:
+                self._release(fingerprint)
+
+    def _release(self, fingerprint: BodyFingerprint) -> None:
+        self._causes.pop(fingerprint, None)
+        self._until.pop(fingerprint, None)
+
     def remaining_seconds(
         self, fingerprint: BodyFingerprint, now_seconds: float
     ) -> float:
@@ -81,7 +121,7 @@
         if until_seconds is None:
             return 0.0
         if until_seconds <= now_seconds:
-            del self._until[fingerprint]
+            self._release(fingerprint)
             return 0.0
         return until_seconds - now_seconds
 
@@ -100,6 +140,7 @@
         fingerprint: BodyFingerprint,
         started_seconds: float,
         lost_seconds: float,
+        incarnation: Incarnation,
     ) -> LossReport | None:
         """Count a loss that was detected here or reported by a peer.
 
@@ -111,26 +152,34 @@
             fingerprint: The fingerprint that was running.
             started_seconds: When this run of it was sent.
             lost_seconds: When the loss of its target was detected.
+            incarnation: The start of the target.
 
         Returns:
             The loss to report to the peers; None if it does not count.
         """
-        count = 1
+        if incarnation in self._explained:
+            return None
+        lost: tuple[Incarnation, ...] = (incarnation,)
         if self.is_suspect(fingerprint, lost_seconds):
             suspect = self._counts[fingerprint]
             if started_seconds <= suspect.lost_seconds:
                 return None
-            count += suspect.n_losses
+            lost = (*suspect.incarnations, incarnation)
         until_seconds = lost_seconds + self._keep_seconds
-        self._counts[fingerprint] = _Suspect(count, lost_seconds, until_seconds)
+        self._counts[fingerprint] = _Suspect(lost, lost_seconds, until_seconds)
         self._note_lost(fingerprint, lost_seconds)
         while len(self._counts) > MAX_SUSPECTS:
             del self._counts[next(iter(self._counts))]
-        is_quarantined = count >= self._losses
+        is_quarantined = self._count(lost) >= self._losses
         if is_quarantined:
-            self.add(fingerprint, until_seconds)
+            self.add(fingerprint, until_seconds, lost)
         return LossReport(
-            fingerprint, started_seconds, lost_seconds, until_seconds, is_quarantined
+            fingerprint,
+            started_seconds,
+            lost_seconds,
+            until_seconds,
+            is_quarantined,
+            lost,
         )
 
     def _note_lost(self, fingerprint: BodyFingerprint, lost_seconds: float) -> None:
@@ -139,6 +188,21 @@
         while len(self._lost_seconds) > MAX_RECENT_LOSSES:
             del self._lost_seconds[next(iter(self._lost_seconds))]
 
+    def in_force(self, now_seconds: float) -> tuple[LossReport, ...]:
+        """Return the quarantines in force."""
+        return tuple(
+            LossReport(
+                fingerprint,
+                now_seconds,
+                now_seconds,
+                until_seconds,
+                True,
+                self._causes.get(fingerprint, ()),
+            )
+            for fingerprint, until_seconds in self._until.items()
+            if until_seconds > now_seconds
+        )
+
     def rank_of(self, fingerprint: BodyFingerprint, now_seconds: float) -> int | None:
         """Return the rank of a suspect among the recent losses.
 
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from lycheepost.core.ids import (
-    BodyFingerprint,
     CustomerId,
     Incarnation,
     RequestId,
@@ -20,12 +19,12 @@
 from lycheepost.decide.brittle import FleetPosition
 from lycheepost.decide.cacheestimate import CacheEstimate
 from lycheepost.decide.group import Group
-from lycheepost.decide.load import TargetLoad
+from lycheepost.decide.load import InFlight, TargetLoad
 from lycheepost.decide.machinestates import StatedState
 from lycheepost.decide.mechanisms import Mechanism
+from lycheepost.decide.parttrials import PartTrials
 from lycheepost.decide.pauses import PauseStatus
 from lycheepost.decide.peerloads import DaemonLoad
-from lycheepost.decide.quarantine import LossReport, Quarantine
 from lycheepost.decide.records import (
     FinishKind,
     LoadReport,
@@ -40,6 +39,7 @@
 from lycheepost.decide.retrybudgets import RetryBudgets
 from lycheepost.decide.room import RoomNeed
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.decide.suspicion import EndedRun, make_suspicion
 from lycheepost.decide.targetnotices import TargetNotices
 from lycheepost.decide.targetstates import TargetStates
 from lycheepost.decide.waitingorder import OrderCondition
@@ -57,6 +57,9 @@
         settings: Bounds and weights.
         seed: Seed of jitter and random candidates, so that a simulation can be
             repeated.
+
+    Attributes:
+        suspicion: Which requests and parts of prompts may crash targets.
     """
 
     def __init__(self, settings: SchedulerSettings, seed: int) -> None:
@@ -66,8 +69,10 @@
         self._group_by_target: dict[TargetId, Group] = {}
         self._group_by_request: dict[RequestId, Group] = {}
         self._weights: dict[CustomerId, float] = {}
-        self._quarantine = Quarantine(
-            settings.quarantine_losses, settings.quarantine_seconds
+        self.suspicion = make_suspicion(
+            settings.quarantine_losses,
+            settings.quarantine_seconds,
+            PartTrials(random.Random(seed)),
         )
         self._budgets = RetryBudgets(RetryTerms(settings.retry_share))
         self._notices = TargetNotices(self._group_by_target)
@@ -75,7 +80,6 @@
             self._group_by_target,
             Mechanism.MACHINE_STATES not in settings.switched_off,
         )
-        self._losses: list[LossReport] = []
         self._is_draining = False
         self._now_seconds = 0.0
 
@@ -127,7 +131,7 @@
     def _group(self, name: TargetGroupId) -> Group:
         group = self._groups.get(name)
         if group is None:
-            group = Group(self._settings, self._rng, self._quarantine)
+            group = Group(self._settings, self._rng, self.suspicion)
             group.set_weights(self._weights)
             self._groups[name] = group
         return group
@@ -219,9 +223,9 @@
         if self._is_draining:
             seconds = retry_after_seconds(0.0, self._rng)
             return Refuse(work.request, RefusalReason.SHUTTING_DOWN, seconds)
-        remaining = self._quarantine.remaining_seconds(work.fingerprint, now_seconds)
-        if remaining > 0:
-            return Refuse(work.request, RefusalReason.QUARANTINED, remaining)
+        seconds = self.suspicion.refused_seconds(work, now_seconds)
+        if seconds > 0:
+            return Refuse(work.request, RefusalReason.QUARANTINED, seconds)
         return None
 
     def _forget_refused(self, outcomes: list[Outcome]) -> None:
@@ -229,6 +233,7 @@
             match outcome:
                 case Refuse(request=request):
                     self._group_by_request.pop(request, None)
+                    self.suspicion.note_withdrawn(request)
 
     def first_token(
         self, request: RequestId, now_seconds: float, cached_tokens: int | None
@@ -238,6 +243,16 @@
         if group is not None:
             group.first_token(request, now_seconds, cached_tokens)
 
+    def note_written(self, request: RequestId, now_seconds: float) -> None:
+        """Record that a target has completed the first part of an answer.
+
+        A part of a prompt that crashes targets does so before.
+        """
+        group = self._group_by_request.get(request)
+        entry = None if group is None else group.note_written(request)
+        if entry is not None:
+            self.suspicion.note_written(entry, now_seconds)
+
     def note_events(self, request: RequestId, n_events: int) -> None:
         """Record how many events a complete stream had."""
         group = self._group_by_request.get(request)
@@ -261,13 +276,8 @@
             return []
         entry = group.finish(request, now_seconds, kind)
         if entry is not None and kind is FinishKind.TARGET_LOST:
-            loss = self._quarantine.note_loss(
-                entry.work.fingerprint, entry.dispatched_seconds, now_seconds
-            )
-            if loss is not None:
-                self._losses.append(loss)
-        if entry is not None and kind is FinishKind.COMPLETE:
-            self._quarantine.clear(entry.work.fingerprint)
+            self.suspicion.note_lost(_ended_run(entry), now_seconds)
+        self.suspicion.note_ended(request, entry, kind)
         outcomes = group.dispatch_waiting(now_seconds)
         self._forget_refused(outcomes)
         return outcomes
@@ -278,6 +288,7 @@
         if group is None or not group.remove(request):
             return []
         del self._group_by_request[request]
+        self.suspicion.note_withdrawn(request)
         return group.dispatch_waiting(now_seconds)
 
     def has_work(self) -> bool:
@@ -287,12 +298,22 @@
     def tick(self, now_seconds: float) -> list[Outcome]:
         """Do the periodic work; called every 20 ms."""
         self._now_seconds = now_seconds
-        outcomes: list[Outcome] = []
+        outcomes = self._refuse_blamed(now_seconds)
         for group in self._groups.values():
             outcomes.extend(group.tick(now_seconds))
         self._forget_refused(outcomes)
         return outcomes
 
+    def _refuse_blamed(self, now_seconds: float) -> list[Outcome]:
+        """Refuse waiting requests with parts that are blamed since the last call."""
+        outcomes: list[Outcome] = []
+        if self.suspicion.parts.take_changed():
+            for group in self._groups.values():
+                outcomes += group.refuse_blamed(
+                    lambda work: self.suspicion.refused_seconds(work, now_seconds)
+                )
+        return outcomes
+
     def observe_load(self, report: LoadReport, now_seconds: float) -> None:
         """Apply a target's load report."""
         group = self._group_by_target.get(report.target)
@@ -408,19 +429,6 @@
         if group is not None:
             group.placement.loads[target].cache_estimate.observe(boot_id, events)
 
-    def quarantine(self, fingerprint: BodyFingerprint, until_seconds: float) -> None:
-        """Refuse a fingerprint that a peer has quarantined."""
-        self._quarantine.add(fingerprint, until_seconds)
-
-    def note_loss(
-        self,
-        fingerprint: BodyFingerprint,
-        started_seconds: float,
-        lost_seconds: float,
-    ) -> None:
-        """Count a target loss, reported by a peer, while this fingerprint ran there."""
-        self._quarantine.note_loss(fingerprint, started_seconds, lost_seconds)
-
     def take_placed(self) -> tuple[Placed, ...]:
         """Return the prompts dispatched since the last call, to be sent to peers."""
         placed: list[Placed] = []
@@ -435,12 +443,6 @@
         if group is not None:
             group.note_placed(placed)
 
-    def take_losses(self) -> list[LossReport]:
-        """Return the losses seen since the last call, to be sent to peers."""
-        losses = self._losses
-        self._losses = []
-        return losses
-
     def note_peer_suspect(self, target: TargetId, now_seconds: float) -> None:
         """Send no suspects to a target on which a peer is trying one."""
         group = self._group_by_target.get(target)
@@ -496,4 +498,11 @@
                 for name, group in self._groups.items()
             },
             "retries": self._budgets.status(self._now_seconds),
+            "prompt_parts": self.suspicion.parts.status(self._now_seconds),
         }
+
+
+def _ended_run(entry: InFlight) -> EndedRun:
+    return EndedRun(
+        entry.work, entry.incarnation, entry.dispatched_seconds, entry.has_written
+    )
--- a/lycheepost/decide/suspects.py
+++ b/lycheepost/decide/suspects.py
@@ -1,42 +1,49 @@
-"""Placement of suspects, that is requests that ran on a target when it was lost.
+"""Placement of suspects: requests that may crash the target that runs them.
 
-A suspect runs on a target without other suspects, so that a second loss quarantines it
-alone. Other daemons place suspects too. They report where, and choose different targets
-by a ranking that all of them share.
+A request is a suspect if it ran on a target when it was lost, or if a part of its
+prompt is suspected. It runs on a target without other suspects that have not written
+yet, so that a second loss speaks against it alone. Other daemons place suspects too.
+They report where, and choose different targets by a ranking that all of them share.
 """
 
 from dataclasses import replace
 
 from lycheepost.core.ids import TargetId
 from lycheepost.decide.placement import Choice, Placement, WaitingByTarget
-from lycheepost.decide.quarantine import PeerSuspects, Quarantine
+from lycheepost.decide.quarantine import PeerSuspects
 from lycheepost.decide.records import Work
+from lycheepost.decide.suspicion import Suspicion
 
 
 class SuspectPlacement:
     """Places the suspects of one target group.
 
     Args:
-        quarantine: Records which fingerprints are suspects.
+        suspicion: Records which requests are suspects.
         placement: The targets of the group.
 
     Attributes:
         peers: Targets on which other daemons run suspects.
     """
 
-    def __init__(self, quarantine: Quarantine, placement: Placement) -> None:
+    def __init__(self, suspicion: Suspicion, placement: Placement) -> None:
         self.peers = PeerSuspects()
-        self._quarantine = quarantine
+        self._suspicion = suspicion
         self._placement = placement
         self._tried: list[TargetId] = []
 
     def is_suspect(self, work: Work, now_seconds: float) -> bool:
-        """Return whether work was running on a recently lost target."""
-        return self._quarantine.is_suspect(work.fingerprint, now_seconds)
+        """Return whether work is a suspect."""
+        return self._suspicion.is_suspect(work, now_seconds)
 
-    def note_sent(self, target: TargetId) -> None:
+    def may_send(self, work: Work, now_seconds: float) -> bool:
+        """Return whether no other trial keeps a suspect from being sent now."""
+        return self._suspicion.may_send(work, now_seconds)
+
+    def note_sent(self, work: Work, target: TargetId, now_seconds: float) -> None:
         """Record that a suspect was sent to a target."""
         self._tried.append(target)
+        self._suspicion.note_sent(work, now_seconds)
 
     def take_tried(self) -> list[TargetId]:
         """Return the targets that got a suspect since the last call."""
@@ -77,7 +84,7 @@
         Returns:
             None if there are no other recent suspects, or the target has no capacity.
         """
-        rank = self._quarantine.rank_of(work.fingerprint, now_seconds)
+        rank = self._suspicion.wholes.rank_of(work.fingerprint, now_seconds)
         targets = self._placement.serving()
         if rank is None or not targets:
             return None
@@ -91,7 +98,7 @@
             target
             for target, load in self._placement.loads.items()
             if any(
-                self.is_suspect(entry.work, now_seconds)
+                not entry.has_written and self.is_suspect(entry.work, now_seconds)
                 for entry in load.in_flight.values()
             )
         )
--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -340,6 +340,10 @@
             )
         return outcomes
 
+    def works(self) -> list[Work]:
+        """Return the waiting requests."""
+        return [waiting.work for waiting in [*self.queue.all(), *self.late]]
+
     def refuse_all(self, reason: RefusalReason, now_seconds: float) -> list[Outcome]:
         """Refuse all waiting requests."""
         outcomes: list[Outcome] = []
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -23,6 +23,7 @@
 LONG_FEATURES = (
     FEATURES / "platform" / "ownpaths.feature",
     FEATURES / "platform" / "retrybudget.feature",
+    FEATURES / "platform" / "badparts.feature",
     FEATURES / "decide" / "quotas.feature",
 )
 """Features that run beside the rest of their folder."""
