Count losses of targets that are found out after their requests have ended

A loss counts once the target has been asked whether it is still the same.

Each start of a target is now asked once for all its requests, apart from them; a loss counts when it is known. Requests that may run once count if they have a prompt.

--- a/features/platform/badparts.feature
+++ b/features/platform/badparts.feature
@@ -6,17 +6,18 @@
     Guards against blame by whole requests, under which a part crashes one engine after
     the other.
     Given a deployment with 4 daemons and 12 engines that a part crashes after <sent>
-    When clients ask for 20 sound titles and 4 <route> with the part a second for 9 s
+    When clients ask for 20 sound titles and 4 <route> with the part a second for <seconds> s
     Then at most 3 requests with the part reach engines later than 3 s after the fifth crash
     And first tries of sound requests begin at least half as often as before
 
     Examples:
-      | sent          | route  |
-      | nothing       | titles |
-      | the headers   | titles |
-      | half an event | titles |
-      | nothing       | albums |
-      | half an event | cards  |
+      | sent          | route  | seconds |
+      | nothing       | titles | 9       |
+      | the headers   | titles | 9       |
+      | half an event | titles | 9       |
+      | nothing       | albums | 9       |
+      | half an event | cards  | 9       |
+      | silence       | titles | 15      |
 
   Scenario: Two parts that crash engines are found
     Guards against one part that is blamed for the crashes of both.
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -234,6 +234,7 @@
         """
         await asyncio.sleep(away_seconds)
         self.store.store.put("servers", server.name, None)
+        await server.stop()
         server.rename()
         await server.start()
         self.register(server)
--- a/lycheepost/callers/deps.py
+++ b/lycheepost/callers/deps.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.callers.lossverdicts import LossVerdicts
 from lycheepost.callers.versions import RequestVersions
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
@@ -87,6 +88,7 @@
         versions: Chooses the weights of a request while a model's weights change.
         hot: Counts the prefixes that requests share, to warm targets with.
         quotas: The quotas of customers; None where they are not enforced.
+        verdicts: Whether targets that broke off were lost.
     """
 
     settings: Settings
@@ -108,3 +110,4 @@
     versions: RequestVersions = field(default_factory=RequestVersions)
     hot: HotPrefixes = field(default_factory=HotPrefixes)
     quotas: FleetQuotas | None = None
+    verdicts: LossVerdicts = field(default_factory=LossVerdicts)
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -23,6 +24,7 @@
 from lycheepost.core.ids import Incarnation, TargetId, WeightsVersion
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse, Work
 from lycheepost.decide.retry import retry_pause_seconds
+from lycheepost.decide.suspicion import EndedRun
 from lycheepost.state.customerquotas import quota_of
 from lycheepost.targets.calls import Delivered, EngineCall
 from lycheepost.targets.continuation import continuation_body
@@ -97,6 +99,8 @@
         self._first_seconds: float | None = None
         self._has_lost_target = False
         self._boot_id = Incarnation("")
+        self._sent_seconds = job.work.arrived_seconds
+        self._has_written = False
 
     async def run(self) -> ExchangeResult:
         """Try targets until the response is complete or no attempt is left.
@@ -132,6 +136,8 @@
             self._exclude(dispatch.target)
             self._deps.dispatcher.finish(self._work.request, FinishKind.TARGET_REFUSED)
             return None
+        self._sent_seconds = self._deps.clock.now_seconds()
+        self._has_written = False
         call = self._make_call(dispatch.target, url)
         self._boot_id = self._deps.incarnation_of(dispatch.target)
         try:
@@ -201,6 +207,7 @@
                 raise error
 
     def _note_first_token(self) -> None:
+        self._has_written = True
         self._deps.dispatcher.first_token(self._work.request)
         self._deps.dispatcher.note_written(self._work.request)
         if self._first_seconds is None:
@@ -240,9 +247,21 @@
                 return FinishKind.COMPLETE
             case TargetRefused():
                 return FinishKind.TARGET_REFUSED
-        if await self._deps.is_same_target(target, self._boot_id):
-            return FinishKind.ANSWER_LOST
-        return FinishKind.TARGET_LOST
+        boot_id = self._boot_id
+        start = (target, boot_id)
+
+        def is_same() -> Awaitable[bool]:
+            return self._deps.is_same_target(target, boot_id)
+
+        try:
+            is_lost = await self._deps.verdicts.is_lost(start, is_same)
+        except asyncio.CancelledError:
+            run = EndedRun(self._work, boot_id, self._sent_seconds, self._has_written)
+            self._deps.verdicts.count_later(
+                start, is_same, lambda: self._deps.dispatcher.note_lost(run)
+            )
+            raise
+        return FinishKind.TARGET_LOST if is_lost else FinishKind.ANSWER_LOST
 
     def _handle_failure(self, target: TargetId, error: TargetError) -> None:
         """Handle a call without a response.
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.callers.lossverdicts import LossVerdicts
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
     DaemonId,
@@ -273,6 +274,7 @@
         paths: Whether this daemon itself reaches the targets of a group.
         relays: Serves requests through peers while it reaches none.
         stream_versions: Which software version began which stream.
+        verdicts: Whether targets that broke off were lost.
         request_bytes: Bodies of requests that are being served.
         answer_bytes: Complete responses on their way to callers.
     """
@@ -294,6 +296,7 @@
     paths: OwnPathsPort
     relays: Relays
     stream_versions: StreamVersionsPort
+    verdicts: LossVerdicts = field(default_factory=LossVerdicts)
     request_bytes: ByteBudget = field(
         default_factory=lambda: ByteBudget(MAX_REQUEST_BYTES)
     )
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -1,5 +1,6 @@
 """One attempt at a forwarded request at one target: send, relay, judge how it ended."""
 
+import asyncio
 from dataclasses import dataclass
 
 import structlog
@@ -22,6 +23,7 @@
 from lycheepost.decide.records import FinishKind, Work
 from lycheepost.decide.routes import RouteMatch, is_resumable_stream
 from lycheepost.decide.silence import (
+    MAX_SOUND_SILENCE_SECONDS,
     QUIET_SECONDS,
     first_byte_timeout_seconds,
     header_waits_seconds,
@@ -29,6 +31,7 @@
     is_sound_silence,
     new_connection_check_seconds,
 )
+from lycheepost.decide.suspicion import EndedRun
 from lycheepost.decide.targethealth import Ending
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardResponse
@@ -96,6 +99,7 @@
         self._relay = relay
         self._standing = standing
         self._is_sound_silence = False
+        self._sent_seconds = standing.work.arrived_seconds
         self._software_version: SoftwareVersion | None = None
 
     async def run(self, target: TargetId) -> tuple[AttemptEnd | None, str, FinishKind]:
@@ -124,7 +128,11 @@
             reason = "the target has restarted or does not answer"
             return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
         self._software_version = listed.software_version
-        end, reason = await self._send(listed)
+        try:
+            end, reason = await self._send(listed)
+        except asyncio.CancelledError:
+            self._count_if_dead(listed)
+            raise
         return end, reason, await self._finish_kind(listed, end)
 
     def _fits(self, listed: ListedTarget) -> bool:
@@ -171,6 +179,7 @@
         )
         target = listed.target
         sent_seconds = self._deps.clock.now_seconds()
+        self._sent_seconds = sent_seconds
         self.is_sent = True
         try:
             send = self._deps.client.send(call)
@@ -276,9 +285,7 @@
                 answer,
                 timeouts,
                 self._note_first,
-                lambda: self._deps.dispatcher.note_written(
-                    self._standing.work.request
-                ),
+                lambda: self._deps.dispatcher.note_written(self._standing.work.request),
             )
         except FirstByteTimeout:
             self._note_silence(target, wait_seconds)
@@ -355,11 +362,44 @@
         known = _FINISH_KINDS.get(end)
         if known is not None:
             return known
-        if (
-            self._is_sound_silence
-            or self._route_match.route.kind is RouteKind.NON_IDEMPOTENT
-        ):
+        if self._is_sound_silence:
+            self._count_later(listed, MAX_SOUND_SILENCE_SECONDS)
             return FinishKind.ANSWER_LOST
-        if await self._deps.is_same_incarnation(listed):
+        is_once = self._route_match.route.kind is RouteKind.NON_IDEMPOTENT
+        if is_once and not self._standing.work.parts:
             return FinishKind.ANSWER_LOST
-        return FinishKind.TARGET_LOST
+        try:
+            is_lost = await self._deps.verdicts.is_lost(
+                listed.start, lambda: self._deps.is_same_incarnation(listed)
+            )
+        except asyncio.CancelledError:
+            self._count_later(listed)
+            raise
+        return FinishKind.TARGET_LOST if is_lost else FinishKind.ANSWER_LOST
+
+    def _count_later(self, listed: ListedTarget, delay_seconds: float = 0.0) -> None:
+        """Count the loss of a target that is found out after this attempt."""
+        run = EndedRun(
+            self._standing.work,
+            listed.start.incarnation,
+            self._sent_seconds,
+            self._relay.has_written,
+        )
+        self._deps.verdicts.count_later(
+            listed.start,
+            lambda: self._deps.is_same_incarnation(listed),
+            lambda: self._deps.dispatcher.note_lost(run),
+            delay_seconds,
+        )
+
+    def _count_if_dead(self, listed: ListedTarget) -> None:
+        """Find out whether a target that never responded is lost.
+
+        The attempt ends as its time has run out, or its caller has left.
+        """
+        silent_seconds = self._deps.clock.now_seconds() - self._sent_seconds
+        silent_seconds = min(
+            silent_seconds, self._deps.client.heard_ago_seconds(listed.target)
+        )
+        if self.is_sent and silent_seconds >= MAX_SOUND_SILENCE_SECONDS:
+            self._count_later(listed)
--- a/lycheepost/platform/models/serverfaults.py
+++ b/lycheepost/platform/models/serverfaults.py
@@ -74,6 +74,8 @@
     NOTHING = "nothing"
     HEADERS = "the headers"
     HALF_EVENT = "half an event"
+    SILENCE = "silence"
+    """Nothing, and the server neither resets connections nor answers on new ones."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -192,6 +192,7 @@
     def rename(self) -> None:
         """Come back as a new server, with nothing of before but the weights."""
         old = self.state
+        self._awake.set()
         self.name = f"i-{next(_numbers):04d}"
         self.state = ServerState(
             old.model,
@@ -504,20 +505,23 @@
     ) -> None:
         """Crash before the first event is complete; the caller gets no answer."""
         point = self.crash_parts[part_id]
-        if point is not CrashPoint.NOTHING:
+        if point in (CrashPoint.HEADERS, CrashPoint.HALF_EVENT):
             await response.prepare(request)
         if point is CrashPoint.HALF_EVENT:
             await response.write(event_bytes(number, body, self.state.software)[:-5])
         now_seconds = asyncio.get_running_loop().time()
         attempt_id = request.headers[names.ATTEMPT_ID]
         self.part_crashes.append(PartCrash(part_id, attempt_id, now_seconds))
-        task = asyncio.create_task(self._end_by_part())
+        task = asyncio.create_task(self._end_by_part(point))
         self._load_tasks.add(task)
         task.add_done_callback(self._load_tasks.discard)
         await asyncio.sleep(_HANG_SECONDS)
 
-    async def _end_by_part(self) -> None:
-        await self.stop()
+    async def _end_by_part(self, point: CrashPoint) -> None:
+        if point is CrashPoint.SILENCE:
+            self._awake.clear()
+        else:
+            await self.stop()
         self.on_part_crash()
 
     async def _stream_raw(
