Probe targets that crashed lately only after all others

While many targets are down a probe of four could ask only such targets: the daemon took the crashes for a loss of its own paths, relayed its requests to peers, which sent them on, and counted no loss of a target. With 9 of 12 down that is 126 of 495 draws. Targets that failed or did not respond within 5 s are now probed only if there are too few others (features/decide/ownpaths, the last scenario).

--- a/features/decide/ownpaths.feature
+++ b/features/decide/ownpaths.feature
@@ -57,3 +57,10 @@
     Given a daemon with paths
     When connections to 3 targets fail and one gets a response
     Then no target counts as failed
+
+  Scenario: Targets that crashed lately are probed only after all others
+    Guards against a daemon that takes crashed targets for a loss of its own paths.
+    Given a daemon with paths
+    When connections to 9 of 12 targets fail and a probe is due
+    Then the 3 other targets are probed first
+    And 5 s later all are probed alike
--- a/features/decide/steps/ownpaths_steps.py
+++ b/features/decide/steps/ownpaths_steps.py
@@ -1,16 +1,19 @@
 """Steps of ownpaths.feature."""
 
+import random
+from collections import Counter
+
 from behave import given, then, when
 
 from lycheepost.core.ids import TargetId
-from lycheepost.decide.ownpaths import OwnPaths
+from lycheepost.decide.ownpaths import DOUBTED_SECONDS, PROBED_TARGETS, OwnPaths
 
 NOW_SECONDS = 100.0
 
 
-def probe(paths, n_probed, n_reached):
-    reached = [TargetId(f"t{number}") for number in range(n_reached)]
-    paths.note_probe(n_probed, reached, NOW_SECONDS)
+def probe(paths, n_probed, n_reached, is_late=False):
+    probed = [TargetId(f"t{number}") for number in range(n_probed)]
+    paths.note_probe(probed, probed[:n_reached], NOW_SECONDS, is_late)
 
 
 @given("a daemon with paths")
@@ -32,7 +35,7 @@
 @when("connections to {n:d} targets fail and one gets a response")
 def step_clear(context, n):
     for number in range(n):
-        context.paths.note_failed(TargetId(f"t{number}"))
+        context.paths.note_failed(TargetId(f"t{number}"), NOW_SECONDS)
     context.paths.note_answered()
 
 
@@ -63,4 +66,36 @@
 
 @when("a late probe of {n_probed:d} targets reaches 0")
 def step_late(context, n_probed):
-    context.paths.note_probe(n_probed, [], NOW_SECONDS, is_late=True)
+    probe(context.paths, n_probed, 0, is_late=True)
+
+
+@when("connections to {n:d} of {n_all:d} targets fail and a probe is due")
+def step_some_failed(context, n, n_all):
+    context.targets = [TargetId(f"t{number}") for number in range(n_all)]
+    context.sound = set(context.targets[n:])
+    for target in context.targets[:n]:
+        context.paths.note_failed(target, NOW_SECONDS)
+
+
+def draw(context, now_seconds):
+    rng = random.Random(1)
+    return [
+        context.paths.choose_probed(context.targets, now_seconds, rng)
+        for _ in range(200)
+    ]
+
+
+@then("the {n:d} other targets are probed first")
+def step_sound_first(context, n):
+    for probed in draw(context, NOW_SECONDS + 0.1):
+        assert set(probed[:n]) == context.sound, probed
+        assert len(set(probed)) == PROBED_TARGETS
+
+
+@then("{seconds:g} s later all are probed alike")
+def step_alike(context, seconds):
+    assert seconds == DOUBTED_SECONDS
+    found = draw(context, NOW_SECONDS + seconds + 0.1)
+    counts = Counter(target for probed in found for target in probed)
+    assert len(counts) == len(context.targets), counts
+    assert max(counts.values()) <= 2 * min(counts.values()), counts
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -13,7 +13,6 @@
 from lycheepost.decide.ownpaths import (
     LOST_PROBE_INTERVAL_SECONDS,
     MAX_PROBE_LAG_SECONDS,
-    PROBED_TARGETS,
     OwnPaths,
 )
 from lycheepost.decide.silence import QUIET_SECONDS
@@ -133,7 +132,8 @@
 
         A probe follows.
         """
-        self._of(target_group).note_failed(target)
+        now_seconds = self._clock.now_seconds()
+        self._of(target_group).note_failed(target, now_seconds)
         self._probe_if_due(target_group)
 
     def note_quiet(self, target_group: TargetGroupId) -> None:
@@ -190,9 +190,12 @@
             self._start_probe(target_group)
 
     async def _probe(self, target_group: TargetGroupId) -> None:
-        targets = self._get_targets(target_group)
+        targets = {item.target: item for item in self._get_targets(target_group)}
         started_seconds = self._clock.now_seconds()
-        probed = self._rng.sample(targets, min(PROBED_TARGETS, len(targets)))
+        chosen = self._of(target_group).choose_probed(
+            targets, started_seconds, self._rng
+        )
+        probed = [targets[target] for target in chosen]
         results = await asyncio.gather(
             *(
                 self._prober.is_answered(item.address, item.health_path)
@@ -206,12 +209,12 @@
         ]
         lasted_seconds = self._clock.now_seconds() - started_seconds
         is_late = lasted_seconds > PROBE_TIMEOUT_SECONDS + MAX_PROBE_LAG_SECONDS
-        self._note_probe(target_group, len(probed), reached, is_late)
+        self._note_probe(target_group, chosen, reached, is_late)
 
     def _note_probe(
         self,
         target_group: TargetGroupId,
-        n_probed: int,
+        probed: list[TargetId],
         reached: list[TargetId],
         is_late: bool,
     ) -> None:
@@ -220,11 +223,11 @@
         failed = sorted(paths.failed)
         now_seconds = self._clock.now_seconds()
         lasted_seconds = now_seconds - paths.since_seconds
-        is_change = paths.note_probe(n_probed, reached, now_seconds, is_late)
+        is_change = paths.note_probe(probed, reached, now_seconds, is_late)
         _log.info(
             "paths: targets probed",
             group=target_group,
-            n_probed=n_probed,
+            probed=probed,
             reached=reached,
             failed_targets=failed,
             is_late=is_late,
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -11,6 +11,7 @@
 lead nowhere, and a device in between may accept connections that never reach a target.
 """
 
+import random
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
@@ -21,6 +22,10 @@
 """Targets of one probe of a group. At one lost packet in ten, all four connections fail
 in one probe of ten thousand."""
 
+DOUBTED_SECONDS = 5.0
+"""How long a target that did not respond is only probed if there are too few others.
+Crashed targets say nothing of the paths; they are away for some seconds."""
+
 MIN_PROBED_TARGETS = 2
 """Minimum number of targets for a verdict: one target that is down says nothing of the
 paths."""
@@ -86,6 +91,7 @@
     state: PathState = PathState.REACHES_TARGETS
     since_seconds: float = float("-inf")
     failed: set[TargetId] = field(default_factory=set)
+    _doubted_seconds: dict[TargetId, float] = field(default_factory=dict)
     _probed_seconds: float = float("-inf")
 
     @property
@@ -97,9 +103,33 @@
         """Record that a target has responded over a new connection."""
         self.failed.clear()
 
-    def note_failed(self, target: TargetId) -> None:
+    def note_failed(self, target: TargetId, now_seconds: float) -> None:
         """Record that a new connection to a target failed or got no response."""
         self.failed.add(target)
+        self._doubted_seconds[target] = now_seconds
+
+    def choose_probed(
+        self, targets: Collection[TargetId], now_seconds: float, rng: random.Random
+    ) -> list[TargetId]:
+        """Return the targets to probe: first those that did not fail lately.
+
+        With several crashed targets among those probed, a daemon would take the
+        crashes for a loss of its own paths.
+
+        Args:
+            targets: The targets of the group that may be probed.
+            now_seconds: The current time.
+            rng: Draws among equal ones.
+        """
+        doubted_from_seconds = now_seconds - DOUBTED_SECONDS
+        self._doubted_seconds = {
+            target: at_seconds
+            for target, at_seconds in self._doubted_seconds.items()
+            if at_seconds > doubted_from_seconds
+        }
+        drawn = rng.sample(sorted(targets), len(targets))
+        drawn.sort(key=lambda target: target in self._doubted_seconds)
+        return drawn[:PROBED_TARGETS]
 
     def probe_wait_seconds(self, now_seconds: float) -> float:
         """Return the time until the next probe may begin."""
@@ -110,7 +140,7 @@
 
     def note_probe(
         self,
-        n_probed: int,
+        probed: Collection[TargetId],
         reached: Collection[TargetId],
         now_seconds: float,
         is_late: bool = False,
@@ -118,12 +148,17 @@
         """Apply the result of a probe; return whether the state has changed.
 
         Args:
-            n_probed: Targets that were probed at the same time.
+            probed: Targets that were probed at the same time.
             reached: Those that responded.
             now_seconds: The current time.
             is_late: Whether the probe lasted longer than its time-out allows.
         """
         self._probed_seconds = now_seconds
+        n_probed = len(probed)
+        for target in probed:
+            self._doubted_seconds[target] = now_seconds
+        for target in reached:
+            self._doubted_seconds.pop(target, None)
         before = self.state
         if self.are_lost:
             # A single target is enough: the others may be down. Of a group without
