--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -11,7 +11,8 @@
 servers of a service fail at once; engines of other software versions come and go, or
 are back under their ids; daemons are cut off from all servers, one, many or a zone at a
 time, also by connections that are accepted and lead nowhere; the daemon that all others
-ask for changes loses the store as the next one freezes, while routes are added.
+ask for changes loses the store as the next one freezes, while routes are added;
+parts of prompts crash each engine that begins to answer one with them.
 Clients keep using their connections until the process behind them is gone, and take up
 streams that they lose at any daemon. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
@@ -36,6 +37,7 @@
 from soakchanges import ASKED_SECONDS, Changes, RouteAnswer, feed_order
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
 from soaknotices import DaemonWords, NamedLimit, Span, find_broken
+from soakparts import N_REQUESTS, REQUEST_SECONDS, CrashingParts, find_late_parts
 from soakproxy import LinkState
 from soakretries import SentRequests, begin_failing, find_excess
 from soakstreams import VERSIONS, StreamClient, TakenStream
@@ -110,6 +112,7 @@
         mixed: Streams that hold events of two software versions.
         changes: The configuration, and what daemons answered for new routes.
         requests: When requests were sent to each service.
+        parts: Parts of prompts that crash engines, and the requests with them.
     """
 
     seed: int
@@ -127,6 +130,7 @@
     requests: SentRequests = field(default_factory=SentRequests)
     weights: int = 1
     words: DaemonWords = field(default_factory=DaemonWords)
+    parts: CrashingParts = field(default_factory=CrashingParts)
     mixed: list[str] = field(default_factory=list)
 
     def note_disturbed(self, daemon: DaemonProcess, from_seconds: float) -> None:
@@ -459,6 +463,39 @@
     server.words.limits.append(NamedLimit(per_second, span))
 
 
+async def crash_by_part(run: SoakRun, _daemon: DaemonProcess) -> None:
+    """Let a part of prompts crash each engine that begins to answer one with it."""
+    part_id = run.parts.begin(run.rng, run.fleet)
+    async with asyncio.TaskGroup() as group:
+        for number in range(N_REQUESTS):
+            group.create_task(ask_with_part(run, part_id, number))
+            await pause(run, *REQUEST_SECONDS)
+
+
+async def ask_with_part(run: SoakRun, part_id: str, number: int) -> None:
+    """Ask for a title or a once-only stream with a crashing part; nobody misses it."""
+    path = run.rng.choice(("/title/x", "/title/x", "/album/x"))
+    index = run.rng.randrange(len(run.fleet.processes))
+    shared = f"s{run.rng.randrange(4)}:300"
+    parts = f"{shared},{part_id}:100,own-{part_id}-{number}:20"
+    headers = run.fleet.prompt_headers("k-one", parts=parts)
+    attempt_id = headers[names.ATTEMPT_ID]
+    run.parts.attempts[part_id].add(attempt_id)
+    sent_seconds = time.monotonic()
+    run.sent_seconds[attempt_id] = (sent_seconds, "k-one")
+    run.words.daemon_of[attempt_id] = index
+    run.words.sent_seconds[attempt_id] = sent_seconds
+    run.requests.note(path, sent_seconds)
+    try:
+        async with asyncio.timeout(4.0):
+            body = attempt_id.encode()
+            answer = await run.fleet.ask("POST", path, headers, body, index)
+    except TimeoutError:
+        return
+    if answer.status in _NOT_RUN and names.SEAL not in answer.headers:
+        run.refused.add(attempt_id)
+
+
 FAULTS: tuple[Callable[[SoakRun, DaemonProcess], Awaitable[None]], ...] = (
     kill,
     freeze,
@@ -482,12 +519,22 @@
     leave_out_length,
     replace_engine,
     restart_engine,
+    crash_by_part,
 )
 
 
-async def disturb(run: SoakRun) -> None:
-    """Begin one fault after the other; each ends by itself, and they overlap."""
+async def disturb(run: SoakRun, first: str) -> None:
+    """Begin one fault after the other; each ends by itself, and they overlap.
+
+    Args:
+        run: The run.
+        first: The name of a fault to begin with; empty for none.
+    """
     async with asyncio.TaskGroup() as group:
+        for fault in FAULTS:
+            if fault.__name__ == first:
+                run.faults[first] += 1
+                group.create_task(fault(run, run.rng.choice(run.fleet.processes)))
         while not run.is_over():
             await pause(run, 0.3, 2.0)
             fault = run.rng.choice(FAULTS)
@@ -610,6 +657,15 @@
     violations.extend(find_broken(servers, run.words))
     violations.extend(find_excess(run.fleet, run.requests))
     violations.extend(run.changes.find_late(run.words.disturbed))
+    violations.extend(
+        find_late_parts(
+            run.fleet,
+            run.parts,
+            run.words.daemon_of,
+            run.words.disturbed,
+            [span for _, span in run.changes.store],
+        )
+    )
 
 
 async def check_settled(run: SoakRun) -> None:
@@ -622,8 +678,8 @@
         await asyncio.sleep(0.2)
 
 
-async def soak(seed: int, n_daemons: int, n_seconds: float) -> SoakRun:
-    """Run one seed."""
+async def soak(seed: int, n_daemons: int, n_seconds: float, first: str = "") -> SoakRun:
+    """Run one seed, with a fault to begin with if one is named."""
     with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as folder:
         fleet = ProcessFleet(pathlib.Path(folder))
         keys = {**KEYS, LOST_KEY: "lost"}
@@ -633,8 +689,9 @@
             run = SoakRun(seed, fleet, random.Random(seed), until_seconds)
             lag = asyncio.create_task(run.changes.watch_lag())
             async with asyncio.TaskGroup() as group:
-                group.create_task(disturb(run))
+                group.create_task(disturb(run, first))
                 group.create_task(drive(run))
+            await run.parts.settle()
             lag.cancel()
             await check_settled(run)
             audit(run)
@@ -667,11 +724,13 @@
     parser.add_argument("--seeds", default="1-5")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--daemons", type=int, default=6)
+    names_of_faults = [fault.__name__ for fault in FAULTS]
+    parser.add_argument("--first", default="", choices=["", *names_of_faults])
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
     n_bad = 0
     for seed in [*FAILED_SEEDS, *seeds_of(options.seeds)]:
-        run = asyncio.run(soak(seed, options.daemons, options.seconds))
+        run = asyncio.run(soak(seed, options.daemons, options.seconds, options.first))
         n_bad += bool(run.report.violations)
         found = {
             "seed": seed,
