Tell lost targets apart by name and start; try suspected parts on idle targets

Callers of the OpenAI interface: a message that crashes engines, in chats that share nothing else, crashed 5 or 6 of 6 engines. Before an engine's first report its start is unknown, so the losses of two engines had one key and counted once; and chats that ran beside the trials were lost with them until their tries were used up.

--- a/features/callers/faults.feature
+++ b/features/callers/faults.feature
@@ -33,6 +33,14 @@
     And the last send is refused with code "quarantined"
     And unrelated chats sent meanwhile are complete
 
+  Scenario: A message that kills engines is stopped in prompts that are never alike
+    Guards against blame by whole prompts where one message in them crashes engines.
+    Given a running fleet of 3 daemons with 6 engines
+    When 8 chats that share only a message that crashes engines are sent through all daemons
+    Then at most 4 engines have crashed
+    And the last send is refused with code "quarantined"
+    And unrelated chats sent meanwhile are complete
+
   Scenario: A caller leaves and its engine stops
     Without a cancel call the engine would generate the rest of an answer that is not
     read.
--- a/features/callers/steps/faults.py
+++ b/features/callers/steps/faults.py
@@ -88,13 +88,18 @@
 @when("a request that crashes engines is sent {n:d} times through all daemons")
 def when_crashing(context, n):
     body = chat_body(context, "please kill-the-engine now")
+    send_crashing(context, [body] * n)
+
+
+def send_crashing(context, bodies):
+    """Send requests one after the other, and unrelated chats beside them."""
     boots = {engine.boot_id for engine in context.fleet.standins.engines}
 
     async def run():
         unrelated = [
             asyncio.create_task(chat(context, i, True, i % 3)) for i in range(9)
         ]
-        for index in range(n):
+        for index, body in enumerate(bodies):
             context.answer = await call(context, CHAT, body, daemon=index % 3)
             await asyncio.sleep(0.15)
         return await asyncio.gather(*unrelated, return_exceptions=True)
@@ -104,6 +109,19 @@
     context.n_crashes = len(now - boots)
 
 
+@when(
+    "{n:d} chats that share only a message that crashes engines are sent through all"
+    " daemons"
+)
+def when_crashing_message(context, n):
+    def body(index):
+        chat = chat_body(context, f"chat {index} of its own")
+        message = {"role": "system", "content": "please kill-the-engine now"}
+        return {**chat, "messages": [message, *chat["messages"]]}
+
+    send_crashing(context, [body(index) for index in range(n)])
+
+
 @then("at most {n:d} engines have crashed")
 def then_crashes(context, n):
     assert 1 <= context.n_crashes <= n, context.n_crashes
--- a/features/decide/steps/partlosses_steps.py
+++ b/features/decide/steps/partlosses_steps.py
@@ -8,7 +8,7 @@
 
 from features.decide.steps.common import make_view, make_work
 from lycheepost.core.hashing import prompt_part_key
-from lycheepost.core.ids import Incarnation, TargetId
+from lycheepost.core.ids import StartKey, TargetId
 from lycheepost.decide.partlosses import LOSSES_TO_BLAME, LostRun, PartLosses
 from lycheepost.decide.records import Dispatch, FinishKind, RefusalReason, Refuse
 from lycheepost.decide.scheduler import Scheduler
@@ -491,7 +491,7 @@
         for names in run_parts(number):
             parts.note_lost(
                 LostRun(
-                    Incarnation(f"start-{number}"),
+                    StartKey(f"start-{number}"),
                     keys(*names),
                     10.0 * number,
                     10.0 * number + 1.0,
@@ -555,7 +555,7 @@
     for number in range(LOSSES_TO_BLAME):
         lost_seconds = fleet.now_seconds + 10.0 * number
         run = LostRun(
-            Incarnation(f"start-{number}"),
+            StartKey(f"start-{number}"),
             keys("bad"),
             lost_seconds - 1.0,
             lost_seconds,
@@ -605,7 +605,7 @@
     context.fleet = fleet = PartFleet(1, 4, 1)
     now_seconds = fleet.now_seconds
     context.run = LostRun(
-        Incarnation("start"), keys("bad"), now_seconds - 1.0, now_seconds
+        StartKey("start"), keys("bad"), now_seconds - 1.0, now_seconds
     )
     fleet.schedulers[0].suspicion.note_peer_run(context.run)
     for _ in range(n + 1):
@@ -622,7 +622,7 @@
         at_seconds = fleet.now_seconds + number
         fleet.schedulers[0].suspicion.note_peer_run(
             LostRun(
-                Incarnation(f"start-{number}"),
+                StartKey(f"start-{number}"),
                 keys("bad"),
                 at_seconds - 0.1,
                 at_seconds,
@@ -653,9 +653,7 @@
     context.parts = PartLosses(QUARANTINE_SECONDS)
     for number in range(n):
         context.parts.note_lost(
-            LostRun(
-                Incarnation(f"start-{number % 10}"), keys(f"part{number}"), 1.0, 2.0
-            )
+            LostRun(StartKey(f"start-{number % 10}"), keys(f"part{number}"), 1.0, 2.0)
         )
 
 
--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -15,8 +15,8 @@
 from lycheepost.core.ids import (
     BodyFingerprint,
     DaemonId,
-    Incarnation,
     PromptPartKey,
+    StartKey,
     TargetId,
 )
 from lycheepost.decide.partlosses import LostRun
@@ -107,7 +107,7 @@
         """Return a digest of the lost runs, in any order; 0 for none."""
         digest = 0
         for run in self._dispatcher.suspicion.parts.runs:
-            text = f"{run.incarnation} {sorted(run.parts)}"
+            text = f"{run.start} {sorted(run.parts)}"
             digest ^= hash_bytes(text.encode())
         return digest
 
@@ -170,7 +170,7 @@
             now_seconds - notice.lost_ago_seconds,
             now_seconds + notice.for_seconds,
             notice.is_quarantined,
-            tuple(map(Incarnation, notice.incarnations)),
+            tuple(map(StartKey, notice.starts)),
         )
         self._dispatcher.suspicion.note_peer_loss(loss)
 
@@ -178,7 +178,7 @@
         now_seconds = self._clock.now_seconds()
         for item in message.runs:
             run = LostRun(
-                Incarnation(item.incarnation),
+                StartKey(item.start),
                 frozenset(map(PromptPartKey, item.parts)),
                 now_seconds - item.started_ago_seconds,
                 now_seconds - item.lost_ago_seconds,
@@ -204,6 +204,7 @@
             frozenset(map(PromptPartKey, message.parts)),
             message.ticket,
             message.for_seconds,
+            None if message.target is None else TargetId(message.target),
         )
         now_seconds = self._clock.now_seconds()
         self._dispatcher.suspicion.note_peer_trial(notice, now_seconds)
@@ -224,7 +225,7 @@
         is_quarantined=loss.is_quarantined,
         started_ago_seconds=now_seconds - loss.started_seconds,
         lost_ago_seconds=now_seconds - loss.lost_seconds,
-        incarnations=list(loss.incarnations),
+        starts=list(loss.starts),
     )
 
 
@@ -233,7 +234,7 @@
         PromptPartsLost(
             runs=[
                 LostPromptRun(
-                    incarnation=run.incarnation,
+                    start=run.start,
                     parts=sorted(run.parts),
                     started_ago_seconds=now_seconds - run.started_seconds,
                     lost_ago_seconds=now_seconds - run.lost_seconds,
@@ -247,7 +248,10 @@
 
 def _to_trial(trial: TrialNotice) -> PromptPartTrial:
     return PromptPartTrial(
-        parts=sorted(trial.parts), ticket=trial.ticket, for_seconds=trial.for_seconds
+        parts=sorted(trial.parts),
+        ticket=trial.ticket,
+        for_seconds=trial.for_seconds,
+        target=trial.target,
     )
 
 
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -304,7 +304,7 @@
             _log.info(
                 "dispatch: a request was on a lost target",
                 fingerprint=f"{loss.fingerprint:016x}",
-                targets=list(loss.incarnations),
+                targets=list(loss.starts),
                 is_quarantined=loss.is_quarantined,
             )
         if self._on_suspicion is not None:
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -22,6 +22,7 @@
 from lycheepost.callers.quotacharge import QuotaCharge
 from lycheepost.callers.sinks import RelayCallerGone, RelayComplete, RelayLost, Sink
 from lycheepost.core.ids import Incarnation, TargetId, WeightsVersion
+from lycheepost.core.starts import start_key
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse, Work
 from lycheepost.decide.retry import retry_pause_seconds
 from lycheepost.decide.suspicion import EndedRun
@@ -248,7 +249,7 @@
             case TargetRefused():
                 return FinishKind.TARGET_REFUSED
         boot_id = self._boot_id
-        start = (target, boot_id)
+        start = start_key(target, boot_id)
 
         def is_same() -> Awaitable[bool]:
             return self._deps.is_same_target(target, boot_id)
@@ -256,7 +257,7 @@
         try:
             is_lost = await self._deps.verdicts.is_lost(start, is_same)
         except asyncio.CancelledError:
-            run = EndedRun(self._work, boot_id, self._sent_seconds, self._has_written)
+            run = EndedRun(self._work, start, self._sent_seconds, self._has_written)
             self._deps.verdicts.count_later(
                 start, is_same, lambda: self._deps.dispatcher.note_lost(run)
             )
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -19,6 +19,7 @@
 )
 from lycheepost.core.ids import SoftwareVersion, TargetId
 from lycheepost.core.routing import ListedTarget, RouteKind
+from lycheepost.core.starts import start_key
 from lycheepost.decide.attempts import AttemptEnd, Sends, Step, next_step
 from lycheepost.decide.records import FinishKind, Work
 from lycheepost.decide.routes import RouteMatch, is_resumable_stream
@@ -381,7 +382,7 @@
         """Count the loss of a target that is found out after this attempt."""
         run = EndedRun(
             self._standing.work,
-            listed.start.incarnation,
+            start_key(listed.target, listed.start.incarnation),
             self._sent_seconds,
             self._relay.has_written,
         )
--- a/lycheepost/core/ids.py
+++ b/lycheepost/core/ids.py
@@ -18,6 +18,8 @@
 IdempotencyKey = NewType("IdempotencyKey", str)
 Incarnation = NewType("Incarnation", str)
 """The boot id of a target, which changes whenever it restarts with no state."""
+StartKey = NewType("StartKey", str)
+"""One start of one target; differs from those of all other targets."""
 PlanId = NewType("PlanId", str)
 OrderId = NewType("OrderId", str)
 Revision = NewType("Revision", int)
--- a/lycheepost/core/starts.py
+++ b/lycheepost/core/starts.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from lycheepost.core.ids import Incarnation, TargetId
+from lycheepost.core.ids import Incarnation, StartKey, TargetId
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,3 +44,8 @@
         earlier start, or was not written by the target itself.
         """
         return other.is_newer_than(self)
+
+
+def start_key(target: TargetId, incarnation: Incarnation) -> StartKey:
+    """Return the key of one start of a target; incarnations may be empty or alike."""
+    return StartKey(f"{target}/{incarnation}")
--- a/lycheepost/decide/group.py
+++ b/lycheepost/decide/group.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict
 
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
+from lycheepost.core.starts import start_key
 from lycheepost.decide.admission import retry_after_seconds
 from lycheepost.decide.heldsuspects import HeldSuspects
 from lycheepost.decide.load import InFlight, TargetLoad
@@ -217,6 +218,14 @@
     ) -> Choice | None:
         if self.suspects.is_suspect(work, now_seconds):
             return self.suspects.choose(work, now_seconds, waiting_ahead)
+        trial_targets = self.suspects.trial_targets(now_seconds)
+        if trial_targets:
+            avoid = work.excluded | trial_targets
+            choice = self.placement.best(
+                work, now_seconds, avoid, waiting_ahead, ignores_pressure
+            )
+            if choice is not None and choice.can_take:
+                return choice
         return self.placement.best(
             work, now_seconds, work.excluded, waiting_ahead, ignores_pressure
         )
@@ -233,7 +242,7 @@
             choice.uncached_tokens,
             cost_seconds,
             choice.ahead_tokens,
-            incarnation=load.view.incarnation,
+            start=start_key(target, load.view.incarnation),
         )
         put_back = load.put_back(work, now_seconds)
         self.placement.room.counts.n_put_back += len(put_back)
--- a/lycheepost/decide/load.py
+++ b/lycheepost/decide/load.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from lycheepost.core.ids import Incarnation, RequestId
+from lycheepost.core.ids import RequestId, StartKey
 from lycheepost.decide.backlog import Backlog
 from lycheepost.decide.brittle import usable_requests
 from lycheepost.decide.cacheestimate import CacheEstimate
@@ -33,7 +33,7 @@
 work waits in the daemon, where it can still be reordered, sent to the target that
 caches its prefix, or refused in time."""
 
-NO_INCARNATION = Incarnation("")
+NO_START = StartKey("")
 
 MAX_REPORT_AGE_SECONDS = 10.0
 """Older reports are ignored."""
@@ -48,7 +48,7 @@
         cost_seconds: Engine time charged to the customer.
         ahead_tokens: Uncached tokens that waited at the target when it was sent.
         held_tokens: Tokens that it is expected to hold in the target's memory.
-        incarnation: The start of the target that it was sent to.
+        start: The start of the target that it was sent to.
         has_written: Whether its target has completed the first part of its answer.
     """
 
@@ -61,7 +61,7 @@
     is_probe: bool = False
     has_first_token: bool = False
     held_tokens: int = 0
-    incarnation: Incarnation = NO_INCARNATION
+    start: StartKey = NO_START
     has_written: bool = False
 
 
--- a/lycheepost/decide/partlosses.py
+++ b/lycheepost/decide/partlosses.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from lycheepost.core.ids import Incarnation, PromptPartKey
+from lycheepost.core.ids import PromptPartKey, StartKey
 
 LOSSES_TO_BLAME = 3
 """Losses one after the other after which a part is refused. Two may be a coincidence:
@@ -35,13 +35,13 @@
     """A run that had written nothing when its target was lost.
 
     Attributes:
-        incarnation: The start of the target.
+        start: The start of the target.
         parts: The shared parts of its prompt that may be the cause.
         started_seconds: When it was sent.
         lost_seconds: When the loss of its target was detected.
     """
 
-    incarnation: Incarnation
+    start: StartKey
     parts: frozenset[PromptPartKey]
     started_seconds: float
     lost_seconds: float
@@ -77,7 +77,7 @@
     """
 
     parts: Mapping[PromptPartKey, PartBlame] = field(default_factory=dict)
-    explained: frozenset[Incarnation] = frozenset()
+    explained: frozenset[StartKey] = frozenset()
 
 
 def judge(runs: Iterable[LostRun]) -> Judgement:
@@ -87,7 +87,7 @@
         runs: Lost runs in the order of their losses, without cleared parts.
     """
     left = list(runs)
-    explained: set[Incarnation] = set()
+    explained: set[StartKey] = set()
     causes: set[PromptPartKey] = set()
     while True:
         found = _find_blame(left)
@@ -95,17 +95,17 @@
         if cause is None:
             return Judgement(found, frozenset(explained))
         causes.add(cause)
-        explained.update(run.incarnation for run in left if cause in run.parts)
+        explained.update(run.start for run in left if cause in run.parts)
         left = _without_explained(left, causes, explained)
 
 
 def _without_explained(
-    runs: list[LostRun], causes: set[PromptPartKey], explained: set[Incarnation]
+    runs: list[LostRun], causes: set[PromptPartKey], explained: set[StartKey]
 ) -> list[LostRun]:
     """Return the runs with what explained losses say of other parts left out."""
     kept = []
     for run in runs:
-        if run.incarnation in explained:
+        if run.start in explained:
             run = replace(run, parts=run.parts & causes)
         if run.parts:
             kept.append(run)
@@ -192,8 +192,7 @@
         parts = frozenset(part for part in run.parts if not self.is_cleared(part, run))
         run = replace(run, parts=parts)
         is_known = any(
-            item.incarnation == run.incarnation and item.parts == parts
-            for item in self._runs
+            item.start == run.start and item.parts == parts for item in self._runs
         )
         if not parts or is_known:
             return None
--- a/lycheepost/decide/parttrials.py
+++ b/lycheepost/decide/parttrials.py
@@ -9,7 +9,7 @@
 import random
 from dataclasses import dataclass
 
-from lycheepost.core.ids import PromptPartKey, RequestId
+from lycheepost.core.ids import PromptPartKey, RequestId, TargetId
 
 CLAIM_SECONDS = 0.05
 """From the announcement of a trial to its request. Messages between daemons take a few
@@ -32,11 +32,13 @@
         parts: The suspected parts of its request.
         ticket: Of trials that are announced at the same time, the lowest takes place.
         for_seconds: How long it keeps others from theirs; 0 when it has ended.
+        target: Where it takes place; None before it is sent.
     """
 
     parts: frozenset[PromptPartKey]
     ticket: int
     for_seconds: float
+    target: TargetId | None = None
 
 
 @dataclass(slots=True)
@@ -46,7 +48,13 @@
     ticket: int
     ready_seconds: float
     until_seconds: float
-    is_sent: bool = False
+    target: TargetId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _PeerTrial:
+    until_seconds: float
+    target: TargetId | None
 
 
 class PartTrials:
@@ -59,7 +67,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._own: dict[RequestId, _Trial] = {}
-        self._peers: dict[PromptPartKey, float] = {}
+        self._peers: dict[PromptPartKey, _PeerTrial] = {}
         self._news: list[TrialNotice] = []
 
     def may_send(
@@ -92,14 +100,25 @@
         self._news.append(TrialNotice(parts, ticket, CLAIM_KEPT_SECONDS))
         return False
 
-    def note_sent(self, request: RequestId, now_seconds: float) -> None:
+    def targets(self, now_seconds: float) -> frozenset[TargetId]:
+        """Return the targets at which a trial takes place now."""
+        if not self._own and not self._peers:
+            return frozenset()
+        self._expire(now_seconds)
+        found = [trial.target for trial in self._own.values()]
+        found += [trial.target for trial in self._peers.values()]
+        return frozenset(target for target in found if target is not None)
+
+    def note_sent(
+        self, request: RequestId, target: TargetId, now_seconds: float
+    ) -> None:
         """Record that the request of a trial was sent."""
         trial = self._own.get(request)
         if trial is None:
             return
-        trial.is_sent = True
+        trial.target = target
         trial.until_seconds = now_seconds + TRIAL_SECONDS
-        self._news.append(TrialNotice(trial.parts, trial.ticket, TRIAL_SECONDS))
+        self._news.append(TrialNotice(trial.parts, trial.ticket, TRIAL_SECONDS, target))
 
     def end(self, request: RequestId) -> None:
         """End the trial of a request, if it has one."""
@@ -114,14 +133,14 @@
                 self._peers.pop(part, None)
             return
         for trial in list(self._own.values()):
-            if not trial.parts & notice.parts or trial.is_sent:
+            if not trial.parts & notice.parts or trial.target is not None:
                 continue
             if trial.ticket < notice.ticket:
                 return
             del self._own[trial.request]
         until_seconds = now_seconds + min(notice.for_seconds, TRIAL_SECONDS)
         for part in notice.parts:
-            self._peers[part] = until_seconds
+            self._peers[part] = _PeerTrial(until_seconds, notice.target)
 
     def take_news(self) -> list[TrialNotice]:
         """Return the notices for the peers since the last call."""
@@ -130,8 +149,8 @@
         return news
 
     def _expire(self, now_seconds: float) -> None:
-        for part, until_seconds in list(self._peers.items()):
-            if until_seconds <= now_seconds:
+        for part, peer_trial in list(self._peers.items()):
+            if peer_trial.until_seconds <= now_seconds:
                 del self._peers[part]
         for request, trial in list(self._own.items()):
             if trial.until_seconds <= now_seconds:
--- a/lycheepost/decide/quarantine.py
+++ b/lycheepost/decide/quarantine.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from lycheepost.core.ids import BodyFingerprint, DaemonId, Incarnation, TargetId
+from lycheepost.core.ids import BodyFingerprint, DaemonId, StartKey, TargetId
 
 MAX_SUSPECTS = 10_000
 """Bounds memory when whole availability zones fail; the oldest entries are dropped."""
@@ -37,7 +37,7 @@
     Attributes:
         started_seconds: When the lost run was sent.
         lost_seconds: When the loss was detected.
-        incarnations: The starts of the targets whose losses count.
+        starts: The starts of the targets whose losses count.
     """
 
     fingerprint: BodyFingerprint
@@ -45,12 +45,12 @@
     lost_seconds: float
     until_seconds: float
     is_quarantined: bool
-    incarnations: tuple[Incarnation, ...] = ()
+    starts: tuple[StartKey, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class _Suspect:
-    incarnations: tuple[Incarnation, ...]
+    starts: tuple[StartKey, ...]
     lost_seconds: float
     until_seconds: float
 
@@ -68,9 +68,9 @@
         self._keep_seconds = keep_seconds
         self._counts: dict[BodyFingerprint, _Suspect] = {}
         self._until: dict[BodyFingerprint, float] = {}
-        self._causes: dict[BodyFingerprint, tuple[Incarnation, ...]] = {}
+        self._causes: dict[BodyFingerprint, tuple[StartKey, ...]] = {}
         """The losses for which a fingerprint is quarantined, where known."""
-        self._explained: frozenset[Incarnation] = frozenset()
+        self._explained: frozenset[StartKey] = frozenset()
         self._lost_seconds: dict[BodyFingerprint, float] = {}
         """Recent losses, oldest first, including suspects cleared since."""
 
@@ -78,33 +78,33 @@
         self,
         fingerprint: BodyFingerprint,
         until_seconds: float,
-        incarnations: tuple[Incarnation, ...] = (),
+        starts: tuple[StartKey, ...] = (),
     ) -> None:
         """Quarantine a fingerprint, as decided here or reported by a peer.
 
         Args:
             fingerprint: The fingerprint.
             until_seconds: When the quarantine ends.
-            incarnations: The losses that led to it; empty if unknown.
+            starts: The losses that led to it; empty if unknown.
         """
-        if incarnations and self._count(incarnations) < self._losses:
+        if starts and self._count(starts) < self._losses:
             return
-        self._causes[fingerprint] = incarnations
+        self._causes[fingerprint] = starts
         self._until[fingerprint] = max(
             until_seconds, self._until.get(fingerprint, until_seconds)
         )
 
-    def _count(self, incarnations: tuple[Incarnation, ...]) -> int:
+    def _count(self, starts: tuple[StartKey, ...]) -> int:
         """Return how many of the losses have no other explanation."""
-        return sum(item not in self._explained for item in incarnations)
+        return sum(item not in self._explained for item in starts)
 
-    def explain(self, incarnations: frozenset[Incarnation]) -> None:
+    def explain(self, starts: frozenset[StartKey]) -> None:
         """Drop what the losses of these targets say, as their cause is known."""
-        if incarnations == self._explained:
+        if starts == self._explained:
             return
-        self._explained = incarnations
+        self._explained = starts
         for fingerprint, suspect in list(self._counts.items()):
-            if not self._count(suspect.incarnations):
+            if not self._count(suspect.starts):
                 del self._counts[fingerprint]
         for fingerprint, causes in list(self._causes.items()):
             if causes and self._count(causes) < self._losses:
@@ -141,7 +141,7 @@
         fingerprint: BodyFingerprint,
         started_seconds: float,
         lost_seconds: float,
-        incarnation: Incarnation,
+        start: StartKey,
     ) -> LossReport | None:
         """Count a loss that was detected here or reported by a peer.
 
@@ -153,19 +153,19 @@
             fingerprint: The fingerprint that was running.
             started_seconds: When this run of it was sent.
             lost_seconds: When the loss of its target was detected.
-            incarnation: The start of the target.
+            start: The start of the target.
 
         Returns:
             The loss to report to the peers; None if it does not count.
         """
-        if incarnation in self._explained:
+        if start in self._explained:
             return None
-        lost: tuple[Incarnation, ...] = (incarnation,)
+        lost: tuple[StartKey, ...] = (start,)
         if self.is_suspect(fingerprint, lost_seconds):
             suspect = self._counts[fingerprint]
             if started_seconds <= suspect.lost_seconds:
                 return None
-            lost = (*suspect.incarnations, incarnation)
+            lost = (*suspect.starts, start)
         until_seconds = lost_seconds + self._keep_seconds
         self._counts[fingerprint] = _Suspect(lost, lost_seconds, until_seconds)
         self._note_lost(fingerprint, lost_seconds)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -508,5 +508,5 @@
 
 def _ended_run(entry: InFlight) -> EndedRun:
     return EndedRun(
-        entry.work, entry.incarnation, entry.dispatched_seconds, entry.has_written
+        entry.work, entry.start, entry.dispatched_seconds, entry.has_written
     )
--- a/lycheepost/decide/suspects.py
+++ b/lycheepost/decide/suspects.py
@@ -45,11 +45,15 @@
         """Return whether no other trial keeps a suspect from being sent now."""
         return self._suspicion.may_send(work, now_seconds)
 
+    def trial_targets(self, now_seconds: float) -> frozenset[TargetId]:
+        """Return the targets that other requests avoid, as their loss is likely."""
+        return self._suspicion.trial_targets(now_seconds)
+
     def note_sent(self, work: Work, target: TargetId, now_seconds: float) -> None:
         """Record that a suspect was sent to a target."""
         self._placed[work.request] = target
         self._news.append(SuspectNotice(target, PEER_SUSPECT_SECONDS))
-        self._suspicion.note_sent(work, now_seconds)
+        self._suspicion.note_sent(work, target, now_seconds)
 
     def note_over(self, request: RequestId) -> None:
         """Record that the target of a suspect has written, or its attempt has ended."""
@@ -68,6 +72,9 @@
     ) -> Choice | None:
         """Return where to send a suspect; None if no target is suitable."""
         avoided = work.excluded | self._targets_with_suspects(now_seconds)
+        choice = self._choose_idle(work, now_seconds, avoided, waiting_ahead)
+        if choice is not None:
+            return choice
         choice = self._choose_assigned(work, now_seconds, avoided, waiting_ahead)
         if choice is None:
             choice = self._placement.best(work, now_seconds, avoided, waiting_ahead)
@@ -79,6 +86,30 @@
         choice = self._placement.best(work, now_seconds, work.excluded, waiting_ahead)
         return None if choice is None else replace(choice, can_take=False)
 
+    def _choose_idle(
+        self,
+        work: Work,
+        now_seconds: float,
+        avoid: frozenset[TargetId],
+        waiting_ahead: WaitingByTarget,
+    ) -> Choice | None:
+        """Choose a target that runs nothing for a trial of a suspected part.
+
+        Its loss then costs no other request.
+
+        Returns:
+            None if no part is suspected, or no such target has capacity.
+        """
+        if not self._suspicion.parts.suspected(work.parts):
+            return None
+        busy = frozenset(
+            target
+            for target, load in self._placement.loads.items()
+            if load.estimate(now_seconds)[1] >= 1.0
+        )
+        choice = self._placement.best(work, now_seconds, avoid | busy, waiting_ahead)
+        return choice if choice is not None and choice.can_take else None
+
     def _choose_assigned(
         self,
         work: Work,
--- a/lycheepost/decide/suspicion.py
+++ b/lycheepost/decide/suspicion.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from lycheepost.core.ids import Incarnation, PromptPartKey, RequestId
+from lycheepost.core.ids import PromptPartKey, RequestId, StartKey, TargetId
 from lycheepost.decide.load import InFlight
 from lycheepost.decide.partlosses import LostRun, PartLosses
 from lycheepost.decide.parttrials import PartTrials, TrialNotice
@@ -33,13 +33,13 @@
     """A run that has ended.
 
     Attributes:
-        incarnation: The start of its target.
+        start: The start of its target.
         sent_seconds: When it was sent.
         has_written: Whether its target had completed the first part of the answer.
     """
 
     work: Work
-    incarnation: Incarnation
+    start: StartKey
     sent_seconds: float
     has_written: bool
 
@@ -87,23 +87,27 @@
             return True
         return self._trials.may_send(work.request, suspected, now_seconds)
 
-    def note_sent(self, work: Work, now_seconds: float) -> None:
+    def trial_targets(self, now_seconds: float) -> frozenset[TargetId]:
+        """Return the targets at which suspected parts are being tried."""
+        return self._trials.targets(now_seconds)
+
+    def note_sent(self, work: Work, target: TargetId, now_seconds: float) -> None:
         """Record that a suspect was sent."""
-        self._trials.note_sent(work.request, now_seconds)
+        self._trials.note_sent(work.request, target, now_seconds)
 
     def note_lost(self, run: EndedRun, now_seconds: float) -> None:
         """Count the loss of a target that ran a request."""
         work, sent_seconds = run.work, run.sent_seconds
         self._trials.end(work.request)
         loss = self.wholes.note_loss(
-            work.fingerprint, sent_seconds, now_seconds, run.incarnation
+            work.fingerprint, sent_seconds, now_seconds, run.start
         )
         if loss is not None:
             self._losses.append(loss)
         if not work.parts or run.has_written:
             return
         counted = self._add_run(
-            LostRun(run.incarnation, work.parts, sent_seconds, now_seconds)
+            LostRun(run.start, work.parts, sent_seconds, now_seconds)
         )
         if counted is not None:
             self._runs.append(counted)
@@ -131,11 +135,11 @@
     def note_peer_loss(self, loss: LossReport) -> None:
         """Count a loss, or a quarantine, of a whole request that a peer reports."""
         if loss.is_quarantined:
-            self.wholes.add(loss.fingerprint, loss.until_seconds, loss.incarnations)
+            self.wholes.add(loss.fingerprint, loss.until_seconds, loss.starts)
             return
-        for incarnation in loss.incarnations[-1:]:
+        for start in loss.starts[-1:]:
             self.wholes.note_loss(
-                loss.fingerprint, loss.started_seconds, loss.lost_seconds, incarnation
+                loss.fingerprint, loss.started_seconds, loss.lost_seconds, start
             )
 
     def note_peer_run(self, run: LostRun) -> None:
