--- a/features/app/steps/losses_steps.py
+++ b/features/app/steps/losses_steps.py
@@ -10,6 +10,7 @@
 from lycheepost.decide.records import FinishKind, RefusalReason
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
+from lycheepost.utils.metrics import NoMetrics
 
 
 @dataclass
@@ -48,7 +49,7 @@
         self.scheduler = Scheduler(SchedulerSettings(), seed=1)
         self.dispatcher = Dispatcher(self.scheduler, clock)
         self.exchange = PairExchange()
-        LossExchange(self.dispatcher, self.exchange, clock)
+        LossExchange(self.dispatcher, self.exchange, clock, NoMetrics())
         views = tuple(make_view(index) for index in range(4))
         self.scheduler.replace_targets(views, clock.now_seconds())
 
--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -35,6 +35,7 @@
     WrittenPromptPart,
 )
 from lycheepost.peers.exchange import PeerExchange
+from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
 BATCH_SECONDS = 0.01
@@ -56,6 +57,7 @@
         dispatcher: Counts the losses.
         exchange: The links to the peers.
         clock: The clock that the scheduler uses.
+        metrics: Receives the gauges.
         call_later: Calls a function after ``BATCH_SECONDS``.
     """
 
@@ -64,11 +66,13 @@
         dispatcher: Dispatcher,
         exchange: PeerExchange,
         clock: Clock,
+        metrics: Metrics,
         call_later: Callable[[Callable[[], None]], object] | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._exchange = exchange
         self._clock = clock
+        self._metrics = metrics
         self._call_later = call_later or _call_after_batch
         self._runs: list[LostRun] = []
         self._written: dict[PromptPartKey, float] = {}
@@ -98,11 +102,18 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(DIGEST_SECONDS)
+            self._set_gauges()
             digest = self._digest()
             if digest:
                 peers = self._exchange.linked_daemons()
                 self._exchange.send_to_each(peers, PromptPartsDigest(digest=digest))
 
+    def _set_gauges(self) -> None:
+        blames = self._dispatcher.suspicion.parts.judgement.parts.values()
+        n_blamed = sum(blame.is_blamed for blame in blames)
+        self._metrics.gauge("prompt_parts_blamed", n_blamed)
+        self._metrics.gauge("prompt_parts_suspected", len(blames) - n_blamed)
+
     def _digest(self) -> int:
         """Return a digest of the lost runs, in any order; 0 for none."""
         digest = 0
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -159,7 +159,7 @@
     dispatcher = Dispatcher(Scheduler(settings, base.seed), clock)
     divisor = unknown_fleet_divisor(base.node.is_first_start)
     dispatcher.set_retry_terms(retry_terms(get_bounds(), divisor))
-    losses = LossExchange(dispatcher, exchange, clock)
+    losses = LossExchange(dispatcher, exchange, clock, metrics)
     loads = LoadExchange(dispatcher, exchange, clock)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -152,7 +152,7 @@
         observer.incarnations,
         on_targets,
     )
-    losses = LossExchange(dispatcher, state.exchange, clock)
+    losses = LossExchange(dispatcher, state.exchange, clock, metrics)
     # The first configuration is fed at once. Otherwise requests would be refused with
     # "no target" until the next periodic feed.
     state.revisions.subscribe(lambda _view: feed.feed())
--- a/lycheepost/callers/errors.py
+++ b/lycheepost/callers/errors.py
@@ -107,7 +107,8 @@
     RefusalReason.QUARANTINED: (
         422,
         ErrorType.INVALID_REQUEST,
-        "Targets were lost while they ran this request; it is not tried again.",
+        "Targets were lost while they ran this request, or others with a part of its"
+        " prompt; it is not tried again for now.",
     ),
     RefusalReason.RETRY_BUDGET: (
         503,
--- a/lycheepost/report/explain.py
+++ b/lycheepost/report/explain.py
@@ -24,7 +24,10 @@
         "Its customer had used up its quota; what is left stands in the status."
     ),
     "queue_full": "The queue was full.",
-    "quarantined": "Targets had been lost while they ran this same request.",
+    "quarantined": (
+        "Targets had been lost while they ran this same request, or others with a part"
+        " of its prompt."
+    ),
     "retry_budget": "Targets failed it, and the budget of retries was used up.",
     "shutting_down": "The daemon was leaving.",
     "outcome_unknown": "A target was lost with it; whether it ran is not known.",
