Relay no request that is quarantined; an answer relayed as it arrives has written

A daemon without paths sent requests to peers without asking its own quarantine; a peer that had not heard of it yet would run them. A response that is too large to be held is relayed as it comes: its target has written, but its parts were not cleared and counted as lost if it broke off. Both found by reading; features/platform/badparts has a scenario with a daemon without paths, which was not run without this change.

--- a/features/platform/badparts.feature
+++ b/features/platform/badparts.feature
@@ -26,6 +26,14 @@
     Then at most 3 requests with each part reach engines later than 3 s after its fifth crash
     And first tries of sound requests begin at least half as often as before
 
+  Scenario: A daemon without paths of its own does not spread such requests
+    Guards against requests that are relayed to peers after their targets crashed.
+    Given a deployment with 4 daemons and 12 engines that a part crashes after nothing
+    When the first daemon loses its paths to all servers
+    And clients ask for 20 sound titles and 4 titles with the part a second for 9 s
+    Then at most 3 requests with the part reach engines later than 3 s after the fifth crash
+    And first tries of sound requests begin at least half as often as before
+
   Scenario: A daemon that starts knows the parts that crash engines
     Guards against evidence that a daemon loses with its start.
     Given a deployment with 2 daemons and 8 engines that a part crashes after nothing
--- a/features/platform/steps/badpart_steps.py
+++ b/features/platform/steps/badpart_steps.py
@@ -8,6 +8,7 @@
 
 from lycheepost.app.platformfleet import ENGINES, make_route
 from lycheepost.platform.models.partaudit import TOLERATED_ARRIVALS, late_arrivals
+from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverfaults import CrashPoint
 
 AWAY_SECONDS = 2.0
@@ -231,6 +232,11 @@
         context.late.add(attempt_id)
 
 
+@when("the first daemon loses its paths to all servers")
+def step_cut_paths(context):
+    context.deployment.networks[0].cut(PathCut.RESET)
+
+
 @when("a daemon is added and gets {n:d} requests with the part")
 def step_added(context, n):
     async def run():
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -126,6 +126,10 @@
         """Take a retry for a request that a peer is to serve; return False if none."""
         return self._scheduler.spend_retry(target_group, self._clock.now_seconds())
 
+    def refuse_quarantined(self, work: Work) -> Refuse | None:
+        """Return the refusal of quarantined work; None if it may be sent."""
+        return self._scheduler.refuse_quarantined(work, self._clock.now_seconds())
+
     def set_retry_terms(self, terms: RetryTerms) -> None:
         """Set the limits on retries in each target group."""
         self._scheduler.set_retry_terms(terms)
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -258,6 +258,10 @@
                 target.
         """
         self._charge.settle(self.executed)
+        blamed = self._deps.dispatcher.refuse_quarantined(self._work)
+        if blamed is not None:
+            await self._handle_refusal(blamed)
+            return
         relays = self._deps.relays
         peers = relays.choose(self._target_group)
         # A peer that relayed the request to this daemon would get it back.
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -266,6 +266,7 @@
         if answer.head.status >= _FIRST_SERVER_ERROR_STATUS:
             answer.close()
             return RelayEnd.FAILED
+        self._note_written()
         self._note_begun()
         try:
             await self._caller.begin(answer.head, None)
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -225,6 +225,10 @@
         if self._is_draining:
             seconds = retry_after_seconds(0.0, self._rng)
             return Refuse(work.request, RefusalReason.SHUTTING_DOWN, seconds)
+        return self.refuse_quarantined(work, now_seconds)
+
+    def refuse_quarantined(self, work: Work, now_seconds: float) -> Refuse | None:
+        """Return the refusal of quarantined work; None if it may be sent."""
         seconds = self.suspicion.refused_seconds(work, now_seconds)
         if seconds > 0:
             return Refuse(work.request, RefusalReason.QUARANTINED, seconds)
