Identify lost runs, so that one loss told several times counts once

Found by reading: lost runs were told apart by the start of their target and their parts, and times are sent as ages. A loss told again after a part was cleared, or late by a frozen daemon, would have counted once more, and digests of daemons that know different parts of a run would have differed for good. Runs have a key now; a run told again keeps the parts that no daemon knows to be cleared, and a start counts once for each part. A verdict that a target was lost holds for 2 s instead of for good: a wrong one, of a target that paused, would have counted all its later breaks.

--- a/features/decide/partlosses.feature
+++ b/features/decide/partlosses.feature
@@ -84,3 +84,10 @@
     Given 6 daemons with 5 requests each on one of 9 targets
     When this target is lost
     Then all of these requests are sent again within 1 s
+
+  Scenario: A loss that is told again, late and with fewer parts, counts once
+    Guards against a part that is blamed by one loss that several daemons tell of.
+    Given a lost run of the parts topic and bad
+    When a peer tells of it 3 times, later and without topic
+    Then bad alone is suspected, of one loss
+    And its digest is that of a daemon that heard of it only then
--- a/features/decide/steps/partlosses_steps.py
+++ b/features/decide/steps/partlosses_steps.py
@@ -8,7 +8,7 @@
 
 from features.decide.steps.common import make_view, make_work
 from lycheepost.core.hashing import prompt_part_key
-from lycheepost.core.ids import StartKey, TargetId
+from lycheepost.core.ids import RunKey, StartKey, TargetId
 from lycheepost.decide.partlosses import LOSSES_TO_BLAME, LostRun, PartLosses
 from lycheepost.decide.records import Dispatch, FinishKind, RefusalReason, Refuse
 from lycheepost.decide.scheduler import Scheduler
@@ -41,6 +41,11 @@
     return frozenset(map(key, names))
 
 
+def lost_run(start, parts, started_seconds, lost_seconds):
+    run_id = RunKey(key(f"{start} {sorted(parts)}"))
+    return LostRun(run_id, start, parts, started_seconds, lost_seconds)
+
+
 @dataclass
 class Run:
     """One attempt at a request."""
@@ -490,7 +495,7 @@
     for number in range(LOSSES_TO_BLAME):
         for names in run_parts(number):
             parts.note_lost(
-                LostRun(
+                lost_run(
                     StartKey(f"start-{number}"),
                     keys(*names),
                     10.0 * number,
@@ -554,7 +559,7 @@
     context.fleet = fleet = PartFleet(n, 12, 1)
     for number in range(LOSSES_TO_BLAME):
         lost_seconds = fleet.now_seconds + 10.0 * number
-        run = LostRun(
+        run = lost_run(
             StartKey(f"start-{number}"),
             keys("bad"),
             lost_seconds - 1.0,
@@ -604,7 +609,7 @@
 def step_waiting(context, n):
     context.fleet = fleet = PartFleet(1, 4, 1)
     now_seconds = fleet.now_seconds
-    context.run = LostRun(
+    context.run = lost_run(
         StartKey("start"), keys("bad"), now_seconds - 1.0, now_seconds
     )
     fleet.schedulers[0].suspicion.note_peer_run(context.run)
@@ -621,7 +626,7 @@
     for number in range(1, LOSSES_TO_BLAME):
         at_seconds = fleet.now_seconds + number
         fleet.schedulers[0].suspicion.note_peer_run(
-            LostRun(
+            lost_run(
                 StartKey(f"start-{number}"),
                 keys("bad"),
                 at_seconds - 0.1,
@@ -653,7 +658,7 @@
     context.parts = PartLosses(QUARANTINE_SECONDS)
     for number in range(n):
         context.parts.note_lost(
-            LostRun(StartKey(f"start-{number % 10}"), keys(f"part{number}"), 1.0, 2.0)
+            lost_run(StartKey(f"start-{number % 10}"), keys(f"part{number}"), 1.0, 2.0)
         )
 
 
@@ -694,3 +699,36 @@
         again |= {run.name for run in fleet.runs.values() if run.target != "target-0"}
     missing = context.lost.keys() - again
     assert not missing, (len(missing), fleet.refused)
+
+
+@given("a lost run of the parts topic and bad")
+def step_one_run(context):
+    context.parts = PartLosses(QUARANTINE_SECONDS)
+    context.run = lost_run(StartKey("start"), keys("topic", "bad"), 1.0, 2.0)
+    context.parts.note_lost(context.run)
+
+
+@when("a peer tells of it {n:d} times, later and without topic")
+def step_tell_again(context, n):
+    for number in range(1, n + 1):
+        told = replace(
+            context.run,
+            parts=keys("bad"),
+            started_seconds=1.0 + 5.0 * number,
+            lost_seconds=2.0 + 5.0 * number,
+        )
+        context.parts.note_lost(told)
+
+
+@then("bad alone is suspected, of one loss")
+def step_one_loss(context):
+    found = context.parts.judgement.parts
+    assert found.keys() == keys("bad"), found
+    assert found[key("bad")].n_losses == 1, found
+
+
+@then("its digest is that of a daemon that heard of it only then")
+def step_same_digest(context):
+    other = PartLosses(QUARANTINE_SECONDS)
+    other.note_lost(replace(context.run, parts=keys("bad")))
+    assert context.parts.digest() == other.digest() != 0
--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -11,11 +11,11 @@
 
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
-from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import (
     BodyFingerprint,
     DaemonId,
     PromptPartKey,
+    RunKey,
     StartKey,
     TargetId,
 )
@@ -103,7 +103,7 @@
         while True:
             await asyncio.sleep(DIGEST_SECONDS)
             self._set_gauges()
-            digest = self._digest()
+            digest = self._dispatcher.suspicion.parts.digest()
             if digest:
                 peers = self._exchange.linked_daemons()
                 self._exchange.send_to_each(peers, PromptPartsDigest(digest=digest))
@@ -114,16 +114,8 @@
         self._metrics.gauge("prompt_parts_blamed", n_blamed)
         self._metrics.gauge("prompt_parts_suspected", len(blames) - n_blamed)
 
-    def _digest(self) -> int:
-        """Return a digest of the lost runs, in any order; 0 for none."""
-        digest = 0
-        for run in self._dispatcher.suspicion.parts.runs:
-            text = f"{run.start} {sorted(run.parts)}"
-            digest ^= hash_bytes(text.encode())
-        return digest
-
     def _receive_digest(self, message: PromptPartsDigest, sender: DaemonId) -> None:
-        own = self._digest()
+        own = self._dispatcher.suspicion.parts.digest()
         if own == message.digest:
             return
         if not own:
@@ -189,6 +181,7 @@
         now_seconds = self._clock.now_seconds()
         for item in message.runs:
             run = LostRun(
+                RunKey(item.run_id),
                 StartKey(item.start),
                 frozenset(map(PromptPartKey, item.parts)),
                 now_seconds - item.started_ago_seconds,
@@ -245,6 +238,7 @@
         PromptPartsLost(
             runs=[
                 LostPromptRun(
+                    run_id=run.run_id,
                     start=run.start,
                     parts=sorted(run.parts),
                     started_ago_seconds=now_seconds - run.started_seconds,
--- a/lycheepost/callers/lossverdicts.py
+++ b/lycheepost/callers/lossverdicts.py
@@ -12,8 +12,9 @@
 
 from lycheepost.utils.tasks import start_task
 
-MAX_LOST_STARTS = 1_000
-"""Starts of targets whose loss is remembered: those of some minutes."""
+LOST_SECONDS = 2.0
+"""How long a verdict holds for further requests of the same target. They all notice its
+loss within this time; a verdict that was wrong is not kept for longer."""
 
 _log = structlog.get_logger(part="losses")
 
@@ -23,7 +24,7 @@
 
     def __init__(self) -> None:
         self._questions: dict[Hashable, asyncio.Future[bool]] = {}
-        self._lost: dict[Hashable, None] = {}
+        self._lost_seconds: dict[Hashable, float] = {}
 
     async def is_lost(
         self, start: Hashable, is_same: Callable[[], Awaitable[bool]]
@@ -34,7 +35,7 @@
             start: The start of the target.
             is_same: Asks the target whether it is still the same.
         """
-        if start in self._lost:
+        if self._is_known_lost(start):
             return True
         question = self._questions.get(start)
         if question is None:
@@ -84,6 +85,11 @@
 
     def _remember(self, start: Hashable) -> None:
         _log.info("losses: a target was lost", start=str(start))
-        self._lost[start] = None
-        while len(self._lost) > MAX_LOST_STARTS:
-            del self._lost[next(iter(self._lost))]
+        self._lost_seconds[start] = asyncio.get_running_loop().time()
+
+    def _is_known_lost(self, start: Hashable) -> bool:
+        oldest_seconds = asyncio.get_running_loop().time() - LOST_SECONDS
+        for name, lost_seconds in list(self._lost_seconds.items()):
+            if lost_seconds < oldest_seconds:
+                del self._lost_seconds[name]
+        return start in self._lost_seconds
--- a/lycheepost/core/ids.py
+++ b/lycheepost/core/ids.py
@@ -20,6 +20,8 @@
 """The boot id of a target, which changes whenever it restarts with no state."""
 StartKey = NewType("StartKey", str)
 """One start of one target; differs from those of all other targets."""
+RunKey = NewType("RunKey", int)
+"""64-bit hash that identifies one run of one request on one start of a target."""
 PlanId = NewType("PlanId", str)
 OrderId = NewType("OrderId", str)
 Revision = NewType("Revision", int)
--- a/lycheepost/decide/partlosses.py
+++ b/lycheepost/decide/partlosses.py
@@ -16,7 +16,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from lycheepost.core.ids import PromptPartKey, StartKey
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.core.ids import PromptPartKey, RunKey, StartKey
 
 LOSSES_TO_BLAME = 3
 """Losses one after the other after which a part is refused. Two may be a coincidence:
@@ -35,12 +36,14 @@
     """A run that had written nothing when its target was lost.
 
     Attributes:
+        run_id: Identifies it over all daemons.
         start: The start of the target.
         parts: The shared parts of its prompt that may be the cause.
         started_seconds: When it was sent.
         lost_seconds: When the loss of its target was detected.
     """
 
+    run_id: RunKey
     start: StartKey
     parts: frozenset[PromptPartKey]
     started_seconds: float
@@ -114,16 +117,19 @@
 
 def _find_blame(runs: list[LostRun]) -> dict[PromptPartKey, PartBlame]:
     found: dict[PromptPartKey, PartBlame] = {}
+    counted: set[tuple[PromptPartKey, StartKey]] = set()
     for run in runs:
         for part in run.parts:
             blame = found.get(part)
+            is_new = (part, run.start) not in counted
+            counted.add((part, run.start))
             if blame is None:
                 found[part] = PartBlame(1, run.lost_seconds, run.parts)
                 continue
             common = blame.always_with & run.parts
             # Runs that were lost at about the same time, as when a rack fails, are one
             # loss: a popular part would have been on all of its targets.
-            is_next = run.started_seconds > blame.lost_seconds
+            is_next = is_new and run.started_seconds > blame.lost_seconds
             found[part] = PartBlame(
                 blame.n_losses + is_next,
                 run.lost_seconds if is_next else blame.lost_seconds,
@@ -161,6 +167,7 @@
         self._runs: list[LostRun] = []
         self._written: dict[PromptPartKey, float] = {}
         self._judgement: Judgement | None = Judgement()
+        self._digest: int | None = 0
         self._has_changed = False
 
     @property
@@ -191,10 +198,11 @@
         """
         parts = frozenset(part for part in run.parts if not self.is_cleared(part, run))
         run = replace(run, parts=parts)
-        is_known = any(
-            item.start == run.start and item.parts == parts for item in self._runs
-        )
-        if not parts or is_known:
+        for index, known in enumerate(self._runs):
+            if known.run_id == run.run_id:
+                self._merge(index, parts)
+                return None
+        if not parts:
             return None
         self._runs.append(run)
         self._runs.sort(key=lambda item: item.lost_seconds)
@@ -202,6 +210,23 @@
         self._drop_old(run.lost_seconds)
         return run
 
+    def _merge(self, index: int, parts: frozenset[PromptPartKey]) -> None:
+        """Drop the parts of a known run that another daemon knows to be cleared."""
+        known = self._runs[index]
+        if known.parts <= parts:
+            return
+        self._runs[index] = replace(known, parts=known.parts & parts)
+        self._runs = [run for run in self._runs if run.parts]
+        self._note_changed()
+
+    def digest(self) -> int:
+        """Return a digest of the lost runs, in any order; 0 for none."""
+        if self._digest is None:
+            self._digest = 0
+            for run in self._runs:
+                self._digest ^= hash_bytes(f"{run.run_id} {sorted(run.parts)}".encode())
+        return self._digest
+
     def is_cleared(self, part: PromptPartKey, run: LostRun) -> bool:
         """Return whether a part has been written on since a run was sent."""
         return self.written_seconds(part) >= run.started_seconds
@@ -245,6 +270,7 @@
 
     def _note_changed(self) -> None:
         self._judgement = None
+        self._digest = None
         self._has_changed = True
 
     def _drop_old(self, now_seconds: float) -> None:
--- a/lycheepost/decide/suspicion.py
+++ b/lycheepost/decide/suspicion.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from lycheepost.core.ids import PromptPartKey, RequestId, StartKey, TargetId
+from lycheepost.core.hashing import hash_bytes
+from lycheepost.core.ids import PromptPartKey, RequestId, RunKey, StartKey, TargetId
 from lycheepost.decide.load import InFlight
 from lycheepost.decide.partlosses import LostRun, PartLosses
 from lycheepost.decide.parttrials import PartTrials, TrialNotice
@@ -107,7 +108,13 @@
         if not work.parts or run.has_written:
             return
         counted = self._add_run(
-            LostRun(run.start, work.parts, sent_seconds, now_seconds)
+            LostRun(
+                run_key(work.request, run.start),
+                run.start,
+                work.parts,
+                sent_seconds,
+                now_seconds,
+            )
         )
         if counted is not None:
             self._runs.append(counted)
@@ -184,6 +191,11 @@
         return news
 
 
+def run_key(request: RequestId, start: StartKey) -> RunKey:
+    """Return the key of one run of one request."""
+    return RunKey(hash_bytes(f"{request} {start}".encode()))
+
+
 def make_suspicion(
     losses: int, quarantine_seconds: float, trials: PartTrials
 ) -> Suspicion:
