--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
+from lycheepost.app.ticker import Ticker
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import (
@@ -36,7 +37,6 @@
 )
 from lycheepost.peers.exchange import PeerExchange
 from lycheepost.utils.metrics import Metrics
-from lycheepost.utils.tasks import start_task
 
 BATCH_SECONDS = 0.01
 """Lost runs and cleared parts within this time are told in one message: a lost target
@@ -76,7 +76,7 @@
         self._call_later = call_later or _call_after_batch
         self._runs: list[LostRun] = []
         self._written: dict[PromptPartKey, float] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._ticker = Ticker(self._tick, DIGEST_SECONDS)
         exchange.subscribe(PeerHello, self._receive_hello)
         exchange.subscribe(QuarantineNotice, self._receive_loss)
         exchange.subscribe(SuspectPlaced, self._receive_suspect)
@@ -89,24 +89,21 @@
 
     async def start(self) -> None:
         """Start sending digests."""
-        self._task = start_task(self._run(), "losses")
+        await self._ticker.start()
 
     async def drain(self) -> None:
         """Do nothing: requests are sent to targets until the end of the drain."""
 
     async def stop(self) -> None:
         """Stop sending digests."""
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(DIGEST_SECONDS)
-            self._set_gauges()
-            digest = self._dispatcher.suspicion.parts.digest()
-            if digest:
-                peers = self._exchange.linked_daemons()
-                self._exchange.send_to_each(peers, PromptPartsDigest(digest=digest))
+        await self._ticker.stop()
+
+    def _tick(self) -> None:
+        self._set_gauges()
+        digest = self._dispatcher.suspicion.parts.digest()
+        if digest:
+            peers = self._exchange.linked_daemons()
+            self._exchange.send_to_each(peers, PromptPartsDigest(digest=digest))
 
     def _set_gauges(self) -> None:
         blames = self._dispatcher.suspicion.parts.judgement.parts.values()
--- a/lycheepost/app/ticker.py
+++ b/lycheepost/app/ticker.py
@@ -14,14 +14,18 @@
 
 
 class Ticker:
-    """Calls a function five times per second.
+    """Calls a function at a fixed interval.
 
     Args:
         on_tick: The function; an exception in one call doesn't prevent the next.
+        interval_seconds: The interval.
     """
 
-    def __init__(self, on_tick: Callable[[], None]) -> None:
+    def __init__(
+        self, on_tick: Callable[[], None], interval_seconds: float = REFRESH_SECONDS
+    ) -> None:
         self._on_tick = on_tick
+        self._interval_seconds = interval_seconds
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -38,7 +42,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(REFRESH_SECONDS)
+            await asyncio.sleep(self._interval_seconds)
             try:
                 self._on_tick()
             except Exception:
