A part that is blamed stays the cause of its losses when a second one comes

Runs are now judged in their order: a part that is blamed by itself explains its losses from then on (features/decide/partlosses, the last scenario; on the code before, topic had 5 losses and bad none).

--- a/features/decide/partlosses.feature
+++ b/features/decide/partlosses.feature
@@ -91,3 +91,9 @@
     When a peer tells of it 3 times, later and without topic
     Then bad alone is suspected, of one loss
     And its digest is that of a daemon that heard of it only then
+
+  Scenario: A second crashing part does not release the first
+    Guards against a sound part that comes with both and is taken for the cause of both.
+    Given 4 lost targets, one after the other, with runs of bad, three of them with topic
+    When 2 more are lost, each with a run of the parts topic and bad2
+    Then bad alone is blamed, and topic and bad2 are suspected of the last losses
--- a/features/decide/steps/partlosses_steps.py
+++ b/features/decide/steps/partlosses_steps.py
@@ -732,3 +732,34 @@
     other = PartLosses(QUARANTINE_SECONDS)
     other.note_lost(replace(context.run, parts=keys("bad")))
     assert context.parts.digest() == other.digest() != 0
+
+
+def lose_one(parts, number, *names):
+    start, lost_seconds = StartKey(f"start-{number}"), 10.0 * number + 1.0
+    parts.note_lost(lost_run(start, keys(*names), lost_seconds - 1.0, lost_seconds))
+
+
+@given(
+    "{n:d} lost targets, one after the other, with runs of bad, three of them with"
+    " topic"
+)
+def step_first_part(context, n):
+    context.parts = PartLosses(QUARANTINE_SECONDS)
+    for number in range(n - 1):
+        lose_one(context.parts, number, "topic", "bad")
+    lose_one(context.parts, n - 1, "bad")
+    context.n_lost = n
+
+
+@when("{n:d} more are lost, each with a run of the parts topic and bad2")
+def step_second_part(context, n):
+    for number in range(context.n_lost, context.n_lost + n):
+        lose_one(context.parts, number, "topic", "bad2")
+
+
+@then("bad alone is blamed, and topic and bad2 are suspected of the last losses")
+def step_first_stays(context):
+    found = context.parts.judgement.parts
+    n_losses = {name: found[key(name)].n_losses for name in ("bad", "topic", "bad2")}
+    assert n_losses == {"bad": 4, "topic": 2, "bad2": 2}, n_losses
+    assert context.parts.refused_seconds(keys("bad", "other"), 70.0) > 0.0
--- a/lycheepost/decide/partlosses.py
+++ b/lycheepost/decide/partlosses.py
@@ -86,20 +86,31 @@
 def judge(runs: Iterable[LostRun]) -> Judgement:
     """Return which parts the lost runs speak against.
 
+    A part that is blamed by itself stays the cause of its losses, whatever comes later:
+    a sound part that comes with it, and then with another such part, has more losses.
+
     Args:
         runs: Lost runs in the order of their losses, without cleared parts.
     """
-    left = list(runs)
+    evidence = _Evidence()
+    left: list[LostRun] = []
     explained: set[StartKey] = set()
     causes: set[PromptPartKey] = set()
-    while True:
-        found = _find_blame(left)
-        cause = _next_cause(found, causes)
+    for run in runs:
+        if run.parts & causes:
+            explained.add(run.start)
+        kept = _without_explained([run], causes, explained)
+        left += kept
+        evidence.add_all(kept)
+        cause = evidence.next_cause(run.parts - causes)
         if cause is None:
-            return Judgement(found, frozenset(explained))
+            continue
         causes.add(cause)
-        explained.update(run.start for run in left if cause in run.parts)
+        explained.update(item.start for item in left if cause in item.parts)
         left = _without_explained(left, causes, explained)
+        evidence = _Evidence()
+        evidence.add_all(left)
+    return Judgement(evidence.blames, frozenset(explained))
 
 
 def _without_explained(
@@ -115,39 +126,48 @@
     return kept
 
 
-def _find_blame(runs: list[LostRun]) -> dict[PromptPartKey, PartBlame]:
-    found: dict[PromptPartKey, PartBlame] = {}
-    counted: set[tuple[PromptPartKey, StartKey]] = set()
-    for run in runs:
-        for part in run.parts:
-            blame = found.get(part)
-            is_new = (part, run.start) not in counted
-            counted.add((part, run.start))
-            if blame is None:
-                found[part] = PartBlame(1, run.lost_seconds, run.parts)
-                continue
-            common = blame.always_with & run.parts
-            # Runs that were lost at about the same time, as when a rack fails, are one
-            # loss: a popular part would have been on all of its targets.
-            is_next = is_new and run.started_seconds > blame.lost_seconds
-            found[part] = PartBlame(
-                blame.n_losses + is_next,
-                run.lost_seconds if is_next else blame.lost_seconds,
-                common,
-            )
-    return found
-
-
-def _next_cause(
-    found: Mapping[PromptPartKey, PartBlame], causes: set[PromptPartKey]
-) -> PromptPartKey | None:
-    """Return the part with the most losses that is blamed by itself, if any is new."""
-    alone = [
-        (blame.n_losses, part)
-        for part, blame in found.items()
-        if part not in causes and blame.is_blamed and len(blame.always_with) == 1
-    ]
-    return max(alone)[1] if alone else None
+class _Evidence:
+    """What lost runs say of each part, as far as they were added.
+
+    Attributes:
+        blames: What speaks against each part.
+    """
+
+    def __init__(self) -> None:
+        self.blames: dict[PromptPartKey, PartBlame] = {}
+        self._counted: set[tuple[PromptPartKey, StartKey]] = set()
+
+    def add_all(self, runs: Iterable[LostRun]) -> None:
+        """Add runs, in the order of their losses."""
+        for run in runs:
+            for part in run.parts:
+                self._add(part, run)
+
+    def _add(self, part: PromptPartKey, run: LostRun) -> None:
+        blame = self.blames.get(part)
+        is_new = (part, run.start) not in self._counted
+        self._counted.add((part, run.start))
+        if blame is None:
+            self.blames[part] = PartBlame(1, run.lost_seconds, run.parts)
+            return
+        # Runs that were lost at about the same time, as when a rack fails, are one
+        # loss: a popular part would have been on all of its targets.
+        is_next = is_new and run.started_seconds > blame.lost_seconds
+        self.blames[part] = PartBlame(
+            blame.n_losses + is_next,
+            run.lost_seconds if is_next else blame.lost_seconds,
+            blame.always_with & run.parts,
+        )
+
+    def next_cause(self, parts: Iterable[PromptPartKey]) -> PromptPartKey | None:
+        """Return the one of the parts that is blamed by itself with most losses."""
+        found = ((self.blames.get(part), part) for part in parts)
+        alone = [
+            (blame.n_losses, part)
+            for blame, part in found
+            if blame is not None and blame.is_blamed and len(blame.always_with) == 1
+        ]
+        return max(alone)[1] if alone else None
 
 
 class PartLosses:
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -183,6 +183,7 @@
             load_seconds=old.load_seconds,
             software=old.software if software is None else software,
         )
+        self._awake.set()
         self._timing.close()
         self._timing = make_engine_timing(self.name, STANDIN_SPEEDS, SystemClock())
         for load in self._load_tasks:
