--- a/features/platform/badparts.feature
+++ b/features/platform/badparts.feature
@@ -1,6 +1,7 @@
 Feature: Parts of prompts that crash every engine that answers them
   Real daemons with stand-ins for the platform's store and servers, on loopback. No two
-  requests are alike; sound ones share their customer and their other parts.
+  requests are alike; sound ones share their customer and their other parts. Requests
+  with a crashing part come from two customers, one of them isolated.
 
   Scenario Outline: A part that crashes engines after <sent> were sent is found: <route>
     Guards against blame by whole requests, under which a part crashes one engine after
--- a/features/platform/steps/badpart_steps.py
+++ b/features/platform/steps/badpart_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from deployment import Deployment, make_configuration
 
-from lycheepost.app.platformfleet import ENGINES, make_route
+from lycheepost.app.platformfleet import ENGINES, KEYS, make_route
 from lycheepost.platform.models.partaudit import TOLERATED_ARRIVALS, late_arrivals
 from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverfaults import CrashPoint
@@ -96,9 +96,9 @@
     start(context, n, n_engines, points)
 
 
-async def ask(deployment, path, parts, index):
+async def ask(deployment, path, parts, index, key="k-one"):
     """Send one request; return its attempt id and its answer, None without one."""
-    headers = deployment.prompt_headers("k-one", parts=parts)
+    headers = deployment.prompt_headers(key, parts=parts)
     attempt_id = deployment.attempt_id
     body = attempt_id.encode()
     try:
@@ -120,12 +120,13 @@
     """Ask with a crashing part; the client comes again once at the next daemon."""
     deployment = context.deployment
     n_daemons = len(deployment.daemons)
+    key = sorted(KEYS)[number // 2 % len(KEYS)]
     part_id = sorted(context.load.bad)[number % len(context.load.bad)]
     topic = f"topic{number % N_TOPICS}:200," if number % 3 else ""
     parts = f"root:400,{topic}{part_id}:100,bad-own{number}:30"
     for step in range(2):
         work = asyncio.create_task(
-            ask(deployment, path, parts, (index + step) % n_daemons)
+            ask(deployment, path, parts, (index + step) % n_daemons, key)
         )
         await asyncio.sleep(0)
         context.load.bad[part_id].add(deployment.attempt_id)
