--- a/features/platform/badparts.feature
+++ b/features/platform/badparts.feature
@@ -12,13 +12,14 @@
     And first tries of sound requests begin at least half as often as before
 
     Examples:
-      | sent          | route  | seconds |
-      | nothing       | titles | 9       |
-      | the headers   | titles | 9       |
-      | half an event | titles | 9       |
-      | nothing       | albums | 9       |
-      | half an event | cards  | 9       |
-      | silence       | titles | 15      |
+      | sent                                   | route  | seconds |
+      | nothing                                | titles | 9       |
+      | the headers                            | titles | 9       |
+      | half an event                          | titles | 9       |
+      | nothing                                | albums | 9       |
+      | half an event                          | cards  | 9       |
+      | silence                                | titles | 15      |
+      | half an event without length or chunks | titles | 9       |
 
   Scenario: Two parts that crash engines are found
     Guards against one part that is blamed for the crashes of both.
--- a/lycheepost/platform/models/serverfaults.py
+++ b/lycheepost/platform/models/serverfaults.py
@@ -74,6 +74,7 @@
     NOTHING = "nothing"
     HEADERS = "the headers"
     HALF_EVENT = "half an event"
+    HALF_UNFRAMED = "half an event without length or chunks"
     SILENCE = "silence"
     """Nothing, and the server neither resets connections nor answers on new ones."""
 
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -510,6 +510,10 @@
             await response.prepare(request)
         if point is CrashPoint.HALF_EVENT:
             await response.write(event_bytes(number, body, self.state.software)[:-5])
+        if point is CrashPoint.HALF_UNFRAMED:
+            headers = dict(response.headers)
+            raw = RawResponse(request, 200, headers, Framing.CONNECTION, False)
+            raw.write(event_bytes(number, body, self.state.software)[:-5])
         now_seconds = asyncio.get_running_loop().time()
         attempt_id = request.headers[names.ATTEMPT_ID]
         self.part_crashes.append(PartCrash(part_id, attempt_id, now_seconds))
