--- a/features/platform/badparts.feature
+++ b/features/platform/badparts.feature
@@ -59,3 +59,17 @@
     And the daemons hear each other again
     And the second daemon gets 10 requests with the part
     Then none of these reach an engine
+
+  Scenario Outline: Daemons that cannot tell whether engines were lost blame no part
+    Guards against parts blamed for engines that never ended, by daemons whose
+    connections fail (<cut>) and whose probes are late.
+    Given a deployment with 4 daemons and 4 engines that no part crashes
+    When the first two daemons lose their paths to all servers (<cut>)
+    And clients ask for 20 titles a second for 5 s, while the processes stop for 0.5 s in each 0.6 s
+    Then no daemon suspects a part
+
+    Examples:
+      | cut               |
+      | accept_new_silent |
+      | hang              |
+      | reset             |
--- a/features/platform/steps/badpart_steps.py
+++ b/features/platform/steps/badpart_steps.py
@@ -1,6 +1,7 @@
 """Steps of badparts.feature."""
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 
 from behave import given, then, when
@@ -318,3 +319,66 @@
 @when("the second daemon gets {n:d} requests with the part")
 def step_second(context, n):
     context.loop.run_until_complete(ask_late(context, 1, n))
+
+
+@given("a deployment with {n:d} daemons and {n_engines:d} engines that no part crashes")
+def step_no_part(context, n, n_engines):
+    start(context, n, n_engines, {})
+
+
+@when("the first two daemons lose their paths to all servers ({cut})")
+def step_cut_two(context, cut):
+    for network in context.deployment.networks[:2]:
+        network.cut(PathCut(cut))
+
+
+def suspected_parts(deployment):
+    return {
+        part
+        for daemon in deployment.daemons
+        for part in daemon.status()["queues"]["prompt_parts"]
+    }
+
+
+def stop_all_tasks(seconds):
+    """Stop everything in this process, as on a machine without processor time."""
+    time.sleep(seconds)
+
+
+async def stop_processes(context, stopped_seconds, interval_seconds):
+    """Stop all tasks again and again; in between look for suspected parts.
+
+    They may be cleared soon, so that none is left at the end.
+    """
+    context.suspected = set()
+    while True:
+        stop_all_tasks(stopped_seconds)
+        until_seconds = context.loop.time() + interval_seconds - stopped_seconds
+        while context.loop.time() < until_seconds:
+            await asyncio.sleep(0.01)
+            context.suspected |= suspected_parts(context.deployment)
+
+
+@when(
+    "clients ask for {per_second:d} titles a second for {seconds:d} s, while the"
+    " processes stop for {stopped_seconds:g} s in each {interval_seconds:g} s"
+)
+def step_ask_stopped(context, per_second, seconds, stopped_seconds, interval_seconds):
+    async def run():
+        work = stop_processes(context, stopped_seconds, interval_seconds)
+        stops = asyncio.create_task(work)
+        asked, started_seconds = [], context.loop.time()
+        for number in range(per_second * seconds):
+            due_seconds = started_seconds + number / per_second
+            await asyncio.sleep(max(0.0, due_seconds - context.loop.time()))
+            work = ask_sound(context, number, number % len(context.deployment.daemons))
+            asked.append(asyncio.create_task(work))
+        await asyncio.gather(*asked)
+        stops.cancel()
+
+    context.loop.run_until_complete(run())
+
+
+@then("no daemon suspects a part")
+def step_none_suspected(context):
+    assert not context.suspected, context.suspected
