Count a target as lost only if others answer where it does not

Cause: a target that gave no answer was taken for lost unless a probe of this daemon's own paths said that they were lost. A probe that is late, of a stalled daemon, says nothing, and that counted as paths that work. So every request that fell silent at a daemon without paths spoke against its parts, and three daemons blamed all of them.

A verdict has three values now: the same, ended, unknown. Ended needs positive evidence: another start answers at the address, the list has a newer one, or others of the group answer a probe that the target does not, and in time. While it is unknown the target is asked again, up to six times within eight seconds, and the trial of a suspect goes on; the run counts once the end is known. A response 421 to a question that names the target means another one; it counted as the same before. The questions end with the daemon: tasks 'late-loss' were destroyed while pending.

--- a/features/platform/steps/notice_steps.py
+++ b/features/platform/steps/notice_steps.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDict
 
 from lycheepost.core.notices import TargetNotice
+from lycheepost.core.starts import StartVerdict
 from lycheepost.platform import headers as names
 from lycheepost.platform.dialect import decode_notice
 
@@ -428,9 +429,10 @@
         traffic.notices.note_call(listed, notice)
 
     async def ask_start():
-        return await traffic.ingress._deps.is_same_incarnation(listed)
+        return await traffic.ingress._deps.judge_start(listed)
 
-    assert context.loop.run_until_complete(ask_start())
+    verdict = context.loop.run_until_complete(ask_start())
+    assert verdict is StartVerdict.SAME, verdict
 
 
 @then("its health was checked {n:d} times")
--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -13,6 +13,7 @@
 from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
 from lycheepost.core.notices import TargetNotice
 from lycheepost.decide.attempts import Sends
+from lycheepost.decide.startverdict import ReachEvidence
 from lycheepost.platform.ingress import trusted_relay
 from lycheepost.platform.models.pathcuts import PathCut
 
@@ -393,8 +394,8 @@
     context.server = context.deployment.group("plain")[0]
     listed = traffic.targets.get(context.server.name)
     traffic.notices.note_call(listed, NOTICES[says])
-    verify = traffic.paths.verify(TargetGroupId("plain"))
-    assert not context.loop.run_until_complete(verify)
+    verify = traffic.paths.verify(TargetGroupId("plain"), listed.target)
+    assert context.loop.run_until_complete(verify) is ReachEvidence.OTHERS_ONLY
 
 
 @then("the probe has reached all plain servers but that one")
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -16,6 +16,7 @@
     OwnPaths,
 )
 from lycheepost.decide.silence import QUIET_SECONDS
+from lycheepost.decide.startverdict import ProbedReach, ReachEvidence, judge_reach
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
@@ -145,12 +146,29 @@
         """Return whether no target of a group has sent anything for a while."""
         return self._get_quiet_seconds(target_group) >= QUIET_SECONDS
 
-    async def verify(self, target_group: TargetGroupId) -> bool:
-        """Return whether this daemon reaches no target of a group, by a new probe."""
+    async def verify(
+        self, target_group: TargetGroupId, target: TargetId
+    ) -> ReachEvidence:
+        """Return whether a target, or only others of its group, are reached now.
+
+        A target that may not be probed counts as not reached.
+        """
+        started_seconds = self._clock.now_seconds()
         if target_group not in self._probes:
             self._start_probe(target_group)
-        await self.settle(target_group)
-        return self.are_lost(target_group)
+        is_reached, _ = await asyncio.gather(
+            self._probe_one(target_group, target),
+            self.settle(target_group),
+        )
+        others = self._of(target_group).reached - {target}
+        probed = ProbedReach(is_reached, bool(others), self._is_late(started_seconds))
+        return judge_reach(probed)
+
+    async def _probe_one(self, target_group: TargetGroupId, target: TargetId) -> bool:
+        for item in self._get_targets(target_group):
+            if item.target == target:
+                return await self._prober.is_answered(item.address, item.health_path)
+        return False
 
     async def settle(self, target_group: TargetGroupId) -> None:
         """Wait for the verdict of a probe that is under way."""
@@ -207,10 +225,14 @@
             for item, is_reached in zip(probed, results, strict=True)
             if is_reached
         ]
-        lasted_seconds = self._clock.now_seconds() - started_seconds
-        is_late = lasted_seconds > PROBE_TIMEOUT_SECONDS + MAX_PROBE_LAG_SECONDS
+        is_late = self._is_late(started_seconds)
         self._note_probe(target_group, chosen, reached, is_late)
 
+    def _is_late(self, started_seconds: float) -> bool:
+        """Return whether a probe lasted longer than its time-out allows."""
+        lasted_seconds = self._clock.now_seconds() - started_seconds
+        return lasted_seconds > PROBE_TIMEOUT_SECONDS + MAX_PROBE_LAG_SECONDS
+
     def _note_probe(
         self,
         target_group: TargetGroupId,
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import structlog
-from returns.result import Failure, Success
 
 from lycheepost.app.cachefollow import CacheFollower
 from lycheepost.app.components import Component
@@ -18,13 +17,14 @@
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
+from lycheepost.app.startjudge import StartJudge
 from lycheepost.app.streamversions import StreamVersionExchange
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps, RelayPeer, Relays
+from lycheepost.callers.lossverdicts import LossVerdicts
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, RequestId, TargetGroupId
 from lycheepost.core.routing import ListedTarget
-from lycheepost.core.starts import TargetStart
 from lycheepost.decide.entry import follows_engines, follows_stores
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import KeyTrustRule
@@ -91,6 +91,7 @@
     caches: CacheFollower
     loads: LoadExchange
     losses: LossExchange
+    verdicts: LossVerdicts
     notices: NoticeExchange
     quotas: QuotaExchange
     quota_recorder: QuotaRecorder
@@ -112,6 +113,7 @@
             self.caches,
             self.loads,
             self.losses,
+            self.verdicts,
             self.notices,
             self.stream_versions,
             self.quotas,
@@ -236,17 +238,7 @@
         _report_state(dispatcher, sent_to, head)
         notices.note_headers(sent_to, head, sent_seconds)
 
-    async def is_same_incarnation(sent_to: ListedTarget) -> bool:
-        if notices.is_backed_off(sent_to.target):
-            # It has recently responded with its back-off, so it needs no health check.
-            return targets.is_newest_start(sent_to.start)
-        if await _is_same_start(targets, routing, orders, sent_to):
-            return True
-        # Without paths of its own, this daemon cannot tell whether a target is lost.
-        return targets.is_newest_start(sent_to.start) and await paths.verify(
-            sent_to.target_group
-        )
-
+    starts = StartJudge(targets, routing, orders, notices, paths)
     deps = ForwardDeps(
         routing=routing,
         dispatcher=dispatcher,
@@ -257,7 +249,7 @@
         quotas=fleet_quotas,
         kv_store_contents=kv_store_contents,
         key_rule=lambda: make_key_rule(get_bounds()),
-        is_same_incarnation=is_same_incarnation,
+        judge_start=starts.judge,
         make_request_id=_request_ids(base.boot),
         draw_split_point=base.rng.random,
         on_answer_headers=on_answer_headers,
@@ -283,6 +275,7 @@
         caches=caches,
         loads=loads,
         losses=losses,
+        verdicts=deps.verdicts,
         notices=notices,
         quotas=quotas,
         quota_recorder=quota_recorder,
@@ -377,33 +370,6 @@
     )
 
 
-async def _is_same_start(
-    targets: TargetList,
-    routing: RoutingManager,
-    orders: ServerOrders,
-    sent_to: ListedTarget,
-) -> bool:
-    """Return whether a target that lost a request is still the same incarnation.
-
-    A target may restart under its name at once. Engines report their start time; a
-    plain service only passes the health check, and its entry shows the new start.
-    """
-    table = routing.table
-    group = None if table is None else table.groups.get(sent_to.target_group)
-    if group is None or targets.get(sent_to.target) is None:
-        return False
-    if group.engine is None or sent_to.started_ms is None:
-        is_answering = await orders.is_answering(sent_to, group.health_path)
-        return is_answering and targets.is_newest_start(sent_to.start)
-    match await orders.read_report(sent_to):
-        case Success(report):
-            targets.note_start(TargetStart(sent_to.target, report.started_ms))
-            return targets.is_newest_start(sent_to.start)
-        case Failure(error):
-            _log.info("targets: no report", target=sent_to.target, reason=error.reason)
-    return False
-
-
 def _report_load(
     loads: LoadExchange, clock: Clock, sent_to: ListedTarget, head: ResponseHead
 ) -> None:
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -6,12 +6,15 @@
 from dataclasses import dataclass
 from typing import Any
 
+from returns.result import Success
+
 from lycheepost.app.components import Component
 from lycheepost.app.feed import TargetFeed
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.quotas import QuotaExchange
 from lycheepost.callers.deps import CallerDeps
 from lycheepost.callers.dispatch import Dispatcher
+from lycheepost.callers.lossverdicts import LossVerdicts
 from lycheepost.callers.routes import CallerApi
 from lycheepost.callers.versions import RequestVersions
 from lycheepost.core.clock import Clock
@@ -23,6 +26,7 @@
     RequestId,
     TargetId,
 )
+from lycheepost.core.starts import StartVerdict
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.decide.records import TargetState, TargetView
@@ -60,6 +64,10 @@
 INCARNATION_TIMEOUT_SECONDS = 0.5
 """Time-out of the health check; a healthy engine responds within milliseconds."""
 
+MAX_LAG_SECONDS = 0.15
+"""A health check that lasts longer than its time-out by this says nothing of the
+target: the daemon was suspended or short of processor time."""
+
 
 @dataclass
 class DrainState:
@@ -83,6 +91,7 @@
     hot: HotPrefixes
     quotas: QuotaExchange
     losses: LossExchange
+    verdicts: LossVerdicts
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
@@ -95,6 +104,7 @@
             self.feed,
             self.quotas,
             self.losses,
+            self.verdicts,
             self.caller_api,
         ]
 
@@ -180,19 +190,32 @@
         feed.feed()
         observer.recheck(target)
 
-    async def is_same_target(target: TargetId, boot_id: Incarnation) -> bool:
+    async def judge_start(target: TargetId, boot_id: Incarnation) -> StartVerdict:
         configured = state.revisions.view.targets.get(target)
         if configured is None or not boot_id:
-            return False
+            return StartVerdict.ENDED
+        asked_seconds = clock.now_seconds()
         try:
             async with asyncio.timeout(INCARNATION_TIMEOUT_SECONDS):
                 health = await control.read(f"{configured.url}/health", EngineHealth)
         except TimeoutError:
-            return state.members.are_paths_lost
-        # Without paths of its own, this daemon cannot tell whether a target is lost.
-        return health.map(lambda answer: answer.boot_id == boot_id).value_or(
-            state.members.are_paths_lost
-        )
+            lasted_seconds = clock.now_seconds() - asked_seconds
+            is_late = lasted_seconds > INCARNATION_TIMEOUT_SECONDS + MAX_LAG_SECONDS
+            return silent_verdict(is_late)
+        match health:
+            case Success(answer):
+                is_same = answer.boot_id == boot_id
+                return StartVerdict.SAME if is_same else StartVerdict.ENDED
+        return silent_verdict()
+
+    def silent_verdict(is_late: bool = False) -> StartVerdict:
+        """Return the verdict on a target without an answer.
+
+        Without paths of its own, or after a stall, this daemon cannot tell.
+        """
+        if is_late or state.members.are_paths_lost:
+            return StartVerdict.UNKNOWN
+        return StartVerdict.ENDED
 
     def addresses(customer: CustomerId | None) -> AddressList:
         chosen = state.members.addresses(customer, clock.now_seconds())
@@ -202,6 +225,7 @@
         )
 
     hot = HotPrefixes()
+    verdicts = LossVerdicts()
     caller_api = CallerApi(
         CallerDeps(
             settings=settings,
@@ -215,7 +239,7 @@
             addresses=addresses,
             make_request_id=_request_ids(f"{me.daemon}-{me.boot}"),
             on_unreachable=on_unreachable,
-            is_same_target=is_same_target,
+            judge_start=judge_start,
             incarnation_of=observer.incarnation,
             on_sample=lambda sample: recorder.record(sample, clock.wall_seconds()),
             is_draining=lambda: drain_state.is_draining,
@@ -223,11 +247,13 @@
             versions=versions,
             hot=hot,
             quotas=fleet_quotas,
+            verdicts=verdicts,
         )
     )
     return Traffic(
         hot=hot,
         losses=losses,
+        verdicts=verdicts,
         quotas=quotas,
         dispatcher=dispatcher,
         engines=engines,
--- a/lycheepost/callers/deps.py
+++ b/lycheepost/callers/deps.py
@@ -18,6 +18,7 @@
     RequestId,
     TargetId,
 )
+from lycheepost.core.starts import StartVerdict
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.hotprefixes import HotPrefixes
 from lycheepost.generated.callers import AddressList
@@ -81,7 +82,7 @@
         make_request_id: Returns ids that are unique in the fleet.
         on_unreachable: Called with a target that accepted no connection.
         incarnation_of: Returns the boot id that a target last reported.
-        is_same_target: Asks a target whether it still has the given boot id.
+        judge_start: Asks whether a start of a target, by its boot id, has ended.
         on_sample: Called with each finished request.
         is_draining: Whether this daemon is draining.
         status: Returns the content of ``/admin/status``.
@@ -102,7 +103,7 @@
     addresses: Callable[[CustomerId | None], AddressList]
     make_request_id: Callable[[], RequestId]
     on_unreachable: Callable[[TargetId], None]
-    is_same_target: Callable[[TargetId, Incarnation], Awaitable[bool]]
+    judge_start: Callable[[TargetId, Incarnation], Awaitable[StartVerdict]]
     incarnation_of: Callable[[TargetId], Incarnation]
     on_sample: Callable[[Sample], None]
     is_draining: Callable[[], bool]
--- a/lycheepost/callers/exchange.py
+++ b/lycheepost/callers/exchange.py
@@ -19,10 +19,14 @@
 
 from lycheepost.callers.deps import CallerDeps
 from lycheepost.callers.errors import CallerError, ErrorType, Executed, from_refusal
+from lycheepost.callers.lossverdicts import (
+    FINISH_KIND_BY_VERDICT,
+    FIRST_REPEAT_SECONDS,
+)
 from lycheepost.callers.quotacharge import QuotaCharge
 from lycheepost.callers.sinks import RelayCallerGone, RelayComplete, RelayLost, Sink
 from lycheepost.core.ids import Incarnation, TargetId, WeightsVersion
-from lycheepost.core.starts import start_key
+from lycheepost.core.starts import StartVerdict, start_key
 from lycheepost.decide.records import Dispatch, FinishKind, Refuse, Work
 from lycheepost.decide.retry import retry_pause_seconds
 from lycheepost.decide.suspicion import EndedRun
@@ -251,18 +255,26 @@
         boot_id = self._boot_id
         start = start_key(target, boot_id)
 
-        def is_same() -> Awaitable[bool]:
-            return self._deps.is_same_target(target, boot_id)
+        def judge() -> Awaitable[StartVerdict]:
+            return self._deps.judge_start(target, boot_id)
 
-        try:
-            is_lost = await self._deps.verdicts.is_lost(start, is_same)
-        except asyncio.CancelledError:
+        def count_later(delay_seconds: float = 0.0) -> None:
             run = EndedRun(self._work, start, self._sent_seconds, self._has_written)
             self._deps.verdicts.count_later(
-                start, is_same, lambda: self._deps.dispatcher.note_lost(run)
+                start,
+                judge,
+                lambda: self._deps.dispatcher.note_lost(run),
+                delay_seconds,
             )
+
+        try:
+            verdict = await self._deps.verdicts.ask(start, judge)
+        except asyncio.CancelledError:
+            count_later()
             raise
-        return FinishKind.TARGET_LOST if is_lost else FinishKind.ANSWER_LOST
+        if verdict is StartVerdict.UNKNOWN:
+            count_later(FIRST_REPEAT_SECONDS)
+        return FINISH_KIND_BY_VERDICT[verdict]
 
     def _handle_failure(self, target: TargetId, error: TargetError) -> None:
         """Handle a call without a response.
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -18,6 +18,7 @@
     WeightsVersion,
 )
 from lycheepost.core.routing import ListedTarget, Prompt, RouteTable
+from lycheepost.core.starts import StartVerdict
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import KeyTrustRule
 from lycheepost.decide.kvstorecontents import KvStoreContents
@@ -264,8 +265,8 @@
         quotas: The quotas of customers.
         kv_store_contents: Estimates which prefixes the KV stores hold.
         key_rule: Returns how long keys may be trusted; called for each request.
-        is_same_incarnation: Asks whether a target is still the incarnation that the
-            request was sent to.
+        judge_start: Asks whether the start of a target that a request was sent to has
+            ended.
         draw_split_point: Draws a number in [0, 1) that chooses among the groups of a
             route that splits its traffic.
         on_answer_headers: Called with the target, the headers of its response, which
@@ -288,7 +289,7 @@
     quotas: FleetQuotas
     kv_store_contents: KvStoreContents
     key_rule: Callable[[], KeyTrustRule]
-    is_same_incarnation: Callable[[ListedTarget], Awaitable[bool]]
+    judge_start: Callable[[ListedTarget], Awaitable[StartVerdict]]
     make_request_id: Callable[[], RequestId]
     draw_split_point: Callable[[], float]
     on_answer_headers: Callable[[ListedTarget, ResponseHead, float], None]
--- a/lycheepost/callers/lossverdicts.py
+++ b/lycheepost/callers/lossverdicts.py
@@ -2,20 +2,40 @@
 
 A caller may leave, or its time may run out, before its target has been asked whether it
 is still the same. The loss counts all the same. All requests of one target share the
-answer.
+answer. As long as no one can tell, the target is asked again.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Hashable
+from collections.abc import Awaitable, Callable, Coroutine, Hashable
+from typing import Any
 
 import structlog
 
+from lycheepost.core.starts import StartVerdict
+from lycheepost.decide.records import FinishKind
 from lycheepost.utils.tasks import start_task
 
 LOST_SECONDS = 2.0
 """How long a verdict holds for further requests of the same target. They all notice its
 loss within this time; a verdict that was wrong is not kept for longer."""
 
+FIRST_REPEAT_SECONDS = 0.25
+"""When a target is asked again while its end is not known; then at twice the interval
+each time. A probe takes as long."""
+
+MAX_QUESTIONS = 6
+"""The last question comes after some eight seconds. Crashed targets are mostly back
+before, under another name."""
+
+FINISH_KIND_BY_VERDICT = {
+    StartVerdict.SAME: FinishKind.ANSWER_LOST,
+    StartVerdict.ENDED: FinishKind.TARGET_LOST,
+    StartVerdict.UNKNOWN: FinishKind.LOSS_UNKNOWN,
+}
+"""How an attempt that broke off counts for the scheduler."""
+
+Judge = Callable[[], Awaitable[StartVerdict]]
+
 _log = structlog.get_logger(part="losses")
 
 
@@ -23,31 +43,43 @@
     """The verdicts on starts of targets; one question at a time for each."""
 
     def __init__(self) -> None:
-        self._questions: dict[Hashable, asyncio.Future[bool]] = {}
+        self._questions: dict[Hashable, asyncio.Future[StartVerdict]] = {}
         self._lost_seconds: dict[Hashable, float] = {}
+        self._late: set[asyncio.Task[None]] = set()
 
-    async def is_lost(
-        self, start: Hashable, is_same: Callable[[], Awaitable[bool]]
-    ) -> bool:
+    async def start(self) -> None:
+        """Do nothing: questions are asked as targets break off."""
+
+    async def drain(self) -> None:
+        """Do nothing: losses count until the end."""
+
+    async def stop(self) -> None:
+        """Ask no more."""
+        late = list(self._late)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
+
+    async def ask(self, start: Hashable, judge: Judge) -> StartVerdict:
         """Return whether a start of a target has ended.
 
         Args:
             start: The start of the target.
-            is_same: Asks the target whether it is still the same.
+            judge: Asks the target whether it is still the same.
         """
         if self._is_known_lost(start):
-            return True
+            return StartVerdict.ENDED
         question = self._questions.get(start)
         if question is None:
             question = asyncio.get_running_loop().create_future()
             self._questions[start] = question
-            start_task(self._ask(start, is_same, question), "loss-verdict")
+            self._start(self._ask(start, judge, question), "loss-verdict")
         return await asyncio.shield(question)
 
     def count_later(
         self,
         start: Hashable,
-        is_same: Callable[[], Awaitable[bool]],
+        judge: Judge,
         note_lost: Callable[[], None],
         delay_seconds: float = 0.0,
     ) -> None:
@@ -55,33 +87,46 @@
 
         Args:
             start: The start of the target.
-            is_same: Asks the target whether it is still the same.
+            judge: Asks the target whether it is still the same.
             note_lost: Counts the loss.
             delay_seconds: When to ask; a sound target may be silent for a moment.
         """
 
         async def ask() -> None:
             await asyncio.sleep(delay_seconds)
-            if await self.is_lost(start, is_same):
-                note_lost()
-
-        start_task(ask(), "late-loss")
+            repeat_seconds = FIRST_REPEAT_SECONDS
+            for _ in range(MAX_QUESTIONS):
+                verdict = await self.ask(start, judge)
+                if verdict is StartVerdict.ENDED:
+                    note_lost()
+                if verdict is not StartVerdict.UNKNOWN:
+                    return
+                await asyncio.sleep(repeat_seconds)
+                repeat_seconds *= 2.0
+            _log.info("losses: the end of a target stays unknown", start=str(start))
+
+        self._start(ask(), "late-loss")
+
+    def _start(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        task = start_task(work, name)
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
 
     async def _ask(
         self,
         start: Hashable,
-        is_same: Callable[[], Awaitable[bool]],
-        question: "asyncio.Future[bool]",
+        judge: Judge,
+        question: "asyncio.Future[StartVerdict]",
     ) -> None:
-        is_lost = False
+        verdict = StartVerdict.UNKNOWN
         try:
-            is_lost = not await is_same()
+            verdict = await judge()
         finally:
             del self._questions[start]
-            if is_lost:
+            if verdict is StartVerdict.ENDED:
                 self._remember(start)
             if not question.done():
-                question.set_result(is_lost)
+                question.set_result(verdict)
 
     def _remember(self, start: Hashable) -> None:
         _log.info("losses: a target was lost", start=str(start))
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -11,6 +11,10 @@
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.callers.forwardidentify import identify
 from lycheepost.callers.forwardwork import bound_work
+from lycheepost.callers.lossverdicts import (
+    FINISH_KIND_BY_VERDICT,
+    FIRST_REPEAT_SECONDS,
+)
 from lycheepost.callers.relaying import (
     AnswerRelay,
     FirstByteTimeout,
@@ -19,7 +23,7 @@
 )
 from lycheepost.core.ids import SoftwareVersion, TargetId
 from lycheepost.core.routing import ListedTarget, RouteKind
-from lycheepost.core.starts import start_key
+from lycheepost.core.starts import StartVerdict, start_key
 from lycheepost.decide.attempts import AttemptEnd, Sends, Step, next_step
 from lycheepost.decide.records import FinishKind, Work
 from lycheepost.decide.routes import RouteMatch, is_resumable_stream
@@ -123,9 +127,7 @@
         if not self._fits(listed):
             reason = "the target's software has another version"
             return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
-        if self._must_check_start(listed) and not await self._deps.is_same_incarnation(
-            listed
-        ):
+        if self._must_check_start(listed) and not await self._is_same(listed):
             reason = "the target has restarted or does not answer"
             return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
         self._software_version = listed.software_version
@@ -160,6 +162,16 @@
         is_bound = self._standing.work.software_versions is not None
         return is_bound or not self._deps.stream_versions.is_list_current()
 
+    async def _is_same(self, listed: ListedTarget) -> bool:
+        """Return whether a target is still the same, as far as this daemon can tell.
+
+        Without paths of its own it cannot; the request is then relayed to a peer.
+        """
+        verdict = await self._deps.judge_start(listed)
+        if verdict is StartVerdict.UNKNOWN:
+            return self._deps.paths.are_lost(listed.target_group)
+        return verdict is StartVerdict.SAME
+
     def _remaining_seconds(self) -> float:
         return self._standing.deadline_seconds - self._deps.clock.now_seconds()
 
@@ -365,18 +377,20 @@
             return known
         if self._is_sound_silence:
             self._count_later(listed, MAX_SOUND_SILENCE_SECONDS)
-            return FinishKind.ANSWER_LOST
+            return FinishKind.LOSS_UNKNOWN
         is_once = self._route_match.route.kind is RouteKind.NON_IDEMPOTENT
         if is_once and not self._standing.work.parts:
             return FinishKind.ANSWER_LOST
         try:
-            is_lost = await self._deps.verdicts.is_lost(
-                listed.start, lambda: self._deps.is_same_incarnation(listed)
+            verdict = await self._deps.verdicts.ask(
+                listed.start, lambda: self._deps.judge_start(listed)
             )
         except asyncio.CancelledError:
             self._count_later(listed)
             raise
-        return FinishKind.TARGET_LOST if is_lost else FinishKind.ANSWER_LOST
+        if verdict is StartVerdict.UNKNOWN:
+            self._count_later(listed, FIRST_REPEAT_SECONDS)
+        return FINISH_KIND_BY_VERDICT[verdict]
 
     def _count_later(self, listed: ListedTarget, delay_seconds: float = 0.0) -> None:
         """Count the loss of a target that is found out after this attempt."""
@@ -388,7 +402,7 @@
         )
         self._deps.verdicts.count_later(
             listed.start,
-            lambda: self._deps.is_same_incarnation(listed),
+            lambda: self._deps.judge_start(listed),
             lambda: self._deps.dispatcher.note_lost(run),
             delay_seconds,
         )
--- a/lycheepost/core/starts.py
+++ b/lycheepost/core/starts.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 from lycheepost.core.ids import Incarnation, StartKey, TargetId
 
@@ -49,3 +50,12 @@
 def start_key(target: TargetId, incarnation: Incarnation) -> StartKey:
     """Return the key of one start of a target; incarnations may be empty or alike."""
     return StartKey(f"{target}/{incarnation}")
+
+
+class StartVerdict(Enum):
+    """Whether a start of a target has ended, as far as a daemon can tell."""
+
+    SAME = "same"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+    """The target gave no answer, which may be due to this daemon's own paths."""
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -86,11 +86,13 @@
         since_seconds: When the state was entered.
         failed: Targets at which a new connection failed or got no response, since one
             last responded.
+        reached: Targets that responded to the last probe.
     """
 
     state: PathState = PathState.REACHES_TARGETS
     since_seconds: float = float("-inf")
     failed: set[TargetId] = field(default_factory=set)
+    reached: frozenset[TargetId] = frozenset()
     _doubted_seconds: dict[TargetId, float] = field(default_factory=dict)
     _probed_seconds: float = float("-inf")
 
@@ -154,6 +156,7 @@
             is_late: Whether the probe lasted longer than its time-out allows.
         """
         self._probed_seconds = now_seconds
+        self.reached = frozenset(reached)
         n_probed = len(probed)
         for target in probed:
             self._doubted_seconds[target] = now_seconds
--- a/lycheepost/decide/records.py
+++ b/lycheepost/decide/records.py
@@ -66,6 +66,8 @@
     """The response broke off but the target is still alive, so the request did not
     crash it."""
     TARGET_LOST = "target_lost"
+    LOSS_UNKNOWN = "loss_unknown"
+    """The response broke off; whether the target is alive is still to be found out."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/suspicion.py
+++ b/lycheepost/decide/suspicion.py
@@ -132,7 +132,7 @@
         if entry is not None and kind is FinishKind.COMPLETE:
             self.wholes.clear(entry.work.fingerprint)
         # Whether the target of a cancelled attempt was lost may still be found out.
-        if kind is not FinishKind.CANCELLED:
+        if kind not in (FinishKind.CANCELLED, FinishKind.LOSS_UNKNOWN):
             self._trials.end(request)
 
     def note_withdrawn(self, request: RequestId) -> None:
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -14,6 +14,7 @@
 from lycheepost.core.ids import ModelId, WeightsVersion
 from lycheepost.core.notices import TargetNotice
 from lycheepost.core.routing import ListedTarget
+from lycheepost.decide.startverdict import StartAnswer
 from lycheepost.platform import headers as names
 from lycheepost.platform.dialect import MISDIRECTED_STATUS, decode_notice
 from lycheepost.platform.sessions import make_call_session
@@ -140,7 +141,7 @@
         answer = await self._call("POST", target, "/order", msgspec.json.encode(body))
         return answer.bind(_decode_order_answer)
 
-    async def is_answering(self, target: ListedTarget, path: str) -> bool:
+    async def ask_start(self, target: ListedTarget, path: str) -> StartAnswer:
         """Return whether a server still responds under its id.
 
         Args:
@@ -148,31 +149,31 @@
             path: Path of its health check.
         """
         if self._session is None:
-            return False
+            return StartAnswer.NONE
         headers = {names.EXPECTED_TARGET: target.target}
         try:
             async with self._session.get(
                 f"http://{target.address}{path}", headers=headers
             ) as response:
-                return self._note_answer(target, response)
+                is_same = self._note_answer(target, response)
+                return StartAnswer.SAME if is_same else StartAnswer.OTHER
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             _log.info(
                 "orders: health check failed",
                 target=target.target,
                 reason=type(error).__name__,
             )
-            return False
+            return StartAnswer.NONE
 
     def _note_answer(
         self, target: ListedTarget, response: aiohttp.ClientResponse
     ) -> bool:
         """Report the notice in a response; return False if another server sent it."""
         named = response.headers.get(names.TARGET)
-        if named is not None and named != target.target:
+        if response.status == MISDIRECTED_STATUS or named not in (None, target.target):
             return False
-        if response.status != MISDIRECTED_STATUS:
-            notice = decode_notice(response.status, response.headers)
-            self._on_notice(target, notice)
+        notice = decode_notice(response.status, response.headers)
+        self._on_notice(target, notice)
         return True
 
     async def _call(
