Soak: sound requests refused as quarantined are violations

Requests with a crashing part share the album and the general part of sound ones now, so that these are at stake. Any request without a crashing part that is refused as quarantined counts as a violation, whatever disturbs its daemon: the audit of late requests with the part says nothing of those.

--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -43,6 +43,7 @@
 from soakstreams import VERSIONS, StreamClient, TakenStream
 
 from lycheepost.app.platformdemo import (
+    N_ALBUMS,
     DemoRequest,
     PlatformDemoReport,
     as_generated,
@@ -476,7 +477,7 @@
     """Ask for a title or a once-only stream with a crashing part; nobody misses it."""
     path = run.rng.choice(("/title/x", "/title/x", "/album/x"))
     index = run.rng.randrange(len(run.fleet.processes))
-    shared = f"s{run.rng.randrange(4)}:300"
+    shared = f"a0:2520,b{run.rng.randrange(N_ALBUMS):x}:3780"
     parts = f"{shared},{part_id}:100,own-{part_id}-{number}:20"
     headers = run.fleet.prompt_headers("k-one", parts=parts)
     attempt_id = headers[names.ATTEMPT_ID]
@@ -571,6 +572,7 @@
     elapsed_seconds = time.monotonic() - started_seconds
     if answer.status == 200 and answer.is_whole:
         run.words.handed_on_seconds[attempt_id] = time.monotonic()
+    run.parts.note_answer(attempt_id, answer.body)
     asked = as_generated(asked, answer, VERSIONS)
     check_answer(fleet, asked, attempt_id, answer, elapsed_seconds, run.report)
     if answer.status in _NOT_RUN and names.SEAL not in answer.headers:
@@ -597,6 +599,7 @@
             stream, attempt_id = await client.run(asked, key, prompt)
     except TimeoutError:
         return
+    run.parts.note_answer(attempt_id, stream.refusal)
     if stream.is_whole:
         run.words.handed_on_seconds[attempt_id] = time.monotonic()
     run.report.outcomes["title taken up"] += stream.n_taken_up
@@ -657,6 +660,7 @@
     violations.extend(find_broken(servers, run.words))
     violations.extend(find_excess(run.fleet, run.requests))
     violations.extend(run.changes.find_late(run.words.disturbed))
+    violations.extend(run.parts.find_refused())
     violations.extend(
         find_late_parts(
             run.fleet,
--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -15,6 +15,8 @@
 CONTACT_SECONDS = 3.0
 AWAY_SECONDS = (0.8, 2.0)
 """How long a crashed engine is away."""
+QUARANTINED = b'"quarantined"'
+"""The code of the refusal, in its JSON body."""
 N_REQUESTS = 28
 REQUEST_SECONDS = (0.1, 0.4)
 """Between two requests with a crashing part."""
@@ -26,10 +28,12 @@
 
     Attributes:
         attempts: The attempts with each part.
+        refused_sound: Attempts with none of them that were refused as quarantined.
         revivals: Engines that are about to come back.
     """
 
     attempts: dict[str, set[str]] = field(default_factory=dict)
+    refused_sound: list[str] = field(default_factory=list)
     revivals: set[asyncio.Task[None]] = field(default_factory=set)
 
     def begin(self, rng: random.Random, fleet: PlatformFleet) -> str:
@@ -44,6 +48,19 @@
             )
         return part_id
 
+    def note_answer(self, attempt_id: str, body: bytes) -> None:
+        """Note the response to a request without a crashing part."""
+        if QUARANTINED in body:
+            self.refused_sound.append(attempt_id)
+
+    def find_refused(self) -> Iterator[str]:
+        """Tell of requests that were refused for what other requests hold."""
+        if self.refused_sound:
+            yield (
+                f"{len(self.refused_sound)} requests without a crashing part were"
+                f" refused as quarantined, {self.refused_sound[0]} first"
+            )
+
     def _revive(
         self, rng: random.Random, fleet: PlatformFleet, server: PlatformServer
     ) -> None:
--- a/tools/soakstreams.py
+++ b/tools/soakstreams.py
@@ -32,6 +32,7 @@
         n_taken_up: How often its client asked for the rest.
         n_gone_on: How often it got more or the end.
         status: Of the last answer; None without one.
+        refusal: The body of the last answer that was no stream.
         is_whole: Whether the last answer was complete.
     """
 
@@ -40,6 +41,7 @@
     n_taken_up: int = 0
     n_gone_on: int = 0
     status: int | None = None
+    refusal: bytes = b""
     is_whole: bool = False
 
     @property
@@ -123,7 +125,7 @@
     ) -> None:
         stream.status = answer.status
         if answer.status != _OK:
-            await answer.read()
+            stream.refusal = await answer.read()
             return
         buffer = b""
         async for part in answer.content.iter_any():
