Crashing parts: two software versions, and new weights while they are found

By reading, the key is the part's id alone; now a scenario shows it: 12 engines of two software versions, new weights named 0.3 s after the part comes.

--- a/features/platform/badparts.feature
+++ b/features/platform/badparts.feature
@@ -21,6 +21,15 @@
       | silence                                | titles | 15      |
       | half an event without length or chunks | titles | 9       |
 
+  Scenario: A part is the same under other weights and other software
+    Guards against blame that is kept for each version of weights or software apart.
+    Given a deployment with 4 daemons and 12 engines of two software versions that a part crashes
+    When new weights are named 0.3 s after the part comes
+    And clients ask for 20 sound titles and 4 titles with the part a second for 9 s
+    Then all engines have the new weights
+    And at most 3 requests with the part reach engines later than 3 s after the fifth crash
+    And first tries of sound requests begin at least half as often as before
+
   Scenario: Two parts that crash engines are found
     Guards against one part that is blamed for the crashes of both.
     Given a deployment with 4 daemons and 12 engines that two parts crash
--- a/features/platform/steps/badpart_steps.py
+++ b/features/platform/steps/badpart_steps.py
@@ -7,7 +7,12 @@
 from behave import given, then, when
 from deployment import Deployment, make_configuration
 
-from lycheepost.app.platformfleet import ENGINES, KEYS, make_route
+from lycheepost.app.platformfleet import (
+    ENGINES,
+    FIRST_SOFTWARE,
+    KEYS,
+    make_route,
+)
 from lycheepost.platform.models.partaudit import TOLERATED_ARRIVALS, late_arrivals
 from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverfaults import CrashPoint
@@ -22,6 +27,8 @@
 MIN_JUDGED = 20
 N_CRASHES = 5
 N_LEARNING = 6
+NEW_WEIGHTS = 2
+SOFTWARE = ("v1", "v2")
 PATHS = {"titles": "/title/x", "albums": "/album/x", "cards": "/card/x"}
 
 
@@ -38,12 +45,14 @@
     sound: list[tuple[float, bool]] = field(default_factory=list)
 
 
-def start(context, n_daemons, n_engines, parts):
+def start(context, n_daemons, n_engines, parts, software=(FIRST_SOFTWARE,)):
     context.deployment = deployment = Deployment()
     context.load = PartLoad({part_id: set() for part_id in parts})
 
     async def run():
-        await deployment.start(n_daemons, n_plain=1, n_engines=n_engines)
+        await deployment.start(
+            n_daemons, n_plain=1, n_engines=n_engines, software=software
+        )
         document = make_configuration(2)
         document["routes"].append(
             make_route("card", "/card/", "non_idempotent", ENGINES, max_attempts=1)
@@ -91,6 +100,29 @@
     start(context, n, n_engines, {"bad0": CrashPoint(sent)})
 
 
+@given(
+    "a deployment with {n:d} daemons and {n_engines:d} engines of two software versions"
+    " that a part crashes"
+)
+def step_two_versions(context, n, n_engines):
+    start(context, n, n_engines, {"bad0": CrashPoint.NOTHING}, SOFTWARE)
+
+
+@when("new weights are named {after_seconds:g} s after the part comes")
+def step_name_weights(context, after_seconds):
+    delay_seconds = BEFORE_SECONDS + after_seconds
+    context.loop.call_later(
+        delay_seconds, context.deployment.publish_weights, NEW_WEIGHTS
+    )
+
+
+@then("all engines have the new weights")
+def step_new_weights(context):
+    engines = context.deployment.group(ENGINES)
+    versions = {server.state.version for server in engines}
+    assert versions == {NEW_WEIGHTS}, versions
+
+
 @given("a deployment with {n:d} daemons and {n_engines:d} engines that two parts crash")
 def step_two_parts(context, n, n_engines):
     points = {"bad0": CrashPoint.NOTHING, "bad1": CrashPoint.HEADERS}
