--- a/lycheepost/app/startjudge.py
+++ b/lycheepost/app/startjudge.py
@@ -7,7 +7,12 @@
 from lycheepost.app.paths import PathWatch
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import StartVerdict, TargetStart
-from lycheepost.decide.startverdict import StartAnswer, judge_answer, judge_silent
+from lycheepost.decide.startverdict import (
+    ReachEvidence,
+    StartAnswer,
+    judge_answer,
+    judge_silent,
+)
 from lycheepost.platform.orders import ServerOrders
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.targetlist import TargetList
@@ -47,6 +52,9 @@
         if verdict is not None:
             return verdict
         reach = await self._paths.verify(sent_to.target_group, sent_to.target)
+        if reach is ReachEvidence.LATE:
+            # The stall is mostly over, and the request waits for the verdict.
+            reach = await self._paths.verify(sent_to.target_group, sent_to.target)
         verdict = judge_silent(reach)
         _log.info(
             "targets: judged a silent target",
--- a/lycheepost/app/traffic.py
+++ b/lycheepost/app/traffic.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from returns.result import Success
-
 from lycheepost.app.components import Component
 from lycheepost.app.feed import TargetFeed
 from lycheepost.app.losses import LossExchange
@@ -64,6 +62,9 @@
 INCARNATION_TIMEOUT_SECONDS = 0.5
 """Time-out of the health check; a healthy engine responds within milliseconds."""
 
+MAX_LATE_QUESTIONS = 2
+"""A stall is mostly over when a late question is asked again."""
+
 MAX_LAG_SECONDS = 0.15
 """A health check that lasts longer than its time-out by this says nothing of the
 target: the daemon was suspended or short of processor time."""
@@ -194,28 +195,26 @@
         configured = state.revisions.view.targets.get(target)
         if configured is None or not boot_id:
             return StartVerdict.ENDED
-        asked_seconds = clock.now_seconds()
+        for _ in range(MAX_LATE_QUESTIONS):
+            asked_seconds = clock.now_seconds()
+            found = await ask_boot_id(f"{configured.url}/health")
+            lasted_seconds = clock.now_seconds() - asked_seconds
+            if found is not None:
+                return StartVerdict.SAME if found == boot_id else StartVerdict.ENDED
+            if state.members.are_paths_lost:
+                # Without paths of its own, this daemon cannot tell.
+                return StartVerdict.UNKNOWN
+            if lasted_seconds <= INCARNATION_TIMEOUT_SECONDS + MAX_LAG_SECONDS:
+                return StartVerdict.ENDED
+        return StartVerdict.UNKNOWN
+
+    async def ask_boot_id(url: str) -> Incarnation | None:
         try:
             async with asyncio.timeout(INCARNATION_TIMEOUT_SECONDS):
-                health = await control.read(f"{configured.url}/health", EngineHealth)
+                health = await control.read(url, EngineHealth)
         except TimeoutError:
-            lasted_seconds = clock.now_seconds() - asked_seconds
-            is_late = lasted_seconds > INCARNATION_TIMEOUT_SECONDS + MAX_LAG_SECONDS
-            return silent_verdict(is_late)
-        match health:
-            case Success(answer):
-                is_same = answer.boot_id == boot_id
-                return StartVerdict.SAME if is_same else StartVerdict.ENDED
-        return silent_verdict()
-
-    def silent_verdict(is_late: bool = False) -> StartVerdict:
-        """Return the verdict on a target without an answer.
-
-        Without paths of its own, or after a stall, this daemon cannot tell.
-        """
-        if is_late or state.members.are_paths_lost:
-            return StartVerdict.UNKNOWN
-        return StartVerdict.ENDED
+            return None
+        return health.map(lambda answer: Incarnation(answer.boot_id)).value_or(None)
 
     def addresses(customer: CustomerId | None) -> AddressList:
         chosen = state.members.addresses(customer, clock.now_seconds())
--- a/lycheepost/decide/startverdict.py
+++ b/lycheepost/decide/startverdict.py
@@ -26,8 +26,9 @@
 
     TARGET = "target"
     OTHERS_ONLY = "others_only"
-    UNCLEAR = "unclear"
-    """No target answered, or the probe was late."""
+    NONE = "none"
+    LATE = "late"
+    """The probe lasted longer than its time-out allows; what it missed says nothing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +50,11 @@
     """Return what a probe says of a target."""
     if probed.is_target_reached:
         return ReachEvidence.TARGET
-    if probed.are_others_reached and not probed.is_late:
-        return ReachEvidence.OTHERS_ONLY
-    return ReachEvidence.UNCLEAR
+    if probed.is_late:
+        return ReachEvidence.LATE
+    return (
+        ReachEvidence.OTHERS_ONLY if probed.are_others_reached else ReachEvidence.NONE
+    )
 
 
 def judge_answer(answer: StartAnswer, is_newest_start: bool) -> StartVerdict | None:
