--- a/lycheepost/callers/lossverdicts.py
+++ b/lycheepost/callers/lossverdicts.py
@@ -45,7 +45,7 @@
     def __init__(self) -> None:
         self._questions: dict[Hashable, asyncio.Future[StartVerdict]] = {}
         self._lost_seconds: dict[Hashable, float] = {}
-        self._late: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Do nothing: questions are asked as targets break off."""
@@ -55,10 +55,10 @@
 
     async def stop(self) -> None:
         """Ask no more."""
-        late = list(self._late)
-        for task in late:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*late, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def ask(self, start: Hashable, judge: Judge) -> StartVerdict:
         """Return whether a start of a target has ended.
@@ -109,8 +109,8 @@
 
     def _start(self, work: Coroutine[Any, Any, None], name: str) -> None:
         task = start_task(work, name)
-        self._late.add(task)
-        task.add_done_callback(self._late.discard)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _ask(
         self,
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -37,7 +37,13 @@
 from soakchanges import ASKED_SECONDS, Changes, RouteAnswer, feed_order
 from soakfleet import DaemonProcess, ProcessFleet, ProxiedServer
 from soaknotices import DaemonWords, NamedLimit, Span, find_broken
-from soakparts import N_REQUESTS, REQUEST_SECONDS, CrashingParts, find_late_parts
+from soakparts import (
+    N_REQUESTS,
+    QUARANTINED,
+    REQUEST_SECONDS,
+    CrashingParts,
+    find_late_parts,
+)
 from soakproxy import LinkState
 from soakretries import SentRequests, begin_failing, find_excess
 from soakstreams import VERSIONS, StreamClient, TakenStream
@@ -493,6 +499,7 @@
             answer = await run.fleet.ask("POST", path, headers, body, index)
     except TimeoutError:
         return
+    run.faults["requests with a part refused"] += QUARANTINED in answer.body
     if answer.status in _NOT_RUN and names.SEAL not in answer.headers:
         run.refused.add(attempt_id)
 
--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -8,6 +8,9 @@
 from soaknotices import Span
 
 from lycheepost.app.platformfleet import ENGINES, PlatformFleet
+from lycheepost.callers.errors import Executed, from_refusal
+from lycheepost.core.ids import RequestId
+from lycheepost.decide.records import RefusalReason, Refuse
 from lycheepost.platform.models.partaudit import TOLERATED_ARRIVALS, late_arrivals
 from lycheepost.platform.models.serverfaults import CrashPoint
 from lycheepost.platform.models.serverstandin import PlatformServer
@@ -15,8 +18,10 @@
 CONTACT_SECONDS = 3.0
 AWAY_SECONDS = (0.8, 2.0)
 """How long a crashed engine is away."""
-QUARANTINED = b'"quarantined"'
-"""The code of the refusal, in its JSON body."""
+QUARANTINED = from_refusal(
+    Refuse(RequestId(""), RefusalReason.QUARANTINED, 0.0), Executed.NO
+).reason.encode()
+"""What the body of the refusal says."""
 N_REQUESTS = 28
 REQUEST_SECONDS = (0.1, 0.4)
 """Between two requests with a crashing part."""
