Blame no part while another was on all its lost targets

Cause: the album had a sound run on the first engine that the crashing part took down, and came with it in the lost runs on the next two. Both had three losses by themselves; among equals the higher hash won, explained the losses, and so released the crashing part, which had to crash three more engines.

A part is blamed by itself only if no other suspected part, with as many losses, was on all of its lost targets. Such rivals are refused together; a request with one of them is tried, and its loss or its answer decides. Costs at most one more loss where evidence is equal.

The new scenario fails without the change; the 20 others pass as before, and so do the scenarios in virtual time.

--- a/features/decide/partlosses.feature
+++ b/features/decide/partlosses.feature
@@ -97,3 +97,10 @@
     Given 4 lost targets, one after the other, with runs of bad, three of them with topic
     When 2 more are lost, each with a run of the parts topic and bad2
     Then bad alone is blamed, and topic and bad2 are suspected of the last losses
+
+  Scenario: A sound part with the losses of a crashing one is not blamed in its place
+    Guards against a sound part that was by chance on each target that the other crashed.
+    Given 3 lost targets, the first with runs of topic and of bad, the others of both
+    Then a request with both is refused, and one with either is tried
+    When one more is lost, with a run of bad
+    Then only the part bad is suspected
--- a/features/decide/steps/partlosses_steps.py
+++ b/features/decide/steps/partlosses_steps.py
@@ -763,3 +763,26 @@
     n_losses = {name: found[key(name)].n_losses for name in ("bad", "topic", "bad2")}
     assert n_losses == {"bad": 4, "topic": 2, "bad2": 2}, n_losses
     assert context.parts.refused_seconds(keys("bad", "other"), 70.0) > 0.0
+
+
+@given(
+    "{n:d} lost targets, the first with runs of topic and of bad, the others of both"
+)
+def step_tied(context, n):
+    context.parts = PartLosses(QUARANTINE_SECONDS)
+    for parts in (keys("topic"), keys("bad")):
+        context.parts.note_lost(lost_run(StartKey("t0"), parts, 0.0, 1.0))
+    for number in range(1, n):
+        run = lost_run(
+            StartKey(f"t{number}"), keys("topic", "bad"), number + 0.5, number + 1.0
+        )
+        context.parts.note_lost(run)
+    context.now_seconds = n + 1.0
+
+
+@when("one more is lost, with a run of bad")
+def step_one_more(context):
+    run = lost_run(
+        StartKey("last"), keys("bad"), context.now_seconds, context.now_seconds + 0.5
+    )
+    context.parts.note_lost(run)
--- a/lycheepost/decide/partlosses.py
+++ b/lycheepost/decide/partlosses.py
@@ -7,13 +7,14 @@
 suspected, tried one request at a time (``decide.parttrials``), and after a few losses
 one after the other refused by all daemons.
 
-Several parts may always be lost together. They are then refused only together, so that
-requests with one of them can still clear it. A part that is blamed by itself explains
-the losses of the targets that it ran on: other parts and requests there are not blamed.
+Several parts may always be lost together, or have been on the same lost targets. They
+are then refused only together, so that requests with one of them can still clear it, or
+show that it is the cause. A part that is blamed by itself explains the losses of the
+targets that it ran on: other parts and requests there are not blamed.
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from lycheepost.core.hashing import hash_bytes
@@ -57,7 +58,8 @@
     Attributes:
         n_losses: Lost targets; a run sent before the loss before counts with it.
         lost_seconds: When the last of them was detected.
-        always_with: The parts that all its lost runs have in common, with itself.
+        always_with: Itself and the parts that may as well be the cause: those that all
+            its lost runs have, or that were on all its lost targets.
     """
 
     n_losses: int
@@ -110,7 +112,7 @@
         left = _without_explained(left, causes, explained)
         evidence = _Evidence()
         evidence.add_all(left)
-    return Judgement(evidence.blames, frozenset(explained))
+    return Judgement(evidence.judge_blames(causes), frozenset(explained))
 
 
 def _without_explained(
@@ -127,15 +129,11 @@
 
 
 class _Evidence:
-    """What lost runs say of each part, as far as they were added.
-
-    Attributes:
-        blames: What speaks against each part.
-    """
+    """What lost runs say of each part, as far as they were added."""
 
     def __init__(self) -> None:
-        self.blames: dict[PromptPartKey, PartBlame] = {}
-        self._counted: set[tuple[PromptPartKey, StartKey]] = set()
+        self._blames: dict[PromptPartKey, PartBlame] = {}
+        self._starts: dict[PromptPartKey, set[StartKey]] = {}
 
     def add_all(self, runs: Iterable[LostRun]) -> None:
         """Add runs, in the order of their losses."""
@@ -144,16 +142,17 @@
                 self._add(part, run)
 
     def _add(self, part: PromptPartKey, run: LostRun) -> None:
-        blame = self.blames.get(part)
-        is_new = (part, run.start) not in self._counted
-        self._counted.add((part, run.start))
+        blame = self._blames.get(part)
+        starts = self._starts.setdefault(part, set())
+        is_new = run.start not in starts
+        starts.add(run.start)
         if blame is None:
-            self.blames[part] = PartBlame(1, run.lost_seconds, run.parts)
+            self._blames[part] = PartBlame(1, run.lost_seconds, run.parts)
             return
         # Runs that were lost at about the same time, as when a rack fails, are one
         # loss: a popular part would have been on all of its targets.
         is_next = is_new and run.started_seconds > blame.lost_seconds
-        self.blames[part] = PartBlame(
+        self._blames[part] = PartBlame(
             blame.n_losses + is_next,
             run.lost_seconds if is_next else blame.lost_seconds,
             blame.always_with & run.parts,
@@ -161,14 +160,44 @@
 
     def next_cause(self, parts: Iterable[PromptPartKey]) -> PromptPartKey | None:
         """Return the one of the parts that is blamed by itself with most losses."""
-        found = ((self.blames.get(part), part) for part in parts)
         alone = [
-            (blame.n_losses, part)
-            for blame, part in found
-            if blame is not None and blame.is_blamed and len(blame.always_with) == 1
+            (self._blames[part].n_losses, part)
+            for part in parts
+            if part in self._blames and self._is_alone(part)
         ]
         return max(alone)[1] if alone else None
 
+    def judge_blames(
+        self, causes: Collection[PromptPartKey]
+    ) -> dict[PromptPartKey, PartBlame]:
+        """Return what speaks against each part.
+
+        Args:
+            causes: Parts that are blamed by themselves already.
+        """
+        return {
+            part: blame
+            if part in causes or not blame.is_blamed
+            else replace(blame, always_with=blame.always_with | self._rivals(part))
+            for part, blame in self._blames.items()
+        }
+
+    def _is_alone(self, part: PromptPartKey) -> bool:
+        blame = self._blames[part]
+        is_single = blame.is_blamed and len(blame.always_with) == 1
+        return is_single and not self._rivals(part)
+
+    def _rivals(self, part: PromptPartKey) -> frozenset[PromptPartKey]:
+        """Return the other parts that were on all lost targets of a part."""
+        starts, n_losses = self._starts[part], self._blames[part].n_losses
+        return frozenset(
+            other
+            for other, blame in self._blames.items()
+            if other != part
+            and blame.n_losses >= n_losses
+            and starts <= self._starts[other]
+        )
+
 
 class PartLosses:
     """The lost runs that are known, of all daemons, and what they say.
