Look at all lost runs of a target before a part is blamed

Cause: runs of the crashing part that began before its last loss was known don't count one after the other, while sound runs between them do, so that a sound part on the same targets had more losses; and a part was blamed in the middle of the runs of one target, before the run of the crashing part there was looked at.

Runs are judged by target, in the order of their losses, and a rival need not have as many losses in a row, only all lost targets.

--- a/features/decide/partlosses.feature
+++ b/features/decide/partlosses.feature
@@ -104,3 +104,11 @@
     Then a request with both is refused, and one with either is tried
     When one more is lost, with a run of bad
     Then only the part bad is suspected
+
+  Scenario: A sound part is not blamed while the crashing one has fewer losses in a row
+    Guards against a sound part whose runs began after each loss, while those of the
+    crashing one, on the same targets, overlap.
+    Given 3 lost targets with runs of topic one after the other, and runs of bad at once
+    Then a request with both is refused, and one with either is tried
+    When one more is lost, with a run of bad
+    Then a request with topic alone is still tried
--- a/features/decide/steps/partlosses_steps.py
+++ b/features/decide/steps/partlosses_steps.py
@@ -786,3 +786,22 @@
         StartKey("last"), keys("bad"), context.now_seconds, context.now_seconds + 0.5
     )
     context.parts.note_lost(run)
+
+
+@given(
+    "{n:d} lost targets with runs of topic one after the other, and runs of bad at once"
+)
+def step_overlapping(context, n):
+    context.parts = PartLosses(QUARANTINE_SECONDS)
+    for number in range(n):
+        start, lost_seconds = StartKey(f"t{number}"), number + 1.0
+        runs = ((keys("topic"), number + 0.5), (keys("bad"), 0.0))
+        for parts, started_seconds in runs:
+            run = lost_run(start, parts, started_seconds, lost_seconds)
+            context.parts.note_lost(run)
+    context.now_seconds = n + 1.0
+
+
+@then("a request with topic alone is still tried")
+def step_topic_tried(context):
+    assert not is_refused(context, "topic", "other")
--- a/lycheepost/decide/partlosses.py
+++ b/lycheepost/decide/partlosses.py
@@ -98,13 +98,14 @@
     left: list[LostRun] = []
     explained: set[StartKey] = set()
     causes: set[PromptPartKey] = set()
-    for run in runs:
-        if run.parts & causes:
-            explained.add(run.start)
-        kept = _without_explained([run], causes, explained)
+    for lost in _by_start(runs):
+        parts = frozenset[PromptPartKey]().union(*(run.parts for run in lost))
+        if parts & causes:
+            explained.add(lost[0].start)
+        kept = _without_explained(lost, causes, explained)
         left += kept
         evidence.add_all(kept)
-        cause = evidence.next_cause(run.parts - causes)
+        cause = evidence.next_cause(parts - causes)
         if cause is None:
             continue
         causes.add(cause)
@@ -115,6 +116,17 @@
     return Judgement(evidence.judge_blames(causes), frozenset(explained))
 
 
+def _by_start(runs: Iterable[LostRun]) -> list[list[LostRun]]:
+    """Return the runs of each lost target, in the order of their losses.
+
+    All of them are looked at before a part is blamed: each may be the cause.
+    """
+    found: dict[StartKey, list[LostRun]] = {}
+    for run in runs:
+        found.setdefault(run.start, []).append(run)
+    return list(found.values())
+
+
 def _without_explained(
     runs: list[LostRun], causes: set[PromptPartKey], explained: set[StartKey]
 ) -> list[LostRun]:
@@ -189,13 +201,11 @@
 
     def _rivals(self, part: PromptPartKey) -> frozenset[PromptPartKey]:
         """Return the other parts that were on all lost targets of a part."""
-        starts, n_losses = self._starts[part], self._blames[part].n_losses
+        starts = self._starts[part]
         return frozenset(
             other
-            for other, blame in self._blames.items()
-            if other != part
-            and blame.n_losses >= n_losses
-            and starts <= self._starts[other]
+            for other, other_starts in self._starts.items()
+            if other != part and starts <= other_starts
         )
 
 
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -77,6 +77,7 @@
     15: "the signal that cuts paths ended a daemon that was about to start",
     18: "the same",
     316: "a stand-in broke a continued stream off after more events than it has",
+    616: "a sound part had more losses in a row than the crashing one",
     618: "a sound part was blamed in place of the crashing one, on the same targets",
 }
 """Seeds that failed, each with its cause."""
