--- a/features/callers/awaiting.feature
+++ b/features/callers/awaiting.feature
@@ -10,7 +10,7 @@
     Examples:
       | what                   |
       | leaves                 |
-      | gives its target up    |
+      | is answered elsewhere  |
 
   Scenario: An answer that is taken stays open
     Closing every awaited response would truncate it.
--- a/features/callers/steps/awaiting_steps.py
+++ b/features/callers/steps/awaiting_steps.py
@@ -44,21 +44,23 @@
 
 async def wait(context):
     gate = asyncio.Event()
-    gives_up = context.what == "gives its target up"
     send = hold_through(context.answer, gate)
     waiting = asyncio.ensure_future(
-        await_headers(send, itertools.repeat(WAIT_SECONDS), lambda: gives_up)
+        await_headers(send, itertools.repeat(WAIT_SECONDS), lambda: None)
     )
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     if context.what == "leaves":
         gate.set()
         waiting.cancel()
+    elif context.what == "is answered elsewhere":
+        await asyncio.sleep(2 * WAIT_SECONDS)
+        waiting.cancel()
     elif context.what == "waits":
         gate.set()
     try:
         context.got = await waiting
-    except (TimeoutError, asyncio.CancelledError):
+    except asyncio.CancelledError:
         context.got = None
     for _ in range(5):
         await asyncio.sleep(0)
--- a/features/decide/silence.feature
+++ b/features/decide/silence.feature
@@ -63,17 +63,14 @@
     When it is continued 7 s after it arrived
     Then it may wait 4 s more
 
-  Scenario Outline: A pause of an answer is <outcome> when the answer <may> be left
-    Guards against a reader that gives up on a busy, pausing engine when no other target
-    is available, and so cuts an answer that was in progress.
+  Scenario: A pause of an answer is reported, and the answer is read on
+    Guards against a reader that gives up on a busy, pausing engine before another target
+    has begun, and so cuts an answer that was in progress; and against one that lets its
+    caller wait without trying another target.
     Given an answer that pauses for long, and then goes on
-    When it is read with a limit on pauses, and <may> be left
-    Then <outcome>
-
-    Examples:
-      | may     | outcome                     |
-      | may     | the reader gives it up      |
-      | may not | the reader gets what it was |
+    When it is read with a limit on pauses
+    Then the reader reports its silence once
+    And the reader gets what it was
 
   Scenario Outline: Silence of <silent> s, others heard <heard> s ago, is sound: <sound>
     Guards against excluding a sound target that pauses for a second, and against using
--- a/features/decide/steps/pausecount_steps.py
+++ b/features/decide/steps/pausecount_steps.py
@@ -6,7 +6,8 @@
 
 from behave import given, then, when
 
-from lycheepost.callers.relaying import AnswerRelay, RelayEnd, StreamTimeouts
+from lycheepost.callers.reading import AttemptCalls, AttemptTrace, StreamTimeouts
+from lycheepost.callers.relaying import AnswerRelay, RelayEnd
 from lycheepost.core.routing import RouteKind
 from lycheepost.utils.bodies import BodyEnd, BodyFraming
 from lycheepost.utils.metrics import ServedMetrics
@@ -54,8 +55,8 @@
 @when("its events come after {first:g}, {second:g} and {third:g} s")
 def step_events(context, first, second, third):
     answer = PacedStream(context.clock, (first, second, third))
-    timeouts = StreamTimeouts(5.0, 5.0, lambda: True)
-    relay = context.relay.relay(answer, timeouts, lambda: None)
+    timeouts = StreamTimeouts(5.0, 5.0, lambda silent_seconds: None)
+    relay = context.relay.relay(answer, timeouts, AttemptTrace(), AttemptCalls())
     assert asyncio.run(relay) is RelayEnd.SERVED
 
 
--- a/features/platform/steps/heldanswer_steps.py
+++ b/features/platform/steps/heldanswer_steps.py
@@ -93,6 +93,12 @@
         received.first_events.set()
 
 
+async def end(task):
+    """End a task that a scenario has left."""
+    task.cancel()
+    await asyncio.wait({task})
+
+
 async def begin_stream(context):
     """Begin a stream; return its engine and the other one once events arrive."""
     deployment = context.deployment
@@ -153,14 +159,14 @@
         case ["the", "other", *_, "holds", "newer", "weights"]:
             other.state.version += 1
         case ["the", "other", _, "is", "silent", *_]:
-            context.other_pause = asyncio.ensure_future(
-                other.pause(context.silent_seconds)
-            )
+            pause = asyncio.ensure_future(other.pause(context.silent_seconds))
+            context.closers.append(lambda: end(pause))
         case ["the", "other", _, "breaks", "off"]:
             fault = Truncated(after_events=0)
             other.faults.add(fault, 5, lambda text: text == attempt_id)
         case ["the", "other", _, "needs", seconds, "s"]:
-            context.other_pause = asyncio.ensure_future(other.pause(float(seconds)))
+            pause = asyncio.ensure_future(other.pause(float(seconds)))
+            context.closers.append(lambda: end(pause))
         case ["the", "key", *_]:
             deployment.configure(make_document(context, 2, ("k-two",)))
         case ["its", "route", "is", "removed"]:
@@ -177,7 +183,8 @@
                     route["service"] = PLAIN
             deployment.configure(document)
         case ["the", "daemon", *_]:
-            context.drain = asyncio.ensure_future(deployment.daemons[0].drain())
+            drain = asyncio.ensure_future(deployment.daemons[0].drain())
+            context.closers.append(lambda: end(drain))
         case ["new", "connections", *_]:
             deployment.networks[0].cut(PathCut.REFUSE_NEW)
         case ["nothing", *_]:
@@ -250,7 +257,7 @@
         await context.deployment.until(has_gone_on)
         pause = asyncio.ensure_future(context.silent.pause(LIMIT_SECONDS))
         await context.receiving
-        pause.cancel()
+        await end(pause)
 
     context.loop.run_until_complete(play())
 
@@ -262,6 +269,7 @@
     async def play():
         context.silent, context.other = await begin_stream(context)
         pause = asyncio.ensure_future(context.silent.pause(LIMIT_SECONDS))
+        context.closers.append(lambda: end(pause))
         attempt_id = context.deployment.attempt_id
         context.other.faults.add(Refused(503), 9, lambda text: text == attempt_id)
         await asyncio.sleep(0.6)
@@ -269,7 +277,7 @@
         context.crashed_seconds = asyncio.get_running_loop().time()
         await context.silent.stop()
         await context.receiving
-        pause.cancel()
+        await end(pause)
 
     context.loop.run_until_complete(play())
 
--- a/lycheepost/callers/awaiting.py
+++ b/lycheepost/callers/awaiting.py
@@ -20,18 +20,15 @@
 async def await_headers(
     send: Coroutine[Any, Any, AttemptResult],
     waits_seconds: Iterator[float],
-    may_abandon: Callable[[], bool],
+    on_silent: Callable[[], None],
 ) -> AttemptResult:
-    """Return the result of an attempt.
+    """Return the result of an attempt; it is ended when the wait for it is cancelled.
 
     Args:
-        send: The attempt; it is cancelled when it is abandoned.
-        waits_seconds: How long to wait before each call of ``may_abandon``; after the
+        send: The attempt.
+        waits_seconds: How long to wait before each call of ``on_silent``; after the
             last one there is no time-out.
-        may_abandon: Whether to abandon the attempt; False to wait once more.
-
-    Raises:
-        TimeoutError: No headers arrived in time, and the attempt was abandoned.
+        on_silent: Called while the target sends nothing.
     """
     sending = asyncio.ensure_future(send)
     try:
@@ -39,8 +36,7 @@
             ended, _ = await asyncio.wait({sending}, timeout=next(waits_seconds, None))
             if ended:
                 return sending.result()
-            if may_abandon():
-                raise TimeoutError
+            on_silent()
     except BaseException:
         sending.cancel()
         sending.add_done_callback(_close_unwanted)
--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -126,6 +126,10 @@
         """Take a retry for a request that a peer is to serve; return False if none."""
         return self._scheduler.spend_retry(target_group, self._clock.now_seconds())
 
+    def give_back_retry(self, request: RequestId) -> None:
+        """Return a reserved retry that is not used; nothing if it was sent."""
+        self._scheduler.give_back_retry(request)
+
     def refuse_quarantined(self, work: Work) -> Refuse | None:
         """Return the refusal of quarantined work; None if it may be sent."""
         return self._scheduler.refuse_quarantined(work, self._clock.now_seconds())
--- a/lycheepost/callers/forwarderrors.py
+++ b/lycheepost/callers/forwarderrors.py
@@ -20,6 +20,10 @@
 """Another daemon that can reach the store serves the key at once."""
 
 
+class AnswerCut(Exception):
+    """An answer that has begun cannot be completed."""
+
+
 def not_configured() -> CallerError:
     """Return the error of a daemon that has no configuration yet."""
     return CallerError(
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -3,6 +3,10 @@
 identify -> admit -> place -> send -> relay -> settle, with the same queue, placement
 and retry budget as every other request. ``decide.attempts`` decides what follows an
 attempt that did not serve the caller.
+
+An attempt whose target falls silent is held while the request is tried elsewhere. The
+first target with a part of an answer ends the other attempts. If no other target takes
+the request, it waits for the silent one.
 """
 
 import asyncio
@@ -19,9 +23,9 @@
     CallerConnection,
     ForwardDeps,
     ForwardRequest,
-    RelayedFrom,
 )
 from lycheepost.callers.forwarderrors import (
+    AnswerCut,
     not_run,
     outcome_unknown,
     stream_unknown,
@@ -31,20 +35,20 @@
 from lycheepost.callers.forwardwork import (
     bound_work,
     continued_work,
+    first_sends,
     make_work,
     part_names,
     takes_up_stream,
 )
+from lycheepost.callers.heldattempts import HeldAttempts
 from lycheepost.callers.peerrelay import MAX_RELAYS, PeerAttempts, no_path
-from lycheepost.callers.relaying import (
-    AnswerRelay,
-    body_fields,
-)
-from lycheepost.callers.targetattempt import Standing, TargetAttempt
+from lycheepost.callers.reading import AttemptTrace
+from lycheepost.callers.relaying import AnswerRelay, body_fields
+from lycheepost.callers.searches import Searches
+from lycheepost.callers.targetattempt import Elsewhere, Standing, TargetAttempt
 from lycheepost.core.ids import SoftwareVersion, TargetGroupId
 from lycheepost.decide.attempts import (
     AttemptEnd,
-    Sends,
     Step,
     last_step,
     next_step,
@@ -67,11 +71,8 @@
 _log = structlog.get_logger(part="forward")
 
 
-def first_sends(relayed: RelayedFrom | None) -> Sends:
-    """Return the attempts of other daemons before this one's."""
-    if relayed is None:
-        return Sends()
-    return Sends(n_runs=relayed.n_runs, n_arrivals=relayed.n_arrivals)
+def _never() -> bool:
+    return False
 
 
 class Forwarding:
@@ -94,14 +95,21 @@
         self._deps = deps
         self._request = request
         self._route_match = route_match
-        self._relay = AnswerRelay(deps, request, route_match.route, caller)
+        self._relay = AnswerRelay(
+            deps, request, route_match.route, caller, self._end_others
+        )
         self._work = make_work(deps, request, route_match, route_table(deps))
         self._is_take_up = takes_up_stream(request, route_match.route)
         self._sends = first_sends(request.relayed)
         self._attempt: TargetAttempt | None = None
         self._begun_at: SoftwareVersion | None = None
+        self._held = HeldAttempts()
+        self._searches = Searches(
+            request.caller_id, self._held, self._search_on, self._count_interrupted
+        )
+        self._has_retry = False
         self._peer_attempts = PeerAttempts(
-            deps, request, route_match.route, self._relay
+            deps, request, route_match.route, self._relay, self._held
         )
         self._charge = make_charge(deps, request, route_match)
         timeout_seconds = route_match.route.timeout_seconds
@@ -135,7 +143,7 @@
         remaining = self._remaining_seconds() - DEADLINE_MARGIN_SECONDS
         try:
             async with asyncio.timeout(max(0.0, remaining)):
-                await self._serve()
+                await self._searches.run(self._search())
         except TimeoutError:
             self._log.info(
                 "forward: out of time",
@@ -161,8 +169,17 @@
                 raise self._with_arrivals(error) from error
             # The headers of an error response would be read as part of the stream.
             self._relay.abort()
+        except AnswerCut:
+            self._relay.abort()
         finally:
             self._charge.settle(self.executed)
+            self._release()
+
+    def _release(self) -> None:
+        """Break the reference cycles, as collections are rare."""
+        self._attempt = None
+        self._relay.end()
+        self._searches.end()
 
     def _with_arrivals(self, error: CallerError) -> CallerError:
         """Return an error that states how often this daemon sent the request."""
@@ -177,7 +194,50 @@
     def _remaining_seconds(self) -> float:
         return self._deadline_seconds - self._deps.clock.now_seconds()
 
-    async def _serve(self) -> None:
+    def _end_others(self, trace: AttemptTrace) -> None:
+        """End all attempts but the one that begins to answer."""
+        if not self._relay.has_begun:
+            self._begun_at = trace.software_version
+        self._held.end_others(trace)
+        if self._held and self._searches.is_running:
+            self._has_retry = False
+            self._deps.dispatcher.give_back_retry(self._work.request)
+            self._searches.interrupt()
+
+    def _may_search(self, trace: AttemptTrace) -> bool:
+        """Return whether to try another target beside a silent one.
+
+        If so, a retry is reserved.
+        """
+        is_held, has_begun = self._held.holds(trace), self._relay.has_begun
+        if is_held and self._searches.is_running:
+            return False
+        lost = self._relay.silent_end
+        sends = self._sends if is_held else self._sends.add(lost)
+        remaining_seconds = self._remaining_seconds()
+        step = next_step(self._route_match.route, sends, lost, remaining_seconds)
+        if step is not Step.TRY_AGAIN:
+            return False
+        if has_begun and not self._relay.can_continue:
+            return False
+        work = bound_work(self._work, self._begun_at) if has_begun else self._work
+        self._has_retry = self._deps.dispatcher.take_retry(work)
+        return self._has_retry
+
+    def _count_interrupted(self) -> None:
+        """Count an attempt that ended as a silent target went on before it."""
+        is_at_target = self._attempt is not None and self._attempt.is_sent
+        if is_at_target or self._peer_attempts.is_sent:
+            self._count(AttemptEnd.LOST)
+        self._attempt = None
+
+    async def _search(self) -> None:
+        """Look for a target that serves the request.
+
+        Raises:
+            CallerError: None does.
+            AnswerCut: None goes on with an answer that has begun.
+        """
         if self._deps.paths.are_lost(self._target_group):
             await self._serve_through_peers()
             return
@@ -186,29 +246,47 @@
             return
         if not first_sends(self._request.relayed).n_runs:
             await self._charge.take()
-        outcome = await self._admit()
-        while True:
-            match outcome:
+        await self._place(await self._admit())
+
+    async def _search_on(self, end: AttemptEnd | None) -> None:
+        """Look for another target after, or beside, one at which the request is held.
+
+        Args:
+            end: How the held attempt ended; None while its target is silent.
+        """
+        outcome = await self._find_other(end or self._relay.silent_end)
+        if outcome is not None:
+            await self._place(outcome)
+
+    async def _place(self, outcome: Outcome) -> None:
+        """Send to the target of an outcome, and to others until one serves."""
+        following: Outcome | None = outcome
+        while following is not None:
+            match following:
                 case Refuse(reason=RefusalReason.NO_PATH):
                     await self._serve_through_peers(has_retry=True)
                     return
                 case Refuse():
-                    await self._handle_refusal(outcome)
+                    await self._handle_refusal(following)
                     return
                 case Dispatch():
-                    end = await self._try_target(outcome)
+                    end = await self._try_target(following)
             if end is None:
                 return
-            attempt = self._attempt
-            if not await self._should_continue(end):
-                return
-            await self._deps.paths.settle(self._target_group)
-            has_retry = attempt is not None and attempt.has_reserved_retry
-            is_free = end is AttemptEnd.NOT_SENT or has_retry
-            if self._deps.paths.are_lost(self._target_group):
-                await self._serve_through_peers(is_free)
-                return
-            outcome = await self._deps.dispatcher.readmit(self._work, is_free)
+            self._count(end)
+            following = await self._find_other(end)
+
+    async def _find_other(self, end: AttemptEnd) -> Outcome | None:
+        """Return where to go after an attempt; None once nothing more is due."""
+        if not await self._should_continue(end):
+            return None
+        await self._deps.paths.settle(self._target_group)
+        has_retry, self._has_retry = self._has_retry, False
+        is_free = end is AttemptEnd.NOT_SENT or has_retry
+        if self._deps.paths.are_lost(self._target_group):
+            await self._serve_through_peers(is_free)
+            return None
+        return await self._deps.dispatcher.readmit(self._work, is_free)
 
     async def _admit(self) -> Outcome:
         """Admit the request for its first attempt here."""
@@ -266,52 +344,71 @@
         peers = relays.choose(self._target_group)
         # A peer that relayed the request to this daemon would get it back.
         is_last = relays.is_off or self._request.relayed is not None
-        for peer in () if is_last else peers[:MAX_RELAYS]:
+        tried = () if is_last else peers[:MAX_RELAYS]
+        for peer in tried:
             n_before = self._sends.n_arrivals
             has_retry = has_retry or not n_before or self._spend_retry()
             if not has_retry:
                 break
             # The key may have been revoked meanwhile.
             identify(self._deps, self._request)
+            may_search = self._reserve_relay if peer is not tried[-1] else _never
             end = await self._peer_attempts.send(
-                peer, self._sends, self._remaining_seconds()
+                peer,
+                self._sends,
+                self._remaining_seconds(),
+                may_search,
             )
-            if end is None or not await self._should_continue(end):
+            if end is None:
+                return
+            self._count(end)
+            if not await self._should_continue(end):
                 return
             if self._sends.n_arrivals > n_before:
                 has_retry = False
+            has_retry, self._has_retry = has_retry or self._has_retry, False
         if self._relay.has_begun:
-            self._relay.abort()
-        elif self._sends.n_runs:
+            raise AnswerCut
+        if self._sends.n_runs:
             if not await self._relay.pass_on_failure():
                 raise outcome_unknown()
         else:
             raise refusal or self._peer_attempts.refusal or no_path(bool(peers))
 
+    def _reserve_relay(self) -> bool:
+        """Return whether to try the next peer while one is silent."""
+        if self._relay.has_begun and not self._relay.can_continue:
+            return False
+        self._has_retry = self._spend_retry()
+        return self._has_retry
+
     def _spend_retry(self) -> bool:
         return self._deps.dispatcher.spend_retry(self._target_group)
 
     async def _handle_refusal(self, refusal: Refuse) -> None:
         """End the request after the scheduler refused it."""
         if self._relay.has_begun:
-            self._relay.abort()
-            return
+            raise AnswerCut
         if await self._relay.pass_on_failure():
             return
         if self._sends.n_runs:
             raise outcome_unknown()
         raise from_refusal(refusal, Executed.NO)
 
+    def _count(self, end: AttemptEnd) -> None:
+        """Count an attempt that did not serve the caller."""
+        self._sends = self._sends.add(end, self._peer_attempts.n_arrivals)
+        self._attempt = None
+        self._peer_attempts.is_sent = False
+        self._peer_attempts.n_arrivals = None
+
     async def _should_continue(self, end: AttemptEnd) -> bool:
         """Return whether to try again after an attempt that did not serve the caller.
 
         Raises:
             CallerError: No attempt follows, and nothing has been sent to the caller.
+            AnswerCut: No attempt follows, and part of an answer has been sent.
         """
-        self._sends = self._sends.add(end, self._peer_attempts.n_arrivals)
-        self._attempt = None
-        self._peer_attempts.is_sent = False
-        self._peer_attempts.n_arrivals = None
         remaining_seconds = self._remaining_seconds()
         step = next_step(self._route_match.route, self._sends, end, remaining_seconds)
         if step is Step.TRY_AGAIN and self._relay.has_begun:
@@ -328,7 +425,7 @@
             case Step.PASS_ON:
                 await self._relay.pass_on_failure()
             case Step.CUT_OFF:
-                self._relay.abort()
+                raise AnswerCut
             case Step.REFUSE:
                 raise not_run(NOT_RUN_RETRY_SECONDS)
             case Step.GIVE_UP:
@@ -347,13 +444,11 @@
             self._route_match,
             self._relay,
             Standing(self._work, self._sends, self._deadline_seconds),
+            Elsewhere(self._held, self._may_search),
         )
-        self._relay.begin_attempt()
         listed = self._deps.targets.get(dispatch.target)
         software_version = None if listed is None else listed.software_version
         after_event = self._relay.after_event
-        if not self._relay.has_begun:
-            self._begun_at = software_version
         end: AttemptEnd | None = None
         kind = FinishKind.CANCELLED
         sent_seconds = self._deps.clock.now_seconds()
@@ -388,12 +483,13 @@
         after_event: int | None,
     ) -> None:
         now_seconds = self._deps.clock.now_seconds()
+        trace = self._attempt.trace if self._attempt is not None else AttemptTrace()
         self._log.info(
             "forward: sent",
             target=dispatch.target,
             end=end,
             finish=kind.value,
-            has_written=self._relay.has_written,
+            has_written=trace.has_written,
             parts=part_names(self._work.parts),
             n_arrivals_before=self._sends.n_arrivals,
             software_version=software_version,
@@ -406,5 +502,5 @@
             held_seconds=round(now_seconds - sent_seconds, 4),
             first_seconds=self._relay.first_seconds,
             longest_gap_seconds=self._relay.longest_gap_seconds,
-            **body_fields(self._relay.last_body),
+            **body_fields(trace.body),
         )
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
+from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest, RelayedFrom
 from lycheepost.core.hashing import fingerprint_body, prompt_part_key
 from lycheepost.core.ids import (
     ModelId,
@@ -14,6 +14,7 @@
     WeightsVersion,
 )
 from lycheepost.core.routing import Prompt, Route, RouteKind, RouteTable
+from lycheepost.decide.attempts import Sends
 from lycheepost.decide.promptlevels import CacheScope, make_scope, prompt_levels
 from lycheepost.decide.records import PrefixLevel, Priority, Work
 from lycheepost.decide.routes import (
@@ -114,6 +115,13 @@
     return Priority(min(rank_of(route_match), Priority.BATCH.value))
 
 
+def first_sends(relayed: RelayedFrom | None) -> Sends:
+    """Return the attempts of other daemons before this one's."""
+    if relayed is None:
+        return Sends()
+    return Sends(n_runs=relayed.n_runs, n_arrivals=relayed.n_arrivals)
+
+
 def takes_up_stream(request: ForwardRequest, route: Route) -> bool:
     """Return whether a request asks for the rest of a stream."""
     return request.after_event is not None and is_resumable_stream(route)
--- /dev/null
+++ b/lycheepost/callers/heldattempts.py
@@ -0,0 +1,149 @@
+"""Attempts whose target fell silent, kept until another one has begun to answer.
+
+A sound target may send nothing for a second and go on. The request looks for another
+target meanwhile, and may find none, so its old answer is not given up before.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from lycheepost.callers.reading import AttemptTrace
+from lycheepost.decide.attempts import AttemptEnd
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended.
+
+    Attributes:
+        end: None when nothing more is due to the caller.
+        reason: For the log.
+    """
+
+    end: AttemptEnd | None
+    reason: str
+
+
+class HeldAttempts:
+    """The attempts of one request whose targets are silent, or have gone on."""
+
+    def __init__(self) -> None:
+        self._runs: list[AttemptRun] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._runs)
+
+    def holds(self, trace: AttemptTrace) -> bool:
+        """Return whether an attempt is held."""
+        return any(run.trace is trace for run in self._runs)
+
+    def add(self, run: "AttemptRun") -> None:
+        """Keep an attempt whose target fell silent."""
+        if run not in self._runs:
+            self._runs.append(run)
+
+    def end_others(self, trace: AttemptTrace) -> None:
+        """End all attempts but one, which begins to answer."""
+        for run in self._runs:
+            if run.trace is not trace:
+                run.cancel()
+        self._runs = [run for run in self._runs if run.trace is trace]
+
+    async def wait(self) -> tuple[AttemptTrace, AttemptResult | None]:
+        """Wait for the next attempt that ends, or whose target falls silent again.
+
+        Returns:
+            The attempt, and its result, after which it is not held any more; None if
+            its target is silent.
+        """
+        while True:
+            waits = {asyncio.ensure_future(run.wait()): run for run in self._runs}
+            try:
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for item in waits:
+                    item.cancel()
+            for item, run in waits.items():
+                # Those that another one has ended are not held any more.
+                if item.done() and run in self._runs:
+                    return run.trace, self._take(run, item.result())
+
+    def _take(
+        self, run: "AttemptRun", result: AttemptResult | None
+    ) -> AttemptResult | None:
+        if result is not None:
+            self._runs.remove(run)
+        return result
+
+    async def end(self) -> None:
+        """End all attempts."""
+        runs, self._runs = self._runs, []
+        await asyncio.gather(*(run.end() for run in runs))
+
+
+class AttemptRun:
+    """An attempt that may be held while the request is tried elsewhere.
+
+    Args:
+        trace: What it has relayed.
+        held: The attempts of its request that are held.
+        make: Returns the attempt, which calls ``hold`` when its target falls silent.
+    """
+
+    def __init__(
+        self,
+        trace: AttemptTrace,
+        held: HeldAttempts,
+        make: Callable[["AttemptRun"], Coroutine[Any, Any, AttemptResult]],
+    ) -> None:
+        self.trace = trace
+        self._held = held
+        self._is_silent = False
+        self._news: asyncio.Future[None] | None = None
+        self._task = asyncio.ensure_future(make(self))
+        self._task.add_done_callback(self._note_end)
+
+    def hold(self) -> None:
+        """Let the request be tried elsewhere, as the target is silent."""
+        self._held.add(self)
+        self._is_silent = True
+        self._tell()
+
+    def _note_end(self, task: asyncio.Task[AttemptResult]) -> None:
+        if not task.cancelled():
+            # Nobody may wait for it any more; asyncio would log its error.
+            task.exception()
+        self._tell()
+
+    def _tell(self) -> None:
+        if self._news is not None and not self._news.done():
+            self._news.set_result(None)
+
+    async def wait(self) -> AttemptResult | None:
+        """Return the result; None if the target has fallen silent since the last call.
+
+        A cancelled call ends the attempt unless it is held.
+        """
+        if not (self._is_silent or self._task.done()):
+            self._news = asyncio.get_running_loop().create_future()
+            try:
+                await self._news
+            except asyncio.CancelledError:
+                if not self._held.holds(self.trace):
+                    self._task.cancel()
+                raise
+        if self._task.done():
+            return self._task.result()
+        self._is_silent = False
+        return None
+
+    def cancel(self) -> None:
+        """End the attempt; its target's connection is closed."""
+        self._task.cancel()
+
+    async def end(self) -> None:
+        """End the attempt, and wait until it has."""
+        self._task.cancel()
+        await asyncio.wait({self._task})
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -5,6 +5,8 @@
 sent again unless it may be repeated.
 """
 
+from collections.abc import Callable
+
 import structlog
 from returns.result import Failure, Success
 
@@ -12,12 +14,9 @@
 from lycheepost.callers.errors import CallerError, ErrorType
 from lycheepost.callers.forwardcalls import route_table
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest, RelayPeer
-from lycheepost.callers.relaying import (
-    AnswerRelay,
-    FirstByteTimeout,
-    StreamTimeouts,
-    body_fields,
-)
+from lycheepost.callers.heldattempts import AttemptResult, AttemptRun, HeldAttempts
+from lycheepost.callers.reading import AttemptCalls, AttemptTrace, StreamTimeouts
+from lycheepost.callers.relaying import AnswerRelay, body_fields
 from lycheepost.core.ids import CustomerId, RequestId, TargetId
 from lycheepost.core.routing import Route
 from lycheepost.decide.attempts import AttemptEnd, Sends
@@ -113,6 +112,7 @@
         request: The caller's request.
         route: Its route.
         relay: Relays responses to the caller.
+        held: The request's attempts whose targets or peers are silent.
 
     Attributes:
         is_sent: Whether a peer may be serving the request now.
@@ -127,6 +127,7 @@
         request: ForwardRequest,
         route: Route,
         relay: AnswerRelay,
+        held: HeldAttempts,
     ) -> None:
         self.is_sent = False
         self.n_arrivals: int | None = None
@@ -135,9 +136,14 @@
         self._request = request
         self._route = route
         self._relay = relay
+        self._held = held
 
     async def send(
-        self, peer: RelayPeer, sends: Sends, remaining_seconds: float
+        self,
+        peer: RelayPeer,
+        sends: Sends,
+        remaining_seconds: float,
+        may_search: Callable[[], bool],
     ) -> AttemptEnd | None:
         """Send the request to one peer and relay its response.
 
@@ -145,9 +151,11 @@
             peer: The peer.
             sends: The attempts before.
             remaining_seconds: Until the deadline of the request.
+            may_search: Whether to try another peer while this one is silent.
 
         Returns:
-            How the attempt ended; None when nothing more is due to the caller.
+            How the attempt ended, or what the silence of the peer counts as, while the
+            attempt is held; None when nothing more is due to the caller.
         """
         after_event = self._relay.after_event
         call = make_peer_call(
@@ -160,8 +168,12 @@
         )
         self.is_sent = True
         self.n_arrivals = None
-        self._relay.begin_attempt()
-        end = await self._await_end(call)
+        trace = AttemptTrace()
+        run = AttemptRun(
+            trace, self._held, lambda run: self._await_end(call, run, may_search)
+        )
+        result = await run.wait()
+        end = self._relay.silent_end if result is None else result.end
         self._deps.metrics.count("relayed_to_peers")
         _log.info(
             "forward: relayed to a peer",
@@ -171,24 +183,39 @@
             n_arrivals_before=sends.n_arrivals,
             end="served" if end is None else end.value,
             first_seconds=self._relay.first_seconds,
-            **body_fields(self._relay.last_body),
+            **body_fields(trace.body),
         )
         return end
 
-    async def _await_end(self, call: ForwardCall) -> AttemptEnd | None:
+    async def _await_end(
+        self,
+        call: ForwardCall,
+        run: AttemptRun,
+        may_search: Callable[[], bool],
+    ) -> AttemptResult:
+        def on_silent(_silent_seconds: float) -> None:
+            if not self._held.holds(run.trace) and may_search():
+                self._relay.yield_turn(run.trace)
+                run.hold()
+
         send = self._deps.relays.client.send(call)
         waits_seconds = iter([call.remaining_seconds])
-        match await await_headers(send, waits_seconds, lambda: False):
-            case Failure(TargetUnreachable()):
-                return AttemptEnd.NOT_SENT
-            case Failure(TargetError()):
-                return AttemptEnd.LOST
+        match await await_headers(send, waits_seconds, lambda: None):
+            case Failure(TargetUnreachable(reason=reason)):
+                return AttemptResult(AttemptEnd.NOT_SENT, reason)
+            case Failure(TargetError(reason=reason)):
+                return AttemptResult(AttemptEnd.LOST, reason)
             case Success(answer):
-                return await self._handle_answer(answer, call)
+                end = await self._handle_answer(answer, call, run.trace, on_silent)
+                return AttemptResult(end, "relayed to a peer")
         raise AssertionError("a result is a success or a failure")
 
     async def _handle_answer(
-        self, answer: ForwardResponse, call: ForwardCall
+        self,
+        answer: ForwardResponse,
+        call: ForwardCall,
+        trace: AttemptTrace,
+        on_silent: Callable[[float], None],
     ) -> AttemptEnd | None:
         self.n_arrivals = answer.head.n_arrivals
         if answer.head.was_not_run:
@@ -202,11 +229,9 @@
         idle_seconds = idle_timeout_seconds(self._route, Sends(n_runs=n_runs))
         if idle_seconds is not None:
             idle_seconds *= PEER_IDLE_FACTOR
-        timeouts = StreamTimeouts(call.remaining_seconds, idle_seconds, lambda: True)
+        timeouts = StreamTimeouts(call.remaining_seconds, idle_seconds, on_silent)
         try:
-            result = await self._relay.relay(answer, timeouts, lambda: None)
-        except FirstByteTimeout:
-            return AttemptEnd.LOST
+            result = await self._relay.relay(answer, timeouts, trace, AttemptCalls())
         finally:
             answer.close()
         return result.end
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -4,24 +4,31 @@
 off, the request can still be retried or answered with an error. Streams are sent as
 they arrive, up to the end of the last complete event, so that another target can
 continue them.
+
+Several targets may be asked while none answers. The first one with a part of an answer
+begins, and the others are ended.
 """
 
-import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
 import structlog
 
 from lycheepost.callers.forwarddeps import CallerConnection, ForwardDeps, ForwardRequest
+from lycheepost.callers.reading import (
+    AttemptCalls,
+    AttemptTrace,
+    Reading,
+    RelayedBody,
+    StreamTimeouts,
+)
 from lycheepost.core.routing import Route, RouteKind
 from lycheepost.decide.attempts import AttemptEnd
 from lycheepost.decide.streamend import StreamEnd, find_defect
 from lycheepost.targets.errors import TargetError, TargetLost
-from lycheepost.targets.events import EventSplitter
 from lycheepost.targets.forward import ForwardResponse
 from lycheepost.targets.forwardcall import ResponseHead
-from lycheepost.utils.bodies import BodyEnd, BodyFraming
+from lycheepost.utils.bodies import BodyEnd
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest response that is buffered, so that a faulty target cannot fill the memory; a
@@ -37,10 +44,6 @@
 _log = structlog.get_logger(part="relay")
 
 
-class FirstByteTimeout(Exception):
-    """The headers arrived, but no byte of the body within the time-out."""
-
-
 class RelayEnd(Enum):
     """How the relaying of one response ended."""
 
@@ -50,7 +53,6 @@
     UNSEALED = "unsealed"
     BROKEN = "broken"
     CUT = "cut"
-    FELL_SILENT = "fell_silent"
     OUT_OF_ORDER = "out_of_order"
 
     @property
@@ -63,55 +65,10 @@
                 return AttemptEnd.FAILED
             case RelayEnd.UNSEALED | RelayEnd.BROKEN:
                 return AttemptEnd.BROKEN
-            case RelayEnd.CUT | RelayEnd.FELL_SILENT | RelayEnd.OUT_OF_ORDER:
+            case RelayEnd.CUT | RelayEnd.OUT_OF_ORDER:
                 return AttemptEnd.CUT
 
 
-@dataclass(frozen=True, slots=True)
-class StreamTimeouts:
-    """How long a stream may be silent.
-
-    Attributes:
-        first_byte_seconds: Before the first part.
-        idle_seconds: Between two parts; None for as long as the caller waits.
-        may_abandon: Called after a time-out; False to wait once more.
-    """
-
-    first_byte_seconds: float
-    idle_seconds: float | None
-    may_abandon: Callable[[], bool]
-
-
-async def read_with_timeout(
-    answer: ForwardResponse, wait_seconds: float | None, may_abandon: Callable[[], bool]
-) -> bytes | None:
-    """Return the next bytes of a response; None after its end.
-
-    Raises:
-        TimeoutError: It was silent for ``wait_seconds``, and may be abandoned.
-    """
-    while True:
-        try:
-            async with asyncio.timeout(wait_seconds):
-                return await answer.read()
-        except TimeoutError:
-            if may_abandon():
-                raise
-
-
-@dataclass(frozen=True, slots=True)
-class RelayedBody:
-    """How the body of a response was framed and ended, for the log.
-
-    Attributes:
-        n_partial_bytes: Bytes of an event that had begun and did not end.
-    """
-
-    framing: BodyFraming
-    end: BodyEnd
-    n_partial_bytes: int
-
-
 def body_fields(body: RelayedBody | None) -> dict[str, object]:
     """Return the fields of a log event for a body; none if no headers arrived."""
     if body is None:
@@ -123,16 +80,24 @@
     }
 
 
+def _ignore(_trace: AttemptTrace) -> None:
+    """Do nothing about an attempt that begins to answer."""
+
+
 class AnswerRelay:
     """Relays the responses of one request's targets to its caller.
 
+    Args:
+        deps: The dependencies of forwarding.
+        request: The caller's request.
+        route: Its route.
+        caller: The connection that the response goes to.
+        on_turn: Called with the attempt that begins to answer, before its first byte.
+
     Attributes:
         has_begun: Part of a response has been sent to the caller.
-        has_written: The attempt's target has completed an event, or its whole answer.
         first_seconds: From arrival to the first part that was sent; None before.
         longest_gap_seconds: The longest pause between two parts of a stream so far.
-        last_body: How the body of the attempt's response was framed and ended; None
-            before its headers.
     """
 
     def __init__(
@@ -141,92 +106,100 @@
         request: ForwardRequest,
         route: Route,
         caller: CallerConnection,
+        on_turn: Callable[[AttemptTrace], None] | None = None,
     ) -> None:
         self.has_begun = False
-        self.has_written = False
         self.first_seconds: float | None = None
         self.longest_gap_seconds = 0.0
-        self.last_body: RelayedBody | None = None
+        self._on_turn = on_turn or _ignore
+        self._turn: AttemptTrace | None = None
         self._last_write_seconds: float | None = None
         self._deps = deps
         self._request = request
         self._route = route
         self._caller = caller
-        self._splitter = EventSplitter()
+        self._last_id: int | None = None
+        self._n_events = 0
         self._failure: tuple[ResponseHead, bytes] | None = None
-        self._on_written: Callable[[], None] = lambda: None
 
     @property
     def after_event(self) -> int | None:
         """Return the id of the last event that the caller has, if any."""
-        last_id = self._splitter.last_id
-        return self._request.after_event if last_id is None else last_id
+        return self._request.after_event if self._last_id is None else self._last_id
 
     @property
     def n_events(self) -> int:
         """Return how many events the caller has received."""
-        return self._splitter.n_events
+        return self._n_events
 
     @property
     def can_continue(self) -> bool:
         """Return whether another target can continue after the caller's last event."""
-        return self._route.is_resumable and self._splitter.last_id is not None
+        return self._route.is_resumable and self._last_id is not None
 
-    def begin_attempt(self) -> None:
-        """Forget how the response of the last attempt ended."""
-        self.last_body = None
-        self.has_written = False
+    @property
+    def silent_end(self) -> AttemptEnd:
+        """Return what the silence of a target counts as."""
+        return AttemptEnd.CUT if self.has_begun else AttemptEnd.LOST
+
+    def _take_turn(self, trace: AttemptTrace) -> None:
+        """Let an attempt write to the caller, and no other one."""
+        if self._turn is trace:
+            return
+        if self._turn is not None:
+            raise RuntimeError("another attempt has begun to answer")
+        self._turn = trace
+        self._on_turn(trace)
+
+    def end(self) -> None:
+        """Report no more attempts."""
+        self._on_turn = _ignore
+
+    def yield_turn(self, trace: AttemptTrace) -> None:
+        """Let another attempt write, as this one has ended or its target is silent."""
+        if self._turn is trace:
+            self._turn = None
 
     async def relay(
         self,
         answer: ForwardResponse,
         timeouts: StreamTimeouts,
-        on_first: Callable[[], None],
-        on_written: Callable[[], None] = lambda: None,
+        trace: AttemptTrace,
+        calls: AttemptCalls,
     ) -> RelayEnd:
         """Relay one response.
 
         Args:
             answer: Its headers have arrived, and the target ran the request.
             timeouts: How long a stream may be silent.
-            on_first: Called when the first part has arrived.
-            on_written: Called when the target has completed an event, or a whole
-                successful answer.
-
-        Raises:
-            FirstByteTimeout: No byte arrived in time, so none was relayed.
+            trace: Filled with what is relayed.
+            calls: What to call as it arrives.
         """
-        self._splitter.restart()
-        self._on_written = on_written
+        reading = Reading(answer, timeouts, trace, calls)
         try:
-            return await self._relay(answer, timeouts, on_first)
+            return await self._relay(reading)
         finally:
-            self.last_body = RelayedBody(
-                answer.head.framing, answer.body_end, self._splitter.n_partial_bytes
+            self.yield_turn(trace)
+            trace.body = RelayedBody(
+                answer.head.framing, answer.body_end, reading.splitter.n_partial_bytes
             )
 
-    async def _relay(
-        self,
-        answer: ForwardResponse,
-        timeouts: StreamTimeouts,
-        on_first: Callable[[], None],
-    ) -> RelayEnd:
-        head = answer.head
+    async def _relay(self, reading: Reading) -> RelayEnd:
+        head = reading.answer.head
         if head.is_encoded or (
             head.status < _FIRST_ERROR_STATUS and not head.is_sealed
         ):
             return RelayEnd.UNSEALED
         is_stream = self._route.kind is RouteKind.STREAM
         if head.status < _FIRST_ERROR_STATUS and is_stream:
-            return await self._relay_stream(answer, timeouts, on_first)
+            return await self._relay_stream(reading)
         if self.has_begun:
             return RelayEnd.CUT
-        return await self._relay_complete(answer, on_first)
+        return await self._relay_complete(reading)
 
-    async def _relay_complete(
-        self, answer: ForwardResponse, on_first: Callable[[], None]
-    ) -> RelayEnd:
-        on_first()
+    async def _relay_complete(self, reading: Reading) -> RelayEnd:
+        answer = reading.answer
+        reading.calls.on_first()
         with self._deps.answer_bytes.open() as held:
             parts: list[bytes] = []
             try:
@@ -234,20 +207,20 @@
                     parts.append(data)
                     is_kept = held.n_bytes + len(data) <= MAX_ANSWER_BYTES
                     if not is_kept or not held.take(len(data)):
-                        return await self._relay_rest(answer, parts, is_kept)
+                        return await self._relay_rest(reading, parts, is_kept)
             except TargetError as error:
                 self._log_broken(error)
                 return RelayEnd.BROKEN
             body = b"".join(parts)
             if answer.head.status < _FIRST_ERROR_STATUS:
-                self._note_written()
+                reading.note_written()
             if answer.head.status >= _FIRST_SERVER_ERROR_STATUS:
                 self._failure = (answer.head, body)
                 return RelayEnd.FAILED
-            return await self._send_complete(answer.head, body)
+            return await self._send_complete(answer.head, body, reading.trace)
 
     async def _relay_rest(
-        self, answer: ForwardResponse, parts: list[bytes], is_kept: bool
+        self, reading: Reading, parts: list[bytes], is_kept: bool
     ) -> RelayEnd:
         """Relay a response as it arrives, as too many are held to hold it as well.
 
@@ -255,10 +228,11 @@
         request cannot be tried again.
 
         Args:
-            answer: The response.
+            reading: The response.
             parts: What was read of its body.
             is_kept: False if the response itself is too large.
         """
+        answer = reading.answer
         if not is_kept:
             answer.close()
             _log.info("relay: answer too large", request_id=self._request.caller_id)
@@ -266,7 +240,8 @@
         if answer.head.status >= _FIRST_SERVER_ERROR_STATUS:
             answer.close()
             return RelayEnd.FAILED
-        self._note_written()
+        reading.note_written()
+        self._take_turn(reading.trace)
         self._note_begun()
         try:
             await self._caller.begin(answer.head, None)
@@ -287,7 +262,10 @@
         for start in range(0, len(body), _WRITE_BYTES):
             await self._caller.write(body[start : start + _WRITE_BYTES])
 
-    async def _send_complete(self, head: ResponseHead, body: bytes) -> RelayEnd:
+    async def _send_complete(
+        self, head: ResponseHead, body: bytes, trace: AttemptTrace
+    ) -> RelayEnd:
+        self._take_turn(trace)
         self._note_begun()
         try:
             await self._caller.begin(head, len(body))
@@ -302,30 +280,23 @@
         if self._failure is None or self.has_begun:
             return False
         head, body = self._failure
-        await self._send_complete(head, body)
+        await self._send_complete(head, body, AttemptTrace())
         return True
 
-    async def _relay_stream(
-        self,
-        answer: ForwardResponse,
-        timeouts: StreamTimeouts,
-        on_first: Callable[[], None],
-    ) -> RelayEnd:
-        after_id = self._splitter.last_id
+    async def _relay_stream(self, reading: Reading) -> RelayEnd:
+        splitter, after_id = reading.splitter, self._last_id
         try:
-            data = await self._read_first(answer, timeouts)
-            on_first()
+            data = await reading.read_first()
+            reading.calls.on_first()
             while data is not None:
-                events = self._splitter.feed(data)
-                if not self._is_in_order(after_id):
+                events = splitter.feed(data)
+                if not reading.is_after(after_id):
                     return RelayEnd.OUT_OF_ORDER
-                await self._send_events(answer.head, events)
-                data = await self._read_next(answer, timeouts)
-            self._check_end(answer)
-            await self._send_events(answer.head, self._splitter.flush())
-            await self._finish_stream(answer.head)
-        except TimeoutError:
-            return RelayEnd.FELL_SILENT
+                await self._send_events(reading, events)
+                data = await reading.read_next()
+            self._check_end(reading)
+            await self._send_events(reading, splitter.flush())
+            await self._finish_stream(reading)
         except TargetError as error:
             self._log_broken(error)
             return RelayEnd.CUT if self.has_begun else RelayEnd.BROKEN
@@ -333,57 +304,36 @@
             return RelayEnd.CALLER_LEFT
         return RelayEnd.SERVED
 
-    def _check_end(self, answer: ForwardResponse) -> None:
+    def _check_end(self, reading: Reading) -> None:
         """Raise an error if a stream that has ended is not complete."""
         end = StreamEnd(
-            is_marked=answer.body_end is BodyEnd.MARKED,
-            is_inside_event=self._splitter.is_inside_event,
-            has_events=self._splitter.has_events,
+            is_marked=reading.answer.body_end is BodyEnd.MARKED,
+            is_inside_event=reading.splitter.is_inside_event,
+            has_events=reading.splitter.has_events,
             is_continuation=self.after_event is not None,
         )
         defect = find_defect(end)
         if defect is not None:
             raise TargetLost(defect.value)
 
-    async def _read_first(
-        self, answer: ForwardResponse, timeouts: StreamTimeouts
-    ) -> bytes | None:
-        try:
-            return await read_with_timeout(
-                answer, timeouts.first_byte_seconds, timeouts.may_abandon
-            )
-        except TimeoutError:
-            raise FirstByteTimeout from None
-
-    async def _read_next(
-        self, answer: ForwardResponse, timeouts: StreamTimeouts
-    ) -> bytes | None:
-        return await read_with_timeout(
-            answer, timeouts.idle_seconds, timeouts.may_abandon
-        )
-
-    def _is_in_order(self, after_id: int | None) -> bool:
-        """Return whether a continuation starts after the caller's last event.
-
-        A target that starts from the beginning would repeat events.
-        """
-        first_id = self._splitter.first_id
-        return after_id is None or first_id is None or first_id > after_id
-
-    async def _send_events(self, head: ResponseHead, events: bytes) -> None:
+    async def _send_events(self, reading: Reading, events: bytes) -> None:
         if not events:
             return
-        self._note_written()
+        self._take_turn(reading.trace)
+        reading.note_written()
+        self._note_events(reading)
         if not self.has_begun:
             self._note_begun()
-            await self._caller.begin(head, None)
+            await self._caller.begin(reading.answer.head, None)
         self._note_write()
         await self._caller.write(events)
 
-    def _note_written(self) -> None:
-        if not self.has_written:
-            self.has_written = True
-            self._on_written()
+    def _note_events(self, reading: Reading) -> None:
+        splitter = reading.splitter
+        self._n_events += splitter.n_events - reading.n_sent_events
+        reading.n_sent_events = splitter.n_events
+        if splitter.last_id is not None:
+            self._last_id = splitter.last_id
 
     def _note_write(self) -> None:
         now_seconds = self._deps.clock.now_seconds()
@@ -401,10 +351,11 @@
         ):
             self._deps.metrics.count("streams_paused")
 
-    async def _finish_stream(self, head: ResponseHead) -> None:
+    async def _finish_stream(self, reading: Reading) -> None:
+        self._take_turn(reading.trace)
         if not self.has_begun:
             self._note_begun()
-            await self._caller.begin(head, None)
+            await self._caller.begin(reading.answer.head, None)
         await self._caller.finish()
 
     def _note_begun(self) -> None:
@@ -425,6 +376,6 @@
         _log.warning(
             "relay: answer cut",
             request_id=self._request.caller_id,
-            last_event=self._splitter.last_id,
+            last_event=self._last_id,
         )
         self._caller.abort()
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -1,6 +1,7 @@
 """One attempt at a forwarded request at one target: send, relay, judge how it ended."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -10,21 +11,17 @@
 from lycheepost.callers.forwardcalls import Progress, make_call
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.callers.forwardidentify import identify
-from lycheepost.callers.forwardwork import bound_work
+from lycheepost.callers.heldattempts import AttemptResult, AttemptRun, HeldAttempts
 from lycheepost.callers.lossverdicts import (
     FINISH_KIND_BY_VERDICT,
     FIRST_REPEAT_SECONDS,
 )
-from lycheepost.callers.relaying import (
-    AnswerRelay,
-    FirstByteTimeout,
-    RelayEnd,
-    StreamTimeouts,
-)
-from lycheepost.core.ids import SoftwareVersion, TargetId
+from lycheepost.callers.reading import AttemptCalls, AttemptTrace, StreamTimeouts
+from lycheepost.callers.relaying import AnswerRelay, RelayEnd
+from lycheepost.core.ids import TargetId
 from lycheepost.core.routing import ListedTarget, RouteKind
 from lycheepost.core.starts import StartVerdict, start_key
-from lycheepost.decide.attempts import AttemptEnd, Sends, Step, next_step
+from lycheepost.decide.attempts import AttemptEnd, Sends
 from lycheepost.decide.records import FinishKind, Work
 from lycheepost.decide.routes import RouteMatch, is_resumable_stream
 from lycheepost.decide.silence import (
@@ -72,6 +69,20 @@
     deadline_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """How a request is tried elsewhere while a target is silent.
+
+    Attributes:
+        held: Its attempts at silent targets.
+        may_try: Whether another target may be tried beside an attempt; if so, a retry
+            is reserved.
+    """
+
+    held: HeldAttempts
+    may_try: Callable[[AttemptTrace], bool]
+
+
 class TargetAttempt:
     """One attempt.
 
@@ -81,11 +92,11 @@
         route_match: Its route and sender.
         relay: Relays responses to the caller.
         standing: Where the request stands.
+        elsewhere: How the request is tried elsewhere.
 
     Attributes:
         is_sent: Whether the target may be running the request, or have run it.
-        has_reserved_retry: Whether a retry was taken from the budget for the next
-            attempt.
+        trace: What it has relayed.
     """
 
     def __init__(
@@ -95,9 +106,11 @@
         route_match: RouteMatch,
         relay: AnswerRelay,
         standing: Standing,
+        elsewhere: Elsewhere,
     ) -> None:
         self.is_sent = False
-        self.has_reserved_retry = False
+        self.trace = AttemptTrace()
+        self._elsewhere = elsewhere
         self._deps = deps
         self._request = request
         self._route_match = route_match
@@ -105,7 +118,6 @@
         self._standing = standing
         self._is_sound_silence = False
         self._sent_seconds = standing.work.arrived_seconds
-        self._software_version: SoftwareVersion | None = None
 
     async def run(self, target: TargetId) -> tuple[AttemptEnd | None, str, FinishKind]:
         """Send to a target and relay its response.
@@ -130,13 +142,22 @@
         if self._must_check_start(listed) and not await self._is_same(listed):
             reason = "the target has restarted or does not answer"
             return AttemptEnd.NOT_SENT, reason, FinishKind.TARGET_REFUSED
-        self._software_version = listed.software_version
+        self.trace.software_version = listed.software_version
+        run = AttemptRun(
+            self.trace, self._elsewhere.held, lambda run: self._send(listed, run)
+        )
         try:
-            end, reason = await self._send(listed)
+            result = await run.wait()
         except asyncio.CancelledError:
             self._count_if_dead(listed)
             raise
-        return end, reason, await self._finish_kind(listed, end)
+        result = result or AttemptResult(self._relay.silent_end, "silent")
+        return result.end, result.reason, await self._finish_kind(listed, result.end)
+
+    @property
+    def _is_held(self) -> bool:
+        """Return whether the request is tried elsewhere, as the target was silent."""
+        return self._elsewhere.held.holds(self.trace)
 
     def _fits(self, listed: ListedTarget) -> bool:
         """Return whether a target's software fits the request.
@@ -175,12 +196,8 @@
     def _remaining_seconds(self) -> float:
         return self._standing.deadline_seconds - self._deps.clock.now_seconds()
 
-    async def _send(self, listed: ListedTarget) -> tuple[AttemptEnd | None, str]:
-        """Send to one target and relay its response.
-
-        Returns:
-            How the attempt ended, None when nothing more is due, and the reason.
-        """
+    async def _send(self, listed: ListedTarget, run: AttemptRun) -> AttemptResult:
+        """Send to one target and relay its response."""
         # Check again before any byte is sent: while the request was queued, its key
         # may have been revoked or the confirmation of the configuration expired.
         identify(self._deps, self._request)
@@ -194,35 +211,30 @@
         sent_seconds = self._deps.clock.now_seconds()
         self._sent_seconds = sent_seconds
         self.is_sent = True
-        try:
-            send = self._deps.client.send(call)
-            sent = await await_headers(
-                send,
-                header_waits_seconds(wait_seconds, self._check_seconds(call)),
-                lambda: self._may_abandon_at(call, sent_seconds + wait_seconds),
-            )
-        except TimeoutError:
-            silent_seconds = self._deps.clock.now_seconds() - sent_seconds
-            self._note_silence(target, silent_seconds)
-            if call.may_reuse_connection:
-                self._deps.client.note_silent(target, silent_seconds)
-            return AttemptEnd.LOST, "silent"
+        sent = await await_headers(
+            self._deps.client.send(call),
+            header_waits_seconds(wait_seconds, self._check_seconds(call)),
+            lambda: self._check_silence(call, run, sent_seconds + wait_seconds),
+        )
         match sent:
             case Failure(TargetUnreachable(reason=reason)):
                 self.is_sent = False
                 self._deps.paths.note_failed(self._standing.work.target_group, target)
                 self._deps.targets.note_end(target, Ending.UNREACHABLE)
-                return AttemptEnd.NOT_SENT, reason
+                return AttemptResult(AttemptEnd.NOT_SENT, reason)
             case Failure(TargetError(reason=reason)):
                 self._deps.paths.note_failed(self._standing.work.target_group, target)
                 self._deps.targets.note_end(target, Ending.BAD)
-                return AttemptEnd.LOST, reason
+                return AttemptResult(AttemptEnd.LOST, reason)
             case Success(answer):
                 if not call.may_reuse_connection:
                     self._deps.paths.note_answered(self._standing.work.target_group)
-                return await self._handle_answer(
-                    listed, answer, wait_seconds, sent_seconds
+                timeouts = StreamTimeouts(
+                    wait_seconds,
+                    idle_timeout_seconds(self._route_match.route, self._standing.sends),
+                    lambda seconds: self._note_pause(target, run, seconds),
                 )
+                return await self._handle_answer(listed, answer, timeouts, sent_seconds)
         raise AssertionError("a result is a success or a failure")
 
     def _check_seconds(self, call: ForwardCall) -> float:
@@ -233,13 +245,16 @@
             self._route_match.route, call.remaining_seconds
         )
 
-    def _may_abandon_at(self, call: ForwardCall, timeout_seconds: float) -> bool:
-        """Return whether to abandon a target without response.
+    def _check_silence(
+        self, call: ForwardCall, run: AttemptRun, timeout_seconds: float
+    ) -> None:
+        """Check the paths to a target without response, and hold the attempt if due.
 
         Before its timeout this is only done if this daemon hears from no target.
 
         Args:
             call: The call that waits.
+            run: The attempt.
             timeout_seconds: When its timeout ends.
         """
         paths, target_group = self._deps.paths, self._standing.work.target_group
@@ -247,35 +262,45 @@
             paths.note_failed(target_group, call.target)
         paths.note_quiet(target_group)
         is_cut = paths.are_lost(target_group) and paths.is_quiet(target_group)
-        is_early = self._deps.clock.now_seconds() < timeout_seconds - EARLY_SECONDS
-        return (is_cut or not is_early) and self._may_abandon()
-
-    def _may_abandon(self) -> bool:
-        """Return whether to abandon a silent target; if so, a retry is reserved."""
-        lost = AttemptEnd.CUT if self._relay.has_begun else AttemptEnd.LOST
-        step = next_step(
-            self._route_match.route,
-            self._standing.sends.add(lost),
-            lost,
-            self._remaining_seconds(),
-        )
-        if step is not Step.TRY_AGAIN:
-            return False
-        if self._relay.has_begun and not self._relay.can_continue:
+        now_seconds = self._deps.clock.now_seconds()
+        if not is_cut and now_seconds < timeout_seconds - EARLY_SECONDS:
+            return
+        silent_seconds = now_seconds - self._sent_seconds
+        is_held = self._hold_if_silent(call.target, run, silent_seconds)
+        if is_held and call.may_reuse_connection:
+            self._deps.client.note_silent(call.target, silent_seconds)
+
+    def _note_pause(
+        self, target: TargetId, run: AttemptRun, silent_seconds: float
+    ) -> None:
+        """Hold the attempt at a target that pauses after its headers, if due."""
+        self._hold_if_silent(target, run, silent_seconds)
+
+    def _hold_if_silent(
+        self, target: TargetId, run: AttemptRun, silent_seconds: float
+    ) -> bool:
+        """Hold the attempt at a silent target if the request may be tried elsewhere."""
+        if not self._elsewhere.may_try(self.trace):
             return False
-        work = self._standing.work
-        if self._relay.has_begun:
-            work = bound_work(work, self._software_version)
-        self.has_reserved_retry = self._deps.dispatcher.take_retry(work)
-        return self.has_reserved_retry
+        _log.info(
+            "forward: target silent",
+            request_id=self._request.caller_id,
+            target=target,
+            silent_seconds=round(silent_seconds, 3),
+        )
+        self._deps.metrics.count("silent_attempts_held")
+        self._note_silence(target, silent_seconds)
+        self._relay.yield_turn(self.trace)
+        run.hold()
+        return True
 
     async def _handle_answer(
         self,
         listed: ListedTarget,
         answer: ForwardResponse,
-        wait_seconds: float,
+        timeouts: StreamTimeouts,
         sent_seconds: float,
-    ) -> tuple[AttemptEnd | None, str]:
+    ) -> AttemptResult:
         target = listed.target
         head = answer.head
         self._deps.on_answer_headers(listed, head, sent_seconds)
@@ -283,34 +308,20 @@
             self.is_sent = False
             await self._read_rejection(answer)
             self._note_rejection(target, answer)
-            return AttemptEnd.NOT_RUN, f"rejected with {head.status}"
+            return AttemptResult(AttemptEnd.NOT_RUN, f"rejected with {head.status}")
         if self._standing.work.model and head.weights_version is not None:
             self._deps.targets.note_weights(
                 target, self._standing.work.model, head.weights_version
             )
+        calls = AttemptCalls(self._note_first, self._note_written)
         try:
-            timeouts = StreamTimeouts(
-                wait_seconds,
-                idle_timeout_seconds(self._route_match.route, self._standing.sends),
-                self._may_abandon,
-            )
-            result = await self._relay.relay(
-                answer,
-                timeouts,
-                self._note_first,
-                lambda: self._deps.dispatcher.note_written(self._standing.work.request),
-            )
-        except FirstByteTimeout:
-            self._note_silence(target, wait_seconds)
-            return AttemptEnd.LOST, "silent"
+            result = await self._relay.relay(answer, timeouts, self.trace, calls)
         finally:
             answer.close()
-        if result is RelayEnd.FELL_SILENT:
-            self._note_silence(target, timeouts.idle_seconds or 0.0)
-        elif result is not RelayEnd.CALLER_LEFT:
+        if result is not RelayEnd.CALLER_LEFT:
             ending = Ending.GOOD if result.end is None else Ending.BAD
             self._deps.targets.note_end(target, ending)
-        return result.end, result.value
+        return AttemptResult(result.end, result.value)
 
     def _note_silence(self, target: TargetId, silent_seconds: float) -> None:
         """Count the silence of a target as a failure, unless it may be sound."""
@@ -337,14 +348,20 @@
             self._standing.sends.n_runs,
         )
 
+    def _note_written(self) -> None:
+        if not self._is_held:
+            self._deps.dispatcher.note_written(self._standing.work.request)
+
     def _note_first(self) -> None:
-        self._deps.dispatcher.first_token(self._standing.work.request)
+        if not self._is_held:
+            # Otherwise the scheduler has the request at another target.
+            self._deps.dispatcher.first_token(self._standing.work.request)
         if is_resumable_stream(self._route_match.route):
             # Before the caller gets its first event, after which it may come again.
             self._deps.stream_versions.note_begun(
                 self._request.stream,
                 self._standing.work.target_group,
-                self._software_version,
+                self.trace.software_version,
             )
 
     def _note_rejection(self, target: TargetId, answer: ForwardResponse) -> None:
@@ -398,7 +415,7 @@
             self._standing.work,
             start_key(listed.target, listed.start.incarnation),
             self._sent_seconds,
-            self._relay.has_written,
+            self.trace.has_written,
         )
         self._deps.verdicts.count_later(
             listed.start,
--- a/lycheepost/targets/events.py
+++ b/lycheepost/targets/events.py
@@ -28,10 +28,10 @@
 
     Attributes:
         last_id: Id of the last complete event; None before the first.
-        first_id: Id of the first complete event since the last ``restart``.
+        first_id: Id of the first complete event; None before it.
         n_events: Number of complete events with an id.
         n_partial_bytes: Size of the partial event at the end of the last data.
-        has_events: Whether complete events arrived since the last ``restart``.
+        has_events: Whether complete events arrived.
     """
 
     def __init__(self) -> None:
@@ -76,10 +76,3 @@
         """Return the bytes after the last event of a complete stream."""
         rest, self._partial_event = self._partial_event, b""
         return rest
-
-    def restart(self) -> None:
-        """Drop the partial event; another target continues after ``last_id``."""
-        self._partial_event = b""
-        self.n_partial_bytes = 0
-        self.has_events = False
-        self.first_id = None
