--- a/features/platform/heldanswers.feature
+++ b/features/platform/heldanswers.feature
@@ -40,6 +40,27 @@
       | its route is removed                 |
       | the daemon is told to end            |
       | new connections to both services are reset |
+      | the other service fails it           |
+
+  Scenario Outline: A look-up that waits for its service takes only the retries that it sends, as <obstacle>
+    Guards against a budget that requests of a silent group use up without being sent.
+    Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
+    When the service of a look-up is silent for 1.8 s and <obstacle>
+    Then the client gets the whole answer within 2.5 s
+    And as many retries are counted as the request arrived again
+
+    Examples:
+      | obstacle                                   |
+      | new connections to both services are reset |
+      | the other service rejects it               |
+      | the other service is silent as well        |
+
+  Scenario: A stream that waits for its engine takes no retry that it does not send
+    Guards against a budget that streams of a silent group use up without being sent.
+    Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
+    When the engine of a stream is silent for 0.8 s and new connections to both engines are reset
+    Then the client gets the whole stream
+    And as many retries are counted as the request arrived again
 
   Scenario: A stream that goes on elsewhere ends at its silent engine
     Guards against two engines at work on one stream.
@@ -61,6 +82,7 @@
     Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
     When the engine of a stream is silent for 0.5 s as the other rejects it, and then for good
     Then the client gets the whole stream
+    And the other engine has sent its end
 
   Scenario: A stream whose silent engine breaks off in the end is cut
     Guards against streams that are held although nothing can come any more.
--- a/features/platform/steps/heldanswer_steps.py
+++ b/features/platform/steps/heldanswer_steps.py
@@ -9,10 +9,13 @@
 from lycheepost.app.platformfleet import ENGINES, PLAIN
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import PathCut
+from lycheepost.platform.models.serverfaults import ServerFailure
 from lycheepost.platform.models.serverstandin import PlatformServer, event_bytes
 from lycheepost.standin.faults import Refused, Truncated
 
 N_EVENTS = 60
+N_LONG_EVENTS = 1000
+"""Events of a stream that takes half a second after its first pause."""
 N_FIRST_EVENTS = 3
 """Events that the client has when its engine falls silent."""
 BODY = b"a title"
@@ -60,12 +63,18 @@
 async def start(context):
     deployment = context.deployment
     await deployment.start(is_configured=False)
-    for server in deployment.group(ENGINES):
-        server.n_events = N_EVENTS
+    set_length(context, N_EVENTS)
     deployment.configure(make_document(context))
     await deployment.until(deployment.all_ready)
 
 
+def set_length(context, n_events):
+    """Set how many events each stream has."""
+    context.n_events = n_events
+    for server in context.deployment.group(ENGINES):
+        server.n_events = n_events
+
+
 async def receive(deployment, method, path, headers, body, received):
     """Send a request and keep what arrives."""
     loop = asyncio.get_running_loop()
@@ -103,7 +112,7 @@
     """Begin a stream; return its engine and the other one once events arrive."""
     deployment = context.deployment
     headers = deployment.prompt_headers(
-        **{names.DEADLINE: DEADLINE_MS, names.TOKENS: f"150,{N_EVENTS}"}
+        **{names.DEADLINE: DEADLINE_MS, names.TOKENS: f"150,{context.n_events}"}
     )
     context.received = Received()
     context.receiving = asyncio.ensure_future(
@@ -148,6 +157,8 @@
     match obstacle.split():
         case ["the", "other", "engine" | "service", "rejects", *_]:
             other.faults.add(Refused(503), 5, lambda text: text == attempt_id)
+        case ["the", "other", _, "fails", "it"]:
+            other.faults.add(ServerFailure(), 5, lambda text: text == attempt_id)
         case ["the", "other", *_, "a", "back-off"]:
             other.backoff_seconds = 0.5
         case ["the", "other", _, "has", "crashed"]:
@@ -243,6 +254,8 @@
     " then for good"
 )
 def step_twice(context, seconds):
+    set_length(context, N_LONG_EVENTS)
+
     async def play():
         context.silent, context.other = await begin_stream(context)
         pause = asyncio.ensure_future(context.silent.pause(seconds))
@@ -255,6 +268,7 @@
             return context.received.body.count(b"\n\n") > n_before
 
         await context.deployment.until(has_gone_on)
+        assert not context.receiving.done(), "the stream ended before its second pause"
         pause = asyncio.ensure_future(context.silent.pause(LIMIT_SECONDS))
         await context.receiving
         await end(pause)
@@ -292,7 +306,7 @@
 @then("the client gets the whole stream")
 def step_whole(context):
     received = context.received
-    expected = b"".join(event_bytes(n, BODY) for n in range(1, N_EVENTS + 1))
+    expected = b"".join(event_bytes(n, BODY) for n in range(1, context.n_events + 1))
     assert received.status == 200, received
     assert received.is_whole, received
     assert received.body == expected, received
@@ -328,3 +342,12 @@
 def step_other_ended(context):
     other: PlatformServer = context.other
     assert other.n_running == 0, other.n_running
+
+
+@then("as many retries are counted as the request arrived again")
+def step_retries(context):
+    deployment = context.deployment
+    budgets = deployment.daemons[0].status()["queues"]["retries"].values()
+    n_retries = sum(budget["n_retries"] for budget in budgets)
+    n_arrivals = sum(len(server.arrivals) for server in deployment.servers)
+    assert n_retries == n_arrivals - 1, (n_retries, n_arrivals)
