End the newest attempt at once when a silent target goes on

What callers would see: a stream with events of two runs, as a silent engine goes on and another one begins in the same moment. The newer attempt was ended through its search, two turns of the loop later. If the silent target's answer broke off or ended within them, the newer one could take the turn and write.

Change: the attempt that goes on ends the newest attempt itself, as it ends the held ones.

Evidence: behave features/callers/heldattempts.feature: the newer attempt wrote as well before, not after.

--- a/lycheepost/callers/heldattempts.py
+++ b/lycheepost/callers/heldattempts.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._runs: list[AttemptRun] = []
+        self._newest: AttemptRun | None = None
 
     def __bool__(self) -> bool:
         return bool(self._runs)
@@ -39,14 +40,23 @@
         """Return whether an attempt is held."""
         return any(run.trace is trace for run in self._runs)
 
+    def note_begun(self, run: "AttemptRun") -> None:
+        """Keep the newest attempt, which may be held later."""
+        self._newest = run
+
     def add(self, run: "AttemptRun") -> None:
         """Keep an attempt whose target fell silent."""
         if run not in self._runs:
             self._runs.append(run)
 
     def end_others(self, trace: AttemptTrace) -> None:
-        """End all attempts but one, which begins to answer."""
-        for run in self._runs:
+        """End all attempts but one, which begins to answer.
+
+        Answers may arrive at once, so the newest attempt ends here too, and not only
+        with its search.
+        """
+        newest = () if self._newest is None else (self._newest,)
+        for run in (*self._runs, *newest):
             if run.trace is not trace:
                 run.cancel()
         self._runs = [run for run in self._runs if run.trace is trace]
@@ -80,6 +90,7 @@
     async def end(self) -> None:
         """End all attempts."""
         runs, self._runs = self._runs, []
+        self._newest = None
         await asyncio.gather(*(run.end() for run in runs))
 
 
@@ -104,6 +115,7 @@
         self._news: asyncio.Future[None] | None = None
         self._task = asyncio.ensure_future(make(self))
         self._task.add_done_callback(self._note_end)
+        held.note_begun(self)
 
     def hold(self) -> None:
         """Let the request be tried elsewhere, as the target is silent."""
