Leave no target that goes on just as the next search is due

What callers would see: a stream at its engine while a second one reads its prompt, too, for as long as that takes. A held target was silent once more, and went on before the search that follows had begun, three turns of the loop later; nothing ended that search.

Change: the request looks at its held attempts and begins the search in one turn, and a target that goes on is no longer taken for silent. Waiting for held attempts makes no tasks. The retry is given back as well. In the test the attempt interrupts the search, as forwarding does.

Evidence: behave features/callers/heldattempts.feature: a search followed before, none after.

--- a/features/callers/steps/heldattempt_steps.py
+++ b/features/callers/steps/heldattempt_steps.py
@@ -26,12 +26,14 @@
         self.has_written = False
         self.has_ended = False
         self._held = context.held
+        self._on_turn = lambda: context.searches.interrupt()
         self.run = AttemptRun(AttemptTrace(), context.held, self._serve)
 
     async def _serve(self, run):
         try:
             await self.arrived.wait()
             self._held.end_others(run.trace)
+            self._on_turn()
             self.has_written = True
             await self.may_end.wait()
             return AttemptResult(None, "served")
@@ -39,9 +41,20 @@
             self.has_ended = True
 
 
+async def search(context):
+    context.n_searches += 1
+    raise ConnectionError("no target")
+
+
+def make_searches(context):
+    return Searches("request", context.held, lambda _end: search(context), lambda: None)
+
+
 async def make_held(context):
     """Make an attempt whose target fell silent, after which its request goes on."""
     context.held = HeldAttempts()
+    context.n_searches = 0
+    context.searches = make_searches(context)
     context.stack.push_async_callback(context.held.end)
     context.silent = Attempt(context)
     await settle()
@@ -86,21 +99,12 @@
 
 @given("an attempt that is held, and a search that has found no target")
 def step_search(context):
-    context.n_searches = 0
-
-    async def find_nothing():
-        raise ConnectionError("no target")
-
-    def search_on(_end):
-        context.n_searches += 1
-        return find_nothing()
-
     async def begin():
         await make_held(context)
-        searches = Searches("request", context.held, search_on, lambda: None)
-        context.serving = asyncio.ensure_future(searches.run(find_nothing()))
+        context.serving = asyncio.ensure_future(context.searches.run(search(context)))
         await settle()
         assert not context.serving.done()
+        context.n_searches = 0
 
     context.run(begin())
 
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -199,7 +199,7 @@
         if not self._relay.has_begun:
             self._begun_at = trace.software_version
         self._held.end_others(trace)
-        if self._held and self._searches.is_running:
+        if self._held:
             self._has_retry = False
             self._deps.dispatcher.give_back_retry(self._work.request)
             self._searches.interrupt()
--- a/lycheepost/callers/heldattempts.py
+++ b/lycheepost/callers/heldattempts.py
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         self._runs: list[AttemptRun] = []
         self._newest: AttemptRun | None = None
+        self._news = asyncio.Event()
 
     def __bool__(self) -> bool:
         return bool(self._runs)
@@ -57,10 +58,16 @@
         """
         newest = () if self._newest is None else (self._newest,)
         for run in (*self._runs, *newest):
-            if run.trace is not trace:
+            if run.trace is trace:
+                run.note_going_on()
+            else:
                 run.cancel()
         self._runs = [run for run in self._runs if run.trace is trace]
 
+    def note_news(self) -> None:
+        """Let ``wait`` look again, as an attempt has ended or its target is silent."""
+        self._news.set()
+
     async def wait(self) -> tuple[AttemptTrace, AttemptResult | None]:
         """Wait for the next attempt that ends, or whose target falls silent again.
 
@@ -69,23 +76,14 @@
             its target is silent.
         """
         while True:
-            waits = {asyncio.ensure_future(run.wait()): run for run in self._runs}
-            try:
-                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                for item in waits:
-                    item.cancel()
-            for item, run in waits.items():
-                # Those that another one has ended are not held any more.
-                if item.done() and run in self._runs:
-                    return run.trace, self._take(run, item.result())
-
-    def _take(
-        self, run: "AttemptRun", result: AttemptResult | None
-    ) -> AttemptResult | None:
-        if result is not None:
-            self._runs.remove(run)
-        return result
+            run = next((run for run in self._runs if run.has_news), None)
+            if run is not None:
+                result = run.take_news()
+                if result is not None:
+                    self._runs.remove(run)
+                return run.trace, result
+            self._news.clear()
+            await self._news.wait()
 
     async def end(self) -> None:
         """End all attempts."""
@@ -130,6 +128,7 @@
         self._tell()
 
     def _tell(self) -> None:
+        self._held.note_news()
         if self._news is not None and not self._news.done():
             self._news.set_result(None)
 
@@ -138,7 +137,7 @@
 
         A cancelled call ends the attempt unless it is held.
         """
-        if not (self._is_silent or self._task.done()):
+        if not self.has_news:
             self._news = asyncio.get_running_loop().create_future()
             try:
                 await self._news
@@ -146,11 +145,24 @@
                 if not self._held.holds(self.trace):
                     self._task.cancel()
                 raise
+        return self.take_news()
+
+    @property
+    def has_news(self) -> bool:
+        """Return whether it has ended, or its target is silent."""
+        return self._is_silent or self._task.done()
+
+    def take_news(self) -> AttemptResult | None:
+        """Return the result; None if the target is silent."""
         if self._task.done():
             return self._task.result()
         self._is_silent = False
         return None
 
+    def note_going_on(self) -> None:
+        """Let the request not be tried elsewhere, as the target is no longer silent."""
+        self._is_silent = False
+
     def cancel(self) -> None:
         """End the attempt; its target's connection is closed."""
         self._task.cancel()
