End held attempts although the end of their request is cancelled

What a target would see: a request at work for a caller that has left, as the caller's time runs out in the same turn of the loop. Held attempts were ended by tasks of their own, which a second cancellation ended before they had begun.

Change: held attempts are ended before the wait for their ends. The error of a search that ends as its caller leaves is taken; asyncio would log it.

Evidence: behave features/callers/heldattempts.feature: the held attempt went on before, not after.

--- a/lycheepost/callers/heldattempts.py
+++ b/lycheepost/callers/heldattempts.py
@@ -89,6 +89,9 @@
         """End all attempts."""
         runs, self._runs = self._runs, []
         self._newest = None
+        for run in runs:
+            # At once: the wait for their ends may be cancelled.
+            run.cancel()
         await asyncio.gather(*(run.end() for run in runs))
 
 
--- a/lycheepost/callers/searches.py
+++ b/lycheepost/callers/searches.py
@@ -79,6 +79,9 @@
         except asyncio.CancelledError:
             task.cancel()
             await asyncio.wait({task})
+            if not task.cancelled():
+                # Nobody is left to be told; asyncio would log its error.
+                task.exception()
             raise
         finally:
             self._task = None
