Return the retry that a search reserved and did not send

What callers saw: a look-up held for 1.8 s while its group is silent used up five retries though it was sent once, so that a dozen of them leave none to other requests of the group. A search that ended in lost paths or in an error kept its reserved retry. A retry spent on a peer was not counted as sent, so that a silent target that went on would have given it back.

Change: each search returns what it has not sent; a retry counts as sent once a peer gets the request. While a reserved retry waits for its search, no second one is reserved.

Evidence: behave features/platform/heldanswers.feature, retries counted for a look-up that arrived once: 5 before, 0 after (two scenarios). The one for a stream stays red: there a retry counts from its dispatch on, though no connection is made.

--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -126,6 +126,10 @@
         """Take a retry for a request that a peer is to serve; return False if none."""
         return self._scheduler.spend_retry(target_group, self._clock.now_seconds())
 
+    def note_retry_sent(self, request: RequestId) -> None:
+        """Count a reserved retry as a peer gets the request; nothing if none is."""
+        self._scheduler.note_retry_sent(request, self._clock.now_seconds())
+
     def give_back_retry(self, request: RequestId) -> None:
         """Return a reserved retry that is not used; nothing if it was sent."""
         self._scheduler.give_back_retry(request)
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -200,17 +200,22 @@
             self._begun_at = trace.software_version
         self._held.end_others(trace)
         if self._held:
-            self._has_retry = False
-            self._deps.dispatcher.give_back_retry(self._work.request)
+            self._return_retry()
             self._searches.interrupt()
 
+    def _return_retry(self) -> None:
+        """Return a reserved retry with which the request was not sent."""
+        self._has_retry = False
+        self._deps.dispatcher.give_back_retry(self._work.request)
+
     def _may_search(self, trace: AttemptTrace) -> bool:
         """Return whether to try another target beside a silent one.
 
         If so, a retry is reserved.
         """
         is_held, has_begun = self._held.holds(trace), self._relay.has_begun
-        if is_held and self._searches.is_running:
+        if self._has_retry or (is_held and self._searches.is_running):
+            # Another search is due, or runs.
             return False
         lost = self._relay.silent_end
         sends = self._sends if is_held else self._sends.add(lost)
@@ -238,6 +243,13 @@
             CallerError: None does.
             AnswerCut: None goes on with an answer that has begun.
         """
+        try:
+            await self._search_first()
+        finally:
+            self._return_retry()
+
+    async def _search_first(self) -> None:
+        """Look for the first target, and for others until one serves."""
         if self._deps.paths.are_lost(self._target_group):
             await self._serve_through_peers()
             return
@@ -254,9 +266,12 @@
         Args:
             end: How the held attempt ended; None while its target is silent.
         """
-        outcome = await self._find_other(end or self._relay.silent_end)
-        if outcome is not None:
-            await self._place(outcome)
+        try:
+            outcome = await self._find_other(end or self._relay.silent_end)
+            if outcome is not None:
+                await self._place(outcome)
+        finally:
+            self._return_retry()
 
     async def _place(self, outcome: Outcome) -> None:
         """Send to the target of an outcome, and to others until one serves."""
@@ -350,6 +365,7 @@
             has_retry = has_retry or not n_before or self._spend_retry()
             if not has_retry:
                 break
+            self._deps.dispatcher.note_retry_sent(self._work.request)
             # The key may have been revoked meanwhile.
             identify(self._deps, self._request)
             may_search = self._reserve_relay if peer is not tried[-1] else _never
