Pass on no error of a second target while a silent one may still answer

What callers saw: a look-up got the 500 of a second service 0.6 s after it was sent, while its own, silent for 0.8 s, was about to answer. Cause: the error of a target that ran the request ends the search as served, and with it the held attempts.

Change: such an error is kept while a silent target is held. If that one fails as well, it is passed on as before.

Evidence: behave features/platform/heldanswers.feature, "the other service fails it": 500 before, the whole answer after.

--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -386,8 +386,7 @@
         if self._relay.has_begun:
             raise AnswerCut
         if self._sends.n_runs:
-            if not await self._relay.pass_on_failure():
-                raise outcome_unknown()
+            await self._pass_on_failure()
         else:
             raise refusal or self._peer_attempts.refusal or no_path(bool(peers))
 
@@ -405,12 +404,20 @@
         """End the request after the scheduler refused it."""
         if self._relay.has_begun:
             raise AnswerCut
-        if await self._relay.pass_on_failure():
-            return
         if self._sends.n_runs:
-            raise outcome_unknown()
+            await self._pass_on_failure()
+            return
         raise from_refusal(refusal, Executed.NO)
 
+    async def _pass_on_failure(self) -> None:
+        """Relay the error of a target that ran the request, unless one may answer.
+
+        Raises:
+            CallerError: None has failed, or a silent one is held.
+        """
+        if self._held or not await self._relay.pass_on_failure():
+            raise outcome_unknown()
+
     def _count(self, end: AttemptEnd) -> None:
         """Count an attempt that did not serve the caller."""
         self._sends = self._sends.add(end, self._peer_attempts.n_arrivals)
@@ -438,15 +445,12 @@
                     )
                     self._work = bound_work(self._work, self._begun_at)
                 return True
-            case Step.PASS_ON:
-                await self._relay.pass_on_failure()
+            case Step.PASS_ON | Step.GIVE_UP:
+                await self._pass_on_failure()
             case Step.CUT_OFF:
                 raise AnswerCut
             case Step.REFUSE:
                 raise not_run(NOT_RUN_RETRY_SECONDS)
-            case Step.GIVE_UP:
-                if not await self._relay.pass_on_failure():
-                    raise outcome_unknown()
         return False
 
     async def _try_target(self, dispatch: Dispatch) -> AttemptEnd | None:
