--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -199,18 +199,23 @@
         if not self._relay.has_begun:
             self._begun_at = trace.software_version
         self._held.end_others(trace)
-        if self._held and self._searches.is_running:
-            self._has_retry = False
-            self._deps.dispatcher.give_back_retry(self._work.request)
+        if self._held:
+            self._return_retry()
             self._searches.interrupt()
 
+    def _return_retry(self) -> None:
+        """Return a reserved retry with which the request was not sent."""
+        self._has_retry = False
+        self._deps.dispatcher.give_back_retry(self._work.request)
+
     def _may_search(self, trace: AttemptTrace) -> bool:
         """Return whether to try another target beside a silent one.
 
         If so, a retry is reserved.
         """
         is_held, has_begun = self._held.holds(trace), self._relay.has_begun
-        if is_held and self._searches.is_running:
+        if self._has_retry or (is_held and self._searches.is_running):
+            # Another search is due, or runs.
             return False
         lost = self._relay.silent_end
         sends = self._sends if is_held else self._sends.add(lost)
@@ -238,6 +243,13 @@
             CallerError: None does.
             AnswerCut: None goes on with an answer that has begun.
         """
+        try:
+            await self._search_first()
+        finally:
+            self._return_retry()
+
+    async def _search_first(self) -> None:
+        """Look for the first target, and for others until one serves."""
         if self._deps.paths.are_lost(self._target_group):
             await self._serve_through_peers()
             return
@@ -254,9 +266,12 @@
         Args:
             end: How the held attempt ended; None while its target is silent.
         """
-        outcome = await self._find_other(end or self._relay.silent_end)
-        if outcome is not None:
-            await self._place(outcome)
+        try:
+            outcome = await self._find_other(end or self._relay.silent_end)
+            if outcome is not None:
+                await self._place(outcome)
+        finally:
+            self._return_retry()
 
     async def _place(self, outcome: Outcome) -> None:
         """Send to the target of an outcome, and to others until one serves."""
@@ -350,6 +365,7 @@
             has_retry = has_retry or not n_before or self._spend_retry()
             if not has_retry:
                 break
+            self._deps.dispatcher.note_retry_sent(self._work.request)
             # The key may have been revoked meanwhile.
             identify(self._deps, self._request)
             may_search = self._reserve_relay if peer is not tried[-1] else _never
@@ -370,8 +386,7 @@
         if self._relay.has_begun:
             raise AnswerCut
         if self._sends.n_runs:
-            if not await self._relay.pass_on_failure():
-                raise outcome_unknown()
+            await self._pass_on_failure()
         else:
             raise refusal or self._peer_attempts.refusal or no_path(bool(peers))
 
@@ -389,12 +404,20 @@
         """End the request after the scheduler refused it."""
         if self._relay.has_begun:
             raise AnswerCut
-        if await self._relay.pass_on_failure():
-            return
         if self._sends.n_runs:
-            raise outcome_unknown()
+            await self._pass_on_failure()
+            return
         raise from_refusal(refusal, Executed.NO)
 
+    async def _pass_on_failure(self) -> None:
+        """Relay the error of a target that ran the request, unless one may answer.
+
+        Raises:
+            CallerError: None has failed, or a silent one is held.
+        """
+        if self._held or not await self._relay.pass_on_failure():
+            raise outcome_unknown()
+
     def _count(self, end: AttemptEnd) -> None:
         """Count an attempt that did not serve the caller."""
         self._sends = self._sends.add(end, self._peer_attempts.n_arrivals)
@@ -422,15 +445,12 @@
                     )
                     self._work = bound_work(self._work, self._begun_at)
                 return True
-            case Step.PASS_ON:
-                await self._relay.pass_on_failure()
+            case Step.PASS_ON | Step.GIVE_UP:
+                await self._pass_on_failure()
             case Step.CUT_OFF:
                 raise AnswerCut
             case Step.REFUSE:
                 raise not_run(NOT_RUN_RETRY_SECONDS)
-            case Step.GIVE_UP:
-                if not await self._relay.pass_on_failure():
-                    raise outcome_unknown()
         return False
 
     async def _try_target(self, dispatch: Dispatch) -> AttemptEnd | None:
--- a/lycheepost/callers/heldattempts.py
+++ b/lycheepost/callers/heldattempts.py
@@ -31,6 +31,8 @@
 
     def __init__(self) -> None:
         self._runs: list[AttemptRun] = []
+        self._newest: AttemptRun | None = None
+        self._news = asyncio.Event()
 
     def __bool__(self) -> bool:
         return bool(self._runs)
@@ -39,18 +41,33 @@
         """Return whether an attempt is held."""
         return any(run.trace is trace for run in self._runs)
 
+    def note_begun(self, run: "AttemptRun") -> None:
+        """Keep the newest attempt, which may be held later."""
+        self._newest = run
+
     def add(self, run: "AttemptRun") -> None:
         """Keep an attempt whose target fell silent."""
         if run not in self._runs:
             self._runs.append(run)
 
     def end_others(self, trace: AttemptTrace) -> None:
-        """End all attempts but one, which begins to answer."""
-        for run in self._runs:
-            if run.trace is not trace:
+        """End all attempts but one, which begins to answer.
+
+        Answers may arrive at once, so the newest attempt ends here too, and not only
+        with its search.
+        """
+        newest = () if self._newest is None else (self._newest,)
+        for run in (*self._runs, *newest):
+            if run.trace is trace:
+                run.note_going_on()
+            else:
                 run.cancel()
         self._runs = [run for run in self._runs if run.trace is trace]
 
+    def note_news(self) -> None:
+        """Let ``wait`` look again, as an attempt has ended or its target is silent."""
+        self._news.set()
+
     async def wait(self) -> tuple[AttemptTrace, AttemptResult | None]:
         """Wait for the next attempt that ends, or whose target falls silent again.
 
@@ -59,27 +76,22 @@
             its target is silent.
         """
         while True:
-            waits = {asyncio.ensure_future(run.wait()): run for run in self._runs}
-            try:
-                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                for item in waits:
-                    item.cancel()
-            for item, run in waits.items():
-                # Those that another one has ended are not held any more.
-                if item.done() and run in self._runs:
-                    return run.trace, self._take(run, item.result())
-
-    def _take(
-        self, run: "AttemptRun", result: AttemptResult | None
-    ) -> AttemptResult | None:
-        if result is not None:
-            self._runs.remove(run)
-        return result
+            run = next((run for run in self._runs if run.has_news), None)
+            if run is not None:
+                result = run.take_news()
+                if result is not None:
+                    self._runs.remove(run)
+                return run.trace, result
+            self._news.clear()
+            await self._news.wait()
 
     async def end(self) -> None:
         """End all attempts."""
         runs, self._runs = self._runs, []
+        self._newest = None
+        for run in runs:
+            # At once: the wait for their ends may be cancelled.
+            run.cancel()
         await asyncio.gather(*(run.end() for run in runs))
 
 
@@ -104,6 +116,7 @@
         self._news: asyncio.Future[None] | None = None
         self._task = asyncio.ensure_future(make(self))
         self._task.add_done_callback(self._note_end)
+        held.note_begun(self)
 
     def hold(self) -> None:
         """Let the request be tried elsewhere, as the target is silent."""
@@ -118,6 +131,7 @@
         self._tell()
 
     def _tell(self) -> None:
+        self._held.note_news()
         if self._news is not None and not self._news.done():
             self._news.set_result(None)
 
@@ -126,7 +140,7 @@
 
         A cancelled call ends the attempt unless it is held.
         """
-        if not (self._is_silent or self._task.done()):
+        if not self.has_news:
             self._news = asyncio.get_running_loop().create_future()
             try:
                 await self._news
@@ -134,11 +148,24 @@
                 if not self._held.holds(self.trace):
                     self._task.cancel()
                 raise
+        return self.take_news()
+
+    @property
+    def has_news(self) -> bool:
+        """Return whether it has ended, or its target is silent."""
+        return self._is_silent or self._task.done()
+
+    def take_news(self) -> AttemptResult | None:
+        """Return the result; None if the target is silent."""
         if self._task.done():
             return self._task.result()
         self._is_silent = False
         return None
 
+    def note_going_on(self) -> None:
+        """Let the request not be tried elsewhere, as the target is no longer silent."""
+        self._is_silent = False
+
     def cancel(self) -> None:
         """End the attempt; its target's connection is closed."""
         self._task.cancel()
