Ask peers whether they hear from a group; log how each probe of paths ended

Cause: nothing told targets that are silent for all daemons from a loss of own paths: a probe said only which targets had responded.

Change: 0.15 s into a probe without response, up to eight linked peers, half of them of other zones, are asked whether a target of the group has sent them anything since the probe began. One without traffic of its own probes the group for it, at most once in 0.25 s. The verdict is unchanged.

--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -2,20 +2,23 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 import structlog
 
+from lycheepost.app.pathquestions import OnQuestion, OnReached, Reply
 from lycheepost.core.clock import Clock
-from lycheepost.core.ids import TargetGroupId, TargetId
+from lycheepost.core.ids import DaemonId, TargetGroupId, TargetId
 from lycheepost.decide.ownpaths import (
     LOST_PROBE_INTERVAL_SECONDS,
     MAX_PROBE_LAG_SECONDS,
+    MIN_PROBED_TARGETS,
     OwnPaths,
+    ProbeEnd,
 )
-from lycheepost.decide.silence import QUIET_SECONDS
+from lycheepost.decide.silence import QUIET_SECONDS, TIMER_SLACK_SECONDS
 from lycheepost.decide.startverdict import ProbedReach, ReachEvidence, judge_reach
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
@@ -24,6 +27,13 @@
 """A response normally takes a few milliseconds. With a longer time-out the requests
 that wait for the verdict could no longer be served in time through a peer."""
 
+ASK_SECONDS = 0.15
+"""A probe without a response asks the peers after this time. If one hears from a target
+by then, the rest of the time-out is enough for a response to this daemon."""
+
+ANSWER_PROBE_INTERVAL_SECONDS = 0.25
+"""Minimum time between probes of a group that answer questions of peers."""
+
 _log = structlog.get_logger(part="paths")
 
 
@@ -43,11 +53,31 @@
 class Prober(Protocol):
     """Asks a target for any response over a new connection."""
 
-    async def is_answered(self, address: str, path: str) -> bool:
+    async def probe(self, address: str, path: str) -> ProbeEnd:
         """Return whether a target responds within ``PROBE_TIMEOUT_SECONDS``."""
         ...
 
 
+class PeerReach(Protocol):
+    """What peers hear from the targets of a group."""
+
+    def connect(self, on_question: OnQuestion, on_reached: OnReached) -> None:
+        """Set what questions of peers and their answers lead to."""
+        ...
+
+    def ask(self, target_group: TargetGroupId, probed_ago_seconds: float) -> None:
+        """Ask peers whether they have heard from a target since a probe began."""
+        ...
+
+    def forget(self, target_group: TargetGroupId) -> None:
+        """Drop the last question about a group."""
+        ...
+
+    def answers(self, target_group: TargetGroupId) -> Mapping[DaemonId, bool]:
+        """Return the answers to the last question about a group."""
+        ...
+
+
 OnPathChange = Callable[[TargetGroupId, bool], None]
 
 
@@ -61,6 +91,7 @@
         rng: Draws the probed targets.
         get_targets: Returns the targets of a group that may be probed.
         get_quiet_seconds: Returns for how long no target of a group has sent anything.
+        peers: Asks peers what they hear.
     """
 
     def __init__(
@@ -71,6 +102,7 @@
         rng: random.Random,
         get_targets: Callable[[TargetGroupId], list[ProbeTarget]],
         get_quiet_seconds: Callable[[TargetGroupId], float],
+        peers: PeerReach,
     ) -> None:
         self._prober = prober
         self._clock = clock
@@ -80,9 +112,14 @@
         self._get_quiet_seconds = get_quiet_seconds
         self._paths: dict[TargetGroupId, OwnPaths] = {}
         self._probes: dict[TargetGroupId, asyncio.Task[None]] = {}
+        self._peers = peers
+        self._askers: dict[TargetGroupId, dict[DaemonId, Reply]] = {}
+        self._answering: dict[TargetGroupId, asyncio.Task[None]] = {}
         self._on_change: list[OnPathChange] = []
         self._is_stopped = False
         self.n_probes = 0
+        self.n_answer_probes = 0
+        peers.connect(self._receive_question, lambda _group: None)
 
     async def start(self) -> None:
         """Report that the paths work, until a probe shows otherwise."""
@@ -94,17 +131,19 @@
     async def stop(self) -> None:
         """Stop probing."""
         self._is_stopped = True
-        for probe in list(self._probes.values()):
-            probe.cancel()
+        for task in (*self._probes.values(), *self._answering.values()):
+            task.cancel()
 
     def status(self) -> dict[str, object]:
         """Return the state of the paths to each group, and the evidence against it."""
         return {
             "n_probes": self.n_probes,
+            "n_answer_probes": self.n_answer_probes,
             "groups": {
                 str(name): {
                     "state": paths.state.value,
                     "failed_targets": sorted(paths.failed),
+                    "peers_hear": dict(self._peers.answers(name)),
                 }
                 for name, paths in self._paths.items()
             },
@@ -167,7 +206,8 @@
     async def _probe_one(self, target_group: TargetGroupId, target: TargetId) -> bool:
         for item in self._get_targets(target_group):
             if item.target == target:
-                return await self._prober.is_answered(item.address, item.health_path)
+                end = await self._prober.probe(item.address, item.health_path)
+                return end is ProbeEnd.ANSWERED
         return False
 
     async def settle(self, target_group: TargetGroupId) -> None:
@@ -208,25 +248,103 @@
             self._start_probe(target_group)
 
     async def _probe(self, target_group: TargetGroupId) -> None:
-        targets = {item.target: item for item in self._get_targets(target_group)}
         started_seconds = self._clock.now_seconds()
+        self._peers.forget(target_group)
+        probing, ends = self._probe_some(target_group)
+        is_group_heard = False
+        try:
+            await asyncio.wait({probing}, timeout=ASK_SECONDS)
+            if not probing.done() and ProbeEnd.ANSWERED not in ends.values():
+                is_group_heard = self._ask(target_group, started_seconds)
+            await probing
+        finally:
+            probing.cancel()
+        is_late = self._is_late(started_seconds)
+        self._note_probe(target_group, ends, is_group_heard, is_late)
+
+    def _probe_some(
+        self, target_group: TargetGroupId
+    ) -> tuple["asyncio.Future[list[None]]", dict[TargetId, ProbeEnd]]:
+        """Start to probe some targets of a group; return how each probe has ended."""
+        targets = {item.target: item for item in self._get_targets(target_group)}
         chosen = self._of(target_group).choose_probed(
-            targets, started_seconds, self._rng
-        )
-        probed = [targets[target] for target in chosen]
-        results = await asyncio.gather(
-            *(
-                self._prober.is_answered(item.address, item.health_path)
-                for item in probed
-            )
+            targets, self._clock.now_seconds(), self._rng
         )
-        reached = [
-            item.target
-            for item, is_reached in zip(probed, results, strict=True)
-            if is_reached
-        ]
-        is_late = self._is_late(started_seconds)
-        self._note_probe(target_group, chosen, reached, is_late)
+        ends: dict[TargetId, ProbeEnd] = {}
+
+        async def probe(item: ProbeTarget) -> None:
+            ends[item.target] = await self._prober.probe(item.address, item.health_path)
+
+        return asyncio.gather(*(probe(targets[target]) for target in chosen)), ends
+
+    def _ask(self, target_group: TargetGroupId, started_seconds: float) -> bool:
+        """Ask the peers what they hear; return whether this daemon hears something.
+
+        Its open connections may live on while new ones lead nowhere.
+        """
+        ago_seconds = self._clock.now_seconds() - started_seconds
+        if self._has_heard(target_group, ago_seconds):
+            return True
+        if len(self._get_targets(target_group)) >= MIN_PROBED_TARGETS:
+            self._peers.ask(target_group, ago_seconds)
+        return False
+
+    def _has_heard(self, target_group: TargetGroupId, ago_seconds: float) -> bool:
+        """Return whether a target of a group has sent something within a time."""
+        quiet_seconds = self._get_quiet_seconds(target_group)
+        return quiet_seconds < ago_seconds - TIMER_SLACK_SECONDS
+
+    def _receive_question(
+        self,
+        target_group: TargetGroupId,
+        probed_ago_seconds: float,
+        sender: DaemonId,
+        reply: Reply,
+    ) -> None:
+        """Tell a peer whether a group has been heard since the peer's probe began.
+
+        Without traffic of its own this daemon probes the group for it.
+        """
+        if self._has_heard(target_group, probed_ago_seconds):
+            reply(True)
+        elif self._is_stopped or not self._get_targets(target_group):
+            reply(False)
+        else:
+            self._askers.setdefault(target_group, {})[sender] = reply
+            if target_group not in self._answering:
+                self._answering[target_group] = start_task(
+                    self._answer(target_group), "path-answers"
+                )
+
+    async def _answer(self, target_group: TargetGroupId) -> None:
+        """Probe a group for the peers that ask, until none does."""
+        try:
+            while askers := self._askers.pop(target_group, None):
+                is_reached = await self._is_reached_now(target_group)
+                for reply in askers.values():
+                    reply(is_reached)
+                _log.info(
+                    "paths: peers answered",
+                    group=target_group,
+                    peers=sorted(askers),
+                    is_reached=is_reached,
+                )
+                await asyncio.sleep(ANSWER_PROBE_INTERVAL_SECONDS)
+        finally:
+            del self._answering[target_group]
+
+    async def _is_reached_now(self, target_group: TargetGroupId) -> bool:
+        """Return whether a probe reaches a target, without a verdict on own paths."""
+        if target_group in self._probes:
+            await self.settle(target_group)
+            return bool(self._of(target_group).reached)
+        self.n_answer_probes += 1
+        probing, ends = self._probe_some(target_group)
+        try:
+            await probing
+        finally:
+            probing.cancel()
+        return ProbeEnd.ANSWERED in ends.values()
 
     def _is_late(self, started_seconds: float) -> bool:
         """Return whether a probe lasted longer than its time-out allows."""
@@ -236,23 +354,26 @@
     def _note_probe(
         self,
         target_group: TargetGroupId,
-        probed: list[TargetId],
-        reached: list[TargetId],
+        ends: dict[TargetId, ProbeEnd],
+        is_group_heard: bool,
         is_late: bool,
     ) -> None:
         self.n_probes += 1
         paths = self._of(target_group)
         failed = sorted(paths.failed)
+        reached = [target for target, end in ends.items() if end is ProbeEnd.ANSWERED]
         now_seconds = self._clock.now_seconds()
         lasted_seconds = now_seconds - paths.since_seconds
-        is_change = paths.note_probe(probed, reached, now_seconds, is_late)
+        is_change = paths.note_probe(list(ends), reached, now_seconds, is_late)
         _log.info(
             "paths: targets probed",
             group=target_group,
-            probed=probed,
-            reached=reached,
+            ends=_names_of(ends),
             failed_targets=failed,
             is_late=is_late,
+            is_group_heard=is_group_heard,
+            peers_hear=dict(self._peers.answers(target_group)),
+            state=paths.state.value,
         )
         if not is_change:
             return
@@ -272,3 +393,7 @@
 
     def _set_gauge(self) -> None:
         self._metrics.gauge("groups_without_path", float(len(self.lost_groups())))
+
+
+def _names_of(ends: Mapping[TargetId, ProbeEnd]) -> dict[str, str]:
+    return {str(target): end.value for target, end in ends.items()}
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -13,6 +13,7 @@
 from lycheepost.app.loads import LoadExchange
 from lycheepost.app.losses import LossExchange
 from lycheepost.app.notices import NoticeExchange
+from lycheepost.app.pathquestions import PathQuestions
 from lycheepost.app.paths import PROBE_TIMEOUT_SECONDS, PathWatch, ProbeTarget
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotarecorder import QuotaRecorder
@@ -49,7 +50,7 @@
 from lycheepost.state.initial_reads import InitialReads
 from lycheepost.state.members import MemberManager
 from lycheepost.state.quotarows import QuotaRows
-from lycheepost.state.relays import choose_relays
+from lycheepost.state.relays import choose_asked, choose_relays
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
@@ -225,6 +226,11 @@
         base.rng,
         lambda group: _probe_targets(targets, routing, notices, group),
         client.quiet_seconds,
+        PathQuestions(
+            exchange,
+            metrics,
+            lambda group: _asked_peers(base, members, exchange, group),
+        ),
     )
     paths.on_change(
         lambda group, are_lost: _apply_paths(group, are_lost, targets, dispatcher)
@@ -316,6 +322,23 @@
     return tuple(RelayPeer(item.daemon, item.callers_url) for item in found)
 
 
+def _asked_peers(
+    base: PlatformBase,
+    members: MemberManager,
+    exchange: PeerExchange,
+    target_group: TargetGroupId,
+) -> tuple[DaemonId, ...]:
+    linked = set(exchange.linked_daemons())
+    return choose_asked(
+        base.node.daemon,
+        target_group,
+        base.node.availability_zone,
+        [item for item in members.members() if item.daemon in linked],
+        members.entry(),
+        base.rng,
+    )
+
+
 def _is_peer_host(members: MemberManager, host: str) -> bool:
     """Return whether a member of the fleet, itself included, has an address."""
     return any(
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -70,6 +70,16 @@
         return len(self.targets) >= MIN_REFUSING_TARGETS
 
 
+class ProbeEnd(Enum):
+    """How the probe of one target ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    """There was no connection, or it broke before a response."""
+    SILENT = "silent"
+    """The target sent nothing in time."""
+
+
 class PathState(Enum):
     """Whether this daemon reaches targets of a group."""
 
--- a/lycheepost/platform/pathprobe.py
+++ b/lycheepost/platform/pathprobe.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from lycheepost.decide.ownpaths import ProbeEnd
 from lycheepost.platform import headers as names
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.network import TargetNetwork
@@ -45,22 +46,24 @@
         if self._session is not None:
             await self._session.close()
 
-    async def is_answered(self, address: str, path: str) -> bool:
-        """Return whether a server answers a probe in time.
+    async def probe(self, address: str, path: str) -> ProbeEnd:
+        """Probe a server.
 
         Args:
             address: ``IP:PORT`` of the server.
             path: Path of its health check.
         """
         if self._session is None:
-            return False
+            return ProbeEnd.REFUSED
         headers = {names.EXPECTED_TARGET: NO_TARGET}
         url = f"http://{address}{path}"
         try:
             async with asyncio.timeout(self._timeout_seconds):
                 response = await self._session.get(url, headers=headers)
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except TimeoutError:
             # The result is logged with the verdict on all probed targets.
-            return False
+            return ProbeEnd.SILENT
+        except (aiohttp.ClientError, OSError):
+            return ProbeEnd.REFUSED
         response.close()
-        return True
+        return ProbeEnd.ANSWERED
--- a/lycheepost/state/relays.py
+++ b/lycheepost/state/relays.py
@@ -1,5 +1,7 @@
 """Choose the peers that serve the callers of a daemon without paths to targets.
 
+The same peers are asked beforehand whether the targets are silent for all daemons.
+
 Pure logic: no clock, no I/O.
 """
 
@@ -13,6 +15,10 @@
 """Peers of the own availability zone from which it alone is used. A single peer would
 get all requests of its neighbour on top of its own."""
 
+MAX_ASKED = 8
+"""Peers that are asked whether they hear from the targets of a group, whatever the size
+of the fleet."""
+
 
 def choose_relays(
     me: DaemonId,
@@ -49,3 +55,32 @@
     if len(near) < MIN_NEAR_RELAYS:
         return tuple(usable)
     return (*near, *(member for member in usable if member not in near))
+
+
+def choose_asked(
+    me: DaemonId,
+    target_group: TargetGroupId,
+    zone: AvailabilityZone,
+    members: Collection[Member],
+    entry: Collection[DaemonId],
+    rng: random.Random,
+) -> tuple[DaemonId, ...]:
+    """Return the peers to ask whether they hear from the targets of a group.
+
+    Half of them are of other availability zones, if there are, since a whole zone may
+    lose its paths.
+
+    Args:
+        me: This daemon.
+        target_group: The target group.
+        zone: The availability zone of this daemon.
+        members: The daemons that can be asked.
+        entry: The entry daemons.
+        rng: Draws among equal ones.
+    """
+    found = choose_relays(me, target_group, zone, members, entry, rng)
+    near = [item.daemon for item in found if item.availability_zone == zone]
+    far = [item.daemon for item in found if item.availability_zone != zone]
+    n_near = max(MAX_ASKED // 2, MAX_ASKED - len(far))
+    asked = near[:n_near]
+    return (*asked, *far[: MAX_ASKED - len(asked)])
