Take a group that nobody reaches for silent, not for lost, for 1.5 s

What callers saw: as all servers of a group paused for a second, look-ups got 502 after 0.3 s, others 503, and streams were cut.

Cause: sound servers that all pause answer no probe, at any daemon. Each took its own paths for lost after one probe, withdrew waiting requests, and relayed to peers that had done the same. A flag of a peer says what it concluded, not what it hears.

Change: a probe of two or more targets that reaches none, with silence at some of them, and nobody known to hear the group while it ran, leads to the new state group_silent. Its requests stay at the targets and nothing is told to peers; the group is probed each 0.25 s, and lost 1.5 s after the first failed probe began. A yes of one peer, or what this daemon itself hears on open connections, makes the paths lost at the end of the probe, as before; so do refused connections. The verdict waits for no answers.

--- a/features/decide/steps/ownpaths_steps.py
+++ b/features/decide/steps/ownpaths_steps.py
@@ -6,7 +6,13 @@
 from behave import given, then, when
 
 from lycheepost.core.ids import TargetId
-from lycheepost.decide.ownpaths import DOUBTED_SECONDS, PROBED_TARGETS, OwnPaths
+from lycheepost.decide.ownpaths import (
+    DOUBTED_SECONDS,
+    PROBED_TARGETS,
+    OwnPaths,
+    ProbeEnd,
+    may_be_silent,
+)
 
 NOW_SECONDS = 100.0
 
@@ -99,3 +105,62 @@
     counts = Counter(target for probed in found for target in probed)
     assert len(counts) == len(context.targets), counts
     assert max(counts.values()) <= 2 * min(counts.values()), counts
+
+
+@then("targets that are {ends} and heard elsewhere: {heard} may be silent: {silent}")
+def step_may_be_silent(context, ends, heard, silent):
+    found = {
+        TargetId(f"t{number}"): ProbeEnd(end)
+        for number, end in enumerate(ends.split(", "))
+    }
+    assert may_be_silent(found, heard == "yes") == (silent == "yes")
+
+
+def probe_in_time(context, started, ended, n_reached, may_be_silent, is_late=False):
+    probed = [TargetId(f"t{number}") for number in range(4)]
+    context.now_seconds = NOW_SECONDS + ended
+    context.paths.note_probe(
+        probed,
+        probed[:n_reached],
+        context.now_seconds,
+        is_late,
+        NOW_SECONDS + started if may_be_silent else None,
+    )
+
+
+@when("a probe from {started:g} s to {ended:g} s reaches nobody, nor do peers")
+def step_nobody(context, started, ended):
+    probe_in_time(context, started, ended, 0, may_be_silent=True)
+
+
+@when("a late probe from {started:g} s to {ended:g} s reaches nobody, nor do peers")
+def step_nobody_late(context, started, ended):
+    probe_in_time(context, started, ended, 0, may_be_silent=True, is_late=True)
+
+
+@when("a probe from {started:g} s to {ended:g} s reaches nobody, but a peer does")
+def step_peer(context, started, ended):
+    probe_in_time(context, started, ended, 0, may_be_silent=False)
+
+
+@when("a probe from {started:g} s to {ended:g} s reaches a target")
+def step_target(context, started, ended):
+    probe_in_time(context, started, ended, 1, may_be_silent=False)
+
+
+@then("the group is silent")
+def step_group_silent(context):
+    assert context.paths.is_silent(context.now_seconds)
+    assert not context.paths.are_lost
+
+
+@then("neither is the group silent nor are the paths lost")
+def step_neither(context):
+    assert not context.paths.is_silent(context.now_seconds)
+    assert not context.paths.are_lost
+
+
+@then("the next probe begins {seconds:g} s after it")
+def step_next_begins(context, seconds):
+    assert context.paths.is_probed_again
+    assert context.paths.probe_wait_seconds(context.now_seconds) == seconds
--- a/features/state/relays.feature
+++ b/features/state/relays.feature
@@ -28,3 +28,18 @@
     Given the peers p1:a:live:- p2:a:live:- p3:a:live:-
     And p3 is the only entry daemon
     Then a daemon of zone a without paths to g may relay to p3
+
+  Scenario Outline: Of <n_near> near, <n_far> far and <n_standby> standby daemons it asks <asked>
+    Guards against questions to peers that have all lost their paths with this daemon.
+    Given <n_near> entry daemons of zone a, <n_far> of zone b and <n_standby> standby daemons
+    Then a daemon of zone a asks <asked> of each kind whether they hear from targets of g
+
+    Examples:
+      | n_near | n_far | n_standby | asked   |
+      | 1      | 0     | 0         | 1, 0, 0 |
+      | 1      | 2     | 0         | 1, 2, 0 |
+      | 9      | 9     | 0         | 4, 4, 0 |
+      | 9      | 1     | 0         | 7, 1, 0 |
+      | 1      | 9     | 0         | 1, 7, 0 |
+      | 4      | 6     | 70        | 3, 3, 2 |
+      | 0      | 0     | 9         | 0, 0, 8 |
--- a/features/state/steps/relays_steps.py
+++ b/features/state/steps/relays_steps.py
@@ -6,7 +6,7 @@
 
 from lycheepost.core.ids import AvailabilityZone, DaemonId, TargetGroupId
 from lycheepost.state.addresses import Member, MemberState
-from lycheepost.state.relays import choose_relays
+from lycheepost.state.relays import choose_asked, choose_relays
 
 ME = DaemonId("me")
 GROUP = TargetGroupId("g")
@@ -67,3 +67,38 @@
 def step_spread(context):
     first = {choose(context, seed)[0] for seed in range(N_DRAWS)}
     assert first == {"p1", "p2", "p3"}, first
+
+
+@given(
+    "{n_near:d} entry daemons of zone a, {n_far:d} of zone b and {n_standby:d} standby"
+    " daemons"
+)
+def step_kinds(context, n_near, n_far, n_standby):
+    near = [member(f"near{number}:a:live:-") for number in range(n_near)]
+    far = [member(f"far{number}:b:live:-") for number in range(n_far)]
+    standby = [member(f"standby{number}:b:live:-") for number in range(n_standby)]
+    lost = [member("lost:a:live:g"), member("leaving:a:leaving:-")]
+    context.peers = [*near, *far, *standby, *lost]
+    context.entry = {item.daemon for item in (*near, *far, *lost)}
+
+
+@then(
+    "a daemon of zone a asks {asked} of each kind whether they hear from targets of g"
+)
+def step_asks(context, asked):
+    me = member("me:a:live:-")
+    for seed in range(N_DRAWS):
+        found = choose_asked(
+            ME,
+            GROUP,
+            AvailabilityZone("a"),
+            [me, *context.peers],
+            context.entry,
+            random.Random(seed),
+        )
+        counts = [
+            sum(name.startswith(kind) for name in set(found))
+            for kind in ("near", "far", "standby")
+        ]
+        assert counts == [int(n) for n in asked.split(", ")], found
+        assert len(found) == sum(counts), found
--- a/lycheepost/app/pathquestions.py
+++ b/lycheepost/app/pathquestions.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import structlog
-
 from lycheepost.core.ids import DaemonId, TargetGroupId
 from lycheepost.generated.messages import PathAnswer, PathQuestion
 from lycheepost.peers.exchange import PeerExchange
@@ -20,8 +18,6 @@
 OnQuestion = Callable[[TargetGroupId, float, DaemonId, Reply], None]
 OnReached = Callable[[TargetGroupId], None]
 
-_log = structlog.get_logger(part="paths")
-
 
 @dataclass(slots=True)
 class AskedPeers:
@@ -102,7 +98,7 @@
     def _receive_question(self, message: PathQuestion, sender: DaemonId) -> None:
         ago_seconds = message.probed_ago_seconds
         if self._on_question is None or not math.isfinite(ago_seconds):
-            _log.info("paths: question dropped", sender=sender)
+            self._metrics.count("path_questions_invalid")
             return
 
         def reply(is_reached: bool) -> None:
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -12,11 +12,12 @@
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, TargetGroupId, TargetId
 from lycheepost.decide.ownpaths import (
-    LOST_PROBE_INTERVAL_SECONDS,
     MAX_PROBE_LAG_SECONDS,
     MIN_PROBED_TARGETS,
     OwnPaths,
+    PathState,
     ProbeEnd,
+    may_be_silent,
 )
 from lycheepost.decide.silence import QUIET_SECONDS, TIMER_SLACK_SECONDS
 from lycheepost.decide.startverdict import ProbedReach, ReachEvidence, judge_reach
@@ -119,11 +120,11 @@
         self._is_stopped = False
         self.n_probes = 0
         self.n_answer_probes = 0
-        peers.connect(self._receive_question, lambda _group: None)
+        peers.connect(self._receive_question, self._note_heard_elsewhere)
 
     async def start(self) -> None:
         """Report that the paths work, until a probe shows otherwise."""
-        self._set_gauge()
+        self._set_gauges()
 
     async def drain(self) -> None:
         """Do nothing: requests in flight still depend on the paths."""
@@ -158,6 +159,11 @@
         paths = self._paths.get(target_group)
         return paths is not None and paths.are_lost
 
+    def is_silent(self, target_group: TargetGroupId) -> bool:
+        """Return whether all targets of a group are silent and may be sound."""
+        paths = self._paths.get(target_group)
+        return paths is not None and paths.is_silent(self._clock.now_seconds())
+
     def lost_groups(self) -> frozenset[TargetGroupId]:
         """Return the groups of which this daemon reaches no target."""
         return frozenset(name for name, item in self._paths.items() if item.are_lost)
@@ -233,20 +239,26 @@
         probe.add_done_callback(lambda _probe: self._end_probe(target_group))
 
     def _end_probe(self, target_group: TargetGroupId) -> None:
-        """Schedule the next probe while the paths are lost."""
+        """Schedule the next probe while no target is reached."""
         del self._probes[target_group]
-        if self.are_lost(target_group) and not self._is_stopped:
+        paths = self._of(target_group)
+        if paths.is_probed_again and not self._is_stopped:
             loop = asyncio.get_running_loop()
-            loop.call_later(
-                LOST_PROBE_INTERVAL_SECONDS, self._probe_again, target_group
-            )
+            interval_seconds = paths.probe_interval_seconds
+            loop.call_later(interval_seconds, self._probe_again, target_group)
 
     def _probe_again(self, target_group: TargetGroupId) -> None:
         """Probe unless it has been done meanwhile; nothing else ends a loss."""
-        is_due = target_group not in self._probes and self.are_lost(target_group)
+        paths = self._of(target_group)
+        is_due = target_group not in self._probes and paths.is_probed_again
         if is_due and not self._is_stopped:
             self._start_probe(target_group)
 
+    def _note_heard_elsewhere(self, target_group: TargetGroupId) -> None:
+        """Probe at once, as a peer hears from a group that counts as silent."""
+        if self._of(target_group).state is PathState.GROUP_SILENT:
+            self._probe_again(target_group)
+
     async def _probe(self, target_group: TargetGroupId) -> None:
         started_seconds = self._clock.now_seconds()
         self._peers.forget(target_group)
@@ -259,8 +271,12 @@
             await probing
         finally:
             probing.cancel()
+        is_group_heard |= any(self._peers.answers(target_group).values())
+        silent_from_seconds = (
+            started_seconds if may_be_silent(ends, is_group_heard) else None
+        )
         is_late = self._is_late(started_seconds)
-        self._note_probe(target_group, ends, is_group_heard, is_late)
+        self._note_probe(target_group, ends, silent_from_seconds, is_late)
 
     def _probe_some(
         self, target_group: TargetGroupId
@@ -355,7 +371,7 @@
         self,
         target_group: TargetGroupId,
         ends: dict[TargetId, ProbeEnd],
-        is_group_heard: bool,
+        silent_from_seconds: float | None,
         is_late: bool,
     ) -> None:
         self.n_probes += 1
@@ -363,36 +379,57 @@
         failed = sorted(paths.failed)
         reached = [target for target, end in ends.items() if end is ProbeEnd.ANSWERED]
         now_seconds = self._clock.now_seconds()
-        lasted_seconds = now_seconds - paths.since_seconds
-        is_change = paths.note_probe(list(ends), reached, now_seconds, is_late)
+        before, since_seconds = paths.state, paths.since_seconds
+        is_change = paths.note_probe(
+            list(ends), reached, now_seconds, is_late, silent_from_seconds
+        )
         _log.info(
             "paths: targets probed",
             group=target_group,
             ends=_names_of(ends),
             failed_targets=failed,
             is_late=is_late,
-            is_group_heard=is_group_heard,
+            may_be_silent=silent_from_seconds is not None,
             peers_hear=dict(self._peers.answers(target_group)),
             state=paths.state.value,
         )
-        if not is_change:
-            return
-        if paths.are_lost:
+        if is_change:
+            _log_change(target_group, before, paths, now_seconds - since_seconds)
+            self._set_gauges()
+        if paths.are_lost != (before is PathState.REACHES_NONE):
+            for callback in self._on_change:
+                callback(target_group, paths.are_lost)
+
+    def _set_gauges(self) -> None:
+        self._metrics.gauge("groups_without_path", float(len(self.lost_groups())))
+        states = [paths.state for paths in self._paths.values()]
+        n_silent = states.count(PathState.GROUP_SILENT)
+        self._metrics.gauge("groups_silent", float(n_silent))
+
+
+def _log_change(
+    target_group: TargetGroupId,
+    before: PathState,
+    paths: OwnPaths,
+    lasted_seconds: float,
+) -> None:
+    match paths.state:
+        case PathState.REACHES_NONE:
             _log.warning(
-                "paths: no target is reached", group=target_group, failed_targets=failed
+                "paths: no target is reached",
+                group=target_group,
+                failed_targets=sorted(paths.failed),
+                was_silent=before is PathState.GROUP_SILENT,
             )
-        else:
+        case PathState.GROUP_SILENT:
+            _log.warning("paths: all targets are silent", group=target_group)
+        case PathState.REACHES_TARGETS:
             _log.info(
                 "paths: restored",
                 group=target_group,
-                lost_for_seconds=round(lasted_seconds, 3),
+                was_silent=before is PathState.GROUP_SILENT,
+                lasted_seconds=round(lasted_seconds, 3),
             )
-        self._set_gauge()
-        for callback in self._on_change:
-            callback(target_group, paths.are_lost)
-
-    def _set_gauge(self) -> None:
-        self._metrics.gauge("groups_without_path", float(len(self.lost_groups())))
 
 
 def _names_of(ends: Mapping[TargetId, ProbeEnd]) -> dict[str, str]:
--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -4,19 +4,24 @@
 reach it. Its connections then fail at every target, although no target has failed.
 Counted against the targets, that would leave the daemon without usable targets but
 in use. So the paths are judged apart from the targets, for each target group, since
-groups may lie behind different links. A group that no daemon reaches looks the same to
-each of them; what the peers reach tells the difference.
+groups may lie behind different links.
+
+A group whose targets are all silent looks the same to each daemon. Sound targets may
+send nothing for a second and go on, so a group that nobody is known to reach counts as
+silent for that long: its requests stay at their targets. A daemon that hears nothing
+while others do has lost its paths at once, and so has one that is refused everywhere.
 
 Only responses over new connections count. Open connections may live on while new ones
 lead nowhere, and a device in between may accept connections that never reach a target.
 """
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
 from lycheepost.core.ids import TargetId
+from lycheepost.decide.silence import MAX_SOUND_SILENCE_SECONDS
 
 PROBED_TARGETS = 4
 """Targets of one probe of a group. At one lost packet in ten, all four connections fail
@@ -38,6 +43,13 @@
 """Interval of probes without paths: callers are served with a detour until one
 succeeds."""
 
+SILENT_PROBE_INTERVAL_SECONDS = 0.25
+"""Interval of probes while a group counts as silent: requests wait for its end."""
+
+MAX_GROUP_SILENCE_SECONDS = MAX_SOUND_SILENCE_SECONDS
+"""How long after the begin of the first failed probe a group may count as silent. What
+the targets were silent for before that is the margin."""
+
 MAX_PROBE_LAG_SECONDS = 0.15
 """A probe that lasts longer than its time-out by this says nothing of the paths: the
 daemon itself was suspended or short of processor time."""
@@ -84,9 +96,22 @@
     """Whether this daemon reaches targets of a group."""
 
     REACHES_TARGETS = "reaches_targets"
+    GROUP_SILENT = "group_silent"
+    """No target responds, and nobody is known to hear one; they may be sound."""
     REACHES_NONE = "reaches_none"
 
 
+def may_be_silent(ends: Mapping[TargetId, ProbeEnd], is_group_heard: bool) -> bool:
+    """Return whether a group that a probe does not reach may only be silent.
+
+    Args:
+        ends: How the probes of its targets ended.
+        is_group_heard: Whether this daemon or a peer has heard from a target of the
+            group meanwhile.
+    """
+    return not is_group_heard and ProbeEnd.SILENT in ends.values()
+
+
 @dataclass(slots=True)
 class OwnPaths:
     """The state of this daemon's own paths to the targets of one group.
@@ -97,20 +122,33 @@
         failed: Targets at which a new connection failed or got no response, since one
             last responded.
         reached: Targets that responded to the last probe.
+        silent_from_seconds: When the first probe began that found the group silent;
+            meaningful only in that state.
     """
 
     state: PathState = PathState.REACHES_TARGETS
     since_seconds: float = float("-inf")
     failed: set[TargetId] = field(default_factory=set)
     reached: frozenset[TargetId] = frozenset()
+    silent_from_seconds: float = float("-inf")
     _doubted_seconds: dict[TargetId, float] = field(default_factory=dict)
     _probed_seconds: float = float("-inf")
 
     @property
     def are_lost(self) -> bool:
-        """Return whether no target is reached."""
+        """Return whether no target is reached, and not for the group's silence."""
         return self.state is PathState.REACHES_NONE
 
+    @property
+    def is_probed_again(self) -> bool:
+        """Return whether a further probe is due without a further failure."""
+        return self.state is not PathState.REACHES_TARGETS
+
+    def is_silent(self, now_seconds: float) -> bool:
+        """Return whether all targets are silent and may be sound."""
+        is_over = now_seconds - self.silent_from_seconds >= MAX_GROUP_SILENCE_SECONDS
+        return self.state is PathState.GROUP_SILENT and not is_over
+
     def note_answered(self) -> None:
         """Record that a target has responded over a new connection."""
         self.failed.clear()
@@ -143,12 +181,21 @@
         drawn.sort(key=lambda target: target in self._doubted_seconds)
         return drawn[:PROBED_TARGETS]
 
+    @property
+    def probe_interval_seconds(self) -> float:
+        """Return the minimum time from one probe to the next."""
+        match self.state:
+            case PathState.REACHES_TARGETS:
+                return MIN_PROBE_INTERVAL_SECONDS
+            case PathState.GROUP_SILENT:
+                return SILENT_PROBE_INTERVAL_SECONDS
+            case PathState.REACHES_NONE:
+                return LOST_PROBE_INTERVAL_SECONDS
+
     def probe_wait_seconds(self, now_seconds: float) -> float:
         """Return the time until the next probe may begin."""
-        interval_seconds = (
-            LOST_PROBE_INTERVAL_SECONDS if self.are_lost else MIN_PROBE_INTERVAL_SECONDS
-        )
-        return max(0.0, self._probed_seconds + interval_seconds - now_seconds)
+        next_seconds = self._probed_seconds + self.probe_interval_seconds
+        return max(0.0, next_seconds - now_seconds)
 
     def note_probe(
         self,
@@ -156,6 +203,7 @@
         reached: Collection[TargetId],
         now_seconds: float,
         is_late: bool = False,
+        silent_from_seconds: float | None = None,
     ) -> bool:
         """Apply the result of a probe; return whether the state has changed.
 
@@ -164,25 +212,47 @@
             reached: Those that responded.
             now_seconds: The current time.
             is_late: Whether the probe lasted longer than its time-out allows.
+            silent_from_seconds: When the probe began, if the group may only be silent;
+                None otherwise.
         """
         self._probed_seconds = now_seconds
         self.reached = frozenset(reached)
-        n_probed = len(probed)
         for target in probed:
             self._doubted_seconds[target] = now_seconds
         for target in reached:
             self._doubted_seconds.pop(target, None)
-        before = self.state
-        if self.are_lost:
-            # A single target is enough: the others may be down. Of a group without
-            # targets nothing can be told.
-            if reached or not n_probed:
-                self.state = PathState.REACHES_TARGETS
-        elif not reached and n_probed >= MIN_PROBED_TARGETS and not is_late:
-            self.state = PathState.REACHES_NONE
-        if reached or not n_probed:
+        if reached or not probed:
             self.failed.clear()
+        before = self.state
+        self.state = self._next_state(
+            len(probed), bool(reached), is_late, now_seconds, silent_from_seconds
+        )
         if self.state is before:
             return False
         self.since_seconds = now_seconds
         return True
+
+    def _next_state(
+        self,
+        n_probed: int,
+        is_reached: bool,
+        is_late: bool,
+        now_seconds: float,
+        silent_from_seconds: float | None,
+    ) -> PathState:
+        # A single target is enough: the others may be down. Of a group without targets
+        # nothing can be told.
+        if is_reached or not n_probed:
+            return PathState.REACHES_TARGETS
+        if self.state is PathState.REACHES_NONE or is_late:
+            return self.state
+        if n_probed < MIN_PROBED_TARGETS:
+            return PathState.REACHES_TARGETS
+        if silent_from_seconds is None:
+            return PathState.REACHES_NONE
+        if self.state is PathState.REACHES_TARGETS:
+            self.silent_from_seconds = silent_from_seconds
+        silent_seconds = now_seconds - self.silent_from_seconds
+        if silent_seconds >= MAX_GROUP_SILENCE_SECONDS:
+            return PathState.REACHES_NONE
+        return PathState.GROUP_SILENT
--- a/lycheepost/state/relays.py
+++ b/lycheepost/state/relays.py
@@ -19,6 +19,9 @@
 """Peers that are asked whether they hear from the targets of a group, whatever the size
 of the fleet."""
 
+N_ASKED_STANDBY = 2
+"""How many of them are standby daemons, if there are."""
+
 
 def choose_relays(
     me: DaemonId,
@@ -67,8 +70,9 @@
 ) -> tuple[DaemonId, ...]:
     """Return the peers to ask whether they hear from the targets of a group.
 
-    Half of them are of other availability zones, if there are, since a whole zone may
-    lose its paths.
+    Entry daemons usually hear something. Some of other availability zones and some
+    standby daemons are asked as well, since a whole zone, or all entry daemons, may
+    lose their paths.
 
     Args:
         me: This daemon.
@@ -79,8 +83,12 @@
         rng: Draws among equal ones.
     """
     found = choose_relays(me, target_group, zone, members, entry, rng)
+    chosen = {item.daemon for item in found}
+    left = [item for item in members if item.daemon not in chosen]
+    standby = choose_relays(me, target_group, zone, left, (), rng)[:N_ASKED_STANDBY]
     near = [item.daemon for item in found if item.availability_zone == zone]
     far = [item.daemon for item in found if item.availability_zone != zone]
-    n_near = max(MAX_ASKED // 2, MAX_ASKED - len(far))
-    asked = near[:n_near]
-    return (*asked, *far[: MAX_ASKED - len(asked)])
+    n_left = MAX_ASKED - len(standby)
+    asked = near[: max(n_left // 2, n_left - len(far))]
+    asked += far[: n_left - len(asked)]
+    return (*asked, *(item.daemon for item in standby))
