Leave no cancelled gather behind when probes of paths are stopped

Cause: a daemon that stops during a probe cancelled the gather of its probes, whose CancelledError nobody took; the loop reported it.

Evidence: the output of silentgroup.feature and ownpaths.feature had 8 and 12 such lines; behave features/app/pathquestions.feature passes.

--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -262,7 +262,9 @@
     async def _probe(self, target_group: TargetGroupId) -> None:
         started_seconds = self._clock.now_seconds()
         self._peers.forget(target_group)
-        probing, ends = self._probe_some(target_group)
+        chosen = self._choose_probed(target_group)
+        ends: dict[TargetId, ProbeEnd] = {}
+        probing = asyncio.create_task(self._probe_each(chosen, ends))
         is_group_heard = False
         try:
             await asyncio.wait({probing}, timeout=ASK_SECONDS)
@@ -278,20 +280,22 @@
         is_late = self._is_late(started_seconds)
         self._note_probe(target_group, ends, silent_from_seconds, is_late)
 
-    def _probe_some(
-        self, target_group: TargetGroupId
-    ) -> tuple["asyncio.Future[list[None]]", dict[TargetId, ProbeEnd]]:
-        """Start to probe some targets of a group; return how each probe has ended."""
+    def _choose_probed(self, target_group: TargetGroupId) -> list[ProbeTarget]:
         targets = {item.target: item for item in self._get_targets(target_group)}
         chosen = self._of(target_group).choose_probed(
             targets, self._clock.now_seconds(), self._rng
         )
-        ends: dict[TargetId, ProbeEnd] = {}
+        return [targets[target] for target in chosen]
+
+    async def _probe_each(
+        self, chosen: list[ProbeTarget], ends: dict[TargetId, ProbeEnd]
+    ) -> None:
+        """Probe targets at the same time, and record how each probe ends."""
 
         async def probe(item: ProbeTarget) -> None:
             ends[item.target] = await self._prober.probe(item.address, item.health_path)
 
-        return asyncio.gather(*(probe(targets[target]) for target in chosen)), ends
+        await asyncio.gather(*map(probe, chosen))
 
     def _ask(self, target_group: TargetGroupId, started_seconds: float) -> bool:
         """Ask the peers what they hear; return whether this daemon hears something.
@@ -355,11 +359,8 @@
             await self.settle(target_group)
             return bool(self._of(target_group).reached)
         self.n_answer_probes += 1
-        probing, ends = self._probe_some(target_group)
-        try:
-            await probing
-        finally:
-            probing.cancel()
+        ends: dict[TargetId, ProbeEnd] = {}
+        await self._probe_each(self._choose_probed(target_group), ends)
         return ProbeEnd.ANSWERED in ends.values()
 
     def _is_late(self, started_seconds: float) -> bool:
