Don't count time in which a daemon does not run as time of a probe

What callers saw: beside load, callers of sound daemons got 503 "This daemon reaches no target": probes of their own paths failed as well.

Cause: after a stall the time-out of a probe fires before the response that arrived meanwhile is read. A stall of up to 0.15 s beyond the time-out was not told from a cut, and a longer one left a daemon that is cut off without a verdict.

Change: a probe waits in slices of 25 ms, and a late slice counts no more. After one second of stalls the probe is no evidence, as before after 0.15 s.

--- a/lycheepost/decide/ownpaths.py
+++ b/lycheepost/decide/ownpaths.py
@@ -50,9 +50,10 @@
 """How long after the begin of the first failed probe a group may count as silent. What
 the targets were silent for before that is the margin."""
 
-MAX_PROBE_LAG_SECONDS = 0.15
+MAX_PROBE_LAG_SECONDS = 1.0
 """A probe that lasts longer than its time-out by this says nothing of the paths: the
-daemon itself was suspended or short of processor time."""
+daemon itself was suspended or short of processor time. Shorter stalls are not counted
+as time of a probe."""
 
 MIN_REFUSING_TARGETS = 3
 """Targets that refuse this daemon or give it no response, without one that responds in
--- a/lycheepost/platform/pathprobe.py
+++ b/lycheepost/platform/pathprobe.py
@@ -4,16 +4,20 @@
 then send nothing, or reset it. So the probe sends a request and waits for the headers
 of a response. The request names the id of no server, so whoever gets it responds with
 421 at once, without a slot, and runs nothing.
+
+The time in which this process does not run is not counted: responses that have arrived
+meanwhile are not read yet.
 """
 
 import asyncio
 
 import aiohttp
 
-from lycheepost.decide.ownpaths import ProbeEnd
+from lycheepost.decide.ownpaths import MAX_PROBE_LAG_SECONDS, ProbeEnd
 from lycheepost.platform import headers as names
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.waits import wait_running
 
 NO_TARGET = "path-probe"
 """Names no server: their ids are issued by the platform and begin with ``i-``."""
@@ -34,8 +38,9 @@
 
     async def start(self) -> None:
         """Open the session."""
+        max_seconds = self._timeout_seconds + MAX_PROBE_LAG_SECONDS
         self._session = make_call_session(
-            self._timeout_seconds, self._timeout_seconds, network=self._network
+            max_seconds, max_seconds, network=self._network
         )
 
     async def drain(self) -> None:
@@ -57,13 +62,31 @@
             return ProbeEnd.REFUSED
         headers = {names.EXPECTED_TARGET: NO_TARGET}
         url = f"http://{address}{path}"
+        call = asyncio.ensure_future(self._session.get(url, headers=headers))
         try:
-            async with asyncio.timeout(self._timeout_seconds):
-                response = await self._session.get(url, headers=headers)
-        except TimeoutError:
-            # The result is logged with the verdict on all probed targets.
+            await wait_running(call, self._timeout_seconds, MAX_PROBE_LAG_SECONDS)
+        finally:
+            call.cancel()
+            call.add_done_callback(_close)
+        if not call.done():
+            return ProbeEnd.SILENT
+        return _end_of(call)
+
+
+def _end_of(call: "asyncio.Future[aiohttp.ClientResponse]") -> ProbeEnd:
+    # The result is logged with the verdict on all probed targets.
+    match call.exception():
+        case None:
+            return ProbeEnd.ANSWERED
+        case TimeoutError():
             return ProbeEnd.SILENT
-        except (aiohttp.ClientError, OSError):
+        case aiohttp.ClientError() | OSError():
             return ProbeEnd.REFUSED
-        response.close()
-        return ProbeEnd.ANSWERED
+        case error:
+            raise error
+
+
+def _close(call: "asyncio.Future[aiohttp.ClientResponse]") -> None:
+    """Close the response of a call that has ended."""
+    if not call.cancelled() and call.exception() is None:
+        call.result().close()
