Ask no peers while paths are lost

Cause: each probe of lost paths asked up to eight peers, twice a second, though only a response to this daemon ends a loss.

--- a/features/app/pathquestions.feature
+++ b/features/app/pathquestions.feature
@@ -21,6 +21,7 @@
     Given a model of <n> daemons in 3 zones and 12 targets
     When the first <n_cut> daemons are cut off from 1 s to 4 s, with traffic at <traffic>
     Then these and no others have taken their paths for lost within <within> s of a probe
+    And nobody has asked more than 8 peers in 3 probes
 
     Examples:
       | n  | n_cut | traffic | within |
--- a/features/app/steps/pathquestion_steps.py
+++ b/features/app/steps/pathquestion_steps.py
@@ -272,6 +272,13 @@
     assert last <= fleet.cut[0] + 0.3 + seconds, fleet.lost
 
 
+@then("nobody has asked more than {n:d} peers in {n_probes:d} probes")
+def step_asked_little(context, n, n_probes):
+    fleet = context.fleet
+    most = max(fleet.sent[item.index, PathQuestion] for item in fleet.daemons)
+    assert 0 < most <= n * n_probes, most
+
+
 @then("the first daemon and no other has taken its paths for lost by {seconds:g} s")
 def step_first_lost(context, seconds):
     fleet = context.fleet
--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -300,12 +300,14 @@
     def _ask(self, target_group: TargetGroupId, started_seconds: float) -> bool:
         """Ask the peers what they hear; return whether this daemon hears something.
 
-        Its open connections may live on while new ones lead nowhere.
+        Its open connections may live on while new ones lead nowhere. Paths that are
+        lost stay so whatever peers hear.
         """
         ago_seconds = self._clock.now_seconds() - started_seconds
         if self._has_heard(target_group, ago_seconds):
             return True
-        if len(self._get_targets(target_group)) >= MIN_PROBED_TARGETS:
+        n_targets = len(self._get_targets(target_group))
+        if n_targets >= MIN_PROBED_TARGETS and not self.are_lost(target_group):
             self._peers.ask(target_group, ago_seconds)
         return False
 
