--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -22,6 +22,7 @@
 FOLDER_TIMEOUT_SECONDS = 600
 LONG_FEATURES = (
     FEATURES / "platform" / "ownpaths.feature",
+    FEATURES / "platform" / "silentgroup.feature",
     FEATURES / "platform" / "retrybudget.feature",
     FEATURES / "platform" / "badparts.feature",
     FEATURES / "decide" / "quotas.feature",
