--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -213,6 +213,10 @@
         """Return whether this daemon reaches no target of a group."""
         ...
 
+    def is_silent(self, target_group: TargetGroupId) -> bool:
+        """Return whether no daemon is known to reach a group, for a short time."""
+        ...
+
     async def settle(self, target_group: TargetGroupId) -> None:
         """Wait for the verdict of a probe that is under way."""
         ...
