Ask a target again that refused a request whose own target is silent once more

What callers saw: a stream was cut at its deadline, as its engine fell silent for good a second time, although the group's other engine was free: that one had rejected the stream once, in the first silence, and stayed excluded.

Change: each time a held target is silent for one more time-out, those that refused the request or accepted no connection may be asked again. Those that may have run it stay excluded.

The test has 300 events instead of 1000 (5 ms each: 1000 take longer than the route's timeout) and a first pause of 0.4 s: after 0.5 s, two time-outs, the second search begins as the engine goes on, and the other engine counts as having run the stream.

--- a/features/platform/heldanswers.feature
+++ b/features/platform/heldanswers.feature
@@ -80,7 +80,7 @@
   Scenario: A stream whose engine is silent twice goes on elsewhere the second time
     Guards against targets that are no longer left once they have gone on.
     Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
-    When the engine of a stream is silent for 0.5 s as the other rejects it, and then for good
+    When the engine of a stream is silent for 0.4 s as the other rejects it, and then for good
     Then the client gets the whole stream
     And the other engine has sent its end
 
--- a/features/platform/steps/heldanswer_steps.py
+++ b/features/platform/steps/heldanswer_steps.py
@@ -14,8 +14,8 @@
 from lycheepost.standin.faults import Refused, Truncated
 
 N_EVENTS = 60
-N_LONG_EVENTS = 1000
-"""Events of a stream that takes half a second after its first pause."""
+N_LONG_EVENTS = 300
+"""Events of a stream that goes on for a second after its first pause."""
 N_FIRST_EVENTS = 3
 """Events that the client has when its engine falls silent."""
 BODY = b"a title"
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -46,7 +46,7 @@
 from lycheepost.callers.relaying import AnswerRelay, body_fields
 from lycheepost.callers.searches import Searches
 from lycheepost.callers.targetattempt import Elsewhere, Standing, TargetAttempt
-from lycheepost.core.ids import SoftwareVersion, TargetGroupId
+from lycheepost.core.ids import SoftwareVersion, TargetGroupId, TargetId
 from lycheepost.decide.attempts import (
     AttemptEnd,
     Step,
@@ -108,6 +108,7 @@
             request.caller_id, self._held, self._search_on, self._count_interrupted
         )
         self._has_retry = False
+        self._refusing: frozenset[TargetId] = frozenset()
         self._peer_attempts = PeerAttempts(
             deps, request, route_match.route, self._relay, self._held
         )
@@ -217,6 +218,11 @@
         if self._has_retry or (is_held and self._searches.is_running):
             # Another search is due, or runs.
             return False
+        if is_held:
+            # They may take it by now, and there may be no others.
+            excluded = self._work.excluded - self._refusing
+            self._work = replace(self._work, excluded=excluded)
+            self._refusing = frozenset()
         lost = self._relay.silent_end
         sends = self._sends if is_held else self._sends.add(lost)
         remaining_seconds = self._remaining_seconds()
@@ -288,6 +294,8 @@
                     end = await self._try_target(following)
             if end is None:
                 return
+            if end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
+                self._refusing |= {following.target}
             self._count(end)
             following = await self._find_other(end)
 
