--- a/features/callers/faults.feature
+++ b/features/callers/faults.feature
@@ -74,3 +74,10 @@
     And the next target chosen is removed before the send
     When a chat is sent
     Then it is complete and no slot is taken
+
+  Scenario: A chat goes on at its silent engine as there is no other one
+    Guards against answers cut while all engines pause for longer than the time-out.
+    Given a running fleet of 1 daemons with 1 engines
+    And its engine's answers can be held back
+    When a streamed chat's engine is silent for 1.5 s in the middle
+    Then every chat is complete and matches its own prompt
--- a/features/callers/steps/faults.py
+++ b/features/callers/steps/faults.py
@@ -261,3 +261,31 @@
     targets = status["groups"][context.model]["targets"]
     assert context.removed not in targets
     assert all(target["n_in_flight"] == 0 for target in targets.values()), targets
+
+
+@given("its engine's answers can be held back")
+def given_gate(context):
+    """Let all responses and events of the engine wait, on new connections too."""
+    (engine,) = context.fleet.standins.engines
+    context.is_awake = asyncio.Event()
+    context.is_awake.set()
+
+    async def wait(_request):
+        await context.is_awake.wait()
+
+    engine._server.block_if_frozen = wait
+
+
+@when("a streamed chat's engine is silent for {seconds:g} s in the middle")
+def when_silent(context, seconds):
+    (engine,) = context.fleet.standins.engines
+
+    async def run():
+        chats = [asyncio.create_task(chat(context, 1, True))]
+        await sleep_until(lambda: sum(run.n_tokens for run in engine.running()) > 5)
+        context.is_awake.clear()
+        await asyncio.sleep(seconds)
+        context.is_awake.set()
+        return await asyncio.gather(*chats, return_exceptions=True)
+
+    context.outcomes = context.run(run())
