Reproduce two engines at work while the second reads a long prompt; known red

What the users' servers would see: a stream that goes on at a second engine while the first one, silent but alive, works on it for as long as the second reads its prompt; 0.4 s are allowed. In "goes on at its engine while the other still reads its prompt" the other engine is paused before it takes the request, so that it never runs it: that scenario does not show this.

--- a/features/platform/heldanswers.feature
+++ b/features/platform/heldanswers.feature
@@ -70,6 +70,14 @@
     And the other engine has sent its end
     And the silent engine no longer works on it 0.4 s after the other has begun
 
+  Scenario: A stream ends at its silent engine while the other one reads a long prompt
+    Guards against two engines at work on one stream for longer than 0.4 s.
+    Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
+    When the engine of a stream of 40000 prompt tokens is silent for 3 s
+    Then the client gets the whole stream
+    And the other engine has sent its end
+    And the silent engine no longer works on it 0.4 s after the other has begun
+
   Scenario: A stream goes on at its engine while the other still reads its prompt
     Guards against streams held up by an engine that is later than the silent one.
     Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
--- a/features/platform/steps/heldanswer_steps.py
+++ b/features/platform/steps/heldanswer_steps.py
@@ -14,6 +14,7 @@
 from lycheepost.standin.faults import Refused, Truncated
 
 N_EVENTS = 60
+N_PROMPT_TOKENS = 150
 N_LONG_EVENTS = 300
 """Events of a stream that goes on for a second after its first pause."""
 N_FIRST_EVENTS = 3
@@ -108,11 +109,13 @@
     await asyncio.wait({task})
 
 
-async def begin_stream(context):
+async def begin_stream(context, n_prompt_tokens=N_PROMPT_TOKENS):
     """Begin a stream; return its engine and the other one once events arrive."""
     deployment = context.deployment
+    parts = f"aa:100,bb:{n_prompt_tokens - 100}"
+    tokens = f"{n_prompt_tokens},{context.n_events}"
     headers = deployment.prompt_headers(
-        **{names.DEADLINE: DEADLINE_MS, names.TOKENS: f"150,{context.n_events}"}
+        parts=parts, **{names.DEADLINE: DEADLINE_MS, names.TOKENS: tokens}
     )
     context.received = Received()
     context.receiving = asyncio.ensure_future(
@@ -218,6 +221,17 @@
     context.loop.run_until_complete(play())
 
 
+@when("the engine of a stream of {n:d} prompt tokens is silent for {seconds:g} s")
+def step_long_prompt(context, n, seconds):
+    async def play():
+        context.silent, context.other = await begin_stream(context, n)
+        pause = asyncio.ensure_future(context.silent.pause(seconds))
+        await watch(context)
+        await end(pause)
+
+    context.loop.run_until_complete(play())
+
+
 async def watch(context):
     """Wait until the client's response has ended; note when the other engine began."""
     loop = asyncio.get_running_loop()
