Soak: silent groups and answers without end, with audits that find their faults

Callers lost answers while all servers of a group were silent for a second, and beside servers that answer without end; the soak had neither fault, and let 502, 503, cut streams and late answers pass beside any fault.

silent_group lets all servers of a service or of both, half or one of them send nothing for 0.9 to 1.45 s, three times, also beside two daemons without paths. endless_answers lets half of the engines and a plain service answer a third of their requests, reports, health checks or cache events without end, in the forms of standin/endless.py. Audits: peak resident memory under 150 MB, cut streams, 502 and 503, whole requests without an answer, answers 0.6 s after their time, the share served at sound servers. Other faults excuse a request until 5 s after their end. Resumable titles have a target_gap_ms of 500; clients open any number of connections, so that none waits for one.

--- a/features/soak/steps/soak_steps.py
+++ b/features/soak/steps/soak_steps.py
@@ -15,17 +15,38 @@
 from soakfleet import ReservedPorts  # noqa: E402
 
 
-@when("the fault soak runs seed {seed:d} with {n:d} daemons for {seconds:d} s")
-def step_run(context, seed, n, seconds):
+def run_soak(context, seed, n, seconds, *more):
     words = ["--seeds", str(seed), "--daemons", str(n), "--seconds", str(seconds)]
     context.run = subprocess.run(
-        [sys.executable, "tools/faultsoak.py", *words, "--json"],
+        [sys.executable, "tools/faultsoak.py", *words, *more, "--json"],
         cwd=ROOT,
         capture_output=True,
         text=True,
     )
 
 
+@when("the fault soak runs seed {seed:d} with {n:d} daemons for {seconds:d} s")
+def step_run(context, seed, n, seconds):
+    run_soak(context, seed, n, seconds)
+
+
+@when(
+    "the fault soak runs seed {seed:d} of {fault} alone with {n:d} daemons for"
+    " {seconds:d} s"
+)
+def step_run_alone(context, seed, fault, n, seconds):
+    run_soak(context, seed, n, seconds, "--first", fault, "--only")
+
+
+@when(
+    "the fault soak runs seed {seed:d} of {fault} alone with {n:d} daemons for"
+    ' {seconds:d} s, in the form "{form}"'
+)
+def step_run_form(context, seed, fault, n, seconds, form):
+    words = ("--first", fault, "--only", "--form", form)
+    run_soak(context, seed, n, seconds, *words)
+
+
 @then("it tells of answers that were served, and of no violation")
 def step_told(context):
     assert context.run.returncode == 0, context.run.stdout + context.run.stderr
--- a/lycheepost/app/platformdemo.py
+++ b/lycheepost/app/platformdemo.py
@@ -142,8 +142,10 @@
             await asyncio.sleep(rng.expovariate(plan.rate_per_second))
 
 
-def make_demo_request(rng: random.Random, number: int) -> DemoRequest:
-    """Return a random request."""
+def make_demo_request(
+    rng: random.Random, number: int, n_events: int = N_EVENTS
+) -> DemoRequest:
+    """Return a random request, of which a stream has ``n_events``."""
     kind = rng.choices(("album", "title", "order", "look"), (45, 31, 19, 8))[0]
     path = f"/{kind}/{number}"
     if kind == "look":
@@ -152,18 +154,20 @@
     if kind == "order":
         return DemoRequest(kind, "POST", path, body, answer_text(path, body))
     return DemoRequest(
-        kind, "POST", path, body, stream_body(body, N_EVENTS, VERSIONS[0])
+        kind, "POST", path, body, stream_body(body, n_events, VERSIONS[0])
     )
 
 
-def make_prompt_headers(rng: random.Random, request: DemoRequest) -> dict[str, str]:
+def make_prompt_headers(
+    rng: random.Random, request: DemoRequest, n_events: int = N_EVENTS
+) -> dict[str, str]:
     """Return the headers that describe the prompt; none for a plain service."""
     if not request.is_stream:
         return {}
     album = rng.randrange(N_ALBUMS)
     return {
         names.MODEL: MODEL,
-        names.TOKENS: f"6500,{N_EVENTS}",
+        names.TOKENS: f"6500,{n_events}",
         names.PROMPT_PARTS: f"a0:2520,b{album:x}:3780,c{request.path[7:]}:200",
     }
 
@@ -185,7 +189,10 @@
 
 
 def as_generated(
-    request: DemoRequest, answer: Answer, versions: tuple[str, ...]
+    request: DemoRequest,
+    answer: Answer,
+    versions: tuple[str, ...],
+    n_events: int = N_EVENTS,
 ) -> DemoRequest:
     """Return a request with the stream that the version of its first event generates.
 
@@ -196,7 +203,7 @@
     first = split_events(answer.body)[:1]
     found = versions_of(request.body, first, versions) or {versions[0]}
     [version] = found
-    expected = stream_body(request.body, N_EVENTS, version)
+    expected = stream_body(request.body, n_events, version)
     return replace(request, expected=expected)
 
 
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -190,7 +190,9 @@
             software: Software versions of the servers by turns.
         """
         self._session = aiohttp.ClientSession(
-            auto_decompress=False, response_class=TrackedResponse
+            connector=aiohttp.TCPConnector(limit=0),
+            auto_decompress=False,
+            response_class=TrackedResponse,
         )
         await self.store.start()
         for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
@@ -364,8 +366,18 @@
         headers: dict[str, str],
         body: bytes = b"",
         index: int = 0,
+        max_bytes: int | None = None,
     ) -> Answer:
-        """Send one request through a daemon and read the response."""
+        """Send one request through a daemon and read the response.
+
+        Args:
+            method: The HTTP method.
+            path: The path.
+            headers: All headers.
+            body: The body.
+            index: The daemon.
+            max_bytes: The client leaves once the body is longer; None for never.
+        """
         url = yarl.URL(f"http://{self.nodes[index].clients}{path}", encoded=True)
         try:
             response = await self.session.request(
@@ -377,6 +389,10 @@
         try:
             async for part in response.content.iter_any():
                 answer.body += part
+                if max_bytes is not None and len(answer.body) > max_bytes:
+                    response.close()
+                    answer.is_whole = False
+                    return answer
             assert isinstance(response, TrackedResponse)
             await response.wait_body_end()
         except aiohttp.ClientError:
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -1,4 +1,4 @@
-"""Run real daemons on a model of the platform under seeded faults from outside.
+r"""Run real daemons on a model of the platform under seeded faults from outside.
 
     python tools/faultsoak.py --seeds 1-50 --seconds 20 [--daemons 6] [--json]
 
@@ -12,12 +12,32 @@
 are back under their ids; daemons are cut off from all servers, one, many or a zone at a
 time, also by connections that are accepted and lead nowhere; the daemon that all others
 ask for changes loses the store as the next one freezes, while routes are added;
-parts of prompts crash each engine that begins to answer one with them.
+parts of prompts crash each engine that begins to answer one with them; all servers of a
+group, or some, are silent for a second, several times; half of the engines and a plain
+service answer some requests, reports, health checks or cache events without end.
 Clients keep using their connections until the process behind them is gone, and take up
 streams that they lose at any daemon. Every
 answer is checked while it runs; afterwards, what ran against what was answered. Every
 process that was started here is ended here, by its id. Exit code 0 without a violation.
 
+No process may have more than 150 MB. Silent servers and planned work (changes of the
+configuration, SIGHUP, SIGTERM in turn, new weights) excuse neither cut streams nor 502
+or 503; beside answers without end, 9 in 10 of the requests at sound servers are served.
+Requests beside other faults are not counted in this.
+
+    python tools/faultsoak.py --seeds 1-4 --seconds 8 --daemons 4 \
+        --first silent_group --only
+    python tools/faultsoak.py --seeds 1-4 --seconds 8 --daemons 4 \
+        --first endless_answers --only
+    python tools/faultsoak.py --seeds 1-2 --seconds 8 --daemons 4 \
+        --first endless_answers --only --form "informational heads"
+    python tools/faultsoak.py --seeds 1-10 --seconds 8 --daemons 3 \
+        --without silent_group,endless_answers
+
+``--first`` names the first fault; with these two there are 12 engines and 40 requests a
+second. ``--only`` repeats it, without the others, beside planned work of the seed's
+choice, and leaves out the failed seeds. ``--form`` is a value of ``EndlessForm``.
+
 A seed that ever failed stays in ``FAILED_SEEDS`` with its cause and runs first.
 """
 
@@ -30,7 +50,9 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
+from soakanswers import FaultSpan
 from soakaudit import audit, check_settled
 from soakclients import drive
 from soakdisturb import (
@@ -44,7 +66,10 @@
     kill,
     stop,
 )
-from soakfleet import DaemonProcess, ProcessFleet
+from soakfleet import DaemonProcess, Play, ProcessFleet
+from soakgroups import endless_answers, silent_group, work_as_planned
+from soakmemory import watch_memory
+from soaknotices import Span
 from soakoperators import add_route, configure, publish_weights
 from soakrun import LOST_KEY, SoakRun, pause
 from soakservers import (
@@ -62,6 +87,7 @@
 )
 
 from lycheepost.app.platformfleet import KEYS
+from lycheepost.standin.endless import EndlessForm
 
 FAILED_SEEDS: dict[int, str] = {
     15: "the signal that cuts paths ended a daemon that was about to start",
@@ -72,9 +98,11 @@
 }
 """Seeds that failed, each with its cause."""
 
-N_PLAIN = 3
-N_ENGINES = 3
-FAULTS: tuple[Callable[[SoakRun, DaemonProcess], Awaitable[None]], ...] = (
+LARGE_PLAY = Play(n_engines=12, n_events=60, rate_per_second=40.0)
+"""In which groups of servers fail: enough for a few dozen requests a second."""
+
+Fault = Callable[[SoakRun, DaemonProcess], Awaitable[None]]
+FAULTS: tuple[Fault, ...] = (
     kill,
     freeze,
     stop,
@@ -98,7 +126,10 @@
     replace_engine,
     restart_engine,
     crash_by_part,
+    silent_group,
+    endless_answers,
 )
+GROUP_FAULTS = (silent_group, endless_answers)
 
 
 async def disturb(run: SoakRun, first: str) -> None:
@@ -108,35 +139,57 @@
         run: The run.
         first: The name of a fault to begin with; empty for none.
     """
+    others = [fault for fault in FAULTS if fault.__name__ not in run.play.without]
     async with asyncio.TaskGroup() as group:
         for fault in FAULTS:
             if fault.__name__ == first:
-                run.faults[first] += 1
-                group.create_task(fault(run, run.rng.choice(run.fleet.processes)))
+                daemon = run.rng.choice(run.fleet.processes)
+                group.create_task(begin(run, fault, daemon))
         while not run.is_over():
             await pause(run, 0.3, 2.0)
-            fault = run.rng.choice(FAULTS)
+            fault = run.rng.choice(others)
             daemon = run.rng.choice(run.fleet.processes)
-            run.faults[fault.__name__] += 1
-            group.create_task(fault(run, daemon))
+            group.create_task(begin(run, fault, daemon))
+
+
+async def disturb_by_one(run: SoakRun, name: str) -> None:
+    """Repeat one fault, each time after the last one has ended, beside planned work."""
+    [fault] = [item for item in FAULTS if item.__name__ == name]
+    async with asyncio.TaskGroup() as group:
+        group.create_task(work_as_planned(run))
+        while not run.is_over():
+            await begin(run, fault, run.rng.choice(run.fleet.processes))
+
 
+async def begin(run: SoakRun, fault: Fault, daemon: DaemonProcess) -> None:
+    """Run one fault, and note when it lasted."""
+    name = fault.__name__
+    run.faults[name] += 1
+    from_seconds = time.monotonic()
+    await fault(run, daemon)
+    span = Span(from_seconds, time.monotonic())
+    run.answers.faults.append(FaultSpan(name, span))
 
-async def soak(seed: int, n_daemons: int, n_seconds: float, first: str = "") -> SoakRun:
+
+async def soak(seed: int, play: Play, n_seconds: float, first: str = "") -> SoakRun:
     """Run one seed, with a fault to begin with if one is named."""
     with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as folder:
         fleet = ProcessFleet(pathlib.Path(folder))
         keys = {**KEYS, LOST_KEY: "lost"}
         try:
-            await fleet.begin(n_daemons, N_PLAIN, N_ENGINES, keys)
+            await fleet.begin(play, keys)
             until_seconds = time.monotonic() + n_seconds
-            run = SoakRun(seed, fleet, random.Random(seed), until_seconds)
+            run = SoakRun(seed, fleet, random.Random(seed), until_seconds, play=play)
             lag = asyncio.create_task(run.changes.watch_lag())
+            memory = asyncio.create_task(watch_memory(fleet.processes, run.peaks))
+            disturbing = disturb_by_one if play.is_alone else disturb
             async with asyncio.TaskGroup() as group:
-                group.create_task(disturb(run, first))
+                group.create_task(disturbing(run, first))
                 group.create_task(drive(run))
             await run.parts.settle()
             lag.cancel()
             await check_settled(run)
+            memory.cancel()
             audit(run)
             if run.report.violations:
                 keep_logs(pathlib.Path(folder), seed)
@@ -161,6 +214,18 @@
     return [int(word) for word in text.split(",")]
 
 
+def make_play(options: argparse.Namespace) -> Play:
+    """Return how much runs."""
+    is_large = options.first in [fault.__name__ for fault in GROUP_FAULTS]
+    return replace(
+        LARGE_PLAY if is_large else Play(),
+        n_daemons=options.daemons,
+        is_alone=options.only,
+        without=frozenset(options.without.split(",")),
+        form=None if options.form is None else EndlessForm(options.form),
+    )
+
+
 def main() -> int:
     """Run all seeds and tell what was found."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -169,15 +234,25 @@
     parser.add_argument("--daemons", type=int, default=6)
     names_of_faults = [fault.__name__ for fault in FAULTS]
     parser.add_argument("--first", default="", choices=["", *names_of_faults])
+    parser.add_argument("--only", action="store_true")
+    parser.add_argument("--without", default="")
+    forms = [form.value for form in EndlessForm]
+    parser.add_argument("--form", choices=forms)
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
+    if options.only and not options.first:
+        parser.error("--only needs --first")
+    play = make_play(options)
+    # What failed among all faults says nothing about one alone.
+    before = [] if options.only else list(FAILED_SEEDS)
     n_bad = 0
-    for seed in [*FAILED_SEEDS, *seeds_of(options.seeds)]:
-        run = asyncio.run(soak(seed, options.daemons, options.seconds, options.first))
+    for seed in [*before, *seeds_of(options.seeds)]:
+        run = asyncio.run(soak(seed, play, options.seconds, options.first))
         n_bad += bool(run.report.violations)
         found = {
             "seed": seed,
             "faults": dict(run.faults),
+            "figures": run.figures,
             "pids": [pid for item in run.fleet.processes for pid in item.pids],
             **run.report.describe(),
         }
--- a/tools/soakaudit.py
+++ b/tools/soakaudit.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import time
+from collections.abc import Iterator
 
+from soakanswers import audit_answers
 from soakfleet import ProxiedServer
+from soakmemory import find_large
 from soaknotices import find_broken
 from soakparts import find_late_parts
 from soakretries import find_excess
@@ -65,6 +68,21 @@
             [span for _, span in run.changes.store],
         )
     )
+    violations.extend(find_large(run.peaks))
+    violations.extend(audit_lost(run))
+
+
+def audit_lost(run: SoakRun) -> Iterator[str]:
+    """Tell of what clients missed, and keep the figures."""
+    run.answers.lags = [span for index, span in run.changes.store if index is None]
+    arrived = {
+        attempt_id for server in run.fleet.servers for attempt_id, _ in server.arrivals
+    }
+    findings = audit_answers(run.answers, arrived, LOST_KEY)
+    run.figures = findings.figures()
+    run.figures["peak megabytes"] = round(max(run.peaks.values(), default=0) / 1e6)
+    run.figures["lags"] = len(run.answers.lags)
+    yield from findings.violations()
 
 
 async def check_settled(run: SoakRun) -> None:
--- a/tools/soakchanges.py
+++ b/tools/soakchanges.py
@@ -19,6 +19,9 @@
 ASKED_SECONDS = (2.02, 2.5, 3.3)
 """When daemons are asked for a new route, after its acknowledgement."""
 
+TARGET_GAP_MS = 500
+"""The pause between events that resumable streams may make."""
+
 _NOT_FOUND = 404
 
 
@@ -52,7 +55,7 @@
 
     def document(self) -> dict[str, Any]:
         """Return the configuration."""
-        found = make_configuration(self.version, tuple(self.keys), self.keys)
+        found = make_soak_configuration(self.version, self.keys)
         found["routes"] += [
             make_route(name, f"/{name}/", "idempotent", PLAIN) for name in self.routes
         ]
@@ -86,6 +89,15 @@
                 yield f"daemon {answer.index}: 404 {late_seconds:.2f} s after a route"
 
 
+def make_soak_configuration(version: int, keys: Mapping[str, str]) -> dict[str, Any]:
+    """Return a configuration whose resumable streams bound the pause of events."""
+    found = make_configuration(version, tuple(keys), keys)
+    for route in found["routes"]:
+        if route["resumable"]:
+            route["target_gap_ms"] = TARGET_GAP_MS
+    return found
+
+
 def feed_order(names: list[str]) -> list[int]:
     """Return the indexes of the daemons in the order in which others ask them."""
     order = sorted(names, key=lambda name: hash_bytes(name.encode()))
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+from soakchanges import make_soak_configuration
+from soakendless import EndlessAnswers
 from soaknotices import Pause, ServerWords
 from soakproxy import Proxy
 
@@ -23,12 +25,12 @@
     PLAIN,
     ZONE,
     PlatformFleet,
-    make_configuration,
 )
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 from lycheepost.platform import headers as names
-from lycheepost.platform.models.serverstandin import PlatformServer
+from lycheepost.platform.models.serverstandin import PlatformServer, seal_of
 from lycheepost.platform.settings import Endpoint, NodeSettings
+from lycheepost.standin.endless import EndlessForm
 from lycheepost.standin.ports import port_of, reserve_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -40,6 +42,27 @@
 """For all processes to be up the first time, also on a machine that is busy."""
 
 
+@dataclass(frozen=True, slots=True)
+class Play:
+    """How much runs.
+
+    Attributes:
+        n_events: Events of each stream.
+        is_alone: Whether only the first fault runs, beside planned work.
+        without: Names of faults that do not begin by themselves.
+        form: What servers send without end; None for all forms by turns.
+    """
+
+    n_daemons: int = 6
+    n_plain: int = 3
+    n_engines: int = 3
+    n_events: int = 6
+    rate_per_second: float = 20.0
+    is_alone: bool = False
+    without: frozenset[str] = frozenset()
+    form: EndlessForm | None = None
+
+
 class ReservedPorts:
     """Ports that no other process is given until they are released.
 
@@ -67,12 +90,15 @@
 
     Attributes:
         words: These notes.
+        endless: What it answers without end; None for nothing.
     """
 
     def __init__(self, service: str, model: str = "") -> None:
         super().__init__(service, model)
         self.proxy: Proxy | None = None
         self.words = ServerWords()
+        self.endless: EndlessAnswers | None = None
+        self._n_pauses = 0
 
     @property
     def address(self) -> str:
@@ -94,6 +120,37 @@
             await self.proxy.stop()
         await super().stop()
 
+    async def pause(self, seconds: float) -> None:
+        """Send nothing for a time; of several pauses the last one to end counts."""
+        self._n_pauses += 1
+        self._awake.clear()
+        await asyncio.sleep(seconds)
+        self._n_pauses -= 1
+        if not self._n_pauses:
+            self._awake.set()
+
+    async def _run(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
+        if self.endless is None or not self.endless.is_due(request):
+            return await super()._run(request)
+        body = await request.read()
+        headers = self._response_headers(request)
+        if names.ATTEMPT_ID in request.headers:
+            self._note_arrival(request)
+            # A server that sends such an answer may have done the work.
+            self._record(request, body)
+            headers[names.SEAL] = seal_of(body)
+        return await self.endless.send(request, headers)
+
+    async def _health(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
+        if self.endless is not None and self.endless.is_due(request):
+            return await self.endless.send(request, self._response_headers(request))
+        return await super()._health(request)
+
+    async def _report(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
+        if self.endless is not None and self.endless.is_due(request):
+            return await self.endless.send(request, self._notice_headers())
+        return await super()._report(request)
+
     def _record(self, request: aiohttp.web.Request, body: bytes) -> None:
         super()._record(request, body)
         self.words.arrived_seconds[self.runs[-1].attempt_id] = time.monotonic()
@@ -179,18 +236,20 @@
         self.processes: list[DaemonProcess] = []
         self.ports = ReservedPorts()
 
-    async def begin(
-        self, n_daemons: int, n_plain: int, n_engines: int, keys: dict[str, str]
-    ) -> None:
+    async def begin(self, play: Play, keys: dict[str, str]) -> None:
         """Start everything and wait until the daemons are ready."""
         await self.start(0, 0, 0, is_configured=False)
-        self.configure(make_configuration(1, tuple(keys), keys))
-        for service, model, n in ((PLAIN, "", n_plain), (ENGINES, MODEL, n_engines)):
+        self.configure(make_soak_configuration(1, keys))
+        for service, model, n in (
+            (PLAIN, "", play.n_plain),
+            (ENGINES, MODEL, play.n_engines),
+        ):
             for _ in range(n):
                 server = ProxiedServer(service, model)
+                server.n_events = play.n_events
                 server.state.started_ms = FIRST_START_MS if model else None
                 await self.add_server(server)
-        for _ in range(n_daemons):
+        for _ in range(play.n_daemons):
             await self.add_process()
         await self.until(self.all_up, START_SECONDS)
         self.end_first_start()
@@ -240,14 +299,18 @@
     async def all_up(self) -> bool:
         """Tell whether every daemon is ready; one that does not answer is not."""
         for index in range(len(self.nodes)):
-            try:
-                async with asyncio.timeout(1.0):
-                    if await self.ready(index) != 200:
-                        return False
-            except (aiohttp.ClientError, OSError, TimeoutError):
+            if not await self.is_up(index):
                 return False
         return True
 
+    async def is_up(self, index: int) -> bool:
+        """Tell whether one daemon is ready."""
+        try:
+            async with asyncio.timeout(1.0):
+                return await self.ready(index) == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
     def end_first_start(self) -> None:
         """Change the settings of later starts: the fleet has run before."""
         for process in self.processes:
--- a/tools/soakoperators.py
+++ b/tools/soakoperators.py
@@ -44,10 +44,7 @@
     headers = run.fleet.headers("k-one")
     attempt_id = headers[names.ATTEMPT_ID]
     from_seconds = time.monotonic()
-    run.sent_seconds[attempt_id] = (from_seconds, "k-one")
-    run.words.daemon_of[attempt_id] = index
-    run.words.sent_seconds[attempt_id] = from_seconds
-    run.requests.note("/look", from_seconds)
+    run.note_request(attempt_id, index, "/look", "k-one")
     try:
         async with asyncio.timeout(4.0):
             answer = await run.fleet.ask("GET", f"/{name}/x", headers, b"", index)
--- a/tools/soakrun.py
+++ b/tools/soakrun.py
@@ -6,8 +6,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from soakanswers import Answers, SentAttempt
 from soakchanges import Changes
-from soakfleet import DaemonProcess, ProcessFleet
+from soakfleet import DaemonProcess, Play, ProcessFleet
 from soaknotices import DaemonWords, Span
 from soakparts import CrashingParts
 from soakretries import SentRequests
@@ -37,6 +38,10 @@
         changes: The configuration, and what daemons answered for new routes.
         requests: When requests were sent to each service.
         parts: Parts of prompts that crash engines, and the requests with them.
+        answers: What clients got, and when which fault lasted.
+        peaks: The highest resident bytes of the daemons' processes, by their ids.
+        play: How much runs.
+        figures: What the audits counted.
     """
 
     seed: int
@@ -56,6 +61,28 @@
     words: DaemonWords = field(default_factory=DaemonWords)
     parts: CrashingParts = field(default_factory=CrashingParts)
     mixed: list[str] = field(default_factory=list)
+    answers: Answers = field(default_factory=Answers)
+    peaks: dict[int, int] = field(default_factory=dict)
+    play: Play = Play()
+    figures: dict[str, int] = field(default_factory=dict)
+
+    def note_request(self, attempt_id: str, index: int, path: str, key: str) -> float:
+        """Note that a client sends a request to a daemon now; return the time."""
+        now_seconds = time.monotonic()
+        self.sent_seconds[attempt_id] = (now_seconds, key)
+        self.words.daemon_of[attempt_id] = index
+        self.words.sent_seconds[attempt_id] = now_seconds
+        self.requests.note(path, now_seconds)
+        return now_seconds
+
+    def note_sent(
+        self, attempt_id: str, index: int, path: str, key: str
+    ) -> SentAttempt:
+        """Note a request whose answer is judged."""
+        now_seconds = self.note_request(attempt_id, index, path, key)
+        found = SentAttempt(attempt_id, index, path, key, now_seconds)
+        self.answers.attempts[attempt_id] = found
+        return found
 
     def note_disturbed(self, daemon: DaemonProcess, from_seconds: float) -> None:
         """Note that a daemon was killed, stopped or frozen until now."""
--- a/tools/soakservers.py
+++ b/tools/soakservers.py
@@ -121,6 +121,7 @@
     new.state.started_ms = FIRST_START_MS
     new.state.version = old.state.version
     new.faults = old.faults
+    new.n_events = old.n_events
     old.is_leaving = True
     await run.fleet.add_server(new)
     await pause(run, 0.2, 2.0)
--- a/tools/soakstreams.py
+++ b/tools/soakstreams.py
@@ -19,6 +19,9 @@
 """Share of the streams that their clients leave on purpose, once each."""
 
 MAX_TRIES = 4
+MAX_BYTES = 1_000_000
+"""No stream of the stand-ins is as long; a client leaves one that is longer."""
+
 _OK = 200
 
 
@@ -57,6 +60,9 @@
         fleet: The daemons.
         rng: Chooses daemons and when to leave.
         note_sent: Called with each attempt id and the daemon that gets it.
+        note_ended: Called when an answer has ended, with the stream and whether the
+            client left on purpose.
+        n_events: Events of a whole stream.
     """
 
     def __init__(
@@ -64,10 +70,14 @@
         fleet: ProcessFleet,
         rng: random.Random,
         note_sent: Callable[[str, int], None],
+        note_ended: Callable[[TakenStream, bool], None],
+        n_events: int = N_EVENTS,
     ) -> None:
         self._fleet = fleet
         self._rng = rng
         self._note_sent = note_sent
+        self._note_ended = note_ended
+        self._n_events = n_events
 
     async def run(
         self, asked: DemoRequest, key: str, prompt: dict[str, str]
@@ -79,7 +89,7 @@
         for number in range(MAX_TRIES):
             max_events = None
             if leaves and number == 0:
-                max_events = self._rng.randint(1, N_EVENTS - 1)
+                max_events = self._rng.randint(1, self._n_events - 1)
             attempt_id = await self._try(asked, key, prompt, stream, max_events)
             if stream.is_whole or not stream.events or stream.status != _OK:
                 break
@@ -112,6 +122,8 @@
                 await self._read(answer, stream, attempt_id, max_events)
         except aiohttp.ClientError:
             pass
+        has_left = max_events is not None and len(stream.events) >= max_events
+        self._note_ended(stream, has_left)
         if n_before:
             stream.n_gone_on += stream.is_whole or len(stream.events) > n_before
         return attempt_id
@@ -127,9 +139,13 @@
         if answer.status != _OK:
             stream.refusal = await answer.read()
             return
-        buffer = b""
+        buffer, n_bytes = b"", 0
         async for part in answer.content.iter_any():
             buffer += part
+            n_bytes += len(part)
+            if n_bytes > MAX_BYTES:
+                answer.close()
+                return
             *events, buffer = buffer.split(b"\n\n")
             stream.events += [event + b"\n\n" for event in events]
             if stream.events and not stream.first_id:
