Soak: plays with chosen variants, longer streams, and tests of what it counts

Streams of 0.3 s were seldom midway as their servers fell silent. Take-ups of streams count as refused too, unless a daemon was told to end meanwhile.

--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -36,7 +36,9 @@
 
 ``--first`` names the first fault; with these two there are 12 engines and 40 requests a
 second. ``--only`` repeats it, without the others, beside planned work of the seed's
-choice, and leaves out the failed seeds. ``--form`` is a value of ``EndlessForm``.
+choice, and leaves out the failed seeds. ``--form``, ``--silent`` and ``--work`` fix
+what seeds choose: values of ``EndlessForm``, ``SilentServers`` and ``Work``.
+``--engines`` and ``--plain`` change the number of servers.
 
 A seed that ever failed stays in ``FAILED_SEEDS`` with its cause and runs first.
 """
@@ -66,11 +68,12 @@
     kill,
     stop,
 )
-from soakfleet import DaemonProcess, Play, ProcessFleet
+from soakfleet import DaemonProcess, ProcessFleet
 from soakgroups import endless_answers, silent_group, work_as_planned
 from soakmemory import watch_memory
 from soaknotices import Span
 from soakoperators import add_route, configure, publish_weights
+from soakplay import LARGE_PLAY, Play, SilentServers, Work
 from soakrun import LOST_KEY, SoakRun, pause
 from soakservers import (
     be_brittle,
@@ -98,9 +101,6 @@
 }
 """Seeds that failed, each with its cause."""
 
-LARGE_PLAY = Play(n_engines=12, n_events=60, rate_per_second=40.0)
-"""In which groups of servers fail: enough for a few dozen requests a second."""
-
 Fault = Callable[[SoakRun, DaemonProcess], Awaitable[None]]
 FAULTS: tuple[Fault, ...] = (
     kill,
@@ -130,6 +130,7 @@
     endless_answers,
 )
 GROUP_FAULTS = (silent_group, endless_answers)
+VARIANTS = {"form": EndlessForm, "silent": SilentServers, "work": Work}
 
 
 async def disturb(run: SoakRun, first: str) -> None:
@@ -217,12 +218,17 @@
 def make_play(options: argparse.Namespace) -> Play:
     """Return how much runs."""
     is_large = options.first in [fault.__name__ for fault in GROUP_FAULTS]
+    play = LARGE_PLAY if is_large else Play()
     return replace(
-        LARGE_PLAY if is_large else Play(),
+        play,
         n_daemons=options.daemons,
+        n_engines=options.engines or play.n_engines,
+        n_plain=options.plain or play.n_plain,
         is_alone=options.only,
         without=frozenset(options.without.split(",")),
         form=None if options.form is None else EndlessForm(options.form),
+        silent=None if options.silent is None else SilentServers(options.silent),
+        work=None if options.work is None else Work(options.work),
     )
 
 
@@ -236,8 +242,11 @@
     parser.add_argument("--first", default="", choices=["", *names_of_faults])
     parser.add_argument("--only", action="store_true")
     parser.add_argument("--without", default="")
-    forms = [form.value for form in EndlessForm]
-    parser.add_argument("--form", choices=forms)
+    parser.add_argument("--engines", type=int)
+    parser.add_argument("--plain", type=int)
+    for name, variants in VARIANTS.items():
+        values = [variant.value for variant in variants]
+        parser.add_argument(f"--{name}", choices=values)
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
     if options.only and not options.first:
--- a/tools/soakanswers.py
+++ b/tools/soakanswers.py
@@ -22,7 +22,7 @@
 AFTER_SECONDS = 5.0
 """How long a fault that has ended excuses what is asked for."""
 
-MOST_SILENT_SECONDS = 2.0
+MOST_SILENT_SECONDS = 1.5
 """Silence that leaves a request the time to be answered before its deadline."""
 
 LEAST_SOUND_SHARE = 0.9
@@ -140,7 +140,11 @@
     def is_leaving(self, attempt: SentAttempt) -> bool:
         """Tell whether its daemon was told to end before it was answered."""
         during = Span(attempt.sent_seconds, attempt.ended_seconds)
-        spans = self.leaving.get(attempt.index, ())
+        spans = self.leaving.get(attempt.index, [])
+        if attempt.is_continued:
+            # The daemon that began the stream may be the one that leaves.
+            spans = [span for found in self.leaving.values() for span in found]
+            during = Span(attempt.sent_seconds - AFTER_SECONDS, attempt.ended_seconds)
         return any(span.overlaps(during) for span in spans)
 
     def silent_seconds(self, attempt: SentAttempt) -> float:
@@ -235,7 +239,6 @@
             item
             for item in judged
             if item.status in _REFUSED
-            and not item.is_continued
             and not answers.is_leaving(item)
             and answers.silent_seconds(item) <= MOST_SILENT_SECONDS
         ],
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -14,6 +14,7 @@
 from soakchanges import make_soak_configuration
 from soakendless import EndlessAnswers
 from soaknotices import Pause, ServerWords
+from soakplay import Play
 from soakproxy import Proxy
 
 from lycheepost.app.platformfleet import (
@@ -26,11 +27,12 @@
     ZONE,
     PlatformFleet,
 )
+from lycheepost.core.clock import SystemClock
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.serverstandin import PlatformServer, seal_of
 from lycheepost.platform.settings import Endpoint, NodeSettings
-from lycheepost.standin.endless import EndlessForm
+from lycheepost.standin.enginetiming import make_engine_timing, make_speeds
 from lycheepost.standin.ports import port_of, reserve_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -42,27 +44,6 @@
 """For all processes to be up the first time, also on a machine that is busy."""
 
 
-@dataclass(frozen=True, slots=True)
-class Play:
-    """How much runs.
-
-    Attributes:
-        n_events: Events of each stream.
-        is_alone: Whether only the first fault runs, beside planned work.
-        without: Names of faults that do not begin by themselves.
-        form: What servers send without end; None for all forms by turns.
-    """
-
-    n_daemons: int = 6
-    n_plain: int = 3
-    n_engines: int = 3
-    n_events: int = 6
-    rate_per_second: float = 20.0
-    is_alone: bool = False
-    without: frozenset[str] = frozenset()
-    form: EndlessForm | None = None
-
-
 class ReservedPorts:
     """Ports that no other process is given until they are released.
 
@@ -120,6 +101,12 @@
             await self.proxy.stop()
         await super().stop()
 
+    def slow_down(self, event_seconds: float) -> None:
+        """Generate events at this interval, until the server restarts."""
+        self._timing.close()
+        speeds = make_speeds(iteration_seconds=event_seconds)
+        self._timing = make_engine_timing(self.name, speeds, SystemClock())
+
     async def pause(self, seconds: float) -> None:
         """Send nothing for a time; of several pauses the last one to end counts."""
         self._n_pauses += 1
@@ -247,6 +234,8 @@
             for _ in range(n):
                 server = ProxiedServer(service, model)
                 server.n_events = play.n_events
+                if play.event_seconds is not None:
+                    server.slow_down(play.event_seconds)
                 server.state.started_ms = FIRST_START_MS if model else None
                 await self.add_server(server)
         for _ in range(play.n_daemons):
--- a/tools/soakgroups.py
+++ b/tools/soakgroups.py
@@ -4,13 +4,13 @@
 import signal
 import time
 from collections.abc import Sequence
-from enum import Enum
 
 from soakanswers import FaultSpan
 from soakendless import EndlessAnswers, EndlessPlace
 from soakfleet import GRACE_SECONDS, DaemonProcess, ProxiedServer
 from soaknotices import Span
 from soakoperators import configure, publish_weights
+from soakplay import SilentServers, Work
 from soakrun import SoakRun, pause
 
 from lycheepost.app.platformfleet import ENGINES, PLAIN
@@ -31,30 +31,9 @@
 """For a daemon that was started again, also on a busy machine."""
 
 
-class SilentServers(Enum):
-    """Which servers are silent."""
-
-    ENGINES = "all engines"
-    PLAIN = "all plain services"
-    ALL = "all servers"
-    HALF = "half of the servers"
-    ONE = "one server"
-    ALL_BESIDE_CUTS = "all servers, beside daemons without paths"
-
-
-class Work(Enum):
-    """Planned work beside a fault, from one time to the next."""
-
-    NONE = "none"
-    CONFIGURATION = "configuration"
-    HANG_UP = "configuration, SIGHUP"
-    TERMINATE = "configuration, SIGTERM"
-    WEIGHTS = "configuration, weights"
-
-
 async def silent_group(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let a whole group of servers, or a part, send nothing for a second, thrice."""
-    which = run.rng.choice(list(SilentServers))
+    which = run.play.silent or run.rng.choice(list(SilentServers))
     run.faults[f"silent: {which.value}"] += 1
     cut = []
     if which is SilentServers.ALL_BESIDE_CUTS:
@@ -120,7 +99,7 @@
 
 async def work_as_planned(run: SoakRun) -> None:
     """Change what operators change, again and again, until the faults are over."""
-    work = run.rng.choice(list(Work))
+    work = run.play.work or run.rng.choice(list(Work))
     run.faults[f"work: {work.value}"] += 1
     turn = 0
     while work is not Work.NONE and not run.is_over():
--- a/tools/soakrun.py
+++ b/tools/soakrun.py
@@ -8,9 +8,10 @@
 
 from soakanswers import Answers, SentAttempt
 from soakchanges import Changes
-from soakfleet import DaemonProcess, Play, ProcessFleet
+from soakfleet import DaemonProcess, ProcessFleet
 from soaknotices import DaemonWords, Span
 from soakparts import CrashingParts
+from soakplay import Play
 from soakretries import SentRequests
 
 from lycheepost.app.platformdemo import PlatformDemoReport
