Soak: state which requests are answered without end; faults of one daemon excuse it alone

A daemon that is killed, frozen, stopped, or cut off from its store or clients excused requests at all daemons; it excuses those sent to it. Faults excuse until contact_ms, 3 s, after their end.

--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -36,9 +36,10 @@
 
 ``--first`` names the first fault; with these two there are 12 engines and 40 requests a
 second. ``--only`` repeats it, without the others, beside planned work of the seed's
-choice, and leaves out the failed seeds. ``--form``, ``--silent`` and ``--work`` fix
-what seeds choose: values of ``EndlessForm``, ``SilentServers`` and ``Work``.
-``--engines`` and ``--plain`` change the number of servers.
+choice, and leaves out the failed seeds. ``--form``, ``--place``, ``--silent`` and
+``--work`` fix what seeds choose: values of ``EndlessForm``, ``EndlessPlace``,
+``SilentServers`` and ``Work``. ``--engines`` and ``--plain`` change how many servers
+there are.
 
 A seed that ever failed stays in ``FAILED_SEEDS`` with its cause and runs first.
 """
@@ -73,7 +74,7 @@
 from soakmemory import watch_memory
 from soaknotices import Span
 from soakoperators import add_route, configure, publish_weights
-from soakplay import LARGE_PLAY, Play, SilentServers, Work
+from soakplay import LARGE_PLAY, EndlessPlace, Play, SilentServers, Work
 from soakrun import LOST_KEY, SoakRun, pause
 from soakservers import (
     be_brittle,
@@ -130,7 +131,15 @@
     endless_answers,
 )
 GROUP_FAULTS = (silent_group, endless_answers)
-VARIANTS = {"form": EndlessForm, "silent": SilentServers, "work": Work}
+OWN_FAULTS = (kill, freeze, stop, disturb_store_link, disturb_client_link)
+"""Those that harm only what is asked of their daemon."""
+
+VARIANTS = {
+    "form": EndlessForm,
+    "place": EndlessPlace,
+    "silent": SilentServers,
+    "work": Work,
+}
 
 
 async def disturb(run: SoakRun, first: str) -> None:
@@ -169,7 +178,8 @@
     from_seconds = time.monotonic()
     await fault(run, daemon)
     span = Span(from_seconds, time.monotonic())
-    run.answers.faults.append(FaultSpan(name, span))
+    index = run.fleet.processes.index(daemon) if fault in OWN_FAULTS else None
+    run.answers.faults.append(FaultSpan(name, span, index))
 
 
 async def soak(seed: int, play: Play, n_seconds: float, first: str = "") -> SoakRun:
@@ -226,9 +236,10 @@
         n_plain=options.plain or play.n_plain,
         is_alone=options.only,
         without=frozenset(options.without.split(",")),
-        form=None if options.form is None else EndlessForm(options.form),
-        silent=None if options.silent is None else SilentServers(options.silent),
-        work=None if options.work is None else Work(options.work),
+        form=options.form and EndlessForm(options.form),
+        place=options.place and EndlessPlace(options.place),
+        silent=options.silent and SilentServers(options.silent),
+        work=options.work and Work(options.work),
     )
 
 
--- a/tools/soakanswers.py
+++ b/tools/soakanswers.py
@@ -19,8 +19,8 @@
 TOLERATED_LATE = 3
 """Requests that may be late in a run, for stalls of the machine."""
 
-AFTER_SECONDS = 5.0
-"""How long a fault that has ended excuses what is asked for."""
+AFTER_SECONDS = 3.0
+"""How long a fault that has ended excuses what is asked for; as ``contact_ms``."""
 
 MOST_SILENT_SECONDS = 1.5
 """Silence that leaves a request the time to be answered before its deadline."""
--- a/tools/soakendless.py
+++ b/tools/soakendless.py
@@ -4,10 +4,10 @@
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum
 
 from aiohttp import web
 from soakanswers import Answers
+from soakplay import EndlessPlace
 
 from lycheepost.platform import headers as names
 from lycheepost.standin.endless import EndlessForm, send_endless
@@ -16,15 +16,6 @@
 """Share of the requests that are answered so."""
 
 
-class EndlessPlace(Enum):
-    """Which requests are answered without end."""
-
-    REQUESTS = "requests"
-    REPORTS = "reports"
-    HEALTH = "health checks"
-    CACHE_EVENTS = "cache events"
-
-
 _WITHOUT_BODY = (
     EndlessForm.INFORMATIONAL_HEADS,
     EndlessForm.HEAD_LINES,
--- a/tools/soakgroups.py
+++ b/tools/soakgroups.py
@@ -6,11 +6,11 @@
 from collections.abc import Sequence
 
 from soakanswers import FaultSpan
-from soakendless import EndlessAnswers, EndlessPlace
+from soakendless import EndlessAnswers
 from soakfleet import GRACE_SECONDS, DaemonProcess, ProxiedServer
 from soaknotices import Span
 from soakoperators import configure, publish_weights
-from soakplay import SilentServers, Work
+from soakplay import EndlessPlace, SilentServers, Work
 from soakrun import SoakRun, pause
 
 from lycheepost.app.platformfleet import ENGINES, PLAIN
@@ -24,6 +24,10 @@
 N_WITHOUT_PATHS = 2
 ENDLESS_SECONDS = (3.0, 6.0)
 SLOW_PAUSE_SECONDS = 0.02
+SLOW_SHARE = 0.33
+OTHER_SHARE = 0.4
+"""How often any requests, also those of daemons themselves, are answered so."""
+
 WORK_SECONDS = (0.5, 1.0)
 """Between two pieces of planned work."""
 
@@ -75,13 +79,13 @@
 async def endless_answers(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let half of the engines and a plain service answer some requests without end."""
     form = run.play.form or run.rng.choice(list(EndlessForm))
-    place = EndlessPlace.REQUESTS
-    if run.play.form is None and run.rng.random() < 0.4:
+    is_stated = run.play.form is not None
+    place = run.play.place or EndlessPlace.REQUESTS
+    if run.play.place is None and not is_stated and run.rng.random() < OTHER_SHARE:
         place = run.rng.choice(list(EndlessPlace))
-    pause_seconds = run.rng.choice((None, None, SLOW_PAUSE_SECONDS))
-    if run.play.form is not None:
-        pause_seconds = None
-    speed = "fast" if pause_seconds is None else "slow"
+    is_slow = not is_stated and run.rng.random() < SLOW_SHARE
+    pause_seconds = SLOW_PAUSE_SECONDS if is_slow else None
+    speed = "slow" if is_slow else "fast"
     run.faults[f"endless: {form.value}, {place.value}, {speed}"] += 1
     engines, plain = run.fleet.group(ENGINES), run.fleet.group(PLAIN)
     servers = [
--- a/tools/soakplay.py
+++ b/tools/soakplay.py
@@ -17,6 +17,15 @@
     ALL_BESIDE_CUTS = "all servers, beside daemons without paths"
 
 
+class EndlessPlace(Enum):
+    """Which requests are answered without end."""
+
+    REQUESTS = "requests"
+    REPORTS = "reports"
+    HEALTH = "health checks"
+    CACHE_EVENTS = "cache events"
+
+
 class Work(Enum):
     """Planned work beside a fault, from one time to the next."""
 
@@ -37,6 +46,8 @@
         is_alone: Whether only the first fault runs, beside planned work.
         without: Names of faults that do not begin by themselves.
         form: What servers send without end; None for all forms by turns.
+        place: Which requests they answer so; None for the seed's choice, or plain
+            requests if the form is stated.
         silent: Which servers are silent; None for all choices by turns.
         work: The planned work; None for the seed's choice.
     """
@@ -50,6 +61,7 @@
     is_alone: bool = False
     without: frozenset[str] = frozenset()
     form: EndlessForm | None = None
+    place: EndlessPlace | None = None
     silent: SilentServers | None = None
     work: Work | None = None
 
--- a/tools/soakservers.py
+++ b/tools/soakservers.py
@@ -47,7 +47,9 @@
 
 async def pause_server(run: SoakRun, _daemon: DaemonProcess) -> None:
     """Let one server send nothing for about a second."""
+    from_seconds = time.monotonic()
     await run.rng.choice(run.fleet.servers).pause(run.rng.uniform(0.3, 1.4))
+    run.answers.silences.append(Span(from_seconds, time.monotonic()))
 
 
 async def be_brittle(run: SoakRun, _daemon: DaemonProcess) -> None:
