--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -176,6 +176,7 @@
         n_slots: int = 32,
         zones: Sequence[AvailabilityZone] = (ZONE,),
         software: Sequence[str] = (FIRST_SOFTWARE,),
+        max_connections: int = 100,
     ) -> None:
         """Start everything and wait until the daemons are ready.
 
@@ -188,9 +189,10 @@
             n_slots: Slots of each server.
             zones: Availability zones that the daemons are in by turns.
             software: Software versions of the servers by turns.
+            max_connections: Connections of all clients together; 0 for no bound.
         """
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(limit=max_connections),
             auto_decompress=False,
             response_class=TrackedResponse,
         )
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -225,7 +225,7 @@
 
     async def begin(self, play: Play, keys: dict[str, str]) -> None:
         """Start everything and wait until the daemons are ready."""
-        await self.start(0, 0, 0, is_configured=False)
+        await self.start(0, 0, 0, is_configured=False, max_connections=0)
         self.configure(make_soak_configuration(1, keys))
         for service, model, n in (
             (PLAIN, "", play.n_plain),
