End a stream at its silent target once another one has taken it

Two engines worked on one stream for 0.84 s: an attempt was held until the other engine had sent its first event, and that one read a prompt of 40000 tokens; the users allow 0.4 s. A target that has had a stream for 0.25 s without rejecting it, and answers a probe, has taken it: the attempts at silent targets end then. One that is silent as well does not, and the old answer is kept. A request is not tried at another target while the whole group is silent.

--- a/lycheepost/app/paths.py
+++ b/lycheepost/app/paths.py
@@ -209,6 +209,10 @@
         probed = ProbedReach(is_reached, bool(others), self._is_late(started_seconds))
         return judge_reach(probed)
 
+    async def is_answered(self, target_group: TargetGroupId, target: TargetId) -> bool:
+        """Return whether a target answers a probe; False if it may not be probed."""
+        return await self._probe_one(target_group, target)
+
     async def _probe_one(self, target_group: TargetGroupId, target: TargetId) -> bool:
         for item in self._get_targets(target_group):
             if item.target == target:
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -221,6 +221,10 @@
         """Wait for the verdict of a probe that is under way."""
         ...
 
+    async def is_answered(self, target_group: TargetGroupId, target: TargetId) -> bool:
+        """Return whether a target answers a probe now."""
+        ...
+
     def note_quiet(self, target_group: TargetGroupId) -> None:
         """Record that a request is without response for a while."""
         ...
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -218,6 +218,9 @@
         if self._has_retry or (is_held and self._searches.is_running):
             # Another search is due, or runs.
             return False
+        if self._deps.paths.is_silent(self._target_group):
+            # Another target would be silent as well, and use up a retry.
+            return False
         if is_held:
             # They may take it by now, and there may be no others.
             excluded = self._work.excluded - self._refusing
--- a/lycheepost/callers/heldattempts.py
+++ b/lycheepost/callers/heldattempts.py
@@ -41,6 +41,10 @@
         """Return whether an attempt is held."""
         return any(run.trace is trace for run in self._runs)
 
+    def holds_others(self, trace: AttemptTrace) -> bool:
+        """Return whether an attempt other than this one is held."""
+        return any(run.trace is not trace for run in self._runs)
+
     def note_begun(self, run: "AttemptRun") -> None:
         """Keep the newest attempt, which may be held later."""
         self._newest = run
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -1,7 +1,8 @@
 """One attempt at a forwarded request at one target: send, relay, judge how it ended."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import structlog
@@ -38,10 +39,15 @@
 from lycheepost.targets.errors import TargetError, TargetUnreachable
 from lycheepost.targets.forward import ForwardResponse
 from lycheepost.targets.forwardcall import ForwardCall
+from lycheepost.utils.tasks import start_task
 
 EARLY_SECONDS = 0.005
 """Timers may fire by this much before the time that they were set for."""
 
+TAKEN_SECONDS = 0.25
+"""A target rejects a request within a few milliseconds. Leaves a probe 0.1 s until two
+targets would have worked on a stream for 0.4 s."""
+
 _MAX_REJECTION_BYTES = 65536
 """Rejections are short; a longer body is not read to its end."""
 
@@ -211,11 +217,12 @@
         sent_seconds = self._deps.clock.now_seconds()
         self._sent_seconds = sent_seconds
         self.is_sent = True
-        sent = await await_headers(
-            self._deps.client.send(call),
-            header_waits_seconds(wait_seconds, self._check_seconds(call)),
-            lambda: self._check_silence(call, run, sent_seconds + wait_seconds),
-        )
+        with self._ending_held(listed):
+            sent = await await_headers(
+                self._deps.client.send(call),
+                header_waits_seconds(wait_seconds, self._check_seconds(call)),
+                lambda: self._check_silence(call, run, sent_seconds + wait_seconds),
+            )
         match sent:
             case Failure(TargetUnreachable(reason=reason)):
                 self.is_sent = False
@@ -237,6 +244,38 @@
                 return await self._handle_answer(listed, answer, timeouts, sent_seconds)
         raise AssertionError("a result is a success or a failure")
 
+    @contextlib.contextmanager
+    def _ending_held(self, listed: ListedTarget) -> Iterator[None]:
+        """End a stream at silent targets meanwhile, once this one has taken it."""
+        is_stream = self._route_match.route.kind is RouteKind.STREAM
+        if not is_stream or not self._elsewhere.held.holds_others(self.trace):
+            yield
+            return
+        task = start_task(self._end_held(listed), "end-held")
+        try:
+            yield
+        finally:
+            task.cancel()
+
+    async def _end_held(self, listed: ListedTarget) -> None:
+        """End the attempts at silent targets once this one has taken the request.
+
+        It may read a long prompt, and two targets may not work on a stream for long. It
+        has taken the request if it has not rejected it for a while, but answers others.
+        """
+        is_answered = False
+        while not is_answered:
+            await asyncio.sleep(TAKEN_SECONDS)
+            is_answered = await self._deps.paths.is_answered(
+                listed.target_group, listed.target
+            )
+        _log.info(
+            "forward: target has taken the request",
+            request_id=self._request.caller_id,
+            target=listed.target,
+        )
+        self._elsewhere.held.end_others(self.trace)
+
     def _check_seconds(self, call: ForwardCall) -> float:
         """Return how long to wait for a response between checks of the paths."""
         if call.may_reuse_connection:
