Requests that were read whole and end without an answer: failing tests

Callers may see a connection that closes without a response, though their request was read whole: at the end of a daemon's drain, for a server's header with a control character, and for a stream to an HTTP/1.0 client. A client that waits for 100 (Continue) waits until a time-out. A daemon that leaves while the store is silent accepts requests for two seconds more, and its drain ends as much later. A settings file that is not text, or has a port of thousands of digits, raises an error that ends the process at SIGHUP. A deadline of 400 digits is answered with 502.

--- a/features/app/settingswatch.feature
+++ b/features/app/settingswatch.feature
@@ -38,6 +38,8 @@
       | has a bound that is nan  |
       | has a port above 65535   |
       | has ports from last on   |
+      | is not text              |
+      | has a port of 5000 digits |
 
   Scenario: All faults of a settings file are told at once
     Guards against reporting only the first fault of a file.
--- a/features/app/steps/settings_steps.py
+++ b/features/app/steps/settings_steps.py
@@ -67,6 +67,11 @@
         case "has ports from last on":
             text = TEXT.replace("7340,7355", "7355,7340")
             context.path.write_text(text.replace("5000", "3000"))
+        case "is not text":
+            context.path.write_bytes(TEXT.replace("5000", "3000").encode() + b"\xe9")
+        case "has a port of 5000 digits":
+            text = TEXT.replace("0.1:9", f"0.1:{'9' * 5000}")
+            context.path.write_text(text.replace("5000", "3000"))
     context.watch.reload()
 
 
--- a/features/platform/steps/deployment.py
+++ b/features/platform/steps/deployment.py
@@ -6,6 +6,7 @@
     KEYS,
     MODEL,
     SITE,
+    ZONE,
     make_configuration,
 )
 from lycheepost.app.platformfleet import PlatformFleet as Deployment
@@ -16,6 +17,7 @@
     "KEYS",
     "MODEL",
     "SITE",
+    "ZONE",
     "Deployment",
     "make_configuration",
 ]
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -145,6 +145,7 @@
         networks: The paths of each daemon to the servers, in the same order.
         attempt_id: The attempt id of the last request.
         switched_off: Disabled mechanisms of daemons that are started from now on.
+        leave_plan: The phases of the shutdown of daemons that are started from now on.
     """
 
     def __init__(self, bounds: Bounds = BOUNDS) -> None:
@@ -155,6 +156,7 @@
         self.networks: list[CuttableNetwork] = []
         self.attempt_id = ""
         self.switched_off: frozenset[Mechanism] = frozenset()
+        self.leave_plan = LeavePlan(accept_seconds=0.4, finish_seconds=5.0)
         self._bounds = bounds
         self._n_attempts = 0
         self._session: aiohttp.ClientSession | None = None
@@ -271,13 +273,12 @@
             bounds=self._bounds,
             is_first_start=is_first_start,
         )
-        plan = LeavePlan(accept_seconds=0.4, finish_seconds=5.0)
         network = CuttableNetwork()
         daemon = make_platform_daemon(
             node,
             EarlySockets(clients, readiness, directory),
             metrics_port=0,
-            leave_plan=plan,
+            leave_plan=self.leave_plan,
             switched_off=self.switched_off,
             network=network,
         )
