A daemon that ends answers the requests that have no response yet

Callers saw: at the end of a shutdown's time for finishing, requests that still waited for a server, or whose server had sent nothing, ended with a closed connection. Nothing told their clients that they had not run.

Cause: after the time-out of the drain the listeners were stopped first, which cancels the handlers; the queue's refusals came after that and reached nobody.

Change: when that time is over, the daemon ends each request whose response has not begun: 503 if no server can have run it, else 502. ClientConnection moves to a module of its own.

--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -184,6 +184,7 @@
                 "app: drain timed out with requests in flight",
                 n_open=self._ingress.n_open,
             )
+            await self._ingress.end_unanswered()
 
     async def reload(self) -> None:
         """Reload the platform's settings."""
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
@@ -10,19 +10,19 @@
 import msgspec
 import structlog
 from aiohttp import web
-from multidict import CIMultiDict, CIMultiDictProxy
+from multidict import CIMultiDictProxy
 
 from lycheepost.callers.errors import CallerError, ErrorType, Executed
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest, RelayedFrom
-from lycheepost.callers.forwarderrors import leaving
+from lycheepost.callers.forwarderrors import leaving, outcome_unknown
 from lycheepost.callers.forwardidentify import identify
 from lycheepost.callers.forwarding import Forwarding
 from lycheepost.core.ids import ModelId
 from lycheepost.core.routing import Prompt, PromptPart, RouteKind
 from lycheepost.platform import headers as names
+from lycheepost.platform.clientconnection import ClientConnection
 from lycheepost.platform.dialect import header_int, parse_count
 from lycheepost.state.initial_reads import InitialReads
-from lycheepost.targets.forwardcall import ResponseHead
 from lycheepost.utils.bytebudget import HeldBytes
 
 UNCONFIGURED_MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -39,6 +39,10 @@
 BODIES_RETRY_SECONDS = 0.2
 """Any other daemon can take the request at once; this one after some have ended."""
 
+END_SECONDS = 0.2
+"""How long to wait for the responses of requests that a shutdown ends; each is ready at
+once."""
+
 MAX_ADDRESSES = 64
 """Maximum addresses that clients read from one response, by the platform's protocol."""
 
@@ -54,59 +58,6 @@
 )
 
 
-class ClientConnection:
-    """Implements ``callers.forwarddeps.CallerConnection`` over aiohttp.
-
-    Args:
-        request: The client's request.
-        is_leaving: Returns whether to close the connection after this response.
-    """
-
-    def __init__(
-        self, request: web.BaseRequest, is_leaving: Callable[[], bool]
-    ) -> None:
-        self._request = request
-        self._is_leaving = is_leaving
-        self.response: web.StreamResponse | None = None
-
-    async def begin(self, head: ResponseHead, length: int | None) -> None:
-        """Send the status and the headers."""
-        response = web.StreamResponse(
-            status=head.status, headers=CIMultiDict(head.headers)
-        )
-        if length is None:
-            response.enable_chunked_encoding()
-        else:
-            response.content_length = length
-        if self._is_leaving():
-            response.force_close()
-        self.response = response
-        await self._guard(response.prepare(self._request))
-
-    async def write(self, data: bytes) -> None:
-        """Send bytes of the body."""
-        assert self.response is not None
-        if data:
-            await self._guard(self.response.write(data))
-
-    async def finish(self) -> None:
-        """End the response as complete."""
-        assert self.response is not None
-        await self._guard(self.response.write_eof())
-
-    def abort(self) -> None:
-        """Abort the connection."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-    async def _guard(self, step: Coroutine[Any, Any, Any]) -> None:
-        try:
-            await step
-        except RuntimeError as error:
-            # aiohttp raises RuntimeError once the connection is closed.
-            raise ConnectionError(str(error)) from error
-
-
 class ClientIngress:
     """Serves clients' requests.
 
@@ -137,6 +88,8 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._runs: set[asyncio.Task[None]] = set()
+        self._open: dict[asyncio.Task[Any], ClientConnection] = {}
+        self._is_ending = False
 
     def buffers(self) -> dict[str, dict[str, int]]:
         """Return the bytes held for open requests, for status pages."""
@@ -149,17 +102,44 @@
         """Wait until no request is being served."""
         await self._idle.wait()
 
+    async def end_unanswered(self) -> None:
+        """End the open requests whose responses have not begun with an error.
+
+        The platform would end them with their connections, and their clients could not
+        tell whether they have run.
+        """
+        self._is_ending = True
+        ended = [
+            (task, connection)
+            for task, connection in self._open.items()
+            if connection.response is None
+        ]
+        for task, _ in ended:
+            task.cancel()
+        try:
+            async with asyncio.timeout(END_SECONDS):
+                for _, connection in ended:
+                    await connection.ended.wait()
+        except TimeoutError:
+            _log.warning("ingress: requests did not end", n_open=self.n_open)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
+        connection = ClientConnection(request, lambda: self.is_leaving)
+        task = asyncio.current_task()
+        assert task is not None
         self.n_open += 1
         self._idle.clear()
-        connection = ClientConnection(request, lambda: self.is_leaving)
+        self._open[task] = connection
         try:
             await self._serve(request, connection)
         except CallerError as error:
-            self._deps.metrics.count(f"errors.{error.code}")
-            self._log_error(error, request)
-            return self._error_response(error, request)
+            return self._answer_with_error(error, request)
+        except asyncio.CancelledError:
+            if not self._is_ending or connection.response is not None:
+                raise
+            task.uncancel()
+            return self._answer_with_error(_ended(connection.forwarding), request)
         except ConnectionError:
             _log.info("ingress: client left", request_id=_attempt_id(request))
         except Exception:
@@ -168,6 +148,8 @@
                 return self._error_response(_INTERNAL_ERROR, request)
             connection.abort()
         finally:
+            del self._open[task]
+            connection.ended.set()
             self.n_open -= 1
             if self.n_open == 0:
                 self._idle.set()
@@ -200,6 +182,7 @@
         await self._first_reads.wait(_first_reads_wait_seconds(forward_request))
         route_match = identify(self._deps, forward_request)
         forwarding = Forwarding(self._deps, forward_request, route_match, connection)
+        connection.forwarding = forwarding
         if route_match.route.kind is not RouteKind.NON_IDEMPOTENT:
             await forwarding.run()
             return
@@ -208,7 +191,13 @@
         run = asyncio.create_task(forwarding.run())
         self._runs.add(run)
         run.add_done_callback(self._end_run)
-        await asyncio.shield(run)
+        try:
+            await asyncio.shield(run)
+        except asyncio.CancelledError:
+            if self._is_ending:
+                # The error response may promise that the request never runs.
+                run.cancel()
+            raise
 
     def _end_run(self, run: asyncio.Task[None]) -> None:
         """Log the error of a run; its client may have disconnected before it ended."""
@@ -256,6 +245,13 @@
         async with asyncio.timeout(idle_seconds):
             return await request.content.readany()
 
+    def _answer_with_error(
+        self, error: CallerError, request: web.BaseRequest
+    ) -> web.Response:
+        self._deps.metrics.count(f"errors.{error.code}")
+        self._log_error(error, request)
+        return self._error_response(error, request)
+
     def _log_error(self, error: CallerError, request: web.BaseRequest) -> None:
         """Log the error and the age of the configuration behind it."""
         routing = self._deps.routing
@@ -326,6 +322,13 @@
     )
 
 
+def _ended(forwarding: Forwarding | None) -> CallerError:
+    """Return the error for a request that a shutdown ends before its response."""
+    if forwarding is None or forwarding.executed is Executed.NO:
+        return leaving()
+    return replace(outcome_unknown(), n_arrivals=1)
+
+
 def _status(error: CallerError) -> int:
     """Return the status; 429 and 503 are kept for requests that did not run."""
     if error.code == "quarantined":
