A settings file that is not text changes nothing

Callers would see: SIGHUP beside a settings file that is not UTF-8, or that has a port of thousands of digits, ends the process with all their requests, as the error leaves the signal loop. Read without a signal, it ends the watch of the file.

Cause: only missing files and invalid values were reported as faults; the errors of decoding and of Python's limit on digits were not.

Evidence: behave features/app/settingswatch.feature: 15 passed and 2 failed before; 17 passed.

--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -164,7 +164,7 @@
 
 def parse_port(text: str) -> int | None:
     """Return the port number in ``text``; None when it is not a valid one."""
-    is_number = text.isascii() and text.isdigit()
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_PORT))
     return int(text) if is_number and 0 < int(text) <= MAX_PORT else None
 
 
@@ -236,4 +236,7 @@
     except OSError as error:
         reason = f"{path} cannot be read: {error.strerror}."
         return Failure(SettingsError(reason, (reason,)))
+    except UnicodeDecodeError:
+        reason = f"{path} is not text in UTF-8."
+        return Failure(SettingsError(reason, (reason,)))
     return decode_settings(text)
