A control character in a server's header does not cost the answer

Callers saw a connection that closed without a response, though the server had run their request and answered it whole.

Cause: the HTTP library accepts control characters in the headers that it reads, and refuses to write them; the daemon then aborts the caller's connection.

Change: control characters in values are replaced by spaces, as RFC 9110 (5.5) allows.

Evidence: behave features/platform/unanswered.feature -n "A server's header": closed without a status before, passes now.

--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -22,6 +22,7 @@
 _UNAVAILABLE_STATUS = 503
 _LEAVING_VALUE = "1"
 MILLISECONDS = 1000.0
+_CONTROL_CHARACTERS = dict.fromkeys([*range(0x20), 0x7F], " ") | {ord("\t"): "\t"}
 _MAX_DIGITS = 18
 
 
@@ -101,12 +102,13 @@
 def client_headers(headers: list[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
     """Return the headers of a response that go to the client.
 
-    The server's load is only for the daemons.
+    The server's load is only for the daemons. Control characters are replaced, as they
+    are invalid and a response with them cannot be sent.
     """
     return tuple(
-        item
-        for item in names.end_to_end_headers(headers)
-        if item[0].lower() != names.LOAD.lower()
+        (name, value if value.isprintable() else value.translate(_CONTROL_CHARACTERS))
+        for name, value in names.end_to_end_headers(headers)
+        if name.lower() != names.LOAD.lower()
     )
 
 
