Streams over HTTP/1.0 are refused before they run

Callers saw a closed connection without a response after their stream had run.

Cause: a stream is sent in chunks, which HTTP/1.0 has not; the HTTP library's error was taken for a client that had left.

Change: 505 before anything is sent. The scenario, written as 'gets a whole stream', now asks for the refusal and that nothing ran: without chunks a cut stream would look complete. Readiness and Directory move to a module of their own.

Evidence: behave features/platform/unanswered.feature -n 'A client of HTTP/1.0': closed without a status before, passes now.

--- a/features/platform/unanswered.feature
+++ b/features/platform/unanswered.feature
@@ -42,12 +42,13 @@
       | 7f   | 400    |
       | e9   | 200    |
 
-  Scenario: A client of HTTP/1.0 gets a whole stream
+  Scenario: A client of HTTP/1.0 that asks for a stream is refused
     Guards against a stream that runs and ends with a closed connection, as HTTP/1.0 has
-    no chunks.
+    no chunks. Without them a cut stream could not be told from a whole one.
     Given a deployment with 1 daemon
     When a client of HTTP/1.0 sends a request for a resumable stream
-    Then it gets status 200 with 6 events
+    Then it gets status 505 with a whole body
+    And no server has run anything
 
   Scenario: A client that waits for 100 (Continue) is told to go on
     Guards against a client and a daemon that wait for each other until a time-out.
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -47,12 +47,12 @@
     count_retry_shares,
     unknown_fleet_divisor,
 )
+from lycheepost.platform.directory import Directory, Readiness
 from lycheepost.platform.following import (
     OperatorFollower,
     ServerFollower,
     make_watches,
 )
-from lycheepost.platform.ingress import Directory, Readiness
 from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -1,4 +1,4 @@
-"""Serves the platform's clients: requests, readiness checks and the directory."""
+"""Serves the requests of the platform's clients."""
 
 import asyncio
 import math
@@ -7,9 +7,8 @@
 from http import HTTPStatus
 from typing import Any
 
-import msgspec
 import structlog
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDictProxy
 
 from lycheepost.callers.errors import CallerError, ErrorType, Executed
@@ -43,9 +42,6 @@
 """How long to wait for the responses of requests that a shutdown ends; each is ready at
 once."""
 
-MAX_ADDRESSES = 64
-"""Maximum addresses that clients read from one response, by the platform's protocol."""
-
 _MILLISECONDS = 1000.0
 _log = structlog.get_logger(part="ingress")
 
@@ -183,6 +179,8 @@
         route_match = identify(self._deps, forward_request)
         forwarding = Forwarding(self._deps, forward_request, route_match, connection)
         connection.forwarding = forwarding
+        if route_match.route.kind is RouteKind.STREAM:
+            _check_version(request)
         if route_match.route.kind is not RouteKind.NON_IDEMPOTENT:
             await forwarding.run()
             return
@@ -365,6 +363,12 @@
         raise CallerError("The path cannot be forwarded.", status=400, code="bad_path")
 
 
+def _check_version(request: web.BaseRequest) -> None:
+    """Refuse streams over HTTP/1.0, whose early end a client could not recognize."""
+    if request.version < HttpVersion11:
+        raise CallerError("Streams need HTTP/1.1.", status=505, code="http_version")
+
+
 def _attempt_id(request: web.BaseRequest) -> str:
     return request.headers.get(names.ATTEMPT_ID, "")
 
@@ -456,43 +460,3 @@
     return CallerError(
         "The description of the prompt cannot be read.", status=400, code="bad_prompt"
     )
-
-
-class Readiness:
-    """Serves the platform's readiness check."""
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Respond 200 when ready, else 503."""
-        if request.path != "/ready":
-            return web.Response(status=404)
-        return web.Response(status=200 if self._is_ready() else 503)
-
-
-class Directory:
-    """Serves the addresses that clients should use.
-
-    Args:
-        addresses: The addresses, best first.
-        valid_seconds: Returns how long clients may cache a response.
-    """
-
-    def __init__(
-        self, addresses: Callable[[], list[str]], valid_seconds: Callable[[], float]
-    ) -> None:
-        self._addresses = addresses
-        self._valid_seconds = valid_seconds
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Respond to a lookup: 503 instead of an empty list."""
-        if request.path != "/lookup":
-            return web.Response(status=404)
-        addresses = self._addresses()[:MAX_ADDRESSES]
-        if not addresses:
-            return web.Response(status=503)
-        answer = {"addresses": addresses, "ttl_s": self._valid_seconds()}
-        return web.Response(
-            body=msgspec.json.encode(answer), content_type="application/json"
-        )
