A client that waits for 100 (Continue) is told to send its body

Callers saw nothing until their own time-out or the daemon's for idle bodies (15 s).

Cause: the raw listener answers no Expect header, which the HTTP library does only for applications with a route table.

Evidence: behave features/platform/unanswered.feature -n 'A client that waits': no byte within 1 s before, passes now.

--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -222,6 +222,7 @@
         n_bytes = request.content_length or 0
         if n_bytes > max_bytes:
             raise _too_large()
+        _ask_for_body(request)
         n_bytes = 0
         idle_seconds = UNCONFIGURED_IDLE_TIMEOUT_SECONDS
         if table is not None:
@@ -363,6 +364,13 @@
         raise CallerError("The path cannot be forwarded.", status=400, code="bad_path")
 
 
+def _ask_for_body(request: web.BaseRequest) -> None:
+    """Tell a client that waits for it to send its body."""
+    expected = request.headers.get("Expect", "").lower()
+    if expected == "100-continue" and request.transport is not None:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 def _check_version(request: web.BaseRequest) -> None:
     """Refuse streams over HTTP/1.0, whose early end a client could not recognize."""
     if request.version < HttpVersion11:
