A deadline of hundreds of digits counts as none

Callers saw 502 'The daemon failed on this request', though the route's time-out was left. The number was converted to a float, which it overflows.

Evidence: behave features/platform/unanswered.feature -n 'A request with a deadline': 6 passed and 1 failed before, 7 pass.

--- a/lycheepost/platform/dialect.py
+++ b/lycheepost/platform/dialect.py
@@ -1,6 +1,7 @@
 """Encodes calls to the platform's servers and decodes their response headers."""
 
 import math
+import sys
 from collections.abc import Mapping
 
 from multidict import CIMultiDict
@@ -168,8 +169,12 @@
 
 
 def header_int(headers: Mapping[str, str], name: str) -> int | None:
-    """Return a header's integer value; None when it is missing or not an integer."""
+    """Return a header's integer value; None when it is missing or not an integer.
+
+    Values with too many digits for a float count as missing.
+    """
+    text = headers.get(name, "").strip()
     try:
-        return int(headers[name])
-    except (KeyError, ValueError):
+        return int(text) if len(text) <= sys.float_info.max_10_exp else None
+    except ValueError:
         return None
