--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -47,12 +47,12 @@
     count_retry_shares,
     unknown_fleet_divisor,
 )
+from lycheepost.platform.directory import Directory, Readiness
 from lycheepost.platform.following import (
     OperatorFollower,
     ServerFollower,
     make_watches,
 )
-from lycheepost.platform.ingress import Directory, Readiness
 from lycheepost.platform.settings import Bounds, Endpoint, NodeSettings
 from lycheepost.platform.store import StoreClient
 from lycheepost.ports.feed import FeedPort
@@ -170,7 +170,8 @@
         self.is_leaving = True
         self._ingress.is_leaving = True
         _log.info("app: draining", n_open=self._ingress.n_open)
-        await self._components.weights.release()
+        # The platform's time is short, and the store may be slow.
+        release = start_task(self._components.weights.release(), "release-weights")
         leave = start_task(self._components.peers.fleet.drain(), "leave")
         await asyncio.sleep(plan.accept_seconds)
         leave.cancel()
@@ -184,6 +185,8 @@
                 "app: drain timed out with requests in flight",
                 n_open=self._ingress.n_open,
             )
+            await self._ingress.end_unanswered()
+        release.cancel()
 
     async def reload(self) -> None:
         """Reload the platform's settings."""
