Failing tests: servers that send without end, at each client and beside sound servers

Callers at sound servers got 503 or nothing while others sent heads of status 103, lines, extensions or bytes after status 101 without end.

The stand-in takes the headers of a request.

--- /dev/null
+++ b/features/targets/endless.feature
@@ -0,0 +1,62 @@
+Feature: Answers without end
+  A server on loopback, in a thread of its own, sends until its peer closes the
+  connection. Each client of a daemon ends such a call.
+
+  Scenario Outline: <client> ends each form that a server sends as fast as it is read
+    Guards against heads, lines and bytes of no body that fill the memory of a daemon
+    or hold its loop.
+    When <client> is called at servers that send each form without end
+    Then each call ended with an error or a short answer
+    And each server got rid of at most <megabytes> MB
+    And the loop was never held for 0.25 s
+    And the memory grew by at most <memory> MB
+
+    Examples:
+      | client              | megabytes | memory |
+      | a request           | 12        | 40     |
+      | a relay to a peer   | 12        | 40     |
+      | a service answer    | 28        | 70     |
+      | an engine report    | 12        | 40     |
+      | a server report     | 12        | 40     |
+      | a server's order    | 12        | 40     |
+      | a health check      | 12        | 40     |
+      | a path probe        | 12        | 40     |
+      | cache events        | 12        | 40     |
+      | rows of the store   | 44        | 110    |
+      | a table's answer    | 76        | 210    |
+
+  Scenario Outline: <client> ends when a server sends one informational head after the other, slowly
+    Guards against a call that waits for its whole time for an answer that can't come.
+    When <client> is called at a server that sends a head of status 103 each 30 ms
+    Then the call ended with an error within 0.5 s
+
+    Examples:
+      | client              |
+      | a request           |
+      | a relay to a peer   |
+      | a service answer    |
+      | an engine report    |
+      | a server report     |
+      | a server's order    |
+      | a health check      |
+      | cache events        |
+      | rows of the store   |
+      | a table's answer    |
+
+  Scenario: Bytes that arrive on a kept connection are not kept
+    Guards against a buffer that grows while no call waits.
+    When bytes follow the answers of 20 calls on kept connections
+    Then the memory grew by at most 40 MB
+    And no call got an answer that it had not asked for
+
+  Scenario Outline: A sound body of <n> chunks of <size> bytes is read completely
+    Guards against bounds that cut sound answers.
+    When a client reads <n> chunks of <size> bytes, <how>
+    Then it got all of them
+
+    Examples:
+      | n       | size  | how             |
+      | 300000  | 9     | at once         |
+      | 300000  | 9     | in the callback |
+      | 1000000 | 1     | at once         |
+      | 400     | 65536 | slowly          |
--- a/lycheepost/standin/endless.py
+++ b/lycheepost/standin/endless.py
@@ -14,7 +14,7 @@
 
 PIECE_BYTES = 65536
 """Size of one write, about what a client reads at once."""
-_MAX_UNSENT_BYTES = 1 << 20
+_MAX_UNSENT_BYTES = 4 * PIECE_BYTES
 """The server waits while its peer has this much unread."""
 _POLL_SECONDS = 0.001
 _START_SECONDS = 5.0
@@ -192,7 +192,7 @@
         form: What it sends.
         pause_seconds: Pause after each unit; None to send as fast as is read.
         make_headers: Returns the headers of the answer to a request, given its path
-            and body.
+            and headers; their names are in lower case.
         is_flooded: Whether a request, given its path, is answered without end; others
             get an empty record.
 
@@ -201,15 +201,17 @@
         form: What it sends; it may be changed.
         n_flooded: Requests that were answered without end.
         n_closed: Of those, the ones whose peer closed the connection.
-        n_bytes: Bytes written to peers that have closed, at most one megabyte of each
-            of them unread.
+        n_bytes: Bytes written to peers that have closed. A few megabytes of each may
+            be unread, in buffers of the system.
     """
 
     def __init__(
         self,
         form: EndlessForm,
         pause_seconds: float | None = None,
-        make_headers: Callable[[str, bytes], Mapping[str, str]] = lambda *_: {},
+        make_headers: Callable[[str, Mapping[str, str]], Mapping[str, str]] = (
+            lambda *_: {}
+        ),
         is_flooded: Callable[[str], bool] = lambda _: True,
     ) -> None:
         self.form = form
@@ -239,6 +241,7 @@
         if self._loop is not None and self._thread is not None:
             self._loop.call_soon_threadsafe(self._stopping.set)
             self._thread.join(_START_SECONDS)
+            self._loop = None
 
     async def _serve(self) -> None:
         self._loop = asyncio.get_running_loop()
@@ -258,8 +261,10 @@
         assert task is not None
         self._tasks.add(task)
         try:
-            # The peer has left when no request follows.
-            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            # The peer has left when no request follows; ``stop`` cancels the task.
+            with contextlib.suppress(
+                ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
+            ):
                 while not await self._answer(reader, writer):
                     pass
         finally:
@@ -270,8 +275,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Answer one request; return whether it was answered without end."""
-        path, body = await _read_request(reader)
-        headers = self._make_headers(path, body)
+        path, asked = await _read_request(reader)
+        headers = self._make_headers(path, asked)
         if not self._is_flooded(path):
             length = {"Content-Length": str(len(_WHOLE))}
             writer.write(_head("200 OK", headers, length) + _WHOLE)
@@ -285,10 +290,11 @@
         return True
 
 
-async def _read_request(reader: asyncio.StreamReader) -> tuple[str, bytes]:
-    """Return the path and body of the next request."""
+async def _read_request(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    """Return the path and headers of the next request, and read its body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.split("\r\n")
-    headers = dict(line.lower().split(": ", 1) for line in lines if ": " in line)
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return first.split(" ")[1].partition("?")[0], body
+    fields = (line.split(": ", 1) for line in lines if ": " in line)
+    headers = {name.lower(): value for name, value in fields}
+    await reader.readexactly(int(headers.get("content-length", "0")))
+    return first.split(" ")[1].partition("?")[0], headers
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -24,6 +24,7 @@
     FEATURES / "platform" / "ownpaths.feature",
     FEATURES / "platform" / "retrybudget.feature",
     FEATURES / "platform" / "badparts.feature",
+    FEATURES / "platform" / "endless.feature",
     FEATURES / "decide" / "quotas.feature",
 )
 """Features that run beside the rest of their folder."""
