Count and log answers that are given up, by client and kind

Neither the log nor the metrics told that a server sent too much, or which client read it. `http: answer given up` names the client and the kind; `answers_given_up.CLIENT.EXCESS` is served with the metrics and shown by the status. Up to here only bodies that are read as a whole are given up; the kinds that follow are named already.

Evidence: features/targets/bodies.feature and calls.feature pass.

--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -40,6 +40,7 @@
 from lycheepost.report.routes import make_report_routes
 from lycheepost.report.samples import Recorder
 from lycheepost.state.addresses import Member
+from lycheepost.utils.boundedreads import given_up_counts
 from lycheepost.utils.metrics import make_metrics
 
 _START_ID_BITS = 48
@@ -241,6 +242,7 @@
         "targets": members["targets"],
         "queues": traffic.dispatcher.status(),
         "peers": state.exchange.status(),
+        "answers_given_up": given_up_counts(),
         "claims": state.claims.status(),
         "duties": [duty.status() for duty in state.duties],
         "engines": traffic.engines.status(),
--- a/lycheepost/app/gauges.py
+++ b/lycheepost/app/gauges.py
@@ -44,6 +44,8 @@
     for name, budget in status.get("buffers", {}).items():
         yield f"buffered_bytes.{name}", budget["held_bytes"]
         yield f"buffers_denied.{name}", budget["n_denied"]
+    for name, number in status.get("answers_given_up", {}).items():
+        yield f"answers_given_up.{name}", number
     yield from _order_gauges(status["queues"]["groups"].values())
     yield (
         "reading_engines",
--- a/lycheepost/app/metricspage.py
+++ b/lycheepost/app/metricspage.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from lycheepost.utils.boundedreads import given_up_counts
 from lycheepost.utils.metrics import ServedMetrics
 
 METRICS_PATH = "/metrics"
@@ -30,6 +31,8 @@
         """Handle one request."""
         match request.path:
             case path if path == METRICS_PATH:
+                for name, number in given_up_counts().items():
+                    self._metrics.gauge(f"answers_given_up.{name}", number)
                 return web.Response(
                     body=self._metrics.text(), content_type="text/plain"
                 )
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -62,6 +62,7 @@
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.watch import Watch
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.boundedreads import given_up_counts
 from lycheepost.utils.metrics import ServedMetrics
 from lycheepost.utils.tasks import start_task
 
@@ -361,6 +362,7 @@
             "quotas": components.quotas.status(components.base.clock.now_seconds()),
             "quota_record": components.traffic.quota_recorder.status(),
             "store": components.base.store.status(),
+            "answers_given_up": given_up_counts(),
         }
 
 
--- a/lycheepost/targets/session.py
+++ b/lycheepost/targets/session.py
@@ -5,6 +5,7 @@
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.network import TargetNetwork
 from lycheepost.utils.bodies import TrackedResponse
+from lycheepost.utils.boundedreads import AnswerGivenUp, Excess, note_given_up
 
 
 async def _prevent_resend(
@@ -102,7 +103,8 @@
     async for part in response.content.iter_any():
         n_bytes += len(part)
         if n_bytes > max_bytes:
-            raise aiohttp.ClientPayloadError("the answer is too large")
+            note_given_up("targets", Excess.BODY_BYTES)
+            raise AnswerGivenUp(Excess.BODY_BYTES)
         parts.append(part)
     if isinstance(response, TrackedResponse):
         await response.wait_body_end()
