Bound what is no answer on each connection to a server, and each body that is read

Servers that send heads of status 103 without end took each daemon's memory and loop: the HTTP library queues such heads without a bound, skips any number of blank lines and chunk extensions, keeps bytes that arrive while no call waits, and parses a read of 256 kB without a pause. Reports, orders, cache events, store and table calls read whole bodies and decoded encoded ones. A request that may not be repeated waited for its whole time.

All clients of a daemon open connections with utils/boundedreads: 8 informational heads, 256 kB before the end of a head, 1 MB and 16 times the body for its framing, no status 101, no byte that no call asked for. Heads are parsed 4 kB at a time; a read of a body is parsed for 2 ms at a time. Bodies are read up to a constant, as sent. A target that sends such bytes counts as failing; it was reached, so neither the daemon's paths nor a verdict on the target's end follow from it (a path probe counts it as an answer). The direct reader of engine streams counts its bytes, as the share of framing needs it.

A client of 11 kinds ends each of 16 forms; one head of status 103 each 30 ms ends the call within 0.5 s (before: 0.6 to 4 s, by time-outs).

--- a/features/targets/steps/endless_steps.py
+++ b/features/targets/steps/endless_steps.py
@@ -210,7 +210,7 @@
     async def call_all():
         context.watch = Watch()
         watching = asyncio.create_task(context.watch.run())
-        session = make_session(SETTINGS)
+        session = make_session("requests", SETTINGS)
         context.bodies = []
         for form in ENDS_AS_USUAL:
             server = open_server(context, form)
@@ -258,7 +258,7 @@
 def step_read_chunks(context, n, size, how):
     async def read():
         url = await open_chunked(context, n, size)
-        session = make_session(SETTINGS)
+        session = make_session("requests", SETTINGS)
         context.n_got, context.n_sent = 0, n * size
         async with asyncio.timeout(30.0), session.get(url) as response:
             if how == "in the callback":
--- a/features/targets/steps/pool_steps.py
+++ b/features/targets/steps/pool_steps.py
@@ -50,7 +50,9 @@
 @given("{n:d} pooled connections to each of two targets")
 def step_pooled(context, n):
     context.now_seconds = 100.0
-    context.pools = TargetPools(StreamSettings(idle_connection_seconds=IDLE_SECONDS))
+    context.pools = TargetPools(
+        "requests", StreamSettings(idle_connection_seconds=IDLE_SECONDS)
+    )
     context.servers = {FIRST: NamingServer(), SECOND: NamingServer()}
 
     async def play():
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -216,7 +216,7 @@
     routing.subscribe(quotas.set_table)
     streams = StreamSettings(connect_seconds=CONNECT_TIMEOUT_SECONDS)
     client = ForwardClient(streams, ServerDialect(), network)
-    peer_client = ForwardClient(streams, PeerDialect())
+    peer_client = ForwardClient(streams, PeerDialect(), client="relays")
     path_prober = PathProber(network, PROBE_TIMEOUT_SECONDS)
     paths = PathWatch(
         path_prober,
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -38,7 +38,11 @@
 )
 from lycheepost.decide.suspicion import EndedRun
 from lycheepost.decide.targethealth import Ending
-from lycheepost.targets.errors import TargetError, TargetUnreachable
+from lycheepost.targets.errors import (
+    TargetError,
+    TargetMalformed,
+    TargetUnreachable,
+)
 from lycheepost.targets.forward import ForwardResponse
 from lycheepost.targets.forwardcall import ForwardCall
 
@@ -213,6 +217,9 @@
                 self._deps.paths.note_failed(self._standing.work.target_group, target)
                 self._deps.targets.note_end(target, Ending.UNREACHABLE)
                 return AttemptEnd.NOT_SENT, reason
+            case Failure(TargetMalformed(reason=reason)):
+                self._deps.targets.note_end(target, Ending.BAD)
+                return AttemptEnd.LOST, reason
             case Failure(TargetError(reason=reason)):
                 self._deps.paths.note_failed(self._standing.work.target_group, target)
                 self._deps.targets.note_end(target, Ending.BAD)
--- a/lycheepost/platform/cacheevents.py
+++ b/lycheepost/platform/cacheevents.py
@@ -11,6 +11,7 @@
 from lycheepost.targets.cachewatch import CacheEventBatch
 from lycheepost.targets.errors import TargetError, TargetLost
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.boundedreads import read_bounded
 from lycheepost.utils.decoding import UNREADABLE
 
 LONG_POLL_MS = 1000
@@ -22,6 +23,9 @@
 KEEPALIVE_SECONDS = 5.0
 """Ten times the pause between two polls."""
 
+_MAX_PAGE_BYTES = 2 * 1024 * 1024
+"""Servers keep only their newest events, of about a hundred bytes each."""
+
 _WireEvent = tuple[int, str, str, str, int, str]
 """Sequence number, ``+`` or ``-``, cache scope, part id, tokens now cached, model."""
 
@@ -52,6 +56,7 @@
     async def start(self) -> None:
         """Open the session."""
         self._session = make_call_session(
+            "cache_events",
             CALL_TIMEOUT_SECONDS,
             CONNECT_TIMEOUT_SECONDS,
             KEEPALIVE_SECONDS,
@@ -80,7 +85,8 @@
             ) as response:
                 if response.status != 200:
                     return Failure(TargetError(f"status {response.status}"))
-                return _decode(await response.read(), is_store)
+                body = await read_bounded(response, _MAX_PAGE_BYTES)
+                return _decode(body, is_store)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Failure(TargetLost(f"no response: {type(error).__name__}"))
 
--- a/lycheepost/platform/models/pathcuts.py
+++ b/lycheepost/platform/models/pathcuts.py
@@ -9,6 +9,7 @@
 
 from lycheepost.standin.resets import reset
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.boundedreads import bound_connections
 
 _CHUNK_BYTES = 65536
 
@@ -52,10 +53,10 @@
         self._middlebox: asyncio.Server | None = None
 
     def make_connector(
-        self, keepalive_seconds: float | None = None
+        self, client: str, keepalive_seconds: float | None = None
     ) -> aiohttp.TCPConnector:
         """Return a connector that obeys the cut."""
-        connector = _CuttableConnector(self, keepalive_seconds)
+        connector = _CuttableConnector(self, client, keepalive_seconds)
         self._connectors.append(connector)
         return connector
 
@@ -111,12 +112,13 @@
     """A connector whose new connections fail while the paths are cut."""
 
     def __init__(
-        self, network: CuttableNetwork, keepalive_seconds: float | None
+        self, network: CuttableNetwork, client: str, keepalive_seconds: float | None
     ) -> None:
         if keepalive_seconds is None:
             super().__init__(limit=0, force_close=True)
         else:
             super().__init__(limit=0, keepalive_timeout=keepalive_seconds)
+        bound_connections(self, client)
         self._network = network
         self.opened: list[ResponseHandler] = []
 
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -26,6 +26,7 @@
     RunningRequestPolicy,
     TargetReport,
 )
+from lycheepost.utils.boundedreads import read_bounded
 from lycheepost.utils.decoding import UNREADABLE
 
 CALL_TIMEOUT_SECONDS = 0.6
@@ -34,6 +35,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Connecting takes a few milliseconds; half of the call is left for the response."""
 
+_MAX_ANSWER_BYTES = 256 * 1024
+"""A report names the models of one server, in some hundred bytes."""
+
 _MODES = {
     RunningRequestPolicy.FINISH_FIRST: "block",
     RunningRequestPolicy.ABORT: "truncate",
@@ -106,7 +110,10 @@
     async def start(self) -> None:
         """Open the session."""
         self._session = make_call_session(
-            CALL_TIMEOUT_SECONDS, CONNECT_TIMEOUT_SECONDS, network=self._network
+            "reports",
+            CALL_TIMEOUT_SECONDS,
+            CONNECT_TIMEOUT_SECONDS,
+            network=self._network,
         )
 
     async def drain(self) -> None:
@@ -189,7 +196,9 @@
                 method, f"http://{target.address}{path}", headers=headers, data=body
             ) as response:
                 self._note_answer(target, response)
-                return Success((response.status, await response.read()))
+                return Success(
+                    (response.status, await read_bounded(response, _MAX_ANSWER_BYTES))
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(TargetUnreachable(f"no connection: {error}"))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
--- a/lycheepost/platform/pathprobe.py
+++ b/lycheepost/platform/pathprobe.py
@@ -9,14 +9,18 @@
 import asyncio
 
 import aiohttp
+import structlog
 
 from lycheepost.platform import headers as names
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.boundedreads import AnswerGivenUp
 
 NO_TARGET = "path-probe"
 """Names no server: their ids are issued by the platform and begin with ``i-``."""
 
+_log = structlog.get_logger(part="paths")
+
 
 class PathProber:
     """Sends probes.
@@ -34,7 +38,10 @@
     async def start(self) -> None:
         """Open the session."""
         self._session = make_call_session(
-            self._timeout_seconds, self._timeout_seconds, network=self._network
+            "path_probes",
+            self._timeout_seconds,
+            self._timeout_seconds,
+            network=self._network,
         )
 
     async def drain(self) -> None:
@@ -59,6 +66,10 @@
         try:
             async with asyncio.timeout(self._timeout_seconds):
                 response = await self._session.get(url, headers=headers)
+        except (AnswerGivenUp, aiohttp.ClientResponseError) as error:
+            # Not an answer, but it came from beyond the path.
+            _log.info("paths: probe got no answer", reason=type(error).__name__)
+            return True
         except (TimeoutError, aiohttp.ClientError, OSError):
             # The result is logged with the verdict on all probed targets.
             return False
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -42,6 +42,7 @@
     TableUnavailable,
     Transaction,
 )
+from lycheepost.utils.boundedreads import read_bounded
 from lycheepost.utils.decoding import UNREADABLE
 
 OWN_TABLE = "lycheepost"
@@ -63,6 +64,9 @@
 _PAGE_ROWS = 500
 """Maximum rows of one response, by the platform's protocol."""
 
+_MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""A page of rows has 1 MB by the platform's protocol; changes may have many pages."""
+
 _MILLISECONDS = 1000.0
 
 _T = TypeVar("_T")
@@ -101,7 +105,7 @@
     async def start(self) -> None:
         """Open the connection pool."""
         self._session = make_call_session(
-            CALL_TIMEOUT_SECONDS, CONNECT_TIMEOUT_SECONDS, KEEPALIVE_SECONDS
+            "store", CALL_TIMEOUT_SECONDS, CONNECT_TIMEOUT_SECONDS, KEEPALIVE_SECONDS
         )
 
     async def drain(self) -> None:
@@ -255,7 +259,8 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                return Success(_Answer(response.status, await response.read()))
+                found = await read_bounded(response, _MAX_ANSWER_BYTES)
+                return Success(_Answer(response.status, found))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(TableUnavailable(f"no connection to the store: {error}"))
         except TimeoutError:
--- a/lycheepost/ports/http_calls.py
+++ b/lycheepost/ports/http_calls.py
@@ -10,12 +10,15 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
-from lycheepost.utils.bodies import TrackedResponse
+from lycheepost.utils.bodies import IDENTITY_ENCODING, TrackedResponse
+from lycheepost.utils.boundedreads import make_bounded_connector, read_bounded
 
 _IDLE_CONNECTION_SECONDS = 15.0
 """A device on the path may have dropped a pooled connection that is idle for longer."""
 _MAX_CONNECTIONS = 32
 """Limits the sockets that a slow service can occupy in one daemon."""
+_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Four times the largest stored answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +74,8 @@
             async with self._open_session().request(
                 method, self._url + path, data=body, timeout=self._timeout
             ) as response:
-                return Success(HttpAnswer(response.status, await response.read()))
+                found = await read_bounded(response, _MAX_ANSWER_BYTES)
+                return Success(HttpAnswer(response.status, found))
         except aiohttp.ClientConnectorError:
             return Failure(NotSent("The service could not be reached."))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -84,10 +88,15 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=_MAX_CONNECTIONS, keepalive_timeout=_IDLE_CONNECTION_SECONDS
+            connector = make_bounded_connector(
+                "ports",
+                limit=_MAX_CONNECTIONS,
+                keepalive_timeout=_IDLE_CONNECTION_SECONDS,
             )
             self._session = aiohttp.ClientSession(
-                connector=connector, response_class=TrackedResponse
+                connector=connector,
+                auto_decompress=False,
+                headers=IDENTITY_ENCODING,
+                response_class=TrackedResponse,
             )
         return self._session
--- a/lycheepost/standin/endless.py
+++ b/lycheepost/standin/endless.py
@@ -17,6 +17,7 @@
 _MAX_UNSENT_BYTES = 4 * PIECE_BYTES
 """The server waits while its peer has this much unread."""
 _POLL_SECONDS = 0.001
+"""Pause between writes, so that a thread that floods leaves time to its client."""
 _START_SECONDS = 5.0
 _ENDLESS_LENGTH = 10**15
 
@@ -180,7 +181,9 @@
         if not is_full:
             transport.write(piece)
             n_bytes += len(piece)
-        await asyncio.sleep(_POLL_SECONDS if is_full else pause_seconds or 0.0)
+        await asyncio.sleep(
+            _POLL_SECONDS if is_full else pause_seconds or _POLL_SECONDS
+        )
     transport.abort()
     return n_bytes
 
--- a/lycheepost/targets/control.py
+++ b/lycheepost/targets/control.py
@@ -18,14 +18,15 @@
     TargetRefused,
     TargetUnreachable,
 )
-from lycheepost.targets.session import make_session, read_bounded
+from lycheepost.targets.session import make_session
+from lycheepost.utils.boundedreads import read_bounded
 from lycheepost.utils.documents import decode_record, encode_record
 
 T = TypeVar("T")
 _CALL_TIMEOUT_SECONDS = 2.0
 """Targets read reports from memory and only record orders, so a target that takes
 longer is faulty, and waiting for it would make all reports stale."""
-_MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_MAX_ANSWER_BYTES = 2 * 1024 * 1024
 """Limit that keeps a faulty target from filling the memory. The largest report,
 4,096 cache events of about 90 bytes, takes 0.4 MB; a KV description far less."""
 
@@ -41,7 +42,7 @@
 
     async def start(self) -> None:
         """Open the connection pool."""
-        self._session = make_session(self._settings)
+        self._session = make_session("control", self._settings)
 
     async def drain(self) -> None:
         """Do nothing: calls are short."""
--- a/lycheepost/targets/direct.py
+++ b/lycheepost/targets/direct.py
@@ -43,6 +43,7 @@
 
     def feed_data(self, data: bytes, size: int = 0) -> bool:
         """Pass one piece to the handler."""
+        self.total_bytes += len(data)
         self._waiter.on_data(data)
         return False
 
--- a/lycheepost/targets/engine.py
+++ b/lycheepost/targets/engine.py
@@ -23,8 +23,9 @@
     TargetRefused,
     TargetUnreachable,
 )
-from lycheepost.targets.session import make_session, read_bounded
+from lycheepost.targets.session import make_session
 from lycheepost.targets.stream import EngineStream
+from lycheepost.utils.boundedreads import read_bounded
 from lycheepost.utils.tasks import start_task
 
 _log = structlog.get_logger(part="targets")
@@ -53,7 +54,7 @@
 
     async def start(self) -> None:
         """Open the connection pool and start detecting silent streams."""
-        self._session = make_session(self.settings)
+        self._session = make_session("engines", self.settings)
         self._watch_task = start_task(self._watch_silence(), "engine-watch")
 
     async def drain(self) -> None:
--- a/lycheepost/targets/errors.py
+++ b/lycheepost/targets/errors.py
@@ -61,6 +61,14 @@
     """The request was sent, but no usable response began; it may have run."""
 
 
+@dataclass(frozen=True)
+class TargetMalformed(TargetLost):
+    """Bytes came that are no usable response, or too many; it may have run.
+
+    The target was reached, so this says nothing against the daemon's own paths.
+    """
+
+
 @dataclass(frozen=True)
 class StreamLost(TargetError):
     """An answer that has begun cannot be completed by this target.
--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -16,11 +16,17 @@
 
 from lycheepost.core.ids import TargetGroupId, TargetId
 from lycheepost.generated.settings import StreamSettings
-from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
+from lycheepost.targets.errors import (
+    TargetError,
+    TargetLost,
+    TargetMalformed,
+    TargetUnreachable,
+)
 from lycheepost.targets.forwardcall import Dialect, ForwardCall, ResponseHead
 from lycheepost.targets.network import TargetNetwork
 from lycheepost.targets.pools import TargetPools
 from lycheepost.utils.bodies import BodyEnd, TrackedResponse
+from lycheepost.utils.boundedreads import AnswerGivenUp
 
 MAX_HEARD_TARGETS = 20_000
 """Targets that are remembered, the same number as in ``state.targetstarts``."""
@@ -107,6 +113,7 @@
         settings: Time-outs and the maximum idle time of pooled connections.
         dialect: Encodes calls and decodes responses.
         network: Opens the connections.
+        client: Names this client, for the log and the metrics.
     """
 
     def __init__(
@@ -114,8 +121,9 @@
         settings: StreamSettings,
         dialect: Dialect,
         network: TargetNetwork | None = None,
+        client: str = "requests",
     ) -> None:
-        self._pools = TargetPools(settings, network)
+        self._pools = TargetPools(client, settings, network)
         self._dialect = dialect
         self.n_calls = 0
         self.n_stale_answers = 0
@@ -148,13 +156,16 @@
 
         Returns:
             The response, ``TargetUnreachable`` when no byte was sent, or
-            ``TargetLost`` when the call may have run.
+            ``TargetLost`` when the call may have run; ``TargetMalformed`` if the
+            target sent something else than a response.
         """
         self.n_calls += 1
         try:
             response = await self._open(call)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(TargetUnreachable(f"no connection: {error}"))
+        except (AnswerGivenUp, aiohttp.ClientResponseError) as error:
+            return Failure(TargetMalformed(f"no answer: {type(error).__name__}"))
         except (aiohttp.ClientError, OSError) as error:
             return Failure(TargetLost(f"no answer: {type(error).__name__}"))
         self._note_heard(call)
--- a/lycheepost/targets/pools.py
+++ b/lycheepost/targets/pools.py
@@ -26,6 +26,7 @@
     connection.
 
     Args:
+        client: Names the client, for the log and the metrics.
         settings: Time-outs and the maximum idle time of pooled connections.
         network: Opens the connections.
 
@@ -34,8 +35,12 @@
     """
 
     def __init__(
-        self, settings: StreamSettings, network: TargetNetwork | None = None
+        self,
+        client: str,
+        settings: StreamSettings,
+        network: TargetNetwork | None = None,
     ) -> None:
+        self._client = client
         self._settings = settings
         self._network = network
         self._sessions: list[aiohttp.ClientSession] = []
@@ -45,7 +50,7 @@
     async def start(self) -> None:
         """Open two pools, and a session that pools no connections."""
         self._sessions = [
-            make_session(self._settings, is_pooled, self._network)
+            make_session(self._client, self._settings, is_pooled, self._network)
             for is_pooled in (True, True, False)
         ]
 
--- a/lycheepost/targets/service.py
+++ b/lycheepost/targets/service.py
@@ -10,7 +10,8 @@
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.calls import ServiceAnswer, ServiceCall
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
-from lycheepost.targets.session import SessionPair, read_bounded
+from lycheepost.targets.session import SessionPair
+from lycheepost.utils.boundedreads import read_bounded
 
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest response that is passed on; the limit protects the daemon's memory."""
@@ -36,7 +37,7 @@
 
     def __init__(self, settings: StreamSettings) -> None:
         self._settings = settings
-        self._sessions = SessionPair(settings)
+        self._sessions = SessionPair("services", settings)
         self._n_calls = 0
 
     async def start(self) -> None:
--- a/lycheepost/targets/session.py
+++ b/lycheepost/targets/session.py
@@ -1,11 +1,10 @@
-"""Connection pools for targets, and size-limited reading of their responses."""
+"""Connection pools for targets."""
 
 import aiohttp
 
 from lycheepost.generated.settings import StreamSettings
 from lycheepost.targets.network import TargetNetwork
 from lycheepost.utils.bodies import TrackedResponse
-from lycheepost.utils.boundedreads import AnswerGivenUp, Excess, note_given_up
 
 
 async def _prevent_resend(
@@ -28,6 +27,7 @@
 
 
 def make_session(
+    client: str,
     settings: StreamSettings,
     is_pooled: bool = True,
     network: TargetNetwork | None = None,
@@ -36,9 +36,15 @@
 
     A device in between, such as a switch, may have dropped the state of a connection
     that was idle for long; the next request on it would be lost without an error.
+
+    Args:
+        client: Names the client, for the log and the metrics.
+        settings: Time-outs and the maximum idle time of pooled connections.
+        is_pooled: Whether connections are reused.
+        network: Opens the connections.
     """
     keepalive_seconds = settings.idle_connection_seconds if is_pooled else None
-    connector = (network or TargetNetwork()).make_connector(keepalive_seconds)
+    connector = (network or TargetNetwork()).make_connector(client, keepalive_seconds)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.connect_seconds)
     return aiohttp.ClientSession(
         connector=connector,
@@ -59,13 +65,18 @@
     of under a millisecond.
 
     Args:
+        client: Names the client, for the log and the metrics.
         settings: Time-outs and the maximum idle time of pooled connections.
         network: Opens the connections.
     """
 
     def __init__(
-        self, settings: StreamSettings, network: TargetNetwork | None = None
+        self,
+        client: str,
+        settings: StreamSettings,
+        network: TargetNetwork | None = None,
     ) -> None:
+        self._client = client
         self._settings = settings
         self._network = network
         self._pooled: aiohttp.ClientSession | None = None
@@ -73,9 +84,9 @@
 
     async def start(self) -> None:
         """Open both pools."""
-        self._pooled = make_session(self._settings, network=self._network)
+        self._pooled = make_session(self._client, self._settings, network=self._network)
         self._fresh = make_session(
-            self._settings, is_pooled=False, network=self._network
+            self._client, self._settings, is_pooled=False, network=self._network
         )
 
     async def stop(self) -> None:
@@ -90,22 +101,3 @@
         if session is None:
             raise RuntimeError("the sessions are not open")
         return session
-
-
-async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return a complete body.
-
-    Raises:
-        aiohttp.ClientError: It broke off, or is larger than ``max_bytes``.
-    """
-    parts = []
-    n_bytes = 0
-    async for part in response.content.iter_any():
-        n_bytes += len(part)
-        if n_bytes > max_bytes:
-            note_given_up("targets", Excess.BODY_BYTES)
-            raise AnswerGivenUp(Excess.BODY_BYTES)
-        parts.append(part)
-    if isinstance(response, TrackedResponse):
-        await response.wait_body_end()
-    return b"".join(parts)
--- a/lycheepost/targets/stream.py
+++ b/lycheepost/targets/stream.py
@@ -20,7 +20,6 @@
 from lycheepost.targets.continuation import EventRewriter
 from lycheepost.targets.direct import BodyHandler, attach_handler, detach_handler
 from lycheepost.targets.errors import StreamCrossed, StreamLost
-from lycheepost.targets.session import read_bounded
 from lycheepost.targets.sse import (
     BrokenStreamError,
     Chunk,
@@ -29,6 +28,7 @@
     Usage,
     decode_chunk,
 )
+from lycheepost.utils.boundedreads import read_bounded
 
 _log = structlog.get_logger(part="targets")
 _MAX_UNSTREAMED_BYTES = 16 * 1024 * 1024
--- a/lycheepost/utils/bodies.py
+++ b/lycheepost/utils/bodies.py
@@ -62,13 +62,22 @@
     return BodyFraming.CONNECTION
 
 
+IDENTITY_ENCODING = {"Accept-Encoding": "identity"}
+"""Headers of calls whose answers are not decoded: a small encoded body may expand a
+thousandfold."""
+
+
 class TrackedResponse(aiohttp.ClientResponse):
     """A response that knows how its connection ended; ``response_class`` of sessions.
 
     ``read``, ``text`` and ``json`` raise ``aiohttp.ClientError`` for a body that broke
     off. Whoever reads ``content`` calls ``wait_body_end`` after its end.
+
+    Attributes:
+        client: Names the client that called, for the log; empty if unknown.
     """
 
+    client = ""
     _closed_future: asyncio.Future[None] | None = None
 
     async def start(self, connection: "Connection") -> aiohttp.ClientResponse:
@@ -77,6 +86,7 @@
         if protocol is not None:
             # The response may end, and give the connection back, before the next step.
             self._closed_future = protocol.closed
+            self.client = getattr(protocol, "client", "")
         if self._closed_future is not None:
             # A pooled connection is started many times, and keeps one callback.
             self._closed_future.remove_done_callback(_retrieve_error)
--- a/lycheepost/utils/boundedreads.py
+++ b/lycheepost/utils/boundedreads.py
@@ -1,10 +1,43 @@
-"""Counts answers that were given up, as a server sent too much."""
+"""Connections of HTTP clients that bound what is no answer.
 
+The HTTP library bounds each line and the number of lines of a head. It queues any
+number of informational heads, skips any number of blank lines and chunk extensions, and
+keeps what arrives while no call waits. A server that sends these without end would take
+the memory and the time of the process. So a connection ends when it has brought too
+much of them.
+"""
+
+import asyncio
+import functools
+import time
 from collections import Counter
 from enum import Enum
+from typing import Any
 
 import aiohttp
 import structlog
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EofStream, StreamReader
+
+from lycheepost.utils.bodies import TrackedResponse
+
+MAX_INFORMATIONAL_HEADS = 8
+"""Servers send one or two, if any."""
+MAX_HEAD_BYTES = 256 * 1024
+"""Of all heads of a response; usual ones have under a kilobyte."""
+MAX_FRAMING_BYTES = 1024 * 1024
+"""Of a body, beyond its share below; more than two reads of a connection, as what was
+read may wait for its parser."""
+MAX_FRAMING_SHARE = 16
+"""Bytes that frame a body, for each byte of it. A chunk of one byte takes 5."""
+_SLICE_BYTES = 4096
+"""Parsed at once before the head is complete, so that a read of hundreds of kilobytes
+of short heads does not hold the loop."""
+
+_BODY_SLICE_BYTES = 16384
+"""Parsed first of a read; then twice as much each time, as most reads cost little."""
+_HOLD_SECONDS = 0.002
+"""How long one read may be parsed at a time; a read of large chunks takes less."""
 
 _log = structlog.get_logger(part="http")
 
@@ -47,3 +80,210 @@
 def given_up_counts() -> dict[str, int]:
     """Return how many answers this process gave up, by ``CLIENT.EXCESS``."""
     return dict(_n_given_up)
+
+
+class BoundedHandler(ResponseHandler):
+    """A connection that ends when a server sends too much that is no answer.
+
+    Args:
+        loop: The event loop.
+        client: Names the client, for the log and the count.
+
+    Attributes:
+        client: The same.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, client: str) -> None:
+        super().__init__(loop=loop)
+        self.client = client
+        self._is_head_awaited = False
+        self._body: Any = None
+        self._excess: Excess | None = None
+        self._deferred = b""
+        self._n_informational = 0
+        self._n_head_bytes = 0
+        self._n_body_bytes = 0
+
+    @property
+    def should_close(self) -> bool:
+        """Return whether the connection may not be used again."""
+        return bool(self._deferred) or super().should_close
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the response to a call that is about to be sent."""
+        self._is_head_awaited = True
+        self._body = None
+        self._n_informational = self._n_head_bytes = self._n_body_bytes = 0
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take a head and its body from the parser."""
+        message, body = data
+        if message.code == 101:
+            self._excess = Excess.UPGRADE
+        elif message.code < 200:
+            self._n_informational += 1
+            if self._n_informational > MAX_INFORMATIONAL_HEADS:
+                self._excess = Excess.INFORMATIONAL_HEADS
+        elif self._is_head_awaited:
+            self._is_head_awaited = False
+            self._body = body
+        if self._excess is None:
+            super().feed_data(data, size)
+
+    async def read(self) -> Any:
+        """Return the next head, with its body."""
+        try:
+            if self._excess is None:
+                return await super().read()
+        except EofStream as error:
+            if self._excess is None:
+                raise aiohttp.ServerDisconnectedError from error
+        assert self._excess is not None
+        raise AnswerGivenUp(self._excess)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived, a little at a time."""
+        if self._excess is not None:
+            return
+        if not data:
+            # The parser goes on with what it has, as the body is read again.
+            super().data_received(data)
+        elif self._deferred:
+            self._deferred += data
+        else:
+            self._receive(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Parse what is left, and end."""
+        data, self._deferred = self._deferred, b""
+        if data and self._excess is None:
+            super().data_received(data)
+        super().connection_lost(exc)
+
+    def _receive(self, data: bytes) -> None:
+        if self._is_head_awaited:
+            data = self._receive_head(data)
+            if not data:
+                return
+        body = self._body
+        if body is None or body.is_eof():
+            self._end(Excess.UNASKED_BYTES)
+            return
+        self._receive_body(data, body)
+        n_allowed = MAX_FRAMING_BYTES + (MAX_FRAMING_SHARE + 1) * body.total_bytes
+        if self._excess is None and self._n_body_bytes > n_allowed:
+            self._excess = None if body.is_eof() else Excess.FRAMING_BYTES
+        if self._excess is not None:
+            self._end(self._excess)
+
+    def _receive_body(self, data: bytes, body: StreamReader) -> None:
+        """Parse bytes of a body; defer the rest if that takes long."""
+        if len(data) <= _BODY_SLICE_BYTES:
+            super().data_received(data)
+            self._n_body_bytes += len(data)
+            return
+        until_seconds = time.monotonic() + _HOLD_SECONDS
+        end = 0
+        size = _BODY_SLICE_BYTES
+        while end < len(data):
+            start, end = end, end + size
+            part = data[start:end]
+            super().data_received(part)
+            self._n_body_bytes += len(part)
+            if end < len(data) and body.is_eof():
+                self._excess = Excess.UNASKED_BYTES
+            if self._excess is not None:
+                return
+            if time.monotonic() > until_seconds:
+                self._defer(data[end:])
+                return
+            size *= 2
+
+    def _defer(self, data: bytes) -> None:
+        """Parse the rest of a read when the loop has done its other work."""
+        if data and self.transport is not None and not self.transport.is_closing():
+            self._deferred = data
+            self.transport.pause_reading()
+            self._loop.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        data, self._deferred = self._deferred, b""
+        if not data or self._excess is not None or self.transport is None:
+            return
+        self._receive(data)
+        transport = self.transport
+        if self._deferred or self._reading_paused or transport is None:
+            return
+        if not transport.is_closing():
+            transport.resume_reading()
+
+    def _receive_head(self, data: bytes) -> bytes:
+        """Parse up to the end of the slice with the head; return what follows it."""
+        for start in range(0, len(data), _SLICE_BYTES):
+            part = data[start : start + _SLICE_BYTES]
+            super().data_received(part)
+            self._n_head_bytes += len(part)
+            is_long = self._is_head_awaited and self._n_head_bytes > MAX_HEAD_BYTES
+            if is_long and self._excess is None:
+                self._excess = Excess.HEAD_BYTES
+            if self._excess is not None:
+                self._end(self._excess)
+                return b""
+            if self.transport is None or self.transport.is_closing():
+                # The parser has refused the head.
+                return b""
+            if not self._is_head_awaited:
+                return data[start + _SLICE_BYTES :]
+        return b""
+
+    def _end(self, excess: Excess) -> None:
+        """Close the connection; whoever reads the answer gets an error."""
+        self._excess = excess
+        note_given_up(self.client, excess)
+        if excess is not Excess.UNASKED_BYTES:
+            error = AnswerGivenUp(excess)
+            if self._body is not None and not self._body.is_eof():
+                self._body.set_exception(error)
+            self.set_exception(error)
+        self.abort()
+
+
+def make_bounded_connector(client: str, **options: Any) -> aiohttp.TCPConnector:
+    """Return a connection pool whose connections are bounded.
+
+    Args:
+        client: Names the client, for the log and the count.
+        options: Options of ``aiohttp.TCPConnector``.
+    """
+    connector = aiohttp.TCPConnector(**options)
+    bound_connections(connector, client)
+    return connector
+
+
+def bound_connections(connector: aiohttp.TCPConnector, client: str) -> None:
+    """Bound the connections that a pool opens from now on."""
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        BoundedHandler, loop=loop, client=client
+    )
+
+
+async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return a complete body.
+
+    Raises:
+        aiohttp.ClientError: It broke off, or is larger than ``max_bytes``.
+    """
+    parts = []
+    n_bytes = 0
+    async for part in response.content.iter_any():
+        n_bytes += len(part)
+        if n_bytes > max_bytes:
+            response.close()
+            note_given_up(getattr(response, "client", ""), Excess.BODY_BYTES)
+            raise AnswerGivenUp(Excess.BODY_BYTES)
+        parts.append(part)
+    if isinstance(response, TrackedResponse):
+        await response.wait_body_end()
+    return b"".join(parts)
