--- a/lycheepost/platform/pathprobe.py
+++ b/lycheepost/platform/pathprobe.py
@@ -12,16 +12,20 @@
 import asyncio
 
 import aiohttp
+import structlog
 
 from lycheepost.decide.ownpaths import MAX_PROBE_LAG_SECONDS, ProbeEnd
 from lycheepost.platform import headers as names
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.boundedreads import AnswerGivenUp
 from lycheepost.utils.waits import wait_running
 
 NO_TARGET = "path-probe"
 """Names no server: their ids are issued by the platform and begin with ``i-``."""
 
+_log = structlog.get_logger(part="paths")
+
 
 class PathProber:
     """Sends probes.
@@ -40,7 +44,7 @@
         """Open the session."""
         max_seconds = self._timeout_seconds + MAX_PROBE_LAG_SECONDS
         self._session = make_call_session(
-            max_seconds, max_seconds, network=self._network
+            "path_probes", max_seconds, max_seconds, network=self._network
         )
 
     async def drain(self) -> None:
@@ -78,6 +82,10 @@
     match call.exception():
         case None:
             return ProbeEnd.ANSWERED
+        case AnswerGivenUp() | aiohttp.ClientResponseError() as error:
+            # Not an answer, but it came from beyond the path.
+            _log.info("paths: probe got no answer", reason=type(error).__name__)
+            return ProbeEnd.ANSWERED
         case TimeoutError():
             return ProbeEnd.SILENT
         case aiohttp.ClientError() | OSError():
--- a/lycheepost/targets/session.py
+++ b/lycheepost/targets/session.py
@@ -1,4 +1,4 @@
-"""Connection pools for targets, and size-limited reading of their responses."""
+"""Connection pools for targets."""
 
 import aiohttp
 
@@ -27,6 +27,7 @@
 
 
 def make_session(
+    client: str,
     settings: StreamSettings,
     is_pooled: bool = True,
     network: TargetNetwork | None = None,
@@ -35,9 +36,15 @@
 
     A device in between, such as a switch, may have dropped the state of a connection
     that was idle for long; the next request on it would be lost without an error.
+
+    Args:
+        client: Names the client, for the log and the metrics.
+        settings: Time-outs and the maximum idle time of pooled connections.
+        is_pooled: Whether connections are reused.
+        network: Opens the connections.
     """
     keepalive_seconds = settings.idle_connection_seconds if is_pooled else None
-    connector = (network or TargetNetwork()).make_connector(keepalive_seconds)
+    connector = (network or TargetNetwork()).make_connector(client, keepalive_seconds)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.connect_seconds)
     return aiohttp.ClientSession(
         connector=connector,
@@ -58,13 +65,18 @@
     of under a millisecond.
 
     Args:
+        client: Names the client, for the log and the metrics.
         settings: Time-outs and the maximum idle time of pooled connections.
         network: Opens the connections.
     """
 
     def __init__(
-        self, settings: StreamSettings, network: TargetNetwork | None = None
+        self,
+        client: str,
+        settings: StreamSettings,
+        network: TargetNetwork | None = None,
     ) -> None:
+        self._client = client
         self._settings = settings
         self._network = network
         self._pooled: aiohttp.ClientSession | None = None
@@ -72,9 +84,9 @@
 
     async def start(self) -> None:
         """Open both pools."""
-        self._pooled = make_session(self._settings, network=self._network)
+        self._pooled = make_session(self._client, self._settings, network=self._network)
         self._fresh = make_session(
-            self._settings, is_pooled=False, network=self._network
+            self._client, self._settings, is_pooled=False, network=self._network
         )
 
     async def stop(self) -> None:
@@ -89,21 +101,3 @@
         if session is None:
             raise RuntimeError("the sessions are not open")
         return session
-
-
-async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return a complete body.
-
-    Raises:
-        aiohttp.ClientError: It broke off, or is larger than ``max_bytes``.
-    """
-    parts = []
-    n_bytes = 0
-    async for part in response.content.iter_any():
-        n_bytes += len(part)
-        if n_bytes > max_bytes:
-            raise aiohttp.ClientPayloadError("the answer is too large")
-        parts.append(part)
-    if isinstance(response, TrackedResponse):
-        await response.wait_body_end()
-    return b"".join(parts)
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -25,6 +25,7 @@
     FEATURES / "platform" / "silentgroup.feature",
     FEATURES / "platform" / "retrybudget.feature",
     FEATURES / "platform" / "badparts.feature",
+    FEATURES / "platform" / "endless.feature",
     FEATURES / "decide" / "quotas.feature",
 )
 """Features that run beside the rest of their folder."""
