--- a/features/targets/steps/endless_steps.py
+++ b/features/targets/steps/endless_steps.py
@@ -88,7 +88,7 @@
 
 def probe_path(address):
     client = PathProber(TargetNetwork(), 1.0)
-    return client, lambda: client.is_answered(address, "/health")
+    return client, lambda: client.probe(address, "/health")
 
 
 ALL_CLIENTS = CLIENTS | {
