A cleared suspect waits no longer than its time

Callers saw: a request that had waited apart as a suspect, and was cleared, was refused after its caller's time-out for the first token instead of within it.

Cause: it enters the queue anew, whose longest wait counted from then.

--- a/lycheepost/decide/waiting.py
+++ b/lycheepost/decide/waiting.py
@@ -136,6 +136,8 @@
         budget = self._budget_seconds(work, choice, now_seconds)
         longest = max(budget, work.first_token_timeout_seconds * INSIDE_TIMEOUT_SHARE)
         give_up = now_seconds + min(budget * GIVE_UP_SLACK, longest)
+        # A suspect may have waited apart before.
+        give_up = min(give_up, work.arrived_seconds + work.first_token_timeout_seconds)
         waiting = self.queue.make_waiting(work, cost_seconds, now_seconds, give_up)
         rate = self._rate.per_second()
         wait = predict_queue_wait(self.queue, waiting, rate, self._bias.value)
