--- a/features/platform/steps/unanswered_steps.py
+++ b/features/platform/steps/unanswered_steps.py
@@ -60,7 +60,8 @@
 
 
 @when("clients have sent {n:d} of {what}, and the daemon is told to leave")
-def step_sent_and_leave(context, n, what):
+@when("clients have sent {n:d} of {what}, and the daemon is told to leave {twice:w}")
+def step_sent_and_leave(context, n, what, twice=""):
     deployment = context.deployment
     client = client_of(context)
 
@@ -74,7 +75,10 @@
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.2)
         daemon = deployment.daemons.pop(0)
-        await daemon.drain()
+        # As app.run does it.
+        drain = asyncio.ensure_future(daemon.drain())
+        await asyncio.wait({drain}, timeout=0.3 if twice else None)
+        drain.cancel()
         await daemon.stop()
         return {attempt_id: await asked for attempt_id, asked in sent.items()}
 
--- a/features/platform/unanswered.feature
+++ b/features/platform/unanswered.feature
@@ -15,6 +15,13 @@
       | look-ups |
       | orders   |
 
+  Scenario: A daemon that gets a second signal to stop answers the requests that it has read
+    Guards against a second SIGTERM, which ends a drain, that closes connections.
+    Given a daemon that leaves within 4 s, and 1 server with 1 slot that takes 4 s
+    When clients have sent 3 of orders, and the daemon is told to leave twice
+    Then each of them got an explicit error
+    And those that never reached a server got 503
+
   Scenario: A daemon that leaves while the store is silent accepts requests no longer
     Guards against a daemon that waits for the store before its grace period counts. It
     is killed with requests in flight.
