A second signal to stop answers the requests that have no response yet

Callers saw closed connections without a response when a daemon that was leaving got SIGTERM once more, as that ends the drain, which alone answered them.

Change: they are answered as the daemon stops, however that came about; new requests are refused from then on.

Evidence: behave features/platform/unanswered.feature -n 'A daemon that gets': failed before (closed without a response); the feature passes, 17 of 17.

--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -185,7 +185,6 @@
                 "app: drain timed out with requests in flight",
                 n_open=self._ingress.n_open,
             )
-            await self._ingress.end_unanswered()
         release.cancel()
 
     async def reload(self) -> None:
@@ -193,7 +192,8 @@
         self._components.settings.reload()
 
     async def stop(self) -> None:
-        """Stop all components."""
+        """Answer the requests that have no response yet, and stop all components."""
+        await self._ingress.end_unanswered()
         await stop_components(self._lifecycle)
         _log.info("app: stopped")
 
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -104,7 +104,7 @@
         The platform would end them with their connections, and their clients could not
         tell whether they have run.
         """
-        self._is_ending = True
+        self._is_ending = self.is_leaving = self.is_closed = True
         ended = [
             (task, connection)
             for task, connection in self._open.items()
