Test that engines end as the client of a silent stream leaves

No fault was found: with the other engine rejecting, changing its weights, silent or sending, no engine worked 0.3 s after the client had left, and no slot was taken.

--- a/features/platform/heldanswers.feature
+++ b/features/platform/heldanswers.feature
@@ -97,3 +97,17 @@
     Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
     When the engine of a stream is silent, the other rejects it, and the first one crashes
     Then the client's connection breaks within 0.5 s of the crash
+
+  Scenario Outline: Engines end as the client leaves while <obstacle>
+    Guards against engines at work, and slots taken, for a client that has left.
+    Given a deployment with 1 daemon, 2 engines and streams with a gap objective of 0.1 s
+    When the client of a stream leaves 0.5 s after its engine fell silent and <obstacle>
+    Then no engine works on it 0.3 s later
+    And the daemon has no request under way
+
+    Examples:
+      | obstacle                             |
+      | the other engine rejects the stream  |
+      | the other engine changes its weights |
+      | the other engine is silent as well   |
+      | nothing stands in the way            |
--- a/features/platform/steps/heldanswer_steps.py
+++ b/features/platform/steps/heldanswer_steps.py
@@ -365,3 +365,38 @@
     n_retries = sum(budget["n_retries"] for budget in budgets)
     n_arrivals = sum(len(server.arrivals) for server in deployment.servers)
     assert n_retries == n_arrivals - 1, (n_retries, n_arrivals)
+
+
+@when(
+    "the client of a stream leaves {seconds:g} s after its engine fell silent and"
+    " {obstacle}"
+)
+def step_leave(context, seconds, obstacle):
+    context.silent_seconds = LIMIT_SECONDS
+    set_length(context, N_LONG_EVENTS)
+
+    async def play():
+        context.silent, context.other = await begin_stream(context)
+        pause = asyncio.ensure_future(context.silent.pause(LIMIT_SECONDS))
+        context.closers.append(lambda: end(pause))
+        await apply(context, obstacle, context.silent, context.other)
+        await asyncio.sleep(seconds)
+        assert not context.receiving.done(), context.received
+        await end(context.receiving)
+
+    context.loop.run_until_complete(play())
+
+
+@then("no engine works on it {seconds:g} s later")
+def step_none_works(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+    n_running = [server.n_running for server in context.deployment.group(ENGINES)]
+    assert n_running == [0, 0], n_running
+
+
+@then("the daemon has no request under way")
+def step_none_under_way(context):
+    status = context.deployment.daemons[0].status()
+    targets = status["queues"]["groups"][ENGINES]["targets"]
+    n_in_flight = [target["n_in_flight"] for target in targets.values()]
+    assert n_in_flight == [0, 0], n_in_flight
