Steps of notices: a failure prints what the daemon knows of the servers

Two entries of KNOWN-RED.txt say that the busier server got no look-up; nothing in the output tells whether the daemon took it for slow, or for leaving.

--- a/features/platform/steps/notice_steps.py
+++ b/features/platform/steps/notice_steps.py
@@ -140,6 +140,15 @@
     return context.traffic
 
 
+def views_of(context):
+    """Return what the first daemon knows of each server of the traffic's group."""
+    groups = context.deployment.daemons[0].status()["queues"]["groups"]
+    return {
+        name: (view["state"], view["slowness"], view["rate_ratio"])
+        for name, view in groups[GROUPS[context.traffic.what]]["targets"].items()
+    }
+
+
 def play(context):
     """Run the prepared traffic, once."""
     if context.pending:
@@ -245,7 +254,7 @@
 def step_few(context):
     traffic = play(context)
     asked = [at - traffic.started for at in traffic.server.rejected_seconds]
-    assert asked, "the server rejected no request"
+    assert asked, ("the server rejected no request", views_of(context))
     for at in asked:
         since, until = at + GRACE_SECONDS, at + context.pause_seconds
         n = sum(since < arrived <= until for arrived in asked)
@@ -257,7 +266,7 @@
 @then("it serves look-ups again")
 def step_again(context):
     traffic = play(context)
-    assert len(traffic.server.runs) > context.n_runs
+    assert len(traffic.server.runs) > context.n_runs, views_of(context)
 
 
 @when("all plain servers reject all requests for {pause_seconds:g} s")
