Quotas: average differences correct the level of a customer beyond its quota

Cause: the corrections towards the median of the peers' levels add up. A long request lowers a level at once, and what peers told a moment ago is higher still; late daemons widen it. Nobody is too low in truth, so all daemons rise for good.

For a customer that asks for more than its quota, a peer's level is now compared with the own one as it arrives, and the average difference over a second counts.

--- a/features/decide/quotalevels.feature
+++ b/features/decide/quotalevels.feature
@@ -28,3 +28,16 @@
     And peers that report a level that is 4000 units higher
     When 0.5 s pass and it compares levels
     Then its level has changed by the refill only
+
+  Scenario: Levels that differ for a moment don't move that of a customer beyond its quota
+    Guards against levels that all daemons move for good: a long request lowers a level
+    at once, while peers reported theirs before they heard of it.
+    Given a meter that has told its peers of all units spent
+    When its customer asks for twice its quota for 20 s, and each 20th report of its peers is 5700 units higher, the others 300 lower
+    Then its level has moved by at most 200 units
+
+  Scenario: A customer beyond its quota gets what its peers have left for it
+    Guards against averages that correct no difference any more.
+    Given a meter that has told its peers of all units spent
+    When its customer asks for twice its quota for 20 s, and each 20th report of its peers is 3000 units higher, the others 3000 higher
+    Then its level has moved by at least 2500 units
--- a/features/decide/steps/quotalevels_steps.py
+++ b/features/decide/steps/quotalevels_steps.py
@@ -9,6 +9,7 @@
 
 RATE_PER_SECOND = 10_000.0
 NOW_SECONDS = 100.0
+REPORT_SECONDS = 0.05
 PEERS = [DaemonId(f"d{index}") for index in range(3)]
 
 
@@ -79,3 +80,38 @@
 @then("its level has changed by the refill only")
 def step_refill_only(context):
     assert context.meter.fleet.level == context.refilled
+
+
+@when(
+    "its customer asks for twice its quota for {seconds:g} s, and each {n:d}th report"
+    " of its peers is {more:g} units higher, the others {units:g} {direction}"
+)
+def step_beyond(context, seconds, n, more, units, direction):
+    meter, context.moved = context.meter, 0.0
+    usual = -units if direction == "lower" else units
+    for number in range(round(seconds / REPORT_SECONDS)):
+        now_seconds = NOW_SECONDS + number * REPORT_SECONDS
+        meter.catch_up(now_seconds)
+        meter.ask(2.0 * RATE_PER_SECOND * REPORT_SECONDS)
+        before = meter.fleet.level
+        meter.approach_peers()
+        context.moved += meter.fleet.level - before
+        # Others admit what is refilled.
+        meter.fleet.add(-meter.fleet.rate_per_second * REPORT_SECONDS)
+        above = (more if number % n == n - 1 else usual) - follows(context, direction)
+        report(context, meter.fleet.level + above)
+
+
+def follows(context, direction):
+    """Return by how much this level came closer to those of peers that stay higher."""
+    return context.moved if direction == "higher" else 0.0
+
+
+@then("its level has moved by at most {units:g} units")
+def step_moved_little(context, units):
+    assert abs(context.moved) <= units, context.moved
+
+
+@then("its level has moved by at least {units:g} units")
+def step_moved(context, units):
+    assert context.moved >= units, context.moved
--- a/lycheepost/decide/quotalevels.py
+++ b/lycheepost/decide/quotalevels.py
@@ -7,8 +7,14 @@
 
 A daemon that is behind with its updates has too high a level. So no single level is
 adopted: each daemon approaches the median, which is right while most are.
+
+A customer beyond its quota gets more of it for good if levels are raised by chance: no
+bucket fills up. A long request lowers a level at once, and what peers told a moment ago
+is still higher. So for such a customer a peer's level is compared with the own one when
+it arrives, and what counts is the average of these differences.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -25,16 +31,44 @@
 """Share of a difference that is corrected in a second. A difference takes longer than a
 busy daemon's delay, as its late counts would otherwise be corrected twice."""
 
+AVERAGE_SECONDS = 1.0
+"""Time constant of the average difference from a peer: long enough for many updates,
+shorter than what it takes to correct a difference."""
+
 MIN_LEVELS = 3
 """Levels that a median needs, the own one included: of two, either may be wrong."""
 
 
 @dataclass(frozen=True, slots=True)
 class PeerLevel:
-    """The level that a peer last reported."""
+    """The level that a peer last reported.
+
+    Attributes:
+        mean_above: By how much its levels were above the own one, on average.
+    """
 
     level: float
     at_seconds: float
+    mean_above: float = 0.0
+
+
+def follow(
+    before: PeerLevel | None, level: float, own_level: float, now_seconds: float
+) -> PeerLevel:
+    """Return a peer's level after a report.
+
+    Args:
+        before: Its level before; None if this is its first report.
+        level: What it reports.
+        own_level: The own level, with the units that the peer can't know of yet.
+        now_seconds: The current time.
+    """
+    above = level - own_level
+    if before is None:
+        return PeerLevel(level, now_seconds, above)
+    kept = math.exp((before.at_seconds - now_seconds) / AVERAGE_SECONDS)
+    mean_above = kept * before.mean_above + (1.0 - kept) * above
+    return PeerLevel(level, now_seconds, mean_above)
 
 
 def correction(
--- a/lycheepost/decide/quotameter.py
+++ b/lycheepost/decide/quotameter.py
@@ -6,15 +6,17 @@
 more together than the whole quota.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lycheepost.core.ids import DaemonId
 from lycheepost.core.quotas import Quota, QuotaTolerance
 from lycheepost.decide.quotademand import QuotaDemand
 from lycheepost.decide.quotalevels import (
+    AVERAGE_SECONDS,
     LEVEL_VALID_SECONDS,
     PeerLevel,
     correction,
+    follow,
 )
 from lycheepost.decide.quotarecord import (
     RECORDED_DEMAND_SHARE,
@@ -97,6 +99,8 @@
     _reported_levels: dict[DaemonId, PeerLevel] = field(default_factory=dict)
     _level_heard_seconds: float = float("-inf")
     """When a peer last reported its level."""
+    _gap_seconds: float = float("-inf")
+    """When a peer last reported its level after a silence."""
     _told_spent: float = 0.0
     """``spent`` at the last update to the peers."""
     _corrected_seconds: float = 0.0
@@ -294,9 +298,17 @@
         always too high, and each of its updates would raise the other daemons' levels.
         """
         self._add(-self.update_reported_spent(daemon, count.spent))
-        level = PeerLevel(count.level, self.fleet.at_seconds)
-        self._reported_levels[daemon] = level
-        self._level_heard_seconds = level.at_seconds
+        now_seconds = self.fleet.at_seconds
+        before = self._reported_levels.get(daemon)
+        if before is None or now_seconds - before.at_seconds > AVERAGE_SECONDS:
+            self._gap_seconds = now_seconds
+        self._reported_levels[daemon] = follow(
+            before,
+            count.level,
+            self.fleet.level + self.spent - self._told_spent,
+            now_seconds,
+        )
+        self._level_heard_seconds = now_seconds
 
     def approach_peers(self) -> None:
         """Approach the level that most daemons report; called before each update."""
@@ -307,14 +319,41 @@
         self._told_spent = self.spent
         if now_seconds - self._level_heard_seconds > LEVEL_VALID_SECONDS:
             return
+        own_level, levels = self.fleet.level + untold, self._reported_levels
+        if self._compares_averages():
+            own_level, levels = 0.0, self._mean_levels_above()
         units = correction(
-            self.fleet.level + untold,
-            self._reported_levels,
+            own_level,
+            levels,
             self.fleet.rate_per_second,
             elapsed_seconds,
             now_seconds,
         )
+        before = self.fleet.level
         self.fleet.add(units)
+        self._note_corrected(self.fleet.level - before)
+
+    def _compares_averages(self) -> bool:
+        """Return whether average differences from the peers count.
+
+        Right after a silence of peers, what they admitted in it is still being counted.
+        """
+        reported_seconds = self.fleet.at_seconds - self._gap_seconds
+        return self.demand_share() > 1.0 and reported_seconds > AVERAGE_SECONDS
+
+    def _mean_levels_above(self) -> dict[DaemonId, PeerLevel]:
+        return {
+            daemon: PeerLevel(peer.mean_above, peer.at_seconds)
+            for daemon, peer in self._reported_levels.items()
+        }
+
+    def _note_corrected(self, units: float) -> None:
+        """Count a change of the own level that no peer makes."""
+        if units:
+            self._reported_levels = {
+                daemon: replace(peer, mean_above=peer.mean_above - units)
+                for daemon, peer in self._reported_levels.items()
+            }
 
     def adopt_lower_level(self, daemon: DaemonId, count: QuotaCount) -> None:
         """Adopt the level of a better informed daemon if it is lower.
@@ -325,11 +364,14 @@
         change = count.level - self.fleet.level
         if self.recorded is None:
             self._add(min(0.0, change))
+            self._note_corrected(min(0.0, change))
             return
         self.recorded = None
         # The peer may not have counted yet what was admitted here.
         rise = change - max(0.0, self.spent)
-        self._add(rise if rise > 0.0 else min(0.0, change))
+        adopted = rise if rise > 0.0 else min(0.0, change)
+        self._add(adopted)
+        self._note_corrected(adopted)
 
     def adopt_level(self, count: QuotaCount) -> None:
         """Adopt the level of a daemon that has counted all units spent here."""
