A link to an earlier start of a daemon is opened again at the new one's endpoint

Cause: a daemon that reads the row of a dead one opens its link there. The new start opens one of its own, over which it is heard, so the link to the dead endpoint never counts as silent; all that is sent to the new start goes there. The new start hears nothing, takes its peer for dead and names it to nobody, until it gives its own link up and the other end is silent at last.

Seen in the log of 'Daemons find each other again after all of them died', the process stopped for 0.5 s every 0.6 s: the first read of the new front-0 from the store timed out, front-1 read the old row of front-0; 'feed: peer failed ... peer=front-0 reason=no answer' until the scenario's 10 s were over, and at front-0 'daemon does not respond daemon=front-1'.

A link now remembers which start of the other daemon it was opened to and where, and is opened again at the next exchange once another start with another endpoint is known.

features/peers/heartbeats.feature 'A daemon that restarts at another endpoint hears its peer again': failed before (3 exchanges after the restart 'b' has heard nobody), passes now. heartbeats, floods, traffic, sockets, fleet and compression: 46 passed.

--- a/features/peers/heartbeats.feature
+++ b/features/peers/heartbeats.feature
@@ -35,3 +35,14 @@
     And "b" restarts without opening a link
     And 5 exchanges pass
     Then both have the link
+
+  Scenario: A daemon that restarts at another endpoint hears its peer again
+    Guards against a link to its earlier endpoint that is kept, as the new start is heard
+    over the link that it has opened itself.
+    Given "a" has opened a link to "b"
+    And "b" has opened a link to "a"
+    And each start of a daemon has its own endpoint
+    When 10 exchanges pass
+    And "b" restarts and opens its link
+    And 3 exchanges pass
+    Then "b" has heard from "a"
--- a/features/peers/steps/heartbeat_steps.py
+++ b/features/peers/steps/heartbeat_steps.py
@@ -20,6 +20,33 @@
 OTHER = dict(zip(NAMES, reversed(NAMES), strict=True))
 
 
+class EndpointLink(LinkModel):
+    """A link whose messages to an earlier start of the other daemon are lost."""
+
+    def __init__(self, network, daemon, n_starts):
+        super().__init__(network, daemon)
+        self._endpoint = f"tcp://{daemon}:{n_starts}"
+        self._connected = {}
+
+    @property
+    def endpoint(self):
+        return self._endpoint
+
+    def connect(self, daemon, endpoint):
+        is_configured = endpoint == daemon
+        current = self._network.links[daemon].endpoint if is_configured else endpoint
+        self._connected[daemon] = current
+
+    def disconnect(self, daemon):
+        self._connected.pop(daemon, None)
+
+    def send(self, daemon, data):
+        endpoint = self._connected.get(daemon)
+        if endpoint not in (None, self._network.links[daemon].endpoint):
+            return True
+        return super().send(daemon, data)
+
+
 class Pair:
     """Two daemons; only those in ``openers`` know the other from the start."""
 
@@ -31,11 +58,15 @@
         self.exchanges = {}
         self.links = {}
         self.n_starts = 0
+        self.has_own_endpoints = False
 
     async def start(self, name):
         """Start a daemon; its transport replaces that of an earlier start."""
         self.n_starts += 1
-        link = self.links[name] = LinkModel(self.network, name)
+        link = LinkModel(self.network, name)
+        if self.has_own_endpoints:
+            link = EndpointLink(self.network, name, self.n_starts)
+        self.links[name] = link
         view = make_view(Configuration(revision=0))
         zone = AvailabilityZone(self.zones[name])
         boot = f"boot-{self.n_starts}"
@@ -88,6 +119,11 @@
     return deliver_older
 
 
+@given("each start of a daemon has its own endpoint")
+def step_own_endpoints(context):
+    context.has_own_endpoints = True
+
+
 @when("{n:d} exchanges pass")
 def step_pass(context, n):
     async def act(_pair):
@@ -104,6 +140,7 @@
     context.acts.append(act)
 
 
+@when('"b" restarts and opens its link')
 @when('"b" restarts without opening a link')
 def step_restart(context):
     async def act(pair):
@@ -120,12 +157,17 @@
 
     async def main():
         pair = Pair(context.openers)
+        pair.has_own_endpoints = getattr(context, "has_own_endpoints", False)
         for name in NAMES:
             await pair.start(name)
         for act in context.acts:
             await act(pair)
         context.sent = {name: pair.links[name].messages_out for name in NAMES}
         context.linked = {name: pair.exchanges[name].linked_daemons() for name in NAMES}
+        context.heard = {
+            name: pair.exchanges[name].heard_within(2 * EXCHANGE_SECONDS)
+            for name in NAMES
+        }
         context.n_replaced = pair.exchanges[NAMES[0]].n_replaced_links
         await pair.stop()
 
@@ -154,3 +196,9 @@
 def step_replaced(context):
     run(context)
     assert context.n_replaced >= 1
+
+
+@then('"b" has heard from "a"')
+def step_heard(context):
+    run(context)
+    assert context.heard[NAMES[1]] == {NAMES[0]}, context.heard
--- a/lycheepost/peers/exchange.py
+++ b/lycheepost/peers/exchange.py
@@ -59,11 +59,18 @@
 
 @dataclass(slots=True)
 class _Link:
-    """State of the link with one daemon."""
+    """State of the link with one daemon.
+
+    Attributes:
+        endpoint: Where this end opened it.
+        boot: The start of the other daemon that was known then.
+    """
 
     last_contact_seconds: float
     opened_seconds: float
     is_ours: bool
+    endpoint: str = ""
+    boot: str = ""
     n_silences: int = 0
     n_received: int = 0
     sent_seconds: float = float("-inf")
@@ -272,8 +279,9 @@
             )
             wanted += [] if probe is None else [probe]
         for member in wanted:
-            if member.daemon not in self._links:
-                self._open(member.daemon, member.peer_endpoint, now_seconds)
+            link = self._links.get(member.daemon)
+            if link is None or _leads_elsewhere(link, member):
+                self._open(member, now_seconds)
         kept = {member.daemon for member in wanted}
         if self._n_exchanges % _PROBE_INTERVAL_EXCHANGES:
             kept |= {name for name, link in self._links.items() if not link.is_ours}
@@ -289,10 +297,12 @@
             self._neighbours_at_change = n_changes
         return self._neighbour_members
 
-    def _open(self, daemon: DaemonId, endpoint: str, now_seconds: float) -> None:
-        self._transport.connect(daemon, endpoint)
-        self._links[daemon] = _Link(now_seconds, now_seconds, True)
-        self._send_hello(daemon)
+    def _open(self, member: Member, now_seconds: float) -> None:
+        self._transport.connect(member.daemon, member.peer_endpoint)
+        self._links[member.daemon] = _Link(
+            now_seconds, now_seconds, True, member.peer_endpoint, member.boot
+        )
+        self._send_hello(member.daemon)
 
     def _close(self, daemon: DaemonId) -> None:
         self._transport.disconnect(daemon)
@@ -334,15 +344,10 @@
             self._close(daemon)
             self._members.suspect(daemon, now_seconds)
             return
-        endpoint = next(
-            (
-                member.peer_endpoint
-                for member in self._members.members()
-                if member.daemon == daemon
-            ),
-            "",
-        )
-        self._transport.connect(daemon, endpoint)
+        member = self._members.get(daemon)
+        link.endpoint = "" if member is None else member.peer_endpoint
+        link.boot = "" if member is None else member.boot
+        self._transport.connect(daemon, link.endpoint)
         link.opened_seconds = now_seconds
         self._send_hello(daemon)
 
@@ -367,6 +372,7 @@
             self._has_members = True
             link.wants_floods = message.wants_floods
             link.expects_heartbeats = message.expects_heartbeats
+            link.boot = link.boot or message.member.boot
 
     def _wants_compression(self, hello: PeerHello) -> bool:
         """Return whether the sender accepts compression and is in another zone."""
@@ -426,6 +432,12 @@
             on_message(message, sender)
 
 
+def _leads_elsewhere(link: _Link, member: Member) -> bool:
+    """Return whether a link leads to an earlier start, though the new one is heard."""
+    is_earlier = link.boot not in ("", member.boot)
+    return link.is_ours and is_earlier and link.endpoint != member.peer_endpoint
+
+
 def _idle_exchanges(link: _Link) -> float:
     """Return after how many exchanges without a message a heartbeat is due.
 
