--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -15,10 +15,7 @@
 import structlog
 
 from lycheepost.callers.errors import CallerError, Executed, from_refusal
-from lycheepost.callers.forwardcalls import (
-    make_charge,
-    route_table,
-)
+from lycheepost.callers.forwardcalls import make_charge, route_table
 from lycheepost.callers.forwarddeps import (
     CallerConnection,
     ForwardDeps,
@@ -35,24 +32,20 @@
 from lycheepost.callers.forwardwork import (
     bound_work,
     continued_work,
+    deadline_seconds,
     first_sends,
     make_work,
-    part_names,
     takes_up_stream,
 )
 from lycheepost.callers.heldattempts import HeldAttempts
-from lycheepost.callers.peerrelay import MAX_RELAYS, PeerAttempts, no_path
+from lycheepost.callers.peerrelay import MAX_RELAYS, PeerAttempts, never, no_path
 from lycheepost.callers.reading import AttemptTrace
-from lycheepost.callers.relaying import AnswerRelay, body_fields
+from lycheepost.callers.relaying import AnswerRelay
 from lycheepost.callers.searches import Searches
+from lycheepost.callers.sentlog import SentAttempt, sent_fields
 from lycheepost.callers.targetattempt import Elsewhere, Standing, TargetAttempt
 from lycheepost.core.ids import SoftwareVersion, TargetGroupId, TargetId
-from lycheepost.decide.attempts import (
-    AttemptEnd,
-    Step,
-    last_step,
-    next_step,
-)
+from lycheepost.decide.attempts import AttemptEnd, Step, last_step, next_step
 from lycheepost.decide.records import (
     Dispatch,
     FinishKind,
@@ -71,10 +64,6 @@
 _log = structlog.get_logger(part="forward")
 
 
-def _never() -> bool:
-    return False
-
-
 class Forwarding:
     """The attempts at one forwarded request; one instance per request.
 
@@ -113,10 +102,7 @@
             deps, request, route_match.route, self._relay, self._held
         )
         self._charge = make_charge(deps, request, route_match)
-        timeout_seconds = route_match.route.timeout_seconds
-        if request.caller_timeout_seconds is not None:
-            timeout_seconds = min(timeout_seconds, request.caller_timeout_seconds)
-        self._deadline_seconds = request.arrived_seconds + timeout_seconds
+        self._deadline_seconds = deadline_seconds(route_match.route, request)
         self._log = _log.bind(
             request_id=request.caller_id,
             route=route_match.route.name,
@@ -379,12 +365,10 @@
             self._deps.dispatcher.note_retry_sent(self._work.request)
             # The key may have been revoked meanwhile.
             identify(self._deps, self._request)
-            may_search = self._reserve_relay if peer is not tried[-1] else _never
+            may_search = self._reserve_relay if peer is not tried[-1] else never
+            remaining_seconds = self._remaining_seconds()
             end = await self._peer_attempts.send(
-                peer,
-                self._sends,
-                self._remaining_seconds(),
-                may_search,
+                peer, self._sends, remaining_seconds, may_search
             )
             if end is None:
                 return
@@ -478,11 +462,16 @@
             Elsewhere(self._held, self._may_search),
         )
         listed = self._deps.targets.get(dispatch.target)
-        software_version = None if listed is None else listed.software_version
-        after_event = self._relay.after_event
+        sent = SentAttempt(
+            dispatch,
+            self._work,
+            self._sends,
+            None if listed is None else listed.software_version,
+            self._relay.after_event,
+            self._deps.clock.now_seconds(),
+        )
         end: AttemptEnd | None = None
         kind = FinishKind.CANCELLED
-        sent_seconds = self._deps.clock.now_seconds()
         reason = "cancelled"
         try:
             end, reason, kind = await self._attempt.run(dispatch.target)
@@ -500,38 +489,15 @@
             self._deps.dispatcher.finish(self._work.request, kind)
             is_served = kind is FinishKind.COMPLETE and end is None
             reason = "served" if is_served else reason
-            self._log_sent(
-                dispatch, sent_seconds, reason, kind, software_version, after_event
-            )
+            self._log_sent(sent, reason, kind)
 
-    def _log_sent(
-        self,
-        dispatch: Dispatch,
-        sent_seconds: float,
-        end: str,
-        kind: FinishKind,
-        software_version: SoftwareVersion | None,
-        after_event: int | None,
-    ) -> None:
-        now_seconds = self._deps.clock.now_seconds()
+    def _log_sent(self, sent: SentAttempt, end: str, kind: FinishKind) -> None:
         trace = self._attempt.trace if self._attempt is not None else AttemptTrace()
+        now_seconds = self._deps.clock.now_seconds()
         self._log.info(
             "forward: sent",
-            target=dispatch.target,
             end=end,
             finish=kind.value,
-            has_written=trace.has_written,
-            parts=part_names(self._work.parts),
-            n_arrivals_before=self._sends.n_arrivals,
-            software_version=software_version,
-            after_event=after_event,
-            resumed_id=self._request.resumed_id,
-            predicted_seconds=round(dispatch.predicted_wait_seconds, 3),
-            expected_cached_tokens=dispatch.expected_cached_tokens,
             quota_units=self._charge.units,
-            waited_seconds=round(sent_seconds - self._request.arrived_seconds, 4),
-            held_seconds=round(now_seconds - sent_seconds, 4),
-            first_seconds=self._relay.first_seconds,
-            longest_gap_seconds=self._relay.longest_gap_seconds,
-            **body_fields(trace.body),
+            **sent_fields(sent, self._request, self._relay, trace, now_seconds),
         )
--- a/lycheepost/callers/forwardwork.py
+++ b/lycheepost/callers/forwardwork.py
@@ -43,6 +43,14 @@
     return min(timeout_seconds, caller_stream_timeout_seconds(route))
 
 
+def deadline_seconds(route: Route, request: ForwardRequest) -> float:
+    """Return the time by which a request must be answered completely."""
+    timeout_seconds = route.timeout_seconds
+    if request.caller_timeout_seconds is not None:
+        timeout_seconds = min(timeout_seconds, request.caller_timeout_seconds)
+    return request.arrived_seconds + timeout_seconds
+
+
 def continued_work(work: Work, route: Route, elapsed_seconds: float) -> Work:
     """Return the work of a stream whose caller has received part of it already.
 
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -49,6 +49,11 @@
 _log = structlog.get_logger(part="forward")
 
 
+def never() -> bool:
+    """Return False: no other peer is tried while the last one is silent."""
+    return False
+
+
 def no_path(has_peers: bool) -> CallerError:
     """Return the error of a daemon that reaches no target.
 
