Failing test: a rejection whose body comes slowly and does not end

A look-up that a server had rejected waited for the end of the rejection's body, one byte each 100 ms, and was refused at its deadline while two servers were free.

--- a/features/platform/endless.feature
+++ b/features/platform/endless.feature
@@ -74,3 +74,16 @@
       | head lines          |
       | blank lines         |
       | switched            |
+
+  Scenario Outline: A rejection whose body does not end, <pace>, holds no request up
+    Guards against a request that waits at a server that has rejected it, while others
+    are free.
+    Given a deployment with 1 daemon
+    And a plain server that rejects requests with a body without end, <pace>
+    When clients ask for 20 look-ups and orders
+    Then all of them are served within 1 s
+
+    Examples:
+      | pace   |
+      | fast   |
+      | slowly |
--- a/features/platform/steps/endless_steps.py
+++ b/features/platform/steps/endless_steps.py
@@ -39,7 +39,8 @@
         attempt_ids: Of the requests that it got.
     """
 
-    def __init__(self, service, form, pace):
+    def __init__(self, service, form, pace, is_rejecting=False):
+        self._is_rejecting = is_rejecting
         self.name = f"i-{next(_numbers)}"
         self.service = service
         self.attempt_ids = set()
@@ -52,6 +53,8 @@
         headers = {names.TARGET: self.name, names.LOAD: "0,0,32", names.SEAL: "0"}
         if self.service == ENGINES:
             headers[names.WEIGHTS] = "1"
+        if self._is_rejecting:
+            headers[names.NOT_RUN] = "1"
         attempt_id = asked.get(names.ATTEMPT_ID.lower())
         if attempt_id:
             self.attempt_ids.add(attempt_id)
@@ -76,11 +79,18 @@
 
 
 def add_floods(context, n, form, pace):
-    context.floods = [
-        Flood(service, EndlessForm(form), pace)
-        for service in (PLAIN, ENGINES)
-        for _ in range(n)
-    ]
+    register(
+        context,
+        [
+            Flood(service, EndlessForm(form), pace)
+            for service in (PLAIN, ENGINES)
+            for _ in range(n)
+        ],
+    )
+
+
+def register(context, floods):
+    context.floods = floods
 
     async def stop():
         for flood in context.floods:
@@ -286,3 +296,41 @@
 def step_paths(context):
     paths = context.deployment.daemons[0]._components.traffic.paths
     assert not paths.are_lost(PLAIN), paths.status()
+
+
+@given("a plain server that rejects requests with a body without end, {pace}")
+def step_rejecting(context, pace):
+    register(context, [Flood(PLAIN, EndlessForm.LONG_BODY, pace, is_rejecting=True)])
+
+
+@when("clients ask for {n:d} look-ups and orders")
+def step_look_ups(context, n):
+    deployment = context.deployment
+    context.answers, context.took_seconds = {}, []
+
+    async def ask_one(what):
+        headers = deployment.headers()
+        start_seconds = time.monotonic()
+        answer = await read_some(deployment, what, headers)
+        context.took_seconds.append(time.monotonic() - start_seconds)
+        context.answers[headers[names.ATTEMPT_ID]] = what, answer
+
+    async def ask_all():
+        whats = itertools.cycle(("look-up", "order"))
+        asked = []
+        for _ in range(n):
+            asked.append(asyncio.create_task(ask_one(next(whats))))
+            await asyncio.sleep(ASK_SECONDS)
+        await asyncio.gather(*asked)
+
+    for server in deployment.servers:
+        server.run_seconds = RUN_SECONDS
+    context.loop.run_until_complete(ask_all())
+
+
+@then("all of them are served within {seconds:g} s")
+def step_all_served(context, seconds):
+    assert flooded_ids(context)
+    for what, answer in context.answers.values():
+        assert answer.status == 200 and answer.is_whole, (what, answer)
+    assert max(context.took_seconds) < seconds, context.took_seconds
