Read the body of a rejection for 50 ms at most

A look-up that a server had rejected waited for the rejection's body, one byte each 100 ms, until its deadline, and got 503 while two servers were free. The body is only read so that the connection can be used again. So it is read for 50 ms; then the connection is closed. The same holds for refusals of peers.

--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -5,6 +5,8 @@
 sent again unless it may be repeated.
 """
 
+import asyncio
+
 import structlog
 from returns.result import Failure, Success
 
@@ -44,6 +46,8 @@
 
 _MAX_REFUSAL_BYTES = 65536
 """As for rejections of targets: a longer body is not read to its end."""
+_REFUSAL_SECONDS = 0.05
+"""The body of a refusal comes with its head; the request waits for it."""
 
 _TOO_MANY_REQUESTS = 429
 
@@ -215,9 +219,10 @@
 async def _read_refusal(answer: ForwardResponse) -> None:
     """Read a refusal to its end, so that its connection can be reused."""
     try:
-        await answer.read_body(_MAX_REFUSAL_BYTES)
-    except TargetError as error:
-        _log.info("forward: refusal of a peer broke off", reason=error.reason)
+        async with asyncio.timeout(_REFUSAL_SECONDS):
+            await answer.read_body(_MAX_REFUSAL_BYTES)
+    except (TargetError, TimeoutError) as error:
+        _log.info("forward: refusal of a peer broke off", reason=str(error) or "late")
     finally:
         answer.close()
 
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -51,6 +51,8 @@
 
 _MAX_REJECTION_BYTES = 65536
 """Rejections are short; a longer body is not read to its end."""
+_REJECTION_SECONDS = 0.05
+"""The body of a rejection comes with its head; the request waits for it."""
 
 _FINISH_KINDS = {
     AttemptEnd.NOT_SENT: FinishKind.TARGET_REFUSED,
@@ -329,9 +331,10 @@
     async def _read_rejection(self, answer: ForwardResponse) -> None:
         """Read a short rejection to its end, so that its connection can be reused."""
         try:
-            await answer.read_body(_MAX_REJECTION_BYTES)
-        except TargetError as error:
-            _log.info("forward: rejection broke off", reason=error.reason)
+            async with asyncio.timeout(_REJECTION_SECONDS):
+                await answer.read_body(_MAX_REJECTION_BYTES)
+        except (TargetError, TimeoutError) as error:
+            _log.info("forward: rejection broke off", reason=str(error) or "late")
         finally:
             answer.close()
 
