Let a forwarded request end two turns of the loop earlier

What was seen: "Bodies of requests that wait are bounded" fails since attempts may be held: the bytes of a body were given back up to two turns of the loop after its client had its answer, as each attempt is a task of its own. Nothing is held for longer than that.

Change: whoever waits for an attempt is told in its last step, not by a callback after it, and no task is made to end attempts where none is held.

--- a/lycheepost/callers/heldattempts.py
+++ b/lycheepost/callers/heldattempts.py
@@ -92,7 +92,8 @@
         for run in runs:
             # At once: the wait for their ends may be cancelled.
             run.cancel()
-        await asyncio.gather(*(run.end() for run in runs))
+        if runs:
+            await asyncio.gather(*(run.end() for run in runs))
 
 
 class AttemptRun:
@@ -114,10 +115,19 @@
         self._held = held
         self._is_silent = False
         self._news: asyncio.Future[None] | None = None
-        self._task = asyncio.ensure_future(make(self))
+        self._task = asyncio.ensure_future(self._run(make))
         self._task.add_done_callback(self._note_end)
         held.note_begun(self)
 
+    async def _run(
+        self, make: Callable[["AttemptRun"], Coroutine[Any, Any, AttemptResult]]
+    ) -> AttemptResult:
+        try:
+            return await make(self)
+        finally:
+            # Whoever waits goes on a turn of the loop earlier than by ``_note_end``.
+            self._tell()
+
     def hold(self) -> None:
         """Let the request be tried elsewhere, as the target is silent."""
         self._held.add(self)
