Note where a stream began when its target writes to the caller, not at its first bytes

Two targets of different software versions may both hold half of a first event; the one that spoke last was told to the peers as the begin of the stream, also if the other one wrote. Only a completed event of the attempt that has the turn counts now. Found by review, by reading; no test provokes it.

--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -397,14 +397,14 @@
             self._standing.sends.n_runs,
         )
 
-    def _note_written(self) -> None:
-        if not self._is_held:
-            self._deps.dispatcher.note_written(self._standing.work.request)
-
     def _note_first(self) -> None:
         if not self._is_held:
             # Otherwise the scheduler has the request at another target.
             self._deps.dispatcher.first_token(self._standing.work.request)
+
+    def _note_written(self) -> None:
+        if not self._is_held:
+            self._deps.dispatcher.note_written(self._standing.work.request)
         if is_resumable_stream(self._route_match.route):
             # Before the caller gets its first event, after which it may come again.
             self._deps.stream_versions.note_begun(
