--- a/lycheepost/callers/reading.py
+++ b/lycheepost/callers/reading.py
@@ -5,23 +5,14 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from lycheepost.core.ids import SoftwareVersion
-from lycheepost.decide.tokenbucket import TokenBucket
 from lycheepost.targets.events import EventSplitter
 from lycheepost.targets.forward import ForwardResponse
 from lycheepost.utils.bodies import BodyEnd, BodyFraming
 
-STREAM_BYTES_PER_SECOND = 128 * 1024.0
-"""Rate at which one stream is read at most: over twice that of the fastest engines. A
-target that sends events without end would take the processor time of all others."""
-
-STREAM_BURST_BYTES = 128 * 1024.0
-"""Read at once: what arrived while the daemon or its caller was held up."""
-
 
 @dataclass(frozen=True, slots=True)
 class StreamTimeouts:
@@ -117,11 +108,6 @@
     calls: AttemptCalls
     splitter: EventSplitter = field(default_factory=EventSplitter)
     n_sent_events: int = 0
-    _pace: TokenBucket = field(
-        default_factory=lambda: TokenBucket(
-            STREAM_BYTES_PER_SECOND, STREAM_BURST_BYTES, STREAM_BURST_BYTES, -math.inf
-        )
-    )
 
     async def read_first(self) -> bytes | None:
         """Return the first bytes of the body."""
@@ -133,14 +119,9 @@
     async def read_next(self) -> bytes | None:
         """Return the next bytes of the body; None after its end."""
         timeouts = self.timeouts
-        self._pace.refill(asyncio.get_running_loop().time())
-        if wait_seconds := self._pace.wait_seconds():
-            await asyncio.sleep(wait_seconds)
-        data = await read_watched(
+        return await read_watched(
             self.answer, timeouts.idle_seconds, timeouts.on_silent
         )
-        self._pace.add(-len(data or b""))
-        return data
 
     def is_after(self, after_id: int | None) -> bool:
         """Return whether a continuation starts after the caller's last event.
