--- a/lycheepost/decide/silence.py
+++ b/lycheepost/decide/silence.py
@@ -1,9 +1,10 @@
-"""Timeouts after which a request moves to another target.
+"""Timeouts after which a request is tried at another target.
 
 A target may accept a request and then send nothing, because it hangs, has crashed, or
 its connection is dead. Without a timeout its callers wait until they disconnect. But a
 busy engine pauses too, since it prefills prompts between the tokens of its streams.
-Moving its streams makes other engines, which are as busy, prefill the prompts again. So
+Trying its streams elsewhere makes other engines, which are as busy, prefill the prompts
+again. So
 the timeout is well above the gap objective, when the response is late anyway, and well
 below the time at which the caller disconnects.
 """
@@ -46,9 +47,8 @@
 
 IDLE_TIMEOUT_GAPS = 2.5
 """Idle timeout between two events, in gap objectives. Under full load engines pause for
-0.4 to 0.6 s with an objective of 0.5 s. A limit below that, such as 0.45 s, abandons
-some 15% of the runs (635 of 4,276 with 45 engines), and their prompts are prefilled
-again."""
+about one objective; with a lower limit the prompts of many sound streams would be
+prefilled again."""
 
 
 def caller_stream_timeout_seconds(route: Route) -> float:
