--- a/lycheepost/decide/silence.py
+++ b/lycheepost/decide/silence.py
@@ -4,9 +4,8 @@
 its connection is dead. Without a timeout its callers wait until they disconnect. But a
 busy engine pauses too, since it prefills prompts between the tokens of its streams.
 Trying its streams elsewhere makes other engines, which are as busy, prefill the prompts
-again. So
-the timeout is well above the gap objective, when the response is late anyway, and well
-below the time at which the caller disconnects.
+again. So the timeout is well above the gap objective, when the response is late anyway,
+and well below the time at which the caller disconnects.
 """
 
 from collections.abc import Iterator
