Tell at the end of a drain that a look-up at a server may have run

Look-ups that ran at a server when the time for finishing was over got 503, which promises that they did not run, in place of 502: the state that says so was dropped as the cancelled request ended, to break a reference cycle. It is counted before. Steps of connections: the session's new argument.

--- a/features/targets/steps/connecting_steps.py
+++ b/features/targets/steps/connecting_steps.py
@@ -24,7 +24,7 @@
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
         settings = StreamSettings(connect_seconds=seconds)
-        context.session = make_session(settings)
+        context.session = make_session("requests", settings)
         context.stack.push_async_callback(context.session.close)
         context.url = f"http://127.0.0.1:{runner.addresses[0][1]}/"
 
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -164,7 +164,7 @@
 
     def _release(self) -> None:
         """Break the reference cycles, as collections are rare."""
-        self._attempt = None
+        self._count_interrupted()
         self._relay.end()
         self._searches.end()
 
@@ -225,7 +225,7 @@
         return self._has_retry
 
     def _count_interrupted(self) -> None:
-        """Count an attempt that ended as a silent target went on before it."""
+        """Count an attempt that nobody waits for any more; its target may run it."""
         is_at_target = self._attempt is not None and self._attempt.is_sent
         if is_at_target or self._peer_attempts.is_sent:
             self._count(AttemptEnd.LOST)
