Review case 1: servers whose entries lapsed in an outage of the store stay unknown

Cause: ServerFollower.take drops the order of the changes in one answer of the store, so an entry that lapsed and was written again counts as removed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -34,8 +34,11 @@
 NOT_RUN = "X-Lycheepost-Not-Executed"
 LOAD = "X-Lycheepost-Server-Load"
 HEARTBEAT_SECONDS = 1.2
+BEAT_CHECK_SECONDS = 0.3
+"""How often a server looks at its entry; it is back this soon after an outage."""
 LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
 TRANSACTION_SECONDS = 0.003
+SILENT_SECONDS = 3600.0
 
 BOUNDS = {
     "seed_lag_s": 3,
@@ -257,27 +260,65 @@
 
 
 class Store:
-    """The platform's metadata store in the form of tables."""
+    """The platform's metadata store in the form of tables.
+
+    Its feed returns each change of a table after a version, in their order.
+
+    Attributes:
+        is_down: Whether it leaves all calls without an answer.
+    """
 
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str, str], StoredRow] = {}
+        self._log: list[dict[str, object]] = []
         self._version = 0
         self._news = asyncio.Event()
+        self.is_down = False
         self.http = HttpServer(self._handle)
 
     def put(self, table: str, part: str, key: str, value: bytes | None) -> int:
         """Write or remove (None) a row and return the new version."""
         self._version += 1
-        self._rows[table, part, key] = StoredRow(value, self._version)
+        self._write((table, part, key), value)
+        self._tell()
+        return self._version
+
+    def _write(self, place: tuple[str, str, str], value: bytes | None) -> None:
+        self._rows[place] = StoredRow(value, self._version)
+        self._log.append(self._describe(place))
+
+    def _tell(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
-        return self._version
+
+    def has(self, table: str, part: str, key: str) -> bool:
+        """Return whether a row exists."""
+        row = self._rows.get((table, part, key))
+        return row is not None and row.value is not None
+
+    async def fail(self, seconds: float) -> None:
+        """Answer nothing for a time, in which the servers' entries lapse."""
+        self.is_down = True
+        await asyncio.sleep(seconds)
+        if seconds > LAPSE_SECONDS:
+            for table, part, key in list(self._rows):
+                if table == "servers" and self.has(table, part, key):
+                    self.put(table, part, key, None)
+        self.is_down = False
 
     def put_json(self, table: str, key: str, document: object, part: str = "") -> int:
         """Write a row with a JSON value."""
         return self.put(table, part, key, json.dumps(document).encode())
 
     async def _handle(self, request: Request) -> Response:
+        if self.is_down:
+            await asyncio.sleep(SILENT_SECONDS)
+        response = await self._respond(request)
+        if self.is_down:
+            await asyncio.sleep(SILENT_SECONDS)
+        return response
+
+    async def _respond(self, request: Request) -> Response:
         match request.path:
             case "/rows-tx":
                 await asyncio.sleep(TRANSACTION_SECONDS)
@@ -323,10 +364,8 @@
         for item in writes:
             place = item["table"], item.get("part", ""), item["key"]
             text = item.get("value")
-            value = None if text is None else b64decode(text)
-            self._rows[place] = StoredRow(value, self._version)
-        self._news.set()
-        self._news = asyncio.Event()
+            self._write(place, None if text is None else b64decode(text))
+        self._tell()
         return self._stamp()
 
     def _get(self, query: dict[str, str]) -> Response:
@@ -355,19 +394,25 @@
         after, table = int(query["after"]), query["table"]
         until_seconds = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
         while True:
-            changed = sorted(
-                (row.version, place)
-                for place, row in self._rows.items()
-                if place[0] == table and row.version > after
-            )
+            changed = [
+                row
+                for row in self._log
+                if row["table"] == table and _version_of(row) > after
+            ]
             left_seconds = until_seconds - time.monotonic()
             if changed or left_seconds <= 0:
-                return self._stamp(rows=[self._describe(place) for _, place in changed])
+                return self._stamp(rows=changed)
             news = self._news
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(news.wait(), left_seconds)
 
 
+def _version_of(row: dict[str, object]) -> int:
+    version = row["ver"]
+    assert isinstance(version, int)
+    return version
+
+
 def make_route(name: str, prefix: str, kind: str, service: str, **more: object) -> dict:
     """Return a route of a configuration."""
     route = {
@@ -437,6 +482,7 @@
         queue: Requests that wait beyond these.
         crash_on: Body of a request that crashes it as it begins to run it.
         on_crash: Called after such a crash.
+        part: Part of the rows to which its entry belongs.
     """
 
     def __init__(
@@ -449,9 +495,11 @@
         queue: int = 24,
         crash_on: bytes | None = None,
         on_crash: Callable[["PlainServer"], None] = lambda _server: None,
+        part: str = "",
     ) -> None:
         self.name = f"i-{next(_numbers):08x}"
         self.service = service
+        self.part = part
         self.arrivals: list[tuple[float, str, bytes]] = []
         self.n_run = 0
         self.work_seconds = work_seconds
@@ -483,12 +531,21 @@
         loop.call_later(LAPSE_SECONDS, self._store.put, "servers", "", self.name, None)
 
     async def _register(self) -> None:
+        """Keep its entry, which changes when more than ``seq`` changes."""
+        before: dict | None = None
         while True:
-            self._seq += 1
-            self._store.put_json("servers", self.name, self.entry())
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-
-    def entry(self, **more: object) -> dict:
+            if not self._store.is_down:
+                entry = {**self.entry(), "seq": 0}
+                is_listed = self._store.has("servers", self.part, self.name)
+                if entry != before or not is_listed:
+                    self._seq += 1
+                    document = {**entry, "seq": self._seq}
+                    self._store.put_json("servers", self.name, document, self.part)
+                    before = entry
+                    self._record.note("entry written", server=self.name)
+            await asyncio.sleep(BEAT_CHECK_SECONDS)
+
+    def entry(self) -> dict:
         """Return its entry in the store."""
         return {
             "service": self.service,
@@ -499,7 +556,6 @@
             "state": "ready",
             "cold_left_ms": 0,
             "seq": self._seq,
-            **more,
         }
 
     def _headers(self, request: Request) -> dict[str, str]:
@@ -544,6 +600,81 @@
         return Response(200, body, {**self._headers(request), SEAL: f"s.{attempt}"})
 
 
+class ModelServer(PlainServer):
+    """A server of a model: it reports its weights and takes orders to change them.
+
+    Args:
+        store: Where it registers itself.
+        service: Its service.
+        record: Where it notes what it runs.
+        model: Its model.
+        load_seconds: How long it takes to load new weights.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        service: str,
+        record: Record,
+        model: str,
+        load_seconds: float = 0.83,
+    ) -> None:
+        super().__init__(store, service, record, slots=64, queue=192)
+        self.version = 1
+        self.orders: list[tuple[float, str, int]] = []
+        self._model = model
+        self._load_seconds = load_seconds
+        self._is_loading = False
+        self._n_orders = 0
+
+    def _models(self) -> list[dict]:
+        return [{"name": self._model, "version": self.version, "adapters": []}]
+
+    def entry(self) -> dict:
+        """Return its entry in the store."""
+        return {**super().entry(), "stage": "colocated", "models": self._models()}
+
+    async def _handle(self, request: Request) -> Response:
+        if request.header(EXPECTED_TARGET) not in (None, self.name):
+            return Response(421, headers=self._headers(request))
+        if request.path == "/report":
+            return json_response(200, self._report())
+        if request.path == "/order":
+            return self._take_order(json.loads(request.body))
+        return await super()._handle(request)
+
+    def _report(self) -> dict:
+        return {
+            "stage": "colocated",
+            "models": self._models(),
+            "busy": self._is_loading,
+            "seq": self._n_orders,
+            "queued": 0,
+            "active": self._n_here,
+            "kv_used": 0,
+            "kv_total": 115005,
+            "handles": 0,
+        }
+
+    def _take_order(self, order: dict) -> Response:
+        self.orders.append((self._record.now(), order["holder"], order["fence"]))
+        self._record.note("order arrives", server=self.name, **order)
+        if self._is_loading or order.get("expected", self._n_orders) != self._n_orders:
+            return Response(409)
+        if order["version"] == self.version:
+            return Response(200)
+        self._n_orders += 1
+        self._is_loading = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._load_seconds, self._end_load, order["version"])
+        return Response(202)
+
+    def _end_load(self, version: int) -> None:
+        self._is_loading = False
+        self.version = version
+        self._record.note("weights loaded", server=self.name, version=version)
+
+
 @dataclass
 class Answer:
     """What a client got; ``status`` is None if the connection ended before."""
