Review case 1: seven daemons and twelve model servers in the script

Cause: with three daemons and six model servers the script held in some runs, when the first daemon asked the store before its servers had written again.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,10 +22,10 @@
 MODEL = "daka510000"
 MODELS = "caption-llm"
 ORDERS = "kiosk-orders"
-N_MODEL_SERVERS = 6
+N_MODEL_SERVERS = 12
 N_ORDER_SERVERS = 3
-N_DAEMONS = 3
-OUTAGE_SECONDS = 9.0
+N_DAEMONS = 7
+OUTAGE_SECONDS = 6.0
 SETTLE_SECONDS = 6.0
 """From the end of the outage to the new weights: more than ``contact_ms``."""
 STABLE_SECONDS = 17.0
--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -34,8 +35,6 @@
 NOT_RUN = "X-Lycheepost-Not-Executed"
 LOAD = "X-Lycheepost-Server-Load"
 HEARTBEAT_SECONDS = 1.2
-BEAT_CHECK_SECONDS = 0.3
-"""How often a server looks at its entry; it is back this soon after an outage."""
 LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
 TRANSACTION_SECONDS = 0.003
 SILENT_SECONDS = 3600.0
@@ -533,6 +532,7 @@
     async def _register(self) -> None:
         """Keep its entry, which changes when more than ``seq`` changes."""
         before: dict | None = None
+        first_seconds = random.uniform(0.0, HEARTBEAT_SECONDS)
         while True:
             if not self._store.is_down:
                 entry = {**self.entry(), "seq": 0}
@@ -543,7 +543,8 @@
                     self._store.put_json("servers", self.name, document, self.part)
                     before = entry
                     self._record.note("entry written", server=self.name)
-            await asyncio.sleep(BEAT_CHECK_SECONDS)
+            await asyncio.sleep(first_seconds or HEARTBEAT_SECONDS)
+            first_seconds = 0.0
 
     def entry(self) -> dict:
         """Return its entry in the store."""
@@ -921,12 +922,15 @@
     work = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
 
     async def play() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_seconds):
             return await case(record, work, has_trouble)
 
     try:
         has_held = asyncio.run(play())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.note("could not run", error=repr(error))
         print(f"could not run: {error!r}")
         return 2
