--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A burst of large request bodies, each of them small enough, takes a daemon's memory."""
+"""A burst of large request bodies, each small enough, takes the memory of daemons."""
 
 import asyncio
 import pathlib
@@ -88,9 +88,7 @@
         """Send one request on a kept connection, or on a new one."""
         daemon = random.choice([item for item in self._daemons if item.is_up])
         attempt = next_attempt()
-        self._record.note(
-            "sends", request=attempt, to=daemon.name, body_bytes=n_bytes
-        )
+        self._record.note("sends", request=attempt, to=daemon.name, body_bytes=n_bytes)
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000):
                 status = await self._exchange(daemon, attempt, n_bytes)
