--- a/review/w1/case.py
+++ b/review/w1/case.py
@@ -15,7 +15,7 @@
 """A crashed server is back after this time, under a new id."""
 PAUSE_SECONDS = 2.5
 """Between two sends of the order."""
-N_SENDS = 24
+N_SENDS = 16
 CONTACT_SECONDS = 3.0
 MAX_RETRIES = 3
 THIRD = 3
--- /dev/null
+++ b/review/w4/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
