--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A server fails part of the orders that it ran, with a 503 of its own."""
+"""An order that crashes each server that begins to run it comes again and again."""
 
 import asyncio
 import pathlib
@@ -11,36 +11,17 @@
 
 N_SERVERS = 3
 N_DAEMONS = 2
-N_ORDERS = 60
-FAILED = (0, 2)
-OF = 5
-"""Of each five requests of the failing server these fail: the default of srv_grey, x (.4)
-of its requests."""
-PAUSE_SECONDS = 0.1
+BACK_SECONDS = 3.0
+"""A crashed server is back after this time, under a new id."""
+PAUSE_SECONDS = 2.5
+"""Between two sends of the order."""
+N_SENDS = 16
+CONTACT_SECONDS = 3.0
+MAX_RETRIES = 3
+THIRD = 3
 SERVICE = "kiosk-orders"
-PROMISES = (408, 421, 429, 503)
-
-
-class GreyServer(standins.PlainServer):
-    """A server that runs all of its requests and fails some; its health is good."""
-
-    def __init__(self, store: standins.Store, record: standins.Record) -> None:
-        super().__init__(store, SERVICE, record, work_seconds=0.0225)
-        self.is_grey = False
-        self.n_grey = 0
-        self.ran: list[str] = []
-        self.orders: list[str] = []
-
-    async def _run(self, request: standins.Request, attempt: str) -> standins.Response:
-        response = await super()._run(request, attempt)
-        self.ran.append(attempt)
-        self.orders.append(request.path)
-        self.n_grey += self.is_grey
-        if self.is_grey and (self.n_grey - 1) % OF in FAILED:
-            response.status = 503
-            response.body = b"the order was written, its confirmation failed"
-            self._record.note("fails after running", request=attempt, status=503)
-        return response
+PATH = "/order/7"
+ORDER = b'{"order": 7, "photo": "damaged"}'
 
 
 async def play(record: standins.Record, work: pathlib.Path, has_trouble: bool) -> bool:
@@ -54,62 +35,64 @@
     ]
     services = [standins.make_service(SERVICE)]
     store.put_json("op", "config", standins.make_configuration(7, routes, services))
-    servers = [GreyServer(store, record) for _ in range(N_SERVERS)]
-    for server in servers:
+    crashes: list[float] = []
+    servers: list[standins.PlainServer] = []
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def add_server(wait_seconds: float) -> None:
+        await asyncio.sleep(wait_seconds)
+        server = standins.PlainServer(
+            store,
+            SERVICE,
+            record,
+            work_seconds=0.0225,
+            crash_on=ORDER if has_trouble else None,
+            on_crash=note_crash,
+        )
+        servers.append(server)
         await server.start()
+
+    def note_crash(_server: standins.PlainServer) -> None:
+        crashes.append(record.now())
+        tasks.add(asyncio.ensure_future(add_server(BACK_SECONDS)))
+
+    for _ in range(N_SERVERS):
+        await add_server(0.0)
     daemons = [
         standins.Daemon(number + 1, store, work) for number in range(N_DAEMONS)
     ]
-    refused_though_run: list[str] = []
-    n_served = 0
     try:
         for daemon in daemons:
             daemon.start()
         for daemon in daemons:
             await daemon.wait_ready()
         await asyncio.sleep(2.0)
-        servers[0].is_grey = has_trouble
-        for number in range(N_ORDERS):
-            attempt = standins.next_attempt()
-            answer = await standins.ask(
-                record,
-                daemons[number % N_DAEMONS].address,
-                "POST",
-                f"/order/{number}",
-                b"{}",
-                deadline_ms=600,
-                attempt=attempt,
-            )
-            n_served += answer.status == 200
-            has_run = any(attempt in server.ran for server in servers)
-            if answer.status in PROMISES and has_run:
-                refused_though_run.append(attempt)
-                record.note("refused though run", request=attempt, status=answer.status)
-                # A client may send the order again after such a promise.
-                await standins.ask(
-                    record,
-                    daemons[(number + 1) % N_DAEMONS].address,
-                    "POST",
-                    f"/order/{number}",
-                    b"{}",
-                    deadline_ms=600,
-                )
+        answer = await standins.ask(
+            record, daemons[0].address, "POST", "/order/1", b"sound", deadline_ms=600
+        )
+        if answer.status != 200:
+            raise standins.CannotRun("a sound order is not served")
+        for number in range(N_SENDS):
+            address = daemons[number % N_DAEMONS].address
+            await standins.ask(record, address, "POST", PATH, ORDER, deadline_ms=600)
             await asyncio.sleep(PAUSE_SECONDS)
     finally:
         for daemon in daemons:
             daemon.end()
-    orders = [path for server in servers for path in server.orders]
-    n_doubled = sum(orders.count(path) > 1 for path in set(orders))
-    record.note(
-        "counted",
-        refused_though_run=len(refused_though_run),
-        orders_carried_out_twice=n_doubled,
+    arrivals = sorted(
+        at_seconds
+        for server in servers
+        for at_seconds, _, body in server.arrivals
+        if body == ORDER
     )
-    print(f"{n_served} served, {len(refused_though_run)} refused though run")
-    print(f"{n_doubled} orders carried out more than once")
-    if n_served < N_ORDERS // 2:
-        raise standins.CannotRun("most orders are not served")
-    return not refused_though_run
+    record.note("counted", arrivals=len(arrivals), crashes=len(crashes))
+    if len(crashes) < THIRD:
+        return True
+    since_seconds = crashes[THIRD - 1] + CONTACT_SECONDS
+    late = [at_seconds for at_seconds in arrivals if at_seconds > since_seconds]
+    record.note("after the third crash", since=round(since_seconds, 3), late=len(late))
+    print(f"{len(crashes)} crashes, {len(late)} arrivals after the third and 3 s")
+    return len(late) <= MAX_RETRIES
 
 
 if __name__ == "__main__":
