--- a/review/3/case.py
+++ b/review/3/case.py
@@ -58,9 +58,7 @@
 
     for _ in range(N_SERVERS):
         await add_server(0.0)
-    daemons = [
-        standins.Daemon(number + 1, store, work) for number in range(N_DAEMONS)
-    ]
+    daemons = [standins.Daemon(number + 1, store, work) for number in range(N_DAEMONS)]
     try:
         for daemon in daemons:
             daemon.start()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -135,9 +135,7 @@
     engines = [Engine(store, record) for _ in range(N_SERVERS)]
     for engine in engines:
         await engine.start()
-    daemons = [
-        standins.Daemon(number + 1, store, work) for number in range(N_DAEMONS)
-    ]
+    daemons = [standins.Daemon(number + 1, store, work) for number in range(N_DAEMONS)]
     try:
         for daemon in daemons:
             daemon.start()
