Log which daemon counts a request, and the retry budget beside each repeat

'forward: sent' and 'forward: relayed to a peer' name whether this daemon has counted the request as a first attempt, and 'forward: sent' of a request that has arrived before the counts of the group's budget at that moment: requests, retries and allowed retries. The hypotheses on repeats beyond the bound can't be told apart without them: a request that several daemons count, a budget that each daemon keeps while their sum is over the bound, a repeat that no budget knows.

--- a/lycheepost/callers/dispatch.py
+++ b/lycheepost/callers/dispatch.py
@@ -146,6 +146,10 @@
         """Return the refusal of quarantined work; None if it may be sent."""
         return self._scheduler.refuse_quarantined(work, self._clock.now_seconds())
 
+    def retry_counts(self, target_group: TargetGroupId) -> dict[str, float]:
+        """Return the counts of a group's retry budget, for the log."""
+        return self._scheduler.retry_counts(target_group, self._clock.now_seconds())
+
     def set_retry_terms(self, terms: RetryTerms) -> None:
         """Set the limits on retries in each target group."""
         self._scheduler.set_retry_terms(terms)
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -97,6 +97,7 @@
             request.caller_id, self._held, self._search_on, self._count_interrupted
         )
         self._has_retry = False
+        self._is_counted_here = False
         self._refusing: frozenset[TargetId] = frozenset()
         self._peer_attempts = PeerAttempts(
             deps, request, route_match.route, self._relay, self._held
@@ -307,6 +308,7 @@
         if first_sends(self._request.relayed).n_arrivals:
             # The daemon that relays it has counted it, and has taken this retry.
             return await self._deps.dispatcher.readmit(self._work, is_free=True)
+        self._is_counted_here = True
         return await self._deps.dispatcher.admit(self._work)
 
     def _bind_to_origin(self) -> bool:
@@ -370,7 +372,11 @@
             may_search = self._reserve_relay if peer is not tried[-1] else never
             remaining_seconds = self._remaining_seconds()
             end = await self._peer_attempts.send(
-                peer, self._sends, remaining_seconds, may_search
+                peer,
+                self._sends,
+                remaining_seconds,
+                may_search,
+                self._is_counted_here,
             )
             if end is None:
                 return
@@ -394,6 +400,12 @@
         self._has_retry = self._spend_retry()
         return self._has_retry
 
+    def _retry_counts(self) -> dict[str, float]:
+        """Return the counts of the retry budget if the request has arrived before."""
+        if not self._sends.n_arrivals:
+            return {}
+        return self._deps.dispatcher.retry_counts(self._target_group)
+
     def _spend_retry(self) -> bool:
         return self._deps.dispatcher.spend_retry(self._target_group)
 
@@ -471,6 +483,8 @@
             None if listed is None else listed.software_version,
             self._relay.after_event,
             self._deps.clock.now_seconds(),
+            self._is_counted_here,
+            self._retry_counts(),
         )
         end: AttemptEnd | None = None
         kind = FinishKind.CANCELLED
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -152,6 +152,7 @@
         sends: Sends,
         remaining_seconds: float,
         may_search: Callable[[], bool],
+        is_counted_here: bool,
     ) -> AttemptEnd | None:
         """Send the request to one peer and relay its response.
 
@@ -160,6 +161,7 @@
             sends: The attempts before.
             remaining_seconds: Until the deadline of the request.
             may_search: Whether to try another peer while this one is silent.
+            is_counted_here: Whether this daemon has counted it as a first attempt.
 
         Returns:
             How the attempt ended, or what the silence of the peer counts as, while the
@@ -189,6 +191,8 @@
             peer=peer.daemon,
             n_runs=sends.n_runs,
             n_arrivals_before=sends.n_arrivals,
+            n_arrivals=self.n_arrivals,
+            is_counted_here=is_counted_here,
             end="served" if end is None else end.value,
             first_seconds=self._relay.first_seconds,
             **body_fields(trace.body),
--- a/lycheepost/decide/scheduler.py
+++ b/lycheepost/decide/scheduler.py
@@ -168,6 +168,12 @@
         """Return the retry of a request that is not sent again."""
         self._budgets.give_back(request)
 
+    def retry_counts(
+        self, target_group: TargetGroupId, now_seconds: float
+    ) -> dict[str, float]:
+        """Return the counts of a group's retry budget, for the log."""
+        return self._budgets.of(target_group).status(now_seconds)
+
     @property
     def retry_terms(self) -> RetryTerms:
         """Return the terms of every group's retry budget."""
