Compare retries with the requests of one earlier window, fleet-wide

What callers saw: repeats at a service beyond the fleet's bound while most servers fail and daemons lose their paths.

Cause: each daemon allowed a share of its own requests of its last window. The sum is no share of the requests of any one window of the fleet: daemons that carried the traffic spend the share of requests before the window on relays, while those that carry it now earn the share of the requests in it. In the limit every request of two windows pays in one.

Change: the daemons compare the retries of each window with the requests of the window that begins half a length earlier, for every window that the moment is in. Each daemon's retries are then bounded by its requests of one fixed window, and the sum over daemons by the fleet's requests of that window, however requests move. Steady traffic may retry the same share as before; half of it is available at once for a sudden loss, before all of it.

--- a/features/decide/retryparts.feature
+++ b/features/decide/retryparts.feature
@@ -17,7 +17,10 @@
       | 7  | 7     | 54    | are all killed at once and start again  |
       | 7  | 7     | 54    | do not hear of half of the others       |
       | 7  | 7     | 54    | are replaced by new ones                |
+      | 7  | 7     | 54    | lose their paths as servers begin to fail |
+      | 7  | 7     | 54    | get all requests in turn as servers begin to fail |
       | 86 | 10    | 212   | go on                                   |
+      | 86 | 10    | 212   | lose their paths as servers begin to fail |
       | 86 | 10    | 212   | take over from entry daemons that died  |
       | 86 | 10    | 212   | are killed and start again              |
 
--- a/features/decide/steps/retryparts_steps.py
+++ b/features/decide/steps/retryparts_steps.py
@@ -9,7 +9,7 @@
 
 from lycheepost.core.ids import DaemonId
 from lycheepost.decide.retry import RetryBudget, RetryTerms
-from lycheepost.decide.retryparts import USED_RETRY_SHARE, RetryPart
+from lycheepost.decide.retryparts import RetryPart, fleet_retry_terms
 
 WINDOW_SECONDS = 10.0
 STEP_SECONDS = 0.1
@@ -43,6 +43,9 @@
     requests: list = field(default_factory=list)
     retries: list = field(default_factory=list)
     views: list = field(default_factory=list)
+    without_paths: frozenset = frozenset()
+    """Daemons whose requests arrive at the others; they pay for relays."""
+    sound_until_seconds: float = 0.0
 
     def begin(self):
         for index in range(self.n):
@@ -72,20 +75,30 @@
             divisor = daemon.part.divisor(
                 daemon.name in seen_entry, len(seen_entry), n_seen, now_seconds
             )
-            terms = RetryTerms(
-                USED_RETRY_SHARE * 0.2,
-                USED_RETRY_SHARE * self.burst / divisor,
-                WINDOW_SECONDS,
-            )
+            terms = fleet_retry_terms(0.2, self.burst, WINDOW_SECONDS, divisor)
             daemon.budget.set_terms(terms)
-        carriers = [item for item in self.daemons if item.name in self.entry()]
+        carriers = [
+            item
+            for item in self.daemons
+            if item.name in self.entry() and item.name not in self.without_paths
+        ]
         for _ in range(REQUESTS_PER_STEP):
             daemon = self.rng.choice(carriers or self.daemons)
             self.requests.append(now_seconds)
             daemon.budget.note_first_attempt(now_seconds)
-            for _ in range(TRIES):
-                if daemon.is_up and daemon.budget.spend(now_seconds):
-                    self.retries.append(now_seconds)
+            if now_seconds < self.sound_until_seconds:
+                continue
+            self.repeat(daemon, now_seconds)
+            for relaying in self.daemons:
+                if relaying.name in self.without_paths:
+                    self.repeat(relaying, now_seconds)
+
+    def repeat(self, daemon, now_seconds):
+        """Let a daemon send a request again as often as its budget allows."""
+        for _ in range(TRIES):
+            if not daemon.is_up or not daemon.budget.spend(now_seconds):
+                return
+            self.retries.append(now_seconds)
 
     def disturb(self, trouble, now_seconds):
         """Cause the next trouble."""
@@ -113,6 +126,17 @@
             case "take over from entry daemons that died":
                 for name in list(self.entry()):
                     next(item for item in up if item.name == name).is_up = False
+            case "lose their paths as servers begin to fail":
+                names_up = sorted(item.name for item in up)
+                lost, left = names_up[::2], names_up[1::2]
+                cut = lost if set(lost) != self.without_paths else left
+                self.without_paths = frozenset(cut)
+                self.sound_until_seconds = rng.choice((0.0, now_seconds + 8.0))
+            case "get all requests in turn as servers begin to fail":
+                chosen = rng.choice([item.name for item in up])
+                others = {item.name for item in up} - {chosen}
+                self.without_paths = frozenset(others)
+                self.sound_until_seconds = rng.choice((0.0, now_seconds + 12.0))
             case _:
                 raise ValueError(trouble)
 
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -34,7 +34,7 @@
 from lycheepost.decide.notices import TargetNotices
 from lycheepost.decide.records import LoadReport, TargetView
 from lycheepost.decide.retry import RetryTerms
-from lycheepost.decide.retryparts import USED_RETRY_SHARE, unknown_fleet_divisor
+from lycheepost.decide.retryparts import fleet_retry_terms, unknown_fleet_divisor
 from lycheepost.decide.scheduler import Scheduler
 from lycheepost.decide.settings import SchedulerSettings
 from lycheepost.decide.softwareversions import SoftwareVersions
@@ -377,10 +377,8 @@
         bounds: The fleet's limits.
         divisor: Among how many equal parts the burst is divided; infinite for no part.
     """
-    return RetryTerms(
-        share=USED_RETRY_SHARE * bounds.retry_share,
-        burst=USED_RETRY_SHARE * bounds.retry_burst / divisor,
-        window_seconds=bounds.retry_window_seconds,
+    return fleet_retry_terms(
+        bounds.retry_share, bounds.retry_burst, bounds.retry_window_seconds, divisor
     )
 
 
--- a/lycheepost/decide/retry.py
+++ b/lycheepost/decide/retry.py
@@ -3,11 +3,22 @@
 When many targets fail at once, retrying every request would double the load on the rest
 of the fleet, which would fail too. In any ten seconds a target group gets a fixed
 number of retries plus a fraction of its first attempts.
+
+A process that is bounded alone compares its retries with its requests of the same window.
+Where the processes of a fleet are bounded together, all of them compare the retries of
+each window with the requests of one and the same other window, the one that begins half a
+length earlier. Whichever process gets a request, it then pays for the retries of fixed
+windows only, and the sum of all processes keeps the bound when requests move from one
+process to another.
 """
 
+import math
 import random
+from bisect import bisect_left
 from collections import deque
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import accumulate
 
 from lycheepost.core.ids import RequestId
 
@@ -52,6 +63,22 @@
     n_retries: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SameWindow:
+    """Retries are compared with the requests of their own window."""
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierWindow:
+    """Retries are compared with the requests of a window that begins earlier.
+
+    Attributes:
+        lead_seconds: How much earlier.
+    """
+
+    lead_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class RetryTerms:
     """Limits on retries.
@@ -60,18 +87,45 @@
         share: Retries allowed per request in the window.
         burst: Retries allowed in addition.
         window_seconds: Length of the window; the limits hold for any span of it.
+        requests: The requests that the share is of.
     """
 
     share: float
     burst: float = BURST_RETRIES
     window_seconds: float = 10.0
+    requests: SameWindow | EarlierWindow = SameWindow()
+
+
+def _cumulated(counts: Iterable[int]) -> list[int]:
+    """Return the sums of all counts before each index, and of all."""
+    return list(accumulate(counts, initial=0))
+
+
+@dataclass(frozen=True, slots=True)
+class _Window:
+    """Counts of one window.
+
+    Attributes:
+        n_requests: The requests that the share is of.
+        n_retries: Retries in the window until now.
+        n_allowed: Retries that may be sent in it.
+    """
+
+    n_requests: int
+    n_retries: int
+    n_allowed: float
+
+    @property
+    def n_left(self) -> float:
+        """Return how many more retries may be sent."""
+        return self.n_allowed - self.n_retries
 
 
 class RetryBudget:
     """Retry budget over a sliding window.
 
     It counts exactly instead of refilling a token bucket: a lost target interrupts tens
-    of requests at once, and all of them may be retried if few were retried before,
+    of requests at once, and many of them may be retried if few were retried before,
     while the sum over any window stays within the bound.
 
     Args:
@@ -95,9 +149,7 @@
     def spend(self, now_seconds: float) -> bool:
         """Take one retry; return False if the budget is exhausted."""
         slot = self._slot(now_seconds)
-        n_requests = sum(item.n_requests for item in self._slots)
-        n_retries = sum(item.n_retries for item in self._slots)
-        if n_retries + 1 > self._terms.burst + self._terms.share * n_requests:
+        if min(window.n_left for window in self._windows(now_seconds)) < 1:
             return False
         slot.n_retries += 1
         return True
@@ -136,21 +188,55 @@
             slot.n_retries -= 1
 
     def status(self, now_seconds: float) -> dict[str, float]:
-        """Return the counts of the current window, for the status page."""
+        """Return the counts of the window with the fewest retries left."""
         self._slot(now_seconds)
-        n_requests = sum(item.n_requests for item in self._slots)
+        window = min(self._windows(now_seconds), key=lambda item: item.n_left)
         return {
-            "n_requests": n_requests,
-            "n_retries": sum(item.n_retries for item in self._slots),
-            "n_allowed": self._terms.burst + self._terms.share * n_requests,
+            "n_requests": window.n_requests,
+            "n_retries": window.n_retries,
+            "n_allowed": window.n_allowed,
         }
 
+    def _windows(self, now_seconds: float) -> Iterator[_Window]:
+        """Yield the counts of all windows that the current moment is in."""
+        window_seconds = self._terms.window_seconds
+        first_seconds = now_seconds - window_seconds - SLOT_SECONDS
+        starts_seconds = [slot.started_seconds for slot in self._slots]
+        n_requests = _cumulated(slot.n_requests for slot in self._slots)
+        n_retries = _cumulated(slot.n_retries for slot in self._slots)
+        first = bisect_left(starts_seconds, first_seconds)
+        match self._terms.requests:
+            case SameWindow():
+                yield self._window(n_requests[-1] - n_requests[first], n_retries, first)
+            case EarlierWindow(lead_seconds=lead_seconds):
+                for index in range(first, len(starts_seconds)):
+                    from_seconds = starts_seconds[index] - lead_seconds
+                    begin = bisect_left(starts_seconds, from_seconds)
+                    end = bisect_left(starts_seconds, from_seconds + window_seconds)
+                    yield self._window(
+                        n_requests[end] - n_requests[begin], n_retries, index
+                    )
+
+    def _window(self, n_requests: int, n_retries: list[int], first: int) -> _Window:
+        """Return the counts of the window whose first slot has an index."""
+        n_allowed = self._terms.burst + self._terms.share * n_requests
+        return _Window(n_requests, n_retries[-1] - n_retries[first], n_allowed)
+
+    def _history_seconds(self) -> float:
+        """Return how long slots are kept: for all windows of the current moment."""
+        match self._terms.requests:
+            case SameWindow():
+                lead_seconds = 0.0
+            case EarlierWindow(lead_seconds=lead_seconds):
+                pass
+        return self._terms.window_seconds + SLOT_SECONDS + lead_seconds
+
     def _slot(self, now_seconds: float) -> _Slot:
         """Return the current slot, after dropping those before the window."""
         slots = self._slots
         self._drop_old(self._unsent, now_seconds - MAX_UNSENT_SECONDS)
         self._drop_old(self._sent, now_seconds - MAX_UNSENT_SECONDS)
-        first_seconds = now_seconds - self._terms.window_seconds - SLOT_SECONDS
+        first_seconds = now_seconds - self._history_seconds()
         while slots and slots[0].started_seconds < first_seconds:
             slots.popleft()
         if not slots or now_seconds - slots[-1].started_seconds >= SLOT_SECONDS:
--- a/lycheepost/decide/retryparts.py
+++ b/lycheepost/decide/retryparts.py
@@ -7,10 +7,15 @@
 that are no longer heard of by much longer, as they may only be cut off from this one.
 A daemon that has started again does not know what its earlier start has used, and has
 no part for one window. The share of its own requests is not affected.
+
+The share of requests is bounded over the fleet by comparing all daemons' retries with the
+requests of one and the same earlier window: requests move between daemons, when these are
+killed, start, or lose their paths.
 """
 
 import math
 
+from lycheepost.decide.retry import EarlierWindow, RetryTerms
 from lycheepost.utils.heldmaximum import HeldMaximum
 
 USED_RETRY_SHARE = 0.85
@@ -32,6 +37,31 @@
 daemons last. Until then the others do without its part."""
 
 
+REQUESTS_LEAD = 0.5
+"""How much earlier than the retries the requests are counted that pay for them, in
+windows. Half of the requests of the last window are then available for a sudden loss,
+and a daemon that gets its first requests may retry some of them at once."""
+
+
+def fleet_retry_terms(
+    share: float, burst: float, window_seconds: float, divisor: float
+) -> RetryTerms:
+    """Return one daemon's part of the fleet's limits on retries.
+
+    Args:
+        share: Retries of the whole fleet per request in a window.
+        burst: Retries of the whole fleet in addition.
+        window_seconds: Length of a window.
+        divisor: Among how many equal parts the burst is divided; infinite for no part.
+    """
+    return RetryTerms(
+        USED_RETRY_SHARE * share,
+        USED_RETRY_SHARE * burst / divisor,
+        window_seconds,
+        EarlierWindow(REQUESTS_LEAD * window_seconds),
+    )
+
+
 def count_retry_shares(is_entry: bool, n_entry: int, n_daemons: int) -> int:
     """Return the divisor of the fleet's retries for one daemon.
 
