Count a relayed request as a first attempt at one daemon only

What callers saw: nothing by itself; the fleet's budget for repeats grew by more requests than callers sent. A daemon that queues a request and then finds its paths lost had counted it, and each peer that it relays it to counted it again as long as no server had got it.

Change: a relay states whether a daemon has counted the request. The peer then admits it without counting it.

--- a/features/platform/retrybudget.feature
+++ b/features/platform/retrybudget.feature
@@ -30,6 +30,7 @@
     When clients of half of the daemons send 60 look-ups a second for 20 s, and after 10 s 5 plain servers <fail> and the connections of these daemons to all servers <cut>
     Then in no 10 s plain servers get more repeats than 0.2 of the requests and 54
     And some requests were repeated
+    And the daemons together count no request twice
 
     Examples:
       | cut        | fail            |
--- a/features/platform/steps/retrybudget_steps.py
+++ b/features/platform/steps/retrybudget_steps.py
@@ -142,6 +142,16 @@
     assert find_repeats(arrivals(context.deployment, "plain"))
 
 
+@then("the daemons together count no request twice")
+def step_counted_once(context):
+    n_counted = sum(
+        counts["n_first_attempts"]
+        for daemon in context.deployment.daemons
+        for counts in daemon.status()["queues"]["retries"].values()
+    )
+    assert n_counted <= len(context.sent_seconds), n_counted
+
+
 @given(
     "a deployment with {n_daemons:d} daemons, {n_plain:d} plain server and"
     " {n_engines:d} engines"
--- a/lycheepost/callers/forwarddeps.py
+++ b/lycheepost/callers/forwarddeps.py
@@ -37,11 +37,13 @@
         n_runs: On how many targets it may have run before.
         n_arrivals: How often it may have arrived at targets before.
         configuration: Version of the configuration by which its route was found.
+        is_counted: Whether a daemon has counted its first attempt.
     """
 
     n_runs: int
     n_arrivals: int = 0
     configuration: int = 0
+    is_counted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -97,7 +97,9 @@
             request.caller_id, self._held, self._search_on, self._count_interrupted
         )
         self._has_retry = False
-        self._is_counted_here = False
+        self._is_counted = request.relayed is not None and (
+            request.relayed.is_counted or request.relayed.n_arrivals > 0
+        )
         self._refusing: frozenset[TargetId] = frozenset()
         self._peer_attempts = PeerAttempts(
             deps, request, route_match.route, self._relay, self._held
@@ -305,10 +307,10 @@
 
     async def _admit(self) -> Outcome:
         """Admit the request for its first attempt here."""
-        if first_sends(self._request.relayed).n_arrivals:
-            # The daemon that relays it has counted it, and has taken this retry.
+        if self._is_counted:
+            # If it has arrived before, the daemon that relays it has taken this retry.
             return await self._deps.dispatcher.readmit(self._work, is_free=True)
-        self._is_counted_here = True
+        self._is_counted = True
         return await self._deps.dispatcher.admit(self._work)
 
     def _bind_to_origin(self) -> bool:
@@ -376,10 +378,12 @@
                 self._sends,
                 remaining_seconds,
                 may_search,
-                self._is_counted_here,
+                self._is_counted,
             )
             if end is None:
                 return
+            # The peer may have counted it, whether or not it says how this ended.
+            self._is_counted |= end is not AttemptEnd.NOT_SENT
             self._count(end)
             if not await self._should_continue(end):
                 return
@@ -483,7 +487,7 @@
             None if listed is None else listed.software_version,
             self._relay.after_event,
             self._deps.clock.now_seconds(),
-            self._is_counted_here,
+            self._request.relayed is not None,
             self._retry_counts(),
         )
         end: AttemptEnd | None = None
--- a/lycheepost/callers/peerrelay.py
+++ b/lycheepost/callers/peerrelay.py
@@ -81,6 +81,7 @@
     configuration: int,
     remaining_seconds: float,
     after_event: int | None,
+    is_counted: bool,
 ) -> ForwardCall:
     """Return the call that relays a request to a peer.
 
@@ -91,6 +92,7 @@
         configuration: Version of the configuration in force here.
         remaining_seconds: Until the deadline of the request.
         after_event: Id of the last event that the caller has received, if any.
+        is_counted: Whether a daemon has counted its first attempt.
     """
     return ForwardCall(
         target=TargetId(peer.daemon),
@@ -107,7 +109,12 @@
         # one may still serve the request.
         may_reuse_connection=False,
         relay=RelayOptions(
-            request.key, sends.n_runs, sends.n_arrivals, configuration, request.stream
+            request.key,
+            sends.n_runs,
+            sends.n_arrivals,
+            configuration,
+            request.stream,
+            is_counted,
         ),
     )
 
@@ -152,7 +159,7 @@
         sends: Sends,
         remaining_seconds: float,
         may_search: Callable[[], bool],
-        is_counted_here: bool,
+        is_counted: bool,
     ) -> AttemptEnd | None:
         """Send the request to one peer and relay its response.
 
@@ -161,7 +168,7 @@
             sends: The attempts before.
             remaining_seconds: Until the deadline of the request.
             may_search: Whether to try another peer while this one is silent.
-            is_counted_here: Whether this daemon has counted it as a first attempt.
+            is_counted: Whether a daemon has counted its first attempt.
 
         Returns:
             How the attempt ended, or what the silence of the peer counts as, while the
@@ -175,6 +182,7 @@
             route_table(self._deps).version,
             remaining_seconds,
             after_event,
+            is_counted,
         )
         self.is_sent = True
         self.n_arrivals = None
@@ -192,7 +200,7 @@
             n_runs=sends.n_runs,
             n_arrivals_before=sends.n_arrivals,
             n_arrivals=self.n_arrivals,
-            is_counted_here=is_counted_here,
+            is_counted=is_counted,
             end="served" if end is None else end.value,
             first_seconds=self._relay.first_seconds,
             **body_fields(trace.body),
--- a/lycheepost/callers/sentlog.py
+++ b/lycheepost/callers/sentlog.py
@@ -20,7 +20,7 @@
         sends: The attempts before.
         after_event: Id of the event after which a stream goes on, if any.
         sent_seconds: When it was sent.
-        is_counted_here: Whether this daemon has counted the request as a first attempt.
+        is_relayed: Whether another daemon relays the request to this one.
         retry_counts: The counts of the retry budget if it had arrived before, else
             none.
     """
@@ -31,7 +31,7 @@
     software_version: SoftwareVersion | None
     after_event: int | None
     sent_seconds: float
-    is_counted_here: bool
+    is_relayed: bool
     retry_counts: dict[str, float]
 
 
@@ -56,7 +56,7 @@
         "has_written": trace.has_written,
         "parts": part_names(sent.work.parts),
         "n_arrivals_before": sent.sends.n_arrivals,
-        "is_counted_here": sent.is_counted_here,
+        "is_relayed": sent.is_relayed,
         **{f"retry_{name}": count for name, count in sent.retry_counts.items()},
         "software_version": sent.software_version,
         "after_event": sent.after_event,
--- a/lycheepost/decide/retry.py
+++ b/lycheepost/decide/retry.py
@@ -4,15 +4,14 @@
 of the fleet, which would fail too. In any ten seconds a target group gets a fixed
 number of retries plus a fraction of its first attempts.
 
-A process that is bounded alone compares its retries with its requests of the same window.
-Where the processes of a fleet are bounded together, all of them compare the retries of
-each window with the requests of one and the same other window, the one that begins half a
-length earlier. Whichever process gets a request, it then pays for the retries of fixed
-windows only, and the sum of all processes keeps the bound when requests move from one
-process to another.
+A process that is bounded alone compares its retries with its requests of the same
+window. Where the processes of a fleet are bounded together, all of them compare the
+retries of each window with the requests of one and the same other window, which begins
+half a length earlier. Whichever process gets a request, it then pays for the retries of
+fixed windows only, and the sum of all processes keeps the bound when requests move from
+one process to another.
 """
 
-import math
 import random
 from bisect import bisect_left
 from collections import deque
@@ -137,6 +136,7 @@
         self._slots: deque[_Slot] = deque()
         self._unsent: dict[RequestId, _Slot] = {}
         self._sent: dict[RequestId, _Slot] = {}
+        self._n_first_attempts = 0
 
     def set_terms(self, terms: RetryTerms) -> None:
         """Change the limits, or this daemon's share of them."""
@@ -145,6 +145,7 @@
     def note_first_attempt(self, now_seconds: float) -> None:
         """Count a first attempt."""
         self._slot(now_seconds).n_requests += 1
+        self._n_first_attempts += 1
 
     def spend(self, now_seconds: float) -> bool:
         """Take one retry; return False if the budget is exhausted."""
@@ -188,10 +189,14 @@
             slot.n_retries -= 1
 
     def status(self, now_seconds: float) -> dict[str, float]:
-        """Return the counts of the window with the fewest retries left."""
+        """Return the counts of the window with the fewest retries left.
+
+        ``n_first_attempts`` counts since the start.
+        """
         self._slot(now_seconds)
         window = min(self._windows(now_seconds), key=lambda item: item.n_left)
         return {
+            "n_first_attempts": self._n_first_attempts,
             "n_requests": window.n_requests,
             "n_retries": window.n_retries,
             "n_allowed": window.n_allowed,
--- a/lycheepost/decide/retryparts.py
+++ b/lycheepost/decide/retryparts.py
@@ -8,9 +8,9 @@
 A daemon that has started again does not know what its earlier start has used, and has
 no part for one window. The share of its own requests is not affected.
 
-The share of requests is bounded over the fleet by comparing all daemons' retries with the
-requests of one and the same earlier window: requests move between daemons, when these are
-killed, start, or lose their paths.
+The share of requests is bounded over the fleet by comparing all daemons' retries with
+the requests of one and the same earlier window: requests move between daemons when
+these are killed, start, or lose their paths.
 """
 
 import math
--- a/lycheepost/platform/headers.py
+++ b/lycheepost/platform/headers.py
@@ -51,6 +51,10 @@
 """Sent between daemons with a relayed request: how often it may have arrived at servers
 before. In a peer's own response to it: how often it arrived there meanwhile."""
 
+RELAYED_COUNTED = "Lycheepost-Relayed-Counted"
+"""Sent between daemons with a relayed request: 1 if a daemon has counted its first
+attempt for the retry budget, so that no other may count it again."""
+
 RELAYED_CONFIGURATION = "Lycheepost-Relayed-Configuration"
 """Sent between daemons with a relayed request: the version of the configuration by
 which the sender has found its route."""
@@ -76,6 +80,7 @@
         "Kv-From",
         RELAYED_RUNS,
         RELAYED_ARRIVALS,
+        RELAYED_COUNTED,
         RELAYED_CONFIGURATION,
     )
 )
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -421,6 +421,7 @@
         n_runs,
         parse_count(headers.get(names.RELAYED_ARRIVALS, "")) or 0,
         parse_count(headers.get(names.RELAYED_CONFIGURATION, "")) or 0,
+        parse_count(headers.get(names.RELAYED_COUNTED, "")) == 1,
     )
 
 
--- a/lycheepost/platform/peerdialect.py
+++ b/lycheepost/platform/peerdialect.py
@@ -45,6 +45,7 @@
         if call.relay is not None:
             headers.append((names.RELAYED_RUNS, str(call.relay.n_runs)))
             headers.append((names.RELAYED_ARRIVALS, str(call.relay.n_arrivals)))
+            headers.append((names.RELAYED_COUNTED, str(int(call.relay.is_counted))))
             headers.append((names.RELAYED_CONFIGURATION, str(call.relay.configuration)))
             if call.relay.key is not None:
                 headers.append((names.AUTHORIZATION, f"Token {call.relay.key}"))
--- a/lycheepost/targets/forwardcall.py
+++ b/lycheepost/targets/forwardcall.py
@@ -51,6 +51,7 @@
         n_arrivals: How often it may have arrived at targets before.
         configuration: Version of the configuration by which its route was found.
         stream: The stream that it begins or takes up; empty if unknown.
+        is_counted: Whether a daemon has counted its first attempt.
     """
 
     key: str | None
@@ -58,6 +59,7 @@
     n_arrivals: int = 0
     configuration: int = 0
     stream: StreamId = StreamId("")
+    is_counted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
