Record in the store which software version began a stream

Cause: which version began a stream was known to daemons alone. A daemon that doesn't know rightly refuses, as texts of two versions would be joined.

Change: in the times in which daemons tell each other of the streams that they begin, each also records its own in the store, at most four writes a second, in rows that it replaces in turn. A daemon reads all rows at its start, before it writes. Weighed: the engines' reports (what they keep after a connection broke isn't stated), and a row of the versions in service (says nothing while two are).

--- a/features/platform/softwareversions.feature
+++ b/features/platform/softwareversions.feature
@@ -36,10 +36,24 @@
   Scenario: Streams whose begin no daemon knows are refused at once
     Guards against daemons that guess the version of a stream after all have restarted.
     Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
-    When 24 streams of both versions are lost, all daemons are replaced and they are taken up
+    When 24 streams of both versions are lost, all daemons are replaced without a record of them and they are taken up
     Then no stream holds events of two versions
     And each take-up is refused at once as not run, with a time to come back
 
+  Scenario: Streams of two versions go on after all daemons have lost power
+    Guards against take-ups that are all refused, as no daemon remembers what began them.
+    Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
+    When 24 streams of both versions are lost, all daemons are replaced and they are taken up
+    Then no stream holds events of two versions
+    And at least 9 in 10 of them are complete
+
+  Scenario: Streams of two versions go on after all daemons have lost power twice
+    Guards against a record that a daemon that has just started replaces too soon.
+    Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
+    When 24 streams of both versions are lost, all daemons are replaced twice and they are taken up
+    Then no stream holds events of two versions
+    And at least 9 in 10 of them are complete
+
   Scenario: A take-up that names no stream is refused at once beside two versions
     Guards against a take-up at any version, as its client doesn't say what it takes up.
     Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
--- a/features/platform/steps/softwareversion_steps.py
+++ b/features/platform/steps/softwareversion_steps.py
@@ -24,6 +24,7 @@
 from lycheepost.decide.softwareversions import CURRENT_LIST_SECONDS
 from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverstandin import PlatformServer, event_bytes
+from lycheepost.platform.store import OWN_TABLE
 from lycheepost.standin.faults import FaultPlan, Truncated
 
 FIRST_EVENTS = 3
@@ -259,23 +260,38 @@
     context.loop.run_until_complete(run())
 
 
-@when(
-    "{n:d} streams of both versions are lost, all daemons are replaced and they are"
-    " taken up"
-)
-def step_all_replaced(context, n):
+async def replace_all(deployment, n_daemons):
+    """End the last daemons without a farewell and start as many others."""
+    n_before = len(deployment.daemons)
+    for index in range(n_before - n_daemons, n_before):
+        await end(deployment, index)
+    for _ in range(n_daemons):
+        await add_daemon(deployment)
+
+
+def lose_record(deployment):
+    """Remove what the store knows of streams, as a restore from an old copy does."""
+    store = deployment.store.store
+    for row in store.rows(OWN_TABLE):
+        if row.key.startswith("streams/"):
+            store.put(OWN_TABLE, row.key, None)
+
+
+def lose_all(context, n, n_times, keeps_record):
+    """Begin streams, replace all daemons some times, and take the streams up."""
     deployment = context.deployment
 
     async def run():
-        context.streams = await begin_both(deployment, n, 0, FIRST_EVENTS)
         n_daemons = len(deployment.daemons)
-        for index in range(n_daemons):
-            await end(deployment, index)
-        for _ in range(n_daemons):
-            await add_daemon(deployment)
+        context.streams = await begin_both(deployment, n, 0, FIRST_EVENTS)
+        for _ in range(n_times):
+            if not keeps_record:
+                lose_record(deployment)
+            await replace_all(deployment, n_daemons)
+        n_gone = n_times * n_daemons
         await asyncio.gather(
             *(
-                continue_stream(deployment, stream, n_daemons + number % n_daemons)
+                continue_stream(deployment, stream, n_gone + number % n_daemons)
                 for number, stream in enumerate(context.streams)
             )
         )
@@ -283,6 +299,30 @@
     context.loop.run_until_complete(run())
 
 
+@when(
+    "{n:d} streams of both versions are lost, all daemons are replaced without a record"
+    " of them and they are taken up"
+)
+def step_all_replaced_unrecorded(context, n):
+    lose_all(context, n, 1, keeps_record=False)
+
+
+@when(
+    "{n:d} streams of both versions are lost, all daemons are replaced and they are"
+    " taken up"
+)
+def step_all_replaced(context, n):
+    lose_all(context, n, 1, keeps_record=True)
+
+
+@when(
+    "{n:d} streams of both versions are lost, all daemons are replaced twice and they"
+    " are taken up"
+)
+def step_all_replaced_twice(context, n):
+    lose_all(context, n, 2, keeps_record=True)
+
+
 @when(
     "{n:d} streams are lost, the first daemon is gone and they are taken up without"
     " their ids"
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -371,6 +371,7 @@
             "retry_divisor": self._retry_divisor(),
             "own_paths": components.traffic.paths.status(),
             "stream_versions": components.traffic.stream_versions.status(),
+            "stream_record": components.traffic.stream_recorder.status(),
             "quotas": components.quotas.status(components.base.clock.now_seconds()),
             "quota_record": components.traffic.quota_recorder.status(),
             "store": components.base.store.status(),
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -19,6 +19,7 @@
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
 from lycheepost.app.startjudge import StartJudge
+from lycheepost.app.streamrecorder import StreamRecorder
 from lycheepost.app.streamversions import StreamVersionExchange
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.callers.forwarddeps import ForwardDeps, RelayPeer, Relays
@@ -52,6 +53,7 @@
 from lycheepost.state.quotarows import QuotaRows
 from lycheepost.state.relays import choose_asked, choose_relays
 from lycheepost.state.routing import RoutingManager
+from lycheepost.state.streamrows import StreamRows
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
 from lycheepost.targets.forwardcall import ResponseHead
@@ -100,6 +102,7 @@
     paths: PathWatch
     peer_client: ForwardClient
     stream_versions: StreamVersionExchange
+    stream_recorder: StreamRecorder
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
@@ -117,6 +120,7 @@
             self.verdicts,
             self.notices,
             self.stream_versions,
+            self.stream_recorder,
             self.quotas,
             self.quota_recorder,
         ]
@@ -196,8 +200,17 @@
         on_versions=lambda: stream_versions.note_versions(),
         is_list_current=lambda: stream_versions.is_list_current(),
     )
+    stream_recorder = StreamRecorder(
+        StreamRows(base.store, base.node.daemon), clock, base.node.is_first_start
+    )
     stream_versions = StreamVersionExchange(
-        software, exchange, clock, metrics, get_listed_seconds, targets.refresh
+        software,
+        exchange,
+        clock,
+        metrics,
+        get_listed_seconds,
+        targets.refresh,
+        recorder=stream_recorder,
     )
     notices = NoticeExchange(
         known_notices, dispatcher, targets, exchange, clock, metrics
@@ -285,6 +298,7 @@
         notices=notices,
         quotas=quotas,
         quota_recorder=quota_recorder,
+        stream_recorder=stream_recorder,
         path_prober=path_prober,
         paths=paths,
         peer_client=peer_client,
--- a/lycheepost/app/streamversions.py
+++ b/lycheepost/app/streamversions.py
@@ -3,7 +3,8 @@
 A caller takes a stream up again at any daemon, which must know the version that began
 it. While a group has one version, that is the one. Beside two, and after a start of all
 daemons, they tell each other which version began which stream. A daemon that can't know
-asks its peers to serve the request (``callers.forwarding``).
+asks its peers to serve the request (``callers.forwarding``). What they tell each other
+is recorded in the store as well, for the case that all daemons lose power.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 
 import structlog
 
+from lycheepost.app.streamrecorder import StreamRecorder
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, SoftwareVersion, StreamId, TargetGroupId
 from lycheepost.decide.softwareversions import (
@@ -27,6 +29,7 @@
     SoftwareNews,
 )
 from lycheepost.peers.exchange import PeerExchange
+from lycheepost.state.streamrows import RecordedStream
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
 
@@ -63,6 +66,7 @@
         on_peers_confirmed: Called when a peer has confirmed versions, after which more
             targets may begin streams.
         call_soon: Calls a function after ``BATCH_SECONDS``.
+        recorder: Records streams for the next start of all daemons; None for none.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         get_confirmed_seconds: Callable[[], float | None],
         on_peers_confirmed: Callable[[], None],
         call_soon: Callable[[Callable[[], None]], object] | None = None,
+        recorder: StreamRecorder | None = None,
     ) -> None:
         self._software = software
         self._origins = StreamOrigins()
@@ -86,6 +91,9 @@
         self._met: set[DaemonId] = set()
         self._is_peer = True
         self._untold: list[StreamId] = []
+        self._recorder = recorder
+        if recorder is not None:
+            recorder.subscribe(self._note_recorded)
         self._call_soon = call_soon or _call_after_batch
         self._task: asyncio.Task[None] | None = None
         exchange.subscribe(PeerHello, self._receive_hello)
@@ -145,8 +153,11 @@
         now_seconds = self._clock.now_seconds()
         for peer in self._peers:
             self._send_software(peer, is_answer=False)
-        self._untold = list(self._origins.own(now_seconds))
+        own = self._origins.own(now_seconds)
+        self._untold = list(own)
         self._tell_streams()
+        for stream, origin in own.items():
+            self._record(stream, origin)
         for group in self._software.groups():
             _log.info(
                 "streams: software versions",
@@ -204,6 +215,22 @@
             if not self._untold:
                 self._call_soon(self._tell_streams)
             self._untold.append(stream)
+            self._record(stream, origin)
+
+    def _record(self, stream: StreamId, origin: StreamOrigin) -> None:
+        if self._recorder is not None:
+            self._recorder.add(stream, origin)
+
+    def _note_recorded(self, streams: tuple[RecordedStream, ...]) -> None:
+        """Take what was recorded before the start, where nothing newer is known."""
+        now_seconds = self._clock.now_seconds()
+        until_seconds = now_seconds + STREAM_SECONDS
+        for item in streams:
+            if self._origins.get(item.stream, now_seconds) is None:
+                origin = StreamOrigin(
+                    item.target_group, item.software_version, until_seconds
+                )
+                self._origins.note(item.stream, origin, is_own=False)
 
     def _must_tell(self, target_group: TargetGroupId, now_seconds: float) -> bool:
         """Return whether peers can't know the version of a group's streams.
