Withdraw what only an odd entry has named of a target

What callers saw: an entry that another program wrote over that of a sound engine, with a number too large or far ahead, left the engine at old weights after its own entry was back.

Cause: numbers that another writer chose were used as an order, the newest wins, without a bound. Weights of 1,000,000 in an entry made all later ones of the engine look old, so it got no order; a start in the year 2100 made all its own entries look like those of a process that has ended; numbers beyond 64 bits raised OverflowError in the batch of changes for the peers, which was lost with those of sound engines.

Change: whole numbers in entries, reports and operators' rows have a bound; an entry beyond it is unusable, as others. Weights that only an entry has named are withdrawn by the next entry of the same start. An entry of an earlier start makes the daemon ask the target; if its own report names that start, the later one is withdrawn, unless a report had named it. Two scenarios of state/targetlist forbid believing the later entry by itself: a late entry of an ended process looks the same.

--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -90,6 +90,11 @@
     context.list.take([make_target(name, version, started_ms)], [], False)
 
 
+@when("{name} itself reports that it started at {started_ms:d}")
+def step_own_start(context, name, started_ms):
+    context.list.note_own_start(TargetStart(TargetId(name), started_ms))
+
+
 @when("{name} reports that it started at {started_ms:d}")
 def step_reports_start(context, name, started_ms):
     context.list.note_start(TargetStart(TargetId(name), started_ms))
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -323,3 +323,35 @@
     Then b may be used and a may not be sent to
     When 5.1 s pass
     Then a and b may be used
+
+  Scenario: A later start that is not the target's own is withdrawn by its report
+    Another program writes an entry with a start far ahead over that of an engine. Guards
+    against an engine whose own entries are ignored from then on.
+    Given registered targets a and b that started at 1000
+    When a registers with version 1 as started at 900000
+    And a registers with version 1 as started at 1000
+    Then the recorded start of a is 900000
+    When a itself reports that it started at 1000
+    Then the recorded start of a is 1000
+    And a and b may be used
+    When a reports that it started at 900000
+    Then the recorded start of a is 1000
+    When a registers with version 2 as started at 2000
+    Then the recorded start of a is 2000
+
+  Scenario: A later start that the target itself has reported is not withdrawn
+    Guards against the report of a process that has ended, which arrives late.
+    Given registered targets a and b that started at 1000
+    When a reports that it started at 2000
+    And a registers with version 1 as started at 1000
+    And a itself reports that it started at 1000
+    Then the recorded start of a is 2000
+
+  Scenario: Weights that only an entry has named are withdrawn by the next one
+    Another program writes an entry with a version far ahead. Guards against an engine
+    that never gets new weights, as its own seem newer.
+    Given registered targets a and b that started at 1000
+    When a registers with version 1000000 as started at 1000
+    Then a holds version 1000000
+    When a registers with version 1 as started at 1000
+    Then a holds version 1
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -199,6 +199,7 @@
         software=software,
         on_versions=lambda: stream_versions.note_versions(),
         is_list_current=lambda: stream_versions.is_list_current(),
+        on_denied=lambda listed: starts.ask_denied(listed),
     )
     stream_recorder = StreamRecorder(
         StreamRows(base.store, base.node.daemon), clock, base.node.is_first_start
--- a/lycheepost/app/startjudge.py
+++ b/lycheepost/app/startjudge.py
@@ -5,6 +5,7 @@
 
 from lycheepost.app.notices import NoticeExchange
 from lycheepost.app.paths import PathWatch
+from lycheepost.core.ids import TargetId
 from lycheepost.core.routing import ListedTarget
 from lycheepost.core.starts import StartVerdict, TargetStart
 from lycheepost.decide.startverdict import (
@@ -16,6 +17,7 @@
 from lycheepost.platform.orders import ServerOrders
 from lycheepost.state.routing import RoutingManager
 from lycheepost.state.targetlist import TargetList
+from lycheepost.utils.tasks import start_task
 
 _log = structlog.get_logger(part="targets")
 
@@ -44,6 +46,7 @@
         self._orders = orders
         self._notices = notices
         self._paths = paths
+        self._asked: set[TargetId] = set()
 
     async def judge(self, sent_to: ListedTarget) -> StartVerdict:
         """Return whether the start of a target has ended."""
@@ -64,6 +67,18 @@
         )
         return verdict
 
+    def ask_denied(self, listed: ListedTarget) -> None:
+        """Ask a target whether a registration of an earlier start is its own."""
+        if listed.started_ms is not None and listed.target not in self._asked:
+            self._asked.add(listed.target)
+            start_task(self._ask_denied(listed), "ask-denied")
+
+    async def _ask_denied(self, listed: ListedTarget) -> None:
+        try:
+            await self._ask(listed)
+        finally:
+            self._asked.discard(listed.target)
+
     def _health_path(self, sent_to: ListedTarget) -> str:
         table = self._routing.table
         group = None if table is None else table.groups.get(sent_to.target_group)
@@ -83,7 +98,7 @@
         match await self._orders.read_report(sent_to):
             case Success(report):
                 start = TargetStart(sent_to.target, report.started_ms)
-                self._targets.note_start(start)
+                self._targets.note_own_start(start)
                 return StartAnswer.SAME
             case Failure(error):
                 _log.info(
--- a/lycheepost/platform/documents.py
+++ b/lycheepost/platform/documents.py
@@ -25,6 +25,7 @@
     RouteTable,
     make_route_table,
 )
+from lycheepost.platform.numbers import Count
 from lycheepost.utils.decoding import UNREADABLE
 
 OPERATOR_TABLE = "op"
@@ -124,7 +125,7 @@
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -133,7 +134,7 @@
 
 class _WireWeights(msgspec.Struct):
     model: str
-    version: int
+    version: Count
 
 
 def decode_configuration(data: bytes) -> Result[RouteTable, DocumentError]:
--- a/lycheepost/platform/orders.py
+++ b/lycheepost/platform/orders.py
@@ -17,6 +17,7 @@
 from lycheepost.decide.startverdict import StartAnswer
 from lycheepost.platform import headers as names
 from lycheepost.platform.dialect import MISDIRECTED_STATUS, decode_notice
+from lycheepost.platform.numbers import Count
 from lycheepost.platform.sessions import make_call_session
 from lycheepost.targets.errors import TargetError, TargetLost, TargetUnreachable
 from lycheepost.targets.network import TargetNetwork
@@ -60,7 +61,7 @@
 
 class _WireModel(msgspec.Struct):
     name: str
-    version: int
+    version: Count
 
 
 class _WireReport(msgspec.Struct):
@@ -72,12 +73,12 @@
 
     models: list[_WireModel]
     busy: bool
-    seq: int
-    queued: int = 0
-    active: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    born: int | None = None
+    seq: Count
+    queued: Count = 0
+    active: Count = 0
+    kv_used: Count = 0
+    kv_total: Count = 0
+    born: Count | None = None
 
 
 class _WireOrder(msgspec.Struct):
--- a/lycheepost/platform/registrations.py
+++ b/lycheepost/platform/registrations.py
@@ -21,6 +21,7 @@
 )
 from lycheepost.core.routing import ListedTarget
 from lycheepost.platform.documents import DocumentError
+from lycheepost.platform.numbers import Count
 from lycheepost.platform.settings import parse_port
 from lycheepost.utils.decoding import UNREADABLE
 
@@ -30,7 +31,6 @@
 _MAX_SLOTS = 1_000_000
 """Above the number of concurrent requests that one process can serve."""
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 
 
@@ -38,7 +38,7 @@
     """A served model; ``version`` is the version of its weights."""
 
     name: str
-    version: _Count
+    version: Count
 
 
 class _WireServer(msgspec.Struct):
@@ -55,9 +55,9 @@
     slots: _Slots
     state: str
     cold_left_ms: float
-    seq: _Count
+    seq: Count
     models: list[_WireServerModel] = []
-    born: _Count | msgspec.UnsetType = msgspec.UNSET
+    born: Count | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclass(frozen=True)
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -88,6 +88,8 @@
         software: The software versions of the groups.
         on_versions: Called when a group has got a further software version.
         is_list_current: Returns whether the registrations are up to date.
+        on_denied: Called with a registration that names an earlier start than a known
+            one; the target itself can tell which of them is its own.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         software: SoftwareVersions | None = None,
         on_versions: Callable[[], None] = lambda: None,
         is_list_current: Callable[[], bool] = lambda: True,
+        on_denied: Callable[[ListedTarget], None] = lambda _: None,
     ) -> None:
         self._software = SoftwareList(
             software or SoftwareVersions(float("-inf")), on_versions, is_list_current
@@ -116,6 +119,8 @@
         self._named_weights = NamedWeights()
         self._known: dict[TargetId, TargetRecord] = {}
         self._starts = TargetStarts()
+        self._denied: dict[TargetId, ListedTarget] = {}
+        self._on_denied = on_denied
         self._health: dict[TargetGroupId, TargetHealth] = {}
         self._unreached: set[TargetGroupId] = set()
         self._limited: set[TargetId] = set()
@@ -200,10 +205,12 @@
         """
         for target in listed:
             self._departures.note_written(target)
+            self._correct_weights(target)
             self._put(target)
         now_seconds = self._clock.now_seconds()
         for name in removed:
             self._departures.note_removed(name)
+            self._denied.pop(name, None)
             known = self._known.get(name)
             if known is None or known.removed_seconds is not None:
                 continue
@@ -251,6 +258,22 @@
         if found:
             self.refresh()
 
+    def _correct_weights(self, listed: ListedTarget) -> None:
+        """Forget weights that only the registration before has named.
+
+        Another program may have written that one. Its number would make all that the
+        target writes look old.
+        """
+        known = self._known.get(listed.target)
+        if known is None or known.listed.start != listed.start:
+            return
+        for model, version in listed.weights.items():
+            before = known.listed.weights.get(model)
+            is_registered = known.weights.get(model) == before
+            if is_registered and weights_number(version) < weights_number(before):
+                _log.warning("targets: weights withdrawn", target=listed.target)
+                known.weights = {**known.weights, model: version}
+
     def _put(self, listed: ListedTarget) -> None:
         name = listed.target
         if self._starts.is_old(listed.start):
@@ -262,14 +285,17 @@
                 started_ms=listed.started_ms,
                 newest_ms=newest_ms,
             )
+            self._denied[name] = listed
+            self._on_denied(listed)
             return
+        self._denied.pop(name, None)
         if listed.is_leaving:
             self._registered_leaving.note(listed.start)
         elif self._registered_leaving.is_leaving(
             listed.start
         ) or self._leaving.is_leaving(listed.start):
             listed = replace(listed, is_leaving=True)
-        is_restarted = self._starts.note(listed.start)
+        is_restarted = self._starts.note(listed.start, is_registration=True)
         known = self._known.get(name)
         if known is None or is_restarted:
             self._register(listed, is_restarted)
@@ -311,7 +337,7 @@
         known = self._known.get(start.target)
         if known is None or not start.is_newer_than(known.listed.start):
             return
-        if self._starts.note(start):
+        if self._starts.note(start, is_registration=False):
             listed = replace(
                 known.listed,
                 started_ms=start.started_ms,
@@ -321,6 +347,25 @@
             self._register(listed, is_restarted=True)
             self.refresh()
 
+    def note_own_start(self, start: TargetStart) -> None:
+        """Record the start that a target has just reported.
+
+        If a registration was ignored as one of this start, the later start that an
+        earlier registration named was not the target's.
+        """
+        denied = self._denied.get(start.target)
+        if (
+            denied is not None
+            and denied.start == start
+            and self._starts.withdraw_registered(start)
+        ):
+            _log.warning("targets: start withdrawn", target=start.target)
+            self._known.pop(start.target, None)
+            self._put(denied)
+            self.refresh()
+            return
+        self.note_start(start)
+
     def note_leaving(self, start: TargetStart) -> None:
         """Stop using a target after a response of this start said that it leaves."""
         known = self._known.get(start.target)
