Apply the last of several changes of one entry in a response

What callers saw: after an outage of the store in which entries lapsed, servers that were alive and registered stayed unknown to daemons until these were started again; requests were refused.

Cause: the follower of the servers' table put the changes of one response into written, unusable and removed entries and applied these one kind after the other, so that a removal came after the later entry of the same key.

Change: TableUpdate gives the last change of each key, in order.

--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -55,6 +55,22 @@
     When c writes a valid entry again
     Then a and c may be used
 
+  Scenario Outline: Of several changes of one entry in one response the last one counts: <changes>
+    Entries lapse while the store is away, and servers write them again at once. Guards
+    against servers that stay unknown until daemons are started again.
+    Given the entries of servers a, b and c are followed
+    When one response reports of b: <changes>
+    Then <names> may be used
+
+    Examples:
+      | changes                                  | names       |
+      | removed, written                         | a, b and c  |
+      | written, removed                         | a and c     |
+      | removed, written, removed                | a and c     |
+      | removed, unusable, written               | a, b and c  |
+      | written, unusable                        | a and c     |
+      | removed, written, removed, written       | a, b and c  |
+
   Scenario: A row of the store whose value cannot be read costs only itself
     Guards against discarding a complete response for one invalid value.
     When the store responds with a row that is not base64 between two valid ones
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -228,6 +228,13 @@
             context.follower.take(make_update((ChangedRow(name, b"y" * 5000),)))
 
 
+@when("one response reports of b: {changes}")
+def step_changes(context, changes):
+    values = {"removed": None, "written": make_entry(), "unusable": b"[1]"}
+    rows = tuple(ChangedRow("b", values[change]) for change in changes.split(", "))
+    context.follower.take(make_update(rows))
+
+
 @then("{names} may be used")
 def step_usable(context, names):
     found = [view.target for view in context.views if view.state.value == "serving"]
--- a/lycheepost/platform/following.py
+++ b/lycheepost/platform/following.py
@@ -184,7 +184,8 @@
         """Apply one response of the store."""
         listed: list[ListedTarget] = []
         unusable: list[TargetId] = []
-        for row in update.rows:
+        rows = update.last_rows()
+        for row in rows:
             if row.value is None:
                 continue
             target = self._decode(row.key, row.value)
@@ -196,7 +197,7 @@
         if update.is_whole:
             self._targets.replace_all(listed, update.after_outage, update.after_restore)
             return
-        removed = [TargetId(row.key) for row in update.rows if row.value is None]
+        removed = [TargetId(row.key) for row in rows if row.value is None]
         if listed or removed:
             self._targets.take(listed, removed, update.after_outage)
 
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -54,6 +54,17 @@
     after_restore: bool = False
     era: StoreEra = NEVER_RESTORED.era
 
+    def last_rows(self) -> tuple[ChangedRow, ...]:
+        """Return the last change of each key, in the order of these changes.
+
+        One response may hold the removal of a row and a later one under the same key.
+        """
+        last: dict[str, ChangedRow] = {}
+        for row in self.rows:
+            last.pop(row.key, None)
+            last[row.key] = row
+        return tuple(last.values())
+
 
 OnTableUpdate = Callable[[TableUpdate], None]
 
