Keep nothing of a request that has ended

What callers saw: a daemon that was left alone under load was killed at its limit of memory and cut 14 streams.

Cause: reference cycles, which a rare collection alone frees, kept the body of each request: the client's connection and its forwarding; a search's error and the frame that raises it; a shielded run and its error; a cancelled attempt, whose task keeps its error with frames that refer to the attempt; a time-out, whose error refers to its own task.

Change: each of these references is dropped where it is no longer needed.

--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -29,6 +29,10 @@
 FAULTS = {
     "lost answer": LostAnswer(),
     "own failure": ServerFailure(),
+    "own 404": ServerFailure(404),
+    "own 408": ServerFailure(408),
+    "own 429": ServerFailure(429),
+    "own 503": ServerFailure(503),
     "broken answer": Truncated(0),
     "no seal": Unsealed(),
     "encoding": Encoded(),
@@ -75,6 +79,9 @@
             step_whole(context)
         case "server's failure":
             assert answer.status == 500 and names.SEAL in answer.headers, answer
+        case text if text.startswith("server's "):
+            assert answer.status == int(text.split()[1]), answer
+            assert names.SEAL in answer.headers, answer
         case "cut":
             assert not answer.is_whole, answer
         case "503 and come back":
--- a/lycheepost/callers/forwarding.py
+++ b/lycheepost/callers/forwarding.py
@@ -130,21 +130,21 @@
         Raises:
             CallerError: It is not served, and nothing has been sent to the caller yet.
         """
+        try:
+            await self._run_searches()
+        finally:
+            self._charge.settle(self.executed)
+            self._release()
+
+    async def _run_searches(self) -> None:
         remaining = self._remaining_seconds() - DEADLINE_MARGIN_SECONDS
+        is_late = False
         try:
             async with asyncio.timeout(max(0.0, remaining)):
                 await self._searches.run(self._search())
         except TimeoutError:
-            self._log.info(
-                "forward: out of time",
-                n_sends=self._sends.n_sends,
-                executed=self.executed.value,
-                has_begun=self._relay.has_begun,
-            )
-            if self._relay.has_begun:
-                self._relay.abort()
-                return
-            raise self._with_arrivals(too_late(self.executed)) from None
+            # An error raised here would keep this one, which refers to its own task.
+            is_late = True
         except CallerError as error:
             self._log.info(
                 "forward: not served",
@@ -161,9 +161,20 @@
             self._relay.abort()
         except AnswerCut:
             self._relay.abort()
-        finally:
-            self._charge.settle(self.executed)
-            self._release()
+        if is_late:
+            self._end_late()
+
+    def _end_late(self) -> None:
+        """End the request as its time is up."""
+        self._log.info(
+            "forward: out of time",
+            n_sends=self._sends.n_sends,
+            executed=self.executed.value,
+            has_begun=self._relay.has_begun,
+        )
+        if not self._relay.has_begun:
+            raise self._with_arrivals(too_late(self.executed))
+        self._relay.abort()
 
     def _release(self) -> None:
         """Break the reference cycles, as collections are rare."""
--- a/lycheepost/callers/heldattempts.py
+++ b/lycheepost/callers/heldattempts.py
@@ -119,8 +119,10 @@
         self._held = held
         self._is_silent = False
         self._news: asyncio.Future[None] | None = None
-        self._task = asyncio.ensure_future(self._run(make))
-        self._task.add_done_callback(self._note_end)
+        self._is_cancelled = False
+        task = asyncio.ensure_future(self._run(make))
+        task.add_done_callback(self._note_end)
+        self._task: asyncio.Task[AttemptResult] | None = task
         held.note_begun(self)
 
     async def _run(
@@ -139,7 +141,11 @@
         self._tell()
 
     def _note_end(self, task: asyncio.Task[AttemptResult]) -> None:
-        if not task.cancelled():
+        if task.cancelled():
+            # It keeps its error, whose traceback refers to this run.
+            self._is_cancelled = True
+            self._task = None
+        else:
             # Nobody may wait for it any more; asyncio would log its error.
             task.exception()
         self._tell()
@@ -160,31 +166,39 @@
                 await self._news
             except asyncio.CancelledError:
                 if not self._held.holds(self.trace):
-                    self._task.cancel()
+                    self.cancel()
                 raise
         return self.take_news()
 
     @property
     def has_news(self) -> bool:
         """Return whether it has ended, or its target is silent."""
-        return self._is_silent or self._task.done()
+        return self._is_silent or self._is_done
 
     def take_news(self) -> AttemptResult | None:
         """Return the result; None if the target is silent."""
-        if self._task.done():
+        if self._is_cancelled:
+            raise asyncio.CancelledError
+        if self._task is not None and self._task.done():
             return self._task.result()
         self._is_silent = False
         return None
 
+    @property
+    def _is_done(self) -> bool:
+        return self._task is None or self._task.done()
+
     def note_going_on(self) -> None:
         """Let the request not be tried elsewhere, as the target is no longer silent."""
         self._is_silent = False
 
     def cancel(self) -> None:
         """End the attempt; its target's connection is closed."""
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     async def end(self) -> None:
         """End the attempt, and wait until it has."""
-        self._task.cancel()
-        await asyncio.wait({self._task})
+        self.cancel()
+        if self._task is not None:
+            await asyncio.wait({self._task})
--- a/lycheepost/callers/searches.py
+++ b/lycheepost/callers/searches.py
@@ -92,7 +92,11 @@
         if error is None:
             return None
         if not self._held:
-            raise error
+            try:
+                raise error
+            finally:
+                # The error's traceback refers to this frame.
+                del error, task
         self._log.info("forward: waits for a silent target", reason=str(error))
         return await self._await_held()
 
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -144,6 +144,8 @@
                 return self._error_response(_INTERNAL_ERROR, request)
             connection.abort()
         finally:
+            # They refer to each other, and the body would wait for a rare collection.
+            connection.forwarding = None
             del self._open[task]
             connection.ended.set()
             self.n_open -= 1
@@ -196,6 +198,9 @@
                 # The error response may promise that the request never runs.
                 run.cancel()
             raise
+        finally:
+            # The traceback of its error refers to this frame.
+            del run
 
     def _end_run(self, run: asyncio.Task[None]) -> None:
         """Log the error of a run; its client may have disconnected before it ended."""
