Do not pass on a target's own status that promises "not run"

Cause: 408, 421, 429 and 503 promise that a request has not run, if lycheepost sends them. From a server without its statement they mean something else, and were passed on.

Change: for requests that may not be repeated such a response counts as a failure without an answer to pass on, and the caller gets 502. Others are passed on as before.

--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -25,6 +25,13 @@
       | look-up          | 9 | refusal        | 503 and come back | 0    |
       | order            | 1 | lost answer    | 502               | 1    |
       | order            | 1 | own failure    | server's failure  | 1    |
+      | order            | 1 | own 408        | 502               | 1    |
+      | order            | 1 | own 429        | 502               | 1    |
+      | order            | 1 | own 503        | 502               | 1    |
+      | look-up          | 1 | own 429        | server's 429      | 1    |
+      | look-up          | 2 | own 503        | server's 503      | 2    |
+      | look-up          | 1 | own 503        | answer            | 2    |
+      | order            | 1 | own 404        | server's 404      | 1    |
       | order            | 1 | broken answer  | 502               | 1    |
       | order            | 1 | no seal        | 502               | 1    |
       | order            | 1 | encoding       | 502               | 1    |
--- a/lycheepost/callers/relaying.py
+++ b/lycheepost/callers/relaying.py
@@ -39,6 +39,9 @@
 most of them; a single large write would copy all of them into its buffer."""
 
 _FIRST_ERROR_STATUS = 400
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers are promised that a request has not run and never will."""
+
 _FIRST_SERVER_ERROR_STATUS = 500
 
 _log = structlog.get_logger(part="relay")
@@ -80,6 +83,15 @@
     }
 
 
+def promises_not_run(head: ResponseHead, route: Route) -> bool:
+    """Return whether callers would take a target's response for "not run".
+
+    A target's own 503 for a request that it ran means something else. Passed on, it
+    would make the caller send a request again that may run once only.
+    """
+    return head.status in _NOT_RUN_STATUSES and not route.is_repeatable
+
+
 def _ignore(_trace: AttemptTrace) -> None:
     """Do nothing about an attempt that begins to answer."""
 
@@ -200,6 +212,9 @@
     async def _relay_complete(self, reading: Reading) -> RelayEnd:
         answer = reading.answer
         reading.calls.on_first()
+        if promises_not_run(answer.head, self._route):
+            answer.close()
+            return RelayEnd.FAILED
         with self._deps.answer_bytes.open() as held:
             parts: list[bytes] = []
             try:
