Count the losses of servers by requests that may run once only

What callers saw: an order that crashes its servers crashed one each time that it came, 16 of 16, and was never refused.

Cause: an attempt of such a request without a prompt ended as if its answer alone were lost; whether its server had ended was not asked, as the daemon doesn't send it again itself.

Change: the loss is found out after the attempt, as for others whose callers have left. The caller doesn't wait for it.

--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -43,6 +43,19 @@
       | album stream     | 1 | break          | cut               | 1    |
       | album stream     | 1 | refusal        | answer            | 1    |
 
+  Scenario Outline: A <what> that crashes each server is refused at last
+    Clients send it again and again. Guards against a request that ends one server each
+    time, as the attempts of requests that may run once were never counted.
+    Given a deployment with 2 daemons and 3 plain servers
+    When each plain server that gets a <what> crashes and is back after 0.7 s
+    And clients send one <what> 8 times, 1 s apart, to both daemons by turns
+    Then at most 3 servers crash
+
+    Examples:
+      | what    |
+      | order   |
+      | look-up |
+
   Scenario Outline: A <what> that a server took and never answered is not called "not run"
     The server hangs and the client's deadline passes while the request is there. If the
     daemon said "not run", the client would send the order again, and both could run.
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -217,3 +217,48 @@
     context.loop.run_until_complete(ask_all())
     used = [server.name for server in deployment.group("plain") if server.runs]
     assert len(used) == 2, used
+
+
+@when("each plain server that gets a {what} crashes and is back after {seconds:g} s")
+def step_crashing(context, what, seconds):
+    deployment = context.deployment
+    plan = FaultPlan()
+    plan.add(CrashAt(0), 1_000)
+    context.n_crashes = 0
+    revivals = set()
+
+    def revive(server):
+        context.n_crashes += 1
+        work = deployment.replace_crashed(server, seconds)
+        task = context.loop.create_task(work)
+        revivals.add(task)
+        task.add_done_callback(revivals.discard)
+
+    async def end_revivals():
+        await asyncio.gather(*revivals)
+
+    for server in deployment.group("plain"):
+        server.faults = plan
+        server.on_crash = lambda server=server: revive(server)
+    context.closers.append(end_revivals)
+
+
+@when(
+    "clients send one {what} {n:d} times, {seconds:g} s apart, to both daemons by turns"
+)
+def step_send_again(context, what, n, seconds):
+    deployment = context.deployment
+    method, path, body = REQUESTS[what]
+
+    async def send():
+        for number in range(n):
+            headers = deployment.headers()
+            await deployment.ask(method, path, headers, body, number % 2)
+            await asyncio.sleep(seconds)
+
+    context.loop.run_until_complete(send())
+
+
+@then("at most {n:d} servers crash")
+def step_crashes(context, n):
+    assert 1 <= context.n_crashes <= n, context.n_crashes
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -447,7 +447,9 @@
             return FinishKind.LOSS_UNKNOWN
         is_once = self._route_match.route.kind is RouteKind.NON_IDEMPOTENT
         if is_once and not self._standing.work.parts:
-            return FinishKind.ANSWER_LOST
+            # It is not sent again here, so its caller needn't wait for the verdict.
+            self._count_later(listed)
+            return FinishKind.LOSS_UNKNOWN
         try:
             verdict = await self._deps.verdicts.ask(
                 listed.start, lambda: self._deps.judge_start(listed)
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -100,6 +100,7 @@
         crash_parts: Shared parts of prompts that crash it as it begins to write an
             answer, with what it has sent by then.
         part_crashes: Its crashes by such parts.
+        on_crash: Called as a plain server crashes; it stays away.
         on_part_crash: Called after each of them; the server stays away.
     """
 
@@ -134,6 +135,7 @@
         self.is_unframed = False
         self.crash_parts: Mapping[str, CrashPoint] = {}
         self.part_crashes: list[PartCrash] = []
+        self.on_crash: Callable[[], object] = lambda: None
         self.on_part_crash: Callable[[], object] = lambda: None
         self._full_seconds: deque[float] = deque()
         self._is_falling = False
@@ -433,6 +435,9 @@
         match fault:
             case LostAnswer():
                 self._server.abort_connection(request)
+            case CrashAt():
+                self.on_crash()
+                await self.stop()
             case ServerFailure(status=status):
                 return web.Response(status=status, headers=headers, body=text)
             case Truncated():
