Share no cached parts that a customer made before it became isolated

What callers saw: after a customer had become isolated, 12 of 12 requests of another one used parts of prompts that it had made before.

Cause: the cache scope of customers that aren't isolated had no name, so it stayed the same.

Change: it names the set of isolated customers, of which each configuration tells. Customers that come or leave without isolation change nothing. After a change of isolation shared parts are read once more.

--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -118,6 +118,20 @@
     When the same part is named by a prompt and by an event of its scope
     Then both have one digest, and another scope has another
 
+  Scenario Outline: Parts are shared by customers that <change>: <shared>
+    Guards against parts that a customer made before it became isolated and that others
+    go on using, and against parts that are dropped for no reason.
+    When a configuration of customers <before> is followed by one of <after>, starred where isolated
+    Then what a made before is <shared> with b after it
+
+    Examples:
+      | change                  | before  | after     | shared     |
+      | stay as they are        | a b     | a b       | shared     |
+      | have come and left      | a b c   | a b d     | shared     |
+      | share beside isolated   | a b c*  | a b c* d  | shared     |
+      | were not isolated       | a b     | a* b      | not shared |
+      | share beside a new one  | a b c   | a b c*    | not shared |
+
   Scenario: A store keeps what engines of two software versions write apart
     Guards against KV cache of one software version that an engine of another fetches.
     When the same part is written by engines of two software versions
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -11,6 +11,7 @@
 from structlog.testing import capture_logs
 
 from lycheepost.core.clock import FakeClock
+from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import (
     CustomerId,
     Incarnation,
@@ -22,7 +23,7 @@
     WeightsVersion,
 )
 from lycheepost.core.routing import KeyHolder, Prompt, PromptPart, RouteKind
-from lycheepost.decide.promptlevels import CacheScope, prompt_levels
+from lycheepost.decide.promptlevels import CacheScope, make_scope, prompt_levels
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
 from lycheepost.platform import headers as names
 from lycheepost.platform.cacheevents import _decode
@@ -108,7 +109,8 @@
     assert found.groups[TargetGroupId("one")].engine.models == ("m0",)
     assert found.groups[TargetGroupId("two")].engine is None
     assert [store.address for store in found.kv_stores] == ["1.2.3.4:5"]
-    holder = KeyHolder(CustomerId("t1"), 2, True)
+    sharing = f"{hash_bytes(msgspec.json.encode(['t1'])):016x}"
+    holder = KeyHolder(CustomerId("t1"), 2, True, sharing)
     assert found.key_holders == {"k1": holder, "k2": holder}
 
 
@@ -480,3 +482,33 @@
 def step_new_start(context):
     assert [source.incarnation for source in context.sources] == ["boot-1", "boot-2"]
     assert context.polled_since.count(0) == 2
+
+
+def scope_of(customers, name):
+    """Return the cache scope of one customer's requests under a configuration."""
+    document = CONFIGURATION | {
+        "tenants": [
+            {
+                "name": customer.rstrip("*"),
+                "api_keys": [f"key-{customer.rstrip('*')}"],
+                "isolated": customer.endswith("*"),
+            }
+            for customer in customers.split()
+        ]
+    }
+    table = decode_configuration(json.dumps(document).encode()).unwrap()
+    return str(make_scope(table.key_holders[f"key-{name}"], WeightsVersion("1")))
+
+
+@when(
+    "a configuration of customers {before} is followed by one of {after}, starred where"
+    " isolated"
+)
+def step_isolation(context, before, after):
+    context.scopes = (scope_of(before, "a"), scope_of(after, "b"))
+
+
+@then("what a made before is {shared} with b after it")
+def step_shared(context, shared):
+    before, after = context.scopes
+    assert (before == after) == (shared == "shared"), context.scopes
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -137,11 +137,15 @@
     Attributes:
         rank: Takes precedence over the route's rank; None if the customer has none.
         is_isolated: Whether it shares no cached prompt parts with other customers.
+        sharing: Names the set of customers that share cached prompt parts. Another set
+            shares nothing with this one, as a customer that is isolated now may have
+            made parts that were shared.
     """
 
     customer: CustomerId
     rank: int | None = None
     is_isolated: bool = False
+    sharing: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheepost/decide/promptlevels.py
+++ b/lycheepost/decide/promptlevels.py
@@ -3,9 +3,11 @@
 An engine caches each part under the scope that it was sent with. The scope names the
 weights, because KV cache computed with other weights gives wrong output. For an
 isolated customer it names the customer, because even response times must not reveal
-what other customers have sent. It names the version of the engine's software as well: a
-KV store passes parts on between engines, and what two versions write does not fit
-together. An engine's own parts are of its own version, so its digests leave that out.
+what other customers have sent; for the others it names the set of those that share, so
+that nothing is left that a customer made before it became isolated. It names the
+version of the engine's software as well: a KV store passes parts on between engines,
+and what two versions write does not fit together. An engine's own parts are of its own
+version, so its digests leave that out.
 """
 
 from dataclasses import dataclass, replace
@@ -30,7 +32,8 @@
     """Scope within which cached parts are shared.
 
     Attributes:
-        owner: An isolated customer; empty for the scope of all others.
+        owner: The quoted name of an isolated customer; else names the set of customers
+            that share parts.
         software_version: Version of the engines that share the parts; empty within
             one engine.
     """
@@ -51,8 +54,11 @@
 
 def make_scope(holder: KeyHolder, weights_version: WeightsVersion) -> CacheScope:
     """Return the scope of a customer's requests under a weights version."""
-    owner = holder.customer if holder.is_isolated else CustomerId("")
-    return CacheScope(weights_version, owner)
+    if holder.is_isolated:
+        return CacheScope(weights_version, CustomerId(quote(holder.customer, safe="")))
+    # No quoted name holds a slash.
+    owner = f"/{holder.sharing}" if holder.sharing else ""
+    return CacheScope(weights_version, CustomerId(owner))
 
 
 def split_scope(text: str) -> CacheScope:
--- a/lycheepost/platform/documents.py
+++ b/lycheepost/platform/documents.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.errors import LycheepostError
+from lycheepost.core.hashing import hash_bytes
 from lycheepost.core.ids import (
     AvailabilityZone,
     CustomerId,
@@ -205,13 +206,28 @@
 
 
 def _key_holders(tenants: list[_WireTenant]) -> dict[str, KeyHolder]:
+    sharing = _name_sharing(tenants)
     return {
-        key: KeyHolder(CustomerId(tenant.name), tenant.priority, tenant.isolated)
+        key: KeyHolder(
+            CustomerId(tenant.name), tenant.priority, tenant.isolated, sharing
+        )
         for tenant in tenants
         for key in tenant.api_keys
     }
 
 
+def _name_sharing(tenants: list[_WireTenant]) -> str:
+    """Return a name of the set of customers that aren't isolated; empty for all.
+
+    It names the isolated ones, as customers that come or leave change nothing of what
+    the others share.
+    """
+    isolated = sorted(tenant.name for tenant in tenants if tenant.isolated)
+    if not isolated:
+        return ""
+    return f"{hash_bytes(msgspec.json.encode(isolated)):016x}"
+
+
 def _quotas(tenants: list[_WireTenant]) -> dict[CustomerId, Quota]:
     return {
         CustomerId(tenant.name): Quota(
