Leave out changes of other parts of a followed table

Cause: the store's feed holds the rows of all parts; whole reads name the empty one.

Evidence: platform/store, 'Changes of other parts of a table are left out', failed before.

--- a/features/platform/steps/store_steps.py
+++ b/features/platform/steps/store_steps.py
@@ -6,6 +6,7 @@
 from lycheepost.platform.models.storestandin import StoreStandin
 from lycheepost.platform.settings import Endpoint
 from lycheepost.platform.store import OWN_TABLE, StoreClient
+from lycheepost.platform.storewire import WireRow, encode_value
 from lycheepost.standin.rowstore import RowChange, RowStore
 
 
@@ -27,6 +28,7 @@
     context.loop.run_until_complete(context.client.start())
     context.closers.append(context.client.stop)
     context.last = f"r/{n - 1:04}"
+    context.standin = standin
 
 
 @given("a store with {n:d} rows")
@@ -58,3 +60,26 @@
 def step_fails(context):
     assert isinstance(context.found, Failure), context.found
     assert "moved" in context.found.failure().reason
+
+
+@given("the feed holds rows of another part, one with the key of a known row")
+def step_other_parts(context):
+    context.standin.other_parts = [
+        WireRow("r/0000", OWN_TABLE, "other", encode_value(b"y"), 1),
+        WireRow("new", OWN_TABLE, "other", encode_value(b"y"), 1),
+        WireRow("r/0001", OWN_TABLE, "other", "", 1, deleted=True),
+    ]
+
+
+@when("the changes since the start are read")
+def step_changes(context):
+    work = context.client.wait_changes(OWN_TABLE, 0, 0.0)
+    context.found = context.loop.run_until_complete(work)
+
+
+@then("they are those of the {n:d} rows")
+def step_own_changes(context, n):
+    rows = context.found.unwrap().rows
+    assert [(row.key, row.value) for row in rows] == [
+        (f"r/{number:04}", b"x") for number in range(n)
+    ]
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -13,3 +13,11 @@
     Given a store with 1100 rows that changes at every call
     When the first and the last row are read together with one that is missing
     Then the read fails and gives the reason
+
+  Scenario: Changes of other parts of a table are left out
+    The feed of a table holds the rows of all its parts. Guards against a row that another
+    program keeps in a part of its own and that is used as a server's entry.
+    Given a store with 3 rows
+    And the feed holds rows of another part, one with the key of a known row
+    When the changes since the start are read
+    Then they are those of the 3 rows
--- a/lycheepost/platform/models/storestandin.py
+++ b/lycheepost/platform/models/storestandin.py
@@ -27,11 +27,13 @@
     Attributes:
         store: Its rows and faults.
         n_calls: Calls so far.
+        other_parts: Rows of other parts, which every response of a feed holds.
     """
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
         self.store = RowStore()
         self.n_calls = 0
+        self.other_parts: list[WireRow] = []
         self._server = StandinServer(self._make_app, host, port)
         self._late_writes: set[asyncio.Task[None]] = set()
 
@@ -134,7 +136,7 @@
         rows = await self.store.wait_changes(query["table"], after, wait_seconds)
         if not self._is_available(after):
             return web.Response(status=410)
-        shown = [_to_wire(row) for row in rows]
+        shown = [_to_wire(row) for row in rows] + self.other_parts
         return _answer(WireRows(shown, self.store.version, _now_ms()))
 
 
--- a/lycheepost/platform/store.py
+++ b/lycheepost/platform/store.py
@@ -282,7 +282,10 @@
             case Success(page):
                 return Success(
                     Changes(
-                        tuple(row.to_change() for row in page.wire.rows),
+                        # The feed holds the rows of all parts of the table.
+                        tuple(
+                            row.to_change() for row in page.wire.rows if not row.part
+                        ),
                         page.version,
                         confirmed_seconds=self._answered_seconds(
                             sent_seconds, page.wire
