Read an empty number in the platform's settings as its default

What operators saw: with empty keys of contracts that aren't in force each start ended with exit code 2.

Evidence: platform/shares, 'A settings file with an empty number has its default', failed before.

--- a/features/platform/shares.feature
+++ b/features/platform/shares.feature
@@ -27,3 +27,11 @@
     Otherwise a daemon on a VM with a slow link would get the traffic of a fast one.
     Given a settings file with a share of 0.717 of 3 cores and a link of 200 Mbit/s
     Then its VM has 2.151 cores and 200 Mbit/s
+
+  Scenario: A settings file with an empty number has its default
+    The platform leaves keys empty that it has no value for. Guards against daemons that
+    don't start because of contracts that aren't in force.
+    Given a settings file whose "bounds.quota_slack" is empty
+    Then it is valid
+    Given a settings file whose "bounds.quota_slack" is "many"
+    Then it is refused with the name of that key
--- a/features/platform/steps/share_steps.py
+++ b/features/platform/steps/share_steps.py
@@ -111,3 +111,24 @@
 def step_capacity(context, cores, link):
     assert abs(context.capacity.processor_cores - cores) < 1e-9
     assert context.capacity.link_mbps == link
+
+
+@given('a settings file whose "{key}" is empty')
+def step_empty(context, key):
+    step_value(context, key, "")
+
+
+@given('a settings file whose "{key}" is "{value}"')
+def step_value(context, key, value):
+    text = SETTINGS.format(share=1, cores=2, link=100)
+    context.key, context.decoded = key, decode_settings(f"{text}\n{key}={value}\n")
+
+
+@then("it is valid")
+def step_valid(context):
+    context.decoded.unwrap()
+
+
+@then("it is refused with the name of that key")
+def step_refused(context):
+    assert context.key in " ".join(context.decoded.failure().faults)
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -123,7 +123,8 @@
 
     def number(self, name: str, default: float | None = None) -> float:
         value = self._values.get(name)
-        if value is None and default is not None:
+        if not value and default is not None:
+            # The platform's template leaves the keys empty that it has no value for.
             return default
         text = self.text(name)
         try:
