Record the software versions in service

What callers saw: after all daemons had lost power beside one software version, the streams that they took up were refused for 30 s.

Cause: the list of targets doesn't tell whether another version was in service a moment ago, so that a daemon without peers that know can't conclude that there was one.

Change: daemons that know all versions of the last 30 s record them in one row, once a change. A start takes them for known; if they and the list name one version, it is that of every stream.

Evidence: platform/softwareversions, 'Streams of one version go on after all daemons have lost power': failed before. 'Streams of a version that has just left are not taken for the other's' holds: none mixed, all refused.

--- a/features/platform/softwareversions.feature
+++ b/features/platform/softwareversions.feature
@@ -54,6 +54,21 @@
     Then no stream holds events of two versions
     And at least 9 in 10 of them are complete
 
+  Scenario: Streams of one version go on after all daemons have lost power
+    Guards against take-ups that are refused although there was one version only.
+    Given a deployment with 2 daemons and 3 engines of the version v1
+    When 16 streams are lost, all daemons are replaced and they are taken up
+    Then at least 9 in 10 of them are complete
+    And no daemon has told another one of streams
+
+  Scenario: Streams of a version that has just left are not taken for the other's
+    All daemons lose power as the last engines of a version leave, and the record of streams
+    is lost. Guards against daemons that conclude from the list that there was one version.
+    Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
+    When 24 streams of both versions are lost, all daemons are replaced without a record of them beside engines of v1 only and they are taken up
+    Then no stream holds events of two versions
+    And each take-up is refused at once as not run, with a time to come back
+
   Scenario: A take-up that names no stream is refused at once beside two versions
     Guards against a take-up at any version, as its client doesn't say what it takes up.
     Given a deployment with 2 daemons and 2 engines each of the versions v1 and v2
--- a/features/platform/steps/softwareversion_steps.py
+++ b/features/platform/steps/softwareversion_steps.py
@@ -260,11 +260,12 @@
     context.loop.run_until_complete(run())
 
 
-async def replace_all(deployment, n_daemons):
+async def replace_all(deployment, n_daemons, meanwhile=lambda: None):
     """End the last daemons without a farewell and start as many others."""
     n_before = len(deployment.daemons)
     for index in range(n_before - n_daemons, n_before):
         await end(deployment, index)
+    meanwhile()
     for _ in range(n_daemons):
         await add_daemon(deployment)
 
@@ -277,7 +278,7 @@
             store.put(OWN_TABLE, row.key, None)
 
 
-def lose_all(context, n, n_times, keeps_record):
+def lose_all(context, n, n_times, keeps_record, meanwhile=lambda: None):
     """Begin streams, replace all daemons some times, and take the streams up."""
     deployment = context.deployment
 
@@ -287,7 +288,7 @@
         for _ in range(n_times):
             if not keeps_record:
                 lose_record(deployment)
-            await replace_all(deployment, n_daemons)
+            await replace_all(deployment, n_daemons, meanwhile)
         n_gone = n_times * n_daemons
         await asyncio.gather(
             *(
@@ -299,6 +300,37 @@
     context.loop.run_until_complete(run())
 
 
+@when("{n:d} streams are lost, all daemons are replaced and they are taken up")
+def step_all_replaced_one_version(context, n):
+    deployment = context.deployment
+
+    async def run():
+        n_daemons = len(deployment.daemons)
+        context.streams = await begin_streams(deployment, n, 0, FIRST_EVENTS)
+        await replace_all(deployment, n_daemons)
+        await asyncio.gather(
+            *(
+                continue_stream(deployment, stream, n_daemons + number % n_daemons)
+                for number, stream in enumerate(context.streams)
+            )
+        )
+
+    context.loop.run_until_complete(run())
+
+
+@when(
+    "{n:d} streams of both versions are lost, all daemons are replaced without a record"
+    " of them beside engines of v1 only and they are taken up"
+)
+def step_one_version_left(context, n):
+    def lose_engines():
+        for server in context.deployment.group("llm"):
+            if server.state.software == "v2":
+                context.deployment.store.store.put("servers", server.name, None)
+
+    lose_all(context, n, 1, keeps_record=False, meanwhile=lose_engines)
+
+
 @when(
     "{n:d} streams of both versions are lost, all daemons are replaced without a record"
     " of them and they are taken up"
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -18,6 +18,7 @@
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
+from lycheepost.app.softwarerecorder import SoftwareRecorder
 from lycheepost.app.startjudge import StartJudge
 from lycheepost.app.streamrecorder import StreamRecorder
 from lycheepost.app.streamversions import StreamVersionExchange
@@ -53,6 +54,7 @@
 from lycheepost.state.quotarows import QuotaRows
 from lycheepost.state.relays import choose_asked, choose_relays
 from lycheepost.state.routing import RoutingManager
+from lycheepost.state.softwarerow import SoftwareRow
 from lycheepost.state.streamrows import StreamRows
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
@@ -103,6 +105,7 @@
     peer_client: ForwardClient
     stream_versions: StreamVersionExchange
     stream_recorder: StreamRecorder
+    software_recorder: SoftwareRecorder
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
@@ -121,6 +124,7 @@
             self.notices,
             self.stream_versions,
             self.stream_recorder,
+            self.software_recorder,
             self.quotas,
             self.quota_recorder,
         ]
@@ -204,6 +208,9 @@
     stream_recorder = StreamRecorder(
         StreamRows(base.store, base.node.daemon), clock, base.node.is_first_start
     )
+    software_recorder = SoftwareRecorder(
+        SoftwareRow(base.store), base.node.is_first_start
+    )
     stream_versions = StreamVersionExchange(
         software,
         exchange,
@@ -212,6 +219,7 @@
         get_listed_seconds,
         targets.refresh,
         recorder=stream_recorder,
+        software_recorder=software_recorder,
     )
     notices = NoticeExchange(
         known_notices, dispatcher, targets, exchange, clock, metrics
@@ -300,6 +308,7 @@
         quotas=quotas,
         quota_recorder=quota_recorder,
         stream_recorder=stream_recorder,
+        software_recorder=software_recorder,
         path_prober=path_prober,
         paths=paths,
         peer_client=peer_client,
--- a/lycheepost/app/streamversions.py
+++ b/lycheepost/app/streamversions.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from lycheepost.app.softwarerecorder import SoftwareRecorder
 from lycheepost.app.streamrecorder import StreamRecorder
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, SoftwareVersion, StreamId, TargetGroupId
@@ -29,6 +30,7 @@
     SoftwareNews,
 )
 from lycheepost.peers.exchange import PeerExchange
+from lycheepost.state.softwarerow import GroupVersions
 from lycheepost.state.streamrows import RecordedStream
 from lycheepost.utils.metrics import Metrics
 from lycheepost.utils.tasks import start_task
@@ -67,6 +69,7 @@
             targets may begin streams.
         call_soon: Calls a function after ``BATCH_SECONDS``.
         recorder: Records streams for the next start of all daemons; None for none.
+        software_recorder: Records versions for it; None for none.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         on_peers_confirmed: Callable[[], None],
         call_soon: Callable[[Callable[[], None]], object] | None = None,
         recorder: StreamRecorder | None = None,
+        software_recorder: SoftwareRecorder | None = None,
     ) -> None:
         self._software = software
         self._origins = StreamOrigins()
@@ -94,6 +98,9 @@
         self._recorder = recorder
         if recorder is not None:
             recorder.subscribe(self._note_recorded)
+        self._software_recorder = software_recorder
+        if software_recorder is not None:
+            software_recorder.subscribe(self._note_recorded_versions)
         self._call_soon = call_soon or _call_after_batch
         self._task: asyncio.Task[None] | None = None
         exchange.subscribe(PeerHello, self._receive_hello)
@@ -151,6 +158,7 @@
     def note_versions(self) -> None:
         """Tell the peers of a further version, and of this daemon's streams."""
         now_seconds = self._clock.now_seconds()
+        self._record_versions(now_seconds)
         for peer in self._peers:
             self._send_software(peer, is_answer=False)
         own = self._origins.own(now_seconds)
@@ -221,6 +229,28 @@
         if self._recorder is not None:
             self._recorder.add(stream, origin)
 
+    def _record_versions(self, now_seconds: float) -> None:
+        """Record the versions of the groups of which this daemon knows all."""
+        recorder = self._software_recorder
+        if recorder is None or not self._is_current(now_seconds):
+            return
+        recorder.set_versions(
+            {
+                group: self._software.known(group, now_seconds)
+                for group in self._software.groups()
+                if self._software.is_complete(group, now_seconds)
+            }
+        )
+
+    def _note_recorded_versions(self, versions: GroupVersions) -> None:
+        """Take the versions that were recorded before the start."""
+        now_seconds = self._clock.now_seconds()
+        has_gained = False
+        for group, found in versions.items():
+            has_gained |= self._software.note_recorded(group, found, now_seconds)
+        if has_gained:
+            self.note_versions()
+
     def _note_recorded(self, streams: tuple[RecordedStream, ...]) -> None:
         """Take what was recorded before the start, where nothing newer is known."""
         now_seconds = self._clock.now_seconds()
@@ -360,6 +390,7 @@
         """Ask peers again that have not confirmed a version; forget old streams."""
         now_seconds = self._clock.now_seconds()
         self._origins.expire(now_seconds)
+        self._record_versions(now_seconds)
         for peer in self._peers:
             # An earlier message may have found no link.
             if peer not in self._met or self._software.unconfirmed(peer, now_seconds):
--- a/lycheepost/decide/softwareversions.py
+++ b/lycheepost/decide/softwareversions.py
@@ -73,6 +73,7 @@
         self._listed: dict[TargetGroupId, ListedVersions] = {}
         self._confirmed: dict[DaemonId, dict[TargetGroupId, Versions]] = {}
         self._peers: tuple[DaemonId, ...] = ()
+        self._complete: set[TargetGroupId] = set()
 
     def set_listed(
         self, listed: Mapping[TargetGroupId, ListedVersions], now_seconds: float
@@ -168,11 +169,30 @@
         """Record for how long a peer, whose versions were told, knows them all."""
         self._known_from_seconds = min(self._known_from_seconds, now_seconds - seconds)
 
+    def note_recorded(
+        self,
+        target_group: TargetGroupId,
+        versions: Collection[SoftwareVersion],
+        now_seconds: float,
+    ) -> bool:
+        """Record all versions of the last 30 s, as a start finds them recorded.
+
+        Returns:
+            Whether the group has got a further version.
+        """
+        self._complete.add(target_group)
+        return self._see(target_group, versions, now_seconds)
+
+    def is_complete(self, target_group: TargetGroupId, now_seconds: float) -> bool:
+        """Return whether all versions of a group of the last 30 s are known."""
+        is_long_known = self.known_for_seconds(now_seconds) >= STREAM_SECONDS
+        return is_long_known or target_group in self._complete
+
     def sole(
         self, target_group: TargetGroupId, now_seconds: float
     ) -> SoftwareVersion | None:
         """Return the version of every stream under way; None if not known."""
-        if self.known_for_seconds(now_seconds) < STREAM_SECONDS:
+        if not self.is_complete(target_group, now_seconds):
             return None
         versions = self.known(target_group, now_seconds)
         return next(iter(versions)) if len(versions) == 1 else None
