--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -28,6 +28,8 @@
     FEATURES / "platform" / "endless.feature",
     FEATURES / "platform" / "storerestored.feature",
     FEATURES / "platform" / "heldanswers.feature",
+    FEATURES / "platform" / "heldbodies.feature",
+    FEATURES / "platform" / "oddentries.feature",
     FEATURES / "platform" / "softwareversions.feature",
     FEATURES / "decide" / "quotas.feature",
 )
