--- a/features/platform/steps/ownpath_steps.py
+++ b/features/platform/steps/ownpath_steps.py
@@ -366,7 +366,8 @@
 def step_new_connection(context):
     request = ForwardRequest("id", "GET", "h", "/", (), None, None, None, None, b"", 0)
     peer = RelayPeer(DaemonId("peer"), "127.0.0.1:1")
-    assert not make_peer_call(request, peer, Sends(), 1, 1.0, None).may_reuse_connection
+    call = make_peer_call(request, peer, Sends(), 1, 1.0, None, is_counted=False)
+    assert not call.may_reuse_connection
 
 
 @then("a request relayed from a host that is no daemon's counts as a caller's")
