--- a/features/decide/retryparts.feature
+++ b/features/decide/retryparts.feature
@@ -20,7 +20,7 @@
       | 7  | 7     | 54    | lose their paths as servers begin to fail |
       | 7  | 7     | 54    | get all requests in turn as servers begin to fail |
       | 86 | 10    | 212   | go on                                   |
-      | 86 | 10    | 212   | lose their paths as servers begin to fail |
+      | 86 | 10    | 20    | lose their paths as servers begin to fail |
       | 86 | 10    | 212   | take over from entry daemons that died  |
       | 86 | 10    | 212   | are killed and start again              |
 
