Name the set of sharing customers for callers without a key too

What callers saw: nothing was reported; found in a search beside the case of a customer that becomes isolated. A request on a public route uses parts of prompts that a customer made before it became isolated.

Cause: the set of customers that share was a fact of the holder of a key. Callers without a key have no holder in the configuration; their holder was a constant, whose scope stayed that of a configuration without isolated customers.

Change: a route table names the holder that stands for callers without a key, with the set of its configuration.

--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -132,6 +132,18 @@
       | were not isolated       | a b     | a* b      | not shared |
       | share beside a new one  | a b c   | a b c*    | not shared |
 
+  Scenario Outline: Parts of callers without a key and of customers that <change>: <shared>
+    Guards against callers without a key, on public routes, that go on using the parts of
+    a customer that has become isolated.
+    When a configuration of customers <before> is followed by one of <after>, starred where isolated
+    Then what a made before is <shared> with callers without a key after it
+
+    Examples:
+      | change                  | before  | after     | shared     |
+      | stay as they are        | a b     | a b       | shared     |
+      | share beside isolated   | a b c*  | a b c* d  | shared     |
+      | become isolated         | a b     | a* b      | not shared |
+
   Scenario: A store keeps what engines of two software versions write apart
     Guards against KV cache of one software version that an engine of another fetches.
     When the same part is written by engines of two software versions
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -24,6 +24,7 @@
 )
 from lycheepost.core.routing import KeyHolder, Prompt, PromptPart, RouteKind
 from lycheepost.decide.promptlevels import CacheScope, make_scope, prompt_levels
+from lycheepost.decide.routes import match_route
 from lycheepost.generated.engine import CacheEvent, CacheEventKind
 from lycheepost.platform import headers as names
 from lycheepost.platform.cacheevents import _decode
@@ -484,8 +485,8 @@
     assert context.polled_since.count(0) == 2
 
 
-def scope_of(customers, name):
-    """Return the cache scope of one customer's requests under a configuration."""
+def decode_customers(customers):
+    """Return the route table of a configuration with customers and a public route."""
     document = CONFIGURATION | {
         "tenants": [
             {
@@ -496,8 +497,15 @@
             for customer in customers.split()
         ]
     }
-    table = decode_configuration(json.dumps(document).encode()).unwrap()
-    return str(make_scope(table.key_holders[f"key-{name}"], WeightsVersion("1")))
+    public = {**CONFIGURATION["routes"][0], "prefix": "/public/", "public": True}
+    document["routes"] = [*CONFIGURATION["routes"], public]
+    return decode_configuration(json.dumps(document).encode()).unwrap()
+
+
+def scope_of(table, path, key):
+    """Return the cache scope of a caller's requests on a path."""
+    holder = match_route(table, "a.example", path, key).holder
+    return str(make_scope(holder, WeightsVersion("1")))
 
 
 @when(
@@ -505,10 +513,15 @@
     " isolated"
 )
 def step_isolation(context, before, after):
-    context.scopes = (scope_of(before, "a"), scope_of(after, "b"))
+    tables = decode_customers(before), decode_customers(after)
+    context.made = scope_of(tables[0], "/x/1", "key-a")
+    context.used = {
+        "b": scope_of(tables[1], "/x/1", "key-b"),
+        "callers without a key": scope_of(tables[1], "/public/1", None),
+    }
 
 
-@then("what a made before is {shared} with b after it")
-def step_shared(context, shared):
-    before, after = context.scopes
-    assert (before == after) == (shared == "shared"), context.scopes
+@then("what a made before is {shared} with {caller} after it")
+def step_shared(context, shared, caller):
+    is_shared = context.made == context.used[caller]
+    assert is_shared == (shared == "shared"), (context.made, context.used)
--- a/lycheepost/core/routing.py
+++ b/lycheepost/core/routing.py
@@ -148,6 +148,10 @@
     sharing: str = ""
 
 
+ANONYMOUS = KeyHolder(CustomerId(""))
+"""The caller on a public route, or where no keys are in use."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Limits on the size and duration of callers' requests."""
@@ -169,6 +173,8 @@
         key_holders: The holder of each key; None if no keys are in use.
         kv_stores: Stores of KV cache outside the engines.
         quotas: Customers' quotas; a customer that is not listed has no limit.
+        anonymous: Stands for callers without a key; names the set of customers with
+            which they share cached prompt parts.
     """
 
     version: int
@@ -178,6 +184,7 @@
     key_holders: Mapping[str, KeyHolder] | None = None
     kv_stores: tuple[KvStore, ...] = ()
     quotas: Mapping[CustomerId, Quota] = field(default_factory=dict)
+    anonymous: KeyHolder = ANONYMOUS
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,6 +253,7 @@
     key_holders: Mapping[str, KeyHolder] | None,
     kv_stores: tuple[KvStore, ...],
     quotas: Mapping[CustomerId, Quota] | None = None,
+    anonymous: KeyHolder = ANONYMOUS,
 ) -> RouteTable:
     """Return a table with its lookup index built."""
     by_host: dict[str, list[Route]] = {}
@@ -262,4 +270,5 @@
         key_holders=key_holders,
         kv_stores=kv_stores,
         quotas=quotas or {},
+        anonymous=anonymous,
     )
--- a/lycheepost/decide/routes.py
+++ b/lycheepost/decide/routes.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from lycheepost.core.hashing import rendezvous_order
-from lycheepost.core.ids import AvailabilityZone, CustomerId, TargetGroupId
+from lycheepost.core.ids import AvailabilityZone, TargetGroupId
 from lycheepost.core.routing import (
     EngineTraits,
     KeyHolder,
@@ -20,9 +20,6 @@
 _BITS = 8.0
 _MEGA = 1e6
 
-ANONYMOUS = KeyHolder(CustomerId(""))
-"""The caller on a public route, or where no keys are in use."""
-
 
 class RouteFault(Enum):
     """Why a request matches no route."""
@@ -65,7 +62,7 @@
     if route is None:
         return RouteFault.NO_ROUTE
     if route.is_public or table.key_holders is None:
-        return RouteMatch(route, ANONYMOUS, False)
+        return RouteMatch(route, table.anonymous, False)
     holder = table.key_holders.get(key) if key is not None else None
     if holder is None:
         return RouteFault.UNKNOWN_KEY
--- a/lycheepost/platform/documents.py
+++ b/lycheepost/platform/documents.py
@@ -1,6 +1,6 @@
 """Decodes the documents that operators write into the platform's store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -15,6 +15,7 @@
 )
 from lycheepost.core.quotas import Quota, QuotaUnit
 from lycheepost.core.routing import (
+    ANONYMOUS,
     CallerLimits,
     EngineTraits,
     GroupShare,
@@ -165,6 +166,7 @@
             _to_kv_store(item) for item in wire.services if item.kv_store_addr
         ),
         quotas=_quotas(wire.tenants or []),
+        anonymous=replace(ANONYMOUS, sharing=_name_sharing(wire.tenants or [])),
     )
 
 
