Send a request under the cache scope of its customer at that moment

What callers saw: nothing was reported; found in a search beside the case of a customer that becomes isolated. A request that waits, or is sent again, after its customer has become isolated runs under the scope that it shared before: it uses parts that others made, and leaves its own to them.

Cause: a request is identified again before each attempt, since its key may be gone; but the call was made from the route and holder of its arrival.

Change: the call names the holder that was found just before it is sent. The route stays that of the arrival.

Evidence: platform/failures, "A stream whose customer becomes isolated in its middle": failed before ('1:v1:/...' for both runs).

--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -130,3 +130,11 @@
     When a resumable stream breaks off just as its key is revoked
     Then the outcome is cut
     And the client received the beginning of the response
+
+  Scenario: A stream whose customer becomes isolated in its middle goes on by itself
+    Guards against a request that is sent again under the cache scope that its customer
+    shared before, and against the parts that it leaves there.
+    Given a deployment with 1 daemon
+    When a resumable stream breaks off just as its customer becomes isolated
+    Then the outcome is answer
+    And its second run has the cache scope of its isolated customer
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -7,6 +7,7 @@
 from behave import then, when
 from request_steps import BODY, REQUESTS, ask, step_whole
 
+from lycheepost.app.platformfleet import KEYS
 from lycheepost.callers import forwarderrors
 from lycheepost.callers.errors import Executed
 from lycheepost.platform import headers as names
@@ -26,6 +27,8 @@
     Truncated,
 )
 
+SCOPE = names.CACHE_SCOPE.lower()
+
 FAULTS = {
     "lost answer": LostAnswer(),
     "own failure": ServerFailure(),
@@ -194,6 +197,34 @@
     return replace(table, version=table.version + 1, key_holders={})
 
 
+@when("a resumable stream breaks off just as its customer becomes isolated")
+def step_isolated(context):
+    deployment = context.deployment
+    routing = deployment.daemons[0].routing
+    step_faults(context, 1, "resumable stream", "break")
+    for server in deployment.group("llm"):
+        server.on_fault = lambda: routing.adopt(isolated(routing.table), "test")
+    ask(context, "resumable stream")
+
+
+def isolated(table):
+    """Return the next configuration, in which all customers are isolated."""
+    holders = {
+        key: replace(holder, is_isolated=True)
+        for key, holder in table.key_holders.items()
+    }
+    return replace(table, version=table.version + 1, key_holders=holders)
+
+
+@then("its second run has the cache scope of its isolated customer")
+def step_second_scope(context):
+    runs = context.deployment.runs(context.deployment.attempt_id)
+    goes_on = names.LAST_EVENT.lower()
+    scopes = {goes_on in run.headers: run.headers[SCOPE] for run in runs}
+    assert len(runs) == 2 and set(scopes) == {False, True}, runs
+    assert KEYS["k-one"] not in scopes[False] and KEYS["k-one"] in scopes[True], scopes
+
+
 @then("the client received the beginning of the response")
 def step_beginning(context):
     expected = b"".join(event_bytes(n, BODY) for n in range(1, 4))
--- a/lycheepost/callers/targetattempt.py
+++ b/lycheepost/callers/targetattempt.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 from returns.result import Failure, Success
@@ -212,10 +212,12 @@
     async def _send(self, listed: ListedTarget, run: AttemptRun) -> AttemptResult:
         """Send to one target and relay its response."""
         # Check again before any byte is sent: while the request was queued, its key
-        # may have been revoked or the confirmation of the configuration expired.
-        identify(self._deps, self._request)
+        # may have been revoked or the confirmation of the configuration expired. Its
+        # customer may have become isolated.
+        holder = identify(self._deps, self._request).holder
+        route_match = replace(self._route_match, holder=holder)
         call = make_call(
-            self._deps, self._request, self._route_match, listed, self._progress()
+            self._deps, self._request, route_match, listed, self._progress()
         )
         wait_seconds = first_byte_timeout_seconds(
             self._route_match.route, self._standing.sends, call.remaining_seconds
