Keep targets whose registrations lapse just after an outage of the store

After an outage of two or three seconds sound servers are dropped for up to two seconds, all of them in the worst case; what comes meanwhile is refused.

Cause: only a removal in the first response after a failure of the daemon's own request was taken for a lapse. Registrations also expire up to two seconds after the store's return, as their writers wait; a request that hangs through a short outage is answered without a failure; and a daemon that follows the store through a peer may not have asked it meanwhile.

Change: each copy of a table knows when the store was last found to answer again, by a failure before or by an answer that is late, and passes it on to peers. A removal counts from 2.2 s after that on, at once when that is over.

--- a/features/operators/steps/rolloutwait_steps.py
+++ b/features/operators/steps/rolloutwait_steps.py
@@ -55,7 +55,7 @@
 def make_rollout():
     clock = virtual_clock()
     targets = TargetList(clock, lambda _views: None, lambda: 10.0)
-    targets.replace_all([OLD], False)
+    targets.replace_all([OLD])
     load = OneRequest()
     return WeightsRollout(
         None,
--- a/features/peers/feedshare.feature
+++ b/features/peers/feedshare.feature
@@ -24,6 +24,22 @@
     Then they ask it at most 160 times during the outage
     And all of them know a change 2.5 s after its return
 
+  Scenario Outline: All daemons know that a store was <how> for <seconds> s
+    Targets could not renew their registrations. Guards against daemons that take what is
+    removed afterwards for a leaving, as only others have seen the outage.
+    When <n> daemons of a tree lose a store that is <how> for <seconds> s
+    And a row is removed 0.7 s after its return
+    Then all of them know that it was away until at most 2.2 s before the removal
+
+    Examples:
+      | n  | how    | seconds |
+      | 1  | away   | 2.2     |
+      | 1  | silent | 2.2     |
+      | 7  | away   | 2.2     |
+      | 7  | silent | 2.2     |
+      | 40 | away   | 4       |
+      | 40 | silent | 4       |
+
   Scenario: Runs that failed before
     Seed 33: a peer sent a whole table from a copy older than the rows already known.
     Seed 2158: a daemon followed a peer and then the store again. Its copy, and so its
--- a/features/peers/steps/feedcell.py
+++ b/features/peers/steps/feedcell.py
@@ -51,6 +51,7 @@
     Attributes:
         is_cut: Whether the store refuses the daemon.
         is_silent: Whether the daemon gets no answers of the store.
+        hangs: Whether its answers wait until this ends, or the daemon gives up.
     """
 
     def __init__(self, store, rng=None):
@@ -58,6 +59,7 @@
         self.n_calls = 0
         self.is_cut = False
         self.is_silent = False
+        self.hangs = False
 
     async def read_table(self, table):
         if self.is_silent:
@@ -95,6 +97,12 @@
             asyncio.get_running_loop().time(),
         )
         await asyncio.sleep(STORE_SECONDS)
+        patience_seconds = LONG_POLL_MARGIN_SECONDS
+        while self.hangs:
+            if patience_seconds <= 0.0:
+                return Failure(OutcomeUnknown("silent"))
+            await asyncio.sleep(STORE_SECONDS)
+            patience_seconds -= STORE_SECONDS
         if self.is_cut:
             return Failure(TableUnavailable("away"))
         if self.rng is not None:
--- a/features/peers/steps/feedshare_steps.py
+++ b/features/peers/steps/feedshare_steps.py
@@ -5,7 +5,7 @@
 import random
 
 from behave import given, then, when
-from feedcell import KEY, LARGE_FLEET_TIMES, TABLE, Cell
+from feedcell import KEY, LARGE_FLEET_TIMES, SMALL_FLEET_TIMES, TABLE, Cell
 
 from lycheepost.ports.feed import ChangedRow, Changes
 from lycheepost.standin.virtualtime import VirtualTimeLoop
@@ -103,6 +103,49 @@
     assert context.n_behind == 0, context.n_behind
 
 
+async def remove_after_outage(loop, n, how, seconds, remove_after_seconds):
+    """Return how long before a removal each daemon last knew the store to be away."""
+    times = SMALL_FLEET_TIMES if n < 40 else LARGE_FLEET_TIMES
+    ages = {}
+
+    def note(follower, seen):
+        if any(row.value is None for row in seen.rows):
+            ages[id(follower)] = loop.now_seconds() - seen.outage_ended_seconds
+
+    cell = Cell(loop, n, on_confirmed=note, is_tree=n > 1, times=times)
+    cell.store.put(TABLE, KEY, b"1")
+    await cell.start()
+    await asyncio.sleep(10.0)
+    for follower in cell.followers:
+        follower.feed.is_cut, follower.feed.hangs = how == "away", how == "silent"
+    await asyncio.sleep(seconds)
+    for follower in cell.followers:
+        follower.feed.is_cut = follower.feed.hangs = False
+    await asyncio.sleep(remove_after_seconds)
+    cell.store.put(TABLE, KEY, None)
+    await asyncio.sleep(4.0)
+    await cell.stop()
+    return [ages.get(id(follower), float("inf")) for follower in cell.followers]
+
+
+@when("{n:d} daemons of a tree lose a store that is {how} for {seconds:g} s")
+def step_lose_store_how(context, n, how, seconds):
+    context.outage = n, how, seconds
+
+
+@when("a row is removed {seconds:g} s after its return")
+def step_row_removed(context, seconds):
+    loop = VirtualTimeLoop()
+    work = remove_after_outage(loop, *context.outage, seconds)
+    context.ages_seconds = loop.run_until_complete(work)
+    loop.close()
+
+
+@then("all of them know that it was away until at most {most:g} s before the removal")
+def step_outage_known(context, most):
+    assert max(context.ages_seconds) <= most, sorted(context.ages_seconds)
+
+
 def run_seeds(context, n, seeds, is_tree=False):
     context.wrong, context.ended = [], []
     for seed in seeds:
--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -130,6 +130,16 @@
     When the store is down, loses all server entries and is up again
     Then a look-up is served at once
 
+  Scenario: Registrations that lapse just after the store is back are not leavings
+    Servers could not renew their entries during the outage. These expire after the first
+    response of the store, and the servers write them again within two seconds. Guards
+    against a fleet without servers for that time.
+    Given a deployment with 1 daemon
+    When the store is down and up again, and loses all server entries 0.5 s later
+    Then a look-up is served at once
+    When the server entries stay away for 3 s
+    Then a look-up is refused as not run
+
   Scenario: The store forgets its history
     Guards against a daemon that misses changes which the store no longer keeps.
     Given a deployment with 1 daemon
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -197,7 +197,7 @@
 
 
 def make_update(rows, is_whole=False):
-    return TableUpdate(rows, is_whole, 1.0, None, False)
+    return TableUpdate(rows, is_whole, 1.0, None)
 
 
 @given("the entries of servers a, b and c are followed")
--- a/features/platform/steps/restoredconfig_steps.py
+++ b/features/platform/steps/restoredconfig_steps.py
@@ -23,7 +23,14 @@
 def take(context, rows, at_seconds, is_whole=False, after_restore=False):
     context.era += after_restore
     context.follower.take(
-        TableUpdate(rows, is_whole, at_seconds, None, False, after_restore, context.era)
+        TableUpdate(
+            rows,
+            is_whole,
+            at_seconds,
+            None,
+            after_restore=after_restore,
+            era=context.era,
+        )
     )
 
 
--- a/features/state/steps/targetlist_steps.py
+++ b/features/state/steps/targetlist_steps.py
@@ -45,7 +45,7 @@
 def step_registered_starts(context, names, started_ms):
     step_registered(context, "nothing")
     targets = [make_target(name, "1", started_ms) for name in names_of(names)]
-    context.list.replace_all(targets, False)
+    context.list.replace_all(targets)
 
 
 @given("registered targets {names}")
@@ -60,13 +60,13 @@
     context.list = TargetList(
         context.clock, on_views, lambda: WEIGHTS_SECONDS, leaving=context.leaving
     )
-    context.list.replace_all([make_target(name) for name in names_of(names)], False)
+    context.list.replace_all([make_target(name) for name in names_of(names)])
 
 
 @when("{name} registers as leaving as started at {started_ms:d}")
 def step_leaving_start(context, name, started_ms):
     leaving = replace(make_target(name, "1", started_ms), is_leaving=True)
-    context.list.take([leaving], [], False)
+    context.list.take([leaving], [])
 
 
 @when("a response of {name} as started at {started_ms:d} says that it is leaving")
@@ -87,7 +87,7 @@
 
 @when("{name} registers with version {version} as started at {started_ms:d}")
 def step_registers_start(context, name, version, started_ms):
-    context.list.take([make_target(name, version, started_ms)], [], False)
+    context.list.take([make_target(name, version, started_ms)], [])
 
 
 @when("{name} itself reports that it started at {started_ms:d}")
@@ -120,41 +120,53 @@
 @when("{name} registers as leaving")
 def step_leaving(context, name):
     leaving = replace(make_target(name), is_leaving=True)
-    context.list.take([leaving], [], False)
+    context.list.take([leaving], [])
 
 
 @when("{name} registers with version {version}")
 def step_registers_version(context, name, version):
-    context.list.take([make_target(name, version)], [], False)
+    context.list.take([make_target(name, version)], [])
 
 
 @when("the registration of {name} is removed")
 def step_removed(context, name):
-    context.list.take([], [TargetId(name)], False)
+    context.list.take([], [TargetId(name)])
 
 
 @when("the registrations of {names} are gone as the store comes back")
 def step_gone(context, names):
     del names
-    context.list.replace_all([], True)
+    context.list.replace_all([], context.clock.now_seconds())
+
+
+@when("the store is back for {seconds:g} s")
+def step_back(context, seconds):
+    context.outage_ended_seconds = context.clock.now_seconds()
+    context.clock.advance(seconds)
+
+
+@when("the registrations of {names} are removed after an outage")
+def step_removed_after(context, names):
+    removed = [TargetId(name) for name in names_of(names)]
+    context.list.take([], removed, context.outage_ended_seconds)
 
 
 @when("a full read lists {names}")
 def step_full_read(context, names):
-    context.list.replace_all([make_target(name) for name in names_of(names)], False)
+    context.list.replace_all([make_target(name) for name in names_of(names)])
 
 
 @when("the store is restored and lists {names}")
 def step_restored(context, names):
     context.list.replace_all(
-        [make_target(name) for name in names_of(names)], False, after_restore=True
+        [make_target(name) for name in names_of(names)], after_restore=True
     )
 
 
 @when("{seconds:g} s passes and {name} registers again")
 def step_again(context, seconds, name):
     context.clock.advance(seconds)
-    context.list.take([make_target(name)], [], False)
+    context.list.take([make_target(name)], [])
 
 
 @when("{name} has a rate limit")
--- a/features/state/targetlist.feature
+++ b/features/state/targetlist.feature
@@ -54,6 +54,24 @@
     And 2 s pass
     Then a may be used and b may not be sent to
 
+  Scenario Outline: A registration that is gone <seconds> s after the store came back
+    Registrations expire once their targets could not renew them, also after the store's
+    first response. Guards against targets that are dropped for that.
+    Given registered targets a and b
+    When the store is back for <seconds> s
+    And the registrations of a and b are removed after an outage
+    Then <at first>
+    When 0.3 s pass
+    And a registers with version 1
+    And 2 s pass
+    Then a may be used and b may not be sent to
+
+    Examples:
+      | seconds | at first            |
+      | 0.1     | a and b may be used |
+      | 1.8     | a and b may be used |
+      | 2.5     | nothing may be used |
+
   Scenario: A target is left alone while its weights are changed
     Guards against requests to a target that cannot serve during the change.
     Given registered targets a and b
--- a/lycheepost/app/processorcost.py
+++ b/lycheepost/app/processorcost.py
@@ -240,7 +240,7 @@
     daemons = [_FleetDaemon(index, network, vm_list) for index in range(n_daemons)]
     for daemon in daemons:
         daemon.targets.set_table(_TABLE)
-        daemon.targets.replace_all(_list_targets(n_targets), after_outage=False)
+        daemon.targets.replace_all(_list_targets(n_targets))
         await daemon.start()
     await asyncio.sleep(SETTLE_SECONDS)
     requests_per_second = requests_per_target * n_targets
--- a/lycheepost/peers/feedshare.py
+++ b/lycheepost/peers/feedshare.py
@@ -67,6 +67,10 @@
 """Time since its last request from a peer during which a daemon counts as asked by
 others."""
 
+LATE_ANSWER_SECONDS = 0.5
+"""An answer of the store that is late by more counts as the end of an outage: a request
+that hangs meanwhile may be answered after it. A slow store is late by 0.2 s."""
+
 NO_VERSION = -1
 
 _log = structlog.get_logger(part="feed")
@@ -170,7 +174,7 @@
                 return Success(changes)
         sent_seconds = self._clock.now_seconds()
         answer = await self._store.read_table(table)
-        return self._record_store_answer(table, None, answer, sent_seconds)
+        return self._record_store_answer(table, None, answer, sent_seconds, 0.0)
 
     async def wait_changes(
         self, table: str, after: int, wait_seconds: float
@@ -190,7 +194,9 @@
         self._log_store_asked(table, sent_seconds)
         held_seconds = self._store_hold_seconds(table, wait_seconds)
         answer = await self._store.wait_changes(table, after, held_seconds)
-        return self._record_store_answer(table, after, answer, sent_seconds)
+        return self._record_store_answer(
+            table, after, answer, sent_seconds, held_seconds
+        )
 
     def _store_hold_seconds(self, table: str, wait_seconds: float) -> float:
         """Return how long the store may hold a request.
@@ -220,19 +226,37 @@
         after: int | None,
         answer: Result[Changes, TableError],
         sent_seconds: float,
+        held_seconds: float,
     ) -> Result[Changes, TableError]:
         """Apply an answer of the store to the copy, and answer held requests.
 
         If it does not state when it was given, it is confirmed from when the store was
         asked: the caller has waited for peers, or for its turn, before that.
+
+        Args:
+            table: The table.
+            after: The version in the request; None for a full read.
+            answer: The answer.
+            sent_seconds: When the store was asked.
+            held_seconds: How long it was allowed to hold the request.
         """
         mirror = self._mirrors[table]
         match answer:
             case Success(changes):
                 confirmed_seconds = changes.confirmed_seconds or sent_seconds
+                now_seconds = self._clock.now_seconds()
+                late_seconds = now_seconds - sent_seconds - held_seconds
+                if mirror.is_lost or late_seconds > LATE_ANSWER_SECONDS:
+                    mirror.note_outage_end(now_seconds)
                 mirror.apply(changes, after, confirmed_seconds)
                 self._known_tables.add(table)
-                answer = Success(replace(changes, confirmed_seconds=confirmed_seconds))
+                answer = Success(
+                    replace(
+                        changes,
+                        confirmed_seconds=confirmed_seconds,
+                        outage_ended_seconds=mirror.outage_ended_seconds,
+                    )
+                )
             case Failure(_):
                 mirror.note_lost()
         self._answer_held(table)
@@ -345,14 +369,19 @@
         self.n_peer_answers += 1
         self._known_tables.add(table)
         confirmed_seconds = sent_seconds + answer.confirmed_after_seconds
+        mirror = self._mirrors[table]
+        if answer.outage_ended_ago_seconds is not None:
+            now_seconds = self._clock.now_seconds()
+            mirror.note_outage_end(now_seconds - answer.outage_ended_ago_seconds)
         changes = Changes(
             tuple(_to_change(row) for row in answer.rows),
             answer.version,
             answer.is_whole,
             confirmed_seconds,
+            mirror.outage_ended_seconds,
         )
         # Without these changes the copy would have a gap once the store is asked again.
-        self._mirrors[table].apply(changes, after, confirmed_seconds)
+        mirror.apply(changes, after, confirmed_seconds)
         self._answer_held(table)
         return changes
 
@@ -438,12 +467,18 @@
         self, ask: FeedAsk, sender: DaemonId, changes: Changes, arrived_seconds: float
     ) -> None:
         mirror = self._mirrors[ask.table]
+        ended_seconds = mirror.outage_ended_seconds
         answer = FeedAnswer(
             number=ask.number,
             is_known=True,
             version=changes.version,
             is_whole=changes.is_whole,
             confirmed_after_seconds=mirror.confirmed_after_seconds(arrived_seconds),
+            outage_ended_ago_seconds=(
+                None
+                if ended_seconds is None
+                else self._clock.now_seconds() - ended_seconds
+            ),
             rows=[_to_row(row) for row in changes.rows],
         )
         self._exchange.send(sender, answer)
--- a/lycheepost/platform/following.py
+++ b/lycheepost/platform/following.py
@@ -195,11 +195,13 @@
                 listed.append(target)
         self._targets.drop_unusable(unusable)
         if update.is_whole:
-            self._targets.replace_all(listed, update.after_outage, update.after_restore)
+            self._targets.replace_all(
+                listed, update.outage_ended_seconds, update.after_restore
+            )
             return
         removed = [TargetId(row.key) for row in rows if row.value is None]
         if listed or removed:
-            self._targets.take(listed, removed, update.after_outage)
+            self._targets.take(listed, removed, update.outage_ended_seconds)
 
     def _decode(self, name: str, data: bytes) -> ListedTarget | None:
         match decode_server(name, data):
--- a/lycheepost/ports/feed.py
+++ b/lycheepost/ports/feed.py
@@ -30,12 +30,15 @@
         is_whole: Whether these are all rows; a row that is missing was removed.
         confirmed_seconds: Time at which the table was in this state, by the clock of
             the requesting daemon; None stands for the time the request was sent.
+        outage_ended_seconds: When the service was last found to answer again, by the
+            same clock; None if no outage is known.
     """
 
     rows: tuple[ChangedRow, ...]
     version: int
     is_whole: bool = False
     confirmed_seconds: float | None = None
+    outage_ended_seconds: float | None = None
 
 
 @dataclass(frozen=True)
--- a/lycheepost/state/feedmirror.py
+++ b/lycheepost/state/feedmirror.py
@@ -31,6 +31,8 @@
             incomplete.
         _base_version: Oldest version after which all changes are kept.
         is_lost: Whether the store did not respond to the last request.
+        outage_ended_seconds: When the store was last found to answer again after an
+            outage, here or at a peer; None if no outage is known.
     """
 
     version: int | None = None
@@ -39,6 +41,7 @@
     _base_version: int = 0
     _confirmed_seconds: float = float("-inf")
     is_lost: bool = False
+    outage_ended_seconds: float | None = None
 
     def apply(
         self, changes: Changes, after: int | None, confirmed_seconds: float
@@ -77,6 +80,12 @@
         """Record that the store did not respond."""
         self.is_lost = True
 
+    def note_outage_end(self, ended_seconds: float) -> None:
+        """Record when the store was found to answer again after an outage."""
+        known_seconds = self.outage_ended_seconds
+        if known_seconds is None or known_seconds < ended_seconds:
+            self.outage_ended_seconds = ended_seconds
+
     def confirmed_after_seconds(self, since_seconds: float) -> float:
         """Return the time of the last confirmation, relative to ``since_seconds``."""
         return self._confirmed_seconds - since_seconds
--- a/lycheepost/state/targetlist.py
+++ b/lycheepost/state/targetlist.py
@@ -3,8 +3,9 @@
 Combines registrations, orders that change weights, what responses report about weights
 and leaving, and how requests end. Views mark targets that may not take new work.
 
-A target whose registration lapses while the store is down has not left: it registers
-again within two seconds of the store's return. Removals after an outage wait that long.
+A target whose registration lapses while the store is down, or just after it, has not
+left: it registers again within two seconds of the store's return. Removals are not
+applied before that.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -37,6 +38,7 @@
 from lycheepost.state.softwarelist import SoftwareList
 from lycheepost.state.targetrecords import NO_ZONE, TargetRecord, ViewBuilder
 from lycheepost.state.targetstarts import TargetStarts
+from lycheepost.state.watch import NO_OUTAGE
 
 REGISTRATION_GRACE_SECONDS = 2.2
 """Lapsed registrations are renewed within two seconds of the store's return, plus one
@@ -194,20 +196,22 @@
         self,
         listed: Iterable[ListedTarget],
         removed: Iterable[TargetId],
-        after_outage: bool,
+        outage_ended_seconds: float = NO_OUTAGE,
     ) -> None:
         """Apply registrations and removals.
 
         Args:
             listed: Targets as they registered.
             removed: Targets whose registrations are gone.
-            after_outage: Whether the store did not respond before.
+            outage_ended_seconds: When the store last responded again after an outage.
         """
         for target in listed:
             self._departures.note_written(target)
             self._correct_weights(target)
             self._put(target)
         now_seconds = self._clock.now_seconds()
+        renewed_seconds = outage_ended_seconds + REGISTRATION_GRACE_SECONDS
+        wait_seconds = max(0.0, renewed_seconds - now_seconds)
         for name in removed:
             self._departures.note_removed(name)
             self._denied.pop(name, None)
@@ -215,9 +219,8 @@
             if known is None or known.removed_seconds is not None:
                 continue
             # The target is used during the wait, as most are still running.
-            wait_seconds = REGISTRATION_GRACE_SECONDS if after_outage else 0.0
             known.removed_seconds = now_seconds + wait_seconds
-            if not after_outage:
+            if not wait_seconds:
                 self._departures.note_left(known.listed)
             _log.info("targets: registration gone", target=name, wait=wait_seconds)
         self.refresh()
@@ -225,14 +228,14 @@
     def replace_all(
         self,
         listed: Iterable[ListedTarget],
-        after_outage: bool,
+        outage_ended_seconds: float = NO_OUTAGE,
         after_restore: bool = False,
     ) -> None:
         """Apply a full read of the registrations; targets not in it are removed.
 
         Args:
             listed: Targets as they registered.
-            after_outage: Whether the store did not respond before.
+            outage_ended_seconds: When the store last responded again after an outage.
             after_restore: Whether the store was restored from a copy: targets that
                 registered since the copy write again, and targets that left since are
                 listed until their registrations expire.
@@ -240,10 +243,11 @@
         targets = tuple(listed)
         names = {target.target for target in targets}
         missing = (self._known.keys() | self._departures.held_back()) - names
-        usable = self._departures.choose_usable(
-            targets, after_restore, self._clock.now_seconds()
-        )
-        self.take(usable, sorted(missing), after_outage or after_restore)
+        now_seconds = self._clock.now_seconds()
+        usable = self._departures.choose_usable(targets, after_restore, now_seconds)
+        if after_restore:
+            outage_ended_seconds = now_seconds
+        self.take(usable, sorted(missing), outage_ended_seconds)
 
     def drop_unusable(self, names: Iterable[TargetId]) -> None:
         """Stop using targets whose registration was replaced by an unusable one.
--- a/lycheepost/state/watch.py
+++ b/lycheepost/state/watch.py
@@ -28,6 +28,9 @@
 """Back-off while the store does not respond. A store that is back is noticed within a
 second; seven daemons send ten requests a second to a store that is down."""
 
+NO_OUTAGE = float("-inf")
+"""The end of an outage where none is known."""
+
 _log = structlog.get_logger(part="watch")
 
 
@@ -40,7 +43,8 @@
         confirmed_seconds: The known state was the current one at this time or later.
         before_seconds: ``confirmed_seconds`` before this response; None for the first
             one. All changes in ``rows`` happened after it.
-        after_outage: Whether this is the first response after a failure.
+        outage_ended_seconds: When the store was last found to respond again after an
+            outage, here or at a peer; minus infinity if no outage is known.
         after_restore: Whether this is the first response since the store was restored
             from a copy; all rows follow, some of them older than known ones.
         era: The era of the store in this response.
@@ -50,7 +54,7 @@
     is_whole: bool
     confirmed_seconds: float
     before_seconds: float | None
-    after_outage: bool
+    outage_ended_seconds: float = NO_OUTAGE
     after_restore: bool = False
     era: StoreEra = NEVER_RESTORED.era
 
@@ -105,6 +109,7 @@
         self._random = random.Random(seed)
         self._version: int | None = None
         self._era: StoreEra | None = None
+        self._outage_ended_seconds = NO_OUTAGE
         self._task: asyncio.Task[None] | None = None
         self._on_first_response: Callable[[], None] | None = None
         self.n_answers = 0
@@ -173,10 +178,7 @@
         return False
 
     def _apply(self, changes: Changes, is_whole: bool, sent_seconds: float) -> None:
-        after_outage, self.is_lost = self.is_lost, False
-        if after_outage:
-            _log.info("watch: store responds again", table=self._table)
-        self.n_answers += 1
+        self._note_answer(changes)
         era = era_of(changes.version)
         after_restore = self._era is not None and era > self._era
         if after_restore:
@@ -195,7 +197,7 @@
             is_whole,
             confirmed_seconds,
             before,
-            after_outage,
+            self._outage_ended_seconds,
             after_restore,
             era,
         )
@@ -208,6 +210,17 @@
         if self.n_answers == 1 and self._on_first_response is not None:
             self._on_first_response()
 
+    def _note_answer(self, changes: Changes) -> None:
+        """Record that there is an answer, and the end of an outage if it was one."""
+        self.n_answers += 1
+        ended_seconds = changes.outage_ended_seconds
+        if self.is_lost:
+            _log.info("watch: store responds again", table=self._table)
+            self.is_lost = False
+            ended_seconds = self._clock.now_seconds()
+        if ended_seconds is not None:
+            self._outage_ended_seconds = max(self._outage_ended_seconds, ended_seconds)
+
     def _note_failure(self, error: TableError) -> None:
         self.n_failures += 1
         if not self.is_lost:
