Record which requests and prompt parts crash targets

After all daemons lost power, such an order crashed two servers more each time, a part of prompts up to three, though both had been refused before.

Cause: verdicts were told to peers and to daemons that start beside them, but kept nowhere.

Change: a daemon that comes to a verdict writes all that are in force into one row, and keeps it up to date; each start reads it before the first request, as it reads the record of quotas. Suspects are left out, as their next run may clear them. The recorder of software versions becomes one for any value, which both use.

--- a/features/platform/badparts.feature
+++ b/features/platform/badparts.feature
@@ -60,6 +60,14 @@
     And the last one gets 10 requests with the part
     Then none of these reach an engine
 
+  Scenario: Daemons that start after all were killed know the parts that crash engines
+    Guards against a fleet that forgets all parts as it loses power.
+    Given a deployment with 2 daemons and 8 engines that a part crashes after nothing
+    When clients ask for 20 sound titles and 4 titles with the part a second for 6 s
+    And all daemons are killed and others run
+    And the last one gets 10 requests with the part
+    Then none of these reach an engine
+
   Scenario: Daemons that are cut off from their peers hear of a part afterwards
     Guards against evidence that is only told while a link is open.
     Given a deployment with 2 daemons and 8 engines that a part crashes after nothing
--- a/features/platform/failures.feature
+++ b/features/platform/failures.feature
@@ -56,6 +56,40 @@
       | order   |
       | look-up |
 
+  Scenario Outline: An order that crashes its servers <when> is refused where <trouble>
+    Guards against an order that ends one server each time, as what is known of it is
+    lost, or its losses are not counted.
+    Given a deployment with 2 daemons and 3 plain servers
+    When each plain server that gets a order crashes <when> and is back after 0.7 s
+    And clients send one order 4 times, 1 s apart, to both daemons by turns
+    And <trouble>
+    And clients send one order 5 times, 1 s apart, to both daemons by turns
+    Then at most 3 servers crash
+
+    Examples:
+      | when                   | trouble                               |
+      | at once                | nothing happens                       |
+      | in its answer          | nothing happens                       |
+      | at once                | all daemons are killed and others run |
+      | in its answer          | all daemons are killed and others run |
+      | at once                | one daemon is killed and another runs |
+      | at once                | the first daemon loses its paths      |
+
+  Scenario: An order that crashes its servers and comes only through a daemon without paths
+    Guards against losses that neither the daemon that relays nor the one that sends counts.
+    Given a deployment with 2 daemons and 3 plain servers
+    When each plain server that gets a order crashes at once and is back after 0.7 s
+    And the first daemon loses its paths
+    And clients send one order 8 times, 1 s apart, to the first daemon
+    Then at most 3 servers crash
+
+  Scenario: Each of several orders that crash their servers is refused at last
+    Half of the servers are away at a time, and each order is lost beside others.
+    Given a deployment with 2 daemons and 3 plain servers
+    When each plain server that gets a order crashes at once and is back after 0.7 s
+    And clients send 4 different orders 12 times, 1 s apart, to both daemons by turns
+    Then each order arrives at most 3 times later than 3 s after its third arrival
+
   Scenario Outline: A <what> that a server took and never answered is not called "not run"
     The server hangs and the client's deadline passes while the request is there. If the
     daemon said "not run", the client would send the order again, and both could run.
--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -1,16 +1,19 @@
 """Steps of failures.feature."""
 
 import asyncio
+from collections import defaultdict
 from dataclasses import replace
 
 import aiohttp
 from behave import then, when
 from request_steps import BODY, REQUESTS, ask, step_whole
+from softwareversion_steps import replace_all
 
 from lycheepost.app.platformfleet import KEYS
 from lycheepost.callers import forwarderrors
 from lycheepost.callers.errors import Executed
 from lycheepost.platform import headers as names
+from lycheepost.platform.models.pathcuts import PathCut
 from lycheepost.platform.models.serverfaults import (
     Encoded,
     ExtraAnswer,
@@ -28,6 +31,7 @@
 )
 
 SCOPE = names.CACHE_SCOPE.lower()
+CRASH_MOMENTS = {"at once": 0, "in its answer": 1}
 
 FAULTS = {
     "lost answer": LostAnswer(),
@@ -252,21 +256,31 @@
 
 @when("each plain server that gets a {what} crashes and is back after {seconds:g} s")
 def step_crashing(context, what, seconds):
+    step_crashing_when(context, what, "at once", seconds)
+
+
+@when(
+    "each plain server that gets a {what} crashes {moment} and is back after"
+    " {seconds:g} s"
+)
+def step_crashing_when(context, what, moment, seconds):
     deployment = context.deployment
     plan = FaultPlan()
-    plan.add(CrashAt(0), 1_000)
+    plan.add(CrashAt(CRASH_MOMENTS[moment]), 1_000)
     context.n_crashes = 0
-    revivals = set()
+    revivals = {}
 
     def revive(server):
+        if server in revivals:
+            # Another request has crashed it in the same moment.
+            return
         context.n_crashes += 1
         work = deployment.replace_crashed(server, seconds)
-        task = context.loop.create_task(work)
-        revivals.add(task)
-        task.add_done_callback(revivals.discard)
+        revivals[server] = context.loop.create_task(work)
+        revivals[server].add_done_callback(lambda _: revivals.pop(server))
 
     async def end_revivals():
-        await asyncio.gather(*revivals)
+        await asyncio.gather(*revivals.values())
 
     for server in deployment.group("plain"):
         server.faults = plan
@@ -274,20 +288,106 @@
     context.closers.append(end_revivals)
 
 
+def send_again(context, what, bodies, n, seconds, indices):
+    """Send each body again and again, each time through the next of some daemons."""
+    deployment = context.deployment
+    method, path, _body = REQUESTS[what]
+
+    async def send(body, first):
+        for number in range(n):
+            index = indices[(first + number) % len(indices)]
+            headers = deployment.headers()
+            await deployment.ask(method, path, headers, body, index)
+            await asyncio.sleep(seconds)
+
+    async def send_all():
+        await asyncio.gather(*(send(body, at) for at, body in enumerate(bodies)))
+
+    context.loop.run_until_complete(send_all())
+
+
+def both(deployment):
+    """Return the indices of the daemons that started last."""
+    n_daemons = len(deployment.daemons)
+    return [n_daemons - 2, n_daemons - 1]
+
+
 @when(
     "clients send one {what} {n:d} times, {seconds:g} s apart, to both daemons by turns"
 )
 def step_send_again(context, what, n, seconds):
+    body = REQUESTS[what][2]
+    send_again(context, what, [body], n, seconds, both(context.deployment))
+
+
+@when("clients send one order {n:d} times, {seconds:g} s apart, to the first daemon")
+def step_send_first(context, n, seconds):
+    send_again(context, "order", [BODY], n, seconds, [0])
+
+
+@when(
+    "clients send {n_orders:d} different orders {n:d} times, {seconds:g} s apart, to"
+    " both daemons by turns"
+)
+def step_send_orders(context, n_orders, n, seconds):
+    context.n_orders = n_orders
+    bodies = [f"order {number}".encode() for number in range(n_orders)]
+    send_again(context, "order", bodies, n, seconds, both(context.deployment))
+
+
+@when("nothing happens")
+def step_nothing(context):
+    pass
+
+
+@when("all daemons are killed and others run")
+def step_all_killed(context):
+    context.loop.run_until_complete(replace_all(context.deployment, 2))
+
+
+@when("one daemon is killed and another runs")
+def step_one_killed(context):
+    context.loop.run_until_complete(replace_all(context.deployment, 1))
+
+
+@when("the first daemon loses its paths")
+def step_paths_lost(context):
     deployment = context.deployment
-    method, path, body = REQUESTS[what]
+    deployment.networks[0].cut(PathCut.RESET)
+
+    async def are_lost():
+        await deployment.ask("GET", "/look/1", deployment.headers())
+        groups = deployment.daemons[0].status()["own_paths"]["groups"]
+        return groups.get("plain", {}).get("state") == "reaches_none"
+
+    # The servers run look-ups meanwhile.
+    plans = [server.faults for server in deployment.servers]
+    for server in deployment.servers:
+        server.faults = FaultPlan()
+    context.loop.run_until_complete(deployment.until(are_lost))
+    for server, plan in zip(deployment.servers, plans, strict=True):
+        server.faults = plan
 
-    async def send():
-        for number in range(n):
-            headers = deployment.headers()
-            await deployment.ask(method, path, headers, body, number % 2)
-            await asyncio.sleep(seconds)
 
-    context.loop.run_until_complete(send())
+@then(
+    "each order arrives at most {n:d} times later than {seconds:g} s after its third"
+    " arrival"
+)
+def step_late_arrivals(context, n, seconds):
+    deployment = context.deployment
+    arrived_seconds = {
+        attempt_id: at_seconds
+        for server in deployment.servers
+        for attempt_id, at_seconds in server.arrivals
+    }
+    arrivals = defaultdict(list)
+    for run in deployment.runs():
+        arrivals[run.body].append(arrived_seconds[run.attempt_id])
+    assert len(arrivals) == context.n_orders, arrivals
+    for body, times in arrivals.items():
+        times.sort()
+        late = [time for time in times[3:] if time > times[2] + seconds]
+        assert len(late) <= n, (body, times)
 
 
 @then("at most {n:d} servers crash")
--- a/lycheepost/app/losses.py
+++ b/lycheepost/app/losses.py
@@ -9,6 +9,9 @@
 import asyncio
 from collections.abc import Callable
 
+import structlog
+
+from lycheepost.app.rowrecorder import RowRecorder
 from lycheepost.app.ticker import Ticker
 from lycheepost.callers.dispatch import Dispatcher
 from lycheepost.core.clock import Clock
@@ -20,6 +23,12 @@
     StartKey,
     TargetId,
 )
+from lycheepost.decide.lossrecord import (
+    LossRecord,
+    apply_record,
+    is_verdict,
+    make_record,
+)
 from lycheepost.decide.partlosses import LostRun
 from lycheepost.decide.parttrials import TrialNotice
 from lycheepost.decide.quarantine import LossReport, SuspectNotice
@@ -49,6 +58,8 @@
 MAX_TOLD_RUNS = 200
 """Lost runs in one message; more are told in several."""
 
+_log = structlog.get_logger(part="losses")
+
 
 class LossExchange:
     """Exchanges losses and quarantines with the peers.
@@ -59,6 +70,7 @@
         clock: The clock that the scheduler uses.
         metrics: Receives the gauges.
         call_later: Calls a function after ``BATCH_SECONDS``.
+        recorder: Records verdicts for the next start of all daemons; None for none.
     """
 
     def __init__(
@@ -68,12 +80,18 @@
         clock: Clock,
         metrics: Metrics,
         call_later: Callable[[Callable[[], None]], object] | None = None,
+        recorder: RowRecorder[LossRecord] | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._exchange = exchange
         self._clock = clock
         self._metrics = metrics
         self._call_later = call_later or _call_after_batch
+        self._recorder = recorder
+        self._is_recording = False
+        self._has_verdicts = False
+        if recorder is not None:
+            recorder.subscribe(self._take_recorded)
         self._runs: list[LostRun] = []
         self._written: dict[PromptPartKey, float] = {}
         self._ticker = Ticker(self._tick, DIGEST_SECONDS)
@@ -100,6 +118,7 @@
 
     def _tick(self) -> None:
         self._set_gauges()
+        self._record()
         digest = self._dispatcher.suspicion.parts.digest()
         if digest:
             peers = self._exchange.linked_daemons()
@@ -125,6 +144,7 @@
 
     def _publish(self, news: SuspicionNews) -> None:
         now_seconds = self._clock.now_seconds()
+        self._record_if_new(news)
         for loss in news.losses:
             self._exchange.broadcast(_to_notice(loss, now_seconds))
         for trial in news.trials:
@@ -136,6 +156,34 @@
         self._runs.extend(news.runs)
         self._written.update(news.written)
 
+    def _record_if_new(self, news: SuspicionNews) -> None:
+        """Record all verdicts if this daemon has come to one, or has cleared a part."""
+        if self._recorder is None:
+            return
+        is_cleared = self._has_verdicts and bool(news.written)
+        if is_cleared or is_verdict(news, self._dispatcher.suspicion):
+            self._is_recording = True
+            self._record()
+
+    def _record(self) -> None:
+        """Keep the record up to date, once this daemon has written it."""
+        suspicion = self._dispatcher.suspicion
+        record = make_record(suspicion, self._clock.now_seconds())
+        self._has_verdicts = bool(record)
+        if self._recorder is not None and self._is_recording:
+            self._recorder.record(record)
+
+    def _take_recorded(self, record: LossRecord) -> None:
+        """Take the verdicts that were recorded before the start."""
+        now_seconds = self._clock.now_seconds()
+        apply_record(self._dispatcher.suspicion, record, now_seconds)
+        if record:
+            _log.info(
+                "losses: record read",
+                n_quarantines=len(record.quarantines),
+                n_runs=len(record.runs),
+            )
+
     def _publish_batch(self) -> None:
         now_seconds = self._clock.now_seconds()
         runs, self._runs = self._runs, []
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -71,9 +71,9 @@
 METRICS_PORT = 9109
 """Also given in deploy/system.toml; outside of the port range that peers use."""
 
-N_FIRST_READS = 4
-"""The tables of the operators and of the targets, the record of the quotas' use and the
-newest settled era of the store."""
+N_FIRST_READS = 5
+"""The tables of the operators and of the targets, the records of the quotas' use and of
+what crashes targets, and the newest settled era of the store."""
 
 _log = structlog.get_logger(part="app")
 
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -18,7 +18,7 @@
 from lycheepost.app.platformbase import PlatformBase
 from lycheepost.app.quotarecorder import QuotaRecorder
 from lycheepost.app.quotas import QuotaExchange
-from lycheepost.app.softwarerecorder import SoftwareRecorder
+from lycheepost.app.rowrecorder import RowRecorder
 from lycheepost.app.startjudge import StartJudge
 from lycheepost.app.streamrecorder import StreamRecorder
 from lycheepost.app.streamversions import StreamVersionExchange
@@ -32,6 +32,7 @@
 from lycheepost.decide.fleetquota import FleetQuotas
 from lycheepost.decide.freshness import KeyTrustRule
 from lycheepost.decide.kvstorecontents import KvStoreContents
+from lycheepost.decide.lossrecord import LossRecord
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.decide.notices import TargetNotices
 from lycheepost.decide.records import LoadReport, TargetView
@@ -50,11 +51,12 @@
 from lycheepost.platform.peerdialect import PeerDialect
 from lycheepost.platform.settings import Bounds
 from lycheepost.state.initial_reads import InitialReads
+from lycheepost.state.lossrow import LossRow
 from lycheepost.state.members import MemberManager
 from lycheepost.state.quotarows import QuotaRows
 from lycheepost.state.relays import choose_asked, choose_relays
 from lycheepost.state.routing import RoutingManager
-from lycheepost.state.softwarerow import SoftwareRow
+from lycheepost.state.softwarerow import GroupVersions, SoftwareRow
 from lycheepost.state.streamrows import StreamRows
 from lycheepost.state.targetlist import TargetList
 from lycheepost.targets.forward import ForwardClient
@@ -105,7 +107,8 @@
     peer_client: ForwardClient
     stream_versions: StreamVersionExchange
     stream_recorder: StreamRecorder
-    software_recorder: SoftwareRecorder
+    software_recorder: RowRecorder[GroupVersions]
+    loss_recorder: RowRecorder[LossRecord]
 
     def components(self) -> list[Component]:
         """Return the components in start order."""
@@ -125,6 +128,7 @@
             self.stream_versions,
             self.stream_recorder,
             self.software_recorder,
+            self.loss_recorder,
             self.quotas,
             self.quota_recorder,
         ]
@@ -170,7 +174,14 @@
     dispatcher = Dispatcher(Scheduler(settings, base.seed), clock)
     divisor = unknown_fleet_divisor(base.node.is_first_start)
     dispatcher.set_retry_terms(retry_terms(get_bounds(), divisor))
-    losses = LossExchange(dispatcher, exchange, clock, metrics)
+    loss_recorder = RowRecorder[LossRecord](
+        "losses",
+        LossRow(base.store, clock),
+        LossRecord(),
+        base.node.is_first_start,
+        first_reads.note,
+    )
+    losses = LossExchange(dispatcher, exchange, clock, metrics, recorder=loss_recorder)
     loads = LoadExchange(dispatcher, exchange, clock)
     fleet_quotas.set_tolerance(get_bounds().quota_tolerance)
     quotas = QuotaExchange(fleet_quotas, exchange, clock, metrics)
@@ -208,8 +219,8 @@
     stream_recorder = StreamRecorder(
         StreamRows(base.store, base.node.daemon), clock, base.node.is_first_start
     )
-    software_recorder = SoftwareRecorder(
-        SoftwareRow(base.store), base.node.is_first_start
+    software_recorder = RowRecorder[GroupVersions](
+        "software-versions", SoftwareRow(base.store), {}, base.node.is_first_start
     )
     stream_versions = StreamVersionExchange(
         software,
@@ -309,6 +320,7 @@
         quota_recorder=quota_recorder,
         stream_recorder=stream_recorder,
         software_recorder=software_recorder,
+        loss_recorder=loss_recorder,
         path_prober=path_prober,
         paths=paths,
         peer_client=peer_client,
--- a/lycheepost/app/streamversions.py
+++ b/lycheepost/app/streamversions.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from lycheepost.app.softwarerecorder import SoftwareRecorder
+from lycheepost.app.rowrecorder import RowRecorder
 from lycheepost.app.streamrecorder import StreamRecorder
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, SoftwareVersion, StreamId, TargetGroupId
@@ -82,7 +82,7 @@
         on_peers_confirmed: Callable[[], None],
         call_soon: Callable[[Callable[[], None]], object] | None = None,
         recorder: StreamRecorder | None = None,
-        software_recorder: SoftwareRecorder | None = None,
+        software_recorder: RowRecorder[GroupVersions] | None = None,
     ) -> None:
         self._software = software
         self._origins = StreamOrigins()
@@ -234,7 +234,7 @@
         recorder = self._software_recorder
         if recorder is None or not self._is_current(now_seconds):
             return
-        recorder.set_versions(
+        recorder.record(
             {
                 group: self._software.known(group, now_seconds)
                 for group in self._software.groups()
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -411,6 +411,16 @@
         finally:
             self.n_running -= 1
 
+    async def _begin_answer(
+        self, request: web.Request, headers: Mapping[str, str], text: bytes
+    ) -> web.StreamResponse:
+        """Send the head and half of the body of an answer."""
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(text)
+        await response.prepare(request)
+        await response.write(text[: len(text) // 2])
+        return response
+
     def _note_arrival(self, request: web.Request) -> None:
         attempt_id = request.headers.get(names.ATTEMPT_ID)
         if attempt_id is not None:
@@ -435,16 +445,15 @@
         match fault:
             case LostAnswer():
                 self._server.abort_connection(request)
-            case CrashAt():
+            case CrashAt(after_events=n_events):
+                if n_events:
+                    await self._begin_answer(request, headers, text)
                 self.on_crash()
                 await self.stop()
             case ServerFailure(status=status):
                 return web.Response(status=status, headers=headers, body=text)
             case Truncated():
-                response = web.StreamResponse(headers=headers)
-                response.content_length = len(text)
-                await response.prepare(request)
-                await response.write(text[: len(text) // 2])
+                response = await self._begin_answer(request, headers, text)
                 await self._server.abort_after_sending(request)
                 return response
             case BrokenOff() | Unframed():
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -21,6 +21,7 @@
 PARALLEL_FOLDERS = 4
 FOLDER_TIMEOUT_SECONDS = 600
 LONG_FEATURES = (
+    FEATURES / "platform" / "failures.feature",
     FEATURES / "platform" / "ownpaths.feature",
     FEATURES / "platform" / "silentgroup.feature",
     FEATURES / "platform" / "retrybudget.feature",
