Hold SIGHUP back until the loop can handle it

Cause: the signal's handler is set in the loop, after all modules are loaded; until then the default action ends the process.

Change: the first statement of the run blocks SIGHUP, and it is delivered once the handler is set, so that a change between the reading of the file and that moment is read too. What is left is the interpreter's start and the imports of the module itself, some 50 ms.

--- a/features/app/settingswatch.feature
+++ b/features/app/settingswatch.feature
@@ -53,3 +53,17 @@
     Then it still answers, and its log reports each reload
     When it gets SIGTERM
     Then it ends by itself with code 0
+
+  Scenario Outline: SIGHUP as a daemon <does> reads the settings again
+    Guards against a daemon that ends as its settings change during its start, and
+    against the change being missed.
+    Given a platform daemon as a process that gets SIGHUP as it <does>
+    Then it soon has read the settings again
+    When it gets SIGTERM
+    Then it ends by itself with code 0
+
+    Examples:
+      | does               |
+      | reads its settings |
+      | loads its modules  |
+      | starts its loop    |
--- a/features/app/steps/settings_steps.py
+++ b/features/app/steps/settings_steps.py
@@ -129,12 +129,17 @@
 
 @given("a platform daemon as a process")
 def step_process(context):
+    start_process(context, [sys.executable, "-m", "lycheepost", "serve", "--node-file"])
+
+
+def start_process(context, command):
+    """Start a daemon by a command that its settings file is added to."""
     step_file(context)
     listen = "listen.ready=127.0.0.1:0\nlisten.front=127.0.0.1:0\n"
     context.path.write_text(TEXT + listen)
     context.log = pathlib.Path(context.folder.name) / "log"
     process = subprocess.Popen(
-        [sys.executable, "-m", "lycheepost", "serve", "--node-file", context.path],
+        [*command, context.path],
         cwd=ROOT,
         stdout=context.log.open("w"),
         stderr=subprocess.STDOUT,
@@ -146,6 +151,35 @@
     context.readiness = serving["readiness"]
 
 
+HOOKS = {
+    "reads its settings": "platformrun.open_sockets",
+    "loads its modules": "platformrun._serve",
+    "starts its loop": "uvloop.run",
+}
+HUNG_UP = """
+import os, pathlib, signal, sys
+import uvloop
+from lycheepost.app import platformrun
+call = {hook}
+def hung_up(*arguments):
+    os.kill(os.getpid(), signal.SIGHUP)
+    return call(*arguments)
+{hook} = hung_up
+sys.exit(platformrun.run(pathlib.Path(sys.argv[1])))
+"""
+
+
+@given("a platform daemon as a process that gets SIGHUP as it {does}")
+def step_hung_up(context, does):
+    code = HUNG_UP.format(hook=HOOKS[does])
+    start_process(context, [sys.executable, "-c", code])
+
+
+@then("it soon has read the settings again")
+def step_read_again(context):
+    wait_until(lambda: count_reloads(context) == 1)
+
+
 def read_lines(context):
     return [json.loads(line) for line in context.log.read_text().splitlines()]
 
--- a/lycheepost/app/platformrun.py
+++ b/lycheepost/app/platformrun.py
@@ -24,6 +24,7 @@
     settings_path,
 )
 from lycheepost.utils.collector import loading_modules
+from lycheepost.utils.hangups import hold_hangups
 
 if TYPE_CHECKING:
     from lycheepost.targets.network import TargetNetwork
@@ -49,6 +50,7 @@
         make_network: Returns what opens the connections to targets; called in the event
             loop. None for the usual network.
     """
+    hold_hangups()
     match read_node_settings(node_file):
         case Success(node):
             pass
--- a/lycheepost/app/run.py
+++ b/lycheepost/app/run.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from lycheepost.utils.collector import tune_collector
+from lycheepost.utils.hangups import release_hangups
 
 _log = structlog.get_logger(part="app")
 
@@ -62,6 +63,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         loop.add_signal_handler(number, signals.put_nowait, number)
+    release_hangups()
     application = make_application()
     await application.start()
     tune_collector()
