Use no KV store for engines whose weights are not known

Cause: the scope of an engine without named weights names no version, so that what one of them stores is found by the next, whatever either has loaded.

Change: a call to such an engine names no store.

Evidence: platform/requests, "An engine whose entry names": the row without weights failed before.

--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -30,6 +30,19 @@
     Then the isolated customer's cache scope is its own
     And both requests state the weights version that they expect
 
+  Scenario Outline: An engine whose entry names <weights> is told <store>
+    Guards against parts in a store that nobody knows the weights of: an engine with other
+    weights would use them.
+    Given a deployment with 1 daemon and a KV store, whose engines' entries name <weights>
+    When a client asks for a album stream
+    Then it gets the server's complete response with its seal
+    And its server was told <store>
+
+    Examples:
+      | weights    | store     |
+      | weights    | the store |
+      | no weights | no store  |
+
   Scenario Outline: <what> is answered with <status>
     Guards against forwarding requests that are invalid, too large or unauthorized.
     Given a deployment with 1 daemon
--- a/features/platform/steps/request_steps.py
+++ b/features/platform/steps/request_steps.py
@@ -2,14 +2,24 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 
+import msgspec
 from behave import given, then, when
 from deployment import BOUNDS, HOST, KEYS, SITE, Deployment, make_configuration
 
+from lycheepost.app.platformfleet import ENGINES, MODEL, ZONE
+from lycheepost.core.ids import TargetGroupId
 from lycheepost.platform import headers as names
-from lycheepost.platform.models.serverstandin import answer_text, event_bytes, seal_of
+from lycheepost.platform.models.serverstandin import (
+    PlatformServer,
+    answer_text,
+    event_bytes,
+    seal_of,
+)
 
 N_EVENTS = 6
+KV_STORE = "127.0.0.1:9"
 BODY = b"a body of some bytes"
 FORGED = {
     names.CACHE_SCOPE: "other",
@@ -66,6 +76,45 @@
     start(context, bounds=replace(BOUNDS, revoke_seconds=seconds))
 
 
+@given(
+    "a deployment with 1 daemon and a KV store, whose engines' entries name {weights}"
+)
+def step_kv_store(context, weights):
+    start(context, n_engines=0)
+    deployment = context.deployment
+    for _ in range(2):
+        engine = PlatformServer(ENGINES, MODEL)
+        if weights == "no weights":
+            engine.entry = partial(entry_without_weights, engine.entry)
+        context.loop.run_until_complete(deployment.add_server(engine))
+    configuration = make_configuration(version=2)
+    store = {"name": "keep", "kv_store_addr": KV_STORE, "zone": ZONE}
+    configuration["services"].append(store)
+    deployment.configure(configuration)
+    traffic = deployment.daemons[0]._components.traffic
+
+    async def is_known():
+        n_engines = len(traffic.targets.listed(TargetGroupId(ENGINES)))
+        return traffic.routing.table.version == 2 and n_engines == 2
+
+    context.loop.run_until_complete(deployment.until(is_known))
+
+
+def entry_without_weights(make_entry, zone):
+    entry = msgspec.json.decode(make_entry(zone))
+    return msgspec.json.encode(entry | {"models": []})
+
+
+@then("its server was told {store}")
+def step_told_store(context, store):
+    [run] = context.deployment.runs(context.deployment.attempt_id)
+    expected = KV_STORE if store == "the store" else None
+    told = [
+        run.headers.get(name.lower()) for name in (names.FETCH_FROM, names.STORE_TO)
+    ]
+    assert told == [expected, expected], told
+
+
 @when("a client asks for a {what}")
 def step_send(context, what):
     ask(context, what)
--- a/lycheepost/callers/forwardcalls.py
+++ b/lycheepost/callers/forwardcalls.py
@@ -99,7 +99,8 @@
     version = version or WeightsVersion("")
     scope = make_scope(route_match.holder, version)
     store = ""
-    if listed.software_version is not None:
+    # A store keeps what it got: without its weights nobody could tell what fits.
+    if version and listed.software_version is not None:
         store = choose_kv_store(route_table(deps), prompt_levels(scope, prompt))
         scope = replace(scope, software_version=listed.software_version)
     should_store = bool(store) and deps.kv_store_contents.should_send(
