Cancel waiting orders whose clients have left

Cause: a request that may run once only was shielded from the end of its connection from its arrival on, also while no server could have got it.

Change: it is cancelled as long as no server and no peer may have it; after that its shield holds as before.

Evidence: platform/unanswered, "Waiting orders whose clients have left": failed before (three of five orders reached the server, two allowed); look-ups held before.

--- a/features/platform/steps/unanswered_steps.py
+++ b/features/platform/steps/unanswered_steps.py
@@ -85,6 +85,41 @@
     context.endings = context.loop.run_until_complete(play())
 
 
+@when("clients have sent {n:d} of {what}, and leave {seconds:g} s later")
+def step_sent_and_left(context, n, what, seconds):
+    deployment = context.deployment
+    host, _, port = str(deployment.nodes[0].clients).partition(":")
+
+    async def play():
+        writers = []
+        context.sent = []
+        for _ in range(n):
+            headers = deployment.headers(**{names.DEADLINE: "3900"})
+            _reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(encode("POST", PATHS[what] + "1", headers, BODY))
+            writers.append(writer)
+            context.sent.append(deployment.attempt_id)
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(seconds)
+        for writer in writers:
+            writer.transport.abort()
+
+    context.loop.run_until_complete(play())
+
+
+@then("after {seconds:g} s at most {n:d} of them have reached a server")
+def step_few_reached(context, seconds, n):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+    reached = [item for item in context.sent if context.deployment.runs(item)]
+    assert 1 <= len(reached) <= n, reached
+
+
+@then("the server is free for a new request")
+def step_free(context):
+    send(context, encode("GET", "/look/1", context.deployment.headers()))
+    assert context.ending.status == 200, context.ending
+
+
 @then("each of them got an explicit error")
 def step_each(context):
     for ending in context.endings.values():
--- a/features/platform/unanswered.feature
+++ b/features/platform/unanswered.feature
@@ -22,6 +22,18 @@
     Then each of them got an explicit error
     And those that never reached a server got 503
 
+  Scenario Outline: Waiting <what> whose clients have left are sent to no server
+    Guards against work for clients that are gone, which those that stay wait for.
+    Given a daemon that leaves within 4 s, and 1 server with 1 slot that takes 0.6 s
+    When clients have sent 5 of <what>, and leave 0.1 s later
+    Then after 3.5 s at most 2 of them have reached a server
+    And the server is free for a new request
+
+    Examples:
+      | what     |
+      | look-ups |
+      | orders   |
+
   Scenario: A daemon that leaves while the store is silent accepts requests no longer
     Guards against a daemon that waits for the store before its grace period counts. It
     is killed with requests in flight.
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -186,16 +186,16 @@
         if route_match.route.kind is not RouteKind.NON_IDEMPOTENT:
             await forwarding.run()
             return
-        # A client that disconnects must not cancel a request that may not run twice:
-        # the target may already run it, and cancelling would only lose the response.
+        # Once a target may run a request that may not run twice, a client that
+        # disconnects must not cancel it: that would only lose the response.
         run = asyncio.create_task(forwarding.run())
         self._runs.add(run)
         run.add_done_callback(self._end_run)
         try:
             await asyncio.shield(run)
         except asyncio.CancelledError:
-            if self._is_ending:
-                # The error response may promise that the request never runs.
+            # At an end, the error response may promise that the request never runs.
+            if self._is_ending or forwarding.executed is Executed.NO:
                 run.cancel()
             raise
         finally:
