Share one part of each loop turn among connections that take long to parse

Cause, two: each such connection was parsed for 2 ms in every turn of the loop, or for one slice of 16 kB if that took longer, so that 25 of them took all of it. And the HTTP library resumes a connection for each piece that is read of its body, which our handler passed on each time: to its parser, and to the system. A read of some thousand pieces took a tenth of a second.

Change: what is left of a read waits in one queue of the process, which gets 2 ms of each turn however many connections wait. A connection that has been slow waits there with all that it brings, until it is quick again. Nothing is parsed for a reader that is behind. A connection that ends with bytes left ends once these are parsed, or its reader gives it up. Resuming does nothing unless the reading was paused.

--- a/features/targets/endless.feature
+++ b/features/targets/endless.feature
@@ -60,3 +60,28 @@
       | 300000  | 9     | in the callback |
       | 1000000 | 1     | at once         |
       | 400     | 65536 | slowly          |
+
+  Scenario Outline: <n> connections with tiny chunks share each turn of the loop
+    Guards against a loop that parses a little of each of many reads in every turn, and
+    so does nothing else.
+    When <n> connections get 200000 bytes of chunks of 9 bytes each, <end>
+    Then at most 65536 bytes of them were parsed in each turn after the first
+    And all bytes were read in order
+
+    Examples:
+      | n  | end                   |
+      | 1  | and stay open         |
+      | 40 | and stay open         |
+      | 40 | and are closed        |
+
+  Scenario: A body in tiny chunks is read without resuming its connection for each of them
+    Guards against a read that takes a tenth of a second, by what resuming costs.
+    When 1 connections get 200000 bytes of chunks of 9 bytes each, and stay open
+    Then each connection was resumed at most 100 times
+    And all bytes were read in order
+
+  Scenario: A connection with bytes left that its reader gives up ends at once
+    Guards against a connection that waits for a reader that has left.
+    When 4 connections get 200000 bytes of chunks of 9 bytes each, and are closed unread
+    And their readers give them up
+    Then all of them have ended
--- a/lycheepost/utils/boundedreads.py
+++ b/lycheepost/utils/boundedreads.py
@@ -5,12 +5,15 @@
 keeps what arrives while no call waits. A server that sends these without end would take
 the memory and the time of the process. So a connection ends when it has brought too
 much of them.
+
+Bodies in thousands of tiny chunks take long to parse. Connections that bring these
+share a bounded part of each turn of the loop, however many they are.
 """
 
 import asyncio
 import functools
 import time
-from collections import Counter
+from collections import Counter, OrderedDict
 from enum import Enum
 from typing import Any
 
@@ -35,10 +38,15 @@
 """Parsed at once before the head is complete, so that a read of hundreds of kilobytes
 of short heads does not hold the loop."""
 
-_BODY_SLICE_BYTES = 16384
+_BODY_SLICE_BYTES = 4096
 """Parsed first of a read; then twice as much each time, as most reads cost little."""
 _HOLD_SECONDS = 0.002
-"""How long one read may be parsed at a time; a read of large chunks takes less."""
+"""How long one read may be parsed at once, and in each turn of the loop all connections
+together whose reads took longer. A read of large chunks takes less."""
+_MIN_SLICE_BYTES = 512
+"""Least that is parsed at once of a connection whose reads take long."""
+_QUICK_SECONDS = 0.0002
+"""A slice that is parsed in less is followed by one of twice the size."""
 
 _log = structlog.get_logger(part="http")
 
@@ -83,24 +91,76 @@
     return dict(_n_given_up)
 
 
+class SlowReads:
+    """Connections with bytes left to parse, which take turns.
+
+    Args:
+        loop: The event loop.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self._waiting: OrderedDict[BoundedHandler, None] = OrderedDict()
+        self._is_scheduled = False
+
+    def add(self, handler: "BoundedHandler") -> None:
+        """Parse bytes of a connection in a later turn of the loop."""
+        self._waiting[handler] = None
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self.loop.call_soon(self._run)
+
+    def _run(self) -> None:
+        self._is_scheduled = False
+        until_seconds = time.monotonic() + _HOLD_SECONDS
+        while self._waiting and time.monotonic() < until_seconds:
+            handler, _ = self._waiting.popitem(last=False)
+            if handler.parse_slice():
+                self._waiting[handler] = None
+        if self._waiting:
+            self._schedule()
+
+
+_slow_reads: SlowReads | None = None
+
+
+def _slow_reads_of(loop: asyncio.AbstractEventLoop) -> SlowReads:
+    """Return the connections of a loop that take turns; a process has one loop."""
+    global _slow_reads
+    if _slow_reads is None or _slow_reads.loop is not loop:
+        _slow_reads = SlowReads(loop)
+    return _slow_reads
+
+
 class BoundedHandler(ResponseHandler):
     """A connection that ends when a server sends too much that is no answer.
 
     Args:
         loop: The event loop.
         client: Names the client, for the log and the count.
+        slow_reads: Parses what takes long.
 
     Attributes:
         client: The same.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, client: str) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, client: str, slow_reads: SlowReads
+    ) -> None:
         super().__init__(loop=loop)
         self.client = client
+        self._slow_reads = slow_reads
         self._is_head_awaited = False
         self._body: Any = None
         self._excess: Excess | None = None
         self._deferred = b""
+        self._slice_bytes = _MIN_SLICE_BYTES
+        self._is_slow = False
+        self._has_ended = False
+        self._end_error: BaseException | None = None
         self._n_informational = 0
         self._n_head_bytes = 0
         self._n_body_bytes = 0
@@ -152,14 +212,52 @@
             super().data_received(data)
         elif self._deferred:
             self._deferred += data
+        elif self._is_slow and not self._is_head_awaited:
+            self._defer(data)
         else:
             self._receive(data)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Parse and read on, as the body was read.
+
+        The library calls this for each piece that is read of a body.
+        """
+        if not self._reading_paused:
+            return
+        super().resume_reading(resume_parser)
+        if self._deferred and not self._reading_paused:
+            self._pause_transport()
+            self._slow_reads.add(self)
+
+    def _pause_transport(self) -> None:
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.pause_reading()
+
+    def close(self) -> None:
+        """Close the connection; nobody reads what is left."""
+        super().close()
+        self._end_at_last()
+
+    def abort(self) -> None:
+        """Reset the connection; nobody reads what is left."""
+        super().abort()
+        self._end_at_last()
+
+    def _end_at_last(self) -> None:
+        """End as the connection did while bytes were left."""
+        if self._has_ended:
+            self._has_ended = False
+            self._deferred = b""
+            super().connection_lost(self._end_error)
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Parse what is left, and end."""
-        data, self._deferred = self._deferred, b""
-        if data and self._excess is None:
-            super().data_received(data)
+        """End, once what is left has been parsed."""
+        is_read = self.transport is not None and self._excess is None
+        if self._deferred and is_read:
+            self._has_ended, self._end_error = True, exc
+            return
+        self._deferred = b""
         super().connection_lost(exc)
 
     def _receive(self, data: bytes) -> None:
@@ -172,6 +270,10 @@
             self._end(Excess.UNASKED_BYTES)
             return
         self._receive_body(data, body)
+        self._end_if_excess(body)
+
+    def _end_if_excess(self, body: StreamReader) -> None:
+        """Close the connection if it has brought too much that is no body."""
         n_allowed = MAX_FRAMING_BYTES + (MAX_FRAMING_SHARE + 1) * body.total_bytes
         if self._excess is None and self._n_body_bytes > n_allowed:
             self._excess = None if body.is_eof() else Excess.FRAMING_BYTES
@@ -196,7 +298,7 @@
                 self._excess = Excess.UNASKED_BYTES
             if self._excess is not None:
                 return
-            if time.monotonic() > until_seconds:
+            if self._reading_paused or time.monotonic() > until_seconds:
                 self._defer(data[end:])
                 return
             size *= 2
@@ -204,20 +306,57 @@
     def _defer(self, data: bytes) -> None:
         """Parse the rest of a read when the loop has done its other work."""
         if data and self.transport is not None and not self.transport.is_closing():
+            self._is_slow = True
+            self._slice_bytes = _MIN_SLICE_BYTES
             self._deferred = data
-            self.transport.pause_reading()
-            self._loop.call_soon(self._go_on)
-
-    def _go_on(self) -> None:
-        data, self._deferred = self._deferred, b""
-        if not data or self._excess is not None or self.transport is None:
+            self._pause_transport()
+            self._slow_reads.add(self)
+
+    def parse_slice(self) -> bool:
+        """Parse a part of what is left; return whether to go on.
+
+        Nothing is parsed until what was parsed before has been read.
+        """
+        if self._excess is not None or self.transport is None:
+            self._deferred = b""
+        elif self._reading_paused:
+            return False
+        data = self._deferred
+        part, self._deferred = data[: self._slice_bytes], data[self._slice_bytes :]
+        started_seconds = time.monotonic()
+        if part:
+            self._parse_part(part)
+        if time.monotonic() - started_seconds < _QUICK_SECONDS:
+            self._slice_bytes *= 2
+        else:
+            self._slice_bytes = _MIN_SLICE_BYTES
+        if self._deferred and self._excess is None:
+            return True
+        self._end_turn()
+        return False
+
+    def _parse_part(self, part: bytes) -> None:
+        """Parse a part of a body, more of which may be left."""
+        body = self._body
+        if body is None or body.is_eof():
+            self._end(Excess.UNASKED_BYTES)
+            return
+        super().data_received(part)
+        self._n_body_bytes += len(part)
+        if self._deferred and body.is_eof():
+            self._excess = Excess.UNASKED_BYTES
+        self._end_if_excess(body)
+
+    def _end_turn(self) -> None:
+        """Read on, or end as the connection did, since all has been parsed."""
+        if self._has_ended:
+            self._end_at_last()
             return
-        self._receive(data)
+        self._is_slow = self._slice_bytes < _BODY_SLICE_BYTES
         transport = self.transport
-        if self._deferred or self._reading_paused or transport is None:
+        if self._reading_paused or transport is None or transport.is_closing():
             return
-        if not transport.is_closing():
-            transport.resume_reading()
+        transport.resume_reading()
 
     def _receive_head(self, data: bytes) -> bytes:
         """Parse up to the end of the slice with the head; return what follows it."""
@@ -266,7 +405,7 @@
     """Bound the connections that a pool opens from now on."""
     loop = asyncio.get_running_loop()
     connector._factory = functools.partial(  # type: ignore[assignment]
-        BoundedHandler, loop=loop, client=client
+        BoundedHandler, loop=loop, client=client, slow_reads=_slow_reads_of(loop)
     )
 
 
