--- a/features/platform/steps/retrybudget_steps.py
+++ b/features/platform/steps/retrybudget_steps.py
@@ -193,7 +193,9 @@
 
 @then("some streams were repeated")
 def step_some_streams(context):
-    assert find_repeats(arrivals(context.deployment, "llm"))
+    found = arrivals(context.deployment, "llm")
+    n_runs = [len(engine.runs) for engine in context.deployment.group("llm")]
+    assert find_repeats(found), (len(found), n_runs)
 
 
 @then("its part of the retries is none, and that of the others is a quarter")
