--- a/features/platform/steps/failure_steps.py
+++ b/features/platform/steps/failure_steps.py
@@ -187,28 +187,28 @@
     assert context.new.runs == []
 
 
-@when("a resumable stream breaks off just as its key is revoked")
-def step_key_gone(context):
+def break_off_as(context, change):
+    """Let a stream break off as the configuration changes."""
     deployment = context.deployment
     routing = deployment.daemons[0].routing
     step_faults(context, 1, "resumable stream", "break")
     for server in deployment.group("llm"):
-        server.on_fault = lambda: routing.adopt(without_key(routing.table), "test")
+        server.on_fault = lambda: routing.adopt(change(routing.table), "test")
     ask(context, "resumable stream")
 
 
+@when("a resumable stream breaks off just as its key is revoked")
+def step_key_gone(context):
+    break_off_as(context, without_key)
+
+
 def without_key(table):
     return replace(table, version=table.version + 1, key_holders={})
 
 
 @when("a resumable stream breaks off just as its customer becomes isolated")
 def step_isolated(context):
-    deployment = context.deployment
-    routing = deployment.daemons[0].routing
-    step_faults(context, 1, "resumable stream", "break")
-    for server in deployment.group("llm"):
-        server.on_fault = lambda: routing.adopt(isolated(routing.table), "test")
-    ask(context, "resumable stream")
+    break_off_as(context, isolated)
 
 
 def isolated(table):
