Test who records verdicts, and say two sentences more plainly

app/losses, "Verdicts are recorded by the daemon that comes to one": fails without the update of the record at each tick (the second daemon then has one of two quarantines).

--- a/features/app/losses.feature
+++ b/features/app/losses.feature
@@ -29,3 +29,15 @@
     When a crashing and another request, each of its own daemon, are lost with one target
     And both are retried before either daemon is notified of the other's attempt
     Then they are retried on different targets
+
+  Scenario: Verdicts are recorded by the daemon that comes to one, and kept up to date
+    Guards against a write by each daemon of a fleet, and against a record that a later
+    verdict of a peer overwrites or that outlives its verdicts.
+    Given two daemons whose times of day differ by 0 s
+    When a request crashes a target through each of them in turn
+    Then the first daemon has recorded nothing, and the second one 1 quarantine
+    When another request crashes a target through each of them, the second one first
+    And a second passes
+    Then the first daemon has recorded 2 quarantines, and the second one 2 quarantines
+    When 600 s pass
+    Then the first daemon has recorded 0 quarantines, and the second one 0 quarantines
--- a/features/app/steps/losses_steps.py
+++ b/features/app/steps/losses_steps.py
@@ -41,6 +41,19 @@
         self.other.subscribers[type(message)](message, "peer")
 
 
+class FakeRecorder:
+    """Keeps the last value that was recorded; None for none."""
+
+    def __init__(self):
+        self.value = None
+
+    def subscribe(self, on_read):
+        pass
+
+    def record(self, value):
+        self.value = value
+
+
 class LossDaemon:
     """A scheduler that exchanges its losses with a peer."""
 
@@ -49,13 +62,16 @@
         self.scheduler = Scheduler(SchedulerSettings(), seed=1)
         self.dispatcher = Dispatcher(self.scheduler, clock)
         self.exchange = PairExchange()
-        LossExchange(self.dispatcher, self.exchange, clock, NoMetrics())
+        self.recorder = FakeRecorder()
+        self.losses = LossExchange(
+            self.dispatcher, self.exchange, clock, NoMetrics(), recorder=self.recorder
+        )
         views = tuple(make_view(index) for index in range(4))
         self.scheduler.replace_targets(views, clock.now_seconds())
 
-    def run_crashing_request(self, name):
+    def run_crashing_request(self, name, body="crashing"):
         now_seconds = self.clock.now_seconds()
-        work = make_work(name, now_seconds, body="crashing")
+        work = make_work(name, now_seconds, body=body)
         return self.scheduler.arrive(work, now_seconds)[0]
 
 
@@ -71,15 +87,46 @@
         daemon.clock.steady_seconds += seconds
 
 
-@when("a request crashes a target through each of them in turn")
-def step_crashes(context):
-    for number, daemon in enumerate(context.daemons):
-        sent = daemon.run_crashing_request(f"run-{number}")
+def crash_through(context, daemons, body):
+    for number, daemon in enumerate(daemons):
+        sent = daemon.run_crashing_request(f"{body}-{number}", body)
         wait(context, 0.2)
         daemon.dispatcher.finish(sent.request, FinishKind.TARGET_LOST)
         wait(context, 0.2)
 
 
+@when("a request crashes a target through each of them in turn")
+def step_crashes(context):
+    crash_through(context, context.daemons, "crashing")
+
+
+@when("another request crashes a target through each of them, the second one first")
+def step_crashes_again(context):
+    crash_through(context, reversed(context.daemons), "crashing too")
+
+
+@when("a second passes")
+def step_second(context):
+    step_pass_losses(context, 1)
+
+
+@when("{seconds:d} s pass")
+def step_pass_losses(context, seconds):
+    wait(context, seconds)
+    for daemon in context.daemons:
+        daemon.losses._tick()
+
+
+RECORDED = {"nothing": None, "0 quarantines": 0, "1 quarantine": 1, "2 quarantines": 2}
+
+
+@then("the first daemon has recorded {first}, and the second one {second}")
+def step_recorded(context, first, second):
+    records = [daemon.recorder.value for daemon in context.daemons]
+    found = [None if item is None else len(item.quarantines) for item in records]
+    assert found == [RECORDED[first], RECORDED[second]], records
+
+
 def refusals(context, name):
     outcomes = [daemon.run_crashing_request(name) for daemon in context.daemons]
     return [getattr(outcome, "reason", None) for outcome in outcomes]
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -194,7 +194,8 @@
         try:
             await asyncio.shield(run)
         except asyncio.CancelledError:
-            # At an end, the error response may promise that the request never runs.
+            # Nobody waits for a request that no target has got; and a daemon that
+            # ends may answer that a request never runs.
             if self._is_ending or forwarding.executed is Executed.NO:
                 run.cancel()
             raise
--- a/lycheepost/state/lossrow.py
+++ b/lycheepost/state/lossrow.py
@@ -49,8 +49,9 @@
 class LossRow:
     """Reads and writes the row.
 
-    All daemons know nearly the same; a verdict that is overwritten is written again by
-    the daemon that found it.
+    All daemons know nearly the same. A verdict that one overwrites as it has not heard
+    of it yet is written again by the daemon that found it, once that one hears of the
+    other's.
 
     Args:
         table: Stores the row.
