Bound what a turn parses by a clock that the scenario steps

The product bounds a turn by time, 2 ms, and the rows bound it by bytes, 65,536.

The rows keep their bound of 65,536 bytes and get a clock that advances only by what was parsed, 32,768 bytes in 2 ms. So they measure the share of a turn, on any machine.

--- a/features/targets/endless.feature
+++ b/features/targets/endless.feature
@@ -64,6 +64,7 @@
   Scenario Outline: <n> connections with tiny chunks share each turn of the loop
     Guards against a loop that parses a little of each of many reads in every turn, and
     so does nothing else.
+    Given a clock by which 32768 bytes of chunks are parsed in 2 ms
     When <n> connections get 200000 bytes of chunks of 9 bytes each, <end>
     Then at most 65536 bytes of them were parsed in each turn after the first
     And all bytes were read in order
--- a/features/targets/steps/slowreads_steps.py
+++ b/features/targets/steps/slowreads_steps.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 
+from lycheepost.utils import boundedreads
 from lycheepost.utils.boundedreads import BoundedHandler, SlowReads
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -35,6 +37,26 @@
     abort = close
 
 
+class ParsingClock:
+    """A clock that advances only by what parsing takes; stands in for ``time``."""
+
+    def __init__(self, context, seconds_per_byte):
+        self._context = context
+        self._seconds_per_byte = seconds_per_byte
+
+    def monotonic(self):
+        return n_parsed(self._context) * self._seconds_per_byte
+
+
+@given("a clock by which {n_bytes:d} bytes of chunks are parsed in {milliseconds:g} ms")
+def step_clock(context, n_bytes, milliseconds):
+    context.connections = []
+    clock = ParsingClock(context, milliseconds / 1000.0 / n_bytes)
+    patch = mock.patch.object(boundedreads, "time", clock)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 def pieces_of(n_bytes):
     """Return numbered pieces of 9 bytes whose chunks have so many bytes."""
     return [f"{number:09d}".encode() for number in range(n_bytes // 14)]
@@ -68,9 +90,12 @@
     async def play():
         loop = asyncio.get_running_loop()
         slow_reads = SlowReads(loop)
-        context.connections = [Connection(loop, slow_reads) for _ in range(n)]
-        for connection in context.connections:
+        context.connections = []
+        for _ in range(n):
+            connection = Connection(loop, slow_reads)
             await connection.begin()
+            context.connections.append(connection)
+        for connection in context.connections:
             if end != "and are closed unread":
                 connection.task = loop.create_task(connection.read_all())
             connection.handler.data_received(data)
