--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -2,7 +2,8 @@
 
 Folders run as separate behave processes, a few at once, because each folder
 mirrors one package and shares nothing with the others. A feature that takes longer
-than most folders runs in a process of its own. A scenario named in
+than most folders runs in a process of its own. One that measures a daemon's memory
+beside a crowd of clients runs alone, after all others. A scenario named in
 ``KNOWN-RED.txt`` is run and printed, and its failure does not fail the run.
 """
 
@@ -12,6 +13,7 @@
 import pathlib
 import subprocess
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -36,6 +38,9 @@
 )
 """Features that run beside the rest of their folder."""
 
+LONE_FEATURES = (FEATURES / "clients" / "crowds.feature",)
+"""Features that run when nothing else does, one after the other."""
+
 
 @dataclass(frozen=True)
 class Outcome:
@@ -55,13 +60,28 @@
 
 def list_parts() -> list[Part]:
     """Return the long features, then each folder with its other features."""
-    parts = [Part(f"{path.parent.name}-{path.stem}", (path,)) for path in LONG_FEATURES]
+    apart = set(LONG_FEATURES) | set(LONE_FEATURES)
+    parts = [single_part(path) for path in LONG_FEATURES]
     for folder in sorted({path.parent for path in FEATURES.rglob("*.feature")}):
-        found = sorted(set(folder.glob("*.feature")) - set(LONG_FEATURES))
-        parts.append(Part(folder.name, tuple(found)))
+        found = sorted(set(folder.glob("*.feature")) - apart)
+        if found:
+            parts.append(Part(folder.name, tuple(found)))
     return parts
 
 
+def single_part(path: pathlib.Path) -> Part:
+    """Return a part of one feature."""
+    return Part(f"{path.parent.name}-{path.stem}", (path,))
+
+
+def run_parts() -> Iterator[tuple[Part, list[Outcome], str]]:
+    """Run all parts and yield the results, those that run alone last."""
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FOLDERS) as pool:
+        yield from pool.map(run_part, list_parts())
+    for path in LONE_FEATURES:
+        yield run_part(single_part(path))
+
+
 def run_part(part: Part) -> tuple[Part, list[Outcome], str]:
     """Run behave on one part and return its outcomes and its output."""
     RESULTS.mkdir(exist_ok=True)
@@ -124,22 +144,20 @@
 
 def main() -> int:
     """Run all features and print the verdict last."""
-    parts = list_parts()
     known_red = read_known_red()
     n_passed = 0
     n_failed = 0
-    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FOLDERS) as pool:
-        for part, outcomes, output in pool.map(run_part, parts):
-            bad = [outcome for outcome in outcomes if outcome.status != "passed"]
-            unexpected = [item for item in bad if item.scenario not in known_red]
-            print(f"{part.name}: {len(outcomes) - len(bad)} passed")
-            for outcome in bad:
-                label = "FAILED" if outcome in unexpected else "KNOWN RED"
-                print(f"{label}: {outcome.scenario} ({outcome.status})")
-            if unexpected:
-                print(output)
-            n_passed += len(outcomes) - len(bad)
-            n_failed += len(unexpected)
+    for part, outcomes, output in run_parts():
+        bad = [outcome for outcome in outcomes if outcome.status != "passed"]
+        unexpected = [item for item in bad if item.scenario not in known_red]
+        print(f"{part.name}: {len(outcomes) - len(bad)} passed")
+        for outcome in bad:
+            label = "FAILED" if outcome in unexpected else "KNOWN RED"
+            print(f"{label}: {outcome.scenario} ({outcome.status})")
+        if unexpected:
+            print(output)
+        n_passed += len(outcomes) - len(bad)
+        n_failed += len(unexpected)
     print(f"{n_passed} passed, {n_failed} failed")
     return 1 if n_failed or not n_passed else 0
 
