Return large blocks of memory to the system as soon as they are freed

What was seen: beside a crowd that sends bodies of 4 MB, a daemon kept some 10 MB more than it held. Cause: the allocator takes the size of the first large block that is freed as its bound for blocks of their own, and as twice its bound for what it keeps at the top of the heap, so one body of 4 MB makes it keep 8 MB.

Change: the two bounds are set to 256 kB at the start, which also ends their adjustment.

--- a/lycheepost/app/run.py
+++ b/lycheepost/app/run.py
@@ -8,6 +8,7 @@
 import structlog
 import uvloop
 
+from lycheepost.utils.allocator import return_large_blocks
 from lycheepost.utils.collector import tune_collector
 from lycheepost.utils.hangups import release_hangups
 
@@ -64,6 +65,7 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         loop.add_signal_handler(number, signals.put_nowait, number)
     release_hangups()
+    return_large_blocks()
     application = make_application()
     await application.start()
     tune_collector()
