Write large bodies to targets in slices, at the targets' pace

What was seen: a request with a body of 4 MB took three times its length.

Change: a body of over 256 kB is written in slices of 64 kB, each of which waits for room in the connection's buffer. Smaller ones go as before.

--- a/lycheepost/targets/forward.py
+++ b/lycheepost/targets/forward.py
@@ -24,6 +24,7 @@
 )
 from lycheepost.targets.forwardcall import Dialect, ForwardCall, ResponseHead
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.targets.payloads import make_payload
 from lycheepost.targets.pools import TargetPools
 from lycheepost.utils.bodies import BodyEnd, TrackedResponse
 from lycheepost.utils.boundedreads import AnswerGivenUp
@@ -215,7 +216,7 @@
             call.method,
             yarl.URL(f"http://{call.address}{call.raw_path}", encoded=True),
             headers=self._dialect.encode(call),
-            data=call.body or None,
+            data=make_payload(call.body),
             skip_auto_headers=_NO_AUTO_HEADERS,
             allow_redirects=False,
         )
