Bound what clients make a daemon hold, on all of its ports together

What callers saw: clients that no one controls ended a daemon. 31 of the 41 scenarios of features/clients failed; the largest crowd of 200 made a daemon of 88 MB hold 3,317 MB.

Causes (docs/incidents/crowds-of-clients.md): parse errors kept the read that they were found in until a rare collection; heads, request lines, empty lines and trailers were bounded by the line, once it ended; the library read half a megabyte of each body and 32 requests ahead; the kernel's buffers grew to megabytes a connection; a body was read before its route and its key were looked at; nothing bounded connections.

Change (docs/design/clients.md): one account of what is held for clients, derived from the memory and the descriptors that the platform states. Connections, heads, bodies and answers are charged to it, whichever port they came by. A connection parses a little at a time and only what is asked for, refuses what is no request, and leaves nothing to the collector. The one that has waited longest without progress gives way. Connections are accepted a few at a time, with bounded receive buffers.

--- a/features/clients/steps/crowds.py
+++ b/features/clients/steps/crowds.py
@@ -244,11 +244,15 @@
 
     Attributes:
         n_closed: Connections that were closed or refused.
+        n_clients: The clients.
+        is_connected: Whether they have connected.
     """
 
     def __init__(self, kind, port, n_clients):
         self.selector = selectors.DefaultSelector()
         self.n_closed = 0
+        self.n_clients = n_clients
+        self.is_connected = False
         self._clients = [Client(self, KINDS[kind], port) for _ in range(n_clients)]
 
     def rest(self, client_socket, events, client):
@@ -262,21 +266,34 @@
         if client_socket in self.selector.get_map():
             self.selector.unregister(client_socket)
 
-    def play(self, seconds, system):
-        """Send for some time, or until the daemon has ended; measure meanwhile."""
-        for client in self._clients:
-            client.connect()
-        now_seconds = time.monotonic()
-        until_seconds, measure_seconds = now_seconds + seconds, now_seconds
-        while now_seconds < until_seconds and system.is_alive():
-            for key, events in self.selector.select(MEASURE_SECONDS):
-                key.data.serve(events)
-            now_seconds = time.monotonic()
-            if now_seconds >= measure_seconds:
-                system.measure()
-                measure_seconds = now_seconds + MEASURE_SECONDS
+    def connect(self):
+        """Connect the clients that have not connected yet."""
+        if not self.is_connected:
+            self.is_connected = True
+            for client in self._clients:
+                client.connect()
+
+    def serve(self, wait_seconds):
+        """Send and read what can be sent and read without waiting."""
+        for key, events in self.selector.select(wait_seconds):
+            key.data.serve(events)
 
     def leave(self):
         for client in self._clients:
             client.close()
         self.selector.close()
+
+
+def play(crowds, seconds, system):
+    """Let crowds send for some time, or until the daemon has ended; measure it."""
+    for crowd in crowds:
+        crowd.connect()
+    now_seconds = time.monotonic()
+    until_seconds, measure_seconds = now_seconds + seconds, now_seconds
+    while now_seconds < until_seconds and system.is_alive():
+        for crowd in crowds:
+            crowd.serve(MEASURE_SECONDS / len(crowds))
+        now_seconds = time.monotonic()
+        if now_seconds >= measure_seconds:
+            system.measure()
+            measure_seconds = now_seconds + MEASURE_SECONDS
--- a/lycheepost/app/daemon.py
+++ b/lycheepost/app/daemon.py
@@ -22,11 +22,13 @@
     stop_components,
 )
 from lycheepost.app.gauges import GaugeReporter
-from lycheepost.app.listeners import Listener, make_listener
+from lycheepost.app.listeners import Listener, make_caller_account, make_listener
 from lycheepost.app.platform import Platform, make_http_platform
 from lycheepost.app.settings import fallback_configuration
 from lycheepost.app.status import fleet_status
+from lycheepost.app.ticker import Ticker
 from lycheepost.app.traffic import Traffic, make_traffic
+from lycheepost.callers.clientaccount import ClientAccount
 from lycheepost.core.clock import Clock, SystemClock
 from lycheepost.core.ids import DaemonId
 from lycheepost.decide.fleetquota import FleetQuotas
@@ -169,7 +171,8 @@
     operator_routes = _make_operator_routes(
         settings, platform, state, recorder, history, clock, fleet_quotas
     )
-    callers, operators = _make_listeners(settings, traffic, operator_routes)
+    account = make_caller_account(settings.limits)
+    callers, operators = _make_listeners(settings, traffic, operator_routes, account)
     capacity = make_capacity(
         settings, platform, state, traffic.control, traffic.hot, clock
     )
@@ -179,6 +182,7 @@
         *traffic.components(),
         history,
         capacity,
+        Ticker(account.refuse_late_heads),
         callers,
         operators,
     ]
@@ -280,7 +284,10 @@
 
 
 def _make_listeners(
-    settings: Settings, traffic: Traffic, operator_routes: list[web.RouteDef]
+    settings: Settings,
+    traffic: Traffic,
+    operator_routes: list[web.RouteDef],
+    account: ClientAccount,
 ) -> tuple[Listener, Listener]:
     listeners = settings.listeners
     caller_routes = traffic.caller_api.routes()
@@ -292,6 +299,7 @@
         listeners.host,
         listeners.callers_port,
         settings.limits,
+        account,
         listeners.callers_tls,
     )
     operators = make_listener(
@@ -300,6 +308,7 @@
         listeners.host,
         listeners.operators_port,
         settings.limits,
+        account,
         listeners.operators_tls,
     )
     return callers, operators
--- a/lycheepost/app/earlysockets.py
+++ b/lycheepost/app/earlysockets.py
@@ -9,12 +9,13 @@
 import socket
 from dataclasses import dataclass, replace
 
+from lycheepost.decide.clientlimits import (
+    MIN_QUEUED,
+    RECEIVE_BUFFER_BYTES,
+    SMALL_RECEIVE_BUFFER_BYTES,
+)
 from lycheepost.platform.settings import Endpoint, NodeSettings
 
-BACKLOG = 1024
-"""Length of the accept queue, enough for a burst of connections. When it is full, the
-SYN is dropped and retransmitted only after a second."""
-
 
 @dataclass(frozen=True, slots=True)
 class EarlySockets:
@@ -25,18 +26,29 @@
     directory: socket.socket | None
 
 
-def open_socket(endpoint: Endpoint) -> socket.socket:
+def open_socket(
+    endpoint: Endpoint,
+    n_queued: int = MIN_QUEUED,
+    receive_buffer_bytes: int = SMALL_RECEIVE_BUFFER_BYTES,
+) -> socket.socket:
     """Return a listening, non-blocking socket.
 
+    Args:
+        endpoint: Where to listen.
+        n_queued: Connections that may wait to be accepted.
+        receive_buffer_bytes: Receive buffer of each connection. What the kernel has
+            received counts as memory of the VM.
+
     Raises:
         OSError: The port is in use or the address is not local.
     """
     found = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     found.setblocking(False)
     try:
         found.bind((endpoint.host, endpoint.port))
-        found.listen(BACKLOG)
+        found.listen(n_queued)
     except OSError:
         found.close()
         raise
@@ -50,14 +62,22 @@
         OSError: A port is in use.
     """
     return EarlySockets(
-        clients=_open(node.clients),
+        clients=_open(
+            node.clients, node.client_limits.max_queued, RECEIVE_BUFFER_BYTES
+        ),
         readiness=_open(node.readiness),
         directory=_open(node.directory),
     )
 
 
-def _open(endpoint: Endpoint | None) -> socket.socket | None:
-    return None if endpoint is None else open_socket(endpoint)
+def _open(
+    endpoint: Endpoint | None,
+    n_queued: int = MIN_QUEUED,
+    receive_buffer_bytes: int = SMALL_RECEIVE_BUFFER_BYTES,
+) -> socket.socket | None:
+    if endpoint is None:
+        return None
+    return open_socket(endpoint, n_queued, receive_buffer_bytes)
 
 
 def with_real_ports(node: NodeSettings, sockets: EarlySockets) -> NodeSettings:
--- a/lycheepost/app/metricspage.py
+++ b/lycheepost/app/metricspage.py
@@ -19,13 +19,18 @@
     Args:
         metrics: The metrics to serve.
         status: Returns the status of this daemon, with the ages of its data.
+        refused_counts: Returns how many clients were refused, by reason.
     """
 
     def __init__(
-        self, metrics: ServedMetrics, status: Callable[[], dict[str, Any]]
+        self,
+        metrics: ServedMetrics,
+        status: Callable[[], dict[str, Any]],
+        refused_counts: Callable[[], dict[str, int]],
     ) -> None:
         self._metrics = metrics
         self._status = status
+        self._refused_counts = refused_counts
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
@@ -33,6 +38,8 @@
             case path if path == METRICS_PATH:
                 for name, number in given_up_counts().items():
                     self._metrics.gauge(f"answers_given_up.{name}", number)
+                for name, number in self._refused_counts().items():
+                    self._metrics.gauge(f"clients_refused.{name}", number)
                 return web.Response(
                     body=self._metrics.text(), content_type="text/plain"
                 )
--- a/lycheepost/app/platformbase.py
+++ b/lycheepost/app/platformbase.py
@@ -4,6 +4,7 @@
 import secrets
 from dataclasses import dataclass, field
 
+from lycheepost.callers.clientaccount import ClientAccount
 from lycheepost.core.clock import Clock
 from lycheepost.core.hashing import hash_bytes
 from lycheepost.decide.mechanisms import Mechanism
@@ -22,6 +23,7 @@
         boot: Id that is unique for each start.
         seed: Seed of all random generators of this start.
         rng: A random generator with that seed.
+        clients: What is held for clients.
         switched_off: Disabled mechanisms of the decisions.
     """
 
@@ -31,6 +33,7 @@
     boot: str
     seed: int
     rng: random.Random = field(repr=False)
+    clients: ClientAccount = field(repr=False)
     switched_off: frozenset[Mechanism] = frozenset()
 
 
@@ -49,5 +52,6 @@
         boot,
         seed,
         random.Random(seed),
+        ClientAccount(node.client_limits),
         switched_off,
     )
--- a/lycheepost/app/platformdaemon.py
+++ b/lycheepost/app/platformdaemon.py
@@ -31,7 +31,7 @@
     make_platform_traffic,
     retry_terms,
 )
-from lycheepost.app.rawlistener import RawListener
+from lycheepost.app.rawlistener import LINGER_SECONDS, RawListener
 from lycheepost.app.settingswatch import SettingsWatch
 from lycheepost.app.ticker import Ticker
 from lycheepost.core.clock import Clock, SystemClock
@@ -131,6 +131,7 @@
             components.peers.feed,
             *components.watches,
             Ticker(self._tick),
+            Ticker(components.base.clients.refuse_late_heads),
             components.settings,
             components.peers.fleet,
             *components.weights.components(),
@@ -212,17 +213,19 @@
     ) -> list[RawListener]:
         node = self._components.base.node
         directory = Directory(self._addresses, self._address_seconds)
-        page = MetricsPage(metrics, self.status)
+        account = self._components.base.clients
+        page = MetricsPage(metrics, self.status, account.refused_counts)
         metrics_socket = open_socket(Endpoint(node.host, metrics_port))
+        readiness = Readiness(self._is_ready)
         described = (
-            ("clients", self._ingress.handle, sockets.clients),
-            ("readiness", Readiness(self._is_ready).handle, sockets.readiness),
-            ("directory", directory.handle, sockets.directory),
-            ("metrics", page.handle, metrics_socket),
+            ("clients", self._ingress.handle, sockets.clients, LINGER_SECONDS),
+            ("readiness", readiness.handle, sockets.readiness, 0.0),
+            ("directory", directory.handle, sockets.directory, 0.0),
+            ("metrics", page.handle, metrics_socket, 0.0),
         )
         return [
-            RawListener(name, handler, listening)
-            for name, handler, listening in described
+            RawListener(name, handler, listening, account, linger_seconds)
+            for name, handler, listening, linger_seconds in described
             if listening is not None
         ]
 
@@ -355,6 +358,7 @@
             "switched_off": names_of(components.base.switched_off),
             "n_open": self._ingress.n_open,
             "buffers": self._ingress.buffers(),
+            "clients": components.base.clients.status(),
             "configuration": self.routing.status(components.base.clock.now_seconds()),
             "watches": [watch.status() for watch in components.watches],
             "members": components.peers.members.status()["members"],
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -18,6 +18,7 @@
 from lycheepost.app.leaveplan import LeavePlan
 from lycheepost.app.platformdaemon import PlatformDaemon, make_platform_daemon
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
+from lycheepost.decide.clientlimits import MAX_QUEUED, RECEIVE_BUFFER_BYTES
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import CuttableNetwork
@@ -67,7 +68,7 @@
 
 def _listen() -> socket.socket:
     """Return a listening socket on a free port."""
-    return open_socket(Endpoint(HOST, 0))
+    return open_socket(Endpoint(HOST, 0), MAX_QUEUED, RECEIVE_BUFFER_BYTES)
 
 
 def _endpoint_of(listening: socket.socket) -> Endpoint:
--- a/lycheepost/app/platformtraffic.py
+++ b/lycheepost/app/platformtraffic.py
@@ -23,7 +23,13 @@
 from lycheepost.app.streamrecorder import StreamRecorder
 from lycheepost.app.streamversions import StreamVersionExchange
 from lycheepost.callers.dispatch import Dispatcher
-from lycheepost.callers.forwarddeps import ForwardDeps, RelayPeer, Relays
+from lycheepost.callers.forwarddeps import (
+    MAX_ANSWERS_BYTES,
+    MAX_REQUEST_BYTES,
+    ForwardDeps,
+    RelayPeer,
+    Relays,
+)
 from lycheepost.callers.lossverdicts import LossVerdicts
 from lycheepost.core.clock import Clock
 from lycheepost.core.ids import DaemonId, RequestId, TargetGroupId
@@ -62,6 +68,7 @@
 from lycheepost.targets.forward import ForwardClient
 from lycheepost.targets.forwardcall import ResponseHead
 from lycheepost.targets.network import TargetNetwork
+from lycheepost.utils.bytebudget import ByteBudget
 from lycheepost.utils.metrics import Metrics
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -300,6 +307,8 @@
             is_off=Mechanism.PATH_RELAY in switched_off,
         ),
         stream_versions=stream_versions,
+        request_bytes=ByteBudget(MAX_REQUEST_BYTES, base.clients.all_bytes),
+        answer_bytes=ByteBudget(MAX_ANSWERS_BYTES, base.clients.all_bytes),
     )
     return PlatformTraffic(
         dispatcher=dispatcher,
@@ -308,7 +317,10 @@
         targets=targets,
         routing=routing,
         ingress=ClientIngress(
-            deps, first_reads, lambda host: _is_peer_host(members, host)
+            deps,
+            first_reads,
+            lambda host: _is_peer_host(members, host),
+            base.clients,
         ),
         cache_events=cache_events,
         caches=caches,
--- a/lycheepost/callers/body.py
+++ b/lycheepost/callers/body.py
@@ -1,13 +1,18 @@
-"""Read a request body within limits of size and time."""
+"""Read a request body within limits of size, time and memory."""
 
 import asyncio
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
 from returns.result import Failure, Result, Success
 
-from lycheepost.callers.errors import CallerError, invalid
+from lycheepost.callers.boundedrequests import BoundedRequestHandler
+from lycheepost.callers.errors import CallerError, ErrorType, invalid
 from lycheepost.generated.settings import LimitSettings
 
+BODIES_RETRY_SECONDS = 0.2
+"""Any other daemon can take the request at once; this one after some have ended."""
+
 
 async def read_body(
     request: web.Request, limits: LimitSettings
@@ -19,8 +24,8 @@
     memory. Without the size limit a single caller could.
 
     Returns:
-        The body, or an error: 413 when it is too large, 408 when it is too slow, 400
-        when the connection breaks off.
+        The body, or an error: 413 when it is too large, 408 when it is too slow, 503
+        when the daemon holds too much for its callers, 400 when it breaks off.
     """
     too_large = invalid(
         f"The body must not exceed {limits.body_bytes} bytes.", status=413
@@ -29,12 +34,38 @@
         return Failure(too_large)
     try:
         async with asyncio.timeout(limits.body_seconds):
-            body = await request.read()
-    except web.HTTPRequestEntityTooLarge:
-        return Failure(too_large)
+            return await _read_all(request, limits.body_bytes, too_large)
     except TimeoutError:
         reason = f"The body did not arrive within {limits.body_seconds:g} seconds."
         return Failure(invalid(reason, status=408))
-    except (ConnectionError, OSError, ValueError):
+    except (ConnectionError, OSError, ValueError, RequestPayloadError):
         return Failure(invalid("The body broke off."))
-    return Success(body)
+
+
+async def _read_all(
+    request: web.Request, max_bytes: int, too_large: CallerError
+) -> Result[bytes, CallerError]:
+    connection = request.protocol
+    body = bytearray()
+    while part := await request.content.readany():
+        if len(body) + len(part) > max_bytes:
+            return Failure(too_large)
+        if not _can_hold(connection, len(part)):
+            return Failure(_too_many_bytes())
+        body += part
+    return Success(bytes(body))
+
+
+def _can_hold(connection: object, n_bytes: int) -> bool:
+    """Return whether bytes of a body were charged to the account of all callers."""
+    return not isinstance(connection, BoundedRequestHandler) or connection.take(n_bytes)
+
+
+def _too_many_bytes() -> CallerError:
+    return CallerError(
+        "This daemon holds too many request bodies; use another address.",
+        status=503,
+        type=ErrorType.SERVER,
+        code="bodies_full",
+        retry_after_seconds=BODIES_RETRY_SECONDS,
+    )
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -4,13 +4,14 @@
 import math
 from collections.abc import Callable
 from dataclasses import replace
-from http import HTTPStatus
 from typing import Any
 
 import structlog
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDictProxy
 
+from lycheepost.callers.boundedrequests import HEAD_COPIES, BodyRefused
+from lycheepost.callers.clientaccount import ClientAccount, HeadBounds, Refusal
 from lycheepost.callers.errors import CallerError, ErrorType, Executed
 from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest, RelayedFrom
 from lycheepost.callers.forwarderrors import leaving, outcome_unknown
@@ -18,6 +19,7 @@
 from lycheepost.callers.forwarding import Forwarding
 from lycheepost.core.ids import ModelId
 from lycheepost.core.routing import Prompt, PromptPart, RouteKind
+from lycheepost.decide.clientlimits import REQUEST_BYTES
 from lycheepost.platform import headers as names
 from lycheepost.platform.clientconnection import ClientConnection
 from lycheepost.platform.dialect import header_int, parse_count
@@ -28,6 +30,10 @@
 """Largest request body while no configuration is known: the configuration's default.
 Nothing runs then; the body is read only so that the response follows the request."""
 
+HEAD_ALLOWANCE_BYTES = 16 * 1024
+"""Of a head beyond the operators' limit for its headers: its first line, and what
+separates its headers."""
+
 UNCONFIGURED_IDLE_TIMEOUT_SECONDS = 15.0
 """Idle time-out of request bodies while no configuration is known."""
 
@@ -62,6 +68,7 @@
         first_reads: The first reads of the store; requests wait for them.
         is_peer_host: Returns whether a daemon of the fleet has an address. Only these
             may relay requests.
+        account: What is held for all clients.
 
     Attributes:
         n_open: Requests that are being served.
@@ -74,8 +81,11 @@
         deps: ForwardDeps,
         first_reads: InitialReads,
         is_peer_host: Callable[[str], bool],
+        account: ClientAccount,
     ) -> None:
         self._is_peer_host = is_peer_host
+        self._account = account
+        account.get_head_bounds = self._head_bounds
         self.n_open = 0
         self.is_leaving = False
         self.is_closed = False
@@ -161,14 +171,32 @@
         if self.is_closed:
             raise leaving()
         _check_path(request)
-        self._check_head(request)
-        with self._deps.request_bytes.open() as held:
-            body = await self._read_body(request, held)
-            forward_request = decode_request(request, body, arrived_seconds)
-            forward_request = trusted_relay(
-                forward_request, request.remote, self._is_peer_host
+        n_head_bytes = self._check_head(request)
+        forward_request = decode_request(request, arrived_seconds)
+        forward_request = trusted_relay(
+            forward_request, request.remote, self._is_peer_host
+        )
+        with (
+            self._account.all_bytes.open() as head_held,
+            self._deps.request_bytes.open() as held,
+        ):
+            if not head_held.take(REQUEST_BYTES + HEAD_COPIES * n_head_bytes):
+                raise _too_many_bytes()
+            if not request.content.is_eof():
+                await self._check_early(forward_request)
+            body = await self._read_body(request, forward_request, held)
+            await self._forward(
+                request, connection, replace(forward_request, body=body)
             )
-            await self._forward(request, connection, forward_request)
+
+    async def _check_early(self, forward_request: ForwardRequest) -> None:
+        """Refuse a request that may not be forwarded before its body is read.
+
+        The check is repeated once the body has been read: the configuration may have
+        changed meanwhile.
+        """
+        await self._first_reads.wait(_first_reads_wait_seconds(forward_request))
+        identify(self._deps, forward_request)
 
     async def _forward(
         self,
@@ -210,40 +238,71 @@
         if error is not None:
             _log.info("ingress: run failed", error=type(error).__name__)
 
-    def _check_head(self, request: web.BaseRequest) -> None:
-        """Refuse headers above the operator's limit, if a configuration is known."""
+    def _check_head(self, request: web.BaseRequest) -> int:
+        """Return the length of the headers in bytes.
+
+        Raises:
+            CallerError: It is above the operators' limit, if a configuration is known.
+        """
         table = self._deps.routing.table
         n_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
         if table is not None and n_bytes > table.limits.header_bytes:
             raise CallerError(
                 "The headers are too large.", status=431, code="headers_too_large"
             )
+        return n_bytes
 
-    async def _read_body(self, request: web.BaseRequest, held: HeldBytes) -> bytes:
+    def _head_bounds(self) -> HeadBounds:
+        table = self._deps.routing.table
+        if table is None:
+            return HeadBounds()
+        limits = table.limits
+        return HeadBounds(
+            limits.header_bytes + HEAD_ALLOWANCE_BYTES, limits.header_seconds
+        )
+
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        forward_request: ForwardRequest,
+        held: HeldBytes,
+    ) -> bytes:
         table = self._deps.routing.table
         max_bytes = (
             UNCONFIGURED_MAX_BODY_BYTES if table is None else table.limits.body_bytes
         )
-        parts: list[bytes] = []
-        n_bytes = request.content_length or 0
-        if n_bytes > max_bytes:
+        if (request.content_length or 0) > max_bytes:
             raise _too_large()
         _ask_for_body(request)
-        n_bytes = 0
         idle_seconds = UNCONFIGURED_IDLE_TIMEOUT_SECONDS
         if table is not None:
             idle_seconds = table.limits.idle_seconds
+        # One buffer that grows: a list of parts would be copied as a whole, and its
+        # parts leave holes in memory that larger bodies cannot use.
+        body = bytearray()
         try:
-            while part := await self._read_part(request, idle_seconds):
-                n_bytes += len(part)
-                if n_bytes > max_bytes:
-                    raise _too_large()
-                if not held.take(len(part)):
-                    raise _too_many_bytes()
-                parts.append(part)
+            async with asyncio.timeout(forward_request.caller_timeout_seconds):
+                while part := await self._read_part(request, idle_seconds):
+                    if len(body) + len(part) > max_bytes:
+                        raise _too_large()
+                    if not await self._take(held, len(part)):
+                        raise _too_many_bytes()
+                    body += part
         except TimeoutError:
             raise _too_slow() from None
-        return b"".join(parts)
+        except BodyRefused as error:
+            raise _body_refused(error.refusal) from None
+        return bytes(body)
+
+    async def _take(self, held: HeldBytes, n_bytes: int) -> bool:
+        """Hold bytes of a body; bodies that have stalled give way to it."""
+        while not held.take(n_bytes):
+            if not self._account.make_room():
+                return False
+            # The request that gives way releases its bytes as its task runs.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        return True
 
     async def _read_part(self, request: web.BaseRequest, idle_seconds: float) -> bytes:
         """Return the next part of a body; empty at its end."""
@@ -290,7 +349,7 @@
         response = web.Response(
             status=_status(error), text=error.reason + "\n", headers=headers
         )
-        if self.is_leaving or error.status == HTTPStatus.REQUEST_TIMEOUT:
+        if self.is_leaving or error.code in _CLOSING_CODES:
             response.force_close()
         return response
 
@@ -363,6 +422,17 @@
     return CallerError("The body stopped coming.", status=408, code="too_slow")
 
 
+def _body_refused(refusal: Refusal) -> CallerError:
+    """Return the error for a body that is not read; the connection is closed after."""
+    return CallerError(
+        "The body cannot be read.", status=refusal.status.value, code="body_refused"
+    )
+
+
+_CLOSING_CODES = ("too_slow", "body_refused")
+"""Codes of errors after which what the client sends cannot be told apart."""
+
+
 def _check_path(request: web.BaseRequest) -> None:
     """Refuse paths that cannot be forwarded byte for byte."""
     path = request.raw_path
@@ -387,10 +457,8 @@
     return request.headers.get(names.ATTEMPT_ID, "")
 
 
-def decode_request(
-    request: web.BaseRequest, body: bytes, arrived_seconds: float
-) -> ForwardRequest:
-    """Return the record of a client's request."""
+def decode_request(request: web.BaseRequest, arrived_seconds: float) -> ForwardRequest:
+    """Return the record of a client's request, without its body."""
     headers = request.headers
     host = headers.get("Host", "").rpartition(":")[0] or headers.get("Host", "")
     deadline_ms = header_int(headers, names.DEADLINE)
@@ -412,7 +480,7 @@
         prompt=decode_prompt(headers),
         after_event=header_int(headers, names.LAST_EVENT),
         resumed_id=headers.get(names.RESUMES, "").strip(),
-        body=body,
+        body=b"",
         arrived_seconds=arrived_seconds,
         relayed=_decode_relayed(headers),
     )
--- a/lycheepost/platform/settings.py
+++ b/lycheepost/platform/settings.py
@@ -15,6 +15,11 @@
 from lycheepost.core.errors import LycheepostError
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
 from lycheepost.core.quotas import QuotaTolerance
+from lycheepost.decide.clientlimits import (
+    UNKNOWN_VM_LIMITS,
+    ClientLimits,
+    make_client_limits,
+)
 
 SETTINGS_VARIABLE = "LYCHEEPOST_NODE_FILE"
 MAX_PORT = 65535
@@ -90,6 +95,7 @@
         peer_ports: First and last port available for traffic between daemons.
         store: Address of the platform's store.
         capacity: Processor cores and bandwidth of this VM.
+        client_limits: What may be held for clients, by the size of this VM.
         is_first_start: Whether the whole fleet starts for the first time.
     """
 
@@ -104,6 +110,7 @@
     store: Endpoint
     bounds: Bounds
     capacity: Capacity = UNKNOWN_CAPACITY
+    client_limits: ClientLimits = UNKNOWN_VM_LIMITS
     is_first_start: bool = False
 
 
@@ -193,6 +200,10 @@
             reader.number("limits.cpu_share", 0) * reader.number("limits.cores", 1),
             reader.number("limits.link_mbps", 0),
         ),
+        client_limits=make_client_limits(
+            reader.number("limits.memory_mb", 0),
+            int(reader.number("limits.max_fds", 0)),
+        ),
         is_first_start=reader.text("bootstrap", "false") == "true",
     )
     if reader.faults:
--- a/lycheepost/utils/boundedreads.py
+++ b/lycheepost/utils/boundedreads.py
@@ -15,7 +15,7 @@
 import time
 from collections import Counter, OrderedDict
 from enum import Enum
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 import structlog
@@ -40,7 +40,7 @@
 
 _BODY_SLICE_BYTES = 4096
 """Parsed first of a read; then twice as much each time, as most reads cost little."""
-_HOLD_SECONDS = 0.002
+HOLD_SECONDS = 0.002
 """How long one read may be parsed at once, and in each turn of the loop all connections
 together whose reads took longer. A read of large chunks takes less."""
 _MIN_SLICE_BYTES = 512
@@ -91,6 +91,14 @@
     return dict(_n_given_up)
 
 
+class SlowConnection(Protocol):
+    """A connection with bytes left to parse."""
+
+    def parse_slice(self) -> bool:
+        """Parse a part of what is left; return whether to go on."""
+        ...
+
+
 class SlowReads:
     """Connections with bytes left to parse, which take turns.
 
@@ -100,10 +108,10 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
-        self._waiting: OrderedDict[BoundedHandler, None] = OrderedDict()
+        self._waiting: OrderedDict[SlowConnection, None] = OrderedDict()
         self._is_scheduled = False
 
-    def add(self, handler: "BoundedHandler") -> None:
+    def add(self, handler: SlowConnection) -> None:
         """Parse bytes of a connection in a later turn of the loop."""
         self._waiting[handler] = None
         self._schedule()
@@ -115,7 +123,7 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
-        until_seconds = time.monotonic() + _HOLD_SECONDS
+        until_seconds = time.monotonic() + HOLD_SECONDS
         while self._waiting and time.monotonic() < until_seconds:
             handler, _ = self._waiting.popitem(last=False)
             if handler.parse_slice():
@@ -127,7 +135,7 @@
 _slow_reads: SlowReads | None = None
 
 
-def _slow_reads_of(loop: asyncio.AbstractEventLoop) -> SlowReads:
+def slow_reads_of(loop: asyncio.AbstractEventLoop) -> SlowReads:
     """Return the connections of a loop that take turns; a process has one loop."""
     global _slow_reads
     if _slow_reads is None or _slow_reads.loop is not loop:
@@ -250,6 +258,7 @@
             self._has_ended = False
             self._deferred = b""
             super().connection_lost(self._end_error)
+            self._body = None
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End, once what is left has been parsed."""
@@ -259,6 +268,8 @@
             return
         self._deferred = b""
         super().connection_lost(exc)
+        # It refers to this connection, and would wait for a rare collection.
+        self._body = None
 
     def _receive(self, data: bytes) -> None:
         if self._is_head_awaited:
@@ -286,7 +297,7 @@
             super().data_received(data)
             self._n_body_bytes += len(data)
             return
-        until_seconds = time.monotonic() + _HOLD_SECONDS
+        until_seconds = time.monotonic() + HOLD_SECONDS
         end = 0
         size = _BODY_SLICE_BYTES
         while end < len(data):
@@ -405,7 +416,7 @@
     """Bound the connections that a pool opens from now on."""
     loop = asyncio.get_running_loop()
     connector._factory = functools.partial(  # type: ignore[assignment]
-        BoundedHandler, loop=loop, client=client, slow_reads=_slow_reads_of(loop)
+        BoundedHandler, loop=loop, client=client, slow_reads=slow_reads_of(loop)
     )
 
 
--- a/lycheepost/utils/bytebudget.py
+++ b/lycheepost/utils/bytebudget.py
@@ -13,12 +13,15 @@
     """Bytes held now, and their bound.
 
     Attributes:
+        max_bytes: The bound.
+        whole: A budget that this one is a part of; None if it stands alone.
         held_bytes: Bytes held now.
         peak_bytes: Most bytes held since the start.
         n_denied: How often a request was given no more.
     """
 
     max_bytes: int
+    whole: "ByteBudget | None" = None
     held_bytes: int = 0
     peak_bytes: int = 0
     n_denied: int = 0
@@ -27,6 +30,31 @@
         """Return the account of one request, to be used as a context."""
         return HeldBytes(self)
 
+    def take(self, n_bytes: int) -> bool:
+        """Hold more bytes; False, and nothing is counted, if too many are held."""
+        is_full = self.held_bytes + n_bytes > self.max_bytes
+        if is_full or not (self.whole is None or self.whole.take(n_bytes)):
+            self.n_denied += 1
+            return False
+        self._add(n_bytes)
+        return True
+
+    def charge(self, n_bytes: int) -> None:
+        """Hold more bytes, however many are held; something else bounds them."""
+        self._add(n_bytes)
+        if self.whole is not None:
+            self.whole.charge(n_bytes)
+
+    def _add(self, n_bytes: int) -> None:
+        self.held_bytes += n_bytes
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+
+    def release(self, n_bytes: int) -> None:
+        """Hold fewer bytes."""
+        self.held_bytes -= n_bytes
+        if self.whole is not None:
+            self.whole.release(n_bytes)
+
     def status(self) -> dict[str, int]:
         """Return the bytes held and the requests denied, for status pages."""
         return {
@@ -51,16 +79,12 @@
 
     def take(self, n_bytes: int) -> bool:
         """Hold more bytes; False, and nothing is counted, if too many are held."""
-        budget = self._budget
-        if budget.held_bytes + n_bytes > budget.max_bytes:
-            budget.n_denied += 1
+        if not self._budget.take(n_bytes):
             return False
-        budget.held_bytes += n_bytes
-        budget.peak_bytes = max(budget.peak_bytes, budget.held_bytes)
         self.n_bytes += n_bytes
         return True
 
     def release(self) -> None:
         """Hold nothing any longer."""
-        self._budget.held_bytes -= self.n_bytes
+        self._budget.release(self.n_bytes)
         self.n_bytes = 0
