Divide what bounds clients by its parts: refusals, server, decoding of heads

No change of behaviour. callers/refusals names why connections are refused and what they are told, which the ingress and the callers' API share; callers/boundedserver is apart from its connections; platform/requestdecoding decodes heads, apart from the ingress that serves them.

--- a/features/callers/steps/boundedrequest_steps.py
+++ b/features/callers/steps/boundedrequest_steps.py
@@ -13,8 +13,9 @@
 from lycheepost.app.listeners import make_caller_account, make_listener
 from lycheepost.app.rawlistener import RawListener
 from lycheepost.callers.body import read_body
-from lycheepost.callers.boundedrequests import BodyRefused, BoundedRequestHandler
+from lycheepost.callers.boundedrequests import BoundedRequestHandler
 from lycheepost.callers.clientaccount import ClientAccount, HeadBounds
+from lycheepost.callers.refusals import BodyRefused
 from lycheepost.decide.clientlimits import (
     CONNECTION_BYTES,
     RECEIVE_BUFFER_BYTES,
--- a/features/platform/steps/document_steps.py
+++ b/features/platform/steps/document_steps.py
@@ -34,8 +34,8 @@
     MAX_UNUSABLE_LOGGED,
     ServerFollower,
 )
-from lycheepost.platform.ingress import decode_prompt
 from lycheepost.platform.registrations import decode_server
+from lycheepost.platform.requestdecoding import decode_prompt
 from lycheepost.platform.storewire import WireRows, encode_value
 from lycheepost.ports.feed import ChangedRow
 from lycheepost.state.targetlist import TargetList
--- a/lycheepost/app/acceptor.py
+++ b/lycheepost/app/acceptor.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from lycheepost.callers.boundedrequests import BoundedServer
+from lycheepost.callers.boundedserver import BoundedServer
 from lycheepost.callers.clientaccount import ClientAccount
 from lycheepost.utils.tasks import start_task
 
--- a/lycheepost/app/listeners.py
+++ b/lycheepost/app/listeners.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from lycheepost.callers.boundedrequests import BoundedServer
+from lycheepost.callers.boundedserver import BoundedServer
 from lycheepost.callers.clientaccount import ClientAccount, HeadBounds
 from lycheepost.decide.clientlimits import RECEIVE_BUFFER_BYTES, make_client_limits
 from lycheepost.generated.settings import LimitSettings, TlsSettings
--- a/lycheepost/app/rawlistener.py
+++ b/lycheepost/app/rawlistener.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from lycheepost.app.acceptor import Acceptor
-from lycheepost.callers.boundedrequests import BoundedServer
+from lycheepost.callers.boundedserver import BoundedServer
 from lycheepost.callers.clientaccount import ClientAccount
 
 KEEP_ALIVE_SECONDS = 75.0
--- a/lycheepost/callers/body.py
+++ b/lycheepost/callers/body.py
@@ -7,12 +7,10 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.callers.boundedrequests import BoundedRequestHandler
-from lycheepost.callers.errors import CallerError, ErrorType, invalid
+from lycheepost.callers.errors import CallerError, invalid
+from lycheepost.callers.refusals import too_many_bytes
 from lycheepost.generated.settings import LimitSettings
 
-BODIES_RETRY_SECONDS = 0.2
-"""Any other daemon can take the request at once; this one after some have ended."""
-
 
 async def read_body(
     request: web.Request, limits: LimitSettings
@@ -51,7 +49,7 @@
         if len(body) + len(part) > max_bytes:
             return Failure(too_large)
         if not _can_hold(connection, len(part)):
-            return Failure(_too_many_bytes())
+            return Failure(too_many_bytes())
         body += part
     return Success(bytes(body))
 
@@ -59,13 +57,3 @@
 def _can_hold(connection: object, n_bytes: int) -> bool:
     """Return whether bytes of a body were charged to the account of all callers."""
     return not isinstance(connection, BoundedRequestHandler) or connection.take(n_bytes)
-
-
-def _too_many_bytes() -> CallerError:
-    return CallerError(
-        "This daemon holds too many request bodies; use another address.",
-        status=503,
-        type=ErrorType.SERVER,
-        code="bodies_full",
-        retry_after_seconds=BODIES_RETRY_SECONDS,
-    )
--- a/lycheepost/callers/boundedrequests.py
+++ b/lycheepost/callers/boundedrequests.py
@@ -17,8 +17,9 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
 
-from lycheepost.callers.clientaccount import ClientAccount, Refusal
+from lycheepost.callers.clientaccount import ClientAccount
 from lycheepost.callers.receivebuffer import set_receive_buffer
+from lycheepost.callers.refusals import BodyRefused, Refusal, encode_refusal
 from lycheepost.decide.clientlimits import (
     LARGE_RECEIVE_BUFFER_BYTES,
     RECEIVE_BUFFER_BYTES,
@@ -45,9 +46,6 @@
 """How long, and how much, a refused client may still send. A connection that is closed
 before it was read is reset, and its client may lose the answer."""
 
-RETRY_SECONDS = 0.2
-"""Any other daemon can take the request at once; this one after some have ended."""
-
 _SLICE_BYTES = 4096
 """Parsed at once."""
 _MIN_SLICE_BYTES = 512
@@ -58,18 +56,6 @@
 _log = structlog.get_logger(part="clients")
 
 
-class BodyRefused(RequestPayloadError):
-    """The rest of a request's body is not read.
-
-    Attributes:
-        refusal: Why.
-    """
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.value)
-        self.refusal = refusal
-
-
 class BoundedRequestHandler(RequestHandler):
     """One client's connection.
 
@@ -481,7 +467,7 @@
         if transport is None or not self._head_bytes:
             self.force_close()
             return
-        transport.write(_encode_refusal(refusal))
+        transport.write(encode_refusal(refusal))
         if self._is_urgent:
             self.force_close()
             return
@@ -507,31 +493,3 @@
         """Log the library's errors without tracebacks; clients cause most of them."""
         error = kw.get("exc_info")
         _log.info("clients: request failed", error=type(error).__name__)
-
-
-def _encode_refusal(refusal: Refusal) -> bytes:
-    status = refusal.status
-    lines = [f"HTTP/1.1 {status.value} {status.phrase}", "Content-Length: 0"]
-    if refusal is Refusal.NO_PLACE:
-        lines.append(f"Retry-After: {RETRY_SECONDS}")
-    return "\r\n".join([*lines, "Connection: close", "", ""]).encode()
-
-
-class BoundedServer(web.Server):
-    """A server whose connections are bounded.
-
-    Args:
-        handler: Handles every request.
-        account: What is held for all clients.
-        options: Options of ``aiohttp.web.Server`` and of ``BoundedRequestHandler``.
-    """
-
-    def __init__(self, handler: Any, account: ClientAccount, **options: Any) -> None:
-        super().__init__(handler, **options)
-        self._account = account
-
-    def __call__(self) -> RequestHandler:
-        """Return the protocol of a new connection."""
-        return BoundedRequestHandler(
-            self, loop=self._loop, account=self._account, **self._kwargs
-        )
--- a/lycheepost/callers/clientaccount.py
+++ b/lycheepost/callers/clientaccount.py
@@ -8,12 +8,11 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
-from http import HTTPStatus
 from typing import Protocol
 
 import structlog
 
+from lycheepost.callers.refusals import Refusal
 from lycheepost.decide.clientlimits import CONNECTION_BYTES, ClientLimits
 from lycheepost.decide.clientwaits import ClientState, ClientWaits
 from lycheepost.utils.bytebudget import ByteBudget
@@ -33,35 +32,6 @@
 _log = structlog.get_logger(part="clients")
 
 
-class Refusal(Enum):
-    """Why a client's connection is closed, and the status that it is told."""
-
-    BAD_REQUEST = "bad_request"
-    HEAD_BYTES = "head_bytes"
-    HEAD_TIME = "head_time"
-    FRAMING_BYTES = "framing_bytes"
-    """Chunk extensions, trailers and the like beside too little of a body."""
-    PLACE_NEEDED = "place_needed"
-    """It made no progress, and its place or its bytes were needed for another."""
-    NO_PLACE = "no_place"
-    """All places or bytes are taken by clients that are being served."""
-
-    @property
-    def status(self) -> HTTPStatus:
-        """Return the status; each says that the request has not run."""
-        return _STATUSES[self]
-
-
-_STATUSES = {
-    Refusal.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
-    Refusal.HEAD_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    Refusal.HEAD_TIME: HTTPStatus.REQUEST_TIMEOUT,
-    Refusal.FRAMING_BYTES: HTTPStatus.BAD_REQUEST,
-    Refusal.PLACE_NEEDED: HTTPStatus.REQUEST_TIMEOUT,
-    Refusal.NO_PLACE: HTTPStatus.SERVICE_UNAVAILABLE,
-}
-
-
 def _running_now_seconds() -> float:
     """Return the time, less that in which this process stood still of late.
 
--- a/lycheepost/platform/ingress.py
+++ b/lycheepost/platform/ingress.py
@@ -8,21 +8,20 @@
 
 import structlog
 from aiohttp import HttpVersion11, web
-from multidict import CIMultiDictProxy
 
-from lycheepost.callers.boundedrequests import HEAD_COPIES, BodyRefused
-from lycheepost.callers.clientaccount import ClientAccount, HeadBounds, Refusal
+from lycheepost.callers.boundedrequests import HEAD_COPIES
+from lycheepost.callers.clientaccount import ClientAccount, HeadBounds
 from lycheepost.callers.errors import CallerError, ErrorType, Executed
-from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest, RelayedFrom
+from lycheepost.callers.forwarddeps import ForwardDeps, ForwardRequest
 from lycheepost.callers.forwarderrors import leaving, outcome_unknown
 from lycheepost.callers.forwardidentify import identify
 from lycheepost.callers.forwarding import Forwarding
-from lycheepost.core.ids import ModelId
-from lycheepost.core.routing import Prompt, PromptPart, RouteKind
+from lycheepost.callers.refusals import BodyRefused, Refusal, too_many_bytes
+from lycheepost.core.routing import RouteKind
 from lycheepost.decide.clientlimits import REQUEST_BYTES
 from lycheepost.platform import headers as names
 from lycheepost.platform.clientconnection import ClientConnection
-from lycheepost.platform.dialect import header_int, parse_count
+from lycheepost.platform.requestdecoding import decode_request
 from lycheepost.state.initial_reads import InitialReads
 from lycheepost.utils.bytebudget import HeldBytes
 
@@ -41,9 +40,6 @@
 """Share of the caller's time-out for which a request may wait for the first responses
 of the store after a start; the rest leaves time to try another daemon."""
 
-BODIES_RETRY_SECONDS = 0.2
-"""Any other daemon can take the request at once; this one after some have ended."""
-
 END_SECONDS = 0.2
 """How long to wait for the responses of requests that a shutdown ends; each is ready at
 once."""
@@ -181,7 +177,7 @@
             self._deps.request_bytes.open() as held,
         ):
             if not head_held.take(REQUEST_BYTES + HEAD_COPIES * n_head_bytes):
-                raise _too_many_bytes()
+                raise too_many_bytes()
             if not request.content.is_eof():
                 await self._check_early(forward_request)
             body = await self._read_body(request, forward_request, held)
@@ -286,7 +282,7 @@
                     if len(body) + len(part) > max_bytes:
                         raise _too_large()
                     if not await self._take(held, len(part)):
-                        raise _too_many_bytes()
+                        raise too_many_bytes()
                     body += part
         except TimeoutError:
             raise _too_slow() from None
@@ -406,17 +402,6 @@
     return CallerError("The body is too large.", status=413, code="too_large")
 
 
-def _too_many_bytes() -> CallerError:
-    """Return the error for a body that this daemon has no memory for."""
-    return CallerError(
-        "This daemon holds too many request bodies; use another address.",
-        status=503,
-        type=ErrorType.SERVER,
-        code="bodies_full",
-        retry_after_seconds=BODIES_RETRY_SECONDS,
-    )
-
-
 def _too_slow() -> CallerError:
     """Return the error for a stalled body; the connection is closed after it."""
     return CallerError("The body stopped coming.", status=408, code="too_slow")
@@ -455,91 +440,3 @@
 
 def _attempt_id(request: web.BaseRequest) -> str:
     return request.headers.get(names.ATTEMPT_ID, "")
-
-
-def decode_request(request: web.BaseRequest, arrived_seconds: float) -> ForwardRequest:
-    """Return the record of a client's request, without its body."""
-    headers = request.headers
-    host = headers.get("Host", "").rpartition(":")[0] or headers.get("Host", "")
-    deadline_ms = header_int(headers, names.DEADLINE)
-    kept = [
-        (name, value)
-        for name, value in names.end_to_end_headers([*headers.items()])
-        if name.lower() not in names.SYSTEM_ONLY
-    ]
-    return ForwardRequest(
-        caller_id=headers.get(names.ATTEMPT_ID, ""),
-        method=request.method,
-        host=host.lower(),
-        raw_path=request.raw_path,
-        headers=tuple(kept),
-        key=_decode_key(headers),
-        caller_timeout_seconds=None
-        if deadline_ms is None
-        else deadline_ms / _MILLISECONDS,
-        prompt=decode_prompt(headers),
-        after_event=header_int(headers, names.LAST_EVENT),
-        resumed_id=headers.get(names.RESUMES, "").strip(),
-        body=b"",
-        arrived_seconds=arrived_seconds,
-        relayed=_decode_relayed(headers),
-    )
-
-
-def _decode_relayed(headers: CIMultiDictProxy[str]) -> RelayedFrom | None:
-    """Return what a daemon states of a request that it relays; None if nothing."""
-    n_runs = parse_count(headers.get(names.RELAYED_RUNS, ""))
-    if n_runs is None:
-        return None
-    return RelayedFrom(
-        n_runs,
-        parse_count(headers.get(names.RELAYED_ARRIVALS, "")) or 0,
-        parse_count(headers.get(names.RELAYED_CONFIGURATION, "")) or 0,
-        parse_count(headers.get(names.RELAYED_COUNTED, "")) == 1,
-    )
-
-
-def _decode_key(headers: CIMultiDictProxy[str]) -> str | None:
-    value = headers.get(names.AUTHORIZATION, "")
-    if not value.lower().startswith(names.KEY_SCHEME):
-        return None
-    return value[len(names.KEY_SCHEME) :].strip() or None
-
-
-def decode_prompt(headers: CIMultiDictProxy[str]) -> Prompt | None:
-    """Return the prompt that the request headers describe; None when there is none.
-
-    Raises:
-        CallerError: The description is invalid.
-    """
-    model = headers.get(names.MODEL)
-    if model is None:
-        return None
-    match [parse_count(word) for word in headers.get(names.TOKENS, "").split(",")]:
-        case [int(n_tokens), int(n_output)]:
-            parts = _decode_parts(headers.get(names.PROMPT_PARTS, ""))
-            # A hint that is no count is as good as none.
-            hint = parse_count(headers.get(names.LENGTH_HINT, "")) or 0
-            return Prompt(ModelId(model), n_tokens, n_output, parts, hint)
-    raise _bad_prompt()
-
-
-def _decode_parts(text: str) -> tuple[PromptPart, ...]:
-    parts: list[PromptPart] = []
-    for word in filter(None, text.split(",")):
-        part_id, _, count = word.partition(":")
-        n_tokens = parse_count(count)
-        if n_tokens is None:
-            raise _bad_prompt()
-        parts.append(PromptPart(part_id.strip(), n_tokens))
-    return tuple(parts)
-
-
-def _bad_prompt() -> CallerError:
-    """Return the error for an invalid description of a prompt.
-
-    Forwarded as it is, the request would run outside its customer's cache scope.
-    """
-    return CallerError(
-        "The description of the prompt cannot be read.", status=400, code="bad_prompt"
-    )
