Take a VM of unstated size for the smallest that present deployments have

Clients could make a daemon whose settings state no limits hold what fits into 150 MB; on the smallest VM in force, 88 MB, that would end it. The limits of 88 MB are taken now. Fleets in one process state a size of their own, as all of their daemons share it, and so does the fault soak.

Evidence: decide/clientlimits (12), platform/slowreaders (4) and callers/boundedrequests (31) pass.

--- a/features/decide/clientlimits.feature
+++ b/features/decide/clientlimits.feature
@@ -17,7 +17,7 @@
 
   Scenario: A VM whose size is not stated
     Guards against a daemon that takes no client, or any number of them.
-    Then a VM of unstated size serves as many connections as one of 150 MB
+    Then a VM of unstated size serves as many connections as one of 88 MB
 
   Scenario: A daemon on a VM that is smaller than itself
     Guards against a daemon that refuses all clients.
--- a/lycheepost/app/platformfleet.py
+++ b/lycheepost/app/platformfleet.py
@@ -18,7 +18,11 @@
 from lycheepost.app.leaveplan import LeavePlan
 from lycheepost.app.platformdaemon import PlatformDaemon, make_platform_daemon
 from lycheepost.core.ids import AvailabilityZone, DaemonId, RegionId
-from lycheepost.decide.clientlimits import MAX_QUEUED, RECEIVE_BUFFER_BYTES
+from lycheepost.decide.clientlimits import (
+    MAX_QUEUED,
+    RECEIVE_BUFFER_BYTES,
+    make_client_limits,
+)
 from lycheepost.decide.mechanisms import Mechanism
 from lycheepost.platform import headers as names
 from lycheepost.platform.models.pathcuts import CuttableNetwork
@@ -42,6 +46,9 @@
 """API keys and their customers; the second customer is isolated."""
 
 ISOLATED_KEY = "k-two"
+CLIENT_LIMITS = make_client_limits(memory_mebibytes=512.0, n_descriptors=8192)
+"""Of the one process that all daemons of a fleet share."""
+
 BOUNDS = Bounds(
     revoke_seconds=5.0,
     is_revoke_strict=True,
@@ -276,6 +283,7 @@
             peer_ports=(0, 0),
             store=Endpoint(HOST, int(self.store.url.rpartition(":")[2])),
             bounds=self._bounds,
+            client_limits=CLIENT_LIMITS,
             is_first_start=is_first_start,
         )
         network = CuttableNetwork()
--- a/lycheepost/decide/clientlimits.py
+++ b/lycheepost/decide/clientlimits.py
@@ -54,9 +54,9 @@
 MIN_CONNECTIONS = 16
 MIN_CLIENT_BYTES = 8 * MEBIBYTE
 
-DEFAULT_MEMORY_MEBIBYTES = 150.0
+DEFAULT_MEMORY_MEBIBYTES = 88.0
 DEFAULT_DESCRIPTORS = 4100
-"""Of a VM whose limits are not stated."""
+"""Of a VM whose limits are not stated: the smallest that present deployments have."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/soakfleet.py
+++ b/tools/soakfleet.py
@@ -40,6 +40,9 @@
 ZONES = (ZONE, AvailabilityZone("zone-b"))
 """Zones that the daemons are in by turns; the servers are in the first."""
 FIRST_START_LINE = "bootstrap=true\n"
+MEMORY_MB = 150
+DESCRIPTORS = 4100
+"""Of each daemon's VM; those of the smallest deployment with few daemons."""
 START_SECONDS = 90.0
 """For all processes to be up the first time, also on a machine that is busy."""
 
@@ -263,6 +266,8 @@
             "listen.directory": f"{HOST}:{directory}",
             "port_range": f"{first},{first}",
             "platform.address": f"{HOST}:{store.port}",
+            "limits.memory_mb": MEMORY_MB,
+            "limits.max_fds": DESCRIPTORS,
         }
         node_file = self.folder / f"{name}.conf"
         text = "".join(f"{k}={v}\n" for k, v in settings.items())
