Keep the ports of a daemon beside a crowd reserved until its scenario ends

The test closed its reservations before the daemon listened, and an outgoing connection of any process may take the port then. They stay open now, as the fault soak's do. Crowds and bounds are unchanged.

--- a/features/clients/steps/systemprocesses.py
+++ b/features/clients/steps/systemprocesses.py
@@ -60,12 +60,11 @@
         self._folder = pathlib.Path(tempfile.mkdtemp())
         self._standins = self._start_standins(is_configured)
         store_port = json.loads(self._standins.stdout.readline())["store_port"]
-        reserved = [reserve_port(HOST) for _ in _ROLES]
-        self.ports = dict(zip(_ROLES, map(port_of, reserved), strict=True))
+        # Open until the end: the clients' own connections take ports as well.
+        self._reserved = [reserve_port(HOST) for _ in _ROLES]
+        self.ports = dict(zip(_ROLES, map(port_of, self._reserved), strict=True))
         self._node_file = self._folder / "node.conf"
         self._node_file.write_text(self._settings(store_port, memory_mb, max_fds))
-        for item in reserved:
-            item.close()
         self._log = self._folder / "daemon.log"
         self.daemon = self._start_daemon()
         self.usage = Usage()
@@ -167,6 +166,8 @@
         if self.is_alive():
             self.daemon.kill()
         self.daemon.wait()
+        for item in self._reserved:
+            item.close()
         self._standins.stdin.close()
         try:
             self._standins.wait(10)
