Read a kept connection on after a request that was sent ahead of a slow answer

What callers would see: a client that sends a request before the answer to its last one, over 4 kB together, gets both answers, and no answer to any later request on that connection.

Cause: the connection is paused while a parsed request waits behind one that is served. When what was left of the read had been parsed by then, nothing resumed it: the end of a response looked for bytes left to parse only.

Change: a connection that was paused for this is resumed at the end of each response.

--- a/features/callers/boundedrequests.feature
+++ b/features/callers/boundedrequests.feature
@@ -6,6 +6,8 @@
     Given a listener
     When a client sends 200 requests with bodies of <n_bytes> bytes <kind> at once
     Then it gets 200 answers with the length <n_bytes>
+    When the client sends one more request with a body of 10 bytes
+    Then it gets 1 answers with the length 10
 
     Examples:
       | n_bytes | kind        |
@@ -15,6 +17,15 @@
       | 700     | in chunks   |
       | 60000   | in chunks   |
 
+  Scenario: A connection is read on after a request that was sent ahead of a slow answer
+    Guards against a kept connection whose next request is never read.
+    Given a listener
+    When a client sends 2 requests with bodies of 9000 bytes while none is answered
+    And the listener answers
+    Then it gets 2 answers with the length 9000
+    When the client sends one more request with a body of 10 bytes
+    Then it gets 1 answers with the length 10
+
   Scenario Outline: A body of <n_bytes> bytes in chunks of <chunk> is read
     Guards against a bound on what frames a body that a client inside its limits meets.
     Given a listener
--- a/features/callers/steps/boundedrequest_steps.py
+++ b/features/callers/steps/boundedrequest_steps.py
@@ -214,6 +214,42 @@
     context.answers = context.run(send_all(context, data))
 
 
+@when(
+    "a client sends {n:d} requests with bodies of {n_bytes:d} bytes"
+    " while none is answered"
+)
+def step_unanswered(context, n, n_bytes):
+    context.n_answers = n
+    context.listener.may_answer.clear()
+
+    async def play():
+        _reader, writer = await connect(context)
+        writer.write(request_of(b"a" * n_bytes) * n)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    context.run(play())
+
+
+@when("the listener answers")
+def step_answer(context):
+    context.listener.may_answer.set()
+    reader, _writer = context.streams[-1]
+    context.answers = context.run(read_answers(context, reader))
+
+
+@when("the client sends one more request with a body of {n_bytes:d} bytes")
+def step_one_more(context, n_bytes):
+    context.n_answers = 1
+    reader, writer = context.streams[-1]
+
+    async def play():
+        writer.write(request_of(b"a" * n_bytes))
+        async with asyncio.timeout(WAIT_SECONDS):
+            return await read_answers(context, reader)
+
+    context.answers = context.run(play())
+
+
 @when("a body of {n_bytes:d} bytes is sent in chunks of {chunk:d}")
 def step_chunks(context, n_bytes, chunk):
     context.n_answers = 1
--- a/lycheepost/callers/boundedrequests.py
+++ b/lycheepost/callers/boundedrequests.py
@@ -79,6 +79,7 @@
         "_idle_bytes",
         "_is_answered",
         "_is_counted",
+        "_is_held",
         "_is_large",
         "_is_refused",
         "_is_slow",
@@ -123,6 +124,7 @@
         self._is_refused = False
         self._is_large = False
         self._is_slow = False
+        self._is_held = False
         self._is_urgent = False
         self._is_answered = False
         self._end_timer: asyncio.TimerHandle | None = None
@@ -218,6 +220,7 @@
     def _keep(self, data: bytes) -> None:
         """Parse bytes later, in turns with other connections that take long."""
         self._unparsed = data
+        self._is_held = True
         self._slice_bytes = _MIN_SLICE_BYTES
         self._pause_transport_reading()
         if not self._is_behind():
@@ -258,6 +261,7 @@
         if self._unparsed:
             slow_reads_of(self._loop).add(self)
         else:
+            self._is_held = False
             super()._resume_transport_reading()
 
     def _feed(self, part: bytes) -> None:
@@ -390,8 +394,8 @@
                 self._account.enter(self, state)
             if self._is_refused:
                 self.force_close()
-            elif self._unparsed:
-                slow_reads_of(self._loop).add(self)
+            elif self._is_held and not self._reading_paused:
+                self._resume_transport_reading()
 
     async def _discard_rest(self) -> None:
         """Drop what a client still sends, so that it gets its answer before a reset."""
