Write heads of stand-ins' responses byte by byte; test invalid names of fields

The stand-ins framed every response well, so no test could send a head that is invalid. standin/rawheads.py writes heads and chunks as they are given; rawbodies and endless use it. HeadForm lists responses that are invalid in one way each, and a server of the platform's stand-in can be told to send one (InvalidAnswer).

A server in trouble was reported to send names of fields with a blank or a control byte, whose answer reached the client with that line passed on, or with a body that was not the server's. The code handles this already: the HTTP library refuses a name with a blank, tab, NUL, control byte, DEL or a byte from 0x80, an empty name, a line without a colon, and a blank before the colon, also in heads of status 103 and in trailers. The tests stay and nothing else changes for it:

- features/platform/brokenanswers.feature: a client gets 502 for an order, which ran once, or the answer of another server for a look-up; both servers are used afterwards.
Directly and through a peer (19).

--- /dev/null
+++ b/features/platform/brokenanswers.feature
@@ -0,0 +1,51 @@
+Feature: Servers that send invalid heads
+  Real daemons with stand-ins for the platform's store and servers, on loopback.
+
+  Scenario Outline: A <what> that is answered with a <form>: <outcome>
+    Guards against an invalid answer that reaches its client as an answer.
+    Given a deployment with 1 daemon
+    When the next server answers a <what> with a <form>
+    And a client asks for a <what>
+    Then the outcome is <outcome>
+    And it ran <runs> times
+    And 40 look-ups at once are answered by all servers
+
+    Examples: Statuses
+      | what             | form                 | outcome | runs |
+      | order            | status of two digits | 502     | 1    |
+      | order            | status of four digits | 502    | 1    |
+      | order            | status with a sign   | 502     | 1    |
+
+    Examples: Names of fields
+      | what             | form                   | outcome | runs |
+      | look-up          | blank in a name        | answer  | 2    |
+      | order            | blank in a name        | 502     | 1    |
+      | album stream     | blank in a name        | 502     | 1    |
+      | order            | blank before a colon   | 502     | 1    |
+      | order            | tab in a name          | 502     | 1    |
+      | order            | NUL in a name          | 502     | 1    |
+      | order            | control byte in a name | 502     | 1    |
+      | order            | DEL in a name          | 502     | 1    |
+      | order            | byte 0x80 in a name    | 502     | 1    |
+      | order            | empty name             | 502     | 1    |
+      | order            | line without a colon   | 502     | 1    |
+      | order            | blank in a name of an interim head | 502 | 1 |
+      | order            | blank in a name of a trailer | 502 | 1  |
+
+    Examples: Framing
+      | what             | form                         | outcome | runs |
+      | order            | length and chunks            | 502     | 1    |
+      | order            | two lengths                  | 502     | 1    |
+
+  Scenario Outline: A <what> through a peer that is answered with a <form>: <outcome>
+    Guards against an invalid answer that a peer passes on.
+    Given a deployment with 3 daemons
+    When the first daemon has no path to the servers
+    And the next server answers a <what> with a <form>
+    And a client asks for a <what>
+    Then the outcome is <outcome>
+    And the first daemon has relayed it
+
+    Examples:
+      | what             | form            | outcome |
+      | order            | blank in a name | 502     |
--- a/lycheepost/platform/models/serverfaults.py
+++ b/lycheepost/platform/models/serverfaults.py
@@ -12,6 +12,7 @@
     Truncated,
 )
 from lycheepost.standin.rawbodies import Framing, Stop
+from lycheepost.standin.rawheads import HeadForm
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +101,13 @@
     is_in_one_packet: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidAnswer:
+    """A response with the whole body and with a head or framing that is invalid."""
+
+    form: HeadForm
+
+
 ServerFault = (
     Truncated
     | Silent
@@ -114,4 +122,5 @@
     | CrashAndReturn
     | BrokenOff
     | Unframed
+    | InvalidAnswer
 )
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -26,6 +26,7 @@
     CrashPoint,
     Encoded,
     ExtraAnswer,
+    InvalidAnswer,
     PartCrash,
     ServerFailure,
     ServerFault,
@@ -51,6 +52,7 @@
     Stop,
     make_unframing_middleware,
 )
+from lycheepost.standin.rawheads import HeadForm, encode_form
 from lycheepost.standin.webserver import StandinServer
 
 _HANG_SECONDS = 3600.0
@@ -458,6 +460,8 @@
                 return response
             case BrokenOff() | Unframed():
                 return _send_raw(request, headers, text, fault)
+            case InvalidAnswer(form=form):
+                return _send_form(request, headers, text, form)
             case Encoded():
                 headers["Content-Encoding"] = "gzip"
             case ExtraAnswer():
@@ -493,6 +497,11 @@
             await self._timing.prefill(work)
             if (part_id := self._crashing_part(request)) is not None:
                 await self._crash_by_part(request, response, part_id, start, body)
+            if isinstance(fault, InvalidAnswer):
+                numbers = range(start, self.n_events + 1)
+                software = self.state.software
+                text = b"".join(event_bytes(n, body, software) for n in numbers)
+                return _send_form(request, headers, text, fault.form)
             if isinstance(fault, BrokenOff | Unframed):
                 await self._stream_raw(request, headers, start, body, fault)
                 return response
@@ -641,6 +650,16 @@
     return web.Response()
 
 
+def _send_form(
+    request: web.Request, headers: Mapping[str, str], text: bytes, form: HeadForm
+) -> web.StreamResponse:
+    """Send a response that is invalid in one form."""
+    if request.transport is not None:
+        request.transport.write(encode_form(form, headers, text))
+        request.transport.close()
+    return web.Response()
+
+
 def answer_text(path: str, body: bytes) -> bytes:
     """Return the response body of a plain service, a function of path and body."""
     return b"%016x " % hash_bytes(path.encode() + b"\n" + body) * 20
--- a/lycheepost/standin/endless.py
+++ b/lycheepost/standin/endless.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from enum import Enum
 
+from lycheepost.standin.rawheads import encode_chunk, encode_head
+
 PIECE_BYTES = 65536
 """Size of one write, about what a client reads at once."""
 _MAX_UNSENT_BYTES = 4 * PIECE_BYTES
@@ -67,13 +69,8 @@
 
 
 def _head(status: str, *headers: Mapping[str, str]) -> bytes:
-    lines = [f"HTTP/1.1 {status}"]
-    lines += [f"{name}: {value}" for part in headers for name, value in part.items()]
-    return "\r\n".join([*lines, "", ""]).encode()
-
-
-def _chunk(data: bytes, extension: bytes = b"") -> bytes:
-    return b"%x%b\r\n%b\r\n" % (len(data), extension, data)
+    fields = {name: value for part in headers for name, value in part.items()}
+    return encode_head(status, fields)
 
 
 def _gzip_start() -> bytes:
@@ -117,24 +114,25 @@
         case EndlessForm.CHUNK_EXTENSION:
             return _head("200 OK", headers, _CHUNKED) + b"5;", b"e"
         case EndlessForm.CHUNK_EXTENSIONS:
-            return _head("200 OK", headers, _CHUNKED), _chunk(b" ", b";" + b"e" * 4000)
+            start = _head("200 OK", headers, _CHUNKED)
+            return start, encode_chunk(b" ", b";" + b"e" * 4000)
         case EndlessForm.TRAILERS:
-            start = _head("200 OK", headers, _CHUNKED) + _chunk(_WHOLE) + b"0\r\n"
+            start = _head("200 OK", headers, _CHUNKED) + encode_chunk(_WHOLE) + b"0\r\n"
             return start, b"X-More: more\r\n"
         case EndlessForm.BODY:
-            return _head("200 OK", headers, _CHUNKED), _chunk(b" " * 16384)
+            return _head("200 OK", headers, _CHUNKED), encode_chunk(b" " * 16384)
         case EndlessForm.LONG_BODY:
             length = {"Content-Length": str(_ENDLESS_LENGTH)}
             return _head("200 OK", headers, length), b" "
         case EndlessForm.ENCODED_BODY:
             encoded = {"Content-Encoding": "gzip", **_CHUNKED}
-            start = _head("200 OK", headers, encoded) + _chunk(_gzip_start())
-            return start, _chunk(_gzip_repeat())
+            start = _head("200 OK", headers, encoded) + encode_chunk(_gzip_start())
+            return start, encode_chunk(_gzip_repeat())
         case EndlessForm.EVENT:
-            start = _head("200 OK", headers, _STREAM) + _chunk(b"id: 1\ndata: ")
-            return start, _chunk(b"d" * 64)
+            start = _head("200 OK", headers, _STREAM) + encode_chunk(b"id: 1\ndata: ")
+            return start, encode_chunk(b"d" * 64)
         case EndlessForm.EVENTS:
-            return _head("200 OK", headers, _STREAM), _chunk(b"data: d\n\n")
+            return _head("200 OK", headers, _STREAM), encode_chunk(b"data: d\n\n")
         case EndlessForm.SWITCHED:
             switch = {"Connection": "Upgrade", "Upgrade": "none"}
             return _head("101 Switching Protocols", headers, switch), b"u"
--- a/lycheepost/standin/rawbodies.py
+++ b/lycheepost/standin/rawbodies.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Middleware
 
+from lycheepost.standin.rawheads import encode_chunk, encode_head
 from lycheepost.standin.resets import reset
 
 
@@ -54,17 +55,15 @@
         self._transport = request.transport
         self._framing = framing
         self._is_in_one_packet = is_in_one_packet
-        lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        if framing is Framing.CHUNKS:
-            lines.append("Transfer-Encoding: chunked")
-        self._pending = "\r\n".join([*lines, "", ""]).encode()
+        framed = {"Transfer-Encoding": "chunked"} if framing is Framing.CHUNKS else {}
+        status_line = f"{status} {HTTPStatus(status).phrase}"
+        self._pending = encode_head(status_line, {**headers, **framed})
         self._flush()
 
     def write(self, data: bytes) -> None:
         """Send bytes of the body."""
         if self._framing is Framing.CHUNKS:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
+            data = encode_chunk(data)
         self._pending += data
         self._flush()
 
