Refuse answers with a status that HTTP does not have

What callers saw: a server in trouble sent an answer of status 000, and the client got it as an answer, `HTTP/1.1 0 `. The same held for 099, 600 and 999; these went through a peer as well.

Cause: the HTTP library takes any three digits for a status, and everything but 100 to 199 for the final head. BoundedHandler, on whose connections all clients of a daemon read their answers, knew 101 and "under 200" only, and nobody after it asked whether the status was one.

Fix: BoundedHandler gives up an awaited head whose status is not between 100 and 599 (RFC 9110, section 15), as it does with what a server sends too much of. So requests, relays, orders, reports, cache events, the store and tables refuse it in one place. The server may have run the request: the client gets 502, unless the request may run twice and another server answers. The server counts as failing once, which alone does not eject it.

What a connection is given up for is no longer always an excess, so the field of the log line and of the exception is named `reason`.

--- a/features/platform/brokenanswers.feature
+++ b/features/platform/brokenanswers.feature
@@ -12,6 +12,14 @@
 
     Examples: Statuses
       | what             | form                 | outcome | runs |
+      | look-up          | status 000           | answer  | 2    |
+      | order            | status 000           | 502     | 1    |
+      | resumable stream | status 000           | answer  | 2    |
+      | album stream     | status 000           | 502     | 1    |
+      | order            | status 099           | 502     | 1    |
+      | order            | status 600           | 502     | 1    |
+      | look-up          | status 999           | answer  | 2    |
+      | order            | status 999           | 502     | 1    |
       | order            | status of two digits | 502     | 1    |
       | order            | status of four digits | 502    | 1    |
       | order            | status with a sign   | 502     | 1    |
@@ -48,4 +56,8 @@
 
     Examples:
       | what             | form            | outcome |
+      | look-up          | status 000      | answer  |
+      | order            | status 000      | 502     |
+      | album stream     | status 000      | 502     |
+      | order            | status 999      | 502     |
       | order            | blank in a name | 502     |
--- a/lycheepost/standin/rawheads.py
+++ b/lycheepost/standin/rawheads.py
@@ -30,6 +30,10 @@
 class HeadForm(Enum):
     """What is wrong with a response; its body is complete."""
 
+    STATUS_000 = "status 000"
+    STATUS_099 = "status 099"
+    STATUS_600 = "status 600"
+    STATUS_999 = "status 999"
     STATUS_SHORT = "status of two digits"
     STATUS_LONG = "status of four digits"
     STATUS_SIGNED = "status with a sign"
@@ -49,6 +53,10 @@
 
 
 _STATUSES = {
+    HeadForm.STATUS_000: "000 Trouble",
+    HeadForm.STATUS_099: "099 Trouble",
+    HeadForm.STATUS_600: "600 Trouble",
+    HeadForm.STATUS_999: "999 Trouble",
     HeadForm.STATUS_SHORT: "20 OK",
     HeadForm.STATUS_LONG: "2000 OK",
     HeadForm.STATUS_SIGNED: "+20 OK",
--- a/lycheepost/utils/boundedreads.py
+++ b/lycheepost/utils/boundedreads.py
@@ -1,4 +1,4 @@
-"""Connections of HTTP clients that bound what is no answer.
+"""Connections of HTTP clients that refuse and bound what is no answer.
 
 The HTTP library bounds each line and the number of lines of a head. It queues any
 number of informational heads, skips any number of blank lines and chunk extensions, and
@@ -6,6 +6,8 @@
 the memory and the time of the process. So a connection ends when it has brought too
 much of them.
 
+It also passes on some answers whose head is invalid, which end here as well.
+
 Bodies in thousands of tiny chunks take long to parse. Connections that bring these
 share a bounded part of each turn of the loop, however many they are.
 """
@@ -24,6 +26,7 @@
 
 from lycheepost.utils.bodies import TrackedResponse
 from lycheepost.utils.connecting import RunningTimeConnector
+from lycheepost.utils.responseheads import HeadFault, find_head_fault
 
 MAX_INFORMATIONAL_HEADS = 8
 """Servers send one or two, if any."""
@@ -65,29 +68,38 @@
     BODY_BYTES = "body_bytes"
 
 
+GivenUpReason = Excess | HeadFault
+"""What a server sent too much of, or what is wrong with the head that it sent."""
+
+
 class AnswerGivenUp(aiohttp.ClientPayloadError):
-    """A server sent too much; its connection was closed.
+    """An answer was given up; its connection was closed.
 
     Attributes:
-        excess: Of what.
+        reason: Why.
     """
 
-    def __init__(self, excess: Excess) -> None:
-        super().__init__(f"the server sent too much: {excess.value}")
-        self.excess = excess
+    def __init__(self, reason: GivenUpReason) -> None:
+        match reason:
+            case Excess():
+                text = f"the server sent too much: {reason.value}"
+            case HeadFault():
+                text = f"the server sent an invalid head: {reason.value}"
+        super().__init__(text)
+        self.reason = reason
 
 
 _n_given_up: Counter[str] = Counter()
 
 
-def note_given_up(client: str, excess: Excess) -> None:
+def note_given_up(client: str, reason: GivenUpReason) -> None:
     """Log and count an answer that was given up."""
-    _n_given_up[f"{client}.{excess.value}"] += 1
-    _log.warning("http: answer given up", client=client, excess=excess.value)
+    _n_given_up[f"{client}.{reason.value}"] += 1
+    _log.warning("http: answer given up", client=client, reason=reason.value)
 
 
 def given_up_counts() -> dict[str, int]:
-    """Return how many answers this process gave up, by ``CLIENT.EXCESS``."""
+    """Return how many answers this process gave up, by ``CLIENT.REASON``."""
     return dict(_n_given_up)
 
 
@@ -144,7 +156,7 @@
 
 
 class BoundedHandler(ResponseHandler):
-    """A connection that ends when a server sends too much that is no answer.
+    """A connection that ends when a server sends what is no answer.
 
     Args:
         loop: The event loop.
@@ -163,7 +175,7 @@
         self._slow_reads = slow_reads
         self._is_head_awaited = False
         self._body: Any = None
-        self._excess: Excess | None = None
+        self._given_up: GivenUpReason | None = None
         self._deferred = b""
         self._slice_bytes = _MIN_SLICE_BYTES
         self._is_slow = False
@@ -188,32 +200,35 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head and its body from the parser."""
         message, body = data
-        if message.code == 101:
-            self._excess = Excess.UPGRADE
+        fault = find_head_fault(message.code)
+        if fault is not None and self._is_head_awaited:
+            self._given_up = fault
+        elif message.code == 101:
+            self._given_up = Excess.UPGRADE
         elif message.code < 200:
             self._n_informational += 1
             if self._n_informational > MAX_INFORMATIONAL_HEADS:
-                self._excess = Excess.INFORMATIONAL_HEADS
+                self._given_up = Excess.INFORMATIONAL_HEADS
         elif self._is_head_awaited:
             self._is_head_awaited = False
             self._body = body
-        if self._excess is None:
+        if self._given_up is None:
             super().feed_data(data, size)
 
     async def read(self) -> Any:
         """Return the next head, with its body."""
         try:
-            if self._excess is None:
+            if self._given_up is None:
                 return await super().read()
         except EofStream as error:
-            if self._excess is None:
+            if self._given_up is None:
                 raise aiohttp.ServerDisconnectedError from error
-        assert self._excess is not None
-        raise AnswerGivenUp(self._excess)
+        assert self._given_up is not None
+        raise AnswerGivenUp(self._given_up)
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, a little at a time."""
-        if self._excess is not None:
+        if self._given_up is not None:
             return
         if not data:
             # The parser goes on with what it has, as the body is read again.
@@ -262,7 +277,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End, once what is left has been parsed."""
-        is_read = self.transport is not None and self._excess is None
+        is_read = self.transport is not None and self._given_up is None
         if self._deferred and is_read:
             self._has_ended, self._end_error = True, exc
             return
@@ -286,10 +301,10 @@
     def _end_if_excess(self, body: StreamReader) -> None:
         """Close the connection if it has brought too much that is no body."""
         n_allowed = MAX_FRAMING_BYTES + (MAX_FRAMING_SHARE + 1) * body.total_bytes
-        if self._excess is None and self._n_body_bytes > n_allowed:
-            self._excess = None if body.is_eof() else Excess.FRAMING_BYTES
-        if self._excess is not None:
-            self._end(self._excess)
+        if self._given_up is None and self._n_body_bytes > n_allowed:
+            self._given_up = None if body.is_eof() else Excess.FRAMING_BYTES
+        if self._given_up is not None:
+            self._end(self._given_up)
 
     def _receive_body(self, data: bytes, body: StreamReader) -> None:
         """Parse bytes of a body; defer the rest if that takes long."""
@@ -306,8 +321,8 @@
             super().data_received(part)
             self._n_body_bytes += len(part)
             if end < len(data) and body.is_eof():
-                self._excess = Excess.UNASKED_BYTES
-            if self._excess is not None:
+                self._given_up = Excess.UNASKED_BYTES
+            if self._given_up is not None:
                 return
             if self._reading_paused or time.monotonic() > until_seconds:
                 self._defer(data[end:])
@@ -328,7 +343,7 @@
 
         Nothing is parsed until what was parsed before has been read.
         """
-        if self._excess is not None or self.transport is None:
+        if self._given_up is not None or self.transport is None:
             self._deferred = b""
         elif self._reading_paused:
             return False
@@ -341,7 +356,7 @@
             self._slice_bytes *= 2
         else:
             self._slice_bytes = _MIN_SLICE_BYTES
-        if self._deferred and self._excess is None:
+        if self._deferred and self._given_up is None:
             return True
         self._end_turn()
         return False
@@ -355,7 +370,7 @@
         super().data_received(part)
         self._n_body_bytes += len(part)
         if self._deferred and body.is_eof():
-            self._excess = Excess.UNASKED_BYTES
+            self._given_up = Excess.UNASKED_BYTES
         self._end_if_excess(body)
 
     def _end_turn(self) -> None:
@@ -376,10 +391,10 @@
             super().data_received(part)
             self._n_head_bytes += len(part)
             is_long = self._is_head_awaited and self._n_head_bytes > MAX_HEAD_BYTES
-            if is_long and self._excess is None:
-                self._excess = Excess.HEAD_BYTES
-            if self._excess is not None:
-                self._end(self._excess)
+            if is_long and self._given_up is None:
+                self._given_up = Excess.HEAD_BYTES
+            if self._given_up is not None:
+                self._end(self._given_up)
                 return b""
             if self.transport is None or self.transport.is_closing():
                 # The parser has refused the head.
@@ -388,12 +403,12 @@
                 return data[start + _SLICE_BYTES :]
         return b""
 
-    def _end(self, excess: Excess) -> None:
+    def _end(self, reason: GivenUpReason) -> None:
         """Close the connection; whoever reads the answer gets an error."""
-        self._excess = excess
-        note_given_up(self.client, excess)
-        if excess is not Excess.UNASKED_BYTES:
-            error = AnswerGivenUp(excess)
+        self._given_up = reason
+        note_given_up(self.client, reason)
+        if reason is not Excess.UNASKED_BYTES:
+            error = AnswerGivenUp(reason)
             if self._body is not None and not self._body.is_eof():
                 self._body.set_exception(error)
             self.set_exception(error)
