Refuse answers whose heads have folded lines

What callers saw: a server in trouble sent a line of a head that begins with a blank or a tab. The client got its answer with that line joined to the value before, or as a field of its own where it followed the status line; a folded Transfer-Encoding or length brought a body that was not the server's.

Cause: the library's parser is lenient for responses. It joins a folded line to the line before it, so that the parsed head does not show it.

Fix: BoundedHandler, which reads the answers of all clients, searches the bytes of each head for a line end that a blank or tab follows, and gives the answer up. The search ends with the blank line of the final head, so bodies are not searched; heads of status 1xx are, and folds whose bytes arrive one by one are found. HTTP/1.1 allows a proxy to join such lines (RFC 9112, section 5.2), but no sound server sends them, and what a broken one meant by them is not known. The client gets 502, or another server's answer where the request may run twice.

A folded trailer is still dropped with all other trailers: nothing of it reaches a client.

--- a/features/platform/brokenanswers.feature
+++ b/features/platform/brokenanswers.feature
@@ -40,6 +40,18 @@
       | order            | blank in a name of an interim head | 502 | 1 |
       | order            | blank in a name of a trailer | 502 | 1  |
 
+    Examples: Folded lines
+      | what             | form                         | outcome | runs |
+      | look-up          | folded line                  | answer  | 2    |
+      | order            | folded line                  | 502     | 1    |
+      | resumable stream | folded line                  | answer  | 2    |
+      | album stream     | folded line                  | 502     | 1    |
+      | order            | folded line with a tab       | 502     | 1    |
+      | order            | folded line of blanks        | 502     | 1    |
+      | order            | blank before the first field | 502     | 1    |
+      | order            | folded length                | 502     | 1    |
+      | order            | folded line of an interim head | 502   | 1    |
+
     Examples: Framing
       | what             | form                         | outcome | runs |
       | order            | length and chunks            | 502     | 1    |
@@ -61,3 +73,5 @@
       | album stream     | status 000      | 502     |
       | order            | status 999      | 502     |
       | order            | blank in a name | 502     |
+      | order            | folded line     | 502     |
+      | resumable stream | folded line     | answer  |
--- a/features/targets/brokenanswers.feature
+++ b/features/targets/brokenanswers.feature
@@ -43,3 +43,16 @@
       | cache events      | byte by byte            |
       | rows of the store | after interim heads     |
       | a table's answer  | byte by byte            |
+
+  Scenario Outline: A folded line in pieces of <n> bytes is found
+    Guards against a folded line that is passed on, as its bytes arrive apart.
+    Given the event loop is asyncio
+    When a request is called at a server that sends a folded line in pieces of <n> bytes
+    Then each call ended with an error
+
+    Examples:
+      | n |
+      | 1 |
+      | 2 |
+      | 3 |
+      | 5 |
--- a/features/targets/steps/brokenanswer_steps.py
+++ b/features/targets/steps/brokenanswer_steps.py
@@ -139,3 +139,14 @@
     [(_what, result)] = context.results
     is_answer = isinstance(result, Success | bytes) or result is StartAnswer.SAME
     assert is_answer, result
+
+
+@when(
+    "a request is called at a server that sends a folded line in pieces of {n:d} bytes"
+)
+def step_pieces(context, n):
+    make = ALL_CLIENTS["a request"][0]
+    for form in (HeadForm.FOLDED_FIELD, HeadForm.INTERIM_FOLDED):
+        data = encode_form(form, HEADERS, b"{}")
+        address = open_server(context, writing(data, n))
+        context.results.append((form, context.run(call(make, address))))
--- a/lycheepost/standin/rawheads.py
+++ b/lycheepost/standin/rawheads.py
@@ -46,7 +46,14 @@
     NAME_WITH_HIGH_BYTE = "byte 0x80 in a name"
     NAME_EMPTY = "empty name"
     NO_COLON = "line without a colon"
+    FOLDED_FIELD = "folded line"
+    FOLDED_BY_TAB = "folded line with a tab"
+    FOLDED_FIRST = "blank before the first field"
+    FOLDED_BLANK = "folded line of blanks"
+    FOLDED_LENGTH = "folded length"
+    FOLDED_CHUNKED = "folded transfer coding"
     INTERIM_NAME = "blank in a name of an interim head"
+    INTERIM_FOLDED = "folded line of an interim head"
     TRAILER_NAME = "blank in a name of a trailer"
     LENGTH_AND_CODING = "length and chunks"
     LENGTH_TWICE = "two lengths"
@@ -71,11 +78,19 @@
     HeadForm.NAME_WITH_HIGH_BYTE: "X\x80More: more",
     HeadForm.NAME_EMPTY: ": more",
     HeadForm.NO_COLON: "X-More",
+    HeadForm.FOLDED_FIELD: "X-More: more\r\n X-Folded: folded",
+    HeadForm.FOLDED_BY_TAB: "X-More: more\r\n\tX-Folded: folded",
+    HeadForm.FOLDED_BLANK: "X-More: more\r\n  ",
     HeadForm.LENGTH_TWICE: "Content-Length: 1",
 }
 """Sent beside a valid length."""
+_CODINGS = {
+    HeadForm.FOLDED_CHUNKED: "Transfer-Encoding: gzip,\r\n chunked",
+}
+"""Sent in place of a length."""
 _INTERIM_LINES = {
     HeadForm.INTERIM_NAME: "X More: more",
+    HeadForm.INTERIM_FOLDED: "X-More: more\r\n X-Folded: folded",
 }
 _CHUNKED = "Transfer-Encoding: chunked"
 
@@ -92,11 +107,20 @@
     length = f"Content-Length: {len(body)}"
     chunks = encode_chunk(body) + b"0\r\n"
     match form:
+        case HeadForm.FOLDED_FIRST:
+            names = [f"{name}: {value}" for name, value in headers.items()]
+            lines = [" X-Folded: folded", *names, length]
+            return encode_head(status, {}, lines) + body
+        case HeadForm.FOLDED_LENGTH:
+            folded = f"Content-Length:\r\n {len(body)}"
+            return encode_head(status, headers, [folded]) + body
         case HeadForm.TRAILER_NAME:
             head = encode_head(status, headers, [_CHUNKED])
             return head + chunks + b"X More: more\r\n\r\n"
         case HeadForm.LENGTH_AND_CODING:
             return encode_head(status, headers, [length, _CHUNKED]) + chunks + b"\r\n"
+        case form if form in _CODINGS:
+            return encode_head(status, headers, [_CODINGS[form]]) + chunks + b"\r\n"
         case form if form in _INTERIM_LINES:
             interim = encode_head("103 Early Hints", {}, [_INTERIM_LINES[form]])
             return interim + encode_head(status, headers, [length]) + body
--- a/lycheepost/utils/boundedreads.py
+++ b/lycheepost/utils/boundedreads.py
@@ -26,7 +26,7 @@
 
 from lycheepost.utils.bodies import TrackedResponse
 from lycheepost.utils.connecting import RunningTimeConnector
-from lycheepost.utils.responseheads import HeadFault, find_head_fault
+from lycheepost.utils.responseheads import FoldSearch, HeadFault, find_head_fault
 
 MAX_INFORMATIONAL_HEADS = 8
 """Servers send one or two, if any."""
@@ -176,6 +176,7 @@
         self._is_head_awaited = False
         self._body: Any = None
         self._given_up: GivenUpReason | None = None
+        self._folds = FoldSearch()
         self._deferred = b""
         self._slice_bytes = _MIN_SLICE_BYTES
         self._is_slow = False
@@ -194,6 +195,7 @@
         """Prepare for the response to a call that is about to be sent."""
         self._is_head_awaited = True
         self._body = None
+        self._folds = FoldSearch()
         self._n_informational = self._n_head_bytes = self._n_body_bytes = 0
         super().set_response_params(**params)
 
@@ -388,6 +390,9 @@
         """Parse up to the end of the slice with the head; return what follows it."""
         for start in range(0, len(data), _SLICE_BYTES):
             part = data[start : start + _SLICE_BYTES]
+            if self._folds.has_fold(part):
+                self._end(HeadFault.FOLDED_LINE)
+                return b""
             super().data_received(part)
             self._n_head_bytes += len(part)
             is_long = self._is_head_awaited and self._n_head_bytes > MAX_HEAD_BYTES
