Refuse answers in transfer codings that no call accepts

What callers saw: an answer whose Transfer-Encoding named another coding than chunked came with the coded bytes as its body, complete and with the server's seal.

Cause: the library decodes chunks, and only where chunked is the last coding. For any other value it takes the body as it is until the connection ends. The field was then dropped as one that concerns a single connection, so the client could not tell.

Look-ups got chunk sizes inside their bodies.

Fix: BoundedHandler gives up a head whose Transfer-Encoding is not exactly one `chunked`. No call sends TE, so a server may use no other coding (RFC 9112, section 7.4); identity is none since RFC 7230. The client gets 502, or another server's answer where the request may run twice.

--- a/features/platform/brokenanswers.feature
+++ b/features/platform/brokenanswers.feature
@@ -50,10 +50,19 @@
       | order            | folded line of blanks        | 502     | 1    |
       | order            | blank before the first field | 502     | 1    |
       | order            | folded length                | 502     | 1    |
+      | order            | folded transfer coding       | 502     | 1    |
       | order            | folded line of an interim head | 502   | 1    |
 
     Examples: Framing
       | what             | form                         | outcome | runs |
+      | look-up          | unknown coding               | answer  | 2    |
+      | order            | unknown coding               | 502     | 1    |
+      | album stream     | unknown coding               | 502     | 1    |
+      | order            | coding identity              | 502     | 1    |
+      | order            | coding under chunks          | 502     | 1    |
+      | order            | chunked not last             | 502     | 1    |
+      | order            | chunked twice                | 502     | 1    |
+      | order            | coding that ends like chunked | 502    | 1    |
       | order            | length and chunks            | 502     | 1    |
       | order            | two lengths                  | 502     | 1    |
 
@@ -75,3 +84,5 @@
       | order            | blank in a name | 502     |
       | order            | folded line     | 502     |
       | resumable stream | folded line     | answer  |
+      | order            | unknown coding  | 502     |
+      | album stream     | unknown coding  | 502     |
--- a/lycheepost/standin/rawheads.py
+++ b/lycheepost/standin/rawheads.py
@@ -52,6 +52,12 @@
     FOLDED_BLANK = "folded line of blanks"
     FOLDED_LENGTH = "folded length"
     FOLDED_CHUNKED = "folded transfer coding"
+    UNKNOWN_CODING = "unknown coding"
+    IDENTITY_CODING = "coding identity"
+    CODED_CHUNKS = "coding under chunks"
+    CHUNKED_FIRST = "chunked not last"
+    CHUNKED_TWICE = "chunked twice"
+    CHUNKED_SUFFIX = "coding that ends like chunked"
     INTERIM_NAME = "blank in a name of an interim head"
     INTERIM_FOLDED = "folded line of an interim head"
     TRAILER_NAME = "blank in a name of a trailer"
@@ -86,6 +92,12 @@
 """Sent beside a valid length."""
 _CODINGS = {
     HeadForm.FOLDED_CHUNKED: "Transfer-Encoding: gzip,\r\n chunked",
+    HeadForm.UNKNOWN_CODING: "Transfer-Encoding: rot13",
+    HeadForm.IDENTITY_CODING: "Transfer-Encoding: identity",
+    HeadForm.CODED_CHUNKS: "Transfer-Encoding: gzip, chunked",
+    HeadForm.CHUNKED_FIRST: "Transfer-Encoding: chunked, gzip",
+    HeadForm.CHUNKED_TWICE: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    HeadForm.CHUNKED_SUFFIX: "Transfer-Encoding: xchunked",
 }
 """Sent in place of a length."""
 _INTERIM_LINES = {
--- a/lycheepost/utils/boundedreads.py
+++ b/lycheepost/utils/boundedreads.py
@@ -202,7 +202,7 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head and its body from the parser."""
         message, body = data
-        fault = find_head_fault(message.code)
+        fault = find_head_fault(message.code, message.headers)
         if fault is not None and self._is_head_awaited:
             self._given_up = fault
         elif message.code == 101:
--- a/lycheepost/utils/responseheads.py
+++ b/lycheepost/utils/responseheads.py
@@ -1,13 +1,16 @@
 """What makes the head of an HTTP response invalid.
 
 The HTTP library refuses invalid names of fields. It takes any three digits for a
-status, and joins a folded line to the line before it. A server that sends these is in
-trouble, and neither its headers nor its body can be relied on.
+status, joins a folded line to the line before it, and passes on bodies in transfer
+codings that it does not decode. A server that sends these is in trouble, and neither
+its headers nor its body can be relied on.
 """
 
 import re
 from enum import Enum
 
+from multidict import MultiMapping
+
 MIN_STATUS = 100
 MAX_STATUS = 599
 """HTTP defines five classes of statuses (RFC 9110, section 15)."""
@@ -25,16 +28,22 @@
     """Its status is none of HTTP's."""
     FOLDED_LINE = "folded_line"
     """A line begins with a blank or a tab."""
+    TRANSFER_CODING = "transfer_coding"
+    """The body has another transfer coding than chunks; no client accepts one."""
 
 
-def find_head_fault(status: int) -> HeadFault | None:
+def find_head_fault(status: int, headers: MultiMapping[str]) -> HeadFault | None:
     """Return what is wrong with a parsed head; None if nothing is.
 
     Args:
         status: The status of the response.
+        headers: Its headers; names are matched without regard to case.
     """
     if not MIN_STATUS <= status <= MAX_STATUS:
         return HeadFault.STATUS
+    codings = headers.getall("Transfer-Encoding", ["chunked"])
+    if [coding.lower() for coding in codings] != ["chunked"]:
+        return HeadFault.TRANSFER_CODING
     return None
 
 
