Count a body that ends with its connection only once its request has been sent

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer: orders with the length of the part, streams with a last chunk.

Cause: such a body ends with its connection, and wait_body_end asked only how the connection had ended. Where the server's end of stream came before its reset, the event loop reported a regular end, and closed its own side, so that nobody saw the reset.

Fix: at the end of a stream, BoundedHandler asks whether the request is still being written, whether the far end has acknowledged all of it, and whether the connection was reset. A server that has read a request has acknowledged it, so a sound answer loses nothing.

Left open: where all of a request has been acknowledged, but not read, nothing tells a half-closed connection from a closed one.

--- a/features/platform/brokenanswers.feature
+++ b/features/platform/brokenanswers.feature
@@ -1,4 +1,4 @@
-Feature: Servers that send invalid heads
+Feature: Servers that send invalid heads, or break off early answers
   Real daemons with stand-ins for the platform's store and servers, on loopback.
 
   Scenario Outline: A <what> that is answered with a <form>: <outcome>
@@ -86,3 +86,53 @@
       | resumable stream | folded line     | answer  |
       | order            | unknown coding  | 502     |
       | album stream     | unknown coding  | 502     |
+
+  Scenario Outline: A <what> that is answered early ends by <end>: <outcome>
+    Guards against the start of an answer that counts as complete, because its
+    connection ended while the request was still being sent.
+    Given a deployment with 1 daemon
+    When the next server answers a <what> early, and its connection ends by <end>
+    And a client asks for a <what>
+    Then the outcome is <outcome>
+    And it arrived at servers <runs> times
+
+    Examples:
+      | what                 | end                            | outcome | runs |
+      | order of 300 kB      | a reset                        | 502     | 1    |
+      | order of 3 MB        | a reset                        | 502     | 1    |
+      | order of 300 kB      | a close                        | 502     | 1    |
+      | order of 3 MB        | a close                        | 502     | 1    |
+      | order of 300 kB      | an end of stream, then a reset | 502     | 1    |
+      | order of 3 MB        | an end of stream, then a reset | 502     | 1    |
+      | order of 3 MB        | an end of stream alone         | 502     | 1    |
+      | look-up of 3 MB      | an end of stream, then a reset | answer  | 2    |
+      | album stream of 3 MB | a reset                        | cut     | 1    |
+      | album stream of 3 MB | an end of stream, then a reset | cut     | 1    |
+
+  Scenario Outline: A <what> that is answered early to a peer ends by <end>: <outcome>
+    Guards against the start of an answer that a peer passes on as complete.
+    Given a deployment with 3 daemons
+    When the first daemon has no path to the servers
+    And the next server answers a <what> early, and its connection ends by <end>
+    And a client asks for a <what>
+    Then the outcome is <outcome>
+    And the first daemon has relayed it
+
+    Examples:
+      | what                 | end                            | outcome |
+      | order of 3 MB        | a close                        | 502     |
+      | order of 3 MB        | an end of stream, then a reset | 502     |
+      | look-up of 3 MB      | an end of stream, then a reset | answer  |
+      | album stream of 3 MB | an end of stream, then a reset | cut     |
+
+  Scenario Outline: A <what> that is refused early with a length keeps its refusal
+    Guards against a sound refusal that is taken for a broken answer.
+    Given a deployment with 1 daemon
+    When the next server refuses a <what> early with status 413 and a length
+    And a client asks for a <what>
+    Then the outcome is server's 413
+
+    Examples:
+      | what            |
+      | order of 300 kB |
+      | order of 3 MB   |
--- a/features/platform/steps/request_steps.py
+++ b/features/platform/steps/request_steps.py
@@ -39,6 +39,13 @@
     "resumable stream": ("POST", "/title/3", BODY),
     "album stream": ("POST", "/album/4", BODY),
 }
+LARGE_REQUESTS = {
+    "order of 300 kB": ("POST", "/order/5", b"b" * 300_000),
+    "order of 3 MB": ("POST", "/order/6", b"b" * 3_000_000),
+    "look-up of 3 MB": ("POST", "/look/7", b"b" * 3_000_000),
+    "album stream of 3 MB": ("POST", "/album/8", b"b" * 3_000_000),
+}
+ALL_REQUESTS = REQUESTS | LARGE_REQUESTS
 
 
 def start(context, **options):
@@ -49,7 +56,7 @@
 
 def ask(context, what, **more):
     deployment = context.deployment
-    method, path, body = REQUESTS[what]
+    method, path, body = ALL_REQUESTS[what]
     is_stream = "stream" in what
     make = deployment.prompt_headers if is_stream else deployment.headers
     headers = make(**more)
@@ -122,7 +129,7 @@
 
 @then("it gets the server's complete response with its seal")
 def step_whole(context):
-    method, path, body = REQUESTS[context.what]
+    method, path, body = ALL_REQUESTS[context.what]
     answer = context.answer
     assert answer.status == 200 and answer.is_whole, answer
     expected = answer_text(path, body)
@@ -138,7 +145,7 @@
 def step_ran(context):
     runs = context.deployment.runs(context.deployment.attempt_id)
     assert len(runs) == 1, runs
-    assert (runs[0].method, runs[0].path, runs[0].body) == REQUESTS[context.what]
+    assert (runs[0].method, runs[0].path, runs[0].body) == ALL_REQUESTS[context.what]
 
 
 @then("the server received its customer and not its key")
--- a/features/targets/steps/brokenanswer_steps.py
+++ b/features/targets/steps/brokenanswer_steps.py
@@ -2,19 +2,28 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import socket
+from dataclasses import replace
 
 import uvloop
+from bed import SETTINGS
 from behave import given, then, when
-from endless_steps import ALL_CLIENTS, CALL_SECONDS
+from endless_steps import ALL_CLIENTS, ANSWER_BYTES, CALL_SECONDS, make_forward_call
 from returns.result import Success
 
 from lycheepost.decide.startverdict import StartAnswer
 from lycheepost.platform import headers as names
-from lycheepost.standin.rawheads import HeadForm, encode_form, encode_head
+from lycheepost.platform.dialect import ServerDialect
+from lycheepost.standin.rawbodies import EarlyEnd, answer_early
+from lycheepost.standin.rawheads import HeadForm, encode_chunk, encode_form, encode_head
+from lycheepost.standin.resets import RESET_ON_CLOSE
+from lycheepost.targets.errors import TargetError
+from lycheepost.targets.forward import ForwardClient
 
 LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
+SIZES = {"1 kB": 1_000, "300 kB": 300_000, "3 MB": 3_000_000, "20 MB": 20_000_000}
 HEADERS = {
     "Content-Type": "application/json",
     names.ATTEMPT_ID: "a-1",
@@ -24,6 +33,12 @@
 INTERIM = encode_head("103 Early Hints", {"Link": "</a>"})
 
 
+FOLDED_TRAILER = b"0\r\nX-More: more\r\n X-Folded: folded\r\n\r\n"
+UNREAD_BYTES = 16 * 1024
+EARLY_PAUSE_SECONDS = 0.05
+SLOW_PAUSE_SECONDS = 0.002
+
+
 @given("the event loop is {loop}")
 def step_loop(context, loop):
     context.loop.close()
@@ -33,8 +48,9 @@
 
 
 def open_server(context, serve):
-    """Return the address of a server."""
+    """Return the address of a server whose system takes few bytes that are unread."""
     listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
     listening.bind(("127.0.0.1", 0))
     tasks = set()
 
@@ -129,6 +145,9 @@
     data = encode_head("200 OK", HEADERS | {"Content-Length": str(len(body))}) + body
     if packets == "after interim heads":
         data = INTERIM * 3 + data
+    if packets == "with a folded trailer":
+        chunked = HEADERS | {"Transfer-Encoding": "chunked"}
+        data = encode_head("200 OK", chunked) + encode_chunk(body) + FOLDED_TRAILER
     n_piece_bytes = 1 if packets == "byte by byte" else None
     address = open_server(context, writing(data, n_piece_bytes))
     context.results.append((packets, context.run(call(make, address))))
@@ -150,3 +169,90 @@
         data = encode_form(form, HEADERS, b"{}")
         address = open_server(context, writing(data, n))
         context.results.append((form, context.run(call(make, address))))
+
+
+def make_upload(n_bytes, address):
+    """Return a client, and a call that sends a body through it."""
+    client = ForwardClient(SETTINGS, ServerDialect())
+    forward_call = replace(make_forward_call(address), body=b"b" * n_bytes)
+
+    async def send():
+        sent = await client.send(forward_call)
+        if not isinstance(sent, Success):
+            return sent
+        try:
+            return await sent.unwrap().read_body(ANSWER_BYTES)
+        except TargetError as error:
+            return error
+
+    return client, send
+
+
+@when("a request of {size} is answered early, and its connection ends by {end}")
+def step_early(context, size, end):
+    end_upload(context, SIZES[size], 0, EarlyEnd(end))
+
+
+@when("a request of {size} is half read and answered, and its connection ends by {end}")
+def step_half_read(context, size, end):
+    end_upload(context, SIZES[size], SIZES[size] // 2, EarlyEnd(end))
+
+
+def end_upload(context, n_bytes, n_read_bytes, end):
+    """Answer a request of which some bytes of the body have been read."""
+
+    async def respond(reader, writer):
+        await reader.readexactly(n_read_bytes)
+        transport = writer.transport
+        await answer_early(transport, HEADERS, b"part", end, EARLY_PAUSE_SECONDS)
+
+    address = open_server(context, answering(respond))
+    make = functools.partial(make_upload, n_bytes)
+    context.results.append((end, context.run(call(make, address))))
+
+
+@when("{n:d} answers without length arrive together with an end of stream and a reset")
+def step_with_reset(context, n):
+    listening = socket.create_server(("127.0.0.1", 0))
+    listening.setblocking(False)
+    context.stack.callback(listening.close)
+
+    async def serve():
+        loop = asyncio.get_running_loop()
+        for _ in range(n):
+            connection, _address = await loop.sock_accept(listening)
+            await loop.sock_recv(connection, 65536)
+            # The client's loop reads nothing before all of it has arrived.
+            connection.send(encode_head("200 OK", HEADERS) + b"part")
+            connection.shutdown(socket.SHUT_WR)
+            linger = socket.SO_LINGER
+            connection.setsockopt(socket.SOL_SOCKET, linger, RESET_ON_CLOSE)
+            connection.close()
+
+    async def call_all():
+        serving = asyncio.create_task(serve())
+        make = functools.partial(make_upload, 2)
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        for number in range(n):
+            context.results.append((number, await call(make, address)))
+        await serving
+
+    context.run(call_all())
+
+
+@when("a request of {size} is read {pace} and answered without length or chunks")
+def step_read(context, size, pace):
+    n_bytes = SIZES[size]
+
+    async def respond(reader, writer):
+        n_left = n_bytes
+        while n_left:
+            n_left -= len(await reader.read(min(n_left, 64 * 1024)))
+            if pace == "slowly":
+                await asyncio.sleep(SLOW_PAUSE_SECONDS)
+        writer.write(encode_head("200 OK", HEADERS) + b"whole")
+        await end(writer)
+
+    address = open_server(context, answering(respond))
+    make = functools.partial(make_upload, n_bytes)
+    context.results.append((size, context.run(call(make, address))))
--- a/lycheepost/platform/models/serverstandin.py
+++ b/lycheepost/platform/models/serverstandin.py
@@ -47,9 +47,11 @@
     Truncated,
 )
 from lycheepost.standin.rawbodies import (
+    EarlyEnd,
     Framing,
     RawResponse,
     Stop,
+    answer_early,
     make_unframing_middleware,
 )
 from lycheepost.standin.rawheads import HeadForm, encode_form
@@ -60,6 +62,10 @@
 """Difference between the start times of two successive starts of a server."""
 FALL_SECONDS = 2.0
 """How long a server that crashed by rejections is away."""
+_EARLY_PAUSE_SECONDS = 0.05
+"""How long the connection of an early answer stays open after each step."""
+_EARLY_UNREAD_BYTES = 16 * 1024
+"""What the system takes of a request before its server reads it."""
 _numbers = itertools.count(1)
 
 
@@ -121,6 +127,7 @@
         self.runs: list[ServerRun] = []
         self.arrivals: list[tuple[str, float]] = []
         self.faults: FaultPlan[ServerFault] = FaultPlan()
+        self._early_ends: FaultPlan[EarlyEnd] = FaultPlan()
         self.is_leaving = False
         self.drops_order_answers = False
         self.limit_per_second: float | None = None
@@ -213,6 +220,11 @@
         """Stop responding on open connections for good; new connections work."""
         self._server.freeze_connections()
 
+    def answer_early(self, plan: FaultPlan[EarlyEnd]) -> None:
+        """Answer the next requests of a plan before their bodies, and break off."""
+        self._early_ends = plan
+        self._server.limit_unread_bytes(_EARLY_UNREAD_BYTES)
+
     async def pause(self, seconds: float) -> None:
         """Send nothing for a time, then go on as if nothing had happened."""
         self._awake.clear()
@@ -389,6 +401,10 @@
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
         await self._server.block_if_frozen(request)
+        if names.ATTEMPT_ID in request.headers:
+            early_end = self._early_ends.take(request.headers[names.ATTEMPT_ID])
+            if early_end is not None:
+                return await self._answer_early(request, early_end)
         body = await request.read()
         self._note_arrival(request)
         await self._awake.wait()
@@ -413,6 +429,20 @@
         finally:
             self.n_running -= 1
 
+    async def _answer_early(
+        self, request: web.Request, end: EarlyEnd
+    ) -> web.StreamResponse:
+        """Answer before the body has arrived, and break off."""
+        self._note_arrival(request)
+        self._record(request, b"")
+        headers = self._response_headers(request) | {names.SEAL: "early"}
+        part = event_bytes(1, b"")
+        if request.transport is not None:
+            await answer_early(
+                request.transport, headers, part, end, _EARLY_PAUSE_SECONDS
+            )
+        return web.Response()
+
     async def _begin_answer(
         self, request: web.Request, headers: Mapping[str, str], text: bytes
     ) -> web.StreamResponse:
--- a/lycheepost/standin/rawbodies.py
+++ b/lycheepost/standin/rawbodies.py
@@ -5,6 +5,7 @@
 even send the last chunk, in the middle of a body.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable, Mapping
 from enum import Enum
 from http import HTTPStatus
@@ -16,6 +17,10 @@
 from lycheepost.standin.resets import reset
 
 
+_HANG_SECONDS = 3600.0
+"""Longer than any caller waits."""
+
+
 class Framing(Enum):
     """What marks the end of a body."""
 
@@ -86,6 +91,57 @@
             self._pending = b""
 
 
+class EarlyEnd(Enum):
+    """How the connection of a response ends while its request is still being sent."""
+
+    RESET = "a reset"
+    CLOSE = "a close"
+    """Bytes of the request are unread, so that the system resets the connection."""
+    END_OF_STREAM = "an end of stream, then a reset"
+    HALF_CLOSE = "an end of stream alone"
+    """The rest of the request is never read."""
+    REFUSAL = "a refusal"
+    """A complete refusal with a length, and a close."""
+
+
+async def answer_early(
+    transport: asyncio.Transport,
+    headers: Mapping[str, str],
+    part: bytes,
+    end: EarlyEnd,
+    pause_seconds: float,
+) -> None:
+    """Answer a request that is still being sent, then end its connection.
+
+    Args:
+        transport: The connection.
+        headers: Headers of the response, without those that frame its body.
+        part: The body of a refusal, else the start of a body without length.
+        end: How the connection ends.
+        pause_seconds: How long it stays open after each step.
+    """
+    transport.pause_reading()
+    if end is EarlyEnd.REFUSAL:
+        length = {"Content-Length": str(len(part))}
+        head = encode_head("413 Content Too Large", {**headers, **length})
+    else:
+        head = encode_head("200 OK", headers)
+    transport.write(head + part)
+    await asyncio.sleep(pause_seconds)
+    match end:
+        case EarlyEnd.RESET:
+            reset(transport)
+        case EarlyEnd.CLOSE | EarlyEnd.REFUSAL:
+            transport.close()
+        case EarlyEnd.END_OF_STREAM:
+            transport.write_eof()
+            await asyncio.sleep(pause_seconds)
+            reset(transport)
+        case EarlyEnd.HALF_CLOSE:
+            transport.write_eof()
+            await asyncio.sleep(_HANG_SECONDS)
+
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
--- a/lycheepost/standin/resets.py
+++ b/lycheepost/standin/resets.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
 
@@ -16,7 +16,7 @@
     """Reset the connection of a transport; what it has not sent is dropped."""
     connection = transport.get_extra_info("socket")
     if connection is not None and not transport.is_closing():
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     if isinstance(transport, asyncio.WriteTransport):
         transport.abort()
     else:
--- a/lycheepost/standin/webserver.py
+++ b/lycheepost/standin/webserver.py
@@ -90,6 +90,17 @@
             transport.pause_reading()
             self._frozen.add(transport)
 
+    def limit_unread_bytes(self, n_bytes: int) -> None:
+        """Let new connections take few bytes that have not been read.
+
+        Args:
+            n_bytes: Size of the system's buffer, which is twice as large on Linux.
+        """
+        sites = () if self._runner is None else self._runner.sites
+        for site in sites:
+            for listening in getattr(site._server, "sockets", ()):
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, n_bytes)
+
     async def block_if_frozen(self, request: web.Request) -> None:
         """Return immediately, or never if the request's connection is frozen."""
         if request.transport in self._frozen:
--- a/lycheepost/utils/bodies.py
+++ b/lycheepost/utils/bodies.py
@@ -87,6 +87,9 @@
             # The response may end, and give the connection back, before the next step.
             self._closed_future = protocol.closed
             self.client = getattr(protocol, "client", "")
+            note_writer = getattr(protocol, "note_request_writer", None)
+            if note_writer is not None:
+                note_writer(self._writer)
         if self._closed_future is not None:
             # A pooled connection is started many times, and keeps one callback.
             self._closed_future.remove_done_callback(_retrieve_error)
--- a/lycheepost/utils/boundedreads.py
+++ b/lycheepost/utils/boundedreads.py
@@ -26,6 +26,7 @@
 
 from lycheepost.utils.bodies import TrackedResponse
 from lycheepost.utils.connecting import RunningTimeConnector
+from lycheepost.utils.connectionends import is_reset, n_unacknowledged_bytes
 from lycheepost.utils.responseheads import FoldSearch, HeadFault, find_head_fault
 
 MAX_INFORMATIONAL_HEADS = 8
@@ -182,6 +183,8 @@
         self._is_slow = False
         self._has_ended = False
         self._end_error: BaseException | None = None
+        self._request_writer: asyncio.Task[None] | None = None
+        self._is_cut = False
         self._n_informational = 0
         self._n_head_bytes = 0
         self._n_body_bytes = 0
@@ -199,6 +202,26 @@
         self._n_informational = self._n_head_bytes = self._n_body_bytes = 0
         super().set_response_params(**params)
 
+    def note_request_writer(self, writer: asyncio.Task[None] | None) -> None:
+        """Take the task that writes the request; None if it has been written."""
+        self._request_writer = writer
+
+    def eof_received(self) -> None:
+        """Note whether the connection ends before its request has been sent."""
+        transport = self.transport
+        if transport is not None:
+            writer = self._request_writer
+            is_being_written = writer is not None and not writer.done()
+            self._is_cut = (
+                is_being_written
+                or is_reset(transport)
+                or n_unacknowledged_bytes(transport) > 0
+            )
+            if self._is_cut:
+                # The loop would try to send what is left of the request.
+                transport.abort()
+        super().eof_received()
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head and its body from the parser."""
         message, body = data
@@ -279,6 +302,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End, once what is left has been parsed."""
+        if exc is None and self._is_cut:
+            exc = ConnectionResetError("the request was not sent completely")
         is_read = self.transport is not None and self._given_up is None
         if self._deferred and is_read:
             self._has_ended, self._end_error = True, exc
