Read answers of operators' commands and the load tool over bounded connections

What callers saw: an operator's command took an answer of status 000 with a JSON body for success, as its status is under 300; a status page was shown in some of the invalid forms.

Cause: the commands open their sessions with the library's own connections, so the checks of answers did not reach them.

Fix: these sessions, those of the burn report and of the load tool use the connections that all clients of a daemon use. The demo's own clients keep theirs: they stand for callers, and what they get is what is audited.

--- a/features/targets/brokenanswers.feature
+++ b/features/targets/brokenanswers.feature
@@ -22,6 +22,8 @@
       | cache events      | asyncio |
       | rows of the store | asyncio |
       | a table's answer  | asyncio |
+      | an operator's call | asyncio |
+      | a status page     | asyncio |
 
   Scenario Outline: <client> takes a sound answer, sent <packets>
     Guards against sound answers that are refused.
@@ -44,6 +46,8 @@
       | cache events      | byte by byte            |
       | rows of the store | after interim heads     |
       | a table's answer  | byte by byte            |
+      | an operator's call | after interim heads    |
+      | a status page     | byte by byte            |
 
   Scenario Outline: A folded line in pieces of <n> bytes is found
     Guards against a folded line that is passed on, as its bytes arrive apart.
--- a/features/targets/steps/brokenanswer_steps.py
+++ b/features/targets/steps/brokenanswer_steps.py
@@ -13,7 +13,9 @@
 from endless_steps import ALL_CLIENTS, ANSWER_BYTES, CALL_SECONDS, make_forward_call
 from returns.result import Success
 
+from lycheepost.commands.statuspages import fetch_all
 from lycheepost.decide.startverdict import StartAnswer
+from lycheepost.operators.client import ApiConnection, call_api
 from lycheepost.platform import headers as names
 from lycheepost.platform.dialect import ServerDialect
 from lycheepost.standin.rawbodies import EarlyEnd, answer_early
@@ -33,6 +35,33 @@
 INTERIM = encode_head("103 Early Hints", {"Link": "</a>"})
 
 
+class Sessionless:
+    """A client that opens a session for each call."""
+
+    async def start(self):
+        """Do nothing."""
+
+    async def stop(self):
+        """Do nothing."""
+
+
+def call_operators(address):
+    connection = ApiConnection(f"http://{address}", "lpo-key")
+    return Sessionless(), lambda: call_api(connection, "GET", "/v1/plans")
+
+
+def read_status(address):
+    async def read():
+        [page] = await fetch_all([address], Success)
+        return page
+
+    return Sessionless(), read
+
+
+CLIENTS = ALL_CLIENTS | {
+    "an operator's call": (call_operators, {}),
+    "a status page": (read_status, {}),
+}
 FOLDED_TRAILER = b"0\r\nX-More: more\r\n X-Folded: folded\r\n\r\n"
 UNREAD_BYTES = 16 * 1024
 EARLY_PAUSE_SECONDS = 0.05
@@ -114,12 +143,12 @@
 
 
 def document_of(client_name):
-    return json.dumps(ALL_CLIENTS[client_name][1]).encode()
+    return json.dumps(CLIENTS[client_name][1]).encode()
 
 
 @when("{client} is called at a server that answers in each invalid form")
 def step_each(context, client):
-    make = ALL_CLIENTS[client][0]
+    make = CLIENTS[client][0]
     for form in HeadForm:
         data = encode_form(form, HEADERS, document_of(client))
         address = open_server(context, writing(data))
@@ -140,7 +169,7 @@
 
 @when("{client} is called at a server that answers soundly, {packets}")
 def step_sound(context, client, packets):
-    make, _document = ALL_CLIENTS[client]
+    make, _document = CLIENTS[client]
     body = document_of(client)
     data = encode_head("200 OK", HEADERS | {"Content-Length": str(len(body))}) + body
     if packets == "after interim heads":
@@ -164,7 +193,7 @@
     "a request is called at a server that sends a folded line in pieces of {n:d} bytes"
 )
 def step_pieces(context, n):
-    make = ALL_CLIENTS["a request"][0]
+    make = CLIENTS["a request"][0]
     for form in (HeadForm.FOLDED_FIELD, HeadForm.INTERIM_FOLDED):
         data = encode_form(form, HEADERS, b"{}")
         address = open_server(context, writing(data, n))
--- a/lycheepost/commands/load.py
+++ b/lycheepost/commands/load.py
@@ -16,6 +16,7 @@
 from lycheepost.loadgen.expected import make_standin_answers, read_order_runs
 from lycheepost.loadgen.mixes import Deployment, make_mix
 from lycheepost.loadgen.report import LoadReport, encode, render_table
+from lycheepost.utils.boundedreads import make_bounded_connector
 
 
 def load(
@@ -126,7 +127,8 @@
     """Return the first listed model of the first address that answers."""
     headers = {"Authorization": f"Bearer {key}"}
     errors: list[str] = []
-    async with aiohttp.ClientSession(headers=headers) as session:
+    connector = make_bounded_connector("load")
+    async with aiohttp.ClientSession(headers=headers, connector=connector) as session:
         for address in addresses:
             try:
                 async with session.get(f"{address}/v1/models") as response:
--- a/lycheepost/commands/statuspages.py
+++ b/lycheepost/commands/statuspages.py
@@ -10,6 +10,7 @@
 
 from lycheepost.app.metricspage import STATUS_PATH
 from lycheepost.report.beliefs import StatusUnreadable
+from lycheepost.utils.boundedreads import make_bounded_connector
 
 ANSWER_TIMEOUT_SECONDS = 3.0
 """A serving daemon answers within milliseconds, a restarting one within a second."""
@@ -27,7 +28,8 @@
 ) -> list[Result[T, StatusUnreadable]]:
     """Return what ``read_page`` reads from the page of each daemon."""
     timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_SECONDS)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    connector = make_bounded_connector("status_pages")
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
         return await asyncio.gather(
             *(_fetch(session, item, read_page) for item in addresses)
         )
--- a/lycheepost/loadgen/drive.py
+++ b/lycheepost/loadgen/drive.py
@@ -31,6 +31,7 @@
 from lycheepost.loadgen.report import LoadReport, make_report
 from lycheepost.loadgen.requests import Completion, Request, ServiceCall
 from lycheepost.utils.bodies import TrackedResponse
+from lycheepost.utils.boundedreads import make_bounded_connector
 
 _PROGRESS_INTERVAL_SECONDS = 1.0
 _CONNECT_TIMEOUT_SECONDS = 2.0
@@ -111,7 +112,7 @@
 async def run_load(plan: LoadPlan) -> LoadReport:
     """Send all requests of ``plan``, wait for the answers, audit and report."""
     rng = np.random.default_rng(plan.seed)
-    connector = aiohttp.TCPConnector(limit=0)
+    connector = make_bounded_connector("load", limit=0)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_SECONDS)
     async with aiohttp.ClientSession(
         connector=connector, timeout=timeout, response_class=TrackedResponse
--- a/lycheepost/loadgen/expected.py
+++ b/lycheepost/loadgen/expected.py
@@ -18,6 +18,7 @@
 from lycheepost.standin.answers import chat_prompt_text, expected_words
 from lycheepost.standin.engine import EngineStandin
 from lycheepost.standin.service import ServiceStandin
+from lycheepost.utils.boundedreads import make_bounded_connector
 
 _MAX_ORDERS = 200_000
 """Limits the reading of a record that other callers continue to fill."""
@@ -70,7 +71,8 @@
             record could not detect lost or repeated orders.
     """
     runs: Counter[str] = Counter()
-    async with aiohttp.ClientSession() as session:
+    connector = make_bounded_connector("load")
+    async with aiohttp.ClientSession(connector=connector) as session:
         for url in service_urls:
             async for order in _orders(session, url):
                 runs[str(order.get("order_id", ""))] += 1
--- a/lycheepost/operators/client.py
+++ b/lycheepost/operators/client.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepost.core.errors import LycheepostError
+from lycheepost.utils.boundedreads import make_bounded_connector
 
 _TIMEOUT_SECONDS = 30.0
 _MAX_CONFIRM_ATTEMPTS = 3
@@ -68,7 +69,7 @@
         sent["Authorization"] = f"Bearer {connection.key}"
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
     try:
-        connector = aiohttp.TCPConnector(ssl=_make_ssl(connection))
+        connector = make_bounded_connector("operators", ssl=_make_ssl(connection))
         async with aiohttp.ClientSession(
             connector=connector, timeout=timeout
         ) as session:
--- a/lycheepost/report/gather.py
+++ b/lycheepost/report/gather.py
@@ -19,6 +19,7 @@
 )
 from lycheepost.report.burn import PairBurn, assess
 from lycheepost.report.routes import BURN_PATH, HISTORY_PATH
+from lycheepost.utils.boundedreads import make_bounded_connector
 
 _MAX_CONCURRENT_REQUESTS = 32
 _COUNTS_TIMEOUT_SECONDS = 10.0
@@ -84,7 +85,8 @@
         operator_key: Sent as a bearer key.
     """
     headers = {"Authorization": f"Bearer {operator_key}"}
-    async with aiohttp.ClientSession(headers=headers) as session:
+    connector = make_bounded_connector("report")
+    async with aiohttp.ClientSession(headers=headers, connector=connector) as session:
         limit = asyncio.Semaphore(_MAX_CONCURRENT_REQUESTS)
 
         async def fetch(address: str) -> _FetchResult:
--- a/lycheepost/standin/rawbodies.py
+++ b/lycheepost/standin/rawbodies.py
@@ -16,7 +16,6 @@
 from lycheepost.standin.rawheads import encode_chunk, encode_head
 from lycheepost.standin.resets import reset
 
-
 _HANG_SECONDS = 3600.0
 """Longer than any caller waits."""
 
