--- a/features/targets/steps/brokenanswer_steps.py
+++ b/features/targets/steps/brokenanswer_steps.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import contextlib
-import functools
 import json
 import socket
-from dataclasses import replace
 
 import uvloop
-from bed import SETTINGS
 from behave import given, then, when
-from endless_steps import ALL_CLIENTS, ANSWER_BYTES, CALL_SECONDS, make_forward_call
+from endless_steps import ALL_CLIENTS, CALL_SECONDS, forward
 from returns.result import Success
 
 from lycheepost.commands.statuspages import fetch_all
@@ -21,8 +18,6 @@
 from lycheepost.standin.rawbodies import EarlyEnd, answer_early
 from lycheepost.standin.rawheads import HeadForm, encode_chunk, encode_form, encode_head
 from lycheepost.standin.resets import RESET_ON_CLOSE
-from lycheepost.targets.errors import TargetError
-from lycheepost.targets.forward import ForwardClient
 
 LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
 SIZES = {"1 kB": 1_000, "300 kB": 300_000, "3 MB": 3_000_000, "20 MB": 20_000_000}
@@ -200,21 +195,10 @@
         context.results.append((form, context.run(call(make, address))))
 
 
-def make_upload(n_bytes, address):
-    """Return a client, and a call that sends a body through it."""
-    client = ForwardClient(SETTINGS, ServerDialect())
-    forward_call = replace(make_forward_call(address), body=b"b" * n_bytes)
-
-    async def send():
-        sent = await client.send(forward_call)
-        if not isinstance(sent, Success):
-            return sent
-        try:
-            return await sent.unwrap().read_body(ANSWER_BYTES)
-        except TargetError as error:
-            return error
-
-    return client, send
+def make_upload(n_bytes):
+    """Return what makes a client, and a call that sends a body through it."""
+    make, _document = forward(ServerDialect(), body=b"b" * n_bytes)
+    return make
 
 
 @when("a request of {size} is answered early, and its connection ends by {end}")
@@ -236,7 +220,7 @@
         await answer_early(transport, HEADERS, b"part", end, EARLY_PAUSE_SECONDS)
 
     address = open_server(context, answering(respond))
-    make = functools.partial(make_upload, n_bytes)
+    make = make_upload(n_bytes)
     context.results.append((end, context.run(call(make, address))))
 
 
@@ -260,7 +244,7 @@
 
     async def call_all():
         serving = asyncio.create_task(serve())
-        make = functools.partial(make_upload, 2)
+        make = make_upload(2)
         address = f"127.0.0.1:{listening.getsockname()[1]}"
         for number in range(n):
             context.results.append((number, await call(make, address)))
@@ -283,5 +267,5 @@
         await end(writer)
 
     address = open_server(context, answering(respond))
-    make = functools.partial(make_upload, n_bytes)
+    make = make_upload(n_bytes)
     context.results.append((size, context.run(call(make, address))))
--- a/features/targets/steps/endless_steps.py
+++ b/features/targets/steps/endless_steps.py
@@ -47,7 +47,7 @@
     seconds: float
 
 
-def make_forward_call(address, relay=None):
+def make_forward_call(address, relay=None, body=b"{}"):
     return ForwardCall(
         target=TargetId("i-1"),
         address=address,
@@ -55,7 +55,7 @@
         method="POST",
         raw_path="/order/1",
         headers=((names.ATTEMPT_ID, "a-1"),),
-        body=b"{}",
+        body=body,
         remaining_seconds=3.0,
         customer=CustomerId("c"),
         relay=relay,
@@ -63,12 +63,12 @@
     )
 
 
-def forward(dialect, relay=None):
+def forward(dialect, relay=None, body=b"{}"):
     def make(address):
         client = ForwardClient(SETTINGS, dialect)
 
         async def send():
-            sent = await client.send(make_forward_call(address, relay))
+            sent = await client.send(make_forward_call(address, relay, body))
             if not isinstance(sent, Success):
                 return sent
             try:
--- a/lycheepost/utils/bodies.py
+++ b/lycheepost/utils/bodies.py
@@ -105,8 +105,8 @@
         """Return how the body ended, which has been read to its end.
 
         Raises:
-            aiohttp.ClientError: Bytes may be missing: the connection was reset, or
-                nothing shows how it ended.
+            aiohttp.ClientError: Bytes may be missing: the connection was reset or
+                ended before the request had been sent, or nothing shows how it ended.
         """
         if self.framing is not BodyFraming.CONNECTION:
             return BodyEnd.MARKED
--- a/lycheepost/utils/connectionends.py
+++ b/lycheepost/utils/connectionends.py
@@ -39,8 +39,8 @@
 def n_unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
     """Return how many bytes the far end of a connection has not acknowledged.
 
-    A program that has read a whole request has acknowledged all of it. Where the system
-    does not tell, only the bytes count that it has not taken.
+    One that has read a whole request has acknowledged all of it. Where the system does
+    not tell, only the bytes in the transport's buffer count.
     """
     n_buffered = transport.get_write_buffer_size()
     connection = transport.get_extra_info("socket")
