--- a/features/targets/brokenanswers.feature
+++ b/features/targets/brokenanswers.feature
@@ -96,6 +96,18 @@
       | an end of stream, then a reset | asyncio |
       | an end of stream, then a reset | uvloop  |
 
+  Scenario Outline: A request that has arrived, but is partly unread, is answered, on <loop>
+    Guards against the start of an answer that counts as complete, as the server's
+    system has acknowledged all of its request.
+    Given the event loop is <loop>
+    When a server leaves 100 kB of a request unread, answers, ends its stream and resets
+    Then each call ended with an error
+
+    Examples:
+      | loop    |
+      | asyncio |
+      | uvloop  |
+
   Scenario Outline: A reset that arrives with an end of stream is seen, on <loop>
     Guards against a reset that the event loop reports as a regular end.
     Given the event loop is <loop>
--- a/features/targets/steps/brokenanswer_steps.py
+++ b/features/targets/steps/brokenanswer_steps.py
@@ -71,10 +71,13 @@
     context.results = []
 
 
-def open_server(context, serve):
-    """Return the address of a server whose system takes few bytes that are unread."""
+def open_server(context, serve, unread_bytes=UNREAD_BYTES):
+    """Return the address of a server.
+
+    Its system takes as many bytes that are unread, twice as many on Linux.
+    """
     listening = socket.socket()
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes)
     listening.bind(("127.0.0.1", 0))
     tasks = set()
 
@@ -224,6 +227,20 @@
     context.results.append((end, context.run(call(make, address))))
 
 
+@when("a server leaves 100 kB of a request unread, answers, ends its stream and resets")
+def step_partly_unread(context):
+    async def respond(reader, writer):
+        await reader.readexactly(200_000)
+        writer.transport.pause_reading()
+        # By then the system has taken the rest.
+        await asyncio.sleep(EARLY_PAUSE_SECONDS)
+        end = EarlyEnd.END_OF_STREAM
+        await answer_early(writer.transport, HEADERS, b"part", end, EARLY_PAUSE_SECONDS)
+
+    address = open_server(context, answering(respond), unread_bytes=1_000_000)
+    context.results.append(("unread", context.run(call(make_upload(300_000), address))))
+
+
 @when("{n:d} answers without length arrive together with an end of stream and a reset")
 def step_with_reset(context, n):
     listening = socket.create_server(("127.0.0.1", 0))
