--- a/features/platform/brokenanswers.feature
+++ b/features/platform/brokenanswers.feature
@@ -3,6 +3,8 @@
 
   Scenario Outline: A <what> that is answered with a <form>: <outcome>
     Guards against an invalid answer that reaches its client as an answer.
+    A server has 32 slots, so 40 look-ups at once need both servers: one invalid answer
+    takes none out of use.
     Given a deployment with 1 daemon
     When the next server answers a <what> with a <form>
     And a client asks for a <what>
